--- /dev/null
+++ b/tests/unit/ring_test.c
@@ -0,0 +1,47 @@
+/*
+ * The ring keeps order and its bound; a producer is never silently dropped.
+ */
+
+#include "fireflyvalve.h"
+#include "suite.h"
+
+static void
+test_order_is_kept(void)
+{
+    fv_ring_t *ring = FvRing_New(4);
+    int values[3] = {0};
+
+    for (int i = 0; i < 3; i++) {
+        CU_ASSERT_TRUE(FvRing_TryPush(ring, &values[i]));
+    }
+    for (int i = 0; i < 3; i++) {
+        CU_ASSERT_PTR_EQUAL(FvRing_Pop(ring, 0), &values[i]);
+    }
+    CU_ASSERT_PTR_NULL(FvRing_Pop(ring, 1));
+    FvRing_Free(ring);
+}
+
+static void
+test_full_ring_refuses(void)
+{
+    fv_ring_t *ring = FvRing_New(2);
+    int value;
+
+    CU_ASSERT_TRUE(FvRing_TryPush(ring, &value));
+    CU_ASSERT_TRUE(FvRing_TryPush(ring, &value));
+    CU_ASSERT_FALSE(FvRing_TryPush(ring, &value));
+    FvRing_Close(ring);
+    CU_ASSERT_FALSE(FvRing_Push(ring, &value));
+    FvRing_Free(ring);
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"items leave in the order they arrived", test_order_is_kept},
+        {"a full or closed ring refuses an item", test_full_ring_refuses},
+    };
+
+    return Fv_RUN_SUITE("ring", cases);
+}
