--- /dev/null
+++ b/src/daemon.h
@@ -0,0 +1,423 @@
+/*
+ * Objects of the daemon (fireflyvalve serve). All of them belong to the
+ * scheduler thread unless a comment says otherwise.
+ */
+
+#ifndef DAEMON_H
+#define DAEMON_H
+
+#include "fireflyvalve.h"
+
+#include <pthread.h>
+
+#define Fv_LINK_FRAME_MAX_BYTES (1024 * 1024)
+#define Fv_ANSWER_CHUNK_BYTES (64 * 1024)
+#define Fv_RESERVATION_TTL_MS 2000
+#define Fv_START_GRACE_MS 300
+#define Fv_LAPSE_STOP_MS 2000
+#define Fv_CLOCK_SKEW_MS 1000
+#define Fv_DEFAULT_START_WINDOW_MS INT64_C(3600000)
+
+typedef struct fv_daemon fv_daemon_t;
+
+/*
+ * ticket.c: one caller request. The HTTP thread fills it in, posts it to the
+ * scheduler and waits; the scheduler replies exactly once, at once or later.
+ */
+typedef struct fv_ticket fv_ticket_t;
+typedef struct fv_route fv_route_t;
+
+struct fv_ticket {
+    fv_event_t event; /* first: a ticket is posted as an event */
+    fv_daemon_t *daemon;
+    const fv_route_t *route;
+    char member[Fv_NAME_SIZE];         /* authenticated caller */
+    char idempotency_key[Fv_KEY_SIZE]; /* empty when absent */
+    char params[2][Fv_KEY_SIZE];       /* path segments matched by * */
+    bool raw_answer;                   /* ?answer=raw */
+    int64_t wait_ms;                   /* ?wait_ms=N */
+    json_t *body;                      /* parsed request body or NULL */
+
+    int32_t status;
+    json_t *reply; /* JSON reply, or NULL for a raw one */
+    uint8_t *raw;  /* raw reply */
+    size_t raw_length;
+    char outcome[16];       /* Fireflyvalve-Outcome header when not empty */
+    char job[Fv_KEY_SIZE];  /* Fireflyvalve-Job header when not empty */
+    int64_t retry_after_ms; /* Retry-After when positive */
+
+    /* Private to ticket.c. */
+    pthread_mutex_t lock;
+    pthread_cond_t replied;
+    bool done;
+    atomic_int references;
+};
+
+/* The scheduler's side. Each takes over its arguments and replies once. */
+void FvTicket_ReplyJson(fv_ticket_t *ticket, int32_t status, json_t *reply);
+void FvTicket_ReplyRaw(fv_ticket_t *ticket, int32_t status,
+                       const uint8_t *data, size_t length);
+void FvTicket_ReplyProblem(fv_ticket_t *ticket, int32_t status,
+                           const char *outcome, int64_t retry_after_ms,
+                           const char *format, ...)
+    __attribute__((format(printf, 5, 6)));
+
+/* The HTTP thread's side. */
+fv_ticket_t *FvTicket_New(fv_daemon_t *daemon, const fv_route_t *route);
+void FvTicket_Wait(fv_ticket_t *ticket);
+void FvTicket_Release(fv_ticket_t *ticket);
+
+/* http-server.c: CivetWeb, authentication, limits, the route table. */
+struct fv_route {
+    const char *method;
+    const char *pattern; /* "/v1/jobs/" "*" "/answer": * is one segment */
+    bool needs_config;   /* 503 while no configuration is active */
+    void (*handle)(fv_daemon_t *daemon, fv_ticket_t *ticket);
+};
+
+typedef struct fv_http_server fv_http_server_t;
+
+fv_http_server_t *FvHttpServer_New(fv_daemon_t *daemon);
+void FvHttpServer_Free(fv_http_server_t *server);
+extern const fv_route_t Fv_ROUTES[]; /* api.c; ends with a NULL method */
+
+/* api.c, api-*.c: handlers, run on the scheduler thread. */
+void FvApiJobs_Submit(fv_daemon_t *daemon, fv_ticket_t *ticket);
+void FvApiJobs_Status(fv_daemon_t *daemon, fv_ticket_t *ticket);
+void FvApiJobs_Answer(fv_daemon_t *daemon, fv_ticket_t *ticket);
+void FvApiJobs_Cancel(fv_daemon_t *daemon, fv_ticket_t *ticket);
+void FvApiCell_Hosts(fv_daemon_t *daemon, fv_ticket_t *ticket);
+void FvApiCell_Workers(fv_daemon_t *daemon, fv_ticket_t *ticket);
+void FvApiCell_Shares(fv_daemon_t *daemon, fv_ticket_t *ticket);
+void FvApiCell_Usage(fv_daemon_t *daemon, fv_ticket_t *ticket);
+void FvApiConfig_PutAnswers(fv_daemon_t *daemon, fv_ticket_t *ticket);
+void FvApiConfig_Generate(fv_daemon_t *daemon, fv_ticket_t *ticket);
+void FvApiConfig_ListProposals(fv_daemon_t *daemon, fv_ticket_t *ticket);
+void FvApiConfig_ShowProposal(fv_daemon_t *daemon, fv_ticket_t *ticket);
+void FvApiConfig_DiffProposal(fv_daemon_t *daemon, fv_ticket_t *ticket);
+void FvApiConfig_Approve(fv_daemon_t *daemon, fv_ticket_t *ticket);
+void FvApiConfig_Reject(fv_daemon_t *daemon, fv_ticket_t *ticket);
+void FvApiConfig_Show(fv_daemon_t *daemon, fv_ticket_t *ticket);
+void FvApiConfig_Status(fv_daemon_t *daemon, fv_ticket_t *ticket);
+
+/* wire.c: messages between entry hosts. */
+typedef enum fv_message_type {
+    Fv_MESSAGE_CHALLENGE,
+    Fv_MESSAGE_HELLO,
+    Fv_MESSAGE_WELCOME,
+    Fv_MESSAGE_DIGEST,
+    Fv_MESSAGE_RESERVE,
+    Fv_MESSAGE_RESERVED,
+    Fv_MESSAGE_START,
+    Fv_MESSAGE_TASK, /* reply to start, stop and query */
+    Fv_MESSAGE_CHUNK,
+    Fv_MESSAGE_STOP,
+    Fv_MESSAGE_QUERY,
+    Fv_MESSAGE_RELEASE,
+    Fv_MESSAGE_LEASE_QUERY,
+    Fv_MESSAGE_LEASE_STATE,
+    Fv_MESSAGE_JOB_STATUS,
+    Fv_MESSAGE_JOB_CANCEL,
+    Fv_MESSAGE_JOB,
+    Fv_MESSAGE_CONFIG_GET,
+    Fv_MESSAGE_CONFIG,
+    Fv_MESSAGE_COUNT
+} fv_message_type_t;
+
+typedef enum fv_refusal {
+    Fv_REFUSAL_NONE,
+    Fv_REFUSAL_NO_CAPACITY,
+    Fv_REFUSAL_NOT_HOLDER,
+    Fv_REFUSAL_EXPIRED, /* reservation or lease; surely not started */
+    Fv_REFUSAL_NEVER_FITS,
+    Fv_REFUSAL_STOPPED, /* this task id was stopped before */
+    Fv_REFUSAL_DRAINING,
+    Fv_REFUSAL_IN_DOUBT /* the worker may have started it */
+} fv_refusal_t;
+
+const char *FvRefusal_Name(fv_refusal_t refusal);
+
+typedef struct fv_hello {
+    char cluster[Fv_NAME_SIZE];
+    char host[Fv_NAME_SIZE];
+    char incarnation[Fv_NONCE_SIZE];
+    char region[Fv_NAME_SIZE];
+    char data_center[Fv_NAME_SIZE];
+    char nonce[Fv_NONCE_SIZE];
+    char mac[Fv_DIGEST_SIZE];
+} fv_hello_t;
+
+typedef struct fv_task_request {
+    char id[Fv_TASK_ID_SIZE]; /* reserve: the job's MEMBER:KEY:ATTEMPT */
+    char worker[Fv_NAME_SIZE];
+    char home[Fv_NAME_SIZE];
+    char member[Fv_NAME_SIZE];
+    char workload[Fv_NAME_SIZE];
+    fv_class_t class_id;
+    fv_resources_t size;
+    int32_t count; /* reserve: number of tasks wanted */
+    bool reserved; /* start: a reservation under this id must exist */
+    bool stop_on_lapse;
+    bool send_once;  /* start: not idempotent */
+    int64_t wait_ms; /* start, query: wait this long for the end */
+    uint8_t *payload;
+    size_t payload_length;
+} fv_task_request_t;
+
+typedef struct fv_task_reply {
+    char id[Fv_TASK_ID_SIZE];
+    char worker[Fv_NAME_SIZE];
+    fv_task_state_t state;
+    fv_refusal_t refusal;
+    int64_t ran_ms;
+    fv_resources_t used;
+    size_t answer_length; /* of the whole answer */
+    uint64_t answer_hash; /* XXH64 of the whole answer */
+    uint8_t *answer;      /* the first chunk on the wire; whole once joined */
+    size_t received;      /* bytes of answer present */
+} fv_task_reply_t;
+
+typedef struct fv_reserved {
+    fv_refusal_t refusal;
+    uint32_t count;
+    char workers[Fv_TASKS_MAX][Fv_NAME_SIZE];
+} fv_reserved_t;
+
+typedef struct fv_message {
+    fv_message_type_t type;
+    uint64_t request_id; /* 0: no reply expected */
+    union {
+        fv_hello_t hello; /* challenge, hello, welcome */
+        fv_digest_t *digest;
+        fv_task_request_t task_request; /* reserve, start, stop, query,
+                                           release, lease_query */
+        fv_reserved_t *reserved;
+        fv_task_reply_t task_reply; /* task, chunk */
+        struct {
+            bool held;
+            int64_t lapsed_ms;
+        } lease_state;
+        struct {
+            char *text; /* JSON document of a job or a configuration */
+            char member[Fv_NAME_SIZE];
+            char key[Fv_KEY_SIZE];
+        } document;
+    } body;
+} fv_message_t;
+
+typedef enum fv_wire_error {
+    Fv_WIRE_OK,
+    Fv_WIRE_MALFORMED,
+    Fv_WIRE_TOO_LARGE,
+    Fv_WIRE_NO_MEMORY
+} fv_wire_error_t;
+
+fv_wire_error_t FvWire_Pack(const fv_message_t *message, fv_buffer_t *frame);
+fv_wire_error_t FvWire_Unpack(const uint8_t *payload, size_t length,
+                              fv_message_t *message);
+void FvWire_Clear(fv_message_t *message);
+
+/* link.c: TCP connections to the other entry hosts, on a thread of its own. */
+typedef struct fv_link fv_link_t;
+
+typedef enum fv_link_error {
+    Fv_LINK_OK,
+    Fv_LINK_NOT_SENT, /* no connection; the message never left */
+    Fv_LINK_IN_DOUBT, /* the connection broke or the reply timed out */
+    Fv_LINK_REFUSED
+} fv_link_error_t;
+
+fv_link_t *FvLink_New(fv_daemon_t *daemon);
+void FvLink_Free(fv_link_t *link);
+bool FvLink_SetPeers(fv_link_t *link, const fv_hosts_t *hosts);
+bool FvLink_SendTo(fv_link_t *link, const char *host,
+                   const fv_message_t *message);
+bool FvLink_ReplyOn(fv_link_t *link, uint64_t connection,
+                    const fv_message_t *message);
+
+/* peer.c: requests to other hosts; a request to this host is run locally. */
+typedef struct fv_peers fv_peers_t;
+typedef void (*fv_peer_done_t)(void *context, fv_link_error_t error,
+                               fv_message_t *reply);
+
+/* Where the reply to an incoming request goes; copied by value. */
+typedef struct fv_reply_to {
+    char host[Fv_NAME_SIZE];
+    uint64_t connection; /* 0: this host */
+    uint64_t request_id;
+} fv_reply_to_t;
+
+fv_peers_t *FvPeers_New(fv_daemon_t *daemon);
+void FvPeers_Free(fv_peers_t *peers);
+void FvPeers_Call(fv_peers_t *peers, const char *host, fv_message_t *message,
+                  int64_t timeout_ms, fv_peer_done_t done, void *context);
+void FvPeers_Notify(fv_peers_t *peers, const char *host,
+                    const fv_message_t *message);
+void FvPeers_Reply(fv_peers_t *peers, const fv_reply_to_t *to,
+                   fv_message_t *reply);
+void FvPeers_OnMessage(fv_peers_t *peers, const char *host,
+                       uint64_t connection, fv_message_t *message);
+void FvPeers_OnLinkUp(fv_peers_t *peers, const fv_hello_t *welcome);
+void FvPeers_OnLinkDown(fv_peers_t *peers, const char *host);
+
+/* host-list.c: polls the platform's list. */
+typedef struct fv_host_list fv_host_list_t;
+
+fv_host_list_t *FvHostList_New(fv_daemon_t *daemon);
+void FvHostList_Free(fv_host_list_t *list);
+
+/* upstream.c: the protocol spoken to workers; a vtable. */
+typedef struct fv_upstream fv_upstream_t;
+
+typedef enum fv_upstream_error {
+    Fv_UPSTREAM_OK,
+    Fv_UPSTREAM_NOT_SENT,
+    Fv_UPSTREAM_REFUSED, /* the worker surely did not act */
+    Fv_UPSTREAM_IN_DOUBT,
+    Fv_UPSTREAM_MALFORMED
+} fv_upstream_error_t;
+
+typedef struct fv_lease_reply {
+    fv_upstream_error_t error;
+    uint64_t term;
+    int64_t ttl_ms;
+    int64_t sequence;
+    int64_t expires_in_ms; /* refused: when the other holder's lease ends */
+    bool leaving;
+    fv_resources_t capacity;
+    int32_t connections;
+    uint32_t task_count;
+    fv_task_t *tasks;
+} fv_lease_reply_t;
+
+typedef void (*fv_lease_done_t)(void *context, const fv_lease_reply_t *reply);
+/* The callee may take reply->answer by setting it to NULL. */
+typedef void (*fv_task_done_t)(void *context, fv_upstream_error_t error,
+                               fv_task_reply_t *reply);
+
+typedef struct fv_upstream_type {
+    const char *name;
+    void (*lease)(fv_upstream_t *upstream, const fv_worker_t *worker,
+                  uint64_t term, fv_lease_done_t done, void *context);
+    void (*release)(fv_upstream_t *upstream, const fv_worker_t *worker,
+                    fv_lease_done_t done, void *context);
+    void (*start)(fv_upstream_t *upstream, const fv_worker_t *worker,
+                  const fv_task_request_t *request, int64_t not_after_ns,
+                  fv_task_done_t done, void *context);
+    void (*query)(fv_upstream_t *upstream, const char *base_url,
+                  const char *task_id, fv_task_done_t done, void *context);
+    void (*answer)(fv_upstream_t *upstream, const char *base_url,
+                   const char *task_id, fv_task_done_t done, void *context);
+    void (*stop)(fv_upstream_t *upstream, const char *base_url,
+                 const char *task_id, fv_task_done_t done, void *context);
+    void (*checkpoint)(fv_upstream_t *upstream, const char *base_url,
+                       const char *task_id, fv_task_done_t done,
+                       void *context);
+    void (*throttle)(fv_upstream_t *upstream, const char *base_url,
+                     const char *task_id, int32_t percent, fv_task_done_t done,
+                     void *context);
+} fv_upstream_type_t;
+
+struct fv_upstream {
+    const fv_upstream_type_t *type;
+    fv_daemon_t *daemon;
+};
+
+fv_upstream_t *FvUpstream_NewJson(fv_daemon_t *daemon);
+void FvUpstream_Free(fv_upstream_t *upstream);
+
+/* holder.c: the leases this host holds and the tasks under them. */
+typedef struct fv_holder fv_holder_t;
+
+fv_holder_t *FvHolder_New(fv_daemon_t *daemon);
+void FvHolder_Free(fv_holder_t *holder);
+void FvHolder_OnWorkers(fv_holder_t *holder, const json_t *listed);
+fv_worker_t *FvHolder_Worker(fv_holder_t *holder, const char *name);
+fv_placement_t *FvHolder_Placement(fv_holder_t *holder);
+void FvHolder_Reserve(fv_holder_t *holder, const fv_task_request_t *request,
+                      const fv_reply_to_t *to);
+void FvHolder_Start(fv_holder_t *holder, const fv_task_request_t *request,
+                    const fv_reply_to_t *to);
+void FvHolder_Stop(fv_holder_t *holder, const fv_task_request_t *request,
+                   const fv_reply_to_t *to);
+void FvHolder_Query(fv_holder_t *holder, const fv_task_request_t *request,
+                    const fv_reply_to_t *to);
+void FvHolder_Release(fv_holder_t *holder, const fv_task_request_t *request);
+void FvHolder_LeaseQuery(fv_holder_t *holder, const fv_task_request_t *request,
+                         const fv_reply_to_t *to);
+void FvHolder_Drain(fv_holder_t *holder);
+bool FvHolder_IsDrained(const fv_holder_t *holder);
+json_t *FvHolder_ToJson(const fv_holder_t *holder);
+
+/* claim.c: the record in the store by which a host owns a job. */
+typedef struct fv_claim {
+    char holder[Fv_NAME_SIZE];
+    char incarnation[Fv_NONCE_SIZE];
+    char nonce[Fv_NONCE_SIZE];
+    int64_t revision; /* of the record as last read or written */
+    uint32_t worker_count;
+    char (*workers)[Fv_NAME_SIZE];
+} fv_claim_t;
+
+json_t *FvClaim_ToJson(const fv_job_t *job, const fv_claim_t *claim);
+bool FvClaim_FromJson(const json_t *record, fv_job_t *job, fv_claim_t *claim);
+
+/* configurator.c: the active configuration, its watch and its distribution. */
+typedef struct fv_configurator fv_configurator_t;
+
+fv_configurator_t *FvConfigurator_New(fv_daemon_t *daemon);
+void FvConfigurator_Free(fv_configurator_t *configurator);
+void FvConfigurator_OnHosts(fv_configurator_t *configurator);
+void FvConfigurator_OnPeerVersion(fv_configurator_t *configurator,
+                                  const char *host, uint64_t version);
+void FvConfigurator_OnConfigGet(fv_configurator_t *configurator,
+                                const fv_message_t *request,
+                                const fv_reply_to_t *to);
+void FvConfigurator_OnConfig(fv_configurator_t *configurator,
+                             const fv_message_t *message);
+
+/* runner.c: jobs accepted by this host, from admission to outcome. */
+typedef struct fv_runner fv_runner_t;
+
+fv_runner_t *FvRunner_New(fv_daemon_t *daemon);
+void FvRunner_Free(fv_runner_t *runner);
+void FvRunner_Wake(fv_runner_t *runner);
+void FvRunner_OnHosts(fv_runner_t *runner);
+void FvRunner_OnConfig(fv_runner_t *runner);
+void FvRunner_OnJobStatus(fv_runner_t *runner, const fv_message_t *request,
+                          const fv_reply_to_t *to);
+void FvRunner_OnJobCancel(fv_runner_t *runner, const fv_message_t *request,
+                          const fv_reply_to_t *to);
+void FvRunner_QueueCounts(const fv_runner_t *runner,
+                          int32_t counts[Fv_CLASS_COUNT]);
+bool FvRunner_IsDrained(const fv_runner_t *runner);
+
+/* serve.c: the daemon as a whole. */
+struct fv_daemon {
+    fv_settings_t settings;
+    char incarnation[Fv_NONCE_SIZE];
+    uint8_t cluster_key[32];
+    fv_tokens_t *tokens;
+    fv_loop_t *loop;
+    fv_http_client_t *http;
+    fv_http_server_t *server;
+    fv_store_t *store;
+    fv_hosts_t hosts;
+    fv_host_t *self;
+    fv_link_t *link;
+    fv_peers_t *peers;
+    fv_host_list_t *host_list;
+    fv_upstream_t *upstream;
+    fv_holder_t *holder;
+    fv_configurator_t *configurator;
+    fv_runner_t *runner;
+    fv_shares_t *shares;
+    fv_estimates_t *estimates;
+    fv_accounts_t *accounts;
+    atomic_bool ready;
+    atomic_bool draining;
+};
+
+int FvServe_Run(const fv_settings_t *settings);
+
+#endif
