--- a/src/daemon.h
+++ b/src/daemon.h
@@ -217,6 +217,50 @@
                               fv_message_t *message);
 void FvWire_Clear(fv_message_t *message);
 
+/* connection.c: buffers and framing of one TCP connection. */
+typedef enum fv_connection_state {
+    Fv_CONNECTION_CONNECTING,
+    Fv_CONNECTION_HANDSHAKE,
+    Fv_CONNECTION_READY,
+    Fv_CONNECTION_CLOSED
+} fv_connection_state_t;
+
+typedef struct fv_connection {
+    int fd;
+    uint64_t id;
+    bool dialed;
+    fv_connection_state_t state;
+    char host[Fv_NAME_SIZE]; /* expected when dialed, proven when accepted */
+    char nonce[Fv_NONCE_SIZE];
+    int64_t deadline_ms;
+    fv_buffer_t in;
+    size_t in_used;
+    fv_buffer_t out;
+    size_t out_sent;
+    struct fv_connection *next;
+} fv_connection_t;
+
+fv_connection_t *FvConnection_New(int fd, bool dialed);
+void FvConnection_Free(fv_connection_t *connection);
+bool FvConnection_Queue(fv_connection_t *connection,
+                        const fv_message_t *message);
+bool FvConnection_QueueFrame(fv_connection_t *connection,
+                             const fv_buffer_t *frame);
+bool FvConnection_Flush(fv_connection_t *connection);
+bool FvConnection_Read(fv_connection_t *connection);
+bool FvConnection_Next(fv_connection_t *connection, fv_message_t *message,
+                       fv_wire_error_t *error);
+
+/* handshake.c: proof that both sides have the cluster's key. */
+void FvHandshake_Challenge(const fv_daemon_t *daemon, const char *nonce,
+                           fv_hello_t *challenge);
+void FvHandshake_Hello(const fv_daemon_t *daemon, const fv_hello_t *challenge,
+                       const char *nonce, fv_hello_t *hello);
+bool FvHandshake_AcceptHello(const fv_daemon_t *daemon, const char *nonce,
+                             const fv_hello_t *hello, fv_hello_t *welcome);
+bool FvHandshake_AcceptWelcome(const fv_daemon_t *daemon, const char *nonce,
+                               const char *host, const fv_hello_t *welcome);
+
 /* link.c: TCP connections to the other entry hosts, on a thread of its own. */
 typedef struct fv_link fv_link_t;
 
@@ -230,10 +274,10 @@
 fv_link_t *FvLink_New(fv_daemon_t *daemon);
 void FvLink_Free(fv_link_t *link);
 bool FvLink_SetPeers(fv_link_t *link, const fv_hosts_t *hosts);
-bool FvLink_SendTo(fv_link_t *link, const char *host,
-                   const fv_message_t *message);
-bool FvLink_ReplyOn(fv_link_t *link, uint64_t connection,
-                    const fv_message_t *message);
+size_t FvLink_SendTo(fv_link_t *link, const char *host,
+                     const fv_message_t *message);
+size_t FvLink_ReplyOn(fv_link_t *link, uint64_t connection,
+                      const fv_message_t *message);
 
 /* peer.c: requests to other hosts; a request to this host is run locally. */
 typedef struct fv_peers fv_peers_t;
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -8,6 +8,7 @@
 #define FIREFLYVALVE_H
 
 #include <jansson.h>
+#include <netinet/in.h>
 #include <stdatomic.h>
 #include <stdbool.h>
 #include <stddef.h>
@@ -78,6 +79,7 @@
 /* text.c */
 bool FvText_Copy(char *target, size_t size, const char *source);
 bool FvText_IsName(const char *text, size_t max_length);
+bool FvText_ParseAddress(const char *text, struct sockaddr_in *address);
 void FvText_RandomHex(char *target, size_t size);
 char *FvText_Base64(const void *data, size_t length);
 bool FvText_FromBase64(const char *text, fv_buffer_t *out);
@@ -393,6 +395,7 @@
 typedef struct fv_digest {
     uint64_t config_version;
     int64_t received_ms;
+    bool draining;
     int32_t workers;
     int32_t queued[Fv_CLASS_COUNT];
     fv_resources_t free_total;
--- /dev/null
+++ b/src/host.c
@@ -0,0 +1,166 @@
+/*
+ * Entry hosts of the cell, as the platform's list and their heartbeats show
+ * them, and the assignments that follow from who is alive.
+ */
+
+#include "fireflyvalve.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Three digests missed in the region, three across regions. */
+#define Fv_HOST_SILENCE_MS 1500
+#define Fv_HOST_REMOTE_SILENCE_MS 6000
+
+/**
+ * FvHosts_Find - look a host up by name
+ * @hosts: the hosts
+ * @name: the name
+ *
+ * Return: the host or NULL.
+ */
+fv_host_t *
+FvHosts_Find(const fv_hosts_t *hosts, const char *name)
+{
+    for (uint32_t i = 0; i < hosts->count; i++) {
+        if (strcmp(hosts->entries[i]->name, name) == 0) {
+            return hosts->entries[i];
+        }
+    }
+    return NULL;
+}
+
+/**
+ * FvHosts_Add - add a host
+ * @hosts: the hosts
+ * @name: its name; not yet present
+ *
+ * Return: the new host, or NULL when there are too many.
+ */
+fv_host_t *
+FvHosts_Add(fv_hosts_t *hosts, const char *name)
+{
+    fv_host_t *host;
+
+    if (hosts->count == Fv_HOSTS_MAX) {
+        return NULL;
+    }
+    host = calloc(1, sizeof(*host));
+    if (host == NULL) {
+        return NULL;
+    }
+    FvText_Copy(host->name, sizeof(host->name), name);
+    hosts->entries[hosts->count++] = host;
+    return host;
+}
+
+/**
+ * FvHosts_Clear - release all hosts
+ * @hosts: the hosts
+ */
+void
+FvHosts_Clear(fv_hosts_t *hosts)
+{
+    for (uint32_t i = 0; i < hosts->count; i++) {
+        free(hosts->entries[i]);
+    }
+    hosts->count = 0;
+}
+
+/**
+ * FvHost_IsAlive - whether a host can be relied on now
+ * @host: the host
+ * @self: this host
+ * @now_ms: boot time
+ *
+ * Return: true for this host, and for a host that is listed live, linked and
+ * was heard from lately.
+ */
+bool
+FvHost_IsAlive(const fv_host_t *host, const fv_host_t *self, int64_t now_ms)
+{
+    bool near = strcmp(host->region, self->region) == 0;
+    int64_t limit_ms = near ? Fv_HOST_SILENCE_MS : Fv_HOST_REMOTE_SILENCE_MS;
+
+    if (host == self) {
+        return true;
+    }
+    return host->listed_live && host->linked &&
+           now_ms - host->heard_ms <= limit_ms;
+}
+
+/* Narrows the candidates: 0 data centre, 1 region, 2 the whole cell. */
+static bool
+in_scope(const fv_host_t *host, const char *data_center, const char *region,
+         int scope)
+{
+    if (scope == 0) {
+        return strcmp(host->data_center, data_center) == 0;
+    }
+    return scope == 2 || strcmp(host->region, region) == 0;
+}
+
+static const fv_host_t *
+winner(const fv_hosts_t *hosts, const fv_host_t *self, const char *key,
+       const char *data_center, const char *region, int scope, int64_t now_ms)
+{
+    const fv_host_t *best = NULL;
+    uint64_t best_weight = 0;
+
+    for (uint32_t i = 0; i < hosts->count; i++) {
+        const fv_host_t *host = hosts->entries[i];
+        uint64_t weight;
+
+        if (!in_scope(host, data_center, region, scope) ||
+            host->digest.draining || !FvHost_IsAlive(host, self, now_ms)) {
+            continue;
+        }
+        weight = FvText_RendezvousWeight(key, host->name);
+        if (best == NULL || weight > best_weight) {
+            best = host;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+/**
+ * FvHosts_RackCandidate - the host that should hold the leases of a rack
+ * @hosts: the hosts
+ * @self: this host
+ * @data_center: where the rack is
+ * @region: where the data centre is
+ * @rack: the rack
+ * @now_ms: boot time
+ *
+ * Return: the rendezvous winner among the live hosts of the data centre,
+ * else of the region, else of the cell; NULL when none is alive.
+ */
+const fv_host_t *
+FvHosts_RackCandidate(const fv_hosts_t *hosts, const fv_host_t *self,
+                      const char *data_center, const char *region,
+                      const char *rack, int64_t now_ms)
+{
+    const fv_host_t *best = NULL;
+
+    for (int scope = 0; scope <= 2 && best == NULL; scope++) {
+        best = winner(hosts, self, rack, data_center, region, scope, now_ms);
+    }
+    return best;
+}
+
+/**
+ * FvHosts_Successor - the host that takes over a dead host's claims
+ * @hosts: the hosts
+ * @self: this host
+ * @dead: name of the dead host
+ * @now_ms: boot time
+ *
+ * Return: the rendezvous winner among the live hosts, or NULL.
+ */
+const fv_host_t *
+FvHosts_Successor(const fv_hosts_t *hosts, const fv_host_t *self,
+                  const char *dead, int64_t now_ms)
+{
+    return winner(hosts, self, dead, "", "", 2, now_ms);
+}
--- /dev/null
+++ b/src/json.c
@@ -0,0 +1,84 @@
+/*
+ * Typed access to JSON objects from outside.
+ */
+
+#include "fireflyvalve.h"
+
+/**
+ * FvJson_String - read a string
+ * @object: the object, or NULL
+ * @key: the member's name
+ *
+ * Return: the string, or NULL when it is absent or of another type.
+ */
+const char *
+FvJson_String(const json_t *object, const char *key)
+{
+    return json_string_value(json_object_get(object, key));
+}
+
+/**
+ * FvJson_Int - read an integer
+ * @object: the object, or NULL
+ * @key: the member's name
+ * @fallback: returned when it is absent or of another type
+ *
+ * A string of digits counts as an integer: etcd writes 64-bit integers so.
+ *
+ * Return: the value.
+ */
+int64_t
+FvJson_Int(const json_t *object, const char *key, int64_t fallback)
+{
+    const json_t *value = json_object_get(object, key);
+    const char *text = json_string_value(value);
+    char *end = NULL;
+    int64_t number;
+
+    if (json_is_integer(value)) {
+        return json_integer_value(value);
+    }
+    if (text == NULL || *text == '\0') {
+        return fallback;
+    }
+    number = strtoll(text, &end, 10);
+    return *end == '\0' ? number : fallback;
+}
+
+/**
+ * FvJson_Bool - read a truth value
+ * @object: the object, or NULL
+ * @key: the member's name
+ * @fallback: returned when it is absent or of another type
+ *
+ * Return: the value.
+ */
+bool
+FvJson_Bool(const json_t *object, const char *key, bool fallback)
+{
+    const json_t *value = json_object_get(object, key);
+
+    return json_is_boolean(value) ? json_is_true(value) : fallback;
+}
+
+/**
+ * FvJson_CopyString - read a string into a fixed array
+ * @object: the object, or NULL
+ * @key: the member's name
+ * @target: the array; set to "" on failure
+ * @size: its size
+ *
+ * Return: false when it is absent, of another type or too long.
+ */
+bool
+FvJson_CopyString(const json_t *object, const char *key, char *target,
+                  size_t size)
+{
+    const char *text = FvJson_String(object, key);
+
+    if (text == NULL || !FvText_Copy(target, size, text)) {
+        target[0] = '\0';
+        return false;
+    }
+    return true;
+}
--- /dev/null
+++ b/src/store.c
@@ -0,0 +1,756 @@
+/*
+ * Client of the platform's key-value store, spoken to in the JSON form of the
+ * etcd v3 API. Keys given to this module are without the prefix.
+ */
+
+#include "fireflyvalve.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define Fv_STORE_VALUE_MAX_BYTES (1024 * 1024)
+#define Fv_STORE_ANSWER_MAX_BYTES (64 * 1024 * 1024)
+#define Fv_STORE_LINE_MAX_BYTES (4 * 1024 * 1024)
+
+/* Wait before a watch that ended is opened again. */
+#define Fv_STORE_WATCH_RETRY_MS 500
+
+struct fv_store_txn {
+    json_t *compare;
+    json_t *success;
+    json_t *failure;
+};
+
+/* How the body of an answer is turned into a result. */
+typedef struct fv_store_call_type {
+    const char *path;
+    bool writes;
+    bool (*parse)(fv_store_t *store, const json_t *body,
+                  fv_store_result_t *result);
+} fv_store_call_type_t;
+
+typedef struct fv_store_call {
+    const fv_store_call_type_t *type;
+    fv_store_t *store;
+    fv_store_done_t done;
+    void *context;
+} fv_store_call_t;
+
+typedef struct fv_store_watch {
+    bool wanted;
+    bool open;
+    uint64_t request;
+    char *key_prefix;
+    int64_t next_revision;
+    fv_store_done_t event;
+    void *context;
+    fv_buffer_t line;
+    fv_timer_t retry;
+} fv_store_watch_t;
+
+struct fv_store {
+    fv_http_client_t *client;
+    fv_loop_t *loop;
+    char url[Fv_URL_SIZE];
+    char prefix[Fv_NAME_SIZE];
+    int32_t timeout_ms;
+    fv_store_watch_t watch;
+};
+
+static void open_watch(fv_store_t *store);
+
+/* Bytes that keep their place in a JSON string: base64 of data. */
+static json_t *
+encode(const void *data, size_t length)
+{
+    char *text = FvText_Base64(data, length);
+    json_t *value = text ? json_string(text) : NULL;
+
+    free(text);
+    return value;
+}
+
+/*
+ * The store's form of a key. The prefix is put in front when the call is
+ * sent: transactions are built without a store at hand.
+ */
+static json_t *
+encode_key(const char *prefix, const char *key)
+{
+    fv_buffer_t full = {0};
+    json_t *value = NULL;
+
+    if (FvBuffer_Append(&full, prefix, strlen(prefix)) &&
+        FvBuffer_Append(&full, "/", 1) &&
+        FvBuffer_Append(&full, key, strlen(key))) {
+        value = encode(full.data, full.length);
+    }
+    FvBuffer_Clear(&full);
+    return value;
+}
+
+/* The first key after all keys that start with the given one. */
+static json_t *
+encode_range_end(const char *prefix, const char *key)
+{
+    fv_buffer_t full = {0};
+    json_t *value = NULL;
+
+    if (FvBuffer_Append(&full, prefix, strlen(prefix)) &&
+        FvBuffer_Append(&full, "/", 1) &&
+        FvBuffer_Append(&full, key, strlen(key))) {
+        full.data[full.length - 1]++;
+        value = encode(full.data, full.length);
+    }
+    FvBuffer_Clear(&full);
+    return value;
+}
+
+/**
+ * FvStore_New - make a client
+ * @client: sends the calls
+ * @loop: runs the timers
+ * @url: the store's base URL
+ * @prefix: put in front of all keys
+ * @timeout_ms: limit of one call
+ *
+ * Return: the client, or NULL when memory is exhausted.
+ */
+fv_store_t *
+FvStore_New(fv_http_client_t *client, fv_loop_t *loop, const char *url,
+            const char *prefix, int32_t timeout_ms)
+{
+    fv_store_t *store = calloc(1, sizeof(*store));
+
+    if (store == NULL) {
+        return NULL;
+    }
+    store->client = client;
+    store->loop = loop;
+    store->timeout_ms = timeout_ms;
+    FvText_Copy(store->url, sizeof(store->url), url);
+    FvText_Copy(store->prefix, sizeof(store->prefix), prefix);
+    return store;
+}
+
+/**
+ * FvStore_Free - release a client
+ * @store: the client, or NULL
+ */
+void
+FvStore_Free(fv_store_t *store)
+{
+    if (store == NULL) {
+        return;
+    }
+    free(store->watch.key_prefix);
+    FvBuffer_Clear(&store->watch.line);
+    free(store);
+}
+
+static void
+free_kvs(fv_store_result_t *result)
+{
+    for (uint32_t i = 0; i < result->kv_count; i++) {
+        free(result->kvs[i].key);
+        free(result->kvs[i].value);
+    }
+    free(result->kvs);
+    result->kvs = NULL;
+    result->kv_count = 0;
+}
+
+static bool
+parse_kv(const fv_store_t *store, const json_t *object, fv_store_kv_t *kv)
+{
+    const char *key_text = FvJson_String(object, "key");
+    const char *value_text = FvJson_String(object, "value");
+    size_t prefix_length = strlen(store->prefix) + 1;
+    fv_buffer_t key = {0};
+    fv_buffer_t value = {0};
+
+    if (key_text == NULL || !FvText_FromBase64(key_text, &key)) {
+        return false;
+    }
+    if (key.length < prefix_length ||
+        !FvText_FromBase64(value_text ? value_text : "", &value)) {
+        FvBuffer_Clear(&key);
+        return false;
+    }
+    memmove(key.data, key.data + prefix_length,
+            key.length - prefix_length + 1);
+    *kv = (fv_store_kv_t){
+        .key = (char *)key.data,
+        .value = (char *)value.data,
+        .value_length = value.length,
+        .mod_revision = FvJson_Int(object, "mod_revision", 0),
+    };
+    return true;
+}
+
+/* Adds the pairs of one range answer to the result. */
+static bool
+parse_kvs(fv_store_t *store, const json_t *list, fv_store_result_t *result)
+{
+    size_t count = json_array_size(list);
+    fv_store_kv_t *grown;
+
+    if (count == 0) {
+        return true;
+    }
+    grown = realloc(result->kvs, (result->kv_count + count) * sizeof(*grown));
+    if (grown == NULL) {
+        return false;
+    }
+    result->kvs = grown;
+    for (size_t i = 0; i < count; i++) {
+        if (!parse_kv(store, json_array_get(list, i),
+                      &result->kvs[result->kv_count])) {
+            return false;
+        }
+        result->kv_count++;
+    }
+    return true;
+}
+
+static bool
+parse_range(fv_store_t *store, const json_t *body, fv_store_result_t *result)
+{
+    result->succeeded = true;
+    return parse_kvs(store, json_object_get(body, "kvs"), result);
+}
+
+static bool
+parse_txn(fv_store_t *store, const json_t *body, fv_store_result_t *result)
+{
+    const json_t *responses = json_object_get(body, "responses");
+    size_t index;
+    json_t *response;
+
+    result->succeeded = FvJson_Bool(body, "succeeded", false);
+    json_array_foreach(responses, index, response)
+    {
+        const json_t *range = json_object_get(response, "response_range");
+
+        if (!parse_kvs(store, json_object_get(range, "kvs"), result)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+parse_grant(fv_store_t *store, const json_t *body, fv_store_result_t *result)
+{
+    (void)store;
+    result->lease = FvJson_Int(body, "ID", 0);
+    result->succeeded = result->lease != 0;
+    return result->succeeded;
+}
+
+static const fv_store_call_type_t range_call = {
+    .path = "/v3/kv/range",
+    .writes = false,
+    .parse = parse_range,
+};
+
+static const fv_store_call_type_t txn_call = {
+    .path = "/v3/kv/txn",
+    .writes = true,
+    .parse = parse_txn,
+};
+
+static const fv_store_call_type_t grant_call = {
+    .path = "/v3/lease/grant",
+    .writes = true,
+    .parse = parse_grant,
+};
+
+/*
+ * A transport fault after the request left is in doubt for a write. For a
+ * read nothing can have happened.
+ */
+static fv_store_error_t
+translate_error(const fv_store_call_t *call,
+                const fv_http_response_t *response)
+{
+    switch (response->error) {
+    case Fv_HTTP_OK:
+        break;
+    case Fv_HTTP_NOT_SENT:
+    case Fv_HTTP_EXPIRED:
+        return Fv_STORE_UNAVAILABLE;
+    case Fv_HTTP_TOO_LARGE:
+        return Fv_STORE_MALFORMED;
+    case Fv_HTTP_IN_DOUBT:
+        return call->type->writes ? Fv_STORE_IN_DOUBT : Fv_STORE_UNAVAILABLE;
+    }
+    if (response->status == 200) {
+        return Fv_STORE_OK;
+    }
+    if (response->status >= 500) {
+        return call->type->writes ? Fv_STORE_IN_DOUBT : Fv_STORE_UNAVAILABLE;
+    }
+    return Fv_STORE_REJECTED;
+}
+
+static void
+parse_answer(const fv_store_call_t *call, const fv_http_response_t *response,
+             fv_store_result_t *result)
+{
+    json_t *body = json_loadb((const char *)response->body,
+                              response->body_length, 0, NULL);
+    bool understood = false;
+
+    if (body != NULL) {
+        result->revision = FvJson_Int(json_object_get(body, "header"),
+                                      "revision", 0);
+        understood = call->type->parse(call->store, body, result);
+        json_decref(body);
+    }
+    if (!understood) {
+        result->error = call->type->writes ? Fv_STORE_IN_DOUBT
+                                           : Fv_STORE_MALFORMED;
+    }
+}
+
+static void
+finish_call(void *context, fv_http_response_t *response)
+{
+    fv_store_call_t *call = context;
+    fv_store_result_t result = {0};
+
+    result.error = translate_error(call, response);
+    if (result.error == Fv_STORE_OK) {
+        parse_answer(call, response, &result);
+    }
+    else {
+        FvMetrics_Add(Fv_COUNTER_STORE_ERRORS, 1);
+    }
+    if (result.error == Fv_STORE_IN_DOUBT) {
+        FvMetrics_Add(Fv_COUNTER_STORE_IN_DOUBT, 1);
+    }
+    call->done(call->context, &result);
+    free_kvs(&result);
+    free(call);
+}
+
+/* Sends a call and takes over the body. */
+static void
+send_call(fv_store_t *store, const fv_store_call_type_t *type, json_t *body,
+          fv_store_done_t done, void *context)
+{
+    fv_store_call_t *call = calloc(1, sizeof(*call));
+    fv_http_request_t request = {
+        .method = "POST",
+        .timeout_ms = store->timeout_ms,
+        .answer_max_bytes = Fv_STORE_ANSWER_MAX_BYTES,
+        .send_once = type->writes,
+        .done = finish_call,
+        .context = call,
+    };
+
+    if (call == NULL) {
+        abort();
+    }
+    *call = (fv_store_call_t){
+        .type = type, .store = store, .done = done, .context = context};
+    request.body = json_dumps(body, JSON_COMPACT);
+    request.body_length = request.body ? strlen(request.body) : 0;
+    json_decref(body);
+    snprintf(request.url, sizeof(request.url), "%s%s", store->url,
+             type->path);
+    FvMetrics_Add(type->writes ? Fv_COUNTER_STORE_WRITES
+                               : Fv_COUNTER_STORE_READS,
+                  1);
+    FvHttpClient_Send(store->client, &request);
+}
+
+/**
+ * FvStoreTxn_New - begin a transaction
+ *
+ * Return: an empty transaction; FvStore_Commit takes it over.
+ */
+fv_store_txn_t *
+FvStoreTxn_New(void)
+{
+    fv_store_txn_t *txn = calloc(1, sizeof(*txn));
+
+    if (txn == NULL) {
+        abort();
+    }
+    txn->compare = json_array();
+    txn->success = json_array();
+    txn->failure = json_array();
+    return txn;
+}
+
+/**
+ * FvStoreTxn_CompareAbsent - require that a key does not exist
+ * @txn: the transaction
+ * @key: the key
+ */
+void
+FvStoreTxn_CompareAbsent(fv_store_txn_t *txn, const char *key)
+{
+    json_array_append_new(
+        txn->compare,
+        json_pack("{s:s, s:s, s:s, s:s}", "key", key, "target", "CREATE",
+                  "result", "EQUAL", "create_revision", "0"));
+}
+
+/**
+ * FvStoreTxn_CompareRevision - require that a key was not changed
+ * @txn: the transaction
+ * @key: the key
+ * @mod_revision: the revision at which it was last read or written
+ */
+void
+FvStoreTxn_CompareRevision(fv_store_txn_t *txn, const char *key,
+                           int64_t mod_revision)
+{
+    char text[24];
+
+    snprintf(text, sizeof(text), "%lld", (long long)mod_revision);
+    json_array_append_new(txn->compare,
+                          json_pack("{s:s, s:s, s:s, s:s}", "key", key,
+                                    "target", "MOD", "result", "EQUAL",
+                                    "mod_revision", text));
+}
+
+/**
+ * FvStoreTxn_CompareValue - require that a key has a value
+ * @txn: the transaction
+ * @key: the key
+ * @value: the value
+ */
+void
+FvStoreTxn_CompareValue(fv_store_txn_t *txn, const char *key,
+                        const char *value)
+{
+    json_array_append_new(
+        txn->compare,
+        json_pack("{s:s, s:s, s:s, s:o}", "key", key, "target", "VALUE",
+                  "result", "EQUAL", "value", encode(value, strlen(value))));
+}
+
+/**
+ * FvStoreTxn_Put - write a key when all requirements hold
+ * @txn: the transaction
+ * @key: the key
+ * @value: the value
+ * @lease: the store lease to attach the key to, or 0
+ */
+void
+FvStoreTxn_Put(fv_store_txn_t *txn, const char *key, const char *value,
+               int64_t lease)
+{
+    char text[24];
+
+    snprintf(text, sizeof(text), "%lld", (long long)lease);
+    json_array_append_new(txn->success,
+                          json_pack("{s:{s:s, s:o, s:s}}", "request_put",
+                                    "key", key, "value",
+                                    encode(value, strlen(value)), "lease",
+                                    text));
+}
+
+/**
+ * FvStoreTxn_Delete - delete a key when all requirements hold
+ * @txn: the transaction
+ * @key: the key
+ */
+void
+FvStoreTxn_Delete(fv_store_txn_t *txn, const char *key)
+{
+    json_array_append_new(
+        txn->success,
+        json_pack("{s:{s:s}}", "request_delete_range", "key", key));
+}
+
+/**
+ * FvStoreTxn_ReadOnFailure - read a key when a requirement does not hold
+ * @txn: the transaction
+ * @key: the key
+ */
+void
+FvStoreTxn_ReadOnFailure(fv_store_txn_t *txn, const char *key)
+{
+    json_array_append_new(txn->failure, json_pack("{s:{s:s}}", "request_range",
+                                                  "key", key));
+}
+
+static void
+prefix_key(const fv_store_t *store, json_t *object)
+{
+    const char *key = FvJson_String(object, "key");
+
+    if (key != NULL) {
+        json_object_set_new(object, "key", encode_key(store->prefix, key));
+    }
+}
+
+static void
+prefix_operations(const fv_store_t *store, json_t *operations)
+{
+    size_t index;
+    json_t *operation;
+    const char *name;
+    json_t *request;
+
+    json_array_foreach(operations, index, operation)
+    {
+        json_object_foreach(operation, name, request)
+        {
+            prefix_key(store, request);
+        }
+    }
+}
+
+/**
+ * FvStore_Commit - send a transaction
+ * @store: the store
+ * @txn: the transaction; taken over
+ * @done: called with the result
+ * @context: for @done
+ */
+void
+FvStore_Commit(fv_store_t *store, fv_store_txn_t *txn, fv_store_done_t done,
+               void *context)
+{
+    size_t index;
+    json_t *compare;
+    json_t *body;
+
+    json_array_foreach(txn->compare, index, compare)
+    {
+        prefix_key(store, compare);
+    }
+    prefix_operations(store, txn->success);
+    prefix_operations(store, txn->failure);
+    body = json_pack("{s:o, s:o, s:o}", "compare", txn->compare, "success",
+                     txn->success, "failure", txn->failure);
+    free(txn);
+    send_call(store, &txn_call, body, done, context);
+}
+
+/**
+ * FvStore_Get - read one key
+ * @store: the store
+ * @key: the key
+ * @done: called with at most one pair
+ * @context: for @done
+ */
+void
+FvStore_Get(fv_store_t *store, const char *key, fv_store_done_t done,
+            void *context)
+{
+    json_t *body = json_pack("{s:o}", "key", encode_key(store->prefix, key));
+
+    send_call(store, &range_call, body, done, context);
+}
+
+/**
+ * FvStore_List - read all keys that start with a prefix
+ * @store: the store
+ * @key_prefix: the prefix; not empty
+ * @done: called with the pairs
+ * @context: for @done
+ */
+void
+FvStore_List(fv_store_t *store, const char *key_prefix, fv_store_done_t done,
+             void *context)
+{
+    json_t *body = json_pack("{s:o, s:o}", "key",
+                             encode_key(store->prefix, key_prefix),
+                             "range_end",
+                             encode_range_end(store->prefix, key_prefix));
+
+    send_call(store, &range_call, body, done, context);
+}
+
+/**
+ * FvStore_GrantLease - make a store lease that keys can be attached to
+ * @store: the store
+ * @ttl_s: its life in seconds
+ * @done: called with the lease
+ * @context: for @done
+ */
+void
+FvStore_GrantLease(fv_store_t *store, int64_t ttl_s, fv_store_done_t done,
+                   void *context)
+{
+    char text[24];
+
+    snprintf(text, sizeof(text), "%lld", (long long)ttl_s);
+    send_call(store, &grant_call, json_pack("{s:s}", "TTL", text), done,
+              context);
+}
+
+static bool
+parse_watch_events(fv_store_t *store, const json_t *events,
+                   fv_store_result_t *result)
+{
+    size_t count = json_array_size(events);
+
+    result->kvs = calloc(count ? count : 1, sizeof(*result->kvs));
+    if (result->kvs == NULL) {
+        return false;
+    }
+    for (size_t i = 0; i < count; i++) {
+        const json_t *event = json_array_get(events, i);
+        const char *type = FvJson_String(event, "type");
+        fv_store_kv_t *kv = &result->kvs[result->kv_count];
+
+        if (!parse_kv(store, json_object_get(event, "kv"), kv)) {
+            return false;
+        }
+        kv->deleted = type != NULL && strcmp(type, "DELETE") == 0;
+        result->kv_count++;
+    }
+    return true;
+}
+
+static void
+handle_watch_line(fv_store_t *store, const char *text, size_t length)
+{
+    json_t *line = json_loadb(text, length, 0, NULL);
+    const json_t *body = json_object_get(line, "result");
+    const json_t *events = json_object_get(body, "events");
+    fv_store_result_t result = {.succeeded = true};
+
+    result.revision = FvJson_Int(json_object_get(body, "header"), "revision",
+                                 0);
+    if (json_array_size(events) > 0) {
+        if (parse_watch_events(store, events, &result)) {
+            store->watch.next_revision = result.revision + 1;
+            store->watch.event(store->watch.context, &result);
+        }
+        free_kvs(&result);
+    }
+    json_decref(line);
+}
+
+static void
+receive_watch(void *context, const uint8_t *data, size_t length)
+{
+    fv_store_t *store = context;
+    fv_store_watch_t *watch = &store->watch;
+    uint8_t *newline;
+
+    if (watch->line.length + length > Fv_STORE_LINE_MAX_BYTES ||
+        !FvBuffer_Append(&watch->line, data, length)) {
+        FvBuffer_Clear(&watch->line);
+        return;
+    }
+    while ((newline = memchr(watch->line.data, '\n', watch->line.length)) !=
+           NULL) {
+        size_t used = (size_t)(newline - watch->line.data) + 1;
+
+        handle_watch_line(store, (const char *)watch->line.data, used);
+        if (watch->line.data == NULL) {
+            return;
+        }
+        memmove(watch->line.data, watch->line.data + used,
+                watch->line.length - used);
+        watch->line.length -= used;
+    }
+}
+
+static void
+retry_watch(void *owner)
+{
+    open_watch(owner);
+}
+
+static void
+finish_watch(void *context, fv_http_response_t *response)
+{
+    fv_store_t *store = context;
+    fv_store_watch_t *watch = &store->watch;
+
+    (void)response;
+    watch->open = false;
+    FvBuffer_Clear(&watch->line);
+    if (watch->wanted) {
+        watch->retry.fire = retry_watch;
+        watch->retry.owner = store;
+        FvLoop_SetTimer(store->loop, &watch->retry,
+                        FvClock_NowMs() + Fv_STORE_WATCH_RETRY_MS);
+    }
+}
+
+static void
+open_watch(fv_store_t *store)
+{
+    fv_store_watch_t *watch = &store->watch;
+    char revision[24];
+    json_t *body;
+    fv_http_request_t request = {
+        .method = "POST",
+        .done = finish_watch,
+        .data = receive_watch,
+        .context = store,
+    };
+
+    snprintf(revision, sizeof(revision), "%lld",
+             (long long)watch->next_revision);
+    body = json_pack("{s:{s:o, s:o, s:s}}", "create_request", "key",
+                     encode_key(store->prefix, watch->key_prefix),
+                     "range_end",
+                     encode_range_end(store->prefix, watch->key_prefix),
+                     "start_revision", revision);
+    request.body = json_dumps(body, JSON_COMPACT);
+    request.body_length = request.body ? strlen(request.body) : 0;
+    json_decref(body);
+    snprintf(request.url, sizeof(request.url), "%s/v3/watch", store->url);
+    FvMetrics_Add(Fv_COUNTER_STORE_WATCHES, 1);
+    watch->open = true;
+    watch->request = FvHttpClient_Send(store->client, &request);
+}
+
+/**
+ * FvStore_Watch - follow the changes of keys that start with a prefix
+ * @store: the store
+ * @key_prefix: the prefix
+ * @start_revision: the first revision of interest
+ * @event: called for each group of changes of one revision
+ * @context: for @event
+ *
+ * The watch is opened again after the last seen revision when it ends. A
+ * store has one watch at a time; an earlier one is replaced.
+ */
+void
+FvStore_Watch(fv_store_t *store, const char *key_prefix,
+              int64_t start_revision, fv_store_done_t event, void *context)
+{
+    fv_store_watch_t *watch = &store->watch;
+
+    FvStore_StopWatch(store);
+    watch->wanted = true;
+    watch->key_prefix = strdup(key_prefix);
+    watch->next_revision = start_revision;
+    watch->event = event;
+    watch->context = context;
+    open_watch(store);
+}
+
+/**
+ * FvStore_StopWatch - end the watch, if there is one
+ * @store: the store
+ */
+void
+FvStore_StopWatch(fv_store_t *store)
+{
+    fv_store_watch_t *watch = &store->watch;
+
+    if (watch->open) {
+        FvHttpClient_Cancel(store->client, watch->request);
+        watch->open = false;
+    }
+    FvLoop_CancelTimer(store->loop, &watch->retry);
+    FvBuffer_Clear(&watch->line);
+    free(watch->key_prefix);
+    watch->key_prefix = NULL;
+    watch->wanted = false;
+}
--- /dev/null
+++ b/src/text.c
@@ -0,0 +1,199 @@
+/*
+ * Names, encodings and hashes.
+ */
+
+#include "fireflyvalve.h"
+
+#include <arpa/inet.h>
+#include <ctype.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/**
+ * FvText_Copy - copy a string into a fixed array
+ * @target: the array
+ * @size: its size
+ * @source: the string; NULL counts as empty
+ *
+ * Return: false when the string did not fit and was cut.
+ */
+bool
+FvText_Copy(char *target, size_t size, const char *source)
+{
+    size_t length = source ? strlen(source) : 0;
+    bool fits = length < size;
+
+    if (!fits) {
+        length = size - 1;
+    }
+    if (length > 0) {
+        memcpy(target, source, length);
+    }
+    target[length] = '\0';
+    return fits;
+}
+
+/**
+ * FvText_IsName - check a name that comes from outside
+ * @text: the name, or NULL
+ * @max_length: the longest allowed length
+ *
+ * Return: true when it is not empty and holds only letters, digits, dot,
+ * underscore and hyphen.
+ */
+bool
+FvText_IsName(const char *text, size_t max_length)
+{
+    size_t length = text ? strlen(text) : 0;
+
+    if (length == 0 || length > max_length) {
+        return false;
+    }
+    for (size_t i = 0; i < length; i++) {
+        if (!isalnum((unsigned char)text[i]) &&
+            strchr("._-", text[i]) == NULL) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/**
+ * FvText_RandomHex - fill an array with random hexadecimal digits
+ * @target: the array
+ * @size: its size, an odd number: two digits a byte and the NUL
+ */
+void
+FvText_RandomHex(char *target, size_t size)
+{
+    uint8_t bytes[64];
+    size_t count = (size - 1) / 2;
+
+    randombytes_buf(bytes, count);
+    sodium_bin2hex(target, size, bytes, count);
+}
+
+/**
+ * FvText_Base64 - encode bytes
+ * @data: the bytes
+ * @length: how many
+ *
+ * Return: a string to be freed, or NULL when memory is exhausted.
+ */
+char *
+FvText_Base64(const void *data, size_t length)
+{
+    size_t size = sodium_base64_ENCODED_LEN(length,
+                                            sodium_base64_VARIANT_ORIGINAL);
+    char *text = malloc(size);
+
+    if (text != NULL) {
+        sodium_bin2base64(text, size, data, length,
+                          sodium_base64_VARIANT_ORIGINAL);
+    }
+    return text;
+}
+
+/**
+ * FvText_FromBase64 - decode a base64 string
+ * @text: the string
+ * @out: receives the bytes; empty on entry
+ *
+ * Return: false when the string is malformed or memory is exhausted.
+ */
+bool
+FvText_FromBase64(const char *text, fv_buffer_t *out)
+{
+    size_t text_length = strlen(text);
+    size_t capacity = text_length / 4 * 3 + 4;
+    size_t length = 0;
+    uint8_t *data = malloc(capacity);
+
+    if (data == NULL) {
+        return false;
+    }
+    if (sodium_base642bin(data, capacity - 1, text, text_length, NULL,
+                          &length, NULL,
+                          sodium_base64_VARIANT_ORIGINAL) != 0) {
+        free(data);
+        return false;
+    }
+    data[length] = '\0';
+    *out = (fv_buffer_t){
+        .data = data, .length = length, .capacity = capacity};
+    return true;
+}
+
+/**
+ * FvText_Sha256Hex - digest of bytes as hexadecimal text
+ * @data: the bytes
+ * @length: how many
+ * @digest: receives 64 digits and a NUL
+ */
+void
+FvText_Sha256Hex(const void *data, size_t length, char digest[Fv_DIGEST_SIZE])
+{
+    uint8_t hash[crypto_hash_sha256_BYTES];
+
+    crypto_hash_sha256(hash, data, length);
+    sodium_bin2hex(digest, Fv_DIGEST_SIZE, hash, sizeof(hash));
+}
+
+/**
+ * FvText_Hash - XXH64 of bytes
+ * @data: the bytes
+ * @length: how many
+ * @seed: the hash's seed
+ *
+ * Return: the hash.
+ */
+uint64_t
+FvText_Hash(const void *data, size_t length, uint64_t seed)
+{
+    return XXH64(data, length, seed);
+}
+
+/**
+ * FvText_RendezvousWeight - weight of a host for a key
+ * @key: what is to be assigned
+ * @host: the candidate
+ *
+ * The candidate with the highest weight wins; when a host joins or leaves,
+ * only the keys it wins or won move.
+ *
+ * Return: the weight.
+ */
+uint64_t
+FvText_RendezvousWeight(const char *key, const char *host)
+{
+    return XXH64(key, strlen(key), XXH64(host, strlen(host), 0));
+}
+
+/**
+ * FvText_ParseAddress - read an "IP:PORT" address
+ * @text: the address
+ * @address: receives it
+ *
+ * Return: false when it is malformed.
+ */
+bool
+FvText_ParseAddress(const char *text, struct sockaddr_in *address)
+{
+    char host[Fv_ADDRESS_SIZE];
+    char *colon;
+    long port;
+
+    FvText_Copy(host, sizeof(host), text);
+    colon = strrchr(host, ':');
+    if (colon == NULL) {
+        return false;
+    }
+    *colon = '\0';
+    port = strtol(colon + 1, NULL, 10);
+    *address = (struct sockaddr_in){
+        .sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+    return port > 0 && port < 65536 &&
+           inet_pton(AF_INET, host, &address->sin_addr) == 1;
+}
--- /dev/null
+++ b/src/wire.c
@@ -0,0 +1,627 @@
+/*
+ * Messages between entry hosts: a 4-byte big-endian length, then one msgpack
+ * array [type, request id, fields...]. Each message type has a pack and an
+ * unpack function in one table.
+ */
+
+#include "daemon.h"
+
+#include <arpa/inet.h>
+#include <msgpack.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define Fv_WIRE_HEADER_FIELDS 2
+
+/* Reads the fields of one array in order; a fault sticks. */
+typedef struct fv_field_reader {
+    const msgpack_object *fields;
+    uint32_t count;
+    uint32_t next;
+    bool failed;
+} fv_field_reader_t;
+
+typedef struct fv_message_codec {
+    uint32_t fields;
+    void (*pack)(msgpack_packer *packer, const fv_message_t *message);
+    void (*unpack)(fv_field_reader_t *reader, fv_message_t *message);
+} fv_message_codec_t;
+
+static const char *const refusal_names[] = {
+    [Fv_REFUSAL_NONE] = "none",
+    [Fv_REFUSAL_NO_CAPACITY] = "no_capacity",
+    [Fv_REFUSAL_NOT_HOLDER] = "not_holder",
+    [Fv_REFUSAL_EXPIRED] = "expired",
+    [Fv_REFUSAL_NEVER_FITS] = "never_fits",
+    [Fv_REFUSAL_STOPPED] = "stopped",
+    [Fv_REFUSAL_DRAINING] = "draining",
+    [Fv_REFUSAL_IN_DOUBT] = "in_doubt",
+};
+
+/**
+ * FvRefusal_Name - name of a refusal for logs and documents
+ * @refusal: the refusal
+ *
+ * Return: a static string.
+ */
+const char *
+FvRefusal_Name(fv_refusal_t refusal)
+{
+    return refusal_names[refusal];
+}
+
+static void
+pack_text(msgpack_packer *packer, const char *text)
+{
+    size_t length = strlen(text);
+
+    msgpack_pack_str(packer, length);
+    msgpack_pack_str_body(packer, text, length);
+}
+
+static void
+pack_bytes(msgpack_packer *packer, const uint8_t *data, size_t length)
+{
+    msgpack_pack_bin(packer, length);
+    msgpack_pack_bin_body(packer, data, length);
+}
+
+static void
+pack_bool(msgpack_packer *packer, bool value)
+{
+    if (value) {
+        msgpack_pack_true(packer);
+    }
+    else {
+        msgpack_pack_false(packer);
+    }
+}
+
+static void
+pack_resources(msgpack_packer *packer, const fv_resources_t *resources)
+{
+    msgpack_pack_array(packer, 4);
+    msgpack_pack_int64(packer, resources->cpu_millis);
+    msgpack_pack_int64(packer, resources->memory_bytes);
+    msgpack_pack_int32(packer, resources->accelerators);
+    msgpack_pack_int32(packer, resources->slots);
+}
+
+static const msgpack_object *
+next_field(fv_field_reader_t *reader, msgpack_object_type type)
+{
+    const msgpack_object *field;
+
+    if (reader->failed || reader->next >= reader->count) {
+        reader->failed = true;
+        return NULL;
+    }
+    field = &reader->fields[reader->next++];
+    if (field->type != type) {
+        reader->failed = true;
+        return NULL;
+    }
+    return field;
+}
+
+static void
+read_text(fv_field_reader_t *reader, char *target, size_t size)
+{
+    const msgpack_object *field = next_field(reader, MSGPACK_OBJECT_STR);
+
+    if (field == NULL || field->via.str.size >= size ||
+        memchr(field->via.str.ptr, '\0', field->via.str.size) != NULL) {
+        reader->failed = true;
+        return;
+    }
+    memcpy(target, field->via.str.ptr, field->via.str.size);
+    target[field->via.str.size] = '\0';
+}
+
+static char *
+read_long_text(fv_field_reader_t *reader)
+{
+    const msgpack_object *field = next_field(reader, MSGPACK_OBJECT_STR);
+    char *text;
+
+    if (field == NULL) {
+        return NULL;
+    }
+    text = strndup(field->via.str.ptr, field->via.str.size);
+    reader->failed = text == NULL;
+    return text;
+}
+
+static uint8_t *
+read_bytes(fv_field_reader_t *reader, size_t *length)
+{
+    const msgpack_object *field = next_field(reader, MSGPACK_OBJECT_BIN);
+    uint8_t *data;
+
+    if (field == NULL) {
+        return NULL;
+    }
+    data = malloc((size_t)field->via.bin.size + 1);
+    if (data == NULL) {
+        reader->failed = true;
+        return NULL;
+    }
+    memcpy(data, field->via.bin.ptr, field->via.bin.size);
+    *length = field->via.bin.size;
+    return data;
+}
+
+/* Reads an integer that must lie between the bounds. */
+static int64_t
+read_int(fv_field_reader_t *reader, int64_t low, int64_t high)
+{
+    const msgpack_object *field;
+    int64_t value = 0;
+
+    if (reader->failed || reader->next >= reader->count) {
+        reader->failed = true;
+        return low;
+    }
+    field = &reader->fields[reader->next++];
+    if (field->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+        field->via.u64 <= INT64_MAX) {
+        value = (int64_t)field->via.u64;
+    }
+    else if (field->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+        value = field->via.i64;
+    }
+    else {
+        reader->failed = true;
+        return low;
+    }
+    if (value < low || value > high) {
+        reader->failed = true;
+        return low;
+    }
+    return value;
+}
+
+static uint64_t
+read_u64(fv_field_reader_t *reader)
+{
+    const msgpack_object *field = next_field(reader,
+                                             MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+    return field ? field->via.u64 : 0;
+}
+
+static bool
+read_bool(fv_field_reader_t *reader)
+{
+    const msgpack_object *field = next_field(reader, MSGPACK_OBJECT_BOOLEAN);
+
+    return field != NULL && field->via.boolean;
+}
+
+static fv_field_reader_t
+read_array(fv_field_reader_t *reader)
+{
+    const msgpack_object *field = next_field(reader, MSGPACK_OBJECT_ARRAY);
+
+    if (field == NULL) {
+        return (fv_field_reader_t){.failed = true};
+    }
+    return (fv_field_reader_t){
+        .fields = field->via.array.ptr, .count = field->via.array.size};
+}
+
+static void
+read_resources(fv_field_reader_t *reader, fv_resources_t *resources)
+{
+    fv_field_reader_t fields = read_array(reader);
+
+    resources->cpu_millis = read_int(&fields, INT64_MIN, INT64_MAX);
+    resources->memory_bytes = read_int(&fields, INT64_MIN, INT64_MAX);
+    resources->accelerators = (int32_t)read_int(&fields, INT32_MIN,
+                                                INT32_MAX);
+    resources->slots = (int32_t)read_int(&fields, INT32_MIN, INT32_MAX);
+    reader->failed |= fields.failed;
+}
+
+static void
+pack_hello(msgpack_packer *packer, const fv_message_t *message)
+{
+    const fv_hello_t *hello = &message->body.hello;
+
+    pack_text(packer, hello->cluster);
+    pack_text(packer, hello->host);
+    pack_text(packer, hello->incarnation);
+    pack_text(packer, hello->region);
+    pack_text(packer, hello->data_center);
+    pack_text(packer, hello->nonce);
+    pack_text(packer, hello->mac);
+}
+
+static void
+unpack_hello(fv_field_reader_t *reader, fv_message_t *message)
+{
+    fv_hello_t *hello = &message->body.hello;
+
+    read_text(reader, hello->cluster, sizeof(hello->cluster));
+    read_text(reader, hello->host, sizeof(hello->host));
+    read_text(reader, hello->incarnation, sizeof(hello->incarnation));
+    read_text(reader, hello->region, sizeof(hello->region));
+    read_text(reader, hello->data_center, sizeof(hello->data_center));
+    read_text(reader, hello->nonce, sizeof(hello->nonce));
+    read_text(reader, hello->mac, sizeof(hello->mac));
+}
+
+static void
+pack_digest(msgpack_packer *packer, const fv_message_t *message)
+{
+    const fv_digest_t *digest = message->body.digest;
+
+    msgpack_pack_uint64(packer, digest->config_version);
+    pack_bool(packer, digest->draining);
+    msgpack_pack_int32(packer, digest->workers);
+    msgpack_pack_array(packer, Fv_CLASS_COUNT);
+    for (int i = 0; i < Fv_CLASS_COUNT; i++) {
+        msgpack_pack_int32(packer, digest->queued[i]);
+    }
+    pack_resources(packer, &digest->free_total);
+    pack_resources(packer, &digest->free_largest);
+    pack_resources(packer, &digest->free_interactive);
+    msgpack_pack_array(packer, digest->usage_count);
+    for (uint32_t i = 0; i < digest->usage_count; i++) {
+        msgpack_pack_array(packer, 2);
+        pack_text(packer, digest->usage[i].member);
+        pack_resources(packer, &digest->usage[i].used);
+    }
+}
+
+static void
+unpack_digest(fv_field_reader_t *reader, fv_message_t *message)
+{
+    fv_digest_t *digest = calloc(1, sizeof(*digest));
+    fv_field_reader_t queued;
+    fv_field_reader_t usage;
+
+    message->body.digest = digest;
+    if (digest == NULL) {
+        reader->failed = true;
+        return;
+    }
+    digest->config_version = read_u64(reader);
+    digest->draining = read_bool(reader);
+    digest->workers = (int32_t)read_int(reader, 0, INT32_MAX);
+    queued = read_array(reader);
+    for (int i = 0; i < Fv_CLASS_COUNT; i++) {
+        digest->queued[i] = (int32_t)read_int(&queued, 0, INT32_MAX);
+    }
+    read_resources(reader, &digest->free_total);
+    read_resources(reader, &digest->free_largest);
+    read_resources(reader, &digest->free_interactive);
+    usage = read_array(reader);
+    if (usage.count > Fv_MEMBERS_MAX) {
+        reader->failed = true;
+        return;
+    }
+    for (uint32_t i = 0; i < usage.count; i++) {
+        fv_field_reader_t entry = read_array(&usage);
+
+        read_text(&entry, digest->usage[i].member, Fv_NAME_SIZE);
+        read_resources(&entry, &digest->usage[i].used);
+        usage.failed |= entry.failed;
+    }
+    digest->usage_count = usage.count;
+    reader->failed |= queued.failed || usage.failed;
+}
+
+static void
+pack_task_request(msgpack_packer *packer, const fv_message_t *message)
+{
+    const fv_task_request_t *request = &message->body.task_request;
+
+    pack_text(packer, request->id);
+    pack_text(packer, request->worker);
+    pack_text(packer, request->home);
+    pack_text(packer, request->member);
+    pack_text(packer, request->workload);
+    msgpack_pack_int32(packer, (int32_t)request->class_id);
+    pack_resources(packer, &request->size);
+    msgpack_pack_int32(packer, request->count);
+    pack_bool(packer, request->reserved);
+    pack_bool(packer, request->stop_on_lapse);
+    pack_bool(packer, request->send_once);
+    msgpack_pack_int64(packer, request->wait_ms);
+    pack_bytes(packer, request->payload, request->payload_length);
+}
+
+static void
+unpack_task_request(fv_field_reader_t *reader, fv_message_t *message)
+{
+    fv_task_request_t *request = &message->body.task_request;
+
+    read_text(reader, request->id, sizeof(request->id));
+    read_text(reader, request->worker, sizeof(request->worker));
+    read_text(reader, request->home, sizeof(request->home));
+    read_text(reader, request->member, sizeof(request->member));
+    read_text(reader, request->workload, sizeof(request->workload));
+    request->class_id = (fv_class_t)read_int(reader, 0, Fv_CLASS_COUNT - 1);
+    read_resources(reader, &request->size);
+    request->count = (int32_t)read_int(reader, 0, Fv_TASKS_MAX);
+    request->reserved = read_bool(reader);
+    request->stop_on_lapse = read_bool(reader);
+    request->send_once = read_bool(reader);
+    request->wait_ms = read_int(reader, 0, INT64_MAX);
+    request->payload = read_bytes(reader, &request->payload_length);
+}
+
+static void
+pack_reserved(msgpack_packer *packer, const fv_message_t *message)
+{
+    const fv_reserved_t *reserved = message->body.reserved;
+
+    msgpack_pack_int32(packer, (int32_t)reserved->refusal);
+    msgpack_pack_array(packer, reserved->count);
+    for (uint32_t i = 0; i < reserved->count; i++) {
+        pack_text(packer, reserved->workers[i]);
+    }
+}
+
+static void
+unpack_reserved(fv_field_reader_t *reader, fv_message_t *message)
+{
+    fv_reserved_t *reserved = calloc(1, sizeof(*reserved));
+    fv_field_reader_t workers;
+
+    message->body.reserved = reserved;
+    if (reserved == NULL) {
+        reader->failed = true;
+        return;
+    }
+    reserved->refusal = (fv_refusal_t)read_int(reader, 0,
+                                               Fv_REFUSAL_IN_DOUBT);
+    workers = read_array(reader);
+    if (workers.count > Fv_TASKS_MAX) {
+        reader->failed = true;
+        return;
+    }
+    for (uint32_t i = 0; i < workers.count; i++) {
+        read_text(&workers, reserved->workers[i], Fv_NAME_SIZE);
+    }
+    reserved->count = workers.count;
+    reader->failed |= workers.failed;
+}
+
+static void
+pack_task_reply(msgpack_packer *packer, const fv_message_t *message)
+{
+    const fv_task_reply_t *reply = &message->body.task_reply;
+
+    pack_text(packer, reply->id);
+    pack_text(packer, reply->worker);
+    msgpack_pack_int32(packer, (int32_t)reply->state);
+    msgpack_pack_int32(packer, (int32_t)reply->refusal);
+    msgpack_pack_int64(packer, reply->ran_ms);
+    pack_resources(packer, &reply->used);
+    msgpack_pack_uint64(packer, reply->answer_length);
+    msgpack_pack_uint64(packer, reply->answer_hash);
+    pack_bytes(packer, reply->answer, reply->received);
+}
+
+static void
+unpack_task_reply(fv_field_reader_t *reader, fv_message_t *message)
+{
+    fv_task_reply_t *reply = &message->body.task_reply;
+
+    read_text(reader, reply->id, sizeof(reply->id));
+    read_text(reader, reply->worker, sizeof(reply->worker));
+    reply->state = (fv_task_state_t)read_int(reader, 0, Fv_TASK_UNKNOWN);
+    reply->refusal = (fv_refusal_t)read_int(reader, 0, Fv_REFUSAL_IN_DOUBT);
+    reply->ran_ms = read_int(reader, 0, INT64_MAX);
+    read_resources(reader, &reply->used);
+    reply->answer_length = (size_t)read_int(reader, 0, Fv_ANSWER_MAX_BYTES);
+    reply->answer_hash = read_u64(reader);
+    reply->answer = read_bytes(reader, &reply->received);
+    reader->failed |= reply->received > reply->answer_length;
+}
+
+static void
+pack_lease_state(msgpack_packer *packer, const fv_message_t *message)
+{
+    pack_bool(packer, message->body.lease_state.held);
+    msgpack_pack_int64(packer, message->body.lease_state.lapsed_ms);
+}
+
+static void
+unpack_lease_state(fv_field_reader_t *reader, fv_message_t *message)
+{
+    message->body.lease_state.held = read_bool(reader);
+    message->body.lease_state.lapsed_ms = read_int(reader, 0, INT64_MAX);
+}
+
+static void
+pack_document(msgpack_packer *packer, const fv_message_t *message)
+{
+    const char *text = message->body.document.text;
+
+    pack_text(packer, text ? text : "");
+    pack_text(packer, message->body.document.member);
+    pack_text(packer, message->body.document.key);
+}
+
+static void
+unpack_document(fv_field_reader_t *reader, fv_message_t *message)
+{
+    message->body.document.text = read_long_text(reader);
+    read_text(reader, message->body.document.member, Fv_NAME_SIZE);
+    read_text(reader, message->body.document.key, Fv_KEY_SIZE);
+}
+
+#define Fv_HELLO_CODEC                                                        \
+    {                                                                         \
+        .fields = 7, .pack = pack_hello, .unpack = unpack_hello               \
+    }
+#define Fv_TASK_REQUEST_CODEC                                                 \
+    {                                                                         \
+        .fields = 13, .pack = pack_task_request,                              \
+        .unpack = unpack_task_request                                         \
+    }
+#define Fv_TASK_REPLY_CODEC                                                   \
+    {                                                                         \
+        .fields = 9, .pack = pack_task_reply, .unpack = unpack_task_reply     \
+    }
+#define Fv_DOCUMENT_CODEC                                                     \
+    {                                                                         \
+        .fields = 3, .pack = pack_document, .unpack = unpack_document         \
+    }
+
+static const fv_message_codec_t codecs[Fv_MESSAGE_COUNT] = {
+    [Fv_MESSAGE_CHALLENGE] = Fv_HELLO_CODEC,
+    [Fv_MESSAGE_HELLO] = Fv_HELLO_CODEC,
+    [Fv_MESSAGE_WELCOME] = Fv_HELLO_CODEC,
+    [Fv_MESSAGE_DIGEST] = {.fields = 8,
+                           .pack = pack_digest,
+                           .unpack = unpack_digest},
+    [Fv_MESSAGE_RESERVE] = Fv_TASK_REQUEST_CODEC,
+    [Fv_MESSAGE_RESERVED] = {.fields = 2,
+                             .pack = pack_reserved,
+                             .unpack = unpack_reserved},
+    [Fv_MESSAGE_START] = Fv_TASK_REQUEST_CODEC,
+    [Fv_MESSAGE_TASK] = Fv_TASK_REPLY_CODEC,
+    [Fv_MESSAGE_CHUNK] = Fv_TASK_REPLY_CODEC,
+    [Fv_MESSAGE_STOP] = Fv_TASK_REQUEST_CODEC,
+    [Fv_MESSAGE_QUERY] = Fv_TASK_REQUEST_CODEC,
+    [Fv_MESSAGE_RELEASE] = Fv_TASK_REQUEST_CODEC,
+    [Fv_MESSAGE_LEASE_QUERY] = Fv_TASK_REQUEST_CODEC,
+    [Fv_MESSAGE_LEASE_STATE] = {.fields = 2,
+                                .pack = pack_lease_state,
+                                .unpack = unpack_lease_state},
+    [Fv_MESSAGE_JOB_STATUS] = Fv_DOCUMENT_CODEC,
+    [Fv_MESSAGE_JOB_CANCEL] = Fv_DOCUMENT_CODEC,
+    [Fv_MESSAGE_JOB] = Fv_DOCUMENT_CODEC,
+    [Fv_MESSAGE_CONFIG_GET] = Fv_DOCUMENT_CODEC,
+    [Fv_MESSAGE_CONFIG] = Fv_DOCUMENT_CODEC,
+};
+
+/**
+ * FvWire_Pack - turn a message into a frame
+ * @message: the message
+ * @frame: empty on entry; receives the frame with its length
+ *
+ * Return: Fv_WIRE_OK, or why the message can't be sent.
+ */
+fv_wire_error_t
+FvWire_Pack(const fv_message_t *message, fv_buffer_t *frame)
+{
+    const fv_message_codec_t *codec = &codecs[message->type];
+    fv_wire_error_t error = Fv_WIRE_OK;
+    msgpack_sbuffer body;
+    msgpack_packer packer;
+    uint32_t length;
+
+    msgpack_sbuffer_init(&body);
+    msgpack_packer_init(&packer, &body, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, Fv_WIRE_HEADER_FIELDS + codec->fields);
+    msgpack_pack_int32(&packer, (int32_t)message->type);
+    msgpack_pack_uint64(&packer, message->request_id);
+    codec->pack(&packer, message);
+    if (body.size > Fv_LINK_FRAME_MAX_BYTES) {
+        error = Fv_WIRE_TOO_LARGE;
+        goto done;
+    }
+    length = htonl((uint32_t)body.size);
+    if (!FvBuffer_Append(frame, &length, sizeof(length)) ||
+        !FvBuffer_Append(frame, body.data, body.size)) {
+        error = Fv_WIRE_NO_MEMORY;
+    }
+done:
+    msgpack_sbuffer_destroy(&body);
+    return error;
+}
+
+static fv_wire_error_t
+unpack_object(const msgpack_object *object, fv_message_t *message)
+{
+    fv_field_reader_t reader = {0};
+    int64_t type;
+
+    if (object->type != MSGPACK_OBJECT_ARRAY) {
+        return Fv_WIRE_MALFORMED;
+    }
+    reader.fields = object->via.array.ptr;
+    reader.count = object->via.array.size;
+    type = read_int(&reader, 0, Fv_MESSAGE_COUNT - 1);
+    message->request_id = read_u64(&reader);
+    if (reader.failed) {
+        return Fv_WIRE_MALFORMED;
+    }
+    message->type = (fv_message_type_t)type;
+    codecs[type].unpack(&reader, message);
+    if (reader.failed) {
+        FvWire_Clear(message);
+        return Fv_WIRE_MALFORMED;
+    }
+    return Fv_WIRE_OK;
+}
+
+/**
+ * FvWire_Unpack - read the payload of one frame
+ * @payload: the bytes after the length
+ * @length: how many
+ * @message: receives the message; cleared with FvWire_Clear
+ *
+ * Return: Fv_WIRE_OK, or what is wrong; @message is then empty.
+ */
+fv_wire_error_t
+FvWire_Unpack(const uint8_t *payload, size_t length, fv_message_t *message)
+{
+    fv_wire_error_t error = Fv_WIRE_MALFORMED;
+    msgpack_unpacked unpacked;
+    size_t used = 0;
+
+    *message = (fv_message_t){0};
+    msgpack_unpacked_init(&unpacked);
+    if (msgpack_unpack_next(&unpacked, (const char *)payload, length,
+                            &used) == MSGPACK_UNPACK_SUCCESS &&
+        used == length) {
+        error = unpack_object(&unpacked.data, message);
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return error;
+}
+
+/**
+ * FvWire_Clear - release what a message owns
+ * @message: the message
+ */
+void
+FvWire_Clear(fv_message_t *message)
+{
+    switch (message->type) {
+    case Fv_MESSAGE_DIGEST:
+        free(message->body.digest);
+        break;
+    case Fv_MESSAGE_RESERVED:
+        free(message->body.reserved);
+        break;
+    case Fv_MESSAGE_RESERVE:
+    case Fv_MESSAGE_START:
+    case Fv_MESSAGE_STOP:
+    case Fv_MESSAGE_QUERY:
+    case Fv_MESSAGE_RELEASE:
+    case Fv_MESSAGE_LEASE_QUERY:
+        free(message->body.task_request.payload);
+        break;
+    case Fv_MESSAGE_TASK:
+    case Fv_MESSAGE_CHUNK:
+        free(message->body.task_reply.answer);
+        break;
+    case Fv_MESSAGE_JOB_STATUS:
+    case Fv_MESSAGE_JOB_CANCEL:
+    case Fv_MESSAGE_JOB:
+    case Fv_MESSAGE_CONFIG_GET:
+    case Fv_MESSAGE_CONFIG:
+        free(message->body.document.text);
+        break;
+    default:
+        break;
+    }
+    *message = (fv_message_t){0};
+}
