Add worker leases, ledgers and the worker protocol

Cause: the lease holder is the only writer of a worker's ledger. Change: upstream, holder, holder-tasks; reservations carry the first index.

--- a/src/daemon.h
+++ b/src/daemon.h
@@ -9,6 +9,7 @@
 #include "fireflyvalve.h"
 
 #include <pthread.h>
+#include <uthash.h>
 
 #define Fv_LINK_FRAME_MAX_BYTES (1024 * 1024)
 #define Fv_ANSWER_CHUNK_BYTES (64 * 1024)
@@ -155,7 +156,8 @@
     char workload[Fv_NAME_SIZE];
     fv_class_t class_id;
     fv_resources_t size;
-    int32_t count; /* reserve: number of tasks wanted */
+    int32_t first;   /* reserve: index of the first task wanted */
+    int32_t count;   /* reserve: number of tasks wanted */
     bool reserved; /* start: a reservation under this id must exist */
     bool stop_on_lapse;
     bool send_once;  /* start: not idempotent */
@@ -370,14 +372,59 @@
 fv_upstream_t *FvUpstream_NewJson(fv_daemon_t *daemon);
 void FvUpstream_Free(fv_upstream_t *upstream);
 
-/* holder.c: the leases this host holds and the tasks under them. */
+/* holder.c: the leases this host holds; one holding for each listed worker. */
 typedef struct fv_holder fv_holder_t;
 
+/* A query that waits for the end of a task. */
+typedef struct fv_waiter {
+    struct fv_holding *holding;
+    char task_id[Fv_TASK_ID_SIZE];
+    fv_reply_to_t to;
+    fv_timer_t timer;
+    struct fv_waiter *next;
+} fv_waiter_t;
+
+typedef struct fv_holding {
+    fv_holder_t *holder;
+    fv_worker_t *worker;
+    fv_timer_t timer;
+    bool candidate;    /* this host should hold the lease */
+    bool call_pending; /* a lease call is outstanding */
+    int64_t sent_ns;   /* boot time before the lease call was sent */
+    /* A grant whose answer was lost may hold the lease until then. */
+    int64_t maybe_held_until_ns;
+    int64_t not_candidate_since_ms;
+    int32_t starts_pending;
+    bool listed_leaving;
+    bool told_leaving; /* by the worker itself, ahead of the list */
+    uint64_t list_generation; /* of the last list that named the worker */
+    fv_waiter_t *waiters;
+    UT_hash_handle hh;
+} fv_holding_t;
+
+struct fv_holder {
+    fv_daemon_t *daemon;
+    fv_holding_t *holdings; /* by worker name */
+    fv_placement_t *placement;
+    fv_timer_t tick;
+    uint64_t alive_signature;
+    uint64_t list_generation;
+    bool list_changed;
+    bool draining;
+    fv_resources_t total; /* capacity of the workers held */
+};
+
 fv_holder_t *FvHolder_New(fv_daemon_t *daemon);
 void FvHolder_Free(fv_holder_t *holder);
 void FvHolder_OnWorkers(fv_holder_t *holder, const json_t *listed);
-fv_worker_t *FvHolder_Worker(fv_holder_t *holder, const char *name);
-fv_placement_t *FvHolder_Placement(fv_holder_t *holder);
+fv_holding_t *FvHolder_Find(const fv_holder_t *holder, const char *worker);
+fv_task_t *FvHolder_AddTask(fv_holding_t *holding, const fv_task_t *task);
+void FvHolder_RemoveTask(fv_holding_t *holding, fv_task_t *task);
+void FvHolder_Drain(fv_holder_t *holder);
+bool FvHolder_IsDrained(const fv_holder_t *holder);
+json_t *FvHolder_ToJson(const fv_holder_t *holder);
+
+/* holder-tasks.c: requests for the workers whose leases this host holds. */
 void FvHolder_Reserve(fv_holder_t *holder, const fv_task_request_t *request,
                       const fv_reply_to_t *to);
 void FvHolder_Start(fv_holder_t *holder, const fv_task_request_t *request,
@@ -387,11 +434,11 @@
 void FvHolder_Query(fv_holder_t *holder, const fv_task_request_t *request,
                     const fv_reply_to_t *to);
 void FvHolder_Release(fv_holder_t *holder, const fv_task_request_t *request);
-void FvHolder_LeaseQuery(fv_holder_t *holder, const fv_task_request_t *request,
+void FvHolder_LeaseQuery(fv_holder_t *holder,
+                         const fv_task_request_t *request,
                          const fv_reply_to_t *to);
-void FvHolder_Drain(fv_holder_t *holder);
-bool FvHolder_IsDrained(const fv_holder_t *holder);
-json_t *FvHolder_ToJson(const fv_holder_t *holder);
+void FvHolder_TaskEnded(fv_holding_t *holding, const char *task_id);
+void FvHolder_DropWaiters(fv_holding_t *holding);
 
 /* claim.c: the record in the store by which a host owns a job. */
 typedef struct fv_claim {
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -494,6 +494,7 @@
     fv_resources_t used; /* last reported usage */
     int64_t expires_ms;  /* reservation only */
     int64_t accrued_ms;  /* accounted up to this time */
+    int64_t ran_ms;      /* as last told by the worker */
     struct fv_task *next;
 } fv_task_t;
 
--- /dev/null
+++ b/src/holder-tasks.c
@@ -0,0 +1,674 @@
+/*
+ * Requests for tasks on the workers whose leases this host holds: reserve,
+ * start, stop, query, release. Every reply tells whether the task surely did
+ * not start.
+ */
+
+#include "daemon.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* The rest of a worker's connections is for lease calls of other hosts and
+ * for queries. */
+#define Fv_HOLDER_CONNECTION_SHARE_PERCENT 75
+#define Fv_HOLDER_STOP_RETRY_MS 1000
+
+/* One request to a worker on behalf of a host. */
+typedef struct fv_worker_call {
+    fv_holder_t *holder;
+    char worker[Fv_NAME_SIZE];
+    char base_url[Fv_URL_SIZE];
+    char task_id[Fv_TASK_ID_SIZE];
+    fv_reply_to_t to;
+    bool counted;    /* in the worker's connections */
+    bool stop_doubt; /* a start in doubt is stopped by this host */
+    fv_task_reply_t state; /* of a query that goes on to fetch the answer */
+    fv_timer_t retry;
+} fv_worker_call_t;
+
+static void
+reply_task(fv_holder_t *holder, const fv_reply_to_t *to,
+           const fv_task_reply_t *task)
+{
+    fv_message_t message = {.type = Fv_MESSAGE_TASK,
+                            .body.task_reply = *task};
+
+    FvPeers_Reply(holder->daemon->peers, to, &message);
+}
+
+static void
+reply_refusal(fv_holder_t *holder, const fv_reply_to_t *to,
+              const char *task_id, fv_refusal_t refusal)
+{
+    fv_task_reply_t task = {.state = Fv_TASK_UNKNOWN, .refusal = refusal};
+
+    FvText_Copy(task.id, sizeof(task.id), task_id);
+    if (refusal != Fv_REFUSAL_IN_DOUBT) {
+        FvMetrics_Add(Fv_COUNTER_STARTS_REFUSED, 1);
+    }
+    reply_task(holder, to, &task);
+}
+
+static void
+reply_reserved(fv_holder_t *holder, const fv_reply_to_t *to,
+               const fv_reserved_t *reserved)
+{
+    fv_message_t message = {.type = Fv_MESSAGE_RESERVED};
+
+    message.body.reserved = malloc(sizeof(*reserved));
+    if (message.body.reserved == NULL) {
+        abort();
+    }
+    *message.body.reserved = *reserved;
+    FvPeers_Reply(holder->daemon->peers, to, &message);
+}
+
+/* Fills the ledger entry of a request. */
+static void
+describe_task(const fv_task_request_t *request, const char *id,
+              fv_task_state_t state, fv_task_t *task)
+{
+    *task = (fv_task_t){
+        .class_id = request->class_id,
+        .state = state,
+        .size = request->size,
+    };
+    FvText_Copy(task->id, sizeof(task->id), id);
+    FvText_Copy(task->member, sizeof(task->member), request->member);
+    FvText_Copy(task->workload, sizeof(task->workload), request->workload);
+}
+
+static fv_worker_t *
+choose_worker(fv_holder_t *holder, const fv_task_request_t *request)
+{
+    FvMetrics_Add(Fv_COUNTER_DECISIONS, 1);
+    return FvPlacement_Choose(
+        holder->placement, FvPolicy_ForClass(request->class_id),
+        &request->size, request->id, FvClock_NowMs());
+}
+
+static bool
+reserve_one(fv_holder_t *holder, const fv_task_request_t *request,
+            int32_t index, fv_reserved_t *reserved)
+{
+    fv_worker_t *worker = choose_worker(holder, request);
+    char id[Fv_TASK_ID_SIZE + 16];
+    fv_task_t task;
+
+    if (worker == NULL) {
+        return false;
+    }
+    snprintf(id, sizeof(id), "%s:%d", request->id, request->first + index);
+    describe_task(request, id, Fv_TASK_RESERVED, &task);
+    task.expires_ms = FvClock_NowMs() + Fv_RESERVATION_TTL_MS;
+    if (FvHolder_AddTask(worker->holder, &task) == NULL) {
+        return false;
+    }
+    FvText_Copy(reserved->workers[reserved->count++], Fv_NAME_SIZE,
+                worker->name);
+    return true;
+}
+
+/**
+ * FvHolder_Reserve - set capacity aside for the tasks of a job
+ * @holder: the holder
+ * @request: which job, how many tasks
+ * @to: where the reply goes
+ *
+ * The reply names the workers of as many tasks as could be placed, in task
+ * order; the caller releases them when it needs all and got fewer.
+ */
+void
+FvHolder_Reserve(fv_holder_t *holder, const fv_task_request_t *request,
+                 const fv_reply_to_t *to)
+{
+    fv_reserved_t reserved = {.refusal = Fv_REFUSAL_NONE};
+
+    if (holder->draining) {
+        reserved.refusal = Fv_REFUSAL_DRAINING;
+        reply_reserved(holder, to, &reserved);
+        return;
+    }
+    for (int32_t i = 0; i < request->count; i++) {
+        if (!reserve_one(holder, request, i, &reserved)) {
+            break;
+        }
+    }
+    if (reserved.count == 0) {
+        reserved.refusal =
+            FvPlacement_CanEverFit(holder->placement, &request->size)
+                ? Fv_REFUSAL_NO_CAPACITY
+                : Fv_REFUSAL_NEVER_FITS;
+    }
+    reply_reserved(holder, to, &reserved);
+}
+
+/**
+ * FvHolder_Release - give reservations back
+ * @holder: the holder
+ * @request: the job whose tasks @first to @first + @count - 1 are meant, on
+ * the named worker
+ */
+void
+FvHolder_Release(fv_holder_t *holder, const fv_task_request_t *request)
+{
+    fv_holding_t *holding = FvHolder_Find(holder, request->worker);
+    fv_task_t *task;
+
+    if (holding == NULL) {
+        return;
+    }
+    task = FvWorker_FindTask(holding->worker, request->id);
+    if (task != NULL && task->state == Fv_TASK_RESERVED) {
+        FvHolder_RemoveTask(holding, task);
+    }
+}
+
+static fv_worker_call_t *
+new_worker_call(fv_holder_t *holder, const fv_worker_t *worker,
+                const char *task_id, const fv_reply_to_t *to)
+{
+    fv_worker_call_t *call = calloc(1, sizeof(*call));
+
+    if (call == NULL) {
+        abort();
+    }
+    call->holder = holder;
+    call->to = *to;
+    FvText_Copy(call->worker, sizeof(call->worker), worker->name);
+    FvText_Copy(call->base_url, sizeof(call->base_url), worker->base_url);
+    FvText_Copy(call->task_id, sizeof(call->task_id), task_id);
+    return call;
+}
+
+static fv_task_t *
+find_entry(const fv_worker_call_t *call, fv_holding_t **holding)
+{
+    *holding = FvHolder_Find(call->holder, call->worker);
+    return *holding ? FvWorker_FindTask((*holding)->worker, call->task_id)
+                    : NULL;
+}
+
+static void
+remove_entry(const fv_worker_call_t *call)
+{
+    fv_holding_t *holding;
+    fv_task_t *task = find_entry(call, &holding);
+
+    if (task != NULL) {
+        FvHolder_RemoveTask(holding, task);
+    }
+}
+
+static void stop_doubtful(void *owner);
+
+static void
+receive_doubtful_stop(void *context, fv_upstream_error_t error,
+                      fv_task_reply_t *reply)
+{
+    fv_worker_call_t *call = context;
+    fv_holding_t *holding;
+    fv_task_t *entry = find_entry(call, &holding);
+
+    if (error == Fv_UPSTREAM_OK && FvTaskState_Ended(reply->state)) {
+        remove_entry(call);
+        free(call);
+        return;
+    }
+    if (entry == NULL || holding->holder->draining) {
+        free(call);
+        return;
+    }
+    call->retry.fire = stop_doubtful;
+    call->retry.owner = call;
+    FvLoop_SetTimer(call->holder->daemon->loop, &call->retry,
+                    FvClock_NowMs() + Fv_HOLDER_STOP_RETRY_MS);
+}
+
+/* The entry keeps its capacity until the worker says that it is free. */
+static void
+stop_doubtful(void *owner)
+{
+    fv_worker_call_t *call = owner;
+    fv_upstream_t *upstream = call->holder->daemon->upstream;
+
+    upstream->type->stop(upstream, call->base_url, call->task_id,
+                         receive_doubtful_stop, call);
+}
+
+static void
+settle_doubtful_start(fv_worker_call_t *call)
+{
+    fv_holding_t *holding;
+    fv_task_t *entry = find_entry(call, &holding);
+
+    if (entry != NULL) {
+        entry->state = Fv_TASK_UNKNOWN;
+    }
+    reply_refusal(call->holder, &call->to, call->task_id,
+                  Fv_REFUSAL_IN_DOUBT);
+    if (call->stop_doubt && entry != NULL) {
+        stop_doubtful(call);
+        return;
+    }
+    free(call);
+}
+
+static void
+record_health(fv_holding_t *holding, fv_upstream_error_t error,
+              const fv_task_reply_t *reply)
+{
+    fv_quarantine_t *quarantine = &holding->worker->quarantine;
+    bool failed = error == Fv_UPSTREAM_NOT_SENT ||
+                  (error == Fv_UPSTREAM_OK &&
+                   reply->state == Fv_TASK_FAILED);
+
+    if (failed) {
+        if (FvQuarantine_Failed(quarantine, FvClock_NowMs())) {
+            FvMetrics_Add(Fv_COUNTER_QUARANTINES, 1);
+            FvLog_Event(Fv_LOG_WARN, "worker_quarantined",
+                        "worker=%s backoff_ms=%lld", holding->worker->name,
+                        (long long)quarantine->backoff_ms);
+        }
+    }
+    else if (error == Fv_UPSTREAM_OK) {
+        FvQuarantine_Succeeded(quarantine);
+    }
+}
+
+static void
+settle_accepted_start(fv_worker_call_t *call, fv_task_reply_t *reply)
+{
+    fv_holding_t *holding;
+    fv_task_t *entry = find_entry(call, &holding);
+
+    if (FvTaskState_Ended(reply->state)) {
+        remove_entry(call);
+    }
+    else if (entry != NULL) {
+        entry->state = Fv_TASK_RUNNING;
+    }
+    FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
+    reply_task(call->holder, &call->to, reply);
+    reply->answer = NULL;
+    free(call);
+}
+
+static void
+receive_start(void *context, fv_upstream_error_t error,
+              fv_task_reply_t *reply)
+{
+    fv_worker_call_t *call = context;
+    fv_holding_t *holding = FvHolder_Find(call->holder, call->worker);
+
+    if (holding != NULL) {
+        holding->starts_pending--;
+        holding->worker->connections_used--;
+        record_health(holding, error, reply);
+        FvPlacement_Update(call->holder->placement, holding->worker);
+    }
+    switch (error) {
+    case Fv_UPSTREAM_OK:
+        settle_accepted_start(call, reply);
+        return;
+    case Fv_UPSTREAM_NOT_SENT:
+        reply->refusal = Fv_REFUSAL_EXPIRED;
+        break;
+    case Fv_UPSTREAM_REFUSED:
+        break;
+    case Fv_UPSTREAM_IN_DOUBT:
+    case Fv_UPSTREAM_MALFORMED:
+        settle_doubtful_start(call);
+        return;
+    }
+    remove_entry(call);
+    reply_refusal(call->holder, &call->to, call->task_id, reply->refusal);
+    free(call);
+}
+
+static bool
+has_connection(const fv_worker_t *worker)
+{
+    int32_t limit = worker->connections *
+                    Fv_HOLDER_CONNECTION_SHARE_PERCENT / 100;
+
+    return worker->connections_used < limit;
+}
+
+/* Turns the reservation of a request into a started entry, or places the
+ * task anew. Returns NULL with the reason. */
+static fv_holding_t *
+claim_capacity(fv_holder_t *holder, const fv_task_request_t *request,
+               int64_t *not_after_ns, fv_refusal_t *refusal)
+{
+    fv_worker_t *worker;
+    fv_task_t task;
+    fv_task_t *entry;
+
+    if (request->reserved) {
+        fv_holding_t *holding = FvHolder_Find(holder, request->worker);
+
+        entry = holding ? FvWorker_FindTask(holding->worker, request->id)
+                        : NULL;
+        *refusal = Fv_REFUSAL_EXPIRED;
+        if (entry == NULL || entry->state != Fv_TASK_RESERVED ||
+            FvClock_NowMs() >= entry->expires_ms) {
+            return NULL;
+        }
+        entry->state = Fv_TASK_STARTING;
+        *not_after_ns = entry->expires_ms * Fv_NS_PER_MS;
+        return holding;
+    }
+    worker = choose_worker(holder, request);
+    if (worker == NULL) {
+        *refusal = FvPlacement_CanEverFit(holder->placement, &request->size)
+                       ? Fv_REFUSAL_NO_CAPACITY
+                       : Fv_REFUSAL_NEVER_FITS;
+        return NULL;
+    }
+    describe_task(request, request->id, Fv_TASK_STARTING, &task);
+    *refusal = Fv_REFUSAL_NO_CAPACITY;
+    entry = FvHolder_AddTask(worker->holder, &task);
+    return entry ? worker->holder : NULL;
+}
+
+/**
+ * FvHolder_Start - start a task on a worker
+ * @holder: the holder
+ * @request: the task
+ * @to: where the reply goes
+ *
+ * The lease and the reservation are checked here and once more, by the HTTP
+ * client, when the connection stands and the request is about to leave.
+ */
+void
+FvHolder_Start(fv_holder_t *holder, const fv_task_request_t *request,
+               const fv_reply_to_t *to)
+{
+    fv_upstream_t *upstream = holder->daemon->upstream;
+    fv_refusal_t refusal = Fv_REFUSAL_DRAINING;
+    int64_t not_after_ns = INT64_MAX;
+    fv_holding_t *holding = NULL;
+    fv_worker_t *worker;
+    fv_worker_call_t *call;
+
+    /* A reservation that was given before the drain is still honoured. */
+    if (!holder->draining || request->reserved) {
+        holding = claim_capacity(holder, request, &not_after_ns, &refusal);
+    }
+    if (holding == NULL) {
+        reply_refusal(holder, to, request->id, refusal);
+        return;
+    }
+    worker = holding->worker;
+    call = new_worker_call(holder, worker, request->id, to);
+    if (!FvLease_AllowsStart(&worker->lease, FvClock_NowNs()) ||
+        !has_connection(worker)) {
+        remove_entry(call);
+        free(call);
+        reply_refusal(holder, to, request->id, Fv_REFUSAL_EXPIRED);
+        return;
+    }
+    if (worker->lease.expires_ns < not_after_ns) {
+        not_after_ns = worker->lease.expires_ns;
+    }
+    call->stop_doubt = !request->reserved;
+    holding->starts_pending++;
+    worker->connections_used++;
+    FvQuarantine_Started(&worker->quarantine, FvClock_NowMs());
+    FvMetrics_Add(Fv_COUNTER_STARTS, 1);
+    upstream->type->start(upstream, worker, request, not_after_ns,
+                          receive_start, call);
+}
+
+static void
+receive_stop(void *context, fv_upstream_error_t error, fv_task_reply_t *reply)
+{
+    fv_worker_call_t *call = context;
+
+    if (error != Fv_UPSTREAM_OK) {
+        reply_refusal(call->holder, &call->to, call->task_id,
+                      Fv_REFUSAL_IN_DOUBT);
+        free(call);
+        return;
+    }
+    if (FvTaskState_Ended(reply->state)) {
+        remove_entry(call);
+        FvRunner_Wake(call->holder->daemon->runner);
+    }
+    FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
+    reply_task(call->holder, &call->to, reply);
+    reply->answer = NULL;
+    free(call);
+}
+
+/**
+ * FvHolder_Stop - stop a task, or make sure that it never starts
+ * @holder: the holder
+ * @request: the task and its worker
+ * @to: where the reply goes
+ *
+ * Works without the worker's lease: a worker accepts a stop from any host.
+ */
+void
+FvHolder_Stop(fv_holder_t *holder, const fv_task_request_t *request,
+              const fv_reply_to_t *to)
+{
+    fv_holding_t *holding = FvHolder_Find(holder, request->worker);
+    fv_upstream_t *upstream = holder->daemon->upstream;
+
+    if (holding == NULL) {
+        reply_refusal(holder, to, request->id, Fv_REFUSAL_IN_DOUBT);
+        return;
+    }
+    upstream->type->stop(
+        upstream, holding->worker->base_url, request->id, receive_stop,
+        new_worker_call(holder, holding->worker, request->id, to));
+}
+
+static void
+receive_answer(void *context, fv_upstream_error_t error,
+               fv_task_reply_t *reply)
+{
+    fv_worker_call_t *call = context;
+
+    if (error != Fv_UPSTREAM_OK) {
+        reply_refusal(call->holder, &call->to, call->task_id,
+                      Fv_REFUSAL_IN_DOUBT);
+        free(call);
+        return;
+    }
+    reply->ran_ms = call->state.ran_ms;
+    reply->used = call->state.used;
+    FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
+    reply_task(call->holder, &call->to, reply);
+    reply->answer = NULL;
+    free(call);
+}
+
+static void
+receive_query(void *context, fv_upstream_error_t error,
+              fv_task_reply_t *reply)
+{
+    fv_worker_call_t *call = context;
+    fv_upstream_t *upstream = call->holder->daemon->upstream;
+
+    if (error != Fv_UPSTREAM_OK) {
+        reply_refusal(call->holder, &call->to, call->task_id,
+                      Fv_REFUSAL_IN_DOUBT);
+        free(call);
+        return;
+    }
+    if (reply->state == Fv_TASK_DONE || reply->state == Fv_TASK_FAILED) {
+        call->state = *reply;
+        call->state.answer = NULL;
+        upstream->type->answer(upstream, call->base_url, call->task_id,
+                               receive_answer, call);
+        return;
+    }
+    FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
+    reply_task(call->holder, &call->to, reply);
+    reply->answer = NULL;
+    free(call);
+}
+
+static void
+ask_worker(fv_holding_t *holding, const char *task_id,
+           const fv_reply_to_t *to)
+{
+    fv_holder_t *holder = holding->holder;
+    fv_upstream_t *upstream = holder->daemon->upstream;
+
+    upstream->type->query(
+        upstream, holding->worker->base_url, task_id, receive_query,
+        new_worker_call(holder, holding->worker, task_id, to));
+}
+
+static void
+remove_waiter(fv_waiter_t *waiter)
+{
+    fv_waiter_t **place = &waiter->holding->waiters;
+
+    while (*place != waiter) {
+        place = &(*place)->next;
+    }
+    *place = waiter->next;
+    FvLoop_CancelTimer(waiter->holding->holder->daemon->loop, &waiter->timer);
+    free(waiter);
+}
+
+/* Ends the wait; the caller asks again. */
+static void
+fire_waiter(void *owner)
+{
+    fv_waiter_t *waiter = owner;
+    fv_task_reply_t reply = {.state = Fv_TASK_RUNNING};
+
+    FvText_Copy(reply.id, sizeof(reply.id), waiter->task_id);
+    FvText_Copy(reply.worker, sizeof(reply.worker),
+                waiter->holding->worker->name);
+    reply_task(waiter->holding->holder, &waiter->to, &reply);
+    remove_waiter(waiter);
+}
+
+static void
+add_waiter(fv_holding_t *holding, const fv_task_request_t *request,
+           const fv_reply_to_t *to)
+{
+    fv_waiter_t *waiter = calloc(1, sizeof(*waiter));
+
+    if (waiter == NULL) {
+        abort();
+    }
+    waiter->holding = holding;
+    waiter->to = *to;
+    waiter->timer.fire = fire_waiter;
+    waiter->timer.owner = waiter;
+    FvText_Copy(waiter->task_id, sizeof(waiter->task_id), request->id);
+    waiter->next = holding->waiters;
+    holding->waiters = waiter;
+    FvLoop_SetTimer(holding->holder->daemon->loop, &waiter->timer,
+                    FvClock_NowMs() + request->wait_ms);
+}
+
+/**
+ * FvHolder_TaskEnded - answer the queries that wait for a task
+ * @holding: the worker that told of the task's end
+ * @task_id: the task
+ */
+void
+FvHolder_TaskEnded(fv_holding_t *holding, const char *task_id)
+{
+    fv_waiter_t *waiter = holding->waiters;
+
+    while (waiter != NULL) {
+        fv_waiter_t *next = waiter->next;
+
+        if (strcmp(waiter->task_id, task_id) == 0) {
+            ask_worker(holding, task_id, &waiter->to);
+            remove_waiter(waiter);
+        }
+        waiter = next;
+    }
+}
+
+/**
+ * FvHolder_DropWaiters - tell all waiting queries to look elsewhere
+ * @holding: a worker whose lease is gone
+ */
+void
+FvHolder_DropWaiters(fv_holding_t *holding)
+{
+    while (holding->waiters != NULL) {
+        fv_waiter_t *waiter = holding->waiters;
+
+        reply_refusal(holding->holder, &waiter->to, waiter->task_id,
+                      Fv_REFUSAL_NOT_HOLDER);
+        remove_waiter(waiter);
+    }
+}
+
+/**
+ * FvHolder_Query - tell the state of a task, with its answer when it ended
+ * @holder: the holder
+ * @request: the task, its worker and how long to wait for its end
+ * @to: where the reply goes
+ *
+ * Only the lease holder can wait; another host asks the worker at once.
+ */
+void
+FvHolder_Query(fv_holder_t *holder, const fv_task_request_t *request,
+               const fv_reply_to_t *to)
+{
+    fv_holding_t *holding = FvHolder_Find(holder, request->worker);
+    const fv_task_t *task;
+
+    if (holding == NULL) {
+        reply_refusal(holder, to, request->id, Fv_REFUSAL_NOT_HOLDER);
+        return;
+    }
+    task = holding->worker->lease.held
+               ? FvWorker_FindTask(holding->worker, request->id)
+               : NULL;
+    if (task != NULL && request->wait_ms > 0) {
+        add_waiter(holding, request, to);
+        return;
+    }
+    ask_worker(holding, request->id, to);
+}
+
+/**
+ * FvHolder_LeaseQuery - tell whether this host may hold a worker's lease
+ * @holder: the holder
+ * @request: names the worker
+ * @to: where the reply goes
+ *
+ * A grant whose answer was lost counts as held until it has surely expired.
+ */
+void
+FvHolder_LeaseQuery(fv_holder_t *holder, const fv_task_request_t *request,
+                    const fv_reply_to_t *to)
+{
+    fv_holding_t *holding = FvHolder_Find(holder, request->worker);
+    fv_message_t message = {.type = Fv_MESSAGE_LEASE_STATE};
+    int64_t now_ns = FvClock_NowNs();
+    int64_t free_since_ns = 0;
+
+    if (holding != NULL) {
+        const fv_lease_t *lease = &holding->worker->lease;
+
+        free_since_ns = lease->last_expiry_ns;
+        if (holding->maybe_held_until_ns > free_since_ns) {
+            free_since_ns = holding->maybe_held_until_ns;
+        }
+        message.body.lease_state.held = lease->held ||
+                                        holding->call_pending ||
+                                        free_since_ns > now_ns;
+    }
+    if (!message.body.lease_state.held) {
+        message.body.lease_state.lapsed_ms = (now_ns - free_since_ns) /
+                                             Fv_NS_PER_MS;
+    }
+    FvPeers_Reply(holder->daemon->peers, to, &message);
+}
--- a/src/wire.c
+++ b/src/wire.c
@@ -324,6 +324,7 @@
     pack_text(packer, request->workload);
     msgpack_pack_int32(packer, (int32_t)request->class_id);
     pack_resources(packer, &request->size);
+    msgpack_pack_int32(packer, request->first);
     msgpack_pack_int32(packer, request->count);
     pack_bool(packer, request->reserved);
     pack_bool(packer, request->stop_on_lapse);
@@ -344,6 +345,7 @@
     read_text(reader, request->workload, sizeof(request->workload));
     request->class_id = (fv_class_t)read_int(reader, 0, Fv_CLASS_COUNT - 1);
     read_resources(reader, &request->size);
+    request->first = (int32_t)read_int(reader, 0, Fv_TASKS_MAX);
     request->count = (int32_t)read_int(reader, 0, Fv_TASKS_MAX);
     request->reserved = read_bool(reader);
     request->stop_on_lapse = read_bool(reader);
@@ -460,7 +462,7 @@
     }
 #define Fv_TASK_REQUEST_CODEC                                                 \
     {                                                                         \
-        .fields = 13, .pack = pack_task_request,                              \
+        .fields = 14, .pack = pack_task_request,                              \
         .unpack = unpack_task_request                                         \
     }
 #define Fv_TASK_REPLY_CODEC                                                   \
