--- a/src/daemon.h
+++ b/src/daemon.h
@@ -440,19 +440,6 @@
 void FvHolder_TaskEnded(fv_holding_t *holding, const char *task_id);
 void FvHolder_DropWaiters(fv_holding_t *holding);
 
-/* claim.c: the record in the store by which a host owns a job. */
-typedef struct fv_claim {
-    char holder[Fv_NAME_SIZE];
-    char incarnation[Fv_NONCE_SIZE];
-    char nonce[Fv_NONCE_SIZE];
-    int64_t revision; /* of the record as last read or written */
-    uint32_t worker_count;
-    char (*workers)[Fv_NAME_SIZE];
-} fv_claim_t;
-
-json_t *FvClaim_ToJson(const fv_job_t *job, const fv_claim_t *claim);
-bool FvClaim_FromJson(const json_t *record, fv_job_t *job, fv_claim_t *claim);
-
 /* configurator.c: the active configuration, its watch and its distribution. */
 typedef struct fv_configurator fv_configurator_t;
 
@@ -467,7 +454,7 @@
 void FvConfigurator_OnConfig(fv_configurator_t *configurator,
                              const fv_message_t *message);
 
-/* runner.c: jobs accepted by this host, from admission to outcome. */
+/* runner.c: jobs accepted by this host; see runner.h. */
 typedef struct fv_runner fv_runner_t;
 
 fv_runner_t *FvRunner_New(fv_daemon_t *daemon);
@@ -483,6 +470,19 @@
                           int32_t counts[Fv_CLASS_COUNT]);
 bool FvRunner_IsDrained(const fv_runner_t *runner);
 
+/* digest.c: sends this host's digest to its peers. */
+typedef struct fv_digest_sender fv_digest_sender_t;
+
+fv_digest_sender_t *FvDigestSender_New(fv_daemon_t *daemon);
+void FvDigestSender_Free(fv_digest_sender_t *sender);
+
+/* ledger.c: this host's accounts and learned run times in the store. */
+typedef struct fv_ledger fv_ledger_t;
+
+fv_ledger_t *FvLedger_New(fv_daemon_t *daemon);
+void FvLedger_Free(fv_ledger_t *ledger);
+void FvLedger_ReadUsage(fv_ledger_t *ledger, fv_ticket_t *ticket);
+
 /* serve.c: the daemon as a whole. */
 struct fv_daemon {
     fv_settings_t settings;
@@ -502,6 +502,8 @@
     fv_holder_t *holder;
     fv_configurator_t *configurator;
     fv_runner_t *runner;
+    fv_digest_sender_t *digest_sender;
+    fv_ledger_t *ledger;
     fv_shares_t *shares;
     fv_estimates_t *estimates;
     fv_accounts_t *accounts;
--- /dev/null
+++ b/src/runner.c
@@ -0,0 +1,674 @@
+/*
+ * The jobs of this host: their table, their queues and their ends.
+ */
+
+#include "runner.h"
+
+#include <sodium.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define Fv_RUNNER_HOUSEKEEPING_MS 1000
+/* Ended jobs answer status calls for this long without the store. */
+#define Fv_RUNNER_KEEP_ENDED_MS (10 * 60 * 1000)
+#define Fv_RUNNER_KEEP_ANSWERS_BYTES (24 * 1024 * 1024)
+#define Fv_RUNNER_KEEP_RUNS 20000
+#define Fv_RUNNER_RETENTION_S (24 * 3600)
+#define Fv_RUNNER_RETENTION_RENEW_MS (3600 * 1000)
+/* An answer that was lost once is asked for at this pace. */
+#define Fv_RUNNER_RETENTION_RETRY_MS 5000
+
+/**
+ * FvRunRef_New - name a run for use in a callback
+ * @run: the run
+ * @index: of the task, where one is meant
+ *
+ * Return: a reference to be freed.
+ */
+fv_run_ref_t *
+FvRunRef_New(const fv_run_t *run, int32_t index)
+{
+    fv_run_ref_t *ref = calloc(1, sizeof(*ref));
+
+    if (ref == NULL) {
+        abort();
+    }
+    ref->runner = run->runner;
+    ref->serial = run->serial;
+    ref->attempt = run->job->attempts;
+    ref->index = index;
+    FvText_Copy(ref->name, sizeof(ref->name), run->name);
+    return ref;
+}
+
+/**
+ * FvRunRef_Find - the run that a reference names
+ * @ref: the reference
+ *
+ * Return: the run, or NULL when it is gone.
+ */
+fv_run_t *
+FvRunRef_Find(const fv_run_ref_t *ref)
+{
+    fv_run_t *run = NULL;
+
+    HASH_FIND_STR(ref->runner->runs, ref->name, run);
+    return run != NULL && run->serial == ref->serial ? run : NULL;
+}
+
+/**
+ * FvRunner_Find - look a job up
+ * @runner: the runner
+ * @member: its member
+ * @key: its key
+ *
+ * Return: the run, or NULL when its home is not here.
+ */
+fv_run_t *
+FvRunner_Find(const fv_runner_t *runner, const char *member, const char *key)
+{
+    char name[Fv_NAME_SIZE + Fv_KEY_SIZE];
+    fv_run_t *run = NULL;
+
+    snprintf(name, sizeof(name), "%s/%s", member, key);
+    HASH_FIND_STR(runner->runs, name, run);
+    return run;
+}
+
+static void
+fire_run_timer(void *owner)
+{
+    fv_run_t *run = owner;
+
+    if (run->claimed || !FvWorkload_NeedsClaim(&run->job->workload)) {
+        if (!FvRun_Enqueue(run)) {
+            FvRun_BackOff(run);
+        }
+        return;
+    }
+    FvRun_Admit(run);
+}
+
+/* Phases in which no task was started, and no write decides about one. */
+static bool
+waits_for_start(const fv_run_t *run)
+{
+    return !run->write_pending &&
+           (run->phase == Fv_RUN_ADMITTING || run->phase == Fv_RUN_QUEUED ||
+            run->phase == Fv_RUN_BACKOFF);
+}
+
+static void
+fire_deadline(void *owner)
+{
+    fv_run_t *run = owner;
+
+    if (waits_for_start(run)) {
+        FvRun_EndIfUnwanted(run);
+    }
+}
+
+static void
+arm_deadline(fv_run_t *run)
+{
+    int64_t left_ms;
+
+    if (run->job->start_before_ms == 0) {
+        return;
+    }
+    left_ms = run->job->start_before_ms - FvClock_WallMs();
+    FvLoop_SetTimer(run->runner->daemon->loop, &run->deadline,
+                    FvClock_NowMs() + (left_ms > 0 ? left_ms : 0));
+}
+
+static void
+release_tasks(fv_run_t *run)
+{
+    fv_loop_t *loop = run->runner->daemon->loop;
+
+    for (int32_t i = 0; i < run->task_count; i++) {
+        FvLoop_CancelTimer(loop, &run->tasks[i].timer);
+        free(run->tasks[i].answer);
+    }
+    free(run->tasks);
+    run->tasks = NULL;
+    run->task_count = 0;
+}
+
+/**
+ * FvRun_ResetTasks - forget the last attempt
+ * @run: the job
+ */
+void
+FvRun_ResetTasks(fv_run_t *run)
+{
+    int32_t count = run->job->workload.tasks;
+
+    release_tasks(run);
+    run->tasks = calloc((size_t)count, sizeof(*run->tasks));
+    if (run->tasks == NULL) {
+        abort();
+    }
+    run->task_count = count;
+    run->tasks_pending = 0;
+    run->gang_failed = false;
+    run->hops = 0;
+    memset(run->refused_by, 0, sizeof(run->refused_by));
+}
+
+/**
+ * FvRunner_Add - take a job in
+ * @runner: the runner
+ * @job: the job; taken over
+ *
+ * Return: its run; the caller admits or queues it.
+ */
+fv_run_t *
+FvRunner_Add(fv_runner_t *runner, fv_job_t *job)
+{
+    fv_run_t *run = calloc(1, sizeof(*run));
+
+    if (run == NULL) {
+        abort();
+    }
+    run->runner = runner;
+    run->job = job;
+    run->serial = ++runner->last_serial;
+    run->timer.fire = fire_run_timer;
+    run->timer.owner = run;
+    run->deadline.fire = fire_deadline;
+    run->deadline.owner = run;
+    job->run = run;
+    snprintf(run->name, sizeof(run->name), "%s/%s", job->member, job->key);
+    HASH_ADD_STR(runner->runs, name, run);
+    runner->open_count++;
+    runner->payload_bytes += job->payload_length;
+    arm_deadline(run);
+    return run;
+}
+
+static void
+drop_payload(fv_run_t *run)
+{
+    run->runner->payload_bytes -= run->job->payload_length;
+    free(run->job->payload);
+    run->job->payload = NULL;
+    run->job->payload_length = 0;
+}
+
+static void
+drop_answer(fv_run_t *run)
+{
+    run->runner->answer_bytes -= run->job->answer_length;
+    free(run->job->answer);
+    run->job->answer = NULL;
+}
+
+static void
+leave_queue(fv_run_t *run)
+{
+    if (run->job->queued) {
+        FvQueue_Remove(run->runner->queues[run->job->workload.class_id],
+                       run->job);
+    }
+}
+
+/**
+ * FvRunner_Remove - forget a job
+ * @run: the job; released
+ */
+void
+FvRunner_Remove(fv_run_t *run)
+{
+    fv_runner_t *runner = run->runner;
+    fv_loop_t *loop = runner->daemon->loop;
+
+    leave_queue(run);
+    FvLoop_CancelTimer(loop, &run->timer);
+    FvLoop_CancelTimer(loop, &run->deadline);
+    if (run->phase == Fv_RUN_ENDED) {
+        drop_answer(run);
+    }
+    else {
+        runner->open_count--;
+    }
+    drop_payload(run);
+    release_tasks(run);
+    HASH_DEL(runner->runs, run);
+    FvJob_Free(run->job);
+    free(run);
+}
+
+/**
+ * FvRun_Enqueue - put a job into the queue of its class
+ * @run: the job
+ *
+ * Return: false when the queue is full.
+ */
+bool
+FvRun_Enqueue(fv_run_t *run)
+{
+    fv_runner_t *runner = run->runner;
+    fv_job_t *job = run->job;
+    int64_t run_ms = FvEstimates_RunMs(runner->daemon->estimates, job->member,
+                                       &job->workload);
+
+    FvPolicyDeadline_SetLatestStart(job, run_ms);
+    if (FvQueue_Push(runner->queues[job->workload.class_id], job) !=
+        Fv_QUEUE_OK) {
+        return false;
+    }
+    job->state = Fv_JOB_QUEUED;
+    run->phase = Fv_RUN_QUEUED;
+    FvRun_ResetTasks(run);
+    FvRunner_Wake(runner);
+    return true;
+}
+
+/**
+ * FvRun_BackOff - try a job again a little later
+ * @run: the job; nothing of it runs
+ */
+void
+FvRun_BackOff(fv_run_t *run)
+{
+    int64_t delay_ms = FvRetry_BackoffMs(++run->backoffs,
+                                         randombytes_random());
+
+    leave_queue(run);
+    run->phase = Fv_RUN_BACKOFF;
+    run->job->state = Fv_JOB_QUEUED;
+    FvMetrics_Add(Fv_COUNTER_RETRIES, 1);
+    FvLoop_SetTimer(run->runner->daemon->loop, &run->timer,
+                    FvClock_NowMs() + delay_ms);
+}
+
+static void
+keep_ended(fv_run_t *run)
+{
+    fv_runner_t *runner = run->runner;
+
+    run->phase = Fv_RUN_ENDED;
+    run->ended_ms = FvClock_NowMs();
+    runner->open_count--;
+    runner->answer_bytes += run->job->answer_length;
+    if (runner->ended_last != NULL) {
+        runner->ended_last->ended_next = run;
+    }
+    else {
+        runner->ended_first = run;
+    }
+    runner->ended_last = run;
+    FvRun_ReplyWaiters(run);
+}
+
+/* Outcomes that only hold once no other host can start the job. */
+static bool
+needs_durable_end(fv_outcome_t outcome)
+{
+    return outcome == Fv_OUTCOME_NOT_RUN || outcome == Fv_OUTCOME_CANCELLED;
+}
+
+static void
+finish_end(fv_run_t *run, fv_claim_result_t result, const json_t *record,
+           int64_t revision)
+{
+    (void)revision;
+    if (result == Fv_CLAIM_LOST && needs_durable_end(run->job->outcome)) {
+        FvRun_LoseClaim(run, record);
+        return;
+    }
+    keep_ended(run);
+}
+
+static void
+record_end(const fv_run_t *run)
+{
+    const fv_job_t *job = run->job;
+    int64_t now_ns = FvClock_NowNs();
+
+    FvMetrics_Record(Fv_TIMING_TOTAL, job->workload.class_id, job->member,
+                     (now_ns - job->submitted_ns) / 1000);
+    if (job->started_ns != 0) {
+        FvMetrics_Record(Fv_TIMING_RUN, job->workload.class_id, job->member,
+                         (now_ns - job->started_ns) / 1000);
+    }
+    FvLog_Event(job->outcome == Fv_OUTCOME_DONE ? Fv_LOG_DEBUG : Fv_LOG_INFO,
+                "job_ended", "job=%s outcome=%s attempts=%d reason=\"%s\"",
+                run->name, FvOutcome_Name(job->outcome), job->attempts,
+                job->reason);
+}
+
+/**
+ * FvRun_End - give a job its outcome
+ * @run: the job; none of its claim writes may be pending
+ * @outcome: the outcome
+ * @format: the reason
+ *
+ * Callers learn of not_run and cancelled only after the store has the
+ * outcome: until then another host could take the job over and start it.
+ */
+void
+FvRun_End(fv_run_t *run, fv_outcome_t outcome, const char *format, ...)
+{
+    fv_loop_t *loop = run->runner->daemon->loop;
+    va_list arguments;
+
+    va_start(arguments, format);
+    vsnprintf(run->job->reason, sizeof(run->job->reason), format, arguments);
+    va_end(arguments);
+    leave_queue(run);
+    FvLoop_CancelTimer(loop, &run->timer);
+    FvLoop_CancelTimer(loop, &run->deadline);
+    run->job->outcome = outcome;
+    run->job->state = Fv_JOB_ENDED;
+    drop_payload(run);
+    record_end(run);
+    if (!run->claimed) {
+        keep_ended(run);
+        return;
+    }
+    run->phase = Fv_RUN_ENDING;
+    if (!needs_durable_end(outcome)) {
+        FvRun_ReplyWaiters(run);
+    }
+    FvRun_WriteClaim(run, finish_end);
+}
+
+/**
+ * FvRun_EndIfUnwanted - end a job that should not start any more
+ * @run: the job; nothing of it runs and no claim write is pending
+ *
+ * Return: true when it was cancelled or its time to start has passed.
+ */
+bool
+FvRun_EndIfUnwanted(fv_run_t *run)
+{
+    const fv_job_t *job = run->job;
+
+    if (job->cancel_requested) {
+        FvRun_End(run, Fv_OUTCOME_CANCELLED, "cancelled before it started");
+        return true;
+    }
+    if (job->start_before_ms != 0 &&
+        FvClock_WallMs() >= job->start_before_ms) {
+        FvRun_End(run, Fv_OUTCOME_NOT_RUN, "not started by its deadline");
+        return true;
+    }
+    return false;
+}
+
+/**
+ * FvRun_Cancel - cancel a job
+ * @run: the job
+ *
+ * A job that has not started ends at once; tasks that run are stopped; a
+ * phase that is about to start tasks sees the request when its reply comes.
+ */
+void
+FvRun_Cancel(fv_run_t *run)
+{
+    if (run->job->state == Fv_JOB_ENDED) {
+        return;
+    }
+    run->job->cancel_requested = true;
+    if (waits_for_start(run)) {
+        FvRun_EndIfUnwanted(run);
+    }
+    else if (run->phase == Fv_RUN_RUNNING) {
+        FvRun_StopTasks(run);
+    }
+}
+
+static json_t *
+list_workers(const fv_run_t *run)
+{
+    json_t *workers = json_array();
+
+    for (int32_t i = 0; i < run->task_count; i++) {
+        if (run->tasks[i].worker[0] != '\0') {
+            json_array_append_new(workers,
+                                  json_string(run->tasks[i].worker));
+        }
+    }
+    return workers;
+}
+
+/**
+ * FvRun_Describe - the job document
+ * @run: the job
+ *
+ * Return: a new object as in docs/protocol.md.
+ */
+json_t *
+FvRun_Describe(const fv_run_t *run)
+{
+    const fv_job_t *job = run->job;
+    bool hidden = run->phase == Fv_RUN_ENDING &&
+                  needs_durable_end(job->outcome);
+    int64_t started_ns = job->started_ns ? job->started_ns : FvClock_NowNs();
+    json_t *document = json_pack(
+        "{s:s, s:s, s:s, s:s, s:i, s:o, s:I, s:I}", "key", job->key, "state",
+        hidden ? "queued" : FvJobState_Name(job->state), "outcome",
+        hidden ? "" : FvOutcome_Name(job->outcome), "reason",
+        hidden ? "" : job->reason, "attempts", (int)job->attempts, "workers",
+        list_workers(run), "answer_length", (json_int_t)job->answer_length,
+        "waited_ms",
+        (json_int_t)((started_ns - job->submitted_ns) / Fv_NS_PER_MS));
+
+    if (document == NULL) {
+        abort();
+    }
+    if (job->started_ns != 0) {
+        json_object_set_new(
+            document, "ran_ms",
+            json_integer((FvClock_NowNs() - job->started_ns) /
+                         Fv_NS_PER_MS));
+    }
+    return document;
+}
+
+/**
+ * FvRunner_Wake - look at the queues soon
+ * @runner: the runner, or NULL while the daemon starts
+ */
+void
+FvRunner_Wake(fv_runner_t *runner)
+{
+    if (runner != NULL && !runner->dispatch.armed) {
+        FvLoop_SetTimer(runner->daemon->loop, &runner->dispatch,
+                        FvClock_NowMs());
+    }
+}
+
+static void
+receive_retention_lease(void *context, const fv_store_result_t *result)
+{
+    fv_runner_t *runner = context;
+    int64_t now_ms = FvClock_NowMs();
+
+    runner->retention_pending = false;
+    if (result->error != Fv_STORE_OK) {
+        runner->retention_until_ms = now_ms + Fv_RUNNER_RETENTION_RETRY_MS;
+        return;
+    }
+    runner->retention_lease = result->lease;
+    runner->retention_until_ms = now_ms + Fv_RUNNER_RETENTION_RENEW_MS;
+}
+
+/* Records of ended jobs go away with the store lease they are attached to. */
+static void
+renew_retention_lease(fv_runner_t *runner)
+{
+    if (!runner->retention_pending &&
+        FvClock_NowMs() >= runner->retention_until_ms) {
+        runner->retention_pending = true;
+        FvStore_GrantLease(runner->daemon->store, Fv_RUNNER_RETENTION_S,
+                           receive_retention_lease, runner);
+    }
+}
+
+static void
+forget_oldest_ended(fv_runner_t *runner)
+{
+    fv_run_t *run = runner->ended_first;
+
+    runner->ended_first = run->ended_next;
+    if (runner->ended_first == NULL) {
+        runner->ended_last = NULL;
+    }
+    FvRunner_Remove(run);
+}
+
+static void
+keep_house(void *owner)
+{
+    fv_runner_t *runner = owner;
+    int64_t now_ms = FvClock_NowMs();
+
+    while (runner->ended_first != NULL &&
+           (now_ms - runner->ended_first->ended_ms >
+                Fv_RUNNER_KEEP_ENDED_MS ||
+            runner->answer_bytes > Fv_RUNNER_KEEP_ANSWERS_BYTES ||
+            HASH_COUNT(runner->runs) > Fv_RUNNER_KEEP_RUNS)) {
+        forget_oldest_ended(runner);
+    }
+    renew_retention_lease(runner);
+    FvRunner_Wake(runner);
+    FvLoop_SetTimer(runner->daemon->loop, &runner->housekeeping,
+                    now_ms + Fv_RUNNER_HOUSEKEEPING_MS);
+}
+
+/**
+ * FvRunner_New - make the runner
+ * @daemon: the daemon
+ *
+ * Return: the runner, or NULL when memory is exhausted.
+ */
+fv_runner_t *
+FvRunner_New(fv_daemon_t *daemon)
+{
+    fv_runner_t *runner = calloc(1, sizeof(*runner));
+
+    if (runner == NULL) {
+        return NULL;
+    }
+    runner->daemon = daemon;
+    for (int i = 0; i < Fv_CLASS_COUNT; i++) {
+        runner->queues[i] = FvQueue_New(
+            FvPolicy_ForClass((fv_class_t)i),
+            (uint32_t)daemon->settings.queue_limit);
+    }
+    runner->dispatch.fire = FvRunner_Dispatch;
+    runner->dispatch.owner = runner;
+    runner->housekeeping.fire = keep_house;
+    runner->housekeeping.owner = runner;
+    FvLoop_SetTimer(daemon->loop, &runner->housekeeping, FvClock_NowMs());
+    runner->recovery = FvRecovery_New(runner);
+    return runner;
+}
+
+static void
+free_waiters(fv_run_t *run)
+{
+    while (run->waiters != NULL) {
+        fv_job_waiter_t *waiter = run->waiters;
+
+        run->waiters = waiter->next;
+        if (waiter->ticket != NULL) {
+            FvTicket_ReplyProblem(waiter->ticket, 503, NULL, 1000,
+                                  "the host is stopping");
+        }
+        free(waiter);
+    }
+}
+
+/**
+ * FvRunner_Free - drop all jobs; callers that still wait get a 503
+ * @runner: the runner, or NULL
+ */
+void
+FvRunner_Free(fv_runner_t *runner)
+{
+    fv_run_t *run;
+    fv_run_t *next;
+
+    if (runner == NULL) {
+        return;
+    }
+    HASH_ITER(hh, runner->runs, run, next)
+    {
+        free_waiters(run);
+        FvRunner_Remove(run);
+    }
+    for (int i = 0; i < Fv_CLASS_COUNT; i++) {
+        FvQueue_Free(runner->queues[i]);
+    }
+    FvRecovery_Free(runner->recovery);
+    free(runner);
+}
+
+/**
+ * FvRunner_QueueCounts - number of queued jobs by class
+ * @runner: the runner
+ * @counts: receives them
+ */
+void
+FvRunner_QueueCounts(const fv_runner_t *runner,
+                     int32_t counts[Fv_CLASS_COUNT])
+{
+    for (int i = 0; i < Fv_CLASS_COUNT; i++) {
+        counts[i] = (int32_t)FvQueue_Count(runner->queues[i]);
+    }
+}
+
+/**
+ * FvRunner_IsDrained - whether nothing here waits for this host
+ * @runner: the runner
+ *
+ * A claimed job that no caller waits for goes on at another host, unless its
+ * outcome is just being written.
+ *
+ * Return: true when the host may stop.
+ */
+bool
+FvRunner_IsDrained(const fv_runner_t *runner)
+{
+    fv_run_t *run;
+    fv_run_t *next;
+
+    HASH_ITER(hh, runner->runs, run, next)
+    {
+        bool needs_us = run->waiters != NULL || run->write_pending ||
+                        run->phase == Fv_RUN_STARTING || !run->claimed;
+
+        if (run->phase != Fv_RUN_ENDED && needs_us) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/**
+ * FvRunner_OnHosts - take over a change of the host list
+ * @runner: the runner
+ */
+void
+FvRunner_OnHosts(fv_runner_t *runner)
+{
+    FvRecovery_OnHosts(runner->recovery);
+    FvRunner_Wake(runner);
+}
+
+/**
+ * FvRunner_OnConfig - take over a new configuration
+ * @runner: the runner
+ *
+ * Jobs keep the workload they were accepted with.
+ */
+void
+FvRunner_OnConfig(fv_runner_t *runner)
+{
+    FvRunner_Wake(runner);
+}
--- /dev/null
+++ b/src/runner.h
@@ -0,0 +1,199 @@
+/*
+ * Jobs accepted by this host, from admission to outcome. The host that
+ * accepted a job is its home; it owns the job's claim in the store.
+ */
+
+#ifndef RUNNER_H
+#define RUNNER_H
+
+#include "daemon.h"
+
+/* Reads 64-bit time stamps and lists of workers; kept in the store. */
+typedef struct fv_claim {
+    char holder[Fv_NAME_SIZE];
+    char incarnation[Fv_NONCE_SIZE];
+    char nonce[Fv_NONCE_SIZE]; /* of the last write; tells it from others */
+    int64_t revision;          /* 0: not in the store */
+    int64_t started_ms;        /* wall; when the last attempt was written */
+} fv_claim_t;
+
+/* One task of the current attempt. */
+typedef struct fv_run_task {
+    char worker[Fv_NAME_SIZE];
+    char host[Fv_NAME_SIZE]; /* that last held the worker's lease */
+    bool reserved;
+    fv_task_state_t state;
+    int64_t start_sent_ms; /* boot; 0: not by this host */
+    bool in_doubt;         /* may or may not have started */
+    int64_t doubt_since_ms;
+    int32_t doubt_asks;
+    int64_t lapse_since_ms; /* boot; the lease was free since, 0: not known */
+    bool lapse_pending;     /* hosts are being asked about the lease */
+    fv_timer_t timer;       /* next query or stop */
+    int64_t ran_ms;
+    fv_resources_t used;
+    uint8_t *answer;
+    size_t answer_length;
+} fv_run_task_t;
+
+typedef enum fv_run_phase {
+    Fv_RUN_ADMITTING, /* the claim is being written */
+    Fv_RUN_QUEUED,
+    Fv_RUN_BACKOFF,   /* waits before it is queued again */
+    Fv_RUN_RESERVING,
+    Fv_RUN_CLAIMING,  /* the attempt is being written to the claim */
+    Fv_RUN_STARTING,
+    Fv_RUN_RUNNING,
+    Fv_RUN_STOPPING,  /* all tasks are being stopped */
+    Fv_RUN_ENDING,    /* the outcome is being written */
+    Fv_RUN_ENDED
+} fv_run_phase_t;
+
+typedef struct fv_run fv_run_t;
+
+/* A caller that waits for the end of a job. */
+typedef struct fv_job_waiter {
+    fv_run_t *run;
+    fv_ticket_t *ticket;  /* a caller of this host, or */
+    fv_reply_to_t peer;   /* another host on behalf of its caller */
+    bool submitted;       /* answered with 202 when the wait is over */
+    fv_timer_t timer;
+    struct fv_job_waiter *next;
+} fv_job_waiter_t;
+
+struct fv_run {
+    fv_runner_t *runner;
+    fv_job_t *job;
+    char name[Fv_NAME_SIZE + Fv_KEY_SIZE]; /* MEMBER/KEY */
+    uint64_t serial; /* tells runs of the same name apart */
+    fv_run_phase_t phase;
+    fv_claim_t claim;
+    char taken_from[Fv_NAME_SIZE]; /* the claim's former holder */
+    bool claimed;        /* has, or may have, a record in the store */
+    bool write_pending;  /* a claim write is outstanding or being repeated */
+    int32_t task_count;
+    int32_t tasks_pending; /* replies outstanding in this phase */
+    fv_run_task_t *tasks;
+    int32_t hops;        /* hosts asked since the job was last queued */
+    int32_t backoffs;
+    char refused_by[4][Fv_NAME_SIZE];
+    bool gang_failed; /* a task of the attempt surely did not start */
+    fv_timer_t timer;
+    fv_timer_t deadline;
+    fv_job_waiter_t *waiters;
+    int64_t ended_ms;
+    struct fv_run *ended_next; /* oldest first */
+    UT_hash_handle hh;
+};
+
+struct fv_runner {
+    fv_daemon_t *daemon;
+    fv_run_t *runs; /* by MEMBER/KEY */
+    fv_queue_t *queues[Fv_CLASS_COUNT];
+    fv_timer_t dispatch;
+    fv_timer_t housekeeping;
+    fv_retry_budget_t retries;
+    fv_run_t *ended_first;
+    fv_run_t *ended_last;
+    uint64_t last_serial;
+    uint32_t open_count; /* runs that have not ended */
+    size_t payload_bytes;
+    size_t answer_bytes;
+    int64_t retention_lease;
+    int64_t retention_until_ms;
+    bool retention_pending;
+    struct fv_recovery *recovery;
+};
+
+/* runner.c */
+/* Names a run in a callback; the run may be gone when it is called. */
+typedef struct fv_run_ref {
+    fv_runner_t *runner;
+    char name[Fv_NAME_SIZE + Fv_KEY_SIZE];
+    uint64_t serial;
+    int32_t attempt;
+    int32_t index; /* of the task, where one is meant */
+} fv_run_ref_t;
+
+fv_run_ref_t *FvRunRef_New(const fv_run_t *run, int32_t index);
+fv_run_t *FvRunRef_Find(const fv_run_ref_t *ref);
+fv_run_t *FvRunner_Find(const fv_runner_t *runner, const char *member,
+                        const char *key);
+fv_run_t *FvRunner_Add(fv_runner_t *runner, fv_job_t *job);
+void FvRunner_Remove(fv_run_t *run);
+bool FvRun_Enqueue(fv_run_t *run);
+void FvRun_BackOff(fv_run_t *run);
+void FvRun_End(fv_run_t *run, fv_outcome_t outcome, const char *format, ...)
+    __attribute__((format(printf, 3, 4)));
+bool FvRun_EndIfUnwanted(fv_run_t *run);
+void FvRun_Cancel(fv_run_t *run);
+void FvRun_ResetTasks(fv_run_t *run);
+json_t *FvRun_Describe(const fv_run_t *run);
+
+/* runner-wait.c */
+void FvRun_AddWaiter(fv_run_t *run, fv_ticket_t *ticket,
+                     const fv_reply_to_t *peer, int64_t wait_ms,
+                     bool submitted);
+void FvRun_ReplyWaiters(fv_run_t *run);
+void FvRun_RefuseWaiters(fv_run_t *run, int32_t status, const char *outcome,
+                         const char *detail);
+
+/* claim.c */
+json_t *FvClaim_ToJson(const fv_run_t *run);
+bool FvClaim_FromJson(const json_t *record, fv_run_t *run);
+json_t *FvClaim_Describe(const json_t *record);
+void FvClaim_Key(const char *member, const char *key, char *text,
+                 size_t size);
+
+/* runner-claim.c: writes of the claim. */
+typedef enum fv_claim_result {
+    Fv_CLAIM_WRITTEN,
+    Fv_CLAIM_LOST,       /* another host's record stands */
+    Fv_CLAIM_UNAVAILABLE /* surely not written */
+} fv_claim_result_t;
+
+typedef void (*fv_claim_done_t)(fv_run_t *run, fv_claim_result_t result,
+                                const json_t *record, int64_t revision);
+
+void FvRun_Admit(fv_run_t *run);
+void FvRun_WriteClaim(fv_run_t *run, fv_claim_done_t done);
+void FvRun_LoseClaim(fv_run_t *run, const json_t *record);
+
+/* runner-start.c: from the queue to the workers. */
+void FvRunner_Dispatch(void *owner);
+void FvRun_ReleaseReservations(fv_run_t *run);
+
+/* runner-watch.c: tasks that run or may run. */
+void FvRun_WatchTask(fv_run_t *run, int32_t index);
+void FvRun_ResolveTask(fv_run_t *run, int32_t index);
+void FvRun_ResolveLater(fv_run_t *run, int32_t index);
+bool FvRun_TaskSettled(const fv_run_task_t *task);
+void FvRun_TaskReplied(fv_run_t *run, int32_t index,
+                       fv_task_reply_t *reply);
+void FvRun_StopTasks(fv_run_t *run);
+void FvRun_Settle(fv_run_t *run);
+void FvRun_TaskId(const fv_run_t *run, int32_t index, char *id, size_t size);
+
+/* lapse.c: proof that a worker's lease has expired. */
+void FvLapse_Check(fv_run_t *run, int32_t index);
+
+/* job-view.c: jobs whose home is another host, and answers kept by workers. */
+void FvJobView_Attach(fv_runner_t *runner, const char *member,
+                      const char *key, fv_job_waiter_t *waiter);
+void FvJobView_FetchAnswer(fv_runner_t *runner, const char *member,
+                           const char *key, const json_t *document,
+                           fv_ticket_t *ticket);
+
+/* recovery.c: claims of hosts that are gone. */
+typedef struct fv_recovery fv_recovery_t;
+
+fv_recovery_t *FvRecovery_New(fv_runner_t *runner);
+void FvRecovery_Free(fv_recovery_t *recovery);
+void FvRecovery_OnHosts(fv_recovery_t *recovery);
+void FvRecovery_Adopt(fv_runner_t *runner, const char *member,
+                      const char *key, const json_t *record,
+                      int64_t revision, fv_run_t *run);
+bool FvRecovery_IsGone(const fv_runner_t *runner, const char *holder,
+                       const char *incarnation);
+
+#endif
