Add the resource, worker, queue and placement decisions

Cause: the daemon's modules link against the decision code. FvPlacement_CanEverFit takes the policy, FvQueue_BeginPass takes the wall time; Fv_START_GRACE_MS moves to fireflyvalve.h because the lease needs it.

--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -51,6 +51,18 @@
 void *FvRing_Pop(fv_ring_t *ring, int64_t wait_ms);
 void FvRing_Close(fv_ring_t *ring);
 
+/* table.c: entries sorted by a key, which is the first member of each. */
+typedef struct fv_table {
+    uint32_t count;
+    uint32_t capacity;
+    void **entries;
+} fv_table_t;
+
+void *FvTable_Find(const fv_table_t *table, const char *key);
+void *FvTable_Obtain(fv_table_t *table, const char *key, size_t key_size,
+                     size_t entry_size);
+void FvTable_Clear(fv_table_t *table);
+
 /* log.c */
 typedef enum fv_log_level {
     Fv_LOG_ERROR,
@@ -438,6 +450,8 @@
                                    int64_t now_ms);
 
 /* lease.c: one worker's lease as its holder sees it. */
+#define Fv_START_GRACE_MS 300 /* drift of clocks and packets in flight */
+
 typedef struct fv_lease {
     bool held;
     uint64_t term;
@@ -464,6 +478,7 @@
 void FvQuarantine_Started(fv_quarantine_t *quarantine, int64_t now_ms);
 bool FvQuarantine_Failed(fv_quarantine_t *quarantine, int64_t now_ms);
 void FvQuarantine_Succeeded(fv_quarantine_t *quarantine);
+void FvQuarantine_Abandoned(fv_quarantine_t *quarantine);
 
 /* worker.c: the ledger of one worker. Task entries include reservations. */
 typedef enum fv_task_state {
@@ -517,6 +532,7 @@
 fv_worker_t *FvWorker_New(const char *name);
 void FvWorker_Free(fv_worker_t *worker);
 bool FvWorker_Accepts(const fv_worker_t *worker, int64_t now_ms);
+void FvWorker_SetCapacity(fv_worker_t *worker, const fv_resources_t *capacity);
 fv_task_t *FvWorker_FindTask(const fv_worker_t *worker, const char *id);
 fv_task_t *FvWorker_AddTask(fv_worker_t *worker, const fv_task_t *task);
 void FvWorker_RemoveTask(fv_worker_t *worker, fv_task_t *task);
@@ -602,6 +618,12 @@
 /* policy.c, policy-*.c: one vtable a class; no clocks, no sockets. */
 typedef struct fv_policy {
     const char *name;
+    bool widest_first;  /* placement visits the emptiest workers first */
+    bool spreads_racks; /* score needs tasks_of_job_in_rack */
+    /* A job that waited hold_after_ms and does not fit holds back the rest
+       of its queue for hold_for_ms, then lets it pass again; 0: never. */
+    int64_t hold_after_ms;
+    int64_t hold_for_ms;
     /* Negative when a is to start before b; both of one member. */
     int (*compare)(const fv_job_t *a, const fv_job_t *b);
     /* What a task of this class may use of the worker right now. */
@@ -613,7 +635,16 @@
     bool (*may_displace)(const fv_task_t *task);
 } fv_policy_t;
 
+extern const fv_policy_t fv_policy_interactive;
+extern const fv_policy_t fv_policy_deadline;
+extern const fv_policy_t fv_policy_gang;
+extern const fv_policy_t fv_policy_service;
+
 const fv_policy_t *FvPolicy_ForClass(fv_class_t class_id);
+int FvPolicy_CompareSubmitted(const fv_job_t *a, const fv_job_t *b);
+void FvPolicy_LeaveHeadroom(const fv_worker_t *worker, fv_resources_t *usable);
+int64_t FvPolicy_BestFit(const fv_worker_t *worker, const fv_resources_t *size,
+                         uint32_t tasks_of_job_in_rack);
 
 /* queue.c: bounded queues of one class, one for each member. */
 typedef struct fv_queue fv_queue_t;
@@ -629,9 +660,10 @@
 void FvQueue_Free(fv_queue_t *queue);
 fv_queue_error_t FvQueue_Push(fv_queue_t *queue, fv_job_t *job);
 void FvQueue_Remove(fv_queue_t *queue, fv_job_t *job);
-void FvQueue_BeginPass(fv_queue_t *queue);
+void FvQueue_BeginPass(fv_queue_t *queue, int64_t now_wall_ms);
 fv_job_t *FvQueue_Next(fv_queue_t *queue, const fv_shares_t *shares);
 void FvQueue_Skip(fv_queue_t *queue, fv_job_t *job);
+const fv_job_t *FvQueue_Holding(const fv_queue_t *queue);
 uint32_t FvQueue_Count(const fv_queue_t *queue);
 
 /* placement.c: index of the workers held by this host. */
@@ -647,6 +679,7 @@
                                 const fv_resources_t *size, const char *job_id,
                                 int64_t now_ms);
 bool FvPlacement_CanEverFit(const fv_placement_t *placement,
+                            const fv_policy_t *policy,
                             const fv_resources_t *size);
 void FvPlacement_Summarize(const fv_placement_t *placement,
                            fv_digest_t *digest, int64_t now_ms);
@@ -654,8 +687,8 @@
 /* route.c: order in which hosts are asked to place a job. */
 uint32_t FvRoute_Rank(const fv_hosts_t *hosts, const fv_host_t *self,
                       const fv_workload_t *workload, int64_t waited_ms,
-                      int64_t now_ms, const fv_host_t **ranked,
-                      uint32_t limit);
+                      int64_t now_ms, uint64_t random,
+                      const fv_host_t **ranked, uint32_t limit);
 
 /* estimate.c: learned run times and sizes by member and workload. */
 typedef struct fv_estimates fv_estimates_t;
@@ -678,6 +711,7 @@
     int64_t refilled_ms;
 } fv_retry_budget_t;
 
+void FvRetryBudget_Deposit(fv_retry_budget_t *budget);
 bool FvRetryBudget_Take(fv_retry_budget_t *budget, int64_t now_ms);
 void FvRetryBudget_Refund(fv_retry_budget_t *budget);
 int64_t FvRetry_BackoffMs(int32_t attempt, uint64_t random);
--- /dev/null
+++ b/src/policy-deadline.c
@@ -0,0 +1,34 @@
+/*
+ * Deadline work: ordered by the latest safe start, which is the deadline less
+ * the learned run time, and packed tightly.
+ */
+
+#include "fireflyvalve.h"
+
+/* Jobs without a deadline follow those with one. */
+static int
+compare_latest_start(const fv_job_t *a, const fv_job_t *b)
+{
+    int64_t left = a->latest_start_ms == 0 ? INT64_MAX : a->latest_start_ms;
+    int64_t right = b->latest_start_ms == 0 ? INT64_MAX : b->latest_start_ms;
+
+    if (left != right) {
+        return left < right ? -1 : 1;
+    }
+    return FvPolicy_CompareSubmitted(a, b);
+}
+
+static bool
+may_displace(const fv_task_t *task)
+{
+    (void)task;
+    return false;
+}
+
+const fv_policy_t fv_policy_deadline = {
+    .name = "deadline",
+    .compare = compare_latest_start,
+    .usable = FvPolicy_LeaveHeadroom,
+    .score = FvPolicy_BestFit,
+    .may_displace = may_displace,
+};
--- /dev/null
+++ b/src/policy-gang.c
@@ -0,0 +1,29 @@
+/*
+ * Gangs: all tasks of a job or none. In order of submission, with a guard
+ * against small gangs that keep overtaking a large one.
+ */
+
+#include "fireflyvalve.h"
+
+/* A gang that waited 30 s holds back later gangs for 60 s, so that workers
+   can drain for it. The hold is bounded because a gang may be larger than the
+   cell can ever hold at once. */
+#define HOLD_AFTER_MS 30000
+#define HOLD_FOR_MS 60000
+
+static bool
+may_displace(const fv_task_t *task)
+{
+    (void)task;
+    return false;
+}
+
+const fv_policy_t fv_policy_gang = {
+    .name = "gang",
+    .hold_after_ms = HOLD_AFTER_MS,
+    .hold_for_ms = HOLD_FOR_MS,
+    .compare = FvPolicy_CompareSubmitted,
+    .usable = FvPolicy_LeaveHeadroom,
+    .score = FvPolicy_BestFit,
+    .may_displace = may_displace,
+};
--- /dev/null
+++ b/src/policy-interactive.c
@@ -0,0 +1,49 @@
+/*
+ * Interactive work: started at once, on the least loaded worker, and allowed
+ * to use the headroom that all other classes leave.
+ */
+
+#include "fireflyvalve.h"
+
+#define PARTS_PER_WHOLE 1000000
+
+static void
+use_everything(const fv_worker_t *worker, fv_resources_t *usable)
+{
+    *usable = worker->free;
+}
+
+static int64_t
+free_parts(int64_t free, int64_t capacity)
+{
+    return capacity <= 0 ? 0 : free * PARTS_PER_WHOLE / capacity;
+}
+
+/* Connections count because each lookup holds one until its answer is in. */
+static int64_t
+prefer_least_loaded(const fv_worker_t *worker, const fv_resources_t *size,
+                    uint32_t tasks_of_job_in_rack)
+{
+    (void)size;
+    (void)tasks_of_job_in_rack;
+    return free_parts(worker->free.cpu_millis, worker->capacity.cpu_millis) +
+           free_parts(worker->free.slots, worker->capacity.slots) +
+           free_parts(worker->connections - worker->connections_used,
+                      worker->connections);
+}
+
+/* Gang tasks are not displaced: stopping one of them idles all others. */
+static bool
+may_displace(const fv_task_t *task)
+{
+    return task->class_id == Fv_CLASS_DEADLINE;
+}
+
+const fv_policy_t fv_policy_interactive = {
+    .name = "interactive",
+    .widest_first = true,
+    .compare = FvPolicy_CompareSubmitted,
+    .usable = use_everything,
+    .score = prefer_least_loaded,
+    .may_displace = may_displace,
+};
--- /dev/null
+++ b/src/queue.c
@@ -0,0 +1,493 @@
+/*
+ * Bounded queue of one class: a heap of jobs for each member, ordered by the
+ * policy. Members take turns by dominant share. Jobs that do not fit now are
+ * set aside until the next pass.
+ */
+
+#include "fireflyvalve.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* One member may take up three quarters of the queue, so that a flood from
+   one leaves room for the others. */
+#define MEMBER_LIMIT_PERCENT 75
+
+/* A pass sets aside at most this many jobs of a member; their cost would
+   otherwise grow with the length of the queue. */
+#define SKIPS_PER_PASS 32
+
+#define HEAP_INITIAL_CAPACITY 16
+
+/* Marks a queue_index that points into the skipped jobs. */
+#define SKIPPED_FLAG UINT32_C(0x80000000)
+
+typedef struct member_queue {
+    char member[Fv_NAME_SIZE]; /* key */
+    fv_job_t **heap;
+    uint32_t count;
+    uint32_t capacity;
+    fv_job_t *skipped[SKIPS_PER_PASS];
+    uint32_t skipped_count;
+    bool closed; /* nothing more of this member in this pass */
+    uint32_t workload_count;
+    struct {
+        char name[Fv_NAME_SIZE];
+        uint32_t queued;
+    } workloads[Fv_WORKLOADS_MAX];
+} member_queue_t;
+
+struct fv_queue {
+    const fv_policy_t *policy;
+    uint32_t limit;
+    uint32_t member_limit;
+    uint32_t count;
+    uint64_t next_order;
+    int64_t pass_ms;
+    const fv_job_t *holding;
+    fv_table_t members;
+};
+
+/**
+ * FvQueue_New - allocate a queue
+ * @policy: orders the jobs of one member
+ * @limit: the largest number of jobs
+ *
+ * Return: the queue, or NULL when memory is exhausted.
+ */
+fv_queue_t *
+FvQueue_New(const fv_policy_t *policy, uint32_t limit)
+{
+    fv_queue_t *queue = calloc(1, sizeof(*queue));
+
+    if (queue != NULL) {
+        queue->policy = policy;
+        queue->limit = limit;
+        queue->member_limit =
+            (uint32_t)((uint64_t)limit * MEMBER_LIMIT_PERCENT / 100);
+        if (queue->member_limit == 0) {
+            queue->member_limit = 1;
+        }
+        queue->next_order = 1;
+    }
+    return queue;
+}
+
+static void
+forget_job(fv_job_t *job)
+{
+    job->queued = false;
+    job->queue_member = NULL;
+}
+
+/**
+ * FvQueue_Free - release a queue; its jobs are only taken out
+ * @queue: the queue, or NULL
+ */
+void
+FvQueue_Free(fv_queue_t *queue)
+{
+    if (queue == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < queue->members.count; i++) {
+        member_queue_t *member = queue->members.entries[i];
+
+        for (uint32_t j = 0; j < member->count; j++) {
+            forget_job(member->heap[j]);
+        }
+        for (uint32_t j = 0; j < member->skipped_count; j++) {
+            forget_job(member->skipped[j]);
+        }
+        free(member->heap);
+    }
+    FvTable_Clear(&queue->members);
+    free(queue);
+}
+
+static bool
+precedes(const fv_queue_t *queue, const fv_job_t *a, const fv_job_t *b)
+{
+    int order = queue->policy->compare(a, b);
+
+    return order != 0 ? order < 0 : a->queue_order < b->queue_order;
+}
+
+static void
+set_position(member_queue_t *member, uint32_t position, fv_job_t *job)
+{
+    member->heap[position] = job;
+    job->queue_index = position;
+}
+
+static void
+sift_up(const fv_queue_t *queue, member_queue_t *member, uint32_t position)
+{
+    fv_job_t *job = member->heap[position];
+
+    while (position > 0) {
+        uint32_t parent = (position - 1) / 2;
+
+        if (!precedes(queue, job, member->heap[parent])) {
+            break;
+        }
+        set_position(member, position, member->heap[parent]);
+        position = parent;
+    }
+    set_position(member, position, job);
+}
+
+static void
+sift_down(const fv_queue_t *queue, member_queue_t *member, uint32_t position)
+{
+    fv_job_t *job = member->heap[position];
+
+    for (;;) {
+        uint32_t child = 2 * position + 1;
+
+        if (child >= member->count) {
+            break;
+        }
+        if (child + 1 < member->count &&
+            precedes(queue, member->heap[child + 1], member->heap[child])) {
+            child++;
+        }
+        if (!precedes(queue, member->heap[child], job)) {
+            break;
+        }
+        set_position(member, position, member->heap[child]);
+        position = child;
+    }
+    set_position(member, position, job);
+}
+
+/* Makes room for one more job, counting the skipped ones: they return. */
+static bool
+reserve_heap(member_queue_t *member)
+{
+    uint32_t capacity =
+        member->capacity == 0 ? HEAP_INITIAL_CAPACITY : member->capacity * 2;
+    fv_job_t **heap;
+
+    if (member->count + member->skipped_count < member->capacity) {
+        return true;
+    }
+    heap = reallocarray(member->heap, capacity, sizeof(fv_job_t *));
+    if (heap == NULL) {
+        return false;
+    }
+    member->heap = heap;
+    member->capacity = capacity;
+    return true;
+}
+
+static void
+heap_insert(const fv_queue_t *queue, member_queue_t *member, fv_job_t *job)
+{
+    member->heap[member->count++] = job;
+    sift_up(queue, member, member->count - 1);
+}
+
+static void
+heap_remove(const fv_queue_t *queue, member_queue_t *member, uint32_t position)
+{
+    fv_job_t *last = member->heap[--member->count];
+
+    if (position == member->count) {
+        return;
+    }
+    set_position(member, position, last);
+    sift_up(queue, member, position);
+    sift_down(queue, member, last->queue_index);
+}
+
+/* Returns the counter of a workload, reusing one that is no longer needed;
+   NULL when all are in use. */
+static uint32_t *
+workload_counter(member_queue_t *member, const char *name)
+{
+    uint32_t vacant = member->workload_count;
+
+    for (uint32_t i = 0; i < member->workload_count; i++) {
+        if (strcmp(member->workloads[i].name, name) == 0) {
+            return &member->workloads[i].queued;
+        }
+        if (member->workloads[i].queued == 0) {
+            vacant = i;
+        }
+    }
+    if (vacant == Fv_WORKLOADS_MAX) {
+        return NULL;
+    }
+    if (vacant == member->workload_count) {
+        member->workload_count++;
+    }
+    snprintf(member->workloads[vacant].name, Fv_NAME_SIZE, "%s", name);
+    return &member->workloads[vacant].queued;
+}
+
+/* A job that was queued before keeps its place and is not bounded again:
+   it has been accepted. */
+static fv_queue_error_t
+check_bounds(const fv_queue_t *queue, const member_queue_t *member,
+             const uint32_t *of_workload, const fv_job_t *job)
+{
+    if (job->queue_order != 0) {
+        return Fv_QUEUE_OK;
+    }
+    if (queue->count >= queue->limit) {
+        return Fv_QUEUE_FULL;
+    }
+    if (member->count + member->skipped_count >= queue->member_limit) {
+        return Fv_QUEUE_MEMBER_FULL;
+    }
+    if (job->workload.queue_limit > 0 && of_workload != NULL &&
+        *of_workload >= (uint32_t)job->workload.queue_limit) {
+        return Fv_QUEUE_MEMBER_FULL;
+    }
+    return Fv_QUEUE_OK;
+}
+
+/**
+ * FvQueue_Push - queue a job
+ * @queue: the queue
+ * @job: the job; it must not be queued
+ *
+ * A job that comes back after a refused reservation keeps its place and is
+ * accepted even when the queue is full. What the policy compares must not
+ * change while the job is queued.
+ *
+ * Return: Fv_QUEUE_OK, or why it was not queued.
+ */
+fv_queue_error_t
+FvQueue_Push(fv_queue_t *queue, fv_job_t *job)
+{
+    member_queue_t *member = FvTable_Obtain(
+        &queue->members, job->member, Fv_NAME_SIZE, sizeof(member_queue_t));
+    fv_queue_error_t error;
+    uint32_t *of_workload;
+
+    if (member == NULL) {
+        return Fv_QUEUE_NO_MEMORY;
+    }
+    of_workload = workload_counter(member, job->workload.name);
+    error = check_bounds(queue, member, of_workload, job);
+    if (error != Fv_QUEUE_OK) {
+        return error;
+    }
+    if (!reserve_heap(member)) {
+        return Fv_QUEUE_NO_MEMORY;
+    }
+    if (job->queue_order == 0) {
+        job->queue_order = queue->next_order++;
+    }
+    job->queued = true;
+    job->queue_member = member;
+    heap_insert(queue, member, job);
+    queue->count++;
+    if (of_workload != NULL) {
+        (*of_workload)++;
+    }
+    return Fv_QUEUE_OK;
+}
+
+static void
+skipped_remove(member_queue_t *member, uint32_t position)
+{
+    fv_job_t *last = member->skipped[--member->skipped_count];
+
+    member->skipped[position] = last;
+    last->queue_index = position | SKIPPED_FLAG;
+}
+
+/**
+ * FvQueue_Remove - take a job out, wherever it stands
+ * @queue: the queue
+ * @job: the job; nothing happens when it is not queued
+ */
+void
+FvQueue_Remove(fv_queue_t *queue, fv_job_t *job)
+{
+    member_queue_t *member = job->queue_member;
+    uint32_t *of_workload;
+
+    if (!job->queued || member == NULL) {
+        return;
+    }
+    if (job->queue_index & SKIPPED_FLAG) {
+        skipped_remove(member, job->queue_index & ~SKIPPED_FLAG);
+    }
+    else {
+        heap_remove(queue, member, job->queue_index);
+    }
+    of_workload = workload_counter(member, job->workload.name);
+    if (of_workload != NULL && *of_workload > 0) {
+        (*of_workload)--;
+    }
+    if (queue->holding == job) {
+        queue->holding = NULL;
+    }
+    forget_job(job);
+    queue->count--;
+}
+
+/**
+ * FvQueue_BeginPass - offer all jobs again
+ * @queue: the queue
+ * @now_wall_ms: wall time, compared with the jobs' time of submission
+ */
+void
+FvQueue_BeginPass(fv_queue_t *queue, int64_t now_wall_ms)
+{
+    queue->pass_ms = now_wall_ms;
+    queue->holding = NULL;
+    for (uint32_t i = 0; i < queue->members.count; i++) {
+        member_queue_t *member = queue->members.entries[i];
+
+        member->closed = false;
+        for (uint32_t j = 0; j < member->skipped_count; j++) {
+            heap_insert(queue, member, member->skipped[j]);
+        }
+        member->skipped_count = 0;
+    }
+}
+
+/* Returns the member whose turn it is: the one with the lowest dominant
+   share, or among equals the one whose first job was queued first. */
+static member_queue_t *
+next_member(const fv_queue_t *queue, const fv_shares_t *shares)
+{
+    member_queue_t *best = NULL;
+    double best_share = 0;
+
+    for (uint32_t i = 0; i < queue->members.count; i++) {
+        member_queue_t *member = queue->members.entries[i];
+        double share;
+
+        if (member->count == 0 || member->closed) {
+            continue;
+        }
+        share = shares == NULL ? 0 : FvShares_Dominant(shares, member->member);
+        if (best == NULL || share < best_share ||
+            (share == best_share &&
+             member->heap[0]->queue_order < best->heap[0]->queue_order)) {
+            best = member;
+            best_share = share;
+        }
+    }
+    return best;
+}
+
+static bool
+within_quota(const fv_shares_t *shares, const fv_job_t *job)
+{
+    const fv_resources_t *size = &job->workload.size;
+    int32_t tasks = job->workload.tasks > 1 ? job->workload.tasks : 1;
+    fv_resources_t total = {.cpu_millis = size->cpu_millis * tasks,
+                            .memory_bytes = size->memory_bytes * tasks,
+                            .accelerators = size->accelerators * tasks,
+                            .slots = size->slots * tasks};
+
+    return shares == NULL || FvShares_WithinQuota(shares, job->member, &total);
+}
+
+static void
+set_aside(fv_queue_t *queue, fv_job_t *job)
+{
+    member_queue_t *member = job->queue_member;
+
+    if (job->queue_index & SKIPPED_FLAG) {
+        return;
+    }
+    if (member->skipped_count == SKIPS_PER_PASS) {
+        member->closed = true;
+        return;
+    }
+    heap_remove(queue, member, job->queue_index);
+    job->queue_index = member->skipped_count | SKIPPED_FLAG;
+    member->skipped[member->skipped_count++] = job;
+}
+
+/**
+ * FvQueue_Next - the job to place next; it stays queued
+ * @queue: the queue
+ * @shares: order of the members and their quotas, or NULL for neither
+ *
+ * The caller removes the job once it is placed, or skips it. Jobs beyond their
+ * member's quota are skipped here.
+ *
+ * Return: the job, or NULL when this pass has nothing more to offer.
+ */
+fv_job_t *
+FvQueue_Next(fv_queue_t *queue, const fv_shares_t *shares)
+{
+    member_queue_t *member;
+
+    if (queue->holding != NULL) {
+        return NULL;
+    }
+    while ((member = next_member(queue, shares)) != NULL) {
+        if (within_quota(shares, member->heap[0])) {
+            return member->heap[0];
+        }
+        set_aside(queue, member->heap[0]);
+    }
+    return NULL;
+}
+
+static bool
+holds_back_others(const fv_queue_t *queue, const fv_job_t *job)
+{
+    const fv_policy_t *policy = queue->policy;
+    int64_t waited_ms = queue->pass_ms - job->submitted_ms;
+
+    return policy->hold_after_ms > 0 &&
+           waited_ms % (policy->hold_after_ms + policy->hold_for_ms) >=
+               policy->hold_after_ms;
+}
+
+/**
+ * FvQueue_Skip - set a job aside until the next pass because it does not fit
+ * @queue: the queue
+ * @job: a queued job
+ *
+ * When the job has waited beyond the policy's limit, the pass ends with it.
+ */
+void
+FvQueue_Skip(fv_queue_t *queue, fv_job_t *job)
+{
+    if (!job->queued) {
+        return;
+    }
+    if (holds_back_others(queue, job)) {
+        queue->holding = job;
+    }
+    set_aside(queue, job);
+}
+
+/**
+ * FvQueue_Holding - the job that ended this pass early
+ * @queue: the queue
+ *
+ * While there is one, classes served later should not take capacity that it
+ * waits for.
+ *
+ * Return: the job, or NULL.
+ */
+const fv_job_t *
+FvQueue_Holding(const fv_queue_t *queue)
+{
+    return queue->holding;
+}
+
+/**
+ * FvQueue_Count - number of queued jobs
+ * @queue: the queue
+ *
+ * Return: the number, including skipped jobs.
+ */
+uint32_t
+FvQueue_Count(const fv_queue_t *queue)
+{
+    return queue->count;
+}
--- /dev/null
+++ b/src/worker.c
@@ -0,0 +1,278 @@
+/*
+ * The ledger of one worker: what its tasks and reservations hold. Only the
+ * holder of the worker's lease changes it.
+ */
+
+#include "fireflyvalve.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const state_names[] = {
+    [Fv_TASK_RESERVED] = "reserved",
+    [Fv_TASK_STARTING] = "starting",
+    [Fv_TASK_RUNNING] = "running",
+    [Fv_TASK_DONE] = "done",
+    [Fv_TASK_FAILED] = "failed",
+    [Fv_TASK_STOPPED] = "stopped",
+    [Fv_TASK_NEVER_STARTED] = "never_started",
+    [Fv_TASK_UNKNOWN] = "unknown",
+};
+
+#define STATE_COUNT (sizeof(state_names) / sizeof(state_names[0]))
+
+/**
+ * FvTaskState_Name - the state as written on the wire
+ * @state: the state
+ *
+ * Return: a static string.
+ */
+const char *
+FvTaskState_Name(fv_task_state_t state)
+{
+    return (size_t)state < STATE_COUNT ? state_names[state] : "unknown";
+}
+
+/**
+ * FvTaskState_Parse - read a state from the wire
+ * @name: its name
+ * @state: set when the name is known
+ *
+ * Return: false when the name is not known.
+ */
+bool
+FvTaskState_Parse(const char *name, fv_task_state_t *state)
+{
+    for (size_t i = 0; name != NULL && i < STATE_COUNT; i++) {
+        if (strcmp(name, state_names[i]) == 0) {
+            *state = (fv_task_state_t)i;
+            return true;
+        }
+    }
+    return false;
+}
+
+/**
+ * FvTaskState_Ended - whether the task surely holds no resources any more
+ * @state: its state
+ *
+ * Return: false for unknown, because such a task may still run.
+ */
+bool
+FvTaskState_Ended(fv_task_state_t state)
+{
+    return state == Fv_TASK_DONE || state == Fv_TASK_FAILED ||
+           state == Fv_TASK_STOPPED || state == Fv_TASK_NEVER_STARTED;
+}
+
+/**
+ * FvWorker_New - allocate a worker without lease or capacity
+ * @name: its name
+ *
+ * Return: the worker, or NULL when memory is exhausted.
+ */
+fv_worker_t *
+FvWorker_New(const char *name)
+{
+    fv_worker_t *worker = calloc(1, sizeof(*worker));
+
+    if (worker != NULL) {
+        snprintf(worker->name, sizeof(worker->name), "%s", name);
+        worker->index_slot = -1;
+    }
+    return worker;
+}
+
+/**
+ * FvWorker_Free - release a worker and its tasks
+ * @worker: the worker, or NULL; it must not be in a placement index
+ */
+void
+FvWorker_Free(fv_worker_t *worker)
+{
+    if (worker != NULL) {
+        FvWorker_ClearTasks(worker);
+        free(worker);
+    }
+}
+
+/**
+ * FvWorker_Accepts - whether the worker may get a task now, size aside
+ * @worker: the worker
+ * @now_ms: boot time
+ *
+ * The lease must allow a start during the whole of this millisecond.
+ *
+ * Return: false when it is not listed, leaving, unleased, quarantined or out
+ * of connections.
+ */
+bool
+FvWorker_Accepts(const fv_worker_t *worker, int64_t now_ms)
+{
+    int64_t from_ns = now_ms * Fv_NS_PER_MS;
+    int64_t to_ns = from_ns + Fv_NS_PER_MS - 1;
+
+    return worker->listed && !worker->leaving &&
+           worker->connections_used < worker->connections &&
+           FvLease_AllowsStart(&worker->lease, from_ns) &&
+           FvLease_AllowsStart(&worker->lease, to_ns) &&
+           FvQuarantine_Allows(&worker->quarantine, now_ms);
+}
+
+/**
+ * FvWorker_SetCapacity - take over the capacity a worker reports
+ * @worker: the worker
+ * @capacity: its total resources; what its tasks hold stays subtracted
+ */
+void
+FvWorker_SetCapacity(fv_worker_t *worker, const fv_resources_t *capacity)
+{
+    worker->capacity = *capacity;
+    worker->free = *capacity;
+    for (fv_task_t *task = worker->tasks; task != NULL; task = task->next) {
+        FvResources_Subtract(&worker->free, &task->size);
+    }
+}
+
+/**
+ * FvWorker_FindTask - look a task or reservation up
+ * @worker: the worker
+ * @id: the task id
+ *
+ * Return: the task, or NULL.
+ */
+fv_task_t *
+FvWorker_FindTask(const fv_worker_t *worker, const char *id)
+{
+    fv_task_t *task = worker->tasks;
+
+    while (task != NULL && strcmp(task->id, id) != 0) {
+        task = task->next;
+    }
+    return task;
+}
+
+/* Every task holds a slot, whatever its declared size says. */
+static fv_resources_t
+ledger_size(const fv_resources_t *size)
+{
+    fv_resources_t counted = *size;
+
+    if (counted.slots < 1) {
+        counted.slots = 1;
+    }
+    return counted;
+}
+
+/**
+ * FvWorker_AddTask - count a task or reservation in the ledger
+ * @worker: the worker
+ * @task: what to copy
+ *
+ * A task that already runs is counted even when it does not fit, because the
+ * ledger must show what the worker really holds.
+ *
+ * Return: the entry; NULL when the id is present, the task has ended, a new
+ * one does not fit, or memory is exhausted.
+ */
+fv_task_t *
+FvWorker_AddTask(fv_worker_t *worker, const fv_task_t *task)
+{
+    fv_resources_t size = ledger_size(&task->size);
+    bool is_new =
+        task->state == Fv_TASK_RESERVED || task->state == Fv_TASK_STARTING;
+    fv_task_t *entry;
+
+    if (FvTaskState_Ended(task->state) ||
+        FvWorker_FindTask(worker, task->id) != NULL ||
+        (is_new && !FvResources_Fits(&size, &worker->free))) {
+        return NULL;
+    }
+    entry = malloc(sizeof(*entry));
+    if (entry == NULL) {
+        return NULL;
+    }
+    *entry = *task;
+    entry->size = size;
+    entry->next = worker->tasks;
+    worker->tasks = entry;
+    FvResources_Subtract(&worker->free, &entry->size);
+    return entry;
+}
+
+/**
+ * FvWorker_RemoveTask - give back what a task holds and free its entry
+ * @worker: the worker
+ * @task: an entry of this worker
+ */
+void
+FvWorker_RemoveTask(fv_worker_t *worker, fv_task_t *task)
+{
+    fv_task_t **place = &worker->tasks;
+
+    while (*place != NULL && *place != task) {
+        place = &(*place)->next;
+    }
+    if (*place == NULL) {
+        return;
+    }
+    *place = task->next;
+    FvResources_Add(&worker->free, &task->size);
+    free(task);
+}
+
+/**
+ * FvWorker_ResizeTask - correct what a task counts for
+ * @worker: the worker
+ * @task: an entry of this worker
+ * @size: its new size; may overcommit when the task really uses that much
+ */
+void
+FvWorker_ResizeTask(fv_worker_t *worker, fv_task_t *task,
+                    const fv_resources_t *size)
+{
+    FvResources_Add(&worker->free, &task->size);
+    task->size = ledger_size(size);
+    FvResources_Subtract(&worker->free, &task->size);
+}
+
+/**
+ * FvWorker_ExpireReservations - drop reservations that were not used in time
+ * @worker: the worker
+ * @now_ms: boot time
+ *
+ * Return: how many were dropped.
+ */
+uint32_t
+FvWorker_ExpireReservations(fv_worker_t *worker, int64_t now_ms)
+{
+    fv_task_t *task = worker->tasks;
+    uint32_t dropped = 0;
+
+    while (task != NULL) {
+        fv_task_t *next = task->next;
+
+        if (task->state == Fv_TASK_RESERVED && task->expires_ms <= now_ms) {
+            FvWorker_RemoveTask(worker, task);
+            dropped++;
+        }
+        task = next;
+    }
+    return dropped;
+}
+
+/**
+ * FvWorker_ClearTasks - empty the ledger
+ * @worker: the worker
+ */
+void
+FvWorker_ClearTasks(fv_worker_t *worker)
+{
+    while (worker->tasks != NULL) {
+        fv_task_t *task = worker->tasks;
+
+        worker->tasks = task->next;
+        free(task);
+    }
+    worker->free = worker->capacity;
+}
