--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -577,7 +577,7 @@
     int64_t submitted_ms;    /* wall */
     int64_t start_before_ms; /* wall; 0: none */
     int64_t deadline_ms;     /* wall; 0: none */
-    int64_t latest_start_ms; /* wall; set by the deadline policy */
+    int64_t latest_start_ms; /* wall; FvPolicyDeadline_SetLatestStart */
     int64_t submitted_ns;    /* boot */
     int64_t started_ns;      /* boot */
     bool cancel_requested;
@@ -641,6 +641,7 @@
 extern const fv_policy_t fv_policy_service;
 
 const fv_policy_t *FvPolicy_ForClass(fv_class_t class_id);
+void FvPolicyDeadline_SetLatestStart(fv_job_t *job, int64_t run_ms);
 int FvPolicy_CompareSubmitted(const fv_job_t *a, const fv_job_t *b);
 void FvPolicy_LeaveHeadroom(const fv_worker_t *worker, fv_resources_t *usable);
 int64_t FvPolicy_BestFit(const fv_worker_t *worker, const fv_resources_t *size,
--- a/src/policy-deadline.c
+++ b/src/policy-deadline.c
@@ -5,6 +5,22 @@
 
 #include "fireflyvalve.h"
 
+/**
+ * FvPolicyDeadline_SetLatestStart - compute a job's latest safe start
+ * @job: the job; it must not be queued, because its place depends on this
+ * @run_ms: its expected run time as FvEstimates_RunMs tells
+ */
+void
+FvPolicyDeadline_SetLatestStart(fv_job_t *job, int64_t run_ms)
+{
+    int64_t latest_ms = job->deadline_ms - run_ms;
+
+    job->latest_start_ms = 0;
+    if (job->deadline_ms > 0) {
+        job->latest_start_ms = latest_ms > 0 ? latest_ms : 1; /* 0: none */
+    }
+}
+
 /* Jobs without a deadline follow those with one. */
 static int
 compare_latest_start(const fv_job_t *a, const fv_job_t *b)
--- /dev/null
+++ b/src/retry.c
@@ -0,0 +1,108 @@
+/*
+ * Limits on retries: a token budget, so that retries cannot multiply the load
+ * of a failing part, and a jittered exponential delay.
+ */
+
+#include "fireflyvalve.h"
+
+/* Each request earns a tenth of a retry. */
+#define RETRY_COST_MILLI 1000
+#define EARNED_PER_REQUEST_MILLI 100
+#define BUDGET_MAX_MILLI 100000
+
+/* With little traffic the share alone would allow no retry at all: one
+   retry a second is allowed, saved up to three. */
+#define FLOOR_MILLI_PER_MS 1
+#define FLOOR_MAX_MILLI 3000
+
+#define BACKOFF_BASE_MS INT64_C(50)
+#define BACKOFF_MAX_MS INT64_C(10000)
+#define BACKOFF_DOUBLINGS_MAX 8
+
+static void
+add_tokens(fv_retry_budget_t *budget, int64_t tokens_milli)
+{
+    budget->tokens_milli += tokens_milli;
+    if (budget->tokens_milli > BUDGET_MAX_MILLI) {
+        budget->tokens_milli = BUDGET_MAX_MILLI;
+    }
+}
+
+static void
+refill_floor(fv_retry_budget_t *budget, int64_t now_ms)
+{
+    int64_t elapsed_ms = now_ms - budget->refilled_ms;
+    int64_t missing = FLOOR_MAX_MILLI - budget->tokens_milli;
+    int64_t refill;
+
+    if (elapsed_ms <= 0) {
+        return;
+    }
+    budget->refilled_ms = now_ms;
+    refill = elapsed_ms >= FLOOR_MAX_MILLI ? FLOOR_MAX_MILLI
+                                           : elapsed_ms * FLOOR_MILLI_PER_MS;
+    if (missing > 0) {
+        add_tokens(budget, refill < missing ? refill : missing);
+    }
+}
+
+/**
+ * FvRetryBudget_Deposit - count a first attempt
+ * @budget: the budget
+ */
+void
+FvRetryBudget_Deposit(fv_retry_budget_t *budget)
+{
+    add_tokens(budget, EARNED_PER_REQUEST_MILLI);
+}
+
+/**
+ * FvRetryBudget_Take - ask for one retry
+ * @budget: the budget; zeroed at first
+ * @now_ms: boot time
+ *
+ * Return: false when the budget is used up; the caller then gives up.
+ */
+bool
+FvRetryBudget_Take(fv_retry_budget_t *budget, int64_t now_ms)
+{
+    refill_floor(budget, now_ms);
+    if (budget->tokens_milli < RETRY_COST_MILLI) {
+        return false;
+    }
+    budget->tokens_milli -= RETRY_COST_MILLI;
+    return true;
+}
+
+/**
+ * FvRetryBudget_Refund - give back a retry that was not sent
+ * @budget: the budget
+ */
+void
+FvRetryBudget_Refund(fv_retry_budget_t *budget)
+{
+    add_tokens(budget, RETRY_COST_MILLI);
+}
+
+/**
+ * FvRetry_BackoffMs - how long to wait before a retry
+ * @attempt: 0 for the first retry
+ * @random: a random number
+ *
+ * Return: between half and all of 50 ms, doubled for each attempt up to 10 s.
+ */
+int64_t
+FvRetry_BackoffMs(int32_t attempt, uint64_t random)
+{
+    int64_t delay_ms = BACKOFF_MAX_MS;
+    int64_t half_ms;
+
+    if (attempt < 0) {
+        attempt = 0;
+    }
+    if (attempt < BACKOFF_DOUBLINGS_MAX) {
+        delay_ms = BACKOFF_BASE_MS << attempt;
+    }
+    half_ms = delay_ms / 2;
+    return half_ms + (int64_t)(random % (uint64_t)(delay_ms - half_ms + 1));
+}
--- /dev/null
+++ b/src/route.c
@@ -0,0 +1,171 @@
+/*
+ * Order in which hosts are asked to place a job: this host, its data centre,
+ * its region, and other regions once waiting costs more than crossing.
+ */
+
+#include "fireflyvalve.h"
+
+#include <string.h>
+
+/* Digests come every 500 ms within the region and every 2,000 ms across;
+   three missed ones make a host's free capacity unknown. */
+#define DIGEST_MAX_AGE_MS 1500
+#define REMOTE_DIGEST_MAX_AGE_MS 6000
+
+/* A round trip to another region takes 40 ms, so a lookup gains from crossing
+   once it has waited longer than that. */
+#define CROSS_AFTER_INTERACTIVE_MS 50
+
+/* Other work pays for billed bytes with a longer wait, but crosses after half
+   of the time within which it must start. */
+#define CROSS_AFTER_MS 10000
+
+typedef enum distance {
+    DISTANCE_DATA_CENTER,
+    DISTANCE_REGION,
+    DISTANCE_REMOTE,
+    DISTANCE_COUNT
+} distance_t;
+
+typedef struct option {
+    const fv_host_t *host;
+    int64_t free;
+} option_t;
+
+static distance_t
+distance_between(const fv_host_t *self, const fv_host_t *host)
+{
+    if (strcmp(self->region, host->region) != 0) {
+        return DISTANCE_REMOTE;
+    }
+    return strcmp(self->data_center, host->data_center) == 0
+               ? DISTANCE_DATA_CENTER
+               : DISTANCE_REGION;
+}
+
+static int64_t
+cross_after_ms(const fv_workload_t *workload)
+{
+    int64_t half_ms = workload->start_within_ms / 2;
+
+    if (workload->class_id == Fv_CLASS_INTERACTIVE) {
+        return CROSS_AFTER_INTERACTIVE_MS;
+    }
+    return half_ms > 0 && half_ms < CROSS_AFTER_MS ? half_ms : CROSS_AFTER_MS;
+}
+
+static bool
+is_usable(const fv_host_t *host, distance_t distance,
+          const fv_workload_t *workload, int64_t now_ms)
+{
+    const fv_digest_t *digest = &host->digest;
+    int64_t max_age_ms = distance == DISTANCE_REMOTE ? REMOTE_DIGEST_MAX_AGE_MS
+                                                     : DIGEST_MAX_AGE_MS;
+
+    if (!host->listed_live || !host->linked || digest->received_ms == 0 ||
+        now_ms - digest->received_ms > max_age_ms) {
+        return false;
+    }
+    return FvResources_Fits(&workload->size,
+                            workload->class_id == Fv_CLASS_INTERACTIVE
+                                ? &digest->free_interactive
+                                : &digest->free_largest);
+}
+
+/* Free processors for each job that already waits there for them. */
+static int64_t
+free_capacity(const fv_digest_t *digest, fv_class_t class_id)
+{
+    const fv_resources_t *free = class_id == Fv_CLASS_INTERACTIVE
+                                     ? &digest->free_interactive
+                                     : &digest->free_total;
+
+    return free->cpu_millis / (1 + digest->queued[class_id]);
+}
+
+/* SplitMix64, seeded by the caller. */
+static uint64_t
+next_random(uint64_t *state)
+{
+    uint64_t mixed = (*state += UINT64_C(0x9e3779b97f4a7c15));
+
+    mixed = (mixed ^ (mixed >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+    mixed = (mixed ^ (mixed >> 27)) * UINT64_C(0x94d049bb133111eb);
+    return mixed ^ (mixed >> 31);
+}
+
+/* Takes the better of two random options. All hosts see the same digests;
+   were the best always taken, they would all choose the same host. */
+static const fv_host_t *
+take_option(option_t *options, uint32_t count, uint64_t *random)
+{
+    uint32_t first = (uint32_t)(next_random(random) % count);
+    uint32_t second = (uint32_t)(next_random(random) % count);
+    uint32_t taken =
+        options[second].free > options[first].free ? second : first;
+    const fv_host_t *host = options[taken].host;
+
+    options[taken] = options[count - 1];
+    return host;
+}
+
+static uint32_t
+collect(const fv_hosts_t *hosts, const fv_host_t *self,
+        const fv_workload_t *workload, distance_t distance, int64_t now_ms,
+        option_t *options)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < hosts->count; i++) {
+        const fv_host_t *host = hosts->entries[i];
+
+        if (host != self && distance_between(self, host) == distance &&
+            is_usable(host, distance, workload, now_ms)) {
+            options[count++] = (option_t){
+                .host = host,
+                .free = free_capacity(&host->digest, workload->class_id)};
+        }
+    }
+    return count;
+}
+
+/**
+ * FvRoute_Rank - the hosts to ask for capacity, in order
+ * @hosts: all entry hosts
+ * @self: this host; always the first
+ * @workload: the job's workload, with the size it is placed with
+ * @waited_ms: how long the job has waited for a start
+ * @now_ms: boot time
+ * @random: a fresh random number
+ * @ranked: set to the hosts
+ * @limit: size of @ranked
+ *
+ * Hosts that are not live, whose digest is stale, or on which the task does
+ * not fit are left out.
+ *
+ * Return: the number of hosts in @ranked.
+ */
+uint32_t
+FvRoute_Rank(const fv_hosts_t *hosts, const fv_host_t *self,
+             const fv_workload_t *workload, int64_t waited_ms, int64_t now_ms,
+             uint64_t random, const fv_host_t **ranked, uint32_t limit)
+{
+    option_t options[Fv_HOSTS_MAX];
+    uint32_t count = 0;
+
+    if (limit > 0) {
+        ranked[count++] = self;
+    }
+    for (int i = 0; i < DISTANCE_COUNT && count < limit; i++) {
+        uint32_t left;
+
+        if (i == DISTANCE_REMOTE && waited_ms < cross_after_ms(workload)) {
+            break;
+        }
+        left = collect(hosts, self, workload, (distance_t)i, now_ms, options);
+        while (left > 0 && count < limit) {
+            ranked[count++] = take_option(options, left--, &random);
+        }
+    }
+    return count;
+}
