--- a/src/account.c
+++ b/src/account.c
@@ -21,7 +21,7 @@
 } resource_t;
 
 /* In these units 5,600 workers of 32 cores and 128 GB stay below INT64_MAX
-   for more than 1,000 years; totals stop there instead of wrapping around. */
+   for more than 300 years; totals stop there instead of wrapping around. */
 static const struct {
     const char *name;
     int64_t divisor; /* from amount times milliseconds */
--- a/src/estimate.c
+++ b/src/estimate.c
@@ -222,7 +222,7 @@
     int64_t low = declared;
     int64_t high = declared * RAISE_WITHOUT_EVIDENCE;
 
-    if (declared <= 0) {
+    if (declared <= 0 || declared > VALUE_MAX) {
         return declared;
     }
     if (evidence) {
--- /dev/null
+++ b/tests/harness/fixture.c
@@ -0,0 +1,100 @@
+/*
+ * Workers and jobs for tests of the decision code.
+ */
+
+#include "fixture.h"
+
+#include <stdlib.h>
+
+/**
+ * FvFixture_Worker - a worker that accepts tasks at Fv_FIXTURE_NOW_MS
+ * @number: names it and, by @per_rack, its rack
+ * @per_rack: workers in a rack
+ * @capacity: its capacity
+ *
+ * Return: the worker; the process ends when memory is exhausted.
+ */
+fv_worker_t *
+FvFixture_Worker(uint32_t number, uint32_t per_rack,
+                 const fv_resources_t *capacity)
+{
+    char name[Fv_NAME_SIZE];
+    fv_worker_t *worker;
+
+    snprintf(name, sizeof(name), "w%u", number);
+    worker = FvWorker_New(name);
+    if (worker == NULL) {
+        abort();
+    }
+    snprintf(worker->rack, sizeof(worker->rack), "r%u", number / per_rack);
+    worker->listed = true;
+    worker->connections = 64;
+    FvWorker_SetCapacity(worker, capacity);
+    FvLease_Granted(&worker->lease, 1, 0, 0, 3000);
+    return worker;
+}
+
+/**
+ * FvFixture_Job - a job of a workload named after its class
+ * @member: its owner
+ * @key: its key
+ * @class_id: its class
+ * @submitted_ms: when it was submitted
+ *
+ * Return: the job; the process ends when memory is exhausted.
+ */
+fv_job_t *
+FvFixture_Job(const char *member, const char *key, fv_class_t class_id,
+              int64_t submitted_ms)
+{
+    fv_workload_t workload = {
+        .class_id = class_id,
+        .tasks = 1,
+        .size = {.cpu_millis = 1000, .memory_bytes = Fv_GIB, .slots = 1}};
+    fv_job_t *job;
+
+    snprintf(workload.name, sizeof(workload.name), "%s",
+             FvClass_Name(class_id));
+    job = FvJob_New(member, key, &workload);
+    if (job == NULL) {
+        abort();
+    }
+    job->submitted_ms = submitted_ms;
+    return job;
+}
+
+/**
+ * FvFixture_Start - put a running task into a worker's ledger
+ * @worker: the worker
+ * @id: the task id
+ * @class_id: its class
+ * @size: its size
+ *
+ * Return: the ledger entry.
+ */
+fv_task_t *
+FvFixture_Start(fv_worker_t *worker, const char *id, fv_class_t class_id,
+                const fv_resources_t *size)
+{
+    fv_task_t task = {
+        .class_id = class_id, .state = Fv_TASK_RUNNING, .size = *size};
+
+    snprintf(task.id, sizeof(task.id), "%s", id);
+    return FvWorker_AddTask(worker, &task);
+}
+
+/**
+ * FvFixture_Random - the next number of a fixed sequence
+ * @state: the seed at first
+ *
+ * Return: 64 random bits.
+ */
+uint64_t
+FvFixture_Random(uint64_t *state)
+{
+    uint64_t mixed = (*state += UINT64_C(0x9e3779b97f4a7c15));
+
+    mixed = (mixed ^ (mixed >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+    mixed = (mixed ^ (mixed >> 27)) * UINT64_C(0x94d049bb133111eb);
+    return mixed ^ (mixed >> 31);
+}
--- /dev/null
+++ b/tests/harness/fixture.h
@@ -0,0 +1,26 @@
+/*
+ * Workers and jobs for tests of the decision code.
+ */
+
+#ifndef FIXTURE_H
+#define FIXTURE_H
+
+#include "fireflyvalve.h"
+
+#define Fv_GIB (INT64_C(1) << 30)
+
+/* The boot time at which a fixture's worker accepts tasks. */
+#define Fv_FIXTURE_NOW_MS INT64_C(1000)
+
+/* Listed and leased, with 64 connections. */
+fv_worker_t *FvFixture_Worker(uint32_t number, uint32_t per_rack,
+                              const fv_resources_t *capacity);
+fv_job_t *FvFixture_Job(const char *member, const char *key,
+                        fv_class_t class_id, int64_t submitted_ms);
+fv_task_t *FvFixture_Start(fv_worker_t *worker, const char *id,
+                           fv_class_t class_id, const fv_resources_t *size);
+
+/* SplitMix64: the same numbers for a seed on every machine. */
+uint64_t FvFixture_Random(uint64_t *state);
+
+#endif
--- /dev/null
+++ b/tests/unit/quarantine_test.c
@@ -0,0 +1,91 @@
+/*
+ * A worker that fails every task gets one task at a time, ever less often,
+ * and is never excluded for ever.
+ */
+
+#include "fireflyvalve.h"
+#include "suite.h"
+
+static void
+fail_times(fv_quarantine_t *quarantine, int count)
+{
+    for (int i = 0; i < count; i++) {
+        FvQuarantine_Failed(quarantine, 0);
+    }
+}
+
+static void
+test_five_failures_in_row(void)
+{
+    fv_quarantine_t quarantine = {0};
+
+    fail_times(&quarantine, 4);
+    FvQuarantine_Succeeded(&quarantine);
+    fail_times(&quarantine, 4);
+    CU_ASSERT_TRUE(FvQuarantine_Allows(&quarantine, 0));
+    CU_ASSERT_TRUE(FvQuarantine_Failed(&quarantine, 0));
+    CU_ASSERT_FALSE(FvQuarantine_Allows(&quarantine, 9999));
+    CU_ASSERT_TRUE(FvQuarantine_Allows(&quarantine, 10000));
+}
+
+static void
+test_probes_double_to_limit(void)
+{
+    fv_quarantine_t quarantine = {0};
+    int64_t now_ms = 10000;
+
+    fail_times(&quarantine, 5);
+    for (int64_t wait_ms = 20000; wait_ms < 300000; wait_ms *= 2) {
+        FvQuarantine_Started(&quarantine, now_ms);
+        CU_ASSERT_FALSE(FvQuarantine_Allows(&quarantine, now_ms));
+        CU_ASSERT_TRUE(FvQuarantine_Failed(&quarantine, now_ms));
+        CU_ASSERT_FALSE(
+            FvQuarantine_Allows(&quarantine, now_ms + wait_ms - 1));
+        now_ms += wait_ms;
+        CU_ASSERT_TRUE(FvQuarantine_Allows(&quarantine, now_ms));
+    }
+    FvQuarantine_Started(&quarantine, now_ms);
+    FvQuarantine_Failed(&quarantine, now_ms);
+    CU_ASSERT_TRUE(FvQuarantine_Allows(&quarantine, now_ms + 300000));
+    FvQuarantine_Succeeded(&quarantine);
+    CU_ASSERT_TRUE(FvQuarantine_Allows(&quarantine, now_ms));
+}
+
+static void
+test_older_failures_do_not_extend(void)
+{
+    fv_quarantine_t quarantine = {0};
+
+    fail_times(&quarantine, 5);
+    CU_ASSERT_FALSE(FvQuarantine_Failed(&quarantine, 9000));
+    CU_ASSERT_TRUE(FvQuarantine_Allows(&quarantine, 10000));
+}
+
+static void
+test_lost_probe_is_replaced(void)
+{
+    fv_quarantine_t quarantine = {0};
+
+    fail_times(&quarantine, 5);
+    FvQuarantine_Started(&quarantine, 10000);
+    CU_ASSERT_FALSE(FvQuarantine_Allows(&quarantine, 309999));
+    CU_ASSERT_TRUE(FvQuarantine_Allows(&quarantine, 310000));
+    FvQuarantine_Abandoned(&quarantine);
+    CU_ASSERT_TRUE(FvQuarantine_Allows(&quarantine, 10001));
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"a faulty worker keeps getting tasks", test_five_failures_in_row},
+        {"probes come too often or two at a time",
+         test_probes_double_to_limit},
+        {"tasks from before the quarantine prolong it",
+         test_older_failures_do_not_extend},
+        {"a probe without result excludes the worker for ever",
+         test_lost_probe_is_replaced},
+    };
+
+    return Fv_RUN_SUITE("quarantine", cases);
+}
--- /dev/null
+++ b/tests/unit/resources_test.c
@@ -0,0 +1,51 @@
+/*
+ * Malformed amounts from other processes never enter the ledger.
+ */
+
+#include "fireflyvalve.h"
+#include "suite.h"
+
+static void
+test_round_trip(void)
+{
+    fv_resources_t resources = {.cpu_millis = 1,
+                                .memory_bytes = INT64_C(1) << 40,
+                                .accelerators = 2,
+                                .slots = 3};
+    fv_resources_t read = {0};
+    json_t *object = FvResources_ToJson(&resources);
+
+    CU_ASSERT_TRUE(FvResources_FromJson(object, &read));
+    CU_ASSERT_TRUE(FvResources_Fits(&resources, &read));
+    CU_ASSERT_TRUE(FvResources_Fits(&read, &resources));
+    json_decref(object);
+}
+
+static void
+test_malformed_is_refused(void)
+{
+    static const char *const texts[] = {
+        "[]", "{\"cpu_millis\": -1}", "{\"slots\": 1.5}",
+        "{\"accelerators\": 4294967296}", "{\"memory_bytes\": \"1\"}"};
+
+    for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+        json_t *object = json_loads(texts[i], 0, NULL);
+        fv_resources_t resources = {.slots = 7};
+
+        CU_ASSERT_FALSE(FvResources_FromJson(object, &resources));
+        CU_ASSERT_EQUAL(resources.slots, 7);
+        json_decref(object);
+    }
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"an amount changes on the wire", test_round_trip},
+        {"a negative or fractional amount is accepted",
+         test_malformed_is_refused},
+    };
+
+    return Fv_RUN_SUITE("resources", cases);
+}
--- /dev/null
+++ b/tests/unit/retry_test.c
@@ -0,0 +1,77 @@
+/*
+ * Retries neither multiply the load of a failing part nor come in step.
+ */
+
+#include "fireflyvalve.h"
+#include "suite.h"
+
+static int
+take_all(fv_retry_budget_t *budget, int64_t now_ms)
+{
+    int taken = 0;
+
+    while (taken < 10000 && FvRetryBudget_Take(budget, now_ms)) {
+        taken++;
+    }
+    return taken;
+}
+
+static void
+test_tenth_of_requests(void)
+{
+    fv_retry_budget_t budget = {0};
+
+    CU_ASSERT_EQUAL(take_all(&budget, 1000000), 3);
+    for (int i = 0; i < 500; i++) {
+        FvRetryBudget_Deposit(&budget);
+    }
+    CU_ASSERT_EQUAL(take_all(&budget, 1000000), 50);
+    for (int i = 0; i < 100000; i++) {
+        FvRetryBudget_Deposit(&budget);
+    }
+    CU_ASSERT_EQUAL(take_all(&budget, 1000000), 100);
+    FvRetryBudget_Refund(&budget);
+    CU_ASSERT_EQUAL(take_all(&budget, 1000000), 1);
+}
+
+static void
+test_floor_without_traffic(void)
+{
+    fv_retry_budget_t budget = {0};
+
+    take_all(&budget, 1000000);
+    CU_ASSERT_EQUAL(take_all(&budget, 1000999), 0);
+    CU_ASSERT_EQUAL(take_all(&budget, 1001000), 1);
+    CU_ASSERT_EQUAL(take_all(&budget, 9000000), 3);
+}
+
+static void
+test_backoff_is_jittered(void)
+{
+    bool differs = false;
+
+    for (int32_t attempt = -1; attempt < 40; attempt++) {
+        int64_t full_ms =
+            attempt < 8 ? 50 << (attempt < 0 ? 0 : attempt) : 10000;
+
+        for (uint64_t random = 0; random < 50; random++) {
+            int64_t delay_ms = FvRetry_BackoffMs(attempt, random);
+
+            CU_ASSERT_TRUE(delay_ms >= full_ms / 2 && delay_ms <= full_ms);
+            differs = differs || delay_ms != full_ms / 2;
+        }
+    }
+    CU_ASSERT_TRUE(differs);
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"retries exceed a tenth of the requests", test_tenth_of_requests},
+        {"an idle host may never retry", test_floor_without_traffic},
+        {"clients retry in step or wait too long", test_backoff_is_jittered},
+    };
+
+    return Fv_RUN_SUITE("retry", cases);
+}
--- /dev/null
+++ b/tests/unit/worker_test.c
@@ -0,0 +1,138 @@
+/*
+ * The ledger never counts less than the worker holds, and a worker gets no
+ * start outside its lease.
+ */
+
+#include "fixture.h"
+#include "suite.h"
+
+static const fv_resources_t capacity = {
+    .cpu_millis = 4000, .memory_bytes = 8 * Fv_GIB, .slots = 2};
+static const fv_resources_t size = {
+    .cpu_millis = 3000, .memory_bytes = Fv_GIB, .slots = 1};
+
+static fv_task_t
+reservation(const char *id)
+{
+    fv_task_t task = {.state = Fv_TASK_RESERVED, .size = size};
+
+    snprintf(task.id, sizeof(task.id), "%s", id);
+    task.expires_ms = 2000;
+    return task;
+}
+
+static void
+test_reservation_never_overcommits(void)
+{
+    fv_worker_t *worker = FvFixture_Worker(0, 8, &capacity);
+    fv_task_t first = reservation("a");
+    fv_task_t second = reservation("b");
+
+    CU_ASSERT_PTR_NOT_NULL(FvWorker_AddTask(worker, &first));
+    CU_ASSERT_PTR_NULL(FvWorker_AddTask(worker, &first));
+    CU_ASSERT_PTR_NULL(FvWorker_AddTask(worker, &second));
+    CU_ASSERT_EQUAL(worker->free.cpu_millis, 1000);
+    CU_ASSERT_EQUAL(FvWorker_ExpireReservations(worker, 1999), 0);
+    CU_ASSERT_EQUAL(FvWorker_ExpireReservations(worker, 2000), 1);
+    CU_ASSERT_PTR_NOT_NULL(FvWorker_AddTask(worker, &second));
+    FvWorker_Free(worker);
+}
+
+static void
+test_adopted_task_is_counted(void)
+{
+    fv_worker_t *worker = FvFixture_Worker(0, 8, &capacity);
+    fv_resources_t smaller = {.cpu_millis = 2000};
+    fv_task_t *task = FvFixture_Start(worker, "a", Fv_CLASS_DEADLINE, &size);
+
+    FvFixture_Start(worker, "b", Fv_CLASS_DEADLINE, &size);
+    CU_ASSERT_EQUAL(worker->free.cpu_millis, -2000);
+    FvWorker_SetCapacity(worker, &smaller);
+    CU_ASSERT_EQUAL(worker->free.cpu_millis, -4000);
+    FvWorker_SetCapacity(worker, &capacity);
+    FvWorker_ResizeTask(worker, task, &smaller);
+    CU_ASSERT_EQUAL(worker->free.cpu_millis, -1000);
+    CU_ASSERT_EQUAL(worker->free.slots, 0);
+    FvWorker_RemoveTask(worker, task);
+    CU_ASSERT_EQUAL(worker->free.cpu_millis, 1000);
+    FvWorker_ClearTasks(worker);
+    CU_ASSERT_EQUAL(worker->free.cpu_millis, 4000);
+    FvWorker_Free(worker);
+}
+
+static void
+test_full_connections_refuse(void)
+{
+    fv_worker_t *worker = FvFixture_Worker(0, 8, &capacity);
+
+    CU_ASSERT_TRUE(FvWorker_Accepts(worker, Fv_FIXTURE_NOW_MS));
+    worker->connections_used = worker->connections;
+    CU_ASSERT_FALSE(FvWorker_Accepts(worker, Fv_FIXTURE_NOW_MS));
+    FvWorker_Free(worker);
+}
+
+static void
+test_lease_bounds_starts(void)
+{
+    fv_lease_t lease = {0};
+    int64_t ms = Fv_NS_PER_MS;
+
+    FvLease_Granted(&lease, 4, 100 * ms, 150 * ms, 3000);
+    CU_ASSERT_FALSE(FvLease_AllowsStart(&lease, 449 * ms));
+    CU_ASSERT_TRUE(FvLease_AllowsStart(&lease, 450 * ms));
+    CU_ASSERT_FALSE(FvLease_AllowsStart(&lease, 3100 * ms));
+    FvLease_Granted(&lease, 4, 1100 * ms, 1101 * ms, 3000);
+    CU_ASSERT_TRUE(FvLease_AllowsStart(&lease, 1101 * ms));
+    FvLease_Granted(&lease, 4, 1000 * ms, 1200 * ms, 3000);
+    FvLease_Granted(&lease, 3, 2000 * ms, 2000 * ms, 9000);
+    CU_ASSERT_EQUAL(lease.expires_ns, 4100 * ms);
+    CU_ASSERT_FALSE(FvLease_Expired(&lease, 4099 * ms));
+    CU_ASSERT_TRUE(FvLease_Expired(&lease, 4100 * ms));
+    FvLease_Lost(&lease, 5000 * ms);
+    CU_ASSERT_EQUAL(lease.last_expiry_ns, 4100 * ms);
+    FvLease_Granted(&lease, 5, 5000 * ms, 5001 * ms, 3000);
+    CU_ASSERT_FALSE(FvLease_AllowsStart(&lease, 5300 * ms));
+}
+
+static void
+test_names_round_trip(void)
+{
+    fv_task_state_t state;
+    fv_class_t class_id;
+    fv_outcome_t outcome;
+
+    for (int i = Fv_TASK_RESERVED; i <= Fv_TASK_UNKNOWN; i++) {
+        CU_ASSERT_TRUE(
+            FvTaskState_Parse(FvTaskState_Name((fv_task_state_t)i), &state));
+        CU_ASSERT_EQUAL((int)state, i);
+    }
+    for (int i = 0; i < Fv_CLASS_COUNT; i++) {
+        CU_ASSERT_TRUE(FvClass_Parse(FvClass_Name((fv_class_t)i), &class_id));
+        CU_ASSERT_EQUAL((int)class_id, i);
+    }
+    for (int i = 0; i <= Fv_OUTCOME_UNKNOWN; i++) {
+        CU_ASSERT_TRUE(
+            FvOutcome_Parse(FvOutcome_Name((fv_outcome_t)i), &outcome));
+        CU_ASSERT_EQUAL((int)outcome, i);
+    }
+    CU_ASSERT_FALSE(FvClass_Parse("batch", &class_id));
+    CU_ASSERT_FALSE(FvTaskState_Ended(Fv_TASK_UNKNOWN));
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"a reservation overcommits or is counted twice",
+         test_reservation_never_overcommits},
+        {"a running task that does not fit is left out of the ledger",
+         test_adopted_task_is_counted},
+        {"a worker gets more tasks than connections",
+         test_full_connections_refuse},
+        {"a start is sent before the grace period or after the expiry",
+         test_lease_bounds_starts},
+        {"a state is read back as another one", test_names_round_trip},
+    };
+
+    return Fv_RUN_SUITE("worker", cases);
+}
