Measure the decision code

Cause: the targets are latency, packing and deadlines. Change: tests/bench/decisions.c prints a table and writes CSV.

--- /dev/null
+++ b/tests/bench/decisions.c
@@ -0,0 +1,623 @@
+/*
+ * Measures the decision code: rate and latency by size of the cell, packing
+ * and blocked lookups at saturation, deadlines met with run times declared
+ * 10x wrong, and a wave of cancellations. Seeds are fixed.
+ */
+
+#include "fixture.h"
+
+#include <argtable2.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define NOW Fv_FIXTURE_NOW_MS
+#define MEMBERS 83
+#define PER_RACK 8
+#define DECISIONS 100000
+#define RUNNING_MAX (5600 * 8)
+
+static FILE *csv;
+
+static const fv_resources_t machine = {.cpu_millis = 32000,
+                                       .memory_bytes = 128 * Fv_GIB,
+                                       .accelerators = 1,
+                                       .slots = 8};
+static const fv_resources_t lookup_size = {
+    .cpu_millis = 500, .memory_bytes = Fv_GIB, .slots = 1};
+
+typedef struct running {
+    fv_worker_t *worker;
+    fv_task_t *task;
+} running_t;
+
+typedef struct cell {
+    uint32_t count;
+    fv_worker_t **workers;
+    fv_placement_t *placement;
+    running_t *running;
+    uint32_t running_count;
+    uint32_t next_id;
+    uint64_t random;
+} cell_t;
+
+static void
+report(const char *bench, const char *parameter, double value,
+       const char *unit)
+{
+    printf("%-12s %-44s %14.3f %s\n", bench, parameter, value, unit);
+    if (csv != NULL) {
+        fprintf(csv, "%s,%s,%.3f,%s\n", bench, parameter, value, unit);
+    }
+}
+
+static void *
+allocate(size_t count, size_t size)
+{
+    void *memory = calloc(count, size);
+
+    if (memory == NULL) {
+        abort();
+    }
+    return memory;
+}
+
+static void
+cell_open(cell_t *cell, uint32_t count, uint64_t seed)
+{
+    *cell = (cell_t){.count = count, .random = seed};
+    cell->placement = FvPlacement_New();
+    cell->workers = allocate(count, sizeof(void *));
+    cell->running = allocate(RUNNING_MAX, sizeof(running_t));
+    for (uint32_t i = 0; i < count; i++) {
+        cell->workers[i] = FvFixture_Worker(i, PER_RACK, &machine);
+        FvPlacement_Add(cell->placement, cell->workers[i]);
+    }
+}
+
+static void
+cell_close(cell_t *cell)
+{
+    FvPlacement_Free(cell->placement);
+    for (uint32_t i = 0; i < cell->count; i++) {
+        FvWorker_Free(cell->workers[i]);
+    }
+    free((void *)cell->workers);
+    free(cell->running);
+}
+
+static int64_t
+uniform(cell_t *cell, int64_t low, int64_t high)
+{
+    return low + (int64_t)(FvFixture_Random(&cell->random) %
+                           (uint64_t)(high - low + 1));
+}
+
+static void
+cell_start(cell_t *cell, fv_worker_t *worker, const char *member,
+           fv_class_t class_id, const fv_resources_t *size)
+{
+    fv_task_t task = {
+        .class_id = class_id, .state = Fv_TASK_STARTING, .size = *size};
+    running_t *running = &cell->running[cell->running_count++];
+
+    snprintf(task.id, sizeof(task.id), "%s:k:1:%u", member, cell->next_id++);
+    snprintf(task.member, sizeof(task.member), "%s", member);
+    running->worker = worker;
+    running->task = FvWorker_AddTask(worker, &task);
+    if (running->task == NULL) {
+        abort(); /* an overcommit: the figures would mean nothing */
+    }
+    FvPlacement_Update(cell->placement, worker);
+}
+
+static void
+cell_end(cell_t *cell, uint32_t index)
+{
+    running_t ended = cell->running[index];
+
+    cell->running[index] = cell->running[--cell->running_count];
+    FvWorker_RemoveTask(ended.worker, ended.task);
+    FvPlacement_Update(cell->placement, ended.worker);
+}
+
+/* Part 1: decision rate. */
+
+static fv_job_t *
+rate_job(cell_t *cell, fv_class_t class_id)
+{
+    char member[Fv_NAME_SIZE];
+    fv_job_t *job;
+
+    snprintf(member, sizeof(member), "m%d", (int)uniform(cell, 0, 82));
+    job = FvFixture_Job(member, "k", class_id, cell->next_id);
+    if (class_id != Fv_CLASS_INTERACTIVE) {
+        job->workload.size.cpu_millis = uniform(cell, 500, 6000);
+        job->workload.size.memory_bytes = uniform(cell, 1, 24) * Fv_GIB;
+        job->workload.size.accelerators = uniform(cell, 0, 9) == 0;
+    }
+    job->latest_start_ms = uniform(cell, 1, 1000000);
+    return job;
+}
+
+static fv_shares_t *
+rate_shares(uint32_t workers)
+{
+    fv_contract_t *contracts = allocate(MEMBERS, sizeof(*contracts));
+    fv_config_t config = {.contract_count = MEMBERS, .contracts = contracts};
+    fv_shares_t *shares = FvShares_New();
+    fv_resources_t total = {.cpu_millis = machine.cpu_millis * workers,
+                            .memory_bytes = machine.memory_bytes * workers,
+                            .accelerators = (int32_t)workers,
+                            .slots = machine.slots * (int32_t)workers};
+
+    for (int i = 0; i < MEMBERS; i++) {
+        snprintf(contracts[i].member, Fv_NAME_SIZE, "m%d", i);
+        contracts[i].weight = 1 + (uint32_t)i % 4;
+    }
+    FvShares_Configure(shares, &config);
+    FvShares_SetCapacity(shares, &total);
+    free(contracts);
+    return shares;
+}
+
+/* One decision: next job, choice, ledger, index and shares. */
+static int64_t
+decide(cell_t *cell, fv_queue_t *queue, fv_shares_t *shares,
+       const fv_policy_t *policy, fv_job_t **job)
+{
+    int64_t begin_ns = FvClock_NowNs();
+    fv_worker_t *worker;
+
+    FvQueue_BeginPass(queue, 0);
+    *job = FvQueue_Next(queue, shares);
+    worker = FvPlacement_Choose(cell->placement, policy,
+                                &(*job)->workload.size, "m:k:1", NOW);
+    if (worker != NULL) {
+        cell_start(cell, worker, (*job)->member, (*job)->workload.class_id,
+                   &(*job)->workload.size);
+        FvShares_Add(shares, (*job)->member, &(*job)->workload.size);
+    }
+    FvQueue_Remove(queue, *job);
+    return FvClock_NowNs() - begin_ns;
+}
+
+static int
+compare_ns(const void *a, const void *b)
+{
+    int64_t left = *(const int64_t *)a;
+    int64_t right = *(const int64_t *)b;
+
+    return (left > right) - (left < right);
+}
+
+static void
+report_rate(uint32_t workers, const char *load, int64_t *times_ns,
+            uint32_t failed)
+{
+    char name[64];
+    double total_ns = 0;
+    static const struct {
+        const char *name;
+        double quantile;
+    } quantiles[] = {{"p50", 0.5}, {"p99", 0.99}, {"max", 1}};
+
+    qsort(times_ns, DECISIONS, sizeof(*times_ns), compare_ns);
+    for (int i = 0; i < DECISIONS; i++) {
+        total_ns += (double)times_ns[i];
+    }
+    snprintf(name, sizeof(name), "%u workers %s rate", workers, load);
+    report("rate", name, DECISIONS / (total_ns / Fv_NS_PER_S), "decisions/s");
+    for (int i = 0; i < 3; i++) {
+        int index = (int)(quantiles[i].quantile * (DECISIONS - 1));
+
+        snprintf(name, sizeof(name), "%u workers %s %s", workers, load,
+                 quantiles[i].name);
+        report("rate", name, (double)times_ns[index] / 1000, "us");
+    }
+    snprintf(name, sizeof(name), "%u workers %s without worker", workers,
+             load);
+    report("rate", name, 100.0 * failed / DECISIONS, "%");
+}
+
+/* Keeps @percent of the slots taken; each decision that finds the cell fuller
+   than that is preceded by the end of a random task. */
+static void
+bench_rate(uint32_t workers, int percent, const char *load)
+{
+    cell_t cell;
+    fv_shares_t *shares = rate_shares(workers);
+    fv_queue_t *queues[Fv_CLASS_COUNT];
+    int64_t *times_ns = allocate(DECISIONS, sizeof(*times_ns));
+    uint32_t target = workers * 8 * (uint32_t)percent / 100;
+    uint32_t failed = 0;
+    int warm_up = (int)target * 4;
+
+    cell_open(&cell, workers, 11);
+    for (int i = 0; i < Fv_CLASS_COUNT; i++) {
+        queues[i] = FvQueue_New(FvPolicy_ForClass((fv_class_t)i), 10000);
+        for (int j = 0; j < 1000; j++) {
+            FvQueue_Push(queues[i], rate_job(&cell, (fv_class_t)i));
+        }
+    }
+    for (int i = -warm_up; i < DECISIONS; i++) {
+        fv_class_t class_id = (fv_class_t)uniform(&cell, 0, 3);
+        uint32_t before = cell.running_count;
+        fv_job_t *job;
+        int64_t ns;
+
+        if (cell.running_count >= target || (i >= 0 && percent == 100)) {
+            uint32_t index =
+                (uint32_t)uniform(&cell, 0, cell.running_count - 1);
+            const fv_task_t *task = cell.running[index].task;
+
+            FvShares_Subtract(shares, task->member, &task->size);
+            cell_end(&cell, index);
+            before--;
+        }
+        ns = decide(&cell, queues[class_id], shares,
+                    FvPolicy_ForClass(class_id), &job);
+        if (i >= 0) {
+            times_ns[i] = ns;
+            failed += cell.running_count == before;
+        }
+        FvJob_Free(job);
+        FvQueue_Push(queues[class_id], rate_job(&cell, class_id));
+    }
+    report_rate(workers, load, times_ns, failed);
+    for (int i = 0; i < Fv_CLASS_COUNT; i++) {
+        fv_job_t *job;
+
+        while ((job = FvQueue_Next(queues[i], NULL)) != NULL) {
+            FvQueue_Remove(queues[i], job);
+            FvJob_Free(job);
+        }
+        FvQueue_Free(queues[i]);
+    }
+    FvShares_Free(shares);
+    free(times_ns);
+    cell_close(&cell);
+}
+
+/* Part 2: packing and lookups at saturation. */
+
+#define PACK_WORKERS 480
+#define PACK_BACKLOG 32
+#define PACK_STEPS 20000
+
+typedef fv_worker_t *(*chooser_t)(cell_t *cell, const fv_resources_t *size);
+
+static fv_worker_t *
+choose_first_fit(cell_t *cell, const fv_resources_t *size)
+{
+    for (uint32_t i = 0; i < cell->count; i++) {
+        if (FvResources_Fits(size, &cell->workers[i]->free)) {
+            return cell->workers[i];
+        }
+    }
+    return NULL;
+}
+
+static fv_worker_t *
+choose_without_headroom(cell_t *cell, const fv_resources_t *size)
+{
+    fv_policy_t policy = fv_policy_deadline;
+
+    policy.usable = fv_policy_interactive.usable;
+    return FvPlacement_Choose(cell->placement, &policy, size, NULL, NOW);
+}
+
+static fv_worker_t *
+choose_deadline(cell_t *cell, const fv_resources_t *size)
+{
+    return FvPlacement_Choose(cell->placement, &fv_policy_deadline, size, NULL,
+                              NOW);
+}
+
+static fv_resources_t
+draw_size(cell_t *cell, int64_t cpu_max)
+{
+    return (fv_resources_t){.cpu_millis = uniform(cell, 1000, cpu_max),
+                            .memory_bytes = uniform(cell, 1, 24) * Fv_GIB,
+                            .slots = 1};
+}
+
+/* Offers every job of the backlog once; returns whether one was placed. */
+static bool
+offer_backlog(cell_t *cell, chooser_t choose, int64_t cpu_max,
+              fv_resources_t backlog[PACK_BACKLOG])
+{
+    bool placed = false;
+
+    for (int i = 0; i < PACK_BACKLOG; i++) {
+        fv_worker_t *worker = choose(cell, &backlog[i]);
+
+        if (worker != NULL) {
+            cell_start(cell, worker, "m", Fv_CLASS_DEADLINE, &backlog[i]);
+            backlog[i] = draw_size(cell, cpu_max);
+            placed = true;
+        }
+    }
+    return placed;
+}
+
+static double
+used_cpu_percent(const cell_t *cell)
+{
+    int64_t free_millis = 0;
+
+    for (uint32_t i = 0; i < cell->count; i++) {
+        free_millis += cell->workers[i]->free.cpu_millis;
+    }
+    return 100 - 100.0 * (double)free_millis /
+                     (double)(machine.cpu_millis * cell->count);
+}
+
+/* One lookup for each worker arrives at once. */
+static double
+blocked_lookups_percent(cell_t *cell)
+{
+    uint32_t blocked = 0;
+
+    for (uint32_t i = 0; i < cell->count; i++) {
+        fv_worker_t *worker = FvPlacement_Choose(
+            cell->placement, &fv_policy_interactive, &lookup_size, NULL, NOW);
+
+        if (worker == NULL) {
+            blocked++;
+        }
+        else {
+            cell_start(cell, worker, "m", Fv_CLASS_INTERACTIVE, &lookup_size);
+        }
+    }
+    return 100.0 * blocked / cell->count;
+}
+
+static double
+bench_packing(const char *mix, const char *name, chooser_t choose,
+              int64_t cpu_max)
+{
+    cell_t cell;
+    fv_resources_t backlog[PACK_BACKLOG];
+    char parameter[96];
+    double sum = 0;
+
+    cell_open(&cell, PACK_WORKERS, 21);
+    for (int i = 0; i < PACK_BACKLOG; i++) {
+        backlog[i] = draw_size(&cell, cpu_max);
+    }
+    while (offer_backlog(&cell, choose, cpu_max, backlog)) {
+    }
+    for (int i = 0; i < PACK_STEPS; i++) {
+        cell_end(&cell, (uint32_t)uniform(&cell, 0, cell.running_count - 1));
+        offer_backlog(&cell, choose, cpu_max, backlog);
+        sum += used_cpu_percent(&cell);
+    }
+    snprintf(parameter, sizeof(parameter), "%s %s", mix, name);
+    report("packing", parameter, sum / PACK_STEPS, "% of processors");
+    report("lookups", parameter, blocked_lookups_percent(&cell), "% blocked");
+    cell_close(&cell);
+    return sum / PACK_STEPS;
+}
+
+static void
+bench_saturation(const char *mix, int64_t cpu_max)
+{
+    double best = bench_packing(mix, "first-fit without reservation",
+                                choose_first_fit, cpu_max);
+    double other = bench_packing(mix, "best-fit without headroom",
+                                 choose_without_headroom, cpu_max);
+    double ours =
+        bench_packing(mix, "best-fit with headroom", choose_deadline, cpu_max);
+    char parameter[96];
+
+    best = best > other ? best : other;
+    snprintf(parameter, sizeof(parameter), "%s of the best baseline", mix);
+    report("packing", parameter, 100 * ours / best, "%");
+}
+
+/* Part 3: deadlines. Nights of batch jobs on a fixed number of slots. */
+
+#define SLOTS 336 /* 48 workers, seven slots each */
+#define NIGHT_MS INT64_C(28800000)
+#define NIGHTS 3
+#define JOBS 4000
+#define WORKLOADS 12
+
+typedef enum run_time { DECLARED, LEARNED, ACTUAL_MEAN, FIFO } run_time_t;
+
+typedef struct night {
+    fv_job_t *jobs[JOBS];
+    int64_t run_ms[JOBS];
+    int64_t slot_free_ms[SLOTS];
+} night_t;
+
+static const int64_t mean_run_ms[WORKLOADS] = {
+    60000,   120000,  180000,  300000,  600000,  900000,
+    1200000, 1800000, 2400000, 3600000, 5400000, 7200000};
+
+static int64_t
+expected_ms(const fv_estimates_t *estimates, const fv_job_t *job, int kind,
+            run_time_t source)
+{
+    switch (source) {
+    case LEARNED:
+        return FvEstimates_RunMs(estimates, job->member, &job->workload);
+    case ACTUAL_MEAN:
+        return mean_run_ms[kind];
+    case DECLARED:
+    case FIFO:
+    default:
+        return job->workload.expected_run_ms;
+    }
+}
+
+/* All jobs are known at the start of the night. A job's deadline leaves it
+   a random part of the night, at least twice its run time. */
+static void
+night_open(night_t *night, const fv_estimates_t *estimates, run_time_t source,
+           uint64_t *random)
+{
+    for (int i = 0; i < JOBS; i++) {
+        int kind = (int)(FvFixture_Random(random) % WORKLOADS);
+        double part = (double)(FvFixture_Random(random) % 1000) / 1000;
+        double noise = (double)(FvFixture_Random(random) % 1000) / 1000;
+        fv_job_t *job = FvFixture_Job("m", "k", Fv_CLASS_DEADLINE, i);
+
+        night->run_ms[i] =
+            (int64_t)((double)mean_run_ms[kind] * (0.7 + 0.6 * noise));
+        snprintf(job->workload.name, Fv_NAME_SIZE, "w%d", kind);
+        job->workload.expected_run_ms =
+            kind % 2 == 0 ? mean_run_ms[kind] * 10 : mean_run_ms[kind] / 10;
+        job->deadline_ms =
+            2 * mean_run_ms[kind] +
+            (int64_t)((double)(NIGHT_MS - 2 * mean_run_ms[kind]) *
+                      (0.05 + 0.95 * part));
+        if (source != FIFO) {
+            FvPolicyDeadline_SetLatestStart(
+                job, expected_ms(estimates, job, kind, source));
+        }
+        job->attempts = i; /* finds its run time again */
+        night->jobs[i] = job;
+    }
+    memset(night->slot_free_ms, 0, sizeof(night->slot_free_ms));
+}
+
+static int
+first_free_slot(const night_t *night)
+{
+    int first = 0;
+
+    for (int i = 1; i < SLOTS; i++) {
+        if (night->slot_free_ms[i] < night->slot_free_ms[first]) {
+            first = i;
+        }
+    }
+    return first;
+}
+
+/* Returns how many jobs ended by their deadline. */
+static int
+night_run(night_t *night, fv_estimates_t *estimates)
+{
+    fv_queue_t *queue = FvQueue_New(&fv_policy_deadline, 2 * JOBS);
+    fv_job_t *job;
+    int met = 0;
+
+    for (int i = 0; i < JOBS; i++) {
+        FvQueue_Push(queue, night->jobs[i]);
+    }
+    while ((job = FvQueue_Next(queue, NULL)) != NULL) {
+        int slot = first_free_slot(night);
+        int64_t run_ms = night->run_ms[job->attempts];
+
+        night->slot_free_ms[slot] += run_ms;
+        met += night->slot_free_ms[slot] <= job->deadline_ms;
+        FvEstimates_Observe(estimates, "m", job->workload.name, run_ms, NULL);
+        FvQueue_Remove(queue, job);
+        FvJob_Free(job);
+    }
+    FvQueue_Free(queue);
+    return met;
+}
+
+static void
+bench_deadlines(const char *name, run_time_t source)
+{
+    fv_estimates_t *estimates = FvEstimates_New();
+    night_t *night = allocate(1, sizeof(*night));
+    uint64_t random = 31;
+    char parameter[96];
+
+    for (int i = 0; i < NIGHTS; i++) {
+        night_open(night, estimates, source, &random);
+        snprintf(parameter, sizeof(parameter), "%s night %d", name, i + 1);
+        report("deadlines", parameter,
+               100.0 * night_run(night, estimates) / JOBS, "% met");
+    }
+    free(night);
+    FvEstimates_Free(estimates);
+}
+
+/* Part 4: a wave of cancellations. */
+
+static void
+bench_cancellations(void)
+{
+    enum { wave = 10000 };
+    fv_queue_t *queue = FvQueue_New(&fv_policy_deadline, 2 * wave);
+    fv_job_t **jobs = allocate(wave, sizeof(void *));
+    uint64_t random = 41;
+    int64_t begin_ns;
+
+    for (int i = 0; i < wave; i++) {
+        jobs[i] = FvFixture_Job("m", "k", Fv_CLASS_DEADLINE, 0);
+        jobs[i]->latest_start_ms =
+            1 + (int64_t)(FvFixture_Random(&random) % 1000000);
+        FvQueue_Push(queue, jobs[i]);
+    }
+    begin_ns = FvClock_NowNs();
+    for (int i = 0; i < wave; i++) {
+        FvQueue_Remove(queue, jobs[i]);
+    }
+    report("cancel", "10000 queued jobs",
+           (double)(FvClock_NowNs() - begin_ns) / Fv_NS_PER_MS, "ms");
+    for (int i = 0; i < wave; i++) {
+        FvJob_Free(jobs[i]);
+    }
+    free((void *)jobs);
+    FvQueue_Free(queue);
+}
+
+static void
+run_all(void)
+{
+    static const uint32_t sizes[] = {48, 480, 2400, 5600};
+
+    for (int i = 0; i < 4; i++) {
+        bench_rate(sizes[i], 70, "70 % of slots");
+        bench_rate(sizes[i], 100, "full");
+    }
+    bench_saturation("1-11 cores", 11000);
+    bench_saturation("1-6 cores", 6000);
+    bench_deadlines("learned", LEARNED);
+    bench_deadlines("declared 10x off", DECLARED);
+    bench_deadlines("true mean", ACTUAL_MEAN);
+    bench_deadlines("in order of submission", FIFO);
+    bench_cancellations();
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_file *file =
+        arg_file0(NULL, "csv", "FILE", "also write the figures as CSV");
+    struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
+    struct arg_end *end = arg_end(4);
+    void *table[] = {file, help, end};
+    int status = 0;
+
+    if (arg_parse(argc, argv, table) > 0 || help->count > 0) {
+        arg_print_errors(stderr, end, argv[0]);
+        arg_print_glossary(stdout, table, "  %-20s %s\n");
+        status = help->count > 0 ? 0 : 2;
+        goto done;
+    }
+    if (file->count > 0) {
+        csv = fopen(file->filename[0], "w");
+        if (csv == NULL) {
+            perror(file->filename[0]);
+            status = 1;
+            goto done;
+        }
+        fprintf(csv, "bench,parameter,value,unit\n");
+    }
+    run_all();
+    if (csv != NULL && fclose(csv) != 0) {
+        perror(file->filename[0]);
+        status = 1;
+    }
+done:
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return status;
+}
