--- /dev/null
+++ b/src/log.c
@@ -0,0 +1,305 @@
+/*
+ * Log lines: one line of key=value pairs for each event, on standard error,
+ * through log4c.
+ */
+
+#include "fireflyvalve.h"
+
+#include <log4c.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <string.h>
+#include <strings.h>
+#include <time.h>
+#include <unistd.h>
+
+#define Fv_LOG_CATEGORY "fireflyvalve"
+#define Fv_LOG_PAIRS_SIZE 1024
+/* An escaped byte takes up to four bytes, and each value two quotes. */
+#define Fv_LOG_LINE_SIZE 5120
+/* Replaces the spaces between pairs while values are formatted. */
+#define Fv_LOG_SEPARATOR '\x1f'
+
+typedef struct fv_log_line {
+    char text[Fv_LOG_LINE_SIZE];
+    size_t length;
+    bool truncated;
+} fv_log_line_t;
+
+static const char *const level_names[] = {"error", "warn", "info", "debug"};
+static const int level_priorities[] = {
+    LOG4C_PRIORITY_ERROR, LOG4C_PRIORITY_WARN, LOG4C_PRIORITY_INFO,
+    LOG4C_PRIORITY_DEBUG};
+
+static _Atomic(log4c_category_t *) category;
+static char host_name[Fv_NAME_SIZE];
+static pthread_mutex_t write_lock = PTHREAD_MUTEX_INITIALIZER;
+
+static int
+append_to_stderr(log4c_appender_t *appender,
+                 const log4c_logging_event_t *event)
+{
+    const char *text = event->evt_msg;
+    size_t left = strlen(text);
+
+    (void)appender;
+    pthread_mutex_lock(&write_lock);
+    while (left > 0) {
+        ssize_t written = write(STDERR_FILENO, text, left);
+
+        if (written <= 0) {
+            break;
+        }
+        text += written;
+        left -= (size_t)written;
+    }
+    pthread_mutex_unlock(&write_lock);
+    return 0;
+}
+
+static const log4c_appender_type_t stderr_appender_type = {
+    .name = "fireflyvalve-stderr", .append = append_to_stderr};
+
+/**
+ * FvLog_Open - start logging to standard error
+ * @level: the least important level that is written
+ * @host: the host name that each line carries
+ *
+ * log4c_init() is not called, since it would read a log4crc file from the
+ * current directory. Events before this call are dropped.
+ *
+ * Return: 0, or -1 when log4c cannot be set up.
+ */
+int
+FvLog_Open(fv_log_level_t level, const char *host)
+{
+    log4c_category_t *opened = log4c_category_get(Fv_LOG_CATEGORY);
+    log4c_appender_t *appender = log4c_appender_get(Fv_LOG_CATEGORY);
+
+    if (opened == NULL || appender == NULL) {
+        return -1;
+    }
+    snprintf(host_name, sizeof(host_name), "%s", host);
+    log4c_appender_set_type(appender, &stderr_appender_type);
+    log4c_category_set_appender(opened, appender);
+    log4c_category_set_additivity(opened, 0);
+    log4c_category_set_priority(opened, level_priorities[level]);
+    atomic_store(&category, opened);
+    return 0;
+}
+
+/**
+ * FvLog_Close - stop logging; to be called when no other thread logs
+ */
+void
+FvLog_Close(void)
+{
+    if (atomic_exchange(&category, NULL) != NULL) {
+        log4c_fini();
+    }
+}
+
+/**
+ * FvLog_ParseLevel - level by name
+ * @text: "error", "warn", "info" or "debug"
+ * @level: set when the name is known
+ *
+ * Return: false for any other name.
+ */
+bool
+FvLog_ParseLevel(const char *text, fv_log_level_t *level)
+{
+    for (int i = Fv_LOG_ERROR; i <= Fv_LOG_DEBUG; i++) {
+        if (strcmp(text, level_names[i]) == 0) {
+            *level = (fv_log_level_t)i;
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+append(fv_log_line_t *line, const char *text, size_t length)
+{
+    /* One byte stays free for the line feed and one for the NUL. */
+    if (line->length + length + 2 > sizeof(line->text)) {
+        line->truncated = true;
+        return;
+    }
+    memcpy(line->text + line->length, text, length);
+    line->length += length;
+}
+
+static void
+append_escaped(fv_log_line_t *line, unsigned char byte)
+{
+    char escaped[5];
+
+    if (byte == '\n') {
+        append(line, "\\n", 2);
+    }
+    else if (byte == '"' || byte == '\\') {
+        snprintf(escaped, sizeof(escaped), "\\%c", byte);
+        append(line, escaped, 2);
+    }
+    else if (byte < 0x20 || byte == 0x7f) {
+        snprintf(escaped, sizeof(escaped), "\\x%02x", byte);
+        append(line, escaped, 4);
+    }
+    else {
+        append(line, (const char *)&byte, 1);
+    }
+}
+
+static bool
+needs_quotes(const char *value, size_t length)
+{
+    for (size_t i = 0; i < length; i++) {
+        unsigned char byte = (unsigned char)value[i];
+
+        if (byte <= ' ' || byte == '"' || byte == '\\' || byte == '=' ||
+            byte == 0x7f) {
+            return true;
+        }
+    }
+    return length == 0;
+}
+
+static void
+append_value(fv_log_line_t *line, const char *value, size_t length)
+{
+    bool quoted = needs_quotes(value, length);
+
+    if (!quoted) {
+        append(line, value, length);
+        return;
+    }
+    append(line, "\"", 1);
+    for (size_t i = 0; i < length; i++) {
+        append_escaped(line, (unsigned char)value[i]);
+    }
+    append(line, "\"", 1);
+}
+
+static size_t
+key_length(const char *text)
+{
+    return strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789_");
+}
+
+/* Marks the spaces of the format that precede "key=". */
+static void
+mark_pairs(char *format)
+{
+    for (char *space = strchr(format, ' '); space != NULL;
+         space = strchr(space + 1, ' ')) {
+        size_t length = key_length(space + 1);
+
+        if (length > 0 && space[1 + length] == '=') {
+            *space = Fv_LOG_SEPARATOR;
+        }
+    }
+}
+
+/*
+ * Finds the separator before the next key. A separator byte inside a value
+ * does not count, so a value cannot add a pair of its own.
+ */
+static const char *
+find_next_pair(const char *pairs, const char *next_key)
+{
+    size_t length = key_length(next_key) + 1;
+
+    for (const char *at = strchr(pairs, Fv_LOG_SEPARATOR); at != NULL;
+         at = strchr(at + 1, Fv_LOG_SEPARATOR)) {
+        if (strncmp(at + 1, next_key, length) == 0) {
+            return at;
+        }
+    }
+    return NULL;
+}
+
+static void
+append_pairs(fv_log_line_t *line, const char *pairs, const char *format)
+{
+    while (*pairs != '\0') {
+        const char *mark = strchr(format, Fv_LOG_SEPARATOR);
+        const char *end = NULL;
+        size_t key = key_length(pairs);
+
+        if (mark != NULL) {
+            end = find_next_pair(pairs, mark + 1);
+            format = mark + 1;
+        }
+        if (end == NULL) {
+            end = pairs + strlen(pairs);
+        }
+        append(line, " ", 1);
+        if (pairs[key] == '=') {
+            append(line, pairs, key + 1);
+            pairs += key + 1;
+        }
+        append_value(line, pairs, (size_t)(end - pairs));
+        pairs = *end == '\0' ? end : end + 1;
+    }
+}
+
+static void
+append_prefix(fv_log_line_t *line, fv_log_level_t level, const char *event)
+{
+    char prefix[Fv_NAME_SIZE * 3];
+    char date[32];
+    int64_t wall_ms = FvClock_WallMs();
+    time_t seconds = (time_t)(wall_ms / Fv_MS_PER_S);
+    struct tm utc;
+    int length;
+
+    gmtime_r(&seconds, &utc);
+    strftime(date, sizeof(date), "%Y-%m-%dT%H:%M:%S", &utc);
+    length = snprintf(prefix, sizeof(prefix),
+                      "time=%s.%03dZ level=%s host=%s event=%s", date,
+                      (int)(wall_ms % Fv_MS_PER_S), level_names[level],
+                      host_name, event);
+    append(line, prefix, strnlen(prefix, (size_t)length));
+}
+
+/**
+ * FvLog_Event - write one line
+ * @level: how important it is
+ * @event: what happened, one word
+ * @format: "key=%s other=%d": lower-case keys, one space between the pairs;
+ *          NULL when there are none
+ *
+ * Values are quoted and escaped here; the caller adds no quotes. Lines of
+ * more than about 1 KiB of values end with truncated=true.
+ */
+void
+FvLog_Event(fv_log_level_t level, const char *event, const char *format, ...)
+{
+    log4c_category_t *open = atomic_load(&category);
+    char marked[Fv_LOG_PAIRS_SIZE];
+    char pairs[Fv_LOG_PAIRS_SIZE] = "";
+    fv_log_line_t line = {.length = 0};
+    va_list arguments;
+
+    if (open == NULL ||
+        !log4c_category_is_priority_enabled(open, level_priorities[level])) {
+        return;
+    }
+    append_prefix(&line, level, event);
+    if (format != NULL) {
+        snprintf(marked, sizeof(marked), "%s", format);
+        mark_pairs(marked);
+        va_start(arguments, format);
+        line.truncated = vsnprintf(pairs, sizeof(pairs), marked, arguments) >=
+                         (int)sizeof(pairs);
+        va_end(arguments);
+        append_pairs(&line, pairs, marked);
+    }
+    if (line.truncated && line.length + 17 < sizeof(line.text)) {
+        append(&line, " truncated=true", 15);
+    }
+    line.text[line.length++] = '\n';
+    line.text[line.length] = '\0';
+    log4c_category_log(open, level_priorities[level], "%s", line.text);
+}
--- /dev/null
+++ b/src/metrics.c
@@ -0,0 +1,351 @@
+/*
+ * Counters and timings of this process, printed in the Prometheus text
+ * format.
+ */
+
+#include "fireflyvalve.h"
+
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <string.h>
+
+/* Members beyond Fv_MEMBERS_MAX share one entry; no member can be named so. */
+#define Fv_OTHER_MEMBERS "*"
+#define Fv_LINE_SIZE 256
+
+typedef struct fv_counter_info {
+    const char *name;
+    const char *help;
+} fv_counter_info_t;
+
+static const fv_counter_info_t counter_infos[Fv_COUNTER_COUNT] = {
+    [Fv_COUNTER_JOBS_ACCEPTED] = {"jobs_accepted", "Jobs accepted."},
+    [Fv_COUNTER_JOBS_REFUSED] = {"jobs_refused",
+                                 "Jobs refused at submission."},
+    [Fv_COUNTER_STARTS] = {"starts", "Task starts sent to workers."},
+    [Fv_COUNTER_STARTS_REFUSED] = {"starts_refused",
+                                   "Task starts refused by a worker or a "
+                                   "lease holder."},
+    [Fv_COUNTER_RETRIES] = {"retries", "Repeated attempts of jobs."},
+    [Fv_COUNTER_STORE_READS] = {"store_reads", "Read calls to the store."},
+    [Fv_COUNTER_STORE_WRITES] = {"store_writes", "Write calls to the store."},
+    [Fv_COUNTER_STORE_WATCHES] = {"store_watches",
+                                  "Watch calls to the store."},
+    [Fv_COUNTER_STORE_ERRORS] = {"store_errors", "Failed store calls."},
+    [Fv_COUNTER_STORE_IN_DOUBT] = {"store_in_doubt",
+                                   "Store writes whose response was lost."},
+    [Fv_COUNTER_LEASE_RENEWALS] = {"lease_renewals",
+                                   "Worker leases taken or renewed."},
+    [Fv_COUNTER_LEASE_LOSSES] = {"lease_losses",
+                                 "Worker leases lost to expiry or to another "
+                                 "holder."},
+    [Fv_COUNTER_LINK_BYTES_SENT] = {"link_bytes_sent",
+                                    "Bytes sent to other entry hosts."},
+    [Fv_COUNTER_LINK_BYTES_RECEIVED] = {"link_bytes_received",
+                                        "Bytes received from other entry "
+                                        "hosts."},
+    [Fv_COUNTER_LINK_REJECTED] = {"link_rejected",
+                                  "Connections rejected because the peer "
+                                  "failed authentication or sent a malformed "
+                                  "frame."},
+    [Fv_COUNTER_UPSTREAM_BYTES_SENT] = {"upstream_bytes_sent",
+                                        "Bytes sent to workers."},
+    [Fv_COUNTER_UPSTREAM_BYTES_RECEIVED] = {"upstream_bytes_received",
+                                            "Bytes received from workers."},
+    [Fv_COUNTER_HTTP_REQUESTS] = {"http_requests",
+                                  "Requests received from callers."},
+    [Fv_COUNTER_HTTP_BAD_REQUESTS] = {"http_bad_requests",
+                                      "Requests answered with a 4xx status "
+                                      "before they reached the scheduler."},
+    [Fv_COUNTER_CLAIM_CONFLICTS] = {"claim_conflicts",
+                                    "Claim writes that lost to another "
+                                    "writer."},
+    [Fv_COUNTER_CLAIMS_RECOVERED] = {"claims_recovered",
+                                     "Claims taken over from another host."},
+    [Fv_COUNTER_QUARANTINES] = {"quarantines", "Workers put in quarantine."},
+    [Fv_COUNTER_DECISIONS] = {"decisions", "Placement decisions."},
+};
+
+static const fv_counter_info_t timing_infos[Fv_TIMING_COUNT] = {
+    [Fv_TIMING_WAIT] = {"wait", "Time from submission to start."},
+    [Fv_TIMING_RUN] = {"run", "Time from start to end."},
+    [Fv_TIMING_TOTAL] = {"total", "Time from submission to end."},
+};
+
+typedef struct fv_member_metrics {
+    char name[Fv_NAME_SIZE];
+    atomic_uint_fast64_t region_bytes;
+    _Atomic(fv_histogram_t *) timings[Fv_TIMING_COUNT][Fv_CLASS_COUNT];
+} fv_member_metrics_t;
+
+static atomic_uint_fast64_t counters[Fv_COUNTER_COUNT];
+/* Entries below member_count never change their name and are never freed. */
+static fv_member_metrics_t members[Fv_MEMBERS_MAX + 1];
+static atomic_uint member_count;
+static pthread_mutex_t create_lock = PTHREAD_MUTEX_INITIALIZER;
+
+static const char *const class_names[Fv_CLASS_COUNT] = {
+    [Fv_CLASS_INTERACTIVE] = "interactive",
+    [Fv_CLASS_SERVICE] = "service",
+    [Fv_CLASS_GANG] = "gang",
+    [Fv_CLASS_DEADLINE] = "deadline",
+};
+
+/**
+ * FvClass_Name - name of a job class
+ * @class_id: the class
+ *
+ * Return: the name used in JSON documents and metrics.
+ */
+const char *
+FvClass_Name(fv_class_t class_id)
+{
+    return class_names[class_id];
+}
+
+/**
+ * FvClass_Parse - job class by name
+ * @name: the name
+ * @class_id: set when the name is known
+ *
+ * Return: false for any other name.
+ */
+bool
+FvClass_Parse(const char *name, fv_class_t *class_id)
+{
+    for (int i = 0; i < Fv_CLASS_COUNT; i++) {
+        if (strcmp(name, class_names[i]) == 0) {
+            *class_id = (fv_class_t)i;
+            return true;
+        }
+    }
+    return false;
+}
+
+/**
+ * FvMetrics_Add - increase a counter; safe from any thread
+ * @counter: the counter
+ * @amount: by how much
+ */
+void
+FvMetrics_Add(fv_counter_t counter, uint64_t amount)
+{
+    atomic_fetch_add_explicit(&counters[counter], amount,
+                              memory_order_relaxed);
+}
+
+/**
+ * FvMetrics_Get - read a counter
+ * @counter: the counter
+ *
+ * Return: its value.
+ */
+uint64_t
+FvMetrics_Get(fv_counter_t counter)
+{
+    return atomic_load_explicit(&counters[counter], memory_order_relaxed);
+}
+
+static fv_member_metrics_t *
+find_member(const char *name)
+{
+    unsigned count = atomic_load(&member_count);
+
+    for (unsigned i = 0; i < count; i++) {
+        if (strcmp(members[i].name, name) == 0) {
+            return &members[i];
+        }
+    }
+    return NULL;
+}
+
+static fv_member_metrics_t *
+add_member_locked(const char *name)
+{
+    unsigned count = atomic_load(&member_count);
+
+    if (count >= Fv_MEMBERS_MAX) {
+        name = Fv_OTHER_MEMBERS;
+    }
+    if (count > Fv_MEMBERS_MAX) {
+        return &members[Fv_MEMBERS_MAX];
+    }
+    snprintf(members[count].name, sizeof(members[count].name), "%s", name);
+    atomic_store(&member_count, count + 1);
+    return &members[count];
+}
+
+static fv_member_metrics_t *
+find_or_add_member(const char *name)
+{
+    fv_member_metrics_t *member = find_member(name);
+
+    if (member != NULL) {
+        return member;
+    }
+    pthread_mutex_lock(&create_lock);
+    member = find_member(name);
+    if (member == NULL) {
+        member = add_member_locked(name);
+    }
+    pthread_mutex_unlock(&create_lock);
+    return member;
+}
+
+static fv_histogram_t *
+find_or_add_histogram(_Atomic(fv_histogram_t *) *slot)
+{
+    fv_histogram_t *histogram = atomic_load(slot);
+
+    if (histogram != NULL) {
+        return histogram;
+    }
+    pthread_mutex_lock(&create_lock);
+    histogram = atomic_load(slot);
+    if (histogram == NULL) {
+        histogram = FvHistogram_New();
+        atomic_store(slot, histogram);
+    }
+    pthread_mutex_unlock(&create_lock);
+    return histogram;
+}
+
+/**
+ * FvMetrics_Record - record one time of a job; safe from any thread
+ * @timing: which time
+ * @class_id: the job's class
+ * @member: the job's member
+ * @value_us: the time
+ *
+ * The value is dropped when memory is exhausted.
+ */
+void
+FvMetrics_Record(fv_timing_t timing, fv_class_t class_id, const char *member,
+                 int64_t value_us)
+{
+    fv_member_metrics_t *entry = find_or_add_member(member);
+    fv_histogram_t *histogram =
+        find_or_add_histogram(&entry->timings[timing][class_id]);
+
+    if (histogram != NULL) {
+        FvHistogram_Record(histogram, value_us);
+    }
+}
+
+/**
+ * FvMetrics_AddRegionBytes - count bytes sent to another region
+ * @member: the member that is charged
+ * @bytes: the number of bytes
+ */
+void
+FvMetrics_AddRegionBytes(const char *member, uint64_t bytes)
+{
+    atomic_fetch_add(&find_or_add_member(member)->region_bytes, bytes);
+}
+
+static void print_line(fv_buffer_t *out, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
+static void
+print_line(fv_buffer_t *out, const char *format, ...)
+{
+    char line[Fv_LINE_SIZE];
+    va_list arguments;
+
+    va_start(arguments, format);
+    vsnprintf(line, sizeof(line), format, arguments);
+    va_end(arguments);
+    FvBuffer_Append(out, line, strlen(line));
+}
+
+static void
+print_header(fv_buffer_t *out, const char *name, const char *suffix,
+             const char *type, const char *help)
+{
+    print_line(out, "# HELP fireflyvalve_%s%s %s\n", name, suffix, help);
+    print_line(out, "# TYPE fireflyvalve_%s%s %s\n", name, suffix, type);
+}
+
+static void
+print_counters(fv_buffer_t *out)
+{
+    for (int i = 0; i < Fv_COUNTER_COUNT; i++) {
+        const fv_counter_info_t *info = &counter_infos[i];
+
+        print_header(out, info->name, "_total", "counter", info->help);
+        print_line(out, "fireflyvalve_%s_total %" PRIu64 "\n", info->name,
+                   FvMetrics_Get((fv_counter_t)i));
+    }
+}
+
+static void
+print_summary(fv_buffer_t *out, const char *name, const char *labels,
+              const fv_histogram_t *histogram)
+{
+    static const double quantiles[] = {0.5, 0.9, 0.99, 0.999};
+
+    for (size_t i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++) {
+        int64_t value_us = FvHistogram_Quantile(histogram, quantiles[i]);
+
+        print_line(out, "fireflyvalve_%s_seconds{%s,quantile=\"%g\"} %.6f\n",
+                   name, labels, quantiles[i], (double)value_us / 1e6);
+    }
+    print_line(out, "fireflyvalve_%s_seconds_sum{%s} %.6f\n", name, labels,
+               (double)FvHistogram_Sum(histogram) / 1e6);
+    print_line(out, "fireflyvalve_%s_seconds_count{%s} %" PRIu64 "\n", name,
+               labels, FvHistogram_Count(histogram));
+}
+
+static void
+print_timing(fv_buffer_t *out, fv_timing_t timing)
+{
+    unsigned count = atomic_load(&member_count);
+    char labels[Fv_LINE_SIZE / 2];
+
+    print_header(out, timing_infos[timing].name, "_seconds", "summary",
+                 timing_infos[timing].help);
+    for (unsigned i = 0; i < count; i++) {
+        for (int class_id = 0; class_id < Fv_CLASS_COUNT; class_id++) {
+            const fv_histogram_t *histogram =
+                atomic_load(&members[i].timings[timing][class_id]);
+
+            if (histogram != NULL) {
+                snprintf(labels, sizeof(labels), "class=\"%s\",member=\"%s\"",
+                         FvClass_Name((fv_class_t)class_id), members[i].name);
+                print_summary(out, timing_infos[timing].name, labels,
+                              histogram);
+            }
+        }
+    }
+}
+
+static void
+print_region_bytes(fv_buffer_t *out)
+{
+    unsigned count = atomic_load(&member_count);
+
+    print_header(out, "cross_region_bytes", "_total", "counter",
+                 "Bytes sent to other regions, by member.");
+    for (unsigned i = 0; i < count; i++) {
+        print_line(out,
+                   "fireflyvalve_cross_region_bytes_total{member=\"%s\"} "
+                   "%" PRIu64 "\n",
+                   members[i].name,
+                   (uint64_t)atomic_load(&members[i].region_bytes));
+    }
+}
+
+/**
+ * FvMetrics_Print - append all metrics in the Prometheus text format
+ * @out: where they go
+ */
+void
+FvMetrics_Print(fv_buffer_t *out)
+{
+    print_counters(out);
+    for (int i = 0; i < Fv_TIMING_COUNT; i++) {
+        print_timing(out, (fv_timing_t)i);
+    }
+    print_region_bytes(out);
+}
