Add settings read from TOML

Cause: a daemon with a mistaken settings file must not start, and the operator needs every mistake at once. Change: a static table in settings.c drives reading, checking and the printed documentation; toml.cc converts a file to JSON through toml++ and names the line of a syntax error or duplicate key. Secret files must not be readable by other users.

--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -181,6 +181,9 @@
 } fv_settings_t;
 
 bool FvSettings_Load(const char *path, fv_settings_t *settings, FILE *faults);
+void FvSettings_PrintTable(FILE *out);
+bool FvSettings_ReadClusterKey(const char *path, uint8_t key[32],
+                               char reason[Fv_REASON_SIZE]);
 
 /* resources.c */
 typedef struct fv_resources {
