Share one buffer size for the reasons of settings faults

Cause: toml.h declared a larger reason buffer than the other readers use, so a caller with the common size would be overrun. Change: toml.h defines Fv_REASON_SIZE and fireflyvalve.h includes it.

--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -7,6 +7,8 @@
 #ifndef FIREFLYVALVE_H
 #define FIREFLYVALVE_H
 
+#include "toml.h" /* FvToml_ReadFile, Fv_REASON_SIZE */
+
 #include <jansson.h>
 #include <stdatomic.h>
 #include <stdbool.h>
@@ -28,7 +30,6 @@
 #define Fv_DIGEST_SIZE 65
 #define Fv_NONCE_SIZE 33
 #define Fv_TASK_ID_SIZE 256
-#define Fv_REASON_SIZE 128
 #define Fv_WORKLOADS_MAX 16
 #define Fv_MEMBERS_MAX 128
 #define Fv_TASKS_MAX 256
@@ -158,7 +159,7 @@
 void FvMetrics_AddRegionBytes(const char *member, uint64_t bytes);
 void FvMetrics_Print(fv_buffer_t *out);
 
-/* settings.c, toml.cc */
+/* settings.c; FvToml_ReadFile of toml.cc is declared in toml.h. */
 typedef struct fv_settings {
     char cluster[Fv_NAME_SIZE];
     char host[Fv_NAME_SIZE];
--- a/src/settings.c
+++ b/src/settings.c
@@ -5,7 +5,6 @@
  */
 
 #include "fireflyvalve.h"
-#include "toml.h"
 
 #include <arpa/inet.h>
 #include <ctype.h>
@@ -563,7 +562,7 @@
 FvSettings_Load(const char *path, fv_settings_t *settings, FILE *faults)
 {
     fv_faults_t found = {.path = path, .out = faults};
-    char reason[Fv_TOML_REASON_SIZE] = "";
+    char reason[Fv_REASON_SIZE] = "";
     json_t *root = FvToml_ReadFile(path, reason);
 
     *settings = (fv_settings_t){0};
--- a/src/toml.cc
+++ b/src/toml.cc
@@ -56,7 +56,7 @@
  * Return: a JSON object owned by the caller, or NULL.
  */
 extern "C" json_t *
-FvToml_ReadFile(const char *path, char reason[Fv_TOML_REASON_SIZE])
+FvToml_ReadFile(const char *path, char reason[Fv_REASON_SIZE])
 {
     toml::parse_result result = toml::parse_file(path);
 
@@ -64,11 +64,11 @@
         const toml::parse_error &error = result.error();
 
         if (error.source().begin.line == 0) {
-            snprintf(reason, Fv_TOML_REASON_SIZE, "%s",
+            snprintf(reason, Fv_REASON_SIZE, "%s",
                      std::string(error.description()).c_str());
         }
         else {
-            snprintf(reason, Fv_TOML_REASON_SIZE, "line %u, column %u: %s",
+            snprintf(reason, Fv_REASON_SIZE, "line %u, column %u: %s",
                      static_cast<unsigned>(error.source().begin.line),
                      static_cast<unsigned>(error.source().begin.column),
                      std::string(error.description()).c_str());
--- a/src/toml.h
+++ b/src/toml.h
@@ -2,18 +2,19 @@
  * Reader of TOML files; usable from C and C++.
  */
 
-#ifndef TOML_H
-#define TOML_H
+#ifndef FIREFLYVALVE_TOML_H
+#define FIREFLYVALVE_TOML_H
 
 #include <jansson.h>
 
-#define Fv_TOML_REASON_SIZE 256
+/* Size of a buffer for a fault, including the terminating NUL. */
+#define Fv_REASON_SIZE 128
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
-json_t *FvToml_ReadFile(const char *path, char reason[Fv_TOML_REASON_SIZE]);
+json_t *FvToml_ReadFile(const char *path, char reason[Fv_REASON_SIZE]);
 
 #ifdef __cplusplus
 }
