--- /dev/null
+++ b/src/config.c
@@ -0,0 +1,302 @@
+/*
+ * The active configuration: an immutable snapshot published with liburcu.
+ * It is only ever replaced by one of a higher version.
+ */
+
+#include "fireflyvalve.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <urcu.h>
+
+typedef struct retired_config {
+    struct rcu_head head;
+    fv_config_t *config;
+} retired_config_t;
+
+static fv_config_t *active;
+/* Kept beside the snapshot so that any thread may read it without RCU. */
+static atomic_uint_fast64_t active_version;
+
+/**
+ * FvConfig_Read - the active snapshot
+ *
+ * The caller holds rcu_read_lock and uses the snapshot only while it does.
+ *
+ * Return: the snapshot, or NULL before the first one is published.
+ */
+const fv_config_t *
+FvConfig_Read(void)
+{
+    return rcu_dereference(active);
+}
+
+/**
+ * FvConfig_Version - version of the active snapshot; any thread may call it
+ *
+ * Return: the version, or 0 before the first one is published.
+ */
+uint64_t
+FvConfig_Version(void)
+{
+    return atomic_load_explicit(&active_version, memory_order_acquire);
+}
+
+/**
+ * FvConfig_Contract - look up a member's contract
+ * @config: the configuration, or NULL
+ * @member: the member's name
+ *
+ * Return: the contract, or NULL when the configuration has none.
+ */
+const fv_contract_t *
+FvConfig_Contract(const fv_config_t *config, const char *member)
+{
+    for (uint32_t i = 0; config != NULL && i < config->contract_count; i++) {
+        if (strcmp(config->contracts[i].member, member) == 0) {
+            return &config->contracts[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+free_retired(struct rcu_head *head)
+{
+    retired_config_t *retired = caa_container_of(head, retired_config_t, head);
+
+    FvConfig_Free(retired->config);
+    free(retired);
+}
+
+/* Frees a snapshot once no reader can still hold it. */
+static void
+retire(fv_config_t *config)
+{
+    retired_config_t *retired;
+
+    if (config == NULL) {
+        return;
+    }
+    retired = calloc(1, sizeof(*retired));
+    if (retired == NULL) {
+        synchronize_rcu();
+        FvConfig_Free(config);
+        return;
+    }
+    retired->config = config;
+    call_rcu(&retired->head, free_retired);
+}
+
+/**
+ * FvConfig_Publish - make a configuration the active one
+ * @config: the configuration; taken over when it is published
+ *
+ * Called by one thread only, outside rcu_read_lock; the thread is registered
+ * with liburcu.
+ *
+ * Return: false, with @config left to the caller, when the active version is
+ * the same or higher.
+ */
+bool
+FvConfig_Publish(fv_config_t *config)
+{
+    fv_config_t *old = active;
+
+    if (config->version <= FvConfig_Version()) {
+        return false;
+    }
+    rcu_assign_pointer(active, config);
+    atomic_store_explicit(&active_version, config->version,
+                          memory_order_release);
+    retire(old);
+    return true;
+}
+
+/**
+ * FvConfig_Free - release a configuration that is not published
+ * @config: the configuration, or NULL
+ */
+void
+FvConfig_Free(fv_config_t *config)
+{
+    if (config != NULL) {
+        free(config->contracts);
+        free(config);
+    }
+}
+
+static int
+compare_contracts(const void *a, const void *b)
+{
+    return strcmp(((const fv_contract_t *)a)->member,
+                  ((const fv_contract_t *)b)->member);
+}
+
+/**
+ * FvConfig_New - build a configuration and compute its digest
+ * @version: its version
+ * @contracts: contracts in any order; copied
+ * @count: how many there are
+ *
+ * Contracts are kept sorted by member, so that the same contracts always give
+ * the same configuration.
+ *
+ * Return: the configuration, or NULL when memory is exhausted.
+ */
+fv_config_t *
+FvConfig_New(uint64_t version, const fv_contract_t *contracts, uint32_t count)
+{
+    fv_config_t *config = calloc(1, sizeof(*config));
+
+    if (config == NULL) {
+        return NULL;
+    }
+    config->contracts = calloc(count + 1, sizeof(*config->contracts));
+    if (config->contracts == NULL) {
+        free(config);
+        return NULL;
+    }
+    config->version = version;
+    config->contract_count = count;
+    if (count > 0) {
+        memcpy(config->contracts, contracts, count * sizeof(*contracts));
+        qsort(config->contracts, count, sizeof(*contracts), compare_contracts);
+    }
+    FvConfig_Digest(config, config->digest);
+    return config;
+}
+
+/**
+ * FvConfig_ContractDigests - digest of each member's contract
+ * @config: the configuration, or NULL
+ *
+ * Return: a new object that maps members to digests.
+ */
+json_t *
+FvConfig_ContractDigests(const fv_config_t *config)
+{
+    char digest[Fv_DIGEST_SIZE];
+    json_t *digests = json_object();
+
+    for (uint32_t i = 0; config != NULL && i < config->contract_count; i++) {
+        FvContract_Digest(&config->contracts[i], digest);
+        json_object_set_new(digests, config->contracts[i].member,
+                            json_string(digest));
+    }
+    return digests;
+}
+
+/**
+ * FvConfig_DigestOf - digest of a configuration by the digests of its parts
+ * @version: the version
+ * @contract_digests: object that maps members to contract digests
+ * @digest: filled with hexadecimal digits
+ */
+void
+FvConfig_DigestOf(uint64_t version, json_t *contract_digests,
+                  char digest[Fv_DIGEST_SIZE])
+{
+    json_t *object = json_pack("{s:I, s:O}", "version", (json_int_t)version,
+                               "contracts", contract_digests);
+
+    FvJson_Digest(object, digest);
+    json_decref(object);
+}
+
+/**
+ * FvConfig_Digest - SHA-256 over the version and the contracts' digests
+ * @config: the configuration
+ * @digest: filled with hexadecimal digits
+ */
+void
+FvConfig_Digest(const fv_config_t *config, char digest[Fv_DIGEST_SIZE])
+{
+    json_t *digests = FvConfig_ContractDigests(config);
+
+    FvConfig_DigestOf(config->version, digests, digest);
+    json_decref(digests);
+}
+
+/**
+ * FvConfig_ToJson - the whole configuration as JSON
+ * @config: the configuration
+ *
+ * Return: a new object.
+ */
+json_t *
+FvConfig_ToJson(const fv_config_t *config)
+{
+    json_t *contracts = json_array();
+
+    for (uint32_t i = 0; i < config->contract_count; i++) {
+        json_array_append_new(contracts,
+                              FvContract_ToJson(&config->contracts[i]));
+    }
+    return json_pack("{s:I, s:s, s:o}", "version", (json_int_t)config->version,
+                     "digest", config->digest, "contracts", contracts);
+}
+
+static bool
+read_contracts(const json_t *list, fv_contract_t *contracts,
+               char reason[Fv_REASON_SIZE])
+{
+    size_t index;
+    const json_t *object;
+
+    json_array_foreach(list, index, object)
+    {
+        if (!FvContract_FromJson(object, &contracts[index], reason)) {
+            return false;
+        }
+        for (size_t i = 0; i < index; i++) {
+            if (strcmp(contracts[i].member, contracts[index].member) == 0) {
+                snprintf(reason, Fv_REASON_SIZE, "member %s occurs twice",
+                         contracts[i].member);
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+/**
+ * FvConfig_FromJson - read a whole configuration
+ * @object: its JSON form
+ * @reason: why it was refused
+ *
+ * Return: the configuration, or NULL when it is malformed or its digest does
+ * not match its content.
+ */
+fv_config_t *
+FvConfig_FromJson(const json_t *object, char reason[Fv_REASON_SIZE])
+{
+    const json_t *list = json_object_get(object, "contracts");
+    const char *digest = FvJson_String(object, "digest");
+    int64_t version = FvJson_Int(object, "version", 0);
+    size_t count = json_array_size(list);
+    fv_contract_t *contracts = NULL;
+    fv_config_t *config = NULL;
+
+    if (version <= 0 || digest == NULL || !json_is_array(list) ||
+        count > Fv_MEMBERS_MAX) {
+        snprintf(reason, Fv_REASON_SIZE,
+                 "version, digest or contracts missing or out of range");
+        return NULL;
+    }
+    contracts = calloc(count + 1, sizeof(*contracts));
+    if (contracts == NULL) {
+        snprintf(reason, Fv_REASON_SIZE, "out of memory");
+        return NULL;
+    }
+    if (read_contracts(list, contracts, reason)) {
+        config = FvConfig_New((uint64_t)version, contracts, (uint32_t)count);
+    }
+    if (config != NULL && strcmp(config->digest, digest) != 0) {
+        snprintf(reason, Fv_REASON_SIZE, "digest does not match the content");
+        FvConfig_Free(config);
+        config = NULL;
+    }
+    free(contracts);
+    return config;
+}
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -93,6 +93,9 @@
 bool FvJson_CopyString(const json_t *object, const char *key, char *target,
                        size_t size);
 
+/* json-digest.c */
+void FvJson_Digest(const json_t *value, char digest[Fv_DIGEST_SIZE]);
+
 /* histogram.c: log-linear buckets, values in microseconds. */
 typedef struct fv_histogram fv_histogram_t;
 
@@ -182,6 +185,8 @@
 
 bool FvSettings_Load(const char *path, fv_settings_t *settings, FILE *faults);
 
+json_t *FvToml_ReadFile(const char *path, char reason[Fv_REASON_SIZE]);
+
 /* resources.c */
 typedef struct fv_resources {
     int64_t cpu_millis;
@@ -236,6 +241,8 @@
     fv_contract_t *contracts;
 } fv_config_t;
 
+fv_config_t *FvConfig_New(uint64_t version, const fv_contract_t *contracts,
+                          uint32_t count);
 const fv_config_t *FvConfig_Read(void);
 const fv_contract_t *FvConfig_Contract(const fv_config_t *config,
                                        const char *member);
@@ -245,6 +252,10 @@
 fv_config_t *FvConfig_FromJson(const json_t *object,
                                char reason[Fv_REASON_SIZE]);
 json_t *FvConfig_ToJson(const fv_config_t *config);
+void FvConfig_Digest(const fv_config_t *config, char digest[Fv_DIGEST_SIZE]);
+json_t *FvConfig_ContractDigests(const fv_config_t *config);
+void FvConfig_DigestOf(uint64_t version, json_t *contract_digests,
+                       char digest[Fv_DIGEST_SIZE]);
 
 /* member.c: tokens by which members authenticate. */
 typedef struct fv_tokens fv_tokens_t;
