--- a/src/contract.c
+++ b/src/contract.c
@@ -8,8 +8,6 @@
 
 #include <string.h>
 
-#define WEIGHT_MAX 1000
-
 /**
  * FvContract_Workload - look up a workload by name
  * @contract: the contract
@@ -232,9 +230,9 @@
         snprintf(reason, Fv_REASON_SIZE, "member is not a name");
         return false;
     }
-    if (!read_int32(object, "weight", 1, WEIGHT_MAX, &weight)) {
+    if (!read_int32(object, "weight", 1, Fv_WEIGHT_MAX, &weight)) {
         snprintf(reason, Fv_REASON_SIZE, "weight is not within 1 to %d",
-                 WEIGHT_MAX);
+                 Fv_WEIGHT_MAX);
         return false;
     }
     contract->weight = (uint32_t)weight;
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -201,6 +201,8 @@
 json_t *FvResources_ToJson(const fv_resources_t *resources);
 bool FvResources_FromJson(const json_t *object, fv_resources_t *resources);
 
+#define Fv_WEIGHT_MAX 1000
+
 /* contract.c: what the active configuration grants one member. */
 typedef struct fv_workload {
     char name[Fv_NAME_SIZE];
@@ -257,6 +259,42 @@
 void FvConfig_DigestOf(uint64_t version, json_t *contract_digests,
                        char digest[Fv_DIGEST_SIZE]);
 
+/* questionnaire.c: what a member answers about its workloads. */
+typedef struct fv_workload_answers {
+    char name[Fv_NAME_SIZE];
+    bool someone_waits;
+    bool may_repeat;
+    bool may_overlap;
+    bool until_stopped;
+    int32_t tasks_together;
+    int32_t may_queue;        /* 0: not answered */
+    int64_t start_within_ms;  /* 0: not answered */
+    int64_t finish_within_ms; /* 0: not answered */
+    int64_t run_time_ms;      /* 0: not answered */
+    fv_resources_t size;
+} fv_workload_answers_t;
+
+typedef struct fv_answers {
+    bool leaves; /* when set, nothing else is filled in */
+    int32_t weight;
+    fv_resources_t quota;
+    uint32_t workload_count;
+    fv_workload_answers_t workloads[Fv_WORKLOADS_MAX];
+} fv_answers_t;
+
+bool FvQuestionnaire_Read(json_t *document, fv_answers_t *answers,
+                          json_t *faults);
+bool FvQuestionnaire_ParseDuration(const char *text, int64_t *ms);
+bool FvQuestionnaire_ParseMemory(const char *text, int64_t *bytes);
+
+/* generate.c: contracts and configurations from answers. */
+void FvGenerate_Contract(const char *member, const fv_answers_t *answers,
+                         fv_contract_t *contract);
+fv_config_t *FvGenerate_Initial(json_t *answers_by_member,
+                                char reason[Fv_REASON_SIZE]);
+fv_config_t *FvGenerate_Change(const fv_config_t *base, const char *member,
+                               json_t *answers, char reason[Fv_REASON_SIZE]);
+
 /* member.c: tokens by which members authenticate. */
 typedef struct fv_tokens fv_tokens_t;
 
