Add records of proposals and votes

Cause: members review and approve what is generated. Change: proposal.c builds proposal records, digests, votes, tallies, the head an activation writes, and differences; all pure functions.

--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -295,6 +295,42 @@
 fv_config_t *FvGenerate_Change(const fv_config_t *base, const char *member,
                                json_t *answers, char reason[Fv_REASON_SIZE]);
 
+/* proposal.c: records of proposals and votes; pure functions. */
+typedef enum fv_vote {
+    Fv_VOTE_NONE,
+    Fv_VOTE_APPROVE,
+    Fv_VOTE_REJECT
+} fv_vote_t;
+
+typedef struct fv_tally {
+    uint32_t approved; /* required approvals given */
+    uint32_t missing;  /* required approvals not given */
+    uint32_t rejected;
+    char first_missing[Fv_NAME_SIZE];
+} fv_tally_t;
+
+void FvProposal_NewId(uint64_t base_version, char id[Fv_KEY_SIZE]);
+json_t *FvProposal_New(const char *id, const char *author,
+                       const fv_config_t *base, const fv_config_t *next,
+                       json_t *answers, int64_t created_ms);
+void FvProposal_Digest(const json_t *proposal, char digest[Fv_DIGEST_SIZE]);
+bool FvProposal_IsIntact(const json_t *proposal);
+bool FvProposal_IsVoter(const json_t *proposal, const char *member);
+bool FvProposal_MayRead(const json_t *proposal, const char *member);
+bool FvProposal_MayVote(const json_t *proposal, const char *member);
+char *FvProposal_VoteText(const char *member, bool approves,
+                          const char *digest);
+fv_vote_t FvProposal_Vote(const json_t *proposal, const json_t *votes,
+                          const char *member);
+void FvProposal_Count(const json_t *proposal, const json_t *votes,
+                      const char *except, fv_tally_t *tally);
+bool FvProposal_IsActiveIn(const json_t *proposal, const json_t *head);
+bool FvProposal_BaseIsActive(const json_t *proposal, const json_t *head);
+const char *FvProposal_State(const json_t *proposal, const json_t *votes,
+                             const json_t *head);
+json_t *FvProposal_Head(const json_t *proposal);
+json_t *FvProposal_Diff(const json_t *proposal);
+
 /* member.c: tokens by which members authenticate. */
 typedef struct fv_tokens fv_tokens_t;
 
