--- a/src/daemon.h
+++ b/src/daemon.h
@@ -100,6 +100,39 @@
 void FvApiConfig_Show(fv_daemon_t *daemon, fv_ticket_t *ticket);
 void FvApiConfig_Status(fv_daemon_t *daemon, fv_ticket_t *ticket);
 
+/*
+ * proposal-view.c: what a request about proposals works on; read from the
+ * store.
+ */
+typedef struct fv_proposal_view fv_proposal_view_t;
+typedef void (*fv_proposal_view_done_t)(fv_proposal_view_t *view);
+
+struct fv_proposal_view {
+    fv_daemon_t *daemon;
+    fv_ticket_t *ticket;
+    json_t *head; /* NULL at version 0 */
+    int64_t head_revision;
+    json_t *proposal; /* NULL when it does not exist */
+    json_t *votes;    /* by member */
+    fv_proposal_view_done_t loaded;
+    /* Votes only. */
+    bool approves;
+    bool activates; /* the transaction under way activates the proposal */
+    bool in_doubt;  /* an earlier transaction may have taken effect */
+    int32_t rounds;
+};
+
+fv_proposal_view_t *FvProposalView_New(fv_daemon_t *daemon,
+                                       fv_ticket_t *ticket);
+void FvProposalView_Load(fv_proposal_view_t *view,
+                         fv_proposal_view_done_t loaded);
+void FvProposalView_Free(fv_proposal_view_t *view);
+void FvProposalView_VoteKey(const fv_proposal_view_t *view, const char *member,
+                            char key[Fv_URL_SIZE]);
+void FvProposalView_Group(const fv_store_result_t *result, json_t *proposals,
+                          json_t *votes);
+void FvApiConfig_ReplyStoreError(fv_ticket_t *ticket, fv_store_error_t error);
+
 /* wire.c: messages between entry hosts. */
 typedef enum fv_message_type {
     Fv_MESSAGE_CHALLENGE,
@@ -368,6 +401,7 @@
 fv_configurator_t *FvConfigurator_New(fv_daemon_t *daemon);
 void FvConfigurator_Free(fv_configurator_t *configurator);
 void FvConfigurator_OnHosts(fv_configurator_t *configurator);
+void FvConfigurator_Refresh(fv_configurator_t *configurator);
 void FvConfigurator_OnPeerVersion(fv_configurator_t *configurator,
                                   const char *host, uint64_t version);
 void FvConfigurator_OnConfigGet(fv_configurator_t *configurator,
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -310,6 +310,7 @@
 } fv_tally_t;
 
 void FvProposal_NewId(uint64_t base_version, char id[Fv_KEY_SIZE]);
+bool FvProposal_IsId(const char *id);
 json_t *FvProposal_New(const char *id, const char *author,
                        const fv_config_t *base, const fv_config_t *next,
                        json_t *answers, int64_t created_ms);
@@ -329,6 +330,8 @@
 const char *FvProposal_State(const json_t *proposal, const json_t *votes,
                              const json_t *head);
 json_t *FvProposal_Head(const json_t *proposal);
+json_t *FvProposal_Summary(const json_t *proposal, const json_t *votes,
+                           const json_t *head);
 json_t *FvProposal_Diff(const json_t *proposal);
 
 /* member.c: tokens by which members authenticate. */
@@ -474,6 +477,21 @@
                    void *context);
 void FvStore_StopWatch(fv_store_t *store);
 
+/* config-head.c: joins the head with the contracts it names. */
+typedef enum fv_config_head_result {
+    Fv_CONFIG_HEAD_COMPLETE,
+    Fv_CONFIG_HEAD_MISSING, /* a contract is not at hand */
+    Fv_CONFIG_HEAD_MALFORMED
+} fv_config_head_result_t;
+
+bool FvConfigHead_AddContract(json_t *by_digest, const json_t *object);
+void FvConfigHead_FromStore(const fv_store_result_t *result, json_t **head,
+                            int64_t *revision, json_t *by_digest);
+fv_config_head_result_t FvConfigHead_Assemble(const json_t *head,
+                                              const fv_config_t *current,
+                                              const json_t *by_digest,
+                                              fv_config_t **config);
+
 /* host.c: the cell's entry hosts and workers as listed by the platform. */
 typedef struct fv_digest {
     uint64_t config_version;
--- a/src/proposal.c
+++ b/src/proposal.c
@@ -28,6 +28,19 @@
              random);
 }
 
+/**
+ * FvProposal_IsId - whether a text has the form of an id
+ * @id: the text
+ *
+ * Return: true for ten digits, a hyphen and eight hexadecimal digits.
+ */
+bool
+FvProposal_IsId(const char *id)
+{
+    return strspn(id, "0123456789") == 10 && id[10] == '-' &&
+           strspn(id + 11, "0123456789abcdef") == 8 && id[19] == '\0';
+}
+
 static bool
 contract_equals(const fv_contract_t *a, const fv_contract_t *b)
 {
@@ -421,6 +434,56 @@
                      FvJson_String(proposal, "id"));
 }
 
+static void
+file_vote(json_t *summary, const json_t *proposal, const json_t *votes,
+          const char *member)
+{
+    static const char *const lists[] = {
+        [Fv_VOTE_NONE] = "missing",
+        [Fv_VOTE_APPROVE] = "approved",
+        [Fv_VOTE_REJECT] = "rejected",
+    };
+    fv_vote_t vote = FvProposal_Vote(proposal, votes, member);
+
+    json_array_append_new(json_object_get(summary, lists[vote]),
+                          json_string(member));
+}
+
+/**
+ * FvProposal_Summary - state and votes as shown to members
+ * @proposal: the record
+ * @votes: object of vote records by member
+ * @head: the value of config/head; NULL at version 0
+ *
+ * Return: a new object.
+ */
+json_t *
+FvProposal_Summary(const json_t *proposal, const json_t *votes,
+                   const json_t *head)
+{
+    const char *author = FvJson_String(proposal, "author");
+    size_t index;
+    const json_t *name;
+    json_t *summary = json_pack(
+        "{s:s, s:s, s:I, s:I, s:s, s:s, s:[], s:[], s:[]}", "id",
+        FvJson_String(proposal, "id"), "author", author, "base_version",
+        (json_int_t)FvJson_Int(proposal, "base_version", 0), "created_ms",
+        (json_int_t)FvJson_Int(proposal, "created_ms", 0), "digest",
+        FvJson_String(proposal, "digest"), "state",
+        FvProposal_State(proposal, votes, head), "approved", "missing",
+        "rejected");
+
+    json_array_foreach(json_object_get(proposal, "voters"), index, name)
+    {
+        file_vote(summary, proposal, votes, json_string_value(name));
+    }
+    if (!FvProposal_IsVoter(proposal, author) &&
+        FvProposal_Vote(proposal, votes, author) == Fv_VOTE_REJECT) {
+        file_vote(summary, proposal, votes, author);
+    }
+    return summary;
+}
+
 static void diff_values(json_t *changes, const char *path, json_t *before,
                         json_t *after);
 
