--- a/src/api-vote.c
+++ b/src/api-vote.c
@@ -52,8 +52,8 @@
         return "the digest is not that of this proposal; show it again and "
                "vote on what it contains";
     }
-    if (FvProposal_IsActiveIn(view->proposal, view->head)) {
-        return view->approves ? NULL : "the proposal is already active";
+    if (FvProposal_WasActivated(view->proposal, view->votes, view->head)) {
+        return view->approves ? NULL : "the proposal was already activated";
     }
     if (!FvProposal_BaseIsActive(view->proposal, view->head)) {
         return "the proposal's base version is no longer active; generate "
@@ -73,7 +73,7 @@
 {
     fv_tally_t tally;
 
-    if (FvProposal_IsActiveIn(view->proposal, view->head)) {
+    if (FvProposal_WasActivated(view->proposal, view->votes, view->head)) {
         return true;
     }
     if (!view->approves) {
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -327,6 +327,8 @@
                       const char *except, fv_tally_t *tally);
 bool FvProposal_IsActiveIn(const json_t *proposal, const json_t *head);
 bool FvProposal_BaseIsActive(const json_t *proposal, const json_t *head);
+bool FvProposal_WasActivated(const json_t *proposal, const json_t *votes,
+                             const json_t *head);
 const char *FvProposal_State(const json_t *proposal, const json_t *votes,
                              const json_t *head);
 json_t *FvProposal_Head(const json_t *proposal);
--- a/src/proposal-view.c
+++ b/src/proposal-view.c
@@ -100,14 +100,14 @@
 static void
 file_pair(const char *key, json_t *value, json_t *proposals, json_t *votes)
 {
-    char id[Fv_KEY_SIZE] = {0};
+    char id[Fv_KEY_SIZE];
     const char *mark = strstr(key, VOTES);
     size_t length = mark ? (size_t)(mark - key) : strlen(key);
 
     if (length >= sizeof(id)) {
         return;
     }
-    memcpy(id, key, length);
+    snprintf(id, sizeof(id), "%.*s", (int)length, key);
     if (mark == NULL) {
         if (FvProposal_IsIntact(value)) {
             json_object_set(proposals, id, value);
--- a/src/proposal.c
+++ b/src/proposal.c
@@ -385,6 +385,31 @@
            strcmp(base_digest, digest ? digest : "") == 0;
 }
 
+/**
+ * FvProposal_WasActivated - whether a proposal is or was active
+ * @proposal: the record
+ * @votes: object of vote records by member
+ * @head: the value of config/head; NULL at version 0
+ *
+ * The last approval is written together with the activation, so a complete
+ * set of approvals on a base that is no longer active proves it.
+ *
+ * Return: true when its result is, or was, the active configuration.
+ */
+bool
+FvProposal_WasActivated(const json_t *proposal, const json_t *votes,
+                        const json_t *head)
+{
+    fv_tally_t tally;
+
+    if (FvProposal_IsActiveIn(proposal, head)) {
+        return true;
+    }
+    FvProposal_Count(proposal, votes, NULL, &tally);
+    return tally.missing == 0 && tally.rejected == 0 &&
+           !FvProposal_BaseIsActive(proposal, head);
+}
+
 /**
  * FvProposal_State - state as shown to members
  * @proposal: the record
@@ -404,14 +429,13 @@
     if (FvProposal_IsActiveIn(proposal, head)) {
         return "active";
     }
+    if (FvProposal_WasActivated(proposal, votes, head)) {
+        return "replaced";
+    }
     FvProposal_Count(proposal, votes, NULL, &tally);
     if (tally.rejected > 0) {
         return "rejected";
     }
-    /* All approvals exist only together with the activation. */
-    if (tally.missing == 0) {
-        return "replaced";
-    }
     return FvProposal_BaseIsActive(proposal, head) ? "open" : "superseded";
 }
 
