Leave messages to the peer table that takes them over

Cause: FvPeers_Call and FvPeers_Reply clear the message they are given. Change: the configurator no longer frees the text of such messages. Result: the object compiles.

--- a/src/configurator.c
+++ b/src/configurator.c
@@ -442,7 +442,6 @@
     message.body.document.text = text;
     FvPeers_Call(configurator->daemon->peers, configurator->asked, &message,
                  ASK_TIMEOUT_MS, on_answer, configurator);
-    free(text);
 }
 
 /**
@@ -538,13 +537,11 @@
     const char *text = request->body.document.text;
     json_t *document = json_loads(text ? text : "", 0, NULL);
     fv_message_t reply = {.type = Fv_MESSAGE_CONFIG};
-    char *answer =
-        document_text(configurator, json_object_get(document, "have"));
 
+    reply.body.document.text =
+        document_text(configurator, json_object_get(document, "have"));
     json_decref(document);
-    reply.body.document.text = answer;
     FvPeers_Reply(configurator->daemon->peers, to, &reply);
-    free(answer);
 }
 
 /**
