--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 
 FAKES := $(patsubst tests/fakes/%.c,$(BUILD)/%,$(wildcard tests/fakes/*.c))
 HARNESS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/harness/*.c))
+HARNESS_LIBRARY := $(BUILD)/libharness.a
 UNIT_TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/unit/*.c))
 PROMISE_TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/promises/*.c))
 BENCHES := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/bench/*.c))
@@ -63,10 +64,15 @@
 $(BINARY): $(MAIN_OBJECT) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(FAKES): $(BUILD)/%: $(BUILD)/tests/fakes/%.o $(LIBRARY)
+# An archive, so that the stand-ins link only the harness objects they use.
+$(HARNESS_LIBRARY): $(HARNESS)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(FAKES): $(BUILD)/%: $(BUILD)/tests/fakes/%.o $(HARNESS_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(HARNESS) $(LIBRARY)
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(HARNESS_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(TEST_LDLIBS) $(LDLIBS)
 
 check: all
--- /dev/null
+++ b/tests/harness/host-view.c
@@ -0,0 +1,172 @@
+/*
+ * The host list as the platform double serves it. The caller serializes all
+ * access.
+ */
+
+#include "host-view.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Changes that wait for the lag; more than this at once is a test's fault. */
+#define HOST_VIEW_PENDING_MAX 4096
+
+struct host_view {
+    int64_t lag_ms;
+    json_t *visible;
+    json_t *latest;
+    size_t pending_count;
+    struct {
+        int64_t visible_ms;
+        json_t *document;
+    } pending[HOST_VIEW_PENDING_MAX];
+};
+
+/**
+ * FvHostView_New - allocate an empty list
+ * @lag_ms: how long a change stays invisible
+ *
+ * Return: the list.
+ */
+host_view_t *
+FvHostView_New(int64_t lag_ms)
+{
+    host_view_t *view = calloc(1, sizeof(*view));
+
+    if (view == NULL) {
+        abort();
+    }
+    view->lag_ms = lag_ms;
+    return view;
+}
+
+/**
+ * FvHostView_Replace - replace the whole list; the first one is visible at
+ * once
+ * @view: the list
+ * @document: {"hosts": [...]}; its reference is taken
+ * @now_ms: current time
+ *
+ * Return: false when it is not such a document or too many changes wait.
+ */
+bool
+FvHostView_Replace(host_view_t *view, json_t *document, int64_t now_ms)
+{
+    if (!json_is_array(json_object_get(document, "hosts")) ||
+        view->pending_count == HOST_VIEW_PENDING_MAX) {
+        json_decref(document);
+        return false;
+    }
+    json_decref(view->latest);
+    view->latest = json_incref(document);
+    if (view->visible == NULL) {
+        view->visible = document;
+        return true;
+    }
+    view->pending[view->pending_count].visible_ms = now_ms + view->lag_ms;
+    view->pending[view->pending_count].document = document;
+    view->pending_count++;
+    return true;
+}
+
+static json_t *
+find_host(json_t *hosts, const char *name, size_t *index)
+{
+    json_t *host;
+    size_t i;
+
+    json_array_foreach(hosts, i, host)
+    {
+        const char *found = json_string_value(json_object_get(host, "name"));
+
+        if (found != NULL && strcmp(found, name) == 0) {
+            *index = i;
+            return host;
+        }
+    }
+    return NULL;
+}
+
+/**
+ * FvHostView_SetState - change the state of one entry
+ * @view: the list
+ * @name: name of the host or worker
+ * @state: live or leaving; gone removes the entry
+ * @now_ms: current time
+ *
+ * Return: false when there is no such entry.
+ */
+bool
+FvHostView_SetState(host_view_t *view, const char *name, const char *state,
+                    int64_t now_ms)
+{
+    json_t *document = json_deep_copy(view->latest);
+    json_t *hosts = json_object_get(document, "hosts");
+    size_t index = 0;
+    json_t *host = find_host(hosts, name, &index);
+
+    if (host == NULL) {
+        json_decref(document);
+        return false;
+    }
+    if (strcmp(state, "gone") == 0) {
+        json_array_remove(hosts, index);
+    }
+    else {
+        json_object_set_new(host, "state", json_string(state));
+    }
+    return FvHostView_Replace(view, document, now_ms);
+}
+
+static void
+apply_pending(host_view_t *view, int64_t now_ms)
+{
+    size_t due = 0;
+
+    while (due < view->pending_count &&
+           view->pending[due].visible_ms <= now_ms) {
+        json_decref(view->visible);
+        view->visible = view->pending[due].document;
+        due++;
+    }
+    view->pending_count -= due;
+    memmove(view->pending, &view->pending[due],
+            view->pending_count * sizeof(view->pending[0]));
+}
+
+/* Overrides the fields that "views" gives for this reader. */
+static json_t *
+entry_for(json_t *host, const char *viewer)
+{
+    json_t *views = json_object_get(host, "views");
+    json_t *entry = json_copy(host);
+
+    if (views != NULL && viewer != NULL) {
+        json_object_update(entry, json_object_get(views, viewer));
+    }
+    json_object_del(entry, "views");
+    return entry;
+}
+
+/**
+ * FvHostView_Read - the list as a reader sees it now
+ * @view: the list
+ * @viewer: the reader, or NULL
+ * @now_ms: current time
+ *
+ * Return: a new document.
+ */
+json_t *
+FvHostView_Read(host_view_t *view, const char *viewer, int64_t now_ms)
+{
+    json_t *entries = json_array();
+    json_t *host;
+    size_t i;
+
+    apply_pending(view, now_ms);
+    json_array_foreach(json_object_get(view->visible, "hosts"), i, host)
+    {
+        json_array_append_new(entries, entry_for(host, viewer));
+    }
+    return json_pack("{s:o}", "hosts", entries);
+}
