--- /dev/null
+++ b/tests/harness/timer-heap.c
@@ -0,0 +1,110 @@
+/*
+ * Binary heap of timers.
+ */
+
+#include "timer-heap.h"
+
+#include <stdlib.h>
+
+static void
+place_timer(timer_heap_t *heap, heap_timer_t *timer, size_t place)
+{
+    heap->timers[place - 1] = timer;
+    timer->place = place;
+}
+
+static void
+sift_up(timer_heap_t *heap, heap_timer_t *timer)
+{
+    size_t place = timer->place;
+
+    while (place > 1 && heap->timers[place / 2 - 1]->due_ns > timer->due_ns) {
+        place_timer(heap, heap->timers[place / 2 - 1], place);
+        place /= 2;
+    }
+    place_timer(heap, timer, place);
+}
+
+static void
+sift_down(timer_heap_t *heap, heap_timer_t *timer)
+{
+    size_t place = timer->place;
+
+    for (;;) {
+        size_t child = place * 2;
+
+        if (child > heap->count) {
+            break;
+        }
+        if (child < heap->count &&
+            heap->timers[child]->due_ns < heap->timers[child - 1]->due_ns) {
+            child++;
+        }
+        if (heap->timers[child - 1]->due_ns >= timer->due_ns) {
+            break;
+        }
+        place_timer(heap, heap->timers[child - 1], place);
+        place = child;
+    }
+    place_timer(heap, timer, place);
+}
+
+/**
+ * FvTimerHeap_Set - set or move a timer
+ * @heap: the heap
+ * @timer: the timer
+ * @due_ns: when it fires
+ */
+void
+FvTimerHeap_Set(timer_heap_t *heap, heap_timer_t *timer, int64_t due_ns)
+{
+    FvTimerHeap_Cancel(heap, timer);
+    if (heap->count == heap->capacity) {
+        heap->capacity = heap->capacity * 2 + 64;
+        heap->timers =
+            realloc(heap->timers, heap->capacity * sizeof(heap_timer_t *));
+        if (heap->timers == NULL) {
+            abort();
+        }
+    }
+    timer->due_ns = due_ns;
+    heap->count++;
+    place_timer(heap, timer, heap->count);
+    sift_up(heap, timer);
+}
+
+/**
+ * FvTimerHeap_Cancel - remove a timer; nothing happens if it is not set
+ * @heap: the heap
+ * @timer: the timer
+ */
+void
+FvTimerHeap_Cancel(timer_heap_t *heap, heap_timer_t *timer)
+{
+    heap_timer_t *last;
+    size_t place = timer->place;
+
+    if (place == 0) {
+        return;
+    }
+    timer->place = 0;
+    last = heap->timers[heap->count - 1];
+    heap->count--;
+    if (last != timer) {
+        place_timer(heap, last, place);
+        sift_up(heap, last);
+        sift_down(heap, last);
+    }
+}
+
+/**
+ * FvTimerHeap_First - the timer that is due first
+ * @heap: the heap
+ *
+ * Return: the timer, still set; or NULL.
+ */
+heap_timer_t *
+FvTimerHeap_First(const timer_heap_t *heap)
+{
+    return heap->count > 0 ? heap->timers[0] : NULL;
+}
