--- /dev/null
+++ b/src/api-jobs.c
@@ -0,0 +1,438 @@
+/*
+ * Handlers of jobs: submit, status, answer, cancel; the same for other hosts
+ * on behalf of their callers.
+ */
+
+#include "runner.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <urcu.h>
+
+#define Fv_JOBS_WAIT_MAX_MS 60000
+#define Fv_JOBS_DEADLINE_MAX_MS (INT64_C(30) * 24 * 3600 * 1000)
+/* Bounds the memory of queued payloads. */
+#define Fv_JOBS_PAYLOAD_TOTAL_BYTES (32 * 1024 * 1024)
+#define Fv_JOBS_RETRY_MS 500
+
+/* What a submission asks for, checked. */
+typedef struct fv_submission {
+    fv_workload_t workload;
+    char key[Fv_KEY_SIZE];
+    char digest[Fv_DIGEST_SIZE];
+    fv_buffer_t payload;
+    int64_t deadline_ms; /* relative; 0: none */
+    int64_t wait_ms;
+} fv_submission_t;
+
+static bool
+refuse(fv_ticket_t *ticket, int32_t status, const char *outcome,
+       const char *detail)
+{
+    FvTicket_ReplyProblem(ticket, status, outcome,
+                          status == 429 || status == 503 ? Fv_JOBS_RETRY_MS
+                                                         : 0,
+                          "%s", detail);
+    return false;
+}
+
+static bool
+find_workload(fv_ticket_t *ticket, fv_submission_t *submission)
+{
+    const char *name = FvJson_String(ticket->body, "workload");
+    const fv_workload_t *workload = NULL;
+    const fv_contract_t *contract;
+
+    if (name == NULL) {
+        return refuse(ticket, 400, NULL, "workload: a string is required");
+    }
+    rcu_read_lock();
+    contract = FvConfig_Contract(FvConfig_Read(), ticket->member);
+    if (contract != NULL) {
+        workload = FvContract_Workload(contract, name);
+    }
+    if (workload != NULL) {
+        submission->workload = *workload;
+    }
+    rcu_read_unlock();
+    if (contract == NULL) {
+        return refuse(ticket, 403, NULL,
+                      "this member has no contract in the configuration");
+    }
+    if (workload == NULL) {
+        return refuse(ticket, 404, NULL,
+                      "workload: not in the member's contract");
+    }
+    return true;
+}
+
+static bool
+read_payload(fv_ticket_t *ticket, fv_submission_t *submission)
+{
+    const json_t *text = json_object_get(ticket->body, "payload");
+    const char *base64 = FvJson_String(ticket->body, "payload_base64");
+    bool complete;
+
+    if (text != NULL && !json_is_string(text)) {
+        return refuse(ticket, 400, NULL, "payload: must be a string");
+    }
+    if (base64 != NULL) {
+        if (!FvText_FromBase64(base64, &submission->payload)) {
+            return refuse(ticket, 400, NULL,
+                          "payload_base64: not valid base64");
+        }
+    }
+    else {
+        complete = FvBuffer_Append(&submission->payload,
+                                   json_string_value(text),
+                                   json_string_length(text));
+        if (!complete) {
+            return refuse(ticket, 503, NULL, "no memory");
+        }
+    }
+    if (submission->payload.length > Fv_PAYLOAD_MAX_BYTES) {
+        return refuse(ticket, 413, NULL,
+                      "payload: at most 262144 bytes are allowed");
+    }
+    return true;
+}
+
+static bool
+read_range(fv_ticket_t *ticket, const char *name, int64_t high,
+           int64_t *value)
+{
+    const json_t *given = json_object_get(ticket->body, name);
+
+    *value = 0;
+    if (given == NULL) {
+        return true;
+    }
+    *value = json_integer_value(given);
+    if (!json_is_integer(given) || *value < 0 || *value > high) {
+        FvTicket_ReplyProblem(ticket, 400, NULL, 0,
+                              "%s: an integer from 0 to %lld is required",
+                              name, (long long)high);
+        return false;
+    }
+    return true;
+}
+
+static bool
+read_limits(fv_ticket_t *ticket, fv_submission_t *submission)
+{
+    int64_t tasks;
+
+    if (!read_range(ticket, "deadline_ms", Fv_JOBS_DEADLINE_MAX_MS,
+                    &submission->deadline_ms) ||
+        !read_range(ticket, "wait_ms", Fv_JOBS_WAIT_MAX_MS,
+                    &submission->wait_ms) ||
+        !read_range(ticket, "tasks", Fv_TASKS_MAX, &tasks)) {
+        return false;
+    }
+    if (tasks > 1 && submission->workload.class_id != Fv_CLASS_GANG) {
+        return refuse(ticket, 400, NULL,
+                      "tasks: only a gang has more than one task");
+    }
+    if (tasks > 0) {
+        submission->workload.tasks = (int32_t)tasks;
+    }
+    return true;
+}
+
+static bool
+read_key(fv_ticket_t *ticket, fv_submission_t *submission)
+{
+    if (ticket->idempotency_key[0] != '\0') {
+        FvText_Copy(submission->key, sizeof(submission->key),
+                    ticket->idempotency_key);
+        return true;
+    }
+    if (FvWorkload_NeedsClaim(&submission->workload)) {
+        return refuse(ticket, 400, NULL,
+                      "the header Idempotency-Key is required for this "
+                      "workload");
+    }
+    FvText_RandomHex(submission->key, Fv_NONCE_SIZE);
+    return true;
+}
+
+/* Tells the same request from another one under the same key. */
+static bool
+compute_digest(fv_submission_t *submission)
+{
+    fv_buffer_t text = {0};
+    char head[Fv_NAME_SIZE + 32];
+    int length = snprintf(head, sizeof(head), "%s\n%d\n",
+                          submission->workload.name,
+                          submission->workload.tasks);
+    bool complete = FvBuffer_Append(&text, head, (size_t)length) &&
+                    FvBuffer_Append(&text, submission->payload.data,
+                                    submission->payload.length);
+
+    if (complete) {
+        FvText_Sha256Hex(text.data, text.length, submission->digest);
+    }
+    FvBuffer_Clear(&text);
+    return complete;
+}
+
+static bool
+check_limits(fv_runner_t *runner, fv_ticket_t *ticket,
+             const fv_submission_t *submission)
+{
+    const fv_daemon_t *daemon = runner->daemon;
+
+    if (atomic_load(&daemon->draining)) {
+        return refuse(ticket, 503, "not_run", "this host is draining");
+    }
+    if (runner->open_count >= (uint32_t)daemon->settings.queue_limit ||
+        runner->payload_bytes + submission->payload.length >
+            Fv_JOBS_PAYLOAD_TOTAL_BYTES) {
+        return refuse(ticket, 429, "not_run", "too many jobs wait here");
+    }
+    if (!FvCell_CanEverFit(daemon, &submission->workload)) {
+        return refuse(ticket, 422, "not_run",
+                      "no worker of the cell is large enough for a task of "
+                      "this workload");
+    }
+    return true;
+}
+
+static fv_job_t *
+make_job(const fv_ticket_t *ticket, fv_submission_t *submission)
+{
+    fv_job_t *job = FvJob_New(ticket->member, submission->key,
+                              &submission->workload);
+    int64_t window_ms = submission->deadline_ms > 0
+                            ? submission->deadline_ms
+                            : Fv_DEFAULT_START_WINDOW_MS;
+
+    if (job == NULL) {
+        return NULL;
+    }
+    FvText_Copy(job->body_digest, sizeof(job->body_digest),
+                submission->digest);
+    job->payload = submission->payload.data;
+    job->payload_length = submission->payload.length;
+    submission->payload = (fv_buffer_t){0};
+    job->submitted_ms = FvClock_WallMs();
+    job->submitted_ns = FvClock_NowNs();
+    job->start_before_ms = job->submitted_ms + window_ms;
+    if (submission->deadline_ms > 0) {
+        job->deadline_ms = job->start_before_ms;
+    }
+    return job;
+}
+
+static void
+accept_job(fv_runner_t *runner, fv_ticket_t *ticket,
+           fv_submission_t *submission)
+{
+    fv_job_t *job = make_job(ticket, submission);
+    fv_run_t *run;
+
+    if (job == NULL) {
+        refuse(ticket, 503, NULL, "no memory");
+        return;
+    }
+    run = FvRunner_Add(runner, job);
+    FvRetryBudget_Deposit(&runner->retries);
+    if (FvWorkload_NeedsClaim(&job->workload)) {
+        FvMetrics_Add(Fv_COUNTER_JOBS_ACCEPTED, 1);
+        FvRun_Attach(run,
+                     FvJobWaiter_New(ticket, NULL, submission->wait_ms, true));
+        FvRun_Admit(run);
+        return;
+    }
+    if (!FvRun_Enqueue(run)) {
+        FvMetrics_Add(Fv_COUNTER_JOBS_REFUSED, 1);
+        FvRunner_Remove(run);
+        refuse(ticket, 429, "not_run", "the queue of this class is full");
+        return;
+    }
+    FvMetrics_Add(Fv_COUNTER_JOBS_ACCEPTED, 1);
+    FvRun_Attach(run,
+                 FvJobWaiter_New(ticket, NULL, submission->wait_ms, true));
+}
+
+static void
+join_job(fv_run_t *run, fv_ticket_t *ticket,
+         const fv_submission_t *submission)
+{
+    if (strcmp(run->job->body_digest, submission->digest) != 0) {
+        refuse(ticket, 409, NULL,
+               "this key was used with another request");
+        return;
+    }
+    FvRun_Attach(run,
+                 FvJobWaiter_New(ticket, NULL, submission->wait_ms, true));
+}
+
+/**
+ * FvApiJobs_Submit - POST /v1/jobs
+ * @daemon: the daemon
+ * @ticket: the request
+ */
+void
+FvApiJobs_Submit(fv_daemon_t *daemon, fv_ticket_t *ticket)
+{
+    fv_runner_t *runner = daemon->runner;
+    fv_submission_t submission = {0};
+    fv_run_t *run;
+
+    if (!find_workload(ticket, &submission) ||
+        !read_payload(ticket, &submission) ||
+        !read_limits(ticket, &submission) || !read_key(ticket, &submission)) {
+        FvMetrics_Add(Fv_COUNTER_HTTP_BAD_REQUESTS, 1);
+        goto done;
+    }
+    if (!compute_digest(&submission)) {
+        refuse(ticket, 503, NULL, "no memory");
+        goto done;
+    }
+    run = FvRunner_Find(runner, ticket->member, submission.key);
+    if (run != NULL) {
+        join_job(run, ticket, &submission);
+        goto done;
+    }
+    if (!check_limits(runner, ticket, &submission)) {
+        FvMetrics_Add(Fv_COUNTER_JOBS_REFUSED, 1);
+        goto done;
+    }
+    accept_job(runner, ticket, &submission);
+done:
+    FvBuffer_Clear(&submission.payload);
+}
+
+static int64_t
+limit_wait(int64_t wait_ms)
+{
+    if (wait_ms < 0) {
+        return 0;
+    }
+    return wait_ms > Fv_JOBS_WAIT_MAX_MS ? Fv_JOBS_WAIT_MAX_MS : wait_ms;
+}
+
+static void
+wait_for_job(fv_daemon_t *daemon, fv_ticket_t *ticket, int64_t wait_ms,
+             bool submitted)
+{
+    const char *key = ticket->params[0];
+    fv_run_t *run = FvRunner_Find(daemon->runner, ticket->member, key);
+    fv_job_waiter_t *waiter = FvJobWaiter_New(ticket, NULL, wait_ms,
+                                              submitted);
+
+    if (run != NULL) {
+        FvRun_Attach(run, waiter);
+    }
+    else {
+        FvJobView_Attach(daemon->runner, ticket->member, key, waiter);
+    }
+}
+
+/**
+ * FvApiJobs_Status - GET /v1/jobs/KEY
+ * @daemon: the daemon
+ * @ticket: the request
+ */
+void
+FvApiJobs_Status(fv_daemon_t *daemon, fv_ticket_t *ticket)
+{
+    wait_for_job(daemon, ticket, limit_wait(ticket->wait_ms), false);
+}
+
+/**
+ * FvApiJobs_Answer - GET /v1/jobs/KEY/answer
+ * @daemon: the daemon
+ * @ticket: the request
+ */
+void
+FvApiJobs_Answer(fv_daemon_t *daemon, fv_ticket_t *ticket)
+{
+    ticket->raw_answer = true;
+    wait_for_job(daemon, ticket, limit_wait(ticket->wait_ms), true);
+}
+
+/**
+ * FvApiJobs_Cancel - POST /v1/jobs/KEY/cancel
+ * @daemon: the daemon
+ * @ticket: the request
+ */
+void
+FvApiJobs_Cancel(fv_daemon_t *daemon, fv_ticket_t *ticket)
+{
+    const char *key = ticket->params[0];
+    fv_run_t *run = FvRunner_Find(daemon->runner, ticket->member, key);
+    fv_job_waiter_t *waiter = FvJobWaiter_New(
+        ticket, NULL, limit_wait(ticket->wait_ms), true);
+
+    if (run != NULL) {
+        uint64_t serial = run->serial;
+
+        FvRun_Cancel(run);
+        /* The cancellation may have lost the claim and removed the run. */
+        run = FvRunner_Find(daemon->runner, ticket->member, key);
+        if (run != NULL && run->serial == serial) {
+            FvRun_Attach(run, waiter);
+            return;
+        }
+    }
+    waiter->cancel = true;
+    FvJobView_Attach(daemon->runner, ticket->member, key, waiter);
+}
+
+static void
+reply_absent(fv_runner_t *runner, const fv_message_t *request,
+             const fv_reply_to_t *to)
+{
+    fv_message_t message = {.type = Fv_MESSAGE_JOB};
+
+    message.body.document.text = strdup("{\"state\": \"absent\"}");
+    FvText_Copy(message.body.document.member, Fv_NAME_SIZE,
+                request->body.document.member);
+    FvText_Copy(message.body.document.key, Fv_KEY_SIZE,
+                request->body.document.key);
+    FvPeers_Reply(runner->daemon->peers, to, &message);
+}
+
+/**
+ * FvRunner_OnJobStatus - another host asks for a job of this host
+ * @runner: the runner
+ * @request: the request
+ * @to: where the reply goes
+ */
+void
+FvRunner_OnJobStatus(fv_runner_t *runner, const fv_message_t *request,
+                     const fv_reply_to_t *to)
+{
+    fv_run_t *run = FvRunner_Find(runner, request->body.document.member,
+                                  request->body.document.key);
+    json_t *question = json_loads(request->body.document.text, 0, NULL);
+    int64_t wait_ms = limit_wait(FvJson_Int(question, "wait_ms", 0));
+
+    json_decref(question);
+    if (run == NULL) {
+        reply_absent(runner, request, to);
+        return;
+    }
+    FvRun_Attach(run, FvJobWaiter_New(NULL, to, wait_ms, false));
+}
+
+/**
+ * FvRunner_OnJobCancel - another host's caller cancels a job of this host
+ * @runner: the runner
+ * @request: the request
+ * @to: where the reply goes
+ */
+void
+FvRunner_OnJobCancel(fv_runner_t *runner, const fv_message_t *request,
+                     const fv_reply_to_t *to)
+{
+    fv_run_t *run = FvRunner_Find(runner, request->body.document.member,
+                                  request->body.document.key);
+
+    if (run != NULL) {
+        FvRun_Cancel(run);
+    }
+    FvRunner_OnJobStatus(runner, request, to);
+}
--- /dev/null
+++ b/src/cell.c
@@ -0,0 +1,48 @@
+/*
+ * What this host knows of the cell as a whole.
+ */
+
+#include "daemon.h"
+
+static bool
+fits_idle_worker(const fv_policy_t *policy, const fv_resources_t *capacity,
+                 const fv_resources_t *size)
+{
+    fv_worker_t idle = {.capacity = *capacity, .free = *capacity};
+    fv_resources_t usable;
+
+    policy->usable(&idle, &usable);
+    return FvResources_Fits(size, &usable);
+}
+
+/**
+ * FvCell_CanEverFit - whether a task could run on some worker when idle
+ * @daemon: the daemon
+ * @workload: the task's workload
+ *
+ * Says no only when the leases of all listed workers are accounted for by
+ * hosts heard from lately; what is not known may fit.
+ *
+ * Return: false when no worker is large enough.
+ */
+bool
+FvCell_CanEverFit(const fv_daemon_t *daemon, const fv_workload_t *workload)
+{
+    const fv_policy_t *policy = FvPolicy_ForClass(workload->class_id);
+    int64_t now_ms = FvClock_NowMs();
+    uint32_t held = 0;
+
+    for (uint32_t i = 0; i < daemon->hosts.count; i++) {
+        const fv_host_t *host = daemon->hosts.entries[i];
+
+        if (!FvHost_IsAlive(host, daemon->self, now_ms)) {
+            continue;
+        }
+        held += (uint32_t)host->digest.held;
+        if (fits_idle_worker(policy, &host->digest.largest_capacity,
+                             &workload->size)) {
+            return true;
+        }
+    }
+    return held == 0 || held < FvHolder_CountListed(daemon->holder);
+}
--- a/src/claim.c
+++ b/src/claim.c
@@ -95,7 +95,7 @@
     const char *state = FvJobState_Name(job->state);
     json_t *record = json_pack(
         "{s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:o, s:I, s:I, s:I, "
-        "s:I, s:i, s:o, s:b}",
+        "s:I, s:i, s:o, s:b, s:b}",
         "member", job->member, "key", job->key, "holder", run->claim.holder,
         "incarnation", run->claim.incarnation, "nonce", run->claim.nonce,
         "digest", job->body_digest, "state", state, "outcome",
@@ -106,7 +106,7 @@
         (json_int_t)job->deadline_ms, "started_ms",
         (json_int_t)run->claim.started_ms, "attempts", (int)job->attempts,
         "workers", describe_workers(run), "cancel",
-        (int)job->cancel_requested);
+        (int)job->cancel_requested, "ran", (int)run->ever_ran);
 
     if (record == NULL) {
         abort();
@@ -192,6 +192,7 @@
     job->deadline_ms = FvJson_Int(record, "deadline_ms", 0);
     job->attempts = (int32_t)FvJson_Int(record, "attempts", 0);
     job->cancel_requested = FvJson_Bool(record, "cancel", false);
+    run->ever_ran = FvJson_Bool(record, "ran", false);
     run->claim.started_ms = FvJson_Int(record, "started_ms", 0);
     job->state = strcmp(state, "running") == 0 ? Fv_JOB_RUNNING
                                                : Fv_JOB_QUEUED;
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -204,6 +204,7 @@
     fv_task_state_t state;
     fv_refusal_t refusal;
     int64_t ran_ms;
+    int64_t uptime_ms; /* of the worker process */
     fv_resources_t used;
     size_t answer_length; /* of the whole answer */
     uint64_t answer_hash; /* XXH64 of the whole answer */
@@ -454,6 +455,8 @@
 void FvHolder_RemoveTask(fv_holding_t *holding, fv_task_t *task);
 void FvHolder_Drain(fv_holder_t *holder);
 bool FvHolder_IsDrained(const fv_holder_t *holder);
+void FvHolder_Summarize(const fv_holder_t *holder, fv_digest_t *digest);
+uint32_t FvHolder_CountListed(const fv_holder_t *holder);
 json_t *FvHolder_ToJson(const fv_holder_t *holder);
 
 /* holder-tasks.c: requests for the workers whose leases this host holds. */
@@ -514,8 +517,14 @@
 
 fv_ledger_t *FvLedger_New(fv_daemon_t *daemon);
 void FvLedger_Free(fv_ledger_t *ledger);
+void FvLedger_Flush(fv_ledger_t *ledger);
+bool FvLedger_IsFlushed(const fv_ledger_t *ledger);
 void FvLedger_ReadUsage(fv_ledger_t *ledger, fv_ticket_t *ticket);
 
+/* cell.c: what is known of the cell as a whole. */
+bool FvCell_CanEverFit(const fv_daemon_t *daemon,
+                       const fv_workload_t *workload);
+
 /* serve.c: the daemon as a whole. */
 struct fv_daemon {
     fv_settings_t settings;
--- /dev/null
+++ b/src/digest.c
@@ -0,0 +1,124 @@
+/*
+ * Sends this host's digest, which is also its heartbeat, to its peers.
+ */
+
+#include "daemon.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define Fv_DIGEST_INTERVAL_MS 500
+/* Traffic across regions is paid by volume: every fourth digest goes there. */
+#define Fv_DIGEST_REMOTE_EVERY 4
+/* Keeps a digest below 1,024 bytes; the rest follows in the next ones. */
+#define Fv_DIGEST_MEMBERS_MAX 12
+
+struct fv_digest_sender {
+    fv_daemon_t *daemon;
+    fv_timer_t timer;
+    uint64_t count;
+    uint32_t next_member; /* index of the first contract to report */
+};
+
+static bool
+add_usage(fv_digest_t *digest, const fv_shares_t *shares, const char *member)
+{
+    fv_resources_t used = {0};
+
+    FvShares_Local(shares, member, &used);
+    FvText_Copy(digest->usage[digest->usage_count].member, Fv_NAME_SIZE,
+                member);
+    digest->usage[digest->usage_count].used = used;
+    digest->usage_count++;
+    return digest->usage_count < Fv_DIGEST_MEMBERS_MAX;
+}
+
+/* Reports the members in turn, so that each is told again within
+ * members / Fv_DIGEST_MEMBERS_MAX digests. */
+static void
+fill_usage(fv_digest_sender_t *sender, fv_digest_t *digest)
+{
+    const fv_config_t *config = FvConfig_Read();
+    uint32_t count = config ? config->contract_count : 0;
+    uint32_t told = 0;
+
+    digest->usage_count = 0;
+    while (told < count) {
+        uint32_t index = (sender->next_member + told) % count;
+
+        told++;
+        if (!add_usage(digest, sender->daemon->shares,
+                       config->contracts[index].member)) {
+            break;
+        }
+    }
+    sender->next_member = count ? (sender->next_member + told) % count : 0;
+}
+
+static void
+fill_digest(fv_digest_sender_t *sender, fv_digest_t *digest)
+{
+    fv_daemon_t *daemon = sender->daemon;
+    int64_t now_ms = FvClock_NowMs();
+
+    digest->config_version = FvConfig_Version();
+    digest->draining = atomic_load(&daemon->draining);
+    digest->received_ms = now_ms;
+    FvRunner_QueueCounts(daemon->runner, digest->queued);
+    FvHolder_Summarize(daemon->holder, digest);
+    FvPlacement_Summarize(daemon->holder->placement, digest, now_ms);
+    fill_usage(sender, digest);
+}
+
+static void
+send_digests(void *owner)
+{
+    fv_digest_sender_t *sender = owner;
+    fv_daemon_t *daemon = sender->daemon;
+    fv_message_t message = {.type = Fv_MESSAGE_DIGEST};
+    bool remote = sender->count++ % Fv_DIGEST_REMOTE_EVERY == 0;
+
+    fill_digest(sender, &daemon->self->digest);
+    message.body.digest = &daemon->self->digest;
+    for (uint32_t i = 0; i < daemon->hosts.count; i++) {
+        const fv_host_t *host = daemon->hosts.entries[i];
+        bool near = strcmp(host->region, daemon->self->region) == 0;
+
+        if (host != daemon->self && (near || remote)) {
+            FvPeers_Notify(daemon->peers, host->name, &message);
+        }
+    }
+    FvLoop_SetTimer(daemon->loop, &sender->timer,
+                    FvClock_NowMs() + Fv_DIGEST_INTERVAL_MS);
+}
+
+/**
+ * FvDigestSender_New - start sending digests
+ * @daemon: the daemon
+ *
+ * Return: the sender, or NULL when memory is exhausted.
+ */
+fv_digest_sender_t *
+FvDigestSender_New(fv_daemon_t *daemon)
+{
+    fv_digest_sender_t *sender = calloc(1, sizeof(*sender));
+
+    if (sender == NULL) {
+        return NULL;
+    }
+    sender->daemon = daemon;
+    sender->timer.fire = send_digests;
+    sender->timer.owner = sender;
+    FvLoop_SetTimer(daemon->loop, &sender->timer, FvClock_NowMs());
+    return sender;
+}
+
+/**
+ * FvDigestSender_Free - release the sender
+ * @sender: the sender, or NULL
+ */
+void
+FvDigestSender_Free(fv_digest_sender_t *sender)
+{
+    free(sender);
+}
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -517,7 +517,9 @@
     uint64_t config_version;
     int64_t received_ms;
     bool draining;
-    int32_t workers;
+    int32_t workers; /* that accept tasks */
+    int32_t held;    /* whose leases the host holds */
+    fv_resources_t largest_capacity; /* each amount on its own */
     int32_t queued[Fv_CLASS_COUNT];
     fv_resources_t free_total;
     fv_resources_t free_largest; /* the largest free worker */
--- a/src/holder-tasks.c
+++ b/src/holder-tasks.c
@@ -88,6 +88,16 @@
         &request->size, request->id, FvClock_NowMs());
 }
 
+static fv_refusal_t
+why_no_worker(const fv_holder_t *holder, const fv_task_request_t *request)
+{
+    const fv_policy_t *policy = FvPolicy_ForClass(request->class_id);
+
+    return FvPlacement_CanEverFit(holder->placement, policy, &request->size)
+               ? Fv_REFUSAL_NO_CAPACITY
+               : Fv_REFUSAL_NEVER_FITS;
+}
+
 static bool
 reserve_one(fv_holder_t *holder, const fv_task_request_t *request,
             int32_t index, fv_reserved_t *reserved)
@@ -137,9 +147,7 @@
     }
     if (reserved.count == 0) {
         reserved.refusal =
-            FvPlacement_CanEverFit(holder->placement, &request->size)
-                ? Fv_REFUSAL_NO_CAPACITY
-                : Fv_REFUSAL_NEVER_FITS;
+            why_no_worker(holder, request);
     }
     reply_reserved(holder, to, &reserved);
 }
@@ -275,6 +283,9 @@
     else if (error == Fv_UPSTREAM_OK) {
         FvQuarantine_Succeeded(quarantine);
     }
+    else {
+        FvQuarantine_Abandoned(quarantine);
+    }
 }
 
 static void
@@ -362,9 +373,7 @@
     }
     worker = choose_worker(holder, request);
     if (worker == NULL) {
-        *refusal = FvPlacement_CanEverFit(holder->placement, &request->size)
-                       ? Fv_REFUSAL_NO_CAPACITY
-                       : Fv_REFUSAL_NEVER_FITS;
+        *refusal = why_no_worker(holder, request);
         return NULL;
     }
     describe_task(request, request->id, Fv_TASK_STARTING, &task);
--- a/src/holder.c
+++ b/src/holder.c
@@ -123,22 +123,11 @@
     FvResources_Subtract(&holder->total, &worker->capacity);
     FvShares_SetCapacity(holder->daemon->shares, &holder->total);
     clear_ledger(holding);
-    worker->capacity = (fv_resources_t){0};
-    worker->free = (fv_resources_t){0};
+    FvWorker_SetCapacity(worker, &(fv_resources_t){0});
     worker->seen_sequence = 0;
     FvHolder_DropWaiters(holding);
 }
 
-static void
-set_capacity(fv_holding_t *holding, const fv_resources_t *capacity)
-{
-    fv_worker_t *worker = holding->worker;
-
-    FvResources_Subtract(&worker->free, &worker->capacity);
-    FvResources_Add(&worker->free, capacity);
-    worker->capacity = *capacity;
-}
-
 static void
 gain_lease(fv_holding_t *holding, const fv_lease_reply_t *reply)
 {
@@ -147,7 +136,7 @@
 
     FvLease_Granted(&worker->lease, reply->term, holding->sent_ns,
                     FvClock_NowNs(), (int32_t)reply->ttl_ms);
-    set_capacity(holding, &reply->capacity);
+    FvWorker_SetCapacity(worker, &reply->capacity);
     worker->connections = reply->connections;
     FvResources_Add(&holder->total, &worker->capacity);
     FvShares_SetCapacity(holder->daemon->shares, &holder->total);
@@ -621,6 +610,67 @@
     return true;
 }
 
+static void
+raise_to(fv_resources_t *largest, const fv_resources_t *other)
+{
+    if (other->cpu_millis > largest->cpu_millis) {
+        largest->cpu_millis = other->cpu_millis;
+    }
+    if (other->memory_bytes > largest->memory_bytes) {
+        largest->memory_bytes = other->memory_bytes;
+    }
+    if (other->accelerators > largest->accelerators) {
+        largest->accelerators = other->accelerators;
+    }
+    if (other->slots > largest->slots) {
+        largest->slots = other->slots;
+    }
+}
+
+/**
+ * FvHolder_Summarize - fill in what a digest says of the leases held
+ * @holder: the holder
+ * @digest: the digest
+ */
+void
+FvHolder_Summarize(const fv_holder_t *holder, fv_digest_t *digest)
+{
+    fv_holding_t *holding;
+    fv_holding_t *next;
+
+    digest->held = 0;
+    digest->largest_capacity = (fv_resources_t){0};
+    HASH_ITER(hh, holder->holdings, holding, next)
+    {
+        if (holding->worker->lease.held) {
+            digest->held++;
+            raise_to(&digest->largest_capacity, &holding->worker->capacity);
+        }
+    }
+}
+
+/**
+ * FvHolder_CountListed - number of workers in the platform's list
+ * @holder: the holder
+ *
+ * Return: the number, without workers that leave.
+ */
+uint32_t
+FvHolder_CountListed(const fv_holder_t *holder)
+{
+    uint32_t count = 0;
+    fv_holding_t *holding;
+    fv_holding_t *next;
+
+    HASH_ITER(hh, holder->holdings, holding, next)
+    {
+        if (holding->worker->listed && !holding->worker->leaving) {
+            count++;
+        }
+    }
+    return count;
+}
+
 static json_t *
 describe_worker(const fv_holding_t *holding)
 {
--- /dev/null
+++ b/src/runner-wait.c
@@ -0,0 +1,179 @@
+/*
+ * Callers, and other hosts on behalf of theirs, that wait for a job's end.
+ */
+
+#include "runner.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Fits a frame between hosts in base64; larger answers come from the
+ * worker. */
+#define Fv_WAIT_INLINE_ANSWER_BYTES (256 * 1024)
+
+static void
+reply_ticket(const fv_job_waiter_t *waiter, const fv_run_t *run)
+{
+    const fv_job_t *job = run->job;
+    fv_ticket_t *ticket = waiter->ticket;
+    json_t *document = FvRun_Describe(run);
+    bool ended = strcmp(FvJson_String(document, "state"), "ended") == 0;
+
+    FvText_Copy(ticket->job, sizeof(ticket->job), job->key);
+    FvText_Copy(ticket->outcome, sizeof(ticket->outcome),
+                FvJson_String(document, "outcome"));
+    if (ended && ticket->raw_answer && job->outcome == Fv_OUTCOME_DONE) {
+        FvTicket_ReplyRaw(ticket, 200, job->answer, job->answer_length);
+        json_decref(document);
+        return;
+    }
+    FvTicket_ReplyJson(ticket, ended || !waiter->submitted ? 200 : 202,
+                       document);
+}
+
+static void
+reply_peer(const fv_job_waiter_t *waiter, const fv_run_t *run)
+{
+    const fv_job_t *job = run->job;
+    fv_message_t message = {.type = Fv_MESSAGE_JOB};
+    json_t *document = FvRun_Describe(run);
+
+    json_object_set_new(document, "digest", json_string(job->body_digest));
+    if (run->phase == Fv_RUN_ENDED && job->answer != NULL &&
+        job->answer_length <= Fv_WAIT_INLINE_ANSWER_BYTES) {
+        char *text = FvText_Base64(job->answer, job->answer_length);
+
+        json_object_set_new(document, "answer_base64", json_string(text));
+        free(text);
+    }
+    message.body.document.text = json_dumps(document, JSON_COMPACT);
+    FvText_Copy(message.body.document.member, Fv_NAME_SIZE, job->member);
+    FvText_Copy(message.body.document.key, Fv_KEY_SIZE, job->key);
+    json_decref(document);
+    FvPeers_Reply(run->runner->daemon->peers, &waiter->peer, &message);
+}
+
+static void
+reply_waiter(const fv_job_waiter_t *waiter, const fv_run_t *run)
+{
+    if (waiter->ticket != NULL) {
+        reply_ticket(waiter, run);
+    }
+    else {
+        reply_peer(waiter, run);
+    }
+}
+
+static void
+remove_waiter(fv_job_waiter_t *waiter)
+{
+    fv_job_waiter_t **place = &waiter->run->waiters;
+
+    while (*place != waiter) {
+        place = &(*place)->next;
+    }
+    *place = waiter->next;
+    FvLoop_CancelTimer(waiter->run->runner->daemon->loop, &waiter->timer);
+    free(waiter);
+}
+
+static void
+fire_waiter(void *owner)
+{
+    fv_job_waiter_t *waiter = owner;
+
+    reply_waiter(waiter, waiter->run);
+    remove_waiter(waiter);
+}
+
+/**
+ * FvRun_Attach - let an existing waiter wait for a job of this host
+ * @run: the job
+ * @waiter: the waiter, with its time limit set; taken over
+ */
+void
+FvRun_Attach(fv_run_t *run, fv_job_waiter_t *waiter)
+{
+    bool told = run->phase == Fv_RUN_ENDED ||
+                FvClock_NowMs() >= waiter->until_ms;
+
+    if (told) {
+        reply_waiter(waiter, run);
+        free(waiter);
+        return;
+    }
+    waiter->run = run;
+    waiter->timer.fire = fire_waiter;
+    waiter->timer.owner = waiter;
+    waiter->next = run->waiters;
+    run->waiters = waiter;
+    FvLoop_SetTimer(run->runner->daemon->loop, &waiter->timer,
+                    waiter->until_ms);
+}
+
+/**
+ * FvJobWaiter_New - make a waiter
+ * @ticket: a caller of this host, or NULL
+ * @peer: another host's request; used when there is no ticket
+ * @wait_ms: how long to wait
+ * @submitted: whether a job that has not ended is answered with 202
+ *
+ * Return: the waiter.
+ */
+fv_job_waiter_t *
+FvJobWaiter_New(fv_ticket_t *ticket, const fv_reply_to_t *peer,
+                int64_t wait_ms, bool submitted)
+{
+    fv_job_waiter_t *waiter = calloc(1, sizeof(*waiter));
+
+    if (waiter == NULL) {
+        abort();
+    }
+    waiter->ticket = ticket;
+    if (peer != NULL) {
+        waiter->peer = *peer;
+    }
+    waiter->until_ms = FvClock_NowMs() + wait_ms;
+    waiter->submitted = submitted;
+    return waiter;
+}
+
+/**
+ * FvRun_ReplyWaiters - tell all waiters how the job ended
+ * @run: the job
+ */
+void
+FvRun_ReplyWaiters(fv_run_t *run)
+{
+    while (run->waiters != NULL) {
+        fv_job_waiter_t *waiter = run->waiters;
+
+        reply_waiter(waiter, run);
+        remove_waiter(waiter);
+    }
+}
+
+/**
+ * FvRun_RefuseWaiters - answer all callers with an error
+ * @run: the job
+ * @status: the HTTP status
+ * @outcome: the outcome to name, or ""
+ * @detail: what is wrong
+ */
+void
+FvRun_RefuseWaiters(fv_run_t *run, int32_t status, const char *outcome,
+                    const char *detail)
+{
+    while (run->waiters != NULL) {
+        fv_job_waiter_t *waiter = run->waiters;
+
+        if (waiter->ticket != NULL) {
+            FvTicket_ReplyProblem(waiter->ticket, status, outcome, 0, "%s",
+                                  detail);
+        }
+        else {
+            reply_peer(waiter, run);
+        }
+        remove_waiter(waiter);
+    }
+}
--- a/src/runner.c
+++ b/src/runner.c
@@ -16,6 +16,8 @@
 #define Fv_RUNNER_KEEP_RUNS 20000
 #define Fv_RUNNER_RETENTION_S (24 * 3600)
 #define Fv_RUNNER_RETENTION_RENEW_MS (3600 * 1000)
+/* Capacity may come free at any time; longer waits would leave it idle. */
+#define Fv_RUNNER_BACKOFF_MAX_MS 500
 /* An answer that was lost once is asked for at this pace. */
 #define Fv_RUNNER_RETENTION_RETRY_MS 5000
 
@@ -128,7 +130,10 @@
     fv_loop_t *loop = run->runner->daemon->loop;
 
     for (int32_t i = 0; i < run->task_count; i++) {
-        FvLoop_CancelTimer(loop, &run->tasks[i].timer);
+        if (run->tasks[i].timer.armed) {
+            FvLoop_CancelTimer(loop, &run->tasks[i].timer);
+            free(run->tasks[i].timer.owner);
+        }
         free(run->tasks[i].answer);
     }
     free(run->tasks);
@@ -152,7 +157,6 @@
     }
     run->task_count = count;
     run->tasks_pending = 0;
-    run->gang_failed = false;
     run->hops = 0;
     memset(run->refused_by, 0, sizeof(run->refused_by));
 }
@@ -262,6 +266,7 @@
     job->state = Fv_JOB_QUEUED;
     run->phase = Fv_RUN_QUEUED;
     FvRun_ResetTasks(run);
+    arm_deadline(run);
     FvRunner_Wake(runner);
     return true;
 }
@@ -276,6 +281,9 @@
     int64_t delay_ms = FvRetry_BackoffMs(++run->backoffs,
                                          randombytes_random());
 
+    if (delay_ms > Fv_RUNNER_BACKOFF_MAX_MS) {
+        delay_ms = Fv_RUNNER_BACKOFF_MAX_MS;
+    }
     leave_queue(run);
     run->phase = Fv_RUN_BACKOFF;
     run->job->state = Fv_JOB_QUEUED;
@@ -393,7 +401,13 @@
     }
     if (job->start_before_ms != 0 &&
         FvClock_WallMs() >= job->start_before_ms) {
-        FvRun_End(run, Fv_OUTCOME_NOT_RUN, "not started by its deadline");
+        if (run->ever_ran) {
+            FvRun_End(run, Fv_OUTCOME_FAILED,
+                      "stopped, and not started again by its deadline");
+        }
+        else {
+            FvRun_End(run, Fv_OUTCOME_NOT_RUN, "not started by its deadline");
+        }
         return true;
     }
     return false;
--- a/src/runner.h
+++ b/src/runner.h
@@ -57,6 +57,8 @@
     fv_ticket_t *ticket;  /* a caller of this host, or */
     fv_reply_to_t peer;   /* another host on behalf of its caller */
     bool submitted;       /* answered with 202 when the wait is over */
+    bool cancel;          /* the job is to be cancelled, not only watched */
+    int64_t until_ms;     /* boot */
     fv_timer_t timer;
     struct fv_job_waiter *next;
 } fv_job_waiter_t;
@@ -77,7 +79,7 @@
     int32_t hops;        /* hosts asked since the job was last queued */
     int32_t backoffs;
     char refused_by[4][Fv_NAME_SIZE];
-    bool gang_failed; /* a task of the attempt surely did not start */
+    bool ever_ran; /* a task of any attempt has, or may have, started */
     fv_timer_t timer;
     fv_timer_t deadline;
     fv_job_waiter_t *waiters;
@@ -131,9 +133,10 @@
 json_t *FvRun_Describe(const fv_run_t *run);
 
 /* runner-wait.c */
-void FvRun_AddWaiter(fv_run_t *run, fv_ticket_t *ticket,
-                     const fv_reply_to_t *peer, int64_t wait_ms,
-                     bool submitted);
+fv_job_waiter_t *FvJobWaiter_New(fv_ticket_t *ticket,
+                                 const fv_reply_to_t *peer, int64_t wait_ms,
+                                 bool submitted);
+void FvRun_Attach(fv_run_t *run, fv_job_waiter_t *waiter);
 void FvRun_ReplyWaiters(fv_run_t *run);
 void FvRun_RefuseWaiters(fv_run_t *run, int32_t status, const char *outcome,
                          const char *detail);
@@ -192,7 +195,7 @@
 void FvRecovery_OnHosts(fv_recovery_t *recovery);
 void FvRecovery_Adopt(fv_runner_t *runner, const char *member,
                       const char *key, const json_t *record,
-                      int64_t revision, fv_run_t *run);
+                      int64_t revision);
 bool FvRecovery_IsGone(const fv_runner_t *runner, const char *holder,
                        const char *incarnation);
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -232,6 +232,7 @@
         error = Fv_UPSTREAM_MALFORMED;
     }
     reply->ran_ms = FvJson_Int(body, "ran_ms", 0);
+    reply->uptime_ms = FvJson_Int(body, "uptime_ms", 0);
     FvResources_FromJson(json_object_get(body, "used"), &reply->used);
     json_decref(body);
     return error;
--- a/src/wire.c
+++ b/src/wire.c
@@ -259,6 +259,8 @@
     msgpack_pack_uint64(packer, digest->config_version);
     pack_bool(packer, digest->draining);
     msgpack_pack_int32(packer, digest->workers);
+    msgpack_pack_int32(packer, digest->held);
+    pack_resources(packer, &digest->largest_capacity);
     msgpack_pack_array(packer, Fv_CLASS_COUNT);
     for (int i = 0; i < Fv_CLASS_COUNT; i++) {
         msgpack_pack_int32(packer, digest->queued[i]);
@@ -289,6 +291,8 @@
     digest->config_version = read_u64(reader);
     digest->draining = read_bool(reader);
     digest->workers = (int32_t)read_int(reader, 0, INT32_MAX);
+    digest->held = (int32_t)read_int(reader, 0, INT32_MAX);
+    read_resources(reader, &digest->largest_capacity);
     queued = read_array(reader);
     for (int i = 0; i < Fv_CLASS_COUNT; i++) {
         digest->queued[i] = (int32_t)read_int(&queued, 0, INT32_MAX);
@@ -401,6 +405,7 @@
     msgpack_pack_int32(packer, (int32_t)reply->state);
     msgpack_pack_int32(packer, (int32_t)reply->refusal);
     msgpack_pack_int64(packer, reply->ran_ms);
+    msgpack_pack_int64(packer, reply->uptime_ms);
     pack_resources(packer, &reply->used);
     msgpack_pack_uint64(packer, reply->answer_length);
     msgpack_pack_uint64(packer, reply->answer_hash);
@@ -417,6 +422,7 @@
     reply->state = (fv_task_state_t)read_int(reader, 0, Fv_TASK_UNKNOWN);
     reply->refusal = (fv_refusal_t)read_int(reader, 0, Fv_REFUSAL_IN_DOUBT);
     reply->ran_ms = read_int(reader, 0, INT64_MAX);
+    reply->uptime_ms = read_int(reader, 0, INT64_MAX);
     read_resources(reader, &reply->used);
     reply->answer_length = (size_t)read_int(reader, 0, Fv_ANSWER_MAX_BYTES);
     reply->answer_hash = read_u64(reader);
@@ -467,7 +473,7 @@
     }
 #define Fv_TASK_REPLY_CODEC                                                   \
     {                                                                         \
-        .fields = 9, .pack = pack_task_reply, .unpack = unpack_task_reply     \
+        .fields = 10, .pack = pack_task_reply, .unpack = unpack_task_reply     \
     }
 #define Fv_DOCUMENT_CODEC                                                     \
     {                                                                         \
@@ -478,7 +484,7 @@
     [Fv_MESSAGE_CHALLENGE] = Fv_HELLO_CODEC,
     [Fv_MESSAGE_HELLO] = Fv_HELLO_CODEC,
     [Fv_MESSAGE_WELCOME] = Fv_HELLO_CODEC,
-    [Fv_MESSAGE_DIGEST] = {.fields = 8,
+    [Fv_MESSAGE_DIGEST] = {.fields = 10,
                            .pack = pack_digest,
                            .unpack = unpack_digest},
     [Fv_MESSAGE_RESERVE] = Fv_TASK_REQUEST_CODEC,
