Add the HTTP server, tickets and the route table

Cause: callers and operators need an interface that bad input, slow senders and vanished callers cannot block. Change: CivetWeb serves callers; a request that passes authentication and all limits becomes a ticket, which the scheduler answers.

--- a/src/daemon.h
+++ b/src/daemon.h
@@ -49,11 +49,16 @@
     /* Private to ticket.c. */
     pthread_mutex_t lock;
     pthread_cond_t replied;
-    bool done;
+    bool done;     /* a reply is present, or the wait was given up */
+    bool answered; /* the scheduler has replied */
+    bool ran;      /* the event was run, not dropped by a stopped loop */
     atomic_int references;
 };
 
-/* The scheduler's side. Each takes over its arguments and replies once. */
+/*
+ * The scheduler's side. Each replies once. A JSON reply is taken over, raw
+ * data is copied.
+ */
 void FvTicket_ReplyJson(fv_ticket_t *ticket, int32_t status, json_t *reply);
 void FvTicket_ReplyRaw(fv_ticket_t *ticket, int32_t status,
                        const uint8_t *data, size_t length);
@@ -64,14 +69,58 @@
 
 /* The HTTP thread's side. */
 fv_ticket_t *FvTicket_New(fv_daemon_t *daemon, const fv_route_t *route);
+bool FvTicket_Post(fv_ticket_t *ticket);
 void FvTicket_Wait(fv_ticket_t *ticket);
 void FvTicket_Release(fv_ticket_t *ticket);
 
+/* http-reply.c: writes responses; used on HTTP threads. */
+struct mg_connection;
+
+typedef struct fv_http_reply {
+    int32_t status;
+    const char *content_type;
+    const void *body;
+    size_t length;
+    int64_t retry_after_ms; /* Retry-After when positive */
+    const char *job;        /* Fireflyvalve-Job, or NULL */
+    const char *outcome;    /* Fireflyvalve-Outcome, or NULL */
+    const char *allow;      /* Allow, or NULL */
+    bool close;             /* the connection is not used again */
+    bool head;              /* only the headers */
+} fv_http_reply_t;
+
+const char *FvHttpReply_StatusText(int32_t status);
+json_t *FvHttpReply_MakeProblem(int32_t status, const char *outcome,
+                                int64_t retry_after_ms, const char *detail);
+void FvHttpReply_Send(struct mg_connection *connection,
+                      const fv_http_reply_t *reply);
+void FvHttpReply_SendProblem(struct mg_connection *connection,
+                             const fv_http_reply_t *reply, const char *format,
+                             ...) __attribute__((format(printf, 3, 4)));
+void FvHttpReply_SendTicket(struct mg_connection *connection,
+                            const fv_ticket_t *ticket, bool close);
+
+/* A request's header, and each part of its body, must arrive in this time. */
+#define Fv_HTTP_READ_TIMEOUT_MS 2000
+
+/* http-body.c: reads a request body within limits of size and time. */
+typedef enum fv_http_body_error {
+    Fv_HTTP_BODY_OK,
+    Fv_HTTP_BODY_TOO_LARGE,
+    Fv_HTTP_BODY_SLOW,
+    Fv_HTTP_BODY_TRUNCATED,
+    Fv_HTTP_BODY_NO_MEMORY
+} fv_http_body_error_t;
+
+fv_http_body_error_t FvHttpBody_Read(struct mg_connection *connection,
+                                     fv_buffer_t *body);
+
 /* http-server.c: CivetWeb, authentication, limits, the route table. */
 struct fv_route {
     const char *method;
-    const char *pattern; /* "/v1/jobs/" "*" "/answer": * is one segment */
-    bool needs_config;   /* 503 while no configuration is active */
+    const char *pattern;   /* "/v1/jobs/" "*" "/answer": * is one segment */
+    bool needs_config;     /* 503 while no configuration is active */
+    bool refused_in_drain; /* 503 once the shutdown has begun */
     void (*handle)(fv_daemon_t *daemon, fv_ticket_t *ticket);
 };
 
