--- /dev/null
+++ b/tests/unit/member_test.c
@@ -0,0 +1,81 @@
+/*
+ * Only the exact token of a member authenticates it, and no fault message
+ * shows a token.
+ */
+
+#include "fireflyvalve.h"
+#include "suite.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define TOKEN_A "auckland-secret-0001"
+#define TOKEN_B "otago-secret-0000002"
+
+static fv_tokens_t *
+load(const char *text, char reason[Fv_REASON_SIZE])
+{
+    char path[] = "/tmp/fireflyvalve-tokens-XXXXXX";
+    int fd = mkstemp(path);
+    fv_tokens_t *tokens;
+
+    CU_ASSERT_EQUAL_FATAL(write(fd, text, strlen(text)),
+                          (ssize_t)strlen(text));
+    close(fd);
+    tokens = FvTokens_Load(path, reason);
+    unlink(path);
+    return tokens;
+}
+
+static void
+test_tokens_name_their_member(void)
+{
+    char reason[Fv_REASON_SIZE];
+    char member[Fv_NAME_SIZE] = "";
+    fv_tokens_t *tokens = load("[tokens]\nauckland = \"" TOKEN_A "\"\n"
+                               "otago = \"" TOKEN_B "\"\n",
+                               reason);
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(tokens);
+    CU_ASSERT_TRUE(FvTokens_Authenticate(tokens, TOKEN_B, member));
+    CU_ASSERT_STRING_EQUAL(member, "otago");
+    CU_ASSERT_FALSE(FvTokens_Authenticate(tokens, TOKEN_B "x", member));
+    CU_ASSERT_FALSE(FvTokens_Authenticate(tokens, "", member));
+    FvTokens_Free(tokens);
+}
+
+static void
+test_faulty_files_are_refused(void)
+{
+    static const char *const files[] = {
+        "",
+        "[tokens]\n",
+        "tokens = 5\n",
+        "[tokens]\nauckland = \"short\"\n",
+        "[tokens]\nauckland = \"" TOKEN_A "\"\notago = \"" TOKEN_A "\"\n",
+        "[tokens]\n\"a b\" = \"" TOKEN_A "\"\n",
+        "[tokens]\nauckland = \"" TOKEN_A "\n",
+    };
+    char reason[Fv_REASON_SIZE];
+
+    for (size_t i = 0; i < sizeof(files) / sizeof(files[0]); i++) {
+        reason[0] = '\0';
+        CU_ASSERT_PTR_NULL(load(files[i], reason));
+        CU_ASSERT_NOT_EQUAL(strlen(reason), 0);
+        CU_ASSERT_PTR_NULL(strstr(reason, "secret"));
+        CU_ASSERT_PTR_NULL(strstr(reason, "short"));
+    }
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"a token names another member", test_tokens_name_their_member},
+        {"a faulty file is accepted or a token is shown",
+         test_faulty_files_are_refused},
+    };
+
+    return Fv_RUN_SUITE("member", cases);
+}
--- /dev/null
+++ b/tests/unit/questionnaire_test.c
@@ -0,0 +1,199 @@
+/*
+ * Faulty answers are refused completely and readably, before they become a
+ * contract that can't be met.
+ */
+
+#include "fireflyvalve.h"
+#include "sample_answers.h"
+#include "suite.h"
+
+#include <string.h>
+
+/* The faults of answers, given as JSON text. */
+static json_t *
+faults_of(const char *text)
+{
+    fv_answers_t answers;
+    json_t *faults = json_array();
+    json_t *document = json_loads(text, JSON_DECODE_ANY, NULL);
+    bool good = FvQuestionnaire_Read(document, &answers, faults);
+
+    CU_ASSERT_EQUAL(good, json_array_size(faults) == 0);
+    json_decref(document);
+    return faults;
+}
+
+static const json_t *
+find_fault(const json_t *faults, const char *path)
+{
+    size_t index;
+    const json_t *fault;
+
+    json_array_foreach(faults, index, fault)
+    {
+        if (strcmp(FvJson_String(fault, "path"), path) == 0) {
+            return fault;
+        }
+    }
+    return NULL;
+}
+
+static bool
+is_at_fault(const json_t *faults, const char *path)
+{
+    return find_fault(faults, path) != NULL;
+}
+
+static void
+test_sample_is_read(void)
+{
+    fv_answers_t answers;
+    json_t *document = json_loads(sample_answers, 0, NULL);
+    json_t *faults = json_array();
+
+    CU_ASSERT_TRUE(FvQuestionnaire_Read(document, &answers, faults));
+    CU_ASSERT_EQUAL(answers.workload_count, 3);
+    CU_ASSERT_EQUAL(answers.workloads[0].size.cpu_millis, 250);
+    CU_ASSERT_EQUAL(answers.workloads[0].start_within_ms, 200);
+    CU_ASSERT_EQUAL(answers.workloads[1].finish_within_ms, 28800000);
+    CU_ASSERT_EQUAL(answers.quota.memory_bytes, INT64_C(256) << 30);
+    json_decref(document);
+    json_decref(faults);
+}
+
+static void
+test_all_faults_are_reported(void)
+{
+    json_t *faults = faults_of(
+        "{\"weight\": 0, \"quota\": {\"processors\": \"many\", \"memory\":"
+        " \"1 GiB\"}, \"workloads\": [{\"name\": \"a b\", \"may_repeat\": 1,"
+        " \"someone_waits\": true, \"size\": {\"memory\": \"1 potato\"},"
+        " \"run_time\": \"90\", \"may_queu\": 5}]}");
+
+    CU_ASSERT_TRUE(is_at_fault(faults, "weight"));
+    CU_ASSERT_TRUE(is_at_fault(faults, "quota.processors"));
+    CU_ASSERT_TRUE(is_at_fault(faults, "quota.tasks"));
+    CU_ASSERT_TRUE(is_at_fault(faults, "workloads[0].name"));
+    CU_ASSERT_TRUE(is_at_fault(faults, "workloads[0].may_repeat"));
+    CU_ASSERT_TRUE(is_at_fault(faults, "workloads[0].may_overlap"));
+    CU_ASSERT_TRUE(is_at_fault(faults, "workloads[0].size.processors"));
+    CU_ASSERT_TRUE(is_at_fault(faults, "workloads[0].size.memory"));
+    CU_ASSERT_TRUE(is_at_fault(faults, "workloads[0].run_time"));
+    CU_ASSERT_TRUE(is_at_fault(faults, "workloads[0].may_queu"));
+    CU_ASSERT_EQUAL(json_array_size(faults), 10);
+    json_decref(faults);
+}
+
+static void
+test_faults_say_what_is_allowed(void)
+{
+    json_t *faults = faults_of("{\"weight\": 2000}");
+    const json_t *fault = find_fault(faults, "weight");
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(fault);
+    CU_ASSERT_STRING_EQUAL(FvJson_String(fault, "allowed"), "1 to 1000");
+    CU_ASSERT_TRUE(is_at_fault(faults, "quota"));
+    CU_ASSERT_TRUE(is_at_fault(faults, "workloads"));
+    json_decref(faults);
+}
+
+/* Sets fields of the sample's second workload, the rebuild. */
+static json_t *
+faults_of_rebuild(const char *changes)
+{
+    json_t *document = json_loads(sample_answers, 0, NULL);
+    json_t *patch = json_loads(changes, 0, NULL);
+    json_t *list = json_object_get(document, "workloads");
+    json_t *faults;
+    char *text;
+
+    json_object_update(json_array_get(list, 1), patch);
+    text = json_dumps(document, 0);
+    faults = faults_of(text);
+    free(text);
+    json_decref(patch);
+    json_decref(document);
+    return faults;
+}
+
+static void
+test_contradictions_are_found(void)
+{
+    static const struct {
+        const char *changes;
+        const char *path;
+    } cases[] = {
+        {"{\"someone_waits\": true, \"tasks_together\": 4}",
+         "workloads[1].tasks_together"},
+        {"{\"run_time\": \"9 h\"}", "workloads[1].finish_within"},
+        {"{\"start_within\": \"9 h\"}", "workloads[1].start_within"},
+        {"{\"until_stopped\": true}", "workloads[1].finish_within"},
+        {"{\"tasks_together\": 17}", "workloads[1].size"},
+        {"{\"name\": \"lookup\"}", "workloads[1].name"},
+        {"{\"size\": {\"processors\": 65, \"memory\": \"1 GiB\"}}",
+         "workloads[1].size"},
+        {"{\"size\": {\"processors\": 1, \"memory\": \"1 GiB\","
+         " \"accelerators\": 1}}",
+         "workloads[1].size"},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        json_t *faults = faults_of_rebuild(cases[i].changes);
+
+        CU_ASSERT_TRUE(is_at_fault(faults, cases[i].path));
+        json_decref(faults);
+    }
+}
+
+static void
+test_odd_documents_are_refused(void)
+{
+    static const char *const documents[] = {
+        "[]",
+        "\"text\"",
+        "{\"leaves\": \"yes\"}",
+        "{\"weight\": 1, \"quota\": 5, \"workloads\": [7, null, {}]}",
+        "{\"weight\": 1e400}",
+        "{\"weight\": 99999999999999}",
+    };
+
+    for (size_t i = 0; i < sizeof(documents) / sizeof(documents[0]); i++) {
+        json_t *faults = faults_of(documents[i]);
+
+        CU_ASSERT_TRUE(json_array_size(faults) > 0);
+        json_decref(faults);
+    }
+}
+
+static void
+test_quantities_do_not_overflow(void)
+{
+    int64_t value = 0;
+
+    CU_ASSERT_TRUE(FvQuestionnaire_ParseDuration("90min", &value));
+    CU_ASSERT_EQUAL(value, 5400000);
+    CU_ASSERT_FALSE(FvQuestionnaire_ParseDuration("-1 s", &value));
+    CU_ASSERT_FALSE(FvQuestionnaire_ParseDuration("1.5 h", &value));
+    CU_ASSERT_FALSE(
+        FvQuestionnaire_ParseDuration("9223372036854775807 d", &value));
+    CU_ASSERT_FALSE(
+        FvQuestionnaire_ParseMemory("99999999999999999999 MiB", &value));
+    CU_ASSERT_FALSE(FvQuestionnaire_ParseMemory("", &value));
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"good answers are read as meant", test_sample_is_read},
+        {"a fault hides another fault", test_all_faults_are_reported},
+        {"a fault does not say what is allowed",
+         test_faults_say_what_is_allowed},
+        {"contradicting answers pass", test_contradictions_are_found},
+        {"a malformed document passes or crashes",
+         test_odd_documents_are_refused},
+        {"a huge quantity wraps around", test_quantities_do_not_overflow},
+    };
+
+    return Fv_RUN_SUITE("questionnaire", cases);
+}
