--- a/tests/unit/config_test.c
+++ b/tests/unit/config_test.c
@@ -8,6 +8,7 @@
 #include "suite.h"
 
 #include <pthread.h>
+#include <sched.h>
 #include <string.h>
 #include <urcu.h>
 
@@ -84,6 +85,57 @@
     rcu_barrier();
 }
 
+static atomic_int step;
+
+static void
+wait_for_step(int wanted)
+{
+    while (atomic_load(&step) < wanted) {
+        sched_yield();
+    }
+}
+
+/* Keeps a snapshot while the next one is published. Returns non-NULL when it
+ * changed, as freed memory does. */
+static void *
+keep_snapshot(void *unused)
+{
+    const fv_config_t *config;
+    uint64_t version;
+    char digest[Fv_DIGEST_SIZE];
+    bool same;
+
+    rcu_register_thread();
+    rcu_read_lock();
+    config = FvConfig_Read();
+    version = config->version;
+    atomic_store(&step, 1);
+    wait_for_step(2);
+    FvConfig_Digest(config, digest);
+    same = config->version == version && strcmp(digest, config->digest) == 0;
+    rcu_read_unlock();
+    rcu_unregister_thread();
+    return same ? unused : &step;
+}
+
+static void
+test_reader_keeps_its_snapshot(void)
+{
+    uint64_t version = FvConfig_Version();
+    pthread_t reader;
+    void *fault = NULL;
+
+    CU_ASSERT_TRUE(publish(version + 1));
+    CU_ASSERT_EQUAL_FATAL(pthread_create(&reader, NULL, keep_snapshot, NULL),
+                          0);
+    wait_for_step(1);
+    CU_ASSERT_TRUE(publish(version + 2));
+    atomic_store(&step, 2);
+    pthread_join(reader, &fault);
+    CU_ASSERT_PTR_NULL(fault);
+    rcu_barrier();
+}
+
 static void
 test_digest_must_match(void)
 {
@@ -105,8 +157,8 @@
 main(void)
 {
     static const test_case_t cases[] = {
-        {"the snapshot reverts or is freed under a reader",
-         test_version_only_rises},
+        {"the version falls", test_version_only_rises},
+        {"a snapshot is freed under a reader", test_reader_keeps_its_snapshot},
         {"a configuration with another digest is accepted",
          test_digest_must_match},
     };
--- a/tests/unit/generate_test.c
+++ b/tests/unit/generate_test.c
@@ -91,8 +91,10 @@
         json_object_set_new(answers, members[i], reversed_sample(i + 1));
     }
     second = FvGenerate_Initial(answers, reason);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(second);
-    CU_ASSERT_STRING_EQUAL(first->digest, second->digest);
+    CU_ASSERT_PTR_NOT_NULL(second);
+    if (second != NULL) {
+        CU_ASSERT_STRING_EQUAL(first->digest, second->digest);
+    }
     json_decref(answers);
     FvConfig_Free(first);
     FvConfig_Free(second);
