--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -7,6 +7,8 @@
 #ifndef FIREFLYVALVE_H
 #define FIREFLYVALVE_H
 
+#include "toml.h" /* FvToml_ReadFile, Fv_REASON_SIZE */
+
 #include <jansson.h>
 #include <netinet/in.h>
 #include <stdatomic.h>
@@ -29,7 +31,6 @@
 #define Fv_DIGEST_SIZE 65
 #define Fv_NONCE_SIZE 33
 #define Fv_TASK_ID_SIZE 256
-#define Fv_REASON_SIZE 128
 #define Fv_WORKLOADS_MAX 16
 #define Fv_MEMBERS_MAX 128
 #define Fv_TASKS_MAX 256
@@ -52,6 +53,18 @@
 void *FvRing_Pop(fv_ring_t *ring, int64_t wait_ms);
 void FvRing_Close(fv_ring_t *ring);
 
+/* table.c: entries sorted by a key, which is the first member of each. */
+typedef struct fv_table {
+    uint32_t count;
+    uint32_t capacity;
+    void **entries;
+} fv_table_t;
+
+void *FvTable_Find(const fv_table_t *table, const char *key);
+void *FvTable_Obtain(fv_table_t *table, const char *key, size_t key_size,
+                     size_t entry_size);
+void FvTable_Clear(fv_table_t *table);
+
 /* log.c */
 typedef enum fv_log_level {
     Fv_LOG_ERROR,
@@ -163,7 +176,7 @@
 void FvMetrics_AddRegionBytes(const char *member, uint64_t bytes);
 void FvMetrics_Print(fv_buffer_t *out);
 
-/* settings.c, toml.cc */
+/* settings.c; FvToml_ReadFile of toml.cc is declared in toml.h. */
 typedef struct fv_settings {
     char cluster[Fv_NAME_SIZE];
     char host[Fv_NAME_SIZE];
@@ -186,6 +199,9 @@
 } fv_settings_t;
 
 bool FvSettings_Load(const char *path, fv_settings_t *settings, FILE *faults);
+void FvSettings_PrintTable(FILE *out);
+bool FvSettings_ReadClusterKey(const char *path, uint8_t key[32],
+                               char reason[Fv_REASON_SIZE]);
 
 json_t *FvToml_ReadFile(const char *path, char reason[Fv_REASON_SIZE]);
 
@@ -546,6 +562,8 @@
                                    int64_t now_ms);
 
 /* lease.c: one worker's lease as its holder sees it. */
+#define Fv_START_GRACE_MS 300 /* drift of clocks and packets in flight */
+
 typedef struct fv_lease {
     bool held;
     uint64_t term;
@@ -572,6 +590,7 @@
 void FvQuarantine_Started(fv_quarantine_t *quarantine, int64_t now_ms);
 bool FvQuarantine_Failed(fv_quarantine_t *quarantine, int64_t now_ms);
 void FvQuarantine_Succeeded(fv_quarantine_t *quarantine);
+void FvQuarantine_Abandoned(fv_quarantine_t *quarantine);
 
 /* worker.c: the ledger of one worker. Task entries include reservations. */
 typedef enum fv_task_state {
@@ -599,6 +618,7 @@
     fv_resources_t used; /* last reported usage */
     int64_t expires_ms;  /* reservation only */
     int64_t accrued_ms;  /* accounted up to this time */
+    int64_t ran_ms;      /* as last told by the worker */
     struct fv_task *next;
 } fv_task_t;
 
@@ -625,6 +645,7 @@
 fv_worker_t *FvWorker_New(const char *name);
 void FvWorker_Free(fv_worker_t *worker);
 bool FvWorker_Accepts(const fv_worker_t *worker, int64_t now_ms);
+void FvWorker_SetCapacity(fv_worker_t *worker, const fv_resources_t *capacity);
 fv_task_t *FvWorker_FindTask(const fv_worker_t *worker, const char *id);
 fv_task_t *FvWorker_AddTask(fv_worker_t *worker, const fv_task_t *task);
 void FvWorker_RemoveTask(fv_worker_t *worker, fv_task_t *task);
@@ -669,7 +690,7 @@
     int64_t submitted_ms;    /* wall */
     int64_t start_before_ms; /* wall; 0: none */
     int64_t deadline_ms;     /* wall; 0: none */
-    int64_t latest_start_ms; /* wall; set by the deadline policy */
+    int64_t latest_start_ms; /* wall; FvPolicyDeadline_SetLatestStart */
     int64_t submitted_ns;    /* boot */
     int64_t started_ns;      /* boot */
     bool cancel_requested;
@@ -710,6 +731,12 @@
 /* policy.c, policy-*.c: one vtable a class; no clocks, no sockets. */
 typedef struct fv_policy {
     const char *name;
+    bool widest_first;  /* placement visits the emptiest workers first */
+    bool spreads_racks; /* score needs tasks_of_job_in_rack */
+    /* A job that waited hold_after_ms and does not fit holds back the rest
+       of its queue for hold_for_ms, then lets it pass again; 0: never. */
+    int64_t hold_after_ms;
+    int64_t hold_for_ms;
     /* Negative when a is to start before b; both of one member. */
     int (*compare)(const fv_job_t *a, const fv_job_t *b);
     /* What a task of this class may use of the worker right now. */
@@ -721,7 +748,17 @@
     bool (*may_displace)(const fv_task_t *task);
 } fv_policy_t;
 
+extern const fv_policy_t fv_policy_interactive;
+extern const fv_policy_t fv_policy_deadline;
+extern const fv_policy_t fv_policy_gang;
+extern const fv_policy_t fv_policy_service;
+
 const fv_policy_t *FvPolicy_ForClass(fv_class_t class_id);
+void FvPolicyDeadline_SetLatestStart(fv_job_t *job, int64_t run_ms);
+int FvPolicy_CompareSubmitted(const fv_job_t *a, const fv_job_t *b);
+void FvPolicy_LeaveHeadroom(const fv_worker_t *worker, fv_resources_t *usable);
+int64_t FvPolicy_BestFit(const fv_worker_t *worker, const fv_resources_t *size,
+                         uint32_t tasks_of_job_in_rack);
 
 /* queue.c: bounded queues of one class, one for each member. */
 typedef struct fv_queue fv_queue_t;
@@ -737,9 +774,10 @@
 void FvQueue_Free(fv_queue_t *queue);
 fv_queue_error_t FvQueue_Push(fv_queue_t *queue, fv_job_t *job);
 void FvQueue_Remove(fv_queue_t *queue, fv_job_t *job);
-void FvQueue_BeginPass(fv_queue_t *queue);
+void FvQueue_BeginPass(fv_queue_t *queue, int64_t now_wall_ms);
 fv_job_t *FvQueue_Next(fv_queue_t *queue, const fv_shares_t *shares);
 void FvQueue_Skip(fv_queue_t *queue, fv_job_t *job);
+const fv_job_t *FvQueue_Holding(const fv_queue_t *queue);
 uint32_t FvQueue_Count(const fv_queue_t *queue);
 
 /* placement.c: index of the workers held by this host. */
@@ -755,6 +793,7 @@
                                 const fv_resources_t *size, const char *job_id,
                                 int64_t now_ms);
 bool FvPlacement_CanEverFit(const fv_placement_t *placement,
+                            const fv_policy_t *policy,
                             const fv_resources_t *size);
 void FvPlacement_Summarize(const fv_placement_t *placement,
                            fv_digest_t *digest, int64_t now_ms);
@@ -762,8 +801,8 @@
 /* route.c: order in which hosts are asked to place a job. */
 uint32_t FvRoute_Rank(const fv_hosts_t *hosts, const fv_host_t *self,
                       const fv_workload_t *workload, int64_t waited_ms,
-                      int64_t now_ms, const fv_host_t **ranked,
-                      uint32_t limit);
+                      int64_t now_ms, uint64_t random,
+                      const fv_host_t **ranked, uint32_t limit);
 
 /* estimate.c: learned run times and sizes by member and workload. */
 typedef struct fv_estimates fv_estimates_t;
@@ -786,6 +825,7 @@
     int64_t refilled_ms;
 } fv_retry_budget_t;
 
+void FvRetryBudget_Deposit(fv_retry_budget_t *budget);
 bool FvRetryBudget_Take(fv_retry_budget_t *budget, int64_t now_ms);
 void FvRetryBudget_Refund(fv_retry_budget_t *budget);
 int64_t FvRetry_BackoffMs(int32_t attempt, uint64_t random);
--- /dev/null
+++ b/src/toml.h
@@ -0,0 +1,23 @@
+/*
+ * Reader of TOML files; usable from C and C++.
+ */
+
+#ifndef FIREFLYVALVE_TOML_H
+#define FIREFLYVALVE_TOML_H
+
+#include <jansson.h>
+
+/* Size of a buffer for a fault, including the terminating NUL. */
+#define Fv_REASON_SIZE 128
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+json_t *FvToml_ReadFile(const char *path, char reason[Fv_REASON_SIZE]);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
