Add the fault-injecting TCP proxy

Cause: end-to-end tests must delay and cut each connection between real processes separately. Change: tests/fakes/fault-proxy.c with its core in tests/harness/proxy.c and proxy-connection.c: many routes in one poll thread, each with a delay that keeps order, cut, blackhole, freeze, or a cut after N bytes of the answer; HTTP control that returns when the change is in force.

--- /dev/null
+++ b/tests/harness/proxy-connection.h
@@ -0,0 +1,76 @@
+/*
+ * One proxied connection: two pipes, each with a queue of delayed chunks.
+ * Only the proxy's poll thread calls these functions, with its lock held.
+ */
+
+#ifndef PROXY_CONNECTION_H
+#define PROXY_CONNECTION_H
+
+#include "proxy.h"
+
+#include <netinet/in.h>
+#include <stddef.h>
+
+typedef struct proxy_chunk {
+    struct proxy_chunk *next;
+    int64_t due_ns;
+    size_t length; /* 0: end of the stream */
+    size_t offset;
+    uint8_t data[];
+} proxy_chunk_t;
+
+typedef struct proxy_pipe {
+    proxy_chunk_t *head;
+    proxy_chunk_t *tail;
+    size_t queued;
+    int64_t last_due_ns; /* later chunks are not due before this */
+    bool read_closed;
+    bool write_closed;
+} proxy_pipe_t;
+
+typedef struct proxy_connection proxy_connection_t;
+
+typedef struct proxy_route {
+    char listen_text[64];
+    char target_text[64];
+    struct sockaddr_in listen;
+    struct sockaddr_in target;
+    int socket; /* -1 while it refuses connections */
+    proxy_mode_t mode;
+    int64_t own_delay_us;
+    int64_t delay_us;
+    int64_t cut_after_bytes; /* -1: none */
+    uint64_t bytes_up;       /* forwarded to the target */
+    uint64_t bytes_down;
+    uint64_t bytes_swallowed;
+    uint64_t accepted;
+    uint64_t open;
+    proxy_connection_t *connections;
+    struct proxy_route *next;
+} proxy_route_t;
+
+struct proxy_connection {
+    proxy_route_t *route;
+    int client;
+    int target; /* -1: accepted while the route swallows */
+    bool connecting;
+    bool swallowed; /* bytes were lost; dropped on restore */
+    bool closed;
+    int64_t answer_bytes; /* sent since cut_after_bytes was set */
+    proxy_pipe_t up;
+    proxy_pipe_t down;
+    proxy_connection_t *next;
+};
+
+void FvProxyConnection_Accept(proxy_route_t *route, int64_t now_ns);
+void FvProxyConnection_Drop(proxy_connection_t *connection, bool reset);
+void FvProxyConnection_Free(proxy_connection_t *connection);
+short FvProxyConnection_Events(const proxy_connection_t *connection,
+                               bool client_side, int64_t now_ns);
+void FvProxyConnection_Handle(proxy_connection_t *connection, bool client_side,
+                              short events, int64_t now_ns);
+void FvProxyConnection_Discard(proxy_connection_t *connection);
+int64_t FvProxyConnection_NextDue(const proxy_connection_t *connection,
+                                  int64_t now_ns);
+
+#endif
