--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -666,6 +666,9 @@
 void FvQueue_Skip(fv_queue_t *queue, fv_job_t *job);
 const fv_job_t *FvQueue_Holding(const fv_queue_t *queue);
 uint32_t FvQueue_Count(const fv_queue_t *queue);
+void FvQueue_Reorder(fv_queue_t *queue,
+                     void (*update)(fv_job_t *job, void *context),
+                     void *context);
 
 /* placement.c: index of the workers held by this host. */
 typedef struct fv_placement fv_placement_t;
--- a/src/queue.c
+++ b/src/queue.c
@@ -254,8 +254,8 @@
  * @job: the job; it must not be queued
  *
  * A job that comes back after a refused reservation keeps its place and is
- * accepted even when the queue is full. What the policy compares must not
- * change while the job is queued.
+ * accepted even when the queue is full. What the policy compares
+ * changes while the job is queued only through FvQueue_Reorder.
  *
  * Return: Fv_QUEUE_OK, or why it was not queued.
  */
@@ -480,6 +480,34 @@
     return queue->holding;
 }
 
+/**
+ * FvQueue_Reorder - change what the policy compares and restore the order
+ * @queue: the queue
+ * @update: called for each job
+ * @context: passed to @update
+ *
+ * For run times learned while jobs wait. Takes time linear in the number of
+ * jobs.
+ */
+void
+FvQueue_Reorder(fv_queue_t *queue,
+                void (*update)(fv_job_t *job, void *context), void *context)
+{
+    for (uint32_t i = 0; i < queue->members.count; i++) {
+        member_queue_t *member = queue->members.entries[i];
+
+        for (uint32_t j = 0; j < member->skipped_count; j++) {
+            update(member->skipped[j], context);
+        }
+        for (uint32_t j = 0; j < member->count; j++) {
+            update(member->heap[j], context);
+        }
+        for (uint32_t j = member->count / 2; j > 0; j--) {
+            sift_down(queue, member, j - 1);
+        }
+    }
+}
+
 /**
  * FvQueue_Count - number of queued jobs
  * @queue: the queue
--- a/tests/harness/fixture.c
+++ b/tests/harness/fixture.c
@@ -6,14 +6,7 @@
 
 #include <stdlib.h>
 
-/**
- * FvFixture_Worker - a worker that accepts tasks at Fv_FIXTURE_NOW_MS
- * @number: names it and, by @per_rack, its rack
- * @per_rack: workers in a rack
- * @capacity: its capacity
- *
- * Return: the worker; the process ends when memory is exhausted.
- */
+/* The process ends when memory is exhausted, as in all fixtures. */
 fv_worker_t *
 FvFixture_Worker(uint32_t number, uint32_t per_rack,
                  const fv_resources_t *capacity)
@@ -34,15 +27,6 @@
     return worker;
 }
 
-/**
- * FvFixture_Job - a job of a workload named after its class
- * @member: its owner
- * @key: its key
- * @class_id: its class
- * @submitted_ms: when it was submitted
- *
- * Return: the job; the process ends when memory is exhausted.
- */
 fv_job_t *
 FvFixture_Job(const char *member, const char *key, fv_class_t class_id,
               int64_t submitted_ms)
@@ -63,15 +47,6 @@
     return job;
 }
 
-/**
- * FvFixture_Start - put a running task into a worker's ledger
- * @worker: the worker
- * @id: the task id
- * @class_id: its class
- * @size: its size
- *
- * Return: the ledger entry.
- */
 fv_task_t *
 FvFixture_Start(fv_worker_t *worker, const char *id, fv_class_t class_id,
                 const fv_resources_t *size)
@@ -83,12 +58,6 @@
     return FvWorker_AddTask(worker, &task);
 }
 
-/**
- * FvFixture_Random - the next number of a fixed sequence
- * @state: the seed at first
- *
- * Return: 64 random bits.
- */
 uint64_t
 FvFixture_Random(uint64_t *state)
 {
