--- a/src/api-cell.c
+++ b/src/api-cell.c
@@ -32,8 +32,8 @@
     json_t *list = json_array();
 
     for (uint32_t i = 0; i < daemon->hosts.count; i++) {
-        json_array_append_new(
-            list, describe_host(daemon, daemon->hosts.entries[i]));
+        json_array_append_new(list,
+                              describe_host(daemon, daemon->hosts.entries[i]));
     }
     FvTicket_ReplyJson(ticket, 200, json_pack("{s:o}", "hosts", list));
 }
@@ -46,10 +46,9 @@
 void
 FvApiCell_Workers(fv_daemon_t *daemon, fv_ticket_t *ticket)
 {
-    FvTicket_ReplyJson(
-        ticket, 200,
-        json_pack("{s:s, s:o}", "host", daemon->settings.host, "workers",
-                  FvHolder_ToJson(daemon->holder)));
+    FvTicket_ReplyJson(ticket, 200,
+                       json_pack("{s:s, s:o}", "host", daemon->settings.host,
+                                 "workers", FvHolder_ToJson(daemon->holder)));
 }
 
 /**
@@ -60,9 +59,9 @@
 void
 FvApiCell_Shares(fv_daemon_t *daemon, fv_ticket_t *ticket)
 {
-    FvTicket_ReplyJson(ticket, 200,
-                       json_pack("{s:o}", "shares",
-                                 FvShares_ToJson(daemon->shares)));
+    FvTicket_ReplyJson(
+        ticket, 200,
+        json_pack("{s:o}", "shares", FvShares_ToJson(daemon->shares)));
 }
 
 /**
--- a/src/api-jobs.c
+++ b/src/api-jobs.c
@@ -29,10 +29,9 @@
 refuse(fv_ticket_t *ticket, int32_t status, const char *outcome,
        const char *detail)
 {
-    FvTicket_ReplyProblem(ticket, status, outcome,
-                          status == 429 || status == 503 ? Fv_JOBS_RETRY_MS
-                                                         : 0,
-                          "%s", detail);
+    FvTicket_ReplyProblem(
+        ticket, status, outcome,
+        status == 429 || status == 503 ? Fv_JOBS_RETRY_MS : 0, "%s", detail);
     return false;
 }
 
@@ -83,9 +82,9 @@
         }
     }
     else {
-        complete = FvBuffer_Append(&submission->payload,
-                                   json_string_value(text),
-                                   json_string_length(text));
+        complete =
+            FvBuffer_Append(&submission->payload, json_string_value(text),
+                            json_string_length(text));
         if (!complete) {
             return refuse(ticket, 503, NULL, "no memory");
         }
@@ -98,8 +97,7 @@
 }
 
 static bool
-read_range(fv_ticket_t *ticket, const char *name, int64_t high,
-           int64_t *value)
+read_range(fv_ticket_t *ticket, const char *name, int64_t high, int64_t *value)
 {
     const json_t *given = json_object_get(ticket->body, name);
 
@@ -162,9 +160,9 @@
 {
     fv_buffer_t text = {0};
     char head[Fv_NAME_SIZE + 32];
-    int length = snprintf(head, sizeof(head), "%s\n%d\n",
-                          submission->workload.name,
-                          submission->workload.tasks);
+    int length =
+        snprintf(head, sizeof(head), "%s\n%d\n", submission->workload.name,
+                 submission->workload.tasks);
     bool complete = FvBuffer_Append(&text, head, (size_t)length) &&
                     FvBuffer_Append(&text, submission->payload.data,
                                     submission->payload.length);
@@ -201,8 +199,8 @@
 static fv_job_t *
 make_job(const fv_ticket_t *ticket, fv_submission_t *submission)
 {
-    fv_job_t *job = FvJob_New(ticket->member, submission->key,
-                              &submission->workload);
+    fv_job_t *job =
+        FvJob_New(ticket->member, submission->key, &submission->workload);
     int64_t window_ms = submission->deadline_ms > 0
                             ? submission->deadline_ms
                             : Fv_DEFAULT_START_WINDOW_MS;
@@ -256,12 +254,10 @@
 }
 
 static void
-join_job(fv_run_t *run, fv_ticket_t *ticket,
-         const fv_submission_t *submission)
+join_job(fv_run_t *run, fv_ticket_t *ticket, const fv_submission_t *submission)
 {
     if (strcmp(run->job->body_digest, submission->digest) != 0) {
-        refuse(ticket, 409, NULL,
-               "this key was used with another request");
+        refuse(ticket, 409, NULL, "this key was used with another request");
         return;
     }
     FvRun_Attach(run,
@@ -319,8 +315,8 @@
 {
     const char *key = ticket->params[0];
     fv_run_t *run = FvRunner_Find(daemon->runner, ticket->member, key);
-    fv_job_waiter_t *waiter = FvJobWaiter_New(ticket, NULL, wait_ms,
-                                              submitted);
+    fv_job_waiter_t *waiter =
+        FvJobWaiter_New(ticket, NULL, wait_ms, submitted);
 
     if (run != NULL) {
         FvRun_Attach(run, waiter);
@@ -363,8 +359,8 @@
 {
     const char *key = ticket->params[0];
     fv_run_t *run = FvRunner_Find(daemon->runner, ticket->member, key);
-    fv_job_waiter_t *waiter = FvJobWaiter_New(
-        ticket, NULL, limit_wait(ticket->wait_ms), true);
+    fv_job_waiter_t *waiter =
+        FvJobWaiter_New(ticket, NULL, limit_wait(ticket->wait_ms), true);
 
     if (run != NULL) {
         uint64_t serial = run->serial;
--- a/src/buffer.c
+++ b/src/buffer.c
@@ -25,8 +25,8 @@
     size_t needed = buffer->length + length + 1;
 
     if (needed > buffer->capacity) {
-        size_t capacity = buffer->capacity ? buffer->capacity
-                                           : Fv_BUFFER_START_BYTES;
+        size_t capacity =
+            buffer->capacity ? buffer->capacity : Fv_BUFFER_START_BYTES;
         uint8_t *grown;
 
         while (capacity < needed) {
--- a/src/claim.c
+++ b/src/claim.c
@@ -105,8 +105,8 @@
         (json_int_t)job->start_before_ms, "deadline_ms",
         (json_int_t)job->deadline_ms, "started_ms",
         (json_int_t)run->claim.started_ms, "attempts", (int)job->attempts,
-        "workers", describe_workers(run), "cancel",
-        (int)job->cancel_requested, "ran", (int)run->ever_ran);
+        "workers", describe_workers(run), "cancel", (int)job->cancel_requested,
+        "ran", (int)run->ever_ran);
 
     if (record == NULL) {
         abort();
@@ -194,8 +194,8 @@
     job->cancel_requested = FvJson_Bool(record, "cancel", false);
     run->ever_ran = FvJson_Bool(record, "ran", false);
     run->claim.started_ms = FvJson_Int(record, "started_ms", 0);
-    job->state = strcmp(state, "running") == 0 ? Fv_JOB_RUNNING
-                                               : Fv_JOB_QUEUED;
+    job->state =
+        strcmp(state, "running") == 0 ? Fv_JOB_RUNNING : Fv_JOB_QUEUED;
     return true;
 }
 
@@ -210,8 +210,8 @@
 FvClaim_Describe(const json_t *record)
 {
     static const char *const copied[] = {
-        "key",     "state",         "outcome",      "reason", "attempts",
-        "workers", "answer_length", "answer_base64"};
+        "key",      "state",   "outcome",       "reason",
+        "attempts", "workers", "answer_length", "answer_base64"};
     json_t *document = json_object();
 
     for (size_t i = 0; i < sizeof(copied) / sizeof(copied[0]); i++) {
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -410,7 +410,10 @@
     int32_t status;
     uint8_t *body;
     size_t body_length;
-    char task_state[16]; /* value of the Task-State header */
+    char task_state[16]; /* headers of a worker's answer */
+    int64_t task_ran_ms;
+    int64_t task_cpu_millis;
+    int64_t task_memory_bytes;
 } fv_http_response_t;
 
 typedef void (*fv_http_done_t)(void *context, fv_http_response_t *response);
@@ -517,8 +520,8 @@
     uint64_t config_version;
     int64_t received_ms;
     bool draining;
-    int32_t workers; /* that accept tasks */
-    int32_t held;    /* whose leases the host holds */
+    int32_t workers;                 /* that accept tasks */
+    int32_t held;                    /* whose leases the host holds */
     fv_resources_t largest_capacity; /* each amount on its own */
     int32_t queued[Fv_CLASS_COUNT];
     fv_resources_t free_total;
--- a/src/handshake.c
+++ b/src/handshake.c
@@ -99,8 +99,7 @@
         return false;
     }
     describe_self(daemon, nonce, welcome);
-    compute_mac(daemon, "welcome", hello->nonce, nonce, welcome,
-                welcome->mac);
+    compute_mac(daemon, "welcome", hello->nonce, nonce, welcome, welcome->mac);
     return true;
 }
 
--- a/src/holder-tasks.c
+++ b/src/holder-tasks.c
@@ -21,8 +21,8 @@
     char base_url[Fv_URL_SIZE];
     char task_id[Fv_TASK_ID_SIZE];
     fv_reply_to_t to;
-    bool counted;    /* in the worker's connections */
-    bool stop_doubt; /* a start in doubt is stopped by this host */
+    bool counted;          /* in the worker's connections */
+    bool stop_doubt;       /* a start in doubt is stopped by this host */
     fv_task_reply_t state; /* of a query that goes on to fetch the answer */
     fv_timer_t retry;
 } fv_worker_call_t;
@@ -31,8 +31,7 @@
 reply_task(fv_holder_t *holder, const fv_reply_to_t *to,
            const fv_task_reply_t *task)
 {
-    fv_message_t message = {.type = Fv_MESSAGE_TASK,
-                            .body.task_reply = *task};
+    fv_message_t message = {.type = Fv_MESSAGE_TASK, .body.task_reply = *task};
 
     FvPeers_Reply(holder->daemon->peers, to, &message);
 }
@@ -83,9 +82,9 @@
 choose_worker(fv_holder_t *holder, const fv_task_request_t *request)
 {
     FvMetrics_Add(Fv_COUNTER_DECISIONS, 1);
-    return FvPlacement_Choose(
-        holder->placement, FvPolicy_ForClass(request->class_id),
-        &request->size, request->id, FvClock_NowMs());
+    return FvPlacement_Choose(holder->placement,
+                              FvPolicy_ForClass(request->class_id),
+                              &request->size, request->id, FvClock_NowMs());
 }
 
 static fv_refusal_t
@@ -146,8 +145,7 @@
         }
     }
     if (reserved.count == 0) {
-        reserved.refusal =
-            why_no_worker(holder, request);
+        reserved.refusal = why_no_worker(holder, request);
     }
     reply_reserved(holder, to, &reserved);
 }
@@ -254,8 +252,7 @@
     if (entry != NULL) {
         entry->state = Fv_TASK_UNKNOWN;
     }
-    reply_refusal(call->holder, &call->to, call->task_id,
-                  Fv_REFUSAL_IN_DOUBT);
+    reply_refusal(call->holder, &call->to, call->task_id, Fv_REFUSAL_IN_DOUBT);
     if (call->stop_doubt && entry != NULL) {
         stop_doubtful(call);
         return;
@@ -269,8 +266,7 @@
 {
     fv_quarantine_t *quarantine = &holding->worker->quarantine;
     bool failed = error == Fv_UPSTREAM_NOT_SENT ||
-                  (error == Fv_UPSTREAM_OK &&
-                   reply->state == Fv_TASK_FAILED);
+                  (error == Fv_UPSTREAM_OK && reply->state == Fv_TASK_FAILED);
 
     if (failed) {
         if (FvQuarantine_Failed(quarantine, FvClock_NowMs())) {
@@ -307,8 +303,7 @@
 }
 
 static void
-receive_start(void *context, fv_upstream_error_t error,
-              fv_task_reply_t *reply)
+receive_start(void *context, fv_upstream_error_t error, fv_task_reply_t *reply)
 {
     fv_worker_call_t *call = context;
     fv_holding_t *holding = FvHolder_Find(call->holder, call->worker);
@@ -341,8 +336,8 @@
 static bool
 has_connection(const fv_worker_t *worker)
 {
-    int32_t limit = worker->connections *
-                    Fv_HOLDER_CONNECTION_SHARE_PERCENT / 100;
+    int32_t limit =
+        worker->connections * Fv_HOLDER_CONNECTION_SHARE_PERCENT / 100;
 
     return worker->connections_used < limit;
 }
@@ -360,8 +355,8 @@
     if (request->reserved) {
         fv_holding_t *holding = FvHolder_Find(holder, request->worker);
 
-        entry = holding ? FvWorker_FindTask(holding->worker, request->id)
-                        : NULL;
+        entry =
+            holding ? FvWorker_FindTask(holding->worker, request->id) : NULL;
         *refusal = Fv_REFUSAL_EXPIRED;
         if (entry == NULL || entry->state != Fv_TASK_RESERVED ||
             FvClock_NowMs() >= entry->expires_ms) {
@@ -497,8 +492,7 @@
 }
 
 static void
-receive_query(void *context, fv_upstream_error_t error,
-              fv_task_reply_t *reply)
+receive_query(void *context, fv_upstream_error_t error, fv_task_reply_t *reply)
 {
     fv_worker_call_t *call = context;
     fv_upstream_t *upstream = call->holder->daemon->upstream;
@@ -523,8 +517,7 @@
 }
 
 static void
-ask_worker(fv_holding_t *holding, const char *task_id,
-           const fv_reply_to_t *to)
+ask_worker(fv_holding_t *holding, const char *task_id, const fv_reply_to_t *to)
 {
     fv_holder_t *holder = holding->holder;
     fv_upstream_t *upstream = holder->daemon->upstream;
@@ -671,13 +664,12 @@
         if (holding->maybe_held_until_ns > free_since_ns) {
             free_since_ns = holding->maybe_held_until_ns;
         }
-        message.body.lease_state.held = lease->held ||
-                                        holding->call_pending ||
-                                        free_since_ns > now_ns;
+        message.body.lease_state.held =
+            lease->held || holding->call_pending || free_since_ns > now_ns;
     }
     if (!message.body.lease_state.held) {
-        message.body.lease_state.lapsed_ms = (now_ns - free_since_ns) /
-                                             Fv_NS_PER_MS;
+        message.body.lease_state.lapsed_ms =
+            (now_ns - free_since_ns) / Fv_NS_PER_MS;
     }
     FvPeers_Reply(holder->daemon->peers, to, &message);
 }
--- a/src/holder.c
+++ b/src/holder.c
@@ -404,8 +404,8 @@
     fv_holder_t *holder = owner;
     int64_t now_ms = FvClock_NowMs();
     uint64_t signature = hash_alive_hosts(holder->daemon, now_ms);
-    bool changed = holder->list_changed ||
-                   signature != holder->alive_signature;
+    bool changed =
+        holder->list_changed || signature != holder->alive_signature;
     fv_holding_t *holding;
     fv_holding_t *next;
 
@@ -460,8 +460,7 @@
     }
     holding->list_generation = holder->list_generation;
     worker = holding->worker;
-    FvJson_CopyString(entry, "region", worker->region,
-                      sizeof(worker->region));
+    FvJson_CopyString(entry, "region", worker->region, sizeof(worker->region));
     FvJson_CopyString(entry, "data_center", worker->data_center,
                       sizeof(worker->data_center));
     FvJson_CopyString(entry, "rack", worker->rack, sizeof(worker->rack));
--- a/src/host-list.c
+++ b/src/host-list.c
@@ -96,8 +96,7 @@
         }
     }
     mark_unlisted(list, hosts);
-    if (list->peers_changed &&
-        FvLink_SetPeers(daemon->link, &daemon->hosts)) {
+    if (list->peers_changed && FvLink_SetPeers(daemon->link, &daemon->hosts)) {
         list->peers_changed = false;
     }
     FvHolder_OnWorkers(daemon->holder, hosts);
@@ -120,8 +119,8 @@
                     response->status);
         return;
     }
-    document = json_loadb((const char *)response->body,
-                          response->body_length, 0, NULL);
+    document = json_loadb((const char *)response->body, response->body_length,
+                          0, NULL);
     hosts = json_object_get(document, "hosts");
     if (!json_is_array(hosts)) {
         FvLog_Event(Fv_LOG_WARN, "host_list_malformed", "bytes=%zu",
--- a/src/http-client.c
+++ b/src/http-client.c
@@ -34,7 +34,7 @@
     bool sent;
     bool expired;
     bool too_large;
-    bool cancelled; /* scheduler thread only */
+    bool cancelled;           /* scheduler thread only */
     struct fv_transfer *next; /* scheduler's list of outstanding transfers */
     struct fv_transfer *previous;
     struct fv_transfer *active_next; /* thread's list of started transfers */
@@ -128,27 +128,54 @@
     return FvBuffer_Append(&transfer->body, data, length) ? length : 0;
 }
 
+/* Copies the value of a header line when it has the given name. */
+static bool
+read_header(const char *line, size_t length, const char *name, char *value,
+            size_t size)
+{
+    size_t from = strlen(name);
+    size_t kept = 0;
+
+    if (length <= from || strncasecmp(line, name, from) != 0) {
+        return false;
+    }
+    for (size_t i = from; i < length; i++) {
+        bool space = line[i] == ' ' || line[i] == '\r' || line[i] == '\n';
+
+        if (!space && kept + 1 < size) {
+            value[kept++] = line[i];
+        }
+    }
+    value[kept] = '\0';
+    return true;
+}
+
 static size_t
 receive_header(char *data, size_t size, size_t count, void *context)
 {
-    static const char name[] = "Task-State:";
     fv_transfer_t *transfer = context;
     fv_http_response_t *response = &transfer->response;
     size_t length = size * count;
-    size_t from = sizeof(name) - 1;
-    size_t kept = 0;
+    char value[32];
 
-    if (length <= from || strncasecmp(data, name, from) != 0) {
+    if (length < 5 || strncasecmp(data, "Task-", 5) != 0) {
         return length;
     }
-    for (size_t i = from; i < length; i++) {
-        bool space = data[i] == ' ' || data[i] == '\r' || data[i] == '\n';
-
-        if (!space && kept + 1 < sizeof(response->task_state)) {
-            response->task_state[kept++] = data[i];
-        }
+    if (read_header(data, length, "Task-Ran-Ms:", value, sizeof(value))) {
+        response->task_ran_ms = strtoll(value, NULL, 10);
+    }
+    else if (read_header(data, length, "Task-Cpu-Millis:", value,
+                         sizeof(value))) {
+        response->task_cpu_millis = strtoll(value, NULL, 10);
+    }
+    else if (read_header(data, length, "Task-Memory-Bytes:", value,
+                         sizeof(value))) {
+        response->task_memory_bytes = strtoll(value, NULL, 10);
+    }
+    else {
+        read_header(data, length, "Task-State:", response->task_state,
+                    sizeof(response->task_state));
     }
-    response->task_state[kept] = '\0';
     return length;
 }
 
@@ -198,8 +225,7 @@
     }
     client->outstanding_count--;
     if (!transfer->cancelled) {
-        transfer->request.done(transfer->request.context,
-                               &transfer->response);
+        transfer->request.done(transfer->request.context, &transfer->response);
     }
 }
 
@@ -242,8 +268,8 @@
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
     if (request->body != NULL) {
-        transfer->headers = curl_slist_append(
-            NULL, "Content-Type: application/json");
+        transfer->headers =
+            curl_slist_append(NULL, "Content-Type: application/json");
         transfer->headers = curl_slist_append(transfer->headers, "Expect:");
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
         curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request->body);
--- a/src/job-view.c
+++ b/src/job-view.c
@@ -24,6 +24,8 @@
     fv_job_waiter_t *waiter;
     json_t *document; /* last known state */
     fv_timer_t timer;
+    struct fv_job_view *next;
+    struct fv_job_view *previous;
 } fv_job_view_t;
 
 static void read_claim(void *owner);
@@ -31,6 +33,15 @@
 static void
 free_view(fv_job_view_t *view)
 {
+    if (view->previous != NULL) {
+        view->previous->next = view->next;
+    }
+    else {
+        view->runner->views = view->next;
+    }
+    if (view->next != NULL) {
+        view->next->previous = view->previous;
+    }
     FvLoop_CancelTimer(view->runner->daemon->loop, &view->timer);
     json_decref(view->document);
     free(view->waiter);
@@ -46,8 +57,7 @@
     FvText_Copy(message.body.document.member, Fv_NAME_SIZE, view->member);
     FvText_Copy(message.body.document.key, Fv_KEY_SIZE, view->key);
     json_decref(document);
-    FvPeers_Reply(view->runner->daemon->peers, &view->waiter->peer,
-                  &message);
+    FvPeers_Reply(view->runner->daemon->peers, &view->waiter->peer, &message);
 }
 
 /* Ends the view with the last known document. */
@@ -75,9 +85,8 @@
     }
     else {
         json_object_del(document, "answer_base64");
-        FvTicket_ReplyJson(ticket,
-                           ended || !view->waiter->submitted ? 200 : 202,
-                           document);
+        FvTicket_ReplyJson(
+            ticket, ended || !view->waiter->submitted ? 200 : 202, document);
     }
     free_view(view);
 }
@@ -90,8 +99,7 @@
                               "no job with this key is known");
     }
     else {
-        reply_peer_document(view,
-                            json_pack("{s:s}", "state", "absent"));
+        reply_peer_document(view, json_pack("{s:s}", "state", "absent"));
     }
     free_view(view);
 }
@@ -139,8 +147,7 @@
 }
 
 static void
-receive_home_reply(void *context, fv_link_error_t error,
-                   fv_message_t *message)
+receive_home_reply(void *context, fv_link_error_t error, fv_message_t *message)
 {
     fv_job_view_t *view = context;
     json_t *document = NULL;
@@ -252,8 +259,8 @@
         reply_absent(view);
         return;
     }
-    record = json_loadb(result->kvs[0].value, result->kvs[0].value_length, 0,
-                        NULL);
+    record =
+        json_loadb(result->kvs[0].value, result->kvs[0].value_length, 0, NULL);
     handle_record(view, record, result->kvs[0].mod_revision);
     json_decref(record);
 }
@@ -289,9 +296,32 @@
     view->waiter = waiter;
     FvText_Copy(view->member, sizeof(view->member), member);
     FvText_Copy(view->key, sizeof(view->key), key);
+    view->next = runner->views;
+    if (view->next != NULL) {
+        view->next->previous = view;
+    }
+    runner->views = view;
     read_claim(view);
 }
 
+/**
+ * FvJobView_FreeAll - drop all views; callers that still wait get a 503
+ * @runner: the runner; its callbacks are not run any more
+ */
+void
+FvJobView_FreeAll(fv_runner_t *runner)
+{
+    while (runner->views != NULL) {
+        fv_job_view_t *view = runner->views;
+
+        if (view->waiter->ticket != NULL) {
+            FvTicket_ReplyProblem(view->waiter->ticket, 503, NULL,
+                                  Fv_VIEW_RETRY_MS, "the host is stopping");
+        }
+        free_view(view);
+    }
+}
+
 /* Fetches the answers of a job's tasks one after the other. */
 typedef struct fv_answer_fetch {
     fv_runner_t *runner;
@@ -349,9 +379,9 @@
     }
     snprintf(request->id, sizeof(request->id), "%.*s:%zu",
              Fv_TASK_ID_SIZE - 24, fetch->job_id, fetch->next);
-    FvText_Copy(request->worker, Fv_NAME_SIZE,
-                json_string_value(
-                    json_array_get(fetch->workers, fetch->next)));
+    FvText_Copy(
+        request->worker, Fv_NAME_SIZE,
+        json_string_value(json_array_get(fetch->workers, fetch->next)));
     FvText_Copy(request->member, Fv_NAME_SIZE, fetch->member);
     FvPeers_Call(daemon->peers, daemon->settings.host, &message,
                  Fv_VIEW_QUERY_TIMEOUT_MS, receive_task_answer, fetch);
@@ -380,9 +410,8 @@
  * @ticket: the ticket; replied to now or later
  */
 void
-FvJobView_FetchAnswer(fv_runner_t *runner, const char *member,
-                      const char *key, const json_t *document,
-                      fv_ticket_t *ticket)
+FvJobView_FetchAnswer(fv_runner_t *runner, const char *member, const char *key,
+                      const json_t *document, fv_ticket_t *ticket)
 {
     fv_answer_fetch_t *fetch;
 
--- a/src/lapse.c
+++ b/src/lapse.c
@@ -47,8 +47,9 @@
                 Fv_LAPSE_GRANT_MARGIN_MS + Fv_LAPSE_STOP_MS +
                 Fv_START_GRACE_MS;
     if (free_ms >= needed_ms && !FvRun_TaskSettled(task)) {
-        FvLog_Event(Fv_LOG_INFO, "lease_lapsed", "job=%s worker=%s free_ms=%lld",
-                    run->name, task->worker, (long long)free_ms);
+        FvLog_Event(Fv_LOG_INFO, "lease_lapsed",
+                    "job=%s worker=%s free_ms=%lld", run->name, task->worker,
+                    (long long)free_ms);
         task->state = Fv_TASK_STOPPED;
         FvRun_Settle(run);
     }
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -38,9 +38,9 @@
 {
     fv_daemon_t *daemon = ledger->daemon;
     char key[Fv_URL_SIZE];
-    json_t *record = json_pack(
-        "{s:o, s:o}", "usage", FvAccounts_ToJson(daemon->accounts),
-        "estimates", FvEstimates_ToJson(daemon->estimates));
+    json_t *record =
+        json_pack("{s:o, s:o}", "usage", FvAccounts_ToJson(daemon->accounts),
+                  "estimates", FvEstimates_ToJson(daemon->estimates));
     char *text = json_dumps(record, JSON_COMPACT | JSON_SORT_KEYS);
     fv_store_txn_t *txn;
 
@@ -84,8 +84,8 @@
 tick(void *owner)
 {
     fv_ledger_t *ledger = owner;
-    int64_t delay_ms = ledger->estimates_read ? Fv_LEDGER_FLUSH_MS
-                                              : Fv_LEDGER_RETRY_MS;
+    int64_t delay_ms =
+        ledger->estimates_read ? Fv_LEDGER_FLUSH_MS : Fv_LEDGER_RETRY_MS;
 
     if (!ledger->pending && !ledger->estimates_read) {
         /* A new host starts with what the others have learned. */
--- a/src/link.c
+++ b/src/link.c
@@ -323,8 +323,8 @@
     bool keep = FvConnection_Read(connection);
 
     while (keep && FvConnection_Next(connection, &message, &error)) {
-        keep = error == Fv_WIRE_OK &&
-               handle_message(link, connection, &message);
+        keep =
+            error == Fv_WIRE_OK && handle_message(link, connection, &message);
         FvWire_Clear(&message);
         if (!keep) {
             FvMetrics_Add(Fv_COUNTER_LINK_REJECTED, 1);
@@ -379,8 +379,8 @@
 
     peer->dial_at_ms = INT64_MAX;
     if (!FvText_ParseAddress(peer->address, &address)) {
-        FvLog_Event(Fv_LOG_ERROR, "link_address_invalid",
-                    "peer=%s address=%s", peer->host, peer->address);
+        FvLog_Event(Fv_LOG_ERROR, "link_address_invalid", "peer=%s address=%s",
+                    peer->host, peer->address);
         return;
     }
     fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -432,8 +432,8 @@
 {
     for (uint32_t i = 0; i < link->peer_count; i++) {
         fv_peer_address_t *old = &link->peers[i];
-        fv_peer_address_t *kept = find_peer(command->peers,
-                                            command->peer_count, old->host);
+        fv_peer_address_t *kept =
+            find_peer(command->peers, command->peer_count, old->host);
 
         if (kept != NULL && strcmp(kept->address, old->address) == 0) {
             *kept = *old;
@@ -454,8 +454,8 @@
     fv_connection_t *connection = link->connections;
 
     if (command->kind == Fv_LINK_SEND_TO_HOST) {
-        fv_peer_address_t *peer = find_peer(link->peers, link->peer_count,
-                                            command->host);
+        fv_peer_address_t *peer =
+            find_peer(link->peers, link->peer_count, command->host);
 
         return peer ? peer->connection : NULL;
     }
@@ -498,8 +498,8 @@
 
     for (fv_connection_t *connection = link->connections; connection != NULL;
          connection = connection->next) {
-        bool waits = connection->state != Fv_CONNECTION_READY ||
-                     !connection->dialed;
+        bool waits =
+            connection->state != Fv_CONNECTION_READY || !connection->dialed;
 
         if (waits && now_ms > connection->deadline_ms) {
             close_connection(link, connection);
@@ -534,8 +534,7 @@
             events |= POLLOUT;
         }
         polled[count] = connection;
-        set[count++] = (struct pollfd){.fd = connection->fd,
-                                       .events = events};
+        set[count++] = (struct pollfd){.fd = connection->fd, .events = events};
     }
     return count;
 }
@@ -616,8 +615,8 @@
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     if (bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
         listen(fd, SOMAXCONN) != 0) {
-        FvLog_Event(Fv_LOG_ERROR, "link_listen_failed",
-                    "address=%s error=\"%s\"", text, strerror(errno));
+        FvLog_Event(Fv_LOG_ERROR, "link_listen_failed", "address=%s error=%s",
+                    text, strerror(errno));
         close(fd);
         return -1;
     }
@@ -725,8 +724,7 @@
             continue;
         }
         FvText_Copy(peer->host, sizeof(peer->host), host->name);
-        FvText_Copy(peer->address, sizeof(peer->address),
-                    host->link_address);
+        FvText_Copy(peer->address, sizeof(peer->address), host->link_address);
         command.peer_count++;
     }
     if (!push_link_command(link, &command)) {
--- a/src/loop.c
+++ b/src/loop.c
@@ -152,8 +152,8 @@
 grow_heap(fv_loop_t *loop)
 {
     int32_t capacity = loop->timer_capacity ? loop->timer_capacity * 2 : 64;
-    fv_timer_t **heap = realloc(loop->heap,
-                                (size_t)capacity * sizeof(fv_timer_t *));
+    fv_timer_t **heap =
+        realloc(loop->heap, (size_t)capacity * sizeof(fv_timer_t *));
 
     if (heap == NULL) {
         abort();
--- a/src/peer.c
+++ b/src/peer.c
@@ -412,8 +412,8 @@
         reply_in_chunks(peers, to, reply);
     }
     else {
-        size_t bytes = FvLink_ReplyOn(peers->daemon->link, to->connection,
-                                      reply);
+        size_t bytes =
+            FvLink_ReplyOn(peers->daemon->link, to->connection, reply);
 
         count_region_bytes(peers, to->host, reply, bytes);
     }
@@ -429,8 +429,8 @@
     digest->received_ms = FvClock_NowMs();
     host->digest = *digest;
     for (uint32_t i = 0; i < digest->usage_count; i++) {
-        FvShares_SetRemote(daemon->shares, host->name,
-                           digest->usage[i].member, &digest->usage[i].used);
+        FvShares_SetRemote(daemon->shares, host->name, digest->usage[i].member,
+                           &digest->usage[i].used);
     }
     if (digest->config_version > FvConfig_Version()) {
         FvConfigurator_OnPeerVersion(daemon->configurator, host->name,
--- a/src/recovery.c
+++ b/src/recovery.c
@@ -98,8 +98,8 @@
 }
 
 static void
-finish_takeover(fv_run_t *run, fv_claim_result_t result,
-                const json_t *record, int64_t revision)
+finish_takeover(fv_run_t *run, fv_claim_result_t result, const json_t *record,
+                int64_t revision)
 {
     fv_runner_t *runner = run->runner;
 
@@ -115,8 +115,7 @@
     }
     FvMetrics_Add(Fv_COUNTER_CLAIMS_RECOVERED, 1);
     FvLog_Event(Fv_LOG_INFO, "claim_recovered", "job=%s from=%s state=%s",
-                run->name, run->taken_from,
-                FvJobState_Name(run->job->state));
+                run->name, run->taken_from, FvJobState_Name(run->job->state));
     if (run->job->state == Fv_JOB_RUNNING) {
         run->phase = Fv_RUN_RUNNING;
         /* The former holder may have sent a start under a reservation just
@@ -166,8 +165,7 @@
     }
     runner->payload_bytes += job->payload_length;
     job->submitted_ns = FvClock_NowNs() -
-                        (FvClock_WallMs() - job->submitted_ms) *
-                            Fv_NS_PER_MS;
+                        (FvClock_WallMs() - job->submitted_ms) * Fv_NS_PER_MS;
     run->claimed = true;
     run->claim.revision = revision;
     FvText_Copy(run->taken_from, sizeof(run->taken_from), run->claim.holder);
@@ -184,8 +182,8 @@
     const char *state;
 
     if (result->error == Fv_STORE_OK && result->kv_count > 0) {
-        record = json_loadb(result->kvs[0].value,
-                            result->kvs[0].value_length, 0, NULL);
+        record = json_loadb(result->kvs[0].value, result->kvs[0].value_length,
+                            0, NULL);
     }
     holder = FvJson_String(record, "holder");
     incarnation = FvJson_String(record, "incarnation");
@@ -240,8 +238,8 @@
 static bool
 is_self(const fv_gone_host_t *gone)
 {
-    return strcmp(gone->name,
-                  gone->recovery->runner->daemon->settings.host) == 0;
+    return strcmp(gone->name, gone->recovery->runner->daemon->settings.host) ==
+           0;
 }
 
 static void
@@ -424,7 +422,7 @@
             forget_host(recovery, gone);
         }
         else if (is_self(gone) || (needs_successor(recovery, gone->name) &&
-                          is_successor(recovery, gone->name))) {
+                                   is_successor(recovery, gone->name))) {
             read_index(gone);
         }
         gone = next;
--- a/src/runner-claim.c
+++ b/src/runner-claim.c
@@ -64,8 +64,8 @@
 check_record(fv_claim_write_t *write, const fv_store_result_t *result)
 {
     const fv_store_kv_t *kv = result->kv_count > 0 ? &result->kvs[0] : NULL;
-    json_t *record = kv ? json_loadb(kv->value, kv->value_length, 0, NULL)
-                        : NULL;
+    json_t *record =
+        kv ? json_loadb(kv->value, kv->value_length, 0, NULL) : NULL;
     const char *nonce = FvJson_String(record, "nonce");
 
     if (nonce != NULL && strcmp(nonce, write->nonce) == 0) {
@@ -73,8 +73,7 @@
     }
     else {
         FvMetrics_Add(Fv_COUNTER_CLAIM_CONFLICTS, 1);
-        finish_write(write, Fv_CLAIM_LOST, record,
-                     kv ? kv->mod_revision : 0);
+        finish_write(write, Fv_CLAIM_LOST, record, kv ? kv->mod_revision : 0);
     }
     json_decref(record);
 }
@@ -195,8 +194,8 @@
 }
 
 static void
-finish_admission(fv_run_t *run, fv_claim_result_t result,
-                 const json_t *record, int64_t revision)
+finish_admission(fv_run_t *run, fv_claim_result_t result, const json_t *record,
+                 int64_t revision)
 {
     (void)revision;
     switch (result) {
--- a/src/runner-start.c
+++ b/src/runner-start.c
@@ -97,10 +97,9 @@
     fv_task_request_t request = {0};
 
     describe_request(run, &request);
-    return FvPlacement_Choose(
-               daemon->holder->placement,
-               FvPolicy_ForClass(run->job->workload.class_id), &request.size,
-               NULL, FvClock_NowMs()) != NULL;
+    return FvPlacement_Choose(daemon->holder->placement,
+                              FvPolicy_ForClass(run->job->workload.class_id),
+                              &request.size, NULL, FvClock_NowMs()) != NULL;
 }
 
 static const fv_host_t *
@@ -108,12 +107,11 @@
 {
     fv_daemon_t *daemon = run->runner->daemon;
     const fv_host_t *ranked[Fv_DISPATCH_HOSTS_MAX];
-    int64_t waited_ms = (FvClock_NowNs() - run->job->submitted_ns) /
-                        Fv_NS_PER_MS;
-    uint32_t count = FvRoute_Rank(&daemon->hosts, daemon->self,
-                                  &run->job->workload, waited_ms,
-                                  FvClock_NowMs(), randombytes_random(),
-                                  ranked, Fv_DISPATCH_HOSTS_MAX);
+    int64_t waited_ms =
+        (FvClock_NowNs() - run->job->submitted_ns) / Fv_NS_PER_MS;
+    uint32_t count = FvRoute_Rank(
+        &daemon->hosts, daemon->self, &run->job->workload, waited_ms,
+        FvClock_NowMs(), randombytes_random(), ranked, Fv_DISPATCH_HOSTS_MAX);
 
     for (uint32_t i = 0; i < count; i++) {
         if (was_refused_by(run, ranked[i]->name)) {
@@ -237,13 +235,12 @@
         abort();
     }
     if (run->job->payload_length > 0) {
-        memcpy(request->payload, run->job->payload,
-               run->job->payload_length);
+        memcpy(request->payload, run->job->payload, run->job->payload_length);
     }
     request->payload_length = run->job->payload_length;
     FvPeers_Call(run->runner->daemon->peers, task->host, &message,
-                 request->wait_ms + Fv_START_TIMEOUT_MARGIN_MS,
-                 receive_start, FvRunRef_New(run, index));
+                 request->wait_ms + Fv_START_TIMEOUT_MARGIN_MS, receive_start,
+                 FvRunRef_New(run, index));
 }
 
 static void
@@ -306,8 +303,7 @@
 }
 
 static void
-record_reserved(fv_run_t *run, const char *host,
-                const fv_reserved_t *reserved)
+record_reserved(fv_run_t *run, const char *host, const fv_reserved_t *reserved)
 {
     int32_t first = count_reserved(run);
 
@@ -399,8 +395,8 @@
 static void
 try_next_host(fv_run_t *run)
 {
-    const fv_host_t *host = run->hops < Fv_START_HOPS_MAX ? pick_host(run)
-                                                          : NULL;
+    const fv_host_t *host =
+        run->hops < Fv_START_HOPS_MAX ? pick_host(run) : NULL;
 
     if (host != NULL && !run->job->cancel_requested) {
         launch(run, host);
@@ -419,8 +415,7 @@
 static void
 leave_queue_and_launch(fv_run_t *run, const fv_host_t *host)
 {
-    FvQueue_Remove(run->runner->queues[run->job->workload.class_id],
-                   run->job);
+    FvQueue_Remove(run->runner->queues[run->job->workload.class_id], run->job);
     FvRun_ResetTasks(run);
     launch(run, host);
 }
@@ -476,8 +471,8 @@
         return;
     }
     for (int i = 0; i < Fv_CLASS_COUNT; i++) {
-        more |= dispatch_class(runner, (fv_class_t)i) ==
-                Fv_DISPATCH_STARTS_MAX;
+        more |=
+            dispatch_class(runner, (fv_class_t)i) == Fv_DISPATCH_STARTS_MAX;
         if (FvQueue_Holding(runner->queues[i]) != NULL) {
             break;
         }
--- a/src/runner-wait.c
+++ b/src/runner-wait.c
@@ -94,8 +94,8 @@
 void
 FvRun_Attach(fv_run_t *run, fv_job_waiter_t *waiter)
 {
-    bool told = run->phase == Fv_RUN_ENDED ||
-                FvClock_NowMs() >= waiter->until_ms;
+    bool told =
+        run->phase == Fv_RUN_ENDED || FvClock_NowMs() >= waiter->until_ms;
 
     if (told) {
         reply_waiter(waiter, run);
--- a/src/runner-watch.c
+++ b/src/runner-watch.c
@@ -62,9 +62,9 @@
     fv_run_t *run = FvRunRef_Find(ref);
 
     *index = ref->index;
-    if (run != NULL && (run->job->attempts != ref->attempt ||
-                        run->job->state == Fv_JOB_ENDED ||
-                        ref->index >= run->task_count)) {
+    if (run != NULL &&
+        (run->job->attempts != ref->attempt ||
+         run->job->state == Fv_JOB_ENDED || ref->index >= run->task_count)) {
         run = NULL;
     }
     free(ref);
@@ -143,9 +143,8 @@
 FvRun_ResolveLater(fv_run_t *run, int32_t index)
 {
     fv_run_task_t *task = &run->tasks[index];
-    int64_t delay_ms = Fv_RESOLVE_FIRST_MS << (task->doubt_asks < 4
-                                                   ? task->doubt_asks
-                                                   : 4);
+    int64_t delay_ms = Fv_RESOLVE_FIRST_MS
+                       << (task->doubt_asks < 4 ? task->doubt_asks : 4);
 
     if (delay_ms > Fv_RESOLVE_MAX_MS) {
         delay_ms = Fv_RESOLVE_MAX_MS;
@@ -211,8 +210,7 @@
         since_ms = FvClock_NowMs() - task->start_sent_ms;
     }
     else {
-        since_ms = FvClock_WallMs() - run->claim.started_ms +
-                   Fv_CLOCK_SKEW_MS;
+        since_ms = FvClock_WallMs() - run->claim.started_ms + Fv_CLOCK_SKEW_MS;
     }
     return reply->uptime_ms >= since_ms;
 }
@@ -224,8 +222,8 @@
 
     FvLog_Event(Fv_LOG_WARN, "task_unknown", "job=%s task=%d worker=%s",
                 run->name, index, task->worker);
-    FvRun_End(run, Fv_OUTCOME_UNKNOWN,
-              "worker %s did not tell whether it ran", task->worker);
+    FvRun_End(run, Fv_OUTCOME_UNKNOWN, "worker %s did not tell whether it ran",
+              task->worker);
 }
 
 static bool
@@ -266,8 +264,7 @@
 }
 
 static void
-receive_resolution(void *context, fv_link_error_t error,
-                   fv_message_t *message)
+receive_resolution(void *context, fv_link_error_t error, fv_message_t *message)
 {
     int32_t index;
     fv_run_t *run = take_reply(context, &index);
@@ -324,8 +321,8 @@
     }
     begin_doubt(task);
     find_host(run, task, task->doubt_asks % 2 == 1);
-    send_task_message(run, index, stop ? Fv_MESSAGE_STOP : Fv_MESSAGE_QUERY,
-                      0, Fv_RESOLVE_TIMEOUT_MS,
+    send_task_message(run, index, stop ? Fv_MESSAGE_STOP : Fv_MESSAGE_QUERY, 0,
+                      Fv_RESOLVE_TIMEOUT_MS,
                       stop ? receive_resolution : receive_state);
 }
 
@@ -368,10 +365,9 @@
 
     if (was_starting) {
         run->tasks_pending--;
-        if (run->job->started_ns == 0 &&
-            reply->refusal == Fv_REFUSAL_NONE) {
-            run->job->started_ns = FvClock_NowNs() -
-                                   reply->ran_ms * Fv_NS_PER_MS;
+        if (run->job->started_ns == 0 && reply->refusal == Fv_REFUSAL_NONE) {
+            run->job->started_ns =
+                FvClock_NowNs() - reply->ran_ms * Fv_NS_PER_MS;
             FvMetrics_Record(
                 Fv_TIMING_WAIT, run->job->workload.class_id, run->job->member,
                 (run->job->started_ns - run->job->submitted_ns) / 1000);
@@ -506,8 +502,7 @@
 
         if (task->state == Fv_TASK_DONE) {
             FvEstimates_Observe(run->runner->daemon->estimates, job->member,
-                                job->workload.name, task->ran_ms,
-                                &task->used);
+                                job->workload.name, task->ran_ms, &task->used);
         }
     }
 }
--- a/src/runner.c
+++ b/src/runner.c
@@ -278,8 +278,8 @@
 void
 FvRun_BackOff(fv_run_t *run)
 {
-    int64_t delay_ms = FvRetry_BackoffMs(++run->backoffs,
-                                         randombytes_random());
+    int64_t delay_ms =
+        FvRetry_BackoffMs(++run->backoffs, randombytes_random());
 
     if (delay_ms > Fv_RUNNER_BACKOFF_MAX_MS) {
         delay_ms = Fv_RUNNER_BACKOFF_MAX_MS;
@@ -343,7 +343,7 @@
                          (now_ns - job->started_ns) / 1000);
     }
     FvLog_Event(job->outcome == Fv_OUTCOME_DONE ? Fv_LOG_DEBUG : Fv_LOG_INFO,
-                "job_ended", "job=%s outcome=%s attempts=%d reason=\"%s\"",
+                "job_ended", "job=%s outcome=%s attempts=%d reason=%s",
                 run->name, FvOutcome_Name(job->outcome), job->attempts,
                 job->reason);
 }
@@ -442,8 +442,7 @@
 
     for (int32_t i = 0; i < run->task_count; i++) {
         if (run->tasks[i].worker[0] != '\0') {
-            json_array_append_new(workers,
-                                  json_string(run->tasks[i].worker));
+            json_array_append_new(workers, json_string(run->tasks[i].worker));
         }
     }
     return workers;
@@ -459,8 +458,8 @@
 FvRun_Describe(const fv_run_t *run)
 {
     const fv_job_t *job = run->job;
-    bool hidden = run->phase == Fv_RUN_ENDING &&
-                  needs_durable_end(job->outcome);
+    bool hidden =
+        run->phase == Fv_RUN_ENDING && needs_durable_end(job->outcome);
     int64_t started_ns = job->started_ns ? job->started_ns : FvClock_NowNs();
     json_t *document = json_pack(
         "{s:s, s:s, s:s, s:s, s:i, s:o, s:I, s:I}", "key", job->key, "state",
@@ -477,8 +476,7 @@
     if (job->started_ns != 0) {
         json_object_set_new(
             document, "ran_ms",
-            json_integer((FvClock_NowNs() - job->started_ns) /
-                         Fv_NS_PER_MS));
+            json_integer((FvClock_NowNs() - job->started_ns) / Fv_NS_PER_MS));
     }
     return document;
 }
@@ -542,8 +540,7 @@
     int64_t now_ms = FvClock_NowMs();
 
     while (runner->ended_first != NULL &&
-           (now_ms - runner->ended_first->ended_ms >
-                Fv_RUNNER_KEEP_ENDED_MS ||
+           (now_ms - runner->ended_first->ended_ms > Fv_RUNNER_KEEP_ENDED_MS ||
             runner->answer_bytes > Fv_RUNNER_KEEP_ANSWERS_BYTES ||
             HASH_COUNT(runner->runs) > Fv_RUNNER_KEEP_RUNS)) {
         forget_oldest_ended(runner);
@@ -570,9 +567,9 @@
     }
     runner->daemon = daemon;
     for (int i = 0; i < Fv_CLASS_COUNT; i++) {
-        runner->queues[i] = FvQueue_New(
-            FvPolicy_ForClass((fv_class_t)i),
-            (uint32_t)daemon->settings.queue_limit);
+        runner->queues[i] =
+            FvQueue_New(FvPolicy_ForClass((fv_class_t)i),
+                        (uint32_t)daemon->settings.queue_limit);
     }
     runner->dispatch.fire = FvRunner_Dispatch;
     runner->dispatch.owner = runner;
@@ -616,6 +613,7 @@
         free_waiters(run);
         FvRunner_Remove(run);
     }
+    FvJobView_FreeAll(runner);
     for (int i = 0; i < Fv_CLASS_COUNT; i++) {
         FvQueue_Free(runner->queues[i]);
     }
@@ -629,8 +627,7 @@
  * @counts: receives them
  */
 void
-FvRunner_QueueCounts(const fv_runner_t *runner,
-                     int32_t counts[Fv_CLASS_COUNT])
+FvRunner_QueueCounts(const fv_runner_t *runner, int32_t counts[Fv_CLASS_COUNT])
 {
     for (int i = 0; i < Fv_CLASS_COUNT; i++) {
         counts[i] = (int32_t)FvQueue_Count(runner->queues[i]);
@@ -652,6 +649,9 @@
     fv_run_t *run;
     fv_run_t *next;
 
+    if (runner->views != NULL) {
+        return false;
+    }
     HASH_ITER(hh, runner->runs, run, next)
     {
         bool needs_us = run->waiters != NULL || run->write_pending ||
--- a/src/runner.h
+++ b/src/runner.h
@@ -39,13 +39,13 @@
 typedef enum fv_run_phase {
     Fv_RUN_ADMITTING, /* the claim is being written */
     Fv_RUN_QUEUED,
-    Fv_RUN_BACKOFF,   /* waits before it is queued again */
+    Fv_RUN_BACKOFF, /* waits before it is queued again */
     Fv_RUN_RESERVING,
-    Fv_RUN_CLAIMING,  /* the attempt is being written to the claim */
+    Fv_RUN_CLAIMING, /* the attempt is being written to the claim */
     Fv_RUN_STARTING,
     Fv_RUN_RUNNING,
-    Fv_RUN_STOPPING,  /* all tasks are being stopped */
-    Fv_RUN_ENDING,    /* the outcome is being written */
+    Fv_RUN_STOPPING, /* all tasks are being stopped */
+    Fv_RUN_ENDING,   /* the outcome is being written */
     Fv_RUN_ENDED
 } fv_run_phase_t;
 
@@ -54,11 +54,11 @@
 /* A caller that waits for the end of a job. */
 typedef struct fv_job_waiter {
     fv_run_t *run;
-    fv_ticket_t *ticket;  /* a caller of this host, or */
-    fv_reply_to_t peer;   /* another host on behalf of its caller */
-    bool submitted;       /* answered with 202 when the wait is over */
-    bool cancel;          /* the job is to be cancelled, not only watched */
-    int64_t until_ms;     /* boot */
+    fv_ticket_t *ticket; /* a caller of this host, or */
+    fv_reply_to_t peer;  /* another host on behalf of its caller */
+    bool submitted;      /* answered with 202 when the wait is over */
+    bool cancel;         /* the job is to be cancelled, not only watched */
+    int64_t until_ms;    /* boot */
     fv_timer_t timer;
     struct fv_job_waiter *next;
 } fv_job_waiter_t;
@@ -71,12 +71,12 @@
     fv_run_phase_t phase;
     fv_claim_t claim;
     char taken_from[Fv_NAME_SIZE]; /* the claim's former holder */
-    bool claimed;        /* has, or may have, a record in the store */
-    bool write_pending;  /* a claim write is outstanding or being repeated */
+    bool claimed;       /* has, or may have, a record in the store */
+    bool write_pending; /* a claim write is outstanding or being repeated */
     int32_t task_count;
     int32_t tasks_pending; /* replies outstanding in this phase */
     fv_run_task_t *tasks;
-    int32_t hops;        /* hosts asked since the job was last queued */
+    int32_t hops; /* hosts asked since the job was last queued */
     int32_t backoffs;
     char refused_by[4][Fv_NAME_SIZE];
     bool ever_ran; /* a task of any attempt has, or may have, started */
@@ -105,6 +105,7 @@
     int64_t retention_until_ms;
     bool retention_pending;
     struct fv_recovery *recovery;
+    struct fv_job_view *views; /* callers that wait for jobs elsewhere */
 };
 
 /* runner.c */
@@ -145,8 +146,7 @@
 json_t *FvClaim_ToJson(const fv_run_t *run);
 bool FvClaim_FromJson(const json_t *record, fv_run_t *run);
 json_t *FvClaim_Describe(const json_t *record);
-void FvClaim_Key(const char *member, const char *key, char *text,
-                 size_t size);
+void FvClaim_Key(const char *member, const char *key, char *text, size_t size);
 
 /* runner-claim.c: writes of the claim. */
 typedef enum fv_claim_result {
@@ -171,8 +171,7 @@
 void FvRun_ResolveTask(fv_run_t *run, int32_t index);
 void FvRun_ResolveLater(fv_run_t *run, int32_t index);
 bool FvRun_TaskSettled(const fv_run_task_t *task);
-void FvRun_TaskReplied(fv_run_t *run, int32_t index,
-                       fv_task_reply_t *reply);
+void FvRun_TaskReplied(fv_run_t *run, int32_t index, fv_task_reply_t *reply);
 void FvRun_StopTasks(fv_run_t *run);
 void FvRun_Settle(fv_run_t *run);
 void FvRun_TaskId(const fv_run_t *run, int32_t index, char *id, size_t size);
@@ -181,8 +180,9 @@
 void FvLapse_Check(fv_run_t *run, int32_t index);
 
 /* job-view.c: jobs whose home is another host, and answers kept by workers. */
-void FvJobView_Attach(fv_runner_t *runner, const char *member,
-                      const char *key, fv_job_waiter_t *waiter);
+void FvJobView_Attach(fv_runner_t *runner, const char *member, const char *key,
+                      fv_job_waiter_t *waiter);
+void FvJobView_FreeAll(fv_runner_t *runner);
 void FvJobView_FetchAnswer(fv_runner_t *runner, const char *member,
                            const char *key, const json_t *document,
                            fv_ticket_t *ticket);
@@ -193,9 +193,8 @@
 fv_recovery_t *FvRecovery_New(fv_runner_t *runner);
 void FvRecovery_Free(fv_recovery_t *recovery);
 void FvRecovery_OnHosts(fv_recovery_t *recovery);
-void FvRecovery_Adopt(fv_runner_t *runner, const char *member,
-                      const char *key, const json_t *record,
-                      int64_t revision);
+void FvRecovery_Adopt(fv_runner_t *runner, const char *member, const char *key,
+                      const json_t *record, int64_t revision);
 bool FvRecovery_IsGone(const fv_runner_t *runner, const char *holder,
                        const char *incarnation);
 
--- a/src/serve.c
+++ b/src/serve.c
@@ -150,14 +150,13 @@
 
     if (!FvSettings_ReadClusterKey(daemon->settings.cluster_key_file,
                                    daemon->cluster_key, reason)) {
-        FvLog_Event(Fv_LOG_ERROR, "cluster_key_unreadable", "reason=\"%s\"",
+        FvLog_Event(Fv_LOG_ERROR, "cluster_key_unreadable", "reason=%s",
                     reason);
         return false;
     }
     daemon->tokens = FvTokens_Load(daemon->settings.tokens_file, reason);
     if (daemon->tokens == NULL) {
-        FvLog_Event(Fv_LOG_ERROR, "tokens_unreadable", "reason=\"%s\"",
-                    reason);
+        FvLog_Event(Fv_LOG_ERROR, "tokens_unreadable", "reason=%s", reason);
         return false;
     }
     return true;
@@ -177,8 +176,7 @@
            (daemon->http = FvHttpClient_New(daemon->loop)) != NULL &&
            (daemon->store = FvStore_New(
                 daemon->http, daemon->loop, settings->store_url,
-                settings->store_prefix, settings->store_timeout_ms)) !=
-               NULL &&
+                settings->store_prefix, settings->store_timeout_ms)) != NULL &&
            (daemon->peers = FvPeers_New(daemon)) != NULL &&
            (daemon->upstream = FvUpstream_NewJson(daemon)) != NULL &&
            (daemon->holder = FvHolder_New(daemon)) != NULL &&
@@ -195,13 +193,13 @@
 free_parts(fv_daemon_t *daemon)
 {
     FvLink_Free(daemon->link);
-    FvHttpClient_Free(daemon->http);
     FvRunner_Free(daemon->runner);
     FvHttpServer_Free(daemon->server);
+    FvConfigurator_Free(daemon->configurator);
+    FvHttpClient_Free(daemon->http);
     FvHostList_Free(daemon->host_list);
     FvDigestSender_Free(daemon->digest_sender);
     FvLedger_Free(daemon->ledger);
-    FvConfigurator_Free(daemon->configurator);
     FvHolder_Free(daemon->holder);
     FvUpstream_Free(daemon->upstream);
     FvPeers_Free(daemon->peers);
--- a/src/store.c
+++ b/src/store.c
@@ -303,14 +303,14 @@
     bool understood = false;
 
     if (body != NULL) {
-        result->revision = FvJson_Int(json_object_get(body, "header"),
-                                      "revision", 0);
+        result->revision =
+            FvJson_Int(json_object_get(body, "header"), "revision", 0);
         understood = call->type->parse(call->store, body, result);
         json_decref(body);
     }
     if (!understood) {
-        result->error = call->type->writes ? Fv_STORE_IN_DOUBT
-                                           : Fv_STORE_MALFORMED;
+        result->error =
+            call->type->writes ? Fv_STORE_IN_DOUBT : Fv_STORE_MALFORMED;
     }
 }
 
@@ -358,11 +358,9 @@
     request.body = json_dumps(body, JSON_COMPACT);
     request.body_length = request.body ? strlen(request.body) : 0;
     json_decref(body);
-    snprintf(request.url, sizeof(request.url), "%s%s", store->url,
-             type->path);
-    FvMetrics_Add(type->writes ? Fv_COUNTER_STORE_WRITES
-                               : Fv_COUNTER_STORE_READS,
-                  1);
+    snprintf(request.url, sizeof(request.url), "%s%s", store->url, type->path);
+    FvMetrics_Add(
+        type->writes ? Fv_COUNTER_STORE_WRITES : Fv_COUNTER_STORE_READS, 1);
     FvHttpClient_Send(store->client, &request);
 }
 
@@ -393,10 +391,10 @@
 void
 FvStoreTxn_CompareAbsent(fv_store_txn_t *txn, const char *key)
 {
-    json_array_append_new(
-        txn->compare,
-        json_pack("{s:s, s:s, s:s, s:s}", "key", key, "target", "CREATE",
-                  "result", "EQUAL", "create_revision", "0"));
+    json_array_append_new(txn->compare,
+                          json_pack("{s:s, s:s, s:s, s:s}", "key", key,
+                                    "target", "CREATE", "result", "EQUAL",
+                                    "create_revision", "0"));
 }
 
 /**
@@ -428,10 +426,10 @@
 FvStoreTxn_CompareValue(fv_store_txn_t *txn, const char *key,
                         const char *value)
 {
-    json_array_append_new(
-        txn->compare,
-        json_pack("{s:s, s:s, s:s, s:o}", "key", key, "target", "VALUE",
-                  "result", "EQUAL", "value", encode(value, strlen(value))));
+    json_array_append_new(txn->compare,
+                          json_pack("{s:s, s:s, s:s, s:o}", "key", key,
+                                    "target", "VALUE", "result", "EQUAL",
+                                    "value", encode(value, strlen(value))));
 }
 
 /**
@@ -448,11 +446,10 @@
     char text[24];
 
     snprintf(text, sizeof(text), "%lld", (long long)lease);
-    json_array_append_new(txn->success,
-                          json_pack("{s:{s:s, s:o, s:s}}", "request_put",
-                                    "key", key, "value",
-                                    encode(value, strlen(value)), "lease",
-                                    text));
+    json_array_append_new(
+        txn->success,
+        json_pack("{s:{s:s, s:o, s:s}}", "request_put", "key", key, "value",
+                  encode(value, strlen(value)), "lease", text));
 }
 
 /**
@@ -476,8 +473,8 @@
 void
 FvStoreTxn_ReadOnFailure(fv_store_txn_t *txn, const char *key)
 {
-    json_array_append_new(txn->failure, json_pack("{s:{s:s}}", "request_range",
-                                                  "key", key));
+    json_array_append_new(txn->failure,
+                          json_pack("{s:{s:s}}", "request_range", "key", key));
 }
 
 static void
@@ -561,10 +558,9 @@
 FvStore_List(fv_store_t *store, const char *key_prefix, fv_store_done_t done,
              void *context)
 {
-    json_t *body = json_pack("{s:o, s:o}", "key",
-                             encode_key(store->prefix, key_prefix),
-                             "range_end",
-                             encode_range_end(store->prefix, key_prefix));
+    json_t *body =
+        json_pack("{s:o, s:o}", "key", encode_key(store->prefix, key_prefix),
+                  "range_end", encode_range_end(store->prefix, key_prefix));
 
     send_call(store, &range_call, body, done, context);
 }
@@ -619,8 +615,8 @@
     const json_t *events = json_object_get(body, "events");
     fv_store_result_t result = {.succeeded = true};
 
-    result.revision = FvJson_Int(json_object_get(body, "header"), "revision",
-                                 0);
+    result.revision =
+        FvJson_Int(json_object_get(body, "header"), "revision", 0);
     if (json_array_size(events) > 0) {
         if (parse_watch_events(store, events, &result)) {
             store->watch.next_revision = result.revision + 1;
@@ -696,8 +692,7 @@
     snprintf(revision, sizeof(revision), "%lld",
              (long long)watch->next_revision);
     body = json_pack("{s:{s:o, s:o, s:s}}", "create_request", "key",
-                     encode_key(store->prefix, watch->key_prefix),
-                     "range_end",
+                     encode_key(store->prefix, watch->key_prefix), "range_end",
                      encode_range_end(store->prefix, watch->key_prefix),
                      "start_revision", revision);
     request.body = json_dumps(body, JSON_COMPACT);
--- a/src/text.c
+++ b/src/text.c
@@ -85,8 +85,8 @@
 char *
 FvText_Base64(const void *data, size_t length)
 {
-    size_t size = sodium_base64_ENCODED_LEN(length,
-                                            sodium_base64_VARIANT_ORIGINAL);
+    size_t size =
+        sodium_base64_ENCODED_LEN(length, sodium_base64_VARIANT_ORIGINAL);
     char *text = malloc(size);
 
     if (text != NULL) {
@@ -114,15 +114,13 @@
     if (data == NULL) {
         return false;
     }
-    if (sodium_base642bin(data, capacity - 1, text, text_length, NULL,
-                          &length, NULL,
-                          sodium_base64_VARIANT_ORIGINAL) != 0) {
+    if (sodium_base642bin(data, capacity - 1, text, text_length, NULL, &length,
+                          NULL, sodium_base64_VARIANT_ORIGINAL) != 0) {
         free(data);
         return false;
     }
     data[length] = '\0';
-    *out = (fv_buffer_t){
-        .data = data, .length = length, .capacity = capacity};
+    *out = (fv_buffer_t){.data = data, .length = length, .capacity = capacity};
     return true;
 }
 
@@ -192,8 +190,8 @@
     }
     *colon = '\0';
     port = strtol(colon + 1, NULL, 10);
-    *address = (struct sockaddr_in){
-        .sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+    *address = (struct sockaddr_in){.sin_family = AF_INET,
+                                    .sin_port = htons((uint16_t)port)};
     return port > 0 && port < 65536 &&
            inet_pton(AF_INET, host, &address->sin_addr) == 1;
 }
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -107,8 +107,8 @@
 
     reply.error = translate_transport(response->error);
     if (reply.error == Fv_UPSTREAM_OK) {
-        body = json_loadb((const char *)response->body,
-                          response->body_length, 0, NULL);
+        body = json_loadb((const char *)response->body, response->body_length,
+                          0, NULL);
         if (response->status == 409) {
             reply.error = Fv_UPSTREAM_REFUSED;
             reply.expires_in_ms = FvJson_Int(body, "expires_in_ms", 0);
@@ -153,8 +153,7 @@
         abort();
     }
     *call = (fv_lease_call_t){.done = done, .context = context};
-    snprintf(request.url, sizeof(request.url), "%s%s", worker->base_url,
-             path);
+    snprintf(request.url, sizeof(request.url), "%s%s", worker->base_url, path);
     send_json(upstream, &request, body);
 }
 
@@ -163,11 +162,11 @@
            fv_lease_done_t done, void *context)
 {
     const fv_daemon_t *daemon = upstream->daemon;
-    json_t *body = json_pack(
-        "{s:s, s:s, s:i, s:I, s:I}", "holder", daemon->settings.host,
-        "incarnation", daemon->incarnation, "ttl_ms",
-        (int)daemon->settings.lease_ttl_ms, "term", (json_int_t)term, "seen",
-        (json_int_t)worker->seen_sequence);
+    json_t *body =
+        json_pack("{s:s, s:s, s:i, s:I, s:I}", "holder", daemon->settings.host,
+                  "incarnation", daemon->incarnation, "ttl_ms",
+                  (int)daemon->settings.lease_ttl_ms, "term", (json_int_t)term,
+                  "seen", (json_int_t)worker->seen_sequence);
 
     send_lease_call(upstream, worker, "/v1/lease", body, done, context);
 }
@@ -220,8 +219,7 @@
 
 /* Reads a task document, or the state of a 202. */
 static fv_upstream_error_t
-read_task_document(const fv_http_response_t *response,
-                   fv_task_reply_t *reply)
+read_task_document(const fv_http_response_t *response, fv_task_reply_t *reply)
 {
     json_t *body = json_loadb((const char *)response->body,
                               response->body_length, 0, NULL);
@@ -239,8 +237,8 @@
 }
 
 static fv_upstream_error_t
-read_task_reply(const fv_task_call_t *call,
-                const fv_http_response_t *response, fv_task_reply_t *reply)
+read_task_reply(const fv_task_call_t *call, const fv_http_response_t *response,
+                fv_task_reply_t *reply)
 {
     bool understood;
 
@@ -249,6 +247,9 @@
         return read_task_document(response, reply);
     }
     if (response->status == 200) {
+        reply->ran_ms = response->task_ran_ms;
+        reply->used.cpu_millis = response->task_cpu_millis;
+        reply->used.memory_bytes = response->task_memory_bytes;
         understood = FvTaskState_Parse(response->task_state, &reply->state);
         return understood && copy_answer(response, reply)
                    ? Fv_UPSTREAM_OK
@@ -359,8 +360,8 @@
 }
 
 static void
-json_answer(fv_upstream_t *upstream, const char *base_url,
-            const char *task_id, fv_task_done_t done, void *context)
+json_answer(fv_upstream_t *upstream, const char *base_url, const char *task_id,
+            fv_task_done_t done, void *context)
 {
     send_task_call(upstream, "GET", base_url, task_id, "/answer", NULL,
                    Fv_UPSTREAM_ANSWER_TIMEOUT_MS,
@@ -371,8 +372,8 @@
 json_stop(fv_upstream_t *upstream, const char *base_url, const char *task_id,
           fv_task_done_t done, void *context)
 {
-    send_task_call(upstream, "POST", base_url, task_id, "/stop",
-                   json_object(), Fv_UPSTREAM_STOP_TIMEOUT_MS,
+    send_task_call(upstream, "POST", base_url, task_id, "/stop", json_object(),
+                   Fv_UPSTREAM_STOP_TIMEOUT_MS,
                    new_task_call("", task_id, false, done, context));
 }
 
--- a/src/wire.c
+++ b/src/wire.c
@@ -184,8 +184,8 @@
 static uint64_t
 read_u64(fv_field_reader_t *reader)
 {
-    const msgpack_object *field = next_field(reader,
-                                             MSGPACK_OBJECT_POSITIVE_INTEGER);
+    const msgpack_object *field =
+        next_field(reader, MSGPACK_OBJECT_POSITIVE_INTEGER);
 
     return field ? field->via.u64 : 0;
 }
@@ -206,8 +206,8 @@
     if (field == NULL) {
         return (fv_field_reader_t){.failed = true};
     }
-    return (fv_field_reader_t){
-        .fields = field->via.array.ptr, .count = field->via.array.size};
+    return (fv_field_reader_t){.fields = field->via.array.ptr,
+                               .count = field->via.array.size};
 }
 
 static void
@@ -217,8 +217,7 @@
 
     resources->cpu_millis = read_int(&fields, INT64_MIN, INT64_MAX);
     resources->memory_bytes = read_int(&fields, INT64_MIN, INT64_MAX);
-    resources->accelerators = (int32_t)read_int(&fields, INT32_MIN,
-                                                INT32_MAX);
+    resources->accelerators = (int32_t)read_int(&fields, INT32_MIN, INT32_MAX);
     resources->slots = (int32_t)read_int(&fields, INT32_MIN, INT32_MAX);
     reader->failed |= fields.failed;
 }
@@ -381,8 +380,7 @@
         reader->failed = true;
         return;
     }
-    reserved->refusal = (fv_refusal_t)read_int(reader, 0,
-                                               Fv_REFUSAL_IN_DOUBT);
+    reserved->refusal = (fv_refusal_t)read_int(reader, 0, Fv_REFUSAL_IN_DOUBT);
     workers = read_array(reader);
     if (workers.count > Fv_TASKS_MAX) {
         reader->failed = true;
@@ -473,7 +471,7 @@
     }
 #define Fv_TASK_REPLY_CODEC                                                   \
     {                                                                         \
-        .fields = 10, .pack = pack_task_reply, .unpack = unpack_task_reply     \
+        .fields = 10, .pack = pack_task_reply, .unpack = unpack_task_reply    \
     }
 #define Fv_DOCUMENT_CODEC                                                     \
     {                                                                         \
@@ -586,8 +584,8 @@
 
     *message = (fv_message_t){0};
     msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, (const char *)payload, length,
-                            &used) == MSGPACK_UNPACK_SUCCESS &&
+    if (msgpack_unpack_next(&unpacked, (const char *)payload, length, &used) ==
+            MSGPACK_UNPACK_SUCCESS &&
         used == length) {
         error = unpack_object(&unpacked.data, message);
     }
