--- a/src/api-config.c
+++ b/src/api-config.c
@@ -333,12 +333,20 @@
     return good;
 }
 
+static void
+read_own_answers(generation_t *generation)
+{
+    char key[Fv_KEY_SIZE];
+
+    snprintf(key, sizeof(key), ANSWERS_PREFIX "%s",
+             generation->ticket->member);
+    FvStore_Get(generation->daemon->store, key, on_answers, generation);
+}
+
 static void
 on_base(void *context, const fv_store_result_t *result)
 {
     generation_t *generation = context;
-    fv_store_t *store = generation->daemon->store;
-    char key[Fv_KEY_SIZE];
 
     if (result->error != Fv_STORE_OK) {
         fail_generation(generation, result->error);
@@ -351,12 +359,56 @@
         return;
     }
     if (generation->base == NULL) {
-        FvStore_List(store, ANSWERS_PREFIX, on_answers, generation);
+        FvStore_List(generation->daemon->store, ANSWERS_PREFIX, on_answers,
+                     generation);
         return;
     }
-    snprintf(key, sizeof(key), ANSWERS_PREFIX "%s",
-             generation->ticket->member);
-    FvStore_Get(store, key, on_answers, generation);
+    read_own_answers(generation);
+}
+
+/* Takes the active snapshot as the base if it is what the head names. */
+static bool
+copy_active(generation_t *generation, const json_t *head)
+{
+    const char *digest = FvJson_String(head, "digest");
+    const fv_config_t *active;
+
+    rcu_read_lock();
+    active = FvConfig_Read();
+    if (active != NULL && digest != NULL &&
+        strcmp(active->digest, digest) == 0) {
+        generation->base = FvConfig_New(active->version, active->contracts,
+                                        active->contract_count, active);
+    }
+    rcu_read_unlock();
+    return generation->base != NULL;
+}
+
+/* Only when the snapshot lags are all contracts read from the store: with
+ * 83 members that takes the scheduler thread some 20 ms. */
+static void
+on_base_head(void *context, const fv_store_result_t *result)
+{
+    generation_t *generation = context;
+    json_t *by_digest;
+    json_t *head = NULL;
+
+    if (result->error != Fv_STORE_OK) {
+        fail_generation(generation, result->error);
+        return;
+    }
+    by_digest = json_object();
+    FvConfigHead_FromStore(result, &head, &generation->head_revision,
+                           by_digest);
+    if (copy_active(generation, head)) {
+        read_own_answers(generation);
+    }
+    else {
+        FvStore_List(generation->daemon->store, "config/", on_base,
+                     generation);
+    }
+    json_decref(head);
+    json_decref(by_digest);
 }
 
 /**
@@ -364,7 +416,7 @@
  * @daemon: the daemon
  * @ticket: the request
  *
- * The base is read from the store, since the snapshot of this host may lag.
+ * The head is read from the store, since the snapshot of this host may lag.
  */
 void
 FvApiConfig_Generate(fv_daemon_t *daemon, fv_ticket_t *ticket)
@@ -377,7 +429,7 @@
     }
     generation->daemon = daemon;
     generation->ticket = ticket;
-    FvStore_List(daemon->store, "config/", on_base, generation);
+    FvStore_Get(daemon->store, "config/head", on_base_head, generation);
 }
 
 /**
--- a/src/api-vote.c
+++ b/src/api-vote.c
@@ -207,7 +207,8 @@
                     "proposal=%s version=%lld",
                     FvJson_String(view->proposal, "id"),
                     (long long)FvJson_Int(view->head, "version", 0));
-        FvConfigurator_Refresh(view->daemon->configurator);
+        FvConfigurator_OnActivated(view->daemon->configurator, view->head,
+                                   json_object_get(view->proposal, "after"));
     }
     reply_summary(view);
 }
--- a/src/config-head.c
+++ b/src/config-head.c
@@ -89,7 +89,7 @@
     if (own == NULL) {
         return false;
     }
-    FvContract_Digest(own, own_digest);
+    FvConfig_ContractDigest(current, own, own_digest);
     *contract = *own;
     return strcmp(own_digest, digest) == 0;
 }
@@ -148,7 +148,8 @@
         result = Fv_CONFIG_HEAD_MISSING;
         goto out;
     }
-    *config = FvConfig_New((uint64_t)version, contracts, (uint32_t)count);
+    *config =
+        FvConfig_New((uint64_t)version, contracts, (uint32_t)count, current);
     if (*config == NULL) {
         result = Fv_CONFIG_HEAD_MISSING;
         goto out;
--- a/src/config.c
+++ b/src/config.c
@@ -122,6 +122,7 @@
 {
     if (config != NULL) {
         free(config->contracts);
+        free(config->contract_digests);
         free(config);
     }
 }
@@ -133,11 +134,41 @@
                   ((const fv_contract_t *)b)->member);
 }
 
+static bool
+copy_digest(const fv_config_t *base, const fv_contract_t *contract,
+            char digest[Fv_DIGEST_SIZE])
+{
+    const fv_contract_t *known = FvConfig_Contract(base, contract->member);
+
+    if (known == NULL || base->contract_digests == NULL ||
+        !FvContract_Equals(known, contract)) {
+        return false;
+    }
+    memcpy(digest, base->contract_digests[known - base->contracts],
+           Fv_DIGEST_SIZE);
+    return true;
+}
+
+static void
+compute_digests(fv_config_t *config, const fv_config_t *base)
+{
+    for (uint32_t i = 0; i < config->contract_count; i++) {
+        if (!copy_digest(base, &config->contracts[i],
+                         config->contract_digests[i])) {
+            FvContract_Digest(&config->contracts[i],
+                              config->contract_digests[i]);
+        }
+    }
+    FvConfig_Digest(config, config->digest);
+}
+
 /**
  * FvConfig_New - build a configuration and compute its digest
  * @version: its version
  * @contracts: contracts in any order; copied
  * @count: how many there are
+ * @base: a configuration that shares contracts with this one, or NULL; the
+ *        digests of shared contracts are not computed again
  *
  * Contracts are kept sorted by member, so that the same contracts always give
  * the same configuration.
@@ -145,7 +176,8 @@
  * Return: the configuration, or NULL when memory is exhausted.
  */
 fv_config_t *
-FvConfig_New(uint64_t version, const fv_contract_t *contracts, uint32_t count)
+FvConfig_New(uint64_t version, const fv_contract_t *contracts, uint32_t count,
+             const fv_config_t *base)
 {
     fv_config_t *config = calloc(1, sizeof(*config));
 
@@ -153,8 +185,10 @@
         return NULL;
     }
     config->contracts = calloc(count + 1, sizeof(*config->contracts));
-    if (config->contracts == NULL) {
-        free(config);
+    config->contract_digests =
+        calloc(count + 1, sizeof(*config->contract_digests));
+    if (config->contracts == NULL || config->contract_digests == NULL) {
+        FvConfig_Free(config);
         return NULL;
     }
     config->version = version;
@@ -163,10 +197,29 @@
         memcpy(config->contracts, contracts, count * sizeof(*contracts));
         qsort(config->contracts, count, sizeof(*contracts), compare_contracts);
     }
-    FvConfig_Digest(config, config->digest);
+    compute_digests(config, base);
     return config;
 }
 
+/**
+ * FvConfig_ContractDigest - digest of one contract
+ * @config: the configuration
+ * @contract: one of its contracts
+ * @digest: filled with hexadecimal digits
+ */
+void
+FvConfig_ContractDigest(const fv_config_t *config,
+                        const fv_contract_t *contract,
+                        char digest[Fv_DIGEST_SIZE])
+{
+    if (config->contract_digests == NULL) {
+        FvContract_Digest(contract, digest);
+        return;
+    }
+    memcpy(digest, config->contract_digests[contract - config->contracts],
+           Fv_DIGEST_SIZE);
+}
+
 /**
  * FvConfig_ContractDigests - digest of each member's contract
  * @config: the configuration, or NULL
@@ -180,7 +233,7 @@
     json_t *digests = json_object();
 
     for (uint32_t i = 0; config != NULL && i < config->contract_count; i++) {
-        FvContract_Digest(&config->contracts[i], digest);
+        FvConfig_ContractDigest(config, &config->contracts[i], digest);
         json_object_set_new(digests, config->contracts[i].member,
                             json_string(digest));
     }
@@ -290,7 +343,8 @@
         return NULL;
     }
     if (read_contracts(list, contracts, reason)) {
-        config = FvConfig_New((uint64_t)version, contracts, (uint32_t)count);
+        config =
+            FvConfig_New((uint64_t)version, contracts, (uint32_t)count, NULL);
     }
     if (config != NULL && strcmp(config->digest, digest) != 0) {
         snprintf(reason, Fv_REASON_SIZE, "digest does not match the content");
--- a/src/configurator.c
+++ b/src/configurator.c
@@ -499,13 +499,29 @@
 }
 
 /**
- * FvConfigurator_Refresh - read the store now, after an activation
+ * FvConfigurator_OnActivated - this host activated a proposal
  * @configurator: the configurator
+ * @head: the head it wrote
+ * @contracts: the contracts it wrote, by member
+ *
+ * Heartbeats then tell the other hosts, even when no watch is left.
  */
 void
-FvConfigurator_Refresh(fv_configurator_t *configurator)
+FvConfigurator_OnActivated(fv_configurator_t *configurator, json_t *head,
+                           json_t *contracts)
 {
-    load(configurator);
+    json_t *by_digest = json_object();
+    const char *member;
+    json_t *contract;
+
+    json_object_foreach(contracts, member, contract)
+    {
+        FvConfigHead_AddContract(by_digest, contract);
+    }
+    if (!adopt(configurator, head, by_digest)) {
+        load(configurator);
+    }
+    json_decref(by_digest);
 }
 
 /**
--- a/src/contract.c
+++ b/src/contract.c
@@ -42,6 +42,50 @@
            !workload->idempotent || workload->exclusive;
 }
 
+static bool
+same_resources(const fv_resources_t *a, const fv_resources_t *b)
+{
+    return a->cpu_millis == b->cpu_millis &&
+           a->memory_bytes == b->memory_bytes &&
+           a->accelerators == b->accelerators && a->slots == b->slots;
+}
+
+static bool
+same_workload(const fv_workload_t *a, const fv_workload_t *b)
+{
+    return strcmp(a->name, b->name) == 0 && a->class_id == b->class_id &&
+           a->exclusive == b->exclusive && a->idempotent == b->idempotent &&
+           same_resources(&a->size, &b->size) && a->tasks == b->tasks &&
+           a->queue_limit == b->queue_limit &&
+           a->retry_limit == b->retry_limit &&
+           a->expected_run_ms == b->expected_run_ms &&
+           a->start_within_ms == b->start_within_ms &&
+           a->finish_within_ms == b->finish_within_ms;
+}
+
+/**
+ * FvContract_Equals - whether two contracts have the same digest
+ * @a: a contract
+ * @b: another one
+ *
+ * Return: true when all fields are equal.
+ */
+bool
+FvContract_Equals(const fv_contract_t *a, const fv_contract_t *b)
+{
+    if (strcmp(a->member, b->member) != 0 || a->weight != b->weight ||
+        !same_resources(&a->quota, &b->quota) ||
+        a->workload_count != b->workload_count) {
+        return false;
+    }
+    for (uint32_t i = 0; i < a->workload_count; i++) {
+        if (!same_workload(&a->workloads[i], &b->workloads[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static json_t *
 workload_to_json(const fv_workload_t *workload)
 {
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -188,8 +188,8 @@
     char workload[Fv_NAME_SIZE];
     fv_class_t class_id;
     fv_resources_t size;
-    int32_t first;   /* reserve: index of the first task wanted */
-    int32_t count;   /* reserve: number of tasks wanted */
+    int32_t first; /* reserve: index of the first task wanted */
+    int32_t count; /* reserve: number of tasks wanted */
     bool reserved; /* start: a reservation under this id must exist */
     bool stop_on_lapse;
     bool send_once;  /* start: not idempotent */
@@ -428,7 +428,7 @@
     int64_t not_candidate_since_ms;
     int32_t starts_pending;
     bool listed_leaving;
-    bool told_leaving; /* by the worker itself, ahead of the list */
+    bool told_leaving;        /* by the worker itself, ahead of the list */
     uint64_t list_generation; /* of the last list that named the worker */
     fv_waiter_t *waiters;
     UT_hash_handle hh;
@@ -466,8 +466,7 @@
 void FvHolder_Query(fv_holder_t *holder, const fv_task_request_t *request,
                     const fv_reply_to_t *to);
 void FvHolder_Release(fv_holder_t *holder, const fv_task_request_t *request);
-void FvHolder_LeaseQuery(fv_holder_t *holder,
-                         const fv_task_request_t *request,
+void FvHolder_LeaseQuery(fv_holder_t *holder, const fv_task_request_t *request,
                          const fv_reply_to_t *to);
 void FvHolder_TaskEnded(fv_holding_t *holding, const char *task_id);
 void FvHolder_DropWaiters(fv_holding_t *holding);
@@ -478,7 +477,8 @@
 fv_configurator_t *FvConfigurator_New(fv_daemon_t *daemon);
 void FvConfigurator_Free(fv_configurator_t *configurator);
 void FvConfigurator_OnHosts(fv_configurator_t *configurator);
-void FvConfigurator_Refresh(fv_configurator_t *configurator);
+void FvConfigurator_OnActivated(fv_configurator_t *configurator, json_t *head,
+                                json_t *contracts);
 void FvConfigurator_OnPeerVersion(fv_configurator_t *configurator,
                                   const char *host, uint64_t version);
 void FvConfigurator_OnConfigGet(fv_configurator_t *configurator,
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -250,6 +250,7 @@
 json_t *FvContract_ToJson(const fv_contract_t *contract);
 bool FvContract_FromJson(const json_t *object, fv_contract_t *contract,
                          char reason[Fv_REASON_SIZE]);
+bool FvContract_Equals(const fv_contract_t *a, const fv_contract_t *b);
 void FvContract_Digest(const fv_contract_t *contract,
                        char digest[Fv_DIGEST_SIZE]);
 
@@ -259,10 +260,11 @@
     char digest[Fv_DIGEST_SIZE];
     uint32_t contract_count;
     fv_contract_t *contracts;
+    char (*contract_digests)[Fv_DIGEST_SIZE]; /* NULL: not yet computed */
 } fv_config_t;
 
 fv_config_t *FvConfig_New(uint64_t version, const fv_contract_t *contracts,
-                          uint32_t count);
+                          uint32_t count, const fv_config_t *base);
 const fv_config_t *FvConfig_Read(void);
 const fv_contract_t *FvConfig_Contract(const fv_config_t *config,
                                        const char *member);
@@ -273,6 +275,9 @@
                                char reason[Fv_REASON_SIZE]);
 json_t *FvConfig_ToJson(const fv_config_t *config);
 void FvConfig_Digest(const fv_config_t *config, char digest[Fv_DIGEST_SIZE]);
+void FvConfig_ContractDigest(const fv_config_t *config,
+                             const fv_contract_t *contract,
+                             char digest[Fv_DIGEST_SIZE]);
 json_t *FvConfig_ContractDigests(const fv_config_t *config);
 void FvConfig_DigestOf(uint64_t version, json_t *contract_digests,
                        char digest[Fv_DIGEST_SIZE]);
--- a/src/generate.c
+++ b/src/generate.c
@@ -219,7 +219,8 @@
 }
 
 static fv_config_t *
-draft_finish(draft_t *draft, uint64_t version, char reason[Fv_REASON_SIZE])
+draft_finish(draft_t *draft, const fv_config_t *base,
+             char reason[Fv_REASON_SIZE])
 {
     fv_config_t *config;
 
@@ -228,7 +229,8 @@
                  "no member would be left; the last member can't leave");
         return NULL;
     }
-    config = FvConfig_New(version, draft->contracts, draft->count);
+    config = FvConfig_New(base ? base->version + 1 : 1, draft->contracts,
+                          draft->count, base);
     if (config == NULL) {
         snprintf(reason, Fv_REASON_SIZE, "out of memory");
     }
@@ -259,7 +261,7 @@
             goto out;
         }
     }
-    config = draft_finish(&draft, 1, reason);
+    config = draft_finish(&draft, NULL, reason);
 
 out:
     free(draft.contracts);
@@ -286,7 +288,7 @@
         return NULL;
     }
     if (draft_apply(&draft, member, answers, reason)) {
-        config = draft_finish(&draft, base->version + 1, reason);
+        config = draft_finish(&draft, base, reason);
     }
     free(draft.contracts);
     return config;
--- a/src/proposal.c
+++ b/src/proposal.c
@@ -41,18 +41,21 @@
            strspn(id + 11, "0123456789abcdef") == 8 && id[19] == '\0';
 }
 
+/* Whether a configuration has the same contract as another one. */
 static bool
-contract_equals(const fv_contract_t *a, const fv_contract_t *b)
+has_contract(const fv_config_t *config, const fv_config_t *other,
+             const fv_contract_t *contract)
 {
-    char digest_a[Fv_DIGEST_SIZE];
-    char digest_b[Fv_DIGEST_SIZE];
+    const fv_contract_t *own = FvConfig_Contract(config, contract->member);
+    char digest[Fv_DIGEST_SIZE];
+    char own_digest[Fv_DIGEST_SIZE];
 
-    if (a == NULL || b == NULL) {
-        return a == b;
+    if (own == NULL) {
+        return false;
     }
-    FvContract_Digest(a, digest_a);
-    FvContract_Digest(b, digest_b);
-    return strcmp(digest_a, digest_b) == 0;
+    FvConfig_ContractDigest(other, contract, digest);
+    FvConfig_ContractDigest(config, own, own_digest);
+    return strcmp(digest, own_digest) == 0;
 }
 
 /* Contracts of @from that differ in, or are missing from, @other. */
@@ -64,8 +67,7 @@
     for (uint32_t i = 0; from != NULL && i < from->contract_count; i++) {
         const fv_contract_t *contract = &from->contracts[i];
 
-        if (!contract_equals(contract,
-                             FvConfig_Contract(other, contract->member))) {
+        if (!has_contract(other, from, contract)) {
             json_object_set_new(differing, contract->member,
                                 FvContract_ToJson(contract));
         }
--- a/tests/unit/config_test.c
+++ b/tests/unit/config_test.c
@@ -22,7 +22,7 @@
 {
     fv_config_t *sample = sample_config(members, 2);
     fv_config_t *config =
-        FvConfig_New(version, sample->contracts, sample->contract_count);
+        FvConfig_New(version, sample->contracts, sample->contract_count, NULL);
 
     FvConfig_Free(sample);
     return config;
--- a/tests/unit/configurator_test.c
+++ b/tests/unit/configurator_test.c
@@ -107,7 +107,7 @@
     for (uint32_t i = 0; i < changing; i++) {
         sample->contracts[i].weight = (uint32_t)version;
     }
-    config = FvConfig_New(version, sample->contracts, 3);
+    config = FvConfig_New(version, sample->contracts, 3, NULL);
     FvConfig_Free(sample);
     return config;
 }
@@ -261,6 +261,34 @@
     FvConfig_Free(config);
 }
 
+/* This host activates a version that changes no contract it lacks. */
+static void
+activate(uint64_t version)
+{
+    fv_config_t *config = config_of_version(version);
+    json_t *head = head_of(config);
+    json_t *contracts = json_pack("{s:o}", config->contracts[0].member,
+                                  FvContract_ToJson(&config->contracts[0]));
+
+    FvConfigurator_OnActivated(cell.configurator, head, contracts);
+    json_decref(head);
+    json_decref(contracts);
+    FvConfig_Free(config);
+}
+
+/* Reads the whole store, as after a change whose contracts are missing. */
+static void
+reload(void)
+{
+    json_t *head = json_pack("{s:i, s:s, s:{s:s}}", "version", 1 << 30,
+                             "digest", "", "contracts", "nobody", "");
+
+    FvConfigurator_OnActivated(cell.configurator, head,
+                               json_object_get(head, ""));
+    json_decref(head);
+    fake_store_run();
+}
+
 static void
 test_delayed_events_do_not_revert(void)
 {
@@ -273,10 +301,12 @@
     CU_ASSERT_EQUAL(FvConfig_Version(), version + 2);
     watch_event(version + 1);
     receive(peer_text(version, 3, 0));
-    FvConfigurator_Refresh(cell.configurator);
-    fake_store_run();
+    activate(version + 1);
+    reload();
     CU_ASSERT_EQUAL(FvConfig_Version(), version + 2);
     CU_ASSERT_EQUAL(applied, 2);
+    activate(version + 3);
+    CU_ASSERT_EQUAL(FvConfig_Version(), version + 3);
     stop();
 }
 
@@ -411,8 +441,7 @@
     FvConfigurator_OnHosts(cell.configurator);
     CU_ASSERT_FALSE(fake.watching);
     cell.hosts.entries[1]->heard_ms -= 10000;
-    FvConfigurator_Refresh(cell.configurator);
-    fake_store_run();
+    reload();
     CU_ASSERT_TRUE(fake.watching);
     stop();
 }
--- a/tests/unit/generate_test.c
+++ b/tests/unit/generate_test.c
@@ -153,6 +153,9 @@
     FvContract_Digest(&contract, before);
     FvContract_Digest(&read, after);
     CU_ASSERT_STRING_EQUAL(before, after);
+    CU_ASSERT_TRUE(FvContract_Equals(&contract, &read));
+    read.workloads[2].retry_limit++;
+    CU_ASSERT_FALSE(FvContract_Equals(&contract, &read));
     json_object_set_new(object, "weight", json_integer(0));
     CU_ASSERT_FALSE(FvContract_FromJson(object, &read, reason));
     json_decref(object);
--- a/tests/unit/vote_test.c
+++ b/tests/unit/vote_test.c
@@ -9,15 +9,32 @@
 #include "sample_answers.h"
 #include "suite.h"
 
+#include <urcu.h>
+
 static fv_daemon_t cell;
-static int refreshes;
+static int activations;
 
-/* Replaces the configurator, which the handlers only tell to read again. */
+/* Replaces the configurator: publishes what was activated. */
 void
-FvConfigurator_Refresh(fv_configurator_t *configurator)
+FvConfigurator_OnActivated(fv_configurator_t *configurator, json_t *head,
+                           json_t *contracts)
 {
+    json_t *by_digest = json_object();
+    fv_config_t *config = NULL;
+    const char *member;
+    json_t *contract;
+
     (void)configurator;
-    refreshes++;
+    activations++;
+    json_object_foreach(contracts, member, contract)
+    {
+        CU_ASSERT_TRUE(FvConfigHead_AddContract(by_digest, contract));
+    }
+    FvConfigHead_Assemble(head, FvConfig_Read(), by_digest, &config);
+    if (config != NULL && !FvConfig_Publish(config)) {
+        FvConfig_Free(config);
+    }
+    json_decref(by_digest);
 }
 
 void
@@ -140,7 +157,7 @@
     proposal_ref_t ref;
 
     fake_store_reset();
-    refreshes = 0;
+    activations = 0;
     CU_ASSERT_EQUAL(
         request(FvApiConfig_PutAnswers, "auckland", "", sample_with_weight(1)),
         200);
@@ -149,7 +166,7 @@
     CU_ASSERT_EQUAL(active_version(), 0);
     CU_ASSERT_EQUAL(approve("auckland", &ref), 200);
     CU_ASSERT_EQUAL(active_version(), 1);
-    CU_ASSERT_EQUAL(refreshes, 1);
+    CU_ASSERT_EQUAL(activations, 1);
 }
 
 static void
@@ -186,7 +203,7 @@
     CU_ASSERT_EQUAL(first.status, 200);
     CU_ASSERT_EQUAL(second.status, 200);
     CU_ASSERT_EQUAL(active_version(), 2);
-    CU_ASSERT_EQUAL(refreshes, 2);
+    CU_ASSERT_EQUAL(activations, 2);
     end(&first);
     end(&second);
 }
@@ -372,5 +389,10 @@
          test_listing_and_reading},
     };
 
-    return Fv_RUN_SUITE("vote", cases);
+    int result;
+
+    rcu_register_thread();
+    result = Fv_RUN_SUITE("vote", cases);
+    rcu_unregister_thread();
+    return result;
 }
