--- a/src/config.c
+++ b/src/config.c
@@ -14,7 +14,10 @@
     fv_config_t *config;
 } retired_config_t;
 
-static fv_config_t *active;
+/* C11 atomics order like rcu_assign_pointer and rcu_dereference of liburcu
+ * 0.13, which ThreadSanitizer does not understand; grace periods are
+ * liburcu's. */
+static _Atomic(fv_config_t *) active;
 /* Kept beside the snapshot so that any thread may read it without RCU. */
 static atomic_uint_fast64_t active_version;
 
@@ -28,7 +31,7 @@
 const fv_config_t *
 FvConfig_Read(void)
 {
-    return rcu_dereference(active);
+    return atomic_load_explicit(&active, memory_order_acquire);
 }
 
 /**
@@ -101,12 +104,12 @@
 bool
 FvConfig_Publish(fv_config_t *config)
 {
-    fv_config_t *old = active;
+    fv_config_t *old = atomic_load_explicit(&active, memory_order_relaxed);
 
     if (config->version <= FvConfig_Version()) {
         return false;
     }
-    rcu_assign_pointer(active, config);
+    atomic_store_explicit(&active, config, memory_order_release);
     atomic_store_explicit(&active_version, config->version,
                           memory_order_release);
     retire(old);
