--- a/src/daemon.h
+++ b/src/daemon.h
@@ -529,7 +529,8 @@
 fv_configurator_t *FvConfigurator_New(fv_daemon_t *daemon);
 void FvConfigurator_Free(fv_configurator_t *configurator);
 void FvConfigurator_OnHosts(fv_configurator_t *configurator);
-void FvConfigurator_Refresh(fv_configurator_t *configurator);
+void FvConfigurator_OnActivated(fv_configurator_t *configurator, json_t *head,
+                                json_t *contracts);
 void FvConfigurator_OnPeerVersion(fv_configurator_t *configurator,
                                   const char *host, uint64_t version);
 void FvConfigurator_OnConfigGet(fv_configurator_t *configurator,
