Add the harness for tests with real processes

Cause: end-to-end tests need cells of real processes whose connections can be cut one by one, and must leave no process behind. Change: tests/harness/cluster*.c plans addresses, writes host list, secrets and settings, starts the doubles and the hosts, and calls them over HTTP; process.c kills every child at exit, on a signal and through PR_SET_PDEATHSIG. In a proxied cell the host list gives each host its own routes.

--- /dev/null
+++ b/tests/harness/cluster-api.c
@@ -0,0 +1,604 @@
+/*
+ * Calls to the hosts and to the doubles of a test cell.
+ */
+
+#include "cluster.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Added to a call's own waiting time before the call is given up. */
+#define API_MARGIN_MS 10000
+
+/**
+ * FvApi_Token - a member's bearer token
+ * @member: the member
+ * @token: filled in
+ * @size: its size
+ */
+void
+FvApi_Token(const char *member, char *token, size_t size)
+{
+    snprintf(token, size, "token-of-%s", member);
+}
+
+/**
+ * FvApi_Url - URL of a host as callers reach it
+ * @cluster: the cell
+ * @host: its index
+ * @path: path and query
+ * @url: filled in
+ * @size: its size
+ */
+void
+FvApi_Url(const cluster_t *cluster, int host, const char *path, char *url,
+          size_t size)
+{
+    snprintf(url, size, "http://%s%s",
+             FvCluster_Address(cluster, ROUTE_CALLER, 0, host), path);
+}
+
+static void
+copy_text(const json_t *document, const char *name, char *target, size_t size)
+{
+    const char *text = json_string_value(json_object_get(document, name));
+
+    if (text != NULL) {
+        snprintf(target, size, "%s", text);
+    }
+}
+
+static int64_t
+read_int(const json_t *document, const char *name)
+{
+    return json_integer_value(json_object_get(document, name));
+}
+
+/* Reads a job document, or the problem document of an error. */
+static void
+read_job(const json_t *document, job_reply_t *reply)
+{
+    const json_t *workers = json_object_get(document, "workers");
+    const char *worker = json_string_value(json_array_get(workers, 0));
+
+    copy_text(document, "key", reply->key, sizeof(reply->key));
+    copy_text(document, "state", reply->state, sizeof(reply->state));
+    copy_text(document, "outcome", reply->outcome, sizeof(reply->outcome));
+    copy_text(document, "reason", reply->reason, sizeof(reply->reason));
+    copy_text(document, "detail", reply->reason, sizeof(reply->reason));
+    reply->attempts = (int)read_int(document, "attempts");
+    reply->answer_length = read_int(document, "answer_length");
+    reply->waited_ms = read_int(document, "waited_ms");
+    reply->ran_ms = read_int(document, "ran_ms");
+    reply->retry_after_ms = read_int(document, "retry_after_ms");
+    if (worker != NULL) {
+        snprintf(reply->worker, sizeof(reply->worker), "%s", worker);
+    }
+}
+
+static void
+run_job_call(http_session_t *session, const http_call_t *call,
+             job_reply_t *reply)
+{
+    json_t *document = NULL;
+
+    *reply = (job_reply_t){0};
+    if (session != NULL) {
+        FvHttpSession_Run(session, call, &reply->http);
+    }
+    else {
+        FvHttp_Run(call, &reply->http);
+    }
+    reply->status = reply->http.status;
+    if (reply->http.outcome[0] != 0) {
+        snprintf(reply->key, sizeof(reply->key), "%.*s",
+                 (int)sizeof(reply->key) - 1, reply->http.job);
+        snprintf(reply->state, sizeof(reply->state), "ended");
+        snprintf(reply->outcome, sizeof(reply->outcome), "%s",
+                 reply->http.outcome);
+        reply->answer_length = (int64_t)reply->http.body_length;
+        return;
+    }
+    document = FvHttp_ReplyJson(&reply->http);
+    if (document != NULL) {
+        read_job(document, reply);
+        json_decref(document);
+    }
+}
+
+/**
+ * FvApi_Base64 - encode bytes for a JSON field
+ * @data: the bytes
+ * @length: how many
+ *
+ * Return: a new JSON string.
+ */
+json_t *
+FvApi_Base64(const void *data, size_t length)
+{
+    size_t size =
+        sodium_base64_encoded_len(length, sodium_base64_VARIANT_ORIGINAL);
+    char *text = malloc(size);
+    json_t *encoded;
+
+    if (text == NULL) {
+        abort();
+    }
+    sodium_bin2base64(text, size, data, length,
+                      sodium_base64_VARIANT_ORIGINAL);
+    encoded = json_string(text);
+    free(text);
+    return encoded;
+}
+
+static void
+set_payload(json_t *body, const submit_t *submit)
+{
+    if (submit->payload == NULL) {
+        return;
+    }
+    if (submit->payload_length == 0) {
+        json_object_set_new(body, "payload", json_string(submit->payload));
+        return;
+    }
+    json_object_set_new(body, "payload_base64",
+                        FvApi_Base64(submit->payload, submit->payload_length));
+}
+
+static void
+set_positive(json_t *body, const char *name, int64_t value)
+{
+    if (value > 0) {
+        json_object_set_new(body, name, json_integer(value));
+    }
+}
+
+static char *
+submit_body(const submit_t *submit)
+{
+    json_t *body = json_pack("{s:s}", "workload", submit->workload);
+    char *text;
+
+    set_payload(body, submit);
+    set_positive(body, "deadline_ms", submit->deadline_ms);
+    set_positive(body, "tasks", submit->tasks);
+    set_positive(body, "wait_ms", submit->wait_ms);
+    text = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
+    if (text == NULL) {
+        abort();
+    }
+    return text;
+}
+
+/**
+ * FvApi_Submit - POST /v1/jobs
+ * @cluster: the cell
+ * @host: index of the host
+ * @submit: the job
+ * @reply: filled in; released with FvApi_FreeJob()
+ */
+void
+FvApi_Submit(cluster_t *cluster, int host, const submit_t *submit,
+             job_reply_t *reply)
+{
+    char *body = submit_body(submit);
+    char token[128];
+    char url[Fv_URL_SIZE];
+    http_call_t call = {.method = "POST",
+                        .url = url,
+                        .token = token,
+                        .idempotency_key = submit->key,
+                        .body = body,
+                        .body_length = strlen(body),
+                        .limit_ms = submit->limit_ms > 0
+                                        ? submit->limit_ms
+                                        : submit->wait_ms + API_MARGIN_MS};
+
+    FvApi_Token(submit->member, token, sizeof(token));
+    FvApi_Url(cluster, host, submit->raw ? "/v1/jobs?answer=raw" : "/v1/jobs",
+              url, sizeof(url));
+    run_job_call(submit->session, &call, reply);
+    free(body);
+}
+
+/**
+ * FvApi_Status - GET /v1/jobs/KEY
+ * @cluster: the cell
+ * @host: index of the host
+ * @member: the member
+ * @key: the job
+ * @wait_ms: how long the host waits for the end
+ * @reply: filled in; released with FvApi_FreeJob()
+ */
+void
+FvApi_Status(cluster_t *cluster, int host, const char *member, const char *key,
+             int64_t wait_ms, job_reply_t *reply)
+{
+    char path[Fv_KEY_SIZE + 64];
+    char token[128];
+    char url[Fv_URL_SIZE + 64];
+    http_call_t call = {
+        .url = url, .token = token, .limit_ms = wait_ms + API_MARGIN_MS};
+
+    FvApi_Token(member, token, sizeof(token));
+    snprintf(path, sizeof(path), "/v1/jobs/%s?wait_ms=%lld", key,
+             (long long)wait_ms);
+    FvApi_Url(cluster, host, path, url, sizeof(url));
+    run_job_call(NULL, &call, reply);
+}
+
+/**
+ * FvApi_Cancel - POST /v1/jobs/KEY/cancel
+ * @cluster: the cell
+ * @host: index of the host
+ * @member: the member
+ * @key: the job
+ * @reply: filled in; released with FvApi_FreeJob()
+ */
+void
+FvApi_Cancel(cluster_t *cluster, int host, const char *member, const char *key,
+             job_reply_t *reply)
+{
+    char path[Fv_KEY_SIZE + 64];
+    char token[128];
+    char url[Fv_URL_SIZE + 64];
+    http_call_t call = {.method = "POST", .url = url, .token = token};
+
+    FvApi_Token(member, token, sizeof(token));
+    snprintf(path, sizeof(path), "/v1/jobs/%s/cancel", key);
+    FvApi_Url(cluster, host, path, url, sizeof(url));
+    run_job_call(NULL, &call, reply);
+}
+
+/**
+ * FvApi_FreeJob - release a job reply
+ * @reply: the reply
+ */
+void
+FvApi_FreeJob(job_reply_t *reply)
+{
+    FvHttp_FreeReply(&reply->http);
+}
+
+/**
+ * FvApi_Answer - GET /v1/jobs/KEY/answer
+ * @cluster: the cell
+ * @host: index of the host
+ * @member: the member
+ * @key: the job
+ * @reply: filled in; released with FvHttp_FreeReply()
+ */
+void
+FvApi_Answer(cluster_t *cluster, int host, const char *member, const char *key,
+             http_reply_t *reply)
+{
+    char path[Fv_KEY_SIZE + 64];
+    char token[128];
+    char url[Fv_URL_SIZE + 64];
+    http_call_t call = {.url = url, .token = token};
+
+    FvApi_Token(member, token, sizeof(token));
+    snprintf(path, sizeof(path), "/v1/jobs/%s/answer", key);
+    FvApi_Url(cluster, host, path, url, sizeof(url));
+    FvHttp_Run(&call, reply);
+}
+
+/**
+ * FvApi_Send - any other call to a host
+ * @cluster: the cell
+ * @host: index of the host
+ * @member: whose token is sent; NULL: none
+ * @method: HTTP method
+ * @path: path and query
+ * @body: its reference is taken; NULL: none
+ * @reply: set to the reply's document or NULL; NULL to ignore it
+ *
+ * Return: the status; 0 when there was no complete reply.
+ */
+int
+FvApi_Send(cluster_t *cluster, int host, const char *member,
+           const char *method, const char *path, json_t *body, json_t **reply)
+{
+    char *text = body != NULL ? json_dumps(body, JSON_COMPACT) : NULL;
+    char token[128] = "";
+    char url[Fv_URL_SIZE * 2];
+    http_call_t call = {.method = method,
+                        .url = url,
+                        .token = member != NULL ? token : NULL,
+                        .body = text,
+                        .body_length = text != NULL ? strlen(text) : 0};
+    http_reply_t http;
+
+    json_decref(body);
+    FvApi_Token(member != NULL ? member : "", token, sizeof(token));
+    FvApi_Url(cluster, host, path, url, sizeof(url));
+    FvHttp_Run(&call, &http);
+    if (reply != NULL) {
+        *reply = FvHttp_ReplyJson(&http);
+    }
+    FvHttp_FreeReply(&http);
+    free(text);
+    return http.status;
+}
+
+/**
+ * FvApi_PutAnswers - PUT /v1/answers
+ * @cluster: the cell
+ * @host: index of the host
+ * @member: the member
+ * @answers: its questionnaire answers; the reference is taken
+ *
+ * Return: the status.
+ */
+int
+FvApi_PutAnswers(cluster_t *cluster, int host, const char *member,
+                 json_t *answers)
+{
+    return FvApi_Send(cluster, host, member, "PUT", "/v1/answers", answers,
+                      NULL);
+}
+
+/**
+ * FvApi_Generate - POST /v1/proposals
+ * @cluster: the cell
+ * @host: index of the host
+ * @member: who proposes
+ * @reply: filled in
+ *
+ * Return: true when a proposal was generated.
+ */
+bool
+FvApi_Generate(cluster_t *cluster, int host, const char *member,
+               proposal_reply_t *reply)
+{
+    json_t *document = NULL;
+
+    *reply = (proposal_reply_t){0};
+    reply->status = FvApi_Send(cluster, host, member, "POST", "/v1/proposals",
+                               NULL, &document);
+    copy_text(document, "id", reply->id, sizeof(reply->id));
+    copy_text(document, "digest", reply->digest, sizeof(reply->digest));
+    json_decref(document);
+    return reply->status == 201 && reply->id[0] != 0;
+}
+
+/**
+ * FvApi_Vote - approve or reject a proposal
+ * @cluster: the cell
+ * @host: index of the host
+ * @member: who votes
+ * @proposal: the proposal
+ * @approve: the vote
+ *
+ * Return: the status.
+ */
+int
+FvApi_Vote(cluster_t *cluster, int host, const char *member,
+           const proposal_reply_t *proposal, bool approve)
+{
+    char path[Fv_KEY_SIZE + 64];
+
+    snprintf(path, sizeof(path), "/v1/proposals/%s/%s", proposal->id,
+             approve ? "approve" : "reject");
+    return FvApi_Send(cluster, host, member, "POST", path,
+                      json_pack("{s:s}", "digest", proposal->digest), NULL);
+}
+
+/**
+ * FvApi_ConfigVersion - version of the configuration active on a host
+ * @cluster: the cell
+ * @host: index of the host
+ *
+ * Return: the version; 0 when it has none or does not answer.
+ */
+int64_t
+FvApi_ConfigVersion(cluster_t *cluster, int host)
+{
+    json_t *document = NULL;
+    int64_t version = 0;
+
+    if (FvApi_Send(cluster, host, cluster->topology.members[0], "GET",
+                   "/v1/config", NULL, &document) == 200) {
+        version = read_int(document, "version");
+    }
+    json_decref(document);
+    return version;
+}
+
+typedef struct version_wait {
+    cluster_t *cluster;
+    int64_t above;
+} version_wait_t;
+
+static bool
+all_hosts_above(void *context)
+{
+    const version_wait_t *wait = context;
+    cluster_t *cluster = wait->cluster;
+
+    for (int host = 0; host < cluster->host_count; host++) {
+        if (cluster->hosts[host].process.pid != 0 &&
+            FvApi_ConfigVersion(cluster, host) <= wait->above) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+put_all_answers(cluster_t *cluster, int host, const json_t *answers)
+{
+    for (size_t i = 0; i < cluster->topology.member_count; i++) {
+        const char *member = cluster->topology.members[i];
+        json_t *own = json_deep_copy(json_object_get(answers, member));
+
+        if (own == NULL ||
+            FvApi_PutAnswers(cluster, host, member, own) != 200) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/**
+ * FvCluster_Configure - bring a configuration into force on all hosts
+ * @cluster: the cell
+ * @host: index of the host that is used
+ * @answers: JSON object with the answers of every member by name
+ * @limit_ms: how long the activation may take on all running hosts
+ *
+ * Return: false when a step was refused or the limit passed.
+ */
+bool
+FvCluster_Configure(cluster_t *cluster, int host, const char *answers,
+                    int64_t limit_ms)
+{
+    version_wait_t wait = {cluster, FvApi_ConfigVersion(cluster, host)};
+    json_t *document = json_loads(answers, 0, NULL);
+    proposal_reply_t proposal;
+    bool accepted =
+        document != NULL && put_all_answers(cluster, host, document) &&
+        FvApi_Generate(cluster, host, cluster->topology.members[0], &proposal);
+
+    for (size_t i = 0; accepted && i < cluster->topology.member_count; i++) {
+        accepted = FvApi_Vote(cluster, host, cluster->topology.members[i],
+                              &proposal, true) == 200;
+    }
+    json_decref(document);
+    return accepted && FvWait_Until(all_hosts_above, &wait, limit_ms);
+}
+
+/**
+ * FvCluster_Platform - call the platform double's control port
+ * @cluster: the cell
+ * @path: for example /store
+ * @body: its reference is taken
+ *
+ * Return: true when it was accepted.
+ */
+bool
+FvCluster_Platform(cluster_t *cluster, const char *path, json_t *body)
+{
+    char url[Fv_URL_SIZE];
+
+    snprintf(url, sizeof(url), "http://%s%s", cluster->platform_control, path);
+    return FvHttp_PostJson(url, body, NULL) == 200;
+}
+
+static int64_t
+read_count(const char *address, const char *name)
+{
+    char url[Fv_URL_SIZE];
+    json_t *counts;
+    int64_t count = -1;
+
+    snprintf(url, sizeof(url), "http://%s/counts", address);
+    counts = FvHttp_GetJson(url);
+    if (json_object_get(counts, name) != NULL) {
+        count = read_int(counts, name);
+    }
+    json_decref(counts);
+    return count;
+}
+
+/**
+ * FvCluster_PlatformCount - one of the platform double's counters
+ * @cluster: the cell
+ * @name: for example txn
+ *
+ * Return: the count; -1 when there is none.
+ */
+int64_t
+FvCluster_PlatformCount(cluster_t *cluster, const char *name)
+{
+    return read_count(cluster->platform_control, name);
+}
+
+/**
+ * FvCluster_Dump - all keys and values of the store
+ * @cluster: the cell
+ *
+ * Return: a new document, or NULL.
+ */
+json_t *
+FvCluster_Dump(cluster_t *cluster)
+{
+    char url[Fv_URL_SIZE];
+
+    snprintf(url, sizeof(url), "http://%s/dump", cluster->platform_control);
+    return FvHttp_GetJson(url);
+}
+
+/**
+ * FvCluster_SetState - change an entry of the host list
+ * @cluster: the cell
+ * @name: a host or worker
+ * @state: live, leaving or gone
+ *
+ * Return: true when it was accepted; seen by readers after the lag.
+ */
+bool
+FvCluster_SetState(cluster_t *cluster, const char *name, const char *state)
+{
+    return FvCluster_Platform(
+        cluster, "/hosts/state",
+        json_pack("{s:s, s:s}", "name", name, "state", state));
+}
+
+/**
+ * FvCluster_SetWorkerMode - change how workers behave
+ * @cluster: the cell
+ * @rack: index of the rack
+ * @worker: name of one of its workers, or *
+ * @mode: up, fail_all, hang or leaving
+ *
+ * Return: true when it was accepted.
+ */
+bool
+FvCluster_SetWorkerMode(cluster_t *cluster, int rack, const char *worker,
+                        const char *mode)
+{
+    char url[Fv_URL_SIZE];
+
+    snprintf(url, sizeof(url), "http://%s/control",
+             cluster->racks[rack].address);
+    return FvHttp_PostJson(
+               url, json_pack("{s:s, s:s}", "worker", worker, "mode", mode),
+               NULL) == 200;
+}
+
+/**
+ * FvCluster_RackCount - one of a worker double's counters
+ * @cluster: the cell
+ * @rack: index of the rack
+ * @name: for example started
+ *
+ * Return: the count; -1 when there is none.
+ */
+int64_t
+FvCluster_RackCount(cluster_t *cluster, int rack, const char *name)
+{
+    return read_count(cluster->racks[rack].address, name);
+}
+
+/**
+ * FvCluster_ReadRecords - the records of all workers, ordered by time
+ * @cluster: the cell
+ * @records: filled in; released with FvRecords_Free()
+ *
+ * Return: false when a file cannot be read.
+ */
+bool
+FvCluster_ReadRecords(cluster_t *cluster, records_t *records)
+{
+    bool valid = true;
+
+    *records = (records_t){0};
+    for (int rack = 0; rack < cluster->rack_count; rack++) {
+        valid =
+            FvRecords_Read(records, cluster->racks[rack].record_path) && valid;
+    }
+    return valid;
+}
--- /dev/null
+++ b/tests/harness/cluster.h
@@ -0,0 +1,219 @@
+/*
+ * A whole cell on loopback for tests with real processes: the platform
+ * double, worker doubles, the fault proxy and fireflyvalve hosts, all taken
+ * from the directory named by the environment variable BUILD.
+ */
+
+#ifndef CLUSTER_H
+#define CLUSTER_H
+
+#include "fireflyvalve.h"
+#include "http-call.h"
+#include "process.h"
+#include "record.h"
+
+#define CLUSTER_HOSTS_MAX 16
+#define CLUSTER_RACKS_MAX 48
+#define CLUSTER_ALL (-1)
+/* Time for a process to start on a busy machine. */
+#define CLUSTER_START_MS 10000
+
+/* One data centre. */
+typedef struct topology_site {
+    const char *region;
+    const char *data_center;
+    int hosts;
+    int racks;
+    int workers; /* per rack */
+} topology_site_t;
+
+/* Fields that are zero take the default of the program concerned. */
+typedef struct topology {
+    const char *cluster;
+    const topology_site_t *sites;
+    size_t site_count;
+    const char *const *members;
+    size_t member_count;
+    bool proxied; /* route every connection through fault-proxy */
+    double region_delay_ms;
+    double data_center_delay_ms;
+    double caller_delay_ms;
+    fv_resources_t capacity;
+    int connections;
+    bool no_fencing;
+    int usage_lag_ms;
+    int ttl_stop_ms;
+    int list_lag_ms;
+    int store_timeout_ms;
+    int lease_ttl_ms;
+    int lease_renew_ms;
+    int http_threads;
+    int queue_limit;
+    int drain_timeout_ms;
+    const char *log_level;
+} topology_t;
+
+typedef struct cluster_host {
+    char name[Fv_NAME_SIZE];
+    const topology_site_t *site;
+    char http_address[Fv_ADDRESS_SIZE];
+    char link_address[Fv_ADDRESS_SIZE];
+    char config_path[512];
+    process_t process;
+} cluster_host_t;
+
+/* Worker I of rack-N is named rN-wI. */
+typedef struct cluster_rack {
+    char name[Fv_NAME_SIZE];
+    char prefix[Fv_NAME_SIZE];
+    const topology_site_t *site;
+    char address[Fv_ADDRESS_SIZE];
+    char record_path[512];
+    process_t process;
+} cluster_rack_t;
+
+/* A connection from one host (or the callers) to something else. */
+typedef enum route_kind {
+    ROUTE_PEER,   /* from host, to host */
+    ROUTE_RACK,   /* from host, to rack */
+    ROUTE_STORE,  /* from host */
+    ROUTE_LIST,   /* from host */
+    ROUTE_CALLER, /* to host */
+    ROUTE_KIND_COUNT
+} route_kind_t;
+
+typedef struct cluster_route {
+    route_kind_t kind;
+    int from;
+    int to;
+    double delay_ms;
+    char listen[Fv_ADDRESS_SIZE];
+    char target[Fv_ADDRESS_SIZE];
+} cluster_route_t;
+
+typedef struct cluster {
+    topology_t topology;
+    char directory[256];
+    char ip[32];
+    int next_port;
+    char platform_address[Fv_ADDRESS_SIZE];
+    char platform_control[Fv_ADDRESS_SIZE];
+    char proxy_control[Fv_ADDRESS_SIZE];
+    process_t platform;
+    process_t proxy;
+    cluster_host_t hosts[CLUSTER_HOSTS_MAX];
+    int host_count;
+    cluster_rack_t racks[CLUSTER_RACKS_MAX];
+    int rack_count;
+    cluster_route_t *routes;
+    int route_count;
+} cluster_t;
+
+/* cluster.c: life of the processes. */
+bool FvCluster_Open(cluster_t *cluster, const topology_t *topology);
+bool FvCluster_Start(cluster_t *cluster, const topology_t *topology);
+void FvCluster_Close(cluster_t *cluster);
+bool FvCluster_StartHost(cluster_t *cluster, int host);
+bool FvCluster_StartRack(cluster_t *cluster, int rack);
+bool FvCluster_StartPlatform(cluster_t *cluster);
+bool FvCluster_WaitListening(const char *address, int64_t limit_ms);
+bool FvCluster_WaitHealthy(cluster_t *cluster, int host, int64_t limit_ms);
+bool FvCluster_WaitReady(cluster_t *cluster, int host, int64_t limit_ms);
+bool FvWait_Until(bool (*condition)(void *context), void *context,
+                  int64_t limit_ms);
+
+/* cluster-files.c: addresses and files. */
+bool FvCluster_PrepareDirectory(cluster_t *cluster);
+void FvCluster_RemoveDirectory(cluster_t *cluster);
+void FvCluster_Path(const cluster_t *cluster, const char *name, char *path,
+                    size_t size);
+bool FvCluster_FreeAddress(cluster_t *cluster, char address[Fv_ADDRESS_SIZE]);
+json_t *FvCluster_HostList(const cluster_t *cluster);
+bool FvCluster_WriteFiles(cluster_t *cluster);
+
+/* cluster-routes.c: the proxy's routes and faults. */
+bool FvCluster_PlanRoutes(cluster_t *cluster);
+const char *FvCluster_Address(const cluster_t *cluster, route_kind_t kind,
+                              int from, int to);
+bool FvCluster_SetRoute(cluster_t *cluster, route_kind_t kind, int from,
+                        int to, const char *mode);
+bool FvCluster_DelayRoute(cluster_t *cluster, route_kind_t kind, int from,
+                          int to, double delay_ms);
+bool FvCluster_CutAnswer(cluster_t *cluster, route_kind_t kind, int from,
+                         int to, int64_t after_bytes);
+bool FvCluster_IsolateHost(cluster_t *cluster, int host, const char *mode);
+bool FvCluster_SplitRegions(cluster_t *cluster, const char *a, const char *b,
+                            const char *mode);
+
+/* cluster-api.c: calls to the hosts and to the doubles. */
+typedef struct submit {
+    const char *member;
+    const char *key; /* NULL: no Idempotency-Key */
+    const char *workload;
+    const char *payload;
+    size_t payload_length; /* above 0: binary, sent as base64 */
+    int64_t deadline_ms;
+    int tasks;
+    int64_t wait_ms;
+    bool raw;
+    int64_t limit_ms;
+    http_session_t *session; /* NULL: a connection of its own */
+} submit_t;
+
+typedef struct job_reply {
+    int status; /* HTTP; 0: no complete reply */
+    char key[Fv_KEY_SIZE];
+    char state[16];
+    char outcome[16];
+    char reason[256]; /* or the detail of an error */
+    int attempts;
+    int64_t answer_length;
+    int64_t waited_ms;
+    int64_t ran_ms;
+    int64_t retry_after_ms;
+    char worker[Fv_NAME_SIZE]; /* the first of workers */
+    http_reply_t http;
+} job_reply_t;
+
+typedef struct proposal_reply {
+    int status;
+    char id[Fv_KEY_SIZE];
+    char digest[Fv_DIGEST_SIZE];
+} proposal_reply_t;
+
+json_t *FvApi_Base64(const void *data, size_t length);
+void FvApi_Token(const char *member, char *token, size_t size);
+void FvApi_Url(const cluster_t *cluster, int host, const char *path, char *url,
+               size_t size);
+void FvApi_Submit(cluster_t *cluster, int host, const submit_t *submit,
+                  job_reply_t *reply);
+void FvApi_Status(cluster_t *cluster, int host, const char *member,
+                  const char *key, int64_t wait_ms, job_reply_t *reply);
+void FvApi_Cancel(cluster_t *cluster, int host, const char *member,
+                  const char *key, job_reply_t *reply);
+void FvApi_FreeJob(job_reply_t *reply);
+void FvApi_Answer(cluster_t *cluster, int host, const char *member,
+                  const char *key, http_reply_t *reply);
+int FvApi_Send(cluster_t *cluster, int host, const char *member,
+               const char *method, const char *path, json_t *body,
+               json_t **reply);
+int FvApi_PutAnswers(cluster_t *cluster, int host, const char *member,
+                     json_t *answers);
+bool FvApi_Generate(cluster_t *cluster, int host, const char *member,
+                    proposal_reply_t *reply);
+int FvApi_Vote(cluster_t *cluster, int host, const char *member,
+               const proposal_reply_t *proposal, bool approve);
+int64_t FvApi_ConfigVersion(cluster_t *cluster, int host);
+bool FvCluster_Configure(cluster_t *cluster, int host, const char *answers,
+                         int64_t limit_ms);
+bool FvCluster_Platform(cluster_t *cluster, const char *path, json_t *body);
+int64_t FvCluster_PlatformCount(cluster_t *cluster, const char *name);
+json_t *FvCluster_Dump(cluster_t *cluster);
+bool FvCluster_SetState(cluster_t *cluster, const char *name,
+                        const char *state);
+bool FvCluster_SetWorkerMode(cluster_t *cluster, int rack, const char *worker,
+                             const char *mode);
+int64_t FvCluster_RackCount(cluster_t *cluster, int rack, const char *name);
+bool FvCluster_ReadRecords(cluster_t *cluster, records_t *records);
+
+#endif
--- /dev/null
+++ b/tests/harness/process.c
@@ -0,0 +1,224 @@
+/*
+ * Child processes of a test.
+ */
+
+#include "process.h"
+
+#include "fake-server.h"
+#include "fireflyvalve.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define PROCESS_MAX 256
+#define PROCESS_POLL_MS 5
+
+/* Read by a signal handler, so entries are set to 0 and never moved. */
+static volatile pid_t running[PROCESS_MAX];
+
+static void
+kill_all(void)
+{
+    for (int i = 0; i < PROCESS_MAX; i++) {
+        if (running[i] > 0) {
+            kill(running[i], SIGKILL);
+        }
+    }
+}
+
+static void
+kill_all_and_exit(int signal)
+{
+    kill_all();
+    _exit(128 + signal);
+}
+
+/* Covers a normal end, the time limit of the test runner and a crash. */
+static void
+install_cleanup(void)
+{
+    static const int signals[] = {SIGTERM, SIGINT,  SIGHUP, SIGALRM,
+                                  SIGABRT, SIGSEGV, SIGBUS, SIGFPE};
+    static bool installed;
+    struct sigaction action = {.sa_handler = kill_all_and_exit};
+
+    if (installed) {
+        return;
+    }
+    installed = true;
+    atexit(kill_all);
+    for (size_t i = 0; i < sizeof(signals) / sizeof(signals[0]); i++) {
+        sigaction(signals[i], &action, NULL);
+    }
+    signal(SIGPIPE, SIG_IGN);
+}
+
+static void
+set_running(pid_t from, pid_t to)
+{
+    for (int i = 0; i < PROCESS_MAX; i++) {
+        if (running[i] == from) {
+            running[i] = to;
+            return;
+        }
+    }
+    fprintf(stderr, "more than %d processes in one test\n", PROCESS_MAX);
+    abort();
+}
+
+static void
+redirect_output(const char *log_path)
+{
+    int log = open(log_path, O_WRONLY | O_CREAT | O_APPEND, 0600);
+
+    if (log >= 0) {
+        dup2(log, STDOUT_FILENO);
+        dup2(log, STDERR_FILENO);
+    }
+}
+
+static void
+run_child(pid_t parent, const char *log_path, const char *const *argv)
+{
+    sigset_t none;
+
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    /* The parent may have died before the line above. */
+    if (getppid() != parent) {
+        _exit(126);
+    }
+    sigemptyset(&none);
+    sigprocmask(SIG_SETMASK, &none, NULL);
+    signal(SIGPIPE, SIG_DFL);
+    redirect_output(log_path);
+    execv(argv[0], (char *const *)argv);
+    fprintf(stderr, "cannot run %s: %s\n", argv[0], strerror(errno));
+    _exit(127);
+}
+
+/**
+ * FvProcess_Start - start a program
+ * @process: filled in
+ * @log_path: file that its output is appended to
+ * @argv: path and arguments, ended by NULL
+ *
+ * To be called from the main thread: the kernel kills the child when the
+ * thread that started it ends.
+ *
+ * Return: false when no process can be created.
+ */
+bool
+FvProcess_Start(process_t *process, const char *log_path,
+                const char *const *argv)
+{
+    pid_t parent = getpid();
+    pid_t pid;
+
+    install_cleanup();
+    snprintf(process->log_path, sizeof(process->log_path), "%s", log_path);
+    process->exit_status = -1;
+    pid = fork();
+    if (pid == 0) {
+        run_child(parent, log_path, argv);
+    }
+    process->pid = pid > 0 ? pid : 0;
+    if (pid > 0) {
+        set_running(0, pid);
+    }
+    return pid > 0;
+}
+
+/**
+ * FvProcess_Signal - send a signal
+ * @process: the process
+ * @signal: for example SIGSTOP
+ *
+ * Return: false when it is not running.
+ */
+bool
+FvProcess_Signal(const process_t *process, int signal)
+{
+    return process->pid > 0 && kill(process->pid, signal) == 0;
+}
+
+/**
+ * FvProcess_Exited - collect the exit status if the process has ended
+ * @process: the process
+ *
+ * Return: true when it is not running. The exit status is that of exit(), or
+ * 128 plus the signal.
+ */
+bool
+FvProcess_Exited(process_t *process)
+{
+    int status;
+
+    if (process->pid == 0) {
+        return true;
+    }
+    if (waitpid(process->pid, &status, WNOHANG) != process->pid) {
+        return false;
+    }
+    set_running(process->pid, 0);
+    process->pid = 0;
+    process->exit_status =
+        WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    return true;
+}
+
+/**
+ * FvProcess_Wait - wait for the end of a process
+ * @process: the process
+ * @limit_ms: how long
+ *
+ * Return: false when it still runs.
+ */
+bool
+FvProcess_Wait(process_t *process, int64_t limit_ms)
+{
+    int64_t until_ms = FvClock_NowMs() + limit_ms;
+
+    while (!FvProcess_Exited(process)) {
+        if (FvClock_NowMs() >= until_ms) {
+            return false;
+        }
+        FvFake_SleepMs(PROCESS_POLL_MS);
+    }
+    return true;
+}
+
+/**
+ * FvProcess_Kill - kill a process, stopped or not, and collect it
+ * @process: the process; nothing happens if it is not running
+ */
+void
+FvProcess_Kill(process_t *process)
+{
+    if (FvProcess_Signal(process, SIGKILL)) {
+        FvProcess_Wait(process, INT32_MAX);
+    }
+}
+
+/**
+ * FvProcess_Terminate - ask a process to end, and kill it after a limit
+ * @process: the process
+ * @limit_ms: how long it may take
+ *
+ * Return: true when it ended by itself with exit status 0.
+ */
+bool
+FvProcess_Terminate(process_t *process, int64_t limit_ms)
+{
+    FvProcess_Signal(process, SIGTERM);
+    if (!FvProcess_Wait(process, limit_ms)) {
+        FvProcess_Kill(process);
+        return false;
+    }
+    return process->exit_status == 0;
+}
--- /dev/null
+++ b/tests/harness/process.h
@@ -0,0 +1,27 @@
+/*
+ * Child processes of a test. Only processes started here are ever signalled,
+ * and all of them are killed when the test program ends for any reason.
+ */
+
+#ifndef PROCESS_H
+#define PROCESS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+typedef struct process {
+    pid_t pid; /* 0: not running */
+    int exit_status;
+    char log_path[512];
+} process_t;
+
+bool FvProcess_Start(process_t *process, const char *log_path,
+                     const char *const *argv);
+bool FvProcess_Signal(const process_t *process, int signal);
+bool FvProcess_Exited(process_t *process);
+bool FvProcess_Wait(process_t *process, int64_t limit_ms);
+void FvProcess_Kill(process_t *process);
+bool FvProcess_Terminate(process_t *process, int64_t limit_ms);
+
+#endif
