--- a/src/fireflyvalve.c
+++ b/src/fireflyvalve.c
@@ -1,14 +1,26 @@
 /*
- * Entry point: finds the command in the command table and runs it.
+ * Entry point.
  */
 
-#include "fireflyvalve.h"
+#include "daemon.h"
 
+#include <signal.h>
 #include <stdio.h>
+#include <string.h>
 
 int
-main(void)
+main(int argc, char **argv)
 {
-    printf("fireflyvalve %s\n", Fv_VERSION);
-    return 0;
+    fv_settings_t settings;
+
+    if (argc != 4 || strcmp(argv[1], "serve") != 0 ||
+        strcmp(argv[2], "--config") != 0) {
+        fprintf(stderr, "usage: fireflyvalve serve --config FILE\n");
+        return 2;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    if (!FvSettings_Load(argv[3], &settings, stderr)) {
+        return 2;
+    }
+    return FvServe_Run(&settings);
 }
