Fix linter findings, reorder deadline queues by learned run times

Change: lists are walked with a saved successor; the deadline queue is reordered every 5 s; a probe begins at its reservation.

--- a/src/digest.c
+++ b/src/digest.c
@@ -6,6 +6,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <urcu.h>
 
 #define Fv_DIGEST_INTERVAL_MS 500
 /* Traffic across regions is paid by volume: every fourth digest goes there. */
@@ -38,11 +39,14 @@
 static void
 fill_usage(fv_digest_sender_t *sender, fv_digest_t *digest)
 {
-    const fv_config_t *config = FvConfig_Read();
-    uint32_t count = config ? config->contract_count : 0;
+    const fv_config_t *config;
+    uint32_t count;
     uint32_t told = 0;
 
     digest->usage_count = 0;
+    rcu_read_lock();
+    config = FvConfig_Read();
+    count = config ? config->contract_count : 0;
     while (told < count) {
         uint32_t index = (sender->next_member + told) % count;
 
@@ -52,6 +56,7 @@
             break;
         }
     }
+    rcu_read_unlock();
     sender->next_member = count ? (sender->next_member + told) % count : 0;
 }
 
--- a/src/holder-tasks.c
+++ b/src/holder-tasks.c
@@ -114,6 +114,7 @@
     if (FvHolder_AddTask(worker->holder, &task) == NULL) {
         return false;
     }
+    FvQuarantine_Started(&worker->quarantine, FvClock_NowMs());
     FvText_Copy(reserved->workers[reserved->count++], Fv_NAME_SIZE,
                 worker->name);
     return true;
@@ -167,6 +168,7 @@
     }
     task = FvWorker_FindTask(holding->worker, request->id);
     if (task != NULL && task->state == Fv_TASK_RESERVED) {
+        FvQuarantine_Abandoned(&holding->worker->quarantine);
         FvHolder_RemoveTask(holding, task);
     }
 }
@@ -420,7 +422,9 @@
     call->stop_doubt = !request->reserved;
     holding->starts_pending++;
     worker->connections_used++;
-    FvQuarantine_Started(&worker->quarantine, FvClock_NowMs());
+    if (!request->reserved) {
+        FvQuarantine_Started(&worker->quarantine, FvClock_NowMs());
+    }
     FvMetrics_Add(Fv_COUNTER_STARTS, 1);
     upstream->type->start(upstream, worker, request, not_after_ns,
                           receive_start, call);
@@ -602,12 +606,15 @@
 void
 FvHolder_DropWaiters(fv_holding_t *holding)
 {
-    while (holding->waiters != NULL) {
-        fv_waiter_t *waiter = holding->waiters;
+    fv_waiter_t *waiter = holding->waiters;
+
+    while (waiter != NULL) {
+        fv_waiter_t *next = waiter->next;
 
         reply_refusal(holding->holder, &waiter->to, waiter->task_id,
                       Fv_REFUSAL_NOT_HOLDER);
         remove_waiter(waiter);
+        waiter = next;
     }
 }
 
--- a/src/holder.c
+++ b/src/holder.c
@@ -101,8 +101,13 @@
 static void
 clear_ledger(fv_holding_t *holding)
 {
-    while (holding->worker->tasks != NULL) {
-        FvHolder_RemoveTask(holding, holding->worker->tasks);
+    fv_task_t *task = holding->worker->tasks;
+
+    while (task != NULL) {
+        fv_task_t *next = task->next;
+
+        FvHolder_RemoveTask(holding, task);
+        task = next;
     }
 }
 
@@ -545,6 +550,21 @@
     return holder;
 }
 
+/* The links are closed by now, so nobody is told. */
+static void
+free_waiters(fv_holding_t *holding)
+{
+    fv_waiter_t *waiter = holding->waiters;
+
+    while (waiter != NULL) {
+        fv_waiter_t *next = waiter->next;
+
+        FvLoop_CancelTimer(holding->holder->daemon->loop, &waiter->timer);
+        free(waiter);
+        waiter = next;
+    }
+}
+
 /**
  * FvHolder_Free - release the holder and all ledgers
  * @holder: the holder, or NULL
@@ -558,12 +578,14 @@
     if (holder == NULL) {
         return;
     }
-    HASH_ITER(hh, holder->holdings, holding, next)
-    {
-        HASH_DEL(holder->holdings, holding);
-        FvHolder_DropWaiters(holding);
+    holding = holder->holdings;
+    HASH_CLEAR(hh, holder->holdings);
+    while (holding != NULL) {
+        next = holding->hh.next;
+        free_waiters(holding);
         FvWorker_Free(holding->worker);
         free(holding);
+        holding = next;
     }
     FvPlacement_Free(holder->placement);
     free(holder);
--- a/src/job-view.c
+++ b/src/job-view.c
@@ -311,14 +311,17 @@
 void
 FvJobView_FreeAll(fv_runner_t *runner)
 {
-    while (runner->views != NULL) {
-        fv_job_view_t *view = runner->views;
+    fv_job_view_t *view = runner->views;
+
+    while (view != NULL) {
+        fv_job_view_t *next = view->next;
 
         if (view->waiter->ticket != NULL) {
             FvTicket_ReplyProblem(view->waiter->ticket, 503, NULL,
                                   Fv_VIEW_RETRY_MS, "the host is stopping");
         }
         free_view(view);
+        view = next;
     }
 }
 
--- a/src/lapse.c
+++ b/src/lapse.c
@@ -119,5 +119,9 @@
                      Fv_LAPSE_QUERY_TIMEOUT_MS, receive_lease_state, round);
     }
     /* The first count stands for this loop itself. */
-    round->pending--;
+    if (--round->pending == 0) {
+        finish_round(round);
+        free(round->ref);
+        free(round);
+    }
 }
--- a/src/runner-claim.c
+++ b/src/runner-claim.c
@@ -68,7 +68,7 @@
         kv ? json_loadb(kv->value, kv->value_length, 0, NULL) : NULL;
     const char *nonce = FvJson_String(record, "nonce");
 
-    if (nonce != NULL && strcmp(nonce, write->nonce) == 0) {
+    if (kv != NULL && nonce != NULL && strcmp(nonce, write->nonce) == 0) {
         finish_write(write, Fv_CLAIM_WRITTEN, record, kv->mod_revision);
     }
     else {
--- a/src/runner-wait.c
+++ b/src/runner-wait.c
@@ -145,11 +145,14 @@
 void
 FvRun_ReplyWaiters(fv_run_t *run)
 {
-    while (run->waiters != NULL) {
-        fv_job_waiter_t *waiter = run->waiters;
+    fv_job_waiter_t *waiter = run->waiters;
+
+    while (waiter != NULL) {
+        fv_job_waiter_t *next = waiter->next;
 
         reply_waiter(waiter, run);
         remove_waiter(waiter);
+        waiter = next;
     }
 }
 
@@ -164,8 +167,10 @@
 FvRun_RefuseWaiters(fv_run_t *run, int32_t status, const char *outcome,
                     const char *detail)
 {
-    while (run->waiters != NULL) {
-        fv_job_waiter_t *waiter = run->waiters;
+    fv_job_waiter_t *waiter = run->waiters;
+
+    while (waiter != NULL) {
+        fv_job_waiter_t *next = waiter->next;
 
         if (waiter->ticket != NULL) {
             FvTicket_ReplyProblem(waiter->ticket, status, outcome, 0, "%s",
@@ -175,5 +180,6 @@
             reply_peer(waiter, run);
         }
         remove_waiter(waiter);
+        waiter = next;
     }
 }
--- a/src/runner.c
+++ b/src/runner.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #define Fv_RUNNER_HOUSEKEEPING_MS 1000
+#define Fv_RUNNER_REORDER_MS 5000
 /* Ended jobs answer status calls for this long without the store. */
 #define Fv_RUNNER_KEEP_ENDED_MS (10 * 60 * 1000)
 #define Fv_RUNNER_KEEP_ANSWERS_BYTES (24 * 1024 * 1024)
@@ -244,6 +245,16 @@
     free(run);
 }
 
+static void
+update_latest_start(fv_job_t *job, void *context)
+{
+    const fv_runner_t *runner = context;
+    int64_t run_ms = FvEstimates_RunMs(runner->daemon->estimates, job->member,
+                                       &job->workload);
+
+    FvPolicyDeadline_SetLatestStart(job, run_ms);
+}
+
 /**
  * FvRun_Enqueue - put a job into the queue of its class
  * @run: the job
@@ -255,10 +266,8 @@
 {
     fv_runner_t *runner = run->runner;
     fv_job_t *job = run->job;
-    int64_t run_ms = FvEstimates_RunMs(runner->daemon->estimates, job->member,
-                                       &job->workload);
 
-    FvPolicyDeadline_SetLatestStart(job, run_ms);
+    update_latest_start(job, runner);
     if (FvQueue_Push(runner->queues[job->workload.class_id], job) !=
         Fv_QUEUE_OK) {
         return false;
@@ -533,6 +542,19 @@
     FvRunner_Remove(run);
 }
 
+/* Run times are learned while jobs wait; the order follows them. */
+static void
+reorder_queue(fv_runner_t *runner)
+{
+    int64_t now_ms = FvClock_NowMs();
+
+    if (now_ms >= runner->reorder_at_ms) {
+        FvQueue_Reorder(runner->queues[Fv_CLASS_DEADLINE], update_latest_start,
+                        runner);
+        runner->reorder_at_ms = now_ms + Fv_RUNNER_REORDER_MS;
+    }
+}
+
 static void
 keep_house(void *owner)
 {
@@ -546,6 +568,7 @@
         forget_oldest_ended(runner);
     }
     renew_retention_lease(runner);
+    reorder_queue(runner);
     FvRunner_Wake(runner);
     FvLoop_SetTimer(runner->daemon->loop, &runner->housekeeping,
                     now_ms + Fv_RUNNER_HOUSEKEEPING_MS);
@@ -583,16 +606,19 @@
 static void
 free_waiters(fv_run_t *run)
 {
-    while (run->waiters != NULL) {
-        fv_job_waiter_t *waiter = run->waiters;
+    fv_job_waiter_t *waiter = run->waiters;
+
+    while (waiter != NULL) {
+        fv_job_waiter_t *next = waiter->next;
 
-        run->waiters = waiter->next;
         if (waiter->ticket != NULL) {
             FvTicket_ReplyProblem(waiter->ticket, 503, NULL, 1000,
                                   "the host is stopping");
         }
         free(waiter);
+        waiter = next;
     }
+    run->waiters = NULL;
 }
 
 /**
--- a/src/runner.h
+++ b/src/runner.h
@@ -98,6 +98,7 @@
     fv_run_t *ended_first;
     fv_run_t *ended_last;
     uint64_t last_serial;
+    int64_t reorder_at_ms;
     uint32_t open_count; /* runs that have not ended */
     size_t payload_bytes;
     size_t answer_bytes;
