--- a/src/holder.c
+++ b/src/holder.c
@@ -412,12 +412,11 @@
     bool changed =
         holder->list_changed || signature != holder->alive_signature;
     fv_holding_t *holding;
-    fv_holding_t *next;
 
     holder->alive_signature = signature;
     holder->list_changed = false;
-    HASH_ITER(hh, holder->holdings, holding, next)
-    {
+    for (holding = holder->holdings; holding != NULL;
+         holding = holding->hh.next) {
         if (changed) {
             update_candidate(holding, now_ms);
         }
@@ -484,10 +483,9 @@
 drop_unlisted(fv_holder_t *holder)
 {
     fv_holding_t *holding;
-    fv_holding_t *next;
 
-    HASH_ITER(hh, holder->holdings, holding, next)
-    {
+    for (holding = holder->holdings; holding != NULL;
+         holding = holding->hh.next) {
         if (holding->worker->listed &&
             holding->list_generation != holder->list_generation) {
             holding->worker->listed = false;
@@ -599,11 +597,10 @@
 FvHolder_Drain(fv_holder_t *holder)
 {
     fv_holding_t *holding;
-    fv_holding_t *next;
 
     holder->draining = true;
-    HASH_ITER(hh, holder->holdings, holding, next)
-    {
+    for (holding = holder->holdings; holding != NULL;
+         holding = holding->hh.next) {
         if (holding->worker->lease.held && !holding->call_pending) {
             schedule(holding, 0);
         }
@@ -620,10 +617,9 @@
 FvHolder_IsDrained(const fv_holder_t *holder)
 {
     fv_holding_t *holding;
-    fv_holding_t *next;
 
-    HASH_ITER(hh, holder->holdings, holding, next)
-    {
+    for (holding = holder->holdings; holding != NULL;
+         holding = holding->hh.next) {
         if (holding->worker->lease.held) {
             return false;
         }
@@ -657,12 +653,11 @@
 FvHolder_Summarize(const fv_holder_t *holder, fv_digest_t *digest)
 {
     fv_holding_t *holding;
-    fv_holding_t *next;
 
     digest->held = 0;
     digest->largest_capacity = (fv_resources_t){0};
-    HASH_ITER(hh, holder->holdings, holding, next)
-    {
+    for (holding = holder->holdings; holding != NULL;
+         holding = holding->hh.next) {
         if (holding->worker->lease.held) {
             digest->held++;
             raise_to(&digest->largest_capacity, &holding->worker->capacity);
@@ -681,10 +676,9 @@
 {
     uint32_t count = 0;
     fv_holding_t *holding;
-    fv_holding_t *next;
 
-    HASH_ITER(hh, holder->holdings, holding, next)
-    {
+    for (holding = holder->holdings; holding != NULL;
+         holding = holding->hh.next) {
         if (holding->worker->listed && !holding->worker->leaving) {
             count++;
         }
@@ -730,10 +724,9 @@
 {
     json_t *list = json_array();
     fv_holding_t *holding;
-    fv_holding_t *next;
 
-    HASH_ITER(hh, holder->holdings, holding, next)
-    {
+    for (holding = holder->holdings; holding != NULL;
+         holding = holding->hh.next) {
         if (holding->worker->lease.held) {
             json_array_append_new(list, describe_worker(holding));
         }
--- a/src/runner.c
+++ b/src/runner.c
@@ -634,8 +634,8 @@
     if (runner == NULL) {
         return;
     }
-    HASH_ITER(hh, runner->runs, run, next)
-    {
+    for (run = runner->runs; run != NULL; run = next) {
+        next = run->hh.next;
         free_waiters(run);
         FvRunner_Remove(run);
     }
@@ -673,13 +673,11 @@
 FvRunner_IsDrained(const fv_runner_t *runner)
 {
     fv_run_t *run;
-    fv_run_t *next;
 
     if (runner->views != NULL) {
         return false;
     }
-    HASH_ITER(hh, runner->runs, run, next)
-    {
+    for (run = runner->runs; run != NULL; run = run->hh.next) {
         bool needs_us = run->waiters != NULL || run->write_pending ||
                         run->phase == Fv_RUN_STARTING || !run->claimed;
 
