Cut off senders that trickle a request body

Cause: mg_read() checks its time limit only when no byte arrives, so a sender of one byte each half second kept its thread for the whole body. Change: the body is read in parts of 32 bytes and the total time is checked after each.

--- a/src/http-body.c
+++ b/src/http-body.c
@@ -13,7 +13,12 @@
  */
 #define Fv_BODY_MAX_BYTES (512 * 1024)
 #define Fv_BODY_TIMEOUT_MS 10000
-#define Fv_READ_CHUNK_BYTES (16 * 1024)
+/*
+ * mg_read() returns once it has all bytes asked for, or after 2 s without a
+ * single byte. Asking for few bytes lets the total time be checked while a
+ * sender trickles; 32 cost about 11000 calls for the largest payload.
+ */
+#define Fv_READ_CHUNK_BYTES 32
 
 /* CivetWeb returns no more bytes both at the end and after its time limit. */
 static fv_http_body_error_t
--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -279,6 +279,27 @@
     CU_ASSERT_EQUAL(atomic_load(&handled), 0);
 }
 
+static void
+test_trickling_sender(void)
+{
+    int64_t start_ms = FvClock_NowMs();
+    fv_buffer_t response = {0};
+    int fd;
+
+    set_up_shared();
+    fd = FvHttpSocket_Connect(Fv_TEST_PORT);
+    FvHttpSocket_Send(fd, "POST /v1/jobs HTTP/1.1\r\n" TOKEN
+                          "Content-Length: 1000\r\n" HEAD_END);
+    for (int i = 0; i < 150 && FvHttpSocket_Send(fd, " "); i++) {
+        pause_ms(100);
+    }
+    FvHttpSocket_ReadAll(fd, &response);
+    CU_ASSERT_TRUE(FvClock_NowMs() - start_ms < 15000);
+    CU_ASSERT_EQUAL(atomic_load(&handled), 0);
+    FvBuffer_Clear(&response);
+    close(fd);
+}
+
 static void
 test_half_open_connections(void)
 {
@@ -496,6 +517,7 @@
         {"a good request is refused or altered", test_good_request},
         {"an oversized body is read into memory", test_oversized_body},
         {"a slow sender keeps its thread", test_slow_sender},
+        {"a trickling sender keeps its thread", test_trickling_sender},
         {"half-open connections block callers", test_half_open_connections},
         {"more callers than threads are refused", test_too_many_connections},
         {"idle connections block callers", test_idle_connections},
