--- a/src/daemon.h
+++ b/src/daemon.h
@@ -9,11 +9,11 @@
 #include "fireflyvalve.h"
 
 #include <pthread.h>
+#include <uthash.h>
 
 #define Fv_LINK_FRAME_MAX_BYTES (1024 * 1024)
 #define Fv_ANSWER_CHUNK_BYTES (64 * 1024)
 #define Fv_RESERVATION_TTL_MS 2000
-#define Fv_START_GRACE_MS 300
 #define Fv_LAPSE_STOP_MS 2000
 #define Fv_CLOCK_SKEW_MS 1000
 #define Fv_DEFAULT_START_WINDOW_MS INT64_C(3600000)
@@ -149,6 +149,39 @@
 void FvApiConfig_Show(fv_daemon_t *daemon, fv_ticket_t *ticket);
 void FvApiConfig_Status(fv_daemon_t *daemon, fv_ticket_t *ticket);
 
+/*
+ * proposal-view.c: what a request about proposals works on; read from the
+ * store.
+ */
+typedef struct fv_proposal_view fv_proposal_view_t;
+typedef void (*fv_proposal_view_done_t)(fv_proposal_view_t *view);
+
+struct fv_proposal_view {
+    fv_daemon_t *daemon;
+    fv_ticket_t *ticket;
+    json_t *head; /* NULL at version 0 */
+    int64_t head_revision;
+    json_t *proposal; /* NULL when it does not exist */
+    json_t *votes;    /* by member */
+    fv_proposal_view_done_t loaded;
+    /* Votes only. */
+    bool approves;
+    bool activates; /* the transaction under way activates the proposal */
+    bool in_doubt;  /* an earlier transaction may have taken effect */
+    int32_t rounds;
+};
+
+fv_proposal_view_t *FvProposalView_New(fv_daemon_t *daemon,
+                                       fv_ticket_t *ticket);
+void FvProposalView_Load(fv_proposal_view_t *view,
+                         fv_proposal_view_done_t loaded);
+void FvProposalView_Free(fv_proposal_view_t *view);
+void FvProposalView_VoteKey(const fv_proposal_view_t *view, const char *member,
+                            char key[Fv_URL_SIZE]);
+void FvProposalView_Group(const fv_store_result_t *result, json_t *proposals,
+                          json_t *votes);
+void FvApiConfig_ReplyStoreError(fv_ticket_t *ticket, fv_store_error_t error);
+
 /* wire.c: messages between entry hosts. */
 typedef enum fv_message_type {
     Fv_MESSAGE_CHALLENGE,
@@ -204,7 +237,8 @@
     char workload[Fv_NAME_SIZE];
     fv_class_t class_id;
     fv_resources_t size;
-    int32_t count; /* reserve: number of tasks wanted */
+    int32_t first;   /* reserve: index of the first task wanted */
+    int32_t count;   /* reserve: number of tasks wanted */
     bool reserved; /* start: a reservation under this id must exist */
     bool stop_on_lapse;
     bool send_once;  /* start: not idempotent */
@@ -219,6 +253,7 @@
     fv_task_state_t state;
     fv_refusal_t refusal;
     int64_t ran_ms;
+    int64_t uptime_ms; /* of the worker process */
     fv_resources_t used;
     size_t answer_length; /* of the whole answer */
     uint64_t answer_hash; /* XXH64 of the whole answer */
@@ -266,6 +301,50 @@
                               fv_message_t *message);
 void FvWire_Clear(fv_message_t *message);
 
+/* connection.c: buffers and framing of one TCP connection. */
+typedef enum fv_connection_state {
+    Fv_CONNECTION_CONNECTING,
+    Fv_CONNECTION_HANDSHAKE,
+    Fv_CONNECTION_READY,
+    Fv_CONNECTION_CLOSED
+} fv_connection_state_t;
+
+typedef struct fv_connection {
+    int fd;
+    uint64_t id;
+    bool dialed;
+    fv_connection_state_t state;
+    char host[Fv_NAME_SIZE]; /* expected when dialed, proven when accepted */
+    char nonce[Fv_NONCE_SIZE];
+    int64_t deadline_ms;
+    fv_buffer_t in;
+    size_t in_used;
+    fv_buffer_t out;
+    size_t out_sent;
+    struct fv_connection *next;
+} fv_connection_t;
+
+fv_connection_t *FvConnection_New(int fd, bool dialed);
+void FvConnection_Free(fv_connection_t *connection);
+bool FvConnection_Queue(fv_connection_t *connection,
+                        const fv_message_t *message);
+bool FvConnection_QueueFrame(fv_connection_t *connection,
+                             const fv_buffer_t *frame);
+bool FvConnection_Flush(fv_connection_t *connection);
+bool FvConnection_Read(fv_connection_t *connection);
+bool FvConnection_Next(fv_connection_t *connection, fv_message_t *message,
+                       fv_wire_error_t *error);
+
+/* handshake.c: proof that both sides have the cluster's key. */
+void FvHandshake_Challenge(const fv_daemon_t *daemon, const char *nonce,
+                           fv_hello_t *challenge);
+void FvHandshake_Hello(const fv_daemon_t *daemon, const fv_hello_t *challenge,
+                       const char *nonce, fv_hello_t *hello);
+bool FvHandshake_AcceptHello(const fv_daemon_t *daemon, const char *nonce,
+                             const fv_hello_t *hello, fv_hello_t *welcome);
+bool FvHandshake_AcceptWelcome(const fv_daemon_t *daemon, const char *nonce,
+                               const char *host, const fv_hello_t *welcome);
+
 /* link.c: TCP connections to the other entry hosts, on a thread of its own. */
 typedef struct fv_link fv_link_t;
 
@@ -279,10 +358,10 @@
 fv_link_t *FvLink_New(fv_daemon_t *daemon);
 void FvLink_Free(fv_link_t *link);
 bool FvLink_SetPeers(fv_link_t *link, const fv_hosts_t *hosts);
-bool FvLink_SendTo(fv_link_t *link, const char *host,
-                   const fv_message_t *message);
-bool FvLink_ReplyOn(fv_link_t *link, uint64_t connection,
-                    const fv_message_t *message);
+size_t FvLink_SendTo(fv_link_t *link, const char *host,
+                     const fv_message_t *message);
+size_t FvLink_ReplyOn(fv_link_t *link, uint64_t connection,
+                      const fv_message_t *message);
 
 /* peer.c: requests to other hosts; a request to this host is run locally. */
 typedef struct fv_peers fv_peers_t;
@@ -375,14 +454,61 @@
 fv_upstream_t *FvUpstream_NewJson(fv_daemon_t *daemon);
 void FvUpstream_Free(fv_upstream_t *upstream);
 
-/* holder.c: the leases this host holds and the tasks under them. */
+/* holder.c: the leases this host holds; one holding for each listed worker. */
 typedef struct fv_holder fv_holder_t;
 
+/* A query that waits for the end of a task. */
+typedef struct fv_waiter {
+    struct fv_holding *holding;
+    char task_id[Fv_TASK_ID_SIZE];
+    fv_reply_to_t to;
+    fv_timer_t timer;
+    struct fv_waiter *next;
+} fv_waiter_t;
+
+typedef struct fv_holding {
+    fv_holder_t *holder;
+    fv_worker_t *worker;
+    fv_timer_t timer;
+    bool candidate;    /* this host should hold the lease */
+    bool call_pending; /* a lease call is outstanding */
+    int64_t sent_ns;   /* boot time before the lease call was sent */
+    /* A grant whose answer was lost may hold the lease until then. */
+    int64_t maybe_held_until_ns;
+    int64_t not_candidate_since_ms;
+    int32_t starts_pending;
+    bool listed_leaving;
+    bool told_leaving; /* by the worker itself, ahead of the list */
+    uint64_t list_generation; /* of the last list that named the worker */
+    fv_waiter_t *waiters;
+    UT_hash_handle hh;
+} fv_holding_t;
+
+struct fv_holder {
+    fv_daemon_t *daemon;
+    fv_holding_t *holdings; /* by worker name */
+    fv_placement_t *placement;
+    fv_timer_t tick;
+    uint64_t alive_signature;
+    uint64_t list_generation;
+    bool list_changed;
+    bool draining;
+    fv_resources_t total; /* capacity of the workers held */
+};
+
 fv_holder_t *FvHolder_New(fv_daemon_t *daemon);
 void FvHolder_Free(fv_holder_t *holder);
 void FvHolder_OnWorkers(fv_holder_t *holder, const json_t *listed);
-fv_worker_t *FvHolder_Worker(fv_holder_t *holder, const char *name);
-fv_placement_t *FvHolder_Placement(fv_holder_t *holder);
+fv_holding_t *FvHolder_Find(const fv_holder_t *holder, const char *worker);
+fv_task_t *FvHolder_AddTask(fv_holding_t *holding, const fv_task_t *task);
+void FvHolder_RemoveTask(fv_holding_t *holding, fv_task_t *task);
+void FvHolder_Drain(fv_holder_t *holder);
+bool FvHolder_IsDrained(const fv_holder_t *holder);
+void FvHolder_Summarize(const fv_holder_t *holder, fv_digest_t *digest);
+uint32_t FvHolder_CountListed(const fv_holder_t *holder);
+json_t *FvHolder_ToJson(const fv_holder_t *holder);
+
+/* holder-tasks.c: requests for the workers whose leases this host holds. */
 void FvHolder_Reserve(fv_holder_t *holder, const fv_task_request_t *request,
                       const fv_reply_to_t *to);
 void FvHolder_Start(fv_holder_t *holder, const fv_task_request_t *request,
@@ -392,24 +518,11 @@
 void FvHolder_Query(fv_holder_t *holder, const fv_task_request_t *request,
                     const fv_reply_to_t *to);
 void FvHolder_Release(fv_holder_t *holder, const fv_task_request_t *request);
-void FvHolder_LeaseQuery(fv_holder_t *holder, const fv_task_request_t *request,
+void FvHolder_LeaseQuery(fv_holder_t *holder,
+                         const fv_task_request_t *request,
                          const fv_reply_to_t *to);
-void FvHolder_Drain(fv_holder_t *holder);
-bool FvHolder_IsDrained(const fv_holder_t *holder);
-json_t *FvHolder_ToJson(const fv_holder_t *holder);
-
-/* claim.c: the record in the store by which a host owns a job. */
-typedef struct fv_claim {
-    char holder[Fv_NAME_SIZE];
-    char incarnation[Fv_NONCE_SIZE];
-    char nonce[Fv_NONCE_SIZE];
-    int64_t revision; /* of the record as last read or written */
-    uint32_t worker_count;
-    char (*workers)[Fv_NAME_SIZE];
-} fv_claim_t;
-
-json_t *FvClaim_ToJson(const fv_job_t *job, const fv_claim_t *claim);
-bool FvClaim_FromJson(const json_t *record, fv_job_t *job, fv_claim_t *claim);
+void FvHolder_TaskEnded(fv_holding_t *holding, const char *task_id);
+void FvHolder_DropWaiters(fv_holding_t *holding);
 
 /* configurator.c: the active configuration, its watch and its distribution. */
 typedef struct fv_configurator fv_configurator_t;
@@ -417,6 +530,7 @@
 fv_configurator_t *FvConfigurator_New(fv_daemon_t *daemon);
 void FvConfigurator_Free(fv_configurator_t *configurator);
 void FvConfigurator_OnHosts(fv_configurator_t *configurator);
+void FvConfigurator_Refresh(fv_configurator_t *configurator);
 void FvConfigurator_OnPeerVersion(fv_configurator_t *configurator,
                                   const char *host, uint64_t version);
 void FvConfigurator_OnConfigGet(fv_configurator_t *configurator,
@@ -425,7 +539,7 @@
 void FvConfigurator_OnConfig(fv_configurator_t *configurator,
                              const fv_message_t *message);
 
-/* runner.c: jobs accepted by this host, from admission to outcome. */
+/* runner.c: jobs accepted by this host; see runner.h. */
 typedef struct fv_runner fv_runner_t;
 
 fv_runner_t *FvRunner_New(fv_daemon_t *daemon);
@@ -441,6 +555,25 @@
                           int32_t counts[Fv_CLASS_COUNT]);
 bool FvRunner_IsDrained(const fv_runner_t *runner);
 
+/* digest.c: sends this host's digest to its peers. */
+typedef struct fv_digest_sender fv_digest_sender_t;
+
+fv_digest_sender_t *FvDigestSender_New(fv_daemon_t *daemon);
+void FvDigestSender_Free(fv_digest_sender_t *sender);
+
+/* ledger.c: this host's accounts and learned run times in the store. */
+typedef struct fv_ledger fv_ledger_t;
+
+fv_ledger_t *FvLedger_New(fv_daemon_t *daemon);
+void FvLedger_Free(fv_ledger_t *ledger);
+void FvLedger_Flush(fv_ledger_t *ledger);
+bool FvLedger_IsFlushed(const fv_ledger_t *ledger);
+void FvLedger_ReadUsage(fv_ledger_t *ledger, fv_ticket_t *ticket);
+
+/* cell.c: what is known of the cell as a whole. */
+bool FvCell_CanEverFit(const fv_daemon_t *daemon,
+                       const fv_workload_t *workload);
+
 /* serve.c: the daemon as a whole. */
 struct fv_daemon {
     fv_settings_t settings;
@@ -460,6 +593,8 @@
     fv_holder_t *holder;
     fv_configurator_t *configurator;
     fv_runner_t *runner;
+    fv_digest_sender_t *digest_sender;
+    fv_ledger_t *ledger;
     fv_shares_t *shares;
     fv_estimates_t *estimates;
     fv_accounts_t *accounts;
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -10,6 +10,7 @@
 #include "toml.h" /* FvToml_ReadFile, Fv_REASON_SIZE */
 
 #include <jansson.h>
+#include <netinet/in.h>
 #include <stdatomic.h>
 #include <stdbool.h>
 #include <stddef.h>
@@ -52,6 +53,18 @@
 void *FvRing_Pop(fv_ring_t *ring, int64_t wait_ms);
 void FvRing_Close(fv_ring_t *ring);
 
+/* table.c: entries sorted by a key, which is the first member of each. */
+typedef struct fv_table {
+    uint32_t count;
+    uint32_t capacity;
+    void **entries;
+} fv_table_t;
+
+void *FvTable_Find(const fv_table_t *table, const char *key);
+void *FvTable_Obtain(fv_table_t *table, const char *key, size_t key_size,
+                     size_t entry_size);
+void FvTable_Clear(fv_table_t *table);
+
 /* log.c */
 typedef enum fv_log_level {
     Fv_LOG_ERROR,
@@ -79,6 +92,7 @@
 /* text.c */
 bool FvText_Copy(char *target, size_t size, const char *source);
 bool FvText_IsName(const char *text, size_t max_length);
+bool FvText_ParseAddress(const char *text, struct sockaddr_in *address);
 void FvText_RandomHex(char *target, size_t size);
 char *FvText_Base64(const void *data, size_t length);
 bool FvText_FromBase64(const char *text, fv_buffer_t *out);
@@ -94,6 +108,9 @@
 bool FvJson_CopyString(const json_t *object, const char *key, char *target,
                        size_t size);
 
+/* json-digest.c */
+void FvJson_Digest(const json_t *value, char digest[Fv_DIGEST_SIZE]);
+
 /* histogram.c: log-linear buckets, values in microseconds. */
 typedef struct fv_histogram fv_histogram_t;
 
@@ -186,6 +203,8 @@
 bool FvSettings_ReadClusterKey(const char *path, uint8_t key[32],
                                char reason[Fv_REASON_SIZE]);
 
+json_t *FvToml_ReadFile(const char *path, char reason[Fv_REASON_SIZE]);
+
 /* resources.c */
 typedef struct fv_resources {
     int64_t cpu_millis;
@@ -200,6 +219,8 @@
 json_t *FvResources_ToJson(const fv_resources_t *resources);
 bool FvResources_FromJson(const json_t *object, fv_resources_t *resources);
 
+#define Fv_WEIGHT_MAX 1000
+
 /* contract.c: what the active configuration grants one member. */
 typedef struct fv_workload {
     char name[Fv_NAME_SIZE];
@@ -240,6 +261,8 @@
     fv_contract_t *contracts;
 } fv_config_t;
 
+fv_config_t *FvConfig_New(uint64_t version, const fv_contract_t *contracts,
+                          uint32_t count);
 const fv_config_t *FvConfig_Read(void);
 const fv_contract_t *FvConfig_Contract(const fv_config_t *config,
                                        const char *member);
@@ -249,6 +272,87 @@
 fv_config_t *FvConfig_FromJson(const json_t *object,
                                char reason[Fv_REASON_SIZE]);
 json_t *FvConfig_ToJson(const fv_config_t *config);
+void FvConfig_Digest(const fv_config_t *config, char digest[Fv_DIGEST_SIZE]);
+json_t *FvConfig_ContractDigests(const fv_config_t *config);
+void FvConfig_DigestOf(uint64_t version, json_t *contract_digests,
+                       char digest[Fv_DIGEST_SIZE]);
+
+/* questionnaire.c: what a member answers about its workloads. */
+typedef struct fv_workload_answers {
+    char name[Fv_NAME_SIZE];
+    bool someone_waits;
+    bool may_repeat;
+    bool may_overlap;
+    bool until_stopped;
+    int32_t tasks_together;
+    int32_t may_queue;        /* 0: not answered */
+    int64_t start_within_ms;  /* 0: not answered */
+    int64_t finish_within_ms; /* 0: not answered */
+    int64_t run_time_ms;      /* 0: not answered */
+    fv_resources_t size;
+} fv_workload_answers_t;
+
+typedef struct fv_answers {
+    bool leaves; /* when set, nothing else is filled in */
+    int32_t weight;
+    fv_resources_t quota;
+    uint32_t workload_count;
+    fv_workload_answers_t workloads[Fv_WORKLOADS_MAX];
+} fv_answers_t;
+
+bool FvQuestionnaire_Read(json_t *document, fv_answers_t *answers,
+                          json_t *faults);
+bool FvQuestionnaire_ParseDuration(const char *text, int64_t *ms);
+bool FvQuestionnaire_ParseMemory(const char *text, int64_t *bytes);
+
+/* generate.c: contracts and configurations from answers. */
+void FvGenerate_Contract(const char *member, const fv_answers_t *answers,
+                         fv_contract_t *contract);
+fv_config_t *FvGenerate_Initial(json_t *answers_by_member,
+                                char reason[Fv_REASON_SIZE]);
+fv_config_t *FvGenerate_Change(const fv_config_t *base, const char *member,
+                               json_t *answers, char reason[Fv_REASON_SIZE]);
+
+/* proposal.c: records of proposals and votes; pure functions. */
+typedef enum fv_vote {
+    Fv_VOTE_NONE,
+    Fv_VOTE_APPROVE,
+    Fv_VOTE_REJECT
+} fv_vote_t;
+
+typedef struct fv_tally {
+    uint32_t approved; /* required approvals given */
+    uint32_t missing;  /* required approvals not given */
+    uint32_t rejected;
+    char first_missing[Fv_NAME_SIZE];
+} fv_tally_t;
+
+void FvProposal_NewId(uint64_t base_version, char id[Fv_KEY_SIZE]);
+bool FvProposal_IsId(const char *id);
+json_t *FvProposal_New(const char *id, const char *author,
+                       const fv_config_t *base, const fv_config_t *next,
+                       json_t *answers, int64_t created_ms);
+void FvProposal_Digest(const json_t *proposal, char digest[Fv_DIGEST_SIZE]);
+bool FvProposal_IsIntact(const json_t *proposal);
+bool FvProposal_IsVoter(const json_t *proposal, const char *member);
+bool FvProposal_MayRead(const json_t *proposal, const char *member);
+bool FvProposal_MayVote(const json_t *proposal, const char *member);
+char *FvProposal_VoteText(const char *member, bool approves,
+                          const char *digest);
+fv_vote_t FvProposal_Vote(const json_t *proposal, const json_t *votes,
+                          const char *member);
+void FvProposal_Count(const json_t *proposal, const json_t *votes,
+                      const char *except, fv_tally_t *tally);
+bool FvProposal_IsActiveIn(const json_t *proposal, const json_t *head);
+bool FvProposal_BaseIsActive(const json_t *proposal, const json_t *head);
+bool FvProposal_WasActivated(const json_t *proposal, const json_t *votes,
+                             const json_t *head);
+const char *FvProposal_State(const json_t *proposal, const json_t *votes,
+                             const json_t *head);
+json_t *FvProposal_Head(const json_t *proposal);
+json_t *FvProposal_Summary(const json_t *proposal, const json_t *votes,
+                           const json_t *head);
+json_t *FvProposal_Diff(const json_t *proposal);
 
 /* member.c: tokens by which members authenticate. */
 typedef struct fv_tokens fv_tokens_t;
@@ -393,11 +497,29 @@
                    void *context);
 void FvStore_StopWatch(fv_store_t *store);
 
+/* config-head.c: joins the head with the contracts it names. */
+typedef enum fv_config_head_result {
+    Fv_CONFIG_HEAD_COMPLETE,
+    Fv_CONFIG_HEAD_MISSING, /* a contract is not at hand */
+    Fv_CONFIG_HEAD_MALFORMED
+} fv_config_head_result_t;
+
+bool FvConfigHead_AddContract(json_t *by_digest, const json_t *object);
+void FvConfigHead_FromStore(const fv_store_result_t *result, json_t **head,
+                            int64_t *revision, json_t *by_digest);
+fv_config_head_result_t FvConfigHead_Assemble(const json_t *head,
+                                              const fv_config_t *current,
+                                              const json_t *by_digest,
+                                              fv_config_t **config);
+
 /* host.c: the cell's entry hosts and workers as listed by the platform. */
 typedef struct fv_digest {
     uint64_t config_version;
     int64_t received_ms;
-    int32_t workers;
+    bool draining;
+    int32_t workers; /* that accept tasks */
+    int32_t held;    /* whose leases the host holds */
+    fv_resources_t largest_capacity; /* each amount on its own */
     int32_t queued[Fv_CLASS_COUNT];
     fv_resources_t free_total;
     fv_resources_t free_largest; /* the largest free worker */
@@ -442,6 +564,8 @@
                                    int64_t now_ms);
 
 /* lease.c: one worker's lease as its holder sees it. */
+#define Fv_START_GRACE_MS 300 /* drift of clocks and packets in flight */
+
 typedef struct fv_lease {
     bool held;
     uint64_t term;
@@ -468,6 +592,7 @@
 void FvQuarantine_Started(fv_quarantine_t *quarantine, int64_t now_ms);
 bool FvQuarantine_Failed(fv_quarantine_t *quarantine, int64_t now_ms);
 void FvQuarantine_Succeeded(fv_quarantine_t *quarantine);
+void FvQuarantine_Abandoned(fv_quarantine_t *quarantine);
 
 /* worker.c: the ledger of one worker. Task entries include reservations. */
 typedef enum fv_task_state {
@@ -495,6 +620,7 @@
     fv_resources_t used; /* last reported usage */
     int64_t expires_ms;  /* reservation only */
     int64_t accrued_ms;  /* accounted up to this time */
+    int64_t ran_ms;      /* as last told by the worker */
     struct fv_task *next;
 } fv_task_t;
 
@@ -521,6 +647,7 @@
 fv_worker_t *FvWorker_New(const char *name);
 void FvWorker_Free(fv_worker_t *worker);
 bool FvWorker_Accepts(const fv_worker_t *worker, int64_t now_ms);
+void FvWorker_SetCapacity(fv_worker_t *worker, const fv_resources_t *capacity);
 fv_task_t *FvWorker_FindTask(const fv_worker_t *worker, const char *id);
 fv_task_t *FvWorker_AddTask(fv_worker_t *worker, const fv_task_t *task);
 void FvWorker_RemoveTask(fv_worker_t *worker, fv_task_t *task);
@@ -565,7 +692,7 @@
     int64_t submitted_ms;    /* wall */
     int64_t start_before_ms; /* wall; 0: none */
     int64_t deadline_ms;     /* wall; 0: none */
-    int64_t latest_start_ms; /* wall; set by the deadline policy */
+    int64_t latest_start_ms; /* wall; FvPolicyDeadline_SetLatestStart */
     int64_t submitted_ns;    /* boot */
     int64_t started_ns;      /* boot */
     bool cancel_requested;
@@ -606,6 +733,12 @@
 /* policy.c, policy-*.c: one vtable a class; no clocks, no sockets. */
 typedef struct fv_policy {
     const char *name;
+    bool widest_first;  /* placement visits the emptiest workers first */
+    bool spreads_racks; /* score needs tasks_of_job_in_rack */
+    /* A job that waited hold_after_ms and does not fit holds back the rest
+       of its queue for hold_for_ms, then lets it pass again; 0: never. */
+    int64_t hold_after_ms;
+    int64_t hold_for_ms;
     /* Negative when a is to start before b; both of one member. */
     int (*compare)(const fv_job_t *a, const fv_job_t *b);
     /* What a task of this class may use of the worker right now. */
@@ -617,7 +750,17 @@
     bool (*may_displace)(const fv_task_t *task);
 } fv_policy_t;
 
+extern const fv_policy_t fv_policy_interactive;
+extern const fv_policy_t fv_policy_deadline;
+extern const fv_policy_t fv_policy_gang;
+extern const fv_policy_t fv_policy_service;
+
 const fv_policy_t *FvPolicy_ForClass(fv_class_t class_id);
+void FvPolicyDeadline_SetLatestStart(fv_job_t *job, int64_t run_ms);
+int FvPolicy_CompareSubmitted(const fv_job_t *a, const fv_job_t *b);
+void FvPolicy_LeaveHeadroom(const fv_worker_t *worker, fv_resources_t *usable);
+int64_t FvPolicy_BestFit(const fv_worker_t *worker, const fv_resources_t *size,
+                         uint32_t tasks_of_job_in_rack);
 
 /* queue.c: bounded queues of one class, one for each member. */
 typedef struct fv_queue fv_queue_t;
@@ -633,10 +776,14 @@
 void FvQueue_Free(fv_queue_t *queue);
 fv_queue_error_t FvQueue_Push(fv_queue_t *queue, fv_job_t *job);
 void FvQueue_Remove(fv_queue_t *queue, fv_job_t *job);
-void FvQueue_BeginPass(fv_queue_t *queue);
+void FvQueue_BeginPass(fv_queue_t *queue, int64_t now_wall_ms);
 fv_job_t *FvQueue_Next(fv_queue_t *queue, const fv_shares_t *shares);
 void FvQueue_Skip(fv_queue_t *queue, fv_job_t *job);
+const fv_job_t *FvQueue_Holding(const fv_queue_t *queue);
 uint32_t FvQueue_Count(const fv_queue_t *queue);
+void FvQueue_Reorder(fv_queue_t *queue,
+                     void (*update)(fv_job_t *job, void *context),
+                     void *context);
 
 /* placement.c: index of the workers held by this host. */
 typedef struct fv_placement fv_placement_t;
@@ -651,6 +798,7 @@
                                 const fv_resources_t *size, const char *job_id,
                                 int64_t now_ms);
 bool FvPlacement_CanEverFit(const fv_placement_t *placement,
+                            const fv_policy_t *policy,
                             const fv_resources_t *size);
 void FvPlacement_Summarize(const fv_placement_t *placement,
                            fv_digest_t *digest, int64_t now_ms);
@@ -658,8 +806,8 @@
 /* route.c: order in which hosts are asked to place a job. */
 uint32_t FvRoute_Rank(const fv_hosts_t *hosts, const fv_host_t *self,
                       const fv_workload_t *workload, int64_t waited_ms,
-                      int64_t now_ms, const fv_host_t **ranked,
-                      uint32_t limit);
+                      int64_t now_ms, uint64_t random,
+                      const fv_host_t **ranked, uint32_t limit);
 
 /* estimate.c: learned run times and sizes by member and workload. */
 typedef struct fv_estimates fv_estimates_t;
@@ -682,6 +830,7 @@
     int64_t refilled_ms;
 } fv_retry_budget_t;
 
+void FvRetryBudget_Deposit(fv_retry_budget_t *budget);
 bool FvRetryBudget_Take(fv_retry_budget_t *budget, int64_t now_ms);
 void FvRetryBudget_Refund(fv_retry_budget_t *budget);
 int64_t FvRetry_BackoffMs(int32_t attempt, uint64_t random);
