Add the command line

Cause: callers and operators had no way to use the daemon's interface. Change: one static table of commands, one file each; client.c calls the entry hosts in turn and repeats a request only when that is safe; print.c shows any reply as tables; exit codes follow the job's outcome. The class names, which class.c defines too, are removed from metrics.c.

--- /dev/null
+++ b/src/cmd-cancel.c
@@ -0,0 +1,59 @@
+/*
+ * fireflyvalve cancel: cancel a job.
+ */
+
+#include "command.h"
+
+static int
+run(const fv_client_arguments_t *common, const char *key)
+{
+    char path[Fv_URL_SIZE];
+    /* A repeated cancellation does no harm, so the key marks it repeatable. */
+    fv_client_request_t request = {.method = "POST", .path = path, .key = key};
+    fv_client_reply_t reply = {0};
+    fv_client_t *client;
+    int code;
+
+    if (!FvText_IsName(key, Fv_KEY_SIZE - 1)) {
+        fputs("fireflyvalve: KEY: 1 to 128 of A-Z a-z 0-9 . _ -\n", stderr);
+        return Fv_EXIT_USAGE;
+    }
+    snprintf(path, sizeof(path), "/v1/jobs/%s/cancel", key);
+    client = FvClient_Open(common);
+    if (client == NULL) {
+        return Fv_EXIT_USAGE;
+    }
+    code = FvClient_Call(client, &request, &reply);
+    if (code == Fv_EXIT_OK) {
+        FvPrint_Reply(&reply, common->json->count > 0);
+        code = FvJobResult_ExitCode(reply.json);
+    }
+    FvClientReply_Clear(&reply);
+    FvClient_Close(client);
+    return code;
+}
+
+/**
+ * FvCmd_Cancel - run the command
+ * @command: its entry in the command table
+ * @argc: number of arguments
+ * @argv: the arguments
+ *
+ * Return: the exit code.
+ */
+int
+FvCmd_Cancel(const fv_command_t *command, int argc, char **argv)
+{
+    fv_client_arguments_t common = FvClient_Arguments();
+    struct arg_str *key = arg_str1(NULL, NULL, "KEY", "the job's key");
+    struct arg_end *end = arg_end(4);
+    void *table[] = {key,         common.host, common.token_file,
+                     common.json, common.help, end};
+    int code = FvCommand_Parse(command, argc, argv, table, end);
+
+    if (code == Fv_PARSED) {
+        code = run(&common, key->sval[0]);
+    }
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return code;
+}
--- /dev/null
+++ b/src/cmd-hosts.c
@@ -0,0 +1,19 @@
+/*
+ * fireflyvalve hosts: entry hosts.
+ */
+
+#include "command.h"
+
+/**
+ * FvCmd_Hosts - run the command
+ * @command: its entry in the command table
+ * @argc: number of arguments
+ * @argv: the arguments
+ *
+ * Return: the exit code.
+ */
+int
+FvCmd_Hosts(const fv_command_t *command, int argc, char **argv)
+{
+    return FvClient_Show(command, argc, argv, "/v1/hosts");
+}
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -85,44 +85,6 @@
 static atomic_uint member_count;
 static pthread_mutex_t create_lock = PTHREAD_MUTEX_INITIALIZER;
 
-static const char *const class_names[Fv_CLASS_COUNT] = {
-    [Fv_CLASS_INTERACTIVE] = "interactive",
-    [Fv_CLASS_SERVICE] = "service",
-    [Fv_CLASS_GANG] = "gang",
-    [Fv_CLASS_DEADLINE] = "deadline",
-};
-
-/**
- * FvClass_Name - name of a job class
- * @class_id: the class
- *
- * Return: the name used in JSON documents and metrics.
- */
-const char *
-FvClass_Name(fv_class_t class_id)
-{
-    return class_names[class_id];
-}
-
-/**
- * FvClass_Parse - job class by name
- * @name: the name
- * @class_id: set when the name is known
- *
- * Return: false for any other name.
- */
-bool
-FvClass_Parse(const char *name, fv_class_t *class_id)
-{
-    for (int i = 0; i < Fv_CLASS_COUNT; i++) {
-        if (strcmp(name, class_names[i]) == 0) {
-            *class_id = (fv_class_t)i;
-            return true;
-        }
-    }
-    return false;
-}
-
 /**
  * FvMetrics_Add - increase a counter; safe from any thread
  * @counter: the counter
