--- a/src/config.c
+++ b/src/config.c
@@ -14,7 +14,10 @@
     fv_config_t *config;
 } retired_config_t;
 
-static fv_config_t *active;
+/* C11 atomics order like rcu_assign_pointer and rcu_dereference of liburcu
+ * 0.13, which ThreadSanitizer does not understand; grace periods are
+ * liburcu's. */
+static _Atomic(fv_config_t *) active;
 /* Kept beside the snapshot so that any thread may read it without RCU. */
 static atomic_uint_fast64_t active_version;
 
@@ -28,7 +31,7 @@
 const fv_config_t *
 FvConfig_Read(void)
 {
-    return rcu_dereference(active);
+    return atomic_load_explicit(&active, memory_order_acquire);
 }
 
 /**
@@ -101,12 +104,12 @@
 bool
 FvConfig_Publish(fv_config_t *config)
 {
-    fv_config_t *old = active;
+    fv_config_t *old = atomic_load_explicit(&active, memory_order_relaxed);
 
     if (config->version <= FvConfig_Version()) {
         return false;
     }
-    rcu_assign_pointer(active, config);
+    atomic_store_explicit(&active, config, memory_order_release);
     atomic_store_explicit(&active_version, config->version,
                           memory_order_release);
     retire(old);
@@ -122,6 +125,7 @@
 {
     if (config != NULL) {
         free(config->contracts);
+        free(config->contract_digests);
         free(config);
     }
 }
@@ -133,11 +137,41 @@
                   ((const fv_contract_t *)b)->member);
 }
 
+static bool
+copy_digest(const fv_config_t *base, const fv_contract_t *contract,
+            char digest[Fv_DIGEST_SIZE])
+{
+    const fv_contract_t *known = FvConfig_Contract(base, contract->member);
+
+    if (known == NULL || base->contract_digests == NULL ||
+        !FvContract_Equals(known, contract)) {
+        return false;
+    }
+    memcpy(digest, base->contract_digests[known - base->contracts],
+           Fv_DIGEST_SIZE);
+    return true;
+}
+
+static void
+compute_digests(fv_config_t *config, const fv_config_t *base)
+{
+    for (uint32_t i = 0; i < config->contract_count; i++) {
+        if (!copy_digest(base, &config->contracts[i],
+                         config->contract_digests[i])) {
+            FvContract_Digest(&config->contracts[i],
+                              config->contract_digests[i]);
+        }
+    }
+    FvConfig_Digest(config, config->digest);
+}
+
 /**
  * FvConfig_New - build a configuration and compute its digest
  * @version: its version
  * @contracts: contracts in any order; copied
  * @count: how many there are
+ * @base: a configuration that shares contracts with this one, or NULL; the
+ *        digests of shared contracts are not computed again
  *
  * Contracts are kept sorted by member, so that the same contracts always give
  * the same configuration.
@@ -145,7 +179,8 @@
  * Return: the configuration, or NULL when memory is exhausted.
  */
 fv_config_t *
-FvConfig_New(uint64_t version, const fv_contract_t *contracts, uint32_t count)
+FvConfig_New(uint64_t version, const fv_contract_t *contracts, uint32_t count,
+             const fv_config_t *base)
 {
     fv_config_t *config = calloc(1, sizeof(*config));
 
@@ -153,8 +188,10 @@
         return NULL;
     }
     config->contracts = calloc(count + 1, sizeof(*config->contracts));
-    if (config->contracts == NULL) {
-        free(config);
+    config->contract_digests =
+        calloc(count + 1, sizeof(*config->contract_digests));
+    if (config->contracts == NULL || config->contract_digests == NULL) {
+        FvConfig_Free(config);
         return NULL;
     }
     config->version = version;
@@ -163,10 +200,29 @@
         memcpy(config->contracts, contracts, count * sizeof(*contracts));
         qsort(config->contracts, count, sizeof(*contracts), compare_contracts);
     }
-    FvConfig_Digest(config, config->digest);
+    compute_digests(config, base);
     return config;
 }
 
+/**
+ * FvConfig_ContractDigest - digest of one contract
+ * @config: the configuration
+ * @contract: one of its contracts
+ * @digest: filled with hexadecimal digits
+ */
+void
+FvConfig_ContractDigest(const fv_config_t *config,
+                        const fv_contract_t *contract,
+                        char digest[Fv_DIGEST_SIZE])
+{
+    if (config->contract_digests == NULL) {
+        FvContract_Digest(contract, digest);
+        return;
+    }
+    memcpy(digest, config->contract_digests[contract - config->contracts],
+           Fv_DIGEST_SIZE);
+}
+
 /**
  * FvConfig_ContractDigests - digest of each member's contract
  * @config: the configuration, or NULL
@@ -180,7 +236,7 @@
     json_t *digests = json_object();
 
     for (uint32_t i = 0; config != NULL && i < config->contract_count; i++) {
-        FvContract_Digest(&config->contracts[i], digest);
+        FvConfig_ContractDigest(config, &config->contracts[i], digest);
         json_object_set_new(digests, config->contracts[i].member,
                             json_string(digest));
     }
@@ -290,7 +346,8 @@
         return NULL;
     }
     if (read_contracts(list, contracts, reason)) {
-        config = FvConfig_New((uint64_t)version, contracts, (uint32_t)count);
+        config =
+            FvConfig_New((uint64_t)version, contracts, (uint32_t)count, NULL);
     }
     if (config != NULL && strcmp(config->digest, digest) != 0) {
         snprintf(reason, Fv_REASON_SIZE, "digest does not match the content");
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -250,6 +250,7 @@
 json_t *FvContract_ToJson(const fv_contract_t *contract);
 bool FvContract_FromJson(const json_t *object, fv_contract_t *contract,
                          char reason[Fv_REASON_SIZE]);
+bool FvContract_Equals(const fv_contract_t *a, const fv_contract_t *b);
 void FvContract_Digest(const fv_contract_t *contract,
                        char digest[Fv_DIGEST_SIZE]);
 
@@ -259,10 +260,11 @@
     char digest[Fv_DIGEST_SIZE];
     uint32_t contract_count;
     fv_contract_t *contracts;
+    char (*contract_digests)[Fv_DIGEST_SIZE]; /* NULL: not yet computed */
 } fv_config_t;
 
 fv_config_t *FvConfig_New(uint64_t version, const fv_contract_t *contracts,
-                          uint32_t count);
+                          uint32_t count, const fv_config_t *base);
 const fv_config_t *FvConfig_Read(void);
 const fv_contract_t *FvConfig_Contract(const fv_config_t *config,
                                        const char *member);
@@ -273,6 +275,9 @@
                                char reason[Fv_REASON_SIZE]);
 json_t *FvConfig_ToJson(const fv_config_t *config);
 void FvConfig_Digest(const fv_config_t *config, char digest[Fv_DIGEST_SIZE]);
+void FvConfig_ContractDigest(const fv_config_t *config,
+                             const fv_contract_t *contract,
+                             char digest[Fv_DIGEST_SIZE]);
 json_t *FvConfig_ContractDigests(const fv_config_t *config);
 void FvConfig_DigestOf(uint64_t version, json_t *contract_digests,
                        char digest[Fv_DIGEST_SIZE]);
@@ -410,7 +415,10 @@
     int32_t status;
     uint8_t *body;
     size_t body_length;
-    char task_state[16]; /* value of the Task-State header */
+    char task_state[16]; /* headers of a worker's answer */
+    int64_t task_ran_ms;
+    int64_t task_cpu_millis;
+    int64_t task_memory_bytes;
 } fv_http_response_t;
 
 typedef void (*fv_http_done_t)(void *context, fv_http_response_t *response);
@@ -517,8 +525,8 @@
     uint64_t config_version;
     int64_t received_ms;
     bool draining;
-    int32_t workers; /* that accept tasks */
-    int32_t held;    /* whose leases the host holds */
+    int32_t workers;                 /* that accept tasks */
+    int32_t held;                    /* whose leases the host holds */
     fv_resources_t largest_capacity; /* each amount on its own */
     int32_t queued[Fv_CLASS_COUNT];
     fv_resources_t free_total;
