Let the HTTP server test ask the kernel for its port

Cause: two runs at once on one machine met on the fixed port 18231, and the second one failed at its start. Change: the test binds an ephemeral port first and uses its number.

--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -13,8 +13,6 @@
 #include <time.h>
 #include <unistd.h>
 
-#define Fv_TEST_PORT 18231
-#define Fv_TEST_ADDRESS "127.0.0.1:18231"
 #define Fv_TEST_THREADS 8
 #define Fv_BIG_ANSWER_BYTES (4 * 1024 * 1024)
 
@@ -22,6 +20,7 @@
 #define TOKEN "Authorization: Bearer good\r\n"
 
 static fv_daemon_t fake;
+static int test_port;
 static pthread_t loop_thread;
 static uint64_t fake_version = 1;
 static atomic_int handled;
@@ -103,17 +102,35 @@
     return NULL;
 }
 
+/* Asks the kernel for a port, so that two runs on one machine do not meet. */
+static int
+find_free_port(void)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t size = sizeof(address);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    CU_ASSERT_FATAL(fd >= 0);
+    CU_ASSERT_EQUAL_FATAL(bind(fd, (struct sockaddr *)&address, size), 0);
+    getsockname(fd, (struct sockaddr *)&address, &size);
+    close(fd);
+    return ntohs(address.sin_port);
+}
+
 static void
 set_up(uint32_t ring_capacity)
 {
+    test_port = find_free_port();
     fake = (fv_daemon_t){
-        .settings = {.http_address = Fv_TEST_ADDRESS,
-                     .http_threads = Fv_TEST_THREADS,
+        .settings = {.http_threads = Fv_TEST_THREADS,
                      .drain_timeout_ms = 1000},
         .tokens = (fv_tokens_t *)&fake, /* never dereferenced here */
         .loop = FvLoop_New(ring_capacity),
         .ready = true,
     };
+    snprintf(fake.settings.http_address, Fv_ADDRESS_SIZE, "127.0.0.1:%d",
+             test_port);
     fake_version = 1;
     atomic_store(&handled, 0);
     atomic_store(&held_count, 0);
@@ -175,7 +192,7 @@
 expect(const char *request, int status, const char *text)
 {
     fv_buffer_t response = {0};
-    int got = FvHttpSocket_Exchange(Fv_TEST_PORT, request, &response);
+    int got = FvHttpSocket_Exchange(test_port, request, &response);
 
     CU_ASSERT_EQUAL(got, status);
     CU_ASSERT_PTR_NOT_NULL(response.data);
@@ -287,7 +304,7 @@
     int fd;
 
     set_up_shared();
-    fd = FvHttpSocket_Connect(Fv_TEST_PORT);
+    fd = FvHttpSocket_Connect(test_port);
     FvHttpSocket_Send(fd, "POST /v1/jobs HTTP/1.1\r\n" TOKEN
                           "Content-Length: 1000\r\n" HEAD_END);
     for (int i = 0; i < 150 && FvHttpSocket_Send(fd, " "); i++) {
@@ -308,7 +325,7 @@
 
     set_up_shared();
     for (int i = 0; i < Fv_TEST_THREADS * 2; i++) {
-        sockets[i] = FvHttpSocket_Connect(Fv_TEST_PORT);
+        sockets[i] = FvHttpSocket_Connect(test_port);
         CU_ASSERT_TRUE(sockets[i] >= 0);
         FvHttpSocket_Send(sockets[i], i % 2 ? "GET /v1/jo" : "");
     }
@@ -329,7 +346,7 @@
     for (int i = 0; i < 10; i++) {
         fv_buffer_t response = {0};
 
-        if (FvHttpSocket_Exchange(Fv_TEST_PORT,
+        if (FvHttpSocket_Exchange(test_port,
                                   "GET /v1/jobs/a HTTP/1.1\r\n" TOKEN HEAD_END,
                                   &response) == 200) {
             atomic_fetch_add(served, 1);
@@ -364,7 +381,7 @@
 
     set_up_shared();
     for (int i = 0; i < Fv_TEST_THREADS * 2; i++) {
-        sockets[i] = FvHttpSocket_Connect(Fv_TEST_PORT);
+        sockets[i] = FvHttpSocket_Connect(test_port);
         FvHttpSocket_Send(sockets[i], "GET /v1/jobs/a HTTP/1.1\r\n" TOKEN
                                       "Connection: keep-alive\r\n\r\n");
         CU_ASSERT_TRUE(read(sockets[i], part, sizeof(part)) > 0);
@@ -386,7 +403,7 @@
         tear_down(true);
     }
     set_up(1); /* the loop is not running, so one request fills the ring */
-    first = FvHttpSocket_Connect(Fv_TEST_PORT);
+    first = FvHttpSocket_Connect(test_port);
     FvHttpSocket_Send(first, "GET /v1/jobs/a HTTP/1.1\r\n" TOKEN HEAD_END);
     pause_ms(300);
     expect("GET /v1/jobs/b HTTP/1.1\r\n" TOKEN HEAD_END, 503,
@@ -421,7 +438,7 @@
 
     set_up_shared();
     CU_ASSERT_EQUAL(FvHttpSocket_Exchange(
-                        Fv_TEST_PORT,
+                        test_port,
                         "GET /v1/jobs/a/answer HTTP/1.1\r\n" TOKEN HEAD_END,
                         &response),
                     200);
@@ -442,7 +459,7 @@
     int fd;
 
     set_up_shared();
-    fd = FvHttpSocket_Connect(Fv_TEST_PORT);
+    fd = FvHttpSocket_Connect(test_port);
     FvHttpSocket_Send(fd, "GET /v1/jobs/held?wait_ms=60000 HTTP/1.1\r\n" TOKEN
                           "\r\n");
     wait_for_handled(1);
@@ -470,7 +487,7 @@
     int fd;
 
     set_up_shared();
-    fd = FvHttpSocket_Connect(Fv_TEST_PORT);
+    fd = FvHttpSocket_Connect(test_port);
     FvHttpSocket_Send(fd, "GET /v1/jobs/held?wait_ms=9000 HTTP/1.1\r\n" TOKEN
                           "\r\n");
     wait_for_handled(1);
@@ -492,7 +509,7 @@
 
     set_up_shared();
     for (int i = 0; i < Fv_TEST_THREADS; i++) {
-        sockets[i] = FvHttpSocket_Connect(Fv_TEST_PORT);
+        sockets[i] = FvHttpSocket_Connect(test_port);
         FvHttpSocket_Send(sockets[i],
                           "GET /v1/jobs/held?wait_ms=60000 HTTP/1.1\r\n" TOKEN
                           "\r\n");
