--- a/tests/fakes/fake-worker.c
+++ b/tests/fakes/fake-worker.c
@@ -127,16 +127,20 @@
 static void
 reply_result(worker_call_t *call, model_result_t *result)
 {
-    char header[64];
+    char headers[256];
 
     if (result->state == MODEL_RUNNING) {
         FvFake_ReplyJson(call->request, 202,
                          json_pack("{s:s}", "state", "running"));
         return;
     }
-    snprintf(header, sizeof(header), "Task-State: %s\r\n",
-             FvModel_StateName(result->state));
-    FvFake_Reply(call->request, 200, "application/octet-stream", header,
+    snprintf(headers, sizeof(headers),
+             "Task-State: %s\r\nTask-Ran-Ms: %lld\r\n"
+             "Task-Cpu-Millis: %lld\r\nTask-Memory-Bytes: %lld\r\n",
+             FvModel_StateName(result->state), (long long)result->ran_ms,
+             (long long)result->used.cpu_millis,
+             (long long)result->used.memory_bytes);
+    FvFake_Reply(call->request, 200, "application/octet-stream", headers,
                  result->answer, result->answer_length);
     free(result->answer);
 }
--- /dev/null
+++ b/tests/harness/caller.c
@@ -0,0 +1,247 @@
+/*
+ * Callers of a test cell.
+ */
+
+#include "caller.h"
+
+#include "fake-server.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define CALLER_LIMIT_MS 20000
+#define CALLER_ATTEMPT_MS 3000
+#define CALLER_PAUSE_MS 50
+
+static const char sample_text[] =
+    "{\"weight\": 1, \"quota\": {\"processors\": 1000,"
+    "  \"memory\": \"4 TiB\", \"tasks\": 1000}, \"workloads\": ["
+    " {\"name\": \"lookup\", \"someone_waits\": true, \"may_repeat\": true,"
+    "  \"may_overlap\": true, \"start_within\": \"200 ms\","
+    "  \"size\": {\"processors\": 0.25, \"memory\": \"256 MiB\"},"
+    "  \"run_time\": \"50 ms\"},"
+    " {\"name\": \"rebuild\", \"someone_waits\": false, \"may_repeat\": true,"
+    "  \"may_overlap\": false, \"size\": {\"processors\": 4,"
+    "  \"memory\": \"4 GiB\"}, \"run_time\": \"2 s\", \"may_queue\": 500},"
+    " {\"name\": \"fit-check\", \"someone_waits\": false,"
+    "  \"may_repeat\": false, \"may_overlap\": false,"
+    "  \"size\": {\"processors\": 1, \"memory\": \"1 GiB\"},"
+    "  \"run_time\": \"1 s\", \"may_queue\": 500},"
+    " {\"name\": \"gang\", \"someone_waits\": false, \"may_repeat\": true,"
+    "  \"may_overlap\": false, \"tasks_together\": 4,"
+    "  \"size\": {\"processors\": 2, \"memory\": \"2 GiB\"},"
+    "  \"run_time\": \"1 s\", \"may_queue\": 500}]}";
+
+/**
+ * FvSample_Answers - the same answers for several members
+ * @members: their names
+ * @count: how many
+ *
+ * Return: the text that FvCluster_Configure() takes; freed by the caller.
+ */
+char *
+FvSample_Answers(const char *const *members, size_t count)
+{
+    json_t *answers = json_object();
+    char *text;
+
+    for (size_t i = 0; i < count; i++) {
+        json_object_set_new(answers, members[i],
+                            json_loads(sample_text, 0, NULL));
+    }
+    text = json_dumps(answers, JSON_COMPACT);
+    json_decref(answers);
+    if (text == NULL) {
+        abort();
+    }
+    return text;
+}
+
+static void
+note_told(caller_t *caller, const char *outcome)
+{
+    static const char *const names[] = {"done", "failed", "cancelled",
+                                        "not_run", "unknown"};
+
+    for (unsigned i = 0; i < 5; i++) {
+        if (strcmp(outcome, names[i]) == 0) {
+            caller->told |= 1U << i;
+        }
+    }
+}
+
+/* Keeps the reply when it is complete. */
+static void
+take_reply(caller_t *caller, job_reply_t *reply)
+{
+    caller->calls++;
+    if (reply->status == 0) {
+        FvApi_FreeJob(reply);
+        return;
+    }
+    note_told(caller, reply->outcome);
+    FvApi_FreeJob(&caller->reply);
+    caller->reply = *reply;
+}
+
+/* A complete reply that will not change by asking again. */
+static bool
+is_final(const job_reply_t *reply)
+{
+    return reply->outcome[0] != 0 || reply->status == 409 ||
+           reply->status == 400 || reply->status == 422;
+}
+
+static bool
+is_alive(const caller_t *caller, int host)
+{
+    return caller->cluster->hosts[host].process.pid != 0;
+}
+
+static int
+next_host(const caller_t *caller, int host)
+{
+    int count = caller->cluster->host_count;
+
+    for (int i = 1; i <= count; i++) {
+        if (is_alive(caller, (host + i) % count)) {
+            return (host + i) % count;
+        }
+    }
+    return host;
+}
+
+static void
+submit_once(caller_t *caller, int host, job_reply_t *reply)
+{
+    submit_t submit = caller->submit;
+
+    if (caller->key[0] != 0) {
+        submit.key = caller->key;
+    }
+    submit.limit_ms =
+        caller->attempt_ms > 0 ? caller->attempt_ms : CALLER_ATTEMPT_MS;
+    submit.wait_ms = submit.wait_ms > 0 ? submit.wait_ms : 1000;
+    FvApi_Submit(caller->cluster, host, &submit, reply);
+}
+
+/**
+ * FvCaller_Run - submit until the outcome is known or the time is over
+ * @caller: the caller; its results are filled in
+ *
+ * Every call is a submit of the same key, so it also tests that a retry
+ * attaches to the job.
+ */
+void
+FvCaller_Run(caller_t *caller)
+{
+    int64_t began_ms = FvClock_NowMs();
+    int64_t limit_ms =
+        caller->limit_ms > 0 ? caller->limit_ms : CALLER_LIMIT_MS;
+    int host = caller->host;
+    job_reply_t reply;
+
+    FvFake_SleepMs(caller->after_ms);
+    do {
+        submit_once(caller, host, &reply);
+        if (reply.status != 202) {
+            host = next_host(caller, host);
+        }
+        take_reply(caller, &reply);
+        if (caller->once || is_final(&reply)) {
+            break;
+        }
+        FvFake_SleepMs(CALLER_PAUSE_MS);
+    } while (FvClock_NowMs() - began_ms < limit_ms);
+    caller->took_ms = FvClock_NowMs() - began_ms;
+}
+
+static void *
+run_thread(void *context)
+{
+    FvCaller_Run(context);
+    return NULL;
+}
+
+/**
+ * FvCaller_Start - run a caller in a thread of its own
+ * @caller: stays in place until FvCaller_Join()
+ */
+void
+FvCaller_Start(caller_t *caller)
+{
+    if (pthread_create(&caller->thread, NULL, run_thread, caller) != 0) {
+        abort();
+    }
+}
+
+/**
+ * FvCaller_Join - wait for a caller and release its last reply's body
+ * @caller: the caller; its results stay
+ */
+void
+FvCaller_Join(caller_t *caller)
+{
+    pthread_join(caller->thread, NULL);
+    FvApi_FreeJob(&caller->reply);
+    caller->reply.http.body = NULL;
+}
+
+/**
+ * FvCallers_Start - start several callers
+ * @callers: the callers
+ * @count: how many
+ */
+void
+FvCallers_Start(caller_t *callers, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        FvCaller_Start(&callers[i]);
+    }
+}
+
+/**
+ * FvCallers_Join - wait for several callers
+ * @callers: the callers
+ * @count: how many
+ */
+void
+FvCallers_Join(caller_t *callers, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        FvCaller_Join(&callers[i]);
+    }
+}
+
+/**
+ * FvDraw_Open - start a sequence of draws
+ * @draw: filled in
+ * @seed: used unless the environment names another one
+ */
+void
+FvDraw_Open(draw_t *draw, uint64_t seed)
+{
+    const char *text = getenv("SEED");
+
+    draw->seed = text != NULL ? strtoull(text, NULL, 10) : seed;
+    draw->state = draw->seed;
+}
+
+/**
+ * FvDraw_Between - the next draw (splitmix64)
+ * @draw: the sequence
+ * @low: smallest result
+ * @high: largest result
+ *
+ * Return: a number between the two.
+ */
+int64_t
+FvDraw_Between(draw_t *draw, int64_t low, int64_t high)
+{
+    uint64_t value = draw->state += UINT64_C(0x9e3779b97f4a7c15);
+
+    value = (value ^ (value >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+    value = (value ^ (value >> 27)) * UINT64_C(0x94d049bb133111eb);
+    value ^= value >> 31;
+    return low + (int64_t)(value % (uint64_t)(high - low + 1));
+}
--- a/tests/harness/worker-model-internal.h
+++ b/tests/harness/worker-model-internal.h
@@ -62,6 +62,7 @@
     pthread_mutex_t lock;
     pthread_cond_t timers_changed;
     model_options_t options;
+    int64_t created_ns; /* the workers' uptime is counted from here */
     timer_heap_t timers;
     model_worker_t *workers;
     model_counts_t counts;
--- a/tests/harness/worker-model.c
+++ b/tests/harness/worker-model.c
@@ -352,6 +352,7 @@
         return NULL;
     }
     model->options = *options;
+    model->created_ns = FvClock_NowNs();
     model->workers = calloc((size_t)options->workers, sizeof(*model->workers));
     if (model->workers == NULL) {
         goto fail;
--- a/tests/harness/worker-model.h
+++ b/tests/harness/worker-model.h
@@ -56,7 +56,9 @@
 typedef struct model_result {
     const char *refusal; /* NULL: the task exists */
     model_state_t state;
-    uint8_t *answer; /* set when the task is done; freed by the caller */
+    int64_t ran_ms;
+    fv_resources_t used; /* highest use */
+    uint8_t *answer;     /* set when the task is done; freed by the caller */
     size_t answer_length;
 } model_result_t;
 
--- a/tests/harness/worker-task.c
+++ b/tests/harness/worker-task.c
@@ -169,19 +169,27 @@
     }
 }
 
-/* A throttled task uses processors in proportion to its speed. */
-static void
-report_usage(model_task_t *task)
+/* What the task uses at full speed. */
+static fv_resources_t
+highest_use(const model_task_t *task)
 {
     const program_t *program = &task->program;
+    fv_resources_t use = task->size;
 
-    task->used = task->size;
     if (program->use_cpu_millis >= 0) {
-        task->used.cpu_millis = program->use_cpu_millis;
+        use.cpu_millis = program->use_cpu_millis;
     }
     if (program->use_memory_bytes >= 0) {
-        task->used.memory_bytes = program->use_memory_bytes;
+        use.memory_bytes = program->use_memory_bytes;
     }
+    return use;
+}
+
+/* A throttled task uses processors in proportion to its speed. */
+static void
+report_usage(model_task_t *task)
+{
+    task->used = highest_use(task);
     task->used.cpu_millis = task->used.cpu_millis * task->percent / 100;
     mark_changed(task);
 }
@@ -335,6 +343,23 @@
     task->waiters--;
 }
 
+static int64_t
+ran_ms(const model_task_t *task, int64_t now_ns)
+{
+    bool running = task->state == MODEL_RUNNING;
+
+    return ((running ? now_ns : task->ended_ns) - task->started_ns) /
+           Fv_NS_PER_MS;
+}
+
+static void
+describe_locked(const model_task_t *task, model_result_t *result)
+{
+    result->state = task->state;
+    result->ran_ms = ran_ms(task, FvClock_NowNs());
+    result->used = highest_use(task);
+}
+
 /* The answer is computed without the lock: it may be many megabytes. */
 static void
 take_answer(program_t *program, model_result_t *result)
@@ -364,7 +389,7 @@
     task = find_or_run(worker, start, &result->refusal);
     if (task != NULL) {
         wait_for_end(task, start->wait_ms);
-        result->state = task->state;
+        describe_locked(task, result);
         FvProgram_Copy(&program, &task->program);
     }
     pthread_mutex_unlock(&model->lock);
@@ -390,26 +415,30 @@
         result->refusal = "unknown task";
     }
     else {
-        result->state = task->state;
+        describe_locked(task, result);
         FvProgram_Copy(&program, &task->program);
     }
     pthread_mutex_unlock(&worker->model->lock);
     take_answer(&program, result);
 }
 
+static int64_t
+uptime_ms(const model_worker_t *worker, int64_t now_ns)
+{
+    return (now_ns - worker->model->created_ns) / Fv_NS_PER_MS;
+}
+
 static json_t *
 task_json(const model_task_t *task, int64_t now_ns)
 {
-    bool running = task->state == MODEL_RUNNING;
-    int64_t ran_ns = (running ? now_ns : task->ended_ns) - task->started_ns;
-
-    return json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:o, s:o, s:I}", "id",
-                     task->id, "state", state_names[task->state], "home",
+    return json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:o, s:o, s:I, s:I}",
+                     "id", task->id, "state", state_names[task->state], "home",
                      task->home, "member", task->member, "workload",
                      task->workload, "class", task->class_name, "size",
                      FvRecord_ResourcesToJson(&task->size), "used",
                      FvRecord_ResourcesToJson(&task->used), "ran_ms",
-                     (json_int_t)(ran_ns / Fv_NS_PER_MS));
+                     (json_int_t)ran_ms(task, now_ns), "uptime_ms",
+                     (json_int_t)uptime_ms(task->worker, now_ns));
 }
 
 /**
@@ -463,10 +492,11 @@
 }
 
 static json_t *
-unknown_json(const char *id)
+unknown_json(const model_worker_t *worker, const char *id)
 {
-    return json_pack("{s:s, s:s}", "id", id, "state",
-                     state_names[MODEL_NEVER_STARTED]);
+    return json_pack("{s:s, s:s, s:I}", "id", id, "state",
+                     state_names[MODEL_NEVER_STARTED], "uptime_ms",
+                     (json_int_t)uptime_ms(worker, FvClock_NowNs()));
 }
 
 /**
@@ -484,7 +514,8 @@
 
     pthread_mutex_lock(&worker->model->lock);
     task = find_task(worker, id);
-    reply = task != NULL ? task_json(task, FvClock_NowNs()) : unknown_json(id);
+    reply = task != NULL ? task_json(task, FvClock_NowNs())
+                         : unknown_json(worker, id);
     pthread_mutex_unlock(&worker->model->lock);
     return reply;
 }
