--- a/tests/harness/judge.c
+++ b/tests/harness/judge.c
@@ -42,7 +42,7 @@
 static void
 open_running(running_t *running, const records_t *records)
 {
-    running->starts = calloc(records->count + 1, sizeof(*running->starts));
+    running->starts = calloc(records->count + 1, sizeof(const record_t *));
     running->count = 0;
     if (running->starts == NULL) {
         abort();
--- a/tests/harness/process.c
+++ b/tests/harness/process.c
@@ -9,6 +9,7 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,6 +22,8 @@
 
 /* Read by a signal handler, so entries are set to 0 and never moved. */
 static volatile pid_t running[PROCESS_MAX];
+/* Cells that run side by side start and collect processes at once. */
+static pthread_mutex_t running_lock = PTHREAD_MUTEX_INITIALIZER;
 
 static void
 kill_all(void)
@@ -62,9 +65,11 @@
 static void
 set_running(pid_t from, pid_t to)
 {
+    pthread_mutex_lock(&running_lock);
     for (int i = 0; i < PROCESS_MAX; i++) {
         if (running[i] == from) {
             running[i] = to;
+            pthread_mutex_unlock(&running_lock);
             return;
         }
     }
@@ -108,8 +113,8 @@
  * @log_path: file that its output is appended to
  * @argv: path and arguments, ended by NULL
  *
- * To be called from the main thread: the kernel kills the child when the
- * thread that started it ends.
+ * To be called from a thread that outlives the child: the kernel kills the
+ * child when the thread that started it ends.
  *
  * Return: false when no process can be created.
  */
