--- a/src/holder.c
+++ b/src/holder.c
@@ -101,8 +101,13 @@
 static void
 clear_ledger(fv_holding_t *holding)
 {
-    while (holding->worker->tasks != NULL) {
-        FvHolder_RemoveTask(holding, holding->worker->tasks);
+    fv_task_t *task = holding->worker->tasks;
+
+    while (task != NULL) {
+        fv_task_t *next = task->next;
+
+        FvHolder_RemoveTask(holding, task);
+        task = next;
     }
 }
 
@@ -407,12 +412,11 @@
     bool changed =
         holder->list_changed || signature != holder->alive_signature;
     fv_holding_t *holding;
-    fv_holding_t *next;
 
     holder->alive_signature = signature;
     holder->list_changed = false;
-    HASH_ITER(hh, holder->holdings, holding, next)
-    {
+    for (holding = holder->holdings; holding != NULL;
+         holding = holding->hh.next) {
         if (changed) {
             update_candidate(holding, now_ms);
         }
@@ -479,10 +483,9 @@
 drop_unlisted(fv_holder_t *holder)
 {
     fv_holding_t *holding;
-    fv_holding_t *next;
 
-    HASH_ITER(hh, holder->holdings, holding, next)
-    {
+    for (holding = holder->holdings; holding != NULL;
+         holding = holding->hh.next) {
         if (holding->worker->listed &&
             holding->list_generation != holder->list_generation) {
             holding->worker->listed = false;
@@ -545,6 +548,21 @@
     return holder;
 }
 
+/* The links are closed by now, so nobody is told. */
+static void
+free_waiters(fv_holding_t *holding)
+{
+    fv_waiter_t *waiter = holding->waiters;
+
+    while (waiter != NULL) {
+        fv_waiter_t *next = waiter->next;
+
+        FvLoop_CancelTimer(holding->holder->daemon->loop, &waiter->timer);
+        free(waiter);
+        waiter = next;
+    }
+}
+
 /**
  * FvHolder_Free - release the holder and all ledgers
  * @holder: the holder, or NULL
@@ -558,12 +576,14 @@
     if (holder == NULL) {
         return;
     }
-    HASH_ITER(hh, holder->holdings, holding, next)
-    {
-        HASH_DEL(holder->holdings, holding);
-        FvHolder_DropWaiters(holding);
+    holding = holder->holdings;
+    HASH_CLEAR(hh, holder->holdings);
+    while (holding != NULL) {
+        next = holding->hh.next;
+        free_waiters(holding);
         FvWorker_Free(holding->worker);
         free(holding);
+        holding = next;
     }
     FvPlacement_Free(holder->placement);
     free(holder);
@@ -577,11 +597,10 @@
 FvHolder_Drain(fv_holder_t *holder)
 {
     fv_holding_t *holding;
-    fv_holding_t *next;
 
     holder->draining = true;
-    HASH_ITER(hh, holder->holdings, holding, next)
-    {
+    for (holding = holder->holdings; holding != NULL;
+         holding = holding->hh.next) {
         if (holding->worker->lease.held && !holding->call_pending) {
             schedule(holding, 0);
         }
@@ -598,10 +617,9 @@
 FvHolder_IsDrained(const fv_holder_t *holder)
 {
     fv_holding_t *holding;
-    fv_holding_t *next;
 
-    HASH_ITER(hh, holder->holdings, holding, next)
-    {
+    for (holding = holder->holdings; holding != NULL;
+         holding = holding->hh.next) {
         if (holding->worker->lease.held) {
             return false;
         }
@@ -635,12 +653,11 @@
 FvHolder_Summarize(const fv_holder_t *holder, fv_digest_t *digest)
 {
     fv_holding_t *holding;
-    fv_holding_t *next;
 
     digest->held = 0;
     digest->largest_capacity = (fv_resources_t){0};
-    HASH_ITER(hh, holder->holdings, holding, next)
-    {
+    for (holding = holder->holdings; holding != NULL;
+         holding = holding->hh.next) {
         if (holding->worker->lease.held) {
             digest->held++;
             raise_to(&digest->largest_capacity, &holding->worker->capacity);
@@ -659,10 +676,9 @@
 {
     uint32_t count = 0;
     fv_holding_t *holding;
-    fv_holding_t *next;
 
-    HASH_ITER(hh, holder->holdings, holding, next)
-    {
+    for (holding = holder->holdings; holding != NULL;
+         holding = holding->hh.next) {
         if (holding->worker->listed && !holding->worker->leaving) {
             count++;
         }
@@ -708,10 +724,9 @@
 {
     json_t *list = json_array();
     fv_holding_t *holding;
-    fv_holding_t *next;
 
-    HASH_ITER(hh, holder->holdings, holding, next)
-    {
+    for (holding = holder->holdings; holding != NULL;
+         holding = holding->hh.next) {
         if (holding->worker->lease.held) {
             json_array_append_new(list, describe_worker(holding));
         }
