--- a/src/http-client.c
+++ b/src/http-client.c
@@ -276,8 +276,7 @@
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                          (curl_off_t)request->body_length);
     }
-    if (request->send_once) {
-        /* A pooled connection may be dead, which leaves the send in doubt. */
+    if (request->fresh_connection) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     }
 }
--- a/src/store.c
+++ b/src/store.c
@@ -12,15 +12,13 @@
 #define Fv_STORE_ANSWER_MAX_BYTES (64 * 1024 * 1024)
 #define Fv_STORE_LINE_MAX_BYTES (4 * 1024 * 1024)
 
+/* The store answers several hundred writes a second within milliseconds; a
+ * burst of claims waits here instead of opening a connection each. */
+#define Fv_STORE_OUTSTANDING_MAX 64
+
 /* Wait before a watch that ended is opened again. */
 #define Fv_STORE_WATCH_RETRY_MS 500
 
-struct fv_store_txn {
-    json_t *compare;
-    json_t *success;
-    json_t *failure;
-};
-
 /* How the body of an answer is turned into a result. */
 typedef struct fv_store_call_type {
     const char *path;
@@ -32,8 +30,10 @@
 typedef struct fv_store_call {
     const fv_store_call_type_t *type;
     fv_store_t *store;
+    char *body;
     fv_store_done_t done;
     void *context;
+    struct fv_store_call *next; /* in the queue of calls not yet sent */
 } fv_store_call_t;
 
 typedef struct fv_store_watch {
@@ -54,58 +54,14 @@
     char url[Fv_URL_SIZE];
     char prefix[Fv_NAME_SIZE];
     int32_t timeout_ms;
+    int32_t outstanding;
+    fv_store_call_t *queue_first;
+    fv_store_call_t *queue_last;
     fv_store_watch_t watch;
 };
 
 static void open_watch(fv_store_t *store);
 
-/* Bytes that keep their place in a JSON string: base64 of data. */
-static json_t *
-encode(const void *data, size_t length)
-{
-    char *text = FvText_Base64(data, length);
-    json_t *value = text ? json_string(text) : NULL;
-
-    free(text);
-    return value;
-}
-
-/*
- * The store's form of a key. The prefix is put in front when the call is
- * sent: transactions are built without a store at hand.
- */
-static json_t *
-encode_key(const char *prefix, const char *key)
-{
-    fv_buffer_t full = {0};
-    json_t *value = NULL;
-
-    if (FvBuffer_Append(&full, prefix, strlen(prefix)) &&
-        FvBuffer_Append(&full, "/", 1) &&
-        FvBuffer_Append(&full, key, strlen(key))) {
-        value = encode(full.data, full.length);
-    }
-    FvBuffer_Clear(&full);
-    return value;
-}
-
-/* The first key after all keys that start with the given one. */
-static json_t *
-encode_range_end(const char *prefix, const char *key)
-{
-    fv_buffer_t full = {0};
-    json_t *value = NULL;
-
-    if (FvBuffer_Append(&full, prefix, strlen(prefix)) &&
-        FvBuffer_Append(&full, "/", 1) &&
-        FvBuffer_Append(&full, key, strlen(key))) {
-        full.data[full.length - 1]++;
-        value = encode(full.data, full.length);
-    }
-    FvBuffer_Clear(&full);
-    return value;
-}
-
 /**
  * FvStore_New - make a client
  * @client: sends the calls
@@ -140,9 +96,19 @@
 void
 FvStore_Free(fv_store_t *store)
 {
+    fv_store_call_t *call;
+
     if (store == NULL) {
         return;
     }
+    call = store->queue_first;
+    while (call != NULL) {
+        fv_store_call_t *next = call->next;
+
+        free(call->body);
+        free(call);
+        call = next;
+    }
     free(store->watch.key_prefix);
     FvBuffer_Clear(&store->watch.line);
     free(store);
@@ -314,12 +280,17 @@
     }
 }
 
+static void send_queued(fv_store_t *store);
+
 static void
 finish_call(void *context, fv_http_response_t *response)
 {
     fv_store_call_t *call = context;
+    fv_store_t *store = call->store;
     fv_store_result_t result = {0};
 
+    store->outstanding--;
+
     result.error = translate_error(call, response);
     if (result.error == Fv_STORE_OK) {
         parse_answer(call, response, &result);
@@ -333,175 +304,70 @@
     call->done(call->context, &result);
     free_kvs(&result);
     free(call);
+    send_queued(store);
 }
 
-/* Sends a call and takes over the body. */
 static void
-send_call(fv_store_t *store, const fv_store_call_type_t *type, json_t *body,
-          fv_store_done_t done, void *context)
+send_now(fv_store_t *store, fv_store_call_t *call)
 {
-    fv_store_call_t *call = calloc(1, sizeof(*call));
     fv_http_request_t request = {
         .method = "POST",
         .timeout_ms = store->timeout_ms,
+        .body = call->body,
+        .body_length = call->body ? strlen(call->body) : 0,
         .answer_max_bytes = Fv_STORE_ANSWER_MAX_BYTES,
-        .send_once = type->writes,
+        .send_once = call->type->writes,
         .done = finish_call,
         .context = call,
     };
 
-    if (call == NULL) {
-        abort();
-    }
-    *call = (fv_store_call_t){
-        .type = type, .store = store, .done = done, .context = context};
-    request.body = json_dumps(body, JSON_COMPACT);
-    request.body_length = request.body ? strlen(request.body) : 0;
-    json_decref(body);
-    snprintf(request.url, sizeof(request.url), "%s%s", store->url, type->path);
-    FvMetrics_Add(
-        type->writes ? Fv_COUNTER_STORE_WRITES : Fv_COUNTER_STORE_READS, 1);
+    call->body = NULL;
+    store->outstanding++;
+    snprintf(request.url, sizeof(request.url), "%s%s", store->url,
+             call->type->path);
+    FvMetrics_Add(call->type->writes ? Fv_COUNTER_STORE_WRITES
+                                     : Fv_COUNTER_STORE_READS,
+                  1);
     FvHttpClient_Send(store->client, &request);
 }
 
-/**
- * FvStoreTxn_New - begin a transaction
- *
- * Return: an empty transaction; FvStore_Commit takes it over.
- */
-fv_store_txn_t *
-FvStoreTxn_New(void)
-{
-    fv_store_txn_t *txn = calloc(1, sizeof(*txn));
-
-    if (txn == NULL) {
-        abort();
-    }
-    txn->compare = json_array();
-    txn->success = json_array();
-    txn->failure = json_array();
-    return txn;
-}
-
-/**
- * FvStoreTxn_CompareAbsent - require that a key does not exist
- * @txn: the transaction
- * @key: the key
- */
-void
-FvStoreTxn_CompareAbsent(fv_store_txn_t *txn, const char *key)
-{
-    json_array_append_new(txn->compare,
-                          json_pack("{s:s, s:s, s:s, s:s}", "key", key,
-                                    "target", "CREATE", "result", "EQUAL",
-                                    "create_revision", "0"));
-}
-
-/**
- * FvStoreTxn_CompareRevision - require that a key was not changed
- * @txn: the transaction
- * @key: the key
- * @mod_revision: the revision at which it was last read or written
- */
-void
-FvStoreTxn_CompareRevision(fv_store_txn_t *txn, const char *key,
-                           int64_t mod_revision)
-{
-    char text[24];
-
-    snprintf(text, sizeof(text), "%lld", (long long)mod_revision);
-    json_array_append_new(txn->compare,
-                          json_pack("{s:s, s:s, s:s, s:s}", "key", key,
-                                    "target", "MOD", "result", "EQUAL",
-                                    "mod_revision", text));
-}
-
-/**
- * FvStoreTxn_CompareValue - require that a key has a value
- * @txn: the transaction
- * @key: the key
- * @value: the value
- */
-void
-FvStoreTxn_CompareValue(fv_store_txn_t *txn, const char *key,
-                        const char *value)
-{
-    json_array_append_new(txn->compare,
-                          json_pack("{s:s, s:s, s:s, s:o}", "key", key,
-                                    "target", "VALUE", "result", "EQUAL",
-                                    "value", encode(value, strlen(value))));
-}
-
-/**
- * FvStoreTxn_Put - write a key when all requirements hold
- * @txn: the transaction
- * @key: the key
- * @value: the value
- * @lease: the store lease to attach the key to, or 0
- */
-void
-FvStoreTxn_Put(fv_store_txn_t *txn, const char *key, const char *value,
-               int64_t lease)
-{
-    char text[24];
-
-    snprintf(text, sizeof(text), "%lld", (long long)lease);
-    json_array_append_new(
-        txn->success,
-        json_pack("{s:{s:s, s:o, s:s}}", "request_put", "key", key, "value",
-                  encode(value, strlen(value)), "lease", text));
-}
-
-/**
- * FvStoreTxn_Delete - delete a key when all requirements hold
- * @txn: the transaction
- * @key: the key
- */
-void
-FvStoreTxn_Delete(fv_store_txn_t *txn, const char *key)
-{
-    json_array_append_new(
-        txn->success,
-        json_pack("{s:{s:s}}", "request_delete_range", "key", key));
-}
-
-/**
- * FvStoreTxn_ReadOnFailure - read a key when a requirement does not hold
- * @txn: the transaction
- * @key: the key
- */
-void
-FvStoreTxn_ReadOnFailure(fv_store_txn_t *txn, const char *key)
-{
-    json_array_append_new(txn->failure,
-                          json_pack("{s:{s:s}}", "request_range", "key", key));
-}
-
 static void
-prefix_key(const fv_store_t *store, json_t *object)
+send_queued(fv_store_t *store)
 {
-    const char *key = FvJson_String(object, "key");
+    while (store->queue_first != NULL &&
+           store->outstanding < Fv_STORE_OUTSTANDING_MAX) {
+        fv_store_call_t *call = store->queue_first;
 
-    if (key != NULL) {
-        json_object_set_new(object, "key", encode_key(store->prefix, key));
+        store->queue_first = call->next;
+        if (store->queue_first == NULL) {
+            store->queue_last = NULL;
+        }
+        send_now(store, call);
     }
 }
 
+/* Sends a call, in turn, and takes over the body. */
 static void
-prefix_operations(const fv_store_t *store, json_t *operations)
+send_call(fv_store_t *store, const fv_store_call_type_t *type, json_t *body,
+          fv_store_done_t done, void *context)
 {
-    size_t index;
-    json_t *operation;
-    const char *name;
-    json_t *request;
+    fv_store_call_t *call = calloc(1, sizeof(*call));
 
-    json_array_foreach(operations, index, operation)
-    {
-        json_object_foreach(operation, name, request)
-        {
-            prefix_key(store, request);
-        }
+    if (call == NULL) {
+        abort();
     }
+    *call = (fv_store_call_t){
+        .type = type, .store = store, .done = done, .context = context};
+    call->body = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
+    if (store->queue_last != NULL) {
+        store->queue_last->next = call;
+    }
+    else {
+        store->queue_first = call;
+    }
+    store->queue_last = call;
+    send_queued(store);
 }
 
 /**
@@ -515,20 +381,8 @@
 FvStore_Commit(fv_store_t *store, fv_store_txn_t *txn, fv_store_done_t done,
                void *context)
 {
-    size_t index;
-    json_t *compare;
-    json_t *body;
-
-    json_array_foreach(txn->compare, index, compare)
-    {
-        prefix_key(store, compare);
-    }
-    prefix_operations(store, txn->success);
-    prefix_operations(store, txn->failure);
-    body = json_pack("{s:o, s:o, s:o}", "compare", txn->compare, "success",
-                     txn->success, "failure", txn->failure);
-    free(txn);
-    send_call(store, &txn_call, body, done, context);
+    send_call(store, &txn_call, FvStoreTxn_TakeBody(txn, store->prefix), done,
+              context);
 }
 
 /**
@@ -542,7 +396,8 @@
 FvStore_Get(fv_store_t *store, const char *key, fv_store_done_t done,
             void *context)
 {
-    json_t *body = json_pack("{s:o}", "key", encode_key(store->prefix, key));
+    json_t *body =
+        json_pack("{s:o}", "key", FvStoreKey_Encode(store->prefix, key));
 
     send_call(store, &range_call, body, done, context);
 }
@@ -558,9 +413,9 @@
 FvStore_List(fv_store_t *store, const char *key_prefix, fv_store_done_t done,
              void *context)
 {
-    json_t *body =
-        json_pack("{s:o, s:o}", "key", encode_key(store->prefix, key_prefix),
-                  "range_end", encode_range_end(store->prefix, key_prefix));
+    json_t *body = json_pack(
+        "{s:o, s:o}", "key", FvStoreKey_Encode(store->prefix, key_prefix),
+        "range_end", FvStoreKey_EncodeEnd(store->prefix, key_prefix));
 
     send_call(store, &range_call, body, done, context);
 }
@@ -692,8 +547,9 @@
     snprintf(revision, sizeof(revision), "%lld",
              (long long)watch->next_revision);
     body = json_pack("{s:{s:o, s:o, s:s}}", "create_request", "key",
-                     encode_key(store->prefix, watch->key_prefix), "range_end",
-                     encode_range_end(store->prefix, watch->key_prefix),
+                     FvStoreKey_Encode(store->prefix, watch->key_prefix),
+                     "range_end",
+                     FvStoreKey_EncodeEnd(store->prefix, watch->key_prefix),
                      "start_revision", revision);
     request.body = json_dumps(body, JSON_COMPACT);
     request.body_length = request.body ? strlen(request.body) : 0;
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -322,6 +322,9 @@
         .not_after_ns = not_after_ns,
         .answer_max_bytes = Fv_ANSWER_MAX_BYTES,
         .send_once = task->send_once,
+        /* A doubtful start can't be repeated, so it must not be caused by
+         * a pooled connection that turns out dead. */
+        .fresh_connection = task->send_once,
         .done = finish_task,
         .context = new_task_call(worker->name, task->id, true, done, context),
     };
