--- a/src/log.c
+++ b/src/log.c
@@ -39,7 +39,7 @@
 append_to_stderr(log4c_appender_t *appender,
                  const log4c_logging_event_t *event)
 {
-    const char *text = event->evt_msg;
+    const char *text = event->evt_rendered_msg;
     size_t left = strlen(text);
 
     (void)appender;
@@ -60,6 +60,18 @@
 static const log4c_appender_type_t stderr_appender_type = {
     .name = "fireflyvalve-stderr", .append = append_to_stderr};
 
+/* log4c's default layout formats into a buffer shared by all threads. */
+static const char *
+format_nothing(const log4c_layout_t *layout,
+               const log4c_logging_event_t *event)
+{
+    (void)layout;
+    return event->evt_msg;
+}
+
+static const log4c_layout_type_t plain_layout_type = {
+    .name = "fireflyvalve-plain", .format = format_nothing};
+
 /**
  * FvLog_Open - start logging to standard error
  * @level: the least important level that is written
@@ -75,10 +87,13 @@
 {
     log4c_category_t *opened = log4c_category_get(Fv_LOG_CATEGORY);
     log4c_appender_t *appender = log4c_appender_get(Fv_LOG_CATEGORY);
+    log4c_layout_t *layout = log4c_layout_get(Fv_LOG_CATEGORY);
 
-    if (opened == NULL || appender == NULL) {
+    if (opened == NULL || appender == NULL || layout == NULL) {
         return -1;
     }
+    log4c_layout_set_type(layout, &plain_layout_type);
+    log4c_appender_set_layout(appender, layout);
     snprintf(host_name, sizeof(host_name), "%s", host);
     log4c_appender_set_type(appender, &stderr_appender_type);
     log4c_category_set_appender(opened, appender);
--- a/src/print.c
+++ b/src/print.c
@@ -135,7 +135,8 @@
 
 /* Fields of nested objects become columns such as free.slots. */
 static void
-add_columns(fv_columns_t *columns, const char *parent, const json_t *row)
+add_columns(fv_columns_t *columns, const char *parent, const json_t *row,
+            int depth)
 {
     char name[Fv_COLUMN_NAME_SIZE];
     const char *key;
@@ -144,8 +145,8 @@
     json_object_foreach((json_t *)row, key, value)
     {
         join_name(parent, key, name);
-        if (json_is_object(value) && *parent == '\0') {
-            add_columns(columns, key, value);
+        if (json_is_object(value) && depth < Fv_DEPTH_MAX) {
+            add_columns(columns, name, value, depth + 1);
         }
         else if (is_cell(value) && columns->count < Fv_COLUMNS_MAX &&
                  find_column(columns, name) < 0) {
@@ -155,18 +156,24 @@
     }
 }
 
+/* Finds a column's value; keys may contain dots themselves. */
 static const json_t *
 cell_value(const json_t *row, const char *name)
 {
-    const char *dot = strchr(name, '.');
     const json_t *value = json_object_get(row, name);
-    char parent[Fv_COLUMN_NAME_SIZE];
 
-    if (value != NULL || dot == NULL) {
-        return value;
+    for (const char *dot = strchr(name, '.'); value == NULL && dot != NULL;
+         dot = strchr(dot + 1, '.')) {
+        char parent[Fv_COLUMN_NAME_SIZE];
+        const json_t *nested;
+
+        snprintf(parent, sizeof(parent), "%.*s", (int)(dot - name), name);
+        nested = json_object_get(row, parent);
+        if (json_is_object(nested)) {
+            value = cell_value(nested, dot + 1);
+        }
     }
-    snprintf(parent, sizeof(parent), "%.*s", (int)(dot - name), name);
-    return json_object_get(json_object_get(row, parent), dot + 1);
+    return value;
 }
 
 static void
@@ -218,22 +225,35 @@
 static void
 print_nested(FILE *out, const char *title, const json_t *row, int depth)
 {
-    const char *label = FvJson_String(row, "name");
     char name[Fv_TITLE_SIZE];
     const char *key;
     json_t *value;
 
-    if (label == NULL) {
-        label = FvJson_String(row, "member");
-    }
     json_object_foreach((json_t *)row, key, value)
     {
+        snprintf(name, sizeof(name), "%.180s %.60s", title, key);
         if (json_is_array(value) && !holds_only_scalars(value)) {
-            snprintf(name, sizeof(name), "%.100s%s%.60s: %.60s", title,
-                     *title != '\0' ? " " : "", label ? label : "", key);
             print_value(out, name, value, depth + 1);
         }
+        else if (json_is_object(value) && depth < Fv_DEPTH_MAX) {
+            print_nested(out, name, value, depth + 1);
+        }
+    }
+}
+
+static void
+print_nested_of_row(FILE *out, const char *title, const json_t *row, int depth)
+{
+    const char *label = FvJson_String(row, "name");
+    char name[Fv_TITLE_SIZE];
+
+    if (label == NULL) {
+        label = FvJson_String(row, "member");
     }
+    snprintf(name, sizeof(name), "%.100s%s%.60s:", title,
+             *title != '\0' ? " " : "", label ? label : "");
+    replace_controls(name);
+    print_nested(out, name, row, depth);
 }
 
 static void
@@ -248,13 +268,16 @@
         fputs("(none)\n", out);
         return;
     }
+    if (json_object_get(json_array_get(rows, 0), "name") != NULL) {
+        snprintf(columns.names[columns.count++], Fv_COLUMN_NAME_SIZE, "name");
+    }
     for (size_t r = 0; r < json_array_size(rows); r++) {
-        add_columns(&columns, "", json_array_get(rows, r));
+        add_columns(&columns, "", json_array_get(rows, r), 0);
     }
     measure(&columns, rows);
     print_rows(out, &columns, rows);
     for (size_t r = 0; r < json_array_size(rows); r++) {
-        print_nested(out, title, json_array_get(rows, r), depth);
+        print_nested_of_row(out, title, json_array_get(rows, r), depth);
     }
 }
 
--- /dev/null
+++ b/tests/unit/log_test.c
@@ -0,0 +1,156 @@
+/*
+ * A value must not be able to end a log line or to add pairs to it.
+ */
+
+#include "fireflyvalve.h"
+#include "suite.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+static char text[1024 * 1024];
+
+/* Runs a function with standard error redirected and keeps what it wrote. */
+static const char *
+capture(void (*run)(void))
+{
+    FILE *file = tmpfile();
+    int saved = dup(STDERR_FILENO);
+    size_t length;
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(file);
+    dup2(fileno(file), STDERR_FILENO);
+    FvLog_Open(Fv_LOG_INFO, "host-a");
+    run();
+    FvLog_Close();
+    dup2(saved, STDERR_FILENO);
+    close(saved);
+    rewind(file);
+    length = fread(text, 1, sizeof(text) - 1, file);
+    text[length] = '\0';
+    fclose(file);
+    return text;
+}
+
+static void
+expect(const char *line)
+{
+    bool found = strstr(text, line) != NULL;
+
+    CU_ASSERT_TRUE(found);
+    if (!found) {
+        printf("\n  missing: %s  in: %s", line, text);
+    }
+}
+
+static int
+count_lines(void)
+{
+    int lines = 0;
+
+    for (const char *at = text; *at != '\0'; at++) {
+        lines += *at == '\n';
+    }
+    return lines;
+}
+
+static void
+write_values(void)
+{
+    FvLog_Event(Fv_LOG_INFO, "plain", "key=%s count=%d", "k-1", 3);
+    FvLog_Event(Fv_LOG_WARN, "spaces", "reason=%s", "no such host");
+    FvLog_Event(Fv_LOG_ERROR, "injected", "reason=%s member=%s",
+                "x\ntime=now level=info member=m2", "m1");
+    FvLog_Event(Fv_LOG_INFO, "control", "value=%s", "a\x1b[2J\x7f\"\\");
+    FvLog_Event(Fv_LOG_INFO, "separator", "value=%s next=%d", "a\x1fother=1",
+                2);
+    FvLog_Event(Fv_LOG_INFO, "empty", "value=%s", "");
+    FvLog_Event(Fv_LOG_INFO, "none", NULL);
+    FvLog_Event(Fv_LOG_DEBUG, "hidden", NULL);
+}
+
+static void
+test_escaping(void)
+{
+    capture(write_values);
+    expect("level=info host=host-a event=plain key=k-1 count=3\n");
+    expect("level=warn host=host-a event=spaces reason=\"no such host\"\n");
+    expect("event=injected reason=\"x\\ntime=now level=info member=m2\" "
+           "member=m1\n");
+    expect("event=control value=\"a\\x1b[2J\\x7f\\\"\\\\\"\n");
+    expect("event=separator value=\"a\\x1fother=1\" next=2\n");
+    expect("event=empty value=\"\"\n");
+    expect("event=none\n");
+    CU_ASSERT_PTR_NULL(strstr(text, "hidden"));
+    CU_ASSERT_EQUAL(count_lines(), 7);
+}
+
+static void
+write_long_value(void)
+{
+    char value[8192];
+
+    memset(value, '\n', sizeof(value) - 1);
+    value[sizeof(value) - 1] = '\0';
+    FvLog_Event(Fv_LOG_INFO, "long", "value=%s end=%d", value, 1);
+}
+
+static void
+test_long_value(void)
+{
+    capture(write_long_value);
+    expect(" truncated=true\n");
+    CU_ASSERT_EQUAL(count_lines(), 1);
+}
+
+static void *
+write_many(void *context)
+{
+    (void)context;
+    for (int i = 0; i < 200; i++) {
+        FvLog_Event(Fv_LOG_INFO, "thread", "value=%s", "some words here");
+    }
+    return NULL;
+}
+
+static void
+write_from_threads(void)
+{
+    pthread_t threads[8];
+
+    for (int i = 0; i < 8; i++) {
+        pthread_create(&threads[i], NULL, write_many, NULL);
+    }
+    for (int i = 0; i < 8; i++) {
+        pthread_join(threads[i], NULL);
+    }
+}
+
+static void
+test_threads(void)
+{
+    char *state = NULL;
+
+    capture(write_from_threads);
+    CU_ASSERT_EQUAL(count_lines(), 1600);
+    for (char *line = strtok_r(text, "\n", &state); line != NULL;
+         line = strtok_r(NULL, "\n", &state)) {
+        CU_ASSERT_EQUAL(strncmp(line, "time=", 5), 0);
+        CU_ASSERT_PTR_NOT_NULL(
+            strstr(line, "event=thread value=\"some words here\""));
+    }
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"a value adds a line or a pair", test_escaping},
+        {"a long value overruns the line", test_long_value},
+        {"lines of several threads are mixed", test_threads},
+    };
+
+    return Fv_RUN_SUITE("log", cases);
+}
