--- a/src/settings.c
+++ b/src/settings.c
@@ -86,7 +86,7 @@
     Fv_INT_SETTING("limits", "http_threads", http_threads, 4, 1024, "64",
                    "caller connections served at the same time"),
     Fv_INT_SETTING("limits", "queue_limit", queue_limit, 1, 1000000, "4096",
-                   "jobs queued in one class on this host"),
+                   "jobs open on this host, queued or running"),
     Fv_INT_SETTING("limits", "drain_timeout_ms", drain_timeout_ms, 0, 3600000,
                    "30000", "time a shutdown waits for running work"),
     Fv_TEXT_SETTING("log", "level", Fv_SETTING_LEVEL, log_level, "info",
