Checkpoint batch tasks for urgent work; stop without dangling timers

Change: displacement.c checkpoints the youngest repeatable deadline task when work that may displace it finds no room; FvLoop_Clear disarms all timers and answers waiting tickets before their owners go; outcome headers come with raw answers only, as docs/protocol.md says.

--- a/src/daemon.h
+++ b/src/daemon.h
@@ -494,6 +494,7 @@
     bool list_changed;
     bool draining;
     fv_resources_t total; /* capacity of the workers held */
+    int64_t displaced_ms; /* boot; when a task was last checkpointed */
 };
 
 fv_holder_t *FvHolder_New(fv_daemon_t *daemon);
@@ -520,6 +521,10 @@
 void FvHolder_Release(fv_holder_t *holder, const fv_task_request_t *request);
 void FvHolder_LeaseQuery(fv_holder_t *holder, const fv_task_request_t *request,
                          const fv_reply_to_t *to);
+/* displacement.c */
+void FvDisplacement_MakeRoom(fv_holder_t *holder,
+                             const fv_task_request_t *request);
+
 void FvHolder_TaskEnded(fv_holding_t *holding, const char *task_id);
 void FvHolder_DropWaiters(fv_holding_t *holding);
 
--- a/src/decision.h
+++ b/src/decision.h
@@ -112,10 +112,12 @@
     char workload[Fv_NAME_SIZE];
     fv_class_t class_id;
     fv_task_state_t state;
+    bool repeatable;     /* known to be safe to stop and start again */
     fv_resources_t size; /* what the ledger counts */
     fv_resources_t used; /* last reported usage */
     int64_t expires_ms;  /* reservation only */
     int64_t accrued_ms;  /* accounted up to this time */
+    int64_t added_ms;    /* when it came into the ledger */
     int64_t ran_ms;      /* as last told by the worker */
     struct fv_task *next;
 } fv_task_t;
--- /dev/null
+++ b/src/displacement.c
@@ -0,0 +1,122 @@
+/*
+ * Makes room for urgent work by checkpointing a task that may wait. The
+ * worker saves the task's state and ends it as stopped; its home starts it
+ * again when there is capacity.
+ */
+
+#include "daemon.h"
+
+#include <stdlib.h>
+
+/* One task at a time: the room it leaves shows before the next one goes. */
+#define Fv_DISPLACEMENT_INTERVAL_MS 500
+/* A task that just started would only lose its start-up work again. */
+#define Fv_DISPLACEMENT_MIN_RUN_MS 2000
+
+typedef struct fv_victim {
+    fv_holding_t *holding;
+    fv_task_t *task;
+} fv_victim_t;
+
+/* Names the task in the callback; the ledger may have changed by then. */
+typedef struct fv_checkpoint_call {
+    fv_holder_t *holder;
+    char worker[Fv_NAME_SIZE];
+} fv_checkpoint_call_t;
+
+static bool
+frees_enough(const fv_worker_t *worker, const fv_task_t *task,
+             const fv_policy_t *policy, const fv_resources_t *size)
+{
+    fv_worker_t relieved = *worker;
+    fv_resources_t usable;
+
+    FvResources_Add(&relieved.free, &task->size);
+    policy->usable(&relieved, &usable);
+    return FvResources_Fits(size, &usable);
+}
+
+static bool
+is_candidate(const fv_holding_t *holding, const fv_task_t *task,
+             const fv_policy_t *policy, const fv_resources_t *size,
+             int64_t now_ms)
+{
+    return task->state == Fv_TASK_RUNNING && task->repeatable &&
+           now_ms - task->added_ms >= Fv_DISPLACEMENT_MIN_RUN_MS &&
+           policy->may_displace(task) &&
+           frees_enough(holding->worker, task, policy, size);
+}
+
+/* The youngest candidate loses the least work. */
+static void
+find_victim(const fv_holder_t *holder, const fv_task_request_t *request,
+            fv_victim_t *victim)
+{
+    const fv_policy_t *policy = FvPolicy_ForClass(request->class_id);
+    int64_t now_ms = FvClock_NowMs();
+
+    for (fv_holding_t *holding = holder->holdings; holding != NULL;
+         holding = holding->hh.next) {
+        if (!FvWorker_Accepts(holding->worker, now_ms)) {
+            continue;
+        }
+        for (fv_task_t *task = holding->worker->tasks; task != NULL;
+             task = task->next) {
+            if (is_candidate(holding, task, policy, &request->size, now_ms) &&
+                (victim->task == NULL ||
+                 task->added_ms > victim->task->added_ms)) {
+                *victim = (fv_victim_t){.holding = holding, .task = task};
+            }
+        }
+    }
+}
+
+static void
+receive_checkpoint(void *context, fv_upstream_error_t error,
+                   fv_task_reply_t *reply)
+{
+    fv_checkpoint_call_t *call = context;
+    fv_holding_t *holding = FvHolder_Find(call->holder, call->worker);
+    fv_task_t *task =
+        holding ? FvWorker_FindTask(holding->worker, reply->id) : NULL;
+
+    if (error == Fv_UPSTREAM_OK && task != NULL &&
+        FvTaskState_Ended(reply->state)) {
+        FvHolder_RemoveTask(holding, task);
+        FvHolder_TaskEnded(holding, reply->id);
+    }
+    free(call);
+}
+
+/**
+ * FvDisplacement_MakeRoom - checkpoint a task so that a request fits soon
+ * @holder: the holder, on which the request does not fit now
+ * @request: the request
+ */
+void
+FvDisplacement_MakeRoom(fv_holder_t *holder, const fv_task_request_t *request)
+{
+    const fv_policy_t *policy = FvPolicy_ForClass(request->class_id);
+    fv_upstream_t *upstream = holder->daemon->upstream;
+    int64_t now_ms = FvClock_NowMs();
+    fv_checkpoint_call_t *call;
+    fv_victim_t victim = {0};
+
+    if (policy->may_displace == NULL ||
+        now_ms - holder->displaced_ms < Fv_DISPLACEMENT_INTERVAL_MS) {
+        return;
+    }
+    find_victim(holder, request, &victim);
+    call = victim.task ? calloc(1, sizeof(*call)) : NULL;
+    if (call == NULL) {
+        return;
+    }
+    holder->displaced_ms = now_ms;
+    call->holder = holder;
+    FvText_Copy(call->worker, sizeof(call->worker),
+                victim.holding->worker->name);
+    FvLog_Event(Fv_LOG_INFO, "task_displaced", "task=%s worker=%s for=%s",
+                victim.task->id, call->worker, request->id);
+    upstream->type->checkpoint(upstream, victim.holding->worker->base_url,
+                               victim.task->id, receive_checkpoint, call);
+}
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -315,6 +315,7 @@
 };
 
 fv_loop_t *FvLoop_New(uint32_t capacity);
+void FvLoop_Clear(fv_loop_t *loop);
 void FvLoop_Free(fv_loop_t *loop);
 bool FvLoop_Post(fv_loop_t *loop, fv_event_t *event);
 bool FvLoop_TryPost(fv_loop_t *loop, fv_event_t *event);
--- a/src/holder-tasks.c
+++ b/src/holder-tasks.c
@@ -71,6 +71,7 @@
     *task = (fv_task_t){
         .class_id = request->class_id,
         .state = state,
+        .repeatable = !request->send_once,
         .size = request->size,
     };
     FvText_Copy(task->id, sizeof(task->id), id);
@@ -87,14 +88,18 @@
                               &request->size, request->id, FvClock_NowMs());
 }
 
+/* Room for work that may displace other work comes free a little later; the
+ * caller asks again. */
 static fv_refusal_t
-why_no_worker(const fv_holder_t *holder, const fv_task_request_t *request)
+why_no_worker(fv_holder_t *holder, const fv_task_request_t *request)
 {
     const fv_policy_t *policy = FvPolicy_ForClass(request->class_id);
 
-    return FvPlacement_CanEverFit(holder->placement, policy, &request->size)
-               ? Fv_REFUSAL_NO_CAPACITY
-               : Fv_REFUSAL_NEVER_FITS;
+    if (!FvPlacement_CanEverFit(holder->placement, policy, &request->size)) {
+        return Fv_REFUSAL_NEVER_FITS;
+    }
+    FvDisplacement_MakeRoom(holder, request);
+    return Fv_REFUSAL_NO_CAPACITY;
 }
 
 static bool
--- a/src/holder.c
+++ b/src/holder.c
@@ -66,6 +66,7 @@
         return NULL;
     }
     entry->accrued_ms = FvClock_NowMs();
+    entry->added_ms = entry->accrued_ms;
     FvShares_Add(holder->daemon->shares, task->member, &task->size);
     FvPlacement_Update(holder->placement, holding->worker);
     return entry;
--- a/src/job-view.c
+++ b/src/job-view.c
@@ -76,9 +76,9 @@
         free_view(view);
         return;
     }
-    FvText_Copy(ticket->job, sizeof(ticket->job), view->key);
-    FvText_Copy(ticket->outcome, sizeof(ticket->outcome), outcome);
     if (ended && done && ticket->raw_answer) {
+        FvText_Copy(ticket->job, sizeof(ticket->job), view->key);
+        FvText_Copy(ticket->outcome, sizeof(ticket->outcome), outcome);
         FvJobView_FetchAnswer(view->runner, view->member, view->key, document,
                               ticket);
         json_decref(document);
--- a/src/loop.c
+++ b/src/loop.c
@@ -49,20 +49,35 @@
 }
 
 /**
- * FvLoop_Free - release a loop and the events that were not run
- * @loop: the loop, or NULL
+ * FvLoop_Clear - disarm all timers and release the events that were not run
+ * @loop: the loop; it must not run any more
+ *
+ * Called before the owners of timers and events are released.
  */
 void
-FvLoop_Free(fv_loop_t *loop)
+FvLoop_Clear(fv_loop_t *loop)
 {
     fv_event_t *event;
 
-    if (loop == NULL) {
-        return;
+    while (loop->timer_count > 0) {
+        loop->heap[--loop->timer_count]->armed = false;
     }
     while ((event = FvRing_Pop(loop->ring, 0)) != NULL) {
         free_event(event);
     }
+}
+
+/**
+ * FvLoop_Free - release a loop and the events that were not run
+ * @loop: the loop, or NULL
+ */
+void
+FvLoop_Free(fv_loop_t *loop)
+{
+    if (loop == NULL) {
+        return;
+    }
+    FvLoop_Clear(loop);
     FvRing_Free(loop->ring);
     free(loop->heap);
     free(loop);
--- a/src/runner-start.c
+++ b/src/runner-start.c
@@ -420,6 +420,17 @@
     launch(run, host);
 }
 
+/* No host has room: work that may displace other work does so here. */
+static void
+make_room(const fv_run_t *run)
+{
+    fv_task_request_t request = {0};
+
+    describe_request(run, &request);
+    FvText_Copy(request.id, sizeof(request.id), run->name);
+    FvDisplacement_MakeRoom(run->runner->daemon->holder, &request);
+}
+
 /* Returns the number of jobs started. */
 static int32_t
 dispatch_class(fv_runner_t *runner, fv_class_t class_id)
@@ -444,6 +455,7 @@
         }
         host = pick_host(run);
         if (host == NULL) {
+            make_room(run);
             FvQueue_Skip(queue, job);
             skipped++;
             continue;
--- a/src/runner-wait.c
+++ b/src/runner-wait.c
@@ -19,10 +19,9 @@
     json_t *document = FvRun_Describe(run);
     bool ended = strcmp(FvJson_String(document, "state"), "ended") == 0;
 
-    FvText_Copy(ticket->job, sizeof(ticket->job), job->key);
-    FvText_Copy(ticket->outcome, sizeof(ticket->outcome),
-                FvJson_String(document, "outcome"));
     if (ended && ticket->raw_answer && job->outcome == Fv_OUTCOME_DONE) {
+        FvText_Copy(ticket->job, sizeof(ticket->job), job->key);
+        FvText_Copy(ticket->outcome, sizeof(ticket->outcome), "done");
         FvTicket_ReplyRaw(ticket, 200, job->answer, job->answer_length);
         json_decref(document);
         return;
--- a/src/serve.c
+++ b/src/serve.c
@@ -193,6 +193,9 @@
 free_parts(fv_daemon_t *daemon)
 {
     FvLink_Free(daemon->link);
+    if (daemon->loop != NULL) {
+        FvLoop_Clear(daemon->loop);
+    }
     FvRunner_Free(daemon->runner);
     FvHttpServer_Free(daemon->server);
     FvConfigurator_Free(daemon->configurator);
--- /dev/null
+++ b/tests/promises/displacement.c
@@ -0,0 +1,119 @@
+/*
+ * Guards against urgent work that waits behind batch work which could be
+ * checkpointed, and against batch work that is lost or runs twice when it is
+ * displaced.
+ */
+
+#include "judge.h"
+#include "promise.h"
+#include "suite.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define URGENT_START_LIMIT_MS 5500
+#define BATCH_RUN_PAYLOAD "{\"run_ms\":12000,\"answer\":\"rebuilt\"}"
+#define SERVICE_PAYLOAD "{\"run_ms\":1500,\"answer\":\"served\"}"
+/* Longer than a task must have run before it may be displaced. */
+#define BATCH_HEAD_START_MS 2500
+#define SETTLE_LIMIT_MS 30000
+
+/* A worker of four cores holds the rebuild or the service, not both. */
+static const char answers[] =
+    "{\"kotuku\": {\"weight\": 1, \"quota\": {\"processors\": 64,"
+    " \"memory\": \"64 GiB\", \"tasks\": 64}, \"workloads\": ["
+    " {\"name\": \"rebuild\", \"someone_waits\": false,"
+    "  \"may_repeat\": true, \"may_overlap\": false,"
+    "  \"finish_within\": \"8 h\", \"run_time\": \"12 s\","
+    "  \"size\": {\"processors\": 2, \"memory\": \"1 GiB\"}},"
+    " {\"name\": \"screen\", \"someone_waits\": false,"
+    "  \"may_repeat\": true, \"may_overlap\": true,"
+    "  \"until_stopped\": true,"
+    "  \"size\": {\"processors\": 3, \"memory\": \"1 GiB\"}}]}}";
+
+static const topology_site_t sites[] = {{.region = "auckland",
+                                         .data_center = "auckland-1",
+                                         .hosts = 1,
+                                         .racks = 1,
+                                         .workers = 1}};
+static const char *const members[] = {"kotuku"};
+
+static const topology_t topology = {
+    .sites = sites,
+    .site_count = 1,
+    .members = members,
+    .member_count = 1,
+    .capacity = {.cpu_millis = 4000,
+                 .memory_bytes = INT64_C(8) << 30,
+                 .slots = 8},
+    .connections = 64,
+};
+
+static void
+pause_ms(int64_t ms)
+{
+    struct timespec delay = {.tv_sec = ms / Fv_MS_PER_S,
+                             .tv_nsec = ms % Fv_MS_PER_S * Fv_NS_PER_MS};
+
+    nanosleep(&delay, NULL);
+}
+
+static void
+submit(cluster_t *cluster, const char *key, const char *workload,
+       const char *payload, int64_t wait_ms, job_reply_t *reply)
+{
+    submit_t request = {.member = "kotuku",
+                        .key = key,
+                        .workload = workload,
+                        .payload = payload,
+                        .wait_ms = wait_ms,
+                        .limit_ms = SETTLE_LIMIT_MS + 5000};
+
+    FvApi_Submit(cluster, 0, &request, reply);
+}
+
+static void
+test_urgent_work_displaces_batch(void)
+{
+    cluster_t cluster;
+    records_t records = {0};
+    job_reply_t batch = {0};
+    job_reply_t service = {0};
+    char reason[JUDGE_REASON_SIZE] = "";
+
+    CU_ASSERT_TRUE_FATAL(FvCluster_Start(&cluster, &topology));
+    CU_ASSERT_TRUE_FATAL(
+        FvCluster_Configure(&cluster, 0, answers, CLUSTER_START_MS));
+    submit(&cluster, "rebuild-1", "rebuild", BATCH_RUN_PAYLOAD, 0, &batch);
+    FvApi_FreeJob(&batch);
+    pause_ms(BATCH_HEAD_START_MS);
+    submit(&cluster, "screen-1", "screen", SERVICE_PAYLOAD, SETTLE_LIMIT_MS,
+           &service);
+    CU_ASSERT_STRING_EQUAL(service.outcome, "done");
+    CU_ASSERT_TRUE(service.waited_ms <= URGENT_START_LIMIT_MS);
+    FvApi_Status(&cluster, 0, "kotuku", "rebuild-1", SETTLE_LIMIT_MS, &batch);
+    CU_ASSERT_STRING_EQUAL(batch.outcome, "done");
+    CU_ASSERT_EQUAL(batch.attempts, 2);
+    CU_ASSERT_TRUE(FvCluster_ReadRecords(&cluster, &records));
+    if (!FvJudge_Capacity(&records, &topology.capacity, topology.connections,
+                          reason) ||
+        !FvJudge_Exclusive(&records, "kotuku", "rebuild", reason)) {
+        fprintf(stderr, "%s\n", reason);
+        CU_FAIL("the workers' records show a violation");
+    }
+    FvRecords_Free(&records);
+    FvApi_FreeJob(&batch);
+    FvApi_FreeJob(&service);
+    FvCluster_Close(&cluster);
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"urgent work waits for batch work, or batch work is lost",
+         test_urgent_work_displaces_batch},
+    };
+
+    return Fv_RUN_SUITE("displacement", cases);
+}
