Probe a silent worker before its lease is taken again

The candidate kept asking for the lease, and each call without an answer may have extended it, so the lease counted as held and no lapse could be proven. Ruled out: the worker had stopped the task 4.4 s after its start; with refused connections, where a call surely has no effect, the job ran again after 10.3 s. Change: after a lease call in doubt the candidate first asks the worker for the state of a task, which extends nothing, and takes the lease once it answers.

--- a/src/daemon.h
+++ b/src/daemon.h
@@ -472,7 +472,11 @@
     fv_timer_t timer;
     bool candidate;    /* this host should hold the lease */
     bool call_pending; /* a lease call is outstanding */
-    int64_t sent_ns;   /* boot time before the lease call was sent */
+    /* The last lease call was in doubt; the worker is probed before the
+     * lease is taken again, because a lost request may still extend it. */
+    bool unanswered;
+    bool probe_pending;
+    int64_t sent_ns; /* boot time before the lease call was sent */
     /* A grant whose answer was lost may hold the lease until then. */
     int64_t maybe_held_until_ns;
     int64_t not_candidate_since_ms;
--- a/src/holder.c
+++ b/src/holder.c
@@ -15,6 +15,8 @@
  * that a host that flaps does not move leases back and forth. */
 #define Fv_HOLDER_HANDOVER_MS 2000
 #define Fv_HOLDER_LEASE_TIMEOUT_MS 1500
+/* Asked for only to see whether the worker answers; no job has this id. */
+#define Fv_HOLDER_PROBE_TASK "lease-probe"
 
 static void fire_holding(void *owner);
 
@@ -239,6 +241,7 @@
     int64_t ttl_ns = daemon->settings.lease_ttl_ms * Fv_NS_PER_MS;
 
     holding->call_pending = false;
+    holding->unanswered = reply->error == Fv_UPSTREAM_IN_DOUBT;
     switch (reply->error) {
     case Fv_UPSTREAM_OK:
         FvMetrics_Add(Fv_COUNTER_LEASE_RENEWALS, 1);
@@ -285,6 +288,30 @@
     upstream->type->lease(upstream, worker, term, receive_lease, holding);
 }
 
+static void
+receive_probe(void *context, fv_upstream_error_t error, fv_task_reply_t *reply)
+{
+    fv_holding_t *holding = context;
+
+    (void)reply;
+    holding->probe_pending = false;
+    holding->unanswered =
+        error != Fv_UPSTREAM_OK && error != Fv_UPSTREAM_REFUSED;
+    schedule(holding, with_jitter(Fv_HOLDER_RETRY_MS));
+}
+
+/* A worker that receives requests but whose answers are lost would keep its
+ * tasks for as long as its lease is asked for: no lapse could be proven. */
+static void
+probe_worker(fv_holding_t *holding)
+{
+    fv_upstream_t *upstream = holding->holder->daemon->upstream;
+
+    holding->probe_pending = true;
+    upstream->type->query(upstream, holding->worker->base_url,
+                          Fv_HOLDER_PROBE_TASK, receive_probe, holding);
+}
+
 static bool
 has_reservations(const fv_worker_t *worker)
 {
@@ -332,7 +359,7 @@
     fv_holding_t *holding = owner;
     fv_worker_t *worker = holding->worker;
 
-    if (holding->call_pending) {
+    if (holding->call_pending || holding->probe_pending) {
         return;
     }
     if (worker->lease.held &&
@@ -348,7 +375,13 @@
         }
         return;
     }
-    if (holding->candidate && !holding->holder->draining && worker->listed) {
+    if (!holding->candidate || holding->holder->draining || !worker->listed) {
+        return;
+    }
+    if (holding->unanswered) {
+        probe_worker(holding);
+    }
+    else {
         call_lease(holding);
     }
 }
