Run a taken-over job again after its tasks have stopped

The successor proved the lapse (lease_lapsed) but the job stayed queued for good. A takeover points the run's timer at the resolution of its tasks, and the back-off armed the timer without pointing it back. Ruled out: the lapse proof, which was logged; a full cell, which was idle. Change: FvRun_BackOff() sets the timer's function.

--- a/src/runner.c
+++ b/src/runner.c
@@ -297,6 +297,8 @@
     run->phase = Fv_RUN_BACKOFF;
     run->job->state = Fv_JOB_QUEUED;
     FvMetrics_Add(Fv_COUNTER_RETRIES, 1);
+    /* A takeover uses the timer for another purpose first. */
+    run->timer.fire = fire_run_timer;
     FvLoop_SetTimer(run->runner->daemon->loop, &run->timer,
                     FvClock_NowMs() + delay_ms);
 }
