Test that exclusive jobs never run in two places at once

Hosts are killed, frozen or cut off, a worker is cut off or goes silent, and one key is sent to all hosts at once, in cells that run side by side.

--- a/tests/promises/exclusive.c
+++ b/tests/promises/exclusive.c
@@ -12,6 +12,8 @@
 #define EXCLUSIVE_SEED 101
 #define JOBS_PER_HOST 2
 #define JOB_RUN_MS 3500
+/* Outlives the worker's own stop. */
+#define JOB_LONG_MS 6000
 #define START_LIMIT_MS 8000
 /* The list notices a host's loss within this time. */
 #define LIST_LAG_MS 500
@@ -20,7 +22,17 @@
 #define ABSENCE_MS 10000
 /* The worker's own stop: lease of 3 s and 2 s without a holder. */
 #define STOP_LIMIT_MS 6500
-#define RERUN_LIMIT_MS 20000
+/* Section 8 of the design: the last holder's lease ends after 3 s, then lease
+ * time, 2,000 ms and 300 ms pass, and the home asks about every second. */
+#define RERUN_LIMIT_MS (3000 + 5300 + 2500)
+/* The list drops the home, a silence of 6 s proves it gone, its successor
+ * reads its claims every 2 s and waits 2,300 ms for its reservations to
+ * expire. */
+#define TAKEOVER_LIMIT_MS (LIST_LAG_MS + 6000 + 2000 + 2300 + RERUN_LIMIT_MS)
+/* A lease call whose answer is lost may have been granted up to its own time
+ * limit of 1.5 s after the expiry, for another 3 s; and each of the two rounds
+ * of questions first waits for a query with the same time limit. */
+#define RERUN_SILENT_LIMIT_MS (RERUN_LIMIT_MS + 1500 + 3000 + 2 * 1500)
 
 /* Two rebuilds and a gang from each host; returns when all have started. */
 static bool
@@ -148,19 +160,20 @@
 
 /* The worker stays out of reach until the end of the case. */
 static void
-run_worker_cut_off(promise_t *promise, const char *mode)
+run_worker_cut_off(promise_t *promise, const char *mode, int64_t limit_ms)
 {
     promise_place_t place;
     promise_place_t again;
     int64_t cut_us;
 
-    FvPromise_Caller(promise, 0, "rebuild", "r1", 7000)->limit_ms = 30000;
+    FvPromise_Caller(promise, 0, "rebuild", "r1", JOB_LONG_MS)->limit_ms =
+        30000;
     FvPromise_StartCallers(promise, 0);
     if (FvPromise_WaitStart(promise, "r1", 0, START_LIMIT_MS, &place)) {
         FvCluster_SetRoute(&promise->cluster, ROUTE_RACK, CLUSTER_ALL,
                            place.rack, mode);
         cut_us = FvFake_WallUs();
-        FvPromise_WaitStart(promise, "r1", 1, RERUN_LIMIT_MS, &again);
+        FvPromise_WaitStart(promise, "r1", 1, limit_ms, &again);
         expect_self_stop(promise, "r1", cut_us, STOP_LIMIT_MS);
     }
     FvPromise_JoinCallers(promise);
@@ -169,13 +182,33 @@
 static void
 run_worker_refusing(promise_t *promise)
 {
-    run_worker_cut_off(promise, "cut");
+    run_worker_cut_off(promise, "cut", RERUN_LIMIT_MS);
 }
 
 static void
 run_worker_silent(promise_t *promise)
 {
-    run_worker_cut_off(promise, "blackhole");
+    run_worker_cut_off(promise, "blackhole", RERUN_SILENT_LIMIT_MS);
+}
+
+/* The home and the way to the worker are lost at once: the successor finds a
+ * task that its worker has stopped by itself, and must run the job again. */
+static void
+run_home_and_worker_lost(promise_t *promise)
+{
+    promise_place_t place;
+    promise_place_t again;
+
+    FvPromise_Caller(promise, 0, "rebuild", "r1", JOB_LONG_MS)->limit_ms =
+        30000;
+    FvPromise_StartCallers(promise, 0);
+    if (FvPromise_WaitStart(promise, "r1", 0, START_LIMIT_MS, &place)) {
+        FvCluster_SetRoute(&promise->cluster, ROUTE_RACK, CLUSTER_ALL,
+                           place.rack, "cut");
+        kill_host(promise, 0);
+        FvPromise_WaitStart(promise, "r1", 1, TAKEOVER_LIMIT_MS, &again);
+    }
+    FvPromise_JoinCallers(promise);
 }
 
 static void
@@ -210,6 +243,8 @@
          promise_topology, run_worker_refusing, false},
         {"a job started again while its silent worker still runs it",
          promise_topology, run_worker_silent, false},
+        {"a job that is not run again after its home and its worker were lost",
+         promise_topology, run_home_and_worker_lost, false},
         {"one key accepted by several hosts runs at several places",
          promise_topology, run_same_key, false},
     };
