--- a/tests/harness/cluster-api.c
+++ b/tests/harness/cluster-api.c
@@ -20,7 +20,7 @@
 void
 FvApi_Token(const char *member, char *token, size_t size)
 {
-    snprintf(token, size, "token-of-%s", member);
+    snprintf(token, size, "test-token-of-%s", member);
 }
 
 /**
