--- /dev/null
+++ b/tests/promises/whole_answer.c
@@ -0,0 +1,354 @@
+/*
+ * Every caller gets the whole answer to its own request. Each answer is
+ * pseudo-random from the seed of its own request, so that a crossed, short or
+ * damaged one differs.
+ */
+
+#include "cluster.h"
+#include "fake-server.h"
+#include "load.h"
+#include "suite.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SEED UINT64_C(8201)
+#define LARGE_BYTES (8 * 1024 * 1024)
+#define CALL_WAIT_MS 8000
+/* Lease TTL, its safety margin, and the caller's repeats. */
+#define REPEAT_MS 15000
+
+static const char *const members[] = LOAD_MEMBERS;
+static const topology_site_t sites[] = {
+    {"akl", "akl-1", 2, 1, 4},
+    {"wlg", "wlg-1", 2, 1, 4},
+};
+static const topology_t topology = {.sites = sites,
+                                    .site_count = 2,
+                                    .members = members,
+                                    .member_count = 2,
+                                    .region_delay_ms = 5,
+                                    .http_threads = 64,
+                                    .list_lag_ms = 500,
+                                    .proxied = true};
+static cluster_t cluster;
+
+static const int64_t small_sizes[] = {0,     1,     7,      1000,
+                                      65535, 65536, 65537,  131072,
+                                      4096,  200000, 300000, 3};
+
+static void
+choose_small(load_t *load, uint64_t random, load_call_t *call)
+{
+    size_t count = sizeof(small_sizes) / sizeof(small_sizes[0]);
+
+    (void)load;
+    call->workload = LOAD_LOOKUP;
+    call->host = (int)(random % (uint64_t)cluster.host_count);
+    call->answer_bytes = small_sizes[(random >> 8) % count];
+    call->run_ms = (int64_t)((random >> 16) % 30);
+}
+
+static void
+choose_mixed(load_t *load, uint64_t random, load_call_t *call)
+{
+    choose_small(load, random, call);
+    if ((random >> 24) % 6 == 0) {
+        call->answer_bytes =
+            (int64_t)(1 + (random >> 32) % (uint64_t)LARGE_BYTES);
+    }
+    if ((random >> 25) % 5 == 0) {
+        call->workload = LOAD_EXPORT;
+        call->run_ms = 200 + (int64_t)((random >> 40) % 600);
+    }
+}
+
+static void
+print_call(const load_call_t *call)
+{
+    printf("seed %llu: %s %s host-%d status %d %s %s received %zu of %lld, "
+           "%s: %s\n",
+           (unsigned long long)SEED, call->key, call->workload, call->host + 1,
+           call->status, call->state, call->outcome, call->received,
+           (long long)call->answer_bytes, call->right ? "right" : "not right",
+           call->reason);
+}
+
+/* An answer that was delivered is the right one; none is silently short. */
+static int
+count_wrong(const load_t *load)
+{
+    int wrong = 0;
+
+    for (size_t i = 0; i < load->count; i++) {
+        const load_call_t *call = &load->calls[i];
+
+        if (strcmp(call->outcome, "done") == 0 && !call->right &&
+            call->status == 200) {
+            print_call(call);
+            wrong++;
+        }
+    }
+    return wrong;
+}
+
+static int
+count_unanswered(const load_t *load)
+{
+    int unanswered = 0;
+
+    for (size_t i = 0; i < load->count; i++) {
+        if (!load->calls[i].right) {
+            print_call(&load->calls[i]);
+            unanswered++;
+        }
+    }
+    return unanswered;
+}
+
+/* Repeats with the same key on other hosts until the answer is whole. */
+static bool
+repeat_until_whole(load_call_t *call)
+{
+    int64_t until_ms = FvClock_NowMs() + REPEAT_MS;
+
+    while (!call->right && FvClock_NowMs() < until_ms) {
+        int host = (call->host + 1) % cluster.host_count;
+
+        if (cluster.hosts[host].process.pid == 0) {
+            host = (host + 1) % cluster.host_count;
+        }
+        call->host = host;
+        FvLoad_Submit(&cluster, call, CALL_WAIT_MS);
+        if (call->status == 200 && !call->right &&
+            strcmp(call->outcome, "done") == 0) {
+            print_call(call);
+            return false;
+        }
+        if (!call->right) {
+            FvFake_SleepMs(200);
+        }
+    }
+    if (!call->right) {
+        print_call(call);
+    }
+    return call->right;
+}
+
+static int
+repeat_all(load_t *load)
+{
+    int missing = 0;
+
+    for (size_t i = 0; i < load->count; i++) {
+        missing += !load->calls[i].right &&
+                   !repeat_until_whole(&load->calls[i]);
+    }
+    return missing;
+}
+
+static void
+test_many_callers(void)
+{
+    load_t load = {.cluster = &cluster,
+                   .name = "many",
+                   .seed = SEED,
+                   .threads = 24,
+                   .limit = 20,
+                   .wait_ms = CALL_WAIT_MS,
+                   .choose = choose_small};
+
+    CU_ASSERT_TRUE(FvLoad_Start(&load));
+    FvLoad_Wait(&load);
+    CU_ASSERT_EQUAL(load.count, 24 * 20);
+    CU_ASSERT_EQUAL(count_unanswered(&load), 0);
+    FvLoad_Free(&load);
+}
+
+static void
+test_large_among_small(void)
+{
+    load_t load = {.cluster = &cluster,
+                   .name = "mixed",
+                   .seed = SEED + 100,
+                   .threads = 16,
+                   .limit = 8,
+                   .wait_ms = CALL_WAIT_MS,
+                   .choose = choose_mixed};
+
+    CU_ASSERT_TRUE(FvLoad_Start(&load));
+    FvLoad_Wait(&load);
+    CU_ASSERT_EQUAL(load.count, 16 * 8);
+    CU_ASSERT_EQUAL(count_unanswered(&load), 0);
+    FvLoad_Free(&load);
+}
+
+/* A caller that stops reading leaves its answer on the way; the answers of
+ * those that follow on the same connections are not mixed with it. */
+static void
+test_abandoned_answers(void)
+{
+    load_t load = {.cluster = &cluster,
+                   .name = "after",
+                   .seed = SEED + 200,
+                   .threads = 8,
+                   .limit = 10,
+                   .wait_ms = CALL_WAIT_MS,
+                   .choose = choose_small};
+    job_reply_t reply;
+
+    CU_ASSERT_TRUE(FvLoad_Start(&load));
+    for (int i = 0; i < 12; i++) {
+        char payload[96];
+        submit_t submit = {.member = "kotuku",
+                           .workload = LOAD_LOOKUP,
+                           .payload = payload,
+                           .wait_ms = CALL_WAIT_MS,
+                           .raw = true,
+                           .limit_ms = 20 + i * 5};
+
+        snprintf(payload, sizeof(payload),
+                 "{\"run_ms\":30,\"answer_bytes\":%d,\"seed\":%d}",
+                 4000000 + i, i);
+        FvApi_Submit(&cluster, i % cluster.host_count, &submit, &reply);
+        FvApi_FreeJob(&reply);
+    }
+    FvLoad_Wait(&load);
+    CU_ASSERT_EQUAL(count_unanswered(&load), 0);
+    FvLoad_Free(&load);
+}
+
+/* Cuts connections of one kind at different points of their answers. */
+static void
+run_with_cuts(const char *name, uint64_t seed, route_kind_t kind)
+{
+    load_t load = {.cluster = &cluster,
+                   .name = name,
+                   .seed = seed,
+                   .threads = 12,
+                   .limit = 8,
+                   .wait_ms = CALL_WAIT_MS,
+                   .pause_ms = 20,
+                   .choose = choose_mixed};
+    uint64_t state = seed;
+
+    CU_ASSERT_TRUE(FvLoad_Start(&load));
+    for (int i = 0; i < 4; i++) {
+        FvFake_SleepMs(250);
+        CU_ASSERT_TRUE(FvCluster_CutAnswer(
+            &cluster, kind, CLUSTER_ALL, CLUSTER_ALL,
+            (int64_t)(FvLoad_Random(&state) % 2000000)));
+    }
+    FvLoad_Wait(&load);
+    CU_ASSERT_TRUE(
+        FvCluster_SetRoute(&cluster, kind, CLUSTER_ALL, CLUSTER_ALL,
+                           "restore"));
+    CU_ASSERT_EQUAL(load.count, 12 * 8);
+    CU_ASSERT_EQUAL(count_wrong(&load), 0);
+    CU_ASSERT_EQUAL(repeat_all(&load), 0);
+    FvLoad_Free(&load);
+}
+
+static void
+test_peer_cut(void)
+{
+    run_with_cuts("peer", SEED + 300, ROUTE_PEER);
+}
+
+static void
+test_worker_cut(void)
+{
+    run_with_cuts("worker", SEED + 400, ROUTE_RACK);
+}
+
+/* The caller's own connection: a short body must not look complete. */
+static void
+test_caller_cut(void)
+{
+    run_with_cuts("caller", SEED + 500, ROUTE_CALLER);
+}
+
+/* The host that holds most leases, as the workers recorded it. */
+static int
+lease_holder(int rack)
+{
+    records_t records;
+    int holder = -1;
+    char prefix[Fv_NAME_SIZE];
+
+    if (!FvCluster_ReadRecords(&cluster, &records)) {
+        return -1;
+    }
+    snprintf(prefix, sizeof(prefix), "%s", cluster.racks[rack].prefix);
+    for (size_t i = 0; i < records.count; i++) {
+        const record_t *record = &records.entries[i];
+
+        for (int host = 0; record->event == RECORD_GRANTED &&
+                           strncmp(record->worker, prefix,
+                                   strlen(prefix)) == 0 &&
+                           host < cluster.host_count;
+             host++) {
+            if (strcmp(cluster.hosts[host].name, record->holder) == 0) {
+                holder = host;
+            }
+        }
+    }
+    FvRecords_Free(&records);
+    return holder;
+}
+
+static void
+test_holder_killed(void)
+{
+    load_t load = {.cluster = &cluster,
+                   .name = "killed",
+                   .seed = SEED + 600,
+                   .threads = 12,
+                   .limit = 8,
+                   .wait_ms = CALL_WAIT_MS,
+                   .choose = choose_mixed};
+    int holder = lease_holder(0);
+
+    CU_ASSERT_TRUE_FATAL(holder >= 0);
+    CU_ASSERT_TRUE(FvLoad_Start(&load));
+    FvFake_SleepMs(300);
+    FvProcess_Kill(&cluster.hosts[holder].process);
+    CU_ASSERT_TRUE(
+        FvCluster_SetState(&cluster, cluster.hosts[holder].name, "gone"));
+    FvLoad_Wait(&load);
+    CU_ASSERT_EQUAL(count_wrong(&load), 0);
+    CU_ASSERT_EQUAL(repeat_all(&load), 0);
+    FvLoad_Free(&load);
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"answers of many callers are not crossed", test_many_callers},
+        {"large answers arrive whole among small ones",
+         test_large_among_small},
+        {"an abandoned answer is not mixed into another",
+         test_abandoned_answers},
+        {"a link cut within an answer gives no short one", test_peer_cut},
+        {"a worker connection cut within an answer gives no short one",
+         test_worker_cut},
+        {"a caller sees that its answer was cut", test_caller_cut},
+        {"the death of the lease holder loses no answer",
+         test_holder_killed},
+    };
+    int failed = 1;
+
+    if (FvCluster_Start(&cluster, &topology) &&
+        FvCluster_Configure(&cluster, 0, LOAD_ANSWERS, 4000) &&
+        FvCluster_WaitReady(&cluster, 3, CLUSTER_START_MS)) {
+        FvFake_SleepMs(1500); /* the first leases and digests */
+        failed = Fv_RUN_SUITE("whole_answer", cases);
+    }
+    if (failed != 0) {
+        printf("whole_answer: seed %llu\n", (unsigned long long)SEED);
+    }
+    FvCluster_Close(&cluster);
+    return failed;
+}
