Report a host ready once its configuration is active

Cause: nothing ever set the daemon's ready flag, so /ready stayed 503 and the platform's balancer would have sent no caller to any host. Ruled out: a missing configuration (config_active was logged on all four hosts) and missing leases.

--- a/src/configurator.c
+++ b/src/configurator.c
@@ -161,6 +161,8 @@
         FvConfig_Free(config);
         return;
     }
+    /* A draining host stays unready; see is_ready() in http-server.c. */
+    atomic_store(&configurator->daemon->ready, true);
     configurator->head = json_incref(head);
     json_object_clear(configurator->held);
     apply(configurator);
