--- /dev/null
+++ b/tests/promises/leaving.c
@@ -0,0 +1,223 @@
+/*
+ * A worker that the platform listed as leaving receives no new work later
+ * than 3 s after that. Judged from the workers' records.
+ */
+
+#include "cluster.h"
+#include "fake-server.h"
+#include "judge.h"
+#include "load.h"
+#include "suite.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SEED UINT64_C(8301)
+/* Invariant 6 of the design; the list's lag counts against it. */
+#define LEAVING_US INT64_C(3000000)
+#define LIST_LAG_MS 1000
+/* How long the load goes on after the worker was listed as leaving. */
+#define LOAD_AFTER_MS 5000
+#define LOAD_WARM_MS 1000
+
+static const char *const members[] = LOAD_MEMBERS;
+static const topology_site_t sites[] = {
+    {"akl", "akl-1", 3, 2, 3},
+};
+static const topology_t topology = {.sites = sites,
+                                    .site_count = 1,
+                                    .members = members,
+                                    .member_count = 2,
+                                    .list_lag_ms = LIST_LAG_MS,
+                                    .http_threads = 48,
+                                    .proxied = true};
+static cluster_t cluster;
+
+/* More than the other workers can run, so that a free place is used. */
+static void
+choose(load_t *load, uint64_t random, load_call_t *call)
+{
+    (void)load;
+    call->host = (int)(random % (uint64_t)cluster.host_count);
+    call->workload = (random >> 8) % 3 == 0 ? LOAD_EXPORT : LOAD_LOOKUP;
+    call->answer_bytes = 16;
+    call->run_ms = 30 + (int64_t)((random >> 16) % 300);
+}
+
+static int
+count_starts(const records_t *records, const char *worker, int64_t from_us,
+             int64_t until_us)
+{
+    int count = 0;
+
+    for (size_t i = 0; i < records->count; i++) {
+        const record_t *record = &records->entries[i];
+
+        count += record->event == RECORD_START &&
+                 strcmp(record->worker, worker) == 0 &&
+                 record->at_us >= from_us && record->at_us < until_us;
+    }
+    return count;
+}
+
+static int
+holder_of(const char *worker)
+{
+    records_t records;
+    int holder = -1;
+
+    if (!FvCluster_ReadRecords(&cluster, &records)) {
+        return -1;
+    }
+    for (size_t i = 0; i < records.count; i++) {
+        const record_t *record = &records.entries[i];
+
+        for (int host = 0;
+             record->event == RECORD_GRANTED &&
+             strcmp(record->worker, worker) == 0 && host < cluster.host_count;
+             host++) {
+            if (strcmp(cluster.hosts[host].name, record->holder) == 0) {
+                holder = host;
+            }
+        }
+    }
+    FvRecords_Free(&records);
+    return holder;
+}
+
+/* The worker was used before, and not later than 3 s after LISTED_US. */
+static void
+judge(const char *worker, int64_t begun_us, int64_t listed_us)
+{
+    char reason[JUDGE_REASON_SIZE] = "";
+    records_t records;
+    int before;
+    int others = 0;
+
+    CU_ASSERT_TRUE_FATAL(FvCluster_ReadRecords(&cluster, &records));
+    before = count_starts(&records, worker, begun_us, listed_us);
+    for (size_t i = 0; i < records.count; i++) {
+        others += records.entries[i].event == RECORD_START &&
+                  records.entries[i].at_us > listed_us + LEAVING_US;
+    }
+    CU_ASSERT_TRUE(before > 0);
+    CU_ASSERT_TRUE(others > 0);
+    if (!FvJudge_NoStartAfter(&records, worker, listed_us + LEAVING_US,
+                              reason)) {
+        printf("seed %llu: %s\n", (unsigned long long)SEED, reason);
+        CU_FAIL("a start on a leaving worker");
+    }
+    FvRecords_Free(&records);
+}
+
+typedef enum fault { FAULT_NONE, FAULT_KILL_HOLDER, FAULT_LIST_CUT } fault_t;
+
+static void
+inject(fault_t fault, int holder)
+{
+    if (fault == FAULT_KILL_HOLDER) {
+        FvProcess_Kill(&cluster.hosts[holder].process);
+        CU_ASSERT_TRUE(
+            FvCluster_SetState(&cluster, cluster.hosts[holder].name, "gone"));
+    }
+    if (fault == FAULT_LIST_CUT) {
+        /* The holder itself reads the list; another host no longer does. */
+        CU_ASSERT_TRUE(FvCluster_SetRoute(&cluster, ROUTE_LIST,
+                                          (holder + 1) % cluster.host_count, 0,
+                                          "cut"));
+    }
+}
+
+static void
+run_case(const char *worker, uint64_t seed, fault_t fault)
+{
+    load_t load = {.cluster = &cluster,
+                   .name = worker,
+                   .seed = seed,
+                   .threads = 40,
+                   .wait_ms = 3000,
+                   .choose = choose};
+    int holder = holder_of(worker);
+    int64_t begun_us = FvLoad_WallUs();
+    int64_t listed_us;
+
+    CU_ASSERT_TRUE_FATAL(holder >= 0);
+    CU_ASSERT_TRUE(FvLoad_Start(&load));
+    FvFake_SleepMs(LOAD_WARM_MS);
+    listed_us = FvLoad_WallUs();
+    CU_ASSERT_TRUE(FvCluster_SetState(&cluster, worker, "leaving"));
+    inject(fault, holder);
+    FvFake_SleepMs(LOAD_AFTER_MS);
+    FvLoad_Stop(&load);
+    judge(worker, begun_us, listed_us);
+    FvLoad_Free(&load);
+}
+
+static void
+test_under_load(void)
+{
+    run_case("r1-w1", SEED, FAULT_NONE);
+}
+
+static void
+test_list_cut_elsewhere(void)
+{
+    run_case("r2-w1", SEED + 100, FAULT_LIST_CUT);
+    CU_ASSERT_TRUE(
+        FvCluster_SetRoute(&cluster, ROUTE_LIST, CLUSTER_ALL, 0, "restore"));
+}
+
+/* The next holder must not start work on a worker it knows to be leaving. */
+static void
+test_holder_killed(void)
+{
+    run_case("r1-w2", SEED + 200, FAULT_KILL_HOLDER);
+}
+
+/* The worker's own word is enough while the list still shows it live. */
+static void
+test_told_by_worker(void)
+{
+    load_t load = {.cluster = &cluster,
+                   .name = "told",
+                   .seed = SEED + 300,
+                   .threads = 40,
+                   .wait_ms = 3000,
+                   .choose = choose};
+    int64_t begun_us = FvLoad_WallUs();
+    int64_t told_us;
+
+    CU_ASSERT_TRUE(FvLoad_Start(&load));
+    FvFake_SleepMs(LOAD_WARM_MS);
+    told_us = FvLoad_WallUs();
+    CU_ASSERT_TRUE(FvCluster_SetWorkerMode(&cluster, 1, "r2-w2", "leaving"));
+    FvFake_SleepMs(LOAD_AFTER_MS);
+    FvLoad_Stop(&load);
+    judge("r2-w2", begun_us, told_us);
+    FvLoad_Free(&load);
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"a leaving worker gets no new work under load", test_under_load},
+        {"a host that cannot read the list starts nothing there",
+         test_list_cut_elsewhere},
+        {"a worker that says it leaves gets no new work", test_told_by_worker},
+        {"the next holder of a leaving worker starts nothing on it",
+         test_holder_killed},
+    };
+    int failed = 1;
+
+    if (FvCluster_Start(&cluster, &topology) &&
+        FvCluster_Configure(&cluster, 0, LOAD_ANSWERS, 4000)) {
+        FvFake_SleepMs(1500); /* the first leases and digests */
+        failed = Fv_RUN_SUITE("leaving", cases);
+    }
+    if (failed != 0) {
+        printf("leaving: seed %llu\n", (unsigned long long)SEED);
+    }
+    FvCluster_Close(&cluster);
+    return failed;
+}
