Read the host list only when it changed

Cause: each host parses the whole list twice a second; at 5,600 workers it is about a megabyte. Change: an unchanged body, told by its hash, is not parsed again; what depends on time still follows every poll.

--- a/src/host-list.c
+++ b/src/host-list.c
@@ -14,6 +14,7 @@
     fv_daemon_t *daemon;
     fv_timer_t timer;
     bool peers_changed;
+    uint64_t applied_hash; /* of the body that was applied last */
 };
 
 static void
@@ -81,7 +82,6 @@
 static void
 apply_list(fv_host_list_t *list, const json_t *hosts)
 {
-    fv_daemon_t *daemon = list->daemon;
     size_t index;
     json_t *entry;
 
@@ -96,42 +96,65 @@
         }
     }
     mark_unlisted(list, hosts);
+    FvHolder_OnWorkers(list->daemon->holder, hosts);
+}
+
+/* Liveness depends on time as well, so this follows every poll. */
+static void
+tell_others(fv_host_list_t *list)
+{
+    fv_daemon_t *daemon = list->daemon;
+
     if (list->peers_changed && FvLink_SetPeers(daemon->link, &daemon->hosts)) {
         list->peers_changed = false;
     }
-    FvHolder_OnWorkers(daemon->holder, hosts);
     FvRunner_OnHosts(daemon->runner);
     FvConfigurator_OnHosts(daemon->configurator);
 }
 
+/* The list of a large cell is about a megabyte and rarely changes: reading
+ * an unchanged one again would cost more than all decisions of the host. */
 static void
-receive_list(void *context, fv_http_response_t *response)
+read_list(fv_host_list_t *list, const fv_http_response_t *response)
 {
-    fv_host_list_t *list = context;
-    json_t *document = NULL;
+    uint64_t hash = FvText_Hash(response->body, response->body_length, 0);
+    json_t *document;
     const json_t *hosts;
 
-    FvLoop_SetTimer(list->daemon->loop, &list->timer,
-                    FvClock_NowMs() + Fv_HOST_LIST_POLL_MS);
-    if (response->error != Fv_HTTP_OK || response->status != 200) {
-        FvLog_Event(Fv_LOG_DEBUG, "host_list_unavailable",
-                    "error=%d status=%d", (int)response->error,
-                    response->status);
+    if (hash == list->applied_hash) {
         return;
     }
     document = json_loadb((const char *)response->body, response->body_length,
                           0, NULL);
     hosts = json_object_get(document, "hosts");
-    if (!json_is_array(hosts)) {
-        FvLog_Event(Fv_LOG_WARN, "host_list_malformed", "bytes=%zu",
-                    response->body_length);
+    if (json_is_array(hosts)) {
+        apply_list(list, hosts);
+        list->applied_hash = hash;
     }
     else {
-        apply_list(list, hosts);
+        FvLog_Event(Fv_LOG_WARN, "host_list_malformed", "bytes=%zu",
+                    response->body_length);
     }
     json_decref(document);
 }
 
+static void
+receive_list(void *context, fv_http_response_t *response)
+{
+    fv_host_list_t *list = context;
+
+    FvLoop_SetTimer(list->daemon->loop, &list->timer,
+                    FvClock_NowMs() + Fv_HOST_LIST_POLL_MS);
+    if (response->error != Fv_HTTP_OK || response->status != 200) {
+        FvLog_Event(Fv_LOG_DEBUG, "host_list_unavailable",
+                    "error=%d status=%d", (int)response->error,
+                    response->status);
+        return;
+    }
+    read_list(list, response);
+    tell_others(list);
+}
+
 static void
 poll_list(void *owner)
 {
