Prove the lapse of a lease from its last holder's word

A restarted host also answered as if its former incarnation had never held a lease. Ruled out: a slow dispatch (the restart followed the proof at once). Change: a host tells since when it surely holds no lease, its former incarnation counted; hosts that left the list count from that moment; one round is then enough. The doubles use fewer threads: seven cells of one program ran into the machine's limit of 32,768 threads (cannot create threads, error 11) while other tests ran.

--- a/src/daemon.h
+++ b/src/daemon.h
@@ -587,6 +587,7 @@
 struct fv_daemon {
     fv_settings_t settings;
     char incarnation[Fv_NONCE_SIZE];
+    int64_t started_ms; /* boot */
     uint8_t cluster_key[32];
     fv_tokens_t *tokens;
     fv_loop_t *loop;
--- a/src/decision.h
+++ b/src/decision.h
@@ -37,6 +37,7 @@
     bool listed;
     bool linked;
     int64_t heard_ms;
+    int64_t unlisted_ms; /* boot; when it left the list */
     fv_digest_t digest;
 } fv_host_t;
 
--- a/src/holder-tasks.c
+++ b/src/holder-tasks.c
@@ -667,12 +667,17 @@
     fv_holding_t *holding = FvHolder_Find(holder, request->worker);
     fv_message_t message = {.type = Fv_MESSAGE_LEASE_STATE};
     int64_t now_ns = FvClock_NowNs();
-    int64_t free_since_ns = 0;
+    /* A former incarnation of this host may have renewed until it ended. */
+    int64_t free_since_ns =
+        (holder->daemon->started_ms + holder->daemon->settings.lease_ttl_ms) *
+        Fv_NS_PER_MS;
 
     if (holding != NULL) {
         const fv_lease_t *lease = &holding->worker->lease;
 
-        free_since_ns = lease->last_expiry_ns;
+        if (lease->last_expiry_ns > free_since_ns) {
+            free_since_ns = lease->last_expiry_ns;
+        }
         if (holding->maybe_held_until_ns > free_since_ns) {
             free_since_ns = holding->maybe_held_until_ns;
         }
--- a/src/lapse.c
+++ b/src/lapse.c
@@ -11,7 +11,7 @@
 
 #define Fv_LAPSE_QUERY_TIMEOUT_MS 1000
 /* A grant may be this much younger than its holder knows: the time limit of
- * the lease call whose answer was lost. */
+ * a lease call. */
 #define Fv_LAPSE_GRANT_MARGIN_MS 1500
 
 /* One round of questions to all hosts that are listed live. */
@@ -23,13 +23,42 @@
     int64_t shortest_ms; /* since which the lease was free everywhere */
 } fv_lapse_round_t;
 
+/* From the end of a lease, as its holder knows it, until the worker has
+ * surely stopped the tasks under it. */
+static int64_t
+stop_delay_ms(void)
+{
+    return Fv_LAPSE_GRANT_MARGIN_MS + Fv_LAPSE_STOP_MS + Fv_START_GRACE_MS;
+}
+
+/* A host that left the list can't be asked; it may have renewed until then,
+ * as may one that left before this host started. */
+static bool
+silent_holders_expired(const fv_daemon_t *daemon, int64_t now_ms)
+{
+    int64_t needed_ms = daemon->settings.lease_ttl_ms + stop_delay_ms();
+
+    if (now_ms - daemon->started_ms < needed_ms) {
+        return false;
+    }
+    for (uint32_t i = 0; i < daemon->hosts.count; i++) {
+        const fv_host_t *host = daemon->hosts.entries[i];
+
+        if (host != daemon->self && !host->listed &&
+            now_ms - host->unlisted_ms < needed_ms) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static void
 finish_round(fv_lapse_round_t *round)
 {
     fv_run_t *run = FvRunRef_Find(round->ref);
+    int64_t now_ms = FvClock_NowMs();
+    int64_t needed_ms = stop_delay_ms() + now_ms - round->begun_ms;
     fv_run_task_t *task;
-    int64_t free_ms;
-    int64_t needed_ms;
 
     if (run == NULL || run->job->attempts != round->ref->attempt ||
         round->ref->index >= run->task_count) {
@@ -37,19 +66,12 @@
     }
     task = &run->tasks[round->ref->index];
     task->lapse_pending = false;
-    free_ms = round->begun_ms - task->lapse_since_ms;
-    if (!round->all_free || task->lapse_since_ms == 0 ||
-        round->shortest_ms < free_ms) {
-        task->lapse_since_ms = round->all_free ? round->begun_ms : 0;
-        return;
-    }
-    needed_ms = run->runner->daemon->settings.lease_ttl_ms +
-                Fv_LAPSE_GRANT_MARGIN_MS + Fv_LAPSE_STOP_MS +
-                Fv_START_GRACE_MS;
-    if (free_ms >= needed_ms && !FvRun_TaskSettled(task)) {
+    if (round->all_free && round->shortest_ms >= needed_ms &&
+        silent_holders_expired(run->runner->daemon, now_ms) &&
+        !FvRun_TaskSettled(task)) {
         FvLog_Event(Fv_LOG_INFO, "lease_lapsed",
                     "job=%s worker=%s free_ms=%lld", run->name, task->worker,
-                    (long long)free_ms);
+                    (long long)round->shortest_ms);
         task->state = Fv_TASK_STOPPED;
         FvRun_Settle(run);
     }
@@ -81,9 +103,9 @@
  * @run: the job
  * @index: the task whose worker is meant
  *
- * Settles the task once two rounds, far enough apart, have shown that no
- * host held the lease in between. A host that is listed live but does not
- * answer keeps the task in doubt.
+ * Settles the task when no host has held the lease for long enough that the
+ * worker has stopped the task. A host that is listed but does not answer
+ * keeps the task in doubt.
  */
 void
 FvLapse_Check(fv_run_t *run, int32_t index)
--- a/src/runner-watch.c
+++ b/src/runner-watch.c
@@ -396,7 +396,6 @@
     }
     run->ever_ran |= reply->state != Fv_TASK_NEVER_STARTED;
     task->doubt_since_ms = 0;
-    task->lapse_since_ms = 0;
     switch (reply->state) {
     case Fv_TASK_DONE:
     case Fv_TASK_FAILED:
--- a/src/runner.h
+++ b/src/runner.h
@@ -27,9 +27,8 @@
     bool in_doubt;         /* may or may not have started */
     int64_t doubt_since_ms;
     int32_t doubt_asks;
-    int64_t lapse_since_ms; /* boot; the lease was free since, 0: not known */
-    bool lapse_pending;     /* hosts are being asked about the lease */
-    fv_timer_t timer;       /* next query or stop */
+    bool lapse_pending; /* hosts are being asked about the lease */
+    fv_timer_t timer;   /* next query or stop */
     int64_t ran_ms;
     fv_resources_t used;
     uint8_t *answer;
--- a/src/serve.c
+++ b/src/serve.c
@@ -274,6 +274,7 @@
     block_signals(&signals);
     rcu_register_thread();
     daemon->settings = *settings;
+    daemon->started_ms = FvClock_NowMs();
     FvText_RandomHex(daemon->incarnation, sizeof(daemon->incarnation));
     if (FvLog_Open(settings->log_level, settings->host) != 0) {
         goto unregister;
--- a/tests/fakes/fake-platform.c
+++ b/tests/fakes/fake-platform.c
@@ -15,7 +15,8 @@
 #include <string.h>
 #include <time.h>
 
-#define PLATFORM_THREADS 512
+/* Each host has at most 64 calls outstanding, and a watch. */
+#define PLATFORM_THREADS 256
 #define PLATFORM_CONTROL_THREADS 4
 /* Resolution of lease expiry. */
 #define PLATFORM_EXPIRY_MS 20
--- a/tests/fakes/fake-worker.c
+++ b/tests/fakes/fake-worker.c
@@ -9,7 +9,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define WORKER_THREADS 512
+/* Two workers' 64 connections and some; a test program runs dozens of these
+ * processes, and a machine has at most 32,768 threads by default. */
+#define WORKER_THREADS 160
 #define WORKER_HANG_POLL_MS 20
 #define WORKER_KEEP_MS (10 * 60 * 1000)
 #define WORKER_CPU_MILLIS 32000
@@ -465,7 +467,7 @@
         .keep_ms = arg_int0(NULL, "keep-ms", "N",
                             "how long ended tasks are kept (600000)"),
         .threads =
-            arg_int0(NULL, "threads", "N", "connections served at once (512)"),
+            arg_int0(NULL, "threads", "N", "connections served at once (160)"),
         .record = arg_file0(NULL, "record", "FILE",
                             "append one JSON line for each event"),
         .end = arg_end(8),
--- a/tests/harness/cluster.c
+++ b/tests/harness/cluster.c
@@ -176,6 +176,7 @@
                    topology->capacity.accelerators);
     add_int_option(arguments, "--slots", topology->capacity.slots);
     add_int_option(arguments, "--connections", topology->connections);
+    add_int_option(arguments, "--threads", topology->worker_threads);
     add_int_option(arguments, "--usage-lag-ms", topology->usage_lag_ms);
     add_int_option(arguments, "--ttl-stop-ms", topology->ttl_stop_ms);
     if (topology->no_fencing) {
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -40,6 +40,7 @@
     double caller_delay_ms;
     fv_resources_t capacity;
     int connections;
+    int worker_threads; /* of each rack's process */
     bool no_fencing;
     int usage_lag_ms;
     int ttl_stop_ms;
