Start a reserved task with the size that was reserved

A rebuild reserved with 4000 millis of processor was started with 8000, because the home describes the task again for the start and had learned another size in between. The ledger kept 4000, so the holder gave the worker more than it can hold. Ruled out: a lease change (the worker kept its first holder) and entries that were removed early (every refused start exceeds the true sum only with the larger sizes). Change: the holder starts the task with the size of its ledger entry.

--- a/src/holder-tasks.c
+++ b/src/holder-tasks.c
@@ -396,6 +396,7 @@
     fv_refusal_t refusal = Fv_REFUSAL_DRAINING;
     int64_t not_after_ns = INT64_MAX;
     fv_holding_t *holding = NULL;
+    fv_task_request_t start = *request;
     fv_worker_t *worker;
     fv_worker_call_t *call;
 
@@ -426,7 +427,9 @@
         FvQuarantine_Started(&worker->quarantine, FvClock_NowMs());
     }
     FvMetrics_Add(Fv_COUNTER_STARTS, 1);
-    upstream->type->start(upstream, worker, request, not_after_ns,
+    /* The home may have learned another size since the reservation. */
+    start.size = FvWorker_FindTask(worker, request->id)->size;
+    upstream->type->start(upstream, worker, &start, not_after_ns,
                           receive_start, call);
 }
 
