Test that whoever is told not_run did not run

Store answers lost, writes that land late, deadlines and cancels that race the start, killed hosts, a store outage, and two of them together. Keys told not_run are watched for another 9 s, longer than a takeover.

--- /dev/null
+++ b/tests/promises/not_run.c
@@ -0,0 +1,212 @@
+/*
+ * Guards against a caller who is told not_run while the job runs, or runs
+ * later: a claim that lands late, a lost store answer, a deadline or a cancel
+ * that races the start, or a successor that starts what its home gave up.
+ */
+
+#include "fake-server.h"
+#include "promise.h"
+
+#define NOT_RUN_SEED 301
+#define JOBS 16
+#define JOB_RUN_MS 300
+/* Jobs are submitted and cancelled at this interval. */
+#define CANCEL_PACE_MS 150
+#define LIST_LAG_MS 500
+/* Above the store time limit of the hosts, so that late writes land after
+ * their request was given up. */
+#define STORE_TIMEOUT_MS 300
+#define LATE_WRITE_MS 900
+/* Four of them fill a worker. */
+#define FILLERS 24
+#define FILLER_RUN_MS 4000
+/* Deadline, clock skew, and the takeover by list, silence limit, scan and
+ * reservation expiry. */
+#define OUTCOME_LIMIT_MS 25000
+/* What was told not_run must not start within this time either: a takeover
+ * by another host takes that long. */
+#define SETTLE_MS 9000
+
+static const char *const workloads[] = {"rebuild", "fit-check", "gang"};
+
+/* Jobs with deadlines from LOW to HIGH ms, spread over SPREAD ms. */
+static void
+add_jobs(promise_t *promise, int64_t spread_ms, int64_t low_ms,
+         int64_t high_ms)
+{
+    char key[Fv_KEY_SIZE];
+
+    for (int i = 0; i < JOBS; i++) {
+        caller_t *caller;
+
+        snprintf(key, sizeof(key), "job-%d", i);
+        caller = FvPromise_Caller(promise, i % promise->cluster.host_count,
+                                  workloads[i % 3], key, JOB_RUN_MS);
+        caller->submit.deadline_ms =
+            FvDraw_Between(&promise->draw, low_ms, high_ms);
+        caller->after_ms = FvDraw_Between(&promise->draw, 0, spread_ms);
+        caller->limit_ms = OUTCOME_LIMIT_MS;
+    }
+}
+
+static void
+fill_cell(promise_t *promise)
+{
+    char key[Fv_KEY_SIZE];
+
+    for (int i = 0; i < FILLERS; i++) {
+        snprintf(key, sizeof(key), "filler-%d", i);
+        FvPromise_Caller(promise, i % promise->cluster.host_count, "rebuild",
+                         key, FILLER_RUN_MS);
+    }
+    FvPromise_StartCallers(promise, 0);
+    FvFake_SleepMs(700);
+}
+
+static void
+finish(promise_t *promise)
+{
+    FvPromise_JoinCallers(promise);
+    FvFake_SleepMs(SETTLE_MS);
+}
+
+static void
+lose_store_answers(promise_t *promise, int rounds)
+{
+    for (int i = 0; i < rounds; i++) {
+        FvFake_SleepMs(FvDraw_Between(&promise->draw, 20, 120));
+        FvCluster_Platform(&promise->cluster, "/store/lose_answers",
+                           json_pack("{s:i}", "count", 3));
+    }
+}
+
+static void
+run_answers_lost(promise_t *promise)
+{
+    add_jobs(promise, 1200, 10, 300);
+    FvPromise_StartCallers(promise, 0);
+    lose_store_answers(promise, 14);
+    finish(promise);
+}
+
+static void
+run_writes_late(promise_t *promise)
+{
+    add_jobs(promise, 1500, 200, 1500);
+    FvPromise_StartCallers(promise, 0);
+    for (int i = 0; i < 10; i++) {
+        FvCluster_Platform(
+            &promise->cluster, "/store/delay_writes",
+            json_pack("{s:i, s:i}", "count", 4, "delay_ms", LATE_WRITE_MS));
+        FvFake_SleepMs(FvDraw_Between(&promise->draw, 50, 250));
+    }
+    finish(promise);
+}
+
+/* The deadline passes while the claim or the attempt is being written. */
+static void
+run_deadline_in_flight(promise_t *promise)
+{
+    FvCluster_DelayRoute(&promise->cluster, ROUTE_STORE, CLUSTER_ALL, 0, 60);
+    FvCluster_DelayRoute(&promise->cluster, ROUTE_RACK, CLUSTER_ALL,
+                         CLUSTER_ALL, 30);
+    add_jobs(promise, 1500, 200, 900);
+    FvPromise_StartCallers(promise, 0);
+    finish(promise);
+}
+
+static void
+run_cancel(promise_t *promise)
+{
+    int64_t begun_ms = FvClock_NowMs();
+
+    FvCluster_DelayRoute(&promise->cluster, ROUTE_STORE, CLUSTER_ALL, 0, 30);
+    FvCluster_DelayRoute(&promise->cluster, ROUTE_RACK, CLUSTER_ALL,
+                         CLUSTER_ALL, 30);
+    add_jobs(promise, 0, 8000, 8000);
+    for (int i = 0; i < JOBS; i++) {
+        promise->callers[i].after_ms = i * CANCEL_PACE_MS;
+    }
+    FvPromise_StartCallers(promise, 0);
+    for (int i = 0; i < JOBS; i++) {
+        job_reply_t reply;
+        int64_t at_ms = begun_ms + i * CANCEL_PACE_MS +
+                        FvDraw_Between(&promise->draw, 50, 400);
+        int64_t now_ms = FvClock_NowMs();
+
+        FvFake_SleepMs(at_ms > now_ms ? at_ms - now_ms : 0);
+        FvApi_Cancel(&promise->cluster,
+                     (int)FvDraw_Between(&promise->draw, 0, 2), PROMISE_MEMBER,
+                     promise->callers[i].key, &reply);
+        FvApi_FreeJob(&reply);
+    }
+    finish(promise);
+}
+
+/* Jobs that cannot start before their deadline, and a home that dies. */
+static void
+run_host_killed(promise_t *promise)
+{
+    fill_cell(promise);
+    add_jobs(promise, 300, 1000, 7000);
+    FvPromise_StartCallers(promise, FILLERS);
+    FvFake_SleepMs(FvDraw_Between(&promise->draw, 200, 900));
+    FvPromise_KillHost(promise, (int)FvDraw_Between(&promise->draw, 0, 2),
+                       LIST_LAG_MS);
+    finish(promise);
+}
+
+/* The home gives up at the deadline while the store is down. */
+static void
+run_store_down(promise_t *promise)
+{
+    fill_cell(promise);
+    add_jobs(promise, 300, 800, 2500);
+    FvPromise_StartCallers(promise, FILLERS);
+    FvFake_SleepMs(FvDraw_Between(&promise->draw, 100, 400));
+    FvCluster_Platform(&promise->cluster, "/store",
+                       json_pack("{s:s}", "mode", "down"));
+    FvFake_SleepMs(4000);
+    FvCluster_Platform(&promise->cluster, "/store",
+                       json_pack("{s:s}", "mode", "up"));
+    finish(promise);
+}
+
+static void
+run_answers_lost_and_host_killed(promise_t *promise)
+{
+    add_jobs(promise, 1000, 200, 3000);
+    FvPromise_StartCallers(promise, 0);
+    lose_store_answers(promise, 7);
+    FvPromise_KillHost(promise, (int)FvDraw_Between(&promise->draw, 0, 2),
+                       LIST_LAG_MS);
+    finish(promise);
+}
+
+int
+main(void)
+{
+    topology_t impatient = promise_topology;
+
+    impatient.store_timeout_ms = STORE_TIMEOUT_MS;
+
+    const promise_case_t cases[] = {
+        {"not_run is told though a lost store answer hid the claim",
+         promise_topology, run_answers_lost, false},
+        {"not_run is told though a late write of the claim takes effect",
+         impatient, run_writes_late, false},
+        {"not_run is told at the deadline though the start is on its way",
+         promise_topology, run_deadline_in_flight, false},
+        {"not_run is told to a cancel though the start is on its way",
+         promise_topology, run_cancel, false},
+        {"not_run is told though a successor starts the job", promise_topology,
+         run_host_killed, false},
+        {"not_run is told during a store outage though the job starts later",
+         promise_topology, run_store_down, false},
+        {"not_run is told though lost answers and a killed host hid a start",
+         promise_topology, run_answers_lost_and_host_killed, false},
+    };
+
+    return FvPromise_Main("not_run", cases, sizeof(cases) / sizeof(cases[0]),
+                          NOT_RUN_SEED);
+}
