End the process, not only the drain, within the drain timeout

Cause: the drain used the whole timeout, and mg_stop() then waits for CivetWeb's listener, which polls for 2 s (stack of the running process: civetweb-master in poll, timeout 2000). Ruled out: callers in flight (the last reply was sent at the end of the drain) and the link threads. The drain now gives up 2.5 s before the timeout, or at half of a timeout of 5 s or less.

--- a/src/serve.c
+++ b/src/serve.c
@@ -18,6 +18,9 @@
 /* Time for the platform's balancer to see that this host is not ready. */
 #define Fv_SERVE_UNREADY_MS 500
 
+/* CivetWeb's listener notices a stop only when its poll of 2 s ends. */
+#define Fv_SERVE_STOP_MS 2500
+
 /* The drain of the host, driven by a timer on the scheduler thread. */
 typedef struct fv_drain {
     fv_daemon_t *daemon;
@@ -31,6 +34,16 @@
     fv_drain_t *drain;
 } fv_signal_event_t;
 
+/* The process, not only the drain, ends within the drain timeout. */
+static int64_t
+drain_limit_ms(const fv_settings_t *settings)
+{
+    int64_t timeout_ms = settings->drain_timeout_ms;
+
+    return timeout_ms > 2 * Fv_SERVE_STOP_MS ? timeout_ms - Fv_SERVE_STOP_MS
+                                             : timeout_ms / 2;
+}
+
 static void
 drain_tick(void *owner)
 {
@@ -46,7 +59,7 @@
     }
     if ((idle && drained_ms >= Fv_SERVE_UNREADY_MS &&
          FvLedger_IsFlushed(daemon->ledger)) ||
-        drained_ms >= daemon->settings.drain_timeout_ms) {
+        drained_ms >= drain_limit_ms(&daemon->settings)) {
         FvLog_Event(idle ? Fv_LOG_INFO : Fv_LOG_WARN, "drain_finished",
                     "complete=%s took_ms=%lld", idle ? "true" : "false",
                     (long long)drained_ms);
