Refuse request bodies that nest more than 32 levels

Cause: parse_body() runs on a CivetWeb thread with a small stack; jansson recurses to 2048 levels before it refuses (SIGSEGV in malloc below the parser's frames, thread civetweb-worker). Other JSON is parsed on threads with the default stack. The depth is now counted before the body is parsed; the API needs 6 levels.

--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -104,6 +104,7 @@
 /* json.c: readers that report what is wrong instead of guessing. */
 const char *FvJson_String(const json_t *object, const char *key);
 int64_t FvJson_Int(const json_t *object, const char *key, int64_t fallback);
+size_t FvJson_Depth(const char *text, size_t length);
 bool FvJson_Bool(const json_t *object, const char *key, bool fallback);
 bool FvJson_CopyString(const json_t *object, const char *key, char *target,
                        size_t size);
--- a/src/http-server.c
+++ b/src/http-server.c
@@ -16,6 +16,9 @@
 #define Fv_STOP_POLL_MS 5
 #define Fv_STOP_GRACE_MS 2000
 #define Fv_WAIT_MAX_MS 60000
+/* The parser recurses to 2048 levels, which overflows the small stack of a
+ * CivetWeb thread. */
+#define Fv_BODY_DEPTH_MAX 32
 #define Fv_RETRY_HINT_MS 500
 /* Also bounds the memory for headers: one such buffer for each thread. */
 #define Fv_REQUEST_HEADER_MAX "16384"
@@ -298,6 +301,14 @@
     if (body->length == 0) {
         return true;
     }
+    if (FvJson_Depth((const char *)body->data, body->length) >
+        Fv_BODY_DEPTH_MAX) {
+        FvMetrics_Add(Fv_COUNTER_HTTP_BAD_REQUESTS, 1);
+        FvHttpReply_SendProblem(call->connection, &reply,
+                                "the body nests more than %d levels",
+                                Fv_BODY_DEPTH_MAX);
+        return false;
+    }
     ticket->body = json_loadb((const char *)body->data, body->length,
                               JSON_REJECT_DUPLICATES, &error);
     if (json_is_object(ticket->body)) {
--- a/src/json.c
+++ b/src/json.c
@@ -82,3 +82,37 @@
     }
     return true;
 }
+
+/**
+ * FvJson_Depth - how deeply a text nests arrays and objects
+ * @text: JSON text, valid or not
+ * @length: its length
+ *
+ * Return: the largest number of brackets that are open at one time.
+ */
+size_t
+FvJson_Depth(const char *text, size_t length)
+{
+    bool quoted = false;
+    size_t deepest = 0;
+    size_t depth = 0;
+
+    for (size_t i = 0; i < length; i++) {
+        char c = text[i];
+
+        if (quoted && c == '\\') {
+            i++;
+        }
+        else if (c == '"') {
+            quoted = !quoted;
+        }
+        else if (!quoted && (c == '[' || c == '{')) {
+            depth++;
+            deepest = depth > deepest ? depth : deepest;
+        }
+        else if (!quoted && (c == ']' || c == '}') && depth > 0) {
+            depth--;
+        }
+    }
+    return deepest;
+}
