Let the host list double list a host again after it was gone

Cause: the state gone deleted the entry, so a later live was refused and the restarted or resumed host stayed out of the list for the rest of the test. An entry that is gone is now only hidden.

--- a/tests/harness/host-view.c
+++ b/tests/harness/host-view.c
@@ -70,7 +70,7 @@
 }
 
 static json_t *
-find_host(json_t *hosts, const char *name, size_t *index)
+find_host(json_t *hosts, const char *name)
 {
     json_t *host;
     size_t i;
@@ -80,7 +80,6 @@
         const char *found = json_string_value(json_object_get(host, "name"));
 
         if (found != NULL && strcmp(found, name) == 0) {
-            *index = i;
             return host;
         }
     }
@@ -91,7 +90,7 @@
  * FvHostView_SetState - change the state of one entry
  * @view: the list
  * @name: name of the host or worker
- * @state: live or leaving; gone removes the entry
+ * @state: live or leaving; gone hides the entry until its next state
  * @now_ms: current time
  *
  * Return: false when there is no such entry.
@@ -102,19 +101,13 @@
 {
     json_t *document = json_deep_copy(view->latest);
     json_t *hosts = json_object_get(document, "hosts");
-    size_t index = 0;
-    json_t *host = find_host(hosts, name, &index);
+    json_t *host = find_host(hosts, name);
 
     if (host == NULL) {
         json_decref(document);
         return false;
     }
-    if (strcmp(state, "gone") == 0) {
-        json_array_remove(hosts, index);
-    }
-    else {
-        json_object_set_new(host, "state", json_string(state));
-    }
+    json_object_set_new(host, "state", json_string(state));
     return FvHostView_Replace(view, document, now_ms);
 }
 
@@ -134,6 +127,14 @@
             view->pending_count * sizeof(view->pending[0]));
 }
 
+static bool
+is_gone(const json_t *host)
+{
+    const char *state = json_string_value(json_object_get(host, "state"));
+
+    return state != NULL && strcmp(state, "gone") == 0;
+}
+
 /* Overrides the fields that "views" gives for this reader. */
 static json_t *
 entry_for(json_t *host, const char *viewer)
@@ -166,7 +167,9 @@
     apply_pending(view, now_ms);
     json_array_foreach(json_object_get(view->visible, "hosts"), i, host)
     {
-        json_array_append_new(entries, entry_for(host, viewer));
+        if (!is_gone(host)) {
+            json_array_append_new(entries, entry_for(host, viewer));
+        }
     }
     return json_pack("{s:o}", "hosts", entries);
 }
