Start a reserved task with the size that was reserved

Cause: the home computed the task's size again when it sent the start. When the learned size had grown since the reservation, the worker was given more than the ledger counted. Ruled out: two holders (one grant of the lease in the whole run) and a task that ended too early in the ledger (the three running tasks sum to 9000). Change: the lease holder sends the size of its ledger entry.

--- a/src/holder-tasks.c
+++ b/src/holder-tasks.c
@@ -401,6 +401,7 @@
     fv_refusal_t refusal = Fv_REFUSAL_DRAINING;
     int64_t not_after_ns = INT64_MAX;
     fv_holding_t *holding = NULL;
+    fv_task_request_t sized = *request;
     fv_worker_t *worker;
     fv_worker_call_t *call;
 
@@ -431,10 +432,44 @@
         FvQuarantine_Started(&worker->quarantine, FvClock_NowMs());
     }
     FvMetrics_Add(Fv_COUNTER_STARTS, 1);
-    upstream->type->start(upstream, worker, request, not_after_ns,
+    /* The home's estimate may have grown since the reservation. */
+    sized.size = FvWorker_FindTask(worker, request->id)->size;
+    upstream->type->start(upstream, worker, &sized, not_after_ns,
                           receive_start, call);
 }
 
+static void
+receive_answer(void *context, fv_upstream_error_t error,
+               fv_task_reply_t *reply)
+{
+    fv_worker_call_t *call = context;
+
+    if (error != Fv_UPSTREAM_OK) {
+        reply_refusal(call->holder, &call->to, call->task_id,
+                      Fv_REFUSAL_IN_DOUBT);
+        free(call);
+        return;
+    }
+    reply->ran_ms = call->state.ran_ms;
+    reply->used = call->state.used;
+    FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
+    reply_task(call->holder, &call->to, reply);
+    reply->answer = NULL;
+    free(call);
+}
+
+/* Stops and queries tell only the state of a task that has ended. */
+static void
+fetch_answer(fv_worker_call_t *call, const fv_task_reply_t *reply)
+{
+    fv_upstream_t *upstream = call->holder->daemon->upstream;
+
+    call->state = *reply;
+    call->state.answer = NULL;
+    upstream->type->answer(upstream, call->base_url, call->task_id,
+                           receive_answer, call);
+}
+
 static void
 receive_stop(void *context, fv_upstream_error_t error, fv_task_reply_t *reply)
 {
@@ -480,31 +515,10 @@
         new_worker_call(holder, holding->worker, request->id, to));
 }
 
-static void
-receive_answer(void *context, fv_upstream_error_t error,
-               fv_task_reply_t *reply)
-{
-    fv_worker_call_t *call = context;
-
-    if (error != Fv_UPSTREAM_OK) {
-        reply_refusal(call->holder, &call->to, call->task_id,
-                      Fv_REFUSAL_IN_DOUBT);
-        free(call);
-        return;
-    }
-    reply->ran_ms = call->state.ran_ms;
-    reply->used = call->state.used;
-    FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
-    reply_task(call->holder, &call->to, reply);
-    reply->answer = NULL;
-    free(call);
-}
-
 static void
 receive_query(void *context, fv_upstream_error_t error, fv_task_reply_t *reply)
 {
     fv_worker_call_t *call = context;
-    fv_upstream_t *upstream = call->holder->daemon->upstream;
 
     if (error != Fv_UPSTREAM_OK) {
         reply_refusal(call->holder, &call->to, call->task_id,
@@ -513,10 +527,7 @@
         return;
     }
     if (reply->state == Fv_TASK_DONE || reply->state == Fv_TASK_FAILED) {
-        call->state = *reply;
-        call->state.answer = NULL;
-        upstream->type->answer(upstream, call->base_url, call->task_id,
-                               receive_answer, call);
+        fetch_answer(call, reply);
         return;
     }
     FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
