Fetch the answer of a task that was done before its stop

Cause: the reply to a stop tells only the state. When a cancellation reached a task that had just ended, the home took over the state done without the answer, and callers were told done with an empty answer. Ruled out: a lost link frame (the answers carry length and hash) and queries, which already fetch the answer. Change: the holder fetches the answer after a stop that finds the task done.

--- a/src/holder-tasks.c
+++ b/src/holder-tasks.c
@@ -485,6 +485,10 @@
         remove_entry(call);
         FvRunner_Wake(call->holder->daemon->runner);
     }
+    if (reply->state == Fv_TASK_DONE) {
+        fetch_answer(call, reply);
+        return;
+    }
     FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
     reply_task(call->holder, &call->to, reply);
     reply->answer = NULL;
