--- a/tests/harness/chaos-fault.c
+++ b/tests/harness/chaos-fault.c
@@ -142,10 +142,11 @@
            promise->cluster.topology.list_lag_ms, promise->cluster.directory);
     for (int i = 0; i < CHAOS_ROUNDS; i++) {
         const fault_round_t *round = &chaos->rounds[i];
+        int64_t until_ms = round->at_ms + round->duration_ms;
 
         printf("seed %llu: %5lld ms to %5lld ms:",
                (unsigned long long)promise->draw.seed, (long long)round->at_ms,
-               (long long)(round->at_ms + round->duration_ms));
+               (long long)until_ms);
         for (int j = 0; j < CHAOS_PAIR; j++) {
             print_fault(chaos, &round->faults[j]);
         }
