--- /dev/null
+++ b/tests/bench/control.c
@@ -0,0 +1,255 @@
+/*
+ * Control cost of an entry host: processor time, memory, bytes on links and
+ * to workers, reads of the host list and calls to the store, idle and under
+ * load, by size of the cell and number of hosts.
+ */
+
+#include "caller.h"
+#include "fake-server.h"
+#include "load.h"
+
+#include <stdlib.h>
+
+#define LEASE_LIMIT_MS 40000
+#define CONFIG_LIMIT_MS 15000
+/* The work that follows a start has ended by then. */
+#define SETTLE_MS 2000
+#define CONTROL_SEED 7001
+#define WINDOW_MS 4000
+#define QUICK_WINDOW_MS 2000
+/* Holds one poll of the configuration by every host. */
+#define STORE_WINDOW_MS 10000
+#define STORE_WINDOW_HOSTS 3
+
+static const char *const members[] = {"m-1", "m-2", "m-3"};
+
+typedef struct control_case {
+    int racks;
+    int per_rack;
+    int hosts;
+    bool proxied;
+    bool quick;
+} control_case_t;
+
+static const control_case_t control_cases[] = {
+    {6, 8, 1, false, true},     {6, 8, 3, true, true},
+    {6, 8, 3, false, false},    {6, 8, 9, false, false},
+    {12, 40, 1, false, false},  {12, 40, 3, false, false},
+    {12, 40, 9, false, false},  {12, 200, 1, false, false},
+    {12, 200, 3, false, false}, {12, 200, 9, false, false},
+};
+
+typedef struct control {
+    cluster_t cluster;
+    topology_site_t site;
+    int workers;
+    char name[48];
+} control_t;
+
+static void
+report_rates(const control_t *control, const char *state, const usage_t *used)
+{
+    double seconds = (double)used->at_us / 1e6;
+    int hosts = control->cluster.host_count;
+    double per_host = seconds * hosts;
+    const char *name = control->name;
+
+    FvBench_Report("control", used->cpu_ms / 10 / per_host, "% of a core",
+                   "%s %s cpu per host", name, state);
+    FvBench_Report("control", used->link_bytes / per_host, "B/s",
+                   "%s %s link bytes per host", name, state);
+    FvBench_Report("control", used->upstream_bytes / per_host, "B/s",
+                   "%s %s worker bytes per host", name, state);
+    FvBench_Report("control",
+                   used->upstream_bytes / seconds / control->workers, "B/s",
+                   "%s %s bytes per worker", name, state);
+    FvBench_Report("control", used->lists / per_host, "1/s",
+                   "%s %s list reads per host", name, state);
+    FvBench_Report("control", used->reads / seconds, "1/s",
+                   "%s %s store reads of the cell", name, state);
+    FvBench_Report("control", used->writes / seconds, "1/s",
+                   "%s %s store writes of the cell", name, state);
+    FvBench_Report("control", used->leases / seconds, "1/s",
+                   "%s %s store lease calls of the cell", name, state);
+    FvBench_Report("control", used->watches / seconds, "1/s",
+                   "%s %s store watches started", name, state);
+}
+
+static void
+report_memory(control_t *control)
+{
+    int64_t peak = 0;
+
+    for (int host = 0; host < control->cluster.host_count; host++) {
+        int64_t own =
+            FvUsage_PeakKib(control->cluster.hosts[host].process.pid);
+
+        peak = own > peak ? own : peak;
+    }
+    FvBench_Report("control", (double)peak / 1024, "MiB",
+                   "%s peak resident size of a host", control->name);
+}
+
+/* The proxy's own count of the same bytes; its last reading is the end of
+ * the window, as the hosts' counters are read first. */
+static void
+report_routes(control_t *control, const double before[ROUTE_KIND_COUNT],
+              const usage_t *used)
+{
+    static const char *const names[ROUTE_KIND_COUNT] = {
+        "links", "workers", "store", "list", "callers"};
+    double per_host = (double)used->at_us / 1e6 * control->cluster.host_count;
+
+    for (int kind = 0; kind < ROUTE_CALLER; kind++) {
+        double bytes =
+            FvUsage_RouteBytes(&control->cluster, (route_kind_t)kind) -
+            before[kind];
+
+        FvBench_Report("control", bytes / per_host, "B/s",
+                       "%s idle proxy bytes per host %s", control->name,
+                       names[kind]);
+    }
+}
+
+static void
+measure_idle(control_t *control, int64_t window_ms)
+{
+    cluster_t *cluster = &control->cluster;
+    double routes[ROUTE_KIND_COUNT] = {0};
+    usage_t before;
+    usage_t used;
+
+    for (int kind = 0; cluster->topology.proxied && kind < ROUTE_CALLER;
+         kind++) {
+        routes[kind] = FvUsage_RouteBytes(cluster, (route_kind_t)kind);
+    }
+    FvUsage_Read(cluster, &before);
+    FvFake_SleepMs(window_ms);
+    FvUsage_Read(cluster, &used);
+    FvUsage_Subtract(&used, &before);
+    if (cluster->topology.proxied) {
+        report_routes(control, routes, &used);
+    }
+    report_rates(control, "idle", &used);
+}
+
+static void
+measure_load(control_t *control, int64_t window_ms)
+{
+    load_t lookups = {.cluster = &control->cluster,
+                      .workload = "lookup",
+                      .threads = 4,
+                      .rate = 200,
+                      .duration_ms = window_ms,
+                      .run_low_ms = 5,
+                      .run_high_ms = 5,
+                      .answer_bytes = 100,
+                      .seed = CONTROL_SEED};
+    load_t batch = {.cluster = &control->cluster,
+                    .name = "batch",
+                    .workload = "rebuild",
+                    .threads = 2,
+                    .rate = 20,
+                    .duration_ms = window_ms,
+                    .run_low_ms = 500,
+                    .run_high_ms = 500,
+                    .answer_bytes = 100,
+                    .seed = CONTROL_SEED + 100};
+    usage_t before;
+    usage_t used;
+
+    FvUsage_Read(&control->cluster, &before);
+    FvLoad_Start(&lookups);
+    FvLoad_Run(&batch);
+    FvLoad_Join(&lookups);
+    FvUsage_Read(&control->cluster, &used);
+    FvUsage_Subtract(&used, &before);
+    report_rates(control, "loaded", &used);
+    FvBench_Report("control",
+                   (double)lookups.took.count * 1e6 / (double)used.at_us,
+                   "1/s", "%s loaded lookups", control->name);
+    FvBench_Report("control",
+                   (double)batch.took.count * 1e6 / (double)used.at_us, "1/s",
+                   "%s loaded claimed jobs", control->name);
+    FvBench_Report("control", lookups.refused + batch.refused, "count",
+                   "%s loaded refused", control->name);
+    FvLoad_Close(&lookups);
+    FvLoad_Close(&batch);
+}
+
+static bool
+start_cell(control_t *control, const control_case_t *test)
+{
+    topology_t topology = {.sites = &control->site,
+                           .site_count = 1,
+                           .members = members,
+                           .member_count = 3,
+                           .proxied = test->proxied};
+    char *answers = FvSample_Answers(members, 3);
+    bool started;
+    int64_t took_ms;
+
+    control->site = (topology_site_t){"r1", "dc1", test->hosts, test->racks,
+                                      test->per_rack};
+    started =
+        FvCluster_Start(&control->cluster, &topology) &&
+        FvCluster_Configure(&control->cluster, 0, answers, CONFIG_LIMIT_MS);
+    free(answers);
+    if (!started) {
+        return false;
+    }
+    took_ms = FvUsage_WaitLeases(&control->cluster, control->workers,
+                                 LEASE_LIMIT_MS);
+    FvBench_Report("control",
+                   FvUsage_LeasesHeld(&control->cluster) * 100.0 /
+                       control->workers,
+                   "%", "%s leases held at the start", control->name);
+    return took_ms >= 0;
+}
+
+static void
+run_case(const control_case_t *test, bool quick)
+{
+    control_t *control = calloc(1, sizeof(*control));
+    int64_t window_ms = quick ? QUICK_WINDOW_MS : WINDOW_MS;
+    bool poll = !quick && test->hosts == STORE_WINDOW_HOSTS;
+
+    if (control == NULL) {
+        abort();
+    }
+    control->workers = test->racks * test->per_rack;
+    snprintf(control->name, sizeof(control->name), "%d workers %d hosts%s",
+             control->workers, test->hosts, test->proxied ? " proxied" : "");
+    if (start_cell(control, test)) {
+        FvBench_Report("control", (double)FvUsage_ListBytes(&control->cluster),
+                       "B", "%s host list document", control->name);
+        FvFake_SleepMs(SETTLE_MS);
+        measure_idle(control, poll ? STORE_WINDOW_MS : window_ms);
+        measure_load(control, window_ms);
+        report_memory(control);
+    }
+    else {
+        FvBench_Report("control", 1, "failed", "%s start", control->name);
+    }
+    FvCluster_Close(&control->cluster);
+    free(control);
+}
+
+static void
+run_all(bool quick)
+{
+    size_t count = sizeof(control_cases) / sizeof(control_cases[0]);
+
+    for (size_t i = 0; i < count; i++) {
+        if (!quick || control_cases[i].quick) {
+            run_case(&control_cases[i], quick);
+        }
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    return FvBench_Main(argc, argv, "Measures the control cost of a cell.",
+                        run_all);
+}
--- /dev/null
+++ b/tests/harness/load.c
@@ -0,0 +1,250 @@
+/*
+ * Paced load on a test cell.
+ */
+
+#include "load.h"
+
+#include "caller.h"
+#include "fake-server.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define LOAD_WAIT_MS 10000
+#define LOAD_PAYLOAD_SIZE 128
+
+typedef struct load_thread {
+    load_t *load;
+    int number;
+    int64_t call;
+    draw_t draw;
+    http_session_t *session;
+    char payload[LOAD_PAYLOAD_SIZE];
+} load_thread_t;
+
+static const char *
+choose_member(const load_thread_t *thread)
+{
+    const topology_t *topology = &thread->load->cluster->topology;
+
+    return topology->members[(size_t)(thread->call + thread->number) %
+                             topology->member_count];
+}
+
+static int
+choose_host(const load_thread_t *thread)
+{
+    const load_t *load = thread->load;
+    int hosts = load->hosts > 0 ? load->hosts : load->cluster->host_count;
+
+    return (int)((thread->call * load->threads + thread->number) % hosts);
+}
+
+static void
+fill_payload(load_thread_t *thread)
+{
+    const load_t *load = thread->load;
+    long long run_ms =
+        FvDraw_Between(&thread->draw, load->run_low_ms, load->run_high_ms);
+
+    snprintf(thread->payload, sizeof(thread->payload),
+             "{\"run_ms\": %lld, \"answer_bytes\": %lld}", run_ms,
+             (long long)load->answer_bytes);
+}
+
+static void
+note_job(load_t *load, const load_job_t *job)
+{
+    pthread_mutex_lock(&load->lock);
+    load->jobs =
+        realloc(load->jobs, (load->job_count + 1) * sizeof(load_job_t));
+    if (load->jobs == NULL) {
+        abort();
+    }
+    load->jobs[load->job_count++] = *job;
+    pthread_mutex_unlock(&load->lock);
+}
+
+static void
+note_reply(load_t *load, int status, int64_t took_us)
+{
+    if (status == 200 || status == 202) {
+        FvSamples_Add(&load->took, took_us);
+        return;
+    }
+    pthread_mutex_lock(&load->lock);
+    load->refused++;
+    pthread_mutex_unlock(&load->lock);
+}
+
+static void
+submit_job(load_thread_t *thread)
+{
+    load_t *load = thread->load;
+    load_job_t job = {.member = choose_member(thread),
+                      .workload = load->workload,
+                      .host = choose_host(thread),
+                      .sent_us = FvFake_WallUs(),
+                      .deadline_ms = load->deadline_ms};
+    submit_t submit = {.member = job.member,
+                       .workload = job.workload,
+                       .payload = thread->payload,
+                       .deadline_ms = job.deadline_ms,
+                       .session = thread->session};
+    job_reply_t reply;
+
+    if (load->name != NULL) {
+        snprintf(job.key, sizeof(job.key), "%s-%d-%lld", load->name,
+                 thread->number, (long long)thread->call);
+        submit.key = job.key;
+    }
+    else {
+        submit.raw = true;
+        submit.wait_ms = LOAD_WAIT_MS;
+    }
+    FvApi_Submit(load->cluster, job.host, &submit, &reply);
+    note_reply(load, reply.status, reply.http.took_us);
+    job.accepted = reply.status == 200 || reply.status == 202;
+    FvApi_FreeJob(&reply);
+    if (load->name != NULL) {
+        note_job(load, &job);
+    }
+}
+
+static json_t *
+direct_body(const load_thread_t *thread)
+{
+    return json_pack(
+        "{s:o, s:i, s:s, s:s, s:s, s:s, s:{s:i, s:i, s:i}, s:s, s:i, s:o}",
+        "id",
+        json_sprintf("direct:%llu-%d-%lld:1:0",
+                     (unsigned long long)thread->load->seed, thread->number,
+                     (long long)thread->call),
+        "term", 0, "home", "direct", "member", "direct", "workload", "direct",
+        "class", "interactive", "size", "cpu_millis", 1, "memory_bytes", 1,
+        "slots", 1, "on_lapse", "continue", "wait_ms", LOAD_WAIT_MS,
+        "payload_base64",
+        FvApi_Base64(thread->payload, strlen(thread->payload)));
+}
+
+/* The worker double must run without fencing. */
+static void
+call_worker(load_thread_t *thread)
+{
+    const cluster_t *cluster = thread->load->cluster;
+    int turn = choose_host(thread) + (int)thread->call;
+    const cluster_rack_t *rack = &cluster->racks[turn % cluster->rack_count];
+    json_t *body = direct_body(thread);
+    char *text = json_dumps(body, JSON_COMPACT);
+    char url[Fv_URL_SIZE];
+    http_call_t call = {.method = "POST",
+                        .url = url,
+                        .body = text,
+                        .body_length = strlen(text)};
+    http_reply_t reply;
+
+    snprintf(url, sizeof(url), "http://%s/%s%d/v1/tasks", rack->address,
+             rack->prefix, 1 + (int)thread->call % rack->site->workers);
+    FvHttpSession_Run(thread->session, &call, &reply);
+    note_reply(thread->load, reply.status, reply.took_us);
+    FvHttp_FreeReply(&reply);
+    json_decref(body);
+    free(text);
+}
+
+/* A thread that is late goes on at once, without the calls it missed. */
+static void
+wait_for_turn(int64_t *due_us, int64_t interval_us)
+{
+    int64_t now_us = FvFake_WallUs();
+
+    if (now_us < *due_us) {
+        FvFake_SleepMs((*due_us - now_us) / 1000);
+    }
+    else {
+        *due_us = now_us;
+    }
+    *due_us += interval_us;
+}
+
+static void *
+run_thread(void *context)
+{
+    load_t *load = context;
+    load_thread_t thread = {.load = load, .session = FvHttpSession_New()};
+    int64_t interval_us = (int64_t)(1e6 * load->threads / load->rate);
+    int64_t end_us = load->started_us + load->duration_ms * 1000;
+    int64_t due_us;
+
+    pthread_mutex_lock(&load->lock);
+    thread.number = load->next_thread++;
+    pthread_mutex_unlock(&load->lock);
+    due_us = load->started_us + interval_us * thread.number / load->threads;
+    FvDraw_Open(&thread.draw, load->seed + (uint64_t)thread.number);
+    while (due_us < end_us) {
+        wait_for_turn(&due_us, interval_us);
+        fill_payload(&thread);
+        if (load->workload != NULL) {
+            submit_job(&thread);
+        }
+        else {
+            call_worker(&thread);
+        }
+        thread.call++;
+    }
+    FvHttpSession_Free(thread.session);
+    return NULL;
+}
+
+/**
+ * FvLoad_Start - start the threads
+ * @load: the load; closed with FvLoad_Close()
+ */
+void
+FvLoad_Start(load_t *load)
+{
+    FvSamples_Open(&load->took);
+    pthread_mutex_init(&load->lock, NULL);
+    load->started_us = FvFake_WallUs();
+    for (int i = 0; i < load->threads; i++) {
+        if (pthread_create(&load->handles[i], NULL, run_thread, load) != 0) {
+            abort();
+        }
+    }
+}
+
+/**
+ * FvLoad_Join - wait for the end of the load
+ * @load: the load
+ */
+void
+FvLoad_Join(load_t *load)
+{
+    for (int i = 0; i < load->threads; i++) {
+        pthread_join(load->handles[i], NULL);
+    }
+}
+
+/**
+ * FvLoad_Run - run the load and wait for its end
+ * @load: the load; closed with FvLoad_Close()
+ */
+void
+FvLoad_Run(load_t *load)
+{
+    FvLoad_Start(load);
+    FvLoad_Join(load);
+}
+
+/**
+ * FvLoad_Close - release the samples and jobs
+ * @load: the load
+ */
+void
+FvLoad_Close(load_t *load)
+{
+    FvSamples_Close(&load->took);
+    pthread_mutex_destroy(&load->lock);
+    free(load->jobs);
+    load->jobs = NULL;
+}
--- /dev/null
+++ b/tests/harness/load.h
@@ -0,0 +1,53 @@
+/*
+ * Paced load on a test cell: threads that submit jobs at a fixed rate to the
+ * hosts in turn.
+ */
+
+#ifndef LOAD_H
+#define LOAD_H
+
+#include "bench.h"
+
+#define LOAD_THREADS_MAX 8
+
+typedef struct load_job {
+    char key[Fv_KEY_SIZE];
+    const char *member;
+    const char *workload;
+    int host;
+    int64_t sent_us; /* wall clock */
+    int64_t deadline_ms;
+    bool accepted;
+} load_job_t;
+
+/* Fields above the line are set by the caller. */
+typedef struct load {
+    cluster_t *cluster;
+    const char *name;     /* begins the keys; NULL: jobs have no key */
+    const char *workload; /* NULL: a direct call to a worker */
+    int threads;
+    double rate; /* jobs a second over all threads */
+    int64_t duration_ms;
+    int64_t run_low_ms;
+    int64_t run_high_ms;
+    int64_t answer_bytes;
+    int64_t deadline_ms;
+    int hosts; /* the first ones; 0: all */
+    uint64_t seed;
+    /* ---- */
+    samples_t took; /* of calls with status 200 or 202 */
+    int refused;
+    load_job_t *jobs; /* with a key, in the order of submission */
+    size_t job_count;
+    pthread_mutex_t lock;
+    pthread_t handles[LOAD_THREADS_MAX];
+    int64_t started_us;
+    int next_thread;
+} load_t;
+
+void FvLoad_Start(load_t *load);
+void FvLoad_Join(load_t *load);
+void FvLoad_Run(load_t *load);
+void FvLoad_Close(load_t *load);
+
+#endif
