--- a/tests/bench/cell.c
+++ b/tests/bench/cell.c
@@ -6,7 +6,7 @@
 
 #include "caller.h"
 #include "fake-server.h"
-#include "load.h"
+#include "paced-load.h"
 
 #include <signal.h>
 #include <stdlib.h>
@@ -88,23 +88,23 @@
 static int
 fill_cell(cell_t *cell, int jobs, int64_t run_ms)
 {
-    load_t load = {.cluster = &cell->cluster,
-                   .name = "fill",
-                   .workload = "rebuild",
-                   .threads = 8,
-                   .rate = 400,
-                   .duration_ms = jobs * 1000 / 400,
-                   .run_low_ms = run_ms,
-                   .run_high_ms = run_ms,
-                   .answer_bytes = 10,
-                   .seed = CELL_SEED};
+    paced_load_t load = {.cluster = &cell->cluster,
+                         .name = "fill",
+                         .workload = "rebuild",
+                         .threads = 8,
+                         .rate = 400,
+                         .duration_ms = jobs * 1000 / 400,
+                         .run_low_ms = run_ms,
+                         .run_high_ms = run_ms,
+                         .answer_bytes = 10,
+                         .seed = CELL_SEED};
     int running = -1;
     int before;
 
-    FvLoad_Run(&load);
+    FvPacedLoad_Run(&load);
     FvSamples_Report(&load.took, "fill", "claimed submission");
     FvBench_Report("fill", load.refused, "count", "refused");
-    FvLoad_Close(&load);
+    FvPacedLoad_Close(&load);
     do {
         before = running;
         FvFake_SleepMs(500);
@@ -126,23 +126,23 @@
 {
     static const double quantiles[] = {0.5, 0.99, 1};
     static uint64_t round;
-    load_t load = {.cluster = &cell->cluster,
-                   .workload = run->direct ? NULL : "lookup",
-                   .threads = 4,
-                   .rate = 200,
-                   .duration_ms = quick ? 2000 : 6000,
-                   .run_low_ms = 5,
-                   .run_high_ms = 5,
-                   .answer_bytes = 100,
-                   .seed = CELL_SEED + 100 * ++round};
-
-    FvLoad_Run(&load);
+    paced_load_t load = {.cluster = &cell->cluster,
+                         .workload = run->direct ? NULL : "lookup",
+                         .threads = 4,
+                         .rate = 200,
+                         .duration_ms = quick ? 2000 : 6000,
+                         .run_low_ms = 5,
+                         .run_high_ms = 5,
+                         .answer_bytes = 100,
+                         .seed = CELL_SEED + 100 * ++round};
+
+    FvPacedLoad_Run(&load);
     FvSamples_Report(&load.took, "lookup", run->name);
     FvBench_Report("lookup", load.refused, "count", "%s refused", run->name);
     for (int i = 0; i < 3; i++) {
         run->quantiles_us[i] = FvSamples_Quantile(&load.took, quantiles[i]);
     }
-    FvLoad_Close(&load);
+    FvPacedLoad_Close(&load);
 }
 
 static void
@@ -197,7 +197,7 @@
 } waiting_t;
 
 static void
-collect_job(cell_t *cell, const load_job_t *job, waiting_t *waiting)
+collect_job(cell_t *cell, const paced_job_t *job, waiting_t *waiting)
 {
     job_reply_t reply;
 
@@ -220,7 +220,7 @@
 }
 
 static void
-report_jobs(cell_t *cell, const load_t *load)
+report_jobs(cell_t *cell, const paced_load_t *load)
 {
     const char *name = load->name;
     waiting_t waiting = {0};
@@ -252,50 +252,50 @@
 static void
 run_mixed(cell_t *cell, int64_t duration_ms)
 {
-    load_t lookups = {.cluster = &cell->cluster,
-                      .workload = "lookup",
-                      .threads = 3,
-                      .rate = 150,
-                      .run_low_ms = 5,
-                      .run_high_ms = 50,
-                      .answer_bytes = 100,
-                      .seed = CELL_SEED + 1};
-    load_t batch = {.cluster = &cell->cluster,
-                    .name = "deadline",
-                    .workload = "rebuild",
-                    .threads = 4,
-                    .rate = 80,
-                    .run_low_ms = 2000,
-                    .run_high_ms = 4000,
-                    .deadline_ms = 15000,
-                    .answer_bytes = 100,
-                    .seed = CELL_SEED + 100};
-    load_t gangs = {.cluster = &cell->cluster,
-                    .name = "gang",
-                    .workload = "gang",
-                    .threads = 1,
-                    .rate = 8,
-                    .run_low_ms = 500,
-                    .run_high_ms = 1500,
-                    .deadline_ms = 15000,
-                    .answer_bytes = 100,
-                    .seed = CELL_SEED + 200};
+    paced_load_t lookups = {.cluster = &cell->cluster,
+                            .workload = "lookup",
+                            .threads = 3,
+                            .rate = 150,
+                            .run_low_ms = 5,
+                            .run_high_ms = 50,
+                            .answer_bytes = 100,
+                            .seed = CELL_SEED + 1};
+    paced_load_t batch = {.cluster = &cell->cluster,
+                          .name = "deadline",
+                          .workload = "rebuild",
+                          .threads = 4,
+                          .rate = 80,
+                          .run_low_ms = 2000,
+                          .run_high_ms = 4000,
+                          .deadline_ms = 15000,
+                          .answer_bytes = 100,
+                          .seed = CELL_SEED + 100};
+    paced_load_t gangs = {.cluster = &cell->cluster,
+                          .name = "gang",
+                          .workload = "gang",
+                          .threads = 1,
+                          .rate = 8,
+                          .run_low_ms = 500,
+                          .run_high_ms = 1500,
+                          .deadline_ms = 15000,
+                          .answer_bytes = 100,
+                          .seed = CELL_SEED + 200};
 
     lookups.duration_ms = duration_ms;
     batch.duration_ms = duration_ms;
     gangs.duration_ms = duration_ms;
-    FvLoad_Start(&lookups);
-    FvLoad_Start(&batch);
-    FvLoad_Run(&gangs);
-    FvLoad_Join(&batch);
-    FvLoad_Join(&lookups);
+    FvPacedLoad_Start(&lookups);
+    FvPacedLoad_Start(&batch);
+    FvPacedLoad_Run(&gangs);
+    FvPacedLoad_Join(&batch);
+    FvPacedLoad_Join(&lookups);
     FvSamples_Report(&lookups.took, "mixed", "interactive reply all members");
     FvBench_Report("mixed", lookups.refused, "count", "interactive refused");
     report_jobs(cell, &batch);
     report_jobs(cell, &gangs);
-    FvLoad_Close(&lookups);
-    FvLoad_Close(&batch);
-    FvLoad_Close(&gangs);
+    FvPacedLoad_Close(&lookups);
+    FvPacedLoad_Close(&batch);
+    FvPacedLoad_Close(&gangs);
 }
 
 static void
@@ -329,7 +329,7 @@
 
 /* From submission to the worker's record of the first start. */
 static void
-report_starts(cell_t *cell, const load_t *load)
+report_starts(cell_t *cell, const paced_load_t *load)
 {
     samples_t delays;
     records_t records;
@@ -377,43 +377,43 @@
 static void
 lose_host_under_load(cell_t *cell)
 {
-    load_t urgent = {.cluster = &cell->cluster,
-                     .name = "urgent",
-                     .workload = "fit-check",
-                     .threads = 2,
-                     .rate = 20,
-                     .duration_ms = 8000,
-                     .run_low_ms = 20,
-                     .run_high_ms = 20,
-                     .answer_bytes = 10,
-                     .deadline_ms = 30000,
-                     .hosts = cell->cluster.host_count - 1,
-                     .seed = CELL_SEED + 300};
-    load_t lookups = {.cluster = &cell->cluster,
-                      .workload = "lookup",
-                      .threads = 2,
-                      .rate = 50,
-                      .duration_ms = 8000,
-                      .run_low_ms = 5,
-                      .run_high_ms = 5,
-                      .answer_bytes = 10,
-                      .hosts = cell->cluster.host_count - 1,
-                      .seed = CELL_SEED + 400};
+    paced_load_t urgent = {.cluster = &cell->cluster,
+                           .name = "urgent",
+                           .workload = "fit-check",
+                           .threads = 2,
+                           .rate = 20,
+                           .duration_ms = 8000,
+                           .run_low_ms = 20,
+                           .run_high_ms = 20,
+                           .answer_bytes = 10,
+                           .deadline_ms = 30000,
+                           .hosts = cell->cluster.host_count - 1,
+                           .seed = CELL_SEED + 300};
+    paced_load_t lookups = {.cluster = &cell->cluster,
+                            .workload = "lookup",
+                            .threads = 2,
+                            .rate = 50,
+                            .duration_ms = 8000,
+                            .run_low_ms = 5,
+                            .run_high_ms = 5,
+                            .answer_bytes = 10,
+                            .hosts = cell->cluster.host_count - 1,
+                            .seed = CELL_SEED + 400};
 
     FvBench_Report("urgent", fill_cell(cell, 480, 120000), "tasks",
                    "batch tasks running on 48 workers");
-    FvLoad_Start(&urgent);
-    FvLoad_Start(&lookups);
+    FvPacedLoad_Start(&urgent);
+    FvPacedLoad_Start(&lookups);
     FvFake_SleepMs(300);
     lose_host(cell, "48 workers 9 hosts full");
-    FvLoad_Join(&urgent);
-    FvLoad_Join(&lookups);
+    FvPacedLoad_Join(&urgent);
+    FvPacedLoad_Join(&lookups);
     FvFake_SleepMs(SETTLE_MS);
     report_starts(cell, &urgent);
     FvSamples_Report(&lookups.took, "urgent", "lookup reply");
     FvBench_Report("urgent", lookups.refused, "count", "lookups refused");
-    FvLoad_Close(&urgent);
-    FvLoad_Close(&lookups);
+    FvPacedLoad_Close(&urgent);
+    FvPacedLoad_Close(&lookups);
 }
 
 typedef struct first_lookup {
@@ -492,15 +492,15 @@
 static void
 send_across(cell_t *cell, int64_t answer_bytes, double idle_rate)
 {
-    load_t load = {.cluster = &cell->cluster,
-                   .workload = "lookup",
-                   .threads = 2,
-                   .rate = 50,
-                   .duration_ms = 4000,
-                   .run_low_ms = 5,
-                   .run_high_ms = 5,
-                   .hosts = 1,
-                   .seed = CELL_SEED + 500};
+    paced_load_t load = {.cluster = &cell->cluster,
+                         .workload = "lookup",
+                         .threads = 2,
+                         .rate = 50,
+                         .duration_ms = 4000,
+                         .run_low_ms = 5,
+                         .run_high_ms = 5,
+                         .hosts = 1,
+                         .seed = CELL_SEED + 500};
     double routed = FvUsage_RouteBytes(&cell->cluster, ROUTE_PEER);
     double requests;
     usage_t before;
@@ -508,7 +508,7 @@
 
     load.answer_bytes = answer_bytes;
     FvUsage_Read(&cell->cluster, &before);
-    FvLoad_Run(&load);
+    FvPacedLoad_Run(&load);
     FvUsage_Read(&cell->cluster, &used);
     routed = FvUsage_RouteBytes(&cell->cluster, ROUTE_PEER) - routed;
     FvUsage_Subtract(&used, &before);
@@ -525,7 +525,7 @@
     FvBench_Report("regions", used.region_bytes / requests, "B",
                    "accounted per lookup with answers of %lld B",
                    (long long)answer_bytes);
-    FvLoad_Close(&load);
+    FvPacedLoad_Close(&load);
 }
 
 static void
--- a/tests/bench/control.c
+++ b/tests/bench/control.c
@@ -6,7 +6,7 @@
 
 #include "caller.h"
 #include "fake-server.h"
-#include "load.h"
+#include "paced-load.h"
 
 #include <stdlib.h>
 
@@ -136,32 +136,32 @@
 static void
 measure_load(control_t *control, int64_t window_ms)
 {
-    load_t lookups = {.cluster = &control->cluster,
-                      .workload = "lookup",
-                      .threads = 4,
-                      .rate = 200,
-                      .duration_ms = window_ms,
-                      .run_low_ms = 5,
-                      .run_high_ms = 5,
-                      .answer_bytes = 100,
-                      .seed = CONTROL_SEED};
-    load_t batch = {.cluster = &control->cluster,
-                    .name = "batch",
-                    .workload = "rebuild",
-                    .threads = 2,
-                    .rate = 20,
-                    .duration_ms = window_ms,
-                    .run_low_ms = 500,
-                    .run_high_ms = 500,
-                    .answer_bytes = 100,
-                    .seed = CONTROL_SEED + 100};
+    paced_load_t lookups = {.cluster = &control->cluster,
+                            .workload = "lookup",
+                            .threads = 4,
+                            .rate = 200,
+                            .duration_ms = window_ms,
+                            .run_low_ms = 5,
+                            .run_high_ms = 5,
+                            .answer_bytes = 100,
+                            .seed = CONTROL_SEED};
+    paced_load_t batch = {.cluster = &control->cluster,
+                          .name = "batch",
+                          .workload = "rebuild",
+                          .threads = 2,
+                          .rate = 20,
+                          .duration_ms = window_ms,
+                          .run_low_ms = 500,
+                          .run_high_ms = 500,
+                          .answer_bytes = 100,
+                          .seed = CONTROL_SEED + 100};
     usage_t before;
     usage_t used;
 
     FvUsage_Read(&control->cluster, &before);
-    FvLoad_Start(&lookups);
-    FvLoad_Run(&batch);
-    FvLoad_Join(&lookups);
+    FvPacedLoad_Start(&lookups);
+    FvPacedLoad_Run(&batch);
+    FvPacedLoad_Join(&lookups);
     FvUsage_Read(&control->cluster, &used);
     FvUsage_Subtract(&used, &before);
     report_rates(control, "loaded", &used);
@@ -173,8 +173,8 @@
                    "%s loaded claimed jobs", control->name);
     FvBench_Report("control", lookups.refused + batch.refused, "count",
                    "%s loaded refused", control->name);
-    FvLoad_Close(&lookups);
-    FvLoad_Close(&batch);
+    FvPacedLoad_Close(&lookups);
+    FvPacedLoad_Close(&batch);
 }
 
 static bool
--- a/tests/harness/load.c
+++ b/tests/harness/paced-load.c
@@ -2,7 +2,7 @@
  * Paced load on a test cell.
  */
 
-#include "load.h"
+#include "paced-load.h"
 
 #include "caller.h"
 #include "fake-server.h"
@@ -14,7 +14,7 @@
 #define LOAD_PAYLOAD_SIZE 128
 
 typedef struct load_thread {
-    load_t *load;
+    paced_load_t *load;
     int number;
     int64_t call;
     draw_t draw;
@@ -34,7 +34,7 @@
 static int
 choose_host(const load_thread_t *thread)
 {
-    const load_t *load = thread->load;
+    const paced_load_t *load = thread->load;
     int hosts = load->hosts > 0 ? load->hosts : load->cluster->host_count;
 
     return (int)((thread->call * load->threads + thread->number) % hosts);
@@ -43,7 +43,7 @@
 static void
 fill_payload(load_thread_t *thread)
 {
-    const load_t *load = thread->load;
+    const paced_load_t *load = thread->load;
     long long run_ms =
         FvDraw_Between(&thread->draw, load->run_low_ms, load->run_high_ms);
 
@@ -53,11 +53,11 @@
 }
 
 static void
-note_job(load_t *load, const load_job_t *job)
+note_job(paced_load_t *load, const paced_job_t *job)
 {
     pthread_mutex_lock(&load->lock);
     load->jobs =
-        realloc(load->jobs, (load->job_count + 1) * sizeof(load_job_t));
+        realloc(load->jobs, (load->job_count + 1) * sizeof(paced_job_t));
     if (load->jobs == NULL) {
         abort();
     }
@@ -66,7 +66,7 @@
 }
 
 static void
-note_reply(load_t *load, int status, int64_t took_us)
+note_reply(paced_load_t *load, int status, int64_t took_us)
 {
     if (status == 200 || status == 202) {
         FvSamples_Add(&load->took, took_us);
@@ -80,12 +80,12 @@
 static void
 submit_job(load_thread_t *thread)
 {
-    load_t *load = thread->load;
-    load_job_t job = {.member = choose_member(thread),
-                      .workload = load->workload,
-                      .host = choose_host(thread),
-                      .sent_us = FvFake_WallUs(),
-                      .deadline_ms = load->deadline_ms};
+    paced_load_t *load = thread->load;
+    paced_job_t job = {.member = choose_member(thread),
+                       .workload = load->workload,
+                       .host = choose_host(thread),
+                       .sent_us = FvFake_WallUs(),
+                       .deadline_ms = load->deadline_ms};
     submit_t submit = {.member = job.member,
                        .workload = job.workload,
                        .payload = thread->payload,
@@ -166,7 +166,7 @@
 static void *
 run_thread(void *context)
 {
-    load_t *load = context;
+    paced_load_t *load = context;
     load_thread_t thread = {.load = load, .session = FvHttpSession_New()};
     int64_t interval_us = (int64_t)(1e6 * load->threads / load->rate);
     int64_t end_us = load->started_us + load->duration_ms * 1000;
@@ -194,11 +194,11 @@
 }
 
 /**
- * FvLoad_Start - start the threads
- * @load: the load; closed with FvLoad_Close()
+ * FvPacedLoad_Start - start the threads
+ * @load: the load; closed with FvPacedLoad_Close()
  */
 void
-FvLoad_Start(load_t *load)
+FvPacedLoad_Start(paced_load_t *load)
 {
     FvSamples_Open(&load->took);
     pthread_mutex_init(&load->lock, NULL);
@@ -211,11 +211,11 @@
 }
 
 /**
- * FvLoad_Join - wait for the end of the load
+ * FvPacedLoad_Join - wait for the end of the load
  * @load: the load
  */
 void
-FvLoad_Join(load_t *load)
+FvPacedLoad_Join(paced_load_t *load)
 {
     for (int i = 0; i < load->threads; i++) {
         pthread_join(load->handles[i], NULL);
@@ -223,22 +223,22 @@
 }
 
 /**
- * FvLoad_Run - run the load and wait for its end
- * @load: the load; closed with FvLoad_Close()
+ * FvPacedLoad_Run - run the load and wait for its end
+ * @load: the load; closed with FvPacedLoad_Close()
  */
 void
-FvLoad_Run(load_t *load)
+FvPacedLoad_Run(paced_load_t *load)
 {
-    FvLoad_Start(load);
-    FvLoad_Join(load);
+    FvPacedLoad_Start(load);
+    FvPacedLoad_Join(load);
 }
 
 /**
- * FvLoad_Close - release the samples and jobs
+ * FvPacedLoad_Close - release the samples and jobs
  * @load: the load
  */
 void
-FvLoad_Close(load_t *load)
+FvPacedLoad_Close(paced_load_t *load)
 {
     FvSamples_Close(&load->took);
     pthread_mutex_destroy(&load->lock);
--- a/tests/harness/load.h
+++ b/tests/harness/paced-load.h
@@ -3,14 +3,14 @@
  * hosts in turn.
  */
 
-#ifndef LOAD_H
-#define LOAD_H
+#ifndef PACED_LOAD_H
+#define PACED_LOAD_H
 
 #include "bench.h"
 
-#define LOAD_THREADS_MAX 8
+#define PACED_LOAD_THREADS_MAX 8
 
-typedef struct load_job {
+typedef struct paced_job {
     char key[Fv_KEY_SIZE];
     const char *member;
     const char *workload;
@@ -18,10 +18,10 @@
     int64_t sent_us; /* wall clock */
     int64_t deadline_ms;
     bool accepted;
-} load_job_t;
+} paced_job_t;
 
 /* Fields above the line are set by the caller. */
-typedef struct load {
+typedef struct paced_load {
     cluster_t *cluster;
     const char *name;     /* begins the keys; NULL: jobs have no key */
     const char *workload; /* NULL: a direct call to a worker */
@@ -37,17 +37,17 @@
     /* ---- */
     samples_t took; /* of calls with status 200 or 202 */
     int refused;
-    load_job_t *jobs; /* with a key, in the order of submission */
+    paced_job_t *jobs; /* with a key, in the order of submission */
     size_t job_count;
     pthread_mutex_t lock;
-    pthread_t handles[LOAD_THREADS_MAX];
+    pthread_t handles[PACED_LOAD_THREADS_MAX];
     int64_t started_us;
     int next_thread;
-} load_t;
+} paced_load_t;
 
-void FvLoad_Start(load_t *load);
-void FvLoad_Join(load_t *load);
-void FvLoad_Run(load_t *load);
-void FvLoad_Close(load_t *load);
+void FvPacedLoad_Start(paced_load_t *load);
+void FvPacedLoad_Join(paced_load_t *load);
+void FvPacedLoad_Run(paced_load_t *load);
+void FvPacedLoad_Close(paced_load_t *load);
 
 #endif
