--- a/src/daemon.h
+++ b/src/daemon.h
@@ -472,7 +472,11 @@
     fv_timer_t timer;
     bool candidate;    /* this host should hold the lease */
     bool call_pending; /* a lease call is outstanding */
-    int64_t sent_ns;   /* boot time before the lease call was sent */
+    /* The last lease call was in doubt; the worker is probed before the
+     * lease is taken again, because a lost request may still extend it. */
+    bool unanswered;
+    bool probe_pending;
+    int64_t sent_ns; /* boot time before the lease call was sent */
     /* A grant whose answer was lost may hold the lease until then. */
     int64_t maybe_held_until_ns;
     int64_t not_candidate_since_ms;
@@ -494,6 +498,7 @@
     bool list_changed;
     bool draining;
     fv_resources_t total; /* capacity of the workers held */
+    int64_t displaced_ms; /* boot; when a task was last checkpointed */
 };
 
 fv_holder_t *FvHolder_New(fv_daemon_t *daemon);
@@ -520,6 +525,10 @@
 void FvHolder_Release(fv_holder_t *holder, const fv_task_request_t *request);
 void FvHolder_LeaseQuery(fv_holder_t *holder, const fv_task_request_t *request,
                          const fv_reply_to_t *to);
+/* displacement.c */
+void FvDisplacement_MakeRoom(fv_holder_t *holder,
+                             const fv_task_request_t *request);
+
 void FvHolder_TaskEnded(fv_holding_t *holding, const char *task_id);
 void FvHolder_DropWaiters(fv_holding_t *holding);
 
