Refuse early what can't be queued or ever run; end run times; reopen watches

Cause: a stranger who implemented docs/protocol.md found that ran_ms grew after the end, that a canceled store watch was never reopened, that a gang beyond the member's quota waited an hour, that a full queue of a claimed workload was told only after a claim was written, that submissions with a long wait could take all HTTP threads, and that claims were kept for less than the promised 24 h. Change: each as the page says; the job document names the workload; the worker double sends ran_ms with its 202.

--- a/src/api-jobs.c
+++ b/src/api-jobs.c
@@ -174,6 +174,37 @@
     return complete;
 }
 
+static bool
+exceeds(int64_t amount, int32_t tasks, int64_t quota)
+{
+    return quota > 0 && amount > quota / tasks;
+}
+
+/* A quota of 0 means that the resource is not limited. */
+static bool
+exceeds_quota(const fv_ticket_t *ticket, const fv_workload_t *workload)
+{
+    const fv_resources_t *size = &workload->size;
+    const fv_contract_t *contract;
+    bool too_large = false;
+
+    rcu_read_lock();
+    contract = FvConfig_Contract(FvConfig_Read(), ticket->member);
+    if (contract != NULL) {
+        const fv_resources_t *quota = &contract->quota;
+
+        too_large =
+            exceeds(size->cpu_millis, workload->tasks, quota->cpu_millis) ||
+            exceeds(size->memory_bytes, workload->tasks,
+                    quota->memory_bytes) ||
+            exceeds(size->accelerators, workload->tasks,
+                    quota->accelerators) ||
+            exceeds(size->slots, workload->tasks, quota->slots);
+    }
+    rcu_read_unlock();
+    return too_large;
+}
+
 static bool
 check_limits(fv_runner_t *runner, fv_ticket_t *ticket,
              const fv_submission_t *submission)
@@ -188,6 +219,10 @@
             Fv_JOBS_PAYLOAD_TOTAL_BYTES) {
         return refuse(ticket, 429, "not_run", "too many jobs wait here");
     }
+    if (exceeds_quota(ticket, &submission->workload)) {
+        return refuse(ticket, 422, "not_run",
+                      "the tasks together exceed the member's quota");
+    }
     if (!FvCell_CanEverFit(daemon, &submission->workload)) {
         return refuse(ticket, 422, "not_run",
                       "no worker of the cell is large enough for a task of "
@@ -233,6 +268,12 @@
         refuse(ticket, 503, NULL, "no memory");
         return;
     }
+    if (!FvQueue_HasRoom(runner->queues[job->workload.class_id], job)) {
+        FvMetrics_Add(Fv_COUNTER_JOBS_REFUSED, 1);
+        FvJob_Free(job);
+        refuse(ticket, 429, "not_run", "the queue of this workload is full");
+        return;
+    }
     run = FvRunner_Add(runner, job);
     FvRetryBudget_Deposit(&runner->retries);
     if (FvWorkload_NeedsClaim(&job->workload)) {
--- a/src/claim.c
+++ b/src/claim.c
@@ -213,7 +213,12 @@
         "key",      "state",   "outcome",       "reason",
         "attempts", "workers", "answer_length", "answer_base64"};
     json_t *document = json_object();
+    json_t *workload =
+        json_object_get(json_object_get(record, "workload"), "name");
 
+    if (workload != NULL) {
+        json_object_set(document, "workload", workload);
+    }
     for (size_t i = 0; i < sizeof(copied) / sizeof(copied[0]); i++) {
         json_t *value = json_object_get(record, copied[i]);
 
--- a/src/decision.h
+++ b/src/decision.h
@@ -274,6 +274,7 @@
 fv_queue_t *FvQueue_New(const fv_policy_t *policy, uint32_t limit);
 void FvQueue_Free(fv_queue_t *queue);
 fv_queue_error_t FvQueue_Push(fv_queue_t *queue, fv_job_t *job);
+bool FvQueue_HasRoom(fv_queue_t *queue, const fv_job_t *job);
 void FvQueue_Remove(fv_queue_t *queue, fv_job_t *job);
 void FvQueue_BeginPass(fv_queue_t *queue, int64_t now_wall_ms);
 fv_job_t *FvQueue_Next(fv_queue_t *queue, const fv_shares_t *shares);
--- a/src/http-server.c
+++ b/src/http-server.c
@@ -20,6 +20,8 @@
  * CivetWeb thread. */
 #define Fv_BODY_DEPTH_MAX 32
 #define Fv_RETRY_HINT_MS 500
+/* Longer waits count as long polls. */
+#define Fv_SHORT_WAIT_MS 2000
 /* Also bounds the memory for headers: one such buffer for each thread. */
 #define Fv_REQUEST_HEADER_MAX "16384"
 #define Fv_KEEP_ALIVE_MS "5000"
@@ -411,19 +413,37 @@
     FvHttpReply_SendTicket(call->connection, ticket, call->close);
 }
 
+static bool
+waits_long(const fv_ticket_t *ticket)
+{
+    return ticket->wait_ms > 0 ||
+           FvJson_Int(ticket->body, "wait_ms", 0) > Fv_SHORT_WAIT_MS;
+}
+
+/* A submission keeps a short wait: that is enough for a lookup. */
+static void
+shorten_wait(fv_ticket_t *ticket)
+{
+    ticket->wait_ms = 0;
+    if (FvJson_Int(ticket->body, "wait_ms", 0) > Fv_SHORT_WAIT_MS) {
+        json_object_set_new(ticket->body, "wait_ms",
+                            json_integer(Fv_SHORT_WAIT_MS));
+    }
+}
+
 /*
  * At most half of the threads serve long polls. Polls beyond that get the
- * current state at once, so that they cannot delay lookups.
+ * current state at once or soon, so that they cannot delay lookups.
  */
 static void
 run_limited(const fv_http_call_t *call, fv_ticket_t *ticket)
 {
     fv_http_server_t *server = call->server;
-    bool long_poll = ticket->wait_ms > 0;
+    bool long_poll = waits_long(ticket);
 
     if (long_poll &&
         atomic_fetch_add(&server->long_polls, 1) >= server->threads / 2) {
-        ticket->wait_ms = 0;
+        shorten_wait(ticket);
     }
     run_ticket(call, ticket);
     if (long_poll) {
--- a/src/queue.c
+++ b/src/queue.c
@@ -248,6 +248,27 @@
     return Fv_QUEUE_OK;
 }
 
+/**
+ * FvQueue_HasRoom - whether a new job would be queued now
+ * @queue: the queue
+ * @job: the job; not queued yet
+ *
+ * Lets a job be refused before anything is written for it.
+ *
+ * Return: false when a bound is reached.
+ */
+bool
+FvQueue_HasRoom(fv_queue_t *queue, const fv_job_t *job)
+{
+    member_queue_t *member = FvTable_Obtain(
+        &queue->members, job->member, Fv_NAME_SIZE, sizeof(member_queue_t));
+
+    return member != NULL &&
+           check_bounds(queue, member,
+                        workload_counter(member, job->workload.name),
+                        job) == Fv_QUEUE_OK;
+}
+
 /**
  * FvQueue_Push - queue a job
  * @queue: the queue
--- a/src/runner.c
+++ b/src/runner.c
@@ -15,7 +15,8 @@
 #define Fv_RUNNER_KEEP_ENDED_MS (10 * 60 * 1000)
 #define Fv_RUNNER_KEEP_ANSWERS_BYTES (24 * 1024 * 1024)
 #define Fv_RUNNER_KEEP_RUNS 20000
-#define Fv_RUNNER_RETENTION_S (24 * 3600)
+/* Records are kept for at least 24 h: the lease is replaced every hour. */
+#define Fv_RUNNER_RETENTION_S (25 * 3600)
 #define Fv_RUNNER_RETENTION_RENEW_MS (3600 * 1000)
 /* Capacity may come free at any time; longer waits would leave it idle. */
 #define Fv_RUNNER_BACKOFF_MAX_MS 500
@@ -380,6 +381,7 @@
     leave_queue(run);
     FvLoop_CancelTimer(loop, &run->timer);
     FvLoop_CancelTimer(loop, &run->deadline);
+    run->ended_ns = FvClock_NowNs();
     run->job->outcome = outcome;
     run->job->state = Fv_JOB_ENDED;
     drop_payload(run);
@@ -473,7 +475,8 @@
         run->phase == Fv_RUN_ENDING && needs_durable_end(job->outcome);
     int64_t started_ns = job->started_ns ? job->started_ns : FvClock_NowNs();
     json_t *document = json_pack(
-        "{s:s, s:s, s:s, s:s, s:i, s:o, s:I, s:I}", "key", job->key, "state",
+        "{s:s, s:s, s:s, s:s, s:s, s:i, s:o, s:I, s:I}", "key", job->key,
+        "workload", job->workload.name, "state",
         hidden ? "queued" : FvJobState_Name(job->state), "outcome",
         hidden ? "" : FvOutcome_Name(job->outcome), "reason",
         hidden ? "" : job->reason, "attempts", (int)job->attempts, "workers",
@@ -485,9 +488,11 @@
         abort();
     }
     if (job->started_ns != 0) {
+        int64_t until_ns = run->ended_ns ? run->ended_ns : FvClock_NowNs();
+
         json_object_set_new(
             document, "ran_ms",
-            json_integer((FvClock_NowNs() - job->started_ns) / Fv_NS_PER_MS));
+            json_integer((until_ns - job->started_ns) / Fv_NS_PER_MS));
     }
     return document;
 }
--- a/src/runner.h
+++ b/src/runner.h
@@ -83,6 +83,7 @@
     fv_timer_t deadline;
     fv_job_waiter_t *waiters;
     int64_t ended_ms;
+    int64_t ended_ns;          /* boot; when the outcome was decided */
     struct fv_run *ended_next; /* oldest first */
     UT_hash_handle hh;
 };
--- a/src/store.c
+++ b/src/store.c
@@ -462,6 +462,36 @@
     return true;
 }
 
+static void
+retry_watch(void *owner)
+{
+    open_watch(owner);
+}
+
+static void
+schedule_watch(fv_store_t *store)
+{
+    fv_store_watch_t *watch = &store->watch;
+
+    watch->retry.fire = retry_watch;
+    watch->retry.owner = store;
+    FvLoop_SetTimer(store->loop, &watch->retry,
+                    FvClock_NowMs() + Fv_STORE_WATCH_RETRY_MS);
+}
+
+/* The store canceled the watch and may keep its stream open. */
+static void
+reopen_watch(fv_store_t *store)
+{
+    fv_store_watch_t *watch = &store->watch;
+
+    FvLog_Event(Fv_LOG_WARN, "store_watch_canceled", "next_revision=%lld",
+                (long long)watch->next_revision);
+    FvHttpClient_Cancel(store->client, watch->request);
+    watch->open = false;
+    schedule_watch(store);
+}
+
 static void
 handle_watch_line(fv_store_t *store, const char *text, size_t length)
 {
@@ -472,7 +502,17 @@
 
     result.revision =
         FvJson_Int(json_object_get(body, "header"), "revision", 0);
-    if (json_array_size(events) > 0) {
+    if (FvJson_Bool(body, "canceled", false) ||
+        json_object_get(line, "error") != NULL) {
+        /* After a compaction the lost changes are read with the head. */
+        int64_t compacted = FvJson_Int(body, "compact_revision", 0);
+
+        if (compacted > store->watch.next_revision) {
+            store->watch.next_revision = compacted;
+        }
+        reopen_watch(store);
+    }
+    else if (json_array_size(events) > 0) {
         if (parse_watch_events(store, events, &result)) {
             store->watch.next_revision = result.revision + 1;
             store->watch.event(store->watch.context, &result);
@@ -508,12 +548,6 @@
     }
 }
 
-static void
-retry_watch(void *owner)
-{
-    open_watch(owner);
-}
-
 static void
 finish_watch(void *context, fv_http_response_t *response)
 {
@@ -524,10 +558,7 @@
     watch->open = false;
     FvBuffer_Clear(&watch->line);
     if (watch->wanted) {
-        watch->retry.fire = retry_watch;
-        watch->retry.owner = store;
-        FvLoop_SetTimer(store->loop, &watch->retry,
-                        FvClock_NowMs() + Fv_STORE_WATCH_RETRY_MS);
+        schedule_watch(store);
     }
 }
 
@@ -556,6 +587,7 @@
     json_decref(body);
     snprintf(request.url, sizeof(request.url), "%s/v3/watch", store->url);
     FvMetrics_Add(Fv_COUNTER_STORE_WATCHES, 1);
+    FvBuffer_Clear(&watch->line);
     watch->open = true;
     watch->request = FvHttpClient_Send(store->client, &request);
 }
--- a/tests/fakes/fake-worker.c
+++ b/tests/fakes/fake-worker.c
@@ -133,7 +133,8 @@
 
     if (result->state == MODEL_RUNNING) {
         FvFake_ReplyJson(call->request, 202,
-                         json_pack("{s:s}", "state", "running"));
+                         json_pack("{s:s, s:I}", "state", "running", "ran_ms",
+                                   (json_int_t)result->ran_ms));
         return;
     }
     snprintf(headers, sizeof(headers),
