--- a/tests/promises/bad_input.c
+++ b/tests/promises/bad_input.c
@@ -433,7 +433,7 @@
     int status;
 
     memset(body, ' ', length);
-    memcpy(body, "{", 1);
+    body[0] = '{';
     status = post(2, body, length, "intruder-big");
     /* The host may close while the rest is still being sent. */
     CU_ASSERT_TRUE(status == 413 || status == 0);
