--- a/src/holder-tasks.c
+++ b/src/holder-tasks.c
@@ -71,6 +71,7 @@
     *task = (fv_task_t){
         .class_id = request->class_id,
         .state = state,
+        .repeatable = !request->send_once,
         .size = request->size,
     };
     FvText_Copy(task->id, sizeof(task->id), id);
@@ -87,14 +88,18 @@
                               &request->size, request->id, FvClock_NowMs());
 }
 
+/* Room for work that may displace other work comes free a little later; the
+ * caller asks again. */
 static fv_refusal_t
-why_no_worker(const fv_holder_t *holder, const fv_task_request_t *request)
+why_no_worker(fv_holder_t *holder, const fv_task_request_t *request)
 {
     const fv_policy_t *policy = FvPolicy_ForClass(request->class_id);
 
-    return FvPlacement_CanEverFit(holder->placement, policy, &request->size)
-               ? Fv_REFUSAL_NO_CAPACITY
-               : Fv_REFUSAL_NEVER_FITS;
+    if (!FvPlacement_CanEverFit(holder->placement, policy, &request->size)) {
+        return Fv_REFUSAL_NEVER_FITS;
+    }
+    FvDisplacement_MakeRoom(holder, request);
+    return Fv_REFUSAL_NO_CAPACITY;
 }
 
 static bool
@@ -396,6 +401,7 @@
     fv_refusal_t refusal = Fv_REFUSAL_DRAINING;
     int64_t not_after_ns = INT64_MAX;
     fv_holding_t *holding = NULL;
+    fv_task_request_t start = *request;
     fv_worker_t *worker;
     fv_worker_call_t *call;
 
@@ -426,7 +432,9 @@
         FvQuarantine_Started(&worker->quarantine, FvClock_NowMs());
     }
     FvMetrics_Add(Fv_COUNTER_STARTS, 1);
-    upstream->type->start(upstream, worker, request, not_after_ns,
+    /* The home may have learned another size since the reservation. */
+    start.size = FvWorker_FindTask(worker, request->id)->size;
+    upstream->type->start(upstream, worker, &start, not_after_ns,
                           receive_start, call);
 }
 
@@ -662,12 +670,17 @@
     fv_holding_t *holding = FvHolder_Find(holder, request->worker);
     fv_message_t message = {.type = Fv_MESSAGE_LEASE_STATE};
     int64_t now_ns = FvClock_NowNs();
-    int64_t free_since_ns = 0;
+    /* A former incarnation of this host may have renewed until it ended. */
+    int64_t free_since_ns =
+        (holder->daemon->started_ms + holder->daemon->settings.lease_ttl_ms) *
+        Fv_NS_PER_MS;
 
     if (holding != NULL) {
         const fv_lease_t *lease = &holding->worker->lease;
 
-        free_since_ns = lease->last_expiry_ns;
+        if (lease->last_expiry_ns > free_since_ns) {
+            free_since_ns = lease->last_expiry_ns;
+        }
         if (holding->maybe_held_until_ns > free_since_ns) {
             free_since_ns = holding->maybe_held_until_ns;
         }
--- a/src/serve.c
+++ b/src/serve.c
@@ -206,6 +206,9 @@
 free_parts(fv_daemon_t *daemon)
 {
     FvLink_Free(daemon->link);
+    if (daemon->loop != NULL) {
+        FvLoop_Clear(daemon->loop);
+    }
     FvRunner_Free(daemon->runner);
     FvHttpServer_Free(daemon->server);
     FvConfigurator_Free(daemon->configurator);
@@ -284,6 +287,7 @@
     block_signals(&signals);
     rcu_register_thread();
     daemon->settings = *settings;
+    daemon->started_ms = FvClock_NowMs();
     FvText_RandomHex(daemon->incarnation, sizeof(daemon->incarnation));
     if (FvLog_Open(settings->log_level, settings->host) != 0) {
         goto unregister;
