Test that a job that is not idempotent starts at most once

Hosts are killed, restarted or frozen at drawn moments, the store fails or loses answers, workers lose answers or restart and forget. Every job is sent to two hosts and retried with its key.

The worker doubles get fewer threads: twice of eight runs the program ended with SIGABRT while its 10 cells with 512 threads per double were opened.

--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -48,6 +48,7 @@
     int lease_ttl_ms;
     int lease_renew_ms;
     int http_threads;
+    int rack_threads; /* of each worker double */
     int queue_limit;
     int drain_timeout_ms;
     const char *log_level;
--- a/tests/harness/promise.c
+++ b/tests/harness/promise.c
@@ -23,6 +23,9 @@
 #define PROMISE_MEMORY_BYTES (INT64_C(64) << 30)
 #define PROMISE_SLOTS 8
 #define PROMISE_CONNECTIONS 64
+/* Room for all connections of two workers; the default of 512 in each of 30
+ * processes is more threads than a machine shared with other runs grants. */
+#define PROMISE_RACK_THREADS 160
 
 const topology_t promise_topology = {
     .sites = promise_sites,
@@ -35,6 +38,7 @@
                  .memory_bytes = PROMISE_MEMORY_BYTES,
                  .slots = PROMISE_SLOTS},
     .connections = PROMISE_CONNECTIONS,
+    .rack_threads = PROMISE_RACK_THREADS,
 };
 
 /**
@@ -387,14 +391,32 @@
     }
 }
 
+/* Shows that a case was not idle. */
+static void
+print_summary(const promise_t *promise)
+{
+    int told[5] = {0};
+
+    for (int i = 0; i < promise->caller_count; i++) {
+        for (unsigned bit = 0; bit < 5; bit++) {
+            told[bit] += (promise->callers[i].told >> bit) & 1U;
+        }
+    }
+    printf("%s: seed %llu, %d callers: %d done, %d failed, %d cancelled, "
+           "%d not_run, %d unknown\n",
+           promise->test->name, (unsigned long long)promise->draw.seed,
+           promise->caller_count, told[0], told[1], told[2], told[3], told[4]);
+}
+
 static void
 close_promise(promise_t *promise)
 {
     if (promise->opened) {
         pthread_join(promise->thread, NULL);
     }
+    print_summary(promise);
     if (promise->failure_count > 0) {
-        printf("\nfailed: seed %llu, case \"%s\", files %s\n",
+        printf("failed: seed %llu, case \"%s\", files %s\n",
                (unsigned long long)promise->draw.seed, promise->test->name,
                promise->cluster.directory);
     }
--- a/tests/promises/exclusive.c
+++ b/tests/promises/exclusive.c
@@ -110,7 +110,7 @@
 static void
 run_host_loss(promise_t *promise, void (*lose)(promise_t *promise, int host))
 {
-    promise_place_t places[16];
+    promise_place_t places[16] = {0};
 
     if (start_jobs(promise, places)) {
         FvFake_SleepMs(FvDraw_Between(&promise->draw, 0, 500));
