Start the chaos callers when they are due

A thread for each of some 350 callers from the start, in three cells at once, met the machine's limit of threads; now a few dozen are alive at a time.

--- a/tests/harness/chaos-load.c
+++ b/tests/harness/chaos-load.c
@@ -16,6 +16,8 @@
 #define LONG_ANSWER_REPEATS 4000
 #define ANSWER_PAUSE_MS 200
 #define WAVE_REACH_MS 4000
+/* Longer than the offset of a job's second caller. */
+#define START_LEAD_MS 500
 
 typedef struct job_kind {
     const char *workload;
@@ -31,6 +33,16 @@
     {"gang", 15, 200, 1500, 4},
 };
 
+static void
+sleep_until(const chaos_t *chaos, int64_t at_ms)
+{
+    int64_t rest_ms = at_ms - FvChaos_ElapsedMs(chaos);
+
+    if (rest_ms > 0) {
+        FvFake_SleepMs(rest_ms);
+    }
+}
+
 static char *
 repeat_text(const char *text, int count)
 {
@@ -100,7 +112,6 @@
     job->caller->submit.payload = NULL;
     job->caller->submit.member = member;
     job->caller->submit.raw = one_in(&chaos->promise->draw, 3);
-    job->caller->limit_ms = chaos->limit_ms;
     return job;
 }
 
@@ -112,7 +123,8 @@
     chaos_t *chaos = job->chaos;
     draw_t *draw = &chaos->promise->draw;
 
-    job->caller->after_ms = after_ms;
+    job->after_ms = after_ms;
+    job->caller->limit_ms = chaos->limit_ms - after_ms;
     if (one_in(draw, 4)) {
         job->caller->attempt_ms = FvDraw_Between(draw, 50, 800);
     }
@@ -208,6 +220,7 @@
     caller_t *caller = job->caller;
     const job_reply_t *reply = &caller->reply;
 
+    sleep_until(job->chaos, job->after_ms);
     FvCaller_Run(caller);
     if (strcmp(reply->outcome, "done") != 0) {
         return NULL;
@@ -242,7 +255,7 @@
 {
     chaos_job_t *job = context;
 
-    FvFake_SleepMs(job->cancel_after_ms);
+    sleep_until(job->chaos, job->cancel_after_ms);
     cancel_at(job, job->cancel_host);
     return NULL;
 }
@@ -278,9 +291,8 @@
         chaos_job_t *job = &chaos->jobs[i];
         chaos_wave_cancel_t *cancel = &chaos->wave[chaos->wave_count];
 
-        if (chaos->wave_count == CHAOS_WAVE ||
-            job->caller->after_ms > now_ms ||
-            job->caller->after_ms < now_ms - WAVE_REACH_MS) {
+        if (chaos->wave_count == CHAOS_WAVE || job->after_ms > now_ms ||
+            job->after_ms < now_ms - WAVE_REACH_MS) {
             continue;
         }
         cancel->job = job;
@@ -349,22 +361,33 @@
     return NULL;
 }
 
-/**
- * FvChaos_StartLoad - start all callers
- * @chaos: the run, with its load planned
- */
-void
-FvChaos_StartLoad(chaos_t *chaos)
+/* A thread for each caller from the start would be several hundred. */
+static void *
+run_starter(void *context)
 {
-    chaos->began_ms = FvClock_NowMs();
+    chaos_t *chaos = context;
+
     for (int i = 0; i < chaos->job_count; i++) {
         chaos_job_t *job = &chaos->jobs[i];
 
+        sleep_until(chaos, job->after_ms - START_LEAD_MS);
         start_thread(&job->caller->thread, run_job, job);
         if (job->cancel_after_ms > 0) {
             start_thread(&job->cancel_thread, run_cancel, job);
         }
     }
+    return NULL;
+}
+
+/**
+ * FvChaos_StartLoad - start all callers
+ * @chaos: the run, with its load planned
+ */
+void
+FvChaos_StartLoad(chaos_t *chaos)
+{
+    chaos->began_ms = FvClock_NowMs();
+    start_thread(&chaos->starter, run_starter, chaos);
     for (int i = 0; i < CHAOS_LOOKUP_THREADS; i++) {
         chaos_lookup_thread_t *thread = &chaos->lookups[i];
 
@@ -386,6 +409,7 @@
 FvChaos_JoinLoad(chaos_t *chaos)
 {
     atomic_store(&chaos->load_over, true);
+    pthread_join(chaos->starter, NULL);
     for (int i = 0; i < CHAOS_LOOKUP_THREADS; i++) {
         pthread_join(chaos->lookups[i].thread, NULL);
     }
--- a/tests/harness/chaos.h
+++ b/tests/harness/chaos.h
@@ -59,6 +59,7 @@
     chaos_t *chaos;
     caller_t *caller;
     char *answer;            /* expected */
+    int64_t after_ms;        /* of the first call */
     int64_t cancel_after_ms; /* 0: never */
     int cancel_host;
     pthread_t cancel_thread;
@@ -110,6 +111,7 @@
     fault_round_t rounds[CHAOS_ROUNDS];
     chaos_job_t jobs[CHAOS_JOBS_MAX];
     int job_count;
+    pthread_t starter; /* of the jobs' threads */
     chaos_lookup_thread_t lookups[CHAOS_LOOKUP_THREADS];
     chaos_operator_t operators[CHAOS_OPERATORS];
     chaos_wave_cancel_t wave[CHAOS_WAVE];
--- a/tests/promises/chaos.c
+++ b/tests/promises/chaos.c
@@ -21,8 +21,10 @@
 #define CONFIG_LIMIT_MS 12000
 /* The cell has settled; a status needs no more than a read of the store. */
 #define STATUS_LIMIT_MS 500
-#define STATUS_FAILURES_MAX 5
+#define STATUS_FAILURES_MAX 2
 #define WATCH_PAUSE_MS 200
+/* Enough for the callers that wait at one host, while another is down. */
+#define HTTP_THREADS 48
 #define LEAVING_LIMIT_US INT64_C(3000000)
 #define SHUTDOWN_LIMIT_MS 15000
 #define SHUTDOWN_RUN_MS 800
@@ -470,6 +472,7 @@
     test->topology.site_count = sizeof(sites) / sizeof(sites[0]);
     test->topology.region_delay_ms = 20;
     test->topology.caller_delay_ms = 3;
+    test->topology.http_threads = HTTP_THREADS;
     test->topology.no_fencing = seed % 2 != 0;
     test->topology.list_lag_ms = 300 + (int)(seed % 4) * 300;
     test->run = run_chaos;
