--- a/src/holder-tasks.c
+++ b/src/holder-tasks.c
@@ -401,7 +401,7 @@
     fv_refusal_t refusal = Fv_REFUSAL_DRAINING;
     int64_t not_after_ns = INT64_MAX;
     fv_holding_t *holding = NULL;
-    fv_task_request_t sized = *request;
+    fv_task_request_t start = *request;
     fv_worker_t *worker;
     fv_worker_call_t *call;
 
@@ -432,44 +432,12 @@
         FvQuarantine_Started(&worker->quarantine, FvClock_NowMs());
     }
     FvMetrics_Add(Fv_COUNTER_STARTS, 1);
-    /* The home's estimate may have grown since the reservation. */
-    sized.size = FvWorker_FindTask(worker, request->id)->size;
-    upstream->type->start(upstream, worker, &sized, not_after_ns,
+    /* The home may have learned another size since the reservation. */
+    start.size = FvWorker_FindTask(worker, request->id)->size;
+    upstream->type->start(upstream, worker, &start, not_after_ns,
                           receive_start, call);
 }
 
-static void
-receive_answer(void *context, fv_upstream_error_t error,
-               fv_task_reply_t *reply)
-{
-    fv_worker_call_t *call = context;
-
-    if (error != Fv_UPSTREAM_OK) {
-        reply_refusal(call->holder, &call->to, call->task_id,
-                      Fv_REFUSAL_IN_DOUBT);
-        free(call);
-        return;
-    }
-    reply->ran_ms = call->state.ran_ms;
-    reply->used = call->state.used;
-    FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
-    reply_task(call->holder, &call->to, reply);
-    reply->answer = NULL;
-    free(call);
-}
-
-/* Stops and queries tell only the state of a task that has ended. */
-static void
-fetch_answer(fv_worker_call_t *call, const fv_task_reply_t *reply)
-{
-    fv_upstream_t *upstream = call->holder->daemon->upstream;
-
-    call->state = *reply;
-    call->state.answer = NULL;
-    upstream->type->answer(upstream, call->base_url, call->task_id,
-                           receive_answer, call);
-}
-
 static void
 receive_stop(void *context, fv_upstream_error_t error, fv_task_reply_t *reply)
 {
@@ -485,10 +453,6 @@
         remove_entry(call);
         FvRunner_Wake(call->holder->daemon->runner);
     }
-    if (reply->state == Fv_TASK_DONE) {
-        fetch_answer(call, reply);
-        return;
-    }
     FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
     reply_task(call->holder, &call->to, reply);
     reply->answer = NULL;
@@ -519,10 +483,31 @@
         new_worker_call(holder, holding->worker, request->id, to));
 }
 
+static void
+receive_answer(void *context, fv_upstream_error_t error,
+               fv_task_reply_t *reply)
+{
+    fv_worker_call_t *call = context;
+
+    if (error != Fv_UPSTREAM_OK) {
+        reply_refusal(call->holder, &call->to, call->task_id,
+                      Fv_REFUSAL_IN_DOUBT);
+        free(call);
+        return;
+    }
+    reply->ran_ms = call->state.ran_ms;
+    reply->used = call->state.used;
+    FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
+    reply_task(call->holder, &call->to, reply);
+    reply->answer = NULL;
+    free(call);
+}
+
 static void
 receive_query(void *context, fv_upstream_error_t error, fv_task_reply_t *reply)
 {
     fv_worker_call_t *call = context;
+    fv_upstream_t *upstream = call->holder->daemon->upstream;
 
     if (error != Fv_UPSTREAM_OK) {
         reply_refusal(call->holder, &call->to, call->task_id,
@@ -531,7 +516,10 @@
         return;
     }
     if (reply->state == Fv_TASK_DONE || reply->state == Fv_TASK_FAILED) {
-        fetch_answer(call, reply);
+        call->state = *reply;
+        call->state.answer = NULL;
+        upstream->type->answer(upstream, call->base_url, call->task_id,
+                               receive_answer, call);
         return;
     }
     FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
@@ -682,12 +670,17 @@
     fv_holding_t *holding = FvHolder_Find(holder, request->worker);
     fv_message_t message = {.type = Fv_MESSAGE_LEASE_STATE};
     int64_t now_ns = FvClock_NowNs();
-    int64_t free_since_ns = 0;
+    /* A former incarnation of this host may have renewed until it ended. */
+    int64_t free_since_ns =
+        (holder->daemon->started_ms + holder->daemon->settings.lease_ttl_ms) *
+        Fv_NS_PER_MS;
 
     if (holding != NULL) {
         const fv_lease_t *lease = &holding->worker->lease;
 
-        free_since_ns = lease->last_expiry_ns;
+        if (lease->last_expiry_ns > free_since_ns) {
+            free_since_ns = lease->last_expiry_ns;
+        }
         if (holding->maybe_held_until_ns > free_since_ns) {
             free_since_ns = holding->maybe_held_until_ns;
         }
