Answer callers of claimed jobs with the job document at a stop

Cause: a caller whose claimed job outlasts the drain got a 503, although the job goes on at another host.

--- a/src/runner.c
+++ b/src/runner.c
@@ -610,6 +610,18 @@
     return runner;
 }
 
+/* A claimed job goes on at another host; its callers are told to ask again. */
+static void
+dismiss_ticket(const fv_run_t *run, fv_ticket_t *ticket)
+{
+    if (run->claimed && run->job->state != Fv_JOB_ENDED) {
+        FvTicket_ReplyJson(ticket, 202, FvRun_Describe(run));
+    }
+    else {
+        FvTicket_ReplyProblem(ticket, 503, NULL, 1000, "the host is stopping");
+    }
+}
+
 static void
 free_waiters(fv_run_t *run)
 {
@@ -619,8 +631,7 @@
         fv_job_waiter_t *next = waiter->next;
 
         if (waiter->ticket != NULL) {
-            FvTicket_ReplyProblem(waiter->ticket, 503, NULL, 1000,
-                                  "the host is stopping");
+            dismiss_ticket(run, waiter->ticket);
         }
         free(waiter);
         waiter = next;
