--- a/src/holder-tasks.c
+++ b/src/holder-tasks.c
@@ -438,6 +438,38 @@
                           receive_start, call);
 }
 
+static void
+receive_answer(void *context, fv_upstream_error_t error,
+               fv_task_reply_t *reply)
+{
+    fv_worker_call_t *call = context;
+
+    if (error != Fv_UPSTREAM_OK) {
+        reply_refusal(call->holder, &call->to, call->task_id,
+                      Fv_REFUSAL_IN_DOUBT);
+        free(call);
+        return;
+    }
+    reply->ran_ms = call->state.ran_ms;
+    reply->used = call->state.used;
+    FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
+    reply_task(call->holder, &call->to, reply);
+    reply->answer = NULL;
+    free(call);
+}
+
+/* Stops and queries tell only the state of a task that has ended. */
+static void
+fetch_answer(fv_worker_call_t *call, const fv_task_reply_t *reply)
+{
+    fv_upstream_t *upstream = call->holder->daemon->upstream;
+
+    call->state = *reply;
+    call->state.answer = NULL;
+    upstream->type->answer(upstream, call->base_url, call->task_id,
+                           receive_answer, call);
+}
+
 static void
 receive_stop(void *context, fv_upstream_error_t error, fv_task_reply_t *reply)
 {
@@ -453,6 +485,10 @@
         remove_entry(call);
         FvRunner_Wake(call->holder->daemon->runner);
     }
+    if (reply->state == Fv_TASK_DONE) {
+        fetch_answer(call, reply);
+        return;
+    }
     FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
     reply_task(call->holder, &call->to, reply);
     reply->answer = NULL;
@@ -483,31 +519,10 @@
         new_worker_call(holder, holding->worker, request->id, to));
 }
 
-static void
-receive_answer(void *context, fv_upstream_error_t error,
-               fv_task_reply_t *reply)
-{
-    fv_worker_call_t *call = context;
-
-    if (error != Fv_UPSTREAM_OK) {
-        reply_refusal(call->holder, &call->to, call->task_id,
-                      Fv_REFUSAL_IN_DOUBT);
-        free(call);
-        return;
-    }
-    reply->ran_ms = call->state.ran_ms;
-    reply->used = call->state.used;
-    FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
-    reply_task(call->holder, &call->to, reply);
-    reply->answer = NULL;
-    free(call);
-}
-
 static void
 receive_query(void *context, fv_upstream_error_t error, fv_task_reply_t *reply)
 {
     fv_worker_call_t *call = context;
-    fv_upstream_t *upstream = call->holder->daemon->upstream;
 
     if (error != Fv_UPSTREAM_OK) {
         reply_refusal(call->holder, &call->to, call->task_id,
@@ -516,10 +531,7 @@
         return;
     }
     if (reply->state == Fv_TASK_DONE || reply->state == Fv_TASK_FAILED) {
-        call->state = *reply;
-        call->state.answer = NULL;
-        upstream->type->answer(upstream, call->base_url, call->task_id,
-                               receive_answer, call);
+        fetch_answer(call, reply);
         return;
     }
     FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
