Keep the declared size of tasks that use exactly what they declare

Cause: one observation set the deviation of the processor estimate to half its value, so a rebuild that used its declared 4,000 millis was reserved with 8,000 from its second run on. Ruled out: the worker double's usage, which was 4,000. Change: the first observation of a size has no deviation; run times keep it.

--- a/src/estimate.c
+++ b/src/estimate.c
@@ -121,14 +121,15 @@
 
 /* Takes in the count-th observation; the first one sets the mean. */
 static void
-track(tracker_t *tracker, int64_t count, int64_t value)
+track(tracker_t *tracker, int64_t count, int64_t value,
+      int64_t first_deviation)
 {
     int64_t weight = count < SMOOTHING ? count : SMOOTHING;
     int64_t distance;
 
     if (count <= 1) {
         tracker->mean = value;
-        tracker->deviation = value / 2;
+        tracker->deviation = first_deviation;
         return;
     }
     value = clamp(value, 0, OUTLIER_FACTOR * high_value(tracker) + 1);
@@ -153,7 +154,9 @@
     int64_t *peak = &estimate->memory_peak_bytes;
 
     count_observation(&estimate->size_count);
-    track(&estimate->cpu_millis, estimate->size_count, cpu);
+    /* A job that uses what it declares must not be given more: one value
+       says nothing of its spread, and the declared size stays the floor. */
+    track(&estimate->cpu_millis, estimate->size_count, cpu, 0);
     *peak = memory > *peak ? memory : *peak - (*peak - memory) / PEAK_DECAY;
 }
 
@@ -181,8 +184,8 @@
     }
     if (run_ms > 0) {
         count_observation(&estimate->run_count);
-        track(&estimate->run_ms, estimate->run_count,
-              clamp(run_ms, 1, VALUE_MAX));
+        run_ms = clamp(run_ms, 1, VALUE_MAX);
+        track(&estimate->run_ms, estimate->run_count, run_ms, run_ms / 2);
     }
     if (used != NULL && used->cpu_millis > 0 && used->memory_bytes > 0) {
         observe_size(estimate, used);
--- a/tests/unit/estimate_test.c
+++ b/tests/unit/estimate_test.c
@@ -138,10 +138,27 @@
     FvEstimates_Free(estimates);
 }
 
+static void
+test_exact_use_keeps_size(void)
+{
+    fv_workload_t workload = declared(1000, 4000, Fv_GIB);
+    fv_resources_t used = {.cpu_millis = 4000, .memory_bytes = Fv_GIB};
+    fv_resources_t size;
+
+    estimates = FvEstimates_New();
+    for (int i = 0; i < 20; i++) {
+        FvEstimates_Observe(estimates, "m", "w", 1000, &used);
+        FvEstimates_Size(estimates, "m", &workload, &size);
+        CU_ASSERT_EQUAL(size.cpu_millis, 4000);
+    }
+    FvEstimates_Free(estimates);
+}
+
 int
 main(void)
 {
     static const test_case_t cases[] = {
+        {"exact use is taken for a larger size", test_exact_use_keeps_size},
         {"a declaration off 10x or one hung task distorts the run time",
          test_run_time_off_tenfold},
         {"a size is corrected too early or never", test_size_needs_evidence},
