Tighten the limits of the exclusive test to the new lapse proof

Change: lease 3 s, 3.8 s of proof, 2.5 s of asking; a silent worker 4.5 s more; the design page states the rule.

--- a/tests/promises/exclusive.c
+++ b/tests/promises/exclusive.c
@@ -22,17 +22,16 @@
 #define ABSENCE_MS 10000
 /* The worker's own stop: lease of 3 s and 2 s without a holder. */
 #define STOP_LIMIT_MS 6500
-/* Section 8 of the design: the last holder's lease ends after 3 s, then lease
- * time, 2,000 ms and 300 ms pass, and the home asks about every second. */
-#define RERUN_LIMIT_MS (3000 + 5300 + 2500)
+/* Section 8 of the design: the last holder's lease ends after 3 s, then
+ * 3,800 ms pass, and the home asks about every second. */
+#define RERUN_LIMIT_MS (3000 + 3800 + 2500)
 /* The list drops the home, a silence of 6 s proves it gone, its successor
  * reads its claims every 2 s and waits 2,300 ms for its reservations to
  * expire. */
 #define TAKEOVER_LIMIT_MS (LIST_LAG_MS + 6000 + 2000 + 2300 + RERUN_LIMIT_MS)
 /* A lease call whose answer is lost may have been granted up to its own time
- * limit of 1.5 s after the expiry, for another 3 s; and each of the two rounds
- * of questions first waits for a query with the same time limit. */
-#define RERUN_SILENT_LIMIT_MS (RERUN_LIMIT_MS + 1500 + 3000 + 2 * 1500)
+ * limit of 1.5 s after the expiry, for another 3 s. */
+#define RERUN_SILENT_LIMIT_MS (RERUN_LIMIT_MS + 1500 + 3000)
 
 /* Two rebuilds and a gang from each host; returns when all have started. */
 static bool
