Give an accepted link its idle limit when the handshake ends

Cause: an accepted connection kept the 2 s limit of the handshake until its first digest, and digests to other regions come every 2 s; links between regions went down about 1.9 s after they came up (seen in logs of the paired faults test). Read from the code and the logs, not proven by a test.

--- a/src/link.c
+++ b/src/link.c
@@ -262,6 +262,7 @@
     }
     FvText_Copy(connection->host, sizeof(connection->host), hello->host);
     connection->state = Fv_CONNECTION_READY;
+    connection->deadline_ms = FvClock_NowMs() + Fv_LINK_IDLE_MS;
     return FvConnection_Queue(connection, &message);
 }
 
