Call a job not_run when its doubtful start turned out never to have happened

Cause: a start in doubt marked the job as having run, so a job whose task was then found never started ended as failed at its deadline instead of not_run.

--- a/src/runner-watch.c
+++ b/src/runner-watch.c
@@ -379,7 +379,6 @@
     }
     if (reply->refusal == Fv_REFUSAL_IN_DOUBT) {
         task->state = Fv_TASK_UNKNOWN;
-        run->ever_ran = true;
         if (!FvWorkload_NeedsClaim(&run->job->workload)) {
             /* A lookup is safe to ask again elsewhere. */
             task->state = Fv_TASK_STOPPED;
@@ -394,7 +393,6 @@
         FvRun_Settle(run);
         return;
     }
-    run->ever_ran |= reply->state != Fv_TASK_NEVER_STARTED;
     task->doubt_since_ms = 0;
     switch (reply->state) {
     case Fv_TASK_DONE:
@@ -546,6 +544,7 @@
     const fv_job_t *job = run->job;
     bool nothing_ran = tally->never == run->task_count;
 
+    run->ever_ran |= !nothing_ran;
     if (tally->done == run->task_count) {
         end_done(run);
     }
