Look at waiting lookups every 20 ms; share the ends of worker calls

Change: while interactive jobs wait, the queues are looked at every 20 ms; finish_with, finish_in_doubt and take_definite_reply.

--- a/src/holder-tasks.c
+++ b/src/holder-tasks.c
@@ -195,6 +195,23 @@
     return call;
 }
 
+/* Passes the worker's reply on, with its answer, and releases the call. */
+static void
+finish_with(fv_worker_call_t *call, fv_task_reply_t *reply)
+{
+    FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
+    reply_task(call->holder, &call->to, reply);
+    reply->answer = NULL;
+    free(call);
+}
+
+static void
+finish_in_doubt(fv_worker_call_t *call)
+{
+    reply_refusal(call->holder, &call->to, call->task_id, Fv_REFUSAL_IN_DOUBT);
+    free(call);
+}
+
 static fv_task_t *
 find_entry(const fv_worker_call_t *call, fv_holding_t **holding)
 {
@@ -303,10 +320,7 @@
     else if (entry != NULL) {
         entry->state = Fv_TASK_RUNNING;
     }
-    FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
-    reply_task(call->holder, &call->to, reply);
-    reply->answer = NULL;
-    free(call);
+    finish_with(call, reply);
 }
 
 static void
@@ -445,17 +459,12 @@
     fv_worker_call_t *call = context;
 
     if (error != Fv_UPSTREAM_OK) {
-        reply_refusal(call->holder, &call->to, call->task_id,
-                      Fv_REFUSAL_IN_DOUBT);
-        free(call);
+        finish_in_doubt(call);
         return;
     }
     reply->ran_ms = call->state.ran_ms;
     reply->used = call->state.used;
-    FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
-    reply_task(call->holder, &call->to, reply);
-    reply->answer = NULL;
-    free(call);
+    finish_with(call, reply);
 }
 
 /* Stops and queries tell only the state of a task that has ended. */
@@ -476,9 +485,7 @@
     fv_worker_call_t *call = context;
 
     if (error != Fv_UPSTREAM_OK) {
-        reply_refusal(call->holder, &call->to, call->task_id,
-                      Fv_REFUSAL_IN_DOUBT);
-        free(call);
+        finish_in_doubt(call);
         return;
     }
     if (FvTaskState_Ended(reply->state)) {
@@ -489,10 +496,7 @@
         fetch_answer(call, reply);
         return;
     }
-    FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
-    reply_task(call->holder, &call->to, reply);
-    reply->answer = NULL;
-    free(call);
+    finish_with(call, reply);
 }
 
 /**
@@ -525,19 +529,14 @@
     fv_worker_call_t *call = context;
 
     if (error != Fv_UPSTREAM_OK) {
-        reply_refusal(call->holder, &call->to, call->task_id,
-                      Fv_REFUSAL_IN_DOUBT);
-        free(call);
+        finish_in_doubt(call);
         return;
     }
     if (reply->state == Fv_TASK_DONE || reply->state == Fv_TASK_FAILED) {
         fetch_answer(call, reply);
         return;
     }
-    FvText_Copy(reply->worker, sizeof(reply->worker), call->worker);
-    reply_task(call->holder, &call->to, reply);
-    reply->answer = NULL;
-    free(call);
+    finish_with(call, reply);
 }
 
 static void
--- a/src/runner-start.c
+++ b/src/runner-start.c
@@ -13,6 +13,8 @@
 #define Fv_DISPATCH_STARTS_MAX 128
 #define Fv_DISPATCH_SKIPS_MAX 32
 #define Fv_DISPATCH_HOSTS_MAX 8
+/* Below the 50 ms after which interactive work may cross regions. */
+#define Fv_DISPATCH_POLL_MS 20
 #define Fv_START_HOPS_MAX 4
 #define Fv_RESERVE_TIMEOUT_MS 1000
 /* A lookup is answered in its start; batch tasks only when they are short. */
@@ -492,4 +494,9 @@
     if (more) {
         FvRunner_Wake(runner);
     }
+    else if (FvQueue_Count(runner->queues[Fv_CLASS_INTERACTIVE]) > 0) {
+        /* Someone waits: time alone may open the way to another region. */
+        FvLoop_SetTimer(runner->daemon->loop, &runner->dispatch,
+                        FvClock_NowMs() + Fv_DISPATCH_POLL_MS);
+    }
 }
--- a/src/runner-watch.c
+++ b/src/runner-watch.c
@@ -263,17 +263,31 @@
     FvRun_ResolveLater(run, index);
 }
 
+/* The run whose open task a definite reply is about; a reply that tells
+ * nothing is dealt with here. */
+static fv_run_t *
+take_definite_reply(fv_run_ref_t *ref, fv_link_error_t error,
+                    const fv_message_t *message, int32_t *index)
+{
+    fv_run_t *run = take_reply(ref, index);
+
+    if (run == NULL || FvRun_TaskSettled(&run->tasks[*index])) {
+        return NULL;
+    }
+    if (!is_definite(error, message)) {
+        handle_unreachable(run, *index);
+        return NULL;
+    }
+    return run;
+}
+
 static void
 receive_resolution(void *context, fv_link_error_t error, fv_message_t *message)
 {
     int32_t index;
-    fv_run_t *run = take_reply(context, &index);
+    fv_run_t *run = take_definite_reply(context, error, message, &index);
 
-    if (run == NULL || FvRun_TaskSettled(&run->tasks[index])) {
-        return;
-    }
-    if (!is_definite(error, message)) {
-        handle_unreachable(run, index);
+    if (run == NULL) {
         return;
     }
     FvRun_TaskReplied(run, index, &message->body.task_reply);
@@ -285,13 +299,9 @@
 receive_state(void *context, fv_link_error_t error, fv_message_t *message)
 {
     int32_t index;
-    fv_run_t *run = take_reply(context, &index);
+    fv_run_t *run = take_definite_reply(context, error, message, &index);
 
-    if (run == NULL || FvRun_TaskSettled(&run->tasks[index])) {
-        return;
-    }
-    if (!is_definite(error, message)) {
-        handle_unreachable(run, index);
+    if (run == NULL) {
         return;
     }
     if (message->body.task_reply.state == Fv_TASK_NEVER_STARTED) {
--- a/src/runner.c
+++ b/src/runner.c
@@ -504,7 +504,8 @@
 void
 FvRunner_Wake(fv_runner_t *runner)
 {
-    if (runner != NULL && !runner->dispatch.armed) {
+    if (runner != NULL && (!runner->dispatch.armed ||
+                           runner->dispatch.due_ms > FvClock_NowMs())) {
         FvLoop_SetTimer(runner->daemon->loop, &runner->dispatch,
                         FvClock_NowMs());
     }
