Free a probe wherever its reservation ends

Cause: the holder expires reservations by itself and does not take the way of FvWorker_ExpireReservations(), which frees the probe of a quarantined worker; such a worker got no task until the probe was given up after 5 min. Only an explicit release freed it. Found by reading, not by a run of the daemon. Change: FvHolder_RemoveTask() frees the probe of a task that never started; it is on the way of release, expiry and loss of the lease. Result: tests/unit/holder_test fails before and passes after.

--- a/src/holder-tasks.c
+++ b/src/holder-tasks.c
@@ -173,7 +173,6 @@
     }
     task = FvWorker_FindTask(holding->worker, request->id);
     if (task != NULL && task->state == Fv_TASK_RESERVED) {
-        FvQuarantine_Abandoned(&holding->worker->quarantine);
         FvHolder_RemoveTask(holding, task);
     }
 }
--- a/src/holder.c
+++ b/src/holder.c
@@ -94,6 +94,10 @@
 {
     fv_daemon_t *daemon = holding->holder->daemon;
 
+    if (task->state == Fv_TASK_RESERVED) {
+        /* It never started, so it tells nothing of the worker. */
+        FvQuarantine_Abandoned(&holding->worker->quarantine);
+    }
     accrue(holding, task, FvClock_NowMs());
     FvShares_Subtract(daemon->shares, task->member, &task->size);
     FvWorker_RemoveTask(holding->worker, task);
