--- a/Makefile
+++ b/Makefile
@@ -10,24 +10,24 @@
 
 SANITIZE ?=
 SEED ?= 1
-BUILD := build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
 comma := ,
-BUILD := build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
+BUILD ?= build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
 
 CC := gcc
 CXX := g++
-PACKAGES := liburcu msgpack argtable2 log4c libcurl jansson libxxhash libsodium
+PACKAGES := liburcu msgpack argtable2 log4c libcurl jansson libxxhash libsodium \
+            libevent
 WARNINGS := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
             -Wmissing-prototypes -Wno-missing-field-initializers
 SANITIZE_FLAGS := $(if $(SANITIZE),-fsanitize=$(SANITIZE) -fno-omit-frame-pointer)
-CPPFLAGS := -D_GNU_SOURCE -Isrc -Itests/harness $(shell pkg-config --cflags $(PACKAGES))
+CPPFLAGS := -D_GNU_SOURCE -Isrc -Iplatform -Itests/harness $(shell pkg-config --cflags $(PACKAGES))
 CFLAGS := -std=c11 -O2 -g -pthread $(WARNINGS) $(SANITIZE_FLAGS)
 CXXFLAGS := -std=c++17 -O2 -g -Wall -Wextra -Werror $(SANITIZE_FLAGS)
 LDFLAGS := -pthread $(SANITIZE_FLAGS)
 LDLIBS := $(shell pkg-config --libs $(PACKAGES)) -lcivetweb -ltomlplusplus -lstdc++ -lm
 TEST_LDLIBS := $(shell pkg-config --libs cunit)
 
-SOURCES := $(wildcard src/*.c)
+SOURCES := $(wildcard src/*.c platform/*.c)
 CXX_SOURCES := $(wildcard src/*.cc)
 MAIN_OBJECT := $(BUILD)/src/fireflyvalve.o
 OBJECTS := $(SOURCES:%.c=$(BUILD)/%.o) $(CXX_SOURCES:%.cc=$(BUILD)/%.o)
@@ -40,13 +40,16 @@
 UNIT_TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/unit/*.c))
 PROMISE_TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/promises/*.c))
 BENCHES := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/bench/*.c))
-C_FILES := $(wildcard src/*.c tests/*/*.c)
-ALL_FILES := $(C_FILES) $(wildcard src/*.h src/*.cc tests/*/*.h)
+C_FILES := $(wildcard src/*.c platform/*.c tests/*/*.c)
+ALL_FILES := $(C_FILES) $(wildcard src/*.h src/*.cc platform/*.h tests/*/*.h)
 
 .PHONY: all check check-unit check-promises demo bench chaos lint \
         format format-check clean
 .SECONDARY:
 
+.PHONY: binary
+binary: $(BINARY)
+
 all: $(BINARY) $(FAKES) $(UNIT_TESTS) $(PROMISE_TESTS) $(BENCHES)
 
 $(BUILD)/%.o: %.c
@@ -100,7 +103,7 @@
 	    2>$(BUILD)/clang-tidy.log || { cat $(BUILD)/clang-tidy.log; exit 1; }
 	cppcheck --quiet --error-exitcode=1 --enable=warning,portability \
 	    --inline-suppr --suppress=missingIncludeSystem \
-	    --suppress=unknownMacro -j 8 -Isrc -Itests/harness src tests
+	    --suppress=unknownMacro -j 8 -Isrc -Iplatform -Itests/harness src platform tests
 
 format:
 	clang-format -i $(ALL_FILES)
@@ -109,7 +112,7 @@
 	clang-format --dry-run --Werror $(ALL_FILES)
 
 clean:
-	rm -rf build build-*
+	rm -rf build build-* target
 
 -include $(OBJECTS:.o=.d) $(HARNESS:.o=.d) \
     $(wildcard $(BUILD)/tests/*/*.d)
--- /dev/null
+++ b/src/call.c
@@ -0,0 +1,290 @@
+/*
+ * Outgoing HTTP over libevent with pooled connections, one request at a time
+ * on each. A connection that fails or times out is closed; whether its
+ * request was carried out is then unknown.
+ */
+
+#include "entry.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Connections that nothing used for this long are closed; well below the
+ * time after which the platform's balancers drop idle ones. */
+#define Fv_IDLE_CONNECTION_MS 30000
+#define Fv_SWEEP_MS 5000
+#define Fv_CALL_ANSWER_MAX_BYTES (8 * 1024 * 1024)
+
+typedef struct fv_connection_slot {
+    struct evhttp_connection *connection;
+    struct fv_connection_slot *next;
+    bool busy;
+    int64_t used_ms;
+} fv_connection_slot_t;
+
+typedef struct fv_destination {
+    char address[Fv_ADDRESS_SIZE];
+    char ip[Fv_ADDRESS_SIZE];
+    uint16_t port;
+    fv_connection_slot_t *slots;
+    UT_hash_handle hh;
+} fv_destination_t;
+
+struct fv_call_pool {
+    struct event_base *base;
+    struct event *sweep;
+    fv_destination_t *destinations;
+};
+
+typedef struct fv_pending_call {
+    fv_connection_slot_t *slot;
+    fv_call_done_t done;
+    void *context;
+} fv_pending_call_t;
+
+static void
+close_idle(fv_destination_t *destination, int64_t now_ms)
+{
+    fv_connection_slot_t **link = &destination->slots;
+
+    while (*link != NULL) {
+        fv_connection_slot_t *slot = *link;
+
+        if (slot->busy || now_ms - slot->used_ms < Fv_IDLE_CONNECTION_MS) {
+            link = &slot->next;
+            continue;
+        }
+        *link = slot->next;
+        evhttp_connection_free(slot->connection);
+        free(slot);
+    }
+}
+
+static void
+sweep(evutil_socket_t fd, short what, void *context)
+{
+    fv_call_pool_t *pool = context;
+    int64_t now_ms = FvClock_NowMs();
+    fv_destination_t *destination;
+    fv_destination_t *next;
+
+    (void)fd;
+    (void)what;
+    HASH_ITER(hh, pool->destinations, destination, next)
+    {
+        close_idle(destination, now_ms);
+        if (destination->slots == NULL) {
+            HASH_DEL(pool->destinations, destination);
+            free(destination);
+        }
+    }
+}
+
+/**
+ * FvCallPool_New - make an empty pool
+ * @base: the event loop
+ *
+ * Return: the pool, or NULL when memory is exhausted.
+ */
+fv_call_pool_t *
+FvCallPool_New(struct event_base *base)
+{
+    fv_call_pool_t *pool = calloc(1, sizeof(*pool));
+    struct timeval interval = {.tv_sec = Fv_SWEEP_MS / 1000};
+
+    if (pool == NULL) {
+        return NULL;
+    }
+    pool->base = base;
+    pool->sweep = event_new(base, -1, EV_PERSIST, sweep, pool);
+    if (pool->sweep == NULL) {
+        free(pool);
+        return NULL;
+    }
+    event_add(pool->sweep, &interval);
+    return pool;
+}
+
+/**
+ * FvCallPool_Free - close all connections; calls in progress are not answered
+ * @pool: the pool, or NULL
+ */
+void
+FvCallPool_Free(fv_call_pool_t *pool)
+{
+    fv_destination_t *destination;
+    fv_destination_t *next;
+
+    if (pool == NULL) {
+        return;
+    }
+    event_free(pool->sweep);
+    HASH_ITER(hh, pool->destinations, destination, next)
+    {
+        while (destination->slots != NULL) {
+            fv_connection_slot_t *slot = destination->slots;
+
+            destination->slots = slot->next;
+            evhttp_connection_free(slot->connection);
+            free(slot);
+        }
+        HASH_DEL(pool->destinations, destination);
+        free(destination);
+    }
+    free(pool);
+}
+
+static fv_destination_t *
+obtain_destination(fv_call_pool_t *pool, const char *address)
+{
+    fv_destination_t *destination = NULL;
+    const char *colon = strchr(address, ':');
+
+    HASH_FIND_STR(pool->destinations, address, destination);
+    if (destination != NULL || colon == NULL) {
+        return destination;
+    }
+    destination = calloc(1, sizeof(*destination));
+    if (destination == NULL) {
+        return NULL;
+    }
+    FvText_Copy(destination->address, sizeof(destination->address), address);
+    snprintf(destination->ip, sizeof(destination->ip), "%.*s",
+             (int)(colon - address), address);
+    destination->port = (uint16_t)strtoul(colon + 1, NULL, 10);
+    HASH_ADD_STR(pool->destinations, address, destination);
+    return destination;
+}
+
+static fv_connection_slot_t *
+obtain_slot(fv_call_pool_t *pool, fv_destination_t *destination)
+{
+    fv_connection_slot_t *slot;
+
+    for (slot = destination->slots; slot != NULL; slot = slot->next) {
+        if (!slot->busy) {
+            return slot;
+        }
+    }
+    slot = calloc(1, sizeof(*slot));
+    if (slot == NULL) {
+        return NULL;
+    }
+    slot->connection = evhttp_connection_base_new(
+        pool->base, NULL, destination->ip, destination->port);
+    if (slot->connection == NULL) {
+        free(slot);
+        return NULL;
+    }
+    /* Keeps libevent from probing the machine's interfaces. */
+    evhttp_connection_set_family(slot->connection, AF_INET);
+    evhttp_connection_set_max_body_size(slot->connection,
+                                        Fv_CALL_ANSWER_MAX_BYTES);
+    slot->next = destination->slots;
+    destination->slots = slot;
+    return slot;
+}
+
+static void
+finish(struct evhttp_request *request, void *context)
+{
+    fv_pending_call_t *pending = context;
+    fv_call_answer_t answer = {0};
+
+    if (request != NULL && evhttp_request_get_response_code(request) != 0) {
+        struct evbuffer *body = evhttp_request_get_input_buffer(request);
+
+        answer.status = evhttp_request_get_response_code(request);
+        answer.length = evbuffer_get_length(body);
+        answer.body = (const char *)evbuffer_pullup(body, -1);
+    }
+    pending->slot->busy = false;
+    pending->slot->used_ms = FvClock_NowMs();
+    pending->done(pending->context, &answer);
+    free(pending);
+}
+
+static enum evhttp_cmd_type
+method_of(const fv_call_t *call)
+{
+    if (strcmp(call->method, "POST") == 0) {
+        return EVHTTP_REQ_POST;
+    }
+    return strcmp(call->method, "DELETE") == 0 ? EVHTTP_REQ_DELETE
+                                               : EVHTTP_REQ_GET;
+}
+
+static bool
+send_request(fv_pending_call_t *pending, const fv_destination_t *destination,
+             fv_call_t *call, int64_t timeout_ms)
+{
+    struct evhttp_request *request = evhttp_request_new(finish, pending);
+    struct evkeyvalq *headers;
+    struct timeval timeout = {
+        .tv_sec = (time_t)(timeout_ms / 1000),
+        .tv_usec = (suseconds_t)(timeout_ms % 1000 * 1000),
+    };
+
+    if (request == NULL) {
+        return false;
+    }
+    headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", destination->address);
+    if (call->instance[0] != '\0') {
+        evhttp_add_header(headers, FvPlatform_InstanceHeader, call->instance);
+    }
+    if (call->body != NULL) {
+        evhttp_add_header(headers, "Content-Type", "application/json");
+        evbuffer_add(evhttp_request_get_output_buffer(request), call->body,
+                     strlen(call->body));
+    }
+    evhttp_connection_set_timeout_tv(pending->slot->connection, &timeout);
+    return evhttp_make_request(pending->slot->connection, request,
+                               method_of(call), call->path) == 0;
+}
+
+/**
+ * FvCallPool_Send - send a request
+ * @pool: the pool
+ * @address: IPv4 address and port
+ * @call: the request; its body is released
+ * @timeout_ms: limit for each wait on the connection
+ * @done: called once, with the answer
+ * @context: passed to @done
+ */
+void
+FvCallPool_Send(fv_call_pool_t *pool, const char *address, fv_call_t *call,
+                int64_t timeout_ms, fv_call_done_t done, void *context)
+{
+    fv_destination_t *destination = obtain_destination(pool, address);
+    fv_pending_call_t *pending = calloc(1, sizeof(*pending));
+    fv_call_answer_t none = {0};
+
+    if (pending == NULL || destination == NULL) {
+        goto fail;
+    }
+    pending->slot = obtain_slot(pool, destination);
+    pending->done = done;
+    pending->context = context;
+    if (pending->slot == NULL) {
+        goto fail;
+    }
+    pending->slot->busy = true;
+    if (!send_request(pending, destination, call, timeout_ms)) {
+        pending->slot->busy = false;
+        goto fail;
+    }
+    free(call->body);
+    call->body = NULL;
+    return;
+fail:
+    FvLog_Event(Fv_LOG_ERROR, "call_not_sent", "address=%s path=%s", address,
+                call->path);
+    free(pending);
+    free(call->body);
+    call->body = NULL;
+    done(context, &none);
+}
--- /dev/null
+++ b/src/cell-types.c
@@ -0,0 +1,61 @@
+/*
+ * Release of the values that cross the boundary to the platform.
+ */
+
+#include "cell-types.h"
+
+#include <stdlib.h>
+
+/**
+ * FvJobSpec_Clear - release what a job asks for
+ * @spec: the specification
+ */
+void
+FvJobSpec_Clear(fv_job_spec_t *spec)
+{
+    free(spec->payload);
+    free(spec->steps);
+    *spec = (fv_job_spec_t){0};
+}
+
+/**
+ * FvCellConfig_Free - release a configuration
+ * @config: the configuration, or NULL
+ */
+void
+FvCellConfig_Free(fv_cell_config_t *config)
+{
+    if (config == NULL) {
+        return;
+    }
+    free(config->queues);
+    free(config->document);
+    free(config);
+}
+
+/**
+ * FvKvItems_Clear - release items of the store
+ * @items: the items
+ */
+void
+FvKvItems_Clear(fv_kv_items_t *items)
+{
+    for (uint32_t i = 0; i < items->count; i++) {
+        free(items->items[i].key);
+        FvBuffer_Clear(&items->items[i].value);
+    }
+    free(items->items);
+    *items = (fv_kv_items_t){0};
+}
+
+/**
+ * FvWorkerReport_Clear - release a worker's report
+ * @report: the report
+ */
+void
+FvWorkerReport_Clear(fv_worker_report_t *report)
+{
+    free(report->running);
+    free(report->ended);
+    *report = (fv_worker_report_t){0};
+}
--- /dev/null
+++ b/src/cell-types.h
@@ -0,0 +1,218 @@
+/*
+ * Values that cross the boundary between the scheduler and the platform, in
+ * the project's own terms. platform/ converts them to and from the wire.
+ */
+
+#ifndef CELL_TYPES_H
+#define CELL_TYPES_H
+
+#include "fireflyvalve.h"
+
+#define Fv_JOB_ID_SIZE 17 /* 16 hexadecimal digits */
+#define Fv_STEP_ID_SIZE 48
+#define Fv_RUN_TASK_ID_SIZE 64
+#define Fv_CHECKPOINT_SIZE 128
+#define Fv_TICKET_SIZE 64
+#define Fv_STEPS_MAX 64
+#define Fv_STEP_TASKS_MAX 4096
+#define Fv_LABELS_MAX 8
+
+/* What one job asks the cell to run. */
+typedef struct fv_step_spec {
+    int32_t task_count;
+    int64_t cpu_millis;
+    int64_t memory_mib;
+    int64_t accelerators;
+    int64_t estimated_ms;
+    uint32_t predecessor_count;
+    uint16_t predecessors[Fv_STEPS_MAX];
+    bool checkpoints;
+    bool gang;
+    bool same_rack;
+    bool allow_duplicates;
+    bool long_running;
+    bool uses_spare_cpu; /* its processors do not count against capacity */
+    char required_label[Fv_NAME_SIZE];
+    char data_rack[Fv_NAME_SIZE];
+    char image[Fv_NAME_SIZE];
+    int32_t per_worker_max; /* 0: no limit */
+    int64_t latency_target_ms;
+    int32_t unavailable_max;
+} fv_step_spec_t;
+
+typedef struct fv_job_spec {
+    char *payload;
+    int32_t repeat_count; /* 0: runs once, at once */
+    int64_t first_due_wall_ms;
+    int64_t interval_ms;
+    uint32_t step_count;
+    fv_step_spec_t *steps;
+} fv_job_spec_t;
+
+/* One queue of the configuration. */
+typedef struct fv_cell_queue {
+    char name[Fv_NAME_SIZE];
+    char virtual_host[Fv_KEY_SIZE];
+    char prefix[Fv_KEY_SIZE];
+    char service[Fv_NAME_SIZE];
+    int32_t priority; /* 0 is the most urgent */
+    int32_t attempts_max;
+    double stretch; /* allowed multiple of the job's longest chain */
+    int64_t objective_ms;
+    bool needs_advice;
+    int64_t advice_base_us;
+    int64_t advice_per_worker_us;
+    int64_t ticket_valid_ms;
+} fv_cell_queue_t;
+
+typedef struct fv_cell_config {
+    int64_t version;
+    uint32_t queue_count;
+    fv_cell_queue_t *queues;
+    char *document; /* as published, for hosts that cannot read the store */
+    size_t document_length;
+} fv_cell_config_t;
+
+/* A worker's entry in the platform's registry. */
+typedef struct fv_worker_entry {
+    char id[Fv_NAME_SIZE];
+    char service[Fv_NAME_SIZE];
+    char address[Fv_ADDRESS_SIZE];
+    char data_center[Fv_NAME_SIZE];
+    bool draining;
+    int64_t drain_left_ms; /* at least; 0 when not known */
+    int64_t started_wall_ms;
+    int64_t cpu_millis;
+    int64_t memory_mib;
+    int64_t accelerators;
+    uint32_t label_count;
+    char labels[Fv_LABELS_MAX][Fv_NAME_SIZE];
+} fv_worker_entry_t;
+
+/* An order to a worker. */
+typedef struct fv_task_order {
+    const char *task_id;
+    int32_t run;
+    int64_t fence;
+    int64_t lease_end_worker_ms; /* on the worker's clock */
+    const char *payload;
+    const char *checkpoint;
+    const char *ticket;
+    int32_t percent;
+} fv_task_order_t;
+
+typedef enum fv_order_result {
+    Fv_ORDER_DONE,
+    Fv_ORDER_IN_DOUBT, /* no answer: it may have been or may yet be obeyed */
+    Fv_ORDER_FENCED,   /* a newer leader has been there */
+    Fv_ORDER_OLD_RUN,
+    Fv_ORDER_LATE, /* the lease ends before the task could start */
+    Fv_ORDER_NO_ROOM,
+    Fv_ORDER_NO_TICKET,
+    Fv_ORDER_UNHEALTHY,
+    Fv_ORDER_WRONG_INSTANCE,
+    Fv_ORDER_MALFORMED
+} fv_order_result_t;
+
+typedef enum fv_run_end {
+    Fv_END_DONE,
+    Fv_END_FAILED,
+    Fv_END_STOPPED,
+    Fv_END_LAPSED,
+    Fv_END_GANG_BROKEN,
+    Fv_END_GANG_INCOMPLETE
+} fv_run_end_t;
+
+typedef struct fv_running_row {
+    char task_id[Fv_RUN_TASK_ID_SIZE];
+    int32_t run;
+    char checkpoint[Fv_CHECKPOINT_SIZE];
+    int32_t percent;
+    int64_t reading; /* tail latency in ms when it serves, else cpu_millis */
+} fv_running_row_t;
+
+typedef struct fv_ended_row {
+    int64_t number;
+    char task_id[Fv_RUN_TASK_ID_SIZE];
+    int32_t run;
+    fv_run_end_t end;
+    char checkpoint[Fv_CHECKPOINT_SIZE];
+} fv_ended_row_t;
+
+/* What a worker says about its runs. */
+typedef struct fv_worker_report {
+    int64_t clock_ms;
+    int64_t started_wall_ms;
+    uint32_t running_count;
+    fv_running_row_t *running;
+    uint32_t ended_count;
+    fv_ended_row_t *ended;
+} fv_worker_report_t;
+
+typedef struct fv_advice_row {
+    char worker_id[Fv_NAME_SIZE];
+    char ticket[Fv_TICKET_SIZE];
+} fv_advice_row_t;
+
+typedef struct fv_advice {
+    uint32_t row_count;
+    fv_advice_row_t *rows;
+} fv_advice_t;
+
+/* The platform's key-value store. */
+typedef struct fv_kv_item {
+    char *key;
+    fv_buffer_t value;
+    int64_t revision;
+    bool deleted;
+} fv_kv_item_t;
+
+typedef struct fv_kv_items {
+    uint32_t count;
+    fv_kv_item_t *items;
+    bool has_more;
+    int64_t revision; /* of the store, when the answer was made */
+} fv_kv_items_t;
+
+typedef struct fv_kv_expect {
+    const char *key;
+    int64_t revision; /* 0: the key does not exist */
+} fv_kv_expect_t;
+
+typedef struct fv_kv_put {
+    const char *key;
+    const void *value; /* NULL: the key is removed */
+    size_t length;
+    int64_t lease;
+} fv_kv_put_t;
+
+typedef enum fv_kv_error {
+    Fv_KV_OK,
+    Fv_KV_NOT_FOUND,
+    Fv_KV_CONFLICT,    /* an expectation did not hold; nothing was done */
+    Fv_KV_UNAVAILABLE, /* nothing was done */
+    Fv_KV_IN_DOUBT,    /* it may have been or may yet be done */
+    Fv_KV_HISTORY_GONE,
+    Fv_KV_MALFORMED
+} fv_kv_error_t;
+
+/* An outgoing HTTP request as platform/ prepares it. */
+typedef struct fv_call {
+    const char *method;
+    char path[Fv_URL_SIZE];
+    char instance[Fv_NAME_SIZE]; /* sent as the expected instance; "": none */
+    char *body;                  /* owned by the call, or NULL */
+} fv_call_t;
+
+typedef struct fv_call_answer {
+    int32_t status; /* 0: no answer */
+    const char *body;
+    size_t length;
+} fv_call_answer_t;
+
+void FvJobSpec_Clear(fv_job_spec_t *spec);
+void FvCellConfig_Free(fv_cell_config_t *config);
+void FvKvItems_Clear(fv_kv_items_t *items);
+void FvWorkerReport_Clear(fv_worker_report_t *report);
+
+#endif
--- a/src/command.h
+++ b/src/command.h
@@ -85,6 +85,7 @@
 
 /* cmd-*.c */
 int FvCmd_Serve(const fv_command_t *command, int argc, char **argv);
+int FvCmd_Entry(const fv_command_t *command, int argc, char **argv);
 int FvCmd_Submit(const fv_command_t *command, int argc, char **argv);
 int FvCmd_Status(const fv_command_t *command, int argc, char **argv);
 int FvCmd_Cancel(const fv_command_t *command, int argc, char **argv);
--- /dev/null
+++ b/src/election.c
@@ -0,0 +1,548 @@
+/*
+ * Which host leads: the one whose name stands under the leader's key, which
+ * is attached to a lease of the store. The revision at which the key was
+ * created is the epoch, and the fencing token of every order.
+ */
+
+#include "entry.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A dead leader is replaced after this; workers' leases outlast it. Renewed
+ * three times in that span, so that one lost renewal does no harm. */
+#define Fv_LEADER_TTL_MS 2000
+#define Fv_LEADER_RENEW_MS 600
+
+/* How long a leader without its lease goes on giving orders while the store
+ * does not answer: most outages of the store end within it (BENCH, kinds:
+ * 3.3 to 5.4 s). Workers refuse its orders once a new leader was there. */
+#define Fv_LEADER_ORPHAN_MS 6000
+
+/* Wait before a free leadership is claimed; hosts with less processor time
+ * than the largest wait longer. */
+#define Fv_CLAIM_JITTER_MS 80
+#define Fv_CLAIM_SMALL_HOST_MS 300
+#define Fv_CLAIM_RETRY_MS 150
+
+/* A gap between two ticks that tells that the process stood still. */
+#define Fv_TICK_MS 100
+#define Fv_FREEZE_MS 1000
+
+typedef enum fv_claim_state {
+    Fv_CLAIM_NONE,
+    Fv_CLAIM_GRANTING,
+    Fv_CLAIM_WRITING,
+    Fv_CLAIM_CHECKING,
+    Fv_CLAIM_HELD
+} fv_claim_state_t;
+
+struct fv_election {
+    struct event_base *base;
+    fv_kv_t *kv;
+    const fv_entry_settings_t *settings;
+    fv_election_events_t events;
+    fv_kv_watch_t *watch;
+    struct event *tick;
+    char nonce[Fv_NONCE_SIZE];
+    bool loaded; /* the control keys were read */
+    bool leader_known;
+    bool registered;
+    bool registering;
+    int32_t last_generation;
+    fv_claim_state_t state;
+    int64_t claim_at_ms; /* 0: not planned */
+    int64_t lease;
+    int64_t ttl_ms;
+    int64_t granted_ms; /* when the latest renewal that succeeded was sent */
+    int64_t renewal_sent_ms;
+    bool renewing;
+    int64_t next_renew_ms;
+    int64_t last_tick_ms;
+    bool verify; /* stood still: orders only after the next renewal */
+    int64_t abstain_until_ms;
+    uint32_t host_count;
+    fv_peer_entry_t hosts[Fv_HOSTS_MAX];
+};
+
+/**
+ * FvElection_OrphanMs - how long a leader may order after its lease ended
+ *
+ * Return: the time.
+ */
+int64_t
+FvElection_OrphanMs(void)
+{
+    return Fv_LEADER_ORPHAN_MS;
+}
+
+/**
+ * FvElection_Leads - whether this host leads as far as it knows
+ * @election: the election
+ *
+ * Return: true when it does.
+ */
+bool
+FvElection_Leads(const fv_election_t *election)
+{
+    return election->state == Fv_CLAIM_HELD;
+}
+
+/**
+ * FvElection_Hosts - the registered hosts
+ * @election: the election
+ * @hosts: set to the list
+ *
+ * Return: how many.
+ */
+uint32_t
+FvElection_Hosts(const fv_election_t *election, const fv_peer_entry_t **hosts)
+{
+    *hosts = election->hosts;
+    return election->host_count;
+}
+
+static bool
+is_largest_host(const fv_election_t *election)
+{
+    for (uint32_t i = 0; i < election->host_count; i++) {
+        if (election->hosts[i].cpu_cores >
+            election->settings->cpu_cores * 1.1) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+plan_claim(fv_election_t *election, int64_t now_ms)
+{
+    uint32_t random = 0;
+    char hex[9];
+
+    if (election->claim_at_ms != 0 || election->state != Fv_CLAIM_NONE) {
+        return;
+    }
+    FvText_RandomHex(hex, sizeof(hex));
+    random = (uint32_t)strtoul(hex, NULL, 16);
+    election->claim_at_ms = now_ms + random % Fv_CLAIM_JITTER_MS + 1;
+    if (!is_largest_host(election)) {
+        election->claim_at_ms += Fv_CLAIM_SMALL_HOST_MS;
+    }
+    if (election->claim_at_ms < election->abstain_until_ms) {
+        election->claim_at_ms = election->abstain_until_ms;
+    }
+}
+
+static void
+lose(fv_election_t *election, const char *cause)
+{
+    bool held = election->state == Fv_CLAIM_HELD;
+
+    election->state = Fv_CLAIM_NONE;
+    election->lease = 0;
+    election->renewing = false;
+    if (held) {
+        FvMetrics_Add(Fv_COUNTER_LEASE_LOSSES, 1);
+        FvLog_Event(Fv_LOG_WARN, "leadership_lost", "cause=%s", cause);
+        election->events.lost(election->events.context, cause);
+    }
+    if (!election->leader_known) {
+        plan_claim(election, FvClock_NowMs());
+    }
+}
+
+static void
+claim_failed(fv_election_t *election)
+{
+    election->state = Fv_CLAIM_NONE;
+    election->claim_at_ms = 0;
+    if (!election->leader_known) {
+        election->claim_at_ms = FvClock_NowMs() + Fv_CLAIM_RETRY_MS;
+    }
+}
+
+static void
+claim_won(fv_election_t *election, int64_t revision)
+{
+    election->state = Fv_CLAIM_HELD;
+    election->claim_at_ms = 0;
+    election->verify = false;
+    election->next_renew_ms = FvClock_NowMs() + Fv_LEADER_RENEW_MS;
+    election->last_generation++;
+    FvLog_Event(Fv_LOG_INFO, "leadership_won",
+                "epoch=%" PRId64 " generation=%d ttl_ms=%" PRId64, revision,
+                election->last_generation, election->ttl_ms);
+    election->events.won(election->events.context, revision,
+                         election->last_generation);
+}
+
+/* After an unanswered claim: is the key ours? */
+static void
+claim_checked(void *context, const fv_kv_result_t *result)
+{
+    fv_election_t *election = context;
+
+    if (election->state != Fv_CLAIM_CHECKING) {
+        return;
+    }
+    if (result->error == Fv_KV_OK && result->items.count == 1 &&
+        result->items.items[0].value.data != NULL &&
+        strstr((const char *)result->items.items[0].value.data,
+               election->nonce) != NULL) {
+        claim_won(election, result->items.items[0].revision);
+        return;
+    }
+    if (result->error == Fv_KV_OK || result->error == Fv_KV_NOT_FOUND) {
+        FvKv_Revoke(election->kv, election->lease);
+        claim_failed(election);
+        return;
+    }
+    FvKv_Get(election->kv, Fv_KEY_LEADER, claim_checked, election);
+}
+
+static void
+claim_written(void *context, const fv_kv_result_t *result)
+{
+    fv_election_t *election = context;
+
+    if (election->state != Fv_CLAIM_WRITING) {
+        return;
+    }
+    if (result->error == Fv_KV_OK) {
+        claim_won(election, result->revision);
+    }
+    else if (result->error == Fv_KV_IN_DOUBT) {
+        election->state = Fv_CLAIM_CHECKING;
+        FvKv_Get(election->kv, Fv_KEY_LEADER, claim_checked, election);
+    }
+    else {
+        FvKv_Revoke(election->kv, election->lease);
+        claim_failed(election);
+    }
+}
+
+static void
+claim_granted(void *context, const fv_kv_result_t *result)
+{
+    fv_election_t *election = context;
+    char value[Fv_URL_SIZE];
+
+    if (election->state != Fv_CLAIM_GRANTING) {
+        return;
+    }
+    if (result->error != Fv_KV_OK) {
+        claim_failed(election);
+        return;
+    }
+    election->lease = result->lease;
+    election->ttl_ms = result->ttl_ms;
+    election->state = Fv_CLAIM_WRITING;
+    FvText_RandomHex(election->nonce, sizeof(election->nonce));
+    snprintf(value, sizeof(value), "%s %d %s", election->settings->host,
+             election->last_generation + 1, election->nonce);
+    FvKv_Txn(election->kv, &(fv_kv_expect_t){Fv_KEY_LEADER, 0}, 1,
+             &(fv_kv_put_t){.key = Fv_KEY_LEADER,
+                            .value = value,
+                            .length = strlen(value),
+                            .lease = election->lease},
+             1, claim_written, election);
+}
+
+static void
+claim(fv_election_t *election, int64_t now_ms)
+{
+    int64_t ttl_ms = Fv_LEADER_TTL_MS;
+
+    if (ttl_ms < election->settings->store_lease_min_ms) {
+        ttl_ms = election->settings->store_lease_min_ms;
+    }
+    election->claim_at_ms = 0;
+    election->state = Fv_CLAIM_GRANTING;
+    election->granted_ms = now_ms;
+    FvKv_Grant(election->kv, ttl_ms, claim_granted, election);
+}
+
+static void
+renewed(void *context, const fv_kv_result_t *result)
+{
+    fv_election_t *election = context;
+
+    election->renewing = false;
+    if (election->state != Fv_CLAIM_HELD) {
+        return;
+    }
+    if (result->error == Fv_KV_OK) {
+        election->granted_ms = election->renewal_sent_ms;
+        election->verify = false;
+    }
+    else if (result->error == Fv_KV_NOT_FOUND) {
+        lose(election, "lease_ended");
+    }
+    else {
+        election->next_renew_ms = FvClock_NowMs() + Fv_TICK_MS;
+    }
+}
+
+static void
+renew(fv_election_t *election, int64_t now_ms)
+{
+    election->renewing = true;
+    election->renewal_sent_ms = now_ms;
+    election->next_renew_ms = now_ms + Fv_LEADER_RENEW_MS;
+    FvKv_Renew(election->kv, election->lease, renewed, election);
+}
+
+static void
+registration_written(void *context, const fv_kv_result_t *result)
+{
+    fv_election_t *election = context;
+
+    election->registering = false;
+    election->registered = result->error == Fv_KV_OK;
+}
+
+static void
+enter_registry(fv_election_t *election)
+{
+    const fv_entry_settings_t *settings = election->settings;
+    char key[Fv_KEY_SIZE];
+    char value[Fv_URL_SIZE];
+
+    snprintf(key, sizeof(key), "%s%s", Fv_KEY_HOSTS, settings->host);
+    snprintf(value, sizeof(value), "%s:%d %.3f", settings->address,
+             settings->link_port, settings->cpu_cores);
+    election->registering = true;
+    FvKv_Txn(
+        election->kv, NULL, 0,
+        &(fv_kv_put_t){.key = key, .value = value, .length = strlen(value)}, 1,
+        registration_written, election);
+}
+
+/* Returns whether the process may have stood still. */
+static bool
+notice_freeze(fv_election_t *election, int64_t now_ms)
+{
+    bool frozen = election->last_tick_ms != 0 &&
+                  now_ms - election->last_tick_ms > Fv_FREEZE_MS;
+
+    if (frozen) {
+        FvLog_Event(Fv_LOG_WARN, "process_stood_still", "for_ms=%" PRId64,
+                    now_ms - election->last_tick_ms);
+        election->verify = true;
+        election->next_renew_ms = now_ms;
+    }
+    election->last_tick_ms = now_ms;
+    return frozen;
+}
+
+static void
+tick(evutil_socket_t fd, short what, void *context)
+{
+    fv_election_t *election = context;
+    int64_t now_ms = FvClock_NowMs();
+
+    (void)fd;
+    (void)what;
+    notice_freeze(election, now_ms);
+    if (!election->registered && !election->registering) {
+        enter_registry(election);
+    }
+    if (election->state == Fv_CLAIM_HELD) {
+        if (!election->renewing && now_ms >= election->next_renew_ms) {
+            renew(election, now_ms);
+        }
+        if (now_ms >
+            election->granted_ms + election->ttl_ms + Fv_LEADER_ORPHAN_MS) {
+            lose(election, "store_unreachable");
+        }
+    }
+    else if (election->claim_at_ms != 0 && now_ms >= election->claim_at_ms &&
+             election->state == Fv_CLAIM_NONE && election->loaded &&
+             !election->leader_known) {
+        claim(election, now_ms);
+    }
+}
+
+/**
+ * FvElection_MayOrder - whether this host may give orders to workers now
+ * @election: the election
+ * @now_ms: the time
+ *
+ * Return: false when it does not lead, or stood still and has not made sure.
+ */
+bool
+FvElection_MayOrder(fv_election_t *election, int64_t now_ms)
+{
+    notice_freeze(election, now_ms);
+    return election->state == Fv_CLAIM_HELD && !election->verify &&
+           now_ms <=
+               election->granted_ms + election->ttl_ms + Fv_LEADER_ORPHAN_MS;
+}
+
+/**
+ * FvElection_Resign - give the leadership up
+ * @election: the election
+ * @pause_ms: how long not to claim it again
+ * @cause: why, for the log
+ */
+void
+FvElection_Resign(fv_election_t *election, int64_t pause_ms, const char *cause)
+{
+    int64_t lease = election->lease;
+
+    election->abstain_until_ms = FvClock_NowMs() + pause_ms;
+    if (election->state == Fv_CLAIM_HELD) {
+        lose(election, cause);
+        FvKv_Revoke(election->kv, lease);
+    }
+}
+
+static void
+control_begin(void *context)
+{
+    fv_election_t *election = context;
+
+    election->leader_known = false;
+    for (uint32_t i = 0; i < election->host_count; i++) {
+        election->hosts[i].listed = false;
+    }
+}
+
+static void
+see_leader(fv_election_t *election, const fv_kv_item_t *item)
+{
+    int generation;
+
+    election->leader_known = !item->deleted;
+    if (item->deleted) {
+        FvLog_Event(Fv_LOG_INFO, "leader_gone", "revision=%" PRId64,
+                    item->revision);
+        election->next_renew_ms = 0; /* a leader finds out at once */
+        plan_claim(election, FvClock_NowMs());
+        return;
+    }
+    election->claim_at_ms = 0;
+    if (item->value.data != NULL &&
+        sscanf((const char *)item->value.data, "%*s %d", &generation) == 1 &&
+        generation > election->last_generation) {
+        election->last_generation = generation;
+    }
+}
+
+static fv_peer_entry_t *
+obtain_host(fv_election_t *election, const char *name)
+{
+    for (uint32_t i = 0; i < election->host_count; i++) {
+        if (strcmp(election->hosts[i].name, name) == 0) {
+            return &election->hosts[i];
+        }
+    }
+    if (election->host_count == Fv_HOSTS_MAX) {
+        return NULL;
+    }
+    election->hosts[election->host_count] = (fv_peer_entry_t){0};
+    FvText_Copy(election->hosts[election->host_count].name, Fv_NAME_SIZE,
+                name);
+    return &election->hosts[election->host_count++];
+}
+
+static void
+see_host(fv_election_t *election, const fv_kv_item_t *item)
+{
+    fv_peer_entry_t *host =
+        obtain_host(election, item->key + strlen(Fv_KEY_HOSTS));
+    char address[Fv_ADDRESS_SIZE];
+    double cores;
+
+    if (host == NULL) {
+        return;
+    }
+    host->listed = !item->deleted;
+    if (!item->deleted && item->value.data != NULL &&
+        sscanf((const char *)item->value.data, "%63s %lf", address, &cores) ==
+            2) {
+        FvText_Copy(host->link_address, sizeof(host->link_address), address);
+        host->cpu_cores = cores;
+    }
+    if (election->loaded) {
+        election->events.hosts_changed(election->events.context);
+    }
+}
+
+static void
+control_item(void *context, const fv_kv_item_t *item)
+{
+    fv_election_t *election = context;
+
+    if (strcmp(item->key, Fv_KEY_LEADER) == 0) {
+        see_leader(election, item);
+    }
+    else if (strncmp(item->key, Fv_KEY_HOSTS, strlen(Fv_KEY_HOSTS)) == 0) {
+        see_host(election, item);
+    }
+}
+
+static void
+control_loaded(void *context)
+{
+    fv_election_t *election = context;
+
+    election->loaded = true;
+    if (!election->leader_known) {
+        plan_claim(election, FvClock_NowMs());
+    }
+    election->events.hosts_changed(election->events.context);
+}
+
+/**
+ * FvElection_New - take part in the election
+ * @base: the event loop
+ * @kv: the store
+ * @settings: this host
+ * @events: what is told
+ *
+ * Return: the election, or NULL when memory is exhausted.
+ */
+fv_election_t *
+FvElection_New(struct event_base *base, fv_kv_t *kv,
+               const fv_entry_settings_t *settings,
+               const fv_election_events_t *events)
+{
+    fv_election_t *election = calloc(1, sizeof(*election));
+    struct timeval interval = {.tv_usec = Fv_TICK_MS * 1000};
+
+    if (election == NULL) {
+        return NULL;
+    }
+    election->base = base;
+    election->kv = kv;
+    election->settings = settings;
+    election->events = *events;
+    election->tick = event_new(base, -1, EV_PERSIST, tick, election);
+    event_add(election->tick, &interval);
+    election->watch =
+        FvKv_Follow(kv, &(fv_kv_follower_t){.prefix = Fv_KEY_CONTROL,
+                                            .begin = control_begin,
+                                            .item = control_item,
+                                            .loaded = control_loaded,
+                                            .context = election});
+    enter_registry(election);
+    return election;
+}
+
+/**
+ * FvElection_Free - leave the election
+ * @election: the election, or NULL
+ */
+void
+FvElection_Free(fv_election_t *election)
+{
+    if (election == NULL) {
+        return;
+    }
+    FvKv_Unfollow(election->watch);
+    event_free(election->tick);
+    free(election);
+}
--- /dev/null
+++ b/src/entry-settings.c
@@ -0,0 +1,167 @@
+/*
+ * Settings of an entry host on the users' platform, rendered as TOML from
+ * deploy/entry.toml.in.
+ */
+
+#include "entry.h"
+
+#include <string.h>
+
+typedef enum fv_setting_kind {
+    Fv_SETTING_TEXT,
+    Fv_SETTING_INT,
+    Fv_SETTING_NUMBER
+} fv_setting_kind_t;
+
+typedef struct fv_setting {
+    const char *name;
+    fv_setting_kind_t kind;
+    size_t offset;
+    size_t size; /* of a text */
+    bool required;
+    double low;
+    double high;
+} fv_setting_t;
+
+#define TEXT(field, is_required)                                              \
+    {                                                                         \
+#field, Fv_SETTING_TEXT, offsetof(fv_entry_settings_t, field),        \
+            sizeof(((fv_entry_settings_t *)0)->field), is_required, 0, 0      \
+    }
+#define INT(field, from, to)                                                  \
+    {                                                                         \
+#field, Fv_SETTING_INT, offsetof(fv_entry_settings_t, field), 0,      \
+            true, from, to                                                    \
+    }
+
+static const fv_setting_t setting_table[] = {
+    TEXT(host, true),
+    TEXT(data_center, true),
+    TEXT(region, true),
+    TEXT(address, true),
+    TEXT(callers_address, true),
+    TEXT(ready_address, true),
+    TEXT(metrics_address, false),
+    INT(link_port, 1, 65535),
+    {"cpu_cores", Fv_SETTING_NUMBER, offsetof(fv_entry_settings_t, cpu_cores),
+     0, true, 0.01, 1024},
+    TEXT(store_address, true),
+    INT(store_lease_min_ms, 1, 600000),
+    TEXT(advice_address, false),
+    INT(lease_max_ms, 500, 600000),
+    INT(drain_ms, 100, 600000),
+    INT(keep_ended_s, 1, 86400),
+};
+
+#undef TEXT
+#undef INT
+
+#define Fv_SETTING_COUNT (sizeof(setting_table) / sizeof(setting_table[0]))
+
+static bool
+read_text(const fv_setting_t *setting, const json_t *value, char *target)
+{
+    const char *text = json_string_value(value);
+
+    return text != NULL && FvText_Copy(target, setting->size, text) &&
+           (!setting->required || text[0] != '\0');
+}
+
+static bool
+read_number(const fv_setting_t *setting, const json_t *value, void *target)
+{
+    double number = json_number_value(value);
+
+    if (!json_is_number(value) || number < setting->low ||
+        number > setting->high) {
+        return false;
+    }
+    if (setting->kind == Fv_SETTING_INT) {
+        int32_t whole = (int32_t)number;
+
+        memcpy(target, &whole, sizeof(whole));
+        return json_is_integer(value);
+    }
+    memcpy(target, &number, sizeof(number));
+    return true;
+}
+
+static bool
+read_setting(const fv_setting_t *setting, const json_t *table,
+             fv_entry_settings_t *settings, const char *path, FILE *faults)
+{
+    const json_t *value = json_object_get(table, setting->name);
+    char *target = (char *)settings + setting->offset;
+    bool good;
+
+    if (value == NULL && !setting->required) {
+        return true;
+    }
+    good = setting->kind == Fv_SETTING_TEXT
+               ? read_text(setting, value, target)
+               : read_number(setting, value, target);
+    if (!good && setting->kind == Fv_SETTING_TEXT) {
+        fprintf(faults, "%s: %s: needs a text of 1 to %zu bytes\n", path,
+                setting->name, setting->size - 1);
+    }
+    else if (!good) {
+        fprintf(faults, "%s: %s: needs a number from %g to %g\n", path,
+                setting->name, setting->low, setting->high);
+    }
+    return good;
+}
+
+static bool
+check_addresses(const fv_entry_settings_t *settings, const char *path,
+                FILE *faults)
+{
+    const char *addresses[] = {settings->callers_address,
+                               settings->ready_address,
+                               settings->store_address};
+    struct sockaddr_in parsed;
+    bool good = true;
+
+    for (size_t i = 0; i < sizeof(addresses) / sizeof(addresses[0]); i++) {
+        if (!FvText_ParseAddress(addresses[i], &parsed)) {
+            fprintf(faults, "%s: \"%s\" is not an IPv4 address with a port\n",
+                    path, addresses[i]);
+            good = false;
+        }
+    }
+    return good;
+}
+
+/**
+ * FvEntrySettings_Load - read and check a settings file
+ * @path: the file
+ * @settings: filled in
+ * @faults: receives a line for every fault
+ *
+ * Return: false when there is a fault.
+ */
+bool
+FvEntrySettings_Load(const char *path, fv_entry_settings_t *settings,
+                     FILE *faults)
+{
+    char reason[Fv_REASON_SIZE];
+    json_t *table = FvToml_ReadFile(path, reason);
+    const char *level;
+    bool good = true;
+
+    *settings = (fv_entry_settings_t){.log_level = Fv_LOG_INFO};
+    if (table == NULL) {
+        fprintf(faults, "%s: %s\n", path, reason);
+        return false;
+    }
+    for (size_t i = 0; i < Fv_SETTING_COUNT; i++) {
+        good &= read_setting(&setting_table[i], table, settings, path, faults);
+    }
+    level = FvJson_String(table, "log_level");
+    if (level != NULL && !FvLog_ParseLevel(level, &settings->log_level)) {
+        fprintf(faults, "%s: log_level: error, warn, info or debug\n", path);
+        good = false;
+    }
+    good = good && check_addresses(settings, path, faults);
+    json_decref(table);
+    return good;
+}
--- /dev/null
+++ b/src/entry.c
@@ -0,0 +1,801 @@
+/*
+ * An entry host on the users' platform: joins the front, the election, the
+ * links between hosts and, when this host wins, the leader.
+ */
+
+#include "entry.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define Fv_BEAT_MS 400
+#define Fv_LINK_SILENT_MS 1600 /* four beats */
+#define Fv_REDIAL_MS 500
+
+/* A host stays ready for this long without a leader: an election is over by
+ * then, and the balancer drops a host only after two misses, 2 s. */
+#define Fv_READY_GRACE_MS 2500
+
+/* A leader that reaches less than half of the hosts steps back once, so that
+ * a better connected one can take over. */
+#define Fv_LONELY_MS 2500
+#define Fv_LONELY_PAUSE_MS 1500
+#define Fv_LONELY_AGAIN_MS 30000
+
+/* After SIGTERM: the balancer asks twice, once a second, before it sends no
+ * more connections. */
+#define Fv_DRAIN_LEAST_MS 2300
+#define Fv_DRAIN_MARGIN_MS 800
+#define Fv_DRAIN_CHECK_MS 50
+
+/* A call of this length is a long one: a host makes one at a time, and some
+ * hosts make none, so that short ones find a host at once. */
+#define Fv_LONG_ASK_US 50000
+#define Fv_SHORT_ASK_BACKLOG_US 80000
+#define Fv_SHORT_LANE_HOSTS 4 /* one host in so many is kept for them */
+#define Fv_ASKS_MAX 64
+
+typedef struct fv_entry fv_entry_t;
+
+typedef struct fv_host_ask {
+    int64_t id;
+    int64_t cost_us;
+} fv_host_ask_t;
+
+/* A host as the leader sees it. */
+typedef struct fv_host_slot {
+    fv_entry_t *entry;
+    char name[Fv_NAME_SIZE];
+    fv_link_peer_t *peer; /* NULL for this host, and while it is away */
+    bool joined;
+    int64_t dialed_ms;
+    uint32_t ask_count;
+    fv_host_ask_t asks[Fv_ASKS_MAX];
+    int64_t backlog_us;
+} fv_host_slot_t;
+
+struct fv_entry {
+    struct event_base *base;
+    const char *settings_path;
+    fv_entry_settings_t settings;
+    fv_call_pool_t *pool;
+    fv_kv_t *kv;
+    fv_election_t *election;
+    fv_links_t *links;
+    fv_front_t *front;
+    fv_advice_caller_t *advice;
+    fv_leader_t *leader;
+    fv_kv_watch_t *config_watch;
+    fv_cell_config_t *config;
+    struct event *beat;
+    struct event *depose;
+    struct event *drain;
+    struct event *sigterm;
+    struct event *sigint;
+    struct event *sighup;
+    const char *depose_cause;
+    int64_t epoch;
+    int64_t led_since_ms;
+    int64_t lonely_since_ms;
+    int64_t lonely_resigned_ms;
+    fv_link_peer_t *uplink;
+    int64_t uplink_epoch;
+    int64_t leader_seen_ms;
+    int64_t term_ms; /* when the drain began; 0: not draining */
+    uint32_t slot_count;
+    fv_host_slot_t *slots[Fv_HOSTS_MAX];
+    fv_host_slot_t *self;
+};
+
+/* --- Configuration ------------------------------------------------------ */
+
+static int64_t
+config_version(const fv_entry_t *entry)
+{
+    return entry->config != NULL ? entry->config->version : 0;
+}
+
+static void
+send_config(fv_entry_t *entry, fv_link_peer_t *peer)
+{
+    FvLinks_Send(
+        peer, &(fv_message_t){.kind = Fv_MESSAGE_CONFIG,
+                              .number = config_version(entry),
+                              .body = entry->config->document,
+                              .body_length = entry->config->document_length});
+}
+
+/* Tells linked hosts, for those that cannot read the store. */
+static void
+spread_config(fv_entry_t *entry)
+{
+    if (entry->uplink != NULL) {
+        FvLinks_Send(entry->uplink,
+                     &(fv_message_t){.kind = Fv_MESSAGE_BEAT,
+                                     .number = config_version(entry)});
+    }
+    for (uint32_t i = 0; i < entry->slot_count; i++) {
+        if (entry->slots[i]->joined) {
+            FvLinks_Send(entry->slots[i]->peer,
+                         &(fv_message_t){.kind = Fv_MESSAGE_BEAT,
+                                         .number = config_version(entry)});
+        }
+    }
+}
+
+static void
+adopt_config(fv_entry_t *entry, const char *document, size_t length,
+             const char *source)
+{
+    fv_cell_config_t *config = FvPlatform_Config(document, length);
+    fv_cell_config_t *old = entry->config;
+
+    if (config == NULL) {
+        FvLog_Event(Fv_LOG_ERROR, "config_unreadable", "source=%s bytes=%zu",
+                    source, length);
+        return;
+    }
+    if (config->version <= config_version(entry)) {
+        FvCellConfig_Free(config);
+        return;
+    }
+    FvLog_Event(Fv_LOG_INFO, "config_adopted",
+                "version=%" PRId64 " before=%" PRId64 " queues=%u source=%s",
+                config->version, config_version(entry), config->queue_count,
+                source);
+    entry->config = config;
+    FvFront_SetConfig(entry->front, config);
+    FvCellConfig_Free(old);
+    spread_config(entry);
+}
+
+static void
+config_begin(void *context)
+{
+    (void)context; /* versions tell what is new */
+}
+
+static void
+config_item(void *context, const fv_kv_item_t *item)
+{
+    if (strcmp(item->key, FvPlatform_ConfigKey) == 0 &&
+        item->value.data != NULL) {
+        adopt_config(context, (const char *)item->value.data,
+                     item->value.length, "store");
+    }
+}
+
+static void
+compare_version(fv_entry_t *entry, fv_link_peer_t *peer, int64_t version)
+{
+    if (version < config_version(entry)) {
+        send_config(entry, peer);
+    }
+}
+
+/* --- Hosts, as the leader sees them ------------------------------------- */
+
+static fv_host_slot_t *
+obtain_slot(fv_entry_t *entry, const char *name)
+{
+    fv_host_slot_t *slot;
+
+    for (uint32_t i = 0; i < entry->slot_count; i++) {
+        if (strcmp(entry->slots[i]->name, name) == 0) {
+            return entry->slots[i];
+        }
+    }
+    slot = entry->slot_count < Fv_HOSTS_MAX ? calloc(1, sizeof(*slot)) : NULL;
+    if (slot != NULL) {
+        slot->entry = entry;
+        FvText_Copy(slot->name, sizeof(slot->name), name);
+        entry->slots[entry->slot_count++] = slot;
+    }
+    return slot;
+}
+
+static fv_host_slot_t *
+slot_of(fv_entry_t *entry, const fv_link_peer_t *peer)
+{
+    for (uint32_t i = 0; i < entry->slot_count; i++) {
+        if (entry->slots[i]->peer == peer) {
+            return entry->slots[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+dial_hosts(fv_entry_t *entry)
+{
+    const fv_peer_entry_t *hosts;
+    uint32_t count = FvElection_Hosts(entry->election, &hosts);
+    int64_t now_ms = FvClock_NowMs();
+
+    if (entry->leader == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        fv_host_slot_t *slot;
+
+        if (!hosts[i].listed ||
+            strcmp(hosts[i].name, entry->settings.host) == 0) {
+            continue;
+        }
+        slot = obtain_slot(entry, hosts[i].name);
+        if (slot == NULL || slot->peer != NULL ||
+            now_ms - slot->dialed_ms < Fv_REDIAL_MS) {
+            continue;
+        }
+        slot->dialed_ms = now_ms;
+        slot->peer =
+            FvLinks_Dial(entry->links, hosts[i].name, hosts[i].link_address);
+    }
+}
+
+static void
+forget_ask(fv_host_slot_t *slot, int64_t id)
+{
+    for (uint32_t i = 0; i < slot->ask_count; i++) {
+        if (slot->asks[i].id == id) {
+            slot->backlog_us -= slot->asks[i].cost_us;
+            slot->asks[i] = slot->asks[--slot->ask_count];
+            return;
+        }
+    }
+}
+
+static void
+fail_asks(fv_entry_t *entry, fv_host_slot_t *slot)
+{
+    while (slot->ask_count > 0) {
+        int64_t id = slot->asks[0].id;
+
+        forget_ask(slot, id);
+        if (entry->leader != NULL) {
+            FvLeader_Advice(
+                entry->leader,
+                &(fv_message_t){.kind = Fv_MESSAGE_ADVICE, .id = id});
+        }
+    }
+}
+
+static bool
+takes_long_asks(const fv_entry_t *entry, uint32_t index)
+{
+    return entry->slot_count < Fv_SHORT_LANE_HOSTS ||
+           index % Fv_SHORT_LANE_HOSTS != 0;
+}
+
+static fv_host_slot_t *
+choose_asker(fv_entry_t *entry, int64_t cost_us)
+{
+    bool is_long = cost_us >= Fv_LONG_ASK_US;
+    fv_host_slot_t *best = NULL;
+
+    for (uint32_t i = 0; i < entry->slot_count; i++) {
+        fv_host_slot_t *slot = entry->slots[i];
+
+        if ((!slot->joined && slot != entry->self) ||
+            slot->ask_count == Fv_ASKS_MAX ||
+            (is_long && !takes_long_asks(entry, i))) {
+            continue;
+        }
+        if (best == NULL || slot->backlog_us < best->backlog_us) {
+            best = slot;
+        }
+    }
+    if (best != NULL &&
+        best->backlog_us > (is_long ? 0 : Fv_SHORT_ASK_BACKLOG_US)) {
+        return NULL;
+    }
+    return best;
+}
+
+static void
+own_advice(void *context, const fv_message_t *answer)
+{
+    fv_entry_t *entry = context;
+
+    forget_ask(entry->self, answer->id);
+    if (entry->leader != NULL) {
+        FvLeader_Advice(entry->leader, answer);
+    }
+}
+
+static bool
+leader_asks(void *context, const fv_message_t *message, int64_t cost_us)
+{
+    fv_entry_t *entry = context;
+    fv_host_slot_t *slot = choose_asker(entry, cost_us);
+
+    if (slot == NULL || entry->advice == NULL) {
+        return false;
+    }
+    slot->asks[slot->ask_count++] =
+        (fv_host_ask_t){.id = message->id, .cost_us = cost_us};
+    slot->backlog_us += cost_us;
+    if (slot == entry->self) {
+        FvAdviceCaller_Ask(entry->advice, message, own_advice, entry);
+    }
+    else {
+        FvLinks_Send(slot->peer, message);
+    }
+    return true;
+}
+
+/* --- Leadership --------------------------------------------------------- */
+
+static bool
+leader_may_order(void *context, int64_t now_ms)
+{
+    fv_entry_t *entry = context;
+
+    return FvElection_MayOrder(entry->election, now_ms);
+}
+
+/* The leader ends once its call stack has unwound. */
+static void
+leader_deposed(void *context, const char *cause)
+{
+    fv_entry_t *entry = context;
+
+    entry->depose_cause = cause;
+    event_active(entry->depose, EV_TIMEOUT, 0);
+}
+
+static const fv_cell_config_t *
+leader_config(void *context)
+{
+    fv_entry_t *entry = context;
+
+    return entry->config;
+}
+
+static void
+depose(evutil_socket_t fd, short what, void *context)
+{
+    fv_entry_t *entry = context;
+
+    (void)fd;
+    (void)what;
+    FvElection_Resign(entry->election, 0, entry->depose_cause);
+}
+
+static void
+election_won(void *context, int64_t epoch, int32_t generation)
+{
+    fv_entry_t *entry = context;
+    fv_leader_events_t events = {.may_order = leader_may_order,
+                                 .ask = leader_asks,
+                                 .deposed = leader_deposed,
+                                 .config = leader_config,
+                                 .context = entry};
+
+    entry->epoch = epoch;
+    entry->led_since_ms = FvClock_NowMs();
+    entry->lonely_since_ms = 0;
+    entry->self = obtain_slot(entry, entry->settings.host);
+    entry->leader = FvLeader_New(entry->base, entry->pool, entry->kv,
+                                 &entry->settings, &events, epoch, generation);
+    FvLinks_Hang(entry->uplink);
+    entry->uplink = NULL;
+    dial_hosts(entry);
+    FvFront_LeaderChanged(entry->front);
+}
+
+static void
+election_lost(void *context, const char *cause)
+{
+    fv_entry_t *entry = context;
+
+    (void)cause;
+    FvLeader_Free(entry->leader);
+    entry->leader = NULL;
+    FvLinks_HangDialed(entry->links);
+    for (uint32_t i = 0; i < entry->slot_count; i++) {
+        fv_host_slot_t *slot = entry->slots[i];
+
+        slot->ask_count = 0;
+        slot->backlog_us = 0;
+        slot->joined = false;
+        slot->peer = NULL;
+    }
+}
+
+static void
+hosts_changed(void *context)
+{
+    dial_hosts(context);
+}
+
+/* --- Messages ----------------------------------------------------------- */
+
+static void
+reply_to_host(void *context, const fv_message_t *reply)
+{
+    fv_host_slot_t *slot = context;
+
+    if (slot->peer != NULL) {
+        FvLinks_Send(slot->peer, reply);
+    }
+}
+
+static void
+reply_to_self(void *context, const fv_message_t *reply)
+{
+    fv_entry_t *entry = context;
+
+    FvFront_Reply(entry->front, reply);
+}
+
+static bool
+front_forwards(void *context, const fv_message_t *message)
+{
+    fv_entry_t *entry = context;
+
+    if (entry->leader != NULL && FvLeader_Serving(entry->leader)) {
+        FvLeader_Request(entry->leader, message, reply_to_self, entry);
+        return true;
+    }
+    if (entry->uplink != NULL) {
+        FvLinks_Send(entry->uplink, message);
+        return true;
+    }
+    return false;
+}
+
+static bool
+front_ready(void *context)
+{
+    fv_entry_t *entry = context;
+
+    if (entry->uplink != NULL ||
+        (entry->leader != NULL && FvLeader_Serving(entry->leader))) {
+        entry->leader_seen_ms = FvClock_NowMs();
+    }
+    return entry->leader_seen_ms != 0 &&
+           FvClock_NowMs() - entry->leader_seen_ms < Fv_READY_GRACE_MS;
+}
+
+static void
+greeted(fv_entry_t *entry, fv_link_peer_t *peer, const fv_message_t *message)
+{
+    if (message->number < entry->uplink_epoch ||
+        (entry->leader != NULL && message->number < entry->epoch)) {
+        FvLog_Event(Fv_LOG_INFO, "old_leader_refused",
+                    "peer=%s epoch=%" PRId64 " known=%" PRId64, message->name,
+                    message->number, entry->uplink_epoch);
+        FvLinks_Hang(peer);
+        return;
+    }
+    FvLinks_SetName(peer, message->name);
+    if (entry->leader != NULL) {
+        leader_deposed(entry, "newer_leader");
+    }
+    entry->uplink = peer;
+    entry->uplink_epoch = message->number;
+    FvLog_Event(Fv_LOG_INFO, "leader_linked", "leader=%s epoch=%" PRId64,
+                message->name, message->number);
+    FvLinks_Send(peer, &(fv_message_t){.kind = Fv_MESSAGE_JOIN,
+                                       .number = config_version(entry),
+                                       .name = entry->settings.host});
+    FvFront_LeaderChanged(entry->front);
+}
+
+static void
+uplink_advice(void *context, const fv_message_t *answer)
+{
+    fv_entry_t *entry = context;
+
+    if (entry->uplink != NULL) {
+        FvLinks_Send(entry->uplink, answer);
+    }
+}
+
+static void
+message_of_leader(fv_entry_t *entry, fv_link_peer_t *peer,
+                  const fv_message_t *message)
+{
+    switch (message->kind) {
+    case Fv_MESSAGE_GREETING:
+        greeted(entry, peer, message);
+        break;
+    case Fv_MESSAGE_REPLY:
+        FvFront_Reply(entry->front, message);
+        break;
+    case Fv_MESSAGE_ASK:
+        if (entry->advice != NULL) {
+            FvAdviceCaller_Ask(entry->advice, message, uplink_advice, entry);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+message_of_host(fv_entry_t *entry, fv_host_slot_t *slot,
+                const fv_message_t *message)
+{
+    switch (message->kind) {
+    case Fv_MESSAGE_JOIN:
+        slot->joined = true;
+        compare_version(entry, slot->peer, message->number);
+        break;
+    case Fv_MESSAGE_REQUEST:
+        if (entry->leader != NULL) {
+            FvLeader_Request(entry->leader, message, reply_to_host, slot);
+        }
+        break;
+    case Fv_MESSAGE_ADVICE:
+        forget_ask(slot, message->id);
+        if (entry->leader != NULL) {
+            FvLeader_Advice(entry->leader, message);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+link_message(void *context, fv_link_peer_t *peer, const fv_message_t *message)
+{
+    fv_entry_t *entry = context;
+    fv_host_slot_t *slot;
+
+    if (message->kind == Fv_MESSAGE_BEAT) {
+        compare_version(entry, peer, message->number);
+        return;
+    }
+    if (message->kind == Fv_MESSAGE_CONFIG) {
+        adopt_config(entry, message->body, message->body_length,
+                     FvLinks_Name(peer));
+        return;
+    }
+    if (!FvLinks_Dialed(peer)) {
+        message_of_leader(entry, peer, message);
+        return;
+    }
+    slot = slot_of(entry, peer);
+    if (slot != NULL) {
+        message_of_host(entry, slot, message);
+    }
+}
+
+static void
+link_opened(void *context, fv_link_peer_t *peer)
+{
+    fv_entry_t *entry = context;
+
+    FvLinks_Send(peer, &(fv_message_t){.kind = Fv_MESSAGE_GREETING,
+                                       .number = entry->epoch,
+                                       .name = entry->settings.host});
+}
+
+static void
+link_closed(void *context, fv_link_peer_t *peer)
+{
+    fv_entry_t *entry = context;
+    fv_host_slot_t *slot = slot_of(entry, peer);
+
+    if (peer == entry->uplink) {
+        FvLog_Event(Fv_LOG_INFO, "leader_link_lost", "leader=%s",
+                    FvLinks_Name(peer));
+        entry->leader_seen_ms = FvClock_NowMs();
+        entry->uplink = NULL;
+    }
+    if (slot != NULL) {
+        if (slot->joined) {
+            FvLog_Event(Fv_LOG_INFO, "host_link_lost", "peer=%s", slot->name);
+        }
+        slot->peer = NULL;
+        slot->joined = false;
+        if (entry->leader != NULL) {
+            FvLeader_DropReplies(entry->leader, slot);
+        }
+        fail_asks(entry, slot);
+    }
+}
+
+/* --- Beats -------------------------------------------------------------- */
+
+static void
+check_lonely(fv_entry_t *entry, int64_t now_ms)
+{
+    const fv_peer_entry_t *hosts;
+    uint32_t count = FvElection_Hosts(entry->election, &hosts);
+    uint32_t listed = 0;
+    uint32_t reached = 1;
+
+    for (uint32_t i = 0; i < count; i++) {
+        listed += hosts[i].listed;
+    }
+    for (uint32_t i = 0; i < entry->slot_count; i++) {
+        reached += entry->slots[i]->joined;
+    }
+    if (reached * 2 >= listed) {
+        entry->lonely_since_ms = now_ms;
+        return;
+    }
+    if (now_ms - entry->led_since_ms > Fv_LONELY_MS &&
+        now_ms - entry->lonely_since_ms > Fv_LONELY_MS &&
+        now_ms - entry->lonely_resigned_ms > Fv_LONELY_AGAIN_MS) {
+        entry->lonely_resigned_ms = now_ms;
+        FvElection_Resign(entry->election, Fv_LONELY_PAUSE_MS,
+                          "few_hosts_reached");
+    }
+}
+
+static void
+beat(evutil_socket_t fd, short what, void *context)
+{
+    fv_entry_t *entry = context;
+
+    (void)fd;
+    (void)what;
+    spread_config(entry);
+    FvLinks_CloseSilent(entry->links, Fv_LINK_SILENT_MS);
+    if (entry->leader != NULL) {
+        dial_hosts(entry);
+        check_lonely(entry, FvClock_NowMs());
+    }
+}
+
+/* --- Signals ------------------------------------------------------------ */
+
+static void
+drain_check(evutil_socket_t fd, short what, void *context)
+{
+    fv_entry_t *entry = context;
+    int64_t draining_ms = FvClock_NowMs() - entry->term_ms;
+    uint32_t open = FvFront_OpenRequests(entry->front);
+
+    (void)fd;
+    (void)what;
+    if ((open == 0 && draining_ms >= Fv_DRAIN_LEAST_MS) ||
+        draining_ms >= entry->settings.drain_ms - Fv_DRAIN_MARGIN_MS) {
+        FvLog_Event(Fv_LOG_INFO, "stopped",
+                    "after_ms=%" PRId64 " open_requests=%u", draining_ms,
+                    open);
+        event_base_loopbreak(entry->base);
+    }
+}
+
+static void
+terminate(evutil_socket_t fd, short what, void *context)
+{
+    fv_entry_t *entry = context;
+    struct timeval interval = {.tv_usec = Fv_DRAIN_CHECK_MS * 1000};
+
+    (void)what;
+    if (entry->term_ms != 0) {
+        return;
+    }
+    entry->term_ms = FvClock_NowMs();
+    FvLog_Event(Fv_LOG_INFO, "stopping", "signal=%d open_requests=%u", fd,
+                FvFront_OpenRequests(entry->front));
+    FvFront_Drain(entry->front);
+    FvElection_Resign(entry->election, INT32_MAX, "shutdown");
+    event_add(entry->drain, &interval);
+}
+
+static void
+reload(evutil_socket_t fd, short what, void *context)
+{
+    fv_entry_t *entry = context;
+    fv_entry_settings_t settings;
+    bool good = FvEntrySettings_Load(entry->settings_path, &settings, stderr);
+
+    (void)fd;
+    (void)what;
+    FvLog_Event(good ? Fv_LOG_INFO : Fv_LOG_ERROR, "settings_reloaded",
+                "good=%d", good ? 1 : 0);
+    if (good) {
+        entry->settings.drain_ms = settings.drain_ms;
+        entry->settings.keep_ended_s = settings.keep_ended_s;
+    }
+}
+
+/* --- Life --------------------------------------------------------------- */
+
+static bool
+open_parts(fv_entry_t *entry)
+{
+    entry->pool = FvCallPool_New(entry->base);
+    entry->kv =
+        FvKv_New(entry->base, entry->pool, entry->settings.store_address);
+    if (entry->pool == NULL || entry->kv == NULL) {
+        return false;
+    }
+    if (entry->settings.advice_address[0] != '\0') {
+        entry->advice =
+            FvAdviceCaller_New(entry->pool, entry->settings.advice_address);
+    }
+    entry->front = FvFront_New(entry->base, &entry->settings,
+                               &(fv_front_events_t){.forward = front_forwards,
+                                                    .ready = front_ready,
+                                                    .context = entry});
+    entry->links = FvLinks_New(entry->base, &entry->settings,
+                               &(fv_links_events_t){.message = link_message,
+                                                    .opened = link_opened,
+                                                    .closed = link_closed,
+                                                    .context = entry});
+    if (entry->front == NULL || entry->links == NULL) {
+        return false;
+    }
+    entry->config_watch = FvKv_Follow(
+        entry->kv, &(fv_kv_follower_t){.prefix = FvPlatform_ConfigKey,
+                                       .begin = config_begin,
+                                       .item = config_item,
+                                       .loaded = config_begin,
+                                       .context = entry});
+    entry->election =
+        FvElection_New(entry->base, entry->kv, &entry->settings,
+                       &(fv_election_events_t){.won = election_won,
+                                               .lost = election_lost,
+                                               .hosts_changed = hosts_changed,
+                                               .context = entry});
+    return entry->config_watch != NULL && entry->election != NULL;
+}
+
+static void
+open_events(fv_entry_t *entry)
+{
+    struct timeval interval = {.tv_usec = Fv_BEAT_MS * 1000};
+
+    entry->beat = event_new(entry->base, -1, EV_PERSIST, beat, entry);
+    entry->depose = event_new(entry->base, -1, 0, depose, entry);
+    entry->drain = event_new(entry->base, -1, EV_PERSIST, drain_check, entry);
+    entry->sigterm = evsignal_new(entry->base, SIGTERM, terminate, entry);
+    entry->sigint = evsignal_new(entry->base, SIGINT, terminate, entry);
+    entry->sighup = evsignal_new(entry->base, SIGHUP, reload, entry);
+    event_add(entry->beat, &interval);
+    event_add(entry->sigterm, NULL);
+    event_add(entry->sigint, NULL);
+    event_add(entry->sighup, NULL);
+}
+
+/**
+ * FvEntry_Run - run an entry host until it is told to stop
+ * @settings_path: its settings file
+ *
+ * The memory of its parts is left to the end of the process.
+ *
+ * Return: the exit code.
+ */
+int
+FvEntry_Run(const char *settings_path)
+{
+    static fv_entry_t entry;
+
+    entry.settings_path = settings_path;
+    if (!FvEntrySettings_Load(settings_path, &entry.settings, stderr)) {
+        return 2;
+    }
+    if (FvLog_Open(entry.settings.log_level, entry.settings.host) != 0) {
+        fputs("fireflyvalve: the log cannot be opened\n", stderr);
+        return 1;
+    }
+    entry.base = event_base_new();
+    if (entry.base == NULL) {
+        FvLog_Event(Fv_LOG_ERROR, "event_loop_failed", "errno=%d", errno);
+        return 1;
+    }
+    open_events(&entry);
+    if (!open_parts(&entry)) {
+        FvLog_Event(Fv_LOG_ERROR, "start_failed", NULL);
+        return 1;
+    }
+    FvLog_Event(Fv_LOG_INFO, "started",
+                "version=%s callers=%s cores=%.3f store=%s", Fv_VERSION,
+                entry.settings.callers_address, entry.settings.cpu_cores,
+                entry.settings.store_address);
+    event_base_dispatch(entry.base);
+    FvLog_Close();
+    return 0;
+}
--- /dev/null
+++ b/src/entry.h
@@ -0,0 +1,286 @@
+/*
+ * Objects of an entry host on the users' platform: one process, one event
+ * loop. Any host can become the cell's leader, which runs the scheduler; all
+ * others take requests and pass them on.
+ */
+
+#ifndef ENTRY_H
+#define ENTRY_H
+
+#include "platform.h"
+#include "scheduler.h"
+
+#include <event2/event.h>
+
+/* entry-settings.c */
+typedef struct fv_entry_settings {
+    char host[Fv_NAME_SIZE];
+    char data_center[Fv_NAME_SIZE];
+    char region[Fv_NAME_SIZE];
+    char address[Fv_ADDRESS_SIZE]; /* IP number without a port */
+    char callers_address[Fv_ADDRESS_SIZE];
+    char ready_address[Fv_ADDRESS_SIZE];
+    char metrics_address[Fv_ADDRESS_SIZE];
+    int32_t link_port;
+    double cpu_cores; /* share of a core times the number of cores */
+    int64_t memory_mib;
+    char store_address[Fv_ADDRESS_SIZE];
+    int32_t store_lease_min_ms;
+    char advice_address[Fv_ADDRESS_SIZE]; /* "": no advice service */
+    int32_t lease_max_ms;
+    int32_t drain_ms; /* from SIGTERM until the process is killed */
+    int32_t keep_ended_s;
+    fv_log_level_t log_level;
+} fv_entry_settings_t;
+
+bool FvEntrySettings_Load(const char *path, fv_entry_settings_t *settings,
+                          FILE *faults);
+
+/* call.c: outgoing HTTP with pooled connections. */
+typedef struct fv_call_pool fv_call_pool_t;
+typedef void (*fv_call_done_t)(void *context, const fv_call_answer_t *answer);
+
+fv_call_pool_t *FvCallPool_New(struct event_base *base);
+void FvCallPool_Free(fv_call_pool_t *pool);
+void FvCallPool_Send(fv_call_pool_t *pool, const char *address,
+                     fv_call_t *call, int64_t timeout_ms, fv_call_done_t done,
+                     void *context);
+
+/* kv.c: the client of the platform's store. */
+typedef struct fv_kv fv_kv_t;
+
+typedef struct fv_kv_result {
+    fv_kv_error_t error;
+    int64_t revision; /* of a change */
+    int64_t lease;
+    int64_t ttl_ms;
+    fv_kv_items_t items;
+} fv_kv_result_t;
+
+typedef void (*fv_kv_done_t)(void *context, const fv_kv_result_t *result);
+
+/* Follows the keys with a prefix: a first reading, then every change. */
+typedef struct fv_kv_follower {
+    const char *prefix;
+    void (*begin)(void *context); /* a complete reading follows */
+    void (*item)(void *context, const fv_kv_item_t *item);
+    void (*loaded)(void *context); /* the reading is complete */
+    void *context;
+} fv_kv_follower_t;
+
+typedef struct fv_kv_watch fv_kv_watch_t;
+
+fv_kv_t *FvKv_New(struct event_base *base, fv_call_pool_t *pool,
+                  const char *address);
+void FvKv_Free(fv_kv_t *kv);
+void FvKv_Range(fv_kv_t *kv, const char *prefix, const char *after,
+                fv_kv_done_t done, void *context);
+void FvKv_Get(fv_kv_t *kv, const char *key, fv_kv_done_t done, void *context);
+void FvKv_Txn(fv_kv_t *kv, const fv_kv_expect_t *expects, uint32_t expects_n,
+              const fv_kv_put_t *puts, uint32_t puts_n, fv_kv_done_t done,
+              void *context);
+void FvKv_Grant(fv_kv_t *kv, int64_t ttl_ms, fv_kv_done_t done, void *context);
+void FvKv_Renew(fv_kv_t *kv, int64_t lease, fv_kv_done_t done, void *context);
+void FvKv_Revoke(fv_kv_t *kv, int64_t lease);
+fv_kv_watch_t *FvKv_Follow(fv_kv_t *kv, const fv_kv_follower_t *follower);
+void FvKv_Unfollow(fv_kv_watch_t *watch);
+bool FvKv_Reachable(const fv_kv_t *kv);
+
+/* Keys of the project in the store. */
+#define Fv_KEY_CONTROL "fireflyvalve/control/"
+#define Fv_KEY_LEADER Fv_KEY_CONTROL "leader"
+#define Fv_KEY_HOSTS Fv_KEY_CONTROL "hosts/"
+#define Fv_KEY_JOBS "fireflyvalve/jobs/"
+#define Fv_KEY_PROGRESS "fireflyvalve/progress/"
+#define Fv_KEY_ENDED "fireflyvalve/ended/"
+#define Fv_KEY_LANES "fireflyvalve/lanes/"
+#define Fv_KEY_ROSTER "fireflyvalve/roster"
+
+/* records.c: ordered, batched writes that only the leader can make. */
+typedef struct fv_records fv_records_t;
+typedef void (*fv_records_done_t)(void *context);
+
+typedef struct fv_record {
+    char key[Fv_KEY_SIZE];
+    fv_buffer_t value; /* empty: the key is removed */
+    bool expires;      /* attached to a lease that outlives keep_ended */
+} fv_record_t;
+
+typedef struct fv_records_owner {
+    int64_t epoch;               /* revision of the leader's key */
+    int64_t keep_ms;             /* life of records that expire */
+    void (*lost)(void *context); /* another host leads */
+    void *context;
+} fv_records_owner_t;
+
+fv_records_t *FvRecords_New(struct event_base *base, fv_kv_t *kv,
+                            const fv_records_owner_t *owner,
+                            const int64_t *lane_revisions);
+void FvRecords_Free(fv_records_t *records);
+void FvRecords_Write(fv_records_t *records, const char *lane_key,
+                     fv_record_t *entries, uint32_t count,
+                     fv_records_done_t done, void *context);
+void FvRecords_After(fv_records_t *records, fv_records_done_t done,
+                     void *context);
+uint32_t FvRecords_Backlog(const fv_records_t *records);
+
+#define Fv_RECORD_LANES 4
+void FvRecords_LaneKey(uint32_t lane, char *key, size_t size);
+
+/* election.c: which host leads. */
+typedef struct fv_election fv_election_t;
+
+typedef struct fv_peer_entry {
+    char name[Fv_NAME_SIZE];
+    char link_address[Fv_ADDRESS_SIZE];
+    double cpu_cores;
+    bool listed;
+} fv_peer_entry_t;
+
+typedef struct fv_election_events {
+    void (*won)(void *context, int64_t epoch, int32_t generation);
+    void (*lost)(void *context, const char *cause);
+    void (*hosts_changed)(void *context);
+    void *context;
+} fv_election_events_t;
+
+fv_election_t *FvElection_New(struct event_base *base, fv_kv_t *kv,
+                              const fv_entry_settings_t *settings,
+                              const fv_election_events_t *events);
+void FvElection_Free(fv_election_t *election);
+bool FvElection_Leads(const fv_election_t *election);
+bool FvElection_MayOrder(fv_election_t *election, int64_t now_ms);
+void FvElection_Resign(fv_election_t *election, int64_t pause_ms,
+                       const char *cause);
+uint32_t FvElection_Hosts(const fv_election_t *election,
+                          const fv_peer_entry_t **hosts);
+int64_t FvElection_OrphanMs(void);
+
+/* host-link.c: msgpack frames over TCP between hosts. */
+typedef enum fv_message_kind {
+    Fv_MESSAGE_GREETING = 1, /* leader: number = epoch, name = host */
+    Fv_MESSAGE_JOIN,         /* host: number = config version, name = host */
+    Fv_MESSAGE_BEAT,         /* both: number = config version */
+    Fv_MESSAGE_CONFIG,       /* both: body = the configuration */
+    Fv_MESSAGE_REQUEST,      /* host: number = verb, name = queue,
+                                key = job, body = submission */
+    Fv_MESSAGE_REPLY,        /* leader: number = outcome, name = state */
+    Fv_MESSAGE_ASK,          /* leader: key = step, body = worker ids */
+    Fv_MESSAGE_ADVICE        /* host: number = 1 when answered, body = rows */
+} fv_message_kind_t;
+
+typedef struct fv_message {
+    fv_message_kind_t kind;
+    int64_t id;
+    int64_t number;
+    const char *name;
+    const char *key;
+    const char *body;
+    size_t body_length;
+} fv_message_t;
+
+typedef struct fv_links fv_links_t;
+typedef struct fv_link_peer fv_link_peer_t;
+
+typedef struct fv_links_events {
+    /* A message from a peer; its texts live until the call returns. */
+    void (*message)(void *context, fv_link_peer_t *peer,
+                    const fv_message_t *message);
+    void (*opened)(void *context, fv_link_peer_t *peer);
+    void (*closed)(void *context, fv_link_peer_t *peer);
+    void *context;
+} fv_links_events_t;
+
+fv_links_t *FvLinks_New(struct event_base *base,
+                        const fv_entry_settings_t *settings,
+                        const fv_links_events_t *events);
+void FvLinks_Free(fv_links_t *links);
+fv_link_peer_t *FvLinks_Dial(fv_links_t *links, const char *name,
+                             const char *address);
+void FvLinks_Hang(fv_link_peer_t *peer);
+void FvLinks_HangDialed(fv_links_t *links);
+void FvLinks_Send(fv_link_peer_t *peer, const fv_message_t *message);
+const char *FvLinks_Name(const fv_link_peer_t *peer);
+void FvLinks_SetName(fv_link_peer_t *peer, const char *name);
+bool FvLinks_Dialed(const fv_link_peer_t *peer);
+void FvLinks_CloseSilent(fv_links_t *links, int64_t silent_ms);
+
+/* Requests of callers as they travel from a front to the leader. */
+typedef enum fv_verb {
+    Fv_VERB_SUBMIT = 1,
+    Fv_VERB_STATE,
+    Fv_VERB_CANCEL,
+    Fv_VERB_WAITING
+} fv_verb_t;
+
+typedef enum fv_reply {
+    Fv_REPLY_ACCEPTED = 1,
+    Fv_REPLY_STATE,   /* name = the state */
+    Fv_REPLY_COUNT,   /* name = a number */
+    Fv_REPLY_GONE,    /* no such job */
+    Fv_REPLY_REFUSED, /* not accepted; will never run */
+    Fv_REPLY_MALFORMED,
+    Fv_REPLY_NOT_READY, /* nothing was done; ask again */
+    Fv_REPLY_CONFLICT   /* the id belongs to another submission */
+} fv_reply_t;
+
+/* front.c: HTTP towards callers and the platform's balancer. */
+typedef struct fv_front fv_front_t;
+
+typedef struct fv_front_events {
+    /* Passes a request on to the leader; false when none is known. */
+    bool (*forward)(void *context, const fv_message_t *message);
+    bool (*ready)(void *context);
+    void *context;
+} fv_front_events_t;
+
+fv_front_t *FvFront_New(struct event_base *base,
+                        const fv_entry_settings_t *settings,
+                        const fv_front_events_t *events);
+void FvFront_Free(fv_front_t *front);
+void FvFront_SetConfig(fv_front_t *front, const fv_cell_config_t *config);
+void FvFront_Reply(fv_front_t *front, const fv_message_t *message);
+void FvFront_LeaderChanged(fv_front_t *front);
+void FvFront_Drain(fv_front_t *front);
+uint32_t FvFront_OpenRequests(const fv_front_t *front);
+
+/* cell-leader.c: the leader's duties. */
+typedef struct fv_leader fv_leader_t;
+
+typedef struct fv_leader_events {
+    bool (*may_order)(void *context, int64_t now_ms);
+    /* Asks a host, or this one, to call the advice service. */
+    bool (*ask)(void *context, const fv_message_t *message, int64_t cost_us);
+    void (*deposed)(void *context, const char *cause);
+    const fv_cell_config_t *(*config)(void *context);
+    void *context;
+} fv_leader_events_t;
+
+typedef void (*fv_leader_reply_t)(void *context, const fv_message_t *reply);
+
+fv_leader_t *FvLeader_New(struct event_base *base, fv_call_pool_t *pool,
+                          fv_kv_t *kv, const fv_entry_settings_t *settings,
+                          const fv_leader_events_t *events, int64_t epoch,
+                          int32_t generation);
+void FvLeader_Free(fv_leader_t *leader);
+bool FvLeader_Serving(const fv_leader_t *leader);
+void FvLeader_Request(fv_leader_t *leader, const fv_message_t *message,
+                      fv_leader_reply_t reply, void *context);
+void FvLeader_DropReplies(fv_leader_t *leader, const void *context);
+void FvLeader_Advice(fv_leader_t *leader, const fv_message_t *message);
+
+/* advice-caller.c: this host's calls to the advice service, one at a time. */
+typedef struct fv_advice_caller fv_advice_caller_t;
+typedef void (*fv_advice_done_t)(void *context, const fv_message_t *answer);
+
+fv_advice_caller_t *FvAdviceCaller_New(fv_call_pool_t *pool,
+                                       const char *address);
+void FvAdviceCaller_Free(fv_advice_caller_t *caller);
+void FvAdviceCaller_Ask(fv_advice_caller_t *caller,
+                        const fv_message_t *question, fv_advice_done_t done,
+                        void *context);
+
+/* entry.c */
+int FvEntry_Run(const char *settings_path);
+
+#endif
--- a/src/fireflyvalve.c
+++ b/src/fireflyvalve.c
@@ -10,6 +10,8 @@
 static const fv_command_t commands[] = {
     {"serve", "Runs the daemon of an entry host", "--config FILE",
      FvCmd_Serve},
+    {"entry", "Runs an entry host on the users' platform", "[--config FILE]",
+     FvCmd_Entry},
     {"submit", "Submits a job", "--workload NAME [options]", FvCmd_Submit},
     {"status", "Shows a job or its answer", "KEY [options]", FvCmd_Status},
     {"cancel", "Cancels a job", "KEY [options]", FvCmd_Cancel},
--- /dev/null
+++ b/src/host-link.c
@@ -0,0 +1,471 @@
+/*
+ * Connections between hosts: frames of a 4-byte big-endian length and one
+ * msgpack array. The leader dials every registered host; requests travel on
+ * the same connection in the other direction.
+ */
+
+#include "entry.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <msgpack.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define Fv_LINK_FRAME_MAX_BYTES (2 * 1024 * 1024)
+#define Fv_LINK_FIELDS 6
+#define Fv_LINK_HEADER_BYTES 4
+
+/* A peer that does not read this much is cut off. */
+#define Fv_LINK_BACKLOG_MAX_BYTES (8 * 1024 * 1024)
+
+struct fv_link_peer {
+    fv_links_t *links;
+    struct bufferevent *stream;
+    char name[Fv_NAME_SIZE];
+    bool dialed;
+    bool connected;
+    bool closing;
+    int64_t heard_ms;
+    fv_link_peer_t *next;
+};
+
+struct fv_links {
+    struct event_base *base;
+    fv_links_events_t events;
+    struct evconnlistener *listener;
+    fv_link_peer_t *peers;
+};
+
+/**
+ * FvLinks_Name - the peer's host name
+ * @peer: the peer
+ *
+ * Return: its name, "" while it is not known.
+ */
+const char *
+FvLinks_Name(const fv_link_peer_t *peer)
+{
+    return peer->name;
+}
+
+/**
+ * FvLinks_SetName - note the peer's host name
+ * @peer: the peer
+ * @name: its name
+ */
+void
+FvLinks_SetName(fv_link_peer_t *peer, const char *name)
+{
+    if (!FvText_Copy(peer->name, sizeof(peer->name), name)) {
+        FvLog_Event(Fv_LOG_WARN, "peer_name_too_long", "name=%s", name);
+    }
+}
+
+/**
+ * FvLinks_Dialed - whether this host made the connection
+ * @peer: the peer
+ *
+ * Return: true when it did.
+ */
+bool
+FvLinks_Dialed(const fv_link_peer_t *peer)
+{
+    return peer->dialed;
+}
+
+static void
+close_peer(fv_link_peer_t *peer)
+{
+    fv_links_t *links = peer->links;
+    fv_link_peer_t **link = &links->peers;
+
+    if (peer->closing) {
+        return;
+    }
+    peer->closing = true;
+    while (*link != NULL && *link != peer) {
+        link = &(*link)->next;
+    }
+    if (*link == peer) {
+        *link = peer->next;
+    }
+    links->events.closed(links->events.context, peer);
+    bufferevent_free(peer->stream);
+    free(peer);
+}
+
+/**
+ * FvLinks_Hang - close a connection
+ * @peer: the peer, or NULL
+ */
+void
+FvLinks_Hang(fv_link_peer_t *peer)
+{
+    if (peer != NULL) {
+        close_peer(peer);
+    }
+}
+
+/**
+ * FvLinks_HangDialed - close all connections that this host made
+ * @links: the links
+ */
+void
+FvLinks_HangDialed(fv_links_t *links)
+{
+    fv_link_peer_t *peer = links->peers;
+
+    while (peer != NULL) {
+        fv_link_peer_t *next = peer->next;
+
+        if (peer->dialed) {
+            close_peer(peer);
+            next = links->peers;
+        }
+        peer = next;
+    }
+}
+
+/**
+ * FvLinks_CloseSilent - close connections on which nothing came for long
+ * @links: the links
+ * @silent_ms: how long
+ */
+void
+FvLinks_CloseSilent(fv_links_t *links, int64_t silent_ms)
+{
+    int64_t now_ms = FvClock_NowMs();
+    fv_link_peer_t *peer = links->peers;
+
+    while (peer != NULL) {
+        fv_link_peer_t *next = peer->next;
+
+        if (now_ms - peer->heard_ms > silent_ms) {
+            FvLog_Event(Fv_LOG_INFO, "link_silent", "peer=%s", peer->name);
+            close_peer(peer);
+            next = links->peers;
+        }
+        peer = next;
+    }
+}
+
+static const char *
+read_text(const msgpack_object *object, size_t *length)
+{
+    if (object->type == MSGPACK_OBJECT_BIN) {
+        *length = object->via.bin.size;
+        return object->via.bin.ptr;
+    }
+    *length = 0;
+    return NULL;
+}
+
+/* Copies a text of a message; false when it does not fit. */
+static bool
+copy_text(const msgpack_object *object, char *target, size_t size)
+{
+    if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= size) {
+        return false;
+    }
+    memcpy(target, object->via.str.ptr, object->via.str.size);
+    target[object->via.str.size] = '\0';
+    return true;
+}
+
+static bool
+deliver(fv_link_peer_t *peer, const msgpack_object *fields)
+{
+    char name[Fv_KEY_SIZE];
+    char key[Fv_KEY_SIZE];
+    fv_message_t message = {.name = name, .key = key};
+
+    if (fields[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        !copy_text(&fields[3], name, sizeof(name)) ||
+        !copy_text(&fields[4], key, sizeof(key))) {
+        return false;
+    }
+    message.kind = (fv_message_kind_t)fields[0].via.u64;
+    message.id = fields[1].via.i64;
+    message.number = fields[2].via.i64;
+    message.body = read_text(&fields[5], &message.body_length);
+    peer->links->events.message(peer->links->events.context, peer, &message);
+    return true;
+}
+
+static bool
+decode_frame(fv_link_peer_t *peer, const char *data, size_t length)
+{
+    msgpack_unpacked unpacked;
+    bool good = false;
+
+    msgpack_unpacked_init(&unpacked);
+    if (msgpack_unpack_next(&unpacked, data, length, NULL) ==
+            MSGPACK_UNPACK_SUCCESS &&
+        unpacked.data.type == MSGPACK_OBJECT_ARRAY &&
+        unpacked.data.via.array.size == Fv_LINK_FIELDS) {
+        good = deliver(peer, unpacked.data.via.array.ptr);
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return good;
+}
+
+static bool
+is_open(const fv_links_t *links, const fv_link_peer_t *peer)
+{
+    for (const fv_link_peer_t *other = links->peers; other != NULL;
+         other = other->next) {
+        if (other == peer) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+data_arrived(struct bufferevent *stream, void *context)
+{
+    fv_link_peer_t *peer = context;
+    fv_links_t *links = peer->links;
+    struct evbuffer *input = bufferevent_get_input(stream);
+
+    peer->heard_ms = FvClock_NowMs();
+    for (;;) {
+        uint8_t header[Fv_LINK_HEADER_BYTES];
+        uint32_t length;
+        char *frame;
+        bool good;
+
+        if (evbuffer_copyout(input, header, sizeof(header)) <
+            (ev_ssize_t)sizeof(header)) {
+            return;
+        }
+        memcpy(&length, header, sizeof(length));
+        length = ntohl(length);
+        if (length > Fv_LINK_FRAME_MAX_BYTES) {
+            FvMetrics_Add(Fv_COUNTER_LINK_REJECTED, 1);
+            close_peer(peer);
+            return;
+        }
+        if (evbuffer_get_length(input) < sizeof(header) + length) {
+            return;
+        }
+        evbuffer_drain(input, sizeof(header));
+        frame = malloc((size_t)length + 1);
+        if (frame == NULL) {
+            close_peer(peer);
+            return;
+        }
+        evbuffer_remove(input, frame, length);
+        FvMetrics_Add(Fv_COUNTER_LINK_BYTES_RECEIVED, length + sizeof(header));
+        good = decode_frame(peer, frame, length);
+        free(frame);
+        if (!is_open(links, peer)) {
+            return; /* the message made this host hang up */
+        }
+        if (!good) {
+            FvMetrics_Add(Fv_COUNTER_LINK_REJECTED, 1);
+            close_peer(peer);
+            return;
+        }
+    }
+}
+
+static void
+state_changed(struct bufferevent *stream, short what, void *context)
+{
+    fv_link_peer_t *peer = context;
+
+    (void)stream;
+    if (what & BEV_EVENT_CONNECTED) {
+        peer->connected = true;
+        peer->heard_ms = FvClock_NowMs();
+        peer->links->events.opened(peer->links->events.context, peer);
+        return;
+    }
+    close_peer(peer);
+}
+
+static void
+disable_delay(evutil_socket_t fd)
+{
+    int on = 1;
+
+    if (setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on)) != 0) {
+        FvLog_Event(Fv_LOG_DEBUG, "nodelay_refused", NULL);
+    }
+}
+
+static fv_link_peer_t *
+add_peer(fv_links_t *links, evutil_socket_t fd)
+{
+    fv_link_peer_t *peer = calloc(1, sizeof(*peer));
+
+    if (peer == NULL) {
+        return NULL;
+    }
+    peer->links = links;
+    peer->heard_ms = FvClock_NowMs();
+    peer->stream = bufferevent_socket_new(
+        links->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    if (peer->stream == NULL) {
+        free(peer);
+        return NULL;
+    }
+    bufferevent_setcb(peer->stream, data_arrived, NULL, state_changed, peer);
+    peer->next = links->peers;
+    links->peers = peer;
+    return peer;
+}
+
+/**
+ * FvLinks_Dial - connect to a host
+ * @links: the links
+ * @name: its name
+ * @address: its link address
+ *
+ * Return: the peer, or NULL when the connection cannot be tried.
+ */
+fv_link_peer_t *
+FvLinks_Dial(fv_links_t *links, const char *name, const char *address)
+{
+    struct sockaddr_in target;
+    fv_link_peer_t *peer;
+
+    if (!FvText_ParseAddress(address, &target)) {
+        FvLog_Event(Fv_LOG_WARN, "peer_address_malformed", "peer=%s", name);
+        return NULL;
+    }
+    peer = add_peer(links, -1);
+    if (peer == NULL) {
+        return NULL;
+    }
+    peer->dialed = true;
+    FvLinks_SetName(peer, name);
+    if (bufferevent_socket_connect(peer->stream, (struct sockaddr *)&target,
+                                   sizeof(target)) != 0) {
+        close_peer(peer);
+        return NULL;
+    }
+    disable_delay(bufferevent_getfd(peer->stream));
+    bufferevent_enable(peer->stream, EV_READ | EV_WRITE);
+    return peer;
+}
+
+static void
+accepted(struct evconnlistener *listener, evutil_socket_t fd,
+         struct sockaddr *address, int length, void *context)
+{
+    fv_link_peer_t *peer = add_peer(context, fd);
+
+    (void)listener;
+    (void)address;
+    (void)length;
+    if (peer == NULL) {
+        evutil_closesocket(fd);
+        return;
+    }
+    peer->connected = true;
+    disable_delay(fd);
+    bufferevent_enable(peer->stream, EV_READ | EV_WRITE);
+}
+
+static void
+pack_text(msgpack_packer *packer, const char *text)
+{
+    size_t length = text ? strlen(text) : 0;
+
+    msgpack_pack_str(packer, length);
+    msgpack_pack_str_body(packer, text ? text : "", length);
+}
+
+/**
+ * FvLinks_Send - send a message
+ * @peer: to whom
+ * @message: the message
+ */
+void
+FvLinks_Send(fv_link_peer_t *peer, const fv_message_t *message)
+{
+    msgpack_sbuffer packed;
+    msgpack_packer packer;
+    uint32_t length;
+    struct evbuffer *output = bufferevent_get_output(peer->stream);
+
+    if (evbuffer_get_length(output) > Fv_LINK_BACKLOG_MAX_BYTES) {
+        FvLog_Event(Fv_LOG_WARN, "link_backlog", "peer=%s kind=%d", peer->name,
+                    (int)message->kind);
+        return; /* heartbeats stop too, so the peer notices */
+    }
+    msgpack_sbuffer_init(&packed);
+    msgpack_packer_init(&packer, &packed, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, Fv_LINK_FIELDS);
+    msgpack_pack_int(&packer, (int)message->kind);
+    msgpack_pack_int64(&packer, message->id);
+    msgpack_pack_int64(&packer, message->number);
+    pack_text(&packer, message->name);
+    pack_text(&packer, message->key);
+    msgpack_pack_bin(&packer, message->body_length);
+    msgpack_pack_bin_body(&packer, message->body ? message->body : "",
+                          message->body_length);
+    length = htonl((uint32_t)packed.size);
+    evbuffer_add(output, &length, sizeof(length));
+    evbuffer_add(output, packed.data, packed.size);
+    FvMetrics_Add(Fv_COUNTER_LINK_BYTES_SENT, packed.size + sizeof(length));
+    msgpack_sbuffer_destroy(&packed);
+}
+
+/**
+ * FvLinks_New - listen for connections of leaders
+ * @base: the event loop
+ * @settings: this host
+ * @events: what is told
+ *
+ * Return: the links, or NULL when the address cannot be bound.
+ */
+fv_links_t *
+FvLinks_New(struct event_base *base, const fv_entry_settings_t *settings,
+            const fv_links_events_t *events)
+{
+    fv_links_t *links = calloc(1, sizeof(*links));
+    char text[Fv_ADDRESS_SIZE * 2];
+    struct sockaddr_in address;
+
+    if (links == NULL) {
+        return NULL;
+    }
+    links->base = base;
+    links->events = *events;
+    snprintf(text, sizeof(text), "%s:%d", settings->address,
+             settings->link_port);
+    if (FvText_ParseAddress(text, &address)) {
+        links->listener = evconnlistener_new_bind(
+            base, accepted, links, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+            -1, (struct sockaddr *)&address, sizeof(address));
+    }
+    if (links->listener == NULL) {
+        free(links);
+        return NULL;
+    }
+    return links;
+}
+
+/**
+ * FvLinks_Free - close all connections
+ * @links: the links, or NULL
+ */
+void
+FvLinks_Free(fv_links_t *links)
+{
+    if (links == NULL) {
+        return;
+    }
+    while (links->peers != NULL) {
+        close_peer(links->peers);
+    }
+    evconnlistener_free(links->listener);
+    free(links);
+}
--- /dev/null
+++ b/src/kv.c
@@ -0,0 +1,483 @@
+/*
+ * Client of the platform's key-value store.
+ */
+
+#include "entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* The store answers in 4 ms, across regions in 44 ms, and up to 100 times
+ * slower when it is slow (BENCH, kinds). */
+#define Fv_KV_TIMEOUT_MS 1000
+
+/* How long a watch waits. A connection that went silent is noticed after it,
+ * which has to be well below configApplyMs + contactMs (6.5 s). */
+#define Fv_WATCH_WAIT_MS 3000
+#define Fv_WATCH_TIMEOUT_MS 3600
+
+/* Pause before a watch is repeated after an error. */
+#define Fv_WATCH_RETRY_MS 200
+
+typedef enum fv_kv_answer {
+    Fv_KV_ANSWER_ITEM,
+    Fv_KV_ANSWER_ITEMS,
+    Fv_KV_ANSWER_EVENTS,
+    Fv_KV_ANSWER_REVISION,
+    Fv_KV_ANSWER_LEASE
+} fv_kv_answer_t;
+
+typedef struct fv_kv_call {
+    fv_kv_t *kv;
+    fv_kv_answer_t expected;
+    fv_kv_done_t done;
+    void *context;
+} fv_kv_call_t;
+
+struct fv_kv {
+    struct event_base *base;
+    fv_call_pool_t *pool;
+    char address[Fv_ADDRESS_SIZE];
+    bool reachable;
+    fv_kv_watch_t *watches;
+};
+
+struct fv_kv_watch {
+    fv_kv_t *kv;
+    fv_kv_follower_t follower;
+    struct event *retry;
+    int64_t revision;         /* changes after it are wanted; 0: read anew */
+    int64_t reading_revision; /* of the first page of a reading */
+    char *after;              /* last key of the page read before */
+    bool calling;
+    bool dropped;
+    fv_kv_watch_t *next;
+};
+
+static void advance_watch(fv_kv_watch_t *watch);
+
+/**
+ * FvKv_New - make a client
+ * @base: the event loop
+ * @pool: sends the calls
+ * @address: the store's address
+ *
+ * Return: the client, or NULL when memory is exhausted.
+ */
+fv_kv_t *
+FvKv_New(struct event_base *base, fv_call_pool_t *pool, const char *address)
+{
+    fv_kv_t *kv = calloc(1, sizeof(*kv));
+
+    if (kv != NULL) {
+        kv->base = base;
+        kv->pool = pool;
+        FvText_Copy(kv->address, sizeof(kv->address), address);
+    }
+    return kv;
+}
+
+/**
+ * FvKv_Free - release a client after its pool
+ * @kv: the client, or NULL
+ */
+void
+FvKv_Free(fv_kv_t *kv)
+{
+    if (kv == NULL) {
+        return;
+    }
+    while (kv->watches != NULL) {
+        fv_kv_watch_t *watch = kv->watches;
+
+        kv->watches = watch->next;
+        event_free(watch->retry);
+        free(watch->after);
+        free(watch);
+    }
+    free(kv);
+}
+
+/**
+ * FvKv_Reachable - whether the store answered the latest call
+ * @kv: the client
+ *
+ * Return: true when it did.
+ */
+bool
+FvKv_Reachable(const fv_kv_t *kv)
+{
+    return kv->reachable;
+}
+
+static void
+note_reachable(fv_kv_t *kv, fv_kv_error_t error, int32_t status)
+{
+    bool reachable = error != Fv_KV_UNAVAILABLE && error != Fv_KV_IN_DOUBT;
+
+    if (!reachable) {
+        FvMetrics_Add(error == Fv_KV_IN_DOUBT ? Fv_COUNTER_STORE_IN_DOUBT
+                                              : Fv_COUNTER_STORE_ERRORS,
+                      1);
+    }
+    if (reachable != kv->reachable) {
+        FvLog_Event(reachable ? Fv_LOG_INFO : Fv_LOG_WARN,
+                    reachable ? "store_regained" : "store_lost",
+                    "address=%s status=%d", kv->address, status);
+    }
+    kv->reachable = reachable;
+}
+
+static bool
+decode_answer(fv_kv_answer_t expected, const fv_call_answer_t *answer,
+              fv_kv_result_t *result)
+{
+    switch (expected) {
+    case Fv_KV_ANSWER_ITEM:
+        return FvPlatform_KvItem(answer, &result->items);
+    case Fv_KV_ANSWER_ITEMS:
+        return FvPlatform_KvItems(answer, &result->items);
+    case Fv_KV_ANSWER_EVENTS:
+        return FvPlatform_KvEvents(answer, &result->items);
+    case Fv_KV_ANSWER_REVISION:
+        return FvPlatform_KvRevision(answer, &result->revision);
+    case Fv_KV_ANSWER_LEASE:
+    default:
+        return FvPlatform_KvLease(answer, &result->lease, &result->ttl_ms);
+    }
+}
+
+static void
+kv_answered(void *context, const fv_call_answer_t *answer)
+{
+    fv_kv_call_t *call = context;
+    fv_kv_result_t result = {.error = FvPlatform_KvStatus(answer)};
+
+    note_reachable(call->kv, result.error, answer->status);
+    if (result.error == Fv_KV_OK &&
+        !decode_answer(call->expected, answer, &result)) {
+        result.error = Fv_KV_MALFORMED;
+    }
+    else if (result.error == Fv_KV_CONFLICT &&
+             !FvPlatform_KvItems(answer, &result.items)) {
+        result.error = Fv_KV_MALFORMED;
+    }
+    call->done(call->context, &result);
+    FvKvItems_Clear(&result.items);
+    free(call);
+}
+
+static void
+send_call(fv_kv_t *kv, fv_call_t *call, fv_kv_answer_t expected,
+          int64_t timeout_ms, fv_kv_done_t done, void *context)
+{
+    fv_kv_call_t *pending = calloc(1, sizeof(*pending));
+
+    if (pending == NULL) {
+        abort(); /* a call that is never answered would stop its caller */
+    }
+    *pending = (fv_kv_call_t){
+        .kv = kv, .expected = expected, .done = done, .context = context};
+    FvCallPool_Send(kv->pool, kv->address, call, timeout_ms, kv_answered,
+                    pending);
+}
+
+/**
+ * FvKv_Get - read one key
+ * @kv: the client
+ * @key: the key
+ * @done: called with the item
+ * @context: passed to @done
+ */
+void
+FvKv_Get(fv_kv_t *kv, const char *key, fv_kv_done_t done, void *context)
+{
+    fv_call_t call;
+
+    FvMetrics_Add(Fv_COUNTER_STORE_READS, 1);
+    FvPlatform_KvGet(&call, key);
+    send_call(kv, &call, Fv_KV_ANSWER_ITEM, Fv_KV_TIMEOUT_MS, done, context);
+}
+
+/**
+ * FvKv_Range - read a page of the keys with a prefix
+ * @kv: the client
+ * @prefix: the prefix
+ * @after: the last key of the page before, or NULL
+ * @done: called with the items
+ * @context: passed to @done
+ */
+void
+FvKv_Range(fv_kv_t *kv, const char *prefix, const char *after,
+           fv_kv_done_t done, void *context)
+{
+    fv_call_t call;
+
+    FvMetrics_Add(Fv_COUNTER_STORE_READS, 1);
+    FvPlatform_KvRange(&call, prefix, after);
+    send_call(kv, &call, Fv_KV_ANSWER_ITEMS, Fv_KV_TIMEOUT_MS, done, context);
+}
+
+/**
+ * FvKv_Txn - change keys, all or nothing
+ * @kv: the client
+ * @expects: the revisions that must hold
+ * @expects_n: how many
+ * @puts: the changes
+ * @puts_n: how many
+ * @done: called with the revision, or the items of @expects on a conflict
+ * @context: passed to @done
+ */
+void
+FvKv_Txn(fv_kv_t *kv, const fv_kv_expect_t *expects, uint32_t expects_n,
+         const fv_kv_put_t *puts, uint32_t puts_n, fv_kv_done_t done,
+         void *context)
+{
+    fv_call_t call;
+
+    FvMetrics_Add(Fv_COUNTER_STORE_WRITES, 1);
+    FvPlatform_KvTxn(&call, expects, expects_n, puts, puts_n);
+    send_call(kv, &call, Fv_KV_ANSWER_REVISION, Fv_KV_TIMEOUT_MS, done,
+              context);
+}
+
+/**
+ * FvKv_Grant - create a lease
+ * @kv: the client
+ * @ttl_ms: its life without a renewal
+ * @done: called with the lease
+ * @context: passed to @done
+ */
+void
+FvKv_Grant(fv_kv_t *kv, int64_t ttl_ms, fv_kv_done_t done, void *context)
+{
+    fv_call_t call;
+
+    FvMetrics_Add(Fv_COUNTER_STORE_WRITES, 1);
+    FvPlatform_KvGrant(&call, ttl_ms);
+    send_call(kv, &call, Fv_KV_ANSWER_LEASE, Fv_KV_TIMEOUT_MS, done, context);
+}
+
+/**
+ * FvKv_Renew - renew a lease
+ * @kv: the client
+ * @lease: the lease
+ * @done: called with its new life
+ * @context: passed to @done
+ */
+void
+FvKv_Renew(fv_kv_t *kv, int64_t lease, fv_kv_done_t done, void *context)
+{
+    fv_call_t call;
+
+    FvMetrics_Add(Fv_COUNTER_LEASE_RENEWALS, 1);
+    FvPlatform_KvRenew(&call, lease);
+    send_call(kv, &call, Fv_KV_ANSWER_LEASE, Fv_KV_TIMEOUT_MS, done, context);
+}
+
+static void
+ignore_result(void *context, const fv_kv_result_t *result)
+{
+    (void)context;
+    if (result->error != Fv_KV_OK && result->error != Fv_KV_MALFORMED) {
+        FvLog_Event(Fv_LOG_INFO, "lease_end_unanswered", "error=%d",
+                    (int)result->error);
+    }
+}
+
+/**
+ * FvKv_Revoke - end a lease
+ * @kv: the client
+ * @lease: the lease
+ *
+ * When the call is lost the lease ends by itself.
+ */
+void
+FvKv_Revoke(fv_kv_t *kv, int64_t lease)
+{
+    fv_call_t call;
+
+    FvMetrics_Add(Fv_COUNTER_STORE_WRITES, 1);
+    FvPlatform_KvRevoke(&call, lease);
+    send_call(kv, &call, Fv_KV_ANSWER_LEASE, Fv_KV_TIMEOUT_MS, ignore_result,
+              NULL);
+}
+
+static void
+free_watch(fv_kv_watch_t *watch)
+{
+    fv_kv_watch_t **link = &watch->kv->watches;
+
+    while (*link != watch) {
+        link = &(*link)->next;
+    }
+    *link = watch->next;
+    event_free(watch->retry);
+    free(watch->after);
+    free(watch);
+}
+
+static void
+retry_watch(fv_kv_watch_t *watch)
+{
+    struct timeval pause = {.tv_usec = Fv_WATCH_RETRY_MS * 1000};
+
+    event_add(watch->retry, &pause);
+}
+
+static void
+retry_due(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    advance_watch(context);
+}
+
+/* Returns false when the watch is no longer wanted, and releases it. */
+static bool
+call_ended(fv_kv_watch_t *watch)
+{
+    watch->calling = false;
+    if (watch->dropped) {
+        free_watch(watch);
+        return false;
+    }
+    return true;
+}
+
+static bool
+deliver(fv_kv_watch_t *watch, const fv_kv_items_t *items)
+{
+    for (uint32_t i = 0; i < items->count && !watch->dropped; i++) {
+        watch->follower.item(watch->follower.context, &items->items[i]);
+    }
+    return !watch->dropped;
+}
+
+static void
+page_read(void *context, const fv_kv_result_t *result)
+{
+    fv_kv_watch_t *watch = context;
+    bool first = watch->after == NULL;
+    const fv_kv_items_t *items = &result->items;
+
+    watch->calling = true; /* keeps the watch while callbacks run */
+    if (result->error == Fv_KV_OK && !watch->dropped) {
+        if (first) {
+            watch->follower.begin(watch->follower.context);
+            watch->reading_revision = items->revision;
+        }
+        deliver(watch, items);
+        free(watch->after);
+        watch->after = NULL;
+        if (items->has_more && items->count > 0) {
+            watch->after = strdup(items->items[items->count - 1].key);
+        }
+        else if (!watch->dropped) {
+            watch->revision = watch->reading_revision;
+            watch->follower.loaded(watch->follower.context);
+        }
+    }
+    if (!call_ended(watch)) {
+        return;
+    }
+    if (result->error == Fv_KV_OK) {
+        advance_watch(watch);
+        return;
+    }
+    free(watch->after);
+    watch->after = NULL;
+    watch->revision = 0;
+    retry_watch(watch);
+}
+
+static void
+events_arrived(void *context, const fv_kv_result_t *result)
+{
+    fv_kv_watch_t *watch = context;
+
+    watch->calling = true;
+    if (result->error == Fv_KV_OK && !watch->dropped) {
+        deliver(watch, &result->items);
+        if (result->items.revision > watch->revision) {
+            watch->revision = result->items.revision;
+        }
+    }
+    if (!call_ended(watch)) {
+        return;
+    }
+    if (result->error == Fv_KV_HISTORY_GONE) {
+        FvLog_Event(Fv_LOG_INFO, "watch_history_gone", "prefix=%s",
+                    watch->follower.prefix);
+        watch->revision = 0;
+    }
+    if (result->error == Fv_KV_OK || result->error == Fv_KV_HISTORY_GONE) {
+        advance_watch(watch);
+    }
+    else {
+        retry_watch(watch);
+    }
+}
+
+static void
+advance_watch(fv_kv_watch_t *watch)
+{
+    fv_call_t call;
+
+    watch->calling = true;
+    if (watch->revision == 0) {
+        FvKv_Range(watch->kv, watch->follower.prefix, watch->after, page_read,
+                   watch);
+        return;
+    }
+    FvMetrics_Add(Fv_COUNTER_STORE_WATCHES, 1);
+    FvPlatform_KvWatch(&call, watch->follower.prefix, watch->revision,
+                       Fv_WATCH_WAIT_MS);
+    send_call(watch->kv, &call, Fv_KV_ANSWER_EVENTS, Fv_WATCH_TIMEOUT_MS,
+              events_arrived, watch);
+}
+
+/**
+ * FvKv_Follow - read the keys with a prefix and follow their changes
+ * @kv: the client
+ * @follower: what is told; copied
+ *
+ * Return: the watch, or NULL when memory is exhausted.
+ */
+fv_kv_watch_t *
+FvKv_Follow(fv_kv_t *kv, const fv_kv_follower_t *follower)
+{
+    fv_kv_watch_t *watch = calloc(1, sizeof(*watch));
+
+    if (watch == NULL) {
+        return NULL;
+    }
+    watch->kv = kv;
+    watch->follower = *follower;
+    watch->retry = event_new(kv->base, -1, 0, retry_due, watch);
+    if (watch->retry == NULL) {
+        free(watch);
+        return NULL;
+    }
+    watch->next = kv->watches;
+    kv->watches = watch;
+    advance_watch(watch);
+    return watch;
+}
+
+/**
+ * FvKv_Unfollow - stop following
+ * @watch: the watch, or NULL
+ */
+void
+FvKv_Unfollow(fv_kv_watch_t *watch)
+{
+    if (watch == NULL) {
+        return;
+    }
+    watch->dropped = true;
+    event_del(watch->retry);
+    if (!watch->calling) {
+        free_watch(watch);
+    }
+}
--- /dev/null
+++ b/src/sched-advice.c
@@ -0,0 +1,325 @@
+/*
+ * Tickets: which workers the advice service is asked about for a stage, and
+ * what it said.
+ */
+
+#include "scheduler.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A ticket is not used when it ends within the time an order may take to
+ * reach the worker: two crossings of the slowest link, 40 ms, and its wait
+ * for a connection. */
+#define Fv_TICKET_MARGIN_MS 120
+
+/* Workers named in one call; the service takes at most 100. */
+#define Fv_ASK_WORKERS_MAX 100
+
+/* Expected room that is asked for, as a multiple of what the stage needs. A
+ * second call costs about 70 times what one more worker in the first does
+ * (decisionMs against perWorkerMs on the sheets), so asking wide is cheap. */
+#define Fv_ASK_SURPLUS 2.0
+#define Fv_ASK_WORKERS_MIN 5
+
+/* Until it is learned; between the shares on the sheets, 0.35 to 0.7. */
+#define Fv_ALLOWED_SHARE_START 0.5
+#define Fv_ALLOWED_SHARE_WEIGHT 0.1
+#define Fv_ALLOWED_SHARE_MIN 0.1
+
+/* Pause before the next call after one that brought too little. */
+#define Fv_ASK_PAUSE_MS 20
+
+typedef struct fv_candidate {
+    fv_sched_worker_t *worker;
+    double score;
+    double expected; /* tasks that it is expected to take */
+} fv_candidate_t;
+
+static fv_verdict_t *
+find_verdict(const fv_sched_stage_t *stage, const fv_sched_worker_t *worker)
+{
+    for (uint32_t i = 0; i < stage->verdict_count; i++) {
+        if (stage->verdicts[i].worker == worker) {
+            return &stage->verdicts[i];
+        }
+    }
+    return NULL;
+}
+
+/**
+ * FvSched_Ticket - the verdict that lets a worker run a stage now
+ * @stage: the stage, of a queue that needs advice
+ * @worker: the worker
+ * @now_ms: the time
+ *
+ * Return: the verdict, or NULL when there is none or its ticket has expired.
+ */
+const fv_verdict_t *
+FvSched_Ticket(const fv_sched_stage_t *stage, const fv_sched_worker_t *worker,
+               int64_t now_ms)
+{
+    const fv_verdict_t *verdict = find_verdict(stage, worker);
+
+    return verdict != NULL && verdict->allowed &&
+                   verdict->expires_ms > now_ms + Fv_TICKET_MARGIN_MS
+               ? verdict
+               : NULL;
+}
+
+static double *
+allowed_share(fv_sched_t *sched, const char *queue)
+{
+    for (uint32_t i = 0; i < sched->advice_count; i++) {
+        if (strcmp(sched->advice_shares[i].queue, queue) == 0) {
+            return &sched->advice_shares[i].share;
+        }
+    }
+    if (sched->advice_count == Fv_ADVICE_QUEUES_MAX) {
+        sched->advice_count = 0; /* queues come and go: learn anew */
+    }
+    FvText_Copy(sched->advice_shares[sched->advice_count].queue,
+                sizeof(sched->advice_shares[0].queue), queue);
+    sched->advice_shares[sched->advice_count].share = Fv_ALLOWED_SHARE_START;
+    return &sched->advice_shares[sched->advice_count++].share;
+}
+
+static int
+by_score(const void *left, const void *right)
+{
+    const fv_candidate_t *a = left;
+    const fv_candidate_t *b = right;
+
+    return a->score < b->score ? 1 : a->score > b->score ? -1 : 0;
+}
+
+/* Workers with more room come first, with some chance, so that stages asked
+ * about at the same time do not all compete for the same ones. */
+static double
+score_worker(fv_sched_t *sched, const fv_sched_stage_t *stage,
+             const fv_sched_worker_t *worker, int32_t room)
+{
+    double chance = 0.75 + (double)(FvSched_Random(sched) % 512) / 1024.0;
+    double score = chance / worker->slowness;
+
+    if (stage->step->gang || stage->waiting > 1) {
+        score *= (double)(room < stage->waiting ? room : stage->waiting);
+    }
+    if (stage->step->data_rack[0] != '\0' &&
+        strcmp(stage->step->data_rack, worker->rack) == 0) {
+        score *= 8.0; /* off the data's rack a task takes up to 3 times */
+    }
+    return score;
+}
+
+static uint32_t
+find_candidates(fv_sched_t *sched, const fv_sched_stage_t *stage,
+                fv_candidate_t *candidates, double *have, int64_t now_ms)
+{
+    double share = *allowed_share(sched, stage->job->queue.name);
+    uint32_t count = 0;
+
+    *have = 0.0;
+    for (fv_sched_worker_t *worker = sched->workers; worker != NULL;
+         worker = worker->hh.next) {
+        const fv_verdict_t *verdict = find_verdict(stage, worker);
+        int32_t room = FvSched_TasksThatFit(worker, stage->step);
+        bool known = verdict != NULL && verdict->allowed;
+
+        if (room == 0 || !FvSched_WorkerUsable(worker, stage, now_ms) ||
+            (verdict != NULL && !verdict->allowed)) {
+            continue;
+        }
+        if (known && FvSched_Ticket(stage, worker, now_ms) != NULL) {
+            *have += room;
+            continue;
+        }
+        candidates[count++] = (fv_candidate_t){
+            .worker = worker,
+            .score =
+                score_worker(sched, stage, worker, room) * (known ? 4.0 : 1.0),
+            .expected = room * (known ? 1.0 : share),
+        };
+    }
+    return count;
+}
+
+/* A gang that must share a rack: the candidates of the roomiest rack. */
+static uint32_t
+keep_best_rack(fv_candidate_t *candidates, uint32_t count)
+{
+    const char *best = NULL;
+    double best_score = 0.0;
+    uint32_t kept = 0;
+
+    for (uint32_t i = 0; i < count; i++) {
+        double score = 0.0;
+
+        for (uint32_t j = 0; j < count; j++) {
+            if (strcmp(candidates[i].worker->rack,
+                       candidates[j].worker->rack) == 0) {
+                score += candidates[j].score;
+            }
+        }
+        if (score > best_score) {
+            best_score = score;
+            best = candidates[i].worker->rack;
+        }
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        if (best != NULL && strcmp(candidates[i].worker->rack, best) == 0) {
+            candidates[kept++] = candidates[i];
+        }
+    }
+    return kept;
+}
+
+static uint32_t
+choose_workers(const fv_sched_stage_t *stage, fv_candidate_t *candidates,
+               uint32_t count, double have, fv_sched_worker_t **chosen)
+{
+    double wanted = stage->waiting * Fv_ASK_SURPLUS - have;
+    double expected = 0.0;
+    uint32_t named = 0;
+
+    qsort(candidates, count, sizeof(*candidates), by_score);
+    for (uint32_t i = 0; i < count && named < Fv_ASK_WORKERS_MAX; i++) {
+        if (expected >= wanted && named >= Fv_ASK_WORKERS_MIN) {
+            break;
+        }
+        chosen[named++] = candidates[i].worker;
+        expected += candidates[i].expected;
+    }
+    return named;
+}
+
+static bool
+room_for_all(const fv_sched_stage_t *stage, const fv_candidate_t *candidates,
+             uint32_t count, double have)
+{
+    double room = have;
+
+    for (uint32_t i = 0; i < count; i++) {
+        room += candidates[i].expected;
+    }
+    return !stage->step->gang || room >= stage->waiting;
+}
+
+/**
+ * FvSched_AskAdvice - ask about more workers when the stage's tickets do not
+ * cover its waiting tasks
+ * @sched: the scheduler
+ * @stage: the stage
+ * @now_ms: the time
+ */
+void
+FvSched_AskAdvice(fv_sched_t *sched, fv_sched_stage_t *stage, int64_t now_ms)
+{
+    uint32_t total = HASH_COUNT(sched->workers);
+    fv_candidate_t *candidates;
+    fv_sched_worker_t *chosen[Fv_ASK_WORKERS_MAX];
+    uint32_t count;
+    double have;
+
+    if (!stage->job->queue.needs_advice || stage->asks_outstanding > 0 ||
+        now_ms < stage->next_ask_ms || total == 0) {
+        return;
+    }
+    candidates = calloc(total, sizeof(*candidates));
+    if (candidates == NULL) {
+        return;
+    }
+    count = find_candidates(sched, stage, candidates, &have, now_ms);
+    if (have < stage->waiting &&
+        room_for_all(stage, candidates, count, have)) {
+        if (stage->step->same_rack) {
+            count = keep_best_rack(candidates, count);
+        }
+        count = choose_workers(stage, candidates, count, have, chosen);
+        if (count > 0 && sched->port->ask(sched, stage, chosen, count)) {
+            stage->asks_outstanding++;
+        }
+    }
+    free(candidates);
+}
+
+static fv_verdict_t *
+obtain_verdict(fv_sched_stage_t *stage, fv_sched_worker_t *worker)
+{
+    fv_verdict_t *verdict = find_verdict(stage, worker);
+
+    if (verdict != NULL) {
+        return verdict;
+    }
+    if (stage->verdict_count == stage->verdict_capacity) {
+        uint32_t capacity = stage->verdict_capacity * 2 + 16;
+        fv_verdict_t *grown =
+            realloc(stage->verdicts, capacity * sizeof(*grown));
+
+        if (grown == NULL) {
+            return NULL;
+        }
+        stage->verdicts = grown;
+        stage->verdict_capacity = capacity;
+    }
+    verdict = &stage->verdicts[stage->verdict_count++];
+    *verdict = (fv_verdict_t){.worker = worker};
+    return verdict;
+}
+
+static const fv_advice_row_t *
+find_row(const fv_advice_t *advice, const char *worker_id)
+{
+    for (uint32_t i = 0; i < advice->row_count; i++) {
+        if (strcmp(advice->rows[i].worker_id, worker_id) == 0) {
+            return &advice->rows[i];
+        }
+    }
+    return NULL;
+}
+
+/**
+ * FvSched_Advised - the advice service answered, or did not
+ * @sched: the scheduler
+ * @stage: the stage that was asked about
+ * @asked: the workers that were named; entries may be NULL by now
+ * @count: how many
+ * @advice: the answer, or NULL
+ * @now_ms: the time
+ */
+void
+FvSched_Advised(fv_sched_t *sched, fv_sched_stage_t *stage,
+                fv_sched_worker_t *const *asked, uint32_t count,
+                const fv_advice_t *advice, int64_t now_ms)
+{
+    double *share = allowed_share(sched, stage->job->queue.name);
+
+    stage->asks_outstanding--;
+    stage->next_ask_ms = now_ms + Fv_ASK_PAUSE_MS;
+    sched->dirty = true;
+    if (advice == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        const fv_advice_row_t *row;
+        fv_verdict_t *verdict;
+
+        if (asked[i] == NULL) {
+            continue;
+        }
+        verdict = obtain_verdict(stage, asked[i]);
+        if (verdict == NULL) {
+            return;
+        }
+        row = find_row(advice, asked[i]->entry.id);
+        verdict->allowed = row != NULL;
+        if (row != NULL) {
+            FvText_Copy(verdict->ticket, sizeof(verdict->ticket), row->ticket);
+            verdict->expires_ms = now_ms + stage->job->queue.ticket_valid_ms;
+        }
+        *share += ((row != NULL) - *share) * Fv_ALLOWED_SHARE_WEIGHT;
+    }
+    if (*share < Fv_ALLOWED_SHARE_MIN) {
+        *share = Fv_ALLOWED_SHARE_MIN;
+    }
+}
--- /dev/null
+++ b/src/sched-job.c
@@ -0,0 +1,538 @@
+/*
+ * Jobs of the scheduler: their stages, what is ready, and how they end.
+ */
+
+#include "scheduler.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/**
+ * FvSched_FindJob - job by id
+ * @sched: the scheduler
+ * @id: the id
+ *
+ * Return: the job, or NULL.
+ */
+fv_sched_job_t *
+FvSched_FindJob(const fv_sched_t *sched, const char *id)
+{
+    fv_sched_job_t *job = NULL;
+
+    HASH_FIND_STR(sched->jobs, id, job);
+    return job;
+}
+
+/*
+ * The longest chain of estimated run times that starts with each step, which
+ * decides how urgent a stage is.
+ */
+static int64_t
+chain_from(const fv_job_spec_t *spec, uint32_t step)
+{
+    int64_t longest = 0;
+
+    for (uint32_t i = step + 1; i < spec->step_count; i++) {
+        for (uint32_t p = 0; p < spec->steps[i].predecessor_count; p++) {
+            if (spec->steps[i].predecessors[p] == step) {
+                int64_t chain = chain_from(spec, i);
+
+                longest = chain > longest ? chain : longest;
+            }
+        }
+    }
+    return spec->steps[step].estimated_ms + longest;
+}
+
+static int64_t
+longest_chain(const fv_job_spec_t *spec)
+{
+    int64_t longest = 0;
+
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        int64_t chain = chain_from(spec, i);
+
+        longest = chain > longest ? chain : longest;
+    }
+    return longest;
+}
+
+static bool
+build_stage(fv_sched_job_t *job, fv_sched_stage_t *stage, int32_t occurrence,
+            uint32_t step_index)
+{
+    const fv_step_spec_t *step = &job->spec.steps[step_index];
+
+    *stage = (fv_sched_stage_t){
+        .job = job,
+        .occurrence = occurrence,
+        .step_index = step_index,
+        .step = step,
+        .waiting = step->task_count,
+    };
+    stage->tasks = calloc((size_t)step->task_count, sizeof(*stage->tasks));
+    if (stage->tasks == NULL) {
+        return false;
+    }
+    for (int32_t i = 0; i < step->task_count; i++) {
+        stage->tasks[i] = (fv_sched_task_t){
+            .stage = stage, .index = i, .throttle_percent = 100};
+    }
+    return true;
+}
+
+static bool
+build_occurrence(fv_sched_job_t *job, int32_t number)
+{
+    fv_occurrence_t *occurrence = &job->occurrences[number];
+
+    occurrence->number = number;
+    if (job->spec.repeat_count > 0) {
+        occurrence->due_wall_ms =
+            job->spec.first_due_wall_ms + number * job->spec.interval_ms;
+    }
+    occurrence->stages =
+        calloc(job->spec.step_count, sizeof(*occurrence->stages));
+    if (occurrence->stages == NULL) {
+        return false;
+    }
+    for (uint32_t i = 0; i < job->spec.step_count; i++) {
+        if (!build_stage(job, &occurrence->stages[i], number, i)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+free_job(fv_sched_job_t *job)
+{
+    for (uint32_t o = 0; o < job->occurrence_count; o++) {
+        fv_occurrence_t *occurrence = &job->occurrences[o];
+
+        for (uint32_t s = 0;
+             occurrence->stages != NULL && s < job->spec.step_count; s++) {
+            fv_sched_stage_t *stage = &occurrence->stages[s];
+
+            for (int32_t t = 0;
+                 stage->tasks != NULL && t < stage->step->task_count; t++) {
+                free(stage->tasks[t].checkpoint);
+            }
+            free(stage->tasks);
+            free(stage->verdicts);
+        }
+        free(occurrence->stages);
+    }
+    free(job->occurrences);
+    free(job->document);
+    FvJobSpec_Clear(&job->spec);
+    free(job);
+}
+
+/**
+ * FvSched_AddJob - take a job in; it starts when FvSched_JobDurable is called
+ * @sched: the scheduler
+ * @id: the caller's id for it
+ * @queue: its queue, which is copied
+ * @spec: what it asks for; the job takes it over
+ * @document: the submission as it arrived, which is kept in the store
+ * @length: its length
+ * @now_ms: the time
+ * @wall_ms: the wall clock
+ *
+ * Return: the job, or NULL when memory is exhausted.
+ */
+fv_sched_job_t *
+FvSched_AddJob(fv_sched_t *sched, const char *id, const fv_cell_queue_t *queue,
+               fv_job_spec_t *spec, const char *document, size_t length,
+               int64_t now_ms, int64_t wall_ms)
+{
+    fv_sched_job_t *job = calloc(1, sizeof(*job));
+
+    if (job == NULL) {
+        return NULL;
+    }
+    FvText_Copy(job->id, sizeof(job->id), id);
+    job->queue = *queue;
+    job->spec = *spec;
+    *spec = (fv_job_spec_t){0};
+    job->received_ms = now_ms;
+    job->received_wall_ms = wall_ms;
+    job->document = malloc(length + 1);
+    job->document_length = length;
+    job->occurrence_count =
+        job->spec.repeat_count > 0 ? (uint32_t)job->spec.repeat_count : 1;
+    job->occurrences =
+        calloc(job->occurrence_count, sizeof(*job->occurrences));
+    if (job->document == NULL || job->occurrences == NULL) {
+        free_job(job);
+        return NULL;
+    }
+    memcpy(job->document, document, length);
+    job->document[length] = '\0';
+    for (uint32_t i = 0; i < job->occurrence_count; i++) {
+        if (!build_occurrence(job, (int32_t)i)) {
+            free_job(job);
+            return NULL;
+        }
+    }
+    HASH_ADD_STR(sched->jobs, id, job);
+    return job;
+}
+
+static void
+unlink_pending(fv_sched_t *sched, fv_sched_stage_t *stage)
+{
+    fv_sched_stage_t **link = &sched->pending;
+
+    while (*link != NULL && *link != stage) {
+        link = &(*link)->pending_next;
+    }
+    if (*link == stage) {
+        *link = stage->pending_next;
+    }
+    stage->pending = false;
+}
+
+/**
+ * FvSched_RemoveJob - forget a job
+ * @sched: the scheduler
+ * @job: the job; no task of it may be on a worker
+ */
+void
+FvSched_RemoveJob(fv_sched_t *sched, fv_sched_job_t *job)
+{
+    for (uint32_t o = 0; o < job->occurrence_count; o++) {
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            fv_sched_stage_t *stage = &job->occurrences[o].stages[s];
+
+            if (stage->pending) {
+                unlink_pending(sched, stage);
+            }
+            for (int32_t t = 0; t < stage->step->task_count; t++) {
+                FvSched_DetachTask(&stage->tasks[t]);
+            }
+        }
+    }
+    HASH_DEL(sched->jobs, job);
+    free_job(job);
+}
+
+/**
+ * FvSched_MarkPending - have the next pass place a stage
+ * @sched: the scheduler
+ * @stage: the stage
+ */
+void
+FvSched_MarkPending(fv_sched_t *sched, fv_sched_stage_t *stage)
+{
+    sched->dirty = true;
+    if (!stage->pending) {
+        stage->pending = true;
+        stage->pending_next = sched->pending;
+        sched->pending = stage;
+    }
+}
+
+static bool
+predecessors_done(const fv_sched_job_t *job, const fv_occurrence_t *occurrence,
+                  uint32_t step_index)
+{
+    const fv_step_spec_t *step = &job->spec.steps[step_index];
+
+    for (uint32_t p = 0; p < step->predecessor_count; p++) {
+        const fv_sched_stage_t *before =
+            &occurrence->stages[step->predecessors[p]];
+
+        if (before->done < before->step->task_count) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+release_occurrence(fv_sched_t *sched, fv_sched_job_t *job,
+                   fv_occurrence_t *occurrence, int64_t now_ms)
+{
+    int64_t chain_ms = longest_chain(&job->spec);
+    int64_t start_ms = job->spec.repeat_count > 0 ? now_ms : job->received_ms;
+
+    for (uint32_t s = 0; s < job->spec.step_count; s++) {
+        fv_sched_stage_t *stage = &occurrence->stages[s];
+
+        if (stage->waiting == 0 || !predecessors_done(job, occurrence, s)) {
+            continue;
+        }
+        if (stage->objective_at_ms == 0) {
+            stage->objective_at_ms =
+                start_ms + job->queue.objective_ms +
+                (int64_t)(job->queue.stretch * (double)chain_ms) -
+                chain_from(&job->spec, s);
+        }
+        FvSched_MarkPending(sched, stage);
+    }
+}
+
+/**
+ * FvSched_ReleaseStages - have the stages whose turn has come placed
+ * @sched: the scheduler
+ * @job: the job
+ * @now_ms: the time
+ * @wall_ms: the wall clock, for scheduled occurrences
+ */
+void
+FvSched_ReleaseStages(fv_sched_t *sched, fv_sched_job_t *job, int64_t now_ms,
+                      int64_t wall_ms)
+{
+    if (job->outcome != Fv_SCHED_JOB_OPEN || job->cancelled) {
+        return;
+    }
+    for (uint32_t o = 0; o < job->occurrence_count; o++) {
+        fv_occurrence_t *occurrence = &job->occurrences[o];
+
+        if (!occurrence->released && occurrence->due_wall_ms > wall_ms) {
+            break;
+        }
+        occurrence->released = true;
+        if (occurrence->stages_done < job->spec.step_count) {
+            release_occurrence(sched, job, occurrence, now_ms);
+        }
+    }
+}
+
+/**
+ * FvSched_JobDurable - the job's record is in the store: it may start
+ * @sched: the scheduler
+ * @job: the job
+ */
+void
+FvSched_JobDurable(fv_sched_t *sched, fv_sched_job_t *job)
+{
+    job->durable = true;
+    sched->dirty = true;
+}
+
+static void
+stop_all(fv_sched_t *sched, fv_sched_job_t *job, int64_t now_ms)
+{
+    for (uint32_t o = 0; o < job->occurrence_count; o++) {
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            fv_sched_stage_t *stage = &job->occurrences[o].stages[s];
+
+            for (int32_t t = 0; t < stage->step->task_count; t++) {
+                if (stage->tasks[t].worker != NULL) {
+                    FvSched_StopTask(sched, &stage->tasks[t], now_ms);
+                }
+            }
+        }
+    }
+}
+
+/**
+ * FvSched_EndJob - decide a job's outcome, stop what is left and record it
+ * @sched: the scheduler
+ * @job: the job
+ * @outcome: the outcome
+ * @now_ms: the time
+ */
+void
+FvSched_EndJob(fv_sched_t *sched, fv_sched_job_t *job,
+               fv_sched_outcome_t outcome, int64_t now_ms)
+{
+    if (job->outcome != Fv_SCHED_JOB_OPEN) {
+        return;
+    }
+    job->outcome = outcome;
+    job->ended_ms = now_ms;
+    stop_all(sched, job, now_ms);
+    FvLog_Event(
+        Fv_LOG_INFO, "job_ended",
+        "job=%s queue=%s outcome=%d after_ms=%" PRId64
+        " objective_ms=%" PRId64,
+        job->id, job->queue.name, (int)outcome, now_ms - job->received_ms,
+        job->queue.objective_ms +
+            (int64_t)(job->queue.stretch * (double)longest_chain(&job->spec)));
+    sched->port->record(sched, job, Fv_RECORD_END);
+}
+
+/**
+ * FvSched_CheckJobEnd - end a job of which everything is done
+ * @sched: the scheduler
+ * @job: the job
+ * @now_ms: the time
+ */
+void
+FvSched_CheckJobEnd(fv_sched_t *sched, fv_sched_job_t *job, int64_t now_ms)
+{
+    for (uint32_t o = 0; o < job->occurrence_count; o++) {
+        if (job->occurrences[o].stages_done < job->spec.step_count) {
+            return;
+        }
+    }
+    FvSched_EndJob(sched, job, Fv_SCHED_JOB_COMPLETED, now_ms);
+}
+
+static void
+mark_done(fv_sched_t *sched, fv_sched_task_t *task)
+{
+    fv_sched_stage_t *stage = task->stage;
+
+    if (task->state == Fv_SCHED_DONE) {
+        return;
+    }
+    if (task->state == Fv_SCHED_WAITING) {
+        stage->waiting--;
+    }
+    FvSched_DetachTask(task);
+    task->state = Fv_SCHED_DONE;
+    stage->done++;
+    if (stage->done == stage->step->task_count) {
+        stage->job->occurrences[stage->occurrence].stages_done++;
+    }
+    sched->dirty = true;
+}
+
+/**
+ * FvSched_TaskDone - a run of a task ended done
+ * @sched: the scheduler
+ * @task: the task; any member stands for its gang
+ * @now_ms: the time
+ */
+void
+FvSched_TaskDone(fv_sched_t *sched, fv_sched_task_t *task, int64_t now_ms)
+{
+    fv_sched_stage_t *stage = task->stage;
+
+    if (stage->step->gang) {
+        for (int32_t i = 0; i < stage->step->task_count; i++) {
+            mark_done(sched, &stage->tasks[i]);
+        }
+    }
+    else {
+        mark_done(sched, task);
+    }
+    if (stage->done == stage->step->task_count) {
+        FvSched_ReleaseStages(sched, stage->job, now_ms, FvClock_WallMs());
+        FvSched_CheckJobEnd(sched, stage->job, now_ms);
+    }
+}
+
+/**
+ * FvSched_CancelJob - stop a job for good
+ * @sched: the scheduler
+ * @job: the job
+ * @now_ms: the time
+ */
+void
+FvSched_CancelJob(fv_sched_t *sched, fv_sched_job_t *job, int64_t now_ms)
+{
+    job->cancelled = true;
+    FvSched_EndJob(sched, job, Fv_SCHED_JOB_CANCELLED, now_ms);
+}
+
+/**
+ * FvSched_JobState - what callers are told about a job
+ * @job: the job
+ *
+ * An end is told once it is recorded: a later leader would not know of it.
+ *
+ * Return: the state's name.
+ */
+const char *
+FvSched_JobState(const fv_sched_job_t *job)
+{
+    switch (job->recorded) {
+    case Fv_SCHED_JOB_COMPLETED:
+        return "completed";
+    case Fv_SCHED_JOB_FAILED:
+        return "failed";
+    case Fv_SCHED_JOB_CANCELLED:
+        return "cancelled";
+    case Fv_SCHED_JOB_OPEN:
+    default:
+        return job->started ? "running" : "queued";
+    }
+}
+
+/**
+ * FvSched_StageName - the platform's name of a stage
+ * @stage: the stage
+ * @name: receives it
+ * @size: its size
+ */
+void
+FvSched_StageName(const fv_sched_stage_t *stage, char *name, size_t size)
+{
+    snprintf(name, size, "%s.%d.%u", stage->job->id, stage->occurrence,
+             stage->step_index);
+}
+
+/**
+ * FvSched_TaskName - the platform's name of a task
+ * @task: the task
+ * @name: receives it
+ * @size: its size
+ */
+void
+FvSched_TaskName(const fv_sched_task_t *task, char *name, size_t size)
+{
+    snprintf(name, size, "%s.%d.%u.%d", task->stage->job->id,
+             task->stage->occurrence, task->stage->step_index, task->index);
+}
+
+/**
+ * FvSched_FindTask - task by its name
+ * @sched: the scheduler
+ * @name: the name
+ *
+ * Return: the task, or NULL when its job is not known.
+ */
+fv_sched_task_t *
+FvSched_FindTask(const fv_sched_t *sched, const char *name)
+{
+    char id[Fv_JOB_ID_SIZE];
+    fv_sched_job_t *job;
+    unsigned occurrence;
+    unsigned step;
+    unsigned index;
+
+    if (strlen(name) < sizeof(id) || name[sizeof(id) - 1] != '.') {
+        return NULL;
+    }
+    memcpy(id, name, sizeof(id) - 1);
+    id[sizeof(id) - 1] = '\0';
+    job = FvSched_FindJob(sched, id);
+    if (job == NULL || sscanf(name + sizeof(id), "%u.%u.%u", &occurrence,
+                              &step, &index) != 3) {
+        return NULL;
+    }
+    if (occurrence >= job->occurrence_count || step >= job->spec.step_count ||
+        index >= (unsigned)job->spec.steps[step].task_count) {
+        return NULL;
+    }
+    return &job->occurrences[occurrence].stages[step].tasks[index];
+}
+
+/**
+ * FvSched_CountWaiting - accepted jobs of a queue that have not begun
+ * @sched: the scheduler
+ * @queue: the queue's name
+ *
+ * Return: how many.
+ */
+int64_t
+FvSched_CountWaiting(const fv_sched_t *sched, const char *queue)
+{
+    int64_t count = 0;
+
+    for (const fv_sched_job_t *job = sched->jobs; job != NULL;
+         job = job->hh.next) {
+        if (job->durable && job->outcome == Fv_SCHED_JOB_OPEN &&
+            !job->started && strcmp(job->queue.name, queue) == 0) {
+            count++;
+        }
+    }
+    return count;
+}
--- /dev/null
+++ b/src/sched-order.c
@@ -0,0 +1,193 @@
+/*
+ * Orders to workers: what their answers mean for a task.
+ */
+
+#include "scheduler.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A stop that was not answered or took no effect is sent again after this;
+ * a stop takes at most stopTimeoutMs (0.2 to 0.9 s on the sheets). */
+#define Fv_STOP_REPEAT_MS 500
+
+/* Pause before a task is offered again after a worker turned it away. */
+#define Fv_REFUSED_PAUSE_MS 50
+
+/**
+ * FvSched_RequeueTask - the task surely does not run: it waits again
+ * @sched: the scheduler
+ * @task: the task
+ */
+void
+FvSched_RequeueTask(fv_sched_t *sched, fv_sched_task_t *task)
+{
+    fv_sched_stage_t *stage = task->stage;
+
+    FvSched_DetachTask(task);
+    if (task->state == Fv_SCHED_DONE || task->state == Fv_SCHED_WAITING) {
+        return;
+    }
+    task->state = Fv_SCHED_WAITING;
+    task->in_doubt = false;
+    task->stop_sent_ms = 0;
+    task->confirmed_ms = 0;
+    task->throttle_percent = 100;
+    stage->waiting++;
+    if (stage->job->outcome == Fv_SCHED_JOB_OPEN) {
+        FvSched_MarkPending(sched, stage);
+    }
+}
+
+/**
+ * FvSched_StopTask - stop a run; its end is reported by the worker
+ * @sched: the scheduler
+ * @task: the task
+ * @now_ms: the time
+ */
+void
+FvSched_StopTask(fv_sched_t *sched, fv_sched_task_t *task, int64_t now_ms)
+{
+    if (task->worker == NULL ||
+        (task->state == Fv_SCHED_STOPPING &&
+         now_ms - task->stop_sent_ms < Fv_STOP_REPEAT_MS)) {
+        return;
+    }
+    task->state = Fv_SCHED_STOPPING;
+    task->stop_sent_ms = now_ms;
+    sched->port->stop(sched, task);
+}
+
+/**
+ * FvSched_StopGang - stop what is left of a gang's run
+ * @sched: the scheduler
+ * @stage: the gang
+ * @now_ms: the time
+ */
+void
+FvSched_StopGang(fv_sched_t *sched, fv_sched_stage_t *stage, int64_t now_ms)
+{
+    for (int32_t i = 0; i < stage->step->task_count; i++) {
+        FvSched_StopTask(sched, &stage->tasks[i], now_ms);
+    }
+}
+
+static void
+drop_ticket(fv_sched_stage_t *stage, const fv_sched_worker_t *worker)
+{
+    for (uint32_t i = 0; i < stage->verdict_count; i++) {
+        if (stage->verdicts[i].worker == worker) {
+            stage->verdicts[i].expires_ms = 0;
+        }
+    }
+}
+
+/* The worker has surely not begun the run. */
+static void
+take_back(fv_sched_t *sched, fv_sched_task_t *task, int64_t now_ms)
+{
+    fv_sched_stage_t *stage = task->stage;
+
+    stage->next_place_ms = now_ms + Fv_REFUSED_PAUSE_MS;
+    FvSched_RequeueTask(sched, task);
+    if (stage->step->gang) {
+        FvSched_StopGang(sched, stage, now_ms);
+    }
+}
+
+static void
+start_refused(fv_sched_t *sched, fv_sched_task_t *task,
+              fv_order_result_t result, int64_t now_ms)
+{
+    fv_sched_worker_t *worker = task->worker;
+    char name[Fv_RUN_TASK_ID_SIZE];
+
+    FvSched_TaskName(task, name, sizeof(name));
+    FvMetrics_Add(Fv_COUNTER_STARTS_REFUSED, 1);
+    FvLog_Event(Fv_LOG_INFO, "start_refused",
+                "task=%s run=%d worker=%s reason=%d", name, task->run,
+                worker->entry.id, (int)result);
+    switch (result) {
+    case Fv_ORDER_NO_TICKET:
+        drop_ticket(task->stage, worker);
+        break;
+    case Fv_ORDER_UNHEALTHY:
+        FvSched_JudgeWorker(sched, worker, task, true, now_ms);
+        break;
+    case Fv_ORDER_NO_ROOM:
+    case Fv_ORDER_LATE:
+    case Fv_ORDER_WRONG_INSTANCE:
+    case Fv_ORDER_FENCED:
+        worker->synced = false;
+        break;
+    default:
+        break;
+    }
+    if (!worker->synced) {
+        sched->port->look(sched, worker);
+    }
+    take_back(sched, task, now_ms);
+}
+
+/**
+ * FvSched_StartAnswered - the worker answered a start, or did not
+ * @sched: the scheduler
+ * @task: the task
+ * @run: the run that was ordered
+ * @result: the answer
+ * @now_ms: the time
+ */
+void
+FvSched_StartAnswered(fv_sched_t *sched, fv_sched_task_t *task, int32_t run,
+                      fv_order_result_t result, int64_t now_ms)
+{
+    if (task->run != run || task->worker == NULL) {
+        return; /* the run ended before its start was answered */
+    }
+    if (result == Fv_ORDER_DONE) {
+        task->confirmed_ms = now_ms;
+        task->in_doubt = false;
+        if (task->state == Fv_SCHED_ORDERED) {
+            task->state = Fv_SCHED_RUNNING;
+            task->progress_ms = now_ms;
+        }
+        task->stage->job->started = true;
+    }
+    else if (result == Fv_ORDER_IN_DOUBT) {
+        FvLog_Event(Fv_LOG_INFO, "start_in_doubt", "job=%s worker=%s run=%d",
+                    task->stage->job->id, task->worker->entry.id, run);
+        task->in_doubt = true;
+        sched->port->look(sched, task->worker);
+    }
+    else if (task->state == Fv_SCHED_ORDERED ||
+             task->state == Fv_SCHED_STOPPING) {
+        start_refused(sched, task, result, now_ms);
+    }
+}
+
+/**
+ * FvSched_StopAnswered - the worker answered a stop, or did not
+ * @sched: the scheduler
+ * @task: the task
+ * @run: the run that was to stop
+ * @result: the answer
+ * @now_ms: the time
+ *
+ * After a confirmed stop the run is in the worker's list of ends or, when it
+ * never arrived, will be turned away there.
+ */
+void
+FvSched_StopAnswered(fv_sched_t *sched, fv_sched_task_t *task, int32_t run,
+                     fv_order_result_t result, int64_t now_ms)
+{
+    if (task->run != run || task->worker == NULL ||
+        task->state != Fv_SCHED_STOPPING) {
+        return;
+    }
+    if (result == Fv_ORDER_DONE || result == Fv_ORDER_OLD_RUN) {
+        task->confirmed_ms = now_ms;
+        task->in_doubt = false;
+    }
+    sched->port->look(sched, task->worker);
+}
--- /dev/null
+++ b/src/sched-pass.c
@@ -0,0 +1,178 @@
+/*
+ * One pass of the scheduler: the stages with waiting tasks, in order of
+ * urgency.
+ */
+
+#include "scheduler.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Stages of which the objective is missed come after all others: the late
+ * credit is a fifth, and three times the objective still counts as late. */
+#define Fv_LATE_PENALTY 1000
+
+/**
+ * FvSched_Init - make an empty scheduler
+ * @sched: the scheduler
+ * @port: its effects
+ * @lease_ms: how long a worker goes on without contact
+ * @keep_ended_ms: how long an ended job is remembered
+ */
+void
+FvSched_Init(fv_sched_t *sched, const fv_sched_port_t *port, int64_t lease_ms,
+             int64_t keep_ended_ms)
+{
+    *sched = (fv_sched_t){
+        .port = port,
+        .lease_ms = lease_ms,
+        .keep_ended_ms = keep_ended_ms,
+        .random = (uint64_t)FvClock_NowNs() | 1,
+    };
+}
+
+/**
+ * FvSched_Clear - forget all jobs and workers
+ * @sched: the scheduler
+ */
+void
+FvSched_Clear(fv_sched_t *sched)
+{
+    while (sched->jobs != NULL) {
+        FvSched_RemoveJob(sched, sched->jobs);
+    }
+    while (sched->workers != NULL) {
+        FvSched_FreeWorker(sched, sched->workers);
+    }
+    sched->pending = NULL;
+}
+
+/**
+ * FvSched_Random - a number for spreading load; not for secrets
+ * @sched: the scheduler
+ *
+ * Return: the number (xorshift).
+ */
+uint32_t
+FvSched_Random(fv_sched_t *sched)
+{
+    sched->random ^= sched->random << 13;
+    sched->random ^= sched->random >> 7;
+    sched->random ^= sched->random << 17;
+    return (uint32_t)(sched->random >> 16);
+}
+
+typedef struct fv_ranked {
+    fv_sched_stage_t *stage;
+    int32_t rank;
+} fv_ranked_t;
+
+static int
+by_urgency(const void *left, const void *right)
+{
+    const fv_ranked_t *a = left;
+    const fv_ranked_t *b = right;
+
+    if (a->rank != b->rank) {
+        return a->rank < b->rank ? -1 : 1;
+    }
+    if (a->stage->objective_at_ms != b->stage->objective_at_ms) {
+        return a->stage->objective_at_ms < b->stage->objective_at_ms ? -1 : 1;
+    }
+    return 0;
+}
+
+static bool
+needs_placing(const fv_sched_stage_t *stage)
+{
+    return stage->waiting > 0 && !stage->job->cancelled &&
+           stage->job->outcome == Fv_SCHED_JOB_OPEN;
+}
+
+/* Drops the stages that have nothing left to place. */
+static uint32_t
+count_pending(fv_sched_t *sched)
+{
+    fv_sched_stage_t **link = &sched->pending;
+    uint32_t count = 0;
+
+    while (*link != NULL) {
+        fv_sched_stage_t *stage = *link;
+
+        if (needs_placing(stage)) {
+            count++;
+            link = &stage->pending_next;
+        }
+        else {
+            *link = stage->pending_next;
+            stage->pending = false;
+        }
+    }
+    return count;
+}
+
+static void
+rank_stages(const fv_sched_t *sched, fv_ranked_t *ranked, int64_t now_ms)
+{
+    uint32_t i = 0;
+
+    for (fv_sched_stage_t *stage = sched->pending; stage != NULL;
+         stage = stage->pending_next) {
+        bool late =
+            stage->objective_at_ms < now_ms && !stage->step->long_running;
+
+        ranked[i++] = (fv_ranked_t){
+            .stage = stage,
+            .rank = stage->job->queue.priority + (late ? Fv_LATE_PENALTY : 0),
+        };
+    }
+}
+
+static void
+release_due(fv_sched_t *sched, int64_t now_ms, int64_t wall_ms)
+{
+    for (fv_sched_job_t *job = sched->jobs; job != NULL; job = job->hh.next) {
+        if (job->spec.repeat_count > 0) {
+            FvSched_ReleaseStages(sched, job, now_ms, wall_ms);
+        }
+    }
+}
+
+/**
+ * FvSched_Pass - place what waits
+ * @sched: the scheduler
+ * @now_ms: the time
+ * @wall_ms: the wall clock
+ */
+void
+FvSched_Pass(fv_sched_t *sched, int64_t now_ms, int64_t wall_ms)
+{
+    fv_ranked_t *ranked;
+    uint32_t count;
+
+    sched->dirty = false;
+    release_due(sched, now_ms, wall_ms);
+    count = count_pending(sched);
+    if (count == 0) {
+        return;
+    }
+    ranked = calloc(count, sizeof(*ranked));
+    if (ranked == NULL) {
+        return;
+    }
+    FvMetrics_Add(Fv_COUNTER_DECISIONS, count);
+    rank_stages(sched, ranked, now_ms);
+    qsort(ranked, count, sizeof(*ranked), by_urgency);
+    for (uint32_t i = 0; i < count; i++) {
+        fv_sched_stage_t *stage = ranked[i].stage;
+
+        if (stage->job->durable) {
+            FvSched_PlaceStage(sched, stage, now_ms);
+        }
+        if (stage->waiting > 0) {
+            FvSched_AskAdvice(sched, stage, now_ms);
+        }
+    }
+    free(ranked);
+}
--- /dev/null
+++ b/src/sched-place.c
@@ -0,0 +1,275 @@
+/*
+ * Placement: which worker gets which task of a stage.
+ */
+
+#include "scheduler.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct fv_slot {
+    fv_sched_worker_t *worker;
+    const fv_verdict_t *verdict;
+    int32_t room;
+    double score;
+} fv_slot_t;
+
+static int32_t
+tasks_of_stage(const fv_sched_worker_t *worker, const fv_sched_stage_t *stage)
+{
+    int32_t count = 0;
+
+    for (const fv_sched_task_t *task = worker->tasks; task != NULL;
+         task = task->worker_next) {
+        count += task->stage == stage;
+    }
+    return count;
+}
+
+static int32_t
+room_for(const fv_sched_worker_t *worker, const fv_sched_stage_t *stage)
+{
+    int32_t room = FvSched_TasksThatFit(worker, stage->step);
+
+    if (room > 0 && stage->step->per_worker_max > 0) {
+        int32_t left =
+            stage->step->per_worker_max - tasks_of_stage(worker, stage);
+
+        room = left < room ? left : room;
+    }
+    if (room > 1 && worker->quarantined_until_ms != 0) {
+        room = 1; /* a probe */
+    }
+    return room;
+}
+
+static double
+score_slot(const fv_sched_stage_t *stage, const fv_slot_t *slot)
+{
+    const fv_sched_worker_t *worker = slot->worker;
+    double free_share = (double)worker->free_cpu_millis /
+                        (double)(worker->entry.cpu_millis + 1);
+    double score = 1.0 + free_share;
+
+    if (stage->step->data_rack[0] != '\0' &&
+        strcmp(stage->step->data_rack, worker->rack) == 0) {
+        score += 4.0;
+    }
+    return score / worker->slowness;
+}
+
+static int
+by_score(const void *left, const void *right)
+{
+    const fv_slot_t *a = left;
+    const fv_slot_t *b = right;
+
+    return a->score < b->score ? 1 : a->score > b->score ? -1 : 0;
+}
+
+static uint32_t
+find_slots(const fv_sched_t *sched, const fv_sched_stage_t *stage,
+           fv_slot_t *slots, int64_t now_ms)
+{
+    uint32_t count = 0;
+
+    for (fv_sched_worker_t *worker = sched->workers; worker != NULL;
+         worker = worker->hh.next) {
+        fv_slot_t slot = {.worker = worker};
+
+        if (!FvSched_WorkerUsable(worker, stage, now_ms)) {
+            continue;
+        }
+        slot.room = room_for(worker, stage);
+        if (slot.room <= 0) {
+            continue;
+        }
+        if (stage->job->queue.needs_advice) {
+            slot.verdict = FvSched_Ticket(stage, worker, now_ms);
+            if (slot.verdict == NULL) {
+                continue;
+            }
+        }
+        slot.score = score_slot(stage, &slot);
+        slots[count++] = slot;
+    }
+    qsort(slots, count, sizeof(*slots), by_score);
+    return count;
+}
+
+static int32_t
+next_run(const fv_sched_t *sched, const fv_sched_task_t *task)
+{
+    return (task->run > sched->run_base ? task->run : sched->run_base) + 1;
+}
+
+static void
+start_task(fv_sched_t *sched, fv_sched_task_t *task, fv_slot_t *slot,
+           int32_t run, int64_t now_ms)
+{
+    task->run = run;
+    task->state = Fv_SCHED_ORDERED;
+    task->ordered_ms = now_ms;
+    task->confirmed_ms = 0;
+    task->in_doubt = false;
+    task->inherited = false;
+    task->percent = 0;
+    task->progress_ms = now_ms;
+    task->stage->waiting--;
+    FvSched_AttachTask(slot->worker, task);
+    slot->room--;
+    if (slot->worker->quarantined_until_ms != 0) {
+        slot->worker->probing = true;
+    }
+    FvMetrics_Add(Fv_COUNTER_STARTS, 1);
+    sched->port->start(sched, task, slot->verdict);
+}
+
+static bool
+may_start(const fv_sched_t *sched, const fv_sched_task_t *task)
+{
+    return task->state == Fv_SCHED_WAITING &&
+           !(task->inherited && sched->inherited_held);
+}
+
+/* Limits the slots of a gang to one rack, the one with most room. */
+static uint32_t
+keep_one_rack(const fv_sched_stage_t *stage, fv_slot_t *slots, uint32_t count)
+{
+    const char *best = NULL;
+    int32_t best_room = 0;
+    uint32_t kept = 0;
+
+    for (uint32_t i = 0; i < count; i++) {
+        int32_t room = 0;
+
+        for (uint32_t j = 0; j < count; j++) {
+            if (strcmp(slots[i].worker->rack, slots[j].worker->rack) == 0) {
+                room += slots[j].room;
+            }
+        }
+        if (room > best_room) {
+            best_room = room;
+            best = slots[i].worker->rack;
+        }
+    }
+    if (best_room < stage->step->task_count) {
+        return count; /* slower on several racks, but it runs */
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        if (strcmp(slots[i].worker->rack, best) == 0) {
+            slots[kept++] = slots[i];
+        }
+    }
+    return kept;
+}
+
+static void
+place_gang(fv_sched_t *sched, fv_sched_stage_t *stage, fv_slot_t *slots,
+           uint32_t count, int64_t now_ms)
+{
+    int32_t room = 0;
+    int32_t run = sched->run_base;
+    uint32_t slot = 0;
+
+    if (stage->step->same_rack) {
+        count = keep_one_rack(stage, slots, count);
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        room += slots[i].room;
+    }
+    if (stage->waiting < stage->step->task_count ||
+        room < stage->step->task_count) {
+        return;
+    }
+    for (int32_t i = 0; i < stage->step->task_count; i++) {
+        int32_t next = next_run(sched, &stage->tasks[i]) - 1;
+
+        if (!may_start(sched, &stage->tasks[i])) {
+            return;
+        }
+        run = next > run ? next : run;
+    }
+    for (int32_t i = 0; i < stage->step->task_count; i++) {
+        while (slots[slot].room <= 0) {
+            slot++;
+        }
+        start_task(sched, &stage->tasks[i], &slots[slot], run + 1, now_ms);
+    }
+    stage->gang_run = run + 1;
+}
+
+static fv_slot_t *
+best_slot(const fv_sched_task_t *task, fv_slot_t *slots, uint32_t count)
+{
+    fv_slot_t *second = NULL;
+
+    for (uint32_t i = 0; i < count; i++) {
+        if (slots[i].room <= 0) {
+            continue;
+        }
+        if (slots[i].worker != task->failed_on) {
+            return &slots[i];
+        }
+        second = &slots[i];
+    }
+    return second;
+}
+
+static void
+place_singly(fv_sched_t *sched, fv_sched_stage_t *stage, fv_slot_t *slots,
+             uint32_t count, int64_t now_ms)
+{
+    for (int32_t i = 0; i < stage->step->task_count; i++) {
+        fv_sched_task_t *task = &stage->tasks[i];
+        fv_slot_t *slot;
+
+        if (!may_start(sched, task)) {
+            continue;
+        }
+        slot = best_slot(task, slots, count);
+        if (slot == NULL) {
+            return;
+        }
+        start_task(sched, task, slot, next_run(sched, task), now_ms);
+        slot->score = score_slot(stage, slot);
+        /* Keeps the list sorted, so that tasks spread. */
+        while (slot + 1 < slots + count && slot[1].score > slot->score) {
+            fv_slot_t moved = slot[0];
+
+            slot[0] = slot[1];
+            slot[1] = moved;
+            slot++;
+        }
+    }
+}
+
+/**
+ * FvSched_PlaceStage - start what can start of a stage
+ * @sched: the scheduler
+ * @stage: the stage
+ * @now_ms: the time
+ */
+void
+FvSched_PlaceStage(fv_sched_t *sched, fv_sched_stage_t *stage, int64_t now_ms)
+{
+    uint32_t total = HASH_COUNT(sched->workers);
+    fv_slot_t *slots;
+    uint32_t count;
+
+    if (now_ms < stage->next_place_ms || total == 0) {
+        return;
+    }
+    slots = calloc(total, sizeof(*slots));
+    if (slots == NULL) {
+        return;
+    }
+    count = find_slots(sched, stage, slots, now_ms);
+    if (count > 0 && stage->step->gang) {
+        place_gang(sched, stage, slots, count, now_ms);
+    }
+    else if (count > 0) {
+        place_singly(sched, stage, slots, count, now_ms);
+    }
+    free(slots);
+}
--- /dev/null
+++ b/src/sched-report.c
@@ -0,0 +1,326 @@
+/*
+ * Reports of workers: what runs, what has ended, and what is missing.
+ */
+
+#include "scheduler.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A task whose percent does not move for this long stands still: the longest
+ * tasks of the sheets (12 s, 7 times slowed) move one percent in 0.84 s. */
+#define Fv_STALLED_MS 2500
+
+static void
+keep_checkpoint(fv_sched_task_t *task, const char *checkpoint)
+{
+    if (checkpoint[0] == '\0' || (task->checkpoint != NULL &&
+                                  strcmp(task->checkpoint, checkpoint) == 0)) {
+        return;
+    }
+    free(task->checkpoint);
+    task->checkpoint = strdup(checkpoint);
+}
+
+/* The value of any member holds for the whole gang, and all must carry the
+ * same one. */
+static void
+share_checkpoint(fv_sched_stage_t *stage, const char *checkpoint)
+{
+    for (int32_t i = 0; i < stage->step->task_count; i++) {
+        keep_checkpoint(&stage->tasks[i], checkpoint);
+    }
+}
+
+static void
+count_failure(fv_sched_t *sched, fv_sched_task_t *task,
+              fv_sched_worker_t *worker, int64_t now_ms)
+{
+    fv_sched_stage_t *stage = task->stage;
+    fv_sched_job_t *job = stage->job;
+    fv_sched_task_t *counted = stage->step->gang ? &stage->tasks[0] : task;
+
+    counted->failures++;
+    FvSched_JudgeWorker(sched, worker, task, true, now_ms);
+    task->failed_on = worker;
+    if (!stage->step->long_running && job->outcome == Fv_SCHED_JOB_OPEN &&
+        counted->failures >= job->queue.attempts_max) {
+        FvSched_EndJob(sched, job, Fv_SCHED_JOB_FAILED, now_ms);
+    }
+}
+
+/* Returns whether the end changes what is to be recorded. */
+static bool
+apply_end(fv_sched_t *sched, fv_sched_worker_t *worker,
+          const fv_ended_row_t *row, int64_t now_ms)
+{
+    fv_sched_task_t *task = FvSched_FindTask(sched, row->task_id);
+    fv_sched_stage_t *stage;
+    bool current;
+
+    if (task == NULL) {
+        return false;
+    }
+    stage = task->stage;
+    current = task->run == row->run && task->worker == worker;
+    FvLog_Event(Fv_LOG_INFO, "run_ended",
+                "task=%s run=%d worker=%s how=%d current=%d", row->task_id,
+                row->run, worker->entry.id, (int)row->end, current ? 1 : 0);
+    if (row->end == Fv_END_DONE) {
+        if (task->state == Fv_SCHED_DONE) {
+            return false;
+        }
+        FvSched_JudgeWorker(sched, worker, task, false, now_ms);
+        if (stage->job->outcome == Fv_SCHED_JOB_OPEN &&
+            !stage->step->long_running) {
+            if (!current && task->worker != NULL) {
+                sched->port->stop(sched, task);
+            }
+            FvSched_TaskDone(sched, task, now_ms);
+            return true;
+        }
+    }
+    if (row->checkpoint[0] != '\0' && task->state != Fv_SCHED_DONE) {
+        if (stage->step->gang) {
+            share_checkpoint(stage, row->checkpoint);
+        }
+        else {
+            keep_checkpoint(task, row->checkpoint);
+        }
+    }
+    if (row->end == Fv_END_FAILED && task->state != Fv_SCHED_DONE) {
+        count_failure(sched, task, worker, now_ms);
+    }
+    if (current) {
+        FvSched_RequeueTask(sched, task);
+        if (stage->step->gang && stage->job->outcome == Fv_SCHED_JOB_OPEN) {
+            FvSched_StopGang(sched, stage, now_ms);
+        }
+    }
+    return row->end == Fv_END_FAILED || row->checkpoint[0] != '\0';
+}
+
+static void
+adopt(fv_sched_t *sched, fv_sched_worker_t *worker, fv_sched_task_t *task,
+      const fv_running_row_t *row, int64_t now_ms)
+{
+    task->run = row->run;
+    task->state = Fv_SCHED_RUNNING;
+    task->stage->waiting--;
+    task->stage->gang_run = row->run;
+    task->confirmed_ms = now_ms;
+    task->ordered_ms = now_ms;
+    task->progress_ms = now_ms;
+    task->stage->job->started = true;
+    FvSched_AttachTask(worker, task);
+    sched->dirty = true;
+    FvLog_Event(Fv_LOG_INFO, "run_adopted", "task=%s run=%d worker=%s",
+                row->task_id, row->run, worker->entry.id);
+}
+
+static void
+update_running(fv_sched_t *sched, fv_sched_task_t *task,
+               const fv_running_row_t *row, int64_t now_ms)
+{
+    if (task->state == Fv_SCHED_ORDERED) {
+        task->state = Fv_SCHED_RUNNING;
+        task->progress_ms = now_ms;
+        task->confirmed_ms = now_ms;
+        task->in_doubt = false;
+        task->stage->job->started = true;
+    }
+    if (row->percent != task->percent) {
+        task->percent = row->percent;
+        task->progress_ms = now_ms;
+    }
+    task->reading = row->reading;
+    if (task->stage->step->gang && row->checkpoint[0] != '\0') {
+        share_checkpoint(task->stage, row->checkpoint);
+    }
+    else {
+        keep_checkpoint(task, row->checkpoint);
+    }
+    if (task->state == Fv_SCHED_STOPPING) {
+        FvSched_StopTask(sched, task, now_ms); /* repeats when due */
+    }
+}
+
+static void
+apply_running(fv_sched_t *sched, fv_sched_worker_t *worker,
+              const fv_running_row_t *row, int64_t now_ms)
+{
+    fv_sched_task_t *task = FvSched_FindTask(sched, row->task_id);
+
+    if (task != NULL && task->worker == worker && task->run == row->run) {
+        update_running(sched, task, row, now_ms);
+        return;
+    }
+    if (task != NULL && task->state == Fv_SCHED_WAITING &&
+        row->run > task->run && task->stage->job->durable &&
+        task->stage->job->outcome == Fv_SCHED_JOB_OPEN) {
+        adopt(sched, worker, task, row, now_ms);
+        return;
+    }
+    FvLog_Event(Fv_LOG_INFO, "stray_run", "task=%s run=%d worker=%s",
+                row->task_id, row->run, worker->entry.id);
+    sched->port->stop_stray(sched, worker, row->task_id, row->run);
+}
+
+static bool
+is_listed(const fv_worker_report_t *report, const char *name, int32_t run)
+{
+    for (uint32_t i = 0; i < report->running_count; i++) {
+        if (report->running[i].run == run &&
+            strcmp(report->running[i].task_id, name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * Tasks that the report should list and doesn't. A start or stop that was
+ * confirmed before the report was asked for has left its trace in it; a start
+ * in doubt is forbidden before the task goes elsewhere.
+ */
+static void
+find_missing(fv_sched_t *sched, fv_sched_worker_t *worker,
+             const fv_worker_report_t *report, int64_t sent_ms, int64_t now_ms)
+{
+    fv_sched_task_t *next;
+
+    for (fv_sched_task_t *task = worker->tasks; task != NULL; task = next) {
+        char name[Fv_RUN_TASK_ID_SIZE];
+
+        next = task->worker_next;
+        FvSched_TaskName(task, name, sizeof(name));
+        if (is_listed(report, name, task->run)) {
+            continue;
+        }
+        if (task->in_doubt && task->ordered_ms < sent_ms) {
+            FvSched_StopTask(sched, task, now_ms);
+        }
+        else if (task->confirmed_ms != 0 && task->confirmed_ms < sent_ms) {
+            FvLog_Event(Fv_LOG_INFO, "run_missing",
+                        "task=%s run=%d worker=%s state=%d", name, task->run,
+                        worker->entry.id, (int)task->state);
+            FvSched_RequeueTask(sched, task);
+            if (task->stage->step->gang) {
+                FvSched_StopGang(sched, task->stage, now_ms);
+                next = worker->tasks; /* the list may have changed */
+            }
+        }
+        else if (task->state == Fv_SCHED_STOPPING) {
+            FvSched_StopTask(sched, task, now_ms);
+        }
+    }
+}
+
+static void
+restart_stalled(fv_sched_t *sched, fv_sched_worker_t *worker, int64_t now_ms)
+{
+    fv_sched_task_t *next;
+
+    for (fv_sched_task_t *task = worker->tasks; task != NULL; task = next) {
+        next = task->worker_next;
+        if (task->state == Fv_SCHED_RUNNING && !task->stage->step->gang &&
+            !task->stage->step->long_running &&
+            now_ms - task->progress_ms > Fv_STALLED_MS) {
+            FvLog_Event(Fv_LOG_WARN, "run_stalled",
+                        "job=%s run=%d worker=%s percent=%d",
+                        task->stage->job->id, task->run, worker->entry.id,
+                        task->percent);
+            FvSched_JudgeWorker(sched, worker, task, true, now_ms);
+            FvSched_StopTask(sched, task, now_ms);
+        }
+    }
+}
+
+static void
+record_ends(fv_sched_t *sched, const fv_worker_report_t *report,
+            const bool *changed)
+{
+    for (uint32_t i = 0; i < report->ended_count; i++) {
+        fv_sched_task_t *task;
+
+        if (!changed[i]) {
+            continue;
+        }
+        task = FvSched_FindTask(sched, report->ended[i].task_id);
+        if (task != NULL && task->stage->job->outcome == Fv_SCHED_JOB_OPEN) {
+            sched->port->record(sched, task->stage->job, Fv_RECORD_PROGRESS);
+        }
+    }
+}
+
+/**
+ * FvSched_Report - apply a worker's report
+ * @sched: the scheduler
+ * @worker: the worker
+ * @report: the report
+ * @sent_ms: when it was asked for
+ * @now_ms: the time
+ */
+void
+FvSched_Report(fv_sched_t *sched, fv_sched_worker_t *worker,
+               const fv_worker_report_t *report, int64_t sent_ms,
+               int64_t now_ms)
+{
+    bool *changed = calloc((size_t)report->ended_count + 1, sizeof(*changed));
+
+    if (changed == NULL) {
+        return;
+    }
+    if (worker->suspect || worker->lost) {
+        FvLog_Event(Fv_LOG_INFO, "worker_back", "worker=%s silent_ms=%" PRId64,
+                    worker->entry.id, now_ms - worker->last_contact_ms);
+    }
+    worker->suspect = false;
+    worker->lost = false;
+    worker->last_contact_ms = now_ms;
+    worker->clock_ms = report->clock_ms;
+    worker->clock_at_ms = now_ms; /* errs towards a shorter lease */
+    for (uint32_t i = 0; i < report->ended_count; i++) {
+        if (report->ended[i].number > worker->end_seen) {
+            changed[i] = apply_end(sched, worker, &report->ended[i], now_ms);
+            worker->end_seen = report->ended[i].number;
+        }
+    }
+    for (uint32_t i = 0; i < report->running_count; i++) {
+        apply_running(sched, worker, &report->running[i], now_ms);
+    }
+    record_ends(sched, report, changed);
+    find_missing(sched, worker, report, sent_ms, now_ms);
+    restart_stalled(sched, worker, now_ms);
+    if (!worker->synced) {
+        worker->synced = true;
+        FvLog_Event(Fv_LOG_INFO, "worker_synced",
+                    "worker=%s running=%u ended=%u", worker->entry.id,
+                    report->running_count, report->ended_count);
+    }
+    sched->dirty = true;
+    free(changed);
+}
+
+/**
+ * FvSched_NoReport - a worker did not answer
+ * @sched: the scheduler
+ * @worker: the worker
+ * @now_ms: the time
+ */
+void
+FvSched_NoReport(fv_sched_t *sched, fv_sched_worker_t *worker, int64_t now_ms)
+{
+    if (!worker->suspect) {
+        FvLog_Event(Fv_LOG_WARN, "worker_silent",
+                    "worker=%s tasks=%d lease_left_ms=%" PRId64,
+                    worker->entry.id, worker->task_count,
+                    worker->lease_lapses_ms - now_ms);
+    }
+    worker->suspect = true;
+    if (!worker->lost && worker->lease_lapses_ms < now_ms) {
+        worker->lost = true;
+        FvSched_LoseTasks(sched, worker, "lease_lapsed", now_ms);
+    }
+}
--- /dev/null
+++ b/src/sched-worker.c
@@ -0,0 +1,420 @@
+/*
+ * Workers of the scheduler: room, leases and how far they can be trusted.
+ */
+
+#include "scheduler.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A worker's clock may run 2 % slow (PROTOCOL, leases of runs), and an order
+ * may be under way for a while; a lease is taken as lapsed only after both. */
+#define Fv_CLOCK_DRIFT_PERCENT 3
+#define Fv_ORDER_UNDERWAY_MS 250
+
+/* Failed tasks of as many different jobs in a row mark a worker as faulty. */
+#define Fv_FAILURE_STREAK_MAX 2
+
+/* How long a faulty worker gets no task before it is probed with one; short,
+ * since faults of this kind pass within seconds. */
+#define Fv_QUARANTINE_MS 4000
+
+/**
+ * FvSched_FindWorker - worker by id
+ * @sched: the scheduler
+ * @id: the id
+ *
+ * Return: the worker, or NULL.
+ */
+fv_sched_worker_t *
+FvSched_FindWorker(const fv_sched_t *sched, const char *id)
+{
+    fv_sched_worker_t *worker = NULL;
+
+    HASH_FIND_STR(sched->workers, id, worker);
+    return worker;
+}
+
+/* The rack is the label that is not the worker's kind; workers of one rack
+ * share the longest label. */
+static void
+find_rack(fv_sched_worker_t *worker)
+{
+    const fv_worker_entry_t *entry = &worker->entry;
+
+    worker->rack[0] = '\0';
+    if (entry->label_count > 0) {
+        FvText_Copy(worker->rack, sizeof(worker->rack),
+                    entry->labels[entry->label_count - 1]);
+    }
+}
+
+static void
+count_room(fv_sched_worker_t *worker)
+{
+    worker->free_cpu_millis = worker->entry.cpu_millis;
+    worker->free_memory_mib = worker->entry.memory_mib;
+    worker->free_accelerators = worker->entry.accelerators;
+    for (const fv_sched_task_t *task = worker->tasks; task != NULL;
+         task = task->worker_next) {
+        const fv_step_spec_t *step = task->stage->step;
+
+        worker->free_cpu_millis -= step->uses_spare_cpu ? 0 : step->cpu_millis;
+        worker->free_memory_mib -= step->memory_mib;
+        worker->free_accelerators -= step->accelerators;
+    }
+}
+
+static void
+begin_life(fv_sched_t *sched, fv_sched_worker_t *worker, int64_t born_ms,
+           int64_t now_ms)
+{
+    if (worker->started_wall_ms != 0) {
+        FvSched_LoseTasks(sched, worker, "worker_restarted", now_ms);
+    }
+    worker->started_wall_ms = born_ms;
+    worker->end_seen = 0;
+    worker->end_recorded = 0;
+    worker->synced = false;
+    worker->failure_streak = 0;
+    worker->quarantined_until_ms = 0;
+    worker->probing = false;
+    worker->slowness = 1.0;
+}
+
+/**
+ * FvSched_SeeWorker - apply an entry of the registry
+ * @sched: the scheduler
+ * @entry: the entry
+ * @now_ms: the time
+ *
+ * Return: the worker, or NULL when memory is exhausted.
+ */
+fv_sched_worker_t *
+FvSched_SeeWorker(fv_sched_t *sched, const fv_worker_entry_t *entry,
+                  int64_t now_ms)
+{
+    fv_sched_worker_t *worker = FvSched_FindWorker(sched, entry->id);
+
+    if (worker == NULL) {
+        worker = calloc(1, sizeof(*worker));
+        if (worker == NULL) {
+            return NULL;
+        }
+        worker->entry = *entry;
+        worker->slowness = 1.0;
+        HASH_ADD_STR(sched->workers, entry.id, worker);
+    }
+    worker->entry = *entry;
+    find_rack(worker);
+    if (entry->started_wall_ms > worker->started_wall_ms) {
+        begin_life(sched, worker, entry->started_wall_ms, now_ms);
+    }
+    if (entry->draining && !worker->draining) {
+        FvLog_Event(Fv_LOG_INFO, "worker_draining",
+                    "worker=%s left_ms=%" PRId64 " tasks=%d", entry->id,
+                    entry->drain_left_ms, worker->task_count);
+    }
+    worker->draining = entry->draining;
+    worker->drain_until_ms =
+        entry->drain_left_ms > 0 ? now_ms + entry->drain_left_ms : 0;
+    worker->listed = true;
+    count_room(worker);
+    sched->dirty = true;
+    return worker;
+}
+
+/**
+ * FvSched_WorkerGone - a worker is no longer in the registry
+ * @sched: the scheduler
+ * @worker: the worker
+ *
+ * Its tasks may go on until its lease has lapsed.
+ */
+void
+FvSched_WorkerGone(fv_sched_t *sched, fv_sched_worker_t *worker)
+{
+    (void)sched;
+    if (worker->listed) {
+        FvLog_Event(Fv_LOG_INFO, "worker_unlisted", "worker=%s tasks=%d",
+                    worker->entry.id, worker->task_count);
+    }
+    worker->listed = false;
+}
+
+/**
+ * FvSched_FreeWorker - forget a worker on which nothing can run
+ * @sched: the scheduler
+ * @worker: the worker
+ */
+void
+FvSched_FreeWorker(fv_sched_t *sched, fv_sched_worker_t *worker)
+{
+    while (worker->tasks != NULL) {
+        FvSched_DetachTask(worker->tasks);
+    }
+    for (fv_sched_job_t *job = sched->jobs; job != NULL; job = job->hh.next) {
+        for (uint32_t o = 0; o < job->occurrence_count; o++) {
+            for (uint32_t s = 0; s < job->spec.step_count; s++) {
+                fv_sched_stage_t *stage = &job->occurrences[o].stages[s];
+                uint32_t kept = 0;
+
+                for (uint32_t v = 0; v < stage->verdict_count; v++) {
+                    if (stage->verdicts[v].worker != worker) {
+                        stage->verdicts[kept++] = stage->verdicts[v];
+                    }
+                }
+                stage->verdict_count = kept;
+                for (int32_t t = 0; t < stage->step->task_count; t++) {
+                    if (stage->tasks[t].failed_on == worker) {
+                        stage->tasks[t].failed_on = NULL;
+                    }
+                }
+            }
+        }
+    }
+    HASH_DEL(sched->workers, worker);
+    free(worker);
+}
+
+static void
+charge(fv_sched_worker_t *worker, const fv_step_spec_t *step, int64_t sign)
+{
+    worker->free_cpu_millis -=
+        step->uses_spare_cpu ? 0 : sign * step->cpu_millis;
+    worker->free_memory_mib -= sign * step->memory_mib;
+    worker->free_accelerators -= sign * step->accelerators;
+}
+
+/**
+ * FvSched_AttachTask - charge a task to a worker
+ * @worker: where it runs or may run
+ * @task: the task
+ */
+void
+FvSched_AttachTask(fv_sched_worker_t *worker, fv_sched_task_t *task)
+{
+    FvSched_DetachTask(task);
+    task->worker = worker;
+    task->worker_previous = NULL;
+    task->worker_next = worker->tasks;
+    if (worker->tasks != NULL) {
+        worker->tasks->worker_previous = task;
+    }
+    worker->tasks = task;
+    worker->task_count++;
+    task->stage->job->running_tasks++;
+    charge(worker, task->stage->step, 1);
+}
+
+/**
+ * FvSched_DetachTask - the task is surely not on its worker
+ * @task: the task
+ */
+void
+FvSched_DetachTask(fv_sched_task_t *task)
+{
+    fv_sched_worker_t *worker = task->worker;
+
+    if (worker == NULL) {
+        return;
+    }
+    if (task->worker_previous != NULL) {
+        task->worker_previous->worker_next = task->worker_next;
+    }
+    else {
+        worker->tasks = task->worker_next;
+    }
+    if (task->worker_next != NULL) {
+        task->worker_next->worker_previous = task->worker_previous;
+    }
+    task->worker = NULL;
+    task->worker_next = NULL;
+    task->worker_previous = NULL;
+    worker->task_count--;
+    task->stage->job->running_tasks--;
+    charge(worker, task->stage->step, -1);
+}
+
+/**
+ * FvSched_Fits - whether a worker has room for one more task of a step
+ * @worker: the worker
+ * @step: the step
+ *
+ * Return: true when it has.
+ */
+bool
+FvSched_Fits(const fv_sched_worker_t *worker, const fv_step_spec_t *step)
+{
+    int64_t cpu_millis = step->uses_spare_cpu ? 0 : step->cpu_millis;
+
+    return worker->free_cpu_millis >= cpu_millis &&
+           worker->free_memory_mib >= step->memory_mib &&
+           worker->free_accelerators >= step->accelerators;
+}
+
+/**
+ * FvSched_TasksThatFit - how many more tasks of a step a worker can hold
+ * @worker: the worker
+ * @step: the step
+ *
+ * Return: the number.
+ */
+int32_t
+FvSched_TasksThatFit(const fv_sched_worker_t *worker,
+                     const fv_step_spec_t *step)
+{
+    int64_t most = step->task_count;
+
+    if (!step->uses_spare_cpu && step->cpu_millis > 0 &&
+        worker->free_cpu_millis / step->cpu_millis < most) {
+        most = worker->free_cpu_millis / step->cpu_millis;
+    }
+    if (step->memory_mib > 0 &&
+        worker->free_memory_mib / step->memory_mib < most) {
+        most = worker->free_memory_mib / step->memory_mib;
+    }
+    if (step->accelerators > 0 &&
+        worker->free_accelerators / step->accelerators < most) {
+        most = worker->free_accelerators / step->accelerators;
+    }
+    if (step->per_worker_max > 0 && step->per_worker_max < most) {
+        most = step->per_worker_max;
+    }
+    return most > 0 ? (int32_t)most : 0;
+}
+
+static bool
+has_label(const fv_worker_entry_t *entry, const char *label)
+{
+    for (uint32_t i = 0; i < entry->label_count; i++) {
+        if (strcmp(entry->labels[i], label) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/**
+ * FvSched_WorkerUsable - whether a worker may get tasks of a stage, room aside
+ * @worker: the worker
+ * @stage: the stage
+ * @now_ms: the time
+ *
+ * Return: true when it may.
+ */
+bool
+FvSched_WorkerUsable(const fv_sched_worker_t *worker,
+                     const fv_sched_stage_t *stage, int64_t now_ms)
+{
+    const fv_step_spec_t *step = stage->step;
+
+    if (!worker->listed || !worker->synced || !worker->rostered ||
+        worker->suspect || worker->draining || worker->lost) {
+        return false;
+    }
+    if (worker->quarantined_until_ms > now_ms ||
+        (worker->quarantined_until_ms != 0 &&
+         (worker->probing || step->gang))) {
+        return false;
+    }
+    return strcmp(worker->entry.service, stage->job->queue.service) == 0 &&
+           (step->required_label[0] == '\0' ||
+            has_label(&worker->entry, step->required_label));
+}
+
+/**
+ * FvSched_WorkerClock - a worker's clock as far as it is known
+ * @worker: the worker, which has reported
+ * @now_ms: the time
+ *
+ * Return: its clock.
+ */
+int64_t
+FvSched_WorkerClock(const fv_sched_worker_t *worker, int64_t now_ms)
+{
+    return worker->clock_ms + (now_ms - worker->clock_at_ms);
+}
+
+/**
+ * FvSched_OrderSent - an order or renewal that extends the lease is on its way
+ * @sched: the scheduler
+ * @worker: to this worker
+ * @now_ms: the time
+ */
+void
+FvSched_OrderSent(const fv_sched_t *sched, fv_sched_worker_t *worker,
+                  int64_t now_ms)
+{
+    worker->lease_lapses_ms = now_ms + Fv_ORDER_UNDERWAY_MS + sched->lease_ms +
+                              sched->lease_ms * Fv_CLOCK_DRIFT_PERCENT / 100;
+}
+
+/**
+ * FvSched_LoseTasks - nothing of what ran on a worker runs any more
+ * @sched: the scheduler
+ * @worker: the worker
+ * @cause: why, for the log
+ * @now_ms: the time
+ */
+void
+FvSched_LoseTasks(fv_sched_t *sched, fv_sched_worker_t *worker,
+                  const char *cause, int64_t now_ms)
+{
+    if (worker->tasks != NULL) {
+        FvLog_Event(Fv_LOG_WARN, "tasks_lost", "worker=%s cause=%s tasks=%d",
+                    worker->entry.id, cause, worker->task_count);
+    }
+    while (worker->tasks != NULL) {
+        fv_sched_task_t *task = worker->tasks;
+        fv_sched_stage_t *stage = task->stage;
+
+        FvSched_RequeueTask(sched, task);
+        if (stage->step->gang) {
+            FvSched_StopGang(sched, stage, now_ms);
+        }
+    }
+}
+
+/**
+ * FvSched_JudgeWorker - learn from the end of a task
+ * @sched: the scheduler
+ * @worker: where it ended
+ * @task: the task
+ * @failed: whether it failed
+ * @now_ms: the time
+ */
+void
+FvSched_JudgeWorker(fv_sched_t *sched, fv_sched_worker_t *worker,
+                    const fv_sched_task_t *task, bool failed, int64_t now_ms)
+{
+    const fv_sched_job_t *job = task->stage->job;
+
+    (void)sched;
+    if (!failed) {
+        worker->failure_streak = 0;
+        worker->last_failed_job = NULL;
+        worker->quarantined_until_ms = 0;
+        worker->probing = false;
+        return;
+    }
+    worker->probing = false;
+    if (worker->quarantined_until_ms != 0) {
+        worker->quarantined_until_ms = now_ms + Fv_QUARANTINE_MS;
+    }
+    /* A job that fails elsewhere too says nothing about this worker. */
+    if (worker->last_failed_job == job ||
+        (task->failures > 1 && task->failed_on != worker)) {
+        return;
+    }
+    worker->last_failed_job = job;
+    worker->failure_streak++;
+    if (worker->failure_streak >= Fv_FAILURE_STREAK_MAX) {
+        worker->quarantined_until_ms = now_ms + Fv_QUARANTINE_MS;
+        FvMetrics_Add(Fv_COUNTER_QUARANTINES, 1);
+        FvLog_Event(Fv_LOG_WARN, "worker_quarantined",
+                    "worker=%s failures=%d for_ms=%d", worker->entry.id,
+                    worker->failure_streak, Fv_QUARANTINE_MS);
+    }
+}
--- /dev/null
+++ b/src/scheduler.h
@@ -0,0 +1,293 @@
+/*
+ * The scheduler of a cell: jobs, workers and the decisions about them. It
+ * uses no sockets, threads or clocks; time is a parameter, and effects go
+ * through fv_sched_port_t. sched-*.c implement it.
+ */
+
+#ifndef SCHEDULER_H
+#define SCHEDULER_H
+
+#include "cell-types.h"
+
+#include <uthash.h>
+
+typedef struct fv_sched fv_sched_t;
+typedef struct fv_sched_job fv_sched_job_t;
+typedef struct fv_sched_stage fv_sched_stage_t;
+typedef struct fv_sched_task fv_sched_task_t;
+typedef struct fv_sched_worker fv_sched_worker_t;
+
+typedef enum fv_sched_state {
+    Fv_SCHED_WAITING,
+    Fv_SCHED_ORDERED, /* its start was sent and is not answered */
+    Fv_SCHED_RUNNING,
+    Fv_SCHED_STOPPING, /* a stop was sent; its end is not known */
+    Fv_SCHED_DONE
+} fv_sched_state_t;
+
+struct fv_sched_task {
+    fv_sched_stage_t *stage;
+    int32_t index;
+    fv_sched_state_t state;
+    int32_t failures;
+    int32_t run; /* number of its latest run */
+    fv_sched_worker_t *worker;
+    fv_sched_task_t *worker_next;
+    fv_sched_task_t *worker_previous;
+    int64_t ordered_ms;
+    int64_t confirmed_ms; /* when its start was answered */
+    int64_t stop_sent_ms;
+    int32_t percent;
+    int64_t progress_ms; /* when the percent last changed */
+    char *checkpoint;
+    const fv_sched_worker_t *failed_on;
+    bool inherited; /* an earlier leader may have started it */
+    bool in_doubt;  /* the start was not answered */
+    int32_t throttle_percent;
+    int64_t reading;
+};
+
+/* What the advice service said about one worker for a stage. */
+typedef struct fv_verdict {
+    fv_sched_worker_t *worker;
+    bool allowed;
+    int64_t expires_ms;
+    char ticket[Fv_TICKET_SIZE];
+} fv_verdict_t;
+
+/* One step of one occurrence of a job. */
+struct fv_sched_stage {
+    fv_sched_job_t *job;
+    int32_t occurrence;
+    uint32_t step_index;
+    const fv_step_spec_t *step;
+    fv_sched_task_t *tasks;
+    int32_t waiting;
+    int32_t done;
+    int32_t gang_run;
+    bool pending; /* in the scheduler's list of stages to place */
+    fv_sched_stage_t *pending_next;
+    fv_verdict_t *verdicts;
+    uint32_t verdict_count;
+    uint32_t verdict_capacity;
+    int32_t asks_outstanding;
+    int64_t next_ask_ms;
+    int64_t next_place_ms;
+    int64_t objective_at_ms; /* for the order of stages */
+};
+
+typedef struct fv_occurrence {
+    int32_t number;
+    int64_t due_wall_ms;
+    bool released;
+    uint32_t stages_done;
+    fv_sched_stage_t *stages;
+} fv_occurrence_t;
+
+typedef enum fv_job_outcome {
+    Fv_SCHED_JOB_OPEN,
+    Fv_SCHED_JOB_COMPLETED,
+    Fv_SCHED_JOB_FAILED,
+    Fv_SCHED_JOB_CANCELLED
+} fv_sched_outcome_t;
+
+struct fv_sched_job {
+    char id[Fv_JOB_ID_SIZE];
+    fv_cell_queue_t queue;
+    fv_job_spec_t spec;
+    char *document; /* as submitted */
+    size_t document_length;
+    int64_t received_ms;
+    int64_t received_wall_ms;
+    bool durable;   /* its record is in the store */
+    bool started;   /* at least one task has begun */
+    bool cancelled; /* asked for by the caller */
+    bool inherited;
+    fv_sched_outcome_t outcome;  /* as decided */
+    fv_sched_outcome_t recorded; /* as recorded; what callers are told */
+    int64_t ended_ms;
+    bool progress_recorded;
+    uint32_t occurrence_count;
+    fv_occurrence_t *occurrences;
+    int32_t running_tasks; /* ordered, running or stopping */
+    void *waiters;         /* of the port */
+    UT_hash_handle hh;
+};
+
+struct fv_sched_worker {
+    fv_worker_entry_t entry;
+    char rack[Fv_NAME_SIZE];
+    bool listed;   /* in the registry */
+    bool synced;   /* reported to this leader */
+    bool rostered; /* named in the durable list of workers given orders */
+    bool suspect;  /* did not answer lately */
+    bool lost;     /* its lease has surely lapsed without contact */
+    bool draining;
+    int64_t drain_until_ms; /* 0: not known */
+    int64_t started_wall_ms;
+    int64_t clock_ms;        /* the worker's clock... */
+    int64_t clock_at_ms;     /* ...and ours at that moment */
+    int64_t lease_lapses_ms; /* nothing runs there after, without contact */
+    int64_t last_contact_ms;
+    int64_t end_seen;     /* highest number of an end processed */
+    int64_t end_recorded; /* ... whose effects are recorded */
+    int64_t free_cpu_millis;
+    int64_t free_memory_mib;
+    int64_t free_accelerators;
+    int32_t task_count;
+    fv_sched_task_t *tasks;
+    int32_t failure_streak; /* of tasks of different jobs */
+    const fv_sched_job_t *last_failed_job;
+    int64_t quarantined_until_ms;
+    bool probing;
+    double slowness; /* run time against that of other workers; 1 is usual */
+    void *driver;    /* of the port */
+    UT_hash_handle hh;
+};
+
+typedef enum fv_record_kind {
+    Fv_RECORD_ACCEPT,
+    Fv_RECORD_PROGRESS,
+    Fv_RECORD_END
+} fv_record_kind_t;
+
+/* Effects of decisions. */
+typedef struct fv_sched_port {
+    /* Decodes a submission that was kept in the store. */
+    bool (*decode)(const char *document, size_t length, fv_job_spec_t *spec);
+    void (*start)(fv_sched_t *sched, fv_sched_task_t *task,
+                  const fv_verdict_t *verdict);
+    void (*stop)(fv_sched_t *sched, fv_sched_task_t *task);
+    /* Stops a run that belongs to no open task. */
+    void (*stop_stray)(fv_sched_t *sched, fv_sched_worker_t *worker,
+                       const char *task_id, int32_t run);
+    void (*throttle)(fv_sched_t *sched, fv_sched_task_t *task);
+    /* False when no host is free to ask now. */
+    bool (*ask)(fv_sched_t *sched, fv_sched_stage_t *stage,
+                fv_sched_worker_t *const *workers, uint32_t count);
+    void (*record)(fv_sched_t *sched, fv_sched_job_t *job,
+                   fv_record_kind_t kind);
+    void (*look)(fv_sched_t *sched, fv_sched_worker_t *worker);
+} fv_sched_port_t;
+
+/* Learned share of workers that the advice service allows for a queue. */
+typedef struct fv_advice_share {
+    char queue[Fv_NAME_SIZE];
+    double share;
+} fv_advice_share_t;
+
+#define Fv_ADVICE_QUEUES_MAX 64
+
+struct fv_sched {
+    const fv_sched_port_t *port;
+    fv_sched_job_t *jobs;
+    fv_sched_worker_t *workers;
+    fv_sched_stage_t *pending;
+    int32_t run_base;    /* runs of this leader are numbered above it */
+    bool inherited_held; /* inherited tasks may run on unseen workers */
+    bool dirty;
+    uint64_t random;
+    int64_t lease_ms;
+    int64_t keep_ended_ms;
+    uint32_t advice_count;
+    fv_advice_share_t advice_shares[Fv_ADVICE_QUEUES_MAX];
+};
+
+/* sched-job.c */
+fv_sched_job_t *FvSched_FindJob(const fv_sched_t *sched, const char *id);
+fv_sched_job_t *FvSched_AddJob(fv_sched_t *sched, const char *id,
+                               const fv_cell_queue_t *queue,
+                               fv_job_spec_t *spec, const char *document,
+                               size_t length, int64_t now_ms, int64_t wall_ms);
+void FvSched_RemoveJob(fv_sched_t *sched, fv_sched_job_t *job);
+void FvSched_JobDurable(fv_sched_t *sched, fv_sched_job_t *job);
+void FvSched_CancelJob(fv_sched_t *sched, fv_sched_job_t *job, int64_t now_ms);
+const char *FvSched_JobState(const fv_sched_job_t *job);
+fv_sched_task_t *FvSched_FindTask(const fv_sched_t *sched, const char *name);
+void FvSched_TaskName(const fv_sched_task_t *task, char *name, size_t size);
+void FvSched_StageName(const fv_sched_stage_t *stage, char *name, size_t size);
+int64_t FvSched_CountWaiting(const fv_sched_t *sched, const char *queue);
+void FvSched_ReleaseStages(fv_sched_t *sched, fv_sched_job_t *job,
+                           int64_t now_ms, int64_t wall_ms);
+void FvSched_TaskDone(fv_sched_t *sched, fv_sched_task_t *task,
+                      int64_t now_ms);
+void FvSched_CheckJobEnd(fv_sched_t *sched, fv_sched_job_t *job,
+                         int64_t now_ms);
+void FvSched_EndJob(fv_sched_t *sched, fv_sched_job_t *job,
+                    fv_sched_outcome_t outcome, int64_t now_ms);
+void FvSched_MarkPending(fv_sched_t *sched, fv_sched_stage_t *stage);
+
+/* sched-record.c: what is kept in the store. */
+bool FvSchedRecord_Job(const fv_sched_job_t *job, fv_buffer_t *out);
+bool FvSchedRecord_Progress(const fv_sched_job_t *job, fv_buffer_t *out);
+fv_sched_job_t *FvSchedRecord_LoadJob(fv_sched_t *sched, const char *id,
+                                      const fv_buffer_t *value, int64_t now_ms,
+                                      int64_t wall_ms);
+bool FvSchedRecord_LoadProgress(fv_sched_t *sched, fv_sched_job_t *job,
+                                const fv_buffer_t *value);
+
+/* sched-worker.c */
+fv_sched_worker_t *FvSched_FindWorker(const fv_sched_t *sched, const char *id);
+fv_sched_worker_t *FvSched_SeeWorker(fv_sched_t *sched,
+                                     const fv_worker_entry_t *entry,
+                                     int64_t now_ms);
+void FvSched_WorkerGone(fv_sched_t *sched, fv_sched_worker_t *worker);
+void FvSched_FreeWorker(fv_sched_t *sched, fv_sched_worker_t *worker);
+void FvSched_AttachTask(fv_sched_worker_t *worker, fv_sched_task_t *task);
+void FvSched_DetachTask(fv_sched_task_t *task);
+bool FvSched_Fits(const fv_sched_worker_t *worker, const fv_step_spec_t *step);
+int32_t FvSched_TasksThatFit(const fv_sched_worker_t *worker,
+                             const fv_step_spec_t *step);
+bool FvSched_WorkerUsable(const fv_sched_worker_t *worker,
+                          const fv_sched_stage_t *stage, int64_t now_ms);
+int64_t FvSched_WorkerClock(const fv_sched_worker_t *worker, int64_t now_ms);
+void FvSched_OrderSent(const fv_sched_t *sched, fv_sched_worker_t *worker,
+                       int64_t now_ms);
+void FvSched_LoseTasks(fv_sched_t *sched, fv_sched_worker_t *worker,
+                       const char *cause, int64_t now_ms);
+void FvSched_JudgeWorker(fv_sched_t *sched, fv_sched_worker_t *worker,
+                         const fv_sched_task_t *task, bool failed,
+                         int64_t now_ms);
+
+/* sched-report.c */
+void FvSched_Report(fv_sched_t *sched, fv_sched_worker_t *worker,
+                    const fv_worker_report_t *report, int64_t sent_ms,
+                    int64_t now_ms);
+void FvSched_NoReport(fv_sched_t *sched, fv_sched_worker_t *worker,
+                      int64_t now_ms);
+
+/* sched-order.c */
+void FvSched_StartAnswered(fv_sched_t *sched, fv_sched_task_t *task,
+                           int32_t run, fv_order_result_t result,
+                           int64_t now_ms);
+void FvSched_StopTask(fv_sched_t *sched, fv_sched_task_t *task,
+                      int64_t now_ms);
+void FvSched_StopAnswered(fv_sched_t *sched, fv_sched_task_t *task,
+                          int32_t run, fv_order_result_t result,
+                          int64_t now_ms);
+void FvSched_RequeueTask(fv_sched_t *sched, fv_sched_task_t *task);
+void FvSched_StopGang(fv_sched_t *sched, fv_sched_stage_t *stage,
+                      int64_t now_ms);
+
+/* sched-advice.c */
+const fv_verdict_t *FvSched_Ticket(const fv_sched_stage_t *stage,
+                                   const fv_sched_worker_t *worker,
+                                   int64_t now_ms);
+void FvSched_AskAdvice(fv_sched_t *sched, fv_sched_stage_t *stage,
+                       int64_t now_ms);
+void FvSched_Advised(fv_sched_t *sched, fv_sched_stage_t *stage,
+                     fv_sched_worker_t *const *asked, uint32_t count,
+                     const fv_advice_t *advice, int64_t now_ms);
+
+/* sched-place.c */
+void FvSched_PlaceStage(fv_sched_t *sched, fv_sched_stage_t *stage,
+                        int64_t now_ms);
+
+/* sched-pass.c */
+void FvSched_Init(fv_sched_t *sched, const fv_sched_port_t *port,
+                  int64_t lease_ms, int64_t keep_ended_ms);
+void FvSched_Clear(fv_sched_t *sched);
+void FvSched_Pass(fv_sched_t *sched, int64_t now_ms, int64_t wall_ms);
+uint32_t FvSched_Random(fv_sched_t *sched);
+
+#endif
