Count a failed run once, acknowledge ends after their own record, keep idle connections

Cause: (1) an end that was recorded but not yet forgotten by its worker was counted again by the next leader: jobs were shown as failed too early (LOST). (2) Ends that arrived while earlier ones were being written were acknowledged together with these (TWICE after a change of the leader). (3) The time limit of a call stayed on its idle connection and closed it: 3013 new connections for 5311 starts. Change: the record carries the number of the latest failed run; an acknowledgement covers the ends that were queued before its write; idle connections get their own limit.

--- a/src/call.c
+++ b/src/call.c
@@ -193,6 +193,7 @@
 {
     fv_pending_call_t *pending = context;
     fv_call_answer_t answer = {0};
+    struct timeval idle = {.tv_sec = Fv_IDLE_CONNECTION_MS / 1000};
 
     if (request != NULL && evhttp_request_get_response_code(request) != 0) {
         struct evbuffer *body = evhttp_request_get_input_buffer(request);
@@ -203,6 +204,8 @@
     }
     pending->slot->busy = false;
     pending->slot->used_ms = FvClock_NowMs();
+    /* The limit of the call would also close the idle connection. */
+    evhttp_connection_set_timeout_tv(pending->slot->connection, &idle);
     pending->done(pending->context, &answer);
     free(pending);
 }
--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -70,6 +70,8 @@
     bool polling;
     bool looking;
     bool recording; /* its latest ends are not recorded yet */
+    int64_t recording_number; /* the latest end that is being recorded */
+    int64_t recording_life;   /* ... of this life of the worker */
     int64_t sent_ms;
 } fv_driver_t;
 
@@ -288,6 +290,8 @@
     }
 }
 
+static void record_ends(fv_driver_t *driver);
+
 static void
 ends_recorded(void *context)
 {
@@ -299,12 +303,26 @@
         release_driver(driver);
         return;
     }
-    driver->worker->end_recorded = driver->worker->end_seen;
+    if (driver->recording_life == driver->worker->started_wall_ms &&
+        FvSched_EndsRecorded(driver->worker, driver->recording_number)) {
+        record_ends(driver);
+        return;
+    }
     if (!driver->polling) {
         poll_worker(driver, true);
     }
 }
 
+static void
+record_ends(fv_driver_t *driver)
+{
+    driver->recording = true;
+    driver->recording_number = driver->worker->end_seen;
+    driver->recording_life = driver->worker->started_wall_ms;
+    driver->calls++;
+    FvRecords_After(driver->leader->records, ends_recorded, driver);
+}
+
 static void
 apply_report(fv_driver_t *driver, const fv_call_answer_t *answer,
              int64_t sent_ms)
@@ -334,9 +352,7 @@
         FvWorkerReport_Clear(&report);
     }
     if (driver->worker->end_seen > seen && !driver->recording) {
-        driver->recording = true;
-        driver->calls++;
-        FvRecords_After(leader->records, ends_recorded, driver);
+        record_ends(driver);
     }
 }
 
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -11,7 +11,7 @@
 
 #define Fv_JOB_RECORD_FORMAT 1
 #define Fv_JOB_RECORD_FIELDS 13
-#define Fv_PROGRESS_ROW_FIELDS 6
+#define Fv_PROGRESS_ROW_FIELDS 7
 #define Fv_STRETCH_SCALE 1000.0
 
 static void
@@ -82,6 +82,7 @@
     msgpack_pack_int32(packer, task->index);
     msgpack_pack_int(packer, task->state == Fv_SCHED_DONE);
     msgpack_pack_int32(packer, task->failures);
+    msgpack_pack_int32(packer, task->failed_run);
     pack_text(packer, task->state == Fv_SCHED_DONE ? NULL : task->checkpoint);
 }
 
@@ -243,7 +244,8 @@
     stage = &job->occurrences[occurrence].stages[step];
     task = &stage->tasks[index];
     task->failures = (int32_t)read_int(&fields[4]);
-    if (read_text(&fields[5], checkpoint, sizeof(checkpoint)) &&
+    task->failed_run = (int32_t)read_int(&fields[5]);
+    if (read_text(&fields[6], checkpoint, sizeof(checkpoint)) &&
         checkpoint[0] != '\0') {
         task->checkpoint = strdup(checkpoint);
     }
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -35,12 +35,16 @@
 
 static void
 count_failure(fv_sched_t *sched, fv_sched_task_t *task,
-              fv_sched_worker_t *worker, int64_t now_ms)
+              fv_sched_worker_t *worker, int32_t run, int64_t now_ms)
 {
     fv_sched_stage_t *stage = task->stage;
     fv_sched_job_t *job = stage->job;
     fv_sched_task_t *counted = stage->step->gang ? &stage->tasks[0] : task;
 
+    if (run <= counted->failed_run) {
+        return; /* an earlier leader counted and recorded it */
+    }
+    counted->failed_run = run;
     counted->failures++;
     FvSched_JudgeWorker(sched, worker, task, true, now_ms);
     task->failed_on = worker;
@@ -90,7 +94,7 @@
         }
     }
     if (row->end == Fv_END_FAILED && task->state != Fv_SCHED_DONE) {
-        count_failure(sched, task, worker, now_ms);
+        count_failure(sched, task, worker, row->run, now_ms);
     }
     if (current) {
         FvSched_RequeueTask(sched, task);
@@ -324,3 +328,21 @@
         FvSched_LoseTasks(sched, worker, "lease_lapsed", now_ms);
     }
 }
+
+/**
+ * FvSched_EndsRecorded - the effects of a worker's ends are in the store
+ * @worker: the worker
+ * @number: of the latest end whose effects were queued before the write
+ *
+ * Return: true when later ends were processed meanwhile, which are not
+ * recorded yet.
+ */
+bool
+FvSched_EndsRecorded(fv_sched_worker_t *worker, int64_t number)
+{
+    /* A worker that restarted meanwhile counts anew. */
+    if (number <= worker->end_seen && number > worker->end_recorded) {
+        worker->end_recorded = number;
+    }
+    return worker->end_seen > worker->end_recorded;
+}
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -30,7 +30,8 @@
     int32_t index;
     fv_sched_state_t state;
     int32_t failures;
-    int32_t run; /* number of its latest run */
+    int32_t failed_run; /* latest run counted in failures */
+    int32_t run;        /* number of its latest run */
     fv_sched_worker_t *worker;
     fv_sched_task_t *worker_next;
     fv_sched_task_t *worker_previous;
@@ -255,6 +256,7 @@
                     int64_t now_ms);
 void FvSched_NoReport(fv_sched_t *sched, fv_sched_worker_t *worker,
                       int64_t now_ms);
+bool FvSched_EndsRecorded(fv_sched_worker_t *worker, int64_t number);
 
 /* sched-order.c */
 void FvSched_StartAnswered(fv_sched_t *sched, fv_sched_task_t *task,
--- /dev/null
+++ b/tests/harness/sched-fixture.c
@@ -0,0 +1,312 @@
+/*
+ * A scheduler with a port that keeps the orders it is given.
+ */
+
+#include "sched-fixture.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void
+keep_order(fv_sched_t *sched, const char *task, const char *worker,
+           int32_t run, bool stop)
+{
+    sched_fixture_t *fixture = (sched_fixture_t *)sched;
+    fixture_order_t *order = &fixture->orders[fixture->order_count];
+
+    CU_ASSERT_FATAL(fixture->order_count < Fv_FIXTURE_ORDERS_MAX);
+    fixture->order_count++;
+    FvText_Copy(order->task, sizeof(order->task), task);
+    FvText_Copy(order->worker, sizeof(order->worker), worker);
+    order->run = run;
+    order->stop = stop;
+}
+
+static void
+start(fv_sched_t *sched, fv_sched_task_t *task, const fv_verdict_t *verdict)
+{
+    char name[Fv_RUN_TASK_ID_SIZE];
+
+    (void)verdict;
+    FvSched_TaskName(task, name, sizeof(name));
+    keep_order(sched, name, task->worker->entry.id, task->run, false);
+}
+
+static void
+stop(fv_sched_t *sched, fv_sched_task_t *task)
+{
+    char name[Fv_RUN_TASK_ID_SIZE];
+
+    FvSched_TaskName(task, name, sizeof(name));
+    keep_order(sched, name, task->worker->entry.id, task->run, true);
+}
+
+static void
+stop_stray(fv_sched_t *sched, fv_sched_worker_t *worker, const char *task,
+           int32_t run)
+{
+    keep_order(sched, task, worker->entry.id, run, true);
+}
+
+static void
+throttle(fv_sched_t *sched, fv_sched_task_t *task)
+{
+    (void)sched;
+    (void)task;
+}
+
+static bool
+ask(fv_sched_t *sched, fv_sched_stage_t *stage,
+    fv_sched_worker_t *const *workers, uint32_t count)
+{
+    sched_fixture_t *fixture = (sched_fixture_t *)sched;
+
+    (void)stage;
+    (void)workers;
+    if (fixture->refuse_asks) {
+        return false;
+    }
+    fixture->ask_count++;
+    fixture->asked_workers += count;
+    return true;
+}
+
+static void
+record(fv_sched_t *sched, fv_sched_job_t *job, fv_record_kind_t kind)
+{
+    sched_fixture_t *fixture = (sched_fixture_t *)sched;
+
+    fixture->progress_records += kind == Fv_RECORD_PROGRESS;
+    if (kind == Fv_RECORD_END) {
+        fixture->end_records++;
+        job->recorded = job->outcome;
+    }
+}
+
+static void
+look(fv_sched_t *sched, fv_sched_worker_t *worker)
+{
+    (void)sched;
+    (void)worker;
+}
+
+static const fv_sched_port_t fixture_port = {
+    .decode = FvPlatform_JobSpec,
+    .start = start,
+    .stop = stop,
+    .stop_stray = stop_stray,
+    .throttle = throttle,
+    .ask = ask,
+    .record = record,
+    .look = look,
+};
+
+/**
+ * SchedFixture_Open - begin with an empty scheduler
+ * @fixture: the fixture
+ * @generation: number of the leadership
+ */
+void
+SchedFixture_Open(sched_fixture_t *fixture, int32_t generation)
+{
+    memset(fixture, 0, sizeof(*fixture));
+    FvSched_Init(&fixture->sched, &fixture_port, Fv_FIXTURE_LEASE_MS, 120000);
+    fixture->sched.run_base = (generation - 1) * 1000;
+    fixture->sched.random = 42;
+    fixture->now_ms = 1000000;
+}
+
+/**
+ * SchedFixture_Close - release the scheduler
+ * @fixture: the fixture
+ */
+void
+SchedFixture_Close(sched_fixture_t *fixture)
+{
+    FvSched_Clear(&fixture->sched);
+}
+
+/**
+ * SchedFixture_AddWorker - a worker that has reported and may be used
+ * @fixture: the fixture
+ * @id: its id
+ * @rack: its rack
+ * @cpu_millis: its processors
+ *
+ * Return: the worker.
+ */
+fv_sched_worker_t *
+SchedFixture_AddWorker(sched_fixture_t *fixture, const char *id,
+                       const char *rack, int64_t cpu_millis)
+{
+    fv_worker_entry_t entry = {.service = "s",
+                               .address = "127.0.0.1:1",
+                               .cpu_millis = cpu_millis,
+                               .memory_mib = 1 << 20,
+                               .started_wall_ms = 1,
+                               .label_count = 2};
+    fv_worker_report_t report = {.clock_ms = 1000};
+    fv_sched_worker_t *worker;
+
+    FvText_Copy(entry.id, sizeof(entry.id), id);
+    FvText_Copy(entry.labels[0], Fv_NAME_SIZE, "a");
+    FvText_Copy(entry.labels[1], Fv_NAME_SIZE, rack);
+    worker = FvSched_SeeWorker(&fixture->sched, &entry, fixture->now_ms);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(worker);
+    worker->rostered = true;
+    FvSched_Report(&fixture->sched, worker, &report, fixture->now_ms,
+                   fixture->now_ms);
+    return worker;
+}
+
+/**
+ * SchedFixture_Queue - a queue that needs no advice
+ * @name: its name
+ * @priority: its priority
+ *
+ * Return: the queue.
+ */
+fv_cell_queue_t
+SchedFixture_Queue(const char *name, int32_t priority)
+{
+    fv_cell_queue_t queue = {.service = "s",
+                             .priority = priority,
+                             .attempts_max = 2,
+                             .stretch = 2.0,
+                             .objective_ms = 1000};
+
+    FvText_Copy(queue.name, sizeof(queue.name), name);
+    return queue;
+}
+
+/**
+ * SchedFixture_AddJob - an accepted job
+ * @fixture: the fixture
+ * @id: its id, 16 digits
+ * @queue: its queue
+ * @document: the submission
+ *
+ * Return: the job.
+ */
+fv_sched_job_t *
+SchedFixture_AddJob(sched_fixture_t *fixture, const char *id,
+                    const fv_cell_queue_t *queue, const char *document)
+{
+    fv_job_spec_t spec;
+    fv_sched_job_t *job;
+
+    CU_ASSERT_TRUE_FATAL(
+        FvPlatform_JobSpec(document, strlen(document), &spec));
+    job = FvSched_AddJob(&fixture->sched, id, queue, &spec, document,
+                         strlen(document), fixture->now_ms, fixture->now_ms);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(job);
+    FvSched_JobDurable(&fixture->sched, job);
+    FvSched_ReleaseStages(&fixture->sched, job, fixture->now_ms,
+                          fixture->now_ms);
+    return job;
+}
+
+/**
+ * SchedFixture_Pass - one pass of the scheduler
+ * @fixture: the fixture
+ */
+void
+SchedFixture_Pass(sched_fixture_t *fixture)
+{
+    FvSched_Pass(&fixture->sched, fixture->now_ms, fixture->now_ms);
+}
+
+static uint32_t
+count_orders(const sched_fixture_t *fixture, const char *job, bool stops)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < fixture->order_count; i++) {
+        count += fixture->orders[i].stop == stops &&
+                 strncmp(fixture->orders[i].task, job, strlen(job)) == 0;
+    }
+    return count;
+}
+
+/**
+ * SchedFixture_Starts - starts that were ordered for a job
+ * @fixture: the fixture
+ * @job: its id
+ *
+ * Return: how many.
+ */
+uint32_t
+SchedFixture_Starts(const sched_fixture_t *fixture, const char *job)
+{
+    return count_orders(fixture, job, false);
+}
+
+/**
+ * SchedFixture_Stops - stops that were ordered for a job
+ * @fixture: the fixture
+ * @job: its id
+ *
+ * Return: how many.
+ */
+uint32_t
+SchedFixture_Stops(const sched_fixture_t *fixture, const char *job)
+{
+    return count_orders(fixture, job, true);
+}
+
+/**
+ * SchedFixture_ConfirmStarts - the workers answer all starts with success
+ * @fixture: the fixture
+ */
+void
+SchedFixture_ConfirmStarts(sched_fixture_t *fixture)
+{
+    for (uint32_t i = 0; i < fixture->order_count; i++) {
+        const fixture_order_t *order = &fixture->orders[i];
+        fv_sched_task_t *task =
+            FvSched_FindTask(&fixture->sched, order->task);
+
+        if (!order->stop && task != NULL && task->run == order->run &&
+            task->state == Fv_SCHED_ORDERED) {
+            FvSched_StartAnswered(&fixture->sched, task, order->run,
+                                  Fv_ORDER_DONE, fixture->now_ms);
+        }
+    }
+}
+
+/**
+ * SchedFixture_ReportEnd - a worker reports one end, and what still runs
+ * @fixture: the fixture
+ * @worker: its id
+ * @number: the end's number
+ * @task: the task
+ * @run: the run
+ * @end: how it ended
+ */
+void
+SchedFixture_ReportEnd(sched_fixture_t *fixture, const char *worker,
+                       int64_t number, const char *task, int32_t run,
+                       fv_run_end_t end)
+{
+    fv_sched_worker_t *entry = FvSched_FindWorker(&fixture->sched, worker);
+    fv_running_row_t running[256];
+    fv_ended_row_t ended = {.number = number, .run = run, .end = end};
+    fv_worker_report_t report = {.clock_ms = fixture->now_ms,
+                                 .running = running,
+                                 .ended = &ended,
+                                 .ended_count = 1};
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(entry);
+    FvText_Copy(ended.task_id, sizeof(ended.task_id), task);
+    for (const fv_sched_task_t *other = entry->tasks; other != NULL;
+         other = other->worker_next) {
+        fv_running_row_t *row = &running[report.running_count];
+
+        *row = (fv_running_row_t){.run = other->run,
+                                  .percent = other->percent + 1};
+        FvSched_TaskName(other, row->task_id, sizeof(row->task_id));
+        report.running_count += strcmp(row->task_id, task) != 0;
+    }
+    FvSched_Report(&fixture->sched, entry, &report, fixture->now_ms,
+                   fixture->now_ms);
+}
--- /dev/null
+++ b/tests/harness/sched-fixture.h
@@ -0,0 +1,52 @@
+/*
+ * A scheduler with a port that keeps the orders it is given, for tests
+ * without a network.
+ */
+
+#ifndef SCHED_FIXTURE_H
+#define SCHED_FIXTURE_H
+
+#include "platform.h"
+#include "scheduler.h"
+#include "suite.h"
+
+#define Fv_FIXTURE_ORDERS_MAX 4096
+#define Fv_FIXTURE_LEASE_MS 5000
+
+typedef struct fixture_order {
+    char task[Fv_RUN_TASK_ID_SIZE];
+    char worker[Fv_NAME_SIZE];
+    int32_t run;
+    bool stop;
+} fixture_order_t;
+
+typedef struct sched_fixture {
+    fv_sched_t sched; /* first, so that the port finds the fixture */
+    int64_t now_ms;
+    uint32_t order_count;
+    fixture_order_t orders[Fv_FIXTURE_ORDERS_MAX];
+    uint32_t ask_count;
+    uint32_t asked_workers;
+    bool refuse_asks;
+    uint32_t progress_records;
+    uint32_t end_records;
+} sched_fixture_t;
+
+void SchedFixture_Open(sched_fixture_t *fixture, int32_t generation);
+void SchedFixture_Close(sched_fixture_t *fixture);
+fv_sched_worker_t *SchedFixture_AddWorker(sched_fixture_t *fixture,
+                                          const char *id, const char *rack,
+                                          int64_t cpu_millis);
+fv_cell_queue_t SchedFixture_Queue(const char *name, int32_t priority);
+fv_sched_job_t *SchedFixture_AddJob(sched_fixture_t *fixture, const char *id,
+                                    const fv_cell_queue_t *queue,
+                                    const char *document);
+void SchedFixture_Pass(sched_fixture_t *fixture);
+uint32_t SchedFixture_Starts(const sched_fixture_t *fixture, const char *job);
+uint32_t SchedFixture_Stops(const sched_fixture_t *fixture, const char *job);
+void SchedFixture_ConfirmStarts(sched_fixture_t *fixture);
+void SchedFixture_ReportEnd(sched_fixture_t *fixture, const char *worker,
+                            int64_t number, const char *task, int32_t run,
+                            fv_run_end_t end);
+
+#endif
--- /dev/null
+++ b/tests/unit/sched_record_test.c
@@ -0,0 +1,117 @@
+/*
+ * What one leader records and the next one makes of it.
+ */
+
+#include "sched-fixture.h"
+
+#include <string.h>
+
+#define JOB_A "00000000000000aa"
+
+static const char one_task[] =
+    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1000,"
+    "\"memMb\":10,\"estimatedMs\":1000}]}";
+
+/* The next leader's scheduler, loaded from the records of the first. */
+static fv_sched_job_t *
+hand_over(const fv_sched_job_t *job, sched_fixture_t *next)
+{
+    fv_buffer_t record = {0};
+    fv_buffer_t progress = {0};
+    fv_sched_job_t *loaded;
+
+    CU_ASSERT_TRUE(FvSchedRecord_Job(job, &record));
+    CU_ASSERT_TRUE(FvSchedRecord_Progress(job, &progress));
+    SchedFixture_Open(next, 2);
+    SchedFixture_AddWorker(next, "w1", "r1", 4000);
+    loaded = FvSchedRecord_LoadJob(&next->sched, job->id, &record,
+                                   next->now_ms, next->now_ms);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(loaded);
+    loaded->durable = true;
+    CU_ASSERT_TRUE(
+        FvSchedRecord_LoadProgress(&next->sched, loaded, &progress));
+    FvBuffer_Clear(&record);
+    FvBuffer_Clear(&progress);
+    return loaded;
+}
+
+static void
+test_failure_is_counted_once(void)
+{
+    static sched_fixture_t first;
+    static sched_fixture_t second;
+    fv_cell_queue_t queue = SchedFixture_Queue("q", 0);
+    fv_sched_job_t *job;
+
+    SchedFixture_Open(&first, 1);
+    SchedFixture_AddWorker(&first, "w1", "r1", 4000);
+    job = SchedFixture_AddJob(&first, JOB_A, &queue, one_task);
+    SchedFixture_Pass(&first);
+    SchedFixture_ConfirmStarts(&first);
+    SchedFixture_ReportEnd(&first, "w1", 1, JOB_A ".0.0.0", 1, Fv_END_FAILED);
+    CU_ASSERT_EQUAL(job->occurrences[0].stages[0].tasks[0].failures, 1);
+
+    /* The worker lists the end again: it was recorded, not yet forgotten. */
+    job = hand_over(job, &second);
+    SchedFixture_ReportEnd(&second, "w1", 1, JOB_A ".0.0.0", 1,
+                           Fv_END_FAILED);
+    CU_ASSERT_EQUAL(job->occurrences[0].stages[0].tasks[0].failures, 1);
+    CU_ASSERT_EQUAL(job->outcome, Fv_SCHED_JOB_OPEN);
+    SchedFixture_Close(&first);
+    SchedFixture_Close(&second);
+}
+
+static void
+test_done_task_is_not_started_again(void)
+{
+    static sched_fixture_t first;
+    static sched_fixture_t second;
+    fv_cell_queue_t queue = SchedFixture_Queue("q", 0);
+    fv_sched_job_t *job;
+
+    SchedFixture_Open(&first, 1);
+    SchedFixture_AddWorker(&first, "w1", "r1", 4000);
+    job = SchedFixture_AddJob(
+        &first, JOB_A, &queue,
+        "{\"taskSpec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":1000,"
+        "\"memMb\":10,\"estimatedMs\":1000}]}");
+    SchedFixture_Pass(&first);
+    SchedFixture_ConfirmStarts(&first);
+    SchedFixture_ReportEnd(&first, "w1", 1, JOB_A ".0.0.0", 1, Fv_END_DONE);
+
+    job = hand_over(job, &second);
+    FvSched_ReleaseStages(&second.sched, job, second.now_ms, second.now_ms);
+    SchedFixture_Pass(&second);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&second, JOB_A ".0.0.0"), 0);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&second, JOB_A ".0.0.1"), 1);
+    SchedFixture_Close(&first);
+    SchedFixture_Close(&second);
+}
+
+static void
+test_end_is_acknowledged_after_its_record(void)
+{
+    fv_sched_worker_t worker = {.end_seen = 3};
+
+    /* Ends 1 to 3 were queued for the store; 4 and 5 came after. */
+    worker.end_seen = 5;
+    CU_ASSERT_TRUE(FvSched_EndsRecorded(&worker, 3));
+    CU_ASSERT_EQUAL(worker.end_recorded, 3);
+    CU_ASSERT_FALSE(FvSched_EndsRecorded(&worker, 5));
+    CU_ASSERT_EQUAL(worker.end_recorded, 5);
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"a failed run that two leaders hear of counts twice",
+         test_failure_is_counted_once},
+        {"a task that is recorded as done is started again",
+         test_done_task_is_not_started_again},
+        {"an end that came during a write is acknowledged before its own",
+         test_end_is_acknowledged_after_its_record},
+    };
+
+    return Fv_RUN_SUITE("sched_record", cases);
+}
