Keep the room of runs that are being stopped

Change: a worker with such runs gets no task until a report lists none; a done gang's other members keep their room until their own end is reported. Registry changes and records are gathered before a call; two lanes in place of four.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -27,6 +27,10 @@
 #define Fv_RENEW_AGAIN_MS 700
 #define Fv_SILENT_AGAIN_MS 300
 
+/* Workers write to the registry at every heartbeat; a drain has to take effect
+ * within drainMs, 2.5 s and more. */
+#define Fv_REGISTRY_GAP_MS 400
+
 #define Fv_LEADER_TICK_MS 50
 #define Fv_PASS_WAIT_MS 2
 #define Fv_RUNS_PER_GENERATION 1000
@@ -69,7 +73,7 @@
     uint32_t calls;
     bool polling;
     bool looking;
-    bool recording; /* its latest ends are not recorded yet */
+    bool recording;           /* its latest ends are not recorded yet */
     int64_t recording_number; /* the latest end that is being recorded */
     int64_t recording_life;   /* ... of this life of the worker */
     int64_t sent_ms;
@@ -108,7 +112,9 @@
     uint32_t calls; /* open calls that refer to this leader */
     bool roster_dirty;
     bool roster_writing;
-    uint32_t roster_inherited; /* workers that earlier leaders ordered */
+    char previous[Fv_NAME_SIZE]; /* host that led before, "": none */
+    int64_t previous_stopped_ms; /* since when it surely gives no orders */
+    uint32_t roster_inherited;   /* workers that earlier leaders ordered */
     bool reading_registry;
 };
 
@@ -640,7 +646,8 @@
     call->leader = leader;
     call->kind = kind;
     FvText_Copy(call->job, sizeof(call->job), job->id);
-    FvRecords_Write(leader->records, job->id, entries, count, record_written,
+    FvRecords_Write(leader->records, job->id, entries, count,
+                    kind == Fv_RECORD_ACCEPT || job->cancelled, record_written,
                     call);
 }
 
@@ -667,8 +674,8 @@
                  worker->entry.address, worker->entry.service);
         FvBuffer_Append(&entry.value, line, strlen(line));
     }
-    FvRecords_Write(leader->records, Fv_KEY_ROSTER, &entry, 1, roster_written,
-                    leader);
+    FvRecords_Write(leader->records, Fv_KEY_ROSTER, &entry, 1, true,
+                    roster_written, leader);
 }
 
 static void
@@ -914,7 +921,9 @@
 
     if (sscanf(line, "%63s %63s %63s", entry.id, entry.address,
                entry.service) != 3) {
-        return; /* the first line names the leader that wrote it */
+        /* The first line names the leader that wrote it. */
+        FvText_Copy(leader->previous, sizeof(leader->previous), entry.id);
+        return;
     }
     worker = FvSched_SeeWorker(&leader->sched, &entry, leader->began_ms);
     if (worker != NULL) {
@@ -1029,6 +1038,7 @@
                                         .begin = registry_begin,
                                         .item = registry_item,
                                         .loaded = registry_loaded,
+                                        .gap_ms = Fv_REGISTRY_GAP_MS,
                                         .context = leader});
     kick(leader);
 }
@@ -1145,13 +1155,19 @@
 static void
 check_inherited(fv_leader_t *leader, int64_t now_ms)
 {
-    int64_t longest_ms = FvElection_OrphanMs() + Fv_WORKER_LEASE_MS +
-                         Fv_WORKER_LEASE_MS / 20 + Fv_RENEW_WAIT_MS;
+    int64_t longest_ms =
+        Fv_WORKER_LEASE_MS + Fv_WORKER_LEASE_MS / 20 + Fv_RENEW_WAIT_MS;
 
     if (!leader->sched.inherited_held) {
         return;
     }
-    if (now_ms - leader->began_ms < longest_ms) {
+    if (leader->previous_stopped_ms == 0 &&
+        leader->events.follows(leader->events.context, leader->previous)) {
+        leader->previous_stopped_ms = now_ms;
+    }
+    if (now_ms - leader->began_ms < FvElection_OrphanMs() + longest_ms &&
+        (leader->previous_stopped_ms == 0 ||
+         now_ms - leader->previous_stopped_ms < longest_ms)) {
         for (const fv_sched_worker_t *worker = leader->sched.workers;
              worker != NULL; worker = worker->hh.next) {
             if (worker->rostered && !worker->synced) {
--- a/src/entry.c
+++ b/src/entry.c
@@ -347,6 +347,19 @@
     event_active(entry->depose, EV_TIMEOUT, 0);
 }
 
+static bool
+leader_follows(void *context, const char *host)
+{
+    fv_entry_t *entry = context;
+
+    for (uint32_t i = 0; i < entry->slot_count; i++) {
+        if (strcmp(entry->slots[i]->name, host) == 0) {
+            return entry->slots[i]->joined || entry->slots[i] == entry->self;
+        }
+    }
+    return false;
+}
+
 static const fv_cell_config_t *
 leader_config(void *context)
 {
@@ -372,6 +385,7 @@
     fv_leader_events_t events = {.may_order = leader_may_order,
                                  .ask = leader_asks,
                                  .deposed = leader_deposed,
+                                 .follows = leader_follows,
                                  .config = leader_config,
                                  .context = entry};
 
--- a/src/entry.h
+++ b/src/entry.h
@@ -65,6 +65,7 @@
     void (*begin)(void *context); /* a complete reading follows */
     void (*item)(void *context, const fv_kv_item_t *item);
     void (*loaded)(void *context); /* the reading is complete */
+    int32_t gap_ms; /* changes are gathered this long; each watch is priced */
     void *context;
 } fv_kv_follower_t;
 
@@ -118,13 +119,13 @@
                             const int64_t *lane_revisions);
 void FvRecords_Free(fv_records_t *records);
 void FvRecords_Write(fv_records_t *records, const char *lane_key,
-                     fv_record_t *entries, uint32_t count,
+                     fv_record_t *entries, uint32_t count, bool urgent,
                      fv_records_done_t done, void *context);
 void FvRecords_After(fv_records_t *records, fv_records_done_t done,
                      void *context);
 uint32_t FvRecords_Backlog(const fv_records_t *records);
 
-#define Fv_RECORD_LANES 4
+#define Fv_RECORD_LANES 2
 void FvRecords_LaneKey(uint32_t lane, char *key, size_t size);
 
 /* election.c: which host leads. */
@@ -252,6 +253,8 @@
     /* Asks a host, or this one, to call the advice service. */
     bool (*ask)(void *context, const fv_message_t *message, int64_t cost_us);
     void (*deposed)(void *context, const char *cause);
+    /* Whether a host is linked, and so knows that it leads no longer. */
+    bool (*follows)(void *context, const char *host);
     const fv_cell_config_t *(*config)(void *context);
     void *context;
 } fv_leader_events_t;
--- a/src/kv.c
+++ b/src/kv.c
@@ -318,9 +318,9 @@
 }
 
 static void
-retry_watch(fv_kv_watch_t *watch)
+watch_later(fv_kv_watch_t *watch, int32_t pause_ms)
 {
-    struct timeval pause = {.tv_usec = Fv_WATCH_RETRY_MS * 1000};
+    struct timeval pause = {.tv_usec = pause_ms * 1000};
 
     event_add(watch->retry, &pause);
 }
@@ -388,7 +388,7 @@
     free(watch->after);
     watch->after = NULL;
     watch->revision = 0;
-    retry_watch(watch);
+    watch_later(watch, Fv_WATCH_RETRY_MS);
 }
 
 static void
@@ -411,11 +411,15 @@
                     watch->follower.prefix);
         watch->revision = 0;
     }
-    if (result->error == Fv_KV_OK || result->error == Fv_KV_HISTORY_GONE) {
+    if (result->error == Fv_KV_OK && watch->follower.gap_ms > 0) {
+        watch_later(watch, watch->follower.gap_ms);
+    }
+    else if (result->error == Fv_KV_OK ||
+             result->error == Fv_KV_HISTORY_GONE) {
         advance_watch(watch);
     }
     else {
-        retry_watch(watch);
+        watch_later(watch, Fv_WATCH_RETRY_MS);
     }
 }
 
--- a/src/records.c
+++ b/src/records.c
@@ -17,9 +17,11 @@
  * leave 29. */
 #define Fv_BATCH_ENTRIES_MAX 29
 
-/* Wait for more groups before a batch is sent; a fraction of the 4 ms that
- * the store takes. */
-#define Fv_BATCH_WAIT_MS 4
+/* Wait for more groups before a batch is sent. Callers wait for urgent ones,
+ * so that wait is no longer than the 4 ms that the store takes; the other one
+ * delays what depends on an end by less than a hundredth of a short task. */
+#define Fv_BATCH_URGENT_WAIT_MS 4
+#define Fv_BATCH_WAIT_MS 30
 
 /* Pause after a batch that the store turned away or left unanswered. */
 #define Fv_BATCH_RETRY_MS 60
@@ -49,6 +51,8 @@
     fv_record_group_t *first;
     fv_record_group_t *last;
     struct event *timer;
+    int64_t due_ms; /* of the timer */
+    bool urgent;    /* an urgent group waits */
 } fv_record_lane_t;
 
 /* Waits until every lane has written what was queued at its making. */
@@ -91,8 +95,11 @@
 arm(fv_record_lane_t *lane, int64_t wait_ms)
 {
     struct timeval wait = {.tv_usec = (suseconds_t)(wait_ms * 1000)};
+    int64_t due_ms = FvClock_NowMs() + wait_ms;
 
-    if (!event_pending(lane->timer, EV_TIMEOUT, NULL)) {
+    if (!event_pending(lane->timer, EV_TIMEOUT, NULL) ||
+        due_ms < lane->due_ms) {
+        lane->due_ms = due_ms;
         event_add(lane->timer, &wait);
     }
 }
@@ -248,7 +255,7 @@
     }
     check_barriers(records);
     if (lane->first != NULL && !records->closed) {
-        send_batch(lane);
+        arm(lane, lane->urgent ? 0 : Fv_BATCH_WAIT_MS);
     }
 }
 
@@ -429,6 +436,7 @@
     puts[used++] = (fv_kv_put_t){
         .key = lane_key, .value = batch, .length = strlen(batch)};
     lane->busy = true;
+    lane->urgent = false;
     records->calls++;
     FvKv_Txn(records->kv,
              (fv_kv_expect_t[]){{Fv_KEY_LEADER, records->owner.epoch},
@@ -442,13 +450,14 @@
  * @lane_key: groups with the same one are written in order
  * @entries: the entries, at most 29; their values are taken over
  * @count: how many
+ * @urgent: a caller waits for it
  * @done: called once they are in the store, or NULL
  * @context: passed to @done
  */
 void
 FvRecords_Write(fv_records_t *records, const char *lane_key,
-                fv_record_t *entries, uint32_t count, fv_records_done_t done,
-                void *context)
+                fv_record_t *entries, uint32_t count, bool urgent,
+                fv_records_done_t done, void *context)
 {
     uint64_t hash = FvText_Hash(lane_key, strlen(lane_key), 0);
     fv_record_lane_t *lane = &records->lanes[hash % Fv_RECORD_LANES];
@@ -473,8 +482,9 @@
     }
     lane->last = group;
     lane->queued++;
+    lane->urgent = lane->urgent || urgent;
     if (!lane->busy) {
-        arm(lane, Fv_BATCH_WAIT_MS);
+        arm(lane, urgent ? Fv_BATCH_URGENT_WAIT_MS : Fv_BATCH_WAIT_MS);
     }
 }
 
--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -374,8 +374,10 @@
     FvSched_EndJob(sched, job, Fv_SCHED_JOB_COMPLETED, now_ms);
 }
 
+/* @ended: the task of which the run is known to have ended, or NULL */
 static void
-mark_done(fv_sched_t *sched, fv_sched_task_t *task)
+mark_done(fv_sched_t *sched, fv_sched_task_t *task,
+          const fv_sched_task_t *ended)
 {
     fv_sched_stage_t *stage = task->stage;
 
@@ -385,6 +387,9 @@
     if (task->state == Fv_SCHED_WAITING) {
         stage->waiting--;
     }
+    if (task->worker != NULL && task != ended) {
+        task->worker->strays++; /* until its end is reported as well */
+    }
     FvSched_DetachTask(task);
     task->state = Fv_SCHED_DONE;
     stage->done++;
@@ -398,20 +403,24 @@
  * FvSched_TaskDone - a run of a task ended done
  * @sched: the scheduler
  * @task: the task; any member stands for its gang
+ * @current: whether it was the task's latest run; an earlier one leaves the
+ *           latest running
  * @now_ms: the time
  */
 void
-FvSched_TaskDone(fv_sched_t *sched, fv_sched_task_t *task, int64_t now_ms)
+FvSched_TaskDone(fv_sched_t *sched, fv_sched_task_t *task, bool current,
+                 int64_t now_ms)
 {
     fv_sched_stage_t *stage = task->stage;
+    const fv_sched_task_t *ended = current ? task : NULL;
 
     if (stage->step->gang) {
         for (int32_t i = 0; i < stage->step->task_count; i++) {
-            mark_done(sched, &stage->tasks[i]);
+            mark_done(sched, &stage->tasks[i], ended);
         }
     }
     else {
-        mark_done(sched, task);
+        mark_done(sched, task, ended);
     }
     if (stage->done == stage->step->task_count) {
         FvSched_ReleaseStages(sched, stage->job, now_ms, FvClock_WallMs());
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -82,7 +82,10 @@
     msgpack_pack_int32(packer, task->index);
     msgpack_pack_int(packer, task->state == Fv_SCHED_DONE);
     msgpack_pack_int32(packer, task->failures);
-    msgpack_pack_int32(packer, task->failed_run);
+    msgpack_pack_array(packer, Fv_FAILED_RUNS_MAX);
+    for (int32_t i = 0; i < Fv_FAILED_RUNS_MAX; i++) {
+        msgpack_pack_int32(packer, task->failed_runs[i]);
+    }
     pack_text(packer, task->state == Fv_SCHED_DONE ? NULL : task->checkpoint);
 }
 
@@ -225,6 +228,18 @@
     return job;
 }
 
+static void
+load_failed_runs(fv_sched_task_t *task, const msgpack_object *list)
+{
+    if (list->type != MSGPACK_OBJECT_ARRAY) {
+        return;
+    }
+    for (uint32_t i = 0; i < list->via.array.size && i < Fv_FAILED_RUNS_MAX;
+         i++) {
+        task->failed_runs[i] = (int32_t)read_int(&list->via.array.ptr[i]);
+    }
+}
+
 static void
 load_task(fv_sched_job_t *job, const msgpack_object *row)
 {
@@ -244,7 +259,7 @@
     stage = &job->occurrences[occurrence].stages[step];
     task = &stage->tasks[index];
     task->failures = (int32_t)read_int(&fields[4]);
-    task->failed_run = (int32_t)read_int(&fields[5]);
+    load_failed_runs(task, &fields[5]);
     if (read_text(&fields[6], checkpoint, sizeof(checkpoint)) &&
         checkpoint[0] != '\0') {
         task->checkpoint = strdup(checkpoint);
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -33,6 +33,19 @@
     }
 }
 
+/* Whether an earlier leader counted and recorded the failure of a run; reports
+ * of several workers come in any order. */
+static bool
+was_counted(const fv_sched_task_t *task, int32_t run)
+{
+    for (int32_t i = 0; i < Fv_FAILED_RUNS_MAX && i < task->failures; i++) {
+        if (task->failed_runs[i] == run) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 count_failure(fv_sched_t *sched, fv_sched_task_t *task,
               fv_sched_worker_t *worker, int32_t run, int64_t now_ms)
@@ -41,10 +54,10 @@
     fv_sched_job_t *job = stage->job;
     fv_sched_task_t *counted = stage->step->gang ? &stage->tasks[0] : task;
 
-    if (run <= counted->failed_run) {
-        return; /* an earlier leader counted and recorded it */
+    if (was_counted(counted, run)) {
+        return;
     }
-    counted->failed_run = run;
+    counted->failed_runs[counted->failures % Fv_FAILED_RUNS_MAX] = run;
     counted->failures++;
     FvSched_JudgeWorker(sched, worker, task, true, now_ms);
     task->failed_on = worker;
@@ -81,7 +94,7 @@
             if (!current && task->worker != NULL) {
                 sched->port->stop(sched, task);
             }
-            FvSched_TaskDone(sched, task, now_ms);
+            FvSched_TaskDone(sched, task, current, now_ms);
             return true;
         }
     }
@@ -168,6 +181,7 @@
     }
     FvLog_Event(Fv_LOG_INFO, "stray_run", "task=%s run=%d worker=%s",
                 row->task_id, row->run, worker->entry.id);
+    worker->strays++;
     sched->port->stop_stray(sched, worker, row->task_id, row->run);
 }
 
@@ -291,6 +305,7 @@
             worker->end_seen = report->ended[i].number;
         }
     }
+    worker->strays = 0;
     for (uint32_t i = 0; i < report->running_count; i++) {
         apply_running(sched, worker, &report->running[i], now_ms);
     }
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -311,7 +311,8 @@
     const fv_step_spec_t *step = stage->step;
 
     if (!worker->listed || !worker->synced || !worker->rostered ||
-        worker->suspect || worker->draining || worker->lost) {
+        worker->suspect || worker->draining || worker->lost ||
+        worker->strays > 0) {
         return false;
     }
     if (worker->quarantined_until_ms > now_ms ||
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -17,6 +17,10 @@
 typedef struct fv_sched_task fv_sched_task_t;
 typedef struct fv_sched_worker fv_sched_worker_t;
 
+/* Failed runs that are told apart from one another; more attempts than this
+ * are allowed, but a leader may then count an older one again. */
+#define Fv_FAILED_RUNS_MAX 8
+
 typedef enum fv_sched_state {
     Fv_SCHED_WAITING,
     Fv_SCHED_ORDERED, /* its start was sent and is not answered */
@@ -30,8 +34,8 @@
     int32_t index;
     fv_sched_state_t state;
     int32_t failures;
-    int32_t failed_run; /* latest run counted in failures */
-    int32_t run;        /* number of its latest run */
+    int32_t failed_runs[Fv_FAILED_RUNS_MAX]; /* the latest ones counted */
+    int32_t run;                             /* number of its latest run */
     fv_sched_worker_t *worker;
     fv_sched_task_t *worker_next;
     fv_sched_task_t *worker_previous;
@@ -136,6 +140,7 @@
     int64_t free_memory_mib;
     int64_t free_accelerators;
     int32_t task_count;
+    uint32_t strays; /* runs that belong to no open task; size not known */
     fv_sched_task_t *tasks;
     int32_t failure_streak; /* of tasks of different jobs */
     const fv_sched_job_t *last_failed_job;
@@ -210,7 +215,7 @@
 int64_t FvSched_CountWaiting(const fv_sched_t *sched, const char *queue);
 void FvSched_ReleaseStages(fv_sched_t *sched, fv_sched_job_t *job,
                            int64_t now_ms, int64_t wall_ms);
-void FvSched_TaskDone(fv_sched_t *sched, fv_sched_task_t *task,
+void FvSched_TaskDone(fv_sched_t *sched, fv_sched_task_t *task, bool current,
                       int64_t now_ms);
 void FvSched_CheckJobEnd(fv_sched_t *sched, fv_sched_job_t *job,
                          int64_t now_ms);
--- a/tests/harness/sched-fixture.c
+++ b/tests/harness/sched-fixture.c
@@ -263,8 +263,7 @@
 {
     for (uint32_t i = 0; i < fixture->order_count; i++) {
         const fixture_order_t *order = &fixture->orders[i];
-        fv_sched_task_t *task =
-            FvSched_FindTask(&fixture->sched, order->task);
+        fv_sched_task_t *task = FvSched_FindTask(&fixture->sched, order->task);
 
         if (!order->stop && task != NULL && task->run == order->run &&
             task->state == Fv_SCHED_ORDERED) {
--- a/tests/unit/sched_record_test.c
+++ b/tests/unit/sched_record_test.c
@@ -53,8 +53,7 @@
 
     /* The worker lists the end again: it was recorded, not yet forgotten. */
     job = hand_over(job, &second);
-    SchedFixture_ReportEnd(&second, "w1", 1, JOB_A ".0.0.0", 1,
-                           Fv_END_FAILED);
+    SchedFixture_ReportEnd(&second, "w1", 1, JOB_A ".0.0.0", 1, Fv_END_FAILED);
     CU_ASSERT_EQUAL(job->occurrences[0].stages[0].tasks[0].failures, 1);
     CU_ASSERT_EQUAL(job->outcome, Fv_SCHED_JOB_OPEN);
     SchedFixture_Close(&first);
@@ -101,12 +100,34 @@
     CU_ASSERT_EQUAL(worker.end_recorded, 5);
 }
 
+static void
+test_failures_count_in_any_order(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = SchedFixture_Queue("q", 0);
+    fv_sched_job_t *job;
+
+    /* A new leader hears of run 2 before it hears of run 1. */
+    SchedFixture_Open(&fixture, 2);
+    SchedFixture_AddWorker(&fixture, "w1", "r1", 4000);
+    SchedFixture_AddWorker(&fixture, "w2", "r1", 4000);
+    job = SchedFixture_AddJob(&fixture, JOB_A, &queue, one_task);
+    SchedFixture_ReportEnd(&fixture, "w2", 1, JOB_A ".0.0.0", 2,
+                           Fv_END_FAILED);
+    SchedFixture_ReportEnd(&fixture, "w1", 1, JOB_A ".0.0.0", 1,
+                           Fv_END_FAILED);
+    CU_ASSERT_EQUAL(job->outcome, Fv_SCHED_JOB_FAILED);
+    SchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
     static const test_case_t cases[] = {
         {"a failed run that two leaders hear of counts twice",
          test_failure_is_counted_once},
+        {"a failure is not counted because a later run failed too",
+         test_failures_count_in_any_order},
         {"a task that is recorded as done is started again",
          test_done_task_is_not_started_again},
         {"an end that came during a write is acknowledged before its own",
--- /dev/null
+++ b/tests/unit/sched_report_test.c
@@ -0,0 +1,127 @@
+/*
+ * Reports of workers: strays, missing runs, orders in doubt.
+ */
+
+#include "sched-fixture.h"
+
+#include <string.h>
+
+#define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
+
+static const char two_tasks[] =
+    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":1000,"
+    "\"memMb\":10,\"estimatedMs\":1000}]}";
+
+static void
+report_running(sched_fixture_t *fixture, const char *worker,
+               fv_running_row_t *rows, uint32_t count)
+{
+    fv_worker_report_t report = {
+        .clock_ms = fixture->now_ms, .running = rows, .running_count = count};
+
+    FvSched_Report(&fixture->sched,
+                   FvSched_FindWorker(&fixture->sched, worker), &report,
+                   fixture->now_ms, fixture->now_ms);
+}
+
+/* Pattern: a new leader finds runs of a job that was cancelled meanwhile. */
+static void
+test_stray_keeps_its_room(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = SchedFixture_Queue("q", 0);
+    fv_running_row_t stray = {.task_id = JOB_B ".0.0.0", .run = 7};
+
+    SchedFixture_Open(&fixture, 2);
+    SchedFixture_AddWorker(&fixture, "w1", "r1", 2000);
+    report_running(&fixture, "w1", &stray, 1);
+    CU_ASSERT_EQUAL(SchedFixture_Stops(&fixture, JOB_B), 1);
+    SchedFixture_AddJob(&fixture, JOB_A, &queue, two_tasks);
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, JOB_A), 0);
+    fixture.now_ms += 100;
+    report_running(&fixture, "w1", NULL, 0);
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, JOB_A), 2);
+    SchedFixture_Close(&fixture);
+}
+
+/* Pattern: an order without an answer that is carried out seconds later. */
+static void
+test_start_in_doubt_is_forbidden_first(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = SchedFixture_Queue("q", 0);
+    fv_sched_task_t *task;
+
+    SchedFixture_Open(&fixture, 1);
+    SchedFixture_AddWorker(&fixture, "w1", "r1", 2000);
+    SchedFixture_AddJob(&fixture, JOB_A, &queue, two_tasks);
+    SchedFixture_Pass(&fixture);
+    task = FvSched_FindTask(&fixture.sched, JOB_A ".0.0.0");
+    FvSched_StartAnswered(&fixture.sched, task, 1, Fv_ORDER_IN_DOUBT,
+                          fixture.now_ms);
+    fixture.now_ms += 100;
+    report_running(&fixture, "w1", NULL, 0);
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(SchedFixture_Stops(&fixture, JOB_A ".0.0.0"), 1);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, JOB_A ".0.0.0"), 1);
+
+    /* Neither is the stop answered: the task stays where it may run. */
+    FvSched_StopAnswered(&fixture.sched, task, 1, Fv_ORDER_IN_DOUBT,
+                         fixture.now_ms);
+    fixture.now_ms += 1000;
+    report_running(&fixture, "w1", NULL, 0);
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, JOB_A ".0.0.0"), 1);
+
+    FvSched_StopAnswered(&fixture.sched, task, 1, Fv_ORDER_DONE,
+                         fixture.now_ms);
+    fixture.now_ms += 100;
+    report_running(&fixture, "w1", NULL, 0);
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, JOB_A ".0.0.0"), 2);
+    SchedFixture_Close(&fixture);
+}
+
+/* Pattern: a worker that does not answer, but may still run its tasks. */
+static void
+test_silent_worker_keeps_its_tasks_until_its_lease_lapses(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = SchedFixture_Queue("q", 0);
+    fv_sched_worker_t *worker;
+
+    SchedFixture_Open(&fixture, 1);
+    worker = SchedFixture_AddWorker(&fixture, "w1", "r1", 2000);
+    SchedFixture_AddJob(&fixture, JOB_A, &queue, two_tasks);
+    SchedFixture_Pass(&fixture);
+    SchedFixture_ConfirmStarts(&fixture);
+    FvSched_OrderSent(&fixture.sched, worker, fixture.now_ms);
+    SchedFixture_AddWorker(&fixture, "w2", "r1", 2000);
+    fixture.now_ms += Fv_FIXTURE_LEASE_MS;
+    FvSched_NoReport(&fixture.sched, worker, fixture.now_ms);
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, JOB_A), 2);
+    fixture.now_ms += Fv_FIXTURE_LEASE_MS;
+    FvSched_NoReport(&fixture.sched, worker, fixture.now_ms);
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, JOB_A), 4);
+    SchedFixture_Close(&fixture);
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"a run that is being stopped keeps its room",
+         test_stray_keeps_its_room},
+        {"a start in doubt is carried out beside its repetition",
+         test_start_in_doubt_is_forbidden_first},
+        {"tasks of a silent worker are started elsewhere too early",
+         test_silent_worker_keeps_its_tasks_until_its_lease_lapses},
+    };
+
+    return Fv_RUN_SUITE("sched_report", cases);
+}
