--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -33,6 +33,7 @@
 
 #define Fv_LEADER_TICK_MS 50
 #define Fv_PASS_WAIT_MS 2
+#define Fv_LOAD_LOG_MS 1000
 #define Fv_RUNS_PER_GENERATION 1000
 #define Fv_LOAD_RETRY_MS 100
 #define Fv_ASK_GIVE_UP_MS 2500
@@ -116,6 +117,7 @@
     int64_t previous_stopped_ms; /* since when it surely gives no orders */
     uint32_t roster_inherited;   /* workers that earlier leaders ordered */
     bool reading_registry;
+    int64_t next_load_log_ms;
 };
 
 static void kick(fv_leader_t *leader);
@@ -1226,6 +1228,29 @@
     }
 }
 
+/* What the cell holds and what waits, for whoever asks later why a job
+ * waited. */
+static void
+log_load(fv_leader_t *leader, int64_t now_ms)
+{
+    fv_sched_load_t load;
+
+    if (now_ms < leader->next_load_log_ms) {
+        return;
+    }
+    leader->next_load_log_ms = now_ms + Fv_LOAD_LOG_MS;
+    FvSched_Load(&leader->sched, now_ms, &load);
+    FvLog_Event(Fv_LOG_INFO, "cell_load",
+                "workers=%u usable=%u cpu_used=%" PRId64 " cpu=%" PRId64
+                " memory_used=%" PRId64 " memory=%" PRId64
+                " stages_waiting=%u late=%u tasks_waiting=%u asks=%u "
+                "records=%u",
+                load.workers, load.usable, load.used_cpu_millis,
+                load.cpu_millis, load.used_memory_mib, load.memory_mib,
+                load.stages_waiting, load.stages_late, load.tasks_waiting,
+                HASH_COUNT(leader->asks), FvRecords_Backlog(leader->records));
+}
+
 static void
 tick(evutil_socket_t fd, short what, void *context)
 {
@@ -1261,6 +1286,7 @@
         }
     }
     forget_ended(leader, now_ms);
+    log_load(leader, now_ms);
     leader->sched.dirty = leader->sched.dirty || leader->sched.pending != NULL;
     kick(leader);
 }
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -176,3 +176,37 @@
     }
     free(ranked);
 }
+
+/**
+ * FvSched_Load - what the cell holds and what waits
+ * @sched: the scheduler
+ * @now_ms: the time
+ * @load: filled in
+ */
+void
+FvSched_Load(const fv_sched_t *sched, int64_t now_ms, fv_sched_load_t *load)
+{
+    *load = (fv_sched_load_t){.workers = HASH_COUNT(sched->workers)};
+    for (const fv_sched_worker_t *worker = sched->workers; worker != NULL;
+         worker = worker->hh.next) {
+        if (!worker->listed || !worker->synced || worker->suspect ||
+            worker->draining) {
+            continue;
+        }
+        load->usable++;
+        load->cpu_millis += worker->entry.cpu_millis;
+        load->used_cpu_millis +=
+            worker->entry.cpu_millis - worker->free_cpu_millis;
+        load->memory_mib += worker->entry.memory_mib;
+        load->used_memory_mib +=
+            worker->entry.memory_mib - worker->free_memory_mib;
+    }
+    for (const fv_sched_stage_t *stage = sched->pending; stage != NULL;
+         stage = stage->pending_next) {
+        if (needs_placing(stage)) {
+            load->stages_waiting++;
+            load->stages_late += stage->objective_at_ms < now_ms;
+            load->tasks_waiting += (uint32_t)stage->waiting;
+        }
+    }
+}
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -291,6 +291,20 @@
                         int64_t now_ms);
 
 /* sched-pass.c */
+typedef struct fv_sched_load {
+    uint32_t workers;
+    uint32_t usable;
+    int64_t cpu_millis; /* of the usable workers */
+    int64_t used_cpu_millis;
+    int64_t memory_mib;
+    int64_t used_memory_mib;
+    uint32_t stages_waiting;
+    uint32_t stages_late;
+    uint32_t tasks_waiting;
+} fv_sched_load_t;
+
+void FvSched_Load(const fv_sched_t *sched, int64_t now_ms,
+                  fv_sched_load_t *load);
 void FvSched_Init(fv_sched_t *sched, const fv_sched_port_t *port,
                   int64_t lease_ms, int64_t keep_ended_ms);
 void FvSched_Clear(fv_sched_t *sched);
