Serve gangs and lookups better where the advice service binds

Calls to the advice service were the limit: a stage asked 3 times on average, about the few workers that had room at that moment; short calls waited for the network between two calls; single tasks filled every gap that a gang needed; a gang was stopped when one member was turned away or its order left unanswered.

--- a/src/advice-caller.c
+++ b/src/advice-caller.c
@@ -1,6 +1,8 @@
 /*
  * This host's calls to the advice service. The service serves one call of a
- * host at a time, so further questions wait here, the cheapest first.
+ * host at a time and lets the others wait; short calls are sent ahead, so that
+ * it need not wait for the network, and the rest waits here, the shortest
+ * first.
  */
 
 #include "entry.h"
@@ -12,6 +14,10 @@
 #define Fv_ADVICE_SLACK_MS 1500
 #define Fv_ADVICE_WORKERS_MAX 100
 
+/* Work that is sent ahead: what the service does in one round trip between
+ * regions. */
+#define Fv_ADVICE_AHEAD_US 60000
+
 typedef struct fv_question {
     fv_advice_caller_t *caller;
     int64_t id;
@@ -27,7 +33,7 @@
     fv_call_pool_t *pool;
     char address[Fv_ADDRESS_SIZE];
     fv_question_t *queue;
-    bool busy;
+    int64_t sent_us; /* work of the calls in progress */
 };
 
 static void ask_next(fv_advice_caller_t *caller);
@@ -105,7 +111,7 @@
     }
     encode_rows(&advice, &body);
     free(advice.rows);
-    caller->busy = false;
+    caller->sent_us -= question->cost_us;
     question->done(question->context,
                    &(fv_message_t){.kind = Fv_MESSAGE_ADVICE,
                                    .id = question->id,
@@ -138,11 +144,13 @@
     fv_call_t call;
     uint32_t count;
 
-    if (caller->busy || question == NULL) {
+    if (question == NULL ||
+        (caller->sent_us > 0 &&
+         caller->sent_us + question->cost_us > Fv_ADVICE_AHEAD_US)) {
         return;
     }
     caller->queue = question->next;
-    caller->busy = true;
+    caller->sent_us += question->cost_us;
     count = split_lines(question->workers, workers, Fv_ADVICE_WORKERS_MAX);
     FvPlatform_Advise(&call, question->step, workers, count);
     FvCallPool_Send(caller->pool, caller->address, &call,
--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -22,6 +22,17 @@
 /* Round trip between regions (40 ms) and a busy processor at both ends. */
 #define Fv_ANSWER_SLACK_MS 700
 
+/* While orders are left unanswered, a lost report is noticed sooner. */
+#define Fv_DOUBT_WAIT_MS 250
+#define Fv_DOUBT_SLACK_MS 300
+
+/* Time to stop the members of an incomplete gang before they give up. */
+#define Fv_GANG_STOP_MS 1200
+
+/* An order that is not answered within it is looked after: about five round
+ * trips between regions. Nothing is lost when its answer comes later. */
+#define Fv_ORDER_TIMEOUT_MS 250
+
 /* A worker with tasks is looked at this often while the store keeps ends
  * from being recorded, or after it did not answer. */
 #define Fv_RENEW_AGAIN_MS 700
@@ -74,6 +85,7 @@
     uint32_t calls;
     bool polling;
     bool looking;
+    bool retried;             /* at once, after the first missing answer */
     bool recording;           /* its latest ends are not recorded yet */
     int64_t recording_number; /* the latest end that is being recorded */
     int64_t recording_life;   /* ... of this life of the worker */
@@ -190,7 +202,7 @@
     FvText_Copy(order->task, sizeof(order->task), task);
     leader->calls++;
     FvCallPool_Send(leader->pool, worker->entry.address, call,
-                    Fv_ANSWER_SLACK_MS, order_answered, order);
+                    Fv_ORDER_TIMEOUT_MS, order_answered, order);
 }
 
 static fv_leader_t *
@@ -348,6 +360,7 @@
     if (result == Fv_ORDER_DONE && FvPlatform_Report(answer, &report)) {
         FvSched_Report(&leader->sched, driver->worker, &report, sent_ms,
                        FvClock_NowMs());
+        driver->retried = false;
     }
     else {
         if (result == Fv_ORDER_DONE) {
@@ -410,6 +423,7 @@
     fv_renewal_t *renewal;
     int64_t lease_end = 0;
     int32_t wait_ms = 0;
+    bool doubt = now_ms < leader->sched.doubt_until_ms;
     fv_call_t call;
 
     if (!leader->events.may_order(leader->events.context, now_ms)) {
@@ -441,7 +455,8 @@
     FvPlatform_Renew(&call, worker->entry.id, leader->epoch,
                      worker->end_recorded, lease_end, wait_ms);
     FvCallPool_Send(leader->pool, worker->entry.address, &call,
-                    wait_ms + Fv_ANSWER_SLACK_MS, renewal_answered, renewal);
+                    wait_ms + (doubt ? Fv_DOUBT_SLACK_MS : Fv_ANSWER_SLACK_MS),
+                    renewal_answered, renewal);
 }
 
 static void
@@ -1203,9 +1218,13 @@
     if (driver->polling || driver->looking) {
         return;
     }
-    if (silent_ms >= (worker->suspect || !worker->synced
-                          ? Fv_SILENT_AGAIN_MS
-                          : Fv_RENEW_AGAIN_MS)) {
+    if (worker->suspect && !driver->retried) {
+        driver->retried = true;
+        poll_worker(driver, false);
+    }
+    else if (silent_ms >= (worker->suspect || !worker->synced
+                               ? Fv_SILENT_AGAIN_MS
+                               : Fv_RENEW_AGAIN_MS)) {
         poll_worker(driver, !driver->recording);
     }
 }
@@ -1506,6 +1525,7 @@
     leader->began_ms = FvClock_NowMs();
     leader->last_ask = epoch << Fv_ASK_ID_BITS;
     FvSched_Init(&leader->sched, &sched_port, Fv_WORKER_LEASE_MS,
+                 settings->gang_timeout_ms - Fv_GANG_STOP_MS,
                  settings->keep_ended_s * Fv_MS_PER_S);
     leader->sched.run_base = (generation - 1) * Fv_RUNS_PER_GENERATION;
     leader->sched.inherited_held = true;
--- a/src/election.c
+++ b/src/election.c
@@ -12,8 +12,8 @@
 
 /* A dead leader is replaced after this; workers' leases outlast it. Renewed
  * three times in that span, so that one lost renewal does no harm. */
-#define Fv_LEADER_TTL_MS 2000
-#define Fv_LEADER_RENEW_MS 600
+#define Fv_LEADER_TTL_MS 1300
+#define Fv_LEADER_RENEW_MS 400
 
 /* How long a leader without its lease goes on giving orders while the store
  * does not answer: most outages of the store end within it (BENCH, kinds:
--- a/src/entry.c
+++ b/src/entry.c
@@ -31,18 +31,22 @@
 #define Fv_DRAIN_MARGIN_MS 800
 #define Fv_DRAIN_CHECK_MS 50
 
-/* A call of this length is a long one: a host makes one at a time, and some
- * hosts make none, so that short ones find a host at once. */
+/* A host makes one call to the advice service at a time. Long calls are kept
+ * off some hosts, so that shorter ones find one free. */
 #define Fv_LONG_ASK_US 50000
+#define Fv_LONG_ASK_HOSTS 0.85
+#define Fv_VERY_LONG_ASK_US 250000
+#define Fv_VERY_LONG_ASK_HOSTS 0.6
 #define Fv_SHORT_ASK_BACKLOG_US 80000
-#define Fv_SHORT_LANE_HOSTS 4 /* one host in so many is kept for them */
 #define Fv_ASKS_MAX 64
+#define Fv_OVERHEAD_WEIGHT 8 /* of the old value against a new one */
 
 typedef struct fv_entry fv_entry_t;
 
 typedef struct fv_host_ask {
     int64_t id;
     int64_t cost_us;
+    int64_t sent_ms;
 } fv_host_ask_t;
 
 /* A host as the leader sees it. */
@@ -55,6 +59,7 @@
     uint32_t ask_count;
     fv_host_ask_t asks[Fv_ASKS_MAX];
     int64_t backlog_us;
+    int64_t overhead_us; /* learned: what a call takes beyond its work */
 } fv_host_slot_t;
 
 struct fv_entry {
@@ -248,6 +253,22 @@
     }
 }
 
+/* Learns how far the advice service is from a host; a call that had to wait
+ * for another says nothing. */
+static void
+learn_overhead(fv_host_slot_t *slot, int64_t id)
+{
+    for (uint32_t i = 0; i < slot->ask_count; i++) {
+        const fv_host_ask_t *ask = &slot->asks[i];
+        int64_t took_us = (FvClock_NowMs() - ask->sent_ms) * 1000;
+
+        if (ask->id == id && slot->ask_count == 1 && took_us > ask->cost_us) {
+            slot->overhead_us += (took_us - ask->cost_us - slot->overhead_us) /
+                                 Fv_OVERHEAD_WEIGHT;
+        }
+    }
+}
+
 static void
 fail_asks(fv_entry_t *entry, fv_host_slot_t *slot)
 {
@@ -263,28 +284,42 @@
     }
 }
 
-static bool
-takes_long_asks(const fv_entry_t *entry, uint32_t index)
+/* How many of the hosts take a call of this length. */
+static uint32_t
+hosts_for_ask(const fv_entry_t *entry, int64_t cost_us)
 {
-    return entry->slot_count < Fv_SHORT_LANE_HOSTS ||
-           index % Fv_SHORT_LANE_HOSTS != 0;
+    double share = cost_us >= Fv_VERY_LONG_ASK_US ? Fv_VERY_LONG_ASK_HOSTS
+                   : cost_us >= Fv_LONG_ASK_US    ? Fv_LONG_ASK_HOSTS
+                                                  : 1.0;
+    uint32_t reached = 0;
+    uint32_t count;
+
+    for (uint32_t i = 0; i < entry->slot_count; i++) {
+        reached += entry->slots[i]->joined || entry->slots[i] == entry->self;
+    }
+    count = (uint32_t)((double)reached * share);
+    return count > 0 ? count : 1;
 }
 
 static fv_host_slot_t *
 choose_asker(fv_entry_t *entry, int64_t cost_us)
 {
     bool is_long = cost_us >= Fv_LONG_ASK_US;
+    uint32_t left = hosts_for_ask(entry, cost_us);
     fv_host_slot_t *best = NULL;
 
     for (uint32_t i = 0; i < entry->slot_count; i++) {
         fv_host_slot_t *slot = entry->slots[i];
 
         if ((!slot->joined && slot != entry->self) ||
-            slot->ask_count == Fv_ASKS_MAX ||
-            (is_long && !takes_long_asks(entry, i))) {
+            slot->ask_count == Fv_ASKS_MAX) {
             continue;
         }
-        if (best == NULL || slot->backlog_us < best->backlog_us) {
+        if (left-- == 0) {
+            break;
+        }
+        if (best == NULL || slot->backlog_us + slot->overhead_us <
+                                best->backlog_us + best->overhead_us) {
             best = slot;
         }
     }
@@ -300,6 +335,7 @@
 {
     fv_entry_t *entry = context;
 
+    learn_overhead(entry->self, answer->id);
     forget_ask(entry->self, answer->id);
     if (entry->leader != NULL) {
         FvLeader_Advice(entry->leader, answer);
@@ -315,8 +351,8 @@
     if (slot == NULL || entry->advice == NULL) {
         return false;
     }
-    slot->asks[slot->ask_count++] =
-        (fv_host_ask_t){.id = message->id, .cost_us = cost_us};
+    slot->asks[slot->ask_count++] = (fv_host_ask_t){
+        .id = message->id, .cost_us = cost_us, .sent_ms = FvClock_NowMs()};
     slot->backlog_us += cost_us;
     if (slot == entry->self) {
         FvAdviceCaller_Ask(entry->advice, message, own_advice, entry);
@@ -546,6 +582,7 @@
         }
         break;
     case Fv_MESSAGE_ADVICE:
+        learn_overhead(slot, message->id);
         forget_ask(slot, message->id);
         if (entry->leader != NULL) {
             FvLeader_Advice(entry->leader, message);
--- a/src/entry.h
+++ b/src/entry.h
@@ -28,7 +28,8 @@
     int32_t store_lease_min_ms;
     char advice_address[Fv_ADDRESS_SIZE]; /* "": no advice service */
     int32_t lease_max_ms;
-    int32_t drain_ms; /* from SIGTERM until the process is killed */
+    int32_t gang_timeout_ms; /* how long members wait for the others */
+    int32_t drain_ms;        /* from SIGTERM until the process is killed */
     int32_t keep_ended_s;
     fv_log_level_t log_level;
 } fv_entry_settings_t;
--- a/src/sched-advice.c
+++ b/src/sched-advice.c
@@ -16,12 +16,26 @@
 /* Workers named in one call; the service takes at most 100. */
 #define Fv_ASK_WORKERS_MAX 100
 
-/* Expected room that is asked for, as a multiple of what the stage needs. A
- * second call costs about 70 times what one more worker in the first does
- * (decisionMs against perWorkerMs on the sheets), so asking wide is cheap. */
+/* A call costs about 70 times what one more worker in it does (decisionMs
+ * against perWorkerMs on the sheets), and its verdicts hold for good. Naming
+ * so many workers that they add this share to the call's cost saves later
+ * calls. */
+#define Fv_ASK_EXTRA_COST 0.35
+
+/* A stage of few tasks is asked about until this multiple of its need can be
+ * expected. */
+#define Fv_ASK_FEW_TASKS 2
 #define Fv_ASK_SURPLUS 2.0
 #define Fv_ASK_WORKERS_MIN 5
 
+/* A gang knows enough workers when these, empty, could hold it so many times;
+ * it renews its tickets when this share of the room is free. */
+#define Fv_GANG_SURPLUS 1.5
+#define Fv_GANG_REFRESH_SHARE 0.6
+
+/* Tickets that end within this are renewed with the others. */
+#define Fv_TICKET_RENEW_MS 500
+
 /* Until it is learned; between the shares on the sheets, 0.35 to 0.7. */
 #define Fv_ALLOWED_SHARE_START 0.5
 #define Fv_ALLOWED_SHARE_WEIGHT 0.1
@@ -32,10 +46,20 @@
 
 typedef struct fv_candidate {
     fv_sched_worker_t *worker;
+    bool known; /* allowed, but its ticket has run out */
     double score;
-    double expected; /* tasks that it is expected to take */
+    double expected; /* tasks that it can be expected to take now */
 } fv_candidate_t;
 
+/* What is known of the workers for a stage. */
+typedef struct fv_outlook {
+    int32_t room_now;     /* with a valid ticket */
+    int32_t room_renewed; /* with a ticket that can be renewed */
+    int32_t room_unknown; /* on workers that were not asked about */
+    int32_t potential;    /* of all allowed workers, were they empty */
+    uint32_t candidates;
+} fv_outlook_t;
+
 static fv_verdict_t *
 find_verdict(const fv_sched_stage_t *stage, const fv_sched_worker_t *worker)
 {
@@ -102,9 +126,7 @@
     double chance = 0.75 + (double)(FvSched_Random(sched) % 512) / 1024.0;
     double score = chance / worker->slowness;
 
-    if (stage->step->gang || stage->waiting > 1) {
-        score *= (double)(room < stage->waiting ? room : stage->waiting);
-    }
+    score *= 0.25 + (room < stage->waiting ? room : stage->waiting);
     if (stage->step->data_rack[0] != '\0' &&
         strcmp(stage->step->data_rack, worker->rack) == 0) {
         score *= 8.0; /* off the data's rack a task takes up to 3 times */
@@ -112,36 +134,80 @@
     return score;
 }
 
-static uint32_t
-find_candidates(fv_sched_t *sched, const fv_sched_stage_t *stage,
-                fv_candidate_t *candidates, double *have, int64_t now_ms)
+/* Returns whether the worker is to be considered for the next call. */
+static bool
+judge_worker(fv_sched_t *sched, const fv_sched_stage_t *stage,
+             fv_sched_worker_t *worker, fv_outlook_t *outlook,
+             fv_candidate_t *candidate, int64_t now_ms)
+{
+    const fv_verdict_t *verdict = find_verdict(stage, worker);
+    int32_t room = FvSched_TasksThatFit(worker, stage->step);
+    int32_t potential = FvSched_TasksWhenEmpty(worker, stage->step);
+
+    if (potential == 0 || !FvSched_WorkerUsable(worker, stage, now_ms) ||
+        (verdict != NULL && !verdict->allowed)) {
+        return false;
+    }
+    *candidate = (fv_candidate_t){.worker = worker, .known = verdict != NULL};
+    if (verdict != NULL) {
+        outlook->potential += potential;
+        if (FvSched_Ticket(stage, worker, now_ms) != NULL) {
+            outlook->room_now += room;
+            if (verdict->expires_ms > now_ms + Fv_TICKET_RENEW_MS) {
+                return false;
+            }
+        }
+        else {
+            outlook->room_renewed += room;
+        }
+        candidate->expected = room;
+        return true;
+    }
+    outlook->room_unknown += room;
+    candidate->expected = room * *allowed_share(sched, stage->job->queue.name);
+    candidate->score = score_worker(sched, stage, worker, room);
+    return true;
+}
+
+static fv_outlook_t
+look_around(fv_sched_t *sched, const fv_sched_stage_t *stage,
+            fv_candidate_t *candidates, int64_t now_ms)
 {
-    double share = *allowed_share(sched, stage->job->queue.name);
-    uint32_t count = 0;
+    fv_outlook_t outlook = {0};
 
-    *have = 0.0;
     for (fv_sched_worker_t *worker = sched->workers; worker != NULL;
          worker = worker->hh.next) {
-        const fv_verdict_t *verdict = find_verdict(stage, worker);
-        int32_t room = FvSched_TasksThatFit(worker, stage->step);
-        bool known = verdict != NULL && verdict->allowed;
+        outlook.candidates +=
+            judge_worker(sched, stage, worker, &outlook,
+                         &candidates[outlook.candidates], now_ms);
+    }
+    return outlook;
+}
 
-        if (room == 0 || !FvSched_WorkerUsable(worker, stage, now_ms) ||
-            (verdict != NULL && !verdict->allowed)) {
-            continue;
-        }
-        if (known && FvSched_Ticket(stage, worker, now_ms) != NULL) {
-            *have += room;
-            continue;
-        }
-        candidates[count++] = (fv_candidate_t){
-            .worker = worker,
-            .score =
-                score_worker(sched, stage, worker, room) * (known ? 4.0 : 1.0),
-            .expected = room * (known ? 1.0 : share),
-        };
+static bool
+knows_enough(const fv_sched_stage_t *stage, const fv_outlook_t *outlook)
+{
+    return outlook->potential >=
+           stage->waiting * (stage->step->gang ? Fv_GANG_SURPLUS : 1.0);
+}
+
+/* Whether a call would bring tickets that can be used at once. */
+static bool
+is_worth_asking(const fv_sched_stage_t *stage, const fv_outlook_t *outlook)
+{
+    int32_t room = outlook->room_now + outlook->room_renewed;
+
+    if (outlook->room_now >= stage->waiting) {
+        return false;
     }
-    return count;
+    if (stage->step->gang) {
+        return !knows_enough(stage, outlook) ||
+               (outlook->room_renewed > 0 &&
+                room >= stage->waiting * Fv_GANG_REFRESH_SHARE);
+    }
+    return outlook->room_renewed > 0 ||
+           (outlook->room_unknown > 0 && !knows_enough(stage, outlook)) ||
+           (outlook->room_unknown > 0 && room == 0);
 }
 
 /* A gang that must share a rack: the candidates of the roomiest rack. */
@@ -174,17 +240,48 @@
     return kept;
 }
 
+/* How many workers a call may name at little extra cost. */
+static uint32_t
+wide_ask(const fv_cell_queue_t *queue)
+{
+    int64_t count = Fv_ASK_WORKERS_MAX;
+
+    if (queue->advice_per_worker_us > 0) {
+        count = (int64_t)((double)queue->advice_base_us * Fv_ASK_EXTRA_COST /
+                          (double)queue->advice_per_worker_us);
+    }
+    if (count > Fv_ASK_WORKERS_MAX) {
+        count = Fv_ASK_WORKERS_MAX;
+    }
+    return count < Fv_ASK_WORKERS_MIN ? Fv_ASK_WORKERS_MIN : (uint32_t)count;
+}
+
 static uint32_t
 choose_workers(const fv_sched_stage_t *stage, fv_candidate_t *candidates,
-               uint32_t count, double have, fv_sched_worker_t **chosen)
+               const fv_outlook_t *outlook, fv_sched_worker_t **chosen)
 {
-    double wanted = stage->waiting * Fv_ASK_SURPLUS - have;
-    double expected = 0.0;
+    bool few = !stage->step->gang && stage->waiting <= Fv_ASK_FEW_TASKS;
+    uint32_t wide = wide_ask(&stage->job->queue);
+    double expected = outlook->room_now;
     uint32_t named = 0;
 
-    qsort(candidates, count, sizeof(*candidates), by_score);
-    for (uint32_t i = 0; i < count && named < Fv_ASK_WORKERS_MAX; i++) {
-        if (expected >= wanted && named >= Fv_ASK_WORKERS_MIN) {
+    for (uint32_t i = 0; i < outlook->candidates && named < Fv_ASK_WORKERS_MAX;
+         i++) {
+        if (candidates[i].known) {
+            chosen[named++] = candidates[i].worker;
+            expected += candidates[i].expected;
+        }
+    }
+    if (named > 0 && knows_enough(stage, outlook) && expected > 0) {
+        return named;
+    }
+    qsort(candidates, outlook->candidates, sizeof(*candidates), by_score);
+    for (uint32_t i = 0; i < outlook->candidates && named < wide; i++) {
+        if (candidates[i].known) {
+            continue;
+        }
+        if (few && named >= Fv_ASK_WORKERS_MIN &&
+            expected >= stage->waiting * Fv_ASK_SURPLUS) {
             break;
         }
         chosen[named++] = candidates[i].worker;
@@ -193,18 +290,6 @@
     return named;
 }
 
-static bool
-room_for_all(const fv_sched_stage_t *stage, const fv_candidate_t *candidates,
-             uint32_t count, double have)
-{
-    double room = have;
-
-    for (uint32_t i = 0; i < count; i++) {
-        room += candidates[i].expected;
-    }
-    return !stage->step->gang || room >= stage->waiting;
-}
-
 /**
  * FvSched_AskAdvice - ask about more workers when the stage's tickets do not
  * cover its waiting tasks
@@ -216,26 +301,26 @@
 FvSched_AskAdvice(fv_sched_t *sched, fv_sched_stage_t *stage, int64_t now_ms)
 {
     uint32_t total = HASH_COUNT(sched->workers);
-    fv_candidate_t *candidates;
     fv_sched_worker_t *chosen[Fv_ASK_WORKERS_MAX];
+    fv_candidate_t *candidates;
+    fv_outlook_t outlook;
     uint32_t count;
-    double have;
 
     if (!stage->job->queue.needs_advice || stage->asks_outstanding > 0 ||
         now_ms < stage->next_ask_ms || total == 0) {
         return;
     }
-    candidates = calloc(total, sizeof(*candidates));
+    candidates = calloc((size_t)total + 1, sizeof(*candidates));
     if (candidates == NULL) {
         return;
     }
-    count = find_candidates(sched, stage, candidates, &have, now_ms);
-    if (have < stage->waiting &&
-        room_for_all(stage, candidates, count, have)) {
+    outlook = look_around(sched, stage, candidates, now_ms);
+    if (is_worth_asking(stage, &outlook)) {
         if (stage->step->same_rack) {
-            count = keep_best_rack(candidates, count);
+            outlook.candidates =
+                keep_best_rack(candidates, outlook.candidates);
         }
-        count = choose_workers(stage, candidates, count, have, chosen);
+        count = choose_workers(stage, candidates, &outlook, chosen);
         if (count > 0 && sched->port->ask(sched, stage, chosen, count)) {
             stage->asks_outstanding++;
         }
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -15,6 +15,10 @@
 /* Pause before a task is offered again after a worker turned it away. */
 #define Fv_REFUSED_PAUSE_MS 50
 
+/* After an unanswered order, workers are looked at more often for as long as
+ * such troubles usually last (BENCH, kinds: about 5 s). */
+#define Fv_DOUBT_MS 5000
+
 /**
  * FvSched_RequeueTask - the task surely does not run: it waits again
  * @sched: the scheduler
@@ -68,11 +72,55 @@
 void
 FvSched_StopGang(fv_sched_t *sched, fv_sched_stage_t *stage, int64_t now_ms)
 {
+    stage->gang_broken = true;
     for (int32_t i = 0; i < stage->step->task_count; i++) {
         FvSched_StopTask(sched, &stage->tasks[i], now_ms);
     }
 }
 
+/**
+ * FvSched_MayRefillGang - whether members that are missing may be started
+ * elsewhere under the gang's run
+ * @sched: the scheduler
+ * @stage: the gang
+ * @now_ms: the time
+ *
+ * Return: true while the other members still wait for them.
+ */
+bool
+FvSched_MayRefillGang(const fv_sched_t *sched, const fv_sched_stage_t *stage,
+                      int64_t now_ms)
+{
+    return !stage->gang_broken && stage->waiting < stage->step->task_count &&
+           now_ms - stage->gang_ordered_ms < sched->gang_fill_ms;
+}
+
+/**
+ * FvSched_MemberMissing - a member of a gang surely has not begun its run
+ * @sched: the scheduler
+ * @stage: the gang
+ * @now_ms: the time
+ */
+void
+FvSched_MemberMissing(fv_sched_t *sched, fv_sched_stage_t *stage,
+                      int64_t now_ms)
+{
+    if (!FvSched_MayRefillGang(sched, stage, now_ms)) {
+        FvSched_StopGang(sched, stage, now_ms);
+    }
+}
+
+/**
+ * FvSched_NoteDoubt - an order or a report was left unanswered
+ * @sched: the scheduler
+ * @now_ms: the time
+ */
+void
+FvSched_NoteDoubt(fv_sched_t *sched, int64_t now_ms)
+{
+    sched->doubt_until_ms = now_ms + Fv_DOUBT_MS;
+}
+
 static void
 drop_ticket(fv_sched_stage_t *stage, const fv_sched_worker_t *worker)
 {
@@ -90,9 +138,10 @@
     fv_sched_stage_t *stage = task->stage;
 
     stage->next_place_ms = now_ms + Fv_REFUSED_PAUSE_MS;
+    task->failed_on = task->worker;
     FvSched_RequeueTask(sched, task);
     if (stage->step->gang) {
-        FvSched_StopGang(sched, stage, now_ms);
+        FvSched_MemberMissing(sched, stage, now_ms);
     }
 }
 
@@ -158,6 +207,7 @@
         FvLog_Event(Fv_LOG_INFO, "start_in_doubt", "job=%s worker=%s run=%d",
                     task->stage->job->id, task->worker->entry.id, run);
         task->in_doubt = true;
+        FvSched_NoteDoubt(sched, now_ms);
         sched->port->look(sched, task->worker);
     }
     else if (task->state == Fv_SCHED_ORDERED ||
@@ -189,5 +239,8 @@
         task->confirmed_ms = now_ms;
         task->in_doubt = false;
     }
+    else if (result == Fv_ORDER_IN_DOUBT) {
+        FvSched_NoteDoubt(sched, now_ms);
+    }
     sched->port->look(sched, task->worker);
 }
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -18,15 +18,17 @@
  * @sched: the scheduler
  * @port: its effects
  * @lease_ms: how long a worker goes on without contact
+ * @gang_fill_ms: how long missing members of a gang may be replaced
  * @keep_ended_ms: how long an ended job is remembered
  */
 void
 FvSched_Init(fv_sched_t *sched, const fv_sched_port_t *port, int64_t lease_ms,
-             int64_t keep_ended_ms)
+             int64_t gang_fill_ms, int64_t keep_ended_ms)
 {
     *sched = (fv_sched_t){
         .port = port,
         .lease_ms = lease_ms,
+        .gang_fill_ms = gang_fill_ms,
         .keep_ended_ms = keep_ended_ms,
         .random = (uint64_t)FvClock_NowNs() | 1,
     };
@@ -139,6 +141,18 @@
     }
 }
 
+/* Stops a gang of which members are missing before the others give up. */
+static void
+give_up_gang(fv_sched_t *sched, fv_sched_stage_t *stage, int64_t now_ms)
+{
+    /* A new leader first has to hear of all members. */
+    if (stage->step->gang && !stage->gang_broken && !sched->inherited_held &&
+        stage->waiting < stage->step->task_count &&
+        !FvSched_MayRefillGang(sched, stage, now_ms)) {
+        FvSched_StopGang(sched, stage, now_ms);
+    }
+}
+
 /**
  * FvSched_Pass - place what waits
  * @sched: the scheduler
@@ -162,6 +176,7 @@
         return;
     }
     FvMetrics_Add(Fv_COUNTER_DECISIONS, count);
+    FvSched_ClearReservations(sched);
     rank_stages(sched, ranked, now_ms);
     qsort(ranked, count, sizeof(*ranked), by_urgency);
     for (uint32_t i = 0; i < count; i++) {
@@ -171,7 +186,11 @@
             FvSched_PlaceStage(sched, stage, now_ms);
         }
         if (stage->waiting > 0) {
+            give_up_gang(sched, stage, now_ms);
             FvSched_AskAdvice(sched, stage, now_ms);
+            if (ranked[i].rank < Fv_LATE_PENALTY) {
+                FvSched_ReserveForGang(sched, stage, now_ms);
+            }
         }
     }
     free(ranked);
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -164,6 +164,44 @@
     return kept;
 }
 
+static fv_slot_t *
+best_slot(const fv_sched_task_t *task, fv_slot_t *slots, uint32_t count)
+{
+    fv_slot_t *second = NULL;
+
+    for (uint32_t i = 0; i < count; i++) {
+        if (slots[i].room <= 0) {
+            continue;
+        }
+        if (slots[i].worker != task->failed_on) {
+            return &slots[i];
+        }
+        second = &slots[i];
+    }
+    return second;
+}
+
+/* Starts missing members under the run that the others wait with. A worker
+ * that was told to stop the member would turn it away. */
+static void
+place_members(fv_sched_t *sched, fv_sched_stage_t *stage, fv_slot_t *slots,
+              uint32_t count, int64_t now_ms)
+{
+    for (int32_t i = 0; i < stage->step->task_count; i++) {
+        fv_sched_task_t *task = &stage->tasks[i];
+        fv_slot_t *slot;
+
+        if (!may_start(sched, task)) {
+            continue;
+        }
+        slot = best_slot(task, slots, count);
+        if (slot == NULL || slot->worker == task->failed_on) {
+            return;
+        }
+        start_task(sched, task, slot, stage->gang_run, now_ms);
+    }
+}
+
 static void
 place_gang(fv_sched_t *sched, fv_sched_stage_t *stage, fv_slot_t *slots,
            uint32_t count, int64_t now_ms)
@@ -178,8 +216,13 @@
     for (uint32_t i = 0; i < count; i++) {
         room += slots[i].room;
     }
-    if (stage->waiting < stage->step->task_count ||
-        room < stage->step->task_count) {
+    if (stage->waiting < stage->step->task_count) {
+        if (FvSched_MayRefillGang(sched, stage, now_ms)) {
+            place_members(sched, stage, slots, count, now_ms);
+        }
+        return;
+    }
+    if (room < stage->step->task_count) {
         return;
     }
     for (int32_t i = 0; i < stage->step->task_count; i++) {
@@ -197,23 +240,8 @@
         start_task(sched, &stage->tasks[i], &slots[slot], run + 1, now_ms);
     }
     stage->gang_run = run + 1;
-}
-
-static fv_slot_t *
-best_slot(const fv_sched_task_t *task, fv_slot_t *slots, uint32_t count)
-{
-    fv_slot_t *second = NULL;
-
-    for (uint32_t i = 0; i < count; i++) {
-        if (slots[i].room <= 0) {
-            continue;
-        }
-        if (slots[i].worker != task->failed_on) {
-            return &slots[i];
-        }
-        second = &slots[i];
-    }
-    return second;
+    stage->gang_ordered_ms = now_ms;
+    stage->gang_broken = false;
 }
 
 static void
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -197,6 +197,27 @@
     return false;
 }
 
+/* The run of a task is not on its worker, and no end of it was reported. */
+static void
+lose_run(fv_sched_t *sched, fv_sched_task_t *task, int64_t now_ms)
+{
+    fv_sched_stage_t *stage = task->stage;
+    bool never_began = task->state == Fv_SCHED_STOPPING && task->percent == 0;
+
+    FvLog_Event(Fv_LOG_INFO, "run_missing",
+                "job=%s stage=%u task=%d run=%d worker=%s state=%d",
+                stage->job->id, stage->step_index, task->index, task->run,
+                task->worker->entry.id, (int)task->state);
+    task->failed_on = task->worker;
+    FvSched_RequeueTask(sched, task);
+    if (stage->step->gang && never_began) {
+        FvSched_MemberMissing(sched, stage, now_ms);
+    }
+    else if (stage->step->gang) {
+        FvSched_StopGang(sched, stage, now_ms);
+    }
+}
+
 /*
  * Tasks that the report should list and doesn't. A start or stop that was
  * confirmed before the report was asked for has left its trace in it; a start
@@ -220,14 +241,8 @@
             FvSched_StopTask(sched, task, now_ms);
         }
         else if (task->confirmed_ms != 0 && task->confirmed_ms < sent_ms) {
-            FvLog_Event(Fv_LOG_INFO, "run_missing",
-                        "task=%s run=%d worker=%s state=%d", name, task->run,
-                        worker->entry.id, (int)task->state);
-            FvSched_RequeueTask(sched, task);
-            if (task->stage->step->gang) {
-                FvSched_StopGang(sched, task->stage, now_ms);
-                next = worker->tasks; /* the list may have changed */
-            }
+            lose_run(sched, task, now_ms);
+            next = worker->tasks; /* the list may have changed */
         }
         else if (task->state == Fv_SCHED_STOPPING) {
             FvSched_StopTask(sched, task, now_ms);
@@ -338,6 +353,7 @@
                     worker->lease_lapses_ms - now_ms);
     }
     worker->suspect = true;
+    FvSched_NoteDoubt(sched, now_ms);
     if (!worker->lost && worker->lease_lapses_ms < now_ms) {
         worker->lost = true;
         FvSched_LoseTasks(sched, worker, "lease_lapsed", now_ms);
--- /dev/null
+++ b/src/sched-reserve.c
@@ -0,0 +1,120 @@
+/*
+ * Room for waiting gangs. Without it, single tasks of less urgent stages fill
+ * every gap that opens, and a gang that needs room for all its tasks at one
+ * time waits as long as the cell is busy.
+ */
+
+#include "scheduler.h"
+
+#include <stdlib.h>
+
+/* Room that is set aside, as a multiple of what the gang needs: some of the
+ * workers' tasks end later than others. */
+#define Fv_RESERVE_SURPLUS 1.3
+
+/* Most workers that may be reserved at one time: what is set aside idles. */
+#define Fv_RESERVE_SHARE 0.3
+
+typedef struct fv_claimed {
+    fv_sched_worker_t *worker;
+    int32_t fits_now;
+    int32_t fits_empty;
+} fv_claimed_t;
+
+/**
+ * FvSched_ClearReservations - forget the reservations of the last pass
+ * @sched: the scheduler
+ */
+void
+FvSched_ClearReservations(fv_sched_t *sched)
+{
+    sched->reserved_workers = 0;
+    for (fv_sched_worker_t *worker = sched->workers; worker != NULL;
+         worker = worker->hh.next) {
+        worker->reserved_for = NULL;
+    }
+}
+
+static int
+by_room_now(const void *left, const void *right)
+{
+    const fv_claimed_t *a = left;
+    const fv_claimed_t *b = right;
+
+    if (a->fits_now != b->fits_now) {
+        return a->fits_now > b->fits_now ? -1 : 1;
+    }
+    if (a->worker->free_cpu_millis != b->worker->free_cpu_millis) {
+        return a->worker->free_cpu_millis > b->worker->free_cpu_millis ? -1
+                                                                       : 1;
+    }
+    return 0;
+}
+
+static uint32_t
+find_allowed(const fv_sched_t *sched, const fv_sched_stage_t *stage,
+             fv_claimed_t *claimed, int64_t now_ms)
+{
+    uint32_t count = 0;
+
+    if (!stage->job->queue.needs_advice) {
+        for (fv_sched_worker_t *worker = sched->workers; worker != NULL;
+             worker = worker->hh.next) {
+            if (FvSched_WorkerUsable(worker, stage, now_ms)) {
+                claimed[count++].worker = worker;
+            }
+        }
+        return count;
+    }
+    for (uint32_t i = 0; i < stage->verdict_count; i++) {
+        const fv_verdict_t *verdict = &stage->verdicts[i];
+
+        if (verdict->allowed &&
+            FvSched_WorkerUsable(verdict->worker, stage, now_ms)) {
+            claimed[count++].worker = verdict->worker;
+        }
+    }
+    return count;
+}
+
+/**
+ * FvSched_ReserveForGang - keep less urgent stages off the workers that a
+ * waiting gang will need
+ * @sched: the scheduler
+ * @stage: the gang; nothing is reserved for other stages
+ * @now_ms: the time
+ */
+void
+FvSched_ReserveForGang(fv_sched_t *sched, fv_sched_stage_t *stage,
+                       int64_t now_ms)
+{
+    double wanted = stage->step->task_count * Fv_RESERVE_SURPLUS;
+    double reserved = 0.0;
+    fv_claimed_t *claimed;
+    uint32_t count;
+
+    if (!stage->step->gang || stage->waiting < stage->step->task_count) {
+        return;
+    }
+    claimed = calloc((size_t)HASH_COUNT(sched->workers) + 1, sizeof(*claimed));
+    if (claimed == NULL) {
+        return;
+    }
+    count = find_allowed(sched, stage, claimed, now_ms);
+    for (uint32_t i = 0; i < count; i++) {
+        claimed[i].fits_now =
+            FvSched_TasksThatFit(claimed[i].worker, stage->step);
+        claimed[i].fits_empty =
+            FvSched_TasksWhenEmpty(claimed[i].worker, stage->step);
+    }
+    qsort(claimed, count, sizeof(*claimed), by_room_now);
+    for (uint32_t i = 0; i < count && reserved < wanted &&
+                         sched->reserved_workers <
+                             HASH_COUNT(sched->workers) * Fv_RESERVE_SHARE;
+         i++) {
+        sched->reserved_workers++;
+        claimed[i].worker->reserved_for = stage;
+        reserved += claimed[i].fits_empty;
+    }
+    free(claimed);
+}
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -254,6 +254,28 @@
            worker->free_accelerators >= step->accelerators;
 }
 
+static int32_t
+tasks_in(const fv_step_spec_t *step, int64_t cpu_millis, int64_t memory_mib,
+         int64_t accelerators)
+{
+    int64_t most = step->task_count;
+
+    if (!step->uses_spare_cpu && step->cpu_millis > 0 &&
+        cpu_millis / step->cpu_millis < most) {
+        most = cpu_millis / step->cpu_millis;
+    }
+    if (step->memory_mib > 0 && memory_mib / step->memory_mib < most) {
+        most = memory_mib / step->memory_mib;
+    }
+    if (step->accelerators > 0 && accelerators / step->accelerators < most) {
+        most = accelerators / step->accelerators;
+    }
+    if (step->per_worker_max > 0 && step->per_worker_max < most) {
+        most = step->per_worker_max;
+    }
+    return most > 0 ? (int32_t)most : 0;
+}
+
 /**
  * FvSched_TasksThatFit - how many more tasks of a step a worker can hold
  * @worker: the worker
@@ -265,24 +287,23 @@
 FvSched_TasksThatFit(const fv_sched_worker_t *worker,
                      const fv_step_spec_t *step)
 {
-    int64_t most = step->task_count;
+    return tasks_in(step, worker->free_cpu_millis, worker->free_memory_mib,
+                    worker->free_accelerators);
+}
 
-    if (!step->uses_spare_cpu && step->cpu_millis > 0 &&
-        worker->free_cpu_millis / step->cpu_millis < most) {
-        most = worker->free_cpu_millis / step->cpu_millis;
-    }
-    if (step->memory_mib > 0 &&
-        worker->free_memory_mib / step->memory_mib < most) {
-        most = worker->free_memory_mib / step->memory_mib;
-    }
-    if (step->accelerators > 0 &&
-        worker->free_accelerators / step->accelerators < most) {
-        most = worker->free_accelerators / step->accelerators;
-    }
-    if (step->per_worker_max > 0 && step->per_worker_max < most) {
-        most = step->per_worker_max;
-    }
-    return most > 0 ? (int32_t)most : 0;
+/**
+ * FvSched_TasksWhenEmpty - how many tasks of a step an idle worker can hold
+ * @worker: the worker
+ * @step: the step
+ *
+ * Return: the number.
+ */
+int32_t
+FvSched_TasksWhenEmpty(const fv_sched_worker_t *worker,
+                       const fv_step_spec_t *step)
+{
+    return tasks_in(step, worker->entry.cpu_millis, worker->entry.memory_mib,
+                    worker->entry.accelerators);
 }
 
 static bool
@@ -320,6 +341,9 @@
          (worker->probing || step->gang))) {
         return false;
     }
+    if (worker->reserved_for != NULL && worker->reserved_for != stage) {
+        return false;
+    }
     return strcmp(worker->entry.service, stage->job->queue.service) == 0 &&
            (step->required_label[0] == '\0' ||
             has_label(&worker->entry, step->required_label));
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -70,7 +70,9 @@
     int32_t waiting;
     int32_t done;
     int32_t gang_run;
-    bool pending; /* in the scheduler's list of stages to place */
+    int64_t gang_ordered_ms; /* when its run was ordered */
+    bool gang_broken;        /* the run is being stopped */
+    bool pending;            /* in the scheduler's list of stages to place */
     fv_sched_stage_t *pending_next;
     fv_verdict_t *verdicts;
     uint32_t verdict_count;
@@ -142,7 +144,8 @@
     int32_t task_count;
     uint32_t strays; /* runs that belong to no open task; size not known */
     fv_sched_task_t *tasks;
-    int32_t failure_streak; /* of tasks of different jobs */
+    const fv_sched_stage_t *reserved_for; /* in this pass: a waiting gang */
+    int32_t failure_streak;               /* of tasks of different jobs */
     const fv_sched_job_t *last_failed_job;
     int64_t quarantined_until_ms;
     bool probing;
@@ -192,8 +195,11 @@
     int32_t run_base;    /* runs of this leader are numbered above it */
     bool inherited_held; /* inherited tasks may run on unseen workers */
     bool dirty;
+    uint32_t reserved_workers; /* in this pass */
     uint64_t random;
     int64_t lease_ms;
+    int64_t gang_fill_ms;   /* how long missing members may be replaced */
+    int64_t doubt_until_ms; /* orders were left unanswered lately */
     int64_t keep_ended_ms;
     uint32_t advice_count;
     fv_advice_share_t advice_shares[Fv_ADVICE_QUEUES_MAX];
@@ -244,6 +250,8 @@
 bool FvSched_Fits(const fv_sched_worker_t *worker, const fv_step_spec_t *step);
 int32_t FvSched_TasksThatFit(const fv_sched_worker_t *worker,
                              const fv_step_spec_t *step);
+int32_t FvSched_TasksWhenEmpty(const fv_sched_worker_t *worker,
+                               const fv_step_spec_t *step);
 bool FvSched_WorkerUsable(const fv_sched_worker_t *worker,
                           const fv_sched_stage_t *stage, int64_t now_ms);
 int64_t FvSched_WorkerClock(const fv_sched_worker_t *worker, int64_t now_ms);
@@ -275,6 +283,11 @@
 void FvSched_RequeueTask(fv_sched_t *sched, fv_sched_task_t *task);
 void FvSched_StopGang(fv_sched_t *sched, fv_sched_stage_t *stage,
                       int64_t now_ms);
+bool FvSched_MayRefillGang(const fv_sched_t *sched,
+                           const fv_sched_stage_t *stage, int64_t now_ms);
+void FvSched_MemberMissing(fv_sched_t *sched, fv_sched_stage_t *stage,
+                           int64_t now_ms);
+void FvSched_NoteDoubt(fv_sched_t *sched, int64_t now_ms);
 
 /* sched-advice.c */
 const fv_verdict_t *FvSched_Ticket(const fv_sched_stage_t *stage,
@@ -290,6 +303,11 @@
 void FvSched_PlaceStage(fv_sched_t *sched, fv_sched_stage_t *stage,
                         int64_t now_ms);
 
+/* sched-reserve.c */
+void FvSched_ClearReservations(fv_sched_t *sched);
+void FvSched_ReserveForGang(fv_sched_t *sched, fv_sched_stage_t *stage,
+                            int64_t now_ms);
+
 /* sched-pass.c */
 typedef struct fv_sched_load {
     uint32_t workers;
@@ -306,7 +324,8 @@
 void FvSched_Load(const fv_sched_t *sched, int64_t now_ms,
                   fv_sched_load_t *load);
 void FvSched_Init(fv_sched_t *sched, const fv_sched_port_t *port,
-                  int64_t lease_ms, int64_t keep_ended_ms);
+                  int64_t lease_ms, int64_t gang_fill_ms,
+                  int64_t keep_ended_ms);
 void FvSched_Clear(fv_sched_t *sched);
 void FvSched_Pass(fv_sched_t *sched, int64_t now_ms, int64_t wall_ms);
 uint32_t FvSched_Random(fv_sched_t *sched);
--- a/tests/harness/sched-fixture.c
+++ b/tests/harness/sched-fixture.c
@@ -110,7 +110,8 @@
 SchedFixture_Open(sched_fixture_t *fixture, int32_t generation)
 {
     memset(fixture, 0, sizeof(*fixture));
-    FvSched_Init(&fixture->sched, &fixture_port, Fv_FIXTURE_LEASE_MS, 120000);
+    FvSched_Init(&fixture->sched, &fixture_port, Fv_FIXTURE_LEASE_MS, 2000,
+                 120000);
     fixture->sched.run_base = (generation - 1) * 1000;
     fixture->sched.random = 42;
     fixture->now_ms = 1000000;
--- /dev/null
+++ b/tests/unit/sched_load_test.c
@@ -0,0 +1,228 @@
+/*
+ * Decisions under load. Each test names the pattern of load that it answers.
+ */
+
+#include "sched-fixture.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define GANG "00000000000000aa"
+#define BATCH "00000000000000bb"
+#define LOOKUP "00000000000000cc"
+
+static const char gang_of_four[] =
+    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":4,\"cpu\":2000,\"memMb\":10,"
+    "\"estimatedMs\":4000,\"gang\":true}]}";
+static const char batch_of_eight[] =
+    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":8,\"cpu\":1000,\"memMb\":10,"
+    "\"estimatedMs\":3000}]}";
+static const char one_task[] =
+    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1000,\"memMb\":10,"
+    "\"estimatedMs\":500}]}";
+
+/* Pattern: a wide gang in a cell whose every gap single tasks fill. */
+static void
+test_gang_gets_room_that_comes_free(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t gangs = SchedFixture_Queue("gangs", 1);
+    fv_cell_queue_t batch = SchedFixture_Queue("batch", 2);
+
+    SchedFixture_Open(&fixture, 1);
+    SchedFixture_AddWorker(&fixture, "w1", "r1", 4000);
+    SchedFixture_AddWorker(&fixture, "w2", "r1", 4000);
+    SchedFixture_AddWorker(&fixture, "w3", "r1", 4000);
+    SchedFixture_AddWorker(&fixture, "w4", "r1", 4000);
+    SchedFixture_AddWorker(&fixture, "w5", "r1", 4000);
+    SchedFixture_AddWorker(&fixture, "w6", "r1", 4000);
+    SchedFixture_AddWorker(&fixture, "w7", "r1", 4000);
+    fixture.sched.workers->entry.cpu_millis = 4000;
+    for (fv_sched_worker_t *worker = fixture.sched.workers; worker != NULL;
+         worker = worker->hh.next) {
+        worker->free_cpu_millis = 1000; /* three others run on each */
+    }
+    SchedFixture_AddJob(&fixture, GANG, &gangs, gang_of_four);
+    SchedFixture_AddJob(&fixture, BATCH, &batch, batch_of_eight);
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, GANG), 0);
+    /* Two workers are kept for the gang, the others go on with the batch. */
+    CU_ASSERT(SchedFixture_Starts(&fixture, BATCH) >= 4);
+    CU_ASSERT(SchedFixture_Starts(&fixture, BATCH) < 7);
+    for (fv_sched_worker_t *worker = fixture.sched.workers; worker != NULL;
+         worker = worker->hh.next) {
+        if (worker->task_count == 0) {
+            worker->free_cpu_millis = 4000; /* the others have ended */
+        }
+    }
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, GANG), 4);
+    SchedFixture_Close(&fixture);
+}
+
+/* Pattern: lookups arrive while batch work and gangs wait for room. */
+static void
+test_lookup_goes_first(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t lookups = SchedFixture_Queue("lookups", 0);
+    fv_cell_queue_t gangs = SchedFixture_Queue("gangs", 1);
+    fv_cell_queue_t batch = SchedFixture_Queue("batch", 2);
+
+    SchedFixture_Open(&fixture, 1);
+    SchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    SchedFixture_AddJob(&fixture, BATCH, &batch, batch_of_eight);
+    SchedFixture_AddJob(&fixture, GANG, &gangs, gang_of_four);
+    SchedFixture_AddJob(&fixture, LOOKUP, &lookups, one_task);
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, LOOKUP), 1);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, BATCH), 0);
+    SchedFixture_Close(&fixture);
+}
+
+/* Pattern: jobs that missed their objective pile up in an overload. */
+static void
+test_late_job_does_not_delay_one_in_time(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = SchedFixture_Queue("batch", 1);
+
+    SchedFixture_Open(&fixture, 1);
+    SchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    SchedFixture_AddJob(&fixture, BATCH, &queue, batch_of_eight);
+    fixture.now_ms += 60000;
+    SchedFixture_AddJob(&fixture, LOOKUP, &queue, one_task);
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, LOOKUP), 1);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, BATCH), 0);
+    SchedFixture_Close(&fixture);
+}
+
+/* Pattern: a worker turns one member of a gang away while the others have
+ * begun to wait for it. */
+static void
+test_missing_member_starts_elsewhere(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t gangs = SchedFixture_Queue("gangs", 1);
+    fv_sched_task_t *task;
+    const fixture_order_t *last;
+
+    SchedFixture_Open(&fixture, 1);
+    SchedFixture_AddWorker(&fixture, "w1", "r1", 8000);
+    SchedFixture_AddJob(&fixture, GANG, &gangs, gang_of_four);
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, GANG), 4);
+    SchedFixture_AddWorker(&fixture, "w2", "r1", 8000);
+    task = FvSched_FindTask(&fixture.sched, GANG ".0.0.2");
+    FvSched_StartAnswered(&fixture.sched, task, task->run, Fv_ORDER_UNHEALTHY,
+                          fixture.now_ms);
+    SchedFixture_ConfirmStarts(&fixture);
+    fixture.now_ms += 100;
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(SchedFixture_Stops(&fixture, GANG), 0);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, GANG), 5);
+    last = &fixture.orders[fixture.order_count - 1];
+    CU_ASSERT_EQUAL(last->run, 1);
+    CU_ASSERT_STRING_EQUAL(last->worker, "w2");
+    SchedFixture_Close(&fixture);
+}
+
+/* Pattern: the leader dies; the next one hears of a gang's members one worker
+ * after the other. */
+static void
+test_new_leader_hears_of_all_members(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t gangs = SchedFixture_Queue("gangs", 1);
+    fv_running_row_t row = {.run = 5, .percent = 10};
+    fv_worker_report_t report = {.running = &row, .running_count = 1};
+    fv_sched_job_t *job;
+    fv_sched_worker_t *worker;
+
+    SchedFixture_Open(&fixture, 2);
+    worker = SchedFixture_AddWorker(&fixture, "w1", "r1", 8000);
+    SchedFixture_AddWorker(&fixture, "w2", "r1", 8000);
+    job = SchedFixture_AddJob(&fixture, GANG, &gangs, gang_of_four);
+    for (int32_t i = 0; i < 4; i++) {
+        job->occurrences[0].stages[0].tasks[i].inherited = true;
+    }
+    fixture.sched.inherited_held = true;
+    FvText_Copy(row.task_id, sizeof(row.task_id), GANG ".0.0.0");
+    report.clock_ms = fixture.now_ms;
+    FvSched_Report(&fixture.sched, worker, &report, fixture.now_ms,
+                   fixture.now_ms);
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(SchedFixture_Stops(&fixture, GANG), 0);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, GANG), 0);
+    SchedFixture_Close(&fixture);
+}
+
+/* Pattern: the advice service binds: many wide stages wait for tickets. */
+static void
+test_advice_is_asked_wide_and_seldom(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = SchedFixture_Queue("batch", 1);
+    fv_sched_worker_t *workers[40];
+    fv_sched_job_t *job;
+    fv_sched_stage_t *stage;
+    fv_advice_row_t rows[40];
+    fv_advice_t advice = {.rows = rows};
+
+    queue.needs_advice = true;
+    queue.advice_base_us = 80000;
+    queue.advice_per_worker_us = 1200;
+    queue.ticket_valid_ms = 2500;
+    SchedFixture_Open(&fixture, 1);
+    for (int i = 0; i < 40; i++) {
+        char id[16];
+
+        snprintf(id, sizeof(id), "w%d", i);
+        workers[i] = SchedFixture_AddWorker(&fixture, id, "r1", 1000);
+    }
+    job = SchedFixture_AddJob(&fixture, BATCH, &queue, batch_of_eight);
+    stage = &job->occurrences[0].stages[0];
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(fixture.ask_count, 1);
+    CU_ASSERT(fixture.asked_workers >= 20);
+
+    /* Ten are allowed, all of them are full: no call until one has room. */
+    for (int i = 0; i < 40; i++) {
+        workers[i]->free_cpu_millis = 0;
+        if (i < 10) {
+            FvText_Copy(rows[i].worker_id, Fv_NAME_SIZE, workers[i]->entry.id);
+            FvText_Copy(rows[i].ticket, Fv_TICKET_SIZE, "t");
+            advice.row_count++;
+        }
+    }
+    FvSched_Advised(&fixture.sched, stage, workers, 40, &advice,
+                    fixture.now_ms);
+    fixture.now_ms += 3000;
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(fixture.ask_count, 1);
+    workers[3]->free_cpu_millis = 1000;
+    SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(fixture.ask_count, 2);
+    SchedFixture_Close(&fixture);
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"a gang waits for ever while single tasks fill the gaps",
+         test_gang_gets_room_that_comes_free},
+        {"a lookup waits behind batch work", test_lookup_goes_first},
+        {"a late job delays one that can be in time",
+         test_late_job_does_not_delay_one_in_time},
+        {"a gang is stopped because one member was turned away",
+         test_missing_member_starts_elsewhere},
+        {"a new leader stops a gang before it has heard of all members",
+         test_new_leader_hears_of_all_members},
+        {"a stage asks for advice that it cannot use",
+         test_advice_is_asked_wide_and_seldom},
+    };
+
+    return Fv_RUN_SUITE("sched_load", cases);
+}
