Let the lease of a silent worker lapse; number leaderships in the store; refuse while the store is away

Change: a worker that does not answer gets no longer lease; the generation is a key of its own, raised in the transaction that claims the leadership; while a batch is unanswered, new submissions and those that were never sent to the store are refused with a time to come back.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -51,6 +51,10 @@
 #define Fv_ASK_ID_BITS 24 /* questions of one leader */
 #define Fv_KEEP_MARGIN_MS 60000
 
+/* While the store is away, callers come back after this; its outages last
+ * seconds, and a caller repeats a request a few times only. */
+#define Fv_STORE_RETRY_AFTER_S "2"
+
 typedef struct fv_waiter {
     int64_t id;
     fv_verb_t verb;
@@ -224,8 +228,7 @@
         .task_id = name,
         .run = task->run,
         .fence = leader->epoch,
-        .lease_end_worker_ms =
-            FvSched_WorkerClock(worker, now_ms) + Fv_WORKER_LEASE_MS,
+        .lease_end_worker_ms = FvSched_ExtendLease(sched, worker, now_ms),
         .payload = task->stage->job->spec.payload,
         .checkpoint = task->checkpoint,
         .ticket = verdict != NULL ? verdict->ticket : NULL,
@@ -238,7 +241,6 @@
         " free_cpu=%" PRId64,
         name, task->run, worker->entry.id, task->stage->job->queue.name,
         now_ms - task->stage->job->received_ms, worker->free_cpu_millis);
-    FvSched_OrderSent(sched, worker, now_ms);
     FvPlatform_Start(&call, worker->entry.id, &order);
     send_order(leader, worker, &call, name, task->run, false);
 }
@@ -421,7 +423,7 @@
     fv_sched_worker_t *worker = driver->worker;
     int64_t now_ms = FvClock_NowMs();
     fv_renewal_t *renewal;
-    int64_t lease_end = 0;
+    int64_t lease_end;
     int32_t wait_ms = 0;
     bool doubt = now_ms < leader->sched.doubt_until_ms;
     fv_call_t call;
@@ -433,10 +435,7 @@
     if (renewal == NULL) {
         return; /* the tick tries again */
     }
-    if (worker->synced) {
-        lease_end = FvSched_WorkerClock(worker, now_ms) + Fv_WORKER_LEASE_MS;
-        FvSched_OrderSent(&leader->sched, worker, now_ms);
-    }
+    lease_end = FvSched_ExtendLease(&leader->sched, worker, now_ms);
     if (wait && worker->synced && !worker->suspect) {
         wait_ms =
             worker->task_count > 0 ? Fv_RENEW_WAIT_MS : Fv_RENEW_IDLE_WAIT_MS;
@@ -606,6 +605,27 @@
     kick(leader);
 }
 
+/* The store was never sent the job's record: the job is not accepted. */
+static void
+accept_withdrawn(void *context)
+{
+    fv_record_call_t *call = context;
+    fv_leader_t *leader = call->leader;
+    fv_sched_job_t *job = FvSched_FindJob(&leader->sched, call->job);
+
+    if (job != NULL && !job->durable) {
+        FvMetrics_Add(Fv_COUNTER_JOBS_REFUSED, 1);
+        FvLog_Event(Fv_LOG_INFO, "job_refused",
+                    "job=%s queue=%s cause=store_away", job->id,
+                    job->queue.name);
+        answer_waiters(job, Fv_VERB_SUBMIT, Fv_REPLY_REFUSED,
+                       Fv_STORE_RETRY_AFTER_S);
+        answer_waiters(job, Fv_VERB_CANCEL, Fv_REPLY_GONE, "");
+        FvSched_RemoveJob(&leader->sched, job);
+    }
+    free(call);
+}
+
 static void
 job_key(const char *prefix, const char *id, char *key, size_t size)
 {
@@ -663,9 +683,16 @@
     call->leader = leader;
     call->kind = kind;
     FvText_Copy(call->job, sizeof(call->job), job->id);
-    FvRecords_Write(leader->records, job->id, entries, count,
-                    kind == Fv_RECORD_ACCEPT || job->cancelled, record_written,
-                    call);
+    FvRecords_Write(
+        leader->records,
+        &(fv_records_group_t){
+            .lane_key = job->id,
+            .entries = entries,
+            .count = count,
+            .urgent = kind == Fv_RECORD_ACCEPT || job->cancelled,
+            .done = record_written,
+            .dropped = kind == Fv_RECORD_ACCEPT ? accept_withdrawn : NULL,
+            .context = call});
 }
 
 /* The list of workers that may run something, kept so that the next leader
@@ -691,8 +718,13 @@
                  worker->entry.address, worker->entry.service);
         FvBuffer_Append(&entry.value, line, strlen(line));
     }
-    FvRecords_Write(leader->records, Fv_KEY_ROSTER, &entry, 1, true,
-                    roster_written, leader);
+    FvRecords_Write(leader->records,
+                    &(fv_records_group_t){.lane_key = Fv_KEY_ROSTER,
+                                          .entries = &entry,
+                                          .count = 1,
+                                          .urgent = true,
+                                          .done = roster_written,
+                                          .context = leader});
 }
 
 static void
@@ -1304,6 +1336,9 @@
             close_ask(leader, ask, NULL);
         }
     }
+    if (FvRecords_Stalled(leader->records, now_ms)) {
+        FvRecords_WithdrawUnsent(leader->records);
+    }
     forget_ended(leader, now_ms);
     log_load(leader, now_ms);
     leader->sched.dirty = leader->sched.dirty || leader->sched.pending != NULL;
@@ -1352,6 +1387,15 @@
         reply_now(message, reply, context, Fv_REPLY_NOT_READY, "");
         return;
     }
+    if (FvRecords_Stalled(leader->records, now_ms)) {
+        FvMetrics_Add(Fv_COUNTER_JOBS_REFUSED, 1);
+        FvLog_Event(Fv_LOG_INFO, "job_refused",
+                    "job=%s queue=%s cause=store_away", message->key,
+                    message->name);
+        reply_now(message, reply, context, Fv_REPLY_REFUSED,
+                  Fv_STORE_RETRY_AFTER_S);
+        return;
+    }
     if (!FvPlatform_JobSpec(message->body, message->body_length, &spec)) {
         FvJobSpec_Clear(&spec);
         FvLog_Event(Fv_LOG_INFO, "job_malformed", "job=%s queue=%s",
--- a/src/election.c
+++ b/src/election.c
@@ -51,6 +51,8 @@
     bool registered;
     bool registering;
     int32_t last_generation;
+    int64_t generation_revision; /* of its key, 0: there is none */
+    int32_t claimed_generation;
     fv_claim_state_t state;
     int64_t claim_at_ms; /* 0: not planned */
     int64_t lease;
@@ -170,12 +172,25 @@
     election->claim_at_ms = 0;
     election->verify = false;
     election->next_renew_ms = FvClock_NowMs() + Fv_LEADER_RENEW_MS;
-    election->last_generation++;
     FvLog_Event(Fv_LOG_INFO, "leadership_won",
                 "epoch=%" PRId64 " generation=%d ttl_ms=%" PRId64, revision,
-                election->last_generation, election->ttl_ms);
+                election->claimed_generation, election->ttl_ms);
     election->events.won(election->events.context, revision,
-                         election->last_generation);
+                         election->claimed_generation);
+}
+
+/* The number of the latest leadership, which tells its runs from those of
+ * earlier leaders. */
+static void
+see_generation(fv_election_t *election, const fv_kv_item_t *item)
+{
+    if (strcmp(item->key, Fv_KEY_GENERATION) == 0 &&
+        item->value.data != NULL &&
+        item->revision > election->generation_revision) {
+        election->generation_revision = item->revision;
+        election->last_generation =
+            (int32_t)strtol((const char *)item->value.data, NULL, 10);
+    }
 }
 
 /* After an unanswered claim: is the key ours? */
@@ -218,6 +233,9 @@
         FvKv_Get(election->kv, Fv_KEY_LEADER, claim_checked, election);
     }
     else {
+        for (uint32_t i = 0; i < result->items.count; i++) {
+            see_generation(election, &result->items.items[i]);
+        }
         FvKv_Revoke(election->kv, election->lease);
         claim_failed(election);
     }
@@ -228,6 +246,7 @@
 {
     fv_election_t *election = context;
     char value[Fv_URL_SIZE];
+    char generation[Fv_NAME_SIZE];
 
     if (election->state != Fv_CLAIM_GRANTING) {
         return;
@@ -239,15 +258,25 @@
     election->lease = result->lease;
     election->ttl_ms = result->ttl_ms;
     election->state = Fv_CLAIM_WRITING;
+    election->claimed_generation = election->last_generation + 1;
     FvText_RandomHex(election->nonce, sizeof(election->nonce));
     snprintf(value, sizeof(value), "%s %d %s", election->settings->host,
-             election->last_generation + 1, election->nonce);
-    FvKv_Txn(election->kv, &(fv_kv_expect_t){Fv_KEY_LEADER, 0}, 1,
-             &(fv_kv_put_t){.key = Fv_KEY_LEADER,
-                            .value = value,
-                            .length = strlen(value),
-                            .lease = election->lease},
-             1, claim_written, election);
+             election->claimed_generation, election->nonce);
+    snprintf(generation, sizeof(generation), "%d",
+             election->claimed_generation);
+    FvKv_Txn(
+        election->kv,
+        (fv_kv_expect_t[]){{Fv_KEY_LEADER, 0},
+                           {Fv_KEY_GENERATION, election->generation_revision}},
+        2,
+        (fv_kv_put_t[]){{.key = Fv_KEY_LEADER,
+                         .value = value,
+                         .length = strlen(value),
+                         .lease = election->lease},
+                        {.key = Fv_KEY_GENERATION,
+                         .value = generation,
+                         .length = strlen(generation)}},
+        2, claim_written, election);
 }
 
 static void
@@ -413,8 +442,6 @@
 static void
 see_leader(fv_election_t *election, const fv_kv_item_t *item)
 {
-    int generation;
-
     election->leader_known = !item->deleted;
     if (item->deleted) {
         FvLog_Event(Fv_LOG_INFO, "leader_gone", "revision=%" PRId64,
@@ -424,11 +451,6 @@
         return;
     }
     election->claim_at_ms = 0;
-    if (item->value.data != NULL &&
-        sscanf((const char *)item->value.data, "%*s %d", &generation) == 1 &&
-        generation > election->last_generation) {
-        election->last_generation = generation;
-    }
 }
 
 static fv_peer_entry_t *
@@ -479,6 +501,9 @@
     if (strcmp(item->key, Fv_KEY_LEADER) == 0) {
         see_leader(election, item);
     }
+    else if (strcmp(item->key, Fv_KEY_GENERATION) == 0) {
+        see_generation(election, item);
+    }
     else if (strncmp(item->key, Fv_KEY_HOSTS, strlen(Fv_KEY_HOSTS)) == 0) {
         see_host(election, item);
     }
--- a/src/entry.h
+++ b/src/entry.h
@@ -91,6 +91,7 @@
 /* Keys of the project in the store. */
 #define Fv_KEY_CONTROL "fireflyvalve/control/"
 #define Fv_KEY_LEADER Fv_KEY_CONTROL "leader"
+#define Fv_KEY_GENERATION Fv_KEY_CONTROL "generation"
 #define Fv_KEY_HOSTS Fv_KEY_CONTROL "hosts/"
 #define Fv_KEY_JOBS "fireflyvalve/jobs/"
 #define Fv_KEY_PROGRESS "fireflyvalve/progress/"
@@ -119,9 +120,20 @@
                             const fv_records_owner_t *owner,
                             const int64_t *lane_revisions);
 void FvRecords_Free(fv_records_t *records);
-void FvRecords_Write(fv_records_t *records, const char *lane_key,
-                     fv_record_t *entries, uint32_t count, bool urgent,
-                     fv_records_done_t done, void *context);
+/* Entries that are written together. */
+typedef struct fv_records_group {
+    const char *lane_key; /* groups with the same one are written in order */
+    fv_record_t *entries; /* at most 29; their values are taken over */
+    uint32_t count;
+    bool urgent;               /* a caller waits for it */
+    fv_records_done_t done;    /* called once they are in the store, or NULL */
+    fv_records_done_t dropped; /* set for a group that may be withdrawn */
+    void *context;
+} fv_records_group_t;
+
+void FvRecords_Write(fv_records_t *records, const fv_records_group_t *group);
+bool FvRecords_Stalled(const fv_records_t *records, int64_t now_ms);
+void FvRecords_WithdrawUnsent(fv_records_t *records);
 void FvRecords_After(fv_records_t *records, fv_records_done_t done,
                      void *context);
 uint32_t FvRecords_Backlog(const fv_records_t *records);
@@ -220,7 +232,8 @@
     Fv_REPLY_STATE,   /* name = the state */
     Fv_REPLY_COUNT,   /* name = a number */
     Fv_REPLY_GONE,    /* no such job */
-    Fv_REPLY_REFUSED, /* not accepted; will never run */
+    Fv_REPLY_REFUSED, /* not accepted, will never run; name = seconds
+                         after which to try again */
     Fv_REPLY_MALFORMED,
     Fv_REPLY_NOT_READY, /* nothing was done; ask again */
     Fv_REPLY_CONFLICT   /* the id belongs to another submission */
--- a/src/front.c
+++ b/src/front.c
@@ -59,6 +59,16 @@
     bool draining;
 };
 
+static void
+retry_after(struct evhttp_request *http, const char *seconds)
+{
+    struct evkeyvalq *headers = evhttp_request_get_output_headers(http);
+
+    if (evhttp_find_header(headers, "Retry-After") == NULL) {
+        evhttp_add_header(headers, "Retry-After", seconds);
+    }
+}
+
 static void
 reply(fv_front_t *front, struct evhttp_request *http, int status,
       const char *reason, const char *body)
@@ -71,7 +81,7 @@
         evbuffer_add(buffer, body, strlen(body));
     }
     if (status == 429 || status == 503) {
-        evhttp_add_header(headers, "Retry-After", Fv_RETRY_AFTER_S);
+        retry_after(http, Fv_RETRY_AFTER_S);
     }
     if (front->draining) {
         evhttp_add_header(headers, "Connection", "close");
@@ -474,7 +484,8 @@
         end_request(front, request, 410, "Gone", NULL);
         break;
     case Fv_REPLY_REFUSED:
-        end_request(front, request, 429, "Too Many Requests", NULL);
+        retry_after(request->http, message->name);
+        end_request(front, request, 503, "Not Accepted", NULL);
         break;
     case Fv_REPLY_MALFORMED:
         end_request(front, request, 400, "Bad Request", NULL);
--- a/src/records.c
+++ b/src/records.c
@@ -23,6 +23,10 @@
 #define Fv_BATCH_URGENT_WAIT_MS 4
 #define Fv_BATCH_WAIT_MS 30
 
+/* A batch that takes longer means that the store is away: when it is slow it
+ * takes up to 400 ms. */
+#define Fv_BATCH_STALLED_MS 600
+
 /* Pause after a batch that the store turned away or left unanswered. */
 #define Fv_BATCH_RETRY_MS 60
 
@@ -34,6 +38,7 @@
     fv_record_t *entries;
     uint32_t count;
     fv_records_done_t done;
+    fv_records_done_t dropped;
     void *context;
     struct fv_record_group *next;
 } fv_record_group_t;
@@ -44,6 +49,8 @@
     int64_t revision;
     int64_t batch; /* number of the batch in progress or sent last */
     bool busy;
+    bool in_doubt; /* the batch in progress was sent before */
+    int64_t sent_ms;
     bool waiting_for_lease;
     uint32_t in_batch; /* groups of the batch in progress */
     uint64_t queued;   /* groups ever queued */
@@ -239,6 +246,7 @@
     uint32_t count = lane->in_batch;
 
     lane->revision = revision;
+    lane->in_doubt = false;
     lane->in_batch = 0;
     for (uint32_t i = 0; i < count; i++) {
         fv_record_group_t *group = lane->first;
@@ -313,6 +321,7 @@
         arm(lane, 0);
         break;
     default:
+        lane->in_doubt = true;
         arm(lane, Fv_BATCH_RETRY_MS);
         break;
     }
@@ -386,8 +395,9 @@
     return used;
 }
 
-/* A batch in doubt is repeated with the same groups. */
-static uint32_t
+/* A batch in doubt is repeated with the same groups. Returns the number of
+ * entries, or -1 when there is no lease for them. */
+static int32_t
 collect(fv_record_lane_t *lane, fv_kv_put_t *puts)
 {
     uint32_t limit = lane->in_batch;
@@ -411,7 +421,7 @@
         lane->batch++;
         lane->in_batch = groups;
     }
-    return groups == lane->in_batch ? used : 0;
+    return groups == lane->in_batch && groups > 0 ? (int32_t)used : -1;
 }
 
 static void
@@ -421,21 +431,24 @@
     fv_kv_put_t puts[Fv_BATCH_ENTRIES_MAX + 1];
     char lane_key[Fv_KEY_SIZE];
     char batch[Fv_NAME_SIZE];
+    int32_t collected;
     uint32_t used;
 
     if (lane->busy || lane->first == NULL || lane->waiting_for_lease) {
         return;
     }
-    used = collect(lane, puts);
-    if (used == 0) {
+    collected = collect(lane, puts);
+    if (collected < 0) {
         return; /* until there is a lease */
     }
+    used = (uint32_t)collected;
     FvRecords_LaneKey(lane->index, lane_key, sizeof(lane_key));
     snprintf(batch, sizeof(batch), "%" PRId64 " %" PRId64,
              records->owner.epoch, lane->batch);
     puts[used++] = (fv_kv_put_t){
         .key = lane_key, .value = batch, .length = strlen(batch)};
     lane->busy = true;
+    lane->sent_ms = FvClock_NowMs();
     lane->urgent = false;
     records->calls++;
     FvKv_Txn(records->kv,
@@ -447,44 +460,89 @@
 /**
  * FvRecords_Write - write entries together
  * @records: the writer
- * @lane_key: groups with the same one are written in order
- * @entries: the entries, at most 29; their values are taken over
- * @count: how many
- * @urgent: a caller waits for it
- * @done: called once they are in the store, or NULL
- * @context: passed to @done
+ * @group: the entries
  */
 void
-FvRecords_Write(fv_records_t *records, const char *lane_key,
-                fv_record_t *entries, uint32_t count, bool urgent,
-                fv_records_done_t done, void *context)
+FvRecords_Write(fv_records_t *records, const fv_records_group_t *group)
 {
-    uint64_t hash = FvText_Hash(lane_key, strlen(lane_key), 0);
+    uint64_t hash = FvText_Hash(group->lane_key, strlen(group->lane_key), 0);
     fv_record_lane_t *lane = &records->lanes[hash % Fv_RECORD_LANES];
-    fv_record_group_t *group = calloc(1, sizeof(*group));
+    fv_record_group_t *queued = calloc(1, sizeof(*queued));
 
-    if (group == NULL) {
-        abort(); /* a record that is dropped would break a promise */
+    if (queued == NULL) {
+        abort(); /* a record that is lost would break a promise */
     }
-    group->entries = calloc(count + 1, sizeof(*entries));
-    if (group->entries == NULL) {
+    queued->entries = calloc((size_t)group->count + 1, sizeof(fv_record_t));
+    if (queued->entries == NULL) {
         abort();
     }
-    memcpy(group->entries, entries, count * sizeof(*entries));
-    group->count = count;
-    group->done = done;
-    group->context = context;
+    memcpy(queued->entries, group->entries,
+           group->count * sizeof(fv_record_t));
+    queued->count = group->count;
+    queued->done = group->done;
+    queued->dropped = group->dropped;
+    queued->context = group->context;
     if (lane->last != NULL) {
-        lane->last->next = group;
+        lane->last->next = queued;
     }
     else {
-        lane->first = group;
+        lane->first = queued;
     }
-    lane->last = group;
+    lane->last = queued;
     lane->queued++;
-    lane->urgent = lane->urgent || urgent;
+    lane->urgent = lane->urgent || group->urgent;
     if (!lane->busy) {
-        arm(lane, urgent ? Fv_BATCH_URGENT_WAIT_MS : Fv_BATCH_WAIT_MS);
+        arm(lane, group->urgent ? Fv_BATCH_URGENT_WAIT_MS : Fv_BATCH_WAIT_MS);
+    }
+}
+
+/**
+ * FvRecords_Stalled - whether the store does not take what is written
+ * @records: the writer
+ * @now_ms: the time
+ *
+ * Return: true when a batch has been left unanswered.
+ */
+bool
+FvRecords_Stalled(const fv_records_t *records, int64_t now_ms)
+{
+    for (uint32_t i = 0; i < Fv_RECORD_LANES; i++) {
+        const fv_record_lane_t *lane = &records->lanes[i];
+
+        if (lane->in_doubt ||
+            (lane->busy && now_ms - lane->sent_ms > Fv_BATCH_STALLED_MS)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/**
+ * FvRecords_WithdrawUnsent - drop the groups that may be withdrawn and that
+ * the store has surely not been sent
+ * @records: the writer
+ */
+void
+FvRecords_WithdrawUnsent(fv_records_t *records)
+{
+    for (uint32_t i = 0; i < Fv_RECORD_LANES; i++) {
+        uint32_t position = 0;
+
+        for (fv_record_group_t *group = records->lanes[i].first; group != NULL;
+             group = group->next) {
+            if (position++ < records->lanes[i].in_batch ||
+                group->dropped == NULL) {
+                continue;
+            }
+            /* The empty group keeps its place among those counted. */
+            group->done = NULL;
+            group->dropped(group->context);
+            group->dropped = NULL;
+            for (uint32_t e = 0; e < group->count; e++) {
+                FvBuffer_Clear(&group->entries[e].value);
+            }
+            group->count = 0;
+        }
     }
 }
 
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -350,30 +350,26 @@
 }
 
 /**
- * FvSched_WorkerClock - a worker's clock as far as it is known
- * @worker: the worker, which has reported
+ * FvSched_ExtendLease - the lease that the next order or renewal asks for
+ * @sched: the scheduler
+ * @worker: the worker
  * @now_ms: the time
  *
- * Return: its clock.
+ * A worker that does not answer gets none: each attempt may arrive, and its
+ * tasks could never be taken as lapsed.
+ *
+ * Return: the end of the lease on the worker's clock, 0 to leave it as it is.
  */
 int64_t
-FvSched_WorkerClock(const fv_sched_worker_t *worker, int64_t now_ms)
-{
-    return worker->clock_ms + (now_ms - worker->clock_at_ms);
-}
-
-/**
- * FvSched_OrderSent - an order or renewal that extends the lease is on its way
- * @sched: the scheduler
- * @worker: to this worker
- * @now_ms: the time
- */
-void
-FvSched_OrderSent(const fv_sched_t *sched, fv_sched_worker_t *worker,
-                  int64_t now_ms)
+FvSched_ExtendLease(const fv_sched_t *sched, fv_sched_worker_t *worker,
+                    int64_t now_ms)
 {
+    if (!worker->synced || worker->suspect) {
+        return 0;
+    }
     worker->lease_lapses_ms = now_ms + Fv_ORDER_UNDERWAY_MS + sched->lease_ms +
                               sched->lease_ms * Fv_CLOCK_DRIFT_PERCENT / 100;
+    return worker->clock_ms + (now_ms - worker->clock_at_ms) + sched->lease_ms;
 }
 
 /**
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -98,12 +98,15 @@
     SchedFixture_AddJob(&fixture, JOB_A, &queue, two_tasks);
     SchedFixture_Pass(&fixture);
     SchedFixture_ConfirmStarts(&fixture);
-    FvSched_OrderSent(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT(FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms) > 0);
     SchedFixture_AddWorker(&fixture, "w2", "r1", 2000);
     fixture.now_ms += Fv_FIXTURE_LEASE_MS;
     FvSched_NoReport(&fixture.sched, worker, fixture.now_ms);
     SchedFixture_Pass(&fixture);
     CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, JOB_A), 2);
+    /* Attempts to reach it do not put the end off. */
+    CU_ASSERT_EQUAL(
+        FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms), 0);
     fixture.now_ms += Fv_FIXTURE_LEASE_MS;
     FvSched_NoReport(&fixture.sched, worker, fixture.now_ms);
     SchedFixture_Pass(&fixture);
