Spread the leader's writes over more lanes when they wait

Change: a group goes to the lane of its key's earlier groups, else to the first of eight lanes with few groups; a job's progress replaces an unsent one.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -683,16 +683,19 @@
     call->leader = leader;
     call->kind = kind;
     FvText_Copy(call->job, sizeof(call->job), job->id);
-    FvRecords_Write(
-        leader->records,
-        &(fv_records_group_t){
-            .lane_key = job->id,
-            .entries = entries,
-            .count = count,
-            .urgent = kind == Fv_RECORD_ACCEPT || job->cancelled,
-            .done = record_written,
-            .dropped = kind == Fv_RECORD_ACCEPT ? accept_withdrawn : NULL,
-            .context = call});
+    if (!FvRecords_Write(
+            leader->records,
+            &(fv_records_group_t){
+                .order_key = job->id,
+                .replaces = kind == Fv_RECORD_PROGRESS,
+                .entries = entries,
+                .count = count,
+                .urgent = kind == Fv_RECORD_ACCEPT || job->cancelled,
+                .done = record_written,
+                .dropped = kind == Fv_RECORD_ACCEPT ? accept_withdrawn : NULL,
+                .context = call})) {
+        free(call);
+    }
 }
 
 /* The list of workers that may run something, kept so that the next leader
@@ -719,7 +722,7 @@
         FvBuffer_Append(&entry.value, line, strlen(line));
     }
     FvRecords_Write(leader->records,
-                    &(fv_records_group_t){.lane_key = Fv_KEY_ROSTER,
+                    &(fv_records_group_t){.order_key = Fv_KEY_ROSTER,
                                           .entries = &entry,
                                           .count = 1,
                                           .urgent = true,
--- a/src/entry.h
+++ b/src/entry.h
@@ -122,7 +122,9 @@
 void FvRecords_Free(fv_records_t *records);
 /* Entries that are written together. */
 typedef struct fv_records_group {
-    const char *lane_key; /* groups with the same one are written in order */
+    const char *order_key; /* groups with the same one are written in order */
+    bool replaces; /* an unsent group of the key with the same first entry
+                      may take this one's values instead */
     fv_record_t *entries; /* at most 29; their values are taken over */
     uint32_t count;
     bool urgent;               /* a caller waits for it */
@@ -131,14 +133,14 @@
     void *context;
 } fv_records_group_t;
 
-void FvRecords_Write(fv_records_t *records, const fv_records_group_t *group);
+bool FvRecords_Write(fv_records_t *records, const fv_records_group_t *group);
 bool FvRecords_Stalled(const fv_records_t *records, int64_t now_ms);
 void FvRecords_WithdrawUnsent(fv_records_t *records);
 void FvRecords_After(fv_records_t *records, fv_records_done_t done,
                      void *context);
 uint32_t FvRecords_Backlog(const fv_records_t *records);
 
-#define Fv_RECORD_LANES 2
+#define Fv_RECORD_LANES 8
 void FvRecords_LaneKey(uint32_t lane, char *key, size_t size);
 
 /* election.c: which host leads. */
--- a/src/records.c
+++ b/src/records.c
@@ -1,10 +1,12 @@
 /*
- * Writes of the leader to the store. Each group of entries belongs to a lane;
- * a lane writes one batch after the other, each under the condition that the
- * lane's own key is as its last batch left it and that the leader's key is
- * unchanged. So a batch whose answer was lost is settled by repeating it, a
- * batch that the store carries out late finds its condition broken, and a
- * deposed leader can write nothing.
+ * Writes of the leader to the store. Each group of entries goes to a lane:
+ * that of its key's earlier groups, else the first one that is not busy, so
+ * that few calls serve a small cell and many a large one. A lane writes one
+ * batch after the other, each under the condition that the lane's own key is
+ * as its last batch left it and that the leader's key is unchanged. So a batch
+ * whose answer was lost is settled by repeating it, a batch that the store
+ * carries out late finds its condition broken, and a deposed leader can write
+ * nothing.
  */
 
 #include "entry.h"
@@ -27,6 +29,9 @@
  * takes up to 400 ms. */
 #define Fv_BATCH_STALLED_MS 600
 
+/* A lane with so many groups passes others on to the next one. */
+#define Fv_LANE_GROUPS 8
+
 /* Pause after a batch that the store turned away or left unanswered. */
 #define Fv_BATCH_RETRY_MS 60
 
@@ -34,7 +39,17 @@
  * its life. */
 #define Fv_EXPIRY_LEASE_LIVES 2
 
+/* How many groups of a key wait, and in which lane. */
+typedef struct fv_record_key {
+    char key[Fv_KEY_SIZE];
+    uint32_t lane;
+    uint32_t groups;
+    UT_hash_handle hh;
+} fv_record_key_t;
+
 typedef struct fv_record_group {
+    fv_record_key_t *key;
+    bool replaces;
     fv_record_t *entries;
     uint32_t count;
     fv_records_done_t done;
@@ -75,6 +90,7 @@
     fv_kv_t *kv;
     fv_records_owner_t owner;
     fv_record_lane_t lanes[Fv_RECORD_LANES];
+    fv_record_key_t *keys;
     fv_record_barrier_t *barriers_first;
     fv_record_barrier_t *barriers_last;
     int64_t expiry_lease;
@@ -151,8 +167,14 @@
 }
 
 static void
-free_group(fv_record_group_t *group)
+free_group(fv_records_t *records, fv_record_group_t *group)
 {
+    fv_record_key_t *key = group->key;
+
+    if (--key->groups == 0) {
+        HASH_DEL(records->keys, key);
+        free(key);
+    }
     for (uint32_t i = 0; i < group->count; i++) {
         FvBuffer_Clear(&group->entries[i].value);
     }
@@ -167,7 +189,7 @@
         fv_record_group_t *group = lane->first;
 
         lane->first = group->next;
-        free_group(group);
+        free_group(lane->records, group);
     }
     if (lane->timer != NULL) {
         event_free(lane->timer);
@@ -259,7 +281,7 @@
         if (group->done != NULL && !records->closed) {
             group->done(group->context);
         }
-        free_group(group);
+        free_group(records, group);
     }
     check_barriers(records);
     if (lane->first != NULL && !records->closed) {
@@ -457,20 +479,70 @@
              2, puts, used, batch_answered, lane);
 }
 
-/**
- * FvRecords_Write - write entries together
- * @records: the writer
- * @group: the entries
- */
-void
-FvRecords_Write(fv_records_t *records, const fv_records_group_t *group)
+static uint32_t
+choose_lane(const fv_records_t *records)
+{
+    uint32_t best = 0;
+    uint64_t best_groups = UINT64_MAX;
+
+    for (uint32_t i = 0; i < Fv_RECORD_LANES; i++) {
+        const fv_record_lane_t *lane = &records->lanes[i];
+        uint64_t groups = lane->queued - lane->written;
+
+        if (groups < Fv_LANE_GROUPS) {
+            return i;
+        }
+        if (groups < best_groups) {
+            best_groups = groups;
+            best = i;
+        }
+    }
+    return best;
+}
+
+static fv_record_key_t *
+obtain_key(fv_records_t *records, const char *name)
+{
+    fv_record_key_t *key = NULL;
+
+    HASH_FIND_STR(records->keys, name, key);
+    if (key == NULL) {
+        key = calloc(1, sizeof(*key));
+        if (key == NULL) {
+            abort(); /* a record that is lost would break a promise */
+        }
+        FvText_Copy(key->key, sizeof(key->key), name);
+        key->lane = choose_lane(records);
+        HASH_ADD_STR(records->keys, key, key);
+    }
+    return key;
+}
+
+/* The group of a key that the store was not sent yet and that a newer one may
+ * replace. */
+static fv_record_group_t *
+find_replaceable(const fv_record_lane_t *lane, const fv_record_key_t *key)
+{
+    fv_record_group_t *found = NULL;
+    uint32_t position = 0;
+
+    for (fv_record_group_t *group = lane->first; group != NULL;
+         group = group->next) {
+        if (position++ >= lane->in_batch && group->key == key) {
+            found = group->replaces ? group : NULL;
+        }
+    }
+    return found;
+}
+
+static void
+queue_group(fv_record_lane_t *lane, fv_record_key_t *key,
+            const fv_records_group_t *group)
 {
-    uint64_t hash = FvText_Hash(group->lane_key, strlen(group->lane_key), 0);
-    fv_record_lane_t *lane = &records->lanes[hash % Fv_RECORD_LANES];
     fv_record_group_t *queued = calloc(1, sizeof(*queued));
 
     if (queued == NULL) {
-        abort(); /* a record that is lost would break a promise */
+        abort();
     }
     queued->entries = calloc((size_t)group->count + 1, sizeof(fv_record_t));
     if (queued->entries == NULL) {
@@ -478,10 +550,13 @@
     }
     memcpy(queued->entries, group->entries,
            group->count * sizeof(fv_record_t));
+    queued->key = key;
+    queued->replaces = group->replaces;
     queued->count = group->count;
     queued->done = group->done;
     queued->dropped = group->dropped;
     queued->context = group->context;
+    key->groups++;
     if (lane->last != NULL) {
         lane->last->next = queued;
     }
@@ -490,10 +565,36 @@
     }
     lane->last = queued;
     lane->queued++;
+}
+
+/**
+ * FvRecords_Write - write entries together
+ * @records: the writer
+ * @group: the entries
+ *
+ * Return: false when the entries went into a group that waits already, whose
+ * own callback is called instead.
+ */
+bool
+FvRecords_Write(fv_records_t *records, const fv_records_group_t *group)
+{
+    fv_record_key_t *key = obtain_key(records, group->order_key);
+    fv_record_lane_t *lane = &records->lanes[key->lane];
+    fv_record_group_t *waiting = group->replaces && key->groups > 0
+                                     ? find_replaceable(lane, key)
+                                     : NULL;
+
+    if (waiting != NULL) {
+        FvBuffer_Clear(&waiting->entries[0].value);
+        waiting->entries[0] = group->entries[0];
+        return false;
+    }
+    queue_group(lane, key, group);
     lane->urgent = lane->urgent || group->urgent;
     if (!lane->busy) {
         arm(lane, group->urgent ? Fv_BATCH_URGENT_WAIT_MS : Fv_BATCH_WAIT_MS);
     }
+    return true;
 }
 
 /**
