Make passes cheap in a large cell

The cell stood at half of its processors. Change: a stage looks at the workers that it has verdicts for, at the others only when these are too few; no call is prepared for which no host is free; a gang's call covers the room that it needs at this moment; passes leave half of the time to other work.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -24,6 +24,7 @@
 
 /* While orders are left unanswered, a lost report is noticed sooner. */
 #define Fv_DOUBT_WAIT_MS 250
+#define Fv_DOUBT_WAIT_WORKERS 64 /* longer in proportion for more workers */
 #define Fv_DOUBT_SLACK_MS 300
 
 /* Time to stop the members of an incomplete gang before they give up. */
@@ -43,7 +44,14 @@
 #define Fv_REGISTRY_GAP_MS 400
 
 #define Fv_LEADER_TICK_MS 50
-#define Fv_PASS_WAIT_MS 2
+
+/* Pause before a pass, as a multiple of what the latest one took, so that
+ * passes leave the processor to requests and reports. */
+#define Fv_PASS_REST 1
+#define Fv_PASS_WAIT_MIN_US 2000
+#define Fv_PASS_WAIT_MAX_US 40000
+#define Fv_NS_PER_US 1000
+
 #define Fv_LOAD_LOG_MS 1000
 #define Fv_RUNS_PER_GENERATION 1000
 #define Fv_LOAD_RETRY_MS 100
@@ -134,6 +142,10 @@
     uint32_t roster_inherited;   /* workers that earlier leaders ordered */
     bool reading_registry;
     int64_t next_load_log_ms;
+    int64_t pass_took_us;
+    int64_t last_tick_ms;
+    int64_t worst_lag_ms; /* of a tick, since the latest load line */
+    int64_t passes;       /* ... */
 };
 
 static void kick(fv_leader_t *leader);
@@ -414,6 +426,21 @@
     kick(leader);
 }
 
+/* How often workers are looked at while orders are in doubt: the load on this
+ * host stays the same in a large cell. */
+static int32_t
+doubt_wait_ms(const fv_leader_t *leader)
+{
+    uint32_t workers = HASH_COUNT(leader->sched.workers);
+    int64_t wait_ms =
+        (int64_t)Fv_DOUBT_WAIT_MS * workers / Fv_DOUBT_WAIT_WORKERS;
+
+    if (wait_ms < Fv_DOUBT_WAIT_MS) {
+        return Fv_DOUBT_WAIT_MS;
+    }
+    return wait_ms < Fv_RENEW_WAIT_MS ? (int32_t)wait_ms : Fv_RENEW_WAIT_MS;
+}
+
 /* Renews the lease and asks for a report; with @wait the worker holds the
  * answer back until something ends. */
 static void
@@ -439,6 +466,9 @@
     if (wait && worker->synced && !worker->suspect) {
         wait_ms =
             worker->task_count > 0 ? Fv_RENEW_WAIT_MS : Fv_RENEW_IDLE_WAIT_MS;
+        if (doubt && worker->task_count > 0) {
+            wait_ms = doubt_wait_ms(leader);
+        }
     }
     *renewal =
         (fv_renewal_t){.driver = driver, .sent_ms = now_ms, .wait = wait};
@@ -1187,6 +1217,9 @@
     if (leader->serving &&
         leader->events.may_order(leader->events.context, now_ms)) {
         FvSched_Pass(&leader->sched, now_ms, FvClock_WallMs());
+        leader->pass_took_us =
+            (FvClock_NowNs() - now_ms * Fv_NS_PER_MS) / Fv_NS_PER_US;
+        leader->passes++;
     }
 }
 
@@ -1194,7 +1227,11 @@
 static void
 kick(fv_leader_t *leader)
 {
-    struct timeval wait = {.tv_usec = Fv_PASS_WAIT_MS * 1000};
+    int64_t wait_us = leader->pass_took_us * Fv_PASS_REST;
+    struct timeval wait = {
+        .tv_usec = wait_us < Fv_PASS_WAIT_MIN_US   ? Fv_PASS_WAIT_MIN_US
+                   : wait_us > Fv_PASS_WAIT_MAX_US ? Fv_PASS_WAIT_MAX_US
+                                                   : wait_us};
 
     if (leader->sched.dirty && !leader->closed &&
         !event_pending(leader->pass, EV_TIMEOUT, NULL)) {
@@ -1298,11 +1335,26 @@
                 "workers=%u usable=%u cpu_used=%" PRId64 " cpu=%" PRId64
                 " memory_used=%" PRId64 " memory=%" PRId64
                 " stages_waiting=%u late=%u tasks_waiting=%u asks=%u "
-                "records=%u",
+                "records=%u lag_ms=%" PRId64 " passes=%" PRId64,
                 load.workers, load.usable, load.used_cpu_millis,
                 load.cpu_millis, load.used_memory_mib, load.memory_mib,
                 load.stages_waiting, load.stages_late, load.tasks_waiting,
-                HASH_COUNT(leader->asks), FvRecords_Backlog(leader->records));
+                HASH_COUNT(leader->asks), FvRecords_Backlog(leader->records),
+                leader->worst_lag_ms, leader->passes);
+    leader->worst_lag_ms = 0;
+    leader->passes = 0;
+}
+
+/* A late tick tells that the processor is busy. */
+static void
+note_lag(fv_leader_t *leader, int64_t now_ms)
+{
+    int64_t lag_ms = now_ms - leader->last_tick_ms - Fv_LEADER_TICK_MS;
+
+    if (leader->last_tick_ms != 0 && lag_ms > leader->worst_lag_ms) {
+        leader->worst_lag_ms = lag_ms;
+    }
+    leader->last_tick_ms = now_ms;
 }
 
 static void
@@ -1319,6 +1371,7 @@
 
     (void)fd;
     (void)what;
+    note_lag(leader, now_ms);
     if (!leader->serving) {
         return;
     }
--- a/src/sched-advice.c
+++ b/src/sched-advice.c
@@ -72,23 +72,17 @@
 }
 
 /**
- * FvSched_Ticket - the verdict that lets a worker run a stage now
- * @stage: the stage, of a queue that needs advice
- * @worker: the worker
+ * FvSched_TicketValid - whether a verdict lets its worker run the stage now
+ * @verdict: the verdict
  * @now_ms: the time
  *
- * Return: the verdict, or NULL when there is none or its ticket has expired.
+ * Return: false when it does not, or when its ticket has run out.
  */
-const fv_verdict_t *
-FvSched_Ticket(const fv_sched_stage_t *stage, const fv_sched_worker_t *worker,
-               int64_t now_ms)
+bool
+FvSched_TicketValid(const fv_verdict_t *verdict, int64_t now_ms)
 {
-    const fv_verdict_t *verdict = find_verdict(stage, worker);
-
-    return verdict != NULL && verdict->allowed &&
-                   verdict->expires_ms > now_ms + Fv_TICKET_MARGIN_MS
-               ? verdict
-               : NULL;
+    return verdict->allowed &&
+           verdict->expires_ms > now_ms + Fv_TICKET_MARGIN_MS;
 }
 
 static double *
@@ -134,52 +128,76 @@
     return score;
 }
 
-/* Returns whether the worker is to be considered for the next call. */
-static bool
-judge_worker(fv_sched_t *sched, const fv_sched_stage_t *stage,
-             fv_sched_worker_t *worker, fv_outlook_t *outlook,
-             fv_candidate_t *candidate, int64_t now_ms)
+/* Adds a worker that may run the stage; its ticket may have run out. */
+static void
+judge_allowed(const fv_sched_stage_t *stage, const fv_verdict_t *verdict,
+              fv_outlook_t *outlook, fv_candidate_t *candidates,
+              int64_t now_ms)
 {
-    const fv_verdict_t *verdict = find_verdict(stage, worker);
-    int32_t room = FvSched_TasksThatFit(worker, stage->step);
-    int32_t potential = FvSched_TasksWhenEmpty(worker, stage->step);
+    int32_t room = FvSched_TasksThatFit(verdict->worker, stage->step);
 
-    if (potential == 0 || !FvSched_WorkerUsable(worker, stage, now_ms) ||
-        (verdict != NULL && !verdict->allowed)) {
-        return false;
+    if (!FvSched_WorkerUsable(verdict->worker, stage, now_ms)) {
+        return;
     }
-    *candidate = (fv_candidate_t){.worker = worker, .known = verdict != NULL};
-    if (verdict != NULL) {
-        outlook->potential += potential;
-        if (FvSched_Ticket(stage, worker, now_ms) != NULL) {
-            outlook->room_now += room;
-            if (verdict->expires_ms > now_ms + Fv_TICKET_RENEW_MS) {
-                return false;
-            }
-        }
-        else {
-            outlook->room_renewed += room;
-        }
-        candidate->expected = room;
-        return true;
+    outlook->potential += FvSched_TasksWhenEmpty(verdict->worker, stage->step);
+    if (FvSched_TicketValid(verdict, now_ms)) {
+        outlook->room_now += room;
+    }
+    else {
+        outlook->room_renewed += room;
+    }
+    if (verdict->expires_ms <= now_ms + Fv_TICKET_RENEW_MS) {
+        candidates[outlook->candidates++] = (fv_candidate_t){
+            .worker = verdict->worker, .known = true, .expected = room};
     }
+}
+
+static void
+judge_unknown(fv_sched_t *sched, const fv_sched_stage_t *stage,
+              fv_sched_worker_t *worker, double share, fv_outlook_t *outlook,
+              fv_candidate_t *candidates)
+{
+    int32_t room = FvSched_TasksThatFit(worker, stage->step);
+
     outlook->room_unknown += room;
-    candidate->expected = room * *allowed_share(sched, stage->job->queue.name);
-    candidate->score = score_worker(sched, stage, worker, room);
-    return true;
+    candidates[outlook->candidates++] =
+        (fv_candidate_t){.worker = worker,
+                         .expected = room * share,
+                         .score = score_worker(sched, stage, worker, room)};
 }
 
+static bool knows_enough(const fv_sched_stage_t *stage,
+                         const fv_outlook_t *outlook);
+
+/* Workers without a verdict are looked at only when those with one are too
+ * few: most passes end with the first loop. */
 static fv_outlook_t
 look_around(fv_sched_t *sched, const fv_sched_stage_t *stage,
             fv_candidate_t *candidates, int64_t now_ms)
 {
+    double share = *allowed_share(sched, stage->job->queue.name);
     fv_outlook_t outlook = {0};
 
+    for (uint32_t i = 0; i < stage->verdict_count; i++) {
+        const fv_verdict_t *verdict = &stage->verdicts[i];
+
+        verdict->worker->judged_for = stage;
+        if (verdict->allowed) {
+            judge_allowed(stage, verdict, &outlook, candidates, now_ms);
+        }
+    }
+    if (outlook.room_now >= stage->waiting ||
+        (knows_enough(stage, &outlook) &&
+         outlook.room_now + outlook.room_renewed > 0)) {
+        return outlook;
+    }
     for (fv_sched_worker_t *worker = sched->workers; worker != NULL;
          worker = worker->hh.next) {
-        outlook.candidates +=
-            judge_worker(sched, stage, worker, &outlook,
-                         &candidates[outlook.candidates], now_ms);
+        if (worker->judged_for != stage &&
+            FvSched_TasksWhenEmpty(worker, stage->step) > 0 &&
+            FvSched_WorkerUsable(worker, stage, now_ms)) {
+            judge_unknown(sched, stage, worker, share, &outlook, candidates);
+        }
     }
     return outlook;
 }
@@ -276,10 +294,15 @@
         return named;
     }
     qsort(candidates, outlook->candidates, sizeof(*candidates), by_score);
-    for (uint32_t i = 0; i < outlook->candidates && named < wide; i++) {
+    for (uint32_t i = 0; i < outlook->candidates && named < Fv_ASK_WORKERS_MAX;
+         i++) {
         if (candidates[i].known) {
             continue;
         }
+        if (named >= wide && (!stage->step->gang ||
+                              expected >= stage->waiting * Fv_GANG_SURPLUS)) {
+            break; /* a gang wants room for all its tasks at this moment */
+        }
         if (few && named >= Fv_ASK_WORKERS_MIN &&
             expected >= stage->waiting * Fv_ASK_SURPLUS) {
             break;
@@ -307,7 +330,8 @@
     uint32_t count;
 
     if (!stage->job->queue.needs_advice || stage->asks_outstanding > 0 ||
-        now_ms < stage->next_ask_ms || total == 0) {
+        now_ms < stage->next_ask_ms || total == 0 ||
+        stage->job->queue.advice_base_us >= sched->ask_refused_us) {
         return;
     }
     candidates = calloc((size_t)total + 1, sizeof(*candidates));
@@ -324,6 +348,9 @@
         if (count > 0 && sched->port->ask(sched, stage, chosen, count)) {
             stage->asks_outstanding++;
         }
+        else if (count > 0) {
+            sched->ask_refused_us = stage->job->queue.advice_base_us;
+        }
     }
     free(candidates);
 }
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -177,6 +177,7 @@
     }
     FvMetrics_Add(Fv_COUNTER_DECISIONS, count);
     FvSched_ClearReservations(sched);
+    sched->ask_refused_us = INT64_MAX;
     rank_stages(sched, ranked, now_ms);
     qsort(ranked, count, sizeof(*ranked), by_urgency);
     for (uint32_t i = 0; i < count; i++) {
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -67,33 +67,66 @@
     return a->score < b->score ? 1 : a->score > b->score ? -1 : 0;
 }
 
+static uint32_t
+add_slot(const fv_sched_stage_t *stage, fv_sched_worker_t *worker,
+         const fv_verdict_t *verdict, fv_slot_t *slots, uint32_t count,
+         int64_t now_ms)
+{
+    fv_slot_t slot = {.worker = worker, .verdict = verdict};
+
+    if (!FvSched_Fits(worker, stage->step) ||
+        !FvSched_WorkerUsable(worker, stage, now_ms)) {
+        return count;
+    }
+    slot.room = room_for(worker, stage);
+    if (slot.room <= 0) {
+        return count;
+    }
+    slot.score = score_slot(stage, &slot);
+    slots[count] = slot;
+    return count + 1;
+}
+
+/* A gang that does not fit as a whole is not placed; its slots need no order.
+ */
+static bool
+room_is_enough(const fv_sched_stage_t *stage, const fv_slot_t *slots,
+               uint32_t count)
+{
+    int32_t room = 0;
+
+    if (!stage->step->gang) {
+        return true;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        room += slots[i].room;
+    }
+    return room >= stage->waiting;
+}
+
 static uint32_t
 find_slots(const fv_sched_t *sched, const fv_sched_stage_t *stage,
            fv_slot_t *slots, int64_t now_ms)
 {
     uint32_t count = 0;
 
-    for (fv_sched_worker_t *worker = sched->workers; worker != NULL;
-         worker = worker->hh.next) {
-        fv_slot_t slot = {.worker = worker};
-
-        if (!FvSched_WorkerUsable(worker, stage, now_ms)) {
-            continue;
+    if (!stage->job->queue.needs_advice) {
+        for (fv_sched_worker_t *worker = sched->workers; worker != NULL;
+             worker = worker->hh.next) {
+            count = add_slot(stage, worker, NULL, slots, count, now_ms);
         }
-        slot.room = room_for(worker, stage);
-        if (slot.room <= 0) {
-            continue;
-        }
-        if (stage->job->queue.needs_advice) {
-            slot.verdict = FvSched_Ticket(stage, worker, now_ms);
-            if (slot.verdict == NULL) {
-                continue;
-            }
+    }
+    for (uint32_t i = 0; i < stage->verdict_count; i++) {
+        const fv_verdict_t *verdict = &stage->verdicts[i];
+
+        if (FvSched_TicketValid(verdict, now_ms)) {
+            count = add_slot(stage, verdict->worker, verdict, slots, count,
+                             now_ms);
         }
-        slot.score = score_slot(stage, &slot);
-        slots[count++] = slot;
     }
-    qsort(slots, count, sizeof(*slots), by_score);
+    if (count > 1 && room_is_enough(stage, slots, count)) {
+        qsort(slots, count, sizeof(*slots), by_score);
+    }
     return count;
 }
 
--- a/src/sched-reserve.c
+++ b/src/sched-reserve.c
@@ -93,7 +93,9 @@
     fv_claimed_t *claimed;
     uint32_t count;
 
-    if (!stage->step->gang || stage->waiting < stage->step->task_count) {
+    if (!stage->step->gang || stage->waiting < stage->step->task_count ||
+        sched->reserved_workers >=
+            HASH_COUNT(sched->workers) * Fv_RESERVE_SHARE) {
         return;
     }
     claimed = calloc((size_t)HASH_COUNT(sched->workers) + 1, sizeof(*claimed));
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -145,6 +145,7 @@
     uint32_t strays; /* runs that belong to no open task; size not known */
     fv_sched_task_t *tasks;
     const fv_sched_stage_t *reserved_for; /* in this pass: a waiting gang */
+    const fv_sched_stage_t *judged_for;   /* has a verdict for this stage */
     int32_t failure_streak;               /* of tasks of different jobs */
     const fv_sched_job_t *last_failed_job;
     int64_t quarantined_until_ms;
@@ -196,6 +197,7 @@
     bool inherited_held; /* inherited tasks may run on unseen workers */
     bool dirty;
     uint32_t reserved_workers; /* in this pass */
+    int64_t ask_refused_us; /* in this pass: no host is free for such a call */
     uint64_t random;
     int64_t lease_ms;
     int64_t gang_fill_ms;   /* how long missing members may be replaced */
@@ -289,9 +291,7 @@
 void FvSched_NoteDoubt(fv_sched_t *sched, int64_t now_ms);
 
 /* sched-advice.c */
-const fv_verdict_t *FvSched_Ticket(const fv_sched_stage_t *stage,
-                                   const fv_sched_worker_t *worker,
-                                   int64_t now_ms);
+bool FvSched_TicketValid(const fv_verdict_t *verdict, int64_t now_ms);
 void FvSched_AskAdvice(fv_sched_t *sched, fv_sched_stage_t *stage,
                        int64_t now_ms);
 void FvSched_Advised(fv_sched_t *sched, fv_sched_stage_t *stage,
