Write the entry host's log to standard output without waiting

Cause: the log went to standard error and waited for its reader. Change: lines are gathered and written every 100 ms or 16 KiB to a descriptor that does not block; at most 256 KiB wait, what does not fit is counted in a line of its own. Result: tests/unit/log_test: 20000 lines into a pipe that nobody reads return at once.

--- a/src/entry.c
+++ b/src/entry.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #define Fv_BEAT_MS 400
+#define Fv_LOG_FLUSH_MS 100
 #define Fv_LINK_SILENT_MS 1600 /* four beats */
 #define Fv_REDIAL_MS 500
 
@@ -77,6 +78,7 @@
     fv_cell_config_t *config;
     struct event *beat;
     struct event *depose;
+    struct event *flush;
     struct event *drain;
     struct event *sigterm;
     struct event *sigint;
@@ -794,10 +796,23 @@
     return entry->config_watch != NULL && entry->election != NULL;
 }
 
+static void
+flush_log(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    (void)context;
+    FvLog_Flush();
+}
+
 static void
 open_events(fv_entry_t *entry)
 {
     struct timeval interval = {.tv_usec = Fv_BEAT_MS * 1000};
+    struct timeval flush = {.tv_usec = Fv_LOG_FLUSH_MS * 1000};
+
+    entry->flush = event_new(entry->base, -1, EV_PERSIST, flush_log, NULL);
+    event_add(entry->flush, &flush);
 
     entry->beat = event_new(entry->base, -1, EV_PERSIST, beat, entry);
     entry->depose = event_new(entry->base, -1, 0, depose, entry);
@@ -828,7 +843,8 @@
     if (!FvEntrySettings_Load(settings_path, &entry.settings, stderr)) {
         return 2;
     }
-    if (FvLog_Open(entry.settings.log_level, entry.settings.host) != 0) {
+    if (FvLog_OpenBuffered(entry.settings.log_level, entry.settings.host) !=
+        0) {
         fputs("fireflyvalve: the log cannot be opened\n", stderr);
         return 1;
     }
@@ -846,7 +862,9 @@
                 "version=%s callers=%s cores=%.3f store=%s", Fv_VERSION,
                 entry.settings.callers_address, entry.settings.cpu_cores,
                 entry.settings.store_address);
+    FvLog_Flush();
     event_base_dispatch(entry.base);
+    FvLog_Flush();
     FvLog_Close();
     return 0;
 }
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -75,6 +75,8 @@
 } fv_log_level_t;
 
 int FvLog_Open(fv_log_level_t level, const char *host);
+int FvLog_OpenBuffered(fv_log_level_t level, const char *host);
+void FvLog_Flush(void);
 void FvLog_Close(void);
 bool FvLog_ParseLevel(const char *text, fv_log_level_t *level);
 void FvLog_Event(fv_log_level_t level, const char *event, const char *format,
--- a/src/log.c
+++ b/src/log.c
@@ -1,10 +1,11 @@
 /*
- * Log lines: one line of key=value pairs for each event, on standard error,
- * through log4c.
+ * Log lines: one line of key=value pairs for each event, through log4c, on
+ * standard error or, buffered, on standard output.
  */
 
 #include "fireflyvalve.h"
 
+#include <fcntl.h>
 #include <log4c.h>
 #include <pthread.h>
 #include <stdarg.h>
@@ -57,6 +58,59 @@
     return 0;
 }
 
+/* Lines that wait to be written; a reader of the log that falls behind costs
+ * lines, never time. */
+#define Fv_LOG_BUFFER_BYTES (256 * 1024)
+#define Fv_LOG_FLUSH_BYTES (16 * 1024)
+
+static char pending[Fv_LOG_BUFFER_BYTES];
+static size_t pending_bytes;
+static uint64_t lines_dropped;
+
+static void
+flush_locked(void)
+{
+    size_t written = 0;
+
+    while (written < pending_bytes) {
+        ssize_t count =
+            write(STDOUT_FILENO, pending + written, pending_bytes - written);
+
+        if (count <= 0) {
+            break; /* the pipe is full: the rest waits */
+        }
+        written += (size_t)count;
+    }
+    memmove(pending, pending + written, pending_bytes - written);
+    pending_bytes -= written;
+}
+
+static int
+append_to_buffer(log4c_appender_t *appender,
+                 const log4c_logging_event_t *event)
+{
+    const char *text = event->evt_rendered_msg;
+    size_t length = strlen(text);
+
+    (void)appender;
+    pthread_mutex_lock(&write_lock);
+    if (pending_bytes + length > Fv_LOG_FLUSH_BYTES) {
+        flush_locked();
+    }
+    if (pending_bytes + length <= sizeof(pending)) {
+        memcpy(pending + pending_bytes, text, length);
+        pending_bytes += length;
+    }
+    else {
+        lines_dropped++;
+    }
+    pthread_mutex_unlock(&write_lock);
+    return 0;
+}
+
+static const log4c_appender_type_t buffer_appender_type = {
+    .name = "fireflyvalve-stdout", .append = append_to_buffer};
+
 static const log4c_appender_type_t stderr_appender_type = {
     .name = "fireflyvalve-stderr", .append = append_to_stderr};
 
@@ -72,6 +126,9 @@
 static const log4c_layout_type_t plain_layout_type = {
     .name = "fireflyvalve-plain", .format = format_nothing};
 
+static int open_with(const log4c_appender_type_t *type, fv_log_level_t level,
+                     const char *host);
+
 /**
  * FvLog_Open - start logging to standard error
  * @level: the least important level that is written
@@ -84,6 +141,54 @@
  */
 int
 FvLog_Open(fv_log_level_t level, const char *host)
+{
+    return open_with(&stderr_appender_type, level, host);
+}
+
+/**
+ * FvLog_OpenBuffered - start logging to standard output, without waiting
+ * @level: the least important level that is written
+ * @host: the host name that each line carries
+ *
+ * Lines are gathered; FvLog_Flush() writes them.
+ *
+ * Return: 0, or -1 when log4c cannot be set up.
+ */
+int
+FvLog_OpenBuffered(fv_log_level_t level, const char *host)
+{
+    int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+    if (flags >= 0 && fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) != 0) {
+        fputs("fireflyvalve: standard output may block\n", stderr);
+    }
+    return open_with(&buffer_appender_type, level, host);
+}
+
+/**
+ * FvLog_Flush - write the gathered lines as far as the reader takes them
+ *
+ * Lines that did not fit are counted in a line of their own.
+ */
+void
+FvLog_Flush(void)
+{
+    uint64_t dropped;
+
+    pthread_mutex_lock(&write_lock);
+    flush_locked();
+    dropped = pending_bytes < Fv_LOG_FLUSH_BYTES ? lines_dropped : 0;
+    lines_dropped -= dropped;
+    pthread_mutex_unlock(&write_lock);
+    if (dropped > 0) {
+        FvLog_Event(Fv_LOG_WARN, "log_lines_dropped", "lines=%llu",
+                    (unsigned long long)dropped);
+    }
+}
+
+static int
+open_with(const log4c_appender_type_t *type, fv_log_level_t level,
+          const char *host)
 {
     log4c_category_t *opened = log4c_category_get(Fv_LOG_CATEGORY);
     log4c_appender_t *appender = log4c_appender_get(Fv_LOG_CATEGORY);
@@ -95,7 +200,7 @@
     log4c_layout_set_type(layout, &plain_layout_type);
     log4c_appender_set_layout(appender, layout);
     snprintf(host_name, sizeof(host_name), "%s", host);
-    log4c_appender_set_type(appender, &stderr_appender_type);
+    log4c_appender_set_type(appender, type);
     log4c_category_set_appender(opened, appender);
     log4c_category_set_additivity(opened, 0);
     log4c_category_set_priority(opened, level_priorities[level]);
--- a/tests/unit/log_test.c
+++ b/tests/unit/log_test.c
@@ -5,6 +5,7 @@
 #include "fireflyvalve.h"
 #include "suite.h"
 
+#include <fcntl.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -143,6 +144,52 @@
     }
 }
 
+static size_t
+drain_pipe(int fd)
+{
+    size_t length = 0;
+    ssize_t count;
+
+    while (length + 1 < sizeof(text) &&
+           (count = read(fd, text + length, sizeof(text) - 1 - length)) > 0) {
+        length += (size_t)count;
+    }
+    text[length] = '\0';
+    return length;
+}
+
+static void
+test_reader_that_stands_still(void)
+{
+    int saved = dup(STDOUT_FILENO);
+    int ends[2];
+    size_t before;
+
+    CU_ASSERT_EQUAL_FATAL(pipe(ends), 0);
+    fflush(stdout);
+    dup2(ends[1], STDOUT_FILENO);
+    CU_ASSERT_EQUAL(FvLog_OpenBuffered(Fv_LOG_INFO, "host-a"), 0);
+    for (int i = 0; i < 20000; i++) {
+        FvLog_Event(Fv_LOG_INFO, "many", "number=%d", i);
+    }
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    before = drain_pipe(ends[0]);
+    for (int i = 0; i < 20; i++) {
+        FvLog_Flush();
+        before += drain_pipe(ends[0]);
+        if (strstr(text, "event=log_lines_dropped") != NULL) {
+            break;
+        }
+    }
+    FvLog_Close();
+    dup2(saved, STDOUT_FILENO);
+    close(saved);
+    close(ends[0]);
+    close(ends[1]);
+    CU_ASSERT(before > 0);
+    CU_ASSERT_PTR_NOT_NULL(strstr(text, "event=log_lines_dropped lines="));
+}
+
 int
 main(void)
 {
@@ -150,6 +197,8 @@
         {"a value adds a line or a pair", test_escaping},
         {"a long value overruns the line", test_long_value},
         {"lines of several threads are mixed", test_threads},
+        {"a reader of the log that stands still stops the process",
+         test_reader_that_stands_still},
     };
 
     return Fv_RUN_SUITE("log", cases);
