--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -116,7 +116,7 @@
 struct fv_leader {
     struct event_base *base;
     fv_call_pool_t *pool;
-    fv_kv_t *kv;
+    fv_kv_client_t *kv;
     const fv_entry_settings_t *settings;
     fv_leader_events_t events;
     int64_t epoch;
@@ -1115,7 +1115,7 @@
          worker = worker->hh.next) {
         drive(leader, worker);
     }
-    leader->registry = FvKv_Follow(
+    leader->registry = FvKvClient_Follow(
         leader->kv, &(fv_kv_follower_t){.prefix = FvPlatform_RegistryPrefix,
                                         .begin = registry_begin,
                                         .item = registry_item,
@@ -1173,7 +1173,8 @@
 load_page(fv_load_t *load)
 {
     load->leader->calls++;
-    FvKv_Range(load->leader->kv, load->prefix, load->after, page_loaded, load);
+    FvKvClient_Range(load->leader->kv, load->prefix, load->after, page_loaded,
+                     load);
 }
 
 static void
@@ -1605,7 +1606,7 @@
  * Return: the leader, or NULL when memory is exhausted.
  */
 fv_leader_t *
-FvLeader_New(struct event_base *base, fv_call_pool_t *pool, fv_kv_t *kv,
+FvLeader_New(struct event_base *base, fv_call_pool_t *pool, fv_kv_client_t *kv,
              const fv_entry_settings_t *settings,
              const fv_leader_events_t *events, int64_t epoch,
              int32_t generation)
@@ -1695,7 +1696,7 @@
     leader->serving = false;
     event_del(leader->tick);
     event_del(leader->pass);
-    FvKv_Unfollow(leader->registry);
+    FvKvClient_Unfollow(leader->registry);
     for (fv_sched_job_t *job = leader->sched.jobs; job != NULL;
          job = job->hh.next) {
         free_waiters(job);
--- a/src/election.c
+++ b/src/election.c
@@ -40,7 +40,7 @@
 
 struct fv_election {
     struct event_base *base;
-    fv_kv_t *kv;
+    fv_kv_client_t *kv;
     const fv_entry_settings_t *settings;
     fv_election_events_t events;
     fv_kv_watch_t *watch;
@@ -210,11 +210,11 @@
         return;
     }
     if (result->error == Fv_KV_OK || result->error == Fv_KV_NOT_FOUND) {
-        FvKv_Revoke(election->kv, election->lease);
+        FvKvClient_Revoke(election->kv, election->lease);
         claim_failed(election);
         return;
     }
-    FvKv_Get(election->kv, Fv_KEY_LEADER, claim_checked, election);
+    FvKvClient_Get(election->kv, Fv_KEY_LEADER, claim_checked, election);
 }
 
 static void
@@ -230,13 +230,13 @@
     }
     else if (result->error == Fv_KV_IN_DOUBT) {
         election->state = Fv_CLAIM_CHECKING;
-        FvKv_Get(election->kv, Fv_KEY_LEADER, claim_checked, election);
+        FvKvClient_Get(election->kv, Fv_KEY_LEADER, claim_checked, election);
     }
     else {
         for (uint32_t i = 0; i < result->items.count; i++) {
             see_generation(election, &result->items.items[i]);
         }
-        FvKv_Revoke(election->kv, election->lease);
+        FvKvClient_Revoke(election->kv, election->lease);
         claim_failed(election);
     }
 }
@@ -264,7 +264,7 @@
              election->claimed_generation, election->nonce);
     snprintf(generation, sizeof(generation), "%d",
              election->claimed_generation);
-    FvKv_Txn(
+    FvKvClient_Txn(
         election->kv,
         (fv_kv_expect_t[]){{Fv_KEY_LEADER, 0},
                            {Fv_KEY_GENERATION, election->generation_revision}},
@@ -290,7 +290,7 @@
     election->claim_at_ms = 0;
     election->state = Fv_CLAIM_GRANTING;
     election->granted_ms = now_ms;
-    FvKv_Grant(election->kv, ttl_ms, claim_granted, election);
+    FvKvClient_Grant(election->kv, ttl_ms, claim_granted, election);
 }
 
 static void
@@ -320,7 +320,7 @@
     election->renewing = true;
     election->renewal_sent_ms = now_ms;
     election->next_renew_ms = now_ms + Fv_LEADER_RENEW_MS;
-    FvKv_Renew(election->kv, election->lease, renewed, election);
+    FvKvClient_Renew(election->kv, election->lease, renewed, election);
 }
 
 static void
@@ -343,7 +343,7 @@
     snprintf(value, sizeof(value), "%s:%d %.3f", settings->address,
              settings->link_port, settings->cpu_cores);
     election->registering = true;
-    FvKv_Txn(
+    FvKvClient_Txn(
         election->kv, NULL, 0,
         &(fv_kv_put_t){.key = key, .value = value, .length = strlen(value)}, 1,
         registration_written, election);
@@ -424,7 +424,7 @@
     election->abstain_until_ms = FvClock_NowMs() + pause_ms;
     if (election->state == Fv_CLAIM_HELD) {
         lose(election, cause);
-        FvKv_Revoke(election->kv, lease);
+        FvKvClient_Revoke(election->kv, lease);
     }
 }
 
@@ -531,7 +531,7 @@
  * Return: the election, or NULL when memory is exhausted.
  */
 fv_election_t *
-FvElection_New(struct event_base *base, fv_kv_t *kv,
+FvElection_New(struct event_base *base, fv_kv_client_t *kv,
                const fv_entry_settings_t *settings,
                const fv_election_events_t *events)
 {
@@ -548,11 +548,11 @@
     election->tick = event_new(base, -1, EV_PERSIST, tick, election);
     event_add(election->tick, &interval);
     election->watch =
-        FvKv_Follow(kv, &(fv_kv_follower_t){.prefix = Fv_KEY_CONTROL,
-                                            .begin = control_begin,
-                                            .item = control_item,
-                                            .loaded = control_loaded,
-                                            .context = election});
+        FvKvClient_Follow(kv, &(fv_kv_follower_t){.prefix = Fv_KEY_CONTROL,
+                                                  .begin = control_begin,
+                                                  .item = control_item,
+                                                  .loaded = control_loaded,
+                                                  .context = election});
     enter_registry(election);
     return election;
 }
@@ -567,7 +567,7 @@
     if (election == NULL) {
         return;
     }
-    FvKv_Unfollow(election->watch);
+    FvKvClient_Unfollow(election->watch);
     event_free(election->tick);
     free(election);
 }
--- a/src/entry.c
+++ b/src/entry.c
@@ -68,7 +68,7 @@
     const char *settings_path;
     fv_entry_settings_t settings;
     fv_call_pool_t *pool;
-    fv_kv_t *kv;
+    fv_kv_client_t *kv;
     fv_election_t *election;
     fv_links_t *links;
     fv_front_t *front;
@@ -760,8 +760,8 @@
 open_parts(fv_entry_t *entry)
 {
     entry->pool = FvCallPool_New(entry->base);
-    entry->kv =
-        FvKv_New(entry->base, entry->pool, entry->settings.store_address);
+    entry->kv = FvKvClient_New(entry->base, entry->pool,
+                               entry->settings.store_address);
     if (entry->pool == NULL || entry->kv == NULL) {
         return false;
     }
@@ -781,7 +781,7 @@
     if (entry->front == NULL || entry->links == NULL) {
         return false;
     }
-    entry->config_watch = FvKv_Follow(
+    entry->config_watch = FvKvClient_Follow(
         entry->kv, &(fv_kv_follower_t){.prefix = FvPlatform_ConfigKey,
                                        .begin = config_begin,
                                        .item = config_item,
--- a/src/entry.h
+++ b/src/entry.h
@@ -48,7 +48,7 @@
                      void *context);
 
 /* kv.c: the client of the platform's store. */
-typedef struct fv_kv fv_kv_t;
+typedef struct fv_kv_client fv_kv_client_t;
 
 typedef struct fv_kv_result {
     fv_kv_error_t error;
@@ -72,21 +72,25 @@
 
 typedef struct fv_kv_watch fv_kv_watch_t;
 
-fv_kv_t *FvKv_New(struct event_base *base, fv_call_pool_t *pool,
-                  const char *address);
-void FvKv_Free(fv_kv_t *kv);
-void FvKv_Range(fv_kv_t *kv, const char *prefix, const char *after,
-                fv_kv_done_t done, void *context);
-void FvKv_Get(fv_kv_t *kv, const char *key, fv_kv_done_t done, void *context);
-void FvKv_Txn(fv_kv_t *kv, const fv_kv_expect_t *expects, uint32_t expects_n,
-              const fv_kv_put_t *puts, uint32_t puts_n, fv_kv_done_t done,
-              void *context);
-void FvKv_Grant(fv_kv_t *kv, int64_t ttl_ms, fv_kv_done_t done, void *context);
-void FvKv_Renew(fv_kv_t *kv, int64_t lease, fv_kv_done_t done, void *context);
-void FvKv_Revoke(fv_kv_t *kv, int64_t lease);
-fv_kv_watch_t *FvKv_Follow(fv_kv_t *kv, const fv_kv_follower_t *follower);
-void FvKv_Unfollow(fv_kv_watch_t *watch);
-bool FvKv_Reachable(const fv_kv_t *kv);
+fv_kv_client_t *FvKvClient_New(struct event_base *base, fv_call_pool_t *pool,
+                               const char *address);
+void FvKvClient_Free(fv_kv_client_t *kv);
+void FvKvClient_Range(fv_kv_client_t *kv, const char *prefix,
+                      const char *after, fv_kv_done_t done, void *context);
+void FvKvClient_Get(fv_kv_client_t *kv, const char *key, fv_kv_done_t done,
+                    void *context);
+void FvKvClient_Txn(fv_kv_client_t *kv, const fv_kv_expect_t *expects,
+                    uint32_t expects_n, const fv_kv_put_t *puts,
+                    uint32_t puts_n, fv_kv_done_t done, void *context);
+void FvKvClient_Grant(fv_kv_client_t *kv, int64_t ttl_ms, fv_kv_done_t done,
+                      void *context);
+void FvKvClient_Renew(fv_kv_client_t *kv, int64_t lease, fv_kv_done_t done,
+                      void *context);
+void FvKvClient_Revoke(fv_kv_client_t *kv, int64_t lease);
+fv_kv_watch_t *FvKvClient_Follow(fv_kv_client_t *kv,
+                                 const fv_kv_follower_t *follower);
+void FvKvClient_Unfollow(fv_kv_watch_t *watch);
+bool FvKvClient_Reachable(const fv_kv_client_t *kv);
 
 /* Keys of the project in the store. */
 #define Fv_KEY_CONTROL "fireflyvalve/control/"
@@ -116,7 +120,7 @@
     void *context;
 } fv_records_owner_t;
 
-fv_records_t *FvRecords_New(struct event_base *base, fv_kv_t *kv,
+fv_records_t *FvRecords_New(struct event_base *base, fv_kv_client_t *kv,
                             const fv_records_owner_t *owner,
                             const int64_t *lane_revisions);
 void FvRecords_Free(fv_records_t *records);
@@ -160,7 +164,7 @@
     void *context;
 } fv_election_events_t;
 
-fv_election_t *FvElection_New(struct event_base *base, fv_kv_t *kv,
+fv_election_t *FvElection_New(struct event_base *base, fv_kv_client_t *kv,
                               const fv_entry_settings_t *settings,
                               const fv_election_events_t *events);
 void FvElection_Free(fv_election_t *election);
@@ -278,7 +282,8 @@
 typedef void (*fv_leader_reply_t)(void *context, const fv_message_t *reply);
 
 fv_leader_t *FvLeader_New(struct event_base *base, fv_call_pool_t *pool,
-                          fv_kv_t *kv, const fv_entry_settings_t *settings,
+                          fv_kv_client_t *kv,
+                          const fv_entry_settings_t *settings,
                           const fv_leader_events_t *events, int64_t epoch,
                           int32_t generation);
 void FvLeader_Free(fv_leader_t *leader);
--- a/src/kv.c
+++ b/src/kv-client.c
@@ -28,13 +28,13 @@
 } fv_kv_answer_t;
 
 typedef struct fv_kv_call {
-    fv_kv_t *kv;
+    fv_kv_client_t *kv;
     fv_kv_answer_t expected;
     fv_kv_done_t done;
     void *context;
 } fv_kv_call_t;
 
-struct fv_kv {
+struct fv_kv_client {
     struct event_base *base;
     fv_call_pool_t *pool;
     char address[Fv_ADDRESS_SIZE];
@@ -43,7 +43,7 @@
 };
 
 struct fv_kv_watch {
-    fv_kv_t *kv;
+    fv_kv_client_t *kv;
     fv_kv_follower_t follower;
     struct event *retry;
     int64_t revision;         /* changes after it are wanted; 0: read anew */
@@ -57,17 +57,18 @@
 static void advance_watch(fv_kv_watch_t *watch);
 
 /**
- * FvKv_New - make a client
+ * FvKvClient_New - make a client
  * @base: the event loop
  * @pool: sends the calls
  * @address: the store's address
  *
  * Return: the client, or NULL when memory is exhausted.
  */
-fv_kv_t *
-FvKv_New(struct event_base *base, fv_call_pool_t *pool, const char *address)
+fv_kv_client_t *
+FvKvClient_New(struct event_base *base, fv_call_pool_t *pool,
+               const char *address)
 {
-    fv_kv_t *kv = calloc(1, sizeof(*kv));
+    fv_kv_client_t *kv = calloc(1, sizeof(*kv));
 
     if (kv != NULL) {
         kv->base = base;
@@ -78,11 +79,11 @@
 }
 
 /**
- * FvKv_Free - release a client after its pool
+ * FvKvClient_Free - release a client after its pool
  * @kv: the client, or NULL
  */
 void
-FvKv_Free(fv_kv_t *kv)
+FvKvClient_Free(fv_kv_client_t *kv)
 {
     if (kv == NULL) {
         return;
@@ -99,19 +100,19 @@
 }
 
 /**
- * FvKv_Reachable - whether the store answered the latest call
+ * FvKvClient_Reachable - whether the store answered the latest call
  * @kv: the client
  *
  * Return: true when it did.
  */
 bool
-FvKv_Reachable(const fv_kv_t *kv)
+FvKvClient_Reachable(const fv_kv_client_t *kv)
 {
     return kv->reachable;
 }
 
 static void
-note_reachable(fv_kv_t *kv, fv_kv_error_t error, int32_t status)
+note_reachable(fv_kv_client_t *kv, fv_kv_error_t error, int32_t status)
 {
     bool reachable = error != Fv_KV_UNAVAILABLE && error != Fv_KV_IN_DOUBT;
 
@@ -168,7 +169,7 @@
 }
 
 static void
-send_call(fv_kv_t *kv, fv_call_t *call, fv_kv_answer_t expected,
+send_call(fv_kv_client_t *kv, fv_call_t *call, fv_kv_answer_t expected,
           int64_t timeout_ms, fv_kv_done_t done, void *context)
 {
     fv_kv_call_t *pending = calloc(1, sizeof(*pending));
@@ -183,14 +184,15 @@
 }
 
 /**
- * FvKv_Get - read one key
+ * FvKvClient_Get - read one key
  * @kv: the client
  * @key: the key
  * @done: called with the item
  * @context: passed to @done
  */
 void
-FvKv_Get(fv_kv_t *kv, const char *key, fv_kv_done_t done, void *context)
+FvKvClient_Get(fv_kv_client_t *kv, const char *key, fv_kv_done_t done,
+               void *context)
 {
     fv_call_t call;
 
@@ -200,7 +202,7 @@
 }
 
 /**
- * FvKv_Range - read a page of the keys with a prefix
+ * FvKvClient_Range - read a page of the keys with a prefix
  * @kv: the client
  * @prefix: the prefix
  * @after: the last key of the page before, or NULL
@@ -208,8 +210,8 @@
  * @context: passed to @done
  */
 void
-FvKv_Range(fv_kv_t *kv, const char *prefix, const char *after,
-           fv_kv_done_t done, void *context)
+FvKvClient_Range(fv_kv_client_t *kv, const char *prefix, const char *after,
+                 fv_kv_done_t done, void *context)
 {
     fv_call_t call;
 
@@ -219,7 +221,7 @@
 }
 
 /**
- * FvKv_Txn - change keys, all or nothing
+ * FvKvClient_Txn - change keys, all or nothing
  * @kv: the client
  * @expects: the revisions that must hold
  * @expects_n: how many
@@ -229,9 +231,9 @@
  * @context: passed to @done
  */
 void
-FvKv_Txn(fv_kv_t *kv, const fv_kv_expect_t *expects, uint32_t expects_n,
-         const fv_kv_put_t *puts, uint32_t puts_n, fv_kv_done_t done,
-         void *context)
+FvKvClient_Txn(fv_kv_client_t *kv, const fv_kv_expect_t *expects,
+               uint32_t expects_n, const fv_kv_put_t *puts, uint32_t puts_n,
+               fv_kv_done_t done, void *context)
 {
     fv_call_t call;
 
@@ -242,14 +244,15 @@
 }
 
 /**
- * FvKv_Grant - create a lease
+ * FvKvClient_Grant - create a lease
  * @kv: the client
  * @ttl_ms: its life without a renewal
  * @done: called with the lease
  * @context: passed to @done
  */
 void
-FvKv_Grant(fv_kv_t *kv, int64_t ttl_ms, fv_kv_done_t done, void *context)
+FvKvClient_Grant(fv_kv_client_t *kv, int64_t ttl_ms, fv_kv_done_t done,
+                 void *context)
 {
     fv_call_t call;
 
@@ -259,14 +262,15 @@
 }
 
 /**
- * FvKv_Renew - renew a lease
+ * FvKvClient_Renew - renew a lease
  * @kv: the client
  * @lease: the lease
  * @done: called with its new life
  * @context: passed to @done
  */
 void
-FvKv_Renew(fv_kv_t *kv, int64_t lease, fv_kv_done_t done, void *context)
+FvKvClient_Renew(fv_kv_client_t *kv, int64_t lease, fv_kv_done_t done,
+                 void *context)
 {
     fv_call_t call;
 
@@ -286,14 +290,14 @@
 }
 
 /**
- * FvKv_Revoke - end a lease
+ * FvKvClient_Revoke - end a lease
  * @kv: the client
  * @lease: the lease
  *
  * When the call is lost the lease ends by itself.
  */
 void
-FvKv_Revoke(fv_kv_t *kv, int64_t lease)
+FvKvClient_Revoke(fv_kv_client_t *kv, int64_t lease)
 {
     fv_call_t call;
 
@@ -430,8 +434,8 @@
 
     watch->calling = true;
     if (watch->revision == 0) {
-        FvKv_Range(watch->kv, watch->follower.prefix, watch->after, page_read,
-                   watch);
+        FvKvClient_Range(watch->kv, watch->follower.prefix, watch->after,
+                         page_read, watch);
         return;
     }
     FvMetrics_Add(Fv_COUNTER_STORE_WATCHES, 1);
@@ -442,14 +446,14 @@
 }
 
 /**
- * FvKv_Follow - read the keys with a prefix and follow their changes
+ * FvKvClient_Follow - read the keys with a prefix and follow their changes
  * @kv: the client
  * @follower: what is told; copied
  *
  * Return: the watch, or NULL when memory is exhausted.
  */
 fv_kv_watch_t *
-FvKv_Follow(fv_kv_t *kv, const fv_kv_follower_t *follower)
+FvKvClient_Follow(fv_kv_client_t *kv, const fv_kv_follower_t *follower)
 {
     fv_kv_watch_t *watch = calloc(1, sizeof(*watch));
 
@@ -470,11 +474,11 @@
 }
 
 /**
- * FvKv_Unfollow - stop following
+ * FvKvClient_Unfollow - stop following
  * @watch: the watch, or NULL
  */
 void
-FvKv_Unfollow(fv_kv_watch_t *watch)
+FvKvClient_Unfollow(fv_kv_watch_t *watch)
 {
     if (watch == NULL) {
         return;
--- a/src/records.c
+++ b/src/records.c
@@ -87,7 +87,7 @@
 
 struct fv_records {
     struct event_base *base;
-    fv_kv_t *kv;
+    fv_kv_client_t *kv;
     fv_records_owner_t owner;
     fv_record_lane_t lanes[Fv_RECORD_LANES];
     fv_record_key_t *keys;
@@ -145,7 +145,7 @@
  * Return: the writer, or NULL when memory is exhausted.
  */
 fv_records_t *
-FvRecords_New(struct event_base *base, fv_kv_t *kv,
+FvRecords_New(struct event_base *base, fv_kv_client_t *kv,
               const fv_records_owner_t *owner, const int64_t *lane_revisions)
 {
     fv_records_t *records = calloc(1, sizeof(*records));
@@ -383,8 +383,9 @@
     if (!records->granting) {
         records->granting = true;
         records->calls++;
-        FvKv_Grant(records->kv, records->owner.keep_ms * Fv_EXPIRY_LEASE_LIVES,
-                   lease_granted, records);
+        FvKvClient_Grant(records->kv,
+                         records->owner.keep_ms * Fv_EXPIRY_LEASE_LIVES,
+                         lease_granted, records);
     }
     return false;
 }
@@ -473,10 +474,10 @@
     lane->sent_ms = FvClock_NowMs();
     lane->urgent = false;
     records->calls++;
-    FvKv_Txn(records->kv,
-             (fv_kv_expect_t[]){{Fv_KEY_LEADER, records->owner.epoch},
-                                {lane_key, lane->revision}},
-             2, puts, used, batch_answered, lane);
+    FvKvClient_Txn(records->kv,
+                   (fv_kv_expect_t[]){{Fv_KEY_LEADER, records->owner.epoch},
+                                      {lane_key, lane->revision}},
+                   2, puts, used, batch_answered, lane);
 }
 
 static uint32_t
