--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,13 @@
 #   make demo          run the stand-ins, three entry hosts and six workers
 #   make bench         measure; writes build/bench.csv
 #   make chaos SEED=n  run the paired-fault test with one seed
+#   make soak SEED=n SECONDS=s  run the fault soak of the entry hosts
 #   make lint          clang-tidy and cppcheck
 #   make format-check  clang-format
 
 SANITIZE ?=
 SEED ?= 1
+SECONDS ?= 20
 comma := ,
 BUILD ?= build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
 
@@ -39,18 +41,19 @@
 HARNESS_LIBRARY := $(BUILD)/libharness.a
 UNIT_TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/unit/*.c))
 PROMISE_TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/promises/*.c))
+SOAK := $(BUILD)/tests/soak/soak
 BENCHES := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/bench/*.c))
 C_FILES := $(wildcard src/*.c platform/*.c tests/*/*.c)
 ALL_FILES := $(C_FILES) $(wildcard src/*.h src/*.cc platform/*.h tests/*/*.h)
 
-.PHONY: all check check-unit check-promises demo bench chaos lint \
+.PHONY: all check check-unit check-promises demo bench chaos soak lint \
         format format-check clean
 .SECONDARY:
 
 .PHONY: binary
 binary: $(BINARY)
 
-all: $(BINARY) $(FAKES) $(UNIT_TESTS) $(PROMISE_TESTS) $(BENCHES)
+all: $(BINARY) $(FAKES) $(UNIT_TESTS) $(PROMISE_TESTS) $(BENCHES) $(SOAK)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
@@ -79,7 +82,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(TEST_LDLIBS) $(LDLIBS)
 
 check: all
-	BUILD=$(BUILD) scripts/run-tests $(UNIT_TESTS) $(PROMISE_TESTS)
+	BUILD=$(BUILD) scripts/run-tests $(UNIT_TESTS) $(PROMISE_TESTS) $(SOAK)
 
 check-unit: $(UNIT_TESTS)
 	BUILD=$(BUILD) scripts/run-tests $(UNIT_TESTS)
@@ -96,6 +99,9 @@
 chaos: all
 	BUILD=$(BUILD) SEED=$(SEED) $(BUILD)/tests/promises/chaos
 
+soak: all
+	BUILD=$(BUILD) $(SOAK) --seed $(SEED) --seconds $(SECONDS)
+
 lint:
 	@mkdir -p $(BUILD)
 	printf '%s\n' $(C_FILES) | xargs -P 8 -n 3 sh -c \
