Wait for a run that is being stopped

Change: after a confirmed stop a run counts as gone when a report that was asked for stopTimeoutMs later does not list it; a confirmed stop is not repeated meanwhile; gangs that stay incomplete are logged. Result: tests/unit/sched_report_test fails without it (a start 100 ms after a confirmed stop).

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -1288,6 +1288,11 @@
         FvSched_FreeWorker(&leader->sched, worker);
         return;
     }
+    if (worker->look_at_ms != 0 && now_ms >= worker->look_at_ms &&
+        !driver->looking) {
+        worker->look_at_ms = 0;
+        poll_worker(driver, false);
+    }
     if (driver->polling || driver->looking) {
         return;
     }
@@ -1332,6 +1337,7 @@
     }
     leader->next_load_log_ms = now_ms + Fv_LOAD_LOG_MS;
     FvSched_Load(&leader->sched, now_ms, &load);
+    FvSched_LogIncompleteGangs(&leader->sched, now_ms);
     FvLog_Event(Fv_LOG_INFO, "cell_load",
                 "workers=%u usable=%u cpu_used=%" PRId64 " cpu=%" PRId64
                 " memory_used=%" PRId64 " memory=%" PRId64
@@ -1625,9 +1631,13 @@
     leader->epoch = epoch;
     leader->began_ms = FvClock_NowMs();
     leader->last_ask = epoch << Fv_ASK_ID_BITS;
-    FvSched_Init(&leader->sched, &sched_port, Fv_WORKER_LEASE_MS,
-                 settings->gang_timeout_ms - Fv_GANG_STOP_MS,
-                 settings->keep_ended_s * Fv_MS_PER_S);
+    FvSched_Init(
+        &leader->sched, &sched_port,
+        &(fv_sched_times_t){
+            .lease_ms = Fv_WORKER_LEASE_MS,
+            .stop_ms = settings->stop_timeout_ms,
+            .gang_fill_ms = settings->gang_timeout_ms - Fv_GANG_STOP_MS,
+            .keep_ended_ms = settings->keep_ended_s * Fv_MS_PER_S});
     leader->sched.run_base = (generation - 1) * Fv_RUNS_PER_GENERATION;
     leader->sched.inherited_held = true;
     leader->tick = event_new(base, -1, EV_PERSIST, tick, leader);
--- a/src/entry-settings.c
+++ b/src/entry-settings.c
@@ -49,6 +49,7 @@
     INT(store_lease_min_ms, 1, 600000),
     TEXT(advice_address, false),
     INT(lease_max_ms, 500, 600000),
+    INT(stop_timeout_ms, 1, 600000),
     INT(gang_timeout_ms, 500, 600000),
     INT(drain_ms, 100, 600000),
     INT(keep_ended_s, 1, 86400),
--- a/src/entry.h
+++ b/src/entry.h
@@ -28,6 +28,7 @@
     int32_t store_lease_min_ms;
     char advice_address[Fv_ADDRESS_SIZE]; /* "": no advice service */
     int32_t lease_max_ms;
+    int32_t stop_timeout_ms; /* the longest that a worker's stop takes */
     int32_t gang_timeout_ms; /* how long members wait for the others */
     int32_t drain_ms;        /* from SIGTERM until the process is killed */
     int32_t keep_ended_s;
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -36,6 +36,7 @@
     task->state = Fv_SCHED_WAITING;
     task->in_doubt = false;
     task->stop_sent_ms = 0;
+    task->stop_confirmed_ms = 0;
     task->confirmed_ms = 0;
     task->throttle_percent = 100;
     stage->waiting++;
@@ -55,7 +56,8 @@
 {
     if (task->worker == NULL ||
         (task->state == Fv_SCHED_STOPPING &&
-         now_ms - task->stop_sent_ms < Fv_STOP_REPEAT_MS)) {
+         (task->stop_confirmed_ms != 0 ||
+          now_ms - task->stop_sent_ms < Fv_STOP_REPEAT_MS))) {
         return;
     }
     task->state = Fv_SCHED_STOPPING;
@@ -224,8 +226,8 @@
  * @result: the answer
  * @now_ms: the time
  *
- * After a confirmed stop the run is in the worker's list of ends or, when it
- * never arrived, will be turned away there.
+ * After a confirmed stop the run ends within stop_ms, without being listed as
+ * running, or, when it never arrived, will be turned away.
  */
 void
 FvSched_StopAnswered(fv_sched_t *sched, fv_sched_task_t *task, int32_t run,
@@ -236,11 +238,12 @@
         return;
     }
     if (result == Fv_ORDER_DONE || result == Fv_ORDER_OLD_RUN) {
-        task->confirmed_ms = now_ms;
         task->in_doubt = false;
+        task->stop_confirmed_ms = now_ms;
+        task->worker->look_at_ms = now_ms + sched->stop_ms + 1;
     }
     else if (result == Fv_ORDER_IN_DOUBT) {
         FvSched_NoteDoubt(sched, now_ms);
+        sched->port->look(sched, task->worker);
     }
-    sched->port->look(sched, task->worker);
 }
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -13,23 +13,25 @@
  * credit is a fifth, and three times the objective still counts as late. */
 #define Fv_LATE_PENALTY 1000
 
+/* A gang of which some members still are on workers after this is logged. */
+#define Fv_GANG_INCOMPLETE_MS 5000
+
 /**
  * FvSched_Init - make an empty scheduler
  * @sched: the scheduler
  * @port: its effects
- * @lease_ms: how long a worker goes on without contact
- * @gang_fill_ms: how long missing members of a gang may be replaced
- * @keep_ended_ms: how long an ended job is remembered
+ * @times: times that the deployment sets
  */
 void
-FvSched_Init(fv_sched_t *sched, const fv_sched_port_t *port, int64_t lease_ms,
-             int64_t gang_fill_ms, int64_t keep_ended_ms)
+FvSched_Init(fv_sched_t *sched, const fv_sched_port_t *port,
+             const fv_sched_times_t *times)
 {
     *sched = (fv_sched_t){
         .port = port,
-        .lease_ms = lease_ms,
-        .gang_fill_ms = gang_fill_ms,
-        .keep_ended_ms = keep_ended_ms,
+        .lease_ms = times->lease_ms,
+        .stop_ms = times->stop_ms,
+        .gang_fill_ms = times->gang_fill_ms,
+        .keep_ended_ms = times->keep_ended_ms,
         .random = (uint64_t)FvClock_NowNs() | 1,
     };
 }
@@ -230,3 +232,38 @@
         }
     }
 }
+
+/**
+ * FvSched_LogIncompleteGangs - name what keeps waiting gangs from a new run
+ * @sched: the scheduler
+ * @now_ms: the time
+ */
+void
+FvSched_LogIncompleteGangs(const fv_sched_t *sched, int64_t now_ms)
+{
+    for (const fv_sched_stage_t *stage = sched->pending; stage != NULL;
+         stage = stage->pending_next) {
+        if (!stage->step->gang || !needs_placing(stage) ||
+            now_ms - stage->gang_ordered_ms < Fv_GANG_INCOMPLETE_MS) {
+            continue;
+        }
+        for (int32_t i = 0; i < stage->step->task_count; i++) {
+            const fv_sched_task_t *task = &stage->tasks[i];
+
+            if (task->worker == NULL) {
+                continue;
+            }
+            FvLog_Event(Fv_LOG_WARN, "gang_incomplete",
+                        "job=%s stage=%u task=%d state=%d run=%d worker=%s "
+                        "in_doubt=%d suspect=%d confirmed_ms_ago=%" PRId64
+                        " stop_ms_ago=%" PRId64 " report_ms_ago=%" PRId64,
+                        stage->job->id, stage->step_index, i, (int)task->state,
+                        task->run, task->worker->entry.id,
+                        task->in_doubt ? 1 : 0, task->worker->suspect ? 1 : 0,
+                        now_ms - task->confirmed_ms,
+                        now_ms - task->stop_sent_ms,
+                        now_ms - task->worker->last_contact_ms);
+            break;
+        }
+    }
+}
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -159,6 +159,9 @@
         keep_checkpoint(task, row->checkpoint);
     }
     if (task->state == Fv_SCHED_STOPPING) {
+        if (now_ms - task->stop_confirmed_ms > sched->stop_ms) {
+            task->stop_confirmed_ms = 0; /* it took no effect */
+        }
         FvSched_StopTask(sched, task, now_ms); /* repeats when due */
     }
 }
@@ -219,9 +222,10 @@
 }
 
 /*
- * Tasks that the report should list and doesn't. A start or stop that was
- * confirmed before the report was asked for has left its trace in it; a start
- * in doubt is forbidden before the task goes elsewhere.
+ * Tasks that the report should list and doesn't. A start that was confirmed
+ * before the report was asked for has left its trace in it; a start in doubt
+ * is forbidden before the task goes elsewhere. A run that is being stopped is
+ * not listed until it has ended, so its time is waited for.
  */
 static void
 find_missing(fv_sched_t *sched, fv_sched_worker_t *worker,
@@ -237,15 +241,21 @@
         if (is_listed(report, name, task->run)) {
             continue;
         }
-        if (task->in_doubt && task->ordered_ms < sent_ms) {
+        if (task->state == Fv_SCHED_STOPPING && task->stop_confirmed_ms == 0) {
+            FvSched_StopTask(sched, task, now_ms); /* repeats when due */
+        }
+        else if (task->state == Fv_SCHED_STOPPING) {
+            if (task->stop_confirmed_ms + sched->stop_ms < sent_ms) {
+                lose_run(sched, task, now_ms);
+                next = worker->tasks; /* the list may have changed */
+            }
+        }
+        else if (task->in_doubt && task->ordered_ms < sent_ms) {
             FvSched_StopTask(sched, task, now_ms);
         }
         else if (task->confirmed_ms != 0 && task->confirmed_ms < sent_ms) {
             lose_run(sched, task, now_ms);
-            next = worker->tasks; /* the list may have changed */
-        }
-        else if (task->state == Fv_SCHED_STOPPING) {
-            FvSched_StopTask(sched, task, now_ms);
+            next = worker->tasks;
         }
     }
 }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -42,6 +42,7 @@
     int64_t ordered_ms;
     int64_t confirmed_ms; /* when its start was answered */
     int64_t stop_sent_ms;
+    int64_t stop_confirmed_ms; /* 0: the stop was not answered */
     int32_t percent;
     int64_t progress_ms; /* when the percent last changed */
     char *checkpoint;
@@ -136,6 +137,7 @@
     int64_t clock_at_ms;     /* ...and ours at that moment */
     int64_t lease_lapses_ms; /* nothing runs there after, without contact */
     int64_t last_contact_ms;
+    int64_t look_at_ms;   /* a report is wanted then; 0: none */
     int64_t end_seen;     /* highest number of an end processed */
     int64_t end_recorded; /* ... whose effects are recorded */
     int64_t free_cpu_millis;
@@ -200,6 +202,7 @@
     int64_t ask_refused_us; /* in this pass: no host is free for such a call */
     uint64_t random;
     int64_t lease_ms;
+    int64_t stop_ms;        /* a stop takes no longer */
     int64_t gang_fill_ms;   /* how long missing members may be replaced */
     int64_t doubt_until_ms; /* orders were left unanswered lately */
     int64_t keep_ended_ms;
@@ -320,11 +323,19 @@
     uint32_t tasks_waiting;
 } fv_sched_load_t;
 
+void FvSched_LogIncompleteGangs(const fv_sched_t *sched, int64_t now_ms);
 void FvSched_Load(const fv_sched_t *sched, int64_t now_ms,
                   fv_sched_load_t *load);
+/* Times that the deployment sets. */
+typedef struct fv_sched_times {
+    int64_t lease_ms;      /* how long a worker goes on without contact */
+    int64_t stop_ms;       /* the longest that a stop takes */
+    int64_t gang_fill_ms;  /* how long missing members may be replaced */
+    int64_t keep_ended_ms; /* how long an ended job is remembered */
+} fv_sched_times_t;
+
 void FvSched_Init(fv_sched_t *sched, const fv_sched_port_t *port,
-                  int64_t lease_ms, int64_t gang_fill_ms,
-                  int64_t keep_ended_ms);
+                  const fv_sched_times_t *times);
 void FvSched_Clear(fv_sched_t *sched);
 void FvSched_Pass(fv_sched_t *sched, int64_t now_ms, int64_t wall_ms);
 uint32_t FvSched_Random(fv_sched_t *sched);
--- a/tests/harness/sched-fixture.c
+++ b/tests/harness/sched-fixture.c
@@ -110,8 +110,11 @@
 SchedFixture_Open(sched_fixture_t *fixture, int32_t generation)
 {
     memset(fixture, 0, sizeof(*fixture));
-    FvSched_Init(&fixture->sched, &fixture_port, Fv_FIXTURE_LEASE_MS, 2000,
-                 120000);
+    FvSched_Init(&fixture->sched, &fixture_port,
+                 &(fv_sched_times_t){.lease_ms = Fv_FIXTURE_LEASE_MS,
+                                     .stop_ms = Fv_FIXTURE_STOP_MS,
+                                     .gang_fill_ms = 2000,
+                                     .keep_ended_ms = 120000});
     fixture->sched.run_base = (generation - 1) * 1000;
     fixture->sched.random = 42;
     fixture->now_ms = 1000000;
--- a/tests/harness/sched-fixture.h
+++ b/tests/harness/sched-fixture.h
@@ -12,6 +12,7 @@
 
 #define Fv_FIXTURE_ORDERS_MAX 4096
 #define Fv_FIXTURE_LEASE_MS 5000
+#define Fv_FIXTURE_STOP_MS 900
 
 typedef struct fixture_order {
     char task[Fv_RUN_TASK_ID_SIZE];
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -78,9 +78,14 @@
 
     FvSched_StopAnswered(&fixture.sched, task, 1, Fv_ORDER_DONE,
                          fixture.now_ms);
+    /* A run that is being stopped is not listed, and still runs. */
     fixture.now_ms += 100;
     report_running(&fixture, "w1", NULL, 0);
     SchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, JOB_A ".0.0.0"), 1);
+    fixture.now_ms += Fv_FIXTURE_STOP_MS;
+    report_running(&fixture, "w1", NULL, 0);
+    SchedFixture_Pass(&fixture);
     CU_ASSERT_EQUAL(SchedFixture_Starts(&fixture, JOB_A ".0.0.0"), 2);
     SchedFixture_Close(&fixture);
 }
