--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -1288,6 +1288,7 @@
         driver->worker = NULL;
         release_driver(driver);
         FvSched_FreeWorker(&leader->sched, worker);
+        roster_changed(leader); /* or the next leader would wait for it */
         return;
     }
     if (worker->look_at_ms != 0 && now_ms >= worker->look_at_ms &&
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -314,8 +314,15 @@
                const fv_worker_report_t *report, int64_t sent_ms,
                int64_t now_ms)
 {
-    bool *changed = calloc((size_t)report->ended_count + 1, sizeof(*changed));
+    bool *changed;
 
+    if (report->started_wall_ms < worker->started_wall_ms) {
+        return; /* of an earlier life */
+    }
+    if (report->started_wall_ms > worker->started_wall_ms) {
+        FvSched_BeginLife(sched, worker, report->started_wall_ms);
+    }
+    changed = calloc((size_t)report->ended_count + 1, sizeof(*changed));
     if (changed == NULL) {
         return;
     }
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -66,14 +66,24 @@
     }
 }
 
-static void
-begin_life(fv_sched_t *sched, fv_sched_worker_t *worker, int64_t born_ms,
-           int64_t now_ms)
+/**
+ * FvSched_BeginLife - a worker was started anew: it knows nothing of before
+ * @sched: the scheduler
+ * @worker: the worker
+ * @started_wall_ms: what tells its lives apart
+ *
+ * Orders may have reached the new life already, so its tasks are kept until a
+ * report of that life tells what runs.
+ */
+void
+FvSched_BeginLife(fv_sched_t *sched, fv_sched_worker_t *worker,
+                  int64_t started_wall_ms)
 {
     if (worker->started_wall_ms != 0) {
-        FvSched_LoseTasks(sched, worker, "worker_restarted", now_ms);
+        FvLog_Event(Fv_LOG_INFO, "worker_restarted", "worker=%s tasks=%d",
+                    worker->entry.id, worker->task_count);
     }
-    worker->started_wall_ms = born_ms;
+    worker->started_wall_ms = started_wall_ms;
     worker->end_seen = 0;
     worker->end_recorded = 0;
     worker->synced = false;
@@ -81,6 +91,7 @@
     worker->quarantined_until_ms = 0;
     worker->probing = false;
     worker->slowness = 1.0;
+    sched->dirty = true;
 }
 
 /**
@@ -109,7 +120,7 @@
     worker->entry = *entry;
     find_rack(worker);
     if (entry->started_wall_ms > worker->started_wall_ms) {
-        begin_life(sched, worker, entry->started_wall_ms, now_ms);
+        FvSched_BeginLife(sched, worker, entry->started_wall_ms);
     }
     if (entry->draining && !worker->draining) {
         FvLog_Event(Fv_LOG_INFO, "worker_draining",
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -248,6 +248,8 @@
 fv_sched_worker_t *FvSched_SeeWorker(fv_sched_t *sched,
                                      const fv_worker_entry_t *entry,
                                      int64_t now_ms);
+void FvSched_BeginLife(fv_sched_t *sched, fv_sched_worker_t *worker,
+                       int64_t started_wall_ms);
 void FvSched_WorkerGone(fv_sched_t *sched, fv_sched_worker_t *worker);
 void FvSched_FreeWorker(fv_sched_t *sched, fv_sched_worker_t *worker);
 void FvSched_AttachTask(fv_sched_worker_t *worker, fv_sched_task_t *task);
--- a/tests/unit/sched_load_test.c
+++ b/tests/unit/sched_load_test.c
@@ -136,7 +136,8 @@
     static sched_fixture_t fixture;
     fv_cell_queue_t gangs = FvSchedFixture_Queue("gangs", 1);
     fv_running_row_t row = {.run = 5, .percent = 10};
-    fv_worker_report_t report = {.running = &row, .running_count = 1};
+    fv_worker_report_t report = {
+        .started_wall_ms = 1, .running = &row, .running_count = 1};
     fv_sched_job_t *job;
     fv_sched_worker_t *worker;
 
