Let a gang look beyond the workers that it knows

Change: a gang asks about further workers when these are likely to have more room than it needs. Result: tests/unit/sched_load_test fails without it.

--- a/src/sched-advice.c
+++ b/src/sched-advice.c
@@ -33,6 +33,10 @@
 #define Fv_GANG_SURPLUS 1.5
 #define Fv_GANG_REFRESH_SHARE 0.6
 
+/* It asks about further workers when these are likely to have more room than
+ * it needs, and those that it knows are busy. */
+#define Fv_GANG_ROOM_ELSEWHERE 1.2
+
 /* Tickets that end within this are renewed with the others. */
 #define Fv_TICKET_RENEW_MS 500
 
@@ -53,10 +57,11 @@
 
 /* What is known of the workers for a stage. */
 typedef struct fv_outlook {
-    int32_t room_now;     /* with a valid ticket */
-    int32_t room_renewed; /* with a ticket that can be renewed */
-    int32_t room_unknown; /* on workers that were not asked about */
-    int32_t potential;    /* of all allowed workers, were they empty */
+    int32_t room_now;        /* with a valid ticket */
+    int32_t room_renewed;    /* with a ticket that can be renewed */
+    int32_t room_unknown;    /* on workers that were not asked about */
+    double expected_unknown; /* the part of it that is likely allowed */
+    int32_t potential;       /* of all allowed workers, were they empty */
     uint32_t candidates;
 } fv_outlook_t;
 
@@ -160,6 +165,7 @@
     int32_t room = FvSched_TasksThatFit(worker, stage->step);
 
     outlook->room_unknown += room;
+    outlook->expected_unknown += room * share;
     candidates[outlook->candidates++] =
         (fv_candidate_t){.worker = worker,
                          .expected = room * share,
@@ -188,7 +194,8 @@
     }
     if (outlook.room_now >= stage->waiting ||
         (knows_enough(stage, &outlook) &&
-         outlook.room_now + outlook.room_renewed > 0)) {
+         outlook.room_now + outlook.room_renewed >=
+             (stage->step->gang ? stage->waiting : 1))) {
         return outlook;
     }
     for (fv_sched_worker_t *worker = sched->workers; worker != NULL;
@@ -220,6 +227,8 @@
     }
     if (stage->step->gang) {
         return !knows_enough(stage, outlook) ||
+               room + outlook->expected_unknown >=
+                   stage->waiting * Fv_GANG_ROOM_ELSEWHERE ||
                (outlook->room_renewed > 0 &&
                 room >= stage->waiting * Fv_GANG_REFRESH_SHARE);
     }
@@ -290,7 +299,8 @@
             expected += candidates[i].expected;
         }
     }
-    if (named > 0 && knows_enough(stage, outlook) && expected > 0) {
+    if (named > 0 && knows_enough(stage, outlook) &&
+        expected >= (stage->step->gang ? stage->waiting : 1)) {
         return named;
     }
     qsort(candidates, outlook->candidates, sizeof(*candidates), by_score);
--- a/tests/unit/sched_load_test.c
+++ b/tests/unit/sched_load_test.c
@@ -208,6 +208,45 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* Pattern: the workers that a gang may use are busy, and others are idle. */
+static void
+test_gang_looks_beyond_busy_workers(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_Queue("gangs", 1);
+    fv_sched_worker_t *workers[40];
+    fv_advice_row_t rows[10];
+    fv_advice_t advice = {.rows = rows};
+    fv_sched_job_t *job;
+
+    queue.needs_advice = true;
+    queue.advice_base_us = 400000;
+    queue.advice_per_worker_us = 6000;
+    queue.ticket_valid_ms = 2000;
+    FvSchedFixture_Open(&fixture, 1);
+    for (int i = 0; i < 40; i++) {
+        char id[16];
+
+        snprintf(id, sizeof(id), "w%d", i);
+        workers[i] = FvSchedFixture_AddWorker(&fixture, id, "r1", 4000);
+    }
+    job = FvSchedFixture_AddJob(&fixture, GANG, &queue, gang_of_four);
+    FvSchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(fixture.ask_count, 1);
+    for (int i = 0; i < 10; i++) {
+        workers[i]->free_cpu_millis = 0;
+        FvText_Copy(rows[i].worker_id, Fv_NAME_SIZE, workers[i]->entry.id);
+        FvText_Copy(rows[i].ticket, Fv_TICKET_SIZE, "t");
+        advice.row_count++;
+    }
+    FvSched_Advised(&fixture.sched, &job->occurrences[0].stages[0], workers,
+                    10, &advice, fixture.now_ms);
+    fixture.now_ms += 100;
+    FvSchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(fixture.ask_count, 2);
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -221,6 +260,8 @@
          test_missing_member_starts_elsewhere},
         {"a new leader stops a gang before it has heard of all members",
          test_new_leader_hears_of_all_members},
+        {"a gang waits for busy workers while others are idle",
+         test_gang_looks_beyond_busy_workers},
         {"a stage asks for advice that it cannot use",
          test_advice_is_asked_wide_and_seldom},
     };
