--- a/tests/fakes/fake-cell.c
+++ b/tests/fakes/fake-cell.c
@@ -17,7 +17,8 @@
 
 #define CELL_WORKERS_MAX 32
 #define CELL_STORE_THREADS 96
-#define CELL_WORKER_THREADS 24
+/* A thread a connection: four hosts that lead in turn keep some open. */
+#define CELL_WORKER_THREADS 96
 #define CELL_CPU_MILLIS 8000
 #define CELL_MEMORY_MIB 16384
 #define CELL_HEARTBEAT_MS 500
