--- /dev/null
+++ b/tests/unit/entry_settings_test.c
@@ -0,0 +1,95 @@
+/*
+ * The settings file of an entry host: every fault is told at once.
+ */
+
+#include "entry.h"
+#include "suite.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+static const char good_file[] =
+    "host = \"h\"\ndata_center = \"a\"\nregion = \"r\"\n"
+    "address = \"127.0.0.1\"\ncallers_address = \"127.0.0.1:1\"\n"
+    "ready_address = \"127.0.0.1:2\"\nlink_port = 3\ncpu_cores = 0.25\n"
+    "store_address = \"127.0.0.1:4\"\nstore_lease_min_ms = 1000\n"
+    "lease_max_ms = 10000\nstop_timeout_ms = 900\ngang_timeout_ms = 3000\n"
+    "drain_ms = 6000\nkeep_ended_s = 120\nnew_field = 1\n";
+
+static bool
+load(const char *text, fv_entry_settings_t *settings, char *faults,
+     size_t size)
+{
+    char path[] = "/tmp/fv-settings-XXXXXX";
+    int fd = mkstemp(path);
+    FILE *out = tmpfile();
+    bool good;
+
+    CU_ASSERT_FATAL(fd >= 0 && out != NULL);
+    CU_ASSERT_EQUAL(write(fd, text, strlen(text)), (ssize_t)strlen(text));
+    close(fd);
+    good = FvEntrySettings_Load(path, settings, out);
+    unlink(path);
+    rewind(out);
+    faults[fread(faults, 1, size - 1, out)] = '\0';
+    fclose(out);
+    return good;
+}
+
+static void
+test_good_file(void)
+{
+    fv_entry_settings_t settings;
+    char faults[1024];
+
+    CU_ASSERT_TRUE(load(good_file, &settings, faults, sizeof(faults)));
+    CU_ASSERT_STRING_EQUAL(faults, "");
+    CU_ASSERT_EQUAL(settings.link_port, 3);
+    CU_ASSERT_DOUBLE_EQUAL(settings.cpu_cores, 0.25, 0.001);
+    CU_ASSERT_STRING_EQUAL(settings.advice_address, "");
+}
+
+static void
+test_all_faults(void)
+{
+    fv_entry_settings_t settings;
+    char faults[1024];
+    char *text = strdup(good_file);
+
+    memcpy(strstr(text, "link_port = 3"), "link_port = 0", 13);
+    memcpy(strstr(text, "drain_ms = 6000"), "drain_ms = \"60\"", 15);
+    memcpy(strstr(text, "region"), "regiom", 6);
+    CU_ASSERT_FALSE(load(text, &settings, faults, sizeof(faults)));
+    CU_ASSERT_PTR_NOT_NULL(strstr(faults, "link_port: needs a number"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(faults, "drain_ms: needs a number"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(faults, "region: needs a text"));
+    free(text);
+}
+
+static void
+test_bad_address(void)
+{
+    fv_entry_settings_t settings;
+    char faults[1024];
+    char *text = strdup(good_file);
+
+    memcpy(strstr(text, "127.0.0.1:4"), "127.0.0.1 4", 11);
+    CU_ASSERT_FALSE(load(text, &settings, faults, sizeof(faults)));
+    CU_ASSERT_PTR_NOT_NULL(strstr(faults, "is not an IPv4 address"));
+    free(text);
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"a good file with a field that is not known is refused",
+         test_good_file},
+        {"only the first fault of a file is told", test_all_faults},
+        {"a host starts with an address that cannot be used",
+         test_bad_address},
+    };
+
+    return Fv_RUN_SUITE("entry_settings", cases);
+}
