Remove what nothing uses; keep leases within the deployment's longest

Cause: throttling, learned slowness and a few fields were declared and not used; lease_max_ms was read and ignored. Change: they are gone; a worker's lease is at most lease_max_ms, renewed four times in its life.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -18,6 +18,7 @@
 
 /* How long a worker may hold a renewal back while nothing ends there. */
 #define Fv_RENEW_WAIT_MS 1000
+#define Fv_RENEWALS_PER_LEASE 4
 #define Fv_RENEW_IDLE_WAIT_MS 2000
 
 /* Round trip between regions (40 ms) and a busy processor at both ends. */
@@ -291,24 +292,6 @@
     send_stop(leader_of(sched), worker, name, run);
 }
 
-static void
-throttle_task(fv_sched_t *sched, fv_sched_task_t *task)
-{
-    fv_leader_t *leader = leader_of(sched);
-    char name[Fv_RUN_TASK_ID_SIZE];
-    fv_call_t call;
-    fv_task_order_t order = {.task_id = name,
-                             .run = task->run,
-                             .fence = leader->epoch,
-                             .percent = task->throttle_percent};
-
-    FvSched_TaskName(task, name, sizeof(name));
-    FvLog_Event(Fv_LOG_INFO, "throttle", "task=%s run=%d percent=%d", name,
-                task->run, task->throttle_percent);
-    FvPlatform_Throttle(&call, task->worker->entry.id, &order);
-    send_order(leader, task->worker, &call, "", task->run, true);
-}
-
 /* --- Reports of workers ------------------------------------------------- */
 
 typedef struct fv_renewal {
@@ -427,6 +410,15 @@
     kick(leader);
 }
 
+/* A lease is renewed several times in its life. */
+static int32_t
+renew_wait_ms(const fv_leader_t *leader)
+{
+    int64_t wait_ms = leader->sched.lease_ms / Fv_RENEWALS_PER_LEASE;
+
+    return wait_ms < Fv_RENEW_WAIT_MS ? (int32_t)wait_ms : Fv_RENEW_WAIT_MS;
+}
+
 /* How often workers are looked at while orders are in doubt: the load on this
  * host stays the same in a large cell. */
 static int32_t
@@ -439,7 +431,8 @@
     if (wait_ms < Fv_DOUBT_WAIT_MS) {
         return Fv_DOUBT_WAIT_MS;
     }
-    return wait_ms < Fv_RENEW_WAIT_MS ? (int32_t)wait_ms : Fv_RENEW_WAIT_MS;
+    return wait_ms < renew_wait_ms(leader) ? (int32_t)wait_ms
+                                           : renew_wait_ms(leader);
 }
 
 /* Renews the lease and asks for a report; with @wait the worker holds the
@@ -465,8 +458,8 @@
     }
     lease_end = FvSched_ExtendLease(&leader->sched, worker, now_ms);
     if (wait && worker->synced && !worker->suspect) {
-        wait_ms =
-            worker->task_count > 0 ? Fv_RENEW_WAIT_MS : Fv_RENEW_IDLE_WAIT_MS;
+        wait_ms = worker->task_count > 0 ? renew_wait_ms(leader)
+                                         : Fv_RENEW_IDLE_WAIT_MS;
         if (doubt && worker->task_count > 0) {
             wait_ms = doubt_wait_ms(leader);
         }
@@ -920,7 +913,6 @@
     .start = start_task,
     .stop = stop_task,
     .stop_stray = stop_stray,
-    .throttle = throttle_task,
     .ask = ask_advice,
     .record = record_job,
     .look = look_at_worker,
@@ -962,7 +954,7 @@
                     "key=%s revision=%" PRId64, item->key, item->revision);
         return;
     }
-    worker = FvSched_SeeWorker(&leader->sched, &entry, FvClock_NowMs());
+    worker = FvSched_SeeWorker(&leader->sched, &entry);
     if (worker == NULL) {
         return;
     }
@@ -1010,7 +1002,7 @@
         FvText_Copy(leader->previous, sizeof(leader->previous), entry.id);
         return;
     }
-    worker = FvSched_SeeWorker(&leader->sched, &entry, leader->began_ms);
+    worker = FvSched_SeeWorker(&leader->sched, &entry);
     if (worker != NULL) {
         worker->listed = false;
         worker->rostered = true;
@@ -1044,7 +1036,6 @@
                     item->key);
         return;
     }
-    job->inherited = true;
     job->durable = true;
     for (uint32_t o = 0; o < job->occurrence_count; o++) {
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
@@ -1644,10 +1635,11 @@
     FvSched_Init(
         &leader->sched, &sched_port,
         &(fv_sched_times_t){
-            .lease_ms = Fv_WORKER_LEASE_MS,
+            .lease_ms = settings->lease_max_ms < Fv_WORKER_LEASE_MS
+                            ? settings->lease_max_ms
+                            : Fv_WORKER_LEASE_MS,
             .stop_ms = settings->stop_timeout_ms,
-            .gang_fill_ms = settings->gang_timeout_ms - Fv_GANG_STOP_MS,
-            .keep_ended_ms = settings->keep_ended_s * Fv_MS_PER_S});
+            .gang_fill_ms = settings->gang_timeout_ms - Fv_GANG_STOP_MS});
     leader->sched.run_base = (generation - 1) * Fv_RUNS_PER_GENERATION;
     leader->sched.inherited_held = true;
     leader->tick = event_new(base, -1, EV_PERSIST, tick, leader);
--- a/src/cell-types.h
+++ b/src/cell-types.h
@@ -98,7 +98,6 @@
     const char *payload;
     const char *checkpoint;
     const char *ticket;
-    int32_t percent;
 } fv_task_order_t;
 
 typedef enum fv_order_result {
@@ -128,7 +127,6 @@
     int32_t run;
     char checkpoint[Fv_CHECKPOINT_SIZE];
     int32_t percent;
-    int64_t reading; /* tail latency in ms when it serves, else cpu_millis */
 } fv_running_row_t;
 
 typedef struct fv_ended_row {
--- a/src/host-link.c
+++ b/src/host-link.c
@@ -27,7 +27,6 @@
     struct bufferevent *stream;
     char name[Fv_NAME_SIZE];
     bool dialed;
-    bool connected;
     bool closing;
     int64_t heard_ms;
     fv_link_peer_t *next;
@@ -281,7 +280,6 @@
 
     (void)stream;
     if (what & BEV_EVENT_CONNECTED) {
-        peer->connected = true;
         peer->heard_ms = FvClock_NowMs();
         peer->links->events.opened(peer->links->events.context, peer);
         return;
@@ -368,7 +366,6 @@
         evutil_closesocket(fd);
         return;
     }
-    peer->connected = true;
     disable_delay(fd);
     bufferevent_enable(peer->stream, EV_READ | EV_WRITE);
 }
--- a/src/sched-advice.c
+++ b/src/sched-advice.c
@@ -123,7 +123,7 @@
              const fv_sched_worker_t *worker, int32_t room)
 {
     double chance = 0.75 + (double)(FvSched_Random(sched) % 512) / 1024.0;
-    double score = chance / worker->slowness;
+    double score = chance;
 
     score *= 0.25 + (room < stage->waiting ? room : stage->waiting);
     if (stage->step->data_rack[0] != '\0' &&
--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -76,8 +76,7 @@
         return false;
     }
     for (int32_t i = 0; i < step->task_count; i++) {
-        stage->tasks[i] = (fv_sched_task_t){
-            .stage = stage, .index = i, .throttle_percent = 100};
+        stage->tasks[i] = (fv_sched_task_t){.stage = stage, .index = i};
     }
     return true;
 }
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -38,7 +38,6 @@
     task->stop_sent_ms = 0;
     task->stop_confirmed_ms = 0;
     task->confirmed_ms = 0;
-    task->throttle_percent = 100;
     stage->waiting++;
     if (stage->job->outcome == Fv_SCHED_JOB_OPEN) {
         FvSched_MarkPending(sched, stage);
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -31,7 +31,6 @@
         .lease_ms = times->lease_ms,
         .stop_ms = times->stop_ms,
         .gang_fill_ms = times->gang_fill_ms,
-        .keep_ended_ms = times->keep_ended_ms,
         .random = (uint64_t)FvClock_NowNs() | 1,
     };
 }
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -55,7 +55,7 @@
         strcmp(stage->step->data_rack, worker->rack) == 0) {
         score += 4.0;
     }
-    return score / worker->slowness;
+    return score;
 }
 
 static int
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -151,7 +151,6 @@
         task->percent = row->percent;
         task->progress_ms = now_ms;
     }
-    task->reading = row->reading;
     if (task->stage->step->gang && row->checkpoint[0] != '\0') {
         share_checkpoint(task->stage, row->checkpoint);
     }
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -90,7 +90,6 @@
     worker->failure_streak = 0;
     worker->quarantined_until_ms = 0;
     worker->probing = false;
-    worker->slowness = 1.0;
     sched->dirty = true;
 }
 
@@ -98,13 +97,11 @@
  * FvSched_SeeWorker - apply an entry of the registry
  * @sched: the scheduler
  * @entry: the entry
- * @now_ms: the time
  *
  * Return: the worker, or NULL when memory is exhausted.
  */
 fv_sched_worker_t *
-FvSched_SeeWorker(fv_sched_t *sched, const fv_worker_entry_t *entry,
-                  int64_t now_ms)
+FvSched_SeeWorker(fv_sched_t *sched, const fv_worker_entry_t *entry)
 {
     fv_sched_worker_t *worker = FvSched_FindWorker(sched, entry->id);
 
@@ -114,7 +111,6 @@
             return NULL;
         }
         worker->entry = *entry;
-        worker->slowness = 1.0;
         HASH_ADD_STR(sched->workers, entry.id, worker);
     }
     worker->entry = *entry;
@@ -128,8 +124,6 @@
                     entry->drain_left_ms, worker->task_count);
     }
     worker->draining = entry->draining;
-    worker->drain_until_ms =
-        entry->drain_left_ms > 0 ? now_ms + entry->drain_left_ms : 0;
     worker->listed = true;
     count_room(worker);
     sched->dirty = true;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -49,8 +49,6 @@
     const fv_sched_worker_t *failed_on;
     bool inherited; /* an earlier leader may have started it */
     bool in_doubt;  /* the start was not answered */
-    int32_t throttle_percent;
-    int64_t reading;
 };
 
 /* What the advice service said about one worker for a stage. */
@@ -107,10 +105,9 @@
     size_t document_length;
     int64_t received_ms;
     int64_t received_wall_ms;
-    bool durable;   /* its record is in the store */
-    bool started;   /* at least one task has begun */
-    bool cancelled; /* asked for by the caller */
-    bool inherited;
+    bool durable;                /* its record is in the store */
+    bool started;                /* at least one task has begun */
+    bool cancelled;              /* asked for by the caller */
     fv_sched_outcome_t outcome;  /* as decided */
     fv_sched_outcome_t recorded; /* as recorded; what callers are told */
     int64_t ended_ms;
@@ -131,7 +128,6 @@
     bool suspect;  /* did not answer lately */
     bool lost;     /* its lease has surely lapsed without contact */
     bool draining;
-    int64_t drain_until_ms; /* 0: not known */
     int64_t started_wall_ms;
     int64_t clock_ms;        /* the worker's clock... */
     int64_t clock_at_ms;     /* ...and ours at that moment */
@@ -152,8 +148,7 @@
     const fv_sched_job_t *last_failed_job;
     int64_t quarantined_until_ms;
     bool probing;
-    double slowness; /* run time against that of other workers; 1 is usual */
-    void *driver;    /* of the port */
+    void *driver; /* of the port */
     UT_hash_handle hh;
 };
 
@@ -173,7 +168,6 @@
     /* Stops a run that belongs to no open task. */
     void (*stop_stray)(fv_sched_t *sched, fv_sched_worker_t *worker,
                        const char *task_id, int32_t run);
-    void (*throttle)(fv_sched_t *sched, fv_sched_task_t *task);
     /* False when no host is free to ask now. */
     bool (*ask)(fv_sched_t *sched, fv_sched_stage_t *stage,
                 fv_sched_worker_t *const *workers, uint32_t count);
@@ -205,7 +199,6 @@
     int64_t stop_ms;        /* a stop takes no longer */
     int64_t gang_fill_ms;   /* how long missing members may be replaced */
     int64_t doubt_until_ms; /* orders were left unanswered lately */
-    int64_t keep_ended_ms;
     uint32_t advice_count;
     fv_advice_share_t advice_shares[Fv_ADVICE_QUEUES_MAX];
 };
@@ -246,8 +239,7 @@
 /* sched-worker.c */
 fv_sched_worker_t *FvSched_FindWorker(const fv_sched_t *sched, const char *id);
 fv_sched_worker_t *FvSched_SeeWorker(fv_sched_t *sched,
-                                     const fv_worker_entry_t *entry,
-                                     int64_t now_ms);
+                                     const fv_worker_entry_t *entry);
 void FvSched_BeginLife(fv_sched_t *sched, fv_sched_worker_t *worker,
                        int64_t started_wall_ms);
 void FvSched_WorkerGone(fv_sched_t *sched, fv_sched_worker_t *worker);
@@ -331,10 +323,9 @@
                   fv_sched_load_t *load);
 /* Times that the deployment sets. */
 typedef struct fv_sched_times {
-    int64_t lease_ms;      /* how long a worker goes on without contact */
-    int64_t stop_ms;       /* the longest that a stop takes */
-    int64_t gang_fill_ms;  /* how long missing members may be replaced */
-    int64_t keep_ended_ms; /* how long an ended job is remembered */
+    int64_t lease_ms;     /* how long a worker goes on without contact */
+    int64_t stop_ms;      /* the longest that a stop takes */
+    int64_t gang_fill_ms; /* how long missing members may be replaced */
 } fv_sched_times_t;
 
 void FvSched_Init(fv_sched_t *sched, const fv_sched_port_t *port,
--- a/tests/harness/sched-fixture.c
+++ b/tests/harness/sched-fixture.c
@@ -48,13 +48,6 @@
     keep_order(sched, task, worker->entry.id, run, true);
 }
 
-static void
-throttle(fv_sched_t *sched, fv_sched_task_t *task)
-{
-    (void)sched;
-    (void)task;
-}
-
 static bool
 ask(fv_sched_t *sched, fv_sched_stage_t *stage,
     fv_sched_worker_t *const *workers, uint32_t count)
@@ -95,7 +88,6 @@
     .start = start,
     .stop = stop,
     .stop_stray = stop_stray,
-    .throttle = throttle,
     .ask = ask,
     .record = record,
     .look = look,
@@ -113,8 +105,7 @@
     FvSched_Init(&fixture->sched, &fixture_port,
                  &(fv_sched_times_t){.lease_ms = Fv_FIXTURE_LEASE_MS,
                                      .stop_ms = Fv_FIXTURE_STOP_MS,
-                                     .gang_fill_ms = 2000,
-                                     .keep_ended_ms = 120000});
+                                     .gang_fill_ms = 2000});
     fixture->sched.run_base = (generation - 1) * 1000;
     fixture->sched.random = 42;
     fixture->now_ms = 1000000;
@@ -155,7 +146,7 @@
     FvText_Copy(entry.id, sizeof(entry.id), id);
     FvText_Copy(entry.labels[0], Fv_NAME_SIZE, "a");
     FvText_Copy(entry.labels[1], Fv_NAME_SIZE, rack);
-    worker = FvSched_SeeWorker(&fixture->sched, &entry, fixture->now_ms);
+    worker = FvSched_SeeWorker(&fixture->sched, &entry);
     CU_ASSERT_PTR_NOT_NULL_FATAL(worker);
     if (worker == NULL) {
         abort();
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -142,7 +142,7 @@
     entry = worker->entry;
     entry.started_wall_ms++;
     fixture.now_ms += 100;
-    FvSched_SeeWorker(&fixture.sched, &entry, fixture.now_ms);
+    FvSched_SeeWorker(&fixture.sched, &entry);
     FvSchedFixture_Pass(&fixture);
     CU_ASSERT_EQUAL(FvSchedFixture_Starts(&fixture, JOB_A), 2);
 
