Move tasks off leaving workers in time

Change: a run that will not end before its worker leaves is stopped, with its checkpoint, and goes on elsewhere.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -954,7 +954,7 @@
                     "key=%s revision=%" PRId64, item->key, item->revision);
         return;
     }
-    worker = FvSched_SeeWorker(&leader->sched, &entry);
+    worker = FvSched_SeeWorker(&leader->sched, &entry, FvClock_NowMs());
     if (worker == NULL) {
         return;
     }
@@ -1002,7 +1002,7 @@
         FvText_Copy(leader->previous, sizeof(leader->previous), entry.id);
         return;
     }
-    worker = FvSched_SeeWorker(&leader->sched, &entry);
+    worker = FvSched_SeeWorker(&leader->sched, &entry, FvClock_NowMs());
     if (worker != NULL) {
         worker->listed = false;
         worker->rostered = true;
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -283,6 +283,50 @@
     }
 }
 
+/* How long a run still takes, from what it has done so far. */
+static int64_t
+time_left(const fv_sched_task_t *task, int64_t now_ms)
+{
+    int64_t ran_ms = now_ms - task->ordered_ms;
+
+    if (task->percent <= 0) {
+        return task->stage->step->estimated_ms;
+    }
+    return ran_ms * (100 - task->percent) / task->percent;
+}
+
+/* Stops what will not end before its worker leaves, so that it goes on
+ * elsewhere at once, from its checkpoint if it has one. */
+static void
+empty_leaving_worker(fv_sched_t *sched, fv_sched_worker_t *worker,
+                     int64_t now_ms)
+{
+    int64_t left_ms = worker->drain_until_ms - now_ms - sched->stop_ms;
+    fv_sched_task_t *next;
+
+    if (!worker->draining || worker->drain_until_ms == 0) {
+        return;
+    }
+    for (fv_sched_task_t *task = worker->tasks; task != NULL; task = next) {
+        next = task->worker_next;
+        if (task->state != Fv_SCHED_RUNNING ||
+            time_left(task, now_ms) < left_ms) {
+            continue;
+        }
+        FvLog_Event(Fv_LOG_INFO, "run_moved",
+                    "job=%s stage=%u task=%d worker=%s percent=%d "
+                    "worker_left_ms=%" PRId64,
+                    task->stage->job->id, task->stage->step_index, task->index,
+                    worker->entry.id, task->percent, left_ms);
+        if (task->stage->step->gang) {
+            FvSched_StopGang(sched, task->stage, now_ms);
+        }
+        else {
+            FvSched_StopTask(sched, task, now_ms);
+        }
+    }
+}
+
 static void
 record_ends(fv_sched_t *sched, const fv_worker_report_t *report,
             const bool *changed)
@@ -347,6 +391,7 @@
     record_ends(sched, report, changed);
     find_missing(sched, worker, report, sent_ms, now_ms);
     restart_stalled(sched, worker, now_ms);
+    empty_leaving_worker(sched, worker, now_ms);
     if (!worker->synced) {
         worker->synced = true;
         FvLog_Event(Fv_LOG_INFO, "worker_synced",
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -97,11 +97,13 @@
  * FvSched_SeeWorker - apply an entry of the registry
  * @sched: the scheduler
  * @entry: the entry
+ * @now_ms: the time
  *
  * Return: the worker, or NULL when memory is exhausted.
  */
 fv_sched_worker_t *
-FvSched_SeeWorker(fv_sched_t *sched, const fv_worker_entry_t *entry)
+FvSched_SeeWorker(fv_sched_t *sched, const fv_worker_entry_t *entry,
+                  int64_t now_ms)
 {
     fv_sched_worker_t *worker = FvSched_FindWorker(sched, entry->id);
 
@@ -122,8 +124,11 @@
         FvLog_Event(Fv_LOG_INFO, "worker_draining",
                     "worker=%s left_ms=%" PRId64 " tasks=%d", entry->id,
                     entry->drain_left_ms, worker->task_count);
+        worker->look_at_ms = now_ms;
     }
     worker->draining = entry->draining;
+    worker->drain_until_ms =
+        entry->drain_left_ms > 0 ? now_ms + entry->drain_left_ms : 0;
     worker->listed = true;
     count_room(worker);
     sched->dirty = true;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -128,6 +128,7 @@
     bool suspect;  /* did not answer lately */
     bool lost;     /* its lease has surely lapsed without contact */
     bool draining;
+    int64_t drain_until_ms; /* it stays at least so long; 0: not known */
     int64_t started_wall_ms;
     int64_t clock_ms;        /* the worker's clock... */
     int64_t clock_at_ms;     /* ...and ours at that moment */
@@ -239,7 +240,8 @@
 /* sched-worker.c */
 fv_sched_worker_t *FvSched_FindWorker(const fv_sched_t *sched, const char *id);
 fv_sched_worker_t *FvSched_SeeWorker(fv_sched_t *sched,
-                                     const fv_worker_entry_t *entry);
+                                     const fv_worker_entry_t *entry,
+                                     int64_t now_ms);
 void FvSched_BeginLife(fv_sched_t *sched, fv_sched_worker_t *worker,
                        int64_t started_wall_ms);
 void FvSched_WorkerGone(fv_sched_t *sched, fv_sched_worker_t *worker);
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -142,7 +142,7 @@
     entry = worker->entry;
     entry.started_wall_ms++;
     fixture.now_ms += 100;
-    FvSched_SeeWorker(&fixture.sched, &entry);
+    FvSched_SeeWorker(&fixture.sched, &entry, fixture.now_ms);
     FvSchedFixture_Pass(&fixture);
     CU_ASSERT_EQUAL(FvSchedFixture_Starts(&fixture, JOB_A), 2);
 
@@ -166,6 +166,35 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* Pattern: workers are taken away at short notice. */
+static void
+test_leaving_worker_is_emptied(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_Queue("q", 0);
+    fv_running_row_t rows[] = {
+        {.task_id = JOB_A ".0.0.0", .run = 1, .percent = 90},
+        {.task_id = JOB_A ".0.0.1", .run = 1, .percent = 10}};
+    fv_sched_worker_t *worker;
+    fv_worker_entry_t entry;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 2000);
+    FvSchedFixture_AddJob(&fixture, JOB_A, &queue, two_tasks);
+    FvSchedFixture_Pass(&fixture);
+    FvSchedFixture_ConfirmStarts(&fixture);
+    fixture.now_ms += 1000;
+    entry = worker->entry;
+    entry.draining = true;
+    entry.drain_left_ms = 2000;
+    FvSched_SeeWorker(&fixture.sched, &entry, fixture.now_ms);
+    report_running(&fixture, "w1", rows, 2);
+    /* One ends in 0.1 s; the other would take 9 s, the worker stays 2 s. */
+    CU_ASSERT_EQUAL(FvSchedFixture_Stops(&fixture, JOB_A ".0.0.0"), 0);
+    CU_ASSERT_EQUAL(FvSchedFixture_Stops(&fixture, JOB_A ".0.0.1"), 1);
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -174,6 +203,8 @@
          test_stray_keeps_its_room},
         {"a start in doubt is carried out beside its repetition",
          test_start_in_doubt_is_forbidden_first},
+        {"a task is lost with a worker that said it would leave",
+         test_leaving_worker_is_emptied},
         {"a start that reached a worker's new life is repeated",
          test_start_in_new_life_is_kept},
         {"tasks of a silent worker are started elsewhere too early",
