--- a/src/sched-advice.c
+++ b/src/sched-advice.c
@@ -184,10 +184,11 @@
     double share = *allowed_share(sched, stage->job->queue.name);
     fv_outlook_t outlook = {0};
 
+    sched->searches++;
     for (uint32_t i = 0; i < stage->verdict_count; i++) {
         const fv_verdict_t *verdict = &stage->verdicts[i];
 
-        verdict->worker->judged_for = stage;
+        verdict->worker->judged_in = sched->searches;
         if (verdict->allowed) {
             judge_allowed(stage, verdict, &outlook, candidates, now_ms);
         }
@@ -200,7 +201,7 @@
     }
     for (fv_sched_worker_t *worker = sched->workers; worker != NULL;
          worker = worker->hh.next) {
-        if (worker->judged_for != stage &&
+        if (worker->judged_in != sched->searches &&
             FvSched_TasksWhenEmpty(worker, stage->step) > 0 &&
             FvSched_WorkerUsable(worker, stage, now_ms)) {
             judge_unknown(sched, stage, worker, share, &outlook, candidates);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -144,8 +144,8 @@
     uint32_t strays; /* runs that belong to no open task; size not known */
     fv_sched_task_t *tasks;
     const fv_sched_stage_t *reserved_for; /* in this pass: a waiting gang */
-    const fv_sched_stage_t *judged_for;   /* has a verdict for this stage */
-    int32_t failure_streak;               /* of tasks of different jobs */
+    uint64_t judged_in;     /* the latest search that found a verdict on it */
+    int32_t failure_streak; /* of tasks of different jobs */
     const fv_sched_job_t *last_failed_job;
     int64_t quarantined_until_ms;
     bool probing;
@@ -194,6 +194,7 @@
     bool inherited_held; /* inherited tasks may run on unseen workers */
     bool dirty;
     uint32_t reserved_workers; /* in this pass */
+    uint64_t searches;         /* for workers to ask about, so far */
     int64_t ask_refused_us; /* in this pass: no host is free for such a call */
     uint64_t random;
     int64_t lease_ms;
--- a/tests/unit/sched_load_test.c
+++ b/tests/unit/sched_load_test.c
@@ -247,6 +247,42 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* Pattern: jobs come and go; a stage takes the place of a removed one. */
+static void
+test_verdicts_of_removed_stage_are_forgotten(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_Queue("lookups", 0);
+    fv_sched_worker_t *workers[8];
+    fv_advice_t none = {0};
+
+    queue.needs_advice = true;
+    queue.advice_base_us = 9000;
+    queue.advice_per_worker_us = 130;
+    queue.ticket_valid_ms = 2000;
+    FvSchedFixture_Open(&fixture, 1);
+    for (int i = 0; i < 8; i++) {
+        char id[16];
+
+        snprintf(id, sizeof(id), "w%d", i);
+        workers[i] = FvSchedFixture_AddWorker(&fixture, id, "r1", 1000);
+    }
+    for (int i = 0; i < 50; i++) {
+        fv_sched_job_t *job =
+            FvSchedFixture_AddJob(&fixture, LOOKUP, &queue, one_task);
+
+        fixture.asked_workers = 0;
+        FvSchedFixture_Pass(&fixture);
+        CU_ASSERT(fixture.asked_workers >= 5);
+        FvSched_Advised(&fixture.sched, &job->occurrences[0].stages[0],
+                        workers, 8, &none, fixture.now_ms);
+        fixture.now_ms += 100;
+        FvSchedFixture_Pass(&fixture);
+        FvSched_RemoveJob(&fixture.sched, job);
+    }
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -262,6 +298,8 @@
          test_new_leader_hears_of_all_members},
         {"a gang waits for busy workers while others are idle",
          test_gang_looks_beyond_busy_workers},
+        {"verdicts of a removed stage count for the next one",
+         test_verdicts_of_removed_stage_are_forgotten},
         {"a stage asks for advice that it cannot use",
          test_advice_is_asked_wide_and_seldom},
     };
