--- /dev/null
+++ b/src/leader-load.c
@@ -0,0 +1,322 @@
+/*
+ * How a new leader learns what earlier ones recorded, and follows the workers'
+ * registry.
+ */
+
+#include "cell-leader.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Workers write to the registry at every heartbeat; a drain has to take effect
+ * within drainMs, 2.5 s and more. */
+#define Fv_REGISTRY_GAP_MS 400
+
+#define Fv_LOAD_RETRY_MS 100
+
+static void
+registry_begin(void *context)
+{
+    fv_leader_t *leader = context;
+
+    leader->reading_registry = true;
+    for (fv_sched_worker_t *worker = leader->sched.workers; worker != NULL;
+         worker = worker->hh.next) {
+        worker->listed = false;
+    }
+}
+
+static void
+registry_item(void *context, const fv_kv_item_t *item)
+{
+    fv_leader_t *leader = context;
+    fv_worker_entry_t entry;
+    fv_sched_worker_t *worker;
+
+    if (item->deleted) {
+        worker = FvSched_FindWorker(
+            &leader->sched, item->key + strlen(FvPlatform_RegistryPrefix));
+        if (worker != NULL) {
+            FvSched_WorkerGone(&leader->sched, worker);
+        }
+        return;
+    }
+    if (item->value.data == NULL ||
+        !FvPlatform_WorkerEntry(item->key, (const char *)item->value.data,
+                                item->value.length, &entry)) {
+        FvLog_Event(Fv_LOG_WARN, "registry_entry_unreadable",
+                    "key=%s revision=%" PRId64, item->key, item->revision);
+        return;
+    }
+    worker = FvSched_SeeWorker(&leader->sched, &entry, FvClock_NowMs());
+    if (worker == NULL) {
+        return;
+    }
+    FvLeaderWorker_Drive(leader, worker);
+    if (!worker->rostered) {
+        FvLeaderRoster_Changed(leader);
+    }
+    FvLeader_Kick(leader);
+}
+
+static void
+registry_loaded(void *context)
+{
+    fv_leader_t *leader = context;
+
+    leader->reading_registry = false;
+    FvLog_Event(Fv_LOG_INFO, "registry_read", "workers=%u",
+                HASH_COUNT(leader->sched.workers));
+    if (leader->roster_dirty && !leader->roster_writing) {
+        FvLeaderRoster_Write(leader);
+    }
+}
+
+static void
+load_lane(fv_leader_t *leader, const fv_kv_item_t *item)
+{
+    unsigned long lane = strtoul(item->key + strlen(Fv_KEY_LANES), NULL, 10);
+
+    if (lane < Fv_RECORD_LANES) {
+        leader->lane_revisions[lane] = item->revision;
+    }
+}
+
+static void
+load_roster_line(fv_leader_t *leader, const char *line)
+{
+    fv_worker_entry_t entry = {0};
+    fv_sched_worker_t *worker;
+
+    if (sscanf(line, "%63s %63s %63s", entry.id, entry.address,
+               entry.service) != 3) {
+        /* The first line names the leader that wrote it. */
+        FvText_Copy(leader->previous, sizeof(leader->previous), entry.id);
+        return;
+    }
+    worker = FvSched_SeeWorker(&leader->sched, &entry, FvClock_NowMs());
+    if (worker != NULL) {
+        worker->listed = false;
+        worker->rostered = true;
+        leader->roster_inherited++;
+    }
+}
+
+static void
+load_roster(fv_leader_t *leader, const fv_kv_item_t *item)
+{
+    char *rest = NULL;
+
+    if (item->value.data == NULL) {
+        return;
+    }
+    for (char *line = strtok_r((char *)item->value.data, "\n", &rest);
+         line != NULL; line = strtok_r(NULL, "\n", &rest)) {
+        load_roster_line(leader, line);
+    }
+}
+
+static void
+load_job(fv_leader_t *leader, const fv_kv_item_t *item)
+{
+    fv_sched_job_t *job = FvSchedRecord_LoadJob(
+        &leader->sched, item->key + strlen(Fv_KEY_JOBS), &item->value,
+        leader->began_ms, FvClock_WallMs());
+
+    if (job == NULL) {
+        FvLog_Event(Fv_LOG_ERROR, "job_record_unreadable", "key=%s",
+                    item->key);
+        return;
+    }
+    job->durable = true;
+    for (uint32_t o = 0; o < job->occurrence_count; o++) {
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            fv_sched_stage_t *stage = &job->occurrences[o].stages[s];
+
+            for (int32_t t = 0; t < stage->step->task_count; t++) {
+                stage->tasks[t].inherited = true;
+            }
+        }
+    }
+}
+
+static void
+load_progress(fv_leader_t *leader, const fv_kv_item_t *item)
+{
+    fv_sched_job_t *job =
+        FvSched_FindJob(&leader->sched, item->key + strlen(Fv_KEY_PROGRESS));
+
+    if (job == NULL ||
+        !FvSchedRecord_LoadProgress(&leader->sched, job, &item->value)) {
+        FvLog_Event(Fv_LOG_ERROR, "progress_record_unreadable", "key=%s",
+                    item->key);
+    }
+}
+
+static void
+load_ended(fv_leader_t *leader, const fv_kv_item_t *item)
+{
+    FvLeaderRecord_RememberEnded(
+        leader, item->key + strlen(Fv_KEY_ENDED),
+        item->value.data != NULL ? (const char *)item->value.data : "failed");
+}
+
+static void
+deposed(void *context)
+{
+    fv_leader_t *leader = context;
+
+    leader->events.deposed(leader->events.context, "store_refused_write");
+}
+
+static void
+begin_serving(fv_leader_t *leader)
+{
+    fv_records_owner_t owner = {
+        .epoch = leader->epoch,
+        .keep_ms =
+            leader->settings->keep_ended_s * Fv_MS_PER_S + Fv_KEEP_MARGIN_MS,
+        .lost = deposed,
+        .context = leader,
+    };
+    int64_t now_ms = FvClock_NowMs();
+
+    leader->records = FvRecords_New(leader->base, leader->kv, &owner,
+                                    leader->lane_revisions);
+    if (leader->records == NULL) {
+        abort();
+    }
+    leader->serving = true;
+    FvLog_Event(Fv_LOG_INFO, "leader_serving",
+                "epoch=%" PRId64
+                " jobs=%u ended=%u roster=%u took_ms=%" PRId64,
+                leader->epoch, HASH_COUNT(leader->sched.jobs),
+                HASH_COUNT(leader->ended), leader->roster_inherited,
+                now_ms - leader->began_ms);
+    for (fv_sched_job_t *job = leader->sched.jobs; job != NULL;
+         job = job->hh.next) {
+        FvSched_ReleaseStages(&leader->sched, job, now_ms, FvClock_WallMs());
+    }
+    for (fv_sched_worker_t *worker = leader->sched.workers; worker != NULL;
+         worker = worker->hh.next) {
+        FvLeaderWorker_Drive(leader, worker);
+    }
+    leader->registry = FvKvClient_Follow(
+        leader->kv, &(fv_kv_follower_t){.prefix = FvPlatform_RegistryPrefix,
+                                        .begin = registry_begin,
+                                        .item = registry_item,
+                                        .loaded = registry_loaded,
+                                        .gap_ms = Fv_REGISTRY_GAP_MS,
+                                        .context = leader});
+    FvLeader_Kick(leader);
+}
+
+static void load_page(fv_load_t *load);
+
+static void
+load_finished(fv_load_t *load)
+{
+    fv_leader_t *leader = load->leader;
+
+    if (load->loaded != NULL) {
+        load->loaded(leader);
+    }
+    leader->loads_open--;
+    if (leader->loads_open == 0) {
+        begin_serving(leader);
+    }
+}
+
+static void
+page_loaded(void *context, const fv_kv_result_t *result)
+{
+    fv_load_t *load = context;
+    fv_leader_t *leader = load->leader;
+    const fv_kv_items_t *items = &result->items;
+    struct timeval pause = {.tv_usec = Fv_LOAD_RETRY_MS * 1000};
+
+    if (!FvLeader_CallEnded(leader)) {
+        return;
+    }
+    if (result->error != Fv_KV_OK) {
+        event_add(load->retry, &pause);
+        return;
+    }
+    for (uint32_t i = 0; i < items->count; i++) {
+        load->item(leader, &items->items[i]);
+    }
+    free(load->after);
+    load->after = NULL;
+    if (items->has_more && items->count > 0) {
+        load->after = strdup(items->items[items->count - 1].key);
+        load_page(load);
+        return;
+    }
+    load_finished(load);
+}
+
+static void
+load_page(fv_load_t *load)
+{
+    load->leader->calls++;
+    FvKvClient_Range(load->leader->kv, load->prefix, load->after, page_loaded,
+                     load);
+}
+
+static void
+load_again(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    load_page(context);
+}
+
+static void
+start_load(fv_leader_t *leader, uint32_t slot, const char *prefix,
+           void (*item)(fv_leader_t *, const fv_kv_item_t *),
+           void (*loaded)(fv_leader_t *))
+{
+    fv_load_t *load = &leader->loads[slot];
+
+    *load = (fv_load_t){
+        .leader = leader, .prefix = prefix, .item = item, .loaded = loaded};
+    load->retry = event_new(leader->base, -1, 0, load_again, load);
+    leader->loads_open++;
+    load_page(load);
+}
+
+static void
+jobs_loaded(fv_leader_t *leader)
+{
+    start_load(leader, 4, Fv_KEY_PROGRESS, load_progress, NULL);
+}
+
+/**
+ * FvLeaderLoad_Start - read what earlier leaders recorded, then serve
+ * @leader: the leader
+ */
+void
+FvLeaderLoad_Start(fv_leader_t *leader)
+{
+    start_load(leader, 0, Fv_KEY_LANES, load_lane, NULL);
+    start_load(leader, 1, Fv_KEY_ROSTER, load_roster, NULL);
+    start_load(leader, 2, Fv_KEY_ENDED, load_ended, NULL);
+    start_load(leader, 3, Fv_KEY_JOBS, load_job, jobs_loaded);
+}
+
+/**
+ * FvLeaderLoad_Free - stop reading
+ * @leader: the leader
+ */
+void
+FvLeaderLoad_Free(fv_leader_t *leader)
+{
+    for (size_t i = 0; i < sizeof(leader->loads) / sizeof(leader->loads[0]);
+         i++) {
+        free(leader->loads[i].after);
+        if (leader->loads[i].retry != NULL) {
+            event_free(leader->loads[i].retry);
+        }
+    }
+}
--- /dev/null
+++ b/src/leader-records.c
@@ -0,0 +1,310 @@
+/*
+ * What the leader keeps in the store, and the callers who wait for it.
+ */
+
+#include "cell-leader.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void
+answer_waiter(fv_waiter_t *waiter, fv_reply_t outcome, const char *state)
+{
+    fv_message_t message = {.kind = Fv_MESSAGE_REPLY,
+                            .id = waiter->id,
+                            .number = outcome,
+                            .name = state};
+
+    waiter->reply(waiter->context, &message);
+}
+
+/* Answers the callers that waited for a record of the job. */
+static void
+answer_waiters(fv_sched_job_t *job, fv_verb_t verb, fv_reply_t outcome,
+               const char *state)
+{
+    fv_waiter_t **link = (fv_waiter_t **)&job->waiters;
+
+    while (*link != NULL) {
+        fv_waiter_t *waiter = *link;
+
+        if (waiter->verb != verb) {
+            link = &waiter->next;
+            continue;
+        }
+        *link = waiter->next;
+        answer_waiter(waiter, outcome, state);
+        free(waiter);
+    }
+}
+
+/**
+ * FvLeaderRecord_AddWaiter - have a caller answered once a job is recorded
+ * @job: the job
+ * @message: the caller's request
+ * @reply: called with the answer
+ * @context: passed to @reply
+ */
+void
+FvLeaderRecord_AddWaiter(fv_sched_job_t *job, const fv_message_t *message,
+                         fv_leader_reply_t reply, void *context)
+{
+    fv_waiter_t *waiter = calloc(1, sizeof(*waiter));
+
+    if (waiter == NULL) {
+        return; /* the caller's time runs out and it asks again */
+    }
+    *waiter = (fv_waiter_t){.id = message->id,
+                            .verb = (fv_verb_t)message->number,
+                            .reply = reply,
+                            .context = context,
+                            .next = job->waiters};
+    job->waiters = waiter;
+}
+
+/**
+ * FvLeaderRecord_RememberEnded - remember the state of an ended job
+ * @leader: the leader
+ * @id: the job
+ * @state: its state
+ */
+void
+FvLeaderRecord_RememberEnded(fv_leader_t *leader, const char *id,
+                             const char *state)
+{
+    fv_ended_job_t *ended = NULL;
+
+    HASH_FIND_STR(leader->ended, id, ended);
+    if (ended == NULL) {
+        ended = calloc(1, sizeof(*ended));
+        if (ended == NULL) {
+            return;
+        }
+        FvText_Copy(ended->id, sizeof(ended->id), id);
+        HASH_ADD_STR(leader->ended, id, ended);
+    }
+    FvText_Copy(ended->state, sizeof(ended->state), state);
+    ended->ended_ms = FvClock_NowMs();
+}
+
+typedef struct fv_record_call {
+    fv_leader_t *leader;
+    char job[Fv_JOB_ID_SIZE];
+    fv_record_kind_t kind;
+} fv_record_call_t;
+
+/**
+ * FvLeaderRecord_RemoveIfIdle - drop a recorded job of which nothing runs
+ * @leader: the leader
+ * @job: the job
+ */
+void
+FvLeaderRecord_RemoveIfIdle(fv_leader_t *leader, fv_sched_job_t *job)
+{
+    if (job->recorded != Fv_SCHED_JOB_OPEN && job->running_tasks == 0) {
+        while (job->waiters != NULL) {
+            fv_waiter_t *waiter = job->waiters;
+
+            job->waiters = waiter->next;
+            answer_waiter(waiter, Fv_REPLY_NOT_READY, "");
+            free(waiter);
+        }
+        FvSched_RemoveJob(&leader->sched, job);
+    }
+}
+
+static void
+record_written(void *context)
+{
+    fv_record_call_t *call = context;
+    fv_leader_t *leader = call->leader;
+    fv_sched_job_t *job = FvSched_FindJob(&leader->sched, call->job);
+
+    if (job != NULL && call->kind == Fv_RECORD_ACCEPT) {
+        FvSched_JobDurable(&leader->sched, job);
+        FvMetrics_Add(Fv_COUNTER_JOBS_ACCEPTED, 1);
+        FvLog_Event(Fv_LOG_INFO, "job_accepted",
+                    "job=%s queue=%s after_ms=%" PRId64, job->id,
+                    job->queue.name, FvClock_NowMs() - job->received_ms);
+        answer_waiters(job, Fv_VERB_SUBMIT, Fv_REPLY_ACCEPTED, "");
+    }
+    else if (job != NULL && call->kind == Fv_RECORD_END) {
+        job->recorded = job->outcome;
+        FvLeaderRecord_RememberEnded(leader, job->id, FvSched_JobState(job));
+        FvMetrics_Record(Fv_TIMING_TOTAL, Fv_CLASS_DEADLINE, job->queue.name,
+                         (FvClock_NowMs() - job->received_ms) * 1000);
+        answer_waiters(job, Fv_VERB_CANCEL, Fv_REPLY_STATE,
+                       FvSched_JobState(job));
+        FvLeaderRecord_RemoveIfIdle(leader, job);
+    }
+    free(call);
+    FvLeader_Kick(leader);
+}
+
+/* The store was never sent the job's record: the job is not accepted. */
+static void
+accept_withdrawn(void *context)
+{
+    fv_record_call_t *call = context;
+    fv_leader_t *leader = call->leader;
+    fv_sched_job_t *job = FvSched_FindJob(&leader->sched, call->job);
+
+    if (job != NULL && !job->durable) {
+        FvMetrics_Add(Fv_COUNTER_JOBS_REFUSED, 1);
+        FvLog_Event(Fv_LOG_INFO, "job_refused",
+                    "job=%s queue=%s cause=store_away", job->id,
+                    job->queue.name);
+        answer_waiters(job, Fv_VERB_SUBMIT, Fv_REPLY_REFUSED,
+                       Fv_STORE_RETRY_AFTER_S);
+        answer_waiters(job, Fv_VERB_CANCEL, Fv_REPLY_GONE, "");
+        FvSched_RemoveJob(&leader->sched, job);
+    }
+    free(call);
+}
+
+static void
+job_key(const char *prefix, const char *id, char *key, size_t size)
+{
+    snprintf(key, size, "%s%s", prefix, id);
+}
+
+static const char *
+outcome_name(fv_sched_outcome_t outcome)
+{
+    return outcome == Fv_SCHED_JOB_COMPLETED ? "completed"
+           : outcome == Fv_SCHED_JOB_FAILED  ? "failed"
+                                             : "cancelled";
+}
+
+static uint32_t
+build_record(fv_sched_job_t *job, fv_record_kind_t kind, fv_record_t *entries)
+{
+    uint32_t count = 0;
+
+    if (kind == Fv_RECORD_ACCEPT) {
+        job_key(Fv_KEY_JOBS, job->id, entries[0].key, Fv_KEY_SIZE);
+        FvSchedRecord_Job(job, &entries[0].value);
+        return 1;
+    }
+    if (kind == Fv_RECORD_PROGRESS) {
+        job_key(Fv_KEY_PROGRESS, job->id, entries[0].key, Fv_KEY_SIZE);
+        FvSchedRecord_Progress(job, &entries[0].value);
+        job->progress_recorded = true;
+        return 1;
+    }
+    job_key(Fv_KEY_ENDED, job->id, entries[0].key, Fv_KEY_SIZE);
+    FvBuffer_Append(&entries[0].value, outcome_name(job->outcome),
+                    strlen(outcome_name(job->outcome)));
+    entries[0].expires = true;
+    job_key(Fv_KEY_JOBS, job->id, entries[1].key, Fv_KEY_SIZE);
+    count = 2;
+    if (job->progress_recorded) {
+        job_key(Fv_KEY_PROGRESS, job->id, entries[2].key, Fv_KEY_SIZE);
+        count = 3;
+    }
+    return count;
+}
+
+/**
+ * FvLeaderRecord_Write - record a job in the store
+ * @sched: the scheduler
+ * @job: the job
+ * @kind: what of it
+ */
+void
+FvLeaderRecord_Write(fv_sched_t *sched, fv_sched_job_t *job,
+                     fv_record_kind_t kind)
+{
+    fv_leader_t *leader = FvLeader_Of(sched);
+    fv_record_call_t *call = calloc(1, sizeof(*call));
+    fv_record_t entries[3] = {0};
+    uint32_t count = build_record(job, kind, entries);
+
+    if (call == NULL) {
+        abort(); /* an acknowledgement without a record breaks a promise */
+    }
+    call->leader = leader;
+    call->kind = kind;
+    FvText_Copy(call->job, sizeof(call->job), job->id);
+    if (!FvRecords_Write(
+            leader->records,
+            &(fv_records_group_t){
+                .order_key = job->id,
+                .replaces = kind == Fv_RECORD_PROGRESS,
+                .entries = entries,
+                .count = count,
+                .urgent = kind == Fv_RECORD_ACCEPT || job->cancelled,
+                .done = record_written,
+                .dropped = kind == Fv_RECORD_ACCEPT ? accept_withdrawn : NULL,
+                .context = call})) {
+        free(call);
+    }
+}
+
+/* The list of workers that may run something, kept so that the next leader
+ * knows whom to ask before it starts a task again. */
+static void roster_written(void *context);
+
+/**
+ * FvLeaderRoster_Write - write the list of workers that may run something
+ * @leader: the leader
+ */
+void
+FvLeaderRoster_Write(fv_leader_t *leader)
+{
+    fv_record_t entry = {.key = Fv_KEY_ROSTER};
+    char line[Fv_URL_SIZE];
+
+    leader->roster_dirty = false;
+    leader->roster_writing = true;
+    snprintf(line, sizeof(line), "%s\n", leader->settings->host);
+    FvBuffer_Append(&entry.value, line, strlen(line));
+    for (fv_sched_worker_t *worker = leader->sched.workers; worker != NULL;
+         worker = worker->hh.next) {
+        if (!worker->listed && !worker->rostered) {
+            continue;
+        }
+        snprintf(line, sizeof(line), "%s %s %s\n", worker->entry.id,
+                 worker->entry.address, worker->entry.service);
+        FvBuffer_Append(&entry.value, line, strlen(line));
+    }
+    FvRecords_Write(leader->records,
+                    &(fv_records_group_t){.order_key = Fv_KEY_ROSTER,
+                                          .entries = &entry,
+                                          .count = 1,
+                                          .urgent = true,
+                                          .done = roster_written,
+                                          .context = leader});
+}
+
+static void
+roster_written(void *context)
+{
+    fv_leader_t *leader = context;
+
+    leader->roster_writing = false;
+    if (leader->roster_dirty) {
+        FvLeaderRoster_Write(leader);
+        return;
+    }
+    for (fv_sched_worker_t *worker = leader->sched.workers; worker != NULL;
+         worker = worker->hh.next) {
+        worker->rostered = worker->rostered || worker->listed;
+    }
+    leader->sched.dirty = true;
+    FvLeader_Kick(leader);
+}
+
+/**
+ * FvLeaderRoster_Changed - have the list of workers written
+ * @leader: the leader
+ */
+void
+FvLeaderRoster_Changed(fv_leader_t *leader)
+{
+    leader->roster_dirty = true;
+    if (!leader->roster_writing && !leader->reading_registry) {
+        FvLeaderRoster_Write(leader);
+    }
+}
--- /dev/null
+++ b/src/leader-requests.c
@@ -0,0 +1,184 @@
+/*
+ * Requests of callers, as fronts pass them on.
+ */
+
+#include "cell-leader.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void
+reply_now(const fv_message_t *message, fv_leader_reply_t reply, void *context,
+          fv_reply_t outcome, const char *state)
+{
+    fv_message_t answer = {.kind = Fv_MESSAGE_REPLY,
+                           .id = message->id,
+                           .number = outcome,
+                           .name = state};
+
+    reply(context, &answer);
+}
+
+static const fv_cell_queue_t *
+queue_named(fv_leader_t *leader, const char *name)
+{
+    const fv_cell_config_t *config =
+        leader->events.config(leader->events.context);
+
+    for (uint32_t i = 0; config != NULL && i < config->queue_count; i++) {
+        if (strcmp(config->queues[i].name, name) == 0) {
+            return &config->queues[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+submit(fv_leader_t *leader, const fv_message_t *message,
+       fv_leader_reply_t reply, void *context)
+{
+    const fv_cell_queue_t *queue = queue_named(leader, message->name);
+    int64_t now_ms = FvClock_NowMs();
+    int64_t wall_ms = FvClock_WallMs();
+    fv_sched_job_t *job;
+    fv_job_spec_t spec;
+
+    if (queue == NULL) {
+        reply_now(message, reply, context, Fv_REPLY_NOT_READY, "");
+        return;
+    }
+    if (FvRecords_Stalled(leader->records, now_ms)) {
+        FvMetrics_Add(Fv_COUNTER_JOBS_REFUSED, 1);
+        FvLog_Event(Fv_LOG_INFO, "job_refused",
+                    "job=%s queue=%s cause=store_away", message->key,
+                    message->name);
+        reply_now(message, reply, context, Fv_REPLY_REFUSED,
+                  Fv_STORE_RETRY_AFTER_S);
+        return;
+    }
+    if (!FvPlatform_JobSpec(message->body, message->body_length, &spec)) {
+        FvJobSpec_Clear(&spec);
+        FvLog_Event(Fv_LOG_INFO, "job_malformed", "job=%s queue=%s",
+                    message->key, message->name);
+        reply_now(message, reply, context, Fv_REPLY_MALFORMED, "");
+        return;
+    }
+    job = FvSched_AddJob(&leader->sched, message->key, queue, &spec,
+                         message->body, message->body_length, now_ms, wall_ms);
+    FvJobSpec_Clear(&spec);
+    if (job == NULL) {
+        reply_now(message, reply, context, Fv_REPLY_NOT_READY, "");
+        return;
+    }
+    FvLeaderRecord_AddWaiter(job, message, reply, context);
+    FvLeaderRecord_Write(&leader->sched, job, Fv_RECORD_ACCEPT);
+    FvSched_ReleaseStages(&leader->sched, job, now_ms, wall_ms);
+    FvLeader_Kick(leader);
+}
+
+static void
+request_ended_job(const fv_ended_job_t *ended, const fv_message_t *message,
+                  fv_leader_reply_t reply, void *context)
+{
+    if (message->number == Fv_VERB_SUBMIT) {
+        reply_now(message, reply, context, Fv_REPLY_ACCEPTED, "");
+    }
+    else {
+        reply_now(message, reply, context, Fv_REPLY_STATE, ended->state);
+    }
+}
+
+static void
+request_open_job(fv_leader_t *leader, fv_sched_job_t *job,
+                 const fv_message_t *message, fv_leader_reply_t reply,
+                 void *context)
+{
+    if (message->number == Fv_VERB_SUBMIT) {
+        if (job->durable) {
+            reply_now(message, reply, context, Fv_REPLY_ACCEPTED, "");
+        }
+        else {
+            FvLeaderRecord_AddWaiter(job, message, reply, context);
+        }
+    }
+    else if (message->number == Fv_VERB_STATE) {
+        reply_now(message, reply, context,
+                  job->durable ? Fv_REPLY_STATE : Fv_REPLY_NOT_READY,
+                  FvSched_JobState(job));
+    }
+    else if (job->recorded != Fv_SCHED_JOB_OPEN) {
+        reply_now(message, reply, context, Fv_REPLY_STATE,
+                  FvSched_JobState(job));
+    }
+    else {
+        FvLeaderRecord_AddWaiter(job, message, reply, context);
+        FvSched_CancelJob(&leader->sched, job, FvClock_NowMs());
+        FvLeader_Kick(leader);
+    }
+}
+
+/**
+ * FvLeader_Request - serve a request about a job or a queue
+ * @leader: the leader
+ * @message: the request
+ * @reply: called with the answer, now or later
+ * @context: passed to @reply
+ */
+void
+FvLeader_Request(fv_leader_t *leader, const fv_message_t *message,
+                 fv_leader_reply_t reply, void *context)
+{
+    fv_sched_job_t *job = FvSched_FindJob(&leader->sched, message->key);
+    fv_ended_job_t *ended = NULL;
+    char count[24];
+
+    if (!leader->serving) {
+        reply_now(message, reply, context, Fv_REPLY_NOT_READY, "");
+        return;
+    }
+    if (message->number == Fv_VERB_WAITING) {
+        snprintf(count, sizeof(count), "%" PRId64,
+                 FvSched_CountWaiting(&leader->sched, message->name));
+        reply_now(message, reply, context, Fv_REPLY_COUNT, count);
+        return;
+    }
+    HASH_FIND_STR(leader->ended, message->key, ended);
+    if (ended != NULL) {
+        request_ended_job(ended, message, reply, context);
+    }
+    else if (job != NULL) {
+        request_open_job(leader, job, message, reply, context);
+    }
+    else if (message->number == Fv_VERB_SUBMIT) {
+        submit(leader, message, reply, context);
+    }
+    else {
+        reply_now(message, reply, context, Fv_REPLY_GONE, "");
+    }
+}
+
+/**
+ * FvLeader_DropReplies - a host is gone: forget whom to answer there
+ * @leader: the leader
+ * @context: the context of its requests
+ */
+void
+FvLeader_DropReplies(fv_leader_t *leader, const void *context)
+{
+    for (fv_sched_job_t *job = leader->sched.jobs; job != NULL;
+         job = job->hh.next) {
+        fv_waiter_t **link = (fv_waiter_t **)&job->waiters;
+
+        while (*link != NULL) {
+            fv_waiter_t *waiter = *link;
+
+            if (waiter->context != context) {
+                link = &waiter->next;
+                continue;
+            }
+            *link = waiter->next;
+            free(waiter);
+        }
+    }
+}
