--- /dev/null
+++ b/src/entry-hosts.c
@@ -0,0 +1,205 @@
+/*
+ * The other hosts as the leader sees them: connections, and the calls to the
+ * advice service that each of them makes for it.
+ */
+
+#include "entry-hosts.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A host makes one call to the advice service at a time. Long calls are kept
+ * off some hosts, so that shorter ones find one free. */
+#define Fv_LONG_ASK_US 50000
+#define Fv_LONG_ASK_HOSTS 0.85
+#define Fv_VERY_LONG_ASK_US 250000
+#define Fv_VERY_LONG_ASK_HOSTS 0.6
+#define Fv_SHORT_ASK_BACKLOG_US 80000
+#define Fv_OVERHEAD_WEIGHT 8 /* of the old value against a new one */
+
+/**
+ * FvEntryHosts_Obtain - the slot of a host, made when it is new
+ * @entry: this process
+ * @name: the host
+ *
+ * Return: the slot, or NULL when there is no room.
+ */
+fv_host_slot_t *
+FvEntryHosts_Obtain(fv_entry_t *entry, const char *name)
+{
+    fv_host_slot_t *slot;
+
+    for (uint32_t i = 0; i < entry->slot_count; i++) {
+        if (strcmp(entry->slots[i]->name, name) == 0) {
+            return entry->slots[i];
+        }
+    }
+    slot = entry->slot_count < Fv_HOSTS_MAX ? calloc(1, sizeof(*slot)) : NULL;
+    if (slot != NULL) {
+        slot->entry = entry;
+        FvText_Copy(slot->name, sizeof(slot->name), name);
+        entry->slots[entry->slot_count++] = slot;
+    }
+    return slot;
+}
+
+/**
+ * FvEntryHosts_Find - the slot of a connection
+ * @entry: this process
+ * @peer: the connection
+ *
+ * Return: the slot, or NULL.
+ */
+fv_host_slot_t *
+FvEntryHosts_Find(fv_entry_t *entry, const fv_link_peer_t *peer)
+{
+    for (uint32_t i = 0; i < entry->slot_count; i++) {
+        if (entry->slots[i]->peer == peer) {
+            return entry->slots[i];
+        }
+    }
+    return NULL;
+}
+
+/**
+ * FvEntryHosts_ForgetAsk - a question is no longer with a host
+ * @slot: the host
+ * @id: the question
+ */
+void
+FvEntryHosts_ForgetAsk(fv_host_slot_t *slot, int64_t id)
+{
+    for (uint32_t i = 0; i < slot->ask_count; i++) {
+        if (slot->asks[i].id == id) {
+            slot->backlog_us -= slot->asks[i].cost_us;
+            slot->asks[i] = slot->asks[--slot->ask_count];
+            return;
+        }
+    }
+}
+
+/**
+ * FvEntryHosts_LearnOverhead - learn how far the advice service is from a host
+ * @slot: the host
+ * @id: the question that it answered
+ */
+void
+FvEntryHosts_LearnOverhead(fv_host_slot_t *slot, int64_t id)
+{
+    for (uint32_t i = 0; i < slot->ask_count; i++) {
+        const fv_host_ask_t *ask = &slot->asks[i];
+        int64_t took_us = (FvClock_NowMs() - ask->sent_ms) * 1000;
+
+        if (ask->id == id && slot->ask_count == 1 && took_us > ask->cost_us) {
+            slot->overhead_us += (took_us - ask->cost_us - slot->overhead_us) /
+                                 Fv_OVERHEAD_WEIGHT;
+        }
+    }
+}
+
+/**
+ * FvEntryHosts_FailAsks - a host is gone: its questions stay unanswered
+ * @entry: this process
+ * @slot: the host
+ */
+void
+FvEntryHosts_FailAsks(fv_entry_t *entry, fv_host_slot_t *slot)
+{
+    while (slot->ask_count > 0) {
+        int64_t id = slot->asks[0].id;
+
+        FvEntryHosts_ForgetAsk(slot, id);
+        if (entry->leader != NULL) {
+            FvLeader_Advice(
+                entry->leader,
+                &(fv_message_t){.kind = Fv_MESSAGE_ADVICE, .id = id});
+        }
+    }
+}
+
+/* How many of the hosts take a call of this length. */
+static uint32_t
+hosts_for_ask(const fv_entry_t *entry, int64_t cost_us)
+{
+    double share = cost_us >= Fv_VERY_LONG_ASK_US ? Fv_VERY_LONG_ASK_HOSTS
+                   : cost_us >= Fv_LONG_ASK_US    ? Fv_LONG_ASK_HOSTS
+                                                  : 1.0;
+    uint32_t reached = 0;
+    uint32_t count;
+
+    for (uint32_t i = 0; i < entry->slot_count; i++) {
+        reached += entry->slots[i]->joined || entry->slots[i] == entry->self;
+    }
+    count = (uint32_t)((double)reached * share);
+    return count > 0 ? count : 1;
+}
+
+static fv_host_slot_t *
+choose_asker(fv_entry_t *entry, int64_t cost_us)
+{
+    bool is_long = cost_us >= Fv_LONG_ASK_US;
+    uint32_t left = hosts_for_ask(entry, cost_us);
+    fv_host_slot_t *best = NULL;
+
+    for (uint32_t i = 0; i < entry->slot_count; i++) {
+        fv_host_slot_t *slot = entry->slots[i];
+
+        if ((!slot->joined && slot != entry->self) ||
+            slot->ask_count == Fv_ASKS_MAX) {
+            continue;
+        }
+        if (left-- == 0) {
+            break;
+        }
+        if (best == NULL || slot->backlog_us + slot->overhead_us <
+                                best->backlog_us + best->overhead_us) {
+            best = slot;
+        }
+    }
+    if (best != NULL &&
+        best->backlog_us > (is_long ? 0 : Fv_SHORT_ASK_BACKLOG_US)) {
+        return NULL;
+    }
+    return best;
+}
+
+static void
+own_advice(void *context, const fv_message_t *answer)
+{
+    fv_entry_t *entry = context;
+
+    FvEntryHosts_LearnOverhead(entry->self, answer->id);
+    FvEntryHosts_ForgetAsk(entry->self, answer->id);
+    if (entry->leader != NULL) {
+        FvLeader_Advice(entry->leader, answer);
+    }
+}
+
+/**
+ * FvEntryHosts_Ask - choose a host and have it ask the advice service
+ * @context: this process
+ * @message: the question
+ * @cost_us: what the call costs
+ *
+ * Return: false when no host is free.
+ */
+bool
+FvEntryHosts_Ask(void *context, const fv_message_t *message, int64_t cost_us)
+{
+    fv_entry_t *entry = context;
+    fv_host_slot_t *slot = choose_asker(entry, cost_us);
+
+    if (slot == NULL || entry->advice == NULL) {
+        return false;
+    }
+    slot->asks[slot->ask_count++] = (fv_host_ask_t){
+        .id = message->id, .cost_us = cost_us, .sent_ms = FvClock_NowMs()};
+    slot->backlog_us += cost_us;
+    if (slot == entry->self) {
+        FvAdviceCaller_Ask(entry->advice, message, own_advice, entry);
+    }
+    else {
+        FvLinks_Send(slot->peer, message);
+    }
+    return true;
+}
--- /dev/null
+++ b/src/entry-hosts.h
@@ -0,0 +1,77 @@
+/*
+ * The process of an entry host, shared by entry.c and entry-hosts.c.
+ */
+
+#ifndef ENTRY_HOSTS_H
+#define ENTRY_HOSTS_H
+
+#include "entry.h"
+
+#define Fv_ASKS_MAX 64
+
+typedef struct fv_entry fv_entry_t;
+
+typedef struct fv_host_ask {
+    int64_t id;
+    int64_t cost_us;
+    int64_t sent_ms;
+} fv_host_ask_t;
+
+/* A host as the leader sees it. */
+typedef struct fv_host_slot {
+    fv_entry_t *entry;
+    char name[Fv_NAME_SIZE];
+    fv_link_peer_t *peer; /* NULL for this host, and while it is away */
+    bool joined;
+    int64_t dialed_ms;
+    uint32_t ask_count;
+    fv_host_ask_t asks[Fv_ASKS_MAX];
+    int64_t backlog_us;
+    int64_t overhead_us; /* learned: what a call takes beyond its work */
+} fv_host_slot_t;
+
+struct fv_entry {
+    struct event_base *base;
+    const char *settings_path;
+    fv_entry_settings_t settings;
+    fv_call_pool_t *pool;
+    fv_kv_client_t *kv;
+    fv_election_t *election;
+    fv_links_t *links;
+    fv_front_t *front;
+    fv_advice_caller_t *advice;
+    fv_leader_t *leader;
+    fv_kv_watch_t *config_watch;
+    fv_cell_config_t *config;
+    struct event *beat;
+    struct event *depose;
+    struct event *flush;
+    struct event *drain;
+    struct event *sigterm;
+    struct event *sigint;
+    struct event *sighup;
+    const char *depose_cause;
+    int64_t epoch;
+    int64_t led_since_ms;
+    int64_t lonely_since_ms;
+    int64_t lonely_resigned_ms;
+    fv_link_peer_t *uplink;
+    int64_t uplink_epoch;
+    int64_t leader_seen_ms;
+    int64_t term_ms; /* when the drain began; 0: not draining */
+    uint32_t slot_count;
+    fv_host_slot_t *slots[Fv_HOSTS_MAX];
+    fv_host_slot_t *self;
+};
+
+/* entry-hosts.c */
+fv_host_slot_t *FvEntryHosts_Obtain(fv_entry_t *entry, const char *name);
+fv_host_slot_t *FvEntryHosts_Find(fv_entry_t *entry,
+                                  const fv_link_peer_t *peer);
+void FvEntryHosts_LearnOverhead(fv_host_slot_t *slot, int64_t id);
+void FvEntryHosts_ForgetAsk(fv_host_slot_t *slot, int64_t id);
+void FvEntryHosts_FailAsks(fv_entry_t *entry, fv_host_slot_t *slot);
+bool FvEntryHosts_Ask(void *context, const fv_message_t *message,
+                      int64_t cost_us);
+
+#endif
--- a/src/entry.c
+++ b/src/entry.c
@@ -3,7 +3,7 @@
  * links between hosts and, when this host wins, the leader.
  */
 
-#include "entry.h"
+#include "entry-hosts.h"
 
 #include <errno.h>
 #include <inttypes.h>
@@ -32,71 +32,6 @@
 #define Fv_DRAIN_MARGIN_MS 800
 #define Fv_DRAIN_CHECK_MS 50
 
-/* A host makes one call to the advice service at a time. Long calls are kept
- * off some hosts, so that shorter ones find one free. */
-#define Fv_LONG_ASK_US 50000
-#define Fv_LONG_ASK_HOSTS 0.85
-#define Fv_VERY_LONG_ASK_US 250000
-#define Fv_VERY_LONG_ASK_HOSTS 0.6
-#define Fv_SHORT_ASK_BACKLOG_US 80000
-#define Fv_ASKS_MAX 64
-#define Fv_OVERHEAD_WEIGHT 8 /* of the old value against a new one */
-
-typedef struct fv_entry fv_entry_t;
-
-typedef struct fv_host_ask {
-    int64_t id;
-    int64_t cost_us;
-    int64_t sent_ms;
-} fv_host_ask_t;
-
-/* A host as the leader sees it. */
-typedef struct fv_host_slot {
-    fv_entry_t *entry;
-    char name[Fv_NAME_SIZE];
-    fv_link_peer_t *peer; /* NULL for this host, and while it is away */
-    bool joined;
-    int64_t dialed_ms;
-    uint32_t ask_count;
-    fv_host_ask_t asks[Fv_ASKS_MAX];
-    int64_t backlog_us;
-    int64_t overhead_us; /* learned: what a call takes beyond its work */
-} fv_host_slot_t;
-
-struct fv_entry {
-    struct event_base *base;
-    const char *settings_path;
-    fv_entry_settings_t settings;
-    fv_call_pool_t *pool;
-    fv_kv_client_t *kv;
-    fv_election_t *election;
-    fv_links_t *links;
-    fv_front_t *front;
-    fv_advice_caller_t *advice;
-    fv_leader_t *leader;
-    fv_kv_watch_t *config_watch;
-    fv_cell_config_t *config;
-    struct event *beat;
-    struct event *depose;
-    struct event *flush;
-    struct event *drain;
-    struct event *sigterm;
-    struct event *sigint;
-    struct event *sighup;
-    const char *depose_cause;
-    int64_t epoch;
-    int64_t led_since_ms;
-    int64_t lonely_since_ms;
-    int64_t lonely_resigned_ms;
-    fv_link_peer_t *uplink;
-    int64_t uplink_epoch;
-    int64_t leader_seen_ms;
-    int64_t term_ms; /* when the drain began; 0: not draining */
-    uint32_t slot_count;
-    fv_host_slot_t *slots[Fv_HOSTS_MAX];
-    fv_host_slot_t *self;
-};
-
 /* --- Configuration ------------------------------------------------------ */
 
 static int64_t
@@ -183,38 +118,6 @@
     }
 }
 
-/* --- Hosts, as the leader sees them ------------------------------------- */
-
-static fv_host_slot_t *
-obtain_slot(fv_entry_t *entry, const char *name)
-{
-    fv_host_slot_t *slot;
-
-    for (uint32_t i = 0; i < entry->slot_count; i++) {
-        if (strcmp(entry->slots[i]->name, name) == 0) {
-            return entry->slots[i];
-        }
-    }
-    slot = entry->slot_count < Fv_HOSTS_MAX ? calloc(1, sizeof(*slot)) : NULL;
-    if (slot != NULL) {
-        slot->entry = entry;
-        FvText_Copy(slot->name, sizeof(slot->name), name);
-        entry->slots[entry->slot_count++] = slot;
-    }
-    return slot;
-}
-
-static fv_host_slot_t *
-slot_of(fv_entry_t *entry, const fv_link_peer_t *peer)
-{
-    for (uint32_t i = 0; i < entry->slot_count; i++) {
-        if (entry->slots[i]->peer == peer) {
-            return entry->slots[i];
-        }
-    }
-    return NULL;
-}
-
 static void
 dial_hosts(fv_entry_t *entry)
 {
@@ -232,7 +135,7 @@
             strcmp(hosts[i].name, entry->settings.host) == 0) {
             continue;
         }
-        slot = obtain_slot(entry, hosts[i].name);
+        slot = FvEntryHosts_Obtain(entry, hosts[i].name);
         if (slot == NULL || slot->peer != NULL ||
             now_ms - slot->dialed_ms < Fv_REDIAL_MS) {
             continue;
@@ -243,128 +146,6 @@
     }
 }
 
-static void
-forget_ask(fv_host_slot_t *slot, int64_t id)
-{
-    for (uint32_t i = 0; i < slot->ask_count; i++) {
-        if (slot->asks[i].id == id) {
-            slot->backlog_us -= slot->asks[i].cost_us;
-            slot->asks[i] = slot->asks[--slot->ask_count];
-            return;
-        }
-    }
-}
-
-/* Learns how far the advice service is from a host; a call that had to wait
- * for another says nothing. */
-static void
-learn_overhead(fv_host_slot_t *slot, int64_t id)
-{
-    for (uint32_t i = 0; i < slot->ask_count; i++) {
-        const fv_host_ask_t *ask = &slot->asks[i];
-        int64_t took_us = (FvClock_NowMs() - ask->sent_ms) * 1000;
-
-        if (ask->id == id && slot->ask_count == 1 && took_us > ask->cost_us) {
-            slot->overhead_us += (took_us - ask->cost_us - slot->overhead_us) /
-                                 Fv_OVERHEAD_WEIGHT;
-        }
-    }
-}
-
-static void
-fail_asks(fv_entry_t *entry, fv_host_slot_t *slot)
-{
-    while (slot->ask_count > 0) {
-        int64_t id = slot->asks[0].id;
-
-        forget_ask(slot, id);
-        if (entry->leader != NULL) {
-            FvLeader_Advice(
-                entry->leader,
-                &(fv_message_t){.kind = Fv_MESSAGE_ADVICE, .id = id});
-        }
-    }
-}
-
-/* How many of the hosts take a call of this length. */
-static uint32_t
-hosts_for_ask(const fv_entry_t *entry, int64_t cost_us)
-{
-    double share = cost_us >= Fv_VERY_LONG_ASK_US ? Fv_VERY_LONG_ASK_HOSTS
-                   : cost_us >= Fv_LONG_ASK_US    ? Fv_LONG_ASK_HOSTS
-                                                  : 1.0;
-    uint32_t reached = 0;
-    uint32_t count;
-
-    for (uint32_t i = 0; i < entry->slot_count; i++) {
-        reached += entry->slots[i]->joined || entry->slots[i] == entry->self;
-    }
-    count = (uint32_t)((double)reached * share);
-    return count > 0 ? count : 1;
-}
-
-static fv_host_slot_t *
-choose_asker(fv_entry_t *entry, int64_t cost_us)
-{
-    bool is_long = cost_us >= Fv_LONG_ASK_US;
-    uint32_t left = hosts_for_ask(entry, cost_us);
-    fv_host_slot_t *best = NULL;
-
-    for (uint32_t i = 0; i < entry->slot_count; i++) {
-        fv_host_slot_t *slot = entry->slots[i];
-
-        if ((!slot->joined && slot != entry->self) ||
-            slot->ask_count == Fv_ASKS_MAX) {
-            continue;
-        }
-        if (left-- == 0) {
-            break;
-        }
-        if (best == NULL || slot->backlog_us + slot->overhead_us <
-                                best->backlog_us + best->overhead_us) {
-            best = slot;
-        }
-    }
-    if (best != NULL &&
-        best->backlog_us > (is_long ? 0 : Fv_SHORT_ASK_BACKLOG_US)) {
-        return NULL;
-    }
-    return best;
-}
-
-static void
-own_advice(void *context, const fv_message_t *answer)
-{
-    fv_entry_t *entry = context;
-
-    learn_overhead(entry->self, answer->id);
-    forget_ask(entry->self, answer->id);
-    if (entry->leader != NULL) {
-        FvLeader_Advice(entry->leader, answer);
-    }
-}
-
-static bool
-leader_asks(void *context, const fv_message_t *message, int64_t cost_us)
-{
-    fv_entry_t *entry = context;
-    fv_host_slot_t *slot = choose_asker(entry, cost_us);
-
-    if (slot == NULL || entry->advice == NULL) {
-        return false;
-    }
-    slot->asks[slot->ask_count++] = (fv_host_ask_t){
-        .id = message->id, .cost_us = cost_us, .sent_ms = FvClock_NowMs()};
-    slot->backlog_us += cost_us;
-    if (slot == entry->self) {
-        FvAdviceCaller_Ask(entry->advice, message, own_advice, entry);
-    }
-    else {
-        FvLinks_Send(slot->peer, message);
-    }
-    return true;
-}
-
 /* --- Leadership --------------------------------------------------------- */
 
 static bool
@@ -421,7 +202,7 @@
 {
     fv_entry_t *entry = context;
     fv_leader_events_t events = {.may_order = leader_may_order,
-                                 .ask = leader_asks,
+                                 .ask = FvEntryHosts_Ask,
                                  .deposed = leader_deposed,
                                  .follows = leader_follows,
                                  .config = leader_config,
@@ -430,7 +211,7 @@
     entry->epoch = epoch;
     entry->led_since_ms = FvClock_NowMs();
     entry->lonely_since_ms = 0;
-    entry->self = obtain_slot(entry, entry->settings.host);
+    entry->self = FvEntryHosts_Obtain(entry, entry->settings.host);
     entry->leader = FvLeader_New(entry->base, entry->pool, entry->kv,
                                  &entry->settings, &events, epoch, generation);
     FvLinks_Hang(entry->uplink);
@@ -584,8 +365,8 @@
         }
         break;
     case Fv_MESSAGE_ADVICE:
-        learn_overhead(slot, message->id);
-        forget_ask(slot, message->id);
+        FvEntryHosts_LearnOverhead(slot, message->id);
+        FvEntryHosts_ForgetAsk(slot, message->id);
         if (entry->leader != NULL) {
             FvLeader_Advice(entry->leader, message);
         }
@@ -614,7 +395,7 @@
         message_of_leader(entry, peer, message);
         return;
     }
-    slot = slot_of(entry, peer);
+    slot = FvEntryHosts_Find(entry, peer);
     if (slot != NULL) {
         message_of_host(entry, slot, message);
     }
@@ -634,7 +415,7 @@
 link_closed(void *context, fv_link_peer_t *peer)
 {
     fv_entry_t *entry = context;
-    fv_host_slot_t *slot = slot_of(entry, peer);
+    fv_host_slot_t *slot = FvEntryHosts_Find(entry, peer);
 
     if (peer == entry->uplink) {
         FvLog_Event(Fv_LOG_INFO, "leader_link_lost", "leader=%s",
@@ -651,7 +432,7 @@
         if (entry->leader != NULL) {
             FvLeader_DropReplies(entry->leader, slot);
         }
-        fail_asks(entry, slot);
+        FvEntryHosts_FailAsks(entry, slot);
     }
 }
 
