--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 #   make bench         measure; writes build/bench.csv
 #   make chaos SEED=n  run the paired-fault test with one seed
 #   make soak SEED=n SECONDS=s  run the fault soak of the entry hosts
+#   make soak-seeds  run the soak with every seed that ever failed
 #   make lint          clang-tidy and cppcheck
 #   make format-check  clang-format
 
@@ -46,7 +47,7 @@
 C_FILES := $(wildcard src/*.c platform/*.c tests/*/*.c)
 ALL_FILES := $(C_FILES) $(wildcard src/*.h src/*.cc platform/*.h tests/*/*.h)
 
-.PHONY: all check check-unit check-promises demo bench chaos soak lint \
+.PHONY: all check check-unit check-promises demo bench chaos soak soak-seeds lint \
         format format-check clean
 .SECONDARY:
 
@@ -102,6 +103,9 @@
 soak: all
 	BUILD=$(BUILD) $(SOAK) --seed $(SEED) --seconds $(SECONDS)
 
+soak-seeds: all
+	BUILD=$(BUILD) scripts/soak-seeds
+
 lint:
 	@mkdir -p $(BUILD)
 	printf '%s\n' $(C_FILES) | xargs -P 8 -n 3 sh -c \
