--- a/src/host-link.c
+++ b/src/host-link.c
@@ -170,7 +170,9 @@
     if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= size) {
         return false;
     }
-    memcpy(target, object->via.str.ptr, object->via.str.size);
+    if (object->via.str.size > 0) { /* an empty text has no address */
+        memcpy(target, object->via.str.ptr, object->via.str.size);
+    }
     target[object->via.str.size] = '\0';
     return true;
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -611,6 +611,7 @@
     struct arg_int *port = arg_int0(NULL, "port", "N", "first port");
     struct arg_end *end = arg_end(4);
     void *table[] = {seed, seconds, hosts, port, end};
+    int code;
 
     if (arg_parse(argc, argv, table) != 0) {
         arg_print_errors(stderr, end, "soak");
@@ -625,5 +626,7 @@
         fprintf(stderr, "soak: 1 to %d hosts\n", SOAK_HOSTS_MAX);
         return 2;
     }
-    return run(&soak, seconds->count > 0 ? seconds->ival[0] : 20);
+    code = run(&soak, seconds->count > 0 ? seconds->ival[0] : 20);
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return code;
 }
