Split the stand-in of the platform into store, workers and program

Change: its store and workers move to tests/harness/cell-store.c and cell-worker.c; one function writes a key. Nothing of what it judges changes.

--- /dev/null
+++ b/tests/harness/cell-model.h
@@ -0,0 +1,118 @@
+/*
+ * Parts of the stand-in for the users' platform: its store, its workers, and
+ * what it judges of the orders that they get.
+ */
+
+#ifndef CELL_MODEL_H
+#define CELL_MODEL_H
+
+#include "fake-server.h"
+#include "fireflyvalve.h"
+#include "kv-store.h"
+
+#include <pthread.h>
+#include <uthash.h>
+
+#define CELL_WORKERS_MAX 32
+#define CELL_STORE_THREADS 96
+/* A thread a connection: four hosts that lead in turn keep some open. */
+#define CELL_WORKER_THREADS 96
+#define CELL_CPU_MILLIS 8000
+#define CELL_MEMORY_MIB 16384
+#define CELL_HEARTBEAT_MS 500
+#define CELL_TICK_MS 10
+#define CELL_TICKET_MS 2000
+#define CELL_LEASE_MAX_MS 10000
+#define CELL_ENDS_MAX 500
+
+typedef enum cell_store_mode {
+    CELL_STORE_UP,
+    CELL_STORE_BUSY,   /* 503 */
+    CELL_STORE_SILENT, /* no answer, nothing done */
+    CELL_STORE_LOST    /* done, no answer */
+} cell_store_mode_t;
+
+typedef struct cell_run {
+    char task[64];
+    int32_t run;
+    int64_t cpu_millis;
+    int64_t started_ms;
+    int64_t ends_ms;
+    bool fails;
+    struct cell_run *next;
+} cell_run_t;
+
+typedef struct cell_end {
+    int64_t number;
+    char task[64];
+    int32_t run;
+    const char *how;
+    struct cell_end *next;
+} cell_end_t;
+
+/* What is known of a task over all workers. */
+typedef struct cell_task {
+    char name[64];
+    int32_t highest_run;
+    uint32_t starts;
+    uint32_t running;
+    bool done_acknowledged;
+    UT_hash_handle hh;
+} cell_task_t;
+
+typedef struct cell_worker {
+    char id[32];
+    char address[64];
+    bool down;
+    int64_t born_ms;
+    int64_t fence;
+    int64_t lease_end_ms;
+    int64_t last_end;
+    int64_t sequence;
+    cell_run_t *runs;
+    cell_end_t *ends;
+    int64_t next_heartbeat_ms;
+} cell_worker_t;
+
+/* Highest run of a task that a worker stopped or ended. */
+typedef struct cell_tombstone {
+    char key[128]; /* worker and task */
+    int32_t run;
+    UT_hash_handle hh;
+} cell_tombstone_t;
+
+typedef struct cell {
+    pthread_mutex_t lock;
+    kv_store_t *store;
+    cell_store_mode_t store_mode;
+    uint32_t worker_count;
+    cell_worker_t workers[CELL_WORKERS_MAX];
+    cell_task_t *tasks;
+    cell_tombstone_t *tombstones;
+    uint32_t violations;
+    uint32_t starts;
+    char first_violation[256];
+} cell_t;
+
+typedef struct cell_context {
+    cell_t *cell;
+    cell_worker_t *worker;
+} cell_context_t;
+
+/* cell-store.c */
+kv_bytes_t FvCellStore_Bytes(const char *text);
+/* Writes one key without a lease; the caller holds the lock. */
+void FvCellStore_Put(cell_t *cell, const char *key, const char *value);
+/* A fake_handler_t. */
+void FvCellStore_Handle(fake_request_t *request, void *context);
+
+/* cell-worker.c */
+/* A fake_handler_t for the worker that the context names. */
+void FvCellWorker_Handle(fake_request_t *request, void *context);
+/* Ends what is due on all workers and writes their heartbeats; the caller
+ * holds the lock. */
+void FvCellWorker_Tick(cell_t *cell, int64_t now_ms);
+/* What ran is gone, and so is all memory of it; the caller holds the lock. */
+void FvCellWorker_Crash(cell_t *cell, cell_worker_t *worker);
+
+#endif
--- /dev/null
+++ b/tests/harness/cell-worker.c
@@ -0,0 +1,412 @@
+/*
+ * The workers of the stand-in for the users' platform, and the rules that it
+ * judges by.
+ */
+
+#include "cell-model.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void
+violate(cell_t *cell, const char *rule, const char *task, int32_t run,
+        const char *worker)
+{
+    fprintf(stderr, "VIOLATION %s task=%s run=%d worker=%s\n", rule, task, run,
+            worker);
+    if (cell->violations++ == 0) {
+        snprintf(cell->first_violation, sizeof(cell->first_violation),
+                 "%s task=%s run=%d worker=%s", rule, task, run, worker);
+    }
+}
+
+static cell_task_t *
+obtain_task(cell_t *cell, const char *name)
+{
+    cell_task_t *task = NULL;
+
+    HASH_FIND_STR(cell->tasks, name, task);
+    if (task == NULL) {
+        task = calloc(1, sizeof(*task));
+        snprintf(task->name, sizeof(task->name), "%s", name);
+        HASH_ADD_STR(cell->tasks, name, task);
+    }
+    return task;
+}
+
+static int32_t
+tombstone_run(cell_t *cell, const cell_worker_t *worker, const char *task,
+              int32_t raise_to)
+{
+    cell_tombstone_t *stone = NULL;
+    char key[128];
+
+    snprintf(key, sizeof(key), "%s %s", worker->id, task);
+    HASH_FIND_STR(cell->tombstones, key, stone);
+    if (stone == NULL && raise_to > 0) {
+        stone = calloc(1, sizeof(*stone));
+        snprintf(stone->key, sizeof(stone->key), "%s", key);
+        HASH_ADD_STR(cell->tombstones, key, stone);
+    }
+    if (stone != NULL && raise_to > stone->run) {
+        stone->run = raise_to;
+    }
+    return stone != NULL ? stone->run : 0;
+}
+
+static void
+end_run(cell_t *cell, cell_worker_t *worker, cell_run_t **link,
+        const char *how)
+{
+    cell_run_t *run = *link;
+    cell_end_t *end = calloc(1, sizeof(*end));
+    cell_end_t **last = &worker->ends;
+
+    *link = run->next;
+    obtain_task(cell, run->task)->running--;
+    tombstone_run(cell, worker, run->task, run->run);
+    end->number = ++worker->last_end;
+    snprintf(end->task, sizeof(end->task), "%s", run->task);
+    end->run = run->run;
+    end->how = how;
+    while (*last != NULL) {
+        last = &(*last)->next;
+    }
+    *last = end;
+    free(run);
+}
+
+/* Ends what is done, and everything when the lease has run out. */
+static void
+advance_worker(cell_t *cell, cell_worker_t *worker, int64_t now_ms)
+{
+    cell_run_t **link = &worker->runs;
+
+    while (*link != NULL) {
+        if ((*link)->ends_ms <= now_ms) {
+            end_run(cell, worker, link, (*link)->fails ? "failed" : "done");
+        }
+        else if (worker->lease_end_ms <= now_ms) {
+            end_run(cell, worker, link, "lapsed");
+        }
+        else {
+            link = &(*link)->next;
+        }
+    }
+}
+
+static void
+extend_lease(cell_worker_t *worker, const json_t *body, int64_t now_ms)
+{
+    int64_t end_ms = FvJson_Int(body, "deadlineMs", 0);
+
+    if (end_ms > now_ms + CELL_LEASE_MAX_MS) {
+        end_ms = now_ms + CELL_LEASE_MAX_MS;
+    }
+    if (end_ms > worker->lease_end_ms) {
+        worker->lease_end_ms = end_ms;
+    }
+}
+
+static json_t *
+refuse(int64_t now_ms, const char *reason, int *status)
+{
+    *status = 409;
+    return json_pack("{s:I, s:s}", "clockMs", (json_int_t)now_ms, "reason",
+                     reason);
+}
+
+static bool
+fenced(cell_worker_t *worker, const json_t *body)
+{
+    int64_t fence = FvJson_Int(body, "fencingToken", 0);
+
+    if (fence < worker->fence) {
+        return true;
+    }
+    worker->fence = fence;
+    return false;
+}
+
+static int64_t
+read_number(const char *text, const char *name, int64_t fallback)
+{
+    const char *found = strstr(text, name);
+
+    return found != NULL ? strtoll(found + strlen(name), NULL, 10) : fallback;
+}
+
+static void
+begin_run(cell_t *cell, cell_worker_t *worker, const json_t *body,
+          const char *name, int32_t number, int64_t now_ms)
+{
+    const char *payload = FvJson_String(body, "taskSpec");
+    cell_run_t *run = calloc(1, sizeof(*run));
+    cell_task_t *task = obtain_task(cell, name);
+    int64_t used = 0;
+
+    payload = payload ? payload : "";
+    *run =
+        (cell_run_t){.run = number,
+                     .cpu_millis = read_number(payload, "cpu=", 0),
+                     .started_ms = now_ms,
+                     .fails = strstr(payload, "fails") != NULL,
+                     .ends_ms = now_ms + read_number(payload, "run_ms=", 100),
+                     .next = worker->runs};
+    snprintf(run->task, sizeof(run->task), "%s", name);
+    worker->runs = run;
+    cell->starts++;
+    if (task->running > 0) {
+        violate(cell, "runs twice at one time", name, number, worker->id);
+    }
+    if (task->done_acknowledged) {
+        violate(cell, "started after its end", name, number, worker->id);
+    }
+    task->running++;
+    task->starts++;
+    for (const cell_run_t *other = worker->runs; other != NULL;
+         other = other->next) {
+        used += other->cpu_millis;
+    }
+    if (used > CELL_CPU_MILLIS) {
+        violate(cell, "over capacity", name, number, worker->id);
+    }
+}
+
+static json_t *
+run_start(cell_t *cell, cell_worker_t *worker, const json_t *body, int *status)
+{
+    const char *name = FvJson_String(body, "task");
+    int32_t number = (int32_t)FvJson_Int(body, "runId", 0);
+    const char *ticket = FvJson_String(body, "ticket");
+    int64_t now_ms = FvClock_NowMs();
+
+    *status = 400;
+    if (name == NULL || number < 1) {
+        return json_object();
+    }
+    if (fenced(worker, body)) {
+        return refuse(now_ms, "fence", status);
+    }
+    extend_lease(worker, body, now_ms);
+    for (const cell_run_t *run = worker->runs; run != NULL; run = run->next) {
+        if (strcmp(run->task, name) == 0 && run->run == number) {
+            *status = 200;
+            return json_pack("{s:I}", "clockMs", (json_int_t)now_ms);
+        }
+    }
+    if (number <= tombstone_run(cell, worker, name, 0)) {
+        return refuse(now_ms, "old", status);
+    }
+    if (worker->lease_end_ms <= now_ms) {
+        return refuse(now_ms, "late", status);
+    }
+    if (ticket == NULL || strtoll(ticket, NULL, 10) < now_ms) {
+        return refuse(now_ms, "ticket", status);
+    }
+    begin_run(cell, worker, body, name, number, now_ms);
+    *status = 200;
+    return json_pack("{s:I}", "clockMs", (json_int_t)now_ms);
+}
+
+static json_t *
+run_stop(cell_t *cell, cell_worker_t *worker, const json_t *body, int *status)
+{
+    const char *name = FvJson_String(body, "task");
+    int32_t number = (int32_t)FvJson_Int(body, "runId", 0);
+    cell_run_t **link = &worker->runs;
+
+    *status = name != NULL ? 200 : 400;
+    if (name == NULL) {
+        return json_object();
+    }
+    if (fenced(worker, body)) {
+        return refuse(FvClock_NowMs(), "fence", status);
+    }
+    while (*link != NULL) {
+        if (strcmp((*link)->task, name) == 0 && (*link)->run <= number) {
+            end_run(cell, worker, link, "stopped");
+        }
+        else {
+            link = &(*link)->next;
+        }
+    }
+    tombstone_run(cell, worker, name, number);
+    return json_pack("{s:I}", "clockMs", (json_int_t)FvClock_NowMs());
+}
+
+static void
+acknowledge(cell_t *cell, cell_worker_t *worker, int64_t seen)
+{
+    while (worker->ends != NULL && worker->ends->number <= seen) {
+        cell_end_t *end = worker->ends;
+
+        if (strcmp(end->how, "done") == 0) {
+            obtain_task(cell, end->task)->done_acknowledged = true;
+        }
+        worker->ends = end->next;
+        free(end);
+    }
+}
+
+static json_t *
+report_json(cell_worker_t *worker, int64_t now_ms)
+{
+    json_t *running = json_array();
+    json_t *ended = json_array();
+
+    for (const cell_run_t *run = worker->runs; run != NULL; run = run->next) {
+        int64_t total_ms = run->ends_ms - run->started_ms + 1;
+
+        json_array_append_new(
+            running,
+            json_pack("[s, i, s, i, i]", run->task, run->run, "",
+                      (int)((now_ms - run->started_ms) * 100 / total_ms), 0));
+    }
+    for (const cell_end_t *end = worker->ends;
+         end != NULL && json_array_size(ended) < CELL_ENDS_MAX;
+         end = end->next) {
+        json_array_append_new(
+            ended, json_pack("[I, s, i, s, s]", (json_int_t)end->number,
+                             end->task, end->run, end->how, ""));
+    }
+    return json_pack("{s:I, s:I, s:o, s:o}", "clockMs", (json_int_t)now_ms,
+                     "born", (json_int_t)worker->born_ms, "running", running,
+                     "ended", ended);
+}
+
+/* Called without the lock; waits for an end. */
+static void
+run_hold(cell_t *cell, cell_worker_t *worker, fake_request_t *request,
+         const json_t *body)
+{
+    int64_t until_ms = FvClock_NowMs() + FvJson_Int(body, "waitMs", 0);
+    int64_t born_ms = worker->born_ms;
+    int status = 200;
+    json_t *reply = NULL;
+
+    pthread_mutex_lock(&cell->lock);
+    if (fenced(worker, body)) {
+        reply = refuse(FvClock_NowMs(), "fence", &status);
+    }
+    else {
+        extend_lease(worker, body, FvClock_NowMs());
+        acknowledge(cell, worker, FvJson_Int(body, "lastSeen", 0));
+    }
+    while (reply == NULL) {
+        int64_t now_ms = FvClock_NowMs();
+
+        advance_worker(cell, worker, now_ms);
+        if (worker->ends != NULL || now_ms >= until_ms || worker->down ||
+            worker->born_ms != born_ms) {
+            reply = report_json(worker, now_ms);
+            break;
+        }
+        pthread_mutex_unlock(&cell->lock);
+        FvFake_SleepMs(CELL_TICK_MS);
+        pthread_mutex_lock(&cell->lock);
+    }
+    pthread_mutex_unlock(&cell->lock);
+    FvFake_ReplyJson(request, status, reply);
+}
+
+void
+FvCellWorker_Handle(fake_request_t *request, void *context)
+{
+    cell_context_t *target = context;
+    cell_t *cell = target->cell;
+    json_t *body = FvFake_BodyJson(request);
+    json_t *reply = NULL;
+    int status = 400;
+
+    if (target->worker->down || body == NULL) {
+        json_decref(body);
+        FvFake_Drop(request);
+        return;
+    }
+    if (strcmp(request->path, "/hold") == 0) {
+        run_hold(cell, target->worker, request, body);
+        json_decref(body);
+        return;
+    }
+    pthread_mutex_lock(&cell->lock);
+    advance_worker(cell, target->worker, FvClock_NowMs());
+    if (strcmp(request->path, "/run-start") == 0) {
+        reply = run_start(cell, target->worker, body, &status);
+    }
+    else if (strcmp(request->path, "/run-stop") == 0) {
+        reply = run_stop(cell, target->worker, body, &status);
+    }
+    pthread_mutex_unlock(&cell->lock);
+    json_decref(body);
+    FvFake_ReplyJson(request, status, reply ? reply : json_object());
+}
+
+static void
+write_entry(cell_t *cell, cell_worker_t *worker)
+{
+    char key[64];
+    json_t *entry = json_pack(
+        "{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:{s:i, s:i, s:i}, s:[s, s], "
+        "s:I, s:I, s:I}",
+        "service", "app", "address", worker->address, "zone", "a", "version",
+        "v1", "slots", 8, "state", "ready", "coldRemainingMs", 0, "capacity",
+        "cpu", CELL_CPU_MILLIS, "memMb", CELL_MEMORY_MIB, "gpus", 0, "labels",
+        "a", "r1", "clockMs", (json_int_t)FvClock_NowMs(), "sequence",
+        (json_int_t)++worker->sequence, "born", (json_int_t)worker->born_ms);
+    char *text = json_dumps(entry, JSON_COMPACT);
+
+    snprintf(key, sizeof(key), "servers/%s", worker->id);
+    FvCellStore_Put(cell, key, text);
+    free(text);
+    json_decref(entry);
+}
+
+static void
+remove_entry(cell_t *cell, const cell_worker_t *worker)
+{
+    char key_text[64];
+    kv_range_t range;
+
+    snprintf(key_text, sizeof(key_text), "servers/%s", worker->id);
+    range = (kv_range_t){.key = FvCellStore_Bytes(key_text)};
+    FvKv_Delete(cell->store, &range, FvClock_NowMs());
+    FvKv_EndWrite(cell->store);
+}
+
+void
+FvCellWorker_Tick(cell_t *cell, int64_t now_ms)
+{
+    for (uint32_t i = 0; i < cell->worker_count; i++) {
+        cell_worker_t *worker = &cell->workers[i];
+
+        advance_worker(cell, worker, now_ms);
+        if (!worker->down && worker->next_heartbeat_ms <= now_ms) {
+            worker->next_heartbeat_ms = now_ms + CELL_HEARTBEAT_MS;
+            write_entry(cell, worker);
+        }
+    }
+}
+
+void
+FvCellWorker_Crash(cell_t *cell, cell_worker_t *worker)
+{
+    worker->down = true;
+    while (worker->runs != NULL) {
+        cell_run_t *run = worker->runs;
+
+        worker->runs = run->next;
+        obtain_task(cell, run->task)->running--;
+        free(run);
+    }
+    while (worker->ends != NULL) {
+        cell_end_t *end = worker->ends;
+
+        worker->ends = end->next;
+        free(end);
+    }
+    worker->fence = 0;
+    worker->last_end = 0;
+    worker->lease_end_ms = 0;
+    remove_entry(cell, worker);
+}
