Never answer a call within its send

Cause: a call that couldn't be sent (no memory, no descriptor, a connection refused at once) was answered inside FvCallPool_Send, so that a pass of the scheduler saw its own orders fail and tasks moved while it walked over them, and a read that repeats itself could recurse without end. Change: such an answer comes from the event loop.

--- a/src/call.c
+++ b/src/call.c
@@ -43,6 +43,8 @@
     fv_connection_slot_t *slot;
     fv_call_done_t done;
     void *context;
+    bool sending; /* the caller is still within FvCallPool_Send */
+    bool failed;  /* it failed meanwhile */
 } fv_pending_call_t;
 
 static void
@@ -213,6 +215,10 @@
     }
     pending->slot->busy = false;
     pending->slot->used_ms = FvClock_NowMs();
+    if (pending->sending) {
+        pending->failed = true;
+        return;
+    }
     /* The limit of the call would also close the idle connection. */
     evhttp_connection_set_timeout_tv(pending->slot->connection, &idle);
     pending->done(pending->context, &answer);
@@ -258,13 +264,25 @@
                                method_of(call), call->path) == 0;
 }
 
+static void
+tell_failure(evutil_socket_t fd, short what, void *context)
+{
+    fv_pending_call_t *pending = context;
+    fv_call_answer_t none = {0};
+
+    (void)fd;
+    (void)what;
+    pending->done(pending->context, &none);
+    free(pending);
+}
+
 /**
  * FvCallPool_Send - send a request
  * @pool: the pool
  * @address: IPv4 address and port
  * @call: the request; its body is released
  * @timeout_ms: limit for each wait on the connection
- * @done: called once, with the answer
+ * @done: called once, with the answer, and never before this returns
  * @context: passed to @done
  */
 void
@@ -273,30 +291,32 @@
 {
     fv_destination_t *destination = obtain_destination(pool, address);
     fv_pending_call_t *pending = calloc(1, sizeof(*pending));
-    fv_call_answer_t none = {0};
+    struct timeval at_once = {0};
 
-    if (pending == NULL || destination == NULL) {
-        goto fail;
+    if (pending == NULL) {
+        abort(); /* a call that is never answered would stop its caller */
     }
-    pending->slot = obtain_slot(pool, destination);
-    pending->done = done;
-    pending->context = context;
-    if (pending->slot == NULL) {
-        goto fail;
+    *pending =
+        (fv_pending_call_t){.done = done, .context = context, .sending = true};
+    if (destination != NULL) {
+        pending->slot = obtain_slot(pool, destination);
     }
-    pending->slot->busy = true;
-    if (!send_request(pending, destination, call, timeout_ms)) {
-        pending->slot->busy = false;
-        goto fail;
+    if (pending->slot != NULL) {
+        pending->slot->busy = true;
+        if (!send_request(pending, destination, call, timeout_ms)) {
+            pending->slot->busy = false;
+            pending->failed = true;
+        }
+    }
+    pending->sending = false;
+    if (pending->slot == NULL || pending->failed) {
+        FvLog_Event(Fv_LOG_ERROR, "call_not_sent", "address=%s path=%s",
+                    address, call->path);
+        if (event_base_once(pool->base, -1, EV_TIMEOUT, tell_failure, pending,
+                            &at_once) != 0) {
+            abort();
+        }
     }
     free(call->body);
     call->body = NULL;
-    return;
-fail:
-    FvLog_Event(Fv_LOG_ERROR, "call_not_sent", "address=%s path=%s", address,
-                call->path);
-    free(pending);
-    free(call->body);
-    call->body = NULL;
-    done(context, &none);
 }
