Measure a job's chains once; release occurrences without a clock

Cause: found on reading the change again. The longest chain was searched by following every way through the steps, so a submission of 64 steps after one another stopped the leader; repeatCount and intervalMs had no upper bound; and the end of a task released due occurrences by the machine's clock, in a module that has none. Change: chains are measured backwards, once, when a job is taken in. The end of a task releases its own occurrence only. The scheduler's random numbers begin the same way.

--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -26,36 +26,32 @@
 
 /*
  * The longest chain of estimated run times that starts with each step, which
- * decides how urgent a stage is.
+ * decides how urgent a stage is. A step names earlier ones only.
  */
-static int64_t
-chain_from(const fv_job_spec_t *spec, uint32_t step)
+static bool
+measure_chains(fv_sched_job_t *job)
 {
-    int64_t longest = 0;
-
-    for (uint32_t i = step + 1; i < spec->step_count; i++) {
-        for (uint32_t p = 0; p < spec->steps[i].predecessor_count; p++) {
-            if (spec->steps[i].predecessors[p] == step) {
-                int64_t chain = chain_from(spec, i);
+    const fv_job_spec_t *spec = &job->spec;
 
-                longest = chain > longest ? chain : longest;
-            }
-        }
+    job->chains_ms = calloc(spec->step_count, sizeof(*job->chains_ms));
+    if (job->chains_ms == NULL) {
+        return false;
     }
-    return spec->steps[step].estimated_ms + longest;
-}
-
-static int64_t
-longest_chain(const fv_job_spec_t *spec)
-{
-    int64_t longest = 0;
+    for (uint32_t s = spec->step_count; s-- > 0;) {
+        const fv_step_spec_t *step = &spec->steps[s];
+        int64_t chain_ms = job->chains_ms[s] + step->estimated_ms;
 
-    for (uint32_t i = 0; i < spec->step_count; i++) {
-        int64_t chain = chain_from(spec, i);
+        job->chains_ms[s] = chain_ms;
+        if (chain_ms > job->longest_chain_ms) {
+            job->longest_chain_ms = chain_ms;
+        }
+        for (uint32_t p = 0; p < step->predecessor_count; p++) {
+            int64_t *before_ms = &job->chains_ms[step->predecessors[p]];
 
-        longest = chain > longest ? chain : longest;
+            *before_ms = chain_ms > *before_ms ? chain_ms : *before_ms;
+        }
     }
-    return longest;
+    return true;
 }
 
 static bool
@@ -124,6 +120,7 @@
         free(occurrence->stages);
     }
     free(job->occurrences);
+    free(job->chains_ms);
     free(job->document);
     FvJobSpec_Clear(&job->spec);
     free(job);
@@ -164,7 +161,8 @@
         job->spec.repeat_count > 0 ? (uint32_t)job->spec.repeat_count : 1;
     job->occurrences =
         calloc(job->occurrence_count, sizeof(*job->occurrences));
-    if (job->document == NULL || job->occurrences == NULL) {
+    if (job->document == NULL || job->occurrences == NULL ||
+        !measure_chains(job)) {
         free_job(job);
         return NULL;
     }
@@ -255,7 +253,6 @@
 release_occurrence(fv_sched_t *sched, fv_sched_job_t *job,
                    fv_occurrence_t *occurrence, int64_t now_ms)
 {
-    int64_t chain_ms = longest_chain(&job->spec);
     int64_t start_ms = job->spec.repeat_count > 0 ? now_ms : job->received_ms;
 
     for (uint32_t s = 0; s < job->spec.step_count; s++) {
@@ -267,13 +264,19 @@
         if (stage->objective_at_ms == 0) {
             stage->objective_at_ms =
                 start_ms + job->queue.objective_ms +
-                (int64_t)(job->queue.stretch * (double)chain_ms) -
-                chain_from(&job->spec, s);
+                (int64_t)(job->queue.stretch * (double)job->longest_chain_ms) -
+                job->chains_ms[s];
         }
         FvSched_MarkPending(sched, stage);
     }
 }
 
+static bool
+is_open(const fv_sched_job_t *job)
+{
+    return job->outcome == Fv_SCHED_JOB_OPEN && !job->cancelled;
+}
+
 /**
  * FvSched_ReleaseStages - have the stages whose turn has come placed
  * @sched: the scheduler
@@ -285,7 +288,7 @@
 FvSched_ReleaseStages(fv_sched_t *sched, fv_sched_job_t *job, int64_t now_ms,
                       int64_t wall_ms)
 {
-    if (job->outcome != Fv_SCHED_JOB_OPEN || job->cancelled) {
+    if (!is_open(job)) {
         return;
     }
     for (uint32_t o = 0; o < job->occurrence_count; o++) {
@@ -352,7 +355,7 @@
         " objective_ms=%" PRId64,
         job->id, job->queue.name, (int)outcome, now_ms - job->received_ms,
         job->queue.objective_ms +
-            (int64_t)(job->queue.stretch * (double)longest_chain(&job->spec)));
+            (int64_t)(job->queue.stretch * (double)job->longest_chain_ms));
     sched->port->record(sched, job, Fv_RECORD_END);
 }
 
@@ -411,6 +414,7 @@
                  int64_t now_ms)
 {
     fv_sched_stage_t *stage = task->stage;
+    fv_sched_job_t *job = stage->job;
     const fv_sched_task_t *ended = current ? task : NULL;
 
     if (stage->step->gang) {
@@ -422,8 +426,11 @@
         mark_done(sched, task, ended);
     }
     if (stage->done == stage->step->task_count) {
-        FvSched_ReleaseStages(sched, stage->job, now_ms, FvClock_WallMs());
-        FvSched_CheckJobEnd(sched, stage->job, now_ms);
+        if (is_open(job)) {
+            release_occurrence(sched, job,
+                               &job->occurrences[stage->occurrence], now_ms);
+        }
+        FvSched_CheckJobEnd(sched, job, now_ms);
     }
 }
 
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -13,6 +13,10 @@
  * credit is a fifth, and three times the objective still counts as late. */
 #define Fv_LATE_PENALTY 1000
 
+/* Any number but 0; the same one, so that a test decides the same each time.
+ */
+#define Fv_RANDOM_SEED UINT64_C(88172645463325252)
+
 /* A gang of which some members still are on workers after this is logged. */
 #define Fv_GANG_INCOMPLETE_MS 5000
 
@@ -31,7 +35,7 @@
         .lease_ms = times->lease_ms,
         .stop_ms = times->stop_ms,
         .gang_fill_ms = times->gang_fill_ms,
-        .random = (uint64_t)FvClock_NowNs() | 1,
+        .random = Fv_RANDOM_SEED,
     };
 }
 
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -112,6 +112,8 @@
     fv_sched_outcome_t recorded; /* as recorded; what callers are told */
     int64_t ended_ms;
     bool progress_recorded;
+    int64_t *chains_ms; /* of each step: the longest chain from it on */
+    int64_t longest_chain_ms;
     uint32_t occurrence_count;
     fv_occurrence_t *occurrences;
     int32_t running_tasks; /* ordered, running or stopping */
--- a/tests/unit/platform_decode_test.c
+++ b/tests/unit/platform_decode_test.c
@@ -61,6 +61,15 @@
         "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":-1}]}",
         "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"after\":[0]}]}",
         "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"image\":7}]}",
+        "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"estimatedMs\":-1}]}",
+        "{\"taskSpec\":\"x\",\"repeatCount\":2000000000,"
+        "\"steps\":[{\"count\":1}]}",
+        "{\"taskSpec\":\"x\",\"repeatCount\":4294967297,"
+        "\"steps\":[{\"count\":1}]}",
+        "{\"taskSpec\":\"x\",\"repeatCount\":20,"
+        "\"steps\":[{\"count\":4096}]}",
+        "{\"taskSpec\":\"x\",\"repeatCount\":2,\"intervalMs\":"
+        "9000000000000000000,\"steps\":[{\"count\":1}]}",
         "{\"taskSpec\":\"x\",\"steps\":[[[[[[[[[[[[]]]]]]]]]]]]}"};
     fv_job_spec_t spec;
 
--- /dev/null
+++ b/tests/unit/sched_job_test.c
@@ -0,0 +1,106 @@
+/*
+ * Jobs: chains of steps and scheduled occurrences.
+ */
+
+#include "sched-fixture.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define JOB "00000000000000aa"
+
+/* Each step after all earlier ones. */
+static char *
+dense_job(uint32_t steps)
+{
+    fv_buffer_t text = {0};
+    char part[96];
+
+    FvBuffer_Append(&text, "{\"taskSpec\":\"x\",\"steps\":[",
+                    strlen("{\"taskSpec\":\"x\",\"steps\":["));
+    for (uint32_t s = 0; s < steps; s++) {
+        snprintf(part, sizeof(part),
+                 "%s{\"count\":1,\"cpu\":1000,\"memMb\":1,"
+                 "\"estimatedMs\":100,\"after\":[",
+                 s > 0 ? "," : "");
+        FvBuffer_Append(&text, part, strlen(part));
+        for (uint32_t before = 0; before < s; before++) {
+            snprintf(part, sizeof(part), "%s%u", before > 0 ? "," : "",
+                     before);
+            FvBuffer_Append(&text, part, strlen(part));
+        }
+        FvBuffer_Append(&text, "]}", 2);
+    }
+    FvBuffer_Append(&text, "]}", 3); /* with its end */
+    return (char *)text.data;
+}
+
+/* Pattern: one submission whose steps all depend on one another; the number of
+ * ways through it doubles with each step. */
+static void
+test_dense_job_is_ordered_at_once(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_Queue("q", 0);
+    char *document = dense_job(Fv_STEPS_MAX);
+    fv_sched_job_t *job;
+
+    FvSchedFixture_Open(&fixture, 1);
+    FvSchedFixture_AddWorker(&fixture, "w1", "r1", 4000);
+    job = FvSchedFixture_AddJob(&fixture, JOB, &queue, document);
+    CU_ASSERT_EQUAL(job->occurrences[0].stages[0].objective_at_ms,
+                    fixture.now_ms + queue.objective_ms +
+                        (int64_t)(queue.stretch * Fv_STEPS_MAX * 100.0) -
+                        INT64_C(100) * Fv_STEPS_MAX);
+    FvSchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_Starts(&fixture, JOB), 1);
+    FvSchedFixture_Close(&fixture);
+    free(document);
+}
+
+/* Pattern: the first run of a repeated job ends long before the next is due.
+ */
+static void
+test_occurrence_waits_until_it_is_due(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_Queue("q", 0);
+    char document[256];
+
+    FvSchedFixture_Open(&fixture, 1);
+    FvSchedFixture_AddWorker(&fixture, "w1", "r1", 4000);
+    snprintf(document, sizeof(document),
+             "{\"taskSpec\":\"x\",\"repeatCount\":2,\"startAtMs\":%lld,"
+             "\"intervalMs\":60000,\"steps\":[{\"count\":1,\"cpu\":1000,"
+             "\"memMb\":1,\"estimatedMs\":100}]}",
+             (long long)fixture.now_ms + 1000);
+    FvSchedFixture_AddJob(&fixture, JOB, &queue, document);
+    FvSchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_Starts(&fixture, JOB), 0);
+    fixture.now_ms += 1000;
+    FvSchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_Starts(&fixture, JOB ".0.0.0"), 1);
+    FvSchedFixture_ConfirmStarts(&fixture);
+    FvSchedFixture_ReportEnd(&fixture, "w1", 1, JOB ".0.0.0", 1, Fv_END_DONE);
+    FvSchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_Starts(&fixture, JOB ".1.0.0"), 0);
+    fixture.now_ms += 60000;
+    FvSchedFixture_ReportEnd(&fixture, "w1", 2, "0", 1, Fv_END_DONE);
+    FvSchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_Starts(&fixture, JOB ".1.0.0"), 1);
+    FvSchedFixture_Close(&fixture);
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"a submission whose steps all depend on one another stops the leader",
+         test_dense_job_is_ordered_at_once},
+        {"an occurrence starts before it is due",
+         test_occurrence_waits_until_it_is_due},
+    };
+
+    return Fv_RUN_SUITE("sched_job", cases);
+}
