--- a/src/advice-caller.c
+++ b/src/advice-caller.c
@@ -113,11 +113,11 @@
     free(advice.rows);
     caller->sent_us -= question->cost_us;
     question->done(question->context,
-                   &(fv_message_t){.kind = Fv_MESSAGE_ADVICE,
-                                   .id = question->id,
-                                   .number = good ? 1 : 0,
-                                   .body = (const char *)body.data,
-                                   .body_length = body.length});
+                   &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_ADVICE,
+                                        .id = question->id,
+                                        .number = good ? 1 : 0,
+                                        .body = (const char *)body.data,
+                                        .body_length = body.length});
     FvBuffer_Clear(&body);
     free_question(question);
     ask_next(caller);
@@ -167,8 +167,9 @@
  * @context: passed to @done
  */
 void
-FvAdviceCaller_Ask(fv_advice_caller_t *caller, const fv_message_t *question,
-                   fv_advice_done_t done, void *context)
+FvAdviceCaller_Ask(fv_advice_caller_t *caller,
+                   const fv_cell_message_t *question, fv_advice_done_t done,
+                   void *context)
 {
     fv_question_t *entry = calloc(1, sizeof(*entry));
     fv_question_t **link = &caller->queue;
--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -185,8 +185,8 @@
                 load.workers, load.usable, load.used_cpu_millis,
                 load.cpu_millis, load.used_memory_mib, load.memory_mib,
                 load.stages_waiting, load.stages_late, load.tasks_waiting,
-                asks, FvRecords_Backlog(leader->records), leader->worst_lag_ms,
-                leader->passes);
+                asks, FvRecordWriter_Backlog(leader->records),
+                leader->worst_lag_ms, leader->passes);
     leader->worst_lag_ms = 0;
     leader->passes = 0;
 }
@@ -239,8 +239,8 @@
             FvLeaderAdvice_Close(leader, ask, NULL);
         }
     }
-    if (FvRecords_Stalled(leader->records, now_ms)) {
-        FvRecords_WithdrawUnsent(leader->records);
+    if (FvRecordWriter_Stalled(leader->records, now_ms)) {
+        FvRecordWriter_WithdrawUnsent(leader->records);
     }
     forget_ended(leader, now_ms);
     log_load(leader, now_ms);
@@ -383,7 +383,7 @@
 free_waiters(fv_sched_job_t *job)
 {
     while (job->waiters != NULL) {
-        fv_waiter_t *waiter = job->waiters;
+        fv_job_waiter_t *waiter = job->waiters;
 
         job->waiters = waiter->next;
         free(waiter);
@@ -420,7 +420,7 @@
             FvLeaderWorker_Release(driver);
         }
     }
-    FvRecords_Free(leader->records);
+    FvRecordWriter_Free(leader->records);
     leader->records = NULL;
     FvSched_Clear(&leader->sched);
     if (leader->calls == 0) {
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -16,13 +16,13 @@
  * seconds, and a caller repeats a request a few times only. */
 #define Fv_STORE_RETRY_AFTER_S "2"
 
-typedef struct fv_waiter {
+typedef struct fv_job_waiter {
     int64_t id;
     fv_verb_t verb;
     fv_leader_reply_t reply;
     void *context;
-    struct fv_waiter *next;
-} fv_waiter_t;
+    struct fv_job_waiter *next;
+} fv_job_waiter_t;
 
 typedef struct fv_ended_job {
     char id[Fv_JOB_ID_SIZE];
@@ -75,7 +75,7 @@
     int64_t epoch;
     int64_t began_ms;
     fv_sched_t sched;
-    fv_records_t *records;
+    fv_record_writer_t *records;
     fv_kv_watch_t *registry;
     struct event *tick;
     struct event *pass;
@@ -118,7 +118,8 @@
                              const char *name, int32_t run);
 
 /* leader-records.c */
-void FvLeaderRecord_AddWaiter(fv_sched_job_t *job, const fv_message_t *message,
+void FvLeaderRecord_AddWaiter(fv_sched_job_t *job,
+                              const fv_cell_message_t *message,
                               fv_leader_reply_t reply, void *context);
 void FvLeaderRecord_RememberEnded(fv_leader_t *leader, const char *id,
                                   const char *state);
--- a/src/entry-hosts.c
+++ b/src/entry-hosts.c
@@ -110,9 +110,9 @@
 
         FvEntryHosts_ForgetAsk(slot, id);
         if (entry->leader != NULL) {
-            FvLeader_Advice(
-                entry->leader,
-                &(fv_message_t){.kind = Fv_MESSAGE_ADVICE, .id = id});
+            FvLeader_Advice(entry->leader,
+                            &(fv_cell_message_t){
+                                .kind = Fv_CELL_MESSAGE_ADVICE, .id = id});
         }
     }
 }
@@ -164,7 +164,7 @@
 }
 
 static void
-own_advice(void *context, const fv_message_t *answer)
+own_advice(void *context, const fv_cell_message_t *answer)
 {
     fv_entry_t *entry = context;
 
@@ -184,7 +184,8 @@
  * Return: false when no host is free.
  */
 bool
-FvEntryHosts_Ask(void *context, const fv_message_t *message, int64_t cost_us)
+FvEntryHosts_Ask(void *context, const fv_cell_message_t *message,
+                 int64_t cost_us)
 {
     fv_entry_t *entry = context;
     fv_host_slot_t *slot = choose_asker(entry, cost_us);
--- a/src/entry-hosts.h
+++ b/src/entry-hosts.h
@@ -71,7 +71,7 @@
 void FvEntryHosts_LearnOverhead(fv_host_slot_t *slot, int64_t id);
 void FvEntryHosts_ForgetAsk(fv_host_slot_t *slot, int64_t id);
 void FvEntryHosts_FailAsks(fv_entry_t *entry, fv_host_slot_t *slot);
-bool FvEntryHosts_Ask(void *context, const fv_message_t *message,
+bool FvEntryHosts_Ask(void *context, const fv_cell_message_t *message,
                       int64_t cost_us);
 
 #endif
--- a/src/entry.c
+++ b/src/entry.c
@@ -43,11 +43,11 @@
 static void
 send_config(fv_entry_t *entry, fv_link_peer_t *peer)
 {
-    FvLinks_Send(
-        peer, &(fv_message_t){.kind = Fv_MESSAGE_CONFIG,
-                              .number = config_version(entry),
-                              .body = entry->config->document,
-                              .body_length = entry->config->document_length});
+    FvLinks_Send(peer, &(fv_cell_message_t){
+                           .kind = Fv_CELL_MESSAGE_CONFIG,
+                           .number = config_version(entry),
+                           .body = entry->config->document,
+                           .body_length = entry->config->document_length});
 }
 
 /* Tells linked hosts, for those that cannot read the store. */
@@ -56,14 +56,15 @@
 {
     if (entry->uplink != NULL) {
         FvLinks_Send(entry->uplink,
-                     &(fv_message_t){.kind = Fv_MESSAGE_BEAT,
-                                     .number = config_version(entry)});
+                     &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_BEAT,
+                                          .number = config_version(entry)});
     }
     for (uint32_t i = 0; i < entry->slot_count; i++) {
         if (entry->slots[i]->joined) {
-            FvLinks_Send(entry->slots[i]->peer,
-                         &(fv_message_t){.kind = Fv_MESSAGE_BEAT,
-                                         .number = config_version(entry)});
+            FvLinks_Send(
+                entry->slots[i]->peer,
+                &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_BEAT,
+                                     .number = config_version(entry)});
         }
     }
 }
@@ -248,7 +249,7 @@
 /* --- Messages ----------------------------------------------------------- */
 
 static void
-reply_to_host(void *context, const fv_message_t *reply)
+reply_to_host(void *context, const fv_cell_message_t *reply)
 {
     fv_host_slot_t *slot = context;
 
@@ -258,7 +259,7 @@
 }
 
 static void
-reply_to_self(void *context, const fv_message_t *reply)
+reply_to_self(void *context, const fv_cell_message_t *reply)
 {
     fv_entry_t *entry = context;
 
@@ -266,7 +267,7 @@
 }
 
 static bool
-front_forwards(void *context, const fv_message_t *message)
+front_forwards(void *context, const fv_cell_message_t *message)
 {
     fv_entry_t *entry = context;
 
@@ -295,7 +296,8 @@
 }
 
 static void
-greeted(fv_entry_t *entry, fv_link_peer_t *peer, const fv_message_t *message)
+greeted(fv_entry_t *entry, fv_link_peer_t *peer,
+        const fv_cell_message_t *message)
 {
     if (message->number < entry->uplink_epoch ||
         (entry->leader != NULL && message->number < entry->epoch)) {
@@ -313,14 +315,14 @@
     entry->uplink_epoch = message->number;
     FvLog_Event(Fv_LOG_INFO, "leader_linked", "leader=%s epoch=%" PRId64,
                 message->name, message->number);
-    FvLinks_Send(peer, &(fv_message_t){.kind = Fv_MESSAGE_JOIN,
-                                       .number = config_version(entry),
-                                       .name = entry->settings.host});
+    FvLinks_Send(peer, &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_JOIN,
+                                            .number = config_version(entry),
+                                            .name = entry->settings.host});
     FvFront_LeaderChanged(entry->front);
 }
 
 static void
-uplink_advice(void *context, const fv_message_t *answer)
+uplink_advice(void *context, const fv_cell_message_t *answer)
 {
     fv_entry_t *entry = context;
 
@@ -331,16 +333,16 @@
 
 static void
 message_of_leader(fv_entry_t *entry, fv_link_peer_t *peer,
-                  const fv_message_t *message)
+                  const fv_cell_message_t *message)
 {
     switch (message->kind) {
-    case Fv_MESSAGE_GREETING:
+    case Fv_CELL_MESSAGE_GREETING:
         greeted(entry, peer, message);
         break;
-    case Fv_MESSAGE_REPLY:
+    case Fv_CELL_MESSAGE_REPLY:
         FvFront_Reply(entry->front, message);
         break;
-    case Fv_MESSAGE_ASK:
+    case Fv_CELL_MESSAGE_ASK:
         if (entry->advice != NULL) {
             FvAdviceCaller_Ask(entry->advice, message, uplink_advice, entry);
         }
@@ -352,19 +354,19 @@
 
 static void
 message_of_host(fv_entry_t *entry, fv_host_slot_t *slot,
-                const fv_message_t *message)
+                const fv_cell_message_t *message)
 {
     switch (message->kind) {
-    case Fv_MESSAGE_JOIN:
+    case Fv_CELL_MESSAGE_JOIN:
         slot->joined = true;
         compare_version(entry, slot->peer, message->number);
         break;
-    case Fv_MESSAGE_REQUEST:
+    case Fv_CELL_MESSAGE_REQUEST:
         if (entry->leader != NULL) {
             FvLeader_Request(entry->leader, message, reply_to_host, slot);
         }
         break;
-    case Fv_MESSAGE_ADVICE:
+    case Fv_CELL_MESSAGE_ADVICE:
         FvEntryHosts_LearnOverhead(slot, message->id);
         FvEntryHosts_ForgetAsk(slot, message->id);
         if (entry->leader != NULL) {
@@ -377,16 +379,17 @@
 }
 
 static void
-link_message(void *context, fv_link_peer_t *peer, const fv_message_t *message)
+link_message(void *context, fv_link_peer_t *peer,
+             const fv_cell_message_t *message)
 {
     fv_entry_t *entry = context;
     fv_host_slot_t *slot;
 
-    if (message->kind == Fv_MESSAGE_BEAT) {
+    if (message->kind == Fv_CELL_MESSAGE_BEAT) {
         compare_version(entry, peer, message->number);
         return;
     }
-    if (message->kind == Fv_MESSAGE_CONFIG) {
+    if (message->kind == Fv_CELL_MESSAGE_CONFIG) {
         adopt_config(entry, message->body, message->body_length,
                      FvLinks_Name(peer));
         return;
@@ -406,9 +409,9 @@
 {
     fv_entry_t *entry = context;
 
-    FvLinks_Send(peer, &(fv_message_t){.kind = Fv_MESSAGE_GREETING,
-                                       .number = entry->epoch,
-                                       .name = entry->settings.host});
+    FvLinks_Send(peer, &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_GREETING,
+                                            .number = entry->epoch,
+                                            .name = entry->settings.host});
 }
 
 static void
--- a/src/entry.h
+++ b/src/entry.h
@@ -105,7 +105,7 @@
 #define Fv_KEY_ROSTER "fireflyvalve/roster"
 
 /* records.c: ordered, batched writes that only the leader can make. */
-typedef struct fv_records fv_records_t;
+typedef struct fv_record_writer fv_record_writer_t;
 typedef void (*fv_records_done_t)(void *context);
 
 typedef struct fv_record {
@@ -121,10 +121,11 @@
     void *context;
 } fv_records_owner_t;
 
-fv_records_t *FvRecords_New(struct event_base *base, fv_kv_client_t *kv,
-                            const fv_records_owner_t *owner,
-                            const int64_t *lane_revisions);
-void FvRecords_Free(fv_records_t *records);
+fv_record_writer_t *FvRecordWriter_New(struct event_base *base,
+                                       fv_kv_client_t *kv,
+                                       const fv_records_owner_t *owner,
+                                       const int64_t *lane_revisions);
+void FvRecordWriter_Free(fv_record_writer_t *records);
 /* Entries that are written together. */
 typedef struct fv_records_group {
     const char *order_key; /* groups with the same one are written in order */
@@ -138,15 +139,16 @@
     void *context;
 } fv_records_group_t;
 
-bool FvRecords_Write(fv_records_t *records, const fv_records_group_t *group);
-bool FvRecords_Stalled(const fv_records_t *records, int64_t now_ms);
-void FvRecords_WithdrawUnsent(fv_records_t *records);
-void FvRecords_After(fv_records_t *records, fv_records_done_t done,
-                     void *context);
-uint32_t FvRecords_Backlog(const fv_records_t *records);
+bool FvRecordWriter_Write(fv_record_writer_t *records,
+                          const fv_records_group_t *group);
+bool FvRecordWriter_Stalled(const fv_record_writer_t *records, int64_t now_ms);
+void FvRecordWriter_WithdrawUnsent(fv_record_writer_t *records);
+void FvRecordWriter_After(fv_record_writer_t *records, fv_records_done_t done,
+                          void *context);
+uint32_t FvRecordWriter_Backlog(const fv_record_writer_t *records);
 
 #define Fv_RECORD_LANES 8
-void FvRecords_LaneKey(uint32_t lane, char *key, size_t size);
+void FvRecordWriter_LaneKey(uint32_t lane, char *key, size_t size);
 
 /* election.c: which host leads. */
 typedef struct fv_election fv_election_t;
@@ -178,27 +180,27 @@
 int64_t FvElection_OrphanMs(void);
 
 /* host-link.c: msgpack frames over TCP between hosts. */
-typedef enum fv_message_kind {
-    Fv_MESSAGE_GREETING = 1, /* leader: number = epoch, name = host */
-    Fv_MESSAGE_JOIN,         /* host: number = config version, name = host */
-    Fv_MESSAGE_BEAT,         /* both: number = config version */
-    Fv_MESSAGE_CONFIG,       /* both: body = the configuration */
-    Fv_MESSAGE_REQUEST,      /* host: number = verb, name = queue,
-                                key = job, body = submission */
-    Fv_MESSAGE_REPLY,        /* leader: number = outcome, name = state */
-    Fv_MESSAGE_ASK,          /* leader: key = step, body = worker ids */
-    Fv_MESSAGE_ADVICE        /* host: number = 1 when answered, body = rows */
-} fv_message_kind_t;
-
-typedef struct fv_message {
-    fv_message_kind_t kind;
+typedef enum fv_cell_message_kind {
+    Fv_CELL_MESSAGE_GREETING = 1, /* leader: number = epoch, name = host */
+    Fv_CELL_MESSAGE_JOIN,    /* host: number = config version, name = host */
+    Fv_CELL_MESSAGE_BEAT,    /* both: number = config version */
+    Fv_CELL_MESSAGE_CONFIG,  /* both: body = the configuration */
+    Fv_CELL_MESSAGE_REQUEST, /* host: number = verb, name = queue,
+                           key = job, body = submission */
+    Fv_CELL_MESSAGE_REPLY,   /* leader: number = outcome, name = state */
+    Fv_CELL_MESSAGE_ASK,     /* leader: key = step, body = worker ids */
+    Fv_CELL_MESSAGE_ADVICE   /* host: number = 1 when answered, body = rows */
+} fv_cell_message_kind_t;
+
+typedef struct fv_cell_message {
+    fv_cell_message_kind_t kind;
     int64_t id;
     int64_t number;
     const char *name;
     const char *key;
     const char *body;
     size_t body_length;
-} fv_message_t;
+} fv_cell_message_t;
 
 typedef struct fv_links fv_links_t;
 typedef struct fv_link_peer fv_link_peer_t;
@@ -206,7 +208,7 @@
 typedef struct fv_links_events {
     /* A message from a peer; its texts live until the call returns. */
     void (*message)(void *context, fv_link_peer_t *peer,
-                    const fv_message_t *message);
+                    const fv_cell_message_t *message);
     void (*opened)(void *context, fv_link_peer_t *peer);
     void (*closed)(void *context, fv_link_peer_t *peer);
     void *context;
@@ -220,7 +222,7 @@
                              const char *address);
 void FvLinks_Hang(fv_link_peer_t *peer);
 void FvLinks_HangDialed(fv_links_t *links);
-void FvLinks_Send(fv_link_peer_t *peer, const fv_message_t *message);
+void FvLinks_Send(fv_link_peer_t *peer, const fv_cell_message_t *message);
 const char *FvLinks_Name(const fv_link_peer_t *peer);
 void FvLinks_SetName(fv_link_peer_t *peer, const char *name);
 bool FvLinks_Dialed(const fv_link_peer_t *peer);
@@ -251,7 +253,7 @@
 
 typedef struct fv_front_events {
     /* Passes a request on to the leader; false when none is known. */
-    bool (*forward)(void *context, const fv_message_t *message);
+    bool (*forward)(void *context, const fv_cell_message_t *message);
     bool (*ready)(void *context);
     void *context;
 } fv_front_events_t;
@@ -261,7 +263,7 @@
                         const fv_front_events_t *events);
 void FvFront_Free(fv_front_t *front);
 void FvFront_SetConfig(fv_front_t *front, const fv_cell_config_t *config);
-void FvFront_Reply(fv_front_t *front, const fv_message_t *message);
+void FvFront_Reply(fv_front_t *front, const fv_cell_message_t *message);
 void FvFront_LeaderChanged(fv_front_t *front);
 void FvFront_Drain(fv_front_t *front);
 uint32_t FvFront_OpenRequests(const fv_front_t *front);
@@ -272,7 +274,8 @@
 typedef struct fv_leader_events {
     bool (*may_order)(void *context, int64_t now_ms);
     /* Asks a host, or this one, to call the advice service. */
-    bool (*ask)(void *context, const fv_message_t *message, int64_t cost_us);
+    bool (*ask)(void *context, const fv_cell_message_t *message,
+                int64_t cost_us);
     void (*deposed)(void *context, const char *cause);
     /* Whether a host is linked, and so knows that it leads no longer. */
     bool (*follows)(void *context, const char *host);
@@ -280,7 +283,8 @@
     void *context;
 } fv_leader_events_t;
 
-typedef void (*fv_leader_reply_t)(void *context, const fv_message_t *reply);
+typedef void (*fv_leader_reply_t)(void *context,
+                                  const fv_cell_message_t *reply);
 
 fv_leader_t *FvLeader_New(struct event_base *base, fv_call_pool_t *pool,
                           fv_kv_client_t *kv,
@@ -289,21 +293,22 @@
                           int32_t generation);
 void FvLeader_Free(fv_leader_t *leader);
 bool FvLeader_Serving(const fv_leader_t *leader);
-void FvLeader_Request(fv_leader_t *leader, const fv_message_t *message,
+void FvLeader_Request(fv_leader_t *leader, const fv_cell_message_t *message,
                       fv_leader_reply_t reply, void *context);
 void FvLeader_DropReplies(fv_leader_t *leader, const void *context);
-void FvLeader_Advice(fv_leader_t *leader, const fv_message_t *message);
+void FvLeader_Advice(fv_leader_t *leader, const fv_cell_message_t *message);
 
 /* advice-caller.c: this host's calls to the advice service, one at a time. */
 typedef struct fv_advice_caller fv_advice_caller_t;
-typedef void (*fv_advice_done_t)(void *context, const fv_message_t *answer);
+typedef void (*fv_advice_done_t)(void *context,
+                                 const fv_cell_message_t *answer);
 
 fv_advice_caller_t *FvAdviceCaller_New(fv_call_pool_t *pool,
                                        const char *address);
 void FvAdviceCaller_Free(fv_advice_caller_t *caller);
 void FvAdviceCaller_Ask(fv_advice_caller_t *caller,
-                        const fv_message_t *question, fv_advice_done_t done,
-                        void *context);
+                        const fv_cell_message_t *question,
+                        fv_advice_done_t done, void *context);
 
 /* entry.c */
 int FvEntry_Run(const char *settings_path);
--- a/src/front.c
+++ b/src/front.c
@@ -114,8 +114,8 @@
 forward(fv_front_t *front, fv_front_request_t *request)
 {
     struct evbuffer *input = evhttp_request_get_input_buffer(request->http);
-    fv_message_t message = {
-        .kind = Fv_MESSAGE_REQUEST,
+    fv_cell_message_t message = {
+        .kind = Fv_CELL_MESSAGE_REQUEST,
         .id = request->id,
         .number = request->verb,
         .name = request->queue,
@@ -463,7 +463,7 @@
  * @message: the answer
  */
 void
-FvFront_Reply(fv_front_t *front, const fv_message_t *message)
+FvFront_Reply(fv_front_t *front, const fv_cell_message_t *message)
 {
     fv_front_request_t *request = NULL;
 
--- a/src/host-link.c
+++ b/src/host-link.c
@@ -5,12 +5,12 @@
  */
 
 #include "entry.h"
+#include "packed.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <msgpack.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
@@ -152,63 +152,30 @@
     }
 }
 
-static const char *
-read_text(const msgpack_object *object, size_t *length)
-{
-    if (object->type == MSGPACK_OBJECT_BIN) {
-        *length = object->via.bin.size;
-        return object->via.bin.ptr;
-    }
-    *length = 0;
-    return NULL;
-}
-
-/* Copies a text of a message; false when it does not fit. */
-static bool
-copy_text(const msgpack_object *object, char *target, size_t size)
-{
-    if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= size) {
-        return false;
-    }
-    if (object->via.str.size > 0) { /* an empty text has no address */
-        memcpy(target, object->via.str.ptr, object->via.str.size);
-    }
-    target[object->via.str.size] = '\0';
-    return true;
-}
-
 static bool
-deliver(fv_link_peer_t *peer, const msgpack_object *fields)
+decode_frame(fv_link_peer_t *peer, const char *data, size_t length)
 {
     char name[Fv_KEY_SIZE];
     char key[Fv_KEY_SIZE];
-    fv_message_t message = {.name = name, .key = key};
-
-    if (fields[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-        !copy_text(&fields[3], name, sizeof(name)) ||
-        !copy_text(&fields[4], key, sizeof(key))) {
-        return false;
-    }
-    message.kind = (fv_message_kind_t)fields[0].via.u64;
-    message.id = fields[1].via.i64;
-    message.number = fields[2].via.i64;
-    message.body = read_text(&fields[5], &message.body_length);
-    peer->links->events.message(peer->links->events.context, peer, &message);
-    return true;
-}
-
-static bool
-decode_frame(fv_link_peer_t *peer, const char *data, size_t length)
-{
+    fv_cell_message_t message = {.name = name, .key = key};
     msgpack_unpacked unpacked;
-    bool good = false;
-
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, data, length, NULL) ==
-            MSGPACK_UNPACK_SUCCESS &&
-        unpacked.data.type == MSGPACK_OBJECT_ARRAY &&
-        unpacked.data.via.array.size == Fv_LINK_FIELDS) {
-        good = deliver(peer, unpacked.data.via.array.ptr);
+    fv_field_reader_t reader;
+    bool good;
+
+    if (FvFields_Open(&reader, &unpacked, data, length) &&
+        reader.count == Fv_LINK_FIELDS) {
+        message.kind =
+            (fv_cell_message_kind_t)FvFields_Int(&reader, 0, INT32_MAX);
+        message.id = FvFields_Int(&reader, INT64_MIN, INT64_MAX);
+        message.number = FvFields_Int(&reader, INT64_MIN, INT64_MAX);
+        FvFields_Text(&reader, name, sizeof(name));
+        FvFields_Text(&reader, key, sizeof(key));
+        message.body = FvFields_View(&reader, &message.body_length);
+    }
+    good = !reader.failed && reader.count == Fv_LINK_FIELDS;
+    if (good) {
+        peer->links->events.message(peer->links->events.context, peer,
+                                    &message);
     }
     msgpack_unpacked_destroy(&unpacked);
     return good;
@@ -372,22 +339,13 @@
     bufferevent_enable(peer->stream, EV_READ | EV_WRITE);
 }
 
-static void
-pack_text(msgpack_packer *packer, const char *text)
-{
-    size_t length = text ? strlen(text) : 0;
-
-    msgpack_pack_str(packer, length);
-    msgpack_pack_str_body(packer, text ? text : "", length);
-}
-
 /**
  * FvLinks_Send - send a message
  * @peer: to whom
  * @message: the message
  */
 void
-FvLinks_Send(fv_link_peer_t *peer, const fv_message_t *message)
+FvLinks_Send(fv_link_peer_t *peer, const fv_cell_message_t *message)
 {
     msgpack_sbuffer packed;
     msgpack_packer packer;
@@ -405,11 +363,9 @@
     msgpack_pack_int(&packer, (int)message->kind);
     msgpack_pack_int64(&packer, message->id);
     msgpack_pack_int64(&packer, message->number);
-    pack_text(&packer, message->name);
-    pack_text(&packer, message->key);
-    msgpack_pack_bin(&packer, message->body_length);
-    msgpack_pack_bin_body(&packer, message->body ? message->body : "",
-                          message->body_length);
+    FvPack_Text(&packer, message->name);
+    FvPack_Text(&packer, message->key);
+    FvPack_Bytes(&packer, message->body, message->body_length);
     length = htonl((uint32_t)packed.size);
     evbuffer_add(output, &length, sizeof(length));
     evbuffer_add(output, packed.data, packed.size);
--- a/src/leader-advice.c
+++ b/src/leader-advice.c
@@ -55,7 +55,7 @@
  * @message: the answer
  */
 void
-FvLeader_Advice(fv_leader_t *leader, const fv_message_t *message)
+FvLeader_Advice(fv_leader_t *leader, const fv_cell_message_t *message)
 {
     fv_open_ask_t *ask = NULL;
     fv_advice_t advice = {0};
@@ -110,7 +110,7 @@
         queue->advice_base_us + queue->advice_per_worker_us * count;
     fv_open_ask_t *ask = calloc(1, sizeof(*ask));
     fv_buffer_t body = {0};
-    fv_message_t message;
+    fv_cell_message_t message;
     bool sent = false;
 
     if (ask == NULL) {
@@ -132,12 +132,12 @@
                         strlen(workers[i]->entry.id));
         FvBuffer_Append(&body, "\n", 1);
     }
-    message = (fv_message_t){.kind = Fv_MESSAGE_ASK,
-                             .id = ask->id,
-                             .number = cost_us,
-                             .key = ask->stage,
-                             .body = (const char *)body.data,
-                             .body_length = body.length};
+    message = (fv_cell_message_t){.kind = Fv_CELL_MESSAGE_ASK,
+                                  .id = ask->id,
+                                  .number = cost_us,
+                                  .key = ask->stage,
+                                  .body = (const char *)body.data,
+                                  .body_length = body.length};
     sent = leader->events.ask(leader->events.context, &message, cost_us);
 done:
     FvBuffer_Clear(&body);
--- a/src/leader-load.c
+++ b/src/leader-load.c
@@ -147,8 +147,7 @@
     fv_sched_job_t *job =
         FvSched_FindJob(&leader->sched, item->key + strlen(Fv_KEY_PROGRESS));
 
-    if (job == NULL ||
-        !FvSchedRecord_LoadProgress(&leader->sched, job, &item->value)) {
+    if (job == NULL || !FvSchedRecord_LoadProgress(job, &item->value)) {
         FvLog_Event(Fv_LOG_ERROR, "progress_record_unreadable", "key=%s",
                     item->key);
     }
@@ -182,8 +181,8 @@
     };
     int64_t now_ms = FvClock_NowMs();
 
-    leader->records = FvRecords_New(leader->base, leader->kv, &owner,
-                                    leader->lane_revisions);
+    leader->records = FvRecordWriter_New(leader->base, leader->kv, &owner,
+                                         leader->lane_revisions);
     if (leader->records == NULL) {
         abort();
     }
--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -9,12 +9,12 @@
 #include <string.h>
 
 static void
-answer_waiter(fv_waiter_t *waiter, fv_reply_t outcome, const char *state)
+answer_waiter(fv_job_waiter_t *waiter, fv_reply_t outcome, const char *state)
 {
-    fv_message_t message = {.kind = Fv_MESSAGE_REPLY,
-                            .id = waiter->id,
-                            .number = outcome,
-                            .name = state};
+    fv_cell_message_t message = {.kind = Fv_CELL_MESSAGE_REPLY,
+                                 .id = waiter->id,
+                                 .number = outcome,
+                                 .name = state};
 
     waiter->reply(waiter->context, &message);
 }
@@ -24,10 +24,10 @@
 answer_waiters(fv_sched_job_t *job, fv_verb_t verb, fv_reply_t outcome,
                const char *state)
 {
-    fv_waiter_t **link = (fv_waiter_t **)&job->waiters;
+    fv_job_waiter_t **link = (fv_job_waiter_t **)&job->waiters;
 
     while (*link != NULL) {
-        fv_waiter_t *waiter = *link;
+        fv_job_waiter_t *waiter = *link;
 
         if (waiter->verb != verb) {
             link = &waiter->next;
@@ -47,19 +47,19 @@
  * @context: passed to @reply
  */
 void
-FvLeaderRecord_AddWaiter(fv_sched_job_t *job, const fv_message_t *message,
+FvLeaderRecord_AddWaiter(fv_sched_job_t *job, const fv_cell_message_t *message,
                          fv_leader_reply_t reply, void *context)
 {
-    fv_waiter_t *waiter = calloc(1, sizeof(*waiter));
+    fv_job_waiter_t *waiter = calloc(1, sizeof(*waiter));
 
     if (waiter == NULL) {
         return; /* the caller's time runs out and it asks again */
     }
-    *waiter = (fv_waiter_t){.id = message->id,
-                            .verb = (fv_verb_t)message->number,
-                            .reply = reply,
-                            .context = context,
-                            .next = job->waiters};
+    *waiter = (fv_job_waiter_t){.id = message->id,
+                                .verb = (fv_verb_t)message->number,
+                                .reply = reply,
+                                .context = context,
+                                .next = job->waiters};
     job->waiters = waiter;
 }
 
@@ -104,7 +104,7 @@
 {
     if (job->recorded != Fv_SCHED_JOB_OPEN && job->running_tasks == 0) {
         while (job->waiters != NULL) {
-            fv_waiter_t *waiter = job->waiters;
+            fv_job_waiter_t *waiter = job->waiters;
 
             job->waiters = waiter->next;
             answer_waiter(waiter, Fv_REPLY_NOT_READY, "");
@@ -227,7 +227,7 @@
     call->leader = leader;
     call->kind = kind;
     FvText_Copy(call->job, sizeof(call->job), job->id);
-    if (!FvRecords_Write(
+    if (!FvRecordWriter_Write(
             leader->records,
             &(fv_records_group_t){
                 .order_key = job->id,
@@ -269,13 +269,13 @@
                  worker->entry.address, worker->entry.service);
         FvBuffer_Append(&entry.value, line, strlen(line));
     }
-    FvRecords_Write(leader->records,
-                    &(fv_records_group_t){.order_key = Fv_KEY_ROSTER,
-                                          .entries = &entry,
-                                          .count = 1,
-                                          .urgent = true,
-                                          .done = roster_written,
-                                          .context = leader});
+    FvRecordWriter_Write(leader->records,
+                         &(fv_records_group_t){.order_key = Fv_KEY_ROSTER,
+                                               .entries = &entry,
+                                               .count = 1,
+                                               .urgent = true,
+                                               .done = roster_written,
+                                               .context = leader});
 }
 
 static void
--- a/src/leader-requests.c
+++ b/src/leader-requests.c
@@ -9,13 +9,13 @@
 #include <string.h>
 
 static void
-reply_now(const fv_message_t *message, fv_leader_reply_t reply, void *context,
-          fv_reply_t outcome, const char *state)
+reply_now(const fv_cell_message_t *message, fv_leader_reply_t reply,
+          void *context, fv_reply_t outcome, const char *state)
 {
-    fv_message_t answer = {.kind = Fv_MESSAGE_REPLY,
-                           .id = message->id,
-                           .number = outcome,
-                           .name = state};
+    fv_cell_message_t answer = {.kind = Fv_CELL_MESSAGE_REPLY,
+                                .id = message->id,
+                                .number = outcome,
+                                .name = state};
 
     reply(context, &answer);
 }
@@ -35,7 +35,7 @@
 }
 
 static void
-submit(fv_leader_t *leader, const fv_message_t *message,
+submit(fv_leader_t *leader, const fv_cell_message_t *message,
        fv_leader_reply_t reply, void *context)
 {
     const fv_cell_queue_t *queue = queue_named(leader, message->name);
@@ -48,7 +48,7 @@
         reply_now(message, reply, context, Fv_REPLY_NOT_READY, "");
         return;
     }
-    if (FvRecords_Stalled(leader->records, now_ms)) {
+    if (FvRecordWriter_Stalled(leader->records, now_ms)) {
         FvMetrics_Add(Fv_COUNTER_JOBS_REFUSED, 1);
         FvLog_Event(Fv_LOG_INFO, "job_refused",
                     "job=%s queue=%s cause=store_away", message->key,
@@ -78,8 +78,9 @@
 }
 
 static void
-request_ended_job(const fv_ended_job_t *ended, const fv_message_t *message,
-                  fv_leader_reply_t reply, void *context)
+request_ended_job(const fv_ended_job_t *ended,
+                  const fv_cell_message_t *message, fv_leader_reply_t reply,
+                  void *context)
 {
     if (message->number == Fv_VERB_SUBMIT) {
         reply_now(message, reply, context, Fv_REPLY_ACCEPTED, "");
@@ -91,7 +92,7 @@
 
 static void
 request_open_job(fv_leader_t *leader, fv_sched_job_t *job,
-                 const fv_message_t *message, fv_leader_reply_t reply,
+                 const fv_cell_message_t *message, fv_leader_reply_t reply,
                  void *context)
 {
     if (message->number == Fv_VERB_SUBMIT) {
@@ -126,7 +127,7 @@
  * @context: passed to @reply
  */
 void
-FvLeader_Request(fv_leader_t *leader, const fv_message_t *message,
+FvLeader_Request(fv_leader_t *leader, const fv_cell_message_t *message,
                  fv_leader_reply_t reply, void *context)
 {
     fv_sched_job_t *job = FvSched_FindJob(&leader->sched, message->key);
@@ -168,10 +169,10 @@
 {
     for (fv_sched_job_t *job = leader->sched.jobs; job != NULL;
          job = job->hh.next) {
-        fv_waiter_t **link = (fv_waiter_t **)&job->waiters;
+        fv_job_waiter_t **link = (fv_job_waiter_t **)&job->waiters;
 
         while (*link != NULL) {
-            fv_waiter_t *waiter = *link;
+            fv_job_waiter_t *waiter = *link;
 
             if (waiter->context != context) {
                 link = &waiter->next;
--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -209,7 +209,7 @@
     driver->recording_number = driver->worker->end_seen;
     driver->recording_life = driver->worker->started_wall_ms;
     driver->calls++;
-    FvRecords_After(driver->leader->records, ends_recorded, driver);
+    FvRecordWriter_After(driver->leader->records, ends_recorded, driver);
 }
 
 static void
--- /dev/null
+++ b/src/packed.h
@@ -0,0 +1,35 @@
+/*
+ * Fields of msgpack arrays, read in order. A fault sticks: the reader then
+ * returns zeros, and its user looks at @failed once at the end.
+ */
+
+#ifndef PACKED_H
+#define PACKED_H
+
+#include "fireflyvalve.h"
+
+#include <msgpack.h>
+
+typedef struct fv_field_reader {
+    const msgpack_object *fields;
+    uint32_t count;
+    uint32_t next;
+    bool failed;
+} fv_field_reader_t;
+
+void FvPack_Text(msgpack_packer *packer, const char *text);
+void FvPack_Bytes(msgpack_packer *packer, const void *data, size_t length);
+void FvPack_Bool(msgpack_packer *packer, bool value);
+
+bool FvFields_Open(fv_field_reader_t *reader, msgpack_unpacked *unpacked,
+                   const void *data, size_t length);
+void FvFields_Text(fv_field_reader_t *reader, char *target, size_t size);
+char *FvFields_LongText(fv_field_reader_t *reader);
+const char *FvFields_View(fv_field_reader_t *reader, size_t *length);
+uint8_t *FvFields_Bytes(fv_field_reader_t *reader, size_t *length);
+int64_t FvFields_Int(fv_field_reader_t *reader, int64_t low, int64_t high);
+uint64_t FvFields_U64(fv_field_reader_t *reader);
+bool FvFields_Bool(fv_field_reader_t *reader);
+fv_field_reader_t FvFields_Array(fv_field_reader_t *reader);
+
+#endif
--- a/src/records.c
+++ b/src/records.c
@@ -59,7 +59,7 @@
 } fv_record_group_t;
 
 typedef struct fv_record_lane {
-    fv_records_t *records;
+    fv_record_writer_t *records;
     uint32_t index;
     int64_t revision;
     int64_t batch; /* number of the batch in progress or sent last */
@@ -85,7 +85,7 @@
     struct fv_record_barrier *next;
 } fv_record_barrier_t;
 
-struct fv_records {
+struct fv_record_writer {
     struct event_base *base;
     fv_kv_client_t *kv;
     fv_records_owner_t owner;
@@ -103,13 +103,13 @@
 static void send_batch(fv_record_lane_t *lane);
 
 /**
- * FvRecords_LaneKey - the key of a lane
+ * FvRecordWriter_LaneKey - the key of a lane
  * @lane: its number
  * @key: receives the key
  * @size: its size
  */
 void
-FvRecords_LaneKey(uint32_t lane, char *key, size_t size)
+FvRecordWriter_LaneKey(uint32_t lane, char *key, size_t size)
 {
     snprintf(key, size, "%s%u", Fv_KEY_LANES, lane);
 }
@@ -136,7 +136,7 @@
 }
 
 /**
- * FvRecords_New - make the writer of a new leader
+ * FvRecordWriter_New - make the writer of a new leader
  * @base: the event loop
  * @kv: the store
  * @owner: the leadership under which it writes
@@ -144,11 +144,12 @@
  *
  * Return: the writer, or NULL when memory is exhausted.
  */
-fv_records_t *
-FvRecords_New(struct event_base *base, fv_kv_client_t *kv,
-              const fv_records_owner_t *owner, const int64_t *lane_revisions)
+fv_record_writer_t *
+FvRecordWriter_New(struct event_base *base, fv_kv_client_t *kv,
+                   const fv_records_owner_t *owner,
+                   const int64_t *lane_revisions)
 {
-    fv_records_t *records = calloc(1, sizeof(*records));
+    fv_record_writer_t *records = calloc(1, sizeof(*records));
 
     if (records == NULL) {
         return NULL;
@@ -167,7 +168,7 @@
 }
 
 static void
-free_group(fv_records_t *records, fv_record_group_t *group)
+free_group(fv_record_writer_t *records, fv_record_group_t *group)
 {
     fv_record_key_t *key = group->key;
 
@@ -197,7 +198,7 @@
 }
 
 static void
-free_records(fv_records_t *records)
+free_records(fv_record_writer_t *records)
 {
     while (records->barriers_first != NULL) {
         fv_record_barrier_t *barrier = records->barriers_first;
@@ -212,11 +213,11 @@
 }
 
 /**
- * FvRecords_Free - stop writing; no callback is called any more
+ * FvRecordWriter_Free - stop writing; no callback is called any more
  * @records: the writer, or NULL
  */
 void
-FvRecords_Free(fv_records_t *records)
+FvRecordWriter_Free(fv_record_writer_t *records)
 {
     if (records == NULL) {
         return;
@@ -231,7 +232,7 @@
 }
 
 static bool
-call_ended(fv_records_t *records)
+call_ended(fv_record_writer_t *records)
 {
     records->calls--;
     if (records->closed && records->calls == 0) {
@@ -242,7 +243,7 @@
 }
 
 static void
-check_barriers(fv_records_t *records)
+check_barriers(fv_record_writer_t *records)
 {
     while (records->barriers_first != NULL && !records->closed) {
         fv_record_barrier_t *barrier = records->barriers_first;
@@ -264,7 +265,7 @@
 static void
 batch_written(fv_record_lane_t *lane, int64_t revision)
 {
-    fv_records_t *records = lane->records;
+    fv_record_writer_t *records = lane->records;
     uint32_t count = lane->in_batch;
 
     lane->revision = revision;
@@ -294,12 +295,12 @@
 static void
 settle_conflict(fv_record_lane_t *lane, const fv_kv_items_t *items)
 {
-    fv_records_t *records = lane->records;
+    fv_record_writer_t *records = lane->records;
     char lane_key[Fv_KEY_SIZE];
     char batch[Fv_NAME_SIZE];
     int64_t leader_revision = 0;
 
-    FvRecords_LaneKey(lane->index, lane_key, sizeof(lane_key));
+    FvRecordWriter_LaneKey(lane->index, lane_key, sizeof(lane_key));
     snprintf(batch, sizeof(batch), "%" PRId64 " %" PRId64,
              records->owner.epoch, lane->batch);
     for (uint32_t i = 0; i < items->count; i++) {
@@ -325,7 +326,7 @@
 batch_answered(void *context, const fv_kv_result_t *result)
 {
     fv_record_lane_t *lane = context;
-    fv_records_t *records = lane->records;
+    fv_record_writer_t *records = lane->records;
 
     if (!call_ended(records)) {
         return;
@@ -352,7 +353,7 @@
 static void
 lease_granted(void *context, const fv_kv_result_t *result)
 {
-    fv_records_t *records = context;
+    fv_record_writer_t *records = context;
 
     if (!call_ended(records)) {
         return;
@@ -374,7 +375,7 @@
 
 /* False while there is no lease to attach expiring records to. */
 static bool
-have_lease(fv_records_t *records)
+have_lease(fv_record_writer_t *records)
 {
     if (records->expiry_lease != 0 &&
         FvClock_NowMs() < records->expiry_until_ms) {
@@ -402,7 +403,7 @@
 }
 
 static uint32_t
-add_group(const fv_records_t *records, const fv_record_group_t *group,
+add_group(const fv_record_writer_t *records, const fv_record_group_t *group,
           fv_kv_put_t *puts, uint32_t used)
 {
     for (uint32_t i = 0; i < group->count; i++) {
@@ -450,7 +451,7 @@
 static void
 send_batch(fv_record_lane_t *lane)
 {
-    fv_records_t *records = lane->records;
+    fv_record_writer_t *records = lane->records;
     fv_kv_put_t puts[Fv_BATCH_ENTRIES_MAX + 1];
     char lane_key[Fv_KEY_SIZE];
     char batch[Fv_NAME_SIZE];
@@ -465,7 +466,7 @@
         return; /* until there is a lease */
     }
     used = (uint32_t)collected;
-    FvRecords_LaneKey(lane->index, lane_key, sizeof(lane_key));
+    FvRecordWriter_LaneKey(lane->index, lane_key, sizeof(lane_key));
     snprintf(batch, sizeof(batch), "%" PRId64 " %" PRId64,
              records->owner.epoch, lane->batch);
     puts[used++] = (fv_kv_put_t){
@@ -481,7 +482,7 @@
 }
 
 static uint32_t
-choose_lane(const fv_records_t *records)
+choose_lane(const fv_record_writer_t *records)
 {
     uint32_t best = 0;
     uint64_t best_groups = UINT64_MAX;
@@ -502,7 +503,7 @@
 }
 
 static fv_record_key_t *
-obtain_key(fv_records_t *records, const char *name)
+obtain_key(fv_record_writer_t *records, const char *name)
 {
     fv_record_key_t *key = NULL;
 
@@ -569,7 +570,7 @@
 }
 
 /**
- * FvRecords_Write - write entries together
+ * FvRecordWriter_Write - write entries together
  * @records: the writer
  * @group: the entries
  *
@@ -577,7 +578,8 @@
  * own callback is called instead.
  */
 bool
-FvRecords_Write(fv_records_t *records, const fv_records_group_t *group)
+FvRecordWriter_Write(fv_record_writer_t *records,
+                     const fv_records_group_t *group)
 {
     fv_record_key_t *key = obtain_key(records, group->order_key);
     fv_record_lane_t *lane = &records->lanes[key->lane];
@@ -599,14 +601,14 @@
 }
 
 /**
- * FvRecords_Stalled - whether the store does not take what is written
+ * FvRecordWriter_Stalled - whether the store does not take what is written
  * @records: the writer
  * @now_ms: the time
  *
  * Return: true when a batch has been left unanswered.
  */
 bool
-FvRecords_Stalled(const fv_records_t *records, int64_t now_ms)
+FvRecordWriter_Stalled(const fv_record_writer_t *records, int64_t now_ms)
 {
     for (uint32_t i = 0; i < Fv_RECORD_LANES; i++) {
         const fv_record_lane_t *lane = &records->lanes[i];
@@ -620,12 +622,12 @@
 }
 
 /**
- * FvRecords_WithdrawUnsent - drop the groups that may be withdrawn and that
- * the store has surely not been sent
+ * FvRecordWriter_WithdrawUnsent - drop the groups that may be withdrawn and
+ * that the store has surely not been sent
  * @records: the writer
  */
 void
-FvRecords_WithdrawUnsent(fv_records_t *records)
+FvRecordWriter_WithdrawUnsent(fv_record_writer_t *records)
 {
     for (uint32_t i = 0; i < Fv_RECORD_LANES; i++) {
         uint32_t position = 0;
@@ -649,13 +651,14 @@
 }
 
 /**
- * FvRecords_After - wait until all that was queued so far is in the store
+ * FvRecordWriter_After - wait until all that was queued so far is in the store
  * @records: the writer
  * @done: called then, perhaps before this returns
  * @context: passed to @done
  */
 void
-FvRecords_After(fv_records_t *records, fv_records_done_t done, void *context)
+FvRecordWriter_After(fv_record_writer_t *records, fv_records_done_t done,
+                     void *context)
 {
     fv_record_barrier_t *barrier = calloc(1, sizeof(*barrier));
 
@@ -678,13 +681,13 @@
 }
 
 /**
- * FvRecords_Backlog - how many groups wait to be written
+ * FvRecordWriter_Backlog - how many groups wait to be written
  * @records: the writer
  *
  * Return: the number.
  */
 uint32_t
-FvRecords_Backlog(const fv_records_t *records)
+FvRecordWriter_Backlog(const fv_record_writer_t *records)
 {
     uint64_t waiting = 0;
 
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -3,9 +3,9 @@
  * progress, both msgpack.
  */
 
+#include "packed.h"
 #include "scheduler.h"
 
-#include <msgpack.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,15 +14,6 @@
 #define Fv_PROGRESS_ROW_FIELDS 7
 #define Fv_STRETCH_SCALE 1000.0
 
-static void
-pack_text(msgpack_packer *packer, const char *text)
-{
-    size_t length = text ? strlen(text) : 0;
-
-    msgpack_pack_str(packer, length);
-    msgpack_pack_str_body(packer, text ? text : "", length);
-}
-
 static bool
 take(msgpack_sbuffer *packed, fv_buffer_t *out)
 {
@@ -50,8 +41,8 @@
     msgpack_packer_init(&packer, &packed, msgpack_sbuffer_write);
     msgpack_pack_array(&packer, Fv_JOB_RECORD_FIELDS);
     msgpack_pack_int(&packer, Fv_JOB_RECORD_FORMAT);
-    pack_text(&packer, queue->name);
-    pack_text(&packer, queue->service);
+    FvPack_Text(&packer, queue->name);
+    FvPack_Text(&packer, queue->service);
     msgpack_pack_int32(&packer, queue->priority);
     msgpack_pack_int32(&packer, queue->attempts_max);
     msgpack_pack_int64(&packer, (int64_t)(queue->stretch * Fv_STRETCH_SCALE));
@@ -61,8 +52,7 @@
     msgpack_pack_int64(&packer, queue->advice_per_worker_us);
     msgpack_pack_int64(&packer, queue->ticket_valid_ms);
     msgpack_pack_int64(&packer, job->received_wall_ms);
-    msgpack_pack_bin(&packer, job->document_length);
-    msgpack_pack_bin_body(&packer, job->document, job->document_length);
+    FvPack_Bytes(&packer, job->document, job->document_length);
     return take(&packed, out);
 }
 
@@ -86,7 +76,8 @@
     for (int32_t i = 0; i < Fv_FAILED_RUNS_MAX; i++) {
         msgpack_pack_int32(packer, task->failed_runs[i]);
     }
-    pack_text(packer, task->state == Fv_SCHED_DONE ? NULL : task->checkpoint);
+    FvPack_Text(packer,
+                task->state == Fv_SCHED_DONE ? NULL : task->checkpoint);
 }
 
 typedef void (*fv_task_visit_t)(msgpack_packer *packer,
@@ -135,63 +126,45 @@
     return take(&packed, out);
 }
 
-static bool
-read_text(const msgpack_object *object, char *target, size_t size)
-{
-    if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= size) {
-        return false;
-    }
-    if (object->via.str.size > 0) { /* an empty text has no address */
-        memcpy(target, object->via.str.ptr, object->via.str.size);
-    }
-    target[object->via.str.size] = '\0';
-    return true;
-}
-
-static int64_t
-read_int(const msgpack_object *object)
-{
-    return object->type == MSGPACK_OBJECT_POSITIVE_INTEGER ||
-                   object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER
-               ? object->via.i64
-               : 0;
-}
-
-static bool
-read_queue(const msgpack_object *fields, fv_cell_queue_t *queue)
+static void
+read_queue(fv_field_reader_t *reader, fv_cell_queue_t *queue)
 {
-    *queue = (fv_cell_queue_t){
-        .priority = (int32_t)read_int(&fields[3]),
-        .attempts_max = (int32_t)read_int(&fields[4]),
-        .stretch = (double)read_int(&fields[5]) / Fv_STRETCH_SCALE,
-        .objective_ms = read_int(&fields[6]),
-        .needs_advice = read_int(&fields[7]) != 0,
-        .advice_base_us = read_int(&fields[8]),
-        .advice_per_worker_us = read_int(&fields[9]),
-        .ticket_valid_ms = read_int(&fields[10]),
-    };
-    return read_text(&fields[1], queue->name, sizeof(queue->name)) &&
-           read_text(&fields[2], queue->service, sizeof(queue->service));
+    *queue = (fv_cell_queue_t){0};
+    FvFields_Text(reader, queue->name, sizeof(queue->name));
+    FvFields_Text(reader, queue->service, sizeof(queue->service));
+    queue->priority = (int32_t)FvFields_Int(reader, INT32_MIN, INT32_MAX);
+    queue->attempts_max = (int32_t)FvFields_Int(reader, INT32_MIN, INT32_MAX);
+    queue->stretch =
+        (double)FvFields_Int(reader, 0, INT64_MAX) / Fv_STRETCH_SCALE;
+    queue->objective_ms = FvFields_Int(reader, 0, INT64_MAX);
+    queue->needs_advice = FvFields_Int(reader, 0, 1) != 0;
+    queue->advice_base_us = FvFields_Int(reader, 0, INT64_MAX);
+    queue->advice_per_worker_us = FvFields_Int(reader, 0, INT64_MAX);
+    queue->ticket_valid_ms = FvFields_Int(reader, 0, INT64_MAX);
 }
 
 static fv_sched_job_t *
-load_fields(fv_sched_t *sched, const char *id, const msgpack_object *fields,
+load_fields(fv_sched_t *sched, const char *id, fv_field_reader_t *reader,
             int64_t now_ms, int64_t wall_ms)
 {
-    const msgpack_object *document = &fields[Fv_JOB_RECORD_FIELDS - 1];
-    int64_t received_wall_ms = read_int(&fields[11]);
-    int64_t age_ms = wall_ms - received_wall_ms;
+    int64_t format = FvFields_Int(reader, 0, INT32_MAX);
+    int64_t received_wall_ms;
+    int64_t age_ms;
+    const char *document;
+    size_t length;
     fv_cell_queue_t queue;
     fv_job_spec_t spec;
     fv_sched_job_t *job = NULL;
 
-    if (document->type != MSGPACK_OBJECT_BIN || !read_queue(fields, &queue)) {
+    read_queue(reader, &queue);
+    received_wall_ms = FvFields_Int(reader, 0, INT64_MAX);
+    document = FvFields_View(reader, &length);
+    if (reader->failed || format != Fv_JOB_RECORD_FORMAT || document == NULL) {
         return NULL;
     }
-    if (sched->port->decode(document->via.bin.ptr, document->via.bin.size,
-                            &spec)) {
-        job = FvSched_AddJob(sched, id, &queue, &spec, document->via.bin.ptr,
-                             document->via.bin.size,
+    age_ms = wall_ms - received_wall_ms;
+    if (sched->port->decode(document, length, &spec)) {
+        job = FvSched_AddJob(sched, id, &queue, &spec, document, length,
                              now_ms - (age_ms > 0 ? age_ms : 0),
                              received_wall_ms);
     }
@@ -215,100 +188,102 @@
                       int64_t wall_ms)
 {
     msgpack_unpacked unpacked;
+    fv_field_reader_t reader;
     fv_sched_job_t *job = NULL;
 
-    msgpack_unpacked_init(&unpacked);
-    if (strlen(id) == Fv_JOB_ID_SIZE - 1 &&
-        msgpack_unpack_next(&unpacked, (const char *)value->data,
-                            value->length, NULL) == MSGPACK_UNPACK_SUCCESS &&
-        unpacked.data.type == MSGPACK_OBJECT_ARRAY &&
-        unpacked.data.via.array.size == Fv_JOB_RECORD_FIELDS) {
-        job = load_fields(sched, id, unpacked.data.via.array.ptr, now_ms,
-                          wall_ms);
+    if (FvFields_Open(&reader, &unpacked, value->data, value->length) &&
+        reader.count == Fv_JOB_RECORD_FIELDS &&
+        strlen(id) == Fv_JOB_ID_SIZE - 1) {
+        job = load_fields(sched, id, &reader, now_ms, wall_ms);
     }
     msgpack_unpacked_destroy(&unpacked);
     return job;
 }
 
-static void
-load_failed_runs(fv_sched_task_t *task, const msgpack_object *list)
+/* What a row of a progress record says of a task. */
+typedef struct fv_progress_row {
+    int64_t occurrence;
+    int64_t step;
+    int64_t index;
+    bool done;
+    int32_t failures;
+    int32_t failed_runs[Fv_FAILED_RUNS_MAX];
+    char checkpoint[Fv_CHECKPOINT_SIZE];
+} fv_progress_row_t;
+
+static bool
+read_row(const msgpack_object *field, fv_progress_row_t *row)
 {
-    if (list->type != MSGPACK_OBJECT_ARRAY) {
-        return;
-    }
-    for (uint32_t i = 0; i < list->via.array.size && i < Fv_FAILED_RUNS_MAX;
-         i++) {
-        task->failed_runs[i] = (int32_t)read_int(&list->via.array.ptr[i]);
+    fv_field_reader_t outer = {.fields = field, .count = 1};
+    fv_field_reader_t reader = FvFields_Array(&outer);
+    fv_field_reader_t runs;
+
+    *row = (fv_progress_row_t){
+        .occurrence = FvFields_Int(&reader, 0, INT32_MAX),
+        .step = FvFields_Int(&reader, 0, INT32_MAX),
+        .index = FvFields_Int(&reader, 0, INT32_MAX),
+        .done = FvFields_Int(&reader, 0, 1) != 0,
+        .failures = (int32_t)FvFields_Int(&reader, 0, INT32_MAX),
+    };
+    runs = FvFields_Array(&reader);
+    for (int32_t i = 0; i < Fv_FAILED_RUNS_MAX; i++) {
+        row->failed_runs[i] = (int32_t)FvFields_Int(&runs, 0, INT32_MAX);
     }
+    FvFields_Text(&reader, row->checkpoint, sizeof(row->checkpoint));
+    return !reader.failed && !runs.failed &&
+           reader.count == Fv_PROGRESS_ROW_FIELDS;
 }
 
-static void
-load_task(fv_sched_job_t *job, const msgpack_object *row)
+static bool
+load_task(fv_sched_job_t *job, const fv_progress_row_t *row)
 {
-    const msgpack_object *fields = row->via.array.ptr;
-    int64_t occurrence = read_int(&fields[0]);
-    int64_t step = read_int(&fields[1]);
-    int64_t index = read_int(&fields[2]);
-    char checkpoint[Fv_CHECKPOINT_SIZE];
     fv_sched_stage_t *stage;
     fv_sched_task_t *task;
 
-    if (occurrence < 0 || occurrence >= job->occurrence_count || step < 0 ||
-        step >= job->spec.step_count || index < 0 ||
-        index >= job->spec.steps[step].task_count) {
-        return;
+    if (row->occurrence >= job->occurrence_count ||
+        row->step >= job->spec.step_count ||
+        row->index >= job->spec.steps[row->step].task_count) {
+        return false;
     }
-    stage = &job->occurrences[occurrence].stages[step];
-    task = &stage->tasks[index];
-    task->failures = (int32_t)read_int(&fields[4]);
-    load_failed_runs(task, &fields[5]);
-    if (read_text(&fields[6], checkpoint, sizeof(checkpoint)) &&
-        checkpoint[0] != '\0') {
-        task->checkpoint = strdup(checkpoint);
+    stage = &job->occurrences[row->occurrence].stages[row->step];
+    task = &stage->tasks[row->index];
+    task->failures = row->failures;
+    memcpy(task->failed_runs, row->failed_runs, sizeof(task->failed_runs));
+    if (row->checkpoint[0] != '\0') {
+        free(task->checkpoint);
+        task->checkpoint = strdup(row->checkpoint);
     }
-    if (read_int(&fields[3]) != 0 && task->state != Fv_SCHED_DONE) {
+    if (row->done && task->state != Fv_SCHED_DONE) {
         task->state = Fv_SCHED_DONE;
         stage->waiting--;
         stage->done++;
         if (stage->done == stage->step->task_count) {
-            job->occurrences[occurrence].stages_done++;
+            job->occurrences[row->occurrence].stages_done++;
         }
     }
     job->started = true;
+    return true;
 }
 
 /**
  * FvSchedRecord_LoadProgress - apply the record of a job's progress
- * @sched: the scheduler
  * @job: the job, as loaded
  * @value: the record
  *
- * Return: false when the record cannot be read.
+ * Return: false when a part of the record cannot be read.
  */
 bool
-FvSchedRecord_LoadProgress(fv_sched_t *sched, fv_sched_job_t *job,
-                           const fv_buffer_t *value)
+FvSchedRecord_LoadProgress(fv_sched_job_t *job, const fv_buffer_t *value)
 {
     msgpack_unpacked unpacked;
-    bool good = false;
+    fv_field_reader_t rows;
+    bool good = FvFields_Open(&rows, &unpacked, value->data, value->length);
 
-    (void)sched;
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, (const char *)value->data,
-                            value->length, NULL) == MSGPACK_UNPACK_SUCCESS &&
-        unpacked.data.type == MSGPACK_OBJECT_ARRAY) {
-        const msgpack_object_array *rows = &unpacked.data.via.array;
+    for (uint32_t i = 0; i < rows.count; i++) {
+        fv_progress_row_t row;
 
-        good = true;
-        for (uint32_t i = 0; i < rows->size; i++) {
-            if (rows->ptr[i].type == MSGPACK_OBJECT_ARRAY &&
-                rows->ptr[i].via.array.size == Fv_PROGRESS_ROW_FIELDS) {
-                load_task(job, &rows->ptr[i]);
-            }
-            else {
-                good = false;
-            }
-        }
+        /* What can be read of the others still counts. */
+        good &= read_row(&rows.fields[i], &row) && load_task(job, &row);
     }
     msgpack_unpacked_destroy(&unpacked);
     job->progress_recorded = true;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -237,8 +237,7 @@
 fv_sched_job_t *FvSchedRecord_LoadJob(fv_sched_t *sched, const char *id,
                                       const fv_buffer_t *value, int64_t now_ms,
                                       int64_t wall_ms);
-bool FvSchedRecord_LoadProgress(fv_sched_t *sched, fv_sched_job_t *job,
-                                const fv_buffer_t *value);
+bool FvSchedRecord_LoadProgress(fv_sched_job_t *job, const fv_buffer_t *value);
 
 /* sched-worker.c */
 fv_sched_worker_t *FvSched_FindWorker(const fv_sched_t *sched, const char *id);
--- a/src/wire.c
+++ b/src/wire.c
@@ -5,22 +5,14 @@
  */
 
 #include "daemon.h"
+#include "packed.h"
 
 #include <arpa/inet.h>
-#include <msgpack.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define Fv_WIRE_HEADER_FIELDS 2
 
-/* Reads the fields of one array in order; a fault sticks. */
-typedef struct fv_field_reader {
-    const msgpack_object *fields;
-    uint32_t count;
-    uint32_t next;
-    bool failed;
-} fv_field_reader_t;
-
 typedef struct fv_message_codec {
     uint32_t fields;
     void (*pack)(msgpack_packer *packer, const fv_message_t *message);
@@ -50,33 +42,6 @@
     return refusal_names[refusal];
 }
 
-static void
-pack_text(msgpack_packer *packer, const char *text)
-{
-    size_t length = strlen(text);
-
-    msgpack_pack_str(packer, length);
-    msgpack_pack_str_body(packer, text, length);
-}
-
-static void
-pack_bytes(msgpack_packer *packer, const uint8_t *data, size_t length)
-{
-    msgpack_pack_bin(packer, length);
-    msgpack_pack_bin_body(packer, data, length);
-}
-
-static void
-pack_bool(msgpack_packer *packer, bool value)
-{
-    if (value) {
-        msgpack_pack_true(packer);
-    }
-    else {
-        msgpack_pack_false(packer);
-    }
-}
-
 static void
 pack_resources(msgpack_packer *packer, const fv_resources_t *resources)
 {
@@ -87,138 +52,16 @@
     msgpack_pack_int32(packer, resources->slots);
 }
 
-static const msgpack_object *
-next_field(fv_field_reader_t *reader, msgpack_object_type type)
-{
-    const msgpack_object *field;
-
-    if (reader->failed || reader->next >= reader->count) {
-        reader->failed = true;
-        return NULL;
-    }
-    field = &reader->fields[reader->next++];
-    if (field->type != type) {
-        reader->failed = true;
-        return NULL;
-    }
-    return field;
-}
-
-static void
-read_text(fv_field_reader_t *reader, char *target, size_t size)
-{
-    const msgpack_object *field = next_field(reader, MSGPACK_OBJECT_STR);
-
-    if (field == NULL || field->via.str.size >= size ||
-        memchr(field->via.str.ptr, '\0', field->via.str.size) != NULL) {
-        reader->failed = true;
-        return;
-    }
-    memcpy(target, field->via.str.ptr, field->via.str.size);
-    target[field->via.str.size] = '\0';
-}
-
-static char *
-read_long_text(fv_field_reader_t *reader)
-{
-    const msgpack_object *field = next_field(reader, MSGPACK_OBJECT_STR);
-    char *text;
-
-    if (field == NULL) {
-        return NULL;
-    }
-    text = strndup(field->via.str.ptr, field->via.str.size);
-    reader->failed = text == NULL;
-    return text;
-}
-
-static uint8_t *
-read_bytes(fv_field_reader_t *reader, size_t *length)
-{
-    const msgpack_object *field = next_field(reader, MSGPACK_OBJECT_BIN);
-    uint8_t *data;
-
-    if (field == NULL) {
-        return NULL;
-    }
-    data = malloc((size_t)field->via.bin.size + 1);
-    if (data == NULL) {
-        reader->failed = true;
-        return NULL;
-    }
-    memcpy(data, field->via.bin.ptr, field->via.bin.size);
-    *length = field->via.bin.size;
-    return data;
-}
-
-/* Reads an integer that must lie between the bounds. */
-static int64_t
-read_int(fv_field_reader_t *reader, int64_t low, int64_t high)
-{
-    const msgpack_object *field;
-    int64_t value = 0;
-
-    if (reader->failed || reader->next >= reader->count) {
-        reader->failed = true;
-        return low;
-    }
-    field = &reader->fields[reader->next++];
-    if (field->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
-        field->via.u64 <= INT64_MAX) {
-        value = (int64_t)field->via.u64;
-    }
-    else if (field->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
-        value = field->via.i64;
-    }
-    else {
-        reader->failed = true;
-        return low;
-    }
-    if (value < low || value > high) {
-        reader->failed = true;
-        return low;
-    }
-    return value;
-}
-
-static uint64_t
-read_u64(fv_field_reader_t *reader)
-{
-    const msgpack_object *field =
-        next_field(reader, MSGPACK_OBJECT_POSITIVE_INTEGER);
-
-    return field ? field->via.u64 : 0;
-}
-
-static bool
-read_bool(fv_field_reader_t *reader)
-{
-    const msgpack_object *field = next_field(reader, MSGPACK_OBJECT_BOOLEAN);
-
-    return field != NULL && field->via.boolean;
-}
-
-static fv_field_reader_t
-read_array(fv_field_reader_t *reader)
-{
-    const msgpack_object *field = next_field(reader, MSGPACK_OBJECT_ARRAY);
-
-    if (field == NULL) {
-        return (fv_field_reader_t){.failed = true};
-    }
-    return (fv_field_reader_t){.fields = field->via.array.ptr,
-                               .count = field->via.array.size};
-}
-
 static void
 read_resources(fv_field_reader_t *reader, fv_resources_t *resources)
 {
-    fv_field_reader_t fields = read_array(reader);
+    fv_field_reader_t fields = FvFields_Array(reader);
 
-    resources->cpu_millis = read_int(&fields, INT64_MIN, INT64_MAX);
-    resources->memory_bytes = read_int(&fields, INT64_MIN, INT64_MAX);
-    resources->accelerators = (int32_t)read_int(&fields, INT32_MIN, INT32_MAX);
-    resources->slots = (int32_t)read_int(&fields, INT32_MIN, INT32_MAX);
+    resources->cpu_millis = FvFields_Int(&fields, INT64_MIN, INT64_MAX);
+    resources->memory_bytes = FvFields_Int(&fields, INT64_MIN, INT64_MAX);
+    resources->accelerators =
+        (int32_t)FvFields_Int(&fields, INT32_MIN, INT32_MAX);
+    resources->slots = (int32_t)FvFields_Int(&fields, INT32_MIN, INT32_MAX);
     reader->failed |= fields.failed;
 }
 
@@ -227,13 +70,13 @@
 {
     const fv_hello_t *hello = &message->body.hello;
 
-    pack_text(packer, hello->cluster);
-    pack_text(packer, hello->host);
-    pack_text(packer, hello->incarnation);
-    pack_text(packer, hello->region);
-    pack_text(packer, hello->data_center);
-    pack_text(packer, hello->nonce);
-    pack_text(packer, hello->mac);
+    FvPack_Text(packer, hello->cluster);
+    FvPack_Text(packer, hello->host);
+    FvPack_Text(packer, hello->incarnation);
+    FvPack_Text(packer, hello->region);
+    FvPack_Text(packer, hello->data_center);
+    FvPack_Text(packer, hello->nonce);
+    FvPack_Text(packer, hello->mac);
 }
 
 static void
@@ -241,13 +84,13 @@
 {
     fv_hello_t *hello = &message->body.hello;
 
-    read_text(reader, hello->cluster, sizeof(hello->cluster));
-    read_text(reader, hello->host, sizeof(hello->host));
-    read_text(reader, hello->incarnation, sizeof(hello->incarnation));
-    read_text(reader, hello->region, sizeof(hello->region));
-    read_text(reader, hello->data_center, sizeof(hello->data_center));
-    read_text(reader, hello->nonce, sizeof(hello->nonce));
-    read_text(reader, hello->mac, sizeof(hello->mac));
+    FvFields_Text(reader, hello->cluster, sizeof(hello->cluster));
+    FvFields_Text(reader, hello->host, sizeof(hello->host));
+    FvFields_Text(reader, hello->incarnation, sizeof(hello->incarnation));
+    FvFields_Text(reader, hello->region, sizeof(hello->region));
+    FvFields_Text(reader, hello->data_center, sizeof(hello->data_center));
+    FvFields_Text(reader, hello->nonce, sizeof(hello->nonce));
+    FvFields_Text(reader, hello->mac, sizeof(hello->mac));
 }
 
 static void
@@ -256,7 +99,7 @@
     const fv_digest_t *digest = message->body.digest;
 
     msgpack_pack_uint64(packer, digest->config_version);
-    pack_bool(packer, digest->draining);
+    FvPack_Bool(packer, digest->draining);
     msgpack_pack_int32(packer, digest->workers);
     msgpack_pack_int32(packer, digest->held);
     pack_resources(packer, &digest->largest_capacity);
@@ -270,7 +113,7 @@
     msgpack_pack_array(packer, digest->usage_count);
     for (uint32_t i = 0; i < digest->usage_count; i++) {
         msgpack_pack_array(packer, 2);
-        pack_text(packer, digest->usage[i].member);
+        FvPack_Text(packer, digest->usage[i].member);
         pack_resources(packer, &digest->usage[i].used);
     }
 }
@@ -287,27 +130,27 @@
         reader->failed = true;
         return;
     }
-    digest->config_version = read_u64(reader);
-    digest->draining = read_bool(reader);
-    digest->workers = (int32_t)read_int(reader, 0, INT32_MAX);
-    digest->held = (int32_t)read_int(reader, 0, INT32_MAX);
+    digest->config_version = FvFields_U64(reader);
+    digest->draining = FvFields_Bool(reader);
+    digest->workers = (int32_t)FvFields_Int(reader, 0, INT32_MAX);
+    digest->held = (int32_t)FvFields_Int(reader, 0, INT32_MAX);
     read_resources(reader, &digest->largest_capacity);
-    queued = read_array(reader);
+    queued = FvFields_Array(reader);
     for (int i = 0; i < Fv_CLASS_COUNT; i++) {
-        digest->queued[i] = (int32_t)read_int(&queued, 0, INT32_MAX);
+        digest->queued[i] = (int32_t)FvFields_Int(&queued, 0, INT32_MAX);
     }
     read_resources(reader, &digest->free_total);
     read_resources(reader, &digest->free_largest);
     read_resources(reader, &digest->free_interactive);
-    usage = read_array(reader);
+    usage = FvFields_Array(reader);
     if (usage.count > Fv_MEMBERS_MAX) {
         reader->failed = true;
         return;
     }
     for (uint32_t i = 0; i < usage.count; i++) {
-        fv_field_reader_t entry = read_array(&usage);
+        fv_field_reader_t entry = FvFields_Array(&usage);
 
-        read_text(&entry, digest->usage[i].member, Fv_NAME_SIZE);
+        FvFields_Text(&entry, digest->usage[i].member, Fv_NAME_SIZE);
         read_resources(&entry, &digest->usage[i].used);
         usage.failed |= entry.failed;
     }
@@ -320,20 +163,20 @@
 {
     const fv_task_request_t *request = &message->body.task_request;
 
-    pack_text(packer, request->id);
-    pack_text(packer, request->worker);
-    pack_text(packer, request->home);
-    pack_text(packer, request->member);
-    pack_text(packer, request->workload);
+    FvPack_Text(packer, request->id);
+    FvPack_Text(packer, request->worker);
+    FvPack_Text(packer, request->home);
+    FvPack_Text(packer, request->member);
+    FvPack_Text(packer, request->workload);
     msgpack_pack_int32(packer, (int32_t)request->class_id);
     pack_resources(packer, &request->size);
     msgpack_pack_int32(packer, request->first);
     msgpack_pack_int32(packer, request->count);
-    pack_bool(packer, request->reserved);
-    pack_bool(packer, request->stop_on_lapse);
-    pack_bool(packer, request->send_once);
+    FvPack_Bool(packer, request->reserved);
+    FvPack_Bool(packer, request->stop_on_lapse);
+    FvPack_Bool(packer, request->send_once);
     msgpack_pack_int64(packer, request->wait_ms);
-    pack_bytes(packer, request->payload, request->payload_length);
+    FvPack_Bytes(packer, request->payload, request->payload_length);
 }
 
 static void
@@ -341,20 +184,21 @@
 {
     fv_task_request_t *request = &message->body.task_request;
 
-    read_text(reader, request->id, sizeof(request->id));
-    read_text(reader, request->worker, sizeof(request->worker));
-    read_text(reader, request->home, sizeof(request->home));
-    read_text(reader, request->member, sizeof(request->member));
-    read_text(reader, request->workload, sizeof(request->workload));
-    request->class_id = (fv_class_t)read_int(reader, 0, Fv_CLASS_COUNT - 1);
+    FvFields_Text(reader, request->id, sizeof(request->id));
+    FvFields_Text(reader, request->worker, sizeof(request->worker));
+    FvFields_Text(reader, request->home, sizeof(request->home));
+    FvFields_Text(reader, request->member, sizeof(request->member));
+    FvFields_Text(reader, request->workload, sizeof(request->workload));
+    request->class_id =
+        (fv_class_t)FvFields_Int(reader, 0, Fv_CLASS_COUNT - 1);
     read_resources(reader, &request->size);
-    request->first = (int32_t)read_int(reader, 0, Fv_TASKS_MAX);
-    request->count = (int32_t)read_int(reader, 0, Fv_TASKS_MAX);
-    request->reserved = read_bool(reader);
-    request->stop_on_lapse = read_bool(reader);
-    request->send_once = read_bool(reader);
-    request->wait_ms = read_int(reader, 0, INT64_MAX);
-    request->payload = read_bytes(reader, &request->payload_length);
+    request->first = (int32_t)FvFields_Int(reader, 0, Fv_TASKS_MAX);
+    request->count = (int32_t)FvFields_Int(reader, 0, Fv_TASKS_MAX);
+    request->reserved = FvFields_Bool(reader);
+    request->stop_on_lapse = FvFields_Bool(reader);
+    request->send_once = FvFields_Bool(reader);
+    request->wait_ms = FvFields_Int(reader, 0, INT64_MAX);
+    request->payload = FvFields_Bytes(reader, &request->payload_length);
 }
 
 static void
@@ -365,7 +209,7 @@
     msgpack_pack_int32(packer, (int32_t)reserved->refusal);
     msgpack_pack_array(packer, reserved->count);
     for (uint32_t i = 0; i < reserved->count; i++) {
-        pack_text(packer, reserved->workers[i]);
+        FvPack_Text(packer, reserved->workers[i]);
     }
 }
 
@@ -380,14 +224,15 @@
         reader->failed = true;
         return;
     }
-    reserved->refusal = (fv_refusal_t)read_int(reader, 0, Fv_REFUSAL_IN_DOUBT);
-    workers = read_array(reader);
+    reserved->refusal =
+        (fv_refusal_t)FvFields_Int(reader, 0, Fv_REFUSAL_IN_DOUBT);
+    workers = FvFields_Array(reader);
     if (workers.count > Fv_TASKS_MAX) {
         reader->failed = true;
         return;
     }
     for (uint32_t i = 0; i < workers.count; i++) {
-        read_text(&workers, reserved->workers[i], Fv_NAME_SIZE);
+        FvFields_Text(&workers, reserved->workers[i], Fv_NAME_SIZE);
     }
     reserved->count = workers.count;
     reader->failed |= workers.failed;
@@ -398,8 +243,8 @@
 {
     const fv_task_reply_t *reply = &message->body.task_reply;
 
-    pack_text(packer, reply->id);
-    pack_text(packer, reply->worker);
+    FvPack_Text(packer, reply->id);
+    FvPack_Text(packer, reply->worker);
     msgpack_pack_int32(packer, (int32_t)reply->state);
     msgpack_pack_int32(packer, (int32_t)reply->refusal);
     msgpack_pack_int64(packer, reply->ran_ms);
@@ -407,7 +252,7 @@
     pack_resources(packer, &reply->used);
     msgpack_pack_uint64(packer, reply->answer_length);
     msgpack_pack_uint64(packer, reply->answer_hash);
-    pack_bytes(packer, reply->answer, reply->received);
+    FvPack_Bytes(packer, reply->answer, reply->received);
 }
 
 static void
@@ -415,31 +260,33 @@
 {
     fv_task_reply_t *reply = &message->body.task_reply;
 
-    read_text(reader, reply->id, sizeof(reply->id));
-    read_text(reader, reply->worker, sizeof(reply->worker));
-    reply->state = (fv_task_state_t)read_int(reader, 0, Fv_TASK_UNKNOWN);
-    reply->refusal = (fv_refusal_t)read_int(reader, 0, Fv_REFUSAL_IN_DOUBT);
-    reply->ran_ms = read_int(reader, 0, INT64_MAX);
-    reply->uptime_ms = read_int(reader, 0, INT64_MAX);
+    FvFields_Text(reader, reply->id, sizeof(reply->id));
+    FvFields_Text(reader, reply->worker, sizeof(reply->worker));
+    reply->state = (fv_task_state_t)FvFields_Int(reader, 0, Fv_TASK_UNKNOWN);
+    reply->refusal =
+        (fv_refusal_t)FvFields_Int(reader, 0, Fv_REFUSAL_IN_DOUBT);
+    reply->ran_ms = FvFields_Int(reader, 0, INT64_MAX);
+    reply->uptime_ms = FvFields_Int(reader, 0, INT64_MAX);
     read_resources(reader, &reply->used);
-    reply->answer_length = (size_t)read_int(reader, 0, Fv_ANSWER_MAX_BYTES);
-    reply->answer_hash = read_u64(reader);
-    reply->answer = read_bytes(reader, &reply->received);
+    reply->answer_length =
+        (size_t)FvFields_Int(reader, 0, Fv_ANSWER_MAX_BYTES);
+    reply->answer_hash = FvFields_U64(reader);
+    reply->answer = FvFields_Bytes(reader, &reply->received);
     reader->failed |= reply->received > reply->answer_length;
 }
 
 static void
 pack_lease_state(msgpack_packer *packer, const fv_message_t *message)
 {
-    pack_bool(packer, message->body.lease_state.held);
+    FvPack_Bool(packer, message->body.lease_state.held);
     msgpack_pack_int64(packer, message->body.lease_state.lapsed_ms);
 }
 
 static void
 unpack_lease_state(fv_field_reader_t *reader, fv_message_t *message)
 {
-    message->body.lease_state.held = read_bool(reader);
-    message->body.lease_state.lapsed_ms = read_int(reader, 0, INT64_MAX);
+    message->body.lease_state.held = FvFields_Bool(reader);
+    message->body.lease_state.lapsed_ms = FvFields_Int(reader, 0, INT64_MAX);
 }
 
 static void
@@ -447,17 +294,17 @@
 {
     const char *text = message->body.document.text;
 
-    pack_text(packer, text ? text : "");
-    pack_text(packer, message->body.document.member);
-    pack_text(packer, message->body.document.key);
+    FvPack_Text(packer, text ? text : "");
+    FvPack_Text(packer, message->body.document.member);
+    FvPack_Text(packer, message->body.document.key);
 }
 
 static void
 unpack_document(fv_field_reader_t *reader, fv_message_t *message)
 {
-    message->body.document.text = read_long_text(reader);
-    read_text(reader, message->body.document.member, Fv_NAME_SIZE);
-    read_text(reader, message->body.document.key, Fv_KEY_SIZE);
+    message->body.document.text = FvFields_LongText(reader);
+    FvFields_Text(reader, message->body.document.member, Fv_NAME_SIZE);
+    FvFields_Text(reader, message->body.document.key, Fv_KEY_SIZE);
 }
 
 #define Fv_HELLO_CODEC                                                        \
@@ -543,24 +390,17 @@
 }
 
 static fv_wire_error_t
-unpack_object(const msgpack_object *object, fv_message_t *message)
+unpack_fields(fv_field_reader_t *reader, fv_message_t *message)
 {
-    fv_field_reader_t reader = {0};
-    int64_t type;
+    int64_t type = FvFields_Int(reader, 0, Fv_MESSAGE_COUNT - 1);
 
-    if (object->type != MSGPACK_OBJECT_ARRAY) {
-        return Fv_WIRE_MALFORMED;
-    }
-    reader.fields = object->via.array.ptr;
-    reader.count = object->via.array.size;
-    type = read_int(&reader, 0, Fv_MESSAGE_COUNT - 1);
-    message->request_id = read_u64(&reader);
-    if (reader.failed) {
+    message->request_id = FvFields_U64(reader);
+    if (reader->failed) {
         return Fv_WIRE_MALFORMED;
     }
     message->type = (fv_message_type_t)type;
-    codecs[type].unpack(&reader, message);
-    if (reader.failed) {
+    codecs[type].unpack(reader, message);
+    if (reader->failed) {
         FvWire_Clear(message);
         return Fv_WIRE_MALFORMED;
     }
@@ -580,14 +420,11 @@
 {
     fv_wire_error_t error = Fv_WIRE_MALFORMED;
     msgpack_unpacked unpacked;
-    size_t used = 0;
+    fv_field_reader_t reader;
 
     *message = (fv_message_t){0};
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, (const char *)payload, length, &used) ==
-            MSGPACK_UNPACK_SUCCESS &&
-        used == length) {
-        error = unpack_object(&unpacked.data, message);
+    if (FvFields_Open(&reader, &unpacked, payload, length)) {
+        error = unpack_fields(&reader, message);
     }
     msgpack_unpacked_destroy(&unpacked);
     return error;
--- a/tests/unit/sched_record_test.c
+++ b/tests/unit/sched_record_test.c
@@ -32,8 +32,7 @@
         abort();
     }
     loaded->durable = true;
-    CU_ASSERT_TRUE(
-        FvSchedRecord_LoadProgress(&next->sched, loaded, &progress));
+    CU_ASSERT_TRUE(FvSchedRecord_LoadProgress(loaded, &progress));
     FvBuffer_Clear(&record);
     FvBuffer_Clear(&progress);
     return loaded;
@@ -126,6 +125,41 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* A progress record of two rows: one that no leader writes, one that is good.
+ */
+static void
+test_bad_row_hides_no_other(void)
+{
+    static const char *const bad_rows[] = {
+        /* failed -1 times */
+        "\x97\x00\x00\x00\x00\xff\x98\x00\x00\x00\x00\x00\x00\x00\x00\xa0",
+        /* of the 100th step */
+        "\x97\x00\x64\x00\x01\x00\x98\x00\x00\x00\x00\x00\x00\x00\x00\xa0",
+        /* a text where its done mark belongs */
+        "\x97\x00\x00\x00\xa0\x00\x98\x00\x00\x00\x00\x00\x00\x00\x00\xa0",
+    };
+    static const char good_row[] =
+        "\x97\x00\x00\x00\x01\x00\x98\x00\x00\x00\x00\x00\x00\x00\x00\xa0";
+    fv_cell_queue_t queue = FvSchedFixture_Queue("q", 0);
+
+    for (size_t i = 0; i < sizeof(bad_rows) / sizeof(bad_rows[0]); i++) {
+        static sched_fixture_t fixture;
+        fv_buffer_t record = {0};
+        fv_sched_job_t *job;
+
+        FvSchedFixture_Open(&fixture, 2);
+        job = FvSchedFixture_AddJob(&fixture, JOB_A, &queue, one_task);
+        FvBuffer_Append(&record, "\x92", 1);
+        FvBuffer_Append(&record, bad_rows[i], sizeof(good_row) - 1);
+        FvBuffer_Append(&record, good_row, sizeof(good_row) - 1);
+        CU_ASSERT_FALSE(FvSchedRecord_LoadProgress(job, &record));
+        CU_ASSERT_EQUAL(job->occurrences[0].stages[0].tasks[0].failures, 0);
+        CU_ASSERT_EQUAL(job->occurrences[0].stages[0].done, 1);
+        FvBuffer_Clear(&record);
+        FvSchedFixture_Close(&fixture);
+    }
+}
+
 int
 main(void)
 {
@@ -138,6 +172,8 @@
          test_done_task_is_not_started_again},
         {"an end that came during a write is acknowledged before its own",
          test_end_is_acknowledged_after_its_record},
+        {"a bad row of a progress record is believed or hides a good one",
+         test_bad_row_hides_no_other},
     };
 
     return Fv_RUN_SUITE("sched_record", cases);
