Pause between looks at a claim in doubt; keep what later records rest on

Cause: found on reading the change again. A claim whose answer was lost was looked up without a pause for as long as the store answered 503. While the store is away, the record of an accepted job was withdrawn even when the record of its cancellation waited behind it, so that a later leader told the cancelled state for an id whose submission had been refused. Change: the look-up is repeated by the election's tick; a record on which a later one of its key rests isn't withdrawn. Two unused functions go.

--- a/src/election.c
+++ b/src/election.c
@@ -55,6 +55,7 @@
     int32_t claimed_generation;
     fv_claim_state_t state;
     int64_t claim_at_ms; /* 0: not planned */
+    int64_t check_at_ms; /* of a claim in doubt; 0: being read, or none */
     int64_t lease;
     int64_t ttl_ms;
     int64_t granted_ms; /* when the latest renewal that succeeded was sent */
@@ -79,18 +80,6 @@
     return Fv_LEADER_ORPHAN_MS;
 }
 
-/**
- * FvElection_Leads - whether this host leads as far as it knows
- * @election: the election
- *
- * Return: true when it does.
- */
-bool
-FvElection_Leads(const fv_election_t *election)
-{
-    return election->state == Fv_CLAIM_HELD;
-}
-
 /**
  * FvElection_Hosts - the registered hosts
  * @election: the election
@@ -193,7 +182,17 @@
     }
 }
 
+static void claim_checked(void *context, const fv_kv_result_t *result);
+
 /* After an unanswered claim: is the key ours? */
+static void
+check_claim(fv_election_t *election)
+{
+    election->state = Fv_CLAIM_CHECKING;
+    election->check_at_ms = 0;
+    FvKvClient_Get(election->kv, Fv_KEY_LEADER, claim_checked, election);
+}
+
 static void
 claim_checked(void *context, const fv_kv_result_t *result)
 {
@@ -214,7 +213,7 @@
         claim_failed(election);
         return;
     }
-    FvKvClient_Get(election->kv, Fv_KEY_LEADER, claim_checked, election);
+    election->check_at_ms = FvClock_NowMs() + Fv_CLAIM_RETRY_MS;
 }
 
 static void
@@ -229,8 +228,7 @@
         claim_won(election, result->revision);
     }
     else if (result->error == Fv_KV_IN_DOUBT) {
-        election->state = Fv_CLAIM_CHECKING;
-        FvKvClient_Get(election->kv, Fv_KEY_LEADER, claim_checked, election);
+        check_claim(election);
     }
     else {
         for (uint32_t i = 0; i < result->items.count; i++) {
@@ -387,6 +385,10 @@
             lose(election, "store_unreachable");
         }
     }
+    else if (election->state == Fv_CLAIM_CHECKING &&
+             election->check_at_ms != 0 && now_ms >= election->check_at_ms) {
+        check_claim(election);
+    }
     else if (election->claim_at_ms != 0 && now_ms >= election->claim_at_ms &&
              election->state == Fv_CLAIM_NONE && election->loaded &&
              !election->leader_known) {
--- a/src/entry.h
+++ b/src/entry.h
@@ -91,7 +91,6 @@
 fv_kv_watch_t *FvKvClient_Follow(fv_kv_client_t *kv,
                                  const fv_kv_follower_t *follower);
 void FvKvClient_Unfollow(fv_kv_watch_t *watch);
-bool FvKvClient_Reachable(const fv_kv_client_t *kv);
 
 /* Keys of the project in the store. */
 #define Fv_KEY_CONTROL "fireflyvalve/control/"
@@ -135,7 +134,8 @@
     uint32_t count;
     bool urgent;               /* a caller waits for it */
     fv_records_done_t done;    /* called once they are in the store, or NULL */
-    fv_records_done_t dropped; /* set for a group that may be withdrawn */
+    fv_records_done_t dropped; /* set for a group that may be withdrawn while
+                                  no later one of its key waits */
     void *context;
 } fv_records_group_t;
 
@@ -171,7 +171,6 @@
                               const fv_entry_settings_t *settings,
                               const fv_election_events_t *events);
 void FvElection_Free(fv_election_t *election);
-bool FvElection_Leads(const fv_election_t *election);
 bool FvElection_MayOrder(fv_election_t *election, int64_t now_ms);
 void FvElection_Resign(fv_election_t *election, int64_t pause_ms,
                        const char *cause);
--- a/src/kv-client.c
+++ b/src/kv-client.c
@@ -99,18 +99,6 @@
     free(kv);
 }
 
-/**
- * FvKvClient_Reachable - whether the store answered the latest call
- * @kv: the client
- *
- * Return: true when it did.
- */
-bool
-FvKvClient_Reachable(const fv_kv_client_t *kv)
-{
-    return kv->reachable;
-}
-
 static void
 note_reachable(fv_kv_client_t *kv, fv_kv_error_t error, int32_t status)
 {
--- a/src/records.c
+++ b/src/records.c
@@ -634,8 +634,9 @@
 
         for (fv_record_group_t *group = records->lanes[i].first; group != NULL;
              group = group->next) {
+            /* A later group of the key rests on this one. */
             if (position++ < records->lanes[i].in_batch ||
-                group->dropped == NULL) {
+                group->dropped == NULL || group->key->groups > 1) {
                 continue;
             }
             /* The empty group keeps its place among those counted. */
--- /dev/null
+++ b/tests/unit/election_test.c
@@ -0,0 +1,177 @@
+/*
+ * The election: claims whose answers are lost, and what a leader may do
+ * without its lease.
+ */
+
+#include "fake_kv.h"
+
+#include <stdio.h>
+
+#define TTL_MS 1300
+
+typedef struct outcome {
+    uint32_t won;
+    uint32_t lost;
+    int64_t epoch;
+    int32_t generation;
+} outcome_t;
+
+static outcome_t outcome;
+static struct event_base *base;
+static fv_election_t *election;
+static const fv_entry_settings_t settings = {
+    .host = "akl-1", .address = "127.0.0.1", .link_port = 1, .cpu_cores = 1};
+
+static void
+won(void *context, int64_t epoch, int32_t generation)
+{
+    (void)context;
+    outcome.won++;
+    outcome.epoch = epoch;
+    outcome.generation = generation;
+}
+
+static void
+lost(void *context, const char *cause)
+{
+    (void)context;
+    (void)cause;
+    outcome.lost++;
+}
+
+static void
+hosts_changed(void *context)
+{
+    (void)context;
+}
+
+/* Opens an election at which nobody leads, after @generation leaders. */
+static void
+open_election(const char *generation)
+{
+    fv_kv_item_t item = {
+        .key = (char *)Fv_KEY_GENERATION,
+        .value = {.data = (uint8_t *)generation, .length = strlen(generation)},
+        .revision = 5};
+
+    fake_kv_reset();
+    outcome = (outcome_t){0};
+    base = event_base_new();
+    election = FvElection_New(
+        base, NULL, &settings,
+        &(fv_election_events_t){
+            .won = won, .lost = lost, .hosts_changed = hosts_changed});
+    fake_kv.follower.begin(fake_kv.follower.context);
+    fake_kv.follower.item(fake_kv.follower.context, &item);
+    fake_kv.follower.loaded(fake_kv.follower.context);
+}
+
+static void
+close_election(void)
+{
+    FvElection_Free(election);
+    event_base_free(base);
+}
+
+/* Runs until this host has sent its claim, and returns that call. */
+static fake_kv_call_t *
+send_claim(void)
+{
+    fake_kv_run(base, 350);
+    fake_kv_answer(
+        fake_kv_latest(FAKE_KV_GRANT),
+        (fv_kv_result_t){.error = Fv_KV_OK, .lease = 7, .ttl_ms = TTL_MS});
+    return fake_kv_latest(FAKE_KV_TXN);
+}
+
+static void
+test_generation_rises(void)
+{
+    fake_kv_call_t *claim;
+
+    open_election("41");
+    claim = send_claim();
+    CU_ASSERT_STRING_EQUAL(claim->puts[1].key, Fv_KEY_GENERATION);
+    CU_ASSERT_STRING_EQUAL(claim->puts[1].value, "42");
+    fake_kv_answer(claim,
+                   (fv_kv_result_t){.error = Fv_KV_OK, .revision = 900});
+    CU_ASSERT_EQUAL(outcome.won, 1);
+    CU_ASSERT_EQUAL(outcome.epoch, 900);
+    CU_ASSERT_EQUAL(outcome.generation, 42);
+    close_election();
+}
+
+/* Pattern: the store goes silent within a claim and then answers 503. */
+static void
+test_claim_in_doubt_is_looked_up_with_pauses(void)
+{
+    fake_kv_call_t *claim;
+
+    open_election("1");
+    claim = send_claim();
+    fake_kv_answer(claim, (fv_kv_result_t){.error = Fv_KV_IN_DOUBT});
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_GET), 1);
+    fake_kv_answer(fake_kv_latest(FAKE_KV_GET),
+                   (fv_kv_result_t){.error = Fv_KV_UNAVAILABLE});
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_GET), 1);
+    fake_kv_run(base, 350);
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_GET), 2);
+    fake_kv_answer_item(fake_kv_latest(FAKE_KV_GET), Fv_KV_OK, Fv_KEY_LEADER,
+                        claim->puts[0].value, 901);
+    CU_ASSERT_EQUAL(outcome.won, 1);
+    CU_ASSERT_EQUAL(outcome.epoch, 901);
+    close_election();
+}
+
+static void
+test_claim_of_another_host_is_not_taken_for_ours(void)
+{
+    fake_kv_call_t *claim;
+
+    open_election("1");
+    claim = send_claim();
+    fake_kv_answer(claim, (fv_kv_result_t){.error = Fv_KV_IN_DOUBT});
+    fake_kv_answer_item(fake_kv_latest(FAKE_KV_GET), Fv_KV_OK, Fv_KEY_LEADER,
+                        "akl-1 2 ffffffffffffffff", 901);
+    CU_ASSERT_EQUAL(outcome.won, 0);
+    CU_ASSERT_EQUAL(fake_kv.revoked, 1);
+    close_election();
+}
+
+/* Pattern: the leader is frozen, and its lease has been someone else's since.
+ */
+static void
+test_frozen_leader_orders_nothing_before_a_renewal(void)
+{
+    int64_t later_ms;
+
+    open_election("1");
+    fake_kv_answer(send_claim(),
+                   (fv_kv_result_t){.error = Fv_KV_OK, .revision = 900});
+    CU_ASSERT_TRUE(FvElection_MayOrder(election, FvClock_NowMs()));
+    later_ms = FvClock_NowMs() + 1200;
+    CU_ASSERT_FALSE(FvElection_MayOrder(election, later_ms));
+    CU_ASSERT_FALSE(FvElection_MayOrder(election, later_ms + 10));
+    fake_kv_run(base, 1450);
+    fake_kv_answer(fake_kv_latest(FAKE_KV_RENEW),
+                   (fv_kv_result_t){.error = Fv_KV_NOT_FOUND});
+    CU_ASSERT_EQUAL(outcome.lost, 1);
+    CU_ASSERT_FALSE(FvElection_MayOrder(election, later_ms + 20));
+    close_election();
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"two leaders number their runs alike", test_generation_rises},
+        {"a claim in doubt is looked up without a pause, or lost",
+         test_claim_in_doubt_is_looked_up_with_pauses},
+        {"a host takes another's claim for its own",
+         test_claim_of_another_host_is_not_taken_for_ours},
+        {"a frozen leader gives orders before its lease is renewed",
+         test_frozen_leader_orders_nothing_before_a_renewal},
+    };
+
+    return Fv_RUN_SUITE("election", cases);
+}
--- /dev/null
+++ b/tests/unit/fake_kv.h
@@ -0,0 +1,193 @@
+/*
+ * Replaces kv-client.c at link time: calls wait in a list until the test
+ * answers them, in any order or not at all.
+ */
+
+#ifndef FAKE_KV_H
+#define FAKE_KV_H
+
+#include "entry.h"
+#include "suite.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FAKE_KV_CALLS_MAX 64
+#define FAKE_KV_PUTS_MAX 32
+
+typedef enum fake_kv_kind {
+    FAKE_KV_GET,
+    FAKE_KV_TXN,
+    FAKE_KV_GRANT,
+    FAKE_KV_RENEW
+} fake_kv_kind_t;
+
+typedef struct fake_kv_put {
+    char key[Fv_KEY_SIZE];
+    char value[Fv_URL_SIZE];
+    bool removed;
+} fake_kv_put_t;
+
+typedef struct fake_kv_call {
+    fake_kv_kind_t kind;
+    uint32_t put_count;
+    fake_kv_put_t puts[FAKE_KV_PUTS_MAX];
+    fv_kv_done_t done;
+    void *context;
+    bool answered;
+} fake_kv_call_t;
+
+static struct {
+    uint32_t count;
+    fake_kv_call_t calls[FAKE_KV_CALLS_MAX];
+    uint32_t revoked;
+    fv_kv_follower_t follower;
+} fake_kv;
+
+static inline void
+fake_kv_reset(void)
+{
+    memset(&fake_kv, 0, sizeof(fake_kv));
+}
+
+static inline fake_kv_call_t *
+fake_kv_add(fake_kv_kind_t kind, fv_kv_done_t done, void *context)
+{
+    fake_kv_call_t *call;
+
+    CU_ASSERT_FATAL(fake_kv.count < FAKE_KV_CALLS_MAX);
+    call = &fake_kv.calls[fake_kv.count++];
+    *call = (fake_kv_call_t){.kind = kind, .done = done, .context = context};
+    return call;
+}
+
+static inline uint32_t
+fake_kv_count(fake_kv_kind_t kind)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < fake_kv.count; i++) {
+        count += fake_kv.calls[i].kind == kind;
+    }
+    return count;
+}
+
+/* The latest call of a kind. */
+static inline fake_kv_call_t *
+fake_kv_latest(fake_kv_kind_t kind)
+{
+    for (uint32_t i = fake_kv.count; i-- > 0;) {
+        if (fake_kv.calls[i].kind == kind) {
+            return &fake_kv.calls[i];
+        }
+    }
+    CU_FAIL_FATAL("no such call");
+    abort();
+}
+
+static inline void
+fake_kv_answer(fake_kv_call_t *call, fv_kv_result_t result)
+{
+    CU_ASSERT_FALSE(call->answered);
+    call->answered = true;
+    call->done(call->context, &result);
+}
+
+/* Answers with one item, as a read or a conflict does. */
+static inline void
+fake_kv_answer_item(fake_kv_call_t *call, fv_kv_error_t error, const char *key,
+                    const char *value, int64_t revision)
+{
+    fv_kv_item_t item = {.key = (char *)key,
+                         .value = {.data = (uint8_t *)value,
+                                   .length = strlen(value),
+                                   .capacity = strlen(value) + 1},
+                         .revision = revision};
+
+    fake_kv_answer(call,
+                   (fv_kv_result_t){.error = error,
+                                    .items = {.count = 1, .items = &item}});
+}
+
+/* Lets timers of the code under test run. */
+static inline void
+fake_kv_run(struct event_base *base, int64_t span_ms)
+{
+    struct timeval span = {.tv_sec = (time_t)(span_ms / 1000),
+                           .tv_usec = (suseconds_t)(span_ms % 1000 * 1000)};
+
+    event_base_loopexit(base, &span);
+    event_base_dispatch(base);
+}
+
+void
+FvKvClient_Get(fv_kv_client_t *kv, const char *key, fv_kv_done_t done,
+               void *context)
+{
+    (void)kv;
+    (void)key;
+    fake_kv_add(FAKE_KV_GET, done, context);
+}
+
+void
+FvKvClient_Txn(fv_kv_client_t *kv, const fv_kv_expect_t *expects,
+               uint32_t expects_n, const fv_kv_put_t *puts, uint32_t puts_n,
+               fv_kv_done_t done, void *context)
+{
+    fake_kv_call_t *call = fake_kv_add(FAKE_KV_TXN, done, context);
+
+    (void)kv;
+    (void)expects;
+    (void)expects_n;
+    CU_ASSERT_FATAL(puts_n <= FAKE_KV_PUTS_MAX);
+    call->put_count = puts_n;
+    for (uint32_t i = 0; i < puts_n; i++) {
+        FvText_Copy(call->puts[i].key, sizeof(call->puts[i].key), puts[i].key);
+        snprintf(call->puts[i].value, sizeof(call->puts[i].value), "%.*s",
+                 (int)puts[i].length,
+                 puts[i].value ? (const char *)puts[i].value : "");
+        call->puts[i].removed = puts[i].value == NULL;
+    }
+}
+
+void
+FvKvClient_Grant(fv_kv_client_t *kv, int64_t ttl_ms, fv_kv_done_t done,
+                 void *context)
+{
+    (void)kv;
+    (void)ttl_ms;
+    fake_kv_add(FAKE_KV_GRANT, done, context);
+}
+
+void
+FvKvClient_Renew(fv_kv_client_t *kv, int64_t lease, fv_kv_done_t done,
+                 void *context)
+{
+    (void)kv;
+    (void)lease;
+    fake_kv_add(FAKE_KV_RENEW, done, context);
+}
+
+void
+FvKvClient_Revoke(fv_kv_client_t *kv, int64_t lease)
+{
+    (void)kv;
+    (void)lease;
+    fake_kv.revoked++;
+}
+
+fv_kv_watch_t *
+FvKvClient_Follow(fv_kv_client_t *kv, const fv_kv_follower_t *follower)
+{
+    (void)kv;
+    fake_kv.follower = *follower;
+    return NULL;
+}
+
+void
+FvKvClient_Unfollow(fv_kv_watch_t *watch)
+{
+    (void)watch;
+}
+
+#endif
