Decode the rack at the platform's edge; count and mark once

The scheduler guessed which label is a worker's rack; room was charged by two copies of one formula and summed by two loops; a report's runs were looked up by name twice, with a name formatted for each task of the worker; passes zeroed room for all workers for each stage. Change: fv_worker_entry_t has the rack; charge() and room_in() are the one copy; a report marks the tasks that it lists; arrays have the size that is used, unzeroed. Unused parameters, an answer and a path go. Result: unit tests of the scheduler pass unchanged.

--- a/src/cell-types.h
+++ b/src/cell-types.h
@@ -87,6 +87,7 @@
     int64_t accelerators;
     uint32_t label_count;
     char labels[Fv_LABELS_MAX][Fv_NAME_SIZE];
+    char rack[Fv_NAME_SIZE]; /* "" when not known */
 } fv_worker_entry_t;
 
 /* An order to a worker. */
--- a/src/entry.h
+++ b/src/entry.h
@@ -244,7 +244,6 @@
                          after which to try again */
     Fv_REPLY_MALFORMED,
     Fv_REPLY_NOT_READY, /* nothing was done; ask again */
-    Fv_REPLY_CONFLICT   /* the id belongs to another submission */
 } fv_reply_t;
 
 /* front.c: HTTP towards callers and the platform's balancer. */
--- a/src/front.c
+++ b/src/front.c
@@ -123,7 +123,6 @@
         .body = (const char *)evbuffer_pullup(input, -1),
         .body_length = evbuffer_get_length(input),
     };
-
     bool sent_before = request->ever_sent;
 
     request->sent_ms = FvClock_NowMs();
@@ -492,9 +491,6 @@
     case Fv_REPLY_MALFORMED:
         end_request(front, request, 400, "Bad Request", NULL);
         break;
-    case Fv_REPLY_CONFLICT:
-        end_request(front, request, 409, "Conflict", NULL);
-        break;
     case Fv_REPLY_NOT_READY:
     default:
         request->sent_ms = 0; /* offered again by the next sweep */
--- a/src/leader-load.c
+++ b/src/leader-load.c
@@ -38,7 +38,7 @@
         worker = FvSched_FindWorker(
             &leader->sched, item->key + strlen(FvPlatform_RegistryPrefix));
         if (worker != NULL) {
-            FvSched_WorkerGone(&leader->sched, worker);
+            FvSched_WorkerGone(worker);
         }
         return;
     }
--- a/src/sched-advice.c
+++ b/src/sched-advice.c
@@ -127,7 +127,7 @@
 
     score *= 0.25 + (room < stage->waiting ? room : stage->waiting);
     if (stage->step->data_rack[0] != '\0' &&
-        strcmp(stage->step->data_rack, worker->rack) == 0) {
+        strcmp(stage->step->data_rack, worker->entry.rack) == 0) {
         score *= 8.0; /* off the data's rack a task takes up to 3 times */
     }
     return score;
@@ -250,18 +250,19 @@
         double score = 0.0;
 
         for (uint32_t j = 0; j < count; j++) {
-            if (strcmp(candidates[i].worker->rack,
-                       candidates[j].worker->rack) == 0) {
+            if (strcmp(candidates[i].worker->entry.rack,
+                       candidates[j].worker->entry.rack) == 0) {
                 score += candidates[j].score;
             }
         }
         if (score > best_score) {
             best_score = score;
-            best = candidates[i].worker->rack;
+            best = candidates[i].worker->entry.rack;
         }
     }
     for (uint32_t i = 0; i < count; i++) {
-        if (best != NULL && strcmp(candidates[i].worker->rack, best) == 0) {
+        if (best != NULL &&
+            strcmp(candidates[i].worker->entry.rack, best) == 0) {
             candidates[kept++] = candidates[i];
         }
     }
@@ -345,7 +346,7 @@
         stage->job->queue.advice_base_us >= sched->ask_refused_us) {
         return;
     }
-    candidates = calloc((size_t)total + 1, sizeof(*candidates));
+    candidates = malloc(((size_t)total + 1) * sizeof(*candidates));
     if (candidates == NULL) {
         return;
     }
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -163,7 +163,7 @@
         drop_ticket(task->stage, worker);
         break;
     case Fv_ORDER_UNHEALTHY:
-        FvSched_JudgeWorker(sched, worker, task, true, now_ms);
+        FvSched_JudgeWorker(worker, task, true, now_ms);
         break;
     case Fv_ORDER_NO_ROOM:
     case Fv_ORDER_LATE:
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -52,7 +52,7 @@
     double score = 1.0 + free_share;
 
     if (stage->step->data_rack[0] != '\0' &&
-        strcmp(stage->step->data_rack, worker->rack) == 0) {
+        strcmp(stage->step->data_rack, worker->entry.rack) == 0) {
         score += 4.0;
     }
     return score;
@@ -87,21 +87,15 @@
     return count + 1;
 }
 
-/* A gang that does not fit as a whole is not placed; its slots need no order.
- */
-static bool
-room_is_enough(const fv_sched_stage_t *stage, const fv_slot_t *slots,
-               uint32_t count)
+static int32_t
+room_in(const fv_slot_t *slots, uint32_t count)
 {
     int32_t room = 0;
 
-    if (!stage->step->gang) {
-        return true;
-    }
     for (uint32_t i = 0; i < count; i++) {
         room += slots[i].room;
     }
-    return room >= stage->waiting;
+    return room;
 }
 
 static uint32_t
@@ -116,7 +110,8 @@
             count = add_slot(stage, worker, NULL, slots, count, now_ms);
         }
     }
-    for (uint32_t i = 0; i < stage->verdict_count; i++) {
+    for (uint32_t i = 0;
+         stage->job->queue.needs_advice && i < stage->verdict_count; i++) {
         const fv_verdict_t *verdict = &stage->verdicts[i];
 
         if (FvSched_TicketValid(verdict, now_ms)) {
@@ -124,7 +119,10 @@
                              now_ms);
         }
     }
-    if (count > 1 && room_is_enough(stage, slots, count)) {
+    /* A gang that does not fit as a whole is not placed; its slots need no
+     * order. */
+    if (count > 1 &&
+        (!stage->step->gang || room_in(slots, count) >= stage->waiting)) {
         qsort(slots, count, sizeof(*slots), by_score);
     }
     return count;
@@ -177,20 +175,21 @@
         int32_t room = 0;
 
         for (uint32_t j = 0; j < count; j++) {
-            if (strcmp(slots[i].worker->rack, slots[j].worker->rack) == 0) {
+            if (strcmp(slots[i].worker->entry.rack,
+                       slots[j].worker->entry.rack) == 0) {
                 room += slots[j].room;
             }
         }
         if (room > best_room) {
             best_room = room;
-            best = slots[i].worker->rack;
+            best = slots[i].worker->entry.rack;
         }
     }
     if (best_room < stage->step->task_count) {
         return count; /* slower on several racks, but it runs */
     }
     for (uint32_t i = 0; i < count; i++) {
-        if (strcmp(slots[i].worker->rack, best) == 0) {
+        if (strcmp(slots[i].worker->entry.rack, best) == 0) {
             slots[kept++] = slots[i];
         }
     }
@@ -239,23 +238,19 @@
 place_gang(fv_sched_t *sched, fv_sched_stage_t *stage, fv_slot_t *slots,
            uint32_t count, int64_t now_ms)
 {
-    int32_t room = 0;
     int32_t run = sched->run_base;
     uint32_t slot = 0;
 
     if (stage->step->same_rack) {
         count = keep_one_rack(stage, slots, count);
     }
-    for (uint32_t i = 0; i < count; i++) {
-        room += slots[i].room;
-    }
     if (stage->waiting < stage->step->task_count) {
         if (FvSched_MayRefillGang(sched, stage, now_ms)) {
             place_members(sched, stage, slots, count, now_ms);
         }
         return;
     }
-    if (room < stage->step->task_count) {
+    if (room_in(slots, count) < stage->step->task_count) {
         return;
     }
     for (int32_t i = 0; i < stage->step->task_count; i++) {
@@ -314,14 +309,16 @@
 void
 FvSched_PlaceStage(fv_sched_t *sched, fv_sched_stage_t *stage, int64_t now_ms)
 {
-    uint32_t total = HASH_COUNT(sched->workers);
+    uint32_t most = stage->job->queue.needs_advice
+                        ? stage->verdict_count
+                        : HASH_COUNT(sched->workers);
     fv_slot_t *slots;
     uint32_t count;
 
-    if (now_ms < stage->next_place_ms || total == 0) {
+    if (now_ms < stage->next_place_ms || most == 0) {
         return;
     }
-    slots = calloc(total, sizeof(*slots));
+    slots = malloc(most * sizeof(*slots));
     if (slots == NULL) {
         return;
     }
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -59,7 +59,7 @@
     }
     counted->failed_runs[counted->failures % Fv_FAILED_RUNS_MAX] = run;
     counted->failures++;
-    FvSched_JudgeWorker(sched, worker, task, true, now_ms);
+    FvSched_JudgeWorker(worker, task, true, now_ms);
     task->failed_on = worker;
     if (!stage->step->long_running && job->outcome == Fv_SCHED_JOB_OPEN &&
         counted->failures >= job->queue.attempts_max) {
@@ -88,7 +88,7 @@
         if (task->state == Fv_SCHED_DONE) {
             return false;
         }
-        FvSched_JudgeWorker(sched, worker, task, false, now_ms);
+        FvSched_JudgeWorker(worker, task, false, now_ms);
         if (stage->job->outcome == Fv_SCHED_JOB_OPEN &&
             !stage->step->long_running) {
             if (!current && task->worker != NULL) {
@@ -131,6 +131,7 @@
     task->progress_ms = now_ms;
     task->stage->job->started = true;
     FvSched_AttachTask(worker, task);
+    task->listed_in = sched->reports;
     sched->dirty = true;
     FvLog_Event(Fv_LOG_INFO, "run_adopted", "task=%s run=%d worker=%s",
                 row->task_id, row->run, worker->entry.id);
@@ -172,6 +173,7 @@
     fv_sched_task_t *task = FvSched_FindTask(sched, row->task_id);
 
     if (task != NULL && task->worker == worker && task->run == row->run) {
+        task->listed_in = sched->reports;
         update_running(sched, task, row, now_ms);
         return;
     }
@@ -187,18 +189,6 @@
     sched->port->stop_stray(sched, worker, row->task_id, row->run);
 }
 
-static bool
-is_listed(const fv_worker_report_t *report, const char *name, int32_t run)
-{
-    for (uint32_t i = 0; i < report->running_count; i++) {
-        if (report->running[i].run == run &&
-            strcmp(report->running[i].task_id, name) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* The run of a task is not on its worker, and no end of it was reported. */
 static void
 lose_run(fv_sched_t *sched, fv_sched_task_t *task, int64_t now_ms)
@@ -239,17 +229,14 @@
  * not listed until it has ended, so its time is waited for.
  */
 static void
-find_missing(fv_sched_t *sched, fv_sched_worker_t *worker,
-             const fv_worker_report_t *report, int64_t sent_ms, int64_t now_ms)
+find_missing(fv_sched_t *sched, fv_sched_worker_t *worker, int64_t sent_ms,
+             int64_t now_ms)
 {
     fv_sched_task_t *next;
 
     for (fv_sched_task_t *task = worker->tasks; task != NULL; task = next) {
-        char name[Fv_RUN_TASK_ID_SIZE];
-
         next = task->worker_next;
-        FvSched_TaskName(task, name, sizeof(name));
-        if (is_listed(report, name, task->run)) {
+        if (task->listed_in == sched->reports) {
             continue;
         }
         if (is_surely_gone(sched, task, sent_ms)) {
@@ -277,7 +264,7 @@
                         "job=%s run=%d worker=%s percent=%d",
                         task->stage->job->id, task->run, worker->entry.id,
                         task->percent);
-            FvSched_JudgeWorker(sched, worker, task, true, now_ms);
+            FvSched_JudgeWorker(worker, task, true, now_ms);
             FvSched_StopTask(sched, task, now_ms);
         }
     }
@@ -385,11 +372,12 @@
         }
     }
     worker->strays = 0;
+    sched->reports++;
     for (uint32_t i = 0; i < report->running_count; i++) {
         apply_running(sched, worker, &report->running[i], now_ms);
     }
     record_ends(sched, report, changed);
-    find_missing(sched, worker, report, sent_ms, now_ms);
+    find_missing(sched, worker, sent_ms, now_ms);
     restart_stalled(sched, worker, now_ms);
     empty_leaving_worker(sched, worker, now_ms);
     if (!worker->synced) {
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -36,18 +36,13 @@
     return worker;
 }
 
-/* The rack is the label that is not the worker's kind; workers of one rack
- * share the longest label. */
 static void
-find_rack(fv_sched_worker_t *worker)
+charge(fv_sched_worker_t *worker, const fv_step_spec_t *step, int64_t sign)
 {
-    const fv_worker_entry_t *entry = &worker->entry;
-
-    worker->rack[0] = '\0';
-    if (entry->label_count > 0) {
-        FvText_Copy(worker->rack, sizeof(worker->rack),
-                    entry->labels[entry->label_count - 1]);
-    }
+    worker->free_cpu_millis -=
+        step->uses_spare_cpu ? 0 : sign * step->cpu_millis;
+    worker->free_memory_mib -= sign * step->memory_mib;
+    worker->free_accelerators -= sign * step->accelerators;
 }
 
 static void
@@ -58,11 +53,7 @@
     worker->free_accelerators = worker->entry.accelerators;
     for (const fv_sched_task_t *task = worker->tasks; task != NULL;
          task = task->worker_next) {
-        const fv_step_spec_t *step = task->stage->step;
-
-        worker->free_cpu_millis -= step->uses_spare_cpu ? 0 : step->cpu_millis;
-        worker->free_memory_mib -= step->memory_mib;
-        worker->free_accelerators -= step->accelerators;
+        charge(worker, task->stage->step, 1);
     }
 }
 
@@ -116,7 +107,6 @@
         HASH_ADD_STR(sched->workers, entry.id, worker);
     }
     worker->entry = *entry;
-    find_rack(worker);
     if (entry->started_wall_ms > worker->started_wall_ms) {
         FvSched_BeginLife(sched, worker, entry->started_wall_ms);
     }
@@ -137,15 +127,13 @@
 
 /**
  * FvSched_WorkerGone - a worker is no longer in the registry
- * @sched: the scheduler
  * @worker: the worker
  *
  * Its tasks may go on until its lease has lapsed.
  */
 void
-FvSched_WorkerGone(fv_sched_t *sched, fv_sched_worker_t *worker)
+FvSched_WorkerGone(fv_sched_worker_t *worker)
 {
-    (void)sched;
     if (worker->listed) {
         FvLog_Event(Fv_LOG_INFO, "worker_unlisted", "worker=%s tasks=%d",
                     worker->entry.id, worker->task_count);
@@ -188,15 +176,6 @@
     free(worker);
 }
 
-static void
-charge(fv_sched_worker_t *worker, const fv_step_spec_t *step, int64_t sign)
-{
-    worker->free_cpu_millis -=
-        step->uses_spare_cpu ? 0 : sign * step->cpu_millis;
-    worker->free_memory_mib -= sign * step->memory_mib;
-    worker->free_accelerators -= sign * step->accelerators;
-}
-
 /**
  * FvSched_AttachTask - charge a task to a worker
  * @worker: where it runs or may run
@@ -423,19 +402,17 @@
 
 /**
  * FvSched_JudgeWorker - learn from the end of a task
- * @sched: the scheduler
  * @worker: where it ended
  * @task: the task
  * @failed: whether it failed
  * @now_ms: the time
  */
 void
-FvSched_JudgeWorker(fv_sched_t *sched, fv_sched_worker_t *worker,
-                    const fv_sched_task_t *task, bool failed, int64_t now_ms)
+FvSched_JudgeWorker(fv_sched_worker_t *worker, const fv_sched_task_t *task,
+                    bool failed, int64_t now_ms)
 {
     const fv_sched_job_t *job = task->stage->job;
 
-    (void)sched;
     if (!failed) {
         worker->failure_streak = 0;
         worker->last_failed_job = NULL;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -45,6 +45,7 @@
     int64_t stop_confirmed_ms; /* 0: the stop was not answered */
     int32_t percent;
     int64_t progress_ms; /* when the percent last changed */
+    uint64_t listed_in;  /* the latest report that lists its run */
     char *checkpoint;
     const fv_sched_worker_t *failed_on;
     bool inherited; /* an earlier leader may have started it */
@@ -123,7 +124,6 @@
 
 struct fv_sched_worker {
     fv_worker_entry_t entry;
-    char rack[Fv_NAME_SIZE];
     bool listed;   /* in the registry */
     bool synced;   /* reported to this leader */
     bool rostered; /* named in the durable list of workers given orders */
@@ -197,6 +197,7 @@
     bool dirty;
     uint32_t reserved_workers; /* in this pass */
     uint64_t searches;         /* for workers to ask about, so far */
+    uint64_t reports;          /* of all workers, so far */
     int64_t ask_refused_us; /* in this pass: no host is free for such a call */
     uint64_t random;
     int64_t lease_ms;
@@ -246,7 +247,7 @@
                                      int64_t now_ms);
 void FvSched_BeginLife(fv_sched_t *sched, fv_sched_worker_t *worker,
                        int64_t started_wall_ms);
-void FvSched_WorkerGone(fv_sched_t *sched, fv_sched_worker_t *worker);
+void FvSched_WorkerGone(fv_sched_worker_t *worker);
 void FvSched_FreeWorker(fv_sched_t *sched, fv_sched_worker_t *worker);
 void FvSched_AttachTask(fv_sched_worker_t *worker, fv_sched_task_t *task);
 void FvSched_DetachTask(fv_sched_task_t *task);
@@ -262,7 +263,7 @@
                             int64_t now_ms);
 void FvSched_LoseTasks(fv_sched_t *sched, fv_sched_worker_t *worker,
                        const char *cause, int64_t now_ms);
-void FvSched_JudgeWorker(fv_sched_t *sched, fv_sched_worker_t *worker,
+void FvSched_JudgeWorker(fv_sched_worker_t *worker,
                          const fv_sched_task_t *task, bool failed,
                          int64_t now_ms);
 
