--- a/src/client.c
+++ b/src/client.c
@@ -327,16 +327,17 @@
     *reply = (fv_client_reply_t){0};
 }
 
-/**
- * FvClient_Run - one request whose reply is printed
- * @arguments: parsed arguments
- * @request: the request
- *
- * Return: the exit code.
- */
-int
-FvClient_Run(const fv_client_arguments_t *arguments,
-             const fv_client_request_t *request)
+static int
+any_reply(const json_t *reply)
+{
+    (void)reply;
+    return Fv_EXIT_OK;
+}
+
+static int
+run_request(const fv_client_arguments_t *arguments,
+            const fv_client_request_t *request,
+            int (*exit_code)(const json_t *reply))
 {
     fv_client_t *client = FvClient_Open(arguments);
     fv_client_reply_t reply = {0};
@@ -348,12 +349,58 @@
     code = FvClient_Call(client, request, &reply);
     if (code == Fv_EXIT_OK) {
         FvPrint_Reply(&reply, arguments->json->count > 0);
+        code = exit_code(reply.json);
     }
     FvClientReply_Clear(&reply);
     FvClient_Close(client);
     return code;
 }
 
+/**
+ * FvClient_Run - one request whose reply is printed
+ * @arguments: parsed arguments
+ * @request: the request
+ *
+ * Return: the exit code.
+ */
+int
+FvClient_Run(const fv_client_arguments_t *arguments,
+             const fv_client_request_t *request)
+{
+    return run_request(arguments, request, any_reply);
+}
+
+/**
+ * FvClient_RunForJob - one request whose reply is a job, which is printed
+ * @arguments: parsed arguments
+ * @request: the request
+ *
+ * Return: the exit code, that of the job's outcome when there is a reply.
+ */
+int
+FvClient_RunForJob(const fv_client_arguments_t *arguments,
+                   const fv_client_request_t *request)
+{
+    return run_request(arguments, request, FvJobResult_ExitCode);
+}
+
+/**
+ * FvClient_CheckKey - whether a job's key can be one
+ * @key: the key
+ *
+ * Return: false when not; the fault is printed.
+ */
+bool
+FvClient_CheckKey(const char *key)
+{
+    bool good = FvText_IsName(key, Fv_KEY_SIZE - 1);
+
+    if (!good) {
+        fputs("fireflyvalve: KEY: 1 to 128 of A-Z a-z 0-9 . _ -\n", stderr);
+    }
+    return good;
+}
+
 /**
  * FvClient_Show - a whole command that shows one document
  * @command: the command
--- a/src/cmd-cancel.c
+++ b/src/cmd-cancel.c
@@ -10,27 +10,12 @@
     char path[Fv_URL_SIZE];
     /* A repeated cancellation does no harm, so the key marks it repeatable. */
     fv_client_request_t request = {.method = "POST", .path = path, .key = key};
-    fv_client_reply_t reply = {0};
-    fv_client_t *client;
-    int code;
 
-    if (!FvText_IsName(key, Fv_KEY_SIZE - 1)) {
-        fputs("fireflyvalve: KEY: 1 to 128 of A-Z a-z 0-9 . _ -\n", stderr);
+    if (!FvClient_CheckKey(key)) {
         return Fv_EXIT_USAGE;
     }
     snprintf(path, sizeof(path), "/v1/jobs/%s/cancel", key);
-    client = FvClient_Open(common);
-    if (client == NULL) {
-        return Fv_EXIT_USAGE;
-    }
-    code = FvClient_Call(client, &request, &reply);
-    if (code == Fv_EXIT_OK) {
-        FvPrint_Reply(&reply, common->json->count > 0);
-        code = FvJobResult_ExitCode(reply.json);
-    }
-    FvClientReply_Clear(&reply);
-    FvClient_Close(client);
-    return code;
+    return FvClient_RunForJob(common, &request);
 }
 
 /**
--- a/src/cmd-status.c
+++ b/src/cmd-status.c
@@ -12,8 +12,7 @@
 static bool
 check(const char *key, int wait_ms)
 {
-    if (!FvText_IsName(key, Fv_KEY_SIZE - 1)) {
-        fputs("fireflyvalve: KEY: 1 to 128 of A-Z a-z 0-9 . _ -\n", stderr);
+    if (!FvClient_CheckKey(key)) {
         return false;
     }
     if (wait_ms < 0 || wait_ms > Fv_STATUS_WAIT_MAX_MS) {
@@ -23,39 +22,44 @@
     return true;
 }
 
+/* Writes the answer itself, which may be any bytes. */
 static int
-run(const fv_client_arguments_t *common, const char *key, int wait_ms,
-    bool answer)
+fetch_answer(const fv_client_arguments_t *common,
+             const fv_client_request_t *request)
 {
-    char path[Fv_URL_SIZE];
-    fv_client_request_t request = {
-        .method = "GET", .path = path, .wait_ms = wait_ms};
+    fv_client_t *client = FvClient_Open(common);
     fv_client_reply_t reply = {0};
-    fv_client_t *client;
     int code;
 
-    if (!check(key, wait_ms)) {
-        return Fv_EXIT_USAGE;
-    }
-    snprintf(path, sizeof(path), "/v1/jobs/%s%s?wait_ms=%d", key,
-             answer ? "/answer" : "", wait_ms);
-    client = FvClient_Open(common);
     if (client == NULL) {
         return Fv_EXIT_USAGE;
     }
-    code = FvClient_Call(client, &request, &reply);
-    if (code == Fv_EXIT_OK && answer) {
+    code = FvClient_Call(client, request, &reply);
+    if (code == Fv_EXIT_OK) {
         fwrite(reply.body.data, 1, reply.body.length, stdout);
     }
-    else if (code == Fv_EXIT_OK) {
-        FvPrint_Reply(&reply, common->json->count > 0);
-        code = FvJobResult_ExitCode(reply.json);
-    }
     FvClientReply_Clear(&reply);
     FvClient_Close(client);
     return code;
 }
 
+static int
+run(const fv_client_arguments_t *common, const char *key, int wait_ms,
+    bool answer)
+{
+    char path[Fv_URL_SIZE];
+    fv_client_request_t request = {
+        .method = "GET", .path = path, .wait_ms = wait_ms};
+
+    if (!check(key, wait_ms)) {
+        return Fv_EXIT_USAGE;
+    }
+    snprintf(path, sizeof(path), "/v1/jobs/%s%s?wait_ms=%d", key,
+             answer ? "/answer" : "", wait_ms);
+    return answer ? fetch_answer(common, &request)
+                  : FvClient_RunForJob(common, &request);
+}
+
 /**
  * FvCmd_Status - run the command
  * @command: its entry in the command table
--- a/src/command.h
+++ b/src/command.h
@@ -77,6 +77,9 @@
                   const char *path);
 int FvClient_Run(const fv_client_arguments_t *arguments,
                  const fv_client_request_t *request);
+int FvClient_RunForJob(const fv_client_arguments_t *arguments,
+                       const fv_client_request_t *request);
+bool FvClient_CheckKey(const char *key);
 
 /* print.c: JSON documents as readable text. */
 void FvPrint_Document(FILE *out, const json_t *document);
--- a/src/entry-settings.c
+++ b/src/entry-settings.c
@@ -9,6 +9,7 @@
 
 typedef enum fv_setting_kind {
     Fv_SETTING_TEXT,
+    Fv_SETTING_ADDRESS, /* IPv4 address and port */
     Fv_SETTING_INT,
     Fv_SETTING_NUMBER
 } fv_setting_kind_t;
@@ -17,17 +18,20 @@
     const char *name;
     fv_setting_kind_t kind;
     size_t offset;
-    size_t size; /* of a text */
+    size_t size; /* of a text or address */
     bool required;
     double low;
     double high;
 } fv_setting_t;
 
-#define TEXT(field, is_required)                                              \
+#define STRING(field, kind, is_required)                                      \
     {                                                                         \
-#field, Fv_SETTING_TEXT, offsetof(fv_entry_settings_t, field),        \
+#field, kind, offsetof(fv_entry_settings_t, field),                   \
             sizeof(((fv_entry_settings_t *)0)->field), is_required, 0, 0      \
     }
+#define TEXT(field) STRING(field, Fv_SETTING_TEXT, true)
+#define ADDRESS(field, is_required)                                           \
+    STRING(field, Fv_SETTING_ADDRESS, is_required)
 #define INT(field, from, to)                                                  \
     {                                                                         \
 #field, Fv_SETTING_INT, offsetof(fv_entry_settings_t, field), 0,      \
@@ -35,19 +39,19 @@
     }
 
 static const fv_setting_t setting_table[] = {
-    TEXT(host, true),
-    TEXT(data_center, true),
-    TEXT(region, true),
-    TEXT(address, true),
-    TEXT(callers_address, true),
-    TEXT(ready_address, true),
-    TEXT(metrics_address, false),
+    TEXT(host),
+    TEXT(data_center),
+    TEXT(region),
+    TEXT(address),
+    ADDRESS(callers_address, true),
+    ADDRESS(ready_address, true),
+    ADDRESS(metrics_address, false),
     INT(link_port, 1, 65535),
     {"cpu_cores", Fv_SETTING_NUMBER, offsetof(fv_entry_settings_t, cpu_cores),
      0, true, 0.01, 1024},
-    TEXT(store_address, true),
+    ADDRESS(store_address, true),
     INT(store_lease_min_ms, 1, 600000),
-    TEXT(advice_address, false),
+    ADDRESS(advice_address, false),
     INT(lease_max_ms, 500, 600000),
     INT(stop_timeout_ms, 1, 600000),
     INT(gang_timeout_ms, 500, 600000),
@@ -55,7 +59,9 @@
     INT(keep_ended_s, 1, 86400),
 };
 
+#undef STRING
 #undef TEXT
+#undef ADDRESS
 #undef INT
 
 #define Fv_SETTING_COUNT (sizeof(setting_table) / sizeof(setting_table[0]))
@@ -64,9 +70,16 @@
 read_text(const fv_setting_t *setting, const json_t *value, char *target)
 {
     const char *text = json_string_value(value);
+    struct sockaddr_in parsed;
 
-    return text != NULL && FvText_Copy(target, setting->size, text) &&
-           (!setting->required || text[0] != '\0');
+    if (text == NULL || !FvText_Copy(target, setting->size, text)) {
+        return false;
+    }
+    if (text[0] == '\0') {
+        return !setting->required;
+    }
+    return setting->kind != Fv_SETTING_ADDRESS ||
+           FvText_ParseAddress(text, &parsed);
 }
 
 static bool
@@ -88,6 +101,30 @@
     return true;
 }
 
+static void
+tell_fault(const fv_setting_t *setting, const json_t *value, const char *path,
+           FILE *faults)
+{
+    const char *text = json_string_value(value);
+
+    fprintf(faults, "%s: %s: ", path, setting->name);
+    switch (setting->kind) {
+    case Fv_SETTING_TEXT:
+        fprintf(faults, "needs a text of 1 to %zu bytes\n", setting->size - 1);
+        break;
+    case Fv_SETTING_ADDRESS:
+        fprintf(faults, "\"%s\" is not an IPv4 address with a port\n",
+                text ? text : "");
+        break;
+    case Fv_SETTING_INT:
+    case Fv_SETTING_NUMBER:
+    default:
+        fprintf(faults, "needs a number from %g to %g\n", setting->low,
+                setting->high);
+        break;
+    }
+}
+
 static bool
 read_setting(const fv_setting_t *setting, const json_t *table,
              fv_entry_settings_t *settings, const char *path, FILE *faults)
@@ -99,36 +136,12 @@
     if (value == NULL && !setting->required) {
         return true;
     }
-    good = setting->kind == Fv_SETTING_TEXT
-               ? read_text(setting, value, target)
-               : read_number(setting, value, target);
-    if (!good && setting->kind == Fv_SETTING_TEXT) {
-        fprintf(faults, "%s: %s: needs a text of 1 to %zu bytes\n", path,
-                setting->name, setting->size - 1);
-    }
-    else if (!good) {
-        fprintf(faults, "%s: %s: needs a number from %g to %g\n", path,
-                setting->name, setting->low, setting->high);
-    }
-    return good;
-}
-
-static bool
-check_addresses(const fv_entry_settings_t *settings, const char *path,
-                FILE *faults)
-{
-    const char *addresses[] = {settings->callers_address,
-                               settings->ready_address,
-                               settings->store_address};
-    struct sockaddr_in parsed;
-    bool good = true;
-
-    for (size_t i = 0; i < sizeof(addresses) / sizeof(addresses[0]); i++) {
-        if (!FvText_ParseAddress(addresses[i], &parsed)) {
-            fprintf(faults, "%s: \"%s\" is not an IPv4 address with a port\n",
-                    path, addresses[i]);
-            good = false;
-        }
+    good =
+        setting->kind == Fv_SETTING_TEXT || setting->kind == Fv_SETTING_ADDRESS
+            ? read_text(setting, value, target)
+            : read_number(setting, value, target);
+    if (!good) {
+        tell_fault(setting, value, path, faults);
     }
     return good;
 }
@@ -163,7 +176,6 @@
         fprintf(faults, "%s: log_level: error, warn, info or debug\n", path);
         good = false;
     }
-    good = good && check_addresses(settings, path, faults);
     json_decref(table);
     return good;
 }
--- a/tests/harness/cluster-files.c
+++ b/tests/harness/cluster-files.c
@@ -3,6 +3,7 @@
  */
 
 #include "cluster.h"
+#include "temp-path.h"
 
 #include <arpa/inet.h>
 #include <dirent.h>
@@ -55,11 +56,9 @@
 bool
 FvCluster_PrepareDirectory(cluster_t *cluster)
 {
-    const char *parent = getenv("TMPDIR");
-
     choose_ip(cluster);
-    snprintf(cluster->directory, sizeof(cluster->directory),
-             "%s/fireflyvalve-test.XXXXXX", parent != NULL ? parent : "/tmp");
+    FvTempPath_Template(cluster->directory, sizeof(cluster->directory),
+                        "test");
     return mkdtemp(cluster->directory) != NULL;
 }
 
--- a/tests/unit/entry_settings_test.c
+++ b/tests/unit/entry_settings_test.c
@@ -4,6 +4,7 @@
 
 #include "entry.h"
 #include "suite.h"
+#include "temp-path.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -21,11 +22,13 @@
 load(const char *text, fv_entry_settings_t *settings, char *faults,
      size_t size)
 {
-    char path[] = "/tmp/fv-settings-XXXXXX";
-    int fd = mkstemp(path);
+    char path[TEMP_PATH_SIZE];
     FILE *out = tmpfile();
     bool good;
+    int fd;
 
+    FvTempPath_Template(path, sizeof(path), "settings");
+    fd = mkstemp(path);
     CU_ASSERT_FATAL(fd >= 0 && out != NULL);
     CU_ASSERT_EQUAL(write(fd, text, strlen(text)), (ssize_t)strlen(text));
     close(fd);
@@ -92,6 +95,23 @@
     free(text);
 }
 
+/* Pattern: a new deployment with several mistakes in its template. */
+static void
+test_addresses_with_other_faults(void)
+{
+    fv_entry_settings_t settings;
+    char faults[1024];
+    char text[1024];
+
+    snprintf(text, sizeof(text), "%sadvice_address = \"advice\"\n", good_file);
+    replace(text, "link_port = 3", "link_port = 0");
+    replace(text, "127.0.0.1:2", "127.0.0.1.2");
+    CU_ASSERT_FALSE(load(text, &settings, faults, sizeof(faults)));
+    CU_ASSERT_PTR_NOT_NULL(strstr(faults, "link_port: needs a number"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(faults, "ready_address: "));
+    CU_ASSERT_PTR_NOT_NULL(strstr(faults, "advice_address: "));
+}
+
 int
 main(void)
 {
@@ -101,6 +121,8 @@
         {"only the first fault of a file is told", test_all_faults},
         {"a host starts with an address that cannot be used",
          test_bad_address},
+        {"a bad address is told only when there is no other fault",
+         test_addresses_with_other_faults},
     };
 
     return Fv_RUN_SUITE("entry_settings", cases);
--- a/tests/unit/member_test.c
+++ b/tests/unit/member_test.c
@@ -5,6 +5,7 @@
 
 #include "fireflyvalve.h"
 #include "suite.h"
+#include "temp-path.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -16,10 +17,12 @@
 static fv_tokens_t *
 load(const char *text, char reason[Fv_REASON_SIZE])
 {
-    char path[] = "/tmp/fireflyvalve-tokens-XXXXXX";
-    int fd = mkstemp(path);
+    char path[TEMP_PATH_SIZE];
     fv_tokens_t *tokens;
+    int fd;
 
+    FvTempPath_Template(path, sizeof(path), "tokens");
+    fd = mkstemp(path);
     CU_ASSERT_EQUAL_FATAL(write(fd, text, strlen(text)),
                           (ssize_t)strlen(text));
     close(fd);
--- a/tests/unit/platform_decode_test.c
+++ b/tests/unit/platform_decode_test.c
@@ -45,6 +45,7 @@
     CU_ASSERT_EQUAL(entry.drain_left_ms, 700);
     CU_ASSERT_EQUAL(entry.started_wall_ms, 5);
     CU_ASSERT_EQUAL(entry.label_count, 2);
+    CU_ASSERT_STRING_EQUAL(entry.rack, "r1");
 }
 
 static void
--- a/tests/unit/settings_test.c
+++ b/tests/unit/settings_test.c
@@ -5,13 +5,14 @@
 
 #include "fireflyvalve.h"
 #include "suite.h"
+#include "temp-path.h"
 
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
-static char directory[] = "/tmp/fireflyvalve-settings-XXXXXX";
+static char directory[TEMP_PATH_SIZE];
 
 static void
 write_file(const char *name, const char *text, mode_t mode)
@@ -252,6 +253,7 @@
     };
     int code;
 
+    FvTempPath_Template(directory, sizeof(directory), "settings");
     if (mkdtemp(directory) == NULL) {
         return 2;
     }
