Remove hosts that are gone from the registry; close an entry host in order

Cause: found on reading the change again. Entries of hosts had no end. In a cell whose machines are replaced under new names the leader would find itself alone among them and step back each half minute, smaller hosts would wait for large ones that are gone, and from the 1,024th name on new hosts were unseen. entry left all its parts to the end of the process, beside functions that release them. Change: the leader removes the entry of a host that it could not reach for a minute, a host that finds its own entry removed writes it again, and places of hosts that are gone are used again. FvEntry_Run closes its parts in one chain.

--- a/src/election.c
+++ b/src/election.c
@@ -24,6 +24,7 @@
  * than the largest wait longer. */
 #define Fv_CLAIM_JITTER_MS 80
 #define Fv_CLAIM_SMALL_HOST_MS 300
+#define Fv_LARGER_HOST 1.1 /* less of a difference is none */
 #define Fv_CLAIM_RETRY_MS 150
 
 /* A gap between two ticks that tells that the process stood still. */
@@ -98,8 +99,9 @@
 is_largest_host(const fv_election_t *election)
 {
     for (uint32_t i = 0; i < election->host_count; i++) {
-        if (election->hosts[i].cpu_cores >
-            election->settings->cpu_cores * 1.1) {
+        if (election->hosts[i].listed &&
+            election->hosts[i].cpu_cores >
+                election->settings->cpu_cores * Fv_LARGER_HOST) {
             return false;
         }
     }
@@ -347,6 +349,32 @@
         registration_written, election);
 }
 
+static void
+host_forgotten(void *context, const fv_kv_result_t *result)
+{
+    (void)context; /* otherwise it is found gone once more */
+    if (result->error != Fv_KV_OK) {
+        FvLog_Event(Fv_LOG_INFO, "host_not_removed", "error=%d",
+                    (int)result->error);
+    }
+}
+
+/**
+ * FvElection_ForgetHost - remove a host that is gone from the registry
+ * @election: the election
+ * @name: the host; if it is alive after all it enters itself again
+ */
+void
+FvElection_ForgetHost(fv_election_t *election, const char *name)
+{
+    char key[Fv_KEY_SIZE];
+
+    FvLog_Event(Fv_LOG_WARN, "host_gone", "peer=%s", name);
+    snprintf(key, sizeof(key), "%s%s", Fv_KEY_HOSTS, name);
+    FvKvClient_Txn(election->kv, NULL, 0, &(fv_kv_put_t){.key = key}, 1,
+                   host_forgotten, election);
+}
+
 /* Returns whether the process may have stood still. */
 static bool
 notice_freeze(fv_election_t *election, int64_t now_ms)
@@ -455,21 +483,28 @@
     election->claim_at_ms = 0;
 }
 
+/* The entry of a host; a new one takes the place of one that is gone. */
 static fv_peer_entry_t *
 obtain_host(fv_election_t *election, const char *name)
 {
+    fv_peer_entry_t *place = NULL;
+
     for (uint32_t i = 0; i < election->host_count; i++) {
-        if (strcmp(election->hosts[i].name, name) == 0) {
-            return &election->hosts[i];
+        fv_peer_entry_t *host = &election->hosts[i];
+
+        if (strcmp(host->name, name) == 0) {
+            return host;
         }
+        place = host->listed ? place : host;
     }
-    if (election->host_count == Fv_HOSTS_MAX) {
-        return NULL;
+    if (place == NULL && election->host_count < Fv_HOSTS_MAX) {
+        place = &election->hosts[election->host_count++];
     }
-    election->hosts[election->host_count] = (fv_peer_entry_t){0};
-    FvText_Copy(election->hosts[election->host_count].name, Fv_NAME_SIZE,
-                name);
-    return &election->hosts[election->host_count++];
+    if (place != NULL) {
+        *place = (fv_peer_entry_t){0};
+        FvText_Copy(place->name, sizeof(place->name), name);
+    }
+    return place;
 }
 
 static void
@@ -481,9 +516,14 @@
     double cores;
 
     if (host == NULL) {
+        FvLog_Event(Fv_LOG_ERROR, "host_not_kept", "key=%s most=%d", item->key,
+                    Fv_HOSTS_MAX);
         return;
     }
     host->listed = !item->deleted;
+    if (item->deleted && strcmp(host->name, election->settings->host) == 0) {
+        election->registered = false; /* the next tick enters it again */
+    }
     if (!item->deleted && item->value.data != NULL &&
         sscanf((const char *)item->value.data, "%63s %lf", address, &cores) ==
             2) {
--- a/src/entry-hosts.c
+++ b/src/entry-hosts.c
@@ -15,6 +15,10 @@
 #define Fv_VERY_LONG_ASK_US 250000
 #define Fv_VERY_LONG_ASK_HOSTS 0.6
 #define Fv_SHORT_ASK_BACKLOG_US 80000
+/* A listed host that the leader cannot reach for so long is gone: hosts start
+ * within seconds, and cuts between regions last some ten (BENCH, kinds). */
+#define Fv_HOST_GONE_MS 60000
+
 #define Fv_OVERHEAD_WEIGHT 8 /* of the old value against a new one */
 
 /**
@@ -27,18 +31,31 @@
 fv_host_slot_t *
 FvEntryHosts_Obtain(fv_entry_t *entry, const char *name)
 {
+    fv_host_slot_t *unused = NULL;
     fv_host_slot_t *slot;
 
     for (uint32_t i = 0; i < entry->slot_count; i++) {
-        if (strcmp(entry->slots[i]->name, name) == 0) {
-            return entry->slots[i];
+        slot = entry->slots[i];
+        if (strcmp(slot->name, name) == 0) {
+            return slot;
+        }
+        if (slot->peer == NULL && slot->ask_count == 0 &&
+            slot != entry->self) {
+            unused = slot;
         }
     }
-    slot = entry->slot_count < Fv_HOSTS_MAX ? calloc(1, sizeof(*slot)) : NULL;
+    if (entry->slot_count < Fv_HOSTS_MAX) {
+        slot = calloc(1, sizeof(*slot));
+        if (slot != NULL) {
+            entry->slots[entry->slot_count++] = slot;
+        }
+    }
+    else {
+        slot = unused;
+    }
     if (slot != NULL) {
-        slot->entry = entry;
+        *slot = (fv_host_slot_t){.entry = entry};
         FvText_Copy(slot->name, sizeof(slot->name), name);
-        entry->slots[entry->slot_count++] = slot;
     }
     return slot;
 }
@@ -61,6 +78,40 @@
     return NULL;
 }
 
+/**
+ * FvEntryHosts_Gone - a listed host that has been away for long
+ * @entry: this process, which leads
+ * @hosts: the registered hosts
+ * @count: how many
+ * @now_ms: the time
+ *
+ * Return: its name, once for each time that it was away, or NULL.
+ */
+const char *
+FvEntryHosts_Gone(fv_entry_t *entry, const fv_peer_entry_t *hosts,
+                  uint32_t count, int64_t now_ms)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        fv_host_slot_t *slot =
+            hosts[i].listed ? FvEntryHosts_Obtain(entry, hosts[i].name) : NULL;
+
+        if (slot == NULL || slot == entry->self) {
+            continue;
+        }
+        if (slot->joined) {
+            slot->away_since_ms = 0;
+        }
+        else if (slot->away_since_ms == 0) {
+            slot->away_since_ms = now_ms;
+        }
+        else if (now_ms - slot->away_since_ms > Fv_HOST_GONE_MS) {
+            slot->away_since_ms = 0;
+            return hosts[i].name;
+        }
+    }
+    return NULL;
+}
+
 /**
  * FvEntryHosts_ForgetAsk - a question is no longer with a host
  * @slot: the host
--- a/src/entry-hosts.h
+++ b/src/entry-hosts.h
@@ -24,6 +24,7 @@
     fv_link_peer_t *peer; /* NULL for this host, and while it is away */
     bool joined;
     int64_t dialed_ms;
+    int64_t away_since_ms; /* 0: joined, or not looked at */
     uint32_t ask_count;
     fv_host_ask_t asks[Fv_ASKS_MAX];
     int64_t backlog_us;
@@ -68,6 +69,8 @@
 fv_host_slot_t *FvEntryHosts_Obtain(fv_entry_t *entry, const char *name);
 fv_host_slot_t *FvEntryHosts_Find(fv_entry_t *entry,
                                   const fv_link_peer_t *peer);
+const char *FvEntryHosts_Gone(fv_entry_t *entry, const fv_peer_entry_t *hosts,
+                              uint32_t count, int64_t now_ms);
 void FvEntryHosts_LearnOverhead(fv_host_slot_t *slot, int64_t id);
 void FvEntryHosts_ForgetAsk(fv_host_slot_t *slot, int64_t id);
 void FvEntryHosts_FailAsks(fv_entry_t *entry, fv_host_slot_t *slot);
--- a/src/entry.c
+++ b/src/entry.c
@@ -237,6 +237,7 @@
         slot->backlog_us = 0;
         slot->joined = false;
         slot->peer = NULL;
+        slot->away_since_ms = 0;
     }
 }
 
@@ -468,6 +469,18 @@
     }
 }
 
+static void
+forget_gone_host(fv_entry_t *entry, int64_t now_ms)
+{
+    const fv_peer_entry_t *hosts;
+    uint32_t count = FvElection_Hosts(entry->election, &hosts);
+    const char *gone = FvEntryHosts_Gone(entry, hosts, count, now_ms);
+
+    if (gone != NULL) {
+        FvElection_ForgetHost(entry->election, gone);
+    }
+}
+
 static void
 beat(evutil_socket_t fd, short what, void *context)
 {
@@ -479,6 +492,7 @@
     FvLinks_CloseSilent(entry->links, Fv_LINK_SILENT_MS);
     if (entry->leader != NULL) {
         dial_hosts(entry);
+        forget_gone_host(entry, FvClock_NowMs());
         check_lonely(entry, FvClock_NowMs());
     }
 }
@@ -610,18 +624,52 @@
     event_add(entry->sighup, NULL);
 }
 
+static void
+free_event(struct event *event)
+{
+    if (event != NULL) {
+        event_free(event);
+    }
+}
+
+/* Closes what was opened. What calls in progress refer to is left to the end
+ * of the process, since they are not answered any more. */
+static void
+close_parts(fv_entry_t *entry)
+{
+    FvLeader_Free(entry->leader);
+    entry->leader = NULL; /* closing links looks for it */
+    FvElection_Free(entry->election);
+    FvLinks_Free(entry->links);
+    FvFront_Free(entry->front);
+    FvCallPool_Free(entry->pool);
+    FvAdviceCaller_Free(entry->advice);
+    FvKvClient_Free(entry->kv);
+    FvCellConfig_Free(entry->config);
+    for (uint32_t i = 0; i < entry->slot_count; i++) {
+        free(entry->slots[i]);
+    }
+    free_event(entry->flush);
+    free_event(entry->beat);
+    free_event(entry->depose);
+    free_event(entry->drain);
+    free_event(entry->sigterm);
+    free_event(entry->sigint);
+    free_event(entry->sighup);
+    event_base_free(entry->base);
+}
+
 /**
  * FvEntry_Run - run an entry host until it is told to stop
  * @settings_path: its settings file
  *
- * The memory of its parts is left to the end of the process.
- *
  * Return: the exit code.
  */
 int
 FvEntry_Run(const char *settings_path)
 {
     static fv_entry_t entry;
+    int code = 1;
 
     entry.settings_path = settings_path;
     if (!FvEntrySettings_Load(settings_path, &entry.settings, stderr)) {
@@ -635,12 +683,12 @@
     entry.base = event_base_new();
     if (entry.base == NULL) {
         FvLog_Event(Fv_LOG_ERROR, "event_loop_failed", "errno=%d", errno);
-        return 1;
+        goto close_log;
     }
     open_events(&entry);
     if (!open_parts(&entry)) {
         FvLog_Event(Fv_LOG_ERROR, "start_failed", NULL);
-        return 1;
+        goto close_parts;
     }
     FvLog_Event(Fv_LOG_INFO, "started",
                 "version=%s callers=%s cores=%.3f store=%s", Fv_VERSION,
@@ -648,7 +696,11 @@
                 entry.settings.store_address);
     FvLog_Flush();
     event_base_dispatch(entry.base);
+    code = 0;
+close_parts:
+    close_parts(&entry);
+close_log:
     FvLog_Flush();
     FvLog_Close();
-    return 0;
+    return code;
 }
--- a/tests/unit/election_test.c
+++ b/tests/unit/election_test.c
@@ -160,6 +160,79 @@
     close_election();
 }
 
+static void
+tell_host(const char *name, const char *value, bool deleted)
+{
+    char key[Fv_KEY_SIZE];
+    fv_kv_item_t item = {.key = key, .deleted = deleted, .revision = 6};
+
+    snprintf(key, sizeof(key), "%s%s", Fv_KEY_HOSTS, name);
+    item.value =
+        (fv_buffer_t){.data = (uint8_t *)value, .length = strlen(value)};
+    fake_kv.follower.item(fake_kv.follower.context, &item);
+}
+
+/* Pattern: machines are replaced under new names for weeks. */
+static void
+test_removed_hosts_count_no_more(void)
+{
+    const fv_peer_entry_t *hosts;
+
+    open_election("1");
+    /* Its entry was removed while it could not be reached. */
+    fake_kv_answer(fake_kv_latest(FAKE_KV_TXN),
+                   (fv_kv_result_t){.error = Fv_KV_OK, .revision = 6});
+    tell_host("akl-1", "", true);
+    fake_kv_run(base, 150);
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_TXN), 2);
+    CU_ASSERT_STRING_EQUAL(fake_kv_latest(FAKE_KV_TXN)->puts[0].key,
+                           Fv_KEY_HOSTS "akl-1");
+    close_election();
+
+    open_election("1");
+    for (uint32_t i = 0; i < Fv_HOSTS_MAX; i++) {
+        char name[Fv_NAME_SIZE];
+
+        snprintf(name, sizeof(name), "old-%u", i);
+        tell_host(name, "127.0.0.1:9 8.000", false);
+        tell_host(name, "", true);
+    }
+    tell_host("new", "127.0.0.1:9 0.500", false);
+    CU_ASSERT_EQUAL(FvElection_Hosts(election, &hosts), 1);
+    CU_ASSERT_STRING_EQUAL(hosts[0].name, "new");
+    close_election();
+}
+
+/* Pattern: the largest host has left; the others must not wait for it. */
+static void
+test_removed_host_is_not_waited_for(void)
+{
+    fv_kv_item_t leader = {.key = (char *)Fv_KEY_LEADER, .revision = 7};
+
+    open_election("1");
+    fake_kv.follower.item(fake_kv.follower.context, &leader);
+    tell_host("big", "127.0.0.1:9 8.000", false);
+    tell_host("big", "", true);
+    leader.deleted = true;
+    fake_kv.follower.item(fake_kv.follower.context, &leader);
+    fake_kv_run(base, 250);
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_GRANT), 1);
+    close_election();
+}
+
+static void
+test_gone_host_is_removed(void)
+{
+    fake_kv_call_t *call;
+
+    open_election("1");
+    FvElection_ForgetHost(election, "old");
+    call = fake_kv_latest(FAKE_KV_TXN);
+    CU_ASSERT_STRING_EQUAL(call->puts[0].key, Fv_KEY_HOSTS "old");
+    CU_ASSERT_TRUE(call->puts[0].removed);
+    close_election();
+}
+
 int
 main(void)
 {
@@ -171,6 +244,11 @@
          test_claim_of_another_host_is_not_taken_for_ours},
         {"a frozen leader gives orders before its lease is renewed",
          test_frozen_leader_orders_nothing_before_a_renewal},
+        {"hosts that are gone fill the registry for good",
+         test_removed_hosts_count_no_more},
+        {"an election waits for a host that is gone",
+         test_removed_host_is_not_waited_for},
+        {"a host that is gone keeps its entry", test_gone_host_is_removed},
     };
 
     return Fv_RUN_SUITE("election", cases);
--- a/tests/unit/records_test.c
+++ b/tests/unit/records_test.c
@@ -53,10 +53,17 @@
         revisions);
 }
 
+/* Answers that come after the end release the writer. */
 static void
 close_writer(void)
 {
     FvRecordWriter_Free(writer);
+    for (uint32_t i = 0; i < fake_kv.count; i++) {
+        if (!fake_kv.calls[i].answered) {
+            fake_kv_answer(&fake_kv.calls[i],
+                           (fv_kv_result_t){.error = Fv_KV_IN_DOUBT});
+        }
+    }
     event_base_free(base);
 }
 
