--- a/tests/unit/entry_hosts_test.c
+++ b/tests/unit/entry_hosts_test.c
@@ -24,6 +24,9 @@
     entry.self = FvEntryHosts_Obtain(&entry, "self");
     back = FvEntryHosts_Obtain(&entry, "back");
     CU_ASSERT_PTR_NOT_NULL_FATAL(back);
+    if (back == NULL) {
+        abort();
+    }
     CU_ASSERT_PTR_NULL(FvEntryHosts_Gone(&entry, hosts, 4, 1000));
     back->joined = true;
     CU_ASSERT_PTR_NULL(
