Replace a leader whose process is gone without waiting for its lease

Change: the leader's key names its lease; a host that finds a leader of its own name ends that lease, and so does one that finds the leader's address refusing connections while another host accepts them. Ruled out: taking the key over by a conditional write, which would rest on what the store does with the old lease. Tests: election_test, leader_probe_test; without the change the first two cases of the former do not end the lease.

--- a/src/election.c
+++ b/src/election.c
@@ -49,8 +49,13 @@
     fv_kv_watch_t *watch;
     struct event *tick;
     char nonce[Fv_NONCE_SIZE];
-    bool loaded; /* the control keys were read */
+    struct event *due; /* of a claim, or of ending a dead leader's lease */
+    bool loaded;       /* the control keys were read */
     bool leader_known;
+    char leader_host[Fv_NAME_SIZE];
+    int64_t leader_lease;
+    int64_t end_lease_at_ms; /* the leader is dead; 0: not known to be */
+    const char *end_cause;
     bool registered;
     bool registering;
     int32_t last_generation;
@@ -110,24 +115,39 @@
     return true;
 }
 
-static void
-plan_claim(fv_election_t *election, int64_t now_ms)
+/* Spreads what all hosts do at the same news; the largest ones come first. */
+static int64_t
+pick_delay(const fv_election_t *election)
 {
-    uint32_t random = 0;
     char hex[9];
+    int64_t delay_ms;
+
+    FvText_RandomHex(hex, sizeof(hex));
+    delay_ms = (int64_t)(strtoul(hex, NULL, 16) % Fv_CLAIM_JITTER_MS) + 1;
+    return delay_ms + (is_largest_host(election) ? 0 : Fv_CLAIM_SMALL_HOST_MS);
+}
+
+static void
+arm_due(fv_election_t *election, int64_t delay_ms)
+{
+    struct timeval delay = {.tv_sec = delay_ms / Fv_MS_PER_S,
+                            .tv_usec = (suseconds_t)(delay_ms % Fv_MS_PER_S) *
+                                       Fv_US_PER_MS};
 
+    event_add(election->due, &delay);
+}
+
+static void
+plan_claim(fv_election_t *election, int64_t now_ms)
+{
     if (election->claim_at_ms != 0 || election->state != Fv_CLAIM_NONE) {
         return;
     }
-    FvText_RandomHex(hex, sizeof(hex));
-    random = (uint32_t)strtoul(hex, NULL, 16);
-    election->claim_at_ms = now_ms + random % Fv_CLAIM_JITTER_MS + 1;
-    if (!is_largest_host(election)) {
-        election->claim_at_ms += Fv_CLAIM_SMALL_HOST_MS;
-    }
+    election->claim_at_ms = now_ms + pick_delay(election);
     if (election->claim_at_ms < election->abstain_until_ms) {
         election->claim_at_ms = election->abstain_until_ms;
     }
+    arm_due(election, election->claim_at_ms - now_ms);
 }
 
 static void
@@ -155,6 +175,7 @@
     election->claim_at_ms = 0;
     if (!election->leader_known) {
         election->claim_at_ms = FvClock_NowMs() + Fv_CLAIM_RETRY_MS;
+        arm_due(election, Fv_CLAIM_RETRY_MS);
     }
 }
 
@@ -262,8 +283,9 @@
     election->state = Fv_CLAIM_WRITING;
     election->claimed_generation = election->last_generation + 1;
     FvText_RandomHex(election->nonce, sizeof(election->nonce));
-    snprintf(value, sizeof(value), "%s %d %s", election->settings->host,
-             election->claimed_generation, election->nonce);
+    snprintf(value, sizeof(value), "%s %d %s %" PRId64,
+             election->settings->host, election->claimed_generation,
+             election->nonce, election->lease);
     snprintf(generation, sizeof(generation), "%d",
              election->claimed_generation);
     FvKvClient_Txn(
@@ -394,6 +416,72 @@
     return frozen;
 }
 
+/* Ends the lease of a leader that is dead, so that it is replaced at once. */
+static void
+end_leader_lease(fv_election_t *election)
+{
+    election->end_lease_at_ms = 0;
+    FvLog_Event(Fv_LOG_WARN, "leader_lease_ended",
+                "leader=%s lease=%" PRId64 " cause=%s", election->leader_host,
+                election->leader_lease, election->end_cause);
+    FvKvClient_Revoke(election->kv, election->leader_lease);
+}
+
+/* Does what is due before a host leads. */
+static void
+seek_leadership(fv_election_t *election, int64_t now_ms)
+{
+    if (election->state != Fv_CLAIM_NONE || !election->loaded) {
+        return;
+    }
+    if (election->leader_known) {
+        if (election->end_lease_at_ms != 0 &&
+            now_ms >= election->end_lease_at_ms) {
+            end_leader_lease(election);
+        }
+    }
+    else if (election->claim_at_ms != 0 && now_ms >= election->claim_at_ms) {
+        claim(election, now_ms);
+    }
+}
+
+static void
+due(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    seek_leadership(context, FvClock_NowMs());
+}
+
+/* Has the lease of a dead leader ended after @delay_ms. */
+static void
+plan_end_of_lease(fv_election_t *election, const char *cause, int64_t delay_ms)
+{
+    election->end_lease_at_ms = FvClock_NowMs() + delay_ms;
+    election->end_cause = cause;
+    arm_due(election, delay_ms);
+}
+
+/**
+ * FvElection_LeaderDead - a host is known to run no process that leads
+ * @election: the election
+ * @host: the host
+ * @cause: how it is known, for the log; a literal
+ *
+ * Without this the leadership is free when the leader's lease has run out.
+ */
+void
+FvElection_LeaderDead(fv_election_t *election, const char *host,
+                      const char *cause)
+{
+    if (election->leader_known && election->state == Fv_CLAIM_NONE &&
+        election->leader_lease != 0 &&
+        strcmp(election->leader_host, host) == 0 &&
+        election->end_lease_at_ms == 0) {
+        plan_end_of_lease(election, cause, pick_delay(election));
+    }
+}
+
 static void
 tick(evutil_socket_t fd, short what, void *context)
 {
@@ -419,10 +507,8 @@
              election->check_at_ms != 0 && now_ms >= election->check_at_ms) {
         check_claim(election);
     }
-    else if (election->claim_at_ms != 0 && now_ms >= election->claim_at_ms &&
-             election->state == Fv_CLAIM_NONE && election->loaded &&
-             !election->leader_known) {
-        claim(election, now_ms);
+    else {
+        seek_leadership(election, now_ms);
     }
 }
 
@@ -471,6 +557,32 @@
     }
 }
 
+/* A leader of this host's name that is not this process died with the process
+ * before it. */
+static void
+check_predecessor(fv_election_t *election)
+{
+    if (election->loaded && election->leader_known &&
+        election->state == Fv_CLAIM_NONE && election->leader_lease != 0 &&
+        strcmp(election->leader_host, election->settings->host) == 0) {
+        plan_end_of_lease(election, "process_restarted", 0);
+    }
+}
+
+static void
+read_leader(fv_election_t *election, const fv_kv_item_t *item)
+{
+    election->leader_host[0] = '\0';
+    election->leader_lease = 0;
+    election->end_lease_at_ms = 0;
+    if (item->value.data == NULL ||
+        sscanf((const char *)item->value.data, "%63s %*d %*s %" SCNd64,
+               election->leader_host, &election->leader_lease) != 2) {
+        FvLog_Event(Fv_LOG_WARN, "leader_entry_unreadable",
+                    "revision=%" PRId64, item->revision);
+    }
+}
+
 static void
 see_leader(fv_election_t *election, const fv_kv_item_t *item)
 {
@@ -483,6 +595,8 @@
         return;
     }
     election->claim_at_ms = 0;
+    read_leader(election, item);
+    check_predecessor(election);
 }
 
 /* The entry of a host; a new one takes the place of one that is gone. */
@@ -562,6 +676,7 @@
     if (!election->leader_known) {
         plan_claim(election, FvClock_NowMs());
     }
+    check_predecessor(election);
     election->events.hosts_changed(election->events.context);
 }
 
@@ -590,6 +705,7 @@
     election->settings = settings;
     election->events = *events;
     election->tick = event_new(base, -1, EV_PERSIST, tick, election);
+    election->due = event_new(base, -1, 0, due, election);
     event_add(election->tick, &interval);
     election->watch =
         FvKvClient_Follow(kv, &(fv_kv_follower_t){.prefix = Fv_KEY_CONTROL,
@@ -613,5 +729,6 @@
     }
     FvKvClient_Unfollow(election->watch);
     event_free(election->tick);
+    event_free(election->due);
     free(election);
 }
--- a/src/entry-hosts.c
+++ b/src/entry-hosts.c
@@ -168,6 +168,58 @@
     }
 }
 
+static void
+leader_probed(void *context, bool dead)
+{
+    fv_entry_t *entry = context;
+
+    FvLeaderProbe_Free(entry->probe);
+    entry->probe = NULL;
+    FvLog_Event(Fv_LOG_INFO, "leader_probed", "leader=%s dead=%d",
+                entry->probed_host, dead ? 1 : 0);
+    if (dead) {
+        FvElection_LeaderDead(entry->election, entry->probed_host,
+                              "connection_refused");
+    }
+}
+
+/**
+ * FvEntryHosts_ProbeLeader - the link to the leader broke: is it dead?
+ * @entry: this process
+ * @name: the leader's host
+ */
+void
+FvEntryHosts_ProbeLeader(fv_entry_t *entry, const char *name)
+{
+    const fv_peer_entry_t *hosts;
+    uint32_t count = FvElection_Hosts(entry->election, &hosts);
+    const char *witnesses[Fv_PROBE_WITNESSES_MAX];
+    const char *leader = NULL;
+    uint32_t found = 0;
+    uint32_t first = 0;
+
+    /* Each host begins after its own entry, so that they try others. */
+    for (uint32_t i = 0; i < count; i++) {
+        first = strcmp(hosts[i].name, entry->settings.host) == 0 ? i : first;
+        leader =
+            strcmp(hosts[i].name, name) == 0 ? hosts[i].link_address : leader;
+    }
+    for (uint32_t i = 1; i < count && found < Fv_PROBE_WITNESSES_MAX; i++) {
+        const fv_peer_entry_t *host = &hosts[(first + i) % count];
+
+        if (host->listed && host->link_address != leader &&
+            strcmp(host->name, entry->settings.host) != 0) {
+            witnesses[found++] = host->link_address;
+        }
+    }
+    if (leader == NULL || found == 0 || entry->probe != NULL) {
+        return;
+    }
+    FvText_Copy(entry->probed_host, sizeof(entry->probed_host), name);
+    entry->probe = FvLeaderProbe_New(entry->base, leader, witnesses, found,
+                                     leader_probed, entry);
+}
+
 /* How many of the hosts take a call of this length. */
 static uint32_t
 hosts_for_ask(const fv_entry_t *entry, int64_t cost_us)
--- a/src/entry-hosts.h
+++ b/src/entry-hosts.h
@@ -6,6 +6,7 @@
 #define ENTRY_HOSTS_H
 
 #include "entry.h"
+#include "leader-probe.h"
 
 #define Fv_ASKS_MAX 64
 
@@ -59,6 +60,8 @@
     fv_link_peer_t *uplink;
     int64_t uplink_epoch;
     int64_t leader_seen_ms;
+    fv_leader_probe_t *probe; /* of the host whose link broke */
+    char probed_host[Fv_NAME_SIZE];
     int64_t term_ms; /* when the drain began; 0: not draining */
     uint32_t slot_count;
     fv_host_slot_t *slots[Fv_HOSTS_MAX];
@@ -74,6 +77,7 @@
 void FvEntryHosts_LearnOverhead(fv_host_slot_t *slot, int64_t id);
 void FvEntryHosts_ForgetAsk(fv_host_slot_t *slot, int64_t id);
 void FvEntryHosts_FailAsks(fv_entry_t *entry, fv_host_slot_t *slot);
+void FvEntryHosts_ProbeLeader(fv_entry_t *entry, const char *name);
 bool FvEntryHosts_Ask(void *context, const fv_cell_message_t *message,
                       int64_t cost_us);
 
--- a/src/entry.c
+++ b/src/entry.c
@@ -426,6 +426,9 @@
                     FvLinks_Name(peer));
         entry->leader_seen_ms = FvClock_NowMs();
         entry->uplink = NULL;
+        if (entry->leader == NULL && entry->term_ms == 0) {
+            FvEntryHosts_ProbeLeader(entry, FvLinks_Name(peer));
+        }
     }
     if (slot != NULL) {
         if (slot->joined) {
@@ -638,9 +641,10 @@
 close_parts(fv_entry_t *entry)
 {
     FvLeader_Free(entry->leader);
-    entry->leader = NULL; /* closing links looks for it */
+    entry->leader = NULL;       /* closing links looks for it */
+    FvLinks_Free(entry->links); /* a closed link looks for the election */
+    FvLeaderProbe_Free(entry->probe);
     FvElection_Free(entry->election);
-    FvLinks_Free(entry->links);
     FvFront_Free(entry->front);
     FvCallPool_Free(entry->pool);
     FvAdviceCaller_Free(entry->advice);
--- a/src/entry.h
+++ b/src/entry.h
@@ -178,6 +178,8 @@
 bool FvElection_MayOrder(fv_election_t *election, int64_t now_ms);
 void FvElection_Resign(fv_election_t *election, int64_t pause_ms,
                        const char *cause);
+void FvElection_LeaderDead(fv_election_t *election, const char *host,
+                           const char *cause);
 void FvElection_ForgetHost(fv_election_t *election, const char *name);
 uint32_t FvElection_Hosts(const fv_election_t *election,
                           const fv_peer_entry_t **hosts);
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -23,6 +23,7 @@
 #define Fv_NS_PER_MS INT64_C(1000000)
 #define Fv_NS_PER_S INT64_C(1000000000)
 #define Fv_MS_PER_S INT64_C(1000)
+#define Fv_US_PER_MS INT64_C(1000)
 
 /* Sizes of names include the terminating NUL. */
 #define Fv_NAME_SIZE 64
--- /dev/null
+++ b/src/leader-probe.c
@@ -0,0 +1,178 @@
+/*
+ * Whether a leader whose link broke is dead: its host refuses connections
+ * while another host takes them. A host that is cut off from all others learns
+ * nothing here, and neither does one whose link was merely reset.
+ */
+
+#include "leader-probe.h"
+
+#include <errno.h>
+#include <event2/util.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Five round trips between regions; a host without power does not answer. */
+#define Fv_PROBE_TIMEOUT_MS 200
+
+typedef enum fv_attempt_state {
+    Fv_ATTEMPT_OPEN,
+    Fv_ATTEMPT_ACCEPTED,
+    Fv_ATTEMPT_REFUSED,
+    Fv_ATTEMPT_FAILED
+} fv_attempt_state_t;
+
+typedef struct fv_attempt {
+    fv_leader_probe_t *probe;
+    int fd;
+    struct event *ready;
+    fv_attempt_state_t state;
+} fv_attempt_t;
+
+struct fv_leader_probe {
+    fv_leader_probe_done_t done;
+    void *context;
+    struct event *decide;
+    uint32_t count;
+    fv_attempt_t attempts[Fv_PROBE_WITNESSES_MAX + 1]; /* leader, witnesses */
+};
+
+/**
+ * FvLeaderProbe_Free - end a probe without a verdict
+ * @probe: the probe, or NULL
+ */
+void
+FvLeaderProbe_Free(fv_leader_probe_t *probe)
+{
+    if (probe == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < probe->count; i++) {
+        if (probe->attempts[i].ready != NULL) {
+            event_free(probe->attempts[i].ready);
+        }
+        if (probe->attempts[i].fd >= 0) {
+            close(probe->attempts[i].fd);
+        }
+    }
+    if (probe->decide != NULL) {
+        event_free(probe->decide);
+    }
+    free(probe);
+}
+
+static bool
+is_over(const fv_leader_probe_t *probe, bool *dead)
+{
+    fv_attempt_state_t leader = probe->attempts[0].state;
+    bool open = leader == Fv_ATTEMPT_OPEN;
+    bool witnessed = false;
+
+    for (uint32_t i = 1; i < probe->count; i++) {
+        open = open || probe->attempts[i].state == Fv_ATTEMPT_OPEN;
+        witnessed =
+            witnessed || probe->attempts[i].state == Fv_ATTEMPT_ACCEPTED;
+    }
+    *dead = leader == Fv_ATTEMPT_REFUSED && witnessed;
+    return !open || *dead ||
+           (leader != Fv_ATTEMPT_OPEN && leader != Fv_ATTEMPT_REFUSED);
+}
+
+static void
+decide(evutil_socket_t fd, short what, void *context)
+{
+    fv_leader_probe_t *probe = context;
+    bool dead;
+
+    (void)fd;
+    (void)what;
+    if (is_over(probe, &dead)) {
+        /* The owner frees the probe. */
+        probe->done(probe->context, dead);
+    }
+}
+
+static void
+end_attempt(fv_attempt_t *attempt, int error)
+{
+    attempt->state = error == 0              ? Fv_ATTEMPT_ACCEPTED
+                     : error == ECONNREFUSED ? Fv_ATTEMPT_REFUSED
+                                             : Fv_ATTEMPT_FAILED;
+    event_active(attempt->probe->decide, EV_TIMEOUT, 0);
+}
+
+static void
+attempt_ready(evutil_socket_t fd, short what, void *context)
+{
+    int error = ETIMEDOUT;
+    socklen_t size = sizeof(error);
+
+    if ((what & EV_WRITE) != 0 &&
+        getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0) {
+        error = errno;
+    }
+    end_attempt(context, error);
+}
+
+static void
+start_attempt(fv_leader_probe_t *probe, struct event_base *base,
+              const char *address)
+{
+    fv_attempt_t *attempt = &probe->attempts[probe->count++];
+    struct timeval limit = {.tv_usec = Fv_PROBE_TIMEOUT_MS * Fv_US_PER_MS};
+    struct sockaddr_in target;
+
+    *attempt = (fv_attempt_t){.probe = probe, .fd = -1};
+    if (!FvText_ParseAddress(address, &target)) {
+        end_attempt(attempt, EINVAL);
+        return;
+    }
+    attempt->fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (attempt->fd < 0 || (connect(attempt->fd, (struct sockaddr *)&target,
+                                    sizeof(target)) != 0 &&
+                            errno != EINPROGRESS)) {
+        end_attempt(attempt, errno);
+        return;
+    }
+    attempt->ready =
+        event_new(base, attempt->fd, EV_WRITE, attempt_ready, attempt);
+    event_add(attempt->ready, &limit);
+}
+
+/**
+ * FvLeaderProbe_New - find out whether a leader is dead
+ * @base: the event loop
+ * @leader: link address of its host
+ * @witnesses: link addresses of other hosts
+ * @count: how many, at most Fv_PROBE_WITNESSES_MAX
+ * @done: called with the verdict, not before this returns; frees the probe
+ * @context: passed to @done
+ *
+ * Return: the probe, or NULL when memory is exhausted.
+ */
+fv_leader_probe_t *
+FvLeaderProbe_New(struct event_base *base, const char *leader,
+                  const char *const *witnesses, uint32_t count,
+                  fv_leader_probe_done_t done, void *context)
+{
+    fv_leader_probe_t *probe = calloc(1, sizeof(*probe));
+
+    if (probe == NULL) {
+        return NULL;
+    }
+    probe->done = done;
+    probe->context = context;
+    probe->decide = event_new(base, -1, 0, decide, probe);
+    if (probe->decide == NULL) {
+        free(probe);
+        return NULL;
+    }
+    start_attempt(probe, base, leader);
+    for (uint32_t i = 0; i < count && i < Fv_PROBE_WITNESSES_MAX; i++) {
+        start_attempt(probe, base, witnesses[i]);
+    }
+    return probe;
+}
--- a/tests/unit/election_test.c
+++ b/tests/unit/election_test.c
@@ -185,6 +185,81 @@
     close_election();
 }
 
+static void
+tell_leader(const char *value, bool deleted)
+{
+    fv_kv_item_t item = {
+        .key = (char *)Fv_KEY_LEADER,
+        .value = {.data = (uint8_t *)value, .length = strlen(value)},
+        .revision = 7,
+        .deleted = deleted};
+
+    fake_kv.follower.item(fake_kv.follower.context, &item);
+}
+
+/* Pattern: the leader's process is killed and starts again within the life of
+ * its lease. */
+static void
+test_restarted_leader_ends_its_old_lease(void)
+{
+    open_election("1");
+    tell_leader("akl-1 1 aaaaaaaaaaaaaaaa 77", false);
+    fake_kv_run(base, 20);
+    CU_ASSERT_EQUAL(fake_kv.revoked, 1);
+    CU_ASSERT_EQUAL(fake_kv.revoked_lease, 77);
+    tell_leader("", true);
+    send_claim();
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_GRANT), 1);
+    close_election();
+}
+
+/* Pattern: the leader's process is killed; its host refuses connections. */
+static void
+test_lease_of_dead_leader_is_ended_once(void)
+{
+    open_election("1");
+    tell_leader("big-1 1 aaaaaaaaaaaaaaaa 78", false);
+    FvElection_LeaderDead(election, "big-2", "test");
+    fake_kv_run(base, 450);
+    CU_ASSERT_EQUAL(fake_kv.revoked, 0); /* another host leads by now */
+    FvElection_LeaderDead(election, "big-1", "test");
+    fake_kv_run(base, 450);
+    CU_ASSERT_EQUAL(fake_kv.revoked, 1);
+    CU_ASSERT_EQUAL(fake_kv.revoked_lease, 78);
+    close_election();
+}
+
+/* Pattern: all hosts find the leader dead; one of them was faster. */
+static void
+test_new_leader_is_not_ended_for_the_old_one(void)
+{
+    open_election("1");
+    tell_leader("big-1 1 aaaaaaaaaaaaaaaa 78", false);
+    FvElection_LeaderDead(election, "big-1", "test");
+    tell_leader("big-2 2 bbbbbbbbbbbbbbbb 79", false);
+    fake_kv_run(base, 450);
+    CU_ASSERT_EQUAL(fake_kv.revoked, 0);
+    close_election();
+}
+
+/* A leader does not take the news of its own entry for a predecessor's. */
+static void
+test_leader_keeps_its_own_lease(void)
+{
+    fake_kv_call_t *claim_call;
+
+    open_election("1");
+    claim_call = send_claim();
+    tell_leader(claim_call->puts[0].value, false);
+    fake_kv_answer(claim_call,
+                   (fv_kv_result_t){.error = Fv_KV_OK, .revision = 900});
+    tell_leader(claim_call->puts[0].value, false);
+    fake_kv_run(base, 150);
+    CU_ASSERT_EQUAL(fake_kv.revoked, 0);
+    CU_ASSERT_EQUAL(outcome.lost, 0);
+    close_election();
+}
+
 static void
 tell_host(const char *name, const char *value, bool deleted)
 {
@@ -271,6 +346,13 @@
          test_frozen_leader_orders_nothing_before_a_renewal},
         {"a silent connection to the store ends a leader's lease",
          test_silent_connection_does_not_end_the_lease},
+        {"the lease of a restarted leader's old process is waited out",
+         test_restarted_leader_ends_its_old_lease},
+        {"the lease of a dead leader is waited out",
+         test_lease_of_dead_leader_is_ended_once},
+        {"a new leader is ended in place of the dead one",
+         test_new_leader_is_not_ended_for_the_old_one},
+        {"a leader ends its own lease", test_leader_keeps_its_own_lease},
         {"hosts that are gone fill the registry for good",
          test_removed_hosts_count_no_more},
         {"an election waits for a host that is gone",
--- /dev/null
+++ b/tests/unit/leader_probe_test.c
@@ -0,0 +1,130 @@
+/*
+ * When a leader whose link broke is taken for dead. The hosts are listening
+ * sockets on the loopback address.
+ */
+
+#include "leader-probe.h"
+#include "suite.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+typedef struct fake_host {
+    int fd;
+    char address[Fv_ADDRESS_SIZE];
+} fake_host_t;
+
+typedef struct verdict {
+    struct event_base *base;
+    fv_leader_probe_t *probe;
+    uint32_t count;
+    bool dead;
+} verdict_t;
+
+/* A host whose process runs; without @accepts, one whose process is gone. */
+static fake_host_t
+open_host(bool accepts)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t size = sizeof(address);
+    fake_host_t host = {.fd = socket(AF_INET, SOCK_STREAM, 0)};
+
+    CU_ASSERT_FATAL(
+        bind(host.fd, (struct sockaddr *)&address, sizeof(address)) == 0);
+    CU_ASSERT_FATAL(getsockname(host.fd, (struct sockaddr *)&address, &size) ==
+                    0);
+    snprintf(host.address, sizeof(host.address), "127.0.0.1:%u",
+             ntohs(address.sin_port));
+    if (accepts) {
+        CU_ASSERT_FATAL(listen(host.fd, 8) == 0);
+    }
+    return host;
+}
+
+static void
+decided(void *context, bool dead)
+{
+    verdict_t *verdict = context;
+
+    verdict->count++;
+    verdict->dead = dead;
+    FvLeaderProbe_Free(verdict->probe);
+    verdict->probe = NULL;
+}
+
+static verdict_t
+probe(const char *leader, const char *const *witnesses, uint32_t count)
+{
+    verdict_t verdict = {.base = event_base_new()};
+    struct timeval span = {.tv_sec = 1};
+
+    verdict.probe = FvLeaderProbe_New(verdict.base, leader, witnesses, count,
+                                      decided, &verdict);
+    event_base_loopexit(verdict.base, &span);
+    event_base_dispatch(verdict.base);
+    CU_ASSERT_EQUAL(verdict.count, 1);
+    FvLeaderProbe_Free(verdict.probe);
+    event_base_free(verdict.base);
+    return verdict;
+}
+
+static void
+test_killed_leader_is_dead(void)
+{
+    fake_host_t leader = open_host(false);
+    fake_host_t gone = open_host(false);
+    fake_host_t witness = open_host(true);
+
+    CU_ASSERT_TRUE(probe(leader.address,
+                         (const char *[]){gone.address, witness.address}, 2)
+                       .dead);
+    close(leader.fd);
+    close(gone.fd);
+    close(witness.fd);
+}
+
+/* Pattern: connections are reset while all processes go on. */
+static void
+test_leader_that_accepts_is_alive(void)
+{
+    fake_host_t leader = open_host(true);
+    fake_host_t witness = open_host(true);
+
+    CU_ASSERT_FALSE(
+        probe(leader.address, (const char *[]){witness.address}, 1).dead);
+    close(leader.fd);
+    close(witness.fd);
+}
+
+/* Pattern: this host is cut off, and all its connections are refused. */
+static void
+test_host_without_a_witness_decides_nothing(void)
+{
+    fake_host_t leader = open_host(false);
+    fake_host_t other = open_host(false);
+
+    CU_ASSERT_FALSE(
+        probe(leader.address, (const char *[]){other.address}, 1).dead);
+    CU_ASSERT_FALSE(probe(leader.address, NULL, 0).dead);
+    CU_ASSERT_FALSE(
+        probe("no address", (const char *[]){other.address}, 1).dead);
+    close(leader.fd);
+    close(other.fd);
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"a killed leader is waited for", test_killed_leader_is_dead},
+        {"a leader whose link was reset is taken for dead",
+         test_leader_that_accepts_is_alive},
+        {"a host that reaches nobody takes the leader for dead",
+         test_host_without_a_witness_decides_nothing},
+    };
+
+    return Fv_RUN_SUITE("leader probe", cases);
+}
