Replace a leader that the store refuses while it serves other hosts

The leader refused every job from 0.6 s on and was replaced at 19.75 s, when its lease had run out. Change: after two refused renewals the leader tells the linked hosts; the largest ones read the leader's key, and if the store answers them and the leader is still refused 0.15 s later they end its lease. Ruled out: stepping back by itself, which would stop accepted work in an outage of the store for all. Tests: election_test, a leader refused alone, one refused with all, and the news of it; each fails without the change.

--- a/src/election.c
+++ b/src/election.c
@@ -29,6 +29,16 @@
 #define Fv_LARGER_HOST 1.1 /* less of a difference is none */
 #define Fv_CLAIM_RETRY_MS 150
 
+/* A leader that the store refused so often in a row, while it answers other
+ * hosts, lets one of these take over. */
+#define Fv_REFUSED_RENEWALS 2
+
+/* A host reads the leader's key to see whether the store answers it, at most
+ * this often; a leader that is still refused so long after that answer is
+ * refused alone. */
+#define Fv_STORE_LOOK_MS 500
+#define Fv_STORE_PROVEN_MS 150
+
 /* A gap between two ticks that tells that the process stood still. */
 #define Fv_TICK_MS 100
 #define Fv_FREEZE_MS 1000
@@ -70,6 +80,9 @@
     int64_t renewal_sent_ms;
     bool renewing;
     int64_t next_renew_ms;
+    uint32_t failed_renewals; /* in a row */
+    int64_t store_looked_ms; /* this host's read when the leader was refused */
+    int64_t store_proven_ms; /* ... and its answer; 0: none */
     int64_t last_tick_ms;
     bool verify; /* stood still: orders only after the next renewal */
     int64_t abstain_until_ms;
@@ -185,6 +198,7 @@
     election->state = Fv_CLAIM_HELD;
     election->claim_at_ms = 0;
     election->verify = false;
+    election->failed_renewals = 0;
     election->next_renew_ms = FvClock_NowMs() + Fv_LEADER_RENEW_MS;
     FvLog_Event(Fv_LOG_INFO, "leadership_won",
                 "epoch=%" PRId64 " generation=%d ttl_ms=%" PRId64, revision,
@@ -329,12 +343,17 @@
     if (result->error == Fv_KV_OK) {
         election->granted_ms = election->renewal_sent_ms;
         election->verify = false;
+        election->failed_renewals = 0;
     }
     else if (result->error == Fv_KV_NOT_FOUND) {
         lose(election, "lease_ended");
     }
     else {
         election->next_renew_ms = FvClock_NowMs() + Fv_TICK_MS;
+        election->failed_renewals++;
+        if (election->failed_renewals >= Fv_REFUSED_RENEWALS) {
+            election->events.refused(election->events.context);
+        }
     }
 }
 
@@ -482,6 +501,43 @@
     }
 }
 
+static void
+store_looked_at(void *context, const fv_kv_result_t *result)
+{
+    fv_election_t *election = context;
+
+    election->store_proven_ms =
+        result->error == Fv_KV_OK ? FvClock_NowMs() : 0;
+}
+
+/**
+ * FvElection_LeaderRefused - the leader says that the store refuses its calls
+ * @election: the election
+ * @host: the leader's host
+ *
+ * When the store answers this host, the leader is replaced. The largest hosts
+ * look after it, so that an outage of the store for all costs few calls.
+ */
+void
+FvElection_LeaderRefused(fv_election_t *election, const char *host)
+{
+    int64_t now_ms = FvClock_NowMs();
+    int64_t proven_ms = now_ms - election->store_proven_ms;
+
+    if (!is_largest_host(election)) {
+        return;
+    }
+    if (election->store_proven_ms != 0 && proven_ms < Fv_STORE_LOOK_MS) {
+        if (proven_ms >= Fv_STORE_PROVEN_MS) {
+            FvElection_LeaderDead(election, host, "refused_by_the_store");
+        }
+    }
+    else if (now_ms - election->store_looked_ms >= Fv_STORE_LOOK_MS) {
+        election->store_looked_ms = now_ms;
+        FvKvClient_Get(election->kv, Fv_KEY_LEADER, store_looked_at, election);
+    }
+}
+
 static void
 tick(evutil_socket_t fd, short what, void *context)
 {
--- a/src/entry.c
+++ b/src/entry.c
@@ -241,6 +241,21 @@
     }
 }
 
+/* Asks the linked hosts to replace this leader, if the store answers them. */
+static void
+election_refused(void *context)
+{
+    fv_entry_t *entry = context;
+
+    for (uint32_t i = 0; i < entry->slot_count; i++) {
+        if (entry->slots[i]->joined) {
+            FvLinks_Send(
+                entry->slots[i]->peer,
+                &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_REFUSED});
+        }
+    }
+}
+
 static void
 hosts_changed(void *context)
 {
@@ -348,6 +363,9 @@
             FvAdviceCaller_Ask(entry->advice, message, uplink_advice, entry);
         }
         break;
+    case Fv_CELL_MESSAGE_REFUSED:
+        FvElection_LeaderRefused(entry->election, FvLinks_Name(peer));
+        break;
     default:
         break;
     }
@@ -592,6 +610,7 @@
         FvElection_New(entry->base, entry->kv, &entry->settings,
                        &(fv_election_events_t){.won = election_won,
                                                .lost = election_lost,
+                                               .refused = election_refused,
                                                .hosts_changed = hosts_changed,
                                                .context = entry});
     return entry->config_watch != NULL && entry->election != NULL;
--- a/src/entry.h
+++ b/src/entry.h
@@ -167,6 +167,7 @@
 typedef struct fv_election_events {
     void (*won)(void *context, int64_t epoch, int32_t generation);
     void (*lost)(void *context, const char *cause);
+    void (*refused)(void *context); /* this leader's calls, by the store */
     void (*hosts_changed)(void *context);
     void *context;
 } fv_election_events_t;
@@ -180,6 +181,7 @@
                        const char *cause);
 void FvElection_LeaderDead(fv_election_t *election, const char *host,
                            const char *cause);
+void FvElection_LeaderRefused(fv_election_t *election, const char *host);
 void FvElection_ForgetHost(fv_election_t *election, const char *name);
 uint32_t FvElection_Hosts(const fv_election_t *election,
                           const fv_peer_entry_t **hosts);
@@ -195,7 +197,8 @@
                            key = job, body = submission */
     Fv_CELL_MESSAGE_REPLY,   /* leader: number = outcome, name = state */
     Fv_CELL_MESSAGE_ASK,     /* leader: key = step, body = worker ids */
-    Fv_CELL_MESSAGE_ADVICE   /* host: number = 1 when answered, body = rows */
+    Fv_CELL_MESSAGE_ADVICE,  /* host: number = 1 when answered, body = rows */
+    Fv_CELL_MESSAGE_REFUSED  /* leader: the store refuses its calls */
 } fv_cell_message_kind_t;
 
 typedef struct fv_cell_message {
--- a/tests/unit/election_test.c
+++ b/tests/unit/election_test.c
@@ -12,6 +12,7 @@
 typedef struct outcome {
     uint32_t won;
     uint32_t lost;
+    uint32_t refused;
     int64_t epoch;
     int32_t generation;
 } outcome_t;
@@ -39,6 +40,13 @@
     outcome.lost++;
 }
 
+static void
+refused(void *context)
+{
+    (void)context;
+    outcome.refused++;
+}
+
 static void
 hosts_changed(void *context)
 {
@@ -59,8 +67,10 @@
     base = event_base_new();
     election = FvElection_New(
         base, NULL, &settings,
-        &(fv_election_events_t){
-            .won = won, .lost = lost, .hosts_changed = hosts_changed});
+        &(fv_election_events_t){.won = won,
+                                .lost = lost,
+                                .refused = refused,
+                                .hosts_changed = hosts_changed});
     fake_kv.follower.begin(fake_kv.follower.context);
     fake_kv.follower.item(fake_kv.follower.context, &item);
     fake_kv.follower.loaded(fake_kv.follower.context);
@@ -260,6 +270,63 @@
     close_election();
 }
 
+/* Pattern: the store turns the leader away and serves the other hosts. */
+static void
+test_leader_refused_alone_is_replaced(void)
+{
+    open_election("1");
+    tell_leader("big-1 1 aaaaaaaaaaaaaaaa 78", false);
+    FvElection_LeaderRefused(election, "big-1");
+    FvElection_LeaderRefused(election, "big-1");
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_GET), 1);
+    fake_kv_answer_item(fake_kv_latest(FAKE_KV_GET), Fv_KV_OK, Fv_KEY_LEADER,
+                        "big-1 1 aaaaaaaaaaaaaaaa 78", 7);
+    FvElection_LeaderRefused(election, "big-1"); /* sent before that read */
+    fake_kv_run(base, 200);
+    CU_ASSERT_EQUAL(fake_kv.revoked, 0);
+    FvElection_LeaderRefused(election, "big-1");
+    fake_kv_run(base, 120);
+    CU_ASSERT_EQUAL(fake_kv.revoked, 1);
+    close_election();
+}
+
+/* Pattern: the store is away for all hosts. */
+static void
+test_leader_refused_with_all_stays(void)
+{
+    open_election("1");
+    tell_leader("big-1 1 aaaaaaaaaaaaaaaa 78", false);
+    for (uint32_t i = 0; i < 10; i++) {
+        FvElection_LeaderRefused(election, "big-1");
+        if (!fake_kv_latest(FAKE_KV_GET)->answered) {
+            fake_kv_answer(fake_kv_latest(FAKE_KV_GET),
+                           (fv_kv_result_t){.error = Fv_KV_UNAVAILABLE});
+        }
+        fake_kv_run(base, 100);
+    }
+    CU_ASSERT_EQUAL(fake_kv.revoked, 0);
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_GET), 2);
+    close_election();
+}
+
+static void
+test_refused_leader_says_so(void)
+{
+    open_election("1");
+    fake_kv_answer(send_claim(),
+                   (fv_kv_result_t){.error = Fv_KV_OK, .revision = 900});
+    for (uint32_t i = 1; i <= 3; i++) {
+        while (fake_kv_count(FAKE_KV_RENEW) < i) {
+            fake_kv_run(base, 20);
+        }
+        fake_kv_answer(fake_kv_latest(FAKE_KV_RENEW),
+                       (fv_kv_result_t){.error = Fv_KV_UNAVAILABLE});
+    }
+    CU_ASSERT_EQUAL(outcome.refused, 2);
+    CU_ASSERT_EQUAL(outcome.lost, 0);
+    close_election();
+}
+
 static void
 tell_host(const char *name, const char *value, bool deleted)
 {
@@ -353,6 +420,11 @@
         {"a new leader is ended in place of the dead one",
          test_new_leader_is_not_ended_for_the_old_one},
         {"a leader ends its own lease", test_leader_keeps_its_own_lease},
+        {"a leader that the store refuses alone keeps its lease",
+         test_leader_refused_alone_is_replaced},
+        {"an outage of the store replaces the leader",
+         test_leader_refused_with_all_stays},
+        {"a refused leader tells no one", test_refused_leader_says_so},
         {"hosts that are gone fill the registry for good",
          test_removed_hosts_count_no_more},
         {"an election waits for a host that is gone",
