Keep requests through a quick election; refuse what no leader had

Callers' last attempts, with 0.15 s left, were answered 504 after 0.09 s although no leader had them, and 79 callers gave up on that. Change: requests wait 0.4 s for a leader; what no leader had, or what the leader declined, is refused and not left in doubt. The rule stands in a module of its own. Test: front_wait_test; the former rule fails its first three cases.

--- /dev/null
+++ b/src/front-wait.c
@@ -0,0 +1,57 @@
+/*
+ * How long a caller's request waits for a leader, and what its caller can be
+ * told about it.
+ */
+
+#include "front-wait.h"
+
+/* How long a request that no leader has is kept before it is refused. A killed
+ * leader is replaced within it; a silent one is not (election.c). */
+#define Fv_UNSENT_HOLD_MS 400
+
+/* Share of the caller's time after which a request is given up; the rest is
+ * left for the caller's repetition at another host. */
+#define Fv_GIVE_UP_SHARE 0.6
+
+/**
+ * FvFrontWait_Sent - the request was sent to a leader
+ * @wait: what is known of it
+ */
+void
+FvFrontWait_Sent(fv_front_wait_t *wait)
+{
+    wait->in_doubt = wait->in_doubt || wait->with_leader;
+    wait->with_leader = true;
+}
+
+/**
+ * FvFrontWait_NothingDone - the leader has done nothing about the request
+ * @wait: what is known of it
+ */
+void
+FvFrontWait_NothingDone(fv_front_wait_t *wait)
+{
+    wait->with_leader = false;
+}
+
+/**
+ * FvFrontWait_Step - what to do with the request now
+ * @wait: what is known of it
+ * @now_ms: the time
+ *
+ * Return: the step.
+ */
+fv_front_step_t
+FvFrontWait_Step(const fv_front_wait_t *wait, int64_t now_ms)
+{
+    int64_t waited_ms = now_ms - wait->arrived_ms;
+    bool late = (double)waited_ms > Fv_GIVE_UP_SHARE * (double)wait->given_ms;
+
+    if (wait->with_leader || wait->in_doubt) {
+        return late                ? Fv_FRONT_GIVE_UP
+               : wait->with_leader ? Fv_FRONT_KEEP
+                                   : Fv_FRONT_OFFER;
+    }
+    return late || waited_ms > Fv_UNSENT_HOLD_MS ? Fv_FRONT_REFUSE
+                                                 : Fv_FRONT_OFFER;
+}
--- a/src/front.c
+++ b/src/front.c
@@ -5,6 +5,7 @@
  */
 
 #include "entry.h"
+#include "front-wait.h"
 
 #include <event2/buffer.h>
 #include <event2/http.h>
@@ -14,20 +15,9 @@
 #include <string.h>
 #include <strings.h>
 
-/* How long a request that no leader has seen is kept before it is refused:
- * an election after a dead leader takes longer, one after a resignation
- * less. A quarter of the tightest objective (500 ms and more) is not exceeded
- * by much. */
-#define Fv_UNSENT_HOLD_MS 250
-
-/* Share of the caller's time after which a request in doubt is given up; the
- * rest is left for the caller's repetition at another host. */
-#define Fv_IN_DOUBT_SHARE 0.6
-
 #define Fv_DEFAULT_DEADLINE_MS 3000 /* when the caller names none */
 #define Fv_RETRY_AFTER_S "1"
 #define Fv_SWEEP_MS 50
-#define Fv_RESEND_MS 100
 #define Fv_BODY_MAX_BYTES 262144
 #define Fv_HEADERS_MAX_BYTES 16384
 #define Fv_IDLE_TIMEOUT_S 30
@@ -38,10 +28,7 @@
     fv_verb_t verb;
     char queue[Fv_NAME_SIZE];
     char job[Fv_JOB_ID_SIZE];
-    int64_t arrived_ms;
-    int64_t deadline_ms;
-    int64_t sent_ms; /* 0: no leader has it */
-    bool ever_sent;
+    fv_front_wait_t wait;
     UT_hash_handle hh;
 } fv_front_request_t;
 
@@ -96,13 +83,14 @@
 end_request(fv_front_t *front, fv_front_request_t *request, int status,
             const char *reason, const char *body)
 {
-    int64_t took_ms = FvClock_NowMs() - request->arrived_ms;
+    int64_t took_ms = FvClock_NowMs() - request->wait.arrived_ms;
 
     FvLog_Event(status >= 500 || status == 429 ? Fv_LOG_INFO : Fv_LOG_DEBUG,
                 "request_answered",
                 "job=%s verb=%d queue=%s status=%d took_ms=%lld sent=%d",
                 request->job, (int)request->verb, request->queue, status,
-                (long long)took_ms, request->ever_sent ? 1 : 0);
+                (long long)took_ms,
+                request->wait.with_leader || request->wait.in_doubt ? 1 : 0);
     FvMetrics_Record(Fv_TIMING_WAIT, Fv_CLASS_INTERACTIVE, request->queue,
                      took_ms * 1000);
     HASH_DEL(front->requests, request);
@@ -123,15 +111,13 @@
         .body = (const char *)evbuffer_pullup(input, -1),
         .body_length = evbuffer_get_length(input),
     };
-    bool sent_before = request->ever_sent;
+    fv_front_wait_t before = request->wait;
 
-    request->sent_ms = FvClock_NowMs();
-    request->ever_sent = true;
+    FvFrontWait_Sent(&request->wait);
     /* When this host leads, the answer may come and release the request
      * before the call returns. */
     if (!front->events.forward(front->events.context, &message)) {
-        request->sent_ms = 0;
-        request->ever_sent = sent_before;
+        request->wait = before;
     }
 }
 
@@ -210,8 +196,8 @@
     request->verb = verb;
     FvText_Copy(request->queue, sizeof(request->queue), queue->name);
     FvText_Copy(request->job, sizeof(request->job), job);
-    request->arrived_ms = FvClock_NowMs();
-    request->deadline_ms = request->arrived_ms + time_given(http);
+    request->wait = (fv_front_wait_t){.arrived_ms = FvClock_NowMs(),
+                                      .given_ms = time_given(http)};
     HASH_ADD(hh, front->requests, id, sizeof(request->id), request);
     forward(front, request);
 }
@@ -286,17 +272,19 @@
     (void)what;
     for (request = front->requests; request != NULL; request = next) {
         next = request->hh.next;
-        int64_t given_ms = request->deadline_ms - request->arrived_ms;
-        int64_t waited_ms = now_ms - request->arrived_ms;
-
-        if (!request->ever_sent && waited_ms > Fv_UNSENT_HOLD_MS) {
+        switch (FvFrontWait_Step(&request->wait, now_ms)) {
+        case Fv_FRONT_OFFER:
+            forward(front, request);
+            break;
+        case Fv_FRONT_REFUSE:
             end_request(front, request, 503, "No Leader", NULL);
-        }
-        else if ((double)waited_ms > Fv_IN_DOUBT_SHARE * (double)given_ms) {
+            break;
+        case Fv_FRONT_GIVE_UP:
             end_request(front, request, 504, "Outcome Unknown", NULL);
-        }
-        else if (request->sent_ms == 0) {
-            forward(front, request);
+            break;
+        case Fv_FRONT_KEEP:
+        default:
+            break;
         }
     }
 }
@@ -493,7 +481,7 @@
         break;
     case Fv_REPLY_NOT_READY:
     default:
-        request->sent_ms = 0; /* offered again by the next sweep */
+        FvFrontWait_NothingDone(&request->wait); /* the next sweep offers it */
         break;
     }
 }
--- /dev/null
+++ b/tests/unit/front_wait_test.c
@@ -0,0 +1,86 @@
+/*
+ * What callers are told about requests that wait for a leader.
+ */
+
+#include "front-wait.h"
+#include "suite.h"
+
+#define ARRIVED_MS 10000
+#define GIVEN_MS 3000
+
+static fv_front_wait_t
+arrive(void)
+{
+    return (fv_front_wait_t){.arrived_ms = ARRIVED_MS, .given_ms = GIVEN_MS};
+}
+
+static fv_front_step_t
+step_after(const fv_front_wait_t *wait, int64_t waited_ms)
+{
+    return FvFrontWait_Step(wait, ARRIVED_MS + waited_ms);
+}
+
+/* Pattern: the leader is killed; its successor serves 0.35 s later. */
+static void
+test_request_outlasts_a_quick_election(void)
+{
+    fv_front_wait_t wait = arrive();
+
+    CU_ASSERT_EQUAL(step_after(&wait, 350), Fv_FRONT_OFFER);
+    CU_ASSERT_EQUAL(step_after(&wait, 500), Fv_FRONT_REFUSE);
+}
+
+/* Pattern: a caller's last attempt, 0.15 s before its time is up, meets a host
+ * that knows no leader. Nothing was sent, so it may be told so. */
+static void
+test_unsent_request_is_never_in_doubt(void)
+{
+    fv_front_wait_t wait = arrive();
+
+    wait.given_ms = 150;
+    CU_ASSERT_EQUAL(step_after(&wait, 80), Fv_FRONT_OFFER);
+    CU_ASSERT_EQUAL(step_after(&wait, 100), Fv_FRONT_REFUSE);
+}
+
+/* Pattern: a new leader is still reading its records. */
+static void
+test_declined_request_is_not_in_doubt(void)
+{
+    fv_front_wait_t wait = arrive();
+
+    FvFrontWait_Sent(&wait);
+    CU_ASSERT_EQUAL(step_after(&wait, 100), Fv_FRONT_KEEP);
+    FvFrontWait_NothingDone(&wait);
+    CU_ASSERT_EQUAL(step_after(&wait, 150), Fv_FRONT_OFFER);
+    CU_ASSERT_EQUAL(step_after(&wait, 500), Fv_FRONT_REFUSE);
+}
+
+/* Pattern: the leader dies with a submission, and the next one declines it. */
+static void
+test_request_of_a_dead_leader_stays_in_doubt(void)
+{
+    fv_front_wait_t wait = arrive();
+
+    FvFrontWait_Sent(&wait);
+    FvFrontWait_Sent(&wait);
+    FvFrontWait_NothingDone(&wait);
+    CU_ASSERT_EQUAL(step_after(&wait, 500), Fv_FRONT_OFFER);
+    CU_ASSERT_EQUAL(step_after(&wait, 1900), Fv_FRONT_GIVE_UP);
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"a request is refused while a leader is being replaced",
+         test_request_outlasts_a_quick_election},
+        {"a caller is left in doubt about a request that no leader had",
+         test_unsent_request_is_never_in_doubt},
+        {"a caller is left in doubt about a request that was declined",
+         test_declined_request_is_not_in_doubt},
+        {"a caller is told that a request in doubt has not run",
+         test_request_of_a_dead_leader_stays_in_doubt},
+    };
+
+    return Fv_RUN_SUITE("front wait", cases);
+}
