Let idle connections make way for new calls

Change: the pool of outgoing calls holds at most 7/8 of the descriptors, a setting, and closes the connection that was idle for longest when it needs another. Ruled out: one connection a worker, on which an order would wait for a renewal of up to a second. Tests: call_test; without the change a pool of two holds four connections.

--- a/src/call.c
+++ b/src/call.c
@@ -11,6 +11,7 @@
 #include <event2/http_struct.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 /* Connections that nothing used for this long are closed; well below the
  * time after which the platform's balancers drop idle ones. */
@@ -18,28 +19,38 @@
 #define Fv_SWEEP_MS 5000
 #define Fv_CALL_ANSWER_MAX_BYTES (8 * 1024 * 1024)
 
+typedef struct fv_destination fv_destination_t;
+
 typedef struct fv_connection_slot {
     struct evhttp_connection *connection;
-    struct fv_connection_slot *next;
+    fv_destination_t *destination;
+    struct fv_connection_slot *next; /* of the destination */
+    struct fv_connection_slot *idle_next;
+    struct fv_connection_slot *idle_prev;
     bool busy;
     int64_t used_ms;
 } fv_connection_slot_t;
 
-typedef struct fv_destination {
+struct fv_destination {
     char address[Fv_ADDRESS_SIZE];
     char ip[Fv_ADDRESS_SIZE];
     uint16_t port;
     fv_connection_slot_t *slots;
     UT_hash_handle hh;
-} fv_destination_t;
+};
 
 struct fv_call_pool {
     struct event_base *base;
     struct event *sweep;
     fv_destination_t *destinations;
+    fv_connection_slot_t *idle;            /* the longest unused one first */
+    const fv_connection_slot_t *answering; /* its answer is being told */
+    uint32_t open;
+    uint32_t open_max;
 };
 
 typedef struct fv_pending_call {
+    fv_call_pool_t *pool;
     fv_connection_slot_t *slot;
     fv_call_done_t done;
     void *context;
@@ -48,21 +59,13 @@
 } fv_pending_call_t;
 
 static void
-close_idle(fv_destination_t *destination, int64_t now_ms)
+close_idle_slot(fv_call_pool_t *pool, fv_connection_slot_t *slot)
 {
-    fv_connection_slot_t **link = &destination->slots;
-
-    while (*link != NULL) {
-        fv_connection_slot_t *slot = *link;
-
-        if (slot->busy || now_ms - slot->used_ms < Fv_IDLE_CONNECTION_MS) {
-            link = &slot->next;
-            continue;
-        }
-        *link = slot->next;
-        evhttp_connection_free(slot->connection);
-        free(slot);
-    }
+    LL_DELETE(slot->destination->slots, slot);
+    DL_DELETE2(pool->idle, slot, idle_prev, idle_next);
+    evhttp_connection_free(slot->connection);
+    free(slot);
+    pool->open--;
 }
 
 static void
@@ -84,10 +87,13 @@
 
     (void)fd;
     (void)what;
+    while (pool->idle != NULL &&
+           now_ms - pool->idle->used_ms >= Fv_IDLE_CONNECTION_MS) {
+        close_idle_slot(pool, pool->idle);
+    }
     for (destination = pool->destinations; destination != NULL;
          destination = next) {
         next = destination->hh.next;
-        close_idle(destination, now_ms);
         if (destination->slots == NULL) {
             remove_destination(pool, destination);
         }
@@ -97,11 +103,13 @@
 /**
  * FvCallPool_New - make an empty pool
  * @base: the event loop
+ * @open_max: most connections; at that many, a new one takes the place of the
+ *            one that has been idle for longest
  *
  * Return: the pool, or NULL when memory is exhausted.
  */
 fv_call_pool_t *
-FvCallPool_New(struct event_base *base)
+FvCallPool_New(struct event_base *base, uint32_t open_max)
 {
     fv_call_pool_t *pool = calloc(1, sizeof(*pool));
     struct timeval interval = {.tv_sec = Fv_SWEEP_MS / 1000};
@@ -110,6 +118,7 @@
         return NULL;
     }
     pool->base = base;
+    pool->open_max = open_max;
     pool->sweep = event_new(base, -1, EV_PERSIST, sweep, pool);
     if (pool->sweep == NULL) {
         free(pool);
@@ -148,6 +157,18 @@
     free(pool);
 }
 
+/**
+ * FvCallPool_Open - connections that the pool holds
+ * @pool: the pool
+ *
+ * Return: how many.
+ */
+uint32_t
+FvCallPool_Open(const fv_call_pool_t *pool)
+{
+    return pool->open;
+}
+
 static fv_destination_t *
 obtain_destination(fv_call_pool_t *pool, const char *address)
 {
@@ -177,9 +198,18 @@
 
     for (slot = destination->slots; slot != NULL; slot = slot->next) {
         if (!slot->busy) {
+            DL_DELETE2(pool->idle, slot, idle_prev, idle_next);
             return slot;
         }
     }
+    /* libevent still uses a connection of which the answer is being told. */
+    if (pool->open >= pool->open_max && pool->idle != NULL &&
+        pool->idle != pool->answering) {
+        close_idle_slot(pool, pool->idle);
+    }
+    if (pool->open >= pool->open_max) {
+        return NULL;
+    }
     slot = calloc(1, sizeof(*slot));
     if (slot == NULL) {
         return NULL;
@@ -194,11 +224,20 @@
     evhttp_connection_set_family(slot->connection, AF_INET);
     evhttp_connection_set_max_body_size(slot->connection,
                                         Fv_CALL_ANSWER_MAX_BYTES);
-    slot->next = destination->slots;
-    destination->slots = slot;
+    slot->destination = destination;
+    LL_PREPEND(destination->slots, slot);
+    pool->open++;
     return slot;
 }
 
+static void
+release_slot(fv_call_pool_t *pool, fv_connection_slot_t *slot)
+{
+    slot->busy = false;
+    slot->used_ms = FvClock_NowMs();
+    DL_APPEND2(pool->idle, slot, idle_prev, idle_next);
+}
+
 static void
 finish(struct evhttp_request *request, void *context)
 {
@@ -213,15 +252,16 @@
         answer.length = evbuffer_get_length(body);
         answer.body = (const char *)evbuffer_pullup(body, -1);
     }
-    pending->slot->busy = false;
-    pending->slot->used_ms = FvClock_NowMs();
     if (pending->sending) {
         pending->failed = true;
         return;
     }
+    release_slot(pending->pool, pending->slot);
     /* The limit of the call would also close the idle connection. */
     evhttp_connection_set_timeout_tv(pending->slot->connection, &idle);
+    pending->pool->answering = pending->slot;
     pending->done(pending->context, &answer);
+    pending->pool->answering = NULL;
     free(pending);
 }
 
@@ -296,17 +336,19 @@
     if (pending == NULL) {
         abort(); /* a call that is never answered would stop its caller */
     }
-    *pending =
-        (fv_pending_call_t){.done = done, .context = context, .sending = true};
+    *pending = (fv_pending_call_t){
+        .pool = pool, .done = done, .context = context, .sending = true};
     if (destination != NULL) {
         pending->slot = obtain_slot(pool, destination);
     }
     if (pending->slot != NULL) {
         pending->slot->busy = true;
         if (!send_request(pending, destination, call, timeout_ms)) {
-            pending->slot->busy = false;
             pending->failed = true;
         }
+        if (pending->failed) {
+            release_slot(pool, pending->slot);
+        }
     }
     pending->sending = false;
     if (pending->slot == NULL || pending->failed) {
--- a/src/entry-settings.c
+++ b/src/entry-settings.c
@@ -52,6 +52,7 @@
     ADDRESS(store_address, true),
     INT(store_lease_min_ms, 1, 600000),
     ADDRESS(advice_address, false),
+    INT(descriptors_max, 256, 1048576),
     INT(lease_max_ms, 500, 600000),
     INT(stop_timeout_ms, 1, 600000),
     INT(gang_timeout_ms, 500, 600000),
--- a/src/entry.c
+++ b/src/entry.c
@@ -32,6 +32,12 @@
 #define Fv_DRAIN_MARGIN_MS 800
 #define Fv_DRAIN_CHECK_MS 50
 
+/* Descriptors that the platform keeps for files (DEPLOY, processor and
+ * memory), and the share of the others that outgoing calls may take; callers
+ * and other hosts connect on the rest. */
+#define Fv_DESCRIPTORS_RESERVED 200
+#define Fv_CALL_DESCRIPTORS_SHARE 0.875
+
 /* --- Configuration ------------------------------------------------------ */
 
 static int64_t
@@ -575,10 +581,17 @@
 
 /* --- Life --------------------------------------------------------------- */
 
+static uint32_t
+calls_max(const fv_entry_settings_t *settings)
+{
+    return (uint32_t)((settings->descriptors_max - Fv_DESCRIPTORS_RESERVED) *
+                      Fv_CALL_DESCRIPTORS_SHARE);
+}
+
 static bool
 open_parts(fv_entry_t *entry)
 {
-    entry->pool = FvCallPool_New(entry->base);
+    entry->pool = FvCallPool_New(entry->base, calls_max(&entry->settings));
     entry->kv = FvKvClient_New(entry->base, entry->pool,
                                entry->settings.store_address);
     if (entry->pool == NULL || entry->kv == NULL) {
--- a/src/entry.h
+++ b/src/entry.h
@@ -27,6 +27,7 @@
     char store_address[Fv_ADDRESS_SIZE];
     int32_t store_lease_min_ms;
     char advice_address[Fv_ADDRESS_SIZE]; /* "": no advice service */
+    int32_t descriptors_max;              /* of the process */
     int32_t lease_max_ms;
     int32_t stop_timeout_ms; /* the longest that a worker's stop takes */
     int32_t gang_timeout_ms; /* how long members wait for the others */
@@ -42,8 +43,9 @@
 typedef struct fv_call_pool fv_call_pool_t;
 typedef void (*fv_call_done_t)(void *context, const fv_call_answer_t *answer);
 
-fv_call_pool_t *FvCallPool_New(struct event_base *base);
+fv_call_pool_t *FvCallPool_New(struct event_base *base, uint32_t open_max);
 void FvCallPool_Free(fv_call_pool_t *pool);
+uint32_t FvCallPool_Open(const fv_call_pool_t *pool);
 void FvCallPool_Send(fv_call_pool_t *pool, const char *address,
                      fv_call_t *call, int64_t timeout_ms, fv_call_done_t done,
                      void *context);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -162,7 +162,8 @@
             "metrics_address = \"127.0.0.1:%d\"\nlink_port = %d\n"
             "cpu_cores = 1.0\nstore_address = \"127.0.0.1:%d\"\n"
             "store_lease_min_ms = 1000\nadvice_address = \"127.0.0.1:%d\"\n"
-            "lease_max_ms = 10000\nstop_timeout_ms = 100\ngang_timeout_ms = "
+            "descriptors_max = 1024\nlease_max_ms = 10000\nstop_timeout_ms = "
+            "100\ngang_timeout_ms = "
             "3000\ndrain_ms = 6000\n"
             "keep_ended_s = 120\nlog_level = \"info\"\n",
             host, host_port(soak, host, 0), host_port(soak, host, 1),
--- a/tests/unit/call_test.c
+++ b/tests/unit/call_test.c
@@ -5,6 +5,10 @@
 #include "entry.h"
 #include "suite.h"
 
+#include <arpa/inet.h>
+#include <event2/http.h>
+#include <stdio.h>
+
 typedef struct outcome {
     uint32_t answers;
     int32_t status;
@@ -26,7 +30,7 @@
 send_to(const char *address, outcome_t *outcome)
 {
     struct event_base *base = event_base_new();
-    fv_call_pool_t *pool = FvCallPool_New(base);
+    fv_call_pool_t *pool = FvCallPool_New(base, 8);
     struct timeval limit = {.tv_sec = 2};
     fv_call_t call = {.method = "GET", .path = "/"};
 
@@ -66,6 +70,98 @@
     CU_ASSERT_FALSE(outcome.within_send);
 }
 
+static void
+serve_ok(struct evhttp_request *request, void *context)
+{
+    (void)context;
+    evhttp_send_reply(request, 200, "OK", NULL);
+}
+
+typedef struct upstream {
+    struct evhttp *server;
+    char address[Fv_ADDRESS_SIZE];
+} upstream_t;
+
+static upstream_t
+open_upstream(struct event_base *base)
+{
+    upstream_t upstream = {.server = evhttp_new(base)};
+    struct evhttp_bound_socket *bound =
+        evhttp_bind_socket_with_handle(upstream.server, "127.0.0.1", 0);
+    struct sockaddr_in address;
+    socklen_t size = sizeof(address);
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(bound);
+    getsockname(evhttp_bound_socket_get_fd(bound), (struct sockaddr *)&address,
+                &size);
+    snprintf(upstream.address, sizeof(upstream.address), "127.0.0.1:%u",
+             ntohs(address.sin_port));
+    evhttp_set_gencb(upstream.server, serve_ok, NULL);
+    return upstream;
+}
+
+static int32_t
+call_and_wait(struct event_base *base, fv_call_pool_t *pool,
+              const char *address)
+{
+    outcome_t outcome = {0};
+    struct timeval limit = {.tv_sec = 2};
+    fv_call_t call = {.method = "GET", .path = "/"};
+
+    FvCallPool_Send(pool, address, &call, 500, answered, &outcome);
+    event_base_loopexit(base, &limit);
+    while (outcome.answers == 0 && !event_base_got_exit(base)) {
+        event_base_loop(base, EVLOOP_ONCE);
+    }
+    return outcome.status;
+}
+
+/* Pattern: a leader of 3,000 workers, more than its descriptors allow idle
+ * connections to. */
+static void
+test_idle_connections_make_way(void)
+{
+    struct event_base *base = event_base_new();
+    fv_call_pool_t *pool = FvCallPool_New(base, 2);
+    upstream_t upstreams[4];
+
+    for (uint32_t i = 0; i < 4; i++) {
+        upstreams[i] = open_upstream(base);
+    }
+    for (uint32_t i = 0; i < 12; i++) {
+        CU_ASSERT_EQUAL(call_and_wait(base, pool, upstreams[i % 4].address),
+                        200);
+    }
+    CU_ASSERT_EQUAL(FvCallPool_Open(pool), 2);
+    FvCallPool_Free(pool);
+    for (uint32_t i = 0; i < 4; i++) {
+        evhttp_free(upstreams[i].server);
+    }
+    event_base_free(base);
+}
+
+/* Pattern: every connection waits for an answer. */
+static void
+test_busy_connections_are_kept(void)
+{
+    struct event_base *base = event_base_new();
+    fv_call_pool_t *pool = FvCallPool_New(base, 1);
+    upstream_t upstream = open_upstream(base);
+    outcome_t first = {0};
+    fv_call_t call = {.method = "GET", .path = "/"};
+
+    FvCallPool_Send(pool, upstream.address, &call, 500, answered, &first);
+    CU_ASSERT_EQUAL(call_and_wait(base, pool, "127.0.0.1:9"), 0);
+    while (first.answers == 0) {
+        event_base_loop(base, EVLOOP_ONCE);
+    }
+    CU_ASSERT_EQUAL(call_and_wait(base, pool, upstream.address), 200);
+    CU_ASSERT_EQUAL(first.status, 200);
+    FvCallPool_Free(pool);
+    evhttp_free(upstream.server);
+    event_base_free(base);
+}
+
 int
 main(void)
 {
@@ -74,6 +170,10 @@
          test_failure_is_told_after_the_send},
         {"a connection refused at once is answered within the send",
          test_refused_connection_is_told_after_the_send},
+        {"idle connections keep new calls from being sent",
+         test_idle_connections_make_way},
+        {"a call in progress loses its connection",
+         test_busy_connections_are_kept},
     };
 
     return Fv_RUN_SUITE("call", cases);
--- a/tests/unit/entry_settings_test.c
+++ b/tests/unit/entry_settings_test.c
@@ -15,7 +15,8 @@
     "address = \"127.0.0.1\"\ncallers_address = \"127.0.0.1:1\"\n"
     "ready_address = \"127.0.0.1:2\"\nlink_port = 3\ncpu_cores = 0.25\n"
     "store_address = \"127.0.0.1:4\"\nstore_lease_min_ms = 1000\n"
-    "lease_max_ms = 10000\nstop_timeout_ms = 900\ngang_timeout_ms = 3000\n"
+    "descriptors_max = 4100\nlease_max_ms = 10000\nstop_timeout_ms = "
+    "900\ngang_timeout_ms = 3000\n"
     "drain_ms = 6000\nkeep_ended_s = 120\nnew_field = 1\n";
 
 static bool
