Fill the fullest workers with single tasks

Change: single tasks take the fullest worker that has room, gangs the emptiest. Test: sched_load_test, single tasks that trickle in between gangs; it fails without the change.

--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -43,13 +43,15 @@
     return room;
 }
 
+/* Single tasks fill the fullest workers first, which leaves whole workers to
+ * gangs; gangs take the emptiest ones. */
 static double
 score_slot(const fv_sched_stage_t *stage, const fv_slot_t *slot)
 {
     const fv_sched_worker_t *worker = slot->worker;
     double free_share = (double)worker->free_cpu_millis /
                         (double)(worker->entry.cpu_millis + 1);
-    double score = 1.0 + free_share;
+    double score = stage->step->gang ? free_share : 1.0 - free_share;
 
     if (stage->step->data_rack[0] != '\0' &&
         strcmp(stage->step->data_rack, worker->entry.rack) == 0) {
@@ -288,15 +290,6 @@
             return;
         }
         start_task(sched, task, slot, next_run(sched, task), now_ms);
-        slot->score = score_slot(stage, slot);
-        /* Keeps the list sorted, so that tasks spread. */
-        while (slot + 1 < slots + count && slot[1].score > slot->score) {
-            fv_slot_t moved = slot[0];
-
-            slot[0] = slot[1];
-            slot[1] = moved;
-            slot++;
-        }
     }
 }
 
--- a/tests/unit/sched_load_test.c
+++ b/tests/unit/sched_load_test.c
@@ -103,6 +103,32 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* Pattern: single tasks trickle in between gangs that need whole workers. */
+static void
+test_single_tasks_leave_whole_workers(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t gangs = FvSchedFixture_Queue("gangs", 1);
+    fv_cell_queue_t batch = FvSchedFixture_Queue("batch", 2);
+    char id[Fv_JOB_ID_SIZE];
+
+    FvSchedFixture_Open(&fixture, 1);
+    for (uint32_t i = 0; i < 3; i++) {
+        snprintf(id, sizeof(id), "w%u", i);
+        FvSchedFixture_AddWorker(&fixture, id, "r1", 4000);
+    }
+    for (uint32_t i = 0; i < 4; i++) {
+        snprintf(id, sizeof(id), "bbbbbbbbbbbbbbb%u", i);
+        FvSchedFixture_AddJob(&fixture, id, &batch, one_task);
+        FvSchedFixture_Pass(&fixture);
+        CU_ASSERT_EQUAL(FvSchedFixture_Starts(&fixture, id), 1);
+    }
+    FvSchedFixture_AddJob(&fixture, GANG, &gangs, gang_of_four);
+    FvSchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_Starts(&fixture, GANG), 4);
+    FvSchedFixture_Close(&fixture);
+}
+
 /* Pattern: a gang that is wider than the cell. */
 static void
 test_gang_that_never_fits_reserves_nothing(void)
@@ -353,6 +379,8 @@
          test_gang_gets_room_that_comes_free},
         {"a burst of gangs waits behind work with slack",
          test_burst_of_gangs_is_not_starved},
+        {"single tasks leave no whole worker to a gang",
+         test_single_tasks_leave_whole_workers},
         {"a gang that never fits keeps workers idle",
          test_gang_that_never_fits_reserves_nothing},
         {"a lookup waits behind batch work", test_lookup_goes_first},
