Take no member of an ended gang for a stray

The members of a gang end together; the report of a worker farther away, made before that, came after the first member's end. It was taken for a run that nobody ordered: the run was stopped once more, and its worker got no task until its next report. Change: a listed run of a gang's last run is no stray once the gang is done. Test: sched_report_test; it fails without the change.

--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -166,6 +166,15 @@
     }
 }
 
+/* The members of a gang end together. A report that was made before that may
+ * come after the end of another member. */
+static bool
+is_of_ended_gang(const fv_sched_task_t *task, const fv_running_row_t *row)
+{
+    return task->state == Fv_SCHED_DONE && task->stage->step->gang &&
+           row->run == task->stage->gang_run;
+}
+
 static void
 apply_running(fv_sched_t *sched, fv_sched_worker_t *worker,
               const fv_running_row_t *row, int64_t now_ms)
@@ -183,6 +192,9 @@
         adopt(sched, worker, task, row, now_ms);
         return;
     }
+    if (task != NULL && is_of_ended_gang(task, row)) {
+        return;
+    }
     FvLog_Event(Fv_LOG_INFO, "stray_run", "task=%s run=%d worker=%s",
                 row->task_id, row->run, worker->entry.id);
     worker->strays++;
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -49,6 +49,36 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* Pattern: the first member's end of a gang overtakes the report of a worker
+ * that is farther away. */
+static void
+test_report_from_before_a_gang_ended(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_Queue("q", 0);
+    fv_running_row_t row = {.task_id = JOB_A ".0.0.1"};
+    const char *other;
+
+    FvSchedFixture_Open(&fixture, 1);
+    FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    FvSchedFixture_AddWorker(&fixture, "w2", "r1", 1000);
+    FvSchedFixture_AddJob(&fixture, JOB_A, &queue,
+                          "{\"taskSpec\":\"x\",\"steps\":[{\"count\":2,"
+                          "\"cpu\":1000,\"memMb\":10,\"estimatedMs\":1000,"
+                          "\"gang\":true}]}");
+    FvSchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL_FATAL(fixture.order_count, 2);
+    FvSchedFixture_ConfirmStarts(&fixture);
+    row.run = fixture.orders[0].run;
+    other = fixture.orders[1].worker;
+    FvSchedFixture_ReportEnd(&fixture, fixture.orders[0].worker, 1,
+                             fixture.orders[0].task, row.run, Fv_END_DONE);
+    report_running(&fixture, other, &row, 1);
+    CU_ASSERT_EQUAL(FvSchedFixture_Stops(&fixture, JOB_A), 0);
+    CU_ASSERT_EQUAL(FvSched_FindWorker(&fixture.sched, other)->strays, 0);
+    FvSchedFixture_Close(&fixture);
+}
+
 /* Pattern: an order without an answer that is carried out seconds later. */
 static void
 test_start_in_doubt_is_forbidden_first(void)
@@ -201,6 +231,8 @@
     static const test_case_t cases[] = {
         {"a run that is being stopped keeps its room",
          test_stray_keeps_its_room},
+        {"a run of an ended gang is taken for a stray",
+         test_report_from_before_a_gang_ended},
         {"a start in doubt is carried out beside its repetition",
          test_start_in_doubt_is_forbidden_first},
         {"a task is lost with a worker that said it would leave",
