Split the registry of hosts off the election; log a refused leader

Change: the registry of hosts is in election-hosts.c, the shared struct in election.h; leader_refused is logged once for each series of refused renewals; the call test initializes an address that clang-tidy could not follow. No change of behaviour.

--- /dev/null
+++ b/src/election-hosts.c
@@ -0,0 +1,157 @@
+/*
+ * The registry of the hosts that take part in the election.
+ */
+
+#include "election.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define Fv_LARGER_HOST 1.1 /* less of a difference is none */
+
+/**
+ * FvElection_Hosts - the registered hosts
+ * @election: the election
+ * @hosts: set to the list
+ *
+ * Return: how many.
+ */
+uint32_t
+FvElection_Hosts(const fv_election_t *election, const fv_peer_entry_t **hosts)
+{
+    *hosts = election->hosts;
+    return election->host_count;
+}
+
+/**
+ * FvElectionHosts_IsLargest - whether no other host has more processor time
+ * @election: the election
+ *
+ * Return: true when this host is among the largest.
+ */
+bool
+FvElectionHosts_IsLargest(const fv_election_t *election)
+{
+    for (uint32_t i = 0; i < election->host_count; i++) {
+        if (election->hosts[i].listed &&
+            election->hosts[i].cpu_cores >
+                election->settings->cpu_cores * Fv_LARGER_HOST) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+registration_written(void *context, const fv_kv_result_t *result)
+{
+    fv_election_t *election = context;
+
+    election->registering = false;
+    election->registered = result->error == Fv_KV_OK;
+}
+
+/**
+ * FvElectionHosts_Enter - enter this host in the registry
+ * @election: the election
+ */
+void
+FvElectionHosts_Enter(fv_election_t *election)
+{
+    const fv_entry_settings_t *settings = election->settings;
+    char key[Fv_KEY_SIZE];
+    char value[Fv_URL_SIZE];
+
+    snprintf(key, sizeof(key), "%s%s", Fv_KEY_HOSTS, settings->host);
+    snprintf(value, sizeof(value), "%s:%d %.3f", settings->address,
+             settings->link_port, settings->cpu_cores);
+    election->registering = true;
+    FvKvClient_Txn(
+        election->kv, NULL, 0,
+        &(fv_kv_put_t){.key = key, .value = value, .length = strlen(value)}, 1,
+        registration_written, election);
+}
+
+static void
+host_forgotten(void *context, const fv_kv_result_t *result)
+{
+    (void)context; /* otherwise it is found gone once more */
+    if (result->error != Fv_KV_OK) {
+        FvLog_Event(Fv_LOG_INFO, "host_not_removed", "error=%d",
+                    (int)result->error);
+    }
+}
+
+/**
+ * FvElection_ForgetHost - remove a host that is gone from the registry
+ * @election: the election
+ * @name: the host; if it is alive after all it enters itself again
+ */
+void
+FvElection_ForgetHost(fv_election_t *election, const char *name)
+{
+    char key[Fv_KEY_SIZE];
+
+    FvLog_Event(Fv_LOG_WARN, "host_gone", "peer=%s", name);
+    snprintf(key, sizeof(key), "%s%s", Fv_KEY_HOSTS, name);
+    FvKvClient_Txn(election->kv, NULL, 0, &(fv_kv_put_t){.key = key}, 1,
+                   host_forgotten, election);
+}
+
+/* The entry of a host; a new one takes the place of one that is gone. */
+static fv_peer_entry_t *
+obtain_host(fv_election_t *election, const char *name)
+{
+    fv_peer_entry_t *place = NULL;
+
+    for (uint32_t i = 0; i < election->host_count; i++) {
+        fv_peer_entry_t *host = &election->hosts[i];
+
+        if (strcmp(host->name, name) == 0) {
+            return host;
+        }
+        place = host->listed ? place : host;
+    }
+    if (place == NULL && election->host_count < Fv_HOSTS_MAX) {
+        place = &election->hosts[election->host_count++];
+    }
+    if (place != NULL) {
+        *place = (fv_peer_entry_t){0};
+        FvText_Copy(place->name, sizeof(place->name), name);
+    }
+    return place;
+}
+
+/**
+ * FvElectionHosts_See - a host's entry was read, changed or removed
+ * @election: the election
+ * @item: the entry
+ */
+void
+FvElectionHosts_See(fv_election_t *election, const fv_kv_item_t *item)
+{
+    fv_peer_entry_t *host =
+        obtain_host(election, item->key + strlen(Fv_KEY_HOSTS));
+    char address[Fv_ADDRESS_SIZE];
+    double cores;
+
+    if (host == NULL) {
+        FvLog_Event(Fv_LOG_ERROR, "host_not_kept", "key=%s most=%d", item->key,
+                    Fv_HOSTS_MAX);
+        return;
+    }
+    host->listed = !item->deleted;
+    if (item->deleted && strcmp(host->name, election->settings->host) == 0) {
+        election->registered = false; /* the next tick enters it again */
+    }
+    if (!item->deleted && item->value.data != NULL &&
+        sscanf((const char *)item->value.data, "%63s %lf", address, &cores) ==
+            2) {
+        FvText_Copy(host->link_address, sizeof(host->link_address), address);
+        host->cpu_cores = cores;
+    }
+    if (election->loaded) {
+        election->events.hosts_changed(election->events.context);
+    }
+}
--- a/src/election.c
+++ b/src/election.c
@@ -4,7 +4,7 @@
  * created is the epoch, and the fencing token of every order.
  */
 
-#include "entry.h"
+#include "election.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -26,7 +26,6 @@
  * than the largest wait longer. */
 #define Fv_CLAIM_JITTER_MS 80
 #define Fv_CLAIM_SMALL_HOST_MS 300
-#define Fv_LARGER_HOST 1.1 /* less of a difference is none */
 #define Fv_CLAIM_RETRY_MS 150
 
 /* A leader that the store refused so often in a row, while it answers other
@@ -43,52 +42,6 @@
 #define Fv_TICK_MS 100
 #define Fv_FREEZE_MS 1000
 
-typedef enum fv_claim_state {
-    Fv_CLAIM_NONE,
-    Fv_CLAIM_GRANTING,
-    Fv_CLAIM_WRITING,
-    Fv_CLAIM_CHECKING,
-    Fv_CLAIM_HELD
-} fv_claim_state_t;
-
-struct fv_election {
-    struct event_base *base;
-    fv_kv_client_t *kv;
-    const fv_entry_settings_t *settings;
-    fv_election_events_t events;
-    fv_kv_watch_t *watch;
-    struct event *tick;
-    char nonce[Fv_NONCE_SIZE];
-    struct event *due; /* of a claim, or of ending a dead leader's lease */
-    bool loaded;       /* the control keys were read */
-    bool leader_known;
-    char leader_host[Fv_NAME_SIZE];
-    int64_t leader_lease;
-    int64_t end_lease_at_ms; /* the leader is dead; 0: not known to be */
-    const char *end_cause;
-    bool registered;
-    bool registering;
-    int32_t last_generation;
-    int64_t generation_revision; /* of its key, 0: there is none */
-    int32_t claimed_generation;
-    fv_claim_state_t state;
-    int64_t claim_at_ms; /* 0: not planned */
-    int64_t check_at_ms; /* of a claim in doubt; 0: being read, or none */
-    int64_t lease;
-    int64_t ttl_ms;
-    int64_t granted_ms; /* when the latest renewal that succeeded was sent */
-    int64_t next_renew_ms;
-    uint32_t failed_renewals; /* in a row */
-    int64_t store_looked_ms; /* this host's read when the leader was refused */
-    int64_t store_proven_ms; /* ... and its answer; 0: none */
-    int64_t last_tick_ms;
-    bool verify; /* stood still: orders only after the next renewal */
-    int64_t verify_after_ms; /* one that was sent since */
-    int64_t abstain_until_ms;
-    uint32_t host_count;
-    fv_peer_entry_t hosts[Fv_HOSTS_MAX];
-};
-
 /**
  * FvElection_OrphanMs - how long a leader may order after its lease ended
  *
@@ -100,33 +53,6 @@
     return Fv_LEADER_ORPHAN_MS;
 }
 
-/**
- * FvElection_Hosts - the registered hosts
- * @election: the election
- * @hosts: set to the list
- *
- * Return: how many.
- */
-uint32_t
-FvElection_Hosts(const fv_election_t *election, const fv_peer_entry_t **hosts)
-{
-    *hosts = election->hosts;
-    return election->host_count;
-}
-
-static bool
-is_largest_host(const fv_election_t *election)
-{
-    for (uint32_t i = 0; i < election->host_count; i++) {
-        if (election->hosts[i].listed &&
-            election->hosts[i].cpu_cores >
-                election->settings->cpu_cores * Fv_LARGER_HOST) {
-            return false;
-        }
-    }
-    return true;
-}
-
 /* Spreads what all hosts do at the same news; the largest ones come first. */
 static int64_t
 pick_delay(const fv_election_t *election)
@@ -136,7 +62,8 @@
 
     FvText_RandomHex(hex, sizeof(hex));
     delay_ms = (int64_t)(strtoul(hex, NULL, 16) % Fv_CLAIM_JITTER_MS) + 1;
-    return delay_ms + (is_largest_host(election) ? 0 : Fv_CLAIM_SMALL_HOST_MS);
+    return delay_ms +
+           (FvElectionHosts_IsLargest(election) ? 0 : Fv_CLAIM_SMALL_HOST_MS);
 }
 
 static void
@@ -339,6 +266,10 @@
 note_refused_renewal(fv_election_t *election)
 {
     election->failed_renewals++;
+    if (election->failed_renewals == Fv_REFUSED_RENEWALS) {
+        FvLog_Event(Fv_LOG_WARN, "leader_refused", "renewals=%u",
+                    election->failed_renewals);
+    }
     if (election->failed_renewals >= Fv_REFUSED_RENEWALS) {
         election->events.refused(election->events.context);
     }
@@ -387,58 +318,6 @@
     FvKvClient_Renew(election->kv, election->lease, renewed, renewal);
 }
 
-static void
-registration_written(void *context, const fv_kv_result_t *result)
-{
-    fv_election_t *election = context;
-
-    election->registering = false;
-    election->registered = result->error == Fv_KV_OK;
-}
-
-static void
-enter_registry(fv_election_t *election)
-{
-    const fv_entry_settings_t *settings = election->settings;
-    char key[Fv_KEY_SIZE];
-    char value[Fv_URL_SIZE];
-
-    snprintf(key, sizeof(key), "%s%s", Fv_KEY_HOSTS, settings->host);
-    snprintf(value, sizeof(value), "%s:%d %.3f", settings->address,
-             settings->link_port, settings->cpu_cores);
-    election->registering = true;
-    FvKvClient_Txn(
-        election->kv, NULL, 0,
-        &(fv_kv_put_t){.key = key, .value = value, .length = strlen(value)}, 1,
-        registration_written, election);
-}
-
-static void
-host_forgotten(void *context, const fv_kv_result_t *result)
-{
-    (void)context; /* otherwise it is found gone once more */
-    if (result->error != Fv_KV_OK) {
-        FvLog_Event(Fv_LOG_INFO, "host_not_removed", "error=%d",
-                    (int)result->error);
-    }
-}
-
-/**
- * FvElection_ForgetHost - remove a host that is gone from the registry
- * @election: the election
- * @name: the host; if it is alive after all it enters itself again
- */
-void
-FvElection_ForgetHost(fv_election_t *election, const char *name)
-{
-    char key[Fv_KEY_SIZE];
-
-    FvLog_Event(Fv_LOG_WARN, "host_gone", "peer=%s", name);
-    snprintf(key, sizeof(key), "%s%s", Fv_KEY_HOSTS, name);
-    FvKvClient_Txn(election->kv, NULL, 0, &(fv_kv_put_t){.key = key}, 1,
-                   host_forgotten, election);
-}
-
 /* Returns whether the process may have stood still. */
 static bool
 notice_freeze(fv_election_t *election, int64_t now_ms)
@@ -546,7 +425,7 @@
     int64_t now_ms = FvClock_NowMs();
     int64_t proven_ms = now_ms - election->store_proven_ms;
 
-    if (!is_largest_host(election)) {
+    if (!FvElectionHosts_IsLargest(election)) {
         return;
     }
     if (election->store_proven_ms != 0 && proven_ms < Fv_STORE_LOOK_MS) {
@@ -570,7 +449,7 @@
     (void)what;
     notice_freeze(election, now_ms);
     if (!election->registered && !election->registering) {
-        enter_registry(election);
+        FvElectionHosts_Enter(election);
     }
     if (election->state == Fv_CLAIM_HELD) {
         if (now_ms >= election->next_renew_ms) {
@@ -677,58 +556,6 @@
     check_predecessor(election);
 }
 
-/* The entry of a host; a new one takes the place of one that is gone. */
-static fv_peer_entry_t *
-obtain_host(fv_election_t *election, const char *name)
-{
-    fv_peer_entry_t *place = NULL;
-
-    for (uint32_t i = 0; i < election->host_count; i++) {
-        fv_peer_entry_t *host = &election->hosts[i];
-
-        if (strcmp(host->name, name) == 0) {
-            return host;
-        }
-        place = host->listed ? place : host;
-    }
-    if (place == NULL && election->host_count < Fv_HOSTS_MAX) {
-        place = &election->hosts[election->host_count++];
-    }
-    if (place != NULL) {
-        *place = (fv_peer_entry_t){0};
-        FvText_Copy(place->name, sizeof(place->name), name);
-    }
-    return place;
-}
-
-static void
-see_host(fv_election_t *election, const fv_kv_item_t *item)
-{
-    fv_peer_entry_t *host =
-        obtain_host(election, item->key + strlen(Fv_KEY_HOSTS));
-    char address[Fv_ADDRESS_SIZE];
-    double cores;
-
-    if (host == NULL) {
-        FvLog_Event(Fv_LOG_ERROR, "host_not_kept", "key=%s most=%d", item->key,
-                    Fv_HOSTS_MAX);
-        return;
-    }
-    host->listed = !item->deleted;
-    if (item->deleted && strcmp(host->name, election->settings->host) == 0) {
-        election->registered = false; /* the next tick enters it again */
-    }
-    if (!item->deleted && item->value.data != NULL &&
-        sscanf((const char *)item->value.data, "%63s %lf", address, &cores) ==
-            2) {
-        FvText_Copy(host->link_address, sizeof(host->link_address), address);
-        host->cpu_cores = cores;
-    }
-    if (election->loaded) {
-        election->events.hosts_changed(election->events.context);
-    }
-}
-
 static void
 control_item(void *context, const fv_kv_item_t *item)
 {
@@ -741,7 +568,7 @@
         see_generation(election, item);
     }
     else if (strncmp(item->key, Fv_KEY_HOSTS, strlen(Fv_KEY_HOSTS)) == 0) {
-        see_host(election, item);
+        FvElectionHosts_See(election, item);
     }
 }
 
@@ -791,7 +618,7 @@
                                                   .item = control_item,
                                                   .loaded = control_loaded,
                                                   .context = election});
-    enter_registry(election);
+    FvElectionHosts_Enter(election);
     return election;
 }
 
--- a/tests/unit/call_test.c
+++ b/tests/unit/call_test.c
@@ -88,7 +88,7 @@
     upstream_t upstream = {.server = evhttp_new(base)};
     struct evhttp_bound_socket *bound =
         evhttp_bind_socket_with_handle(upstream.server, "127.0.0.1", 0);
-    struct sockaddr_in address;
+    struct sockaddr_in address = {0};
     socklen_t size = sizeof(address);
 
     CU_ASSERT_PTR_NOT_NULL_FATAL(bound);
