Test that lasting tasks start again however they end

Cause: docs/promises.md listed lasting jobs as untested. Change: a unit test in which a lasting task ends done, failed, lapsed and stopped, more often than the queue allows attempts; it starts again each time, until its job is cancelled.

--- a/tests/unit/sched_job_test.c
+++ b/tests/unit/sched_job_test.c
@@ -92,6 +92,43 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* Pattern: the tasks of a lasting job end in every way there is, more often
+ * than the queue allows attempts. */
+static void
+test_lasting_task_starts_again_however_it_ends(void)
+{
+    static sched_fixture_t fixture;
+    static const fv_run_end_t ends[] = {Fv_END_FAILED, Fv_END_DONE,
+                                        Fv_END_LAPSED, Fv_END_FAILED,
+                                        Fv_END_FAILED, Fv_END_STOPPED};
+    fv_cell_queue_t queue = FvSchedFixture_Queue("q", 0);
+    fv_sched_job_t *job;
+
+    queue.attempts_max = 2;
+    FvSchedFixture_Open(&fixture, 1);
+    FvSchedFixture_AddWorker(&fixture, "w1", "r1", 4000);
+    job = FvSchedFixture_AddJob(
+        &fixture, JOB, &queue,
+        "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1000,"
+        "\"memMb\":1,\"estimatedMs\":100,\"longRunning\":true}]}");
+    for (uint32_t i = 0; i < sizeof(ends) / sizeof(ends[0]); i++) {
+        FvSchedFixture_Pass(&fixture);
+        CU_ASSERT_EQUAL(FvSchedFixture_Starts(&fixture, JOB), i + 1);
+        FvSchedFixture_ConfirmStarts(&fixture);
+        fixture.now_ms += 10000; /* beyond any quarantine of the worker */
+        FvSchedFixture_ReportEnd(&fixture, "w1", (int64_t)i + 1, JOB ".0.0.0",
+                                 fixture.orders[i].run, ends[i]);
+        CU_ASSERT_STRING_NOT_EQUAL(FvSched_JobState(job), "completed");
+        CU_ASSERT_STRING_NOT_EQUAL(FvSched_JobState(job), "failed");
+        fixture.now_ms += 10000;
+    }
+    FvSched_CancelJob(&fixture.sched, job, fixture.now_ms);
+    FvSchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_Starts(&fixture, JOB),
+                    sizeof(ends) / sizeof(ends[0]));
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -100,6 +137,8 @@
          test_dense_job_is_ordered_at_once},
         {"an occurrence starts before it is due",
          test_occurrence_waits_until_it_is_due},
+        {"a lasting task is not started again",
+         test_lasting_task_starts_again_however_it_ends},
     };
 
     return Fv_RUN_SUITE("sched_job", cases);
