Claim a range of ports for each soak

The hosts' logs have bind_failed 27 times: another soak ran on the same fixed ports, so this one's hosts never came up and its callers spoke with the other one's stand-in. Change: a soak claims a range of ports for as long as it runs and takes the next one when it is taken. No product code is touched.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -11,6 +11,7 @@
 #include "process.h"
 
 #include <argtable2.h>
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <pthread.h>
 #include <signal.h>
@@ -27,9 +28,12 @@
 #define SOAK_CALL_MS 3000
 #define SOAK_SETTLE_MS 40000
 #define SOAK_FIRST_PORT 21000
+#define SOAK_PORT_RANGE 500
+#define SOAK_RANGES 20 /* soaks that may run side by side */
 
 /* Offsets from the first port. */
 #define SOAK_PORT_CONTROL 2
+#define SOAK_PORT_CLAIM 89 /* held for as long as the soak runs */
 #define SOAK_PORT_PROXY 90
 #define SOAK_PORT_ROUTES 100
 #define SOAK_PORT_HOSTS 200
@@ -607,6 +611,25 @@
     return good ? 0 : 1;
 }
 
+/* Claims a range of ports; two soaks on the same one would judge each other's
+ * hosts. Returns its first port, or 0. */
+static int32_t
+claim_ports(int32_t first)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    for (int i = 0; fd >= 0 && i < SOAK_RANGES; i++) {
+        address.sin_port = htons((uint16_t)(first + SOAK_PORT_CLAIM));
+        if (bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0) {
+            return first; /* the socket stays open until the soak ends */
+        }
+        first += SOAK_PORT_RANGE;
+    }
+    return 0;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -627,7 +650,11 @@
     setvbuf(stdout, NULL, _IOLBF, 0);
     soak.seed = seed->count > 0 ? (uint64_t)seed->ival[0] : 1;
     soak.hosts = hosts->count > 0 ? hosts->ival[0] : 4;
-    soak.port = port->count > 0 ? port->ival[0] : SOAK_FIRST_PORT;
+    soak.port = claim_ports(port->count > 0 ? port->ival[0] : SOAK_FIRST_PORT);
+    if (soak.port == 0) {
+        fprintf(stderr, "soak: no free range of ports\n");
+        return 2;
+    }
     if (soak.hosts < 1 || soak.hosts > SOAK_HOSTS_MAX) {
         fprintf(stderr, "soak: 1 to %d hosts\n", SOAK_HOSTS_MAX);
         return 2;
