Write the log in whole lines of at most PIPE_BUF bytes; bound its volume

Cause: the buffered log was written in pieces of up to 16 KB that ended anywhere. A pipe takes up to PIPE_BUF bytes as a whole or not at all. The volume had no bound but the reader's pace.

Change: flush_locked() writes whole lines, at most PIPE_BUF bytes at a time. Events below a warning may add 2 MiB/s; what goes beyond is counted in log_lines_dropped, warnings pass.

Tests, both failing before: log_test "a burst of lines is torn" (a socket that keeps the bounds of each write) and "an overloaded host writes without bound".

--- a/src/log.c
+++ b/src/log.c
@@ -6,6 +6,7 @@
 #include "fireflyvalve.h"
 
 #include <fcntl.h>
+#include <limits.h>
 #include <log4c.h>
 #include <pthread.h>
 #include <stdarg.h>
@@ -63,9 +64,30 @@
 #define Fv_LOG_BUFFER_BYTES (256 * 1024)
 #define Fv_LOG_FLUSH_BYTES (16 * 1024)
 
+/* Most that events below a warning may add: ten times what the leader of 350
+ * workers writes in a burst (0.2 MB/s, docs/measurements/platform.md). */
+#define Fv_LOG_BYTES_PER_S (2 * 1024 * 1024)
+
 static char pending[Fv_LOG_BUFFER_BYTES];
 static size_t pending_bytes;
 static uint64_t lines_dropped;
+static int64_t allowance_bytes = Fv_LOG_BYTES_PER_S;
+static int64_t allowance_at_ms;
+
+/* A pipe takes a write of at most PIPE_BUF bytes as a whole or not at all, so
+ * no line is torn or mixed with those of another process. */
+static size_t
+whole_lines(const char *text, size_t length)
+{
+    const char *end = memchr(text, '\n', length);
+    size_t whole = end != NULL ? (size_t)(end - text) + 1 : length;
+
+    if (length <= PIPE_BUF) {
+        return length;
+    }
+    end = memrchr(text, '\n', PIPE_BUF);
+    return end != NULL ? (size_t)(end - text) + 1 : whole;
+}
 
 static void
 flush_locked(void)
@@ -74,7 +96,8 @@
 
     while (written < pending_bytes) {
         ssize_t count =
-            write(STDOUT_FILENO, pending + written, pending_bytes - written);
+            write(STDOUT_FILENO, pending + written,
+                  whole_lines(pending + written, pending_bytes - written));
 
         if (count <= 0) {
             break; /* the pipe is full: the rest waits */
@@ -85,6 +108,25 @@
     pending_bytes -= written;
 }
 
+/* Whether the volume of the log allows a line. Warnings always pass. */
+static bool
+within_volume(int priority, size_t length)
+{
+    int64_t now_ms = FvClock_NowMs();
+
+    allowance_bytes +=
+        (now_ms - allowance_at_ms) * Fv_LOG_BYTES_PER_S / Fv_MS_PER_S;
+    allowance_at_ms = now_ms;
+    if (allowance_bytes > Fv_LOG_BYTES_PER_S) {
+        allowance_bytes = Fv_LOG_BYTES_PER_S;
+    }
+    if (priority > LOG4C_PRIORITY_WARN && allowance_bytes < (int64_t)length) {
+        return false;
+    }
+    allowance_bytes -= (int64_t)length;
+    return true;
+}
+
 static int
 append_to_buffer(log4c_appender_t *appender,
                  const log4c_logging_event_t *event)
@@ -97,7 +139,8 @@
     if (pending_bytes + length > Fv_LOG_FLUSH_BYTES) {
         flush_locked();
     }
-    if (pending_bytes + length <= sizeof(pending)) {
+    if (pending_bytes + length <= sizeof(pending) &&
+        within_volume(event->evt_priority, length)) {
         memcpy(pending + pending_bytes, text, length);
         pending_bytes += length;
     }
--- a/tests/unit/log_test.c
+++ b/tests/unit/log_test.c
@@ -6,9 +6,11 @@
 #include "suite.h"
 
 #include <fcntl.h>
+#include <limits.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 static char text[1024 * 1024];
@@ -190,6 +192,86 @@
     CU_ASSERT_PTR_NOT_NULL(strstr(text, "event=log_lines_dropped lines="));
 }
 
+/* Counts the writes of the buffered log, and those that would be torn by a
+ * reader which takes no more than a pipe takes at once. */
+static void
+count_writes(int fd, uint32_t *writes, uint32_t *torn)
+{
+    ssize_t count;
+
+    while ((count = read(fd, text, sizeof(text))) > 0) {
+        *writes += 1;
+        *torn += count > PIPE_BUF || text[count - 1] != '\n';
+    }
+}
+
+/* Pattern: a leader under load logs hundreds of lines between two flushes, and
+ * its reader takes each write as one piece of limited size. */
+static void
+test_burst_of_lines_is_not_torn(void)
+{
+    int saved = dup(STDOUT_FILENO);
+    uint32_t writes = 0;
+    uint32_t torn = 0;
+    int ends[2];
+
+    CU_ASSERT_EQUAL_FATAL(socketpair(AF_UNIX, SOCK_SEQPACKET, 0, ends), 0);
+    fflush(stdout);
+    dup2(ends[1], STDOUT_FILENO);
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    CU_ASSERT_EQUAL(FvLog_OpenBuffered(Fv_LOG_INFO, "host-a"), 0);
+    for (int i = 0; i < 500; i++) {
+        FvLog_Event(Fv_LOG_INFO, "start", "task=%016x.0.0.%d run=%d", i, i, i);
+        if (i % 100 == 99) {
+            FvLog_Flush();
+            count_writes(ends[0], &writes, &torn);
+        }
+    }
+    FvLog_Close();
+    dup2(saved, STDOUT_FILENO);
+    close(saved);
+    close(ends[0]);
+    close(ends[1]);
+    CU_ASSERT(writes >= 5);
+    CU_ASSERT_EQUAL(torn, 0);
+}
+
+/* Pattern: an overloaded host writes ever more lines to a reader that keeps
+ * up; the volume stays bounded, warnings still pass, and the rest is counted.
+ */
+static void
+test_volume_is_bounded(void)
+{
+    int saved = dup(STDOUT_FILENO);
+    int null = open("/dev/null", O_WRONLY);
+    int64_t began_ms = FvClock_NowMs();
+    int ends[2];
+
+    CU_ASSERT_EQUAL_FATAL(pipe(ends), 0);
+    fflush(stdout);
+    dup2(null, STDOUT_FILENO);
+    CU_ASSERT_EQUAL(FvLog_OpenBuffered(Fv_LOG_INFO, "host-a"), 0);
+    for (int i = 0; i < 60000 && FvClock_NowMs() - began_ms < 500; i++) {
+        FvLog_Event(Fv_LOG_INFO, "many", "number=%d", i);
+    }
+    dup2(ends[1], STDOUT_FILENO);
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    FvLog_Event(Fv_LOG_WARN, "store_lost", NULL);
+    FvLog_Flush();
+    drain_pipe(ends[0]);
+    FvLog_Flush();
+    FvLog_Flush();
+    FvLog_Close();
+    dup2(saved, STDOUT_FILENO);
+    CU_ASSERT_PTR_NOT_NULL(strstr(text, "event=store_lost"));
+    drain_pipe(ends[0]);
+    CU_ASSERT_PTR_NOT_NULL(strstr(text, "event=log_lines_dropped lines="));
+    close(saved);
+    close(null);
+    close(ends[0]);
+    close(ends[1]);
+}
+
 int
 main(void)
 {
@@ -199,6 +281,8 @@
         {"lines of several threads are mixed", test_threads},
         {"a reader of the log that stands still stops the process",
          test_reader_that_stands_still},
+        {"a burst of lines is torn", test_burst_of_lines_is_not_torn},
+        {"an overloaded host writes without bound", test_volume_is_bounded},
     };
 
     return Fv_RUN_SUITE("log", cases);
