Learn run times for each queue; plan and judge lateness by them

Ruled out: the leader's processor (waits were the same without processor time), advice (tickets were valid for enough workers).

Change: sched-learn.c keeps a regression of actual on declared run times for each queue; chains, latest starts and the emptying of leaving workers use it. A stage is late only beyond one standard deviation of the longest likely run. The learned share of allowed workers moves to the same place.

--- a/src/sched-advice.c
+++ b/src/sched-advice.c
@@ -40,8 +40,7 @@
 /* Tickets that end within this are renewed with the others. */
 #define Fv_TICKET_RENEW_MS 500
 
-/* Until it is learned; between the shares on the sheets, 0.35 to 0.7. */
-#define Fv_ALLOWED_SHARE_START 0.5
+/* How much one worker counts for the learned share. */
 #define Fv_ALLOWED_SHARE_WEIGHT 0.1
 #define Fv_ALLOWED_SHARE_MIN 0.1
 
@@ -90,23 +89,6 @@
            verdict->expires_ms > now_ms + Fv_TICKET_MARGIN_MS;
 }
 
-static double *
-allowed_share(fv_sched_t *sched, const char *queue)
-{
-    for (uint32_t i = 0; i < sched->advice_count; i++) {
-        if (strcmp(sched->advice_shares[i].queue, queue) == 0) {
-            return &sched->advice_shares[i].share;
-        }
-    }
-    if (sched->advice_count == Fv_ADVICE_QUEUES_MAX) {
-        sched->advice_count = 0; /* queues come and go: learn anew */
-    }
-    FvText_Copy(sched->advice_shares[sched->advice_count].queue,
-                sizeof(sched->advice_shares[0].queue), queue);
-    sched->advice_shares[sched->advice_count].share = Fv_ALLOWED_SHARE_START;
-    return &sched->advice_shares[sched->advice_count++].share;
-}
-
 static int
 by_score(const void *left, const void *right)
 {
@@ -181,7 +163,8 @@
 look_around(fv_sched_t *sched, const fv_sched_stage_t *stage,
             fv_candidate_t *candidates, int64_t now_ms)
 {
-    double share = *allowed_share(sched, stage->job->queue.name);
+    double share =
+        FvSched_Learned(sched, stage->job->queue.name)->allowed_share;
     fv_outlook_t outlook = {0};
 
     sched->searches++;
@@ -416,7 +399,8 @@
                 fv_sched_worker_t *const *asked, uint32_t count,
                 const fv_advice_t *advice, int64_t now_ms)
 {
-    double *share = allowed_share(sched, stage->job->queue.name);
+    double *share =
+        &FvSched_Learned(sched, stage->job->queue.name)->allowed_share;
 
     stage->asks_outstanding--;
     stage->next_ask_ms = now_ms + Fv_ASK_PAUSE_MS;
--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -25,21 +25,22 @@
 }
 
 /*
- * The longest chain of estimated run times that starts with each step, which
+ * The longest chain of expected run times that starts with each step, which
  * decides how urgent a stage is. A step names earlier ones only.
  */
-static bool
-measure_chains(fv_sched_job_t *job)
+static void
+measure_chains(fv_sched_job_t *job, const fv_runtime_model_t *model)
 {
     const fv_job_spec_t *spec = &job->spec;
 
-    job->chains_ms = calloc(spec->step_count, sizeof(*job->chains_ms));
-    if (job->chains_ms == NULL) {
-        return false;
-    }
+    memset(job->chains_ms, 0, spec->step_count * sizeof(*job->chains_ms));
+    job->longest_chain_ms = 0;
+    job->run_spread = FvRuntime_Spread(model);
+    job->runtime_version = FvRuntime_Version(model);
     for (uint32_t s = spec->step_count; s-- > 0;) {
         const fv_step_spec_t *step = &spec->steps[s];
-        int64_t chain_ms = job->chains_ms[s] + step->estimated_ms;
+        int64_t chain_ms =
+            job->chains_ms[s] + FvRuntime_Expected(model, step->estimated_ms);
 
         job->chains_ms[s] = chain_ms;
         if (chain_ms > job->longest_chain_ms) {
@@ -51,7 +52,6 @@
             *before_ms = chain_ms > *before_ms ? chain_ms : *before_ms;
         }
     }
-    return true;
 }
 
 static bool
@@ -161,11 +161,13 @@
         job->spec.repeat_count > 0 ? (uint32_t)job->spec.repeat_count : 1;
     job->occurrences =
         calloc(job->occurrence_count, sizeof(*job->occurrences));
+    job->chains_ms = calloc(job->spec.step_count, sizeof(*job->chains_ms));
     if (job->document == NULL || job->occurrences == NULL ||
-        !measure_chains(job)) {
+        job->chains_ms == NULL) {
         free_job(job);
         return NULL;
     }
+    measure_chains(job, &FvSched_Learned(sched, queue->name)->runtime);
     memcpy(job->document, document, length);
     job->document[length] = '\0';
     for (uint32_t i = 0; i < job->occurrence_count; i++) {
@@ -232,6 +234,30 @@
     }
 }
 
+/**
+ * FvSched_PlanStage - by when a stage has to start, by what is known now
+ * @sched: the scheduler
+ * @stage: the stage, released
+ */
+void
+FvSched_PlanStage(fv_sched_t *sched, fv_sched_stage_t *stage)
+{
+    fv_sched_job_t *job = stage->job;
+    const fv_runtime_model_t *model =
+        &FvSched_Learned(sched, job->queue.name)->runtime;
+    double slack_ms;
+
+    if (FvRuntime_Version(model) != job->runtime_version) {
+        measure_chains(job, model);
+    }
+    slack_ms = job->queue.stretch * (double)job->longest_chain_ms -
+               (double)job->chains_ms[stage->step_index];
+    stage->objective_at_ms =
+        stage->counted_from_ms + job->queue.objective_ms + (int64_t)slack_ms;
+    stage->late_after_ms = stage->counted_from_ms + job->queue.objective_ms +
+                           (int64_t)(slack_ms * job->run_spread);
+}
+
 static bool
 predecessors_done(const fv_sched_job_t *job, const fv_occurrence_t *occurrence,
                   uint32_t step_index)
@@ -261,11 +287,9 @@
         if (stage->waiting == 0 || !predecessors_done(job, occurrence, s)) {
             continue;
         }
-        if (stage->objective_at_ms == 0) {
-            stage->objective_at_ms =
-                start_ms + job->queue.objective_ms +
-                (int64_t)(job->queue.stretch * (double)job->longest_chain_ms) -
-                job->chains_ms[s];
+        if (stage->counted_from_ms == 0) {
+            stage->counted_from_ms = start_ms;
+            FvSched_PlanStage(sched, stage);
         }
         FvSched_MarkPending(sched, stage);
     }
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -120,14 +120,16 @@
 }
 
 static void
-rank_stages(const fv_sched_t *sched, fv_ranked_t *ranked, int64_t now_ms)
+rank_stages(fv_sched_t *sched, fv_ranked_t *ranked, int64_t now_ms)
 {
     uint32_t i = 0;
 
     for (fv_sched_stage_t *stage = sched->pending; stage != NULL;
          stage = stage->pending_next) {
-        bool late =
-            stage->objective_at_ms < now_ms && !stage->step->long_running;
+        bool late;
+
+        FvSched_PlanStage(sched, stage);
+        late = stage->late_after_ms < now_ms && !stage->step->long_running;
 
         ranked[i++] = (fv_ranked_t){
             .stage = stage,
@@ -230,7 +232,7 @@
          stage = stage->pending_next) {
         if (needs_placing(stage)) {
             load->stages_waiting++;
-            load->stages_late += stage->objective_at_ms < now_ms;
+            load->stages_late += stage->late_after_ms < now_ms;
             load->tasks_waiting += (uint32_t)stage->waiting;
         }
     }
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -146,6 +146,7 @@
     task->confirmed_ms = 0;
     task->in_doubt = false;
     task->inherited = false;
+    task->whole_run = task->checkpoint == NULL;
     task->percent = 0;
     task->progress_ms = now_ms;
     task->stage->waiting--;
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -67,6 +67,22 @@
     }
 }
 
+/* A gang's members count as one run; so do the tasks of another step
+ * together. */
+static void
+learn_run_time(fv_sched_t *sched, const fv_sched_task_t *task, int64_t now_ms)
+{
+    const fv_sched_stage_t *stage = task->stage;
+    fv_learned_t *learned = FvSched_Learned(sched, stage->job->queue.name);
+
+    if (task->whole_run) {
+        FvRuntime_Observe(&learned->runtime, stage->step->estimated_ms,
+                          now_ms - task->ordered_ms,
+                          stage->step->gang ? 1.0
+                                            : 1.0 / stage->step->task_count);
+    }
+}
+
 /* Returns whether the end changes what is to be recorded. */
 static bool
 apply_end(fv_sched_t *sched, fv_sched_worker_t *worker,
@@ -94,6 +110,9 @@
             if (!current && task->worker != NULL) {
                 sched->port->stop(sched, task);
             }
+            if (current) {
+                learn_run_time(sched, task, now_ms);
+            }
             FvSched_TaskDone(sched, task, current, now_ms);
             return true;
         }
@@ -124,6 +143,7 @@
 {
     task->run = row->run;
     task->state = Fv_SCHED_RUNNING;
+    task->whole_run = false;
     task->stage->waiting--;
     task->stage->gang_run = row->run;
     task->confirmed_ms = now_ms;
@@ -284,12 +304,15 @@
 
 /* How long a run still takes, from what it has done so far. */
 static int64_t
-time_left(const fv_sched_task_t *task, int64_t now_ms)
+time_left(fv_sched_t *sched, const fv_sched_task_t *task, int64_t now_ms)
 {
+    const fv_sched_stage_t *stage = task->stage;
     int64_t ran_ms = now_ms - task->ordered_ms;
 
     if (task->percent <= 0) {
-        return task->stage->step->estimated_ms;
+        return FvRuntime_Expected(
+            &FvSched_Learned(sched, stage->job->queue.name)->runtime,
+            stage->step->estimated_ms);
     }
     return ran_ms * (100 - task->percent) / task->percent;
 }
@@ -309,7 +332,7 @@
     for (fv_sched_task_t *task = worker->tasks; task != NULL; task = next) {
         next = task->worker_next;
         if (task->state != Fv_SCHED_RUNNING ||
-            time_left(task, now_ms) < left_ms) {
+            time_left(sched, task, now_ms) < left_ms) {
             continue;
         }
         FvLog_Event(Fv_LOG_INFO, "run_moved",
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -49,6 +49,7 @@
     char *checkpoint;
     const fv_sched_worker_t *failed_on;
     bool inherited; /* an earlier leader may have started it */
+    bool whole_run; /* this leader started its run, without a checkpoint */
     bool in_doubt;  /* the start was not answered */
 };
 
@@ -80,7 +81,9 @@
     int32_t asks_outstanding;
     int64_t next_ask_ms;
     int64_t next_place_ms;
-    int64_t objective_at_ms; /* for the order of stages */
+    int64_t counted_from_ms; /* the objective's beginning; 0: not released */
+    int64_t objective_at_ms; /* latest start by the expected run times */
+    int64_t late_after_ms;   /* ... by the longest likely ones */
 };
 
 typedef struct fv_occurrence {
@@ -115,6 +118,8 @@
     bool progress_recorded;
     int64_t *chains_ms; /* of each step: the longest chain from it on */
     int64_t longest_chain_ms;
+    double run_spread;        /* factor by which run times may exceed these */
+    uint32_t runtime_version; /* of what they were measured with */
     uint32_t occurrence_count;
     fv_occurrence_t *occurrences;
     int32_t running_tasks; /* ordered, running or stopping */
@@ -179,13 +184,26 @@
     void (*look)(fv_sched_t *sched, fv_sched_worker_t *worker);
 } fv_sched_port_t;
 
-/* Learned share of workers that the advice service allows for a queue. */
-typedef struct fv_advice_share {
+/* How the run times of a queue follow the declared ones: sums over the
+ * logarithms of both, of which older ones count less. */
+typedef struct fv_runtime_model {
+    double weight;
+    double declared_mean;
+    double actual_mean;
+    double declared_squares;
+    double actual_squares;
+    double products;
+    uint32_t runs;
+} fv_runtime_model_t;
+
+/* What is learned about a queue. */
+typedef struct fv_learned {
     char queue[Fv_NAME_SIZE];
-    double share;
-} fv_advice_share_t;
+    double allowed_share; /* of the workers, by the advice service */
+    fv_runtime_model_t runtime;
+} fv_learned_t;
 
-#define Fv_ADVICE_QUEUES_MAX 64
+#define Fv_LEARNED_QUEUES_MAX 64
 
 struct fv_sched {
     const fv_sched_port_t *port;
@@ -204,8 +222,8 @@
     int64_t stop_ms;        /* a stop takes no longer */
     int64_t gang_fill_ms;   /* how long missing members may be replaced */
     int64_t doubt_until_ms; /* orders were left unanswered lately */
-    uint32_t advice_count;
-    fv_advice_share_t advice_shares[Fv_ADVICE_QUEUES_MAX];
+    uint32_t learned_count;
+    fv_learned_t learned[Fv_LEARNED_QUEUES_MAX];
 };
 
 /* sched-job.c */
@@ -232,6 +250,17 @@
                     fv_sched_outcome_t outcome, int64_t now_ms);
 void FvSched_MarkPending(fv_sched_t *sched, fv_sched_stage_t *stage);
 
+void FvSched_PlanStage(fv_sched_t *sched, fv_sched_stage_t *stage);
+
+/* sched-learn.c */
+fv_learned_t *FvSched_Learned(fv_sched_t *sched, const char *queue);
+void FvRuntime_Observe(fv_runtime_model_t *model, int64_t declared_ms,
+                       int64_t actual_ms, double weight);
+int64_t FvRuntime_Expected(const fv_runtime_model_t *model,
+                           int64_t declared_ms);
+double FvRuntime_Spread(const fv_runtime_model_t *model);
+uint32_t FvRuntime_Version(const fv_runtime_model_t *model);
+
 /* sched-record.c: what is kept in the store. */
 bool FvSchedRecord_Job(const fv_sched_job_t *job, fv_buffer_t *out);
 bool FvSchedRecord_Progress(const fv_sched_job_t *job, fv_buffer_t *out);
