Stop checkpointing tasks of less urgent queues to make room for gangs

A gang in time whose workers are full has running tasks stopped that save their state, belong to a less urgent queue, have time left and are not nearly done, if that makes room for the whole gang while its tickets last; the cleared workers are reserved for it first. The room that decides whether a gang asks for advice counts what can be cleared. One list of a stage's possible workers serves placing, reserving and clearing (FvSched_Options), and one loop starts single tasks and missing members (place_each); both stood twice.

--- a/src/sched-advice.c
+++ b/src/sched-advice.c
@@ -115,13 +115,22 @@
     return score;
 }
 
+/* A gang may have less urgent tasks stopped. */
+static int32_t
+room_for(const fv_sched_worker_t *worker, const fv_sched_stage_t *stage,
+         int64_t now_ms)
+{
+    return stage->step->gang ? FvSched_TasksWhenCleared(worker, stage, now_ms)
+                             : FvSched_TasksThatFit(worker, stage->step);
+}
+
 /* Adds a worker that may run the stage; its ticket may have run out. */
 static void
 judge_allowed(const fv_sched_stage_t *stage, const fv_verdict_t *verdict,
               fv_outlook_t *outlook, fv_candidate_t *candidates,
               int64_t now_ms)
 {
-    int32_t room = FvSched_TasksThatFit(verdict->worker, stage->step);
+    int32_t room = room_for(verdict->worker, stage, now_ms);
 
     if (!FvSched_WorkerUsable(verdict->worker, stage, now_ms)) {
         return;
@@ -142,9 +151,9 @@
 static void
 judge_unknown(fv_sched_t *sched, const fv_sched_stage_t *stage,
               fv_sched_worker_t *worker, double share, fv_outlook_t *outlook,
-              fv_candidate_t *candidates)
+              fv_candidate_t *candidates, int64_t now_ms)
 {
-    int32_t room = FvSched_TasksThatFit(worker, stage->step);
+    int32_t room = room_for(worker, stage, now_ms);
 
     outlook->room_unknown += room;
     outlook->expected_unknown += room * share;
@@ -187,7 +196,8 @@
         if (worker->judged_in != sched->searches &&
             FvSched_TasksWhenEmpty(worker, stage->step) > 0 &&
             FvSched_WorkerUsable(worker, stage, now_ms)) {
-            judge_unknown(sched, stage, worker, share, &outlook, candidates);
+            judge_unknown(sched, stage, worker, share, &outlook, candidates,
+                          now_ms);
         }
     }
     return outlook;
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -197,6 +197,7 @@
             give_up_gang(sched, stage, now_ms);
             FvSched_AskAdvice(sched, stage, now_ms);
             if (ranked[i].rank < Fv_LATE_PENALTY) {
+                FvSched_PreemptForGang(sched, stage, now_ms);
                 FvSched_ReserveForGang(sched, stage, now_ms);
             }
         }
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -69,26 +69,6 @@
     return a->score < b->score ? 1 : a->score > b->score ? -1 : 0;
 }
 
-static uint32_t
-add_slot(const fv_sched_stage_t *stage, fv_sched_worker_t *worker,
-         const fv_verdict_t *verdict, fv_slot_t *slots, uint32_t count,
-         int64_t now_ms)
-{
-    fv_slot_t slot = {.worker = worker, .verdict = verdict};
-
-    if (!FvSched_Fits(worker, stage->step) ||
-        !FvSched_WorkerUsable(worker, stage, now_ms)) {
-        return count;
-    }
-    slot.room = room_for(worker, stage);
-    if (slot.room <= 0) {
-        return count;
-    }
-    slot.score = score_slot(stage, &slot);
-    slots[count] = slot;
-    return count + 1;
-}
-
 static int32_t
 room_in(const fv_slot_t *slots, uint32_t count)
 {
@@ -100,34 +80,80 @@
     return room;
 }
 
-static uint32_t
-find_slots(const fv_sched_t *sched, const fv_sched_stage_t *stage,
-           fv_slot_t *slots, int64_t now_ms)
+/**
+ * FvSched_Options - the workers that may run tasks of a stage, room aside
+ * @sched: the scheduler
+ * @stage: the stage
+ * @ticket_at_ms: when their tickets have to be valid, Fv_ANY_TICKET for ever
+ *                allowed ones
+ * @now_ms: the time
+ * @count: receives how many
+ *
+ * Return: the workers, to be freed by the caller; NULL when there are none or
+ * memory is exhausted.
+ */
+fv_option_t *
+FvSched_Options(const fv_sched_t *sched, const fv_sched_stage_t *stage,
+                int64_t ticket_at_ms, int64_t now_ms, uint32_t *count)
 {
-    uint32_t count = 0;
+    bool advised = stage->job->queue.needs_advice;
+    uint32_t most =
+        advised ? stage->verdict_count : HASH_COUNT(sched->workers);
+    fv_option_t *options = most > 0 ? calloc(most, sizeof(*options)) : NULL;
+
+    *count = 0;
+    if (options == NULL) {
+        return NULL;
+    }
+    for (uint32_t i = 0; advised && i < stage->verdict_count; i++) {
+        const fv_verdict_t *verdict = &stage->verdicts[i];
 
-    if (!stage->job->queue.needs_advice) {
-        for (fv_sched_worker_t *worker = sched->workers; worker != NULL;
-             worker = worker->hh.next) {
-            count = add_slot(stage, worker, NULL, slots, count, now_ms);
+        if (verdict->allowed &&
+            (ticket_at_ms == Fv_ANY_TICKET ||
+             FvSched_TicketValid(verdict, ticket_at_ms)) &&
+            FvSched_WorkerUsable(verdict->worker, stage, now_ms)) {
+            options[(*count)++] =
+                (fv_option_t){.worker = verdict->worker, .verdict = verdict};
         }
     }
-    for (uint32_t i = 0;
-         stage->job->queue.needs_advice && i < stage->verdict_count; i++) {
-        const fv_verdict_t *verdict = &stage->verdicts[i];
+    for (fv_sched_worker_t *worker = sched->workers;
+         !advised && worker != NULL; worker = worker->hh.next) {
+        if (FvSched_WorkerUsable(worker, stage, now_ms)) {
+            options[(*count)++] = (fv_option_t){.worker = worker};
+        }
+    }
+    return options;
+}
 
-        if (FvSched_TicketValid(verdict, now_ms)) {
-            count = add_slot(stage, verdict->worker, verdict, slots, count,
-                             now_ms);
+static fv_slot_t *
+find_slots(const fv_sched_t *sched, const fv_sched_stage_t *stage,
+           int64_t now_ms, uint32_t *count)
+{
+    uint32_t option_count;
+    fv_option_t *options =
+        FvSched_Options(sched, stage, now_ms, now_ms, &option_count);
+    fv_slot_t *slots =
+        option_count > 0 ? calloc(option_count, sizeof(*slots)) : NULL;
+
+    *count = 0;
+    for (uint32_t i = 0; slots != NULL && i < option_count; i++) {
+        fv_slot_t slot = {.worker = options[i].worker,
+                          .verdict = options[i].verdict};
+
+        slot.room = room_for(slot.worker, stage);
+        slot.score = score_slot(stage, &slot);
+        if (slot.room > 0) {
+            slots[(*count)++] = slot;
         }
     }
     /* A gang that does not fit as a whole is not placed; its slots need no
      * order. */
-    if (count > 1 &&
-        (!stage->step->gang || room_in(slots, count) >= stage->waiting)) {
-        qsort(slots, count, sizeof(*slots), by_score);
+    if (*count > 1 &&
+        (!stage->step->gang || room_in(slots, *count) >= stage->waiting)) {
+        qsort(slots, *count, sizeof(*slots), by_score);
     }
-    return count;
+    free(options);
+    return slots;
 }
 
 static int32_t
@@ -216,12 +242,15 @@
     return second;
 }
 
-/* Starts missing members under the run that the others wait with. A worker
- * that was told to stop the member would turn it away. */
+/* Starts tasks one by one, each with a run of its own, or missing members
+ * under the run that the others of their gang wait with. A worker that was
+ * told to stop such a member would turn it away. */
 static void
-place_members(fv_sched_t *sched, fv_sched_stage_t *stage, fv_slot_t *slots,
-              uint32_t count, int64_t now_ms)
+place_each(fv_sched_t *sched, fv_sched_stage_t *stage, fv_slot_t *slots,
+           uint32_t count, int64_t now_ms)
 {
+    bool gang = stage->step->gang;
+
     for (int32_t i = 0; i < stage->step->task_count; i++) {
         fv_sched_task_t *task = &stage->tasks[i];
         fv_slot_t *slot;
@@ -230,10 +259,11 @@
             continue;
         }
         slot = best_slot(task, slots, count);
-        if (slot == NULL || slot->worker == task->failed_on) {
+        if (slot == NULL || (gang && slot->worker == task->failed_on)) {
             return;
         }
-        start_task(sched, task, slot, stage->gang_run, now_ms);
+        start_task(sched, task, slot,
+                   gang ? stage->gang_run : next_run(sched, task), now_ms);
     }
 }
 
@@ -249,7 +279,7 @@
     }
     if (stage->waiting < stage->step->task_count) {
         if (FvSched_MayRefillGang(sched, stage, now_ms)) {
-            place_members(sched, stage, slots, count, now_ms);
+            place_each(sched, stage, slots, count, now_ms);
         }
         return;
     }
@@ -275,25 +305,6 @@
     stage->gang_broken = false;
 }
 
-static void
-place_singly(fv_sched_t *sched, fv_sched_stage_t *stage, fv_slot_t *slots,
-             uint32_t count, int64_t now_ms)
-{
-    for (int32_t i = 0; i < stage->step->task_count; i++) {
-        fv_sched_task_t *task = &stage->tasks[i];
-        fv_slot_t *slot;
-
-        if (!may_start(sched, task)) {
-            continue;
-        }
-        slot = best_slot(task, slots, count);
-        if (slot == NULL) {
-            return;
-        }
-        start_task(sched, task, slot, next_run(sched, task), now_ms);
-    }
-}
-
 /**
  * FvSched_PlaceStage - start what can start of a stage
  * @sched: the scheduler
@@ -303,25 +314,18 @@
 void
 FvSched_PlaceStage(fv_sched_t *sched, fv_sched_stage_t *stage, int64_t now_ms)
 {
-    uint32_t most = stage->job->queue.needs_advice
-                        ? stage->verdict_count
-                        : HASH_COUNT(sched->workers);
     fv_slot_t *slots;
     uint32_t count;
 
-    if (now_ms < stage->next_place_ms || most == 0) {
-        return;
-    }
-    slots = malloc(most * sizeof(*slots));
-    if (slots == NULL) {
+    if (now_ms < stage->next_place_ms) {
         return;
     }
-    count = find_slots(sched, stage, slots, now_ms);
+    slots = find_slots(sched, stage, now_ms, &count);
     if (count > 0 && stage->step->gang) {
         place_gang(sched, stage, slots, count, now_ms);
     }
     else if (count > 0) {
-        place_singly(sched, stage, slots, count, now_ms);
+        place_each(sched, stage, slots, count, now_ms);
     }
     free(slots);
 }
--- a/src/sched-reserve.c
+++ b/src/sched-reserve.c
@@ -19,6 +19,7 @@
 
 typedef struct fv_claimed {
     fv_sched_worker_t *worker;
+    bool cleared; /* other tasks were stopped there for the gang */
     int32_t fits_now;
     int32_t fits_empty;
 } fv_claimed_t;
@@ -43,6 +44,9 @@
     const fv_claimed_t *a = left;
     const fv_claimed_t *b = right;
 
+    if (a->cleared != b->cleared) {
+        return a->cleared ? -1 : 1;
+    }
     if (a->fits_now != b->fits_now) {
         return a->fits_now > b->fits_now ? -1 : 1;
     }
@@ -53,32 +57,6 @@
     return 0;
 }
 
-static uint32_t
-find_allowed(const fv_sched_t *sched, const fv_sched_stage_t *stage,
-             fv_claimed_t *claimed, int64_t now_ms)
-{
-    uint32_t count = 0;
-
-    if (!stage->job->queue.needs_advice) {
-        for (fv_sched_worker_t *worker = sched->workers; worker != NULL;
-             worker = worker->hh.next) {
-            if (FvSched_WorkerUsable(worker, stage, now_ms)) {
-                claimed[count++].worker = worker;
-            }
-        }
-        return count;
-    }
-    for (uint32_t i = 0; i < stage->verdict_count; i++) {
-        const fv_verdict_t *verdict = &stage->verdicts[i];
-
-        if (verdict->allowed &&
-            FvSched_WorkerUsable(verdict->worker, stage, now_ms)) {
-            claimed[count++].worker = verdict->worker;
-        }
-    }
-    return count;
-}
-
 static bool
 knows_all_workers(const fv_sched_t *sched, const fv_sched_stage_t *stage)
 {
@@ -100,6 +78,7 @@
     double wanted = stage->step->task_count * Fv_RESERVE_SURPLUS;
     double reserved = 0.0;
     int64_t room = 0;
+    fv_option_t *options;
     fv_claimed_t *claimed;
     uint32_t count;
 
@@ -108,20 +87,23 @@
             HASH_COUNT(sched->workers) * Fv_RESERVE_SHARE) {
         return;
     }
-    claimed = calloc((size_t)HASH_COUNT(sched->workers) + 1, sizeof(*claimed));
+    options = FvSched_Options(sched, stage, Fv_ANY_TICKET, now_ms, &count);
+    claimed = count > 0 ? calloc(count, sizeof(*claimed)) : NULL;
     if (claimed == NULL) {
-        return;
+        goto done;
     }
-    count = find_allowed(sched, stage, claimed, now_ms);
     for (uint32_t i = 0; i < count; i++) {
-        claimed[i].fits_now =
-            FvSched_TasksThatFit(claimed[i].worker, stage->step);
-        claimed[i].fits_empty =
-            FvSched_TasksWhenEmpty(claimed[i].worker, stage->step);
+        fv_sched_worker_t *worker = options[i].worker;
+
+        claimed[i] = (fv_claimed_t){
+            .worker = worker,
+            .cleared = worker->cleared_for == stage,
+            .fits_now = FvSched_TasksThatFit(worker, stage->step),
+            .fits_empty = FvSched_TasksWhenEmpty(worker, stage->step)};
         room += claimed[i].fits_empty;
     }
     if (room < stage->step->task_count && knows_all_workers(sched, stage)) {
-        count = 0; /* the cell can't hold it */
+        goto done; /* the cell can't hold it */
     }
     qsort(claimed, count, sizeof(*claimed), by_room_now);
     for (uint32_t i = 0; i < count && reserved < wanted &&
@@ -132,5 +114,7 @@
         claimed[i].worker->reserved_for = stage;
         reserved += claimed[i].fits_empty;
     }
+done:
     free(claimed);
+    free(options);
 }
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -243,21 +243,55 @@
            worker->free_accelerators >= step->accelerators;
 }
 
-static int32_t
-tasks_in(const fv_step_spec_t *step, int64_t cpu_millis, int64_t memory_mib,
-         int64_t accelerators)
+/**
+ * FvSched_FreeRoom - what a worker has left
+ * @worker: the worker
+ *
+ * Return: its free resources.
+ */
+fv_room_t
+FvSched_FreeRoom(const fv_sched_worker_t *worker)
+{
+    return (fv_room_t){.cpu_millis = worker->free_cpu_millis,
+                       .memory_mib = worker->free_memory_mib,
+                       .accelerators = worker->free_accelerators};
+}
+
+/**
+ * FvSched_AddRoom - add what a task of a step occupies
+ * @room: the room
+ * @step: the step
+ */
+void
+FvSched_AddRoom(fv_room_t *room, const fv_step_spec_t *step)
+{
+    room->cpu_millis += step->uses_spare_cpu ? 0 : step->cpu_millis;
+    room->memory_mib += step->memory_mib;
+    room->accelerators += step->accelerators;
+}
+
+/**
+ * FvSched_TasksIn - how many tasks of a step fit into a room
+ * @step: the step
+ * @room: the room
+ *
+ * Return: the number.
+ */
+int32_t
+FvSched_TasksIn(const fv_step_spec_t *step, const fv_room_t *room)
 {
     int64_t most = step->task_count;
 
     if (!step->uses_spare_cpu && step->cpu_millis > 0 &&
-        cpu_millis / step->cpu_millis < most) {
-        most = cpu_millis / step->cpu_millis;
+        room->cpu_millis / step->cpu_millis < most) {
+        most = room->cpu_millis / step->cpu_millis;
     }
-    if (step->memory_mib > 0 && memory_mib / step->memory_mib < most) {
-        most = memory_mib / step->memory_mib;
+    if (step->memory_mib > 0 && room->memory_mib / step->memory_mib < most) {
+        most = room->memory_mib / step->memory_mib;
     }
-    if (step->accelerators > 0 && accelerators / step->accelerators < most) {
-        most = accelerators / step->accelerators;
+    if (step->accelerators > 0 &&
+        room->accelerators / step->accelerators < most) {
+        most = room->accelerators / step->accelerators;
     }
     if (step->per_worker_max > 0 && step->per_worker_max < most) {
         most = step->per_worker_max;
@@ -276,8 +310,9 @@
 FvSched_TasksThatFit(const fv_sched_worker_t *worker,
                      const fv_step_spec_t *step)
 {
-    return tasks_in(step, worker->free_cpu_millis, worker->free_memory_mib,
-                    worker->free_accelerators);
+    fv_room_t room = FvSched_FreeRoom(worker);
+
+    return FvSched_TasksIn(step, &room);
 }
 
 /**
@@ -291,8 +326,10 @@
 FvSched_TasksWhenEmpty(const fv_sched_worker_t *worker,
                        const fv_step_spec_t *step)
 {
-    return tasks_in(step, worker->entry.cpu_millis, worker->entry.memory_mib,
-                    worker->entry.accelerators);
+    return FvSched_TasksIn(
+        step, &(fv_room_t){.cpu_millis = worker->entry.cpu_millis,
+                           .memory_mib = worker->entry.memory_mib,
+                           .accelerators = worker->entry.accelerators});
 }
 
 static bool
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -44,6 +44,7 @@
     int64_t stop_sent_ms;
     int64_t stop_confirmed_ms; /* 0: the stop was not answered */
     int32_t percent;
+    int32_t preemptions; /* times that it was stopped to make room */
     int64_t progress_ms; /* when the percent last changed */
     uint64_t listed_in;  /* the latest report that lists its run */
     char *checkpoint;
@@ -71,9 +72,10 @@
     int32_t waiting;
     int32_t done;
     int32_t gang_run;
-    int64_t gang_ordered_ms; /* when its run was ordered */
-    bool gang_broken;        /* the run is being stopped */
-    bool pending;            /* in the scheduler's list of stages to place */
+    int64_t gang_ordered_ms;   /* when its run was ordered */
+    bool gang_broken;          /* the run is being stopped */
+    int64_t clearing_until_ms; /* other tasks are stopped to make room */
+    bool pending;              /* in the scheduler's list of stages to place */
     fv_sched_stage_t *pending_next;
     fv_verdict_t *verdicts;
     uint32_t verdict_count;
@@ -151,6 +153,8 @@
     uint32_t strays; /* runs that belong to no open task; size not known */
     fv_sched_task_t *tasks;
     const fv_sched_stage_t *reserved_for; /* in this pass: a waiting gang */
+    const fv_sched_stage_t *cleared_for;  /* the latest gang that it was
+                                             cleared for; compared only */
     uint64_t judged_in;     /* the latest search that found a verdict on it */
     int32_t failure_streak; /* of tasks of different jobs */
     const fv_sched_job_t *last_failed_job;
@@ -281,6 +285,16 @@
 void FvSched_AttachTask(fv_sched_worker_t *worker, fv_sched_task_t *task);
 void FvSched_DetachTask(fv_sched_task_t *task);
 bool FvSched_Fits(const fv_sched_worker_t *worker, const fv_step_spec_t *step);
+/* Resources of a worker, or a part of them. */
+typedef struct fv_room {
+    int64_t cpu_millis;
+    int64_t memory_mib;
+    int64_t accelerators;
+} fv_room_t;
+
+fv_room_t FvSched_FreeRoom(const fv_sched_worker_t *worker);
+void FvSched_AddRoom(fv_room_t *room, const fv_step_spec_t *step);
+int32_t FvSched_TasksIn(const fv_step_spec_t *step, const fv_room_t *room);
 int32_t FvSched_TasksThatFit(const fv_sched_worker_t *worker,
                              const fv_step_spec_t *step);
 int32_t FvSched_TasksWhenEmpty(const fv_sched_worker_t *worker,
@@ -331,9 +345,28 @@
                      const fv_advice_t *advice, int64_t now_ms);
 
 /* sched-place.c */
+/* A worker that may run tasks of a stage. */
+typedef struct fv_option {
+    fv_sched_worker_t *worker;
+    const fv_verdict_t *verdict; /* NULL where no advice is needed */
+} fv_option_t;
+
+#define Fv_ANY_TICKET INT64_MIN
+
+fv_option_t *FvSched_Options(const fv_sched_t *sched,
+                             const fv_sched_stage_t *stage,
+                             int64_t ticket_at_ms, int64_t now_ms,
+                             uint32_t *count);
 void FvSched_PlaceStage(fv_sched_t *sched, fv_sched_stage_t *stage,
                         int64_t now_ms);
 
+/* sched-preempt.c */
+#define Fv_VICTIMS_MAX 64 /* of one worker at one time */
+int32_t FvSched_TasksWhenCleared(const fv_sched_worker_t *worker,
+                                 const fv_sched_stage_t *gang, int64_t now_ms);
+void FvSched_PreemptForGang(fv_sched_t *sched, fv_sched_stage_t *gang,
+                            int64_t now_ms);
+
 /* sched-reserve.c */
 void FvSched_ClearReservations(fv_sched_t *sched);
 void FvSched_ReserveForGang(fv_sched_t *sched, fv_sched_stage_t *stage,
