Probe a faulty worker again when a probe ended without a verdict

Cause: found by reading. A quarantined worker gets one task as a probe, and no other while that is open. The mark was cleared only by an end that judges the worker; a probe that was refused, cancelled, lost or moved left it set, and the worker got no task until it restarted.

Change: the mark goes with any task that leaves the worker.

Test: sched_report_test "a worker is never probed again" fails without the change.

--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -221,6 +221,7 @@
     task->worker = NULL;
     task->worker_next = NULL;
     task->worker_previous = NULL;
+    worker->probing = false; /* a probe may end without a verdict */
     worker->task_count--;
     task->stage->job->running_tasks--;
     charge(worker, task->stage->step, -1);
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -319,6 +319,33 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* Pattern: a faulty worker is probed with one task, and the probe ends without
+ * telling anything: its start is turned away, or its job is cancelled. */
+static void
+test_probe_without_verdict_is_repeated(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_Queue("q", 0);
+    fv_sched_worker_t *worker;
+    fv_sched_task_t *task;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 2000);
+    worker->quarantined_until_ms = fixture.now_ms;
+    fixture.now_ms += 1;
+    FvSchedFixture_AddJob(&fixture, JOB_A, &queue, two_tasks);
+    FvSchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_Starts(&fixture, JOB_A), 1);
+    CU_ASSERT_TRUE(worker->probing);
+    task = FvSched_FindTask(&fixture.sched, JOB_A ".0.0.0");
+    FvSched_StartAnswered(&fixture.sched, task, 1, Fv_ORDER_OLD_RUN,
+                          fixture.now_ms);
+    fixture.now_ms += 1000;
+    FvSchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_Starts(&fixture, JOB_A), 2);
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -335,6 +362,8 @@
          test_refused_repetition_settles_nothing},
         {"a start is sent without the right to give orders",
          test_no_order_without_the_right},
+        {"a worker is never probed again",
+         test_probe_without_verdict_is_repeated},
         {"a task is lost with a worker that said it would leave",
          test_leaving_worker_is_emptied},
         {"a start that reached a worker's new life is repeated",
