Try a refused renewal again after 0.1 s

Change: a refused leader renews every 0.1 s, and another host's answer counts after 0.07 s in place of 0.15 s, more than three times what the leader's word takes.

Test: election_test "a refused leader waits for its next renewal" fails without the change.

--- a/src/election.c
+++ b/src/election.c
@@ -29,14 +29,17 @@
 #define Fv_CLAIM_RETRY_MS 150
 
 /* A leader that the store refused so often in a row, while it answers other
- * hosts, lets one of these take over. */
+ * hosts, lets one of these take over; meanwhile it tries more often, a call at
+ * a tenth of a read's price. */
 #define Fv_REFUSED_RENEWALS 2
+#define Fv_REFUSED_RENEW_MS 100
 
 /* A host reads the leader's key to see whether the store answers it, at most
  * this often; a leader that is still refused so long after that answer is
- * refused alone. */
+ * refused alone: longer than the leader's word takes between regions, 20 ms.
+ */
 #define Fv_STORE_LOOK_MS 500
-#define Fv_STORE_PROVEN_MS 150
+#define Fv_STORE_PROVEN_MS 70
 
 /* A gap between two ticks that tells that the process stood still. */
 #define Fv_TICK_MS 100
@@ -265,7 +268,12 @@
 static void
 note_refused_renewal(fv_election_t *election)
 {
+    int64_t again_ms = FvClock_NowMs() + Fv_REFUSED_RENEW_MS;
+
     election->failed_renewals++;
+    if (election->next_renew_ms > again_ms) {
+        election->next_renew_ms = again_ms;
+    }
     if (election->failed_renewals == Fv_REFUSED_RENEWALS) {
         FvLog_Event(Fv_LOG_WARN, "leader_refused", "renewals=%u",
                     election->failed_renewals);
--- a/tests/unit/election_test.c
+++ b/tests/unit/election_test.c
@@ -375,6 +375,30 @@
     close_election();
 }
 
+/* Pattern: the store turns the leader away at once. Until it is replaced no
+ * job can be taken in, so it has to know within a few round trips. */
+static void
+test_refused_leader_tries_again_soon(void)
+{
+    open_election("1");
+    fake_kv_answer(send_claim(),
+                   (fv_kv_result_t){.error = Fv_KV_OK, .revision = 900});
+    while (fake_kv_count(FAKE_KV_RENEW) < 1) {
+        fake_kv_run(base, 20);
+    }
+    fake_kv_answer(fake_kv_latest(FAKE_KV_RENEW),
+                   (fv_kv_result_t){.error = Fv_KV_UNAVAILABLE});
+    for (uint32_t i = 0; i < 8; i++) {
+        fake_kv_run(base, 100);
+        if (!fake_kv_latest(FAKE_KV_RENEW)->answered) {
+            fake_kv_answer(fake_kv_latest(FAKE_KV_RENEW),
+                           (fv_kv_result_t){.error = Fv_KV_UNAVAILABLE});
+        }
+    }
+    CU_ASSERT(outcome.refused >= 5);
+    close_election();
+}
+
 static void
 tell_host(const char *name, const char *value, bool deleted)
 {
@@ -477,6 +501,8 @@
         {"an outage of the store replaces the leader",
          test_leader_refused_with_all_stays},
         {"a refused leader tells no one", test_refused_leader_says_so},
+        {"a refused leader waits for its next renewal",
+         test_refused_leader_tries_again_soon},
         {"hosts that are gone fill the registry for good",
          test_removed_hosts_count_no_more},
         {"an election waits for a host that is gone",
