Hand the leadership over when no run is being stopped

Change: on SIGTERM the leader goes on with everything but stops for 0.25 s and stopTimeoutMs, notes its generation in the list of workers and resigns then; a successor of just that generation does not wait. Without the note within 2 s it resigns as it is.

What a killed leader costs stays.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -18,6 +18,10 @@
 /* Time to stop the members of an incomplete gang before they give up. */
 #define Fv_GANG_STOP_MS 1200
 
+/* A stop that was sent before the leader became quiet has reached its worker
+ * by then: five round trips between regions. */
+#define Fv_STOP_UNDERWAY_MS 250
+
 /* A worker with tasks is looked at this often while the store keeps ends
  * from being recorded, or after it did not answer. */
 #define Fv_RENEW_AGAIN_MS 700
@@ -290,6 +294,43 @@
     .look = FvLeaderWorker_Look,
 };
 
+static void
+quieted(evutil_socket_t fd, short what, void *context)
+{
+    fv_leader_t *leader = context;
+
+    (void)fd;
+    (void)what;
+    leader->quiet_noted = true;
+    FvLeaderRoster_Changed(leader);
+}
+
+/**
+ * FvLeader_HandOver - prepare for another host to lead
+ * @leader: the leader
+ *
+ * It goes on with everything but stops. When the last one has surely ended,
+ * the list of workers is written with a note of that, and the event
+ * handed_over tells that this host may resign: the next leader need not wait
+ * for runs that are being stopped, which no report lists.
+ */
+void
+FvLeader_HandOver(fv_leader_t *leader)
+{
+    int64_t wait_ms = leader->sched.stop_ms + Fv_STOP_UNDERWAY_MS;
+    struct timeval wait = {.tv_sec = wait_ms / Fv_MS_PER_S,
+                           .tv_usec = (suseconds_t)(wait_ms % Fv_MS_PER_S) *
+                                      Fv_US_PER_MS};
+
+    if (!leader->serving) {
+        leader->events.handed_over(leader->events.context);
+        return;
+    }
+    leader->quiet = true;
+    leader->sched.quiet = true;
+    event_add(leader->quieted, &wait);
+}
+
 /**
  * FvLeader_Serving - whether the leader has loaded what it needs
  * @leader: the leader
@@ -332,6 +373,7 @@
     leader->settings = settings;
     leader->events = *events;
     leader->epoch = epoch;
+    leader->generation = generation;
     leader->began_ms = FvClock_NowMs();
     leader->last_ask = epoch << Fv_ASK_ID_BITS;
     FvSched_Init(
@@ -346,6 +388,7 @@
     leader->sched.inherited_held = true;
     leader->tick = event_new(base, -1, EV_PERSIST, tick, leader);
     leader->pass = event_new(base, -1, 0, pass_due, leader);
+    leader->quieted = event_new(base, -1, 0, quieted, leader);
     event_add(leader->tick, &interval);
     FvLeaderLoad_Start(leader);
     return leader;
@@ -377,6 +420,7 @@
     FvLeaderLoad_Free(leader);
     event_free(leader->tick);
     event_free(leader->pass);
+    event_free(leader->quieted);
     free(leader);
 }
 
@@ -405,6 +449,7 @@
     leader->serving = false;
     event_del(leader->tick);
     event_del(leader->pass);
+    event_del(leader->quieted);
     FvKvClient_Unfollow(leader->registry);
     for (fv_sched_job_t *job = leader->sched.jobs; job != NULL;
          job = job->hh.next) {
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -93,6 +93,11 @@
     char previous[Fv_NAME_SIZE]; /* host that led before, "": none */
     int64_t previous_stopped_ms; /* since when it surely gives no orders */
     uint32_t roster_inherited;   /* workers that earlier leaders ordered */
+    int32_t generation;
+    bool predecessor_quiet; /* it left no run that is being stopped */
+    bool quiet;             /* gives no stops: another host is to lead */
+    bool quiet_noted;       /* ... for as long as a stop may take */
+    struct event *quieted;
     bool reading_registry;
     int64_t next_load_log_ms;
     int64_t pass_took_us;
--- a/src/entry.c
+++ b/src/entry.c
@@ -32,6 +32,10 @@
 #define Fv_DRAIN_MARGIN_MS 800
 #define Fv_DRAIN_CHECK_MS 50
 
+/* A leader hands over within this, or resigns as it is: the longest stop on
+ * the sheets (0.9 s), its way and two writes at a slow store. */
+#define Fv_HANDOVER_MAX_MS 2000
+
 /* Descriptors that the platform keeps for files (DEPLOY, processor and
  * memory), and the share of the others that outgoing calls may take; callers
  * and other hosts connect on the rest. */
@@ -201,7 +205,14 @@
 
     (void)fd;
     (void)what;
-    FvElection_Resign(entry->election, 0, entry->depose_cause);
+    FvElection_Resign(entry->election, entry->term_ms != 0 ? INT32_MAX : 0,
+                      entry->depose_cause);
+}
+
+static void
+leader_handed_over(void *context)
+{
+    leader_deposed(context, "shutdown");
 }
 
 static void
@@ -213,6 +224,7 @@
                                  .deposed = leader_deposed,
                                  .follows = leader_follows,
                                  .config = leader_config,
+                                 .handed_over = leader_handed_over,
                                  .context = entry};
 
     entry->epoch = epoch;
@@ -535,6 +547,9 @@
 
     (void)fd;
     (void)what;
+    if (entry->leader != NULL && draining_ms >= Fv_HANDOVER_MAX_MS) {
+        FvElection_Resign(entry->election, INT32_MAX, "shutdown_unprepared");
+    }
     if ((open == 0 && draining_ms >= Fv_DRAIN_LEAST_MS) ||
         draining_ms >= entry->settings.drain_ms - Fv_DRAIN_MARGIN_MS) {
         FvLog_Event(Fv_LOG_INFO, "stopped",
@@ -558,7 +573,12 @@
     FvLog_Event(Fv_LOG_INFO, "stopping", "signal=%d open_requests=%u", fd,
                 FvFront_OpenRequests(entry->front));
     FvFront_Drain(entry->front);
-    FvElection_Resign(entry->election, INT32_MAX, "shutdown");
+    if (entry->leader != NULL) {
+        FvLeader_HandOver(entry->leader);
+    }
+    else {
+        FvElection_Resign(entry->election, INT32_MAX, "shutdown");
+    }
     event_add(entry->drain, &interval);
 }
 
--- a/src/entry.h
+++ b/src/entry.h
@@ -290,6 +290,7 @@
     /* Whether a host is linked, and so knows that it leads no longer. */
     bool (*follows)(void *context, const char *host);
     const fv_cell_config_t *(*config)(void *context);
+    void (*handed_over)(void *context); /* another host may lead now */
     void *context;
 } fv_leader_events_t;
 
@@ -302,6 +303,7 @@
                           const fv_leader_events_t *events, int64_t epoch,
                           int32_t generation);
 void FvLeader_Free(fv_leader_t *leader);
+void FvLeader_HandOver(fv_leader_t *leader);
 bool FvLeader_Serving(const fv_leader_t *leader);
 void FvLeader_Request(fv_leader_t *leader, const fv_cell_message_t *message,
                       fv_leader_reply_t reply, void *context);
--- a/src/leader-load.c
+++ b/src/leader-load.c
@@ -89,17 +89,22 @@
     fv_worker_entry_t entry = {0};
     fv_sched_worker_t *worker;
 
-    if (sscanf(line, "%63s %63s %63s", entry.id, entry.address,
-               entry.service) != 3) {
+    int fields =
+        sscanf(line, "%63s %63s %63s", entry.id, entry.address, entry.service);
+
+    if (fields != 3) {
         /* The first line names the leader that wrote it. */
         FvText_Copy(leader->previous, sizeof(leader->previous), entry.id);
+        leader->predecessor_quiet =
+            fields == 2 &&
+            strtol(entry.address, NULL, 10) == leader->generation - 1;
         return;
     }
     worker = FvSched_SeeWorker(&leader->sched, &entry, FvClock_NowMs());
     if (worker != NULL) {
         worker->listed = false;
         worker->rostered = true;
-        worker->inherited = true;
+        worker->inherited = !leader->predecessor_quiet;
         leader->roster_inherited++;
     }
 }
@@ -190,10 +195,11 @@
     leader->serving = true;
     FvLog_Event(Fv_LOG_INFO, "leader_serving",
                 "epoch=%" PRId64
-                " jobs=%u ended=%u roster=%u took_ms=%" PRId64,
+                " jobs=%u ended=%u roster=%u predecessor_quiet=%d"
+                " took_ms=%" PRId64,
                 leader->epoch, HASH_COUNT(leader->sched.jobs),
                 HASH_COUNT(leader->ended), leader->roster_inherited,
-                now_ms - leader->began_ms);
+                leader->predecessor_quiet ? 1 : 0, now_ms - leader->began_ms);
     for (fv_sched_job_t *job = leader->sched.jobs; job != NULL;
          job = job->hh.next) {
         FvSched_ReleaseStages(&leader->sched, job, now_ms, FvClock_WallMs());
--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -243,7 +243,9 @@
 }
 
 /* The list of workers that may run something, kept so that the next leader
- * knows whom to ask before it starts a task again. */
+ * knows whom to ask before it starts a task again. Its first line names the
+ * leader; a second word there is the generation of one that handed over with
+ * no run being stopped. */
 static void roster_written(void *context);
 
 /**
@@ -258,7 +260,8 @@
 
     leader->roster_dirty = false;
     leader->roster_writing = true;
-    snprintf(line, sizeof(line), "%s\n", leader->settings->host);
+    snprintf(line, sizeof(line), leader->quiet_noted ? "%s %d\n" : "%s\n",
+             leader->settings->host, leader->generation);
     FvBuffer_Append(&entry.value, line, strlen(line));
     for (fv_sched_worker_t *worker = leader->sched.workers; worker != NULL;
          worker = worker->hh.next) {
@@ -294,6 +297,9 @@
     }
     leader->sched.dirty = true;
     FvLeader_Kick(leader);
+    if (leader->quiet_noted) {
+        leader->events.handed_over(leader->events.context);
+    }
 }
 
 /**
--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -130,8 +130,11 @@
     fv_task_order_t order = {
         .task_id = name, .run = run, .fence = leader->epoch};
 
-    if (!leader->events.may_order(leader->events.context, FvClock_NowMs())) {
-        return;
+    if (leader->quiet ||
+        !leader->events.may_order(leader->events.context, FvClock_NowMs())) {
+        FvLog_Event(Fv_LOG_INFO, "stop_not_sent", "task=%s run=%d quiet=%d",
+                    name, run, leader->quiet ? 1 : 0);
+        return; /* the next leader finds the run */
     }
     FvPlatform_Stop(&call, worker->entry.id, &order);
     send_order(leader, worker, &call, name, run, true);
--- a/src/sched-preempt.c
+++ b/src/sched-preempt.c
@@ -190,8 +190,9 @@
     uint32_t count;
     uint32_t used = 0;
 
-    if (!gang->step->gang || gang->waiting < gang->step->task_count ||
-        gang->step->same_rack || now_ms < gang->clearing_until_ms) {
+    if (sched->quiet || !gang->step->gang ||
+        gang->waiting < gang->step->task_count || gang->step->same_rack ||
+        now_ms < gang->clearing_until_ms) {
         return; /* a rack that holds a whole gang is seldom cleared at once */
     }
     clearings = find_clearings(sched, gang, now_ms, &count);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -228,6 +228,7 @@
     fv_sched_stage_t *pending;
     int32_t run_base;    /* runs of this leader are numbered above it */
     bool inherited_held; /* inherited tasks may run on unseen workers */
+    bool quiet;          /* no stops are sent: another host is to lead */
     bool dirty;
     uint32_t reserved_workers; /* in this pass */
     uint64_t searches;         /* for workers to ask about, so far */
