Replace a refused leader by calls sent after the store was proven to answer

Change: a refused leader tells how long ago the failed call was sent, and only one that was sent after the other host's proof counts. The next renewal is counted from the sending of the failed one.

Also: a new leader that knows its predecessor's process to be dead (refused connections, and the epoch that its claim followed on) counts the longest stop from the break of the link, not from the workers' first reports.

Tests: election_test "a leader is replaced because an outage has ended" fails without the change; "a refused leader waits for its next renewal" passes five times of five.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -18,6 +18,10 @@
 /* Time to stop the members of an incomplete gang before they give up. */
 #define Fv_GANG_STOP_MS 1200
 
+/* An order that a host sent before its link broke has reached its worker by
+ * then: one way between regions is 20 ms. */
+#define Fv_ORDER_CROSSING_MS 50
+
 /* A stop that was sent before the leader became quiet has reached its worker
  * by then: five round trips between regions. */
 #define Fv_STOP_UNDERWAY_MS 250
@@ -305,6 +309,19 @@
     FvLeaderRoster_Changed(leader);
 }
 
+/**
+ * FvLeader_PredecessorDied - the process that led before is dead
+ * @leader: the leader
+ * @died_ms: it lived no longer
+ */
+void
+FvLeader_PredecessorDied(fv_leader_t *leader, int64_t died_ms)
+{
+    leader->sched.orders_ended_ms = died_ms + Fv_ORDER_CROSSING_MS;
+    FvLog_Event(Fv_LOG_INFO, "predecessor_dead", "since_ms=%" PRId64,
+                FvClock_NowMs() - died_ms);
+}
+
 /**
  * FvLeader_HandOver - prepare for another host to lead
  * @leader: the leader
--- a/src/election.c
+++ b/src/election.c
@@ -29,17 +29,17 @@
 #define Fv_CLAIM_RETRY_MS 150
 
 /* A leader that the store refused so often in a row, while it answers other
- * hosts, lets one of these take over; meanwhile it tries more often, a call at
- * a tenth of a read's price. */
+ * hosts, lets one of these take over; meanwhile it tries at every tick, a call
+ * at a tenth of a read's price. */
 #define Fv_REFUSED_RENEWALS 2
-#define Fv_REFUSED_RENEW_MS 100
+#define Fv_REFUSED_RENEW_MS 90
 
 /* A host reads the leader's key to see whether the store answers it, at most
- * this often; a leader that is still refused so long after that answer is
- * refused alone: longer than the leader's word takes between regions, 20 ms.
- */
+ * this often. A renewal of the leader that was sent later than that answer, by
+ * more than the leader's word takes, and failed tells that it is refused
+ * alone; earlier ones may have met an outage that has ended. */
 #define Fv_STORE_LOOK_MS 500
-#define Fv_STORE_PROVEN_MS 70
+#define Fv_REFUSAL_CROSSING_MS 70
 
 /* A gap between two ticks that tells that the process stood still. */
 #define Fv_TICK_MS 100
@@ -56,6 +56,21 @@
     return Fv_LEADER_ORPHAN_MS;
 }
 
+/**
+ * FvElection_PredecessorEpoch - the epoch of the leadership before this host's
+ * @election: the election
+ *
+ * A leadership is claimed under the condition that the key of generations is
+ * as the one before left it, which wrote that key together with its own.
+ *
+ * Return: the epoch; 0 when nobody led before.
+ */
+int64_t
+FvElection_PredecessorEpoch(const fv_election_t *election)
+{
+    return election->predecessor_epoch;
+}
+
 /* Spreads what all hosts do at the same news; the largest ones come first. */
 static int64_t
 pick_delay(const fv_election_t *election)
@@ -224,6 +239,7 @@
     election->ttl_ms = result->ttl_ms;
     election->state = Fv_CLAIM_WRITING;
     election->claimed_generation = election->last_generation + 1;
+    election->predecessor_epoch = election->generation_revision;
     FvText_RandomHex(election->nonce, sizeof(election->nonce));
     snprintf(value, sizeof(value), "%s %d %s %" PRId64,
              election->settings->host, election->claimed_generation,
@@ -266,9 +282,10 @@
 } fv_renewal_t;
 
 static void
-note_refused_renewal(fv_election_t *election)
+note_refused_renewal(fv_election_t *election, int64_t sent_ms)
 {
-    int64_t again_ms = FvClock_NowMs() + Fv_REFUSED_RENEW_MS;
+    int64_t now_ms = FvClock_NowMs();
+    int64_t again_ms = sent_ms + Fv_REFUSED_RENEW_MS;
 
     election->failed_renewals++;
     if (election->next_renew_ms > again_ms) {
@@ -279,7 +296,7 @@
                     election->failed_renewals);
     }
     if (election->failed_renewals >= Fv_REFUSED_RENEWALS) {
-        election->events.refused(election->events.context);
+        election->events.refused(election->events.context, now_ms - sent_ms);
     }
 }
 
@@ -306,7 +323,7 @@
         lose(election, "lease_ended");
     }
     else {
-        note_refused_renewal(election);
+        note_refused_renewal(election, renewal->sent_ms);
     }
 done:
     free(renewal);
@@ -423,12 +440,14 @@
  * FvElection_LeaderRefused - the leader says that the store refuses its calls
  * @election: the election
  * @host: the leader's host
+ * @sent_ago_ms: how long ago the latest call that failed was sent
  *
  * When the store answers this host, the leader is replaced. The largest hosts
  * look after it, so that an outage of the store for all costs few calls.
  */
 void
-FvElection_LeaderRefused(fv_election_t *election, const char *host)
+FvElection_LeaderRefused(fv_election_t *election, const char *host,
+                         int64_t sent_ago_ms)
 {
     int64_t now_ms = FvClock_NowMs();
     int64_t proven_ms = now_ms - election->store_proven_ms;
@@ -436,8 +455,9 @@
     if (!FvElectionHosts_IsLargest(election)) {
         return;
     }
-    if (election->store_proven_ms != 0 && proven_ms < Fv_STORE_LOOK_MS) {
-        if (proven_ms >= Fv_STORE_PROVEN_MS) {
+    if (election->store_proven_ms != 0 &&
+        proven_ms < Fv_STORE_LOOK_MS + sent_ago_ms) {
+        if (proven_ms - sent_ago_ms >= Fv_REFUSAL_CROSSING_MS) {
             FvElection_LeaderDead(election, host, "refused_by_the_store");
         }
     }
--- a/src/election.h
+++ b/src/election.h
@@ -33,6 +33,7 @@
     bool registered;
     bool registering;
     int32_t last_generation;
+    int64_t predecessor_epoch;   /* of the leadership before the claimed one */
     int64_t generation_revision; /* of its key, 0: there is none */
     int32_t claimed_generation;
     fv_claim_state_t state;
--- a/src/entry-hosts.h
+++ b/src/entry-hosts.h
@@ -62,6 +62,10 @@
     int64_t leader_seen_ms;
     fv_leader_probe_t *probe; /* of the host whose link broke */
     char probed_host[Fv_NAME_SIZE];
+    int64_t probed_epoch;   /* of its leadership */
+    int64_t probed_lost_ms; /* when its link broke */
+    int64_t dead_epoch; /* the latest leadership that is known to be dead */
+    int64_t dead_since_ms;
     int64_t term_ms; /* when the drain began; 0: not draining */
     uint32_t slot_count;
     fv_host_slot_t *slots[Fv_HOSTS_MAX];
@@ -77,7 +81,8 @@
 void FvEntryHosts_LearnOverhead(fv_host_slot_t *slot, int64_t id);
 void FvEntryHosts_ForgetAsk(fv_host_slot_t *slot, int64_t id);
 void FvEntryHosts_FailAsks(fv_entry_t *entry, fv_host_slot_t *slot);
-void FvEntryHosts_ProbeLeader(fv_entry_t *entry, const char *name);
+void FvEntryHosts_ProbeLeader(fv_entry_t *entry, const char *name,
+                              int64_t epoch);
 bool FvEntryHosts_Ask(void *context, const fv_cell_message_t *message,
                       int64_t cost_us);
 
--- a/src/entry.c
+++ b/src/entry.c
@@ -233,6 +233,10 @@
     entry->self = FvEntryHosts_Obtain(entry, entry->settings.host);
     entry->leader = FvLeader_New(entry->base, entry->pool, entry->kv,
                                  &entry->settings, &events, epoch, generation);
+    if (entry->dead_epoch != 0 &&
+        entry->dead_epoch == FvElection_PredecessorEpoch(entry->election)) {
+        FvLeader_PredecessorDied(entry->leader, entry->dead_since_ms);
+    }
     FvLinks_Hang(entry->uplink);
     entry->uplink = NULL;
     dial_hosts(entry);
@@ -261,15 +265,15 @@
 
 /* Asks the linked hosts to replace this leader, if the store answers them. */
 static void
-election_refused(void *context)
+election_refused(void *context, int64_t sent_ago_ms)
 {
     fv_entry_t *entry = context;
 
     for (uint32_t i = 0; i < entry->slot_count; i++) {
         if (entry->slots[i]->joined) {
-            FvLinks_Send(
-                entry->slots[i]->peer,
-                &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_REFUSED});
+            FvLinks_Send(entry->slots[i]->peer,
+                         &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_REFUSED,
+                                              .number = sent_ago_ms});
         }
     }
 }
@@ -382,7 +386,8 @@
         }
         break;
     case Fv_CELL_MESSAGE_REFUSED:
-        FvElection_LeaderRefused(entry->election, FvLinks_Name(peer));
+        FvElection_LeaderRefused(entry->election, FvLinks_Name(peer),
+                                 message->number);
         break;
     default:
         break;
@@ -463,7 +468,8 @@
         entry->leader_seen_ms = FvClock_NowMs();
         entry->uplink = NULL;
         if (entry->leader == NULL && entry->term_ms == 0) {
-            FvEntryHosts_ProbeLeader(entry, FvLinks_Name(peer));
+            FvEntryHosts_ProbeLeader(entry, FvLinks_Name(peer),
+                                     entry->uplink_epoch);
         }
     }
     if (slot != NULL) {
--- a/src/entry.h
+++ b/src/entry.h
@@ -169,7 +169,8 @@
 typedef struct fv_election_events {
     void (*won)(void *context, int64_t epoch, int32_t generation);
     void (*lost)(void *context, const char *cause);
-    void (*refused)(void *context); /* this leader's calls, by the store */
+    /* The store refused this leader's call, or left it unanswered. */
+    void (*refused)(void *context, int64_t sent_ago_ms);
     void (*hosts_changed)(void *context);
     void *context;
 } fv_election_events_t;
@@ -183,11 +184,13 @@
                        const char *cause);
 void FvElection_LeaderDead(fv_election_t *election, const char *host,
                            const char *cause);
-void FvElection_LeaderRefused(fv_election_t *election, const char *host);
+void FvElection_LeaderRefused(fv_election_t *election, const char *host,
+                              int64_t sent_ago_ms);
 void FvElection_ForgetHost(fv_election_t *election, const char *name);
 uint32_t FvElection_Hosts(const fv_election_t *election,
                           const fv_peer_entry_t **hosts);
 int64_t FvElection_OrphanMs(void);
+int64_t FvElection_PredecessorEpoch(const fv_election_t *election);
 
 /* host-link.c: msgpack frames over TCP between hosts. */
 typedef enum fv_cell_message_kind {
@@ -303,6 +306,7 @@
                           const fv_leader_events_t *events, int64_t epoch,
                           int32_t generation);
 void FvLeader_Free(fv_leader_t *leader);
+void FvLeader_PredecessorDied(fv_leader_t *leader, int64_t died_ms);
 void FvLeader_HandOver(fv_leader_t *leader);
 bool FvLeader_Serving(const fv_leader_t *leader);
 void FvLeader_Request(fv_leader_t *leader, const fv_cell_message_t *message,
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -367,6 +367,24 @@
     }
 }
 
+/* Runs that an earlier leader had stopped are not listed while they end. This
+ * leader's first call has fenced it at the worker, unless it was dead before.
+ */
+static void
+wait_for_inherited_stops(const fv_sched_t *sched, fv_sched_worker_t *worker,
+                         int64_t now_ms)
+{
+    int64_t last_stop_ms =
+        sched->orders_ended_ms != 0 && sched->orders_ended_ms < now_ms
+            ? sched->orders_ended_ms
+            : now_ms;
+
+    if (worker->inherited) {
+        worker->inherited = false;
+        worker->quiet_until_ms = last_stop_ms + sched->stop_ms;
+    }
+}
+
 /**
  * FvSched_Report - apply a worker's report
  * @sched: the scheduler
@@ -418,10 +436,7 @@
     empty_leaving_worker(sched, worker, now_ms);
     if (!worker->synced) {
         worker->synced = true;
-        if (worker->inherited) {
-            worker->inherited = false;
-            worker->quiet_until_ms = now_ms + sched->stop_ms;
-        }
+        wait_for_inherited_stops(sched, worker, now_ms);
         FvLog_Event(Fv_LOG_INFO, "worker_synced",
                     "worker=%s running=%u ended=%u", worker->entry.id,
                     report->running_count, report->ended_count);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -229,6 +229,8 @@
     int32_t run_base;    /* runs of this leader are numbered above it */
     bool inherited_held; /* inherited tasks may run on unseen workers */
     bool quiet;          /* no stops are sent: another host is to lead */
+    int64_t
+        orders_ended_ms; /* the leader before gave none later; 0: unknown */
     bool dirty;
     uint32_t reserved_workers; /* in this pass */
     uint64_t searches;         /* for workers to ask about, so far */
--- a/tests/unit/election_test.c
+++ b/tests/unit/election_test.c
@@ -41,9 +41,10 @@
 }
 
 static void
-refused(void *context)
+refused(void *context, int64_t sent_ago_ms)
 {
     (void)context;
+    (void)sent_ago_ms;
     outcome.refused++;
 }
 
@@ -324,15 +325,37 @@
 {
     open_election("1");
     tell_leader("big-1 1 aaaaaaaaaaaaaaaa 78", false);
-    FvElection_LeaderRefused(election, "big-1");
-    FvElection_LeaderRefused(election, "big-1");
+    FvElection_LeaderRefused(election, "big-1", 0);
+    FvElection_LeaderRefused(election, "big-1", 0);
     CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_GET), 1);
     fake_kv_answer_item(fake_kv_latest(FAKE_KV_GET), Fv_KV_OK, Fv_KEY_LEADER,
                         "big-1 1 aaaaaaaaaaaaaaaa 78", 7);
-    FvElection_LeaderRefused(election, "big-1"); /* sent before that read */
+    FvElection_LeaderRefused(election, "big-1", 0); /* sent before that read */
     fake_kv_run(base, 200);
     CU_ASSERT_EQUAL(fake_kv.revoked, 0);
-    FvElection_LeaderRefused(election, "big-1");
+    FvElection_LeaderRefused(election, "big-1", 20);
+    fake_kv_run(base, 120);
+    CU_ASSERT_EQUAL(fake_kv.revoked, 1);
+    close_election();
+}
+
+/* Pattern: the store was silent for all, and is back. The leader's calls of
+ * before time out one after the other, up to half a second later. */
+static void
+test_leader_keeps_its_place_after_an_outage(void)
+{
+    open_election("1");
+    tell_leader("big-1 1 aaaaaaaaaaaaaaaa 78", false);
+    FvElection_LeaderRefused(election, "big-1", 450);
+    fake_kv_answer_item(fake_kv_latest(FAKE_KV_GET), Fv_KV_OK, Fv_KEY_LEADER,
+                        "big-1 1 aaaaaaaaaaaaaaaa 78", 7);
+    for (uint32_t i = 0; i < 5; i++) {
+        fake_kv_run(base, 80);
+        FvElection_LeaderRefused(election, "big-1", 450);
+    }
+    fake_kv_run(base, 120);
+    CU_ASSERT_EQUAL(fake_kv.revoked, 0);
+    FvElection_LeaderRefused(election, "big-1", 100); /* it still fails */
     fake_kv_run(base, 120);
     CU_ASSERT_EQUAL(fake_kv.revoked, 1);
     close_election();
@@ -345,7 +368,7 @@
     open_election("1");
     tell_leader("big-1 1 aaaaaaaaaaaaaaaa 78", false);
     for (uint32_t i = 0; i < 10; i++) {
-        FvElection_LeaderRefused(election, "big-1");
+        FvElection_LeaderRefused(election, "big-1", 0);
         if (!fake_kv_latest(FAKE_KV_GET)->answered) {
             fake_kv_answer(fake_kv_latest(FAKE_KV_GET),
                            (fv_kv_result_t){.error = Fv_KV_UNAVAILABLE});
@@ -500,6 +523,8 @@
          test_leader_refused_alone_is_replaced},
         {"an outage of the store replaces the leader",
          test_leader_refused_with_all_stays},
+        {"a leader is replaced because an outage has ended",
+         test_leader_keeps_its_place_after_an_outage},
         {"a refused leader tells no one", test_refused_leader_says_so},
         {"a refused leader waits for its next renewal",
          test_refused_leader_tries_again_soon},
