Take workers that left empty off the list that a new leader waits for

Change: a worker that is no longer listed and surely runs nothing leaves the list at once. It is entered again before it gets a task.

Test: sched_report_test "a leader waits for workers that run nothing".

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -130,6 +130,12 @@
             leader); /* or the next leader would wait for it */
         return;
     }
+    if (!worker->listed && worker->rostered && !leader->reading_registry &&
+        !leader->sched.inherited_held && FvSched_RunsNothing(worker, now_ms)) {
+        /* The next leader need not wait for its word or its lease. */
+        worker->rostered = false;
+        FvLeaderRoster_Changed(leader);
+    }
     if (worker->look_at_ms != 0 && now_ms >= worker->look_at_ms &&
         !driver->looking) {
         worker->look_at_ms = 0;
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -469,6 +469,21 @@
             has_label(&worker->entry, step->required_label));
 }
 
+/**
+ * FvSched_RunsNothing - whether surely no run is on a worker
+ * @worker: the worker
+ * @now_ms: the time
+ *
+ * Return: true when this leader heard of all its runs, and all have ended. A
+ * start in doubt keeps its task there.
+ */
+bool
+FvSched_RunsNothing(const fv_sched_worker_t *worker, int64_t now_ms)
+{
+    return worker->synced && worker->tasks == NULL &&
+           worker->quiet_until_ms <= now_ms && !has_strays(worker, now_ms);
+}
+
 /**
  * FvSched_LapseMs - after which an order that was sent has surely no effect
  * @sched: the scheduler
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -321,6 +321,7 @@
                                const fv_step_spec_t *step);
 bool FvSched_WorkerUsable(const fv_sched_worker_t *worker,
                           const fv_sched_stage_t *stage, int64_t now_ms);
+bool FvSched_RunsNothing(const fv_sched_worker_t *worker, int64_t now_ms);
 int64_t FvSched_LapseMs(const fv_sched_t *sched);
 int64_t FvSched_ExtendLease(const fv_sched_t *sched, fv_sched_worker_t *worker,
                             int64_t now_ms);
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -346,6 +346,51 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* Pattern: workers leave, and the leader is replaced before their leases would
+ * have lapsed: the next one waits for those that may still run something. */
+static void
+test_worker_that_runs_nothing(void)
+{
+    static sched_fixture_t fixture;
+    fv_sched_task_t *task = open_with_start(&fixture);
+    fv_sched_worker_t *worker = task->worker;
+    fv_running_row_t stray = {.task_id = JOB_B ".0.0.0", .run = 7};
+    fv_worker_entry_t entry = worker->entry;
+
+    CU_ASSERT_FALSE(FvSched_RunsNothing(worker, fixture.now_ms));
+    while (worker->tasks != NULL) {
+        char name[Fv_RUN_TASK_ID_SIZE];
+
+        FvSched_TaskName(worker->tasks, name, sizeof(name));
+        FvSchedFixture_ReportEnd(&fixture, entry.id, worker->end_seen + 1,
+                                 name, 1, Fv_END_DONE);
+    }
+    CU_ASSERT_TRUE(FvSched_RunsNothing(worker, fixture.now_ms));
+    report_running(&fixture, entry.id, &stray, 1);
+    CU_ASSERT_FALSE(FvSched_RunsNothing(worker, fixture.now_ms));
+    fixture.now_ms += Fv_FIXTURE_STOP_MS + 300;
+    report_running(&fixture, entry.id, NULL, 0);
+    CU_ASSERT_TRUE(FvSched_RunsNothing(worker, fixture.now_ms));
+    entry.started_wall_ms++;
+    FvSched_SeeWorker(&fixture.sched, &entry, fixture.now_ms);
+    CU_ASSERT_FALSE(FvSched_RunsNothing(worker, fixture.now_ms));
+    FvSchedFixture_Close(&fixture);
+
+    /* A leader that has just begun doesn't know of runs being stopped. */
+    FvSchedFixture_Open(&fixture, 2);
+    worker = FvSched_SeeWorker(&fixture.sched, &entry, fixture.now_ms);
+    worker->inherited = true;
+    CU_ASSERT_FALSE(FvSched_RunsNothing(worker, fixture.now_ms));
+    FvSched_Report(
+        &fixture.sched, worker,
+        &(fv_worker_report_t){.started_wall_ms = entry.started_wall_ms},
+        fixture.now_ms, fixture.now_ms);
+    CU_ASSERT_FALSE(FvSched_RunsNothing(worker, fixture.now_ms));
+    fixture.now_ms += Fv_FIXTURE_STOP_MS;
+    CU_ASSERT_TRUE(FvSched_RunsNothing(worker, fixture.now_ms));
+    FvSchedFixture_Close(&fixture);
+}
+
 /* Pattern: a faulty worker is probed with one task, and the probe ends without
  * telling anything: its start is turned away, or its job is cancelled. */
 static void
@@ -389,6 +434,8 @@
          test_refused_repetition_settles_nothing},
         {"a start is sent without the right to give orders",
          test_no_order_without_the_right},
+        {"a leader waits for workers that run nothing",
+         test_worker_that_runs_nothing},
         {"a worker is never probed again",
          test_probe_without_verdict_is_repeated},
         {"a task is lost with a worker that said it would leave",
