Leave out refusals of an earlier leader

Change: only the leader that a request was sent to last can refuse it. It has read what the earlier ones recorded, and these can write no more, so that its refusal is true. Answers that tell what was done still count from any leader.

Test: front_wait_test "a caller is told what an earlier leader refused".

--- a/src/entry.c
+++ b/src/entry.c
@@ -301,7 +301,7 @@
 {
     fv_entry_t *entry = context;
 
-    FvFront_Reply(entry->front, reply);
+    FvFront_Reply(entry->front, reply, true);
 }
 
 static bool
@@ -378,7 +378,8 @@
         greeted(entry, peer, message);
         break;
     case Fv_CELL_MESSAGE_REPLY:
-        FvFront_Reply(entry->front, message);
+        FvFront_Reply(entry->front, message,
+                      peer == entry->uplink && entry->leader == NULL);
         break;
     case Fv_CELL_MESSAGE_ASK:
         if (entry->advice != NULL) {
--- a/src/entry.h
+++ b/src/entry.h
@@ -276,7 +276,8 @@
                         const fv_front_events_t *events);
 void FvFront_Free(fv_front_t *front);
 void FvFront_SetConfig(fv_front_t *front, const fv_cell_config_t *config);
-void FvFront_Reply(fv_front_t *front, const fv_cell_message_t *message);
+void FvFront_Reply(fv_front_t *front, const fv_cell_message_t *message,
+                   bool current);
 void FvFront_LeaderChanged(fv_front_t *front);
 void FvFront_Drain(fv_front_t *front);
 uint32_t FvFront_OpenRequests(const fv_front_t *front);
--- a/src/front-wait.c
+++ b/src/front-wait.c
@@ -34,6 +34,24 @@
     wait->with_leader = false;
 }
 
+/**
+ * FvFrontWait_Believes - whether an answer counts
+ * @reply: the answer
+ * @current: whether it comes from the leader that the request was sent to last
+ *
+ * An earlier leader that has not taken a request says nothing of the one that
+ * has it now. The latter knows what the former took: it has read its records,
+ * and that one can write no more.
+ *
+ * Return: false when the answer is to be left out.
+ */
+bool
+FvFrontWait_Believes(fv_reply_t reply, bool current)
+{
+    return current || (reply != Fv_REPLY_REFUSED && reply != Fv_REPLY_GONE &&
+                       reply != Fv_REPLY_NOT_READY);
+}
+
 /**
  * FvFrontWait_Step - what to do with the request now
  * @wait: what is known of it
--- a/src/front-wait.h
+++ b/src/front-wait.h
@@ -6,7 +6,7 @@
 #ifndef FRONT_WAIT_H
 #define FRONT_WAIT_H
 
-#include "fireflyvalve.h"
+#include "entry.h"
 
 typedef enum fv_front_step {
     Fv_FRONT_KEEP,   /* the leader has it */
@@ -24,6 +24,7 @@
 
 void FvFrontWait_Sent(fv_front_wait_t *wait);
 void FvFrontWait_NothingDone(fv_front_wait_t *wait);
+bool FvFrontWait_Believes(fv_reply_t reply, bool current);
 fv_front_step_t FvFrontWait_Step(const fv_front_wait_t *wait, int64_t now_ms);
 
 #endif
--- a/src/front.c
+++ b/src/front.c
@@ -448,9 +448,11 @@
  * FvFront_Reply - the leader answered a request
  * @front: the front
  * @message: the answer
+ * @current: whether it is the present leader's, not an earlier one's
  */
 void
-FvFront_Reply(fv_front_t *front, const fv_cell_message_t *message)
+FvFront_Reply(fv_front_t *front, const fv_cell_message_t *message,
+              bool current)
 {
     fv_front_request_t *request = NULL;
 
@@ -458,6 +460,12 @@
     if (request == NULL) {
         return;
     }
+    if (!FvFrontWait_Believes((fv_reply_t)message->number, current)) {
+        FvLog_Event(Fv_LOG_INFO, "old_answer_left_out",
+                    "job=%s verb=%d reply=%d", request->job,
+                    (int)request->verb, (int)message->number);
+        return;
+    }
     switch ((fv_reply_t)message->number) {
     case Fv_REPLY_ACCEPTED:
         end_request(front, request, 200, "OK", "{}");
--- a/tests/unit/front_wait_test.c
+++ b/tests/unit/front_wait_test.c
@@ -68,6 +68,19 @@
     CU_ASSERT_EQUAL(step_after(&wait, 1900), Fv_FRONT_GIVE_UP);
 }
 
+/* Pattern: the store is back, a new leader takes the open requests, and the
+ * refusal of the one before is still on its way. */
+static void
+test_refusal_of_an_earlier_leader(void)
+{
+    CU_ASSERT_FALSE(FvFrontWait_Believes(Fv_REPLY_REFUSED, false));
+    CU_ASSERT_FALSE(FvFrontWait_Believes(Fv_REPLY_GONE, false));
+    CU_ASSERT_FALSE(FvFrontWait_Believes(Fv_REPLY_NOT_READY, false));
+    CU_ASSERT_TRUE(FvFrontWait_Believes(Fv_REPLY_REFUSED, true));
+    CU_ASSERT_TRUE(FvFrontWait_Believes(Fv_REPLY_ACCEPTED, false));
+    CU_ASSERT_TRUE(FvFrontWait_Believes(Fv_REPLY_STATE, false));
+}
+
 int
 main(void)
 {
@@ -80,6 +93,8 @@
          test_declined_request_is_not_in_doubt},
         {"a caller is told that a request in doubt has not run",
          test_request_of_a_dead_leader_stays_in_doubt},
+        {"a caller is told what an earlier leader refused",
+         test_refusal_of_an_earlier_leader},
     };
 
     return Fv_RUN_SUITE("front wait", cases);
