Split the model of the cell by part; let its leaders hand over

Change: events, workers, port and arrivals in files of their own; handovers as a trouble of the model.

--- /dev/null
+++ b/tests/harness/sched-sim-arrival.c
@@ -0,0 +1,319 @@
+/*
+ * The simulated cell: what arrives at workers, the store and the leader.
+ */
+
+#include "sched-sim-internal.h"
+
+static void
+order_arrives(sim_t *sim, const sim_event_t *order)
+{
+    sim_worker_t *worker = &sim->workers[order->worker];
+    sim_event_t answer = {.kind = EVENT_ORDER_ANSWERED,
+                          .at_ms = sim->now_ms + FvSim_HalfTrip(sim),
+                          .generation = order->generation,
+                          .run = order->run,
+                          .stop = order->stop,
+                          .result = Fv_ORDER_IN_DOUBT};
+
+    FvText_Copy(answer.task, sizeof(answer.task), order->task);
+    if (FvSim_IsSilent(sim, worker)) {
+        answer.at_ms = order->sent_ms + ORDER_TIMEOUT_MS;
+    }
+    else {
+        answer.result = FvSim_Obey(sim, worker, order);
+    }
+    if (order->answered) {
+        FvSim_Schedule(sim, answer);
+    }
+}
+
+static void
+order_answered(sim_t *sim, const sim_event_t *answer)
+{
+    fv_sched_task_t *task = FvSched_FindTask(&sim->sched, answer->task);
+
+    if (task == NULL || answer->result == Fv_ORDER_FENCED) {
+        return;
+    }
+    if (answer->stop) {
+        FvSched_StopAnswered(&sim->sched, task, answer->run, answer->result,
+                             sim->now_ms);
+    }
+    else {
+        FvSched_StartAnswered(&sim->sched, task, answer->run, answer->result,
+                              sim->now_ms);
+    }
+}
+
+/* The leader's word that it has taken note of the ends up to a number. */
+static void
+forget_ends(sim_t *sim, sim_worker_t *worker, int64_t up_to)
+{
+    for (uint32_t e = 0; e < worker->end_count; e++) {
+        sim_end_t *end = &worker->ends[e];
+        sim_task_t *task;
+
+        if (end->noted || end->row.number > up_to) {
+            continue;
+        }
+        end->noted = true;
+        task = FvSim_TaskNamed(sim, end->row.task_id);
+        task->failures_noted += end->row.end == Fv_END_FAILED;
+        if (end->row.end == Fv_END_DONE && task->last_start_ms > end->at_ms &&
+            worker->lapsed_ms < end->at_ms) {
+            FvSim_Violate(sim, &sim->result->after_done, "started after done",
+                          task->name);
+        }
+    }
+}
+
+static void
+report_asked(sim_t *sim, const sim_event_t *request)
+{
+    sim_worker_t *worker = &sim->workers[request->worker];
+    sim_event_t answer = {.kind = EVENT_REPORT_ARRIVES,
+                          .generation = request->generation,
+                          .worker = request->worker,
+                          .sent_ms = request->sent_ms,
+                          .at_ms = sim->now_ms + FvSim_HalfTrip(sim)};
+    fv_worker_report_t *report = &answer.report;
+
+    if (FvSim_IsSilent(sim, worker) || request->generation < worker->fence) {
+        answer.at_ms = request->sent_ms + REPORT_TIMEOUT_MS;
+        FvSim_Schedule(sim, answer);
+        return;
+    }
+    worker->fence = request->generation;
+    if (request->lease_end_ms > worker->lease_end_ms) {
+        worker->lease_end_ms = request->lease_end_ms;
+    }
+    if (request->life == worker->entry.started_wall_ms) {
+        forget_ends(sim, worker, request->number);
+    }
+    answer.answered = true;
+    *report = (fv_worker_report_t){
+        .clock_ms = sim->now_ms,
+        .started_wall_ms = worker->entry.started_wall_ms,
+        .running = calloc(worker->run_count + 1, sizeof(*report->running)),
+        .ended = calloc(worker->end_count + 1, sizeof(*report->ended))};
+    for (uint32_t r = 0; r < worker->run_count; r++) {
+        const sim_run_t *run = &worker->runs[r];
+        fv_running_row_t *row = &report->running[report->running_count];
+
+        if (run->stopping_until_ms == 0) {
+            *row = (fv_running_row_t){.run = run->run};
+            FvText_Copy(row->task_id, sizeof(row->task_id), run->task->name);
+            if (run->works_from_ms != 0) {
+                row->percent =
+                    (int32_t)(100 * (sim->now_ms - run->works_from_ms) /
+                              (run->takes_ms + 1));
+            }
+            report->running_count++;
+        }
+    }
+    for (uint32_t e = 0; e < worker->end_count; e++) {
+        if (!worker->ends[e].noted) {
+            report->ended[report->ended_count++] = worker->ends[e].row;
+        }
+    }
+    FvSim_Schedule(sim, answer);
+}
+
+static void
+report_arrives(sim_t *sim, const sim_event_t *answer)
+{
+    sim_worker_t *worker = &sim->workers[answer->worker];
+    fv_sched_worker_t *known =
+        FvSched_FindWorker(&sim->sched, worker->entry.id);
+
+    worker->asking = false;
+    if (known == NULL) {
+        return;
+    }
+    if (!answer->answered) {
+        FvSched_NoReport(&sim->sched, known, sim->now_ms);
+        return;
+    }
+    FvSched_Report(&sim->sched, known, &answer->report, answer->sent_ms,
+                   sim->now_ms);
+    if (known->end_seen > known->end_recorded) {
+        FvSim_Schedule(sim, (sim_event_t){.kind = EVENT_ENDS_RECORDED,
+                                          .at_ms = sim->now_ms + RECORD_MS + 1,
+                                          .generation = sim->generation,
+                                          .worker = answer->worker,
+                                          .life = known->started_wall_ms,
+                                          .number = known->end_seen});
+    }
+}
+
+static void
+ends_recorded(sim_t *sim, const sim_event_t *event)
+{
+    fv_sched_worker_t *known =
+        FvSched_FindWorker(&sim->sched, sim->workers[event->worker].entry.id);
+
+    if (known != NULL && known->started_wall_ms == event->life) {
+        FvSched_EndsRecorded(known, event->number);
+    }
+}
+
+static void
+recorded(sim_t *sim, sim_event_t *event)
+{
+    sim_job_t *job = FvSim_JobOf(sim, event->task);
+    fv_sched_job_t *known = FvSched_FindJob(&sim->sched, event->task);
+    fv_buffer_t *kept = event->record == Fv_RECORD_ACCEPT
+                            ? &job->job_record
+                            : &job->progress_record;
+
+    if (event->record != Fv_RECORD_END) {
+        FvBuffer_Clear(kept);
+        *kept = event->value;
+        event->value = (fv_buffer_t){0};
+        if (event->record == Fv_RECORD_ACCEPT && known != NULL) {
+            job->accepted = true;
+            FvSched_JobDurable(&sim->sched, known);
+        }
+        return;
+    }
+    if (known == NULL) {
+        return;
+    }
+    known->recorded = known->outcome;
+    job->ended = FvSched_JobState(known);
+    if (known->outcome == Fv_SCHED_JOB_COMPLETED) {
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            char name[Fv_RUN_TASK_ID_SIZE];
+            bool done = false;
+
+            for (int32_t i = 0; i < job->spec.steps[s].task_count; i++) {
+                snprintf(name, sizeof(name), "%s.0.%u.%d", job->id, s, i);
+                done = FvSim_TaskNamed(sim, name)->done;
+                if (done == job->spec.steps[s].gang) {
+                    break; /* one end speaks for a gang */
+                }
+            }
+            if (!done) {
+                FvSim_Violate(sim, &sim->result->wrong_end, "completed undone",
+                              job->id);
+            }
+        }
+    }
+    if (known->outcome == Fv_SCHED_JOB_CANCELLED && !job->cancelled) {
+        FvSim_Violate(sim, &sim->result->wrong_end, "cancelled unasked",
+                      job->id);
+    }
+}
+
+static void
+advised(sim_t *sim, const sim_event_t *event)
+{
+    fv_sched_task_t *task = FvSched_FindTask(&sim->sched, event->task);
+    fv_sched_worker_t *asked[WORKERS_MAX];
+    fv_advice_row_t rows[WORKERS_MAX];
+    fv_advice_t advice = {.rows = rows};
+    uint32_t first = 0; /* of the allowed ones: the same for the stage */
+
+    sim->asks--;
+    if (task == NULL) {
+        return;
+    }
+    for (const char *c = event->task; *c != '\0'; c++) {
+        first = first * 31 + (uint32_t)*c;
+    }
+    for (uint32_t i = 0; i < event->worker_count; i++) {
+        uint32_t place = FvSim_IndexOf(sim, event->workers[i]) + first;
+
+        asked[i] = FvSched_FindWorker(&sim->sched, event->workers[i]);
+        if (place % sim->plan->workers < ALLOWED_WORKERS) {
+            fv_advice_row_t *row = &rows[advice.row_count++];
+
+            FvText_Copy(row->worker_id, Fv_NAME_SIZE, event->workers[i]);
+            FvText_Copy(row->ticket, Fv_TICKET_SIZE, "ticket");
+        }
+    }
+    FvSched_Advised(&sim->sched, task->stage, asked, event->worker_count,
+                    &advice, sim->now_ms);
+}
+
+static void
+job_arrives(sim_t *sim, const sim_event_t *event)
+{
+    sim_job_t *job = FvSim_JobOf(sim, event->task);
+    fv_sched_job_t *known = FvSched_FindJob(&sim->sched, job->id);
+    sim_event_t again = {.kind = EVENT_JOB_ARRIVES,
+                         .at_ms = sim->now_ms + 1000};
+    fv_job_spec_t spec;
+
+    if (job->accepted || job->ended != NULL || known != NULL) {
+        return;
+    }
+    FvPlatform_JobSpec(job->document, strlen(job->document), &spec);
+    known =
+        FvSched_AddJob(&sim->sched, job->id, &job->queue, &spec, job->document,
+                       strlen(job->document), sim->now_ms, sim->now_ms);
+    FvJobSpec_Clear(&spec);
+    FvSim_Record(&sim->sched, known, Fv_RECORD_ACCEPT);
+    FvSched_ReleaseStages(&sim->sched, known, sim->now_ms, sim->now_ms);
+    /* The caller repeats what a leader lost before it was recorded. */
+    FvText_Copy(again.task, sizeof(again.task), job->id);
+    FvSim_Schedule(sim, again);
+}
+
+static void
+worker_returns(sim_t *sim, uint32_t index)
+{
+    sim_worker_t *worker = &sim->workers[index];
+
+    worker->up = true;
+    worker->leaves_ms = 0;
+    worker->entry.draining = false;
+    worker->entry.drain_left_ms = 0;
+    worker->entry.started_wall_ms = sim->now_ms;
+    FvSched_SeeWorker(&sim->sched, &worker->entry, sim->now_ms);
+}
+
+/**
+ * FvSim_Handle - apply an event
+ * @sim: the cell
+ * @event: the event
+ */
+void
+FvSim_Handle(sim_t *sim, sim_event_t *event)
+{
+    if (event->generation != 0 && event->generation != sim->generation &&
+        event->kind != EVENT_ORDER_ARRIVES) {
+        return; /* the answer to an earlier leader */
+    }
+    switch (event->kind) {
+    case EVENT_ORDER_ARRIVES:
+        order_arrives(sim, event);
+        break;
+    case EVENT_ORDER_ANSWERED:
+        order_answered(sim, event);
+        break;
+    case EVENT_REPORT_ASKED:
+        report_asked(sim, event);
+        break;
+    case EVENT_REPORT_ARRIVES:
+        report_arrives(sim, event);
+        break;
+    case EVENT_RECORDED:
+        recorded(sim, event);
+        break;
+    case EVENT_ENDS_RECORDED:
+        ends_recorded(sim, event);
+        break;
+    case EVENT_ADVISED:
+        advised(sim, event);
+        break;
+    case EVENT_WORKER_RETURNS:
+        worker_returns(sim, event->worker);
+        break;
+    case EVENT_JOB_ARRIVES:
+        job_arrives(sim, event);
+        break;
+    default:
+        break;
+    }
+}
--- /dev/null
+++ b/tests/harness/sched-sim-internal.h
@@ -0,0 +1,176 @@
+/*
+ * The parts of the cell in simulated time; see sched-sim.h.
+ */
+
+#ifndef SCHED_SIM_INTERNAL_H
+#define SCHED_SIM_INTERNAL_H
+
+#include "sched-sim.h"
+
+#include "platform.h"
+#include "scheduler.h"
+#include "suite.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WORKERS_MAX 32
+#define RUNS_MAX 128
+#define ENDS_MAX 4096
+#define EVENTS_MAX 65536
+#define JOBS_MAX 256
+#define TASKS_MAX 4096
+
+#define LEASE_MS 4500
+#define STOP_MS 600
+#define QUIET_MS (STOP_MS + 250) /* no stops before a handover */
+#define GANG_TIMEOUT_MS 3000
+#define GANG_FILL_MS 1800
+#define ORDER_TIMEOUT_MS 250
+#define REPORT_TIMEOUT_MS 700
+#define REPORT_EVERY_MS 300
+#define RECORD_MS 10
+#define PASS_MS 20
+#define WORKER_CPU 8000
+#define ATTEMPTS 3
+#define ASKS_MAX 6
+#define ALLOWED_WORKERS                                                       \
+    4 /* of the workers, for each stage: room for any gang */
+
+typedef enum event_kind {
+    EVENT_ORDER_ARRIVES,
+    EVENT_ORDER_ANSWERED,
+    EVENT_REPORT_ASKED,
+    EVENT_REPORT_ARRIVES,
+    EVENT_RECORDED,
+    EVENT_ENDS_RECORDED,
+    EVENT_ADVISED,
+    EVENT_WORKER_RETURNS,
+    EVENT_JOB_ARRIVES
+} event_kind_t;
+
+/* The truth about a task, as its runs at the workers show it. */
+typedef struct sim_task {
+    char name[Fv_RUN_TASK_ID_SIZE];
+    int32_t active; /* runs that occupy a worker now */
+    bool done;      /* and that was noted, or still will be */
+    int64_t done_ms;
+    int64_t last_start_ms;
+    int32_t failures_noted;
+} sim_task_t;
+
+typedef struct sim_run {
+    sim_task_t *task;
+    int32_t run;
+    int64_t began_ms;
+    int64_t works_from_ms; /* 0: waits for its gang */
+    int64_t takes_ms;
+    bool fails;
+    int64_t stopping_until_ms;
+    const fv_step_spec_t *step;
+} sim_run_t;
+
+typedef struct sim_end {
+    fv_ended_row_t row;
+    int64_t at_ms;
+    bool noted;
+} sim_end_t;
+
+typedef struct sim_worker {
+    fv_worker_entry_t entry;
+    bool up;
+    int64_t silent_until_ms;
+    int64_t leaves_ms; /* 0: stays */
+    int64_t fence;
+    int64_t lease_end_ms;
+    int64_t lapsed_ms; /* when its lease was last seen to have lapsed */
+    uint32_t run_count;
+    sim_run_t runs[RUNS_MAX];
+    int64_t next_number;
+    uint32_t end_count;
+    sim_end_t ends[ENDS_MAX];
+    bool asking;
+    int64_t asked_ms;
+} sim_worker_t;
+
+typedef struct sim_event {
+    int64_t at_ms;
+    uint64_t order;
+    event_kind_t kind;
+    int32_t generation; /* 0: of no leader */
+    uint32_t worker;
+    int64_t life;
+    char task[Fv_RUN_TASK_ID_SIZE];
+    int32_t run;
+    bool stop;
+    fv_order_result_t result;
+    int64_t sent_ms;
+    int64_t lease_end_ms;
+    int64_t number;
+    fv_record_kind_t record;
+    fv_buffer_t value;
+    char **workers;
+    uint32_t worker_count;
+    fv_worker_report_t report;
+    bool answered;
+} sim_event_t;
+
+typedef struct sim_job {
+    char id[Fv_JOB_ID_SIZE];
+    char *document;
+    fv_job_spec_t spec;
+    fv_cell_queue_t queue;
+    bool accepted;
+    bool cancelled;
+    const char *ended; /* as recorded */
+    fv_buffer_t job_record;
+    fv_buffer_t progress_record;
+} sim_job_t;
+
+typedef struct sim {
+    fv_sched_t sched; /* first: the port finds the simulation */
+    const sim_plan_t *plan;
+    sim_result_t *result;
+    uint64_t random;
+    int64_t now_ms;
+    int32_t generation;
+    int64_t leader_since_ms;
+    int64_t handover_ms; /* the next leader begins then; 0: not planned */
+    bool handed_over;    /* the leader before gave no stops in the end */
+    uint32_t asks;
+    uint64_t event_order;
+    uint32_t event_count;
+    sim_event_t *events; /* a heap by time */
+    sim_worker_t workers[WORKERS_MAX];
+    uint32_t job_count;
+    sim_job_t jobs[JOBS_MAX];
+    uint32_t task_count;
+    sim_task_t tasks[TASKS_MAX];
+} sim_t;
+
+extern const fv_sched_port_t Fv_SIM_PORT;
+
+uint32_t FvSim_Draw(sim_t *sim, uint32_t below);
+bool FvSim_Chance(sim_t *sim, uint32_t per_mille);
+void FvSim_Violate(sim_t *sim, uint32_t *count, const char *what,
+                   const char *name);
+void FvSim_Schedule(sim_t *sim, sim_event_t event);
+sim_event_t FvSim_TakeEvent(sim_t *sim);
+void FvSim_ClearEvent(sim_event_t *event);
+int64_t FvSim_HalfTrip(sim_t *sim);
+sim_task_t *FvSim_TaskNamed(sim_t *sim, const char *name);
+sim_job_t *FvSim_JobOf(sim_t *sim, const char *name);
+bool FvSim_IsSilent(const sim_t *sim, const sim_worker_t *worker);
+void FvSim_KillRuns(sim_t *sim, sim_worker_t *worker, bool listed);
+void FvSim_RunWorkers(sim_t *sim);
+fv_order_result_t FvSim_Obey(sim_t *sim, sim_worker_t *worker,
+                             const sim_event_t *order);
+uint32_t FvSim_IndexOf(const sim_t *sim, const char *worker);
+void FvSim_Record(fv_sched_t *sched, fv_sched_job_t *job,
+                  fv_record_kind_t kind);
+void FvSim_AskForReport(sim_t *sim, uint32_t index);
+void FvSim_Handle(sim_t *sim, sim_event_t *event);
+
+#endif
--- a/tests/harness/sched-sim.h
+++ b/tests/harness/sched-sim.h
@@ -18,7 +18,8 @@
     uint32_t crashes;        /* of a worker, each second */
     uint32_t silences;       /* of a worker, each second, 1 to 8 s */
     uint32_t leaving;        /* of a worker, each second, at short notice */
-    uint32_t leader_changes; /* each second */
+    uint32_t leader_changes; /* each second, without notice */
+    uint32_t handovers;      /* each second, prepared by the leader */
     uint32_t cancellations;  /* of a job, each second */
 } sim_faults_t;
 
--- a/tests/unit/sched_model_test.c
+++ b/tests/unit/sched_model_test.c
@@ -87,6 +87,16 @@
           false);
 }
 
+static void
+test_leaders_hand_over(void)
+{
+    check(&(sim_faults_t){.handovers = 300,
+                          .cancellations = 300,
+                          .failing_tasks = 50,
+                          .leaving = 100},
+          true);
+}
+
 static void
 test_everything_at_once(void)
 {
@@ -96,6 +106,7 @@
                                      .silences = 150,
                                      .leaving = 100,
                                      .leader_changes = 150,
+                                     .handovers = 100,
                                      .cancellations = 150};
 
     check(&all, false);
@@ -111,6 +122,7 @@
         {"orders are lost and carried out late", test_orders_in_doubt},
         {"workers crash, fall silent and leave", test_workers_come_and_go},
         {"leaders follow one another", test_leaders_follow_one_another},
+        {"leaders hand over", test_leaders_hand_over},
         {"everything at once", test_everything_at_once},
     };
     const char *chosen = getenv("SCHED_MODEL_SEEDS");
