Trouble the model at any moment, and its handovers with more stops

Change: troubles come every 0.1 s, handovers at any moment, and the set for handovers has many cancellations, failed tasks and leaving workers.

--- a/tests/harness/sched-sim-internal.h
+++ b/tests/harness/sched-sim-internal.h
@@ -33,6 +33,7 @@
 #define REPORT_EVERY_MS 300
 #define RECORD_MS 10
 #define PASS_MS 20
+#define TROUBLE_MS 100
 #define WORKER_CPU 8000
 #define ATTEMPTS 3
 #define ASKS_MAX 6
--- a/tests/harness/sched-sim.c
+++ b/tests/harness/sched-sim.c
@@ -118,20 +118,21 @@
     uint32_t index = FvSim_Draw(sim, sim->plan->workers);
     sim_worker_t *worker = &sim->workers[index];
 
-    if (FvSim_Chance(sim, faults->crashes) && worker->up) {
+    if (FvSim_Chance(sim, faults->crashes * TROUBLE_MS / 1000) && worker->up) {
         crash_worker(sim, index);
     }
-    if (FvSim_Chance(sim, faults->silences)) {
+    if (FvSim_Chance(sim, faults->silences * TROUBLE_MS / 1000)) {
         worker->silent_until_ms = sim->now_ms + 1000 + FvSim_Draw(sim, 7000);
     }
-    if (FvSim_Chance(sim, faults->leaving) && worker->up &&
+    if (FvSim_Chance(sim, faults->leaving * TROUBLE_MS / 1000) && worker->up &&
         worker->leaves_ms == 0) {
         worker->leaves_ms = sim->now_ms + 2500;
         worker->entry.draining = true;
         worker->entry.drain_left_ms = 2500;
         FvSched_SeeWorker(&sim->sched, &worker->entry, sim->now_ms);
     }
-    if (FvSim_Chance(sim, faults->cancellations) && sim->job_count > 0) {
+    if (FvSim_Chance(sim, faults->cancellations * TROUBLE_MS / 1000) &&
+        sim->job_count > 0) {
         sim_job_t *job = &sim->jobs[FvSim_Draw(sim, sim->job_count)];
         fv_sched_job_t *known = FvSched_FindJob(&sim->sched, job->id);
 
@@ -141,13 +142,13 @@
             FvSched_CancelJob(&sim->sched, known, sim->now_ms);
         }
     }
-    if (FvSim_Chance(sim, faults->leader_changes)) {
+    if (FvSim_Chance(sim, faults->leader_changes * TROUBLE_MS / 1000)) {
         sim->handed_over = false;
         replace_leader(sim);
     }
-    if (FvSim_Chance(sim, faults->handovers) && sim->handover_ms == 0) {
-        sim->handover_ms = sim->now_ms + QUIET_MS;
-        sim->sched.quiet = true;
+    if (FvSim_Chance(sim, faults->handovers * TROUBLE_MS / 1000) &&
+        sim->handover_ms == 0) {
+        sim->handover_ms = sim->now_ms + QUIET_MS + FvSim_Draw(sim, 1000);
     }
 }
 
@@ -326,11 +327,13 @@
             check_inherited(sim);
             FvSched_Pass(&sim->sched, sim->now_ms, sim->now_ms);
         }
+        sim->sched.quiet = sim->handover_ms != 0 &&
+                           sim->now_ms >= sim->handover_ms - QUIET_MS;
         if (sim->handover_ms != 0 && sim->now_ms >= sim->handover_ms) {
             sim->handed_over = true;
             replace_leader(sim);
         }
-        if (sim->now_ms % 1000 == 0) {
+        if (sim->now_ms % TROUBLE_MS == 0) {
             trouble(sim);
         }
     }
--- a/tests/unit/sched_model_test.c
+++ b/tests/unit/sched_model_test.c
@@ -90,11 +90,13 @@
 static void
 test_leaders_hand_over(void)
 {
-    check(&(sim_faults_t){.handovers = 300,
-                          .cancellations = 300,
-                          .failing_tasks = 50,
-                          .leaving = 100},
-          true);
+    static const sim_faults_t faults = {.handovers = 800,
+                                        .cancellations = 2000,
+                                        .failing_tasks = 150,
+                                        .leaving = 500};
+
+    check(&faults, false);
+    check(&faults, true);
 }
 
 static void
