Stop the later run of a gang of which an earlier one is done

A gang's run ended as done on a worker that was cut off, its lease lapsed, and the gang was started again; then the first end was told. Only the member that told it had its later run stopped; the other members' runs were taken for those of a gang that had just ended, and went on until they gave up, without a stop and with their room given away.

Change: the end names its run; members with another run are stopped, and only runs of that number count as ended with it.

Test: sched_report_test "a later run of an ended gang goes on" fails without the change.

--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -428,28 +428,40 @@
     sched->dirty = true;
 }
 
+/* Stops the latest run of a task of which an earlier one is done. */
+static void
+stop_later_run(fv_sched_t *sched, fv_sched_task_t *task, int32_t done_run)
+{
+    if (task->worker != NULL && task->run != done_run) {
+        sched->port->stop(sched, task);
+    }
+}
+
 /**
  * FvSched_TaskDone - a run of a task ended done
  * @sched: the scheduler
  * @task: the task; any member stands for its gang
- * @current: whether it was the task's latest run; an earlier one leaves the
- *           latest running
+ * @run: the run
+ * @current: whether its end on this worker is that of the latest run
  * @now_ms: the time
  */
 void
-FvSched_TaskDone(fv_sched_t *sched, fv_sched_task_t *task, bool current,
-                 int64_t now_ms)
+FvSched_TaskDone(fv_sched_t *sched, fv_sched_task_t *task, int32_t run,
+                 bool current, int64_t now_ms)
 {
     fv_sched_stage_t *stage = task->stage;
     fv_sched_job_t *job = stage->job;
     const fv_sched_task_t *ended = current ? task : NULL;
 
     if (stage->step->gang) {
+        stage->done_run = run;
         for (int32_t i = 0; i < stage->step->task_count; i++) {
+            stop_later_run(sched, &stage->tasks[i], run);
             mark_done(sched, &stage->tasks[i], ended, now_ms);
         }
     }
     else {
+        stop_later_run(sched, task, run);
         mark_done(sched, task, ended, now_ms);
     }
     if (stage->done == stage->step->task_count) {
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -108,13 +108,10 @@
         FvSched_JudgeWorker(worker, task, false, now_ms);
         if (stage->job->outcome == Fv_SCHED_JOB_OPEN &&
             !stage->step->long_running) {
-            if (!current && task->worker != NULL) {
-                sched->port->stop(sched, task);
-            }
             if (current) {
                 learn_run_time(sched, task, now_ms);
             }
-            FvSched_TaskDone(sched, task, current, now_ms);
+            FvSched_TaskDone(sched, task, row->run, current, now_ms);
             return true;
         }
     }
@@ -193,7 +190,7 @@
 is_of_ended_gang(const fv_sched_task_t *task, const fv_running_row_t *row)
 {
     return task->state == Fv_SCHED_DONE && task->stage->step->gang &&
-           row->run == task->stage->gang_run;
+           row->run == task->stage->done_run;
 }
 
 static void
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -81,6 +81,7 @@
     int32_t waiting;
     int32_t done;
     int32_t gang_run;
+    int32_t done_run;          /* of a gang: the run that ended as done */
     int64_t gang_ordered_ms;   /* when its run was ordered */
     bool gang_broken;          /* the run is being stopped */
     int64_t clearing_until_ms; /* other tasks are stopped to make room */
@@ -261,8 +262,8 @@
 int64_t FvSched_CountWaiting(const fv_sched_t *sched, const char *queue);
 void FvSched_ReleaseStages(fv_sched_t *sched, fv_sched_job_t *job,
                            int64_t now_ms, int64_t wall_ms);
-void FvSched_TaskDone(fv_sched_t *sched, fv_sched_task_t *task, bool current,
-                      int64_t now_ms);
+void FvSched_TaskDone(fv_sched_t *sched, fv_sched_task_t *task, int32_t run,
+                      bool current, int64_t now_ms);
 void FvSched_CheckJobEnd(fv_sched_t *sched, fv_sched_job_t *job,
                          int64_t now_ms);
 void FvSched_EndJob(fv_sched_t *sched, fv_sched_job_t *job,
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -106,6 +106,45 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* Pattern: a gang ends on workers that are cut off, and is started again when
+ * their leases have lapsed; then one of them is back and tells of the end. */
+static void
+test_later_run_of_an_ended_gang(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_Queue("q", 0);
+    fv_sched_worker_t *first;
+    fv_sched_worker_t *second;
+    fv_running_row_t row = {.task_id = JOB_A ".0.0.1"};
+    uint32_t stops;
+
+    FvSchedFixture_Open(&fixture, 1);
+    first = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 2000);
+    FvSchedFixture_AddJob(&fixture, JOB_A, &queue,
+                          "{\"taskSpec\":\"x\",\"steps\":[{\"count\":2,"
+                          "\"cpu\":1000,\"memMb\":10,\"estimatedMs\":1000,"
+                          "\"gang\":true}]}");
+    FvSchedFixture_Pass(&fixture);
+    FvSchedFixture_ConfirmStarts(&fixture);
+    second = FvSchedFixture_AddWorker(&fixture, "w2", "r1", 2000);
+    fixture.now_ms += 20000;
+    FvSched_NoReport(&fixture.sched, first, fixture.now_ms);
+    FvSchedFixture_Pass(&fixture);
+    CU_ASSERT_EQUAL_FATAL(FvSchedFixture_Starts(&fixture, JOB_A), 4);
+    FvSchedFixture_ConfirmStarts(&fixture);
+    stops = FvSchedFixture_Stops(&fixture, JOB_A);
+    FvSchedFixture_ReportEnd(&fixture, "w1", 1, JOB_A ".0.0.0", 1,
+                             Fv_END_DONE);
+    CU_ASSERT_EQUAL(FvSchedFixture_Stops(&fixture, JOB_A), stops + 2);
+    /* The stop was lost: the run is listed, and keeps its room. */
+    row.run = FvSched_FindTask(&fixture.sched, JOB_A ".0.0.1")->run;
+    fixture.now_ms += 2000;
+    report_running(&fixture, "w2", &row, 1);
+    CU_ASSERT_EQUAL(FvSchedFixture_Stops(&fixture, JOB_A), stops + 3);
+    CU_ASSERT_FALSE(FvSched_RunsNothing(second, fixture.now_ms));
+    FvSchedFixture_Close(&fixture);
+}
+
 /* Pattern: an order without an answer that is carried out seconds later. */
 static void
 test_start_in_doubt_is_forbidden_first(void)
@@ -426,6 +465,8 @@
          test_stray_keeps_its_room},
         {"a run of an ended gang is taken for a stray",
          test_report_from_before_a_gang_ended},
+        {"a later run of an ended gang goes on",
+         test_later_run_of_an_ended_gang},
         {"a start in doubt is carried out beside its repetition",
          test_start_in_doubt_is_forbidden_first},
         {"an unanswered start waits for a stop's time limit",
