Tell a repeated start from a repeated stop

Cause: found on reading the diff. One mark told whether the latest order was sent twice; a stop cleared it, and the refusal of a start's repetition that came after that was taken for the refusal of its only order: the task lost its room though the first order might still be carried out.

Change: a mark for each.

Test: sched_report_test "a stopped task loses its room to a refused repetition" fails without the change.

--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -61,7 +61,7 @@
     }
     task->state = Fv_SCHED_STOPPING;
     task->stop_sent_ms = now_ms;
-    task->repeated = false;
+    task->stop_repeated = false;
     sched->port->stop(sched, task);
 }
 
@@ -189,7 +189,7 @@
     const fv_sched_stage_t *stage = task->stage;
     const fv_verdict_t *verdict = NULL;
 
-    if (task->repeated || task->state != Fv_SCHED_ORDERED ||
+    if (task->start_repeated || task->state != Fv_SCHED_ORDERED ||
         task->worker->suspect || task->worker->lost) {
         return false;
     }
@@ -199,8 +199,8 @@
             return false;
         }
     }
-    task->repeated = sched->port->start(sched, task, verdict);
-    return task->repeated;
+    task->start_repeated = sched->port->start(sched, task, verdict);
+    return task->start_repeated;
 }
 
 /**
@@ -227,14 +227,14 @@
         }
         task->stage->job->started = true;
     }
-    else if (result == Fv_ORDER_IN_DOUBT || task->repeated) {
+    else if (result == Fv_ORDER_IN_DOUBT || task->start_repeated) {
         /* A repetition that was refused says nothing of the first order. */
         FvLog_Event(Fv_LOG_INFO, "start_in_doubt",
                     "job=%s stage=%u task=%d worker=%s run=%d reason=%d "
                     "repeated=%d",
                     task->stage->job->id, task->stage->step_index, task->index,
                     task->worker->entry.id, run, (int)result,
-                    task->repeated ? 1 : 0);
+                    task->start_repeated ? 1 : 0);
         FvSched_NoteDoubt(sched, now_ms);
         if (result == Fv_ORDER_IN_DOUBT && repeat_start(sched, task, now_ms)) {
             return;
@@ -274,8 +274,8 @@
     }
     else if (result == Fv_ORDER_IN_DOUBT) {
         FvSched_NoteDoubt(sched, now_ms);
-        if (!task->repeated && !task->worker->suspect) {
-            task->repeated = true;
+        if (!task->stop_repeated && !task->worker->suspect) {
+            task->stop_repeated = true;
             task->stop_sent_ms = now_ms;
             sched->port->stop(sched, task);
             return;
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -171,7 +171,7 @@
     task->ordered_ms = now_ms;
     task->confirmed_ms = 0;
     task->in_doubt = false;
-    task->repeated = false;
+    task->start_repeated = false;
     task->inherited = false;
     task->whole_run = task->checkpoint == NULL;
     task->percent = 0;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -52,7 +52,8 @@
     bool inherited; /* an earlier leader may have started it */
     bool whole_run; /* this leader started its run, without a checkpoint */
     bool in_doubt;  /* the start was not answered */
-    bool repeated;  /* the latest order was sent a second time */
+    bool start_repeated; /* the start was sent a second time */
+    bool stop_repeated;
 };
 
 /* What the advice service said about one worker for a stage. */
@@ -227,11 +228,10 @@
     fv_sched_job_t *jobs;
     fv_sched_worker_t *workers;
     fv_sched_stage_t *pending;
-    int32_t run_base;    /* runs of this leader are numbered above it */
-    bool inherited_held; /* inherited tasks may run on unseen workers */
-    bool quiet;          /* no stops are sent: another host is to lead */
-    int64_t
-        orders_ended_ms; /* the leader before gave none later; 0: unknown */
+    int32_t run_base;        /* runs of this leader are numbered above it */
+    bool inherited_held;     /* inherited tasks may run on unseen workers */
+    bool quiet;              /* no stops are sent: another host is to lead */
+    int64_t orders_ended_ms; /* of the leader before; 0: not known */
     bool dirty;
     uint32_t reserved_workers; /* in this pass */
     uint64_t searches;         /* for workers to ask about, so far */
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -256,6 +256,24 @@
     }
 }
 
+/* Pattern: a job is cancelled while the repetition of a start is open; the
+ * first order may still be carried out, and the stop is not answered. */
+static void
+test_refused_repetition_of_a_stopped_task(void)
+{
+    static sched_fixture_t fixture;
+    fv_sched_task_t *task = open_with_start(&fixture);
+
+    FvSched_StartAnswered(&fixture.sched, task, 1, Fv_ORDER_IN_DOUBT,
+                          fixture.now_ms);
+    FvSched_StopTask(&fixture.sched, task, fixture.now_ms);
+    FvSched_StartAnswered(&fixture.sched, task, 1, Fv_ORDER_OLD_RUN,
+                          fixture.now_ms);
+    CU_ASSERT_PTR_NOT_NULL(task->worker);
+    CU_ASSERT_TRUE(task->in_doubt);
+    FvSchedFixture_Close(&fixture);
+}
+
 /* Pattern: the leader lost its right to give orders while one was open. */
 static void
 test_no_order_without_the_right(void)
@@ -473,6 +491,8 @@
          test_unanswered_start_is_repeated},
         {"a refused repetition is taken for a refused start",
          test_refused_repetition_settles_nothing},
+        {"a stopped task loses its room to a refused repetition",
+         test_refused_repetition_of_a_stopped_task},
         {"a start is sent without the right to give orders",
          test_no_order_without_the_right},
         {"a leader waits for workers that run nothing",
