Log each run that is stopped for a gang under its own id

Cause: the log led from a gang to the number of tasks stopped for it, but not from a stopped task to the gang.

--- a/src/sched-preempt.c
+++ b/src/sched-preempt.c
@@ -95,6 +95,21 @@
     return best;
 }
 
+static void
+preempt(fv_sched_t *sched, fv_sched_task_t *task, const fv_sched_stage_t *gang,
+        int64_t now_ms)
+{
+    char name[Fv_RUN_TASK_ID_SIZE];
+
+    FvSched_TaskName(task, name, sizeof(name));
+    FvLog_Event(Fv_LOG_INFO, "run_preempted",
+                "task=%s run=%d worker=%s percent=%d times=%d for_job=%s",
+                name, task->run, task->worker->entry.id, task->percent,
+                task->preemptions + 1, gang->job->id);
+    task->preemptions++;
+    FvSched_StopTask(sched, task, now_ms);
+}
+
 /* Counts, or stops, the fewest tasks that make room for @wanted of the gang.
  */
 static int32_t
@@ -119,8 +134,7 @@
         after = task;
     }
     for (int32_t i = 0; stop && i < count; i++) {
-        victims[i]->preemptions++;
-        FvSched_StopTask(sched, victims[i], now_ms);
+        preempt(sched, victims[i], gang, now_ms);
     }
     return count;
 }
