Count the capacity of a stage in one place

Cause: placement took the tasks that a stage already runs on a worker off its limit for each worker; the advice side did not. Allowed workers that ran their task of a lasting step counted as capacity for its waiting tasks, so no other worker was asked about, and the same tickets were renewed for nothing. The probe limit of a quarantined worker differed in the same way, and workers filled by lasting tasks counted as if they became free.

Change: FvSched_StageCapacity() answers for placement, advice, preemption and reservation; FvSched_EventualStageCapacity() says what comes free once the tasks that end have ended. A call for advice no longer includes workers that never can start a task of the stage. FvSched_TaskFits() had no caller.

Four of the seven tests in sched_advice_test fail without the change, one of them because of its own set-up at that time, which is mended here.

--- a/src/sched-advice.c
+++ b/src/sched-advice.c
@@ -56,11 +56,11 @@
 
 /* Free capacity for tasks of a stage, by the state of the tickets. */
 typedef struct fv_ticket_coverage {
-    int32_t valid_capacity;           /* with a valid ticket */
-    int32_t renewable_capacity;       /* allowed, with an expired ticket */
-    int32_t unknown_capacity;         /* on workers without a verdict */
-    double expected_unknown_capacity; /* the part that is likely allowed */
-    int32_t allowed_total_capacity;   /* of the allowed workers when idle */
+    int32_t valid_capacity;            /* with a valid ticket */
+    int32_t renewable_capacity;        /* allowed, with an expired ticket */
+    int32_t unknown_capacity;          /* on workers without a verdict */
+    double expected_unknown_capacity;  /* the part that is likely allowed */
+    int32_t allowed_eventual_capacity; /* once tasks that end have ended */
     uint32_t candidate_count;
 } fv_ticket_coverage_t;
 
@@ -131,7 +131,7 @@
 {
     return stage->step->gang
                ? FvSched_TaskCapacityAfterPreemption(worker, stage, now_ms)
-               : FvSched_FreeTaskCapacity(worker, stage->step);
+               : FvSched_FreeStageCapacity(worker, stage);
 }
 
 static void
@@ -140,12 +140,13 @@
                    int64_t now_ms)
 {
     int32_t capacity = usable_capacity(verdict->worker, stage, now_ms);
+    int32_t eventual = FvSched_EventualStageCapacity(verdict->worker, stage);
 
-    if (!FvSched_IsWorkerEligible(verdict->worker, stage, now_ms)) {
+    if (eventual == 0 ||
+        !FvSched_IsWorkerEligible(verdict->worker, stage, now_ms)) {
         return;
     }
-    coverage->allowed_total_capacity +=
-        FvSched_TotalTaskCapacity(verdict->worker, stage->step);
+    coverage->allowed_eventual_capacity += eventual;
     if (FvSched_TicketValid(verdict, now_ms)) {
         coverage->valid_capacity += capacity;
     }
@@ -207,7 +208,7 @@
     for (fv_sched_worker_t *worker = sched->workers; worker != NULL;
          worker = worker->hh.next) {
         if (worker->verdict_search != sched->advice_searches &&
-            FvSched_TotalTaskCapacity(worker, stage->step) > 0 &&
+            FvSched_EventualStageCapacity(worker, stage) > 0 &&
             FvSched_IsWorkerEligible(worker, stage, now_ms)) {
             add_unknown_worker(sched, stage, worker, share, &coverage,
                                candidates, now_ms);
@@ -220,7 +221,7 @@
 has_enough_allowed(const fv_sched_stage_t *stage,
                    const fv_ticket_coverage_t *coverage)
 {
-    return coverage->allowed_total_capacity >=
+    return coverage->allowed_eventual_capacity >=
            stage->waiting * (stage->step->gang ? Fv_GANG_SURPLUS : 1.0);
 }
 
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -14,35 +14,6 @@
     double score;
 } fv_place_candidate_t;
 
-static int32_t
-tasks_of_stage(const fv_sched_worker_t *worker, const fv_sched_stage_t *stage)
-{
-    int32_t count = 0;
-
-    for (const fv_sched_task_t *task = worker->tasks; task != NULL;
-         task = task->worker_next) {
-        count += task->stage == stage;
-    }
-    return count;
-}
-
-static int32_t
-capacity_for(const fv_sched_worker_t *worker, const fv_sched_stage_t *stage)
-{
-    int32_t capacity = FvSched_FreeTaskCapacity(worker, stage->step);
-
-    if (capacity > 0 && stage->step->per_worker_max > 0) {
-        int32_t left =
-            stage->step->per_worker_max - tasks_of_stage(worker, stage);
-
-        capacity = left < capacity ? left : capacity;
-    }
-    if (capacity > 1 && worker->quarantined_until_ms != 0) {
-        capacity = 1; /* a probe */
-    }
-    return capacity;
-}
-
 /* Packs single tasks onto the fullest workers, which leaves whole workers free
  * for gangs. Gangs take the emptiest workers. */
 static double
@@ -146,7 +117,8 @@
         fv_place_candidate_t candidate = {.worker = eligible[i].worker,
                                           .verdict = eligible[i].verdict};
 
-        candidate.capacity = capacity_for(candidate.worker, stage);
+        candidate.capacity =
+            FvSched_FreeStageCapacity(candidate.worker, stage);
         candidate.score = score_candidate(stage, &candidate);
         if (candidate.capacity > 0) {
             candidates[(*count)++] = candidate;
--- a/src/sched-preempt.c
+++ b/src/sched-preempt.c
@@ -68,7 +68,7 @@
             FvSched_AddTaskResources(&resources, task->stage->step);
         }
     }
-    return FvSched_TaskCapacity(gang->step, &resources);
+    return FvSched_StageCapacity(worker, gang, &resources);
 }
 
 /* Returns the preemptible task that follows @previous in descending order of
@@ -124,7 +124,7 @@
     const fv_sched_task_t *previous = NULL;
     int32_t count = 0;
 
-    while (FvSched_TaskCapacity(gang->step, &resources) < wanted &&
+    while (FvSched_StageCapacity(worker, gang, &resources) < wanted &&
            count < Fv_VICTIMS_MAX) {
         fv_sched_task_t *task = next_victim(worker, gang, previous, now_ms);
 
@@ -177,7 +177,7 @@
         plan.capacity =
             FvSched_TaskCapacityAfterPreemption(plan.worker, gang, now_ms);
         plan.gained_capacity =
-            plan.capacity - FvSched_FreeTaskCapacity(plan.worker, gang->step);
+            plan.capacity - FvSched_FreeStageCapacity(plan.worker, gang);
         if (plan.capacity > 0) {
             plan.stop_count = preempt_on_worker(sched, plan.worker, gang,
                                                 plan.capacity, false, now_ms);
--- a/src/sched-reserve.c
+++ b/src/sched-reserve.c
@@ -99,8 +99,8 @@
         candidates[i] = (fv_reserve_candidate_t){
             .worker = worker,
             .preempted = worker->preempted_for == stage,
-            .free_capacity = FvSched_FreeTaskCapacity(worker, stage->step),
-            .total_capacity = FvSched_TotalTaskCapacity(worker, stage->step)};
+            .free_capacity = FvSched_FreeStageCapacity(worker, stage),
+            .total_capacity = FvSched_EventualStageCapacity(worker, stage)};
         capacity += candidates[i].total_capacity;
     }
     if (capacity < stage->step->task_count && has_all_verdicts(sched, stage)) {
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -323,23 +323,6 @@
     charge_resources(worker, task->stage->step, -1);
 }
 
-/**
- * FvSched_TaskFits - check whether one more task of a step fits onto a worker
- * @worker: the worker
- * @step: the step
- *
- * Return: true when the task fits.
- */
-bool
-FvSched_TaskFits(const fv_sched_worker_t *worker, const fv_step_spec_t *step)
-{
-    int64_t cpu_millis = step->uses_spare_cpu ? 0 : step->cpu_millis;
-
-    return worker->free_cpu_millis >= cpu_millis &&
-           worker->free_memory_mib >= step->memory_mib &&
-           worker->free_accelerators >= step->accelerators;
-}
-
 /**
  * FvSched_FreeResources - get the free resources of a worker
  * @worker: the worker
@@ -354,6 +337,16 @@
                                   .accelerators = worker->free_accelerators};
 }
 
+static void
+add_task_resources(fv_sched_resources_t *resources, const fv_step_spec_t *step,
+                   int64_t sign)
+{
+    resources->cpu_millis +=
+        step->uses_spare_cpu ? 0 : sign * step->cpu_millis;
+    resources->memory_mib += sign * step->memory_mib;
+    resources->accelerators += sign * step->accelerators;
+}
+
 /**
  * FvSched_AddTaskResources - add the resources of one task of a step
  * @resources: the sum, which grows
@@ -363,9 +356,7 @@
 FvSched_AddTaskResources(fv_sched_resources_t *resources,
                          const fv_step_spec_t *step)
 {
-    resources->cpu_millis += step->uses_spare_cpu ? 0 : step->cpu_millis;
-    resources->memory_mib += step->memory_mib;
-    resources->accelerators += step->accelerators;
+    add_task_resources(resources, step, 1);
 }
 
 /**
@@ -399,39 +390,110 @@
     return max_count > 0 ? (int32_t)max_count : 0;
 }
 
+/* Whether a task keeps its resources until its job is cancelled. */
+static bool
+is_lasting(const fv_sched_task_t *task)
+{
+    return task->stage->step->long_running &&
+           task->stage->job->outcome == Fv_SCHED_JOB_OPEN &&
+           !task->stage->job->cancelled;
+}
+
+static int32_t
+tasks_of_stage(const fv_sched_worker_t *worker, const fv_sched_stage_t *stage,
+               bool lasting_only)
+{
+    int32_t count = 0;
+
+    for (const fv_sched_task_t *task = worker->tasks; task != NULL;
+         task = task->worker_next) {
+        count += task->stage == stage && (!lasting_only || is_lasting(task));
+    }
+    return count;
+}
+
+static int32_t
+apply_spread_limit(const fv_sched_stage_t *stage, int32_t capacity,
+                   int32_t present)
+{
+    int32_t left = stage->step->per_worker_max - present;
+
+    if (stage->step->per_worker_max <= 0 || left >= capacity) {
+        return capacity;
+    }
+    return left > 0 ? left : 0;
+}
+
 /**
- * FvSched_FreeTaskCapacity - count the tasks of a step that fit onto a worker
+ * FvSched_StageCapacity - count the further tasks of a stage that a worker
+ * could start if it had given resources free
  * @worker: the worker
- * @step: the step
+ * @stage: the stage
+ * @resources: the resources
+ *
+ * Return: the number of tasks, within the stage's limit for each worker; at
+ * most one on a worker that is probed after a quarantine.
+ */
+int32_t
+FvSched_StageCapacity(const fv_sched_worker_t *worker,
+                      const fv_sched_stage_t *stage,
+                      const fv_sched_resources_t *resources)
+{
+    int32_t capacity = FvSched_TaskCapacity(stage->step, resources);
+
+    if (capacity > 0 && stage->step->per_worker_max > 0) {
+        capacity = apply_spread_limit(stage, capacity,
+                                      tasks_of_stage(worker, stage, false));
+    }
+    return capacity > 1 && worker->quarantined_until_ms != 0 ? 1 : capacity;
+}
+
+/**
+ * FvSched_FreeStageCapacity - count the further tasks of a stage that a worker
+ * could start now
+ * @worker: the worker
+ * @stage: the stage
  *
  * Return: the number of tasks.
  */
 int32_t
-FvSched_FreeTaskCapacity(const fv_sched_worker_t *worker,
-                         const fv_step_spec_t *step)
+FvSched_FreeStageCapacity(const fv_sched_worker_t *worker,
+                          const fv_sched_stage_t *stage)
 {
     fv_sched_resources_t resources = FvSched_FreeResources(worker);
 
-    return FvSched_TaskCapacity(step, &resources);
+    return FvSched_StageCapacity(worker, stage, &resources);
 }
 
 /**
- * FvSched_TotalTaskCapacity - count the tasks of a step that fit onto a worker
- * when it is idle
+ * FvSched_EventualStageCapacity - count the further tasks of a stage that a
+ * worker could start once all tasks on it that end by themselves have ended
  * @worker: the worker
- * @step: the step
+ * @stage: the stage
  *
  * Return: the number of tasks.
  */
 int32_t
-FvSched_TotalTaskCapacity(const fv_sched_worker_t *worker,
-                          const fv_step_spec_t *step)
+FvSched_EventualStageCapacity(const fv_sched_worker_t *worker,
+                              const fv_sched_stage_t *stage)
 {
-    return FvSched_TaskCapacity(
-        step,
-        &(fv_sched_resources_t){.cpu_millis = worker->entry.cpu_millis,
-                                .memory_mib = worker->entry.memory_mib,
-                                .accelerators = worker->entry.accelerators});
+    fv_sched_resources_t resources = {.cpu_millis = worker->entry.cpu_millis,
+                                      .memory_mib = worker->entry.memory_mib,
+                                      .accelerators =
+                                          worker->entry.accelerators};
+    int32_t capacity;
+
+    for (const fv_sched_task_t *task = worker->tasks; task != NULL;
+         task = task->worker_next) {
+        if (is_lasting(task)) {
+            add_task_resources(&resources, task->stage->step, -1);
+        }
+    }
+    capacity = FvSched_TaskCapacity(stage->step, &resources);
+    return capacity > 0 && stage->step->per_worker_max > 0
+               ? apply_spread_limit(stage, capacity,
+                                    tasks_of_stage(worker, stage, true))
+               : capacity;
 }
 
 static bool
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -308,8 +308,6 @@
 void FvSched_ForgetOrphanRuns(fv_sched_worker_t *worker, int64_t ended_by_ms);
 void FvSched_AttachTask(fv_sched_worker_t *worker, fv_sched_task_t *task);
 void FvSched_DetachTask(fv_sched_task_t *task);
-bool FvSched_TaskFits(const fv_sched_worker_t *worker,
-                      const fv_step_spec_t *step);
 typedef struct fv_sched_resources {
     int64_t cpu_millis;
     int64_t memory_mib;
@@ -321,10 +319,13 @@
                               const fv_step_spec_t *step);
 int32_t FvSched_TaskCapacity(const fv_step_spec_t *step,
                              const fv_sched_resources_t *resources);
-int32_t FvSched_FreeTaskCapacity(const fv_sched_worker_t *worker,
-                                 const fv_step_spec_t *step);
-int32_t FvSched_TotalTaskCapacity(const fv_sched_worker_t *worker,
-                                  const fv_step_spec_t *step);
+int32_t FvSched_StageCapacity(const fv_sched_worker_t *worker,
+                              const fv_sched_stage_t *stage,
+                              const fv_sched_resources_t *resources);
+int32_t FvSched_FreeStageCapacity(const fv_sched_worker_t *worker,
+                                  const fv_sched_stage_t *stage);
+int32_t FvSched_EventualStageCapacity(const fv_sched_worker_t *worker,
+                                      const fv_sched_stage_t *stage);
 bool FvSched_IsWorkerEligible(const fv_sched_worker_t *worker,
                               const fv_sched_stage_t *stage, int64_t now_ms);
 bool FvSched_IsWorkerIdle(const fv_sched_worker_t *worker, int64_t now_ms);
--- a/tests/harness/sched-fixture.c
+++ b/tests/harness/sched-fixture.c
@@ -59,11 +59,14 @@
 {
     sched_fixture_t *fixture = (sched_fixture_t *)sched;
 
-    (void)stage;
-    (void)workers;
     if (fixture->refuse_advice) {
         return false;
     }
+    CU_ASSERT_FATAL(count <= Fv_FIXTURE_ADVISED_MAX);
+    fixture->advised_stage = stage;
+    fixture->advised_count = count;
+    memcpy(fixture->advised_workers, workers,
+           count * sizeof(fixture->advised_workers[0]));
     fixture->advice_request_count++;
     fixture->advice_worker_count += count;
     return true;
@@ -184,6 +187,60 @@
     return queue;
 }
 
+/**
+ * FvSchedFixture_MakeAdvisedQueue - make a queue whose tasks need tickets
+ * @name: its name
+ * @priority: its priority
+ *
+ * Return: the queue. A call costs as much as 70 workers in it; the tickets are
+ * valid for 2.5 s.
+ */
+fv_cell_queue_t
+FvSchedFixture_MakeAdvisedQueue(const char *name, int32_t priority)
+{
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue(name, priority);
+
+    queue.needs_advice = true;
+    queue.advice_base_us = 420000;
+    queue.advice_per_worker_us = 6000;
+    queue.ticket_valid_ms = 2500;
+    return queue;
+}
+
+/**
+ * FvSchedFixture_AnswerAdvice - answer the latest call for advice
+ * @fixture: the fixture
+ * @allows: whether the service allows a worker, by its id
+ *
+ * Return: false when no call is unanswered.
+ */
+bool
+FvSchedFixture_AnswerAdvice(sched_fixture_t *fixture,
+                            bool (*allows)(const char *worker))
+{
+    fv_advice_row_t rows[Fv_FIXTURE_ADVISED_MAX];
+    fv_advice_t advice = {.rows = rows};
+    fv_sched_stage_t *stage = fixture->advised_stage;
+
+    if (stage == NULL) {
+        return false;
+    }
+    for (uint32_t i = 0; i < fixture->advised_count; i++) {
+        const char *id = fixture->advised_workers[i]->entry.id;
+
+        if (allows(id)) {
+            fv_advice_row_t *row = &rows[advice.row_count++];
+
+            FvText_Copy(row->worker_id, sizeof(row->worker_id), id);
+            FvText_Copy(row->ticket, sizeof(row->ticket), "t");
+        }
+    }
+    fixture->advised_stage = NULL;
+    FvSched_ApplyAdvice(&fixture->sched, stage, fixture->advised_workers,
+                        fixture->advised_count, &advice, fixture->now_ms);
+    return true;
+}
+
 /**
  * FvSchedFixture_AddJob - add an accepted and recorded job
  * @fixture: the fixture
--- a/tests/harness/sched-fixture.h
+++ b/tests/harness/sched-fixture.h
@@ -12,6 +12,7 @@
 #define Fv_FIXTURE_ORDERS_MAX 4096
 #define Fv_FIXTURE_LEASE_MS 5000
 #define Fv_FIXTURE_STOP_MS 900
+#define Fv_FIXTURE_ADVISED_MAX 100
 
 typedef struct fixture_order {
     char task[Fv_RUN_TASK_ID_SIZE];
@@ -27,6 +28,9 @@
     fixture_order_t orders[Fv_FIXTURE_ORDERS_MAX];
     uint32_t advice_request_count;
     uint32_t advice_worker_count;
+    fv_sched_stage_t *advised_stage; /* of the latest unanswered call */
+    uint32_t advised_count;
+    fv_sched_worker_t *advised_workers[Fv_FIXTURE_ADVISED_MAX];
     bool refuse_advice;
     bool refuse_starts; /* the host may not send orders */
     uint32_t report_request_count;
@@ -44,6 +48,10 @@
                                       const fv_cell_queue_t *queue,
                                       const char *document);
 void FvSchedFixture_RunPass(sched_fixture_t *fixture);
+fv_cell_queue_t FvSchedFixture_MakeAdvisedQueue(const char *name,
+                                                int32_t priority);
+bool FvSchedFixture_AnswerAdvice(sched_fixture_t *fixture,
+                                 bool (*allows)(const char *worker));
 uint32_t FvSchedFixture_CountStarts(const sched_fixture_t *fixture,
                                     const char *job);
 uint32_t FvSchedFixture_CountRuns(const sched_fixture_t *fixture,
