Let lasting tasks start on workers reserved for a gang

Cause: a waiting gang reserves up to 0.7 of the workers, and a reserved worker was not eligible for any other stage. A lasting task that had ended waited as long as the gang did, beside free capacity for it twice over.

Change: reservations do not apply to lasting tasks.

--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -533,7 +533,10 @@
          (worker->probing || step->gang))) {
         return false;
     }
-    if (worker->reserved_for != NULL && worker->reserved_for != stage) {
+    /* Gangs outlast a reservation; a lasting task that is down serves no one
+     * meanwhile. */
+    if (worker->reserved_for != NULL && worker->reserved_for != stage &&
+        !step->long_running) {
         return false;
     }
     return strcmp(worker->entry.service, stage->job->queue.service) == 0 &&
--- a/tests/unit/sched_job_test.c
+++ b/tests/unit/sched_job_test.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #define JOB "00000000000000aa"
+#define JOB_B "00000000000000bb"
 
 /* A job whose steps each depend on all earlier ones. */
 static char *
@@ -129,6 +130,36 @@
     FvSchedFixture_Close(&fixture);
 }
 
+static const char lasting_task[] =
+    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1000,"
+    "\"memMb\":1,\"estimatedMs\":100,\"longRunning\":true}]}";
+
+/* All workers are reserved for a gang that waits for the last of them. */
+static void
+test_lasting_task_starts_on_reserved_worker(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 1);
+    fv_cell_queue_t gangs = FvSchedFixture_MakeQueue("gangs", 0);
+    char id[Fv_NAME_SIZE];
+
+    FvSchedFixture_Open(&fixture, 1);
+    for (uint32_t i = 0; i < 4; i++) {
+        snprintf(id, sizeof(id), "w%u", i);
+        FvSchedFixture_AddWorker(&fixture, id, "r1", 4000)->free_cpu_millis =
+            i < 2 ? 4000 : 0; /* other tasks run on the last two */
+    }
+    FvSchedFixture_AddJob(
+        &fixture, JOB_B, &gangs,
+        "{\"taskSpec\":\"x\",\"steps\":[{\"count\":4,\"cpu\":4000,"
+        "\"memMb\":1,\"estimatedMs\":4000,\"gang\":true}]}");
+    FvSchedFixture_AddJob(&fixture, JOB, &queue, lasting_task);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_B), 0);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB), 1);
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -139,6 +170,8 @@
          test_occurrence_waits_until_it_is_due},
         {"a long-running task is not restarted",
          test_long_running_task_is_always_restarted},
+        {"a lasting task waits for workers that are reserved for a gang",
+         test_lasting_task_starts_on_reserved_worker},
     };
 
     return Fv_RUN_SUITE("sched_job", cases);
