Take a lasting task at work as proof of its worker

Cause: a worker came off probation only when a task ended as done. A lasting task never does, so that a worker probed with one got no other task for as long as it ran; and two lasting tasks that ended after work, which they may at any time, put their worker into quarantine.

Change: a lasting task at work (100 percent) ends the probation, and its later failure is no evidence against the worker.

--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -13,6 +13,9 @@
  * 0.84 s. */
 #define Fv_STALLED_MS 2500
 
+/* Progress that a lasting task reports for as long as it is at work. */
+#define Fv_AT_WORK_PERCENT 100
+
 static void
 set_checkpoint(fv_sched_task_t *task, const char *checkpoint)
 {
@@ -47,6 +50,15 @@
     return false;
 }
 
+/* A task that lasts does not end, so that it has proved its worker once it is
+ * at work. */
+static bool
+is_lasting_task_at_work(const fv_sched_task_t *task)
+{
+    return task->stage->step->long_running &&
+           task->percent >= Fv_AT_WORK_PERCENT;
+}
+
 static void
 count_failure(fv_sched_t *sched, fv_sched_task_t *task,
               fv_sched_worker_t *worker, int32_t run, int64_t now_ms)
@@ -60,7 +72,9 @@
     }
     counted->failed_runs[counted->failures % Fv_FAILED_RUNS_MAX] = run;
     counted->failures++;
-    FvSched_UpdateWorkerHealth(worker, task, true, now_ms);
+    if (run != task->run || !is_lasting_task_at_work(task)) {
+        FvSched_UpdateWorkerHealth(worker, task, true, now_ms);
+    }
     task->failed_on = worker;
     if (!stage->step->long_running && job->outcome == Fv_SCHED_JOB_OPEN &&
         counted->failures >= job->queue.attempts_max) {
@@ -172,6 +186,9 @@
     if (row->percent != task->percent) {
         task->percent = row->percent;
         task->progress_ms = now_ms;
+        if (is_lasting_task_at_work(task)) {
+            FvSched_UpdateWorkerHealth(task->worker, task, false, now_ms);
+        }
     }
     if (task->stage->step->gang && row->checkpoint[0] != '\0') {
         set_gang_checkpoint(task->stage, row->checkpoint);
--- a/tests/harness/sched-sim.h
+++ b/tests/harness/sched-sim.h
@@ -30,6 +30,10 @@
     int64_t faults_end_ms;
     int64_t deadline_ms; /* every job must have ended by then */
     bool advice;
+    uint32_t allowed_workers; /* that the advice allows for a stage */
+    int64_t advice_per_worker_us;
+    uint32_t lasting_jobs; /* share of long-running jobs, of 1,000 */
+    bool check_waiting;    /* requires that no faults occur */
     sim_faults_t faults;
 } sim_plan_t;
 
@@ -40,6 +44,8 @@
     uint32_t started_after_done;
     uint32_t started_before_predecessors;
     uint32_t started_beyond_attempts;
+    uint32_t started_beyond_spread;
+    uint32_t waited_too_long;
     uint32_t unfinished_jobs;
     uint32_t wrong_outcomes;
     uint32_t starts;
--- a/tests/unit/sched_job_test.c
+++ b/tests/unit/sched_job_test.c
@@ -134,6 +134,72 @@
     "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1000,"
     "\"memMb\":1,\"estimatedMs\":100,\"longRunning\":true}]}";
 
+static void
+report_at_work(sched_fixture_t *fixture, fv_sched_worker_t *worker)
+{
+    fv_running_row_t rows[4];
+    fv_worker_report_t report = {
+        .clock_ms = fixture->now_ms, .started_wall_ms = 1, .running = rows};
+
+    for (const fv_sched_task_t *task = worker->tasks; task != NULL;
+         task = task->worker_next) {
+        fv_running_row_t *row = &rows[report.running_count++];
+
+        *row = (fv_running_row_t){.run = task->run, .percent = 100};
+        FvSched_TaskName(task, row->task_id, sizeof(row->task_id));
+    }
+    FvSched_ApplyReport(&fixture->sched, worker, &report, fixture->now_ms,
+                        fixture->now_ms);
+}
+
+/* Tasks of two lasting jobs end by themselves after they were at work. */
+static void
+test_ended_lasting_tasks_do_not_quarantine(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_worker_t *worker;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 4000);
+    FvSchedFixture_AddJob(&fixture, JOB, &queue, lasting_task);
+    FvSchedFixture_AddJob(&fixture, JOB_B, &queue, lasting_task);
+    FvSchedFixture_RunPass(&fixture);
+    FvSchedFixture_ConfirmStarts(&fixture);
+    report_at_work(&fixture, worker);
+    FvSchedFixture_ReportEnd(&fixture, "w1", 1, JOB ".0.0.0", 1,
+                             Fv_END_FAILED);
+    FvSchedFixture_ReportEnd(&fixture, "w1", 2, JOB_B ".0.0.0", 1,
+                             Fv_END_FAILED);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(worker->quarantined_until_ms, 0);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB), 2);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_B), 2);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* The task that probes a worker after a quarantine never ends. */
+static void
+test_lasting_task_ends_probe_when_at_work(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_worker_t *worker;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 4000);
+    worker->quarantined_until_ms = fixture.now_ms;
+    FvSchedFixture_AddJob(&fixture, JOB, &queue, lasting_task);
+    FvSchedFixture_AddJob(&fixture, JOB_B, &queue, lasting_task);
+    FvSchedFixture_RunPass(&fixture);
+    FvSchedFixture_ConfirmStarts(&fixture);
+    CU_ASSERT_EQUAL(worker->task_count, 1);
+    report_at_work(&fixture, worker);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(worker->task_count, 2);
+    FvSchedFixture_Close(&fixture);
+}
+
 /* All workers are reserved for a gang that waits for the last of them. */
 static void
 test_lasting_task_starts_on_reserved_worker(void)
@@ -170,6 +236,10 @@
          test_occurrence_waits_until_it_is_due},
         {"a long-running task is not restarted",
          test_long_running_task_is_always_restarted},
+        {"lasting tasks that ended after work quarantine their worker",
+         test_ended_lasting_tasks_do_not_quarantine},
+        {"a worker stays on probation while a lasting task runs on it",
+         test_lasting_task_ends_probe_when_at_work},
         {"a lasting task waits for workers that are reserved for a gang",
          test_lasting_task_starts_on_reserved_worker},
     };
