Log and count why a stage waits

Cause: a stage that waited beside free capacity left no trace but a missing start line; the fault in the count of capacity had to be found by reading.

Change: once a second the leader names the obstacle on the worker that is closest to a start, for stages that wait 1.5 s or more, at most eight lines and again only when the cause changes. avoidable_waits counts those beside a worker with room. The checks of FvSched_IsWorkerEligible() have names now, so that the log and the placement ask the same questions.

Nothing else changes.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -198,6 +198,7 @@
     leader->next_load_log_ms = now_ms + Fv_LOAD_LOG_INTERVAL_MS;
     FvSched_GetLoad(&leader->sched, now_ms, &load);
     FvSched_LogIncompleteGangs(&leader->sched, now_ms);
+    FvSched_LogWaitingStages(&leader->sched, now_ms);
     FvLog_Event(Fv_LOG_INFO, "cell_load",
                 "workers=%u usable=%u cpu_used=%" PRId64 " cpu=%" PRId64
                 " memory_used=%" PRId64 " memory=%" PRId64
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -64,6 +64,9 @@
     [Fv_COUNTER_CLAIMS_RECOVERED] = {"claims_recovered",
                                      "Claims taken over from another host."},
     [Fv_COUNTER_QUARANTINES] = {"quarantines", "Workers put in quarantine."},
+    [Fv_COUNTER_AVOIDABLE_WAITS] = {"avoidable_waits",
+                                    "Times that a stage waited beside free "
+                                    "capacity."},
     [Fv_COUNTER_DECISIONS] = {"decisions", "Placement decisions."},
 };
 
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -114,6 +114,8 @@
         else {
             *link = stage->pending_next;
             stage->pending = false;
+            stage->waiting_since_ms = 0;
+            stage->wait_logged = false;
         }
     }
     return count;
@@ -128,6 +130,9 @@
          stage = stage->pending_next) {
         bool late;
 
+        if (stage->waiting_since_ms == 0) {
+            stage->waiting_since_ms = now_ms;
+        }
         FvSched_UpdateStartTargets(sched, stage);
         late = stage->late_after_ms < now_ms && !stage->step->long_running;
 
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -507,6 +507,76 @@
     return false;
 }
 
+/**
+ * FvSched_IsWorkerAvailable - check whether a worker takes any new tasks
+ * @worker: the worker
+ * @now_ms: the time
+ *
+ * Return: false when it leaves, does not answer, or may hold runs that are not
+ * known.
+ */
+bool
+FvSched_IsWorkerAvailable(const fv_sched_worker_t *worker, int64_t now_ms)
+{
+    return worker->listed && worker->synced && worker->in_roster &&
+           !worker->suspect && !worker->draining && !worker->lost &&
+           worker->inherited_stops_until_ms <= now_ms &&
+           !has_orphan_runs(worker, now_ms);
+}
+
+/**
+ * FvSched_IsWorkerQuarantined - check whether a quarantine keeps a stage from
+ * a worker
+ * @worker: the worker
+ * @stage: the stage
+ * @now_ms: the time
+ *
+ * Return: true during the quarantine and, for all but one single task, until
+ * the worker is proved.
+ */
+bool
+FvSched_IsWorkerQuarantined(const fv_sched_worker_t *worker,
+                            const fv_sched_stage_t *stage, int64_t now_ms)
+{
+    return worker->quarantined_until_ms > now_ms ||
+           (worker->quarantined_until_ms != 0 &&
+            (worker->probing || stage->step->gang));
+}
+
+/**
+ * FvSched_IsWorkerReserved - check whether a reservation keeps a stage from a
+ * worker
+ * @worker: the worker
+ * @stage: the stage
+ *
+ * Return: true when a gang has reserved the worker. That does not apply to a
+ * lasting task, which serves no one while it waits.
+ */
+bool
+FvSched_IsWorkerReserved(const fv_sched_worker_t *worker,
+                         const fv_sched_stage_t *stage)
+{
+    return worker->reserved_for != NULL && worker->reserved_for != stage &&
+           !stage->step->long_running;
+}
+
+/**
+ * FvSched_IsWorkerSuitable - check whether a stage's configuration and labels
+ * admit a worker
+ * @worker: the worker
+ * @stage: the stage
+ *
+ * Return: true when the worker is of the right service and kind.
+ */
+bool
+FvSched_IsWorkerSuitable(const fv_sched_worker_t *worker,
+                         const fv_sched_stage_t *stage)
+{
+    return strcmp(worker->entry.service, stage->job->queue.service) == 0 &&
+           (stage->step->required_label[0] == '\0' ||
+            has_label(&worker->entry, stage->step->required_label));
+}
+
 /**
  * FvSched_IsWorkerEligible - check whether a worker may get tasks of a stage,
  * whatever its free capacity
@@ -520,28 +590,10 @@
 FvSched_IsWorkerEligible(const fv_sched_worker_t *worker,
                          const fv_sched_stage_t *stage, int64_t now_ms)
 {
-    const fv_step_spec_t *step = stage->step;
-
-    if (!worker->listed || !worker->synced || !worker->in_roster ||
-        worker->suspect || worker->draining || worker->lost ||
-        worker->inherited_stops_until_ms > now_ms ||
-        has_orphan_runs(worker, now_ms)) {
-        return false;
-    }
-    if (worker->quarantined_until_ms > now_ms ||
-        (worker->quarantined_until_ms != 0 &&
-         (worker->probing || step->gang))) {
-        return false;
-    }
-    /* Gangs outlast a reservation; a lasting task that is down serves no one
-     * meanwhile. */
-    if (worker->reserved_for != NULL && worker->reserved_for != stage &&
-        !step->long_running) {
-        return false;
-    }
-    return strcmp(worker->entry.service, stage->job->queue.service) == 0 &&
-           (step->required_label[0] == '\0' ||
-            has_label(&worker->entry, step->required_label));
+    return FvSched_IsWorkerAvailable(worker, now_ms) &&
+           !FvSched_IsWorkerQuarantined(worker, stage, now_ms) &&
+           !FvSched_IsWorkerReserved(worker, stage) &&
+           FvSched_IsWorkerSuitable(worker, stage);
 }
 
 /**
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -72,6 +72,23 @@
     struct fv_orphan_run *next;
 } fv_orphan_run_t;
 
+/* What keeps waiting tasks from a start, in the order of how close the best
+ * worker is to getting one. */
+typedef enum fv_wait_cause {
+    Fv_WAIT_UNFIT,       /* no worker could ever run a task */
+    Fv_WAIT_UNAVAILABLE, /* workers leave, are silent or not yet known */
+    Fv_WAIT_CAPACITY,
+    Fv_WAIT_SPREAD,  /* the limit of the step's tasks on each worker */
+    Fv_WAIT_REFUSED, /* by the advice service */
+    Fv_WAIT_QUARANTINE,
+    Fv_WAIT_RESERVED, /* for a gang */
+    Fv_WAIT_TICKET,   /* not asked for, not answered or expired */
+    Fv_WAIT_GANG,     /* not all members fit at one time */
+    Fv_WAIT_NEXT_PASS,
+    Fv_WAIT_INHERITED, /* an earlier leader's runs are not all known */
+    Fv_WAIT_RECORD     /* the job is not in the store yet */
+} fv_wait_cause_t;
+
 /* One step of one occurrence of a job. */
 struct fv_sched_stage {
     fv_sched_job_t *job;
@@ -88,6 +105,9 @@
     int64_t preempting_until_ms; /* until then tasks are stopped for it */
     bool pending;                /* in the list of stages to place */
     fv_sched_stage_t *pending_next;
+    int64_t waiting_since_ms; /* 0: no task waits */
+    bool wait_logged;
+    fv_wait_cause_t logged_wait_cause; /* valid if wait_logged */
     fv_verdict_t *verdicts;
     uint32_t verdict_count;
     uint32_t verdict_capacity;
@@ -284,6 +304,12 @@
 double FvRunTimeModel_Spread(const fv_run_time_model_t *model);
 uint32_t FvRunTimeModel_Version(const fv_run_time_model_t *model);
 
+/* sched-waiting.c */
+fv_wait_cause_t FvSched_WaitCause(fv_sched_t *sched,
+                                  const fv_sched_stage_t *stage,
+                                  int64_t now_ms);
+void FvSched_LogWaitingStages(fv_sched_t *sched, int64_t now_ms);
+
 /* sched-record.c: the records in the store. */
 bool FvSchedRecord_EncodeJob(const fv_sched_job_t *job, fv_buffer_t *out);
 bool FvSchedRecord_EncodeProgress(const fv_sched_job_t *job, fv_buffer_t *out);
@@ -326,6 +352,15 @@
                                   const fv_sched_stage_t *stage);
 int32_t FvSched_EventualStageCapacity(const fv_sched_worker_t *worker,
                                       const fv_sched_stage_t *stage);
+bool FvSched_IsWorkerAvailable(const fv_sched_worker_t *worker,
+                               int64_t now_ms);
+bool FvSched_IsWorkerQuarantined(const fv_sched_worker_t *worker,
+                                 const fv_sched_stage_t *stage,
+                                 int64_t now_ms);
+bool FvSched_IsWorkerReserved(const fv_sched_worker_t *worker,
+                              const fv_sched_stage_t *stage);
+bool FvSched_IsWorkerSuitable(const fv_sched_worker_t *worker,
+                              const fv_sched_stage_t *stage);
 bool FvSched_IsWorkerEligible(const fv_sched_worker_t *worker,
                               const fv_sched_stage_t *stage, int64_t now_ms);
 bool FvSched_IsWorkerIdle(const fv_sched_worker_t *worker, int64_t now_ms);
