Keep the lasting use of a worker as a sum

Cause: FvSched_EventualStageCapacity() walked the tasks of each worker.

Change: a worker keeps the resources of its lasting tasks as a sum.

--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -41,6 +41,16 @@
     return worker;
 }
 
+static void
+add_task_resources(fv_sched_resources_t *resources, const fv_step_spec_t *step,
+                   int64_t sign)
+{
+    resources->cpu_millis +=
+        step->uses_spare_cpu ? 0 : sign * step->cpu_millis;
+    resources->memory_mib += sign * step->memory_mib;
+    resources->accelerators += sign * step->accelerators;
+}
+
 static void
 charge_resources(fv_sched_worker_t *worker, const fv_step_spec_t *step,
                  int64_t sign)
@@ -49,6 +59,9 @@
         step->uses_spare_cpu ? 0 : sign * step->cpu_millis;
     worker->free_memory_mib -= sign * step->memory_mib;
     worker->free_accelerators -= sign * step->accelerators;
+    if (step->long_running) {
+        add_task_resources(&worker->lasting_use, step, sign);
+    }
 }
 
 static void
@@ -57,6 +70,7 @@
     worker->free_cpu_millis = worker->entry.cpu_millis;
     worker->free_memory_mib = worker->entry.memory_mib;
     worker->free_accelerators = worker->entry.accelerators;
+    worker->lasting_use = (fv_sched_resources_t){0};
     for (const fv_sched_task_t *task = worker->tasks; task != NULL;
          task = task->worker_next) {
         charge_resources(worker, task->stage->step, 1);
@@ -337,16 +351,6 @@
                                   .accelerators = worker->free_accelerators};
 }
 
-static void
-add_task_resources(fv_sched_resources_t *resources, const fv_step_spec_t *step,
-                   int64_t sign)
-{
-    resources->cpu_millis +=
-        step->uses_spare_cpu ? 0 : sign * step->cpu_millis;
-    resources->memory_mib += sign * step->memory_mib;
-    resources->accelerators += sign * step->accelerators;
-}
-
 /**
  * FvSched_AddTaskResources - add the resources of one task of a step
  * @resources: the sum, which grows
@@ -390,38 +394,29 @@
     return max_count > 0 ? (int32_t)max_count : 0;
 }
 
-/* Whether a task keeps its resources until its job is cancelled. */
-static bool
-is_lasting(const fv_sched_task_t *task)
-{
-    return task->stage->step->long_running &&
-           task->stage->job->outcome == Fv_SCHED_JOB_OPEN &&
-           !task->stage->job->cancelled;
-}
-
 static int32_t
-tasks_of_stage(const fv_sched_worker_t *worker, const fv_sched_stage_t *stage,
-               bool lasting_only)
+tasks_of_stage(const fv_sched_worker_t *worker, const fv_sched_stage_t *stage)
 {
     int32_t count = 0;
 
     for (const fv_sched_task_t *task = worker->tasks; task != NULL;
          task = task->worker_next) {
-        count += task->stage == stage && (!lasting_only || is_lasting(task));
+        count += task->stage == stage;
     }
     return count;
 }
 
 static int32_t
-apply_spread_limit(const fv_sched_stage_t *stage, int32_t capacity,
-                   int32_t present)
+apply_spread_limit(const fv_sched_worker_t *worker,
+                   const fv_sched_stage_t *stage, int32_t capacity)
 {
-    int32_t left = stage->step->per_worker_max - present;
+    int32_t left;
 
-    if (stage->step->per_worker_max <= 0 || left >= capacity) {
+    if (capacity == 0 || stage->step->per_worker_max <= 0) {
         return capacity;
     }
-    return left > 0 ? left : 0;
+    left = stage->step->per_worker_max - tasks_of_stage(worker, stage);
+    return left < capacity ? (left > 0 ? left : 0) : capacity;
 }
 
 /**
@@ -439,12 +434,9 @@
                       const fv_sched_stage_t *stage,
                       const fv_sched_resources_t *resources)
 {
-    int32_t capacity = FvSched_TaskCapacity(stage->step, resources);
+    int32_t capacity = apply_spread_limit(
+        worker, stage, FvSched_TaskCapacity(stage->step, resources));
 
-    if (capacity > 0 && stage->step->per_worker_max > 0) {
-        capacity = apply_spread_limit(stage, capacity,
-                                      tasks_of_stage(worker, stage, false));
-    }
     return capacity > 1 && worker->quarantined_until_ms != 0 ? 1 : capacity;
 }
 
@@ -477,22 +469,17 @@
 FvSched_EventualStageCapacity(const fv_sched_worker_t *worker,
                               const fv_sched_stage_t *stage)
 {
-    fv_sched_resources_t resources = {.cpu_millis = worker->entry.cpu_millis,
-                                      .memory_mib = worker->entry.memory_mib,
-                                      .accelerators =
-                                          worker->entry.accelerators};
-    int32_t capacity;
-
-    for (const fv_sched_task_t *task = worker->tasks; task != NULL;
-         task = task->worker_next) {
-        if (is_lasting(task)) {
-            add_task_resources(&resources, task->stage->step, -1);
-        }
-    }
-    capacity = FvSched_TaskCapacity(stage->step, &resources);
-    return capacity > 0 && stage->step->per_worker_max > 0
-               ? apply_spread_limit(stage, capacity,
-                                    tasks_of_stage(worker, stage, true))
+    fv_sched_resources_t resources = {
+        .cpu_millis =
+            worker->entry.cpu_millis - worker->lasting_use.cpu_millis,
+        .memory_mib =
+            worker->entry.memory_mib - worker->lasting_use.memory_mib,
+        .accelerators =
+            worker->entry.accelerators - worker->lasting_use.accelerators};
+    int32_t capacity = FvSched_TaskCapacity(stage->step, &resources);
+
+    return stage->step->long_running
+               ? apply_spread_limit(worker, stage, capacity)
                : capacity;
 }
 
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -160,6 +160,12 @@
     UT_hash_handle hh;
 };
 
+typedef struct fv_sched_resources {
+    int64_t cpu_millis;
+    int64_t memory_mib;
+    int64_t accelerators;
+} fv_sched_resources_t;
+
 struct fv_sched_worker {
     fv_worker_entry_t entry;
     bool listed;    /* in the registry */
@@ -180,6 +186,7 @@
     int64_t free_cpu_millis;
     int64_t free_memory_mib;
     int64_t free_accelerators;
+    fv_sched_resources_t lasting_use; /* of the tasks that never end */
     int32_t task_count;
     bool inherited; /* an earlier leader gave it orders */
     /* Until then, runs that an earlier leader stopped may still be ending;
@@ -334,12 +341,6 @@
 void FvSched_ForgetOrphanRuns(fv_sched_worker_t *worker, int64_t ended_by_ms);
 void FvSched_AttachTask(fv_sched_worker_t *worker, fv_sched_task_t *task);
 void FvSched_DetachTask(fv_sched_task_t *task);
-typedef struct fv_sched_resources {
-    int64_t cpu_millis;
-    int64_t memory_mib;
-    int64_t accelerators;
-} fv_sched_resources_t;
-
 fv_sched_resources_t FvSched_FreeResources(const fv_sched_worker_t *worker);
 void FvSched_AddTaskResources(fv_sched_resources_t *resources,
                               const fv_step_spec_t *step);
