Bound the share of the processor that passes take

Cause: on a busy leader of 1,100 workers passes took half of the processor share in a burst; reports, orders and the watch came late, gangs broke, more stages waited, and passes grew longer. perf on the leader's process: sorting of all candidates 14 %, planning of preemptions and scans of all workers for stages that had no use for advice 12 %.

Change: only as many candidates are sorted as can be used (select.c); a stage that can neither use advice nor make room by preemption is looked at again after a time that grows with stages times workers, 0 in small cells and 50 ms at most; the pause before a pass is three times the duration of the last one instead of once.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -35,10 +35,11 @@
 #define Fv_LEADER_TICK_MS 50
 
 /* Pause before a pass, as a multiple of the duration of the latest one; it
- * leaves the processor to requests and reports. */
-#define Fv_PASS_PAUSE_FACTOR 1
+ * leaves three quarters of the processor to requests and reports, without
+ * which a pass decides on old news. */
+#define Fv_PASS_PAUSE_FACTOR 3
 #define Fv_PASS_PAUSE_MIN_US 2000
-#define Fv_PASS_PAUSE_MAX_US 40000
+#define Fv_PASS_PAUSE_MAX_US 60000
 #define Fv_NS_PER_US 1000
 
 #define Fv_LOAD_LOG_INTERVAL_MS 1000
--- a/src/decision.h
+++ b/src/decision.h
@@ -356,4 +356,8 @@
 json_t *FvAccounts_MemberToJson(const fv_accounts_t *accounts,
                                 const char *member);
 
+/* select.c */
+void FvSelect_Best(void *items, size_t count, size_t size, size_t wanted,
+                   int (*compare)(const void *, const void *));
+
 #endif
--- a/src/sched-advice.c
+++ b/src/sched-advice.c
@@ -321,8 +321,8 @@
         expected_tasks >= (stage->step->gang ? stage->waiting : 1)) {
         return chosen_count;
     }
-    qsort(candidates, coverage->candidate_count, sizeof(*candidates),
-          by_score);
+    FvSelect_Best(candidates, coverage->candidate_count, sizeof(*candidates),
+                  Fv_ADVICE_CALL_WORKERS_MAX, by_score);
     for (uint32_t i = 0; i < coverage->candidate_count &&
                          chosen_count < Fv_ADVICE_CALL_WORKERS_MAX;
          i++) {
@@ -386,6 +386,9 @@
             sched->refused_advice_cost_us = stage->job->queue.advice_base_us;
         }
     }
+    else {
+        stage->next_advice_request_ms = now_ms + sched->rescan_ms;
+    }
     free(candidates);
 }
 
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -17,6 +17,13 @@
 /* Must not be 0 for xorshift; fixed so that tests are deterministic. */
 #define Fv_RANDOM_SEED UINT64_C(88172645463325252)
 
+/* A stage that could neither use advice nor make room by preemption is looked
+ * at again after a time that grows with the work of doing so for all stages:
+ * 1 ms for each 3,000 pairs of a waiting stage and a worker, which take about
+ * as long. */
+#define Fv_RESCAN_PAIRS_PER_MS 3000
+#define Fv_RESCAN_MAX_MS 50
+
 /* A gang with missing members is logged this long after its start. */
 #define Fv_GANG_INCOMPLETE_LOG_MS 5000
 
@@ -194,6 +201,11 @@
     FvMetrics_Add(Fv_COUNTER_DECISIONS, count);
     FvSched_ClearReservations(sched);
     sched->refused_advice_cost_us = INT64_MAX;
+    sched->rescan_ms =
+        (int64_t)count * HASH_COUNT(sched->workers) / Fv_RESCAN_PAIRS_PER_MS;
+    if (sched->rescan_ms > Fv_RESCAN_MAX_MS) {
+        sched->rescan_ms = Fv_RESCAN_MAX_MS;
+    }
     rank_stages(sched, ranked, now_ms);
     qsort(ranked, count, sizeof(*ranked), by_urgency);
     for (uint32_t i = 0; i < count; i++) {
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -127,7 +127,12 @@
     /* A gang that does not fit as a whole is not placed; no need to sort. */
     if (*count > 1 && (!stage->step->gang ||
                        sum_capacity(candidates, *count) >= stage->waiting)) {
-        qsort(candidates, *count, sizeof(*candidates), by_score);
+        /* Each task takes one candidate, and may have to pass over the one
+         * that it failed on. */
+        FvSelect_Best(candidates, *count, sizeof(*candidates),
+                      stage->step->same_rack ? *count
+                                             : (size_t)stage->waiting + 1,
+                      by_score);
     }
     free(eligible);
     return candidates;
--- a/src/sched-preempt.c
+++ b/src/sched-preempt.c
@@ -211,7 +211,7 @@
 
     if (sched->stops_suspended || !gang->step->gang ||
         gang->waiting < gang->step->task_count || gang->step->same_rack ||
-        now_ms < gang->preempting_until_ms) {
+        now_ms < gang->next_preemption_ms) {
         return; /* preemption can seldom free a single rack */
     }
     plans = plan_preemptions(sched, gang, now_ms, &count);
@@ -220,6 +220,7 @@
         capacity += plans[used++].capacity;
     }
     if (capacity < gang->step->task_count || needed == 0) {
+        gang->next_preemption_ms = now_ms + sched->rescan_ms;
         goto done;
     }
     for (uint32_t i = 0; i < used; i++) {
@@ -227,7 +228,7 @@
         stop_count += preempt_on_worker(sched, plans[i].worker, gang,
                                         plans[i].capacity, true, now_ms);
     }
-    gang->preempting_until_ms =
+    gang->next_preemption_ms =
         now_ms + sched->stop_max_ms + Fv_PREEMPT_SLACK_MS;
     FvLog_Event(Fv_LOG_INFO, "tasks_preempted",
                 "job=%s stage=%u tasks=%d workers=%u waited_ms=%" PRId64,
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -99,11 +99,11 @@
     int32_t waiting;
     int32_t done;
     int32_t gang_run;
-    int32_t done_run;            /* run in which the gang completed */
-    int64_t gang_start_ms;       /* when the gang's run was ordered */
-    bool gang_broken;            /* the gang's run is being stopped */
-    int64_t preempting_until_ms; /* until then tasks are stopped for it */
-    bool pending;                /* in the list of stages to place */
+    int32_t done_run;           /* run in which the gang completed */
+    int64_t gang_start_ms;      /* when the gang's run was ordered */
+    bool gang_broken;           /* the gang's run is being stopped */
+    int64_t next_preemption_ms; /* not before; tasks are being stopped */
+    bool pending;               /* in the list of stages to place */
     fv_sched_stage_t *pending_next;
     int64_t waiting_since_ms; /* 0: no task waits */
     bool wait_logged;
@@ -265,7 +265,8 @@
     bool dirty;                        /* changed since the last pass */
     uint32_t reserved_workers;         /* in this pass */
     uint64_t advice_searches;          /* count, over all stages */
-    uint64_t report_count;             /* over all workers */
+    int64_t rescan_ms;     /* in this pass; see FvSched_RunPass() */
+    uint64_t report_count; /* over all workers */
     /* In this pass, no host is free for a call that costs this or more. */
     int64_t refused_advice_cost_us;
     uint64_t random; /* state of the generator */
