Let the time limit of orders follow the answers

Change: answer-time.c keeps mean and deviation of the orders' answers; the limit follows them from 250 ms to 1 s, a missing answer counts 500 ms. While answers queue, reports get as much more time and workers are not polled faster. cell_load tells both. The view's age is 0 before the registry is read.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -205,7 +205,8 @@
                 " memory_used=%" PRId64 " memory=%" PRId64
                 " stages_waiting=%u late=%u tasks_waiting=%u asks=%u "
                 "records=%u lag_ms=%" PRId64 " passes=%" PRId64
-                " registry_age_ms=%" PRId64,
+                " registry_age_ms=%" PRId64
+                " answer_ms=%.0f limit_ms=%" PRId64,
                 load.workers, load.usable, load.used_cpu_millis,
                 load.cpu_millis, load.used_memory_mib, load.memory_mib,
                 load.stages_waiting, load.stages_late, load.tasks_waiting,
@@ -213,7 +214,9 @@
                 leader->max_tick_lag_ms, leader->passes,
                 leader->registry_watch != NULL
                     ? FvKvClient_WatchAgeMs(leader->registry_watch, now_ms)
-                    : 0);
+                    : 0,
+                leader->answer_time.mean_ms,
+                FvAnswerTime_LimitMs(&leader->answer_time));
     leader->max_tick_lag_ms = 0;
     leader->passes = 0;
 }
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -70,6 +70,17 @@
     struct event *retry;
 } fv_range_load_t;
 
+/* answer-time.c */
+typedef struct fv_answer_time {
+    double mean_ms;
+    double deviation_ms; /* mean absolute deviation */
+} fv_answer_time_t;
+
+void FvAnswerTime_Answered(fv_answer_time_t *time, int64_t ms);
+void FvAnswerTime_Missing(fv_answer_time_t *time);
+int64_t FvAnswerTime_LimitMs(const fv_answer_time_t *time);
+int64_t FvAnswerTime_ExcessMs(const fv_answer_time_t *time);
+
 struct fv_leader {
     struct event_base *base;
     fv_call_pool_t *pool;
@@ -81,6 +92,7 @@
     fv_sched_t sched;
     fv_record_writer_t *records;
     fv_kv_watch_t *registry_watch;
+    fv_answer_time_t answer_time; /* of orders, over all workers */
     struct event *tick_timer;
     struct event *pass_timer;
     fv_ended_job_t *ended;
--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -24,15 +24,12 @@
 #define Fv_FAST_POLL_WORKERS 64
 #define Fv_FAST_POLL_SLACK_MS 300
 
-/* About five round trips between regions. An order that times out is repeated
- * or looked up in the worker's report, so a late answer loses nothing. */
-#define Fv_ORDER_TIMEOUT_MS 250
-
 typedef struct fv_order_call {
     fv_leader_t *leader;
     char task[Fv_RUN_TASK_ID_SIZE];
     int32_t run;
     bool stop;
+    int64_t sent_ms;
 } fv_order_call_t;
 
 static void
@@ -48,6 +45,13 @@
         free(order);
         return;
     }
+    if (answer->status != 0) {
+        FvAnswerTime_Answered(&leader->answer_time,
+                              FvClock_NowMs() - order->sent_ms);
+    }
+    else {
+        FvAnswerTime_Missing(&leader->answer_time);
+    }
     result = FvPlatform_DecodeOrderResult(answer, &clock_ms);
     task = FvSched_FindTask(&leader->sched, order->task);
     if (task != NULL && order->stop) {
@@ -77,10 +81,12 @@
     order->leader = leader;
     order->run = run;
     order->stop = stop;
+    order->sent_ms = FvClock_NowMs();
     FvText_Copy(order->task, sizeof(order->task), task);
     leader->pending_calls++;
     FvCallPool_Send(leader->pool, worker->entry.address, call,
-                    Fv_ORDER_TIMEOUT_MS, order_answered, order);
+                    FvAnswerTime_LimitMs(&leader->answer_time), order_answered,
+                    order);
 }
 
 /**
@@ -338,7 +344,10 @@
     fv_renewal_t *renewal;
     int64_t lease_end_worker_ms;
     int32_t wait_ms = 0;
-    bool poll_faster = now_ms < leader->sched.poll_faster_until_ms;
+    int64_t excess_ms = FvAnswerTime_ExcessMs(&leader->answer_time);
+    /* More calls do not help where answers queue. */
+    bool poll_faster =
+        now_ms < leader->sched.poll_faster_until_ms && excess_ms == 0;
     fv_call_t call;
 
     if (!leader->events.may_send_orders(leader->events.context, now_ms)) {
@@ -372,7 +381,8 @@
                          wait_ms);
     FvCallPool_Send(
         leader->pool, worker->entry.address, &call,
-        wait_ms + (poll_faster ? Fv_FAST_POLL_SLACK_MS : Fv_ANSWER_SLACK_MS),
+        wait_ms + excess_ms +
+            (poll_faster ? Fv_FAST_POLL_SLACK_MS : Fv_ANSWER_SLACK_MS),
         renewal_answered, renewal);
 }
 
--- a/src/watch-pace.c
+++ b/src/watch-pace.c
@@ -70,10 +70,10 @@
  * @pace: the pace
  * @now_ms: the time
  *
- * Return: the age.
+ * Return: the age; 0 before the first complete reading.
  */
 int64_t
 FvWatchPace_AgeMs(const fv_watch_pace_t *pace, int64_t now_ms)
 {
-    return now_ms - pace->current_at_ms;
+    return pace->current_at_ms == 0 ? 0 : now_ms - pace->current_at_ms;
 }
