Replace the private names lane, roster and stray

Cause: write streams were called lanes, the stored list of workers the roster and orphaned runs stray in files that this work touches.

Change: identifiers and comments use stream, worker list and orphan.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -103,7 +103,7 @@
          now_ms - leader->predecessor_stopped_ms < longest_ms)) {
         for (const fv_sched_worker_t *worker = leader->sched.workers;
              worker != NULL; worker = worker->hh.next) {
-            if (worker->in_roster &&
+            if (worker->in_worker_list &&
                 (!worker->synced ||
                  worker->inherited_stops_until_ms > now_ms)) {
                 return;
@@ -133,15 +133,15 @@
         FvLeaderWorker_ReleaseSession(session);
         FvSched_FreeWorker(&leader->sched, worker);
         /* The next leader would otherwise wait for this worker. */
-        FvLeaderRoster_RequestWrite(leader);
+        FvLeaderWorkerList_RequestWrite(leader);
         return;
     }
-    if (!worker->listed && worker->in_roster && !leader->reading_registry &&
-        !leader->sched.hold_inherited_tasks &&
+    if (!worker->listed && worker->in_worker_list &&
+        !leader->reading_registry && !leader->sched.hold_inherited_tasks &&
         FvSched_IsWorkerIdle(worker, now_ms)) {
         /* The next leader need not wait for its report or lease expiry. */
-        worker->in_roster = false;
-        FvLeaderRoster_RequestWrite(leader);
+        worker->in_worker_list = false;
+        FvLeaderWorkerList_RequestWrite(leader);
     }
     if (worker->report_due_ms != 0 && now_ms >= worker->report_due_ms &&
         !session->report_pending) {
@@ -328,7 +328,7 @@
     (void)fd;
     (void)what;
     leader->stops_settled = true;
-    FvLeaderRoster_RequestWrite(leader);
+    FvLeaderWorkerList_RequestWrite(leader);
 }
 
 /**
@@ -349,7 +349,7 @@
  * @leader: the leader
  *
  * The leader sends no more stops but continues otherwise. Once the last stop
- * has certainly taken effect, it notes that in the roster and calls
+ * has certainly taken effect, it notes that in the worker list and calls
  * handed_over, after which this host may resign. The next leader then need not
  * wait for runs that are being stopped, which no report lists.
  */
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -98,14 +98,14 @@
     fv_ended_job_t *ended;
     fv_advice_request_t *advice_requests;
     int64_t last_advice_request_id;
-    int64_t lane_revisions[Fv_RECORD_LANES];
+    int64_t stream_revisions[Fv_RECORD_STREAMS];
     fv_range_load_t loads[5];
     uint32_t loads_pending;
     bool serving;
     bool closed;
     uint32_t pending_calls; /* whose callbacks refer to this leader */
-    bool roster_dirty;
-    bool roster_writing;
+    bool worker_list_dirty;
+    bool worker_list_writing;
     char predecessor[Fv_NAME_SIZE]; /* host of the previous leader; "": none */
     int64_t predecessor_stopped_ms; /* sent no orders since; 0: not known */
     uint32_t inherited_worker_count; /* given orders by earlier leaders */
@@ -150,8 +150,8 @@
 void FvLeaderRecord_RemoveIfIdle(fv_leader_t *leader, fv_sched_job_t *job);
 void FvLeaderRecord_Write(fv_sched_t *sched, fv_sched_job_t *job,
                           fv_record_kind_t kind);
-void FvLeaderRoster_RequestWrite(fv_leader_t *leader);
-void FvLeaderRoster_Write(fv_leader_t *leader);
+void FvLeaderWorkerList_RequestWrite(fv_leader_t *leader);
+void FvLeaderWorkerList_Write(fv_leader_t *leader);
 
 /* leader-advice.c */
 void FvLeaderAdvice_Complete(fv_leader_t *leader, fv_advice_request_t *request,
--- a/src/entry.h
+++ b/src/entry.h
@@ -136,8 +136,9 @@
 #define Fv_KEY_JOBS "fireflyvalve/jobs/"
 #define Fv_KEY_PROGRESS "fireflyvalve/progress/"
 #define Fv_KEY_ENDED "fireflyvalve/ended/"
-#define Fv_KEY_LANES "fireflyvalve/lanes/"  /* see records.c */
-#define Fv_KEY_ROSTER "fireflyvalve/roster" /* workers that may get orders */
+#define Fv_KEY_STREAMS "fireflyvalve/lanes/" /* see records.c */
+#define Fv_KEY_WORKER_LIST                                                    \
+    "fireflyvalve/roster" /* workers that may get orders */
 
 /* records.c: ordered, batched writes of the leader, fenced by its epoch. */
 typedef struct fv_record_writer fv_record_writer_t;
@@ -159,7 +160,7 @@
 fv_record_writer_t *FvRecordWriter_New(struct event_base *base,
                                        fv_kv_client_t *kv,
                                        const fv_records_owner_t *owner,
-                                       const int64_t *lane_revisions);
+                                       const int64_t *stream_revisions);
 void FvRecordWriter_Free(fv_record_writer_t *writer);
 /* Entries that are written in one transaction. */
 typedef struct fv_records_group {
@@ -184,8 +185,8 @@
                                   fv_records_done_t done, void *context);
 uint32_t FvRecordWriter_Backlog(const fv_record_writer_t *writer);
 
-#define Fv_RECORD_LANES 8
-void FvRecordWriter_LaneKey(uint32_t lane, char *key, size_t size);
+#define Fv_RECORD_STREAMS 8
+void FvRecordWriter_StreamKey(uint32_t stream, char *key, size_t size);
 
 /* election.c: leader election. */
 typedef struct fv_election fv_election_t;
--- a/src/leader-load.c
+++ b/src/leader-load.c
@@ -53,8 +53,8 @@
     }
     worker->registry_reading = leader->registry_readings;
     FvLeaderWorker_OpenSession(leader, worker);
-    if (!worker->in_roster) {
-        FvLeaderRoster_RequestWrite(leader);
+    if (!worker->in_worker_list) {
+        FvLeaderWorkerList_RequestWrite(leader);
     }
     FvLeader_SchedulePass(leader);
 }
@@ -68,23 +68,24 @@
     FvSched_UnlistMissingWorkers(&leader->sched, leader->registry_readings);
     FvLog_Event(Fv_LOG_INFO, "registry_read", "workers=%u",
                 HASH_COUNT(leader->sched.workers));
-    if (leader->roster_dirty && !leader->roster_writing) {
-        FvLeaderRoster_Write(leader);
+    if (leader->worker_list_dirty && !leader->worker_list_writing) {
+        FvLeaderWorkerList_Write(leader);
     }
 }
 
 static void
-load_lane_revision(fv_leader_t *leader, const fv_kv_item_t *item)
+load_stream_revision(fv_leader_t *leader, const fv_kv_item_t *item)
 {
-    unsigned long lane = strtoul(item->key + strlen(Fv_KEY_LANES), NULL, 10);
+    unsigned long stream =
+        strtoul(item->key + strlen(Fv_KEY_STREAMS), NULL, 10);
 
-    if (lane < Fv_RECORD_LANES) {
-        leader->lane_revisions[lane] = item->revision;
+    if (stream < Fv_RECORD_STREAMS) {
+        leader->stream_revisions[stream] = item->revision;
     }
 }
 
 static void
-load_roster_line(fv_leader_t *leader, const char *line)
+load_worker_list_line(fv_leader_t *leader, const char *line)
 {
     fv_worker_entry_t entry = {0};
     fv_sched_worker_t *worker;
@@ -93,7 +94,7 @@
         sscanf(line, "%63s %63s %63s", entry.id, entry.address, entry.service);
 
     if (fields != 3) {
-        /* The first line names the writer; see FvLeaderRoster_Write. */
+        /* The first line names the writer; see FvLeaderWorkerList_Write. */
         FvText_Copy(leader->predecessor, sizeof(leader->predecessor),
                     entry.id);
         leader->predecessor_handed_over =
@@ -104,14 +105,14 @@
     worker = FvSched_UpdateWorker(&leader->sched, &entry, FvClock_NowMs());
     if (worker != NULL) {
         worker->listed = false;
-        worker->in_roster = true;
+        worker->in_worker_list = true;
         worker->inherited = !leader->predecessor_handed_over;
         leader->inherited_worker_count++;
     }
 }
 
 static void
-load_roster(fv_leader_t *leader, const fv_kv_item_t *item)
+load_worker_list(fv_leader_t *leader, const fv_kv_item_t *item)
 {
     char *rest = NULL;
 
@@ -120,7 +121,7 @@
     }
     for (char *line = strtok_r((char *)item->value.data, "\n", &rest);
          line != NULL; line = strtok_r(NULL, "\n", &rest)) {
-        load_roster_line(leader, line);
+        load_worker_list_line(leader, line);
     }
 }
 
@@ -189,18 +190,19 @@
     int64_t now_ms = FvClock_NowMs();
 
     leader->records = FvRecordWriter_New(leader->base, leader->kv, &owner,
-                                         leader->lane_revisions);
+                                         leader->stream_revisions);
     if (leader->records == NULL) {
         abort();
     }
     leader->serving = true;
-    FvLog_Event(
-        Fv_LOG_INFO, "leader_serving",
-        "epoch=%" PRId64 " jobs=%u ended=%u roster=%u predecessor_quiet=%d"
-        " took_ms=%" PRId64,
-        leader->epoch, HASH_COUNT(leader->sched.jobs),
-        HASH_COUNT(leader->ended), leader->inherited_worker_count,
-        leader->predecessor_handed_over ? 1 : 0, now_ms - leader->began_ms);
+    FvLog_Event(Fv_LOG_INFO, "leader_serving",
+                "epoch=%" PRId64
+                " jobs=%u ended=%u worker_list=%u predecessor_quiet=%d"
+                " took_ms=%" PRId64,
+                leader->epoch, HASH_COUNT(leader->sched.jobs),
+                HASH_COUNT(leader->ended), leader->inherited_worker_count,
+                leader->predecessor_handed_over ? 1 : 0,
+                now_ms - leader->began_ms);
     for (fv_sched_job_t *job = leader->sched.jobs; job != NULL;
          job = job->hh.next) {
         FvSched_ReleaseStages(&leader->sched, job, now_ms, FvClock_WallMs());
@@ -306,8 +308,8 @@
 void
 FvLeaderLoad_Start(fv_leader_t *leader)
 {
-    start_load(leader, 0, Fv_KEY_LANES, load_lane_revision, NULL);
-    start_load(leader, 1, Fv_KEY_ROSTER, load_roster, NULL);
+    start_load(leader, 0, Fv_KEY_STREAMS, load_stream_revision, NULL);
+    start_load(leader, 1, Fv_KEY_WORKER_LIST, load_worker_list, NULL);
     start_load(leader, 2, Fv_KEY_ENDED, load_ended, NULL);
     start_load(leader, 3, Fv_KEY_JOBS, load_job, jobs_loaded);
 }
--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -245,31 +245,31 @@
     }
 }
 
-static void roster_written(void *context);
+static void worker_list_written(void *context);
 
 /**
- * FvLeaderRoster_Write - write the roster: the workers that may run tasks
+ * FvLeaderWorkerList_Write - write the list of workers that may run tasks
  * @leader: the leader
  *
- * From the roster, the next leader knows which workers must report before it
+ * From the list, the next leader knows which workers must report before it
  * starts a task again. The first line holds the leader's host and, if a
  * handover left no run being stopped, the leader's generation. Each other line
  * holds a worker's id, address and service.
  */
 void
-FvLeaderRoster_Write(fv_leader_t *leader)
+FvLeaderWorkerList_Write(fv_leader_t *leader)
 {
-    fv_record_t entry = {.key = Fv_KEY_ROSTER};
+    fv_record_t entry = {.key = Fv_KEY_WORKER_LIST};
     char line[Fv_URL_SIZE];
 
-    leader->roster_dirty = false;
-    leader->roster_writing = true;
+    leader->worker_list_dirty = false;
+    leader->worker_list_writing = true;
     snprintf(line, sizeof(line), leader->stops_settled ? "%s %d\n" : "%s\n",
              leader->settings->host, leader->generation);
     FvBuffer_Append(&entry.value, line, strlen(line));
     for (fv_sched_worker_t *worker = leader->sched.workers; worker != NULL;
          worker = worker->hh.next) {
-        if (!worker->listed && !worker->in_roster) {
+        if (!worker->listed && !worker->in_worker_list) {
             continue;
         }
         snprintf(line, sizeof(line), "%s %s %s\n", worker->entry.id,
@@ -277,27 +277,27 @@
         FvBuffer_Append(&entry.value, line, strlen(line));
     }
     FvRecordWriter_Write(leader->records,
-                         &(fv_records_group_t){.order_key = Fv_KEY_ROSTER,
+                         &(fv_records_group_t){.order_key = Fv_KEY_WORKER_LIST,
                                                .entries = &entry,
                                                .count = 1,
                                                .urgent = true,
-                                               .done = roster_written,
+                                               .done = worker_list_written,
                                                .context = leader});
 }
 
 static void
-roster_written(void *context)
+worker_list_written(void *context)
 {
     fv_leader_t *leader = context;
 
-    leader->roster_writing = false;
-    if (leader->roster_dirty) {
-        FvLeaderRoster_Write(leader);
+    leader->worker_list_writing = false;
+    if (leader->worker_list_dirty) {
+        FvLeaderWorkerList_Write(leader);
         return;
     }
     for (fv_sched_worker_t *worker = leader->sched.workers; worker != NULL;
          worker = worker->hh.next) {
-        worker->in_roster = worker->in_roster || worker->listed;
+        worker->in_worker_list = worker->in_worker_list || worker->listed;
     }
     leader->sched.dirty = true;
     FvLeader_SchedulePass(leader);
@@ -307,14 +307,14 @@
 }
 
 /**
- * FvLeaderRoster_RequestWrite - have the roster written again
+ * FvLeaderWorkerList_RequestWrite - have the worker list written again
  * @leader: the leader
  */
 void
-FvLeaderRoster_RequestWrite(fv_leader_t *leader)
+FvLeaderWorkerList_RequestWrite(fv_leader_t *leader)
 {
-    leader->roster_dirty = true;
-    if (!leader->roster_writing && !leader->reading_registry) {
-        FvLeaderRoster_Write(leader);
+    leader->worker_list_dirty = true;
+    if (!leader->worker_list_writing && !leader->reading_registry) {
+        FvLeaderWorkerList_Write(leader);
     }
 }
--- a/src/records.c
+++ b/src/records.c
@@ -1,13 +1,12 @@
 /*
- * Writes of the leader to the store. They are divided into lanes, parallel
- * streams of ordered writes. A group of entries is queued on the lane that
- * holds earlier groups with its order key, or else on the first with a short
- * queue, so that a small cell makes few calls and a large one many in
- * parallel. A lane writes one batch at a time, on the condition that the
- * lane's own key is unchanged since its previous batch and that the leader's
- * key is unchanged. Therefore a batch whose answer was lost can be repeated
- * safely, a batch that the store executes late fails its condition, and a
- * deposed leader cannot write.
+ * Writes of the leader to the store, in parallel streams of ordered writes. A
+ * group of entries is queued on the stream that holds earlier groups with its
+ * order key, or else on the first with a short queue, so that a small cell
+ * makes few calls and a large one many in parallel. A stream writes one batch
+ * at a time, on the condition that the stream's own key is unchanged since its
+ * previous batch and that the leader's key is unchanged. Therefore a batch
+ * whose answer was lost can be repeated safely, a batch that the store
+ * executes late fails its condition, and a deposed leader cannot write.
  */
 
 #include "entry.h"
@@ -16,7 +15,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* The store accepts 32 entries a call; two conditions and the lane's own key
+/* The store accepts 32 entries a call; two conditions and the stream's own key
  * leave 29. */
 #define Fv_BATCH_ENTRIES_MAX 29
 
@@ -31,9 +30,9 @@
  * takes up to 400 ms. */
 #define Fv_BATCH_STALLED_MS 600
 
-/* A new order key goes to the first lane with fewer queued groups than this,
+/* A new order key goes to the first stream with fewer queued groups than this,
  * or else to the one with the fewest. */
-#define Fv_LANE_GROUPS_MAX 8
+#define Fv_STREAM_GROUPS_MAX 8
 
 /* Pause after a batch that the store rejected or did not answer. */
 #define Fv_BATCH_RETRY_MS 60
@@ -43,10 +42,10 @@
  * left. */
 #define Fv_EXPIRY_LEASE_FACTOR 2
 
-/* Counts the queued groups with an order key, all of them in one lane. */
+/* Counts the queued groups with an order key, all of them in one stream. */
 typedef struct fv_order_key {
     char key[Fv_KEY_SIZE];
-    uint32_t lane;
+    uint32_t stream;
     uint32_t groups;
     UT_hash_handle hh;
 } fv_order_key_t;
@@ -62,7 +61,7 @@
     struct fv_queued_group *next;
 } fv_queued_group_t;
 
-typedef struct fv_record_lane {
+typedef struct fv_record_stream {
     fv_record_writer_t *writer;
     uint32_t index;
     int64_t revision;
@@ -79,11 +78,11 @@
     struct event *timer;
     int64_t due_ms; /* when the timer fires */
     bool urgent;    /* an urgent group is queued */
-} fv_record_lane_t;
+} fv_record_stream_t;
 
-/* Done when every lane has written what was queued at its creation. */
+/* Done when every stream has written what was queued at its creation. */
 typedef struct fv_record_barrier {
-    uint64_t targets[Fv_RECORD_LANES];
+    uint64_t targets[Fv_RECORD_STREAMS];
     fv_records_done_t done;
     void *context;
     struct fv_record_barrier *next;
@@ -93,7 +92,7 @@
     struct event_base *base;
     fv_kv_client_t *kv;
     fv_records_owner_t owner;
-    fv_record_lane_t lanes[Fv_RECORD_LANES];
+    fv_record_stream_t streams[Fv_RECORD_STREAMS];
     fv_order_key_t *keys;
     fv_record_barrier_t *barriers_first;
     fv_record_barrier_t *barriers_last;
@@ -104,30 +103,30 @@
     uint32_t pending_calls;
 };
 
-static void send_batch(fv_record_lane_t *lane);
+static void send_batch(fv_record_stream_t *stream);
 
 /**
- * FvRecordWriter_LaneKey - format the key of a lane
- * @lane: index of the lane
+ * FvRecordWriter_StreamKey - format the key of a stream
+ * @stream: index of the stream
  * @key: receives the key
  * @size: size of @key
  */
 void
-FvRecordWriter_LaneKey(uint32_t lane, char *key, size_t size)
+FvRecordWriter_StreamKey(uint32_t stream, char *key, size_t size)
 {
-    snprintf(key, size, "%s%u", Fv_KEY_LANES, lane);
+    snprintf(key, size, "%s%u", Fv_KEY_STREAMS, stream);
 }
 
 static void
-arm_timer(fv_record_lane_t *lane, int64_t wait_ms)
+arm_timer(fv_record_stream_t *stream, int64_t wait_ms)
 {
     struct timeval wait = {.tv_usec = (suseconds_t)(wait_ms * 1000)};
     int64_t due_ms = FvClock_NowMs() + wait_ms;
 
-    if (!event_pending(lane->timer, EV_TIMEOUT, NULL) ||
-        due_ms < lane->due_ms) {
-        lane->due_ms = due_ms;
-        event_add(lane->timer, &wait);
+    if (!event_pending(stream->timer, EV_TIMEOUT, NULL) ||
+        due_ms < stream->due_ms) {
+        stream->due_ms = due_ms;
+        event_add(stream->timer, &wait);
     }
 }
 
@@ -144,14 +143,14 @@
  * @base: the event loop
  * @kv: the store
  * @owner: the leadership under which it writes
- * @lane_revisions: current revisions of the lanes' keys, 0 where absent
+ * @stream_revisions: current revisions of the streams' keys, 0 where absent
  *
  * Return: the writer, or NULL when memory is exhausted.
  */
 fv_record_writer_t *
 FvRecordWriter_New(struct event_base *base, fv_kv_client_t *kv,
                    const fv_records_owner_t *owner,
-                   const int64_t *lane_revisions)
+                   const int64_t *stream_revisions)
 {
     fv_record_writer_t *writer = calloc(1, sizeof(*writer));
 
@@ -161,12 +160,12 @@
     writer->base = base;
     writer->kv = kv;
     writer->owner = *owner;
-    for (uint32_t i = 0; i < Fv_RECORD_LANES; i++) {
-        fv_record_lane_t *lane = &writer->lanes[i];
+    for (uint32_t i = 0; i < Fv_RECORD_STREAMS; i++) {
+        fv_record_stream_t *stream = &writer->streams[i];
 
-        *lane = (fv_record_lane_t){
-            .writer = writer, .index = i, .revision = lane_revisions[i]};
-        lane->timer = event_new(base, -1, 0, timer_fired, lane);
+        *stream = (fv_record_stream_t){
+            .writer = writer, .index = i, .revision = stream_revisions[i]};
+        stream->timer = event_new(base, -1, 0, timer_fired, stream);
     }
     return writer;
 }
@@ -188,16 +187,16 @@
 }
 
 static void
-free_lane(fv_record_lane_t *lane)
+free_stream(fv_record_stream_t *stream)
 {
-    while (lane->first != NULL) {
-        fv_queued_group_t *group = lane->first;
+    while (stream->first != NULL) {
+        fv_queued_group_t *group = stream->first;
 
-        lane->first = group->next;
-        free_group(lane->writer, group);
+        stream->first = group->next;
+        free_group(stream->writer, group);
     }
-    if (lane->timer != NULL) {
-        event_free(lane->timer);
+    if (stream->timer != NULL) {
+        event_free(stream->timer);
     }
 }
 
@@ -210,8 +209,8 @@
         writer->barriers_first = barrier->next;
         free(barrier);
     }
-    for (uint32_t i = 0; i < Fv_RECORD_LANES; i++) {
-        free_lane(&writer->lanes[i]);
+    for (uint32_t i = 0; i < Fv_RECORD_STREAMS; i++) {
+        free_stream(&writer->streams[i]);
     }
     free(writer);
 }
@@ -227,8 +226,8 @@
         return;
     }
     writer->closed = true;
-    for (uint32_t i = 0; i < Fv_RECORD_LANES; i++) {
-        event_del(writer->lanes[i].timer);
+    for (uint32_t i = 0; i < Fv_RECORD_STREAMS; i++) {
+        event_del(writer->streams[i].timer);
     }
     if (writer->pending_calls == 0) {
         free_writer(writer);
@@ -252,8 +251,8 @@
     while (writer->barriers_first != NULL && !writer->closed) {
         fv_record_barrier_t *barrier = writer->barriers_first;
 
-        for (uint32_t i = 0; i < Fv_RECORD_LANES; i++) {
-            if (writer->lanes[i].written < barrier->targets[i]) {
+        for (uint32_t i = 0; i < Fv_RECORD_STREAMS; i++) {
+            if (writer->streams[i].written < barrier->targets[i]) {
                 return;
             }
         }
@@ -267,89 +266,89 @@
 }
 
 static void
-batch_written(fv_record_lane_t *lane, int64_t revision)
+batch_written(fv_record_stream_t *stream, int64_t revision)
 {
-    fv_record_writer_t *writer = lane->writer;
-    uint32_t count = lane->batch_groups;
-
-    lane->revision = revision;
-    lane->unconfirmed = false;
-    lane->batch_groups = 0;
-    for (uint32_t i = 0; i < count && lane->first != NULL; i++) {
-        fv_queued_group_t *group = lane->first;
-
-        lane->first = group->next;
-        if (lane->first == NULL) {
-            lane->last = NULL;
+    fv_record_writer_t *writer = stream->writer;
+    uint32_t count = stream->batch_groups;
+
+    stream->revision = revision;
+    stream->unconfirmed = false;
+    stream->batch_groups = 0;
+    for (uint32_t i = 0; i < count && stream->first != NULL; i++) {
+        fv_queued_group_t *group = stream->first;
+
+        stream->first = group->next;
+        if (stream->first == NULL) {
+            stream->last = NULL;
         }
-        lane->written++;
+        stream->written++;
         if (group->done != NULL && !writer->closed) {
             group->done(group->context);
         }
         free_group(writer, group);
     }
     complete_barriers(writer);
-    if (lane->first != NULL && !writer->closed) {
-        arm_timer(lane, lane->urgent ? 0 : Fv_BATCH_WAIT_MS);
+    if (stream->first != NULL && !writer->closed) {
+        arm_timer(stream, stream->urgent ? 0 : Fv_BATCH_WAIT_MS);
     }
 }
 
 /* Completes the batch if the items of a conflict show that an earlier attempt
  * has written it; otherwise another host is leader. */
 static void
-resolve_conflict(fv_record_lane_t *lane, const fv_kv_items_t *items)
+resolve_conflict(fv_record_stream_t *stream, const fv_kv_items_t *items)
 {
-    fv_record_writer_t *writer = lane->writer;
-    char lane_key[Fv_KEY_SIZE];
+    fv_record_writer_t *writer = stream->writer;
+    char stream_key[Fv_KEY_SIZE];
     char batch[Fv_NAME_SIZE];
     int64_t leader_revision = 0;
 
-    FvRecordWriter_LaneKey(lane->index, lane_key, sizeof(lane_key));
+    FvRecordWriter_StreamKey(stream->index, stream_key, sizeof(stream_key));
     snprintf(batch, sizeof(batch), "%" PRId64 " %" PRId64, writer->owner.epoch,
-             lane->batch);
+             stream->batch);
     for (uint32_t i = 0; i < items->count; i++) {
         const fv_kv_item_t *item = &items->items[i];
 
         if (strcmp(item->key, Fv_KEY_LEADER) == 0) {
             leader_revision = item->revision;
         }
-        else if (strcmp(item->key, lane_key) == 0 &&
+        else if (strcmp(item->key, stream_key) == 0 &&
                  item->value.data != NULL &&
                  strcmp((const char *)item->value.data, batch) == 0) {
-            batch_written(lane, item->revision);
+            batch_written(stream, item->revision);
             return;
         }
     }
     FvLog_Event(Fv_LOG_WARN, "records_conflict",
-                "lane=%u epoch=%" PRId64 " leader_revision=%" PRId64,
-                lane->index, writer->owner.epoch, leader_revision);
+                "stream=%u epoch=%" PRId64 " leader_revision=%" PRId64,
+                stream->index, writer->owner.epoch, leader_revision);
     writer->owner.lost(writer->owner.context);
 }
 
 static void
 batch_answered(void *context, const fv_kv_result_t *result)
 {
-    fv_record_lane_t *lane = context;
-    fv_record_writer_t *writer = lane->writer;
+    fv_record_stream_t *stream = context;
+    fv_record_writer_t *writer = stream->writer;
 
     if (!finish_call(writer)) {
         return;
     }
-    lane->busy = false;
+    stream->busy = false;
     switch (result->error) {
     case Fv_KV_OK:
-        batch_written(lane, result->revision);
+        batch_written(stream, result->revision);
         break;
     case Fv_KV_CONFLICT:
-        resolve_conflict(lane, &result->items);
+        resolve_conflict(stream, &result->items);
         break;
     case Fv_KV_NOT_FOUND: /* the expiry lease has expired */
         writer->expiry_lease = 0;
-        arm_timer(lane, 0);
+        arm_timer(stream, 0);
         break;
     default:
-        lane->unconfirmed = true;
-        arm_timer(lane, Fv_BATCH_RETRY_MS);
+        stream->unconfirmed = true;
+        arm_timer(stream, Fv_BATCH_RETRY_MS);
         break;
     }
 }
@@ -368,10 +367,10 @@
         writer->expiry_lease_usable_until_ms =
             FvClock_NowMs() + result->ttl_ms - writer->owner.retention_ms;
     }
-    for (uint32_t i = 0; i < Fv_RECORD_LANES; i++) {
-        if (writer->lanes[i].waiting_for_lease) {
-            writer->lanes[i].waiting_for_lease = false;
-            arm_timer(&writer->lanes[i],
+    for (uint32_t i = 0; i < Fv_RECORD_STREAMS; i++) {
+        if (writer->streams[i].waiting_for_lease) {
+            writer->streams[i].waiting_for_lease = false;
+            arm_timer(&writer->streams[i],
                       result->error == Fv_KV_OK ? 0 : Fv_BATCH_RETRY_MS);
         }
     }
@@ -427,76 +426,76 @@
 /* Collects the next batch; an unconfirmed one is repeated with the same
  * groups. Returns the number of entries, or -1 when a lease is missing. */
 static int32_t
-collect_batch(fv_record_lane_t *lane, fv_kv_put_t *puts)
+collect_batch(fv_record_stream_t *stream, fv_kv_put_t *puts)
 {
-    uint32_t limit = lane->batch_groups;
+    uint32_t limit = stream->batch_groups;
     uint32_t groups = 0;
     uint32_t used = 0;
 
-    for (const fv_queued_group_t *group = lane->first; group != NULL;
+    for (const fv_queued_group_t *group = stream->first; group != NULL;
          group = group->next) {
         if (limit > 0 ? groups == limit
                       : used + group->count > Fv_BATCH_ENTRIES_MAX) {
             break;
         }
-        if (group_expires(group) && !ensure_lease(lane->writer)) {
-            lane->waiting_for_lease = true;
+        if (group_expires(group) && !ensure_lease(stream->writer)) {
+            stream->waiting_for_lease = true;
             break;
         }
-        used = append_puts(lane->writer, group, puts, used);
+        used = append_puts(stream->writer, group, puts, used);
         groups++;
     }
     if (limit == 0) {
-        lane->batch++;
-        lane->batch_groups = groups;
+        stream->batch++;
+        stream->batch_groups = groups;
     }
-    return groups == lane->batch_groups && groups > 0 ? (int32_t)used : -1;
+    return groups == stream->batch_groups && groups > 0 ? (int32_t)used : -1;
 }
 
 static void
-send_batch(fv_record_lane_t *lane)
+send_batch(fv_record_stream_t *stream)
 {
-    fv_record_writer_t *writer = lane->writer;
+    fv_record_writer_t *writer = stream->writer;
     fv_kv_put_t puts[Fv_BATCH_ENTRIES_MAX + 1];
-    char lane_key[Fv_KEY_SIZE];
+    char stream_key[Fv_KEY_SIZE];
     char batch[Fv_NAME_SIZE];
     int32_t collected;
     uint32_t used;
 
-    if (lane->busy || lane->first == NULL || lane->waiting_for_lease) {
+    if (stream->busy || stream->first == NULL || stream->waiting_for_lease) {
         return;
     }
-    collected = collect_batch(lane, puts);
+    collected = collect_batch(stream, puts);
     if (collected < 0) {
         return; /* lease_granted sends it */
     }
     used = (uint32_t)collected;
-    FvRecordWriter_LaneKey(lane->index, lane_key, sizeof(lane_key));
+    FvRecordWriter_StreamKey(stream->index, stream_key, sizeof(stream_key));
     snprintf(batch, sizeof(batch), "%" PRId64 " %" PRId64, writer->owner.epoch,
-             lane->batch);
+             stream->batch);
     puts[used++] = (fv_kv_put_t){
-        .key = lane_key, .value = batch, .length = strlen(batch)};
-    lane->busy = true;
-    lane->sent_ms = FvClock_NowMs();
-    lane->urgent = false;
+        .key = stream_key, .value = batch, .length = strlen(batch)};
+    stream->busy = true;
+    stream->sent_ms = FvClock_NowMs();
+    stream->urgent = false;
     writer->pending_calls++;
     FvKvClient_Txn(writer->kv,
                    (fv_kv_expect_t[]){{Fv_KEY_LEADER, writer->owner.epoch},
-                                      {lane_key, lane->revision}},
-                   2, puts, used, batch_answered, lane);
+                                      {stream_key, stream->revision}},
+                   2, puts, used, batch_answered, stream);
 }
 
 static uint32_t
-choose_lane(const fv_record_writer_t *writer)
+choose_stream(const fv_record_writer_t *writer)
 {
     uint32_t best = 0;
     uint64_t best_groups = UINT64_MAX;
 
-    for (uint32_t i = 0; i < Fv_RECORD_LANES; i++) {
-        const fv_record_lane_t *lane = &writer->lanes[i];
-        uint64_t groups = lane->queued - lane->written;
+    for (uint32_t i = 0; i < Fv_RECORD_STREAMS; i++) {
+        const fv_record_stream_t *stream = &writer->streams[i];
+        uint64_t groups = stream->queued - stream->written;
 
-        if (groups < Fv_LANE_GROUPS_MAX) {
+        if (groups < Fv_STREAM_GROUPS_MAX) {
             return i;
         }
         if (groups < best_groups) {
@@ -519,7 +518,7 @@
             abort(); /* records of accepted jobs must not be lost */
         }
         FvText_Copy(key->key, sizeof(key->key), name);
-        key->lane = choose_lane(writer);
+        key->stream = choose_stream(writer);
         HASH_ADD_STR(writer->keys, key, key);
     }
     return key;
@@ -528,14 +527,14 @@
 /* Finds a group with an order key that is not sent yet and may be replaced by
  * a newer one. */
 static fv_queued_group_t *
-find_replaceable(const fv_record_lane_t *lane, const fv_order_key_t *key)
+find_replaceable(const fv_record_stream_t *stream, const fv_order_key_t *key)
 {
     fv_queued_group_t *found = NULL;
     uint32_t position = 0;
 
-    for (fv_queued_group_t *group = lane->first; group != NULL;
+    for (fv_queued_group_t *group = stream->first; group != NULL;
          group = group->next) {
-        if (position++ >= lane->batch_groups && group->key == key) {
+        if (position++ >= stream->batch_groups && group->key == key) {
             found = group->replaces ? group : NULL;
         }
     }
@@ -543,7 +542,7 @@
 }
 
 static void
-queue_group(fv_record_lane_t *lane, fv_order_key_t *key,
+queue_group(fv_record_stream_t *stream, fv_order_key_t *key,
             const fv_records_group_t *group)
 {
     fv_queued_group_t *queued = calloc(1, sizeof(*queued));
@@ -564,14 +563,14 @@
     queued->withdrawn = group->withdrawn;
     queued->context = group->context;
     key->groups++;
-    if (lane->last != NULL) {
-        lane->last->next = queued;
+    if (stream->last != NULL) {
+        stream->last->next = queued;
     }
     else {
-        lane->first = queued;
+        stream->first = queued;
     }
-    lane->last = queued;
-    lane->queued++;
+    stream->last = queued;
+    stream->queued++;
 }
 
 /**
@@ -587,9 +586,9 @@
                      const fv_records_group_t *group)
 {
     fv_order_key_t *key = find_or_add_key(writer, group->order_key);
-    fv_record_lane_t *lane = &writer->lanes[key->lane];
+    fv_record_stream_t *stream = &writer->streams[key->stream];
     fv_queued_group_t *waiting = group->replaces && key->groups > 0
-                                     ? find_replaceable(lane, key)
+                                     ? find_replaceable(stream, key)
                                      : NULL;
 
     if (waiting != NULL) {
@@ -597,10 +596,10 @@
         waiting->entries[0] = group->entries[0];
         return false;
     }
-    queue_group(lane, key, group);
-    lane->urgent = lane->urgent || group->urgent;
-    if (!lane->busy) {
-        arm_timer(lane,
+    queue_group(stream, key, group);
+    stream->urgent = stream->urgent || group->urgent;
+    if (!stream->busy) {
+        arm_timer(stream,
                   group->urgent ? Fv_BATCH_URGENT_WAIT_MS : Fv_BATCH_WAIT_MS);
     }
     return true;
@@ -616,11 +615,11 @@
 bool
 FvRecordWriter_Stalled(const fv_record_writer_t *writer, int64_t now_ms)
 {
-    for (uint32_t i = 0; i < Fv_RECORD_LANES; i++) {
-        const fv_record_lane_t *lane = &writer->lanes[i];
+    for (uint32_t i = 0; i < Fv_RECORD_STREAMS; i++) {
+        const fv_record_stream_t *stream = &writer->streams[i];
 
-        if (lane->unconfirmed ||
-            (lane->busy && now_ms - lane->sent_ms > Fv_BATCH_STALLED_MS)) {
+        if (stream->unconfirmed ||
+            (stream->busy && now_ms - stream->sent_ms > Fv_BATCH_STALLED_MS)) {
             return true;
         }
     }
@@ -635,17 +634,17 @@
 void
 FvRecordWriter_WithdrawUnsent(fv_record_writer_t *writer)
 {
-    for (uint32_t i = 0; i < Fv_RECORD_LANES; i++) {
+    for (uint32_t i = 0; i < Fv_RECORD_STREAMS; i++) {
         uint32_t position = 0;
 
-        for (fv_queued_group_t *group = writer->lanes[i].first; group != NULL;
-             group = group->next) {
+        for (fv_queued_group_t *group = writer->streams[i].first;
+             group != NULL; group = group->next) {
             /* A later group with this order key would depend on it. */
-            if (position++ < writer->lanes[i].batch_groups ||
+            if (position++ < writer->streams[i].batch_groups ||
                 group->withdrawn == NULL || group->key->groups > 1) {
                 continue;
             }
-            /* The emptied group stays queued, as the lane counts it. */
+            /* The emptied group stays queued, as the stream counts it. */
             group->done = NULL;
             group->withdrawn(group->context);
             group->withdrawn = NULL;
@@ -673,8 +672,8 @@
     if (barrier == NULL) {
         abort();
     }
-    for (uint32_t i = 0; i < Fv_RECORD_LANES; i++) {
-        barrier->targets[i] = writer->lanes[i].queued;
+    for (uint32_t i = 0; i < Fv_RECORD_STREAMS; i++) {
+        barrier->targets[i] = writer->streams[i].queued;
     }
     barrier->done = done;
     barrier->context = context;
@@ -692,15 +691,15 @@
  * FvRecordWriter_Backlog - count the groups that wait to be written
  * @writer: the writer
  *
- * Return: the number of groups in all lanes.
+ * Return: the number of groups in all streams.
  */
 uint32_t
 FvRecordWriter_Backlog(const fv_record_writer_t *writer)
 {
     uint64_t waiting = 0;
 
-    for (uint32_t i = 0; i < Fv_RECORD_LANES; i++) {
-        waiting += writer->lanes[i].queued - writer->lanes[i].written;
+    for (uint32_t i = 0; i < Fv_RECORD_STREAMS; i++) {
+        waiting += writer->streams[i].queued - writer->streams[i].written;
     }
     return (uint32_t)waiting;
 }
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -233,7 +233,7 @@
     if (task != NULL && is_of_completed_gang(task, row)) {
         return;
     }
-    FvLog_Event(Fv_LOG_INFO, "stray_run", "task=%s run=%d worker=%s",
+    FvLog_Event(Fv_LOG_INFO, "orphan_run", "task=%s run=%d worker=%s",
                 row->task_id, row->run, worker->entry.id);
     FvSched_AddOrphanRun(sched, worker, row->task_id, row->run, now_ms);
     sched->ops->stop_orphan_run(sched, worker, row->task_id, row->run);
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -548,7 +548,7 @@
 bool
 FvSched_IsWorkerAvailable(const fv_sched_worker_t *worker, int64_t now_ms)
 {
-    return worker->listed && worker->synced && worker->in_roster &&
+    return worker->listed && worker->synced && worker->in_worker_list &&
            !worker->suspect && !worker->draining && !worker->lost &&
            worker->inherited_stops_until_ms <= now_ms &&
            !has_orphan_runs(worker, now_ms);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -171,9 +171,10 @@
     bool listed;               /* in the registry */
     uint64_t registry_reading; /* latest complete reading that had it */
     bool synced;               /* has reported to this leader */
-    bool in_roster; /* in the stored list of workers that may get orders */
-    bool suspect;   /* did not answer the last report request */
-    bool lost;      /* its lease has expired without contact */
+    bool
+        in_worker_list; /* in the stored list of workers that may get orders */
+    bool suspect;       /* did not answer the last report request */
+    bool lost;          /* its lease has expired without contact */
     bool draining;
     int64_t drain_until_ms; /* leaves no earlier; 0: not known */
     int64_t started_wall_ms;
--- a/tests/harness/sched-fixture.c
+++ b/tests/harness/sched-fixture.c
@@ -161,7 +161,7 @@
     if (worker == NULL) {
         abort();
     }
-    worker->in_roster = true;
+    worker->in_worker_list = true;
     FvSched_ApplyReport(&fixture->sched, worker, &report, fixture->now_ms,
                         fixture->now_ms);
     return worker;
--- a/tests/harness/sched-sim.c
+++ b/tests/harness/sched-sim.c
@@ -11,7 +11,7 @@
         fv_sched_worker_t *sched_worker = FvSched_UpdateWorker(
             &sim->sched, &sim->workers[w].entry, sim->now_ms);
 
-        sched_worker->in_roster = true;
+        sched_worker->in_worker_list = true;
         sched_worker->inherited = sim->generation > 1 && !sim->handed_over;
     }
 }
--- a/tests/unit/records_test.c
+++ b/tests/unit/records_test.c
@@ -42,7 +42,7 @@
 static void
 open_writer(void)
 {
-    static const int64_t revisions[Fv_RECORD_LANES] = {11};
+    static const int64_t revisions[Fv_RECORD_STREAMS] = {11};
 
     fake_kv_reset();
     owner_lost = 0;
@@ -87,9 +87,9 @@
                               .context = outcome});
 }
 
-/* Returns the value that a batch writes to its lane's key. */
+/* Returns the value that a batch writes to its stream's key. */
 static const char *
-lane_value(const fake_kv_call_t *call)
+stream_value(const fake_kv_call_t *call)
 {
     return call->puts[call->put_count - 1].value;
 }
@@ -101,7 +101,7 @@
     outcome_t outcome = {0};
     fake_kv_call_t *first;
     fake_kv_call_t *second;
-    char lane[Fv_KEY_SIZE];
+    char stream[Fv_KEY_SIZE];
 
     open_writer();
     write_group(JOB, "one", false, &outcome);
@@ -114,9 +114,10 @@
     CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_TXN), 2);
     CU_ASSERT_EQUAL(second->put_count, first->put_count);
     CU_ASSERT_STRING_EQUAL(second->puts[0].value, "one");
-    CU_ASSERT_STRING_EQUAL(lane_value(second), lane_value(first));
-    FvRecordWriter_LaneKey(0, lane, sizeof(lane));
-    fake_kv_answer_item(second, Fv_KV_CONFLICT, lane, lane_value(first), 12);
+    CU_ASSERT_STRING_EQUAL(stream_value(second), stream_value(first));
+    FvRecordWriter_StreamKey(0, stream, sizeof(stream));
+    fake_kv_answer_item(second, Fv_KV_CONFLICT, stream, stream_value(first),
+                        12);
     CU_ASSERT_EQUAL(outcome.done, 1);
     CU_ASSERT_EQUAL(owner_lost, 0);
     fake_kv_run_loop(base, 50);
