--- a/tests/harness/sched-fixture.c
+++ b/tests/harness/sched-fixture.c
@@ -65,8 +65,9 @@
     CU_ASSERT_FATAL(count <= Fv_FIXTURE_ADVISED_MAX);
     fixture->advised_stage = stage;
     fixture->advised_count = count;
-    memcpy(fixture->advised_workers, workers,
-           count * sizeof(fixture->advised_workers[0]));
+    for (uint32_t i = 0; i < count; i++) {
+        fixture->advised_workers[i] = workers[i];
+    }
     fixture->advice_request_count++;
     fixture->advice_worker_count += count;
     return true;
--- a/tests/unit/sched_waiting_test.c
+++ b/tests/unit/sched_waiting_test.c
@@ -4,7 +4,7 @@
 
 #include "sched-fixture.h"
 
-#include <string.h>
+#include <stdlib.h>
 
 #define JOB "00000000000000aa"
 #define GANG "00000000000000bb"
@@ -65,6 +65,9 @@
     CU_ASSERT_EQUAL(cause_of(&fixture, JOB ".0.0.0"), Fv_WAIT_REFUSED);
     verdict = FvSched_FindVerdict(stage, worker);
     CU_ASSERT_PTR_NOT_NULL_FATAL(verdict);
+    if (verdict == NULL) {
+        abort();
+    }
     verdict->allowed = true;
     CU_ASSERT_EQUAL(cause_of(&fixture, JOB ".0.0.0"), Fv_WAIT_TICKET);
     verdict->expires_ms = fixture.now_ms + LONG_WAIT_MS;
