--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -102,7 +102,7 @@
     int32_t done_run;           /* run in which the gang completed */
     int64_t gang_start_ms;      /* when the gang's run was ordered */
     bool gang_broken;           /* the gang's run is being stopped */
-    int64_t next_preemption_ms; /* not before; tasks are being stopped */
+    int64_t next_preemption_ms; /* none is planned for it before */
     bool pending;               /* in the list of stages to place */
     fv_sched_stage_t *pending_next;
     int64_t waiting_since_ms; /* 0: no task waits */
@@ -171,10 +171,9 @@
     bool listed;               /* in the registry */
     uint64_t registry_reading; /* latest complete reading that had it */
     bool synced;               /* has reported to this leader */
-    bool
-        in_worker_list; /* in the stored list of workers that may get orders */
-    bool suspect;       /* did not answer the last report request */
-    bool lost;          /* its lease has expired without contact */
+    bool in_worker_list;       /* in the stored list; may get orders */
+    bool suspect;              /* did not answer the last report request */
+    bool lost;                 /* its lease has expired without contact */
     bool draining;
     int64_t drain_until_ms; /* leaves no earlier; 0: not known */
     int64_t started_wall_ms;
