Say plainly what a few comments of the new code left open

Cause: read as a newcomer, some comments and a test name used words of the users' pages or figures of speech.

Result: no code changes; the tests of these files pass.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -35,8 +35,8 @@
 #define Fv_LEADER_TICK_MS 50
 
 /* Pause before a pass, as a multiple of the duration of the latest one; it
- * leaves three quarters of the processor to requests and reports, without
- * which a pass decides on old news. */
+ * leaves three quarters of the processor to requests and reports, so that a
+ * pass does not decide on outdated reports. */
 #define Fv_PASS_PAUSE_FACTOR 3
 #define Fv_PASS_PAUSE_MIN_US 2000
 #define Fv_PASS_PAUSE_MAX_US 60000
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -580,7 +580,7 @@
  * @stage: the stage
  *
  * Return: true when a gang has reserved the worker. That does not apply to a
- * lasting task, which serves no one while it waits.
+ * lasting task, which provides no service while it waits.
  */
 bool
 FvSched_IsWorkerReserved(const fv_sched_worker_t *worker,
--- a/tests/harness/sched-sim-waiting.c
+++ b/tests/harness/sched-sim-waiting.c
@@ -4,15 +4,14 @@
 
 #include "sched-sim-internal.h"
 
-/* The promise of the platform's users: a task whose turn has come does not
- * wait this long while there is capacity for it twice over. */
+/* The platform's limit: a task that is ready does not wait this long while two
+ * such tasks fit. */
 #define START_BOUND_MS 3000
 
-/* The same applies to a lasting task from this time after its last run. */
+/* The limit applies to a lasting task from this time after its last run. */
 #define RESTART_BOUND_MS 6000
 
-/* Jobs that do not last have the promise while the cell is less than half
- * full. */
+/* For other jobs it applies while the cell is less than half full. */
 #define BUSY_PERCENT 50
 
 static int64_t
--- a/tests/unit/answer_time_test.c
+++ b/tests/unit/answer_time_test.c
@@ -6,7 +6,7 @@
 #include "cell-leader.h"
 #include "suite.h"
 
-/* The limit that fits an undisturbed cell; see answer-time.c. */
+/* The lowest limit, while nothing queues; see answer-time.c. */
 #define LIMIT_MS 250
 #define ROUND_TRIP_MS 45
 
@@ -22,7 +22,7 @@
 }
 
 /* Answers queue behind each other on a slow link: each takes 400 ms, and the
- * first ones are late by the limit of an undisturbed cell. */
+ * first ones exceed the lowest limit. */
 static void
 test_full_link_is_not_taken_for_silence(void)
 {
--- a/tests/unit/sched_advice_test.c
+++ b/tests/unit/sched_advice_test.c
@@ -16,7 +16,7 @@
 #define WORKER_CPU_MILLIS 4000
 #define PASS_INTERVAL_MS 100
 
-/* The promised start of a lasting task in a calm cell with free capacity. */
+/* The latest start of a lasting task in a cell with free capacity. */
 #define START_BOUND_MS 3000
 
 static const char twelve_lasting_tasks[] =
--- a/tests/unit/sched_model_test.c
+++ b/tests/unit/sched_model_test.c
@@ -58,8 +58,8 @@
     }
 }
 
-/* A calm cell whose load differs from seed to seed, from mostly idle to full.
- * A call for advice includes few of the workers. */
+/* A cell without faults whose load differs from seed to seed, from mostly idle
+ * to full. A call for advice includes few of the workers. */
 static void
 run_calm_seeds(bool advice)
 {
@@ -156,7 +156,7 @@
 {
     static const test_case_t cases[] = {
         {"a guarantee is broken without faults", test_no_faults},
-        {"a task waits in a calm cell with capacity for it twice over",
+        {"a ready task waits although two such tasks fit",
          test_waiting_in_calm_cell},
         {"a guarantee is broken by lost or late orders", test_lost_orders},
         {"a guarantee is broken by failing or leaving workers",
