metrics: state the bound of a member's name for the compiler

On aarch64, gcc 12 inlines print_timing differently and cannot see that a member's name ends within its array, so -Werror=format-truncation stops the build ("'%s' directive output may be truncated").

The precision of the conversion now states the bound, Fv_NAME_SIZE - 1. A name always ends within its array, so the metrics text is the same byte for byte.

--- a/src/metrics.c
+++ b/src/metrics.c
@@ -277,8 +277,10 @@
                 atomic_load(&members[i].timings[timing][class_id]);
 
             if (histogram != NULL) {
-                snprintf(labels, sizeof(labels), "class=\"%s\",member=\"%s\"",
-                         FvClass_Name((fv_class_t)class_id), members[i].name);
+                snprintf(labels, sizeof(labels),
+                         "class=\"%s\",member=\"%.*s\"",
+                         FvClass_Name((fv_class_t)class_id),
+                         (int)sizeof(members[i].name) - 1, members[i].name);
                 print_summary(out, timing_infos[timing].name, labels,
                               histogram);
             }
