--- /dev/null
+++ b/tests/harness/entry-cell.c
@@ -0,0 +1,457 @@
+/*
+ * A cell of entry hosts on loopback for tests.
+ */
+
+#include "entry-cell.h"
+
+#include "fake-server.h"
+#include "http-call.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#define ENTRY_CELL_FIRST_PORT 21000
+#define ENTRY_CELL_PORT_RANGES 20 /* cells that can run at the same time */
+#define ENTRY_CELL_PORT_RANGE_SIZE 500
+#define ENTRY_CELL_CALL_TIMEOUT_MS 3000
+#define ENTRY_CELL_START_MS 300
+
+/* Offsets from the first port. */
+#define ENTRY_PORT_CONTROL 2
+#define ENTRY_PORT_LOCK 89 /* bound while a cell uses the range */
+#define ENTRY_PORT_PROXY 90
+#define ENTRY_PORT_ROUTES 100
+#define ENTRY_PORT_HOSTS 200
+#define ENTRY_PORTS_PER_HOST 4
+
+#define ENTRY_PLATFORM_ARGUMENTS_MAX 24
+
+static const char *
+build_path(const char *name)
+{
+    static _Thread_local char path[4][512];
+    static _Thread_local int next;
+    const char *build = getenv("BUILD");
+
+    next = (next + 1) % 4;
+    snprintf(path[next], sizeof(path[next]), "%s/%s",
+             build != NULL ? build : "build", name);
+    return path[next];
+}
+
+/* Reserves a range of ports, because two cells on one range would use each
+ * other's hosts. Returns the first port, or 0. */
+static int
+lock_port_range(int first)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    for (int i = 0; fd >= 0 && i < ENTRY_CELL_PORT_RANGES; i++) {
+        address.sin_port = htons((uint16_t)(first + ENTRY_PORT_LOCK));
+        if (bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0) {
+            return first; /* the socket stays open until the process ends */
+        }
+        first += ENTRY_CELL_PORT_RANGE_SIZE;
+    }
+    return 0;
+}
+
+/**
+ * FvEntryCell_Port - a port of a host
+ * @cell: the cell
+ * @host: index of the host
+ * @port: which one
+ *
+ * Return: the port.
+ */
+int
+FvEntryCell_Port(const entry_cell_t *cell, int host, entry_port_t port)
+{
+    return cell->port + ENTRY_PORT_HOSTS + host * ENTRY_PORTS_PER_HOST +
+           (int)port;
+}
+
+static bool
+start_platform(entry_cell_t *cell)
+{
+    const char *argv[ENTRY_PLATFORM_ARGUMENTS_MAX + 6];
+    char log[512];
+    char port[16];
+    char workers[16];
+    int count = 0;
+
+    snprintf(log, sizeof(log), "%s/cell.log", cell->directory);
+    snprintf(port, sizeof(port), "%d", cell->port);
+    snprintf(workers, sizeof(workers), "%d", cell->options.workers);
+    argv[count++] = build_path("fake-cell");
+    argv[count++] = "--port";
+    argv[count++] = port;
+    argv[count++] = "--workers";
+    argv[count++] = workers;
+    for (const char *const *option = cell->options.platform_options;
+         option != NULL && *option != NULL &&
+         count < ENTRY_PLATFORM_ARGUMENTS_MAX + 5;
+         option++) {
+        argv[count++] = *option;
+    }
+    argv[count] = NULL;
+    return FvProcess_Start(&cell->platform, log, argv);
+}
+
+static bool
+start_proxy(entry_cell_t *cell)
+{
+    char routes[ENTRY_CELL_HOSTS_MAX][64];
+    char control[64];
+    char log[512];
+    const char *argv[ENTRY_CELL_HOSTS_MAX * 2 + 4] = {
+        build_path("fault-proxy"), "--control", control};
+    int count = 3;
+
+    snprintf(log, sizeof(log), "%s/proxy.log", cell->directory);
+    snprintf(control, sizeof(control), "127.0.0.1:%d",
+             cell->port + ENTRY_PORT_PROXY);
+    for (int i = 0; i < cell->options.hosts; i++) {
+        snprintf(routes[i], sizeof(routes[i]), "127.0.0.1:%d=127.0.0.1:%d",
+                 cell->port + ENTRY_PORT_ROUTES + i, cell->port);
+        argv[count++] = "--route";
+        argv[count++] = routes[i];
+    }
+    argv[count] = NULL;
+    return FvProcess_Start(&cell->proxy, log, argv);
+}
+
+static bool
+write_settings(entry_cell_t *cell, int host)
+{
+    const entry_cell_options_t *options = &cell->options;
+    FILE *file;
+
+    snprintf(cell->hosts[host].settings, sizeof(cell->hosts[host].settings),
+             "%s/host-%d.toml", cell->directory, host);
+    file = fopen(cell->hosts[host].settings, "w");
+    if (file == NULL) {
+        return false;
+    }
+    fprintf(file,
+            "host = \"host-%d\"\ndata_center = \"a\"\nregion = \"a\"\n"
+            "address = \"127.0.0.1\"\ncallers_address = \"127.0.0.1:%d\"\n"
+            "ready_address = \"127.0.0.1:%d\"\n"
+            "metrics_address = \"127.0.0.1:%d\"\nlink_port = %d\n"
+            "cpu_cores = 1.0\nstore_address = \"127.0.0.1:%d\"\n"
+            "store_lease_min_ms = 1000\nadvice_address = \"127.0.0.1:%d\"\n"
+            "descriptors_max = 1024\nlease_max_ms = 10000\n"
+            "stop_timeout_ms = %d\ngang_timeout_ms = 3000\ndrain_ms = %d\n"
+            "keep_ended_s = 120\nlog_level = \"%s\"\n",
+            host, FvEntryCell_Port(cell, host, ENTRY_PORT_CALLERS),
+            FvEntryCell_Port(cell, host, ENTRY_PORT_READY),
+            FvEntryCell_Port(cell, host, ENTRY_PORT_METRICS),
+            FvEntryCell_Port(cell, host, ENTRY_PORT_LINK),
+            cell->port + ENTRY_PORT_ROUTES + host, cell->port + 1,
+            options->stop_timeout_ms, options->drain_ms, options->log_level);
+    return fclose(file) == 0;
+}
+
+/**
+ * FvEntryCell_StartHost - start a host's process
+ * @cell: the cell
+ * @host: index of the host, which is not running
+ *
+ * Return: false when no process can be created.
+ */
+bool
+FvEntryCell_StartHost(entry_cell_t *cell, int host)
+{
+    char log[512];
+    const char *argv[] = {build_path("fireflyvalve"), "entry", "--config",
+                          cell->hosts[host].settings, NULL};
+
+    snprintf(log, sizeof(log), "%s/host-%d.log", cell->directory, host);
+    return FvProcess_Start(&cell->hosts[host].process, log, argv);
+}
+
+static void
+set_defaults(entry_cell_options_t *options)
+{
+    if (options->first_port == 0) {
+        options->first_port = ENTRY_CELL_FIRST_PORT;
+    }
+    if (options->stop_timeout_ms == 0) {
+        options->stop_timeout_ms = 100;
+    }
+    if (options->drain_ms == 0) {
+        options->drain_ms = 6000;
+    }
+    if (options->log_level == NULL) {
+        options->log_level = "info";
+    }
+}
+
+static void
+remove_old_logs(const entry_cell_t *cell)
+{
+    char path[512];
+
+    for (int i = 0; i < cell->options.hosts; i++) {
+        snprintf(path, sizeof(path), "%s/host-%d.log", cell->directory, i);
+        unlink(path);
+    }
+    snprintf(path, sizeof(path), "%s/cell.log", cell->directory);
+    unlink(path);
+}
+
+/**
+ * FvEntryCell_Start - start a cell
+ * @cell: filled in
+ * @options: its size and settings; the strings must stay valid
+ *
+ * Return: false when a program cannot be started or no range of ports is free.
+ */
+bool
+FvEntryCell_Start(entry_cell_t *cell, const entry_cell_options_t *options)
+{
+    const char *build = getenv("BUILD");
+
+    *cell = (entry_cell_t){.options = *options};
+    if (options->hosts < 1 || options->hosts > ENTRY_CELL_HOSTS_MAX ||
+        options->workers < 1 || options->workers > ENTRY_CELL_WORKERS_MAX) {
+        return false;
+    }
+    set_defaults(&cell->options);
+    cell->port = lock_port_range(cell->options.first_port);
+    if (cell->port == 0) {
+        fprintf(stderr, "%s: no free range of ports\n", options->name);
+        return false;
+    }
+    snprintf(cell->directory, sizeof(cell->directory), "%s/%s",
+             build != NULL ? build : "build", options->name);
+    mkdir(cell->directory, 0755);
+    remove_old_logs(cell);
+    if (!start_platform(cell) || !start_proxy(cell)) {
+        return false;
+    }
+    FvFake_SleepMs(ENTRY_CELL_START_MS);
+    for (int i = 0; i < options->hosts; i++) {
+        if (!write_settings(cell, i) || !FvEntryCell_StartHost(cell, i)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/**
+ * FvEntryCell_Stop - kill all processes of a cell
+ * @cell: the cell, started in whole or in part
+ */
+void
+FvEntryCell_Stop(entry_cell_t *cell)
+{
+    for (int i = 0; i < cell->options.hosts; i++) {
+        FvProcess_Kill(&cell->hosts[i].process);
+    }
+    FvProcess_Kill(&cell->proxy);
+    FvProcess_Kill(&cell->platform);
+}
+
+/**
+ * FvEntryCell_WaitReady - wait until all hosts report ready
+ * @cell: the cell
+ * @timeout_ms: for how long
+ *
+ * Return: false when some host did not.
+ */
+bool
+FvEntryCell_WaitReady(entry_cell_t *cell, int64_t timeout_ms)
+{
+    int64_t until_ms = FvClock_NowMs() + timeout_ms;
+    int ready = 0;
+
+    while (ready < cell->options.hosts && FvClock_NowMs() < until_ms) {
+        ready = 0;
+        for (int i = 0; i < cell->options.hosts; i++) {
+            char url[128];
+            http_reply_t reply;
+
+            snprintf(url, sizeof(url), "http://127.0.0.1:%d/ready",
+                     FvEntryCell_Port(cell, i, ENTRY_PORT_READY));
+            FvHttp_Run(&(http_call_t){.url = url, .timeout_ms = 500}, &reply);
+            ready += reply.status == 200;
+            FvHttp_FreeReply(&reply);
+        }
+        FvFake_SleepMs(100);
+    }
+    return ready == cell->options.hosts;
+}
+
+/**
+ * FvEntryCell_Leader - find the host that holds the leader's key
+ * @cell: the cell
+ *
+ * Return: index of the host, or -1 when there is none or the store is away.
+ */
+int
+FvEntryCell_Leader(const entry_cell_t *cell)
+{
+    char url[160];
+    json_t *item;
+    const char *value;
+    fv_buffer_t text = {0};
+    int host = -1;
+
+    snprintf(url, sizeof(url),
+             "http://127.0.0.1:%d/kv-key?key=fireflyvalve/control/leader",
+             cell->port);
+    item = FvHttp_GetJson(url);
+    value = FvJson_String(item, "value");
+    if (value != NULL && FvText_DecodeBase64(value, &text) &&
+        sscanf((const char *)text.data, "host-%d", &host) != 1) {
+        host = -1;
+    }
+    FvBuffer_Clear(&text);
+    json_decref(item);
+    return host;
+}
+
+static bool
+post_fault(int port, const char *body)
+{
+    char url[128];
+    http_reply_t reply;
+    bool succeeded;
+
+    snprintf(url, sizeof(url), "http://127.0.0.1:%d/fault", port);
+    FvHttp_Run(&(http_call_t){.url = url,
+                              .body = body,
+                              .body_length = strlen(body),
+                              .timeout_ms = ENTRY_CELL_CALL_TIMEOUT_MS},
+               &reply);
+    succeeded = reply.status == 200;
+    FvHttp_FreeReply(&reply);
+    return succeeded;
+}
+
+/**
+ * FvEntryCell_PlatformFault - inject or clear a fault of the platform
+ * @cell: the cell
+ * @body: the request to fake-cell, in JSON
+ *
+ * Return: false when it was not taken.
+ */
+bool
+FvEntryCell_PlatformFault(const entry_cell_t *cell, const char *body)
+{
+    return post_fault(cell->port + ENTRY_PORT_CONTROL, body);
+}
+
+/**
+ * FvEntryCell_RouteFault - change the route from a host to the store
+ * @cell: the cell
+ * @host: index of the host, or -1 for all of them
+ * @mode: mode of fault-proxy; "restore" clears the fault
+ *
+ * Return: false when it was not taken.
+ */
+bool
+FvEntryCell_RouteFault(const entry_cell_t *cell, int host, const char *mode)
+{
+    char body[160];
+
+    if (host < 0) {
+        snprintf(body, sizeof(body), "{\"route\":\"*\",\"mode\":\"%s\"}",
+                 mode);
+    }
+    else {
+        snprintf(body, sizeof(body),
+                 "{\"route\":\"127.0.0.1:%d\",\"mode\":\"%s\"}",
+                 cell->port + ENTRY_PORT_ROUTES + host, mode);
+    }
+    return post_fault(cell->port + ENTRY_PORT_PROXY, body);
+}
+
+/**
+ * FvEntryCell_Report - read what the workers have counted
+ * @cell: the cell
+ *
+ * Return: a new reference, or NULL.
+ */
+json_t *
+FvEntryCell_Report(const entry_cell_t *cell)
+{
+    char url[128];
+
+    snprintf(url, sizeof(url), "http://127.0.0.1:%d/report",
+             cell->port + ENTRY_PORT_CONTROL);
+    return FvHttp_GetJson(url);
+}
+
+/**
+ * FvEntryCell_Call - send a caller's request on a new connection
+ * @cell: the cell
+ * @host: index of the host
+ * @method: the method
+ * @path: the path, with the queue's prefix
+ * @body: the body, or NULL
+ * @state: receives the job's state if the answer has one, else ""; may be NULL
+ * @size: size of @state
+ *
+ * Return: the status; 0 without a whole answer.
+ */
+int
+FvEntryCell_Call(const entry_cell_t *cell, int host, const char *method,
+                 const char *path, const char *body, char *state, size_t size)
+{
+    char url[256];
+    http_reply_t reply;
+    int status;
+
+    snprintf(url, sizeof(url), "http://127.0.0.1:%d%s",
+             FvEntryCell_Port(cell, host, ENTRY_PORT_CALLERS), path);
+    FvHttp_Run(&(http_call_t){.method = method,
+                              .url = url,
+                              .body = body,
+                              .body_length = body ? strlen(body) : 0,
+                              .timeout_ms = ENTRY_CELL_CALL_TIMEOUT_MS},
+               &reply);
+    status = reply.status;
+    if (state != NULL) {
+        json_t *document = FvHttp_ReplyJson(&reply);
+
+        FvJson_CopyString(document, "state", state, size);
+        json_decref(document);
+    }
+    FvHttp_FreeReply(&reply);
+    return status;
+}
+
+/**
+ * FvEntryCell_LogHas - search a host's log
+ * @cell: the cell
+ * @host: index of the host
+ * @text: the text
+ *
+ * Return: true when a line has the text.
+ */
+bool
+FvEntryCell_LogHas(const entry_cell_t *cell, int host, const char *text)
+{
+    char path[512];
+    char line[4096];
+    bool found = false;
+    FILE *file;
+
+    snprintf(path, sizeof(path), "%s/host-%d.log", cell->directory, host);
+    file = fopen(path, "r");
+    while (file != NULL && !found && fgets(line, sizeof(line), file) != NULL) {
+        found = strstr(line, text) != NULL;
+    }
+    if (file != NULL) {
+        fclose(file);
+    }
+    return found;
+}
--- /dev/null
+++ b/tests/harness/entry-cell.h
@@ -0,0 +1,69 @@
+/*
+ * A cell of entry hosts on loopback for tests: fake-cell as the platform, a
+ * fault-proxy between each host and the store, and fireflyvalve processes. The
+ * executables are taken from the directory that the environment variable BUILD
+ * names.
+ */
+
+#ifndef ENTRY_CELL_H
+#define ENTRY_CELL_H
+
+#include "fireflyvalve.h"
+#include "process.h"
+
+#include <jansson.h>
+
+#define ENTRY_CELL_HOSTS_MAX 70
+#define ENTRY_CELL_WORKERS_MAX 80
+
+/* A field that is zero selects the default. */
+typedef struct entry_cell_options {
+    const char *name; /* of the directory of settings and logs */
+    int hosts;
+    int workers;
+    int first_port; /* of the first range that is tried */
+    /* More options of fake-cell, ended by NULL. */
+    const char *const *platform_options;
+    int stop_timeout_ms;
+    int drain_ms;
+    const char *log_level;
+} entry_cell_options_t;
+
+typedef struct entry_cell_host {
+    process_t process;
+    char settings[512];
+} entry_cell_host_t;
+
+typedef struct entry_cell {
+    entry_cell_options_t options;
+    int port; /* first one of the range */
+    char directory[256];
+    process_t platform;
+    process_t proxy;
+    entry_cell_host_t hosts[ENTRY_CELL_HOSTS_MAX];
+} entry_cell_t;
+
+typedef enum entry_port {
+    ENTRY_PORT_CALLERS,
+    ENTRY_PORT_READY,
+    ENTRY_PORT_METRICS,
+    ENTRY_PORT_LINK
+} entry_port_t;
+
+bool FvEntryCell_Start(entry_cell_t *cell,
+                       const entry_cell_options_t *options);
+void FvEntryCell_Stop(entry_cell_t *cell);
+bool FvEntryCell_StartHost(entry_cell_t *cell, int host);
+bool FvEntryCell_WaitReady(entry_cell_t *cell, int64_t timeout_ms);
+int FvEntryCell_Port(const entry_cell_t *cell, int host, entry_port_t port);
+int FvEntryCell_Leader(const entry_cell_t *cell);
+bool FvEntryCell_PlatformFault(const entry_cell_t *cell, const char *body);
+bool FvEntryCell_RouteFault(const entry_cell_t *cell, int host,
+                            const char *mode);
+json_t *FvEntryCell_Report(const entry_cell_t *cell);
+int FvEntryCell_Call(const entry_cell_t *cell, int host, const char *method,
+                     const char *path, const char *body, char *state,
+                     size_t size);
+bool FvEntryCell_LogHas(const entry_cell_t *cell, int host, const char *text);
+
+#endif
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -5,39 +5,22 @@
  * must be completed, and no refused job may have run.
  */
 
+#include "entry-cell.h"
 #include "fake-server.h"
-#include "fireflyvalve.h"
-#include "http-call.h"
-#include "process.h"
 
 #include <argtable2.h>
-#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/stat.h>
-#include <unistd.h>
 
 #define SOAK_HOSTS_MAX 16
 #define SOAK_WORKERS 6
 #define SOAK_CLIENTS 6
 #define SOAK_JOBS_MAX 20000
 #define SOAK_SUBMIT_ATTEMPTS 4
-#define SOAK_CALL_TIMEOUT_MS 3000
 #define SOAK_COMPLETION_TIMEOUT_MS 40000
-#define SOAK_FIRST_PORT 21000
-#define SOAK_PORT_RANGE_SIZE 500
-#define SOAK_PORT_RANGES 20 /* soaks that can run at the same time */
-
-/* Offsets from the first port. */
-#define SOAK_PORT_CONTROL 2
-#define SOAK_PORT_LOCK 89 /* bound while a soak uses the range */
-#define SOAK_PORT_PROXY 90
-#define SOAK_PORT_ROUTES 100
-#define SOAK_PORT_HOSTS 200
-#define SOAK_PORTS_PER_HOST 10
 
 typedef enum soak_state {
     SOAK_UNKNOWN, /* no final answer; the job may run */
@@ -54,8 +37,6 @@
 } soak_job_t;
 
 typedef struct soak_host {
-    process_t process;
-    char settings[512];
     bool down;
     bool suspended;
     int64_t recover_at_ms; /* when the host is restarted or resumed */
@@ -63,11 +44,8 @@
 
 typedef struct soak {
     uint64_t seed;
-    int port;
     int hosts;
-    char directory[256];
-    process_t cell;
-    process_t proxy;
+    entry_cell_t cell;
     soak_host_t host[SOAK_HOSTS_MAX];
     pthread_mutex_t lock;
     soak_job_t jobs[SOAK_JOBS_MAX];
@@ -89,149 +67,19 @@
     return (uint32_t)(*state >> 20) % limit;
 }
 
-/* --- Processes ---------------------------------------------------------- */
-
-static const char *
-build_path(const char *name)
-{
-    static char path[4][512];
-    static int next;
-    const char *build = getenv("BUILD");
-
-    next = (next + 1) % 4;
-    snprintf(path[next], sizeof(path[next]), "%s/%s",
-             build != NULL ? build : "build", name);
-    return path[next];
-}
-
-static bool
-start_cell(soak_t *soak)
-{
-    char log[512];
-    char port[16];
-    char workers[16];
-    const char *argv[] = {
-        build_path("fake-cell"), "--port", port, "--workers", workers, NULL};
-
-    snprintf(log, sizeof(log), "%s/cell.log", soak->directory);
-    snprintf(port, sizeof(port), "%d", soak->port);
-    snprintf(workers, sizeof(workers), "%d", SOAK_WORKERS);
-    return FvProcess_Start(&soak->cell, log, argv);
-}
-
-static bool
-start_proxy(soak_t *soak)
-{
-    char routes[SOAK_HOSTS_MAX][64];
-    char control[64];
-    char log[512];
-    const char *argv[SOAK_HOSTS_MAX * 2 + 4] = {build_path("fault-proxy"),
-                                                "--control", control};
-    int count = 3;
-
-    snprintf(log, sizeof(log), "%s/proxy.log", soak->directory);
-    snprintf(control, sizeof(control), "127.0.0.1:%d",
-             soak->port + SOAK_PORT_PROXY);
-    for (int i = 0; i < soak->hosts; i++) {
-        snprintf(routes[i], sizeof(routes[i]), "127.0.0.1:%d=127.0.0.1:%d",
-                 soak->port + SOAK_PORT_ROUTES + i, soak->port);
-        argv[count++] = "--route";
-        argv[count++] = routes[i];
-    }
-    argv[count] = NULL;
-    return FvProcess_Start(&soak->proxy, log, argv);
-}
-
-static int
-host_port(const soak_t *soak, int host, int offset)
-{
-    return soak->port + SOAK_PORT_HOSTS + host * SOAK_PORTS_PER_HOST + offset;
-}
-
-static bool
-write_settings(soak_t *soak, int host)
-{
-    FILE *file;
-
-    snprintf(soak->host[host].settings, sizeof(soak->host[host].settings),
-             "%s/host-%d.toml", soak->directory, host);
-    file = fopen(soak->host[host].settings, "w");
-    if (file == NULL) {
-        return false;
-    }
-    fprintf(file,
-            "host = \"host-%d\"\ndata_center = \"a\"\nregion = \"a\"\n"
-            "address = \"127.0.0.1\"\ncallers_address = \"127.0.0.1:%d\"\n"
-            "ready_address = \"127.0.0.1:%d\"\n"
-            "metrics_address = \"127.0.0.1:%d\"\nlink_port = %d\n"
-            "cpu_cores = 1.0\nstore_address = \"127.0.0.1:%d\"\n"
-            "store_lease_min_ms = 1000\nadvice_address = \"127.0.0.1:%d\"\n"
-            "descriptors_max = 1024\nlease_max_ms = 10000\nstop_timeout_ms = "
-            "100\ngang_timeout_ms = "
-            "3000\ndrain_ms = 6000\n"
-            "keep_ended_s = 120\nlog_level = \"info\"\n",
-            host, host_port(soak, host, 0), host_port(soak, host, 1),
-            host_port(soak, host, 2), host_port(soak, host, 3),
-            soak->port + SOAK_PORT_ROUTES + host, soak->port + 1);
-    return fclose(file) == 0;
-}
-
-static bool
-start_host(soak_t *soak, int host)
-{
-    char log[512];
-    const char *argv[] = {build_path("fireflyvalve"), "entry", "--config",
-                          soak->host[host].settings, NULL};
-
-    snprintf(log, sizeof(log), "%s/host-%d.log", soak->directory, host);
-    soak->host[host].down = false;
-    return FvProcess_Start(&soak->host[host].process, log, argv);
-}
-
-static bool
-post_fault(int port, const char *body)
-{
-    char url[128];
-    http_reply_t reply;
-    bool succeeded;
-
-    snprintf(url, sizeof(url), "http://127.0.0.1:%d/fault", port);
-    FvHttp_Run(&(http_call_t){.url = url,
-                              .body = body,
-                              .body_length = strlen(body),
-                              .timeout_ms = SOAK_CALL_TIMEOUT_MS},
-               &reply);
-    succeeded = reply.status == 200;
-    FvHttp_FreeReply(&reply);
-    return succeeded;
-}
-
 /* --- Clients ------------------------------------------------------------ */
 
 static int
 call_host(soak_t *soak, uint64_t *random, const char *method,
           const soak_job_t *job, const char *body, char *state, size_t size)
 {
-    char url[256];
-    http_reply_t reply;
+    char path[64];
     int status;
-    json_t *document;
-
-    snprintf(
-        url, sizeof(url), "http://127.0.0.1:%d/%s/%s",
-        host_port(soak, (int)random_below(random, (uint32_t)soak->hosts), 0),
-        job->queue, job->id);
-    FvHttp_Run(&(http_call_t){.method = method,
-                              .url = url,
-                              .body = body,
-                              .body_length = body ? strlen(body) : 0,
-                              .timeout_ms = SOAK_CALL_TIMEOUT_MS},
-               &reply);
-    status = reply.status;
-    document = FvHttp_ReplyJson(&reply);
-    FvJson_CopyString(document, "state", state, size);
-    json_decref(document);
-    FvHttp_FreeReply(&reply);
+
+    snprintf(path, sizeof(path), "/%s/%s", job->queue, job->id);
+    status = FvEntryCell_Call(&soak->cell,
+                              (int)random_below(random, (uint32_t)soak->hosts),
+                              method, path, body, state, size);
     pthread_mutex_lock(&soak->lock);
     soak->reply_counts[status / 100 < 6 ? status / 100 : 5]++;
     pthread_mutex_unlock(&soak->lock);
@@ -322,26 +170,27 @@
 static void
 inject_host_fault(soak_t *soak, uint64_t *random, int64_t now_ms)
 {
-    soak_host_t *host =
-        &soak->host[random_below(random, (uint32_t)soak->hosts)];
+    int index = (int)random_below(random, (uint32_t)soak->hosts);
+    soak_host_t *host = &soak->host[index];
+    process_t *process = &soak->cell.hosts[index].process;
     uint32_t kind = random_below(random, 4);
 
     if (host->down || host->suspended) {
         return;
     }
     if (kind == 0) {
-        printf("  stop %s\n", host->settings);
-        FvProcess_Signal(&host->process, SIGSTOP);
+        printf("  stop host %d\n", index);
+        FvProcess_Signal(process, SIGSTOP);
         host->suspended = true;
     }
     else if (kind == 1) {
-        printf("  terminate %s\n", host->settings);
-        FvProcess_Signal(&host->process, SIGTERM);
+        printf("  terminate host %d\n", index);
+        FvProcess_Signal(process, SIGTERM);
         host->down = true;
     }
     else {
-        printf("  kill %s\n", host->settings);
-        FvProcess_Kill(&host->process);
+        printf("  kill host %d\n", index);
+        FvProcess_Kill(process);
         host->down = true;
     }
     host->recover_at_ms = now_ms + 300 + random_below(random, 3500);
@@ -359,7 +208,7 @@
     snprintf(body, sizeof(body), "{\"store\":\"%s\"}",
              modes[random_below(random, 3)]);
     printf("  store %s\n", body);
-    post_fault(soak->port + SOAK_PORT_CONTROL, body);
+    FvEntryCell_PlatformFault(&soak->cell, body);
     soak->store_recover_at_ms = now_ms + 300 + random_below(random, 4000);
 }
 
@@ -367,18 +216,14 @@
 inject_route_fault(soak_t *soak, uint64_t *random, int64_t now_ms)
 {
     static const char *const modes[] = {"cut", "blackhole", "freeze"};
-    char body[160];
+    int host = (int)random_below(random, (uint32_t)soak->hosts);
+    const char *mode = modes[random_below(random, 3)];
 
     if (soak->route_recover_at_ms != 0) {
         return;
     }
-    snprintf(body, sizeof(body),
-             "{\"route\":\"127.0.0.1:%d\",\"mode\":\"%s\"}",
-             soak->port + SOAK_PORT_ROUTES +
-                 (int)random_below(random, (uint32_t)soak->hosts),
-             modes[random_below(random, 3)]);
-    printf("  route %s\n", body);
-    post_fault(soak->port + SOAK_PORT_PROXY, body);
+    printf("  route of host %d: %s\n", host, mode);
+    FvEntryCell_RouteFault(&soak->cell, host, mode);
     soak->route_recover_at_ms = now_ms + 300 + random_below(random, 5000);
 }
 
@@ -393,7 +238,7 @@
     soak->crashed_worker = (int)random_below(random, SOAK_WORKERS);
     snprintf(body, sizeof(body), "{\"crash\":%d}", soak->crashed_worker);
     printf("  worker %s\n", body);
-    post_fault(soak->port + SOAK_PORT_CONTROL, body);
+    FvEntryCell_PlatformFault(&soak->cell, body);
     soak->worker_recover_at_ms = now_ms + 200 + random_below(random, 3000);
 }
 
@@ -404,34 +249,35 @@
 
     for (int i = 0; i < soak->hosts; i++) {
         soak_host_t *host = &soak->host[i];
+        process_t *process = &soak->cell.hosts[i].process;
 
         if ((!host->down && !host->suspended) ||
             now_ms < host->recover_at_ms) {
             continue;
         }
         if (host->suspended) {
-            FvProcess_Signal(&host->process, SIGCONT);
+            FvProcess_Signal(process, SIGCONT);
             host->suspended = false;
         }
-        else if (FvProcess_HasExited(&host->process)) {
-            start_host(soak, i);
+        else if (FvProcess_HasExited(process)) {
+            host->down = false;
+            FvEntryCell_StartHost(&soak->cell, i);
         }
     }
     if (soak->store_recover_at_ms != 0 &&
         now_ms >= soak->store_recover_at_ms) {
-        post_fault(soak->port + SOAK_PORT_CONTROL, "{\"store\":\"up\"}");
+        FvEntryCell_PlatformFault(&soak->cell, "{\"store\":\"up\"}");
         soak->store_recover_at_ms = 0;
     }
     if (soak->route_recover_at_ms != 0 &&
         now_ms >= soak->route_recover_at_ms) {
-        post_fault(soak->port + SOAK_PORT_PROXY,
-                   "{\"route\":\"*\",\"mode\":\"restore\"}");
+        FvEntryCell_RouteFault(&soak->cell, -1, "restore");
         soak->route_recover_at_ms = 0;
     }
     if (soak->worker_recover_at_ms != 0 &&
         now_ms >= soak->worker_recover_at_ms) {
         snprintf(body, sizeof(body), "{\"restart\":%d}", soak->crashed_worker);
-        post_fault(soak->port + SOAK_PORT_CONTROL, body);
+        FvEntryCell_PlatformFault(&soak->cell, body);
         soak->worker_recover_at_ms = 0;
     }
 }
@@ -514,7 +360,6 @@
 {
     uint64_t random = soak->seed | 1;
     int64_t until_ms = FvClock_NowMs() + SOAK_COMPLETION_TIMEOUT_MS;
-    char url[128];
     json_t *report;
     uint32_t unfinished;
     uint32_t refused_but_ran;
@@ -526,9 +371,7 @@
         clear_due_faults(soak, INT64_MAX);
     }
     unfinished = count_unfinished(soak, &random, true);
-    snprintf(url, sizeof(url), "http://127.0.0.1:%d/report",
-             soak->port + SOAK_PORT_CONTROL);
-    report = FvHttp_GetJson(url);
+    report = FvEntryCell_Report(&soak->cell);
     violations = FvJson_Int(report, "violations", -1);
     refused_but_ran =
         count_refused_but_ran(soak, json_object_get(report, "started"));
@@ -543,29 +386,6 @@
     return violations == 0 && unfinished == 0 && refused_but_ran == 0;
 }
 
-static bool
-wait_until_ready(soak_t *soak)
-{
-    int64_t until_ms = FvClock_NowMs() + 15000;
-    int ready = 0;
-
-    while (ready < soak->hosts && FvClock_NowMs() < until_ms) {
-        ready = 0;
-        for (int i = 0; i < soak->hosts; i++) {
-            char url[128];
-            http_reply_t reply;
-
-            snprintf(url, sizeof(url), "http://127.0.0.1:%d/ready",
-                     host_port(soak, i, 1));
-            FvHttp_Run(&(http_call_t){.url = url, .timeout_ms = 500}, &reply);
-            ready += reply.status == 200;
-            FvHttp_FreeReply(&reply);
-        }
-        FvFake_SleepMs(100);
-    }
-    return ready == soak->hosts;
-}
-
 static bool
 run_load(soak_t *soak, int64_t duration_s)
 {
@@ -586,59 +406,32 @@
 }
 
 static int
-run(soak_t *soak, int64_t duration_s)
+run(soak_t *soak, int first_port, int64_t duration_s)
 {
+    char name[64];
     bool succeeded = false;
 
-    snprintf(soak->directory, sizeof(soak->directory), "%s/soak-%llu",
-             getenv("BUILD") ? getenv("BUILD") : "build",
-             (unsigned long long)soak->seed);
-    mkdir(soak->directory, 0755);
+    snprintf(name, sizeof(name), "soak-%llu", (unsigned long long)soak->seed);
     pthread_mutex_init(&soak->lock, NULL);
-    if (!start_cell(soak) || !start_proxy(soak)) {
+    if (!FvEntryCell_Start(
+            &soak->cell, &(entry_cell_options_t){.name = name,
+                                                 .hosts = soak->hosts,
+                                                 .workers = SOAK_WORKERS,
+                                                 .first_port = first_port})) {
         goto done;
     }
-    FvFake_SleepMs(300);
-    for (int i = 0; i < soak->hosts; i++) {
-        if (!write_settings(soak, i) || !start_host(soak, i)) {
-            goto done;
-        }
-    }
-    if (!wait_until_ready(soak)) {
+    if (!FvEntryCell_WaitReady(&soak->cell, 15000)) {
         printf("the hosts did not become ready\n");
         goto done;
     }
     succeeded = run_load(soak, duration_s);
 done:
-    for (int i = 0; i < soak->hosts; i++) {
-        FvProcess_Kill(&soak->host[i].process);
-    }
-    FvProcess_Kill(&soak->proxy);
-    FvProcess_Kill(&soak->cell);
+    FvEntryCell_Stop(&soak->cell);
     printf("soak seed=%llu %s (logs in %s)\n", (unsigned long long)soak->seed,
-           succeeded ? "passed" : "FAILED", soak->directory);
+           succeeded ? "passed" : "FAILED", soak->cell.directory);
     return succeeded ? 0 : 1;
 }
 
-/* Reserves a range of ports, because two soaks on one range would check each
- * other's hosts. Returns the first port, or 0. */
-static int32_t
-lock_port_range(int32_t first)
-{
-    struct sockaddr_in address = {.sin_family = AF_INET,
-                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-    for (int i = 0; fd >= 0 && i < SOAK_PORT_RANGES; i++) {
-        address.sin_port = htons((uint16_t)(first + SOAK_PORT_LOCK));
-        if (bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0) {
-            return first; /* the socket stays open until the soak ends */
-        }
-        first += SOAK_PORT_RANGE_SIZE;
-    }
-    return 0;
-}
-
 int
 main(int argc, char **argv)
 {
@@ -659,17 +452,12 @@
     setvbuf(stdout, NULL, _IOLBF, 0);
     soak.seed = seed->count > 0 ? (uint64_t)seed->ival[0] : 1;
     soak.hosts = hosts->count > 0 ? hosts->ival[0] : 4;
-    soak.port =
-        lock_port_range(port->count > 0 ? port->ival[0] : SOAK_FIRST_PORT);
-    if (soak.port == 0) {
-        fprintf(stderr, "soak: no free range of ports\n");
-        return 2;
-    }
     if (soak.hosts < 1 || soak.hosts > SOAK_HOSTS_MAX) {
         fprintf(stderr, "soak: 1 to %d hosts\n", SOAK_HOSTS_MAX);
         return 2;
     }
-    code = run(&soak, duration_s->count > 0 ? duration_s->ival[0] : 20);
+    code = run(&soak, port->count > 0 ? port->ival[0] : 0,
+               duration_s->count > 0 ? duration_s->ival[0] : 20);
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return code;
 }
