soak: keep connections, suspend leaders, check cancellations and losses

The soak opened a connection for each request, never checked what became of a cancelled job, and took any missing answer for an effect of its faults, so it could not meet the faults of the users' record (LOST around a SIGTERM, UNASKED) at all.

Clients now keep their connections until the host closes them, submit jobs whose second step starts seconds later, cancel at any host and ask for states. Signals come in series and overlap (one host after the other, repeated short suspensions, a terminated host beside suspended ones, most hosts killed), half of them to the leader; SIGHUP is among them. Checked in addition: no request ends without a whole answer at a host that was not killed or suspended meanwhile, no task of a job starts more than 3 s after its cancellation was acknowledged (200 or 410), no 410 for an accepted job, no way back from completed.

--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
 UNIT_TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/unit/*.c))
 PROMISE_TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/promises/*.c))
 SOAK := $(BUILD)/tests/soak/soak
+SOAK_OBJECTS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/soak/*.c))
 BENCHES := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/bench/*.c))
 C_FILES := $(wildcard src/*.c platform/*.c tests/*/*.c)
 ALL_FILES := $(C_FILES) $(wildcard src/*.h src/*.cc platform/*.h tests/*/*.h)
@@ -82,6 +83,9 @@
 $(FAKES): $(BUILD)/%: $(BUILD)/tests/fakes/%.o $(HARNESS_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+$(SOAK): $(SOAK_OBJECTS) $(HARNESS_LIBRARY) $(LIBRARY)
+	$(CC) $(LDFLAGS) -o $@ $^ $(TEST_LDLIBS) $(LDLIBS)
+
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(HARNESS_LIBRARY) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(TEST_LDLIBS) $(LDLIBS)
 
--- a/tests/fakes/fake-cell.c
+++ b/tests/fakes/fake-cell.c
@@ -85,8 +85,9 @@
             char job[17];
 
             snprintf(job, sizeof(job), "%.16s", task->name);
-            if (task->starts > 0) {
-                json_object_set_new(started, job, json_true());
+            if (task->started_ms > FvJson_Int(started, job, 0)) {
+                json_object_set_new(started, job,
+                                    json_integer(task->started_ms));
             }
         }
         reply = json_pack("{s:i, s:i, s:s, s:o}", "violations",
@@ -113,6 +114,12 @@
         "\"non_idempotent\",\"targetLatencyMs\":2000,\"priority\":1,"
         "\"service\":\"app\",\"maxAttempts\":3,\"stretch\":4.0,"
         "\"recommendation\":{\"decisionMs\":2,\"perWorkerMs\":0.1,"
+        "\"validityMs\":2000}},"
+        "{\"name\":\"long\",\"host\":\"127.0.0.1\",\"prefix\":\"/long/"
+        "\",\"kind\":"
+        "\"non_idempotent\",\"targetLatencyMs\":2000,\"priority\":2,"
+        "\"service\":\"app\",\"maxAttempts\":3,\"stretch\":4.0,"
+        "\"recommendation\":{\"decisionMs\":2,\"perWorkerMs\":0.1,"
         "\"validityMs\":2000}}],\"services\":[],\"limits\":{}}";
 
     FvCellStore_Put(cell, "op/config", config);
@@ -185,7 +192,7 @@
 main(int argc, char **argv)
 {
     struct arg_int *port = arg_int1(NULL, "port", "N", "first port");
-    struct arg_int *workers = arg_int1(NULL, "workers", "N", "1 to 32");
+    struct arg_int *workers = arg_int1(NULL, "workers", "N", "1 to 80");
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_end *end = arg_end(4);
     void *table[] = {port, workers, help, end};
--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -164,6 +164,7 @@
     }
     task->running++;
     task->starts++;
+    task->started_ms = now_ms;
     for (const cell_run_t *other = worker->runs; other != NULL;
          other = other->next) {
         used += other->cpu_millis;
--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -13,7 +13,7 @@
 #include <pthread.h>
 #include <uthash.h>
 
-#define CELL_WORKERS_MAX 32
+#define CELL_WORKERS_MAX 80
 #define CELL_STORE_THREADS 96
 /* The server needs a thread for each connection, and every host that has been
  * leader keeps some open. Four hosts alternate as leader. */
@@ -58,6 +58,7 @@
     uint32_t starts;
     uint32_t running;
     bool done_acknowledged;
+    int64_t started_ms; /* latest start */
     UT_hash_handle hh;
 } cell_task_t;
 
--- /dev/null
+++ b/tests/soak/soak-faults.c
@@ -0,0 +1,333 @@
+/*
+ * Faults of the soak: signals and restarts of hosts, one by one, in series and
+ * overlapping; the store, the routes to it, and the workers.
+ */
+
+#include "soak.h"
+
+#include "fake-server.h"
+
+#include <signal.h>
+#include <string.h>
+
+#define SOAK_ACTIONS_MAX 512
+#define SOAK_POLL_MS 20
+
+typedef enum soak_action_kind {
+    SOAK_ACTION_NONE,
+    SOAK_ACTION_SUSPEND,
+    SOAK_ACTION_TERMINATE,
+    SOAK_ACTION_KILL,
+    SOAK_ACTION_RELOAD
+} soak_action_kind_t;
+
+/* A signal to a host that is due later. */
+typedef struct soak_action {
+    soak_action_kind_t kind;
+    int host;
+    int64_t at_ms;
+    int64_t for_ms; /* until the host is resumed or restarted */
+} soak_action_t;
+
+typedef struct soak_faults {
+    soak_t *soak;
+    uint64_t random;
+    soak_action_t actions[SOAK_ACTIONS_MAX];
+} soak_faults_t;
+
+static uint32_t
+draw(soak_faults_t *faults, uint32_t limit)
+{
+    return FvSoak_Random(&faults->random, limit);
+}
+
+static void
+plan(soak_faults_t *faults, soak_action_kind_t kind, int host, int64_t at_ms,
+     int64_t for_ms)
+{
+    for (int i = 0; i < SOAK_ACTIONS_MAX; i++) {
+        if (faults->actions[i].kind == SOAK_ACTION_NONE) {
+            faults->actions[i] = (soak_action_t){
+                .kind = kind, .host = host, .at_ms = at_ms, .for_ms = for_ms};
+            return;
+        }
+    }
+}
+
+static void
+run_action(soak_t *soak, const soak_action_t *action, int64_t now_ms)
+{
+    static const char *const names[] = {"", "suspend", "terminate", "kill",
+                                        "reload"};
+    soak_host_t *host = &soak->host[action->host];
+    process_t *process = &soak->cell.hosts[action->host].process;
+
+    pthread_mutex_lock(&soak->lock);
+    if (host->down || host->suspended) {
+        pthread_mutex_unlock(&soak->lock);
+        return;
+    }
+    printf("  %s host %d for %lld ms\n", names[action->kind], action->host,
+           (long long)action->for_ms);
+    switch (action->kind) {
+    case SOAK_ACTION_SUSPEND:
+        host->suspended = true;
+        FvProcess_Signal(process, SIGSTOP);
+        break;
+    case SOAK_ACTION_TERMINATE:
+        host->down = true;
+        host->terminated_ms = now_ms;
+        FvProcess_Signal(process, SIGTERM);
+        break;
+    case SOAK_ACTION_KILL:
+        host->down = true;
+        host->killed_ms = now_ms;
+        FvProcess_Signal(process, SIGKILL);
+        break;
+    case SOAK_ACTION_RELOAD:
+    case SOAK_ACTION_NONE:
+    default:
+        FvProcess_Signal(process, SIGHUP);
+        break;
+    }
+    host->recover_at_ms = now_ms + action->for_ms;
+    pthread_mutex_unlock(&soak->lock);
+}
+
+static void
+run_due_actions(soak_faults_t *faults, int64_t now_ms)
+{
+    for (int i = 0; i < SOAK_ACTIONS_MAX; i++) {
+        soak_action_t *action = &faults->actions[i];
+
+        if (action->kind != SOAK_ACTION_NONE && action->at_ms <= now_ms) {
+            run_action(faults->soak, action, now_ms);
+            action->kind = SOAK_ACTION_NONE;
+        }
+    }
+}
+
+/* Any host, half of the time the leader. */
+static int
+choose_host(soak_faults_t *faults)
+{
+    int leader =
+        draw(faults, 2) == 0 ? FvEntryCell_Leader(&faults->soak->cell) : -1;
+
+    return leader >= 0 && leader < faults->soak->hosts
+               ? leader
+               : (int)draw(faults, (uint32_t)faults->soak->hosts);
+}
+
+static int64_t
+draw_length_ms(soak_faults_t *faults)
+{
+    return 300 + draw(faults, 4700);
+}
+
+static void
+signal_one_host(soak_faults_t *faults, int64_t now_ms)
+{
+    static const soak_action_kind_t kinds[] = {
+        SOAK_ACTION_SUSPEND,   SOAK_ACTION_SUSPEND, SOAK_ACTION_TERMINATE,
+        SOAK_ACTION_TERMINATE, SOAK_ACTION_KILL,    SOAK_ACTION_RELOAD};
+
+    plan(faults, kinds[draw(faults, 6)], choose_host(faults), now_ms,
+         draw_length_ms(faults));
+}
+
+/* The same signal to one host after the other, with short pauses. */
+static void
+signal_hosts_in_turn(soak_faults_t *faults, int64_t now_ms)
+{
+    static const soak_action_kind_t kinds[] = {
+        SOAK_ACTION_SUSPEND, SOAK_ACTION_TERMINATE, SOAK_ACTION_TERMINATE,
+        SOAK_ACTION_KILL, SOAK_ACTION_RELOAD};
+    soak_action_kind_t kind = kinds[draw(faults, 5)];
+    int64_t gap_ms = 100 + draw(faults, 2000);
+    int count = 2 + (int)draw(faults, (uint32_t)faults->soak->hosts);
+    int first = choose_host(faults);
+
+    for (int i = 0; i < count; i++) {
+        plan(faults, kind, (first + i) % faults->soak->hosts,
+             now_ms + i * gap_ms, draw_length_ms(faults));
+    }
+}
+
+/* A short suspension of the leader again and again; some are too short to be
+ * noticed by the process. */
+static void
+suspend_in_series(soak_faults_t *faults, int64_t now_ms)
+{
+    int host = choose_host(faults);
+
+    for (int i = 0; i < 4; i++) {
+        plan(faults, SOAK_ACTION_SUSPEND, host, now_ms + i * 1500,
+             500 + draw(faults, 700));
+    }
+}
+
+/* One host is terminated while most others are suspended. */
+static void
+terminate_beside_suspended(soak_faults_t *faults, int64_t now_ms)
+{
+    int leaving = choose_host(faults);
+
+    plan(faults, SOAK_ACTION_TERMINATE, leaving, now_ms, 7000);
+    for (int i = 0; i < faults->soak->hosts; i++) {
+        if (i != leaving && draw(faults, 4) != 0) {
+            plan(faults, SOAK_ACTION_SUSPEND, i, now_ms + draw(faults, 600),
+                 draw_length_ms(faults));
+        }
+    }
+}
+
+static void
+kill_many_hosts(soak_faults_t *faults, int64_t now_ms)
+{
+    int64_t for_ms = draw_length_ms(faults);
+
+    for (int i = 0; i < faults->soak->hosts; i++) {
+        if (draw(faults, 3) != 0) {
+            plan(faults, SOAK_ACTION_KILL, i, now_ms, for_ms);
+        }
+    }
+}
+
+static void
+disturb_store(soak_faults_t *faults, int64_t now_ms)
+{
+    static const char *const modes[] = {"busy", "silent", "lost"};
+    soak_t *soak = faults->soak;
+    char body[64];
+
+    if (soak->store_recover_at_ms != 0) {
+        return;
+    }
+    snprintf(body, sizeof(body), "{\"store\":\"%s\"}", modes[draw(faults, 3)]);
+    printf("  store %s\n", body);
+    FvEntryCell_PlatformFault(&soak->cell, body);
+    soak->store_recover_at_ms = now_ms + draw_length_ms(faults);
+}
+
+static void
+disturb_route(soak_faults_t *faults, int64_t now_ms)
+{
+    static const char *const modes[] = {"cut", "blackhole", "freeze"};
+    soak_t *soak = faults->soak;
+    int host = choose_host(faults);
+    const char *mode = modes[draw(faults, 3)];
+
+    if (soak->route_recover_at_ms != 0) {
+        return;
+    }
+    printf("  route of host %d: %s\n", host, mode);
+    FvEntryCell_RouteFault(&soak->cell, host, mode);
+    soak->route_recover_at_ms = now_ms + 300 + draw(faults, 5000);
+}
+
+static void
+crash_workers(soak_faults_t *faults, int64_t now_ms)
+{
+    soak_t *soak = faults->soak;
+    uint32_t count = 1 + draw(faults, (uint32_t)soak->workers / 4 + 1);
+    char body[64];
+
+    for (uint32_t i = 0; i < count; i++) {
+        uint32_t worker = draw(faults, (uint32_t)soak->workers);
+
+        if (soak->worker_recover_at_ms[worker] != 0) {
+            continue;
+        }
+        snprintf(body, sizeof(body), "{\"crash\":%u}", worker);
+        printf("  worker %s\n", body);
+        FvEntryCell_PlatformFault(&soak->cell, body);
+        soak->worker_recover_at_ms[worker] = now_ms + 200 + draw(faults, 3000);
+    }
+}
+
+static void
+recover_hosts(soak_t *soak, int64_t now_ms)
+{
+    for (int i = 0; i < soak->hosts; i++) {
+        soak_host_t *host = &soak->host[i];
+        process_t *process = &soak->cell.hosts[i].process;
+
+        pthread_mutex_lock(&soak->lock);
+        if (host->suspended && now_ms >= host->recover_at_ms) {
+            FvProcess_Signal(process, SIGCONT);
+            host->suspended = false;
+            host->resumed_ms = FvClock_NowMs();
+        }
+        else if (host->down && now_ms >= host->recover_at_ms &&
+                 FvProcess_HasExited(process)) {
+            host->down = false;
+            FvEntryCell_StartHost(&soak->cell, i);
+        }
+        pthread_mutex_unlock(&soak->lock);
+    }
+}
+
+/**
+ * FvSoakFaults_ClearDue - end the faults that are over
+ * @soak: the soak
+ * @now_ms: the time; INT64_MAX ends all
+ */
+void
+FvSoakFaults_ClearDue(soak_t *soak, int64_t now_ms)
+{
+    char body[96];
+
+    recover_hosts(soak, now_ms);
+    if (soak->store_recover_at_ms != 0 &&
+        now_ms >= soak->store_recover_at_ms) {
+        FvEntryCell_PlatformFault(&soak->cell, "{\"store\":\"up\"}");
+        soak->store_recover_at_ms = 0;
+    }
+    if (soak->route_recover_at_ms != 0 &&
+        now_ms >= soak->route_recover_at_ms) {
+        FvEntryCell_RouteFault(&soak->cell, -1, "restore");
+        soak->route_recover_at_ms = 0;
+    }
+    for (int i = 0; i < soak->workers; i++) {
+        if (soak->worker_recover_at_ms[i] != 0 &&
+            now_ms >= soak->worker_recover_at_ms[i]) {
+            snprintf(body, sizeof(body), "{\"restart\":%d}", i);
+            FvEntryCell_PlatformFault(&soak->cell, body);
+            soak->worker_recover_at_ms[i] = 0;
+        }
+    }
+}
+
+/**
+ * FvSoakFaults_Inject - inject faults for some time, then end all of them
+ * @soak: the soak, whose clients are running
+ * @duration_s: how long
+ */
+void
+FvSoakFaults_Inject(soak_t *soak, int64_t duration_s)
+{
+    static void (*const injectors[])(soak_faults_t *, int64_t) = {
+        signal_one_host,   signal_one_host, signal_hosts_in_turn,
+        suspend_in_series, kill_many_hosts, terminate_beside_suspended,
+        disturb_store,     disturb_route,   crash_workers};
+    static soak_faults_t faults;
+    int64_t end_ms = FvClock_NowMs() + duration_s * Fv_MS_PER_S;
+    int64_t next_fault_ms = 0;
+
+    faults = (soak_faults_t){
+        .soak = soak, .random = soak->seed * UINT64_C(0x9e3779b97f4a7c15) | 1};
+    while (FvClock_NowMs() < end_ms) {
+        int64_t now_ms = FvClock_NowMs();
+
+        FvSoakFaults_ClearDue(soak, now_ms);
+        run_due_actions(&faults, now_ms);
+        if (now_ms >= next_fault_ms) {
+            injectors[draw(&faults, sizeof(injectors) / sizeof(injectors[0]))](
+                &faults, now_ms);
+            next_fault_ms = now_ms + 300 + draw(&faults, 2200);
+        }
+        FvFake_SleepMs(SOAK_POLL_MS);
+    }
+    FvSoakFaults_ClearDue(soak, INT64_MAX);
+}
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,76 @@
+/*
+ * Parts of the soak: the cell, its jobs and hosts as the soak knows them, the
+ * clients, and the faults.
+ */
+
+#ifndef SOAK_H
+#define SOAK_H
+
+#include "entry-cell.h"
+
+#include <pthread.h>
+
+#define SOAK_CLIENTS_MAX 256
+#define SOAK_JOBS_MAX 40000
+
+typedef enum soak_state {
+    SOAK_UNKNOWN, /* no final answer; the job may run */
+    SOAK_ACCEPTED,
+    SOAK_REFUSED, /* every attempt was rejected */
+    SOAK_CANCELLED,
+    SOAK_MAY_BE_CANCELLED, /* the cancellation was not answered */
+    SOAK_ENDED             /* seen as completed */
+} soak_state_t;
+
+typedef struct soak_job {
+    char id[17];
+    const char *queue;
+    soak_state_t state;
+    int64_t cancelled_ms; /* when the cancellation was acknowledged; 0: not */
+    int cancel_status;
+    int cancel_host;
+} soak_job_t;
+
+/* What the soak did to a host's process; times of the latest of each. */
+typedef struct soak_host {
+    bool down;
+    bool suspended;
+    int64_t recover_at_ms; /* when the host is restarted or resumed */
+    int64_t killed_ms;
+    int64_t terminated_ms;
+    int64_t resumed_ms;
+} soak_host_t;
+
+typedef struct soak {
+    uint64_t seed;
+    int hosts;
+    int workers;
+    int clients;
+    entry_cell_t cell;
+    pthread_mutex_t lock; /* of the members below */
+    soak_host_t host[ENTRY_CELL_HOSTS_MAX];
+    soak_job_t jobs[SOAK_JOBS_MAX];
+    uint32_t job_count;
+    uint32_t reply_counts[6]; /* by first digit of the status; 0: no reply */
+    uint32_t lost;            /* requests without a whole answer */
+    uint32_t closed_early;    /* at once; the request may not have been read */
+    uint32_t wrong_answers;
+    atomic_bool finished;
+    int64_t store_recover_at_ms;
+    int64_t route_recover_at_ms;
+    int64_t worker_recover_at_ms[ENTRY_CELL_WORKERS_MAX];
+    int64_t config_version;
+} soak_t;
+
+uint32_t FvSoak_Random(uint64_t *state, uint32_t limit);
+
+/* soak-clients.c */
+bool FvSoakClients_Start(soak_t *soak, pthread_t *threads);
+int FvSoakClients_Call(soak_t *soak, uint64_t *random, const char *method,
+                       const soak_job_t *job, char *state, size_t size);
+
+/* soak-faults.c */
+void FvSoakFaults_Inject(soak_t *soak, int64_t duration_s);
+void FvSoakFaults_ClearDue(soak_t *soak, int64_t now_ms);
+
+#endif
