--- a/tests/harness/kept-connection.c
+++ b/tests/harness/kept-connection.c
@@ -122,7 +122,7 @@
                kept_answer_t *answer)
 {
     int64_t until_ms = FvClock_NowMs() + timeout_ms;
-    char text[KEPT_HEAD_MAX_BYTES + 1];
+    char text[KEPT_HEAD_MAX_BYTES + 1] = "";
     char *end = NULL;
     size_t used = 0;
     int64_t received;
