soak: open a connection anew when the host has closed it

A request that a client sends on a connection that was closed before counts as closed early, so that the count told nothing about requests that were on their way when the host closed (27 to 93 a run with 40 clients). Clients now look for the close first, as HTTP clients do.

--- a/tests/harness/kept-connection.c
+++ b/tests/harness/kept-connection.c
@@ -7,6 +7,7 @@
 #include "fireflyvalve.h"
 #include "http-socket.h"
 
+#include <errno.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
@@ -44,6 +45,23 @@
     connection->fd = -1;
 }
 
+/**
+ * FvKept_IsClosedByPeer - whether the peer has closed an idle connection
+ * @connection: the connection, open
+ *
+ * Return: true when a request on it could not be answered any more.
+ */
+bool
+FvKept_IsClosedByPeer(const kept_connection_t *connection)
+{
+    char byte;
+    ssize_t count =
+        recv(connection->fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+
+    return count == 0 ||
+           (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 /**
  * FvKept_Send - send a request
  * @connection: the connection
--- a/tests/harness/kept-connection.h
+++ b/tests/harness/kept-connection.h
@@ -30,6 +30,7 @@
 
 bool FvKept_Open(kept_connection_t *connection, int port);
 void FvKept_Close(kept_connection_t *connection);
+bool FvKept_IsClosedByPeer(const kept_connection_t *connection);
 bool FvKept_Send(kept_connection_t *connection, const char *method,
                  const char *path, const char *body);
 kept_outcome_t FvKept_Receive(kept_connection_t *connection,
--- a/tests/soak/soak-clients.c
+++ b/tests/soak/soak-clients.c
@@ -77,6 +77,9 @@
     kept_outcome_t outcome;
 
     *answer = (kept_answer_t){0};
+    if (connection->fd >= 0 && FvKept_IsClosedByPeer(connection)) {
+        FvKept_Close(connection);
+    }
     if (connection->fd < 0) {
         client->opened_ms[host] = FvClock_NowMs();
         if (!FvKept_Open(connection, FvEntryCell_Port(&soak->cell, host,
