Report at the end of a process what is unfinished on callers' connections

`stopped` counted requests without a reply and could not tell a reply that was queued from one that had reached its caller, nor see bytes of a request that nobody had handled. It now gives the connections that are receiving, have unwritten or unacknowledged bytes, as read from their buffers and sockets; `http_replies` counts replies that were written in whole. evhttp reports none of this, so fv_caller_connections_t keeps a reference of each bufferevent. Nothing else changes yet: the process still ends when it ended before.

--- a/src/entry.c
+++ b/src/entry.c
@@ -561,6 +561,7 @@
     fv_entry_t *entry = context;
     int64_t draining_ms = FvClock_NowMs() - entry->drain_started_ms;
     uint32_t open_requests = FvFrontend_OpenRequests(entry->frontend);
+    fv_caller_traffic_t traffic;
 
     (void)fd;
     (void)what;
@@ -569,9 +570,13 @@
     }
     if ((open_requests == 0 && draining_ms >= Fv_DRAIN_MIN_MS) ||
         draining_ms >= entry->settings.drain_ms - Fv_DRAIN_MARGIN_MS) {
+        FvFrontend_CountTraffic(entry->frontend, &traffic);
         FvLog_Event(Fv_LOG_INFO, "stopped",
-                    "after_ms=%" PRId64 " open_requests=%u", draining_ms,
-                    open_requests);
+                    "after_ms=%" PRId64 " open_requests=%u connections=%u "
+                    "receiving=%u unwritten=%u unacknowledged=%u",
+                    draining_ms, open_requests, traffic.connections,
+                    traffic.receiving, traffic.unwritten,
+                    traffic.unacknowledged);
         event_base_loopbreak(entry->base);
     }
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -7,6 +7,7 @@
 #ifndef ENTRY_H
 #define ENTRY_H
 
+#include "caller-connection.h"
 #include "platform.h"
 #include "scheduler.h"
 
@@ -317,6 +318,8 @@
 void FvFrontend_LeaderChanged(fv_frontend_t *frontend);
 void FvFrontend_Drain(fv_frontend_t *frontend);
 uint32_t FvFrontend_OpenRequests(const fv_frontend_t *frontend);
+void FvFrontend_CountTraffic(const fv_frontend_t *frontend,
+                             fv_caller_traffic_t *traffic);
 
 /* cell-leader.c: the leader's side: scheduling, orders, recording. */
 typedef struct fv_leader fv_leader_t;
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -4,6 +4,7 @@
  * to the leader; while a new leader is being elected it holds the request.
  */
 
+#include "caller-connection.h"
 #include "entry.h"
 #include "forwarding.h"
 
@@ -37,6 +38,7 @@
     const fv_entry_settings_t *settings;
     fv_frontend_events_t events;
     const fv_cell_config_t *config;
+    fv_caller_connections_t *connections;
     struct evhttp *callers;
     struct evhttp *ready;
     struct evhttp *metrics;
@@ -205,6 +207,14 @@
     forward_request(frontend, request);
 }
 
+static void
+reply_written(struct evhttp_request *http, void *context)
+{
+    (void)http;
+    (void)context;
+    FvMetrics_Add(Fv_COUNTER_HTTP_REPLIES, 1);
+}
+
 static void
 handle_caller_request(struct evhttp_request *http, void *context)
 {
@@ -217,6 +227,8 @@
     fv_verb_t verb;
 
     FvMetrics_Add(Fv_COUNTER_HTTP_REQUESTS, 1);
+    FvCallerConnections_RequestRead(frontend->connections, http);
+    evhttp_request_set_on_complete_cb(http, reply_written, NULL);
     snprintf(path, sizeof(path), "%.*s", (int)strcspn(uri, "?"), uri);
     if (frontend->config == NULL) {
         send_reply(frontend, http, 503, "No Configuration", NULL);
@@ -246,6 +258,7 @@
     bool ready = !frontend->draining && frontend->config != NULL &&
                  frontend->events.ready(frontend->events.context);
 
+    FvCallerConnections_RequestRead(frontend->connections, http);
     send_reply(frontend, http, ready ? 200 : 503, ready ? "OK" : "Not Ready",
                NULL);
 }
@@ -256,6 +269,7 @@
     fv_frontend_t *frontend = context;
     fv_buffer_t text = {0};
 
+    FvCallerConnections_RequestRead(frontend->connections, http);
     FvMetrics_Print(&text);
     evhttp_add_header(evhttp_request_get_output_headers(http), "Content-Type",
                       "text/plain; version=0.0.4");
@@ -274,6 +288,7 @@
 
     (void)fd;
     (void)what;
+    FvCallerConnections_Reap(frontend->connections);
     for (request = frontend->requests; request != NULL; request = next) {
         next = request->hh.next;
         switch (FvForwarding_NextStep(&request->forwarding, now_ms)) {
@@ -312,6 +327,7 @@
                                            EVHTTP_REQ_HEAD);
     evhttp_set_timeout(server, Fv_IDLE_TIMEOUT_S);
     evhttp_set_gencb(server, handler, frontend);
+    FvCallerConnections_Attach(frontend->connections, server);
     if (evhttp_bind_socket(server, ip,
                            (uint16_t)strtoul(colon + 1, NULL, 10)) != 0) {
         FvLog_Event(Fv_LOG_ERROR, "bind_failed", "address=%s", address);
@@ -342,6 +358,11 @@
     frontend->base = base;
     frontend->settings = settings;
     frontend->events = *events;
+    frontend->connections = FvCallerConnections_New(base);
+    if (frontend->connections == NULL) {
+        free(frontend);
+        return NULL;
+    }
     frontend->callers = listen_http(frontend, settings->callers_address,
                                     handle_caller_request);
     frontend->ready =
@@ -391,6 +412,7 @@
     if (frontend->metrics != NULL) {
         evhttp_free(frontend->metrics);
     }
+    FvCallerConnections_Free(frontend->connections);
     free(frontend);
 }
 
@@ -417,6 +439,18 @@
     return HASH_COUNT(frontend->requests);
 }
 
+/**
+ * FvFrontend_CountTraffic - count what is unfinished on connections
+ * @frontend: the frontend
+ * @traffic: filled in
+ */
+void
+FvFrontend_CountTraffic(const fv_frontend_t *frontend,
+                        fv_caller_traffic_t *traffic)
+{
+    FvCallerConnections_Count(frontend->connections, traffic);
+}
+
 /**
  * FvFrontend_Drain - report not ready, and close connections after each answer
  * @frontend: the frontend
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -58,6 +58,9 @@
     [Fv_COUNTER_HTTP_BAD_REQUESTS] = {"http_bad_requests",
                                       "Requests answered with a 4xx status "
                                       "before they reached the scheduler."},
+    [Fv_COUNTER_HTTP_REPLIES] = {"http_replies",
+                                 "Replies to callers that were written to "
+                                 "the socket in whole."},
     [Fv_COUNTER_CLAIM_CONFLICTS] = {"claim_conflicts",
                                     "Claim writes that lost to another "
                                     "writer."},
