End a process only when each reply has reached its caller

Callers that kept their connections to a host that got SIGTERM saw it closed without a byte of the answer, or with a part of it.

Causes, one class: a request counted as done when its reply was handed over. end_request took it off the table when the reply was queued in evhttp, and the next drain_check, in the same round of the event loop or while a caller read slowly, ended the process. Bytes of a request that evhttp had not handed over counted for nothing. At the limit of the drain (0.8 s before drain_ms) open requests ended without any answer.

Now the process ends when no request is open and no caller's connection has bytes of a request, unwritten or unacknowledged bytes. Callers' connections are told to close once nothing follows on them, the listening socket closes when the balancer has stopped using it and the kernel's queue is empty, and what is open after three quarters of drain_ms is answered with 503 or 504. All limits are shares of drain_ms; the fixed 0.8 s left nothing of a shorter one. A connection that is told to close is kept until everything is acknowledged: a close with unread input would reset it and drop the rest of the reply.

--- a/src/entry-hosts.h
+++ b/src/entry-hosts.h
@@ -68,6 +68,7 @@
     int64_t dead_epoch; /* of the latest leader that is known to be dead */
     int64_t dead_since_ms;
     int64_t drain_started_ms; /* 0: not draining */
+    bool drain_answered;      /* all that was open has been answered */
     uint32_t host_state_count;
     fv_host_state_t *host_states[Fv_HOSTS_MAX];
     fv_host_state_t *self; /* set when this host becomes leader */
--- a/src/entry.c
+++ b/src/entry.c
@@ -3,6 +3,7 @@
  * election, the links between hosts and, while this host leads, the leader.
  */
 
+#include "entry-drain.h"
 #include "entry-hosts.h"
 
 #include <errno.h>
@@ -26,17 +27,6 @@
 #define Fv_ISOLATED_CLAIM_PAUSE_MS 1500
 #define Fv_ISOLATED_RESIGN_INTERVAL_MS 30000
 
-/* After SIGTERM the load balancer needs two failed checks, one a second, to
- * stop sending connections. */
-#define Fv_DRAIN_MIN_MS 2300
-#define Fv_DRAIN_MARGIN_MS 800
-#define Fv_DRAIN_CHECK_MS 50
-
-/* A leader that has not finished its handover by then resigns anyway. Allows
- * for the longest stop of a run in the deployments (0.9 s), its round trip and
- * two writes to a slow store. */
-#define Fv_HANDOVER_MAX_MS 2000
-
 /* File descriptors that the platform reserves for files, and the share of the
  * others that outgoing calls may use; the rest is for connections of callers
  * and other hosts. */
@@ -556,52 +546,18 @@
 /* --- Signals ------------------------------------------------------------ */
 
 static void
-drain_check(evutil_socket_t fd, short what, void *context)
+check_drain(evutil_socket_t fd, short what, void *context)
 {
-    fv_entry_t *entry = context;
-    int64_t draining_ms = FvClock_NowMs() - entry->drain_started_ms;
-    uint32_t open_requests = FvFrontend_OpenRequests(entry->frontend);
-    fv_caller_traffic_t traffic;
-
     (void)fd;
     (void)what;
-    if (entry->leader != NULL && draining_ms >= Fv_HANDOVER_MAX_MS) {
-        FvElection_Resign(entry->election, INT32_MAX, "shutdown_unprepared");
-    }
-    if ((open_requests == 0 && draining_ms >= Fv_DRAIN_MIN_MS) ||
-        draining_ms >= entry->settings.drain_ms - Fv_DRAIN_MARGIN_MS) {
-        FvFrontend_CountTraffic(entry->frontend, &traffic);
-        FvLog_Event(Fv_LOG_INFO, "stopped",
-                    "after_ms=%" PRId64 " open_requests=%u connections=%u "
-                    "receiving=%u unwritten=%u unacknowledged=%u",
-                    draining_ms, open_requests, traffic.connections,
-                    traffic.receiving, traffic.unwritten,
-                    traffic.unacknowledged);
-        event_base_loopbreak(entry->base);
-    }
+    FvEntryDrain_Check(context);
 }
 
 static void
 start_drain(evutil_socket_t fd, short what, void *context)
 {
-    fv_entry_t *entry = context;
-    struct timeval interval = {.tv_usec = Fv_DRAIN_CHECK_MS * 1000};
-
     (void)what;
-    if (entry->drain_started_ms != 0) {
-        return;
-    }
-    entry->drain_started_ms = FvClock_NowMs();
-    FvLog_Event(Fv_LOG_INFO, "stopping", "signal=%d open_requests=%u", fd,
-                FvFrontend_OpenRequests(entry->frontend));
-    FvFrontend_Drain(entry->frontend);
-    if (entry->leader != NULL) {
-        FvLeader_HandOver(entry->leader);
-    }
-    else {
-        FvElection_Resign(entry->election, INT32_MAX, "shutdown");
-    }
-    event_add(entry->drain, &interval);
+    FvEntryDrain_Start(context, fd);
 }
 
 static void
@@ -697,7 +653,7 @@
     entry->heartbeat =
         event_new(entry->base, -1, EV_PERSIST, heartbeat, entry);
     entry->step_down = event_new(entry->base, -1, 0, step_down, entry);
-    entry->drain = event_new(entry->base, -1, EV_PERSIST, drain_check, entry);
+    entry->drain = event_new(entry->base, -1, EV_PERSIST, check_drain, entry);
     entry->sigterm = evsignal_new(entry->base, SIGTERM, start_drain, entry);
     entry->sigint = evsignal_new(entry->base, SIGINT, start_drain, entry);
     entry->sighup = evsignal_new(entry->base, SIGHUP, reload, entry);
--- a/src/entry.h
+++ b/src/entry.h
@@ -317,6 +317,9 @@
                       const fv_cell_message_t *message, bool current);
 void FvFrontend_LeaderChanged(fv_frontend_t *frontend);
 void FvFrontend_Drain(fv_frontend_t *frontend);
+void FvFrontend_StopAccepting(fv_frontend_t *frontend, bool at_once);
+bool FvFrontend_IsAccepting(const fv_frontend_t *frontend);
+void FvFrontend_AnswerAll(fv_frontend_t *frontend);
 uint32_t FvFrontend_OpenRequests(const fv_frontend_t *frontend);
 void FvFrontend_CountTraffic(const fv_frontend_t *frontend,
                              fv_caller_traffic_t *traffic);
--- a/src/forwarding.c
+++ b/src/forwarding.c
@@ -36,6 +36,18 @@
     forwarding->awaiting_reply = false;
 }
 
+/**
+ * FvForwarding_MayHaveExecuted - whether a leader may have executed it
+ * @forwarding: the request's state
+ *
+ * Return: false when the request was certainly not executed.
+ */
+bool
+FvForwarding_MayHaveExecuted(const fv_forwarding_t *forwarding)
+{
+    return forwarding->awaiting_reply || forwarding->outcome_unknown;
+}
+
 /**
  * FvForwarding_AcceptsReply - whether a reply is final
  * @reply: the reply
@@ -68,7 +80,7 @@
     bool late =
         (double)waited_ms > Fv_TIME_OUT_SHARE * (double)forwarding->timeout_ms;
 
-    if (forwarding->awaiting_reply || forwarding->outcome_unknown) {
+    if (FvForwarding_MayHaveExecuted(forwarding)) {
         return late                         ? Fv_FORWARDING_TIME_OUT
                : forwarding->awaiting_reply ? Fv_FORWARDING_WAIT
                                             : Fv_FORWARDING_SEND;
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -23,6 +23,7 @@
 
 void FvForwarding_Sent(fv_forwarding_t *forwarding);
 void FvForwarding_NotExecuted(fv_forwarding_t *forwarding);
+bool FvForwarding_MayHaveExecuted(const fv_forwarding_t *forwarding);
 bool FvForwarding_AcceptsReply(fv_reply_t reply, bool current);
 fv_forwarding_step_t FvForwarding_NextStep(const fv_forwarding_t *forwarding,
                                            int64_t now_ms);
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -12,6 +12,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -40,12 +41,14 @@
     const fv_cell_config_t *config;
     fv_caller_connections_t *connections;
     struct evhttp *callers;
+    struct evhttp_bound_socket *callers_socket; /* NULL: accepts no more */
     struct evhttp *ready;
     struct evhttp *metrics;
     struct event *sweep;
     fv_frontend_request_t *requests;
     int64_t last_id;
     bool draining;
+    bool refusing; /* the process is about to end */
 };
 
 static void
@@ -72,7 +75,8 @@
     if (status == 429 || status == 503) {
         add_retry_after(http, Fv_RETRY_AFTER_S);
     }
-    if (frontend->draining) {
+    /* What the caller has sent on is served before the connection ends. */
+    if (frontend->draining && !FvCallerConnections_HasInput(http)) {
         evhttp_add_header(headers, "Connection", "close");
     }
     evhttp_send_reply(http, status, reason, buffer);
@@ -92,10 +96,7 @@
                 "job=%s verb=%d queue=%s status=%d took_ms=%lld sent=%d",
                 request->job, (int)request->verb, request->queue, status,
                 (long long)took_ms,
-                request->forwarding.awaiting_reply ||
-                        request->forwarding.outcome_unknown
-                    ? 1
-                    : 0);
+                FvForwarding_MayHaveExecuted(&request->forwarding) ? 1 : 0);
     FvMetrics_Record(Fv_TIMING_WAIT, Fv_CLASS_INTERACTIVE, request->queue,
                      took_ms * 1000);
     HASH_DEL(frontend->requests, request);
@@ -230,6 +231,10 @@
     FvCallerConnections_RequestRead(frontend->connections, http);
     evhttp_request_set_on_complete_cb(http, reply_written, NULL);
     snprintf(path, sizeof(path), "%.*s", (int)strcspn(uri, "?"), uri);
+    if (frontend->refusing) {
+        send_reply(frontend, http, 503, "Shutting Down", NULL);
+        return;
+    }
     if (frontend->config == NULL) {
         send_reply(frontend, http, 503, "No Configuration", NULL);
         return;
@@ -310,7 +315,8 @@
 
 static struct evhttp *
 listen_http(fv_frontend_t *frontend, const char *address,
-            void (*handler)(struct evhttp_request *, void *))
+            void (*handler)(struct evhttp_request *, void *),
+            struct evhttp_bound_socket **bound)
 {
     struct evhttp *server = evhttp_new(frontend->base);
     char ip[Fv_ADDRESS_SIZE];
@@ -328,8 +334,9 @@
     evhttp_set_timeout(server, Fv_IDLE_TIMEOUT_S);
     evhttp_set_gencb(server, handler, frontend);
     FvCallerConnections_Attach(frontend->connections, server);
-    if (evhttp_bind_socket(server, ip,
-                           (uint16_t)strtoul(colon + 1, NULL, 10)) != 0) {
+    *bound = evhttp_bind_socket_with_handle(
+        server, ip, (uint16_t)strtoul(colon + 1, NULL, 10));
+    if (*bound == NULL) {
         FvLog_Event(Fv_LOG_ERROR, "bind_failed", "address=%s", address);
         evhttp_free(server);
         return NULL;
@@ -351,6 +358,7 @@
 {
     fv_frontend_t *frontend = calloc(1, sizeof(*frontend));
     struct timeval interval = {.tv_usec = Fv_SWEEP_MS * 1000};
+    struct evhttp_bound_socket *bound;
 
     if (frontend == NULL) {
         return NULL;
@@ -363,13 +371,14 @@
         free(frontend);
         return NULL;
     }
-    frontend->callers = listen_http(frontend, settings->callers_address,
-                                    handle_caller_request);
-    frontend->ready =
-        listen_http(frontend, settings->ready_address, handle_ready_request);
+    frontend->callers =
+        listen_http(frontend, settings->callers_address, handle_caller_request,
+                    &frontend->callers_socket);
+    frontend->ready = listen_http(frontend, settings->ready_address,
+                                  handle_ready_request, &bound);
     if (settings->metrics_address[0] != '\0') {
         frontend->metrics = listen_http(frontend, settings->metrics_address,
-                                        handle_metrics_request);
+                                        handle_metrics_request, &bound);
     }
     if (frontend->callers == NULL || frontend->ready == NULL) {
         FvFrontend_Free(frontend);
@@ -454,11 +463,73 @@
 /**
  * FvFrontend_Drain - report not ready, and close connections after each answer
  * @frontend: the frontend
+ *
+ * A connection on which the caller has sent more stays until that is answered.
  */
 void
 FvFrontend_Drain(fv_frontend_t *frontend)
 {
     frontend->draining = true;
+    FvCallerConnections_Linger(frontend->connections);
+}
+
+/**
+ * FvFrontend_StopAccepting - accept no more connections of callers
+ * @frontend: the frontend
+ * @at_once: also when the kernel has connections that were not accepted yet,
+ *           which it then resets; otherwise call again
+ */
+void
+FvFrontend_StopAccepting(fv_frontend_t *frontend, bool at_once)
+{
+    struct pollfd waiting = {.events = POLLIN};
+
+    if (frontend->callers_socket == NULL) {
+        return;
+    }
+    waiting.fd = evhttp_bound_socket_get_fd(frontend->callers_socket);
+    if (!at_once && poll(&waiting, 1, 0) > 0) {
+        return;
+    }
+    evhttp_del_accept_socket(frontend->callers, frontend->callers_socket);
+    frontend->callers_socket = NULL;
+}
+
+/**
+ * FvFrontend_IsAccepting - whether connections of callers are accepted
+ * @frontend: the frontend
+ *
+ * Return: true until FvFrontend_StopAccepting() has taken effect.
+ */
+bool
+FvFrontend_IsAccepting(const fv_frontend_t *frontend)
+{
+    return frontend->callers_socket != NULL;
+}
+
+/**
+ * FvFrontend_AnswerAll - answer all open requests, and refuse further ones
+ * @frontend: the frontend
+ *
+ * A request that no leader can have executed is rejected; the outcome of any
+ * other is unknown.
+ */
+void
+FvFrontend_AnswerAll(fv_frontend_t *frontend)
+{
+    fv_frontend_request_t *request;
+    fv_frontend_request_t *next;
+
+    frontend->refusing = true;
+    for (request = frontend->requests; request != NULL; request = next) {
+        next = request->hh.next;
+        if (FvForwarding_MayHaveExecuted(&request->forwarding)) {
+            end_request(frontend, request, 504, "Outcome Unknown", NULL);
+        }
+        else {
+            end_request(frontend, request, 503, "Shutting Down", NULL);
+        }
+    }
 }
 
 /**
--- a/tests/fakes/fake-cell.c
+++ b/tests/fakes/fake-cell.c
@@ -41,6 +41,28 @@
                                "validityMs", CELL_TICKET_VALID_MS));
 }
 
+static void
+write_config(cell_t *cell, int64_t version)
+{
+    static const char config[] =
+        "{\"version\":%" PRId64
+        ",\"routes\":[{\"name\":\"fast\",\"host\":\"127.0.0.1\","
+        "\"prefix\":\"/fast/\",\"kind\":\"non_idempotent\","
+        "\"targetLatencyMs\":500,\"priority\":0,\"service\":\"app\","
+        "\"maxAttempts\":2,\"stretch\":1.5,\"recommendation\":{"
+        "\"decisionMs\":2,\"perWorkerMs\":0.1,\"validityMs\":2000}},"
+        "{\"name\":\"slow\",\"host\":\"127.0.0.1\",\"prefix\":\"/slow/"
+        "\",\"kind\":"
+        "\"non_idempotent\",\"targetLatencyMs\":2000,\"priority\":1,"
+        "\"service\":\"app\",\"maxAttempts\":3,\"stretch\":4.0,"
+        "\"recommendation\":{\"decisionMs\":2,\"perWorkerMs\":0.1,"
+        "\"validityMs\":2000}}],\"services\":[],\"limits\":{}}";
+    char text[sizeof(config) + 24];
+
+    snprintf(text, sizeof(text), config, version);
+    FvCellStore_Put(cell, "op/config", text);
+}
+
 static void
 apply_fault(cell_t *cell, const json_t *body)
 {
@@ -48,6 +70,7 @@
     const char *mode = FvJson_String(body, "store");
     int64_t crash = FvJson_Int(body, "crash", -1);
     int64_t restart = FvJson_Int(body, "restart", -1);
+    int64_t config_version = FvJson_Int(body, "config", 0);
 
     for (size_t i = 0; mode != NULL && i < 4; i++) {
         if (strcmp(mode, modes[i]) == 0) {
@@ -61,6 +84,9 @@
         cell->workers[restart].down = false;
         cell->workers[restart].started_wall_ms = FvClock_WallMs();
     }
+    if (config_version > 0) {
+        write_config(cell, config_version);
+    }
 }
 
 static void
@@ -99,25 +125,6 @@
                      reply ? reply : json_object());
 }
 
-static void
-write_config(cell_t *cell)
-{
-    static const char config[] =
-        "{\"version\":1,\"routes\":[{\"name\":\"fast\",\"host\":\"127.0.0.1\","
-        "\"prefix\":\"/fast/\",\"kind\":\"non_idempotent\","
-        "\"targetLatencyMs\":500,\"priority\":0,\"service\":\"app\","
-        "\"maxAttempts\":2,\"stretch\":1.5,\"recommendation\":{"
-        "\"decisionMs\":2,\"perWorkerMs\":0.1,\"validityMs\":2000}},"
-        "{\"name\":\"slow\",\"host\":\"127.0.0.1\",\"prefix\":\"/slow/"
-        "\",\"kind\":"
-        "\"non_idempotent\",\"targetLatencyMs\":2000,\"priority\":1,"
-        "\"service\":\"app\",\"maxAttempts\":3,\"stretch\":4.0,"
-        "\"recommendation\":{\"decisionMs\":2,\"perWorkerMs\":0.1,"
-        "\"validityMs\":2000}}],\"services\":[],\"limits\":{}}";
-
-    FvCellStore_Put(cell, "op/config", config);
-}
-
 static void *
 run_ticks(void *context)
 {
@@ -157,7 +164,7 @@
     pthread_t ticks;
 
     cell.store = FvKv_New();
-    write_config(&cell);
+    write_config(&cell, 1);
     cell.worker_count = (uint32_t)workers;
     if (!serve_port(&cell, NULL, port, CELL_STORE_THREADS,
                     FvCellStore_Handle) ||
