log: wait for the reader with the last lines of a process

The buffered log is written without waiting, also at the end of the process: when the reader was behind, the lines of the drain were lost with the buffer, without a log_lines_dropped to tell. The end of the process now waits for the reader, for at most a sixteenth of drain_ms.

The new case of tests/unit/log_test with FvLog_Flush() in place of FvLog_Finish():

the last lines of a process are lost ...FAILED CU_ASSERT_EQUAL(count_lines(),SLOW_READER_LINES + 1) CU_ASSERT_PTR_NOT_NULL(strstr(captured_text, "event=stopped"))

--- a/src/entry.c
+++ b/src/entry.c
@@ -14,7 +14,8 @@
 
 #define Fv_HEARTBEAT_MS 400
 #define Fv_LOG_FLUSH_MS 100
-#define Fv_LINK_SILENT_MS 1600 /* four heartbeats */
+#define Fv_LOG_FINISH_DIVISOR 16 /* of drain_ms, half of what is left then */
+#define Fv_LINK_SILENT_MS 1600   /* four heartbeats */
 #define Fv_REDIAL_MS 500
 
 /* A host reports ready for this long without a leader. An election takes less,
@@ -741,7 +742,7 @@
 close_components:
     close_components(&entry);
 close_log:
-    FvLog_Flush();
+    FvLog_Finish(entry.settings.drain_ms / Fv_LOG_FINISH_DIVISOR);
     FvLog_Close();
     return code;
 }
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -78,6 +78,7 @@
 int FvLog_Open(fv_log_level_t level, const char *host);
 int FvLog_OpenBuffered(fv_log_level_t level, const char *host);
 void FvLog_Flush(void);
+void FvLog_Finish(int64_t limit_ms);
 void FvLog_Close(void);
 bool FvLog_ParseLevel(const char *text, fv_log_level_t *level);
 void FvLog_Event(fv_log_level_t level, const char *event, const char *format,
--- a/src/log.c
+++ b/src/log.c
@@ -8,6 +8,7 @@
 #include <fcntl.h>
 #include <limits.h>
 #include <log4c.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <string.h>
@@ -232,6 +233,39 @@
     }
 }
 
+static bool
+has_buffered_lines(void)
+{
+    bool buffered;
+
+    pthread_mutex_lock(&write_lock);
+    buffered = buffered_bytes > 0 || lines_dropped > 0;
+    pthread_mutex_unlock(&write_lock);
+    return buffered;
+}
+
+/**
+ * FvLog_Finish - write all buffered lines, waiting for a slow reader
+ * @limit_ms: how long to wait
+ */
+void
+FvLog_Finish(int64_t limit_ms)
+{
+    int64_t until_ms = FvClock_NowMs() + limit_ms;
+    struct pollfd output = {.fd = STDOUT_FILENO, .events = POLLOUT};
+
+    FvLog_Flush();
+    while (has_buffered_lines()) {
+        int64_t left_ms = until_ms - FvClock_NowMs();
+
+        if (left_ms <= 0 || poll(&output, 1, (int)left_ms) <= 0 ||
+            (output.revents & POLLOUT) == 0) {
+            break;
+        }
+        FvLog_Flush();
+    }
+}
+
 static int
 open_appender(const log4c_appender_type_t *type, fv_log_level_t level,
               const char *host)
--- a/tests/unit/log_test.c
+++ b/tests/unit/log_test.c
@@ -197,6 +197,53 @@
         strstr(captured_text, "event=log_lines_dropped lines="));
 }
 
+#define SLOW_READER_LINES 3000 /* more than a pipe holds */
+
+static void *
+read_slowly(void *context)
+{
+    const int *fd = context;
+    size_t length = 0;
+    ssize_t count;
+
+    usleep(200000);
+    while ((count = read(*fd, captured_text + length, 4096)) > 0) {
+        length += (size_t)count;
+        usleep(1000);
+    }
+    captured_text[length] = '\0';
+    return NULL;
+}
+
+/* Guards against the last lines of a process being lost with the rest of its
+ * buffer. */
+static void
+test_last_lines_reach_a_slow_reader(void)
+{
+    int saved_fd = dup(STDOUT_FILENO);
+    pthread_t reader;
+    int fds[2];
+
+    CU_ASSERT_EQUAL_FATAL(pipe(fds), 0);
+    fflush(stdout);
+    dup2(fds[1], STDOUT_FILENO);
+    CU_ASSERT_EQUAL(FvLog_OpenBuffered(Fv_LOG_INFO, "host-a"), 0);
+    pthread_create(&reader, NULL, read_slowly, &fds[0]);
+    for (int i = 0; i < SLOW_READER_LINES; i++) {
+        FvLog_Event(Fv_LOG_INFO, "many", "number=%d", i);
+    }
+    FvLog_Event(Fv_LOG_WARN, "stopped", "after_ms=%d", 1);
+    FvLog_Finish(5000);
+    FvLog_Close();
+    dup2(saved_fd, STDOUT_FILENO);
+    close(saved_fd);
+    close(fds[1]);
+    pthread_join(reader, NULL);
+    close(fds[0]);
+    CU_ASSERT_EQUAL(count_lines(), SLOW_READER_LINES + 1);
+    CU_ASSERT_PTR_NOT_NULL(strstr(captured_text, "event=stopped"));
+}
+
 /* Counts the writes of the buffered log, and those that exceed PIPE_BUF or end
  * within a line: a reader of records of limited size would split a line. */
 static void
@@ -287,6 +334,8 @@
          test_threads_write_whole_lines},
         {"a stalled reader of the log blocks the process",
          test_stalled_reader_does_not_block},
+        {"the last lines of a process are lost",
+         test_last_lines_reach_a_slow_reader},
         {"a burst of lines is split within a line",
          test_writes_hold_whole_lines},
         {"an overloaded host logs without a limit", test_volume_is_limited},
