--- a/src/entry.h
+++ b/src/entry.h
@@ -7,6 +7,7 @@
 #ifndef ENTRY_H
 #define ENTRY_H
 
+#include "caller-connection.h"
 #include "platform.h"
 #include "scheduler.h"
 
@@ -271,6 +272,7 @@
                              const char *address);
 void FvLinks_Close(fv_link_peer_t *peer);
 void FvLinks_CloseDialed(fv_links_t *links);
+uint32_t FvLinks_Unfinished(const fv_links_t *links);
 void FvLinks_Send(fv_link_peer_t *peer, const fv_cell_message_t *message);
 const char *FvLinks_Name(const fv_link_peer_t *peer);
 void FvLinks_SetName(fv_link_peer_t *peer, const char *name);
@@ -316,7 +318,12 @@
                       const fv_cell_message_t *message, bool current);
 void FvFrontend_LeaderChanged(fv_frontend_t *frontend);
 void FvFrontend_Drain(fv_frontend_t *frontend);
+void FvFrontend_StopAccepting(fv_frontend_t *frontend, bool at_once);
+bool FvFrontend_IsAccepting(const fv_frontend_t *frontend);
+void FvFrontend_AnswerAll(fv_frontend_t *frontend);
 uint32_t FvFrontend_OpenRequests(const fv_frontend_t *frontend);
+void FvFrontend_CountTraffic(const fv_frontend_t *frontend,
+                             fv_caller_traffic_t *traffic);
 
 /* cell-leader.c: the leader's side: scheduling, orders, recording. */
 typedef struct fv_leader fv_leader_t;
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -78,6 +78,7 @@
 int FvLog_Open(fv_log_level_t level, const char *host);
 int FvLog_OpenBuffered(fv_log_level_t level, const char *host);
 void FvLog_Flush(void);
+void FvLog_Finish(int64_t limit_ms);
 void FvLog_Close(void);
 bool FvLog_ParseLevel(const char *text, fv_log_level_t *level);
 void FvLog_Event(fv_log_level_t level, const char *event, const char *format,
@@ -148,6 +149,7 @@
     Fv_COUNTER_UPSTREAM_BYTES_RECEIVED,
     Fv_COUNTER_HTTP_REQUESTS,
     Fv_COUNTER_HTTP_BAD_REQUESTS,
+    Fv_COUNTER_HTTP_REPLIES,
     Fv_COUNTER_CLAIM_CONFLICTS,
     Fv_COUNTER_CLAIMS_RECOVERED,
     Fv_COUNTER_QUARANTINES,
