platform: refuse registry entries that parse and name no usable worker

Another writer's entry was taken for a worker with capacities up to 2^63 - 1 or below zero, with a `born` of any size or type (0 when it was no integer), with text after the port of its address, and with an empty id or service or one of several words. Such values overflow sums, make all later reports of the worker ones of an earlier incarnation, and spoil the stored worker list, whose lines are read back as words.

--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -96,6 +96,7 @@
 
 /* text.c */
 bool FvText_Copy(char *target, size_t size, const char *source);
+bool FvText_IsWord(const char *text);
 bool FvText_IsName(const char *text, size_t max_length);
 bool FvText_ParseAddress(const char *text, struct sockaddr_in *address);
 void FvText_RandomHex(char *target, size_t size);
@@ -110,6 +111,8 @@
 const char *FvJson_String(const json_t *object, const char *key);
 int64_t FvJson_Int(const json_t *object, const char *key, int64_t fallback);
 size_t FvJson_Depth(const char *text, size_t length);
+bool FvJson_ReadInt(const json_t *object, const char *key, int64_t min,
+                    int64_t max, int64_t *value);
 bool FvJson_Bool(const json_t *object, const char *key, bool fallback);
 bool FvJson_CopyString(const json_t *object, const char *key, char *target,
                        size_t size);
--- a/src/json.c
+++ b/src/json.c
@@ -45,6 +45,33 @@
     return *end == '\0' ? number : fallback;
 }
 
+/**
+ * FvJson_ReadInt - read an optional integer within limits
+ * @object: the object, or NULL
+ * @key: the member's name
+ * @min: the smallest valid value
+ * @max: the largest valid value
+ * @value: set; unchanged when the member is absent or invalid
+ *
+ * Return: false when the member is of another type or outside of the limits.
+ */
+bool
+FvJson_ReadInt(const json_t *object, const char *key, int64_t min, int64_t max,
+               int64_t *value)
+{
+    const json_t *member = json_object_get(object, key);
+    int64_t number = json_integer_value(member);
+
+    if (member == NULL) {
+        return true;
+    }
+    if (!json_is_integer(member) || number < min || number > max) {
+        return false;
+    }
+    *value = number;
+    return true;
+}
+
 /**
  * FvJson_Bool - read a boolean
  * @object: the object, or NULL
--- a/src/text.c
+++ b/src/text.c
@@ -60,6 +60,24 @@
     return true;
 }
 
+/**
+ * FvText_IsWord - check whether an untrusted string is one word of a line
+ * @text: the string
+ *
+ * Return: true when the string isn't empty and has neither blanks nor control
+ * characters.
+ */
+bool
+FvText_IsWord(const char *text)
+{
+    const char *c = text;
+
+    while ((unsigned char)*c > ' ' && *c != 0x7f) {
+        c++;
+    }
+    return c != text && *c == '\0';
+}
+
 /**
  * FvText_RandomHex - fill an array with random hexadecimal digits
  * @target: the array
@@ -182,17 +200,25 @@
 {
     char host[Fv_ADDRESS_SIZE];
     char *colon;
-    long port;
+    char *port;
+    char *end;
+    long number;
 
-    FvText_Copy(host, sizeof(host), text);
+    if (!FvText_Copy(host, sizeof(host), text)) {
+        return false;
+    }
     colon = strrchr(host, ':');
     if (colon == NULL) {
         return false;
     }
     *colon = '\0';
-    port = strtol(colon + 1, NULL, 10);
+    port = colon + 1;
+    if (!isdigit((unsigned char)*port)) {
+        return false; /* strtol would skip blanks and signs */
+    }
+    number = strtol(port, &end, 10);
     *address = (struct sockaddr_in){.sin_family = AF_INET,
-                                    .sin_port = htons((uint16_t)port)};
-    return port > 0 && port < 65536 &&
+                                    .sin_port = htons((uint16_t)number)};
+    return *end == '\0' && number > 0 && number <= UINT16_MAX &&
            inet_pton(AF_INET, host, &address->sin_addr) == 1;
 }
--- a/tests/unit/decoder_mutation_test.c
+++ b/tests/unit/decoder_mutation_test.c
@@ -219,9 +219,15 @@
     fv_worker_entry_t entry;
 
     if (FvPlatform_DecodeWorkerEntry("servers/w1", document, length, &entry)) {
-        CU_ASSERT(entry.cpu_millis >= 0 && entry.memory_mib >= 0);
+        CU_ASSERT(entry.cpu_millis >= 0 && entry.cpu_millis <= INT32_MAX);
+        CU_ASSERT(entry.memory_mib >= 0 && entry.memory_mib <= INT32_MAX);
+        CU_ASSERT(entry.accelerators >= 0 && entry.accelerators <= INT32_MAX);
+        CU_ASSERT(entry.drain_left_ms >= 0 &&
+                  entry.drain_left_ms <= INT32_MAX);
+        CU_ASSERT(entry.started_wall_ms >= 0);
         CU_ASSERT(entry.label_count <= Fv_LABELS_MAX);
-        CU_ASSERT(entry.address[0] != '\0');
+        CU_ASSERT(FvText_IsWord(entry.address));
+        CU_ASSERT(FvText_IsWord(entry.service));
     }
 }
 
--- a/tests/unit/platform_decode_test.c
+++ b/tests/unit/platform_decode_test.c
@@ -48,6 +48,155 @@
     CU_ASSERT_STRING_EQUAL(entry.rack, "r1");
 }
 
+/* Replaces the member of a good entry that begins with @member. */
+static bool
+decode_entry_with(const char *member, const char *replacement)
+{
+    static const char good[] =
+        "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\","
+        "\"state\":\"draining\",\"born\":5,\"remainingMs\":700,"
+        "\"labels\":[\"a\",\"r1\"],"
+        "\"capacity\":{\"cpu\":2000,\"memMb\":9,\"gpus\":0}}";
+    const char *at = strstr(good, member);
+    const char *rest = at != NULL ? at + strlen(member) : good;
+    size_t size = sizeof(good) + strlen(replacement);
+    char *document = malloc(size);
+    fv_worker_entry_t entry;
+    bool valid;
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(at);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(document);
+    if (document == NULL) {
+        abort();
+    }
+    snprintf(document, size, "%.*s%s%s", (int)(at - good), good, replacement,
+             rest);
+    valid = decode_entry(document, &entry);
+    free(document);
+    return valid;
+}
+
+static char *
+repeat_text(const char *text, size_t count)
+{
+    size_t length = strlen(text);
+    char *repeated = malloc(count * length + 1);
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(repeated);
+    if (repeated == NULL) {
+        abort();
+    }
+    for (size_t i = 0; i < count; i++) {
+        memcpy(repeated + i * length, text, length);
+    }
+    repeated[count * length] = '\0';
+    return repeated;
+}
+
+/* Another writer's entry that parses and describes no usable worker: its
+ * values spoil sums, or the lines of the stored worker list. */
+static void
+test_odd_registry_entries(void)
+{
+    static const struct {
+        const char *member;
+        const char *replacement;
+    } odd[] = {
+        {"127.0.0.1:1", "127.0.0.1:0"},
+        {"127.0.0.1:1", "127.0.0.1:65536"},
+        {"127.0.0.1:1", "127.0.0.1:99999"},
+        {"127.0.0.1:1", "127.0.0.1:4294967297"},
+        {"127.0.0.1:1", "127.0.0.1:-1"},
+        {"127.0.0.1:1", "127.0.0.1: 1"},
+        {"127.0.0.1:1", "127.0.0.1:1 s"},
+        {"127.0.0.1:1", "127.0.0.1:1x"},
+        {"127.0.0.1:1", "127.0.0.1:1\\nw9 127.0.0.1:2 s"},
+        {"127.0.0.1:1", "localhost:1"},
+        {"127.0.0.1:1", "127.0.0.1"},
+        {"\"s\"", "\"\""},
+        {"\"s\"", "\"s t\""},
+        {"\"s\"", "\"s\\nw9\""},
+        {"\"s\"", "\"s\\u0000\""},
+        {"\"s\"", "\"\\u007f\""},
+        {"2000", "9223372036854775807"},
+        {"2000", "92233720368547758070"},
+        {"2000", "1e999"},
+        {"2000", "2000.5"},
+        {"2000", "\"2000\""},
+        {"2000", "-1"},
+        {":9,", ":4294967296,"},
+        {":0}", ":-1}"},
+        {":0}", ":null}"},
+        {"\"born\":5", "\"born\":\"5\""},
+        {"\"born\":5", "\"born\":5.5"},
+        {"\"born\":5", "\"born\":-5"},
+        {"\"born\":5", "\"born\":9223372036854775807"},
+        {"\"a\",\"r1\"", "\"a\",7"},
+        {"[\"a\",\"r1\"]", "{\"a\":\"r1\"}"},
+        {"\"zone\"", "\"service\""},
+    };
+    char *nested = repeat_text("[", 100000);
+    char *closed = repeat_text("]", 100000);
+    char *text = repeat_text("x", 65536);
+    char buffer[65536 + 8];
+
+    CU_ASSERT_TRUE(decode_entry_with("zone", "zone"));
+    for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+        if (decode_entry_with(odd[i].member, odd[i].replacement)) {
+            printf("accepted: %s\n", odd[i].replacement);
+            CU_FAIL("an odd entry is accepted");
+        }
+    }
+    CU_ASSERT_FALSE(decode_entry_with("{\"service\"", nested));
+    strcpy(nested + 1000, closed + 100000 - 1000);
+    CU_ASSERT_FALSE(decode_entry_with("700", nested));
+    snprintf(buffer, sizeof(buffer), "\"%s\"", text);
+    CU_ASSERT_FALSE(decode_entry_with("\"s\"", buffer));
+    CU_ASSERT_FALSE(decode_entry_with("\"a\"", buffer));
+    free(nested);
+    free(closed);
+    free(text);
+}
+
+/* An id with a blank or a line feed would be read back from the stored worker
+ * list as other words. */
+static void
+test_odd_registry_keys(void)
+{
+    static const char document[] =
+        "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\","
+        "\"state\":\"ready\",\"labels\":[],\"capacity\":{\"cpu\":1,"
+        "\"memMb\":1}}";
+    char long_key[Fv_NAME_SIZE + 16];
+    const char *const keys[] = {"servers/", "servers/w 1", "servers/w1\nw2",
+                                "servers/\x7f", long_key};
+    fv_worker_entry_t entry;
+
+    snprintf(long_key, sizeof(long_key), "servers/%0*d", Fv_NAME_SIZE, 1);
+    CU_ASSERT_TRUE(FvPlatform_DecodeWorkerEntry("servers/w1", document,
+                                                strlen(document), &entry));
+    for (size_t i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
+        CU_ASSERT_FALSE(FvPlatform_DecodeWorkerEntry(
+            keys[i], document, strlen(document), &entry));
+    }
+}
+
+/* A worker has more labels than are kept. */
+static void
+test_many_labels(void)
+{
+    static const char document[] =
+        "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\","
+        "\"state\":\"ready\",\"labels\":[\"a\",\"r1\",\"c\",\"d\",\"e\","
+        "\"f\",\"g\",\"h\",\"i\",\"j\"],\"capacity\":{\"cpu\":1,"
+        "\"memMb\":1}}";
+    fv_worker_entry_t entry;
+
+    CU_ASSERT_TRUE(decode_entry(document, &entry));
+    CU_ASSERT_EQUAL(entry.label_count, Fv_LABELS_MAX);
+    CU_ASSERT_STRING_EQUAL(entry.rack, "r1");
+}
+
 static void
 test_submissions(void)
 {
@@ -157,6 +306,10 @@
     static const test_case_t cases[] = {
         {"a malformed registry entry is accepted as a worker",
          test_registry_entries},
+        {"another writer's entry spoils sums or the stored worker list",
+         test_odd_registry_entries},
+        {"an id that is not one word is accepted", test_odd_registry_keys},
+        {"labels beyond the limit shift the rack", test_many_labels},
         {"a malformed submission is accepted", test_submissions},
         {"a malformed report is accepted", test_reports},
         {"an answer to an order is decoded as another result",
