fake-cell: entries of another writer, restarts as another kind, 421

For tests: a fault writes any bytes as an entry of the registry, another restarts a worker under its id, with another first label if one is given, and without an interval in which its entry is missing. A worker can be kept from writing its entry. Workers answer calls for another instance with 421 and count them; starts are counted for each worker, and a task whose payload names a label is checked against the worker's at each start.

--- a/tests/fakes/fake-cell.c
+++ b/tests/fakes/fake-cell.c
@@ -41,6 +41,33 @@
                                "validityMs", CELL_TICKET_VALID_MS));
 }
 
+static cell_worker_t *
+find_worker(cell_t *cell, const json_t *body, const char *name)
+{
+    int64_t index = FvJson_Int(body, name, -1);
+
+    return index >= 0 && index < cell->worker_count ? &cell->workers[index]
+                                                    : NULL;
+}
+
+/* Writes bytes, given in base64, as another writer's entry of the registry. */
+static void
+write_foreign_entry(cell_t *cell, const char *id, const char *encoded)
+{
+    char key[256];
+    fv_buffer_t value = {0};
+
+    snprintf(key, sizeof(key), "servers/%s", id);
+    if (encoded != NULL && FvText_DecodeBase64(encoded, &value)) {
+        kv_bytes_t key_bytes = FvCellStore_Bytes(key);
+        kv_bytes_t bytes = {.data = value.data, .length = value.length};
+
+        FvKv_Put(cell->store, &key_bytes, &bytes, 0, FvClock_NowMs());
+        FvKv_EndWrite(cell->store);
+    }
+    FvBuffer_Clear(&value);
+}
+
 static void
 write_config(cell_t *cell, int64_t version)
 {
@@ -74,8 +101,10 @@
 {
     static const char *const modes[] = {"up", "busy", "silent", "lost"};
     const char *mode = FvJson_String(body, "store");
-    int64_t crash = FvJson_Int(body, "crash", -1);
-    int64_t restart = FvJson_Int(body, "restart", -1);
+    cell_worker_t *crashed = find_worker(cell, body, "crash");
+    cell_worker_t *restarted = find_worker(cell, body, "restart");
+    cell_worker_t *silent = find_worker(cell, body, "silent");
+    const char *entry = FvJson_String(body, "entry");
     int64_t config_version = FvJson_Int(body, "config", 0);
 
     for (size_t i = 0; mode != NULL && i < 4; i++) {
@@ -83,12 +112,17 @@
             cell->store_mode = (cell_store_mode_t)i;
         }
     }
-    if (crash >= 0 && crash < cell->worker_count) {
-        FvCellWorker_Crash(cell, &cell->workers[crash]);
+    if (crashed != NULL) {
+        FvCellWorker_Crash(cell, crashed);
     }
-    if (restart >= 0 && restart < cell->worker_count) {
-        cell->workers[restart].down = false;
-        cell->workers[restart].started_wall_ms = FvClock_WallMs();
+    if (restarted != NULL) {
+        FvCellWorker_Restart(cell, restarted, FvJson_String(body, "kind"));
+    }
+    if (silent != NULL) {
+        silent->silent = true;
+    }
+    if (entry != NULL) {
+        write_foreign_entry(cell, entry, FvJson_String(body, "value"));
     }
     if (config_version > 0) {
         write_config(cell, config_version);
@@ -109,6 +143,7 @@
     }
     else if (FvFake_RequestIs(request, "GET", "/report")) {
         json_t *started = json_object();
+        json_t *worker_starts = json_array();
         cell_task_t *task;
         cell_task_t *next;
 
@@ -122,9 +157,16 @@
                                     json_integer(task->started_ms));
             }
         }
-        reply = json_pack("{s:i, s:i, s:s, s:o}", "violations",
-                          (int)cell->violations, "starts", (int)cell->starts,
-                          "first", cell->first_violation, "started", started);
+        for (uint32_t i = 0; i < cell->worker_count; i++) {
+            json_array_append_new(worker_starts,
+                                  json_integer(cell->workers[i].starts));
+        }
+        reply =
+            json_pack("{s:i, s:i, s:s, s:o, s:o, s:i}", "violations",
+                      (int)cell->violations, "starts", (int)cell->starts,
+                      "first", cell->first_violation, "started", started,
+                      "worker_starts", worker_starts, "wrong_instance_calls",
+                      (int)cell->wrong_instance_calls);
     }
     pthread_mutex_unlock(&cell->lock);
     json_decref(body);
@@ -184,6 +226,7 @@
         cell_worker_t *worker = &cell.workers[i];
 
         snprintf(worker->id, sizeof(worker->id), "w%d", i);
+        snprintf(worker->kind, sizeof(worker->kind), "a");
         worker->started_wall_ms = FvClock_WallMs();
         if (!serve_port(&cell, worker, port + 3 + i, CELL_WORKER_THREADS,
                         FvCellWorker_Handle)) {
--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -135,6 +135,19 @@
     return found != NULL ? strtoll(found + strlen(name), NULL, 10) : fallback;
 }
 
+/* A payload may name the label that its step requires. */
+static void
+check_label(cell_t *cell, const cell_worker_t *worker, const char *payload,
+            const char *task, int32_t run)
+{
+    const char *label = strstr(payload, "label=");
+
+    if (label != NULL && strncmp(label + strlen("label="), worker->kind,
+                                 strlen(worker->kind)) != 0) {
+        add_violation(cell, "wrong label", task, run, worker->id);
+    }
+}
+
 static void
 begin_run(cell_t *cell, cell_worker_t *worker, const json_t *body,
           const char *name, int32_t number, int64_t now_ms)
@@ -155,6 +168,7 @@
     snprintf(run->task, sizeof(run->task), "%s", name);
     worker->runs = run;
     cell->starts++;
+    worker->starts++;
     if (task->running > 0) {
         add_violation(cell, "runs twice at one time", name, number,
                       worker->id);
@@ -169,6 +183,7 @@
          other = other->next) {
         used += other->cpu_millis;
     }
+    check_label(cell, worker, payload, name, number);
     if (used > CELL_CPU_MILLIS) {
         add_violation(cell, "over capacity", name, number, worker->id);
     }
@@ -313,6 +328,16 @@
     FvFake_ReplyJson(request, status, reply);
 }
 
+static bool
+is_for_another_worker(const fake_request_t *request,
+                      const cell_worker_t *worker)
+{
+    const char *instance =
+        mg_get_header(request->connection, "X-Expect-Instance");
+
+    return instance != NULL && strcmp(instance, worker->id) != 0;
+}
+
 void
 FvCellWorker_Handle(fake_request_t *request, void *context)
 {
@@ -327,6 +352,14 @@
         FvFake_Drop(request);
         return;
     }
+    if (is_for_another_worker(request, target->worker)) {
+        pthread_mutex_lock(&cell->lock);
+        cell->wrong_instance_calls++;
+        pthread_mutex_unlock(&cell->lock);
+        json_decref(body);
+        FvFake_ReplyJson(request, 421, json_object());
+        return;
+    }
     if (strcmp(request->path, "/hold") == 0) {
         handle_hold(cell, target->worker, request, body);
         json_decref(body);
@@ -355,7 +388,7 @@
         "service", "app", "address", worker->address, "zone", "a", "version",
         "v1", "slots", 8, "state", "ready", "coldRemainingMs", 0, "capacity",
         "cpu", CELL_CPU_MILLIS, "memMb", CELL_MEMORY_MIB, "gpus", 0, "labels",
-        "a", "r1", "clockMs", (json_int_t)FvClock_NowMs(), "sequence",
+        worker->kind, "r1", "clockMs", (json_int_t)FvClock_NowMs(), "sequence",
         (json_int_t)++worker->sequence, "born",
         (json_int_t)worker->started_wall_ms);
     char *text = json_dumps(entry, JSON_COMPACT);
@@ -385,17 +418,17 @@
         cell_worker_t *worker = &cell->workers[i];
 
         end_due_runs(cell, worker, now_ms);
-        if (!worker->down && worker->next_heartbeat_ms <= now_ms) {
+        if (!worker->down && !worker->silent &&
+            worker->next_heartbeat_ms <= now_ms) {
             worker->next_heartbeat_ms = now_ms + CELL_HEARTBEAT_MS;
             write_entry(cell, worker);
         }
     }
 }
 
-void
-FvCellWorker_Crash(cell_t *cell, cell_worker_t *worker)
+static void
+drop_state(cell_t *cell, cell_worker_t *worker)
 {
-    worker->down = true;
     while (worker->runs != NULL) {
         cell_run_t *run = worker->runs;
 
@@ -412,5 +445,25 @@
     worker->fencing_token = 0;
     worker->last_end_number = 0;
     worker->lease_end_ms = 0;
+}
+
+void
+FvCellWorker_Crash(cell_t *cell, cell_worker_t *worker)
+{
+    worker->down = true;
+    drop_state(cell, worker);
     remove_entry(cell, worker);
 }
+
+void
+FvCellWorker_Restart(cell_t *cell, cell_worker_t *worker, const char *kind)
+{
+    drop_state(cell, worker);
+    worker->down = false;
+    worker->sequence = 0;
+    worker->started_wall_ms = FvClock_WallMs();
+    worker->next_heartbeat_ms = 0;
+    if (kind != NULL) {
+        snprintf(worker->kind, sizeof(worker->kind), "%s", kind);
+    }
+}
--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -65,7 +65,10 @@
 typedef struct cell_worker {
     char id[32];
     char address[64];
+    char kind[16]; /* its first label */
     bool down;
+    bool silent; /* writes no heartbeats */
+    uint32_t starts;
     int64_t started_wall_ms;
     int64_t fencing_token;
     int64_t lease_end_ms;
@@ -94,6 +97,7 @@
     cell_tombstone_t *tombstones;
     uint32_t violations;
     uint32_t starts;
+    uint32_t wrong_instance_calls; /* meant for another worker */
     char first_violation[256];
 } cell_t;
 
@@ -118,5 +122,9 @@
 /* Drops all runs and the whole state of the worker; the caller holds the
  * lock. */
 void FvCellWorker_Crash(cell_t *cell, cell_worker_t *worker);
+/* Starts a new incarnation under the worker's id; a kind that is not NULL
+ * replaces its own. The caller holds the lock. */
+void FvCellWorker_Restart(cell_t *cell, cell_worker_t *worker,
+                          const char *kind);
 
 #endif
