leader: stop using a worker whose entry became unreadable

A worker whose entry was replaced by one that can't be read, or by one of a state that isn't named, kept getting tasks until the registry was next read in full: the change was logged and left out. It now counts as unlisted, as it did after a full reading. What runs on it is polled and kept on.

--- a/src/leader-load.c
+++ b/src/leader-load.c
@@ -24,6 +24,17 @@
     leader->registry_readings++;
 }
 
+static void
+unlist_worker(fv_leader_t *leader, const fv_kv_item_t *item)
+{
+    fv_sched_worker_t *worker = FvSched_FindWorker(
+        &leader->sched, item->key + strlen(FvPlatform_RegistryPrefix));
+
+    if (worker != NULL) {
+        FvSched_WorkerUnlisted(worker);
+    }
+}
+
 static void
 apply_registry_item(void *context, const fv_kv_item_t *item)
 {
@@ -32,11 +43,7 @@
     fv_sched_worker_t *worker;
 
     if (item->deleted) {
-        worker = FvSched_FindWorker(
-            &leader->sched, item->key + strlen(FvPlatform_RegistryPrefix));
-        if (worker != NULL) {
-            FvSched_WorkerUnlisted(worker);
-        }
+        unlist_worker(leader, item);
         return;
     }
     if (item->value.data == NULL ||
@@ -45,6 +52,7 @@
                                       item->value.length, &entry)) {
         FvLog_Event(Fv_LOG_WARN, "registry_entry_unreadable",
                     "key=%s revision=%" PRId64, item->key, item->revision);
+        unlist_worker(leader, item);
         return;
     }
     worker = FvSched_UpdateWorker(&leader->sched, &entry, FvClock_NowMs());
