leader: poll and list only workers that can get orders

An entry with a good address was polled whatever its service, and was written to the stored worker list before any worker had answered there. The next leader waited for each name in that list: with an entry at an address without a worker, or with an id of two words, it held all inherited tasks for 10.9 s. Lines of two words (an empty service) were read as the list's first line: they replaced the previous leader's name and, if the address began with the number of the last generation, told the next leader that no run was being stopped.

Workers are now polled if a queue of the configuration or of an accepted job names their service, and are listed once they have reported, which they have to have done before they get an order. Only the first line of the list is taken for that of its writer.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -116,12 +116,29 @@
                 now_ms - leader->began_ms);
 }
 
+/* A worker of a service that no queue names; a later configuration may. */
+static void
+check_unpolled_worker(fv_leader_t *leader, fv_sched_worker_t *worker)
+{
+    if (!worker->listed) {
+        FvSched_FreeWorker(&leader->sched, worker);
+    }
+    else if (FvLeaderWorker_IsServiceUsed(leader, worker->entry.service)) {
+        FvLeaderWorker_OpenSession(leader, worker);
+    }
+}
+
 static void
 check_worker(fv_leader_t *leader, fv_sched_worker_t *worker, int64_t now_ms)
 {
     fv_worker_session_t *session = worker->leader_session;
-    int64_t silent_ms = now_ms - session->sent_ms;
+    int64_t silent_ms;
 
+    if (session == NULL) {
+        check_unpolled_worker(leader, worker);
+        return;
+    }
+    silent_ms = now_ms - session->sent_ms;
     if (worker->suspect && worker->lease_expires_ms < now_ms) {
         FvSched_ReportUnanswered(&leader->sched, worker, now_ms);
     }
@@ -141,6 +158,7 @@
         FvSched_IsWorkerIdle(worker, now_ms)) {
         /* The next leader need not wait for its report or lease expiry. */
         worker->in_worker_list = false;
+        worker->in_list_write = false;
         FvLeaderWorkerList_RequestWrite(leader);
     }
     if (worker->report_due_ms != 0 && now_ms >= worker->report_due_ms &&
@@ -436,11 +454,20 @@
 static void
 free_leader(fv_leader_t *leader)
 {
+    fv_used_service_t *service;
+    fv_used_service_t *next_service;
     fv_ended_job_t *ended;
     fv_ended_job_t *next_ended;
     fv_advice_request_t *request;
     fv_advice_request_t *next_request;
 
+    for (service = leader->services; service != NULL; service = next_service) {
+        next_service = service->hh.next;
+        /* uthash unlinks the entry, which the analyzer does not see. */
+        /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
+        HASH_DEL(leader->services, service);
+        free(service);
+    }
     for (ended = leader->ended; ended != NULL; ended = next_ended) {
         next_ended = ended->hh.next;
         /* uthash unlinks the entry, which the analyzer does not see. */
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -34,6 +34,12 @@
     UT_hash_handle hh;
 } fv_ended_job_t;
 
+/* A service that a queue names or named; only its workers are polled. */
+typedef struct fv_used_service {
+    char name[Fv_NAME_SIZE];
+    UT_hash_handle hh;
+} fv_used_service_t;
+
 /* A request to the advice service that a host sends for the leader. */
 typedef struct fv_advice_request {
     int64_t id;
@@ -96,6 +102,8 @@
     struct event *tick_timer;
     struct event *pass_timer;
     fv_ended_job_t *ended;
+    fv_used_service_t *services;
+    int64_t services_version; /* of the configuration they were taken from */
     fv_advice_request_t *advice_requests;
     int64_t last_advice_request_id;
     int64_t stream_revisions[Fv_RECORD_STREAMS];
@@ -132,6 +140,8 @@
 void FvLeaderWorker_RenewLease(fv_worker_session_t *session, bool wait);
 void FvLeaderWorker_RequestReport(fv_sched_t *sched,
                                   fv_sched_worker_t *worker);
+void FvLeaderWorker_AddService(fv_leader_t *leader, const char *name);
+bool FvLeaderWorker_IsServiceUsed(fv_leader_t *leader, const char *name);
 void FvLeaderWorker_OpenSession(fv_leader_t *leader,
                                 fv_sched_worker_t *worker);
 void FvLeaderWorker_ReleaseSession(fv_worker_session_t *session);
@@ -152,6 +162,8 @@
                           fv_record_kind_t kind);
 void FvLeaderWorkerList_RequestWrite(fv_leader_t *leader);
 void FvLeaderWorkerList_Write(fv_leader_t *leader);
+void FvLeaderWorkerList_Add(fv_leader_t *leader,
+                            const fv_sched_worker_t *worker);
 
 /* leader-advice.c */
 void FvLeaderAdvice_Complete(fv_leader_t *leader, fv_advice_request_t *request,
--- a/src/leader-load.c
+++ b/src/leader-load.c
@@ -60,10 +60,10 @@
         return;
     }
     worker->registry_reading = leader->registry_readings;
-    FvLeaderWorker_OpenSession(leader, worker);
-    if (!worker->in_worker_list) {
-        FvLeaderWorkerList_RequestWrite(leader);
+    if (FvLeaderWorker_IsServiceUsed(leader, entry.service)) {
+        FvLeaderWorker_OpenSession(leader, worker);
     }
+    FvLeaderWorkerList_Add(leader, worker);
     FvLeader_SchedulePass(leader);
 }
 
@@ -92,22 +92,25 @@
     }
 }
 
+/* See FvLeaderWorkerList_Write. */
+static void
+load_worker_list_writer(fv_leader_t *leader, const char *line)
+{
+    char generation[Fv_NAME_SIZE] = "";
+
+    leader->predecessor_handed_over =
+        sscanf(line, "%63s %63s", leader->predecessor, generation) == 2 &&
+        strtol(generation, NULL, 10) == leader->generation - 1;
+}
+
 static void
 load_worker_list_line(fv_leader_t *leader, const char *line)
 {
     fv_worker_entry_t entry = {0};
     fv_sched_worker_t *worker;
 
-    int fields =
-        sscanf(line, "%63s %63s %63s", entry.id, entry.address, entry.service);
-
-    if (fields != 3) {
-        /* The first line names the writer; see FvLeaderWorkerList_Write. */
-        FvText_Copy(leader->predecessor, sizeof(leader->predecessor),
-                    entry.id);
-        leader->predecessor_handed_over =
-            fields == 2 &&
-            strtol(entry.address, NULL, 10) == leader->generation - 1;
+    if (sscanf(line, "%63s %63s %63s", entry.id, entry.address,
+               entry.service) != 3) {
         return;
     }
     worker = FvSched_UpdateWorker(&leader->sched, &entry, FvClock_NowMs());
@@ -123,12 +126,16 @@
 load_worker_list(fv_leader_t *leader, const fv_kv_item_t *item)
 {
     char *rest = NULL;
+    char *line;
 
     if (item->value.data == NULL) {
         return;
     }
-    for (char *line = strtok_r((char *)item->value.data, "\n", &rest);
-         line != NULL; line = strtok_r(NULL, "\n", &rest)) {
+    line = strtok_r((char *)item->value.data, "\n", &rest);
+    if (line != NULL) {
+        load_worker_list_writer(leader, line);
+    }
+    while (line != NULL && (line = strtok_r(NULL, "\n", &rest)) != NULL) {
         load_worker_list_line(leader, line);
     }
 }
@@ -146,6 +153,7 @@
         return;
     }
     job->durable = true;
+    FvLeaderWorker_AddService(leader, job->queue.service);
     for (uint32_t o = 0; o < job->occurrence_count; o++) {
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
             fv_sched_stage_t *stage = &job->occurrences[o].stages[s];
--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -247,6 +247,15 @@
 
 static void worker_list_written(void *context);
 
+/* A worker that has not reported got no orders, so that the next leader need
+ * not wait for it. */
+static bool
+may_have_orders(const fv_sched_worker_t *worker)
+{
+    return worker->in_worker_list ||
+           (worker->listed && worker->last_contact_ms != 0);
+}
+
 /**
  * FvLeaderWorkerList_Write - write the list of workers that may run tasks
  * @leader: the leader
@@ -269,7 +278,8 @@
     FvBuffer_Append(&entry.value, line, strlen(line));
     for (fv_sched_worker_t *worker = leader->sched.workers; worker != NULL;
          worker = worker->hh.next) {
-        if (!worker->listed && !worker->in_worker_list) {
+        worker->in_list_write = may_have_orders(worker);
+        if (!worker->in_list_write) {
             continue;
         }
         snprintf(line, sizeof(line), "%s %s %s\n", worker->entry.id,
@@ -291,16 +301,18 @@
     fv_leader_t *leader = context;
 
     leader->worker_list_writing = false;
-    if (leader->worker_list_dirty) {
-        FvLeaderWorkerList_Write(leader);
-        return;
-    }
     for (fv_sched_worker_t *worker = leader->sched.workers; worker != NULL;
          worker = worker->hh.next) {
-        worker->in_worker_list = worker->in_worker_list || worker->listed;
+        worker->in_worker_list =
+            worker->in_worker_list || worker->in_list_write;
+        worker->in_list_write = false;
     }
     leader->sched.dirty = true;
     FvLeader_SchedulePass(leader);
+    if (leader->worker_list_dirty) {
+        FvLeaderWorkerList_Write(leader);
+        return;
+    }
     if (leader->stops_settled) {
         leader->events.handed_over(leader->events.context);
     }
@@ -318,3 +330,17 @@
         FvLeaderWorkerList_Write(leader);
     }
 }
+
+/**
+ * FvLeaderWorkerList_Add - have a worker written to the worker list
+ * @leader: the leader
+ * @worker: the worker; ignored if it is in the list or may not be in it yet
+ */
+void
+FvLeaderWorkerList_Add(fv_leader_t *leader, const fv_sched_worker_t *worker)
+{
+    if (may_have_orders(worker) && !worker->in_worker_list &&
+        !worker->in_list_write) {
+        FvLeaderWorkerList_RequestWrite(leader);
+    }
+}
--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -249,6 +249,7 @@
     if (result == Fv_ORDER_DONE && FvPlatform_DecodeReport(answer, &report)) {
         FvSched_ApplyReport(&leader->sched, session->worker, &report, sent_ms,
                             FvClock_NowMs());
+        FvLeaderWorkerList_Add(leader, session->worker);
         session->retried = false;
     }
     else {
@@ -402,6 +403,53 @@
     }
 }
 
+/**
+ * FvLeaderWorker_AddService - have the workers of a service polled
+ * @leader: the leader
+ * @name: the service
+ */
+void
+FvLeaderWorker_AddService(fv_leader_t *leader, const char *name)
+{
+    fv_used_service_t *service = NULL;
+
+    HASH_FIND_STR(leader->services, name, service);
+    if (service != NULL) {
+        return;
+    }
+    service = calloc(1, sizeof(*service));
+    if (service == NULL) {
+        abort(); /* accepted jobs would wait for ever */
+    }
+    FvText_Copy(service->name, sizeof(service->name), name);
+    HASH_ADD_STR(leader->services, name, service);
+}
+
+/**
+ * FvLeaderWorker_IsServiceUsed - check whether a queue names a service
+ * @leader: the leader
+ * @name: the service
+ *
+ * Return: true when a queue of the configuration or of an accepted job names
+ * it, or has named it while this leader led.
+ */
+bool
+FvLeaderWorker_IsServiceUsed(fv_leader_t *leader, const char *name)
+{
+    const fv_cell_config_t *config =
+        leader->events.config(leader->events.context);
+    fv_used_service_t *service = NULL;
+
+    if (config != NULL && config->version != leader->services_version) {
+        for (uint32_t i = 0; i < config->queue_count; i++) {
+            FvLeaderWorker_AddService(leader, config->queues[i].service);
+        }
+        leader->services_version = config->version;
+    }
+    HASH_FIND_STR(leader->services, name, service);
+    return service != NULL;
+}
+
 /**
  * FvLeaderWorker_OpenSession - start renewing a worker's lease
  * @leader: the leader
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -172,6 +172,7 @@
     uint64_t registry_reading; /* latest complete reading that had it */
     bool synced;               /* has reported to this leader */
     bool in_worker_list;       /* in the stored list; may get orders */
+    bool in_list_write;        /* in the list that is being written */
     bool suspect;              /* did not answer the last report request */
     bool lost;                 /* its lease has expired without contact */
     bool draining;
