platform: read and name every key that the store allows

A key of another writer with a NUL made the whole page or list of changes unreadable: the leader could not read the registry, or asked for the same changes for ever. A key longer than 118 encoded bytes was cut where it is named as the end of a page, so that the next page began before it: a page that holds only that item (one of 1 MB) would be read again and again.

Paths of calls have room for two keys of 200 bytes, percent-encoded.

Shown for the decoder and the path only; no run of real processes met either.

--- a/src/cell-types.h
+++ b/src/cell-types.h
@@ -16,6 +16,10 @@
 #define Fv_STEPS_MAX 64
 #define Fv_STEP_TASKS_MAX 4096
 #define Fv_LABELS_MAX 8
+#define Fv_STORE_KEY_BYTES_MAX 200
+/* Two keys of the store, each byte percent-encoded, and the names around them.
+ */
+#define Fv_CALL_PATH_SIZE (2 * 3 * Fv_STORE_KEY_BYTES_MAX + 80)
 
 /* One step of a job: task_count equal tasks. */
 typedef struct fv_step_spec {
@@ -199,7 +203,7 @@
 /* An outgoing HTTP request, prepared by platform/. */
 typedef struct fv_call {
     const char *method;
-    char path[Fv_URL_SIZE];
+    char path[Fv_CALL_PATH_SIZE];
     char instance[Fv_NAME_SIZE]; /* sent as the expected instance; "": none */
     char *body;                  /* owned by the call, or NULL */
 } fv_call_t;
--- a/tests/unit/platform_decode_test.c
+++ b/tests/unit/platform_decode_test.c
@@ -285,6 +285,64 @@
     }
 }
 
+static bool
+decode_page(const char *document, fv_kv_items_t *items)
+{
+    fv_call_answer_t answer = {
+        .status = 200, .body = document, .length = strlen(document)};
+
+    return FvPlatform_DecodeKvItems(&answer, items);
+}
+
+/* Another writer's key holds a NUL, which JSON texts rarely do. */
+static void
+test_key_with_nul(void)
+{
+    fv_kv_items_t items;
+
+    CU_ASSERT_TRUE(decode_page(
+        "{\"items\":[{\"key\":\"a/1\",\"value\":\"eA==\",\"revision\":7},"
+        "{\"key\":\"a/1\\u0000\",\"value\":\"\",\"revision\":8},"
+        "{\"key\":\"a/2\",\"value\":\"eQ==\",\"revision\":9}],\"at\":9}",
+        &items));
+    CU_ASSERT_EQUAL(items.count, 2);
+    if (items.count == 2) {
+        CU_ASSERT_STRING_EQUAL(items.items[0].key, "a/1");
+        CU_ASSERT_STRING_EQUAL(items.items[1].key, "a/2");
+    }
+    FvKvItems_Clear(&items);
+    CU_ASSERT_FALSE(decode_page(
+        "{\"items\":[{\"key\":\"a/1\\u0000\",\"value\":\"\",\"revision\":8}],"
+        "\"hasMore\":true,\"at\":9}",
+        &items));
+    FvKvItems_Clear(&items);
+}
+
+/* The last key of a page is as long as the store allows. */
+static void
+test_page_after_long_key(void)
+{
+    char key[Fv_STORE_KEY_BYTES_MAX + 1];
+    fv_call_t call;
+    const char *after;
+    size_t escapes = 0;
+
+    memset(key, ' ', sizeof(key) - 1);
+    key[sizeof(key) - 1] = '\0';
+    FvPlatform_KvRange(&call, key, key);
+    after = strstr(call.path, "&after=");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(after);
+    if (after == NULL) {
+        abort();
+    }
+    for (const char *c = call.path; *c != '\0'; c++) {
+        escapes += strncmp(c, "%20", 3) == 0;
+    }
+    CU_ASSERT_EQUAL(escapes, 2 * (size_t)Fv_STORE_KEY_BYTES_MAX);
+    CU_ASSERT_EQUAL(strlen(after),
+                    strlen("&after=") + 3 * (size_t)Fv_STORE_KEY_BYTES_MAX);
+}
+
 static void
 test_advice_that_allows_none(void)
 {
@@ -314,6 +372,9 @@
         {"a malformed report is accepted", test_reports},
         {"an answer to an order is decoded as another result",
          test_order_results},
+        {"a key with a NUL makes a whole page unreadable", test_key_with_nul},
+        {"the page after a long key begins before it",
+         test_page_after_long_key},
         {"advice that allows no worker is treated as a failed call",
          test_advice_that_allows_none},
     };
