leader: log which leader answered a cancellation, and how its lease stood

A cancellation that was answered 410 and one that was answered 200 looked the same in the log of a default installation (no line), so that the hypotheses of docs/incidents/processes-unasked.md could not be told apart: the answer of a leader that had been replaced, a submission that came after the answer, and an end that the next leader did not know.

cancel_answered (leader) has the reply, the epoch and the time that the lease had left by the last renewal; request_answered (frontend) has the host whose answer it passed on, and is written at level info for cancellations. Each is bounded to 50 lines a second and host; the others go to level debug.

--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -122,6 +122,7 @@
     bool handing_over;            /* sends no stops and is about to resign */
     bool stops_settled;           /* all stops sent before have taken effect */
     struct event *handover_timer;
+    fv_log_quota_t cancel_log;
     bool reading_registry;
     uint64_t registry_readings; /* begun so far */
     int64_t next_load_log_ms;
@@ -151,6 +152,12 @@
 void FvLeaderOrder_StopOrphanRun(fv_sched_t *sched, fv_sched_worker_t *worker,
                                  const char *name, int32_t run);
 
+/* leader-requests.c */
+void FvLeaderRequest_Answer(fv_leader_t *leader, fv_verb_t verb,
+                            const char *job, int64_t id,
+                            fv_leader_reply_t reply, void *context,
+                            fv_reply_t outcome, const char *state);
+
 /* leader-records.c */
 void FvLeaderRecord_AddWaiter(fv_sched_job_t *job,
                               const fv_cell_message_t *message,
--- a/src/election.c
+++ b/src/election.c
@@ -523,6 +523,23 @@
                          Fv_LEADER_ORDER_GRACE_MS;
 }
 
+/**
+ * FvElection_LeaseLeftMs - how long this leader's lease certainly lasts
+ * @election: the election
+ * @now_ms: the time
+ *
+ * Another host may have ended it earlier.
+ *
+ * Return: the time left, negative after its end; 0 when not leader.
+ */
+int64_t
+FvElection_LeaseLeftMs(const fv_election_t *election, int64_t now_ms)
+{
+    return election->state == Fv_CLAIM_HELD
+               ? election->renewed_ms + election->ttl_ms - now_ms
+               : 0;
+}
+
 /**
  * FvElection_Resign - give up leadership
  * @election: the election
--- a/src/entry.h
+++ b/src/entry.h
@@ -214,6 +214,7 @@
                               const fv_election_events_t *events);
 void FvElection_Free(fv_election_t *election);
 bool FvElection_MaySendOrders(fv_election_t *election, int64_t now_ms);
+int64_t FvElection_LeaseLeftMs(const fv_election_t *election, int64_t now_ms);
 void FvElection_Resign(fv_election_t *election, int64_t pause_ms,
                        const char *cause);
 void FvElection_LeaderDead(fv_election_t *election, const char *host,
@@ -234,7 +235,8 @@
     Fv_CELL_MESSAGE_CONFIG,    /* both: body = the configuration */
     Fv_CELL_MESSAGE_REQUEST,   /* host: number = verb, name = queue,
                                   key = job, body = submission */
-    Fv_CELL_MESSAGE_REPLY,     /* leader: number = outcome, name = state */
+    Fv_CELL_MESSAGE_REPLY,     /* leader: number = outcome, name = state,
+                                  key = host */
     Fv_CELL_MESSAGE_ADVICE_REQUEST, /* leader: key = step, body = worker ids */
     Fv_CELL_MESSAGE_ADVICE_REPLY,   /* host: number = 1 when answered,
                                        body = worker ids and tickets */
@@ -279,6 +281,8 @@
 bool FvLinks_Dialed(const fv_link_peer_t *peer);
 void FvLinks_CloseSilent(fv_links_t *links, int64_t silent_ms);
 
+#define Fv_CANCEL_LOG_LINES_PER_S 50 /* of each host */
+
 /* Callers' requests and the leader's replies in messages between hosts. */
 typedef enum fv_verb {
     Fv_VERB_SUBMIT = 1,
@@ -330,6 +334,8 @@
 
 typedef struct fv_leader_events {
     bool (*may_send_orders)(void *context, int64_t now_ms);
+    /* By the last renewal that succeeded; negative once it has expired. */
+    int64_t (*lease_left_ms)(void *context, int64_t now_ms);
     /* Has one of the hosts call the advice service; false when none is
      * free. */
     bool (*request_advice)(void *context, const fv_cell_message_t *message,
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -81,6 +81,15 @@
 void FvLog_Finish(int64_t limit_ms);
 void FvLog_Close(void);
 bool FvLog_ParseLevel(const char *text, fv_log_level_t *level);
+
+/* Lines of one kind of event in the current second. */
+typedef struct fv_log_quota {
+    int64_t second;
+    uint32_t lines;
+} fv_log_quota_t;
+
+fv_log_level_t FvLog_LevelWithin(fv_log_quota_t *quota, uint32_t lines_max,
+                                 int64_t now_ms);
 void FvLog_Event(fv_log_level_t level, const char *event, const char *format,
                  ...) __attribute__((format(printf, 3, 4)));
 
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -47,6 +47,7 @@
     struct event *sweep;
     fv_frontend_request_t *requests;
     int64_t last_id;
+    fv_log_quota_t cancel_log;
     bool draining;
     bool refusing; /* the process is about to end */
 };
@@ -85,18 +86,34 @@
     }
 }
 
+static fv_log_level_t
+answer_log_level(fv_frontend_t *frontend, const fv_frontend_request_t *request,
+                 int status)
+{
+    if (status >= 500 || status == 429) {
+        return Fv_LOG_INFO;
+    }
+    return request->verb == Fv_VERB_CANCEL
+               ? FvLog_LevelWithin(&frontend->cancel_log,
+                                   Fv_CANCEL_LOG_LINES_PER_S, FvClock_NowMs())
+               : Fv_LOG_DEBUG;
+}
+
+/* @leader: the host whose answer it is; "": this host's own */
 static void
 end_request(fv_frontend_t *frontend, fv_frontend_request_t *request,
-            int status, const char *reason, const char *body)
+            int status, const char *reason, const char *body,
+            const char *leader)
 {
     int64_t took_ms = FvClock_NowMs() - request->forwarding.arrived_ms;
 
-    FvLog_Event(status >= 500 || status == 429 ? Fv_LOG_INFO : Fv_LOG_DEBUG,
-                "request_answered",
-                "job=%s verb=%d queue=%s status=%d took_ms=%lld sent=%d",
-                request->job, (int)request->verb, request->queue, status,
-                (long long)took_ms,
-                FvForwarding_MayHaveExecuted(&request->forwarding) ? 1 : 0);
+    FvLog_Event(
+        answer_log_level(frontend, request, status), "request_answered",
+        "job=%s verb=%d queue=%s status=%d took_ms=%lld sent=%d "
+        "leader=%s",
+        request->job, (int)request->verb, request->queue, status,
+        (long long)took_ms,
+        FvForwarding_MayHaveExecuted(&request->forwarding) ? 1 : 0, leader);
     FvMetrics_Record(Fv_TIMING_WAIT, Fv_CLASS_INTERACTIVE, request->queue,
                      took_ms * 1000);
     HASH_DEL(frontend->requests, request);
@@ -301,10 +318,10 @@
             forward_request(frontend, request);
             break;
         case Fv_FORWARDING_REJECT:
-            end_request(frontend, request, 503, "No Leader", NULL);
+            end_request(frontend, request, 503, "No Leader", NULL, "");
             break;
         case Fv_FORWARDING_TIME_OUT:
-            end_request(frontend, request, 504, "Outcome Unknown", NULL);
+            end_request(frontend, request, 504, "Outcome Unknown", NULL, "");
             break;
         case Fv_FORWARDING_WAIT:
         default:
@@ -524,10 +541,10 @@
     for (request = frontend->requests; request != NULL; request = next) {
         next = request->hh.next;
         if (FvForwarding_MayHaveExecuted(&request->forwarding)) {
-            end_request(frontend, request, 504, "Outcome Unknown", NULL);
+            end_request(frontend, request, 504, "Outcome Unknown", NULL, "");
         }
         else {
-            end_request(frontend, request, 503, "Shutting Down", NULL);
+            end_request(frontend, request, 503, "Shutting Down", NULL, "");
         }
     }
 }
@@ -550,9 +567,9 @@
 
 static void
 reply_with_body(fv_frontend_t *frontend, fv_frontend_request_t *request,
-                char *body)
+                char *body, const char *leader)
 {
-    end_request(frontend, request, 200, "OK", body);
+    end_request(frontend, request, 200, "OK", body, leader);
     free(body);
 }
 
@@ -581,26 +598,29 @@
     }
     switch ((fv_reply_t)message->number) {
     case Fv_REPLY_ACCEPTED:
-        end_request(frontend, request, 200, "OK", "{}");
+        end_request(frontend, request, 200, "OK", "{}", message->key);
         break;
     case Fv_REPLY_STATE:
         reply_with_body(frontend, request,
-                        FvPlatform_EncodeJobState(message->name));
+                        FvPlatform_EncodeJobState(message->name),
+                        message->key);
         break;
     case Fv_REPLY_COUNT:
         reply_with_body(
             frontend, request,
-            FvPlatform_EncodeWaitingCount(strtoll(message->name, NULL, 10)));
+            FvPlatform_EncodeWaitingCount(strtoll(message->name, NULL, 10)),
+            message->key);
         break;
     case Fv_REPLY_GONE:
-        end_request(frontend, request, 410, "Gone", NULL);
+        end_request(frontend, request, 410, "Gone", NULL, message->key);
         break;
     case Fv_REPLY_REFUSED:
         add_retry_after(request->http, message->name);
-        end_request(frontend, request, 503, "Not Accepted", NULL);
+        end_request(frontend, request, 503, "Not Accepted", NULL,
+                    message->key);
         break;
     case Fv_REPLY_MALFORMED:
-        end_request(frontend, request, 400, "Bad Request", NULL);
+        end_request(frontend, request, 400, "Bad Request", NULL, message->key);
         break;
     case Fv_REPLY_NOT_READY:
     default:
--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -9,21 +9,18 @@
 #include <string.h>
 
 static void
-answer_waiter(fv_record_waiter_t *waiter, fv_reply_t outcome,
+answer_waiter(fv_leader_t *leader, const fv_sched_job_t *job,
+              const fv_record_waiter_t *waiter, fv_reply_t outcome,
               const char *state)
 {
-    fv_cell_message_t message = {.kind = Fv_CELL_MESSAGE_REPLY,
-                                 .id = waiter->id,
-                                 .number = outcome,
-                                 .name = state};
-
-    waiter->reply(waiter->context, &message);
+    FvLeaderRequest_Answer(leader, waiter->verb, job->id, waiter->id,
+                           waiter->reply, waiter->context, outcome, state);
 }
 
 /* Replies to callers whose request waited for a record of the job. */
 static void
-answer_waiters(fv_sched_job_t *job, fv_verb_t verb, fv_reply_t outcome,
-               const char *state)
+answer_waiters(fv_leader_t *leader, fv_sched_job_t *job, fv_verb_t verb,
+               fv_reply_t outcome, const char *state)
 {
     fv_record_waiter_t **link = (fv_record_waiter_t **)&job->waiters;
 
@@ -35,7 +32,7 @@
             continue;
         }
         *link = waiter->next;
-        answer_waiter(waiter, outcome, state);
+        answer_waiter(leader, job, waiter, outcome, state);
         free(waiter);
     }
 }
@@ -108,7 +105,7 @@
             fv_record_waiter_t *waiter = job->waiters;
 
             job->waiters = waiter->next;
-            answer_waiter(waiter, Fv_REPLY_NOT_READY, "");
+            answer_waiter(leader, job, waiter, Fv_REPLY_NOT_READY, "");
             free(waiter);
         }
         FvSched_RemoveJob(&leader->sched, job);
@@ -128,7 +125,7 @@
         FvLog_Event(Fv_LOG_INFO, "job_accepted",
                     "job=%s queue=%s after_ms=%" PRId64, job->id,
                     job->queue.name, FvClock_NowMs() - job->received_ms);
-        answer_waiters(job, Fv_VERB_SUBMIT, Fv_REPLY_ACCEPTED, "");
+        answer_waiters(leader, job, Fv_VERB_SUBMIT, Fv_REPLY_ACCEPTED, "");
     }
     else if (job != NULL && call->kind == Fv_RECORD_END) {
         job->recorded = job->outcome;
@@ -136,7 +133,7 @@
                                      FvSched_JobStateName(job));
         FvMetrics_Record(Fv_TIMING_TOTAL, Fv_CLASS_DEADLINE, job->queue.name,
                          (FvClock_NowMs() - job->received_ms) * 1000);
-        answer_waiters(job, Fv_VERB_CANCEL, Fv_REPLY_STATE,
+        answer_waiters(leader, job, Fv_VERB_CANCEL, Fv_REPLY_STATE,
                        FvSched_JobStateName(job));
         FvLeaderRecord_RemoveIfIdle(leader, job);
     }
@@ -157,9 +154,9 @@
         FvLog_Event(Fv_LOG_INFO, "job_refused",
                     "job=%s queue=%s cause=store_away", job->id,
                     job->queue.name);
-        answer_waiters(job, Fv_VERB_SUBMIT, Fv_REPLY_REFUSED,
+        answer_waiters(leader, job, Fv_VERB_SUBMIT, Fv_REPLY_REFUSED,
                        Fv_STORE_RETRY_AFTER_S);
-        answer_waiters(job, Fv_VERB_CANCEL, Fv_REPLY_GONE, "");
+        answer_waiters(leader, job, Fv_VERB_CANCEL, Fv_REPLY_GONE, "");
         FvSched_RemoveJob(&leader->sched, job);
     }
     free(call);
--- a/src/leader-requests.c
+++ b/src/leader-requests.c
@@ -8,18 +8,51 @@
 #include <stdlib.h>
 #include <string.h>
 
-static void
-reply_now(const fv_cell_message_t *message, fv_leader_reply_t reply,
-          void *context, fv_reply_t outcome, const char *state)
+/**
+ * FvLeaderRequest_Answer - answer a request
+ * @leader: the leader
+ * @verb: the request
+ * @job: the job that it names
+ * @id: number of the request at its host
+ * @reply: called with the answer
+ * @context: passed to @reply
+ * @outcome: the answer
+ * @state: its text
+ */
+void
+FvLeaderRequest_Answer(fv_leader_t *leader, fv_verb_t verb, const char *job,
+                       int64_t id, fv_leader_reply_t reply, void *context,
+                       fv_reply_t outcome, const char *state)
 {
     fv_cell_message_t answer = {.kind = Fv_CELL_MESSAGE_REPLY,
-                                .id = message->id,
+                                .id = id,
                                 .number = outcome,
-                                .name = state};
+                                .name = state,
+                                .key = leader->settings->host};
+    int64_t now_ms = FvClock_NowMs();
 
+    if (verb == Fv_VERB_CANCEL) {
+        FvLog_Event(
+            FvLog_LevelWithin(&leader->cancel_log, Fv_CANCEL_LOG_LINES_PER_S,
+                              now_ms),
+            "cancel_answered",
+            "job=%s reply=%d state=%s epoch=%" PRId64
+            " lease_left_ms=%" PRId64,
+            job, (int)outcome, state, leader->epoch,
+            leader->events.lease_left_ms(leader->events.context, now_ms));
+    }
     reply(context, &answer);
 }
 
+static void
+reply_now(fv_leader_t *leader, const fv_cell_message_t *message,
+          fv_leader_reply_t reply, void *context, fv_reply_t outcome,
+          const char *state)
+{
+    FvLeaderRequest_Answer(leader, (fv_verb_t)message->number, message->key,
+                           message->id, reply, context, outcome, state);
+}
+
 static const fv_cell_queue_t *
 find_queue(fv_leader_t *leader, const char *name)
 {
@@ -45,7 +78,7 @@
     fv_job_spec_t spec;
 
     if (queue == NULL) {
-        reply_now(message, reply, context, Fv_REPLY_NOT_READY, "");
+        reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
         return;
     }
     if (FvRecordWriter_Stalled(leader->records, now_ms)) {
@@ -53,7 +86,7 @@
         FvLog_Event(Fv_LOG_INFO, "job_refused",
                     "job=%s queue=%s cause=store_away", message->key,
                     message->name);
-        reply_now(message, reply, context, Fv_REPLY_REFUSED,
+        reply_now(leader, message, reply, context, Fv_REPLY_REFUSED,
                   Fv_STORE_RETRY_AFTER_S);
         return;
     }
@@ -62,14 +95,14 @@
         FvJobSpec_Clear(&spec);
         FvLog_Event(Fv_LOG_INFO, "job_malformed", "job=%s queue=%s",
                     message->key, message->name);
-        reply_now(message, reply, context, Fv_REPLY_MALFORMED, "");
+        reply_now(leader, message, reply, context, Fv_REPLY_MALFORMED, "");
         return;
     }
     job = FvSched_AddJob(&leader->sched, message->key, queue, &spec,
                          message->body, message->body_length, now_ms, wall_ms);
     FvJobSpec_Clear(&spec);
     if (job == NULL) {
-        reply_now(message, reply, context, Fv_REPLY_NOT_READY, "");
+        reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
         return;
     }
     FvLeaderRecord_AddWaiter(job, message, reply, context);
@@ -79,14 +112,16 @@
 }
 
 static void
-handle_ended_job(const fv_ended_job_t *ended, const fv_cell_message_t *message,
-                 fv_leader_reply_t reply, void *context)
+handle_ended_job(fv_leader_t *leader, const fv_ended_job_t *ended,
+                 const fv_cell_message_t *message, fv_leader_reply_t reply,
+                 void *context)
 {
     if (message->number == Fv_VERB_SUBMIT) {
-        reply_now(message, reply, context, Fv_REPLY_ACCEPTED, "");
+        reply_now(leader, message, reply, context, Fv_REPLY_ACCEPTED, "");
     }
     else {
-        reply_now(message, reply, context, Fv_REPLY_STATE, ended->state);
+        reply_now(leader, message, reply, context, Fv_REPLY_STATE,
+                  ended->state);
     }
 }
 
@@ -97,19 +132,19 @@
 {
     if (message->number == Fv_VERB_SUBMIT) {
         if (job->durable) {
-            reply_now(message, reply, context, Fv_REPLY_ACCEPTED, "");
+            reply_now(leader, message, reply, context, Fv_REPLY_ACCEPTED, "");
         }
         else {
             FvLeaderRecord_AddWaiter(job, message, reply, context);
         }
     }
     else if (message->number == Fv_VERB_STATE) {
-        reply_now(message, reply, context,
+        reply_now(leader, message, reply, context,
                   job->durable ? Fv_REPLY_STATE : Fv_REPLY_NOT_READY,
                   FvSched_JobStateName(job));
     }
     else if (job->recorded != Fv_SCHED_JOB_OPEN) {
-        reply_now(message, reply, context, Fv_REPLY_STATE,
+        reply_now(leader, message, reply, context, Fv_REPLY_STATE,
                   FvSched_JobStateName(job));
     }
     else {
@@ -135,18 +170,18 @@
     char count[24];
 
     if (!leader->serving) {
-        reply_now(message, reply, context, Fv_REPLY_NOT_READY, "");
+        reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
         return;
     }
     if (message->number == Fv_VERB_WAITING) {
         snprintf(count, sizeof(count), "%" PRId64,
                  FvSched_CountQueuedJobs(&leader->sched, message->name));
-        reply_now(message, reply, context, Fv_REPLY_COUNT, count);
+        reply_now(leader, message, reply, context, Fv_REPLY_COUNT, count);
         return;
     }
     HASH_FIND_STR(leader->ended, message->key, ended);
     if (ended != NULL) {
-        handle_ended_job(ended, message, reply, context);
+        handle_ended_job(leader, ended, message, reply, context);
     }
     else if (job != NULL) {
         handle_open_job(leader, job, message, reply, context);
@@ -155,7 +190,7 @@
         submit(leader, message, reply, context);
     }
     else {
-        reply_now(message, reply, context, Fv_REPLY_GONE, "");
+        reply_now(leader, message, reply, context, Fv_REPLY_GONE, "");
     }
 }
 
--- a/src/log.c
+++ b/src/log.c
@@ -463,6 +463,25 @@
     append(line, prefix, strnlen(prefix, (size_t)length));
 }
 
+/**
+ * FvLog_LevelWithin - bound how often a frequent event is logged
+ * @quota: the lines so far
+ * @lines_max: lines a second
+ * @now_ms: the time
+ *
+ * Return: Fv_LOG_INFO within the bound, else Fv_LOG_DEBUG.
+ */
+fv_log_level_t
+FvLog_LevelWithin(fv_log_quota_t *quota, uint32_t lines_max, int64_t now_ms)
+{
+    int64_t second = now_ms / Fv_MS_PER_S;
+
+    if (quota->second != second) {
+        *quota = (fv_log_quota_t){.second = second};
+    }
+    return quota->lines++ < lines_max ? Fv_LOG_INFO : Fv_LOG_DEBUG;
+}
+
 /**
  * FvLog_Event - log an event
  * @level: severity
--- a/tests/unit/log_test.c
+++ b/tests/unit/log_test.c
@@ -324,6 +324,21 @@
     close(fds[1]);
 }
 
+/* Guards against a line for each cancellation of a flood at level info, and
+ * against silence in the second after it. */
+static void
+test_quota_begins_anew_each_second(void)
+{
+    fv_log_quota_t quota = {0};
+    uint32_t lines = 0;
+
+    for (int i = 0; i < 1000; i++) {
+        lines += FvLog_LevelWithin(&quota, 50, 7100 + i / 2) == Fv_LOG_INFO;
+    }
+    CU_ASSERT_EQUAL(lines, 50);
+    CU_ASSERT_EQUAL(FvLog_LevelWithin(&quota, 50, 8000), Fv_LOG_INFO);
+}
+
 int
 main(void)
 {
@@ -339,6 +354,8 @@
         {"a burst of lines is split within a line",
          test_writes_hold_whole_lines},
         {"an overloaded host logs without a limit", test_volume_is_limited},
+        {"a flood of cancellations is logged in full",
+         test_quota_begins_anew_each_second},
     };
 
     return Fv_RUN_SUITE("log", cases);
