leader: log what tells causes of repeated runs apart

run_missing: how long ago the start was confirmed and how many ends its report had. worker_restarted: the number of the last end of the earlier incarnation. worker_synced: how long stops of an earlier leader are waited for. inherited_tasks_free: why, and whether the named predecessor is known to have stopped. The hypotheses of docs/incidents/processes-twice.md differ in these.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -89,6 +89,7 @@
 release_inherited_tasks(fv_leader_t *leader, int64_t now_ms)
 {
     int64_t longest_ms = FvSched_WorstCaseLeaseMs(&leader->sched);
+    const char *cause = "leases_expired";
 
     if (!leader->sched.hold_inherited_tasks) {
         return;
@@ -109,10 +110,14 @@
                 return;
             }
         }
+        cause = "all_reported";
     }
     leader->sched.hold_inherited_tasks = false;
     leader->sched.dirty = true;
-    FvLog_Event(Fv_LOG_INFO, "inherited_tasks_free", "after_ms=%" PRId64,
+    FvLog_Event(Fv_LOG_INFO, "inherited_tasks_free",
+                "cause=%s predecessor=%s linked=%d after_ms=%" PRId64, cause,
+                leader->predecessor,
+                leader->predecessor_stopped_ms != 0 ? 1 : 0,
                 now_ms - leader->began_ms);
 }
 
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -242,16 +242,19 @@
 /* Requeues the task of a run that is no longer on its worker and whose end was
  * not reported. */
 static void
-requeue_missing_run(fv_sched_t *sched, fv_sched_task_t *task, int64_t now_ms)
+requeue_missing_run(fv_sched_t *sched, fv_sched_task_t *task,
+                    const fv_worker_report_t *report, int64_t now_ms)
 {
     fv_sched_stage_t *stage = task->stage;
     bool never_started =
         task->state == Fv_SCHED_STOPPING && task->percent == 0;
 
     FvLog_Event(Fv_LOG_INFO, "run_missing",
-                "job=%s stage=%u task=%d run=%d worker=%s state=%d",
+                "job=%s stage=%u task=%d run=%d worker=%s state=%d "
+                "confirmed_ms_ago=%" PRId64 " ends=%u",
                 stage->job->id, stage->step_index, task->index, task->run,
-                task->worker->entry.id, (int)task->state);
+                task->worker->entry.id, (int)task->state,
+                now_ms - task->start_confirmed_ms, report->ended_count);
     task->failed_on = task->worker;
     FvSched_RequeueTask(sched, task);
     if (stage->step->gang && never_started) {
@@ -283,7 +286,8 @@
  */
 static void
 handle_missing_runs(fv_sched_t *sched, fv_sched_worker_t *worker,
-                    int64_t sent_ms, int64_t now_ms)
+                    const fv_worker_report_t *report, int64_t sent_ms,
+                    int64_t now_ms)
 {
     fv_sched_task_t *next;
 
@@ -293,7 +297,7 @@
             continue;
         }
         if (has_certainly_ended(sched, task, sent_ms)) {
-            requeue_missing_run(sched, task, now_ms);
+            requeue_missing_run(sched, task, report, now_ms);
             next = worker->tasks; /* the list may have changed */
         }
         else if (task->state == Fv_SCHED_STOPPING ||
@@ -452,15 +456,19 @@
         apply_running(sched, worker, &report->running[i], now_ms);
     }
     record_progress(sched, report, changed);
-    handle_missing_runs(sched, worker, sent_ms, now_ms);
+    handle_missing_runs(sched, worker, report, sent_ms, now_ms);
     stop_stalled_runs(sched, worker, now_ms);
     evict_from_draining_worker(sched, worker, now_ms);
     if (!worker->synced) {
         worker->synced = true;
         wait_for_inherited_stops(sched, worker, now_ms);
         FvLog_Event(Fv_LOG_INFO, "worker_synced",
-                    "worker=%s running=%u ended=%u", worker->entry.id,
-                    report->running_count, report->ended_count);
+                    "worker=%s running=%u ended=%u stops_left_ms=%" PRId64,
+                    worker->entry.id, report->running_count,
+                    report->ended_count,
+                    worker->inherited_stops_until_ms > now_ms
+                        ? worker->inherited_stops_until_ms - now_ms
+                        : 0);
     }
     sched->dirty = true;
     free(changed);
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -177,8 +177,9 @@
                          int64_t started_wall_ms)
 {
     if (worker->started_wall_ms != 0) {
-        FvLog_Event(Fv_LOG_INFO, "worker_restarted", "worker=%s tasks=%d",
-                    worker->entry.id, worker->task_count);
+        FvLog_Event(Fv_LOG_INFO, "worker_restarted",
+                    "worker=%s tasks=%d last_end=%" PRId64, worker->entry.id,
+                    worker->task_count, worker->last_end_applied);
         worker->inherited = false;
         worker->inherited_stops_until_ms = 0;
     }
