sched: conclude nothing from a report that may not list all ends

With the store away ends pile up, since none can be acknowledged. A new leader in the same way took the first list of a worker for all of it and freed inherited tasks.

A list counts as whole if it is empty or shorter than the longest one that any worker sent, so that no limit has to be known. Runs missing from another one keep their worker; the worker is not known to a new leader until its list was whole, but gets leases from its first report on, since its clock is known then. A run that a report does not list is not stopped as stalled, either.

fake-cell limits the ends of a report (--ends-page), lets the store's leases pause, and counts a start between a done end and its acknowledgement unless the worker's lease expired between them.

--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -277,17 +277,30 @@
            task->start_confirmed_ms < sent_ms;
 }
 
+/* Workers list a limited number of ends, the same for all of them; a list
+ * shorter than another one was not cut off. */
+static bool
+are_all_ends_listed(fv_sched_t *sched, const fv_worker_report_t *report)
+{
+    if (report->ended_count >= sched->most_ends_listed) {
+        sched->most_ends_listed = report->ended_count;
+        return report->ended_count == 0;
+    }
+    return true;
+}
+
 /*
  * Handles tasks that the report should list but does not. A run whose start
  * was confirmed before the report was requested must be in the report. A run
  * whose start is unconfirmed is stopped before the task is started elsewhere,
  * so that a late start is refused. A run that is being stopped is not listed
- * until it has ended, so its stop timeout has to pass first.
+ * until it has ended, so its stop timeout has to pass first. While the worker
+ * may have more ends than it listed, no run is taken for lost.
  */
 static void
 handle_missing_runs(fv_sched_t *sched, fv_sched_worker_t *worker,
-                    const fv_worker_report_t *report, int64_t sent_ms,
-                    int64_t now_ms)
+                    const fv_worker_report_t *report, bool all_ends_listed,
+                    int64_t sent_ms, int64_t now_ms)
 {
     fv_sched_task_t *next;
 
@@ -297,6 +310,9 @@
             continue;
         }
         if (has_certainly_ended(sched, task, sent_ms)) {
+            if (!all_ends_listed) {
+                continue;
+            }
             requeue_missing_run(sched, task, report, now_ms);
             next = worker->tasks; /* the list may have changed */
         }
@@ -316,6 +332,7 @@
         next = task->worker_next;
         if (task->state == Fv_SCHED_RUNNING && !task->stage->step->gang &&
             !task->stage->step->long_running &&
+            task->listed_in_report == sched->report_count &&
             now_ms - task->progress_ms > Fv_STALLED_MS) {
             FvLog_Event(Fv_LOG_WARN, "run_stalled",
                         "job=%s run=%d worker=%s percent=%d",
@@ -357,6 +374,7 @@
     for (fv_sched_task_t *task = worker->tasks; task != NULL; task = next) {
         next = task->worker_next;
         if (task->state != Fv_SCHED_RUNNING ||
+            task->listed_in_report != sched->report_count ||
             remaining_ms(sched, task, now_ms) < left_ms) {
             continue;
         }
@@ -423,6 +441,7 @@
                     int64_t now_ms)
 {
     bool *changed;
+    bool all_ends_listed;
 
     if (report->started_wall_ms < worker->started_wall_ms) {
         return; /* of an earlier incarnation */
@@ -441,9 +460,11 @@
     worker->suspect = false;
     worker->lost = false;
     worker->last_contact_ms = now_ms;
+    worker->clock_known = true;
     worker->clock_ms = report->clock_ms;
     /* The clock was read before now, which errs towards a shorter lease. */
     worker->clock_sampled_ms = now_ms;
+    all_ends_listed = are_all_ends_listed(sched, report);
     for (uint32_t i = 0; i < report->ended_count; i++) {
         if (report->ended[i].number > worker->last_end_applied) {
             changed[i] = apply_end(sched, worker, &report->ended[i], now_ms);
@@ -456,12 +477,13 @@
         apply_running(sched, worker, &report->running[i], now_ms);
     }
     record_progress(sched, report, changed);
-    handle_missing_runs(sched, worker, report, sent_ms, now_ms);
+    handle_missing_runs(sched, worker, report, all_ends_listed, sent_ms,
+                        now_ms);
     stop_stalled_runs(sched, worker, now_ms);
     evict_from_draining_worker(sched, worker, now_ms);
-    if (!worker->synced) {
+    wait_for_inherited_stops(sched, worker, now_ms);
+    if (!worker->synced && all_ends_listed) {
         worker->synced = true;
-        wait_for_inherited_stops(sched, worker, now_ms);
         FvLog_Event(Fv_LOG_INFO, "worker_synced",
                     "worker=%s running=%u ended=%u stops_left_ms=%" PRId64,
                     worker->entry.id, report->running_count,
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -187,6 +187,7 @@
     worker->last_end_applied = 0;
     worker->last_end_recorded = 0;
     worker->synced = false;
+    worker->clock_known = false;
     worker->consecutive_failures = 0;
     worker->quarantined_until_ms = 0;
     worker->probing = false;
@@ -674,7 +675,7 @@
 FvSched_ExtendLease(const fv_sched_t *sched, fv_sched_worker_t *worker,
                     int64_t now_ms)
 {
-    if (!worker->synced || worker->suspect) {
+    if (!worker->clock_known || worker->suspect) {
         return 0;
     }
     worker->lease_expires_ms = now_ms + FvSched_WorstCaseLeaseMs(sched);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -170,7 +170,8 @@
     fv_worker_entry_t entry;
     bool listed;               /* in the registry */
     uint64_t registry_reading; /* latest complete reading that had it */
-    bool synced;               /* has reported to this leader */
+    bool synced;               /* has reported all its ends to this leader */
+    bool clock_known;          /* of the present incarnation */
     bool in_worker_list;       /* in the stored list; may get orders */
     bool in_list_write;        /* in the list that is being written */
     bool suspect;              /* did not answer the last report request */
@@ -262,6 +263,7 @@
     int32_t run_base;          /* runs of this leader have higher numbers */
     bool hold_inherited_tasks; /* they may run on workers without a report */
     bool stops_suspended;      /* during a handover to another host */
+    uint32_t most_ends_listed; /* in one report, of any worker */
     int64_t predecessor_last_order_ms; /* 0: not known */
     bool dirty;                        /* changed since the last pass */
     uint32_t reserved_workers;         /* in this pass */
--- a/tests/fakes/fake-cell.c
+++ b/tests/fakes/fake-cell.c
@@ -1,8 +1,8 @@
 /*
  * Fake of the cell's platform: the store, workers that execute orders, and the
  * advice service, in one process. It counts violations: concurrent runs of one
- * task, a start after the task's end was acknowledged, and a worker loaded
- * beyond its capacity.
+ * task, a start after an end of the task that was acknowledged before or is
+ * later, and a worker loaded beyond its capacity.
  */
 
 #include "fake-cell.h"
@@ -107,6 +107,8 @@
     const char *entry = FvJson_String(body, "entry");
     int64_t config_version = FvJson_Int(body, "config", 0);
 
+    cell->pause_leases = FvJson_Bool(body, "pauseLeases", cell->pause_leases);
+
     for (size_t i = 0; mode != NULL && i < 4; i++) {
         if (strcmp(mode, modes[i]) == 0) {
             cell->store_mode = (cell_store_mode_t)i;
@@ -152,9 +154,9 @@
             char job[17];
 
             snprintf(job, sizeof(job), "%.16s", task->name);
-            if (task->started_ms > FvJson_Int(started, job, 0)) {
+            if (task->last_start_ms > FvJson_Int(started, job, 0)) {
                 json_object_set_new(started, job,
-                                    json_integer(task->started_ms));
+                                    json_integer(task->last_start_ms));
             }
         }
         for (uint32_t i = 0; i < cell->worker_count; i++) {
@@ -183,7 +185,7 @@
         int64_t now_ms = FvClock_NowMs();
 
         pthread_mutex_lock(&cell->lock);
-        FvKv_ExpireLeases(cell->store, now_ms);
+        FvCellStore_ExpireLeases(cell);
         FvCellWorker_Tick(cell, now_ms);
         pthread_mutex_unlock(&cell->lock);
         FvFake_SleepMs(CELL_TICK_MS);
@@ -207,7 +209,7 @@
 }
 
 static int
-run(int port, int workers)
+run(int port, int workers, int ends_page)
 {
     static cell_t cell = {.lock = PTHREAD_MUTEX_INITIALIZER};
     pthread_t ticks;
@@ -215,6 +217,7 @@
     cell.store = FvKv_New();
     write_config(&cell, 1);
     cell.worker_count = (uint32_t)workers;
+    cell.ends_page = (uint32_t)ends_page;
     if (!serve_port(&cell, NULL, port, CELL_STORE_THREADS,
                     FvCellStore_Handle) ||
         !serve_port(&cell, NULL, port + 1, CELL_WORKER_THREADS,
@@ -243,15 +246,20 @@
 {
     struct arg_int *port = arg_int1(NULL, "port", "N", "first port");
     struct arg_int *workers = arg_int1(NULL, "workers", "N", "1 to 80");
+    struct arg_int *ends_page = arg_int0(
+        NULL, "ends-page", "N", "ends that a report lists at most (500)");
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_end *end = arg_end(4);
-    void *table[] = {port, workers, help, end};
-    int code = FvFake_ParseArguments(argc, argv, table, help,
-                                     "Stand-in for the users' platform.");
+    void *table[] = {port, workers, ends_page, help, end};
+    int code;
 
+    ends_page->ival[0] = CELL_PAGE_MAX;
+    code = FvFake_ParseArguments(argc, argv, table, help,
+                                 "Stand-in for the users' platform.");
     if (code < 0) {
-        code = workers->ival[0] >= 1 && workers->ival[0] <= CELL_WORKERS_MAX
-                   ? run(port->ival[0], workers->ival[0])
+        code = workers->ival[0] >= 1 && workers->ival[0] <= CELL_WORKERS_MAX &&
+                       ends_page->ival[0] >= 1
+                   ? run(port->ival[0], workers->ival[0], ends_page->ival[0])
                    : 2;
     }
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
--- a/tests/harness/cell-store.c
+++ b/tests/harness/cell-store.c
@@ -23,6 +23,20 @@
     FvKv_EndWrite(cell->store);
 }
 
+/* The caller holds the lock. */
+void
+FvCellStore_ExpireLeases(cell_t *cell)
+{
+    int64_t now_ms = FvClock_NowMs();
+
+    if (cell->pause_leases && cell->store_mode != CELL_STORE_UP) {
+        cell->leases_paused_until_ms = now_ms + CELL_LEASE_RESUME_MS;
+    }
+    if (now_ms >= cell->leases_paused_until_ms) {
+        FvKv_ExpireLeases(cell->store, now_ms);
+    }
+}
+
 static json_t *
 item_json(const kv_entry_t *entry)
 {
@@ -297,7 +311,7 @@
 {
     const char *path = request->path;
 
-    FvKv_ExpireLeases(cell->store, FvClock_NowMs());
+    FvCellStore_ExpireLeases(cell);
     if (strcmp(path, "/kv-key") == 0) {
         return handle_get(cell, request, status);
     }
--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -67,6 +67,7 @@
     end->number = ++worker->last_end_number;
     snprintf(end->task, sizeof(end->task), "%s", run->task);
     end->run = run->run;
+    end->at_ms = FvClock_NowMs();
     end->outcome = outcome;
     while (*last != NULL) {
         last = &(*last)->next;
@@ -81,6 +82,10 @@
 {
     cell_run_t **link = &worker->runs;
 
+    for (cell_end_t *end = worker->ends;
+         end != NULL && worker->lease_end_ms <= now_ms; end = end->next) {
+        end->lapsed = end->lapsed || worker->lease_end_ms > end->at_ms;
+    }
     while (*link != NULL) {
         if ((*link)->ends_ms <= now_ms) {
             end_run(cell, worker, link, (*link)->fails ? "failed" : "done");
@@ -178,7 +183,7 @@
     }
     task->running++;
     task->starts++;
-    task->started_ms = now_ms;
+    task->last_start_ms = now_ms;
     for (const cell_run_t *other = worker->runs; other != NULL;
          other = other->next) {
         used += other->cpu_millis;
@@ -260,7 +265,15 @@
         cell_end_t *end = worker->ends;
 
         if (strcmp(end->outcome, "done") == 0) {
-            get_task(cell, end->task)->done_acknowledged = true;
+            cell_task_t *task = get_task(cell, end->task);
+
+            task->done_acknowledged = true;
+            if (!end->lapsed && task->last_start_ms > end->at_ms) {
+                add_violation(cell,
+                              "started between its end and the "
+                              "acknowledgement",
+                              end->task, end->run, worker->id);
+            }
         }
         worker->ends = end->next;
         free(end);
@@ -268,7 +281,7 @@
 }
 
 static json_t *
-report_json(cell_worker_t *worker, int64_t now_ms)
+report_json(const cell_t *cell, const cell_worker_t *worker, int64_t now_ms)
 {
     json_t *running = json_array();
     json_t *ended = json_array();
@@ -282,7 +295,7 @@
                       (int)((now_ms - run->started_ms) * 100 / total_ms), 0));
     }
     for (const cell_end_t *end = worker->ends;
-         end != NULL && json_array_size(ended) < CELL_PAGE_MAX;
+         end != NULL && json_array_size(ended) < cell->ends_page;
          end = end->next) {
         json_array_append_new(
             ended, json_pack("[I, s, i, s, s]", (json_int_t)end->number,
@@ -317,7 +330,7 @@
         end_due_runs(cell, worker, now_ms);
         if (worker->ends != NULL || now_ms >= until_ms || worker->down ||
             worker->started_wall_ms != started_wall_ms) {
-            reply = report_json(worker, now_ms);
+            reply = report_json(cell, worker, now_ms);
             break;
         }
         pthread_mutex_unlock(&cell->lock);
--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -25,6 +25,8 @@
 #define CELL_TICKET_VALID_MS 2000
 #define CELL_LEASE_MAX_MS 10000
 #define CELL_PAGE_MAX 500 /* keys of a range reply, or ends of a report */
+/* Time to renew the leases that paused while the store was away. */
+#define CELL_LEASE_RESUME_MS 2000
 
 typedef enum cell_store_mode {
     CELL_STORE_UP,
@@ -48,6 +50,8 @@
     char task[64];
     int32_t run;
     const char *outcome;
+    int64_t at_ms;
+    bool lapsed; /* the worker's lease has expired since */
     struct cell_end *next;
 } cell_end_t;
 
@@ -57,8 +61,8 @@
     int32_t highest_run;
     uint32_t starts;
     uint32_t running;
+    int64_t last_start_ms;
     bool done_acknowledged;
-    int64_t started_ms; /* latest start */
     UT_hash_handle hh;
 } cell_task_t;
 
@@ -91,6 +95,9 @@
     pthread_mutex_t lock;
     kv_store_t *store;
     cell_store_mode_t store_mode;
+    bool pause_leases; /* while the store is not up */
+    int64_t leases_paused_until_ms;
+    uint32_t ends_page; /* ends of a report */
     uint32_t worker_count;
     cell_worker_t workers[CELL_WORKERS_MAX];
     cell_task_t *tasks;
@@ -110,6 +117,7 @@
 kv_bytes_t FvCellStore_Bytes(const char *text);
 /* Writes one key without a lease; the caller holds the lock. */
 void FvCellStore_Put(cell_t *cell, const char *key, const char *value);
+void FvCellStore_ExpireLeases(cell_t *cell);
 /* A fake_handler_t. */
 void FvCellStore_Handle(fake_request_t *request, void *context);
 
--- a/tests/harness/sched-sim-handlers.c
+++ b/tests/harness/sched-sim-handlers.c
@@ -117,7 +117,10 @@
             report->running_count++;
         }
     }
-    for (uint32_t e = 0; e < worker->end_count; e++) {
+    for (uint32_t e = 0;
+         e < worker->end_count && (sim->plan->ends_page == 0 ||
+                                   report->ended_count < sim->plan->ends_page);
+         e++) {
         if (!worker->ends[e].acknowledged) {
             report->ended[report->ended_count++] = worker->ends[e].row;
         }
--- a/tests/harness/sched-sim.h
+++ b/tests/harness/sched-sim.h
@@ -34,6 +34,7 @@
     int64_t advice_per_worker_us;
     uint32_t lasting_jobs; /* share of long-running jobs, of 1,000 */
     bool check_waiting;    /* requires that no faults occur */
+    uint32_t ends_page;    /* ends that a report lists at most; 0: all */
     sim_faults_t faults;
 } sim_plan_t;
 
--- a/tests/unit/sched_model_test.c
+++ b/tests/unit/sched_model_test.c
@@ -43,7 +43,8 @@
 }
 
 static void
-run_seeds(const sim_faults_t *faults, bool advice)
+run_seeds_with_pages(const sim_faults_t *faults, bool advice,
+                     uint32_t ends_page)
 {
     for (uint64_t seed = first_seed; seed < first_seed + seeds; seed++) {
         run_plan(&(sim_plan_t){.seed = seed,
@@ -54,10 +55,17 @@
                                .advice = advice,
                                .allowed_workers = 4, /* enough for a gang */
                                .advice_per_worker_us = 1500,
+                               .ends_page = ends_page,
                                .faults = *faults});
     }
 }
 
+static void
+run_seeds(const sim_faults_t *faults, bool advice)
+{
+    run_seeds_with_pages(faults, advice, 0);
+}
+
 /* A cell without faults whose load differs from seed to seed, from mostly idle
  * to full. A call for advice includes few of the workers. */
 static void
@@ -150,6 +158,21 @@
     run_seeds(&all, true);
 }
 
+/* Runs whose ends do not fit into a report count as lost and start again. */
+static void
+test_reports_cut_off(void)
+{
+    static const sim_faults_t faults = {.lost_orders = 80,
+                                        .failing_tasks = 30,
+                                        .worker_outages = 300,
+                                        .leader_failovers = 150,
+                                        .job_cancellations = 150};
+
+    run_seeds_with_pages(&(sim_faults_t){0}, false, 1);
+    run_seeds_with_pages(&faults, false, 1);
+    run_seeds_with_pages(&faults, true, 2);
+}
+
 /* SCHED_MODEL_SEEDS="FIRST COUNT" runs other seeds. */
 int
 main(void)
@@ -164,6 +187,8 @@
         {"a guarantee is broken by leader failures", test_leader_changes},
         {"a guarantee is broken by leader handovers", test_leader_handovers},
         {"a guarantee is broken by all faults together", test_all_faults},
+        {"a guarantee is broken by reports that do not list all ends",
+         test_reports_cut_off},
     };
     const char *chosen = getenv("SCHED_MODEL_SEEDS");
     unsigned long long first;
