sched: wait for stops of an earlier leader from the report that fences it

A run that is being stopped is in no report, so that a successor waits for the stop timeout before it starts a task on that worker or frees inherited tasks. When it knew that the leader was dead it counted the time from 50 ms after the leader's link broke. But a stop that is read late, by a busy or suspended worker, or carried out late by the platform, takes effect until the worker has seen the successor's token. The time now starts with the report that shows that. After a leader was killed, inherited workers get tasks later by the time of the election.

fake-cell: stops can take time (stopMs), during which the run is not listed, and be carried out late (stopDelayMs).

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -19,10 +19,6 @@
  * gang before they time out waiting for the others. */
 #define Fv_GANG_STOP_MS 1200
 
-/* Within this time, an order that a host sent before its link broke has
- * reached its worker; the one-way latency between regions is 20 ms. */
-#define Fv_ORDER_DELIVERY_MS 50
-
 /* Within this time, a stop sent before a handover began has reached its
  * worker: five round trips between regions. */
 #define Fv_STOP_DELIVERY_MS 250
@@ -354,19 +350,6 @@
     FvLeaderWorkerList_RequestWrite(leader);
 }
 
-/**
- * FvLeader_PredecessorDied - note that the previous leader's process is dead
- * @leader: the leader
- * @died_ms: a time at which it was no longer running
- */
-void
-FvLeader_PredecessorDied(fv_leader_t *leader, int64_t died_ms)
-{
-    leader->sched.predecessor_last_order_ms = died_ms + Fv_ORDER_DELIVERY_MS;
-    FvLog_Event(Fv_LOG_INFO, "predecessor_dead", "since_ms=%" PRId64,
-                FvClock_NowMs() - died_ms);
-}
-
 /**
  * FvLeader_HandOver - prepare to resign
  * @leader: the leader
--- a/src/entry.c
+++ b/src/entry.c
@@ -240,7 +240,8 @@
                                  &entry->settings, &events, epoch, generation);
     if (entry->dead_epoch != 0 &&
         entry->dead_epoch == FvElection_PredecessorEpoch(entry->election)) {
-        FvLeader_PredecessorDied(entry->leader, entry->dead_since_ms);
+        FvLog_Event(Fv_LOG_INFO, "predecessor_dead", "since_ms=%" PRId64,
+                    entry->leader_since_ms - entry->dead_since_ms);
     }
     FvLinks_Close(entry->leader_link);
     entry->leader_link = NULL;
--- a/src/entry.h
+++ b/src/entry.h
@@ -358,7 +358,6 @@
                           const fv_leader_events_t *events, int64_t epoch,
                           int32_t generation);
 void FvLeader_Free(fv_leader_t *leader);
-void FvLeader_PredecessorDied(fv_leader_t *leader, int64_t died_ms);
 void FvLeader_HandOver(fv_leader_t *leader);
 bool FvLeader_IsServing(const fv_leader_t *leader);
 void FvLeader_HandleRequest(fv_leader_t *leader,
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -410,20 +410,15 @@
 }
 
 /* Runs that an earlier leader stopped are not listed while they end. That
- * leader gives no orders after its death, or after this leader's first call to
- * the worker, which fences it. */
+ * leader's orders are refused from this leader's first call on, but until then
+ * a stop may be carried out long after it was sent. */
 static void
 wait_for_inherited_stops(const fv_sched_t *sched, fv_sched_worker_t *worker,
                          int64_t now_ms)
 {
-    int64_t last_stop_ms = sched->predecessor_last_order_ms != 0 &&
-                                   sched->predecessor_last_order_ms < now_ms
-                               ? sched->predecessor_last_order_ms
-                               : now_ms;
-
     if (worker->inherited) {
         worker->inherited = false;
-        worker->inherited_stops_until_ms = last_stop_ms + sched->stop_max_ms;
+        worker->inherited_stops_until_ms = now_ms + sched->stop_max_ms;
     }
 }
 
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -13,10 +13,6 @@
 #define Fv_CLOCK_DRIFT_PERCENT 3
 #define Fv_ORDER_TRANSIT_MS 250
 
-/* Longest delay after which a worker of the platform may still carry out an
- * unanswered start, under the lease that it has then. */
-#define Fv_ORDER_DELAY_MAX_MS 12000
-
 /* After this many consecutive failures of different jobs a worker is
  * quarantined. */
 #define Fv_CONSECUTIVE_FAILURES_MAX 2
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -17,6 +17,10 @@
 typedef struct fv_sched_task fv_sched_task_t;
 typedef struct fv_sched_worker fv_sched_worker_t;
 
+/* Longest delay after which a worker of the platform may still carry out an
+ * unanswered order, under the lease that it has then. */
+#define Fv_ORDER_DELAY_MAX_MS 12000
+
 /* Failed runs that are remembered for each task. A task may have more
  * attempts, but a new leader may then count an older failure twice. */
 #define Fv_FAILED_RUNS_MAX 8
@@ -264,12 +268,11 @@
     bool hold_inherited_tasks; /* they may run on workers without a report */
     bool stops_suspended;      /* during a handover to another host */
     uint32_t most_ends_listed; /* in one report, of any worker */
-    int64_t predecessor_last_order_ms; /* 0: not known */
-    bool dirty;                        /* changed since the last pass */
-    uint32_t reserved_workers;         /* in this pass */
-    uint64_t advice_searches;          /* count, over all stages */
-    int64_t rescan_ms;     /* in this pass; see FvSched_RunPass() */
-    uint64_t report_count; /* over all workers */
+    bool dirty;                /* changed since the last pass */
+    uint32_t reserved_workers; /* in this pass */
+    uint64_t advice_searches;  /* count, over all stages */
+    int64_t rescan_ms;         /* in this pass; see FvSched_RunPass() */
+    uint64_t report_count;     /* over all workers */
     /* In this pass, no host is free for a call that costs this or more. */
     int64_t refused_advice_cost_us;
     uint64_t random; /* state of the generator */
--- a/tests/fakes/fake-cell.c
+++ b/tests/fakes/fake-cell.c
@@ -108,6 +108,8 @@
     int64_t config_version = FvJson_Int(body, "config", 0);
 
     cell->pause_leases = FvJson_Bool(body, "pauseLeases", cell->pause_leases);
+    cell->stop_ms = FvJson_Int(body, "stopMs", cell->stop_ms);
+    cell->stop_delay_ms = FvJson_Int(body, "stopDelayMs", cell->stop_delay_ms);
 
     for (size_t i = 0; mode != NULL && i < 4; i++) {
         if (strcmp(mode, modes[i]) == 0) {
@@ -163,12 +165,12 @@
             json_array_append_new(worker_starts,
                                   json_integer(cell->workers[i].starts));
         }
-        reply =
-            json_pack("{s:i, s:i, s:s, s:o, s:o, s:i}", "violations",
-                      (int)cell->violations, "starts", (int)cell->starts,
-                      "first", cell->first_violation, "started", started,
-                      "worker_starts", worker_starts, "wrong_instance_calls",
-                      (int)cell->wrong_instance_calls);
+        reply = json_pack(
+            "{s:i, s:i, s:i, s:s, s:o, s:o, s:i}", "violations",
+            (int)cell->violations, "starts", (int)cell->starts, "stops",
+            (int)cell->stops, "first", cell->first_violation, "started",
+            started, "worker_starts", worker_starts, "wrong_instance_calls",
+            (int)cell->wrong_instance_calls);
     }
     pthread_mutex_unlock(&cell->lock);
     json_decref(body);
--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -76,19 +76,58 @@
     free(run);
 }
 
+static void
+stop_run(cell_t *cell, cell_worker_t *worker, const char *task, int32_t number,
+         int64_t now_ms)
+{
+    for (cell_run_t *run = worker->runs; run != NULL; run = run->next) {
+        if (strcmp(run->task, task) == 0 && run->run <= number &&
+            !run->stopping) {
+            run->stopping = true;
+            run->ends_ms = now_ms + cell->stop_ms;
+        }
+    }
+    update_tombstone(cell, worker, task, number);
+}
+
+static void
+carry_out_late_stops(cell_t *cell, cell_worker_t *worker, int64_t now_ms)
+{
+    cell_late_stop_t **link = &worker->late_stops;
+
+    while (*link != NULL) {
+        cell_late_stop_t *late = *link;
+
+        if (late->at_ms > now_ms) {
+            link = &late->next;
+            continue;
+        }
+        *link = late->next;
+        if (late->fencing_token >= worker->fencing_token) {
+            worker->fencing_token = late->fencing_token;
+            stop_run(cell, worker, late->task, late->run, late->at_ms);
+        }
+        free(late);
+    }
+}
+
 /* Ends the runs that are finished, and all of them when the lease expires. */
 static void
 end_due_runs(cell_t *cell, cell_worker_t *worker, int64_t now_ms)
 {
     cell_run_t **link = &worker->runs;
 
+    carry_out_late_stops(cell, worker, now_ms);
     for (cell_end_t *end = worker->ends;
          end != NULL && worker->lease_end_ms <= now_ms; end = end->next) {
         end->lapsed = end->lapsed || worker->lease_end_ms > end->at_ms;
     }
     while (*link != NULL) {
         if ((*link)->ends_ms <= now_ms) {
-            end_run(cell, worker, link, (*link)->fails ? "failed" : "done");
+            end_run(cell, worker, link,
+                    (*link)->stopping ? "stopped"
+                    : (*link)->fails  ? "failed"
+                                      : "done");
         }
         else if (worker->lease_end_ms <= now_ms) {
             end_run(cell, worker, link, "lapsed");
@@ -212,7 +251,8 @@
     }
     extend_lease(worker, body, now_ms);
     for (const cell_run_t *run = worker->runs; run != NULL; run = run->next) {
-        if (strcmp(run->task, name) == 0 && run->run == number) {
+        if (strcmp(run->task, name) == 0 && run->run == number &&
+            !run->stopping) {
             *status = 200;
             return json_pack("{s:I}", "clockMs", (json_int_t)now_ms);
         }
@@ -237,25 +277,32 @@
 {
     const char *name = FvJson_String(body, "task");
     int32_t number = (int32_t)FvJson_Int(body, "runId", 0);
-    cell_run_t **link = &worker->runs;
+    int64_t now_ms = FvClock_NowMs();
 
     *status = name != NULL ? 200 : 400;
     if (name == NULL) {
         return json_object();
     }
-    if (reject_stale_token(worker, body)) {
-        return reply_refused(FvClock_NowMs(), "fence", status);
+    cell->stops++;
+    if (cell->stop_delay_ms > 0) {
+        cell_late_stop_t *late = calloc(1, sizeof(*late));
+
+        *late = (cell_late_stop_t){.run = number,
+                                   .fencing_token =
+                                       FvJson_Int(body, "fencingToken", 0),
+                                   .at_ms = now_ms + cell->stop_delay_ms,
+                                   .next = worker->late_stops};
+        snprintf(late->task, sizeof(late->task), "%s", name);
+        worker->late_stops = late;
+        *status = 0;
+        return NULL;
     }
-    while (*link != NULL) {
-        if (strcmp((*link)->task, name) == 0 && (*link)->run <= number) {
-            end_run(cell, worker, link, "stopped");
-        }
-        else {
-            link = &(*link)->next;
-        }
+    if (reject_stale_token(worker, body)) {
+        return reply_refused(now_ms, "fence", status);
     }
-    update_tombstone(cell, worker, name, number);
-    return json_pack("{s:I}", "clockMs", (json_int_t)FvClock_NowMs());
+    stop_run(cell, worker, name, number, now_ms);
+    end_due_runs(cell, worker, now_ms);
+    return json_pack("{s:I}", "clockMs", (json_int_t)now_ms);
 }
 
 static void
@@ -289,6 +336,9 @@
     for (const cell_run_t *run = worker->runs; run != NULL; run = run->next) {
         int64_t total_ms = run->ends_ms - run->started_ms + 1;
 
+        if (run->stopping) {
+            continue;
+        }
         json_array_append_new(
             running,
             json_pack("[s, i, s, i, i]", run->task, run->run, "",
@@ -388,6 +438,10 @@
     }
     pthread_mutex_unlock(&cell->lock);
     json_decref(body);
+    if (status == 0) {
+        FvFake_Drop(request);
+        return;
+    }
     FvFake_ReplyJson(request, status, reply ? reply : json_object());
 }
 
@@ -455,6 +509,12 @@
         worker->ends = end->next;
         free(end);
     }
+    while (worker->late_stops != NULL) {
+        cell_late_stop_t *late = worker->late_stops;
+
+        worker->late_stops = late->next;
+        free(late);
+    }
     worker->fencing_token = 0;
     worker->last_end_number = 0;
     worker->lease_end_ms = 0;
--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -42,6 +42,7 @@
     int64_t started_ms;
     int64_t ends_ms;
     bool fails;
+    bool stopping; /* not listed in reports */
     struct cell_run *next;
 } cell_run_t;
 
@@ -55,6 +56,15 @@
     struct cell_end *next;
 } cell_end_t;
 
+/* A stop that was not answered and is carried out late. */
+typedef struct cell_late_stop {
+    char task[64];
+    int32_t run;
+    int64_t fencing_token;
+    int64_t at_ms;
+    struct cell_late_stop *next;
+} cell_late_stop_t;
+
 /* A task over all workers. */
 typedef struct cell_task {
     char name[64];
@@ -80,6 +90,7 @@
     int64_t sequence;
     cell_run_t *runs;
     cell_end_t *ends;
+    cell_late_stop_t *late_stops;
     int64_t next_heartbeat_ms;
 } cell_worker_t;
 
@@ -97,7 +108,10 @@
     cell_store_mode_t store_mode;
     bool pause_leases; /* while the store is not up */
     int64_t leases_paused_until_ms;
-    uint32_t ends_page; /* ends of a report */
+    uint32_t ends_page;    /* ends of a report */
+    int64_t stop_ms;       /* that a stop takes */
+    int64_t stop_delay_ms; /* stops are not answered and carried out later */
+    uint32_t stops;
     uint32_t worker_count;
     cell_worker_t workers[CELL_WORKERS_MAX];
     cell_task_t *tasks;
