leader: do not hand over stops in doubt as settled

A leader that is terminated sends no stops for the longest time that a stop takes and then notes that its successor need not wait for runs that are being stopped. A stop without an answer may be carried out later, and ends its run while the successor, which sees the run in no report, starts the task again. The same held for stops of a still earlier leader on a worker that had not reported since. The note is now left out in both cases, and the successor waits.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -339,6 +339,22 @@
     .request_report = FvLeaderWorker_RequestReport,
 };
 
+/* Whether no run is being stopped, and none will be before a worker has seen
+ * the next leader. */
+static bool
+are_stops_settled(const fv_leader_t *leader, int64_t now_ms)
+{
+    for (const fv_sched_worker_t *worker = leader->sched.workers;
+         worker != NULL; worker = worker->hh.next) {
+        if (worker->inherited || worker->inherited_stops_until_ms > now_ms) {
+            return false; /* an earlier leader may have stopped runs there */
+        }
+    }
+    return leader->unanswered_stop_ms == 0 ||
+           now_ms - leader->unanswered_stop_ms >
+               Fv_ORDER_DELAY_MAX_MS + leader->sched.stop_max_ms;
+}
+
 static void
 finish_handover(evutil_socket_t fd, short what, void *context)
 {
@@ -346,7 +362,10 @@
 
     (void)fd;
     (void)what;
-    leader->stops_settled = true;
+    leader->resigning = true;
+    leader->stops_settled = are_stops_settled(leader, FvClock_NowMs());
+    FvLog_Event(Fv_LOG_INFO, "handing_over", "stops_settled=%d",
+                leader->stops_settled ? 1 : 0);
     FvLeaderWorkerList_RequestWrite(leader);
 }
 
@@ -354,10 +373,11 @@
  * FvLeader_HandOver - prepare to resign
  * @leader: the leader
  *
- * The leader sends no more stops but continues otherwise. Once the last stop
- * has certainly taken effect, it notes that in the worker list and calls
- * handed_over, after which this host may resign. The next leader then need not
- * wait for runs that are being stopped, which no report lists.
+ * The leader sends no more stops but continues otherwise. After the time that
+ * the last stop takes, it notes in the worker list whether all have certainly
+ * taken effect, and calls handed_over, after which this host may resign. The
+ * next leader need not wait then for runs that are being stopped, which no
+ * report lists.
  */
 void
 FvLeader_HandOver(fv_leader_t *leader)
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -120,7 +120,9 @@
     int32_t generation;
     bool predecessor_handed_over; /* after its stops had taken effect */
     bool handing_over;            /* sends no stops and is about to resign */
+    bool resigning;               /* resigns once the worker list is written */
     bool stops_settled;           /* all stops sent before have taken effect */
+    int64_t unanswered_stop_ms;   /* when the latest one was sent; 0: none */
     struct event *handover_timer;
     fv_log_quota_t cancel_log;
     bool reading_registry;
--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -310,7 +310,7 @@
         FvLeaderWorkerList_Write(leader);
         return;
     }
-    if (leader->stops_settled) {
+    if (leader->resigning) {
         leader->events.handed_over(leader->events.context);
     }
 }
--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -53,6 +53,9 @@
         FvAnswerTime_Missing(&leader->answer_time);
     }
     result = FvPlatform_DecodeOrderResult(answer, &clock_ms);
+    if (order->stop && result == Fv_ORDER_UNCONFIRMED) {
+        leader->unanswered_stop_ms = order->sent_ms;
+    }
     task = FvSched_FindTask(&leader->sched, order->task);
     if (task != NULL && order->stop) {
         FvSched_StopAnswered(&leader->sched, task, order->run, result,
