scheduler: keep what is known of a worker to one incarnation

A worker that restarted under its id as another kind got tasks by its earlier labels and capacity: its report (and `worker_synced`) came at once, its entry after the changes of the registry had been gathered for up to 0.4 s. In the other order, an entry of a `born` in the future made all reports of its worker ones of an earlier incarnation until the next leader, even after the worker had written its own entry again. Tickets of the earlier incarnation were kept, an unanswered start was repeated to the next one, and acknowledgements of the earlier numbering went to the next one while only its entry was known.

Cause: the incarnation was one number, raised by entry or report, whichever came first, and the data of both were used together. Now each carries its own. A worker gets tasks while both agree, and leases and acknowledgements while its report is of no earlier incarnation than its entry. Reports are ordered among themselves. A later incarnation's report drops tickets, health and numbering of the earlier one; starts whose order may still arrive are stopped first. Answers of the advice service count for the incarnation that was asked about.

--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -40,6 +40,11 @@
     UT_hash_handle hh;
 } fv_used_service_t;
 
+typedef struct fv_asked_worker {
+    char id[Fv_NAME_SIZE];
+    int64_t started_wall_ms; /* a ticket is valid for one incarnation */
+} fv_asked_worker_t;
+
 /* A request to the advice service that a host sends for the leader. */
 typedef struct fv_advice_request {
     int64_t id;
@@ -48,7 +53,7 @@
     int64_t sent_ms;
     int64_t deadline_ms;
     uint32_t count;
-    char (*workers)[Fv_NAME_SIZE];
+    fv_asked_worker_t *workers;
     UT_hash_handle hh;
 } fv_advice_request_t;
 
--- a/src/leader-advice.c
+++ b/src/leader-advice.c
@@ -19,6 +19,17 @@
     return task != NULL ? task->stage : NULL;
 }
 
+/* Returns NULL if the worker was removed or restarted since. */
+static fv_sched_worker_t *
+find_asked(const fv_leader_t *leader, const fv_asked_worker_t *asked)
+{
+    fv_sched_worker_t *worker = FvSched_FindWorker(&leader->sched, asked->id);
+
+    return worker != NULL && worker->started_wall_ms == asked->started_wall_ms
+               ? worker
+               : NULL;
+}
+
 /**
  * FvLeaderAdvice_Complete - finish a request to the advice service
  * @leader: the leader
@@ -36,8 +47,7 @@
             calloc((size_t)request->count + 1, sizeof(fv_sched_worker_t *));
 
         for (uint32_t i = 0; workers != NULL && i < request->count; i++) {
-            workers[i] =
-                FvSched_FindWorker(&leader->sched, request->workers[i]);
+            workers[i] = find_asked(leader, &request->workers[i]);
         }
         FvSched_ApplyAdvice(&leader->sched, stage, workers,
                             workers != NULL ? request->count : 0, advice,
@@ -132,7 +142,9 @@
     FvSched_StageName(stage, request->stage, sizeof(request->stage));
     FvSched_TaskName(&stage->tasks[0], request->task, sizeof(request->task));
     for (uint32_t i = 0; i < count; i++) {
-        FvText_Copy(request->workers[i], Fv_NAME_SIZE, workers[i]->entry.id);
+        FvText_Copy(request->workers[i].id, Fv_NAME_SIZE,
+                    workers[i]->entry.id);
+        request->workers[i].started_wall_ms = workers[i]->started_wall_ms;
         FvBuffer_Append(&body, workers[i]->entry.id,
                         strlen(workers[i]->entry.id));
         FvBuffer_Append(&body, "\n", 1);
--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -381,7 +381,7 @@
     session->pending_calls++;
     leader->pending_calls++;
     FvPlatform_RenewRuns(&call, worker->entry.id, leader->epoch,
-                         worker->last_end_recorded, lease_end_worker_ms,
+                         FvSched_EndToAcknowledge(worker), lease_end_worker_ms,
                          wait_ms);
     FvCallPool_Send(
         leader->pool, worker->entry.address, &call,
--- a/src/sched-advice.c
+++ b/src/sched-advice.c
@@ -431,7 +431,8 @@
  * FvSched_ApplyAdvice - apply the answer of the advice service, or its absence
  * @sched: the scheduler
  * @stage: the stage that was asked about
- * @asked: the workers of the call; NULL for those that were removed since
+ * @asked: the workers of the call; NULL for those that were removed or
+ *         restarted since
  * @count: number of workers
  * @advice: the answer, or NULL when none came
  * @now_ms: the time
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -192,7 +192,7 @@
     const fv_verdict_t *verdict = NULL;
 
     if (task->start_retried || task->state != Fv_SCHED_STARTING ||
-        task->worker->suspect || task->worker->lost) {
+        task->worker->suspect || task->worker->lost || !task->worker->synced) {
         return false;
     }
     if (stage->job->queue.needs_advice) {
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -439,7 +439,7 @@
     bool all_ends_listed;
 
     if (report->started_wall_ms < worker->started_wall_ms) {
-        return; /* of an earlier incarnation */
+        return; /* overtaken by one of a later incarnation */
     }
     if (report->started_wall_ms > worker->started_wall_ms) {
         FvSched_BeginIncarnation(sched, worker, report->started_wall_ms);
@@ -455,7 +455,8 @@
     worker->suspect = false;
     worker->lost = false;
     worker->last_contact_ms = now_ms;
-    worker->clock_known = true;
+    worker->clock_known =
+        report->started_wall_ms >= worker->entry.started_wall_ms;
     worker->clock_ms = report->clock_ms;
     /* The clock was read before now, which errs towards a shorter lease. */
     worker->clock_sampled_ms = now_ms;
@@ -477,7 +478,7 @@
     stop_stalled_runs(sched, worker, now_ms);
     evict_from_draining_worker(sched, worker, now_ms);
     wait_for_inherited_stops(sched, worker, now_ms);
-    if (!worker->synced && all_ends_listed) {
+    if (!worker->synced && worker->clock_known && all_ends_listed) {
         worker->synced = true;
         FvLog_Event(Fv_LOG_INFO, "worker_synced",
                     "worker=%s running=%u ended=%u stops_left_ms=%" PRId64,
@@ -515,6 +516,19 @@
     }
 }
 
+/**
+ * FvSched_EndToAcknowledge - which ends a worker may drop
+ * @worker: the worker
+ *
+ * Return: the number of the latest recorded end; 0 while a later incarnation,
+ * with ends of its own, may answer.
+ */
+int64_t
+FvSched_EndToAcknowledge(const fv_sched_worker_t *worker)
+{
+    return worker->clock_known ? worker->last_end_recorded : 0;
+}
+
 /**
  * FvSched_EndsRecorded - note that the effects of a worker's ends are in the
  * store
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -159,38 +159,6 @@
     return false;
 }
 
-/**
- * FvSched_BeginIncarnation - reset the state of a worker that was restarted
- * @sched: the scheduler
- * @worker: the worker
- * @started_wall_ms: start time of the process; identifies the incarnation
- *
- * The new incarnation may already have received orders, so the tasks stay on
- * the worker until its first report lists the running ones.
- */
-void
-FvSched_BeginIncarnation(fv_sched_t *sched, fv_sched_worker_t *worker,
-                         int64_t started_wall_ms)
-{
-    if (worker->started_wall_ms != 0) {
-        FvLog_Event(Fv_LOG_INFO, "worker_restarted",
-                    "worker=%s tasks=%d last_end=%" PRId64, worker->entry.id,
-                    worker->task_count, worker->last_end_applied);
-        worker->inherited = false;
-        worker->inherited_stops_until_ms = 0;
-    }
-    worker->started_wall_ms = started_wall_ms;
-    worker->last_end_applied = 0;
-    worker->last_end_recorded = 0;
-    worker->synced = false;
-    worker->clock_known = false;
-    worker->consecutive_failures = 0;
-    worker->quarantined_until_ms = 0;
-    worker->probing = false;
-    FvSched_ForgetOrphanRuns(worker, INT64_MAX);
-    sched->dirty = true;
-}
-
 /* Whether an entry differs in more than what each heartbeat changes. */
 static bool
 has_entry_changed(const fv_worker_entry_t *old, const fv_worker_entry_t *new)
@@ -236,7 +204,9 @@
     }
     worker->entry = *entry;
     if (entry->started_wall_ms > worker->started_wall_ms) {
-        FvSched_BeginIncarnation(sched, worker, entry->started_wall_ms);
+        worker->synced = false; /* its report was of an earlier incarnation */
+        worker->clock_known = false;
+        worker->report_due_ms = now_ms;
     }
     if (entry->draining && !worker->draining) {
         FvLog_Event(Fv_LOG_INFO, "worker_draining",
@@ -302,26 +272,7 @@
     while (worker->tasks != NULL) {
         FvSched_DetachTask(worker->tasks);
     }
-    for (fv_sched_job_t *job = sched->jobs; job != NULL; job = job->hh.next) {
-        for (uint32_t o = 0; o < job->occurrence_count; o++) {
-            for (uint32_t s = 0; s < job->spec.step_count; s++) {
-                fv_sched_stage_t *stage = &job->occurrences[o].stages[s];
-                uint32_t kept = 0;
-
-                for (uint32_t v = 0; v < stage->verdict_count; v++) {
-                    if (stage->verdicts[v].worker != worker) {
-                        stage->verdicts[kept++] = stage->verdicts[v];
-                    }
-                }
-                stage->verdict_count = kept;
-                for (int32_t t = 0; t < stage->step->task_count; t++) {
-                    if (stage->tasks[t].failed_on == worker) {
-                        stage->tasks[t].failed_on = NULL;
-                    }
-                }
-            }
-        }
-    }
+    FvSched_ForgetWorker(sched, worker);
     FvSched_ForgetOrphanRuns(worker, INT64_MAX);
     HASH_DEL(sched->workers, worker);
     free(worker);
@@ -535,19 +486,28 @@
     return false;
 }
 
+/* Entry and report must describe the same life of the worker, since the next
+ * one under its id may have other labels and another capacity. */
+static bool
+is_incarnation_listed(const fv_sched_worker_t *worker)
+{
+    return worker->entry.started_wall_ms == worker->started_wall_ms;
+}
+
 /**
  * FvSched_IsWorkerAvailable - check whether a worker takes any new tasks
  * @worker: the worker
  * @now_ms: the time
  *
- * Return: false when it leaves, does not answer, or may hold runs that are not
- * known.
+ * Return: false when it leaves, does not answer, may hold runs that are not
+ * known, or when its entry is that of another incarnation than its report.
  */
 bool
 FvSched_IsWorkerAvailable(const fv_sched_worker_t *worker, int64_t now_ms)
 {
     return worker->listed && worker->synced && worker->in_worker_list &&
-           !worker->suspect && !worker->draining && !worker->lost &&
+           is_incarnation_listed(worker) && !worker->suspect &&
+           !worker->draining && !worker->lost &&
            worker->inherited_stops_until_ms <= now_ms &&
            !has_orphan_runs(worker, now_ms);
 }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -181,8 +181,8 @@
     bool suspect;              /* did not answer the last report request */
     bool lost;                 /* its lease has expired without contact */
     bool draining;
-    int64_t drain_until_ms; /* leaves no earlier; 0: not known */
-    int64_t started_wall_ms;
+    int64_t drain_until_ms;   /* leaves no earlier; 0: not known */
+    int64_t started_wall_ms;  /* of the incarnation that reported */
     int64_t clock_ms;         /* the worker's clock at its last report */
     int64_t clock_sampled_ms; /* this host's clock at the same time */
     int64_t lease_expires_ms; /* nothing runs afterwards without contact */
@@ -338,8 +338,6 @@
 fv_sched_worker_t *FvSched_UpdateWorker(fv_sched_t *sched,
                                         const fv_worker_entry_t *entry,
                                         int64_t now_ms);
-void FvSched_BeginIncarnation(fv_sched_t *sched, fv_sched_worker_t *worker,
-                              int64_t started_wall_ms);
 void FvSched_WorkerUnlisted(fv_sched_worker_t *worker);
 void FvSched_UnlistMissingWorkers(fv_sched_t *sched, uint64_t reading);
 void FvSched_FreeWorker(fv_sched_t *sched, fv_sched_worker_t *worker);
@@ -383,12 +381,18 @@
                                 const fv_sched_task_t *task, bool failed,
                                 int64_t now_ms);
 
+/* sched-incarnation.c */
+void FvSched_ForgetWorker(fv_sched_t *sched, const fv_sched_worker_t *worker);
+void FvSched_BeginIncarnation(fv_sched_t *sched, fv_sched_worker_t *worker,
+                              int64_t started_wall_ms);
+
 /* sched-report.c */
 void FvSched_ApplyReport(fv_sched_t *sched, fv_sched_worker_t *worker,
                          const fv_worker_report_t *report, int64_t sent_ms,
                          int64_t now_ms);
 void FvSched_ReportUnanswered(fv_sched_t *sched, fv_sched_worker_t *worker,
                               int64_t now_ms);
+int64_t FvSched_EndToAcknowledge(const fv_sched_worker_t *worker);
 bool FvSched_EndsRecorded(fv_sched_worker_t *worker, int64_t number);
 
 /* sched-order.c */
--- a/tests/harness/sched-sim-handlers.c
+++ b/tests/harness/sched-sim-handlers.c
@@ -309,17 +309,39 @@
     FvSim_Schedule(sim, retry);
 }
 
+/* The entry is written at once, and read when the watch next delivers. */
 static void
 worker_returns(sim_t *sim, uint32_t index)
 {
     sim_worker_t *worker = &sim->workers[index];
+    sim_event_t event = {.kind = EVENT_ENTRY_ARRIVES, .worker = index};
 
     worker->up = true;
     worker->drain_deadline_ms = 0;
     worker->entry.draining = false;
     worker->entry.drain_left_ms = 0;
     worker->entry.started_wall_ms = sim->now_ms;
-    FvSched_UpdateWorker(&sim->sched, &worker->entry, sim->now_ms);
+    if (sim->plan->faults.kind_changes == 0) {
+        FvSched_UpdateWorker(&sim->sched, &worker->entry, sim->now_ms);
+        return;
+    }
+    /* Two workers of each kind stay, so that every job can end. */
+    if (index >= 4 && FvSim_FaultOccurs(sim, sim->plan->faults.kind_changes)) {
+        FvSim_SetKind(worker, strcmp(worker->entry.labels[0], "a") != 0);
+    }
+    event.at_ms = sim->now_ms + FvSim_RandomBelow(sim, ENTRY_DELAY_MAX_MS);
+    event.entry = worker->entry;
+    FvSim_Schedule(sim, event);
+}
+
+static void
+entry_arrives(sim_t *sim, const sim_event_t *event)
+{
+    const fv_worker_entry_t *current = &sim->workers[event->worker].entry;
+
+    if (event->entry.started_wall_ms == current->started_wall_ms) {
+        FvSched_UpdateWorker(&sim->sched, current, sim->now_ms);
+    }
 }
 
 /**
@@ -359,6 +381,9 @@
     case EVENT_WORKER_RETURNS:
         worker_returns(sim, event->worker);
         break;
+    case EVENT_ENTRY_ARRIVES:
+        entry_arrives(sim, event);
+        break;
     case EVENT_JOB_ARRIVES:
         job_arrives(sim, event);
         break;
--- a/tests/harness/sched-sim-internal.h
+++ b/tests/harness/sched-sim-internal.h
@@ -39,6 +39,7 @@
 #define ADVICE_REQUESTS_MAX 6
 #define STEPS_MAX 3
 #define STEP_TASKS_MAX 8
+#define ENTRY_DELAY_MAX_MS 600
 
 typedef enum event_kind {
     EVENT_ORDER_ARRIVES,
@@ -49,6 +50,7 @@
     EVENT_ENDS_RECORDED,
     EVENT_ADVICE_ARRIVES,
     EVENT_WORKER_RETURNS,
+    EVENT_ENTRY_ARRIVES,
     EVENT_JOB_ARRIVES,
     EVENT_JOB_CANCELLED
 } event_kind_t;
@@ -118,6 +120,7 @@
     char **workers;
     uint32_t worker_count;
     fv_worker_report_t report;
+    fv_worker_entry_t entry;
     bool answered; /* false: the answer is lost */
 } sim_event_t;
 
@@ -182,6 +185,7 @@
 void FvSim_Record(fv_sched_t *sched, fv_sched_job_t *job,
                   fv_record_kind_t kind);
 void FvSim_RequestReport(sim_t *sim, uint32_t index);
+void FvSim_SetKind(sim_worker_t *worker, bool first);
 void FvSim_HandleEvent(sim_t *sim, sim_event_t *event);
 
 #endif
--- a/tests/harness/sched-sim-worker.c
+++ b/tests/harness/sched-sim-worker.c
@@ -259,6 +259,32 @@
     return true;
 }
 
+/**
+ * FvSim_SetKind - set the label that steps may require
+ * @worker: the worker
+ * @first: whether it is of the first kind
+ */
+void
+FvSim_SetKind(sim_worker_t *worker, bool first)
+{
+    FvText_Copy(worker->entry.labels[0], Fv_NAME_SIZE, first ? "a" : "b");
+    FvText_Copy(worker->entry.labels[1], Fv_NAME_SIZE, worker->entry.rack);
+    worker->entry.label_count = 2;
+}
+
+/* An order in transit while its worker restarts can't be taken back. */
+static void
+check_label(sim_t *sim, const sim_worker_t *worker, const sim_event_t *order,
+            const fv_step_spec_t *step)
+{
+    if (step->required_label[0] != '\0' &&
+        order->incarnation_ms == worker->entry.started_wall_ms &&
+        strcmp(step->required_label, worker->entry.labels[0]) != 0) {
+        FvSim_AddViolation(sim, &sim->result->started_without_label,
+                           "started without its label:", order->task);
+    }
+}
+
 static void
 check_start(sim_t *sim, const sim_worker_t *worker, sim_task_t *task,
             const fv_step_spec_t *step)
@@ -323,6 +349,7 @@
         }
     }
     check_start(sim, worker, task, step);
+    check_label(sim, worker, order, step);
     if (step->long_running) {
         run.duration_ms = 2000 + FvSim_RandomBelow(sim, LASTING_RUN_MAX_MS);
         run.fails = FvSim_RandomBelow(sim, 2) == 0;
--- a/tests/harness/sched-sim.c
+++ b/tests/harness/sched-sim.c
@@ -213,13 +213,14 @@
 write_document(sim_t *sim, sim_job_t *job)
 {
     uint32_t steps = 1 + FvSim_RandomBelow(sim, STEPS_MAX);
+    bool labelled = sim->plan->faults.kind_changes > 0;
     fv_buffer_t text = {0};
     char part[256];
 
     snprintf(part, sizeof(part), "{\"taskSpec\":\"x\",\"steps\":[");
     FvBuffer_Append(&text, part, strlen(part));
     for (uint32_t s = 0; s < steps; s++) {
-        bool gang = FvSim_RandomBelow(sim, 3) == 0;
+        bool gang = !labelled && FvSim_RandomBelow(sim, 3) == 0;
 
         snprintf(part, sizeof(part),
                  "%s{\"count\":%u,\"cpu\":%u,\"memMb\":10,"
@@ -236,7 +237,12 @@
         if (s > 0 && FvSim_RandomBelow(sim, 3) > 0) {
             FvBuffer_Append(&text, part, strlen(part));
         }
-        FvBuffer_Append(&text, "]}", 2);
+        snprintf(part, sizeof(part), "]%s}",
+                 !labelled ? ""
+                 : FvSim_RandomBelow(sim, 2) == 0
+                     ? ",\"requiredLabel\":\"a\""
+                     : ",\"requiredLabel\":\"b\"");
+        FvBuffer_Append(&text, part, strlen(part));
     }
     FvBuffer_Append(&text, "]}", 3);
     job->document = (char *)text.data;
@@ -295,6 +301,7 @@
                                             .memory_mib = 1 << 20};
         snprintf(worker->entry.id, Fv_NAME_SIZE, "w%u", w);
         snprintf(worker->entry.rack, Fv_NAME_SIZE, "r%u", w / 4);
+        FvSim_SetKind(worker, w % 2 == 0);
     }
     sim->job_count = sim->plan->jobs;
     for (uint32_t j = 0; j < sim->job_count; j++) {
--- a/tests/harness/sched-sim.h
+++ b/tests/harness/sched-sim.h
@@ -16,6 +16,7 @@
     uint32_t lost_orders; /* not answered; half of them are executed late */
     uint32_t failing_tasks;
     uint32_t worker_crashes;    /* of one worker, each second */
+    uint32_t kind_changes;      /* of the crashed workers */
     uint32_t worker_outages;    /* each second; no answers for 1 to 8 s */
     uint32_t worker_drains;     /* each second; the worker leaves in 2.5 s */
     uint32_t leader_failovers;  /* each second, without notice */
@@ -46,6 +47,7 @@
     uint32_t started_before_predecessors;
     uint32_t started_beyond_attempts;
     uint32_t started_beyond_spread;
+    uint32_t started_without_label;
     uint32_t waited_too_long;
     uint32_t unfinished_jobs;
     uint32_t wrong_outcomes;
--- a/tests/unit/sched_model_test.c
+++ b/tests/unit/sched_model_test.c
@@ -32,6 +32,7 @@
     CU_ASSERT_EQUAL(result.started_before_predecessors, 0);
     CU_ASSERT_EQUAL(result.started_beyond_attempts, 0);
     CU_ASSERT_EQUAL(result.started_beyond_spread, 0);
+    CU_ASSERT_EQUAL(result.started_without_label, 0);
     CU_ASSERT_EQUAL(result.waited_too_long, 0);
     CU_ASSERT_EQUAL(result.unfinished_jobs, 0);
     CU_ASSERT_EQUAL(result.wrong_outcomes, 0);
@@ -121,6 +122,16 @@
               true);
 }
 
+/* Workers come back under their id, at times as another kind. */
+static void
+test_kind_changes(void)
+{
+    static const sim_faults_t faults = {
+        .worker_crashes = 800, .kind_changes = 500, .lost_orders = 30};
+
+    run_seeds(&faults, false);
+}
+
 static void
 test_leader_changes(void)
 {
@@ -184,6 +195,8 @@
         {"a guarantee is broken by lost or late orders", test_lost_orders},
         {"a guarantee is broken by failing or leaving workers",
          test_worker_failures},
+        {"a guarantee is broken by workers that return as another kind",
+         test_kind_changes},
         {"a guarantee is broken by leader failures", test_leader_changes},
         {"a guarantee is broken by leader handovers", test_leader_handovers},
         {"a guarantee is broken by all faults together", test_all_faults},
--- a/tests/unit/sched_registry_test.c
+++ b/tests/unit/sched_registry_test.c
@@ -5,6 +5,7 @@
 
 #include "sched-fixture.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #define JOB "00000000000000aa"
@@ -71,6 +72,179 @@
     FvSchedFixture_Close(&fixture);
 }
 
+static const char labelled[] =
+    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1000,\"memMb\":1,"
+    "\"estimatedMs\":9000,\"requiredLabel\":\"a\"}]}";
+
+static void
+report_incarnation(sched_fixture_t *fixture, fv_sched_worker_t *worker,
+                   int64_t started_wall_ms)
+{
+    fv_worker_report_t report = {.clock_ms = 1000,
+                                 .started_wall_ms = started_wall_ms};
+
+    FvSched_ApplyReport(&fixture->sched, worker, &report, fixture->now_ms,
+                        fixture->now_ms);
+    FvSchedFixture_RunPass(fixture);
+}
+
+static void
+list_incarnation(sched_fixture_t *fixture, const fv_sched_worker_t *worker,
+                 int64_t started_wall_ms, const char *kind)
+{
+    fv_worker_entry_t entry = worker->entry;
+
+    entry.started_wall_ms = started_wall_ms;
+    FvText_Copy(entry.labels[0], sizeof(entry.labels[0]), kind);
+    FvSched_UpdateWorker(&fixture->sched, &entry, fixture->now_ms);
+    FvSchedFixture_RunPass(fixture);
+}
+
+/* A worker of kind a restarts under its id as kind b. Its report is known
+ * before its entry. */
+static void
+test_report_before_entry(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_worker_t *worker;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    report_incarnation(&fixture, worker, 2);
+    FvSchedFixture_AddJob(&fixture, JOB, &queue, labelled);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(fixture.order_count, 0);
+    /* A heartbeat of the earlier incarnation, read late. */
+    list_incarnation(&fixture, worker, 1, "a");
+    CU_ASSERT_EQUAL(fixture.order_count, 0);
+    list_incarnation(&fixture, worker, 2, "b");
+    CU_ASSERT_EQUAL(fixture.order_count, 0);
+    FvSchedFixture_AddJob(&fixture, "00000000000000bb", &queue, one_task);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, "00000000000000bb"),
+                    1);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* The entry of the later incarnation is known before its report. */
+static void
+test_entry_before_report(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_worker_t *worker;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    worker->last_end_recorded = 57;
+    list_incarnation(&fixture, worker, 2, "a");
+    CU_ASSERT_EQUAL(FvSched_EndToAcknowledge(worker), 0);
+    CU_ASSERT_EQUAL(
+        FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms), 0);
+    CU_ASSERT_TRUE(worker->report_due_ms != 0);
+    FvSchedFixture_AddJob(&fixture, JOB, &queue, labelled);
+    FvSchedFixture_RunPass(&fixture);
+    report_incarnation(&fixture, worker, 1); /* answered before the restart */
+    CU_ASSERT_EQUAL(fixture.order_count, 0);
+    CU_ASSERT_EQUAL(FvSched_EndToAcknowledge(worker), 0);
+    report_incarnation(&fixture, worker, 2);
+    CU_ASSERT_EQUAL(fixture.order_count, 1);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* Another writer's entry under a worker's id tells of a start in the future,
+ * until the worker writes its own again. */
+static void
+test_entry_of_future_incarnation(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_worker_t *worker;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    list_incarnation(&fixture, worker, INT64_C(1) << 53, "a");
+    report_incarnation(&fixture, worker, 1);
+    FvSchedFixture_AddJob(&fixture, JOB, &queue, one_task);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(fixture.order_count, 0);
+    list_incarnation(&fixture, worker, 1, "a");
+    report_incarnation(&fixture, worker, 1);
+    CU_ASSERT_EQUAL(fixture.order_count, 1);
+    CU_ASSERT_TRUE(
+        FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms) > 0);
+    FvSchedFixture_Close(&fixture);
+}
+
+static bool
+allow_all(const char *worker)
+{
+    (void)worker;
+    return true;
+}
+
+/* A ticket is valid during one life of a worker. */
+static void
+test_tickets_end_with_incarnation(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeAdvisedQueue("q", 0);
+    fv_sched_worker_t *worker;
+    fv_sched_job_t *job;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    fixture.refuse_starts = true;
+    job = FvSchedFixture_AddJob(&fixture, JOB, &queue, one_task);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_TRUE(FvSchedFixture_AnswerAdvice(&fixture, allow_all));
+    CU_ASSERT_PTR_NOT_NULL(
+        FvSched_FindVerdict(&job->occurrences[0].stages[0], worker));
+    report_incarnation(&fixture, worker, 2);
+    CU_ASSERT_PTR_NULL(
+        FvSched_FindVerdict(&job->occurrences[0].stages[0], worker));
+    fixture.refuse_starts = false;
+    fixture.now_ms += 1000;
+    list_incarnation(&fixture, worker, 2, "a");
+    CU_ASSERT_EQUAL(fixture.order_count, 0);
+    CU_ASSERT_TRUE(FvSchedFixture_AnswerAdvice(&fixture, allow_all));
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(fixture.order_count, 1);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* A start is not answered, and its worker restarts meanwhile. */
+static void
+test_start_is_not_repeated_after_restart(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_worker_t *worker;
+    fv_sched_task_t *task;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    FvSchedFixture_AddJob(&fixture, JOB, &queue, labelled);
+    FvSchedFixture_RunPass(&fixture);
+    task = FvSched_FindTask(&fixture.sched, JOB ".0.0.0");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(task);
+    if (task == NULL) {
+        abort();
+    }
+    fixture.now_ms += 100;
+    report_incarnation(&fixture, worker, 2);
+    FvSched_StartAnswered(&fixture.sched, task, 1, Fv_ORDER_UNCONFIRMED,
+                          fixture.now_ms);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB), 1);
+    /* The new incarnation must refuse the start before the task goes on. */
+    fixture.now_ms += 100;
+    report_incarnation(&fixture, worker, 2);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStops(&fixture, JOB), 1);
+    CU_ASSERT_PTR_EQUAL(task->worker, worker);
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -79,6 +253,17 @@
          test_workers_stay_usable_while_registry_is_read},
         {"a heartbeat without news causes a scheduling pass",
          test_heartbeat_requires_no_pass},
+        {"a restarted worker gets tasks for its earlier labels",
+         test_report_before_entry},
+        {"a restarted worker gets tasks, leases or acknowledgements before "
+         "its first report",
+         test_entry_before_report},
+        {"an entry of a start in the future disables its worker for good",
+         test_entry_of_future_incarnation},
+        {"a ticket outlives the incarnation of its worker",
+         test_tickets_end_with_incarnation},
+        {"a start is repeated to the next incarnation of its worker",
+         test_start_is_not_repeated_after_restart},
     };
 
     return Fv_RUN_SUITE("sched_registry", cases);
