--- a/tests/promises/entry_odd_worker_entries.c
+++ b/tests/promises/entry_odd_worker_entries.c
@@ -201,9 +201,9 @@
     submit(path, sizeof(path), (leader + 1) % HOSTS, 8, 1500);
     FvProcess_Kill(&cell.hosts[leader].process);
     killed_ms = FvClock_NowMs();
-    CU_ASSERT_TRUE(FvEntryCell_StartHost(&cell, leader));
     successor = wait_for_leader(leader);
-    CU_ASSERT_TRUE_FATAL(successor >= 0);
+    CU_ASSERT_TRUE_FATAL(successor >= 0 && successor != leader);
+    CU_ASSERT_TRUE(FvEntryCell_StartHost(&cell, leader));
     CU_ASSERT_TRUE(is_completed(path, (leader + 1) % HOSTS, LEADER_MS));
     while (!FvEntryCell_LogHas(&cell, successor, "inherited_tasks_free") &&
            FvClock_NowMs() < killed_ms + 2 * LEADER_MS) {
