entry: send the requests of a lost leader to its successor, whoever it is

What callers saw: 504 for requests that nobody was working on. A host whose leader went away and that became leader itself kept its own callers' requests as sent to the earlier one until they timed out. A leader that was deposed while it had requests of its own callers did the same: the greeting of the new leader handed all open requests out again, but frontend_forward prefers the own leader to the link, and so the deposed leader got them, answered some as "current" (hypothesis 4 of docs/incidents/processes-unasked.md) and dropped the rest when it stepped down.

A link to a leader now goes before the own leader: while a host leads, such a link is one to its successor.

--- a/src/entry.c
+++ b/src/entry.c
@@ -257,6 +257,9 @@
     (void)cause;
     FvLeader_Free(entry->leader);
     entry->leader = NULL;
+    if (entry->leader_link == NULL) {
+        FvFrontend_LeaderLost(entry->frontend);
+    }
     FvLinks_CloseDialed(entry->links);
     for (uint32_t i = 0; i < entry->host_state_count; i++) {
         fv_host_state_t *state = entry->host_states[i];
@@ -308,22 +311,23 @@
 {
     fv_entry_t *entry = context;
 
-    FvFrontend_Reply(entry->frontend, reply, true);
+    FvFrontend_Reply(entry->frontend, reply, entry->leader_link == NULL);
 }
 
+/* While this host leads, a link to a leader is one to its successor. */
 static bool
 frontend_forward(void *context, const fv_cell_message_t *message)
 {
     fv_entry_t *entry = context;
 
-    if (entry->leader != NULL && FvLeader_IsServing(entry->leader)) {
-        FvLeader_HandleRequest(entry->leader, message, reply_to_self, entry);
-        return true;
-    }
     if (entry->leader_link != NULL) {
         FvLinks_Send(entry->leader_link, message);
         return true;
     }
+    if (entry->leader != NULL && FvLeader_IsServing(entry->leader)) {
+        FvLeader_HandleRequest(entry->leader, message, reply_to_self, entry);
+        return true;
+    }
     return false;
 }
 
@@ -385,8 +389,7 @@
         handle_greeting(entry, peer, message);
         break;
     case Fv_CELL_MESSAGE_REPLY:
-        FvFrontend_Reply(entry->frontend, message,
-                         peer == entry->leader_link && entry->leader == NULL);
+        FvFrontend_Reply(entry->frontend, message, peer == entry->leader_link);
         break;
     case Fv_CELL_MESSAGE_ADVICE_REQUEST:
         if (entry->advice_client != NULL) {
--- a/src/entry.h
+++ b/src/entry.h
@@ -321,6 +321,7 @@
 void FvFrontend_Reply(fv_frontend_t *frontend,
                       const fv_cell_message_t *message, bool current);
 void FvFrontend_LeaderChanged(fv_frontend_t *frontend);
+void FvFrontend_LeaderLost(fv_frontend_t *frontend);
 void FvFrontend_Drain(fv_frontend_t *frontend);
 void FvFrontend_StopAccepting(fv_frontend_t *frontend, bool at_once);
 bool FvFrontend_IsAccepting(const fv_frontend_t *frontend);
--- a/src/forwarding.c
+++ b/src/forwarding.c
@@ -48,6 +48,20 @@
     return forwarding->awaiting_reply || forwarding->outcome_unknown;
 }
 
+/**
+ * FvForwarding_LeaderLost - note that no reply will come
+ * @forwarding: the request's state
+ *
+ * A request that was sent has to be sent to the next leader.
+ */
+void
+FvForwarding_LeaderLost(fv_forwarding_t *forwarding)
+{
+    forwarding->outcome_unknown =
+        forwarding->outcome_unknown || forwarding->awaiting_reply;
+    forwarding->awaiting_reply = false;
+}
+
 /**
  * FvForwarding_AcceptsReply - whether a reply is final
  * @reply: the reply
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -22,6 +22,7 @@
 } fv_forwarding_t;
 
 void FvForwarding_Sent(fv_forwarding_t *forwarding);
+void FvForwarding_LeaderLost(fv_forwarding_t *forwarding);
 void FvForwarding_NotExecuted(fv_forwarding_t *forwarding);
 bool FvForwarding_MayHaveExecuted(const fv_forwarding_t *forwarding);
 bool FvForwarding_AcceptsReply(fv_reply_t reply, bool current);
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -549,6 +549,19 @@
     }
 }
 
+/**
+ * FvFrontend_LeaderLost - note that the leader will not reply any more
+ * @frontend: the frontend
+ */
+void
+FvFrontend_LeaderLost(fv_frontend_t *frontend)
+{
+    for (fv_frontend_request_t *request = frontend->requests; request != NULL;
+         request = request->hh.next) {
+        FvForwarding_LeaderLost(&request->forwarding);
+    }
+}
+
 /**
  * FvFrontend_LeaderChanged - forward all open requests to the new leader
  * @frontend: the frontend
@@ -559,6 +572,7 @@
     fv_frontend_request_t *request;
     fv_frontend_request_t *next;
 
+    FvFrontend_LeaderLost(frontend);
     for (request = frontend->requests; request != NULL; request = next) {
         next = request->hh.next;
         forward_request(frontend, request);
--- a/tests/unit/forwarding_test.c
+++ b/tests/unit/forwarding_test.c
@@ -72,6 +72,20 @@
     CU_ASSERT_EQUAL(step_after(&request, 1900), Fv_FORWARDING_TIME_OUT);
 }
 
+/* The host loses the leader that has the request, and leads itself next: there
+ * is no other host that would take the request anew. */
+static void
+test_request_of_a_lost_leader_is_sent_again(void)
+{
+    fv_forwarding_t request = new_request();
+
+    FvForwarding_Sent(&request);
+    FvForwarding_LeaderLost(&request);
+    CU_ASSERT_EQUAL(step_after(&request, 100), Fv_FORWARDING_SEND);
+    CU_ASSERT_EQUAL(step_after(&request, 1000), Fv_FORWARDING_SEND);
+    CU_ASSERT_EQUAL(step_after(&request, 1900), Fv_FORWARDING_TIME_OUT);
+}
+
 /* The store is back and a new leader has the open requests, while a rejection
  * by the previous leader is still in transit. */
 static void
@@ -97,6 +111,8 @@
          test_declined_request_is_rejected},
         {"an unconfirmed request is reported as not executed",
          test_unanswered_request_times_out},
+        {"a request waits for a reply of a leader that is lost",
+         test_request_of_a_lost_leader_is_sent_again},
         {"a rejection by an earlier leader reaches the caller",
          test_rejection_by_an_earlier_leader},
     };
