leader: record the cancellation of an unknown job before it is answered

What callers saw: a job whose cancellation was answered 410 ran. The leader said so because it did not know the job, and remembered nothing: a submission of the same id that a frontend still held, that the caller repeated or that a connection delivered late was accepted afterwards.

The leader now writes ended/ID = barred, on the lease of ended jobs, and answers 410 when that is in the store. Only the leader can write it, so that the answer of a deposed leader never comes; every later leader loads it; and a 410 that is delivered late is still true, since the job can't be accepted any more. Later submissions are refused (503: not accepted, never runs), questions and further cancellations answered 410. While the store is away, or if the record could not be sent, the cancellation is given back as not processed. The cancellation of a submission that was withdrawn is given back too, as other copies of it may be under way.

It costs one write for each unknown job that is cancelled, gathered with other records, and an answer that takes a write's time in place of none.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -191,7 +191,7 @@
 
     for (ended = leader->ended; ended != NULL; ended = next) {
         next = ended->hh.next;
-        if (now_ms - ended->ended_ms <= retention_ms) {
+        if (now_ms - ended->ended_ms <= retention_ms || !ended->recorded) {
             return; /* sorted by end time */
         }
         /* uthash unlinks the entry, which the analyzer does not see. */
@@ -499,17 +499,6 @@
     free(leader);
 }
 
-static void
-free_waiters(fv_sched_job_t *job)
-{
-    while (job->waiters != NULL) {
-        fv_record_waiter_t *waiter = job->waiters;
-
-        job->waiters = waiter->next;
-        free(waiter);
-    }
-}
-
 /**
  * FvLeader_Free - stop leading at once; pending requests get no reply
  * @leader: the leader, or NULL
@@ -526,10 +515,7 @@
     event_del(leader->pass_timer);
     event_del(leader->handover_timer);
     FvKvClient_CancelWatch(leader->registry_watch);
-    for (fv_sched_job_t *job = leader->sched.jobs; job != NULL;
-         job = job->hh.next) {
-        free_waiters(job);
-    }
+    FvLeader_DropReplies(leader, NULL);
     for (fv_sched_worker_t *worker = leader->sched.workers; worker != NULL;
          worker = worker->hh.next) {
         fv_worker_session_t *session = worker->leader_session;
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -27,9 +27,15 @@
     struct fv_record_waiter *next;
 } fv_record_waiter_t;
 
+/* State of a job that was cancelled while no host knew of it: a submission
+ * that comes later is refused. Callers are told that there is no such job. */
+#define Fv_STATE_BARRED "barred"
+
 typedef struct fv_ended_job {
     char id[Fv_JOB_ID_SIZE];
     char state[16];
+    bool recorded;
+    fv_record_waiter_t *waiters; /* for the record of a barred job */
     int64_t ended_ms;
     UT_hash_handle hh;
 } fv_ended_job_t;
@@ -169,6 +175,13 @@
 void FvLeaderRecord_AddWaiter(fv_sched_job_t *job,
                               const fv_cell_message_t *message,
                               fv_leader_reply_t reply, void *context);
+void FvLeaderRecord_DropWaiters(fv_record_waiter_t **waiters,
+                                const void *context);
+void FvLeaderRecord_AddBarWaiter(fv_ended_job_t *ended,
+                                 const fv_cell_message_t *message,
+                                 fv_leader_reply_t reply, void *context);
+void FvLeaderRecord_Bar(fv_leader_t *leader, const fv_cell_message_t *message,
+                        fv_leader_reply_t reply, void *context);
 void FvLeaderRecord_RememberEnded(fv_leader_t *leader, const char *id,
                                   const char *state);
 void FvLeaderRecord_RemoveIfIdle(fv_leader_t *leader, fv_sched_job_t *job);
--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -37,6 +37,23 @@
     }
 }
 
+static void
+add_waiter(fv_record_waiter_t **waiters, const fv_cell_message_t *message,
+           fv_leader_reply_t reply, void *context)
+{
+    fv_record_waiter_t *waiter = calloc(1, sizeof(*waiter));
+
+    if (waiter == NULL) {
+        return; /* the request times out and is repeated */
+    }
+    *waiter = (fv_record_waiter_t){.id = message->id,
+                                   .verb = (fv_verb_t)message->number,
+                                   .reply = reply,
+                                   .context = context,
+                                   .next = *waiters};
+    *waiters = waiter;
+}
+
 /**
  * FvLeaderRecord_AddWaiter - reply to a request once a job is recorded
  * @job: the job
@@ -48,28 +65,48 @@
 FvLeaderRecord_AddWaiter(fv_sched_job_t *job, const fv_cell_message_t *message,
                          fv_leader_reply_t reply, void *context)
 {
-    fv_record_waiter_t *waiter = calloc(1, sizeof(*waiter));
+    add_waiter((fv_record_waiter_t **)&job->waiters, message, reply, context);
+}
 
-    if (waiter == NULL) {
-        return; /* the request times out and is repeated */
-    }
-    *waiter = (fv_record_waiter_t){.id = message->id,
-                                   .verb = (fv_verb_t)message->number,
-                                   .reply = reply,
-                                   .context = context,
-                                   .next = job->waiters};
-    job->waiters = waiter;
+/**
+ * FvLeaderRecord_AddBarWaiter - reply to a cancellation once a bar is recorded
+ * @ended: the barred job
+ * @message: the caller's request
+ * @reply: called with the answer
+ * @context: passed to @reply
+ */
+void
+FvLeaderRecord_AddBarWaiter(fv_ended_job_t *ended,
+                            const fv_cell_message_t *message,
+                            fv_leader_reply_t reply, void *context)
+{
+    add_waiter(&ended->waiters, message, reply, context);
 }
 
 /**
- * FvLeaderRecord_RememberEnded - keep the state of an ended job in memory
- * @leader: the leader
- * @id: the job
- * @state: its final state
+ * FvLeaderRecord_DropWaiters - drop the waiting requests of a host
+ * @waiters: the list
+ * @context: the context of the host's requests; NULL: drop all
  */
 void
-FvLeaderRecord_RememberEnded(fv_leader_t *leader, const char *id,
-                             const char *state)
+FvLeaderRecord_DropWaiters(fv_record_waiter_t **waiters, const void *context)
+{
+    fv_record_waiter_t **link = waiters;
+
+    while (*link != NULL) {
+        fv_record_waiter_t *waiter = *link;
+
+        if (context != NULL && waiter->context != context) {
+            link = &waiter->next;
+            continue;
+        }
+        *link = waiter->next;
+        free(waiter);
+    }
+}
+
+static fv_ended_job_t *
+find_or_add_ended(fv_leader_t *leader, const char *id, const char *state)
 {
     fv_ended_job_t *ended = NULL;
 
@@ -77,13 +114,31 @@
     if (ended == NULL) {
         ended = calloc(1, sizeof(*ended));
         if (ended == NULL) {
-            return;
+            return NULL;
         }
         FvText_Copy(ended->id, sizeof(ended->id), id);
         HASH_ADD_STR(leader->ended, id, ended);
     }
     FvText_Copy(ended->state, sizeof(ended->state), state);
     ended->ended_ms = FvClock_NowMs();
+    return ended;
+}
+
+/**
+ * FvLeaderRecord_RememberEnded - keep the state of an ended job in memory
+ * @leader: the leader
+ * @id: the job
+ * @state: its final state, as recorded
+ */
+void
+FvLeaderRecord_RememberEnded(fv_leader_t *leader, const char *id,
+                             const char *state)
+{
+    fv_ended_job_t *ended = find_or_add_ended(leader, id, state);
+
+    if (ended != NULL) {
+        ended->recorded = true;
+    }
 }
 
 typedef struct fv_record_call {
@@ -156,7 +211,7 @@
                     job->queue.name);
         answer_waiters(leader, job, Fv_VERB_SUBMIT, Fv_REPLY_REFUSED,
                        Fv_STORE_RETRY_AFTER_S);
-        answer_waiters(leader, job, Fv_VERB_CANCEL, Fv_REPLY_GONE, "");
+        answer_waiters(leader, job, Fv_VERB_CANCEL, Fv_REPLY_NOT_READY, "");
         FvSched_RemoveJob(&leader->sched, job);
     }
     free(call);
@@ -242,6 +297,94 @@
     }
 }
 
+static fv_ended_job_t *
+find_barred(const fv_record_call_t *call)
+{
+    fv_ended_job_t *ended = NULL;
+
+    HASH_FIND_STR(call->leader->ended, call->job, ended);
+    return ended;
+}
+
+static void
+answer_bar_waiters(fv_leader_t *leader, fv_ended_job_t *ended,
+                   fv_reply_t outcome)
+{
+    while (ended->waiters != NULL) {
+        fv_record_waiter_t *waiter = ended->waiters;
+
+        ended->waiters = waiter->next;
+        FvLeaderRequest_Answer(leader, waiter->verb, ended->id, waiter->id,
+                               waiter->reply, waiter->context, outcome, "");
+        free(waiter);
+    }
+}
+
+static void
+bar_written(void *context)
+{
+    fv_record_call_t *call = context;
+    fv_ended_job_t *ended = find_barred(call);
+
+    if (ended != NULL) {
+        ended->recorded = true;
+        answer_bar_waiters(call->leader, ended, Fv_REPLY_GONE);
+    }
+    free(call);
+}
+
+static void
+bar_withdrawn(void *context)
+{
+    fv_record_call_t *call = context;
+    fv_ended_job_t *ended = find_barred(call);
+
+    if (ended != NULL) {
+        answer_bar_waiters(call->leader, ended, Fv_REPLY_NOT_READY);
+        HASH_DEL(call->leader->ended, ended);
+        free(ended);
+    }
+    free(call);
+}
+
+/**
+ * FvLeaderRecord_Bar - cancel a job that nobody has submitted yet
+ * @leader: the leader
+ * @message: the cancellation
+ * @reply: called with the answer
+ * @context: passed to @reply
+ *
+ * A submission may still be on its way, at another host or from the caller.
+ * The record makes this and all later leaders refuse it, and only a leader
+ * can write it. The caller is answered once it is written.
+ */
+void
+FvLeaderRecord_Bar(fv_leader_t *leader, const fv_cell_message_t *message,
+                   fv_leader_reply_t reply, void *context)
+{
+    fv_ended_job_t *ended =
+        find_or_add_ended(leader, message->key, Fv_STATE_BARRED);
+    fv_record_call_t *call = calloc(1, sizeof(*call));
+    fv_record_t entry = {.expires = true};
+
+    if (ended == NULL || call == NULL) {
+        abort(); /* as for other records */
+    }
+    FvLeaderRecord_AddBarWaiter(ended, message, reply, context);
+    call->leader = leader;
+    FvText_Copy(call->job, sizeof(call->job), message->key);
+    format_job_key(Fv_KEY_ENDED, call->job, entry.key, sizeof(entry.key));
+    FvBuffer_Append(&entry.value, Fv_STATE_BARRED, strlen(Fv_STATE_BARRED));
+    FvRecordWriter_Write(leader->records,
+                         &(fv_records_group_t){.order_key = call->job,
+                                               .entries = &entry,
+                                               .count = 1,
+                                               .urgent = true,
+                                               .done = bar_written,
+                                               .withdrawn = bar_withdrawn,
+                                               .context = call});
+}
+
 static void worker_list_written(void *context);
 
 /* A worker that has not reported got no orders, so that the next leader need
--- a/src/leader-requests.c
+++ b/src/leader-requests.c
@@ -112,16 +112,28 @@
 }
 
 static void
-handle_ended_job(fv_leader_t *leader, const fv_ended_job_t *ended,
+handle_ended_job(fv_leader_t *leader, fv_ended_job_t *ended,
                  const fv_cell_message_t *message, fv_leader_reply_t reply,
                  void *context)
 {
-    if (message->number == Fv_VERB_SUBMIT) {
-        reply_now(leader, message, reply, context, Fv_REPLY_ACCEPTED, "");
+    bool barred = strcmp(ended->state, Fv_STATE_BARRED) == 0;
+
+    if (barred && !ended->recorded) {
+        if (message->number == Fv_VERB_CANCEL) {
+            FvLeaderRecord_AddBarWaiter(ended, message, reply, context);
+            return;
+        }
+        reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
+    }
+    else if (message->number == Fv_VERB_SUBMIT) {
+        reply_now(leader, message, reply, context,
+                  barred ? Fv_REPLY_REFUSED : Fv_REPLY_ACCEPTED,
+                  barred ? Fv_STORE_RETRY_AFTER_S : "");
     }
     else {
-        reply_now(leader, message, reply, context, Fv_REPLY_STATE,
-                  ended->state);
+        reply_now(leader, message, reply, context,
+                  barred ? Fv_REPLY_GONE : Fv_REPLY_STATE,
+                  barred ? "" : ended->state);
     }
 }
 
@@ -131,22 +143,13 @@
                 void *context)
 {
     if (message->number == Fv_VERB_SUBMIT) {
-        if (job->durable) {
-            reply_now(leader, message, reply, context, Fv_REPLY_ACCEPTED, "");
-        }
-        else {
-            FvLeaderRecord_AddWaiter(job, message, reply, context);
-        }
+        FvLeaderRecord_AddWaiter(job, message, reply, context);
     }
     else if (message->number == Fv_VERB_STATE) {
         reply_now(leader, message, reply, context,
                   job->durable ? Fv_REPLY_STATE : Fv_REPLY_NOT_READY,
                   FvSched_JobStateName(job));
     }
-    else if (job->recorded != Fv_SCHED_JOB_OPEN) {
-        reply_now(leader, message, reply, context, Fv_REPLY_STATE,
-                  FvSched_JobStateName(job));
-    }
     else {
         FvLeaderRecord_AddWaiter(job, message, reply, context);
         FvSched_CancelJob(&leader->sched, job, FvClock_NowMs());
@@ -154,67 +157,104 @@
     }
 }
 
+/* Requests that may be answered by any host that has read the store's records,
+ * since what they are told stands there for good. */
+static bool
+answer_from_records(fv_leader_t *leader, const fv_cell_message_t *message,
+                    fv_leader_reply_t reply, void *context)
+{
+    fv_sched_job_t *job = FvSched_FindJob(&leader->sched, message->key);
+    fv_ended_job_t *ended = NULL;
+
+    HASH_FIND_STR(leader->ended, message->key, ended);
+    if (ended != NULL) {
+        handle_ended_job(leader, ended, message, reply, context);
+    }
+    else if (job != NULL && message->number == Fv_VERB_SUBMIT &&
+             job->durable) {
+        reply_now(leader, message, reply, context, Fv_REPLY_ACCEPTED, "");
+    }
+    else if (job != NULL && message->number != Fv_VERB_SUBMIT &&
+             job->recorded != Fv_SCHED_JOB_OPEN) {
+        reply_now(leader, message, reply, context, Fv_REPLY_STATE,
+                  FvSched_JobStateName(job));
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
+static void
+handle_unknown_job(fv_leader_t *leader, const fv_cell_message_t *message,
+                   fv_leader_reply_t reply, void *context)
+{
+    if (message->number == Fv_VERB_SUBMIT) {
+        submit(leader, message, reply, context);
+    }
+    else if (message->number == Fv_VERB_STATE) {
+        reply_now(leader, message, reply, context, Fv_REPLY_GONE, "");
+    }
+    else if (FvRecordWriter_Stalled(leader->records, FvClock_NowMs())) {
+        reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
+    }
+    else {
+        FvLeaderRecord_Bar(leader, message, reply, context);
+    }
+}
+
 /**
  * FvLeader_HandleRequest - handle a request about a job or a queue
  * @leader: the leader
  * @message: the request
- * @reply: called with the answer, now or later
+ * @reply: called with the answer
  * @context: passed to @reply
  */
 void
 FvLeader_HandleRequest(fv_leader_t *leader, const fv_cell_message_t *message,
                        fv_leader_reply_t reply, void *context)
 {
-    fv_sched_job_t *job = FvSched_FindJob(&leader->sched, message->key);
-    fv_ended_job_t *ended = NULL;
+    fv_sched_job_t *job;
     char count[24];
 
     if (!leader->serving) {
         reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
         return;
     }
+    if (message->number != Fv_VERB_WAITING &&
+        answer_from_records(leader, message, reply, context)) {
+        return;
+    }
     if (message->number == Fv_VERB_WAITING) {
         snprintf(count, sizeof(count), "%" PRId64,
                  FvSched_CountQueuedJobs(&leader->sched, message->name));
         reply_now(leader, message, reply, context, Fv_REPLY_COUNT, count);
         return;
     }
-    HASH_FIND_STR(leader->ended, message->key, ended);
-    if (ended != NULL) {
-        handle_ended_job(leader, ended, message, reply, context);
-    }
-    else if (job != NULL) {
+    job = FvSched_FindJob(&leader->sched, message->key);
+    if (job != NULL) {
         handle_open_job(leader, job, message, reply, context);
     }
-    else if (message->number == Fv_VERB_SUBMIT) {
-        submit(leader, message, reply, context);
-    }
     else {
-        reply_now(leader, message, reply, context, Fv_REPLY_GONE, "");
+        handle_unknown_job(leader, message, reply, context);
     }
 }
 
 /**
  * FvLeader_DropReplies - drop the pending replies to a disconnected host
  * @leader: the leader
- * @context: the context of the host's requests
+ * @context: the context of the host's requests; NULL: those to all hosts
  */
 void
 FvLeader_DropReplies(fv_leader_t *leader, const void *context)
 {
     for (fv_sched_job_t *job = leader->sched.jobs; job != NULL;
          job = job->hh.next) {
-        fv_record_waiter_t **link = (fv_record_waiter_t **)&job->waiters;
-
-        while (*link != NULL) {
-            fv_record_waiter_t *waiter = *link;
-
-            if (waiter->context != context) {
-                link = &waiter->next;
-                continue;
-            }
-            *link = waiter->next;
-            free(waiter);
-        }
+        FvLeaderRecord_DropWaiters((fv_record_waiter_t **)&job->waiters,
+                                   context);
+    }
+    for (fv_ended_job_t *ended = leader->ended; ended != NULL;
+         ended = ended->hh.next) {
+        FvLeaderRecord_DropWaiters(&ended->waiters, context);
     }
 }
--- a/tests/promises/entry_unasked.c
+++ b/tests/promises/entry_unasked.c
@@ -76,6 +76,19 @@
     return status;
 }
 
+/* Returns the time of the latest start of a job's tasks, 0 without any. */
+static int64_t
+last_start_ms(int number)
+{
+    json_t *report = FvEntryCell_Report(&cell);
+    int64_t started_ms = FvJson_Int(json_object_get(report, "started"),
+                                    job_path(number) + strlen("/slow/"), 0);
+
+    CU_ASSERT_PTR_NOT_NULL(report);
+    json_decref(report);
+    return started_ms;
+}
+
 static int
 wait_for_other_leader(int former, int64_t timeout_ms)
 {
@@ -107,6 +120,48 @@
     }
 }
 
+/* Guards against a submission that comes after its cancellation was answered
+ * 410, at the same leader and at its successor. */
+static void
+test_submission_after_its_cancellation(void)
+{
+    int leader;
+
+    open_cell();
+    leader = FvEntryCell_Leader(&cell);
+    CU_ASSERT_FATAL(leader >= 0);
+    for (int i = 0; i < JOBS; i++) {
+        CU_ASSERT_EQUAL(FvEntryCell_Call(&cell, i % HOSTS, "DELETE",
+                                         job_path(i), NULL, NULL, 0),
+                        410);
+    }
+    for (int i = 0; i < JOBS / 2; i++) {
+        FvEntryCell_Call(&cell, (i + 1) % HOSTS, "POST", job_path(i),
+                         SHORT_JOB, NULL, 0);
+    }
+    FvProcess_Kill(&cell.hosts[leader].process);
+    leader = wait_for_other_leader(leader, 5000);
+    for (int i = 0; i < JOBS; i++) {
+        FvEntryCell_Call(&cell, leader, "POST", job_path(i), SHORT_JOB, NULL,
+                         0);
+    }
+    CU_ASSERT_EQUAL(call_until_answered(leader, "POST", job_path(JOBS),
+                                        SHORT_JOB, NULL, 0),
+                    200);
+    FvFake_SleepMs(3000);
+    CU_ASSERT(last_start_ms(JOBS) > 0);
+    for (int i = 0; i < JOBS; i++) {
+        CU_ASSERT_EQUAL(last_start_ms(i), 0);
+        CU_ASSERT_EQUAL(
+            call_until_answered(leader, "GET", job_path(i), NULL, NULL, 0),
+            410);
+        CU_ASSERT_EQUAL(
+            call_until_answered(leader, "DELETE", job_path(i), NULL, NULL, 0),
+            410);
+    }
+    close_cell();
+}
+
 /* Guards against an answer from a leader that has handed over and still serves
  * its open connections. */
 static void
@@ -183,6 +238,8 @@
 main(void)
 {
     static const test_case_t cases[] = {
+        {"a job runs that was submitted after its cancellation",
+         test_submission_after_its_cancellation},
         {"a leader that handed over answers for its successor",
          test_leader_that_hands_over},
         {"a host that becomes leader leaves its own requests unanswered",
