scheduler: acknowledge ends only while the worker still has them

Every renewal carried the number of the last recorded end. Any call without an answer may be carried out seconds later; after a restart it makes the next incarnation drop ends up to that number, which nobody has read: a task that has ended done there starts again, and the end counts as taken note of. Now a number goes out until a call that carries it is answered, and 0 afterwards, so that few calls can do harm.

--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -185,6 +185,8 @@
 typedef struct fv_renewal {
     fv_worker_session_t *session;
     int64_t sent_ms;
+    int64_t acknowledged_end;
+    int64_t started_wall_ms; /* incarnation that the call is meant for */
     bool wait;
 } fv_renewal_t;
 
@@ -236,9 +238,9 @@
 }
 
 static void
-apply_report(fv_worker_session_t *session, const fv_call_answer_t *answer,
-             int64_t sent_ms)
+apply_report(const fv_renewal_t *renewal, const fv_call_answer_t *answer)
 {
+    fv_worker_session_t *session = renewal->session;
     fv_leader_t *leader = session->leader;
     fv_worker_report_t report;
     int64_t clock_ms;
@@ -250,8 +252,13 @@
         return;
     }
     if (result == Fv_ORDER_DONE && FvPlatform_DecodeReport(answer, &report)) {
-        FvSched_ApplyReport(&leader->sched, session->worker, &report, sent_ms,
-                            FvClock_NowMs());
+        FvSched_ApplyReport(&leader->sched, session->worker, &report,
+                            renewal->sent_ms, FvClock_NowMs());
+        if (report.started_wall_ms == renewal->started_wall_ms &&
+            report.started_wall_ms == session->worker->started_wall_ms) {
+            FvSched_EndsAcknowledged(session->worker,
+                                     renewal->acknowledged_end);
+        }
         FvLeaderWorkerList_Add(leader, session->worker);
         session->retried = false;
     }
@@ -275,19 +282,17 @@
 static void
 renewal_answered(void *context, const fv_call_answer_t *answer)
 {
-    fv_renewal_t *renewal = context;
-    fv_worker_session_t *session = renewal->session;
+    fv_renewal_t renewal = *(fv_renewal_t *)context;
+    fv_worker_session_t *session = renewal.session;
     fv_leader_t *leader = session->leader;
-    bool waited = renewal->wait;
-    int64_t sent_ms = renewal->sent_ms;
 
-    free(renewal);
+    free(context);
     session->pending_calls--;
     if (!FvLeader_FinishCall(leader)) {
         FvLeaderWorker_ReleaseSession(session);
         return;
     }
-    if (waited) {
+    if (renewal.wait) {
         session->long_poll_pending = false;
     }
     else {
@@ -297,7 +302,7 @@
         FvLeaderWorker_ReleaseSession(session);
         return;
     }
-    apply_report(session, answer, sent_ms);
+    apply_report(&renewal, answer);
     if (leader->closed || session->worker == NULL) {
         return; /* the answer deposed this leader */
     }
@@ -370,7 +375,11 @@
         }
     }
     *renewal =
-        (fv_renewal_t){.session = session, .sent_ms = now_ms, .wait = wait};
+        (fv_renewal_t){.session = session,
+                       .sent_ms = now_ms,
+                       .acknowledged_end = FvSched_EndToAcknowledge(worker),
+                       .started_wall_ms = worker->started_wall_ms,
+                       .wait = wait};
     session->sent_ms = now_ms;
     if (wait) {
         session->long_poll_pending = true;
@@ -381,7 +390,7 @@
     session->pending_calls++;
     leader->pending_calls++;
     FvPlatform_RenewRuns(&call, worker->entry.id, leader->epoch,
-                         FvSched_EndToAcknowledge(worker), lease_end_worker_ms,
+                         renewal->acknowledged_end, lease_end_worker_ms,
                          wait_ms);
     FvCallPool_Send(
         leader->pool, worker->entry.address, &call,
--- a/src/sched-incarnation.c
+++ b/src/sched-incarnation.c
@@ -87,6 +87,7 @@
     worker->started_wall_ms = started_wall_ms;
     worker->last_end_applied = 0;
     worker->last_end_recorded = 0;
+    worker->last_end_acknowledged = 0;
     worker->synced = false;
     worker->clock_known = false;
     worker->consecutive_failures = 0;
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -520,13 +520,32 @@
  * FvSched_EndToAcknowledge - which ends a worker may drop
  * @worker: the worker
  *
- * Return: the number of the latest recorded end; 0 while a later incarnation,
- * with ends of its own, may answer.
+ * A call that is carried out late makes the next incarnation drop ends of its
+ * own, so that no call carries a number without need.
+ *
+ * Return: the number of the latest recorded end; 0 when the worker has dropped
+ * it, and while a later incarnation may answer.
  */
 int64_t
 FvSched_EndToAcknowledge(const fv_sched_worker_t *worker)
 {
-    return worker->clock_known ? worker->last_end_recorded : 0;
+    return worker->clock_known &&
+                   worker->last_end_recorded > worker->last_end_acknowledged
+               ? worker->last_end_recorded
+               : 0;
+}
+
+/**
+ * FvSched_EndsAcknowledged - note that a worker has dropped ends
+ * @worker: the worker
+ * @number: the number that an answered call of this incarnation carried
+ */
+void
+FvSched_EndsAcknowledged(fv_sched_worker_t *worker, int64_t number)
+{
+    if (number > worker->last_end_acknowledged) {
+        worker->last_end_acknowledged = number;
+    }
 }
 
 /**
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -187,9 +187,10 @@
     int64_t clock_sampled_ms; /* this host's clock at the same time */
     int64_t lease_expires_ms; /* nothing runs afterwards without contact */
     int64_t last_contact_ms;
-    int64_t report_due_ms;     /* when to request a report; 0: not due */
-    int64_t last_end_applied;  /* highest number of an applied end */
-    int64_t last_end_recorded; /* highest number of a recorded end */
+    int64_t report_due_ms;         /* when to request a report; 0: not due */
+    int64_t last_end_applied;      /* highest number of an applied end */
+    int64_t last_end_recorded;     /* highest number of a recorded end */
+    int64_t last_end_acknowledged; /* highest number that it has dropped */
     int64_t free_cpu_millis;
     int64_t free_memory_mib;
     int64_t free_accelerators;
@@ -393,6 +394,7 @@
 void FvSched_ReportUnanswered(fv_sched_t *sched, fv_sched_worker_t *worker,
                               int64_t now_ms);
 int64_t FvSched_EndToAcknowledge(const fv_sched_worker_t *worker);
+void FvSched_EndsAcknowledged(fv_sched_worker_t *worker, int64_t number);
 bool FvSched_EndsRecorded(fv_sched_worker_t *worker, int64_t number);
 
 /* sched-order.c */
--- a/tests/harness/sched-sim-handlers.c
+++ b/tests/harness/sched-sim-handlers.c
@@ -89,10 +89,10 @@
     if (request->lease_end_ms > worker->lease_end_ms) {
         worker->lease_end_ms = request->lease_end_ms;
     }
-    if (request->incarnation_ms == worker->entry.started_wall_ms) {
-        acknowledge_ends(sim, worker, request->number);
-    }
+    acknowledge_ends(sim, worker, request->number);
     answer.answered = true;
+    answer.number = request->number;
+    answer.incarnation_ms = request->incarnation_ms;
     *report = (fv_worker_report_t){
         .clock_ms = sim->now_ms,
         .started_wall_ms = worker->entry.started_wall_ms,
@@ -145,6 +145,10 @@
     }
     FvSched_ApplyReport(&sim->sched, sched_worker, &answer->report,
                         answer->sent_ms, sim->now_ms);
+    if (answer->report.started_wall_ms == answer->incarnation_ms &&
+        answer->incarnation_ms == sched_worker->started_wall_ms) {
+        FvSched_EndsAcknowledged(sched_worker, answer->number);
+    }
     if (sched_worker->last_end_applied > sched_worker->last_end_recorded) {
         FvSim_Schedule(
             sim, (sim_event_t){.kind = EVENT_ENDS_RECORDED,
--- a/tests/harness/sched-sim-ops.c
+++ b/tests/harness/sched-sim-ops.c
@@ -163,7 +163,7 @@
                            .generation = sim->generation,
                            .worker = index,
                            .sent_ms = sim->now_ms,
-                           .number = sched_worker->last_end_recorded,
+                           .number = FvSched_EndToAcknowledge(sched_worker),
                            .incarnation_ms = sched_worker->started_wall_ms,
                            .lease_end_ms = FvSched_ExtendLease(
                                &sim->sched, sched_worker, sim->now_ms)});
--- a/tests/unit/sched_registry_test.c
+++ b/tests/unit/sched_registry_test.c
@@ -177,6 +177,29 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* A call that carries a number may be carried out seconds late, by the next
+ * incarnation of its worker, which then drops ends that nobody has read. */
+static void
+test_ends_are_acknowledged_once(void)
+{
+    static sched_fixture_t fixture;
+    fv_sched_worker_t *worker;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    FvSchedFixture_ReportEnd(&fixture, "w1", 3, "unknown", 1, Fv_END_DONE);
+    CU_ASSERT_EQUAL(FvSched_EndToAcknowledge(worker), 0);
+    CU_ASSERT_FALSE(FvSched_EndsRecorded(worker, 3));
+    CU_ASSERT_EQUAL(FvSched_EndToAcknowledge(worker), 3);
+    CU_ASSERT_EQUAL(FvSched_EndToAcknowledge(worker), 3); /* not answered */
+    FvSched_EndsAcknowledged(worker, 3);
+    CU_ASSERT_EQUAL(FvSched_EndToAcknowledge(worker), 0);
+    FvSchedFixture_ReportEnd(&fixture, "w1", 4, "unknown", 2, Fv_END_DONE);
+    CU_ASSERT_FALSE(FvSched_EndsRecorded(worker, 4));
+    CU_ASSERT_EQUAL(FvSched_EndToAcknowledge(worker), 4);
+    FvSchedFixture_Close(&fixture);
+}
+
 static bool
 allow_all(const char *worker)
 {
@@ -260,6 +283,8 @@
          test_entry_before_report},
         {"an entry of a start in the future disables its worker for good",
          test_entry_of_future_incarnation},
+        {"calls carry an acknowledgement that the worker no longer needs",
+         test_ends_are_acknowledged_once},
         {"a ticket outlives the incarnation of its worker",
          test_tickets_end_with_incarnation},
         {"a start is repeated to the next incarnation of its worker",
