kv-client: take a page for the last one only if it says so

A page of the store whose items could not be decoded, or without a hasMore that can be read, ended a reading early: what followed it counted as absent (jobs, progress, workers). The next page now follows the last key of the page, whether or not its value could be decoded, and a page that does not tell whether it is the last one, or at which revision it was read, counts as malformed and is read again; so do events without the revision from which the watch goes on. Found by reading; no caller has met it.

platform_decode_test: pages are decoded by the decoder of pages; the page with a NUL in a key has hasMore now, as every page of the store.

--- a/src/cell-types.c
+++ b/src/cell-types.c
@@ -45,6 +45,7 @@
         FvBuffer_Clear(&items->items[i].value);
     }
     free(items->items);
+    free(items->next_after);
     *items = (fv_kv_items_t){0};
 }
 
--- a/src/cell-types.h
+++ b/src/cell-types.h
@@ -174,7 +174,7 @@
 typedef struct fv_kv_items {
     uint32_t count;
     fv_kv_item_t *items;
-    bool has_more;
+    char *next_after; /* the next page follows this key; NULL: last page */
     int64_t revision; /* of the store at the time of the answer */
 } fv_kv_items_t;
 
--- a/src/kv-client.c
+++ b/src/kv-client.c
@@ -23,7 +23,7 @@
 
 typedef enum fv_kv_response_type {
     Fv_KV_RESPONSE_ITEM,
-    Fv_KV_RESPONSE_ITEMS,
+    Fv_KV_RESPONSE_PAGE,
     Fv_KV_RESPONSE_EVENTS,
     Fv_KV_RESPONSE_REVISION,
     Fv_KV_RESPONSE_LEASE
@@ -131,8 +131,8 @@
     switch (expected) {
     case Fv_KV_RESPONSE_ITEM:
         return FvPlatform_DecodeKvItem(answer, &result->items);
-    case Fv_KV_RESPONSE_ITEMS:
-        return FvPlatform_DecodeKvItems(answer, &result->items);
+    case Fv_KV_RESPONSE_PAGE:
+        return FvPlatform_DecodeKvPage(answer, &result->items);
     case Fv_KV_RESPONSE_EVENTS:
         return FvPlatform_DecodeKvEvents(answer, &result->items);
     case Fv_KV_RESPONSE_REVISION:
@@ -224,8 +224,7 @@
 
     FvMetrics_Add(Fv_COUNTER_STORE_READS, 1);
     FvPlatform_KvRange(&call, prefix, after);
-    send_call(kv, &call, Fv_KV_RESPONSE_ITEMS, Fv_KV_TIMEOUT_MS, done,
-              context);
+    send_call(kv, &call, Fv_KV_RESPONSE_PAGE, Fv_KV_TIMEOUT_MS, done, context);
 }
 
 /**
@@ -384,8 +383,8 @@
         deliver(watch, items);
         free(watch->after);
         watch->after = NULL;
-        if (items->has_more && items->count > 0) {
-            watch->after = strdup(items->items[items->count - 1].key);
+        if (items->next_after != NULL) {
+            watch->after = strdup(items->next_after);
         }
         else if (!watch->cancelled) {
             watch->revision = watch->snapshot_revision;
--- a/src/leader-load.c
+++ b/src/leader-load.c
@@ -273,8 +273,8 @@
     }
     free(load->after);
     load->after = NULL;
-    if (items->has_more && items->count > 0) {
-        load->after = strdup(items->items[items->count - 1].key);
+    if (items->next_after != NULL) {
+        load->after = strdup(items->next_after);
         load_page(load);
         return;
     }
--- a/tests/unit/platform_decode_test.c
+++ b/tests/unit/platform_decode_test.c
@@ -291,7 +291,7 @@
     fv_call_answer_t answer = {
         .status = 200, .body = document, .length = strlen(document)};
 
-    return FvPlatform_DecodeKvItems(&answer, items);
+    return FvPlatform_DecodeKvPage(&answer, items);
 }
 
 /* Another writer's key holds a NUL, which JSON texts rarely do. */
@@ -303,7 +303,9 @@
     CU_ASSERT_TRUE(decode_page(
         "{\"items\":[{\"key\":\"a/1\",\"value\":\"eA==\",\"revision\":7},"
         "{\"key\":\"a/1\\u0000\",\"value\":\"\",\"revision\":8},"
-        "{\"key\":\"a/2\",\"value\":\"eQ==\",\"revision\":9}],\"at\":9}",
+        "{\"key\":\"a/"
+        "2\",\"value\":\"eQ==\",\"revision\":9}],\"hasMore\":false,"
+        "\"at\":9}",
         &items));
     CU_ASSERT_EQUAL(items.count, 2);
     if (items.count == 2) {
@@ -318,6 +320,53 @@
     FvKvItems_Clear(&items);
 }
 
+static void
+test_pages(void)
+{
+    static const char *const malformed[] = {
+        "{\"items\":[],\"at\":9}",
+        "{\"items\":[],\"hasMore\":\"no\",\"at\":9}",
+        "{\"items\":[],\"hasMore\":true,\"at\":9}",
+        "{\"items\":[{\"value\":\"eA==\"}],\"hasMore\":true,\"at\":9}",
+        "{\"items\":[],\"hasMore\":false}",
+    };
+    fv_kv_items_t items;
+
+    for (size_t i = 0; i < sizeof(malformed) / sizeof(malformed[0]); i++) {
+        CU_ASSERT_FALSE(decode_page(malformed[i], &items));
+        FvKvItems_Clear(&items);
+    }
+    CU_ASSERT_TRUE(
+        decode_page("{\"items\":[],\"hasMore\":false,\"at\":9}", &items));
+    CU_ASSERT_PTR_NULL(items.next_after);
+    FvKvItems_Clear(&items);
+    /* No value of the page can be decoded. */
+    CU_ASSERT_TRUE(decode_page(
+        "{\"items\":[{\"key\":\"a/1\",\"value\":\"=\",\"revision\":7},"
+        "{\"key\":\"a/2\",\"value\":\"=\",\"revision\":8}],"
+        "\"hasMore\":true,\"at\":9}",
+        &items));
+    CU_ASSERT_EQUAL(items.count, 0);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(items.next_after);
+    if (items.next_after != NULL) {
+        CU_ASSERT_STRING_EQUAL(items.next_after, "a/2");
+    }
+    FvKvItems_Clear(&items);
+}
+
+/* A watch that goes on from an unknown revision misses changes. */
+static void
+test_events_without_revision(void)
+{
+    fv_call_answer_t answer = {.status = 200,
+                               .body = "{\"events\":[]}",
+                               .length = strlen("{\"events\":[]}")};
+    fv_kv_items_t items;
+
+    CU_ASSERT_FALSE(FvPlatform_DecodeKvEvents(&answer, &items));
+    FvKvItems_Clear(&items);
+}
+
 /* The last key of a page is as long as the store allows. */
 static void
 test_page_after_long_key(void)
@@ -373,6 +422,9 @@
         {"an answer to an order is decoded as another result",
          test_order_results},
         {"a key with a NUL makes a whole page unreadable", test_key_with_nul},
+        {"an incomplete page is taken for the last one", test_pages},
+        {"a watch goes on from an unknown revision",
+         test_events_without_revision},
         {"the page after a long key begins before it",
          test_page_after_long_key},
         {"advice that allows no worker is treated as a failed call",
