fake-cell: end a worker's connections with its process

No process takes over its predecessor's connections. A request on such a connection, a waiting report included, now ends with the connection.

--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -356,30 +356,44 @@
                      running, "ended", ended);
 }
 
+/* A connection ends with the process that accepted it, and with it what was
+ * sent on it and not read yet. */
+static bool
+is_connection_gone(const fake_request_t *request, const cell_worker_t *worker)
+{
+    intptr_t accepted_by =
+        (intptr_t)mg_get_user_connection_data(request->connection);
+
+    if (accepted_by == 0) {
+        accepted_by = (intptr_t)worker->started_wall_ms;
+        mg_set_user_connection_data(request->connection, (void *)accepted_by);
+    }
+    return worker->down || accepted_by != (intptr_t)worker->started_wall_ms;
+}
+
 /* Takes the lock itself, because it waits for a run to end. */
 static void
 handle_hold(cell_t *cell, cell_worker_t *worker, fake_request_t *request,
             const json_t *body)
 {
     int64_t until_ms = FvClock_NowMs() + FvJson_Int(body, "waitMs", 0);
-    int64_t started_wall_ms = worker->started_wall_ms;
     int status = 200;
     json_t *reply = NULL;
 
     pthread_mutex_lock(&cell->lock);
-    if (reject_stale_token(worker, body)) {
+    if (!is_connection_gone(request, worker) &&
+        reject_stale_token(worker, body)) {
         reply = reply_refused(FvClock_NowMs(), "fence", &status);
     }
-    else {
+    else if (!is_connection_gone(request, worker)) {
         extend_lease(worker, body, FvClock_NowMs());
         acknowledge_ends(cell, worker, FvJson_Int(body, "lastSeen", 0));
     }
-    while (reply == NULL) {
+    while (reply == NULL && !is_connection_gone(request, worker)) {
         int64_t now_ms = FvClock_NowMs();
 
         end_due_runs(cell, worker, now_ms);
-        if (worker->ends != NULL || now_ms >= until_ms || worker->down ||
-            worker->started_wall_ms != started_wall_ms) {
+        if (worker->ends != NULL || now_ms >= until_ms) {
             reply = report_json(cell, worker, now_ms);
             break;
         }
@@ -388,6 +402,10 @@
         pthread_mutex_lock(&cell->lock);
     }
     pthread_mutex_unlock(&cell->lock);
+    if (reply == NULL) {
+        FvFake_Drop(request);
+        return;
+    }
     FvFake_ReplyJson(request, status, reply);
 }
 
@@ -410,7 +428,7 @@
     json_t *reply = NULL;
     int status = 400;
 
-    if (target->worker->down || body == NULL) {
+    if (is_connection_gone(request, target->worker) || body == NULL) {
         json_decref(body);
         FvFake_Drop(request);
         return;
@@ -430,7 +448,10 @@
     }
     pthread_mutex_lock(&cell->lock);
     end_due_runs(cell, target->worker, FvClock_NowMs());
-    if (strcmp(request->path, "/run-start") == 0) {
+    if (is_connection_gone(request, target->worker)) {
+        status = 0;
+    }
+    else if (strcmp(request->path, "/run-start") == 0) {
         reply = handle_start(cell, target->worker, body, &status);
     }
     else if (strcmp(request->path, "/run-stop") == 0) {
