--- a/tests/promises/entry_drain.c
+++ b/tests/promises/entry_drain.c
@@ -141,6 +141,17 @@
     return fd;
 }
 
+/* Waits until the replies fill the buffers. */
+static void
+send_many(int fd)
+{
+    for (int i = 0; i < PIPELINED_REQUESTS; i++) {
+        CU_ASSERT_TRUE_FATAL(
+            FvHttpSocket_Send(fd, "GET /fast/ HTTP/1.1\r\n" HEAD "\r\n"));
+    }
+    FvFake_SleepMs(PIPELINED_PAUSE_MS);
+}
+
 static int
 count_replies(const fv_buffer_t *text)
 {
@@ -175,11 +186,7 @@
     int64_t signal_ms;
     int count;
 
-    for (int i = 0; i < PIPELINED_REQUESTS; i++) {
-        CU_ASSERT_TRUE_FATAL(
-            FvHttpSocket_Send(fd, "GET /fast/ HTTP/1.1\r\n" HEAD "\r\n"));
-    }
-    FvFake_SleepMs(PIPELINED_PAUSE_MS);
+    send_many(fd);
     signal_ms = terminate_host(host);
     wait_until(signal_ms + UNREADY_MS + 300);
     FvHttpSocket_ReadAll(fd, &replies);
@@ -272,6 +279,35 @@
     restart_host(host);
 }
 
+/* Guards against an end without an answer when the process itself stood still
+ * until its limit had passed. */
+static void
+test_suspended_past_limit(void)
+{
+    int host = choose_follower();
+    process_t *process = &cell.hosts[host].process;
+    kept_connection_t caller;
+    kept_answer_t answer;
+    int64_t signal_ms;
+
+    CU_ASSERT_TRUE_FATAL(FvKept_Open(&caller, callers_port(host)));
+    signal_others(host, SIGSTOP);
+    send_with_deadline(&caller, "00000000000000c1", "30000");
+    FvFake_SleepMs(200);
+    signal_ms = terminate_host(host);
+    FvFake_SleepMs(200);
+    FvProcess_Signal(process, SIGSTOP);
+    wait_until(signal_ms + DRAIN_MS);
+    FvProcess_Signal(process, SIGCONT);
+    CU_ASSERT_EQUAL(FvKept_Receive(&caller, ANSWER_TIMEOUT_MS, &answer),
+                    KEPT_ANSWERED);
+    CU_ASSERT_EQUAL(answer.status, 504);
+    expect_exit(host, signal_ms + DRAIN_MS + 1000);
+    signal_others(host, SIGCONT);
+    FvKept_Close(&caller);
+    restart_host(host);
+}
+
 /* Guards against a drain that lasts to its limit because of a caller that has
  * gone without reading its replies. */
 static void
@@ -282,11 +318,7 @@
     int fd = connect_slow_caller(callers_port(host));
     int64_t signal_ms;
 
-    for (int i = 0; i < PIPELINED_REQUESTS; i++) {
-        CU_ASSERT_TRUE_FATAL(
-            FvHttpSocket_Send(fd, "GET /fast/ HTTP/1.1\r\n" HEAD "\r\n"));
-    }
-    FvFake_SleepMs(PIPELINED_PAUSE_MS);
+    send_many(fd);
     signal_ms = terminate_host(host);
     setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
     close(fd);
@@ -301,6 +333,8 @@
         {"a reply is cut because its caller reads slowly", test_slow_reader},
         {"a request that arrives slowly is cut", test_half_received},
         {"a request that is open at the limit gets no answer", test_limit},
+        {"a request is lost because the process stood still",
+         test_suspended_past_limit},
         {"a caller that has gone delays the end", test_gone_caller},
     };
     const entry_cell_options_t options = {.name = "entry_drain",
--- a/tests/promises/entry_drain_load.c
+++ b/tests/promises/entry_drain_load.c
@@ -25,7 +25,7 @@
 #define WARM_UP_MS 600
 /* A balancer sends no new connections by then. */
 #define UNREADY_MS 2000
-#define SUSPENSIONS 2
+#define SUSPENSIONS 1
 /* Longer than the intervals of the process's timers, and shorter. */
 #define PULSE_STOPPED_MS 70
 #define PULSE_RUNNING_MS 15
