sched: hold inherited tasks while their worker's lease is extended

A new leader extends the lease of a worker from its first report on, before all ends were listed. Inherited tasks were freed all the same once the leases of the previous leader had expired, and a task whose end was on a later page started again: its worker's lease had not lapsed. A worker now counts as without inherited runs when it has listed all ends, or when its lease as this leader knows it has expired as well.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -85,7 +85,7 @@
 release_inherited_tasks(fv_leader_t *leader, int64_t now_ms)
 {
     int64_t longest_ms = FvSched_WorstCaseLeaseMs(&leader->sched);
-    const char *cause = "leases_expired";
+    bool leases_expired;
 
     if (!leader->sched.hold_inherited_tasks) {
         return;
@@ -95,23 +95,18 @@
                                  leader->predecessor)) {
         leader->predecessor_stopped_ms = now_ms;
     }
-    if (now_ms - leader->began_ms < FvElection_OrderGraceMs() + longest_ms &&
-        (leader->predecessor_stopped_ms == 0 ||
-         now_ms - leader->predecessor_stopped_ms < longest_ms)) {
-        for (const fv_sched_worker_t *worker = leader->sched.workers;
-             worker != NULL; worker = worker->hh.next) {
-            if (worker->in_worker_list &&
-                (!worker->synced ||
-                 worker->inherited_stops_until_ms > now_ms)) {
-                return;
-            }
-        }
-        cause = "all_reported";
+    leases_expired =
+        now_ms - leader->began_ms >= FvElection_OrderGraceMs() + longest_ms ||
+        (leader->predecessor_stopped_ms != 0 &&
+         now_ms - leader->predecessor_stopped_ms >= longest_ms);
+    if (!FvSched_KnowsInheritedRuns(&leader->sched, leases_expired, now_ms)) {
+        return;
     }
     leader->sched.hold_inherited_tasks = false;
     leader->sched.dirty = true;
     FvLog_Event(Fv_LOG_INFO, "inherited_tasks_free",
-                "cause=%s predecessor=%s linked=%d after_ms=%" PRId64, cause,
+                "cause=%s predecessor=%s linked=%d after_ms=%" PRId64,
+                leases_expired ? "leases_expired" : "all_reported",
                 leader->predecessor,
                 leader->predecessor_stopped_ms != 0 ? 1 : 0,
                 now_ms - leader->began_ms);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -396,6 +396,8 @@
 int64_t FvSched_EndToAcknowledge(const fv_sched_worker_t *worker);
 void FvSched_EndsAcknowledged(fv_sched_worker_t *worker, int64_t number);
 bool FvSched_EndsRecorded(fv_sched_worker_t *worker, int64_t number);
+bool FvSched_KnowsInheritedRuns(const fv_sched_t *sched, bool leases_expired,
+                                int64_t now_ms);
 
 /* sched-order.c */
 void FvSched_StartAnswered(fv_sched_t *sched, fv_sched_task_t *task,
--- a/tests/harness/sched-sim-event.c
+++ b/tests/harness/sched-sim-event.c
@@ -145,3 +145,19 @@
 {
     return 1 + FvSim_RandomBelow(sim, 24);
 }
+
+/**
+ * FvSim_LateDelayMs - draw the delay of an order that is executed late
+ * @sim: the cell
+ *
+ * Return: the delay; half of them are below a second.
+ */
+int64_t
+FvSim_LateDelayMs(sim_t *sim)
+{
+    return ORDER_DELAY_MIN_MS +
+           FvSim_RandomBelow(sim,
+                             FvSim_RandomBelow(sim, 2) == 0
+                                 ? 1000
+                                 : ORDER_DELAY_MAX_MS - ORDER_DELAY_MIN_MS);
+}
--- a/tests/harness/sched-sim-handlers.c
+++ b/tests/harness/sched-sim-handlers.c
@@ -35,6 +35,9 @@
     if (task == NULL || answer->result == Fv_ORDER_FENCED) {
         return;
     }
+    if (answer->stop && answer->result == Fv_ORDER_UNCONFIRMED) {
+        sim->unanswered_stop_ms = sim->now_ms;
+    }
     if (answer->stop) {
         FvSched_StopAnswered(&sim->sched, task, answer->run, answer->result,
                              sim->now_ms);
@@ -82,19 +85,22 @@
     if (FvSim_IsUnresponsive(sim, worker) ||
         request->generation < worker->fencing_token) {
         answer.at_ms = request->sent_ms + REPORT_TIMEOUT_MS;
-        FvSim_Schedule(sim, answer);
+        if (request->answered) {
+            FvSim_Schedule(sim, answer);
+        }
         return;
     }
     worker->fencing_token = request->generation;
-    if (request->lease_end_ms > worker->lease_end_ms) {
-        worker->lease_end_ms = request->lease_end_ms;
-    }
+    FvSim_ExtendLease(sim, worker, request->lease_end_ms);
     acknowledge_ends(sim, worker, request->number);
+    if (!request->answered) {
+        return;
+    }
     answer.answered = true;
     answer.number = request->number;
     answer.incarnation_ms = request->incarnation_ms;
     *report = (fv_worker_report_t){
-        .clock_ms = sim->now_ms,
+        .clock_ms = FvSim_WorkerClockMs(sim, worker),
         .started_wall_ms = worker->entry.started_wall_ms,
         .running = calloc(worker->run_count + 1, sizeof(*report->running)),
         .ended = calloc(worker->end_count + 1, sizeof(*report->ended))};
@@ -325,6 +331,7 @@
     worker->entry.draining = false;
     worker->entry.drain_left_ms = 0;
     worker->entry.started_wall_ms = sim->now_ms;
+    worker->clock_base_ms = sim->now_ms;
     if (sim->plan->faults.kind_changes == 0) {
         FvSched_UpdateWorker(&sim->sched, &worker->entry, sim->now_ms);
         return;
@@ -357,7 +364,8 @@
 FvSim_HandleEvent(sim_t *sim, sim_event_t *event)
 {
     if (event->generation != 0 && event->generation != sim->generation &&
-        event->kind != EVENT_ORDER_ARRIVES) {
+        event->kind != EVENT_ORDER_ARRIVES &&
+        event->kind != EVENT_REPORT_REQUESTED) {
         return; /* addressed to a former leader */
     }
     switch (event->kind) {
--- a/tests/harness/sched-sim-internal.h
+++ b/tests/harness/sched-sim-internal.h
@@ -24,6 +24,10 @@
 #define TASKS_MAX 4096
 
 #define LEASE_MS 4500
+#define LEASE_MAX_MS 10000 /* longer ones are shortened by the worker */
+#define CLOCK_SLOW_MAX_PERCENT 2
+#define ORDER_DELAY_MIN_MS 50 /* of late orders */
+#define ORDER_DELAY_MAX_MS 12000
 #define STOP_MS 600
 #define STOPS_SUSPENDED_MS (STOP_MS + 250) /* before a handover */
 #define GANG_TIMEOUT_MS 3000
@@ -90,7 +94,9 @@
     int64_t unresponsive_until_ms;
     int64_t drain_deadline_ms; /* 0: not draining */
     int64_t fencing_token;
-    int64_t lease_end_ms;
+    int64_t clock_slow_percent;
+    int64_t clock_base_ms;    /* when the clock of this incarnation began */
+    int64_t lease_end_ms;     /* on the worker's clock */
     int64_t lease_expired_ms; /* last time at which the lease was expired */
     uint32_t run_count;
     sim_run_t runs[RUNS_MAX];
@@ -147,6 +153,8 @@
     int64_t now_ms;
     int32_t generation;
     int64_t leader_since_ms;
+    int64_t absent_until_ms; /* nobody leads */
+    int64_t unanswered_stop_ms;
     int64_t handover_ms; /* when the next leader takes over; 0: none planned */
     bool handed_over;    /* the former leader had suspended its stops */
     uint32_t open_advice_requests;
@@ -170,6 +178,10 @@
 sim_event_t FvSim_TakeEvent(sim_t *sim);
 void FvSim_ClearEvent(sim_event_t *event);
 int64_t FvSim_OneWayDelayMs(sim_t *sim);
+int64_t FvSim_LateDelayMs(sim_t *sim);
+int64_t FvSim_WorkerClockMs(const sim_t *sim, const sim_worker_t *worker);
+void FvSim_ExtendLease(const sim_t *sim, sim_worker_t *worker,
+                       int64_t lease_end_ms);
 sim_task_t *FvSim_GetTask(sim_t *sim, const char *name);
 sim_job_t *FvSim_FindJob(sim_t *sim, const char *name);
 bool FvSim_IsUnresponsive(const sim_t *sim, const sim_worker_t *worker);
--- a/tests/harness/sched-sim-ops.c
+++ b/tests/harness/sched-sim-ops.c
@@ -50,7 +50,7 @@
         timeout.result = Fv_ORDER_UNCONFIRMED;
         FvSim_Schedule(sim, timeout);
         event.answered = false;
-        event.at_ms += 2000 + FvSim_RandomBelow(sim, 10000);
+        event.at_ms += FvSim_LateDelayMs(sim);
         if (FvSim_RandomBelow(sim, 2) == 0) {
             return; /* never arrives */
         }
@@ -58,8 +58,6 @@
     FvSim_Schedule(sim, event);
 }
 
-/* The scheduler computes lease times by the worker's clock. In the simulation
- * all clocks are the same. */
 static bool
 send_start(fv_sched_t *sched, fv_sched_task_t *task,
            const fv_verdict_t *verdict)
@@ -151,22 +149,37 @@
     sim_worker_t *worker = &sim->workers[index];
     fv_sched_worker_t *sched_worker =
         FvSched_FindWorker(&sim->sched, worker->entry.id);
+    sim_event_t request;
 
     if (sched_worker == NULL || worker->report_pending) {
         return;
     }
     worker->report_pending = true;
     worker->report_requested_ms = sim->now_ms;
-    FvSim_Schedule(
-        sim, (sim_event_t){.kind = EVENT_REPORT_REQUESTED,
-                           .at_ms = sim->now_ms + FvSim_OneWayDelayMs(sim),
-                           .generation = sim->generation,
-                           .worker = index,
-                           .sent_ms = sim->now_ms,
-                           .number = FvSched_EndToAcknowledge(sched_worker),
-                           .incarnation_ms = sched_worker->started_wall_ms,
-                           .lease_end_ms = FvSched_ExtendLease(
-                               &sim->sched, sched_worker, sim->now_ms)});
+    request = (sim_event_t){.kind = EVENT_REPORT_REQUESTED,
+                            .at_ms = sim->now_ms + FvSim_OneWayDelayMs(sim),
+                            .generation = sim->generation,
+                            .worker = index,
+                            .sent_ms = sim->now_ms,
+                            .number = FvSched_EndToAcknowledge(sched_worker),
+                            .incarnation_ms = sched_worker->started_wall_ms,
+                            .answered = true,
+                            .lease_end_ms = FvSched_ExtendLease(
+                                &sim->sched, sched_worker, sim->now_ms)};
+    if (FvSim_FaultOccurs(sim, sim->plan->faults.lost_renewals)) {
+        sim_event_t timeout = request;
+
+        timeout.kind = EVENT_REPORT_ARRIVES;
+        timeout.at_ms = sim->now_ms + REPORT_TIMEOUT_MS;
+        timeout.answered = false;
+        FvSim_Schedule(sim, timeout);
+        request.answered = false;
+        request.at_ms += FvSim_LateDelayMs(sim);
+        if (FvSim_RandomBelow(sim, 2) == 0) {
+            return; /* never arrives */
+        }
+    }
+    FvSim_Schedule(sim, request);
 }
 
 static void
--- a/tests/harness/sched-sim-worker.c
+++ b/tests/harness/sched-sim-worker.c
@@ -67,6 +67,39 @@
     return !worker->up || sim->now_ms < worker->unresponsive_until_ms;
 }
 
+/**
+ * FvSim_WorkerClockMs - read a worker's clock
+ * @sim: the cell
+ * @worker: the worker
+ *
+ * Return: its time; it starts anew with each incarnation.
+ */
+int64_t
+FvSim_WorkerClockMs(const sim_t *sim, const sim_worker_t *worker)
+{
+    return 1 + (sim->now_ms - worker->clock_base_ms) *
+                   (100 - worker->clock_slow_percent) / 100;
+}
+
+/**
+ * FvSim_ExtendLease - extend a worker's lease, which never shortens
+ * @sim: the cell
+ * @worker: the worker
+ * @lease_end_ms: on the worker's clock
+ */
+void
+FvSim_ExtendLease(const sim_t *sim, sim_worker_t *worker, int64_t lease_end_ms)
+{
+    int64_t latest_ms = FvSim_WorkerClockMs(sim, worker) + LEASE_MAX_MS;
+
+    if (lease_end_ms > latest_ms) {
+        lease_end_ms = latest_ms;
+    }
+    if (lease_end_ms > worker->lease_end_ms) {
+        worker->lease_end_ms = lease_end_ms;
+    }
+}
+
 static void
 add_end(sim_t *sim, sim_worker_t *worker, uint32_t run_index, fv_run_end_t end)
 {
@@ -199,7 +232,8 @@
     for (uint32_t w = 0; w < sim->plan->workers; w++) {
         sim_worker_t *worker = &sim->workers[w];
 
-        if (worker->up && sim->now_ms > worker->lease_end_ms) {
+        if (worker->up &&
+            FvSim_WorkerClockMs(sim, worker) > worker->lease_end_ms) {
             worker->lease_expired_ms = sim->now_ms;
             FvSim_KillRuns(sim, worker, true);
         }
@@ -414,10 +448,9 @@
         return Fv_ORDER_FENCED;
     }
     worker->fencing_token = order->generation;
-    if (order->lease_end_ms > worker->lease_end_ms) {
-        worker->lease_end_ms = order->lease_end_ms;
-    }
-    if (!order->stop && sim->now_ms >= worker->lease_end_ms) {
+    FvSim_ExtendLease(sim, worker, order->lease_end_ms);
+    if (!order->stop &&
+        FvSim_WorkerClockMs(sim, worker) >= worker->lease_end_ms) {
         return Fv_ORDER_LEASE_TOO_SHORT;
     }
     return order->stop ? execute_stop(sim, worker, order)
--- a/tests/harness/sched-sim.c
+++ b/tests/harness/sched-sim.c
@@ -22,6 +22,7 @@
     sim->generation++;
     sim->result->leaders++;
     sim->leader_since_ms = sim->now_ms;
+    sim->unanswered_stop_ms = 0;
     sim->open_advice_requests = 0;
     FvSched_Init(&sim->sched, &Fv_SIM_OPS,
                  &(fv_sched_timeouts_t){.lease_ms = LEASE_MS,
@@ -67,18 +68,11 @@
 static void
 release_inherited_tasks(sim_t *sim)
 {
-    bool all_synced = true;
+    bool leases_expired = sim->now_ms - sim->leader_since_ms >
+                          FvSched_WorstCaseLeaseMs(&sim->sched);
 
-    if (!sim->sched.hold_inherited_tasks) {
-        return;
-    }
-    for (const fv_sched_worker_t *worker = sim->sched.workers; worker != NULL;
-         worker = worker->hh.next) {
-        all_synced = all_synced && worker->synced &&
-                     worker->inherited_stops_until_ms <= sim->now_ms;
-    }
-    if (all_synced || sim->now_ms - sim->leader_since_ms >
-                          FvSched_WorstCaseLeaseMs(&sim->sched)) {
+    if (sim->sched.hold_inherited_tasks &&
+        FvSched_KnowsInheritedRuns(&sim->sched, leases_expired, sim->now_ms)) {
         sim->sched.hold_inherited_tasks = false;
         sim->sched.dirty = true;
     }
@@ -98,6 +92,7 @@
     worker->last_end_number = 0;
     worker->fencing_token = 0;
     worker->lease_end_ms = 0;
+    worker->clock_base_ms = sim->now_ms;
     worker->up = false;
     FvSim_Schedule(sim, (sim_event_t){.kind = EVENT_WORKER_RETURNS,
                                       .at_ms = sim->now_ms + 500 +
@@ -111,6 +106,26 @@
     sim->handover_ms = 0;
     FvSched_Clear(&sim->sched);
     begin_leader(sim);
+    sim->absent_until_ms =
+        sim->now_ms +
+        FvSim_RandomBelow(sim, sim->plan->faults.leader_absence_ms + 1);
+    sim->leader_since_ms = sim->absent_until_ms;
+}
+
+/* As the leader decides before it resigns. */
+static bool
+are_stops_settled(const sim_t *sim)
+{
+    for (const fv_sched_worker_t *worker = sim->sched.workers; worker != NULL;
+         worker = worker->hh.next) {
+        if (worker->inherited ||
+            worker->inherited_stops_until_ms > sim->now_ms) {
+            return false;
+        }
+    }
+    return sim->unanswered_stop_ms == 0 ||
+           sim->now_ms - sim->unanswered_stop_ms >
+               Fv_ORDER_DELAY_MAX_MS + STOP_MS;
 }
 
 static void
@@ -294,6 +309,8 @@
         sim_worker_t *worker = &sim->workers[w];
 
         worker->up = true;
+        worker->clock_slow_percent =
+            (int64_t)(w % (CLOCK_SLOW_MAX_PERCENT + 1));
         worker->entry = (fv_worker_entry_t){.service = "s",
                                             .address = "127.0.0.1:1",
                                             .started_wall_ms = 1,
@@ -368,7 +385,8 @@
             FvSim_ClearEvent(&event);
         }
         FvSim_EndDueRuns(sim);
-        if (sim->now_ms % PASS_INTERVAL_MS == 0) {
+        if (sim->now_ms % PASS_INTERVAL_MS == 0 &&
+            sim->now_ms >= sim->absent_until_ms) {
             poll_workers(sim);
             release_inherited_tasks(sim);
             FvSched_RunPass(&sim->sched, sim->now_ms, sim->now_ms);
@@ -378,7 +396,7 @@
             sim->handover_ms != 0 &&
             sim->now_ms >= sim->handover_ms - STOPS_SUSPENDED_MS;
         if (sim->handover_ms != 0 && sim->now_ms >= sim->handover_ms) {
-            sim->handed_over = true;
+            sim->handed_over = are_stops_settled(sim);
             replace_leader(sim);
         }
         if (sim->now_ms % FAULT_INTERVAL_MS == 0) {
--- a/tests/harness/sched-sim.h
+++ b/tests/harness/sched-sim.h
@@ -13,13 +13,15 @@
 
 /* Probabilities of the faults, of 1,000; none occurs after faults_end_ms. */
 typedef struct sim_faults {
-    uint32_t lost_orders; /* not answered; half of them are executed late */
+    uint32_t lost_orders;   /* not answered; half of them are executed late */
+    uint32_t lost_renewals; /* the same */
     uint32_t failing_tasks;
     uint32_t worker_crashes;    /* of one worker, each second */
     uint32_t kind_changes;      /* of the crashed workers */
     uint32_t worker_outages;    /* each second; no answers for 1 to 8 s */
     uint32_t worker_drains;     /* each second; the worker leaves in 2.5 s */
     uint32_t leader_failovers;  /* each second, without notice */
+    uint32_t leader_absence_ms; /* longest time without a leader after one */
     uint32_t leader_handovers;  /* each second, prepared by the leader */
     uint32_t job_cancellations; /* of one job, each second */
 } sim_faults_t;
--- a/tests/unit/sched_model_test.c
+++ b/tests/unit/sched_model_test.c
@@ -136,6 +136,7 @@
 test_leader_changes(void)
 {
     run_seeds(&(sim_faults_t){.leader_failovers = 250,
+                              .leader_absence_ms = 1000,
                               .job_cancellations = 300,
                               .failing_tasks = 50},
               false);
@@ -145,6 +146,8 @@
 test_leader_handovers(void)
 {
     static const sim_faults_t faults = {.leader_handovers = 800,
+                                        .leader_absence_ms = 600,
+                                        .lost_orders = 150,
                                         .job_cancellations = 2000,
                                         .failing_tasks = 150,
                                         .worker_drains = 500};
@@ -157,6 +160,8 @@
 test_all_faults(void)
 {
     static const sim_faults_t all = {.lost_orders = 80,
+                                     .lost_renewals = 30,
+                                     .leader_absence_ms = 1500,
                                      .failing_tasks = 30,
                                      .worker_crashes = 150,
                                      .worker_outages = 150,
@@ -174,6 +179,7 @@
 test_reports_cut_off(void)
 {
     static const sim_faults_t faults = {.lost_orders = 80,
+                                        .lost_renewals = 30,
                                         .failing_tasks = 30,
                                         .worker_outages = 300,
                                         .leader_failovers = 150,
