sched: keep an orphaned run's capacity until a report shows it stopping

Workers got tasks beyond their capacity (rule LIMIT) beside a run that an earlier run of its gang had made superfluous: its stop was not answered, was carried out after half a second, and the run held its capacity until the end of the stop timeout after that, while the leader counted the timeout from the order. A run that is being stopped is in no report, so the order's time tells nothing when the order may be late. An orphaned run now counts until its end is listed, or for the stop timeout after the first report, requested later, that does not list it.

--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -426,7 +426,7 @@
     if (task->worker != NULL && task != ended) {
         /* The run occupies its worker until its own end is reported. */
         FvSched_TaskName(task, name, sizeof(name));
-        FvSched_AddOrphanRun(sched, task->worker, name, task->run, now_ms);
+        FvSched_AddOrphanRun(task->worker, name, task->run, now_ms);
     }
     FvSched_DetachTask(task);
     task->state = Fv_SCHED_DONE;
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -235,7 +235,7 @@
     }
     FvLog_Event(Fv_LOG_INFO, "orphan_run", "task=%s run=%d worker=%s",
                 row->task_id, row->run, worker->entry.id);
-    FvSched_AddOrphanRun(sched, worker, row->task_id, row->run, now_ms);
+    FvSched_AddOrphanRun(worker, row->task_id, row->run, now_ms);
     sched->ops->stop_orphan_run(sched, worker, row->task_id, row->run);
 }
 
@@ -472,6 +472,7 @@
     for (uint32_t i = 0; i < report->running_count; i++) {
         apply_running(sched, worker, &report->running[i], now_ms);
     }
+    FvSched_LimitOrphanRuns(sched, worker, sent_ms, now_ms);
     record_progress(sched, report, changed);
     handle_missing_runs(sched, worker, report, all_ends_listed, sent_ms,
                         now_ms);
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -75,18 +75,18 @@
 
 /**
  * FvSched_AddOrphanRun - track a run that belongs to no open task
- * @sched: the scheduler
  * @worker: the worker that runs it
  * @task: name of the task
  * @run: number of the run
  * @now_ms: the time
  *
- * The run is being stopped. A run that is being stopped is not listed, but it
- * occupies the worker until its end is listed or the stop timeout has passed.
+ * A stop of the run is sent, which may be carried out late. The run occupies
+ * the worker until its end is listed, or until the time after a report without
+ * it that FvSched_LimitOrphanRuns() sets.
  */
 void
-FvSched_AddOrphanRun(const fv_sched_t *sched, fv_sched_worker_t *worker,
-                     const char *task, int32_t run, int64_t now_ms)
+FvSched_AddOrphanRun(fv_sched_worker_t *worker, const char *task, int32_t run,
+                     int64_t now_ms)
 {
     fv_orphan_run_t *orphan = worker->orphan_runs;
 
@@ -104,7 +104,29 @@
         orphan->next = worker->orphan_runs;
         worker->orphan_runs = orphan;
     }
-    orphan->ended_by_ms = now_ms + Fv_ORDER_TRANSIT_MS + sched->stop_max_ms;
+    orphan->since_ms = now_ms;
+    orphan->ended_by_ms = INT64_MAX;
+}
+
+/**
+ * FvSched_LimitOrphanRuns - note that a report was applied
+ * @sched: the scheduler
+ * @worker: the worker
+ * @sent_ms: when the report was requested
+ * @now_ms: the time
+ *
+ * An orphaned run that the report does not list has ended or is being stopped.
+ */
+void
+FvSched_LimitOrphanRuns(const fv_sched_t *sched, fv_sched_worker_t *worker,
+                        int64_t sent_ms, int64_t now_ms)
+{
+    for (fv_orphan_run_t *orphan = worker->orphan_runs; orphan != NULL;
+         orphan = orphan->next) {
+        if (orphan->ended_by_ms == INT64_MAX && orphan->since_ms < sent_ms) {
+            orphan->ended_by_ms = now_ms + sched->stop_max_ms;
+        }
+    }
 }
 
 /**
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -72,7 +72,8 @@
 typedef struct fv_orphan_run {
     char task[Fv_RUN_TASK_ID_SIZE];
     int32_t run;
-    int64_t ended_by_ms; /* has ended by then unless a report lists it */
+    int64_t since_ms;    /* found or left then, at the latest */
+    int64_t ended_by_ms; /* has ended by then; INT64_MAX: not known yet */
     struct fv_orphan_run *next;
 } fv_orphan_run_t;
 
@@ -342,8 +343,11 @@
 void FvSched_WorkerUnlisted(fv_sched_worker_t *worker);
 void FvSched_UnlistMissingWorkers(fv_sched_t *sched, uint64_t reading);
 void FvSched_FreeWorker(fv_sched_t *sched, fv_sched_worker_t *worker);
-void FvSched_AddOrphanRun(const fv_sched_t *sched, fv_sched_worker_t *worker,
-                          const char *task, int32_t run, int64_t now_ms);
+void FvSched_AddOrphanRun(fv_sched_worker_t *worker, const char *task,
+                          int32_t run, int64_t now_ms);
+void FvSched_LimitOrphanRuns(const fv_sched_t *sched,
+                             fv_sched_worker_t *worker, int64_t sent_ms,
+                             int64_t now_ms);
 void FvSched_OrphanRunEnded(fv_sched_worker_t *worker, const char *task,
                             int32_t run);
 void FvSched_ForgetOrphanRuns(fv_sched_worker_t *worker, int64_t ended_by_ms);
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -53,7 +53,8 @@
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A), 2);
     FvSchedFixture_Close(&fixture);
 
-    /* The end is never reported: the run counts until the stop timeout. */
+    /* The end is never reported: the run counts until the stop timeout after
+     * the first report without it, since its stop may have been late. */
     FvSchedFixture_Open(&fixture, 2);
     FvSchedFixture_AddWorker(&fixture, "w1", "r1", 2000);
     report_running(&fixture, "w1", &orphan, 1);
@@ -62,7 +63,11 @@
     report_running(&fixture, "w1", NULL, 0);
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A), 0);
-    fixture.now_ms += 300; /* transit time of the stop order */
+    fixture.now_ms += Fv_FIXTURE_STOP_MS - 1;
+    report_running(&fixture, "w1", NULL, 0);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A), 0);
+    fixture.now_ms += 1;
     report_running(&fixture, "w1", NULL, 0);
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A), 2);
@@ -432,6 +437,8 @@
     CU_ASSERT_FALSE(FvSched_IsWorkerIdle(worker, fixture.now_ms));
     fixture.now_ms += Fv_FIXTURE_STOP_MS + 300;
     report_running(&fixture, entry.id, NULL, 0);
+    CU_ASSERT_FALSE(FvSched_IsWorkerIdle(worker, fixture.now_ms));
+    fixture.now_ms += Fv_FIXTURE_STOP_MS;
     CU_ASSERT_TRUE(FvSched_IsWorkerIdle(worker, fixture.now_ms));
     entry.started_wall_ms++;
     FvSched_UpdateWorker(&fixture.sched, &entry, fixture.now_ms);
