scheduler: take checkpoints of any length

A `saved` of 128 bytes or more made the whole report of its worker unreadable: its ends were not taken, its lease ran out, and its tasks started elsewhere from nothing, again and again. In a stored record of progress such a value made its row unreadable, done or failed. The platform sets no length.

Rows of reports and records now hold the value as a string of its own. A value with a NUL, which an order could not carry whole, counts as none; it made the report unreadable too.

--- a/src/cell-types.c
+++ b/src/cell-types.c
@@ -56,6 +56,12 @@
 void
 FvWorkerReport_Clear(fv_worker_report_t *report)
 {
+    for (uint32_t i = 0; i < report->running_count; i++) {
+        free(report->running[i].checkpoint);
+    }
+    for (uint32_t i = 0; i < report->ended_count; i++) {
+        free(report->ended[i].checkpoint);
+    }
     free(report->running);
     free(report->ended);
     *report = (fv_worker_report_t){0};
--- a/src/cell-types.h
+++ b/src/cell-types.h
@@ -11,7 +11,6 @@
 #define Fv_JOB_ID_SIZE 17 /* 16 hexadecimal digits */
 #define Fv_STEP_ID_SIZE 48
 #define Fv_RUN_TASK_ID_SIZE 64
-#define Fv_CHECKPOINT_SIZE 128
 #define Fv_TICKET_SIZE 64
 #define Fv_STEPS_MAX 64
 #define Fv_STEP_TASKS_MAX 4096
@@ -131,7 +130,7 @@
 typedef struct fv_running_row {
     char task_id[Fv_RUN_TASK_ID_SIZE];
     int32_t run;
-    char checkpoint[Fv_CHECKPOINT_SIZE];
+    char *checkpoint; /* owned by the report; NULL: none */
     int32_t percent;
 } fv_running_row_t;
 
@@ -140,7 +139,7 @@
     char task_id[Fv_RUN_TASK_ID_SIZE];
     int32_t run;
     fv_run_end_t end;
-    char checkpoint[Fv_CHECKPOINT_SIZE];
+    char *checkpoint; /* owned by the report; NULL: none */
 } fv_ended_row_t;
 
 /* A worker's report of its runs. */
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -208,7 +208,7 @@
     bool done;
     int32_t failures;
     int32_t failed_runs[Fv_FAILED_RUNS_MAX];
-    char checkpoint[Fv_CHECKPOINT_SIZE];
+    char *checkpoint; /* owned by the row; "": none */
 } fv_progress_row_t;
 
 static bool
@@ -229,13 +229,13 @@
     for (int32_t i = 0; i < Fv_FAILED_RUNS_MAX; i++) {
         row->failed_runs[i] = (int32_t)FvFields_Int(&runs, 0, INT32_MAX);
     }
-    FvFields_Text(&reader, row->checkpoint, sizeof(row->checkpoint));
+    row->checkpoint = FvFields_DupText(&reader);
     return !reader.failed && !runs.failed &&
            reader.count == Fv_PROGRESS_ROW_FIELDS;
 }
 
 static bool
-load_task(fv_sched_job_t *job, const fv_progress_row_t *row)
+load_task(fv_sched_job_t *job, fv_progress_row_t *row)
 {
     fv_sched_stage_t *stage;
     fv_sched_task_t *task;
@@ -251,7 +251,8 @@
     memcpy(task->failed_runs, row->failed_runs, sizeof(task->failed_runs));
     if (row->checkpoint[0] != '\0') {
         free(task->checkpoint);
-        task->checkpoint = strdup(row->checkpoint);
+        task->checkpoint = row->checkpoint;
+        row->checkpoint = NULL;
     }
     if (row->done && task->state != Fv_SCHED_DONE) {
         task->state = Fv_SCHED_DONE;
@@ -284,6 +285,7 @@
 
         /* A malformed row does not keep the others from being applied. */
         ok &= unpack_row(&rows.fields[i], &row) && load_task(job, &row);
+        free(row.checkpoint);
     }
     msgpack_unpacked_destroy(&unpacked);
     job->progress_recorded = true;
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -19,8 +19,8 @@
 static void
 set_checkpoint(fv_sched_task_t *task, const char *checkpoint)
 {
-    if (checkpoint[0] == '\0' || (task->checkpoint != NULL &&
-                                  strcmp(task->checkpoint, checkpoint) == 0)) {
+    if (checkpoint == NULL || (task->checkpoint != NULL &&
+                               strcmp(task->checkpoint, checkpoint) == 0)) {
         return;
     }
     free(task->checkpoint);
@@ -132,7 +132,7 @@
             return true;
         }
     }
-    if (row->checkpoint[0] != '\0' && task->state != Fv_SCHED_DONE) {
+    if (row->checkpoint != NULL && task->state != Fv_SCHED_DONE) {
         if (stage->step->gang) {
             set_gang_checkpoint(stage, row->checkpoint);
         }
@@ -149,7 +149,7 @@
             FvSched_StopGang(sched, stage, now_ms);
         }
     }
-    return row->end == Fv_END_FAILED || row->checkpoint[0] != '\0';
+    return row->end == Fv_END_FAILED || row->checkpoint != NULL;
 }
 
 static void
@@ -190,7 +190,7 @@
             FvSched_UpdateWorkerHealth(task->worker, task, false, now_ms);
         }
     }
-    if (task->stage->step->gang && row->checkpoint[0] != '\0') {
+    if (task->stage->step->gang && row->checkpoint != NULL) {
         set_gang_checkpoint(task->stage, row->checkpoint);
     }
     else {
--- a/tests/harness/sched-sim-handlers.c
+++ b/tests/harness/sched-sim-handlers.c
@@ -128,7 +128,10 @@
                                    report->ended_count < sim->plan->ends_page);
          e++) {
         if (!worker->ends[e].acknowledged) {
-            report->ended[report->ended_count++] = worker->ends[e].row;
+            fv_ended_row_t *row = &report->ended[report->ended_count++];
+
+            *row = worker->ends[e].row;
+            row->checkpoint = worker->ends[e].saved ? strdup("saved") : NULL;
         }
     }
     FvSim_Schedule(sim, answer);
--- a/tests/harness/sched-sim-internal.h
+++ b/tests/harness/sched-sim-internal.h
@@ -86,6 +86,7 @@
     fv_ended_row_t row;
     int64_t at_ms;
     bool acknowledged;
+    bool saved; /* a checkpoint */
 } sim_end_t;
 
 typedef struct sim_worker {
--- a/tests/harness/sched-sim-worker.c
+++ b/tests/harness/sched-sim-worker.c
@@ -113,7 +113,7 @@
                                     .end = end}};
     FvText_Copy(reported->row.task_id, Fv_RUN_TASK_ID_SIZE, run->task->name);
     if (end == Fv_END_STOPPED && run->step->checkpoints) {
-        FvText_Copy(reported->row.checkpoint, Fv_CHECKPOINT_SIZE, "saved");
+        reported->saved = true;
     }
     run->task->active--;
     run->task->last_end_ms = sim->now_ms;
--- a/tests/unit/platform_decode_test.c
+++ b/tests/unit/platform_decode_test.c
@@ -256,6 +256,42 @@
     FvWorkerReport_Clear(&report);
 }
 
+/* The platform sets no length for the value that a run saved. */
+static void
+test_long_saved_value(void)
+{
+    static const size_t lengths[] = {1, 127, 128, 4096, 100000};
+
+    for (size_t i = 0; i < sizeof(lengths) / sizeof(lengths[0]); i++) {
+        char *saved = repeat_text("s", lengths[i]);
+        size_t size = 2 * lengths[i] + 256;
+        char *document = malloc(size);
+        fv_worker_report_t report;
+        fv_call_answer_t answer = {.status = 200, .body = document};
+
+        CU_ASSERT_PTR_NOT_NULL_FATAL(document);
+        if (document == NULL) {
+            abort();
+        }
+        snprintf(document, size,
+                 "{\"clockMs\":1,\"running\":[[\"t\",2,\"%s\",40]],"
+                 "\"ended\":[[1,\"u\",1,\"stopped\",\"%s\"],"
+                 "[2,\"v\",1,\"stopped\",\"a\\u0000b\"]]}",
+                 saved, saved);
+        answer.length = strlen(document);
+        CU_ASSERT_TRUE(FvPlatform_DecodeReport(&answer, &report));
+        CU_ASSERT_EQUAL(report.ended_count, 2);
+        if (report.ended_count == 2) {
+            CU_ASSERT_STRING_EQUAL(report.running[0].checkpoint, saved);
+            CU_ASSERT_STRING_EQUAL(report.ended[0].checkpoint, saved);
+            CU_ASSERT_PTR_NULL(report.ended[1].checkpoint);
+        }
+        FvWorkerReport_Clear(&report);
+        free(document);
+        free(saved);
+    }
+}
+
 static void
 test_order_results(void)
 {
@@ -419,6 +455,8 @@
         {"labels beyond the limit shift the rack", test_many_labels},
         {"a malformed submission is accepted", test_submissions},
         {"a malformed report is accepted", test_reports},
+        {"a long saved value makes the report unreadable",
+         test_long_saved_value},
         {"an answer to an order is decoded as another result",
          test_order_results},
         {"a key with a NUL makes a whole page unreadable", test_key_with_nul},
--- a/tests/unit/sched_record_test.c
+++ b/tests/unit/sched_record_test.c
@@ -93,6 +93,29 @@
     FvSchedFixture_Close(&second);
 }
 
+/* The platform sets no length for the value that a run saved. */
+static void
+test_long_checkpoint_is_kept(void)
+{
+    static sched_fixture_t first;
+    static sched_fixture_t second;
+    static char saved[4096];
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_job_t *job;
+
+    memset(saved, 's', sizeof(saved) - 1);
+    FvSchedFixture_Open(&first, 1);
+    job = FvSchedFixture_AddJob(&first, JOB_A, &queue, one_task);
+    job->occurrences[0].stages[0].tasks[0].checkpoint = strdup(saved);
+    job = load_next_leader(job, &second);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(
+        job->occurrences[0].stages[0].tasks[0].checkpoint);
+    CU_ASSERT_STRING_EQUAL(job->occurrences[0].stages[0].tasks[0].checkpoint,
+                           saved);
+    FvSchedFixture_Close(&first);
+    FvSchedFixture_Close(&second);
+}
+
 static void
 test_end_is_acknowledged_after_its_record(void)
 {
@@ -172,6 +195,8 @@
          test_failures_count_in_any_order},
         {"a task that is recorded as done is started again",
          test_done_task_is_not_started_again},
+        {"a long checkpoint is lost with its leader",
+         test_long_checkpoint_is_kept},
         {"an end that arrived during a write is acknowledged too early",
          test_end_is_acknowledged_after_its_record},
         {"a malformed progress row is applied or hides a valid one",
