scheduler: let slow tasks end that were taken for stalled

A run whose percent stood still for 2.5 s was stopped. A task that takes more than 250 s advances by less in that time; without checkpoints it was stopped every 2.5 s and never ended. The limit now is at least ten times one percent of the declared time, and since that is rough, it doubles each time that a run of the task was taken for stalled. Tasks declared to take up to 25 s are first taken for stalled after 2.5 s, as before.

--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -8,10 +8,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A run without progress for this long is stalled. The longest tasks of the
- * platform (12 s, slowed down by a factor of 7) advance by one percent in
- * 0.84 s. */
+/* A run is stalled when it shows no progress for this long and for this many
+ * times as long as one percent of its declared time. Each time that a task was
+ * taken for stalled doubles both: the declared time is rough. */
 #define Fv_STALLED_MS 2500
+#define Fv_STALLED_SLOWDOWN 10
+#define Fv_STALLED_DOUBLINGS_MAX 20
 
 /* Progress that a lasting task reports for as long as it is at work. */
 #define Fv_AT_WORK_PERCENT 100
@@ -323,6 +325,20 @@
     }
 }
 
+static bool
+is_stalled(const fv_sched_task_t *task, int64_t now_ms)
+{
+    int64_t silent_ms =
+        (now_ms - task->progress_ms) >>
+        (task->stalls < Fv_STALLED_DOUBLINGS_MAX ? task->stalls
+                                                 : Fv_STALLED_DOUBLINGS_MAX);
+
+    return task->state == Fv_SCHED_RUNNING && !task->stage->step->gang &&
+           !task->stage->step->long_running && silent_ms > Fv_STALLED_MS &&
+           silent_ms >
+               task->stage->step->estimated_ms / 100 * Fv_STALLED_SLOWDOWN;
+}
+
 static void
 stop_stalled_runs(fv_sched_t *sched, fv_sched_worker_t *worker, int64_t now_ms)
 {
@@ -330,14 +346,13 @@
 
     for (fv_sched_task_t *task = worker->tasks; task != NULL; task = next) {
         next = task->worker_next;
-        if (task->state == Fv_SCHED_RUNNING && !task->stage->step->gang &&
-            !task->stage->step->long_running &&
-            task->listed_in_report == sched->report_count &&
-            now_ms - task->progress_ms > Fv_STALLED_MS) {
+        if (is_stalled(task, now_ms) &&
+            task->listed_in_report == sched->report_count) {
+            task->stalls++;
             FvLog_Event(Fv_LOG_WARN, "run_stalled",
-                        "job=%s run=%d worker=%s percent=%d",
+                        "job=%s run=%d worker=%s percent=%d times=%d",
                         task->stage->job->id, task->run, worker->entry.id,
-                        task->percent);
+                        task->percent, task->stalls);
             FvSched_UpdateWorkerHealth(worker, task, true, now_ms);
             FvSched_StopTask(sched, task, now_ms);
         }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -49,6 +49,7 @@
     int64_t stop_confirmed_ms; /* 0: the stop was not answered */
     int32_t percent;
     int32_t preemptions;
+    int32_t stalls;            /* times that a run was taken for stalled */
     int64_t progress_ms;       /* when the percent last changed */
     uint64_t listed_in_report; /* number of the latest report with its run */
     char *checkpoint;
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -4,6 +4,7 @@
 
 #include "sched-fixture.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #define JOB_A "00000000000000aa"
@@ -487,10 +488,94 @@
     FvSchedFixture_Close(&fixture);
 }
 
+static sched_fixture_t stalled;
+
+static const char long_task[] =
+    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1000,\"memMb\":10,"
+    "\"estimatedMs\":%d}]}";
+
+/* Runs one task, declared to take @declared_ms, whose percent rises by one
+ * each @percent_ms (0: never). Returns how long it took, or -1. */
+static int64_t
+run_slow_task(int declared_ms, int64_t percent_ms, int64_t limit_ms)
+{
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    char document[256];
+    fv_sched_task_t *task;
+    int64_t began_ms;
+    int64_t run_began_ms;
+    int64_t took_ms = -1;
+    int32_t run = 0;
+
+    FvSchedFixture_Open(&stalled, 1);
+    FvSchedFixture_AddWorker(&stalled, "w1", "r1", 2000);
+    snprintf(document, sizeof(document), long_task, declared_ms);
+    FvSchedFixture_AddJob(&stalled, JOB_A, &queue, document);
+    task = FvSched_FindTask(&stalled.sched, JOB_A ".0.0.0");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(task);
+    if (task == NULL) {
+        abort();
+    }
+    began_ms = stalled.now_ms;
+    run_began_ms = began_ms;
+    while (took_ms < 0 && stalled.now_ms < began_ms + limit_ms) {
+        fv_running_row_t row = {.task_id = JOB_A ".0.0.0"};
+
+        FvSchedFixture_RunPass(&stalled);
+        FvSchedFixture_ConfirmStarts(&stalled);
+        if (task->run != run) {
+            run = task->run;
+            run_began_ms = stalled.now_ms;
+        }
+        stalled.now_ms += 100;
+        row.run = run;
+        row.percent =
+            percent_ms > 0
+                ? (int32_t)((stalled.now_ms - run_began_ms) / percent_ms)
+                : 0;
+        if (row.percent >= 100) {
+            took_ms = stalled.now_ms - began_ms;
+        }
+        else if (task->state == Fv_SCHED_STOPPING) {
+            FvSchedFixture_ReportEnd(&stalled, "w1",
+                                     task->worker->last_end_applied + 1,
+                                     JOB_A ".0.0.0", run, Fv_END_STOPPED);
+        }
+        else {
+            report_running(&stalled, "w1", &row, 1);
+        }
+    }
+    FvSchedFixture_Close(&stalled);
+    return took_ms;
+}
+
+/* A task without checkpoints advances by one percent in 3 s. */
+static void
+test_slow_task_ends(void)
+{
+    CU_ASSERT_EQUAL(run_slow_task(300000, 3000, 400000), 300000);
+    /* Declared far too short, it is taken for stalled at first. */
+    CU_ASSERT_TRUE(run_slow_task(1000, 3000, 400000) > 0);
+    CU_ASSERT_TRUE(run_slow_task(0, 20000, 3000000) > 0);
+}
+
+static void
+test_stalled_task_is_stopped(void)
+{
+    CU_ASSERT_EQUAL(run_slow_task(1000, 0, 2500), -1);
+    CU_ASSERT_EQUAL(stalled.order_count, 1);
+    CU_ASSERT_EQUAL(run_slow_task(1000, 0, 2700), -1);
+    CU_ASSERT_EQUAL(stalled.order_count, 2);
+    CU_ASSERT_TRUE(stalled.orders[1].stop);
+}
+
 int
 main(void)
 {
     static const test_case_t cases[] = {
+        {"a slow task is stopped as stalled in each of its runs",
+         test_slow_task_ends},
+        {"a stalled run is not stopped", test_stalled_task_is_stopped},
         {"the resources of a run that is being stopped are reused",
          test_orphan_run_keeps_its_resources},
         {"a run of an ended gang is stopped as orphaned",
