records: keep a job's progress within a value of the store

The progress of a job is one value. With a row of 18 bytes or more for each task that is done, has failed or has a checkpoint, it outgrew `valueBytes` (1 MiB) at some 52,000 tasks, or earlier with checkpoints; the store's refusal is repeated for ever, and the other jobs' records behind it wait.

Consecutive tasks that are done now take one row, so that the tasks done of the largest accepted job (65,536 tasks) always fit. What doesn't fit beside them is left out: checkpoints first, then which runs failed, then failures. A job of which the tasks done, or the submission itself, could outgrow the value is refused (400); at 1 MiB there is none. The limit is a setting, store_value_max_bytes, that the platform fills in.

sched_record_test, "a job's progress outgrows a value of the store" (65,536 tasks, every second one done, the others without, with checkpoints of 28 bytes, with failures): records of 586,755, 2,091,013 and 2,222,085 bytes before; now within 1 MiB and with all tasks that are done. 7 of 7 passed, also with SANITIZE=address,undefined. That the store's refusal holds up the stream was read, not run. Records in the form before are still read; a host before this change does not read the new rows.

--- a/src/entry-settings.c
+++ b/src/entry-settings.c
@@ -7,6 +7,9 @@
 
 #include <string.h>
 
+/* Used where the settings don't tell how large a value the store takes. */
+#define Fv_STORE_VALUE_DEFAULT_BYTES (1024 * 1024)
+
 typedef enum fv_setting_kind {
     Fv_SETTING_TEXT,
     Fv_SETTING_ADDRESS, /* IPv4 address and port */
@@ -58,6 +61,9 @@
     INT(gang_timeout_ms, 500, 600000),
     INT(drain_ms, 100, 600000),
     INT(keep_ended_s, 1, 86400),
+    {"store_value_max_bytes", Fv_SETTING_INT,
+     offsetof(fv_entry_settings_t, store_value_max_bytes), 0, false, 4096,
+     INT32_MAX},
 };
 
 #undef STRING
@@ -164,7 +170,9 @@
     const char *level;
     bool valid = true;
 
-    *settings = (fv_entry_settings_t){.log_level = Fv_LOG_INFO};
+    *settings = (fv_entry_settings_t){.store_value_max_bytes =
+                                          Fv_STORE_VALUE_DEFAULT_BYTES,
+                                      .log_level = Fv_LOG_INFO};
     if (table == NULL) {
         fprintf(errors, "%s: %s\n", path, reason);
         return false;
--- a/src/entry.h
+++ b/src/entry.h
@@ -34,6 +34,7 @@
     int32_t gang_timeout_ms; /* longest wait for all gang members */
     int32_t drain_ms;        /* from SIGTERM until the process is killed */
     int32_t keep_ended_s;
+    int32_t store_value_max_bytes;
     fv_log_level_t log_level;
 } fv_entry_settings_t;
 
--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -232,7 +232,8 @@
 }
 
 static uint32_t
-build_record(fv_sched_job_t *job, fv_record_kind_t kind, fv_record_t *entries)
+build_record(const fv_leader_t *leader, fv_sched_job_t *job,
+             fv_record_kind_t kind, fv_record_t *entries)
 {
     uint32_t count = 0;
 
@@ -243,7 +244,9 @@
     }
     if (kind == Fv_RECORD_PROGRESS) {
         format_job_key(Fv_KEY_PROGRESS, job->id, entries[0].key, Fv_KEY_SIZE);
-        FvSchedRecord_EncodeProgress(job, &entries[0].value);
+        FvSchedRecord_EncodeProgress(
+            job, (size_t)leader->settings->store_value_max_bytes,
+            &entries[0].value);
         job->progress_recorded = true;
         return 1;
     }
@@ -273,7 +276,7 @@
     fv_leader_t *leader = FvLeader_FromSched(sched);
     fv_record_call_t *call = calloc(1, sizeof(*call));
     fv_record_t entries[3] = {0};
-    uint32_t count = build_record(job, kind, entries);
+    uint32_t count = build_record(leader, job, kind, entries);
 
     if (call == NULL) {
         abort(); /* no job may be acknowledged without a record */
--- a/src/leader-requests.c
+++ b/src/leader-requests.c
@@ -8,6 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Names, numbers and headers of a job's record besides the submission. */
+#define Fv_JOB_RECORD_HEADER_MAX_BYTES 512
+
 /**
  * FvLeaderRequest_Answer - answer a request
  * @leader: the leader
@@ -67,6 +70,18 @@
     return NULL;
 }
 
+/* Whether all records of the job, however far it gets, fit into the store. */
+static bool
+fits_into_store(const fv_leader_t *leader, const fv_cell_message_t *message,
+                const fv_job_spec_t *spec)
+{
+    size_t max_bytes = (size_t)leader->settings->store_value_max_bytes;
+
+    return message->body_length + Fv_JOB_RECORD_HEADER_MAX_BYTES <=
+               max_bytes &&
+           FvSchedRecord_ProgressMaxBytes(spec) <= max_bytes;
+}
+
 static void
 submit(fv_leader_t *leader, const fv_cell_message_t *message,
        fv_leader_reply_t reply, void *context)
@@ -98,6 +113,13 @@
         reply_now(leader, message, reply, context, Fv_REPLY_MALFORMED, "");
         return;
     }
+    if (!fits_into_store(leader, message, &spec)) {
+        FvJobSpec_Clear(&spec);
+        FvLog_Event(Fv_LOG_INFO, "job_too_large", "job=%s queue=%s",
+                    message->key, message->name);
+        reply_now(leader, message, reply, context, Fv_REPLY_MALFORMED, "");
+        return;
+    }
     job = FvSched_AddJob(&leader->sched, message->key, queue, &spec,
                          message->body, message->body_length, now_ms, wall_ms);
     FvJobSpec_Clear(&spec);
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -12,6 +12,12 @@
 #define Fv_JOB_RECORD_FORMAT 1
 #define Fv_JOB_RECORD_FIELDS 13
 #define Fv_PROGRESS_ROW_FIELDS 7
+/* Consecutive tasks of a step that are done: occurrence, step, first task and
+ * number of tasks, each of them at most 5, 2, 3 and 3 bytes long. */
+#define Fv_DONE_ROW_FIELDS 4
+#define Fv_DONE_ROW_MAX_BYTES 14
+#define Fv_ROWS_HEADER_BYTES 5
+#define Fv_TEXT_HEADER_BYTES 5
 #define Fv_STRETCH_SCALE 1000.0
 
 static bool
@@ -56,74 +62,195 @@
     return append_packed(&packed, out);
 }
 
-static bool
-has_progress(const fv_sched_task_t *task)
+/* What a record of progress tells of tasks that are not done, from all to
+ * nothing. A lower detail is used when the store would refuse the record. */
+typedef enum fv_record_detail {
+    Fv_DETAIL_CHECKPOINTS,
+    Fv_DETAIL_FAILED_RUNS, /* a failure may not be counted twice */
+    Fv_DETAIL_FAILURES,
+    Fv_DETAIL_DONE
+} fv_record_detail_t;
+
+typedef struct fv_progress_writer {
+    msgpack_packer packer;
+    msgpack_sbuffer packed;
+    fv_record_detail_t detail;
+    size_t checkpoint_bytes; /* that still fit */
+    uint32_t rows;
+    bool counting;
+} fv_progress_writer_t;
+
+static void
+write_done_range(fv_progress_writer_t *writer, const fv_sched_task_t *first,
+                 int32_t count)
+{
+    writer->rows++;
+    if (writer->counting) {
+        return;
+    }
+    msgpack_pack_array(&writer->packer, Fv_DONE_ROW_FIELDS);
+    msgpack_pack_int32(&writer->packer, first->stage->occurrence);
+    msgpack_pack_uint32(&writer->packer, first->stage->step_index);
+    msgpack_pack_int32(&writer->packer, first->index);
+    msgpack_pack_int32(&writer->packer, count);
+}
+
+/* Returns the checkpoint if it still fits. */
+static const char *
+take_checkpoint(fv_progress_writer_t *writer, const fv_sched_task_t *task)
 {
-    return task->state == Fv_SCHED_DONE || task->failures > 0 ||
-           task->checkpoint != NULL;
+    size_t needed = task->checkpoint != NULL
+                        ? strlen(task->checkpoint) + Fv_TEXT_HEADER_BYTES
+                        : 0;
+
+    if (needed == 0 || needed > writer->checkpoint_bytes) {
+        return NULL;
+    }
+    writer->checkpoint_bytes -= needed;
+    return task->checkpoint;
 }
 
 static void
-pack_task(msgpack_packer *packer, const fv_sched_task_t *task)
+write_open_task(fv_progress_writer_t *writer, const fv_sched_task_t *task)
 {
+    msgpack_packer *packer = &writer->packer;
+
+    if (writer->detail == Fv_DETAIL_DONE ||
+        (task->failures == 0 && (task->checkpoint == NULL ||
+                                 writer->detail != Fv_DETAIL_CHECKPOINTS))) {
+        return;
+    }
+    writer->rows++;
+    if (writer->counting) {
+        return;
+    }
     msgpack_pack_array(packer, Fv_PROGRESS_ROW_FIELDS);
     msgpack_pack_int32(packer, task->stage->occurrence);
     msgpack_pack_uint32(packer, task->stage->step_index);
     msgpack_pack_int32(packer, task->index);
-    msgpack_pack_int(packer, task->state == Fv_SCHED_DONE);
+    msgpack_pack_int(packer, 0);
     msgpack_pack_int32(packer, task->failures);
     msgpack_pack_array(packer, Fv_FAILED_RUNS_MAX);
     for (int32_t i = 0; i < Fv_FAILED_RUNS_MAX; i++) {
-        msgpack_pack_int32(packer, task->failed_runs[i]);
+        msgpack_pack_int32(packer, writer->detail <= Fv_DETAIL_FAILED_RUNS
+                                       ? task->failed_runs[i]
+                                       : 0);
     }
-    FvPack_Text(packer,
-                task->state == Fv_SCHED_DONE ? NULL : task->checkpoint);
+    FvPack_Text(packer, take_checkpoint(writer, task));
 }
 
-typedef void (*fv_task_visit_t)(msgpack_packer *packer,
-                                const fv_sched_task_t *task);
-
-static uint32_t
-visit_progress(const fv_sched_job_t *job, msgpack_packer *packer,
-               fv_task_visit_t visit)
+static void
+write_stage(fv_progress_writer_t *writer, const fv_sched_stage_t *stage)
 {
-    uint32_t count = 0;
+    int32_t done = 0; /* tasks before the current one, without a gap */
 
+    for (int32_t t = 0; t < stage->step->task_count; t++) {
+        const fv_sched_task_t *task = &stage->tasks[t];
+
+        if (task->state == Fv_SCHED_DONE) {
+            done++;
+            continue;
+        }
+        if (done > 0) {
+            write_done_range(writer, task - done, done);
+            done = 0;
+        }
+        write_open_task(writer, task);
+    }
+    if (done > 0) {
+        write_done_range(writer, &stage->tasks[stage->step->task_count - done],
+                         done);
+    }
+}
+
+static void
+write_stages(fv_progress_writer_t *writer, const fv_sched_job_t *job)
+{
     for (uint32_t o = 0; o < job->occurrence_count; o++) {
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
-            const fv_sched_stage_t *stage = &job->occurrences[o].stages[s];
-
-            for (int32_t t = 0; t < stage->step->task_count; t++) {
-                if (has_progress(&stage->tasks[t])) {
-                    count++;
-                    if (visit != NULL) {
-                        visit(packer, &stage->tasks[t]);
-                    }
-                }
-            }
+            write_stage(writer, &job->occurrences[o].stages[s]);
         }
     }
-    return count;
+}
+
+/* Returns the encoded record's size. */
+static size_t
+write_progress(fv_progress_writer_t *writer, const fv_sched_job_t *job,
+               fv_record_detail_t detail, size_t checkpoint_bytes)
+{
+    uint32_t rows;
+
+    *writer = (fv_progress_writer_t){.detail = detail,
+                                     .checkpoint_bytes = checkpoint_bytes,
+                                     .counting = true};
+    write_stages(writer, job);
+    rows = writer->rows;
+    writer->counting = false;
+    msgpack_sbuffer_init(&writer->packed);
+    msgpack_packer_init(&writer->packer, &writer->packed,
+                        msgpack_sbuffer_write);
+    msgpack_pack_array(&writer->packer, rows);
+    write_stages(writer, job);
+    return writer->packed.size;
 }
 
 /**
  * FvSchedRecord_EncodeProgress - encode the record of a job's progress
  * @job: the job
+ * @max_bytes: the largest record that the store takes
  * @out: receives the record
  *
+ * Tasks that are done are always in it, see FvSchedRecord_ProgressMaxBytes();
+ * checkpoints and then failures are left out when they don't fit.
+ *
  * Return: false when memory is exhausted.
  */
 bool
-FvSchedRecord_EncodeProgress(const fv_sched_job_t *job, fv_buffer_t *out)
+FvSchedRecord_EncodeProgress(const fv_sched_job_t *job, size_t max_bytes,
+                             fv_buffer_t *out)
 {
-    msgpack_sbuffer packed;
-    msgpack_packer packer;
+    fv_progress_writer_t writer;
+    int detail = Fv_DETAIL_CHECKPOINTS;
+    size_t size =
+        write_progress(&writer, job, Fv_DETAIL_CHECKPOINTS, SIZE_MAX);
 
-    msgpack_sbuffer_init(&packed);
-    msgpack_packer_init(&packer, &packed, msgpack_sbuffer_write);
-    msgpack_pack_array(&packer, visit_progress(job, NULL, NULL));
-    visit_progress(job, &packer, pack_task);
-    return append_packed(&packed, out);
+    if (size > max_bytes) {
+        msgpack_sbuffer_destroy(&writer.packed);
+        size = write_progress(&writer, job, Fv_DETAIL_CHECKPOINTS, 0);
+        if (size < max_bytes) {
+            msgpack_sbuffer_destroy(&writer.packed);
+            write_progress(&writer, job, Fv_DETAIL_CHECKPOINTS,
+                           max_bytes - size);
+        }
+        while (size > max_bytes && detail < Fv_DETAIL_DONE) {
+            detail++;
+            msgpack_sbuffer_destroy(&writer.packed);
+            size = write_progress(&writer, job, (fv_record_detail_t)detail, 0);
+        }
+        FvLog_Event(Fv_LOG_WARN, "progress_record_cut",
+                    "job=%s detail=%d bytes=%zu", job->id, detail,
+                    writer.packed.size);
+    }
+    return append_packed(&writer.packed, out);
+}
+
+/**
+ * FvSchedRecord_ProgressMaxBytes - size of the largest record of which tasks
+ * of a job are done
+ * @spec: the job
+ *
+ * Return: the size, when every second task of each step is done.
+ */
+size_t
+FvSchedRecord_ProgressMaxBytes(const fv_job_spec_t *spec)
+{
+    size_t rows = 0;
+
+    for (uint32_t s = 0; s < spec->step_count; s++) {
+        rows += ((size_t)spec->steps[s].task_count + 1) / 2;
+    }
+    rows *= spec->repeat_count > 0 ? (size_t)spec->repeat_count : 1;
+    return Fv_ROWS_HEADER_BYTES + rows * Fv_DONE_ROW_MAX_BYTES;
 }
 
 static void
@@ -200,15 +327,16 @@
     return job;
 }
 
-/* Progress of one task. */
+/* Progress of one task, or of several that are done. */
 typedef struct fv_progress_row {
     int64_t occurrence;
     int64_t step;
     int64_t index;
+    int64_t count;
     bool done;
     int32_t failures;
     int32_t failed_runs[Fv_FAILED_RUNS_MAX];
-    char *checkpoint; /* owned by the row; "": none */
+    char *checkpoint; /* owned by the row; NULL or "": none */
 } fv_progress_row_t;
 
 static bool
@@ -222,9 +350,15 @@
         .occurrence = FvFields_Int(&reader, 0, INT32_MAX),
         .step = FvFields_Int(&reader, 0, INT32_MAX),
         .index = FvFields_Int(&reader, 0, INT32_MAX),
-        .done = FvFields_Int(&reader, 0, 1) != 0,
-        .failures = (int32_t)FvFields_Int(&reader, 0, INT32_MAX),
+        .count = 1,
     };
+    if (reader.count == Fv_DONE_ROW_FIELDS) {
+        row->done = true;
+        row->count = FvFields_Int(&reader, 1, Fv_STEP_TASKS_MAX);
+        return !reader.failed;
+    }
+    row->done = FvFields_Int(&reader, 0, 1) != 0;
+    row->failures = (int32_t)FvFields_Int(&reader, 0, INT32_MAX);
     runs = FvFields_Array(&reader);
     for (int32_t i = 0; i < Fv_FAILED_RUNS_MAX; i++) {
         row->failed_runs[i] = (int32_t)FvFields_Int(&runs, 0, INT32_MAX);
@@ -234,22 +368,15 @@
            reader.count == Fv_PROGRESS_ROW_FIELDS;
 }
 
-static bool
-load_task(fv_sched_job_t *job, fv_progress_row_t *row)
+static void
+load_task(fv_sched_task_t *task, fv_progress_row_t *row)
 {
-    fv_sched_stage_t *stage;
-    fv_sched_task_t *task;
+    fv_sched_stage_t *stage = task->stage;
+    fv_occurrence_t *occurrence = &stage->job->occurrences[row->occurrence];
 
-    if (row->occurrence >= job->occurrence_count ||
-        row->step >= job->spec.step_count ||
-        row->index >= job->spec.steps[row->step].task_count) {
-        return false;
-    }
-    stage = &job->occurrences[row->occurrence].stages[row->step];
-    task = &stage->tasks[row->index];
     task->failures = row->failures;
     memcpy(task->failed_runs, row->failed_runs, sizeof(task->failed_runs));
-    if (row->checkpoint[0] != '\0') {
+    if (row->checkpoint != NULL && row->checkpoint[0] != '\0') {
         free(task->checkpoint);
         task->checkpoint = row->checkpoint;
         row->checkpoint = NULL;
@@ -259,9 +386,25 @@
         stage->waiting--;
         stage->done++;
         if (stage->done == stage->step->task_count) {
-            job->occurrences[row->occurrence].stages_done++;
+            occurrence->stages_done++;
         }
     }
+}
+
+static bool
+load_row(fv_sched_job_t *job, fv_progress_row_t *row)
+{
+    fv_sched_stage_t *stage;
+
+    if (row->occurrence >= job->occurrence_count ||
+        row->step >= job->spec.step_count ||
+        row->index + row->count > job->spec.steps[row->step].task_count) {
+        return false;
+    }
+    stage = &job->occurrences[row->occurrence].stages[row->step];
+    for (int64_t t = row->index; t < row->index + row->count; t++) {
+        load_task(&stage->tasks[t], row);
+    }
     job->started = true;
     return true;
 }
@@ -284,7 +427,7 @@
         fv_progress_row_t row;
 
         /* A malformed row does not keep the others from being applied. */
-        ok &= unpack_row(&rows.fields[i], &row) && load_task(job, &row);
+        ok &= unpack_row(&rows.fields[i], &row) && load_row(job, &row);
         free(row.checkpoint);
     }
     msgpack_unpacked_destroy(&unpacked);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -330,7 +330,9 @@
 
 /* sched-record.c: the records in the store. */
 bool FvSchedRecord_EncodeJob(const fv_sched_job_t *job, fv_buffer_t *out);
-bool FvSchedRecord_EncodeProgress(const fv_sched_job_t *job, fv_buffer_t *out);
+bool FvSchedRecord_EncodeProgress(const fv_sched_job_t *job, size_t max_bytes,
+                                  fv_buffer_t *out);
+size_t FvSchedRecord_ProgressMaxBytes(const fv_job_spec_t *spec);
 fv_sched_job_t *FvSchedRecord_LoadJob(fv_sched_t *sched, const char *id,
                                       const fv_buffer_t *value, int64_t now_ms,
                                       int64_t wall_ms);
--- a/tests/harness/sched-sim-ops.c
+++ b/tests/harness/sched-sim-ops.c
@@ -133,7 +133,7 @@
         FvSchedRecord_EncodeJob(job, &event.value);
     }
     else if (kind == Fv_RECORD_PROGRESS) {
-        FvSchedRecord_EncodeProgress(job, &event.value);
+        FvSchedRecord_EncodeProgress(job, SIZE_MAX, &event.value);
     }
     FvSim_Schedule(sim, event);
 }
--- a/tests/unit/decoder_mutation_test.c
+++ b/tests/unit/decoder_mutation_test.c
@@ -367,7 +367,8 @@
         "{\"taskSpec\":\"x\",\"steps\":[{\"count\":4,\"cpu\":1,\"memMb\":1,"
         "\"estimatedMs\":5}]}");
     CU_ASSERT_FATAL(FvSchedRecord_EncodeJob(recorded_job, &job));
-    CU_ASSERT_FATAL(FvSchedRecord_EncodeProgress(recorded_job, &progress));
+    CU_ASSERT_FATAL(
+        FvSchedRecord_EncodeProgress(recorded_job, SIZE_MAX, &progress));
     decode_mutations(job.data, job.length, 9, decode_job_record);
     decode_mutations(progress.data, progress.length, 10, decode_progress);
     FvBuffer_Clear(&job);
--- a/tests/unit/sched_record_test.c
+++ b/tests/unit/sched_record_test.c
@@ -22,7 +22,7 @@
     fv_sched_job_t *loaded;
 
     CU_ASSERT_TRUE(FvSchedRecord_EncodeJob(job, &record));
-    CU_ASSERT_TRUE(FvSchedRecord_EncodeProgress(job, &progress));
+    CU_ASSERT_TRUE(FvSchedRecord_EncodeProgress(job, SIZE_MAX, &progress));
     FvSchedFixture_Open(next, 2);
     FvSchedFixture_AddWorker(next, "w1", "r1", 4000);
     loaded = FvSchedRecord_LoadJob(&next->sched, job->id, &record,
@@ -116,6 +116,84 @@
     FvSchedFixture_Close(&second);
 }
 
+#define VALUE_MAX_BYTES (1024 * 1024)
+
+static fv_sched_job_t *
+add_largest_job(sched_fixture_t *fixture)
+{
+    static const char first[] = "{\"taskSpec\":\"x\",\"steps\":[";
+    static const char step[] = "{\"count\":4096,\"cpu\":1},";
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    char document[1024];
+    size_t length = sizeof(first) - 1;
+
+    memcpy(document, first, sizeof(first));
+    for (int i = 0; i < 16; i++) {
+        memcpy(document + length, step, sizeof(step));
+        length += sizeof(step) - 1;
+    }
+    memcpy(document + length - 1, "]}", 3); /* in place of the last comma */
+    FvSchedFixture_Open(fixture, 1);
+    return FvSchedFixture_AddJob(fixture, JOB_A, &queue, document);
+}
+
+/* Returns how many of the tasks that should be done are not after loading. */
+static uint32_t
+count_lost_tasks(const fv_sched_job_t *job, const fv_buffer_t *progress)
+{
+    static sched_fixture_t next;
+    fv_sched_job_t *loaded = add_largest_job(&next);
+    uint32_t lost = 0;
+
+    CU_ASSERT_TRUE(FvSchedRecord_LoadProgress(loaded, progress));
+    for (uint32_t s = 0; s < job->spec.step_count; s++) {
+        for (int32_t t = 0; t < job->spec.steps[s].task_count; t++) {
+            lost += job->occurrences[0].stages[s].tasks[t].state !=
+                    loaded->occurrences[0].stages[s].tasks[t].state;
+        }
+    }
+    FvSchedFixture_Close(&next);
+    return lost;
+}
+
+/* Every second task of the largest job is done; the others have failed or
+ * saved checkpoints that no value of the store holds. */
+static void
+test_largest_record_fits_into_store(void)
+{
+    static sched_fixture_t fixture;
+    fv_sched_job_t *job = add_largest_job(&fixture);
+    fv_buffer_t progress = {0};
+
+    CU_ASSERT_TRUE(FvSchedRecord_ProgressMaxBytes(&job->spec) <=
+                   VALUE_MAX_BYTES);
+    for (int round = 0; round < 3; round++) {
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            for (int32_t t = 0; t < job->spec.steps[s].task_count; t++) {
+                fv_sched_task_t *task =
+                    &job->occurrences[0].stages[s].tasks[t];
+
+                if (t % 2 == 0) {
+                    task->state = Fv_SCHED_DONE;
+                }
+                else if (round == 1) {
+                    task->checkpoint = strdup("0123456789012345678901234567");
+                }
+                else if (round == 2) {
+                    task->failures = 8;
+                    task->failed_runs[0] = INT32_MAX;
+                }
+            }
+        }
+        CU_ASSERT_TRUE(
+            FvSchedRecord_EncodeProgress(job, VALUE_MAX_BYTES, &progress));
+        CU_ASSERT_TRUE(progress.length <= VALUE_MAX_BYTES);
+        CU_ASSERT_EQUAL(count_lost_tasks(job, &progress), 0);
+        FvBuffer_Clear(&progress);
+    }
+    FvSchedFixture_Close(&fixture);
+}
+
 static void
 test_end_is_acknowledged_after_its_record(void)
 {
@@ -197,6 +275,8 @@
          test_done_task_is_not_started_again},
         {"a long checkpoint is lost with its leader",
          test_long_checkpoint_is_kept},
+        {"a job's progress outgrows a value of the store",
+         test_largest_record_fits_into_store},
         {"an end that arrived during a write is acknowledged too early",
          test_end_is_acknowledged_after_its_record},
         {"a malformed progress row is applied or hides a valid one",
