--- a/tests/unit/platform_decode_test.c
+++ b/tests/unit/platform_decode_test.c
@@ -220,6 +220,16 @@
         "\"steps\":[{\"count\":4096}]}",
         "{\"taskSpec\":\"x\",\"repeatCount\":2,\"intervalMs\":"
         "9000000000000000000,\"steps\":[{\"count\":1}]}",
+        "{\"taskSpec\":\"x\",\"startAtMs\":9223372036854775807,"
+        "\"steps\":[{\"count\":1}]}",
+        "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":"
+        "9223372036854775807}]}",
+        "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"memMb\":64.5}]}",
+        "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"gpus\":\"1\"}]}",
+        "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"estimatedMs\":"
+        "9223372036854775807}]}",
+        "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"antiAffinity\":"
+        "4294967297}]}",
         "{\"taskSpec\":\"x\",\"steps\":[[[[[[[[[[[[]]]]]]]]]]]]}"};
     fv_job_spec_t spec;
 
@@ -234,8 +244,14 @@
 test_reports(void)
 {
     static const char *const malformed[] = {
-        "", "{}", "{\"clockMs\":1,\"running\":[[1]]}",
-        "{\"clockMs\":1,\"ended\":[[1,\"t\",1,\"exploded\",\"\"]]}"};
+        "",
+        "{}",
+        "{\"clockMs\":1,\"running\":[[1]]}",
+        "{\"clockMs\":1,\"ended\":[[1,\"t\",1,\"exploded\",\"\"]]}",
+        "{\"clockMs\":1,\"running\":[[\"t\",4294967297,\"\",1]]}",
+        "{\"clockMs\":1,\"ended\":[[1,\"t\",4294967297,\"done\",\"\"]]}",
+        "{\"clockMs\":1,\"born\":\"1\"}",
+        "{\"clockMs\":9223372036854775807}"};
     static const char valid[] =
         "{\"clockMs\":7,\"born\":3,\"running\":[[\"t\",2,\"s\",40,11.5]],"
         "\"ended\":[[9,\"u\",1,\"done\",\"\"]]}";
