advice: take tickets of any length

A ticket of 64 bytes or more made its worker count as refused, and a refusal holds for good: a step whose tickets are that long never started. One with a blank was cut there on its way to the leader, and each start with it refused.

Tickets are now strings of their own. Between hosts, a ticket is the rest of its line.

--- a/src/advice-client.c
+++ b/src/advice-client.c
@@ -110,7 +110,7 @@
                     request->step, answer->status);
     }
     encode_rows(&advice, &body);
-    free(advice.rows);
+    FvAdvice_Clear(&advice);
     client->in_flight_us -= request->cost_us;
     request->done(request->context,
                   &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_ADVICE_REPLY,
--- a/src/cell-types.c
+++ b/src/cell-types.c
@@ -66,3 +66,17 @@
     free(report->ended);
     *report = (fv_worker_report_t){0};
 }
+
+/**
+ * FvAdvice_Clear - release an answer of the advice service
+ * @advice: the answer
+ */
+void
+FvAdvice_Clear(fv_advice_t *advice)
+{
+    for (uint32_t i = 0; i < advice->row_count; i++) {
+        free(advice->rows[i].ticket);
+    }
+    free(advice->rows);
+    *advice = (fv_advice_t){0};
+}
--- a/src/cell-types.h
+++ b/src/cell-types.h
@@ -11,7 +11,6 @@
 #define Fv_JOB_ID_SIZE 17 /* 16 hexadecimal digits */
 #define Fv_STEP_ID_SIZE 48
 #define Fv_RUN_TASK_ID_SIZE 64
-#define Fv_TICKET_SIZE 64
 #define Fv_STEPS_MAX 64
 #define Fv_STEP_TASKS_MAX 4096
 #define Fv_LABELS_MAX 8
@@ -155,7 +154,7 @@
 /* A worker that may run a step, and the ticket for starting it there. */
 typedef struct fv_advice_row {
     char worker_id[Fv_NAME_SIZE];
-    char ticket[Fv_TICKET_SIZE];
+    char *ticket; /* owned by the advice */
 } fv_advice_row_t;
 
 typedef struct fv_advice {
@@ -217,5 +216,6 @@
 void FvCellConfig_Free(fv_cell_config_t *config);
 void FvKvItems_Clear(fv_kv_items_t *items);
 void FvWorkerReport_Clear(fv_worker_report_t *report);
+void FvAdvice_Clear(fv_advice_t *advice);
 
 #endif
--- a/src/leader-advice.c
+++ b/src/leader-advice.c
@@ -61,6 +61,23 @@
     free(request);
 }
 
+/* Parses a worker's id and, up to the end of the line, its ticket. */
+static bool
+parse_row(char *line, fv_advice_row_t *row)
+{
+    char *blank = strchr(line, ' ');
+
+    if (blank == NULL) {
+        return false;
+    }
+    *blank = '\0';
+    if (!FvText_Copy(row->worker_id, sizeof(row->worker_id), line)) {
+        return false;
+    }
+    row->ticket = strdup(blank + 1);
+    return row->ticket != NULL;
+}
+
 /**
  * FvLeader_HandleAdvice - handle an answer of the advice service
  * @leader: the leader
@@ -88,11 +105,8 @@
     for (char *line = strtok_r(text, "\n", &rest);
          line != NULL && advice.row_count < request->count;
          line = strtok_r(NULL, "\n", &rest)) {
-        fv_advice_row_t *row = &advice.rows[advice.row_count];
-
-        if (sscanf(line, "%63s %63s", row->worker_id, row->ticket) == 2) {
-            advice.row_count++;
-        }
+        advice.row_count +=
+            parse_row(line, &advice.rows[advice.row_count]) ? 1 : 0;
     }
     FvLog_Event(Fv_LOG_INFO, "advice",
                 "stage=%s asked=%u allowed=%u took_ms=%" PRId64,
@@ -100,7 +114,7 @@
                 FvClock_NowMs() - request->sent_ms);
     FvLeaderAdvice_Complete(leader, request, &advice);
 done:
-    free(advice.rows);
+    FvAdvice_Clear(&advice);
     free(text);
     FvLeader_SchedulePass(leader);
 }
--- a/src/sched-advice.c
+++ b/src/sched-advice.c
@@ -465,7 +465,8 @@
         row = find_advice_row(advice, asked[i]->entry.id);
         verdict->allowed = row != NULL;
         if (row != NULL) {
-            FvText_Copy(verdict->ticket, sizeof(verdict->ticket), row->ticket);
+            free(verdict->ticket);
+            verdict->ticket = strdup(row->ticket);
             verdict->expires_ms = now_ms + stage->job->queue.ticket_valid_ms;
         }
         *share += ((row != NULL) - *share) * Fv_ALLOWED_SHARE_WEIGHT;
--- a/src/sched-incarnation.c
+++ b/src/sched-incarnation.c
@@ -4,6 +4,8 @@
 
 #include "scheduler.h"
 
+#include <stdlib.h>
+
 #include <inttypes.h>
 
 static void
@@ -15,6 +17,9 @@
         if (stage->verdicts[v].worker != worker) {
             stage->verdicts[kept++] = stage->verdicts[v];
         }
+        else {
+            free(stage->verdicts[v].ticket);
+        }
     }
     stage->verdict_count = kept;
     for (int32_t t = 0; t < stage->step->task_count; t++) {
--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -120,6 +120,9 @@
                 free(stage->tasks[t].checkpoint);
             }
             free(stage->tasks);
+            for (uint32_t v = 0; v < stage->verdict_count; v++) {
+                free(stage->verdicts[v].ticket);
+            }
             free(stage->verdicts);
         }
         free(occurrence->stages);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -66,7 +66,7 @@
     fv_sched_worker_t *worker;
     bool allowed;
     int64_t expires_ms;
-    char ticket[Fv_TICKET_SIZE];
+    char *ticket; /* NULL: none */
 } fv_verdict_t;
 
 /* A run that may be on a worker and belongs to no open task. */
--- a/tests/harness/sched-fixture.c
+++ b/tests/harness/sched-fixture.c
@@ -233,7 +233,7 @@
             fv_advice_row_t *row = &rows[advice.row_count++];
 
             FvText_Copy(row->worker_id, sizeof(row->worker_id), id);
-            FvText_Copy(row->ticket, sizeof(row->ticket), "t");
+            row->ticket = "t";
         }
     }
     fixture->advised_stage = NULL;
--- a/tests/harness/sched-sim-handlers.c
+++ b/tests/harness/sched-sim-handlers.c
@@ -269,7 +269,7 @@
             fv_advice_row_t *row = &rows[advice.row_count++];
 
             FvText_Copy(row->worker_id, Fv_NAME_SIZE, event->workers[i]);
-            FvText_Copy(row->ticket, Fv_TICKET_SIZE, "ticket");
+            row->ticket = "ticket";
         }
     }
     FvSched_ApplyAdvice(&sim->sched, task->stage, queried, event->worker_count,
--- a/tests/unit/decoder_mutation_test.c
+++ b/tests/unit/decoder_mutation_test.c
@@ -313,7 +313,7 @@
     fv_advice_t advice;
 
     FvPlatform_DecodeAdvice(&answer, &advice);
-    free(advice.rows);
+    FvAdvice_Clear(&advice);
 }
 
 static void
--- a/tests/unit/platform_decode_test.c
+++ b/tests/unit/platform_decode_test.c
@@ -453,10 +453,32 @@
 
     CU_ASSERT_TRUE(FvPlatform_DecodeAdvice(&answer, &advice));
     CU_ASSERT_EQUAL(advice.row_count, 0);
-    free(advice.rows);
+    FvAdvice_Clear(&advice);
     answer = (fv_call_answer_t){.status = 429};
     CU_ASSERT_FALSE(FvPlatform_DecodeAdvice(&answer, &advice));
-    free(advice.rows);
+    FvAdvice_Clear(&advice);
+}
+
+/* The platform sets no length for a ticket. */
+static void
+test_long_ticket(void)
+{
+    char *ticket = repeat_text("t", 4096);
+    char document[8192];
+    fv_call_answer_t answer = {.status = 200, .body = document};
+    fv_advice_t advice;
+
+    snprintf(document, sizeof(document),
+             "{\"allowedWorkers\":[[\"i-1\",\"%s\"],[\"i-2\",\"t\"]]}",
+             ticket);
+    answer.length = strlen(document);
+    CU_ASSERT_TRUE(FvPlatform_DecodeAdvice(&answer, &advice));
+    CU_ASSERT_EQUAL(advice.row_count, 2);
+    if (advice.row_count == 2) {
+        CU_ASSERT_STRING_EQUAL(advice.rows[0].ticket, ticket);
+    }
+    FvAdvice_Clear(&advice);
+    free(ticket);
 }
 
 int
@@ -483,6 +505,7 @@
          test_page_after_long_key},
         {"advice that allows no worker is treated as a failed call",
          test_advice_that_allows_none},
+        {"a worker with a long ticket counts as refused", test_long_ticket},
     };
 
     return Fv_RUN_SUITE("platform_decode", cases);
--- a/tests/unit/sched_load_test.c
+++ b/tests/unit/sched_load_test.c
@@ -283,7 +283,7 @@
         workers[i]->free_cpu_millis = 0;
         if (i < 10) {
             FvText_Copy(rows[i].worker_id, Fv_NAME_SIZE, workers[i]->entry.id);
-            FvText_Copy(rows[i].ticket, Fv_TICKET_SIZE, "t");
+            rows[i].ticket = "t";
             advice.row_count++;
         }
     }
@@ -326,7 +326,7 @@
     for (int i = 0; i < 10; i++) {
         workers[i]->free_cpu_millis = 0;
         FvText_Copy(rows[i].worker_id, Fv_NAME_SIZE, workers[i]->entry.id);
-        FvText_Copy(rows[i].ticket, Fv_TICKET_SIZE, "t");
+        rows[i].ticket = "t";
         advice.row_count++;
     }
     FvSched_ApplyAdvice(&fixture.sched, &job->occurrences[0].stages[0],
