sched: count a listed member of a completed gang until it is gone

A member of a gang that another member's report has shown as done may still be listed by an older report of its own worker. It was left out without being tracked, so that its capacity was free until the next report. It is tracked as an orphaned run now, without a stop.

--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -233,6 +233,7 @@
         return;
     }
     if (task != NULL && is_of_completed_gang(task, row)) {
+        FvSched_AddOrphanRun(worker, row->task_id, row->run, now_ms);
         return;
     }
     FvLog_Event(Fv_LOG_INFO, "orphan_run", "task=%s run=%d worker=%s",
