sched: outlast leases by the clock before a worker's restart

A worker that restarts under its id starts its clock anew. An order or renewal to the earlier incarnation that reaches the new one, at once or late, carries a deadline that is far ahead by the new clock and grants the longest lease (10 s in place of 4.5 s). The leader, or the next one, took the lease for expired 4.9 s after its own last renewal. It now knows the age of the incarnation from the worker's clock, and waits until orders from before can no longer be carried out and the longest lease has expired. This concerns workers that are silent within some seconds of their restart.

The new case of sched_report fails without the fix: the task counts as lost 6 s after the last renewal.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -442,6 +442,7 @@
             .lease_ms = settings->lease_max_ms < Fv_WORKER_LEASE_MS
                             ? settings->lease_max_ms
                             : Fv_WORKER_LEASE_MS,
+            .lease_max_ms = settings->lease_max_ms,
             .stop_max_ms = settings->stop_timeout_ms,
             .gang_refill_ms = settings->gang_timeout_ms - Fv_GANG_STOP_MS});
     leader->sched.run_base = (generation - 1) * Fv_RUNS_PER_GENERATION;
--- a/src/sched-incarnation.c
+++ b/src/sched-incarnation.c
@@ -88,6 +88,7 @@
         worker->inherited_stops_until_ms = 0;
         FvSched_ForgetWorker(sched, worker);
         doubt_orders(worker);
+        worker->restarted = true;
     }
     worker->started_wall_ms = started_wall_ms;
     worker->last_end_applied = 0;
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -40,6 +40,7 @@
     *sched = (fv_sched_t){
         .ops = ops,
         .lease_ms = timeouts->lease_ms,
+        .lease_max_ms = timeouts->lease_max_ms,
         .stop_max_ms = timeouts->stop_max_ms,
         .gang_refill_ms = timeouts->gang_refill_ms,
         .random = Fv_RANDOM_SEED,
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -471,6 +471,9 @@
     worker->suspect = false;
     worker->lost = false;
     worker->last_contact_ms = now_ms;
+    if (!worker->clock_known) {
+        FvSched_OutlastEarlierLeases(sched, worker, report->clock_ms, now_ms);
+    }
     worker->clock_known =
         report->started_wall_ms >= worker->entry.started_wall_ms;
     worker->clock_ms = report->clock_ms;
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -622,6 +622,14 @@
            !has_orphan_runs(worker, now_ms);
 }
 
+/* Time from sending an order until a lease that it grants has expired. */
+static int64_t
+worst_case_ms(int64_t lease_ms)
+{
+    return Fv_ORDER_TRANSIT_MS + lease_ms +
+           lease_ms * Fv_CLOCK_DRIFT_PERCENT / 100;
+}
+
 /**
  * FvSched_WorstCaseLeaseMs - get the time after which an order certainly has
  * no effect any more
@@ -633,8 +641,30 @@
 int64_t
 FvSched_WorstCaseLeaseMs(const fv_sched_t *sched)
 {
-    return Fv_ORDER_TRANSIT_MS + sched->lease_ms +
-           sched->lease_ms * Fv_CLOCK_DRIFT_PERCENT / 100;
+    return worst_case_ms(sched->lease_ms);
+}
+
+/**
+ * FvSched_OutlastEarlierLeases - allow for deadlines by the clock of an
+ * earlier incarnation of a worker
+ * @sched: the scheduler
+ * @worker: the worker
+ * @clock_ms: its clock, which started anew with the present incarnation
+ * @now_ms: the time
+ *
+ * Such a deadline is far ahead by the new clock, and grants the longest lease
+ * at the time at which its order is carried out.
+ */
+void
+FvSched_OutlastEarlierLeases(const fv_sched_t *sched,
+                             fv_sched_worker_t *worker, int64_t clock_ms,
+                             int64_t now_ms)
+{
+    if (worker->restarted || sched->run_base > 0) {
+        worker->earlier_leases_end_ms = now_ms - clock_ms +
+                                        Fv_ORDER_DELAY_MAX_MS +
+                                        worst_case_ms(sched->lease_max_ms);
+    }
 }
 
 /**
@@ -657,6 +687,9 @@
         return 0;
     }
     worker->lease_expires_ms = now_ms + FvSched_WorstCaseLeaseMs(sched);
+    if (worker->lease_expires_ms < worker->earlier_leases_end_ms) {
+        worker->lease_expires_ms = worker->earlier_leases_end_ms;
+    }
     return worker->clock_ms + (now_ms - worker->clock_sampled_ms) +
            sched->lease_ms;
 }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -178,6 +178,7 @@
     uint64_t registry_reading; /* latest complete reading that had it */
     bool synced;               /* has reported all its ends to this leader */
     bool clock_known;          /* of the present incarnation */
+    bool restarted;            /* seen by this leader */
     bool in_worker_list;       /* in the stored list; may get orders */
     bool in_list_write;        /* in the list that is being written */
     bool suspect;              /* did not answer the last report request */
@@ -188,6 +189,8 @@
     int64_t clock_ms;         /* the worker's clock at its last report */
     int64_t clock_sampled_ms; /* this host's clock at the same time */
     int64_t lease_expires_ms; /* nothing runs afterwards without contact */
+    /* Leases by the clock of an earlier incarnation have expired by then. */
+    int64_t earlier_leases_end_ms;
     int64_t last_contact_ms;
     int64_t report_due_ms;         /* when to request a report; 0: not due */
     int64_t last_end_applied;      /* highest number of an applied end */
@@ -280,6 +283,7 @@
     int64_t refused_advice_cost_us;
     uint64_t random; /* state of the generator */
     int64_t lease_ms;
+    int64_t lease_max_ms;
     int64_t stop_max_ms;
     int64_t gang_refill_ms;
     int64_t poll_faster_until_ms; /* after unanswered calls */
@@ -380,6 +384,9 @@
 bool FvSched_IsWorkerEligible(const fv_sched_worker_t *worker,
                               const fv_sched_stage_t *stage, int64_t now_ms);
 bool FvSched_IsWorkerIdle(const fv_sched_worker_t *worker, int64_t now_ms);
+void FvSched_OutlastEarlierLeases(const fv_sched_t *sched,
+                                  fv_sched_worker_t *worker, int64_t clock_ms,
+                                  int64_t now_ms);
 int64_t FvSched_WorstCaseLeaseMs(const fv_sched_t *sched);
 int64_t FvSched_ExtendLease(const fv_sched_t *sched, fv_sched_worker_t *worker,
                             int64_t now_ms);
@@ -483,6 +490,7 @@
 /* Timeouts that the deployment sets. */
 typedef struct fv_sched_timeouts {
     int64_t lease_ms;       /* how long runs continue without contact */
+    int64_t lease_max_ms;   /* workers shorten longer leases to this */
     int64_t stop_max_ms;    /* longest duration of a stop */
     int64_t gang_refill_ms; /* how long missing members may be replaced */
 } fv_sched_timeouts_t;
--- a/tests/harness/sched-fixture.c
+++ b/tests/harness/sched-fixture.c
@@ -113,10 +113,12 @@
 FvSchedFixture_Open(sched_fixture_t *fixture, int32_t generation)
 {
     memset(fixture, 0, sizeof(*fixture));
-    FvSched_Init(&fixture->sched, &fixture_ops,
-                 &(fv_sched_timeouts_t){.lease_ms = Fv_FIXTURE_LEASE_MS,
-                                        .stop_max_ms = Fv_FIXTURE_STOP_MS,
-                                        .gang_refill_ms = 2000});
+    FvSched_Init(
+        &fixture->sched, &fixture_ops,
+        &(fv_sched_timeouts_t){.lease_ms = Fv_FIXTURE_LEASE_MS,
+                               .lease_max_ms = 2 * Fv_FIXTURE_LEASE_MS,
+                               .stop_max_ms = Fv_FIXTURE_STOP_MS,
+                               .gang_refill_ms = 2000});
     fixture->sched.run_base = (generation - 1) * 1000;
     fixture->sched.random = 42;
     fixture->now_ms = 1000000;
--- a/tests/harness/sched-sim.c
+++ b/tests/harness/sched-sim.c
@@ -26,6 +26,7 @@
     sim->open_advice_requests = 0;
     FvSched_Init(&sim->sched, &Fv_SIM_OPS,
                  &(fv_sched_timeouts_t){.lease_ms = LEASE_MS,
+                                        .lease_max_ms = LEASE_MAX_MS,
                                         .stop_max_ms = STOP_MS,
                                         .gang_refill_ms = GANG_REFILL_MS});
     sim->sched.run_base = (sim->generation - 1) * 1000;
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -569,6 +569,39 @@
     CU_ASSERT_TRUE(stalled.orders[1].stop);
 }
 
+/* Orders with a deadline by the clock of the earlier incarnation, which grant
+ * the longest lease, may reach the new one, even late. Then it is silent. */
+static void
+test_silence_after_restart(void)
+{
+    static sched_fixture_t fixture;
+    fv_sched_task_t *task = open_with_start(&fixture);
+    fv_sched_worker_t *worker = task->worker;
+    fv_running_row_t row = {.run = task->run};
+    fv_worker_report_t report = {.clock_ms = 500,
+                                 .started_wall_ms = 2,
+                                 .running = &row,
+                                 .running_count = 1};
+    int64_t born_ms = fixture.now_ms;
+
+    FvSched_TaskName(task, row.task_id, sizeof(row.task_id));
+    fixture.now_ms += 500;
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms,
+                        fixture.now_ms);
+    CU_ASSERT_EQUAL(task->state, Fv_SCHED_RUNNING);
+    FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms);
+    fixture.now_ms += Fv_FIXTURE_LEASE_MS + 1000;
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_EQUAL(task->state, Fv_SCHED_RUNNING);
+    fixture.now_ms = born_ms + Fv_ORDER_DELAY_MAX_MS + 2 * Fv_FIXTURE_LEASE_MS;
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_EQUAL(task->state, Fv_SCHED_RUNNING);
+    fixture.now_ms += 1000; /* slow clock, transit */
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_EQUAL(task->state, Fv_SCHED_WAITING);
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -599,6 +632,8 @@
          test_long_tasks_leave_a_draining_worker},
         {"a start that reached a worker's new incarnation is repeated",
          test_start_in_new_incarnation_is_kept},
+        {"a lease by the clock before a worker's restart outlasts its tasks",
+         test_silence_after_restart},
         {"tasks of an unresponsive worker are restarted too early",
          test_silent_worker_keeps_tasks_until_lease_expiry},
     };
