election: a leader's orders end 6 s after its last renewal

Hosts end the lease of a leader that the store refuses. It now counts from its last renewal.

The new case of election_test failed before the fix: a leader gives orders after a successor may free its tasks

--- a/src/election.c
+++ b/src/election.c
@@ -17,7 +17,7 @@
 #define Fv_LEADER_TTL_MS 1000
 #define Fv_LEADER_RENEW_MS 200
 
-/* How long a leader keeps sending orders after its lease has expired while the
+/* How long a leader keeps sending orders after its last renewal while the
  * store does not answer. It covers most outages of the store, which last 3.3
  * to 5.4 s. Workers reject its orders once they have seen a newer epoch. */
 #define Fv_LEADER_ORDER_GRACE_MS 6000
@@ -49,7 +49,7 @@
 
 /**
  * FvElection_OrderGraceMs - how long a leader may send orders after its lease
- * has expired
+ * has ended, by expiry or because another host ended it
  *
  * Return: the time in milliseconds.
  */
@@ -492,8 +492,7 @@
         if (now_ms >= election->next_renew_ms) {
             renew(election, now_ms);
         }
-        if (now_ms > election->renewed_ms + election->ttl_ms +
-                         Fv_LEADER_ORDER_GRACE_MS) {
+        if (now_ms > election->renewed_ms + Fv_LEADER_ORDER_GRACE_MS) {
             lose_leadership(election, "store_unreachable");
         }
     }
@@ -519,8 +518,7 @@
 {
     detect_suspension(election, now_ms);
     return election->state == Fv_CLAIM_HELD && !election->needs_renewal &&
-           now_ms <= election->renewed_ms + election->ttl_ms +
-                         Fv_LEADER_ORDER_GRACE_MS;
+           now_ms <= election->renewed_ms + Fv_LEADER_ORDER_GRACE_MS;
 }
 
 /**
--- a/tests/unit/election_test.c
+++ b/tests/unit/election_test.c
@@ -194,6 +194,31 @@
     close_election();
 }
 
+/* Another host has ended the lease right after its last renewal, and counts
+ * the grace from then. */
+static void
+test_orders_end_with_the_grace(void)
+{
+    fake_kv_call_t *claim_call;
+    int64_t now_ms;
+    int64_t renewed_ms; /* at the earliest */
+    int64_t renewed_by_ms;
+
+    open_election("1");
+    renewed_ms = FvClock_NowMs();
+    claim_call = send_claim();
+    renewed_by_ms = FvClock_NowMs();
+    fake_kv_answer(claim_call,
+                   (fv_kv_result_t){.error = Fv_KV_OK, .revision = 900});
+    for (now_ms = renewed_by_ms;
+         now_ms <= renewed_ms + FvElection_OrderGraceMs(); now_ms += 100) {
+        CU_ASSERT_TRUE(FvElection_MaySendOrders(election, now_ms));
+    }
+    CU_ASSERT_FALSE(FvElection_MaySendOrders(
+        election, renewed_by_ms + FvElection_OrderGraceMs() + 1));
+    close_election();
+}
+
 /* The store loses the answers to two calls in five, or a connection to it
  * stops answering for good. */
 static void
@@ -512,6 +537,8 @@
          test_suspended_leader_sends_no_orders},
         {"a renewal sent before a suspension allows orders after it",
          test_renewal_before_a_suspension},
+        {"a leader gives orders after a successor may free its tasks",
+         test_orders_end_with_the_grace},
         {"two lost renewal answers let the leader's lease expire",
          test_unanswered_renewals_do_not_end_the_lease},
         {"a late renewal answer for an old lease ends the new term",
