http-server: read nothing that the stop would leave unanswered

CivetWeb writes nothing once mg_stop() has begun. The server waited until no request was in flight and then called it; a request that a thread had read in between, on a new connection as a rule, was executed and its caller got an end of file.

New connections are now held unread from the beginning of the stop, the stop waits for the connections that are open (0.3 s for idle ones), and those held are let go when CivetWeb reads no more.

--- a/src/http-server.c
+++ b/src/http-server.c
@@ -15,6 +15,8 @@
 /* Poll interval while a stop waits for requests in flight. */
 #define Fv_STOP_POLL_MS 5
 #define Fv_STOP_GRACE_MS 2000
+#define Fv_STOP_IDLE_MS 300
+#define Fv_STOP_BEGIN_MS 500 /* for mg_stop() to take effect */
 #define Fv_WAIT_MAX_MS 60000
 /* The JSON parser allows a nesting depth of 2048, and that recursion overflows
  * the small stack of a CivetWeb thread. */
@@ -35,6 +37,8 @@
     atomic_int connections;
     atomic_int in_flight;
     atomic_int long_polls;
+    atomic_bool closing;            /* new connections are not read */
+    _Atomic int64_t stop_called_ms; /* 0: not yet */
 };
 
 /* A request being checked and handled. */
@@ -547,11 +551,37 @@
     return mg_get_user_data(mg_get_context(connection));
 }
 
+static void
+pause_thread(void)
+{
+    const struct timespec pause = {.tv_nsec = Fv_STOP_POLL_MS * Fv_NS_PER_MS};
+
+    nanosleep(&pause, NULL);
+}
+
+/* CivetWeb reads nothing after mg_stop() has begun, and can write no reply to
+ * what it has read before. */
+static void
+hold_until_stopping(const fv_http_server_t *server)
+{
+    while (atomic_load(&server->closing)) {
+        int64_t called_ms = atomic_load(&server->stop_called_ms);
+
+        if (called_ms != 0 && FvClock_NowMs() > called_ms + Fv_STOP_BEGIN_MS) {
+            return;
+        }
+        pause_thread();
+    }
+}
+
 static int
 on_connection(const struct mg_connection *connection, void **data)
 {
+    fv_http_server_t *server = get_server(connection);
+
     (void)data;
-    atomic_fetch_add(&get_server(connection)->connections, 1);
+    hold_until_stopping(server);
+    atomic_fetch_add(&server->connections, 1);
     return 0;
 }
 
@@ -627,17 +657,21 @@
     return server;
 }
 
-/* mg_stop() would abort responses that are being written. */
+/* mg_stop() would abort responses that are being written. A kept connection
+ * closes after its next response; idle ones are not waited for. */
 static void
 wait_for_in_flight(const fv_http_server_t *server)
 {
-    const struct timespec pause = {.tv_nsec = Fv_STOP_POLL_MS * Fv_NS_PER_MS};
-    int64_t deadline_ms = FvClock_NowMs() + Fv_STOP_GRACE_MS +
-                          server->daemon->settings.drain_timeout_ms;
+    int64_t now_ms = FvClock_NowMs();
+    int64_t deadline_ms =
+        now_ms + Fv_STOP_GRACE_MS + server->daemon->settings.drain_timeout_ms;
+    int64_t idle_deadline_ms = now_ms + Fv_STOP_IDLE_MS;
 
-    while (atomic_load(&server->in_flight) > 0 &&
-           FvClock_NowMs() < deadline_ms) {
-        nanosleep(&pause, NULL);
+    while (now_ms < deadline_ms && (atomic_load(&server->in_flight) > 0 ||
+                                    (atomic_load(&server->connections) > 0 &&
+                                     now_ms < idle_deadline_ms))) {
+        pause_thread();
+        now_ms = FvClock_NowMs();
     }
 }
 
@@ -654,7 +688,9 @@
     if (server == NULL) {
         return;
     }
+    atomic_store(&server->closing, true);
     wait_for_in_flight(server);
+    atomic_store(&server->stop_called_ms, FvClock_NowMs());
     mg_stop(server->context);
     mg_exit_library();
     free(server);
--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -6,6 +6,7 @@
 
 #include "daemon.h"
 #include "http-socket.h"
+#include "kept-connection.h"
 #include "suite.h"
 
 #include <pthread.h>
@@ -15,6 +16,8 @@
 #include <unistd.h>
 
 #define Fv_TEST_THREADS 8
+#define BUSY_CALLERS 6
+#define BUSY_STOPS 4
 #define Fv_LARGE_ANSWER_BYTES (4 * 1024 * 1024)
 
 #define HEAD_END "Connection: close\r\n\r\n"
@@ -173,6 +176,14 @@
     }
 }
 
+static void *
+stop_in_thread(void *context)
+{
+    (void)context;
+    stop_server(true);
+    return NULL;
+}
+
 static void
 sleep_ms(int64_t ms)
 {
@@ -538,6 +549,93 @@
     }
 }
 
+typedef struct busy_callers {
+    atomic_int replies;
+    atomic_bool over;
+} busy_callers_t;
+
+static void *
+call_without_pause(void *context)
+{
+    busy_callers_t *callers = context;
+
+    while (!atomic_load(&callers->over)) {
+        kept_connection_t connection;
+        kept_answer_t answer;
+        bool open = FvKept_Open(&connection, test_port);
+
+        while (open && FvKept_Send(&connection, "GET", "/health", NULL) &&
+               FvKept_Receive(&connection, 3000, &answer) == KEPT_ANSWERED) {
+            atomic_fetch_add(&callers->replies, 1);
+            open = !connection.close_announced;
+        }
+        FvKept_Close(&connection);
+    }
+    return NULL;
+}
+
+/* Guards against a request that is read while the server stops and gets no
+ * answer. Which stop meets one depends on the moment. */
+static void
+test_stop_answers_what_was_read(void)
+{
+    for (int i = 0; i < BUSY_STOPS; i++) {
+        busy_callers_t callers = {0};
+        pthread_t threads[BUSY_CALLERS];
+        uint64_t read_before = FvMetrics_Get(Fv_COUNTER_HTTP_REQUESTS);
+
+        if (test_daemon.server != NULL) {
+            stop_server(true);
+        }
+        use_shared_server();
+        for (int j = 0; j < BUSY_CALLERS; j++) {
+            pthread_create(&threads[j], NULL, call_without_pause, &callers);
+        }
+        sleep_ms(100);
+        stop_server(true);
+        atomic_store(&callers.over, true);
+        for (int j = 0; j < BUSY_CALLERS; j++) {
+            pthread_join(threads[j], NULL);
+        }
+        CU_ASSERT_TRUE(atomic_load(&callers.replies) > 0);
+        CU_ASSERT_EQUAL(FvMetrics_Get(Fv_COUNTER_HTTP_REQUESTS) - read_before,
+                        (uint64_t)atomic_load(&callers.replies));
+    }
+}
+
+/* Guards against the same without luck: while the server waits for a request
+ * in flight, it must not read what it could not answer later. */
+static void
+test_stop_reads_no_new_connection(void)
+{
+    fv_buffer_t response = {0};
+    pthread_t stopper;
+    uint64_t read_before;
+    int held_fd;
+    int new_fd;
+
+    use_shared_server();
+    held_fd = FvHttpSocket_Connect(test_port);
+    FvHttpSocket_Send(
+        held_fd, "GET /v1/jobs/held?wait_ms=60000 HTTP/1.1\r\n" TOKEN "\r\n");
+    wait_for_handled(1);
+    read_before = FvMetrics_Get(Fv_COUNTER_HTTP_REQUESTS);
+    pthread_create(&stopper, NULL, stop_in_thread, NULL);
+    sleep_ms(200);
+    new_fd = FvHttpSocket_Connect(test_port);
+    FvHttpSocket_Send(new_fd, "GET /health HTTP/1.1\r\n" HEAD_END);
+    sleep_ms(100);
+    reply_to_open_polls();
+    CU_ASSERT_EQUAL(FvHttpSocket_ReadAll(held_fd, &response), 200);
+    FvBuffer_Clear(&response);
+    CU_ASSERT_EQUAL(FvHttpSocket_ReadAll(new_fd, &response), 0);
+    FvBuffer_Clear(&response);
+    pthread_join(stopper, NULL);
+    CU_ASSERT_EQUAL(FvMetrics_Get(Fv_COUNTER_HTTP_REQUESTS), read_before);
+    close(held_fd);
+    close(new_fd);
+}
+
 int
 main(void)
 {
@@ -565,6 +663,10 @@
          test_caller_disconnects},
         {"a shutdown cuts off a response", test_stop_with_request_in_flight},
         {"long polls occupy all threads", test_long_polls_leave_free_threads},
+        {"a request is read during a stop and not answered",
+         test_stop_answers_what_was_read},
+        {"a new connection is read during a stop",
+         test_stop_reads_no_new_connection},
     };
 
     return Fv_RUN_SUITE("http_server", cases);
