--- a/tests/promises/entry_drain.c
+++ b/tests/promises/entry_drain.c
@@ -308,6 +308,82 @@
     restart_host(host);
 }
 
+/* Guards against a reset of connections that the kernel has accepted and the
+ * process has not: it stands still while a caller connects and sends. */
+static void
+test_connection_in_queue(void)
+{
+    int host = choose_follower();
+    process_t *process = &cell.hosts[host].process;
+    kept_connection_t caller;
+    kept_answer_t answer;
+    int64_t signal_ms = terminate_host(host);
+
+    wait_until(signal_ms + UNREADY_MS - 200);
+    FvProcess_Signal(process, SIGSTOP);
+    CU_ASSERT_TRUE_FATAL(FvKept_Open(&caller, callers_port(host)));
+    CU_ASSERT_TRUE(FvKept_Send(&caller, "GET", "/fast/", NULL));
+    wait_until(signal_ms + UNREADY_MS + 200);
+    FvProcess_Signal(process, SIGCONT);
+    CU_ASSERT_EQUAL(FvKept_Receive(&caller, ANSWER_TIMEOUT_MS, &answer),
+                    KEPT_ANSWERED);
+    CU_ASSERT_TRUE(caller.close_announced);
+    expect_exit(host, signal_ms + DRAIN_MS);
+    FvKept_Close(&caller);
+    restart_host(host);
+}
+
+/* Replaces a value of the host's settings by one of the same length. */
+static void
+change_setting(int host, const char *before, const char *after)
+{
+    char text[2048] = "";
+    FILE *file = fopen(cell.hosts[host].settings, "r+");
+    char *place;
+
+    if (file == NULL) {
+        CU_FAIL_FATAL("the settings cannot be opened");
+        return;
+    }
+    CU_ASSERT_TRUE(fread(text, 1, sizeof(text) - 1, file) > 0);
+    place = strstr(text, before);
+    CU_ASSERT_PTR_NOT_NULL(place);
+    if (place != NULL) {
+        memcpy(place, after, strlen(after));
+    }
+    rewind(file);
+    fputs(text, file);
+    CU_ASSERT_EQUAL(fclose(file), 0);
+}
+
+/* Guards against limits that a change of the settings leaves as they were. */
+static void
+test_limit_changed(void)
+{
+    int host = choose_follower();
+    kept_connection_t caller;
+    kept_answer_t answer;
+    int64_t signal_ms;
+    int64_t answered_ms;
+
+    CU_ASSERT_TRUE_FATAL(FvKept_Open(&caller, callers_port(host)));
+    signal_others(host, SIGSTOP);
+    signal_ms = terminate_host(host);
+    send_with_deadline(&caller, "00000000000000d1", "30000");
+    FvFake_SleepMs(200);
+    change_setting(host, "drain_ms = 6000", "drain_ms = 4000");
+    FvProcess_Signal(&cell.hosts[host].process, SIGHUP);
+    CU_ASSERT_EQUAL(FvKept_Receive(&caller, DRAIN_MS, &answer), KEPT_ANSWERED);
+    answered_ms = FvClock_NowMs() - signal_ms;
+    CU_ASSERT_EQUAL(answer.status, 504);
+    CU_ASSERT_TRUE(answered_ms > 2900 && answered_ms < 4000);
+    expect_exit(host, signal_ms + 4000);
+    signal_others(host, SIGCONT);
+    change_setting(host, "drain_ms = 4000", "drain_ms = 6000");
+    FvKept_Close(&caller);
+    restart_host(host);
+}
+
 /* Guards against a drain that lasts to its limit because of a caller that has
  * gone without reading its replies. */
 static void
@@ -335,6 +411,9 @@
         {"a request that is open at the limit gets no answer", test_limit},
         {"a request is lost because the process stood still",
          test_suspended_past_limit},
+        {"a connection in the kernel's queue is reset",
+         test_connection_in_queue},
+        {"a change of drain_ms is left out", test_limit_changed},
         {"a caller that has gone delays the end", test_gone_caller},
     };
     const entry_cell_options_t options = {.name = "entry_drain",
