leader: prove the lease before a caller is told what only a leader knows

What callers saw: 410 to the GET of a job that was accepted and ran, from a host that had been suspended while its successor accepted the job, and 410 from leaders that had no way to know, cut off from the store. FvLeader_HandleRequest checked that the records had been loaded, and not that this host still led; the 6 s beyond the lease, which are for orders of known work, and the whole time until the first renewal after a suspension covered every answer.

What stands in the store is told by anybody. A question about an unknown job waits for a renewal that was sent after it was read, and the job is looked up again then; a check of a clock would not do, since another host may have ended the lease. A count needs the lease. All else is given back while the leader may give no orders, that is after a suspension, and is passed on when the successor's greeting comes. A refused submission is given back, too, when its record is withdrawn by a leader that may give no orders.

Costs: one renewal (a tenth of a read) at a time while callers ask for unknown jobs, and a round trip to the store for these answers; other calm answers are as before.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -288,6 +288,7 @@
         FvRecordWriter_WithdrawUnsent(leader->records);
     }
     remove_expired_jobs(leader, now_ms);
+    FvLeaderRequest_ExpireQuestions(leader, now_ms);
     log_cell_load(leader, now_ms);
     leader->sched.dirty = leader->sched.dirty || leader->sched.pending != NULL;
     FvLeader_SchedulePass(leader);
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -46,6 +46,19 @@
     UT_hash_handle hh;
 } fv_used_service_t;
 
+/* A question about an unknown job. It is answered when a renewal that was sent
+ * after it has succeeded: an earlier one does not show that the job was not
+ * accepted by another leader before the caller asked. */
+typedef struct fv_held_question {
+    int64_t id;
+    char job[Fv_JOB_ID_SIZE];
+    fv_leader_reply_t reply;
+    void *context;
+    uint64_t renewal;
+    int64_t until_ms;
+    struct fv_held_question *next;
+} fv_held_question_t;
+
 typedef struct fv_asked_worker {
     char id[Fv_NAME_SIZE];
     int64_t started_wall_ms; /* a ticket is valid for one incarnation */
@@ -115,6 +128,8 @@
     fv_ended_job_t *ended;
     fv_used_service_t *services;
     int64_t services_version; /* of the configuration they were taken from */
+    fv_held_question_t *questions_first; /* in order of renewals */
+    fv_held_question_t *questions_last;
     fv_advice_request_t *advice_requests;
     int64_t last_advice_request_id;
     int64_t stream_revisions[Fv_RECORD_STREAMS];
@@ -166,6 +181,7 @@
                                  const char *name, int32_t run);
 
 /* leader-requests.c */
+void FvLeaderRequest_ExpireQuestions(fv_leader_t *leader, int64_t now_ms);
 void FvLeaderRequest_Answer(fv_leader_t *leader, fv_verb_t verb,
                             const char *job, int64_t id,
                             fv_leader_reply_t reply, void *context,
--- a/src/election.c
+++ b/src/election.c
@@ -148,6 +148,8 @@
     election->claim_at_ms = 0;
     election->needs_renewal = false;
     election->failed_renewals = 0;
+    election->proof_renewal = 0;
+    election->proof_wanted = false;
     election->next_renew_ms = FvClock_NowMs() + Fv_LEADER_RENEW_MS;
     FvLog_Event(Fv_LOG_INFO, "leadership_won",
                 "epoch=%" PRId64 " generation=%d ttl_ms=%" PRId64, revision,
@@ -283,6 +285,7 @@
 
 typedef struct fv_renewal {
     fv_election_t *election;
+    uint64_t number;
     int64_t lease;
     int64_t sent_ms;
 } fv_renewal_t;
@@ -307,6 +310,21 @@
     }
 }
 
+static void renew(fv_election_t *election, int64_t now_ms);
+
+static void
+end_proof(fv_election_t *election, uint64_t renewal)
+{
+    if (election->proof_renewal != renewal) {
+        return;
+    }
+    election->proof_renewal = 0;
+    if (election->proof_wanted) {
+        election->proof_wanted = false;
+        FvElection_ProveLease(election);
+    }
+}
+
 static void
 renewed(void *context, const fv_kv_result_t *result)
 {
@@ -325,12 +343,15 @@
             election->needs_renewal = false;
         }
         election->failed_renewals = 0;
+        end_proof(election, renewal->number);
+        election->events.renewed(election->events.context, renewal->number);
     }
     else if (result->error == Fv_KV_NOT_FOUND) {
         lose_leadership(election, "lease_ended");
     }
     else {
         note_failed_renewal(election, renewal->sent_ms);
+        end_proof(election, renewal->number);
     }
 done:
     free(renewal);
@@ -344,8 +365,10 @@
     if (renewal == NULL) {
         return; /* the next tick tries again */
     }
-    *renewal = (fv_renewal_t){
-        .election = election, .lease = election->lease, .sent_ms = now_ms};
+    *renewal = (fv_renewal_t){.election = election,
+                              .number = ++election->renewals_sent,
+                              .lease = election->lease,
+                              .sent_ms = now_ms};
     election->next_renew_ms = now_ms + Fv_LEADER_RENEW_MS;
     FvKvClient_Renew(election->kv, election->lease, renewed, renewal);
 }
@@ -538,6 +561,32 @@
                : 0;
 }
 
+/**
+ * FvElection_ProveLease - have the store show that this host leads
+ * @election: the election
+ *
+ * A renewal that succeeds shows that no other host led when the store received
+ * it, and so at some time after it was sent. One renewal at a time is sent for
+ * this, besides the regular ones; none while renewals fail.
+ *
+ * Return: number of the first renewal that is sent after the call began; the
+ * event renewed reports the numbers of those that succeed.
+ */
+uint64_t
+FvElection_ProveLease(fv_election_t *election)
+{
+    if (election->proof_renewal != 0) {
+        election->proof_wanted = true;
+        return election->renewals_sent + 1;
+    }
+    if (election->state != Fv_CLAIM_HELD || election->failed_renewals > 0) {
+        return election->renewals_sent + 1; /* a regular one */
+    }
+    election->proof_renewal = election->renewals_sent + 1;
+    renew(election, FvClock_NowMs());
+    return election->proof_renewal;
+}
+
 /**
  * FvElection_Resign - give up leadership
  * @election: the election
--- a/src/election.h
+++ b/src/election.h
@@ -44,6 +44,9 @@
     int64_t renewed_ms; /* when the latest successful renewal was sent */
     int64_t next_renew_ms;
     uint32_t failed_renewals; /* consecutive */
+    uint64_t renewals_sent;
+    uint64_t proof_renewal; /* sent for a proof, unanswered; 0: none */
+    bool proof_wanted;      /* by a request that came after it was sent */
     /* This host's own read of the store after the leader reported failing
      * calls: when it was sent, and when it succeeded (0: it did not). */
     int64_t store_checked_ms;
--- a/src/entry.c
+++ b/src/entry.c
@@ -168,6 +168,14 @@
     return FvElection_LeaseLeftMs(entry->election, now_ms);
 }
 
+static uint64_t
+leader_prove_lease(void *context)
+{
+    fv_entry_t *entry = context;
+
+    return FvElection_ProveLease(entry->election);
+}
+
 /* Deferred to the event loop, since the caller is the leader that step_down
  * frees. */
 static void
@@ -225,6 +233,7 @@
     fv_entry_t *entry = context;
     fv_leader_events_t events = {.may_send_orders = leader_may_send_orders,
                                  .lease_left_ms = leader_lease_left_ms,
+                                 .prove_lease = leader_prove_lease,
                                  .request_advice = FvEntryHosts_RequestAdvice,
                                  .deposed = leader_deposed,
                                  .is_linked = leader_is_linked,
@@ -288,6 +297,14 @@
     }
 }
 
+static void
+election_renewed(void *context, uint64_t renewal)
+{
+    fv_entry_t *entry = context;
+
+    FvLeader_LeaseProved(entry->leader, renewal);
+}
+
 static void
 hosts_changed(void *context)
 {
@@ -641,6 +658,7 @@
         &(fv_election_events_t){.won = election_won,
                                 .lost = election_lost,
                                 .store_failing = election_store_failing,
+                                .renewed = election_renewed,
                                 .hosts_changed = hosts_changed,
                                 .context = entry});
     return entry->config_watch != NULL && entry->election != NULL;
--- a/src/entry.h
+++ b/src/entry.h
@@ -206,6 +206,7 @@
     /* The store refused or did not answer lease renewals of this leader;
      * @sent_ago_ms: since the latest of them was sent. */
     void (*store_failing)(void *context, int64_t sent_ago_ms);
+    void (*renewed)(void *context, uint64_t renewal);
     void (*hosts_changed)(void *context);
     void *context;
 } fv_election_events_t;
@@ -216,6 +217,7 @@
 void FvElection_Free(fv_election_t *election);
 bool FvElection_MaySendOrders(fv_election_t *election, int64_t now_ms);
 int64_t FvElection_LeaseLeftMs(const fv_election_t *election, int64_t now_ms);
+uint64_t FvElection_ProveLease(fv_election_t *election);
 void FvElection_Resign(fv_election_t *election, int64_t pause_ms,
                        const char *cause);
 void FvElection_LeaderDead(fv_election_t *election, const char *host,
@@ -338,6 +340,8 @@
     bool (*may_send_orders)(void *context, int64_t now_ms);
     /* By the last renewal that succeeded; negative once it has expired. */
     int64_t (*lease_left_ms)(void *context, int64_t now_ms);
+    /* Returns the number of a renewal for FvLeader_LeaseProved. */
+    uint64_t (*prove_lease)(void *context);
     /* Has one of the hosts call the advice service; false when none is
      * free. */
     bool (*request_advice)(void *context, const fv_cell_message_t *message,
@@ -365,6 +369,7 @@
 void FvLeader_HandleRequest(fv_leader_t *leader,
                             const fv_cell_message_t *message,
                             fv_leader_reply_t reply, void *context);
+void FvLeader_LeaseProved(fv_leader_t *leader, uint64_t renewal);
 void FvLeader_DropReplies(fv_leader_t *leader, const void *context);
 void FvLeader_HandleAdvice(fv_leader_t *leader,
                            const fv_cell_message_t *message);
--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -209,7 +209,11 @@
         FvLog_Event(Fv_LOG_INFO, "job_refused",
                     "job=%s queue=%s cause=store_away", job->id,
                     job->queue.name);
-        answer_waiters(leader, job, Fv_VERB_SUBMIT, Fv_REPLY_REFUSED,
+        answer_waiters(leader, job, Fv_VERB_SUBMIT,
+                       leader->events.may_send_orders(leader->events.context,
+                                                      FvClock_NowMs())
+                           ? Fv_REPLY_REFUSED
+                           : Fv_REPLY_NOT_READY,
                        Fv_STORE_RETRY_AFTER_S);
         answer_waiters(leader, job, Fv_VERB_CANCEL, Fv_REPLY_NOT_READY, "");
         FvSched_RemoveJob(&leader->sched, job);
--- a/src/leader-requests.c
+++ b/src/leader-requests.c
@@ -179,6 +179,44 @@
     }
 }
 
+static void
+hold_question(fv_leader_t *leader, const fv_cell_message_t *message,
+              fv_leader_reply_t reply, void *context)
+{
+    fv_held_question_t *question = calloc(1, sizeof(*question));
+
+    if (question == NULL) {
+        reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
+        return;
+    }
+    *question = (fv_held_question_t){
+        .id = message->id,
+        .reply = reply,
+        .context = context,
+        .renewal = leader->events.prove_lease(leader->events.context),
+        .until_ms = FvClock_NowMs() + Fv_KV_RENEW_TIMEOUT_MS};
+    FvText_Copy(question->job, sizeof(question->job), message->key);
+    if (leader->questions_last != NULL) {
+        leader->questions_last->next = question;
+    }
+    else {
+        leader->questions_first = question;
+    }
+    leader->questions_last = question;
+}
+
+static fv_held_question_t *
+take_first_question(fv_leader_t *leader)
+{
+    fv_held_question_t *question = leader->questions_first;
+
+    leader->questions_first = question->next;
+    if (leader->questions_first == NULL) {
+        leader->questions_last = NULL;
+    }
+    return question;
+}
+
 /* Requests that may be answered by any host that has read the store's records,
  * since what they are told stands there for good. */
 static bool
@@ -215,7 +253,7 @@
         submit(leader, message, reply, context);
     }
     else if (message->number == Fv_VERB_STATE) {
-        reply_now(leader, message, reply, context, Fv_REPLY_GONE, "");
+        hold_question(leader, message, reply, context);
     }
     else if (FvRecordWriter_Stalled(leader->records, FvClock_NowMs())) {
         reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
@@ -225,19 +263,38 @@
     }
 }
 
+/* The number of jobs that wait, as long as no other leader can have accepted
+ * any. */
+static void
+answer_count(fv_leader_t *leader, const fv_cell_message_t *message,
+             fv_leader_reply_t reply, void *context)
+{
+    char count[24];
+
+    if (leader->events.lease_left_ms(leader->events.context, FvClock_NowMs()) <
+        0) {
+        reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
+        return;
+    }
+    snprintf(count, sizeof(count), "%" PRId64,
+             FvSched_CountQueuedJobs(&leader->sched, message->name));
+    reply_now(leader, message, reply, context, Fv_REPLY_COUNT, count);
+}
+
 /**
  * FvLeader_HandleRequest - handle a request about a job or a queue
  * @leader: the leader
  * @message: the request
  * @reply: called with the answer
  * @context: passed to @reply
+ *
+ * What each answer requires is listed in docs/platform.md.
  */
 void
 FvLeader_HandleRequest(fv_leader_t *leader, const fv_cell_message_t *message,
                        fv_leader_reply_t reply, void *context)
 {
     fv_sched_job_t *job;
-    char count[24];
 
     if (!leader->serving) {
         reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
@@ -247,10 +304,13 @@
         answer_from_records(leader, message, reply, context)) {
         return;
     }
+    if (!leader->events.may_send_orders(leader->events.context,
+                                        FvClock_NowMs())) {
+        reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
+        return;
+    }
     if (message->number == Fv_VERB_WAITING) {
-        snprintf(count, sizeof(count), "%" PRId64,
-                 FvSched_CountQueuedJobs(&leader->sched, message->name));
-        reply_now(leader, message, reply, context, Fv_REPLY_COUNT, count);
+        answer_count(leader, message, reply, context);
         return;
     }
     job = FvSched_FindJob(&leader->sched, message->key);
@@ -262,6 +322,72 @@
     }
 }
 
+/**
+ * FvLeader_LeaseProved - answer the questions that wait for a renewal
+ * @leader: the leader, or NULL
+ * @renewal: number of a renewal that succeeded
+ */
+void
+FvLeader_LeaseProved(fv_leader_t *leader, uint64_t renewal)
+{
+    while (leader != NULL && leader->questions_first != NULL &&
+           leader->questions_first->renewal <= renewal) {
+        fv_held_question_t *question = take_first_question(leader);
+        fv_cell_message_t message = {
+            .id = question->id, .number = Fv_VERB_STATE, .key = question->job};
+        fv_sched_job_t *job = FvSched_FindJob(&leader->sched, question->job);
+
+        if (job != NULL && job->recorded == Fv_SCHED_JOB_OPEN) {
+            handle_open_job(leader, job, &message, question->reply,
+                            question->context);
+        }
+        else if (!answer_from_records(leader, &message, question->reply,
+                                      question->context)) {
+            reply_now(leader, &message, question->reply, question->context,
+                      Fv_REPLY_GONE, "");
+        }
+        free(question);
+    }
+}
+
+/**
+ * FvLeaderRequest_ExpireQuestions - give back questions without a proof
+ * @leader: the leader
+ * @now_ms: the time
+ */
+void
+FvLeaderRequest_ExpireQuestions(fv_leader_t *leader, int64_t now_ms)
+{
+    while (leader->questions_first != NULL &&
+           leader->questions_first->until_ms <= now_ms) {
+        fv_held_question_t *question = take_first_question(leader);
+
+        FvLeaderRequest_Answer(leader, Fv_VERB_STATE, question->job,
+                               question->id, question->reply,
+                               question->context, Fv_REPLY_NOT_READY, "");
+        free(question);
+    }
+}
+
+static void
+drop_questions(fv_leader_t *leader, const void *context)
+{
+    fv_held_question_t **link = &leader->questions_first;
+
+    leader->questions_last = NULL;
+    while (*link != NULL) {
+        fv_held_question_t *question = *link;
+
+        if (context != NULL && question->context != context) {
+            leader->questions_last = question;
+            link = &question->next;
+            continue;
+        }
+        *link = question->next;
+        free(question);
+    }
+}
+
 /**
  * FvLeader_DropReplies - drop the pending replies to a disconnected host
  * @leader: the leader
@@ -279,4 +405,5 @@
          ended = ended->hh.next) {
         FvLeaderRecord_DropWaiters(&ended->waiters, context);
     }
+    drop_questions(leader, context);
 }
--- a/tests/promises/entry_unasked.c
+++ b/tests/promises/entry_unasked.c
@@ -16,8 +16,15 @@
 #define WORKERS 8
 #define READY_TIMEOUT_MS 15000
 #define ANSWER_TIMEOUT_MS 3000
+/* The users' bound from the acknowledgement to the last start of a task. */
+#define CANCEL_MS 3000
+/* A request that no leader can answer is rejected within this time. */
+#define REJECTED_MS 1000
 
 #define JOBS 6
+#define SUSPENSIONS 3
+#define SUSPENDED_MORE_MS 1000 /* after the jobs were accepted */
+#define OUTAGE_MS 5000
 
 /* The second step begins 3 s after the first one has been cancelled. */
 #define LONG_JOB                                                              \
@@ -120,6 +127,72 @@
     }
 }
 
+/* Suspends the leader until its successor has accepted jobs, and sends their
+ * cancellations and questions about them on connections that were open to it
+ * before. Sets the time of the acknowledgement of each job that it cancels. */
+static void
+suspend_leader(int first_job, int64_t *acknowledged_ms)
+{
+    kept_connection_t cancels[JOBS];
+    kept_connection_t questions[JOBS];
+    kept_answer_t answer;
+    int leader = FvEntryCell_Leader(&cell);
+
+    CU_ASSERT_FATAL(leader >= 0);
+    open_connections(cancels, JOBS, leader);
+    open_connections(questions, JOBS, leader);
+    FvProcess_Signal(&cell.hosts[leader].process, SIGSTOP);
+    wait_for_other_leader(leader, 3000);
+    for (int i = 0; i < JOBS; i++) {
+        CU_ASSERT_EQUAL(call_until_answered(leader + 1, "POST",
+                                            job_path(first_job + i), LONG_JOB,
+                                            NULL, 0),
+                        200);
+        FvKept_Send(&questions[i], "GET", job_path(first_job + i), NULL);
+        FvKept_Send(&cancels[i], "DELETE", job_path(first_job + i), NULL);
+    }
+    FvFake_SleepMs(SUSPENDED_MORE_MS);
+    FvProcess_Signal(&cell.hosts[leader].process, SIGCONT);
+    for (int i = 0; i < JOBS; i++) {
+        CU_ASSERT_EQUAL(
+            FvKept_Receive(&questions[i], ANSWER_TIMEOUT_MS, &answer),
+            KEPT_ANSWERED);
+        CU_ASSERT_NOT_EQUAL(answer.status, 410);
+        CU_ASSERT_EQUAL(
+            FvKept_Receive(&cancels[i], ANSWER_TIMEOUT_MS, &answer),
+            KEPT_ANSWERED);
+        if (answer.status != 200 && answer.status != 410) {
+            answer.status = call_until_answered(
+                leader, "DELETE", job_path(first_job + i), NULL, NULL, 0);
+        }
+        CU_ASSERT_EQUAL(answer.status, 200);
+        acknowledged_ms[i] = FvClock_NowMs();
+        FvKept_Close(&cancels[i]);
+        FvKept_Close(&questions[i]);
+    }
+}
+
+/* Guards against a host that leads no more and answers from its memory. */
+static void
+test_suspended_leader(void)
+{
+    int64_t acknowledged_ms[SUSPENSIONS * JOBS];
+
+    open_cell();
+    for (int i = 0; i < SUSPENSIONS; i++) {
+        suspend_leader(i * JOBS, acknowledged_ms + (ptrdiff_t)(i * JOBS));
+    }
+    FvFake_SleepMs(CANCEL_MS + 2500);
+    for (int i = 0; i < SUSPENSIONS * JOBS; i++) {
+        char state[32] = "";
+
+        CU_ASSERT(last_start_ms(i) <= acknowledged_ms[i] + CANCEL_MS);
+        call_until_answered(0, "GET", job_path(i), NULL, state, sizeof(state));
+        CU_ASSERT_STRING_EQUAL(state, "cancelled");
+    }
+    close_cell();
+}
+
 /* Guards against a submission that comes after its cancellation was answered
  * 410, at the same leader and at its successor. */
 static void
@@ -162,6 +235,46 @@
     close_cell();
 }
 
+/* Guards against "no such job" from a leader that cannot know whether another
+ * host leads: the store answers nobody. */
+static void
+test_unknown_job_in_an_outage(void)
+{
+    int64_t down_ms;
+    char state[32];
+    int known = 0;
+    int absent = 0;
+    int slow = 0;
+
+    open_cell();
+    CU_ASSERT_EQUAL(
+        call_until_answered(0, "POST", job_path(0), LONG_JOB, NULL, 0), 200);
+    down_ms = FvClock_NowMs();
+    CU_ASSERT(FvEntryCell_RouteFault(&cell, -1, "blackhole"));
+    FvFake_SleepMs(300);
+    for (int i = 1; FvClock_NowMs() < down_ms + OUTAGE_MS; i++) {
+        int64_t sent_ms = FvClock_NowMs();
+
+        absent += FvEntryCell_Call(&cell, i % HOSTS, "GET", job_path(i), NULL,
+                                   NULL, 0) == 410;
+        slow += FvClock_NowMs() - sent_ms > REJECTED_MS;
+        absent += FvEntryCell_Call(&cell, i % HOSTS, "DELETE", job_path(i),
+                                   NULL, NULL, 0) == 410;
+        known += FvEntryCell_Call(&cell, i % HOSTS, "GET", job_path(0), NULL,
+                                  state, sizeof(state)) == 200;
+        FvFake_SleepMs(50);
+    }
+    CU_ASSERT_EQUAL(absent, 0);
+    CU_ASSERT_EQUAL(slow, 0);
+    CU_ASSERT(known > 0);
+    CU_ASSERT(FvEntryCell_RouteFault(&cell, -1, "restore"));
+    CU_ASSERT_EQUAL(call_until_answered(0, "GET", job_path(1), NULL, NULL, 0),
+                    410);
+    CU_ASSERT_EQUAL(
+        call_until_answered(0, "DELETE", job_path(0), NULL, NULL, 0), 200);
+    close_cell();
+}
+
 /* Guards against an answer from a leader that has handed over and still serves
  * its open connections. */
 static void
@@ -238,8 +351,12 @@
 main(void)
 {
     static const test_case_t cases[] = {
+        {"a suspended leader answers for its successor",
+         test_suspended_leader},
         {"a job runs that was submitted after its cancellation",
          test_submission_after_its_cancellation},
+        {"an unknown job is reported as absent in an outage",
+         test_unknown_job_in_an_outage},
         {"a leader that handed over answers for its successor",
          test_leader_that_hands_over},
         {"a host that becomes leader leaves its own requests unanswered",
--- a/tests/unit/election_test.c
+++ b/tests/unit/election_test.c
@@ -13,6 +13,7 @@
     uint32_t won;
     uint32_t lost;
     uint32_t store_failing;
+    uint64_t renewed; /* number of the latest renewal that succeeded */
     int64_t epoch;
     int32_t generation;
 } outcome_t;
@@ -48,6 +49,13 @@
     outcome.store_failing++;
 }
 
+static void
+renewed(void *context, uint64_t renewal)
+{
+    (void)context;
+    outcome.renewed = renewal;
+}
+
 static void
 hosts_changed(void *context)
 {
@@ -71,6 +79,7 @@
         &(fv_election_events_t){.won = won,
                                 .lost = lost,
                                 .store_failing = store_failing,
+                                .renewed = renewed,
                                 .hosts_changed = hosts_changed});
     fake_kv.watcher.begin(fake_kv.watcher.context);
     fake_kv.watcher.item(fake_kv.watcher.context, &item);
@@ -219,6 +228,64 @@
     close_election();
 }
 
+/* A caller asks while another one's proof is under way. */
+static void
+test_proof_is_sent_after_the_question(void)
+{
+    uint32_t sent;
+    uint64_t first;
+    uint64_t second;
+
+    open_election("1");
+    fake_kv_answer(send_claim(),
+                   (fv_kv_result_t){.error = Fv_KV_OK, .revision = 900});
+    sent = fake_kv_count(FAKE_KV_RENEW);
+    first = FvElection_ProveLease(election);
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_RENEW), sent + 1);
+    second = FvElection_ProveLease(election);
+    CU_ASSERT_EQUAL(FvElection_ProveLease(election), second);
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_RENEW), sent + 1);
+    fake_kv_answer(fake_kv_latest(FAKE_KV_RENEW),
+                   (fv_kv_result_t){.error = Fv_KV_OK});
+    CU_ASSERT_EQUAL(outcome.renewed, first);
+    CU_ASSERT(outcome.renewed < second);
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_RENEW), sent + 2);
+    fake_kv_answer(fake_kv_latest(FAKE_KV_RENEW),
+                   (fv_kv_result_t){.error = Fv_KV_OK});
+    CU_ASSERT_EQUAL(outcome.renewed, second);
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_RENEW), sent + 2);
+    close_election();
+}
+
+/* Callers go on asking while the store refuses renewals, or once the lease has
+ * ended. */
+static void
+test_no_proof_without_the_store(void)
+{
+    uint32_t sent;
+
+    open_election("1");
+    fake_kv_answer(send_claim(),
+                   (fv_kv_result_t){.error = Fv_KV_OK, .revision = 900});
+    FvElection_ProveLease(election);
+    FvElection_ProveLease(election);
+    sent = fake_kv_count(FAKE_KV_RENEW);
+    fake_kv_answer(fake_kv_latest(FAKE_KV_RENEW),
+                   (fv_kv_result_t){.error = Fv_KV_UNAVAILABLE});
+    FvElection_ProveLease(election);
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_RENEW), sent);
+    fake_kv_run_loop(base, 150);
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_RENEW), sent + 1);
+    CU_ASSERT_EQUAL(outcome.renewed, 0);
+    fake_kv_answer(fake_kv_latest(FAKE_KV_RENEW),
+                   (fv_kv_result_t){.error = Fv_KV_NOT_FOUND});
+    CU_ASSERT_EQUAL(outcome.lost, 1);
+    FvElection_ProveLease(election);
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_RENEW), sent + 1);
+    CU_ASSERT_EQUAL(outcome.renewed, 0);
+    close_election();
+}
+
 /* The store loses the answers to two calls in five, or a connection to it
  * stops answering for good. */
 static void
@@ -527,6 +594,10 @@
 main(void)
 {
     static const test_case_t cases[] = {
+        {"a renewal sent before a question proves the lease",
+         test_proof_is_sent_after_the_question},
+        {"each question renews a lease that the store does not renew",
+         test_no_proof_without_the_store},
         {"two leaders use one generation, and so the same run numbers",
          test_generation_increases},
         {"an unconfirmed claim is read back without a delay, or lost",
--- a/tests/unit/fake_kv.h
+++ b/tests/unit/fake_kv.h
@@ -17,6 +17,7 @@
 
 typedef enum fake_kv_kind {
     FAKE_KV_GET,
+    FAKE_KV_RANGE,
     FAKE_KV_TXN,
     FAKE_KV_GRANT,
     FAKE_KV_RENEW
@@ -130,6 +131,16 @@
     fake_kv_add(FAKE_KV_GET, done, context);
 }
 
+void
+FvKvClient_Range(fv_kv_client_t *kv, const char *prefix, const char *after,
+                 fv_kv_done_t done, void *context)
+{
+    (void)kv;
+    (void)prefix;
+    (void)after;
+    fake_kv_add(FAKE_KV_RANGE, done, context);
+}
+
 void
 FvKvClient_Txn(fv_kv_client_t *kv, const fv_kv_expect_t *expects,
                uint32_t expect_count, const fv_kv_put_t *puts,
@@ -185,6 +196,14 @@
     return NULL;
 }
 
+int64_t
+FvKvClient_WatchAgeMs(const fv_kv_watch_t *watch, int64_t now_ms)
+{
+    (void)watch;
+    (void)now_ms;
+    return 0;
+}
+
 void
 FvKvClient_CancelWatch(fv_kv_watch_t *watch)
 {
--- /dev/null
+++ b/tests/unit/leader_requests_test.c
@@ -0,0 +1,377 @@
+/*
+ * What a leader tells callers, by what it knows about its own leadership:
+ * while it certainly leads, after its lease has expired, after a suspension,
+ * and once the store has shown that it leads.
+ */
+
+#include "cell-leader.h"
+#include "fake_kv.h"
+
+#define UNKNOWN "5c0e7a21d94b0001"
+#define KNOWN "5c0e7a21d94b0002"
+#define ENDED "5c0e7a21d94b0003"
+#define OTHER_UNKNOWN "5c0e7a21d94b0004"
+#define QUEUE "slow"
+#define BODY                                                                  \
+    "{\"taskSpec\":\"\",\"steps\":[{\"count\":1,\"cpu\":100,\"memMb\":10,"    \
+    "\"estimatedMs\":100}]}"
+#define RENEWAL 7 /* number of the renewal that proves the lease */
+#define WRITE_MS 50
+
+static struct event_base *base;
+static fv_leader_t leader;
+static bool may_send_orders;
+static int64_t lease_left_ms;
+static uint32_t proofs;
+static uint32_t deposed;
+static uint32_t answers;
+static fv_reply_t answer; /* the latest one */
+static char answer_text[64];
+
+static fv_cell_queue_t queue = {
+    .name = QUEUE, .service = "app", .attempts_max = 3};
+static fv_cell_config_t config = {.queue_count = 1, .queues = &queue};
+
+static bool
+on_may_send_orders(void *context, int64_t now_ms)
+{
+    (void)context;
+    (void)now_ms;
+    return may_send_orders;
+}
+
+static int64_t
+on_lease_left_ms(void *context, int64_t now_ms)
+{
+    (void)context;
+    (void)now_ms;
+    return lease_left_ms;
+}
+
+static uint64_t
+on_prove_lease(void *context)
+{
+    (void)context;
+    proofs++;
+    return RENEWAL;
+}
+
+static const fv_cell_config_t *
+on_config(void *context)
+{
+    (void)context;
+    return &config;
+}
+
+static void
+on_lost(void *context)
+{
+    (void)context;
+    deposed++;
+}
+
+static void
+on_event(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    (void)context;
+}
+
+static const fv_sched_ops_t ops = {.decode = FvPlatform_DecodeJobSpec,
+                                   .record = FvLeaderRecord_Write};
+static const fv_entry_settings_t settings = {.host = "akl-1",
+                                             .keep_ended_s = 120};
+
+static void
+on_reply(void *context, const fv_cell_message_t *reply)
+{
+    (void)context;
+    answers++;
+    answer = (fv_reply_t)reply->number;
+    FvText_Copy(answer_text, sizeof(answer_text), reply->name);
+}
+
+/* Sends a request. Returns its answer, 0 when there is none yet. */
+static fv_reply_t
+request(fv_verb_t verb, const char *job)
+{
+    answers = 0;
+    FvLeader_HandleRequest(
+        &leader,
+        &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_REQUEST,
+                             .id = 1,
+                             .number = verb,
+                             .name = QUEUE,
+                             .key = job,
+                             .body = verb == Fv_VERB_SUBMIT ? BODY : "",
+                             .body_length =
+                                 verb == Fv_VERB_SUBMIT ? strlen(BODY) : 0},
+        on_reply, &leader);
+    return answers > 0 ? answer : (fv_reply_t)0;
+}
+
+/* Has the store take what waits to be written. */
+static void
+write_records(void)
+{
+    fake_kv_run_loop(base, WRITE_MS);
+    if (fake_kv_count(FAKE_KV_GRANT) > 0 &&
+        !fake_kv_latest(FAKE_KV_GRANT)->answered) {
+        fake_kv_answer(
+            fake_kv_latest(FAKE_KV_GRANT),
+            (fv_kv_result_t){.error = Fv_KV_OK, .lease = 3, .ttl_ms = 600000});
+        fake_kv_run_loop(base, WRITE_MS);
+    }
+    fake_kv_answer(fake_kv_latest(FAKE_KV_TXN),
+                   (fv_kv_result_t){.error = Fv_KV_OK, .revision = 1000});
+}
+
+/* Opens a leader that has accepted one job and knows of one that has ended. */
+static void
+open_leader(void)
+{
+    static const int64_t revisions[Fv_RECORD_STREAMS] = {11};
+
+    fake_kv_reset();
+    base = event_base_new();
+    may_send_orders = true;
+    lease_left_ms = 800;
+    proofs = 0;
+    deposed = 0;
+    leader = (fv_leader_t){
+        .base = base,
+        .settings = &settings,
+        .events = {.may_send_orders = on_may_send_orders,
+                   .lease_left_ms = on_lease_left_ms,
+                   .prove_lease = on_prove_lease,
+                   .config = on_config},
+        .epoch = 900,
+        .serving = true,
+    };
+    FvSched_Init(&leader.sched, &ops,
+                 &(fv_sched_timeouts_t){.lease_ms = 4500, .stop_max_ms = 900});
+    leader.pass_timer = event_new(base, -1, 0, on_event, NULL);
+    leader.records = FvRecordWriter_New(
+        base, NULL,
+        &(fv_records_owner_t){
+            .epoch = 900, .retention_ms = 180000, .lost = on_lost},
+        revisions);
+    FvLeaderRecord_RememberEnded(&leader, ENDED, "completed");
+    CU_ASSERT_EQUAL(request(Fv_VERB_SUBMIT, KNOWN), 0);
+    write_records();
+    CU_ASSERT_EQUAL(answer, Fv_REPLY_ACCEPTED);
+}
+
+static void
+close_leader(void)
+{
+    fv_ended_job_t *ended;
+    fv_ended_job_t *next;
+
+    FvLeader_DropReplies(&leader, NULL);
+    for (uint32_t i = 0; i < fake_kv.count; i++) {
+        if (!fake_kv.calls[i].answered) {
+            fake_kv_answer(&fake_kv.calls[i],
+                           (fv_kv_result_t){.error = Fv_KV_UNAVAILABLE});
+        }
+    }
+    FvRecordWriter_Free(leader.records);
+    FvSched_Clear(&leader.sched);
+    for (ended = leader.ended; ended != NULL; ended = next) {
+        next = ended->hh.next;
+        /* uthash unlinks the entry, which the analyzer does not see. */
+        /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
+        HASH_DEL(leader.ended, ended);
+        free(ended);
+    }
+    event_free(leader.pass_timer);
+    event_base_free(base);
+}
+
+/* What stands in the store is told by any host that has read it. */
+static void
+check_recorded_answers(void)
+{
+    CU_ASSERT_EQUAL(request(Fv_VERB_SUBMIT, KNOWN), Fv_REPLY_ACCEPTED);
+    CU_ASSERT_EQUAL(request(Fv_VERB_SUBMIT, ENDED), Fv_REPLY_ACCEPTED);
+    CU_ASSERT_EQUAL(request(Fv_VERB_CANCEL, ENDED), Fv_REPLY_STATE);
+    CU_ASSERT_EQUAL(request(Fv_VERB_STATE, ENDED), Fv_REPLY_STATE);
+    CU_ASSERT_STRING_EQUAL(answer_text, "completed");
+}
+
+static void
+test_certain_leader(void)
+{
+    open_leader();
+    check_recorded_answers();
+    CU_ASSERT_EQUAL(request(Fv_VERB_STATE, KNOWN), Fv_REPLY_STATE);
+    CU_ASSERT_STRING_EQUAL(answer_text, "queued");
+    CU_ASSERT_EQUAL(request(Fv_VERB_WAITING, ""), Fv_REPLY_COUNT);
+    CU_ASSERT_EQUAL(proofs, 0);
+    close_leader();
+}
+
+/* The process was suspended: its successor may have ended the known job,
+ * accepted the unknown one and refused nothing. */
+static void
+test_suspended_leader(void)
+{
+    open_leader();
+    may_send_orders = false;
+    check_recorded_answers();
+    CU_ASSERT_EQUAL(request(Fv_VERB_STATE, KNOWN), Fv_REPLY_NOT_READY);
+    CU_ASSERT_EQUAL(request(Fv_VERB_CANCEL, KNOWN), Fv_REPLY_NOT_READY);
+    CU_ASSERT_EQUAL(request(Fv_VERB_WAITING, ""), Fv_REPLY_NOT_READY);
+    CU_ASSERT_EQUAL(request(Fv_VERB_STATE, UNKNOWN), Fv_REPLY_NOT_READY);
+    CU_ASSERT_EQUAL(request(Fv_VERB_CANCEL, UNKNOWN), Fv_REPLY_NOT_READY);
+    CU_ASSERT_EQUAL(request(Fv_VERB_SUBMIT, UNKNOWN), Fv_REPLY_NOT_READY);
+    close_leader();
+}
+
+/* The leader is cut off from the store and gives orders for known work yet. */
+static void
+test_leader_beyond_its_lease(void)
+{
+    open_leader();
+    lease_left_ms = -2000;
+    check_recorded_answers();
+    CU_ASSERT_EQUAL(request(Fv_VERB_STATE, KNOWN), Fv_REPLY_STATE);
+    CU_ASSERT_EQUAL(request(Fv_VERB_WAITING, ""), Fv_REPLY_NOT_READY);
+    CU_ASSERT_EQUAL(request(Fv_VERB_CANCEL, KNOWN), 0);
+    CU_ASSERT_EQUAL(request(Fv_VERB_CANCEL, OTHER_UNKNOWN), 0);
+    CU_ASSERT_EQUAL(request(Fv_VERB_STATE, UNKNOWN), 0);
+    FvLeaderRequest_ExpireQuestions(&leader, FvClock_NowMs() + 1000);
+    CU_ASSERT_EQUAL(answers, 1);
+    CU_ASSERT_EQUAL(answer, Fv_REPLY_NOT_READY);
+    close_leader();
+}
+
+/* The renewal that was under way when the question came does not count. */
+static void
+test_unknown_job_needs_a_later_renewal(void)
+{
+    open_leader();
+    CU_ASSERT_EQUAL(request(Fv_VERB_STATE, UNKNOWN), 0);
+    CU_ASSERT_EQUAL(proofs, 1);
+    FvLeader_LeaseProved(&leader, RENEWAL - 1);
+    CU_ASSERT_EQUAL(answers, 0);
+    FvLeader_LeaseProved(&leader, RENEWAL);
+    CU_ASSERT_EQUAL(answers, 1);
+    CU_ASSERT_EQUAL(answer, Fv_REPLY_GONE);
+    FvLeader_LeaseProved(&leader, RENEWAL + 1);
+    CU_ASSERT_EQUAL(answers, 1);
+    close_leader();
+}
+
+/* The job is submitted while a question about it waits for the renewal. */
+static void
+test_job_accepted_before_the_renewal(void)
+{
+    open_leader();
+    CU_ASSERT_EQUAL(request(Fv_VERB_STATE, UNKNOWN), 0);
+    CU_ASSERT_EQUAL(request(Fv_VERB_SUBMIT, UNKNOWN), 0);
+    write_records();
+    CU_ASSERT_EQUAL(answer, Fv_REPLY_ACCEPTED);
+    FvLeader_LeaseProved(&leader, RENEWAL);
+    CU_ASSERT_EQUAL(answer, Fv_REPLY_STATE);
+    close_leader();
+}
+
+static void
+test_unknown_job_is_barred_before_the_answer(void)
+{
+    open_leader();
+    CU_ASSERT_EQUAL(request(Fv_VERB_CANCEL, UNKNOWN), 0);
+    CU_ASSERT_EQUAL(request(Fv_VERB_SUBMIT, UNKNOWN), Fv_REPLY_NOT_READY);
+    answers = 0;
+    write_records();
+    CU_ASSERT_EQUAL(answers, 1);
+    CU_ASSERT_EQUAL(answer, Fv_REPLY_GONE);
+    CU_ASSERT_STRING_EQUAL(fake_kv_latest(FAKE_KV_TXN)->puts[0].key,
+                           Fv_KEY_ENDED UNKNOWN);
+    may_send_orders = false;
+    CU_ASSERT_EQUAL(request(Fv_VERB_SUBMIT, UNKNOWN), Fv_REPLY_REFUSED);
+    CU_ASSERT_EQUAL(request(Fv_VERB_STATE, UNKNOWN), Fv_REPLY_GONE);
+    CU_ASSERT_EQUAL(request(Fv_VERB_CANCEL, UNKNOWN), Fv_REPLY_GONE);
+    close_leader();
+}
+
+/* The store refuses the record, since another host leads. */
+static void
+test_deposed_leader_acknowledges_no_cancellation(void)
+{
+    static const char *const jobs[] = {UNKNOWN, KNOWN};
+
+    for (int i = 0; i < 2; i++) {
+        open_leader();
+        CU_ASSERT_EQUAL(request(Fv_VERB_CANCEL, jobs[i]), 0);
+        fake_kv_run_loop(base, WRITE_MS);
+        fake_kv_answer(
+            fake_kv_latest(FAKE_KV_GRANT),
+            (fv_kv_result_t){.error = Fv_KV_OK, .lease = 3, .ttl_ms = 600000});
+        fake_kv_run_loop(base, WRITE_MS);
+        fake_kv_answer_item(fake_kv_latest(FAKE_KV_TXN), Fv_KV_CONFLICT,
+                            Fv_KEY_LEADER, "akl-2", 1200);
+        CU_ASSERT_EQUAL(answers, 0);
+        CU_ASSERT_EQUAL(deposed, 1);
+        close_leader();
+    }
+}
+
+/* A cancellation that was never sent to the store is given back, and the job
+ * may be submitted. */
+static void
+test_withdrawn_cancellation(void)
+{
+    open_leader();
+    CU_ASSERT_EQUAL(request(Fv_VERB_CANCEL, UNKNOWN), 0);
+    FvRecordWriter_WithdrawUnsent(leader.records);
+    CU_ASSERT_EQUAL(answers, 1);
+    CU_ASSERT_EQUAL(answer, Fv_REPLY_NOT_READY);
+    CU_ASSERT_EQUAL(request(Fv_VERB_SUBMIT, UNKNOWN), 0);
+    close_leader();
+}
+
+static void
+test_replies_to_a_lost_host_are_dropped(void)
+{
+    open_leader();
+    CU_ASSERT_EQUAL(request(Fv_VERB_STATE, UNKNOWN), 0);
+    CU_ASSERT_EQUAL(request(Fv_VERB_CANCEL, OTHER_UNKNOWN), 0);
+    FvLeader_DropReplies(&leader, &leader);
+    FvLeader_LeaseProved(&leader, RENEWAL);
+    write_records();
+    CU_ASSERT_EQUAL(answers, 0);
+    CU_ASSERT_EQUAL(request(Fv_VERB_STATE, UNKNOWN), 0);
+    FvLeader_LeaseProved(&leader, RENEWAL);
+    CU_ASSERT_EQUAL(answers, 1);
+    close_leader();
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"a leader within its lease asks the store before an answer",
+         test_certain_leader},
+        {"a suspended leader answers for its successor",
+         test_suspended_leader},
+        {"a leader beyond its lease answers for its successor",
+         test_leader_beyond_its_lease},
+        {"an unknown job is absent by a renewal sent before the question",
+         test_unknown_job_needs_a_later_renewal},
+        {"a job accepted while a question waits is reported as absent",
+         test_job_accepted_before_the_renewal},
+        {"a job is accepted after its cancellation was answered",
+         test_unknown_job_is_barred_before_the_answer},
+        {"a deposed leader acknowledges a cancellation",
+         test_deposed_leader_acknowledges_no_cancellation},
+        {"a cancellation that was not recorded is acknowledged",
+         test_withdrawn_cancellation},
+        {"a reply to a lost host is kept or mixed up",
+         test_replies_to_a_lost_host_are_dropped},
+    };
+
+    return Fv_RUN_SUITE("leader_requests", cases);
+}
