election: count a suspension between a claim and its answer

A host that was suspended after it had sent its claim, and that read the store's answer when it went on, took itself for a leader that may give orders: claim_won cleared the note that the first tick after the suspension had made. Its lease of 1 s had expired by then. It would have loaded the records and answered callers until its first renewal 0.2 s later. The note now stays, as for a leader (same class of fault: a check made before a suspension is taken for one made after it).

election_test before: a host suspended during its claim sends orders when it resumes ...FAILED CU_ASSERT_FALSE(FvElection_MaySendOrders(election, later_ms + 10)) and passes now. Not seen with real processes.

--- a/src/election.c
+++ b/src/election.c
@@ -146,11 +146,13 @@
 {
     election->state = Fv_CLAIM_HELD;
     election->claim_at_ms = 0;
-    election->needs_renewal = false;
+    election->needs_renewal =
+        election->suspension_detected_ms >= election->renewed_ms;
     election->failed_renewals = 0;
     election->proof_renewal = 0;
     election->proof_wanted = false;
-    election->next_renew_ms = FvClock_NowMs() + Fv_LEADER_RENEW_MS;
+    election->next_renew_ms =
+        election->needs_renewal ? 0 : FvClock_NowMs() + Fv_LEADER_RENEW_MS;
     FvLog_Event(Fv_LOG_INFO, "leadership_won",
                 "epoch=%" PRId64 " generation=%d ttl_ms=%" PRId64, revision,
                 election->claimed_generation, election->ttl_ms);
--- a/tests/unit/election_test.c
+++ b/tests/unit/election_test.c
@@ -181,6 +181,25 @@
     close_election();
 }
 
+/* The host is suspended while the answer to its claim is in transit. The lease
+ * has expired when the process resumes and reads the answer. */
+static void
+test_claim_before_a_suspension(void)
+{
+    fake_kv_call_t *claim;
+    int64_t later_ms;
+
+    open_election("1");
+    claim = send_claim();
+    later_ms = FvClock_NowMs() + 1500;
+    CU_ASSERT_FALSE(FvElection_MaySendOrders(election, later_ms));
+    fake_kv_answer(claim,
+                   (fv_kv_result_t){.error = Fv_KV_OK, .revision = 900});
+    CU_ASSERT_EQUAL(outcome.won, 1);
+    CU_ASSERT_FALSE(FvElection_MaySendOrders(election, later_ms + 10));
+    close_election();
+}
+
 /* The leader is suspended while the answer to its renewal is in transit. The
  * lease has expired when the process resumes and reads the answer. */
 static void
@@ -594,6 +613,8 @@
 main(void)
 {
     static const test_case_t cases[] = {
+        {"a host suspended during its claim sends orders when it resumes",
+         test_claim_before_a_suspension},
         {"a renewal sent before a question proves the lease",
          test_proof_is_sent_after_the_question},
         {"each question renews a lease that the store does not renew",
