tests: give the leader of leader_requests_test a bound of records

The bound of the store's values came with the progress records and is 0 in the test's settings, so that each submission counted as too large after the two were joined. 18 of 18 cases failed before.

--- a/tests/unit/leader_requests_test.c
+++ b/tests/unit/leader_requests_test.c
@@ -80,8 +80,8 @@
 
 static const fv_sched_ops_t ops = {.decode = FvPlatform_DecodeJobSpec,
                                    .record = FvLeaderRecord_Write};
-static const fv_entry_settings_t settings = {.host = "akl-1",
-                                             .keep_ended_s = 120};
+static const fv_entry_settings_t settings = {
+    .host = "akl-1", .keep_ended_s = 120, .store_value_max_bytes = 1048576};
 
 static void
 on_reply(void *context, const fv_cell_message_t *reply)
