--- a/src/advice-client.c
+++ b/src/advice-client.c
@@ -18,6 +18,9 @@
  * round trip between regions. */
 #define Fv_ADVICE_PIPELINE_US 60000
 
+/* The service queues 32 calls of a host at most. */
+static const fv_call_bounds_t service_bounds = {.open_max = 32, .rest_max = 8};
+
 typedef struct fv_advice_call {
     fv_advice_client_t *client;
     int64_t id;
@@ -154,9 +157,13 @@
     client->in_flight_us += request->cost_us;
     count = split_lines(request->workers, workers, Fv_ADVICE_WORKERS_MAX);
     FvPlatform_RequestAdvice(&call, request->step, workers, count);
-    FvCallPool_Send(client->pool, client->address, &call,
-                    request->cost_us / 1000 + Fv_ADVICE_TIMEOUT_MARGIN_MS,
-                    call_answered, request);
+    FvCallPool_Send(
+        client->pool, client->address, &call,
+        &(fv_call_terms_t){.bounds = &service_bounds,
+                           .urgency = Fv_CALL_START,
+                           .timeout_ms = request->cost_us / 1000 +
+                                         Fv_ADVICE_TIMEOUT_MARGIN_MS},
+        call_answered, request);
 }
 
 /**
--- a/src/call.c
+++ b/src/call.c
@@ -1,84 +1,322 @@
 /*
  * HTTP client over libevent with pooled connections, one request at a time on
- * each. A connection that fails or times out is closed; whether the server
- * executed its request is then unknown.
+ * each. The connections to one server are bounded; further calls wait for one,
+ * the most urgent first. A connection that fails or times out is closed;
+ * whether the server executed its request is then unknown, unless the request
+ * was never written.
  */
 
-#include "entry.h"
+#include "call-pool.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
 
-/* Idle connections are closed after this, well before the platform's load
- * balancers drop them. */
-#define Fv_IDLE_CONNECTION_MS 30000
-#define Fv_SWEEP_MS 5000
-#define Fv_CALL_ANSWER_MAX_BYTES (8 * 1024 * 1024)
+/* Idle connections beyond the number kept at rest are closed after this. */
+#define Fv_EXCESS_CONNECTION_MS 2000
+#define Fv_SWEEP_MS 1000
 
-typedef struct fv_destination fv_destination_t;
+static void dispatch(fv_destination_t *destination);
 
-typedef struct fv_connection_slot {
-    struct evhttp_connection *connection;
-    fv_destination_t *destination;
-    struct fv_connection_slot *next; /* of the destination */
-    struct fv_connection_slot *idle_next;
-    struct fv_connection_slot *idle_prev;
-    bool busy;
-    int64_t used_ms;
-} fv_connection_slot_t;
-
-struct fv_destination {
-    char address[Fv_ADDRESS_SIZE];
-    char ip[Fv_ADDRESS_SIZE];
-    uint16_t port;
-    fv_connection_slot_t *slots;
-    UT_hash_handle hh;
-};
-
-struct fv_call_pool {
-    struct event_base *base;
-    struct event *sweep;
-    fv_destination_t *destinations;
-    fv_connection_slot_t *idle;              /* least recently used first */
-    const fv_connection_slot_t *in_callback; /* its callback is running */
-    uint32_t open;
-    uint32_t open_max;
-    char preferred[Fv_ADDRESS_SIZE]; /* "": none */
-};
-
-typedef struct fv_pending_call {
-    fv_call_pool_t *pool;
-    fv_connection_slot_t *slot;
-    fv_call_done_t done;
-    void *context;
-    bool sending; /* FvCallPool_Send has not returned yet */
-    bool failed;  /* while FvCallPool_Send was running */
-} fv_pending_call_t;
+/* --- Calls -------------------------------------------------------------- */
+
+static void
+free_pending(fv_pending_call_t *pending)
+{
+    if (pending->wait_limit != NULL) {
+        event_free(pending->wait_limit);
+    }
+    free(pending->call.body);
+    free(pending);
+}
+
+static void
+report_failure(evutil_socket_t fd, short what, void *context)
+{
+    fv_pending_call_t *pending = context;
+    fv_call_answer_t none = {.not_sent = pending->not_sent,
+                             .waited_ms = pending->waited_ms};
+
+    (void)fd;
+    (void)what;
+    pending->done(pending->context, &none);
+    free_pending(pending);
+}
+
+/* Reports from the event loop, since the callers of the pool do not expect the
+ * callback meanwhile. */
+static void
+fail_later(struct event_base *base, fv_pending_call_t *pending, bool not_sent,
+           const char *cause)
+{
+    struct timeval at_once = {0};
+
+    pending->not_sent = not_sent;
+    if (not_sent) {
+        FvMetrics_Add(Fv_COUNTER_CALLS_NOT_SENT, 1);
+        FvLog_Event(
+            Fv_LOG_INFO, "call_not_sent",
+            "address=%s path=%s waited_ms=%" PRId64 " cause=%s",
+            pending->destination != NULL ? pending->destination->address : "",
+            pending->call.path, pending->waited_ms, cause);
+    }
+    if (event_base_once(base, -1, EV_TIMEOUT, report_failure, pending,
+                        &at_once) != 0) {
+        abort(); /* without its callback the caller would wait forever */
+    }
+}
+
+static void
+leave_queue(fv_pending_call_t *pending)
+{
+    DL_DELETE(pending->destination->waiting, pending);
+    pending->destination->waiting_count--;
+    pending->waited_ms = FvClock_NowMs() - pending->queued_ms;
+    if (pending->wait_limit != NULL) {
+        event_del(pending->wait_limit);
+    }
+}
+
+static void
+wait_limit_reached(evutil_socket_t fd, short what, void *context)
+{
+    fv_pending_call_t *pending = context;
+
+    (void)fd;
+    (void)what;
+    leave_queue(pending);
+    fail_later(pending->destination->pool->base, pending, true,
+               "no_connection");
+}
 
 static void
-close_idle_slot(fv_call_pool_t *pool, fv_connection_slot_t *slot)
+dispatch_blocked(fv_call_pool_t *pool)
+{
+    fv_destination_t *destination = pool->blocked;
+
+    if (destination != NULL &&
+        (pool->open < pool->open_max || pool->idle != NULL)) {
+        DL_DELETE2(pool->blocked, destination, blocked_prev, blocked_next);
+        destination->blocked = false;
+        dispatch(destination);
+    }
+}
+
+/* libevent does not tell a connect that timed out from one that failed. */
+static bool
+has_timed_out(const fv_pending_call_t *pending)
 {
-    LL_DELETE(slot->destination->slots, slot);
-    DL_DELETE2(pool->idle, slot, idle_prev, idle_next);
-    evhttp_connection_free(slot->connection);
-    free(slot);
-    pool->open--;
+    return FvClock_NowMs() - pending->queued_ms - pending->waited_ms >=
+           pending->terms.timeout_ms;
 }
 
+static void
+call_finished(struct evhttp_request *request, void *context)
+{
+    fv_pending_call_t *pending = context;
+    fv_connection_slot_t *slot = pending->slot;
+    fv_destination_t *destination = pending->destination;
+    fv_call_pool_t *pool = destination->pool;
+    fv_call_answer_t answer = {.waited_ms = pending->waited_ms};
+
+    if (request != NULL && evhttp_request_get_response_code(request) != 0) {
+        struct evbuffer *body = evhttp_request_get_input_buffer(request);
+
+        answer.status = evhttp_request_get_response_code(request);
+        answer.length = evbuffer_get_length(body);
+        answer.body = (const char *)evbuffer_pullup(body, -1);
+    }
+    if (pending->sending) {
+        pending->failed = true;
+        return;
+    }
+    answer.not_sent = answer.status == 0 && !slot->written;
+    FvCallConnection_Release(slot, answer.status != 0, has_timed_out(pending));
+    pool->in_callback = slot;
+    pending->done(pending->context, &answer);
+    pool->in_callback = NULL;
+    free_pending(pending);
+    dispatch(destination);
+    dispatch_blocked(pool);
+}
+
+static enum evhttp_cmd_type
+method_of(const fv_call_t *call)
+{
+    if (strcmp(call->method, "POST") == 0) {
+        return EVHTTP_REQ_POST;
+    }
+    return strcmp(call->method, "DELETE") == 0 ? EVHTTP_REQ_DELETE
+                                               : EVHTTP_REQ_GET;
+}
+
+static bool
+send_request(fv_pending_call_t *pending)
+{
+    fv_destination_t *destination = pending->destination;
+    const fv_call_t *call = &pending->call;
+    struct evhttp_request *request =
+        evhttp_request_new(call_finished, pending);
+    struct evkeyvalq *headers;
+    int64_t timeout_ms = pending->terms.timeout_ms;
+    struct timeval timeout = {
+        .tv_sec = (time_t)(timeout_ms / 1000),
+        .tv_usec = (suseconds_t)(timeout_ms % 1000 * 1000),
+    };
+
+    if (request == NULL) {
+        return false;
+    }
+    headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", destination->address);
+    if (call->instance[0] != '\0') {
+        evhttp_add_header(headers, FvPlatform_InstanceHeader, call->instance);
+    }
+    if (call->body != NULL) {
+        evhttp_add_header(headers, "Content-Type", "application/json");
+        evbuffer_add(evhttp_request_get_output_buffer(request), call->body,
+                     strlen(call->body));
+    }
+    evhttp_connection_set_timeout_tv(pending->slot->connection, &timeout);
+    if (evhttp_make_request(pending->slot->connection, request,
+                            method_of(call), call->path) != 0) {
+        return false;
+    }
+    /* A connection that is opened for the request has lost its priority. */
+    if (strcmp(destination->address, destination->pool->preferred) == 0 &&
+        !pending->failed) {
+        bufferevent_priority_set(
+            evhttp_connection_get_bufferevent(pending->slot->connection),
+            Fv_PRIORITY_PREFERRED);
+    }
+    return true;
+}
+
+static void
+begin_call(fv_pending_call_t *pending, fv_connection_slot_t *slot)
+{
+    pending->slot = slot;
+    slot->pending = pending;
+    slot->written = false;
+    if (pending->terms.urgency == Fv_CALL_LONG_POLL) {
+        slot->destination->long_polls++;
+    }
+    pending->sending = true;
+    if (!send_request(pending)) {
+        pending->failed = true;
+    }
+    pending->sending = false;
+    if (pending->failed) {
+        bool written = slot->written;
+
+        FvCallConnection_Release(slot, false, true);
+        fail_later(pending->destination->pool->base, pending, !written,
+                   "refused");
+        return;
+    }
+    free(pending->call.body);
+    pending->call.body = NULL;
+}
+
+/* Sends waiting calls for as long as there are connections for them. */
+static void
+dispatch(fv_destination_t *destination)
+{
+    fv_pending_call_t *pending;
+    fv_pending_call_t *next;
+
+    for (pending = destination->waiting; pending != NULL; pending = next) {
+        fv_connection_slot_t *slot =
+            FvCallConnection_Obtain(destination, pending->terms.urgency);
+
+        next = pending->next;
+        if (slot != NULL) {
+            leave_queue(pending);
+            begin_call(pending, slot);
+        }
+    }
+}
+
+static int
+compare_urgency(const fv_pending_call_t *a, const fv_pending_call_t *b)
+{
+    return (int)a->terms.urgency - (int)b->terms.urgency;
+}
+
+static void
+enqueue(fv_pending_call_t *pending)
+{
+    fv_destination_t *destination = pending->destination;
+    fv_pending_call_t *next = destination->waiting;
+
+    while (next != NULL && compare_urgency(next, pending) <= 0) {
+        next = next->next;
+    }
+    if (next == NULL) {
+        DL_APPEND(destination->waiting, pending);
+    }
+    else {
+        DL_PREPEND_ELEM(destination->waiting, next, pending);
+    }
+    destination->waiting_count++;
+}
+
+static void
+limit_wait(fv_pending_call_t *pending)
+{
+    int64_t limit_ms = pending->terms.timeout_ms;
+    struct timeval limit = {
+        .tv_sec = (time_t)(limit_ms / 1000),
+        .tv_usec = (suseconds_t)(limit_ms % 1000 * 1000),
+    };
+
+    FvMetrics_Add(Fv_COUNTER_CALL_WAITS, 1);
+    pending->wait_limit = event_new(pending->destination->pool->base, -1, 0,
+                                    wait_limit_reached, pending);
+    if (pending->wait_limit == NULL) {
+        abort(); /* the caller could wait forever */
+    }
+    event_add(pending->wait_limit, &limit);
+}
+
+/* --- The pool ----------------------------------------------------------- */
+
 static void
 remove_destination(fv_call_pool_t *pool, fv_destination_t *destination)
 {
+    if (destination->blocked) {
+        DL_DELETE2(pool->blocked, destination, blocked_prev, blocked_next);
+    }
     /* uthash unlinks the entry, which the analyzer does not see. */
     /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
     HASH_DEL(pool->destinations, destination);
     free(destination);
 }
 
+static void
+sweep_destination(fv_destination_t *destination, int64_t now_ms)
+{
+    fv_connection_slot_t *slot;
+    fv_connection_slot_t *next;
+
+    for (slot = destination->slots; slot != NULL; slot = next) {
+        next = slot->next;
+        if (!slot->open) {
+            FvCallConnection_Free(slot);
+        }
+        else if (slot->pending == NULL &&
+                 destination->open > destination->bounds->rest_max &&
+                 now_ms - slot->used_ms >= Fv_EXCESS_CONNECTION_MS) {
+            FvCallConnection_CloseIdle(slot);
+        }
+    }
+}
+
 static void
 sweep(evutil_socket_t fd, short what, void *context)
 {
@@ -91,15 +329,17 @@
     (void)what;
     while (pool->idle != NULL &&
            now_ms - pool->idle->used_ms >= Fv_IDLE_CONNECTION_MS) {
-        close_idle_slot(pool, pool->idle);
+        FvCallConnection_CloseIdle(pool->idle);
     }
     for (destination = pool->destinations; destination != NULL;
          destination = next) {
         next = destination->hh.next;
-        if (destination->slots == NULL) {
+        sweep_destination(destination, now_ms);
+        if (destination->slots == NULL && destination->waiting == NULL) {
             remove_destination(pool, destination);
         }
     }
+    dispatch_blocked(pool);
 }
 
 /**
@@ -155,6 +395,7 @@
 {
     fv_destination_t *destination;
     fv_destination_t *next;
+    fv_pending_call_t *next_pending;
 
     if (pool == NULL) {
         return;
@@ -164,17 +405,72 @@
          destination = next) {
         next = destination->hh.next;
         while (destination->slots != NULL) {
-            fv_connection_slot_t *slot = destination->slots;
-
-            destination->slots = slot->next;
-            evhttp_connection_free(slot->connection);
-            free(slot);
+            FvCallConnection_Free(destination->slots);
+        }
+        for (fv_pending_call_t *pending = destination->waiting;
+             pending != NULL; pending = next_pending) {
+            next_pending = pending->next;
+            free_pending(pending);
         }
         remove_destination(pool, destination);
     }
     free(pool);
 }
 
+static void
+close_destination(fv_destination_t *destination)
+{
+    fv_call_pool_t *pool = destination->pool;
+    fv_connection_slot_t *slot;
+    fv_connection_slot_t *next;
+
+    while (destination->waiting != NULL) {
+        fv_pending_call_t *pending = destination->waiting;
+
+        leave_queue(pending);
+        fail_later(pool->base, pending, true, "closed");
+    }
+    for (slot = destination->slots; slot != NULL; slot = next) {
+        fv_pending_call_t *pending = slot->pending;
+
+        next = slot->next;
+        if (slot == pool->in_callback) {
+            continue; /* libevent uses it; the sweep closes it */
+        }
+        if (pending != NULL) {
+            fail_later(pool->base, pending, !slot->written, "closed");
+            FvCallConnection_Release(slot, false, true);
+            FvCallConnection_Free(slot);
+        }
+        else if (slot->open) {
+            FvCallConnection_CloseIdle(slot);
+        }
+        else {
+            FvCallConnection_Free(slot);
+        }
+    }
+}
+
+/**
+ * FvCallPool_Close - close the connections to a kind of server
+ * @pool: the pool
+ * @bounds: the bounds that the calls to these servers have
+ *
+ * Calls that wait or are in progress end without an answer, after this
+ * function has returned.
+ */
+void
+FvCallPool_Close(fv_call_pool_t *pool, const fv_call_bounds_t *bounds)
+{
+    for (fv_destination_t *destination = pool->destinations;
+         destination != NULL; destination = destination->hh.next) {
+        if (destination->bounds == bounds) {
+            close_destination(destination);
+        }
+    }
+    dispatch_blocked(pool);
+}
+
 /**
  * FvCallPool_Open - number of open connections
  * @pool: the pool
@@ -187,8 +483,27 @@
     return pool->open;
 }
 
+/**
+ * FvCallPool_MayLongPoll - whether a server has a connection to spare for a
+ * long poll
+ * @pool: the pool
+ * @address: the server
+ *
+ * Return: false when it takes no new connections and has one at most.
+ */
+bool
+FvCallPool_MayLongPoll(const fv_call_pool_t *pool, const char *address)
+{
+    fv_destination_t *destination = NULL;
+
+    HASH_FIND_STR(pool->destinations, address, destination);
+    return destination == NULL || destination->limited_for_ms == 0 ||
+           destination->open > 1;
+}
+
 static fv_destination_t *
-find_or_add_destination(fv_call_pool_t *pool, const char *address)
+find_or_add_destination(fv_call_pool_t *pool, const char *address,
+                        const fv_call_bounds_t *bounds)
 {
     fv_destination_t *destination = NULL;
     const char *colon = strchr(address, ':');
@@ -201,6 +516,8 @@
     if (destination == NULL) {
         return NULL;
     }
+    destination->pool = pool;
+    destination->bounds = bounds;
     FvText_Copy(destination->address, sizeof(destination->address), address);
     snprintf(destination->ip, sizeof(destination->ip), "%.*s",
              (int)(colon - address), address);
@@ -209,185 +526,41 @@
     return destination;
 }
 
-static fv_connection_slot_t *
-obtain_slot(fv_call_pool_t *pool, fv_destination_t *destination)
-{
-    fv_connection_slot_t *slot;
-
-    for (slot = destination->slots; slot != NULL; slot = slot->next) {
-        if (!slot->busy) {
-            DL_DELETE2(pool->idle, slot, idle_prev, idle_next);
-            return slot;
-        }
-    }
-    /* libevent still uses a connection whose callback is running. */
-    if (pool->open >= pool->open_max && pool->idle != NULL &&
-        pool->idle != pool->in_callback) {
-        close_idle_slot(pool, pool->idle);
-    }
-    if (pool->open >= pool->open_max) {
-        return NULL;
-    }
-    slot = calloc(1, sizeof(*slot));
-    if (slot == NULL) {
-        return NULL;
-    }
-    slot->connection = evhttp_connection_base_new(
-        pool->base, NULL, destination->ip, destination->port);
-    if (slot->connection == NULL) {
-        free(slot);
-        return NULL;
-    }
-    /* With AF_UNSPEC libevent would probe the machine's interfaces. */
-    evhttp_connection_set_family(slot->connection, AF_INET);
-    evhttp_connection_set_max_body_size(slot->connection,
-                                        Fv_CALL_ANSWER_MAX_BYTES);
-    slot->destination = destination;
-    LL_PREPEND(destination->slots, slot);
-    pool->open++;
-    return slot;
-}
-
-static void
-release_slot(fv_call_pool_t *pool, fv_connection_slot_t *slot)
-{
-    slot->busy = false;
-    slot->used_ms = FvClock_NowMs();
-    DL_APPEND2(pool->idle, slot, idle_prev, idle_next);
-}
-
-static void
-call_finished(struct evhttp_request *request, void *context)
-{
-    fv_pending_call_t *pending = context;
-    fv_call_answer_t answer = {0};
-    struct timeval idle = {.tv_sec = Fv_IDLE_CONNECTION_MS / 1000};
-
-    if (request != NULL && evhttp_request_get_response_code(request) != 0) {
-        struct evbuffer *body = evhttp_request_get_input_buffer(request);
-
-        answer.status = evhttp_request_get_response_code(request);
-        answer.length = evbuffer_get_length(body);
-        answer.body = (const char *)evbuffer_pullup(body, -1);
-    }
-    if (pending->sending) {
-        pending->failed = true;
-        return;
-    }
-    release_slot(pending->pool, pending->slot);
-    /* The call's timeout would also apply to the idle connection. */
-    evhttp_connection_set_timeout_tv(pending->slot->connection, &idle);
-    pending->pool->in_callback = pending->slot;
-    pending->done(pending->context, &answer);
-    pending->pool->in_callback = NULL;
-    free(pending);
-}
-
-static enum evhttp_cmd_type
-method_of(const fv_call_t *call)
-{
-    if (strcmp(call->method, "POST") == 0) {
-        return EVHTTP_REQ_POST;
-    }
-    return strcmp(call->method, "DELETE") == 0 ? EVHTTP_REQ_DELETE
-                                               : EVHTTP_REQ_GET;
-}
-
-static bool
-send_request(fv_pending_call_t *pending, const fv_destination_t *destination,
-             fv_call_t *call, int64_t timeout_ms)
-{
-    struct evhttp_request *request =
-        evhttp_request_new(call_finished, pending);
-    struct evkeyvalq *headers;
-    struct timeval timeout = {
-        .tv_sec = (time_t)(timeout_ms / 1000),
-        .tv_usec = (suseconds_t)(timeout_ms % 1000 * 1000),
-    };
-
-    if (request == NULL) {
-        return false;
-    }
-    headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", destination->address);
-    if (call->instance[0] != '\0') {
-        evhttp_add_header(headers, FvPlatform_InstanceHeader, call->instance);
-    }
-    if (call->body != NULL) {
-        evhttp_add_header(headers, "Content-Type", "application/json");
-        evbuffer_add(evhttp_request_get_output_buffer(request), call->body,
-                     strlen(call->body));
-    }
-    evhttp_connection_set_timeout_tv(pending->slot->connection, &timeout);
-    if (evhttp_make_request(pending->slot->connection, request,
-                            method_of(call), call->path) != 0) {
-        return false;
-    }
-    /* A connection that is opened for the request has lost its priority. */
-    if (strcmp(destination->address, pending->pool->preferred) == 0 &&
-        !pending->failed) {
-        bufferevent_priority_set(
-            evhttp_connection_get_bufferevent(pending->slot->connection),
-            Fv_PRIORITY_PREFERRED);
-    }
-    return true;
-}
-
-static void
-report_failure(evutil_socket_t fd, short what, void *context)
-{
-    fv_pending_call_t *pending = context;
-    fv_call_answer_t none = {0};
-
-    (void)fd;
-    (void)what;
-    pending->done(pending->context, &none);
-    free(pending);
-}
-
 /**
- * FvCallPool_Send - send a request
+ * FvCallPool_Send - send a request, at once or when a connection is free
  * @pool: the pool
  * @address: IPv4 address and port
- * @call: the request; its body is freed
- * @timeout_ms: timeout of each read, write or connect on the connection
+ * @call: the request; the pool takes its body
+ * @terms: their timeout_ms limits the wait for a connection, and then each
+ *         read, write or connect on it
  * @done: called once with the answer, after this function has returned
  * @context: passed to @done
  */
 void
 FvCallPool_Send(fv_call_pool_t *pool, const char *address, fv_call_t *call,
-                int64_t timeout_ms, fv_call_done_t done, void *context)
+                const fv_call_terms_t *terms, fv_call_done_t done,
+                void *context)
 {
-    fv_destination_t *destination = find_or_add_destination(pool, address);
     fv_pending_call_t *pending = calloc(1, sizeof(*pending));
-    struct timeval at_once = {0};
 
     if (pending == NULL) {
         abort(); /* without its callback the caller would wait forever */
     }
     *pending = (fv_pending_call_t){
-        .pool = pool, .done = done, .context = context, .sending = true};
-    if (destination != NULL) {
-        pending->slot = obtain_slot(pool, destination);
-    }
-    if (pending->slot != NULL) {
-        pending->slot->busy = true;
-        if (!send_request(pending, destination, call, timeout_ms)) {
-            pending->failed = true;
-        }
-        if (pending->failed) {
-            release_slot(pool, pending->slot);
-        }
+        .destination = find_or_add_destination(pool, address, terms->bounds),
+        .call = *call,
+        .terms = *terms,
+        .queued_ms = FvClock_NowMs(),
+        .done = done,
+        .context = context};
+    call->body = NULL;
+    if (pending->destination == NULL) {
+        fail_later(pool->base, pending, true, "no_address");
+        return;
     }
-    pending->sending = false;
-    if (pending->slot == NULL || pending->failed) {
-        FvLog_Event(Fv_LOG_ERROR, "call_not_sent", "address=%s path=%s",
-                    address, call->path);
-        if (event_base_once(pool->base, -1, EV_TIMEOUT, report_failure,
-                            pending, &at_once) != 0) {
-            abort();
-        }
+    enqueue(pending);
+    dispatch(pending->destination);
+    if (pending->slot == NULL) {
+        limit_wait(pending);
     }
-    free(call->body);
-    call->body = NULL;
 }
--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -28,6 +28,10 @@
 #define Fv_RENEW_INTERVAL_MS 700
 #define Fv_SILENT_RETRY_MS 300
 
+/* Renewal interval of a worker without a connection to spare for a long
+ * poll. */
+#define Fv_NO_POLL_INTERVAL_MS 300
+
 #define Fv_LEADER_TICK_MS 50
 
 /* Pause before a pass, as a multiple of the duration of the latest one; it
@@ -124,6 +128,17 @@
     }
 }
 
+static int64_t
+renewal_interval_ms(const fv_leader_t *leader, const fv_sched_worker_t *worker)
+{
+    if (worker->suspect || !worker->synced) {
+        return Fv_SILENT_RETRY_MS;
+    }
+    return FvCallPool_MayLongPoll(leader->pool, worker->entry.address)
+               ? Fv_RENEW_INTERVAL_MS
+               : Fv_NO_POLL_INTERVAL_MS;
+}
+
 static void
 check_worker(fv_leader_t *leader, fv_sched_worker_t *worker, int64_t now_ms)
 {
@@ -169,9 +184,7 @@
         session->retried = true;
         FvLeaderWorker_RenewLease(session, false);
     }
-    else if (silent_ms >= (worker->suspect || !worker->synced
-                               ? Fv_SILENT_RETRY_MS
-                               : Fv_RENEW_INTERVAL_MS)) {
+    else if (silent_ms >= renewal_interval_ms(leader, worker)) {
         FvLeaderWorker_RenewLease(session, !session->recording);
     }
 }
@@ -219,8 +232,9 @@
                 " memory_used=%" PRId64 " memory=%" PRId64
                 " stages_waiting=%u late=%u tasks_waiting=%u asks=%u "
                 "records=%u lag_ms=%" PRId64 " passes=%" PRId64
-                " registry_age_ms=%" PRId64
-                " answer_ms=%.0f limit_ms=%" PRId64,
+                " registry_age_ms=%" PRId64 " answer_ms=%.0f limit_ms=%" PRId64
+                " connections=%u call_waits=%" PRIu64 " not_sent=%" PRIu64
+                " resets=%" PRIu64,
                 load.workers, load.usable, load.used_cpu_millis,
                 load.cpu_millis, load.used_memory_mib, load.memory_mib,
                 load.stages_waiting, load.stages_late, load.tasks_waiting,
@@ -230,7 +244,11 @@
                     ? FvKvClient_WatchAgeMs(leader->registry_watch, now_ms)
                     : 0,
                 leader->answer_time.mean_ms,
-                FvAnswerTime_LimitMs(&leader->answer_time));
+                FvAnswerTime_LimitMs(&leader->answer_time),
+                FvCallPool_Open(leader->pool),
+                FvMetrics_Get(Fv_COUNTER_CALL_WAITS),
+                FvMetrics_Get(Fv_COUNTER_CALLS_NOT_SENT),
+                FvMetrics_Get(Fv_COUNTER_CONNECTIONS_RESET));
     leader->max_tick_lag_ms = 0;
     leader->passes = 0;
 }
@@ -346,9 +364,12 @@
             return false; /* an earlier leader may have stopped runs there */
         }
     }
-    return leader->unanswered_stop_ms == 0 ||
-           now_ms - leader->unanswered_stop_ms >
-               Fv_ORDER_DELAY_MAX_MS + leader->sched.stop_max_ms;
+    /* A stop that waited for a connection was sent later than it was due. */
+    return leader->pending_stops == 0 &&
+           now_ms - leader->answered_stop_ms >= leader->sched.stop_max_ms &&
+           (leader->unanswered_stop_ms == 0 ||
+            now_ms - leader->unanswered_stop_ms >
+                Fv_ORDER_DELAY_MAX_MS + leader->sched.stop_max_ms);
 }
 
 static void
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -148,6 +148,8 @@
     bool handing_over;            /* sends no stops and is about to resign */
     bool resigning;               /* resigns once the worker list is written */
     bool stops_settled;           /* all stops sent before have taken effect */
+    uint32_t pending_stops;       /* neither answered nor given up */
+    int64_t answered_stop_ms;     /* when the latest one was answered */
     int64_t unanswered_stop_ms;   /* when the latest one was sent; 0: none */
     struct event *handover_timer;
     fv_log_quota_t cancel_log;
--- a/src/cell-types.h
+++ b/src/cell-types.h
@@ -107,6 +107,7 @@
 typedef enum fv_order_result {
     Fv_ORDER_DONE,
     Fv_ORDER_UNCONFIRMED, /* no answer; may have been or may yet be executed */
+    Fv_ORDER_NOT_SENT,    /* no answer, and certainly not executed */
     Fv_ORDER_FENCED,      /* the worker has seen a newer leader's epoch */
     Fv_ORDER_STALE_RUN,
     Fv_ORDER_LEASE_TOO_SHORT, /* expires before the task could start */
@@ -210,6 +211,8 @@
     int32_t status; /* 0: no answer */
     const char *body;
     size_t length;
+    bool not_sent;     /* no answer, and certainly not executed */
+    int64_t waited_ms; /* for a connection, before the request was sent */
 } fv_call_answer_t;
 
 void FvJobSpec_Clear(fv_job_spec_t *spec);
--- a/src/entry.c
+++ b/src/entry.c
@@ -266,6 +266,8 @@
     (void)cause;
     FvLeader_Free(entry->leader);
     entry->leader = NULL;
+    /* A worker serves few connections, which the next leader needs. */
+    FvLeader_CloseConnections(entry->pool);
     if (entry->leader_link == NULL) {
         FvFrontend_LeaderLost(entry->frontend);
     }
--- a/src/entry.h
+++ b/src/entry.h
@@ -45,6 +45,31 @@
 typedef struct fv_call_pool fv_call_pool_t;
 typedef void (*fv_call_done_t)(void *context, const fv_call_answer_t *answer);
 
+/* In the order in which calls get a connection. */
+typedef enum fv_call_urgency {
+    Fv_CALL_STOP,
+    Fv_CALL_START,
+    Fv_CALL_RENEWAL,  /* may be lost without harm */
+    Fv_CALL_LONG_POLL /* the server delays the answer */
+} fv_call_urgency_t;
+
+/* Bounds of the connections to one server. */
+typedef struct fv_call_bounds {
+    uint32_t open_max;
+    uint32_t rest_max; /* kept when they are not needed */
+    /* A connection is not opened while as many calls as there are connections
+     * without a long poll can wait for these: a round trip either way. */
+    bool waits_for_shared;
+    /* The server has a limit of its own and resets connections beyond it. */
+    bool server_limits;
+} fv_call_bounds_t;
+
+typedef struct fv_call_terms {
+    const fv_call_bounds_t *bounds; /* a constant of the kind of server */
+    fv_call_urgency_t urgency;
+    int64_t timeout_ms;
+} fv_call_terms_t;
+
 /* Priorities of the event loop; all other events have the lower one. */
 #define Fv_PRIORITIES 2
 #define Fv_PRIORITY_PREFERRED 0
@@ -52,10 +77,12 @@
 fv_call_pool_t *FvCallPool_New(struct event_base *base, uint32_t open_max);
 void FvCallPool_Prefer(fv_call_pool_t *pool, const char *address);
 void FvCallPool_Free(fv_call_pool_t *pool);
+void FvCallPool_Close(fv_call_pool_t *pool, const fv_call_bounds_t *bounds);
 uint32_t FvCallPool_Open(const fv_call_pool_t *pool);
+bool FvCallPool_MayLongPoll(const fv_call_pool_t *pool, const char *address);
 void FvCallPool_Send(fv_call_pool_t *pool, const char *address,
-                     fv_call_t *call, int64_t timeout_ms, fv_call_done_t done,
-                     void *context);
+                     fv_call_t *call, const fv_call_terms_t *terms,
+                     fv_call_done_t done, void *context);
 
 /* kv-client.c: client of the platform's key-value store. */
 typedef struct fv_kv_client fv_kv_client_t;
@@ -364,6 +391,7 @@
                           const fv_leader_events_t *events, int64_t epoch,
                           int32_t generation);
 void FvLeader_Free(fv_leader_t *leader);
+void FvLeader_CloseConnections(fv_call_pool_t *pool);
 void FvLeader_HandOver(fv_leader_t *leader);
 bool FvLeader_IsServing(const fv_leader_t *leader);
 void FvLeader_HandleRequest(fv_leader_t *leader,
--- a/src/kv-client.c
+++ b/src/kv-client.c
@@ -21,6 +21,10 @@
 /* Delay before a watch is retried after an error. */
 #define Fv_WATCH_RETRY_MS 200
 
+/* The store's calls are few and independent of each other; each gets its own
+ * connection. */
+static const fv_call_bounds_t store_bounds = {.open_max = 32, .rest_max = 32};
+
 typedef enum fv_kv_response_type {
     Fv_KV_RESPONSE_ITEM,
     Fv_KV_RESPONSE_PAGE,
@@ -177,7 +181,8 @@
 
 static void
 send_call(fv_kv_client_t *kv, fv_call_t *call, fv_kv_response_type_t expected,
-          int64_t timeout_ms, fv_kv_done_t done, void *context)
+          fv_call_urgency_t urgency, int64_t timeout_ms, fv_kv_done_t done,
+          void *context)
 {
     fv_kv_call_t *pending = calloc(1, sizeof(*pending));
 
@@ -186,8 +191,11 @@
     }
     *pending = (fv_kv_call_t){
         .kv = kv, .expected = expected, .done = done, .context = context};
-    FvCallPool_Send(kv->pool, kv->address, call, timeout_ms, handle_response,
-                    pending);
+    FvCallPool_Send(kv->pool, kv->address, call,
+                    &(fv_call_terms_t){.bounds = &store_bounds,
+                                       .urgency = urgency,
+                                       .timeout_ms = timeout_ms},
+                    handle_response, pending);
 }
 
 /**
@@ -205,7 +213,8 @@
 
     FvMetrics_Add(Fv_COUNTER_STORE_READS, 1);
     FvPlatform_KvGet(&call, key);
-    send_call(kv, &call, Fv_KV_RESPONSE_ITEM, Fv_KV_TIMEOUT_MS, done, context);
+    send_call(kv, &call, Fv_KV_RESPONSE_ITEM, Fv_CALL_START, Fv_KV_TIMEOUT_MS,
+              done, context);
 }
 
 /**
@@ -224,7 +233,8 @@
 
     FvMetrics_Add(Fv_COUNTER_STORE_READS, 1);
     FvPlatform_KvRange(&call, prefix, after);
-    send_call(kv, &call, Fv_KV_RESPONSE_PAGE, Fv_KV_TIMEOUT_MS, done, context);
+    send_call(kv, &call, Fv_KV_RESPONSE_PAGE, Fv_CALL_START, Fv_KV_TIMEOUT_MS,
+              done, context);
 }
 
 /**
@@ -246,8 +256,8 @@
 
     FvMetrics_Add(Fv_COUNTER_STORE_WRITES, 1);
     FvPlatform_KvTxn(&call, expects, expect_count, puts, put_count);
-    send_call(kv, &call, Fv_KV_RESPONSE_REVISION, Fv_KV_TIMEOUT_MS, done,
-              context);
+    send_call(kv, &call, Fv_KV_RESPONSE_REVISION, Fv_CALL_START,
+              Fv_KV_TIMEOUT_MS, done, context);
 }
 
 /**
@@ -265,8 +275,8 @@
 
     FvMetrics_Add(Fv_COUNTER_STORE_WRITES, 1);
     FvPlatform_KvGrant(&call, ttl_ms);
-    send_call(kv, &call, Fv_KV_RESPONSE_LEASE, Fv_KV_TIMEOUT_MS, done,
-              context);
+    send_call(kv, &call, Fv_KV_RESPONSE_LEASE, Fv_CALL_START, Fv_KV_TIMEOUT_MS,
+              done, context);
 }
 
 /**
@@ -284,8 +294,8 @@
 
     FvMetrics_Add(Fv_COUNTER_LEASE_RENEWALS, 1);
     FvPlatform_KvRenew(&call, lease);
-    send_call(kv, &call, Fv_KV_RESPONSE_LEASE, Fv_KV_RENEW_TIMEOUT_MS, done,
-              context);
+    send_call(kv, &call, Fv_KV_RESPONSE_LEASE, Fv_CALL_STOP,
+              Fv_KV_RENEW_TIMEOUT_MS, done, context);
 }
 
 static void
@@ -312,7 +322,7 @@
 
     FvMetrics_Add(Fv_COUNTER_STORE_WRITES, 1);
     FvPlatform_KvRevoke(&call, lease);
-    send_call(kv, &call, Fv_KV_RESPONSE_LEASE, Fv_KV_TIMEOUT_MS,
+    send_call(kv, &call, Fv_KV_RESPONSE_LEASE, Fv_CALL_START, Fv_KV_TIMEOUT_MS,
               log_revoke_failure, NULL);
 }
 
@@ -468,8 +478,8 @@
                      FvClock_NowMs());
     FvPlatform_KvWatch(&call, watch->watcher.prefix, watch->revision,
                        Fv_WATCH_POLL_MS);
-    send_call(watch->kv, &call, Fv_KV_RESPONSE_EVENTS, Fv_WATCH_TIMEOUT_MS,
-              handle_events, watch);
+    send_call(watch->kv, &call, Fv_KV_RESPONSE_EVENTS, Fv_CALL_LONG_POLL,
+              Fv_WATCH_TIMEOUT_MS, handle_events, watch);
 }
 
 /**
--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -24,6 +24,14 @@
 #define Fv_FAST_POLL_WORKERS 64
 #define Fv_FAST_POLL_SLACK_MS 300
 
+/* At rest a worker has one connection for its long poll and one for orders. Of
+ * the 64 that a worker of the platform takes, those of a leader that lost its
+ * power stay open. */
+static const fv_call_bounds_t worker_bounds = {.open_max = 4,
+                                               .rest_max = 2,
+                                               .waits_for_shared = true,
+                                               .server_limits = true};
+
 typedef struct fv_order_call {
     fv_leader_t *leader;
     char task[Fv_RUN_TASK_ID_SIZE];
@@ -32,6 +40,18 @@
     int64_t sent_ms;
 } fv_order_call_t;
 
+static void
+note_stop_ended(fv_leader_t *leader, int64_t sent_ms, fv_order_result_t result)
+{
+    leader->pending_stops--;
+    if (result == Fv_ORDER_UNCONFIRMED) {
+        leader->unanswered_stop_ms = sent_ms;
+    }
+    else if (result != Fv_ORDER_NOT_SENT) {
+        leader->answered_stop_ms = FvClock_NowMs();
+    }
+}
+
 static void
 order_answered(void *context, const fv_call_answer_t *answer)
 {
@@ -46,17 +66,23 @@
         return;
     }
     if (answer->status != 0) {
-        FvAnswerTime_Answered(&leader->answer_time,
-                              FvClock_NowMs() - order->sent_ms);
+        FvAnswerTime_Answered(&leader->answer_time, FvClock_NowMs() -
+                                                        order->sent_ms -
+                                                        answer->waited_ms);
     }
-    else {
+    else if (!answer->not_sent) {
         FvAnswerTime_Missing(&leader->answer_time);
     }
-    result = FvPlatform_DecodeOrderResult(answer, &clock_ms);
-    if (order->stop && result == Fv_ORDER_UNCONFIRMED) {
-        leader->unanswered_stop_ms = order->sent_ms;
+    result = answer->not_sent
+                 ? Fv_ORDER_NOT_SENT
+                 : FvPlatform_DecodeOrderResult(answer, &clock_ms);
+    if (order->stop) {
+        note_stop_ended(leader, order->sent_ms + answer->waited_ms, result);
     }
     task = FvSched_FindTask(&leader->sched, order->task);
+    if (task != NULL && !order->stop && task->run == order->run) {
+        task->start_sent_ms += answer->waited_ms;
+    }
     if (task != NULL && order->stop) {
         FvSched_StopAnswered(&leader->sched, task, order->run, result,
                              FvClock_NowMs());
@@ -87,9 +113,24 @@
     order->sent_ms = FvClock_NowMs();
     FvText_Copy(order->task, sizeof(order->task), task);
     leader->pending_calls++;
-    FvCallPool_Send(leader->pool, worker->entry.address, call,
-                    FvAnswerTime_LimitMs(&leader->answer_time), order_answered,
-                    order);
+    leader->pending_stops += stop ? 1 : 0;
+    FvCallPool_Send(
+        leader->pool, worker->entry.address, call,
+        &(fv_call_terms_t){.bounds = &worker_bounds,
+                           .urgency = stop ? Fv_CALL_STOP : Fv_CALL_START,
+                           .timeout_ms =
+                               FvAnswerTime_LimitMs(&leader->answer_time)},
+        order_answered, order);
+}
+
+/**
+ * FvLeader_CloseConnections - close the connections to all workers
+ * @pool: the pool that holds them
+ */
+void
+FvLeader_CloseConnections(fv_call_pool_t *pool)
+{
+    FvCallPool_Close(pool, &worker_bounds);
 }
 
 /**
@@ -306,8 +347,10 @@
     if (leader->closed || session->worker == NULL) {
         return; /* the answer deposed this leader */
     }
+    /* The tick renews the lease of a worker without a connection to spare. */
     if (!session->long_poll_pending && !session->recording &&
-        answer->status == 200) {
+        answer->status == 200 &&
+        FvCallPool_MayLongPoll(leader->pool, session->worker->entry.address)) {
         FvLeaderWorker_RenewLease(session, true);
     }
     FvLeader_SchedulePass(leader);
@@ -367,7 +410,8 @@
         return; /* the next tick retries */
     }
     lease_end_worker_ms = FvSched_ExtendLease(&leader->sched, worker, now_ms);
-    if (wait && worker->synced && !worker->suspect) {
+    if (wait && worker->synced && !worker->suspect &&
+        FvCallPool_MayLongPoll(leader->pool, worker->entry.address)) {
         wait_ms = worker->task_count > 0 ? renew_wait_ms(leader)
                                          : Fv_RENEW_IDLE_WAIT_MS;
         if (poll_faster && worker->task_count > 0) {
@@ -394,8 +438,12 @@
                          wait_ms);
     FvCallPool_Send(
         leader->pool, worker->entry.address, &call,
-        wait_ms + excess_ms +
-            (poll_faster ? Fv_FAST_POLL_SLACK_MS : Fv_ANSWER_SLACK_MS),
+        &(fv_call_terms_t){
+            .bounds = &worker_bounds,
+            .urgency = wait_ms > 0 ? Fv_CALL_LONG_POLL : Fv_CALL_RENEWAL,
+            .timeout_ms =
+                wait_ms + excess_ms +
+                (poll_faster ? Fv_FAST_POLL_SLACK_MS : Fv_ANSWER_SLACK_MS)},
         renewal_answered, renewal);
 }
 
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -71,6 +71,15 @@
                                     "Times that a stage waited beside free "
                                     "capacity."},
     [Fv_COUNTER_DECISIONS] = {"decisions", "Placement decisions."},
+    [Fv_COUNTER_CALL_WAITS] = {"call_waits",
+                               "Calls that waited for a connection."},
+    [Fv_COUNTER_CALLS_NOT_SENT] = {"calls_not_sent",
+                                   "Calls that were never written."},
+    [Fv_COUNTER_CONNECTIONS_OPENED] = {"connections_opened",
+                                       "Connections opened for calls."},
+    [Fv_COUNTER_CONNECTIONS_RESET] = {"connections_reset",
+                                      "New connections that a worker closed "
+                                      "before its first answer."},
 };
 
 static const fv_counter_info_t timing_infos[Fv_TIMING_COUNT] = {
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -229,6 +229,13 @@
         }
         task->stage->job->started = true;
     }
+    else if (result == Fv_ORDER_NOT_SENT && !task->start_retried) {
+        FvLog_Event(Fv_LOG_INFO, "start_not_sent",
+                    "job=%s stage=%u task=%d worker=%s run=%d",
+                    task->stage->job->id, task->stage->step_index, task->index,
+                    task->worker->entry.id, run);
+        requeue_unstarted(sched, task, now_ms);
+    }
     else if (result == Fv_ORDER_UNCONFIRMED || task->start_retried) {
         /* A refused retry does not tell whether the first order arrived. */
         FvLog_Event(Fv_LOG_INFO, "start_in_doubt",
@@ -276,7 +283,7 @@
         task->stop_confirmed_ms = now_ms;
         task->worker->report_due_ms = now_ms + sched->stop_max_ms + 1;
     }
-    else if (result == Fv_ORDER_UNCONFIRMED) {
+    else if (result == Fv_ORDER_UNCONFIRMED || result == Fv_ORDER_NOT_SENT) {
         FvSched_NoteUnanswered(sched, now_ms);
         if (!task->stop_retried && !task->worker->suspect) {
             task->stop_retried = true;
--- a/tests/fakes/fake-cell.c
+++ b/tests/fakes/fake-cell.c
@@ -133,6 +133,23 @@
     }
 }
 
+/* Connections of each worker. */
+static json_t *
+connections_json(const cell_t *cell)
+{
+    json_t *rows = json_array();
+
+    for (uint32_t i = 0; i < cell->worker_count; i++) {
+        const fake_server_t *server = cell->workers[i].server;
+
+        json_array_append_new(rows, json_pack("{s:i, s:i}", "open",
+                                              FvFakeServer_Connections(server),
+                                              "refused",
+                                              FvFakeServer_Refused(server)));
+    }
+    return rows;
+}
+
 static void
 handle_control(fake_request_t *request, void *context)
 {
@@ -166,11 +183,12 @@
                                   json_integer(cell->workers[i].starts));
         }
         reply = json_pack(
-            "{s:i, s:i, s:i, s:s, s:o, s:o, s:i}", "violations",
+            "{s:i, s:i, s:i, s:s, s:o, s:o, s:i, s:o}", "violations",
             (int)cell->violations, "starts", (int)cell->starts, "stops",
             (int)cell->stops, "first", cell->first_violation, "started",
             started, "worker_starts", worker_starts, "wrong_instance_calls",
-            (int)cell->wrong_instance_calls);
+            (int)cell->wrong_instance_calls, "connections",
+            connections_json(cell));
     }
     pthread_mutex_unlock(&cell->lock);
     json_decref(body);
@@ -201,17 +219,20 @@
 {
     cell_context_t *context = calloc(1, sizeof(*context));
     char address[64];
+    fake_server_t *server;
 
     *context = (cell_context_t){.cell = cell, .worker = worker};
     snprintf(address, sizeof(address), "127.0.0.1:%d", port);
+    server = FvFakeServer_Start(address, threads, handler, context);
     if (worker != NULL) {
         snprintf(worker->address, sizeof(worker->address), "%s", address);
+        worker->server = server;
     }
-    return FvFakeServer_Start(address, threads, handler, context) != NULL;
+    return server != NULL;
 }
 
 static int
-run(int port, int workers, int ends_page)
+run(int port, int workers, int ends_page, int connections)
 {
     static cell_t cell = {.lock = PTHREAD_MUTEX_INITIALIZER};
     pthread_t ticks;
@@ -237,6 +258,7 @@
                         FvCellWorker_Handle)) {
             return 1;
         }
+        FvFakeServer_LimitConnections(worker->server, connections);
     }
     pthread_create(&ticks, NULL, run_ticks, &cell);
     FvFakeServer_RunUntilSignal();
@@ -250,9 +272,11 @@
     struct arg_int *workers = arg_int1(NULL, "workers", "N", "1 to 80");
     struct arg_int *ends_page = arg_int0(
         NULL, "ends-page", "N", "ends that a report lists at most (500)");
+    struct arg_int *connections =
+        arg_int0(NULL, "connections", "N", "connections that a worker serves");
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_end *end = arg_end(4);
-    void *table[] = {port, workers, ends_page, help, end};
+    void *table[] = {port, workers, ends_page, connections, help, end};
     int code;
 
     ends_page->ival[0] = CELL_PAGE_MAX;
@@ -261,7 +285,8 @@
     if (code < 0) {
         code = workers->ival[0] >= 1 && workers->ival[0] <= CELL_WORKERS_MAX &&
                        ends_page->ival[0] >= 1
-                   ? run(port->ival[0], workers->ival[0], ends_page->ival[0])
+                   ? run(port->ival[0], workers->ival[0], ends_page->ival[0],
+                         connections->count > 0 ? connections->ival[0] : 0)
                    : 2;
     }
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -79,6 +79,7 @@
 typedef struct cell_worker {
     char id[32];
     char address[64];
+    fake_server_t *server;
     char kind[16]; /* its first label */
     bool down;
     bool silent; /* writes no heartbeats */
--- a/tests/harness/fake-server.c
+++ b/tests/harness/fake-server.c
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -29,8 +30,14 @@
     struct mg_context *server;
     fake_handler_t handler;
     void *context;
+    int connections_max; /* 0: no limit */
+    atomic_int connections;
+    atomic_int refused;
 };
 
+/* Marks a connection beyond the limit; its first request is dropped. */
+static char refused_connection;
+
 /* Appends the bytes available; false at the end of the body or when it exceeds
  * the limit. */
 static bool
@@ -83,7 +90,8 @@
                               .query = info->query_string,
                               .socket = -1};
 
-    if (read_body(&request, info)) {
+    if (mg_get_user_connection_data(connection) != &refused_connection &&
+        read_body(&request, info)) {
         server->handler(&request, server->context);
     }
     else {
@@ -93,6 +101,30 @@
     return 200;
 }
 
+static int
+count_connection(const struct mg_connection *connection, void **data)
+{
+    fake_server_t *server = mg_get_user_data(mg_get_context(connection));
+
+    if (atomic_fetch_add(&server->connections, 1) >= server->connections_max &&
+        server->connections_max > 0) {
+        atomic_fetch_sub(&server->connections, 1);
+        atomic_fetch_add(&server->refused, 1);
+        *data = &refused_connection;
+    }
+    return 0;
+}
+
+static void
+uncount_connection(const struct mg_connection *connection)
+{
+    fake_server_t *server = mg_get_user_data(mg_get_context(connection));
+
+    if (mg_get_user_connection_data(connection) != &refused_connection) {
+        atomic_fetch_sub(&server->connections, 1);
+    }
+}
+
 static int
 print_message(const struct mg_connection *connection, const char *message)
 {
@@ -116,6 +148,8 @@
 {
     fake_server_t *server = calloc(1, sizeof(*server));
     struct mg_callbacks callbacks = {.begin_request = handle_connection,
+                                     .init_connection = count_connection,
+                                     .connection_closed = uncount_connection,
                                      .log_message = print_message};
     char count[16];
     const char *options[] = {"listening_ports",
@@ -152,6 +186,41 @@
     return server;
 }
 
+/**
+ * FvFakeServer_LimitConnections - drop requests on further connections
+ * @server: the server
+ * @connections: how many are served at the same time
+ */
+void
+FvFakeServer_LimitConnections(fake_server_t *server, int connections)
+{
+    server->connections_max = connections;
+}
+
+/**
+ * FvFakeServer_Connections - count the open connections
+ * @server: the server
+ *
+ * Return: the number, without those beyond the limit.
+ */
+int
+FvFakeServer_Connections(const fake_server_t *server)
+{
+    return atomic_load(&server->connections);
+}
+
+/**
+ * FvFakeServer_Refused - count the connections that were beyond the limit
+ * @server: the server
+ *
+ * Return: the number since the start.
+ */
+int
+FvFakeServer_Refused(const fake_server_t *server)
+{
+    return atomic_load(&server->refused);
+}
+
 /**
  * FvFakeServer_RunUntilSignal - wait for SIGTERM or SIGINT, then exit
  *
--- a/tests/harness/fake-server.h
+++ b/tests/harness/fake-server.h
@@ -28,6 +28,9 @@
 
 fake_server_t *FvFakeServer_Start(const char *address, int threads,
                                   fake_handler_t handler, void *context);
+void FvFakeServer_LimitConnections(fake_server_t *server, int connections);
+int FvFakeServer_Connections(const fake_server_t *server);
+int FvFakeServer_Refused(const fake_server_t *server);
 void FvFakeServer_RunUntilSignal(void);
 bool FvFake_RequestIs(const fake_request_t *request, const char *method,
                       const char *path);
--- a/tests/unit/call_test.c
+++ b/tests/unit/call_test.c
@@ -1,21 +1,28 @@
 /*
- * The call pool: when callbacks run, and which connections it closes at its
- * limit.
+ * The call pool: when callbacks run, which connections it closes at its limit,
+ * and how calls to one server share connections.
  */
 
 #include "entry.h"
 #include "suite.h"
 
 #include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <pthread.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 typedef struct outcome {
     uint32_t answers;
     int32_t status;
+    bool not_sent;
+    int64_t waited_ms;
+    uint32_t *sequence; /* counts answers over several calls, or NULL */
+    uint32_t rank;
     bool sending;
     bool during_send;
 } outcome_t;
@@ -27,19 +34,36 @@
 
     outcome->answers++;
     outcome->status = answer->status;
+    outcome->not_sent = answer->not_sent;
+    outcome->waited_ms = answer->waited_ms;
+    if (outcome->sequence != NULL) {
+        outcome->rank = ++*outcome->sequence;
+    }
     outcome->during_send = outcome->sending;
 }
 
+static const fv_call_bounds_t no_bounds = {.open_max = 64, .rest_max = 64};
+
+static void
+send_call(fv_call_pool_t *pool, const char *address,
+          const fv_call_terms_t *terms, outcome_t *outcome)
+{
+    fv_call_t call = {.method = "GET", .path = "/"};
+
+    FvCallPool_Send(pool, address, &call, terms, on_answer, outcome);
+}
+
 static void
 send_to(const char *address, outcome_t *outcome)
 {
     struct event_base *base = event_base_new();
     fv_call_pool_t *pool = FvCallPool_New(base, 8);
     struct timeval limit = {.tv_sec = 2};
-    fv_call_t call = {.method = "GET", .path = "/"};
 
     *outcome = (outcome_t){.sending = true};
-    FvCallPool_Send(pool, address, &call, 500, on_answer, outcome);
+    send_call(pool, address,
+              &(fv_call_terms_t){.bounds = &no_bounds, .timeout_ms = 500},
+              outcome);
     outcome->sending = false;
     event_base_loopexit(base, &limit);
     while (outcome->answers == 0 && !event_base_got_exit(base)) {
@@ -110,9 +134,10 @@
 {
     outcome_t outcome = {0};
     struct timeval limit = {.tv_sec = 2};
-    fv_call_t call = {.method = "GET", .path = "/"};
 
-    FvCallPool_Send(pool, address, &call, 500, on_answer, &outcome);
+    send_call(pool, address,
+              &(fv_call_terms_t){.bounds = &no_bounds, .timeout_ms = 500},
+              &outcome);
     event_base_loopexit(base, &limit);
     while (outcome.answers == 0 && !event_base_got_exit(base)) {
         event_base_loop(base, EVLOOP_ONCE);
@@ -152,9 +177,10 @@
     fv_call_pool_t *pool = FvCallPool_New(base, 1);
     upstream_t upstream = open_upstream(base);
     outcome_t first = {0};
-    fv_call_t call = {.method = "GET", .path = "/"};
 
-    FvCallPool_Send(pool, upstream.address, &call, 500, on_answer, &first);
+    send_call(pool, upstream.address,
+              &(fv_call_terms_t){.bounds = &no_bounds, .timeout_ms = 500},
+              &first);
     CU_ASSERT_EQUAL(call_and_wait(base, pool, "127.0.0.1:9"), 0);
     while (first.answers == 0) {
         event_base_loop(base, EVLOOP_ONCE);
@@ -229,7 +255,6 @@
                                   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
     socklen_t size = sizeof(address);
     int listener = socket(AF_INET, SOCK_STREAM, 0);
-    fv_call_t call = {.method = "GET", .path = "/"};
     outcome_t outcome = {0};
     char text[Fv_ADDRESS_SIZE];
     pthread_t server;
@@ -243,7 +268,9 @@
     snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(address.sin_port));
     pthread_create(&server, NULL, serve_page, &listener);
     FvCallPool_Prefer(pool, text);
-    FvCallPool_Send(pool, text, &call, 5000, on_answer, &outcome);
+    send_call(pool, text,
+              &(fv_call_terms_t){.bounds = &no_bounds, .timeout_ms = 5000},
+              &outcome);
     work.event = event_new(base, -1, 0, do_other_work, &work);
     event_add(work.event, &(struct timeval){0});
     while (outcome.answers == 0 && work.turns < 1000) {
@@ -258,6 +285,356 @@
     close(listener);
 }
 
+/* --- A server with a limit of connections ------------------------------- */
+
+/* Takes a number of connections, resets further ones, and answers requests on
+ * the others when the test says so. */
+typedef struct limited_server {
+    struct event_base *base;
+    struct event *listen;
+    int listener;
+    char address[Fv_ADDRESS_SIZE];
+    uint32_t connections_max;
+    uint32_t connections; /* taken */
+    uint32_t accepted;
+    uint32_t resets;
+    uint32_t delay_ms;
+    bool silent;
+    uint32_t requests;
+} limited_server_t;
+
+typedef struct limited_connection {
+    limited_server_t *server;
+    struct bufferevent *stream;
+    struct event *delay;
+} limited_connection_t;
+
+static void
+answer_limited(evutil_socket_t fd, short what, void *context)
+{
+    static const char reply[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    limited_connection_t *connection = context;
+
+    (void)fd;
+    (void)what;
+    bufferevent_write(connection->stream, reply, sizeof(reply) - 1);
+}
+
+static void
+read_limited(struct bufferevent *stream, void *context)
+{
+    limited_connection_t *connection = context;
+    limited_server_t *server = connection->server;
+    struct evbuffer *input = bufferevent_get_input(stream);
+    struct timeval delay = {.tv_usec = server->delay_ms * 1000};
+
+    if (evbuffer_search(input, "\r\n\r\n", 4, NULL).pos < 0) {
+        return;
+    }
+    evbuffer_drain(input, evbuffer_get_length(input));
+    server->requests++;
+    if (!server->silent) {
+        event_add(connection->delay, &delay);
+    }
+}
+
+static void
+end_limited(struct bufferevent *stream, short what, void *context)
+{
+    limited_connection_t *connection = context;
+
+    (void)stream;
+    (void)what;
+    connection->server->connections--;
+    event_free(connection->delay);
+    bufferevent_free(connection->stream);
+    free(connection);
+}
+
+static void
+accept_limited(evutil_socket_t fd, short what, void *context)
+{
+    limited_server_t *server = context;
+    struct linger reset = {.l_onoff = 1};
+    int socket = accept(fd, NULL, NULL);
+    limited_connection_t *connection;
+
+    (void)what;
+    CU_ASSERT_FATAL(socket >= 0);
+    server->accepted++;
+    if (server->connections >= server->connections_max) {
+        server->resets++;
+        setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        close(socket);
+        return;
+    }
+    evutil_make_socket_nonblocking(socket);
+    server->connections++;
+    connection = calloc(1, sizeof(*connection));
+    connection->server = server;
+    connection->stream =
+        bufferevent_socket_new(server->base, socket, BEV_OPT_CLOSE_ON_FREE);
+    connection->delay =
+        event_new(server->base, -1, 0, answer_limited, connection);
+    bufferevent_setcb(connection->stream, read_limited, NULL, end_limited,
+                      connection);
+    bufferevent_enable(connection->stream, EV_READ | EV_WRITE);
+}
+
+static void
+open_limited(limited_server_t *server, struct event_base *base,
+             uint32_t connections_max)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t size = sizeof(address);
+
+    *server = (limited_server_t){
+        .base = base, .connections_max = connections_max, .delay_ms = 1};
+    server->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    CU_ASSERT_EQUAL_FATAL(
+        bind(server->listener, (struct sockaddr *)&address, sizeof(address)),
+        0);
+    CU_ASSERT_EQUAL_FATAL(listen(server->listener, 128), 0);
+    getsockname(server->listener, (struct sockaddr *)&address, &size);
+    snprintf(server->address, sizeof(server->address), "127.0.0.1:%u",
+             ntohs(address.sin_port));
+    server->listen = event_new(base, server->listener, EV_READ | EV_PERSIST,
+                               accept_limited, server);
+    event_add(server->listen, NULL);
+}
+
+static void
+close_limited(limited_server_t *server)
+{
+    struct timeval limit = {.tv_usec = 50000};
+
+    event_base_loopexit(server->base, &limit); /* the clients have closed */
+    event_base_dispatch(server->base);
+    event_free(server->listen);
+    close(server->listener);
+    event_base_free(server->base);
+}
+
+static const fv_call_bounds_t worker_bounds = {.open_max = 4,
+                                               .rest_max = 2,
+                                               .waits_for_shared = true,
+                                               .server_limits = true};
+
+static void
+run_for(struct event_base *base, int64_t ms)
+{
+    struct timeval limit = {.tv_sec = (time_t)(ms / 1000),
+                            .tv_usec = (suseconds_t)(ms % 1000 * 1000)};
+
+    event_base_loopexit(base, &limit);
+    event_base_dispatch(base);
+}
+
+static void
+run_until_answered(struct event_base *base, const outcome_t *outcomes,
+                   uint32_t count)
+{
+    int64_t until_ms = FvClock_NowMs() + 5000;
+    uint32_t answered = 0;
+
+    while (answered < count && FvClock_NowMs() < until_ms) {
+        struct timeval turn = {.tv_usec = 20000};
+
+        event_base_loopexit(base, &turn);
+        event_base_dispatch(base);
+        answered = 0;
+        for (uint32_t i = 0; i < count; i++) {
+            answered += outcomes[i].answers;
+        }
+    }
+    CU_ASSERT_EQUAL(answered, count);
+}
+
+static void
+send_urgent(fv_call_pool_t *pool, const limited_server_t *server,
+            fv_call_urgency_t urgency, outcome_t *outcome)
+{
+    send_call(pool, server->address,
+              &(fv_call_terms_t){.bounds = &worker_bounds,
+                                 .urgency = urgency,
+                                 .timeout_ms = 1000},
+              outcome);
+}
+
+/* A pass starts a dozen tasks on one worker. With a connection for each, four
+ * hosts that have led use up the worker's 64. */
+static void
+test_connections_to_one_server_are_bounded(void)
+{
+    struct event_base *base = event_base_new();
+    fv_call_pool_t *pool = FvCallPool_New(base, 100);
+    limited_server_t server;
+    outcome_t outcomes[40] = {0};
+
+    open_limited(&server, base, 64);
+    for (uint32_t i = 0; i < 40; i++) {
+        send_urgent(pool, &server, Fv_CALL_START, &outcomes[i]);
+    }
+    run_until_answered(base, outcomes, 40);
+    for (uint32_t i = 0; i < 40; i++) {
+        CU_ASSERT_EQUAL(outcomes[i].status, 200);
+    }
+    CU_ASSERT(server.accepted <= 4);
+    CU_ASSERT(FvCallPool_Open(pool) <= 4);
+    run_for(base, 3200); /* idle for 2 s, and a sweep */
+    CU_ASSERT_EQUAL(FvCallPool_Open(pool), 2);
+    CU_ASSERT_EQUAL(server.connections, 2);
+    FvCallPool_Free(pool);
+    close_limited(&server);
+}
+
+/* A stop and a renewal wait behind a burst of starts, or all of them behind a
+ * long poll. */
+static void
+test_urgent_calls_go_first(void)
+{
+    struct event_base *base = event_base_new();
+    fv_call_pool_t *pool = FvCallPool_New(base, 100);
+    limited_server_t server;
+    outcome_t outcomes[24] = {0};
+    uint32_t sequence = 0;
+
+    open_limited(&server, base, 64);
+    server.delay_ms = 20;
+    for (uint32_t i = 0; i < 24; i++) {
+        outcomes[i].sequence = &sequence;
+    }
+    send_urgent(pool, &server, Fv_CALL_LONG_POLL, &outcomes[0]);
+    for (uint32_t i = 1; i < 22; i++) {
+        send_urgent(pool, &server, Fv_CALL_START, &outcomes[i]);
+    }
+    send_urgent(pool, &server, Fv_CALL_RENEWAL, &outcomes[22]);
+    send_urgent(pool, &server, Fv_CALL_STOP, &outcomes[23]);
+    run_until_answered(base, outcomes, 24);
+    /* Four calls were in progress when the stop came. */
+    CU_ASSERT(outcomes[23].rank <= 8);
+    CU_ASSERT(outcomes[22].rank >= 21);
+    CU_ASSERT(outcomes[22].waited_ms >= server.delay_ms);
+    CU_ASSERT_EQUAL(outcomes[22].status, 200);
+    FvCallPool_Free(pool);
+    close_limited(&server);
+}
+
+/* Every start to a silent worker stays in doubt, and its task waits for the
+ * worker's lease to expire. */
+static void
+test_call_that_found_no_connection_is_certainly_not_executed(void)
+{
+    struct event_base *base = event_base_new();
+    fv_call_pool_t *pool = FvCallPool_New(base, 100);
+    limited_server_t server;
+    outcome_t outcomes[20] = {0};
+    uint32_t not_sent = 0;
+
+    open_limited(&server, base, 64);
+    server.silent = true;
+    for (uint32_t i = 0; i < 20; i++) {
+        send_call(pool, server.address,
+                  &(fv_call_terms_t){.bounds = &worker_bounds,
+                                     .urgency = Fv_CALL_START,
+                                     .timeout_ms = 200},
+                  &outcomes[i]);
+    }
+    run_until_answered(base, outcomes, 20);
+    for (uint32_t i = 0; i < 20; i++) {
+        CU_ASSERT_EQUAL(outcomes[i].status, 0);
+        not_sent += outcomes[i].not_sent;
+    }
+    CU_ASSERT(not_sent >= 12);
+    CU_ASSERT_EQUAL(server.requests, 20 - not_sent);
+    FvCallPool_Free(pool);
+    close_limited(&server);
+}
+
+/* A refused connection leaves the call in doubt although nothing was
+ * written. */
+static void
+test_refused_call_is_certainly_not_executed(void)
+{
+    outcome_t outcome;
+
+    send_to("127.0.0.1:9", &outcome);
+    CU_ASSERT_EQUAL(outcome.answers, 1);
+    CU_ASSERT_EQUAL(outcome.status, 0);
+    CU_ASSERT_TRUE(outcome.not_sent);
+}
+
+/* The server has one connection left for this host, since those of dead hosts
+ * stay open. Every further call would be reset and in doubt. */
+static void
+test_server_at_its_limit_is_served_on_one_connection(void)
+{
+    struct event_base *base = event_base_new();
+    fv_call_pool_t *pool = FvCallPool_New(base, 100);
+    limited_server_t server;
+    outcome_t outcomes[30] = {0};
+    uint32_t unanswered = 0;
+
+    open_limited(&server, base, 1);
+    server.delay_ms = 5;
+    for (uint32_t i = 0; i < 30; i++) {
+        send_urgent(pool, &server, i == 0 ? Fv_CALL_RENEWAL : Fv_CALL_START,
+                    &outcomes[i]);
+    }
+    run_until_answered(base, outcomes, 30);
+    for (uint32_t i = 0; i < 30; i++) {
+        unanswered += outcomes[i].status != 200;
+    }
+    /* Those that were under way when the first reset came. */
+    CU_ASSERT(unanswered <= 3);
+    CU_ASSERT(server.resets <= 3);
+    CU_ASSERT_FALSE(FvCallPool_MayLongPoll(pool, server.address));
+    server.connections_max = 2;
+    run_for(base, 2100);
+    outcomes[0] = (outcome_t){0};
+    send_urgent(pool, &server, Fv_CALL_RENEWAL, &outcomes[0]);
+    run_until_answered(base, outcomes, 1);
+    CU_ASSERT_TRUE(FvCallPool_MayLongPoll(pool, server.address));
+    FvCallPool_Free(pool);
+    close_limited(&server);
+}
+
+/* A host that no longer leads keeps the connections that the next leader
+ * needs. */
+static void
+test_close_ends_calls_and_connections(void)
+{
+    struct event_base *base = event_base_new();
+    fv_call_pool_t *pool = FvCallPool_New(base, 100);
+    limited_server_t server;
+    outcome_t outcomes[12] = {0};
+    uint32_t not_sent = 0;
+
+    open_limited(&server, base, 64);
+    server.silent = true;
+    for (uint32_t i = 0; i < 12; i++) {
+        send_urgent(pool, &server, Fv_CALL_START, &outcomes[i]);
+    }
+    run_for(base, 100);
+    CU_ASSERT(server.connections > 0);
+    FvCallPool_Close(pool, &no_bounds);
+    CU_ASSERT(FvCallPool_Open(pool) > 0);
+    FvCallPool_Close(pool, &worker_bounds);
+    CU_ASSERT_EQUAL(FvCallPool_Open(pool), 0);
+    CU_ASSERT_EQUAL(outcomes[0].answers, 0);
+    run_until_answered(base, outcomes, 12);
+    for (uint32_t i = 0; i < 12; i++) {
+        CU_ASSERT_EQUAL(outcomes[i].status, 0);
+        not_sent += outcomes[i].not_sent;
+    }
+    CU_ASSERT_EQUAL(server.requests, 12 - not_sent);
+    run_for(base, 50);
+    CU_ASSERT_EQUAL(server.connections, 0);
+    FvCallPool_Free(pool);
+    close_limited(&server);
+}
+
 int
 main(void)
 {
@@ -272,6 +649,18 @@
          test_busy_connections_stay_open},
         {"a page of the store takes many turns of the event loop",
          test_preferred_answer_takes_few_turns},
+        {"a burst of calls opens a connection for each",
+         test_connections_to_one_server_are_bounded},
+        {"a stop waits behind the starts that wait for a connection",
+         test_urgent_calls_go_first},
+        {"a call that was never written counts as in doubt",
+         test_call_that_found_no_connection_is_certainly_not_executed},
+        {"a call whose connection was refused counts as in doubt",
+         test_refused_call_is_certainly_not_executed},
+        {"calls to a server at its limit are reset one after the other",
+         test_server_at_its_limit_is_served_on_one_connection},
+        {"a host keeps connections that it has no more use for",
+         test_close_ends_calls_and_connections},
     };
 
     return Fv_RUN_SUITE("call", cases);
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -236,6 +236,35 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* No connection to the worker became free: nothing runs there, and the task
+ * need not wait for a report, a stop and the stop timeout. After an unanswered
+ * first order that is not certain. */
+static void
+test_unsent_start_is_requeued(void)
+{
+    static sched_fixture_t fixture;
+    fv_sched_task_t *task = open_with_start(&fixture);
+
+    FvSched_StartAnswered(&fixture.sched, task, 1, Fv_ORDER_NOT_SENT,
+                          fixture.now_ms);
+    CU_ASSERT_EQUAL(task->state, Fv_SCHED_WAITING);
+    CU_ASSERT_PTR_NULL(task->worker);
+    fixture.now_ms += 100;
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountRuns(&fixture, JOB_A ".0.0.0"), 2);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStops(&fixture, JOB_A), 0);
+    FvSchedFixture_Close(&fixture);
+
+    task = open_with_start(&fixture);
+    FvSched_StartAnswered(&fixture.sched, task, 1, Fv_ORDER_UNCONFIRMED,
+                          fixture.now_ms);
+    FvSched_StartAnswered(&fixture.sched, task, 1, Fv_ORDER_NOT_SENT,
+                          fixture.now_ms);
+    CU_ASSERT_TRUE(task->start_unconfirmed);
+    CU_ASSERT_PTR_NOT_NULL(task->worker);
+    FvSchedFixture_Close(&fixture);
+}
+
 /* The first order arrives late and fills the worker, which rejects the retry.
  */
 static void
@@ -619,6 +648,8 @@
          test_unconfirmed_start_is_stopped_first},
         {"an unconfirmed start is retried only after the stop timeout",
          test_unconfirmed_start_is_retried},
+        {"a start that was never sent counts as in doubt",
+         test_unsent_start_is_requeued},
         {"a rejected retry is treated as a rejected start",
          test_rejected_retry_settles_nothing},
         {"a rejected retry frees the resources of a stopped task",
