leader: take the latest leader for the predecessor, and wait for those before

A successor could start inherited tasks a second time while an earlier leader still gave orders. It took the writer of the stored worker list for its predecessor; a leader writes the list only when it changes. With that host linked, inherited tasks became free 4.9 s after the election, while the actual predecessor, cut off, renews leases of workers that only it reaches for 6 s beyond its own.

The generation key now names the host that wrote it. A claim fails unless that key is as it was read, so its host and revision are those of the predecessor. A predecessor that has stopped says nothing of the leaders before it: these stop 6 s after the predecessor's election at the latest, which each host has seen in the store; a host that came later counts from when it read the key. The proof that the predecessor's process is dead counts like its link.

The name and the time are in tests/unit/election_test; its test of the generation now expects the host in the value.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -82,13 +82,40 @@
     }
 }
 
+/**
+ * FvLeader_PredecessorStopped - note that the previous leader gives no orders
+ * @leader: the leader
+ * @stopped_ms: a time by which it had stopped
+ */
+void
+FvLeader_PredecessorStopped(fv_leader_t *leader, int64_t stopped_ms)
+{
+    leader->predecessor_stopped_ms = stopped_ms;
+}
+
+/* The time by which all earlier leaders had certainly stopped. The leaders
+ * before the predecessor had lost their leases when it was elected. */
+static int64_t
+earlier_leaders_stopped_ms(const fv_leader_t *leader)
+{
+    int64_t grace_ms = FvElection_OrderGraceMs();
+    int64_t latest_ms = leader->began_ms + grace_ms;
+    int64_t stopped_ms = leader->predecessor.began_by_ms + grace_ms;
+
+    if (stopped_ms < leader->predecessor_stopped_ms) {
+        stopped_ms = leader->predecessor_stopped_ms;
+    }
+    return leader->predecessor_stopped_ms != 0 && stopped_ms < latest_ms
+               ? stopped_ms
+               : latest_ms;
+}
+
 /* Tasks that an earlier leader may have started are held until every worker
  * that it gave orders to has reported, or all leases that it granted have
  * expired. */
 static void
 release_inherited_tasks(fv_leader_t *leader, int64_t now_ms)
 {
-    int64_t longest_ms = FvSched_WorstCaseLeaseMs(&leader->sched);
     bool leases_expired;
 
     if (!leader->sched.hold_inherited_tasks) {
@@ -96,22 +123,20 @@
     }
     if (leader->predecessor_stopped_ms == 0 &&
         leader->events.is_linked(leader->events.context,
-                                 leader->predecessor)) {
+                                 leader->predecessor.host)) {
         leader->predecessor_stopped_ms = now_ms;
     }
-    leases_expired =
-        now_ms - leader->began_ms >= FvElection_OrderGraceMs() + longest_ms ||
-        (leader->predecessor_stopped_ms != 0 &&
-         now_ms - leader->predecessor_stopped_ms >= longest_ms);
+    leases_expired = now_ms >= earlier_leaders_stopped_ms(leader) +
+                                   FvSched_WorstCaseLeaseMs(&leader->sched);
     if (!FvSched_KnowsInheritedRuns(&leader->sched, leases_expired, now_ms)) {
         return;
     }
     leader->sched.hold_inherited_tasks = false;
     leader->sched.dirty = true;
     FvLog_Event(Fv_LOG_INFO, "inherited_tasks_free",
-                "cause=%s predecessor=%s linked=%d after_ms=%" PRId64,
+                "cause=%s predecessor=%s stopped=%d after_ms=%" PRId64,
                 leases_expired ? "leases_expired" : "all_reported",
-                leader->predecessor,
+                leader->predecessor.host,
                 leader->predecessor_stopped_ms != 0 ? 1 : 0,
                 now_ms - leader->began_ms);
 }
@@ -432,6 +457,7 @@
  * @kv: the store
  * @settings: settings of this host
  * @events: callbacks
+ * @predecessor: the previous leader
  * @epoch: revision of the leader's key
  * @generation: number of this leader, higher than all before
  *
@@ -440,7 +466,8 @@
 fv_leader_t *
 FvLeader_New(struct event_base *base, fv_call_pool_t *pool, fv_kv_client_t *kv,
              const fv_entry_settings_t *settings,
-             const fv_leader_events_t *events, int64_t epoch,
+             const fv_leader_events_t *events,
+             const fv_predecessor_t *predecessor, int64_t epoch,
              int32_t generation)
 {
     fv_leader_t *leader = calloc(1, sizeof(*leader));
@@ -454,6 +481,7 @@
     leader->kv = kv;
     leader->settings = settings;
     leader->events = *events;
+    leader->predecessor = *predecessor;
     leader->epoch = epoch;
     leader->generation = generation;
     leader->began_ms = FvClock_NowMs();
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -140,8 +140,8 @@
     uint32_t pending_calls; /* whose callbacks refer to this leader */
     bool worker_list_dirty;
     bool worker_list_writing;
-    char predecessor[Fv_NAME_SIZE]; /* host of the previous leader; "": none */
-    int64_t predecessor_stopped_ms; /* sent no orders since; 0: not known */
+    fv_predecessor_t predecessor;
+    int64_t predecessor_stopped_ms;  /* sent no orders since; 0: not known */
     uint32_t inherited_worker_count; /* given orders by earlier leaders */
     int32_t generation;
     bool predecessor_handed_over; /* after its stops had taken effect */
--- a/src/election.c
+++ b/src/election.c
@@ -60,19 +60,19 @@
 }
 
 /**
- * FvElection_PredecessorEpoch - the epoch of the leader before this host
+ * FvElection_Predecessor - the leader before this host
  * @election: the election
  *
  * A claim writes the generation key in the same transaction as the leader key
- * and fails when the generation key has changed. So the revision at which this
- * host found the generation key is the predecessor's epoch.
+ * and fails when the generation key has changed. So the host in that key and
+ * its revision are those of the predecessor, whoever wrote other keys last.
  *
- * Return: the epoch; 0 when there was no leader before.
+ * Return: the leader; its epoch is 0 when there was none.
  */
-int64_t
-FvElection_PredecessorEpoch(const fv_election_t *election)
+const fv_predecessor_t *
+FvElection_Predecessor(const fv_election_t *election)
 {
-    return election->predecessor_epoch;
+    return &election->predecessor;
 }
 
 /* Spreads the reactions of all hosts to the same event; the largest hosts act
@@ -169,8 +169,11 @@
         item->value.data != NULL &&
         item->revision > election->generation_revision) {
         election->generation_revision = item->revision;
-        election->last_generation =
-            (int32_t)strtol((const char *)item->value.data, NULL, 10);
+        election->last_leader = (fv_predecessor_t){
+            .epoch = item->revision, .began_by_ms = FvClock_NowMs()};
+        election->last_generation = 0;
+        sscanf((const char *)item->value.data, "%" SCNd32 " %63s",
+               &election->last_generation, election->last_leader.host);
     }
 }
 
@@ -236,7 +239,7 @@
 {
     fv_election_t *election = context;
     char value[Fv_URL_SIZE];
-    char generation[Fv_NAME_SIZE];
+    char generation[Fv_NAME_SIZE * 2];
 
     if (election->state != Fv_CLAIM_GRANTING) {
         return;
@@ -249,13 +252,13 @@
     election->ttl_ms = result->ttl_ms;
     election->state = Fv_CLAIM_WRITING;
     election->claimed_generation = election->last_generation + 1;
-    election->predecessor_epoch = election->generation_revision;
+    election->predecessor = election->last_leader;
     FvText_RandomHex(election->nonce, sizeof(election->nonce));
     snprintf(value, sizeof(value), "%s %d %s %" PRId64,
              election->settings->host, election->claimed_generation,
              election->nonce, election->lease);
-    snprintf(generation, sizeof(generation), "%d",
-             election->claimed_generation);
+    snprintf(generation, sizeof(generation), "%d %s",
+             election->claimed_generation, election->settings->host);
     FvKvClient_Txn(
         election->kv,
         (fv_kv_expect_t[]){{Fv_KEY_LEADER, 0},
--- a/src/election.h
+++ b/src/election.h
@@ -33,8 +33,9 @@
     bool registered;
     bool registering;
     int32_t last_generation;
-    int64_t predecessor_epoch;   /* of the leader before this host's claim */
-    int64_t generation_revision; /* of the generation key; 0: no key */
+    int64_t generation_revision;  /* of the generation key; 0: no key */
+    fv_predecessor_t last_leader; /* that wrote the generation key */
+    fv_predecessor_t predecessor; /* the same before this host's claim */
     int32_t claimed_generation;
     fv_claim_state_t state;
     int64_t claim_at_ms; /* 0: not scheduled */
--- a/src/entry.c
+++ b/src/entry.c
@@ -240,15 +240,18 @@
                                  .config = leader_config,
                                  .handed_over = leader_handed_over,
                                  .context = entry};
+    const fv_predecessor_t *predecessor =
+        FvElection_Predecessor(entry->election);
 
     entry->epoch = epoch;
     entry->leader_since_ms = FvClock_NowMs();
     entry->half_reached_ms = 0;
     entry->self = FvEntryHosts_FindOrAdd(entry, entry->settings.host);
-    entry->leader = FvLeader_New(entry->base, entry->pool, entry->kv,
-                                 &entry->settings, &events, epoch, generation);
-    if (entry->dead_epoch != 0 &&
-        entry->dead_epoch == FvElection_PredecessorEpoch(entry->election)) {
+    entry->leader =
+        FvLeader_New(entry->base, entry->pool, entry->kv, &entry->settings,
+                     &events, predecessor, epoch, generation);
+    if (entry->dead_epoch != 0 && entry->dead_epoch == predecessor->epoch) {
+        FvLeader_PredecessorStopped(entry->leader, entry->dead_since_ms);
         FvLog_Event(Fv_LOG_INFO, "predecessor_dead", "since_ms=%" PRId64,
                     entry->leader_since_ms - entry->dead_since_ms);
     }
--- a/src/entry.h
+++ b/src/entry.h
@@ -227,6 +227,13 @@
     bool listed; /* in the registry of hosts */
 } fv_peer_entry_t;
 
+/* The leader before this host. */
+typedef struct fv_predecessor {
+    char host[Fv_NAME_SIZE]; /* "": none, or not known */
+    int64_t epoch;           /* 0: none */
+    int64_t began_by_ms;     /* a time at which it had been elected */
+} fv_predecessor_t;
+
 typedef struct fv_election_events {
     void (*won)(void *context, int64_t epoch, int32_t generation);
     void (*lost)(void *context, const char *cause);
@@ -255,7 +262,7 @@
 uint32_t FvElection_Hosts(const fv_election_t *election,
                           const fv_peer_entry_t **hosts);
 int64_t FvElection_OrderGraceMs(void);
-int64_t FvElection_PredecessorEpoch(const fv_election_t *election);
+const fv_predecessor_t *FvElection_Predecessor(const fv_election_t *election);
 
 /* host-link.c: msgpack frames over TCP between hosts. */
 typedef enum fv_cell_message_kind {
@@ -388,9 +395,11 @@
 fv_leader_t *FvLeader_New(struct event_base *base, fv_call_pool_t *pool,
                           fv_kv_client_t *kv,
                           const fv_entry_settings_t *settings,
-                          const fv_leader_events_t *events, int64_t epoch,
+                          const fv_leader_events_t *events,
+                          const fv_predecessor_t *predecessor, int64_t epoch,
                           int32_t generation);
 void FvLeader_Free(fv_leader_t *leader);
+void FvLeader_PredecessorStopped(fv_leader_t *leader, int64_t stopped_ms);
 void FvLeader_CloseConnections(fv_call_pool_t *pool);
 void FvLeader_HandOver(fv_leader_t *leader);
 bool FvLeader_IsServing(const fv_leader_t *leader);
--- a/src/leader-load.c
+++ b/src/leader-load.c
@@ -99,7 +99,7 @@
     char generation[Fv_NAME_SIZE] = "";
 
     leader->predecessor_handed_over =
-        sscanf(line, "%63s %63s", leader->predecessor, generation) == 2 &&
+        sscanf(line, "%*s %63s", generation) == 1 &&
         strtol(generation, NULL, 10) == leader->generation - 1;
 }
 
--- /dev/null
+++ b/tests/promises/entry_predecessor.c
@@ -0,0 +1,174 @@
+/*
+ * Guards against a successor that frees the tasks of earlier leaders while one
+ * of these may still renew leases of workers: 6 s beyond its own lease, and a
+ * worker's lease lasts 4.9 s more. A suspended leader stands for one that is
+ * cut off. Checks the time at which tasks become free.
+ */
+
+#include "entry-cell.h"
+#include "fake-server.h"
+#include "suite.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HOSTS 4
+#define WORKERS 2
+#define READY_MS 10000
+#define LEADER_MS 8000
+#define FREE_MS 15000
+/* Order grace and the longest lease of a worker, less 100 ms for the time at
+ * which this test notices the leader. */
+#define RELEASE_MIN_MS 10700
+
+static const char job[] =
+    "{\"taskSpec\":\"cpu=100 run_ms=50\",\"steps\":[{\"count\":8,"
+    "\"cpu\":100,\"memMb\":10,\"estimatedMs\":50}]}";
+
+static void
+open_cell(entry_cell_t *cell)
+{
+    const entry_cell_options_t options = {
+        .name = "entry-predecessor", .hosts = HOSTS, .workers = WORKERS};
+    char state[32] = "";
+
+    CU_ASSERT_TRUE_FATAL(FvEntryCell_Start(cell, &options) &&
+                         FvEntryCell_WaitReady(cell, READY_MS));
+    CU_ASSERT_EQUAL(FvEntryCell_Call(cell, 0, "POST", "/slow/00000000000000a1",
+                                     job, NULL, 0),
+                    200);
+    for (int i = 0; i < 60 && strcmp(state, "completed") != 0; i++) {
+        FvFake_SleepMs(50);
+        FvEntryCell_Call(cell, 0, "GET", "/slow/00000000000000a1", NULL, state,
+                         sizeof(state));
+    }
+    CU_ASSERT_STRING_EQUAL(state, "completed");
+}
+
+static int
+wait_for_leader(const entry_cell_t *cell, int former)
+{
+    int64_t until_ms = FvClock_NowMs() + LEADER_MS;
+    int leader = FvEntryCell_Leader(cell);
+
+    while ((leader < 0 || leader == former) && FvClock_NowMs() < until_ms) {
+        FvFake_SleepMs(10);
+        leader = FvEntryCell_Leader(cell);
+    }
+    return leader != former ? leader : -1;
+}
+
+static void
+wait_for_log(const entry_cell_t *cell, int host, const char *text)
+{
+    int64_t until_ms = FvClock_NowMs() + LEADER_MS;
+
+    while (!FvEntryCell_LogHas(cell, host, text) &&
+           FvClock_NowMs() < until_ms) {
+        FvFake_SleepMs(10);
+    }
+    CU_ASSERT_TRUE(FvEntryCell_LogHas(cell, host, text));
+}
+
+/* Reads the after_ms of the latest inherited_tasks_free event of a host. */
+static int64_t
+free_after_ms(const entry_cell_t *cell, int host)
+{
+    char path[512];
+    char line[4096];
+    int64_t after_ms = -1;
+    FILE *file;
+
+    snprintf(path, sizeof(path), "%s/host-%d.log", cell->directory, host);
+    file = fopen(path, "r");
+    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
+        if (strstr(line, "event=inherited_tasks_free") != NULL) {
+            printf("%s", line);
+            after_ms = strtoll(strstr(line, "after_ms=") + 9, NULL, 10);
+        }
+    }
+    if (file != NULL) {
+        fclose(file);
+    }
+    return after_ms;
+}
+
+/* Host A leads, then B, which changes nothing in the list of workers and so
+ * does not write it. B is suspended; A is linked to the third leader. */
+static void
+test_predecessor_is_not_the_writer_of_the_list(void)
+{
+    static entry_cell_t cell;
+    char linked[64];
+    char predecessor[64];
+    int first;
+    int second;
+    int third;
+
+    open_cell(&cell);
+    first = FvEntryCell_Leader(&cell);
+    CU_ASSERT_TRUE_FATAL(first >= 0);
+    FvProcess_Kill(&cell.hosts[first].process);
+    second = wait_for_leader(&cell, first);
+    CU_ASSERT_TRUE_FATAL(second >= 0);
+    CU_ASSERT_TRUE(FvEntryCell_StartHost(&cell, first));
+    snprintf(linked, sizeof(linked), "event=leader_linked leader=host-%d",
+             second);
+    wait_for_log(&cell, first, linked);
+    /* Renews its lease of worker 1 until the end, and is then cut off. */
+    CU_ASSERT_TRUE(FvEntryCell_PlatformFault(&cell, "{\"crash\":1}"));
+    CU_ASSERT_TRUE(FvProcess_Signal(&cell.hosts[second].process, SIGSTOP));
+    third = wait_for_leader(&cell, second);
+    CU_ASSERT_TRUE_FATAL(third >= 0);
+    snprintf(predecessor, sizeof(predecessor), "predecessor=host-%d", second);
+    FvFake_SleepMs(FREE_MS - 3000);
+    CU_ASSERT(free_after_ms(&cell, third) >= RELEASE_MIN_MS);
+    CU_ASSERT_TRUE(FvEntryCell_LogHas(&cell, third, predecessor));
+    FvEntryCell_Stop(&cell);
+}
+
+/* Host A is suspended, B leads for a moment, is killed and linked to the third
+ * leader: B has stopped, A has not. */
+static void
+test_leader_before_the_predecessor_may_send_orders(void)
+{
+    static entry_cell_t cell;
+    int64_t second_ms;
+    int64_t third_ms;
+    int first;
+    int second;
+    int third;
+
+    open_cell(&cell);
+    first = FvEntryCell_Leader(&cell);
+    CU_ASSERT_TRUE_FATAL(first >= 0);
+    CU_ASSERT_TRUE(FvProcess_Signal(&cell.hosts[first].process, SIGSTOP));
+    second = wait_for_leader(&cell, first);
+    second_ms = FvClock_NowMs();
+    CU_ASSERT_TRUE_FATAL(second >= 0);
+    wait_for_log(&cell, second, "event=leader_serving");
+    CU_ASSERT_TRUE(FvEntryCell_PlatformFault(&cell, "{\"crash\":1}"));
+    FvProcess_Kill(&cell.hosts[second].process);
+    third = wait_for_leader(&cell, second);
+    third_ms = FvClock_NowMs();
+    CU_ASSERT_TRUE_FATAL(third >= 0);
+    CU_ASSERT_TRUE(FvEntryCell_StartHost(&cell, second));
+    FvFake_SleepMs(FREE_MS - 3000);
+    CU_ASSERT(free_after_ms(&cell, third) + third_ms - second_ms >=
+              RELEASE_MIN_MS);
+    FvEntryCell_Stop(&cell);
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"the writer of the worker list is taken for the previous leader",
+         test_predecessor_is_not_the_writer_of_the_list},
+        {"a leader before the previous one is taken for stopped",
+         test_leader_before_the_predecessor_may_send_orders},
+    };
+
+    return Fv_RUN_SUITE("entry_predecessor", cases);
+}
--- a/tests/unit/election_test.c
+++ b/tests/unit/election_test.c
@@ -112,7 +112,7 @@
     open_election("41");
     claim = send_claim();
     CU_ASSERT_STRING_EQUAL(claim->puts[1].key, Fv_KEY_GENERATION);
-    CU_ASSERT_STRING_EQUAL(claim->puts[1].value, "42");
+    CU_ASSERT_STRING_EQUAL(claim->puts[1].value, "42 akl-1");
     fake_kv_answer(claim,
                    (fv_kv_result_t){.error = Fv_KV_OK, .revision = 900});
     CU_ASSERT_EQUAL(outcome.won, 1);
@@ -121,6 +121,33 @@
     close_election();
 }
 
+/* The worker list names its latest writer, which may be an earlier leader. A
+ * host that was elected by an earlier version has not left its name. */
+static void
+test_predecessor_is_the_latest_leader(void)
+{
+    static const struct {
+        const char *generation;
+        const char *host;
+    } cases[] = {{"41 host-b", "host-b"}, {"41", ""}};
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        int64_t opened_ms = FvClock_NowMs();
+        const fv_predecessor_t *predecessor;
+
+        open_election(cases[i].generation);
+        fake_kv_answer(send_claim(),
+                       (fv_kv_result_t){.error = Fv_KV_OK, .revision = 900});
+        predecessor = FvElection_Predecessor(election);
+        CU_ASSERT_STRING_EQUAL(predecessor->host, cases[i].host);
+        CU_ASSERT_EQUAL(predecessor->epoch, 5);
+        CU_ASSERT(predecessor->began_by_ms >= opened_ms);
+        CU_ASSERT(predecessor->began_by_ms <= FvClock_NowMs());
+        CU_ASSERT_EQUAL(outcome.generation, 42);
+        close_election();
+    }
+}
+
 /* The store stops answering during a claim and then answers 503. The claim
  * has to be read back with a delay between attempts. */
 static void
@@ -621,6 +648,8 @@
          test_no_proof_without_the_store},
         {"two leaders use one generation, and so the same run numbers",
          test_generation_increases},
+        {"another host than the latest leader is taken for the predecessor",
+         test_predecessor_is_the_latest_leader},
         {"an unconfirmed claim is read back without a delay, or lost",
          test_unconfirmed_claim_is_read_back},
         {"a host mistakes another host's claim for its own",
