leader: store which workers get no lease, so that a successor need not wait

Callers saw accepted tasks stand still for 10.9 s after a change of leaders beside workers with room, when one worker of the cell did not report: a successor held all tasks of earlier leaders until each worker of the stored list had reported or every lease that could have been granted had expired. The previous leader often knew better: the worker had not answered it for seconds, and it had granted no lease since.

A leader now keeps a list of such workers in the store, among the keys that every host watches. From its entry until its removal no leader grants the worker a lease or a start; a worker that returns is taken off first. An entry is kept by later leaders, and has an identity, so that an earlier silence is not taken for the present one.

Unit tests: the times of entries (election_test), no lease and no task while the list may have a worker (sched_report_test).

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -128,6 +128,7 @@
     }
     leases_expired = now_ms >= earlier_leaders_stopped_ms(leader) +
                                    FvSched_WorstCaseLeaseMs(&leader->sched);
+    FvLeaderUnreached_NoteExpired(leader, now_ms);
     if (!FvSched_KnowsInheritedRuns(&leader->sched, leases_expired, now_ms)) {
         return;
     }
@@ -135,7 +136,7 @@
     leader->sched.dirty = true;
     FvLog_Event(Fv_LOG_INFO, "inherited_tasks_free",
                 "cause=%s predecessor=%s stopped=%d after_ms=%" PRId64,
-                leases_expired ? "leases_expired" : "all_reported",
+                leases_expired ? "leases_expired" : "runs_known",
                 leader->predecessor.host,
                 leader->predecessor_stopped_ms != 0 ? 1 : 0,
                 now_ms - leader->began_ms);
@@ -164,6 +165,25 @@
                : Fv_NO_POLL_INTERVAL_MS;
 }
 
+/**
+ * FvLeader_IsWorkerGone - whether a worker can be forgotten
+ * @leader: the leader
+ * @worker: the worker
+ * @now_ms: the time
+ *
+ * Return: true when it has left the registry, does not answer and certainly
+ * runs nothing.
+ */
+bool
+FvLeader_IsWorkerGone(const fv_leader_t *leader,
+                      const fv_sched_worker_t *worker, int64_t now_ms)
+{
+    return !worker->listed && worker->tasks == NULL &&
+           (worker->lost || (worker->synced && worker->suspect)) &&
+           worker->lease_expires_ms < now_ms &&
+           !leader->sched.hold_inherited_tasks;
+}
+
 static void
 check_worker(fv_leader_t *leader, fv_sched_worker_t *worker, int64_t now_ms)
 {
@@ -178,10 +198,7 @@
     if (worker->suspect && worker->lease_expires_ms < now_ms) {
         FvSched_ReportUnanswered(&leader->sched, worker, now_ms);
     }
-    if (!worker->listed && worker->tasks == NULL &&
-        (worker->lost || (worker->synced && worker->suspect)) &&
-        worker->lease_expires_ms < now_ms &&
-        !leader->sched.hold_inherited_tasks) {
+    if (!worker->unreached && FvLeader_IsWorkerGone(leader, worker, now_ms)) {
         session->worker = NULL;
         FvLeaderWorker_ReleaseSession(session);
         FvSched_FreeWorker(&leader->sched, worker);
@@ -314,6 +331,7 @@
         next_worker = worker->hh.next;
         check_worker(leader, worker, now_ms);
     }
+    FvLeaderUnreached_Check(leader, now_ms);
     for (job = leader->sched.jobs; job != NULL; job = next_job) {
         next_job = job->hh.next;
         FvLeaderRecord_RemoveIfIdle(leader, job);
@@ -539,6 +557,7 @@
         free(request);
     }
     FvLeaderLoad_Free(leader);
+    free(leader->unreached_loaded);
     event_free(leader->tick_timer);
     event_free(leader->pass_timer);
     event_free(leader->handover_timer);
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -133,11 +133,15 @@
     fv_advice_request_t *advice_requests;
     int64_t last_advice_request_id;
     int64_t stream_revisions[Fv_RECORD_STREAMS];
-    fv_range_load_t loads[5];
+    fv_range_load_t loads[6];
     uint32_t loads_pending;
     bool serving;
     bool closed;
     uint32_t pending_calls; /* whose callbacks refer to this leader */
+    char *unreached_loaded; /* list of the earlier leaders; NULL: written */
+    bool unreached_writing;
+    int64_t unreached_due_ms; /* no worker is added before */
+    int64_t last_unreached_number;
     bool worker_list_dirty;
     bool worker_list_writing;
     fv_predecessor_t predecessor;
@@ -167,6 +171,15 @@
 bool FvLeader_FinishCall(fv_leader_t *leader);
 fv_leader_t *FvLeader_FromSched(fv_sched_t *sched);
 
+bool FvLeader_IsWorkerGone(const fv_leader_t *leader,
+                           const fv_sched_worker_t *worker, int64_t now_ms);
+
+/* leader-unreached.c */
+void FvLeaderUnreached_Check(fv_leader_t *leader, int64_t now_ms);
+void FvLeaderUnreached_Load(fv_leader_t *leader, const fv_kv_item_t *item);
+void FvLeaderUnreached_Apply(fv_leader_t *leader, fv_sched_worker_t *worker);
+void FvLeaderUnreached_NoteExpired(fv_leader_t *leader, int64_t now_ms);
+
 /* leader-workers.c */
 void FvLeaderWorker_RenewLease(fv_worker_session_t *session, bool wait);
 void FvLeaderWorker_RequestReport(fv_sched_t *sched,
--- a/src/election.c
+++ b/src/election.c
@@ -674,6 +674,9 @@
     else if (strcmp(item->key, Fv_KEY_GENERATION) == 0) {
         update_generation(election, item);
     }
+    else if (strcmp(item->key, Fv_KEY_UNREACHED) == 0) {
+        FvElectionUnreached_Update(election, item);
+    }
     else if (strncmp(item->key, Fv_KEY_HOSTS, strlen(Fv_KEY_HOSTS)) == 0) {
         FvElectionHosts_Update(election, item);
     }
@@ -742,5 +745,6 @@
     FvKvClient_CancelWatch(election->watch);
     event_free(election->tick);
     event_free(election->action_timer);
+    FvElectionUnreached_Free(election);
     free(election);
 }
--- a/src/election.h
+++ b/src/election.h
@@ -15,6 +15,8 @@
     Fv_CLAIM_HELD
 } fv_claim_state_t;
 
+typedef struct fv_unreached_entry fv_unreached_entry_t;
+
 struct fv_election {
     struct event_base *base;
     fv_kv_client_t *kv;
@@ -58,6 +60,7 @@
     bool needs_renewal;
     int64_t suspension_detected_ms;
     int64_t no_claim_until_ms;
+    fv_unreached_entry_t *unreached;
     uint32_t host_count;
     fv_peer_entry_t hosts[Fv_HOSTS_MAX];
 };
@@ -67,4 +70,9 @@
 void FvElectionHosts_Update(fv_election_t *election, const fv_kv_item_t *item);
 bool FvElectionHosts_IsLargest(const fv_election_t *election);
 
+/* election-unreached.c: the list of unreached workers. */
+void FvElectionUnreached_Update(fv_election_t *election,
+                                const fv_kv_item_t *item);
+void FvElectionUnreached_Free(fv_election_t *election);
+
 #endif
--- a/src/entry.c
+++ b/src/entry.c
@@ -160,6 +160,14 @@
     return FvElection_MaySendOrders(entry->election, now_ms);
 }
 
+static int64_t
+leader_unreached_since(void *context, const char *line)
+{
+    fv_entry_t *entry = context;
+
+    return FvElection_UnreachedSince(entry->election, line);
+}
+
 static int64_t
 leader_lease_left_ms(void *context, int64_t now_ms)
 {
@@ -234,6 +242,7 @@
     fv_leader_events_t events = {.may_send_orders = leader_may_send_orders,
                                  .lease_left_ms = leader_lease_left_ms,
                                  .prove_lease = leader_prove_lease,
+                                 .unreached_since = leader_unreached_since,
                                  .request_advice = FvEntryHosts_RequestAdvice,
                                  .deposed = leader_deposed,
                                  .is_linked = leader_is_linked,
--- a/src/entry.h
+++ b/src/entry.h
@@ -162,6 +162,8 @@
 #define Fv_KEY_LEADER Fv_KEY_CONTROL "leader"
 #define Fv_KEY_GENERATION Fv_KEY_CONTROL "generation"
 #define Fv_KEY_HOSTS Fv_KEY_CONTROL "hosts/"
+/* Workers without a lease; see leader-unreached.c. */
+#define Fv_KEY_UNREACHED Fv_KEY_CONTROL "unreached"
 #define Fv_KEY_JOBS "fireflyvalve/jobs/"
 #define Fv_KEY_PROGRESS "fireflyvalve/progress/"
 #define Fv_KEY_ENDED "fireflyvalve/ended/"
@@ -262,6 +264,8 @@
 uint32_t FvElection_Hosts(const fv_election_t *election,
                           const fv_peer_entry_t **hosts);
 int64_t FvElection_OrderGraceMs(void);
+int64_t FvElection_UnreachedSince(const fv_election_t *election,
+                                  const char *line);
 const fv_predecessor_t *FvElection_Predecessor(const fv_election_t *election);
 
 /* host-link.c: msgpack frames over TCP between hosts. */
@@ -376,6 +380,9 @@
     int64_t (*lease_left_ms)(void *context, int64_t now_ms);
     /* Returns the number of a renewal for FvLeader_LeaseProved. */
     uint64_t (*prove_lease)(void *context);
+    /* Since when this host has seen a line in the stored list of unreached
+     * workers; 0: it has not. */
+    int64_t (*unreached_since)(void *context, const char *line);
     /* Has one of the hosts call the advice service; false when none is
      * free. */
     bool (*request_advice)(void *context, const fv_cell_message_t *message,
--- a/src/leader-load.c
+++ b/src/leader-load.c
@@ -311,6 +311,14 @@
     load_page(load);
 }
 
+static void
+load_unreached(fv_leader_t *leader, const fv_kv_item_t *item)
+{
+    if (strcmp(item->key, Fv_KEY_UNREACHED) == 0) {
+        FvLeaderUnreached_Load(leader, item);
+    }
+}
+
 static void
 jobs_loaded(fv_leader_t *leader)
 {
@@ -328,6 +336,7 @@
     start_load(leader, 1, Fv_KEY_WORKER_LIST, load_worker_list, NULL);
     start_load(leader, 2, Fv_KEY_ENDED, load_ended, NULL);
     start_load(leader, 3, Fv_KEY_JOBS, load_job, jobs_loaded);
+    start_load(leader, 5, Fv_KEY_UNREACHED, load_unreached, NULL);
 }
 
 /**
--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -528,6 +528,7 @@
         session->leader = leader;
         session->worker = worker;
         worker->leader_session = session;
+        FvLeaderUnreached_Apply(leader, worker);
     }
     if (!worker->synced && !session->report_pending) {
         FvLeaderWorker_RenewLease(session, false);
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -528,6 +528,8 @@
                     worker->entry.id, worker->task_count,
                     worker->lease_expires_ms - now_ms);
     }
+    worker->suspect_since_ms =
+        worker->suspect ? worker->suspect_since_ms : now_ms;
     worker->suspect = true;
     FvSched_NoteUnanswered(sched, now_ms);
     if (worker->lease_expires_ms < now_ms) {
@@ -609,7 +611,8 @@
          worker = worker->hh.next) {
         bool known =
             worker->synced && worker->inherited_stops_until_ms <= now_ms;
-        bool expired = leases_expired && worker->lease_expires_ms < now_ms;
+        bool expired = (leases_expired || worker->inherited_expired) &&
+                       worker->lease_expires_ms < now_ms;
 
         if (worker->in_worker_list && !known && !expired) {
             return false;
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -529,7 +529,7 @@
 {
     return worker->listed && worker->synced && worker->in_worker_list &&
            is_incarnation_listed(worker) && !worker->suspect &&
-           !worker->draining && !worker->lost &&
+           !worker->unreached && !worker->draining && !worker->lost &&
            worker->inherited_stops_until_ms <= now_ms &&
            !has_orphan_runs(worker, now_ms);
 }
@@ -675,7 +675,8 @@
  * @now_ms: the time
  *
  * An unresponsive worker gets no extension: any attempt may arrive, so that
- * its lease could never be taken as expired.
+ * its lease could never be taken as expired. Nor does one that the stored list
+ * of unreached workers may have.
  *
  * Return: the end of the lease on the worker's clock; 0 for no extension.
  */
@@ -683,7 +684,7 @@
 FvSched_ExtendLease(const fv_sched_t *sched, fv_sched_worker_t *worker,
                     int64_t now_ms)
 {
-    if (!worker->clock_known || worker->suspect) {
+    if (!worker->clock_known || worker->suspect || worker->unreached) {
         return 0;
     }
     worker->lease_expires_ms = now_ms + FvSched_WorstCaseLeaseMs(sched);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -182,7 +182,17 @@
     bool in_worker_list;       /* in the stored list; may get orders */
     bool in_list_write;        /* in the list that is being written */
     bool suspect;              /* did not answer the last report request */
-    bool lost;                 /* its lease has expired without contact */
+    int64_t suspect_since_ms;
+    bool lost; /* its lease has expired without contact */
+    /* The stored list of unreached workers may have it: no lease is granted.
+     * The entry's identity, and by when it was in the list of an earlier
+     * leader (0: not known). */
+    bool unreached;
+    bool in_unreached_write;
+    int64_t unreached_epoch;
+    int64_t unreached_number;
+    int64_t unreached_since_ms;
+    bool inherited_expired; /* all leases that earlier leaders granted */
     bool draining;
     int64_t drain_until_ms;   /* leaves no earlier; 0: not known */
     int64_t started_wall_ms;  /* of the incarnation that reported */
--- a/tests/unit/election_test.c
+++ b/tests/unit/election_test.c
@@ -148,6 +148,41 @@
     }
 }
 
+static void
+deliver_unreached(const char *text, bool deleted)
+{
+    char copy[128];
+    fv_kv_item_t item = {.key = (char *)Fv_KEY_UNREACHED, .deleted = deleted};
+
+    FvText_Copy(copy, sizeof(copy), text);
+    if (!deleted) {
+        item.value =
+            (fv_buffer_t){.data = (uint8_t *)copy, .length = strlen(copy)};
+    }
+    fake_kv.watcher.item(fake_kv.watcher.context, &item);
+}
+
+/* A worker returned and is silent again: its lease of the time between has
+ * not expired when that of the first silence has. */
+static void
+test_unreached_entries_have_their_own_times(void)
+{
+    int64_t first_ms;
+
+    open_election("1");
+    deliver_unreached("w1 5 1\nw2 5 2\n", false);
+    first_ms = FvElection_UnreachedSince(election, "w1 5 1");
+    CU_ASSERT(first_ms > 0);
+    fake_kv_run_loop(base, 20);
+    deliver_unreached("w1 5 1\nw2 5 3\n", false);
+    CU_ASSERT_EQUAL(FvElection_UnreachedSince(election, "w1 5 1"), first_ms);
+    CU_ASSERT_EQUAL(FvElection_UnreachedSince(election, "w2 5 2"), 0);
+    CU_ASSERT(FvElection_UnreachedSince(election, "w2 5 3") >= first_ms + 20);
+    deliver_unreached("", true);
+    CU_ASSERT_EQUAL(FvElection_UnreachedSince(election, "w1 5 1"), 0);
+    close_election();
+}
+
 /* The store stops answering during a claim and then answers 503. The claim
  * has to be read back with a delay between attempts. */
 static void
@@ -650,6 +685,8 @@
          test_generation_increases},
         {"another host than the latest leader is taken for the predecessor",
          test_predecessor_is_the_latest_leader},
+        {"the time of an earlier silence is taken for that of the present one",
+         test_unreached_entries_have_their_own_times},
         {"an unconfirmed claim is read back without a delay, or lost",
          test_unconfirmed_claim_is_read_back},
         {"a host mistakes another host's claim for its own",
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -265,6 +265,32 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* A successor takes a lease that was granted to a worker in the stored list of
+ * unreached workers for expired. */
+static void
+test_unreached_worker_gets_no_lease(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_worker_t *worker;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 2000);
+    worker->unreached = true;
+    FvSchedFixture_AddJob(&fixture, JOB_A, &queue, two_tasks);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A), 0);
+    CU_ASSERT_EQUAL(
+        FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms), 0);
+    worker->unreached = false;
+    fixture.now_ms += 100;
+    fixture.sched.dirty = true;
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A), 2);
+    CU_ASSERT(FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms) > 0);
+    FvSchedFixture_Close(&fixture);
+}
+
 /* The first order arrives late and fills the worker, which rejects the retry.
  */
 static void
@@ -650,6 +676,8 @@
          test_unconfirmed_start_is_retried},
         {"a start that was never sent counts as in doubt",
          test_unsent_start_is_requeued},
+        {"a worker in the list of unreached workers gets leases or tasks",
+         test_unreached_worker_gets_no_lease},
         {"a rejected retry is treated as a rejected start",
          test_rejected_retry_settles_nothing},
         {"a rejected retry frees the resources of a stopped task",
