leader: answer all requests that wait for a record in one place

Three loops took waiting requests off a list and answered them; the bar on unknown jobs had added the third. No change of behaviour: leader_requests_test, records_test and entry_unasked pass as before.

--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -8,35 +8,36 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Answers the requests in a list that wait for a record of a job. @verb: only
+ * these requests; 0: all */
 static void
-answer_waiter(fv_leader_t *leader, const fv_sched_job_t *job,
-              const fv_record_waiter_t *waiter, fv_reply_t outcome,
-              const char *state)
+answer_list(fv_leader_t *leader, const char *job, fv_record_waiter_t **list,
+            fv_verb_t verb, fv_reply_t outcome, const char *state)
 {
-    FvLeaderRequest_Answer(leader, waiter->verb, job->id, waiter->id,
-                           waiter->reply, waiter->context, outcome, state);
-}
-
-/* Replies to callers whose request waited for a record of the job. */
-static void
-answer_waiters(fv_leader_t *leader, fv_sched_job_t *job, fv_verb_t verb,
-               fv_reply_t outcome, const char *state)
-{
-    fv_record_waiter_t **link = (fv_record_waiter_t **)&job->waiters;
+    fv_record_waiter_t **link = list;
 
     while (*link != NULL) {
         fv_record_waiter_t *waiter = *link;
 
-        if (waiter->verb != verb) {
+        if (verb != 0 && waiter->verb != verb) {
             link = &waiter->next;
             continue;
         }
         *link = waiter->next;
-        answer_waiter(leader, job, waiter, outcome, state);
+        FvLeaderRequest_Answer(leader, waiter->verb, job, waiter->id,
+                               waiter->reply, waiter->context, outcome, state);
         free(waiter);
     }
 }
 
+static void
+answer_waiters(fv_leader_t *leader, fv_sched_job_t *job, fv_verb_t verb,
+               fv_reply_t outcome, const char *state)
+{
+    answer_list(leader, job->id, (fv_record_waiter_t **)&job->waiters, verb,
+                outcome, state);
+}
+
 static void
 add_waiter(fv_record_waiter_t **waiters, const fv_cell_message_t *message,
            fv_leader_reply_t reply, void *context)
@@ -156,13 +157,7 @@
 FvLeaderRecord_RemoveIfIdle(fv_leader_t *leader, fv_sched_job_t *job)
 {
     if (job->recorded != Fv_SCHED_JOB_OPEN && job->running_tasks == 0) {
-        while (job->waiters != NULL) {
-            fv_record_waiter_t *waiter = job->waiters;
-
-            job->waiters = waiter->next;
-            answer_waiter(leader, job, waiter, Fv_REPLY_NOT_READY, "");
-            free(waiter);
-        }
+        answer_waiters(leader, job, (fv_verb_t)0, Fv_REPLY_NOT_READY, "");
         FvSched_RemoveJob(&leader->sched, job);
     }
 }
@@ -313,20 +308,6 @@
     return ended;
 }
 
-static void
-answer_bar_waiters(fv_leader_t *leader, fv_ended_job_t *ended,
-                   fv_reply_t outcome)
-{
-    while (ended->waiters != NULL) {
-        fv_record_waiter_t *waiter = ended->waiters;
-
-        ended->waiters = waiter->next;
-        FvLeaderRequest_Answer(leader, waiter->verb, ended->id, waiter->id,
-                               waiter->reply, waiter->context, outcome, "");
-        free(waiter);
-    }
-}
-
 static void
 bar_written(void *context)
 {
@@ -335,7 +316,8 @@
 
     if (ended != NULL) {
         ended->recorded = true;
-        answer_bar_waiters(call->leader, ended, Fv_REPLY_GONE);
+        answer_list(call->leader, ended->id, &ended->waiters, (fv_verb_t)0,
+                    Fv_REPLY_GONE, "");
     }
     free(call);
 }
@@ -347,7 +329,8 @@
     fv_ended_job_t *ended = find_barred(call);
 
     if (ended != NULL) {
-        answer_bar_waiters(call->leader, ended, Fv_REPLY_NOT_READY);
+        answer_list(call->leader, ended->id, &ended->waiters, (fv_verb_t)0,
+                    Fv_REPLY_NOT_READY, "");
         HASH_DEL(call->leader->ended, ended);
         free(ended);
     }
