--- a/tests/promises/entry_unasked.c
+++ b/tests/promises/entry_unasked.c
@@ -6,6 +6,7 @@
 
 #include "entry-cell.h"
 #include "fake-server.h"
+#include "http-call.h"
 #include "kept-connection.h"
 #include "suite.h"
 
@@ -26,6 +27,11 @@
 #define SUSPENDED_MORE_MS 1000 /* after the jobs were accepted */
 #define OUTAGE_MS 5000
 
+/* A leader that does not reach the store gives orders for 7 s. */
+#define CUT_OFF_MS 5000
+/* "127.0.0.1:1 1.000" */
+#define UNUSED_LINK_ENTRY "MTI3LjAuMC4xOjEgMS4wMDA="
+
 /* The second step begins 3 s after the first one has been cancelled. */
 #define LONG_JOB                                                              \
     "{\"taskSpec\":\"run_ms=5000 cpu=100\",\"steps\":[{\"count\":2,"          \
@@ -275,6 +281,86 @@
     close_cell();
 }
 
+/* Has the other hosts dial a port where nobody listens in place of a host's.
+ */
+static void
+hide_link_port(int host)
+{
+    char url[128];
+    char body[256];
+    http_reply_t reply;
+
+    snprintf(url, sizeof(url), "http://127.0.0.1:%d/kv-txn", cell.port);
+    snprintf(body, sizeof(body),
+             "{\"puts\":[{\"key\":\"fireflyvalve/control/hosts/host-%d\","
+             "\"value\":\"" UNUSED_LINK_ENTRY "\"}]}",
+             host);
+    FvHttp_Run(&(http_call_t){.method = "POST",
+                              .url = url,
+                              .body = body,
+                              .body_length = strlen(body),
+                              .timeout_ms = ANSWER_TIMEOUT_MS},
+               &reply);
+    CU_ASSERT_EQUAL(reply.status, 200);
+    FvHttp_FreeReply(&reply);
+}
+
+/* Guards against two leaders for callers: one is cut off from the store and
+ * from its successor, no worker tells it of that one, and its callers still
+ * reach it. */
+static void
+test_leader_cut_off_from_its_successor(void)
+{
+    char state[32];
+    char crash[32];
+    int64_t cut_ms;
+    int former;
+    int leader;
+    int absent = 0;
+    int counted = 0;
+    int acknowledged = 0;
+
+    open_cell();
+    former = FvEntryCell_Leader(&cell);
+    CU_ASSERT_FATAL(former >= 0);
+    for (int i = 0; i < WORKERS; i++) {
+        snprintf(crash, sizeof(crash), "{\"crash\":%d}", i);
+        CU_ASSERT(FvEntryCell_PlatformFault(&cell, crash));
+    }
+    hide_link_port(former);
+    CU_ASSERT(FvEntryCell_RouteFault(&cell, former, "blackhole"));
+    cut_ms = FvClock_NowMs();
+    leader = wait_for_other_leader(former, 5000);
+    for (int i = 0; i < JOBS; i++) {
+        CU_ASSERT_EQUAL(call_until_answered(leader, "POST", job_path(i),
+                                            LONG_JOB, NULL, 0),
+                        200);
+    }
+    for (int i = 0; FvClock_NowMs() < cut_ms + CUT_OFF_MS; i++) {
+        const char *path = job_path(i % JOBS);
+
+        absent +=
+            FvEntryCell_Call(&cell, former, "GET", path, NULL, NULL, 0) == 410;
+        counted += FvEntryCell_Call(&cell, former, "GET", "/slow/", NULL, NULL,
+                                    0) == 200;
+        if (i < JOBS) {
+            int status =
+                FvEntryCell_Call(&cell, former, "DELETE", path, NULL, NULL, 0);
+
+            acknowledged += status == 410 || status == 200;
+        }
+    }
+    CU_ASSERT_EQUAL(absent, 0);
+    CU_ASSERT_EQUAL(counted, 0);
+    CU_ASSERT_EQUAL(acknowledged, 0);
+    for (int i = 0; i < JOBS; i++) {
+        FvEntryCell_Call(&cell, leader, "GET", job_path(i), NULL, state,
+                         sizeof(state));
+        CU_ASSERT_STRING_EQUAL(state, "queued");
+    }
+    close_cell();
+}
+
 /* Guards against an answer from a leader that has handed over and still serves
  * its open connections. */
 static void
@@ -357,6 +443,8 @@
          test_submission_after_its_cancellation},
         {"an unknown job is reported as absent in an outage",
          test_unknown_job_in_an_outage},
+        {"a leader cut off from its successor answers for it",
+         test_leader_cut_off_from_its_successor},
         {"a leader that handed over answers for its successor",
          test_leader_that_hands_over},
         {"a host that becomes leader leaves its own requests unanswered",
