tests: a process that is signalled at its start kills no others

A child has the handlers of the test until it runs its program, and the one of SIGTERM kills all children of the test: the platform, the proxy and the other hosts. A host that was terminated just after its start was enough. The handlers are now reset before the child can receive a signal.

--- a/tests/harness/process.c
+++ b/tests/harness/process.c
@@ -43,13 +43,16 @@
     _exit(128 + signal);
 }
 
+static const int cleanup_signals[] = {SIGTERM, SIGINT,  SIGHUP, SIGALRM,
+                                      SIGABRT, SIGSEGV, SIGBUS, SIGFPE};
+
+#define CLEANUP_SIGNALS (sizeof(cleanup_signals) / sizeof(cleanup_signals[0]))
+
 /* Kills the children on a normal exit, the test runner's timeout and a crash.
  */
 static void
 install_cleanup(void)
 {
-    static const int signals[] = {SIGTERM, SIGINT,  SIGHUP, SIGALRM,
-                                  SIGABRT, SIGSEGV, SIGBUS, SIGFPE};
     static bool installed;
     struct sigaction action = {.sa_handler = kill_children_and_exit};
 
@@ -58,8 +61,8 @@
     }
     installed = true;
     atexit(kill_children);
-    for (size_t i = 0; i < sizeof(signals) / sizeof(signals[0]); i++) {
-        sigaction(signals[i], &action, NULL);
+    for (size_t i = 0; i < CLEANUP_SIGNALS; i++) {
+        sigaction(cleanup_signals[i], &action, NULL);
     }
     signal(SIGPIPE, SIG_IGN);
 }
@@ -100,9 +103,12 @@
     if (getppid() != parent) {
         _exit(126);
     }
+    for (size_t i = 0; i < CLEANUP_SIGNALS; i++) {
+        signal(cleanup_signals[i], SIG_DFL);
+    }
+    signal(SIGPIPE, SIG_DFL);
     sigemptyset(&none);
     sigprocmask(SIG_SETMASK, &none, NULL);
-    signal(SIGPIPE, SIG_DFL);
     redirect_output(log_path);
     execv(argv[0], (char *const *)argv);
     fprintf(stderr, "cannot run %s: %s\n", argv[0], strerror(errno));
@@ -126,14 +132,20 @@
 {
     pid_t parent = getpid();
     pid_t pid;
+    sigset_t all;
+    sigset_t before;
 
     install_cleanup();
     snprintf(process->log_path, sizeof(process->log_path), "%s", log_path);
     process->exit_status = -1;
+    /* The child must not run the handlers of this process. */
+    sigfillset(&all);
+    pthread_sigmask(SIG_SETMASK, &all, &before);
     pid = fork();
     if (pid == 0) {
         run_child(parent, log_path, argv);
     }
+    pthread_sigmask(SIG_SETMASK, &before, NULL);
     process->pid = pid > 0 ? pid : 0;
     if (pid > 0) {
         replace_child_pid(0, pid);
