soak: pages of ends, a cap of connections, other kinds, late stops, changes

Workers now list 12 ends at a time and reset connections over 64; they restart under their id at once, at times as another kind; stops take up to 90 ms and are carried out late for some seconds; the configuration changes up to three times in a row.

--- a/tests/soak/soak-faults.c
+++ b/tests/soak/soak-faults.c
@@ -12,6 +12,8 @@
 
 #define SOAK_ACTIONS_MAX 512
 #define SOAK_POLL_MS 20
+#define SOAK_FIXED_WORKERS 3
+#define SOAK_STOP_MAX_MS 90 /* below the stop timeout of the hosts, 100 ms */
 
 typedef enum soak_action_kind {
     SOAK_ACTION_NONE,
@@ -246,6 +248,62 @@
     }
 }
 
+/* A worker restarts at once, at times as another kind. Two of each kind stay,
+ * so that every job can end. */
+static void
+restart_worker(soak_faults_t *faults, int64_t now_ms)
+{
+    soak_t *soak = faults->soak;
+    uint32_t worker = draw(faults, (uint32_t)soak->workers);
+    char body[64];
+
+    (void)now_ms;
+    if (soak->worker_recover_at_ms[worker] != 0) {
+        return;
+    }
+    if (worker < SOAK_FIXED_WORKERS) {
+        snprintf(body, sizeof(body), "{\"restart\":%u}", worker);
+    }
+    else {
+        snprintf(body, sizeof(body), "{\"restart\":%u,\"kind\":\"%s\"}",
+                 worker, draw(faults, 2) == 0 ? "a" : "b");
+    }
+    printf("  worker %s\n", body);
+    FvEntryCell_PlatformFault(&soak->cell, body);
+}
+
+static void
+change_config(soak_faults_t *faults, int64_t now_ms)
+{
+    soak_t *soak = faults->soak;
+    char body[64];
+
+    (void)now_ms;
+    for (uint32_t count = 1 + draw(faults, 3); count > 0; count--) {
+        snprintf(body, sizeof(body), "{\"config\":%lld}",
+                 (long long)++soak->config_version);
+        printf("  %s\n", body);
+        FvEntryCell_PlatformFault(&soak->cell, body);
+    }
+}
+
+/* For some seconds, stops take time and are carried out late. */
+static void
+delay_stops(soak_faults_t *faults, int64_t now_ms)
+{
+    soak_t *soak = faults->soak;
+    char body[64];
+
+    if (soak->stops_recover_at_ms != 0) {
+        return;
+    }
+    snprintf(body, sizeof(body), "{\"stopMs\":%u,\"stopDelayMs\":%u}",
+             draw(faults, SOAK_STOP_MAX_MS), draw(faults, 2) * 600);
+    printf("  stops %s\n", body);
+    FvEntryCell_PlatformFault(&soak->cell, body);
+    soak->stops_recover_at_ms = now_ms + draw_length_ms(faults);
+}
+
 static void
 recover_hosts(soak_t *soak, int64_t now_ms)
 {
@@ -289,6 +347,12 @@
         FvEntryCell_RouteFault(&soak->cell, -1, "restore");
         soak->route_recover_at_ms = 0;
     }
+    if (soak->stops_recover_at_ms != 0 &&
+        now_ms >= soak->stops_recover_at_ms) {
+        FvEntryCell_PlatformFault(&soak->cell,
+                                  "{\"stopMs\":0,\"stopDelayMs\":0}");
+        soak->stops_recover_at_ms = 0;
+    }
     for (int i = 0; i < soak->workers; i++) {
         if (soak->worker_recover_at_ms[i] != 0 &&
             now_ms >= soak->worker_recover_at_ms[i]) {
@@ -310,7 +374,8 @@
     static void (*const injectors[])(soak_faults_t *, int64_t) = {
         signal_one_host,   signal_one_host, signal_hosts_in_turn,
         suspend_in_series, kill_many_hosts, terminate_beside_suspended,
-        disturb_store,     disturb_route,   crash_workers};
+        disturb_store,     disturb_route,   crash_workers,
+        restart_worker,    change_config,   delay_stops};
     static soak_faults_t faults;
     int64_t end_ms = FvClock_NowMs() + duration_s * Fv_MS_PER_S;
     int64_t next_fault_ms = 0;
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -146,8 +146,12 @@
 static int
 run(soak_t *soak, int first_port, int64_t duration_s)
 {
+    /* The platform's limit of connections, and pages that fill in seconds. */
+    static const char *const platform[] = {"--connections", "64",
+                                           "--ends-page", "12", NULL};
     entry_cell_options_t options = {.hosts = soak->hosts,
                                     .workers = soak->workers,
+                                    .platform_options = platform,
                                     .first_port = first_port};
     char name[64];
     bool succeeded = false;
@@ -196,6 +200,7 @@
     }
     curl_global_init(CURL_GLOBAL_DEFAULT);
     setvbuf(stdout, NULL, _IOLBF, 0);
+    soak.config_version = 1;
     soak.seed = (uint64_t)option(seed, 1);
     soak.hosts = option(hosts, 4);
     soak.workers = option(workers, 6);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -59,6 +59,7 @@
     int64_t store_recover_at_ms;
     int64_t route_recover_at_ms;
     int64_t worker_recover_at_ms[ENTRY_CELL_WORKERS_MAX];
+    int64_t stops_recover_at_ms;
     int64_t config_version;
 } soak_t;
 
