leader: take all earlier leaders for stopped once all hosts are linked

The new leader waits for the leaders before its predecessor for 6 s from the time at which its host saw the predecessor's election, and a host that has just started has seen none before its own start.

A host that is linked to a leader has stepped down, and a host that led stays registered for a minute after it is out of reach, so when all registered hosts are linked nobody else gives orders. A host that was greeted by a newer leader gives none from then on either, not only once it has stepped down in the next round of the event loop.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -99,7 +99,9 @@
 earlier_leaders_stopped_ms(const fv_leader_t *leader)
 {
     int64_t grace_ms = FvElection_OrderGraceMs();
-    int64_t latest_ms = leader->began_ms + grace_ms;
+    int64_t latest_ms = leader->all_stopped_ms != 0
+                            ? leader->all_stopped_ms
+                            : leader->began_ms + grace_ms;
     int64_t stopped_ms = leader->predecessor.began_by_ms + grace_ms;
 
     if (stopped_ms < leader->predecessor_stopped_ms) {
@@ -126,6 +128,10 @@
                                  leader->predecessor.host)) {
         leader->predecessor_stopped_ms = now_ms;
     }
+    if (leader->all_stopped_ms == 0 &&
+        leader->events.are_all_linked(leader->events.context)) {
+        leader->all_stopped_ms = now_ms;
+    }
     leases_expired = now_ms >= earlier_leaders_stopped_ms(leader) +
                                    FvSched_WorstCaseLeaseMs(&leader->sched);
     FvLeaderUnreached_NoteExpired(leader, now_ms);
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -145,6 +145,7 @@
     bool worker_list_dirty;
     bool worker_list_writing;
     fv_predecessor_t predecessor;
+    int64_t all_stopped_ms; /* no earlier leader sends orders; 0: not known */
     int64_t predecessor_stopped_ms;  /* sent no orders since; 0: not known */
     uint32_t inherited_worker_count; /* given orders by earlier leaders */
     int32_t generation;
--- a/src/entry-hosts.c
+++ b/src/entry-hosts.c
@@ -80,6 +80,50 @@
     return NULL;
 }
 
+/**
+ * FvEntryHosts_IsLinked - whether a host follows this leader
+ * @entry: this process, which leads
+ * @name: the host
+ *
+ * Return: true for a host that has stepped down if it led before, and for this
+ * one.
+ */
+bool
+FvEntryHosts_IsLinked(const fv_entry_t *entry, const char *name)
+{
+    for (uint32_t i = 0; i < entry->host_state_count; i++) {
+        const fv_host_state_t *state = entry->host_states[i];
+
+        if (strcmp(state->name, name) == 0) {
+            return state->joined || state == entry->self;
+        }
+    }
+    return false;
+}
+
+/**
+ * FvEntryHosts_AreAllLinked - whether all registered hosts follow this leader
+ * @entry: this process, which leads
+ *
+ * A host that led is registered until it was out of reach for
+ * Fv_HOST_REMOVAL_MS, longer than it may send orders without its lease.
+ *
+ * Return: true when no earlier leader can send orders any more.
+ */
+bool
+FvEntryHosts_AreAllLinked(const fv_entry_t *entry)
+{
+    const fv_peer_entry_t *hosts;
+    uint32_t count = FvElection_Hosts(entry->election, &hosts);
+    bool linked = true;
+
+    for (uint32_t i = 0; i < count && linked; i++) {
+        linked =
+            !hosts[i].listed || FvEntryHosts_IsLinked(entry, hosts[i].name);
+    }
+    return linked;
+}
+
 /**
  * FvEntryHosts_FindUnreachable - find a registered host to be removed
  * @entry: this process, which leads
--- a/src/entry-hosts.h
+++ b/src/entry-hosts.h
@@ -81,6 +81,8 @@
 const char *FvEntryHosts_FindUnreachable(fv_entry_t *entry,
                                          const fv_peer_entry_t *hosts,
                                          uint32_t count, int64_t now_ms);
+bool FvEntryHosts_IsLinked(const fv_entry_t *entry, const char *name);
+bool FvEntryHosts_AreAllLinked(const fv_entry_t *entry);
 void FvEntryHosts_LearnOverhead(fv_host_state_t *state, int64_t id);
 void FvEntryHosts_RemoveAdvice(fv_host_state_t *state, int64_t id);
 void FvEntryHosts_FailAdvice(fv_entry_t *entry, fv_host_state_t *state);
--- a/src/entry.c
+++ b/src/entry.c
@@ -157,7 +157,9 @@
 {
     fv_entry_t *entry = context;
 
-    return FvElection_MaySendOrders(entry->election, now_ms);
+    /* While this host leads, such a link is one to its successor. */
+    return entry->leader_link == NULL &&
+           FvElection_MaySendOrders(entry->election, now_ms);
 }
 
 static int64_t
@@ -198,15 +200,13 @@
 static bool
 leader_is_linked(void *context, const char *host)
 {
-    fv_entry_t *entry = context;
+    return FvEntryHosts_IsLinked(context, host);
+}
 
-    for (uint32_t i = 0; i < entry->host_state_count; i++) {
-        if (strcmp(entry->host_states[i]->name, host) == 0) {
-            return entry->host_states[i]->joined ||
-                   entry->host_states[i] == entry->self;
-        }
-    }
-    return false;
+static bool
+leader_are_all_linked(void *context)
+{
+    return FvEntryHosts_AreAllLinked(context);
 }
 
 static const fv_cell_config_t *
@@ -246,6 +246,7 @@
                                  .request_advice = FvEntryHosts_RequestAdvice,
                                  .deposed = leader_deposed,
                                  .is_linked = leader_is_linked,
+                                 .are_all_linked = leader_are_all_linked,
                                  .config = leader_config,
                                  .handed_over = leader_handed_over,
                                  .context = entry};
--- a/src/entry.h
+++ b/src/entry.h
@@ -391,6 +391,8 @@
     /* Whether a host is linked to this leader; such a host has stepped down if
      * it was leader before. */
     bool (*is_linked)(void *context, const char *host);
+    /* Whether all registered hosts are linked to this leader. */
+    bool (*are_all_linked)(void *context);
     const fv_cell_config_t *(*config)(void *context);
     void (*handed_over)(void *context); /* may resign now */
     void *context;
--- a/tests/promises/entry_predecessor.c
+++ b/tests/promises/entry_predecessor.c
@@ -22,6 +22,10 @@
  * which this test notices the leader. */
 #define RELEASE_MIN_MS 10700
 
+/* The longest lease of a worker; a second more until all hosts are linked. */
+#define LEASE_MS 4800
+#define RESTART_RELEASE_MAX_MS 6000
+
 static const char job[] =
     "{\"taskSpec\":\"cpu=100 run_ms=50\",\"steps\":[{\"count\":8,"
     "\"cpu\":100,\"memMb\":10,\"estimatedMs\":50}]}";
@@ -160,6 +164,32 @@
     FvEntryCell_Stop(&cell);
 }
 
+/* All hosts end at one time and start again, beside a worker that does not
+ * report: no earlier leader is left, so that only the worker's lease counts.
+ */
+static void
+test_restart_of_all_hosts_counts_as_stopped(void)
+{
+    static entry_cell_t cell;
+    int leader;
+
+    open_cell(&cell);
+    CU_ASSERT_TRUE(FvEntryCell_PlatformFault(&cell, "{\"crash\":1}"));
+    for (int i = 0; i < HOSTS; i++) {
+        FvProcess_Kill(&cell.hosts[i].process);
+    }
+    for (int i = 0; i < HOSTS; i++) {
+        CU_ASSERT_TRUE(FvEntryCell_StartHost(&cell, i));
+    }
+    FvFake_SleepMs(3000);
+    leader = FvEntryCell_Leader(&cell);
+    CU_ASSERT_TRUE_FATAL(leader >= 0);
+    FvFake_SleepMs(FREE_MS - 5000);
+    CU_ASSERT(free_after_ms(&cell, leader) >= LEASE_MS);
+    CU_ASSERT(free_after_ms(&cell, leader) < RESTART_RELEASE_MAX_MS);
+    FvEntryCell_Stop(&cell);
+}
+
 int
 main(void)
 {
@@ -168,6 +198,8 @@
          test_predecessor_is_not_the_writer_of_the_list},
         {"a leader before the previous one is taken for stopped",
          test_leader_before_the_predecessor_may_send_orders},
+        {"leaders that ended with all hosts are waited for",
+         test_restart_of_all_hosts_counts_as_stopped},
     };
 
     return Fv_RUN_SUITE("entry_predecessor", cases);
