soak: probe the end of a suspension and the end of a drain

Two probes now meet the moments that other clients rarely hit: cancellations at a suspended host of jobs that another leader has accepted meanwhile, sent shortly before the host goes on, and requests to a terminated host that are answered one after the other, or all at the time at which it may end. A terminated host beside suspended ones stands still for 70 ms again and again, so that several of its timers are due at once.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 SANITIZE ?=
 SEED ?= 1
-SECONDS ?= 20
+SECONDS ?= 60
 comma := ,
 BUILD ?= build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
 
--- a/tests/soak/soak-clients.c
+++ b/tests/soak/soak-clients.c
@@ -7,7 +7,6 @@
 #include "soak.h"
 
 #include "fake-server.h"
-#include "kept-connection.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -29,19 +28,33 @@
     uint32_t job_count;
 } soak_client_t;
 
-static void
-count_reply(soak_t *soak, int status)
+/**
+ * FvSoakClients_CountReply - count the answer to a request
+ * @soak: the soak
+ * @status: its status; 0: none
+ */
+void
+FvSoakClients_CountReply(soak_t *soak, int status)
 {
     pthread_mutex_lock(&soak->lock);
     soak->reply_counts[status / 100 < 6 ? status / 100 : 5]++;
     pthread_mutex_unlock(&soak->lock);
 }
 
-/* Counts a request that ended without a whole answer, unless the soak killed
- * the host or suspended it meanwhile. */
-static void
-check_loss(soak_t *soak, int host, int64_t opened_ms, int64_t sent_ms,
-           kept_outcome_t outcome, const char *request)
+/**
+ * FvSoakClients_CheckLoss - count a request that ended without a whole answer,
+ * unless the soak killed the host or suspended it meanwhile
+ * @soak: the soak
+ * @host: the host
+ * @opened_ms: when the connection was opened
+ * @sent_ms: when the request was sent
+ * @outcome: what became of it
+ * @request: what it was, for the output
+ */
+void
+FvSoakClients_CheckLoss(soak_t *soak, int host, int64_t opened_ms,
+                        int64_t sent_ms, kept_outcome_t outcome,
+                        const char *request)
 {
     int64_t now_ms = FvClock_NowMs();
     const soak_host_t *state = &soak->host[host];
@@ -84,7 +97,7 @@
         client->opened_ms[host] = FvClock_NowMs();
         if (!FvKept_Open(connection, FvEntryCell_Port(&soak->cell, host,
                                                       ENTRY_PORT_CALLERS))) {
-            count_reply(soak, 0);
+            FvSoakClients_CountReply(soak, 0);
             return 0;
         }
     }
@@ -96,14 +109,14 @@
         outcome = FvKept_Receive(connection, SOAK_CALL_TIMEOUT_MS, answer);
     }
     if (outcome != KEPT_ANSWERED) {
-        check_loss(soak, host, client->opened_ms[host], sent_ms, outcome,
-                   request);
+        FvSoakClients_CheckLoss(soak, host, client->opened_ms[host], sent_ms,
+                                outcome, request);
         answer->status = 0;
     }
     if (outcome != KEPT_ANSWERED || connection->close_announced) {
         FvKept_Close(connection);
     }
-    count_reply(soak, answer->status);
+    FvSoakClients_CountReply(soak, answer->status);
     return answer->status;
 }
 
@@ -122,8 +135,16 @@
     json_decref(document);
 }
 
-static soak_job_t *
-new_job(soak_t *soak, uint64_t *random)
+/**
+ * FvSoakClients_NewJob - add a job that is not submitted yet
+ * @soak: the soak
+ * @random: state of the random numbers
+ * @queue: its queue; NULL: any
+ *
+ * Return: the job, or NULL when there are too many.
+ */
+soak_job_t *
+FvSoakClients_NewJob(soak_t *soak, uint64_t *random, const char *queue)
 {
     static const char *const queues[] = {"fast", "fast", "slow", "long"};
     soak_job_t *job = NULL;
@@ -133,17 +154,26 @@
         job = &soak->jobs[soak->job_count++];
         snprintf(job->id, sizeof(job->id), "%08x%08x",
                  FvSoak_Random(random, UINT32_MAX), soak->job_count);
-        job->queue = queues[FvSoak_Random(random, 4)];
+        job->queue = queue != NULL ? queue : queues[FvSoak_Random(random, 4)];
         job->state = SOAK_UNKNOWN;
     }
     pthread_mutex_unlock(&soak->lock);
     return job;
 }
 
-/* Fast jobs have one step, slow and long ones two. The second step of a long
- * job starts seconds after the job was accepted. */
-static void
-build_body(uint64_t *random, const soak_job_t *job, char *body, size_t size)
+/**
+ * FvSoakClients_BuildBody - build the submission of a job
+ * @random: state of the random numbers
+ * @job: the job
+ * @body: receives it
+ * @size: size of @body
+ *
+ * Fast jobs have one step, slow and long ones two. The second step of a long
+ * job starts seconds after the job was accepted.
+ */
+void
+FvSoakClients_BuildBody(uint64_t *random, const soak_job_t *job, char *body,
+                        size_t size)
 {
     bool is_long = strcmp(job->queue, "long") == 0;
     bool two_steps = is_long || strcmp(job->queue, "slow") == 0;
@@ -172,7 +202,7 @@
     char body[768];
     kept_answer_t answer;
 
-    build_body(&client->random, job, body, sizeof(body));
+    FvSoakClients_BuildBody(&client->random, job, body, sizeof(body));
     for (int i = 0; i < SOAK_SUBMIT_ATTEMPTS; i++) {
         int status =
             call_host(client, any_host(client), "POST", job, body, &answer);
@@ -188,13 +218,15 @@
     job->state = rejected ? SOAK_REFUSED : SOAK_UNKNOWN;
 }
 
-static void
-cancel(soak_client_t *client, soak_job_t *job)
+/**
+ * FvSoakClients_NoteCancelled - note the answer to a job's cancellation
+ * @job: the job
+ * @host: the host that answered
+ * @status: the answer; 0: none
+ */
+void
+FvSoakClients_NoteCancelled(soak_job_t *job, int host, int status)
 {
-    int host = any_host(client);
-    kept_answer_t answer;
-    int status = call_host(client, host, "DELETE", job, NULL, &answer);
-
     job->cancel_status = status;
     job->cancel_host = host;
     if (status == 200 || status == 410) {
@@ -206,6 +238,16 @@
     }
 }
 
+static void
+cancel(soak_client_t *client, soak_job_t *job)
+{
+    int host = any_host(client);
+    kept_answer_t answer;
+
+    FvSoakClients_NoteCancelled(
+        job, host, call_host(client, host, "DELETE", job, NULL, &answer));
+}
+
 static void
 note_wrong_answer(soak_t *soak, const soak_job_t *job, int host, int status,
                   const char *state)
@@ -268,7 +310,8 @@
 
     while (!atomic_load(&soak->finished)) {
         if (FvSoak_Random(&client->random, 2) == 0) {
-            soak_job_t *job = new_job(soak, &client->random);
+            soak_job_t *job =
+                FvSoakClients_NewJob(soak, &client->random, NULL);
 
             if (job == NULL) {
                 break;
@@ -342,6 +385,6 @@
     status = FvEntryCell_Call(
         &soak->cell, (int)FvSoak_Random(random, (uint32_t)soak->hosts), method,
         path, NULL, state, size);
-    count_reply(soak, status);
+    FvSoakClients_CountReply(soak, status);
     return status;
 }
--- a/tests/soak/soak-faults.c
+++ b/tests/soak/soak-faults.c
@@ -13,6 +13,7 @@
 #define SOAK_ACTIONS_MAX 512
 #define SOAK_POLL_MS 20
 #define SOAK_FIXED_WORKERS 3
+#define SOAK_STUTTER_MS 70
 #define SOAK_STOP_MAX_MS 90 /* below the stop timeout of the hosts, 100 ms */
 
 typedef enum soak_action_kind {
@@ -20,7 +21,8 @@
     SOAK_ACTION_SUSPEND,
     SOAK_ACTION_TERMINATE,
     SOAK_ACTION_KILL,
-    SOAK_ACTION_RELOAD
+    SOAK_ACTION_RELOAD,
+    SOAK_ACTION_STUTTER
 } soak_action_kind_t;
 
 /* A signal to a host that is due later. */
@@ -56,16 +58,31 @@
     }
 }
 
+/* Several timers of a process are due at one time when it goes on. Much
+ * shorter than what a request may take. */
+static void
+stutter(process_t *process)
+{
+    if (!FvProcess_HasExited(process)) {
+        FvProcess_Signal(process, SIGSTOP);
+        FvFake_SleepMs(SOAK_STUTTER_MS);
+        FvProcess_Signal(process, SIGCONT);
+    }
+}
+
 static void
 run_action(soak_t *soak, const soak_action_t *action, int64_t now_ms)
 {
-    static const char *const names[] = {"", "suspend", "terminate", "kill",
-                                        "reload"};
+    static const char *const names[] = {"",     "suspend", "terminate",
+                                        "kill", "reload",  "stutter"};
     soak_host_t *host = &soak->host[action->host];
     process_t *process = &soak->cell.hosts[action->host].process;
 
     pthread_mutex_lock(&soak->lock);
-    if (host->down || host->suspended) {
+    if (action->kind == SOAK_ACTION_STUTTER) {
+        stutter(process);
+    }
+    if (host->down || host->suspended || action->kind == SOAK_ACTION_STUTTER) {
         pthread_mutex_unlock(&soak->lock);
         return;
     }
@@ -87,6 +104,7 @@
         FvProcess_Signal(process, SIGKILL);
         break;
     case SOAK_ACTION_RELOAD:
+    case SOAK_ACTION_STUTTER:
     case SOAK_ACTION_NONE:
     default:
         FvProcess_Signal(process, SIGHUP);
@@ -176,6 +194,9 @@
     int leaving = choose_host(faults);
 
     plan(faults, SOAK_ACTION_TERMINATE, leaving, now_ms, 7000);
+    for (int64_t at_ms = 2200; at_ms < 5200; at_ms += 2 * SOAK_STUTTER_MS) {
+        plan(faults, SOAK_ACTION_STUTTER, leaving, now_ms + at_ms, 0);
+    }
     for (int i = 0; i < faults->soak->hosts; i++) {
         if (i != leaving && draw(faults, 4) != 0) {
             plan(faults, SOAK_ACTION_SUSPEND, i, now_ms + draw(faults, 600),
@@ -248,16 +269,12 @@
     }
 }
 
-/* A worker restarts at once, at times as another kind. Two of each kind stay,
- * so that every job can end. */
 static void
-restart_worker(soak_faults_t *faults, int64_t now_ms)
+restart_worker(soak_faults_t *faults, uint32_t worker)
 {
     soak_t *soak = faults->soak;
-    uint32_t worker = draw(faults, (uint32_t)soak->workers);
     char body[64];
 
-    (void)now_ms;
     if (soak->worker_recover_at_ms[worker] != 0) {
         return;
     }
@@ -272,6 +289,19 @@
     FvEntryCell_PlatformFault(&soak->cell, body);
 }
 
+/* Some workers restart at once, at times as another kind. The first ones keep
+ * theirs, so that every job can end. */
+static void
+restart_workers(soak_faults_t *faults, int64_t now_ms)
+{
+    uint32_t workers = (uint32_t)faults->soak->workers;
+
+    (void)now_ms;
+    for (uint32_t count = 1 + draw(faults, workers); count > 0; count--) {
+        restart_worker(faults, draw(faults, workers));
+    }
+}
+
 static void
 change_config(soak_faults_t *faults, int64_t now_ms)
 {
@@ -371,11 +401,20 @@
 void
 FvSoakFaults_Inject(soak_t *soak, int64_t duration_s)
 {
-    static void (*const injectors[])(soak_faults_t *, int64_t) = {
-        signal_one_host,   signal_one_host, signal_hosts_in_turn,
-        suspend_in_series, kill_many_hosts, terminate_beside_suspended,
-        disturb_store,     disturb_route,   crash_workers,
-        restart_worker,    change_config,   delay_stops};
+    static void (*const injectors[])(soak_faults_t *,
+                                     int64_t) = {signal_one_host,
+                                                 signal_one_host,
+                                                 signal_hosts_in_turn,
+                                                 suspend_in_series,
+                                                 kill_many_hosts,
+                                                 terminate_beside_suspended,
+                                                 disturb_store,
+                                                 disturb_route,
+                                                 crash_workers,
+                                                 restart_workers,
+                                                 change_config,
+                                                 delay_stops,
+                                                 terminate_beside_suspended};
     static soak_faults_t faults;
     int64_t end_ms = FvClock_NowMs() + duration_s * Fv_MS_PER_S;
     int64_t next_fault_ms = 0;
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -131,8 +131,10 @@
 run_load(soak_t *soak, int64_t duration_s)
 {
     pthread_t threads[SOAK_CLIENTS_MAX];
+    pthread_t probes[SOAK_PROBES];
 
-    if (!FvSoakClients_Start(soak, threads)) {
+    if (!FvSoakClients_Start(soak, threads) ||
+        !FvSoakProbes_Start(soak, probes)) {
         return false;
     }
     FvSoakFaults_Inject(soak, duration_s);
@@ -140,6 +142,9 @@
     for (int i = 0; i < soak->clients; i++) {
         pthread_join(threads[i], NULL);
     }
+    for (int i = 0; i < SOAK_PROBES; i++) {
+        pthread_join(probes[i], NULL);
+    }
     return check_outcome(soak);
 }
 
@@ -215,7 +220,7 @@
                 SOAK_CLIENTS_MAX);
         goto done;
     }
-    code = run(&soak, option(port, 0), option(duration_s, 20));
+    code = run(&soak, option(port, 0), option(duration_s, 60));
 done:
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return code;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -7,6 +7,7 @@
 #define SOAK_H
 
 #include "entry-cell.h"
+#include "kept-connection.h"
 
 #include <pthread.h>
 
@@ -67,9 +68,22 @@
 
 /* soak-clients.c */
 bool FvSoakClients_Start(soak_t *soak, pthread_t *threads);
+void FvSoakClients_CountReply(soak_t *soak, int status);
+void FvSoakClients_CheckLoss(soak_t *soak, int host, int64_t opened_ms,
+                             int64_t sent_ms, kept_outcome_t outcome,
+                             const char *request);
+soak_job_t *FvSoakClients_NewJob(soak_t *soak, uint64_t *random,
+                                 const char *queue);
+void FvSoakClients_BuildBody(uint64_t *random, const soak_job_t *job,
+                             char *body, size_t size);
+void FvSoakClients_NoteCancelled(soak_job_t *job, int host, int status);
 int FvSoakClients_Call(soak_t *soak, uint64_t *random, const char *method,
                        const soak_job_t *job, char *state, size_t size);
 
+/* soak-probes.c */
+#define SOAK_PROBES 2
+bool FvSoakProbes_Start(soak_t *soak, pthread_t *threads);
+
 /* soak-faults.c */
 void FvSoakFaults_Inject(soak_t *soak, int64_t duration_s);
 void FvSoakFaults_ClearDue(soak_t *soak, int64_t now_ms);
