leader: log how many renewals are sent and which reports are left out

cell_load renewals= tells a peer that sets the pace of the calls; the new event report_overtaken tells a worker that is not heard from one that is silent.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -275,30 +275,31 @@
     FvSched_GetLoad(&leader->sched, now_ms, &load);
     FvSched_LogIncompleteGangs(&leader->sched, now_ms);
     FvSched_LogWaitingStages(&leader->sched, now_ms);
-    FvLog_Event(Fv_LOG_INFO, "cell_load",
-                "workers=%u usable=%u cpu_used=%" PRId64 " cpu=%" PRId64
-                " memory_used=%" PRId64 " memory=%" PRId64
-                " stages_waiting=%u late=%u tasks_waiting=%u asks=%u "
-                "records=%u lag_ms=%" PRId64 " passes=%" PRId64
-                " registry_age_ms=%" PRId64 " answer_ms=%.0f limit_ms=%" PRId64
-                " connections=%u call_waits=%" PRIu64 " not_sent=%" PRIu64
-                " resets=%" PRIu64,
-                load.workers, load.usable, load.used_cpu_millis,
-                load.cpu_millis, load.used_memory_mib, load.memory_mib,
-                load.stages_waiting, load.stages_late, load.tasks_waiting,
-                advice_requests, FvRecordWriter_Backlog(leader->records),
-                leader->max_tick_lag_ms, leader->passes,
-                leader->registry_watch != NULL
-                    ? FvKvClient_WatchAgeMs(leader->registry_watch, now_ms)
-                    : 0,
-                leader->answer_time.mean_ms,
-                FvAnswerTime_LimitMs(&leader->answer_time),
-                FvCallPool_Open(leader->pool),
-                FvMetrics_Get(Fv_COUNTER_CALL_WAITS),
-                FvMetrics_Get(Fv_COUNTER_CALLS_NOT_SENT),
-                FvMetrics_Get(Fv_COUNTER_CONNECTIONS_RESET));
+    FvLog_Event(
+        Fv_LOG_INFO, "cell_load",
+        "workers=%u usable=%u cpu_used=%" PRId64 " cpu=%" PRId64
+        " memory_used=%" PRId64 " memory=%" PRId64
+        " stages_waiting=%u late=%u tasks_waiting=%u asks=%u "
+        "records=%u lag_ms=%" PRId64 " passes=%" PRId64 " renewals=%" PRId64
+        " registry_age_ms=%" PRId64 " answer_ms=%.0f limit_ms=%" PRId64
+        " connections=%u call_waits=%" PRIu64 " not_sent=%" PRIu64
+        " resets=%" PRIu64,
+        load.workers, load.usable, load.used_cpu_millis, load.cpu_millis,
+        load.used_memory_mib, load.memory_mib, load.stages_waiting,
+        load.stages_late, load.tasks_waiting, advice_requests,
+        FvRecordWriter_Backlog(leader->records), leader->max_tick_lag_ms,
+        leader->passes, leader->renewals,
+        leader->registry_watch != NULL
+            ? FvKvClient_WatchAgeMs(leader->registry_watch, now_ms)
+            : 0,
+        leader->answer_time.mean_ms,
+        FvAnswerTime_LimitMs(&leader->answer_time),
+        FvCallPool_Open(leader->pool), FvMetrics_Get(Fv_COUNTER_CALL_WAITS),
+        FvMetrics_Get(Fv_COUNTER_CALLS_NOT_SENT),
+        FvMetrics_Get(Fv_COUNTER_CONNECTIONS_RESET));
     leader->max_tick_lag_ms = 0;
     leader->passes = 0;
+    leader->renewals = 0;
 }
 
 /* A late tick indicates a busy processor. */
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -165,6 +165,7 @@
     int64_t last_tick_ms;
     int64_t max_tick_lag_ms; /* since the latest cell_load event */
     int64_t passes;          /* since the latest cell_load event */
+    int64_t renewals;        /* the same */
 };
 
 /* cell-leader.c */
--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -433,6 +433,7 @@
     }
     session->pending_calls++;
     leader->pending_calls++;
+    leader->renewals++;
     FvPlatform_RenewRuns(&call, worker->entry.id, leader->epoch,
                          renewal->acknowledged_end, lease_end_worker_ms,
                          wait_ms);
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -455,6 +455,10 @@
     bool all_ends_listed;
 
     if (report->started_wall_ms < worker->started_wall_ms) {
+        FvLog_Event(Fv_LOG_INFO, "report_overtaken",
+                    "worker=%s born=%" PRId64 " known=%" PRId64,
+                    worker->entry.id, report->started_wall_ms,
+                    worker->started_wall_ms);
         return; /* overtaken by one of a later incarnation */
     }
     if (report->started_wall_ms > worker->started_wall_ms) {
