leader: record the ends of a worker's first report after its restart

Callers saw a worker that got no more work after it had restarted under its id, and inherited tasks that were held for good. Whether a report brought ends to record was decided by comparing the number of its last end with the one before the report, which may be that of the earlier incarnation. Ends of the new one with lower numbers were never recorded nor acknowledged, so that the worker never counted as known in full, and it was polled without a pause. The same comparison was left out when the worker restarted while ends were written.

Both places now compare with what is recorded of this incarnation.

--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -245,6 +245,14 @@
 
 static void record_ends(fv_worker_session_t *session);
 
+/* A restart of the worker also restarts its numbering, so that numbers from
+ * before a report can't tell whether it brought ends. */
+static bool
+has_unrecorded_ends(const fv_sched_worker_t *worker)
+{
+    return worker->last_end_applied > worker->last_end_recorded;
+}
+
 static void
 ends_recorded(void *context)
 {
@@ -257,12 +265,13 @@
         return;
     }
     if (session->recording_started_wall_ms ==
-            session->worker->started_wall_ms &&
-        FvSched_EndsRecorded(session->worker, session->recording_end)) {
+        session->worker->started_wall_ms) {
+        FvSched_EndsRecorded(session->worker, session->recording_end);
+    }
+    if (has_unrecorded_ends(session->worker)) {
         record_ends(session);
-        return;
     }
-    if (!session->long_poll_pending) {
+    else if (!session->long_poll_pending) {
         FvLeaderWorker_RenewLease(session, true);
     }
 }
@@ -286,7 +295,6 @@
     fv_worker_report_t report;
     int64_t clock_ms;
     fv_order_result_t result = FvPlatform_DecodeOrderResult(answer, &clock_ms);
-    int64_t previous_end = session->worker->last_end_applied;
 
     if (result == Fv_ORDER_FENCED) {
         leader->events.deposed(leader->events.context, "fenced_by_worker");
@@ -314,8 +322,7 @@
     if (result == Fv_ORDER_DONE) {
         FvWorkerReport_Clear(&report);
     }
-    if (session->worker->last_end_applied > previous_end &&
-        !session->recording) {
+    if (has_unrecorded_ends(session->worker) && !session->recording) {
         record_ends(session);
     }
 }
