leader: send each acknowledgement of ends in one call at a time

A worker restarted under its id; a start on its way was carried out by the new incarnation and ended there as end 1; a renewal with the number of the earlier incarnation's last end made it drop that end unread, and the task started again. An acknowledgement goes out in a long poll that may wait 2 s, and all other renewals repeated it meanwhile, as did the retry after the long poll went unanswered.

A call now carries the number only if no other call with one is in progress and the worker answered the latest call, so that after a reset or a silence its first report comes before any acknowledgement.

Not covered: a first copy that is itself carried out by the next incarnation.

--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -83,6 +83,7 @@
     uint32_t pending_calls;
     bool long_poll_pending;
     bool report_pending;
+    bool acknowledging;    /* a call in progress acknowledges ends */
     bool retried;          /* at once, after the first missed report */
     bool recording;        /* latest ends are being recorded */
     int64_t recording_end; /* highest end number being recorded */
--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -340,6 +340,9 @@
         FvLeaderWorker_ReleaseSession(session);
         return;
     }
+    if (renewal.acknowledged_end != 0) {
+        session->acknowledging = false;
+    }
     if (renewal.wait) {
         session->long_poll_pending = false;
     }
@@ -425,13 +428,18 @@
             wait_ms = fast_poll_wait_ms(leader);
         }
     }
-    *renewal =
-        (fv_renewal_t){.session = session,
-                       .sent_ms = now_ms,
-                       .acknowledged_end = FvSched_EndToAcknowledge(worker),
-                       .started_wall_ms = worker->started_wall_ms,
-                       .wait = wait};
+    *renewal = (fv_renewal_t){
+        .session = session,
+        .sent_ms = now_ms,
+        .acknowledged_end = session->acknowledging
+                                ? 0 /* a copy may reach a later incarnation */
+                                : FvSched_EndToAcknowledge(worker),
+        .started_wall_ms = worker->started_wall_ms,
+        .wait = wait};
     session->sent_ms = now_ms;
+    if (renewal->acknowledged_end != 0) {
+        session->acknowledging = true;
+    }
     if (wait) {
         session->long_poll_pending = true;
     }
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -546,16 +546,17 @@
  * FvSched_EndToAcknowledge - which ends a worker may drop
  * @worker: the worker
  *
- * A call that is carried out late makes the next incarnation drop ends of its
- * own, so that no call carries a number without need.
+ * A call that the next incarnation carries out makes it drop ends of its own,
+ * so that no call carries a number without need.
  *
  * Return: the number of the latest recorded end; 0 when the worker has dropped
- * it, and while a later incarnation may answer.
+ * it, and while a later incarnation may answer: after a sign of a restart, or
+ * when a call was not answered.
  */
 int64_t
 FvSched_EndToAcknowledge(const fv_sched_worker_t *worker)
 {
-    return worker->clock_known &&
+    return worker->clock_known && !worker->suspect &&
                    worker->last_end_recorded > worker->last_end_acknowledged
                ? worker->last_end_recorded
                : 0;
--- a/tests/promises/entry_restart_ends.c
+++ b/tests/promises/entry_restart_ends.c
@@ -1,7 +1,8 @@
 /*
  * Guards against what goes wrong when a worker restarts under its id while a
  * start is on its way, which is repeated at the new incarnation and ends
- * before that has reported: an end that is never acknowledged.
+ * before that has reported: an acknowledgement of the earlier incarnation that
+ * drops the end, and an end that is never acknowledged.
  */
 
 #include "entry-cell.h"
@@ -73,6 +74,21 @@
     return works;
 }
 
+static void
+test_end_is_dropped(void)
+{
+    json_t *report;
+
+    restart_worker("entry-restart-twice");
+    report = FvEntryCell_Report(&cell);
+    CU_ASSERT_EQUAL(FvJson_Int(report, "violations", -1), 0);
+    if (FvJson_Int(report, "violations", -1) != 0) {
+        printf("\n    first: %s ", FvJson_String(report, "first"));
+    }
+    json_decref(report);
+    FvEntryCell_Stop(&cell);
+}
+
 static void
 test_end_is_never_acknowledged(void)
 {
@@ -170,6 +186,9 @@
 main(void)
 {
     static const test_case_t cases[] = {
+        {"a task starts again whose end the new incarnation has dropped for "
+         "an acknowledgement of the earlier one",
+         test_end_is_dropped},
         {"a restarted worker whose first report lists ends gets no more work",
          test_end_is_never_acknowledged},
         {"a restarted worker whose first report lists ends holds up the tasks "
