leader: let no peer set the pace of its renewals

A renewal followed every answer of status 200 at once. An entry of another writer with the address of something that answers 200, a worker whose report has one row that can't be read, one that does not wait for the end of a run, and one that can't be synced were called as fast as they answered, with a warning in the log for each report that can't be read.

A renewal now follows at once only a report that was applied, and only if the worker took its time or the next call lets it. Ends that were recorded still lead to the next renewal at once. Else it follows 0.1 s after the one before, or 0.3 s if the worker counts as silent.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -163,12 +163,18 @@
 static int64_t
 renewal_interval_ms(const fv_leader_t *leader, const fv_sched_worker_t *worker)
 {
-    if (worker->suspect || !worker->synced) {
+    const fv_worker_session_t *session = worker->leader_session;
+
+    if (worker->suspect) {
         return Fv_SILENT_RETRY_MS;
     }
-    return FvCallPool_MayLongPoll(leader->pool, worker->entry.address)
-               ? Fv_RENEW_INTERVAL_MS
-               : Fv_NO_POLL_INTERVAL_MS;
+    if (!FvCallPool_MayLongPoll(leader->pool, worker->entry.address)) {
+        return Fv_NO_POLL_INTERVAL_MS;
+    }
+    if (session->paused && !session->recording) {
+        return Fv_RENEWAL_PAUSE_MS;
+    }
+    return worker->synced ? Fv_RENEW_INTERVAL_MS : Fv_SILENT_RETRY_MS;
 }
 
 /**
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -18,6 +18,10 @@
  * a caller repeats a request only a few times. */
 #define Fv_STORE_RETRY_AFTER_S "2"
 
+/* A worker sets the pace of its renewals by its wait for the end of a run. One
+ * that answers earlier is renewed after this pause. */
+#define Fv_RENEWAL_PAUSE_MS 100
+
 /* A caller whose reply waits for a record of the job. */
 typedef struct fv_record_waiter {
     int64_t id;
@@ -84,6 +88,7 @@
     bool long_poll_pending;
     bool report_pending;
     bool acknowledging;    /* a call in progress acknowledges ends */
+    bool paused;           /* the next renewal must not follow at once */
     bool retried;          /* at once, after the first missed report */
     bool recording;        /* latest ends are being recorded */
     int64_t recording_end; /* highest end number being recorded */
--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -229,6 +229,7 @@
     int64_t acknowledged_end;
     int64_t started_wall_ms; /* incarnation that the call is meant for */
     bool wait;
+    int32_t wait_ms; /* that the worker may delay its answer */
 } fv_renewal_t;
 
 /**
@@ -287,22 +288,24 @@
                                  session);
 }
 
-static void
+/* Returns false when there is no report, or one that came too late. */
+static bool
 apply_report(const fv_renewal_t *renewal, const fv_call_answer_t *answer)
 {
     fv_worker_session_t *session = renewal->session;
     fv_leader_t *leader = session->leader;
     fv_worker_report_t report;
     int64_t clock_ms;
+    bool applied = false;
     fv_order_result_t result = FvPlatform_DecodeOrderResult(answer, &clock_ms);
 
     if (result == Fv_ORDER_FENCED) {
         leader->events.deposed(leader->events.context, "fenced_by_worker");
-        return;
+        return false;
     }
     if (result == Fv_ORDER_DONE && FvPlatform_DecodeReport(answer, &report)) {
-        FvSched_ApplyReport(&leader->sched, session->worker, &report,
-                            renewal->sent_ms, FvClock_NowMs());
+        applied = FvSched_ApplyReport(&leader->sched, session->worker, &report,
+                                      renewal->sent_ms, FvClock_NowMs());
         if (report.started_wall_ms == renewal->started_wall_ms &&
             report.started_wall_ms == session->worker->started_wall_ms) {
             FvSched_EndsAcknowledged(session->worker,
@@ -325,6 +328,19 @@
     if (has_unrecorded_ends(session->worker) && !session->recording) {
         record_ends(session);
     }
+    return applied;
+}
+
+/* Whether the next renewal may follow an answer at once. Otherwise a worker
+ * that does not wait would be called again and again. */
+static bool
+may_renew_at_once(const fv_renewal_t *renewal, bool applied)
+{
+    bool next_may_wait =
+        renewal->session->worker->synced && renewal->wait_ms == 0;
+
+    return applied && (next_may_wait || FvClock_NowMs() - renewal->sent_ms >=
+                                            Fv_RENEWAL_PAUSE_MS);
 }
 
 static void
@@ -333,6 +349,7 @@
     fv_renewal_t renewal = *(fv_renewal_t *)context;
     fv_worker_session_t *session = renewal.session;
     fv_leader_t *leader = session->leader;
+    bool applied;
 
     free(context);
     session->pending_calls--;
@@ -353,13 +370,14 @@
         FvLeaderWorker_ReleaseSession(session);
         return;
     }
-    apply_report(&renewal, answer);
+    applied = apply_report(&renewal, answer);
     if (leader->closed || session->worker == NULL) {
         return; /* the answer deposed this leader */
     }
+    session->paused = !may_renew_at_once(&renewal, applied);
     /* The tick renews the lease of a worker without a connection to spare. */
     if (!session->long_poll_pending && !session->recording &&
-        answer->status == 200 &&
+        !session->paused &&
         FvCallPool_MayLongPoll(leader->pool, session->worker->entry.address)) {
         FvLeaderWorker_RenewLease(session, true);
     }
@@ -435,7 +453,8 @@
                                 ? 0 /* a copy may reach a later incarnation */
                                 : FvSched_EndToAcknowledge(worker),
         .started_wall_ms = worker->started_wall_ms,
-        .wait = wait};
+        .wait = wait,
+        .wait_ms = wait_ms};
     session->sent_ms = now_ms;
     if (renewal->acknowledged_end != 0) {
         session->acknowledging = true;
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -445,8 +445,10 @@
  * @report: the report
  * @sent_ms: when the report was requested
  * @now_ms: the time
+ *
+ * Return: false when the report was left out.
  */
-void
+bool
 FvSched_ApplyReport(fv_sched_t *sched, fv_sched_worker_t *worker,
                     const fv_worker_report_t *report, int64_t sent_ms,
                     int64_t now_ms)
@@ -459,14 +461,14 @@
                     "worker=%s born=%" PRId64 " known=%" PRId64,
                     worker->entry.id, report->started_wall_ms,
                     worker->started_wall_ms);
-        return; /* overtaken by one of a later incarnation */
+        return false; /* overtaken by one of a later incarnation */
     }
     if (report->started_wall_ms > worker->started_wall_ms) {
         FvSched_BeginIncarnation(sched, worker, report->started_wall_ms);
     }
     changed = calloc((size_t)report->ended_count + 1, sizeof(*changed));
     if (changed == NULL) {
-        return;
+        return false;
     }
     if (worker->suspect || worker->lost) {
         FvLog_Event(Fv_LOG_INFO, "worker_back", "worker=%s silent_ms=%" PRId64,
@@ -514,6 +516,7 @@
     }
     sched->dirty = true;
     free(changed);
+    return true;
 }
 
 /**
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -412,7 +412,7 @@
                               int64_t started_wall_ms);
 
 /* sched-report.c */
-void FvSched_ApplyReport(fv_sched_t *sched, fv_sched_worker_t *worker,
+bool FvSched_ApplyReport(fv_sched_t *sched, fv_sched_worker_t *worker,
                          const fv_worker_report_t *report, int64_t sent_ms,
                          int64_t now_ms);
 void FvSched_ReportUnanswered(fv_sched_t *sched, fv_sched_worker_t *worker,
--- a/tests/fakes/fake-cell.c
+++ b/tests/fakes/fake-cell.c
@@ -104,6 +104,7 @@
     cell_worker_t *crashed = find_worker(cell, body, "crash");
     cell_worker_t *restarted = find_worker(cell, body, "restart");
     cell_worker_t *silent = find_worker(cell, body, "silent");
+    cell_worker_t *hasty = find_worker(cell, body, "hasty");
     const char *entry = FvJson_String(body, "entry");
     int64_t config_version = FvJson_Int(body, "config", 0);
 
@@ -125,6 +126,9 @@
     if (silent != NULL) {
         silent->silent = true;
     }
+    if (hasty != NULL) {
+        hasty->hasty = true;
+    }
     if (entry != NULL) {
         write_foreign_entry(cell, entry, FvJson_String(body, "value"));
     }
@@ -165,6 +169,7 @@
     else if (FvFake_RequestIs(request, "GET", "/report")) {
         json_t *started = json_object();
         json_t *worker_starts = json_array();
+        json_t *worker_renewals = json_array();
         cell_task_t *task;
         cell_task_t *next;
 
@@ -181,14 +186,17 @@
         for (uint32_t i = 0; i < cell->worker_count; i++) {
             json_array_append_new(worker_starts,
                                   json_integer(cell->workers[i].starts));
+            json_array_append_new(worker_renewals,
+                                  json_integer(cell->workers[i].renewals));
         }
-        reply = json_pack(
-            "{s:i, s:i, s:i, s:s, s:o, s:o, s:i, s:o}", "violations",
-            (int)cell->violations, "starts", (int)cell->starts, "stops",
-            (int)cell->stops, "first", cell->first_violation, "started",
-            started, "worker_starts", worker_starts, "wrong_instance_calls",
-            (int)cell->wrong_instance_calls, "connections",
-            connections_json(cell));
+        reply = json_pack("{s:i, s:i, s:i, s:s, s:o, s:o, s:o, s:i, s:o}",
+                          "violations", (int)cell->violations, "starts",
+                          (int)cell->starts, "stops", (int)cell->stops,
+                          "first", cell->first_violation, "started", started,
+                          "worker_starts", worker_starts, "worker_renewals",
+                          worker_renewals, "wrong_instance_calls",
+                          (int)cell->wrong_instance_calls, "connections",
+                          connections_json(cell));
     }
     pthread_mutex_unlock(&cell->lock);
     json_decref(body);
--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -393,7 +393,8 @@
         int64_t now_ms = FvClock_NowMs();
 
         end_due_runs(cell, worker, now_ms);
-        if (worker->ends != NULL || now_ms >= until_ms) {
+        if (worker->ends != NULL || now_ms >= until_ms || worker->hasty) {
+            worker->renewals++;
             reply = report_json(cell, worker, now_ms);
             break;
         }
--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -83,7 +83,9 @@
     char kind[16]; /* its first label */
     bool down;
     bool silent; /* writes no heartbeats */
+    bool hasty;  /* answers renewals without the wait that they allow */
     uint32_t starts;
+    uint32_t renewals; /* answered */
     int64_t started_wall_ms;
     int64_t fencing_token;
     int64_t lease_end_ms;
