scheduler: count a lease by an earlier clock from the first report on

A worker that fell silent between its first report after a restart and the next renewal was taken for expired after the usual lease, while an order with a deadline by its earlier clock could have granted the longest one. The wait also began with the new incarnation, although deadlines by the earlier clock are sent until the restart is noticed.

The end of such leases is now part of the lease from the report on. It counts from the last deadline that this leader sent; orders of earlier leaders are refused from the first answer on.

sched_lease_test on the code before:

a lease by the clock of an earlier incarnation is forgotten without a renewal ...FAILED sched_lease_test.c:58 - worker->lease_expires_ms > fixture.now_ms + ... sched_lease_test.c:61 - CU_ASSERT_EQUAL(task->state,Fv_SCHED_RUNNING) a deadline that was sent after a restart outlasts its tasks ...FAILED sched_lease_test.c:83 - CU_ASSERT_EQUAL(task->state,Fv_SCHED_RUNNING)

--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -13,6 +13,10 @@
 #define Fv_CLOCK_DRIFT_PERCENT 3
 #define Fv_ORDER_TRANSIT_MS 250
 
+/* A leader notices the restart of a worker within the longest wait for its
+ * report. */
+#define Fv_RESTART_NOTICED_MS 3000
+
 /* After this many consecutive failures of different jobs a worker is
  * quarantined. */
 #define Fv_CONSECUTIVE_FAILURES_MAX 2
@@ -653,17 +657,35 @@
  * @now_ms: the time
  *
  * Such a deadline is far ahead by the new clock, and grants the longest lease
- * at the time at which its order is carried out.
+ * at the time at which its order is carried out. Orders of earlier leaders are
+ * refused from now on.
  */
 void
 FvSched_OutlastEarlierLeases(const fv_sched_t *sched,
                              fv_sched_worker_t *worker, int64_t clock_ms,
                              int64_t now_ms)
 {
-    if (worker->restarted || sched->run_base > 0) {
-        worker->earlier_leases_end_ms = now_ms - clock_ms +
-                                        Fv_ORDER_DELAY_MAX_MS +
-                                        worst_case_ms(sched->lease_max_ms);
+    int64_t restarted_ms = now_ms - clock_ms;
+    int64_t executed_by_ms =
+        restarted_ms + Fv_RESTART_NOTICED_MS + Fv_ORDER_DELAY_MAX_MS;
+    int64_t own_sent_ms = worker->deadline_sent_ms > restarted_ms
+                              ? worker->deadline_sent_ms
+                              : restarted_ms;
+    int64_t end_ms;
+
+    if (!worker->restarted && sched->run_base == 0) {
+        return;
+    }
+    if (executed_by_ms > now_ms) {
+        executed_by_ms = now_ms;
+    }
+    if (worker->restarted &&
+        own_sent_ms + Fv_ORDER_DELAY_MAX_MS > executed_by_ms) {
+        executed_by_ms = own_sent_ms + Fv_ORDER_DELAY_MAX_MS;
+    }
+    end_ms = executed_by_ms + worst_case_ms(sched->lease_max_ms);
+    if (end_ms > worker->lease_expires_ms) {
+        worker->lease_expires_ms = end_ms;
     }
 }
 
@@ -684,12 +706,14 @@
 FvSched_ExtendLease(const fv_sched_t *sched, fv_sched_worker_t *worker,
                     int64_t now_ms)
 {
+    int64_t expires_ms = now_ms + FvSched_WorstCaseLeaseMs(sched);
+
     if (!worker->clock_known || worker->suspect || worker->unreached) {
         return 0;
     }
-    worker->lease_expires_ms = now_ms + FvSched_WorstCaseLeaseMs(sched);
-    if (worker->lease_expires_ms < worker->earlier_leases_end_ms) {
-        worker->lease_expires_ms = worker->earlier_leases_end_ms;
+    worker->deadline_sent_ms = now_ms;
+    if (expires_ms > worker->lease_expires_ms) {
+        worker->lease_expires_ms = expires_ms;
     }
     return worker->clock_ms + (now_ms - worker->clock_sampled_ms) +
            sched->lease_ms;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -199,8 +199,7 @@
     int64_t clock_ms;         /* the worker's clock at its last report */
     int64_t clock_sampled_ms; /* this host's clock at the same time */
     int64_t lease_expires_ms; /* nothing runs afterwards without contact */
-    /* Leases by the clock of an earlier incarnation have expired by then. */
-    int64_t earlier_leases_end_ms;
+    int64_t deadline_sent_ms; /* latest extension of its lease */
     int64_t last_contact_ms;
     int64_t report_due_ms;         /* when to request a report; 0: not due */
     int64_t last_end_applied;      /* highest number of an applied end */
--- /dev/null
+++ b/tests/unit/sched_lease_test.c
@@ -0,0 +1,99 @@
+/*
+ * Leases by the clock of an earlier incarnation of a worker, which last longer
+ * than those that a leader grants.
+ */
+
+#include "sched-fixture.h"
+#include "suite.h"
+
+#define JOB "00000000000000aa"
+#define LONGEST_LEASE_MS (Fv_FIXTURE_LEASE_MS + 1000)
+
+static const char job[] =
+    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1000,"
+    "\"memMb\":10,\"estimatedMs\":1000}]}";
+static sched_fixture_t fixture;
+
+/* Applies a report of an incarnation that started 500 ms ago. */
+static void
+report_restart(fv_sched_worker_t *worker, const fv_sched_task_t *task)
+{
+    fv_running_row_t row = {.task_id = JOB ".0.0.0", .run = task->run};
+    fv_worker_report_t report = {.clock_ms = 500,
+                                 .started_wall_ms = 2,
+                                 .running = &row,
+                                 .running_count = 1};
+
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms,
+                        fixture.now_ms);
+    CU_ASSERT_EQUAL(task->state, Fv_SCHED_RUNNING);
+}
+
+static fv_sched_task_t *
+open_with_start(void)
+{
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_task_t *task;
+
+    FvSchedFixture_Open(&fixture, 1);
+    FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    FvSchedFixture_AddJob(&fixture, JOB, &queue, job);
+    FvSchedFixture_RunPass(&fixture);
+    task = FvSched_FindTask(&fixture.sched, JOB ".0.0.0");
+    CU_ASSERT_FATAL(task != NULL && task->worker != NULL);
+    return task;
+}
+
+/* As in sched_report_test, "a lease by the clock before a worker's restart",
+ * but the worker falls silent, or is in the list of unreached workers, before
+ * the leader renews its lease for the first time after the restart. */
+static void
+test_silence_before_first_renewal(void)
+{
+    fv_sched_task_t *task = open_with_start();
+    fv_sched_worker_t *worker = task->worker;
+
+    fixture.now_ms += 500;
+    report_restart(worker, task);
+    CU_ASSERT(worker->lease_expires_ms > fixture.now_ms + LONGEST_LEASE_MS);
+    fixture.now_ms += LONGEST_LEASE_MS;
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_EQUAL(task->state, Fv_SCHED_RUNNING);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* A restart is noticed after deadlines by the earlier clock have been sent to
+ * the new incarnation. Each may be carried out late. */
+static void
+test_deadline_sent_after_restart(void)
+{
+    fv_sched_task_t *task = open_with_start();
+    fv_sched_worker_t *worker = task->worker;
+    int64_t sent_ms;
+
+    fixture.now_ms += 2000;
+    CU_ASSERT(FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms) > 0);
+    sent_ms = fixture.now_ms;
+    fixture.now_ms += 100;
+    report_restart(worker, task);
+    /* The longest lease on a clock that is 2 % slow. */
+    fixture.now_ms =
+        sent_ms + Fv_ORDER_DELAY_MAX_MS + 2 * Fv_FIXTURE_LEASE_MS * 102 / 100;
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_EQUAL(task->state, Fv_SCHED_RUNNING);
+    FvSchedFixture_Close(&fixture);
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"a lease by the clock of an earlier incarnation is forgotten without "
+         "a renewal",
+         test_silence_before_first_renewal},
+        {"a deadline that was sent after a restart outlasts its tasks",
+         test_deadline_sent_after_restart},
+    };
+
+    return Fv_RUN_SUITE("sched_lease", cases);
+}
