leader: enter workers in the list of unreached ones without harm

Callers saw runs start again: a worker that had been silent for a second was in the list of unreached workers, was reached again and got no lease, since the store was away and could not take it off; its runs lapsed.

A worker is now entered only when it has no runs to lose by the leader's reckoning, or when it refuses connections or has left the registry. The leases move to sched-lease.c.

--- a/src/call.c
+++ b/src/call.c
@@ -12,6 +12,8 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
+#include <event2/util.h>
+#include <errno.h>
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
@@ -40,6 +42,7 @@
 {
     fv_pending_call_t *pending = context;
     fv_call_answer_t none = {.not_sent = pending->not_sent,
+                             .refused = pending->refused,
                              .waited_ms = pending->waited_ms};
 
     (void)fd;
@@ -131,11 +134,15 @@
         answer.length = evbuffer_get_length(body);
         answer.body = (const char *)evbuffer_pullup(body, -1);
     }
+    pending->refused = answer.status == 0 && !slot->written &&
+                       !has_timed_out(pending) &&
+                       EVUTIL_SOCKET_ERROR() != ECONNRESET;
     if (pending->sending) {
         pending->failed = true;
         return;
     }
     answer.not_sent = answer.status == 0 && !slot->written;
+    answer.refused = pending->refused;
     FvCallConnection_Release(slot, answer.status != 0, has_timed_out(pending));
     pool->in_callback = slot;
     pending->done(pending->context, &answer);
--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -112,15 +112,23 @@
                : latest_ms;
 }
 
-/* Tasks that an earlier leader may have started are held until every worker
- * that it gave orders to has reported, or all leases that it granted have
- * expired. */
-static void
-release_inherited_tasks(fv_leader_t *leader, int64_t now_ms)
+/**
+ * FvLeader_HaveEarlierStopped - whether earlier leaders grant no more leases
+ * @leader: the leader
+ * @now_ms: the time
+ *
+ * Return: true when all have certainly stopped.
+ */
+bool
+FvLeader_HaveEarlierStopped(const fv_leader_t *leader, int64_t now_ms)
 {
-    bool leases_expired;
+    return now_ms >= earlier_leaders_stopped_ms(leader);
+}
 
-    if (!leader->sched.hold_inherited_tasks) {
+static void
+note_stopped_leaders(fv_leader_t *leader, int64_t now_ms)
+{
+    if (FvLeader_HaveEarlierStopped(leader, now_ms)) {
         return;
     }
     if (leader->predecessor_stopped_ms == 0 &&
@@ -128,10 +136,22 @@
                                  leader->predecessor.host)) {
         leader->predecessor_stopped_ms = now_ms;
     }
-    if (leader->all_stopped_ms == 0 &&
-        leader->events.are_all_linked(leader->events.context)) {
+    if (leader->events.are_all_linked(leader->events.context)) {
         leader->all_stopped_ms = now_ms;
     }
+}
+
+/* Tasks that an earlier leader may have started are held until every worker
+ * that it gave orders to has reported, or all leases that it granted have
+ * expired. */
+static void
+release_inherited_tasks(fv_leader_t *leader, int64_t now_ms)
+{
+    bool leases_expired;
+
+    if (!leader->sched.hold_inherited_tasks) {
+        return;
+    }
     leases_expired = now_ms >= earlier_leaders_stopped_ms(leader) +
                                    FvSched_WorstCaseLeaseMs(&leader->sched);
     FvLeaderUnreached_NoteExpired(leader, now_ms);
@@ -338,6 +358,7 @@
     if (!leader->serving) {
         return;
     }
+    note_stopped_leaders(leader, now_ms);
     release_inherited_tasks(leader, now_ms);
     for (worker = leader->sched.workers; worker != NULL;
          worker = next_worker) {
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -179,6 +179,7 @@
 bool FvLeader_FinishCall(fv_leader_t *leader);
 fv_leader_t *FvLeader_FromSched(fv_sched_t *sched);
 
+bool FvLeader_HaveEarlierStopped(const fv_leader_t *leader, int64_t now_ms);
 bool FvLeader_IsWorkerGone(const fv_leader_t *leader,
                            const fv_sched_worker_t *worker, int64_t now_ms);
 
--- a/src/leader-unreached.c
+++ b/src/leader-unreached.c
@@ -4,8 +4,13 @@
  * have ended, although the worker does not report.
  *
  * An entry holds from its first write to its removal, whoever leads: a leader
- * adds a worker only when no earlier one can grant it a lease, and grants none
- * to a worker that the stored list may have.
+ * adds a worker when all earlier ones have stopped and no lease longer than
+ * the usual one is left, and grants none to a worker that the stored list may
+ * have.
+ *
+ * A worker that is reached again gets no lease until the store has taken it
+ * off the list. It is therefore added only when it has no runs to lose, or
+ * when no process listens at its address or it has left the registry.
  */
 
 #include "cell-leader.h"
@@ -25,12 +30,23 @@
     return worker->last_contact_ms != 0 && !worker->suspect;
 }
 
+static bool
+has_runs_to_lose(const fv_sched_worker_t *worker, int64_t now_ms)
+{
+    return worker->listed && !worker->refused &&
+           worker->lease_expires_ms >= now_ms;
+}
+
 static bool
 may_add(const fv_leader_t *leader, const fv_sched_worker_t *worker,
         int64_t now_ms)
 {
     return !worker->unreached && worker->suspect && worker->in_worker_list &&
            now_ms - worker->suspect_since_ms >= Fv_UNREACHED_AFTER_MS &&
+           !has_runs_to_lose(worker, now_ms) &&
+           worker->lease_expires_ms <=
+               now_ms + FvSched_WorstCaseLeaseMs(&leader->sched) &&
+           FvLeader_HaveEarlierStopped(leader, now_ms) &&
            (worker->last_contact_ms != 0 ||
             !leader->sched.hold_inherited_tasks) &&
            !FvLeader_IsWorkerGone(leader, worker, now_ms);
--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -299,6 +299,7 @@
     bool applied = false;
     fv_order_result_t result = FvPlatform_DecodeOrderResult(answer, &clock_ms);
 
+    session->worker->refused = answer->refused;
     if (result == Fv_ORDER_FENCED) {
         leader->events.deposed(leader->events.context, "fenced_by_worker");
         return false;
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -597,34 +597,3 @@
     }
     return worker->last_end_applied > worker->last_end_recorded;
 }
-
-/**
- * FvSched_KnowsInheritedRuns - check whether all runs of earlier leaders are
- * known or have ended
- * @sched: the scheduler
- * @leases_expired: whether the leases that earlier leaders granted have
- * expired
- * @now_ms: the time
- *
- * This leader extends leases from a worker's first report on, which may not
- * list all ends.
- *
- * Return: true when a task of which no run is known certainly has none.
- */
-bool
-FvSched_KnowsInheritedRuns(const fv_sched_t *sched, bool leases_expired,
-                           int64_t now_ms)
-{
-    for (const fv_sched_worker_t *worker = sched->workers; worker != NULL;
-         worker = worker->hh.next) {
-        bool known =
-            worker->synced && worker->inherited_stops_until_ms <= now_ms;
-        bool expired = (leases_expired || worker->inherited_expired) &&
-                       worker->lease_expires_ms < now_ms;
-
-        if (worker->in_worker_list && !known && !expired) {
-            return false;
-        }
-    }
-    return true;
-}
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -8,15 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A worker's clock may run 2 % slow by the platform's protocol, and an order
- * may be in transit for a while. A lease counts as expired only after both. */
-#define Fv_CLOCK_DRIFT_PERCENT 3
-#define Fv_ORDER_TRANSIT_MS 250
-
-/* A leader notices the restart of a worker within the longest wait for its
- * report. */
-#define Fv_RESTART_NOTICED_MS 3000
-
 /* After this many consecutive failures of different jobs a worker is
  * quarantined. */
 #define Fv_CONSECUTIVE_FAILURES_MAX 2
@@ -626,99 +617,6 @@
            !has_orphan_runs(worker, now_ms);
 }
 
-/* Time from sending an order until a lease that it grants has expired. */
-static int64_t
-worst_case_ms(int64_t lease_ms)
-{
-    return Fv_ORDER_TRANSIT_MS + lease_ms +
-           lease_ms * Fv_CLOCK_DRIFT_PERCENT / 100;
-}
-
-/**
- * FvSched_WorstCaseLeaseMs - get the time after which an order certainly has
- * no effect any more
- * @sched: the scheduler
- *
- * Return: the time from sending an order until the lease that it requests has
- * expired on the slowest clock.
- */
-int64_t
-FvSched_WorstCaseLeaseMs(const fv_sched_t *sched)
-{
-    return worst_case_ms(sched->lease_ms);
-}
-
-/**
- * FvSched_OutlastEarlierLeases - allow for deadlines by the clock of an
- * earlier incarnation of a worker
- * @sched: the scheduler
- * @worker: the worker
- * @clock_ms: its clock, which started anew with the present incarnation
- * @now_ms: the time
- *
- * Such a deadline is far ahead by the new clock, and grants the longest lease
- * at the time at which its order is carried out. Orders of earlier leaders are
- * refused from now on.
- */
-void
-FvSched_OutlastEarlierLeases(const fv_sched_t *sched,
-                             fv_sched_worker_t *worker, int64_t clock_ms,
-                             int64_t now_ms)
-{
-    int64_t restarted_ms = now_ms - clock_ms;
-    int64_t executed_by_ms =
-        restarted_ms + Fv_RESTART_NOTICED_MS + Fv_ORDER_DELAY_MAX_MS;
-    int64_t own_sent_ms = worker->deadline_sent_ms > restarted_ms
-                              ? worker->deadline_sent_ms
-                              : restarted_ms;
-    int64_t end_ms;
-
-    if (!worker->restarted && sched->run_base == 0) {
-        return;
-    }
-    if (executed_by_ms > now_ms) {
-        executed_by_ms = now_ms;
-    }
-    if (worker->restarted &&
-        own_sent_ms + Fv_ORDER_DELAY_MAX_MS > executed_by_ms) {
-        executed_by_ms = own_sent_ms + Fv_ORDER_DELAY_MAX_MS;
-    }
-    end_ms = executed_by_ms + worst_case_ms(sched->lease_max_ms);
-    if (end_ms > worker->lease_expires_ms) {
-        worker->lease_expires_ms = end_ms;
-    }
-}
-
-/**
- * FvSched_ExtendLease - extend the lease that the next order or renewal
- * carries
- * @sched: the scheduler
- * @worker: the worker
- * @now_ms: the time
- *
- * An unresponsive worker gets no extension: any attempt may arrive, so that
- * its lease could never be taken as expired. Nor does one that the stored list
- * of unreached workers may have.
- *
- * Return: the end of the lease on the worker's clock; 0 for no extension.
- */
-int64_t
-FvSched_ExtendLease(const fv_sched_t *sched, fv_sched_worker_t *worker,
-                    int64_t now_ms)
-{
-    int64_t expires_ms = now_ms + FvSched_WorstCaseLeaseMs(sched);
-
-    if (!worker->clock_known || worker->suspect || worker->unreached) {
-        return 0;
-    }
-    worker->deadline_sent_ms = now_ms;
-    if (expires_ms > worker->lease_expires_ms) {
-        worker->lease_expires_ms = expires_ms;
-    }
-    return worker->clock_ms + (now_ms - worker->clock_sampled_ms) +
-           sched->lease_ms;
-}
-
 /* Whether the worker may still carry out an unanswered start. An unlisted
  * worker counts as removed. */
 static bool
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -182,8 +182,9 @@
     bool in_worker_list;       /* in the stored list; may get orders */
     bool in_list_write;        /* in the list that is being written */
     bool suspect;              /* did not answer the last report request */
+    bool lost;                 /* its lease has expired without contact */
     int64_t suspect_since_ms;
-    bool lost; /* its lease has expired without contact */
+    bool refused; /* no process accepted the last report request */
     /* The stored list of unreached workers may have it: no lease is granted.
      * The entry's identity, and by when it was in the list of an earlier
      * leader (0: not known). */
@@ -393,16 +394,20 @@
 bool FvSched_IsWorkerEligible(const fv_sched_worker_t *worker,
                               const fv_sched_stage_t *stage, int64_t now_ms);
 bool FvSched_IsWorkerIdle(const fv_sched_worker_t *worker, int64_t now_ms);
+void FvSched_RequeueLostTasks(fv_sched_t *sched, fv_sched_worker_t *worker,
+                              const char *cause, int64_t now_ms);
+void FvSched_UpdateWorkerHealth(fv_sched_worker_t *worker,
+                                const fv_sched_task_t *task, bool failed,
+                                int64_t now_ms);
+
+/* sched-lease.c */
 void FvSched_OutlastEarlierLeases(const fv_sched_t *sched,
                                   fv_sched_worker_t *worker, int64_t clock_ms,
                                   int64_t now_ms);
 int64_t FvSched_WorstCaseLeaseMs(const fv_sched_t *sched);
 int64_t FvSched_ExtendLease(const fv_sched_t *sched, fv_sched_worker_t *worker,
                             int64_t now_ms);
-void FvSched_RequeueLostTasks(fv_sched_t *sched, fv_sched_worker_t *worker,
-                              const char *cause, int64_t now_ms);
-void FvSched_UpdateWorkerHealth(fv_sched_worker_t *worker,
-                                const fv_sched_task_t *task, bool failed,
+bool FvSched_KnowsInheritedRuns(const fv_sched_t *sched, bool leases_expired,
                                 int64_t now_ms);
 
 /* sched-incarnation.c */
@@ -419,8 +424,6 @@
 int64_t FvSched_EndToAcknowledge(const fv_sched_worker_t *worker);
 void FvSched_EndsAcknowledged(fv_sched_worker_t *worker, int64_t number);
 bool FvSched_EndsRecorded(fv_sched_worker_t *worker, int64_t number);
-bool FvSched_KnowsInheritedRuns(const fv_sched_t *sched, bool leases_expired,
-                                int64_t now_ms);
 
 /* sched-order.c */
 void FvSched_StartAnswered(fv_sched_t *sched, fv_sched_task_t *task,
--- a/tests/fakes/fake-cell.c
+++ b/tests/fakes/fake-cell.c
@@ -105,6 +105,8 @@
     cell_worker_t *restarted = find_worker(cell, body, "restart");
     cell_worker_t *silent = find_worker(cell, body, "silent");
     cell_worker_t *hasty = find_worker(cell, body, "hasty");
+    cell_worker_t *mute = find_worker(cell, body, "mute");
+    cell_worker_t *reached = find_worker(cell, body, "reached");
     const char *entry = FvJson_String(body, "entry");
     int64_t config_version = FvJson_Int(body, "config", 0);
 
@@ -129,6 +131,12 @@
     if (hasty != NULL) {
         hasty->hasty = true;
     }
+    if (mute != NULL) {
+        mute->mute = true;
+    }
+    if (reached != NULL) {
+        reached->mute = false;
+    }
     if (entry != NULL) {
         write_foreign_entry(cell, entry, FvJson_String(body, "value"));
     }
--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -368,7 +368,8 @@
         accepted_by = (intptr_t)worker->started_wall_ms;
         mg_set_user_connection_data(request->connection, (void *)accepted_by);
     }
-    return worker->down || accepted_by != (intptr_t)worker->started_wall_ms;
+    return worker->down || worker->mute ||
+           accepted_by != (intptr_t)worker->started_wall_ms;
 }
 
 /* Takes the lock itself, because it waits for a run to end. */
--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -84,6 +84,7 @@
     bool down;
     bool silent; /* writes no heartbeats */
     bool hasty;  /* answers renewals without the wait that they allow */
+    bool mute;   /* is not reached by hosts, and goes on */
     uint32_t starts;
     uint32_t renewals; /* answered */
     int64_t started_wall_ms;
--- a/tests/unit/call_test.c
+++ b/tests/unit/call_test.c
@@ -20,6 +20,7 @@
     uint32_t answers;
     int32_t status;
     bool not_sent;
+    bool refused;
     int64_t waited_ms;
     uint32_t *sequence; /* counts answers over several calls, or NULL */
     uint32_t rank;
@@ -35,6 +36,7 @@
     outcome->answers++;
     outcome->status = answer->status;
     outcome->not_sent = answer->not_sent;
+    outcome->refused = answer->refused;
     outcome->waited_ms = answer->waited_ms;
     if (outcome->sequence != NULL) {
         outcome->rank = ++*outcome->sequence;
@@ -544,6 +546,7 @@
     run_until_answered(base, outcomes, 20);
     for (uint32_t i = 0; i < 20; i++) {
         CU_ASSERT_EQUAL(outcomes[i].status, 0);
+        CU_ASSERT_FALSE(outcomes[i].refused);
         not_sent += outcomes[i].not_sent;
     }
     CU_ASSERT(not_sent >= 12);
@@ -563,6 +566,7 @@
     CU_ASSERT_EQUAL(outcome.answers, 1);
     CU_ASSERT_EQUAL(outcome.status, 0);
     CU_ASSERT_TRUE(outcome.not_sent);
+    CU_ASSERT_TRUE(outcome.refused);
 }
 
 /* The server has one connection left for this host, since those of dead hosts
@@ -585,6 +589,7 @@
     run_until_answered(base, outcomes, 30);
     for (uint32_t i = 0; i < 30; i++) {
         unanswered += outcomes[i].status != 200;
+        CU_ASSERT_FALSE(outcomes[i].refused);
     }
     /* Those that were under way when the first reset came. */
     CU_ASSERT(unanswered <= 3);
