scheduler: order the incarnations of a worker by what was sent before what

A worker whose time of day was set back while it restarted was never heard again: all its reports had a lower `born` than the earlier incarnation's and counted as overtaken ones, without a sign of silence, so that its tasks stayed running for good. An entry of another writer with a later `born` kept a worker's clock unknown, so that its runs lapsed; one with an earlier `born`, which may be that of a restart, was no reason for doubt.

A report that was requested after the latest one had arrived is of the same incarnation or a later one, whatever its `born`. Of those requested before, one of the incarnation before or of a lower `born` came late. In the same way an entry that is the first to tell of an incarnation counts until its worker has answered a request that was sent after the entry was read.

sched_report_test, "late report of the old incarnation": the report was requested 100 ms after one of the new incarnation had arrived, which no late answer can be; it is now requested before.

--- a/src/sched-incarnation.c
+++ b/src/sched-incarnation.c
@@ -65,6 +65,49 @@
     }
 }
 
+/**
+ * FvSched_CheckEntryIncarnation - look for a sign of a restart in an entry
+ * @worker: the worker, with its earlier entry
+ * @entry: the new entry
+ * @now_ms: the time
+ *
+ * When the entry is the first to tell of an incarnation, the worker gets no
+ * lease until it has reported that one, or any in answer to a later request.
+ */
+void
+FvSched_CheckEntryIncarnation(fv_sched_worker_t *worker,
+                              const fv_worker_entry_t *entry, int64_t now_ms)
+{
+    if (entry->started_wall_ms != worker->entry.started_wall_ms &&
+        entry->started_wall_ms != worker->started_wall_ms) {
+        worker->synced = false;
+        worker->clock_known = false;
+        worker->doubted_ms = now_ms;
+        worker->report_due_ms = now_ms;
+    }
+}
+
+/**
+ * FvSched_IsReportOvertaken - check whether a report is of an earlier
+ * incarnation than the one that reported last
+ * @worker: the worker
+ * @started_wall_ms: start time of the process that reports
+ * @sent_ms: when the report was requested
+ *
+ * Start times are those of a time of day, which may be set back. A report that
+ * was requested after the latest one had arrived is of no earlier incarnation.
+ *
+ * Return: true when it came late.
+ */
+bool
+FvSched_IsReportOvertaken(const fv_sched_worker_t *worker,
+                          int64_t started_wall_ms, int64_t sent_ms)
+{
+    return sent_ms <= worker->last_contact_ms &&
+           (started_wall_ms < worker->started_wall_ms ||
+            started_wall_ms == worker->previous_started_wall_ms);
+}
+
 /**
  * FvSched_BeginIncarnation - reset the state of a worker that was restarted
  * @sched: the scheduler
@@ -90,6 +133,7 @@
         doubt_orders(worker);
         worker->restarted = true;
     }
+    worker->previous_started_wall_ms = worker->started_wall_ms;
     worker->started_wall_ms = started_wall_ms;
     worker->last_end_applied = 0;
     worker->last_end_recorded = 0;
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -456,14 +456,14 @@
     bool *changed;
     bool all_ends_listed;
 
-    if (report->started_wall_ms < worker->started_wall_ms) {
+    if (FvSched_IsReportOvertaken(worker, report->started_wall_ms, sent_ms)) {
         FvLog_Event(Fv_LOG_INFO, "report_overtaken",
                     "worker=%s born=%" PRId64 " known=%" PRId64,
                     worker->entry.id, report->started_wall_ms,
                     worker->started_wall_ms);
-        return false; /* overtaken by one of a later incarnation */
+        return false;
     }
-    if (report->started_wall_ms > worker->started_wall_ms) {
+    if (report->started_wall_ms != worker->started_wall_ms) {
         FvSched_BeginIncarnation(sched, worker, report->started_wall_ms);
     }
     changed = calloc((size_t)report->ended_count + 1, sizeof(*changed));
@@ -481,7 +481,8 @@
         FvSched_OutlastEarlierLeases(sched, worker, report->clock_ms, now_ms);
     }
     worker->clock_known =
-        report->started_wall_ms >= worker->entry.started_wall_ms;
+        report->started_wall_ms == worker->entry.started_wall_ms ||
+        sent_ms > worker->doubted_ms;
     worker->clock_ms = report->clock_ms;
     /* The clock was read before now, which errs towards a shorter lease. */
     worker->clock_sampled_ms = now_ms;
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -217,14 +217,11 @@
             return NULL;
         }
         worker->entry = *entry;
+        worker->report_due_ms = now_ms;
         HASH_ADD_STR(sched->workers, entry.id, worker);
     }
+    FvSched_CheckEntryIncarnation(worker, entry, now_ms);
     worker->entry = *entry;
-    if (entry->started_wall_ms > worker->started_wall_ms) {
-        worker->synced = false; /* its report was of an earlier incarnation */
-        worker->clock_known = false;
-        worker->report_due_ms = now_ms;
-    }
     if (entry->draining && !worker->draining) {
         FvLog_Event(Fv_LOG_INFO, "worker_draining",
                     "worker=%s left_ms=%" PRId64 " tasks=%d", entry->id,
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -195,8 +195,10 @@
     int64_t unreached_since_ms;
     bool inherited_expired; /* all leases that earlier leaders granted */
     bool draining;
-    int64_t drain_until_ms;   /* leaves no earlier; 0: not known */
-    int64_t started_wall_ms;  /* of the incarnation that reported */
+    int64_t drain_until_ms;           /* leaves no earlier; 0: not known */
+    int64_t started_wall_ms;          /* of the incarnation that reported */
+    int64_t previous_started_wall_ms; /* of the one before; 0: none */
+    int64_t doubted_ms;       /* when its entry named another incarnation */
     int64_t clock_ms;         /* the worker's clock at its last report */
     int64_t clock_sampled_ms; /* this host's clock at the same time */
     int64_t lease_expires_ms; /* nothing runs afterwards without contact */
@@ -412,6 +414,11 @@
 
 /* sched-incarnation.c */
 void FvSched_ForgetWorker(fv_sched_t *sched, const fv_sched_worker_t *worker);
+void FvSched_CheckEntryIncarnation(fv_sched_worker_t *worker,
+                                   const fv_worker_entry_t *entry,
+                                   int64_t now_ms);
+bool FvSched_IsReportOvertaken(const fv_sched_worker_t *worker,
+                               int64_t started_wall_ms, int64_t sent_ms);
 void FvSched_BeginIncarnation(fv_sched_t *sched, fv_sched_worker_t *worker,
                               int64_t started_wall_ms);
 
--- a/tests/harness/sched-sim-handlers.c
+++ b/tests/harness/sched-sim-handlers.c
@@ -333,7 +333,13 @@
     worker->drain_deadline_ms = 0;
     worker->entry.draining = false;
     worker->entry.drain_left_ms = 0;
-    worker->entry.started_wall_ms = sim->now_ms;
+    if (sim->plan->faults.times_set_back > 0 &&
+        FvSim_FaultOccurs(sim, sim->plan->faults.times_set_back)) {
+        worker->entry.started_wall_ms--;
+    }
+    else {
+        worker->entry.started_wall_ms = FIRST_START_MS + sim->now_ms;
+    }
     worker->clock_base_ms = sim->now_ms;
     if (sim->plan->faults.kind_changes == 0) {
         FvSched_UpdateWorker(&sim->sched, &worker->entry, sim->now_ms);
--- a/tests/harness/sched-sim-internal.h
+++ b/tests/harness/sched-sim-internal.h
@@ -28,6 +28,8 @@
 #define CLOCK_SLOW_MAX_PERCENT 2
 #define ORDER_DELAY_MIN_MS 50 /* of late orders */
 #define ORDER_DELAY_MAX_MS 12000
+/* Time of day at which the workers first start. */
+#define FIRST_START_MS 1000
 #define STOP_MS 600
 #define STOPS_SUSPENDED_MS (STOP_MS + 250) /* before a handover */
 #define GANG_TIMEOUT_MS 3000
--- a/tests/harness/sched-sim.c
+++ b/tests/harness/sched-sim.c
@@ -314,7 +314,7 @@
             (int64_t)(w % (CLOCK_SLOW_MAX_PERCENT + 1));
         worker->entry = (fv_worker_entry_t){.service = "s",
                                             .address = "127.0.0.1:1",
-                                            .started_wall_ms = 1,
+                                            .started_wall_ms = FIRST_START_MS,
                                             .cpu_millis = WORKER_CPU_MILLIS,
                                             .memory_mib = 1 << 20};
         snprintf(worker->entry.id, Fv_NAME_SIZE, "w%u", w);
--- a/tests/harness/sched-sim.h
+++ b/tests/harness/sched-sim.h
@@ -18,6 +18,7 @@
     uint32_t failing_tasks;
     uint32_t worker_crashes;    /* of one worker, each second */
     uint32_t kind_changes;      /* of the crashed workers */
+    uint32_t times_set_back;    /* the same: their time of day */
     uint32_t worker_outages;    /* each second; no answers for 1 to 8 s */
     uint32_t worker_drains;     /* each second; the worker leaves in 2.5 s */
     uint32_t leader_failovers;  /* each second, without notice */
--- a/tests/unit/sched_model_test.c
+++ b/tests/unit/sched_model_test.c
@@ -132,6 +132,21 @@
     run_seeds(&faults, false);
 }
 
+/* Start times that go down do not order the incarnations of a worker. */
+static void
+test_times_set_back(void)
+{
+    sim_faults_t faults = {.worker_crashes = 800,
+                           .times_set_back = 500,
+                           .lost_orders = 30,
+                           .lost_renewals = 30,
+                           .leader_failovers = 150};
+
+    run_seeds(&faults, false);
+    faults.kind_changes = 500; /* entries arrive after reports */
+    run_seeds(&faults, false);
+}
+
 static void
 test_leader_changes(void)
 {
@@ -203,6 +218,8 @@
          test_worker_failures},
         {"a guarantee is broken by workers that return as another kind",
          test_kind_changes},
+        {"a guarantee is broken by workers whose time of day is set back",
+         test_times_set_back},
         {"a guarantee is broken by leader failures", test_leader_changes},
         {"a guarantee is broken by leader handovers", test_leader_handovers},
         {"a guarantee is broken by all faults together", test_all_faults},
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -431,7 +431,7 @@
     report.started_wall_ms = 1;
     report.running_count = 0;
     fixture.now_ms += 100;
-    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms,
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms - 200,
                         fixture.now_ms);
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A ".0.0.0"), 1);
--- a/tests/unit/sched_restart_test.c
+++ b/tests/unit/sched_restart_test.c
@@ -23,12 +23,125 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* The time of day may be set back while a worker restarts. Its entry and all
+ * its reports then speak of a start before that of the earlier incarnation. */
+static void
+test_restart_after_clock_was_set_back(void)
+{
+    static sched_fixture_t fixture;
+    static const char job[] =
+        "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1000,"
+        "\"memMb\":10,\"estimatedMs\":1000}]}";
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_worker_report_t report = {.clock_ms = 500, .started_wall_ms = 5000};
+    fv_sched_worker_t *worker;
+    fv_worker_entry_t entry;
+    fv_sched_task_t *task;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    entry = worker->entry;
+    entry.started_wall_ms = 5000;
+    FvSched_UpdateWorker(&fixture.sched, &entry, fixture.now_ms);
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms,
+                        fixture.now_ms);
+    FvSchedFixture_AddJob(&fixture, "00000000000000aa", &queue, job);
+    FvSchedFixture_RunPass(&fixture);
+    FvSchedFixture_ConfirmStarts(&fixture);
+    task = FvSched_FindTask(&fixture.sched, "00000000000000aa.0.0.0");
+    CU_ASSERT_FATAL(task != NULL && task->worker == worker);
+    entry.started_wall_ms = 4000;
+    report.started_wall_ms = 4000;
+    for (int i = 0; i < 200; i++) {
+        fixture.now_ms += 300;
+        report.clock_ms += 300;
+        FvSched_UpdateWorker(&fixture.sched, &entry, fixture.now_ms);
+        FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms,
+                            fixture.now_ms);
+        FvSchedFixture_RunPass(&fixture);
+    }
+    /* The new incarnation has not had the run in any report of a minute. */
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, "00000000000000aa"),
+                    2);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* Of two incarnations whose clock was set back between them, an answer of the
+ * earlier one arrives late. */
+static void
+test_overtaken_report_after_clock_was_set_back(void)
+{
+    static sched_fixture_t fixture;
+    fv_worker_report_t report = {.clock_ms = 500, .started_wall_ms = 5000};
+    fv_sched_worker_t *worker;
+    int64_t sent_ms;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms,
+                        fixture.now_ms);
+    fixture.now_ms += 100;
+    sent_ms = fixture.now_ms;
+    report.started_wall_ms = 4000;
+    CU_ASSERT_TRUE(FvSched_ApplyReport(&fixture.sched, worker, &report,
+                                       sent_ms, fixture.now_ms + 100));
+    CU_ASSERT_EQUAL(worker->started_wall_ms, 4000);
+    report.started_wall_ms = 5000;
+    CU_ASSERT_FALSE(FvSched_ApplyReport(&fixture.sched, worker, &report,
+                                        sent_ms, fixture.now_ms + 200));
+    CU_ASSERT_EQUAL(worker->started_wall_ms, 4000);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* Another writer's entry under the id of a worker tells of another start. */
+static void
+test_lease_beside_foreign_entry(void)
+{
+    static const int64_t starts[] = {INT64_C(1) << 53, 3};
+
+    for (int i = 0; i < 2; i++) {
+        static sched_fixture_t fixture;
+        fv_worker_report_t report = {.clock_ms = 2000, .started_wall_ms = 7};
+        fv_sched_worker_t *worker;
+        fv_worker_entry_t entry;
+
+        FvSchedFixture_Open(&fixture, 1);
+        worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+        FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms,
+                            fixture.now_ms);
+        entry = worker->entry;
+        entry.started_wall_ms = starts[i];
+        fixture.now_ms += 100;
+        FvSched_UpdateWorker(&fixture.sched, &entry, fixture.now_ms);
+        /* Requested before the entry was read, and possibly answered before
+         * the restart. */
+        FvSched_ApplyReport(&fixture.sched, worker, &report,
+                            fixture.now_ms - 10, fixture.now_ms);
+        CU_ASSERT_EQUAL(
+            FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms), 0);
+        fixture.now_ms += 100;
+        FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms,
+                            fixture.now_ms);
+        CU_ASSERT(FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms) >
+                  0);
+        CU_ASSERT_FALSE(FvSched_IsWorkerAvailable(worker, fixture.now_ms));
+        FvSchedFixture_Close(&fixture);
+    }
+}
+
 int
 main(void)
 {
     static const test_case_t cases[] = {
         {"a worker that may have restarted is told to drop ends",
          test_silent_worker_gets_no_acknowledgement},
+        {"a worker is not heard any more after its time of day was set back",
+         test_restart_after_clock_was_set_back},
+        {"a late report of the incarnation before counts after the time of "
+         "day was set back",
+         test_overtaken_report_after_clock_was_set_back},
+        {"the runs of a worker lapse beside another writer's entry",
+         test_lease_beside_foreign_entry},
     };
 
     return Fv_RUN_SUITE("sched_restart", cases);
