call: close the connection in whose callback all others are closed

A leader that learns from a worker's answer that another host leads closes its connections to all workers, but for the one that libevent is still using. That one stayed open until it had been idle for 30 s, or was used again, on a worker whose connections are limited. It now gets no further call and is closed within a second.

call_test before: a host keeps the connection of the answer that deposed it ...FAILED CU_ASSERT_EQUAL(FvCallPool_Open(pool),0) CU_ASSERT_EQUAL(server.connections,0) Now: passed.

--- a/src/call-connection.c
+++ b/src/call-connection.c
@@ -26,6 +26,7 @@
     slot->open = false;
     slot->closed = false;
     slot->proven = false;
+    slot->leaving = false;
     slot->destination->open--;
     slot->destination->pool->open--;
 }
@@ -148,7 +149,7 @@
 {
     for (fv_connection_slot_t *slot = destination->slots; slot != NULL;
          slot = slot->next) {
-        if (slot->open && slot->pending == NULL) {
+        if (slot->open && slot->pending == NULL && !slot->leaving) {
             DL_DELETE2(destination->pool->idle, slot, idle_prev, idle_next);
             return slot;
         }
--- a/src/call-pool.h
+++ b/src/call-pool.h
@@ -26,6 +26,7 @@
     bool probe;   /* opened while the server was at its limit */
     bool proven;  /* has carried an answer */
     bool written; /* the current request, at least in part */
+    bool leaving; /* gets no further call and is closed by the sweep */
     int64_t used_ms;
 } fv_connection_slot_t;
 
--- a/src/call.c
+++ b/src/call.c
@@ -317,8 +317,9 @@
             FvCallConnection_Free(slot);
         }
         else if (slot->pending == NULL &&
-                 destination->open > destination->bounds->rest_max &&
-                 now_ms - slot->used_ms >= Fv_EXCESS_CONNECTION_MS) {
+                 (slot->leaving ||
+                  (destination->open > destination->bounds->rest_max &&
+                   now_ms - slot->used_ms >= Fv_EXCESS_CONNECTION_MS))) {
             FvCallConnection_CloseIdle(slot);
         }
     }
@@ -442,7 +443,8 @@
 
         next = slot->next;
         if (slot == pool->in_callback) {
-            continue; /* libevent uses it; the sweep closes it */
+            slot->leaving = true; /* libevent still uses it */
+            continue;
         }
         if (pending != NULL) {
             fail_later(pool->base, pending, !slot->written, "closed");
--- a/tests/unit/call_test.c
+++ b/tests/unit/call_test.c
@@ -640,6 +640,37 @@
     close_limited(&server);
 }
 
+static void
+close_pool(void *context, const fv_call_answer_t *answer)
+{
+    CU_ASSERT_EQUAL(answer->status, 200);
+    FvCallPool_Close(context, &worker_bounds);
+}
+
+/* The answer of a worker tells that another host leads. */
+static void
+test_close_within_a_callback(void)
+{
+    struct event_base *base = event_base_new();
+    fv_call_pool_t *pool = FvCallPool_New(base, 100);
+    fv_call_t call = {.method = "GET", .path = "/"};
+    limited_server_t server;
+
+    open_limited(&server, base, 64);
+    FvCallPool_Send(pool, server.address, &call,
+                    &(fv_call_terms_t){.bounds = &worker_bounds,
+                                       .urgency = Fv_CALL_RENEWAL,
+                                       .timeout_ms = 500},
+                    close_pool, pool);
+    run_for(base, 100);
+    CU_ASSERT_EQUAL(server.requests, 1);
+    run_for(base, 2000);
+    CU_ASSERT_EQUAL(FvCallPool_Open(pool), 0);
+    CU_ASSERT_EQUAL(server.connections, 0);
+    FvCallPool_Free(pool);
+    close_limited(&server);
+}
+
 int
 main(void)
 {
@@ -666,6 +697,8 @@
          test_server_at_its_limit_is_served_on_one_connection},
         {"a host keeps connections that it has no more use for",
          test_close_ends_calls_and_connections},
+        {"a host keeps the connection of the answer that deposed it",
+         test_close_within_a_callback},
     };
 
     return Fv_RUN_SUITE("call", cases);
