scheduler: count a start that may come late from its last copy

A start without an answer is sent once more. Its task stays on a silent worker for as long as the start may be carried out late, but that time began with the first copy, so that the second could be carried out after the task had been started elsewhere. If the second copy was answered, the first one was no longer waited for at all.

--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -82,6 +82,7 @@
     task = FvSched_FindTask(&leader->sched, order->task);
     if (task != NULL && !order->stop && task->run == order->run) {
         task->start_sent_ms += answer->waited_ms;
+        task->start_repeated_ms += answer->waited_ms;
     }
     if (task != NULL && order->stop) {
         FvSched_StopAnswered(&leader->sched, task, order->run, result,
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -202,6 +202,9 @@
         }
     }
     task->start_retried = sched->ops->start(sched, task, verdict);
+    if (task->start_retried) {
+        task->start_repeated_ms = now_ms;
+    }
     return task->start_retried;
 }
 
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -151,6 +151,7 @@
     task->run = run;
     task->state = Fv_SCHED_STARTING;
     task->start_sent_ms = now_ms;
+    task->start_repeated_ms = now_ms;
     task->start_confirmed_ms = 0;
     task->start_unconfirmed = false;
     task->start_retried = false;
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -614,14 +614,15 @@
            !has_orphan_runs(worker, now_ms);
 }
 
-/* Whether the worker may still carry out an unanswered start. An unlisted
- * worker counts as removed. */
+/* Whether the worker may still carry out an unanswered start, or an unanswered
+ * copy of one. An unlisted worker counts as removed. */
 static bool
 may_start_late(const fv_sched_task_t *task, int64_t now_ms)
 {
     return task->worker->listed &&
-           (task->start_unconfirmed || task->state == Fv_SCHED_STARTING) &&
-           now_ms < task->start_sent_ms + Fv_ORDER_DELAY_MAX_MS;
+           (task->start_unconfirmed || task->start_retried ||
+            task->state == Fv_SCHED_STARTING) &&
+           now_ms < task->start_repeated_ms + Fv_ORDER_DELAY_MAX_MS;
 }
 
 /**
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -44,6 +44,7 @@
     fv_sched_task_t *worker_next;
     fv_sched_task_t *worker_previous;
     int64_t start_sent_ms;
+    int64_t start_repeated_ms; /* when its last copy was sent */
     int64_t start_confirmed_ms; /* when the start was answered */
     int64_t stop_sent_ms;
     int64_t stop_confirmed_ms; /* 0: the stop was not answered */
--- a/tests/unit/sched_restart_test.c
+++ b/tests/unit/sched_restart_test.c
@@ -129,6 +129,55 @@
     }
 }
 
+/* A worker is silent for good. The second copy of a start may be carried out
+ * for as long as the first one, but later. */
+static void
+test_repeated_start(fv_order_result_t result)
+{
+    static sched_fixture_t fixture;
+    static const char job[] =
+        "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1000,"
+        "\"memMb\":10,\"estimatedMs\":1000}]}";
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_worker_t *worker;
+    fv_sched_task_t *task;
+    int64_t repeated_ms;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    FvSchedFixture_AddJob(&fixture, "00000000000000aa", &queue, job);
+    FvSchedFixture_RunPass(&fixture);
+    task = FvSched_FindTask(&fixture.sched, "00000000000000aa.0.0.0");
+    CU_ASSERT_FATAL(task != NULL && task->worker == worker);
+    fixture.now_ms += 900;
+    repeated_ms = fixture.now_ms;
+    FvSched_StartAnswered(&fixture.sched, task, task->run,
+                          Fv_ORDER_UNCONFIRMED, fixture.now_ms);
+    CU_ASSERT_EQUAL(fixture.order_count, 2);
+    fixture.now_ms += 900;
+    FvSched_StartAnswered(&fixture.sched, task, task->run, result,
+                          fixture.now_ms);
+    fixture.now_ms = repeated_ms + Fv_ORDER_DELAY_MAX_MS - 1;
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_PTR_EQUAL(task->worker, worker);
+    fixture.now_ms++;
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_PTR_NULL(task->worker);
+    FvSchedFixture_Close(&fixture);
+}
+
+static void
+test_repeated_start_without_answer(void)
+{
+    test_repeated_start(Fv_ORDER_UNCONFIRMED);
+}
+
+static void
+test_repeated_start_with_an_answer(void)
+{
+    test_repeated_start(Fv_ORDER_DONE);
+}
+
 int
 main(void)
 {
@@ -142,6 +191,12 @@
          test_overtaken_report_after_clock_was_set_back},
         {"the runs of a worker lapse beside another writer's entry",
          test_lease_beside_foreign_entry},
+        {"a task starts elsewhere before the last copy of its start has "
+         "certainly been carried out",
+         test_repeated_start_without_answer},
+        {"a task starts elsewhere before the first copy of its start has "
+         "certainly been carried out, since the second was answered",
+         test_repeated_start_with_an_answer},
     };
 
     return Fv_RUN_SUITE("sched_restart", cases);
