entry_worker_kinds: restart workers when a start reaches them (fails)

A worker that restarts closes the connection on which a start was sent; the leader logs start_in_doubt reason=1 and repeats the start in the same millisecond.

--- a/tests/fakes/fake-cell.c
+++ b/tests/fakes/fake-cell.c
@@ -103,6 +103,7 @@
     const char *mode = FvJson_String(body, "store");
     cell_worker_t *crashed = find_worker(cell, body, "crash");
     cell_worker_t *restarted = find_worker(cell, body, "restart");
+    cell_worker_t *at_start = find_worker(cell, body, "restartAtStart");
     cell_worker_t *silent = find_worker(cell, body, "silent");
     cell_worker_t *hasty = find_worker(cell, body, "hasty");
     cell_worker_t *mute = find_worker(cell, body, "mute");
@@ -125,6 +126,10 @@
     if (restarted != NULL) {
         FvCellWorker_Restart(cell, restarted, FvJson_String(body, "kind"));
     }
+    if (at_start != NULL && FvJson_String(body, "kind") != NULL) {
+        snprintf(at_start->kind_at_start, sizeof(at_start->kind_at_start),
+                 "%s", FvJson_String(body, "kind"));
+    }
     if (silent != NULL) {
         silent->silent = true;
     }
--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -450,6 +450,11 @@
     }
     pthread_mutex_lock(&cell->lock);
     end_due_runs(cell, target->worker, FvClock_NowMs());
+    if (strcmp(request->path, "/run-start") == 0 &&
+        target->worker->kind_at_start[0] != '\0') {
+        FvCellWorker_Restart(cell, target->worker,
+                             target->worker->kind_at_start);
+    }
     if (is_connection_gone(request, target->worker)) {
         status = 0;
     }
@@ -562,4 +567,5 @@
     if (kind != NULL) {
         snprintf(worker->kind, sizeof(worker->kind), "%s", kind);
     }
+    worker->kind_at_start[0] = '\0';
 }
--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -85,6 +85,8 @@
     bool silent; /* writes no heartbeats */
     bool hasty;  /* answers renewals without the wait that they allow */
     bool mute;   /* is not reached by hosts, and goes on */
+    /* Its kind after the restart that the next start meets; empty: none. */
+    char kind_at_start[16];
     uint32_t starts;
     uint32_t renewals; /* answered */
     int64_t started_wall_ms;
--- a/tests/promises/entry_worker_kinds.c
+++ b/tests/promises/entry_worker_kinds.c
@@ -24,16 +24,22 @@
 static bool is_kind_b[WORKERS];
 
 static void
-restart_as_other_kind(int worker)
+change_kind(int worker, const char *when)
 {
     char fault[64];
 
     is_kind_b[worker] = !is_kind_b[worker];
-    snprintf(fault, sizeof(fault), "{\"restart\":%d,\"kind\":\"%s\"}", worker,
-             is_kind_b[worker] ? "b" : "a");
+    snprintf(fault, sizeof(fault), "{\"%s\":%d,\"kind\":\"%s\"}", when,
+             worker, is_kind_b[worker] ? "b" : "a");
     CU_ASSERT_TRUE(FvEntryCell_PlatformFault(&cell, fault));
 }
 
+static void
+restart_as_other_kind(int worker)
+{
+    change_kind(worker, "restart");
+}
+
 static void
 submit(int host, const char *kind)
 {
@@ -129,6 +135,23 @@
     check_violations();
 }
 
+/* The restart closes the connections on which starts were sent. */
+static void
+test_restarts_at_start(void)
+{
+    for (int round = 0; round < ROUNDS; round++) {
+        CU_ASSERT_TRUE(FvEntryCell_WaitReady(&cell, START_MS));
+        for (int i = 0; i < WORKERS / 2; i++) {
+            change_kind((round + 2 * i) % WORKERS, "restartAtStart");
+        }
+        submit(round % HOSTS, "a");
+        submit((round + 1) % HOSTS, "b");
+        FvFake_SleepMs(ROUND_MS);
+    }
+    check_completed();
+    check_violations();
+}
+
 int
 main(void)
 {
@@ -137,6 +160,9 @@
          test_restarts_as_other_kind},
         {"a new leader starts tasks by the labels of an earlier incarnation",
          test_restarts_while_leader_changes},
+        {"a start is repeated to the incarnation that its connection did not "
+         "reach",
+         test_restarts_at_start},
     };
     int failed = 1;
 
