fake-cell: a worker that restarts refuses and closes what was connected before

A restarted worker took the first request of a connection that had been opened before the restart and not yet used, as no process can do. All connections from before the restart are closed now, and for 20 ms, the start of a process, new ones too.

--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -361,15 +361,8 @@
 static bool
 is_connection_gone(const fake_request_t *request, const cell_worker_t *worker)
 {
-    intptr_t accepted_by =
-        (intptr_t)mg_get_user_connection_data(request->connection);
-
-    if (accepted_by == 0) {
-        accepted_by = (intptr_t)worker->started_wall_ms;
-        mg_set_user_connection_data(request->connection, (void *)accepted_by);
-    }
     return worker->down || worker->mute ||
-           accepted_by != (intptr_t)worker->started_wall_ms;
+           FvFake_ConnectedNs(request) < worker->listens_ns;
 }
 
 /* Takes the lock itself, because it waits for a run to end. */
@@ -563,6 +556,7 @@
     worker->down = false;
     worker->sequence = 0;
     worker->started_wall_ms = FvClock_WallMs();
+    worker->listens_ns = FvClock_NowNs() + CELL_RESTART_NS;
     worker->next_heartbeat_ms = 0;
     if (kind != NULL) {
         snprintf(worker->kind, sizeof(worker->kind), "%s", kind);
--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -22,6 +22,7 @@
 #define CELL_MEMORY_MIB 16384
 #define CELL_HEARTBEAT_MS 500
 #define CELL_TICK_MS 10
+#define CELL_RESTART_NS (20 * Fv_NS_PER_MS) /* from kill to listen */
 #define CELL_TICKET_VALID_MS 2000
 #define CELL_LEASE_MAX_MS 10000
 #define CELL_PAGE_MAX 500 /* keys of a range reply, or ends of a report */
@@ -90,6 +91,7 @@
     uint32_t starts;
     uint32_t renewals; /* answered */
     int64_t started_wall_ms;
+    int64_t listens_ns; /* earlier connections are closed */
     int64_t fencing_token;
     int64_t lease_end_ms;
     int64_t last_end_number;
--- a/tests/harness/fake-server.c
+++ b/tests/harness/fake-server.c
@@ -3,6 +3,7 @@
  */
 
 #include "fake-server.h"
+#include "fireflyvalve.h"
 
 #include <arpa/inet.h>
 #include <dirent.h>
@@ -106,6 +107,7 @@
 {
     fake_server_t *server = mg_get_user_data(mg_get_context(connection));
 
+    *data = (void *)(intptr_t)FvClock_NowNs();
     if (atomic_fetch_add(&server->connections, 1) >= server->connections_max &&
         server->connections_max > 0) {
         atomic_fetch_sub(&server->connections, 1);
@@ -186,6 +188,18 @@
     return server;
 }
 
+/**
+ * FvFake_ConnectedNs - get the time at which a connection was accepted
+ * @request: a request on it
+ *
+ * Return: the time by FvClock_NowNs.
+ */
+int64_t
+FvFake_ConnectedNs(const fake_request_t *request)
+{
+    return (intptr_t)mg_get_user_connection_data(request->connection);
+}
+
 /**
  * FvFakeServer_LimitConnections - drop requests on further connections
  * @server: the server
--- a/tests/promises/entry_worker_kinds.c
+++ b/tests/promises/entry_worker_kinds.c
@@ -29,8 +29,8 @@
     char fault[64];
 
     is_kind_b[worker] = !is_kind_b[worker];
-    snprintf(fault, sizeof(fault), "{\"%s\":%d,\"kind\":\"%s\"}", when,
-             worker, is_kind_b[worker] ? "b" : "a");
+    snprintf(fault, sizeof(fault), "{\"%s\":%d,\"kind\":\"%s\"}", when, worker,
+             is_kind_b[worker] ? "b" : "a");
     CU_ASSERT_TRUE(FvEntryCell_PlatformFault(&cell, fault));
 }
 
