leader: send no start to a worker that closed a connection before it reports

Cause: a worker that restarts closes the connection on which a start was sent. The leader took that for a lost answer, and repeated the start in the same millisecond, over a new connection, to the next incarnation, which may be of another kind. Starts that waited for a connection went there too.

An answer now tells that the server closed the connection after the request had been written. A leader that sees this, or a refused connection, fails the starts that wait for a connection (they have certainly not been executed), and asks the worker for a report. The start in doubt is repeated after the report if it is of the same incarnation, and forbidden by a stop if not.

--- a/src/call-pool.h
+++ b/src/call-pool.h
@@ -73,6 +73,7 @@
     void *context;
     bool sending;  /* the request is being handed to libevent */
     bool failed;   /* meanwhile */
+    bool closed;   /* the server closed the connection */
     bool not_sent; /* of a failure that is reported later */
     bool refused;
     fv_pending_call_t *prev;
--- a/src/call.c
+++ b/src/call.c
@@ -118,6 +118,14 @@
            pending->terms.timeout_ms;
 }
 
+static void
+call_failed(enum evhttp_request_error error, void *context)
+{
+    fv_pending_call_t *pending = context;
+
+    pending->closed = error == EVREQ_HTTP_EOF;
+}
+
 static void
 call_finished(struct evhttp_request *request, void *context)
 {
@@ -143,6 +151,7 @@
     }
     answer.not_sent = answer.status == 0 && !slot->written;
     answer.refused = pending->refused;
+    answer.closed = answer.status == 0 && slot->written && pending->closed;
     FvCallConnection_Release(slot, answer.status != 0, has_timed_out(pending));
     pool->in_callback = slot;
     pending->done(pending->context, &answer);
@@ -179,6 +188,7 @@
     if (request == NULL) {
         return false;
     }
+    evhttp_request_set_error_cb(request, call_failed);
     headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host", destination->address);
     if (call->instance[0] != '\0') {
@@ -425,6 +435,34 @@
     free(pool);
 }
 
+/**
+ * FvCallPool_FailWaiting - fail the calls that wait for a connection to a
+ * server
+ * @pool: the pool
+ * @address: the server's address
+ * @least: the least urgent kind of call to fail
+ *
+ * The calls end without an answer, after this function has returned.
+ */
+void
+FvCallPool_FailWaiting(fv_call_pool_t *pool, const char *address,
+                       fv_call_urgency_t least)
+{
+    fv_destination_t *destination;
+    fv_pending_call_t *pending;
+    fv_pending_call_t *next;
+
+    HASH_FIND_STR(pool->destinations, address, destination);
+    for (pending = destination != NULL ? destination->waiting : NULL;
+         pending != NULL; pending = next) {
+        next = pending->next;
+        if (pending->terms.urgency <= least) {
+            leave_queue(pending);
+            fail_later(pool->base, pending, true, "server_gone");
+        }
+    }
+}
+
 static void
 close_destination(fv_destination_t *destination)
 {
--- a/src/cell-types.h
+++ b/src/cell-types.h
@@ -213,6 +213,7 @@
     size_t length;
     bool not_sent;     /* no answer, and certainly not executed */
     bool refused;      /* not sent, as no process accepted the connection */
+    bool closed;       /* sent at least in part; the server closed it */
     int64_t waited_ms; /* for a connection, before the request was sent */
 } fv_call_answer_t;
 
--- a/src/entry.h
+++ b/src/entry.h
@@ -77,6 +77,8 @@
 fv_call_pool_t *FvCallPool_New(struct event_base *base, uint32_t open_max);
 void FvCallPool_Prefer(fv_call_pool_t *pool, const char *address);
 void FvCallPool_Free(fv_call_pool_t *pool);
+void FvCallPool_FailWaiting(fv_call_pool_t *pool, const char *address,
+                            fv_call_urgency_t least);
 void FvCallPool_Close(fv_call_pool_t *pool, const fv_call_bounds_t *bounds);
 uint32_t FvCallPool_Open(const fv_call_pool_t *pool);
 bool FvCallPool_MayLongPoll(const fv_call_pool_t *pool, const char *address);
--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -52,6 +52,33 @@
     }
 }
 
+/* A process that ends closes its connections, and refuses new ones until the
+ * next incarnation listens. That one, which may be of another kind, gets no
+ * order before it has reported. */
+static bool
+check_connection(const fv_leader_t *leader, const fv_sched_worker_t *worker,
+                 const fv_call_answer_t *answer)
+{
+    if (!answer->closed && !answer->refused) {
+        return true;
+    }
+    FvCallPool_FailWaiting(leader->pool, worker->entry.address, Fv_CALL_START);
+    return false;
+}
+
+static void
+check_order_connection(fv_order_call_t *order, const fv_call_answer_t *answer)
+{
+    fv_sched_t *sched = &order->leader->sched;
+    const fv_sched_task_t *task = FvSched_FindTask(sched, order->task);
+
+    if (task != NULL && task->run == order->run && task->worker != NULL &&
+        !check_connection(order->leader, task->worker, answer)) {
+        task->worker->report_due_ms = FvClock_NowMs();
+        FvSched_ReportUnanswered(sched, task->worker, FvClock_NowMs());
+    }
+}
+
 static void
 order_answered(void *context, const fv_call_answer_t *answer)
 {
@@ -79,6 +106,7 @@
     if (order->stop) {
         note_stop_ended(leader, order->sent_ms + answer->waited_ms, result);
     }
+    check_order_connection(order, answer);
     task = FvSched_FindTask(&leader->sched, order->task);
     if (task != NULL && !order->stop && task->run == order->run) {
         task->start_sent_ms += answer->waited_ms;
@@ -301,6 +329,7 @@
     fv_order_result_t result = FvPlatform_DecodeOrderResult(answer, &clock_ms);
 
     session->worker->refused = answer->refused;
+    check_connection(leader, session->worker, answer);
     if (result == Fv_ORDER_FENCED) {
         leader->events.deposed(leader->events.context, "fenced_by_worker");
         return false;
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -183,10 +183,20 @@
     requeue_unstarted(sched, task, now_ms);
 }
 
-/* Starts are idempotent on the worker, so a retry resolves most unconfirmed
- * starts in one round trip. */
-static bool
-retry_start(fv_sched_t *sched, fv_sched_task_t *task, int64_t now_ms)
+/**
+ * FvSched_RetryStart - repeat a start order that was not answered
+ * @sched: the scheduler
+ * @task: the task
+ * @now_ms: the time
+ *
+ * Starts are idempotent on the worker, so that one repetition resolves most
+ * unconfirmed starts in a round trip. None is sent to a worker that may have
+ * restarted since its last report.
+ *
+ * Return: false when the order was not sent, or has been repeated before.
+ */
+bool
+FvSched_RetryStart(fv_sched_t *sched, fv_sched_task_t *task, int64_t now_ms)
 {
     const fv_sched_stage_t *stage = task->stage;
     const fv_verdict_t *verdict = NULL;
@@ -203,6 +213,7 @@
     }
     task->start_retried = sched->ops->start(sched, task, verdict);
     if (task->start_retried) {
+        task->start_unconfirmed = false;
         task->start_repeated_ms = now_ms;
     }
     return task->start_retried;
@@ -249,7 +260,7 @@
                     task->start_retried ? 1 : 0);
         FvSched_NoteUnanswered(sched, now_ms);
         if (result == Fv_ORDER_UNCONFIRMED &&
-            retry_start(sched, task, now_ms)) {
+            FvSched_RetryStart(sched, task, now_ms)) {
             return;
         }
         task->start_unconfirmed = true;
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -320,7 +320,8 @@
             next = worker->tasks; /* the list may have changed */
         }
         else if (task->state == Fv_SCHED_STOPPING ||
-                 (task->start_unconfirmed && task->start_sent_ms < sent_ms)) {
+                 (task->start_unconfirmed && task->start_sent_ms < sent_ms &&
+                  !FvSched_RetryStart(sched, task, now_ms))) {
             FvSched_StopTask(sched, task, now_ms); /* repeats when due */
         }
     }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -44,7 +44,7 @@
     fv_sched_task_t *worker_next;
     fv_sched_task_t *worker_previous;
     int64_t start_sent_ms;
-    int64_t start_repeated_ms; /* when its last copy was sent */
+    int64_t start_repeated_ms;  /* when its last copy was sent */
     int64_t start_confirmed_ms; /* when the start was answered */
     int64_t stop_sent_ms;
     int64_t stop_confirmed_ms; /* 0: the stop was not answered */
@@ -450,6 +450,8 @@
 void FvSched_GangMemberMissing(fv_sched_t *sched, fv_sched_stage_t *stage,
                                int64_t now_ms);
 void FvSched_NoteUnanswered(fv_sched_t *sched, int64_t now_ms);
+bool FvSched_RetryStart(fv_sched_t *sched, fv_sched_task_t *task,
+                        int64_t now_ms);
 
 /* sched-advice.c */
 fv_verdict_t *FvSched_FindVerdict(const fv_sched_stage_t *stage,
--- a/tests/unit/call_test.c
+++ b/tests/unit/call_test.c
@@ -21,6 +21,7 @@
     int32_t status;
     bool not_sent;
     bool refused;
+    bool closed;
     int64_t waited_ms;
     uint32_t *sequence; /* counts answers over several calls, or NULL */
     uint32_t rank;
@@ -37,6 +38,7 @@
     outcome->status = answer->status;
     outcome->not_sent = answer->not_sent;
     outcome->refused = answer->refused;
+    outcome->closed = answer->closed;
     outcome->waited_ms = answer->waited_ms;
     if (outcome->sequence != NULL) {
         outcome->rank = ++*outcome->sequence;
@@ -302,6 +304,7 @@
     uint32_t resets;
     uint32_t delay_ms;
     bool silent;
+    bool closes; /* the connection, instead of an answer */
     uint32_t requests;
 } limited_server_t;
 
@@ -335,7 +338,10 @@
     }
     evbuffer_drain(input, evbuffer_get_length(input));
     server->requests++;
-    if (!server->silent) {
+    if (server->closes) {
+        shutdown(bufferevent_getfd(stream), SHUT_RDWR);
+    }
+    else if (!server->silent) {
         event_add(connection->delay, &delay);
     }
 }
@@ -671,6 +677,43 @@
     close_limited(&server);
 }
 
+/* Only a call that was sent may have been executed, and only the end of its
+ * connection shows that the server has ended. */
+static void
+test_end_of_the_server(void)
+{
+    struct event_base *base = event_base_new();
+    fv_call_pool_t *pool = FvCallPool_New(base, 100);
+    limited_server_t server;
+    outcome_t outcomes[6] = {0};
+    outcome_t renewal = {0};
+
+    open_limited(&server, base, 64);
+    server.silent = true;
+    send_urgent(pool, &server, Fv_CALL_START, &outcomes[0]);
+    run_until_answered(base, outcomes, 1);
+    CU_ASSERT_FALSE(outcomes[0].closed); /* it has not been answered in time */
+    outcomes[0] = (outcome_t){0};
+    server.closes = true;
+    for (uint32_t i = 0; i < 6; i++) {
+        send_urgent(pool, &server, Fv_CALL_START, &outcomes[i]);
+    }
+    send_urgent(pool, &server, Fv_CALL_RENEWAL, &renewal);
+    FvCallPool_FailWaiting(pool, server.address, Fv_CALL_START);
+    CU_ASSERT_EQUAL(outcomes[5].answers, 0);
+    run_until_answered(base, outcomes, 6);
+    for (uint32_t i = 0; i < 6; i++) {
+        CU_ASSERT_EQUAL(outcomes[i].status, 0);
+        CU_ASSERT_EQUAL(outcomes[i].closed, i < worker_bounds.open_max);
+        CU_ASSERT_EQUAL(outcomes[i].not_sent, i >= worker_bounds.open_max);
+    }
+    run_until_answered(base, &renewal, 1);
+    CU_ASSERT_TRUE(renewal.closed);
+    CU_ASSERT_EQUAL(server.requests, 2 + worker_bounds.open_max);
+    FvCallPool_Free(pool);
+    close_limited(&server);
+}
+
 int
 main(void)
 {
@@ -699,6 +742,8 @@
          test_close_ends_calls_and_connections},
         {"a host keeps the connection of the answer that deposed it",
          test_close_within_a_callback},
+        {"an order that waits is sent to the next process of its worker",
+         test_end_of_the_server},
     };
 
     return Fv_RUN_SUITE("call", cases);
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -438,6 +438,51 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* The connection on which a start was sent is closed. The worker that listens
+ * next may be another incarnation. */
+static void
+check_closed_start(bool restarted)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_worker_t *worker;
+    fv_worker_report_t report = {0};
+    fv_sched_task_t *task;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    FvSchedFixture_AddJob(&fixture, JOB_A, &queue, two_tasks);
+    FvSchedFixture_RunPass(&fixture);
+    task = FvSched_FindTask(&fixture.sched, JOB_A ".0.0.0");
+    CU_ASSERT_FATAL(task != NULL && task->worker == worker);
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSched_StartAnswered(&fixture.sched, task, 1, Fv_ORDER_UNCONFIRMED,
+                          fixture.now_ms);
+    CU_ASSERT_EQUAL(fixture.order_count, 1);
+    fixture.now_ms += 10;
+    report.clock_ms = fixture.now_ms;
+    report.started_wall_ms = worker->started_wall_ms + (restarted ? 5 : 0);
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms,
+                        fixture.now_ms);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A ".0.0.0"),
+                    restarted ? 1 : 2);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStops(&fixture, JOB_A ".0.0.0"),
+                    restarted ? 1 : 0);
+    FvSchedFixture_Close(&fixture);
+}
+
+static void
+test_start_is_not_repeated_to_the_next_incarnation(void)
+{
+    check_closed_start(true);
+}
+
+static void
+test_start_is_repeated_after_a_report(void)
+{
+    check_closed_start(false);
+}
+
 /* A worker is withdrawn at short notice. */
 static void
 test_long_tasks_leave_a_draining_worker(void)
@@ -691,6 +736,10 @@
          test_long_tasks_leave_a_draining_worker},
         {"a start that reached a worker's new incarnation is repeated",
          test_start_in_new_incarnation_is_kept},
+        {"a start is repeated to a worker that may have restarted",
+         test_start_is_not_repeated_to_the_next_incarnation},
+        {"a start is given up because its connection was closed",
+         test_start_is_repeated_after_a_report},
         {"a lease by the clock before a worker's restart outlasts its tasks",
          test_silence_after_restart},
         {"tasks of an unresponsive worker are restarted too early",
