tests: wait for leaders and log lines in one place

Six tests of entry hosts had a loop of their own that waits for another leader, two the same functions that wait for a log line and read when a leader freed inherited tasks. They are functions of the harness now, with the same bounds.

--- a/tests/harness/entry-cell.c
+++ b/tests/harness/entry-cell.c
@@ -318,6 +318,28 @@
     return host;
 }
 
+/**
+ * FvEntryCell_WaitLeader - wait for another leader
+ * @cell: the cell
+ * @former: index of the host that led before, or -1
+ * @timeout_ms: the longest wait
+ *
+ * Return: index of the host, or -1 when there was none in time.
+ */
+int
+FvEntryCell_WaitLeader(const entry_cell_t *cell, int former,
+                       int64_t timeout_ms)
+{
+    int64_t until_ms = FvClock_NowMs() + timeout_ms;
+    int leader = FvEntryCell_Leader(cell);
+
+    while ((leader < 0 || leader == former) && FvClock_NowMs() < until_ms) {
+        FvFake_SleepMs(10);
+        leader = FvEntryCell_Leader(cell);
+    }
+    return leader != former ? leader : -1;
+}
+
 static bool
 post_fault(int port, const char *body)
 {
@@ -429,6 +451,30 @@
     return status;
 }
 
+/* Counts the lines of a host's log that have a text, and copies the last. */
+static uint32_t
+find_in_log(const entry_cell_t *cell, int host, const char *text, char *last,
+            size_t size)
+{
+    char path[512];
+    char line[4096];
+    uint32_t count = 0;
+    FILE *file;
+
+    snprintf(path, sizeof(path), "%s/host-%d.log", cell->directory, host);
+    file = fopen(path, "r");
+    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
+        if (strstr(line, text) != NULL) {
+            FvText_Copy(last, size, line);
+            count++;
+        }
+    }
+    if (file != NULL) {
+        fclose(file);
+    }
+    return count;
+}
+
 /**
  * FvEntryCell_LogHas - search a host's log
  * @cell: the cell
@@ -440,18 +486,51 @@
 bool
 FvEntryCell_LogHas(const entry_cell_t *cell, int host, const char *text)
 {
-    char path[512];
     char line[4096];
-    bool found = false;
-    FILE *file;
 
-    snprintf(path, sizeof(path), "%s/host-%d.log", cell->directory, host);
-    file = fopen(path, "r");
-    while (file != NULL && !found && fgets(line, sizeof(line), file) != NULL) {
-        found = strstr(line, text) != NULL;
+    return find_in_log(cell, host, text, line, sizeof(line)) > 0;
+}
+
+/**
+ * FvEntryCell_WaitLog - wait until a host's log has a text
+ * @cell: the cell
+ * @host: index of the host
+ * @text: the text
+ * @timeout_ms: the longest wait
+ *
+ * Return: false when no line had the text in time.
+ */
+bool
+FvEntryCell_WaitLog(const entry_cell_t *cell, int host, const char *text,
+                    int64_t timeout_ms)
+{
+    int64_t until_ms = FvClock_NowMs() + timeout_ms;
+
+    while (!FvEntryCell_LogHas(cell, host, text)) {
+        if (FvClock_NowMs() >= until_ms) {
+            return false;
+        }
+        FvFake_SleepMs(10);
     }
-    if (file != NULL) {
-        fclose(file);
+    return true;
+}
+
+/**
+ * FvEntryCell_FreeAfterMs - get when a leader freed inherited tasks
+ * @cell: the cell
+ * @host: index of the leader's host
+ *
+ * Return: the time after its election, in ms, or -1 when it has not.
+ */
+int64_t
+FvEntryCell_FreeAfterMs(const entry_cell_t *cell, int host)
+{
+    char line[4096];
+
+    if (find_in_log(cell, host, "event=inherited_tasks_free", line,
+                    sizeof(line)) == 0) {
+        return -1;
     }
-    return found;
+    printf("%s", line);
+    return strtoll(strstr(line, "after_ms=") + 9, NULL, 10);
 }
--- a/tests/harness/entry-cell.h
+++ b/tests/harness/entry-cell.h
@@ -57,6 +57,8 @@
 bool FvEntryCell_WaitReady(entry_cell_t *cell, int64_t timeout_ms);
 int FvEntryCell_Port(const entry_cell_t *cell, int host, entry_port_t port);
 int FvEntryCell_Leader(const entry_cell_t *cell);
+int FvEntryCell_WaitLeader(const entry_cell_t *cell, int former,
+                           int64_t timeout_ms);
 bool FvEntryCell_PlatformFault(const entry_cell_t *cell, const char *body);
 bool FvEntryCell_RouteFault(const entry_cell_t *cell, int host,
                             const char *mode);
@@ -65,5 +67,8 @@
                      const char *path, const char *body, char *state,
                      size_t size);
 bool FvEntryCell_LogHas(const entry_cell_t *cell, int host, const char *text);
+bool FvEntryCell_WaitLog(const entry_cell_t *cell, int host, const char *text,
+                         int64_t timeout_ms);
+int64_t FvEntryCell_FreeAfterMs(const entry_cell_t *cell, int host);
 
 #endif
--- a/tests/promises/entry_connections.c
+++ b/tests/promises/entry_connections.c
@@ -81,19 +81,6 @@
 }
 
 /* Waits until another host than FORMER leads. */
-static int
-wait_for_leader(const entry_cell_t *cell, int former)
-{
-    int64_t until_ms = FvClock_NowMs() + JOB_MS;
-    int leader = FvEntryCell_Leader(cell);
-
-    while ((leader < 0 || leader == former) && FvClock_NowMs() < until_ms) {
-        FvFake_SleepMs(50);
-        leader = FvEntryCell_Leader(cell);
-    }
-    return leader;
-}
-
 static int64_t
 sum_of(const json_t *report, const char *name)
 {
@@ -148,7 +135,8 @@
             CU_ASSERT_TRUE(
                 FvProcess_Signal(&cell.hosts[leader].process, SIGSTOP));
         }
-        CU_ASSERT_TRUE_FATAL(wait_for_leader(&cell, leader) >= 0);
+        CU_ASSERT_TRUE_FATAL(FvEntryCell_WaitLeader(&cell, leader, JOB_MS) >=
+                             0);
     }
     CU_ASSERT_TRUE(run_job(&cell, running_host(&cell, suspended), 100,
                            many_tasks, JOB_MS));
@@ -199,7 +187,7 @@
             CU_ASSERT(held[w][i] >= 0);
         }
     }
-    leader = wait_for_leader(&cell, leader);
+    leader = FvEntryCell_WaitLeader(&cell, leader, JOB_MS);
     CU_ASSERT_TRUE_FATAL(leader >= 0);
     for (int i = 0; i < 5; i++) {
         CU_ASSERT_TRUE(run_job(&cell, running_host(&cell, suspended), i + 2,
--- a/tests/promises/entry_odd_worker_entries.c
+++ b/tests/promises/entry_odd_worker_entries.c
@@ -157,20 +157,6 @@
     return running;
 }
 
-static int
-wait_for_leader(int other_than)
-{
-    int64_t until_ms = FvClock_NowMs() + LEADER_MS;
-    int leader = -1;
-
-    while ((leader < 0 || leader == other_than) &&
-           FvClock_NowMs() < until_ms) {
-        FvFake_SleepMs(20);
-        leader = FvEntryCell_Leader(&cell);
-    }
-    return leader;
-}
-
 /* The leader reads the entries with the first reading of the registry and as
  * changes of it. */
 static void
@@ -193,7 +179,7 @@
 test_successor_is_not_held_up(void)
 {
     char path[64];
-    int leader = wait_for_leader(-1);
+    int leader = FvEntryCell_WaitLeader(&cell, -1, LEADER_MS);
     int64_t killed_ms;
     int successor;
 
@@ -201,7 +187,7 @@
     submit(path, sizeof(path), (leader + 1) % HOSTS, 8, 1500);
     FvProcess_Kill(&cell.hosts[leader].process);
     killed_ms = FvClock_NowMs();
-    successor = wait_for_leader(leader);
+    successor = FvEntryCell_WaitLeader(&cell, leader, LEADER_MS);
     CU_ASSERT_TRUE_FATAL(successor >= 0 && successor != leader);
     CU_ASSERT_TRUE(FvEntryCell_StartHost(&cell, leader));
     CU_ASSERT_TRUE(is_completed(path, (leader + 1) % HOSTS, LEADER_MS));
--- a/tests/promises/entry_predecessor.c
+++ b/tests/promises/entry_predecessor.c
@@ -50,54 +50,6 @@
     CU_ASSERT_STRING_EQUAL(state, "completed");
 }
 
-static int
-wait_for_leader(const entry_cell_t *cell, int former)
-{
-    int64_t until_ms = FvClock_NowMs() + LEADER_MS;
-    int leader = FvEntryCell_Leader(cell);
-
-    while ((leader < 0 || leader == former) && FvClock_NowMs() < until_ms) {
-        FvFake_SleepMs(10);
-        leader = FvEntryCell_Leader(cell);
-    }
-    return leader != former ? leader : -1;
-}
-
-static void
-wait_for_log(const entry_cell_t *cell, int host, const char *text)
-{
-    int64_t until_ms = FvClock_NowMs() + LEADER_MS;
-
-    while (!FvEntryCell_LogHas(cell, host, text) &&
-           FvClock_NowMs() < until_ms) {
-        FvFake_SleepMs(10);
-    }
-    CU_ASSERT_TRUE(FvEntryCell_LogHas(cell, host, text));
-}
-
-/* Reads the after_ms of the latest inherited_tasks_free event of a host. */
-static int64_t
-free_after_ms(const entry_cell_t *cell, int host)
-{
-    char path[512];
-    char line[4096];
-    int64_t after_ms = -1;
-    FILE *file;
-
-    snprintf(path, sizeof(path), "%s/host-%d.log", cell->directory, host);
-    file = fopen(path, "r");
-    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
-        if (strstr(line, "event=inherited_tasks_free") != NULL) {
-            printf("%s", line);
-            after_ms = strtoll(strstr(line, "after_ms=") + 9, NULL, 10);
-        }
-    }
-    if (file != NULL) {
-        fclose(file);
-    }
-    return after_ms;
-}
-
 /* Host A leads, then B, which changes nothing in the list of workers and so
  * does not write it. B is suspended; A is linked to the third leader. */
 static void
@@ -114,20 +66,20 @@
     first = FvEntryCell_Leader(&cell);
     CU_ASSERT_TRUE_FATAL(first >= 0);
     FvProcess_Kill(&cell.hosts[first].process);
-    second = wait_for_leader(&cell, first);
+    second = FvEntryCell_WaitLeader(&cell, first, LEADER_MS);
     CU_ASSERT_TRUE_FATAL(second >= 0);
     CU_ASSERT_TRUE(FvEntryCell_StartHost(&cell, first));
     snprintf(linked, sizeof(linked), "event=leader_linked leader=host-%d",
              second);
-    wait_for_log(&cell, first, linked);
+    CU_ASSERT_TRUE(FvEntryCell_WaitLog(&cell, first, linked, LEADER_MS));
     /* Renews its lease of worker 1 until the end, and is then cut off. */
     CU_ASSERT_TRUE(FvEntryCell_PlatformFault(&cell, "{\"crash\":1}"));
     CU_ASSERT_TRUE(FvProcess_Signal(&cell.hosts[second].process, SIGSTOP));
-    third = wait_for_leader(&cell, second);
+    third = FvEntryCell_WaitLeader(&cell, second, LEADER_MS);
     CU_ASSERT_TRUE_FATAL(third >= 0);
     snprintf(predecessor, sizeof(predecessor), "predecessor=host-%d", second);
     FvFake_SleepMs(FREE_MS - 3000);
-    CU_ASSERT(free_after_ms(&cell, third) >= RELEASE_MIN_MS);
+    CU_ASSERT(FvEntryCell_FreeAfterMs(&cell, third) >= RELEASE_MIN_MS);
     CU_ASSERT_TRUE(FvEntryCell_LogHas(&cell, third, predecessor));
     FvEntryCell_Stop(&cell);
 }
@@ -148,18 +100,19 @@
     first = FvEntryCell_Leader(&cell);
     CU_ASSERT_TRUE_FATAL(first >= 0);
     CU_ASSERT_TRUE(FvProcess_Signal(&cell.hosts[first].process, SIGSTOP));
-    second = wait_for_leader(&cell, first);
+    second = FvEntryCell_WaitLeader(&cell, first, LEADER_MS);
     second_ms = FvClock_NowMs();
     CU_ASSERT_TRUE_FATAL(second >= 0);
-    wait_for_log(&cell, second, "event=leader_serving");
+    CU_ASSERT_TRUE(
+        FvEntryCell_WaitLog(&cell, second, "event=leader_serving", LEADER_MS));
     CU_ASSERT_TRUE(FvEntryCell_PlatformFault(&cell, "{\"crash\":1}"));
     FvProcess_Kill(&cell.hosts[second].process);
-    third = wait_for_leader(&cell, second);
+    third = FvEntryCell_WaitLeader(&cell, second, LEADER_MS);
     third_ms = FvClock_NowMs();
     CU_ASSERT_TRUE_FATAL(third >= 0);
     CU_ASSERT_TRUE(FvEntryCell_StartHost(&cell, second));
     FvFake_SleepMs(FREE_MS - 3000);
-    CU_ASSERT(free_after_ms(&cell, third) + third_ms - second_ms >=
+    CU_ASSERT(FvEntryCell_FreeAfterMs(&cell, third) + third_ms - second_ms >=
               RELEASE_MIN_MS);
     FvEntryCell_Stop(&cell);
 }
@@ -185,8 +138,8 @@
     leader = FvEntryCell_Leader(&cell);
     CU_ASSERT_TRUE_FATAL(leader >= 0);
     FvFake_SleepMs(FREE_MS - 5000);
-    CU_ASSERT(free_after_ms(&cell, leader) >= LEASE_MS);
-    CU_ASSERT(free_after_ms(&cell, leader) < RESTART_RELEASE_MAX_MS);
+    CU_ASSERT(FvEntryCell_FreeAfterMs(&cell, leader) >= LEASE_MS);
+    CU_ASSERT(FvEntryCell_FreeAfterMs(&cell, leader) < RESTART_RELEASE_MAX_MS);
     FvEntryCell_Stop(&cell);
 }
 
--- a/tests/promises/entry_restart_ends.c
+++ b/tests/promises/entry_restart_ends.c
@@ -96,19 +96,6 @@
     FvEntryCell_Stop(&cell);
 }
 
-static int
-wait_for_leader(int former)
-{
-    int64_t until_ms = FvClock_NowMs() + LEADER_MS;
-    int leader = FvEntryCell_Leader(&cell);
-
-    while ((leader < 0 || leader == former) && FvClock_NowMs() < until_ms) {
-        FvFake_SleepMs(10);
-        leader = FvEntryCell_Leader(&cell);
-    }
-    return leader != former ? leader : -1;
-}
-
 static int
 call(int host, const char *method, const char *path, const char *body,
      char *state, size_t size)
@@ -156,7 +143,7 @@
     CU_ASSERT_TRUE_FATAL(first >= 0);
     CU_ASSERT_TRUE(FvEntryCell_PlatformFault(&cell, "{\"crash\":1}"));
     CU_ASSERT_TRUE(FvProcess_Signal(&cell.hosts[first].process, SIGSTOP));
-    second = wait_for_leader(first);
+    second = FvEntryCell_WaitLeader(&cell, first, LEADER_MS);
     CU_ASSERT_TRUE_FATAL(second >= 0);
     since_ms = FvClock_NowMs();
     FvFake_SleepMs(1200);
--- a/tests/promises/entry_unasked.c
+++ b/tests/promises/entry_unasked.c
@@ -105,14 +105,9 @@
 static int
 wait_for_other_leader(int former, int64_t timeout_ms)
 {
-    int64_t until_ms = FvClock_NowMs() + timeout_ms;
-    int leader = -1;
+    int leader = FvEntryCell_WaitLeader(&cell, former, timeout_ms);
 
-    while ((leader < 0 || leader == former) && FvClock_NowMs() < until_ms) {
-        FvFake_SleepMs(50);
-        leader = FvEntryCell_Leader(&cell);
-    }
-    CU_ASSERT_FATAL(leader >= 0 && leader != former);
+    CU_ASSERT_FATAL(leader >= 0);
     return leader;
 }
 
--- a/tests/promises/entry_unreached.c
+++ b/tests/promises/entry_unreached.c
@@ -64,54 +64,6 @@
     FvFake_SleepMs(500);
 }
 
-static int
-wait_for_leader(const entry_cell_t *cell, int former)
-{
-    int64_t until_ms = FvClock_NowMs() + LEADER_MS;
-    int leader = FvEntryCell_Leader(cell);
-
-    while ((leader < 0 || leader == former) && FvClock_NowMs() < until_ms) {
-        FvFake_SleepMs(10);
-        leader = FvEntryCell_Leader(cell);
-    }
-    return leader != former ? leader : -1;
-}
-
-static void
-wait_for_log(const entry_cell_t *cell, int host, const char *text)
-{
-    int64_t until_ms = FvClock_NowMs() + LEADER_MS;
-
-    while (!FvEntryCell_LogHas(cell, host, text) &&
-           FvClock_NowMs() < until_ms) {
-        FvFake_SleepMs(10);
-    }
-    CU_ASSERT_TRUE(FvEntryCell_LogHas(cell, host, text));
-}
-
-/* Reads the after_ms of the latest inherited_tasks_free event of a host. */
-static int64_t
-free_after_ms(const entry_cell_t *cell, int host)
-{
-    char path[512];
-    char line[4096];
-    int64_t after_ms = -1;
-    FILE *file;
-
-    snprintf(path, sizeof(path), "%s/host-%d.log", cell->directory, host);
-    file = fopen(path, "r");
-    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
-        if (strstr(line, "event=inherited_tasks_free") != NULL) {
-            printf("%s", line);
-            after_ms = strtoll(strstr(line, "after_ms=") + 9, NULL, 10);
-        }
-    }
-    if (file != NULL) {
-        fclose(file);
-    }
-    return after_ms;
-}
-
 /* Worker 1 ends and stays silent; its leader is suspended when it has noticed
  * that. */
 static void
@@ -129,10 +81,10 @@
     CU_ASSERT_TRUE(FvEntryCell_PlatformFault(&cell, "{\"crash\":1}"));
     FvFake_SleepMs(UNREACHED_MS);
     CU_ASSERT_TRUE(FvProcess_Signal(&cell.hosts[first].process, SIGSTOP));
-    second = wait_for_leader(&cell, first);
+    second = FvEntryCell_WaitLeader(&cell, first, LEADER_MS);
     CU_ASSERT_TRUE_FATAL(second >= 0);
     FvFake_SleepMs(RELEASE_MAX_MS + 700);
-    after_ms = free_after_ms(&cell, second);
+    after_ms = FvEntryCell_FreeAfterMs(&cell, second);
     CU_ASSERT(after_ms > 0 && after_ms <= RELEASE_MAX_MS);
     FvEntryCell_Stop(&cell);
 }
@@ -151,16 +103,18 @@
     CU_ASSERT_TRUE_FATAL(first >= 0);
     start_long_tasks(&cell);
     CU_ASSERT_TRUE(FvEntryCell_PlatformFault(&cell, "{\"crash\":1}"));
-    wait_for_log(&cell, first, "event=unreached_workers count=1");
+    CU_ASSERT_TRUE(FvEntryCell_WaitLog(
+        &cell, first, "event=unreached_workers count=1", LEADER_MS));
     CU_ASSERT_TRUE(FvEntryCell_PlatformFault(&cell, "{\"restart\":1}"));
-    wait_for_log(&cell, first, "event=unreached_workers count=0");
+    CU_ASSERT_TRUE(FvEntryCell_WaitLog(
+        &cell, first, "event=unreached_workers count=0", LEADER_MS));
     FvFake_SleepMs(1000);
     CU_ASSERT_TRUE(FvEntryCell_PlatformFault(&cell, "{\"crash\":1}"));
     CU_ASSERT_TRUE(FvProcess_Signal(&cell.hosts[first].process, SIGSTOP));
-    second = wait_for_leader(&cell, first);
+    second = FvEntryCell_WaitLeader(&cell, first, LEADER_MS);
     CU_ASSERT_TRUE_FATAL(second >= 0);
     FvFake_SleepMs(FREE_MS);
-    CU_ASSERT(free_after_ms(&cell, second) >= RELEASE_MIN_MS);
+    CU_ASSERT(FvEntryCell_FreeAfterMs(&cell, second) >= RELEASE_MIN_MS);
     FvEntryCell_Stop(&cell);
 }
 
