scheduler: hold a start in doubt for the lease of an unreported incarnation

A start is not answered, and its worker restarts under its id: the entry in the registry names another incarnation, which this leader does not reach. That incarnation may carry out the start for 12 s after it was sent. The start's deadline is by the clock of the earlier incarnation, far ahead by the new clock, so the run gets the longest lease (maxHoldMs, 10 s) and not the usual one. The task was started elsewhere after the 12 s, up to 10.5 s before that run had certainly ended.

A worker that has reported was covered already (FvSched_OutlastEarlierLeases); one of which only the entry tells was not.

Evidence: the new case of sched_restart_test failed before ("a task starts elsewhere while its start may run on an incarnation that has not reported"). Found by reading; not seen in a run of hosts. sched_restart, sched_lease, sched_report, sched_registry, leader_unreached and sched_model passed after the change. A start in doubt on a silent worker without a new entry is held for 12 s as before.

--- a/src/sched-lease.c
+++ b/src/sched-lease.c
@@ -35,6 +35,19 @@
     return worst_case_ms(sched->lease_ms);
 }
 
+/**
+ * FvSched_LongestLeaseMs - get the time that the longest lease lasts
+ * @sched: the scheduler
+ *
+ * Return: the time from carrying out an order with a deadline that is far
+ * ahead until its lease has expired on the slowest clock.
+ */
+int64_t
+FvSched_LongestLeaseMs(const fv_sched_t *sched)
+{
+    return worst_case_ms(sched->lease_max_ms);
+}
+
 /**
  * FvSched_OutlastEarlierLeases - allow for deadlines by the clock of an
  * earlier incarnation of a worker
@@ -70,7 +83,7 @@
         own_sent_ms + Fv_ORDER_DELAY_MAX_MS > executed_by_ms) {
         executed_by_ms = own_sent_ms + Fv_ORDER_DELAY_MAX_MS;
     }
-    end_ms = executed_by_ms + worst_case_ms(sched->lease_max_ms);
+    end_ms = executed_by_ms + FvSched_LongestLeaseMs(sched);
     if (end_ms > worker->lease_expires_ms) {
         worker->lease_expires_ms = end_ms;
     }
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -615,14 +615,23 @@
 }
 
 /* Whether the worker may still carry out an unanswered start, or an unanswered
- * copy of one. An unlisted worker counts as removed. */
+ * copy of one, or may run what an incarnation that has not reported carried
+ * out: the start's deadline is far ahead by its clock. An unlisted worker
+ * counts as removed. */
 static bool
-may_start_late(const fv_sched_task_t *task, int64_t now_ms)
+may_start_late(const fv_sched_t *sched, const fv_sched_task_t *task,
+               int64_t now_ms)
 {
-    return task->worker->listed &&
+    const fv_sched_worker_t *worker = task->worker;
+    int64_t until_ms = task->start_repeated_ms + Fv_ORDER_DELAY_MAX_MS;
+
+    if (!is_incarnation_listed(worker)) {
+        until_ms += FvSched_LongestLeaseMs(sched);
+    }
+    return worker->listed &&
            (task->start_unconfirmed || task->start_retried ||
             task->state == Fv_SCHED_STARTING) &&
-           now_ms < task->start_repeated_ms + Fv_ORDER_DELAY_MAX_MS;
+           now_ms < until_ms;
 }
 
 /**
@@ -647,7 +656,7 @@
         fv_sched_stage_t *stage = task->stage;
 
         next = task->worker_next;
-        if (may_start_late(task, now_ms)) {
+        if (may_start_late(sched, task, now_ms)) {
             continue;
         }
         lost++;
--- a/tests/unit/sched_restart_test.c
+++ b/tests/unit/sched_restart_test.c
@@ -178,6 +178,56 @@
     test_repeated_start(Fv_ORDER_DONE);
 }
 
+/* Starts a task whose start is not answered, and neither is its repetition.
+ * Sets repeated_ms to the time of the latter. */
+static fv_sched_task_t *
+open_with_start_in_doubt(sched_fixture_t *fixture, int64_t *repeated_ms)
+{
+    static const char job[] =
+        "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1000,"
+        "\"memMb\":10,\"estimatedMs\":1000}]}";
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_task_t *task;
+
+    FvSchedFixture_Open(fixture, 1);
+    FvSchedFixture_AddWorker(fixture, "w1", "r1", 1000);
+    FvSchedFixture_AddJob(fixture, "00000000000000aa", &queue, job);
+    FvSchedFixture_RunPass(fixture);
+    task = FvSched_FindTask(&fixture->sched, "00000000000000aa.0.0.0");
+    CU_ASSERT_FATAL(task != NULL && task->worker != NULL);
+    fixture->now_ms += 900;
+    *repeated_ms = fixture->now_ms;
+    FvSched_StartAnswered(&fixture->sched, task, task->run,
+                          Fv_ORDER_UNCONFIRMED, fixture->now_ms);
+    fixture->now_ms += 900;
+    FvSched_StartAnswered(&fixture->sched, task, task->run,
+                          Fv_ORDER_UNCONFIRMED, fixture->now_ms);
+    return task;
+}
+
+/* The next incarnation may carry out the start, under the longest lease since
+ * its clock is behind the deadline. Only its entry tells of it. */
+static void
+test_start_at_silent_incarnation(void)
+{
+    static sched_fixture_t fixture;
+    int64_t repeated_ms;
+    fv_sched_task_t *task = open_with_start_in_doubt(&fixture, &repeated_ms);
+    fv_sched_worker_t *worker = task->worker;
+    fv_worker_entry_t entry = worker->entry;
+
+    entry.started_wall_ms = 2;
+    FvSched_UpdateWorker(&fixture.sched, &entry, fixture.now_ms);
+    fixture.now_ms = repeated_ms + Fv_ORDER_DELAY_MAX_MS +
+                     2 * Fv_FIXTURE_LEASE_MS * 102 / 100;
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_PTR_EQUAL(task->worker, worker);
+    fixture.now_ms += 500;
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_PTR_NULL(task->worker);
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -197,6 +247,9 @@
         {"a task starts elsewhere before the first copy of its start has "
          "certainly been carried out, since the second was answered",
          test_repeated_start_with_an_answer},
+        {"a task starts elsewhere while its start may run on an incarnation "
+         "that has not reported",
+         test_start_at_silent_incarnation},
     };
 
     return Fv_RUN_SUITE("sched_restart", cases);
