scheduler: hold a start in doubt until its worker's entry can be back

While the store is down, the entry of a worker that lives may expire; by the platform's protocol it is back within about 2 s of the store's return. A worker without an entry was taken for removed at once, and the tasks of its unanswered starts went elsewhere as soon as its lease had expired. Cut off from its leader for the same time, such a worker is then reached again, gets leases, and carries out the start under them, up to 12 s after it was sent.

Cause: an absence concluded from a registry that is known to be incomplete.

A worker now counts as removed 2.4 s after its entry has gone. Only tasks of unanswered starts wait for that.

Evidence: the new case of sched_restart_test "a task starts elsewhere although the entry of its silent worker may come back" failed before (the change with a time of 0). Found by reading; not seen in a run of hosts. sched_restart, sched_lease, sched_report, sched_registry, leader_unreached and sched_model passed after the change.

--- a/src/leader-load.c
+++ b/src/leader-load.c
@@ -31,7 +31,7 @@
         &leader->sched, item->key + strlen(FvPlatform_RegistryPrefix));
 
     if (worker != NULL) {
-        FvSched_WorkerUnlisted(worker);
+        FvSched_WorkerUnlisted(worker, FvClock_NowMs());
     }
 }
 
@@ -73,7 +73,8 @@
     fv_leader_t *leader = context;
 
     leader->reading_registry = false;
-    FvSched_UnlistMissingWorkers(&leader->sched, leader->registry_readings);
+    FvSched_UnlistMissingWorkers(&leader->sched, leader->registry_readings,
+                                 FvClock_NowMs());
     FvLog_Event(Fv_LOG_INFO, "registry_read", "workers=%u",
                 HASH_COUNT(leader->sched.workers));
     if (leader->worker_list_dirty && !leader->worker_list_writing) {
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -12,6 +12,10 @@
  * quarantined. */
 #define Fv_CONSECUTIVE_FAILURES_MAX 2
 
+/* Entries that expired during an outage of the store are back within about 2 s
+ * of its end, unless their workers have left. */
+#define Fv_ENTRY_RETURN_MS 2400
+
 /* How long a quarantined worker gets no task before it is probed with one.
  * Faults of this kind pass within seconds. */
 #define Fv_QUARANTINE_MS 4000
@@ -242,13 +246,15 @@
 /**
  * FvSched_WorkerUnlisted - note that a worker has left the registry
  * @worker: the worker
+ * @now_ms: the time
  *
  * Its tasks may run until its lease has expired.
  */
 void
-FvSched_WorkerUnlisted(fv_sched_worker_t *worker)
+FvSched_WorkerUnlisted(fv_sched_worker_t *worker, int64_t now_ms)
 {
     if (worker->listed) {
+        worker->unlisted_ms = now_ms;
         FvLog_Event(Fv_LOG_INFO, "worker_unlisted", "worker=%s tasks=%d",
                     worker->entry.id, worker->task_count);
     }
@@ -260,17 +266,19 @@
  * @sched: the scheduler
  * @reading: number of the reading; a listed worker with another number was
  *           not in it
+ * @now_ms: the time
  *
  * Until the reading is complete, the workers that were listed before it keep
  * their tasks and get new ones.
  */
 void
-FvSched_UnlistMissingWorkers(fv_sched_t *sched, uint64_t reading)
+FvSched_UnlistMissingWorkers(fv_sched_t *sched, uint64_t reading,
+                             int64_t now_ms)
 {
     for (fv_sched_worker_t *worker = sched->workers; worker != NULL;
          worker = worker->hh.next) {
         if (worker->listed && worker->registry_reading != reading) {
-            FvSched_WorkerUnlisted(worker);
+            FvSched_WorkerUnlisted(worker, now_ms);
         }
     }
 }
@@ -616,19 +624,20 @@
 
 /* Whether the worker may still carry out an unanswered start, or an unanswered
  * copy of one, or may run what an incarnation that has not reported carried
- * out: the start's deadline is far ahead by its clock. An unlisted worker
- * counts as removed. */
+ * out: the start's deadline is far ahead by its clock. */
 static bool
 may_start_late(const fv_sched_t *sched, const fv_sched_task_t *task,
                int64_t now_ms)
 {
     const fv_sched_worker_t *worker = task->worker;
+    bool removed =
+        !worker->listed && now_ms >= worker->unlisted_ms + Fv_ENTRY_RETURN_MS;
     int64_t until_ms = task->start_repeated_ms + Fv_ORDER_DELAY_MAX_MS;
 
     if (!is_incarnation_listed(worker)) {
         until_ms += FvSched_LongestLeaseMs(sched);
     }
-    return worker->listed &&
+    return !removed &&
            (task->start_unconfirmed || task->start_retried ||
             task->state == Fv_SCHED_STARTING) &&
            now_ms < until_ms;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -176,6 +176,7 @@
 struct fv_sched_worker {
     fv_worker_entry_t entry;
     bool listed;               /* in the registry */
+    int64_t unlisted_ms;       /* when it left the registry */
     uint64_t registry_reading; /* latest complete reading that had it */
     bool synced;               /* has reported all its ends to this leader */
     bool clock_known;          /* of the present incarnation */
@@ -360,8 +361,9 @@
 fv_sched_worker_t *FvSched_UpdateWorker(fv_sched_t *sched,
                                         const fv_worker_entry_t *entry,
                                         int64_t now_ms);
-void FvSched_WorkerUnlisted(fv_sched_worker_t *worker);
-void FvSched_UnlistMissingWorkers(fv_sched_t *sched, uint64_t reading);
+void FvSched_WorkerUnlisted(fv_sched_worker_t *worker, int64_t now_ms);
+void FvSched_UnlistMissingWorkers(fv_sched_t *sched, uint64_t reading,
+                                  int64_t now_ms);
 void FvSched_FreeWorker(fv_sched_t *sched, fv_sched_worker_t *worker);
 void FvSched_AddOrphanRun(fv_sched_worker_t *worker, const char *task,
                           int32_t run, int64_t now_ms);
--- a/tests/unit/leader_unreached_test.c
+++ b/tests/unit/leader_unreached_test.c
@@ -142,7 +142,7 @@
 
     open_leader();
     worker->refused = false;
-    FvSched_WorkerUnlisted(worker);
+    FvSched_WorkerUnlisted(worker, now_ms);
     CU_ASSERT_TRUE(is_entered());
     close_leader();
 }
--- a/tests/unit/sched_registry_test.c
+++ b/tests/unit/sched_registry_test.c
@@ -36,7 +36,7 @@
     CU_ASSERT_EQUAL(kept->task_count, 1);
     CU_ASSERT_EQUAL(gone->task_count, 1);
     /* No page had w2. */
-    FvSched_UnlistMissingWorkers(&fixture.sched, 1);
+    FvSched_UnlistMissingWorkers(&fixture.sched, 1, fixture.now_ms);
     CU_ASSERT_TRUE(kept->listed);
     CU_ASSERT_FALSE(gone->listed);
     FvSchedFixture_Close(&fixture);
--- a/tests/unit/sched_restart_test.c
+++ b/tests/unit/sched_restart_test.c
@@ -228,6 +228,48 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* An outage of the store removes the entry of a worker that is cut off from
+ * the leader. The entry is back within 2 s of the end of the outage, and the
+ * worker, once it is reached, gets leases under which it may carry out the
+ * start. */
+static void
+test_start_at_unlisted_worker(void)
+{
+    static sched_fixture_t fixture;
+    int64_t repeated_ms;
+    fv_sched_task_t *task = open_with_start_in_doubt(&fixture, &repeated_ms);
+    fv_sched_worker_t *worker = task->worker;
+    fv_worker_entry_t entry = worker->entry;
+
+    fixture.now_ms = repeated_ms + Fv_FIXTURE_LEASE_MS + 1000;
+    FvSched_WorkerUnlisted(worker, fixture.now_ms);
+    fixture.now_ms += 1900;
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_PTR_EQUAL(task->worker, worker);
+    FvSched_UpdateWorker(&fixture.sched, &entry, fixture.now_ms);
+    fixture.now_ms = repeated_ms + Fv_ORDER_DELAY_MAX_MS - 1;
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_PTR_EQUAL(task->worker, worker);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* A worker whose entry is not back by then has left. */
+static void
+test_start_at_removed_worker(void)
+{
+    static sched_fixture_t fixture;
+    int64_t repeated_ms;
+    fv_sched_task_t *task = open_with_start_in_doubt(&fixture, &repeated_ms);
+    fv_sched_worker_t *worker = task->worker;
+
+    fixture.now_ms = repeated_ms + Fv_FIXTURE_LEASE_MS + 1000;
+    FvSched_WorkerUnlisted(worker, fixture.now_ms);
+    fixture.now_ms += 2500;
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_PTR_NULL(task->worker);
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -250,6 +292,11 @@
         {"a task starts elsewhere while its start may run on an incarnation "
          "that has not reported",
          test_start_at_silent_incarnation},
+        {"a task starts elsewhere although the entry of its silent worker may "
+         "come back",
+         test_start_at_unlisted_worker},
+        {"a task waits for a worker that has left the registry",
+         test_start_at_removed_worker},
     };
 
     return Fv_RUN_SUITE("sched_restart", cases);
