election: register the host with its claim of the leadership

A new leader takes all earlier leaders for stopped once all registered hosts are linked to it, and frees inherited tasks up to 6 s earlier. A host whose own registration had failed or was not answered (a new host at a store that refuses or loses calls, or one that the leader had removed and that was about to enter itself again) could still claim the leadership. Cut off from its successor, it gave orders for 6 s while the successor did not look for it.

Cause: an absence concluded from a registry that need not name every leader.

The transaction of a claim now writes the host's entry too. A successor has read the generation key of that transaction, and with it the entry.

Evidence: the new case of election_test failed before.

--- a/src/election-hosts.c
+++ b/src/election-hosts.c
@@ -52,6 +52,23 @@
     election->registered = result->error == Fv_KV_OK;
 }
 
+/**
+ * FvElectionHosts_FormatEntry - format this host's entry in the registry
+ * @election: the election
+ * @key: receives its key, at most Fv_KEY_SIZE bytes
+ * @value: receives its value, at most Fv_URL_SIZE bytes
+ */
+void
+FvElectionHosts_FormatEntry(const fv_election_t *election, char *key,
+                            char *value)
+{
+    const fv_entry_settings_t *settings = election->settings;
+
+    snprintf(key, Fv_KEY_SIZE, "%s%s", Fv_KEY_HOSTS, settings->host);
+    snprintf(value, Fv_URL_SIZE, "%s:%d %.3f", settings->address,
+             settings->link_port, settings->cpu_cores);
+}
+
 /**
  * FvElectionHosts_Register - write this host's entry in the registry
  * @election: the election
@@ -59,13 +76,10 @@
 void
 FvElectionHosts_Register(fv_election_t *election)
 {
-    const fv_entry_settings_t *settings = election->settings;
     char key[Fv_KEY_SIZE];
     char value[Fv_URL_SIZE];
 
-    snprintf(key, sizeof(key), "%s%s", Fv_KEY_HOSTS, settings->host);
-    snprintf(value, sizeof(value), "%s:%d %.3f", settings->address,
-             settings->link_port, settings->cpu_cores);
+    FvElectionHosts_FormatEntry(election, key, value);
     election->registering = true;
     FvKvClient_Txn(
         election->kv, NULL, 0,
--- a/src/election.c
+++ b/src/election.c
@@ -240,6 +240,8 @@
     fv_election_t *election = context;
     char value[Fv_URL_SIZE];
     char generation[Fv_NAME_SIZE * 2];
+    char host_key[Fv_KEY_SIZE];
+    char host[Fv_URL_SIZE];
 
     if (election->state != Fv_CLAIM_GRANTING) {
         return;
@@ -259,19 +261,23 @@
              election->nonce, election->lease);
     snprintf(generation, sizeof(generation), "%d %s",
              election->claimed_generation, election->settings->host);
+    /* A successor takes hosts that are not registered for stopped. */
+    FvElectionHosts_FormatEntry(election, host_key, host);
     FvKvClient_Txn(
         election->kv,
         (fv_kv_expect_t[]){{Fv_KEY_LEADER, 0},
                            {Fv_KEY_GENERATION, election->generation_revision}},
         2,
-        (fv_kv_put_t[]){{.key = Fv_KEY_LEADER,
-                         .value = value,
-                         .length = strlen(value),
-                         .lease = election->lease},
-                        {.key = Fv_KEY_GENERATION,
-                         .value = generation,
-                         .length = strlen(generation)}},
-        2, claim_written, election);
+        (fv_kv_put_t[]){
+            {.key = Fv_KEY_LEADER,
+             .value = value,
+             .length = strlen(value),
+             .lease = election->lease},
+            {.key = Fv_KEY_GENERATION,
+             .value = generation,
+             .length = strlen(generation)},
+            {.key = host_key, .value = host, .length = strlen(host)}},
+        3, claim_written, election);
 }
 
 static void
--- a/src/election.h
+++ b/src/election.h
@@ -66,6 +66,8 @@
 };
 
 /* election-hosts.c: the registry of hosts. */
+void FvElectionHosts_FormatEntry(const fv_election_t *election, char *key,
+                                 char *value);
 void FvElectionHosts_Register(fv_election_t *election);
 void FvElectionHosts_Update(fv_election_t *election, const fv_kv_item_t *item);
 bool FvElectionHosts_IsLargest(const fv_election_t *election);
--- a/tests/unit/election_test.c
+++ b/tests/unit/election_test.c
@@ -671,6 +671,28 @@
     close_election();
 }
 
+/* All registered hosts are linked to a new leader, which then takes every
+ * earlier leader for stopped. */
+static void
+test_claim_registers_its_host(void)
+{
+    fake_kv_call_t *claim;
+    bool registers = false;
+
+    open_election("41");
+    fake_kv_answer(fake_kv_latest(FAKE_KV_TXN),
+                   (fv_kv_result_t){.error = Fv_KV_UNCONFIRMED});
+    claim = send_claim();
+    CU_ASSERT_STRING_EQUAL_FATAL(claim->puts[0].key, Fv_KEY_LEADER);
+    for (uint32_t i = 0; i < claim->put_count; i++) {
+        registers = registers ||
+                    (strcmp(claim->puts[i].key, Fv_KEY_HOSTS "akl-1") == 0 &&
+                     strcmp(claim->puts[i].value, "127.0.0.1:1 1.000") == 0);
+    }
+    CU_ASSERT_TRUE(registers);
+    close_election();
+}
+
 int
 main(void)
 {
@@ -724,6 +746,9 @@
          test_election_ignores_removed_host},
         {"the entry of a removed host stays in the store",
          test_remove_host_deletes_its_entry},
+        {"a host that is not registered leads, and its successor takes it for "
+         "stopped",
+         test_claim_registers_its_host},
     };
 
     return Fv_RUN_SUITE("election", cases);
