election: begin and win no claim after a resignation

Callers could wait for one election more when a host was terminated: a host that got SIGTERM while a leader was being elected went on with its claim, led for up to 2 s without preparing its end, and resigned as `shutdown_unprepared`; its successor then waits for runs that may be stopping. One whose drain ended first left a leader key of a process that had gone.

Cause: FvElection_Resign() sets the time before which the host makes no claim, but only a claim that was scheduled later looked at it, not one that was scheduled, under way or repeated.

The time is now looked at before each claim, before its second call, and when its result comes; a claim that was won is given back by ending its lease.

Evidence: the new case of election_test, "a host that shuts down is elected", failed before in its cases of a claim that is under way, won or repeated (the one of a scheduled claim was added with the fix). Found by reading; not seen in a run of hosts. election passed after the change.

--- a/src/election.c
+++ b/src/election.c
@@ -101,18 +101,23 @@
 }
 
 static void
-schedule_claim(fv_election_t *election, int64_t now_ms)
+claim_after(fv_election_t *election, int64_t now_ms, int64_t delay_ms)
 {
-    if (election->claim_at_ms != 0 || election->state != Fv_CLAIM_NONE) {
-        return;
-    }
-    election->claim_at_ms = now_ms + random_claim_delay_ms(election);
+    election->claim_at_ms = now_ms + delay_ms;
     if (election->claim_at_ms < election->no_claim_until_ms) {
         election->claim_at_ms = election->no_claim_until_ms;
     }
     arm_action_timer(election, election->claim_at_ms - now_ms);
 }
 
+static void
+schedule_claim(fv_election_t *election, int64_t now_ms)
+{
+    if (election->claim_at_ms == 0 && election->state == Fv_CLAIM_NONE) {
+        claim_after(election, now_ms, random_claim_delay_ms(election));
+    }
+}
+
 static void
 lose_leadership(fv_election_t *election, const char *cause)
 {
@@ -136,14 +141,31 @@
     election->state = Fv_CLAIM_NONE;
     election->claim_at_ms = 0;
     if (!election->leader_known) {
-        election->claim_at_ms = FvClock_NowMs() + Fv_CLAIM_RETRY_MS;
-        arm_action_timer(election, Fv_CLAIM_RETRY_MS);
+        claim_after(election, FvClock_NowMs(), Fv_CLAIM_RETRY_MS);
     }
 }
 
+static void
+abandon_claim(fv_election_t *election)
+{
+    FvKvClient_Revoke(election->kv, election->lease);
+    claim_failed(election);
+}
+
+/* This host may have resigned since it began its claim. */
+static bool
+is_claim_wanted(const fv_election_t *election)
+{
+    return FvClock_NowMs() >= election->no_claim_until_ms;
+}
+
 static void
 claim_won(fv_election_t *election, int64_t revision)
 {
+    if (!is_claim_wanted(election)) {
+        abandon_claim(election);
+        return;
+    }
     election->state = Fv_CLAIM_HELD;
     election->claim_at_ms = 0;
     election->needs_renewal =
@@ -204,8 +226,7 @@
         return;
     }
     if (result->error == Fv_KV_OK || result->error == Fv_KV_NOT_FOUND) {
-        FvKvClient_Revoke(election->kv, election->lease);
-        claim_failed(election);
+        abandon_claim(election);
         return;
     }
     election->check_at_ms = FvClock_NowMs() + Fv_CLAIM_RETRY_MS;
@@ -229,8 +250,7 @@
         for (uint32_t i = 0; i < result->items.count; i++) {
             update_generation(election, &result->items.items[i]);
         }
-        FvKvClient_Revoke(election->kv, election->lease);
-        claim_failed(election);
+        abandon_claim(election);
     }
 }
 
@@ -251,6 +271,10 @@
         return;
     }
     election->lease = result->lease;
+    if (!is_claim_wanted(election)) {
+        abandon_claim(election);
+        return;
+    }
     election->ttl_ms = result->ttl_ms;
     election->state = Fv_CLAIM_WRITING;
     election->claimed_generation = election->last_generation + 1;
@@ -425,7 +449,8 @@
             revoke_leader_lease(election);
         }
     }
-    else if (election->claim_at_ms != 0 && now_ms >= election->claim_at_ms) {
+    else if (election->claim_at_ms != 0 && now_ms >= election->claim_at_ms &&
+             now_ms >= election->no_claim_until_ms) {
         start_claim(election, now_ms);
     }
 }
--- a/tests/unit/election_test.c
+++ b/tests/unit/election_test.c
@@ -693,6 +693,50 @@
     close_election();
 }
 
+/* SIGTERM comes before a claim, during its first call, during its second one,
+ * and before it is repeated. */
+static void
+test_no_claim_after_resignation(void)
+{
+    fake_kv_call_t *claim;
+
+    open_election("41");
+    FvElection_Resign(election, INT32_MAX, "shutdown");
+    fake_kv_run_loop(base, 500);
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_GRANT), 0);
+    close_election();
+
+    open_election("41");
+    fake_kv_run_loop(base, 350);
+    FvElection_Resign(election, INT32_MAX, "shutdown");
+    fake_kv_answer(
+        fake_kv_latest(FAKE_KV_GRANT),
+        (fv_kv_result_t){.error = Fv_KV_OK, .lease = 7, .ttl_ms = TTL_MS});
+    fake_kv_run_loop(base, 300);
+    CU_ASSERT_STRING_NOT_EQUAL(fake_kv_latest(FAKE_KV_TXN)->puts[0].key,
+                               Fv_KEY_LEADER);
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_GRANT), 1);
+    CU_ASSERT_EQUAL(fake_kv.revoked_lease, 7);
+    close_election();
+
+    open_election("41");
+    claim = send_claim();
+    FvElection_Resign(election, INT32_MAX, "shutdown");
+    fake_kv_answer(claim,
+                   (fv_kv_result_t){.error = Fv_KV_OK, .revision = 900});
+    CU_ASSERT_EQUAL(outcome.won, 0);
+    CU_ASSERT_EQUAL(fake_kv.revoked_lease, 7);
+    close_election();
+
+    open_election("41");
+    claim = send_claim();
+    FvElection_Resign(election, INT32_MAX, "shutdown");
+    fake_kv_answer(claim, (fv_kv_result_t){.error = Fv_KV_CONFLICT});
+    fake_kv_run_loop(base, 300);
+    CU_ASSERT_EQUAL(fake_kv_count(FAKE_KV_GRANT), 1);
+    close_election();
+}
+
 int
 main(void)
 {
@@ -749,6 +793,7 @@
         {"a host that is not registered leads, and its successor takes it for "
          "stopped",
          test_claim_registers_its_host},
+        {"a host that shuts down is elected", test_no_claim_after_resignation},
     };
 
     return Fv_RUN_SUITE("election", cases);
