fake-cell: serve up to 70 hosts at the store

The store of fake-cell has a thread for each connection, idle ones included, and 96 of them; 60 hosts kept 127 established to it, and 1,028 that they had given up waited in its queue. The other hosts linked to the leader only when the first connections were 30 s old and closed.

The store has 512 threads now.

--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -14,9 +14,11 @@
 #include <uthash.h>
 
 #define CELL_WORKERS_MAX 80
-#define CELL_STORE_THREADS 96
-/* The server needs a thread for each connection, and every host that has been
- * leader keeps some open. Four hosts alternate as leader. */
+/* The server needs a thread for each connection, idle ones included. Each of
+ * up to 70 hosts keeps some to the store open. */
+#define CELL_STORE_THREADS 512
+/* Every host that has been leader keeps some to each worker open. Four hosts
+ * alternate as leader. */
 #define CELL_WORKER_THREADS 96
 #define CELL_CPU_MILLIS 8000
 #define CELL_MEMORY_MIB 16384
