scheduler: count the leases of earlier leaders from the first report on

Hypotheses: (1) the worker restarted and the leader missed it: no, the runs are listed before and after; (2) its lease had lapsed: no, the same; (3) the leader does not count the leases that its predecessor granted: yes. Its own count of the lease began with its first renewal. Until then the lease counted as expired, and any sign of silence freed the adopted tasks. Since a closed connection is such a sign, the time between report and renewal is enough.

The first report now counts as a lease of the usual length: orders of earlier leaders are refused from then on.

sched_lease_test on the code before:

a lease that an earlier leader granted is forgotten without a renewal ...FAILED sched_lease_test.c:119 - CU_ASSERT_EQUAL(task->state,Fv_SCHED_RUNNING)

--- a/src/sched-lease.c
+++ b/src/sched-lease.c
@@ -49,16 +49,17 @@
 }
 
 /**
- * FvSched_OutlastEarlierLeases - allow for deadlines by the clock of an
- * earlier incarnation of a worker
+ * FvSched_OutlastEarlierLeases - allow for leases that earlier leaders have
+ * granted, and for deadlines by the clock of an earlier incarnation of a
+ * worker
  * @sched: the scheduler
  * @worker: the worker
  * @clock_ms: its clock, which started anew with the present incarnation
  * @now_ms: the time
  *
- * Such a deadline is far ahead by the new clock, and grants the longest lease
- * at the time at which its order is carried out. Orders of earlier leaders are
- * refused from now on.
+ * A deadline by an earlier clock is far ahead by the new one, and grants the
+ * longest lease at the time at which its order is carried out. Orders of
+ * earlier leaders are refused from now on.
  */
 void
 FvSched_OutlastEarlierLeases(const fv_sched_t *sched,
@@ -84,6 +85,9 @@
         executed_by_ms = own_sent_ms + Fv_ORDER_DELAY_MAX_MS;
     }
     end_ms = executed_by_ms + FvSched_LongestLeaseMs(sched);
+    if (end_ms < now_ms + FvSched_WorstCaseLeaseMs(sched)) {
+        end_ms = now_ms + FvSched_WorstCaseLeaseMs(sched);
+    }
     if (end_ms > worker->lease_expires_ms) {
         worker->lease_expires_ms = end_ms;
     }
--- a/tests/unit/sched_lease_test.c
+++ b/tests/unit/sched_lease_test.c
@@ -84,6 +84,45 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* A new leader adopts a run from a worker that has been up for long. Before
+ * its first renewal, which grants a lease, a stop is not answered. The lease
+ * of the earlier leader goes on. */
+static void
+test_silence_after_adoption(void)
+{
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_worker_entry_t entry = {.id = "w1",
+                               .address = "127.0.0.1:1",
+                               .service = "s",
+                               .cpu_millis = 1000,
+                               .memory_mib = 1000,
+                               .started_wall_ms = 1};
+    fv_running_row_t row = {.task_id = JOB ".0.0.0", .run = 7};
+    fv_worker_report_t report = {.clock_ms = 500000,
+                                 .started_wall_ms = 1,
+                                 .running = &row,
+                                 .running_count = 1};
+    fv_sched_worker_t *worker;
+    const fv_sched_task_t *task;
+
+    FvSchedFixture_Open(&fixture, 2);
+    worker = FvSched_UpdateWorker(&fixture.sched, &entry, fixture.now_ms);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(worker);
+    worker->in_worker_list = true;
+    FvSchedFixture_AddJob(&fixture, JOB, &queue, job);
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms,
+                        fixture.now_ms);
+    task = FvSched_FindTask(&fixture.sched, JOB ".0.0.0");
+    CU_ASSERT_FATAL(task != NULL && task->worker == worker);
+    fixture.now_ms += Fv_FIXTURE_LEASE_MS * 102 / 100;
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_EQUAL(task->state, Fv_SCHED_RUNNING);
+    fixture.now_ms += Fv_FIXTURE_LEASE_MS;
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_EQUAL(task->state, Fv_SCHED_WAITING);
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -93,6 +132,9 @@
          test_silence_before_first_renewal},
         {"a deadline that was sent after a restart outlasts its tasks",
          test_deadline_sent_after_restart},
+        {"a lease that an earlier leader granted is forgotten without a "
+         "renewal",
+         test_silence_after_adoption},
     };
 
     return Fv_RUN_SUITE("sched_lease", cases);
