leader: doubt a worker's process after the end of any connection

No caller has seen it; the cases were found by reading.

Cause: the end of a process was noticed only by a call that failed on a connection, for orders only while their task was still on the worker, and was forgotten with the next report, whenever that had been requested. A connection at rest that the worker closed was only noted as closed: while the ends of a report are being recorded, and on a worker at its limit of connections, no call waits there. A start whose connection was being opened went on.

The pool reports connections at rest that a server closes, and withdraws calls whose connection is being opened beside those that wait for one. Each end of a connection to a worker counts: it gets no start until it has answered a report that was requested later. Starts that wait are also withdrawn when an entry or a report tells of another incarnation.

test_end_of_the_server withdrew calls right after they were sent, when none was written; it does so now when the first four have been written, with the same results.

--- a/src/call-connection.c
+++ b/src/call-connection.c
@@ -60,14 +60,21 @@
 connection_closed(struct evhttp_connection *connection, void *context)
 {
     fv_connection_slot_t *slot = context;
+    fv_call_pool_t *pool = slot->destination->pool;
 
     (void)connection;
     if (slot->pending != NULL) {
         slot->closed = true; /* its call is about to finish */
     }
     else if (slot->open) {
-        DL_DELETE2(slot->destination->pool->idle, slot, idle_prev, idle_next);
+        bool expired =
+            FvClock_NowMs() - slot->used_ms >= Fv_IDLE_CONNECTION_MS;
+
+        DL_DELETE2(pool->idle, slot, idle_prev, idle_next);
         note_closed(slot);
+        if (!expired && pool->closed != NULL) {
+            pool->closed(pool->closed_context, slot->destination->address);
+        }
     }
 }
 
--- a/src/call-pool.h
+++ b/src/call-pool.h
@@ -59,6 +59,8 @@
     uint32_t open;
     uint32_t open_max;
     char preferred[Fv_ADDRESS_SIZE]; /* "": none */
+    fv_connection_closed_t closed;   /* or NULL */
+    void *closed_context;
 };
 
 struct fv_pending_call {
--- a/src/call.c
+++ b/src/call.c
@@ -436,8 +436,42 @@
 }
 
 /**
- * FvCallPool_FailWaiting - fail the calls that wait for a connection to a
- * server
+ * FvCallPool_OnClosed - learn of the ends of servers
+ * @pool: the pool
+ * @closed: called when a server closes a connection at rest; it may not send
+ *          calls to that server; NULL to learn of none
+ * @context: passed to @closed
+ */
+void
+FvCallPool_OnClosed(fv_call_pool_t *pool, fv_connection_closed_t closed,
+                    void *context)
+{
+    pool->closed = closed;
+    pool->closed_context = context;
+}
+
+static void
+fail_connecting(fv_destination_t *destination, fv_call_urgency_t least)
+{
+    fv_connection_slot_t *next;
+
+    for (fv_connection_slot_t *slot = destination->slots; slot != NULL;
+         slot = next) {
+        fv_pending_call_t *pending = slot->pending;
+
+        next = slot->next;
+        if (pending != NULL && !slot->written &&
+            pending->terms.urgency <= least) {
+            FvCallConnection_Release(slot, false, true);
+            FvCallConnection_Free(slot);
+            fail_later(destination->pool->base, pending, true, "server_gone");
+        }
+    }
+}
+
+/**
+ * FvCallPool_FailUnsent - fail the calls to a server of which nothing was
+ * written yet
  * @pool: the pool
  * @address: the server's address
  * @least: the least urgent kind of call to fail
@@ -445,22 +479,25 @@
  * The calls end without an answer, after this function has returned.
  */
 void
-FvCallPool_FailWaiting(fv_call_pool_t *pool, const char *address,
-                       fv_call_urgency_t least)
+FvCallPool_FailUnsent(fv_call_pool_t *pool, const char *address,
+                      fv_call_urgency_t least)
 {
     fv_destination_t *destination;
     fv_pending_call_t *pending;
     fv_pending_call_t *next;
 
     HASH_FIND_STR(pool->destinations, address, destination);
-    for (pending = destination != NULL ? destination->waiting : NULL;
-         pending != NULL; pending = next) {
+    if (destination == NULL) {
+        return;
+    }
+    for (pending = destination->waiting; pending != NULL; pending = next) {
         next = pending->next;
         if (pending->terms.urgency <= least) {
             leave_queue(pending);
             fail_later(pool->base, pending, true, "server_gone");
         }
     }
+    fail_connecting(destination, least);
 }
 
 static void
--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -23,10 +23,9 @@
  * worker: five round trips between regions. */
 #define Fv_STOP_DELIVERY_MS 250
 
-/* Renewal intervals of a worker without a pending long poll: while the store
- * delays the recording of ends, and while the worker does not answer. */
+/* Renewal interval of a worker without a pending long poll, while the store
+ * delays the recording of ends. */
 #define Fv_RENEW_INTERVAL_MS 700
-#define Fv_SILENT_RETRY_MS 300
 
 /* Renewal interval of a worker without a connection to spare for a long
  * poll. */
@@ -553,6 +552,7 @@
     leader->pass_timer = event_new(base, -1, 0, run_pass, leader);
     leader->handover_timer = event_new(base, -1, 0, finish_handover, leader);
     event_add(leader->tick_timer, &interval);
+    FvCallPool_OnClosed(pool, FvLeaderWorker_ConnectionClosed, leader);
     FvLeaderLoad_Start(leader);
     return leader;
 }
@@ -610,6 +610,7 @@
     }
     leader->closed = true;
     leader->serving = false;
+    FvCallPool_OnClosed(leader->pool, NULL, NULL);
     event_del(leader->tick_timer);
     event_del(leader->pass_timer);
     event_del(leader->handover_timer);
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -22,6 +22,9 @@
  * that answers earlier is renewed after this pause. */
 #define Fv_RENEWAL_PAUSE_MS 100
 
+/* Renewal interval of a worker that does not answer. */
+#define Fv_SILENT_RETRY_MS 300
+
 /* A caller whose reply waits for a record of the job. */
 typedef struct fv_record_waiter {
     int64_t id;
@@ -191,6 +194,7 @@
 
 /* leader-workers.c */
 void FvLeaderWorker_RenewLease(fv_worker_session_t *session, bool wait);
+void FvLeaderWorker_ConnectionClosed(void *context, const char *address);
 void FvLeaderWorker_RequestReport(fv_sched_t *sched,
                                   fv_sched_worker_t *worker);
 void FvLeaderWorker_AddService(fv_leader_t *leader, const char *name);
--- a/src/entry.h
+++ b/src/entry.h
@@ -74,11 +74,16 @@
 #define Fv_PRIORITIES 2
 #define Fv_PRIORITY_PREFERRED 0
 
+/* The server at an address has closed a connection at rest. */
+typedef void (*fv_connection_closed_t)(void *context, const char *address);
+
 fv_call_pool_t *FvCallPool_New(struct event_base *base, uint32_t open_max);
+void FvCallPool_OnClosed(fv_call_pool_t *pool, fv_connection_closed_t closed,
+                         void *context);
 void FvCallPool_Prefer(fv_call_pool_t *pool, const char *address);
 void FvCallPool_Free(fv_call_pool_t *pool);
-void FvCallPool_FailWaiting(fv_call_pool_t *pool, const char *address,
-                            fv_call_urgency_t least);
+void FvCallPool_FailUnsent(fv_call_pool_t *pool, const char *address,
+                           fv_call_urgency_t least);
 void FvCallPool_Close(fv_call_pool_t *pool, const fv_call_bounds_t *bounds);
 uint32_t FvCallPool_Open(const fv_call_pool_t *pool);
 bool FvCallPool_MayLongPoll(const fv_call_pool_t *pool, const char *address);
--- a/src/leader-load.c
+++ b/src/leader-load.c
@@ -60,6 +60,9 @@
         return;
     }
     worker->registry_reading = leader->registry_readings;
+    if (entry.started_wall_ms != worker->started_wall_ms) {
+        FvCallPool_FailUnsent(leader->pool, entry.address, Fv_CALL_START);
+    }
     if (FvLeaderWorker_IsServiceUsed(leader, entry.service)) {
         FvLeaderWorker_OpenSession(leader, worker);
     }
--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -34,6 +34,7 @@
 
 typedef struct fv_order_call {
     fv_leader_t *leader;
+    char worker[Fv_NAME_SIZE];
     char task[Fv_RUN_TASK_ID_SIZE];
     int32_t run;
     bool stop;
@@ -53,29 +54,44 @@
 }
 
 /* A process that ends closes its connections, and refuses new ones until the
- * next incarnation listens. That one, which may be of another kind, gets no
- * order before it has reported. */
-static bool
-check_connection(const fv_leader_t *leader, const fv_sched_worker_t *worker,
-                 const fv_call_answer_t *answer)
+ * next incarnation listens. */
+static void
+handle_closed_connection(fv_leader_t *leader, fv_sched_worker_t *worker)
 {
-    if (!answer->closed && !answer->refused) {
-        return true;
-    }
-    FvCallPool_FailWaiting(leader->pool, worker->entry.address, Fv_CALL_START);
-    return false;
+    FvCallPool_FailUnsent(leader->pool, worker->entry.address, Fv_CALL_START);
+    FvSched_ConnectionClosed(&leader->sched, worker, FvClock_NowMs());
 }
 
 static void
-check_order_connection(fv_order_call_t *order, const fv_call_answer_t *answer)
+check_order_connection(const fv_order_call_t *order,
+                       const fv_call_answer_t *answer)
 {
-    fv_sched_t *sched = &order->leader->sched;
-    const fv_sched_task_t *task = FvSched_FindTask(sched, order->task);
+    fv_sched_worker_t *worker =
+        FvSched_FindWorker(&order->leader->sched, order->worker);
 
-    if (task != NULL && task->run == order->run && task->worker != NULL &&
-        !check_connection(order->leader, task->worker, answer)) {
-        task->worker->report_due_ms = FvClock_NowMs();
-        FvSched_ReportUnanswered(sched, task->worker, FvClock_NowMs());
+    if (worker != NULL && (answer->closed || answer->refused)) {
+        worker->report_due_ms = FvClock_NowMs();
+        handle_closed_connection(order->leader, worker);
+    }
+}
+
+/**
+ * FvLeaderWorker_ConnectionClosed - handle the end of a connection at rest
+ * @context: the leader
+ * @address: the server that closed it
+ */
+void
+FvLeaderWorker_ConnectionClosed(void *context, const char *address)
+{
+    fv_leader_t *leader = context;
+
+    for (fv_sched_worker_t *worker = leader->sched.workers; worker != NULL;
+         worker = worker->hh.next) {
+        if (worker->leader_session != NULL &&
+            strcmp(worker->entry.address, address) == 0) {
+            worker->report_due_ms = FvClock_NowMs();
+            handle_closed_connection(leader, worker);
+        }
     }
 }
 
@@ -140,6 +156,7 @@
     order->run = run;
     order->stop = stop;
     order->sent_ms = FvClock_NowMs();
+    FvText_Copy(order->worker, sizeof(order->worker), worker->entry.id);
     FvText_Copy(order->task, sizeof(order->task), task);
     leader->pending_calls++;
     leader->pending_stops += stop ? 1 : 0;
@@ -326,10 +343,14 @@
     fv_worker_report_t report;
     int64_t clock_ms;
     bool applied = false;
+    int64_t started_wall_ms = session->worker->started_wall_ms;
     fv_order_result_t result = FvPlatform_DecodeOrderResult(answer, &clock_ms);
 
     session->worker->refused = answer->refused;
-    check_connection(leader, session->worker, answer);
+    if (answer->closed || answer->refused) {
+        session->worker->report_due_ms = FvClock_NowMs() + Fv_SILENT_RETRY_MS;
+        handle_closed_connection(leader, session->worker);
+    }
     if (result == Fv_ORDER_FENCED) {
         leader->events.deposed(leader->events.context, "fenced_by_worker");
         return false;
@@ -337,6 +358,10 @@
     if (result == Fv_ORDER_DONE && FvPlatform_DecodeReport(answer, &report)) {
         applied = FvSched_ApplyReport(&leader->sched, session->worker, &report,
                                       renewal->sent_ms, FvClock_NowMs());
+        if (session->worker->started_wall_ms != started_wall_ms) {
+            FvCallPool_FailUnsent(leader->pool, session->worker->entry.address,
+                                  Fv_CALL_START);
+        }
         if (report.started_wall_ms == renewal->started_wall_ms &&
             report.started_wall_ms == session->worker->started_wall_ms) {
             FvSched_EndsAcknowledged(session->worker,
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -475,7 +475,7 @@
         FvLog_Event(Fv_LOG_INFO, "worker_back", "worker=%s silent_ms=%" PRId64,
                     worker->entry.id, now_ms - worker->last_contact_ms);
     }
-    worker->suspect = false;
+    worker->suspect = sent_ms <= worker->closed_ms;
     worker->lost = false;
     worker->last_contact_ms = now_ms;
     if (!worker->clock_known) {
@@ -547,6 +547,24 @@
     }
 }
 
+/**
+ * FvSched_ConnectionClosed - handle the end of a connection to a worker
+ * @sched: the scheduler
+ * @worker: the worker, which closed or refused it
+ * @now_ms: the time
+ *
+ * Its process may have ended. The next one, which may be of another kind, gets
+ * no start: the worker counts as silent until it answers a report that is
+ * requested from now on.
+ */
+void
+FvSched_ConnectionClosed(fv_sched_t *sched, fv_sched_worker_t *worker,
+                         int64_t now_ms)
+{
+    worker->closed_ms = now_ms;
+    FvSched_ReportUnanswered(sched, worker, now_ms);
+}
+
 /**
  * FvSched_EndToAcknowledge - which ends a worker may drop
  * @worker: the worker
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -186,7 +186,8 @@
     bool suspect;              /* did not answer the last report request */
     bool lost;                 /* its lease has expired without contact */
     int64_t suspect_since_ms;
-    bool refused; /* no process accepted the last report request */
+    int64_t closed_ms; /* when it last closed or refused a connection */
+    bool refused;      /* no process accepted the last report request */
     /* The stored list of unreached workers may have it: no lease is granted.
      * The entry's identity, and by when it was in the list of an earlier
      * leader (0: not known). */
@@ -432,6 +433,8 @@
                          int64_t now_ms);
 void FvSched_ReportUnanswered(fv_sched_t *sched, fv_sched_worker_t *worker,
                               int64_t now_ms);
+void FvSched_ConnectionClosed(fv_sched_t *sched, fv_sched_worker_t *worker,
+                              int64_t now_ms);
 int64_t FvSched_EndToAcknowledge(const fv_sched_worker_t *worker);
 void FvSched_EndsAcknowledged(fv_sched_worker_t *worker, int64_t number);
 bool FvSched_EndsRecorded(fv_sched_worker_t *worker, int64_t number);
--- a/tests/unit/call_test.c
+++ b/tests/unit/call_test.c
@@ -304,7 +304,8 @@
     uint32_t resets;
     uint32_t delay_ms;
     bool silent;
-    bool closes; /* the connection, instead of an answer */
+    bool closes;                /* the connection, instead of an answer */
+    struct bufferevent *latest; /* connection accepted */
     uint32_t requests;
 } limited_server_t;
 
@@ -322,6 +323,10 @@
 
     (void)fd;
     (void)what;
+    if (connection->server->closes) {
+        shutdown(bufferevent_getfd(connection->stream), SHUT_RDWR);
+        return;
+    }
     bufferevent_write(connection->stream, reply, sizeof(reply) - 1);
 }
 
@@ -338,10 +343,7 @@
     }
     evbuffer_drain(input, evbuffer_get_length(input));
     server->requests++;
-    if (server->closes) {
-        shutdown(bufferevent_getfd(stream), SHUT_RDWR);
-    }
-    else if (!server->silent) {
+    if (!server->silent) {
         event_add(connection->delay, &delay);
     }
 }
@@ -384,6 +386,7 @@
         bufferevent_socket_new(server->base, socket, BEV_OPT_CLOSE_ON_FREE);
     connection->delay =
         event_new(server->base, -1, 0, answer_limited, connection);
+    server->latest = connection->stream;
     bufferevent_setcb(connection->stream, read_limited, NULL, end_limited,
                       connection);
     bufferevent_enable(connection->stream, EV_READ | EV_WRITE);
@@ -694,12 +697,16 @@
     run_until_answered(base, outcomes, 1);
     CU_ASSERT_FALSE(outcomes[0].closed); /* it has not been answered in time */
     outcomes[0] = (outcome_t){0};
+    server.silent = false;
     server.closes = true;
+    server.delay_ms = 100;
     for (uint32_t i = 0; i < 6; i++) {
         send_urgent(pool, &server, Fv_CALL_START, &outcomes[i]);
     }
     send_urgent(pool, &server, Fv_CALL_RENEWAL, &renewal);
-    FvCallPool_FailWaiting(pool, server.address, Fv_CALL_START);
+    run_for(base, 50);
+    CU_ASSERT_EQUAL(server.requests, 1 + worker_bounds.open_max);
+    FvCallPool_FailUnsent(pool, server.address, Fv_CALL_START);
     CU_ASSERT_EQUAL(outcomes[5].answers, 0);
     run_until_answered(base, outcomes, 6);
     for (uint32_t i = 0; i < 6; i++) {
@@ -714,6 +721,74 @@
     close_limited(&server);
 }
 
+/* The connection was requested of the process that has ended, and is accepted
+ * by the next one. */
+static void
+test_end_of_the_server_during_a_connect(void)
+{
+    struct event_base *base = event_base_new();
+    fv_call_pool_t *pool = FvCallPool_New(base, 100);
+    limited_server_t server;
+    outcome_t outcomes[2] = {0};
+    outcome_t renewal = {0};
+
+    open_limited(&server, base, 64);
+    for (uint32_t i = 0; i < 2; i++) {
+        send_urgent(pool, &server, Fv_CALL_START, &outcomes[i]);
+    }
+    FvCallPool_FailUnsent(pool, server.address, Fv_CALL_START);
+    send_urgent(pool, &server, Fv_CALL_RENEWAL, &renewal);
+    CU_ASSERT_EQUAL(outcomes[0].answers, 0);
+    run_until_answered(base, outcomes, 2);
+    run_until_answered(base, &renewal, 1);
+    CU_ASSERT_TRUE(outcomes[0].not_sent);
+    CU_ASSERT_TRUE(outcomes[1].not_sent);
+    CU_ASSERT_EQUAL(renewal.status, 200);
+    CU_ASSERT_EQUAL(server.requests, 1);
+    FvCallPool_Free(pool);
+    close_limited(&server);
+}
+
+static void
+count_closed(void *context, const char *address)
+{
+    uint32_t *closed = context;
+
+    (void)address;
+    (*closed)++;
+}
+
+/* No call fails, so that the next one would reach another process unnoticed.
+ * A connection that the pool closes itself says nothing of the server. */
+static void
+test_end_of_a_connection_at_rest(void)
+{
+    struct event_base *base = event_base_new();
+    fv_call_pool_t *pool = FvCallPool_New(base, 100);
+    limited_server_t server;
+    outcome_t outcome = {0};
+    uint32_t closed = 0;
+
+    open_limited(&server, base, 64);
+    FvCallPool_OnClosed(pool, count_closed, &closed);
+    send_urgent(pool, &server, Fv_CALL_RENEWAL, &outcome);
+    run_until_answered(base, &outcome, 1);
+    CU_ASSERT_EQUAL(closed, 0);
+    shutdown(bufferevent_getfd(server.latest), SHUT_RDWR);
+    run_for(base, 50);
+    CU_ASSERT_EQUAL(closed, 1);
+    CU_ASSERT_EQUAL(FvCallPool_Open(pool), 0);
+    outcome = (outcome_t){0};
+    send_urgent(pool, &server, Fv_CALL_RENEWAL, &outcome);
+    run_until_answered(base, &outcome, 1);
+    CU_ASSERT_EQUAL(outcome.status, 200);
+    FvCallPool_Close(pool, &worker_bounds);
+    run_for(base, 50);
+    CU_ASSERT_EQUAL(closed, 1);
+    FvCallPool_Free(pool);
+    close_limited(&server);
+}
+
 int
 main(void)
 {
@@ -744,6 +819,10 @@
          test_close_within_a_callback},
         {"an order that waits is sent to the next process of its worker",
          test_end_of_the_server},
+        {"a start that waits for its connection reaches the next process",
+         test_end_of_the_server_during_a_connect},
+        {"the end of a server without a call goes unnoticed",
+         test_end_of_a_connection_at_rest},
     };
 
     return Fv_RUN_SUITE("call", cases);
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -483,6 +483,35 @@
     check_closed_start(false);
 }
 
+/* An answer that the process gave before it ended is read after the end of its
+ * connections. */
+static void
+test_report_from_before_the_end_of_a_connection(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_worker_t *worker;
+    fv_worker_report_t report = {0};
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    report.started_wall_ms = worker->started_wall_ms;
+    fixture.now_ms += 1000;
+    FvSched_ConnectionClosed(&fixture.sched, worker, fixture.now_ms);
+    report.clock_ms = fixture.now_ms;
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms - 500,
+                        fixture.now_ms);
+    FvSchedFixture_AddJob(&fixture, JOB_A, &queue, two_tasks);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(fixture.order_count, 0);
+    fixture.now_ms += 10;
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms - 5,
+                        fixture.now_ms);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A ".0.0.0"), 1);
+    FvSchedFixture_Close(&fixture);
+}
+
 /* A worker is withdrawn at short notice. */
 static void
 test_long_tasks_leave_a_draining_worker(void)
@@ -740,6 +769,8 @@
          test_start_is_not_repeated_to_the_next_incarnation},
         {"a start is given up because its connection was closed",
          test_start_is_repeated_after_a_report},
+        {"a report from before the end of a connection admits starts",
+         test_report_from_before_the_end_of_a_connection},
         {"a lease by the clock before a worker's restart outlasts its tasks",
          test_silence_after_restart},
         {"tasks of an unresponsive worker are restarted too early",
