scheduler: repeat a start in doubt only after a report

A start in doubt is repeated after a report of the same incarnation that does not list its run. Tests that had the repetition follow the time limit at once have the report between, and check that no copy goes out before it.

--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -190,8 +190,9 @@
  * @now_ms: the time
  *
  * Starts are idempotent on the worker, so that one repetition resolves most
- * unconfirmed starts in a round trip. None is sent to a worker that may have
- * restarted since its last report.
+ * unconfirmed starts in a round trip. It follows a report of the incarnation
+ * that the first copy was meant for, on the same connection: on another one it
+ * could reach the next incarnation.
  *
  * Return: false when the order was not sent, or has been repeated before.
  */
@@ -259,10 +260,6 @@
                     task->worker->entry.id, run, (int)result,
                     task->start_retried ? 1 : 0);
         FvSched_NoteUnanswered(sched, now_ms);
-        if (result == Fv_ORDER_UNCONFIRMED &&
-            FvSched_RetryStart(sched, task, now_ms)) {
-            return;
-        }
         task->start_unconfirmed = true;
         sched->ops->request_report(sched, task->worker);
     }
--- a/tests/unit/sched_restart_test.c
+++ b/tests/unit/sched_restart_test.c
@@ -141,6 +141,7 @@
     fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
     fv_sched_worker_t *worker;
     fv_sched_task_t *task;
+    fv_worker_report_t report = {0};
     int64_t repeated_ms;
 
     FvSchedFixture_Open(&fixture, 1);
@@ -150,9 +151,14 @@
     task = FvSched_FindTask(&fixture.sched, "00000000000000aa.0.0.0");
     CU_ASSERT_FATAL(task != NULL && task->worker == worker);
     fixture.now_ms += 900;
-    repeated_ms = fixture.now_ms;
     FvSched_StartAnswered(&fixture.sched, task, task->run,
                           Fv_ORDER_UNCONFIRMED, fixture.now_ms);
+    fixture.now_ms += 10;
+    repeated_ms = fixture.now_ms;
+    report.clock_ms = fixture.now_ms;
+    report.started_wall_ms = worker->started_wall_ms;
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms,
+                        fixture.now_ms);
     CU_ASSERT_EQUAL(fixture.order_count, 2);
     fixture.now_ms += 900;
     FvSched_StartAnswered(&fixture.sched, task, task->run, result,
@@ -187,6 +193,7 @@
         "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1000,"
         "\"memMb\":10,\"estimatedMs\":1000}]}";
     fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_worker_report_t report = {0};
     fv_sched_task_t *task;
 
     FvSchedFixture_Open(fixture, 1);
@@ -196,9 +203,15 @@
     task = FvSched_FindTask(&fixture->sched, "00000000000000aa.0.0.0");
     CU_ASSERT_FATAL(task != NULL && task->worker != NULL);
     fixture->now_ms += 900;
-    *repeated_ms = fixture->now_ms;
     FvSched_StartAnswered(&fixture->sched, task, task->run,
                           Fv_ORDER_UNCONFIRMED, fixture->now_ms);
+    fixture->now_ms += 10;
+    *repeated_ms = fixture->now_ms;
+    report.clock_ms = fixture->now_ms;
+    report.started_wall_ms = task->worker->started_wall_ms;
+    FvSched_ApplyReport(&fixture->sched, task->worker, &report,
+                        fixture->now_ms, fixture->now_ms);
+    CU_ASSERT_EQUAL(fixture->order_count, 2);
     fixture->now_ms += 900;
     FvSched_StartAnswered(&fixture->sched, task, task->run,
                           Fv_ORDER_UNCONFIRMED, fixture->now_ms);
