scheduler: repeat a start with a ticket at once

Lookups whose start is not answered would wait for one report more before it is repeated. The wait guards against the next incarnation of the worker, which a start with a ticket does not need: a ticket is valid for one life of its worker, and another incarnation rejects it.

--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -190,9 +190,9 @@
  * @now_ms: the time
  *
  * Starts are idempotent on the worker, so that one repetition resolves most
- * unconfirmed starts in a round trip. It follows a report of the incarnation
- * that the first copy was meant for, on the same connection: on another one it
- * could reach the next incarnation.
+ * unconfirmed starts in a round trip. Without a ticket, it follows a report of
+ * the incarnation that the first copy was meant for, on the same connection:
+ * on another one it could reach the next incarnation.
  *
  * Return: false when the order was not sent, or has been repeated before.
  */
@@ -260,6 +260,12 @@
                     task->worker->entry.id, run, (int)result,
                     task->start_retried ? 1 : 0);
         FvSched_NoteUnanswered(sched, now_ms);
+        /* A ticket is valid for one incarnation. */
+        if (result == Fv_ORDER_UNCONFIRMED &&
+            task->stage->job->queue.needs_advice &&
+            FvSched_RetryStart(sched, task, now_ms)) {
+            return;
+        }
         task->start_unconfirmed = true;
         sched->ops->request_report(sched, task->worker);
     }
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -253,6 +253,36 @@
     FvSchedFixture_Close(&fixture);
 }
 
+static bool
+allows_any(const char *worker)
+{
+    (void)worker;
+    return true;
+}
+
+/* Another incarnation rejects the ticket, so that no report is needed. */
+static void
+test_start_with_ticket_is_retried_at_once(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeAdvisedQueue("q", 0);
+    fv_sched_task_t *task;
+
+    FvSchedFixture_Open(&fixture, 1);
+    FvSchedFixture_AddWorker(&fixture, "w1", "r1", 2000);
+    FvSchedFixture_AddJob(&fixture, JOB_A, &queue, two_tasks);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_TRUE_FATAL(FvSchedFixture_AnswerAdvice(&fixture, allows_any));
+    FvSchedFixture_RunPass(&fixture);
+    task = FvSched_FindTask(&fixture.sched, JOB_A ".0.0.0");
+    CU_ASSERT_FATAL(task != NULL && task->worker != NULL);
+    FvSched_StartAnswered(&fixture.sched, task, 1, Fv_ORDER_UNCONFIRMED,
+                          fixture.now_ms);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A ".0.0.0"), 2);
+    CU_ASSERT_FALSE(task->start_unconfirmed);
+    FvSchedFixture_Close(&fixture);
+}
+
 /* No connection to the worker became free: nothing runs there, and the task
  * need not wait for a report, a stop and the stop timeout. After an unanswered
  * first order that is not certain. */
@@ -762,6 +792,8 @@
          test_unconfirmed_start_is_stopped_first},
         {"an unconfirmed start is retried only after the stop timeout",
          test_unconfirmed_start_is_retried},
+        {"an unanswered start with a ticket waits for a report",
+         test_start_with_ticket_is_retried_at_once},
         {"a start that was never sent counts as in doubt",
          test_unsent_start_is_requeued},
         {"a worker in the list of unreached workers gets leases or tasks",
