--- a/tests/soak/soak-faults.c
+++ b/tests/soak/soak-faults.c
@@ -100,7 +100,7 @@
         break;
     case SOAK_ACTION_KILL:
         host->down = true;
-        host->killed_ms = now_ms;
+        host->killed_ms = FvClock_NowMs();
         FvProcess_Signal(process, SIGKILL);
         break;
     case SOAK_ACTION_RELOAD:
