call: withdraw only starts from a worker whose connection has ended

Only starts can do harm at the next process of a worker: a stop forbids a run that is not there.

call_test, "a start that waits for its connection reaches the next process", with a stop beside the starts: failed before (no answer), now passed.

--- a/src/call.c
+++ b/src/call.c
@@ -451,7 +451,7 @@
 }
 
 static void
-fail_connecting(fv_destination_t *destination, fv_call_urgency_t least)
+fail_connecting(fv_destination_t *destination, fv_call_urgency_t kind)
 {
     fv_connection_slot_t *next;
 
@@ -461,7 +461,7 @@
 
         next = slot->next;
         if (pending != NULL && !slot->written &&
-            pending->terms.urgency <= least) {
+            pending->terms.urgency == kind) {
             FvCallConnection_Release(slot, false, true);
             FvCallConnection_Free(slot);
             fail_later(destination->pool->base, pending, true, "server_gone");
@@ -474,13 +474,13 @@
  * written yet
  * @pool: the pool
  * @address: the server's address
- * @least: the least urgent kind of call to fail
+ * @kind: the kind of call to fail
  *
  * The calls end without an answer, after this function has returned.
  */
 void
 FvCallPool_FailUnsent(fv_call_pool_t *pool, const char *address,
-                      fv_call_urgency_t least)
+                      fv_call_urgency_t kind)
 {
     fv_destination_t *destination;
     fv_pending_call_t *pending;
@@ -492,12 +492,12 @@
     }
     for (pending = destination->waiting; pending != NULL; pending = next) {
         next = pending->next;
-        if (pending->terms.urgency <= least) {
+        if (pending->terms.urgency == kind) {
             leave_queue(pending);
             fail_later(pool->base, pending, true, "server_gone");
         }
     }
-    fail_connecting(destination, least);
+    fail_connecting(destination, kind);
 }
 
 static void
--- a/src/entry.h
+++ b/src/entry.h
@@ -83,7 +83,7 @@
 void FvCallPool_Prefer(fv_call_pool_t *pool, const char *address);
 void FvCallPool_Free(fv_call_pool_t *pool);
 void FvCallPool_FailUnsent(fv_call_pool_t *pool, const char *address,
-                           fv_call_urgency_t least);
+                           fv_call_urgency_t kind);
 void FvCallPool_Close(fv_call_pool_t *pool, const fv_call_bounds_t *bounds);
 uint32_t FvCallPool_Open(const fv_call_pool_t *pool);
 bool FvCallPool_MayLongPoll(const fv_call_pool_t *pool, const char *address);
--- a/tests/unit/call_test.c
+++ b/tests/unit/call_test.c
@@ -730,21 +730,25 @@
     fv_call_pool_t *pool = FvCallPool_New(base, 100);
     limited_server_t server;
     outcome_t outcomes[2] = {0};
+    outcome_t stop = {0};
     outcome_t renewal = {0};
 
     open_limited(&server, base, 64);
     for (uint32_t i = 0; i < 2; i++) {
         send_urgent(pool, &server, Fv_CALL_START, &outcomes[i]);
     }
+    send_urgent(pool, &server, Fv_CALL_STOP, &stop);
     FvCallPool_FailUnsent(pool, server.address, Fv_CALL_START);
     send_urgent(pool, &server, Fv_CALL_RENEWAL, &renewal);
     CU_ASSERT_EQUAL(outcomes[0].answers, 0);
     run_until_answered(base, outcomes, 2);
+    run_until_answered(base, &stop, 1);
     run_until_answered(base, &renewal, 1);
     CU_ASSERT_TRUE(outcomes[0].not_sent);
     CU_ASSERT_TRUE(outcomes[1].not_sent);
+    CU_ASSERT_EQUAL(stop.status, 200);
     CU_ASSERT_EQUAL(renewal.status, 200);
-    CU_ASSERT_EQUAL(server.requests, 1);
+    CU_ASSERT_EQUAL(server.requests, 2);
     FvCallPool_Free(pool);
     close_limited(&server);
 }
