leader: keep a worker in the list until all its ends are recorded

Probable cause: a leader drops an unlisted worker without tasks from the worker list, for which its successor waits. A task whose end has been applied is none of the worker any more, though its record may not be written yet, and the list is written before other records. The successor then knows neither the worker nor the end. A worker's entry is unlisted for seconds by an outage of the store.

A worker now leaves the list, and is forgotten, when all its ends are recorded.

sched_report_test, "a leader waits for idle workers, or not for one with ends that are not recorded", failed before: FvSched_IsWorkerIdle was true with an unrecorded end. Its other assertion on an idle worker follows the record now.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -202,14 +202,15 @@
  * @worker: the worker
  * @now_ms: the time
  *
- * Return: true when it has left the registry, does not answer and certainly
- * runs nothing.
+ * Return: true when it has left the registry, does not answer, certainly runs
+ * nothing and all its ends are recorded.
  */
 bool
 FvLeader_IsWorkerGone(const fv_leader_t *leader,
                       const fv_sched_worker_t *worker, int64_t now_ms)
 {
     return !worker->listed && worker->tasks == NULL &&
+           !FvSched_HasUnrecordedEnds(worker) &&
            (worker->lost || (worker->synced && worker->suspect)) &&
            worker->lease_expires_ms < now_ms &&
            !leader->sched.hold_inherited_tasks;
--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -292,14 +292,6 @@
 
 static void record_ends(fv_worker_session_t *session);
 
-/* A restart of the worker also restarts its numbering, so that numbers from
- * before a report can't tell whether it brought ends. */
-static bool
-has_unrecorded_ends(const fv_sched_worker_t *worker)
-{
-    return worker->last_end_applied > worker->last_end_recorded;
-}
-
 static void
 ends_recorded(void *context)
 {
@@ -315,7 +307,7 @@
         session->worker->started_wall_ms) {
         FvSched_EndsRecorded(session->worker, session->recording_end);
     }
-    if (has_unrecorded_ends(session->worker)) {
+    if (FvSched_HasUnrecordedEnds(session->worker)) {
         record_ends(session);
     }
     else if (!session->long_poll_pending) {
@@ -381,7 +373,7 @@
     if (result == Fv_ORDER_DONE) {
         FvWorkerReport_Clear(&report);
     }
-    if (has_unrecorded_ends(session->worker) && !session->recording) {
+    if (FvSched_HasUnrecordedEnds(session->worker) && !session->recording) {
         record_ends(session);
     }
     return applied;
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -598,6 +598,21 @@
     }
 }
 
+/**
+ * FvSched_HasUnrecordedEnds - check whether the store lacks ends of a worker
+ * @worker: the worker
+ *
+ * A restart of the worker also restarts its numbering, so that numbers from
+ * before a report can't tell whether it brought ends.
+ *
+ * Return: true when the next leader has to learn of ends from the worker.
+ */
+bool
+FvSched_HasUnrecordedEnds(const fv_sched_worker_t *worker)
+{
+    return worker->last_end_applied > worker->last_end_recorded;
+}
+
 /**
  * FvSched_EndsRecorded - note that the effects of a worker's ends are in the
  * store
@@ -615,5 +630,5 @@
         number > worker->last_end_recorded) {
         worker->last_end_recorded = number;
     }
-    return worker->last_end_applied > worker->last_end_recorded;
+    return FvSched_HasUnrecordedEnds(worker);
 }
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -607,17 +607,19 @@
 }
 
 /**
- * FvSched_IsWorkerIdle - check whether certainly no run is on a worker
+ * FvSched_IsWorkerIdle - check whether nothing can be learned from a worker
  * @worker: the worker
  * @now_ms: the time
  *
- * Return: true when this leader knows all runs of the worker and all have
- * ended. A task with an unconfirmed start still counts as a run.
+ * Return: true when this leader knows all runs of the worker, and all have
+ * ended and are recorded. A task with an unconfirmed start still counts as a
+ * run.
  */
 bool
 FvSched_IsWorkerIdle(const fv_sched_worker_t *worker, int64_t now_ms)
 {
     return worker->synced && worker->tasks == NULL &&
+           !FvSched_HasUnrecordedEnds(worker) &&
            worker->inherited_stops_until_ms <= now_ms &&
            !has_orphan_runs(worker, now_ms);
 }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -438,6 +438,7 @@
 int64_t FvSched_EndToAcknowledge(const fv_sched_worker_t *worker);
 void FvSched_EndsAcknowledged(fv_sched_worker_t *worker, int64_t number);
 bool FvSched_EndsRecorded(fv_sched_worker_t *worker, int64_t number);
+bool FvSched_HasUnrecordedEnds(const fv_sched_worker_t *worker);
 
 /* sched-order.c */
 void FvSched_StartAnswered(fv_sched_t *sched, fv_sched_task_t *task,
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -606,6 +606,9 @@
                                  worker->last_end_applied + 1, name, 1,
                                  Fv_END_DONE);
     }
+    /* The next leader has to learn of these ends from the worker. */
+    CU_ASSERT_FALSE(FvSched_IsWorkerIdle(worker, fixture.now_ms));
+    FvSched_EndsRecorded(worker, worker->last_end_applied);
     CU_ASSERT_TRUE(FvSched_IsWorkerIdle(worker, fixture.now_ms));
     report_running(&fixture, entry.id, &orphan, 1);
     CU_ASSERT_FALSE(FvSched_IsWorkerIdle(worker, fixture.now_ms));
@@ -804,7 +807,9 @@
          test_rejected_retry_of_a_stopped_task},
         {"a start is sent while the leader may not send orders",
          test_no_start_while_not_allowed},
-        {"a leader waits for idle workers", test_idle_worker},
+        {"a leader waits for idle workers, or not for one with ends that are "
+         "not recorded",
+         test_idle_worker},
         {"a quarantined worker is not probed again",
          test_inconclusive_probe_is_repeated},
         {"a task is lost with a draining worker",
