--- a/tests/unit/call_test.c
+++ b/tests/unit/call_test.c
@@ -3,7 +3,7 @@
  * and how calls to one server share connections.
  */
 
-#include "entry.h"
+#include "limited-server.h"
 #include "suite.h"
 
 #include <arpa/inet.h>
@@ -289,144 +289,6 @@
     close(listener);
 }
 
-/* --- A server with a limit of connections ------------------------------- */
-
-/* Takes a number of connections, resets further ones, and answers requests on
- * the others when the test says so. */
-typedef struct limited_server {
-    struct event_base *base;
-    struct event *listen;
-    int listener;
-    char address[Fv_ADDRESS_SIZE];
-    uint32_t connections_max;
-    uint32_t connections; /* taken */
-    uint32_t accepted;
-    uint32_t resets;
-    uint32_t delay_ms;
-    bool silent;
-    bool closes;                /* the connection, instead of an answer */
-    struct bufferevent *latest; /* connection accepted */
-    uint32_t requests;
-} limited_server_t;
-
-typedef struct limited_connection {
-    limited_server_t *server;
-    struct bufferevent *stream;
-    struct event *delay;
-} limited_connection_t;
-
-static void
-answer_limited(evutil_socket_t fd, short what, void *context)
-{
-    static const char reply[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-    limited_connection_t *connection = context;
-
-    (void)fd;
-    (void)what;
-    if (connection->server->closes) {
-        shutdown(bufferevent_getfd(connection->stream), SHUT_RDWR);
-        return;
-    }
-    bufferevent_write(connection->stream, reply, sizeof(reply) - 1);
-}
-
-static void
-read_limited(struct bufferevent *stream, void *context)
-{
-    limited_connection_t *connection = context;
-    limited_server_t *server = connection->server;
-    struct evbuffer *input = bufferevent_get_input(stream);
-    struct timeval delay = {.tv_usec = server->delay_ms * 1000};
-
-    if (evbuffer_search(input, "\r\n\r\n", 4, NULL).pos < 0) {
-        return;
-    }
-    evbuffer_drain(input, evbuffer_get_length(input));
-    server->requests++;
-    if (!server->silent) {
-        event_add(connection->delay, &delay);
-    }
-}
-
-static void
-end_limited(struct bufferevent *stream, short what, void *context)
-{
-    limited_connection_t *connection = context;
-
-    (void)stream;
-    (void)what;
-    connection->server->connections--;
-    event_free(connection->delay);
-    bufferevent_free(connection->stream);
-    free(connection);
-}
-
-static void
-accept_limited(evutil_socket_t fd, short what, void *context)
-{
-    limited_server_t *server = context;
-    struct linger reset = {.l_onoff = 1};
-    int socket = accept(fd, NULL, NULL);
-    limited_connection_t *connection;
-
-    (void)what;
-    CU_ASSERT_FATAL(socket >= 0);
-    server->accepted++;
-    if (server->connections >= server->connections_max) {
-        server->resets++;
-        setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-        close(socket);
-        return;
-    }
-    evutil_make_socket_nonblocking(socket);
-    server->connections++;
-    connection = calloc(1, sizeof(*connection));
-    connection->server = server;
-    connection->stream =
-        bufferevent_socket_new(server->base, socket, BEV_OPT_CLOSE_ON_FREE);
-    connection->delay =
-        event_new(server->base, -1, 0, answer_limited, connection);
-    server->latest = connection->stream;
-    bufferevent_setcb(connection->stream, read_limited, NULL, end_limited,
-                      connection);
-    bufferevent_enable(connection->stream, EV_READ | EV_WRITE);
-}
-
-static void
-open_limited(limited_server_t *server, struct event_base *base,
-             uint32_t connections_max)
-{
-    struct sockaddr_in address = {.sin_family = AF_INET,
-                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t size = sizeof(address);
-
-    *server = (limited_server_t){
-        .base = base, .connections_max = connections_max, .delay_ms = 1};
-    server->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    CU_ASSERT_EQUAL_FATAL(
-        bind(server->listener, (struct sockaddr *)&address, sizeof(address)),
-        0);
-    CU_ASSERT_EQUAL_FATAL(listen(server->listener, 128), 0);
-    getsockname(server->listener, (struct sockaddr *)&address, &size);
-    snprintf(server->address, sizeof(server->address), "127.0.0.1:%u",
-             ntohs(address.sin_port));
-    server->listen = event_new(base, server->listener, EV_READ | EV_PERSIST,
-                               accept_limited, server);
-    event_add(server->listen, NULL);
-}
-
-static void
-close_limited(limited_server_t *server)
-{
-    struct timeval limit = {.tv_usec = 50000};
-
-    event_base_loopexit(server->base, &limit); /* the clients have closed */
-    event_base_dispatch(server->base);
-    event_free(server->listen);
-    close(server->listener);
-    event_base_free(server->base);
-}
-
 static const fv_call_bounds_t worker_bounds = {.open_max = 4,
                                                .rest_max = 2,
                                                .waits_for_shared = true,
@@ -483,7 +345,7 @@
     limited_server_t server;
     outcome_t outcomes[40] = {0};
 
-    open_limited(&server, base, 64);
+    FvLimitedServer_Open(&server, base, 64);
     for (uint32_t i = 0; i < 40; i++) {
         send_urgent(pool, &server, Fv_CALL_START, &outcomes[i]);
     }
@@ -497,7 +359,7 @@
     CU_ASSERT_EQUAL(FvCallPool_Open(pool), 2);
     CU_ASSERT_EQUAL(server.connections, 2);
     FvCallPool_Free(pool);
-    close_limited(&server);
+    FvLimitedServer_Close(&server);
 }
 
 /* A stop and a renewal wait behind a burst of starts, or all of them behind a
@@ -511,7 +373,7 @@
     outcome_t outcomes[24] = {0};
     uint32_t sequence = 0;
 
-    open_limited(&server, base, 64);
+    FvLimitedServer_Open(&server, base, 64);
     server.delay_ms = 20;
     for (uint32_t i = 0; i < 24; i++) {
         outcomes[i].sequence = &sequence;
@@ -529,7 +391,7 @@
     CU_ASSERT(outcomes[22].waited_ms >= server.delay_ms);
     CU_ASSERT_EQUAL(outcomes[22].status, 200);
     FvCallPool_Free(pool);
-    close_limited(&server);
+    FvLimitedServer_Close(&server);
 }
 
 /* Every start to a silent worker stays in doubt, and its task waits for the
@@ -543,7 +405,7 @@
     outcome_t outcomes[20] = {0};
     uint32_t not_sent = 0;
 
-    open_limited(&server, base, 64);
+    FvLimitedServer_Open(&server, base, 64);
     server.silent = true;
     for (uint32_t i = 0; i < 20; i++) {
         send_call(pool, server.address,
@@ -561,7 +423,7 @@
     CU_ASSERT(not_sent >= 12);
     CU_ASSERT_EQUAL(server.requests, 20 - not_sent);
     FvCallPool_Free(pool);
-    close_limited(&server);
+    FvLimitedServer_Close(&server);
 }
 
 /* A refused connection leaves the call in doubt although nothing was
@@ -589,7 +451,7 @@
     outcome_t outcomes[30] = {0};
     uint32_t unanswered = 0;
 
-    open_limited(&server, base, 1);
+    FvLimitedServer_Open(&server, base, 1);
     server.delay_ms = 5;
     for (uint32_t i = 0; i < 30; i++) {
         send_urgent(pool, &server, i == 0 ? Fv_CALL_RENEWAL : Fv_CALL_START,
@@ -611,7 +473,7 @@
     run_until_answered(base, outcomes, 1);
     CU_ASSERT_TRUE(FvCallPool_MayLongPoll(pool, server.address));
     FvCallPool_Free(pool);
-    close_limited(&server);
+    FvLimitedServer_Close(&server);
 }
 
 /* A host that no longer leads keeps the connections that the next leader
@@ -625,7 +487,7 @@
     outcome_t outcomes[12] = {0};
     uint32_t not_sent = 0;
 
-    open_limited(&server, base, 64);
+    FvLimitedServer_Open(&server, base, 64);
     server.silent = true;
     for (uint32_t i = 0; i < 12; i++) {
         send_urgent(pool, &server, Fv_CALL_START, &outcomes[i]);
@@ -646,7 +508,7 @@
     run_for(base, 50);
     CU_ASSERT_EQUAL(server.connections, 0);
     FvCallPool_Free(pool);
-    close_limited(&server);
+    FvLimitedServer_Close(&server);
 }
 
 static void
@@ -665,7 +527,7 @@
     fv_call_t call = {.method = "GET", .path = "/"};
     limited_server_t server;
 
-    open_limited(&server, base, 64);
+    FvLimitedServer_Open(&server, base, 64);
     FvCallPool_Send(pool, server.address, &call,
                     &(fv_call_terms_t){.bounds = &worker_bounds,
                                        .urgency = Fv_CALL_RENEWAL,
@@ -677,7 +539,7 @@
     CU_ASSERT_EQUAL(FvCallPool_Open(pool), 0);
     CU_ASSERT_EQUAL(server.connections, 0);
     FvCallPool_Free(pool);
-    close_limited(&server);
+    FvLimitedServer_Close(&server);
 }
 
 /* Only a call that was sent may have been executed, and only the end of its
@@ -691,7 +553,7 @@
     outcome_t outcomes[6] = {0};
     outcome_t renewal = {0};
 
-    open_limited(&server, base, 64);
+    FvLimitedServer_Open(&server, base, 64);
     server.silent = true;
     send_urgent(pool, &server, Fv_CALL_START, &outcomes[0]);
     run_until_answered(base, outcomes, 1);
@@ -718,7 +580,7 @@
     CU_ASSERT_TRUE(renewal.closed);
     CU_ASSERT_EQUAL(server.requests, 2 + worker_bounds.open_max);
     FvCallPool_Free(pool);
-    close_limited(&server);
+    FvLimitedServer_Close(&server);
 }
 
 /* The connection was requested of the process that has ended, and is accepted
@@ -733,7 +595,7 @@
     outcome_t stop = {0};
     outcome_t renewal = {0};
 
-    open_limited(&server, base, 64);
+    FvLimitedServer_Open(&server, base, 64);
     for (uint32_t i = 0; i < 2; i++) {
         send_urgent(pool, &server, Fv_CALL_START, &outcomes[i]);
     }
@@ -750,7 +612,7 @@
     CU_ASSERT_EQUAL(renewal.status, 200);
     CU_ASSERT_EQUAL(server.requests, 2);
     FvCallPool_Free(pool);
-    close_limited(&server);
+    FvLimitedServer_Close(&server);
 }
 
 static void
@@ -773,7 +635,7 @@
     outcome_t outcome = {0};
     uint32_t closed = 0;
 
-    open_limited(&server, base, 64);
+    FvLimitedServer_Open(&server, base, 64);
     FvCallPool_OnClosed(pool, count_closed, &closed);
     send_urgent(pool, &server, Fv_CALL_RENEWAL, &outcome);
     run_until_answered(base, &outcome, 1);
@@ -790,7 +652,7 @@
     run_for(base, 50);
     CU_ASSERT_EQUAL(closed, 1);
     FvCallPool_Free(pool);
-    close_limited(&server);
+    FvLimitedServer_Close(&server);
 }
 
 int
--- a/tests/unit/sched_restart_test.c
+++ b/tests/unit/sched_restart_test.c
@@ -6,6 +6,12 @@
 #include "sched-fixture.h"
 #include "suite.h"
 
+#define JOB_A "00000000000000aa"
+
+static const char two_tasks[] =
+    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":1000,"
+    "\"memMb\":10,\"estimatedMs\":1000}]}";
+
 /* A worker that did not answer may have restarted, so that its next report may
  * be the first of another incarnation, with ends that nobody has read. */
 static void
@@ -283,6 +289,126 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* A worker crashes and restarts. A start reaches its new incarnation before
+ * the registry lists that. */
+static void
+test_start_in_new_incarnation_is_kept(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_worker_t *worker;
+    fv_worker_entry_t entry;
+    fv_running_row_t row = {.task_id = JOB_A ".0.0.0", .run = 1};
+    fv_worker_report_t report = {.running = &row, .running_count = 1};
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 2000);
+    FvSchedFixture_AddJob(&fixture, JOB_A, &queue, two_tasks);
+    FvSchedFixture_RunPass(&fixture);
+    FvSchedFixture_ConfirmStarts(&fixture);
+    FvSchedFixture_AddWorker(&fixture, "w2", "r1", 2000);
+    entry = worker->entry;
+    entry.started_wall_ms++;
+    fixture.now_ms += 100;
+    FvSched_UpdateWorker(&fixture.sched, &entry, fixture.now_ms);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A), 2);
+
+    /* The new incarnation lists one of the two tasks; the other was lost with
+     * the old one. */
+    report.clock_ms = fixture.now_ms;
+    report.started_wall_ms = entry.started_wall_ms;
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms,
+                        fixture.now_ms);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A ".0.0.0"), 1);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A ".0.0.1"), 2);
+
+    /* A late report of the old incarnation changes nothing. */
+    report.started_wall_ms = 1;
+    report.running_count = 0;
+    fixture.now_ms += 100;
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms - 200,
+                        fixture.now_ms);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A ".0.0.0"), 1);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* The connection on which a start was sent is closed. The worker that listens
+ * next may be another incarnation. */
+static void
+check_closed_start(bool restarted)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_worker_t *worker;
+    fv_worker_report_t report = {0};
+    fv_sched_task_t *task;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    FvSchedFixture_AddJob(&fixture, JOB_A, &queue, two_tasks);
+    FvSchedFixture_RunPass(&fixture);
+    task = FvSched_FindTask(&fixture.sched, JOB_A ".0.0.0");
+    CU_ASSERT_FATAL(task != NULL && task->worker == worker);
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSched_StartAnswered(&fixture.sched, task, 1, Fv_ORDER_UNCONFIRMED,
+                          fixture.now_ms);
+    CU_ASSERT_EQUAL(fixture.order_count, 1);
+    fixture.now_ms += 10;
+    report.clock_ms = fixture.now_ms;
+    report.started_wall_ms = worker->started_wall_ms + (restarted ? 5 : 0);
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms,
+                        fixture.now_ms);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A ".0.0.0"),
+                    restarted ? 1 : 2);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStops(&fixture, JOB_A ".0.0.0"),
+                    restarted ? 1 : 0);
+    FvSchedFixture_Close(&fixture);
+}
+
+static void
+test_start_is_not_repeated_to_the_next_incarnation(void)
+{
+    check_closed_start(true);
+}
+
+static void
+test_start_is_repeated_after_a_report(void)
+{
+    check_closed_start(false);
+}
+
+/* An answer that the process gave before it ended is read after the end of its
+ * connections. */
+static void
+test_report_from_before_the_end_of_a_connection(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_worker_t *worker;
+    fv_worker_report_t report = {0};
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    report.started_wall_ms = worker->started_wall_ms;
+    fixture.now_ms += 1000;
+    FvSched_ConnectionClosed(&fixture.sched, worker, fixture.now_ms);
+    report.clock_ms = fixture.now_ms;
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms - 500,
+                        fixture.now_ms);
+    FvSchedFixture_AddJob(&fixture, JOB_A, &queue, two_tasks);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(fixture.order_count, 0);
+    fixture.now_ms += 10;
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms - 5,
+                        fixture.now_ms);
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A ".0.0.0"), 1);
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -310,6 +436,14 @@
          test_start_at_unlisted_worker},
         {"a task waits for a worker that has left the registry",
          test_start_at_removed_worker},
+        {"a start that reached a worker's new incarnation is repeated",
+         test_start_in_new_incarnation_is_kept},
+        {"a start is repeated to a worker that may have restarted",
+         test_start_is_not_repeated_to_the_next_incarnation},
+        {"a start is given up because its connection was closed",
+         test_start_is_repeated_after_a_report},
+        {"a report from before the end of a connection admits starts",
+         test_report_from_before_the_end_of_a_connection},
     };
 
     return Fv_RUN_SUITE("sched_restart", cases);
