leader: log runs that outlive their task and workers beyond their capacity

'worker_overcommitted' and its counter show the fault itself from the leader's side: the runs of a report need more than the worker has. No decision changes.

--- a/src/metrics.c
+++ b/src/metrics.c
@@ -80,6 +80,9 @@
     [Fv_COUNTER_CONNECTIONS_RESET] = {"connections_reset",
                                       "New connections that a worker closed "
                                       "before its first answer."},
+    [Fv_COUNTER_WORKERS_OVERCOMMITTED] = {"workers_overcommitted",
+                                          "Times that a worker listed more "
+                                          "runs than its capacity admits."},
 };
 
 static const fv_counter_info_t timing_infos[Fv_TIMING_COUNT] = {
--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -442,11 +442,22 @@
 
 /* Stops the latest run of a task when an earlier run completed the task. */
 static void
-stop_newer_run(fv_sched_t *sched, fv_sched_task_t *task, int32_t done_run)
+stop_newer_run(fv_sched_t *sched, fv_sched_task_t *task, int32_t done_run,
+               int64_t now_ms)
 {
-    if (task->worker != NULL && task->run != done_run) {
-        sched->ops->stop(sched, task);
+    char name[Fv_RUN_TASK_ID_SIZE];
+
+    if (task->worker == NULL || task->run == done_run) {
+        return;
     }
+    FvSched_TaskName(task, name, sizeof(name));
+    FvLog_Event(Fv_LOG_INFO, "run_superseded",
+                "task=%s run=%d worker=%s done_run=%d state=%d "
+                "start_in_doubt=%d start_sent_ms_ago=%" PRId64,
+                name, task->run, task->worker->entry.id, done_run,
+                (int)task->state, task->start_confirmed_ms == 0 ? 1 : 0,
+                now_ms - task->start_sent_ms);
+    sched->ops->stop(sched, task);
 }
 
 /**
@@ -468,12 +479,12 @@
     if (stage->step->gang) {
         stage->done_run = run;
         for (int32_t i = 0; i < stage->step->task_count; i++) {
-            stop_newer_run(sched, &stage->tasks[i], run);
+            stop_newer_run(sched, &stage->tasks[i], run, now_ms);
             mark_done(sched, &stage->tasks[i], ended, now_ms);
         }
     }
     else {
-        stop_newer_run(sched, task, run);
+        stop_newer_run(sched, task, run, now_ms);
         mark_done(sched, task, ended, now_ms);
     }
     if (stage->done == stage->step->task_count) {
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -215,12 +215,17 @@
            row->run == task->stage->done_run;
 }
 
+/* @used: sum of the resources of all listed runs */
 static void
 apply_running(fv_sched_t *sched, fv_sched_worker_t *worker,
-              const fv_running_row_t *row, int64_t now_ms)
+              const fv_running_row_t *row, fv_sched_resources_t *used,
+              int64_t now_ms)
 {
     fv_sched_task_t *task = FvSched_FindTask(sched, row->task_id);
 
+    if (task != NULL) {
+        FvSched_AddTaskResources(used, task->stage->step);
+    }
     if (task != NULL && task->worker == worker && task->run == row->run) {
         task->listed_in_report = sched->report_count;
         update_running(sched, task, row, now_ms);
@@ -242,6 +247,30 @@
     sched->ops->stop_orphan_run(sched, worker, row->task_id, row->run);
 }
 
+/* Runs of removed jobs, whose resources are not known, are not part of the
+ * sum. */
+static void
+check_capacity(fv_sched_worker_t *worker, const fv_sched_resources_t *used,
+               uint32_t runs)
+{
+    bool overcommitted = used->cpu_millis > worker->entry.cpu_millis ||
+                         used->memory_mib > worker->entry.memory_mib ||
+                         used->accelerators > worker->entry.accelerators;
+
+    if (overcommitted && !worker->overcommitted) {
+        FvMetrics_Add(Fv_COUNTER_WORKERS_OVERCOMMITTED, 1);
+        FvLog_Event(Fv_LOG_WARN, "worker_overcommitted",
+                    "worker=%s runs=%u tasks=%d cpu_used=%" PRId64
+                    " cpu=%" PRId64 " memory_used=%" PRId64 " memory=%" PRId64
+                    " accelerators_used=%" PRId64 " accelerators=%" PRId64,
+                    worker->entry.id, runs, worker->task_count,
+                    used->cpu_millis, worker->entry.cpu_millis,
+                    used->memory_mib, worker->entry.memory_mib,
+                    used->accelerators, worker->entry.accelerators);
+    }
+    worker->overcommitted = overcommitted;
+}
+
 /* Requeues the task of a run that is no longer on its worker and whose end was
  * not reported. */
 static void
@@ -254,10 +283,14 @@
 
     FvLog_Event(Fv_LOG_INFO, "run_missing",
                 "job=%s stage=%u task=%d run=%d worker=%s state=%d "
-                "confirmed_ms_ago=%" PRId64 " ends=%u",
+                "confirmed_ms_ago=%" PRId64 " stop_confirmed_ms_ago=%" PRId64
+                " ends=%u",
                 stage->job->id, stage->step_index, task->index, task->run,
                 task->worker->entry.id, (int)task->state,
-                now_ms - task->start_confirmed_ms, report->ended_count);
+                now_ms - task->start_confirmed_ms,
+                task->stop_confirmed_ms != 0 ? now_ms - task->stop_confirmed_ms
+                                             : -1,
+                report->ended_count);
     task->failed_on = task->worker;
     FvSched_RequeueTask(sched, task);
     if (stage->step->gang && never_started) {
@@ -456,6 +489,7 @@
 {
     bool *changed;
     bool all_ends_listed;
+    fv_sched_resources_t used = {0};
 
     if (FvSched_IsReportOvertaken(worker, report->started_wall_ms, sent_ms)) {
         FvLog_Event(Fv_LOG_INFO, "report_overtaken",
@@ -497,8 +531,9 @@
     FvSched_ForgetOrphanRuns(worker, now_ms);
     sched->report_count++;
     for (uint32_t i = 0; i < report->running_count; i++) {
-        apply_running(sched, worker, &report->running[i], now_ms);
+        apply_running(sched, worker, &report->running[i], &used, now_ms);
     }
+    check_capacity(worker, &used, report->running_count);
     FvSched_LimitOrphanRuns(sched, worker, sent_ms, now_ms);
     record_progress(sched, report, changed);
     handle_missing_runs(sched, worker, report, all_ends_listed, sent_ms,
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -163,6 +163,12 @@
             link = &orphan->next;
             continue;
         }
+        if (orphan->ended_by_ms != 0) {
+            FvLog_Event(Fv_LOG_INFO, "orphan_run_forgotten",
+                        "task=%s run=%d worker=%s known_to_end=%d",
+                        orphan->task, orphan->run, worker->entry.id,
+                        orphan->ended_by_ms != INT64_MAX ? 1 : 0);
+        }
         *link = orphan->next;
         free(orphan);
     }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -216,7 +216,8 @@
     int64_t free_accelerators;
     fv_sched_resources_t lasting_use; /* of the tasks that never end */
     int32_t task_count;
-    bool inherited; /* an earlier leader gave it orders */
+    bool overcommitted; /* by the runs that its last report listed */
+    bool inherited;     /* an earlier leader gave it orders */
     /* Until then, runs that an earlier leader stopped may still be ending;
      * reports do not list such runs. */
     int64_t inherited_stops_until_ms;
