sched_orphan: a test that fails on late starts of superseded runs

The leader gives w2's capacity to the next job 0.9 s after the first report without the run, while the start may be carried out for 12 s, and never repeats the stop. Both checks fail on the current code:

CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_B),0) FvSchedFixture_CountStops(&fixture, TASK) > 1

--- /dev/null
+++ b/tests/unit/sched_orphan_test.c
@@ -0,0 +1,128 @@
+/*
+ * Orphaned runs whose start or stop is in doubt.
+ */
+
+#include "sched-fixture.h"
+
+#include <string.h>
+
+#define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
+#define TASK JOB_A ".0.0.0"
+
+#define FIRST_START_MS 1
+
+/* Time in which a stop without an answer is certainly repeated. */
+#define STOP_REPEATED_MS 1000
+
+static const char one_task[] =
+    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":2000,"
+    "\"memMb\":10,\"estimatedMs\":1000}]}";
+
+static void
+report(sched_fixture_t *fixture, const char *worker, int64_t started_wall_ms,
+       const fv_running_row_t *row)
+{
+    fv_running_row_t rows[1] = {{.run = 0}};
+    fv_worker_report_t rows_report = {.clock_ms = fixture->now_ms,
+                                      .started_wall_ms = started_wall_ms,
+                                      .running = rows,
+                                      .running_count = row != NULL ? 1 : 0};
+
+    if (row != NULL) {
+        rows[0] = *row;
+    }
+    FvSched_ApplyReport(&fixture->sched,
+                        FvSched_FindWorker(&fixture->sched, worker),
+                        &rows_report, fixture->now_ms, fixture->now_ms);
+}
+
+static void
+pass_time(sched_fixture_t *fixture, int64_t ms)
+{
+    fixture->now_ms += ms;
+    report(fixture, "w2", FIRST_START_MS, NULL);
+    fixture->sched.dirty = true;
+    FvSchedFixture_RunPass(fixture);
+}
+
+/* A task runs on a worker whose lease expires, so that it is started on a
+ * second one, w2, which does not answer. Then the first worker answers again
+ * and reports the first run as done. Returns the number of the second run. */
+static int32_t
+open_with_superseded_start(sched_fixture_t *fixture)
+{
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_worker_t *first;
+    fv_sched_task_t *task;
+    int32_t run;
+
+    FvSchedFixture_Open(fixture, 1);
+    first = FvSchedFixture_AddWorker(fixture, "w1", "r1", 2000);
+    FvSchedFixture_AddJob(fixture, JOB_A, &queue, one_task);
+    FvSchedFixture_RunPass(fixture);
+    FvSchedFixture_ConfirmStarts(fixture);
+    FvSchedFixture_AddWorker(fixture, "w2", "r1", 2000);
+    fixture->now_ms += 20000;
+    FvSched_ReportUnanswered(&fixture->sched, first, fixture->now_ms);
+    FvSchedFixture_RunPass(fixture);
+    task = FvSched_FindTask(&fixture->sched, TASK);
+    CU_ASSERT_FATAL(task != NULL && task->worker != NULL);
+    CU_ASSERT_STRING_EQUAL(task->worker->entry.id, "w2");
+    run = task->run;
+    CU_ASSERT_EQUAL(run, 2);
+    fixture->now_ms += 30;
+    FvSchedFixture_ReportEnd(fixture, "w1", 1, TASK, 1, Fv_END_DONE);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStops(fixture, TASK), 1);
+    /* It leaves, so that the next job can only go to w2. */
+    first->draining = true;
+    FvSchedFixture_AddJob(fixture, JOB_B, &queue, one_task);
+    return run;
+}
+
+/* Neither the start nor its stop is answered. The start may be carried out
+ * until the longest delay of an order, and fills the worker then. */
+static void
+test_late_start_keeps_its_capacity(void)
+{
+    static sched_fixture_t fixture;
+
+    open_with_superseded_start(&fixture);
+    for (int64_t passed_ms = 0; passed_ms < Fv_ORDER_DELAY_MAX_MS - 100;
+         passed_ms += 100) {
+        pass_time(&fixture, 100);
+    }
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_B), 0);
+    for (int64_t passed_ms = 0; passed_ms < 2 * Fv_FIXTURE_STOP_MS;
+         passed_ms += 100) {
+        pass_time(&fixture, 100);
+    }
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_B), 1);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* A stop without an answer is repeated until the worker answers one. */
+static void
+test_stop_is_repeated(void)
+{
+    static sched_fixture_t fixture;
+
+    open_with_superseded_start(&fixture);
+    pass_time(&fixture, STOP_REPEATED_MS);
+    CU_ASSERT(FvSchedFixture_CountStops(&fixture, TASK) > 1);
+    FvSchedFixture_Close(&fixture);
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"the capacity of a superseded run is given away before its start can "
+         "no longer arrive",
+         test_late_start_keeps_its_capacity},
+        {"a superseded run whose stop was lost is not stopped again",
+         test_stop_is_repeated},
+    };
+
+    return Fv_RUN_SUITE("sched_orphan", cases);
+}
