scheduler: keep a superseded run on its worker while its start may arrive

Cause: when an earlier run completes a task, the task's latest run becomes an orphaned run, and lost what was known of its orders: that its start was not answered, and whether its stop was. The stop was sent once, its answer was not looked at, and the first report without the run freed its capacity 0.2 to 0.9 s later, while the start could be carried out for 12 s.

An orphaned run now has the state of its orders. It occupies its worker until its end is listed, until a stop timeout after the worker has confirmed its stop, or, once no start can arrive, until a stop timeout after a report without it. After a restart of the worker a run whose start may still arrive is kept.

--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -115,6 +115,7 @@
 {
     fv_order_call_t *order = context;
     fv_leader_t *leader = order->leader;
+    fv_sched_worker_t *worker;
     fv_sched_task_t *task;
     fv_order_result_t result;
     int64_t clock_ms;
@@ -138,6 +139,11 @@
         note_stop_ended(leader, order->sent_ms + answer->waited_ms, result);
     }
     check_order_connection(order, answer);
+    worker = FvSched_FindWorker(&leader->sched, order->worker);
+    if (worker != NULL && order->stop) {
+        FvSched_OrphanStopAnswered(&leader->sched, worker, order->task,
+                                   order->run, result, FvClock_NowMs());
+    }
     task = FvSched_FindTask(&leader->sched, order->task);
     if (task != NULL) {
         note_answer_from_elsewhere(order, task, result);
@@ -284,6 +290,8 @@
 FvLeaderOrder_StopOrphanRun(fv_sched_t *sched, fv_sched_worker_t *worker,
                             const char *name, int32_t run)
 {
+    FvLog_Event(Fv_LOG_INFO, "stop", "task=%s run=%d worker=%s orphan=1", name,
+                run, worker->entry.id);
     send_stop(FvLeader_FromSched(sched), worker, name, run);
 }
 
--- a/src/sched-incarnation.c
+++ b/src/sched-incarnation.c
@@ -113,13 +113,14 @@
  * @sched: the scheduler
  * @worker: the worker
  * @started_wall_ms: start time of the process; identifies the incarnation
+ * @now_ms: the time
  *
  * The new incarnation may already have received orders, so the tasks stay on
  * the worker until its first report lists the running ones.
  */
 void
 FvSched_BeginIncarnation(fv_sched_t *sched, fv_sched_worker_t *worker,
-                         int64_t started_wall_ms)
+                         int64_t started_wall_ms, int64_t now_ms)
 {
     if (worker->started_wall_ms != 0) {
         FvLog_Event(Fv_LOG_INFO, "worker_restarted",
@@ -144,6 +145,6 @@
     worker->last_failed_job = NULL;
     worker->quarantined_until_ms = 0;
     worker->probing = false;
-    FvSched_ForgetOrphanRuns(worker, INT64_MAX);
+    FvSched_DoubtOrphanRuns(worker, now_ms);
     sched->dirty = true;
 }
--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -411,14 +411,29 @@
     FvSched_EndJob(sched, job, Fv_SCHED_JOB_COMPLETED, now_ms);
 }
 
+/* The latest run of a task that is done occupies its worker until its own end
+ * is reported. */
+static void
+orphan_latest_run(fv_sched_t *sched, fv_sched_task_t *task, int32_t done_run,
+                  int64_t now_ms)
+{
+    char name[Fv_RUN_TASK_ID_SIZE];
+
+    if (task->run != done_run) {
+        FvSched_SupersedeRun(sched, task, now_ms);
+        return;
+    }
+    FvSched_TaskName(task, name, sizeof(name));
+    FvSched_AddOrphanRun(task->worker, name, task->run, now_ms);
+}
+
 /* @ended: the task whose latest run has ended, or NULL when its end is not
  * reported yet */
 static void
-mark_done(fv_sched_t *sched, fv_sched_task_t *task,
+mark_done(fv_sched_t *sched, fv_sched_task_t *task, int32_t run,
           const fv_sched_task_t *ended, int64_t now_ms)
 {
     fv_sched_stage_t *stage = task->stage;
-    char name[Fv_RUN_TASK_ID_SIZE];
 
     if (task->state == Fv_SCHED_DONE) {
         return;
@@ -427,9 +442,7 @@
         stage->waiting--;
     }
     if (task->worker != NULL && task != ended) {
-        /* The run occupies its worker until its own end is reported. */
-        FvSched_TaskName(task, name, sizeof(name));
-        FvSched_AddOrphanRun(task->worker, name, task->run, now_ms);
+        orphan_latest_run(sched, task, run, now_ms);
     }
     FvSched_DetachTask(task);
     task->state = Fv_SCHED_DONE;
@@ -440,26 +453,6 @@
     sched->dirty = true;
 }
 
-/* Stops the latest run of a task when an earlier run completed the task. */
-static void
-stop_newer_run(fv_sched_t *sched, fv_sched_task_t *task, int32_t done_run,
-               int64_t now_ms)
-{
-    char name[Fv_RUN_TASK_ID_SIZE];
-
-    if (task->worker == NULL || task->run == done_run) {
-        return;
-    }
-    FvSched_TaskName(task, name, sizeof(name));
-    FvLog_Event(Fv_LOG_INFO, "run_superseded",
-                "task=%s run=%d worker=%s done_run=%d state=%d "
-                "start_in_doubt=%d start_sent_ms_ago=%" PRId64,
-                name, task->run, task->worker->entry.id, done_run,
-                (int)task->state, task->start_confirmed_ms == 0 ? 1 : 0,
-                now_ms - task->start_sent_ms);
-    sched->ops->stop(sched, task);
-}
-
 /**
  * FvSched_TaskDone - mark a task, or the gang that it belongs to, as done
  * @sched: the scheduler
@@ -479,13 +472,11 @@
     if (stage->step->gang) {
         stage->done_run = run;
         for (int32_t i = 0; i < stage->step->task_count; i++) {
-            stop_newer_run(sched, &stage->tasks[i], run, now_ms);
-            mark_done(sched, &stage->tasks[i], ended, now_ms);
+            mark_done(sched, &stage->tasks[i], run, ended, now_ms);
         }
     }
     else {
-        stop_newer_run(sched, task, run, now_ms);
-        mark_done(sched, task, ended, now_ms);
+        mark_done(sched, task, run, ended, now_ms);
     }
     if (stage->done == stage->step->task_count) {
         if (is_open(job)) {
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -9,11 +9,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A stop that was not answered or had no effect is sent again after this. The
- * stop timeout, which is the longest that a stop takes, is 200 to 900 ms in
- * the platform's deployments. */
-#define Fv_STOP_RETRY_MS 500
-
 /* Delay before a stage is placed again after a worker refused a start. */
 #define Fv_START_BACKOFF_MS 50
 
@@ -46,6 +41,23 @@
     }
 }
 
+/**
+ * FvSched_LateStartUntilMs - until when a start of a task's latest run may
+ * still arrive
+ * @task: the task
+ *
+ * Return: the latest time at which the worker may carry out an unanswered
+ * start, or an unanswered copy of one; 0 when each was answered.
+ */
+int64_t
+FvSched_LateStartUntilMs(const fv_sched_task_t *task)
+{
+    return task->start_unconfirmed || task->start_retried ||
+                   task->state == Fv_SCHED_STARTING
+               ? task->start_repeated_ms + Fv_ORDER_DELAY_MAX_MS
+               : 0;
+}
+
 /**
  * FvSched_StopTask - order the worker to stop the latest run of a task
  * @sched: the scheduler
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -243,8 +243,9 @@
     }
     FvLog_Event(Fv_LOG_INFO, "orphan_run", "task=%s run=%d worker=%s",
                 row->task_id, row->run, worker->entry.id);
-    FvSched_AddOrphanRun(worker, row->task_id, row->run, now_ms);
-    sched->ops->stop_orphan_run(sched, worker, row->task_id, row->run);
+    FvSched_StopOrphanRun(
+        sched, worker,
+        FvSched_AddOrphanRun(worker, row->task_id, row->run, now_ms), now_ms);
 }
 
 /* Runs of removed jobs, whose resources are not known, are not part of the
@@ -499,7 +500,8 @@
         return false;
     }
     if (report->started_wall_ms != worker->started_wall_ms) {
-        FvSched_BeginIncarnation(sched, worker, report->started_wall_ms);
+        FvSched_BeginIncarnation(sched, worker, report->started_wall_ms,
+                                 now_ms);
     }
     changed = calloc((size_t)report->ended_count + 1, sizeof(*changed));
     if (changed == NULL) {
@@ -528,13 +530,13 @@
             worker->last_end_applied = report->ended[i].number;
         }
     }
-    FvSched_ForgetOrphanRuns(worker, now_ms);
+    FvSched_ForgetEndedOrphanRuns(worker, now_ms);
     sched->report_count++;
     for (uint32_t i = 0; i < report->running_count; i++) {
         apply_running(sched, worker, &report->running[i], &used, now_ms);
     }
     check_capacity(worker, &used, report->running_count);
-    FvSched_LimitOrphanRuns(sched, worker, sent_ms, now_ms);
+    FvSched_CheckOrphanRuns(sched, worker, sent_ms, now_ms);
     record_progress(sched, report, changed);
     handle_missing_runs(sched, worker, report, all_ends_listed, sent_ms,
                         now_ms);
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -72,120 +72,6 @@
     }
 }
 
-/**
- * FvSched_AddOrphanRun - track a run that belongs to no open task
- * @worker: the worker that runs it
- * @task: name of the task
- * @run: number of the run
- * @now_ms: the time
- *
- * A stop of the run is sent, which may be carried out late. The run occupies
- * the worker until its end is listed, or until the time after a report without
- * it that FvSched_LimitOrphanRuns() sets.
- */
-void
-FvSched_AddOrphanRun(fv_sched_worker_t *worker, const char *task, int32_t run,
-                     int64_t now_ms)
-{
-    fv_orphan_run_t *orphan = worker->orphan_runs;
-
-    while (orphan != NULL &&
-           (orphan->run != run || strcmp(orphan->task, task) != 0)) {
-        orphan = orphan->next;
-    }
-    if (orphan == NULL) {
-        orphan = calloc(1, sizeof(*orphan));
-        if (orphan == NULL) {
-            abort(); /* the run's resources would be allocated twice */
-        }
-        FvText_Copy(orphan->task, sizeof(orphan->task), task);
-        orphan->run = run;
-        orphan->next = worker->orphan_runs;
-        worker->orphan_runs = orphan;
-    }
-    orphan->since_ms = now_ms;
-    orphan->ended_by_ms = INT64_MAX;
-}
-
-/**
- * FvSched_LimitOrphanRuns - note that a report was applied
- * @sched: the scheduler
- * @worker: the worker
- * @sent_ms: when the report was requested
- * @now_ms: the time
- *
- * An orphaned run that the report does not list has ended or is being stopped.
- */
-void
-FvSched_LimitOrphanRuns(const fv_sched_t *sched, fv_sched_worker_t *worker,
-                        int64_t sent_ms, int64_t now_ms)
-{
-    for (fv_orphan_run_t *orphan = worker->orphan_runs; orphan != NULL;
-         orphan = orphan->next) {
-        if (orphan->ended_by_ms == INT64_MAX && orphan->since_ms < sent_ms) {
-            orphan->ended_by_ms = now_ms + sched->stop_max_ms;
-        }
-    }
-}
-
-/**
- * FvSched_OrphanRunEnded - note the end of an orphaned run
- * @worker: the worker that ran it
- * @task: name of the task
- * @run: number of the run
- */
-void
-FvSched_OrphanRunEnded(fv_sched_worker_t *worker, const char *task,
-                       int32_t run)
-{
-    for (fv_orphan_run_t *orphan = worker->orphan_runs; orphan != NULL;
-         orphan = orphan->next) {
-        if (orphan->run == run && strcmp(orphan->task, task) == 0) {
-            orphan->ended_by_ms = 0;
-        }
-    }
-}
-
-/**
- * FvSched_ForgetOrphanRuns - remove the orphaned runs that have ended
- * @worker: the worker
- * @ended_by_ms: removes the runs that have certainly ended by this time
- */
-void
-FvSched_ForgetOrphanRuns(fv_sched_worker_t *worker, int64_t ended_by_ms)
-{
-    fv_orphan_run_t **link = &worker->orphan_runs;
-
-    while (*link != NULL) {
-        fv_orphan_run_t *orphan = *link;
-
-        if (orphan->ended_by_ms > ended_by_ms) {
-            link = &orphan->next;
-            continue;
-        }
-        if (orphan->ended_by_ms != 0) {
-            FvLog_Event(Fv_LOG_INFO, "orphan_run_forgotten",
-                        "task=%s run=%d worker=%s known_to_end=%d",
-                        orphan->task, orphan->run, worker->entry.id,
-                        orphan->ended_by_ms != INT64_MAX ? 1 : 0);
-        }
-        *link = orphan->next;
-        free(orphan);
-    }
-}
-
-static bool
-has_orphan_runs(const fv_sched_worker_t *worker, int64_t now_ms)
-{
-    for (const fv_orphan_run_t *orphan = worker->orphan_runs; orphan != NULL;
-         orphan = orphan->next) {
-        if (orphan->ended_by_ms > now_ms) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Whether an entry differs in more than what each heartbeat changes. */
 static bool
 has_entry_changed(const fv_worker_entry_t *old, const fv_worker_entry_t *new)
@@ -301,7 +187,7 @@
         FvSched_DetachTask(worker->tasks);
     }
     FvSched_ForgetWorker(sched, worker);
-    FvSched_ForgetOrphanRuns(worker, INT64_MAX);
+    FvSched_FreeOrphanRuns(worker);
     HASH_DEL(sched->workers, worker);
     free(worker);
 }
@@ -537,7 +423,7 @@
            is_incarnation_listed(worker) && !worker->suspect &&
            !worker->unreached && !worker->draining && !worker->lost &&
            worker->inherited_stops_until_ms <= now_ms &&
-           !has_orphan_runs(worker, now_ms);
+           !FvSched_HasOrphanRuns(worker, now_ms);
 }
 
 /**
@@ -627,12 +513,12 @@
     return worker->synced && worker->tasks == NULL &&
            !FvSched_HasUnrecordedEnds(worker) &&
            worker->inherited_stops_until_ms <= now_ms &&
-           !has_orphan_runs(worker, now_ms);
+           !FvSched_HasOrphanRuns(worker, now_ms);
 }
 
-/* Whether the worker may still carry out an unanswered start, or an unanswered
- * copy of one, or may run what an incarnation that has not reported carried
- * out: the start's deadline is far ahead by its clock. */
+/* Whether the worker may still carry out an unanswered start, or may run what
+ * an incarnation that has not reported carried out: the start's deadline is
+ * far ahead by its clock. */
 static bool
 may_start_late(const fv_sched_t *sched, const fv_sched_task_t *task,
                int64_t now_ms)
@@ -640,15 +526,12 @@
     const fv_sched_worker_t *worker = task->worker;
     bool removed =
         !worker->listed && now_ms >= worker->unlisted_ms + Fv_ENTRY_RETURN_MS;
-    int64_t until_ms = task->start_repeated_ms + Fv_ORDER_DELAY_MAX_MS;
+    int64_t until_ms = FvSched_LateStartUntilMs(task);
 
-    if (!is_incarnation_listed(worker)) {
+    if (until_ms != 0 && !is_incarnation_listed(worker)) {
         until_ms += FvSched_LongestLeaseMs(sched);
     }
-    return !removed &&
-           (task->start_unconfirmed || task->start_retried ||
-            task->state == Fv_SCHED_STARTING) &&
-           now_ms < until_ms;
+    return !removed && now_ms < until_ms;
 }
 
 /**
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -21,6 +21,11 @@
  * unanswered order, under the lease that it has then. */
 #define Fv_ORDER_DELAY_MAX_MS 12000
 
+/* A stop that was not answered or had no effect is sent again after this. The
+ * stop timeout, which is the longest that a stop takes, is 200 to 900 ms in
+ * the platform's deployments. */
+#define Fv_STOP_RETRY_MS 500
+
 /* Failed runs that are remembered for each task. A task may have more
  * attempts, but a new leader may then count an older failure twice. */
 #define Fv_FAILED_RUNS_MAX 8
@@ -74,7 +79,11 @@
 typedef struct fv_orphan_run {
     char task[Fv_RUN_TASK_ID_SIZE];
     int32_t run;
-    int64_t since_ms;    /* found or left then, at the latest */
+    int64_t since_ms;          /* found or left then, at the latest */
+    bool start_arrived;        /* at the present incarnation of the worker */
+    int64_t start_until_ms;    /* its start may arrive until then; 0: it has */
+    int64_t stop_sent_ms;      /* 0: a stop may be sent at once */
+    int64_t stop_confirmed_ms; /* 0: the stop was not answered */
     int64_t ended_by_ms; /* has ended by then; INT64_MAX: not known yet */
     struct fv_orphan_run *next;
 } fv_orphan_run_t;
@@ -367,14 +376,6 @@
 void FvSched_UnlistMissingWorkers(fv_sched_t *sched, uint64_t reading,
                                   int64_t now_ms);
 void FvSched_FreeWorker(fv_sched_t *sched, fv_sched_worker_t *worker);
-void FvSched_AddOrphanRun(fv_sched_worker_t *worker, const char *task,
-                          int32_t run, int64_t now_ms);
-void FvSched_LimitOrphanRuns(const fv_sched_t *sched,
-                             fv_sched_worker_t *worker, int64_t sent_ms,
-                             int64_t now_ms);
-void FvSched_OrphanRunEnded(fv_sched_worker_t *worker, const char *task,
-                            int32_t run);
-void FvSched_ForgetOrphanRuns(fv_sched_worker_t *worker, int64_t ended_by_ms);
 void FvSched_AttachTask(fv_sched_worker_t *worker, fv_sched_task_t *task);
 void FvSched_DetachTask(fv_sched_task_t *task);
 fv_sched_resources_t FvSched_FreeResources(const fv_sched_worker_t *worker);
@@ -407,6 +408,26 @@
                                 const fv_sched_task_t *task, bool failed,
                                 int64_t now_ms);
 
+/* sched-orphan.c */
+fv_orphan_run_t *FvSched_AddOrphanRun(fv_sched_worker_t *worker,
+                                      const char *task, int32_t run,
+                                      int64_t now_ms);
+void FvSched_SupersedeRun(fv_sched_t *sched, fv_sched_task_t *task,
+                          int64_t now_ms);
+void FvSched_StopOrphanRun(fv_sched_t *sched, fv_sched_worker_t *worker,
+                           fv_orphan_run_t *orphan, int64_t now_ms);
+void FvSched_OrphanStopAnswered(fv_sched_t *sched, fv_sched_worker_t *worker,
+                                const char *task, int32_t run,
+                                fv_order_result_t result, int64_t now_ms);
+void FvSched_CheckOrphanRuns(fv_sched_t *sched, fv_sched_worker_t *worker,
+                             int64_t sent_ms, int64_t now_ms);
+void FvSched_OrphanRunEnded(fv_sched_worker_t *worker, const char *task,
+                            int32_t run);
+void FvSched_ForgetEndedOrphanRuns(fv_sched_worker_t *worker, int64_t now_ms);
+void FvSched_DoubtOrphanRuns(fv_sched_worker_t *worker, int64_t now_ms);
+void FvSched_FreeOrphanRuns(fv_sched_worker_t *worker);
+bool FvSched_HasOrphanRuns(const fv_sched_worker_t *worker, int64_t now_ms);
+
 /* sched-lease.c */
 void FvSched_OutlastEarlierLeases(const fv_sched_t *sched,
                                   fv_sched_worker_t *worker, int64_t clock_ms,
@@ -426,7 +447,7 @@
 bool FvSched_IsReportOvertaken(const fv_sched_worker_t *worker,
                                int64_t started_wall_ms, int64_t sent_ms);
 void FvSched_BeginIncarnation(fv_sched_t *sched, fv_sched_worker_t *worker,
-                              int64_t started_wall_ms);
+                              int64_t started_wall_ms, int64_t now_ms);
 
 /* sched-report.c */
 bool FvSched_ApplyReport(fv_sched_t *sched, fv_sched_worker_t *worker,
@@ -451,6 +472,7 @@
                           int32_t run, fv_order_result_t result,
                           int64_t now_ms);
 void FvSched_RequeueTask(fv_sched_t *sched, fv_sched_task_t *task);
+int64_t FvSched_LateStartUntilMs(const fv_sched_task_t *task);
 void FvSched_StopGang(fv_sched_t *sched, fv_sched_stage_t *stage,
                       int64_t now_ms);
 bool FvSched_MayRefillGang(const fv_sched_t *sched,
--- a/tests/harness/sched-sim-handlers.c
+++ b/tests/harness/sched-sim-handlers.c
@@ -11,6 +11,7 @@
     sim_event_t answer = {.kind = EVENT_ORDER_ANSWERED,
                           .at_ms = sim->now_ms + FvSim_OneWayDelayMs(sim),
                           .generation = order->generation,
+                          .worker = order->worker,
                           .run = order->run,
                           .stop = order->stop,
                           .result = Fv_ORDER_UNCONFIRMED};
@@ -31,13 +32,22 @@
 order_answered(sim_t *sim, const sim_event_t *answer)
 {
     fv_sched_task_t *task = FvSched_FindTask(&sim->sched, answer->task);
+    fv_sched_worker_t *worker =
+        FvSched_FindWorker(&sim->sched, sim->workers[answer->worker].entry.id);
 
-    if (task == NULL || answer->result == Fv_ORDER_FENCED) {
+    if (answer->result == Fv_ORDER_FENCED) {
         return;
     }
     if (answer->stop && answer->result == Fv_ORDER_UNCONFIRMED) {
         sim->unanswered_stop_ms = sim->now_ms;
     }
+    if (answer->stop && worker != NULL) {
+        FvSched_OrphanStopAnswered(&sim->sched, worker, answer->task,
+                                   answer->run, answer->result, sim->now_ms);
+    }
+    if (task == NULL) {
+        return;
+    }
     if (answer->stop) {
         FvSched_StopAnswered(&sim->sched, task, answer->run, answer->result,
                              sim->now_ms);
--- a/tests/unit/sched_model_test.c
+++ b/tests/unit/sched_model_test.c
@@ -107,6 +107,18 @@
     run_seeds(&(sim_faults_t){.lost_orders = 150, .failing_tasks = 50}, true);
 }
 
+/* Tasks of silent workers are started again elsewhere, with many late orders,
+ * and then reported as done. */
+static void
+test_late_orders_beside_silent_workers(void)
+{
+    static const sim_faults_t faults = {.lost_orders = 400,
+                                        .worker_outages = 600};
+
+    run_seeds(&faults, false);
+    run_seeds(&faults, true);
+}
+
 static void
 test_worker_failures(void)
 {
@@ -214,6 +226,8 @@
         {"a ready task waits although two such tasks fit",
          test_waiting_in_calm_cell},
         {"a guarantee is broken by lost or late orders", test_lost_orders},
+        {"a guarantee is broken by late orders beside silent workers",
+         test_late_orders_beside_silent_workers},
         {"a guarantee is broken by failing or leaving workers",
          test_worker_failures},
         {"a guarantee is broken by workers that return as another kind",
