scheduler: count a worker as overcommitted only beside its own entry

The check now applies only when the entry is that of the incarnation that reports, like all use of a worker's capacity.

--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -254,9 +254,10 @@
 check_capacity(fv_sched_worker_t *worker, const fv_sched_resources_t *used,
                uint32_t runs)
 {
-    bool overcommitted = used->cpu_millis > worker->entry.cpu_millis ||
-                         used->memory_mib > worker->entry.memory_mib ||
-                         used->accelerators > worker->entry.accelerators;
+    bool overcommitted = FvSched_IsIncarnationListed(worker) &&
+                         (used->cpu_millis > worker->entry.cpu_millis ||
+                          used->memory_mib > worker->entry.memory_mib ||
+                          used->accelerators > worker->entry.accelerators);
 
     if (overcommitted && !worker->overcommitted) {
         FvMetrics_Add(Fv_COUNTER_WORKERS_OVERCOMMITTED, 1);
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -400,10 +400,18 @@
     return false;
 }
 
-/* Entry and report must describe the same life of the worker, since the next
- * one under its id may have other labels and another capacity. */
-static bool
-is_incarnation_listed(const fv_sched_worker_t *worker)
+/**
+ * FvSched_IsIncarnationListed - check whether a worker's entry and its reports
+ * describe the same incarnation
+ * @worker: the worker
+ *
+ * The next incarnation under its id may have other labels and another
+ * capacity.
+ *
+ * Return: false also while the registry has no entry of the worker.
+ */
+bool
+FvSched_IsIncarnationListed(const fv_sched_worker_t *worker)
 {
     return worker->entry.started_wall_ms == worker->started_wall_ms;
 }
@@ -420,7 +428,7 @@
 FvSched_IsWorkerAvailable(const fv_sched_worker_t *worker, int64_t now_ms)
 {
     return worker->listed && worker->synced && worker->in_worker_list &&
-           is_incarnation_listed(worker) && !worker->suspect &&
+           FvSched_IsIncarnationListed(worker) && !worker->suspect &&
            !worker->unreached && !worker->draining && !worker->lost &&
            worker->inherited_stops_until_ms <= now_ms &&
            !FvSched_HasOrphanRuns(worker, now_ms);
@@ -528,7 +536,7 @@
         !worker->listed && now_ms >= worker->unlisted_ms + Fv_ENTRY_RETURN_MS;
     int64_t until_ms = FvSched_LateStartUntilMs(task);
 
-    if (until_ms != 0 && !is_incarnation_listed(worker)) {
+    if (until_ms != 0 && !FvSched_IsIncarnationListed(worker)) {
         until_ms += FvSched_LongestLeaseMs(sched);
     }
     return !removed && now_ms < until_ms;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -390,6 +390,7 @@
                                   const fv_sched_stage_t *stage);
 int32_t FvSched_EventualStageCapacity(const fv_sched_worker_t *worker,
                                       const fv_sched_stage_t *stage);
+bool FvSched_IsIncarnationListed(const fv_sched_worker_t *worker);
 bool FvSched_IsWorkerAvailable(const fv_sched_worker_t *worker,
                                int64_t now_ms);
 bool FvSched_IsWorkerQuarantined(const fv_sched_worker_t *worker,
--- a/tests/unit/sched_orphan_test.c
+++ b/tests/unit/sched_orphan_test.c
@@ -113,6 +113,84 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* Once the worker has confirmed the stop, it refuses the start, and the run
+ * has ended after the stop timeout. */
+static void
+test_confirmed_stop_frees_the_worker(void)
+{
+    static sched_fixture_t fixture;
+    int32_t run = open_with_superseded_start(&fixture);
+
+    FvSched_OrphanStopAnswered(&fixture.sched,
+                               FvSched_FindWorker(&fixture.sched, "w2"), TASK,
+                               run, Fv_ORDER_DONE, fixture.now_ms);
+    pass_time(&fixture, Fv_FIXTURE_STOP_MS - 1);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_B), 0);
+    pass_time(&fixture, 1);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_B), 1);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStops(&fixture, TASK), 1);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* The next incarnation of the worker may receive the start, and has not
+ * confirmed the stop. */
+static void
+test_late_start_outlives_a_restart(void)
+{
+    static sched_fixture_t fixture;
+    fv_sched_worker_t *worker;
+    fv_worker_entry_t entry;
+    int32_t run = open_with_superseded_start(&fixture);
+    uint32_t stops;
+
+    worker = FvSched_FindWorker(&fixture.sched, "w2");
+    FvSched_OrphanStopAnswered(&fixture.sched, worker, TASK, run,
+                               Fv_ORDER_DONE, fixture.now_ms);
+    stops = FvSchedFixture_CountStops(&fixture, TASK);
+    entry = worker->entry;
+    entry.started_wall_ms++;
+    FvSched_UpdateWorker(&fixture.sched, &entry, fixture.now_ms);
+    for (int i = 0; i < 20; i++) {
+        fixture.now_ms += 100;
+        report(&fixture, "w2", entry.started_wall_ms, NULL);
+        fixture.sched.dirty = true;
+        FvSchedFixture_RunPass(&fixture);
+    }
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_B), 0);
+    CU_ASSERT(FvSchedFixture_CountStops(&fixture, TASK) > stops);
+    FvSched_OrphanStopAnswered(&fixture.sched, worker, TASK, run,
+                               Fv_ORDER_DONE, fixture.now_ms);
+    fixture.now_ms += Fv_FIXTURE_STOP_MS;
+    fixture.sched.dirty = true;
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_B), 1);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* Counted once until a report is within the capacity, and not while the
+ * registry has no entry of the incarnation that reports. */
+static void
+test_overcommitted_worker_is_counted(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_running_row_t row = {.task_id = TASK, .run = 1};
+    uint64_t counted = FvMetrics_Get(Fv_COUNTER_WORKERS_OVERCOMMITTED);
+
+    FvSchedFixture_Open(&fixture, 2);
+    FvSchedFixture_AddWorker(&fixture, "w2", "r1", 1000);
+    FvSchedFixture_AddJob(&fixture, JOB_A, &queue, one_task);
+    report(&fixture, "w2", FIRST_START_MS + 1, &row);
+    CU_ASSERT_EQUAL(FvMetrics_Get(Fv_COUNTER_WORKERS_OVERCOMMITTED), counted);
+    fixture.now_ms += 10;
+    report(&fixture, "w2", FIRST_START_MS, &row);
+    fixture.now_ms += 10;
+    report(&fixture, "w2", FIRST_START_MS, &row);
+    CU_ASSERT_EQUAL(FvMetrics_Get(Fv_COUNTER_WORKERS_OVERCOMMITTED),
+                    counted + 1);
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -122,6 +200,15 @@
          test_late_start_keeps_its_capacity},
         {"a superseded run whose stop was lost is not stopped again",
          test_stop_is_repeated},
+        {"a worker gets no task after it has confirmed the stop of a "
+         "superseded run",
+         test_confirmed_stop_frees_the_worker},
+        {"a superseded run whose start may reach the next incarnation of its "
+         "worker is forgotten",
+         test_late_start_outlives_a_restart},
+        {"a worker beyond its capacity is not counted, or one without an "
+         "entry is",
+         test_overcommitted_worker_is_counted},
     };
 
     return Fv_RUN_SUITE("sched_orphan", cases);
