scheduler: match the answer to an order by its worker

A second stop at the former worker that is answered after the member has been ordered to stop on the next one then confirms that stop, so that the member's capacity there is freed while its start may still arrive.

Ruled out by construction instead: an answer counts for a task only on the worker that was called, in the leader and in the simulated cell; the log line goes.

--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -95,21 +95,6 @@
     }
 }
 
-/* The members of a gang that are started elsewhere keep their run number. */
-static void
-note_answer_from_elsewhere(const fv_order_call_t *order,
-                           const fv_sched_task_t *task,
-                           fv_order_result_t result)
-{
-    if (task->run == order->run && task->worker != NULL &&
-        strcmp(task->worker->entry.id, order->worker) != 0) {
-        FvLog_Event(Fv_LOG_WARN, "order_answered_elsewhere",
-                    "task=%s run=%d stop=%d result=%d worker=%s now_on=%s",
-                    order->task, order->run, order->stop ? 1 : 0, (int)result,
-                    order->worker, task->worker->entry.id);
-    }
-}
-
 static void
 order_answered(void *context, const fv_call_answer_t *answer)
 {
@@ -144,11 +129,9 @@
         FvSched_OrphanStopAnswered(&leader->sched, worker, order->task,
                                    order->run, result, FvClock_NowMs());
     }
-    task = FvSched_FindTask(&leader->sched, order->task);
-    if (task != NULL) {
-        note_answer_from_elsewhere(order, task, result);
-    }
-    if (task != NULL && !order->stop && task->run == order->run) {
+    task = FvSched_FindOrderedTask(&leader->sched, order->worker, order->task,
+                                   order->run);
+    if (task != NULL && !order->stop) {
         task->start_sent_ms += answer->waited_ms;
         task->start_repeated_ms += answer->waited_ms;
     }
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -232,6 +232,31 @@
     return task->start_retried;
 }
 
+/**
+ * FvSched_FindOrderedTask - find the task that an answered order is about
+ * @sched: the scheduler
+ * @worker: id of the worker that was called
+ * @name: name of the task
+ * @run: number of the run
+ *
+ * Members of a gang that are started elsewhere keep their run number, so that
+ * the worker is compared as well.
+ *
+ * Return: the task, or NULL when its latest run is another one or is not on
+ * the worker.
+ */
+fv_sched_task_t *
+FvSched_FindOrderedTask(const fv_sched_t *sched, const char *worker,
+                        const char *name, int32_t run)
+{
+    fv_sched_task_t *task = FvSched_FindTask(sched, name);
+
+    return task != NULL && task->run == run && task->worker != NULL &&
+                   strcmp(task->worker->entry.id, worker) == 0
+               ? task
+               : NULL;
+}
+
 /**
  * FvSched_StartAnswered - apply the result of a start order
  * @sched: the scheduler
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -464,6 +464,9 @@
 bool FvSched_HasUnrecordedEnds(const fv_sched_worker_t *worker);
 
 /* sched-order.c */
+fv_sched_task_t *FvSched_FindOrderedTask(const fv_sched_t *sched,
+                                         const char *worker, const char *name,
+                                         int32_t run);
 void FvSched_StartAnswered(fv_sched_t *sched, fv_sched_task_t *task,
                            int32_t run, fv_order_result_t result,
                            int64_t now_ms);
--- a/tests/harness/sched-sim-handlers.c
+++ b/tests/harness/sched-sim-handlers.c
@@ -31,9 +31,10 @@
 static void
 order_answered(sim_t *sim, const sim_event_t *answer)
 {
-    fv_sched_task_t *task = FvSched_FindTask(&sim->sched, answer->task);
-    fv_sched_worker_t *worker =
-        FvSched_FindWorker(&sim->sched, sim->workers[answer->worker].entry.id);
+    const char *id = sim->workers[answer->worker].entry.id;
+    fv_sched_worker_t *worker = FvSched_FindWorker(&sim->sched, id);
+    fv_sched_task_t *task =
+        FvSched_FindOrderedTask(&sim->sched, id, answer->task, answer->run);
 
     if (answer->result == Fv_ORDER_FENCED) {
         return;
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -151,6 +151,49 @@
     FvSchedFixture_Close(&fixture);
 }
 
+static const char gang_of_two[] =
+    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":2000,"
+    "\"memMb\":10,\"estimatedMs\":1000,\"gang\":true}]}";
+
+/* A member of a gang is started on another worker under the same run number,
+ * while an order at the first worker is not answered yet. */
+static void
+test_answer_of_the_former_worker(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    char former[Fv_NAME_SIZE];
+    fv_sched_task_t *task;
+    int32_t run;
+
+    FvSchedFixture_Open(&fixture, 1);
+    FvSchedFixture_AddWorker(&fixture, "w1", "r1", 2000);
+    FvSchedFixture_AddWorker(&fixture, "w2", "r1", 2000);
+    FvSchedFixture_AddJob(&fixture, JOB_A, &queue, gang_of_two);
+    FvSchedFixture_RunPass(&fixture);
+    task = FvSched_FindTask(&fixture.sched, JOB_A ".0.0.0");
+    CU_ASSERT_FATAL(task != NULL && task->worker != NULL);
+    FvText_Copy(former, sizeof(former), task->worker->entry.id);
+    run = task->run;
+    CU_ASSERT_PTR_EQUAL(
+        FvSched_FindOrderedTask(&fixture.sched, former, JOB_A ".0.0.0", run),
+        task);
+    FvSched_StartAnswered(&fixture.sched, task, run, Fv_ORDER_UNHEALTHY,
+                          fixture.now_ms);
+    FvSchedFixture_AddWorker(&fixture, "w3", "r1", 2000);
+    fixture.now_ms += 100;
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_FATAL(task->worker != NULL);
+    CU_ASSERT_STRING_EQUAL(task->worker->entry.id, "w3");
+    CU_ASSERT_EQUAL(task->run, run);
+    CU_ASSERT_PTR_NULL(
+        FvSched_FindOrderedTask(&fixture.sched, former, JOB_A ".0.0.0", run));
+    CU_ASSERT_PTR_EQUAL(
+        FvSched_FindOrderedTask(&fixture.sched, "w3", JOB_A ".0.0.0", run),
+        task);
+    FvSchedFixture_Close(&fixture);
+}
+
 /* The start was not answered; a report that does not list the run has it
  * repeated. */
 static void
@@ -671,6 +714,8 @@
          test_stale_report_of_an_ended_gang},
         {"a later run of an ended gang is not stopped",
          test_later_run_of_an_ended_gang_is_stopped},
+        {"the answer of a gang member's former worker counts for the next one",
+         test_answer_of_the_former_worker},
         {"an unconfirmed start runs in addition to its replacement",
          test_unconfirmed_start_is_stopped_first},
         {"an unconfirmed start is retried only after the stop timeout",
