scheduler: remember an unanswered start on a worker that leaves the registry

A silent worker without an entry counts as removed after 2.4 s, the task of its unanswered start is started elsewhere, and the worker is forgotten. A worker that was only cut off may be back before the longest delay of an order, gets leases, and then carries out the start: beyond its capacity, and beside the later run.

The unanswered start now stays on the worker as an orphaned run, which a worker that returns is told to stop before it gets tasks. A worker that expects such a start is kept for up to 12 s; it leaves the worker list at once as before, so that no successor waits for it, and is not polled.

Evidence: found by reading, not seen in a run of hosts. The sched and leader unit tests pass.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -216,6 +216,32 @@
            !leader->sched.hold_inherited_tasks;
 }
 
+/* The next leader would otherwise wait for the worker's report or the expiry
+ * of its lease. */
+static void
+leave_worker_list(fv_leader_t *leader, fv_sched_worker_t *worker)
+{
+    worker->in_worker_list = false;
+    worker->in_list_write = false;
+    FvLeaderWorkerList_RequestWrite(leader);
+}
+
+static void
+forget_worker(fv_leader_t *leader, fv_sched_worker_t *worker, int64_t now_ms)
+{
+    fv_worker_session_t *session = worker->leader_session;
+
+    if (worker->in_worker_list || worker->in_list_write) {
+        leave_worker_list(leader, worker);
+    }
+    if (FvSched_ExpectsLateStarts(worker, now_ms)) {
+        return; /* it may return before they arrive */
+    }
+    session->worker = NULL;
+    FvLeaderWorker_ReleaseSession(session);
+    FvSched_FreeWorker(&leader->sched, worker);
+}
+
 static void
 check_worker(fv_leader_t *leader, fv_sched_worker_t *worker, int64_t now_ms)
 {
@@ -231,20 +257,13 @@
         FvSched_ReportUnanswered(&leader->sched, worker, now_ms);
     }
     if (!worker->unreached && FvLeader_IsWorkerGone(leader, worker, now_ms)) {
-        session->worker = NULL;
-        FvLeaderWorker_ReleaseSession(session);
-        FvSched_FreeWorker(&leader->sched, worker);
-        /* The next leader would otherwise wait for this worker. */
-        FvLeaderWorkerList_RequestWrite(leader);
+        forget_worker(leader, worker, now_ms);
         return;
     }
     if (!worker->listed && worker->in_worker_list &&
         !leader->reading_registry && !leader->sched.hold_inherited_tasks &&
         FvSched_IsWorkerIdle(worker, now_ms)) {
-        /* The next leader need not wait for its report or lease expiry. */
-        worker->in_worker_list = false;
-        worker->in_list_write = false;
-        FvLeaderWorkerList_RequestWrite(leader);
+        leave_worker_list(leader, worker);
     }
     if (worker->report_due_ms != 0 && now_ms >= worker->report_due_ms &&
         !session->report_pending) {
--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -412,19 +412,24 @@
 }
 
 /* The latest run of a task that is done occupies its worker until its own end
- * is reported. */
+ * is reported. It is stopped when an earlier run has completed the task. */
 static void
 orphan_latest_run(fv_sched_t *sched, fv_sched_task_t *task, int32_t done_run,
                   int64_t now_ms)
 {
-    char name[Fv_RUN_TASK_ID_SIZE];
+    fv_orphan_run_t *orphan = FvSched_OrphanLatestRun(task, now_ms);
 
-    if (task->run != done_run) {
-        FvSched_SupersedeRun(sched, task, now_ms);
+    if (task->run == done_run) {
+        orphan->start_arrived = true; /* the run has ended */
         return;
     }
-    FvSched_TaskName(task, name, sizeof(name));
-    FvSched_AddOrphanRun(task->worker, name, task->run, now_ms);
+    FvLog_Event(Fv_LOG_INFO, "run_superseded",
+                "task=%s run=%d worker=%s done_run=%d state=%d "
+                "start_in_doubt=%d start_sent_ms_ago=%" PRId64,
+                orphan->task, task->run, task->worker->entry.id, done_run,
+                (int)task->state, orphan->start_arrived ? 0 : 1,
+                now_ms - task->start_sent_ms);
+    FvSched_StopOrphanRun(sched, task->worker, orphan, now_ms);
 }
 
 /* @ended: the task whose latest run has ended, or NULL when its end is not
--- a/src/sched-orphan.c
+++ b/src/sched-orphan.c
@@ -56,14 +56,14 @@
 }
 
 /**
- * FvSched_SupersedeRun - orphan and stop the latest run of a task that an
- * earlier run has completed
- * @sched: the scheduler
+ * FvSched_OrphanLatestRun - orphan the latest run of a task
  * @task: the task, which is on a worker
  * @now_ms: the time
+ *
+ * Return: the orphaned run, with what is known of the task's start order.
  */
-void
-FvSched_SupersedeRun(fv_sched_t *sched, fv_sched_task_t *task, int64_t now_ms)
+fv_orphan_run_t *
+FvSched_OrphanLatestRun(const fv_sched_task_t *task, int64_t now_ms)
 {
     char name[Fv_RUN_TASK_ID_SIZE];
     fv_orphan_run_t *orphan;
@@ -72,12 +72,7 @@
     orphan = FvSched_AddOrphanRun(task->worker, name, task->run, now_ms);
     orphan->start_arrived = task->start_confirmed_ms != 0;
     orphan->start_until_ms = FvSched_LateStartUntilMs(task);
-    FvLog_Event(Fv_LOG_INFO, "run_superseded",
-                "task=%s run=%d worker=%s state=%d start_in_doubt=%d "
-                "start_sent_ms_ago=%" PRId64,
-                name, task->run, task->worker->entry.id, (int)task->state,
-                orphan->start_arrived ? 0 : 1, now_ms - task->start_sent_ms);
-    FvSched_StopOrphanRun(sched, task->worker, orphan, now_ms);
+    return orphan;
 }
 
 /**
@@ -263,6 +258,27 @@
     }
 }
 
+/**
+ * FvSched_ExpectsLateStarts - check whether the start of an orphaned run may
+ * still arrive at a worker
+ * @worker: the worker
+ * @now_ms: the time
+ *
+ * Return: true when the worker must not be forgotten.
+ */
+bool
+FvSched_ExpectsLateStarts(const fv_sched_worker_t *worker, int64_t now_ms)
+{
+    for (const fv_orphan_run_t *orphan = worker->orphan_runs; orphan != NULL;
+         orphan = orphan->next) {
+        if (!orphan->start_arrived && orphan->stop_confirmed_ms == 0 &&
+            orphan->start_until_ms >= now_ms) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /**
  * FvSched_HasOrphanRuns - check whether a worker may have orphaned runs
  * @worker: the worker
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -551,7 +551,7 @@
  * @now_ms: the time
  *
  * A task with an unconfirmed start stays on the worker for as long as the
- * order may still be carried out.
+ * order may still be carried out, or until the worker is taken for removed.
  */
 void
 FvSched_RequeueLostTasks(fv_sched_t *sched, fv_sched_worker_t *worker,
@@ -568,6 +568,9 @@
             continue;
         }
         lost++;
+        if (FvSched_LateStartUntilMs(task) > now_ms) {
+            FvSched_OrphanLatestRun(task, now_ms); /* the worker may return */
+        }
         FvSched_RequeueTask(sched, task);
         if (stage->step->gang) {
             FvSched_StopGang(sched, stage, now_ms);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -413,8 +413,8 @@
 fv_orphan_run_t *FvSched_AddOrphanRun(fv_sched_worker_t *worker,
                                       const char *task, int32_t run,
                                       int64_t now_ms);
-void FvSched_SupersedeRun(fv_sched_t *sched, fv_sched_task_t *task,
-                          int64_t now_ms);
+fv_orphan_run_t *FvSched_OrphanLatestRun(const fv_sched_task_t *task,
+                                         int64_t now_ms);
 void FvSched_StopOrphanRun(fv_sched_t *sched, fv_sched_worker_t *worker,
                            fv_orphan_run_t *orphan, int64_t now_ms);
 void FvSched_OrphanStopAnswered(fv_sched_t *sched, fv_sched_worker_t *worker,
@@ -427,6 +427,8 @@
 void FvSched_ForgetEndedOrphanRuns(fv_sched_worker_t *worker, int64_t now_ms);
 void FvSched_DoubtOrphanRuns(fv_sched_worker_t *worker, int64_t now_ms);
 void FvSched_FreeOrphanRuns(fv_sched_worker_t *worker);
+bool FvSched_ExpectsLateStarts(const fv_sched_worker_t *worker,
+                               int64_t now_ms);
 bool FvSched_HasOrphanRuns(const fv_sched_worker_t *worker, int64_t now_ms);
 
 /* sched-lease.c */
--- a/tests/unit/sched_orphan_test.c
+++ b/tests/unit/sched_orphan_test.c
@@ -167,6 +167,45 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* A worker that is cut off leaves the registry, so that the task of its
+ * unanswered start is started elsewhere, and comes back before that start can
+ * no longer arrive. */
+static void
+test_late_start_on_a_worker_that_returns(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_worker_t *worker;
+    fv_sched_task_t *task;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w2", "r1", 2000);
+    FvSchedFixture_AddJob(&fixture, JOB_A, &queue, one_task);
+    FvSchedFixture_RunPass(&fixture);
+    task = FvSched_FindTask(&fixture.sched, TASK);
+    CU_ASSERT_FATAL(task != NULL && task->worker == worker);
+    FvSched_WorkerUnlisted(worker, fixture.now_ms);
+    fixture.now_ms += Fv_FIXTURE_LEASE_MS + 2000;
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_PTR_NULL(task->worker);
+    FvSched_UpdateWorker(&fixture.sched, &worker->entry, fixture.now_ms);
+    FvSchedFixture_AddWorker(&fixture, "w3", "r1", 2000);
+    fixture.sched.dirty = true;
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_FATAL(task->worker != NULL);
+    CU_ASSERT_STRING_EQUAL(task->worker->entry.id, "w3");
+    FvSchedFixture_AddJob(&fixture, JOB_B, &queue, one_task);
+    pass_time(&fixture, 100);
+    pass_time(&fixture, 1000);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_B), 0);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStops(&fixture, TASK), 2);
+    FvSched_OrphanStopAnswered(&fixture.sched, worker, TASK, 1, Fv_ORDER_DONE,
+                               fixture.now_ms);
+    pass_time(&fixture, Fv_FIXTURE_STOP_MS);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_B), 1);
+    FvSchedFixture_Close(&fixture);
+}
+
 /* Counted once until a report is within the capacity, and not while the
  * registry has no entry of the incarnation that reports. */
 static void
@@ -206,6 +245,9 @@
         {"a superseded run whose start may reach the next incarnation of its "
          "worker is forgotten",
          test_late_start_outlives_a_restart},
+        {"an unanswered start is forgotten when its worker leaves the "
+         "registry, and arrives when it is back",
+         test_late_start_on_a_worker_that_returns},
         {"a worker beyond its capacity is not counted, or one without an "
          "entry is",
          test_overcommitted_worker_is_counted},
