scheduler: one way to count the resources of a task

The free capacity is now such a sum, and FvSched_AddTaskResources counts for the account of a worker, for placement, preemption and reports.

The simulated cell checks after each step that what is not free of a worker is the sum over its tasks, and that a worker with an orphaned run takes none.

--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -222,7 +222,7 @@
         "task=%s run=%d worker=%s queue=%s waited_ms=%" PRId64
         " free_cpu=%" PRId64,
         name, task->run, worker->entry.id, task->stage->job->queue.name,
-        now_ms - task->stage->job->received_ms, worker->free_cpu_millis);
+        now_ms - task->stage->job->received_ms, worker->free.cpu_millis);
     FvPlatform_StartRun(&call, worker->entry.id, &order);
     send_order(leader, worker, &call, name, task->run, false);
     return true;
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -246,10 +246,10 @@
         load->usable++;
         load->cpu_millis += worker->entry.cpu_millis;
         load->used_cpu_millis +=
-            worker->entry.cpu_millis - worker->free_cpu_millis;
+            worker->entry.cpu_millis - worker->free.cpu_millis;
         load->memory_mib += worker->entry.memory_mib;
         load->used_memory_mib +=
-            worker->entry.memory_mib - worker->free_memory_mib;
+            worker->entry.memory_mib - worker->free.memory_mib;
     }
     for (const fv_sched_stage_t *stage = sched->pending; stage != NULL;
          stage = stage->pending_next) {
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -21,7 +21,7 @@
                 const fv_place_candidate_t *candidate)
 {
     const fv_sched_worker_t *worker = candidate->worker;
-    double free_share = (double)worker->free_cpu_millis /
+    double free_share = (double)worker->free.cpu_millis /
                         (double)(worker->entry.cpu_millis + 1);
     double score = stage->step->gang ? free_share : 1.0 - free_share;
 
--- a/src/sched-preempt.c
+++ b/src/sched-preempt.c
@@ -60,12 +60,12 @@
                                     const fv_sched_stage_t *gang,
                                     int64_t now_ms)
 {
-    fv_sched_resources_t resources = FvSched_FreeResources(worker);
+    fv_sched_resources_t resources = worker->free;
 
     for (const fv_sched_task_t *task = worker->tasks; task != NULL;
          task = task->worker_next) {
         if (is_preemptible(task, gang, now_ms)) {
-            FvSched_AddTaskResources(&resources, task->stage->step);
+            FvSched_AddTaskResources(&resources, task->stage->step, 1);
         }
     }
     return FvSched_StageCapacity(worker, gang, &resources);
@@ -119,7 +119,7 @@
                   const fv_sched_stage_t *gang, int32_t wanted, bool stop,
                   int64_t now_ms)
 {
-    fv_sched_resources_t resources = FvSched_FreeResources(worker);
+    fv_sched_resources_t resources = worker->free;
     fv_sched_task_t *victims[Fv_VICTIMS_MAX];
     const fv_sched_task_t *previous = NULL;
     int32_t count = 0;
@@ -131,7 +131,7 @@
         if (task == NULL) {
             break;
         }
-        FvSched_AddTaskResources(&resources, task->stage->step);
+        FvSched_AddTaskResources(&resources, task->stage->step, 1);
         victims[count++] = task;
         previous = task;
     }
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -224,7 +224,7 @@
     fv_sched_task_t *task = FvSched_FindTask(sched, row->task_id);
 
     if (task != NULL) {
-        FvSched_AddTaskResources(used, task->stage->step);
+        FvSched_AddTaskResources(used, task->stage->step, 1);
     }
     if (task != NULL && task->worker == worker && task->run == row->run) {
         task->listed_in_report = sched->report_count;
--- a/src/sched-reserve.c
+++ b/src/sched-reserve.c
@@ -51,8 +51,8 @@
     if (a->free_capacity != b->free_capacity) {
         return a->free_capacity > b->free_capacity ? -1 : 1;
     }
-    if (a->worker->free_cpu_millis != b->worker->free_cpu_millis) {
-        return a->worker->free_cpu_millis > b->worker->free_cpu_millis ? -1
+    if (a->worker->free.cpu_millis != b->worker->free.cpu_millis) {
+        return a->worker->free.cpu_millis > b->worker->free.cpu_millis ? -1
                                                                        : 1;
     }
     return 0;
--- a/src/sched-waiting.c
+++ b/src/sched-waiting.c
@@ -32,7 +32,7 @@
 worker_obstacle(const fv_sched_worker_t *worker, const fv_sched_stage_t *stage,
                 const fv_verdict_t *verdict, int64_t now_ms)
 {
-    fv_sched_resources_t resources = FvSched_FreeResources(worker);
+    fv_sched_resources_t resources = worker->free;
 
     if (FvSched_EventualStageCapacity(worker, stage) == 0 ||
         !FvSched_IsWorkerSuitable(worker, stage)) {
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -36,35 +36,41 @@
     return worker;
 }
 
-static void
-add_task_resources(fv_sched_resources_t *resources, const fv_step_spec_t *step,
-                   int64_t sign)
+/**
+ * FvSched_AddTaskResources - add the resources of tasks of a step
+ * @resources: the sum, which grows
+ * @step: the step
+ * @count: number of tasks; below 0 to subtract them
+ */
+void
+FvSched_AddTaskResources(fv_sched_resources_t *resources,
+                         const fv_step_spec_t *step, int64_t count)
 {
     resources->cpu_millis +=
-        step->uses_spare_cpu ? 0 : sign * step->cpu_millis;
-    resources->memory_mib += sign * step->memory_mib;
-    resources->accelerators += sign * step->accelerators;
+        step->uses_spare_cpu ? 0 : count * step->cpu_millis;
+    resources->memory_mib += count * step->memory_mib;
+    resources->accelerators += count * step->accelerators;
 }
 
+/* Allocates the resources of tasks of a step; frees them if the count is below
+ * 0. */
 static void
 charge_resources(fv_sched_worker_t *worker, const fv_step_spec_t *step,
-                 int64_t sign)
+                 int64_t count)
 {
-    worker->free_cpu_millis -=
-        step->uses_spare_cpu ? 0 : sign * step->cpu_millis;
-    worker->free_memory_mib -= sign * step->memory_mib;
-    worker->free_accelerators -= sign * step->accelerators;
+    FvSched_AddTaskResources(&worker->free, step, -count);
     if (step->long_running) {
-        add_task_resources(&worker->lasting_use, step, sign);
+        FvSched_AddTaskResources(&worker->lasting_use, step, count);
     }
 }
 
 static void
 recompute_free(fv_sched_worker_t *worker)
 {
-    worker->free_cpu_millis = worker->entry.cpu_millis;
-    worker->free_memory_mib = worker->entry.memory_mib;
-    worker->free_accelerators = worker->entry.accelerators;
+    worker->free =
+        (fv_sched_resources_t){.cpu_millis = worker->entry.cpu_millis,
+                               .memory_mib = worker->entry.memory_mib,
+                               .accelerators = worker->entry.accelerators};
     worker->lasting_use = (fv_sched_resources_t){0};
     for (const fv_sched_task_t *task = worker->tasks; task != NULL;
          task = task->worker_next) {
@@ -243,32 +249,6 @@
     charge_resources(worker, task->stage->step, -1);
 }
 
-/**
- * FvSched_FreeResources - get the free resources of a worker
- * @worker: the worker
- *
- * Return: the free resources.
- */
-fv_sched_resources_t
-FvSched_FreeResources(const fv_sched_worker_t *worker)
-{
-    return (fv_sched_resources_t){.cpu_millis = worker->free_cpu_millis,
-                                  .memory_mib = worker->free_memory_mib,
-                                  .accelerators = worker->free_accelerators};
-}
-
-/**
- * FvSched_AddTaskResources - add the resources of one task of a step
- * @resources: the sum, which grows
- * @step: the step
- */
-void
-FvSched_AddTaskResources(fv_sched_resources_t *resources,
-                         const fv_step_spec_t *step)
-{
-    add_task_resources(resources, step, 1);
-}
-
 /**
  * FvSched_TaskCapacity - count the tasks of a step that fit into resources
  * @step: the step
@@ -358,9 +338,7 @@
 FvSched_FreeStageCapacity(const fv_sched_worker_t *worker,
                           const fv_sched_stage_t *stage)
 {
-    fv_sched_resources_t resources = FvSched_FreeResources(worker);
-
-    return FvSched_StageCapacity(worker, stage, &resources);
+    return FvSched_StageCapacity(worker, stage, &worker->free);
 }
 
 /**
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -220,9 +220,8 @@
     int64_t last_end_applied;      /* highest number of an applied end */
     int64_t last_end_recorded;     /* highest number of a recorded end */
     int64_t last_end_acknowledged; /* highest number that it has dropped */
-    int64_t free_cpu_millis;
-    int64_t free_memory_mib;
-    int64_t free_accelerators;
+    /* Not allocated to a task on it; may be below 0 when its entry changes. */
+    fv_sched_resources_t free;
     fv_sched_resources_t lasting_use; /* of the tasks that never end */
     int32_t task_count;
     bool overcommitted; /* by the runs that its last report listed */
@@ -378,9 +377,8 @@
 void FvSched_FreeWorker(fv_sched_t *sched, fv_sched_worker_t *worker);
 void FvSched_AttachTask(fv_sched_worker_t *worker, fv_sched_task_t *task);
 void FvSched_DetachTask(fv_sched_task_t *task);
-fv_sched_resources_t FvSched_FreeResources(const fv_sched_worker_t *worker);
 void FvSched_AddTaskResources(fv_sched_resources_t *resources,
-                              const fv_step_spec_t *step);
+                              const fv_step_spec_t *step, int64_t count);
 int32_t FvSched_TaskCapacity(const fv_step_spec_t *step,
                              const fv_sched_resources_t *resources);
 int32_t FvSched_StageCapacity(const fv_sched_worker_t *worker,
--- a/tests/harness/sched-sim-internal.h
+++ b/tests/harness/sched-sim-internal.h
@@ -192,6 +192,7 @@
                      uint32_t worker);
 bool FvSim_PredecessorsDone(sim_t *sim, const char *name);
 void FvSim_CheckWaiting(sim_t *sim);
+void FvSim_CheckAccounts(sim_t *sim);
 void FvSim_KillRuns(sim_t *sim, sim_worker_t *worker, bool report_ends);
 void FvSim_EndDueRuns(sim_t *sim);
 fv_order_result_t FvSim_ExecuteOrder(sim_t *sim, sim_worker_t *worker,
--- a/tests/harness/sched-sim-worker.c
+++ b/tests/harness/sched-sim-worker.c
@@ -306,6 +306,35 @@
     worker->entry.label_count = 2;
 }
 
+/**
+ * FvSim_CheckAccounts - check the leader's account of each worker's capacity
+ * @sim: the cell
+ *
+ * What is not free is the sum over the tasks on the worker. The resources of
+ * orphaned runs are not known, so that a worker with one takes no tasks.
+ */
+void
+FvSim_CheckAccounts(sim_t *sim)
+{
+    for (fv_sched_worker_t *worker = sim->sched.workers; worker != NULL;
+         worker = worker->hh.next) {
+        fv_sched_resources_t sum = worker->free;
+        bool takes_tasks = FvSched_IsWorkerAvailable(worker, sim->now_ms);
+
+        for (const fv_sched_task_t *task = worker->tasks; task != NULL;
+             task = task->worker_next) {
+            FvSched_AddTaskResources(&sum, task->stage->step, 1);
+        }
+        if (sum.cpu_millis != worker->entry.cpu_millis ||
+            sum.memory_mib != worker->entry.memory_mib ||
+            sum.accelerators != worker->entry.accelerators ||
+            (takes_tasks && FvSched_HasOrphanRuns(worker, sim->now_ms))) {
+            FvSim_AddViolation(sim, &sim->result->wrong_accounts,
+                               "wrong account of worker", worker->entry.id);
+        }
+    }
+}
+
 /* An order in transit while its worker restarts can't be taken back. */
 static void
 check_label(sim_t *sim, const sim_worker_t *worker, const sim_event_t *order,
--- a/tests/harness/sched-sim.c
+++ b/tests/harness/sched-sim.c
@@ -393,6 +393,7 @@
             FvSched_RunPass(&sim->sched, sim->now_ms, sim->now_ms);
             FvSim_CheckWaiting(sim);
         }
+        FvSim_CheckAccounts(sim);
         sim->sched.stops_suspended =
             sim->handover_ms != 0 &&
             sim->now_ms >= sim->handover_ms - STOPS_SUSPENDED_MS;
--- a/tests/harness/sched-sim.h
+++ b/tests/harness/sched-sim.h
@@ -54,6 +54,7 @@
     uint32_t waited_too_long;
     uint32_t unfinished_jobs;
     uint32_t wrong_outcomes;
+    uint32_t wrong_accounts; /* of the capacity of a worker */
     uint32_t starts;
     uint32_t leaders;
     char first_violation[160];
--- a/tests/unit/sched_estimates_test.c
+++ b/tests/unit/sched_estimates_test.c
@@ -129,12 +129,12 @@
     for (int64_t i = 1; i <= 8; i++) {
         run_job(&fixture, &queue, i, 500 * i, 5000);
     }
-    worker->free_cpu_millis = 0; /* filled by other tasks */
+    worker->free.cpu_millis = 0; /* filled by other tasks */
     FvSchedFixture_AddJob(&fixture, EARLIER_JOB, &queue, job_declared_as(100));
     fixture.now_ms += 3000;
     FvSchedFixture_AddJob(&fixture, LATER_JOB, &queue, job_declared_as(8000));
     FvSchedFixture_RunPass(&fixture);
-    worker->free_cpu_millis = 1000;
+    worker->free.cpu_millis = 1000;
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, EARLIER_JOB), 1);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, LATER_JOB), 0);
--- a/tests/unit/sched_job_test.c
+++ b/tests/unit/sched_job_test.c
@@ -212,7 +212,7 @@
     FvSchedFixture_Open(&fixture, 1);
     for (uint32_t i = 0; i < 4; i++) {
         snprintf(id, sizeof(id), "w%u", i);
-        FvSchedFixture_AddWorker(&fixture, id, "r1", 4000)->free_cpu_millis =
+        FvSchedFixture_AddWorker(&fixture, id, "r1", 4000)->free.cpu_millis =
             i < 2 ? 4000 : 0; /* other tasks run on the last two */
     }
     FvSchedFixture_AddJob(
--- a/tests/unit/sched_load_test.c
+++ b/tests/unit/sched_load_test.c
@@ -45,7 +45,7 @@
     fixture.sched.workers->entry.cpu_millis = 4000;
     for (fv_sched_worker_t *worker = fixture.sched.workers; worker != NULL;
          worker = worker->hh.next) {
-        worker->free_cpu_millis = 1000; /* three other tasks run on it */
+        worker->free.cpu_millis = 1000; /* three other tasks run on it */
     }
     FvSchedFixture_AddJob(&fixture, GANG, &gangs, gang_of_four);
     FvSchedFixture_AddJob(&fixture, BATCH, &batch, batch_of_eight);
@@ -57,7 +57,7 @@
     for (fv_sched_worker_t *worker = fixture.sched.workers; worker != NULL;
          worker = worker->hh.next) {
         if (worker->task_count == 0) {
-            worker->free_cpu_millis = 4000; /* the other tasks have ended */
+            worker->free.cpu_millis = 4000; /* the other tasks have ended */
         }
     }
     FvSchedFixture_RunPass(&fixture);
@@ -72,7 +72,7 @@
 
     for (uint32_t i = 0; i < count; i++) {
         snprintf(id, sizeof(id), "w%u", i);
-        FvSchedFixture_AddWorker(fixture, id, "r1", 4000)->free_cpu_millis =
+        FvSchedFixture_AddWorker(fixture, id, "r1", 4000)->free.cpu_millis =
             1000; /* three other tasks run on it */
     }
 }
@@ -280,7 +280,7 @@
 
     /* All ten allowed workers are full: no call until one has capacity. */
     for (int i = 0; i < 40; i++) {
-        workers[i]->free_cpu_millis = 0;
+        workers[i]->free.cpu_millis = 0;
         if (i < 10) {
             FvText_Copy(rows[i].worker_id, Fv_NAME_SIZE, workers[i]->entry.id);
             rows[i].ticket = "t";
@@ -292,7 +292,7 @@
     fixture.now_ms += 3000;
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_EQUAL(fixture.advice_request_count, 1);
-    workers[3]->free_cpu_millis = 1000;
+    workers[3]->free.cpu_millis = 1000;
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_EQUAL(fixture.advice_request_count, 2);
     FvSchedFixture_Close(&fixture);
@@ -324,7 +324,7 @@
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_EQUAL(fixture.advice_request_count, 1);
     for (int i = 0; i < 10; i++) {
-        workers[i]->free_cpu_millis = 0;
+        workers[i]->free.cpu_millis = 0;
         FvText_Copy(rows[i].worker_id, Fv_NAME_SIZE, workers[i]->entry.id);
         rows[i].ticket = "t";
         advice.row_count++;
--- a/tests/unit/sched_model_test.c
+++ b/tests/unit/sched_model_test.c
@@ -36,6 +36,7 @@
     CU_ASSERT_EQUAL(result.waited_too_long, 0);
     CU_ASSERT_EQUAL(result.unfinished_jobs, 0);
     CU_ASSERT_EQUAL(result.wrong_outcomes, 0);
+    CU_ASSERT_EQUAL(result.wrong_accounts, 0);
     CU_ASSERT(result.starts > 40);
     if (result.first_violation[0] != '\0') {
         printf("\n    seed %llu: %s ", (unsigned long long)plan->seed,
--- a/tests/unit/sched_preempt_test.c
+++ b/tests/unit/sched_preempt_test.c
@@ -136,7 +136,7 @@
 test_no_preemption_for_part_of_a_gang(void)
 {
     open_full_cell(checkpointing_batch, 2);
-    fixture.sched.workers->free_cpu_millis =
+    fixture.sched.workers->free.cpu_millis =
         -2000; /* other tasks run there too */
     add_gang(gang_of_four);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStops(&fixture, BATCH), 0);
--- a/tests/unit/sched_registry_test.c
+++ b/tests/unit/sched_registry_test.c
@@ -68,7 +68,7 @@
     entry.cpu_millis = 2000;
     FvSched_UpdateWorker(&fixture.sched, &entry, fixture.now_ms);
     CU_ASSERT_TRUE(fixture.sched.dirty);
-    CU_ASSERT_EQUAL(worker->free_cpu_millis, 2000);
+    CU_ASSERT_EQUAL(worker->free.cpu_millis, 2000);
     FvSchedFixture_Close(&fixture);
 }
 
--- a/tests/unit/sched_waiting_test.c
+++ b/tests/unit/sched_waiting_test.c
@@ -51,7 +51,7 @@
     CU_ASSERT_EQUAL(cause_of(&fixture, JOB ".0.0.0"), Fv_WAIT_UNAVAILABLE);
     worker->synced = true;
     CU_ASSERT_EQUAL(cause_of(&fixture, JOB ".0.0.0"), Fv_WAIT_CAPACITY);
-    worker->free_cpu_millis = 4000;
+    worker->free.cpu_millis = 4000;
     CU_ASSERT_EQUAL(cause_of(&fixture, JOB ".0.0.0"), Fv_WAIT_TICKET);
     worker->reserved_for = &other;
     CU_ASSERT_EQUAL(cause_of(&fixture, JOB ".0.0.0"), Fv_WAIT_RESERVED);
