entry: say why a host without a store refuses requests

- The first failed call to the store, the advice service or the host list, and the first failed connection to another host, is logged with its address, what was tried and the error; once until it answers, which is logged too.
A host that is tried again and again no longer needs a connection before its loss is logged.
- request_refused has the path and the cause, at most 10 lines a second.
- dependencies_lost and http_not_forwarded count both.

Not covered by a test: the advice service and the host list of 'serve'.

--- a/src/advice-client.c
+++ b/src/advice-client.c
@@ -35,6 +35,7 @@
 struct fv_advice_client {
     fv_call_pool_t *pool;
     char address[Fv_ADDRESS_SIZE];
+    fv_dependency_t state;
     fv_advice_call_t *queue;
     int64_t in_flight_us; /* cost of the calls in progress */
 };
@@ -99,6 +100,26 @@
     }
 }
 
+static void
+update_state(fv_advice_client_t *client, const fv_call_answer_t *answer)
+{
+    bool at_start = client->state == Fv_DEPENDENCY_UNKNOWN;
+    bool answered = answer->status != 0;
+
+    if (!FvDependency_Note(&client->state, answered)) {
+        return;
+    }
+    if (!answered) {
+        FvLog_Event(Fv_LOG_WARN, "advice_lost",
+                    "address=%s error=%s at_start=%d", client->address,
+                    FvCallAnswer_Error(answer), at_start ? 1 : 0);
+    }
+    else if (!at_start) {
+        FvLog_Event(Fv_LOG_INFO, "advice_regained", "address=%s status=%d",
+                    client->address, answer->status);
+    }
+}
+
 static void
 call_answered(void *context, const fv_call_answer_t *answer)
 {
@@ -108,6 +129,7 @@
     fv_advice_t advice;
     bool good = FvPlatform_DecodeAdvice(answer, &advice);
 
+    update_state(client, answer);
     if (!good) {
         FvLog_Event(Fv_LOG_WARN, "advice_failed", "step=%s status=%d",
                     request->step, answer->status);
--- a/src/cell-types.c
+++ b/src/cell-types.c
@@ -6,6 +6,27 @@
 
 #include <stdlib.h>
 
+/**
+ * FvCallAnswer_Error - name the failure of a call, for the log
+ * @answer: the answer
+ *
+ * Return: the name; "status" when there is an answer.
+ */
+const char *
+FvCallAnswer_Error(const fv_call_answer_t *answer)
+{
+    if (answer->status != 0) {
+        return "status";
+    }
+    if (answer->refused) {
+        return "connection_refused";
+    }
+    if (answer->not_sent) {
+        return "no_connection";
+    }
+    return answer->closed ? "connection_closed" : "no_answer";
+}
+
 /**
  * FvJobSpec_Clear - release a job's specification
  * @spec: the specification
--- a/src/cell-types.h
+++ b/src/cell-types.h
@@ -217,6 +217,7 @@
     int64_t waited_ms; /* for a connection, before the request was sent */
 } fv_call_answer_t;
 
+const char *FvCallAnswer_Error(const fv_call_answer_t *answer);
 void FvJobSpec_Clear(fv_job_spec_t *spec);
 void FvCellConfig_Free(fv_cell_config_t *config);
 void FvKvItems_Clear(fv_kv_items_t *items);
--- a/src/entry-hosts.h
+++ b/src/entry-hosts.h
@@ -25,6 +25,7 @@
     char name[Fv_NAME_SIZE];
     fv_link_peer_t *peer; /* NULL for this host, or while not connected */
     bool joined;
+    fv_dependency_t state;
     int64_t dialed_ms;
     int64_t disconnected_since_ms; /* 0: joined, or not checked yet */
     uint32_t advice_count;
--- a/src/entry.h
+++ b/src/entry.h
@@ -326,6 +326,7 @@
 uint32_t FvLinks_Unfinished(const fv_links_t *links);
 void FvLinks_Send(fv_link_peer_t *peer, const fv_cell_message_t *message);
 const char *FvLinks_Name(const fv_link_peer_t *peer);
+const char *FvLinks_Error(const fv_link_peer_t *peer);
 void FvLinks_SetName(fv_link_peer_t *peer, const char *name);
 bool FvLinks_Dialed(const fv_link_peer_t *peer);
 void FvLinks_CloseSilent(fv_links_t *links, int64_t silent_ms);
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -140,6 +140,15 @@
 int64_t FvHistogram_Max(const fv_histogram_t *histogram);
 int64_t FvHistogram_Sum(const fv_histogram_t *histogram);
 
+/* dependency.c */
+typedef enum fv_dependency {
+    Fv_DEPENDENCY_UNKNOWN, /* not called yet */
+    Fv_DEPENDENCY_ANSWERS,
+    Fv_DEPENDENCY_LOST
+} fv_dependency_t;
+
+bool FvDependency_Note(fv_dependency_t *dependency, bool answered);
+
 /* metrics.c */
 typedef enum fv_counter {
     Fv_COUNTER_JOBS_ACCEPTED,
@@ -172,6 +181,8 @@
     Fv_COUNTER_CONNECTIONS_OPENED,
     Fv_COUNTER_CONNECTIONS_RESET,
     Fv_COUNTER_WORKERS_OVERCOMMITTED,
+    Fv_COUNTER_DEPENDENCIES_LOST,
+    Fv_COUNTER_HTTP_NOT_FORWARDED,
     Fv_COUNTER_COUNT
 } fv_counter_t;
 
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -24,6 +24,9 @@
 #define Fv_HEADERS_MAX_BYTES 16384
 #define Fv_IDLE_TIMEOUT_S 30
 
+/* Lines below warn that a fault of all requests may add to the log. */
+#define Fv_REFUSAL_LOG_LINES_PER_S 10
+
 typedef struct fv_frontend_request {
     int64_t id;
     struct evhttp_request *http;
@@ -48,6 +51,7 @@
     fv_frontend_request_t *requests;
     int64_t last_id;
     fv_log_quota_t cancel_log;
+    fv_log_quota_t refusal_log;
     bool draining;
     bool refusing; /* the process is about to end */
 };
@@ -204,6 +208,18 @@
     return given > 0 ? given : Fv_DEFAULT_DEADLINE_MS;
 }
 
+/* Refuses a request that no leader has been asked about. */
+static void
+refuse_request(fv_frontend_t *frontend, struct evhttp_request *http,
+               const char *path, const char *cause, const char *reason)
+{
+    FvMetrics_Add(Fv_COUNTER_HTTP_NOT_FORWARDED, 1);
+    FvLog_Event(FvLog_LevelWithin(&frontend->refusal_log,
+                                  Fv_REFUSAL_LOG_LINES_PER_S, FvClock_NowMs()),
+                "request_refused", "path=%s cause=%s", path, cause);
+    send_reply(frontend, http, 503, reason, NULL);
+}
+
 static void
 accept_request(fv_frontend_t *frontend, struct evhttp_request *http,
                fv_verb_t verb, const fv_cell_queue_t *queue, const char *job)
@@ -211,7 +227,8 @@
     fv_frontend_request_t *request = calloc(1, sizeof(*request));
 
     if (request == NULL) {
-        send_reply(frontend, http, 503, "Out of Memory", NULL);
+        refuse_request(frontend, http, queue->prefix, "no_memory",
+                       "Out of Memory");
         return;
     }
     request->id = ++frontend->last_id;
@@ -249,11 +266,12 @@
     evhttp_request_set_on_complete_cb(http, reply_written, NULL);
     snprintf(path, sizeof(path), "%.*s", (int)strcspn(uri, "?"), uri);
     if (frontend->refusing) {
-        send_reply(frontend, http, 503, "Shutting Down", NULL);
+        refuse_request(frontend, http, path, "shutting_down", "Shutting Down");
         return;
     }
     if (frontend->config == NULL) {
-        send_reply(frontend, http, 503, "No Configuration", NULL);
+        refuse_request(frontend, http, path, "no_configuration",
+                       "No Configuration");
         return;
     }
     queue = find_queue(frontend, host ? host : "", path);
--- a/src/host-link.c
+++ b/src/host-link.c
@@ -32,6 +32,7 @@
     bool dialed;
     bool opened;
     bool closing;
+    const char *error; /* why it ended; NULL: this host closed it */
     int64_t last_received_ms;
     fv_link_peer_t *next;
 };
@@ -56,6 +57,18 @@
     return peer->name;
 }
 
+/**
+ * FvLinks_Error - why a connection ended
+ * @peer: the peer
+ *
+ * Return: a text for the log; NULL when this host closed it.
+ */
+const char *
+FvLinks_Error(const fv_link_peer_t *peer)
+{
+    return peer->error;
+}
+
 /**
  * FvLinks_SetName - set the peer's host name
  * @peer: the peer
@@ -242,6 +255,7 @@
 
     while ((peer = find_silent(links, since_ms)) != NULL) {
         FvLog_Event(Fv_LOG_INFO, "link_silent", "peer=%s", peer->name);
+        peer->error = "silent";
         close_peer(peer);
     }
 }
@@ -348,6 +362,9 @@
         peer->links->events.opened(peer->links->events.context, peer);
         return;
     }
+    peer->error = (what & BEV_EVENT_ERROR) != 0
+                      ? evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR())
+                      : "closed";
     close_peer(peer);
 }
 
--- a/src/host-list.c
+++ b/src/host-list.c
@@ -14,6 +14,7 @@
 struct fv_host_list {
     fv_daemon_t *daemon;
     fv_timer_t timer;
+    fv_dependency_t state;
     bool peers_changed;
     uint64_t last_applied_hash; /* of the response body */
 };
@@ -150,11 +151,17 @@
     FvLoop_SetTimer(list->daemon->loop, &list->timer,
                     FvClock_NowMs() + Fv_HOST_LIST_POLL_MS);
     if (response->error != Fv_HTTP_OK || response->status != 200) {
-        FvLog_Event(Fv_LOG_DEBUG, "host_list_unavailable",
-                    "error=%d status=%d", (int)response->error,
+        FvLog_Event(FvDependency_Note(&list->state, false) ? Fv_LOG_WARN
+                                                           : Fv_LOG_DEBUG,
+                    "host_list_unavailable", "url=%s error=%d status=%d",
+                    list->daemon->settings.host_list_url, (int)response->error,
                     response->status);
         return;
     }
+    if (FvDependency_Note(&list->state, true)) {
+        FvLog_Event(Fv_LOG_INFO, "host_list_available", "url=%s",
+                    list->daemon->settings.host_list_url);
+    }
     apply_if_changed(list, response);
     notify_components(list);
 }
--- a/src/kv-client.c
+++ b/src/kv-client.c
@@ -25,6 +25,9 @@
  * connection. */
 static const fv_call_bounds_t store_bounds = {.open_max = 32, .rest_max = 32};
 
+/* Of a call's path, for the log. */
+#define Fv_KV_LOGGED_PATH_SIZE 64
+
 typedef enum fv_kv_response_type {
     Fv_KV_RESPONSE_ITEM,
     Fv_KV_RESPONSE_PAGE,
@@ -36,6 +39,7 @@
 typedef struct fv_kv_call {
     fv_kv_client_t *kv;
     fv_kv_response_type_t expected;
+    char path[Fv_KV_LOGGED_PATH_SIZE];
     fv_kv_done_t done;
     void *context;
 } fv_kv_call_t;
@@ -44,7 +48,7 @@
     struct event_base *base;
     fv_call_pool_t *pool;
     char address[Fv_ADDRESS_SIZE];
-    bool reachable;
+    fv_dependency_t state;
     int64_t latest_revision; /* in any answer */
     fv_kv_watch_t *watches;
 };
@@ -111,21 +115,30 @@
 }
 
 static void
-update_reachable(fv_kv_client_t *kv, fv_kv_error_t error, int32_t status)
+update_state(fv_kv_call_t *call, fv_kv_error_t error,
+             const fv_call_answer_t *answer)
 {
-    bool reachable = error != Fv_KV_UNAVAILABLE && error != Fv_KV_UNCONFIRMED;
+    fv_kv_client_t *kv = call->kv;
+    bool at_start = kv->state == Fv_DEPENDENCY_UNKNOWN;
+    bool answered = error != Fv_KV_UNAVAILABLE && error != Fv_KV_UNCONFIRMED;
 
-    if (!reachable) {
+    if (!answered) {
         FvMetrics_Add(error == Fv_KV_UNCONFIRMED ? Fv_COUNTER_STORE_UNCONFIRMED
                                                  : Fv_COUNTER_STORE_ERRORS,
                       1);
     }
-    if (reachable != kv->reachable) {
-        FvLog_Event(reachable ? Fv_LOG_INFO : Fv_LOG_WARN,
-                    reachable ? "store_regained" : "store_lost",
-                    "address=%s status=%d", kv->address, status);
+    if (!FvDependency_Note(&kv->state, answered)) {
+        return;
+    }
+    if (answered) {
+        FvLog_Event(Fv_LOG_INFO, "store_regained", "address=%s status=%d",
+                    kv->address, answer->status);
+        return;
     }
-    kv->reachable = reachable;
+    FvLog_Event(Fv_LOG_WARN, "store_lost",
+                "address=%s status=%d error=%s call=%s at_start=%d",
+                kv->address, answer->status, FvCallAnswer_Error(answer),
+                call->path, at_start ? 1 : 0);
 }
 
 static bool
@@ -166,7 +179,7 @@
     fv_kv_call_t *call = context;
     fv_kv_result_t result = {.error = FvPlatform_DecodeKvError(answer)};
 
-    update_reachable(call->kv, result.error, answer->status);
+    update_state(call, result.error, answer);
     if ((result.error == Fv_KV_OK &&
          !decode_response(call->expected, answer, &result)) ||
         (result.error == Fv_KV_CONFLICT &&
@@ -191,6 +204,7 @@
     }
     *pending = (fv_kv_call_t){
         .kv = kv, .expected = expected, .done = done, .context = context};
+    FvText_Copy(pending->path, sizeof(pending->path), call->path);
     FvCallPool_Send(kv->pool, kv->address, call,
                     &(fv_call_terms_t){.bounds = &store_bounds,
                                        .urgency = urgency,
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -80,6 +80,12 @@
     [Fv_COUNTER_CONNECTIONS_RESET] = {"connections_reset",
                                       "New connections that a worker closed "
                                       "before its first answer."},
+    [Fv_COUNTER_DEPENDENCIES_LOST] = {"dependencies_lost",
+                                      "Times that a service or a host did not "
+                                      "answer any more, or at first."},
+    [Fv_COUNTER_HTTP_NOT_FORWARDED] = {"http_not_forwarded",
+                                       "Requests refused without a leader: no "
+                                       "configuration, or shutting down."},
     [Fv_COUNTER_WORKERS_OVERCOMMITTED] = {"workers_overcommitted",
                                           "Times that a worker listed more "
                                           "runs than its capacity admits."},
--- a/tests/harness/entry-cell.c
+++ b/tests/harness/entry-cell.c
@@ -206,6 +206,22 @@
     unlink(path);
 }
 
+/**
+ * FvEntryCell_StartPlatform - start the platform and the proxies to its store
+ * @cell: the cell
+ *
+ * Return: false when a program cannot be started.
+ */
+bool
+FvEntryCell_StartPlatform(entry_cell_t *cell)
+{
+    if (!start_platform(cell) || !start_proxy(cell)) {
+        return false;
+    }
+    FvFake_SleepMs(ENTRY_CELL_START_MS);
+    return true;
+}
+
 /**
  * FvEntryCell_Start - start a cell
  * @cell: filled in
@@ -233,10 +249,9 @@
              build != NULL ? build : "build", options->name);
     mkdir(cell->directory, 0755);
     remove_old_logs(cell);
-    if (!start_platform(cell) || !start_proxy(cell)) {
+    if (!options->late_platform && !FvEntryCell_StartPlatform(cell)) {
         return false;
     }
-    FvFake_SleepMs(ENTRY_CELL_START_MS);
     for (int i = 0; i < options->hosts; i++) {
         if (!write_settings(cell, i) || !FvEntryCell_StartHost(cell, i)) {
             return false;
@@ -491,6 +506,53 @@
     return find_in_log(cell, host, text, line, sizeof(line)) > 0;
 }
 
+/**
+ * FvEntryCell_CountLog - count lines in a host's log
+ * @cell: the cell
+ * @host: index of the host
+ * @text: the text
+ *
+ * Return: the number of lines that have the text.
+ */
+uint32_t
+FvEntryCell_CountLog(const entry_cell_t *cell, int host, const char *text)
+{
+    char line[4096];
+
+    return find_in_log(cell, host, text, line, sizeof(line));
+}
+
+/**
+ * FvEntryCell_Counter - read a counter of a host
+ * @cell: the cell
+ * @host: index of the host
+ * @name: name of the metric
+ *
+ * Return: its value, or -1 when the host does not answer or does not have it.
+ */
+int64_t
+FvEntryCell_Counter(const entry_cell_t *cell, int host, const char *name)
+{
+    char url[128];
+    char line[128];
+    http_reply_t reply;
+    const char *found;
+    int64_t value = -1;
+
+    snprintf(url, sizeof(url), "http://127.0.0.1:%d/metrics",
+             FvEntryCell_Port(cell, host, ENTRY_PORT_METRICS));
+    snprintf(line, sizeof(line), "\n%s ", name);
+    FvHttp_Run(&(http_call_t){.url = url, .timeout_ms = 1000}, &reply);
+    found = reply.status == 200 && reply.body != NULL
+                ? strstr((const char *)reply.body, line)
+                : NULL;
+    if (found != NULL) {
+        value = strtoll(found + strlen(line), NULL, 10);
+    }
+    FvHttp_FreeReply(&reply);
+    return value;
+}
+
 /**
  * FvEntryCell_WaitLog - wait until a host's log has a text
  * @cell: the cell
--- a/tests/harness/entry-cell.h
+++ b/tests/harness/entry-cell.h
@@ -27,6 +27,7 @@
     int stop_timeout_ms;
     int drain_ms;
     const char *log_level;
+    bool late_platform; /* FvEntryCell_StartPlatform() starts it */
 } entry_cell_options_t;
 
 typedef struct entry_cell_host {
@@ -52,6 +53,7 @@
 
 bool FvEntryCell_Start(entry_cell_t *cell,
                        const entry_cell_options_t *options);
+bool FvEntryCell_StartPlatform(entry_cell_t *cell);
 void FvEntryCell_Stop(entry_cell_t *cell);
 bool FvEntryCell_StartHost(entry_cell_t *cell, int host);
 bool FvEntryCell_WaitReady(entry_cell_t *cell, int64_t timeout_ms);
@@ -67,6 +69,10 @@
                      const char *path, const char *body, char *state,
                      size_t size);
 bool FvEntryCell_LogHas(const entry_cell_t *cell, int host, const char *text);
+uint32_t FvEntryCell_CountLog(const entry_cell_t *cell, int host,
+                              const char *text);
+int64_t FvEntryCell_Counter(const entry_cell_t *cell, int host,
+                            const char *name);
 bool FvEntryCell_WaitLog(const entry_cell_t *cell, int host, const char *text,
                          int64_t timeout_ms);
 int64_t FvEntryCell_FreeAfterMs(const entry_cell_t *cell, int host);
