scheduler: judge a run's progress by its worker's clock

A run now counts as stalled only when it has not progressed by both clocks. That of the worker is in each report and in the answer to a start, so that a report from before the pause shows no time without progress; a worker's clock that runs fast does not stop a run either.

Evidence: the new case of sched_report_test failed before (3 of 339 checks) and passes; a run that stops to progress after the pause is stopped 2.7 s later, as before.

--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -142,6 +142,9 @@
     else if (task != NULL) {
         FvSched_StartAnswered(&leader->sched, task, order->run, result,
                               FvClock_NowMs());
+        if (result == Fv_ORDER_DONE && task->progress_clock_ms == 0) {
+            task->progress_clock_ms = clock_ms;
+        }
     }
     if (result == Fv_ORDER_FENCED) {
         leader->events.deposed(leader->events.context, "fenced_by_worker");
--- a/src/sched-incarnation.c
+++ b/src/sched-incarnation.c
@@ -54,6 +54,7 @@
 {
     for (fv_sched_task_t *task = worker->tasks; task != NULL;
          task = task->worker_next) {
+        task->progress_clock_ms = 0; /* of the earlier incarnation */
         if (task->state == Fv_SCHED_STARTING) {
             task->start_retried = true;
         }
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -159,6 +159,7 @@
     task->ran_from_start = task->checkpoint == NULL;
     task->percent = 0;
     task->progress_ms = now_ms;
+    task->progress_clock_ms = 0;
     task->stage->waiting--;
     FvSched_AttachTask(candidate->worker, task);
     candidate->capacity--;
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -154,6 +154,14 @@
     return row->end == Fv_END_FAILED || row->checkpoint != NULL;
 }
 
+static void
+note_progress(fv_sched_task_t *task, const fv_sched_worker_t *worker,
+              int64_t now_ms)
+{
+    task->progress_ms = now_ms;
+    task->progress_clock_ms = worker->clock_ms;
+}
+
 static void
 adopt_run(fv_sched_t *sched, fv_sched_worker_t *worker, fv_sched_task_t *task,
           const fv_running_row_t *row, int64_t now_ms)
@@ -165,7 +173,7 @@
     task->stage->gang_run = row->run;
     task->start_confirmed_ms = now_ms;
     task->start_sent_ms = now_ms;
-    task->progress_ms = now_ms;
+    note_progress(task, worker, now_ms);
     task->stage->job->started = true;
     FvSched_AttachTask(worker, task);
     task->listed_in_report = sched->report_count;
@@ -180,14 +188,14 @@
 {
     if (task->state == Fv_SCHED_STARTING) {
         task->state = Fv_SCHED_RUNNING;
-        task->progress_ms = now_ms;
+        note_progress(task, task->worker, now_ms);
         task->start_confirmed_ms = now_ms;
         task->start_unconfirmed = false;
         task->stage->job->started = true;
     }
     if (row->percent != task->percent) {
         task->percent = row->percent;
-        task->progress_ms = now_ms;
+        note_progress(task, task->worker, now_ms);
         if (is_lasting_task_at_work(task)) {
             FvSched_UpdateWorkerHealth(task->worker, task, false, now_ms);
         }
@@ -362,11 +370,23 @@
     }
 }
 
+/* By this host's clock and by that of the worker: a host that was suspended
+ * reads reports from before, and a worker's clock may run fast. */
+static int64_t
+without_progress_ms(const fv_sched_task_t *task, int64_t now_ms)
+{
+    int64_t here_ms = now_ms - task->progress_ms;
+    int64_t there_ms = task->worker->clock_ms - task->progress_clock_ms;
+
+    return task->progress_clock_ms != 0 && there_ms < here_ms ? there_ms
+                                                              : here_ms;
+}
+
 static bool
 is_stalled(const fv_sched_task_t *task, int64_t now_ms)
 {
     int64_t silent_ms =
-        (now_ms - task->progress_ms) >>
+        without_progress_ms(task, now_ms) >>
         (task->stalls < Fv_STALLED_DOUBLINGS_MAX ? task->stalls
                                                  : Fv_STALLED_DOUBLINGS_MAX);
 
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -57,6 +57,7 @@
     int32_t preemptions;
     int32_t stalls;            /* times that a run was taken for stalled */
     int64_t progress_ms;       /* when the percent last changed */
+    int64_t progress_clock_ms; /* the worker's clock then; 0: not known */
     uint64_t listed_in_report; /* number of the latest report with its run */
     char *checkpoint;
     const fv_sched_worker_t *failed_on;
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -668,6 +668,54 @@
     CU_ASSERT_TRUE(stalled.orders[1].stop);
 }
 
+static void
+report_percent(int64_t clock_ms, int32_t percent)
+{
+    fv_running_row_t row = {
+        .task_id = JOB_A ".0.0.0", .run = 1, .percent = percent};
+    fv_worker_report_t report = {.clock_ms = clock_ms,
+                                 .started_wall_ms = 1,
+                                 .running = &row,
+                                 .running_count = 1};
+
+    FvSched_ApplyReport(&stalled.sched,
+                        FvSched_FindWorker(&stalled.sched, "w1"), &report,
+                        stalled.now_ms, stalled.now_ms);
+}
+
+/* A leader that was suspended reads a report from before, and later the next
+ * one, from which the run does not progress any more. */
+static void
+test_run_of_a_suspended_leader(void)
+{
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    int64_t clock_ms = 5000;
+    char document[256];
+    fv_sched_task_t *task;
+
+    FvSchedFixture_Open(&stalled, 1);
+    FvSchedFixture_AddWorker(&stalled, "w1", "r1", 2000);
+    snprintf(document, sizeof(document), long_task, 1000);
+    FvSchedFixture_AddJob(&stalled, JOB_A, &queue, document);
+    FvSchedFixture_RunPass(&stalled);
+    FvSchedFixture_ConfirmStarts(&stalled);
+    task = FvSched_FindTask(&stalled.sched, JOB_A ".0.0.0");
+    CU_ASSERT_FATAL(task != NULL && task->worker != NULL);
+    stalled.now_ms += 100;
+    report_percent(clock_ms, 10);
+    stalled.now_ms += 4000;
+    report_percent(clock_ms + 50, 10);
+    CU_ASSERT_EQUAL(task->state, Fv_SCHED_RUNNING);
+    CU_ASSERT_EQUAL(task->stalls, 0);
+    stalled.now_ms += 20;
+    report_percent(clock_ms + 4020, 50);
+    CU_ASSERT_EQUAL(task->state, Fv_SCHED_RUNNING);
+    stalled.now_ms += 2700;
+    report_percent(clock_ms + 6720, 50);
+    CU_ASSERT_EQUAL(task->state, Fv_SCHED_STOPPING);
+    FvSchedFixture_Close(&stalled);
+}
+
 /* Orders with a deadline by the clock of the earlier incarnation, which grant
  * the longest lease, may reach the new one, even late. Then it is silent. */
 static void
@@ -708,6 +756,8 @@
         {"a slow task is stopped as stalled in each of its runs",
          test_slow_task_ends},
         {"a stalled run is not stopped", test_stalled_task_is_stopped},
+        {"a healthy run counts as stalled after its leader was suspended",
+         test_run_of_a_suspended_leader},
         {"the resources of a run that is being stopped are reused",
          test_orphan_run_keeps_its_resources},
         {"a run of an ended gang is stopped as orphaned",
