scheduler: match the answer to an order by the worker's incarnation

A process that confirms a stop and ends before its answer is read has refused the run's start, the next one has not; with the stop taken for confirmed the task was started elsewhere while the start could still arrive at the new incarnation.

A confirmation by another incarnation than the present one now counts as no answer, for stops and starts, in the leader and in the simulated cell.

--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -39,6 +39,7 @@
     int32_t run;
     bool stop;
     int64_t sent_ms;
+    int64_t started_wall_ms; /* of the incarnation that was known then */
 } fv_order_call_t;
 
 static void
@@ -125,6 +126,9 @@
     }
     check_order_connection(order, answer);
     worker = FvSched_FindWorker(&leader->sched, order->worker);
+    if (worker != NULL) {
+        result = FvSched_OrderResult(worker, order->started_wall_ms, result);
+    }
     if (worker != NULL && order->stop) {
         FvSched_OrphanStopAnswered(&leader->sched, worker, order->task,
                                    order->run, result, FvClock_NowMs());
@@ -166,6 +170,7 @@
     order->run = run;
     order->stop = stop;
     order->sent_ms = FvClock_NowMs();
+    order->started_wall_ms = worker->started_wall_ms;
     FvText_Copy(order->worker, sizeof(order->worker), worker->entry.id);
     FvText_Copy(order->task, sizeof(order->task), task);
     leader->pending_calls++;
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -257,6 +257,25 @@
                : NULL;
 }
 
+/**
+ * FvSched_OrderResult - what the answer to an order says of a worker
+ * @worker: the worker
+ * @started_wall_ms: incarnation of the worker when the order was sent
+ * @result: the answer
+ *
+ * Return: the result; Fv_ORDER_UNCONFIRMED when it settles nothing at the
+ * present incarnation, which may receive a copy of the order.
+ */
+fv_order_result_t
+FvSched_OrderResult(const fv_sched_worker_t *worker, int64_t started_wall_ms,
+                    fv_order_result_t result)
+{
+    return worker->started_wall_ms != started_wall_ms &&
+                   (result == Fv_ORDER_DONE || result == Fv_ORDER_STALE_RUN)
+               ? Fv_ORDER_UNCONFIRMED
+               : result;
+}
+
 /**
  * FvSched_StartAnswered - apply the result of a start order
  * @sched: the scheduler
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -468,6 +468,9 @@
 fv_sched_task_t *FvSched_FindOrderedTask(const fv_sched_t *sched,
                                          const char *worker, const char *name,
                                          int32_t run);
+fv_order_result_t FvSched_OrderResult(const fv_sched_worker_t *worker,
+                                      int64_t started_wall_ms,
+                                      fv_order_result_t result);
 void FvSched_StartAnswered(fv_sched_t *sched, fv_sched_task_t *task,
                            int32_t run, fv_order_result_t result,
                            int64_t now_ms);
--- a/tests/harness/sched-sim-handlers.c
+++ b/tests/harness/sched-sim-handlers.c
@@ -12,6 +12,7 @@
                           .at_ms = sim->now_ms + FvSim_OneWayDelayMs(sim),
                           .generation = order->generation,
                           .worker = order->worker,
+                          .incarnation_ms = order->incarnation_ms,
                           .run = order->run,
                           .stop = order->stop,
                           .result = Fv_ORDER_UNCONFIRMED};
@@ -35,26 +36,30 @@
     fv_sched_worker_t *worker = FvSched_FindWorker(&sim->sched, id);
     fv_sched_task_t *task =
         FvSched_FindOrderedTask(&sim->sched, id, answer->task, answer->run);
+    fv_order_result_t result = answer->result;
 
-    if (answer->result == Fv_ORDER_FENCED) {
+    if (result == Fv_ORDER_FENCED) {
         return;
     }
-    if (answer->stop && answer->result == Fv_ORDER_UNCONFIRMED) {
+    if (answer->stop && result == Fv_ORDER_UNCONFIRMED) {
         sim->unanswered_stop_ms = sim->now_ms;
     }
+    if (worker != NULL) {
+        result = FvSched_OrderResult(worker, answer->incarnation_ms, result);
+    }
     if (answer->stop && worker != NULL) {
         FvSched_OrphanStopAnswered(&sim->sched, worker, answer->task,
-                                   answer->run, answer->result, sim->now_ms);
+                                   answer->run, result, sim->now_ms);
     }
     if (task == NULL) {
         return;
     }
     if (answer->stop) {
-        FvSched_StopAnswered(&sim->sched, task, answer->run, answer->result,
+        FvSched_StopAnswered(&sim->sched, task, answer->run, result,
                              sim->now_ms);
     }
     else {
-        FvSched_StartAnswered(&sim->sched, task, answer->run, answer->result,
+        FvSched_StartAnswered(&sim->sched, task, answer->run, result,
                               sim->now_ms);
     }
 }
--- a/tests/unit/sched_restart_test.c
+++ b/tests/unit/sched_restart_test.c
@@ -409,6 +409,45 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* A stop is confirmed by a process that ends before its answer is read. The
+ * next one has refused nothing, and may receive the start late. */
+static void
+test_answer_of_the_earlier_incarnation(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_worker_report_t report = {.clock_ms = 10, .started_wall_ms = 2};
+    fv_sched_worker_t *worker;
+    fv_sched_task_t *task;
+    int64_t sent_to;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 2000);
+    FvSchedFixture_AddJob(&fixture, JOB_A, &queue, two_tasks);
+    FvSchedFixture_RunPass(&fixture);
+    task = FvSched_FindTask(&fixture.sched, JOB_A ".0.0.0");
+    CU_ASSERT_FATAL(task != NULL && task->worker == worker);
+    FvSched_StopTask(&fixture.sched, task, fixture.now_ms);
+    sent_to = worker->started_wall_ms;
+    CU_ASSERT_EQUAL(FvSched_OrderResult(worker, sent_to, Fv_ORDER_DONE),
+                    Fv_ORDER_DONE);
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms,
+                        fixture.now_ms);
+    FvSched_StopAnswered(&fixture.sched, task, task->run,
+                         FvSched_OrderResult(worker, sent_to, Fv_ORDER_DONE),
+                         fixture.now_ms);
+    CU_ASSERT_EQUAL(task->stop_confirmed_ms, 0);
+    CU_ASSERT_EQUAL(FvSched_OrderResult(worker, sent_to, Fv_ORDER_STALE_RUN),
+                    Fv_ORDER_UNCONFIRMED);
+    CU_ASSERT_EQUAL(FvSched_OrderResult(worker, sent_to, Fv_ORDER_NO_CAPACITY),
+                    Fv_ORDER_NO_CAPACITY);
+    fixture.now_ms += Fv_FIXTURE_STOP_MS + 100;
+    FvSched_ApplyReport(&fixture.sched, worker, &report, fixture.now_ms,
+                        fixture.now_ms);
+    CU_ASSERT_PTR_EQUAL(task->worker, worker);
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -444,6 +483,8 @@
          test_start_is_repeated_after_a_report},
         {"a report from before the end of a connection admits starts",
          test_report_from_before_the_end_of_a_connection},
+        {"a stop that an earlier incarnation confirmed counts for the next",
+         test_answer_of_the_earlier_incarnation},
     };
 
     return Fv_RUN_SUITE("sched_restart", cases);
