leader: forget a worker only when no order to it can be carried out

A deadline by its earlier clock, carried out late, grants the longest lease; its tasks were started elsewhere by the usual one.

A worker that is gone is now kept for the longest delay of an order after the last start or renewal that was sent to it, which includes the unanswered starts it was kept for before. It leaves the worker list at once as before and is not polled.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -234,7 +234,7 @@
     if (worker->in_worker_list || worker->in_list_write) {
         leave_worker_list(leader, worker);
     }
-    if (FvSched_ExpectsLateStarts(worker, now_ms)) {
+    if (FvSched_MayCarryOutOrders(worker, now_ms)) {
         return; /* it may return before they arrive */
     }
     session->worker = NULL;
--- a/src/sched-lease.c
+++ b/src/sched-lease.c
@@ -123,6 +123,24 @@
            sched->lease_ms;
 }
 
+/**
+ * FvSched_MayCarryOutOrders - check whether an order to a worker may still be
+ * carried out
+ * @worker: the worker, which is out of reach
+ * @now_ms: the time
+ *
+ * Each start and renewal extends the lease. A worker that restarts takes a
+ * deadline by its earlier clock for one that is far ahead.
+ *
+ * Return: true when what was sent to the worker must not be forgotten.
+ */
+bool
+FvSched_MayCarryOutOrders(const fv_sched_worker_t *worker, int64_t now_ms)
+{
+    return worker->deadline_sent_ms != 0 &&
+           now_ms < worker->deadline_sent_ms + Fv_ORDER_DELAY_MAX_MS;
+}
+
 /**
  * FvSched_KnowsInheritedRuns - check whether all runs of earlier leaders are
  * known or have ended
--- a/src/sched-orphan.c
+++ b/src/sched-orphan.c
@@ -258,27 +258,6 @@
     }
 }
 
-/**
- * FvSched_ExpectsLateStarts - check whether the start of an orphaned run may
- * still arrive at a worker
- * @worker: the worker
- * @now_ms: the time
- *
- * Return: true when the worker must not be forgotten.
- */
-bool
-FvSched_ExpectsLateStarts(const fv_sched_worker_t *worker, int64_t now_ms)
-{
-    for (const fv_orphan_run_t *orphan = worker->orphan_runs; orphan != NULL;
-         orphan = orphan->next) {
-        if (!orphan->start_arrived && orphan->stop_confirmed_ms == 0 &&
-            orphan->start_until_ms >= now_ms) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /**
  * FvSched_HasOrphanRuns - check whether a worker may have orphaned runs
  * @worker: the worker
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -426,8 +426,6 @@
 void FvSched_ForgetEndedOrphanRuns(fv_sched_worker_t *worker, int64_t now_ms);
 void FvSched_DoubtOrphanRuns(fv_sched_worker_t *worker, int64_t now_ms);
 void FvSched_FreeOrphanRuns(fv_sched_worker_t *worker);
-bool FvSched_ExpectsLateStarts(const fv_sched_worker_t *worker,
-                               int64_t now_ms);
 bool FvSched_HasOrphanRuns(const fv_sched_worker_t *worker, int64_t now_ms);
 
 /* sched-lease.c */
@@ -438,6 +436,8 @@
 int64_t FvSched_LongestLeaseMs(const fv_sched_t *sched);
 int64_t FvSched_ExtendLease(const fv_sched_t *sched, fv_sched_worker_t *worker,
                             int64_t now_ms);
+bool FvSched_MayCarryOutOrders(const fv_sched_worker_t *worker,
+                               int64_t now_ms);
 bool FvSched_KnowsInheritedRuns(const fv_sched_t *sched, bool leases_expired,
                                 int64_t now_ms);
 
--- a/tests/unit/sched_lease_test.c
+++ b/tests/unit/sched_lease_test.c
@@ -123,6 +123,31 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* A worker that is out of reach and in no registry may come back, restarted,
+ * and carry out what was sent to it. */
+static void
+test_orders_outlast_a_worker(void)
+{
+    fv_sched_task_t *task = open_with_start();
+    fv_sched_worker_t *worker = task->worker;
+    int64_t sent_ms;
+
+    worker->deadline_sent_ms = 0;
+    CU_ASSERT_FALSE(FvSched_MayCarryOutOrders(worker, fixture.now_ms));
+    CU_ASSERT(FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms) > 0);
+    sent_ms = fixture.now_ms;
+    fixture.now_ms = worker->lease_expires_ms + 1;
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_TRUE(FvSched_MayCarryOutOrders(worker, fixture.now_ms));
+    CU_ASSERT_EQUAL(
+        FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms), 0);
+    CU_ASSERT_TRUE(FvSched_MayCarryOutOrders(
+        worker, sent_ms + Fv_ORDER_DELAY_MAX_MS - 1));
+    CU_ASSERT_FALSE(
+        FvSched_MayCarryOutOrders(worker, sent_ms + Fv_ORDER_DELAY_MAX_MS));
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -135,6 +160,8 @@
         {"a lease that an earlier leader granted is forgotten without a "
          "renewal",
          test_silence_after_adoption},
+        {"a worker is forgotten while an order to it may be carried out",
+         test_orders_outlast_a_worker},
     };
 
     return Fv_RUN_SUITE("sched_lease", cases);
