--- a/tests/soak/soak-faults.c
+++ b/tests/soak/soak-faults.c
@@ -16,6 +16,10 @@
 #define SOAK_STUTTER_MS 70
 #define SOAK_STOP_MAX_MS 90 /* below the stop timeout of the hosts, 100 ms */
 
+/* Longest time until a late order is carried out; tickets of the platform
+ * stand-in are valid for 2 s. */
+#define SOAK_LATE_MAX_MS 1700
+
 typedef enum soak_action_kind {
     SOAK_ACTION_NONE,
     SOAK_ACTION_SUSPEND,
@@ -334,6 +338,54 @@
     soak->stops_recover_at_ms = now_ms + draw_length_ms(faults);
 }
 
+/* For some seconds many orders are not answered and carried out late, while
+ * some workers go on out of reach of the hosts. */
+static void
+delay_orders(soak_faults_t *faults, int64_t now_ms)
+{
+    soak_t *soak = faults->soak;
+    uint32_t mute = 1 + draw(faults, (uint32_t)soak->workers / 3 + 1);
+    char body[64];
+
+    if (soak->orders_recover_at_ms == 0) {
+        snprintf(body, sizeof(body), "{\"latePerMille\":%u,\"lateMaxMs\":%u}",
+                 150 + draw(faults, 350),
+                 200 + draw(faults, SOAK_LATE_MAX_MS));
+        printf("  orders %s\n", body);
+        FvEntryCell_PlatformFault(&soak->cell, body);
+        soak->orders_recover_at_ms = now_ms + 1000 + draw(faults, 5000);
+    }
+    for (uint32_t i = 0; i < mute; i++) {
+        uint32_t worker = draw(faults, (uint32_t)soak->workers);
+
+        if (soak->mute_until_ms[worker] == 0) {
+            snprintf(body, sizeof(body), "{\"mute\":%u}", worker);
+            printf("  worker %s\n", body);
+            FvEntryCell_PlatformFault(&soak->cell, body);
+            soak->mute_until_ms[worker] = now_ms + 500 + draw(faults, 7000);
+        }
+    }
+}
+
+static void
+recover_orders(soak_t *soak, int64_t now_ms)
+{
+    char body[64];
+
+    if (soak->orders_recover_at_ms != 0 &&
+        now_ms >= soak->orders_recover_at_ms) {
+        FvEntryCell_PlatformFault(&soak->cell, "{\"latePerMille\":0}");
+        soak->orders_recover_at_ms = 0;
+    }
+    for (int i = 0; i < soak->workers; i++) {
+        if (soak->mute_until_ms[i] != 0 && now_ms >= soak->mute_until_ms[i]) {
+            snprintf(body, sizeof(body), "{\"reached\":%d}", i);
+            FvEntryCell_PlatformFault(&soak->cell, body);
+            soak->mute_until_ms[i] = 0;
+        }
+    }
+}
+
 static void
 recover_hosts(soak_t *soak, int64_t now_ms)
 {
@@ -383,6 +435,7 @@
                                   "{\"stopMs\":0,\"stopDelayMs\":0}");
         soak->stops_recover_at_ms = 0;
     }
+    recover_orders(soak, now_ms);
     for (int i = 0; i < soak->workers; i++) {
         if (soak->worker_recover_at_ms[i] != 0 &&
             now_ms >= soak->worker_recover_at_ms[i]) {
@@ -416,11 +469,16 @@
                                                  delay_stops,
                                                  terminate_beside_suspended};
     static soak_faults_t faults;
+    /* Draws of its own, so that the others stay those of earlier seeds. */
+    static soak_faults_t orders;
     int64_t end_ms = FvClock_NowMs() + duration_s * Fv_MS_PER_S;
     int64_t next_fault_ms = 0;
+    int64_t next_delay_ms = 0;
 
     faults = (soak_faults_t){
         .soak = soak, .random = soak->seed * UINT64_C(0x9e3779b97f4a7c15) | 1};
+    orders = (soak_faults_t){
+        .soak = soak, .random = soak->seed * UINT64_C(0xd1342543de82ef95) | 1};
     while (FvClock_NowMs() < end_ms) {
         int64_t now_ms = FvClock_NowMs();
 
@@ -431,6 +489,10 @@
                 &faults, now_ms);
             next_fault_ms = now_ms + 300 + draw(&faults, 2200);
         }
+        if (now_ms >= next_delay_ms) {
+            next_delay_ms = now_ms + 2000 + draw(&orders, 5000);
+            delay_orders(&orders, now_ms);
+        }
         FvFake_SleepMs(SOAK_POLL_MS);
     }
     FvSoakFaults_ClearDue(soak, INT64_MAX);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -61,6 +61,9 @@
     int64_t route_recover_at_ms;
     int64_t worker_recover_at_ms[ENTRY_CELL_WORKERS_MAX];
     int64_t stops_recover_at_ms;
+    int64_t orders_recover_at_ms; /* are carried out late until then */
+    int64_t
+        mute_until_ms[ENTRY_CELL_WORKERS_MAX]; /* out of the hosts' reach */
     int64_t config_version;
 } soak_t;
 
