entry-hosts: the state of the link to a host

The member is named reach, as the type is the host's state. No change of behaviour; entry_late_store passes.

--- a/src/entry-hosts.c
+++ b/src/entry-hosts.c
@@ -124,6 +124,45 @@
     return linked;
 }
 
+/**
+ * FvEntryHosts_NoteLinked - note that a host has joined this leader
+ * @state: the host
+ */
+void
+FvEntryHosts_NoteLinked(fv_host_state_t *state)
+{
+    bool was_lost = state->reach == Fv_DEPENDENCY_LOST;
+
+    FvDependency_Note(&state->reach, true);
+    if (was_lost) {
+        FvLog_Event(Fv_LOG_INFO, "host_linked", "peer=%s", state->name);
+    }
+}
+
+/**
+ * FvEntryHosts_NoteLinkClosed - note the end of a connection to a host
+ * @state: the host
+ * @error: why it ended; NULL: this host closed it
+ *
+ * A host that refuses each connection is logged once.
+ */
+void
+FvEntryHosts_NoteLinkClosed(fv_host_state_t *state, const char *error)
+{
+    bool lost = error != NULL ? FvDependency_Note(&state->reach, false)
+                              : state->joined;
+
+    if (error == NULL) {
+        state->reach = Fv_DEPENDENCY_UNKNOWN;
+    }
+    if (lost) {
+        FvLog_Event(Fv_LOG_INFO, "host_link_lost",
+                    "peer=%s joined=%d error=%s", state->name,
+                    state->joined ? 1 : 0,
+                    error != NULL ? error : "closed_here");
+    }
+}
+
 /**
  * FvEntryHosts_FindUnreachable - find a registered host to be removed
  * @entry: this process, which leads
--- a/src/entry-hosts.h
+++ b/src/entry-hosts.h
@@ -25,7 +25,7 @@
     char name[Fv_NAME_SIZE];
     fv_link_peer_t *peer; /* NULL for this host, or while not connected */
     bool joined;
-    fv_dependency_t state;
+    fv_dependency_t reach;
     int64_t dialed_ms;
     int64_t disconnected_since_ms; /* 0: joined, or not checked yet */
     uint32_t advice_count;
@@ -79,6 +79,8 @@
 fv_host_state_t *FvEntryHosts_FindOrAdd(fv_entry_t *entry, const char *name);
 fv_host_state_t *FvEntryHosts_Find(fv_entry_t *entry,
                                    const fv_link_peer_t *peer);
+void FvEntryHosts_NoteLinked(fv_host_state_t *state);
+void FvEntryHosts_NoteLinkClosed(fv_host_state_t *state, const char *error);
 const char *FvEntryHosts_FindUnreachable(fv_entry_t *entry,
                                          const fv_peer_entry_t *hosts,
                                          uint32_t count, int64_t now_ms);
--- a/src/entry.c
+++ b/src/entry.c
@@ -438,35 +438,6 @@
     }
 }
 
-static void
-note_host_linked(fv_host_state_t *state)
-{
-    bool was_lost = state->state == Fv_DEPENDENCY_LOST;
-
-    FvDependency_Note(&state->state, true);
-    if (was_lost) {
-        FvLog_Event(Fv_LOG_INFO, "host_linked", "peer=%s", state->name);
-    }
-}
-
-/* A host that refuses each connection is logged once. */
-static void
-note_host_link_closed(fv_host_state_t *state, const char *error)
-{
-    bool lost = error != NULL ? FvDependency_Note(&state->state, false)
-                              : state->joined;
-
-    if (error == NULL) {
-        state->state = Fv_DEPENDENCY_UNKNOWN;
-    }
-    if (lost) {
-        FvLog_Event(Fv_LOG_INFO, "host_link_lost",
-                    "peer=%s joined=%d error=%s", state->name,
-                    state->joined ? 1 : 0,
-                    error != NULL ? error : "closed_here");
-    }
-}
-
 static void
 handle_host_message(fv_entry_t *entry, fv_host_state_t *state,
                     const fv_cell_message_t *message)
@@ -474,7 +445,7 @@
     switch (message->kind) {
     case Fv_CELL_MESSAGE_JOIN:
         state->joined = true;
-        note_host_linked(state);
+        FvEntryHosts_NoteLinked(state);
         send_config_if_newer(entry, state->peer, message->number);
         break;
     case Fv_CELL_MESSAGE_REQUEST:
@@ -548,7 +519,7 @@
         }
     }
     if (state != NULL) {
-        note_host_link_closed(state, FvLinks_Error(peer));
+        FvEntryHosts_NoteLinkClosed(state, FvLinks_Error(peer));
         state->peer = NULL;
         state->joined = false;
         if (entry->leader != NULL) {
