--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -104,7 +104,7 @@
     fv_sched_worker_t *worker;
     fv_sched_task_t *task;
     fv_order_result_t result;
-    int64_t clock_ms;
+    int64_t clock_ms = 0;
 
     if (!FvLeader_FinishCall(leader)) {
         free(order);
--- a/tests/unit/sched_orphan_test.c
+++ b/tests/unit/sched_orphan_test.c
@@ -68,7 +68,8 @@
     FvSchedFixture_RunPass(fixture);
     task = FvSched_FindTask(&fixture->sched, TASK);
     CU_ASSERT_FATAL(task != NULL && task->worker != NULL);
-    CU_ASSERT_STRING_EQUAL(task->worker->entry.id, "w2");
+    CU_ASSERT_PTR_EQUAL(task->worker,
+                        FvSched_FindWorker(&fixture->sched, "w2"));
     run = task->run;
     CU_ASSERT_EQUAL(run, 2);
     fixture->now_ms += 30;
@@ -193,7 +194,8 @@
     fixture.sched.dirty = true;
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_FATAL(task->worker != NULL);
-    CU_ASSERT_STRING_EQUAL(task->worker->entry.id, "w3");
+    CU_ASSERT_PTR_EQUAL(task->worker,
+                        FvSched_FindWorker(&fixture.sched, "w3"));
     FvSchedFixture_AddJob(&fixture, JOB_B, &queue, one_task);
     pass_time(&fixture, 100);
     pass_time(&fixture, 1000);
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -184,7 +184,8 @@
     fixture.now_ms += 100;
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_FATAL(task->worker != NULL);
-    CU_ASSERT_STRING_EQUAL(task->worker->entry.id, "w3");
+    CU_ASSERT_PTR_EQUAL(task->worker,
+                        FvSched_FindWorker(&fixture.sched, "w3"));
     CU_ASSERT_EQUAL(task->run, run);
     CU_ASSERT_PTR_NULL(
         FvSched_FindOrderedTask(&fixture.sched, former, JOB_A ".0.0.0", run));
