tests: read the new tests as a newcomer would

sched_orphan_test copies no rows, its report has a name, and fake-cell's late starts have no parameter that is not used.

--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -91,7 +91,7 @@
 }
 
 static void begin_late_run(cell_t *cell, cell_worker_t *worker,
-                           const json_t *body, int64_t now_ms);
+                           const json_t *body);
 
 static void
 carry_out_late_orders(cell_t *cell, cell_worker_t *worker, int64_t now_ms)
@@ -116,7 +116,7 @@
                          late->at_ms);
             }
             else {
-                begin_late_run(cell, worker, late->body, now_ms);
+                begin_late_run(cell, worker, late->body);
             }
         }
         json_decref(late->body);
@@ -291,16 +291,15 @@
 }
 
 static void
-begin_late_run(cell_t *cell, cell_worker_t *worker, const json_t *body,
-               int64_t now_ms)
+begin_late_run(cell_t *cell, cell_worker_t *worker, const json_t *body)
 {
     int status;
 
-    (void)now_ms;
     json_decref(start_run(cell, worker, body, true, &status));
 }
 
-/* Returns false when the order is to be carried out now. */
+/* Keeps an order for later, at random if the delay is 0. Returns false when it
+ * is to be carried out now. */
 static bool
 put_off(cell_t *cell, cell_worker_t *worker, json_t *body, bool stop,
         int64_t delay_ms)
--- a/tests/unit/sched_orphan_test.c
+++ b/tests/unit/sched_orphan_test.c
@@ -4,8 +4,6 @@
 
 #include "sched-fixture.h"
 
-#include <string.h>
-
 #define JOB_A "00000000000000aa"
 #define JOB_B "00000000000000bb"
 #define TASK JOB_A ".0.0.0"
@@ -19,22 +17,19 @@
     "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":2000,"
     "\"memMb\":10,\"estimatedMs\":1000}]}";
 
+/* @row: the run that the worker lists, or NULL */
 static void
 report(sched_fixture_t *fixture, const char *worker, int64_t started_wall_ms,
-       const fv_running_row_t *row)
+       fv_running_row_t *row)
 {
-    fv_running_row_t rows[1] = {{.run = 0}};
-    fv_worker_report_t rows_report = {.clock_ms = fixture->now_ms,
-                                      .started_wall_ms = started_wall_ms,
-                                      .running = rows,
-                                      .running_count = row != NULL ? 1 : 0};
+    fv_worker_report_t message = {.clock_ms = fixture->now_ms,
+                                  .started_wall_ms = started_wall_ms,
+                                  .running = row,
+                                  .running_count = row != NULL ? 1 : 0};
 
-    if (row != NULL) {
-        rows[0] = *row;
-    }
     FvSched_ApplyReport(&fixture->sched,
-                        FvSched_FindWorker(&fixture->sched, worker),
-                        &rows_report, fixture->now_ms, fixture->now_ms);
+                        FvSched_FindWorker(&fixture->sched, worker), &message,
+                        fixture->now_ms, fixture->now_ms);
 }
 
 static void
