fake-cell: hold late starts to the time at which their order came

Both now go by the time at which the worker received the order: it counts as before when it came at or after the acknowledgement, and only an order from before that is carried out later is left out.

--- a/tests/fakes/fake-cell.c
+++ b/tests/fakes/fake-cell.c
@@ -194,9 +194,9 @@
             char job[17];
 
             snprintf(job, sizeof(job), "%.16s", task->name);
-            if (task->last_timely_start_ms > FvJson_Int(started, job, 0)) {
+            if (task->last_order_ms > FvJson_Int(started, job, 0)) {
                 json_object_set_new(started, job,
-                                    json_integer(task->last_timely_start_ms));
+                                    json_integer(task->last_order_ms));
             }
         }
         for (uint32_t i = 0; i < cell->worker_count; i++) {
--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -91,7 +91,7 @@
 }
 
 static void begin_late_run(cell_t *cell, cell_worker_t *worker,
-                           const json_t *body);
+                           const cell_late_order_t *late, int64_t now_ms);
 
 static void
 carry_out_late_orders(cell_t *cell, cell_worker_t *worker, int64_t now_ms)
@@ -116,7 +116,7 @@
                          late->at_ms);
             }
             else {
-                begin_late_run(cell, worker, late->body);
+                begin_late_run(cell, worker, late, now_ms);
             }
         }
         json_decref(late->body);
@@ -207,7 +207,8 @@
 
 static void
 begin_run(cell_t *cell, cell_worker_t *worker, const json_t *body,
-          const char *name, int32_t number, bool late, int64_t now_ms)
+          const char *name, int32_t number, int64_t received_ms,
+          int64_t now_ms)
 {
     const char *payload = FvJson_String(body, "taskSpec");
     cell_run_t *run = calloc(1, sizeof(*run));
@@ -230,18 +231,16 @@
         add_violation(cell, "runs twice at one time", name, number,
                       worker->id);
     }
-    if (task->done_acknowledged && !late) {
+    if (task->done_acknowledged && received_ms >= task->done_acknowledged_ms) {
         add_violation(cell, "started after its end", name, number, worker->id);
     }
     task->running++;
     task->starts++;
     task->last_start_ms = now_ms;
-    if (late) {
-        cell->late_starts++;
-    }
-    else {
-        task->last_timely_start_ms = now_ms;
+    if (received_ms > task->last_order_ms) {
+        task->last_order_ms = received_ms;
     }
+    cell->late_starts += received_ms < now_ms;
     for (const cell_run_t *other = worker->runs; other != NULL;
          other = other->next) {
         used += other->cpu_millis;
@@ -253,13 +252,12 @@
 }
 
 static json_t *
-start_run(cell_t *cell, cell_worker_t *worker, const json_t *body, bool late,
-          int *status)
+start_run(cell_t *cell, cell_worker_t *worker, const json_t *body,
+          int64_t received_ms, int64_t now_ms, int *status)
 {
     const char *name = FvJson_String(body, "task");
     int32_t number = (int32_t)FvJson_Int(body, "runId", 0);
     const char *ticket = FvJson_String(body, "ticket");
-    int64_t now_ms = FvClock_NowMs();
 
     *status = 400;
     if (name == NULL || number < 1) {
@@ -285,17 +283,19 @@
     if (ticket == NULL || strtoll(ticket, NULL, 10) < now_ms) {
         return reply_refused(now_ms, "ticket", status);
     }
-    begin_run(cell, worker, body, name, number, late, now_ms);
+    begin_run(cell, worker, body, name, number, received_ms, now_ms);
     *status = 200;
     return json_pack("{s:I}", "clockMs", (json_int_t)now_ms);
 }
 
 static void
-begin_late_run(cell_t *cell, cell_worker_t *worker, const json_t *body)
+begin_late_run(cell_t *cell, cell_worker_t *worker,
+               const cell_late_order_t *late, int64_t now_ms)
 {
     int status;
 
-    json_decref(start_run(cell, worker, body, true, &status));
+    json_decref(start_run(cell, worker, late->body, late->received_ms, now_ms,
+                          &status));
 }
 
 /* Keeps an order for later, at random if the delay is 0. Returns false when it
@@ -304,6 +304,7 @@
 put_off(cell_t *cell, cell_worker_t *worker, json_t *body, bool stop,
         int64_t delay_ms)
 {
+    int64_t now_ms = FvClock_NowMs();
     cell_late_order_t *late;
 
     if (delay_ms == 0 && cell->late_per_mille > 0 &&
@@ -316,7 +317,8 @@
     late = calloc(1, sizeof(*late));
     *late = (cell_late_order_t){.body = json_incref(body),
                                 .stop = stop,
-                                .at_ms = FvClock_NowMs() + delay_ms,
+                                .received_ms = now_ms,
+                                .at_ms = now_ms + delay_ms,
                                 .next = worker->late_orders};
     worker->late_orders = late;
     return true;
@@ -325,11 +327,13 @@
 static json_t *
 handle_start(cell_t *cell, cell_worker_t *worker, json_t *body, int *status)
 {
+    int64_t now_ms = FvClock_NowMs();
+
     if (put_off(cell, worker, body, false, 0)) {
         *status = 0;
         return NULL;
     }
-    return start_run(cell, worker, body, false, status);
+    return start_run(cell, worker, body, now_ms, now_ms, status);
 }
 
 static json_t *
@@ -365,6 +369,9 @@
         if (strcmp(end->outcome, "done") == 0) {
             cell_task_t *task = get_task(cell, end->task);
 
+            if (!task->done_acknowledged) {
+                task->done_acknowledged_ms = FvClock_NowMs();
+            }
             task->done_acknowledged = true;
             if (!end->lapsed && task->last_start_ms > end->at_ms) {
                 add_violation(cell,
--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -63,6 +63,7 @@
 typedef struct cell_late_order {
     json_t *body;
     bool stop;
+    int64_t received_ms;
     int64_t at_ms;
     struct cell_late_order *next;
 } cell_late_order_t;
@@ -74,9 +75,9 @@
     uint32_t starts;
     uint32_t running;
     int64_t last_start_ms;
-    int64_t
-        last_timely_start_ms; /* without orders that were carried out late */
+    int64_t last_order_ms; /* when the latest order that began a run came */
     bool done_acknowledged;
+    int64_t done_acknowledged_ms;
     UT_hash_handle hh;
 } cell_task_t;
 
