leader: tell the next leader of leases that outlast a restart

What callers saw: a task that had ended as done ran again (rule TWICE), in the simulated cell. A worker that was drained restarted under its id and got new tasks; an order with a deadline by its earlier clock was carried out late there and granted the longest lease (10 s in place of 4.5 s). The worker was then cut off, and the leader changed. The leader that had seen the restart would have waited for that lease; the next one took it for expired after 4.9 s and started the task again, while the first run ended as done and was reported later.

Cause: what a leader knows of the end of a lease was not handed on. Class of fault: a bound that only one process keeps, on an effect that outlives it.

A line of the stored worker list now tells how long the worker may hold a longer lease. A worker of which the list does not tell yet gets no new task, as one that is new to the list. The next leader counts that time from when it reads the list, for a worker that it does not reach; the first report of a worker that it does reach settles the matter as before.

The price: after such a restart, tasks of earlier leaders wait longer for a worker that does not answer the new one.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -253,6 +253,11 @@
         return;
     }
     silent_ms = now_ms - session->sent_ms;
+    if (worker->long_lease_until_ms != 0 &&
+        worker->long_lease_until_ms <= now_ms) {
+        worker->long_lease_until_ms = 0;
+        FvLeaderWorkerList_RequestWrite(leader);
+    }
     if (worker->suspect && worker->lease_expires_ms < now_ms) {
         FvSched_ReportUnanswered(&leader->sched, worker, now_ms);
     }
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -232,6 +232,7 @@
 void FvLeaderRecord_Write(fv_sched_t *sched, fv_sched_job_t *job,
                           fv_record_kind_t kind);
 void FvLeaderWorkerList_RequestWrite(fv_leader_t *leader);
+void FvLeaderWorkerList_Load(fv_leader_t *leader, const fv_kv_item_t *item);
 void FvLeaderWorkerList_Write(fv_leader_t *leader);
 void FvLeaderWorkerList_Add(fv_leader_t *leader,
                             const fv_sched_worker_t *worker);
--- a/src/leader-load.c
+++ b/src/leader-load.c
@@ -112,13 +112,18 @@
 {
     fv_worker_entry_t entry = {0};
     fv_sched_worker_t *worker;
+    int64_t now_ms = FvClock_NowMs();
+    int64_t long_lease_left_ms = 0;
 
-    if (sscanf(line, "%63s %63s %63s", entry.id, entry.address,
-               entry.service) != 3) {
+    if (sscanf(line, "%63s %63s %63s %" SCNd64, entry.id, entry.address,
+               entry.service, &long_lease_left_ms) < 3) {
         return;
     }
-    worker = FvSched_UpdateWorker(&leader->sched, &entry, FvClock_NowMs());
+    worker = FvSched_UpdateWorker(&leader->sched, &entry, now_ms);
     if (worker != NULL) {
+        if (long_lease_left_ms > 0) {
+            FvSched_InheritLongLease(worker, long_lease_left_ms, now_ms);
+        }
         worker->listed = false;
         worker->in_worker_list = true;
         worker->inherited = !leader->predecessor_handed_over;
@@ -126,8 +131,13 @@
     }
 }
 
-static void
-load_worker_list(fv_leader_t *leader, const fv_kv_item_t *item)
+/**
+ * FvLeaderWorkerList_Load - take over the worker list of the earlier leaders
+ * @leader: the leader
+ * @item: the list; see FvLeaderWorkerList_Write()
+ */
+void
+FvLeaderWorkerList_Load(fv_leader_t *leader, const fv_kv_item_t *item)
 {
     char *rest = NULL;
     char *line;
@@ -337,7 +347,7 @@
 FvLeaderLoad_Start(fv_leader_t *leader)
 {
     start_load(leader, 0, Fv_KEY_STREAMS, load_stream_revision, NULL);
-    start_load(leader, 1, Fv_KEY_WORKER_LIST, load_worker_list, NULL);
+    start_load(leader, 1, Fv_KEY_WORKER_LIST, FvLeaderWorkerList_Load, NULL);
     start_load(leader, 2, Fv_KEY_ENDED, load_ended, NULL);
     start_load(leader, 3, Fv_KEY_JOBS, load_job, jobs_loaded);
     start_load(leader, 5, Fv_KEY_UNREACHED, load_unreached, NULL);
--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -393,12 +393,14 @@
  * From the list, the next leader knows which workers must report before it
  * starts a task again. The first line holds the leader's host and, if a
  * handover left no run being stopped, the leader's generation. Each other line
- * holds a worker's id, address and service.
+ * holds a worker's id, address and service and, if it may hold a longer lease
+ * than the usual one, how many milliseconds that may last.
  */
 void
 FvLeaderWorkerList_Write(fv_leader_t *leader)
 {
     fv_record_t entry = {.key = Fv_KEY_WORKER_LIST};
+    int64_t now_ms = FvClock_NowMs();
     char line[Fv_URL_SIZE];
 
     leader->worker_list_dirty = false;
@@ -412,8 +414,11 @@
         if (!worker->in_list_write) {
             continue;
         }
-        snprintf(line, sizeof(line), "%s %s %s\n", worker->entry.id,
-                 worker->entry.address, worker->entry.service);
+        snprintf(line, sizeof(line), "%s %s %s %" PRId64 "\n",
+                 worker->entry.id, worker->entry.address,
+                 worker->entry.service,
+                 FvSched_LongLeaseLeftMs(worker, now_ms));
+        worker->long_lease_in_write = true;
         FvBuffer_Append(&entry.value, line, strlen(line));
     }
     FvRecordWriter_Write(leader->records,
@@ -436,6 +441,9 @@
         worker->in_worker_list =
             worker->in_worker_list || worker->in_list_write;
         worker->in_list_write = false;
+        worker->long_lease_stored =
+            worker->long_lease_stored || worker->long_lease_in_write;
+        worker->long_lease_in_write = false;
     }
     leader->sched.dirty = true;
     FvLeader_SchedulePass(leader);
@@ -464,13 +472,18 @@
 /**
  * FvLeaderWorkerList_Add - have a worker written to the worker list
  * @leader: the leader
- * @worker: the worker; ignored if it is in the list or may not be in it yet
+ * @worker: the worker; ignored if the list tells of it and of its lease, or if
+ *          it may not be in it yet
  */
 void
 FvLeaderWorkerList_Add(fv_leader_t *leader, const fv_sched_worker_t *worker)
 {
-    if (may_have_orders(worker) && !worker->in_worker_list &&
-        !worker->in_list_write) {
+    bool listed = worker->in_worker_list || worker->in_list_write;
+    bool lease_known = worker->long_lease_stored ||
+                       worker->long_lease_in_write ||
+                       FvSched_LongLeaseLeftMs(worker, FvClock_NowMs()) == 0;
+
+    if (may_have_orders(worker) && (!listed || !lease_known)) {
         FvLeaderWorkerList_RequestWrite(leader);
     }
 }
--- a/src/sched-lease.c
+++ b/src/sched-lease.c
@@ -91,7 +91,12 @@
         executed_by_ms = own_sent_ms + Fv_ORDER_DELAY_MAX_MS;
     }
     end_ms = executed_by_ms + FvSched_LongestLeaseMs(sched);
-    if (end_ms < now_ms + FvSched_WorstCaseLeaseMs(sched)) {
+    if (end_ms > now_ms + FvSched_WorstCaseLeaseMs(sched)) {
+        worker->long_lease_until_ms = end_ms;
+        worker->long_lease_stored = false;
+        worker->long_lease_in_write = false;
+    }
+    else {
         end_ms = now_ms + FvSched_WorstCaseLeaseMs(sched);
     }
     if (end_ms > worker->lease_expires_ms) {
@@ -99,6 +104,40 @@
     }
 }
 
+/**
+ * FvSched_LongLeaseLeftMs - get how long a worker may hold a lease that is
+ * longer than the usual one
+ * @worker: the worker
+ * @now_ms: the time
+ *
+ * Return: the time; 0 when it certainly holds none.
+ */
+int64_t
+FvSched_LongLeaseLeftMs(const fv_sched_worker_t *worker, int64_t now_ms)
+{
+    return worker->long_lease_until_ms > now_ms
+               ? worker->long_lease_until_ms - now_ms
+               : 0;
+}
+
+/**
+ * FvSched_InheritLongLease - take over what the stored worker list tells of a
+ * worker's lease
+ * @worker: the worker, new to this leader
+ * @left_ms: how long its lease may last
+ * @now_ms: the time
+ */
+void
+FvSched_InheritLongLease(fv_sched_worker_t *worker, int64_t left_ms,
+                         int64_t now_ms)
+{
+    worker->long_lease_until_ms = now_ms + left_ms;
+    worker->long_lease_stored = true;
+    if (worker->lease_expires_ms < worker->long_lease_until_ms) {
+        worker->lease_expires_ms = worker->long_lease_until_ms;
+    }
+}
+
 /**
  * FvSched_ExtendLease - extend the lease that the next order or renewal
  * carries
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -400,7 +400,8 @@
  * @now_ms: the time
  *
  * Return: false when it leaves, does not answer, may hold runs that are not
- * known, or when its entry is that of another incarnation than its report.
+ * known, when its entry is that of another incarnation than its report, or
+ * when the next leader would not know how long its lease may last.
  */
 bool
 FvSched_IsWorkerAvailable(const fv_sched_worker_t *worker, int64_t now_ms)
@@ -409,6 +410,8 @@
            FvSched_IsIncarnationListed(worker) && !worker->suspect &&
            !worker->unreached && !worker->draining && !worker->lost &&
            worker->inherited_stops_until_ms <= now_ms &&
+           (worker->long_lease_stored ||
+            worker->long_lease_until_ms <= now_ms) &&
            !FvSched_HasOrphanRuns(worker, now_ms);
 }
 
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -216,6 +216,12 @@
     int64_t clock_sampled_ms; /* this host's clock at the same time */
     int64_t lease_expires_ms; /* nothing runs afterwards without contact */
     int64_t deadline_sent_ms; /* latest extension of its lease */
+    /* Until then, an order with a deadline by the clock of an earlier
+     * incarnation may have granted the longest lease. The next leader learns
+     * it from the stored worker list. */
+    int64_t long_lease_until_ms;
+    bool long_lease_stored;
+    bool long_lease_in_write; /* in the list that is being written */
     int64_t last_contact_ms;
     int64_t report_due_ms;         /* when to request a report; 0: not due */
     int64_t last_end_applied;      /* highest number of an applied end */
@@ -435,6 +441,10 @@
 int64_t FvSched_WorstCaseMs(int64_t duration_ms);
 int64_t FvSched_WorstCaseLeaseMs(const fv_sched_t *sched);
 int64_t FvSched_LongestLeaseMs(const fv_sched_t *sched);
+int64_t FvSched_LongLeaseLeftMs(const fv_sched_worker_t *worker,
+                                int64_t now_ms);
+void FvSched_InheritLongLease(fv_sched_worker_t *worker, int64_t left_ms,
+                              int64_t now_ms);
 int64_t FvSched_ExtendLease(const fv_sched_t *sched, fv_sched_worker_t *worker,
                             int64_t now_ms);
 bool FvSched_MayCarryOutOrders(const fv_sched_worker_t *worker,
--- a/tests/harness/sched-fixture.c
+++ b/tests/harness/sched-fixture.c
@@ -272,12 +272,16 @@
 }
 
 /**
- * FvSchedFixture_RunPass - run one scheduling pass
+ * FvSchedFixture_RunPass - run one scheduling pass with a stored worker list
  * @fixture: the fixture
  */
 void
 FvSchedFixture_RunPass(sched_fixture_t *fixture)
 {
+    for (fv_sched_worker_t *worker = fixture->sched.workers; worker != NULL;
+         worker = worker->hh.next) {
+        worker->long_lease_stored = true;
+    }
     FvSched_RunPass(&fixture->sched, fixture->now_ms, fixture->now_ms);
 }
 
--- a/tests/harness/sched-sim-internal.h
+++ b/tests/harness/sched-sim-internal.h
@@ -96,8 +96,9 @@
     fv_worker_entry_t entry;
     bool up;
     int64_t unresponsive_until_ms;
-    int64_t entry_removed_ms;  /* 0: its entry stays */
-    int64_t drain_deadline_ms; /* 0: not draining */
+    int64_t entry_removed_ms;     /* 0: its entry stays */
+    int64_t stored_lease_left_ms; /* by the stored worker list */
+    int64_t drain_deadline_ms;    /* 0: not draining */
     int64_t fencing_token;
     int64_t clock_slow_percent;
     int64_t clock_base_ms;    /* when the clock of this incarnation began */
--- a/tests/harness/sched-sim.c
+++ b/tests/harness/sched-sim.c
@@ -12,6 +12,11 @@
             &sim->sched, &sim->workers[w].entry, sim->now_ms);
 
         sched_worker->in_worker_list = true;
+        if (sim->workers[w].stored_lease_left_ms > 0) {
+            FvSched_InheritLongLease(sched_worker,
+                                     sim->workers[w].stored_lease_left_ms,
+                                     sim->now_ms);
+        }
         sched_worker->inherited = sim->generation > 1 && !sim->handed_over;
     }
 }
@@ -199,6 +204,22 @@
     }
 }
 
+static void
+store_long_lease(const sim_t *sim, sim_worker_t *worker,
+                 fv_sched_worker_t *sched_worker)
+{
+    int64_t left_ms;
+
+    if (sched_worker == NULL) {
+        return;
+    }
+    left_ms = FvSched_LongLeaseLeftMs(sched_worker, sim->now_ms);
+    if (!sched_worker->long_lease_stored || left_ms == 0) {
+        worker->stored_lease_left_ms = left_ms;
+        sched_worker->long_lease_stored = true;
+    }
+}
+
 static void
 poll_workers(sim_t *sim)
 {
@@ -212,6 +233,7 @@
             crash_worker(sim, w);
         }
         update_entry(sim, worker, sched_worker);
+        store_long_lease(sim, worker, sched_worker);
         if (sched_worker != NULL && sched_worker->suspect &&
             sched_worker->lease_expires_ms < sim->now_ms) {
             FvSched_ReportUnanswered(&sim->sched, sched_worker, sim->now_ms);
--- a/tests/unit/leader_unreached_test.c
+++ b/tests/unit/leader_unreached_test.c
@@ -8,6 +8,7 @@
 
 #define WRITE_MS 50
 #define SILENT_MS 1000
+#define LONG_LEASE_MS 20000
 
 static struct event_base *base;
 static fv_leader_t leader;
@@ -174,10 +175,48 @@
     close_leader();
 }
 
+/* A restarted worker may hold a longer lease than the usual one. A leader that
+ * learns of it writes the worker list, from which the next leader knows until
+ * when the worker's tasks may run. */
+static void
+test_long_lease_in_worker_list(void)
+{
+    fv_kv_item_t item = {.key = "list"};
+    fv_sched_worker_t *inherited;
+
+    open_leader();
+    worker->listed = true;
+    worker->long_lease_until_ms = now_ms + LONG_LEASE_MS;
+    FvLeaderWorkerList_Add(&leader, worker);
+    CU_ASSERT_FALSE(worker->long_lease_stored);
+    fake_kv_run_loop(base, WRITE_MS);
+    CU_ASSERT_FATAL(fake_kv_count(FAKE_KV_TXN) > 0);
+    FvBuffer_Append(&item.value, fake_kv_latest(FAKE_KV_TXN)->puts[0].value,
+                    strlen(fake_kv_latest(FAKE_KV_TXN)->puts[0].value) + 1);
+    fake_kv_answer(fake_kv_latest(FAKE_KV_TXN), (fv_kv_result_t){0});
+    fake_kv_run_loop(base, WRITE_MS);
+    CU_ASSERT_TRUE(worker->long_lease_stored);
+    close_leader();
+
+    open_leader();
+    FvSched_FreeWorker(&leader.sched, worker);
+    FvLeaderWorkerList_Load(&leader, &item);
+    inherited = FvSched_FindWorker(&leader.sched, "w1");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(inherited);
+    CU_ASSERT(inherited->lease_expires_ms >
+              now_ms + LONG_LEASE_MS - 10 * WRITE_MS);
+    CU_ASSERT_TRUE(inherited->long_lease_stored);
+    close_leader();
+    FvBuffer_Clear(&item.value);
+}
+
 int
 main(void)
 {
     static const test_case_t cases[] = {
+        {"the next leader does not learn how long the lease of a restarted "
+         "worker may last",
+         test_long_lease_in_worker_list},
         {"a worker without a process holds up the next leader",
          test_worker_without_a_process},
         {"a worker that may be reached again loses its runs in an outage",
--- a/tests/unit/sched_lease_test.c
+++ b/tests/unit/sched_lease_test.c
@@ -84,6 +84,42 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* A worker restarts, starts a task and is cut off when the leader changes. Its
+ * lease may be the longest one, which the next leader reads in the stored
+ * worker list. */
+static void
+test_long_lease_at_the_next_leader(void)
+{
+    const fv_sched_task_t *task = open_with_start();
+    fv_worker_entry_t entry = task->worker->entry;
+    fv_sched_worker_t *worker = task->worker;
+    int64_t left_ms;
+
+    fixture.now_ms += 500;
+    report_restart(worker, task);
+    entry.started_wall_ms = 2;
+    FvSched_UpdateWorker(&fixture.sched, &entry, fixture.now_ms);
+    left_ms = FvSched_LongLeaseLeftMs(worker, fixture.now_ms);
+    CU_ASSERT(left_ms > LONGEST_LEASE_MS);
+    CU_ASSERT_FALSE(FvSched_IsWorkerAvailable(worker, fixture.now_ms));
+    worker->long_lease_stored = true;
+    CU_ASSERT(FvSched_IsWorkerAvailable(worker, fixture.now_ms));
+    FvSchedFixture_Close(&fixture);
+
+    FvSchedFixture_Open(&fixture, 2);
+    worker = FvSched_UpdateWorker(&fixture.sched, &entry, fixture.now_ms);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(worker);
+    worker->in_worker_list = true;
+    FvSched_InheritLongLease(worker, left_ms, fixture.now_ms);
+    fixture.now_ms += left_ms;
+    CU_ASSERT_FALSE(
+        FvSched_KnowsInheritedRuns(&fixture.sched, true, fixture.now_ms));
+    fixture.now_ms += 1;
+    CU_ASSERT(
+        FvSched_KnowsInheritedRuns(&fixture.sched, true, fixture.now_ms));
+    FvSchedFixture_Close(&fixture);
+}
+
 /* A new leader adopts a run from a worker that has been up for long. Before
  * its first renewal, which grants a lease, a stop is not answered. The lease
  * of the earlier leader goes on. */
@@ -152,6 +188,8 @@
 main(void)
 {
     static const test_case_t cases[] = {
+        {"the next leader takes the lease of a restarted worker for expired",
+         test_long_lease_at_the_next_leader},
         {"a lease by the clock of an earlier incarnation is forgotten without "
          "a renewal",
          test_silence_before_first_renewal},
--- a/tests/unit/sched_model_test.c
+++ b/tests/unit/sched_model_test.c
@@ -216,6 +216,33 @@
     run_seeds(&all, true);
 }
 
+/* A worker that was drained restarts under its id and is cut off. An order
+ * with a deadline by its earlier clock is carried out late and grants the
+ * longest lease; the next leader has not seen the restart. */
+static void
+test_restart_before_a_leader_change(void)
+{
+    run_plan(&(sim_plan_t){.seed = 441,
+                           .workers = 7,
+                           .jobs = 40,
+                           .faults_end_ms = FAULTS_END_MS,
+                           .deadline_ms = 2 * DEADLINE_MS,
+                           .advice = true,
+                           .allowed_workers = 4,
+                           .advice_per_worker_us = 1500,
+                           .ends_page = 3,
+                           .faults = {.lost_orders = 421,
+                                      .lost_renewals = 9,
+                                      .failing_tasks = 22,
+                                      .times_set_back = 2,
+                                      .worker_outages = 1952,
+                                      .unlisted_outages = 949,
+                                      .worker_drains = 234,
+                                      .leader_absence_ms = 1927,
+                                      .leader_handovers = 180,
+                                      .job_cancellations = 190}});
+}
+
 /* Runs whose ends do not fit into a report count as lost and start again. */
 static void
 test_reports_cut_off(void)
@@ -254,6 +281,8 @@
          test_times_set_back},
         {"a guarantee is broken by leader failures", test_leader_changes},
         {"a guarantee is broken by leader handovers", test_leader_handovers},
+        {"a task starts again under the lease of a restarted worker",
+         test_restart_before_a_leader_change},
         {"a guarantee is broken by all faults together", test_all_faults},
         {"a guarantee is broken by reports that do not list all ends",
          test_reports_cut_off},
