advice-client: log why a call to the advice service failed

advice_failed told status=0 for a call that was refused, never written, closed or not answered in time alike; only the first failure of a series, advice_lost, told the error. The line now has the error and the wait for a connection.

--- a/src/advice-client.c
+++ b/src/advice-client.c
@@ -7,6 +7,7 @@
 
 #include "entry.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -131,8 +132,10 @@
 
     update_state(client, answer);
     if (!good) {
-        FvLog_Event(Fv_LOG_WARN, "advice_failed", "step=%s status=%d",
-                    request->step, answer->status);
+        FvLog_Event(Fv_LOG_WARN, "advice_failed",
+                    "step=%s status=%d error=%s waited_ms=%" PRId64,
+                    request->step, answer->status, FvCallAnswer_Error(answer),
+                    answer->waited_ms);
     }
     encode_rows(&advice, &body);
     FvAdvice_Clear(&advice);
