fake-cell: serve any number of connections to the advice service

The stand-in served the advice service with a thread for each of 96 connections. A host keeps up to 8 idle ones, so that the 70 hosts of a large soak used up the threads: calls on further connections were accepted by the kernel and never read. Hosts without a served connection saw each call time out (advice_failed status=0), their stages got no tickets, and jobs stayed open. The platform's service limits the calls of a machine that wait, not its connections.

--- a/tests/fakes/fake-cell.c
+++ b/tests/fakes/fake-cell.c
@@ -11,36 +11,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-static void
-handle_advice(fake_request_t *request, void *context)
-{
-    json_t *body = FvFake_BodyJson(request);
-    const char *step = FvJson_String(body, "step");
-    json_t *rows = json_array();
-    char ticket[32];
-    size_t index;
-    json_t *worker;
-
-    (void)context;
-    snprintf(ticket, sizeof(ticket), "%" PRId64,
-             FvClock_NowMs() + CELL_TICKET_VALID_MS);
-    json_array_foreach(json_object_get(body, "workers"), index, worker)
-    {
-        const char *id = json_string_value(worker);
-        uint64_t draw = FvText_Hash(
-            id, strlen(id), step ? FvText_Hash(step, strlen(step), 0) : 0);
-
-        if (draw % 4 != 0 || strcmp(id, "w0") == 0) {
-            json_array_append_new(rows, json_pack("[s, s]", id, ticket));
-        }
-    }
-    json_decref(body);
-    FvFake_SleepMs(2);
-    FvFake_ReplyJson(request, 200,
-                     json_pack("{s:o, s:i}", "allowedWorkers", rows,
-                               "validityMs", CELL_TICKET_VALID_MS));
-}
-
 static cell_worker_t *
 find_worker(cell_t *cell, const json_t *body, const char *name)
 {
@@ -268,8 +238,7 @@
     cell.ends_page = (uint32_t)ends_page;
     if (!serve_port(&cell, NULL, port, CELL_STORE_THREADS,
                     FvCellStore_Handle) ||
-        !serve_port(&cell, NULL, port + 1, CELL_WORKER_THREADS,
-                    handle_advice) ||
+        !FvCellAdvice_Start(port + 1) ||
         !serve_port(&cell, NULL, port + 2, 4, handle_control)) {
         return 1;
     }
--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -143,6 +143,11 @@
     cell_worker_t *worker;
 } cell_context_t;
 
+/* cell-advice.c */
+/* Serves any number of connections in a thread of its own; false when the port
+ * cannot be used. */
+bool FvCellAdvice_Start(int port);
+
 /* cell-store.c */
 kv_bytes_t FvCellStore_Bytes(const char *text);
 /* Writes one key without a lease; the caller holds the lock. */
--- /dev/null
+++ b/tests/unit/fake_cell_test.c
@@ -0,0 +1,70 @@
+/*
+ * Guards against a platform stand-in with limits that the platform does not
+ * have: the soak would then show its faults as those of the hosts.
+ */
+
+#include "entry-cell.h"
+#include "kept-connection.h"
+#include "suite.h"
+
+#include <string.h>
+
+/* A host keeps up to 8 idle connections to the advice service. */
+#define KEPT_CONNECTIONS (ENTRY_CELL_HOSTS_MAX * 8)
+#define ADVICE_PORT_OFFSET 1
+#define ANSWER_MS 1500 /* the margin of the hosts' time limit */
+
+static bool
+ask_advice(kept_connection_t *connection)
+{
+    static const char body[] =
+        "{\"step\":\"0000000000000001.0.0\",\"workers\":[\"w0\"]}";
+    kept_answer_t answer;
+
+    return FvKept_Send(connection, "POST", "/advise", body) &&
+           FvKept_Receive(connection, ANSWER_MS, &answer) == KEPT_ANSWERED &&
+           answer.status == 200 && strstr(answer.body, "\"w0\"") != NULL;
+}
+
+/* With a thread for each connection, the stand-in served 96 connections and
+ * left the calls on further ones unanswered. */
+static void
+test_kept_connections(void)
+{
+    static entry_cell_t cell;
+    static kept_connection_t kept[KEPT_CONNECTIONS];
+    int opened = 0;
+    int answered = 0;
+    int answered_again = 0;
+
+    CU_ASSERT_TRUE_FATAL(FvEntryCell_Start(
+        &cell, &(entry_cell_options_t){
+                   .name = "fake-cell-test", .hosts = 1, .workers = 1}));
+    while (opened < KEPT_CONNECTIONS && answered == opened &&
+           FvKept_Open(&kept[opened], cell.port + ADVICE_PORT_OFFSET)) {
+        answered += ask_advice(&kept[opened++]) ? 1 : 0;
+    }
+    for (int i = 0; i < opened && answered == opened; i++) {
+        answered_again += ask_advice(&kept[i]) ? 1 : 0;
+    }
+    printf("connections %d, answered %d and %d\n", opened, answered,
+           answered_again);
+    CU_ASSERT_EQUAL(opened, KEPT_CONNECTIONS);
+    CU_ASSERT_EQUAL(answered, KEPT_CONNECTIONS);
+    CU_ASSERT_EQUAL(answered_again, KEPT_CONNECTIONS);
+    for (int i = 0; i < opened; i++) {
+        FvKept_Close(&kept[i]);
+    }
+    FvEntryCell_Stop(&cell);
+}
+
+int
+main(void)
+{
+    static const test_case_t cases[] = {
+        {"kept connections use up those of the advice service",
+         test_kept_connections},
+    };
+
+    return Fv_RUN_SUITE("fake_cell", cases);
+}
