tests: say why no thread can be started

A run of `exclusive` in `make check` ended after 2 s without one line. Its cells left their files. One fake-platform logged "Cannot start worker thread 155: error 11" (EAGAIN), two fake-workers the same, and the last two cells have no process at all. Other test runs shared the machine, whose limit is 32,768 threads: `exclusive` alone adds some 8,500, a soak of 80 workers some 5,300; 30,522 threads were counted beside a later run that passed. The test program then failed to start a thread itself and called abort(), which the harness turns into a silent exit.

--- a/tests/harness/caller.c
+++ b/tests/harness/caller.c
@@ -5,6 +5,7 @@
 #include "caller.h"
 
 #include "fake-server.h"
+#include "thread.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -172,9 +173,7 @@
 void
 FvCaller_Start(caller_t *caller)
 {
-    if (pthread_create(&caller->thread, NULL, run_thread, caller) != 0) {
-        abort();
-    }
+    FvThread_Start(&caller->thread, run_thread, caller);
 }
 
 /**
--- a/tests/harness/chaos-load.c
+++ b/tests/harness/chaos-load.c
@@ -7,6 +7,7 @@
 #include "chaos.h"
 
 #include "fake-server.h"
+#include "thread.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -274,14 +275,6 @@
     return NULL;
 }
 
-static void
-start_thread(pthread_t *thread, void *(*run)(void *context), void *context)
-{
-    if (pthread_create(thread, NULL, run, context) != 0) {
-        abort();
-    }
-}
-
 /**
  * FvChaos_StartCancelBurst - cancel the most recent jobs all at once
  * @chaos: the run
@@ -305,7 +298,7 @@
         cancel->job = job;
         cancel->host = (first_host + chaos->cancel_burst_count++) %
                        chaos->scenario->cluster.host_count;
-        start_thread(&cancel->thread, run_burst_cancel, cancel);
+        FvThread_Start(&cancel->thread, run_burst_cancel, cancel);
     }
 }
 
@@ -379,9 +372,9 @@
         chaos_job_t *job = &chaos->jobs[i];
 
         sleep_until(chaos, job->start_delay_ms - THREAD_START_LEAD_MS);
-        start_thread(&job->caller->thread, run_job, job);
+        FvThread_Start(&job->caller->thread, run_job, job);
         if (job->cancel_after_ms > 0) {
-            start_thread(&job->cancel_thread, run_cancel, job);
+            FvThread_Start(&job->cancel_thread, run_cancel, job);
         }
     }
     return NULL;
@@ -395,7 +388,7 @@
 FvChaos_StartLoad(chaos_t *chaos)
 {
     chaos->began_ms = FvClock_NowMs();
-    start_thread(&chaos->job_starter, run_job_starter, chaos);
+    FvThread_Start(&chaos->job_starter, run_job_starter, chaos);
     for (int i = 0; i < CHAOS_LOOKUP_THREADS; i++) {
         chaos_lookup_thread_t *thread = &chaos->lookups[i];
 
@@ -405,7 +398,7 @@
         if (thread->lookups == NULL) {
             abort();
         }
-        start_thread(&thread->thread, run_lookups, thread);
+        FvThread_Start(&thread->thread, run_lookups, thread);
     }
 }
 
@@ -505,7 +498,7 @@
         operator->chaos = chaos;
         operator->index = i;
         operator->host =(first_host + i) % chaos->scenario->cluster.host_count;
-        start_thread(&operator->thread, run_operator, operator);
+        FvThread_Start(&operator->thread, run_operator, operator);
     }
 }
 
--- a/tests/harness/paced-load.c
+++ b/tests/harness/paced-load.c
@@ -6,6 +6,7 @@
 
 #include "caller.h"
 #include "fake-server.h"
+#include "thread.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -210,9 +211,7 @@
     pthread_mutex_init(&load->lock, NULL);
     load->started_us = FvFake_WallUs();
     for (int i = 0; i < load->threads; i++) {
-        if (pthread_create(&load->handles[i], NULL, run_thread, load) != 0) {
-            abort();
-        }
+        FvThread_Start(&load->handles[i], run_thread, load);
     }
 }
 
--- a/tests/harness/scenario.c
+++ b/tests/harness/scenario.c
@@ -6,6 +6,7 @@
 
 #include "fake-server.h"
 #include "suite.h"
+#include "thread.h"
 
 #include <signal.h>
 #include <stdarg.h>
@@ -395,9 +396,7 @@
                            "the cell accepts jobs")) {
         return;
     }
-    if (pthread_create(&scenario->thread, NULL, run_case, scenario) != 0) {
-        abort();
-    }
+    FvThread_Start(&scenario->thread, run_case, scenario);
 }
 
 /* Shows that the callers of the case got replies. */
--- a/tests/promises/chaos.c
+++ b/tests/promises/chaos.c
@@ -8,6 +8,7 @@
 
 #include "chaos.h"
 #include "fake-server.h"
+#include "thread.h"
 
 #include <signal.h>
 #include <stdarg.h>
@@ -103,10 +104,7 @@
 
         watcher->chaos = chaos;
         watcher->host = i;
-        if (pthread_create(&watcher->thread, NULL, run_config_watcher,
-                           watcher) != 0) {
-            abort();
-        }
+        FvThread_Start(&watcher->thread, run_config_watcher, watcher);
     }
 }
 
@@ -370,10 +368,7 @@
     for (int i = 0; i < count; i++) {
         requests[i].chaos = chaos;
         requests[i].host = i;
-        if (pthread_create(&requests[i].thread, NULL, run_last_request,
-                           &requests[i]) != 0) {
-            abort();
-        }
+        FvThread_Start(&requests[i].thread, run_last_request, &requests[i]);
     }
     FvFake_SleepMs(SHUTDOWN_DELAY_MS);
     stop_hosts(chaos);
--- a/tests/promises/config.c
+++ b/tests/promises/config.c
@@ -8,6 +8,7 @@
 #include "fake-server.h"
 #include "load.h"
 #include "suite.h"
+#include "thread.h"
 
 #include <signal.h>
 #include <stdlib.h>
@@ -248,9 +249,7 @@
 run_voters(voter_t *voters, size_t count)
 {
     for (size_t i = 0; i < count; i++) {
-        if (pthread_create(&voters[i].thread, NULL, run_voter, &voters[i])) {
-            abort();
-        }
+        FvThread_Start(&voters[i].thread, run_voter, &voters[i]);
     }
     for (size_t i = 0; i < count; i++) {
         pthread_join(voters[i].thread, NULL);
--- a/tests/promises/entry_drain_load.c
+++ b/tests/promises/entry_drain_load.c
@@ -10,6 +10,7 @@
 #include "fake-server.h"
 #include "kept-connection.h"
 #include "suite.h"
+#include "thread.h"
 
 #include <pthread.h>
 #include <signal.h>
@@ -125,10 +126,7 @@
     atomic_store(&lost, 0);
     for (uint32_t i = 0; i < CALLERS; i++) {
         callers[i] = (caller_t){.number = runs * 1000 + i};
-        if (pthread_create(&callers[i].thread, NULL, run_caller,
-                           &callers[i]) != 0) {
-            abort();
-        }
+        FvThread_Start(&callers[i].thread, run_caller, &callers[i]);
     }
     FvFake_SleepMs(WARM_UP_MS);
 }
@@ -321,10 +319,7 @@
     signal_others(host, SIGSTOP);
     terminate_host(host);
     atomic_store(&stopping, false);
-    if (pthread_create(&pulses, NULL, run_pulses, &cell.hosts[host].process) !=
-        0) {
-        abort();
-    }
+    FvThread_Start(&pulses, run_pulses, &cell.hosts[host].process);
     send_in_turn(connections);
     atomic_store(&stopping, true);
     pthread_join(pulses, NULL);
--- a/tests/promises/graceful.c
+++ b/tests/promises/graceful.c
@@ -9,6 +9,7 @@
 #include "record-check.h"
 #include "load.h"
 #include "suite.h"
+#include "thread.h"
 
 #include <signal.h>
 #include <stdlib.h>
@@ -266,10 +267,8 @@
                                          .run_ms = DRAIN_TIMEOUT_MS + 4000};
     snprintf(waiting_caller->call.key, sizeof(waiting_caller->call.key), "%s",
              key);
-    if (pthread_create(&waiting_caller->thread, NULL, run_waiting_caller,
-                       waiting_caller) != 0) {
-        abort();
-    }
+    FvThread_Start(&waiting_caller->thread, run_waiting_caller,
+                   waiting_caller);
 }
 
 static void
@@ -317,10 +316,8 @@
         &cluster, "/store", json_pack("{s:s}", "mode", "down")));
     snprintf(waiting_caller.call.key, sizeof(waiting_caller.call.key),
              "outage-lookup");
-    if (pthread_create(&waiting_caller.thread, NULL, run_waiting_caller,
-                       &waiting_caller) != 0) {
-        abort();
-    }
+    FvThread_Start(&waiting_caller.thread, run_waiting_caller,
+                   &waiting_caller);
     FvFake_SleepMs(200);
     signal_us = terminate_hosts(1);
     pthread_join(waiting_caller.thread, NULL);
