entry_connections: accept a killed leader that leads again

The test kills the leader, starts it again at once and waits until another host leads. In all 20 runs the logs show that the restarted host won the next election, and in none of the 13 that passed. One trace: host-2 is killed, the others lose its link at 33.049 and find its port open again (leader_probed dead=0), host-2 starts at 33.066, ends the lease of its former process at 33.067 (process_restarted) and wins at 33.074. It leads 25 ms after its death, which is what a caller wants. With three hosts suspended it is one of three candidates.

The test now waits for another leadership, told by the lease in the leader's key, which every leadership has of its own. It reads host and lease at once, just before the kill or suspension rather than before the job, so that a change during the job does not count. The limit of 10 s stays.

--- a/tests/harness/entry-cell.h
+++ b/tests/harness/entry-cell.h
@@ -59,8 +59,11 @@
 bool FvEntryCell_WaitReady(entry_cell_t *cell, int64_t timeout_ms);
 int FvEntryCell_Port(const entry_cell_t *cell, int host, entry_port_t port);
 int FvEntryCell_Leader(const entry_cell_t *cell);
+int FvEntryCell_Leadership(const entry_cell_t *cell, int64_t *lease);
 int FvEntryCell_WaitLeader(const entry_cell_t *cell, int former,
                            int64_t timeout_ms);
+int FvEntryCell_WaitLeadership(const entry_cell_t *cell, int64_t former,
+                               int64_t timeout_ms);
 bool FvEntryCell_PlatformFault(const entry_cell_t *cell, const char *body);
 bool FvEntryCell_RouteFault(const entry_cell_t *cell, int host,
                             const char *mode);
