fakes: end when a thread is missing

When the machine has no thread left, civetweb logs "Cannot start worker thread N" and serves with the threads that it has. Two fake-workers did so in a run of `exclusive` that failed, from worker thread 150 and 3 of 160 on, and tests that count on the connections of a worker then blame the scheduler. A server that lacks a thread now reports "cannot start N threads for ADDRESS" and its program ends with status 1.

FvProcess_Start() also says why a process cannot be started. In a run of entry_connections the cell did not open, its last host was not started and nothing was printed; up to 32,359 threads were counted on the machine within that half minute.

--- a/tests/harness/fake-server.c
+++ b/tests/harness/fake-server.c
@@ -127,11 +127,19 @@
     }
 }
 
+/* civetweb reports a missing thread only by this message, and serves with the
+ * threads that it has. */
+static const char missing_thread[] = "Cannot start worker thread";
+static atomic_bool thread_is_missing;
+
 static int
 print_message(const struct mg_connection *connection, const char *message)
 {
     (void)connection;
     fprintf(stderr, "civetweb: %s\n", message);
+    if (strncmp(message, missing_thread, strlen(missing_thread)) == 0) {
+        atomic_store(&thread_is_missing, true);
+    }
     return 1;
 }
 
@@ -142,7 +150,8 @@
  * @handler: called for every request, from several threads
  * @context: passed to the handler
  *
- * Return: the server, or NULL when the address cannot be used.
+ * Return: the server, or NULL when the address cannot be used or a thread is
+ * missing: tests rely on the number of connections that are served.
  */
 fake_server_t *
 FvFakeServer_Start(const char *address, int threads, fake_handler_t handler,
@@ -185,6 +194,11 @@
         free(server);
         return NULL;
     }
+    if (atomic_load(&thread_is_missing)) {
+        /* Not stopped: mg_stop() joins threads that were never started. */
+        fprintf(stderr, "cannot start %d threads for %s\n", threads, address);
+        return NULL;
+    }
     return server;
 }
 
--- a/tests/harness/process.c
+++ b/tests/harness/process.c
@@ -147,10 +147,12 @@
     }
     pthread_sigmask(SIG_SETMASK, &before, NULL);
     process->pid = pid > 0 ? pid : 0;
-    if (pid > 0) {
-        replace_child_pid(0, pid);
+    if (pid < 0) {
+        fprintf(stderr, "cannot start %s: %s\n", argv[0], strerror(errno));
+        return false;
     }
-    return pid > 0;
+    replace_child_pid(0, pid);
+    return true;
 }
 
 /**
