--- a/tests/harness/process.c
+++ b/tests/harness/process.c
@@ -26,6 +26,8 @@
 /* Threads that run different cells start and reap processes concurrently. */
 static pthread_mutex_t child_pids_lock = PTHREAD_MUTEX_INITIALIZER;
 
+/* Waits for the children, because a killed process with thousands of threads
+ * keeps its ports for half a second, in which the next test may start. */
 static void
 kill_children(void)
 {
@@ -34,6 +36,11 @@
             kill(child_pids[i], SIGKILL);
         }
     }
+    for (int i = 0; i < PROCESSES_MAX; i++) {
+        if (child_pids[i] > 0) {
+            waitpid(child_pids[i], NULL, 0);
+        }
+    }
 }
 
 static void
@@ -147,10 +154,12 @@
     }
     pthread_sigmask(SIG_SETMASK, &before, NULL);
     process->pid = pid > 0 ? pid : 0;
-    if (pid > 0) {
-        replace_child_pid(0, pid);
+    if (pid < 0) {
+        fprintf(stderr, "cannot start %s: %s\n", argv[0], strerror(errno));
+        return false;
     }
-    return pid > 0;
+    replace_child_pid(0, pid);
+    return true;
 }
 
 /**
