fake-cell: trace restarts of workers and the connections of wrong starts

Whether the start left on a connection to the earlier process, and when that process's connections ended, was not logged. Each restart, each end of a connection from before and each wrong start is now a line with the age of the connection and the replies that it has carried; the leader logs the end of a connection to a worker (worker_closed).

--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -59,6 +59,8 @@
 static void
 handle_closed_connection(fv_leader_t *leader, fv_sched_worker_t *worker)
 {
+    FvLog_Event(Fv_LOG_INFO, "worker_closed", "worker=%s tasks=%d",
+                worker->entry.id, worker->task_count);
     FvCallPool_FailUnsent(leader->pool, worker->entry.address, Fv_CALL_START);
     FvSched_ConnectionClosed(&leader->sched, worker, FvClock_NowMs());
 }
--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -423,6 +423,37 @@
            FvFake_ConnectedNs(request) < worker->listens_ns;
 }
 
+/* Traces the order of a restart, the ends of the connections from before and
+ * the starts: the time is that of the hosts' logs. */
+static void
+trace(const cell_worker_t *worker, const char *event,
+      const fake_request_t *request)
+{
+    int64_t now_ns = FvClock_NowNs();
+
+    fprintf(stderr,
+            "%lld %s worker=%s kind=%s listens_ms_ago=%.1f path=%s peer=%d "
+            "connected_ms_ago=%.1f replies=%u\n",
+            (long long)FvClock_WallMs(), event, worker->id, worker->kind,
+            (double)(now_ns - worker->listens_ns) / Fv_NS_PER_MS,
+            request != NULL ? request->path : "",
+            request != NULL ? FvFake_PeerPort(request) : 0,
+            request != NULL
+                ? (double)(now_ns - FvFake_ConnectedNs(request)) / Fv_NS_PER_MS
+                : 0,
+            request != NULL ? FvFake_Replies(request) : 0);
+}
+
+static void
+drop_request(const cell_worker_t *worker, fake_request_t *request)
+{
+    if (worker->listens_ns != 0 &&
+        FvFake_ConnectedNs(request) < worker->listens_ns) {
+        trace(worker, "CLOSED", request);
+    }
+    FvFake_Drop(request);
+}
+
 /* Takes the lock itself, because it waits for a run to end. */
 static void
 handle_hold(cell_t *cell, cell_worker_t *worker, fake_request_t *request,
@@ -456,7 +487,7 @@
     }
     pthread_mutex_unlock(&cell->lock);
     if (reply == NULL) {
-        FvFake_Drop(request);
+        drop_request(worker, request);
         return;
     }
     FvFake_ReplyJson(request, status, reply);
@@ -483,7 +514,7 @@
 
     if (is_connection_gone(request, target->worker) || body == NULL) {
         json_decref(body);
-        FvFake_Drop(request);
+        drop_request(target->worker, request);
         return;
     }
     if (is_for_another_worker(request, target->worker)) {
@@ -510,7 +541,12 @@
         status = 0;
     }
     else if (strcmp(request->path, "/run-start") == 0) {
+        uint32_t violations = cell->violations;
+
         reply = handle_start(cell, target->worker, body, &status);
+        if (cell->violations != violations) {
+            trace(target->worker, "START", request);
+        }
     }
     else if (strcmp(request->path, "/run-stop") == 0) {
         reply = handle_stop(cell, target->worker, body, &status);
@@ -518,7 +554,7 @@
     pthread_mutex_unlock(&cell->lock);
     json_decref(body);
     if (status == 0) {
-        FvFake_Drop(request);
+        drop_request(target->worker, request);
         return;
     }
     FvFake_ReplyJson(request, status, reply ? reply : json_object());
@@ -621,4 +657,5 @@
         snprintf(worker->kind, sizeof(worker->kind), "%s", kind);
     }
     worker->kind_at_start[0] = '\0';
+    trace(worker, "RESTART", NULL);
 }
--- a/tests/harness/fake-server.c
+++ b/tests/harness/fake-server.c
@@ -36,8 +36,17 @@
     atomic_int refused;
 };
 
-/* Marks a connection beyond the limit; its first request is dropped. */
-static char refused_connection;
+typedef struct fake_connection {
+    int64_t connected_ns;
+    uint32_t replies;
+    bool refused; /* beyond the limit; its first request is dropped */
+} fake_connection_t;
+
+static fake_connection_t *
+connection_of(const struct mg_connection *connection)
+{
+    return mg_get_user_connection_data(connection);
+}
 
 /* Appends the bytes available; false at the end of the body or when it exceeds
  * the limit. */
@@ -91,8 +100,7 @@
                               .query = info->query_string,
                               .socket = -1};
 
-    if (mg_get_user_connection_data(connection) != &refused_connection &&
-        read_body(&request, info)) {
+    if (!connection_of(connection)->refused && read_body(&request, info)) {
         server->handler(&request, server->context);
     }
     else {
@@ -106,13 +114,18 @@
 count_connection(const struct mg_connection *connection, void **data)
 {
     fake_server_t *server = mg_get_user_data(mg_get_context(connection));
+    fake_connection_t *state = calloc(1, sizeof(*state));
 
-    *data = (void *)(intptr_t)FvClock_NowNs();
+    if (state == NULL) {
+        abort();
+    }
+    state->connected_ns = FvClock_NowNs();
+    *data = state;
     if (atomic_fetch_add(&server->connections, 1) >= server->connections_max &&
         server->connections_max > 0) {
         atomic_fetch_sub(&server->connections, 1);
         atomic_fetch_add(&server->refused, 1);
-        *data = &refused_connection;
+        state->refused = true;
     }
     return 0;
 }
@@ -121,10 +134,12 @@
 uncount_connection(const struct mg_connection *connection)
 {
     fake_server_t *server = mg_get_user_data(mg_get_context(connection));
+    fake_connection_t *state = connection_of(connection);
 
-    if (mg_get_user_connection_data(connection) != &refused_connection) {
+    if (!state->refused) {
         atomic_fetch_sub(&server->connections, 1);
     }
+    free(state);
 }
 
 static int
@@ -197,7 +212,31 @@
 int64_t
 FvFake_ConnectedNs(const fake_request_t *request)
 {
-    return (intptr_t)mg_get_user_connection_data(request->connection);
+    return connection_of(request->connection)->connected_ns;
+}
+
+/**
+ * FvFake_Replies - count the replies that a connection has carried
+ * @request: a request on it
+ *
+ * Return: the number.
+ */
+uint32_t
+FvFake_Replies(const fake_request_t *request)
+{
+    return connection_of(request->connection)->replies;
+}
+
+/**
+ * FvFake_PeerPort - get the port from which a client has connected
+ * @request: a request of that client
+ *
+ * Return: the port.
+ */
+int
+FvFake_PeerPort(const fake_request_t *request)
+{
+    return mg_get_request_info(request->connection)->remote_port;
 }
 
 /**
@@ -303,6 +342,7 @@
     if (length > 0) {
         memcpy(message + head, body, length);
     }
+    connection_of(request->connection)->replies++;
     mg_write(request->connection, message, (size_t)head + length);
     free(message);
 }
--- a/tests/harness/fake-server.h
+++ b/tests/harness/fake-server.h
@@ -39,6 +39,8 @@
 void FvFake_ReplyJson(fake_request_t *request, int status, json_t *body);
 void FvFake_ReplyError(fake_request_t *request, int status, const char *error);
 int64_t FvFake_ConnectedNs(const fake_request_t *request);
+uint32_t FvFake_Replies(const fake_request_t *request);
+int FvFake_PeerPort(const fake_request_t *request);
 void FvFake_Drop(fake_request_t *request);
 bool FvFake_ClientClosed(fake_request_t *request);
 json_t *FvFake_BodyJson(const fake_request_t *request);
