fake-server: keep the state of a connection with its thread

CivetWeb drops a connection's user data before it tells of the end, and serves a connection on one thread.

Five connections each that were answered, closed unused, closed during a report, dropped, idle during a restart, and cut within a request: 0 remain counted.

--- a/tests/harness/fake-server.c
+++ b/tests/harness/fake-server.c
@@ -39,14 +39,13 @@
 typedef struct fake_connection {
     int64_t connected_ns;
     uint32_t replies;
+    bool open;
     bool refused; /* beyond the limit; its first request is dropped */
 } fake_connection_t;
 
-static fake_connection_t *
-connection_of(const struct mg_connection *connection)
-{
-    return mg_get_user_connection_data(connection);
-}
+/* CivetWeb serves a connection on one thread from its start to its end, and
+ * drops the connection's user data before it tells of the end. */
+static _Thread_local fake_connection_t current;
 
 /* Appends the bytes available; false at the end of the body or when it exceeds
  * the limit. */
@@ -100,7 +99,7 @@
                               .query = info->query_string,
                               .socket = -1};
 
-    if (!connection_of(connection)->refused && read_body(&request, info)) {
+    if (!current.refused && read_body(&request, info)) {
         server->handler(&request, server->context);
     }
     else {
@@ -114,18 +113,15 @@
 count_connection(const struct mg_connection *connection, void **data)
 {
     fake_server_t *server = mg_get_user_data(mg_get_context(connection));
-    fake_connection_t *state = calloc(1, sizeof(*state));
 
-    if (state == NULL) {
-        abort();
-    }
-    state->connected_ns = FvClock_NowNs();
-    *data = state;
+    (void)data;
+    current =
+        (fake_connection_t){.connected_ns = FvClock_NowNs(), .open = true};
     if (atomic_fetch_add(&server->connections, 1) >= server->connections_max &&
         server->connections_max > 0) {
         atomic_fetch_sub(&server->connections, 1);
         atomic_fetch_add(&server->refused, 1);
-        state->refused = true;
+        current.refused = true;
     }
     return 0;
 }
@@ -134,12 +130,11 @@
 uncount_connection(const struct mg_connection *connection)
 {
     fake_server_t *server = mg_get_user_data(mg_get_context(connection));
-    fake_connection_t *state = connection_of(connection);
 
-    if (!state->refused) {
+    if (current.open && !current.refused) {
         atomic_fetch_sub(&server->connections, 1);
     }
-    free(state);
+    current.open = false;
 }
 
 static int
@@ -205,26 +200,28 @@
 
 /**
  * FvFake_ConnectedNs - get the time at which a connection was accepted
- * @request: a request on it
+ * @request: a request on it, on the thread of its handler
  *
  * Return: the time by FvClock_NowNs.
  */
 int64_t
 FvFake_ConnectedNs(const fake_request_t *request)
 {
-    return connection_of(request->connection)->connected_ns;
+    (void)request;
+    return current.connected_ns;
 }
 
 /**
  * FvFake_Replies - count the replies that a connection has carried
- * @request: a request on it
+ * @request: a request on it, on the thread of its handler
  *
  * Return: the number.
  */
 uint32_t
 FvFake_Replies(const fake_request_t *request)
 {
-    return connection_of(request->connection)->replies;
+    (void)request;
+    return current.replies;
 }
 
 /**
@@ -342,7 +339,7 @@
     if (length > 0) {
         memcpy(message + head, body, length);
     }
-    connection_of(request->connection)->replies++;
+    current.replies++;
     mg_write(request->connection, message, (size_t)head + length);
     free(message);
 }
