leader: send a start without a ticket only to the incarnation it is for

A start could open a connection, which the next process of its worker accepts if that listens before the leader has read the end of any connection to the one before: the end is lost with a host's power, behind a cut link or for as long as its packet is. A ticket protects queues that need one only.

A connection now belongs to the incarnation whose report it has carried. A start without a ticket is written only on such a connection. If more of them wait than can share the connections known, a report is requested, over a new connection if the limits allow it, and withdraws them if it tells of another incarnation. Starts that find a known connection at rest cost no round trip; the first on a new connection costs one.

leader_connections_test failed before: with a long poll on the only connection, the start ran on a process that had not reported (7 assertions).

--- a/src/call-connection.c
+++ b/src/call-connection.c
@@ -27,6 +27,7 @@
     slot->closed = false;
     slot->proven = false;
     slot->leaving = false;
+    slot->incarnation = 0;
     slot->destination->open--;
     slot->destination->pool->open--;
 }
@@ -151,34 +152,41 @@
     return slot;
 }
 
+/* Calls to any incarnation leave the connections to a known one to others. */
 static fv_connection_slot_t *
-take_idle_slot(fv_destination_t *destination)
+take_idle_slot(fv_destination_t *destination, int64_t incarnation)
 {
+    fv_connection_slot_t *found = NULL;
+
     for (fv_connection_slot_t *slot = destination->slots; slot != NULL;
          slot = slot->next) {
-        if (slot->open && slot->pending == NULL && !slot->leaving) {
-            DL_DELETE2(destination->pool->idle, slot, idle_prev, idle_next);
-            return slot;
+        if (slot->open && slot->pending == NULL && !slot->leaving &&
+            (incarnation == 0 || slot->incarnation == incarnation) &&
+            (found == NULL || slot->incarnation == 0)) {
+            found = slot;
         }
     }
-    return NULL;
+    if (found != NULL) {
+        DL_DELETE2(destination->pool->idle, found, idle_prev, idle_next);
+    }
+    return found;
 }
 
 /* A server at its limit serves the connections that it has. Another is tried
  * with a renewal, which may be lost, and not while one that carries answers
  * could be lost to it. */
 static bool
-may_open(const fv_destination_t *destination, fv_call_urgency_t urgency,
+may_open(const fv_destination_t *destination, const fv_call_terms_t *terms,
          int64_t now_ms)
 {
     const fv_call_bounds_t *bounds = destination->bounds;
     uint32_t shared = destination->open - destination->long_polls;
 
-    if (destination->open >= bounds->open_max) {
+    if (destination->open >= bounds->open_max || terms->incarnation != 0) {
         return false;
     }
     if (destination->limited_for_ms != 0) {
-        return urgency >= Fv_CALL_RENEWAL &&
+        return terms->urgency >= Fv_CALL_RENEWAL &&
                (destination->open == 0 ||
                 now_ms >= destination->limited_until_ms);
     }
@@ -189,24 +197,24 @@
 /**
  * FvCallConnection_Obtain - find or open a connection for a call
  * @destination: the server
- * @urgency: of the call
+ * @terms: of the call
  *
  * Return: the connection, or NULL when the call has to wait.
  */
 fv_connection_slot_t *
 FvCallConnection_Obtain(fv_destination_t *destination,
-                        fv_call_urgency_t urgency)
+                        const fv_call_terms_t *terms)
 {
     int64_t now_ms = FvClock_NowMs();
     bool probe = destination->limited_for_ms != 0 &&
                  destination->open < destination->bounds->rest_max;
     fv_connection_slot_t *slot = NULL;
 
-    if (probe && may_open(destination, urgency, now_ms)) {
+    if (probe && may_open(destination, terms, now_ms)) {
         return open_slot(destination);
     }
-    slot = take_idle_slot(destination);
-    if (slot == NULL && may_open(destination, urgency, now_ms)) {
+    slot = take_idle_slot(destination, terms->incarnation);
+    if (slot == NULL && may_open(destination, terms, now_ms)) {
         slot = open_slot(destination);
     }
     return slot;
--- a/src/call-pool.h
+++ b/src/call-pool.h
@@ -22,11 +22,12 @@
     struct fv_connection_slot *idle_next;
     struct fv_connection_slot *idle_prev;
     bool open;
-    bool closed;  /* by either side during the current call */
-    bool probe;   /* opened while the server was at its limit */
-    bool proven;  /* has carried an answer */
-    bool written; /* the current request, at least in part */
-    bool leaving; /* gets no further call and is closed by the sweep */
+    bool closed;         /* by either side during the current call */
+    bool probe;          /* opened while the server was at its limit */
+    bool proven;         /* has carried an answer */
+    bool written;        /* the current request, at least in part */
+    bool leaving;        /* gets no further call and is closed by the sweep */
+    int64_t incarnation; /* of the server's process; 0: not known */
     int64_t used_ms;
 } fv_connection_slot_t;
 
@@ -54,8 +55,8 @@
     struct event *sweep;
     fv_destination_t *destinations;
     fv_destination_t *blocked;
-    fv_connection_slot_t *idle;              /* least recently used first */
-    const fv_connection_slot_t *in_callback; /* its callback is running */
+    fv_connection_slot_t *idle;        /* least recently used first */
+    fv_connection_slot_t *in_callback; /* its callback is running */
     uint32_t open;
     uint32_t open_max;
     char preferred[Fv_ADDRESS_SIZE]; /* "": none */
@@ -86,7 +87,7 @@
 void FvCallConnection_Free(fv_connection_slot_t *slot);
 void FvCallConnection_CloseIdle(fv_connection_slot_t *slot);
 fv_connection_slot_t *FvCallConnection_Obtain(fv_destination_t *destination,
-                                              fv_call_urgency_t urgency);
+                                              const fv_call_terms_t *terms);
 void FvCallConnection_Release(fv_connection_slot_t *slot, bool answered,
                               bool timed_out);
 
--- a/src/call.c
+++ b/src/call.c
@@ -249,7 +249,7 @@
 
     for (pending = destination->waiting; pending != NULL; pending = next) {
         fv_connection_slot_t *slot =
-            FvCallConnection_Obtain(destination, pending->terms.urgency);
+            FvCallConnection_Obtain(destination, &pending->terms);
 
         next = pending->next;
         if (slot != NULL) {
@@ -585,6 +585,62 @@
            destination->open > 1;
 }
 
+/**
+ * FvCallPool_NoteIncarnation - note which process has sent an answer
+ * @pool: the pool, in the callback of the answer
+ * @incarnation: the process; not 0
+ */
+void
+FvCallPool_NoteIncarnation(fv_call_pool_t *pool, int64_t incarnation)
+{
+    if (pool->in_callback != NULL && pool->in_callback->open) {
+        pool->in_callback->incarnation = incarnation;
+    }
+}
+
+/**
+ * FvCallPool_LacksConnection - whether calls to an incarnation of a server
+ * wait for another connection to it
+ * @pool: the pool
+ * @address: the server
+ * @incarnation: the process
+ *
+ * Return: true when more of them wait than there are connections that they
+ * can share, and a call to any incarnation may add one.
+ */
+bool
+FvCallPool_LacksConnection(const fv_call_pool_t *pool, const char *address,
+                           int64_t incarnation)
+{
+    fv_destination_t *destination = NULL;
+    uint32_t waiting = 0;
+    uint32_t known = 0;
+    uint32_t shared = 0;
+
+    HASH_FIND_STR(pool->destinations, address, destination);
+    if (destination == NULL || incarnation == 0) {
+        return false;
+    }
+    for (const fv_pending_call_t *pending = destination->waiting;
+         pending != NULL; pending = pending->next) {
+        waiting += pending->terms.incarnation == incarnation ? 1 : 0;
+    }
+    for (const fv_connection_slot_t *slot = destination->slots; slot != NULL;
+         slot = slot->next) {
+        if (slot->open && slot->incarnation == incarnation) {
+            known++;
+            shared += slot->pending == NULL ||
+                              slot->pending->terms.urgency != Fv_CALL_LONG_POLL
+                          ? 1
+                          : 0;
+        }
+    }
+    return waiting > shared &&
+           (known < destination->open ||
+            (destination->limited_for_ms == 0 &&
+             destination->open < destination->bounds->open_max));
+}
+
 static fv_destination_t *
 find_or_add_destination(fv_call_pool_t *pool, const char *address,
                         const fv_call_bounds_t *bounds)
--- a/src/entry.h
+++ b/src/entry.h
@@ -68,6 +68,9 @@
     const fv_call_bounds_t *bounds; /* a constant of the kind of server */
     fv_call_urgency_t urgency;
     int64_t timeout_ms;
+    /* Of the server's process; the call is sent only on a connection that has
+     * carried an answer of this one. 0: on any */
+    int64_t incarnation;
 } fv_call_terms_t;
 
 /* Priorities of the event loop; all other events have the lower one. */
@@ -87,6 +90,9 @@
 void FvCallPool_Close(fv_call_pool_t *pool, const fv_call_bounds_t *bounds);
 uint32_t FvCallPool_Open(const fv_call_pool_t *pool);
 bool FvCallPool_MayLongPoll(const fv_call_pool_t *pool, const char *address);
+void FvCallPool_NoteIncarnation(fv_call_pool_t *pool, int64_t incarnation);
+bool FvCallPool_LacksConnection(const fv_call_pool_t *pool,
+                                const char *address, int64_t incarnation);
 void FvCallPool_Send(fv_call_pool_t *pool, const char *address,
                      fv_call_t *call, const fv_call_terms_t *terms,
                      fv_call_done_t done, void *context);
--- a/src/leader-workers.c
+++ b/src/leader-workers.c
@@ -161,7 +161,7 @@
 
 static void
 send_order(fv_leader_t *leader, fv_sched_worker_t *worker, fv_call_t *call,
-           const char *task, int32_t run, bool stop)
+           const char *task, int32_t run, bool stop, int64_t incarnation)
 {
     fv_order_call_t *order = calloc(1, sizeof(*order));
 
@@ -182,7 +182,8 @@
         &(fv_call_terms_t){.bounds = &worker_bounds,
                            .urgency = stop ? Fv_CALL_STOP : Fv_CALL_START,
                            .timeout_ms =
-                               FvAnswerTime_LimitMs(&leader->answer_time)},
+                               FvAnswerTime_LimitMs(&leader->answer_time),
+                           .incarnation = incarnation},
         order_answered, order);
 }
 
@@ -196,6 +197,16 @@
     FvCallPool_Close(pool, &worker_bounds);
 }
 
+/* A report tells which incarnation a connection leads to. */
+static void
+request_connection(fv_leader_t *leader, fv_sched_worker_t *worker)
+{
+    if (FvCallPool_LacksConnection(leader->pool, worker->entry.address,
+                                   worker->started_wall_ms)) {
+        FvLeaderWorker_RequestReport(&leader->sched, worker);
+    }
+}
+
 /**
  * FvLeaderOrder_Start - order a worker to start a task
  * @sched: the scheduler
@@ -234,7 +245,10 @@
         name, task->run, worker->entry.id, task->stage->job->queue.name,
         now_ms - task->stage->job->received_ms, worker->free.cpu_millis);
     FvPlatform_StartRun(&call, worker->entry.id, &order);
-    send_order(leader, worker, &call, name, task->run, false);
+    /* No other incarnation takes the ticket. */
+    send_order(leader, worker, &call, name, task->run, false,
+               order.ticket != NULL ? 0 : worker->started_wall_ms);
+    request_connection(leader, worker);
     return true;
 }
 
@@ -253,7 +267,7 @@
         return; /* the next leader finds the run in a report */
     }
     FvPlatform_StopRun(&call, worker->entry.id, &order);
-    send_order(leader, worker, &call, name, run, true);
+    send_order(leader, worker, &call, name, run, true, 0);
 }
 
 /**
@@ -367,6 +381,7 @@
         return false;
     }
     if (result == Fv_ORDER_DONE && FvPlatform_DecodeReport(answer, &report)) {
+        FvCallPool_NoteIncarnation(leader->pool, report.started_wall_ms);
         applied = FvSched_ApplyReport(&leader->sched, session->worker, &report,
                                       renewal->sent_ms, FvClock_NowMs());
         if (session->worker->started_wall_ms != started_wall_ms) {
@@ -448,6 +463,7 @@
         FvCallPool_MayLongPoll(leader->pool, session->worker->entry.address)) {
         FvLeaderWorker_RenewLease(session, true);
     }
+    request_connection(leader, session->worker);
     FvLeader_SchedulePass(leader);
 }
 
--- a/tests/unit/call_test.c
+++ b/tests/unit/call_test.c
@@ -655,6 +655,85 @@
     FvLimitedServer_Close(&server);
 }
 
+typedef struct reporter {
+    fv_call_pool_t *pool;
+    int64_t incarnation;
+    outcome_t outcome;
+} reporter_t;
+
+static void
+on_report(void *context, const fv_call_answer_t *answer)
+{
+    reporter_t *reporter = context;
+
+    FvCallPool_NoteIncarnation(reporter->pool, reporter->incarnation);
+    on_answer(&reporter->outcome, answer);
+}
+
+static void
+call_for_report(struct event_base *base, const limited_server_t *server,
+                reporter_t *reporter)
+{
+    fv_call_t call = {.method = "GET", .path = "/"};
+
+    reporter->outcome = (outcome_t){0};
+    FvCallPool_Send(reporter->pool, server->address, &call,
+                    &(fv_call_terms_t){.bounds = &worker_bounds,
+                                       .urgency = Fv_CALL_RENEWAL,
+                                       .timeout_ms = 1000},
+                    on_report, reporter);
+    run_until_answered(base, &reporter->outcome, 1);
+}
+
+static void
+send_to_incarnation(fv_call_pool_t *pool, const limited_server_t *server,
+                    int64_t incarnation, outcome_t *outcome)
+{
+    *outcome = (outcome_t){0};
+    send_call(pool, server->address,
+              &(fv_call_terms_t){.bounds = &worker_bounds,
+                                 .urgency = Fv_CALL_START,
+                                 .timeout_ms = 200,
+                                 .incarnation = incarnation},
+              outcome);
+}
+
+/* The process at an address is known only of connections that it has answered
+ * on. */
+static void
+test_call_to_one_incarnation(void)
+{
+    struct event_base *base = event_base_new();
+    reporter_t reporter = {.pool = FvCallPool_New(base, 100),
+                           .incarnation = 77};
+    limited_server_t server;
+    outcome_t outcome;
+
+    FvLimitedServer_Open(&server, base, 64);
+    send_to_incarnation(reporter.pool, &server, 77, &outcome);
+    run_until_answered(base, &outcome, 1);
+    CU_ASSERT_TRUE(outcome.not_sent);
+    CU_ASSERT_EQUAL(server.accepted, 0);
+    send_to_incarnation(reporter.pool, &server, 77, &outcome);
+    CU_ASSERT_TRUE(
+        FvCallPool_LacksConnection(reporter.pool, server.address, 77));
+    call_for_report(base, &server, &reporter);
+    run_until_answered(base, &outcome, 1);
+    CU_ASSERT_EQUAL(outcome.status, 200);
+    CU_ASSERT_EQUAL(server.accepted, 1);
+    send_to_incarnation(reporter.pool, &server, 78, &outcome);
+    run_until_answered(base, &outcome, 1);
+    CU_ASSERT_TRUE(outcome.not_sent);
+    shutdown(bufferevent_getfd(server.latest), SHUT_RDWR);
+    run_for(base, 50);
+    send_to_incarnation(reporter.pool, &server, 77, &outcome);
+    run_until_answered(base, &outcome, 1);
+    CU_ASSERT_TRUE(outcome.not_sent);
+    CU_ASSERT_EQUAL(server.requests, 2);
+    FvCallPool_Free(reporter.pool);
+    FvLimitedServer_Close(&server);
+}
+
 int
 main(void)
 {
@@ -689,6 +768,8 @@
          test_end_of_the_server_during_a_connect},
         {"the end of a server without a call goes unnoticed",
          test_end_of_a_connection_at_rest},
+        {"a call to one incarnation of a server is sent to another",
+         test_call_to_one_incarnation},
     };
 
     return Fv_RUN_SUITE("call", cases);
--- a/tests/unit/leader_connections_test.c
+++ b/tests/unit/leader_connections_test.c
@@ -22,13 +22,16 @@
 static int latest_socket;  /* on which a request arrived */
 static bool closes_orders; /* without an answer */
 static bool closes_holds;
+static bool delays_holds; /* for ever */
 static uint32_t holds;
+static uint32_t starts;
 static int64_t born;
 static fv_leader_t leader;
 static fv_sched_worker_t *worker;
 
 static const fv_sched_ops_t ops = {
     .decode = FvPlatform_DecodeJobSpec,
+    .start = FvLeaderOrder_Start,
     .stop_orphan_run = FvLeaderOrder_StopOrphanRun,
     .request_report = FvLeaderWorker_RequestReport,
     .record = FvLeaderRecord_Write};
@@ -69,7 +72,11 @@
         shutdown(latest_socket, SHUT_RDWR);
         return;
     }
+    if (hold && delays_holds) {
+        return;
+    }
     holds += hold ? 1 : 0;
+    starts += strcmp(evhttp_request_get_uri(request), "/run-start") == 0;
     evbuffer_add_printf(body,
                         "{\"clockMs\":5000,\"born\":%lld,\"running\":[],"
                         "\"ended\":[]}",
@@ -100,14 +107,19 @@
 open_leader(void)
 {
     static const int64_t revisions[Fv_RECORD_STREAMS] = {11};
-    fv_worker_entry_t entry = {
-        .id = "w1", .service = "app", .started_wall_ms = 77};
+    fv_worker_entry_t entry = {.id = "w1",
+                               .service = "app",
+                               .cpu_millis = 1000,
+                               .memory_mib = 1000,
+                               .started_wall_ms = 77};
     fv_worker_session_t *session;
 
     fake_kv_reset();
     base = event_base_new();
     born = 77;
     holds = 0;
+    starts = 0;
+    delays_holds = false;
     closes_orders = false;
     closes_holds = false;
     listen_as_worker(&entry);
@@ -214,6 +226,54 @@
     close_leader();
 }
 
+static void
+submit(const char *id)
+{
+    static const char document[] =
+        "{\"taskSpec\":\"\",\"steps\":[{\"count\":1,"
+        "\"cpu\":100,\"memMb\":10}]}";
+    static const fv_cell_queue_t queue = {
+        .name = "slow", .service = "app", .attempts_max = 3};
+    int64_t now_ms = FvClock_NowMs();
+    fv_job_spec_t spec;
+    fv_sched_job_t *job;
+
+    CU_ASSERT_TRUE_FATAL(
+        FvPlatform_DecodeJobSpec(document, strlen(document), &spec));
+    job = FvSched_AddJob(&leader.sched, id, &queue, &spec, document,
+                         strlen(document), now_ms, now_ms);
+    FvJobSpec_Clear(&spec);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(job);
+    FvSched_MarkJobDurable(&leader.sched, job);
+    FvSched_ReleaseStages(&leader.sched, job, now_ms, now_ms);
+    FvSched_RunPass(&leader.sched, now_ms, now_ms);
+    fake_kv_run_loop(base, TURN_MS);
+}
+
+/* The connection to the earlier process has a long poll, and its end is not
+ * known yet. A report of the same process adds a connection for this start and
+ * for later ones. */
+static void
+test_start_without_a_connection(void)
+{
+    for (int64_t next = 77; next <= 78; next++) {
+        open_leader();
+        delays_holds = true;
+        FvLeaderWorker_RenewLease(worker->leader_session, true);
+        fake_kv_run_loop(base, TURN_MS);
+        delays_holds = false;
+        born = next;
+        submit("5c0e7a21d94b36f8");
+        CU_ASSERT_EQUAL(starts, next == 77);
+        CU_ASSERT(next != 77 || holds == 2);
+        CU_ASSERT_EQUAL(worker->started_wall_ms, next);
+        submit("5c0e7a21d94b36f9");
+        CU_ASSERT_EQUAL(starts, next == 77 ? 2 : 0);
+        CU_ASSERT(next != 77 || holds == 2);
+        close_leader();
+    }
+}
+
 int
 main(void)
 {
@@ -227,6 +287,9 @@
         {"a worker that closed the connection of a renewal stays silent for a "
          "whole long poll",
          test_connection_of_a_renewal_beside_a_long_poll},
+        {"a start opens a connection, and so reaches a process that has not "
+         "reported",
+         test_start_without_a_connection},
     };
 
     return Fv_RUN_SUITE("leader_connections", cases);
