--- a/tests/fakes/fake-cell.c
+++ b/tests/fakes/fake-cell.c
@@ -59,7 +59,12 @@
         "\"non_idempotent\",\"targetLatencyMs\":2000,\"priority\":2,"
         "\"service\":\"app\",\"maxAttempts\":3,\"stretch\":4.0,"
         "\"recommendation\":{\"decisionMs\":2,\"perWorkerMs\":0.1,"
-        "\"validityMs\":2000}}],\"services\":[],\"limits\":{}}";
+        "\"validityMs\":2000}},"
+        "{\"name\":\"plain\",\"host\":\"127.0.0.1\",\"prefix\":\"/plain/"
+        "\",\"kind\":"
+        "\"non_idempotent\",\"targetLatencyMs\":2000,\"priority\":1,"
+        "\"service\":\"app\",\"maxAttempts\":3,\"stretch\":4.0}],"
+        "\"services\":[],\"limits\":{}}";
     char text[sizeof(config) + 24];
 
     snprintf(text, sizeof(text), config, version);
@@ -238,7 +243,7 @@
     cell.ends_page = (uint32_t)ends_page;
     if (!serve_port(&cell, NULL, port, CELL_STORE_THREADS,
                     FvCellStore_Handle) ||
-        !FvCellAdvice_Start(port + 1) ||
+        !FvCellAdvice_Start(&cell, port + 1) ||
         !serve_port(&cell, NULL, port + 2, 4, handle_control)) {
         return 1;
     }
--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -251,13 +251,27 @@
     }
 }
 
+/* Tasks of the queue without a recommendation say so in their payload. */
+static bool
+accepts_ticket(const cell_worker_t *worker, const json_t *body, int64_t now_ms)
+{
+    const char *payload = FvJson_String(body, "taskSpec");
+    const char *ticket = FvJson_String(body, "ticket");
+    char *life = NULL;
+
+    if (ticket == NULL) {
+        return payload != NULL && strstr(payload, "no_ticket") != NULL;
+    }
+    return strtoll(ticket, &life, 10) >= now_ms && *life == '.' &&
+           strtoll(life + 1, NULL, 10) == worker->started_wall_ms;
+}
+
 static json_t *
 start_run(cell_t *cell, cell_worker_t *worker, const json_t *body,
           int64_t received_ms, int64_t now_ms, int *status)
 {
     const char *name = FvJson_String(body, "task");
     int32_t number = (int32_t)FvJson_Int(body, "runId", 0);
-    const char *ticket = FvJson_String(body, "ticket");
 
     *status = 400;
     if (name == NULL || number < 1) {
@@ -280,7 +294,7 @@
     if (worker->lease_end_ms <= now_ms) {
         return reply_refused(now_ms, "late", status);
     }
-    if (ticket == NULL || strtoll(ticket, NULL, 10) < now_ms) {
+    if (!accepts_ticket(worker, body, now_ms)) {
         return reply_refused(now_ms, "ticket", status);
     }
     begin_run(cell, worker, body, name, number, received_ms, now_ms);
@@ -423,6 +437,37 @@
            FvFake_ConnectedNs(request) < worker->listens_ns;
 }
 
+/* Traces the order of a restart, the ends of the connections from before and
+ * the starts: the time is that of the hosts' logs. */
+static void
+trace(const cell_worker_t *worker, const char *event,
+      const fake_request_t *request)
+{
+    int64_t now_ns = FvClock_NowNs();
+
+    fprintf(stderr,
+            "%lld %s worker=%s kind=%s listens_ms_ago=%.1f path=%s peer=%d "
+            "connected_ms_ago=%.1f replies=%u\n",
+            (long long)FvClock_WallMs(), event, worker->id, worker->kind,
+            (double)(now_ns - worker->listens_ns) / Fv_NS_PER_MS,
+            request != NULL ? request->path : "",
+            request != NULL ? FvFake_PeerPort(request) : 0,
+            request != NULL
+                ? (double)(now_ns - FvFake_ConnectedNs(request)) / Fv_NS_PER_MS
+                : 0,
+            request != NULL ? FvFake_Replies(request) : 0);
+}
+
+static void
+drop_request(const cell_worker_t *worker, fake_request_t *request)
+{
+    if (worker->listens_ns != 0 &&
+        FvFake_ConnectedNs(request) < worker->listens_ns) {
+        trace(worker, "CLOSED", request);
+    }
+    FvFake_Drop(request);
+}
+
 /* Takes the lock itself, because it waits for a run to end. */
 static void
 handle_hold(cell_t *cell, cell_worker_t *worker, fake_request_t *request,
@@ -456,7 +501,7 @@
     }
     pthread_mutex_unlock(&cell->lock);
     if (reply == NULL) {
-        FvFake_Drop(request);
+        drop_request(worker, request);
         return;
     }
     FvFake_ReplyJson(request, status, reply);
@@ -483,7 +528,7 @@
 
     if (is_connection_gone(request, target->worker) || body == NULL) {
         json_decref(body);
-        FvFake_Drop(request);
+        drop_request(target->worker, request);
         return;
     }
     if (is_for_another_worker(request, target->worker)) {
@@ -510,7 +555,12 @@
         status = 0;
     }
     else if (strcmp(request->path, "/run-start") == 0) {
+        uint32_t violations = cell->violations;
+
         reply = handle_start(cell, target->worker, body, &status);
+        if (cell->violations != violations) {
+            trace(target->worker, "START", request);
+        }
     }
     else if (strcmp(request->path, "/run-stop") == 0) {
         reply = handle_stop(cell, target->worker, body, &status);
@@ -518,7 +568,7 @@
     pthread_mutex_unlock(&cell->lock);
     json_decref(body);
     if (status == 0) {
-        FvFake_Drop(request);
+        drop_request(target->worker, request);
         return;
     }
     FvFake_ReplyJson(request, status, reply ? reply : json_object());
@@ -604,6 +654,7 @@
 FvCellWorker_Crash(cell_t *cell, cell_worker_t *worker)
 {
     worker->down = true;
+    FvFakeServer_CloseConnections(worker->server);
     drop_state(cell, worker);
     remove_entry(cell, worker);
 }
@@ -611,6 +662,7 @@
 void
 FvCellWorker_Restart(cell_t *cell, cell_worker_t *worker, const char *kind)
 {
+    FvFakeServer_CloseConnections(worker->server);
     drop_state(cell, worker);
     worker->down = false;
     worker->sequence = 0;
@@ -621,4 +673,5 @@
         snprintf(worker->kind, sizeof(worker->kind), "%s", kind);
     }
     worker->kind_at_start[0] = '\0';
+    trace(worker, "RESTART", NULL);
 }
--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -146,7 +146,7 @@
 /* cell-advice.c */
 /* Serves any number of connections in a thread of its own; false when the port
  * cannot be used. */
-bool FvCellAdvice_Start(int port);
+bool FvCellAdvice_Start(cell_t *cell, int port);
 
 /* cell-store.c */
 kv_bytes_t FvCellStore_Bytes(const char *text);
--- a/tests/harness/fake-server.c
+++ b/tests/harness/fake-server.c
@@ -31,13 +31,22 @@
     struct mg_context *server;
     fake_handler_t handler;
     void *context;
+    int port;
     int connections_max; /* 0: no limit */
     atomic_int connections;
     atomic_int refused;
 };
 
-/* Marks a connection beyond the limit; its first request is dropped. */
-static char refused_connection;
+typedef struct fake_connection {
+    int64_t connected_ns;
+    uint32_t replies;
+    bool open;
+    bool refused; /* beyond the limit; its first request is dropped */
+} fake_connection_t;
+
+/* CivetWeb serves a connection on one thread from its start to its end, and
+ * drops the connection's user data before it tells of the end. */
+static _Thread_local fake_connection_t current;
 
 /* Appends the bytes available; false at the end of the body or when it exceeds
  * the limit. */
@@ -91,8 +100,7 @@
                               .query = info->query_string,
                               .socket = -1};
 
-    if (mg_get_user_connection_data(connection) != &refused_connection &&
-        read_body(&request, info)) {
+    if (!current.refused && read_body(&request, info)) {
         server->handler(&request, server->context);
     }
     else {
@@ -107,12 +115,14 @@
 {
     fake_server_t *server = mg_get_user_data(mg_get_context(connection));
 
-    *data = (void *)(intptr_t)FvClock_NowNs();
+    (void)data;
+    current =
+        (fake_connection_t){.connected_ns = FvClock_NowNs(), .open = true};
     if (atomic_fetch_add(&server->connections, 1) >= server->connections_max &&
         server->connections_max > 0) {
         atomic_fetch_sub(&server->connections, 1);
         atomic_fetch_add(&server->refused, 1);
-        *data = &refused_connection;
+        current.refused = true;
     }
     return 0;
 }
@@ -122,9 +132,10 @@
 {
     fake_server_t *server = mg_get_user_data(mg_get_context(connection));
 
-    if (mg_get_user_connection_data(connection) != &refused_connection) {
+    if (current.open && !current.refused) {
         atomic_fetch_sub(&server->connections, 1);
     }
+    current.open = false;
 }
 
 /* civetweb reports a missing thread only by this message, and serves with the
@@ -185,6 +196,7 @@
         return NULL;
     }
     snprintf(count, sizeof(count), "%d", threads);
+    server->port = (int)strtol(strrchr(address, ':') + 1, NULL, 10);
     server->handler = handler;
     server->context = context;
     mg_init_library(MG_FEATURES_DEFAULT);
@@ -204,14 +216,40 @@
 
 /**
  * FvFake_ConnectedNs - get the time at which a connection was accepted
- * @request: a request on it
+ * @request: a request on it, on the thread of its handler
  *
  * Return: the time by FvClock_NowNs.
  */
 int64_t
 FvFake_ConnectedNs(const fake_request_t *request)
 {
-    return (intptr_t)mg_get_user_connection_data(request->connection);
+    (void)request;
+    return current.connected_ns;
+}
+
+/**
+ * FvFake_Replies - count the replies that a connection has carried
+ * @request: a request on it, on the thread of its handler
+ *
+ * Return: the number.
+ */
+uint32_t
+FvFake_Replies(const fake_request_t *request)
+{
+    (void)request;
+    return current.replies;
+}
+
+/**
+ * FvFake_PeerPort - get the port from which a client has connected
+ * @request: a request of that client
+ *
+ * Return: the port.
+ */
+int
+FvFake_PeerPort(const fake_request_t *request)
+{
+    return mg_get_request_info(request->connection)->remote_port;
 }
 
 /**
@@ -225,6 +263,50 @@
     server->connections_max = connections;
 }
 
+static bool
+is_accepted_on(int socket, int port)
+{
+    struct sockaddr_in local = {0};
+    socklen_t local_size = sizeof(local);
+    int listening = 0;
+    socklen_t listening_size = sizeof(listening);
+
+    return getsockname(socket, (struct sockaddr *)&local, &local_size) == 0 &&
+           ntohs(local.sin_port) == port &&
+           getsockopt(socket, SOL_SOCKET, SO_ACCEPTCONN, &listening,
+                      &listening_size) == 0 &&
+           listening == 0;
+}
+
+/**
+ * FvFakeServer_CloseConnections - end all connections, idle ones included
+ * @server: the server
+ *
+ * The clients see the end at once; CivetWeb's threads close the sockets.
+ */
+void
+FvFakeServer_CloseConnections(const fake_server_t *server)
+{
+    DIR *directory = opendir("/proc/self/fd");
+    struct dirent *entry;
+
+    while (directory != NULL && (entry = readdir(directory)) != NULL) {
+        /* A copy, since a thread may close the socket meanwhile and another
+         * one reuse its number. */
+        int copy = dup((int)strtol(entry->d_name, NULL, 10));
+
+        if (copy >= 0 && is_accepted_on(copy, server->port)) {
+            shutdown(copy, SHUT_RDWR);
+        }
+        if (copy >= 0) {
+            close(copy);
+        }
+    }
+    if (directory != NULL) {
+        closedir(directory);
+    }
+}
+
 /**
  * FvFakeServer_Connections - count the open connections
  * @server: the server
@@ -317,6 +399,7 @@
     if (length > 0) {
         memcpy(message + head, body, length);
     }
+    current.replies++;
     mg_write(request->connection, message, (size_t)head + length);
     free(message);
 }
--- a/tests/harness/fake-server.h
+++ b/tests/harness/fake-server.h
@@ -29,6 +29,7 @@
 fake_server_t *FvFakeServer_Start(const char *address, int threads,
                                   fake_handler_t handler, void *context);
 void FvFakeServer_LimitConnections(fake_server_t *server, int connections);
+void FvFakeServer_CloseConnections(const fake_server_t *server);
 int FvFakeServer_Connections(const fake_server_t *server);
 int FvFakeServer_Refused(const fake_server_t *server);
 void FvFakeServer_RunUntilSignal(void);
@@ -39,6 +40,8 @@
 void FvFake_ReplyJson(fake_request_t *request, int status, json_t *body);
 void FvFake_ReplyError(fake_request_t *request, int status, const char *error);
 int64_t FvFake_ConnectedNs(const fake_request_t *request);
+uint32_t FvFake_Replies(const fake_request_t *request);
+int FvFake_PeerPort(const fake_request_t *request);
 void FvFake_Drop(fake_request_t *request);
 bool FvFake_ClientClosed(fake_request_t *request);
 json_t *FvFake_BodyJson(const fake_request_t *request);
