tests: end where a worker is missing

make lint failed on the merged parts: the analyzer follows two new checks of sched_lease_test and leader_unreached_test past a fatal assertion that it does not know as one.

--- a/tests/unit/leader_unreached_test.c
+++ b/tests/unit/leader_unreached_test.c
@@ -203,6 +203,9 @@
     FvLeaderWorkerList_Load(&leader, &item);
     inherited = FvSched_FindWorker(&leader.sched, "w1");
     CU_ASSERT_PTR_NOT_NULL_FATAL(inherited);
+    if (inherited == NULL) {
+        abort();
+    }
     CU_ASSERT(inherited->lease_expires_ms >
               now_ms + LONG_LEASE_MS - 10 * WRITE_MS);
     CU_ASSERT_TRUE(inherited->long_lease_stored);
--- a/tests/unit/sched_lease_test.c
+++ b/tests/unit/sched_lease_test.c
@@ -109,6 +109,9 @@
     FvSchedFixture_Open(&fixture, 2);
     worker = FvSched_UpdateWorker(&fixture.sched, &entry, fixture.now_ms);
     CU_ASSERT_PTR_NOT_NULL_FATAL(worker);
+    if (worker == NULL) {
+        abort();
+    }
     worker->in_worker_list = true;
     FvSched_InheritLongLease(worker, left_ms, fixture.now_ms);
     fixture.now_ms += left_ms;
