tests: one advice service that allows all, one check of how long a task is held

Five unit tests had a function of their own that allows every worker, and three cases of sched_restart_test the same seven lines. The checks are the same.

--- a/tests/harness/sched-fixture.c
+++ b/tests/harness/sched-fixture.c
@@ -210,6 +210,19 @@
     return queue;
 }
 
+/**
+ * FvSchedFixture_AllowAll - an advice service that allows every worker
+ * @worker: its id
+ *
+ * Return: true.
+ */
+bool
+FvSchedFixture_AllowAll(const char *worker)
+{
+    (void)worker;
+    return true;
+}
+
 /**
  * FvSchedFixture_AnswerAdvice - answer the latest call for advice
  * @fixture: the fixture
--- a/tests/harness/sched-fixture.h
+++ b/tests/harness/sched-fixture.h
@@ -50,6 +50,7 @@
 void FvSchedFixture_RunPass(sched_fixture_t *fixture);
 fv_cell_queue_t FvSchedFixture_MakeAdvisedQueue(const char *name,
                                                 int32_t priority);
+bool FvSchedFixture_AllowAll(const char *worker);
 bool FvSchedFixture_AnswerAdvice(sched_fixture_t *fixture,
                                  bool (*allows)(const char *worker));
 uint32_t FvSchedFixture_CountStarts(const sched_fixture_t *fixture,
--- a/tests/unit/sched_advice_test.c
+++ b/tests/unit/sched_advice_test.c
@@ -67,13 +67,6 @@
     return worker_number(worker) < 14;
 }
 
-static bool
-allows_all(const char *worker)
-{
-    (void)worker;
-    return true;
-}
-
 static bool
 allows_none(const char *worker)
 {
@@ -157,16 +150,17 @@
     add_workers(&fixture, 0, 1);
     job = FvSchedFixture_AddJob(&fixture, BATCH, &queue, one_task);
     FvSchedFixture_RunPass(&fixture);
-    CU_ASSERT_TRUE(FvSchedFixture_AnswerAdvice(&fixture, allows_all));
+    CU_ASSERT_TRUE(
+        FvSchedFixture_AnswerAdvice(&fixture, FvSchedFixture_AllowAll));
     CU_ASSERT_EQUAL(job->occurrences[0].stages[0].verdict_count, 1);
     FvSchedFixture_AddJob(&fixture, OTHER, &others, one_task);
-    run_for(&fixture, 4000, allows_all);
+    run_for(&fixture, 4000, FvSchedFixture_AllowAll);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, OTHER), 1);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, BATCH), 0);
     calls = fixture.advice_request_count;
     FvSchedFixture_ReportEnd(&fixture, "w0", 1, OTHER ".0.0.0", 1,
                              Fv_END_DONE);
-    run_for(&fixture, 500, allows_all);
+    run_for(&fixture, 500, FvSchedFixture_AllowAll);
     CU_ASSERT_EQUAL(fixture.advice_request_count, calls + 1);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, BATCH), 1);
     FvSchedFixture_Close(&fixture);
@@ -182,10 +176,10 @@
     FvSchedFixture_Open(&fixture, 1);
     add_workers(&fixture, 0, 8);
     FvSchedFixture_AddJob(&fixture, LASTING, &queue, twelve_lasting_tasks);
-    run_for(&fixture, START_BOUND_MS, allows_all);
+    run_for(&fixture, START_BOUND_MS, FvSchedFixture_AllowAll);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, LASTING), 8);
     add_workers(&fixture, 8, 4);
-    run_for(&fixture, START_BOUND_MS, allows_all);
+    run_for(&fixture, START_BOUND_MS, FvSchedFixture_AllowAll);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, LASTING), 12);
     FvSchedFixture_Close(&fixture);
 }
@@ -227,10 +221,11 @@
     probed->quarantined_until_ms = fixture.now_ms;
     FvSchedFixture_AddJob(&fixture, BATCH, &queue, four_tasks);
     FvSchedFixture_RunPass(&fixture);
-    CU_ASSERT_TRUE(FvSchedFixture_AnswerAdvice(&fixture, allows_all));
+    CU_ASSERT_TRUE(
+        FvSchedFixture_AnswerAdvice(&fixture, FvSchedFixture_AllowAll));
     add_workers(&fixture, 1, 1);
     /* The probe must not be taken for enough capacity for all four tasks. */
-    run_for(&fixture, START_BOUND_MS, allows_all);
+    run_for(&fixture, START_BOUND_MS, FvSchedFixture_AllowAll);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, BATCH), 4);
     CU_ASSERT_EQUAL(probed->task_count, 1);
     FvSchedFixture_Close(&fixture);
--- a/tests/unit/sched_orphan_test.c
+++ b/tests/unit/sched_orphan_test.c
@@ -163,13 +163,6 @@
     FvSchedFixture_Close(&fixture);
 }
 
-static bool
-allow_all(const char *worker)
-{
-    (void)worker;
-    return true;
-}
-
 /* A worker that is cut off leaves the registry, so that the task of its
  * unanswered start is started elsewhere once the ticket has expired, and comes
  * back before that start can no longer arrive. */
@@ -186,7 +179,7 @@
     worker = FvSchedFixture_AddWorker(&fixture, "w2", "r1", 2000);
     FvSchedFixture_AddJob(&fixture, JOB_A, &advised, one_task);
     FvSchedFixture_RunPass(&fixture);
-    CU_ASSERT(FvSchedFixture_AnswerAdvice(&fixture, allow_all));
+    CU_ASSERT(FvSchedFixture_AnswerAdvice(&fixture, FvSchedFixture_AllowAll));
     FvSchedFixture_RunPass(&fixture);
     task = FvSched_FindTask(&fixture.sched, TASK);
     CU_ASSERT_FATAL(task != NULL && task->worker == worker);
@@ -198,7 +191,7 @@
     FvSchedFixture_AddWorker(&fixture, "w3", "r1", 2000);
     fixture.sched.dirty = true;
     FvSchedFixture_RunPass(&fixture);
-    CU_ASSERT(FvSchedFixture_AnswerAdvice(&fixture, allow_all));
+    CU_ASSERT(FvSchedFixture_AnswerAdvice(&fixture, FvSchedFixture_AllowAll));
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_FATAL(task->worker != NULL);
     CU_ASSERT_PTR_EQUAL(task->worker,
--- a/tests/unit/sched_registry_test.c
+++ b/tests/unit/sched_registry_test.c
@@ -200,13 +200,6 @@
     FvSchedFixture_Close(&fixture);
 }
 
-static bool
-allow_all(const char *worker)
-{
-    (void)worker;
-    return true;
-}
-
 /* A ticket is valid during one life of a worker. */
 static void
 test_tickets_end_with_incarnation(void)
@@ -221,7 +214,8 @@
     fixture.refuse_starts = true;
     job = FvSchedFixture_AddJob(&fixture, JOB, &queue, one_task);
     FvSchedFixture_RunPass(&fixture);
-    CU_ASSERT_TRUE(FvSchedFixture_AnswerAdvice(&fixture, allow_all));
+    CU_ASSERT_TRUE(
+        FvSchedFixture_AnswerAdvice(&fixture, FvSchedFixture_AllowAll));
     CU_ASSERT_PTR_NOT_NULL(
         FvSched_FindVerdict(&job->occurrences[0].stages[0], worker));
     report_incarnation(&fixture, worker, 2);
@@ -231,7 +225,8 @@
     fixture.now_ms += 1000;
     list_incarnation(&fixture, worker, 2, "a");
     CU_ASSERT_EQUAL(fixture.order_count, 0);
-    CU_ASSERT_TRUE(FvSchedFixture_AnswerAdvice(&fixture, allow_all));
+    CU_ASSERT_TRUE(
+        FvSchedFixture_AnswerAdvice(&fixture, FvSchedFixture_AllowAll));
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_EQUAL(fixture.order_count, 1);
     FvSchedFixture_Close(&fixture);
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -297,13 +297,6 @@
     FvSchedFixture_Close(&fixture);
 }
 
-static bool
-allows_any(const char *worker)
-{
-    (void)worker;
-    return true;
-}
-
 /* Another incarnation rejects the ticket, so that no report is needed. */
 static void
 test_start_with_ticket_is_retried_at_once(void)
@@ -316,7 +309,8 @@
     FvSchedFixture_AddWorker(&fixture, "w1", "r1", 2000);
     FvSchedFixture_AddJob(&fixture, JOB_A, &queue, two_tasks);
     FvSchedFixture_RunPass(&fixture);
-    CU_ASSERT_TRUE_FATAL(FvSchedFixture_AnswerAdvice(&fixture, allows_any));
+    CU_ASSERT_TRUE_FATAL(
+        FvSchedFixture_AnswerAdvice(&fixture, FvSchedFixture_AllowAll));
     FvSchedFixture_RunPass(&fixture);
     task = FvSched_FindTask(&fixture.sched, JOB_A ".0.0.0");
     CU_ASSERT_FATAL(task != NULL && task->worker != NULL);
--- a/tests/unit/sched_restart_test.c
+++ b/tests/unit/sched_restart_test.c
@@ -225,6 +225,21 @@
     return task;
 }
 
+/* Checks that the task stays on its worker until a time, and hardly longer. */
+static void
+check_held_until(sched_fixture_t *fixture, const fv_sched_task_t *task,
+                 int64_t until_ms)
+{
+    fv_sched_worker_t *worker = task->worker;
+
+    fixture->now_ms = until_ms;
+    FvSched_ReportUnanswered(&fixture->sched, worker, fixture->now_ms);
+    CU_ASSERT_PTR_EQUAL(task->worker, worker);
+    fixture->now_ms += 500;
+    FvSched_ReportUnanswered(&fixture->sched, worker, fixture->now_ms);
+    CU_ASSERT_PTR_NULL(task->worker);
+}
+
 /* The next incarnation may carry out the start, under the longest lease since
  * its clock is behind the deadline. Only its entry tells of it. */
 static void
@@ -238,13 +253,9 @@
 
     entry.started_wall_ms = 2;
     FvSched_UpdateWorker(&fixture.sched, &entry, fixture.now_ms);
-    fixture.now_ms = repeated_ms + Fv_ORDER_DELAY_MAX_MS +
-                     2 * Fv_FIXTURE_LEASE_MS * 102 / 100;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
-    CU_ASSERT_PTR_EQUAL(task->worker, worker);
-    fixture.now_ms += 500;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
-    CU_ASSERT_PTR_NULL(task->worker);
+    check_held_until(&fixture, task,
+                     repeated_ms + Fv_ORDER_DELAY_MAX_MS +
+                         2 * Fv_FIXTURE_LEASE_MS * 102 / 100);
     FvSchedFixture_Close(&fixture);
 }
 
@@ -289,23 +300,12 @@
     fixture.now_ms += 2500;
     FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
     CU_ASSERT_PTR_EQUAL(task->worker, worker);
-    fixture.now_ms = repeated_ms + Fv_ORDER_DELAY_MAX_MS +
-                     2 * Fv_FIXTURE_LEASE_MS * 102 / 100;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
-    CU_ASSERT_PTR_EQUAL(task->worker, worker);
-    fixture.now_ms += 500;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
-    CU_ASSERT_PTR_NULL(task->worker);
+    check_held_until(&fixture, task,
+                     repeated_ms + Fv_ORDER_DELAY_MAX_MS +
+                         2 * Fv_FIXTURE_LEASE_MS * 102 / 100);
     FvSchedFixture_Close(&fixture);
 }
 
-static bool
-allow_all(const char *worker)
-{
-    (void)worker;
-    return true;
-}
-
 /* A worker whose entry is not back by then has left, and a start with an
  * expired ticket is rejected if it comes back. */
 static void
@@ -322,18 +322,14 @@
     worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
     FvSchedFixture_AddJob(&fixture, "00000000000000aa", &queue, one_task);
     FvSchedFixture_RunPass(&fixture);
-    CU_ASSERT(FvSchedFixture_AnswerAdvice(&fixture, allow_all));
+    CU_ASSERT(FvSchedFixture_AnswerAdvice(&fixture, FvSchedFixture_AllowAll));
     FvSchedFixture_RunPass(&fixture);
     task = FvSched_FindTask(&fixture.sched, "00000000000000aa.0.0.0");
     CU_ASSERT_FATAL(task != NULL && task->worker == worker);
     sent_ms = fixture.now_ms;
     FvSched_WorkerUnlisted(worker, fixture.now_ms);
-    fixture.now_ms = sent_ms + queue.ticket_valid_ms * 102 / 100;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
-    CU_ASSERT_PTR_EQUAL(task->worker, worker);
-    fixture.now_ms += 500;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
-    CU_ASSERT_PTR_NULL(task->worker);
+    check_held_until(&fixture, task,
+                     sent_ms + queue.ticket_valid_ms * 102 / 100);
     FvSchedFixture_Close(&fixture);
 }
 
