--- a/tests/soak/soak-faults.c
+++ b/tests/soak/soak-faults.c
@@ -104,8 +104,11 @@
         break;
     case SOAK_ACTION_KILL:
         host->down = true;
+        /* Until the process has gone, its port accepts connections that
+         * nobody will answer. */
+        host->killed_ms = INT64_MAX;
+        FvProcess_Kill(process);
         host->killed_ms = FvClock_NowMs();
-        FvProcess_Signal(process, SIGKILL);
         break;
     case SOAK_ACTION_RELOAD:
     case SOAK_ACTION_STUTTER:
