fake-cell: a run whose lease ended first has lapsed

Run 7002 began on w15 at 17.474, w15 was out of reach from 17.608 to 23.07, so that its lease ended by 22.2; the leader took it for lapsed at 22.502 and started run 7003 at 22.890. w15 listed run 7002 as done, at a time after the end of its lease: ticks are late on a busy machine, and of a run and a lease that ended between two of them the run counted first, at the time of the tick. A worker kills what runs when its lease ends. What ended first now counts, at its own time, which is earlier and so makes the check stricter.

By reading of the code and the trace; the case needs a tick that is late, and no test brings it about.

--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -68,6 +68,9 @@
     snprintf(end->task, sizeof(end->task), "%s", run->task);
     end->run = run->run;
     end->at_ms = FvClock_NowMs();
+    if (end->at_ms > run->ends_ms) {
+        end->at_ms = run->ends_ms; /* ticks may be late */
+    }
     end->outcome = outcome;
     while (*last != NULL) {
         last = &(*last)->next;
@@ -131,24 +134,27 @@
     cell_run_t **link = &worker->runs;
 
     carry_out_late_orders(cell, worker, now_ms);
-    for (cell_end_t *end = worker->ends;
-         end != NULL && worker->lease_end_ms <= now_ms; end = end->next) {
-        end->lapsed = end->lapsed || worker->lease_end_ms > end->at_ms;
-    }
     while (*link != NULL) {
-        if ((*link)->ends_ms <= now_ms) {
+        bool lapsed = worker->lease_end_ms <= now_ms &&
+                      worker->lease_end_ms <= (*link)->ends_ms;
+
+        if ((*link)->ends_ms <= now_ms && !lapsed) {
             end_run(cell, worker, link,
                     (*link)->stopping ? "stopped"
                     : (*link)->fails  ? "failed"
                                       : "done");
         }
-        else if (worker->lease_end_ms <= now_ms) {
+        else if (lapsed) {
             end_run(cell, worker, link, "lapsed");
         }
         else {
             link = &(*link)->next;
         }
     }
+    for (cell_end_t *end = worker->ends;
+         end != NULL && worker->lease_end_ms <= now_ms; end = end->next) {
+        end->lapsed = end->lapsed || worker->lease_end_ms > end->at_ms;
+    }
 }
 
 static void
