entry_predecessor: end the worker after the hosts

By the logs the worker's crash closed its connections at 27.599, its leader read that the registry had no entry of it at 27.605, took it off the worker list since nothing was on it, and was killed after 27.680: the successor read worker_list=1 and rightly waited for nobody. The stand-in has closed a crashed worker's connections at once since, and the test crashed the worker before it killed the hosts one after the other. The worker now ends while no host runs, so that the list has it in each run; the bounds are the same.

--- a/tests/promises/entry_predecessor.c
+++ b/tests/promises/entry_predecessor.c
@@ -117,9 +117,10 @@
     FvEntryCell_Stop(&cell);
 }
 
-/* All hosts end at one time and start again, beside a worker that does not
- * report: no earlier leader is left, so that only the worker's lease counts.
- */
+/* All hosts end at one time and start again, beside a worker that has ended
+ * meanwhile: no earlier leader is left, so that only the worker's lease
+ * counts. A leader that saw the worker leave would take it off the worker
+ * list. */
 static void
 test_restart_of_all_hosts_counts_as_stopped(void)
 {
@@ -127,10 +128,10 @@
     int leader;
 
     open_cell(&cell);
-    CU_ASSERT_TRUE(FvEntryCell_PlatformFault(&cell, "{\"crash\":1}"));
     for (int i = 0; i < HOSTS; i++) {
         FvProcess_Kill(&cell.hosts[i].process);
     }
+    CU_ASSERT_TRUE(FvEntryCell_PlatformFault(&cell, "{\"crash\":1}"));
     for (int i = 0; i < HOSTS; i++) {
         CU_ASSERT_TRUE(FvEntryCell_StartHost(&cell, i));
     }
