fake-cell: take faults once all workers are served

The control port was served before the workers' ports, so that a crash of a worker without a server read through a null pointer: SIGSEGV. The control port now comes last, and FvEntryCell_StartPlatform() waits until it answers.

--- a/tests/fakes/fake-cell.c
+++ b/tests/fakes/fake-cell.c
@@ -243,8 +243,7 @@
     cell.ends_page = (uint32_t)ends_page;
     if (!serve_port(&cell, NULL, port, CELL_STORE_THREADS,
                     FvCellStore_Handle) ||
-        !FvCellAdvice_Start(&cell, port + 1) ||
-        !serve_port(&cell, NULL, port + 2, 4, handle_control)) {
+        !FvCellAdvice_Start(&cell, port + 1)) {
         return 1;
     }
     for (int i = 0; i < workers; i++) {
@@ -260,6 +259,10 @@
         FvFakeServer_LimitConnections(worker->server, connections);
     }
     pthread_create(&ticks, NULL, run_ticks, &cell);
+    /* Faults and reports concern servers of workers. */
+    if (!serve_port(&cell, NULL, port + 2, 4, handle_control)) {
+        return 1;
+    }
     FvFakeServer_RunUntilSignal();
     return 0;
 }
--- a/tests/harness/entry-cell.c
+++ b/tests/harness/entry-cell.c
@@ -20,6 +20,7 @@
 #define ENTRY_CELL_PORT_RANGE_SIZE 500
 #define ENTRY_CELL_CALL_TIMEOUT_MS 3000
 #define ENTRY_CELL_START_MS 300
+#define ENTRY_CELL_PLATFORM_TIMEOUT_MS 20000
 
 /* Offsets from the first port. */
 #define ENTRY_PORT_CONTROL 2
@@ -207,11 +208,29 @@
     unlink(path);
 }
 
+/* All workers are served once the platform takes faults. */
+static bool
+wait_for_platform(entry_cell_t *cell)
+{
+    int64_t until_ms = FvClock_NowMs() + ENTRY_CELL_PLATFORM_TIMEOUT_MS;
+    bool answered = false;
+
+    while (!answered && !FvProcess_HasExited(&cell->platform) &&
+           FvClock_NowMs() < until_ms) {
+        json_t *report = FvEntryCell_Report(cell);
+
+        answered = report != NULL;
+        json_decref(report);
+        FvFake_SleepMs(10);
+    }
+    return answered;
+}
+
 /**
  * FvEntryCell_StartPlatform - start the platform and the proxies to its store
  * @cell: the cell
  *
- * Return: false when a program cannot be started.
+ * Return: false when a program cannot be started, or ends at once.
  */
 bool
 FvEntryCell_StartPlatform(entry_cell_t *cell)
@@ -220,7 +239,7 @@
         return false;
     }
     FvFake_SleepMs(ENTRY_CELL_START_MS);
-    return true;
+    return wait_for_platform(cell);
 }
 
 /**
--- a/tests/unit/fake_cell_test.c
+++ b/tests/unit/fake_cell_test.c
@@ -7,6 +7,7 @@
 #include "kept-connection.h"
 #include "suite.h"
 
+#include <pthread.h>
 #include <string.h>
 
 /* A host keeps up to 8 idle connections to the advice service. */
@@ -58,10 +59,59 @@
     FvEntryCell_Stop(&cell);
 }
 
+#define FAULT_TIMEOUT_MS 10000
+
+typedef struct early_fault {
+    const entry_cell_t *cell;
+    bool taken;
+} early_fault_t;
+
+static void *
+post_early_fault(void *context)
+{
+    early_fault_t *fault = context;
+    int64_t until_ms = FvClock_NowMs() + FAULT_TIMEOUT_MS;
+
+    while (!fault->taken && FvClock_NowMs() < until_ms) {
+        fault->taken =
+            FvEntryCell_PlatformFault(fault->cell, "{\"crash\":79}");
+    }
+    return NULL;
+}
+
+/* A fault of a worker that was not served yet ended the stand-in, and the soak
+ * reported the jobs that were left open as faults of the hosts. */
+static void
+test_fault_while_workers_start(void)
+{
+    static entry_cell_t cell;
+    early_fault_t fault = {.cell = &cell};
+    pthread_t thread;
+    json_t *report;
+
+    CU_ASSERT_TRUE_FATAL(FvEntryCell_Start(
+        &cell, &(entry_cell_options_t){.name = "fake-cell-early-fault",
+                                       .hosts = 1,
+                                       .workers = ENTRY_CELL_WORKERS_MAX,
+                                       .late_platform = true}));
+    pthread_create(&thread, NULL, post_early_fault, &fault);
+    CU_ASSERT_TRUE(FvEntryCell_StartPlatform(&cell));
+    report = FvEntryCell_Report(&cell);
+    CU_ASSERT_EQUAL(json_array_size(json_object_get(report, "connections")),
+                    ENTRY_CELL_WORKERS_MAX);
+    pthread_join(thread, NULL);
+    CU_ASSERT_TRUE(fault.taken);
+    CU_ASSERT_FALSE(FvProcess_HasExited(&cell.platform));
+    json_decref(report);
+    FvEntryCell_Stop(&cell);
+}
+
 int
 main(void)
 {
     static const test_case_t cases[] = {
+        {"a fault while the workers start ends the stand-in",
+         test_fault_while_workers_start},
         {"kept connections use up those of the advice service",
          test_kept_connections},
     };
