soak: say when the stand-in for the platform has ended

The soak reported jobs as OPEN, or only violations=-1, when fake-cell had ended by itself, which reads like a fault of the hosts. Nothing looked at the process until it was killed at the end. The soak now prints the exit status and the signal, fails, and lists no open jobs then.

--- a/tests/harness/entry-cell.c
+++ b/tests/harness/entry-cell.c
@@ -294,6 +294,29 @@
     FvProcess_Kill(&cell->platform);
 }
 
+/**
+ * FvEntryCell_PlatformEnded - check whether the platform has ended by itself
+ * @cell: the cell, which has not been stopped
+ *
+ * Return: true if it has, which the first call prints with the exit status and
+ * the signal.
+ */
+bool
+FvEntryCell_PlatformEnded(entry_cell_t *cell)
+{
+    bool was_running = cell->platform.pid > 0;
+    bool ended = FvProcess_HasExited(&cell->platform);
+
+    if (was_running && ended) {
+        int status = cell->platform.exit_status;
+
+        printf("the platform's stand-in ended by itself: exit status %d, "
+               "signal %d (log: %s/cell.log)\n",
+               status, status > 128 ? status - 128 : 0, cell->directory);
+    }
+    return ended;
+}
+
 /**
  * FvEntryCell_WaitReady - wait until all hosts report ready
  * @cell: the cell
--- a/tests/harness/entry-cell.h
+++ b/tests/harness/entry-cell.h
@@ -54,6 +54,7 @@
 bool FvEntryCell_Start(entry_cell_t *cell,
                        const entry_cell_options_t *options);
 bool FvEntryCell_StartPlatform(entry_cell_t *cell);
+bool FvEntryCell_PlatformEnded(entry_cell_t *cell);
 void FvEntryCell_Stop(entry_cell_t *cell);
 bool FvEntryCell_StartHost(entry_cell_t *cell, int host);
 bool FvEntryCell_WaitReady(entry_cell_t *cell, int64_t timeout_ms);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -104,11 +104,16 @@
     uint32_t unasked;
     int64_t violations;
 
-    while (count_unfinished(soak, &random, false) > 0 &&
+    /* Without the platform, open jobs tell nothing of the hosts. */
+    while (!FvEntryCell_PlatformEnded(&soak->cell) &&
+           count_unfinished(soak, &random, false) > 0 &&
            FvClock_NowMs() < until_ms) {
         FvFake_SleepMs(500);
         FvSoakFaults_ClearDue(soak, INT64_MAX);
     }
+    if (FvEntryCell_PlatformEnded(&soak->cell)) {
+        return false;
+    }
     unfinished = count_unfinished(soak, &random, true);
     report = FvEntryCell_Report(&soak->cell);
     violations = FvJson_Int(report, "violations", -1);
--- a/tests/unit/fake_cell_test.c
+++ b/tests/unit/fake_cell_test.c
@@ -8,6 +8,7 @@
 #include "suite.h"
 
 #include <pthread.h>
+#include <signal.h>
 #include <string.h>
 
 /* A host keeps up to 8 idle connections to the advice service. */
@@ -106,12 +107,36 @@
     FvEntryCell_Stop(&cell);
 }
 
+/* The soak took the end of the stand-in for jobs that the hosts left open. */
+static void
+test_end_is_noticed(void)
+{
+    static entry_cell_t cell;
+    int64_t until_ms;
+    bool ended = false;
+
+    CU_ASSERT_TRUE_FATAL(FvEntryCell_Start(
+        &cell, &(entry_cell_options_t){
+                   .name = "fake-cell-ended", .hosts = 1, .workers = 1}));
+    CU_ASSERT_FALSE(FvEntryCell_PlatformEnded(&cell));
+    CU_ASSERT_TRUE(FvProcess_Signal(&cell.platform, SIGSEGV));
+    until_ms = FvClock_NowMs() + FAULT_TIMEOUT_MS;
+    while (!ended && FvClock_NowMs() < until_ms) {
+        ended = FvEntryCell_PlatformEnded(&cell);
+    }
+    CU_ASSERT_TRUE(ended);
+    CU_ASSERT_EQUAL(cell.platform.exit_status, 128 + SIGSEGV);
+    CU_ASSERT_TRUE(FvEntryCell_PlatformEnded(&cell));
+    FvEntryCell_Stop(&cell);
+}
+
 int
 main(void)
 {
     static const test_case_t cases[] = {
         {"a fault while the workers start ends the stand-in",
          test_fault_while_workers_start},
+        {"the end of the stand-in is not noticed", test_end_is_noticed},
         {"kept connections use up those of the advice service",
          test_kept_connections},
     };
