election: no earlier leader counts as stopped while hosts are read again

A leader could take all earlier leaders for stopped, and release their tasks up to 6 s early, while it read the control keys again. All hosts are unlisted when the first page comes; until the last page, or after a failed one, no listed host was without a link, for want of any. The list of hosts now counts only when it was read as a whole. The new test fails before the change (2 checks); election 353, election_hosts 42, entry_hosts 2055, leader_unreached 47 checks pass after it.

--- a/src/election-hosts.c
+++ b/src/election-hosts.c
@@ -24,6 +24,19 @@
     return election->host_count;
 }
 
+/**
+ * FvElection_KnowsHosts - whether the list of registered hosts is complete
+ * @election: the election
+ *
+ * Return: false while the registry is being read, when a host that is not
+ * listed may be registered.
+ */
+bool
+FvElection_KnowsHosts(const fv_election_t *election)
+{
+    return election->loaded && !election->reading;
+}
+
 /**
  * FvElectionHosts_IsLargest - whether no other host has more CPU
  * @election: the election
--- a/src/election.c
+++ b/src/election.c
@@ -646,6 +646,7 @@
 {
     fv_election_t *election = context;
 
+    election->reading = true;
     election->leader_known = false;
     for (uint32_t i = 0; i < election->host_count; i++) {
         election->hosts[i].listed = false;
@@ -719,6 +720,7 @@
     fv_election_t *election = context;
 
     election->loaded = true;
+    election->reading = false;
     if (!election->leader_known) {
         schedule_claim(election, FvClock_NowMs());
     }
--- a/src/election.h
+++ b/src/election.h
@@ -27,6 +27,7 @@
     char nonce[Fv_NONCE_SIZE];
     struct event *action_timer; /* for a claim or a lease revocation */
     bool loaded;                /* the control keys have been read */
+    bool reading;               /* they are being read again, page by page */
     bool leader_known;
     char leader_host[Fv_NAME_SIZE];
     int64_t leader_lease;
--- a/src/entry-hosts.c
+++ b/src/entry-hosts.c
@@ -115,7 +115,7 @@
 {
     const fv_peer_entry_t *hosts;
     uint32_t count = FvElection_Hosts(entry->election, &hosts);
-    bool linked = true;
+    bool linked = FvElection_KnowsHosts(entry->election);
 
     for (uint32_t i = 0; i < count && linked; i++) {
         linked =
--- a/src/entry.h
+++ b/src/entry.h
@@ -275,6 +275,7 @@
                                 int64_t sent_ago_ms);
 void FvElection_RemoveHost(fv_election_t *election, const char *name,
                            int64_t epoch);
+bool FvElection_KnowsHosts(const fv_election_t *election);
 uint32_t FvElection_Hosts(const fv_election_t *election,
                           const fv_peer_entry_t **hosts);
 int64_t FvElection_OrderGraceMs(void);
--- a/tests/unit/election_hosts_test.c
+++ b/tests/unit/election_hosts_test.c
@@ -4,6 +4,7 @@
  */
 
 #include "election_fixture.h"
+#include "entry-hosts.h"
 
 static void
 deliver_host_entry(const char *name, const char *value, bool deleted)
@@ -103,6 +104,38 @@
     close_election();
 }
 
+/* The registry is read again after the store has dropped its history. All
+ * hosts are unlisted until their page arrives, and one of them is an earlier
+ * leader that is out of reach. */
+static void
+test_registry_is_read_again(void)
+{
+    static fv_entry_t entry;
+
+    open_election("1");
+    entry.election = election;
+    entry.self = FvEntryHosts_FindOrAdd(&entry, "akl-1");
+    deliver_host_entry("akl-1", "127.0.0.1:1 1.000", false);
+    deliver_host_entry("akl-2", "127.0.0.1:9 1.000", false);
+    CU_ASSERT_FALSE(FvEntryHosts_AreAllLinked(&entry));
+    fake_kv.watcher.begin(fake_kv.watcher.context);
+    CU_ASSERT_FALSE(FvEntryHosts_AreAllLinked(&entry));
+    deliver_host_entry("akl-1", "127.0.0.1:1 1.000", false);
+    CU_ASSERT_FALSE(FvEntryHosts_AreAllLinked(&entry));
+    /* The second page failed, and the reading begins anew. */
+    fake_kv.watcher.begin(fake_kv.watcher.context);
+    deliver_host_entry("akl-1", "127.0.0.1:1 1.000", false);
+    deliver_host_entry("akl-2", "127.0.0.1:9 1.000", false);
+    fake_kv.watcher.loaded(fake_kv.watcher.context);
+    CU_ASSERT_FALSE(FvEntryHosts_AreAllLinked(&entry));
+    deliver_host_entry("akl-2", "", true);
+    CU_ASSERT_TRUE(FvEntryHosts_AreAllLinked(&entry));
+    for (uint32_t i = 0; i < entry.host_state_count; i++) {
+        free(entry.host_states[i]);
+    }
+    close_election();
+}
+
 int
 main(void)
 {
@@ -117,6 +150,8 @@
         {"a host that is not registered leads, and its successor takes it for "
          "stopped",
          test_claim_registers_its_host},
+        {"an earlier leader counts as stopped while the hosts are read again",
+         test_registry_is_read_again},
     };
 
     return Fv_RUN_SUITE("election_hosts", cases);
