scheduler, leader: log the tasks of a lost worker and the age of the leadership

Users saw tasks run twice, and their record holds the lines that name a job: none tells that a task went back to waiting, nor for how long its leader had not renewed its leadership. Two hypotheses (the earlier leader frees a task, or its successor does) could not be told apart.

task_lost names job, run, worker, cause and the end of the lease; lead_age_ms in task_lost, tasks_lost, worker_silent, inherited_tasks_free and leadership_lost tells when the latest successful renewal was sent. Counter tasks_lost. No decision changes. election, leader_requests, sched_lease, sched_report, metrics and sched_orphan tests pass.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -159,12 +159,13 @@
     }
     leader->sched.hold_inherited_tasks = false;
     leader->sched.dirty = true;
-    FvLog_Event(Fv_LOG_INFO, "inherited_tasks_free",
-                "cause=%s predecessor=%s stopped=%d after_ms=%" PRId64,
-                leases_expired ? "leases_expired" : "runs_known",
-                leader->predecessor.host,
-                leader->predecessor_stopped_ms != 0 ? 1 : 0,
-                now_ms - leader->began_ms);
+    FvLog_Event(
+        Fv_LOG_INFO, "inherited_tasks_free",
+        "cause=%s predecessor=%s stopped=%d after_ms=%" PRId64
+        " lead_age_ms=%" PRId64,
+        leases_expired ? "leases_expired" : "runs_known",
+        leader->predecessor.host, leader->predecessor_stopped_ms != 0 ? 1 : 0,
+        now_ms - leader->began_ms, FvSched_LeadAgeMs(&leader->sched, now_ms));
 }
 
 /* A worker of a service that no queue names; a later configuration may. */
--- a/src/election.c
+++ b/src/election.c
@@ -127,7 +127,9 @@
     election->lease = 0;
     if (was_leader) {
         FvMetrics_Add(Fv_COUNTER_LEASE_LOSSES, 1);
-        FvLog_Event(Fv_LOG_WARN, "leadership_lost", "cause=%s", cause);
+        FvLog_Event(Fv_LOG_WARN, "leadership_lost",
+                    "cause=%s lead_age_ms=%" PRId64, cause,
+                    FvClock_NowMs() - election->renewed_ms);
         election->events.lost(election->events.context, cause);
     }
     if (!election->leader_known) {
@@ -379,7 +381,8 @@
         }
         election->failed_renewals = 0;
         end_proof(election, renewal->number);
-        election->events.renewed(election->events.context, renewal->number);
+        election->events.renewed(election->events.context, renewal->number,
+                                 renewal->sent_ms);
     }
     else if (result->error == Fv_KV_NOT_FOUND) {
         lose_leadership(election, "lease_ended");
--- a/src/entry.c
+++ b/src/entry.c
@@ -313,11 +313,11 @@
 }
 
 static void
-election_renewed(void *context, uint64_t renewal)
+election_renewed(void *context, uint64_t renewal, int64_t sent_ms)
 {
     fv_entry_t *entry = context;
 
-    FvLeader_LeaseProved(entry->leader, renewal);
+    FvLeader_LeaseProved(entry->leader, renewal, sent_ms);
 }
 
 static void
--- a/src/entry.h
+++ b/src/entry.h
@@ -255,7 +255,8 @@
     /* The store refused or did not answer lease renewals of this leader;
      * @sent_ago_ms: since the latest of them was sent. */
     void (*store_failing)(void *context, int64_t sent_ago_ms);
-    void (*renewed)(void *context, uint64_t renewal);
+    /* A renewal that was sent at sent_ms has succeeded: this host led then. */
+    void (*renewed)(void *context, uint64_t renewal, int64_t sent_ms);
     void (*hosts_changed)(void *context);
     void *context;
 } fv_election_events_t;
@@ -430,7 +431,8 @@
 void FvLeader_HandleRequest(fv_leader_t *leader,
                             const fv_cell_message_t *message,
                             fv_leader_reply_t reply, void *context);
-void FvLeader_LeaseProved(fv_leader_t *leader, uint64_t renewal);
+void FvLeader_LeaseProved(fv_leader_t *leader, uint64_t renewal,
+                          int64_t sent_ms);
 void FvLeader_DropReplies(fv_leader_t *leader, const void *context);
 void FvLeader_HandleAdvice(fv_leader_t *leader,
                            const fv_cell_message_t *message);
--- a/src/leader-requests.c
+++ b/src/leader-requests.c
@@ -323,14 +323,20 @@
 }
 
 /**
- * FvLeader_LeaseProved - answer the questions that wait for a renewal
+ * FvLeader_LeaseProved - note that this host led, and answer the questions
+ * that wait for a renewal
  * @leader: the leader, or NULL
  * @renewal: number of a renewal that succeeded
+ * @sent_ms: when it was sent
  */
 void
-FvLeader_LeaseProved(fv_leader_t *leader, uint64_t renewal)
+FvLeader_LeaseProved(fv_leader_t *leader, uint64_t renewal, int64_t sent_ms)
 {
-    while (leader != NULL && leader->questions_first != NULL &&
+    if (leader == NULL) {
+        return;
+    }
+    FvSched_ConfirmLead(&leader->sched, sent_ms);
+    while (leader->questions_first != NULL &&
            leader->questions_first->renewal <= renewal) {
         fv_held_question_t *question = take_first_question(leader);
         fv_cell_message_t message = {
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -86,6 +86,9 @@
     [Fv_COUNTER_HTTP_NOT_FORWARDED] = {"http_not_forwarded",
                                        "Requests refused without a leader: no "
                                        "configuration, or shutting down."},
+    [Fv_COUNTER_TASKS_LOST] = {"tasks_lost",
+                               "Tasks that went back to waiting because their "
+                               "worker was lost."},
     [Fv_COUNTER_WORKERS_OVERCOMMITTED] = {"workers_overcommitted",
                                           "Times that a worker listed more "
                                           "runs than its capacity admits."},
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -591,9 +591,11 @@
 {
     if (!worker->suspect) {
         FvLog_Event(Fv_LOG_WARN, "worker_silent",
-                    "worker=%s tasks=%d lease_left_ms=%" PRId64,
+                    "worker=%s tasks=%d lease_left_ms=%" PRId64
+                    " lead_age_ms=%" PRId64,
                     worker->entry.id, worker->task_count,
-                    worker->lease_expires_ms - now_ms);
+                    worker->lease_expires_ms - now_ms,
+                    FvSched_LeadAgeMs(sched, now_ms));
     }
     worker->suspect_since_ms =
         worker->suspect ? worker->suspect_since_ms : now_ms;
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -537,6 +537,21 @@
     return now_ms < until_ms;
 }
 
+static void
+log_lost_task(const fv_sched_t *sched, const fv_sched_task_t *task,
+              const char *cause, int64_t now_ms)
+{
+    char name[Fv_RUN_TASK_ID_SIZE];
+
+    FvSched_TaskName(task, name, sizeof(name));
+    FvLog_Event(Fv_LOG_INFO, "task_lost",
+                "job=%s task=%s run=%d worker=%s cause=%s "
+                "lease_ended_ms=%" PRId64 " lead_age_ms=%" PRId64,
+                task->stage->job->id, name, task->run, task->worker->entry.id,
+                cause, now_ms - task->worker->lease_expires_ms,
+                FvSched_LeadAgeMs(sched, now_ms));
+}
+
 /**
  * FvSched_RequeueLostTasks - requeue the tasks of a worker that runs none of
  * them any more
@@ -563,6 +578,7 @@
             continue;
         }
         lost++;
+        log_lost_task(sched, task, cause, now_ms);
         if (FvSched_LateStartUntilMs(task) > now_ms) {
             FvSched_OrphanLatestRun(task, now_ms); /* the worker may return */
         }
@@ -571,10 +587,13 @@
             FvSched_StopGang(sched, stage, now_ms);
         }
     }
+    FvMetrics_Add(Fv_COUNTER_TASKS_LOST, lost);
     if (lost > 0) {
         FvLog_Event(Fv_LOG_WARN, "tasks_lost",
-                    "worker=%s cause=%s tasks=%u in_doubt=%d",
-                    worker->entry.id, cause, lost, worker->task_count);
+                    "worker=%s cause=%s tasks=%u in_doubt=%d "
+                    "lead_age_ms=%" PRId64,
+                    worker->entry.id, cause, lost, worker->task_count,
+                    FvSched_LeadAgeMs(sched, now_ms));
     }
 }
 
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -301,6 +301,7 @@
     fv_sched_job_t *jobs;
     fv_sched_worker_t *workers;
     fv_sched_stage_t *pending;
+    int64_t lead_confirmed_ms; /* this host led then; 0: not confirmed yet */
     int32_t run_base;          /* runs of this leader have higher numbers */
     bool hold_inherited_tasks; /* they may run on workers without a report */
     bool stops_suspended;      /* during a handover to another host */
@@ -434,6 +435,10 @@
 void FvSched_FreeOrphanRuns(fv_sched_worker_t *worker);
 bool FvSched_HasOrphanRuns(const fv_sched_worker_t *worker, int64_t now_ms);
 
+/* sched-lead.c */
+void FvSched_ConfirmLead(fv_sched_t *sched, int64_t sent_ms);
+int64_t FvSched_LeadAgeMs(const fv_sched_t *sched, int64_t now_ms);
+
 /* sched-lease.c */
 void FvSched_OutlastEarlierLeases(const fv_sched_t *sched,
                                   fv_sched_worker_t *worker, int64_t clock_ms,
--- a/tests/unit/election_fixture.h
+++ b/tests/unit/election_fixture.h
@@ -52,9 +52,10 @@
 }
 
 static inline void
-renewed(void *context, uint64_t renewal)
+renewed(void *context, uint64_t renewal, int64_t sent_ms)
 {
     (void)context;
+    (void)sent_ms;
     outcome.renewed = renewal;
 }
 
--- a/tests/unit/leader_requests_test.c
+++ b/tests/unit/leader_requests_test.c
@@ -254,12 +254,12 @@
     open_leader();
     CU_ASSERT_EQUAL(request(Fv_VERB_STATE, UNKNOWN), 0);
     CU_ASSERT_EQUAL(proofs, 1);
-    FvLeader_LeaseProved(&leader, RENEWAL - 1);
+    FvLeader_LeaseProved(&leader, RENEWAL - 1, 0);
     CU_ASSERT_EQUAL(answers, 0);
-    FvLeader_LeaseProved(&leader, RENEWAL);
+    FvLeader_LeaseProved(&leader, RENEWAL, 0);
     CU_ASSERT_EQUAL(answers, 1);
     CU_ASSERT_EQUAL(answer, Fv_REPLY_GONE);
-    FvLeader_LeaseProved(&leader, RENEWAL + 1);
+    FvLeader_LeaseProved(&leader, RENEWAL + 1, 0);
     CU_ASSERT_EQUAL(answers, 1);
     close_leader();
 }
@@ -273,7 +273,7 @@
     CU_ASSERT_EQUAL(request(Fv_VERB_SUBMIT, UNKNOWN), 0);
     write_records();
     CU_ASSERT_EQUAL(answer, Fv_REPLY_ACCEPTED);
-    FvLeader_LeaseProved(&leader, RENEWAL);
+    FvLeader_LeaseProved(&leader, RENEWAL, 0);
     CU_ASSERT_EQUAL(answer, Fv_REPLY_STATE);
     close_leader();
 }
@@ -340,11 +340,11 @@
     CU_ASSERT_EQUAL(request(Fv_VERB_STATE, UNKNOWN), 0);
     CU_ASSERT_EQUAL(request(Fv_VERB_CANCEL, OTHER_UNKNOWN), 0);
     FvLeader_DropReplies(&leader, &leader);
-    FvLeader_LeaseProved(&leader, RENEWAL);
+    FvLeader_LeaseProved(&leader, RENEWAL, 0);
     write_records();
     CU_ASSERT_EQUAL(answers, 0);
     CU_ASSERT_EQUAL(request(Fv_VERB_STATE, UNKNOWN), 0);
-    FvLeader_LeaseProved(&leader, RENEWAL);
+    FvLeader_LeaseProved(&leader, RENEWAL, 0);
     CU_ASSERT_EQUAL(answers, 1);
     close_leader();
 }
