tests: a cell of entry hosts can split in two

No test could cut a leader off together with other hosts and workers: the proxy stood only between a host and the store, and a mute worker is out of reach of all hosts, so that a leader and its successor never went on side by side with workers each. FvEntryCell_Split() puts each host, worker, the store and the advice service on one of two sides; either direction may still arrive.

fake-cell learns from the leader's key which host a fencing token belongs to, and holds the calls of hosts on the other side of a worker. Each host has a route of its own to the advice service, and one in front of its link port, whose address fake-cell hands out; a leader's greeting tells who calls. Calls over the split are silent, not reset, and go on after it unless their client has given up, as packets that are sent again. A worker cut off from the store writes no entry. Only cells with the option `splits` have the added routes.

--- a/tests/fakes/fake-cell.c
+++ b/tests/fakes/fake-cell.c
@@ -84,6 +84,7 @@
     cell_worker_t *mute = find_worker(cell, body, "mute");
     cell_worker_t *reached = find_worker(cell, body, "reached");
     const char *entry = FvJson_String(body, "entry");
+    const json_t *split = json_object_get(body, "split");
     int64_t config_version = FvJson_Int(body, "config", 0);
 
     cell->pause_leases = FvJson_Bool(body, "pauseLeases", cell->pause_leases);
@@ -123,6 +124,9 @@
     if (entry != NULL) {
         write_foreign_entry(cell, entry, FvJson_String(body, "value"));
     }
+    if (split != NULL) {
+        FvCellSplit_Apply(cell, split);
+    }
     if (config_version > 0) {
         write_config(cell, config_version);
     }
@@ -232,7 +236,7 @@
 }
 
 static int
-run(int port, int workers, int ends_page, int connections)
+run(int port, int workers, int ends_page, int connections, bool proxied_links)
 {
     static cell_t cell = {.lock = PTHREAD_MUTEX_INITIALIZER};
     pthread_t ticks;
@@ -241,6 +245,7 @@
     write_config(&cell, 1);
     cell.worker_count = (uint32_t)workers;
     cell.ends_page = (uint32_t)ends_page;
+    cell.proxied_links = proxied_links;
     if (!serve_port(&cell, NULL, port, CELL_STORE_THREADS,
                     FvCellStore_Handle) ||
         !FvCellAdvice_Start(&cell, port + 1) ||
@@ -273,9 +278,13 @@
         NULL, "ends-page", "N", "ends that a report lists at most (500)");
     struct arg_int *connections =
         arg_int0(NULL, "connections", "N", "connections that a worker serves");
+    struct arg_lit *proxied_links =
+        arg_lit0(NULL, "proxied-links",
+                 "hosts are entered with the addresses of their proxies");
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_end *end = arg_end(4);
-    void *table[] = {port, workers, ends_page, connections, help, end};
+    void *table[] = {port,          workers, ends_page, connections,
+                     proxied_links, help,    end};
     int code;
 
     ends_page->ival[0] = CELL_PAGE_MAX;
@@ -285,7 +294,8 @@
         code = workers->ival[0] >= 1 && workers->ival[0] <= CELL_WORKERS_MAX &&
                        ends_page->ival[0] >= 1
                    ? run(port->ival[0], workers->ival[0], ends_page->ival[0],
-                         connections->count > 0 ? connections->ival[0] : 0)
+                         connections->count > 0 ? connections->ival[0] : 0,
+                         proxied_links->count > 0)
                    : 2;
     }
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
--- a/tests/harness/cell-store.c
+++ b/tests/harness/cell-store.c
@@ -228,8 +228,10 @@
 
         FvText_DecodeBase64(FvJson_String(row, "value"), &value);
         bytes = (kv_bytes_t){.data = value.data, .length = value.length};
+        FvCellSplit_AdaptEntry(cell, &key, &bytes);
         FvKv_Put(cell->store, &key, &bytes, FvJson_Int(row, "lease", 0),
                  now_ms);
+        FvCellSplit_NoteEntry(cell, &key);
         FvBuffer_Clear(&value);
     }
     json_array_foreach(json_object_get(body, "remove"), index, row)
--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -474,6 +474,22 @@
     FvFake_Drop(request);
 }
 
+/* Without a reply the connection is closed. */
+static void
+send_reply(cell_t *cell, const cell_worker_t *worker, fake_request_t *request,
+           const json_t *body, int status, json_t *reply)
+{
+    if (reply != NULL &&
+        FvCellSplit_Wait(cell, worker, request,
+                         FvJson_Int(body, "fencingToken", 0), true) &&
+        !is_connection_gone(request, worker)) {
+        FvFake_ReplyJson(request, status, reply);
+        return;
+    }
+    json_decref(reply);
+    drop_request(worker, request);
+}
+
 /* Takes the lock itself, because it waits for a run to end. */
 static void
 handle_hold(cell_t *cell, cell_worker_t *worker, fake_request_t *request,
@@ -506,11 +522,7 @@
         pthread_mutex_lock(&cell->lock);
     }
     pthread_mutex_unlock(&cell->lock);
-    if (reply == NULL) {
-        drop_request(worker, request);
-        return;
-    }
-    FvFake_ReplyJson(request, status, reply);
+    send_reply(cell, worker, request, body, status, reply);
 }
 
 static bool
@@ -532,7 +544,10 @@
     json_t *reply = NULL;
     int status = 400;
 
-    if (is_connection_gone(request, target->worker) || body == NULL) {
+    if (is_connection_gone(request, target->worker) || body == NULL ||
+        !FvCellSplit_Wait(cell, target->worker, request,
+                          FvJson_Int(body, "fencingToken", 0), false) ||
+        is_connection_gone(request, target->worker)) {
         json_decref(body);
         drop_request(target->worker, request);
         return;
@@ -572,12 +587,11 @@
         reply = handle_stop(cell, target->worker, body, &status);
     }
     pthread_mutex_unlock(&cell->lock);
-    json_decref(body);
-    if (status == 0) {
-        drop_request(target->worker, request);
-        return;
+    if (status != 0 && reply == NULL) {
+        reply = json_object();
     }
-    FvFake_ReplyJson(request, status, reply ? reply : json_object());
+    send_reply(cell, target->worker, request, body, status, reply);
+    json_decref(body);
 }
 
 static void
@@ -621,6 +635,7 @@
 
         end_due_runs(cell, worker, now_ms);
         if (!worker->down && !worker->silent &&
+            !FvCellSplit_IsWorkerCut(cell, worker) &&
             worker->next_heartbeat_ms <= now_ms) {
             worker->next_heartbeat_ms = now_ms + CELL_HEARTBEAT_MS;
             write_entry(cell, worker);
--- a/tests/harness/entry-cell.c
+++ b/tests/harness/entry-cell.c
@@ -78,10 +78,33 @@
            (int)port;
 }
 
+/**
+ * FvEntryCell_Route - get the address of a route of fault-proxy
+ * @cell: the cell
+ * @host: index of the host that uses the route, or is reached by it
+ * @kind: which of its routes
+ * @address: receives the address
+ * @size: size of @address
+ */
+void
+FvEntryCell_Route(const entry_cell_t *cell, int host, entry_route_t kind,
+                  char *address, size_t size)
+{
+    if (kind == ENTRY_ROUTE_LINK) {
+        /* The host listens on the same port of 127.0.0.1. */
+        snprintf(address, size, "127.0.1.1:%d",
+                 FvEntryCell_Port(cell, host, ENTRY_PORT_LINK));
+    }
+    else {
+        snprintf(address, size, "127.0.%d.1:%d", kind == ENTRY_ROUTE_ADVICE,
+                 cell->port + ENTRY_PORT_ROUTES + host);
+    }
+}
+
 static bool
 start_platform(entry_cell_t *cell)
 {
-    const char *argv[ENTRY_PLATFORM_ARGUMENTS_MAX + 6];
+    const char *argv[ENTRY_PLATFORM_ARGUMENTS_MAX + 7];
     char log[512];
     char port[16];
     char workers[16];
@@ -95,9 +118,12 @@
     argv[count++] = port;
     argv[count++] = "--workers";
     argv[count++] = workers;
+    if (cell->options.splits) {
+        argv[count++] = "--proxied-links";
+    }
     for (const char *const *option = cell->options.platform_options;
          option != NULL && *option != NULL &&
-         count < ENTRY_PLATFORM_ARGUMENTS_MAX + 5;
+         count < ENTRY_PLATFORM_ARGUMENTS_MAX + 6;
          option++) {
         argv[count++] = *option;
     }
@@ -108,20 +134,31 @@
 static bool
 start_proxy(entry_cell_t *cell)
 {
-    char routes[ENTRY_CELL_HOSTS_MAX][64];
+    static const entry_route_t kinds[] = {
+        ENTRY_ROUTE_STORE, ENTRY_ROUTE_ADVICE, ENTRY_ROUTE_LINK};
+    int kind_count = cell->options.splits ? 3 : 1;
+    char routes[ENTRY_CELL_HOSTS_MAX * 3][160];
     char control[64];
     char log[512];
-    const char *argv[ENTRY_CELL_HOSTS_MAX * 2 + 4] = {
+    const char *argv[ENTRY_CELL_HOSTS_MAX * 6 + 4] = {
         build_path("fault-proxy"), "--control", control};
     int count = 3;
 
     snprintf(log, sizeof(log), "%s/proxy.log", cell->directory);
     snprintf(control, sizeof(control), "127.0.0.1:%d",
              cell->port + ENTRY_PORT_PROXY);
-    for (int i = 0; i < cell->options.hosts; i++) {
-        snprintf(routes[i], sizeof(routes[i]), "127.0.0.1:%d=127.0.0.1:%d",
-                 cell->port + ENTRY_PORT_ROUTES + i, cell->port);
-        argv[count++] = "--route";
+    for (int i = 0; i < cell->options.hosts * kind_count; i++) {
+        int host = i / kind_count;
+        entry_route_t kind = kinds[i % kind_count];
+        char address[64];
+
+        FvEntryCell_Route(cell, host, kind, address, sizeof(address));
+        snprintf(routes[i], sizeof(routes[i]), "%s=127.0.0.1:%d", address,
+                 kind == ENTRY_ROUTE_STORE ? cell->port
+                 : kind == ENTRY_ROUTE_ADVICE
+                     ? cell->port + 1
+                     : FvEntryCell_Port(cell, host, ENTRY_PORT_LINK));
+        argv[count++] = kind == ENTRY_ROUTE_LINK ? "--link" : "--route";
         argv[count++] = routes[i];
     }
     argv[count] = NULL;
@@ -132,8 +169,14 @@
 write_settings(entry_cell_t *cell, int host)
 {
     const entry_cell_options_t *options = &cell->options;
+    char advice[64];
     FILE *file;
 
+    snprintf(advice, sizeof(advice), "127.0.0.1:%d", cell->port + 1);
+    if (options->splits) {
+        FvEntryCell_Route(cell, host, ENTRY_ROUTE_ADVICE, advice,
+                          sizeof(advice));
+    }
     snprintf(cell->hosts[host].settings, sizeof(cell->hosts[host].settings),
              "%s/host-%d.toml", cell->directory, host);
     file = fopen(cell->hosts[host].settings, "w");
@@ -146,7 +189,7 @@
             "ready_address = \"127.0.0.1:%d\"\n"
             "metrics_address = \"127.0.0.1:%d\"\nlink_port = %d\n"
             "cpu_cores = 1.0\nstore_address = \"127.0.0.1:%d\"\n"
-            "store_lease_min_ms = 1000\nadvice_address = \"127.0.0.1:%d\"\n"
+            "store_lease_min_ms = 1000\nadvice_address = \"%s\"\n"
             "descriptors_max = 1024\nlease_max_ms = 10000\n"
             "stop_timeout_ms = %d\ngang_timeout_ms = 3000\ndrain_ms = %d\n"
             "keep_ended_s = 120\nlog_level = \"%s\"\n",
@@ -154,7 +197,7 @@
             FvEntryCell_Port(cell, host, ENTRY_PORT_READY),
             FvEntryCell_Port(cell, host, ENTRY_PORT_METRICS),
             FvEntryCell_Port(cell, host, ENTRY_PORT_LINK),
-            cell->port + ENTRY_PORT_ROUTES + host, cell->port + 1,
+            cell->port + ENTRY_PORT_ROUTES + host, advice,
             options->stop_timeout_ms, options->drain_ms, options->log_level);
     return fclose(file) == 0;
 }
@@ -445,6 +488,19 @@
     return post_fault(cell->port + ENTRY_PORT_CONTROL, body);
 }
 
+/**
+ * FvEntryCell_ProxyFault - change a route of fault-proxy
+ * @cell: the cell
+ * @body: the request to fault-proxy, in JSON
+ *
+ * Return: false when it was not taken.
+ */
+bool
+FvEntryCell_ProxyFault(const entry_cell_t *cell, const char *body)
+{
+    return post_fault(cell->port + ENTRY_PORT_PROXY, body);
+}
+
 /**
  * FvEntryCell_RouteFault - change the route from a host to the store
  * @cell: the cell
@@ -467,7 +523,7 @@
                  "{\"route\":\"127.0.0.1:%d\",\"mode\":\"%s\"}",
                  cell->port + ENTRY_PORT_ROUTES + host, mode);
     }
-    return post_fault(cell->port + ENTRY_PORT_PROXY, body);
+    return FvEntryCell_ProxyFault(cell, body);
 }
 
 /**
--- a/tests/harness/entry-cell.h
+++ b/tests/harness/entry-cell.h
@@ -27,6 +27,7 @@
     int stop_timeout_ms;
     int drain_ms;
     const char *log_level;
+    bool splits;        /* FvEntryCell_Split() can be used */
     bool late_platform; /* FvEntryCell_StartPlatform() starts it */
 } entry_cell_options_t;
 
@@ -51,6 +52,25 @@
     ENTRY_PORT_LINK
 } entry_port_t;
 
+/* Routes of fault-proxy; the first exists in each cell, the others in a cell
+ * that can be split. */
+typedef enum entry_route {
+    ENTRY_ROUTE_STORE,
+    ENTRY_ROUTE_ADVICE,
+    ENTRY_ROUTE_LINK /* from other hosts to this one */
+} entry_route_t;
+
+/* Two sides of a cell; true: the second one. */
+typedef struct entry_split {
+    bool hosts[ENTRY_CELL_HOSTS_MAX];
+    bool workers[ENTRY_CELL_WORKERS_MAX];
+    bool store;
+    bool advice;
+    /* Directions in which packets arrive, for a split in one direction. */
+    bool from_first_arrives;
+    bool from_second_arrives;
+} entry_split_t;
+
 bool FvEntryCell_Start(entry_cell_t *cell,
                        const entry_cell_options_t *options);
 bool FvEntryCell_StartPlatform(entry_cell_t *cell);
@@ -65,6 +85,10 @@
 int FvEntryCell_WaitLeadership(const entry_cell_t *cell, int64_t former,
                                int64_t timeout_ms);
 bool FvEntryCell_PlatformFault(const entry_cell_t *cell, const char *body);
+void FvEntryCell_Route(const entry_cell_t *cell, int host, entry_route_t kind,
+                       char *address, size_t size);
+bool FvEntryCell_ProxyFault(const entry_cell_t *cell, const char *body);
+bool FvEntryCell_Split(const entry_cell_t *cell, const entry_split_t *split);
 bool FvEntryCell_RouteFault(const entry_cell_t *cell, int host,
                             const char *mode);
 json_t *FvEntryCell_Report(const entry_cell_t *cell);
--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -14,6 +14,7 @@
 #include <uthash.h>
 
 #define CELL_WORKERS_MAX 80
+#define CELL_HOSTS_MAX 70
 /* The server needs a thread for each connection, idle ones included. Each of
  * up to 70 hosts keeps some to the store open. */
 #define CELL_STORE_THREADS 512
@@ -114,6 +115,21 @@
     UT_hash_handle hh;
 } cell_tombstone_t;
 
+/* A leadership of a host. */
+typedef struct cell_leader {
+    int64_t token; /* of its orders */
+    int host;
+    struct cell_leader *next;
+} cell_leader_t;
+
+/* True: on the second side. */
+typedef struct cell_split {
+    bool hosts[CELL_HOSTS_MAX];
+    bool workers[CELL_WORKERS_MAX];
+    bool store;
+    bool lost[2]; /* packets from the first side, from the second side */
+} cell_split_t;
+
 typedef struct cell {
     pthread_mutex_t lock;
     kv_store_t *store;
@@ -132,6 +148,9 @@
     cell_worker_t workers[CELL_WORKERS_MAX];
     cell_task_t *tasks;
     cell_tombstone_t *tombstones;
+    bool proxied_links; /* hosts reach each other through proxies */
+    cell_leader_t *leaders;
+    cell_split_t split;
     uint32_t violations;
     uint32_t starts;
     uint32_t wrong_instance_calls; /* meant for another worker */
@@ -148,6 +167,15 @@
  * cannot be used. */
 bool FvCellAdvice_Start(cell_t *cell, int port);
 
+/* cell-split.c */
+void FvCellSplit_AdaptEntry(const cell_t *cell, const kv_bytes_t *key,
+                            kv_bytes_t *value);
+void FvCellSplit_NoteEntry(cell_t *cell, const kv_bytes_t *key);
+void FvCellSplit_Apply(cell_t *cell, const json_t *split);
+bool FvCellSplit_IsWorkerCut(const cell_t *cell, const cell_worker_t *worker);
+bool FvCellSplit_Wait(cell_t *cell, const cell_worker_t *worker,
+                      fake_request_t *request, int64_t token, bool answer);
+
 /* cell-store.c */
 kv_bytes_t FvCellStore_Bytes(const char *text);
 /* Writes one key without a lease; the caller holds the lock. */
--- a/tests/harness/proxy-connection.c
+++ b/tests/harness/proxy-connection.c
@@ -182,6 +182,9 @@
     const proxy_pipe_t *in = client_side ? &connection->up : &connection->down;
     const proxy_pipe_t *out =
         client_side ? &connection->down : &connection->up;
+    uint8_t held = connection->route->held[connection->caller];
+    uint8_t hold_in = client_side ? PROXY_HOLD_UP : PROXY_HOLD_DOWN;
+    uint8_t hold_out = client_side ? PROXY_HOLD_DOWN : PROXY_HOLD_UP;
     short events = 0;
 
     if (connection->route->mode == PROXY_MODE_FREEZE) {
@@ -190,10 +193,11 @@
     if (!client_side && connection->connecting) {
         return POLLOUT;
     }
-    if (!in->read_closed && in->queued_bytes < PROXY_QUEUE_MAX_BYTES) {
+    if (!in->read_closed && in->queued_bytes < PROXY_QUEUE_MAX_BYTES &&
+        (held & hold_in) == 0) {
         events |= POLLIN;
     }
-    if (is_due(out, now_ns)) {
+    if (is_due(out, now_ns) && (held & hold_out) == 0) {
         events |= POLLOUT;
     }
     return events;
@@ -241,6 +245,29 @@
     }
 }
 
+/* Finds "host-N" in the greeting of a leader, in MessagePack: a text of up to
+ * 31 bytes has its length in the byte before it. */
+static void
+identify_caller(proxy_connection_t *connection, const uint8_t *data,
+                size_t length)
+{
+    static const char prefix[] = "host-";
+    const uint8_t *name = memmem(data, length, prefix, strlen(prefix));
+    size_t name_length = name != NULL && name > data ? name[-1] & 0x1fu : 0;
+    uint32_t number = 0;
+
+    if (name_length <= strlen(prefix) ||
+        name_length > (size_t)(data + length - name)) {
+        return;
+    }
+    for (size_t i = strlen(prefix); i < name_length; i++) {
+        number = number * 10 + (uint32_t)(name[i] - '0');
+    }
+    if (number + 1 < PROXY_CALLERS_MAX) {
+        connection->caller = (uint8_t)(number + 1);
+    }
+}
+
 static void
 read_side(proxy_connection_t *connection, bool client_side, int64_t now_ns)
 {
@@ -264,6 +291,10 @@
     else {
         append_chunk(connection, direction, data, (size_t)got, now_ns);
     }
+    if (connection->route->tells_callers && client_side &&
+        connection->caller == 0) {
+        identify_caller(connection, data, (size_t)got);
+    }
 }
 
 /* Bytes that may still be sent to the client; SIZE_MAX without a limit. */
--- a/tests/harness/proxy-connection.h
+++ b/tests/harness/proxy-connection.h
@@ -39,10 +39,12 @@
     proxy_mode_t mode;
     int64_t default_delay_us;
     int64_t delay_us;
-    int64_t cut_after_bytes;  /* -1: none */
-    uint64_t bytes_up;        /* forwarded to the target */
-    uint64_t bytes_down;      /* forwarded to the client */
-    uint64_t bytes_swallowed; /* read and discarded in blackhole mode */
+    int64_t cut_after_bytes; /* -1: none */
+    bool tells_callers;      /* a caller's first message has its name */
+    uint8_t held[PROXY_CALLERS_MAX]; /* PROXY_HOLD_* */
+    uint64_t bytes_up;               /* forwarded to the target */
+    uint64_t bytes_down;             /* forwarded to the client */
+    uint64_t bytes_swallowed;        /* read and discarded in blackhole mode */
     uint64_t accepted;
     uint64_t open;
     proxy_connection_t *connections;
@@ -56,6 +58,7 @@
     bool connecting;
     bool lost_bytes; /* reset when the route is restored */
     bool closed;
+    uint8_t caller;         /* number of the host plus 1; 0: not known */
     int64_t response_bytes; /* sent since cut_after_bytes was set */
     proxy_pipe_t up;        /* client to target */
     proxy_pipe_t down;      /* target to client */
--- a/tests/harness/proxy.c
+++ b/tests/harness/proxy.c
@@ -115,12 +115,14 @@
  * @listen: IP:PORT to accept on; also the route's name
  * @target: IP:PORT to connect to
  * @delay_us: default delay in each direction
+ * @tells_callers: the first message of a connection has the name of the host
+ *                 that calls, so that its connections can be held alone
  *
  * Return: false when an address is malformed or in use.
  */
 bool
 FvProxy_AddRoute(proxy_t *proxy, const char *listen, const char *target,
-                 int64_t delay_us)
+                 int64_t delay_us, bool tells_callers)
 {
     proxy_route_t *route = calloc(1, sizeof(*route));
 
@@ -130,6 +132,7 @@
     route->default_delay_us = delay_us;
     route->delay_us = delay_us;
     route->cut_after_bytes = -1;
+    route->tells_callers = tells_callers;
     snprintf(route->listen_text, sizeof(route->listen_text), "%s", listen);
     snprintf(route->target_text, sizeof(route->target_text), "%s", target);
     if (!parse_address(listen, &route->listen) ||
@@ -230,6 +233,9 @@
         if (command->fault.cut_after_bytes >= 0) {
             set_cut_after(route, command->fault.cut_after_bytes);
         }
+        if (command->fault.held != NULL) {
+            memcpy(route->held, command->fault.held, sizeof(route->held));
+        }
     }
     command->pending = false;
     pthread_cond_broadcast(&proxy->command_done);
