scheduler: take a lease for expired only after a renewal of the leadership

Users saw tasks run twice, at one time or after their end, in cells of which a part, with the leader, had no store for 10 s. The other side elects a successor within about a second, which adopts the runs of the workers that it reaches and renews their leases. The earlier leader gives orders for 6 s after its last renewal. 4.9 s after its last order to a worker it took the lease for expired and started the tasks again on its own side.

The end of a lease follows from silence, which is certain only for a host that led until then. A renewal of the leadership that was sent after that time and succeeded shows that no other leader has renewed it. FvSched_LedAt is that rule; it decides on expired leases, on starts in doubt, on forgotten workers, and on the leases that a new leader inherits, since that one may be cut off as well. With a store that answers, a lease expires at most 0.2 s later than before.

Three new cases of sched_lease_test fail without the rule. The existing unit tests call FvSched_ReportUnanswered through the fixture, which confirms the lead at the same time; their checks are unchanged.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -151,9 +151,10 @@
     if (!leader->sched.hold_inherited_tasks) {
         return;
     }
-    leases_expired = now_ms >= earlier_leaders_stopped_ms(leader) +
-                                   FvSched_WorstCaseLeaseMs(&leader->sched);
-    FvLeaderUnreached_NoteExpired(leader, now_ms);
+    leases_expired = FvSched_LedAt(
+        &leader->sched, earlier_leaders_stopped_ms(leader) +
+                            FvSched_WorstCaseLeaseMs(&leader->sched));
+    FvLeaderUnreached_NoteExpired(leader);
     if (!FvSched_KnowsInheritedRuns(&leader->sched, leases_expired, now_ms)) {
         return;
     }
@@ -201,19 +202,18 @@
  * FvLeader_IsWorkerGone - whether a worker can be forgotten
  * @leader: the leader
  * @worker: the worker
- * @now_ms: the time
  *
  * Return: true when it has left the registry, does not answer, certainly runs
  * nothing and all its ends are recorded.
  */
 bool
 FvLeader_IsWorkerGone(const fv_leader_t *leader,
-                      const fv_sched_worker_t *worker, int64_t now_ms)
+                      const fv_sched_worker_t *worker)
 {
     return !worker->listed && worker->tasks == NULL &&
            !FvSched_HasUnrecordedEnds(worker) &&
            (worker->lost || (worker->synced && worker->suspect)) &&
-           worker->lease_expires_ms < now_ms &&
+           FvSched_HasLeaseExpired(&leader->sched, worker) &&
            !leader->sched.hold_inherited_tasks;
 }
 
@@ -259,10 +259,10 @@
         worker->long_lease_until_ms = 0;
         FvLeaderWorkerList_RequestWrite(leader);
     }
-    if (worker->suspect && worker->lease_expires_ms < now_ms) {
+    if (worker->suspect && FvSched_HasLeaseExpired(&leader->sched, worker)) {
         FvSched_ReportUnanswered(&leader->sched, worker, now_ms);
     }
-    if (!worker->unreached && FvLeader_IsWorkerGone(leader, worker, now_ms)) {
+    if (!worker->unreached && FvLeader_IsWorkerGone(leader, worker)) {
         forget_worker(leader, worker, now_ms);
         return;
     }
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -184,13 +184,13 @@
 
 bool FvLeader_HaveEarlierStopped(const fv_leader_t *leader, int64_t now_ms);
 bool FvLeader_IsWorkerGone(const fv_leader_t *leader,
-                           const fv_sched_worker_t *worker, int64_t now_ms);
+                           const fv_sched_worker_t *worker);
 
 /* leader-unreached.c */
 void FvLeaderUnreached_Check(fv_leader_t *leader, int64_t now_ms);
 void FvLeaderUnreached_Load(fv_leader_t *leader, const fv_kv_item_t *item);
 void FvLeaderUnreached_Apply(fv_leader_t *leader, fv_sched_worker_t *worker);
-void FvLeaderUnreached_NoteExpired(fv_leader_t *leader, int64_t now_ms);
+void FvLeaderUnreached_NoteExpired(fv_leader_t *leader);
 
 /* leader-workers.c */
 void FvLeaderWorker_RenewLease(fv_worker_session_t *session, bool wait);
--- a/src/leader-unreached.c
+++ b/src/leader-unreached.c
@@ -49,7 +49,7 @@
            FvLeader_HaveEarlierStopped(leader, now_ms) &&
            (worker->last_contact_ms != 0 ||
             !leader->sched.hold_inherited_tasks) &&
-           !FvLeader_IsWorkerGone(leader, worker, now_ms);
+           !FvLeader_IsWorkerGone(leader, worker);
 }
 
 static void
@@ -89,9 +89,9 @@
     leader->unreached_writing = true;
     for (fv_sched_worker_t *worker = leader->sched.workers; worker != NULL;
          worker = worker->hh.next) {
-        worker->in_unreached_write =
-            worker->unreached && !has_returned(worker) &&
-            !FvLeader_IsWorkerGone(leader, worker, FvClock_NowMs());
+        worker->in_unreached_write = worker->unreached &&
+                                     !has_returned(worker) &&
+                                     !FvLeader_IsWorkerGone(leader, worker);
         if (worker->in_unreached_write) {
             format_line(worker, line, sizeof(line));
             FvBuffer_Append(&entry.value, line, strlen(line));
@@ -132,7 +132,7 @@
          worker = worker->hh.next) {
         if (worker->unreached) {
             changed = changed || has_returned(worker) ||
-                      FvLeader_IsWorkerGone(leader, worker, now_ms);
+                      FvLeader_IsWorkerGone(leader, worker);
         }
         else if (may_add_any && may_add(leader, worker, now_ms)) {
             worker->unreached = true;
@@ -195,26 +195,25 @@
 }
 
 static bool
-has_expired(const fv_leader_t *leader, const fv_sched_worker_t *worker,
-            int64_t now_ms)
+has_expired(const fv_leader_t *leader, const fv_sched_worker_t *worker)
 {
     return worker->unreached && worker->last_contact_ms == 0 &&
            worker->unreached_since_ms != 0 &&
-           now_ms - worker->unreached_since_ms >=
-               FvSched_WorstCaseLeaseMs(&leader->sched);
+           FvSched_LedAt(&leader->sched,
+                         worker->unreached_since_ms +
+                             FvSched_WorstCaseLeaseMs(&leader->sched));
 }
 
 /**
  * FvLeaderUnreached_NoteExpired - note on which workers nothing runs that
  * earlier leaders started, since the list had them for longer than a lease
  * @leader: the leader
- * @now_ms: the time
  */
 void
-FvLeaderUnreached_NoteExpired(fv_leader_t *leader, int64_t now_ms)
+FvLeaderUnreached_NoteExpired(fv_leader_t *leader)
 {
     for (fv_sched_worker_t *worker = leader->sched.workers; worker != NULL;
          worker = worker->hh.next) {
-        worker->inherited_expired = has_expired(leader, worker, now_ms);
+        worker->inherited_expired = has_expired(leader, worker);
     }
 }
--- a/src/sched-lease.c
+++ b/src/sched-lease.c
@@ -208,7 +208,7 @@
         bool known =
             worker->synced && worker->inherited_stops_until_ms <= now_ms;
         bool expired = (leases_expired || worker->inherited_expired) &&
-                       worker->lease_expires_ms < now_ms;
+                       FvSched_HasLeaseExpired(sched, worker);
 
         if (worker->in_worker_list && !known && !expired) {
             return false;
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -601,7 +601,7 @@
         worker->suspect ? worker->suspect_since_ms : now_ms;
     worker->suspect = true;
     FvSched_NoteUnanswered(sched, now_ms);
-    if (worker->lease_expires_ms < now_ms) {
+    if (FvSched_HasLeaseExpired(sched, worker)) {
         worker->lost = true;
         FvSched_RequeueLostTasks(sched, worker, "lease_lapsed", now_ms);
     }
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -518,23 +518,23 @@
  * far ahead by its clock. A worker that was taken for removed may come back
  * and get leases; only an expired ticket bars a late start from it. */
 static bool
-may_start_late(const fv_sched_t *sched, const fv_sched_task_t *task,
-               int64_t now_ms)
+may_start_late(const fv_sched_t *sched, const fv_sched_task_t *task)
 {
     const fv_sched_worker_t *worker = task->worker;
     bool removed =
-        !worker->listed && now_ms >= worker->unlisted_ms + Fv_ENTRY_RETURN_MS;
+        !worker->listed &&
+        FvSched_LedAt(sched, worker->unlisted_ms + Fv_ENTRY_RETURN_MS);
     int64_t until_ms = FvSched_LateStartUntilMs(task);
 
     if (removed && task->stage->job->queue.needs_advice &&
-        now_ms > ticket_end_ms(task)) {
+        FvSched_LedAt(sched, ticket_end_ms(task) + 1)) {
         return false;
     }
     if (until_ms != 0 &&
         (!worker->listed || !FvSched_IsIncarnationListed(worker))) {
         until_ms += FvSched_LongestLeaseMs(sched);
     }
-    return now_ms < until_ms;
+    return until_ms != 0 && !FvSched_LedAt(sched, until_ms);
 }
 
 static void
@@ -574,7 +574,7 @@
         fv_sched_stage_t *stage = task->stage;
 
         next = task->worker_next;
-        if (may_start_late(sched, task, now_ms)) {
+        if (may_start_late(sched, task)) {
             continue;
         }
         lost++;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -437,6 +437,9 @@
 
 /* sched-lead.c */
 void FvSched_ConfirmLead(fv_sched_t *sched, int64_t sent_ms);
+bool FvSched_LedAt(const fv_sched_t *sched, int64_t time_ms);
+bool FvSched_HasLeaseExpired(const fv_sched_t *sched,
+                             const fv_sched_worker_t *worker);
 int64_t FvSched_LeadAgeMs(const fv_sched_t *sched, int64_t now_ms);
 
 /* sched-lease.c */
--- a/tests/harness/sched-fixture.c
+++ b/tests/harness/sched-fixture.c
@@ -124,6 +124,20 @@
     fixture->now_ms = 1000000;
 }
 
+/**
+ * FvSchedFixture_ReportUnanswered - let a worker miss a report request, at a
+ * time at which this host certainly leads
+ * @fixture: the fixture
+ * @worker: the worker
+ */
+void
+FvSchedFixture_ReportUnanswered(sched_fixture_t *fixture,
+                                fv_sched_worker_t *worker)
+{
+    FvSched_ConfirmLead(&fixture->sched, fixture->now_ms);
+    FvSched_ReportUnanswered(&fixture->sched, worker, fixture->now_ms);
+}
+
 /**
  * FvSchedFixture_Close - release the scheduler
  * @fixture: the fixture
--- a/tests/harness/sched-fixture.h
+++ b/tests/harness/sched-fixture.h
@@ -39,6 +39,8 @@
 } sched_fixture_t;
 
 void FvSchedFixture_Open(sched_fixture_t *fixture, int32_t generation);
+void FvSchedFixture_ReportUnanswered(sched_fixture_t *fixture,
+                                     fv_sched_worker_t *worker);
 void FvSchedFixture_Close(sched_fixture_t *fixture);
 fv_sched_worker_t *FvSchedFixture_AddWorker(sched_fixture_t *fixture,
                                             const char *id, const char *rack,
--- a/tests/harness/sched-sim.c
+++ b/tests/harness/sched-sim.c
@@ -422,6 +422,7 @@
     init_cell(sim);
     while (sim->now_ms < plan->deadline_ms && !all_ended(sim)) {
         sim->now_ms++;
+        FvSched_ConfirmLead(&sim->sched, sim->now_ms);
         while (sim->event_count > 0 && sim->events[0].at_ms <= sim->now_ms) {
             sim_event_t event = FvSim_TakeEvent(sim);
 
--- a/tests/unit/sched_lease_test.c
+++ b/tests/unit/sched_lease_test.c
@@ -57,7 +57,7 @@
     report_restart(worker, task);
     CU_ASSERT(worker->lease_expires_ms > fixture.now_ms + LONGEST_LEASE_MS);
     fixture.now_ms += LONGEST_LEASE_MS;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     CU_ASSERT_EQUAL(task->state, Fv_SCHED_RUNNING);
     FvSchedFixture_Close(&fixture);
 }
@@ -79,7 +79,7 @@
     /* The longest lease on a clock that is 2 % slow. */
     fixture.now_ms =
         sent_ms + Fv_ORDER_DELAY_MAX_MS + 2 * Fv_FIXTURE_LEASE_MS * 102 / 100;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     CU_ASSERT_EQUAL(task->state, Fv_SCHED_RUNNING);
     FvSchedFixture_Close(&fixture);
 }
@@ -115,9 +115,11 @@
     worker->in_worker_list = true;
     FvSched_InheritLongLease(worker, left_ms, fixture.now_ms);
     fixture.now_ms += left_ms;
+    FvSched_ConfirmLead(&fixture.sched, fixture.now_ms);
     CU_ASSERT_FALSE(
         FvSched_KnowsInheritedRuns(&fixture.sched, true, fixture.now_ms));
     fixture.now_ms += 1;
+    FvSched_ConfirmLead(&fixture.sched, fixture.now_ms);
     CU_ASSERT(
         FvSched_KnowsInheritedRuns(&fixture.sched, true, fixture.now_ms));
     FvSchedFixture_Close(&fixture);
@@ -154,10 +156,10 @@
     task = FvSched_FindTask(&fixture.sched, JOB ".0.0.0");
     CU_ASSERT_FATAL(task != NULL && task->worker == worker);
     fixture.now_ms += Fv_FIXTURE_LEASE_MS * 102 / 100;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     CU_ASSERT_EQUAL(task->state, Fv_SCHED_RUNNING);
     fixture.now_ms += Fv_FIXTURE_LEASE_MS;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     CU_ASSERT_EQUAL(task->state, Fv_SCHED_WAITING);
     FvSchedFixture_Close(&fixture);
 }
@@ -176,7 +178,7 @@
     CU_ASSERT(FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms) > 0);
     sent_ms = fixture.now_ms;
     fixture.now_ms = worker->lease_expires_ms + 1;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     CU_ASSERT_TRUE(FvSched_MayCarryOutOrders(worker, fixture.now_ms));
     CU_ASSERT_EQUAL(
         FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms), 0);
@@ -187,10 +189,83 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* The store has confirmed this leader until before the end of the lease.
+ * Another leader may have renewed the lease since. */
+static void
+test_lease_without_confirmed_lead(void)
+{
+    fv_sched_task_t *task = open_with_start();
+    fv_sched_worker_t *worker = task->worker;
+    int64_t end_ms;
+
+    FvSchedFixture_ConfirmStarts(&fixture);
+    end_ms = worker->lease_expires_ms;
+    fixture.now_ms = end_ms + 5000;
+    FvSched_ConfirmLead(&fixture.sched, end_ms);
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_EQUAL(task->state, Fv_SCHED_RUNNING);
+    CU_ASSERT_FALSE(worker->lost);
+
+    FvSched_ConfirmLead(&fixture.sched, end_ms + 1);
+    FvSched_ConfirmLead(&fixture.sched, end_ms - 100); /* answered late */
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_EQUAL(task->state, Fv_SCHED_WAITING);
+    CU_ASSERT_TRUE(worker->lost);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* The start was not answered, and the worker has been silent since. */
+static void
+test_start_in_doubt_without_confirmed_lead(void)
+{
+    fv_sched_task_t *task = open_with_start();
+    fv_sched_worker_t *worker = task->worker;
+    int64_t until_ms;
+
+    FvSched_StartAnswered(&fixture.sched, task, task->run,
+                          Fv_ORDER_UNCONFIRMED, fixture.now_ms);
+    until_ms = FvSched_LateStartUntilMs(task);
+    CU_ASSERT_FATAL(until_ms > worker->lease_expires_ms);
+    fixture.now_ms = until_ms + 5000;
+    FvSched_ConfirmLead(&fixture.sched, until_ms - 1);
+    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    CU_ASSERT_NOT_EQUAL(task->state, Fv_SCHED_WAITING);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
+    CU_ASSERT_EQUAL(task->state, Fv_SCHED_WAITING);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* A new leader waits for the lease of a worker that it has not reached, and is
+ * itself cut off before the lease ends. */
+static void
+test_inherited_lease_without_confirmed_lead(void)
+{
+    fv_sched_task_t *task = open_with_start();
+    fv_sched_worker_t *worker = task->worker;
+
+    worker->in_worker_list = true;
+    worker->synced = false;
+    FvSched_ConfirmLead(&fixture.sched, worker->lease_expires_ms);
+    CU_ASSERT_FALSE(FvSched_KnowsInheritedRuns(
+        &fixture.sched, true, worker->lease_expires_ms + 5000));
+    FvSched_ConfirmLead(&fixture.sched, worker->lease_expires_ms + 1);
+    CU_ASSERT_TRUE(FvSched_KnowsInheritedRuns(
+        &fixture.sched, true, worker->lease_expires_ms + 5000));
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
     static const test_case_t cases[] = {
+        {"a leader without the store takes leases that its successor renews "
+         "for expired",
+         test_lease_without_confirmed_lead},
+        {"a leader without the store gives up a start that its successor may "
+         "have met",
+         test_start_in_doubt_without_confirmed_lead},
+        {"a new leader that is cut off takes inherited leases for expired",
+         test_inherited_lease_without_confirmed_lead},
         {"the next leader takes the lease of a restarted worker for expired",
          test_long_lease_at_the_next_leader},
         {"a lease by the clock of an earlier incarnation is forgotten without "
--- a/tests/unit/sched_orphan_test.c
+++ b/tests/unit/sched_orphan_test.c
@@ -59,7 +59,7 @@
     FvSchedFixture_ConfirmStarts(fixture);
     FvSchedFixture_AddWorker(fixture, "w2", "r1", 2000);
     fixture->now_ms += 20000;
-    FvSched_ReportUnanswered(&fixture->sched, first, fixture->now_ms);
+    FvSchedFixture_ReportUnanswered(fixture, first);
     FvSchedFixture_RunPass(fixture);
     task = FvSched_FindTask(&fixture->sched, TASK);
     CU_ASSERT_FATAL(task != NULL && task->worker != NULL);
@@ -185,7 +185,7 @@
     CU_ASSERT_FATAL(task != NULL && task->worker == worker);
     FvSched_WorkerUnlisted(worker, fixture.now_ms);
     fixture.now_ms += Fv_FIXTURE_LEASE_MS + 2000;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     CU_ASSERT_PTR_NULL(task->worker);
     FvSched_UpdateWorker(&fixture.sched, &worker->entry, fixture.now_ms);
     FvSchedFixture_AddWorker(&fixture, "w3", "r1", 2000);
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -134,7 +134,7 @@
     FvSchedFixture_ConfirmStarts(&fixture);
     second = FvSchedFixture_AddWorker(&fixture, "w2", "r1", 2000);
     fixture.now_ms += 20000;
-    FvSched_ReportUnanswered(&fixture.sched, first, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, first);
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_EQUAL_FATAL(FvSchedFixture_CountStarts(&fixture, JOB_A), 4);
     FvSchedFixture_ConfirmStarts(&fixture);
@@ -461,14 +461,14 @@
     CU_ASSERT(FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms) > 0);
     FvSchedFixture_AddWorker(&fixture, "w2", "r1", 2000);
     fixture.now_ms += Fv_FIXTURE_LEASE_MS;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A), 2);
     /* Attempts to reach the worker do not extend its lease. */
     CU_ASSERT_EQUAL(
         FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms), 0);
     fixture.now_ms += Fv_FIXTURE_LEASE_MS;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A), 4);
     FvSchedFixture_Close(&fixture);
@@ -733,13 +733,13 @@
     CU_ASSERT_EQUAL(task->state, Fv_SCHED_RUNNING);
     FvSched_ExtendLease(&fixture.sched, worker, fixture.now_ms);
     fixture.now_ms += Fv_FIXTURE_LEASE_MS + 1000;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     CU_ASSERT_EQUAL(task->state, Fv_SCHED_RUNNING);
     fixture.now_ms = born_ms + Fv_ORDER_DELAY_MAX_MS + 2 * Fv_FIXTURE_LEASE_MS;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     CU_ASSERT_EQUAL(task->state, Fv_SCHED_RUNNING);
     fixture.now_ms += 1000; /* slow clock, transit */
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     CU_ASSERT_EQUAL(task->state, Fv_SCHED_WAITING);
     FvSchedFixture_Close(&fixture);
 }
--- a/tests/unit/sched_restart_test.c
+++ b/tests/unit/sched_restart_test.c
@@ -28,7 +28,7 @@
     worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
     FvSchedFixture_ReportEnd(&fixture, "w1", 3, "unknown", 1, Fv_END_DONE);
     CU_ASSERT_FALSE(FvSched_EndsRecorded(worker, 3));
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     CU_ASSERT_EQUAL(FvSched_EndToAcknowledge(worker), 0);
     FvSchedFixture_Close(&fixture);
 }
@@ -174,10 +174,10 @@
     FvSched_StartAnswered(&fixture.sched, task, task->run, result,
                           fixture.now_ms);
     fixture.now_ms = repeated_ms + Fv_ORDER_DELAY_MAX_MS - 1;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     CU_ASSERT_PTR_EQUAL(task->worker, worker);
     fixture.now_ms++;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     CU_ASSERT_PTR_NULL(task->worker);
     FvSchedFixture_Close(&fixture);
 }
@@ -233,10 +233,10 @@
     fv_sched_worker_t *worker = task->worker;
 
     fixture->now_ms = until_ms;
-    FvSched_ReportUnanswered(&fixture->sched, worker, fixture->now_ms);
+    FvSchedFixture_ReportUnanswered(fixture, worker);
     CU_ASSERT_PTR_EQUAL(task->worker, worker);
     fixture->now_ms += 500;
-    FvSched_ReportUnanswered(&fixture->sched, worker, fixture->now_ms);
+    FvSchedFixture_ReportUnanswered(fixture, worker);
     CU_ASSERT_PTR_NULL(task->worker);
 }
 
@@ -275,11 +275,11 @@
     fixture.now_ms = repeated_ms + Fv_FIXTURE_LEASE_MS + 1000;
     FvSched_WorkerUnlisted(worker, fixture.now_ms);
     fixture.now_ms += 1900;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     CU_ASSERT_PTR_EQUAL(task->worker, worker);
     FvSched_UpdateWorker(&fixture.sched, &entry, fixture.now_ms);
     fixture.now_ms = repeated_ms + Fv_ORDER_DELAY_MAX_MS - 1;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     CU_ASSERT_PTR_EQUAL(task->worker, worker);
     FvSchedFixture_Close(&fixture);
 }
@@ -298,7 +298,7 @@
     fixture.now_ms = repeated_ms + Fv_FIXTURE_LEASE_MS + 1000;
     FvSched_WorkerUnlisted(worker, fixture.now_ms);
     fixture.now_ms += 2500;
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     CU_ASSERT_PTR_EQUAL(task->worker, worker);
     check_held_until(&fixture, task,
                      repeated_ms + Fv_ORDER_DELAY_MAX_MS +
@@ -396,7 +396,7 @@
     FvSchedFixture_RunPass(&fixture);
     task = FvSched_FindTask(&fixture.sched, JOB_A ".0.0.0");
     CU_ASSERT_FATAL(task != NULL && task->worker == worker);
-    FvSched_ReportUnanswered(&fixture.sched, worker, fixture.now_ms);
+    FvSchedFixture_ReportUnanswered(&fixture, worker);
     FvSched_StartAnswered(&fixture.sched, task, 1, Fv_ORDER_UNCONFIRMED,
                           fixture.now_ms);
     CU_ASSERT_EQUAL(fixture.order_count, 1);
