entry: the predecessor has to be linked before no earlier leader is left

A claim that fails tells of the latest leader before the watch does; the list of hosts, of which all have to be linked, comes from the watch alone.

--- a/src/entry-hosts.c
+++ b/src/entry-hosts.c
@@ -106,7 +106,9 @@
  * @entry: this process, which leads
  *
  * A host that led is registered until it was out of reach for
- * Fv_HOST_REMOVAL_MS, longer than it may send orders without its lease.
+ * Fv_HOST_REMOVAL_MS, longer than it may send orders without its lease. The
+ * predecessor's entry may not have been seen yet: a claim that failed tells of
+ * it before the watch does.
  *
  * Return: true when no earlier leader can send orders any more.
  */
@@ -115,7 +117,11 @@
 {
     const fv_peer_entry_t *hosts;
     uint32_t count = FvElection_Hosts(entry->election, &hosts);
-    bool linked = FvElection_KnowsHosts(entry->election);
+    const fv_predecessor_t *predecessor =
+        FvElection_Predecessor(entry->election);
+    bool linked = FvElection_KnowsHosts(entry->election) &&
+                  (predecessor->host[0] == '\0' ||
+                   FvEntryHosts_IsLinked(entry, predecessor->host));
 
     for (uint32_t i = 0; i < count && linked; i++) {
         linked =
--- a/tests/unit/election_hosts_test.c
+++ b/tests/unit/election_hosts_test.c
@@ -136,6 +136,40 @@
     close_election();
 }
 
+/* Another host was elected and lost its lease at once. This host learns of it
+ * from its own claim that failed, before the watch tells that it is
+ * registered.
+ */
+static void
+test_predecessor_not_seen_in_the_registry(void)
+{
+    static fv_entry_t entry;
+    fv_host_state_t *predecessor;
+
+    open_election("41");
+    entry.election = election;
+    entry.self = FvEntryHosts_FindOrAdd(&entry, "akl-1");
+    deliver_host_entry("akl-1", "127.0.0.1:1 1.000", false);
+    fake_kv_answer_item(send_claim(), Fv_KV_CONFLICT, Fv_KEY_GENERATION,
+                        "42 akl-2", 8);
+    fake_kv_answer(send_claim(),
+                   (fv_kv_result_t){.error = Fv_KV_OK, .revision = 9});
+    CU_ASSERT_EQUAL(outcome.won, 1);
+    CU_ASSERT_STRING_EQUAL(FvElection_Predecessor(election)->host, "akl-2");
+    CU_ASSERT_FALSE(FvEntryHosts_AreAllLinked(&entry));
+    predecessor = FvEntryHosts_FindOrAdd(&entry, "akl-2");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(predecessor);
+    if (predecessor == NULL) {
+        abort();
+    }
+    predecessor->joined = true;
+    CU_ASSERT_TRUE(FvEntryHosts_AreAllLinked(&entry));
+    for (uint32_t i = 0; i < entry.host_state_count; i++) {
+        free(entry.host_states[i]);
+    }
+    close_election();
+}
+
 int
 main(void)
 {
@@ -152,6 +186,8 @@
          test_claim_registers_its_host},
         {"an earlier leader counts as stopped while the hosts are read again",
          test_registry_is_read_again},
+        {"a predecessor that the registry has not shown yet counts as stopped",
+         test_predecessor_not_seen_in_the_registry},
     };
 
     return Fv_RUN_SUITE("election_hosts", cases);
