tests: a renewal proves the time at which it was sent

A lease would count as expired too early if the answer's time counted as the time at which this host led. The store may have carried the renewal out as soon as it was sent; no test looked at the time that the election reports.

--- a/tests/unit/election_test.c
+++ b/tests/unit/election_test.c
@@ -213,6 +213,25 @@
     close_election();
 }
 
+/* The store may have renewed the lease as soon as the call was sent. */
+static void
+test_renewal_proves_the_time_of_sending(void)
+{
+    int64_t sent_ms;
+
+    open_election("1");
+    fake_kv_answer(send_claim(),
+                   (fv_kv_result_t){.error = Fv_KV_OK, .revision = 900});
+    FvElection_ProveLease(election);
+    sent_ms = FvClock_NowMs();
+    fake_kv_run_loop(base, 50);
+    fake_kv_answer(fake_kv_latest(FAKE_KV_RENEW),
+                   (fv_kv_result_t){.error = Fv_KV_OK});
+    CU_ASSERT(outcome.renewed_sent_ms > 0);
+    CU_ASSERT(outcome.renewed_sent_ms <= sent_ms);
+    close_election();
+}
+
 /* A caller asks while another one's proof is under way. */
 static void
 test_proof_is_sent_after_the_question(void)
@@ -551,6 +570,8 @@
     static const test_case_t cases[] = {
         {"a host suspended during its claim sends orders when it resumes",
          test_claim_before_a_suspension},
+        {"a renewal proves that this host led when the answer came",
+         test_renewal_proves_the_time_of_sending},
         {"a renewal sent before a question proves the lease",
          test_proof_is_sent_after_the_question},
         {"each question renews a lease that the store does not renew",
