tests: the proxy before a dead host refuses connections

In a cell that can be split, hosts reach each other through proxies. A proxy accepts a connection before it knows whether its target does, so that hosts that probe a killed leader took it for alive and waited for its key to expire.

A route between hosts looks at its target when a connection of the host on either end has ended, before the other end learns of it, and refuses connections as long as the target does.

fake_split_test checks this, the two sides, open connections, a split in one direction, and the links.

--- a/tests/harness/proxy-connection.c
+++ b/tests/harness/proxy-connection.c
@@ -111,6 +111,7 @@
         return true;
     }
     connection->connecting = errno == EINPROGRESS;
+    connection->refused = errno == ECONNREFUSED;
     return connection->connecting;
 }
 
@@ -408,6 +409,7 @@
 
     getsockopt(connection->target, SOL_SOCKET, SO_ERROR, &error, &size);
     connection->connecting = false;
+    connection->refused = error == ECONNREFUSED;
     if (error != 0) {
         FvProxyConnection_Drop(connection, true);
     }
--- a/tests/harness/proxy-connection.h
+++ b/tests/harness/proxy-connection.h
@@ -41,6 +41,8 @@
     int64_t delay_us;
     int64_t cut_after_bytes; /* -1: none */
     bool tells_callers;      /* a caller's first message has its name */
+    uint32_t host;           /* number of the host that callers reach */
+    bool refused;            /* nobody listens at the target */
     uint8_t held[PROXY_CALLERS_MAX]; /* PROXY_HOLD_* */
     uint64_t bytes_up;               /* forwarded to the target */
     uint64_t bytes_down;             /* forwarded to the client */
@@ -56,6 +58,7 @@
     int client;
     int target; /* -1: accepted in blackhole mode, or closed */
     bool connecting;
+    bool refused;    /* by the target */
     bool lost_bytes; /* reset when the route is restored */
     bool closed;
     uint8_t caller;         /* number of the host plus 1; 0: not known */
--- a/tests/harness/proxy.c
+++ b/tests/harness/proxy.c
@@ -8,6 +8,7 @@
 #include "proxy-connection.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdlib.h>
@@ -20,6 +21,10 @@
 #define PROXY_BACKLOG 1024
 /* Timeout of a poll; a command interrupts the poll. */
 #define PROXY_POLL_NS Fv_NS_PER_S
+/* The same while a target refuses connections. */
+#define PROXY_REFUSED_POLL_NS (20 * Fv_NS_PER_MS)
+/* A port of this machine accepts or refuses a connection at once. */
+#define PROXY_PROBE_MS 20
 
 /* Owner of a poll entry: the listener of a route when connection is NULL, the
  * wake-up descriptor when route is NULL too. */
@@ -50,6 +55,7 @@
     pthread_cond_t command_done;
     proxy_command_t command;
     int wake_fd;
+    uint32_t host_count; /* routes whose callers tell their names */
     proxy_route_t *routes;
     poll_set_t set;
 };
@@ -133,6 +139,7 @@
     route->delay_us = delay_us;
     route->cut_after_bytes = -1;
     route->tells_callers = tells_callers;
+    route->host = tells_callers ? proxy->host_count++ : 0;
     snprintf(route->listen_text, sizeof(route->listen_text), "%s", listen);
     snprintf(route->target_text, sizeof(route->target_text), "%s", target);
     if (!parse_address(listen, &route->listen) ||
@@ -198,12 +205,70 @@
     else if (mode == PROXY_MODE_RESTORE) {
         restore_route(route);
     }
-    if (route->socket < 0 && !open_listener(route)) {
+    if (route->socket < 0 && !route->refused && !open_listener(route)) {
         fprintf(stderr, "fault-proxy: cannot listen on %s again\n",
                 route->listen_text);
     }
 }
 
+static bool
+target_refuses(const proxy_route_t *route)
+{
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    struct pollfd entry = {.fd = fd, .events = POLLOUT};
+    int error = 0;
+    socklen_t size = sizeof(error);
+
+    if (fd < 0) {
+        return false;
+    }
+    if (connect(fd, (const struct sockaddr *)&route->target,
+                sizeof(route->target)) != 0) {
+        error = errno;
+    }
+    if (error == EINPROGRESS && poll(&entry, 1, PROXY_PROBE_MS) > 0) {
+        getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size);
+    }
+    close(fd);
+    return error == ECONNREFUSED;
+}
+
+/* Hosts take a leader whose port refuses connections for dead, so the route
+ * to a host refuses them as long as the host does. */
+static void
+update_refusal(proxy_route_t *route)
+{
+    bool refuses = target_refuses(route);
+
+    if (refuses && !route->refused && route->socket >= 0) {
+        close(route->socket);
+        route->socket = -1;
+    }
+    if (!refuses && route->refused && route->mode != PROXY_MODE_CUT &&
+        !open_listener(route)) {
+        return; /* tried again */
+    }
+    route->refused = refuses;
+}
+
+/* The end of a connection between hosts may be that of a host: looks at it
+ * before the other host learns of the end. */
+static void
+note_end(proxy_t *proxy, const proxy_connection_t *connection)
+{
+    bool refused = connection->refused || connection->down.read_closed;
+    uint32_t caller = connection->up.read_closed ? connection->caller : 0;
+
+    for (proxy_route_t *route = proxy->routes; route != NULL;
+         route = route->next) {
+        if (route->tells_callers &&
+            ((refused && route == connection->route) ||
+             (caller > 0 && route->host == caller - 1))) {
+            update_refusal(route);
+        }
+    }
+}
+
 static void
 set_cut_after(proxy_route_t *route, int64_t bytes)
 {
@@ -308,6 +373,10 @@
     for (proxy_route_t *route = proxy->routes; route != NULL;
          route = route->next) {
         free_closed(route);
+        if (route->refused) {
+            update_refusal(route);
+            due_ns = now_ns + PROXY_REFUSED_POLL_NS;
+        }
         if (route->mode == PROXY_MODE_FREEZE) {
             continue;
         }
@@ -346,6 +415,9 @@
     else {
         FvProxyConnection_Handle(owner->connection, owner->client_side, events,
                                  now_ns);
+        if (owner->route->tells_callers) {
+            note_end(proxy, owner->connection);
+        }
     }
 }
 
