leader: a refused connection does not show that the earlier leader has stopped

In a cell that is split in two by a network that resets links and refuses new ones, tasks that ran on the side of the earlier leader were started again by its successor. Each host of the other side found the leader's address refused and another host reachable, and took the process for gone. The successor freed the tasks of workers that it did not reach 7.4 s after its election, while the earlier leader gives orders for 6 s, whose leases last 4.9 s more.

A refusal still ends the earlier leader's lease at once, which costs an election at most. Only a link of its host to the successor, or the time, shows that it has stopped. When a leader's process ends, tasks on workers that the next one does not reach wait until the host is back, or up to 10.9 s where it was 4.9 s.

It passes, as do entry_predecessor and entry_unreached.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -81,17 +81,6 @@
     }
 }
 
-/**
- * FvLeader_PredecessorStopped - note that the previous leader gives no orders
- * @leader: the leader
- * @stopped_ms: a time by which it had stopped
- */
-void
-FvLeader_PredecessorStopped(fv_leader_t *leader, int64_t stopped_ms)
-{
-    leader->predecessor_stopped_ms = stopped_ms;
-}
-
 /* The time by which all earlier leaders had certainly stopped. The leaders
  * before the predecessor had lost their leases when it was elected. */
 static int64_t
--- a/src/entry-hosts.c
+++ b/src/entry-hosts.c
@@ -270,8 +270,6 @@
     FvLog_Event(Fv_LOG_INFO, "leader_probed", "leader=%s dead=%d",
                 entry->probed_host, dead ? 1 : 0);
     if (dead) {
-        entry->dead_epoch = entry->probed_epoch;
-        entry->dead_since_ms = entry->probed_link_lost_ms;
         FvElection_LeaderDead(entry->election, entry->probed_host,
                               "connection_refused");
     }
@@ -282,10 +280,9 @@
  * whether the leader is dead
  * @entry: this process
  * @name: the leader's host
- * @epoch: the leader's epoch
  */
 void
-FvEntryHosts_ProbeLeader(fv_entry_t *entry, const char *name, int64_t epoch)
+FvEntryHosts_ProbeLeader(fv_entry_t *entry, const char *name)
 {
     const fv_peer_entry_t *hosts;
     uint32_t count = FvElection_Hosts(entry->election, &hosts);
@@ -313,8 +310,6 @@
         return;
     }
     FvText_Copy(entry->probed_host, sizeof(entry->probed_host), name);
-    entry->probed_epoch = epoch;
-    entry->probed_link_lost_ms = FvClock_NowMs();
     entry->probe = FvLeaderProbe_New(entry->base, leader, witnesses, found,
                                      leader_probed, entry);
 }
--- a/src/entry-hosts.h
+++ b/src/entry-hosts.h
@@ -64,10 +64,6 @@
     int64_t leader_seen_ms;
     fv_leader_probe_t *probe; /* of the leader whose link broke */
     char probed_host[Fv_NAME_SIZE];
-    int64_t probed_epoch; /* of the probed leader */
-    int64_t probed_link_lost_ms;
-    int64_t dead_epoch; /* of the latest leader that is known to be dead */
-    int64_t dead_since_ms;
     int64_t drain_started_ms; /* 0: not draining */
     bool drain_answered;      /* all that was open has been answered */
     uint32_t host_state_count;
@@ -89,8 +85,7 @@
 void FvEntryHosts_LearnOverhead(fv_host_state_t *state, int64_t id);
 void FvEntryHosts_RemoveAdvice(fv_host_state_t *state, int64_t id);
 void FvEntryHosts_FailAdvice(fv_entry_t *entry, fv_host_state_t *state);
-void FvEntryHosts_ProbeLeader(fv_entry_t *entry, const char *name,
-                              int64_t epoch);
+void FvEntryHosts_ProbeLeader(fv_entry_t *entry, const char *name);
 bool FvEntryHosts_RequestAdvice(void *context,
                                 const fv_cell_message_t *message,
                                 int64_t cost_us);
--- a/src/entry.c
+++ b/src/entry.c
@@ -260,11 +260,6 @@
     entry->leader =
         FvLeader_New(entry->base, entry->pool, entry->kv, &entry->settings,
                      &events, predecessor, epoch, generation);
-    if (entry->dead_epoch != 0 && entry->dead_epoch == predecessor->epoch) {
-        FvLeader_PredecessorStopped(entry->leader, entry->dead_since_ms);
-        FvLog_Event(Fv_LOG_INFO, "predecessor_dead", "since_ms=%" PRId64,
-                    entry->leader_since_ms - entry->dead_since_ms);
-    }
     FvLinks_Close(entry->leader_link);
     entry->leader_link = NULL;
     dial_hosts(entry);
@@ -514,8 +509,7 @@
         entry->leader_seen_ms = FvClock_NowMs();
         entry->leader_link = NULL;
         if (entry->leader == NULL && entry->drain_started_ms == 0) {
-            FvEntryHosts_ProbeLeader(entry, FvLinks_Name(peer),
-                                     entry->leader_link_epoch);
+            FvEntryHosts_ProbeLeader(entry, FvLinks_Name(peer));
         }
     }
     if (state != NULL) {
--- a/src/entry.h
+++ b/src/entry.h
@@ -424,7 +424,6 @@
                           const fv_predecessor_t *predecessor, int64_t epoch,
                           int32_t generation);
 void FvLeader_Free(fv_leader_t *leader);
-void FvLeader_PredecessorStopped(fv_leader_t *leader, int64_t stopped_ms);
 void FvLeader_CloseConnections(fv_call_pool_t *pool);
 void FvLeader_HandOver(fv_leader_t *leader);
 bool FvLeader_IsServing(const fv_leader_t *leader);
--- a/src/leader-probe.c
+++ b/src/leader-probe.c
@@ -1,7 +1,9 @@
 /*
  * Finds out whether a leader whose link broke is dead: its host refuses
  * connections while another host accepts them. When this host is cut off from
- * all others, or the link was merely reset, the leader may be alive.
+ * all others, or the link was merely reset, the leader may be alive. So may it
+ * be when a network that is cut refuses connections: the result speeds up an
+ * election and proves nothing to the next leader.
  */
 
 #include "leader-probe.h"
--- a/tests/promises/entry_split.c
+++ b/tests/promises/entry_split.c
@@ -31,6 +31,10 @@
     "{\"taskSpec\":\"no_ticket cpu=800 run_ms=4500\",\"steps\":[{\"count\":40,"
     "\"cpu\":800,\"memMb\":10,\"estimatedMs\":4500}]}";
 
+static const char small_job[] =
+    "{\"taskSpec\":\"no_ticket cpu=800 run_ms=9000\",\"steps\":[{\"count\":16,"
+    "\"cpu\":800,\"memMb\":10,\"estimatedMs\":9000}]}";
+
 static const char gang_job[] =
     "{\"taskSpec\":\"no_ticket cpu=2000 run_ms=9000\",\"steps\":[{\"count\":6,"
     "\"gang\":true,\"cpu\":2000,\"memMb\":10,\"estimatedMs\":9000}]}";
@@ -50,9 +54,33 @@
     CU_ASSERT_TRUE_FATAL(FvEntryCell_Split(cell, &split));
 }
 
+static bool
+fault_link(const entry_cell_t *cell, int host, const char *mode)
+{
+    char address[64];
+    char body[160];
+
+    FvEntryCell_Route(cell, host, ENTRY_ROUTE_LINK, address, sizeof(address));
+    snprintf(body, sizeof(body), "{\"route\":\"%s\",\"mode\":\"%s\"}", address,
+             mode);
+    return FvEntryCell_ProxyFault(cell, body);
+}
+
+/* The network resets the links between the sides and refuses new ones to the
+ * earlier leader. */
+static void
+refuse_links(const entry_cell_t *cell, int leader)
+{
+    CU_ASSERT_TRUE(fault_link(cell, leader, "cut"));
+    for (int i = HALF; i < HOSTS; i++) {
+        CU_ASSERT_TRUE(fault_link(cell, (leader + i) % HOSTS, "cut"));
+        CU_ASSERT_TRUE(fault_link(cell, (leader + i) % HOSTS, "restore"));
+    }
+}
+
 /* Splits a cell that runs a job, and checks that no task ran twice. */
 static void
-run_split(const char *job, int hosts)
+run_split(const char *job, int hosts, bool refused)
 {
     static entry_cell_t cell;
     const entry_cell_options_t options = {.name = "entry-split",
@@ -74,6 +102,9 @@
                     200);
     FvFake_SleepMs(RUNNING_MS);
     split_beside_leader(&cell, leader, hosts);
+    if (refused) {
+        refuse_links(&cell, leader);
+    }
     successor = FvEntryCell_WaitLeader(&cell, leader, SPLIT_MS / 2);
     CU_ASSERT_TRUE_FATAL(successor >= 0);
     CU_ASSERT_FALSE(
@@ -85,8 +116,10 @@
     CU_ASSERT_EQUAL(
         FvEntryCell_LogHas(&cell, leader, "cause=few_hosts_reached"),
         hosts < HALF);
+    CU_ASSERT_EQUAL(FvEntryCell_LogHas(&cell, successor, "dead=1"), refused);
     FvFake_SleepMs(SPLIT_MS / 2);
     CU_ASSERT_TRUE(FvEntryCell_Split(&cell, NULL));
+    CU_ASSERT_TRUE(fault_link(&cell, leader, "restore"));
     FvFake_SleepMs(HEALED_MS);
     report = FvEntryCell_Report(&cell);
     printf("leader=%d successor=%d adopted=%u starts=%lld violations=%lld "
@@ -105,7 +138,7 @@
 static void
 test_adopted_tasks_run_at_one_time(void)
 {
-    run_split(long_job, HALF);
+    run_split(long_job, HALF, false);
 }
 
 /* Tasks that end on the other side before the earlier leader takes their
@@ -113,21 +146,28 @@
 static void
 test_adopted_tasks_start_after_their_end(void)
 {
-    run_split(short_job, HALF);
+    run_split(short_job, HALF, false);
 }
 
 /* A gang with workers on both sides. */
 static void
 test_gang_over_both_sides(void)
 {
-    run_split(gang_job, HALF);
+    run_split(gang_job, HALF, false);
 }
 
 /* A leader that reaches few hosts resigns before the leases expire. */
 static void
 test_leader_in_the_minority(void)
 {
-    run_split(long_job, MINORITY);
+    run_split(long_job, MINORITY, false);
+}
+
+/* The successor has room for the tasks that run on the other side. */
+static void
+test_refused_connection_to_the_earlier_leader(void)
+{
+    run_split(small_job, HALF, true);
 }
 
 int
@@ -142,6 +182,8 @@
          test_gang_over_both_sides},
         {"an earlier leader that reaches few hosts starts tasks again",
          test_leader_in_the_minority},
+        {"a leader whose host refuses connections is taken for stopped",
+         test_refused_connection_to_the_earlier_leader},
     };
 
     return Fv_RUN_SUITE("entry_split", cases);
