fake_split: look for the probe of the dead leader

The case asked for the log line predecessor_dead, which no host writes any more: a refused connection proves nothing to the next leader. It asks the same host for leader_probed of that leader with dead=1, from which the other line followed.

--- a/tests/unit/fake_split_test.c
+++ b/tests/unit/fake_split_test.c
@@ -204,6 +204,7 @@
 {
     char address[64];
     char linked[64];
+    char probed[64];
     int next;
 
     FvEntryCell_Route(&cell, leader, ENTRY_ROUTE_LINK, address,
@@ -213,7 +214,9 @@
     CU_ASSERT_EQUAL(call_route(leader, ENTRY_ROUTE_STORE), 200);
     next = FvEntryCell_WaitLeader(&cell, leader, LEADER_MS);
     CU_ASSERT_TRUE_FATAL(next >= 0);
-    CU_ASSERT_TRUE(FvEntryCell_LogHas(&cell, next, "event=predecessor_dead"));
+    snprintf(probed, sizeof(probed),
+             "event=leader_probed leader=host-%d dead=1", leader);
+    CU_ASSERT_TRUE(FvEntryCell_LogHas(&cell, next, probed));
     CU_ASSERT_TRUE(FvEntryCell_StartHost(&cell, leader));
     snprintf(linked, sizeof(linked), "event=leader_linked leader=host-%d",
              next);
