soak: cells split in two

No seed could show tasks that both a leader and its successor run: the soak cut off one host from the store, for 5.3 s at most, and a mute worker from all hosts. Every third seed now splits its cell of six hosts and eight workers (--splits 0|1 chooses) for 0.3 to 15 s, several times: half of the splits put half of the hosts on the leader's side and the store on the other one, as the fault needs; the others draw the hosts, the store, the advice service and, one in four, a direction that still arrives. They come alone, or overlap with kills, pauses, restarts and changes. Their draws are their own.

--- a/tests/soak/soak-faults.c
+++ b/tests/soak/soak-faults.c
@@ -411,13 +411,8 @@
     }
 }
 
-/**
- * FvSoakFaults_ClearDue - end the faults that are over
- * @soak: the soak
- * @now_ms: the time; INT64_MAX ends all
- */
-void
-FvSoakFaults_ClearDue(soak_t *soak, int64_t now_ms)
+static void
+clear_due_but_split(soak_t *soak, int64_t now_ms)
 {
     char body[96];
 
@@ -449,6 +444,18 @@
     }
 }
 
+/**
+ * FvSoakFaults_ClearDue - end the faults that are over
+ * @soak: the soak
+ * @now_ms: the time; INT64_MAX ends all
+ */
+void
+FvSoakFaults_ClearDue(soak_t *soak, int64_t now_ms)
+{
+    clear_due_but_split(soak, now_ms);
+    FvSoakSplits_ClearDue(soak, now_ms);
+}
+
 /**
  * FvSoakFaults_Inject - inject faults for some time, then end all of them
  * @soak: the soak, whose clients are running
@@ -486,6 +493,12 @@
         int64_t now_ms = FvClock_NowMs();
 
         FvSoakFaults_ClearDue(soak, now_ms);
+        if (!FvSoakSplits_Inject(soak, now_ms)) {
+            memset(faults.actions, 0, sizeof(faults.actions));
+            clear_due_but_split(soak, INT64_MAX);
+            FvFake_SleepMs(SOAK_POLL_MS);
+            continue;
+        }
         run_due_actions(&faults, now_ms);
         if (now_ms >= next_fault_ms) {
             injectors[draw(&faults, sizeof(injectors) / sizeof(injectors[0]))](
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -17,6 +17,7 @@
 
 #define SOAK_COMPLETION_TIMEOUT_MS 40000
 #define SOAK_START_TIMEOUT_MS 30000
+#define SOAK_SPLIT_SEEDS 3 /* one of so many splits the cell */
 
 /* The longest time from the acknowledgement of a cancellation to a start of
  * one of the job's tasks. */
@@ -159,6 +160,7 @@
     entry_cell_options_t options = {.hosts = soak->hosts,
                                     .workers = soak->workers,
                                     .platform_options = platform,
+                                    .splits = soak->splits,
                                     .first_port = first_port};
     char name[64];
     bool succeeded = false;
@@ -197,8 +199,11 @@
     struct arg_int *workers = arg_int0(NULL, "workers", "N", "1 to 80");
     struct arg_int *clients = arg_int0(NULL, "clients", "N", "1 to 256");
     struct arg_int *port = arg_int0(NULL, "port", "N", "first port");
+    struct arg_int *splits = arg_int0(
+        NULL, "splits", "0|1", "split the cell (with every third seed)");
     struct arg_end *end = arg_end(4);
-    void *table[] = {seed, duration_s, hosts, workers, clients, port, end};
+    void *table[] = {seed,    duration_s, hosts,  workers,
+                     clients, port,       splits, end};
     int code = 2;
 
     if (arg_parse(argc, argv, table) != 0) {
@@ -209,8 +214,10 @@
     setvbuf(stdout, NULL, _IOLBF, 0);
     soak.config_version = 1;
     soak.seed = (uint64_t)option(seed, 1);
-    soak.hosts = option(hosts, 4);
-    soak.workers = option(workers, 6);
+    soak.splits = option(splits, soak.seed % SOAK_SPLIT_SEEDS == 0) != 0;
+    /* With four hosts, one that ends leaves no half on either side. */
+    soak.hosts = option(hosts, soak.splits ? 6 : 4);
+    soak.workers = option(workers, soak.splits ? 8 : 6);
     soak.clients = option(clients, 12);
     if (soak.hosts < 1 || soak.hosts > ENTRY_CELL_HOSTS_MAX ||
         soak.workers < 1 || soak.workers > ENTRY_CELL_WORKERS_MAX ||
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -65,6 +65,8 @@
     int64_t
         mute_until_ms[ENTRY_CELL_WORKERS_MAX]; /* out of the hosts' reach */
     int64_t config_version;
+    bool splits;
+    int64_t split_until_ms; /* 0: not split */
 } soak_t;
 
 uint32_t FvSoak_Random(uint64_t *state, uint32_t limit);
@@ -87,6 +89,10 @@
 #define SOAK_PROBES 2
 bool FvSoakProbes_Start(soak_t *soak, pthread_t *threads);
 
+/* soak-splits.c */
+bool FvSoakSplits_Inject(soak_t *soak, int64_t now_ms);
+void FvSoakSplits_ClearDue(soak_t *soak, int64_t now_ms);
+
 /* soak-faults.c */
 void FvSoakFaults_Inject(soak_t *soak, int64_t duration_s);
 void FvSoakFaults_ClearDue(soak_t *soak, int64_t now_ms);
