--- a/tests/harness/entry-cell.c
+++ b/tests/harness/entry-cell.c
@@ -20,6 +20,7 @@
 #define ENTRY_CELL_PORT_RANGE_SIZE 500
 #define ENTRY_CELL_CALL_TIMEOUT_MS 3000
 #define ENTRY_CELL_START_MS 300
+#define ENTRY_CELL_PLATFORM_TIMEOUT_MS 20000
 
 /* Offsets from the first port. */
 #define ENTRY_PORT_CONTROL 2
@@ -250,11 +251,29 @@
     unlink(path);
 }
 
+/* All workers are served once the platform takes faults. */
+static bool
+wait_for_platform(entry_cell_t *cell)
+{
+    int64_t until_ms = FvClock_NowMs() + ENTRY_CELL_PLATFORM_TIMEOUT_MS;
+    bool answered = false;
+
+    while (!answered && !FvProcess_HasExited(&cell->platform) &&
+           FvClock_NowMs() < until_ms) {
+        json_t *report = FvEntryCell_Report(cell);
+
+        answered = report != NULL;
+        json_decref(report);
+        FvFake_SleepMs(10);
+    }
+    return answered;
+}
+
 /**
  * FvEntryCell_StartPlatform - start the platform and the proxies to its store
  * @cell: the cell
  *
- * Return: false when a program cannot be started.
+ * Return: false when a program cannot be started, or ends at once.
  */
 bool
 FvEntryCell_StartPlatform(entry_cell_t *cell)
@@ -263,7 +282,7 @@
         return false;
     }
     FvFake_SleepMs(ENTRY_CELL_START_MS);
-    return true;
+    return wait_for_platform(cell);
 }
 
 /**
@@ -318,6 +337,29 @@
     FvProcess_Kill(&cell->platform);
 }
 
+/**
+ * FvEntryCell_PlatformEnded - check whether the platform has ended by itself
+ * @cell: the cell, which has not been stopped
+ *
+ * Return: true if it has, which the first call prints with the exit status and
+ * the signal.
+ */
+bool
+FvEntryCell_PlatformEnded(entry_cell_t *cell)
+{
+    bool was_running = cell->platform.pid > 0;
+    bool ended = FvProcess_HasExited(&cell->platform);
+
+    if (was_running && ended) {
+        int status = cell->platform.exit_status;
+
+        printf("the platform's stand-in ended by itself: exit status %d, "
+               "signal %d (log: %s/cell.log)\n",
+               status, status > 128 ? status - 128 : 0, cell->directory);
+    }
+    return ended;
+}
+
 /**
  * FvEntryCell_WaitReady - wait until all hosts report ready
  * @cell: the cell
