sched-sim: an earlier leader acts on after a split

When the leader of the simulated cell changed, the earlier one was gone, so that no cell could show two leaders at work. Each leader now has its own scheduler. A split cuts the latest leader off from the store and from a part of the workers; the other hosts elect another one, which loads what the store holds and reaches the rest. Few workers are reached by both or by none, and the latest leader of a split cell may be cut off in its turn.

The earlier leader gives orders for 6 s after its last renewal, until a worker that has seen a later leader refuses one, or until it resigns. What it writes is refused. A leader learns nothing of one on another side: it takes it for stopped after 6 s, or when the split is over. The store may also be out for all hosts for up to 5.4 s; records wait for its end.

A start after an acknowledged end counts as a violation, too, unless the lease had expired in between; so far only starts before the acknowledgement did.

--- a/tests/harness/sched-sim-event.c
+++ b/tests/harness/sched-sim-event.c
@@ -70,18 +70,12 @@
     *b = other;
 }
 
-/**
- * FvSim_Schedule - add an event to the queue
- * @sim: the cell
- * @event: the event; its memory passes to the queue
- */
-void
-FvSim_Schedule(sim_t *sim, sim_event_t event)
+static void
+insert(sim_t *sim, sim_event_t event)
 {
     uint32_t index = sim->event_count++;
 
     CU_ASSERT_FATAL(index < EVENTS_MAX);
-    event.sequence = sim->next_event_sequence++;
     sim->events[index] = event;
     while (index > 0 &&
            earlier(&sim->events[index], &sim->events[(index - 1) / 2])) {
@@ -90,6 +84,33 @@
     }
 }
 
+/**
+ * FvSim_Schedule - add an event to the queue
+ * @sim: the cell
+ * @event: the event; its memory passes to the queue
+ */
+void
+FvSim_Schedule(sim_t *sim, sim_event_t event)
+{
+    event.sequence = sim->next_event_sequence++;
+    insert(sim, event);
+}
+
+/**
+ * FvSim_Postpone - put an event that was taken back into the queue
+ * @sim: the cell
+ * @event: the event; its memory passes to the queue
+ * @until_ms: when it is due; events that are postponed until one time keep
+ *            their order
+ */
+void
+FvSim_Postpone(sim_t *sim, sim_event_t *event, int64_t until_ms)
+{
+    event->at_ms = until_ms;
+    insert(sim, *event);
+    *event = (sim_event_t){0};
+}
+
 /**
  * FvSim_TakeEvent - remove the earliest event
  * @sim: the cell; its queue is not empty
--- a/tests/harness/sched-sim-handlers.c
+++ b/tests/harness/sched-sim-handlers.c
@@ -8,6 +8,7 @@
 order_arrives(sim_t *sim, const sim_event_t *order)
 {
     sim_worker_t *worker = &sim->workers[order->worker];
+    const sim_leader_t *leader = FvSim_FindLeader(sim, order->generation);
     sim_event_t answer = {.kind = EVENT_ORDER_ANSWERED,
                           .at_ms = sim->now_ms + FvSim_OneWayDelayMs(sim),
                           .generation = order->generation,
@@ -24,42 +25,48 @@
     else {
         answer.result = FvSim_ExecuteOrder(sim, worker, order);
     }
+    if (leader != NULL && !FvSim_Reaches(leader, order->worker)) {
+        answer.result = Fv_ORDER_UNCONFIRMED;
+        answer.at_ms = order->sent_ms + ORDER_TIMEOUT_MS;
+    }
     if (order->answered) {
         FvSim_Schedule(sim, answer);
     }
 }
 
 static void
-order_answered(sim_t *sim, const sim_event_t *answer)
+order_answered(sim_leader_t *leader, const sim_event_t *answer)
 {
+    sim_t *sim = leader->sim;
     const char *id = sim->workers[answer->worker].entry.id;
-    fv_sched_worker_t *worker = FvSched_FindWorker(&sim->sched, id);
+    fv_sched_worker_t *worker = FvSched_FindWorker(&leader->sched, id);
     fv_sched_task_t *task =
-        FvSched_FindOrderedTask(&sim->sched, id, answer->task, answer->run);
+        FvSched_FindOrderedTask(&leader->sched, id, answer->task, answer->run);
     fv_order_result_t result = answer->result;
 
     if (result == Fv_ORDER_FENCED) {
+        leader->deposed = leader != sim->leader;
         return;
     }
     if (answer->stop && result == Fv_ORDER_UNCONFIRMED) {
-        sim->unanswered_stop_ms = sim->now_ms;
+        leader->unanswered_stop_ms = sim->now_ms;
     }
     if (worker != NULL) {
         result = FvSched_OrderResult(worker, answer->incarnation_ms, result);
     }
     if (answer->stop && worker != NULL) {
-        FvSched_OrphanStopAnswered(&sim->sched, worker, answer->task,
+        FvSched_OrphanStopAnswered(&leader->sched, worker, answer->task,
                                    answer->run, result, sim->now_ms);
     }
     if (task == NULL) {
         return;
     }
     if (answer->stop) {
-        FvSched_StopAnswered(&sim->sched, task, answer->run, result,
+        FvSched_StopAnswered(&leader->sched, task, answer->run, result,
                              sim->now_ms);
     }
     else {
-        FvSched_StartAnswered(&sim->sched, task, answer->run, result,
+        FvSched_StartAnswered(&leader->sched, task, answer->run, result,
                               sim->now_ms);
     }
 }
@@ -78,9 +85,14 @@
         end->acknowledged = true;
         task = FvSim_GetTask(sim, end->row.task_id);
         task->failures_acknowledged += end->row.end == Fv_END_FAILED;
-        if (end->row.end == Fv_END_DONE && task->done &&
-            task->last_start_ms > end->at_ms &&
-            worker->lease_expired_ms < end->at_ms) {
+        /* An end that is acknowledged after its lease has expired counts as
+         * lost; the task may have been started again. */
+        if (end->row.end != Fv_END_DONE || !task->done ||
+            worker->lease_expired_ms >= end->at_ms) {
+            continue;
+        }
+        task->done_acknowledged = true;
+        if (task->last_start_ms > end->at_ms) {
             FvSim_AddViolation(sim, &sim->result->started_after_done,
                                "started after done", task->name);
         }
@@ -97,9 +109,16 @@
                           .sent_ms = request->sent_ms,
                           .at_ms = sim->now_ms + FvSim_OneWayDelayMs(sim)};
     fv_worker_report_t *report = &answer.report;
+    const sim_leader_t *leader = FvSim_FindLeader(sim, request->generation);
+    bool fenced = request->generation < worker->fencing_token;
 
-    if (FvSim_IsUnresponsive(sim, worker) ||
-        request->generation < worker->fencing_token) {
+    if (leader != NULL && fenced && !FvSim_IsUnresponsive(sim, worker) &&
+        FvSim_Reaches(leader, request->worker) && request->answered) {
+        answer.result = Fv_ORDER_FENCED;
+        FvSim_Schedule(sim, answer);
+        return;
+    }
+    if (FvSim_IsUnresponsive(sim, worker) || fenced) {
         answer.at_ms = request->sent_ms + REPORT_TIMEOUT_MS;
         if (request->answered) {
             FvSim_Schedule(sim, answer);
@@ -112,6 +131,11 @@
     if (!request->answered) {
         return;
     }
+    if (leader != NULL && !FvSim_Reaches(leader, request->worker)) {
+        answer.at_ms = request->sent_ms + REPORT_TIMEOUT_MS;
+        FvSim_Schedule(sim, answer);
+        return;
+    }
     answer.answered = true;
     answer.number = request->number;
     answer.incarnation_ms = request->incarnation_ms;
@@ -154,21 +178,25 @@
 }
 
 static void
-report_arrives(sim_t *sim, const sim_event_t *answer)
+report_arrives(sim_leader_t *leader, const sim_event_t *answer)
 {
-    sim_worker_t *worker = &sim->workers[answer->worker];
-    fv_sched_worker_t *sched_worker =
-        FvSched_FindWorker(&sim->sched, worker->entry.id);
+    sim_t *sim = leader->sim;
+    fv_sched_worker_t *sched_worker = FvSched_FindWorker(
+        &leader->sched, sim->workers[answer->worker].entry.id);
 
-    worker->report_pending = false;
+    leader->report_pending[answer->worker] = false;
+    if (answer->result == Fv_ORDER_FENCED) {
+        leader->deposed = leader != sim->leader;
+        return;
+    }
     if (sched_worker == NULL) {
         return;
     }
     if (!answer->answered) {
-        FvSched_ReportUnanswered(&sim->sched, sched_worker, sim->now_ms);
+        FvSched_ReportUnanswered(&leader->sched, sched_worker, sim->now_ms);
         return;
     }
-    FvSched_ApplyReport(&sim->sched, sched_worker, &answer->report,
+    FvSched_ApplyReport(&leader->sched, sched_worker, &answer->report,
                         answer->sent_ms, sim->now_ms);
     if (answer->report.started_wall_ms == answer->incarnation_ms &&
         answer->incarnation_ms == sched_worker->started_wall_ms) {
@@ -178,7 +206,7 @@
         FvSim_Schedule(
             sim, (sim_event_t){.kind = EVENT_ENDS_RECORDED,
                                .at_ms = sim->now_ms + RECORD_WRITE_MS + 1,
-                               .generation = sim->generation,
+                               .generation = leader->generation,
                                .worker = answer->worker,
                                .incarnation_ms = sched_worker->started_wall_ms,
                                .number = sched_worker->last_end_applied});
@@ -186,10 +214,10 @@
 }
 
 static void
-ends_recorded(sim_t *sim, const sim_event_t *event)
+ends_recorded(sim_leader_t *leader, const sim_event_t *event)
 {
-    fv_sched_worker_t *sched_worker =
-        FvSched_FindWorker(&sim->sched, sim->workers[event->worker].entry.id);
+    fv_sched_worker_t *sched_worker = FvSched_FindWorker(
+        &leader->sched, leader->sim->workers[event->worker].entry.id);
 
     if (sched_worker != NULL &&
         sched_worker->started_wall_ms == event->incarnation_ms) {
@@ -198,10 +226,11 @@
 }
 
 static void
-recorded(sim_t *sim, sim_event_t *event)
+recorded(sim_leader_t *leader, sim_event_t *event)
 {
+    sim_t *sim = leader->sim;
     sim_job_t *job = FvSim_FindJob(sim, event->task);
-    fv_sched_job_t *sched_job = FvSched_FindJob(&sim->sched, event->task);
+    fv_sched_job_t *sched_job = FvSched_FindJob(&leader->sched, event->task);
     fv_buffer_t *stored = event->record == Fv_RECORD_ACCEPT
                               ? &job->job_record
                               : &job->progress_record;
@@ -213,7 +242,7 @@
         if (event->record == Fv_RECORD_ACCEPT && sched_job != NULL) {
             job->accepted = true;
             job->accepted_ms = sim->now_ms;
-            FvSched_MarkJobDurable(&sim->sched, sched_job);
+            FvSched_MarkJobDurable(&leader->sched, sched_job);
         }
         return;
     }
@@ -267,19 +296,20 @@
 }
 
 static void
-advice_arrives(sim_t *sim, const sim_event_t *event)
+advice_arrives(sim_leader_t *leader, const sim_event_t *event)
 {
-    fv_sched_task_t *task = FvSched_FindTask(&sim->sched, event->task);
+    sim_t *sim = leader->sim;
+    fv_sched_task_t *task = FvSched_FindTask(&leader->sched, event->task);
     fv_sched_worker_t *queried[WORKERS_MAX];
     fv_advice_row_t rows[WORKERS_MAX];
     fv_advice_t advice = {.rows = rows};
 
-    sim->open_advice_requests--;
+    leader->open_advice_requests--;
     if (task == NULL) {
         return;
     }
     for (uint32_t i = 0; i < event->worker_count; i++) {
-        queried[i] = FvSched_FindWorker(&sim->sched, event->workers[i]);
+        queried[i] = FvSched_FindWorker(&leader->sched, event->workers[i]);
         if (FvSim_IsAllowed(sim, event->task,
                             FvSim_WorkerIndex(sim, event->workers[i]))) {
             fv_advice_row_t *row = &rows[advice.row_count++];
@@ -288,32 +318,37 @@
             row->ticket = "ticket";
         }
     }
-    FvSched_ApplyAdvice(&sim->sched, task->stage, queried, event->worker_count,
-                        &advice, sim->now_ms);
+    FvSched_ApplyAdvice(&leader->sched, task->stage, queried,
+                        event->worker_count, &advice, sim->now_ms);
 }
 
 static void
 job_arrives(sim_t *sim, const sim_event_t *event)
 {
     sim_job_t *job = FvSim_FindJob(sim, event->task);
-    fv_sched_job_t *sched_job = FvSched_FindJob(&sim->sched, job->id);
+    fv_sched_t *sched = &sim->leader->sched;
+    fv_sched_job_t *sched_job = FvSched_FindJob(sched, job->id);
     sim_event_t retry = {.kind = EVENT_JOB_ARRIVES,
                          .at_ms = sim->now_ms + 1000};
     fv_job_spec_t spec;
 
-    if (job->accepted || job->ended != NULL || sched_job != NULL) {
+    if (job->accepted || job->ended != NULL) {
+        return;
+    }
+    FvText_Copy(retry.task, sizeof(retry.task), job->id);
+    if (sched_job != NULL) {
+        FvSim_Schedule(sim, retry);
         return;
     }
     FvPlatform_DecodeJobSpec(job->document, strlen(job->document), &spec);
     sched_job =
-        FvSched_AddJob(&sim->sched, job->id, &job->queue, &spec, job->document,
+        FvSched_AddJob(sched, job->id, &job->queue, &spec, job->document,
                        strlen(job->document), sim->now_ms, sim->now_ms);
     FvJobSpec_Clear(&spec);
-    FvSim_Record(&sim->sched, sched_job, Fv_RECORD_ACCEPT);
-    FvSched_ReleaseStages(&sim->sched, sched_job, sim->now_ms, sim->now_ms);
+    FvSim_Record(sched, sched_job, Fv_RECORD_ACCEPT);
+    FvSched_ReleaseStages(sched, sched_job, sim->now_ms, sim->now_ms);
     /* The caller retries, because a leader that fails before the job is
      * recorded loses it. */
-    FvText_Copy(retry.task, sizeof(retry.task), job->id);
     FvSim_Schedule(sim, retry);
 }
 
@@ -322,7 +357,8 @@
 job_cancelled(sim_t *sim, const sim_event_t *event)
 {
     sim_job_t *job = FvSim_FindJob(sim, event->task);
-    fv_sched_job_t *sched_job = FvSched_FindJob(&sim->sched, job->id);
+    fv_sched_t *sched = &sim->leader->sched;
+    fv_sched_job_t *sched_job = FvSched_FindJob(sched, job->id);
     sim_event_t retry = {.kind = EVENT_JOB_CANCELLED,
                          .at_ms = sim->now_ms + 1000};
 
@@ -332,7 +368,7 @@
     if (sched_job != NULL && sched_job->durable &&
         sched_job->outcome == Fv_SCHED_JOB_OPEN) {
         job->cancelled = true;
-        FvSched_CancelJob(&sim->sched, sched_job, sim->now_ms);
+        FvSched_CancelJob(sched, sched_job, sim->now_ms);
     }
     FvText_Copy(retry.task, sizeof(retry.task), job->id);
     FvSim_Schedule(sim, retry);
@@ -358,7 +394,7 @@
     }
     worker->clock_base_ms = sim->now_ms;
     if (sim->plan->faults.kind_changes == 0) {
-        FvSched_UpdateWorker(&sim->sched, &worker->entry, sim->now_ms);
+        FvSim_PublishEntry(sim, worker);
         return;
     }
     /* Two workers of each kind stay, so that every job can end. */
@@ -373,10 +409,10 @@
 static void
 entry_arrives(sim_t *sim, const sim_event_t *event)
 {
-    const fv_worker_entry_t *current = &sim->workers[event->worker].entry;
+    sim_worker_t *worker = &sim->workers[event->worker];
 
-    if (event->entry.started_wall_ms == current->started_wall_ms) {
-        FvSched_UpdateWorker(&sim->sched, current, sim->now_ms);
+    if (event->entry.started_wall_ms == worker->entry.started_wall_ms) {
+        FvSim_PublishEntry(sim, worker);
     }
 }
 
@@ -388,32 +424,45 @@
 void
 FvSim_HandleEvent(sim_t *sim, sim_event_t *event)
 {
-    if (event->generation != 0 && event->generation != sim->generation &&
+    sim_leader_t *leader = FvSim_FindLeader(sim, event->generation);
+
+    if (event->generation != 0 && leader == NULL &&
         event->kind != EVENT_ORDER_ARRIVES &&
         event->kind != EVENT_REPORT_REQUESTED) {
         return; /* addressed to a former leader */
     }
+    if ((event->kind == EVENT_RECORDED ||
+         event->kind == EVENT_ENDS_RECORDED) &&
+        FvSim_IsCutFromStore(leader)) {
+        if (leader == sim->leader) { /* writes of earlier ones are refused */
+            FvSim_Postpone(sim, event,
+                           leader->store_cut_until_ms > sim->store_out_until_ms
+                               ? leader->store_cut_until_ms
+                               : sim->store_out_until_ms);
+        }
+        return;
+    }
     switch (event->kind) {
     case EVENT_ORDER_ARRIVES:
         order_arrives(sim, event);
         break;
     case EVENT_ORDER_ANSWERED:
-        order_answered(sim, event);
+        order_answered(leader, event);
         break;
     case EVENT_REPORT_REQUESTED:
         report_requested(sim, event);
         break;
     case EVENT_REPORT_ARRIVES:
-        report_arrives(sim, event);
+        report_arrives(leader, event);
         break;
     case EVENT_RECORDED:
-        recorded(sim, event);
+        recorded(leader, event);
         break;
     case EVENT_ENDS_RECORDED:
-        ends_recorded(sim, event);
+        ends_recorded(leader, event);
         break;
     case EVENT_ADVICE_ARRIVES:
-        advice_arrives(sim, event);
+        advice_arrives(leader, event);
         break;
     case EVENT_WORKER_RETURNS:
         worker_returns(sim, event->worker);
--- a/tests/harness/sched-sim-internal.h
+++ b/tests/harness/sched-sim-internal.h
@@ -45,8 +45,18 @@
 #define ADVICE_REQUESTS_MAX 6
 #define STEPS_MAX 3
 #define STEP_TASKS_MAX 8
+#define TASK_MAX_MS 3000 /* unless the plan says otherwise */
 #define ENTRY_DELAY_MAX_MS 600
 #define ENTRY_EXPIRY_MS 900 /* of a worker that is cut off from the store */
+#define RENEWAL_INTERVAL_MS 200 /* of the leadership */
+#define RENEWAL_ANSWER_MS 20
+#define ORDER_GRACE_MS 6000 /* a leader gives orders after its renewal */
+#define SPLIT_MAX_MS 12000
+#define STORE_OUTAGE_MAX_MS 5400
+#define ELECTION_MIN_MS 200 /* after a split */
+#define ELECTION_MAX_MS 2200
+#define FEW_HOSTS_MS 2500        /* a leader that reaches few hosts resigns */
+#define SPLIT_NOTICED_MAX_MS 300 /* by the earlier leader, after its end */
 
 typedef enum event_kind {
     EVENT_ORDER_ARRIVES,
@@ -68,6 +78,7 @@
     int32_t active; /* runs that occupy a worker now */
     bool done;      /* the end is acknowledged, or will be reported */
     int64_t done_ms;
+    bool done_acknowledged;
     int64_t last_start_ms;
     int64_t last_end_ms;
     int64_t startable_since_ms; /* 0: runs, or has no capacity */
@@ -109,8 +120,9 @@
     int64_t last_end_number;
     uint32_t end_count;
     sim_end_t ends[ENDS_MAX];
-    bool report_pending;
-    int64_t report_requested_ms;
+    /* Until then, it is cut off from the store and its entry is not written.
+     */
+    int64_t store_cut_until_ms;
 } sim_worker_t;
 
 typedef struct sim_event {
@@ -151,19 +163,44 @@
     fv_buffer_t progress_record;
 } sim_job_t;
 
-typedef struct sim {
+typedef struct sim sim_t;
+
+/* A leader that acts. Earlier ones act on after a split. */
+typedef struct sim_leader {
     fv_sched_t sched; /* first member; the ops cast it */
+    sim_t *sim;
+    struct sim_leader *earlier; /* the one before it that acts, or NULL */
+    int32_t generation;
+    int64_t since_ms;
+    int64_t earlier_stopped_ms; /* INT64_MAX: not known */
+    int64_t unanswered_stop_ms;
+    uint32_t open_advice_requests;
+    int64_t store_cut_until_ms; /* no call to the store is answered until */
+    bool registry_outdated;
+    int64_t renewal_sent_ms; /* of the leadership */
+    int64_t confirmed_ms;    /* when the latest one that succeeded was sent */
+    int64_t resigns_ms;
+    bool deposed;
+    int64_t reached_from_ms[WORKERS_MAX]; /* 0: was never cut off */
+    bool report_pending[WORKERS_MAX];
+    int64_t report_requested_ms[WORKERS_MAX];
+} sim_leader_t;
+
+struct sim {
     const sim_plan_t *plan;
     sim_result_t *result;
     uint64_t random;
     int64_t now_ms;
     int32_t generation;
-    int64_t leader_since_ms;
-    int64_t absent_until_ms; /* nobody leads */
-    int64_t unanswered_stop_ms;
+    sim_leader_t *leader;       /* the latest */
+    int64_t absent_until_ms;    /* nobody leads */
+    int64_t store_out_until_ms; /* for all hosts */
+    int64_t split_until_ms;
+    int64_t election_ms; /* when another host takes over; 0: none does */
+    /* As seen by the hosts that reach the store. */
+    int64_t reached_from_ms[WORKERS_MAX];
     int64_t handover_ms; /* when the next leader takes over; 0: none planned */
     bool handed_over;    /* the former leader had suspended its stops */
-    uint32_t open_advice_requests;
     uint64_t next_event_sequence;
     uint32_t event_count;
     sim_event_t *events; /* binary heap by time */
@@ -172,7 +209,7 @@
     sim_job_t jobs[JOBS_MAX];
     uint32_t task_count;
     sim_task_t tasks[TASKS_MAX];
-} sim_t;
+};
 
 extern const fv_sched_ops_t Fv_SIM_OPS;
 
@@ -181,6 +218,7 @@
 void FvSim_AddViolation(sim_t *sim, uint32_t *count, const char *what,
                         const char *name);
 void FvSim_Schedule(sim_t *sim, sim_event_t event);
+void FvSim_Postpone(sim_t *sim, sim_event_t *event, int64_t until_ms);
 sim_event_t FvSim_TakeEvent(sim_t *sim);
 void FvSim_ClearEvent(sim_event_t *event);
 int64_t FvSim_OneWayDelayMs(sim_t *sim);
@@ -195,15 +233,27 @@
                      uint32_t worker);
 bool FvSim_PredecessorsDone(sim_t *sim, const char *name);
 void FvSim_CheckWaiting(sim_t *sim);
-void FvSim_CheckAccounts(sim_t *sim);
+void FvSim_CheckAccounts(sim_leader_t *leader);
 void FvSim_KillRuns(sim_t *sim, sim_worker_t *worker, bool report_ends);
 void FvSim_EndDueRuns(sim_t *sim);
 fv_order_result_t FvSim_ExecuteOrder(sim_t *sim, sim_worker_t *worker,
                                      const sim_event_t *order);
 uint32_t FvSim_WorkerIndex(const sim_t *sim, const char *worker);
+sim_leader_t *FvSim_FindLeader(const sim_t *sim, int32_t generation);
+bool FvSim_IsCutFromStore(const sim_leader_t *leader);
+bool FvSim_Reaches(const sim_leader_t *leader, uint32_t worker);
+bool FvSim_IsEntryLost(const sim_t *sim, const sim_worker_t *worker);
+void FvSim_PublishEntry(sim_t *sim, sim_worker_t *worker);
+sim_leader_t *FvSim_BeginLeader(sim_t *sim, sim_leader_t *earlier);
+void FvSim_FreeLeader(sim_leader_t *leader);
+void FvSim_ReplaceLeader(sim_t *sim);
+void FvSim_ReleaseInheritedTasks(sim_leader_t *leader);
+void FvSim_SplitCell(sim_t *sim);
+void FvSim_CutStore(sim_t *sim);
+void FvSim_UpdateLeaders(sim_t *sim);
 void FvSim_Record(fv_sched_t *sched, fv_sched_job_t *job,
                   fv_record_kind_t kind);
-void FvSim_RequestReport(sim_t *sim, uint32_t index);
+void FvSim_RequestReport(sim_leader_t *leader, uint32_t index);
 void FvSim_SetKind(sim_worker_t *worker, bool first);
 void FvSim_HandleEvent(sim_t *sim, sim_event_t *event);
 
--- a/tests/harness/sched-sim-ops.c
+++ b/tests/harness/sched-sim-ops.c
@@ -23,13 +23,30 @@
     return i;
 }
 
+/* What is sent to a worker that is cut off may arrive after the split. */
+static bool
+arrives_after_split(const sim_leader_t *leader, sim_event_t *event)
+{
+    sim_t *sim = leader->sim;
+    int64_t reached_ms = leader->reached_from_ms[event->worker];
+
+    if (FvSim_RandomBelow(sim, 4) != 0 ||
+        reached_ms > sim->now_ms + ORDER_DELAY_MAX_MS) {
+        return false;
+    }
+    event->answered = false;
+    event->at_ms = reached_ms + FvSim_OneWayDelayMs(sim);
+    return true;
+}
+
 static void
-send_order(sim_t *sim, const fv_sched_worker_t *worker, const char *task,
-           int32_t run, bool stop, int64_t lease_end_ms)
+send_order(sim_leader_t *leader, const fv_sched_worker_t *worker,
+           const char *task, int32_t run, bool stop, int64_t lease_end_ms)
 {
+    sim_t *sim = leader->sim;
     sim_event_t event = {.kind = EVENT_ORDER_ARRIVES,
                          .at_ms = sim->now_ms + FvSim_OneWayDelayMs(sim),
-                         .generation = sim->generation,
+                         .generation = leader->generation,
                          .worker = FvSim_WorkerIndex(sim, worker->entry.id),
                          .incarnation_ms = worker->started_wall_ms,
                          .run = run,
@@ -37,17 +54,23 @@
                          .sent_ms = sim->now_ms,
                          .lease_end_ms = lease_end_ms,
                          .answered = true};
+    sim_event_t timeout;
 
-    if (stop && sim->sched.stops_suspended) {
+    if (stop && leader->sched.stops_suspended) {
         return; /* the next leader sends it */
     }
     FvText_Copy(event.task, sizeof(event.task), task);
-    if (FvSim_FaultOccurs(sim, sim->plan->faults.lost_orders)) {
-        sim_event_t timeout = event;
-
-        timeout.kind = EVENT_ORDER_ANSWERED;
-        timeout.at_ms = sim->now_ms + ORDER_TIMEOUT_MS;
-        timeout.result = Fv_ORDER_UNCONFIRMED;
+    timeout = event;
+    timeout.kind = EVENT_ORDER_ANSWERED;
+    timeout.at_ms = sim->now_ms + ORDER_TIMEOUT_MS;
+    timeout.result = Fv_ORDER_UNCONFIRMED;
+    if (!FvSim_Reaches(leader, event.worker)) {
+        FvSim_Schedule(sim, timeout);
+        if (!arrives_after_split(leader, &event)) {
+            return;
+        }
+    }
+    else if (FvSim_FaultOccurs(sim, sim->plan->faults.lost_orders)) {
         FvSim_Schedule(sim, timeout);
         event.answered = false;
         event.at_ms += FvSim_LateDelayMs(sim);
@@ -62,13 +85,13 @@
 send_start(fv_sched_t *sched, fv_sched_task_t *task,
            const fv_verdict_t *verdict)
 {
-    sim_t *sim = (sim_t *)sched;
+    sim_leader_t *leader = (sim_leader_t *)sched;
     char name[Fv_RUN_TASK_ID_SIZE];
 
     (void)verdict;
     FvSched_TaskName(task, name, sizeof(name));
-    send_order(sim, task->worker, name, task->run, false,
-               FvSched_ExtendLease(sched, task->worker, sim->now_ms));
+    send_order(leader, task->worker, name, task->run, false,
+               FvSched_ExtendLease(sched, task->worker, leader->sim->now_ms));
     return true;
 }
 
@@ -78,32 +101,33 @@
     char name[Fv_RUN_TASK_ID_SIZE];
 
     FvSched_TaskName(task, name, sizeof(name));
-    send_order((sim_t *)sched, task->worker, name, task->run, true, 0);
+    send_order((sim_leader_t *)sched, task->worker, name, task->run, true, 0);
 }
 
 static void
 send_orphan_stop(fv_sched_t *sched, fv_sched_worker_t *worker,
                  const char *task, int32_t run)
 {
-    send_order((sim_t *)sched, worker, task, run, true, 0);
+    send_order((sim_leader_t *)sched, worker, task, run, true, 0);
 }
 
 static bool
 send_advice_request(fv_sched_t *sched, fv_sched_stage_t *stage,
                     fv_sched_worker_t *const *workers, uint32_t count)
 {
-    sim_t *sim = (sim_t *)sched;
+    sim_leader_t *leader = (sim_leader_t *)sched;
+    sim_t *sim = leader->sim;
     sim_event_t event = {
         .kind = EVENT_ADVICE_ARRIVES,
-        .generation = sim->generation,
+        .generation = leader->generation,
         .at_ms = sim->now_ms + stage->job->queue.advice_base_us / 1000 +
                  count * stage->job->queue.advice_per_worker_us / 1000,
         .worker_count = count};
 
-    if (sim->open_advice_requests == ADVICE_REQUESTS_MAX) {
+    if (leader->open_advice_requests == ADVICE_REQUESTS_MAX) {
         return false;
     }
-    sim->open_advice_requests++;
+    leader->open_advice_requests++;
     FvSched_TaskName(&stage->tasks[0], event.task, sizeof(event.task));
     event.workers = calloc(count, sizeof(*event.workers));
     for (uint32_t i = 0; i < count; i++) {
@@ -122,9 +146,10 @@
 void
 FvSim_Record(fv_sched_t *sched, fv_sched_job_t *job, fv_record_kind_t kind)
 {
-    sim_t *sim = (sim_t *)sched;
+    sim_leader_t *leader = (sim_leader_t *)sched;
+    sim_t *sim = leader->sim;
     sim_event_t event = {.kind = EVENT_RECORDED,
-                         .generation = sim->generation,
+                         .generation = leader->generation,
                          .at_ms = sim->now_ms + RECORD_WRITE_MS,
                          .record = kind};
 
@@ -140,38 +165,44 @@
 
 /**
  * FvSim_RequestReport - request a report from a worker
- * @sim: the cell
- * @index: its index
+ * @leader: the leader
+ * @index: the worker's index
  */
 void
-FvSim_RequestReport(sim_t *sim, uint32_t index)
+FvSim_RequestReport(sim_leader_t *leader, uint32_t index)
 {
-    sim_worker_t *worker = &sim->workers[index];
+    sim_t *sim = leader->sim;
     fv_sched_worker_t *sched_worker =
-        FvSched_FindWorker(&sim->sched, worker->entry.id);
+        FvSched_FindWorker(&leader->sched, sim->workers[index].entry.id);
     sim_event_t request;
+    sim_event_t timeout;
 
-    if (sched_worker == NULL || worker->report_pending) {
+    if (sched_worker == NULL || leader->report_pending[index]) {
         return;
     }
-    worker->report_pending = true;
-    worker->report_requested_ms = sim->now_ms;
+    leader->report_pending[index] = true;
+    leader->report_requested_ms[index] = sim->now_ms;
     request = (sim_event_t){.kind = EVENT_REPORT_REQUESTED,
                             .at_ms = sim->now_ms + FvSim_OneWayDelayMs(sim),
-                            .generation = sim->generation,
+                            .generation = leader->generation,
                             .worker = index,
                             .sent_ms = sim->now_ms,
                             .number = FvSched_EndToAcknowledge(sched_worker),
                             .incarnation_ms = sched_worker->started_wall_ms,
                             .answered = true,
                             .lease_end_ms = FvSched_ExtendLease(
-                                &sim->sched, sched_worker, sim->now_ms)};
-    if (FvSim_FaultOccurs(sim, sim->plan->faults.lost_renewals)) {
-        sim_event_t timeout = request;
-
-        timeout.kind = EVENT_REPORT_ARRIVES;
-        timeout.at_ms = sim->now_ms + REPORT_TIMEOUT_MS;
-        timeout.answered = false;
+                                &leader->sched, sched_worker, sim->now_ms)};
+    timeout = request;
+    timeout.kind = EVENT_REPORT_ARRIVES;
+    timeout.at_ms = sim->now_ms + REPORT_TIMEOUT_MS;
+    timeout.answered = false;
+    if (!FvSim_Reaches(leader, index)) {
+        FvSim_Schedule(sim, timeout);
+        if (!arrives_after_split(leader, &request)) {
+            return;
+        }
+    }
+    else if (FvSim_FaultOccurs(sim, sim->plan->faults.lost_renewals)) {
         FvSim_Schedule(sim, timeout);
         request.answered = false;
         request.at_ms += FvSim_LateDelayMs(sim);
@@ -185,8 +216,10 @@
 static void
 request_worker_report(fv_sched_t *sched, fv_sched_worker_t *worker)
 {
-    FvSim_RequestReport((sim_t *)sched,
-                        FvSim_WorkerIndex((sim_t *)sched, worker->entry.id));
+    sim_leader_t *leader = (sim_leader_t *)sched;
+
+    FvSim_RequestReport(leader,
+                        FvSim_WorkerIndex(leader->sim, worker->entry.id));
 }
 
 const fv_sched_ops_t Fv_SIM_OPS = {.decode = FvPlatform_DecodeJobSpec,
--- a/tests/harness/sched-sim-worker.c
+++ b/tests/harness/sched-sim-worker.c
@@ -307,16 +307,18 @@
 }
 
 /**
- * FvSim_CheckAccounts - check the leader's account of each worker's capacity
- * @sim: the cell
+ * FvSim_CheckAccounts - check a leader's account of each worker's capacity
+ * @leader: the leader
  *
  * What is not free is the sum over the tasks on the worker. The resources of
  * orphaned runs are not known, so that a worker with one takes no tasks.
  */
 void
-FvSim_CheckAccounts(sim_t *sim)
+FvSim_CheckAccounts(sim_leader_t *leader)
 {
-    for (fv_sched_worker_t *worker = sim->sched.workers; worker != NULL;
+    sim_t *sim = leader->sim;
+
+    for (fv_sched_worker_t *worker = leader->sched.workers; worker != NULL;
          worker = worker->hh.next) {
         fv_sched_resources_t sum = worker->free;
         bool takes_tasks = FvSched_IsWorkerAvailable(worker, sim->now_ms);
@@ -372,6 +374,10 @@
         FvSim_AddViolation(sim, &sim->result->concurrent_runs,
                            "concurrent runs of", task->name);
     }
+    if (task->done_acknowledged) {
+        FvSim_AddViolation(sim, &sim->result->started_after_done,
+                           "started after its recorded end:", task->name);
+    }
     if (!FvSim_PredecessorsDone(sim, task->name)) {
         FvSim_AddViolation(sim, &sim->result->started_before_predecessors,
                            "started before its predecessors:", task->name);
--- a/tests/harness/sched-sim.c
+++ b/tests/harness/sched-sim.c
@@ -4,86 +4,6 @@
 
 #include "sched-sim-internal.h"
 
-static void
-add_workers(sim_t *sim)
-{
-    for (uint32_t w = 0; w < sim->plan->workers; w++) {
-        fv_sched_worker_t *sched_worker = FvSched_UpdateWorker(
-            &sim->sched, &sim->workers[w].entry, sim->now_ms);
-
-        sched_worker->in_worker_list = true;
-        if (sim->workers[w].stored_lease_left_ms > 0) {
-            FvSched_InheritLongLease(sched_worker,
-                                     sim->workers[w].stored_lease_left_ms,
-                                     sim->now_ms);
-        }
-        sched_worker->inherited = sim->generation > 1 && !sim->handed_over;
-    }
-}
-
-static void
-begin_leader(sim_t *sim)
-{
-    sim->generation++;
-    sim->result->leaders++;
-    sim->leader_since_ms = sim->now_ms;
-    sim->unanswered_stop_ms = 0;
-    sim->open_advice_requests = 0;
-    FvSched_Init(&sim->sched, &Fv_SIM_OPS,
-                 &(fv_sched_timeouts_t){.lease_ms = LEASE_MS,
-                                        .lease_max_ms = LEASE_MAX_MS,
-                                        .stop_max_ms = STOP_MS,
-                                        .gang_refill_ms = GANG_REFILL_MS});
-    sim->sched.run_base = (sim->generation - 1) * 1000;
-    sim->sched.hold_inherited_tasks = true;
-    add_workers(sim);
-    for (uint32_t j = 0; j < sim->job_count; j++) {
-        sim_job_t *job = &sim->jobs[j];
-        fv_sched_job_t *sched_job;
-
-        if (job->job_record.data == NULL || job->ended != NULL) {
-            continue;
-        }
-        sched_job = FvSchedRecord_LoadJob(
-            &sim->sched, job->id, &job->job_record, sim->now_ms, sim->now_ms);
-        CU_ASSERT_PTR_NOT_NULL_FATAL(sched_job);
-        if (sched_job == NULL) {
-            abort();
-        }
-        sched_job->durable = true;
-        job->accepted = true;
-        if (job->progress_record.data != NULL) {
-            CU_ASSERT_TRUE(
-                FvSchedRecord_LoadProgress(sched_job, &job->progress_record));
-        }
-        for (uint32_t s = 0; s < sched_job->spec.step_count; s++) {
-            fv_sched_stage_t *stage = &sched_job->occurrences[0].stages[s];
-
-            for (int32_t t = 0; t < stage->step->task_count; t++) {
-                stage->tasks[t].inherited = true;
-            }
-        }
-        FvSched_ReleaseStages(&sim->sched, sched_job, sim->now_ms,
-                              sim->now_ms);
-    }
-    for (uint32_t w = 0; w < sim->plan->workers; w++) {
-        sim->workers[w].report_pending = false;
-    }
-}
-
-static void
-release_inherited_tasks(sim_t *sim)
-{
-    bool leases_expired = sim->now_ms - sim->leader_since_ms >
-                          FvSched_WorstCaseLeaseMs(&sim->sched);
-
-    if (sim->sched.hold_inherited_tasks &&
-        FvSched_KnowsInheritedRuns(&sim->sched, leases_expired, sim->now_ms)) {
-        sim->sched.hold_inherited_tasks = false;
-        sim->sched.dirty = true;
-    }
-}
-
 static void
 crash_worker(sim_t *sim, uint32_t index)
 {
@@ -106,34 +26,36 @@
                                       .worker = index});
 }
 
-static void
-replace_leader(sim_t *sim)
-{
-    sim->handover_ms = 0;
-    FvSched_Clear(&sim->sched);
-    begin_leader(sim);
-    sim->absent_until_ms =
-        sim->now_ms +
-        FvSim_RandomBelow(sim, sim->plan->faults.leader_absence_ms + 1);
-    sim->leader_since_ms = sim->absent_until_ms;
-}
-
 /* As the leader decides before it resigns. */
 static bool
 are_stops_settled(const sim_t *sim)
 {
-    for (const fv_sched_worker_t *worker = sim->sched.workers; worker != NULL;
-         worker = worker->hh.next) {
+    const sim_leader_t *leader = sim->leader;
+
+    for (const fv_sched_worker_t *worker = leader->sched.workers;
+         worker != NULL; worker = worker->hh.next) {
         if (worker->inherited ||
             worker->inherited_stops_until_ms > sim->now_ms) {
             return false;
         }
     }
-    return sim->unanswered_stop_ms == 0 ||
-           sim->now_ms - sim->unanswered_stop_ms >
+    return leader->unanswered_stop_ms == 0 ||
+           sim->now_ms - leader->unanswered_stop_ms >
                Fv_ORDER_DELAY_MAX_MS + STOP_MS;
 }
 
+/* A caller reaches any leader that acts. */
+static sim_leader_t *
+draw_leader(sim_t *sim)
+{
+    sim_leader_t *leader = sim->leader;
+
+    while (leader->earlier != NULL && FvSim_RandomBelow(sim, 2) == 0) {
+        leader = leader->earlier;
+    }
+    return leader;
+}
+
 static void
 inject_faults(sim_t *sim)
 {
@@ -160,60 +82,73 @@
         worker->drain_deadline_ms = sim->now_ms + 2500;
         worker->entry.draining = true;
         worker->entry.drain_left_ms = 2500;
-        FvSched_UpdateWorker(&sim->sched, &worker->entry, sim->now_ms);
+        FvSim_PublishEntry(sim, worker);
     }
     if (FvSim_FaultOccurs(sim, faults->job_cancellations * FAULT_INTERVAL_MS /
                                    1000) &&
         sim->job_count > 0) {
         sim_job_t *job = &sim->jobs[FvSim_RandomBelow(sim, sim->job_count)];
-        fv_sched_job_t *sched_job = FvSched_FindJob(&sim->sched, job->id);
+        fv_sched_t *sched = &draw_leader(sim)->sched;
+        fv_sched_job_t *sched_job = FvSched_FindJob(sched, job->id);
 
         if (sched_job != NULL && sched_job->durable &&
             sched_job->outcome == Fv_SCHED_JOB_OPEN) {
             job->cancelled = true;
-            FvSched_CancelJob(&sim->sched, sched_job, sim->now_ms);
+            FvSched_CancelJob(sched, sched_job, sim->now_ms);
         }
     }
     if (FvSim_FaultOccurs(sim, faults->leader_failovers * FAULT_INTERVAL_MS /
                                    1000)) {
         sim->handed_over = false;
-        replace_leader(sim);
+        FvSim_ReplaceLeader(sim);
     }
     if (FvSim_FaultOccurs(sim, faults->leader_handovers * FAULT_INTERVAL_MS /
                                    1000) &&
-        sim->handover_ms == 0) {
+        sim->handover_ms == 0 && !FvSim_IsCutFromStore(sim->leader)) {
         sim->handover_ms =
             sim->now_ms + STOPS_SUSPENDED_MS + FvSim_RandomBelow(sim, 1000);
     }
+    if (faults->splits > 0 &&
+        FvSim_FaultOccurs(sim, faults->splits * FAULT_INTERVAL_MS / 1000)) {
+        FvSim_SplitCell(sim);
+    }
+    if (faults->store_outages > 0 &&
+        FvSim_FaultOccurs(sim,
+                          faults->store_outages * FAULT_INTERVAL_MS / 1000)) {
+        FvSim_CutStore(sim);
+    }
 }
 
 /* A worker that reaches the store again writes its entry. */
 static void
-update_entry(sim_t *sim, sim_worker_t *worker, fv_sched_worker_t *sched_worker)
+update_entry(sim_leader_t *leader, sim_worker_t *worker,
+             fv_sched_worker_t *sched_worker)
 {
-    if (worker->entry_removed_ms == 0 ||
-        sim->now_ms < worker->entry_removed_ms || sched_worker == NULL) {
+    int64_t now_ms = leader->sim->now_ms;
+
+    if (worker->entry_removed_ms == 0 || now_ms < worker->entry_removed_ms ||
+        sched_worker == NULL || FvSim_IsCutFromStore(leader)) {
         return;
     }
-    if (FvSim_IsUnresponsive(sim, worker)) {
-        FvSched_WorkerUnlisted(sched_worker, sim->now_ms);
+    if (FvSim_IsEntryLost(leader->sim, worker)) {
+        FvSched_WorkerUnlisted(sched_worker, now_ms);
     }
     else {
         worker->entry_removed_ms = 0;
-        FvSched_UpdateWorker(&sim->sched, &worker->entry, sim->now_ms);
+        FvSim_PublishEntry(leader->sim, worker);
     }
 }
 
 static void
-store_long_lease(const sim_t *sim, sim_worker_t *worker,
+store_long_lease(const sim_leader_t *leader, sim_worker_t *worker,
                  fv_sched_worker_t *sched_worker)
 {
     int64_t left_ms;
 
-    if (sched_worker == NULL) {
+    if (sched_worker == NULL || FvSim_IsCutFromStore(leader)) {
         return;
     }
-    left_ms = FvSched_LongLeaseLeftMs(sched_worker, sim->now_ms);
+    left_ms = FvSched_LongLeaseLeftMs(sched_worker, leader->sim->now_ms);
     if (!sched_worker->long_lease_stored || left_ms == 0) {
         worker->stored_lease_left_ms = left_ms;
         sched_worker->long_lease_stored = true;
@@ -221,34 +156,38 @@
 }
 
 static void
-poll_workers(sim_t *sim)
+poll_workers(sim_leader_t *leader)
 {
+    sim_t *sim = leader->sim;
+
     for (uint32_t w = 0; w < sim->plan->workers; w++) {
         sim_worker_t *worker = &sim->workers[w];
         fv_sched_worker_t *sched_worker =
-            FvSched_FindWorker(&sim->sched, worker->entry.id);
+            FvSched_FindWorker(&leader->sched, worker->entry.id);
 
         if (worker->up && worker->drain_deadline_ms != 0 &&
             sim->now_ms >= worker->drain_deadline_ms) {
             crash_worker(sim, w);
         }
-        update_entry(sim, worker, sched_worker);
-        store_long_lease(sim, worker, sched_worker);
+        update_entry(leader, worker, sched_worker);
+        store_long_lease(leader, worker, sched_worker);
         if (sched_worker != NULL && sched_worker->suspect &&
             sched_worker->lease_expires_ms < sim->now_ms) {
-            FvSched_ReportUnanswered(&sim->sched, sched_worker, sim->now_ms);
+            FvSched_ReportUnanswered(&leader->sched, sched_worker,
+                                     sim->now_ms);
         }
-        if (sim->now_ms - worker->report_requested_ms >= REPORT_INTERVAL_MS ||
+        if (sim->now_ms - leader->report_requested_ms[w] >=
+                REPORT_INTERVAL_MS ||
             (sched_worker != NULL && sched_worker->report_due_ms != 0 &&
              sim->now_ms >= sched_worker->report_due_ms)) {
-            FvSim_RequestReport(sim, w);
+            FvSim_RequestReport(leader, w);
         }
     }
-    for (fv_sched_job_t *job = sim->sched.jobs; job != NULL;) {
+    for (fv_sched_job_t *job = leader->sched.jobs; job != NULL;) {
         fv_sched_job_t *next = job->hh.next;
 
         if (job->recorded != Fv_SCHED_JOB_OPEN && job->running_tasks == 0) {
-            FvSched_RemoveJob(&sim->sched, job);
+            FvSched_RemoveJob(&leader->sched, job);
         }
         job = next;
     }
@@ -273,6 +212,8 @@
 {
     uint32_t steps = 1 + FvSim_RandomBelow(sim, STEPS_MAX);
     bool labelled = sim->plan->faults.kind_changes > 0;
+    uint32_t task_max_ms =
+        sim->plan->task_max_ms > 0 ? sim->plan->task_max_ms : TASK_MAX_MS;
     fv_buffer_t text = {0};
     char part[256];
 
@@ -287,7 +228,8 @@
                  "\"antiAffinity\":%u,\"after\":[",
                  s > 0 ? "," : "", 1 + FvSim_RandomBelow(sim, 6),
                  500 + 500 * FvSim_RandomBelow(sim, 6),
-                 200 + FvSim_RandomBelow(sim, 3000), gang ? "true" : "false",
+                 200 + FvSim_RandomBelow(sim, task_max_ms),
+                 gang ? "true" : "false",
                  FvSim_RandomBelow(sim, 2) == 0 ? "true" : "false",
                  FvSim_RandomBelow(sim, 4) == 0 ? 2 + FvSim_RandomBelow(sim, 3)
                                                 : 0);
@@ -368,7 +310,7 @@
     for (uint32_t j = 0; j < sim->job_count; j++) {
         add_job(sim, j);
     }
-    begin_leader(sim);
+    sim->leader = FvSim_BeginLeader(sim, NULL);
 }
 
 static bool
@@ -385,7 +327,12 @@
 static void
 free_cell(sim_t *sim)
 {
-    FvSched_Clear(&sim->sched);
+    while (sim->leader != NULL) {
+        sim_leader_t *leader = sim->leader;
+
+        sim->leader = leader->earlier;
+        FvSim_FreeLeader(leader);
+    }
     while (sim->event_count > 0) {
         sim_event_t event = FvSim_TakeEvent(sim);
 
@@ -401,6 +348,23 @@
     free(sim);
 }
 
+static void
+run_leader(sim_leader_t *leader)
+{
+    sim_t *sim = leader->sim;
+
+    if (sim->now_ms % PASS_INTERVAL_MS == 0 &&
+        sim->now_ms >= leader->since_ms) {
+        poll_workers(leader);
+        FvSim_ReleaseInheritedTasks(leader);
+        FvSched_RunPass(&leader->sched, sim->now_ms, sim->now_ms);
+        if (leader == sim->leader) {
+            FvSim_CheckWaiting(sim);
+        }
+    }
+    FvSim_CheckAccounts(leader);
+}
+
 /**
  * FvSchedSim_Run - simulate a cell until all jobs have ended or time is up
  * @plan: size, load, faults and deadline
@@ -410,6 +374,7 @@
 FvSchedSim_Run(const sim_plan_t *plan, sim_result_t *result)
 {
     sim_t *sim = calloc(1, sizeof(*sim));
+    sim_leader_t *leader;
 
     CU_ASSERT_PTR_NOT_NULL_FATAL(sim);
     CU_ASSERT_FATAL(plan->workers <= WORKERS_MAX && plan->jobs <= JOBS_MAX);
@@ -429,20 +394,18 @@
             FvSim_ClearEvent(&event);
         }
         FvSim_EndDueRuns(sim);
-        if (sim->now_ms % PASS_INTERVAL_MS == 0 &&
-            sim->now_ms >= sim->absent_until_ms) {
-            poll_workers(sim);
-            release_inherited_tasks(sim);
-            FvSched_RunPass(&sim->sched, sim->now_ms, sim->now_ms);
-            FvSim_CheckWaiting(sim);
-        }
-        FvSim_CheckAccounts(sim);
-        sim->sched.stops_suspended =
+        FvSim_UpdateLeaders(sim);
+        leader = sim->leader;
+        do {
+            run_leader(leader);
+            leader = leader->earlier;
+        } while (leader != NULL);
+        sim->leader->sched.stops_suspended =
             sim->handover_ms != 0 &&
             sim->now_ms >= sim->handover_ms - STOPS_SUSPENDED_MS;
         if (sim->handover_ms != 0 && sim->now_ms >= sim->handover_ms) {
             sim->handed_over = are_stops_settled(sim);
-            replace_leader(sim);
+            FvSim_ReplaceLeader(sim);
         }
         if (sim->now_ms % FAULT_INTERVAL_MS == 0) {
             inject_faults(sim);
--- a/tests/harness/sched-sim.h
+++ b/tests/harness/sched-sim.h
@@ -1,8 +1,8 @@
 /*
  * A cell in simulated time around the scheduler: workers that run tasks under
  * leases, lose answers, execute orders late, crash and drain; an advice
- * service; a record store; successive leaders. The guarantees are checked at
- * the workers.
+ * service; a record store; successive leaders, of which several act when the
+ * cell is split. The guarantees are checked at the workers.
  */
 
 #ifndef SCHED_SIM_H
@@ -26,6 +26,10 @@
     uint32_t leader_absence_ms; /* longest time without a leader after one */
     uint32_t leader_handovers;  /* each second, prepared by the leader */
     uint32_t job_cancellations; /* of one job, each second */
+    /* Each second; the leader keeps a part of the workers and acts on, while
+     * another host is elected. */
+    uint32_t splits;
+    uint32_t store_outages; /* each second; for all hosts */
 } sim_faults_t;
 
 typedef struct sim_plan {
@@ -37,6 +41,7 @@
     bool advice;
     uint32_t allowed_workers; /* that the advice allows for a stage */
     int64_t advice_per_worker_us;
+    uint32_t task_max_ms;  /* declared time of a task; 0: a usual one */
     uint32_t lasting_jobs; /* share of long-running jobs, of 1,000 */
     bool check_waiting;    /* requires that no faults occur */
     uint32_t ends_page;    /* ends that a report lists at most; 0: all */
@@ -58,6 +63,7 @@
     uint32_t wrong_accounts; /* of the capacity of a worker */
     uint32_t starts;
     uint32_t leaders;
+    uint32_t splits; /* in which another leader was elected */
     char first_violation[160];
 } sim_result_t;
 
