sched-model: cells that split in two

The earlier leader of a split cell takes leases for lapsed that the next one renews, and starts the tasks a second time on its own side. No case could show that. The new one draws splits alone and among other faults, with tasks that outlast a lease.

--- a/tests/unit/sched_model_test.c
+++ b/tests/unit/sched_model_test.c
@@ -216,6 +216,41 @@
     run_seeds(&all, true);
 }
 
+/* The earlier leader of a split cell takes leases for lapsed that the next one
+ * renews, and starts the tasks a second time on its own side. */
+static void
+test_splits(void)
+{
+    static const sim_faults_t alone = {.splits = 150};
+    static const sim_faults_t among_others = {.lost_orders = 80,
+                                              .lost_renewals = 30,
+                                              .leader_absence_ms = 1500,
+                                              .failing_tasks = 30,
+                                              .worker_crashes = 50,
+                                              .worker_outages = 150,
+                                              .worker_drains = 50,
+                                              .leader_failovers = 50,
+                                              .leader_handovers = 50,
+                                              .job_cancellations = 150,
+                                              .splits = 200,
+                                              .store_outages = 50};
+
+    for (uint64_t seed = first_seed; seed < first_seed + seeds; seed++) {
+        run_plan(
+            &(sim_plan_t){.seed = seed,
+                          .workers = 6 + (uint32_t)(seed % 5),
+                          .jobs = 40,
+                          .faults_end_ms = FAULTS_END_MS,
+                          .deadline_ms = 2 * DEADLINE_MS,
+                          .advice = seed / 2 % 2 == 0,
+                          .allowed_workers = 4,
+                          .advice_per_worker_us = 1500,
+                          .task_max_ms = 9000, /* outlast a lease */
+                          .lasting_jobs = 100,
+                          .faults = seed % 2 == 0 ? alone : among_others});
+    }
+}
+
 /* A worker that was drained restarts under its id and is cut off. An order
  * with a deadline by its earlier clock is carried out late and grants the
  * longest lease; the next leader has not seen the restart. */
@@ -283,6 +318,7 @@
         {"a guarantee is broken by leader handovers", test_leader_handovers},
         {"a task starts again under the lease of a restarted worker",
          test_restart_before_a_leader_change},
+        {"a task runs on both sides of a split cell", test_splits},
         {"a guarantee is broken by all faults together", test_all_faults},
         {"a guarantee is broken by reports that do not list all ends",
          test_reports_cut_off},
