sched-sim: leaders keep the list of unreached workers

A leader takes over from the stored list that nothing of earlier leaders runs on a worker that it has not reached itself. The simulated cell had no such list, so that no cell could show what a leader does with it after it was cut off.

--- a/tests/harness/sched-sim-handlers.c
+++ b/tests/harness/sched-sim-handlers.c
@@ -192,6 +192,9 @@
     if (sched_worker == NULL) {
         return;
     }
+    sched_worker->refused = !answer->answered &&
+                            !sim->workers[answer->worker].up &&
+                            FvSim_Reaches(leader, answer->worker);
     if (!answer->answered) {
         FvSched_ReportUnanswered(&leader->sched, sched_worker, sim->now_ms);
         return;
@@ -431,8 +434,8 @@
         event->kind != EVENT_REPORT_REQUESTED) {
         return; /* addressed to a former leader */
     }
-    if ((event->kind == EVENT_RECORDED ||
-         event->kind == EVENT_ENDS_RECORDED) &&
+    if ((event->kind == EVENT_RECORDED || event->kind == EVENT_ENDS_RECORDED ||
+         event->kind == EVENT_UNREACHED_WRITTEN) &&
         FvSim_IsCutFromStore(leader)) {
         if (leader == sim->leader) { /* writes of earlier ones are refused */
             FvSim_Postpone(sim, event,
@@ -461,6 +464,9 @@
     case EVENT_ENDS_RECORDED:
         ends_recorded(leader, event);
         break;
+    case EVENT_UNREACHED_WRITTEN:
+        FvSim_UnreachedWritten(leader, event);
+        break;
     case EVENT_ADVICE_ARRIVES:
         advice_arrives(leader, event);
         break;
--- a/tests/harness/sched-sim-internal.h
+++ b/tests/harness/sched-sim-internal.h
@@ -65,6 +65,7 @@
     EVENT_REPORT_ARRIVES,
     EVENT_RECORDED,
     EVENT_ENDS_RECORDED,
+    EVENT_UNREACHED_WRITTEN,
     EVENT_ADVICE_ARRIVES,
     EVENT_WORKER_RETURNS,
     EVENT_ENTRY_ARRIVES,
@@ -108,6 +109,7 @@
     bool up;
     int64_t unresponsive_until_ms;
     int64_t entry_removed_ms;     /* 0: its entry stays */
+    int64_t unreached_since_ms;   /* in the stored list; 0: not in it */
     int64_t stored_lease_left_ms; /* by the stored worker list */
     int64_t drain_deadline_ms;    /* 0: not draining */
     int64_t fencing_token;
@@ -145,7 +147,8 @@
     uint32_t worker_count;
     fv_worker_report_t report;
     fv_worker_entry_t entry;
-    bool answered; /* false: the answer is lost */
+    uint32_t unreached; /* workers, a bit for each */
+    bool answered;      /* false: the answer is lost */
 } sim_event_t;
 
 typedef struct sim_job {
@@ -177,6 +180,8 @@
     uint32_t open_advice_requests;
     int64_t store_cut_until_ms; /* no call to the store is answered until */
     bool registry_outdated;
+    bool unreached_writing;
+    int64_t unreached_due_ms;
     int64_t renewal_sent_ms; /* of the leadership */
     int64_t confirmed_ms;    /* when the latest one that succeeded was sent */
     int64_t resigns_ms;
@@ -247,6 +252,11 @@
 sim_leader_t *FvSim_BeginLeader(sim_t *sim, sim_leader_t *earlier);
 void FvSim_FreeLeader(sim_leader_t *leader);
 void FvSim_ReplaceLeader(sim_t *sim);
+int64_t FvSim_EarlierStoppedMs(sim_leader_t *leader);
+bool FvSim_HasLedAt(const sim_leader_t *leader, int64_t time_ms);
+void FvSim_CheckUnreached(sim_leader_t *leader);
+void FvSim_UnreachedWritten(sim_leader_t *leader, const sim_event_t *event);
+void FvSim_NoteExpiredLeases(sim_leader_t *leader);
 void FvSim_ReleaseInheritedTasks(sim_leader_t *leader);
 void FvSim_SplitCell(sim_t *sim);
 void FvSim_CutStore(sim_t *sim);
--- a/tests/harness/sched-sim-leader.c
+++ b/tests/harness/sched-sim-leader.c
@@ -117,6 +117,8 @@
                                  sim->now_ms);
     }
     sched_worker->inherited = leader->generation > 1 && !sim->handed_over;
+    sched_worker->unreached = worker->unreached_since_ms != 0;
+    sched_worker->unreached_since_ms = worker->unreached_since_ms;
 }
 
 static void
@@ -241,10 +243,16 @@
     FvSim_FreeLeader(former);
 }
 
-/* By when all earlier leaders have stopped, as far as the leader knows. Hosts
- * of different sides learn nothing of each other. */
-static int64_t
-earlier_stopped_ms(sim_leader_t *leader)
+/**
+ * FvSim_EarlierStoppedMs - by when all earlier leaders have stopped
+ * @leader: the leader
+ *
+ * Hosts of different sides learn nothing of each other.
+ *
+ * Return: the time, as far as the leader knows.
+ */
+int64_t
+FvSim_EarlierStoppedMs(sim_leader_t *leader)
 {
     const sim_t *sim = leader->sim;
     int64_t latest_ms = leader->since_ms + ORDER_GRACE_MS;
@@ -257,6 +265,19 @@
                                                   : latest_ms;
 }
 
+/**
+ * FvSim_HasLedAt - whether no later leader gave orders before a time
+ * @leader: the leader
+ * @time_ms: the time
+ *
+ * Return: true when the time has passed.
+ */
+bool
+FvSim_HasLedAt(const sim_leader_t *leader, int64_t time_ms)
+{
+    return leader->sim->now_ms > time_ms;
+}
+
 /**
  * FvSim_ReleaseInheritedTasks - start the tasks of earlier leaders when their
  * runs are known
@@ -266,9 +287,11 @@
 FvSim_ReleaseInheritedTasks(sim_leader_t *leader)
 {
     int64_t now_ms = leader->sim->now_ms;
-    bool leases_expired = now_ms - earlier_stopped_ms(leader) >
-                          FvSched_WorstCaseLeaseMs(&leader->sched);
+    bool leases_expired =
+        FvSim_HasLedAt(leader, FvSim_EarlierStoppedMs(leader) +
+                                   FvSched_WorstCaseLeaseMs(&leader->sched));
 
+    FvSim_NoteExpiredLeases(leader);
     if (leader->sched.hold_inherited_tasks &&
         FvSched_KnowsInheritedRuns(&leader->sched, leases_expired, now_ms)) {
         leader->sched.hold_inherited_tasks = false;
--- a/tests/harness/sched-sim.c
+++ b/tests/harness/sched-sim.c
@@ -357,6 +357,7 @@
         sim->now_ms >= leader->since_ms) {
         poll_workers(leader);
         FvSim_ReleaseInheritedTasks(leader);
+        FvSim_CheckUnreached(leader);
         FvSched_RunPass(&leader->sched, sim->now_ms, sim->now_ms);
         if (leader == sim->leader) {
             FvSim_CheckWaiting(sim);
--- a/tests/harness/sched-sim.h
+++ b/tests/harness/sched-sim.h
@@ -44,6 +44,7 @@
     uint32_t task_max_ms;  /* declared time of a task; 0: a usual one */
     uint32_t lasting_jobs; /* share of long-running jobs, of 1,000 */
     bool check_waiting;    /* requires that no faults occur */
+    bool unreached_list;   /* leaders keep the list of unreached workers */
     uint32_t ends_page;    /* ends that a report lists at most; 0: all */
     sim_faults_t faults;
 } sim_plan_t;
