--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -81,17 +81,6 @@
     }
 }
 
-/**
- * FvLeader_PredecessorStopped - note that the previous leader gives no orders
- * @leader: the leader
- * @stopped_ms: a time by which it had stopped
- */
-void
-FvLeader_PredecessorStopped(fv_leader_t *leader, int64_t stopped_ms)
-{
-    leader->predecessor_stopped_ms = stopped_ms;
-}
-
 /* The time by which all earlier leaders had certainly stopped. The leaders
  * before the predecessor had lost their leases when it was elected. */
 static int64_t
@@ -151,20 +140,22 @@
     if (!leader->sched.hold_inherited_tasks) {
         return;
     }
-    leases_expired = now_ms >= earlier_leaders_stopped_ms(leader) +
-                                   FvSched_WorstCaseLeaseMs(&leader->sched);
-    FvLeaderUnreached_NoteExpired(leader, now_ms);
+    leases_expired = FvSched_LedAt(
+        &leader->sched, earlier_leaders_stopped_ms(leader) +
+                            FvSched_WorstCaseLeaseMs(&leader->sched));
+    FvLeaderUnreached_NoteExpired(leader);
     if (!FvSched_KnowsInheritedRuns(&leader->sched, leases_expired, now_ms)) {
         return;
     }
     leader->sched.hold_inherited_tasks = false;
     leader->sched.dirty = true;
-    FvLog_Event(Fv_LOG_INFO, "inherited_tasks_free",
-                "cause=%s predecessor=%s stopped=%d after_ms=%" PRId64,
-                leases_expired ? "leases_expired" : "runs_known",
-                leader->predecessor.host,
-                leader->predecessor_stopped_ms != 0 ? 1 : 0,
-                now_ms - leader->began_ms);
+    FvLog_Event(
+        Fv_LOG_INFO, "inherited_tasks_free",
+        "cause=%s predecessor=%s stopped=%d after_ms=%" PRId64
+        " lead_age_ms=%" PRId64,
+        leases_expired ? "leases_expired" : "runs_known",
+        leader->predecessor.host, leader->predecessor_stopped_ms != 0 ? 1 : 0,
+        now_ms - leader->began_ms, FvSched_LeadAgeMs(&leader->sched, now_ms));
 }
 
 /* A worker of a service that no queue names; a later configuration may. */
@@ -200,19 +191,18 @@
  * FvLeader_IsWorkerGone - whether a worker can be forgotten
  * @leader: the leader
  * @worker: the worker
- * @now_ms: the time
  *
  * Return: true when it has left the registry, does not answer, certainly runs
  * nothing and all its ends are recorded.
  */
 bool
 FvLeader_IsWorkerGone(const fv_leader_t *leader,
-                      const fv_sched_worker_t *worker, int64_t now_ms)
+                      const fv_sched_worker_t *worker)
 {
     return !worker->listed && worker->tasks == NULL &&
            !FvSched_HasUnrecordedEnds(worker) &&
            (worker->lost || (worker->synced && worker->suspect)) &&
-           worker->lease_expires_ms < now_ms &&
+           FvSched_HasLeaseExpired(&leader->sched, worker) &&
            !leader->sched.hold_inherited_tasks;
 }
 
@@ -258,10 +248,10 @@
         worker->long_lease_until_ms = 0;
         FvLeaderWorkerList_RequestWrite(leader);
     }
-    if (worker->suspect && worker->lease_expires_ms < now_ms) {
+    if (worker->suspect && FvSched_HasLeaseExpired(&leader->sched, worker)) {
         FvSched_ReportUnanswered(&leader->sched, worker, now_ms);
     }
-    if (!worker->unreached && FvLeader_IsWorkerGone(leader, worker, now_ms)) {
+    if (!worker->unreached && FvLeader_IsWorkerGone(leader, worker)) {
         forget_worker(leader, worker, now_ms);
         return;
     }
--- a/src/entry.h
+++ b/src/entry.h
@@ -255,7 +255,8 @@
     /* The store refused or did not answer lease renewals of this leader;
      * @sent_ago_ms: since the latest of them was sent. */
     void (*store_failing)(void *context, int64_t sent_ago_ms);
-    void (*renewed)(void *context, uint64_t renewal);
+    /* A renewal that was sent at sent_ms has succeeded: this host led then. */
+    void (*renewed)(void *context, uint64_t renewal, int64_t sent_ms);
     void (*hosts_changed)(void *context);
     void *context;
 } fv_election_events_t;
@@ -275,6 +276,7 @@
                                 int64_t sent_ago_ms);
 void FvElection_RemoveHost(fv_election_t *election, const char *name,
                            int64_t epoch);
+bool FvElection_KnowsHosts(const fv_election_t *election);
 uint32_t FvElection_Hosts(const fv_election_t *election,
                           const fv_peer_entry_t **hosts);
 int64_t FvElection_OrderGraceMs(void);
@@ -423,14 +425,14 @@
                           const fv_predecessor_t *predecessor, int64_t epoch,
                           int32_t generation);
 void FvLeader_Free(fv_leader_t *leader);
-void FvLeader_PredecessorStopped(fv_leader_t *leader, int64_t stopped_ms);
 void FvLeader_CloseConnections(fv_call_pool_t *pool);
 void FvLeader_HandOver(fv_leader_t *leader);
 bool FvLeader_IsServing(const fv_leader_t *leader);
 void FvLeader_HandleRequest(fv_leader_t *leader,
                             const fv_cell_message_t *message,
                             fv_leader_reply_t reply, void *context);
-void FvLeader_LeaseProved(fv_leader_t *leader, uint64_t renewal);
+void FvLeader_LeaseProved(fv_leader_t *leader, uint64_t renewal,
+                          int64_t sent_ms);
 void FvLeader_DropReplies(fv_leader_t *leader, const void *context);
 void FvLeader_HandleAdvice(fv_leader_t *leader,
                            const fv_cell_message_t *message);
--- a/tests/harness/sched-sim-internal.h
+++ b/tests/harness/sched-sim-internal.h
@@ -253,7 +253,6 @@
 void FvSim_FreeLeader(sim_leader_t *leader);
 void FvSim_ReplaceLeader(sim_t *sim);
 int64_t FvSim_EarlierStoppedMs(sim_leader_t *leader);
-bool FvSim_HasLedAt(const sim_leader_t *leader, int64_t time_ms);
 void FvSim_CheckUnreached(sim_leader_t *leader);
 void FvSim_UnreachedWritten(sim_leader_t *leader, const sim_event_t *event);
 void FvSim_NoteExpiredLeases(sim_leader_t *leader);
--- a/tests/harness/sched-sim-leader.c
+++ b/tests/harness/sched-sim-leader.c
@@ -265,19 +265,6 @@
                                                   : latest_ms;
 }
 
-/**
- * FvSim_HasLedAt - whether no later leader gave orders before a time
- * @leader: the leader
- * @time_ms: the time
- *
- * Return: true when the time has passed.
- */
-bool
-FvSim_HasLedAt(const sim_leader_t *leader, int64_t time_ms)
-{
-    return leader->sim->now_ms > time_ms;
-}
-
 /**
  * FvSim_ReleaseInheritedTasks - start the tasks of earlier leaders when their
  * runs are known
@@ -287,9 +274,9 @@
 FvSim_ReleaseInheritedTasks(sim_leader_t *leader)
 {
     int64_t now_ms = leader->sim->now_ms;
-    bool leases_expired =
-        FvSim_HasLedAt(leader, FvSim_EarlierStoppedMs(leader) +
-                                   FvSched_WorstCaseLeaseMs(&leader->sched));
+    bool leases_expired = FvSched_LedAt(
+        &leader->sched, FvSim_EarlierStoppedMs(leader) +
+                            FvSched_WorstCaseLeaseMs(&leader->sched));
 
     FvSim_NoteExpiredLeases(leader);
     if (leader->sched.hold_inherited_tasks &&
@@ -393,6 +380,7 @@
     if (leader->renewal_sent_ms != 0 &&
         now_ms == leader->renewal_sent_ms + RENEWAL_ANSWER_MS) {
         leader->confirmed_ms = leader->renewal_sent_ms;
+        FvSched_ConfirmLead(&leader->sched, leader->confirmed_ms);
     }
     if (now_ms >= leader->renewal_sent_ms + RENEWAL_INTERVAL_MS) {
         leader->renewal_sent_ms = now_ms;
--- a/tests/harness/sched-sim-unreached.c
+++ b/tests/harness/sched-sim-unreached.c
@@ -134,8 +134,8 @@
         worker->inherited_expired =
             worker->unreached && worker->last_contact_ms == 0 &&
             worker->unreached_since_ms != 0 &&
-            FvSim_HasLedAt(leader,
-                           worker->unreached_since_ms +
-                               FvSched_WorstCaseLeaseMs(&leader->sched));
+            FvSched_LedAt(&leader->sched,
+                          worker->unreached_since_ms +
+                              FvSched_WorstCaseLeaseMs(&leader->sched));
     }
 }
--- a/tests/harness/sched-sim.c
+++ b/tests/harness/sched-sim.c
@@ -172,7 +172,7 @@
         update_entry(leader, worker, sched_worker);
         store_long_lease(leader, worker, sched_worker);
         if (sched_worker != NULL && sched_worker->suspect &&
-            sched_worker->lease_expires_ms < sim->now_ms) {
+            FvSched_HasLeaseExpired(&leader->sched, sched_worker)) {
             FvSched_ReportUnanswered(&leader->sched, sched_worker,
                                      sim->now_ms);
         }
