leader: forget workers that are gone within a bounded part of each tick

Forgetting a worker walked all tasks of all jobs for failures on it.

A stage knows now whether any of its tasks failed on a worker, and a tick spends 10 ms on forgetting; the next one goes on. The worker list, which the next leader reads, loses all of them at once as before.

A new case of sched_registry fails when the stage is not marked. The bound of the tick has no test of its own.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -33,6 +33,10 @@
 
 #define Fv_LEADER_TICK_MS 50
 
+/* Processor time per tick for workers that are gone. A rack or a zone of them
+ * may go at one time, and the leader renews its lease between the ticks. */
+#define Fv_FORGETTING_MAX_US 10000
+
 /* Pause before a pass, as a multiple of the duration of the latest one; it
  * leaves three quarters of the processor to requests and reports, so that a
  * pass does not decide on outdated reports. */
@@ -220,6 +224,7 @@
 forget_worker(fv_leader_t *leader, fv_sched_worker_t *worker, int64_t now_ms)
 {
     fv_worker_session_t *session = worker->leader_session;
+    int64_t began_us = FvClock_NowNs() / Fv_NS_PER_US;
 
     if (worker->in_worker_list || worker->in_list_write) {
         leave_worker_list(leader, worker);
@@ -227,9 +232,13 @@
     if (FvSched_MayCarryOutOrders(worker, now_ms)) {
         return; /* it may return before they arrive */
     }
+    if (leader->forgetting_us >= Fv_FORGETTING_MAX_US) {
+        return; /* the next tick goes on */
+    }
     session->worker = NULL;
     FvLeaderWorker_ReleaseSession(session);
     FvSched_FreeWorker(&leader->sched, worker);
+    leader->forgetting_us += FvClock_NowNs() / Fv_NS_PER_US - began_us;
 }
 
 static void
@@ -374,6 +383,7 @@
     }
     note_stopped_leaders(leader, now_ms);
     release_inherited_tasks(leader, now_ms);
+    leader->forgetting_us = 0;
     for (worker = leader->sched.workers; worker != NULL;
          worker = next_worker) {
         next_worker = worker->hh.next;
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -172,6 +172,7 @@
     int64_t next_load_log_ms;
     int64_t last_pass_us;
     int64_t last_tick_ms;
+    int64_t forgetting_us;   /* in this tick */
     int64_t max_tick_lag_ms; /* since the latest cell_load event */
     int64_t passes;          /* since the latest cell_load event */
     int64_t renewals;        /* the same */
--- a/src/sched-incarnation.c
+++ b/src/sched-incarnation.c
@@ -22,13 +22,26 @@
         }
     }
     stage->verdict_count = kept;
-    for (int32_t t = 0; t < stage->step->task_count; t++) {
+    for (int32_t t = 0; stage->has_failed_on && t < stage->step->task_count;
+         t++) {
         if (stage->tasks[t].failed_on == worker) {
             stage->tasks[t].failed_on = NULL;
         }
     }
 }
 
+/**
+ * FvSched_NoteFailedOn - remember on which worker a task failed last
+ * @task: the task
+ * @worker: the worker
+ */
+void
+FvSched_NoteFailedOn(fv_sched_task_t *task, const fv_sched_worker_t *worker)
+{
+    task->failed_on = worker;
+    task->stage->has_failed_on = true;
+}
+
 /**
  * FvSched_ForgetWorker - drop all tickets for a worker and the failures on it
  * @sched: the scheduler
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -154,7 +154,7 @@
     fv_sched_stage_t *stage = task->stage;
 
     stage->next_place_ms = now_ms + Fv_START_BACKOFF_MS;
-    task->failed_on = task->worker;
+    FvSched_NoteFailedOn(task, task->worker);
     FvSched_RequeueTask(sched, task);
     if (stage->step->gang) {
         FvSched_GangMemberMissing(sched, stage, now_ms);
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -77,7 +77,7 @@
     if (run != task->run || !is_lasting_task_at_work(task)) {
         FvSched_UpdateWorkerHealth(worker, task, true, now_ms);
     }
-    task->failed_on = worker;
+    FvSched_NoteFailedOn(task, worker);
     if (!stage->step->long_running && job->outcome == Fv_SCHED_JOB_OPEN &&
         counted->failures >= job->queue.attempts_max) {
         FvSched_EndJob(sched, job, Fv_SCHED_JOB_FAILED, now_ms);
@@ -301,7 +301,7 @@
                 task->stop_confirmed_ms != 0 ? now_ms - task->stop_confirmed_ms
                                              : -1,
                 report->ended_count);
-    task->failed_on = task->worker;
+    FvSched_NoteFailedOn(task, task->worker);
     FvSched_RequeueTask(sched, task);
     if (stage->step->gang && never_started) {
         FvSched_GangMemberMissing(sched, stage, now_ms);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -60,7 +60,7 @@
     int64_t progress_clock_ms; /* the worker's clock then; 0: not known */
     uint64_t listed_in_report; /* number of the latest report with its run */
     char *checkpoint;
-    const fv_sched_worker_t *failed_on;
+    const fv_sched_worker_t *failed_on; /* set by FvSched_NoteFailedOn() */
     bool inherited;         /* an earlier leader may have started it */
     bool ran_from_start;    /* started by this leader without a checkpoint */
     bool start_unconfirmed; /* the worker did not answer the start */
@@ -125,6 +125,7 @@
     int64_t waiting_since_ms; /* 0: no task waits */
     bool wait_logged;
     fv_wait_cause_t logged_wait_cause; /* valid if wait_logged */
+    bool has_failed_on; /* a task may have its worker in failed_on */
     fv_verdict_t *verdicts;
     uint32_t verdict_count;
     uint32_t verdict_capacity;
@@ -461,6 +462,8 @@
                                 int64_t now_ms);
 
 /* sched-incarnation.c */
+void FvSched_NoteFailedOn(fv_sched_task_t *task,
+                          const fv_sched_worker_t *worker);
 void FvSched_ForgetWorker(fv_sched_t *sched, const fv_sched_worker_t *worker);
 void FvSched_CheckEntryIncarnation(fv_sched_worker_t *worker,
                                    const fv_worker_entry_t *entry,
--- a/tests/unit/sched_registry_test.c
+++ b/tests/unit/sched_registry_test.c
@@ -263,6 +263,31 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* Another worker may get the memory of one that was forgotten, and would be
+ * avoided by the task. */
+static void
+test_failure_outlives_its_worker(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    const fv_sched_task_t *task;
+    fv_sched_worker_t *worker;
+
+    FvSchedFixture_Open(&fixture, 1);
+    worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    FvSchedFixture_AddJob(&fixture, JOB, &queue, one_task);
+    FvSchedFixture_RunPass(&fixture);
+    FvSchedFixture_ConfirmStarts(&fixture);
+    task = FvSched_FindTask(&fixture.sched, JOB ".0.0.0");
+    CU_ASSERT_FATAL(task != NULL && task->worker == worker);
+    FvSchedFixture_ReportEnd(&fixture, "w1", 1, JOB ".0.0.0", task->run,
+                             Fv_END_FAILED);
+    CU_ASSERT_PTR_EQUAL(task->failed_on, worker);
+    FvSched_FreeWorker(&fixture.sched, worker);
+    CU_ASSERT_PTR_NULL(task->failed_on);
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -284,6 +309,8 @@
          test_tickets_end_with_incarnation},
         {"a start is repeated to the next incarnation of its worker",
          test_start_is_not_repeated_after_restart},
+        {"a task still avoids a worker that was forgotten",
+         test_failure_outlives_its_worker},
     };
 
     return Fv_RUN_SUITE("sched_registry", cases);
