fake-cell: end a held renewal when its caller has gone

Traced: 18 of 20 (nine a worker) were refused in the first 1.65 s after the leader was killed, with open=0; from then on the new leader tried one more connection a worker. The stand-in went on with the killed leader's held renewal until its wait was over, so that no connection was free and not one, as the case says.

A held renewal now looks every 0.1 s whether its caller has closed the connection, as a server that reads its sockets notices.

--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -496,6 +496,8 @@
             const json_t *body)
 {
     int64_t until_ms = FvClock_NowMs() + FvJson_Int(body, "waitMs", 0);
+    int64_t look_ms = FvClock_NowMs();
+    bool closed = false;
     int status = 200;
     json_t *reply = NULL;
 
@@ -508,7 +510,7 @@
         extend_lease(worker, body, FvClock_NowMs());
         acknowledge_ends(cell, worker, FvJson_Int(body, "lastSeen", 0));
     }
-    while (reply == NULL && !is_connection_gone(request, worker)) {
+    while (reply == NULL && !closed && !is_connection_gone(request, worker)) {
         int64_t now_ms = FvClock_NowMs();
 
         end_due_runs(cell, worker, now_ms);
@@ -519,6 +521,10 @@
         }
         pthread_mutex_unlock(&cell->lock);
         FvFake_SleepMs(CELL_TICK_MS);
+        if (now_ms >= look_ms) {
+            look_ms = now_ms + CELL_CLOSED_CHECK_MS;
+            closed = FvFake_ClientClosed(request);
+        }
         pthread_mutex_lock(&cell->lock);
     }
     pthread_mutex_unlock(&cell->lock);
--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -25,6 +25,9 @@
 #define CELL_MEMORY_MIB 16384
 #define CELL_HEARTBEAT_MS 500
 #define CELL_TICK_MS 10
+
+/* How often a held call looks whether its caller has gone. */
+#define CELL_CLOSED_CHECK_MS 100
 #define CELL_RESTART_NS (20 * Fv_NS_PER_MS) /* from kill to listen */
 #define CELL_TICKET_VALID_MS 2000
 #define CELL_LEASE_MAX_MS 10000
