tests: which renewal confirms a leadership, and from when

The end of a lease is taken for certain from the time at which a renewal of the leadership was sent. Nothing checked that it is not the time of its answer, or a renewal of an earlier term of the same host; nor that a worker of the list of unreached workers waits for such a renewal at the next leader.

--- a/tests/unit/election_fixture.h
+++ b/tests/unit/election_fixture.h
@@ -16,6 +16,7 @@
     uint32_t lost;
     uint32_t store_failing;
     uint64_t renewed; /* number of the latest renewal that succeeded */
+    int64_t renewed_sent_ms;
     int64_t epoch;
     int32_t generation;
 } outcome_t;
@@ -55,8 +56,8 @@
 renewed(void *context, uint64_t renewal, int64_t sent_ms)
 {
     (void)context;
-    (void)sent_ms;
     outcome.renewed = renewal;
+    outcome.renewed_sent_ms = sent_ms;
 }
 
 static inline void
