--- a/src/election.c
+++ b/src/election.c
@@ -649,6 +649,7 @@
 {
     fv_election_t *election = context;
 
+    election->reading = true;
     election->leader_known = false;
     for (uint32_t i = 0; i < election->host_count; i++) {
         election->hosts[i].listed = false;
@@ -722,6 +723,7 @@
     fv_election_t *election = context;
 
     election->loaded = true;
+    election->reading = false;
     if (!election->leader_known) {
         schedule_claim(election, FvClock_NowMs());
     }
--- a/src/entry.h
+++ b/src/entry.h
@@ -276,6 +276,7 @@
                                 int64_t sent_ago_ms);
 void FvElection_RemoveHost(fv_election_t *election, const char *name,
                            int64_t epoch);
+bool FvElection_KnowsHosts(const fv_election_t *election);
 uint32_t FvElection_Hosts(const fv_election_t *election,
                           const fv_peer_entry_t **hosts);
 int64_t FvElection_OrderGraceMs(void);
@@ -424,7 +425,6 @@
                           const fv_predecessor_t *predecessor, int64_t epoch,
                           int32_t generation);
 void FvLeader_Free(fv_leader_t *leader);
-void FvLeader_PredecessorStopped(fv_leader_t *leader, int64_t stopped_ms);
 void FvLeader_CloseConnections(fv_call_pool_t *pool);
 void FvLeader_HandOver(fv_leader_t *leader);
 bool FvLeader_IsServing(const fv_leader_t *leader);
