--- a/tests/unit/election_test.c
+++ b/tests/unit/election_test.c
@@ -314,28 +314,6 @@
     close_election();
 }
 
-/* Another host may lead by the time at which the answer arrives. */
-static void
-test_renewal_confirms_its_sending_time(void)
-{
-    fake_kv_call_t *renewal;
-    int64_t sent_by_ms;
-
-    open_election("1");
-    fake_kv_answer(send_claim(),
-                   (fv_kv_result_t){.error = Fv_KV_OK, .revision = 900});
-    while (fake_kv_count(FAKE_KV_RENEW) == 0) {
-        fake_kv_run_loop(base, 10);
-    }
-    sent_by_ms = FvClock_NowMs();
-    renewal = fake_kv_latest(FAKE_KV_RENEW);
-    fake_kv_run_loop(base, 100);
-    fake_kv_answer(renewal, (fv_kv_result_t){.error = Fv_KV_OK});
-    CU_ASSERT(outcome.renewed_sent_ms > 0);
-    CU_ASSERT(outcome.renewed_sent_ms <= sent_by_ms);
-    close_election();
-}
-
 /* This host was not leader between the two terms. */
 static void
 test_renewal_of_an_earlier_term(void)
@@ -642,8 +620,6 @@
          test_orders_end_with_the_grace},
         {"two lost renewal answers let the leader's lease expire",
          test_unanswered_renewals_do_not_end_the_lease},
-        {"a renewal shows that this host led when the answer arrived",
-         test_renewal_confirms_its_sending_time},
         {"a renewal of an earlier term confirms the present one",
          test_renewal_of_an_earlier_term},
         {"a late renewal answer for an old lease ends the new term",
--- a/tests/unit/leader_unreached_test.c
+++ b/tests/unit/leader_unreached_test.c
@@ -175,29 +175,6 @@
     close_leader();
 }
 
-/* The worker was in the list of an earlier leader, and this leader is cut off
- * before a lease has passed since. The next one may have taken the worker off
- * the list and granted it leases. */
-static void
-test_listed_worker_without_confirmed_lead(void)
-{
-    int64_t expired_ms;
-
-    open_leader();
-    expired_ms = now_ms - SILENT_MS;
-    worker->last_contact_ms = 0;
-    worker->unreached = true;
-    worker->unreached_since_ms =
-        expired_ms - FvSched_WorstCaseLeaseMs(&leader.sched);
-    FvSched_ConfirmLead(&leader.sched, expired_ms - 1);
-    FvLeaderUnreached_NoteExpired(&leader);
-    CU_ASSERT_FALSE(worker->inherited_expired);
-    FvSched_ConfirmLead(&leader.sched, expired_ms);
-    FvLeaderUnreached_NoteExpired(&leader);
-    CU_ASSERT_TRUE(worker->inherited_expired);
-    close_leader();
-}
-
 /* A restarted worker may hold a longer lease than the usual one. A leader that
  * learns of it writes the worker list, from which the next leader knows until
  * when the worker's tasks may run. */
@@ -243,8 +220,6 @@
         {"the next leader does not learn how long the lease of a restarted "
          "worker may last",
          test_long_lease_in_worker_list},
-        {"a leader that is cut off takes a listed worker for empty",
-         test_listed_worker_without_confirmed_lead},
         {"a worker without a process holds up the next leader",
          test_worker_without_a_process},
         {"a worker that may be reached again loses its runs in an outage",
