leader_requests: a renewal confirms the lead

A case checks the confirmed time, and that an answer which comes late does not set it back. Two checks fail when the leader leaves the confirmation out. entry_split no longer says that a leader with few hosts always resigns before the leases expire.

--- a/tests/promises/entry_split.c
+++ b/tests/promises/entry_split.c
@@ -156,7 +156,7 @@
     run_split(gang_job, HALF, false);
 }
 
-/* A leader that reaches few hosts resigns before the leases expire. */
+/* A leader that reaches few hosts resigns after 2.5 s. */
 static void
 test_leader_in_the_minority(void)
 {
--- a/tests/unit/leader_requests_test.c
+++ b/tests/unit/leader_requests_test.c
@@ -264,6 +264,18 @@
     close_leader();
 }
 
+/* Leases of lost workers expire by the confirmed lead alone. */
+static void
+test_renewal_confirms_the_lead(void)
+{
+    open_leader();
+    FvLeader_LeaseProved(&leader, RENEWAL, 77);
+    CU_ASSERT_EQUAL(leader.sched.lead_confirmed_ms, 77);
+    FvLeader_LeaseProved(&leader, RENEWAL + 1, 76);
+    CU_ASSERT_EQUAL(leader.sched.lead_confirmed_ms, 77);
+    close_leader();
+}
+
 /* The job is submitted while a question about it waits for the renewal. */
 static void
 test_job_accepted_before_the_renewal(void)
@@ -353,6 +365,9 @@
 main(void)
 {
     static const test_case_t cases[] = {
+        {"tasks of lost workers never start again, since no renewal confirms "
+         "the lead",
+         test_renewal_confirms_the_lead},
         {"a leader within its lease asks the store before an answer",
          test_certain_leader},
         {"a suspended leader answers for its successor",
