--- a/tests/harness/sched-sim-unreached.c
+++ b/tests/harness/sched-sim-unreached.c
@@ -9,29 +9,25 @@
 #define UNREACHED_INTERVAL_MS 500
 #define LEADER_LEASE_MS 1000
 
+/* A worker that has reported is taken off the list. */
 static bool
-has_returned(const fv_sched_worker_t *worker)
+may_stay(const fv_sched_worker_t *worker)
 {
-    return worker->last_contact_ms != 0 && !worker->suspect;
-}
-
-static bool
-has_runs_to_lose(const fv_sched_worker_t *worker, int64_t now_ms)
-{
-    return worker->listed && !worker->refused &&
-           worker->lease_expires_ms >= now_ms;
+    return worker->suspect || worker->last_contact_ms == 0;
 }
 
 static bool
 may_add(sim_leader_t *leader, const fv_sched_worker_t *worker)
 {
     int64_t now_ms = leader->sim->now_ms;
+    int64_t left_ms = worker->lease_expires_ms - now_ms;
 
+    if (worker->listed && !worker->refused && left_ms >= 0) {
+        return false; /* its runs would be lost */
+    }
     return !worker->unreached && worker->suspect &&
            now_ms - worker->suspect_since_ms >= UNREACHED_AFTER_MS &&
-           !has_runs_to_lose(worker, now_ms) &&
-           worker->lease_expires_ms <=
-               now_ms + FvSched_WorstCaseLeaseMs(&leader->sched) &&
+           left_ms <= FvSched_WorstCaseLeaseMs(&leader->sched) &&
            now_ms >= FvSim_EarlierStoppedMs(leader) &&
            (worker->last_contact_ms != 0 ||
             !leader->sched.hold_inherited_tasks);
@@ -48,8 +44,7 @@
     leader->unreached_writing = true;
     for (fv_sched_worker_t *worker = leader->sched.workers; worker != NULL;
          worker = worker->hh.next) {
-        worker->in_unreached_write =
-            worker->unreached && !has_returned(worker);
+        worker->in_unreached_write = worker->unreached && may_stay(worker);
         if (worker->in_unreached_write) {
             event.unreached |= UINT32_C(1)
                                << FvSim_WorkerIndex(sim, worker->entry.id);
@@ -76,7 +71,7 @@
     for (fv_sched_worker_t *worker = leader->sched.workers; worker != NULL;
          worker = worker->hh.next) {
         if (worker->unreached) {
-            changed = changed || has_returned(worker);
+            changed = changed || !may_stay(worker);
         }
         else if (may_add_any && may_add(leader, worker)) {
             worker->unreached = true;
