--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -591,15 +591,17 @@
 {
     if (!worker->suspect) {
         FvLog_Event(Fv_LOG_WARN, "worker_silent",
-                    "worker=%s tasks=%d lease_left_ms=%" PRId64,
+                    "worker=%s tasks=%d lease_left_ms=%" PRId64
+                    " lead_age_ms=%" PRId64,
                     worker->entry.id, worker->task_count,
-                    worker->lease_expires_ms - now_ms);
+                    worker->lease_expires_ms - now_ms,
+                    FvSched_LeadAgeMs(sched, now_ms));
     }
     worker->suspect_since_ms =
         worker->suspect ? worker->suspect_since_ms : now_ms;
     worker->suspect = true;
     FvSched_NoteUnanswered(sched, now_ms);
-    if (worker->lease_expires_ms < now_ms) {
+    if (FvSched_HasLeaseExpired(sched, worker)) {
         worker->lost = true;
         FvSched_RequeueLostTasks(sched, worker, "lease_lapsed", now_ms);
     }
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -518,23 +518,38 @@
  * far ahead by its clock. A worker that was taken for removed may come back
  * and get leases; only an expired ticket bars a late start from it. */
 static bool
-may_start_late(const fv_sched_t *sched, const fv_sched_task_t *task,
-               int64_t now_ms)
+may_start_late(const fv_sched_t *sched, const fv_sched_task_t *task)
 {
     const fv_sched_worker_t *worker = task->worker;
     bool removed =
-        !worker->listed && now_ms >= worker->unlisted_ms + Fv_ENTRY_RETURN_MS;
+        !worker->listed &&
+        FvSched_LedAt(sched, worker->unlisted_ms + Fv_ENTRY_RETURN_MS);
     int64_t until_ms = FvSched_LateStartUntilMs(task);
 
     if (removed && task->stage->job->queue.needs_advice &&
-        now_ms > ticket_end_ms(task)) {
+        FvSched_LedAt(sched, ticket_end_ms(task) + 1)) {
         return false;
     }
     if (until_ms != 0 &&
         (!worker->listed || !FvSched_IsIncarnationListed(worker))) {
         until_ms += FvSched_LongestLeaseMs(sched);
     }
-    return now_ms < until_ms;
+    return until_ms != 0 && !FvSched_LedAt(sched, until_ms);
+}
+
+static void
+log_lost_task(const fv_sched_t *sched, const fv_sched_task_t *task,
+              const char *cause, int64_t now_ms)
+{
+    char name[Fv_RUN_TASK_ID_SIZE];
+
+    FvSched_TaskName(task, name, sizeof(name));
+    FvLog_Event(Fv_LOG_INFO, "task_lost",
+                "job=%s task=%s run=%d worker=%s cause=%s "
+                "lease_ended_ms=%" PRId64 " lead_age_ms=%" PRId64,
+                task->stage->job->id, name, task->run, task->worker->entry.id,
+                cause, now_ms - task->worker->lease_expires_ms,
+                FvSched_LeadAgeMs(sched, now_ms));
 }
 
 /**
@@ -559,10 +574,11 @@
         fv_sched_stage_t *stage = task->stage;
 
         next = task->worker_next;
-        if (may_start_late(sched, task, now_ms)) {
+        if (may_start_late(sched, task)) {
             continue;
         }
         lost++;
+        log_lost_task(sched, task, cause, now_ms);
         if (FvSched_LateStartUntilMs(task) > now_ms) {
             FvSched_OrphanLatestRun(task, now_ms); /* the worker may return */
         }
@@ -571,10 +587,13 @@
             FvSched_StopGang(sched, stage, now_ms);
         }
     }
+    FvMetrics_Add(Fv_COUNTER_TASKS_LOST, lost);
     if (lost > 0) {
         FvLog_Event(Fv_LOG_WARN, "tasks_lost",
-                    "worker=%s cause=%s tasks=%u in_doubt=%d",
-                    worker->entry.id, cause, lost, worker->task_count);
+                    "worker=%s cause=%s tasks=%u in_doubt=%d "
+                    "lead_age_ms=%" PRId64,
+                    worker->entry.id, cause, lost, worker->task_count,
+                    FvSched_LeadAgeMs(sched, now_ms));
     }
 }
 
--- a/tests/unit/election_fixture.h
+++ b/tests/unit/election_fixture.h
@@ -16,6 +16,7 @@
     uint32_t lost;
     uint32_t store_failing;
     uint64_t renewed; /* number of the latest renewal that succeeded */
+    int64_t renewed_sent_ms;
     int64_t epoch;
     int32_t generation;
 } outcome_t;
@@ -52,10 +53,11 @@
 }
 
 static inline void
-renewed(void *context, uint64_t renewal)
+renewed(void *context, uint64_t renewal, int64_t sent_ms)
 {
     (void)context;
     outcome.renewed = renewal;
+    outcome.renewed_sent_ms = sent_ms;
 }
 
 static inline void
