--- a/review/8/scenario.c
+++ b/review/8/scenario.c
@@ -25,6 +25,7 @@
 /* The sheet's burst: 1.8 times 4.34 agenda exports a second for 4 s, 31. */
 #define SCHEDULED_JOBS 14
 #define BURST_MS 4000
+#define RETRIES_END_MS 18000 /* no more of them later, for the time limit */
 #define REPEATS 60480 /* minutes of six weeks */
 #define FINISH_MS 14000
 #define ASKED_MS 6000 /* each job is asked for this long */
@@ -101,6 +102,7 @@
     char body[512];
     char verdict[160];
     pthread_t watch;
+    int64_t burst_ms;
     int unanswered = 0;
     int often = 0;
 
@@ -118,7 +120,11 @@
              "\"steps\":[{\"count\":1,\"cpu\":2000,\"memMb\":7200,"
              "\"estimatedMs\":1000}]}",
              REPEATS, ((long long)time(NULL) + 3600) * 1000);
+    burst_ms = now_ms();
     for (int i = 0; trouble() && i < SCHEDULED_JOBS; i++) {
+        if (now_ms() > burst_ms + RETRIES_END_MS) {
+            break;
+        }
         accepted[PLAIN_JOBS + i] = submit(PLAIN_JOBS + i, body);
         sleep_ms(BURST_MS / SCHEDULED_JOBS);
     }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,8 +6,7 @@
 mkdir -p target/review-2
 flags="-std=c11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -Werror -Ireview/common-2 -pthread"
 gcc $flags -o target/review-2/cell review/common-2/cell.c -levent -ljansson
-for source in review/*/scenario.c; do
-    number=$(basename "$(dirname "$source")")
-    gcc $flags -o "target/review-2/case-$number" "$source" \
-        review/common-2/driver.c
+for number in 6 7 8 10; do
+    gcc $flags -o "target/review-2/case-$number" \
+        "review/$number/scenario.c" review/common-2/driver.c
 done
