--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -400,9 +400,6 @@
 bool FvSched_IsIncarnationListed(const fv_sched_worker_t *worker);
 bool FvSched_IsWorkerAvailable(const fv_sched_worker_t *worker,
                                int64_t now_ms);
-bool FvSched_IsWorkerQuarantined(const fv_sched_worker_t *worker,
-                                 const fv_sched_stage_t *stage,
-                                 int64_t now_ms);
 bool FvSched_IsWorkerReserved(const fv_sched_worker_t *worker,
                               const fv_sched_stage_t *stage);
 bool FvSched_IsWorkerSuitable(const fv_sched_worker_t *worker,
@@ -412,6 +409,11 @@
 bool FvSched_IsWorkerIdle(const fv_sched_worker_t *worker, int64_t now_ms);
 void FvSched_RequeueLostTasks(fv_sched_t *sched, fv_sched_worker_t *worker,
                               const char *cause, int64_t now_ms);
+
+/* sched-health.c */
+bool FvSched_IsWorkerQuarantined(const fv_sched_worker_t *worker,
+                                 const fv_sched_stage_t *stage,
+                                 int64_t now_ms);
 void FvSched_UpdateWorkerHealth(fv_sched_worker_t *worker,
                                 const fv_sched_task_t *task, bool failed,
                                 int64_t now_ms);
