sched-health: let gangs probe a worker, and bound its probation

The workers had failed runs of two jobs each and were quarantined; stage_waiting named the cause (cause=quarantine), not a reservation or a ticket.

After the quarantine only a single task might probe the worker, and only a success ended the state. Where no single task comes that may run there, gangs never got the worker again. For the same reason a probe that runs for hours kept all other work from its worker until it ended.

Now a quarantine is followed by a probation. The tasks of one stage at a time run on the worker: single ones at first, after 1 s also those of a gang, which takes such workers after all others.

--- a/src/sched-incarnation.c
+++ b/src/sched-incarnation.c
@@ -158,7 +158,7 @@
     worker->consecutive_failures = 0;
     worker->last_failed_job = NULL;
     worker->quarantined_until_ms = 0;
-    worker->probing = false;
+    worker->probe = NULL;
     FvSched_DoubtOrphanRuns(worker, now_ms);
     sched->dirty = true;
 }
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -178,7 +178,7 @@
         invalidate_ticket(task->stage, worker);
         break;
     case Fv_ORDER_UNHEALTHY:
-        FvSched_UpdateWorkerHealth(worker, task, true, now_ms);
+        FvSched_WorkerFailed(worker, task, now_ms);
         break;
     case Fv_ORDER_NO_CAPACITY:
     case Fv_ORDER_LEASE_TOO_SHORT:
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -7,6 +7,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define Fv_DATA_RACK_BONUS 4.0
+#define Fv_PROBATION_PENALTY 8.0 /* outweighs all else in a score */
+
 typedef struct fv_place_candidate {
     fv_sched_worker_t *worker;
     const fv_verdict_t *verdict;
@@ -15,7 +18,8 @@
 } fv_place_candidate_t;
 
 /* Packs single tasks onto the fullest workers, which leaves whole workers free
- * for gangs. Gangs take the emptiest workers. */
+ * for gangs. Gangs take the emptiest workers, those on probation last: one
+ * member that fails ends them all. */
 static double
 score_candidate(const fv_sched_stage_t *stage,
                 const fv_place_candidate_t *candidate)
@@ -27,7 +31,10 @@
 
     if (stage->step->data_rack[0] != '\0' &&
         strcmp(stage->step->data_rack, worker->entry.rack) == 0) {
-        score += 4.0;
+        score += Fv_DATA_RACK_BONUS;
+    }
+    if (stage->step->gang && worker->quarantined_until_ms != 0) {
+        score -= Fv_PROBATION_PENALTY;
     }
     return score;
 }
@@ -163,9 +170,7 @@
     task->stage->waiting--;
     FvSched_AttachTask(candidate->worker, task);
     candidate->capacity--;
-    if (candidate->worker->quarantined_until_ms != 0) {
-        candidate->worker->probing = true;
-    }
+    FvSched_BeginProbe(candidate->worker, task->stage, now_ms);
     FvMetrics_Add(Fv_COUNTER_STARTS, 1);
     if (!sched->ops->start(sched, task, candidate->verdict)) {
         FvSched_RequeueTask(sched, task);
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -75,7 +75,7 @@
     counted->failed_runs[counted->failures % Fv_FAILED_RUNS_MAX] = run;
     counted->failures++;
     if (run != task->run || !is_lasting_task_at_work(task)) {
-        FvSched_UpdateWorkerHealth(worker, task, true, now_ms);
+        FvSched_WorkerFailed(worker, task, now_ms);
     }
     FvSched_NoteFailedOn(task, worker);
     if (!stage->step->long_running && job->outcome == Fv_SCHED_JOB_OPEN &&
@@ -124,7 +124,7 @@
         if (task->state == Fv_SCHED_DONE) {
             return false;
         }
-        FvSched_UpdateWorkerHealth(worker, task, false, now_ms);
+        FvSched_WorkerSucceeded(worker, now_ms);
         if (stage->job->outcome == Fv_SCHED_JOB_OPEN &&
             !stage->step->long_running) {
             if (current) {
@@ -197,9 +197,10 @@
         task->percent = row->percent;
         note_progress(task, task->worker, now_ms);
         if (is_lasting_task_at_work(task)) {
-            FvSched_UpdateWorkerHealth(task->worker, task, false, now_ms);
+            FvSched_WorkerSucceeded(task->worker, now_ms);
         }
     }
+    FvSched_CheckProbe(sched, task->worker, task->stage, now_ms);
     if (task->stage->step->gang && row->checkpoint != NULL) {
         set_gang_checkpoint(task->stage, row->checkpoint);
     }
@@ -410,7 +411,7 @@
                         "job=%s run=%d worker=%s percent=%d times=%d",
                         task->stage->job->id, task->run, worker->entry.id,
                         task->percent, task->stalls);
-            FvSched_UpdateWorkerHealth(worker, task, true, now_ms);
+            FvSched_WorkerFailed(worker, task, now_ms);
             FvSched_StopTask(sched, task, now_ms);
         }
     }
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -235,7 +235,7 @@
     task->worker = NULL;
     task->worker_next = NULL;
     task->worker_previous = NULL;
-    worker->probing = false; /* a probe may end without a result */
+    FvSched_EndProbe(worker, task->stage);
     worker->task_count--;
     task->stage->job->running_tasks--;
     charge_resources(worker, task->stage->step, -1);
@@ -304,8 +304,8 @@
  * @stage: the stage
  * @resources: the resources
  *
- * Return: the number of tasks, within the stage's limit for each worker; at
- * most one on a worker that is probed after a quarantine.
+ * Return: the number of tasks, within the stage's limit for each worker; of
+ * single tasks at most one on a worker that is on probation.
  */
 int32_t
 FvSched_StageCapacity(const fv_sched_worker_t *worker,
@@ -315,7 +315,10 @@
     int32_t capacity = apply_spread_limit(
         worker, stage, FvSched_TaskCapacity(stage->step, resources));
 
-    return capacity > 1 && worker->quarantined_until_ms != 0 ? 1 : capacity;
+    return capacity > 1 && worker->quarantined_until_ms != 0 &&
+                   !stage->step->gang
+               ? 1
+               : capacity;
 }
 
 /**
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -246,8 +246,9 @@
     uint64_t verdict_search; /* latest advice search that found a verdict */
     int32_t consecutive_failures; /* of different jobs */
     const fv_sched_job_t *last_failed_job;
-    int64_t quarantined_until_ms;
-    bool probing;
+    int64_t quarantined_until_ms;  /* then on probation; 0: neither */
+    const fv_sched_stage_t *probe; /* runs there on probation; only compared */
+    int64_t probe_since_ms;
     void *leader_session; /* owned by the implementation of the callbacks */
     UT_hash_handle hh;
 };
@@ -414,9 +415,15 @@
 bool FvSched_IsWorkerQuarantined(const fv_sched_worker_t *worker,
                                  const fv_sched_stage_t *stage,
                                  int64_t now_ms);
-void FvSched_UpdateWorkerHealth(fv_sched_worker_t *worker,
-                                const fv_sched_task_t *task, bool failed,
-                                int64_t now_ms);
+void FvSched_BeginProbe(fv_sched_worker_t *worker,
+                        const fv_sched_stage_t *stage, int64_t now_ms);
+void FvSched_EndProbe(fv_sched_worker_t *worker,
+                      const fv_sched_stage_t *stage);
+void FvSched_CheckProbe(const fv_sched_t *sched, fv_sched_worker_t *worker,
+                        const fv_sched_stage_t *stage, int64_t now_ms);
+void FvSched_WorkerSucceeded(fv_sched_worker_t *worker, int64_t now_ms);
+void FvSched_WorkerFailed(fv_sched_worker_t *worker,
+                          const fv_sched_task_t *task, int64_t now_ms);
 
 /* sched-orphan.c */
 fv_orphan_run_t *FvSched_AddOrphanRun(fv_sched_worker_t *worker,
--- a/tests/unit/sched_report_test.c
+++ b/tests/unit/sched_report_test.c
@@ -572,7 +572,7 @@
     FvSchedFixture_AddJob(&fixture, JOB_A, &queue, two_tasks);
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, JOB_A), 1);
-    CU_ASSERT_TRUE(worker->probing);
+    CU_ASSERT_PTR_NOT_NULL(worker->probe);
     task = FvSched_FindTask(&fixture.sched, JOB_A ".0.0.0");
     FvSched_StartAnswered(&fixture.sched, task, 1, Fv_ORDER_STALE_RUN,
                           fixture.now_ms);
