sched-report: a gang that succeeds proves each of its workers

Callers saw gangs pass over sound workers longer than the faults lasted, since these stayed on probation after a gang had succeeded there.

All members of a gang end together, and the end that is reported first marks them all as done. Those of the other members were left out before the success was counted, and so were all ends of a job that had been removed meanwhile. The worker kept its earlier failures, so that the next one of another job quarantined it. A success is now counted for the worker that reports it, whatever is known of the task.

sched_health_test, "a gang that succeeds proves only one of its workers": failed with the job kept and with the job removed, passes now.

--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -112,6 +112,9 @@
     bool current;
 
     FvSched_OrphanRunEnded(worker, row->task_id, row->run);
+    if (row->end == Fv_END_DONE) {
+        FvSched_WorkerSucceeded(worker, now_ms);
+    }
     if (task == NULL) {
         return false;
     }
@@ -124,7 +127,6 @@
         if (task->state == Fv_SCHED_DONE) {
             return false;
         }
-        FvSched_WorkerSucceeded(worker, now_ms);
         if (stage->job->outcome == Fv_SCHED_JOB_OPEN &&
             !stage->step->long_running) {
             if (current) {
--- a/tests/unit/sched_health_test.c
+++ b/tests/unit/sched_health_test.c
@@ -239,6 +239,41 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* All members of a gang end together. The end that is reported first completes
+ * the gang, and its job may be removed before the next one is reported. */
+static void
+test_each_member_proves_its_worker(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+
+    for (int removed = 0; removed < 2; removed++) {
+        fv_sched_job_t *job;
+        uint32_t first;
+        int32_t run;
+
+        open_cell(&fixture, 2);
+        worker_at(&fixture, 0)->quarantined_until_ms = fixture.now_ms;
+        worker_at(&fixture, 1)->quarantined_until_ms = fixture.now_ms;
+        job =
+            FvSchedFixture_AddJob(&fixture, GANG, &queue, gang_on_two_workers);
+        CU_ASSERT_NOT_EQUAL(
+            run_until_started(&fixture, GANG, 2, START_BOUND_MS), -1);
+        first = fixture.orders[0].worker[1] == '0' ? 0 : 1;
+        run = fixture.orders[0].run;
+        end_task(&fixture, GANG ".0.0.0", Fv_END_DONE);
+        CU_ASSERT_EQUAL(worker_at(&fixture, first)->quarantined_until_ms, 0);
+        if (removed != 0) {
+            FvSched_RemoveJob(&fixture.sched, job);
+        }
+        FvSchedFixture_ReportEnd(&fixture, first == 0 ? "w1" : "w0", 1,
+                                 GANG ".0.0.1", run, Fv_END_DONE);
+        CU_ASSERT_EQUAL(worker_at(&fixture, 1 - first)->quarantined_until_ms,
+                        0);
+        FvSchedFixture_Close(&fixture);
+    }
+}
+
 int
 main(void)
 {
@@ -253,6 +288,8 @@
          test_long_probe_ends_probation},
         {"a worker that is not proved may fail several jobs again",
          test_failure_after_probation_quarantines_at_once},
+        {"a gang that succeeds proves only one of its workers",
+         test_each_member_proves_its_worker},
     };
 
     return Fv_RUN_SUITE("sched_health", cases);
