sched-health: a gang that fails wherever it runs is no evidence

Callers saw sound workers withheld after gangs that can never succeed had run there (jobs of this kind come in bursts).

A job that has also failed on another worker does not count against the next one. The check read the failures of the task that failed, but those of a gang are counted for its first task: for every other member it was always passed, so that each run of such a gang added a failure to one more worker. It now reads the failures of the gang.

--- a/src/sched-health.c
+++ b/src/sched-health.c
@@ -138,6 +138,18 @@
     end_probation(worker, "success", now_ms);
 }
 
+/* A job that also fails elsewhere is no evidence against a worker. */
+static bool
+has_failed_elsewhere(const fv_sched_worker_t *worker,
+                     const fv_sched_task_t *task)
+{
+    /* The failures of a gang are counted for its first task. */
+    const fv_sched_task_t *counted =
+        task->stage->step->gang ? &task->stage->tasks[0] : task;
+
+    return counted->failures > 1 && task->failed_on != worker;
+}
+
 /**
  * FvSched_WorkerFailed - note that a run has failed on a worker
  * @worker: the worker
@@ -154,9 +166,7 @@
     if (worker->quarantined_until_ms != 0) {
         worker->quarantined_until_ms = now_ms + Fv_QUARANTINE_MS;
     }
-    /* A job that also fails elsewhere is no evidence against this worker. */
-    if (worker->last_failed_job == job ||
-        (task->failures > 1 && task->failed_on != worker)) {
+    if (worker->last_failed_job == job || has_failed_elsewhere(worker, task)) {
         return;
     }
     worker->last_failed_job = job;
--- a/tests/unit/sched_health_test.c
+++ b/tests/unit/sched_health_test.c
@@ -274,6 +274,34 @@
     }
 }
 
+/* A gang that can never succeed fails on two workers, and then on two others.
+ * A failure is counted for the first member, and another one fails. */
+static void
+test_gang_that_fails_elsewhere_is_no_evidence(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+
+    open_cell(&fixture, 2);
+    queue.attempts_max = 3;
+    FvSchedFixture_AddJob(&fixture, GANG, &queue, gang_on_two_workers);
+    CU_ASSERT_NOT_EQUAL(run_until_started(&fixture, GANG, 2, STEP_MS), -1);
+    end_task(&fixture, GANG ".0.0.1", Fv_END_FAILED);
+    end_task(&fixture, GANG ".0.0.0", Fv_END_GANG_BROKEN);
+    CU_ASSERT_EQUAL(worker_at(&fixture, 0)->consecutive_failures +
+                        worker_at(&fixture, 1)->consecutive_failures,
+                    1);
+    worker_at(&fixture, 0)->free.cpu_millis = 0; /* others run there */
+    worker_at(&fixture, 1)->free.cpu_millis = 0;
+    FvSchedFixture_AddWorker(&fixture, "w2", "r1", WORKER_CPU_MILLIS);
+    FvSchedFixture_AddWorker(&fixture, "w3", "r1", WORKER_CPU_MILLIS);
+    CU_ASSERT_NOT_EQUAL(run_until_started(&fixture, GANG, 4, STEP_MS), -1);
+    end_task(&fixture, GANG ".0.0.1", Fv_END_FAILED);
+    CU_ASSERT_EQUAL(worker_at(&fixture, 2)->consecutive_failures, 0);
+    CU_ASSERT_EQUAL(worker_at(&fixture, 3)->consecutive_failures, 0);
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -290,6 +318,8 @@
          test_failure_after_probation_quarantines_at_once},
         {"a gang that succeeds proves only one of its workers",
          test_each_member_proves_its_worker},
+        {"a gang that fails wherever it runs counts against all workers",
+         test_gang_that_fails_elsewhere_is_no_evidence},
     };
 
     return Fv_RUN_SUITE("sched_health", cases);
