sched-advice: renew the tickets of steps that ask for one rack

A call for such a step names only workers of the best rack, chosen by the scores of the candidates. Only workers without a verdict have a score. Once all verdicts are known and the tickets have expired, every rack counts as 0, no candidate is left and no call is made. The same on related paths: single tasks with sameRack; a gang that no rack has room for, whose calls named one rack after the other, so that the first tickets had expired before the last ones were there; valid tickets did not count for their rack.

The rack is now chosen by its expected room: free capacity with a valid ticket, with one to renew, and on workers without a verdict times the chance of a ticket. If no rack has room for all waiting tasks, the call is made as for any other step; placement spreads a gang over racks in that case as before.

--- a/src/sched-advice.c
+++ b/src/sched-advice.c
@@ -39,6 +39,10 @@
 /* A call also renews the tickets that expire within this time. */
 #define Fv_TICKET_RENEW_MS 500
 
+/* Weight of a step's data rack: a task takes up to 3 times as long elsewhere.
+ */
+#define Fv_DATA_RACK_FACTOR 8.0
+
 /* Weight of one verdict in the moving average of the allowed share, and the
  * lower bound of that average. */
 #define Fv_ALLOWED_SHARE_WEIGHT 0.1
@@ -107,19 +111,24 @@
     return a->score < b->score ? 1 : a->score > b->score ? -1 : 0;
 }
 
+static double
+draw_jitter(fv_sched_t *sched)
+{
+    return 0.75 + (double)(FvSched_Random(sched) % 512) / 1024.0;
+}
+
 /* Prefers workers with more free capacity. The jitter keeps stages that
  * request advice at the same time from competing for the same workers. */
 static double
 score_worker(fv_sched_t *sched, const fv_sched_stage_t *stage,
              const fv_sched_worker_t *worker, int32_t capacity)
 {
-    double jitter = 0.75 + (double)(FvSched_Random(sched) % 512) / 1024.0;
-    double score = jitter;
+    double score = draw_jitter(sched);
 
     score *= 0.25 + (capacity < stage->waiting ? capacity : stage->waiting);
     if (stage->step->data_rack[0] != '\0' &&
         strcmp(stage->step->data_rack, worker->entry.rack) == 0) {
-        score *= 8.0; /* a task takes up to 3 times as long elsewhere */
+        score *= Fv_DATA_RACK_FACTOR;
     }
     return score;
 }
@@ -134,6 +143,12 @@
                : FvSched_FreeStageCapacity(worker, stage);
 }
 
+static bool
+needs_renewal(const fv_verdict_t *verdict, int64_t now_ms)
+{
+    return verdict->expires_ms <= now_ms + Fv_TICKET_RENEW_MS;
+}
+
 static void
 add_allowed_worker(const fv_sched_stage_t *stage, const fv_verdict_t *verdict,
                    fv_ticket_coverage_t *coverage, fv_candidate_t *candidates,
@@ -153,7 +168,7 @@
     else {
         coverage->renewable_capacity += capacity;
     }
-    if (verdict->expires_ms <= now_ms + Fv_TICKET_RENEW_MS) {
+    if (needs_renewal(verdict, now_ms)) {
         candidates[coverage->candidate_count++] =
             (fv_candidate_t){.worker = verdict->worker,
                              .is_renewal = true,
@@ -248,35 +263,91 @@
            (coverage->unknown_capacity > 0 && capacity == 0);
 }
 
-/* For a gang that must share a rack: keeps the candidates of the rack with the
- * highest total score. */
-static uint32_t
-keep_best_rack(fv_candidate_t *candidates, uint32_t count)
+/* Expected room for tasks of a stage on the workers of a rack. */
+typedef struct fv_rack_room {
+    double tasks;
+    UT_hash_handle hh;
+} fv_rack_room_t;
+
+static void
+add_rack_room(fv_rack_room_t **racks, fv_rack_room_t *unused,
+              const fv_sched_worker_t *worker, double tasks)
+{
+    fv_rack_room_t *rack = NULL;
+
+    HASH_FIND_STR(*racks, worker->entry.rack, rack);
+    if (rack == NULL) {
+        rack = unused;
+        HASH_ADD_KEYPTR(hh, *racks, worker->entry.rack,
+                        strlen(worker->entry.rack), rack);
+    }
+    rack->tasks += tasks;
+}
+
+/* Returns the name of the rack with the most room among those that have enough
+ * for all waiting tasks, or NULL. The jitter keeps stages that request advice
+ * at the same time from competing for the same rack. */
+static const char *
+find_best_rack(fv_sched_t *sched, const fv_sched_stage_t *stage,
+               const fv_rack_room_t *racks)
 {
     const char *best = NULL;
     double best_score = 0.0;
-    uint32_t kept = 0;
 
-    for (uint32_t i = 0; i < count; i++) {
-        double score = 0.0;
+    for (const fv_rack_room_t *rack = racks; rack != NULL;
+         rack = rack->hh.next) {
+        double score = rack->tasks * draw_jitter(sched);
 
-        for (uint32_t j = 0; j < count; j++) {
-            if (strcmp(candidates[i].worker->entry.rack,
-                       candidates[j].worker->entry.rack) == 0) {
-                score += candidates[j].score;
-            }
+        if (stage->step->data_rack[0] != '\0' &&
+            strcmp(stage->step->data_rack, rack->hh.key) == 0) {
+            score *= Fv_DATA_RACK_FACTOR;
         }
-        if (score > best_score) {
+        if (rack->tasks >= stage->waiting && score > best_score) {
             best_score = score;
-            best = candidates[i].worker->entry.rack;
+            best = rack->hh.key;
+        }
+    }
+    return best;
+}
+
+/* For tasks that are slower on several racks: keeps the candidates of the best
+ * rack, or all of them when no rack has room for all waiting tasks. Several
+ * racks are better than waiting. */
+static uint32_t
+keep_best_rack(fv_sched_t *sched, const fv_sched_stage_t *stage,
+               fv_candidate_t *candidates, uint32_t count, int64_t now_ms)
+{
+    fv_rack_room_t *rooms =
+        calloc((size_t)count + stage->verdict_count, sizeof(*rooms));
+    fv_rack_room_t *racks = NULL;
+    const char *best;
+    uint32_t kept = 0;
+
+    if (rooms == NULL) {
+        return count;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        add_rack_room(&racks, &rooms[i], candidates[i].worker,
+                      candidates[i].expected_tasks);
+    }
+    for (uint32_t i = 0; i < stage->verdict_count; i++) {
+        const fv_verdict_t *verdict = &stage->verdicts[i];
+
+        if (verdict->allowed && !needs_renewal(verdict, now_ms) &&
+            FvSched_IsWorkerEligible(verdict->worker, stage, now_ms)) {
+            add_rack_room(&racks, &rooms[count + i], verdict->worker,
+                          usable_capacity(verdict->worker, stage, now_ms));
         }
     }
+    best = find_best_rack(sched, stage, racks);
     for (uint32_t i = 0; i < count; i++) {
-        if (best != NULL &&
+        if (best == NULL ||
             strcmp(candidates[i].worker->entry.rack, best) == 0) {
             candidates[kept++] = candidates[i];
         }
     }
+    HASH_CLEAR(hh, racks);
+    free(rooms);
     return kept;
 }
 
@@ -374,8 +445,8 @@
     coverage = scan_workers(sched, stage, candidates, now_ms);
     if (should_request_advice(stage, &coverage)) {
         if (stage->step->same_rack) {
-            coverage.candidate_count =
-                keep_best_rack(candidates, coverage.candidate_count);
+            coverage.candidate_count = keep_best_rack(
+                sched, stage, candidates, coverage.candidate_count, now_ms);
         }
         count = choose_workers(stage, candidates, &coverage, chosen);
         if (count > 0 &&
--- a/tests/harness/sched-fixture.c
+++ b/tests/harness/sched-fixture.c
@@ -173,6 +173,7 @@
     FvText_Copy(entry.id, sizeof(entry.id), id);
     FvText_Copy(entry.labels[0], Fv_NAME_SIZE, "a");
     FvText_Copy(entry.labels[1], Fv_NAME_SIZE, rack);
+    FvText_Copy(entry.rack, sizeof(entry.rack), rack);
     worker = FvSched_UpdateWorker(&fixture->sched, &entry, fixture->now_ms);
     CU_ASSERT_PTR_NOT_NULL_FATAL(worker);
     if (worker == NULL) {
--- a/tests/unit/sched_advice_test.c
+++ b/tests/unit/sched_advice_test.c
@@ -15,6 +15,7 @@
 
 #define WORKER_CPU_MILLIS 4000
 #define PASS_INTERVAL_MS 100
+#define ADVICE_CALL_MS 500
 
 /* The latest start of a lasting task in a cell with free capacity. */
 #define START_BOUND_MS 3000
@@ -32,6 +33,16 @@
     "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":4000,\"memMb\":10,"
     "\"estimatedMs\":9000}]}";
 
+static const char rack_gang[] =
+    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":8,\"cpu\":2000,\"memMb\":10,"
+    "\"estimatedMs\":6000,\"gang\":true,\"sameRack\":true}]}";
+static const char wide_rack_gang[] =
+    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":8,\"cpu\":4000,\"memMb\":10,"
+    "\"estimatedMs\":6000,\"gang\":true,\"sameRack\":true}]}";
+static const char rack_tasks[] =
+    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":8,\"cpu\":2000,\"memMb\":10,"
+    "\"estimatedMs\":6000,\"sameRack\":true}]}";
+
 static void
 add_workers(sched_fixture_t *fixture, uint32_t first, uint32_t count)
 {
@@ -91,6 +102,27 @@
     FvSchedFixture_ConfirmStarts(fixture);
 }
 
+/* The same with calls that take as long as on the platform. */
+static void
+run_for_slow_advice(sched_fixture_t *fixture, int64_t duration_ms,
+                    bool (*allows)(const char *worker))
+{
+    int64_t end_ms = fixture->now_ms + duration_ms;
+    int64_t answer_ms = 0;
+
+    for (; fixture->now_ms < end_ms; fixture->now_ms += PASS_INTERVAL_MS) {
+        FvSchedFixture_RunPass(fixture);
+        FvSchedFixture_ConfirmStarts(fixture);
+        if (fixture->advised_stage != NULL && answer_ms == 0) {
+            answer_ms = fixture->now_ms + ADVICE_CALL_MS;
+        }
+        if (answer_ms != 0 && fixture->now_ms >= answer_ms) {
+            FvSchedFixture_AnswerAdvice(fixture, allows);
+            answer_ms = 0;
+        }
+    }
+}
+
 /* A lasting step runs one task on each worker, and the first answers allow
  * fewer workers than it has tasks. */
 static void
@@ -246,6 +278,100 @@
     FvSchedFixture_Close(&fixture);
 }
 
+static void
+add_rack(sched_fixture_t *fixture, uint32_t rack, uint32_t workers)
+{
+    char id[Fv_NAME_SIZE];
+    char name[Fv_NAME_SIZE];
+
+    snprintf(name, sizeof(name), "r%u", rack);
+    for (uint32_t i = 0; i < workers; i++) {
+        snprintf(id, sizeof(id), "w%u", rack * 100 + i);
+        FvSchedFixture_AddWorker(fixture, id, name, WORKER_CPU_MILLIS);
+    }
+}
+
+static uint32_t
+racks_of_tasks(const fv_sched_stage_t *stage)
+{
+    char racks[16][Fv_NAME_SIZE];
+    uint32_t count = 0;
+
+    for (int32_t t = 0; t < stage->step->task_count; t++) {
+        const fv_sched_worker_t *worker = stage->tasks[t].worker;
+        uint32_t r = 0;
+
+        while (worker != NULL && r < count &&
+               strcmp(racks[r], worker->entry.rack) != 0) {
+            r++;
+        }
+        if (worker != NULL && r == count) {
+            FvText_Copy(racks[count++], Fv_NAME_SIZE, worker->entry.rack);
+        }
+    }
+    return count;
+}
+
+/* The verdicts on all workers are known, and their tickets expire while other
+ * tasks fill the workers. The same for a gang and for single tasks. */
+static void
+test_tickets_for_one_rack_are_renewed(void)
+{
+    static sched_fixture_t fixture;
+    static const char *const documents[] = {rack_gang, rack_tasks};
+    fv_cell_queue_t queue = FvSchedFixture_MakeAdvisedQueue("batch", 1);
+
+    for (uint32_t d = 0; d < 2; d++) {
+        FvSchedFixture_Open(&fixture, 1);
+        add_rack(&fixture, 0, 6);
+        FvSchedFixture_AddJob(&fixture, BATCH, &queue, documents[d]);
+        FvSchedFixture_RunPass(&fixture);
+        CU_ASSERT_TRUE(
+            FvSchedFixture_AnswerAdvice(&fixture, FvSchedFixture_AllowAll));
+        fixture.now_ms += queue.ticket_valid_ms;
+        run_for(&fixture, START_BOUND_MS, FvSchedFixture_AllowAll);
+        CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, BATCH), 8);
+        FvSchedFixture_Close(&fixture);
+    }
+}
+
+/* A gang of eight with room for one task on each rack: the tickets for the
+ * first racks expire before those for the last ones are there. */
+static void
+test_gang_wider_than_a_rack(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeAdvisedQueue("batch", 1);
+
+    FvSchedFixture_Open(&fixture, 1);
+    for (uint32_t rack = 0; rack < 10; rack++) {
+        add_rack(&fixture, rack, 1);
+    }
+    FvSchedFixture_AddJob(&fixture, BATCH, &queue, wide_rack_gang);
+    run_for_slow_advice(&fixture, START_BOUND_MS, FvSchedFixture_AllowAll);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, BATCH), 8);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* Each of several racks has room for the whole gang. */
+static void
+test_gang_runs_on_one_rack(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeAdvisedQueue("batch", 1);
+    fv_sched_job_t *job;
+
+    FvSchedFixture_Open(&fixture, 1);
+    for (uint32_t rack = 0; rack < 4; rack++) {
+        add_rack(&fixture, rack, 6);
+    }
+    job = FvSchedFixture_AddJob(&fixture, BATCH, &queue, rack_gang);
+    run_for_slow_advice(&fixture, START_BOUND_MS, FvSchedFixture_AllowAll);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, BATCH), 8);
+    CU_ASSERT_EQUAL(racks_of_tasks(&job->occurrences[0].stages[0]), 1);
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -262,6 +388,12 @@
          test_unusable_tickets_are_not_renewed},
         {"a probed worker counts as capacity for several tasks",
          test_probed_worker_counts_once},
+        {"a step for one rack waits because its tickets have expired",
+         test_tickets_for_one_rack_are_renewed},
+        {"a gang for one rack waits because no rack has room for all of it",
+         test_gang_wider_than_a_rack},
+        {"a gang for one rack is spread although one has room for all of it",
+         test_gang_runs_on_one_rack},
         {"a worker that was refused is asked about again",
          test_refused_workers_are_asked_about_once},
     };
