sched-occurrence: keep occurrences in memory only while they are open

A leader built all occurrences of a job, with their stages and tasks, when it accepted or loaded it: 424 bytes for an occurrence of one task, 25.6 MB for 60,480 of them, most of which are due weeks later.

An occurrence is now built when it is due, or when a worker reports a run of it (an earlier leader's clock may have been ahead), and freed when all of its stages are done. Those before the next one that are not in memory are done. The record of progress tells of them by ranges; rows of earlier builds are still read. An end that arrives for an occurrence that is not due yet is kept, so that the task does not run again.

--- a/src/leader-load.c
+++ b/src/leader-load.c
@@ -167,16 +167,8 @@
         return;
     }
     job->durable = true;
+    FvSched_MarkJobInherited(job);
     FvLeaderWorker_AddService(leader, job->queue.service);
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        for (uint32_t s = 0; s < job->spec.step_count; s++) {
-            fv_sched_stage_t *stage = &job->occurrences[o].stages[s];
-
-            for (int32_t t = 0; t < stage->step->task_count; t++) {
-                stage->tasks[t].inherited = true;
-            }
-        }
-    }
 }
 
 static void
--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -59,75 +59,10 @@
     }
 }
 
-static bool
-build_stage(fv_sched_job_t *job, fv_sched_stage_t *stage, int32_t occurrence,
-            uint32_t step_index)
-{
-    const fv_step_spec_t *step = &job->spec.steps[step_index];
-
-    *stage = (fv_sched_stage_t){
-        .job = job,
-        .occurrence = occurrence,
-        .step_index = step_index,
-        .step = step,
-        .waiting = step->task_count,
-    };
-    stage->tasks = calloc((size_t)step->task_count, sizeof(*stage->tasks));
-    if (stage->tasks == NULL) {
-        return false;
-    }
-    for (int32_t i = 0; i < step->task_count; i++) {
-        stage->tasks[i] = (fv_sched_task_t){.stage = stage, .index = i};
-    }
-    return true;
-}
-
-static bool
-build_occurrence(fv_sched_job_t *job, int32_t number)
-{
-    fv_occurrence_t *occurrence = &job->occurrences[number];
-
-    occurrence->number = number;
-    if (job->spec.repeat_count > 0) {
-        occurrence->due_wall_ms =
-            job->spec.first_due_wall_ms + number * job->spec.interval_ms;
-    }
-    occurrence->stages =
-        calloc(job->spec.step_count, sizeof(*occurrence->stages));
-    if (occurrence->stages == NULL) {
-        return false;
-    }
-    for (uint32_t i = 0; i < job->spec.step_count; i++) {
-        if (!build_stage(job, &occurrence->stages[i], number, i)) {
-            return false;
-        }
-    }
-    return true;
-}
-
 static void
 free_job(fv_sched_job_t *job)
 {
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        fv_occurrence_t *occurrence = &job->occurrences[o];
-
-        for (uint32_t s = 0;
-             occurrence->stages != NULL && s < job->spec.step_count; s++) {
-            fv_sched_stage_t *stage = &occurrence->stages[s];
-
-            for (int32_t t = 0;
-                 stage->tasks != NULL && t < stage->step->task_count; t++) {
-                free(stage->tasks[t].checkpoint);
-            }
-            free(stage->tasks);
-            for (uint32_t v = 0; v < stage->verdict_count; v++) {
-                free(stage->verdicts[v].ticket);
-            }
-            free(stage->verdicts);
-        }
-        free(occurrence->stages);
-    }
-    free(job->occurrences);
+    FvSched_FreeOccurrences(job);
     free(job->critical_paths_ms);
     free(job->document);
     FvJobSpec_Clear(&job->spec);
@@ -166,13 +101,10 @@
     job->document = malloc(length + 1);
     job->document_length = length;
     job->occurrence_count =
-        job->spec.repeat_count > 0 ? (uint32_t)job->spec.repeat_count : 1;
-    job->occurrences =
-        calloc(job->occurrence_count, sizeof(*job->occurrences));
+        job->spec.repeat_count > 0 ? job->spec.repeat_count : 1;
     job->critical_paths_ms =
         calloc(job->spec.step_count, sizeof(*job->critical_paths_ms));
-    if (job->document == NULL || job->occurrences == NULL ||
-        job->critical_paths_ms == NULL) {
+    if (job->document == NULL || job->critical_paths_ms == NULL) {
         free_job(job);
         return NULL;
     }
@@ -180,11 +112,12 @@
         job, &FvSched_QueueEstimates(sched, queue->name)->run_time);
     memcpy(job->document, document, length);
     job->document[length] = '\0';
-    for (uint32_t i = 0; i < job->occurrence_count; i++) {
-        if (!build_occurrence(job, (int32_t)i)) {
+    if (job->spec.repeat_count == 0) {
+        if (FvSched_OpenOccurrence(job, 0) == NULL) {
             free_job(job);
             return NULL;
         }
+        job->next_occurrence = 1;
     }
     HASH_ADD_STR(sched->jobs, id, job);
     return job;
@@ -204,6 +137,38 @@
     stage->pending = false;
 }
 
+/**
+ * FvSched_UnmarkPending - remove the stages of an occurrence from those that
+ * the next pass places
+ * @sched: the scheduler
+ * @job: the job
+ * @occurrence: the occurrence
+ */
+void
+FvSched_UnmarkPending(fv_sched_t *sched, const fv_sched_job_t *job,
+                      fv_occurrence_t *occurrence)
+{
+    for (uint32_t s = 0;
+         occurrence->stages != NULL && s < job->spec.step_count; s++) {
+        if (occurrence->stages[s].pending) {
+            unlink_pending(sched, &occurrence->stages[s]);
+        }
+    }
+}
+
+static void
+detach_tasks(const fv_sched_job_t *job, fv_occurrence_t *occurrence)
+{
+    for (uint32_t s = 0;
+         occurrence->stages != NULL && s < job->spec.step_count; s++) {
+        fv_sched_stage_t *stage = &occurrence->stages[s];
+
+        for (int32_t t = 0; t < stage->step->task_count; t++) {
+            FvSched_DetachTask(&stage->tasks[t]);
+        }
+    }
+}
+
 /**
  * FvSched_RemoveJob - remove and free a job
  * @sched: the scheduler
@@ -212,17 +177,9 @@
 void
 FvSched_RemoveJob(fv_sched_t *sched, fv_sched_job_t *job)
 {
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        for (uint32_t s = 0; s < job->spec.step_count; s++) {
-            fv_sched_stage_t *stage = &job->occurrences[o].stages[s];
-
-            if (stage->pending) {
-                unlink_pending(sched, stage);
-            }
-            for (int32_t t = 0; t < stage->step->task_count; t++) {
-                FvSched_DetachTask(&stage->tasks[t]);
-            }
-        }
+    for (uint32_t o = 0; o < job->kept_count; o++) {
+        FvSched_UnmarkPending(sched, job, job->occurrences[o]);
+        detach_tasks(job, job->occurrences[o]);
     }
     HASH_DEL(sched->jobs, job);
     free_job(job);
@@ -326,14 +283,14 @@
     if (!is_open(job)) {
         return;
     }
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        fv_occurrence_t *occurrence = &job->occurrences[o];
+    if (job->spec.repeat_count > 0) {
+        FvSched_OpenDueOccurrences(sched, job, wall_ms);
+    }
+    for (uint32_t o = 0; o < job->kept_count; o++) {
+        fv_occurrence_t *occurrence = job->occurrences[o];
 
-        if (!occurrence->released && occurrence->due_wall_ms > wall_ms) {
-            break;
-        }
-        occurrence->released = true;
-        if (occurrence->stages_done < job->spec.step_count) {
+        if (occurrence->number < job->next_occurrence &&
+            !FvSched_IsOccurrenceDone(job, occurrence)) {
             release_occurrence(sched, job, occurrence, now_ms);
         }
     }
@@ -354,9 +311,12 @@
 static void
 stop_all_tasks(fv_sched_t *sched, fv_sched_job_t *job, int64_t now_ms)
 {
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        for (uint32_t s = 0; s < job->spec.step_count; s++) {
-            fv_sched_stage_t *stage = &job->occurrences[o].stages[s];
+    for (uint32_t o = 0; o < job->kept_count; o++) {
+        fv_occurrence_t *occurrence = job->occurrences[o];
+
+        for (uint32_t s = 0;
+             occurrence->stages != NULL && s < job->spec.step_count; s++) {
+            fv_sched_stage_t *stage = &occurrence->stages[s];
 
             for (int32_t t = 0; t < stage->step->task_count; t++) {
                 if (stage->tasks[t].worker != NULL) {
@@ -403,12 +363,9 @@
 void
 FvSched_CheckJobEnd(fv_sched_t *sched, fv_sched_job_t *job, int64_t now_ms)
 {
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        if (job->occurrences[o].stages_done < job->spec.step_count) {
-            return;
-        }
+    if (FvSched_AreOccurrencesDone(job)) {
+        FvSched_EndJob(sched, job, Fv_SCHED_JOB_COMPLETED, now_ms);
     }
-    FvSched_EndJob(sched, job, Fv_SCHED_JOB_COMPLETED, now_ms);
 }
 
 /* The latest run of a task that is done occupies its worker until its own end
@@ -453,7 +410,7 @@
     task->state = Fv_SCHED_DONE;
     stage->done++;
     if (stage->done == stage->step->task_count) {
-        stage->job->occurrences[stage->occurrence].stages_done++;
+        stage->occurrence->stages_done++;
     }
     sched->dirty = true;
 }
@@ -485,8 +442,7 @@
     }
     if (stage->done == stage->step->task_count) {
         if (is_open(job)) {
-            release_occurrence(sched, job,
-                               &job->occurrences[stage->occurrence], now_ms);
+            release_occurrence(sched, job, stage->occurrence, now_ms);
         }
         FvSched_CheckJobEnd(sched, job, now_ms);
     }
@@ -539,7 +495,7 @@
 void
 FvSched_StageName(const fv_sched_stage_t *stage, char *name, size_t size)
 {
-    snprintf(name, size, "%s.%d.%u", stage->job->id, stage->occurrence,
+    snprintf(name, size, "%s.%d.%u", stage->job->id, stage->occurrence->number,
              stage->step_index);
 }
 
@@ -553,7 +509,55 @@
 FvSched_TaskName(const fv_sched_task_t *task, char *name, size_t size)
 {
     snprintf(name, size, "%s.%d.%u.%d", task->stage->job->id,
-             task->stage->occurrence, task->stage->step_index, task->index);
+             task->stage->occurrence->number, task->stage->step_index,
+             task->index);
+}
+
+/* Parts of a task's name on the platform. */
+typedef struct fv_task_path {
+    fv_sched_job_t *job;
+    int32_t occurrence;
+    uint32_t step;
+    int32_t index;
+} fv_task_path_t;
+
+/* Returns false when the name is malformed or its job has no such task. */
+static bool
+parse_task_name(const fv_sched_t *sched, const char *name,
+                fv_task_path_t *path)
+{
+    char id[Fv_JOB_ID_SIZE];
+    unsigned occurrence;
+    unsigned step;
+    unsigned index;
+
+    if (strlen(name) < sizeof(id) || name[sizeof(id) - 1] != '.') {
+        return false;
+    }
+    memcpy(id, name, sizeof(id) - 1);
+    id[sizeof(id) - 1] = '\0';
+    path->job = FvSched_FindJob(sched, id);
+    if (path->job == NULL || sscanf(name + sizeof(id), "%u.%u.%u", &occurrence,
+                                    &step, &index) != 3) {
+        return false;
+    }
+    if (occurrence >= (unsigned)path->job->occurrence_count ||
+        step >= path->job->spec.step_count ||
+        index >= (unsigned)path->job->spec.steps[step].task_count) {
+        return false;
+    }
+    path->occurrence = (int32_t)occurrence;
+    path->step = step;
+    path->index = (int32_t)index;
+    return true;
+}
+
+static fv_sched_task_t *
+task_of(const fv_occurrence_t *occurrence, const fv_task_path_t *path)
+{
+    return occurrence != NULL && occurrence->stages != NULL
+               ? &occurrence->stages[path->step].tasks[path->index]
+               : NULL;
 }
 
 /**
@@ -561,32 +565,63 @@
  * @sched: the scheduler
  * @name: the name
  *
- * Return: the task, or NULL when the name is malformed or its job is unknown.
+ * Return: the task, or NULL when there is none by that name, or its occurrence
+ * is not in memory.
  */
 fv_sched_task_t *
 FvSched_FindTask(const fv_sched_t *sched, const char *name)
 {
-    char id[Fv_JOB_ID_SIZE];
-    fv_sched_job_t *job;
-    unsigned occurrence;
-    unsigned step;
-    unsigned index;
+    fv_task_path_t path;
 
-    if (strlen(name) < sizeof(id) || name[sizeof(id) - 1] != '.') {
+    return parse_task_name(sched, name, &path)
+               ? task_of(FvSched_FindOccurrence(path.job, path.occurrence),
+                         &path)
+               : NULL;
+}
+
+/**
+ * FvSched_OpenTask - find the task of a run that a worker reports
+ * @sched: the scheduler
+ * @name: its name on the platform
+ *
+ * An earlier leader whose clock was ahead may have started it before it is due
+ * by this host's clock. Its occurrence is kept in memory from now on.
+ *
+ * Return: the task, or NULL when there is none by that name, or its occurrence
+ * is done.
+ */
+fv_sched_task_t *
+FvSched_OpenTask(fv_sched_t *sched, const char *name)
+{
+    fv_task_path_t path;
+    fv_occurrence_t *occurrence;
+
+    if (!parse_task_name(sched, name, &path)) {
         return NULL;
     }
-    memcpy(id, name, sizeof(id) - 1);
-    id[sizeof(id) - 1] = '\0';
-    job = FvSched_FindJob(sched, id);
-    if (job == NULL || sscanf(name + sizeof(id), "%u.%u.%u", &occurrence,
-                              &step, &index) != 3) {
-        return NULL;
+    if (!is_open(path.job)) {
+        return FvSched_FindTask(sched, name);
     }
-    if (occurrence >= job->occurrence_count || step >= job->spec.step_count ||
-        index >= (unsigned)job->spec.steps[step].task_count) {
-        return NULL;
+    occurrence = FvSched_OpenOccurrence(path.job, path.occurrence);
+    if (occurrence == NULL && path.occurrence >= path.job->next_occurrence) {
+        abort(); /* the task would run again after a reported end */
     }
-    return &job->occurrences[occurrence].stages[step].tasks[index];
+    return task_of(occurrence, &path);
+}
+
+/**
+ * FvSched_FindTaskJob - find the job of a task by the task's name
+ * @sched: the scheduler
+ * @name: the name
+ *
+ * Return: the job, or NULL when the name is malformed or the job is unknown.
+ */
+fv_sched_job_t *
+FvSched_FindTaskJob(const fv_sched_t *sched, const char *name)
+{
+    fv_task_path_t path;
+
+    return parse_task_name(sched, name, &path) ? path.job : NULL;
 }
 
 /**
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -16,6 +16,9 @@
  * number of tasks, each of them at most 5, 2, 3 and 3 bytes long. */
 #define Fv_DONE_ROW_FIELDS 4
 #define Fv_DONE_ROW_MAX_BYTES 14
+/* Consecutive occurrences that are done: the first one and their number, at
+ * most 11 bytes. */
+#define Fv_DONE_OCCURRENCES_ROW_FIELDS 2
 #define Fv_ROWS_HEADER_BYTES 5
 #define Fv_TEXT_HEADER_BYTES 5
 #define Fv_STRETCH_SCALE 1000.0
@@ -81,17 +84,17 @@
 } fv_progress_writer_t;
 
 static void
-write_done_range(fv_progress_writer_t *writer, const fv_sched_task_t *first,
-                 int32_t count)
+write_done_tasks(fv_progress_writer_t *writer, int32_t occurrence,
+                 uint32_t step, int32_t first, int32_t count)
 {
     writer->rows++;
     if (writer->counting) {
         return;
     }
     msgpack_pack_array(&writer->packer, Fv_DONE_ROW_FIELDS);
-    msgpack_pack_int32(&writer->packer, first->stage->occurrence);
-    msgpack_pack_uint32(&writer->packer, first->stage->step_index);
-    msgpack_pack_int32(&writer->packer, first->index);
+    msgpack_pack_int32(&writer->packer, occurrence);
+    msgpack_pack_uint32(&writer->packer, step);
+    msgpack_pack_int32(&writer->packer, first);
     msgpack_pack_int32(&writer->packer, count);
 }
 
@@ -125,7 +128,7 @@
         return;
     }
     msgpack_pack_array(packer, Fv_PROGRESS_ROW_FIELDS);
-    msgpack_pack_int32(packer, task->stage->occurrence);
+    msgpack_pack_int32(packer, task->stage->occurrence->number);
     msgpack_pack_uint32(packer, task->stage->step_index);
     msgpack_pack_int32(packer, task->index);
     msgpack_pack_int(packer, 0);
@@ -142,6 +145,7 @@
 static void
 write_stage(fv_progress_writer_t *writer, const fv_sched_stage_t *stage)
 {
+    int32_t number = stage->occurrence->number;
     int32_t done = 0; /* tasks before the current one, without a gap */
 
     for (int32_t t = 0; t < stage->step->task_count; t++) {
@@ -152,25 +156,67 @@
             continue;
         }
         if (done > 0) {
-            write_done_range(writer, task - done, done);
+            write_done_tasks(writer, number, stage->step_index, t - done,
+                             done);
             done = 0;
         }
         write_open_task(writer, task);
     }
     if (done > 0) {
-        write_done_range(writer, &stage->tasks[stage->step->task_count - done],
-                         done);
+        write_done_tasks(writer, number, stage->step_index,
+                         stage->step->task_count - done, done);
     }
 }
 
 static void
-write_stages(fv_progress_writer_t *writer, const fv_sched_job_t *job)
+write_occurrence(fv_progress_writer_t *writer, const fv_sched_job_t *job,
+                 const fv_occurrence_t *occurrence)
 {
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        for (uint32_t s = 0; s < job->spec.step_count; s++) {
-            write_stage(writer, &job->occurrences[o].stages[s]);
+    for (uint32_t s = 0; s < job->spec.step_count; s++) {
+        if (occurrence->stages != NULL) {
+            write_stage(writer, &occurrence->stages[s]);
         }
+        else {
+            write_done_tasks(writer, occurrence->number, s, 0,
+                             job->spec.steps[s].task_count);
+        }
+    }
+}
+
+static void
+write_done_occurrences(fv_progress_writer_t *writer, int32_t first,
+                       int32_t count)
+{
+    if (count <= 0) {
+        return;
+    }
+    writer->rows++;
+    if (writer->counting) {
+        return;
+    }
+    msgpack_pack_array(&writer->packer, Fv_DONE_OCCURRENCES_ROW_FIELDS);
+    msgpack_pack_int32(&writer->packer, first);
+    msgpack_pack_int32(&writer->packer, count);
+}
+
+/* Occurrences that were due and are not in memory are done. */
+static void
+write_occurrences(fv_progress_writer_t *writer, const fv_sched_job_t *job)
+{
+    int32_t done_from = 0;
+
+    for (uint32_t o = 0; o < job->kept_count; o++) {
+        const fv_occurrence_t *occurrence = job->occurrences[o];
+        int32_t done_to = occurrence->number < job->next_occurrence
+                              ? occurrence->number
+                              : job->next_occurrence;
+
+        write_done_occurrences(writer, done_from, done_to - done_from);
+        done_from = occurrence->number + 1;
+        write_occurrence(writer, job, occurrence);
     }
+    write_done_occurrences(writer, done_from,
+                           job->next_occurrence - done_from);
 }
 
 /* Returns the encoded record's size. */
@@ -183,14 +229,14 @@
     *writer = (fv_progress_writer_t){.detail = detail,
                                      .checkpoint_bytes = checkpoint_bytes,
                                      .counting = true};
-    write_stages(writer, job);
+    write_occurrences(writer, job);
     rows = writer->rows;
     writer->counting = false;
     msgpack_sbuffer_init(&writer->packed);
     msgpack_packer_init(&writer->packer, &writer->packed,
                         msgpack_sbuffer_write);
     msgpack_pack_array(&writer->packer, rows);
-    write_stages(writer, job);
+    write_occurrences(writer, job);
     return writer->packed.size;
 }
 
@@ -340,39 +386,36 @@
 } fv_progress_row_t;
 
 static bool
-unpack_row(const msgpack_object *field, fv_progress_row_t *row)
+unpack_task_row(fv_field_reader_t *reader, fv_progress_row_t *row)
 {
-    fv_field_reader_t outer = {.fields = field, .count = 1};
-    fv_field_reader_t reader = FvFields_Array(&outer);
     fv_field_reader_t runs;
 
     *row = (fv_progress_row_t){
-        .occurrence = FvFields_Int(&reader, 0, INT32_MAX),
-        .step = FvFields_Int(&reader, 0, INT32_MAX),
-        .index = FvFields_Int(&reader, 0, INT32_MAX),
+        .occurrence = FvFields_Int(reader, 0, INT32_MAX),
+        .step = FvFields_Int(reader, 0, INT32_MAX),
+        .index = FvFields_Int(reader, 0, INT32_MAX),
         .count = 1,
     };
-    if (reader.count == Fv_DONE_ROW_FIELDS) {
+    if (reader->count == Fv_DONE_ROW_FIELDS) {
         row->done = true;
-        row->count = FvFields_Int(&reader, 1, Fv_STEP_TASKS_MAX);
-        return !reader.failed;
+        row->count = FvFields_Int(reader, 1, Fv_STEP_TASKS_MAX);
+        return !reader->failed;
     }
-    row->done = FvFields_Int(&reader, 0, 1) != 0;
-    row->failures = (int32_t)FvFields_Int(&reader, 0, INT32_MAX);
-    runs = FvFields_Array(&reader);
+    row->done = FvFields_Int(reader, 0, 1) != 0;
+    row->failures = (int32_t)FvFields_Int(reader, 0, INT32_MAX);
+    runs = FvFields_Array(reader);
     for (int32_t i = 0; i < Fv_FAILED_RUNS_MAX; i++) {
         row->failed_runs[i] = (int32_t)FvFields_Int(&runs, 0, INT32_MAX);
     }
-    row->checkpoint = FvFields_DupText(&reader);
-    return !reader.failed && !runs.failed &&
-           reader.count == Fv_PROGRESS_ROW_FIELDS;
+    row->checkpoint = FvFields_DupText(reader);
+    return !reader->failed && !runs.failed &&
+           reader->count == Fv_PROGRESS_ROW_FIELDS;
 }
 
 static void
 load_task(fv_sched_task_t *task, fv_progress_row_t *row)
 {
     fv_sched_stage_t *stage = task->stage;
-    fv_occurrence_t *occurrence = &stage->job->occurrences[row->occurrence];
 
     task->failures = row->failures;
     memcpy(task->failed_runs, row->failed_runs, sizeof(task->failed_runs));
@@ -386,29 +429,73 @@
         stage->waiting--;
         stage->done++;
         if (stage->done == stage->step->task_count) {
-            occurrence->stages_done++;
+            stage->occurrence->stages_done++;
         }
     }
 }
 
 static bool
-load_row(fv_sched_job_t *job, fv_progress_row_t *row)
+load_task_row(fv_sched_job_t *job, fv_field_reader_t *reader)
+{
+    fv_progress_row_t row;
+    fv_occurrence_t *occurrence;
+    bool ok = unpack_task_row(reader, &row) &&
+              row.occurrence < job->occurrence_count &&
+              row.step < job->spec.step_count &&
+              row.index + row.count <= job->spec.steps[row.step].task_count;
+
+    if (!ok) {
+        goto done;
+    }
+    occurrence = FvSched_OpenOccurrence(job, (int32_t)row.occurrence);
+    ok = occurrence != NULL && occurrence->stages != NULL;
+    for (int64_t t = row.index; ok && t < row.index + row.count; t++) {
+        load_task(&occurrence->stages[row.step].tasks[t], &row);
+    }
+    /* Earlier builds recorded each occurrence like this, and there may be tens
+     * of thousands. */
+    if (ok && job->spec.repeat_count > 0 &&
+        FvSched_IsOccurrenceDone(job, occurrence)) {
+        FvSched_FreeStages(job, occurrence);
+    }
+done:
+    free(row.checkpoint);
+    return ok;
+}
+
+/* Those before the first one that no row has told of were due and are open. */
+static bool
+load_done_occurrences(fv_sched_job_t *job, fv_field_reader_t *reader)
 {
-    fv_sched_stage_t *stage;
+    int64_t first = FvFields_Int(reader, job->next_occurrence, INT32_MAX);
+    int64_t count = FvFields_Int(reader, 1, INT32_MAX);
 
-    if (row->occurrence >= job->occurrence_count ||
-        row->step >= job->spec.step_count ||
-        row->index + row->count > job->spec.steps[row->step].task_count) {
+    if (reader->failed || first + count > job->occurrence_count) {
         return false;
     }
-    stage = &job->occurrences[row->occurrence].stages[row->step];
-    for (int64_t t = row->index; t < row->index + row->count; t++) {
-        load_task(&stage->tasks[t], row);
+    while (job->next_occurrence < first) {
+        if (FvSched_OpenOccurrence(job, job->next_occurrence) == NULL) {
+            return false;
+        }
+        job->next_occurrence++;
     }
-    job->started = true;
+    job->next_occurrence = (int32_t)(first + count);
     return true;
 }
 
+static bool
+load_row(fv_sched_job_t *job, const msgpack_object *field)
+{
+    fv_field_reader_t outer = {.fields = field, .count = 1};
+    fv_field_reader_t reader = FvFields_Array(&outer);
+    bool ok = reader.count == Fv_DONE_OCCURRENCES_ROW_FIELDS
+                  ? load_done_occurrences(job, &reader)
+                  : load_task_row(job, &reader);
+
+    job->started = job->started || ok;
+    return ok;
+}
+
 /**
  * FvSchedRecord_LoadProgress - apply the record of a job's progress
  * @job: the job, as loaded from its own record
@@ -424,11 +511,8 @@
     bool ok = FvFields_Open(&rows, &unpacked, value->data, value->length);
 
     for (uint32_t i = 0; i < rows.count; i++) {
-        fv_progress_row_t row;
-
         /* A malformed row does not keep the others from being applied. */
-        ok &= unpack_row(&rows.fields[i], &row) && load_row(job, &row);
-        free(row.checkpoint);
+        ok &= load_row(job, &rows.fields[i]);
     }
     msgpack_unpacked_destroy(&unpacked);
     job->progress_recorded = true;
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -107,7 +107,7 @@
 apply_end(fv_sched_t *sched, fv_sched_worker_t *worker,
           const fv_ended_row_t *row, int64_t now_ms)
 {
-    fv_sched_task_t *task = FvSched_FindTask(sched, row->task_id);
+    fv_sched_task_t *task = FvSched_OpenTask(sched, row->task_id);
     fv_sched_stage_t *stage;
     bool current;
 
@@ -232,7 +232,7 @@
               const fv_running_row_t *row, fv_sched_resources_t *used,
               int64_t now_ms)
 {
-    fv_sched_task_t *task = FvSched_FindTask(sched, row->task_id);
+    fv_sched_task_t *task = FvSched_OpenTask(sched, row->task_id);
 
     if (task != NULL) {
         FvSched_AddTaskResources(used, task->stage->step, 1);
@@ -472,14 +472,14 @@
                 const bool *changed)
 {
     for (uint32_t i = 0; i < report->ended_count; i++) {
-        fv_sched_task_t *task;
+        fv_sched_job_t *job;
 
         if (!changed[i]) {
             continue;
         }
-        task = FvSched_FindTask(sched, report->ended[i].task_id);
-        if (task != NULL && task->stage->job->outcome == Fv_SCHED_JOB_OPEN) {
-            sched->ops->record(sched, task->stage->job, Fv_RECORD_PROGRESS);
+        job = FvSched_FindTaskJob(sched, report->ended[i].task_id);
+        if (job != NULL && job->outcome == Fv_SCHED_JOB_OPEN) {
+            sched->ops->record(sched, job, Fv_RECORD_PROGRESS);
         }
     }
 }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -16,6 +16,7 @@
 typedef struct fv_sched_stage fv_sched_stage_t;
 typedef struct fv_sched_task fv_sched_task_t;
 typedef struct fv_sched_worker fv_sched_worker_t;
+typedef struct fv_occurrence fv_occurrence_t;
 
 /* Longest delay after which a worker of the platform may still carry out an
  * unanswered order, under the lease that it has then. */
@@ -109,7 +110,7 @@
 /* One step of one occurrence of a job. */
 struct fv_sched_stage {
     fv_sched_job_t *job;
-    int32_t occurrence;
+    fv_occurrence_t *occurrence;
     uint32_t step_index;
     const fv_step_spec_t *step;
     fv_sched_task_t *tasks;
@@ -137,13 +138,12 @@
     int64_t late_after_ms;     /* the same by the longest likely run times */
 };
 
-typedef struct fv_occurrence {
+/* One run of all steps of a job; see sched-occurrence.c. */
+struct fv_occurrence {
     int32_t number;
-    int64_t due_wall_ms;
-    bool released;
     uint32_t stages_done;
-    fv_sched_stage_t *stages;
-} fv_occurrence_t;
+    fv_sched_stage_t *stages; /* NULL: freed, as all are done */
+};
 
 typedef enum fv_sched_outcome {
     Fv_SCHED_JOB_OPEN,
@@ -171,8 +171,12 @@
     int64_t critical_path_ms;   /* of the whole job */
     double run_time_spread; /* likely ratio of actual to expected run times */
     uint32_t run_time_version; /* of the model behind these figures */
-    uint32_t occurrence_count;
-    fv_occurrence_t *occurrences;
+    int32_t occurrence_count;  /* in all */
+    int32_t next_occurrence;   /* the first one that was never due */
+    uint32_t kept_count;       /* in memory */
+    uint32_t kept_capacity;
+    fv_occurrence_t **occurrences; /* those in memory, by number */
+    bool inherited;        /* an earlier leader may have started its tasks */
     int32_t running_tasks; /* starting, running or stopping */
     void *waiters;         /* owned by the implementation of the callbacks */
     UT_hash_handle hh;
@@ -336,6 +340,8 @@
 void FvSched_CancelJob(fv_sched_t *sched, fv_sched_job_t *job, int64_t now_ms);
 const char *FvSched_JobStateName(const fv_sched_job_t *job);
 fv_sched_task_t *FvSched_FindTask(const fv_sched_t *sched, const char *name);
+fv_sched_task_t *FvSched_OpenTask(fv_sched_t *sched, const char *name);
+fv_sched_job_t *FvSched_FindTaskJob(const fv_sched_t *sched, const char *name);
 void FvSched_TaskName(const fv_sched_task_t *task, char *name, size_t size);
 void FvSched_StageName(const fv_sched_stage_t *stage, char *name, size_t size);
 int64_t FvSched_CountQueuedJobs(const fv_sched_t *sched, const char *queue);
@@ -348,8 +354,24 @@
 void FvSched_EndJob(fv_sched_t *sched, fv_sched_job_t *job,
                     fv_sched_outcome_t outcome, int64_t now_ms);
 void FvSched_MarkPending(fv_sched_t *sched, fv_sched_stage_t *stage);
+void FvSched_UnmarkPending(fv_sched_t *sched, const fv_sched_job_t *job,
+                           fv_occurrence_t *occurrence);
 void FvSched_UpdateStartTargets(fv_sched_t *sched, fv_sched_stage_t *stage);
 
+/* sched-occurrence.c */
+fv_occurrence_t *FvSched_FindOccurrence(const fv_sched_job_t *job,
+                                        int32_t number);
+fv_occurrence_t *FvSched_OpenOccurrence(fv_sched_job_t *job, int32_t number);
+bool FvSched_IsOccurrenceDone(const fv_sched_job_t *job,
+                              const fv_occurrence_t *occurrence);
+bool FvSched_AreOccurrencesDone(const fv_sched_job_t *job);
+void FvSched_OpenDueOccurrences(fv_sched_t *sched, fv_sched_job_t *job,
+                                int64_t wall_ms);
+void FvSched_MarkJobInherited(fv_sched_job_t *job);
+void FvSched_FreeStages(const fv_sched_job_t *job,
+                        fv_occurrence_t *occurrence);
+void FvSched_FreeOccurrences(fv_sched_job_t *job);
+
 /* sched-estimates.c */
 fv_queue_estimates_t *FvSched_QueueEstimates(fv_sched_t *sched,
                                              const char *queue);
--- a/tests/unit/decoder_mutation_test.c
+++ b/tests/unit/decoder_mutation_test.c
@@ -349,7 +349,7 @@
 
     FvSchedRecord_LoadProgress(recorded_job, &value);
     for (int32_t i = 0; i < recorded_job->spec.steps[0].task_count; i++) {
-        CU_ASSERT(recorded_job->occurrences[0].stages[0].tasks[i].failures >=
+        CU_ASSERT(recorded_job->occurrences[0]->stages[0].tasks[i].failures >=
                   0);
     }
 }
--- a/tests/unit/sched_advice_test.c
+++ b/tests/unit/sched_advice_test.c
@@ -153,7 +153,7 @@
     FvSchedFixture_Open(&fixture, 1);
     add_workers(&fixture, 0, 8);
     job = FvSchedFixture_AddJob(&fixture, LASTING, &queue, six_lasting_tasks);
-    stage = &job->occurrences[0].stages[0];
+    stage = &job->occurrences[0]->stages[0];
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_TRUE(FvSchedFixture_AnswerAdvice(&fixture, allows_first_eight));
     CU_ASSERT_EQUAL(stage->verdict_count, 8);
@@ -184,7 +184,7 @@
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_TRUE(
         FvSchedFixture_AnswerAdvice(&fixture, FvSchedFixture_AllowAll));
-    CU_ASSERT_EQUAL(job->occurrences[0].stages[0].verdict_count, 1);
+    CU_ASSERT_EQUAL(job->occurrences[0]->stages[0].verdict_count, 1);
     FvSchedFixture_AddJob(&fixture, OTHER, &others, one_task);
     run_for(&fixture, 4000, FvSchedFixture_AllowAll);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, OTHER), 1);
@@ -368,7 +368,7 @@
     job = FvSchedFixture_AddJob(&fixture, BATCH, &queue, rack_gang);
     run_for_slow_advice(&fixture, START_BOUND_MS, FvSchedFixture_AllowAll);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, BATCH), 8);
-    CU_ASSERT_EQUAL(racks_of_tasks(&job->occurrences[0].stages[0]), 1);
+    CU_ASSERT_EQUAL(racks_of_tasks(&job->occurrences[0]->stages[0]), 1);
     FvSchedFixture_Close(&fixture);
 }
 
--- a/tests/unit/sched_job_test.c
+++ b/tests/unit/sched_job_test.c
@@ -51,7 +51,7 @@
     FvSchedFixture_Open(&fixture, 1);
     FvSchedFixture_AddWorker(&fixture, "w1", "r1", 4000);
     job = FvSchedFixture_AddJob(&fixture, JOB, &queue, document);
-    CU_ASSERT_EQUAL(job->occurrences[0].stages[0].target_start_ms,
+    CU_ASSERT_EQUAL(job->occurrences[0]->stages[0].target_start_ms,
                     fixture.now_ms + queue.objective_ms +
                         (int64_t)(queue.stretch * Fv_STEPS_MAX * 100.0) -
                         INT64_C(100) * Fv_STEPS_MAX);
--- a/tests/unit/sched_load_test.c
+++ b/tests/unit/sched_load_test.c
@@ -236,7 +236,7 @@
     FvSchedFixture_AddWorker(&fixture, "w2", "r1", 8000);
     job = FvSchedFixture_AddJob(&fixture, GANG, &gangs, gang_of_four);
     for (int32_t i = 0; i < 4; i++) {
-        job->occurrences[0].stages[0].tasks[i].inherited = true;
+        job->occurrences[0]->stages[0].tasks[i].inherited = true;
     }
     fixture.sched.hold_inherited_tasks = true;
     FvText_Copy(row.task_id, sizeof(row.task_id), GANG ".0.0.0");
@@ -273,7 +273,7 @@
         workers[i] = FvSchedFixture_AddWorker(&fixture, id, "r1", 1000);
     }
     job = FvSchedFixture_AddJob(&fixture, BATCH, &queue, batch_of_eight);
-    stage = &job->occurrences[0].stages[0];
+    stage = &job->occurrences[0]->stages[0];
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_EQUAL(fixture.advice_request_count, 1);
     CU_ASSERT(fixture.advice_worker_count >= 20);
@@ -329,7 +329,7 @@
         rows[i].ticket = "t";
         advice.row_count++;
     }
-    FvSched_ApplyAdvice(&fixture.sched, &job->occurrences[0].stages[0],
+    FvSched_ApplyAdvice(&fixture.sched, &job->occurrences[0]->stages[0],
                         workers, 10, &advice, fixture.now_ms);
     fixture.now_ms += 100;
     FvSchedFixture_RunPass(&fixture);
@@ -364,7 +364,7 @@
         fixture.advice_worker_count = 0;
         FvSchedFixture_RunPass(&fixture);
         CU_ASSERT(fixture.advice_worker_count >= 5);
-        FvSched_ApplyAdvice(&fixture.sched, &job->occurrences[0].stages[0],
+        FvSched_ApplyAdvice(&fixture.sched, &job->occurrences[0]->stages[0],
                             workers, 8, &none, fixture.now_ms);
         fixture.now_ms += 100;
         FvSchedFixture_RunPass(&fixture);
--- a/tests/unit/sched_preempt_test.c
+++ b/tests/unit/sched_preempt_test.c
@@ -154,7 +154,7 @@
     open_full_cell(checkpointing_batch, 2);
     job = FvSched_FindJob(&fixture.sched, BATCH);
     for (int32_t i = 0; i < 4; i++) {
-        job->occurrences[0].stages[0].tasks[i].preemptions = 3;
+        job->occurrences[0]->stages[0].tasks[i].preemptions = 3;
     }
     add_gang(gang_of_four);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStops(&fixture, BATCH), 0);
@@ -188,7 +188,7 @@
     workers[1] = FvSched_FindWorker(&fixture.sched, "w2");
     stage = &FvSchedFixture_AddJob(&fixture, GANG, &queue, gang_of_four)
                  ->occurrences[0]
-                 .stages[0];
+                 ->stages[0];
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT_EQUAL(fixture.advice_request_count, 1);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStops(&fixture, BATCH), 0);
--- a/tests/unit/sched_record_test.c
+++ b/tests/unit/sched_record_test.c
@@ -53,14 +53,14 @@
     FvSchedFixture_ConfirmStarts(&first);
     FvSchedFixture_ReportEnd(&first, "w1", 1, JOB_A ".0.0.0", 1,
                              Fv_END_FAILED);
-    CU_ASSERT_EQUAL(job->occurrences[0].stages[0].tasks[0].failures, 1);
+    CU_ASSERT_EQUAL(job->occurrences[0]->stages[0].tasks[0].failures, 1);
 
     /* The worker reports the end again: it was recorded, but the worker has
      * not been told to drop it. */
     job = load_next_leader(job, &second);
     FvSchedFixture_ReportEnd(&second, "w1", 1, JOB_A ".0.0.0", 1,
                              Fv_END_FAILED);
-    CU_ASSERT_EQUAL(job->occurrences[0].stages[0].tasks[0].failures, 1);
+    CU_ASSERT_EQUAL(job->occurrences[0]->stages[0].tasks[0].failures, 1);
     CU_ASSERT_EQUAL(job->outcome, Fv_SCHED_JOB_OPEN);
     FvSchedFixture_Close(&first);
     FvSchedFixture_Close(&second);
@@ -106,11 +106,11 @@
     memset(saved, 's', sizeof(saved) - 1);
     FvSchedFixture_Open(&first, 1);
     job = FvSchedFixture_AddJob(&first, JOB_A, &queue, one_task);
-    job->occurrences[0].stages[0].tasks[0].checkpoint = strdup(saved);
+    job->occurrences[0]->stages[0].tasks[0].checkpoint = strdup(saved);
     job = load_next_leader(job, &second);
     CU_ASSERT_PTR_NOT_NULL_FATAL(
-        job->occurrences[0].stages[0].tasks[0].checkpoint);
-    CU_ASSERT_STRING_EQUAL(job->occurrences[0].stages[0].tasks[0].checkpoint,
+        job->occurrences[0]->stages[0].tasks[0].checkpoint);
+    CU_ASSERT_STRING_EQUAL(job->occurrences[0]->stages[0].tasks[0].checkpoint,
                            saved);
     FvSchedFixture_Close(&first);
     FvSchedFixture_Close(&second);
@@ -148,8 +148,8 @@
     CU_ASSERT_TRUE(FvSchedRecord_LoadProgress(loaded, progress));
     for (uint32_t s = 0; s < job->spec.step_count; s++) {
         for (int32_t t = 0; t < job->spec.steps[s].task_count; t++) {
-            lost += job->occurrences[0].stages[s].tasks[t].state !=
-                    loaded->occurrences[0].stages[s].tasks[t].state;
+            lost += job->occurrences[0]->stages[s].tasks[t].state !=
+                    loaded->occurrences[0]->stages[s].tasks[t].state;
         }
     }
     FvSchedFixture_Close(&next);
@@ -171,7 +171,7 @@
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
             for (int32_t t = 0; t < job->spec.steps[s].task_count; t++) {
                 fv_sched_task_t *task =
-                    &job->occurrences[0].stages[s].tasks[t];
+                    &job->occurrences[0]->stages[s].tasks[t];
 
                 if (t % 2 == 0) {
                     task->state = Fv_SCHED_DONE;
@@ -256,8 +256,8 @@
         FvBuffer_Append(&record, malformed_rows[i], sizeof(valid_row) - 1);
         FvBuffer_Append(&record, valid_row, sizeof(valid_row) - 1);
         CU_ASSERT_FALSE(FvSchedRecord_LoadProgress(job, &record));
-        CU_ASSERT_EQUAL(job->occurrences[0].stages[0].tasks[0].failures, 0);
-        CU_ASSERT_EQUAL(job->occurrences[0].stages[0].done, 1);
+        CU_ASSERT_EQUAL(job->occurrences[0]->stages[0].tasks[0].failures, 0);
+        CU_ASSERT_EQUAL(job->occurrences[0]->stages[0].done, 1);
         FvBuffer_Clear(&record);
         FvSchedFixture_Close(&fixture);
     }
--- a/tests/unit/sched_registry_test.c
+++ b/tests/unit/sched_registry_test.c
@@ -217,10 +217,10 @@
     CU_ASSERT_TRUE(
         FvSchedFixture_AnswerAdvice(&fixture, FvSchedFixture_AllowAll));
     CU_ASSERT_PTR_NOT_NULL(
-        FvSched_FindVerdict(&job->occurrences[0].stages[0], worker));
+        FvSched_FindVerdict(&job->occurrences[0]->stages[0], worker));
     report_incarnation(&fixture, worker, 2);
     CU_ASSERT_PTR_NULL(
-        FvSched_FindVerdict(&job->occurrences[0].stages[0], worker));
+        FvSched_FindVerdict(&job->occurrences[0]->stages[0], worker));
     fixture.refuse_starts = false;
     fixture.now_ms += 1000;
     list_incarnation(&fixture, worker, 2, "a");
--- a/tests/unit/sched_waiting_test.c
+++ b/tests/unit/sched_waiting_test.c
@@ -41,7 +41,7 @@
     FvSchedFixture_Open(&fixture, 1);
     worker = FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
     job = FvSchedFixture_AddJob(&fixture, JOB, &queue, two_spread_tasks);
-    stage = &job->occurrences[0].stages[0];
+    stage = &job->occurrences[0]->stages[0];
     job->durable = false;
     CU_ASSERT_EQUAL(cause_of(&fixture, JOB ".0.0.0"), Fv_WAIT_RECORD);
     job->durable = true;
@@ -108,7 +108,7 @@
     FvSchedFixture_AddWorker(&fixture, "w1", "r1", 4000);
     stage = &FvSchedFixture_AddJob(&fixture, JOB, &queue, two_spread_tasks)
                  ->occurrences[0]
-                 .stages[0];
+                 ->stages[0];
     FvSchedFixture_RunPass(&fixture);
     FvSched_LogWaitingStages(&fixture.sched, fixture.now_ms);
     CU_ASSERT_FALSE(stage->wait_logged);
