leader: accept only jobs that the smallest host can hold

The settings name the memory of the process (memory_mb, 128 by default), each host tells its own in its registry entry, and the leader lets accepted jobs take a quarter of the smallest. The need of a job is estimated from the sizes of its objects: its submission and tasks, of a repeated job those of one occurrence, or of all when their tasks last. A job that does not fit beside the others is refused at once with 503 and Retry-After, one that would not fit alone with 400.

New cases of sched_occurrence_test, leader_requests_test, election_hosts_test and entry_settings_test.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -37,6 +37,10 @@
  * may go at one time, and the leader renews its lease between the ticks. */
 #define Fv_FORGETTING_MAX_US 10000
 
+/* Share of a host's memory that accepted jobs may take. The rest is for the
+ * workers, requests and what is being written. */
+#define Fv_JOB_MEMORY_SHARE 0.25
+
 /* Pause before a pass, as a multiple of the duration of the latest one; it
  * leaves three quarters of the processor to requests and reports, so that a
  * pass does not decide on outdated reports. */
@@ -44,6 +48,7 @@
 #define Fv_PASS_PAUSE_MIN_US 2000
 #define Fv_PASS_PAUSE_MAX_US 60000
 #define Fv_NS_PER_US 1000
+#define Fv_BYTES_PER_MB 1000000
 
 #define Fv_LOAD_LOG_INTERVAL_MS 1000
 #define Fv_RUNS_PER_GENERATION 1000
@@ -324,33 +329,47 @@
     FvSched_GetLoad(&leader->sched, now_ms, &load);
     FvSched_LogIncompleteGangs(&leader->sched, now_ms);
     FvSched_LogWaitingStages(&leader->sched, now_ms);
-    FvLog_Event(
-        Fv_LOG_INFO, "cell_load",
-        "workers=%u usable=%u cpu_used=%" PRId64 " cpu=%" PRId64
-        " memory_used=%" PRId64 " memory=%" PRId64
-        " stages_waiting=%u late=%u tasks_waiting=%u asks=%u "
-        "records=%u lag_ms=%" PRId64 " passes=%" PRId64 " renewals=%" PRId64
-        " registry_age_ms=%" PRId64 " answer_ms=%.0f limit_ms=%" PRId64
-        " connections=%u call_waits=%" PRIu64 " not_sent=%" PRIu64
-        " resets=%" PRIu64,
-        load.workers, load.usable, load.used_cpu_millis, load.cpu_millis,
-        load.used_memory_mib, load.memory_mib, load.stages_waiting,
-        load.stages_late, load.tasks_waiting, advice_requests,
-        FvRecordWriter_Backlog(leader->records), leader->max_tick_lag_ms,
-        leader->passes, leader->renewals,
-        leader->registry_watch != NULL
-            ? FvKvClient_WatchAgeMs(leader->registry_watch, now_ms)
-            : 0,
-        leader->answer_time.mean_ms,
-        FvAnswerTime_LimitMs(&leader->answer_time),
-        FvCallPool_Open(leader->pool), FvMetrics_Get(Fv_COUNTER_CALL_WAITS),
-        FvMetrics_Get(Fv_COUNTER_CALLS_NOT_SENT),
-        FvMetrics_Get(Fv_COUNTER_CONNECTIONS_RESET));
+    FvLog_Event(Fv_LOG_INFO, "cell_load",
+                "workers=%u usable=%u cpu_used=%" PRId64 " cpu=%" PRId64
+                " memory_used=%" PRId64 " memory=%" PRId64
+                " stages_waiting=%u late=%u tasks_waiting=%u asks=%u "
+                "records=%u job_memory=%" PRId64 " job_memory_max=%" PRId64
+                " lag_ms=%" PRId64 " passes=%" PRId64 " renewals=%" PRId64
+                " registry_age_ms=%" PRId64 " answer_ms=%.0f limit_ms=%" PRId64
+                " connections=%u call_waits=%" PRIu64 " not_sent=%" PRIu64
+                " resets=%" PRIu64,
+                load.workers, load.usable, load.used_cpu_millis,
+                load.cpu_millis, load.used_memory_mib, load.memory_mib,
+                load.stages_waiting, load.stages_late, load.tasks_waiting,
+                advice_requests, FvRecordWriter_Backlog(leader->records),
+                FvSched_JobMemoryBytes(&leader->sched),
+                leader->sched.job_memory_max_bytes, leader->max_tick_lag_ms,
+                leader->passes, leader->renewals,
+                leader->registry_watch != NULL
+                    ? FvKvClient_WatchAgeMs(leader->registry_watch, now_ms)
+                    : 0,
+                leader->answer_time.mean_ms,
+                FvAnswerTime_LimitMs(&leader->answer_time),
+                FvCallPool_Open(leader->pool),
+                FvMetrics_Get(Fv_COUNTER_CALL_WAITS),
+                FvMetrics_Get(Fv_COUNTER_CALLS_NOT_SENT),
+                FvMetrics_Get(Fv_COUNTER_CONNECTIONS_RESET));
     leader->max_tick_lag_ms = 0;
     leader->passes = 0;
     leader->renewals = 0;
 }
 
+/* Any host may lead next, and has to hold all accepted jobs then. */
+static void
+update_job_memory(fv_leader_t *leader)
+{
+    double memory_mb =
+        leader->events.smallest_memory_mb(leader->events.context);
+
+    leader->sched.job_memory_max_bytes =
+        (int64_t)(memory_mb * Fv_JOB_MEMORY_SHARE * Fv_BYTES_PER_MB);
+}
+
 /* A late tick indicates a busy processor. */
 static void
 update_tick_lag(fv_leader_t *leader, int64_t now_ms)
@@ -378,6 +397,7 @@
     (void)fd;
     (void)what;
     update_tick_lag(leader, now_ms);
+    update_job_memory(leader);
     if (!leader->serving) {
         return;
     }
@@ -571,6 +591,7 @@
             .lease_max_ms = settings->lease_max_ms,
             .stop_max_ms = settings->stop_timeout_ms,
             .gang_refill_ms = settings->gang_timeout_ms - Fv_GANG_STOP_MS});
+    update_job_memory(leader);
     leader->sched.run_base = (generation - 1) * Fv_RUNS_PER_GENERATION;
     leader->sched.hold_inherited_tasks = true;
     leader->tick_timer = event_new(base, -1, EV_PERSIST, on_tick, leader);
--- a/src/election-hosts.c
+++ b/src/election-hosts.c
@@ -56,6 +56,29 @@
     return true;
 }
 
+/**
+ * FvElection_SmallestMemoryMb - memory of the smallest registered host
+ * @election: the election
+ *
+ * Return: megabytes. A host of an earlier build does not tell its own, and
+ * counts as this one.
+ */
+double
+FvElection_SmallestMemoryMb(const fv_election_t *election)
+{
+    double smallest_mb = election->settings->memory_mb;
+
+    for (uint32_t i = 0; i < election->host_count; i++) {
+        const fv_peer_entry_t *host = &election->hosts[i];
+
+        if (host->listed && host->memory_mb > 0 &&
+            host->memory_mb < smallest_mb) {
+            smallest_mb = host->memory_mb;
+        }
+    }
+    return smallest_mb;
+}
+
 static void
 registration_written(void *context, const fv_kv_result_t *result)
 {
@@ -78,8 +101,8 @@
     const fv_entry_settings_t *settings = election->settings;
 
     snprintf(key, Fv_KEY_SIZE, "%s%s", Fv_KEY_HOSTS, settings->host);
-    snprintf(value, Fv_URL_SIZE, "%s:%d %.3f", settings->address,
-             settings->link_port, settings->cpu_cores);
+    snprintf(value, Fv_URL_SIZE, "%s:%d %.3f %.0f", settings->address,
+             settings->link_port, settings->cpu_cores, settings->memory_mb);
 }
 
 /**
@@ -165,6 +188,7 @@
         find_or_add_host(election, item->key + strlen(Fv_KEY_HOSTS));
     char address[Fv_ADDRESS_SIZE];
     double cores;
+    double memory_mb = 0;
 
     if (host == NULL) {
         FvLog_Event(Fv_LOG_ERROR, "host_not_kept", "key=%s most=%d", item->key,
@@ -176,10 +200,11 @@
         election->registered = false; /* the next tick registers again */
     }
     if (!item->deleted && item->value.data != NULL &&
-        sscanf((const char *)item->value.data, "%63s %lf", address, &cores) ==
-            2) {
+        sscanf((const char *)item->value.data, "%63s %lf %lf", address, &cores,
+               &memory_mb) >= 2) {
         FvText_Copy(host->link_address, sizeof(host->link_address), address);
         host->cpu_cores = cores;
+        host->memory_mb = memory_mb;
     }
     if (election->loaded) {
         election->events.hosts_changed(election->events.context);
--- a/src/entry-settings.c
+++ b/src/entry-settings.c
@@ -10,6 +10,10 @@
 /* Used where the settings don't tell how large a value the store takes. */
 #define Fv_STORE_VALUE_DEFAULT_BYTES (1024 * 1024)
 
+/* Used where the settings don't tell how much memory the process may use: the
+ * memory for control at the design size (docs/CAPACITY.md). */
+#define Fv_MEMORY_DEFAULT_MB 128
+
 typedef enum fv_setting_kind {
     Fv_SETTING_TEXT,
     Fv_SETTING_ADDRESS, /* IPv4 address and port */
@@ -52,6 +56,8 @@
     INT(link_port, 1, 65535),
     {"cpu_cores", Fv_SETTING_NUMBER, offsetof(fv_entry_settings_t, cpu_cores),
      0, true, 0.01, 1024},
+    {"memory_mb", Fv_SETTING_NUMBER, offsetof(fv_entry_settings_t, memory_mb),
+     0, false, 16, 1048576},
     ADDRESS(store_address, true),
     INT(store_lease_min_ms, 1, 600000),
     ADDRESS(advice_address, false),
@@ -172,6 +178,7 @@
 
     *settings = (fv_entry_settings_t){.store_value_max_bytes =
                                           Fv_STORE_VALUE_DEFAULT_BYTES,
+                                      .memory_mb = Fv_MEMORY_DEFAULT_MB,
                                       .log_level = Fv_LOG_INFO};
     if (table == NULL) {
         fprintf(errors, "%s: %s\n", path, reason);
--- a/src/entry.c
+++ b/src/entry.c
@@ -209,6 +209,14 @@
     return FvEntryHosts_AreAllLinked(context);
 }
 
+static double
+leader_smallest_memory_mb(void *context)
+{
+    fv_entry_t *entry = context;
+
+    return FvElection_SmallestMemoryMb(entry->election);
+}
+
 static const fv_cell_config_t *
 leader_config(void *context)
 {
@@ -247,6 +255,8 @@
                                  .deposed = leader_deposed,
                                  .is_linked = leader_is_linked,
                                  .are_all_linked = leader_are_all_linked,
+                                 .smallest_memory_mb =
+                                     leader_smallest_memory_mb,
                                  .config = leader_config,
                                  .handed_over = leader_handed_over,
                                  .context = entry};
--- a/src/entry.h
+++ b/src/entry.h
@@ -24,6 +24,7 @@
     char metrics_address[Fv_ADDRESS_SIZE];
     int32_t link_port;
     double cpu_cores; /* CPU share times the number of cores */
+    double memory_mb; /* that this process may use */
     int64_t memory_mib;
     char store_address[Fv_ADDRESS_SIZE];
     int32_t store_lease_min_ms;
@@ -239,7 +240,8 @@
     char name[Fv_NAME_SIZE];
     char link_address[Fv_ADDRESS_SIZE];
     double cpu_cores;
-    bool listed; /* in the registry of hosts */
+    double memory_mb; /* 0: not known */
+    bool listed;      /* in the registry of hosts */
 } fv_peer_entry_t;
 
 /* The leader before this host. */
@@ -279,6 +281,7 @@
 bool FvElection_KnowsHosts(const fv_election_t *election);
 uint32_t FvElection_Hosts(const fv_election_t *election,
                           const fv_peer_entry_t **hosts);
+double FvElection_SmallestMemoryMb(const fv_election_t *election);
 int64_t FvElection_OrderGraceMs(void);
 int64_t FvElection_UnreachedSince(const fv_election_t *election,
                                   const char *line);
@@ -410,6 +413,8 @@
     bool (*is_linked)(void *context, const char *host);
     /* Whether all registered hosts are linked to this leader. */
     bool (*are_all_linked)(void *context);
+    /* Memory of the smallest registered host. */
+    double (*smallest_memory_mb)(void *context);
     const fv_cell_config_t *(*config)(void *context);
     void (*handed_over)(void *context); /* may resign now */
     void *context;
--- a/src/leader-requests.c
+++ b/src/leader-requests.c
@@ -8,6 +8,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Retry-After while the accepted jobs take all memory. Most end within
+ * seconds, and a caller repeats a request only a few times. */
+#define Fv_MEMORY_RETRY_AFTER_S "5"
+
 /* Names, numbers and headers of a job's record besides the submission. */
 #define Fv_JOB_RECORD_HEADER_MAX_BYTES 512
 
@@ -82,6 +86,22 @@
            FvSchedRecord_ProgressMaxBytes(spec) <= max_bytes;
 }
 
+static void
+refuse(fv_leader_t *leader, const fv_cell_message_t *message,
+       fv_leader_reply_t reply, void *context, const char *cause,
+       const char *retry_after_s)
+{
+    FvMetrics_Add(Fv_COUNTER_JOBS_REFUSED, 1);
+    FvLog_Event(Fv_LOG_INFO, "job_refused",
+                "job=%s queue=%s cause=%s job_memory=%" PRId64
+                " job_memory_max=%" PRId64,
+                message->key, message->name, cause,
+                FvSched_JobMemoryBytes(&leader->sched),
+                leader->sched.job_memory_max_bytes);
+    reply_now(leader, message, reply, context, Fv_REPLY_REFUSED,
+              retry_after_s);
+}
+
 static void
 submit(fv_leader_t *leader, const fv_cell_message_t *message,
        fv_leader_reply_t reply, void *context)
@@ -97,12 +117,8 @@
         return;
     }
     if (FvRecordWriter_Stalled(leader->records, now_ms)) {
-        FvMetrics_Add(Fv_COUNTER_JOBS_REFUSED, 1);
-        FvLog_Event(Fv_LOG_INFO, "job_refused",
-                    "job=%s queue=%s cause=store_away", message->key,
-                    message->name);
-        reply_now(leader, message, reply, context, Fv_REPLY_REFUSED,
-                  Fv_STORE_RETRY_AFTER_S);
+        refuse(leader, message, reply, context, "store_away",
+               Fv_STORE_RETRY_AFTER_S);
         return;
     }
     if (!FvPlatform_DecodeJobSpec(message->body, message->body_length,
@@ -113,13 +129,22 @@
         reply_now(leader, message, reply, context, Fv_REPLY_MALFORMED, "");
         return;
     }
-    if (!fits_into_store(leader, message, &spec)) {
+    if (!fits_into_store(leader, message, &spec) ||
+        !FvSched_FitsIntoMemory(&leader->sched, &spec, queue,
+                                message->body_length)) {
         FvJobSpec_Clear(&spec);
         FvLog_Event(Fv_LOG_INFO, "job_too_large", "job=%s queue=%s",
                     message->key, message->name);
         reply_now(leader, message, reply, context, Fv_REPLY_MALFORMED, "");
         return;
     }
+    if (!FvSched_HasMemoryForJob(&leader->sched, &spec, queue,
+                                 message->body_length)) {
+        FvJobSpec_Clear(&spec);
+        refuse(leader, message, reply, context, "memory",
+               Fv_MEMORY_RETRY_AFTER_S);
+        return;
+    }
     job = FvSched_AddJob(&leader->sched, message->key, queue, &spec,
                          message->body, message->body_length, now_ms, wall_ms);
     FvJobSpec_Clear(&spec);
--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -119,6 +119,7 @@
         }
         job->next_occurrence = 1;
     }
+    FvSched_ReserveJobMemory(sched, job);
     HASH_ADD_STR(sched->jobs, id, job);
     return job;
 }
@@ -181,6 +182,7 @@
         FvSched_UnmarkPending(sched, job, job->occurrences[o]);
         detach_tasks(job, job->occurrences[o]);
     }
+    FvSched_ReleaseJobMemory(sched, job);
     HASH_DEL(sched->jobs, job);
     free_job(job);
 }
--- a/src/sched-occurrence.c
+++ b/src/sched-occurrence.c
@@ -249,18 +249,21 @@
  * @sched: the scheduler
  * @job: the job
  * @wall_ms: the wall clock
+ *
+ * The next pass opens what is due and does not fit into memory now.
  */
 void
 FvSched_OpenDueOccurrences(fv_sched_t *sched, fv_sched_job_t *job,
                            int64_t wall_ms)
 {
     drop_done_occurrences(sched, job);
+    FvSched_CountOpenOccurrences(sched, job);
     while (job->next_occurrence < job->occurrence_count &&
-           due_wall_ms(job, job->next_occurrence) <= wall_ms) {
-        if (FvSched_OpenOccurrence(job, job->next_occurrence) == NULL) {
-            return; /* the next pass tries again */
-        }
+           due_wall_ms(job, job->next_occurrence) <= wall_ms &&
+           FvSched_MayOpenOccurrence(sched, job) &&
+           FvSched_OpenOccurrence(job, job->next_occurrence) != NULL) {
         job->next_occurrence++;
+        FvSched_CountOpenOccurrences(sched, job);
     }
 }
 
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -171,9 +171,13 @@
     int64_t critical_path_ms;   /* of the whole job */
     double run_time_spread; /* likely ratio of actual to expected run times */
     uint32_t run_time_version; /* of the model behind these figures */
-    int32_t occurrence_count;  /* in all */
-    int32_t next_occurrence;   /* the first one that was never due */
-    uint32_t kept_count;       /* in memory */
+    int64_t reserved_bytes;    /* of memory; see sched-memory.c */
+    int32_t reserved_occurrences;
+    int64_t occurrence_bytes; /* that each of them needs */
+    int64_t extra_bytes;      /* of other open ones */
+    int32_t occurrence_count; /* in all */
+    int32_t next_occurrence;  /* the first one that was never due */
+    uint32_t kept_count;      /* in memory */
     uint32_t kept_capacity;
     fv_occurrence_t **occurrences; /* those in memory, by number */
     bool inherited;        /* an earlier leader may have started its tasks */
@@ -324,6 +328,9 @@
     int64_t lease_max_ms;
     int64_t stop_max_ms;
     int64_t gang_refill_ms;
+    int64_t job_memory_max_bytes; /* of all jobs; 0: not limited */
+    int64_t reserved_job_bytes;
+    int64_t extra_job_bytes;      /* beyond the reserved ones */
     int64_t poll_faster_until_ms; /* after unanswered calls */
     uint32_t queue_estimate_count;
     fv_queue_estimates_t queue_estimates[Fv_QUEUE_ESTIMATES_MAX];
@@ -372,6 +379,21 @@
                         fv_occurrence_t *occurrence);
 void FvSched_FreeOccurrences(fv_sched_job_t *job);
 
+/* sched-memory.c */
+bool FvSched_FitsIntoMemory(const fv_sched_t *sched, const fv_job_spec_t *spec,
+                            const fv_cell_queue_t *queue,
+                            size_t document_length);
+bool FvSched_HasMemoryForJob(const fv_sched_t *sched,
+                             const fv_job_spec_t *spec,
+                             const fv_cell_queue_t *queue,
+                             size_t document_length);
+int64_t FvSched_JobMemoryBytes(const fv_sched_t *sched);
+void FvSched_ReserveJobMemory(fv_sched_t *sched, fv_sched_job_t *job);
+void FvSched_ReleaseJobMemory(fv_sched_t *sched, const fv_sched_job_t *job);
+void FvSched_CountOpenOccurrences(fv_sched_t *sched, fv_sched_job_t *job);
+bool FvSched_MayOpenOccurrence(const fv_sched_t *sched,
+                               const fv_sched_job_t *job);
+
 /* sched-estimates.c */
 fv_queue_estimates_t *FvSched_QueueEstimates(fv_sched_t *sched,
                                              const char *queue);
--- a/tests/unit/election_fixture.h
+++ b/tests/unit/election_fixture.h
@@ -24,8 +24,11 @@
 static outcome_t outcome;
 static struct event_base *base;
 static fv_election_t *election;
-static const fv_entry_settings_t settings = {
-    .host = "akl-1", .address = "127.0.0.1", .link_port = 1, .cpu_cores = 1};
+static const fv_entry_settings_t settings = {.host = "akl-1",
+                                             .address = "127.0.0.1",
+                                             .link_port = 1,
+                                             .cpu_cores = 1,
+                                             .memory_mb = 260};
 
 static inline void
 won(void *context, int64_t epoch, int32_t generation)
--- a/tests/unit/election_hosts_test.c
+++ b/tests/unit/election_hosts_test.c
@@ -96,9 +96,10 @@
     claim = send_claim();
     CU_ASSERT_STRING_EQUAL_FATAL(claim->puts[0].key, Fv_KEY_LEADER);
     for (uint32_t i = 0; i < claim->put_count; i++) {
-        registers = registers ||
-                    (strcmp(claim->puts[i].key, Fv_KEY_HOSTS "akl-1") == 0 &&
-                     strcmp(claim->puts[i].value, "127.0.0.1:1 1.000") == 0);
+        registers =
+            registers ||
+            (strcmp(claim->puts[i].key, Fv_KEY_HOSTS "akl-1") == 0 &&
+             strcmp(claim->puts[i].value, "127.0.0.1:1 1.000 260") == 0);
     }
     CU_ASSERT_TRUE(registers);
     close_election();
@@ -170,6 +171,23 @@
     close_election();
 }
 
+/* The smallest host may lead next. Hosts of earlier builds do not tell their
+ * memory. */
+static void
+test_memory_of_the_smallest_host(void)
+{
+    open_election("1");
+    CU_ASSERT_EQUAL(FvElection_SmallestMemoryMb(election), 260);
+    deliver_host_entry("old", "127.0.0.1:9 1.000", false);
+    deliver_host_entry("large", "127.0.0.1:9 1.000 512", false);
+    CU_ASSERT_EQUAL(FvElection_SmallestMemoryMb(election), 260);
+    deliver_host_entry("small", "127.0.0.1:9 0.120 160", false);
+    CU_ASSERT_EQUAL(FvElection_SmallestMemoryMb(election), 160);
+    deliver_host_entry("small", "", true);
+    CU_ASSERT_EQUAL(FvElection_SmallestMemoryMb(election), 260);
+    close_election();
+}
+
 int
 main(void)
 {
@@ -186,6 +204,8 @@
          test_claim_registers_its_host},
         {"an earlier leader counts as stopped while the hosts are read again",
          test_registry_is_read_again},
+        {"jobs are accepted that the smallest host can't hold when it leads",
+         test_memory_of_the_smallest_host},
         {"a predecessor that the registry has not shown yet counts as stopped",
          test_predecessor_not_seen_in_the_registry},
     };
--- a/tests/unit/entry_settings_test.c
+++ b/tests/unit/entry_settings_test.c
@@ -63,6 +63,7 @@
     CU_ASSERT_STRING_EQUAL(faults, "");
     CU_ASSERT_EQUAL(settings.link_port, 3);
     CU_ASSERT_DOUBLE_EQUAL(settings.cpu_cores, 0.25, 0.001);
+    CU_ASSERT_EQUAL(settings.memory_mb, 128); /* by default */
     CU_ASSERT_STRING_EQUAL(settings.advice_address, "");
 }
 
--- a/tests/unit/leader_inherited_test.c
+++ b/tests/unit/leader_inherited_test.c
@@ -61,6 +61,13 @@
     return false;
 }
 
+static double
+on_smallest_memory_mb(void *context)
+{
+    (void)context;
+    return 128;
+}
+
 static const fv_cell_config_t *
 on_config(void *context)
 {
@@ -100,6 +107,7 @@
                               .unreached_since = on_unreached_since,
                               .is_linked = on_is_linked,
                               .are_all_linked = on_are_all_linked,
+                              .smallest_memory_mb = on_smallest_memory_mb,
                               .config = on_config},
         &(fv_predecessor_t){.epoch = 8, .host = "akl-9"}, 9, GENERATION);
     CU_ASSERT_EQUAL_FATAL(fake_kv.count, RANGES);
--- a/tests/unit/leader_requests_test.c
+++ b/tests/unit/leader_requests_test.c
@@ -361,10 +361,37 @@
     close_leader();
 }
 
+/* The accepted jobs take all memory that the smallest host has for them. */
+static void
+test_memory_for_jobs_is_used_up(void)
+{
+    open_leader();
+    leader.sched.job_memory_max_bytes =
+        FvSched_JobMemoryBytes(&leader.sched) * 2 - 1;
+    CU_ASSERT_EQUAL(request(Fv_VERB_SUBMIT, UNKNOWN), Fv_REPLY_REFUSED);
+    CU_ASSERT(strtol(answer_text, NULL, 10) > 0); /* Retry-After */
+    CU_ASSERT_EQUAL(request(Fv_VERB_STATE, UNKNOWN), 0);
+    check_recorded_answers();
+    /* The known job ends. */
+    FvSched_CancelJob(&leader.sched, FvSched_FindJob(&leader.sched, KNOWN),
+                      FvClock_NowMs());
+    write_records();
+    CU_ASSERT_EQUAL(request(Fv_VERB_SUBMIT, UNKNOWN), 0);
+    write_records();
+    CU_ASSERT_EQUAL(answer, Fv_REPLY_ACCEPTED);
+    /* It can never be accepted. */
+    leader.sched.job_memory_max_bytes = 100;
+    CU_ASSERT_EQUAL(request(Fv_VERB_SUBMIT, OTHER_UNKNOWN),
+                    Fv_REPLY_MALFORMED);
+    close_leader();
+}
+
 int
 main(void)
 {
     static const test_case_t cases[] = {
+        {"jobs are accepted that the next leader can't hold in memory",
+         test_memory_for_jobs_is_used_up},
         {"tasks of lost workers never start again, since no renewal confirms "
          "the lead",
          test_renewal_confirms_the_lead},
--- a/tests/unit/sched_occurrence_test.c
+++ b/tests/unit/sched_occurrence_test.c
@@ -298,6 +298,89 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* All occurrences are due at one time. */
+static void
+test_memory_of_due_occurrences(void)
+{
+    static sched_fixture_t fixture;
+    size_t before = used_bytes();
+
+    FvSchedFixture_Open(&fixture, 1);
+    fixture.sched.job_memory_max_bytes = JOB_MEMORY_MAX_BYTES;
+    for (int i = 0; i < BURST_JOBS; i++) {
+        char id[Fv_JOB_ID_SIZE];
+
+        snprintf(id, sizeof(id), "%016x", i + 1);
+        add_repeated_job(&fixture, id, SIX_WEEKS, 0);
+    }
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT(used_bytes() - before < JOB_MEMORY_MAX_BYTES);
+    CU_ASSERT(FvSched_JobMemoryBytes(&fixture.sched) <= JOB_MEMORY_MAX_BYTES);
+    FvSchedFixture_Close(&fixture);
+    CU_ASSERT_EQUAL(FvSched_JobMemoryBytes(&fixture.sched), 0);
+}
+
+/* More occurrences are due than are open at one time. */
+static void
+test_all_due_occurrences_run(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_job_t *job;
+    int64_t number = 0;
+
+    FvSchedFixture_Open(&fixture, 1);
+    FvSchedFixture_AddWorker(&fixture, "w1", "r1", 4000);
+    job = FvSchedFixture_AddJob(
+        &fixture, JOB, &queue,
+        "{\"taskSpec\":\"x\",\"repeatCount\":40,\"startAtMs\":0,"
+        "\"intervalMs\":1,\"steps\":[{\"count\":1000,\"cpu\":50,\"memMb\":1,"
+        "\"estimatedMs\":100}]}");
+    while (job->outcome == Fv_SCHED_JOB_OPEN && number < 40 * 1000) {
+        char name[Fv_RUN_TASK_ID_SIZE];
+
+        fixture.order_count = 0;
+        FvSchedFixture_RunPass(&fixture);
+        FvSchedFixture_ConfirmStarts(&fixture);
+        CU_ASSERT_FATAL(fixture.order_count > 0);
+        for (uint32_t i = 0; i < fixture.order_count; i++) {
+            FvText_Copy(name, sizeof(name), fixture.orders[i].task);
+            FvSchedFixture_ReportEnd(&fixture, "w1", ++number, name,
+                                     fixture.orders[i].run, Fv_END_DONE);
+        }
+    }
+    CU_ASSERT_EQUAL(number, 40 * 1000);
+    CU_ASSERT_EQUAL(job->outcome, Fv_SCHED_JOB_COMPLETED);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* Lasting tasks of an occurrence run until the job is cancelled, and those of
+ * the next ones have to run beside them. */
+static void
+test_lasting_occurrences_run_together(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+
+    FvSchedFixture_Open(&fixture, 1);
+    fixture.sched.job_memory_max_bytes = JOB_MEMORY_MAX_BYTES;
+    FvSchedFixture_AddWorker(&fixture, "w1", "r1", 1000);
+    FvSchedFixture_AddJob(
+        &fixture, JOB, &queue,
+        "{\"taskSpec\":\"x\",\"repeatCount\":3,\"startAtMs\":0,"
+        "\"intervalMs\":1,\"steps\":[{\"count\":2000,\"cpu\":1,\"memMb\":1,"
+        "\"estimatedMs\":100,\"longRunning\":true}]}");
+    fixture.order_count = 0;
+    FvSchedFixture_RunPass(&fixture);
+    for (int i = 0; i < 3; i++) {
+        char first[Fv_RUN_TASK_ID_SIZE];
+
+        format_task(first, sizeof(first), i);
+        CU_ASSERT_PTR_NOT_NULL(FvSched_FindTask(&fixture.sched, first));
+    }
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -312,6 +395,12 @@
          test_records_of_earlier_builds},
         {"a run that began before its due time is stopped or repeated",
          test_runs_from_before_the_due_time},
+        {"jobs whose occurrences are all due exhaust the memory of the leader",
+         test_memory_of_due_occurrences},
+        {"an occurrence that was due while others were open never runs",
+         test_all_due_occurrences_run},
+        {"lasting tasks wait for others that never end",
+         test_lasting_occurrences_run_together},
         {"a late run of an occurrence that is done goes on",
          test_late_runs_of_done_occurrences},
     };
