tests: lint of the new tests, peak memory by the harness

clang-tidy took a pointer for null that a fatal check excludes, and asked for the type in a sizeof. entry_memory reads the peak resident size by the harness's function in place of one of its own, which also catches a peak between two readings. It passes; make lint is clean for these files.

--- a/src/sched-occurrence.c
+++ b/src/sched-occurrence.c
@@ -144,7 +144,7 @@
     if (job->kept_count == job->kept_capacity) {
         uint32_t capacity = job->kept_capacity * 2 + 1;
         fv_occurrence_t **grown =
-            realloc(job->occurrences, capacity * sizeof(*grown));
+            realloc(job->occurrences, capacity * sizeof(fv_occurrence_t *));
 
         if (grown == NULL) {
             return false;
--- a/tests/promises/entry_memory.c
+++ b/tests/promises/entry_memory.c
@@ -3,11 +3,12 @@
  * and the next one that reads its records, hold all accepted jobs.
  */
 
+#include "bench.h"
 #include "entry-cell.h"
 #include "fake-server.h"
 #include "suite.h"
 
-#include <stdlib.h>
+#include <inttypes.h>
 #include <string.h>
 
 #define HOSTS 3
@@ -49,35 +50,14 @@
     snprintf(path, size, "/slow/000000000000b0%02x", job);
 }
 
-static long
-resident_kib(const process_t *process)
-{
-    char path[64];
-    char line[256];
-    long kib = 0;
-    FILE *file;
-
-    snprintf(path, sizeof(path), "/proc/%d/status", (int)process->pid);
-    file = fopen(path, "r");
-    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
-        if (sscanf(line, "VmRSS: %ld", &kib) == 1) {
-            break;
-        }
-    }
-    if (file != NULL) {
-        fclose(file);
-    }
-    return kib;
-}
-
 static void
 check_memory(const entry_cell_t *cell)
 {
     for (int i = 0; i < HOSTS; i++) {
-        long kib = resident_kib(&cell->hosts[i].process);
+        int64_t kib = FvUsage_PeakRssKib(cell->hosts[i].process.pid);
 
-        CU_ASSERT(kib < MEMORY_MAX_KIB);
-        printf("host-%d %ld KiB ", i, kib);
+        CU_ASSERT(kib > 0 && kib < MEMORY_MAX_KIB);
+        printf("host-%d %" PRId64 " KiB ", i, kib);
     }
 }
 
--- a/tests/unit/sched_health_test.c
+++ b/tests/unit/sched_health_test.c
@@ -4,6 +4,8 @@
 
 #include "sched-fixture.h"
 
+#include <stdlib.h>
+
 #define GANG "000000000000000a"
 #define OTHER_GANG "000000000000000b"
 #define LATER_GANG "000000000000000c"
@@ -110,8 +112,10 @@
     fv_sched_task_t *task = FvSched_FindTask(&fixture->sched, name);
     uint32_t index;
 
-    CU_ASSERT_PTR_NOT_NULL_FATAL(task);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(task->worker);
+    CU_ASSERT_FATAL(task != NULL && task->worker != NULL);
+    if (task == NULL || task->worker == NULL) {
+        abort();
+    }
     index = (uint32_t)(task->worker->entry.id[1] - '0');
     FvSchedFixture_ReportEnd(fixture, task->worker->entry.id,
                              ++end_numbers[index], name, task->run, end);
