sched-advice: try racks that have room if the service allows their workers

For the first second of its wait a stage tries racks by the room that they may have, the likeliest first. Then only racks with enough expected room count, and if there is none, the call is made as for any other step. The search is bounded so that a start still comes within the 3 s that the platform allows.

sched_advice_test: "a gang for one rack is spread although one has room for all of it" failed before, passes now; "a gang for one rack waits because no rack has enough allowed workers" is new.

--- a/src/sched-advice.c
+++ b/src/sched-advice.c
@@ -43,6 +43,10 @@
  */
 #define Fv_DATA_RACK_FACTOR 8.0
 
+/* How long a step that asks for one rack tries racks on which the service may
+ * allow too few workers; two calls, of three that a start may wait for. */
+#define Fv_RACK_SEARCH_MS 1000
+
 /* Weight of one verdict in the moving average of the allowed share, and the
  * lower bound of that average. */
 #define Fv_ALLOWED_SHARE_WEIGHT 0.1
@@ -55,7 +59,8 @@
     fv_sched_worker_t *worker;
     bool is_renewal; /* allowed; its ticket has expired or is about to */
     double score;
-    double expected_tasks; /* free capacity times the chance of a ticket */
+    int32_t capacity;      /* free */
+    double expected_tasks; /* the same times the chance of a ticket */
 } fv_candidate_t;
 
 /* Free capacity for tasks of a stage, by the state of the tickets. */
@@ -172,6 +177,7 @@
         candidates[coverage->candidate_count++] =
             (fv_candidate_t){.worker = verdict->worker,
                              .is_renewal = true,
+                             .capacity = capacity,
                              .expected_tasks = capacity};
     }
 }
@@ -188,6 +194,7 @@
     coverage->expected_unknown_capacity += capacity * share;
     candidates[coverage->candidate_count++] = (fv_candidate_t){
         .worker = worker,
+        .capacity = capacity,
         .expected_tasks = capacity * share,
         .score = score_worker(sched, stage, worker, capacity)};
 }
@@ -263,15 +270,17 @@
            (coverage->unknown_capacity > 0 && capacity == 0);
 }
 
-/* Expected room for tasks of a stage on the workers of a rack. */
+/* Room for tasks of a stage on the workers of a rack. */
 typedef struct fv_rack_room {
-    double tasks;
+    double possible_tasks; /* if the service allows all workers */
+    double expected_tasks;
     UT_hash_handle hh;
 } fv_rack_room_t;
 
 static void
 add_rack_room(fv_rack_room_t **racks, fv_rack_room_t *unused,
-              const fv_sched_worker_t *worker, double tasks)
+              const fv_sched_worker_t *worker, double possible_tasks,
+              double expected_tasks)
 {
     fv_rack_room_t *rack = NULL;
 
@@ -281,28 +290,32 @@
         HASH_ADD_KEYPTR(hh, *racks, worker->entry.rack,
                         strlen(worker->entry.rack), rack);
     }
-    rack->tasks += tasks;
+    rack->possible_tasks += possible_tasks;
+    rack->expected_tasks += expected_tasks;
 }
 
 /* Returns the name of the rack with the most room among those that have enough
- * for all waiting tasks, or NULL. The jitter keeps stages that request advice
- * at the same time from competing for the same rack. */
+ * for all waiting tasks, or NULL. At first a rack may be tried that has enough
+ * if the service allows its workers. The jitter keeps stages that request
+ * advice at the same time from competing for the same rack. */
 static const char *
 find_best_rack(fv_sched_t *sched, const fv_sched_stage_t *stage,
-               const fv_rack_room_t *racks)
+               const fv_rack_room_t *racks, int64_t now_ms)
 {
+    bool searching = now_ms - stage->waiting_since_ms < Fv_RACK_SEARCH_MS;
     const char *best = NULL;
     double best_score = 0.0;
 
     for (const fv_rack_room_t *rack = racks; rack != NULL;
          rack = rack->hh.next) {
-        double score = rack->tasks * draw_jitter(sched);
+        double room = searching ? rack->possible_tasks : rack->expected_tasks;
+        double score = rack->expected_tasks * draw_jitter(sched);
 
         if (stage->step->data_rack[0] != '\0' &&
             strcmp(stage->step->data_rack, rack->hh.key) == 0) {
             score *= Fv_DATA_RACK_FACTOR;
         }
-        if (rack->tasks >= stage->waiting && score > best_score) {
+        if (room >= stage->waiting && score > best_score) {
             best_score = score;
             best = rack->hh.key;
         }
@@ -328,18 +341,20 @@
     }
     for (uint32_t i = 0; i < count; i++) {
         add_rack_room(&racks, &rooms[i], candidates[i].worker,
-                      candidates[i].expected_tasks);
+                      candidates[i].capacity, candidates[i].expected_tasks);
     }
     for (uint32_t i = 0; i < stage->verdict_count; i++) {
         const fv_verdict_t *verdict = &stage->verdicts[i];
 
         if (verdict->allowed && !needs_renewal(verdict, now_ms) &&
             FvSched_IsWorkerEligible(verdict->worker, stage, now_ms)) {
-            add_rack_room(&racks, &rooms[count + i], verdict->worker,
-                          usable_capacity(verdict->worker, stage, now_ms));
+            int32_t capacity = usable_capacity(verdict->worker, stage, now_ms);
+
+            add_rack_room(&racks, &rooms[count + i], verdict->worker, capacity,
+                          capacity);
         }
     }
-    best = find_best_rack(sched, stage, racks);
+    best = find_best_rack(sched, stage, racks, now_ms);
     for (uint32_t i = 0; i < count; i++) {
         if (best == NULL ||
             strcmp(candidates[i].worker->entry.rack, best) == 0) {
--- a/tests/unit/sched_advice_test.c
+++ b/tests/unit/sched_advice_test.c
@@ -353,7 +353,32 @@
     FvSchedFixture_Close(&fixture);
 }
 
-/* Each of several racks has room for the whole gang. */
+static bool
+allows_every_sixth(const char *worker)
+{
+    return worker_number(worker) % 6 == 0;
+}
+
+/* Each rack has room for the whole gang, and the service allows too few of its
+ * workers. */
+static void
+test_gang_without_a_rack(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeAdvisedQueue("batch", 1);
+
+    FvSchedFixture_Open(&fixture, 1);
+    for (uint32_t rack = 0; rack < 40; rack++) {
+        add_rack(&fixture, rack, 6);
+    }
+    FvSchedFixture_AddJob(&fixture, BATCH, &queue, rack_gang);
+    run_for_slow_advice(&fixture, START_BOUND_MS, allows_every_sixth);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, BATCH), 8);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* Each of many racks has room for the whole gang, and a call names a few of
+ * the workers. */
 static void
 test_gang_runs_on_one_rack(void)
 {
@@ -362,7 +387,7 @@
     fv_sched_job_t *job;
 
     FvSchedFixture_Open(&fixture, 1);
-    for (uint32_t rack = 0; rack < 4; rack++) {
+    for (uint32_t rack = 0; rack < 40; rack++) {
         add_rack(&fixture, rack, 6);
     }
     job = FvSchedFixture_AddJob(&fixture, BATCH, &queue, rack_gang);
@@ -392,6 +417,9 @@
          test_tickets_for_one_rack_are_renewed},
         {"a gang for one rack waits because no rack has room for all of it",
          test_gang_wider_than_a_rack},
+        {"a gang for one rack waits because no rack has enough allowed "
+         "workers",
+         test_gang_without_a_rack},
         {"a gang for one rack is spread although one has room for all of it",
          test_gang_runs_on_one_rack},
         {"a worker that was refused is asked about again",
