sched-occurrence: advance past occurrences that are done early

A record of progress of an earlier build has a row for each occurrence that is done, tens of thousands for a job of some weeks. Loading kept an object for each of them until the first pass: 40 MB for 14 jobs, a quarter more than accepted jobs may take of a host with 128 MB.

next_occurrence now is the first one that is neither due nor done, so that done occurrences in a row are dropped at once.

sched_occurrence_test, "records of earlier builds exhaust the memory of the leader": new, with 14 jobs of 60,000 rows. The case of the next leader has an occurrence that runs while a later one ends; the one of probation a gang that is more urgent: removing the code that they guard went unnoticed before (mutations of the load of ranges and of the delay for gangs).

--- a/src/sched-occurrence.c
+++ b/src/sched-occurrence.c
@@ -214,8 +214,19 @@
     return job->next_occurrence >= job->occurrence_count;
 }
 
-/* A report of a run may come before its occurrence is due by this host's
- * clock. Such an occurrence is kept without its stages when it is done. */
+/* Frees the stages of an occurrence that is done. Returns false when it has to
+ * be kept, without them: a report of a run may come before its occurrence is
+ * due by this host's clock, and others before it are not due either. */
+static bool
+close_occurrence(fv_sched_job_t *job, fv_occurrence_t *occurrence)
+{
+    FvSched_FreeStages(job, occurrence);
+    if (occurrence->number == job->next_occurrence) {
+        job->next_occurrence++;
+    }
+    return occurrence->number < job->next_occurrence;
+}
+
 static void
 drop_done_occurrences(fv_sched_t *sched, fv_sched_job_t *job)
 {
@@ -226,8 +237,7 @@
 
         if (FvSched_IsOccurrenceDone(job, occurrence)) {
             FvSched_UnmarkPending(sched, job, occurrence);
-            FvSched_FreeStages(job, occurrence);
-            if (occurrence->number < job->next_occurrence) {
+            if (close_occurrence(job, occurrence)) {
                 free(occurrence);
                 continue;
             }
@@ -237,6 +247,22 @@
     job->kept_count = kept;
 }
 
+/**
+ * FvSched_CloseLastOccurrence - free the last one of the kept occurrences, as
+ * far as it is not needed any more
+ * @job: a repeated job; the stages of the occurrence are done and not pending
+ */
+void
+FvSched_CloseLastOccurrence(fv_sched_job_t *job)
+{
+    fv_occurrence_t *last = job->occurrences[job->kept_count - 1];
+
+    if (close_occurrence(job, last)) {
+        job->kept_count--;
+        free(last);
+    }
+}
+
 static int64_t
 due_wall_ms(const fv_sched_job_t *job, int32_t number)
 {
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -452,11 +452,12 @@
     for (int64_t t = row.index; ok && t < row.index + row.count; t++) {
         load_task(&occurrence->stages[row.step].tasks[t], &row);
     }
-    /* Earlier builds recorded each occurrence like this, and there may be tens
-     * of thousands. */
+    /* Earlier builds recorded each occurrence that is done like this, and
+     * there may be tens of thousands. */
     if (ok && job->spec.repeat_count > 0 &&
-        FvSched_IsOccurrenceDone(job, occurrence)) {
-        FvSched_FreeStages(job, occurrence);
+        FvSched_IsOccurrenceDone(job, occurrence) &&
+        occurrence == job->occurrences[job->kept_count - 1]) {
+        FvSched_CloseLastOccurrence(job);
     }
 done:
     free(row.checkpoint);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -176,7 +176,7 @@
     int64_t occurrence_bytes; /* that each of them needs */
     int64_t extra_bytes;      /* of other open ones */
     int32_t occurrence_count; /* in all */
-    int32_t next_occurrence;  /* the first one that was never due */
+    int32_t next_occurrence;  /* the first one neither due nor done */
     uint32_t kept_count;      /* in memory */
     uint32_t kept_capacity;
     fv_occurrence_t **occurrences; /* those in memory, by number */
@@ -374,6 +374,7 @@
 bool FvSched_AreOccurrencesDone(const fv_sched_job_t *job);
 void FvSched_OpenDueOccurrences(fv_sched_t *sched, fv_sched_job_t *job,
                                 int64_t wall_ms);
+void FvSched_CloseLastOccurrence(fv_sched_job_t *job);
 void FvSched_MarkJobInherited(fv_sched_job_t *job);
 void FvSched_FreeStages(const fv_sched_job_t *job,
                         fv_occurrence_t *occurrence);
--- a/tests/unit/sched_health_test.c
+++ b/tests/unit/sched_health_test.c
@@ -149,24 +149,25 @@
 }
 
 /* The first stage to run on a worker after its quarantine may fail as well, so
- * that no other one runs there meanwhile. Single tasks come first: a gang that
- * fails loses the work of all its members. */
+ * that no other one runs there meanwhile. Single tasks come first, also before
+ * a more urgent gang: one that fails loses the work of all its members. */
 static void
 test_one_stage_at_a_time_on_probation(void)
 {
     static sched_fixture_t fixture;
-    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_cell_queue_t gangs = FvSchedFixture_MakeQueue("gangs", 0);
+    fv_cell_queue_t singles = FvSchedFixture_MakeQueue("singles", 1);
 
     open_cell(&fixture, 2);
     worker_at(&fixture, 0)->quarantined_until_ms = fixture.now_ms;
     worker_at(&fixture, 1)->quarantined_until_ms = fixture.now_ms;
-    FvSchedFixture_AddJob(&fixture, GANG, &queue, gang_on_two_workers);
-    FvSchedFixture_AddJob(&fixture, SINGLE, &queue, one_task);
+    FvSchedFixture_AddJob(&fixture, GANG, &gangs, gang_on_two_workers);
+    FvSchedFixture_AddJob(&fixture, SINGLE, &singles, one_task);
     CU_ASSERT_NOT_EQUAL(run_until_started(&fixture, SINGLE, 1, STEP_MS), -1);
     CU_ASSERT_EQUAL(run_until_started(&fixture, GANG, 1, 1500), -1);
     end_task(&fixture, SINGLE ".0.0.0", Fv_END_DONE);
     CU_ASSERT_NOT_EQUAL(run_until_started(&fixture, GANG, 2, STEP_MS), -1);
-    FvSchedFixture_AddJob(&fixture, OTHER_GANG, &queue, gang_on_two_workers);
+    FvSchedFixture_AddJob(&fixture, OTHER_GANG, &gangs, gang_on_two_workers);
     CU_ASSERT_EQUAL(run_until_started(&fixture, OTHER_GANG, 1, 1500), -1);
     FvSchedFixture_Close(&fixture);
 }
--- a/tests/unit/sched_occurrence_test.c
+++ b/tests/unit/sched_occurrence_test.c
@@ -146,7 +146,8 @@
     FvSchedFixture_Close(&fixture);
 }
 
-/* Occurrence 2 fails and waits for its second attempt while later ones end. */
+/* Occurrence 1 runs and 2 waits for its second attempt while a later one ends.
+ */
 static void
 test_next_leader_knows_done_occurrences(void)
 {
@@ -160,10 +161,9 @@
     first.now_ms += 5 * INTERVAL_MS;
     FvSchedFixture_RunPass(&first);
     FvSchedFixture_ConfirmStarts(&first);
-    for (int i = 0; i < 4; i++) { /* as many as the worker has room for */
-        end_occurrence(&first, i + 1, i, 1,
-                       i == 2 ? Fv_END_FAILED : Fv_END_DONE);
-    }
+    end_occurrence(&first, 1, 0, 1, Fv_END_DONE);
+    end_occurrence(&first, 2, 2, 1, Fv_END_FAILED);
+    end_occurrence(&first, 3, 3, 1, Fv_END_DONE);
     FvSched_ReleaseStages(&first.sched, job, first.now_ms, first.now_ms);
 
     open_next_leader(&next, &first);
@@ -174,9 +174,10 @@
     }
     for (int i = 0; i < 8; i++) {
         CU_ASSERT_EQUAL(count_starts(&next, i),
-                        i == 2 || i == 4 || i == 5 ? 1 : 0);
+                        i == 1 || i == 2 || i == 4 || i == 5 ? 1 : 0);
     }
     CU_ASSERT_EQUAL(FvSched_FindTask(&next.sched, JOB ".2.0.0")->failures, 1);
+    end_occurrence(&next, 4, 1, 1001, Fv_END_DONE);
     end_occurrence(&next, 5, 2, 1001, Fv_END_DONE);
     end_occurrence(&next, 6, 4, 1001, Fv_END_DONE);
     end_occurrence(&next, 7, 5, 1001, Fv_END_DONE);
@@ -220,6 +221,36 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* The same rows for nearly all occurrences of a job. */
+static void
+test_memory_of_records_of_earlier_builds(void)
+{
+    static sched_fixture_t fixture;
+    static const uint8_t header[] = {0xdd, 0, 0, 0xea, 0x60};
+    fv_buffer_t progress = {0};
+    size_t before;
+
+    FvBuffer_Append(&progress, header, sizeof(header));
+    for (uint32_t i = 0; i < 60000; i++) {
+        uint8_t row[] = {0x94, 0xcd, (uint8_t)(i >> 8), (uint8_t)i, 0, 0, 1};
+
+        FvBuffer_Append(&progress, row, sizeof(row));
+    }
+    before = used_bytes();
+    FvSchedFixture_Open(&fixture, 2);
+    for (int i = 0; i < BURST_JOBS; i++) {
+        char id[Fv_JOB_ID_SIZE];
+
+        snprintf(id, sizeof(id), "%016x", i + 1);
+        CU_ASSERT_TRUE(FvSchedRecord_LoadProgress(
+            add_repeated_job(&fixture, id, SIX_WEEKS, fixture.now_ms + 1),
+            &progress));
+    }
+    CU_ASSERT(used_bytes() - before < JOB_MEMORY_MAX_BYTES);
+    FvBuffer_Clear(&progress);
+    FvSchedFixture_Close(&fixture);
+}
+
 static void
 report_running(sched_fixture_t *fixture, int occurrence, int32_t run)
 {
@@ -393,6 +424,8 @@
          test_next_leader_knows_done_occurrences},
         {"an occurrence runs again that an earlier build recorded as done",
          test_records_of_earlier_builds},
+        {"records of earlier builds exhaust the memory of the leader",
+         test_memory_of_records_of_earlier_builds},
         {"a run that began before its due time is stopped or repeated",
          test_runs_from_before_the_due_time},
         {"jobs whose occurrences are all due exhaust the memory of the leader",
