sched-occurrence: open due occurrences as their tasks can be started

A job whose occurrences are all due had up to 4,096 of them open, each of which costs time in every pass, and 14 such jobs held the leader for 27 s when they were removed: each of 57,000 waiting stages was searched for in one list. The test that should have shown it had only 17 occurrences due; with all of them due it took 27 s of processor time.

A further occurrence is opened while fewer than 256 tasks of the job wait for a worker, more than a leader starts between two passes; the limit of 4,096 tasks is gone, so that running ones are bounded by memory alone. The list of waiting stages is linked both ways, so that a stage is removed without a search.

"a gang for one rack waits because no rack has enough allowed workers" (sched_advice_test) now fails if the search for a rack never ends, which went unnoticed before.

--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -125,45 +125,14 @@
 }
 
 static void
-unlink_pending(fv_sched_t *sched, fv_sched_stage_t *stage)
-{
-    fv_sched_stage_t **link = &sched->pending;
-
-    while (*link != NULL && *link != stage) {
-        link = &(*link)->pending_next;
-    }
-    if (*link == stage) {
-        *link = stage->pending_next;
-    }
-    stage->pending = false;
-}
-
-/**
- * FvSched_UnmarkPending - remove the stages of an occurrence from those that
- * the next pass places
- * @sched: the scheduler
- * @job: the job
- * @occurrence: the occurrence
- */
-void
-FvSched_UnmarkPending(fv_sched_t *sched, const fv_sched_job_t *job,
-                      fv_occurrence_t *occurrence)
-{
-    for (uint32_t s = 0;
-         occurrence->stages != NULL && s < job->spec.step_count; s++) {
-        if (occurrence->stages[s].pending) {
-            unlink_pending(sched, &occurrence->stages[s]);
-        }
-    }
-}
-
-static void
-detach_tasks(const fv_sched_job_t *job, fv_occurrence_t *occurrence)
+detach_stages(fv_sched_t *sched, const fv_sched_job_t *job,
+              fv_occurrence_t *occurrence)
 {
     for (uint32_t s = 0;
          occurrence->stages != NULL && s < job->spec.step_count; s++) {
         fv_sched_stage_t *stage = &occurrence->stages[s];
 
+        FvSched_UnmarkPending(sched, stage);
         for (int32_t t = 0; t < stage->step->task_count; t++) {
             FvSched_DetachTask(&stage->tasks[t]);
         }
@@ -179,8 +148,7 @@
 FvSched_RemoveJob(fv_sched_t *sched, fv_sched_job_t *job)
 {
     for (uint32_t o = 0; o < job->kept_count; o++) {
-        FvSched_UnmarkPending(sched, job, job->occurrences[o]);
-        detach_tasks(job, job->occurrences[o]);
+        detach_stages(sched, job, job->occurrences[o]);
     }
     FvSched_ReleaseJobMemory(sched, job);
     HASH_DEL(sched->jobs, job);
@@ -196,11 +164,39 @@
 FvSched_MarkPending(fv_sched_t *sched, fv_sched_stage_t *stage)
 {
     sched->dirty = true;
+    if (stage->pending) {
+        return;
+    }
+    stage->pending = true;
+    stage->pending_next = sched->pending;
+    stage->pending_previous = NULL;
+    if (sched->pending != NULL) {
+        sched->pending->pending_previous = stage;
+    }
+    sched->pending = stage;
+}
+
+/**
+ * FvSched_UnmarkPending - remove a stage from those that the next pass places
+ * @sched: the scheduler
+ * @stage: the stage; ignored when it is not among them
+ */
+void
+FvSched_UnmarkPending(fv_sched_t *sched, fv_sched_stage_t *stage)
+{
     if (!stage->pending) {
-        stage->pending = true;
-        stage->pending_next = sched->pending;
-        sched->pending = stage;
+        return;
+    }
+    if (stage->pending_previous != NULL) {
+        stage->pending_previous->pending_next = stage->pending_next;
     }
+    else {
+        sched->pending = stage->pending_next;
+    }
+    if (stage->pending_next != NULL) {
+        stage->pending_next->pending_previous = stage->pending_previous;
+    }
+    stage->pending = false;
 }
 
 /**
--- a/src/sched-memory.c
+++ b/src/sched-memory.c
@@ -16,9 +16,10 @@
 /* Workers that the advice service is asked about for a stage, usually. */
 #define Fv_STAGE_VERDICTS 32
 
-/* Tasks of all occurrences of a job that are open at one time, unless they are
- * reserved. As many as one step may have. */
-#define Fv_OPEN_TASKS_MAX Fv_STEP_TASKS_MAX
+/* While this many tasks of a job wait for a worker, no further occurrence is
+ * opened: more are not started between two passes, and each costs time in all
+ * of them. */
+#define Fv_WAITING_TASKS_MAX 256
 
 static int64_t
 occurrence_bytes(const fv_job_spec_t *spec, const fv_cell_queue_t *queue)
@@ -166,36 +167,26 @@
     sched->extra_job_bytes += job->extra_bytes;
 }
 
-static int64_t
-tasks_of_occurrence(const fv_job_spec_t *spec)
-{
-    int64_t tasks = 0;
-
-    for (uint32_t s = 0; s < spec->step_count; s++) {
-        tasks += spec->steps[s].task_count;
-    }
-    return tasks;
-}
-
 /**
  * FvSched_MayOpenOccurrence - check whether a job may open one more occurrence
  * that is due
  * @sched: the scheduler
  * @job: the job
+ * @waiting: its tasks that wait for a worker
  *
  * Occurrences beyond the reserved ones take up to half of the memory that is
  * not reserved, so that jobs can still be accepted.
  *
- * Return: false when others of the job have to end first.
+ * Return: false when others of the job have to start or to end first.
  */
 bool
-FvSched_MayOpenOccurrence(const fv_sched_t *sched, const fv_sched_job_t *job)
+FvSched_MayOpenOccurrence(const fv_sched_t *sched, const fv_sched_job_t *job,
+                          int64_t waiting)
 {
     if ((int64_t)job->kept_count < job->reserved_occurrences) {
         return true;
     }
-    return (job->kept_count + 1) * tasks_of_occurrence(&job->spec) <=
-               Fv_OPEN_TASKS_MAX &&
+    return waiting < Fv_WAITING_TASKS_MAX &&
            (sched->job_memory_max_bytes == 0 ||
             sched->extra_job_bytes + job->occurrence_bytes <=
                 (sched->job_memory_max_bytes - sched->reserved_job_bytes) / 2);
--- a/src/sched-occurrence.c
+++ b/src/sched-occurrence.c
@@ -227,6 +227,16 @@
     return occurrence->number < job->next_occurrence;
 }
 
+static void
+unmark_stages(fv_sched_t *sched, const fv_sched_job_t *job,
+              fv_occurrence_t *occurrence)
+{
+    for (uint32_t s = 0;
+         occurrence->stages != NULL && s < job->spec.step_count; s++) {
+        FvSched_UnmarkPending(sched, &occurrence->stages[s]);
+    }
+}
+
 static void
 drop_done_occurrences(fv_sched_t *sched, fv_sched_job_t *job)
 {
@@ -236,7 +246,7 @@
         fv_occurrence_t *occurrence = job->occurrences[o];
 
         if (FvSched_IsOccurrenceDone(job, occurrence)) {
-            FvSched_UnmarkPending(sched, job, occurrence);
+            unmark_stages(sched, job, occurrence);
             if (close_occurrence(job, occurrence)) {
                 free(occurrence);
                 continue;
@@ -263,6 +273,38 @@
     }
 }
 
+static int64_t
+count_pending_tasks(const fv_sched_job_t *job)
+{
+    int64_t count = 0;
+
+    for (uint32_t o = 0; o < job->kept_count; o++) {
+        const fv_occurrence_t *occurrence = job->occurrences[o];
+
+        for (uint32_t s = 0;
+             occurrence->stages != NULL && s < job->spec.step_count; s++) {
+            const fv_sched_stage_t *stage = &occurrence->stages[s];
+
+            count += stage->pending ? stage->waiting : 0;
+        }
+    }
+    return count;
+}
+
+/* Tasks of an occurrence that wait for no others. */
+static int64_t
+count_first_tasks(const fv_job_spec_t *spec)
+{
+    int64_t count = 0;
+
+    for (uint32_t s = 0; s < spec->step_count; s++) {
+        const fv_step_spec_t *step = &spec->steps[s];
+
+        count += step->predecessor_count == 0 ? step->task_count : 0;
+    }
+    return count;
+}
+
 static int64_t
 due_wall_ms(const fv_sched_job_t *job, int32_t number)
 {
@@ -282,14 +324,18 @@
 FvSched_OpenDueOccurrences(fv_sched_t *sched, fv_sched_job_t *job,
                            int64_t wall_ms)
 {
+    int64_t waiting;
+
     drop_done_occurrences(sched, job);
     FvSched_CountOpenOccurrences(sched, job);
+    waiting = count_pending_tasks(job);
     while (job->next_occurrence < job->occurrence_count &&
            due_wall_ms(job, job->next_occurrence) <= wall_ms &&
-           FvSched_MayOpenOccurrence(sched, job) &&
+           FvSched_MayOpenOccurrence(sched, job, waiting) &&
            FvSched_OpenOccurrence(job, job->next_occurrence) != NULL) {
         job->next_occurrence++;
         FvSched_CountOpenOccurrences(sched, job);
+        waiting += count_first_tasks(&job->spec);
     }
 }
 
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -109,22 +109,19 @@
 static uint32_t
 prune_pending(fv_sched_t *sched)
 {
-    fv_sched_stage_t **link = &sched->pending;
+    fv_sched_stage_t *next;
     uint32_t count = 0;
 
-    while (*link != NULL) {
-        fv_sched_stage_t *stage = *link;
-
+    for (fv_sched_stage_t *stage = sched->pending; stage != NULL;
+         stage = next) {
+        next = stage->pending_next;
         if (needs_placement(stage)) {
             count++;
-            link = &stage->pending_next;
-        }
-        else {
-            *link = stage->pending_next;
-            stage->pending = false;
-            stage->waiting_since_ms = 0;
-            stage->wait_logged = false;
+            continue;
         }
+        FvSched_UnmarkPending(sched, stage);
+        stage->waiting_since_ms = 0;
+        stage->wait_logged = false;
     }
     return count;
 }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -123,7 +123,8 @@
     int64_t next_preemption_ms; /* none is planned for it before */
     bool pending;               /* in the list of stages to place */
     fv_sched_stage_t *pending_next;
-    int64_t waiting_since_ms; /* 0: no task waits */
+    fv_sched_stage_t *pending_previous; /* NULL: first in the list */
+    int64_t waiting_since_ms;           /* 0: no task waits */
     bool wait_logged;
     fv_wait_cause_t logged_wait_cause; /* valid if wait_logged */
     bool has_failed_on; /* a task may have its worker in failed_on */
@@ -361,8 +362,7 @@
 void FvSched_EndJob(fv_sched_t *sched, fv_sched_job_t *job,
                     fv_sched_outcome_t outcome, int64_t now_ms);
 void FvSched_MarkPending(fv_sched_t *sched, fv_sched_stage_t *stage);
-void FvSched_UnmarkPending(fv_sched_t *sched, const fv_sched_job_t *job,
-                           fv_occurrence_t *occurrence);
+void FvSched_UnmarkPending(fv_sched_t *sched, fv_sched_stage_t *stage);
 void FvSched_UpdateStartTargets(fv_sched_t *sched, fv_sched_stage_t *stage);
 
 /* sched-occurrence.c */
@@ -393,7 +393,7 @@
 void FvSched_ReleaseJobMemory(fv_sched_t *sched, const fv_sched_job_t *job);
 void FvSched_CountOpenOccurrences(fv_sched_t *sched, fv_sched_job_t *job);
 bool FvSched_MayOpenOccurrence(const fv_sched_t *sched,
-                               const fv_sched_job_t *job);
+                               const fv_sched_job_t *job, int64_t waiting);
 
 /* sched-estimates.c */
 fv_queue_estimates_t *FvSched_QueueEstimates(fv_sched_t *sched,
--- a/tests/unit/sched_advice_test.c
+++ b/tests/unit/sched_advice_test.c
@@ -354,13 +354,13 @@
 }
 
 static bool
-allows_every_sixth(const char *worker)
+allows_every_twelfth(const char *worker)
 {
-    return worker_number(worker) % 6 == 0;
+    return worker_number(worker) % 12 == 0;
 }
 
-/* Each rack has room for the whole gang, and the service allows too few of its
- * workers. */
+/* Each rack has room for the whole gang, and the service allows one of its
+ * workers or none: tickets of one rack after the other would not be enough. */
 static void
 test_gang_without_a_rack(void)
 {
@@ -372,7 +372,7 @@
         add_rack(&fixture, rack, 6);
     }
     FvSchedFixture_AddJob(&fixture, BATCH, &queue, rack_gang);
-    run_for_slow_advice(&fixture, START_BOUND_MS, allows_every_sixth);
+    run_for_slow_advice(&fixture, START_BOUND_MS, allows_every_twelfth);
     CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, BATCH), 8);
     FvSchedFixture_Close(&fixture);
 }
--- a/tests/unit/sched_occurrence_test.c
+++ b/tests/unit/sched_occurrence_test.c
@@ -14,6 +14,9 @@
 /* Every minute of six weeks. */
 #define SIX_WEEKS 60480
 
+/* Tasks of a job that each pass looks at, as long as no step has more. */
+#define WAITING_TASKS_MAX 256
+
 /* Large jobs that come at once. */
 #define BURST_JOBS 14
 
@@ -335,9 +338,11 @@
 {
     static sched_fixture_t fixture;
     size_t before = used_bytes();
+    fv_sched_load_t load;
 
     FvSchedFixture_Open(&fixture, 1);
     fixture.sched.job_memory_max_bytes = JOB_MEMORY_MAX_BYTES;
+    fixture.now_ms = (int64_t)SIX_WEEKS * INTERVAL_MS;
     for (int i = 0; i < BURST_JOBS; i++) {
         char id[Fv_JOB_ID_SIZE];
 
@@ -347,6 +352,8 @@
     FvSchedFixture_RunPass(&fixture);
     CU_ASSERT(used_bytes() - before < JOB_MEMORY_MAX_BYTES);
     CU_ASSERT(FvSched_JobMemoryBytes(&fixture.sched) <= JOB_MEMORY_MAX_BYTES);
+    FvSched_GetLoad(&fixture.sched, fixture.now_ms, &load);
+    CU_ASSERT(load.tasks_waiting <= BURST_JOBS * WAITING_TASKS_MAX);
     FvSchedFixture_Close(&fixture);
     CU_ASSERT_EQUAL(FvSched_JobMemoryBytes(&fixture.sched), 0);
 }
@@ -428,7 +435,9 @@
          test_memory_of_records_of_earlier_builds},
         {"a run that began before its due time is stopped or repeated",
          test_runs_from_before_the_due_time},
-        {"jobs whose occurrences are all due exhaust the memory of the leader",
+        {"jobs whose occurrences are all due exhaust the memory of the "
+         "leader, or "
+         "its time",
          test_memory_of_due_occurrences},
         {"an occurrence that was due while others were open never runs",
          test_all_due_occurrences_run},
