sched_occurrence_test: runs of a job that overlap leave memory for others

Taking the bound on the memory of open occurrences out went unnoticed: in the other cases the number of waiting tasks limits them first. Here all runs have room and last an hour. Fails with the bound taken out, passes with it.

--- a/tests/unit/sched_occurrence_test.c
+++ b/tests/unit/sched_occurrence_test.c
@@ -358,6 +358,34 @@
     CU_ASSERT_EQUAL(FvSched_JobMemoryBytes(&fixture.sched), 0);
 }
 
+/* Runs of a job overlap, and the worker has room for all of them. */
+static void
+test_open_occurrences_leave_memory(void)
+{
+    static sched_fixture_t fixture;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_job_t *job;
+    int64_t unreserved;
+
+    FvSchedFixture_Open(&fixture, 1);
+    fixture.sched.job_memory_max_bytes = 64 * 1024;
+    FvSchedFixture_AddWorker(&fixture, "w1", "r1", 4000);
+    job = FvSchedFixture_AddJob(
+        &fixture, JOB, &queue,
+        "{\"taskSpec\":\"x\",\"repeatCount\":2000,\"startAtMs\":0,"
+        "\"intervalMs\":1,\"steps\":[{\"count\":1,\"cpu\":1,\"memMb\":1,"
+        "\"estimatedMs\":3600000}]}");
+    unreserved = fixture.sched.job_memory_max_bytes - job->reserved_bytes;
+    for (int pass = 0; pass < 10; pass++) {
+        FvSchedFixture_RunPass(&fixture);
+        FvSchedFixture_ConfirmStarts(&fixture);
+    }
+    CU_ASSERT(fixture.order_count > 1);
+    CU_ASSERT(FvSched_JobMemoryBytes(&fixture.sched) <=
+              job->reserved_bytes + unreserved / 2);
+    FvSchedFixture_Close(&fixture);
+}
+
 /* More occurrences are due than are open at one time. */
 static void
 test_all_due_occurrences_run(void)
@@ -439,6 +467,8 @@
          "leader, or "
          "its time",
          test_memory_of_due_occurrences},
+        {"a job with long runs takes the memory of all others",
+         test_open_occurrences_leave_memory},
         {"an occurrence that was due while others were open never runs",
          test_all_due_occurrences_run},
         {"lasting tasks wait for others that never end",
