sched-occurrence: complete a job whose last occurrence ends early

A job stayed open for ever when its last occurrence was reported as done before it was due by the leader's clock (an earlier leader, whose clock was ahead, had started it): that it is complete was asked for when a stage ends, and counted only occurrences that were due.

Occurrences that are done and not due count as well. The fields and comments now call the occurrences in memory open, as the functions do.

sched_occurrence_test, "a job stays open after the early end of its last occurrence": failed before, passes now.

--- a/src/sched-incarnation.c
+++ b/src/sched-incarnation.c
@@ -51,7 +51,7 @@
 FvSched_ForgetWorker(fv_sched_t *sched, const fv_sched_worker_t *worker)
 {
     for (fv_sched_job_t *job = sched->jobs; job != NULL; job = job->hh.next) {
-        for (uint32_t o = 0; o < job->kept_count; o++) {
+        for (uint32_t o = 0; o < job->open_count; o++) {
             fv_occurrence_t *occurrence = job->occurrences[o];
 
             for (uint32_t s = 0;
--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -147,7 +147,7 @@
 void
 FvSched_RemoveJob(fv_sched_t *sched, fv_sched_job_t *job)
 {
-    for (uint32_t o = 0; o < job->kept_count; o++) {
+    for (uint32_t o = 0; o < job->open_count; o++) {
         detach_stages(sched, job, job->occurrences[o]);
     }
     FvSched_ReleaseJobMemory(sched, job);
@@ -284,7 +284,7 @@
     if (job->spec.repeat_count > 0) {
         FvSched_OpenDueOccurrences(sched, job, wall_ms);
     }
-    for (uint32_t o = 0; o < job->kept_count; o++) {
+    for (uint32_t o = 0; o < job->open_count; o++) {
         fv_occurrence_t *occurrence = job->occurrences[o];
 
         if (occurrence->number < job->next_occurrence &&
@@ -309,7 +309,7 @@
 static void
 stop_all_tasks(fv_sched_t *sched, fv_sched_job_t *job, int64_t now_ms)
 {
-    for (uint32_t o = 0; o < job->kept_count; o++) {
+    for (uint32_t o = 0; o < job->open_count; o++) {
         fv_occurrence_t *occurrence = job->occurrences[o];
 
         for (uint32_t s = 0;
@@ -583,7 +583,7 @@
  * @name: its name on the platform
  *
  * An earlier leader whose clock was ahead may have started it before it is due
- * by this host's clock. Its occurrence is kept in memory from now on.
+ * by this host's clock. Its occurrence is opened.
  *
  * Return: the task, or NULL when there is none by that name, or its occurrence
  * is done.
--- a/src/sched-memory.c
+++ b/src/sched-memory.c
@@ -160,7 +160,7 @@
 void
 FvSched_CountOpenOccurrences(fv_sched_t *sched, fv_sched_job_t *job)
 {
-    int64_t extra = (int64_t)job->kept_count - job->reserved_occurrences;
+    int64_t extra = (int64_t)job->open_count - job->reserved_occurrences;
 
     sched->extra_job_bytes -= job->extra_bytes;
     job->extra_bytes = extra > 0 ? extra * job->occurrence_bytes : 0;
@@ -183,7 +183,7 @@
 FvSched_MayOpenOccurrence(const fv_sched_t *sched, const fv_sched_job_t *job,
                           int64_t waiting)
 {
-    if ((int64_t)job->kept_count < job->reserved_occurrences) {
+    if ((int64_t)job->open_count < job->reserved_occurrences) {
         return true;
     }
     return waiting < Fv_WAITING_TASKS_MAX &&
--- a/src/sched-occurrence.c
+++ b/src/sched-occurrence.c
@@ -1,8 +1,9 @@
 /*
  * Occurrences of jobs. A job that is not repeated has one. A repeated job may
- * have tens of thousands: each is kept in memory, with its stages and tasks,
- * from the time when it is due until all of its stages are done. Those before
- * next_occurrence that are not kept are done; the others are not due yet.
+ * have tens of thousands: each is open, which means in memory with its stages
+ * and tasks, from the time when it is due until all of its stages are done.
+ * Those before next_occurrence that are not open are done; the others are not
+ * due yet.
  */
 
 #include "scheduler.h"
@@ -97,13 +98,13 @@
     return occurrence;
 }
 
-/* Returns the index of the first kept occurrence that is not before @number.
+/* Returns the index of the first open occurrence that is not before @number.
  */
 static uint32_t
 find_position(const fv_sched_job_t *job, int32_t number)
 {
     uint32_t low = 0;
-    uint32_t high = job->kept_count;
+    uint32_t high = job->open_count;
 
     while (low < high) {
         uint32_t middle = low + (high - low) / 2;
@@ -119,7 +120,7 @@
 }
 
 /**
- * FvSched_FindOccurrence - find an occurrence that is kept in memory
+ * FvSched_FindOccurrence - find an open occurrence
  * @job: the job
  * @number: its number
  *
@@ -130,7 +131,7 @@
 {
     uint32_t position = find_position(job, number);
 
-    return position < job->kept_count &&
+    return position < job->open_count &&
                    job->occurrences[position]->number == number
                ? job->occurrences[position]
                : NULL;
@@ -141,8 +142,8 @@
 {
     uint32_t position = find_position(job, occurrence->number);
 
-    if (job->kept_count == job->kept_capacity) {
-        uint32_t capacity = job->kept_capacity * 2 + 1;
+    if (job->open_count == job->open_capacity) {
+        uint32_t capacity = job->open_capacity * 2 + 1;
         fv_occurrence_t **grown =
             realloc(job->occurrences, capacity * sizeof(fv_occurrence_t *));
 
@@ -150,17 +151,17 @@
             return false;
         }
         job->occurrences = grown;
-        job->kept_capacity = capacity;
+        job->open_capacity = capacity;
     }
     memmove(&job->occurrences[position + 1], &job->occurrences[position],
-            (job->kept_count - position) * sizeof(fv_occurrence_t *));
+            (job->open_count - position) * sizeof(fv_occurrence_t *));
     job->occurrences[position] = occurrence;
-    job->kept_count++;
+    job->open_count++;
     return true;
 }
 
 /**
- * FvSched_OpenOccurrence - find an occurrence, or keep it from now on
+ * FvSched_OpenOccurrence - find an open occurrence, or open it
  * @job: the job
  * @number: its number
  *
@@ -206,17 +207,23 @@
 bool
 FvSched_AreOccurrencesDone(const fv_sched_job_t *job)
 {
-    for (uint32_t o = 0; o < job->kept_count; o++) {
-        if (!FvSched_IsOccurrenceDone(job, job->occurrences[o])) {
+    int32_t unknown = job->occurrence_count - job->next_occurrence;
+
+    for (uint32_t o = 0; o < job->open_count; o++) {
+        const fv_occurrence_t *occurrence = job->occurrences[o];
+
+        if (!FvSched_IsOccurrenceDone(job, occurrence)) {
             return false;
         }
+        unknown -= occurrence->number >= job->next_occurrence ? 1 : 0;
     }
-    return job->next_occurrence >= job->occurrence_count;
+    return unknown == 0;
 }
 
 /* Frees the stages of an occurrence that is done. Returns false when it has to
- * be kept, without them: a report of a run may come before its occurrence is
- * due by this host's clock, and others before it are not due either. */
+ * stay in the list without them: a report of a run may come before its
+ * occurrence is due by this host's clock, and others before it are not due
+ * either. */
 static bool
 close_occurrence(fv_sched_job_t *job, fv_occurrence_t *occurrence)
 {
@@ -242,7 +249,7 @@
 {
     uint32_t kept = 0;
 
-    for (uint32_t o = 0; o < job->kept_count; o++) {
+    for (uint32_t o = 0; o < job->open_count; o++) {
         fv_occurrence_t *occurrence = job->occurrences[o];
 
         if (FvSched_IsOccurrenceDone(job, occurrence)) {
@@ -254,21 +261,20 @@
         }
         job->occurrences[kept++] = occurrence;
     }
-    job->kept_count = kept;
+    job->open_count = kept;
 }
 
 /**
- * FvSched_CloseLastOccurrence - free the last one of the kept occurrences, as
- * far as it is not needed any more
+ * FvSched_CloseLastOccurrence - close the last one of the open occurrences
  * @job: a repeated job; the stages of the occurrence are done and not pending
  */
 void
 FvSched_CloseLastOccurrence(fv_sched_job_t *job)
 {
-    fv_occurrence_t *last = job->occurrences[job->kept_count - 1];
+    fv_occurrence_t *last = job->occurrences[job->open_count - 1];
 
     if (close_occurrence(job, last)) {
-        job->kept_count--;
+        job->open_count--;
         free(last);
     }
 }
@@ -278,7 +284,7 @@
 {
     int64_t count = 0;
 
-    for (uint32_t o = 0; o < job->kept_count; o++) {
+    for (uint32_t o = 0; o < job->open_count; o++) {
         const fv_occurrence_t *occurrence = job->occurrences[o];
 
         for (uint32_t s = 0;
@@ -312,8 +318,8 @@
 }
 
 /**
- * FvSched_OpenDueOccurrences - keep the occurrences of a repeated job that are
- * due, and no longer those that are done
+ * FvSched_OpenDueOccurrences - open the occurrences of a repeated job that are
+ * due, and close those that are done
  * @sched: the scheduler
  * @job: the job
  * @wall_ms: the wall clock
@@ -348,7 +354,7 @@
 FvSched_MarkJobInherited(fv_sched_job_t *job)
 {
     job->inherited = true;
-    for (uint32_t o = 0; o < job->kept_count; o++) {
+    for (uint32_t o = 0; o < job->open_count; o++) {
         fv_occurrence_t *occurrence = job->occurrences[o];
 
         for (uint32_t s = 0;
@@ -370,10 +376,10 @@
 void
 FvSched_FreeOccurrences(fv_sched_job_t *job)
 {
-    for (uint32_t o = 0; o < job->kept_count; o++) {
+    for (uint32_t o = 0; o < job->open_count; o++) {
         free_occurrence(job, job->occurrences[o]);
     }
     free(job->occurrences);
     job->occurrences = NULL;
-    job->kept_count = 0;
+    job->open_count = 0;
 }
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -205,7 +205,7 @@
 {
     int32_t done_from = 0;
 
-    for (uint32_t o = 0; o < job->kept_count; o++) {
+    for (uint32_t o = 0; o < job->open_count; o++) {
         const fv_occurrence_t *occurrence = job->occurrences[o];
         int32_t done_to = occurrence->number < job->next_occurrence
                               ? occurrence->number
@@ -456,7 +456,7 @@
      * there may be tens of thousands. */
     if (ok && job->spec.repeat_count > 0 &&
         FvSched_IsOccurrenceDone(job, occurrence) &&
-        occurrence == job->occurrences[job->kept_count - 1]) {
+        occurrence == job->occurrences[job->open_count - 1]) {
         FvSched_CloseLastOccurrence(job);
     }
 done:
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -178,8 +178,8 @@
     int64_t extra_bytes;      /* of other open ones */
     int32_t occurrence_count; /* in all */
     int32_t next_occurrence;  /* the first one neither due nor done */
-    uint32_t kept_count;      /* in memory */
-    uint32_t kept_capacity;
+    uint32_t open_count;      /* in memory */
+    uint32_t open_capacity;
     fv_occurrence_t **occurrences; /* those in memory, by number */
     bool inherited;        /* an earlier leader may have started its tasks */
     int32_t running_tasks; /* starting, running or stopping */
--- a/tests/unit/sched_occurrence_test.c
+++ b/tests/unit/sched_occurrence_test.c
@@ -308,6 +308,25 @@
     FvSchedFixture_Close(&next);
 }
 
+/* The last occurrence ends before it is due by this host's clock. */
+static void
+test_early_end_completes_the_job(void)
+{
+    static sched_fixture_t fixture;
+    fv_sched_job_t *job;
+
+    FvSchedFixture_Open(&fixture, 2);
+    FvSchedFixture_AddWorker(&fixture, "w1", "r1", 4000);
+    job = add_repeated_job(&fixture, JOB, 3, fixture.now_ms);
+    end_occurrence(&fixture, 1, 0, 1, Fv_END_DONE);
+    end_occurrence(&fixture, 2, 2, 1, Fv_END_DONE);
+    CU_ASSERT_EQUAL(job->outcome, Fv_SCHED_JOB_OPEN);
+    FvSchedFixture_RunPass(&fixture);
+    end_occurrence(&fixture, 3, 1, 1, Fv_END_DONE);
+    CU_ASSERT_EQUAL(job->outcome, Fv_SCHED_JOB_COMPLETED);
+    FvSchedFixture_Close(&fixture);
+}
+
 /* A run of an occurrence that is done and no longer in memory is stopped; its
  * end changes nothing. */
 static void
@@ -473,6 +492,8 @@
          test_all_due_occurrences_run},
         {"lasting tasks wait for others that never end",
          test_lasting_occurrences_run_together},
+        {"a job stays open after the early end of its last occurrence",
+         test_early_end_completes_the_job},
         {"a late run of an occurrence that is done goes on",
          test_late_runs_of_done_occurrences},
     };
