soak: repeat one of eight jobs

No run with real processes had repeated jobs, whose occurrences now come and go in the leader's memory and are told to the next leader by ranges. One of eight jobs has four occurrences that overlap.

--- a/tests/soak/soak-clients.c
+++ b/tests/soak/soak-clients.c
@@ -15,6 +15,11 @@
 #define SOAK_CALL_TIMEOUT_MS 3000
 #define SOAK_KEPT_JOBS 16 /* latest accepted jobs of a client */
 
+/* One of so many jobs is repeated. */
+#define SOAK_JOBS_PER_REPEATED_ONE 8
+#define SOAK_REPEATS 4
+#define SOAK_REPEAT_INTERVAL_MS 400
+
 /* A request that ends without an answer earlier than this after it was sent
  * may not have been read. */
 #define SOAK_LOSS_SLACK_MS 200
@@ -171,7 +176,8 @@
  * Plain jobs need no tickets, so that only their connection ties a start to a
  * life of its worker. Fast and plain jobs have one step, slow and long ones
  * two. The second step of a long job starts seconds after the job was
- * accepted.
+ * accepted. The occurrences of a repeated job overlap, and outlast changes of
+ * the leader.
  */
 void
 FvSoakClients_BuildBody(uint64_t *random, const soak_job_t *job, char *body,
@@ -184,6 +190,7 @@
                       : two_steps ? 50 + FvSoak_Random(random, 900)
                                   : 50 + FvSoak_Random(random, 200);
     bool plain = strcmp(job->queue, "plain") == 0;
+    char schedule[128] = "";
     const char *label = FvSoak_Random(random, 4) == 0 || plain
                             ? ",\"requiredLabel\":\"a\""
                             : "";
@@ -192,11 +199,18 @@
     snprintf(step, sizeof(step),
              "{\"count\":%u,\"cpu\":%u,\"memMb\":10,\"estimatedMs\":%u%s",
              1 + FvSoak_Random(random, 3), cpu, run_ms, label);
+    if (strtoul(job->id + 8, NULL, 16) % SOAK_JOBS_PER_REPEATED_ONE == 0) {
+        snprintf(schedule, sizeof(schedule),
+                 "\"repeatCount\":%d,\"startAtMs\":%lld,\"intervalMs\":%d,",
+                 SOAK_REPEATS, (long long)FvClock_WallMs(),
+                 SOAK_REPEAT_INTERVAL_MS);
+    }
     snprintf(body, size,
-             "{\"taskSpec\":\"run_ms=%u cpu=%u%s%s\",\"steps\":[%s}%s%s%s]}",
+             "{\"taskSpec\":\"run_ms=%u cpu=%u%s%s\",%s\"steps\":[%s}%s%s%s]}",
              run_ms, cpu, plain ? " no_ticket" : "",
-             label[0] != '\0' ? " label=a" : "", step, two_steps ? "," : "",
-             two_steps ? step : "", two_steps ? ",\"after\":[0]}" : "");
+             label[0] != '\0' ? " label=a" : "", schedule, step,
+             two_steps ? "," : "", two_steps ? step : "",
+             two_steps ? ",\"after\":[0]}" : "");
 }
 
 static void
