--- a/tests/harness/sched-sim-leader.c
+++ b/tests/harness/sched-sim-leader.c
@@ -142,13 +142,7 @@
         CU_ASSERT_TRUE(
             FvSchedRecord_LoadProgress(sched_job, &job->progress_record));
     }
-    for (uint32_t s = 0; s < sched_job->spec.step_count; s++) {
-        fv_sched_stage_t *stage = &sched_job->occurrences[0]->stages[s];
-
-        for (int32_t t = 0; t < stage->step->task_count; t++) {
-            stage->tasks[t].inherited = true;
-        }
-    }
+    FvSched_MarkJobInherited(sched_job);
     FvSched_ReleaseStages(&leader->sched, sched_job, now_ms, now_ms);
 }
 
