--- a/src/sched-memory.c
+++ b/src/sched-memory.c
@@ -6,9 +6,6 @@
 
 #include "scheduler.h"
 
-#include <inttypes.h>
-#include <string.h>
-
 #define Fv_ALLOCATION_BYTES 16 /* overhead of each */
 #define Fv_CHECKPOINT_BYTES 48
 #define Fv_TICKET_BYTES 48
