--- a/src/cell-types.c
+++ b/src/cell-types.c
@@ -4,7 +4,9 @@
 
 #include "cell-types.h"
 
+#include <sodium.h>
 #include <stdlib.h>
+#include <string.h>
 
 /**
  * FvCallAnswer_Error - name the failure of a call, for the log
@@ -49,6 +51,16 @@
     if (config == NULL) {
         return;
     }
+    for (uint32_t c = 0; c < config->customer_count; c++) {
+        fv_cell_customer_t *customer = &config->customers[c];
+
+        for (uint32_t k = 0; k < customer->key_count; k++) {
+            sodium_memzero(customer->keys[k], strlen(customer->keys[k]));
+            free(customer->keys[k]);
+        }
+        free(customer->keys);
+    }
+    free(config->customers);
     free(config->queues);
     free(config->document);
     free(config);
--- a/src/cell-types.h
+++ b/src/cell-types.h
@@ -66,12 +66,29 @@
     int64_t advice_base_us;
     int64_t advice_per_worker_us;
     int64_t ticket_valid_ms;
+    bool is_public; /* needs no key of a customer */
 } fv_cell_queue_t;
 
+/* A customer of the cell. Its key strings are secret: they are never logged,
+ * sent or stored. */
+typedef struct fv_cell_customer {
+    char name[Fv_NAME_SIZE];
+    double weight; /* share when the cell is full; jobs a second */
+    /* Most that its tasks may use over all workers; 0: not limited. */
+    int64_t cpu_millis_max;
+    int64_t memory_mib_max;
+    int64_t accelerators_max;
+    uint32_t key_count;
+    char **keys;
+} fv_cell_customer_t;
+
 typedef struct fv_cell_config {
     int64_t version;
     uint32_t queue_count;
     fv_cell_queue_t *queues;
+    bool has_customers; /* calls need a key, except on public queues */
+    uint32_t customer_count;
+    fv_cell_customer_t *customers;
     char *document; /* raw, to pass to hosts that cannot read the store */
     size_t document_length;
 } fv_cell_config_t;
--- a/src/entry.h
+++ b/src/entry.h
@@ -312,6 +312,8 @@
     const char *key;
     const char *body;
     size_t body_length;
+    const char *customer;     /* of a request; NULL or "": none */
+    int64_t customers_digest; /* of the configuration that named it */
 } fv_cell_message_t;
 
 typedef struct fv_links fv_links_t;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -155,6 +155,7 @@
 
 struct fv_sched_job {
     char id[Fv_JOB_ID_SIZE];
+    char customer[Fv_NAME_SIZE]; /* "": none */
     fv_cell_queue_t queue;
     fv_job_spec_t spec;
     char *document; /* as submitted */
