config: decode customers, their keys, caps and weights

Cause: the configuration may have a section of customers (wire name tenants) and public routes. Nothing decoded them.

Change: FvPlatform_DecodeConfig() fills in customers, customer_count, has_customers and is_public of a queue. A bad section refuses the configuration as a whole: the old version stays, and the line config_refused names the reason (a name or key of two customers, no name, an empty key, a cap below 0, a weight of 0 or below, a member of another type). config_unreadable stays for a document that cannot be read. A cap between 0 and 1 counts as 1, since 0 means no limit; an absent weight counts as 1.

--- a/src/entry-hosts.h
+++ b/src/entry-hosts.h
@@ -1,5 +1,5 @@
 /*
- * State of an entry host's process, shared by entry.c and entry-hosts.c.
+ * State of an entry host's process, shared by entry.c and entry-*.c.
  */
 
 #ifndef ENTRY_HOSTS_H
@@ -71,6 +71,15 @@
     fv_host_state_t *self; /* set when this host becomes leader */
 };
 
+/* entry-config.c */
+int64_t FvEntryConfig_Version(const fv_entry_t *entry);
+void FvEntryConfig_SendHeartbeats(fv_entry_t *entry);
+void FvEntryConfig_Adopt(fv_entry_t *entry, const char *document,
+                         size_t length, const char *source);
+fv_kv_watch_t *FvEntryConfig_Watch(fv_entry_t *entry);
+void FvEntryConfig_SendIfNewer(fv_entry_t *entry, fv_link_peer_t *peer,
+                               int64_t version);
+
 /* entry-hosts.c */
 fv_host_state_t *FvEntryHosts_FindOrAdd(fv_entry_t *entry, const char *name);
 fv_host_state_t *FvEntryHosts_Find(fv_entry_t *entry,
--- a/src/entry.c
+++ b/src/entry.c
@@ -34,94 +34,6 @@
 #define Fv_DESCRIPTORS_RESERVED 200
 #define Fv_CALL_DESCRIPTORS_SHARE 0.875
 
-/* --- Configuration ------------------------------------------------------ */
-
-static int64_t
-config_version(const fv_entry_t *entry)
-{
-    return entry->config != NULL ? entry->config->version : 0;
-}
-
-static void
-send_config(fv_entry_t *entry, fv_link_peer_t *peer)
-{
-    FvLinks_Send(peer, &(fv_cell_message_t){
-                           .kind = Fv_CELL_MESSAGE_CONFIG,
-                           .number = config_version(entry),
-                           .body = entry->config->document,
-                           .body_length = entry->config->document_length});
-}
-
-/* A heartbeat carries the configuration's version. A peer with a newer version
- * sends its configuration, since some hosts may not reach the store. */
-static void
-send_heartbeats(fv_entry_t *entry)
-{
-    if (entry->leader_link != NULL) {
-        FvLinks_Send(entry->leader_link,
-                     &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_HEARTBEAT,
-                                          .number = config_version(entry)});
-    }
-    for (uint32_t i = 0; i < entry->host_state_count; i++) {
-        if (entry->host_states[i]->joined) {
-            FvLinks_Send(
-                entry->host_states[i]->peer,
-                &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_HEARTBEAT,
-                                     .number = config_version(entry)});
-        }
-    }
-}
-
-static void
-adopt_config(fv_entry_t *entry, const char *document, size_t length,
-             const char *source)
-{
-    fv_cell_config_t *config = FvPlatform_DecodeConfig(document, length);
-    fv_cell_config_t *old = entry->config;
-
-    if (config == NULL) {
-        FvLog_Event(Fv_LOG_ERROR, "config_unreadable", "source=%s bytes=%zu",
-                    source, length);
-        return;
-    }
-    if (config->version <= config_version(entry)) {
-        FvCellConfig_Free(config);
-        return;
-    }
-    FvLog_Event(Fv_LOG_INFO, "config_adopted",
-                "version=%" PRId64 " before=%" PRId64 " queues=%u source=%s",
-                config->version, config_version(entry), config->queue_count,
-                source);
-    entry->config = config;
-    FvFrontend_SetConfig(entry->frontend, config);
-    FvCellConfig_Free(old);
-    send_heartbeats(entry);
-}
-
-static void
-ignore_config_snapshot(void *context)
-{
-    (void)context; /* adopt_config ignores known versions */
-}
-
-static void
-config_item(void *context, const fv_kv_item_t *item)
-{
-    if (strcmp(item->key, FvPlatform_ConfigKey) == 0 &&
-        item->value.data != NULL) {
-        adopt_config(context, (const char *)item->value.data,
-                     item->value.length, "store");
-    }
-}
-
-static void
-send_config_if_newer(fv_entry_t *entry, fv_link_peer_t *peer, int64_t version)
-{
-    if (version < config_version(entry)) {
-        send_config(entry, peer);
-    }
-}
-
 static void
 dial_hosts(fv_entry_t *entry)
 {
@@ -401,9 +313,10 @@
     entry->leader_link_epoch = message->number;
     FvLog_Event(Fv_LOG_INFO, "leader_linked", "leader=%s epoch=%" PRId64,
                 message->name, message->number);
-    FvLinks_Send(peer, &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_JOIN,
-                                            .number = config_version(entry),
-                                            .name = entry->settings.host});
+    FvLinks_Send(peer,
+                 &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_JOIN,
+                                      .number = FvEntryConfig_Version(entry),
+                                      .name = entry->settings.host});
     FvFrontend_LeaderChanged(entry->frontend);
 }
 
@@ -451,7 +364,7 @@
     case Fv_CELL_MESSAGE_JOIN:
         state->joined = true;
         FvEntryHosts_NoteLinked(state);
-        send_config_if_newer(entry, state->peer, message->number);
+        FvEntryConfig_SendIfNewer(entry, state->peer, message->number);
         break;
     case Fv_CELL_MESSAGE_REQUEST:
         if (entry->leader != NULL) {
@@ -479,12 +392,12 @@
     fv_host_state_t *state;
 
     if (message->kind == Fv_CELL_MESSAGE_HEARTBEAT) {
-        send_config_if_newer(entry, peer, message->number);
+        FvEntryConfig_SendIfNewer(entry, peer, message->number);
         return;
     }
     if (message->kind == Fv_CELL_MESSAGE_CONFIG) {
-        adopt_config(entry, message->body, message->body_length,
-                     FvLinks_Name(peer));
+        FvEntryConfig_Adopt(entry, message->body, message->body_length,
+                            FvLinks_Name(peer));
         return;
     }
     if (!FvLinks_Dialed(peer)) {
@@ -583,7 +496,7 @@
 
     (void)fd;
     (void)what;
-    send_heartbeats(entry);
+    FvEntryConfig_SendHeartbeats(entry);
     FvLinks_CloseSilent(entry->links, Fv_LINK_SILENT_MS);
     if (entry->leader != NULL) {
         dial_hosts(entry);
@@ -665,12 +578,7 @@
     if (entry->frontend == NULL || entry->links == NULL) {
         return false;
     }
-    entry->config_watch = FvKvClient_Watch(
-        entry->kv, &(fv_kv_watcher_t){.prefix = FvPlatform_ConfigKey,
-                                      .begin = ignore_config_snapshot,
-                                      .item = config_item,
-                                      .loaded = ignore_config_snapshot,
-                                      .context = entry});
+    entry->config_watch = FvEntryConfig_Watch(entry);
     entry->election = FvElection_New(
         entry->base, entry->kv, &entry->settings,
         &(fv_election_events_t){.won = election_won,
--- a/tests/unit/decoder_mutation_test.c
+++ b/tests/unit/decoder_mutation_test.c
@@ -246,8 +246,21 @@
 static void
 decode_config(const char *document, size_t length)
 {
-    fv_cell_config_t *config = FvPlatform_DecodeConfig(document, length);
-
+    const char *reason;
+    fv_cell_config_t *config =
+        FvPlatform_DecodeConfig(document, length, &reason);
+
+    for (uint32_t c = 0; config != NULL && c < config->customer_count; c++) {
+        const fv_cell_customer_t *customer = &config->customers[c];
+
+        CU_ASSERT(customer->name[0] != '\0' && customer->weight > 0);
+        CU_ASSERT(customer->cpu_millis_max >= 0 &&
+                  customer->memory_mib_max >= 0 &&
+                  customer->accelerators_max >= 0);
+        for (uint32_t k = 0; k < customer->key_count; k++) {
+            CU_ASSERT(customer->keys[k][0] != '\0');
+        }
+    }
     for (uint32_t i = 0; config != NULL && i < config->queue_count; i++) {
         CU_ASSERT(config->queues[i].attempts_max >= 0);
         CU_ASSERT(config->queues[i].advice_base_us >= 0);
@@ -262,7 +275,10 @@
         "{\"version\":3,\"routes\":[{\"name\":\"q\",\"host\":\"h.example\","
         "\"prefix\":\"/q/\",\"service\":\"s\",\"priority\":1,\"maxAttempts\":"
         "3,\"stretch\":2.2,\"targetLatencyMs\":500,\"recommendation\":"
-        "{\"decisionMs\":11.0,\"perWorkerMs\":0.16,\"validityMs\":2500}}],"
+        "{\"decisionMs\":11.0,\"perWorkerMs\":0.16,\"validityMs\":2500},"
+        "\"public\":true}],\"tenants\":[{\"name\":\"east\",\"apiKeys\":"
+        "[\"k1\",\"k2\"],\"weight\":2.5,\"cap\":{\"cpu\":64000,\"memMb\":"
+        "4096,\"gpus\":0}},{\"name\":\"west\",\"apiKeys\":[],\"weight\":1}],"
         "\"services\":[{\"name\":\"s\",\"enforceCapacity\":false}],"
         "\"limits\":{}}",
         4, decode_config);
--- a/tests/unit/platform_decode_test.c
+++ b/tests/unit/platform_decode_test.c
@@ -197,6 +197,115 @@
     CU_ASSERT_STRING_EQUAL(entry.rack, "r1");
 }
 
+#define CUSTOMERS(list) "{\"version\":1,\"routes\":[],\"tenants\":" list "}"
+
+static fv_cell_config_t *
+decode_config(const char *document, const char **reason)
+{
+    return FvPlatform_DecodeConfig(document, strlen(document), reason);
+}
+
+/* A typing error in one customer must not take access or a cap from another:
+ * the configuration is refused as a whole, with the reason. */
+static void
+test_bad_customers(void)
+{
+    static const struct {
+        const char *document;
+        const char *reason;
+    } bad[] = {
+        {CUSTOMERS("{}"), "customers_malformed"},
+        {CUSTOMERS("[7]"), "customer_without_name"},
+        {CUSTOMERS("[{\"apiKeys\":[\"k\"]}]"), "customer_without_name"},
+        {CUSTOMERS("[{\"name\":\"\"}]"), "customer_without_name"},
+        {CUSTOMERS("[{\"name\":\"0123456789012345678901234567890123456789"
+                   "012345678901234567890123\"}]"),
+         "customer_name_too_long"},
+        {CUSTOMERS("[{\"name\":\"a\"},{\"name\":\"b\"},{\"name\":\"a\"}]"),
+         "customer_name_twice"},
+        {CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":\"k\"}]"), "keys_malformed"},
+        {CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":[7]}]"), "keys_malformed"},
+        {CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":[\"k\",\"\"]}]"),
+         "key_empty"},
+        {CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":[\"k\"]},"
+                   "{\"name\":\"b\",\"apiKeys\":[\"j\",\"k\"]}]"),
+         "key_of_two_customers"},
+        {CUSTOMERS("[{\"name\":\"a\",\"weight\":0}]"), "weight_not_positive"},
+        {CUSTOMERS("[{\"name\":\"a\",\"weight\":-1}]"), "weight_not_positive"},
+        {CUSTOMERS("[{\"name\":\"a\",\"weight\":\"2\"}]"),
+         "weight_not_positive"},
+        {CUSTOMERS("[{\"name\":\"a\",\"cap\":{\"cpu\":-1}}]"),
+         "cap_negative_or_malformed"},
+        {CUSTOMERS("[{\"name\":\"a\",\"cap\":{\"gpus\":\"1\"}}]"),
+         "cap_negative_or_malformed"},
+        {CUSTOMERS("[{\"name\":\"a\",\"cap\":7}]"),
+         "cap_negative_or_malformed"},
+    };
+    const char *reason;
+
+    for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        CU_ASSERT_PTR_NULL(decode_config(bad[i].document, &reason));
+        CU_ASSERT_PTR_NOT_NULL_FATAL(reason);
+        CU_ASSERT_STRING_EQUAL(reason, bad[i].reason);
+    }
+    CU_ASSERT_PTR_NULL(decode_config("{\"tenants\":[]}", &reason));
+    CU_ASSERT_PTR_NULL(reason);
+}
+
+static void
+test_customers(void)
+{
+    const char *reason;
+    fv_cell_config_t *config = decode_config(
+        "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"h\","
+        "\"prefix\":\"/q/\",\"service\":\"s\",\"public\":true},"
+        "{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/r/\","
+        "\"service\":\"s\"}],\"tenants\":[{\"name\":\"east side\","
+        "\"apiKeys\":[\"k1\",\"k2\",\"k1\"],\"weight\":1e300,\"cap\":"
+        "{\"cpu\":0.5,\"memMb\":4096,\"gpus\":null},\"new\":[]},"
+        "{\"name\":\"west\",\"apiKeys\":null,\"cap\":null}]}",
+        &reason);
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(config);
+    CU_ASSERT_TRUE(config->has_customers);
+    CU_ASSERT_EQUAL_FATAL(config->customer_count, 2);
+    CU_ASSERT_STRING_EQUAL(config->customers[0].name, "east side");
+    CU_ASSERT_EQUAL(config->customers[0].key_count, 3);
+    CU_ASSERT_STRING_EQUAL(config->customers[0].keys[1], "k2");
+    CU_ASSERT(config->customers[0].weight < 1e7);
+    /* Rounded down, it would be no limit. */
+    CU_ASSERT_EQUAL(config->customers[0].cpu_millis_max, 1);
+    CU_ASSERT_EQUAL(config->customers[0].memory_mib_max, 4096);
+    CU_ASSERT_EQUAL(config->customers[0].accelerators_max, 0);
+    CU_ASSERT_EQUAL(config->customers[1].key_count, 0);
+    CU_ASSERT(config->customers[1].weight > 0);
+    CU_ASSERT_TRUE(config->queues[0].is_public);
+    CU_ASSERT_FALSE(config->queues[1].is_public);
+    FvCellConfig_Free(config);
+}
+
+/* Without the section no key is needed; with an empty one none is known. */
+static void
+test_no_customers(void)
+{
+    static const struct {
+        const char *document;
+        bool has_customers;
+    } configs[] = {{"{\"version\":1,\"routes\":[]}", false},
+                   {CUSTOMERS("null"), false},
+                   {CUSTOMERS("[]"), true}};
+    const char *reason;
+
+    for (size_t i = 0; i < sizeof(configs) / sizeof(configs[0]); i++) {
+        fv_cell_config_t *config = decode_config(configs[i].document, &reason);
+
+        CU_ASSERT_PTR_NOT_NULL_FATAL(config);
+        CU_ASSERT_EQUAL(config->has_customers, configs[i].has_customers);
+        CU_ASSERT_EQUAL(config->customer_count, 0);
+        FvCellConfig_Free(config);
+    }
+}
+
 static void
 test_submissions(void)
 {
@@ -491,6 +600,11 @@
          test_odd_registry_entries},
         {"an id that is not one word is accepted", test_odd_registry_keys},
         {"labels beyond the limit shift the rack", test_many_labels},
+        {"a bad customer changes the access or the cap of others",
+         test_bad_customers},
+        {"a customer's keys, weight or cap get lost", test_customers},
+        {"calls need a key without customers, or none with an empty list",
+         test_no_customers},
         {"a malformed submission is accepted", test_submissions},
         {"a malformed report is accepted", test_reports},
         {"a long saved value makes the report unreadable",
