--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -38,9 +38,16 @@
  * that comes later is refused. Callers are told that there is no such job. */
 #define Fv_STATE_BARRED "barred"
 
+/* Whose job it is; empty names for a job of nobody. */
+typedef struct fv_job_owner {
+    char customer[Fv_NAME_SIZE];
+    char queue[Fv_NAME_SIZE];
+} fv_job_owner_t;
+
 typedef struct fv_ended_job {
     char id[Fv_JOB_ID_SIZE];
     char state[16];
+    fv_job_owner_t owner;
     bool recorded;
     fv_record_waiter_t *waiters; /* for the record of a barred job */
     int64_t ended_ms;
@@ -59,6 +66,7 @@
 typedef struct fv_held_question {
     int64_t id;
     char job[Fv_JOB_ID_SIZE];
+    fv_job_owner_t asker;
     fv_leader_reply_t reply;
     void *context;
     uint64_t renewal;
@@ -142,7 +150,7 @@
     fv_advice_request_t *advice_requests;
     int64_t last_advice_request_id;
     int64_t stream_revisions[Fv_RECORD_STREAMS];
-    fv_range_load_t loads[6];
+    fv_range_load_t loads[7];
     uint32_t loads_pending;
     bool serving;
     bool closed;
@@ -228,7 +236,12 @@
 void FvLeaderRecord_Bar(fv_leader_t *leader, const fv_cell_message_t *message,
                         fv_leader_reply_t reply, void *context);
 void FvLeaderRecord_RememberEnded(fv_leader_t *leader, const char *id,
-                                  const char *state);
+                                  const char *state,
+                                  const fv_job_owner_t *owner);
+void FvLeaderRecord_EncodeEnded(const char *state, const fv_job_owner_t *owner,
+                                fv_buffer_t *out);
+bool FvLeaderRecord_DecodeEnded(const fv_buffer_t *value, const char **state,
+                                fv_job_owner_t *owner);
 void FvLeaderRecord_RemoveIfIdle(fv_leader_t *leader, fv_sched_job_t *job);
 void FvLeaderRecord_Write(fv_sched_t *sched, fv_sched_job_t *job,
                           fv_record_kind_t kind);
--- a/src/cell-types.c
+++ b/src/cell-types.c
@@ -62,6 +62,9 @@
     }
     free(config->customers);
     free(config->queues);
+    if (config->document != NULL) {
+        sodium_memzero(config->document, config->document_length);
+    }
     free(config->document);
     free(config);
 }
--- a/src/cell-types.h
+++ b/src/cell-types.h
@@ -89,6 +89,7 @@
     bool has_customers; /* calls need a key, except on public queues */
     uint32_t customer_count;
     fv_cell_customer_t *customers;
+    int64_t customers_digest; /* set by its owner, FvCustomers_Digest() */
     char *document; /* raw, to pass to hosts that cannot read the store */
     size_t document_length;
 } fv_cell_config_t;
--- a/src/entry-hosts.h
+++ b/src/entry-hosts.h
@@ -27,6 +27,7 @@
     bool joined;
     fv_dependency_t reach;
     int64_t dialed_ms;
+    int64_t config_returned_ms; /* sent with a request that was given back */
     int64_t disconnected_since_ms; /* 0: joined, or not checked yet */
     uint32_t advice_count;
     fv_host_advice_t advice_requests[Fv_HOST_ADVICE_MAX];
@@ -46,7 +47,14 @@
     fv_advice_client_t *advice_client;
     fv_leader_t *leader;
     fv_kv_watch_t *config_watch;
+    bool config_watch_loaded; /* has delivered a snapshot */
     fv_cell_config_t *config;
+    fv_customers_past_t customers_past;
+    fv_log_quota_t config_log;
+    fv_log_quota_t give_back_log;
+    int64_t last_heartbeat_ms; /* when the event loop last sent heartbeats */
+    int64_t resumed_ms;        /* the process had stood still before */
+    int64_t leader_heard_ms;   /* a message that was sent since */
     struct event *heartbeat;
     struct event *step_down;
     struct event *flush;
@@ -77,8 +85,14 @@
 void FvEntryConfig_Adopt(fv_entry_t *entry, const char *document,
                          size_t length, const char *source);
 fv_kv_watch_t *FvEntryConfig_Watch(fv_entry_t *entry);
+void FvEntryConfig_Read(void *context, const fv_kv_item_t *item);
 void FvEntryConfig_SendIfNewer(fv_entry_t *entry, fv_link_peer_t *peer,
                                int64_t version);
+bool FvEntryConfig_GiveBack(fv_entry_t *entry, fv_host_state_t *state,
+                            const fv_cell_message_t *request);
+void FvEntryConfig_NoteHeartbeat(fv_entry_t *entry, int64_t now_ms);
+void FvEntryConfig_NoteLeaderHeard(fv_entry_t *entry);
+bool FvEntryConfig_IsCurrent(void *context);
 
 /* entry-hosts.c */
 fv_host_state_t *FvEntryHosts_FindOrAdd(fv_entry_t *entry, const char *name);
--- a/src/entry.c
+++ b/src/entry.c
@@ -170,6 +170,7 @@
                                  .smallest_memory_mb =
                                      leader_smallest_memory_mb,
                                  .config = leader_config,
+                                 .config_read = FvEntryConfig_Read,
                                  .handed_over = leader_handed_over,
                                  .context = entry};
     const fv_predecessor_t *predecessor =
@@ -367,7 +368,8 @@
         FvEntryConfig_SendIfNewer(entry, state->peer, message->number);
         break;
     case Fv_CELL_MESSAGE_REQUEST:
-        if (entry->leader != NULL) {
+        if (entry->leader != NULL &&
+            !FvEntryConfig_GiveBack(entry, state, message)) {
             FvLeader_HandleRequest(entry->leader, message, reply_to_host,
                                    state);
         }
@@ -391,6 +393,9 @@
     fv_entry_t *entry = context;
     fv_host_state_t *state;
 
+    if (peer == entry->leader_link) {
+        FvEntryConfig_NoteLeaderHeard(entry);
+    }
     if (message->kind == Fv_CELL_MESSAGE_HEARTBEAT) {
         FvEntryConfig_SendIfNewer(entry, peer, message->number);
         return;
@@ -496,6 +501,7 @@
 
     (void)fd;
     (void)what;
+    FvEntryConfig_NoteHeartbeat(entry, FvClock_NowMs());
     FvEntryConfig_SendHeartbeats(entry);
     FvLinks_CloseSilent(entry->links, Fv_LINK_SILENT_MS);
     if (entry->leader != NULL) {
@@ -565,11 +571,12 @@
         entry->advice_client =
             FvAdviceClient_New(entry->pool, entry->settings.advice_address);
     }
-    entry->frontend =
-        FvFrontend_New(entry->base, &entry->settings,
-                       &(fv_frontend_events_t){.forward = frontend_forward,
-                                               .ready = frontend_ready,
-                                               .context = entry});
+    entry->frontend = FvFrontend_New(
+        entry->base, &entry->settings,
+        &(fv_frontend_events_t){.forward = frontend_forward,
+                                .ready = frontend_ready,
+                                .is_config_current = FvEntryConfig_IsCurrent,
+                                .context = entry});
     entry->links = FvLinks_New(entry->base, &entry->settings,
                                &(fv_links_events_t){.message = link_message,
                                                     .opened = link_opened,
--- a/src/entry.h
+++ b/src/entry.h
@@ -8,6 +8,7 @@
 #define ENTRY_H
 
 #include "caller-connection.h"
+#include "customer.h"
 #include "platform.h"
 #include "scheduler.h"
 
@@ -300,8 +301,10 @@
     Fv_CELL_MESSAGE_ADVICE_REQUEST, /* leader: key = step, body = worker ids */
     Fv_CELL_MESSAGE_ADVICE_REPLY,   /* host: number = 1 when answered,
                                        body = worker ids and tickets */
-    Fv_CELL_MESSAGE_STORE_FAILING   /* leader: the store fails its calls,
+    Fv_CELL_MESSAGE_STORE_FAILING,  /* leader: the store fails its calls,
                                        number = sent_ago_ms */
+    Fv_CELL_MESSAGE_CALLER          /* host: how the next request was checked;
+                                       not delivered, see host-link.c */
 } fv_cell_message_kind_t;
 
 typedef struct fv_cell_message {
@@ -312,8 +315,8 @@
     const char *key;
     const char *body;
     size_t body_length;
-    const char *customer;     /* of a request; NULL or "": none */
-    int64_t customers_digest; /* of the configuration that named it */
+    const char *customer; /* of a request; NULL or "": none */
+    fv_caller_check_t check;
 } fv_cell_message_t;
 
 typedef struct fv_links fv_links_t;
@@ -363,6 +366,7 @@
                          before a retry */
     Fv_REPLY_MALFORMED,
     Fv_REPLY_NOT_READY, /* not processed; send the request again */
+    Fv_REPLY_FORBIDDEN, /* the job belongs to another customer */
 } fv_reply_t;
 
 /* frontend.c: HTTP server for callers and the platform's load balancer. */
@@ -372,6 +376,8 @@
     /* Forwards a request to the leader; false when no leader is known. */
     bool (*forward)(void *context, const fv_cell_message_t *message);
     bool (*ready)(void *context);
+    /* Whether the configuration is recent enough to refuse a call by it. */
+    bool (*is_config_current)(void *context);
     void *context;
 } fv_frontend_events_t;
 
@@ -380,7 +386,8 @@
                               const fv_frontend_events_t *events);
 void FvFrontend_Free(fv_frontend_t *frontend);
 void FvFrontend_SetConfig(fv_frontend_t *frontend,
-                          const fv_cell_config_t *config);
+                          const fv_cell_config_t *config,
+                          fv_customers_t *customers);
 void FvFrontend_Reply(fv_frontend_t *frontend,
                       const fv_cell_message_t *message, bool current);
 void FvFrontend_LeaderChanged(fv_frontend_t *frontend);
@@ -418,6 +425,8 @@
     /* Memory of the smallest registered host. */
     double (*smallest_memory_mb)(void *context);
     const fv_cell_config_t *(*config)(void *context);
+    /* The configuration as read from the store before this leader serves. */
+    void (*config_read)(void *context, const fv_kv_item_t *item);
     void (*handed_over)(void *context); /* may resign now */
     void *context;
 } fv_leader_events_t;
--- a/src/forwarding.c
+++ b/src/forwarding.c
@@ -68,16 +68,18 @@
  * @current: whether it comes from the leader that the request was sent to last
  *
  * A rejection by an earlier leader is not final: the current leader may accept
- * the request. An acceptance by an earlier leader is: the current leader has
- * read its records, and the earlier one is fenced and can write no more.
+ * the request, or know of its job. An acceptance by an earlier leader is: the
+ * current leader has read its records, and the earlier one is fenced and can
+ * write no more.
  *
  * Return: false when the reply is to be ignored.
  */
 bool
 FvForwarding_AcceptsReply(fv_reply_t reply, bool current)
 {
-    return current || (reply != Fv_REPLY_REFUSED && reply != Fv_REPLY_GONE &&
-                       reply != Fv_REPLY_NOT_READY);
+    return current ||
+           (reply != Fv_REPLY_REFUSED && reply != Fv_REPLY_GONE &&
+            reply != Fv_REPLY_NOT_READY && reply != Fv_REPLY_FORBIDDEN);
 }
 
 /**
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -1,7 +1,8 @@
 /*
  * HTTP frontend: serves callers, the load balancer's readiness checks and the
- * metrics. It maps a request to a queue by host name and path and forwards it
- * to the leader; while a new leader is being elected it holds the request.
+ * metrics. It maps a request to a queue by host name and path, finds the
+ * customer by the key and forwards the request to the leader; while a new
+ * leader is being elected it holds the request.
  */
 
 #include "caller-connection.h"
@@ -33,6 +34,8 @@
     fv_verb_t verb;
     char queue[Fv_NAME_SIZE];
     char job[Fv_JOB_ID_SIZE];
+    char customer[Fv_NAME_SIZE];
+    int64_t checked_version; /* of the configuration that gave the customer */
     fv_forwarding_t forwarding;
     UT_hash_handle hh;
 } fv_frontend_request_t;
@@ -42,6 +45,8 @@
     const fv_entry_settings_t *settings;
     fv_frontend_events_t events;
     const fv_cell_config_t *config;
+    fv_customers_t *customers; /* of the configuration */
+    bool had_customers;        /* in this or an earlier configuration */
     fv_caller_connections_t *connections;
     struct evhttp *callers;
     struct evhttp_bound_socket *callers_socket; /* NULL: accepts no more */
@@ -52,6 +57,7 @@
     int64_t last_id;
     fv_log_quota_t cancel_log;
     fv_log_quota_t refusal_log;
+    fv_log_quota_t key_log;
     bool draining;
     bool refusing; /* the process is about to end */
 };
@@ -74,7 +80,9 @@
     struct evbuffer *buffer = evbuffer_new();
 
     if (body != NULL && buffer != NULL) {
-        evhttp_add_header(headers, "Content-Type", "application/json");
+        if (evhttp_find_header(headers, "Content-Type") == NULL) {
+            evhttp_add_header(headers, "Content-Type", "application/json");
+        }
         evbuffer_add(buffer, body, strlen(body));
     }
     if (status == 429 || status == 503) {
@@ -90,6 +98,20 @@
     }
 }
 
+/* Prepares an answer that tells its cause. The caller frees the body. */
+static char *
+start_problem(struct evhttp_request *http, int status, const char *title,
+              const char *detail)
+{
+    struct evkeyvalq *headers = evhttp_request_get_output_headers(http);
+
+    evhttp_add_header(headers, "Content-Type", FvPlatform_ProblemType);
+    if (status == 401) {
+        evhttp_add_header(headers, "WWW-Authenticate", FvPlatform_KeyHeader);
+    }
+    return FvPlatform_EncodeProblem(status, title, detail);
+}
+
 static fv_log_level_t
 answer_log_level(fv_frontend_t *frontend, const fv_frontend_request_t *request,
                  int status)
@@ -125,6 +147,100 @@
     free(request);
 }
 
+static const fv_cell_queue_t *
+find_queue(const fv_frontend_t *frontend, const char *host, const char *path)
+{
+    const fv_cell_queue_t *best = NULL;
+    size_t host_length = strcspn(host, ":");
+
+    for (uint32_t i = 0; i < frontend->config->queue_count; i++) {
+        const fv_cell_queue_t *queue = &frontend->config->queues[i];
+
+        if (strlen(queue->virtual_host) == host_length &&
+            strncasecmp(queue->virtual_host, host, host_length) == 0 &&
+            strncmp(path, queue->prefix, strlen(queue->prefix)) == 0 &&
+            (best == NULL || strlen(queue->prefix) > strlen(best->prefix))) {
+            best = queue;
+        }
+    }
+    return best;
+}
+
+static const fv_cell_queue_t *
+find_queue_by_name(const fv_frontend_t *frontend, const char *name)
+{
+    for (uint32_t i = 0; i < frontend->config->queue_count; i++) {
+        if (strcmp(frontend->config->queues[i].name, name) == 0) {
+            return &frontend->config->queues[i];
+        }
+    }
+    return NULL;
+}
+
+static fv_caller_verdict_t
+check_caller(const fv_frontend_t *frontend, struct evhttp_request *http,
+             const fv_cell_queue_t *queue, char customer[Fv_NAME_SIZE])
+{
+    const char *key = evhttp_find_header(
+        evhttp_request_get_input_headers(http), FvPlatform_KeyHeader);
+    const char *name;
+    fv_caller_verdict_t verdict =
+        FvCustomers_CheckCaller(frontend->customers, queue, key, &name);
+
+    FvText_Copy(customer, Fv_NAME_SIZE, name);
+    return verdict;
+}
+
+/* Counts and logs a call without a known key. Returns the body of its answer,
+ * which the caller frees. */
+static char *
+start_key_refusal(fv_frontend_t *frontend, struct evhttp_request *http,
+                  fv_caller_verdict_t verdict, const char *queue,
+                  const char *job)
+{
+    bool missing = verdict == Fv_CALLER_WITHOUT_KEY;
+
+    FvMetrics_Add(Fv_COUNTER_KEYS_REFUSED, 1);
+    FvLog_Event(FvLog_LevelWithin(&frontend->key_log,
+                                  Fv_REFUSAL_LOG_LINES_PER_S, FvClock_NowMs()),
+                "key_refused", "job=%s queue=%s cause=%s config_version=%lld",
+                job, queue, missing ? "no_key" : "unknown_key",
+                (long long)frontend->config->version);
+    return start_problem(http, 401, "Unauthorized",
+                         missing ? "the request has no key"
+                                 : "the key is not known");
+}
+
+/* Checks a request again that is about to be sent by another configuration
+ * than the one it was checked by. Returns false if it has been answered. */
+static bool
+recheck_request(fv_frontend_t *frontend, fv_frontend_request_t *request)
+{
+    fv_caller_verdict_t verdict;
+    char *body;
+
+    if (request->checked_version == frontend->config->version) {
+        return true;
+    }
+    verdict = check_caller(frontend, request->http,
+                           find_queue_by_name(frontend, request->queue),
+                           request->customer);
+    request->checked_version = frontend->config->version;
+    if (verdict == Fv_CALLER_ADMITTED) {
+        return true;
+    }
+    if (FvForwarding_MayHaveExecuted(&request->forwarding)) {
+        end_request(frontend, request, 504, "Outcome Unknown", NULL, "");
+        return false;
+    }
+    body = start_key_refusal(frontend, request->http, verdict, request->queue,
+                             request->job);
+    end_request(frontend, request, 401, "Unauthorized", body, "");
+    free(body);
+    return false;
+}
+
+/* May end the request. */
 static void
 forward_request(fv_frontend_t *frontend, fv_frontend_request_t *request)
 {
@@ -140,6 +256,17 @@
     };
     fv_forwarding_t before = request->forwarding;
 
+    if (!recheck_request(frontend, request)) {
+        return;
+    }
+    message.customer = request->customer;
+    if (frontend->had_customers) {
+        message.check = (fv_caller_check_t){
+            .digest = frontend->config->customers_digest,
+            .config_version = frontend->config->version,
+            .waited_ms = FvClock_NowMs() - request->forwarding.arrived_ms,
+        };
+    }
     FvForwarding_Sent(&request->forwarding);
     /* When this host leads, the reply may arrive and free the request before
      * the call returns. */
@@ -148,25 +275,6 @@
     }
 }
 
-static const fv_cell_queue_t *
-find_queue(const fv_frontend_t *frontend, const char *host, const char *path)
-{
-    const fv_cell_queue_t *best = NULL;
-    size_t host_length = strcspn(host, ":");
-
-    for (uint32_t i = 0; i < frontend->config->queue_count; i++) {
-        const fv_cell_queue_t *queue = &frontend->config->queues[i];
-
-        if (strlen(queue->virtual_host) == host_length &&
-            strncasecmp(queue->virtual_host, host, host_length) == 0 &&
-            strncmp(path, queue->prefix, strlen(queue->prefix)) == 0 &&
-            (best == NULL || strlen(queue->prefix) > strlen(best->prefix))) {
-            best = queue;
-        }
-    }
-    return best;
-}
-
 static bool
 is_job_id(const char *text)
 {
@@ -222,7 +330,8 @@
 
 static void
 accept_request(fv_frontend_t *frontend, struct evhttp_request *http,
-               fv_verb_t verb, const fv_cell_queue_t *queue, const char *job)
+               fv_verb_t verb, const fv_cell_queue_t *queue, const char *job,
+               const char *customer)
 {
     fv_frontend_request_t *request = calloc(1, sizeof(*request));
 
@@ -236,6 +345,8 @@
     request->verb = verb;
     FvText_Copy(request->queue, sizeof(request->queue), queue->name);
     FvText_Copy(request->job, sizeof(request->job), job);
+    FvText_Copy(request->customer, sizeof(request->customer), customer);
+    request->checked_version = frontend->config->version;
     request->forwarding = (fv_forwarding_t){
         .arrived_ms = FvClock_NowMs(), .timeout_ms = request_timeout_ms(http)};
     HASH_ADD(hh, frontend->requests, id, sizeof(request->id), request);
@@ -250,6 +361,48 @@
     FvMetrics_Add(Fv_COUNTER_HTTP_REPLIES, 1);
 }
 
+/* With customers, a configuration that may be outdated is no reason to refuse
+ * a call for good: its route or key may have been added since. */
+static bool
+may_be_outdated(const fv_frontend_t *frontend)
+{
+    return frontend->had_customers &&
+           !frontend->events.is_config_current(frontend->events.context);
+}
+
+static void
+refuse_route(fv_frontend_t *frontend, struct evhttp_request *http,
+             const char *host, const char *path)
+{
+    if (may_be_outdated(frontend)) {
+        refuse_request(frontend, http, path, "configuration_outdated",
+                       "Configuration Outdated");
+        return;
+    }
+    FvLog_Event(Fv_LOG_INFO, "queue_unknown",
+                "host=%s path=%s config_version=%lld", host, path,
+                (long long)frontend->config->version);
+    send_reply(frontend, http, 404, "Not Found", NULL);
+}
+
+static void
+refuse_key(fv_frontend_t *frontend, struct evhttp_request *http,
+           fv_caller_verdict_t verdict, const fv_cell_queue_t *queue,
+           const char *path)
+{
+    char *body;
+
+    if (may_be_outdated(frontend)) {
+        refuse_request(frontend, http, path, "configuration_outdated",
+                       "Configuration Outdated");
+        return;
+    }
+    body = start_key_refusal(frontend, http, verdict, queue->name,
+                             path + strlen(queue->prefix));
+    send_reply(frontend, http, 401, "Unauthorized", body);
+    free(body);
+}
+
 static void
 handle_caller_request(struct evhttp_request *http, void *context)
 {
@@ -258,7 +411,9 @@
         evhttp_find_header(evhttp_request_get_input_headers(http), "Host");
     const char *uri = evhttp_request_get_uri(http);
     char path[Fv_URL_SIZE];
+    char customer[Fv_NAME_SIZE];
     const fv_cell_queue_t *queue;
+    fv_caller_verdict_t verdict;
     fv_verb_t verb;
 
     FvMetrics_Add(Fv_COUNTER_HTTP_REQUESTS, 1);
@@ -276,10 +431,12 @@
     }
     queue = find_queue(frontend, host ? host : "", path);
     if (queue == NULL) {
-        FvLog_Event(Fv_LOG_INFO, "queue_unknown",
-                    "host=%s path=%s config_version=%lld", host ? host : "",
-                    path, (long long)frontend->config->version);
-        send_reply(frontend, http, 404, "Not Found", NULL);
+        refuse_route(frontend, http, host ? host : "", path);
+        return;
+    }
+    verdict = check_caller(frontend, http, queue, customer);
+    if (verdict != Fv_CALLER_ADMITTED) {
+        refuse_key(frontend, http, verdict, queue, path);
         return;
     }
     verb = find_verb(http, path + strlen(queue->prefix));
@@ -288,7 +445,8 @@
         send_reply(frontend, http, 400, "Bad Request", NULL);
         return;
     }
-    accept_request(frontend, http, verb, queue, path + strlen(queue->prefix));
+    accept_request(frontend, http, verb, queue, path + strlen(queue->prefix),
+                   customer);
 }
 
 static void
@@ -457,6 +615,7 @@
         evhttp_free(frontend->metrics);
     }
     FvCallerConnections_Free(frontend->connections);
+    FvCustomers_Free(frontend->customers);
     free(frontend);
 }
 
@@ -464,11 +623,19 @@
  * FvFrontend_SetConfig - apply a configuration
  * @frontend: the frontend
  * @config: the configuration; must stay valid until the next call
+ * @customers: its customers; owned by the frontend from now on
+ *
+ * Requests that are sent from now on are checked by it, also those that came
+ * before.
  */
 void
-FvFrontend_SetConfig(fv_frontend_t *frontend, const fv_cell_config_t *config)
+FvFrontend_SetConfig(fv_frontend_t *frontend, const fv_cell_config_t *config,
+                     fv_customers_t *customers)
 {
+    FvCustomers_Free(frontend->customers);
+    frontend->customers = customers;
     frontend->config = config;
+    frontend->had_customers = frontend->had_customers || config->has_customers;
 }
 
 /**
@@ -605,6 +772,23 @@
     free(body);
 }
 
+static void
+refuse_customer(fv_frontend_t *frontend, fv_frontend_request_t *request,
+                const char *leader)
+{
+    char *body = start_problem(request->http, 403, "Forbidden",
+                               "the job belongs to another customer");
+
+    FvMetrics_Add(Fv_COUNTER_CUSTOMERS_REFUSED, 1);
+    FvLog_Event(FvLog_LevelWithin(&frontend->key_log,
+                                  Fv_REFUSAL_LOG_LINES_PER_S, FvClock_NowMs()),
+                "customer_refused", "job=%s queue=%s customer=%s verb=%d",
+                request->job, request->queue, request->customer,
+                (int)request->verb);
+    end_request(frontend, request, 403, "Forbidden", body, leader);
+    free(body);
+}
+
 /**
  * FvFrontend_Reply - handle a leader's reply to a request
  * @frontend: the frontend
@@ -654,6 +838,9 @@
     case Fv_REPLY_MALFORMED:
         end_request(frontend, request, 400, "Bad Request", NULL, message->key);
         break;
+    case Fv_REPLY_FORBIDDEN:
+        refuse_customer(frontend, request, message->key);
+        break;
     case Fv_REPLY_NOT_READY:
     default:
         FvForwarding_NotExecuted(
--- a/src/host-link.c
+++ b/src/host-link.c
@@ -17,6 +17,7 @@
 
 #define Fv_LINK_FRAME_MAX_BYTES (2 * 1024 * 1024)
 #define Fv_LINK_FIELDS 6
+#define Fv_LINK_CHECK_FIELDS 2
 #define Fv_LINK_HEADER_BYTES 4
 
 /* How long a closed connection may make no progress before it is dropped. */
@@ -34,6 +35,10 @@
     bool closing;
     const char *error; /* why it ended; NULL: this host closed it */
     int64_t last_received_ms;
+    /* Of the latest message Fv_CELL_MESSAGE_CALLER. */
+    int64_t checked_request; /* its id; 0: none */
+    char customer[Fv_NAME_SIZE];
+    fv_caller_check_t check;
     fv_link_peer_t *next;
 };
 
@@ -260,6 +265,43 @@
     }
 }
 
+/* Keeps how the request that follows was checked. It is a message of its own,
+ * which earlier builds ignore: they reject a request with further fields. */
+static bool
+keep_check(fv_link_peer_t *peer, const fv_cell_message_t *message)
+{
+    msgpack_unpacked unpacked;
+    fv_field_reader_t reader;
+    bool good =
+        FvFields_Open(&reader, &unpacked, message->body, message->body_length);
+
+    peer->check = (fv_caller_check_t){
+        .digest = message->number,
+        .config_version = FvFields_Int(&reader, 0, INT64_MAX),
+        .waited_ms = FvFields_Int(&reader, 0, INT64_MAX),
+    };
+    good = good && !reader.failed &&
+           FvText_Copy(peer->customer, sizeof(peer->customer), message->name);
+    peer->checked_request = good ? message->id : 0;
+    msgpack_unpacked_destroy(&unpacked);
+    return good;
+}
+
+static bool
+handle_message(fv_link_peer_t *peer, fv_cell_message_t *message)
+{
+    if (message->kind == Fv_CELL_MESSAGE_CALLER) {
+        return keep_check(peer, message);
+    }
+    if (message->kind == Fv_CELL_MESSAGE_REQUEST &&
+        peer->checked_request != 0 && message->id == peer->checked_request) {
+        message->customer = peer->customer;
+        message->check = peer->check;
+    }
+    peer->links->events.message(peer->links->events.context, peer, message);
+    return true;
+}
+
 static bool
 decode_frame(fv_link_peer_t *peer, const char *data, size_t length)
 {
@@ -270,8 +312,7 @@
     fv_field_reader_t reader;
     bool good;
 
-    if (FvFields_Open(&reader, &unpacked, data, length) &&
-        reader.count == Fv_LINK_FIELDS) {
+    if (FvFields_Open(&reader, &unpacked, data, length)) {
         message.kind =
             (fv_cell_message_kind_t)FvFields_Int(&reader, 0, INT32_MAX);
         message.id = FvFields_Int(&reader, INT64_MIN, INT64_MAX);
@@ -280,11 +321,8 @@
         FvFields_Text(&reader, key, sizeof(key));
         message.body = FvFields_ViewBytes(&reader, &message.body_length);
     }
-    good = !reader.failed && reader.count == Fv_LINK_FIELDS;
-    if (good) {
-        peer->links->events.message(peer->links->events.context, peer,
-                                    &message);
-    }
+    /* Later builds may add fields. */
+    good = !reader.failed && handle_message(peer, &message);
     msgpack_unpacked_destroy(&unpacked);
     return good;
 }
@@ -451,24 +489,14 @@
     bufferevent_enable(peer->stream, EV_READ | EV_WRITE);
 }
 
-/**
- * FvLinks_Send - send a message
- * @peer: the peer
- * @message: the message; dropped when the peer does not read
- */
-void
-FvLinks_Send(fv_link_peer_t *peer, const fv_cell_message_t *message)
+static void
+send_frame(fv_link_peer_t *peer, const fv_cell_message_t *message)
 {
     msgpack_sbuffer packed;
     msgpack_packer packer;
     uint32_t length;
     struct evbuffer *output = bufferevent_get_output(peer->stream);
 
-    if (evbuffer_get_length(output) > Fv_LINK_BACKLOG_MAX_BYTES) {
-        FvLog_Event(Fv_LOG_WARN, "link_backlog", "peer=%s kind=%d", peer->name,
-                    (int)message->kind);
-        return; /* heartbeats are dropped too, so the peer closes */
-    }
     msgpack_sbuffer_init(&packed);
     msgpack_packer_init(&packer, &packed, msgpack_sbuffer_write);
     msgpack_pack_array(&packer, Fv_LINK_FIELDS);
@@ -485,6 +513,47 @@
     msgpack_sbuffer_destroy(&packed);
 }
 
+static void
+send_check(fv_link_peer_t *peer, const fv_cell_message_t *request)
+{
+    msgpack_sbuffer packed;
+    msgpack_packer packer;
+
+    msgpack_sbuffer_init(&packed);
+    msgpack_packer_init(&packer, &packed, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, Fv_LINK_CHECK_FIELDS);
+    msgpack_pack_int64(&packer, request->check.config_version);
+    msgpack_pack_int64(&packer, request->check.waited_ms);
+    send_frame(peer, &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_CALLER,
+                                          .id = request->id,
+                                          .number = request->check.digest,
+                                          .name = request->customer,
+                                          .body = packed.data,
+                                          .body_length = packed.size});
+    msgpack_sbuffer_destroy(&packed);
+}
+
+/**
+ * FvLinks_Send - send a message
+ * @peer: the peer
+ * @message: the message; dropped when the peer does not read
+ */
+void
+FvLinks_Send(fv_link_peer_t *peer, const fv_cell_message_t *message)
+{
+    if (evbuffer_get_length(bufferevent_get_output(peer->stream)) >
+        Fv_LINK_BACKLOG_MAX_BYTES) {
+        FvLog_Event(Fv_LOG_WARN, "link_backlog", "peer=%s kind=%d", peer->name,
+                    (int)message->kind);
+        return; /* heartbeats are dropped too, so the peer closes */
+    }
+    if (message->kind == Fv_CELL_MESSAGE_REQUEST &&
+        message->check.config_version != 0) {
+        send_check(peer, message);
+    }
+    send_frame(peer, message);
+}
+
 /**
  * FvLinks_New - listen for connections from leaders
  * @base: the event loop
--- a/src/leader-load.c
+++ b/src/leader-load.c
@@ -186,9 +186,16 @@
 static void
 load_ended(fv_leader_t *leader, const fv_kv_item_t *item)
 {
-    FvLeaderRecord_RememberEnded(
-        leader, item->key + strlen(Fv_KEY_ENDED),
-        item->value.data != NULL ? (const char *)item->value.data : "failed");
+    const char *state = "failed";
+    fv_job_owner_t owner = {0};
+
+    if (item->value.data != NULL &&
+        !FvLeaderRecord_DecodeEnded(&item->value, &state, &owner)) {
+        FvLog_Event(Fv_LOG_ERROR, "ended_record_unreadable", "key=%s",
+                    item->key);
+    }
+    FvLeaderRecord_RememberEnded(leader, item->key + strlen(Fv_KEY_ENDED),
+                                 state, &owner);
 }
 
 static void
@@ -325,6 +332,12 @@
     }
 }
 
+static void
+load_config(fv_leader_t *leader, const fv_kv_item_t *item)
+{
+    leader->events.config_read(leader->events.context, item);
+}
+
 static void
 jobs_loaded(fv_leader_t *leader)
 {
@@ -343,6 +356,9 @@
     start_load(leader, 2, Fv_KEY_ENDED, load_ended, NULL);
     start_load(leader, 3, Fv_KEY_JOBS, load_job, jobs_loaded);
     start_load(leader, 5, Fv_KEY_UNREACHED, load_unreached, NULL);
+    /* This host's watch may lag behind what other hosts already know: a leader
+     * that serves would accept requests by keys that were removed. */
+    start_load(leader, 6, FvPlatform_ConfigKey, load_config, NULL);
 }
 
 /**
--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -130,18 +130,87 @@
  * @leader: the leader
  * @id: the job
  * @state: its final state, as recorded
+ * @owner: whose job it was
  */
 void
 FvLeaderRecord_RememberEnded(fv_leader_t *leader, const char *id,
-                             const char *state)
+                             const char *state, const fv_job_owner_t *owner)
 {
     fv_ended_job_t *ended = find_or_add_ended(leader, id, state);
 
     if (ended != NULL) {
         ended->recorded = true;
+        ended->owner = *owner;
     }
 }
 
+/**
+ * FvLeaderRecord_EncodeEnded - encode the record of an ended job
+ * @state: its final state
+ * @owner: whose job it was
+ * @out: receives the record
+ *
+ * A job of a customer adds the customer and the queue, each after a NUL, at
+ * which earlier builds end the state.
+ */
+void
+FvLeaderRecord_EncodeEnded(const char *state, const fv_job_owner_t *owner,
+                           fv_buffer_t *out)
+{
+    FvBuffer_Append(out, state, strlen(state));
+    if (owner->customer[0] != '\0') {
+        FvBuffer_Append(out, "", 1);
+        FvBuffer_Append(out, owner->customer, strlen(owner->customer));
+        FvBuffer_Append(out, "", 1);
+        FvBuffer_Append(out, owner->queue, strlen(owner->queue));
+    }
+}
+
+/* Takes the text up to the next NUL. */
+static bool
+take_text(const char **from, const char *end, char target[Fv_NAME_SIZE])
+{
+    size_t length = strnlen(*from, (size_t)(end - *from));
+
+    if (length >= Fv_NAME_SIZE) {
+        return false;
+    }
+    memcpy(target, *from, length);
+    target[length] = '\0';
+    *from += length < (size_t)(end - *from) ? length + 1 : length;
+    return true;
+}
+
+/**
+ * FvLeaderRecord_DecodeEnded - decode the record of an ended job
+ * @value: the record
+ * @state: set to its final state, within @value
+ * @owner: receives whose job it was
+ *
+ * Return: false when the owner is unreadable; it is nobody then.
+ */
+bool
+FvLeaderRecord_DecodeEnded(const fv_buffer_t *value, const char **state,
+                           fv_job_owner_t *owner)
+{
+    const char *text = (const char *)value->data;
+    const char *end = text + value->length;
+
+    *owner = (fv_job_owner_t){0};
+    *state = text;
+    text += strnlen(text, value->length);
+    if (text == end) {
+        return true;
+    }
+    text++;
+    if (!take_text(&text, end, owner->customer) ||
+        !take_text(&text, end, owner->queue)) {
+        *owner = (fv_job_owner_t){0};
+        return false;
+    }
+    return true;
+}
+
 typedef struct fv_record_call {
     fv_leader_t *leader;
     char job[Fv_JOB_ID_SIZE];
@@ -162,6 +231,16 @@
     }
 }
 
+static fv_job_owner_t
+job_owner(const fv_sched_job_t *job)
+{
+    fv_job_owner_t owner = {0};
+
+    FvText_Copy(owner.customer, sizeof(owner.customer), job->customer);
+    FvText_Copy(owner.queue, sizeof(owner.queue), job->queue.name);
+    return owner;
+}
+
 static void
 record_written(void *context)
 {
@@ -178,9 +257,11 @@
         answer_waiters(leader, job, Fv_VERB_SUBMIT, Fv_REPLY_ACCEPTED, "");
     }
     else if (job != NULL && call->kind == Fv_RECORD_END) {
+        fv_job_owner_t owner = job_owner(job);
+
         job->recorded = job->outcome;
         FvLeaderRecord_RememberEnded(leader, job->id,
-                                     FvSched_JobStateName(job));
+                                     FvSched_JobStateName(job), &owner);
         FvMetrics_Record(Fv_TIMING_TOTAL, Fv_CLASS_DEADLINE, job->queue.name,
                          (FvClock_NowMs() - job->received_ms) * 1000);
         answer_waiters(leader, job, Fv_VERB_CANCEL, Fv_REPLY_STATE,
@@ -234,6 +315,7 @@
 build_record(const fv_leader_t *leader, fv_sched_job_t *job,
              fv_record_kind_t kind, fv_record_t *entries)
 {
+    fv_job_owner_t owner = job_owner(job);
     uint32_t count = 0;
 
     if (kind == Fv_RECORD_ACCEPT) {
@@ -250,8 +332,8 @@
         return 1;
     }
     format_job_key(Fv_KEY_ENDED, job->id, entries[0].key, Fv_KEY_SIZE);
-    FvBuffer_Append(&entries[0].value, outcome_name(job->outcome),
-                    strlen(outcome_name(job->outcome)));
+    FvLeaderRecord_EncodeEnded(outcome_name(job->outcome), &owner,
+                               &entries[0].value);
     entries[0].expires = true;
     format_job_key(Fv_KEY_JOBS, job->id, entries[1].key, Fv_KEY_SIZE);
     count = 2;
--- a/src/leader-requests.c
+++ b/src/leader-requests.c
@@ -74,6 +74,58 @@
     return NULL;
 }
 
+static bool
+has_customers(const fv_leader_t *leader)
+{
+    const fv_cell_config_t *config =
+        leader->events.config(leader->events.context);
+
+    return config != NULL && config->has_customers;
+}
+
+/* Whether a caller may not know of another customer's job. A public route
+ * gives access to the jobs that were submitted there. */
+static bool
+is_other_customers(fv_leader_t *leader, const char *customer,
+                   const char *queue_name, const fv_cell_message_t *message)
+{
+    const fv_cell_queue_t *queue = find_queue(leader, message->name);
+    const char *caller = message->customer != NULL ? message->customer : "";
+
+    return customer[0] != '\0' && has_customers(leader) &&
+           strcmp(customer, caller) != 0 &&
+           !(queue != NULL && queue->is_public &&
+             strcmp(queue_name, message->name) == 0);
+}
+
+/* Answers a request about a job of another customer. The owner stands in the
+ * store for good; before it does, the job may yet be withdrawn. */
+static bool
+answer_forbidden(fv_leader_t *leader, const fv_cell_message_t *message,
+                 fv_leader_reply_t reply, void *context)
+{
+    fv_sched_job_t *job = FvSched_FindJob(&leader->sched, message->key);
+    fv_ended_job_t *ended = NULL;
+    bool forbidden = false;
+
+    HASH_FIND_STR(leader->ended, message->key, ended);
+    if (ended != NULL) {
+        forbidden = is_other_customers(leader, ended->owner.customer,
+                                       ended->owner.queue, message);
+    }
+    else if (job != NULL) {
+        forbidden = is_other_customers(leader, job->customer, job->queue.name,
+                                       message);
+    }
+    if (forbidden) {
+        reply_now(leader, message, reply, context,
+                  ended != NULL || job->durable ? Fv_REPLY_FORBIDDEN
+                                                : Fv_REPLY_NOT_READY,
+                  "");
+    }
+    return forbidden;
+}
+
 /* Whether all records of the job, however far it gets, fit into the store. */
 static bool
 fits_into_store(const fv_leader_t *leader, const fv_cell_message_t *message,
@@ -152,6 +204,9 @@
         reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
         return;
     }
+    if (!queue->is_public) {
+        FvText_Copy(job->customer, sizeof(job->customer), message->customer);
+    }
     FvLeaderRecord_AddWaiter(job, message, reply, context);
     FvLeaderRecord_Write(&leader->sched, job, Fv_RECORD_ACCEPT);
     FvSched_ReleaseStages(&leader->sched, job, now_ms, wall_ms);
@@ -221,6 +276,10 @@
         .renewal = leader->events.prove_lease(leader->events.context),
         .until_ms = FvClock_NowMs() + Fv_KV_RENEW_TIMEOUT_MS};
     FvText_Copy(question->job, sizeof(question->job), message->key);
+    FvText_Copy(question->asker.customer, sizeof(question->asker.customer),
+                message->customer);
+    FvText_Copy(question->asker.queue, sizeof(question->asker.queue),
+                message->name);
     if (leader->questions_last != NULL) {
         leader->questions_last->next = question;
     }
@@ -320,17 +379,26 @@
                        fv_leader_reply_t reply, void *context)
 {
     fv_sched_job_t *job;
+    bool may_send_orders;
 
     if (!leader->serving) {
         reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
         return;
     }
+    may_send_orders = leader->events.may_send_orders(leader->events.context,
+                                                     FvClock_NowMs());
+    /* The key of the call may have been removed without this host learning of
+     * it, so that records are no proof that it may be answered. */
+    if (has_customers(leader) && !may_send_orders) {
+        reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
+        return;
+    }
     if (message->number != Fv_VERB_WAITING &&
-        answer_from_records(leader, message, reply, context)) {
+        (answer_forbidden(leader, message, reply, context) ||
+         answer_from_records(leader, message, reply, context))) {
         return;
     }
-    if (!leader->events.may_send_orders(leader->events.context,
-                                        FvClock_NowMs())) {
+    if (!may_send_orders) {
         reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
         return;
     }
@@ -364,10 +432,18 @@
     while (leader->questions_first != NULL &&
            leader->questions_first->renewal <= renewal) {
         fv_held_question_t *question = take_first_question(leader);
-        fv_cell_message_t message = {
-            .id = question->id, .number = Fv_VERB_STATE, .key = question->job};
+        fv_cell_message_t message = {.id = question->id,
+                                     .number = Fv_VERB_STATE,
+                                     .name = question->asker.queue,
+                                     .key = question->job,
+                                     .customer = question->asker.customer};
         fv_sched_job_t *job = FvSched_FindJob(&leader->sched, question->job);
 
+        if (answer_forbidden(leader, &message, question->reply,
+                             question->context)) {
+            free(question);
+            continue;
+        }
         if (job != NULL && job->recorded == Fv_SCHED_JOB_OPEN) {
             handle_open_job(leader, job, &message, question->reply,
                             question->context);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -86,6 +86,17 @@
     [Fv_COUNTER_HTTP_NOT_FORWARDED] = {"http_not_forwarded",
                                        "Requests refused without a leader: no "
                                        "configuration, or shutting down."},
+    [Fv_COUNTER_CONFIGS_REFUSED] = {"configs_refused",
+                                    "Configurations that were unreadable or "
+                                    "bad."},
+    [Fv_COUNTER_KEYS_REFUSED] = {"keys_refused",
+                                 "Requests without a key that is known."},
+    [Fv_COUNTER_CUSTOMERS_REFUSED] = {"customers_refused",
+                                      "Requests about a job of another "
+                                      "customer."},
+    [Fv_COUNTER_REQUESTS_GIVEN_BACK] = {"requests_given_back",
+                                        "Requests returned to a host with "
+                                        "earlier customers."},
     [Fv_COUNTER_TASKS_LOST] = {"tasks_lost",
                                "Tasks that went back to waiting because their "
                                "worker was lost."},
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -11,6 +11,9 @@
 
 #define Fv_JOB_RECORD_FORMAT 1
 #define Fv_JOB_RECORD_FIELDS 13
+/* A customer's job has its name as a last field. Earlier builds read only
+ * records without it, so that a job of nobody has none. */
+#define Fv_CUSTOMER_RECORD_FIELDS (Fv_JOB_RECORD_FIELDS + 1)
 #define Fv_PROGRESS_ROW_FIELDS 7
 /* Consecutive tasks of a step that are done: occurrence, step, first task and
  * number of tasks, each of them at most 5, 2, 3 and 3 bytes long. */
@@ -48,7 +51,9 @@
 
     msgpack_sbuffer_init(&packed);
     msgpack_packer_init(&packer, &packed, msgpack_sbuffer_write);
-    msgpack_pack_array(&packer, Fv_JOB_RECORD_FIELDS);
+    msgpack_pack_array(&packer, job->customer[0] != '\0'
+                                    ? Fv_CUSTOMER_RECORD_FIELDS
+                                    : Fv_JOB_RECORD_FIELDS);
     msgpack_pack_int(&packer, Fv_JOB_RECORD_FORMAT);
     FvPack_Text(&packer, queue->name);
     FvPack_Text(&packer, queue->service);
@@ -62,6 +67,9 @@
     msgpack_pack_int64(&packer, queue->ticket_valid_ms);
     msgpack_pack_int64(&packer, job->received_wall_ms);
     FvPack_Bytes(&packer, job->document, job->document_length);
+    if (job->customer[0] != '\0') {
+        FvPack_Text(&packer, job->customer);
+    }
     return append_packed(&packed, out);
 }
 
@@ -325,6 +333,7 @@
     int64_t age_ms;
     const char *document;
     size_t length;
+    char customer[Fv_NAME_SIZE] = "";
     fv_cell_queue_t queue;
     fv_job_spec_t spec;
     fv_sched_job_t *job = NULL;
@@ -332,6 +341,9 @@
     unpack_queue(reader, &queue);
     received_wall_ms = FvFields_Int(reader, 0, INT64_MAX);
     document = FvFields_ViewBytes(reader, &length);
+    if (reader->count > Fv_JOB_RECORD_FIELDS) {
+        FvFields_Text(reader, customer, sizeof(customer));
+    }
     if (reader->failed || format != Fv_JOB_RECORD_FORMAT || document == NULL) {
         return NULL;
     }
@@ -341,6 +353,9 @@
                              now_ms - (age_ms > 0 ? age_ms : 0),
                              received_wall_ms);
     }
+    if (job != NULL) {
+        FvText_Copy(job->customer, sizeof(job->customer), customer);
+    }
     FvJobSpec_Clear(&spec);
     return job;
 }
@@ -365,7 +380,7 @@
     fv_sched_job_t *job = NULL;
 
     if (FvFields_Open(&reader, &unpacked, value->data, value->length) &&
-        reader.count == Fv_JOB_RECORD_FIELDS &&
+        reader.count >= Fv_JOB_RECORD_FIELDS &&
         strlen(id) == Fv_JOB_ID_SIZE - 1) {
         job = load_job_fields(sched, id, &reader, now_ms, wall_ms);
     }
--- a/tests/unit/decoder_mutation_test.c
+++ b/tests/unit/decoder_mutation_test.c
@@ -6,7 +6,7 @@
  * since a mutated msgpack array may request more memory than there is.
  */
 
-#include "platform.h"
+#include "cell-leader.h"
 #include "sched-fixture.h"
 #include "suite.h"
 
@@ -351,10 +351,24 @@
         &fixture.sched, "00000000000000aa", &value, 1000, 1000);
 
     if (job != NULL) {
+        CU_ASSERT(strlen(job->customer) < Fv_NAME_SIZE);
         FvSched_RemoveJob(&fixture.sched, job);
     }
 }
 
+static void
+decode_ended_record(const char *document, size_t length)
+{
+    fv_buffer_t value = {
+        .data = (uint8_t *)document, .length = length, .capacity = length};
+    fv_job_owner_t owner;
+    const char *state;
+
+    FvLeaderRecord_DecodeEnded(&value, &state, &owner);
+    CU_ASSERT(strlen(owner.customer) < Fv_NAME_SIZE);
+    CU_ASSERT(strlen(owner.queue) < Fv_NAME_SIZE);
+}
+
 static fv_sched_job_t *recorded_job;
 
 static void
@@ -376,17 +390,25 @@
     fv_cell_queue_t queue = FvSchedFixture_MakeQueue("batch", 2);
     fv_buffer_t job = {0};
     fv_buffer_t progress = {0};
+    fv_buffer_t ended = {0};
 
     FvSchedFixture_Open(&fixture, 1);
     recorded_job = FvSchedFixture_AddJob(
         &fixture, "00000000000000bb", &queue,
         "{\"taskSpec\":\"x\",\"steps\":[{\"count\":4,\"cpu\":1,\"memMb\":1,"
         "\"estimatedMs\":5}]}");
+    FvText_Copy(recorded_job->customer, sizeof(recorded_job->customer),
+                "east");
     CU_ASSERT_FATAL(FvSchedRecord_EncodeJob(recorded_job, &job));
+    FvLeaderRecord_EncodeEnded(
+        "completed", &(fv_job_owner_t){.customer = "east", .queue = "batch"},
+        &ended);
     CU_ASSERT_FATAL(
         FvSchedRecord_EncodeProgress(recorded_job, SIZE_MAX, &progress));
     decode_mutations(job.data, job.length, 9, decode_job_record);
     decode_mutations(progress.data, progress.length, 10, decode_progress);
+    decode_mutations(ended.data, ended.length, 11, decode_ended_record);
+    FvBuffer_Clear(&ended);
     FvBuffer_Clear(&job);
     FvBuffer_Clear(&progress);
     FvSchedFixture_Close(&fixture);
--- a/tests/unit/host_link_test.c
+++ b/tests/unit/host_link_test.c
@@ -22,6 +22,9 @@
     fv_link_peer_t *peer;
     int received;
     int closed;
+    int64_t request; /* id of the latest one */
+    char customer[Fv_NAME_SIZE];
+    fv_caller_check_t check;
 } host_t;
 
 static void
@@ -32,6 +35,11 @@
 
     (void)peer;
     host->received += message->kind == Fv_CELL_MESSAGE_REPLY;
+    if (message->kind == Fv_CELL_MESSAGE_REQUEST) {
+        host->request = message->id;
+        host->check = message->check;
+        FvText_Copy(host->customer, sizeof(host->customer), message->customer);
+    }
 }
 
 static void
@@ -253,6 +261,96 @@
     event_base_free(base);
 }
 
+static void
+send_request(host_t *host, int64_t id, const char *customer,
+             const fv_caller_check_t *check)
+{
+    FvLinks_Send(host->peer,
+                 &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_REQUEST,
+                                      .id = id,
+                                      .name = "q",
+                                      .key = "j",
+                                      .customer = customer,
+                                      .check = *check});
+}
+
+static void
+expect_request(pair_t *pair, int64_t id, const char *customer, int64_t digest)
+{
+    const host_t *leader = &pair->leader;
+
+    for (int i = 0; i < TIMEOUT_ROUNDS && leader->request != id; i++) {
+        run_rounds(pair->base, 1);
+    }
+    CU_ASSERT_EQUAL(leader->request, id);
+    CU_ASSERT_STRING_EQUAL(leader->customer, customer);
+    CU_ASSERT_EQUAL(leader->check.digest, digest);
+}
+
+/* A request of an earlier build follows one with a customer. */
+static void
+test_customer_of_a_request(void)
+{
+    fv_caller_check_t check = {
+        .digest = -7, .config_version = 3, .waited_ms = 55};
+    pair_t pair;
+
+    open_pair(&pair);
+    send_request(&pair.follower, 1, "east side", &check);
+    expect_request(&pair, 1, "east side", -7);
+    CU_ASSERT_EQUAL(pair.leader.check.config_version, 3);
+    CU_ASSERT_EQUAL(pair.leader.check.waited_ms, 55);
+    send_request(&pair.follower, 2, "", &(fv_caller_check_t){0});
+    expect_request(&pair, 2, "", 0);
+    close_pair(&pair);
+}
+
+/* Earlier builds close a link with a message that has other than six fields,
+ * and ignore one of an unknown kind. */
+static void
+test_request_for_an_earlier_build(void)
+{
+    fv_caller_check_t check = {.digest = 7, .config_version = 3};
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t length = sizeof(address);
+    struct event_base *base = event_base_new();
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    uint8_t bytes[512];
+    char text[Fv_ADDRESS_SIZE];
+    uint32_t messages = 0;
+    ssize_t count;
+    host_t host;
+    int earlier;
+
+    CU_ASSERT_EQUAL_FATAL(
+        bind(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+    CU_ASSERT_EQUAL_FATAL(listen(fd, 4), 0);
+    getsockname(fd, (struct sockaddr *)&address, &length);
+    snprintf(text, sizeof(text), "127.0.0.1:%d", ntohs(address.sin_port));
+    open_host(&host, base, false);
+    FvLinks_Dial(host.links, "earlier", text);
+    run_rounds(base, 20);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(host.peer);
+    send_request(&host, 1, "east", &check);
+    run_rounds(base, 20);
+    earlier = accept(fd, NULL, NULL);
+    count = read(earlier, bytes, sizeof(bytes));
+    for (ssize_t at = 0; at + 4 < count;) {
+        uint32_t size;
+
+        memcpy(&size, bytes + at, sizeof(size));
+        CU_ASSERT_EQUAL(bytes[at + 4], 0x96); /* an array of six fields */
+        at += 4 + (ssize_t)ntohl(size);
+        messages++;
+    }
+    CU_ASSERT_EQUAL(messages, 3); /* the greeting comes first */
+    close(earlier);
+    close(fd);
+    FvLinks_Free(host.links);
+    event_base_free(base);
+}
+
 int
 main(void)
 {
@@ -264,6 +362,10 @@
          test_unfinished_until_received},
         {"a suspended peer is waited for without end",
          test_suspended_peer_is_given_up},
+        {"a request loses its customer on a link, or gets an earlier one's",
+         test_customer_of_a_request},
+        {"an earlier build cannot read a request with a customer",
+         test_request_for_an_earlier_build},
     };
 
     signal(SIGPIPE, SIG_IGN); /* as the daemon does */
--- a/tests/unit/leader_inherited_test.c
+++ b/tests/unit/leader_inherited_test.c
@@ -8,7 +8,7 @@
 
 #define TICKS_MS 200
 #define LONG_AGO_MS 60000
-#define RANGES 5 /* read at first; progress follows the jobs */
+#define RANGES 6 /* read at first; progress follows the jobs */
 #define WORKER_LIST_RANGE 1
 #define UNREACHED_RANGE 4
 #define GENERATION 2
--- a/tests/unit/leader_requests_test.c
+++ b/tests/unit/leader_requests_test.c
@@ -92,9 +92,10 @@
     FvText_Copy(answer_text, sizeof(answer_text), reply->name);
 }
 
-/* Sends a request. Returns its answer, 0 when there is none yet. */
+/* Sends a request of a customer, or of none. Returns its answer, 0 when there
+ * is none yet. */
 static fv_reply_t
-request(fv_verb_t verb, const char *job)
+request_of(const char *customer, fv_verb_t verb, const char *job)
 {
     answers = 0;
     FvLeader_HandleRequest(
@@ -104,6 +105,7 @@
                              .number = verb,
                              .name = QUEUE,
                              .key = job,
+                             .customer = customer,
                              .body = verb == Fv_VERB_SUBMIT ? BODY : "",
                              .body_length =
                                  verb == Fv_VERB_SUBMIT ? strlen(BODY) : 0},
@@ -111,6 +113,12 @@
     return answers > 0 ? answer : (fv_reply_t)0;
 }
 
+static fv_reply_t
+request(fv_verb_t verb, const char *job)
+{
+    return request_of(NULL, verb, job);
+}
+
 /* Has the store take what waits to be written. */
 static void
 write_records(void)
@@ -157,7 +165,8 @@
         &(fv_records_owner_t){
             .epoch = 900, .retention_ms = 180000, .lost = on_lost},
         revisions);
-    FvLeaderRecord_RememberEnded(&leader, ENDED, "completed");
+    FvLeaderRecord_RememberEnded(&leader, ENDED, "completed",
+                                 &(fv_job_owner_t){0});
     CU_ASSERT_EQUAL(request(Fv_VERB_SUBMIT, KNOWN), 0);
     write_records();
     CU_ASSERT_EQUAL(answer, Fv_REPLY_ACCEPTED);
@@ -386,6 +395,147 @@
     close_leader();
 }
 
+/* Submits UNKNOWN for a customer of a cell with customers. */
+static void
+open_leader_with_customers(void)
+{
+    open_leader();
+    config.has_customers = true;
+    CU_ASSERT_EQUAL(request_of("east", Fv_VERB_SUBMIT, UNKNOWN), 0);
+    CU_ASSERT_EQUAL(request_of("west", Fv_VERB_STATE, UNKNOWN),
+                    Fv_REPLY_NOT_READY);
+    write_records();
+    CU_ASSERT_EQUAL(answer, Fv_REPLY_ACCEPTED);
+}
+
+static void
+close_leader_with_customers(void)
+{
+    config.has_customers = false;
+    queue.is_public = false;
+    close_leader();
+}
+
+static void
+expect_owner_only(void)
+{
+    static const char *const others[] = {NULL, "", "west"};
+
+    for (size_t i = 0; i < sizeof(others) / sizeof(others[0]); i++) {
+        CU_ASSERT_EQUAL(request_of(others[i], Fv_VERB_STATE, UNKNOWN),
+                        Fv_REPLY_FORBIDDEN);
+        CU_ASSERT_EQUAL(request_of(others[i], Fv_VERB_CANCEL, UNKNOWN),
+                        Fv_REPLY_FORBIDDEN);
+        CU_ASSERT_EQUAL(request_of(others[i], Fv_VERB_SUBMIT, UNKNOWN),
+                        Fv_REPLY_FORBIDDEN);
+    }
+    CU_ASSERT_EQUAL(request_of("east", Fv_VERB_SUBMIT, UNKNOWN),
+                    Fv_REPLY_ACCEPTED);
+    CU_ASSERT_EQUAL(request_of("east", Fv_VERB_STATE, UNKNOWN),
+                    Fv_REPLY_STATE);
+}
+
+/* Also once the job has ended, and by the record of its end. */
+static void
+test_job_of_another_customer(void)
+{
+    fv_job_owner_t owner = {.customer = "east", .queue = QUEUE};
+    fv_buffer_t record = {0};
+    const char *state;
+
+    open_leader_with_customers();
+    expect_owner_only();
+    /* It was submitted while the cell had no customers. */
+    CU_ASSERT_EQUAL(request_of("west", Fv_VERB_STATE, KNOWN), Fv_REPLY_STATE);
+    CU_ASSERT_EQUAL(request_of("east", Fv_VERB_CANCEL, UNKNOWN), 0);
+    write_records();
+    CU_ASSERT_EQUAL(answer, Fv_REPLY_STATE);
+    expect_owner_only();
+    FvLeaderRecord_EncodeEnded("cancelled", &owner, &record);
+    CU_ASSERT_STRING_EQUAL((const char *)record.data, "cancelled");
+    owner = (fv_job_owner_t){0};
+    CU_ASSERT_TRUE(FvLeaderRecord_DecodeEnded(&record, &state, &owner));
+    FvLeaderRecord_RememberEnded(&leader, UNKNOWN, state, &owner);
+    expect_owner_only();
+    FvBuffer_Clear(&record);
+    close_leader_with_customers();
+}
+
+/* The job's route, or the whole cell, is opened to all later. */
+static void
+test_job_of_a_route_made_public(void)
+{
+    open_leader_with_customers();
+    queue.is_public = true;
+    CU_ASSERT_EQUAL(request_of("", Fv_VERB_STATE, UNKNOWN), Fv_REPLY_STATE);
+    queue.is_public = false;
+    config.has_customers = false;
+    CU_ASSERT_EQUAL(request_of("", Fv_VERB_STATE, UNKNOWN), Fv_REPLY_STATE);
+    close_leader_with_customers();
+}
+
+static void
+test_question_of_another_customer(void)
+{
+    open_leader();
+    config.has_customers = true;
+    CU_ASSERT_EQUAL(request_of("west", Fv_VERB_STATE, UNKNOWN), 0);
+    CU_ASSERT_EQUAL(request_of("east", Fv_VERB_SUBMIT, UNKNOWN), 0);
+    write_records();
+    FvLeader_LeaseProved(&leader, RENEWAL, 0);
+    CU_ASSERT_EQUAL(answer, Fv_REPLY_FORBIDDEN);
+    close_leader_with_customers();
+}
+
+/* Its configuration may have the key of the call that others have removed. */
+static void
+test_suspended_leader_with_customers(void)
+{
+    open_leader_with_customers();
+    may_send_orders = false;
+    CU_ASSERT_EQUAL(request_of("east", Fv_VERB_SUBMIT, UNKNOWN),
+                    Fv_REPLY_NOT_READY);
+    CU_ASSERT_EQUAL(request_of("west", Fv_VERB_STATE, ENDED),
+                    Fv_REPLY_NOT_READY);
+    close_leader_with_customers();
+}
+
+static void
+test_odd_records_of_ended_jobs(void)
+{
+    static const struct {
+        const char *value;
+        size_t length;
+        const char *customer;
+        const char *queue;
+        bool good;
+    } records[] = {
+        {"failed", 6, "", "", true},
+        {"failed\0east\0q", 13, "east", "q", true},
+        {"failed\0east\0q\0more", 18, "east", "q", true},
+        {"failed\0east", 11, "east", "", true},
+        {"failed\0", 7, "", "", true},
+        {"failed\0"
+         "0123456789012345678901234567890123456789012345678901234567890123456"
+         "789\0q",
+         79, "", "", false},
+    };
+
+    for (size_t i = 0; i < sizeof(records) / sizeof(records[0]); i++) {
+        fv_buffer_t value = {0};
+        fv_job_owner_t owner;
+        const char *state;
+
+        FvBuffer_Append(&value, records[i].value, records[i].length);
+        CU_ASSERT_EQUAL(FvLeaderRecord_DecodeEnded(&value, &state, &owner),
+                        records[i].good);
+        CU_ASSERT_STRING_EQUAL(state, "failed");
+        CU_ASSERT_STRING_EQUAL(owner.customer, records[i].customer);
+        CU_ASSERT_STRING_EQUAL(owner.queue, records[i].queue);
+        FvBuffer_Clear(&value);
+    }
+}
+
 int
 main(void)
 {
@@ -413,6 +563,16 @@
          test_withdrawn_cancellation},
         {"a reply to a lost host is kept or mixed up",
          test_replies_to_a_lost_host_are_dropped},
+        {"a customer reads, cancels or takes over the job of another",
+         test_job_of_another_customer},
+        {"a job cannot be reached on a route that was made public",
+         test_job_of_a_route_made_public},
+        {"a question that waits tells of a job of another customer",
+         test_question_of_another_customer},
+        {"a suspended leader answers a call by a removed key",
+         test_suspended_leader_with_customers},
+        {"the record of an ended job loses its state by its owner",
+         test_odd_records_of_ended_jobs},
     };
 
     return Fv_RUN_SUITE("leader_requests", cases);
--- a/tests/unit/sched_record_test.c
+++ b/tests/unit/sched_record_test.c
@@ -66,6 +66,30 @@
     FvSchedFixture_Close(&second);
 }
 
+/* Earlier builds write and read records of jobs without a customer. */
+static void
+test_customer_outlives_the_leader(void)
+{
+    static sched_fixture_t first;
+    static sched_fixture_t second;
+    fv_cell_queue_t queue = FvSchedFixture_MakeQueue("q", 0);
+    fv_sched_job_t *job;
+    fv_buffer_t record = {0};
+
+    FvSchedFixture_Open(&first, 1);
+    job = FvSchedFixture_AddJob(&first, JOB_A, &queue, one_task);
+    CU_ASSERT_TRUE(FvSchedRecord_EncodeJob(job, &record));
+    CU_ASSERT_EQUAL(record.data[0], 0x9d); /* an array of 13 fields */
+    CU_ASSERT_STRING_EQUAL(load_next_leader(job, &second)->customer, "");
+    FvSchedFixture_Close(&second);
+    FvText_Copy(job->customer, sizeof(job->customer), "east side");
+    CU_ASSERT_STRING_EQUAL(load_next_leader(job, &second)->customer,
+                           "east side");
+    FvSchedFixture_Close(&second);
+    FvSchedFixture_Close(&first);
+    FvBuffer_Clear(&record);
+}
+
 static void
 test_done_task_is_not_started_again(void)
 {
@@ -269,6 +293,9 @@
     static const test_case_t cases[] = {
         {"a failed run that is reported to two leaders counts twice",
          test_failure_is_counted_once},
+        {"a job loses its customer with its leader, or is unreadable without "
+         "one",
+         test_customer_outlives_the_leader},
         {"a failure reported after that of a later run is not counted",
          test_failures_count_in_any_order},
         {"a task that is recorded as done is started again",
