--- a/src/frontend.c
+++ b/src/frontend.c
@@ -845,6 +845,10 @@
     default:
         FvForwarding_NotExecuted(
             &request->forwarding); /* the next sweep retries */
+        /* The leader has returned it with a newer configuration. */
+        if (request->checked_version != frontend->config->version) {
+            forward_request(frontend, request);
+        }
         break;
     }
 }
--- a/tests/fakes/fake-cell.c
+++ b/tests/fakes/fake-cell.c
@@ -38,6 +38,9 @@
     FvBuffer_Clear(&value);
 }
 
+/* In a cell with customers the last route, "plain", is public. */
+#define PUBLIC_ROUTE 3
+
 static void
 write_config(cell_t *cell, int64_t version)
 {
@@ -66,9 +69,21 @@
         "\"service\":\"app\",\"maxAttempts\":3,\"stretch\":4.0}],"
         "\"services\":[],\"limits\":{}}";
     char text[sizeof(config) + 24];
+    json_t *document;
+    char *encoded;
 
     snprintf(text, sizeof(text), config, version);
-    FvCellStore_Put(cell, "op/config", text);
+    document = json_loads(text, 0, NULL);
+    if (cell->customers != NULL) {
+        json_object_set(document, "tenants", cell->customers);
+        json_object_set_new(
+            json_array_get(json_object_get(document, "routes"), PUBLIC_ROUTE),
+            "public", json_true());
+    }
+    encoded = json_dumps(document, JSON_COMPACT);
+    FvCellStore_Put(cell, "op/config", encoded);
+    free(encoded);
+    json_decref(document);
 }
 
 static void
@@ -85,8 +100,13 @@
     cell_worker_t *reached = find_worker(cell, body, "reached");
     const char *entry = FvJson_String(body, "entry");
     const json_t *split = json_object_get(body, "split");
+    json_t *customers = json_object_get(body, "tenants");
     int64_t config_version = FvJson_Int(body, "config", 0);
 
+    if (customers != NULL) {
+        json_decref(cell->customers); /* of this and later versions */
+        cell->customers = json_incref(customers);
+    }
     cell->pause_leases = FvJson_Bool(body, "pauseLeases", cell->pause_leases);
     cell->stop_ms = FvJson_Int(body, "stopMs", cell->stop_ms);
     cell->stop_delay_ms = FvJson_Int(body, "stopDelayMs", cell->stop_delay_ms);
--- a/tests/harness/entry-cell.c
+++ b/tests/harness/entry-cell.c
@@ -608,6 +608,7 @@
              FvEntryCell_Port(cell, host, ENTRY_PORT_CALLERS), path);
     FvHttp_Run(&(http_call_t){.method = method,
                               .url = url,
+                              .api_key = cell->api_key,
                               .body = body,
                               .body_length = body ? strlen(body) : 0,
                               .timeout_ms = ENTRY_CELL_CALL_TIMEOUT_MS},
@@ -679,6 +680,33 @@
     return find_in_log(cell, host, text, line, sizeof(line));
 }
 
+/**
+ * FvEntryCell_WaitConfig - wait until all hosts have adopted a configuration
+ * @cell: the cell
+ * @version: its version
+ * @timeout_ms: the longest wait
+ *
+ * Return: false when one has not.
+ */
+bool
+FvEntryCell_WaitConfig(const entry_cell_t *cell, int64_t version,
+                       int64_t timeout_ms)
+{
+    int64_t until_ms = FvClock_NowMs() + timeout_ms;
+    char text[64];
+    bool adopted = true;
+
+    snprintf(text, sizeof(text), "config_adopted version=%" PRId64 " ",
+             version);
+    for (int i = 0; i < cell->options.hosts; i++) {
+        int64_t left_ms = until_ms - FvClock_NowMs();
+
+        adopted = adopted && FvEntryCell_WaitLog(cell, i, text,
+                                                 left_ms > 0 ? left_ms : 1);
+    }
+    return adopted;
+}
+
 /**
  * FvEntryCell_Counter - read a counter of a host
  * @cell: the cell
--- a/tests/harness/entry-cell.h
+++ b/tests/harness/entry-cell.h
@@ -40,6 +40,7 @@
     entry_cell_options_t options;
     int port; /* first one of the range */
     char directory[256];
+    const char *api_key; /* sent with requests; NULL: none */
     process_t platform;
     process_t proxy;
     entry_cell_host_t hosts[ENTRY_CELL_HOSTS_MAX];
@@ -86,6 +87,8 @@
 int FvEntryCell_WaitLeadership(const entry_cell_t *cell, int64_t former,
                                int64_t timeout_ms);
 bool FvEntryCell_PlatformFault(const entry_cell_t *cell, const char *body);
+bool FvEntryCell_WaitConfig(const entry_cell_t *cell, int64_t version,
+                            int64_t timeout_ms);
 void FvEntryCell_Route(const entry_cell_t *cell, int host, entry_route_t kind,
                        char *address, size_t size);
 bool FvEntryCell_ProxyFault(const entry_cell_t *cell, const char *body);
--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -154,6 +154,7 @@
     bool proxied_links; /* hosts reach each other through proxies */
     cell_leader_t *leaders;
     cell_split_t split;
+    json_t *customers; /* of the configuration; NULL: none */
     uint32_t violations;
     uint32_t starts;
     uint32_t wrong_instance_calls; /* meant for another worker */
--- a/tests/harness/http-call.c
+++ b/tests/harness/http-call.c
@@ -140,6 +140,7 @@
         free(bearer);
     }
     headers = add_header(headers, "Idempotency-Key", call->idempotency_key);
+    headers = add_header(headers, "Api-Key", call->api_key);
     if (call->body != NULL) {
         headers = add_header(headers, "Content-Type", "application/json");
     }
--- a/tests/harness/http-call.h
+++ b/tests/harness/http-call.h
@@ -18,6 +18,7 @@
     const char *url;
     const char *token; /* NULL: no Authorization header */
     const char *idempotency_key;
+    const char *api_key; /* NULL: no Api-Key header */
     const char *body;
     size_t body_length;
     int64_t timeout_ms; /* timeout; 0: HTTP_CALL_TIMEOUT_MS */
