soak: customers, keys that are replaced, calls that must not pass

Cause: the soak did not know of customers.

Change: every second seed (--keys) gives the cell two customers with a lasting key each and a key that is replaced every 4 s. A probe calls all hosts with keys that were removed, with one that never existed, and asks about jobs of the other customer. A call under a removed key may pass for 2.5 s, or 10.5 s if the store was out of reach for some host since. A client's lasting key must not be refused. Other seeds are as before.

--- a/tests/harness/entry-cell.c
+++ b/tests/harness/entry-cell.c
@@ -585,9 +585,10 @@
 }
 
 /**
- * FvEntryCell_Call - send a caller's request on a new connection
+ * FvEntryCell_CallAs - send a customer's request on a new connection
  * @cell: the cell
  * @host: index of the host
+ * @key: the customer's key, or NULL
  * @method: the method
  * @path: the path, with the queue's prefix
  * @body: the body, or NULL
@@ -597,8 +598,9 @@
  * Return: the status; 0 without a whole answer.
  */
 int
-FvEntryCell_Call(const entry_cell_t *cell, int host, const char *method,
-                 const char *path, const char *body, char *state, size_t size)
+FvEntryCell_CallAs(const entry_cell_t *cell, int host, const char *key,
+                   const char *method, const char *path, const char *body,
+                   char *state, size_t size)
 {
     char url[256];
     http_reply_t reply;
@@ -608,7 +610,7 @@
              FvEntryCell_Port(cell, host, ENTRY_PORT_CALLERS), path);
     FvHttp_Run(&(http_call_t){.method = method,
                               .url = url,
-                              .api_key = cell->api_key,
+                              .api_key = key,
                               .body = body,
                               .body_length = body ? strlen(body) : 0,
                               .timeout_ms = ENTRY_CELL_CALL_TIMEOUT_MS},
@@ -624,6 +626,27 @@
     return status;
 }
 
+/**
+ * FvEntryCell_Call - send a caller's request on a new connection, without a
+ * key
+ * @cell: the cell
+ * @host: index of the host
+ * @method: the method
+ * @path: the path, with the queue's prefix
+ * @body: the body, or NULL
+ * @state: receives the job's state if the answer has one, else ""; may be NULL
+ * @size: size of @state
+ *
+ * Return: the status; 0 without a whole answer.
+ */
+int
+FvEntryCell_Call(const entry_cell_t *cell, int host, const char *method,
+                 const char *path, const char *body, char *state, size_t size)
+{
+    return FvEntryCell_CallAs(cell, host, NULL, method, path, body, state,
+                              size);
+}
+
 /* Counts the lines of a host's log that have a text, and copies the last. */
 static uint32_t
 find_in_log(const entry_cell_t *cell, int host, const char *text, char *last,
--- a/tests/harness/entry-cell.h
+++ b/tests/harness/entry-cell.h
@@ -40,7 +40,6 @@
     entry_cell_options_t options;
     int port; /* first one of the range */
     char directory[256];
-    const char *api_key; /* sent with requests; NULL: none */
     process_t platform;
     process_t proxy;
     entry_cell_host_t hosts[ENTRY_CELL_HOSTS_MAX];
@@ -99,6 +98,9 @@
 int FvEntryCell_Call(const entry_cell_t *cell, int host, const char *method,
                      const char *path, const char *body, char *state,
                      size_t size);
+int FvEntryCell_CallAs(const entry_cell_t *cell, int host, const char *key,
+                       const char *method, const char *path, const char *body,
+                       char *state, size_t size);
 bool FvEntryCell_LogHas(const entry_cell_t *cell, int host, const char *text);
 uint32_t FvEntryCell_CountLog(const entry_cell_t *cell, int host,
                               const char *text);
--- a/tests/harness/kept-connection.c
+++ b/tests/harness/kept-connection.c
@@ -76,7 +76,9 @@
             const char *path, const char *body)
 {
     size_t length = body != NULL ? strlen(body) : 0;
-    size_t size = length + strlen(path) + 256;
+    const char *key = connection->api_key;
+    size_t size =
+        length + strlen(path) + (key != NULL ? strlen(key) : 0) + 256;
     char *text = malloc(size);
     bool sent;
 
@@ -84,9 +86,11 @@
         abort();
     }
     snprintf(text, size,
-             "%s %s HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+             "%s %s HTTP/1.1\r\nHost: 127.0.0.1\r\n%s%s%s"
              "Content-Length: %zu\r\n\r\n%s",
-             method, path, length, body != NULL ? body : "");
+             method, path, key != NULL ? "Api-Key: " : "",
+             key != NULL ? key : "", key != NULL ? "\r\n" : "", length,
+             body != NULL ? body : "");
     sent = FvHttpSocket_Send(connection->fd, text);
     free(text);
     return sent;
--- a/tests/harness/kept-connection.h
+++ b/tests/harness/kept-connection.h
@@ -20,6 +20,7 @@
 typedef struct kept_connection {
     int fd;               /* -1: not connected */
     bool close_announced; /* the last answer had Connection: close */
+    const char *api_key;  /* sent with requests; NULL: none */
 } kept_connection_t;
 
 typedef struct kept_answer {
--- a/tests/promises/entry_keys.c
+++ b/tests/promises/entry_keys.c
@@ -61,10 +61,9 @@
 static int
 call(int host, const char *key, const char *method, const char *path)
 {
-    cell.api_key = key;
-    return FvEntryCell_Call(&cell, host, method, path,
-                            strcmp(method, "POST") == 0 ? SHORT_JOB : NULL,
-                            NULL, 0);
+    return FvEntryCell_CallAs(&cell, host, key, method, path,
+                              strcmp(method, "POST") == 0 ? SHORT_JOB : NULL,
+                              NULL, 0);
 }
 
 /* Repeats a call that hosts refuse for a moment, as while a leader changes. */
@@ -162,9 +161,8 @@
     /* A job that was accepted under a removed key goes on. */
     for (int i = 0; i < 40 && strcmp(state, "completed") != 0; i++) {
         FvFake_SleepMs(250);
-        cell.api_key = "e2";
-        FvEntryCell_Call(&cell, cut, "GET", JOB_EAST, NULL, state,
-                         sizeof(state));
+        FvEntryCell_CallAs(&cell, cut, "e2", "GET", JOB_EAST, NULL, state,
+                           sizeof(state));
     }
     CU_ASSERT_STRING_EQUAL(state, "completed");
     expect_everywhere("e2", JOB_WEST, 403, leader);
--- a/tests/soak/soak-clients.c
+++ b/tests/soak/soak-clients.c
@@ -83,6 +83,17 @@
     pthread_mutex_unlock(&soak->lock);
 }
 
+static void
+note_wrong_answer(soak_t *soak, const soak_job_t *job, int host, int status,
+                  const char *state)
+{
+    pthread_mutex_lock(&soak->lock);
+    soak->wrong_answers++;
+    pthread_mutex_unlock(&soak->lock);
+    printf("WRONG ANSWER for job %s at host %d: status=%d state=%s\n", job->id,
+           host, status, state);
+}
+
 static int
 call_host(soak_client_t *client, int host, const char *method,
           const soak_job_t *job, const char *body, kept_answer_t *answer)
@@ -110,6 +121,7 @@
     snprintf(request, sizeof(request), "%s %s", method, path);
     sent_ms = FvClock_NowMs();
     outcome = KEPT_CLOSED;
+    connection->api_key = job->key;
     if (FvKept_Send(connection, method, path, body)) {
         outcome = FvKept_Receive(connection, SOAK_CALL_TIMEOUT_MS, answer);
     }
@@ -122,6 +134,9 @@
         FvKept_Close(connection);
     }
     FvSoakClients_CountReply(soak, answer->status);
+    if (answer->status == 401 || answer->status == 403) {
+        note_wrong_answer(soak, job, host, answer->status, "refused key");
+    }
     return answer->status;
 }
 
@@ -160,6 +175,7 @@
         snprintf(job->id, sizeof(job->id), "%08x%08x",
                  FvSoak_Random(random, UINT32_MAX), soak->job_count);
         job->queue = queue != NULL ? queue : queues[FvSoak_Random(random, 4)];
+        job->key = FvSoakKeys_OfJob(soak, soak->job_count);
         job->state = SOAK_UNKNOWN;
     }
     pthread_mutex_unlock(&soak->lock);
@@ -266,17 +282,6 @@
         job, host, call_host(client, host, "DELETE", job, NULL, &answer));
 }
 
-static void
-note_wrong_answer(soak_t *soak, const soak_job_t *job, int host, int status,
-                  const char *state)
-{
-    pthread_mutex_lock(&soak->lock);
-    soak->wrong_answers++;
-    pthread_mutex_unlock(&soak->lock);
-    printf("WRONG ANSWER for job %s at host %d: status=%d state=%s\n", job->id,
-           host, status, state);
-}
-
 static void
 ask_state(soak_client_t *client, soak_job_t *job)
 {
@@ -405,9 +410,9 @@
     int status;
 
     snprintf(path, sizeof(path), "/%s/%s", job->queue, job->id);
-    status = FvEntryCell_Call(
-        &soak->cell, (int)FvSoak_Random(random, (uint32_t)soak->hosts), method,
-        path, NULL, state, size);
+    status = FvEntryCell_CallAs(
+        &soak->cell, (int)FvSoak_Random(random, (uint32_t)soak->hosts),
+        job->key, method, path, NULL, state, size);
     FvSoakClients_CountReply(soak, status);
     return status;
 }
--- a/tests/soak/soak-faults.c
+++ b/tests/soak/soak-faults.c
@@ -492,6 +492,7 @@
     while (FvClock_NowMs() < end_ms) {
         int64_t now_ms = FvClock_NowMs();
 
+        FvSoakKeys_Inject(soak, now_ms);
         FvSoakFaults_ClearDue(soak, now_ms);
         if (!FvSoakSplits_Inject(soak, now_ms)) {
             memset(faults.actions, 0, sizeof(faults.actions));
--- a/tests/soak/soak-probes.c
+++ b/tests/soak/soak-probes.c
@@ -63,8 +63,8 @@
         soak_host_t state = host_state(soak, other);
 
         if (other != host && !state.down && !state.suspended &&
-            FvEntryCell_Call(&soak->cell, other, "POST", path, body, NULL,
-                             0) == 200) {
+            FvEntryCell_CallAs(&soak->cell, other, job->key, "POST", path,
+                               body, NULL, 0) == 200) {
             job->state = SOAK_ACCEPTED;
             return true;
         }
@@ -98,6 +98,7 @@
         if (jobs[i] != NULL && connection->fd >= 0) {
             snprintf(path, sizeof(path), "/%s/%s", jobs[i]->queue,
                      jobs[i]->id);
+            connection->api_key = jobs[i]->key;
             FvKept_Send(connection, "DELETE", path, NULL);
             jobs[i]->state = SOAK_MAY_BE_CANCELLED;
         }
@@ -218,6 +219,7 @@
 
     for (int i = 0; i < PROBE_DRAIN_CONNECTIONS; i++) {
         FvKept_Open(&requests[i].connection, port);
+        requests[i].connection.api_key = FvSoakKeys_OfJob(probe->soak, 0);
     }
     while (FvClock_NowMs() < terminated_ms + PROBE_DRAIN_END_MS) {
         int64_t due_ms = terminated_ms + drain_request_due_ms(sent, together);
@@ -263,6 +265,16 @@
     return NULL;
 }
 
+static void *
+probe_keys(void *context)
+{
+    soak_probe_t *probe = context;
+
+    FvSoakKeys_Probe(probe->soak, &probe->random);
+    free(probe);
+    return NULL;
+}
+
 /**
  * FvSoakProbes_Start - start the probes
  * @soak: the soak; its member finished ends them
@@ -273,8 +285,8 @@
 bool
 FvSoakProbes_Start(soak_t *soak, pthread_t *threads)
 {
-    static void *(*const probes[SOAK_PROBES])(void *) = {probe_suspensions,
-                                                         probe_drains};
+    static void *(*const probes[SOAK_PROBES])(void *) = {
+        probe_suspensions, probe_drains, probe_keys};
 
     for (int i = 0; i < SOAK_PROBES; i++) {
         soak_probe_t *probe = calloc(1, sizeof(*probe));
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -3,7 +3,8 @@
  * platform, a proxy between each host and the store, and injected faults.
  * fake-cell counts violations at the workers. At the end every accepted job
  * must be completed, no refused job may have run, no task of a cancelled job
- * may have started late, and no request may have ended without an answer.
+ * may have started late, no call may have passed under a removed key, and no
+ * request may have ended without an answer.
  */
 
 #include "soak.h"
@@ -18,6 +19,7 @@
 #define SOAK_COMPLETION_TIMEOUT_MS 40000
 #define SOAK_START_TIMEOUT_MS 30000
 #define SOAK_SPLIT_SEEDS 3 /* one of so many splits the cell */
+#define SOAK_KEY_SEEDS 2   /* one of so many has customers */
 
 /* The longest time from the acknowledgement of a cancellation to a start of
  * one of the job's tasks. */
@@ -120,21 +122,22 @@
     violations = FvJson_Int(report, "violations", -1);
     unasked = count_unasked(soak, json_object_get(report, "started"));
     printf("seed=%llu jobs=%u starts=%lld late=%lld violations=%lld open=%u "
-           "unasked=%u "
+           "unasked=%u keys=%u "
            "lost=%u closed_early=%u wrong=%u stale=%u answers 2xx=%u 4xx=%u "
            "5xx=%u "
            "none=%u %s\n",
            (unsigned long long)soak->seed, soak->job_count,
            (long long)FvJson_Int(report, "starts", 0),
            (long long)FvJson_Int(report, "late_starts", 0),
-           (long long)violations, unfinished, unasked, soak->lost,
-           soak->closed_early, soak->wrong_answers, soak->stale,
+           (long long)violations, unfinished, unasked, soak->key_violations,
+           soak->lost, soak->closed_early, soak->wrong_answers, soak->stale,
            soak->reply_counts[2], soak->reply_counts[4], soak->reply_counts[5],
            soak->reply_counts[0],
            violations > 0 ? FvJson_String(report, "first") : "");
     json_decref(report);
     return violations == 0 && unfinished == 0 && unasked == 0 &&
-           soak->lost == 0 && soak->wrong_answers == 0;
+           soak->key_violations == 0 && soak->lost == 0 &&
+           soak->wrong_answers == 0;
 }
 
 static bool
@@ -182,6 +185,10 @@
         printf("the hosts did not become ready\n");
         goto done;
     }
+    if (!FvSoakKeys_Start(soak)) {
+        printf("a host did not adopt the customers\n");
+        goto done;
+    }
     succeeded = run_load(soak, duration_s);
 done:
     FvEntryCell_Stop(&soak->cell);
@@ -208,9 +215,11 @@
     struct arg_int *port = arg_int0(NULL, "port", "N", "first port");
     struct arg_int *splits = arg_int0(
         NULL, "splits", "0|1", "split the cell (with every third seed)");
+    struct arg_int *keys =
+        arg_int0(NULL, "keys", "0|1", "customers (with every second seed)");
     struct arg_end *end = arg_end(4);
-    void *table[] = {seed,    duration_s, hosts,  workers,
-                     clients, port,       splits, end};
+    void *table[] = {seed, duration_s, hosts, workers, clients,
+                     port, splits,     keys,  end};
     int code = 2;
 
     if (arg_parse(argc, argv, table) != 0) {
@@ -222,6 +231,7 @@
     soak.config_version = 1;
     soak.seed = (uint64_t)option(seed, 1);
     soak.splits = option(splits, soak.seed % SOAK_SPLIT_SEEDS == 0) != 0;
+    soak.keys = option(keys, soak.seed % SOAK_KEY_SEEDS == 0) != 0;
     /* With four hosts, one that ends leaves no half on either side. */
     soak.hosts = option(hosts, soak.splits ? 6 : 4);
     soak.workers = option(workers, soak.splits ? 8 : 6);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -13,6 +13,7 @@
 
 #define SOAK_CLIENTS_MAX 256
 #define SOAK_JOBS_MAX 40000
+#define SOAK_REMOVED_KEYS 8
 
 typedef enum soak_state {
     SOAK_UNKNOWN, /* no final answer; the job may run */
@@ -26,6 +27,7 @@
 typedef struct soak_job {
     char id[17];
     const char *queue;
+    const char *key; /* of its customer; NULL: none */
     soak_state_t state;
     int64_t cancelled_ms; /* when the cancellation was acknowledged; 0: not */
     int cancel_status;
@@ -71,6 +73,13 @@
     int64_t split_began_ms;
     int64_t split_ended_ms;
     uint32_t stale; /* answers of earlier leaders without the store */
+    bool keys;      /* the cell has customers */
+    uint32_t key_turns;
+    int64_t next_key_ms;
+    _Atomic int64_t disturbed_ms; /* last time without the store for some */
+    int64_t removed_ms[SOAK_REMOVED_KEYS]; /* of the latest ones; the lock */
+    uint32_t removed_count;
+    uint32_t key_violations;
 } soak_t;
 
 uint32_t FvSoak_Random(uint64_t *state, uint32_t limit);
@@ -90,9 +99,15 @@
                        const soak_job_t *job, char *state, size_t size);
 
 /* soak-probes.c */
-#define SOAK_PROBES 2
+#define SOAK_PROBES 3
 bool FvSoakProbes_Start(soak_t *soak, pthread_t *threads);
 
+/* soak-keys.c */
+bool FvSoakKeys_Start(soak_t *soak);
+const char *FvSoakKeys_OfJob(const soak_t *soak, uint32_t number);
+void FvSoakKeys_Inject(soak_t *soak, int64_t now_ms);
+void FvSoakKeys_Probe(soak_t *soak, uint64_t *random);
+
 /* soak-splits.c */
 bool FvSoakSplits_Inject(soak_t *soak, int64_t now_ms);
 bool FvSoakSplits_IsStale(soak_t *soak, int host);
