sched-speed: learn the relative run times of workers

Cause: a third of the broadcast customer's workers take 2.4 times as long as the others and do not say so. The scheduler knows nothing of it.

Change: a Kalman filter for each worker compares its completed runs with the earlier runs of the same stage on other workers and with the queue's run-time model. Deviations are bounded at two standard deviations, cumulative sums of them show a change of speed, estimates age, and a restart resets them. Factors are 1 unless the spread over the cell is large or one worker stands out. The run-time model observes run times divided by the factor. FvSched_ObserveSpeed() returns the residual of each counted run.

--- a/src/metrics.c
+++ b/src/metrics.c
@@ -92,6 +92,12 @@
     [Fv_COUNTER_WORKERS_OVERCOMMITTED] = {"workers_overcommitted",
                                           "Times that a worker listed more "
                                           "runs than its capacity admits."},
+    [Fv_COUNTER_SPEED_RUNS] = {"speed_runs",
+                               "Runs from which the speed of a worker was "
+                               "learned."},
+    [Fv_COUNTER_SPEED_CHANGES] = {"speed_changes",
+                                  "Times that the speed of a worker became "
+                                  "known or changed."},
 };
 
 static const fv_counter_info_t timing_infos[Fv_TIMING_COUNT] = {
--- a/src/sched-incarnation.c
+++ b/src/sched-incarnation.c
@@ -162,6 +162,7 @@
     worker->last_failed_job = NULL;
     worker->quarantined_until_ms = 0;
     worker->probe = NULL;
+    FvSched_ResetSpeed(&worker->speed);
     FvSched_DoubtOrphanRuns(worker, now_ms);
     sched->dirty = true;
 }
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -44,6 +44,7 @@
         .stop_max_ms = timeouts->stop_max_ms,
         .gang_refill_ms = timeouts->gang_refill_ms,
         .random = Fv_RANDOM_SEED,
+        .speeds = {.learning = true},
     };
 }
 
@@ -187,6 +188,7 @@
     uint32_t count;
 
     sched->dirty = false;
+    FvSched_UpdateSpeeds(sched, now_ms);
     release_due_occurrences(sched, now_ms, wall_ms);
     count = prune_pending(sched);
     if (count == 0) {
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -87,17 +87,20 @@
 /* A step counts as one run in the model: for a gang the first member that is
  * reported as done, otherwise all tasks of the step together. */
 static void
-observe_run_time(fv_sched_t *sched, const fv_sched_task_t *task,
-                 int64_t now_ms)
+observe_run_time(fv_sched_t *sched, fv_sched_task_t *task, int64_t now_ms)
 {
     const fv_sched_stage_t *stage = task->stage;
     fv_queue_estimates_t *estimates =
         FvSched_QueueEstimates(sched, stage->job->queue.name);
+    double factor = stage->step->gang ? FvSched_GangFactor(stage)
+                                      : task->worker->speed.factor;
+    double residual;
 
+    FvSched_ObserveSpeed(sched, task, now_ms, &residual);
     if (task->ran_from_start) {
         FvRunTimeModel_Observe(
             &estimates->run_time, stage->step->estimated_ms,
-            now_ms - task->start_sent_ms,
+            (int64_t)((double)(now_ms - task->start_sent_ms) / factor),
             stage->step->gang ? 1.0 : 1.0 / stage->step->task_count);
     }
 }
@@ -427,9 +430,7 @@
     int64_t ran_ms = now_ms - task->start_sent_ms;
 
     if (task->percent <= 0) {
-        return FvRunTimeModel_Estimate(
-            &FvSched_QueueEstimates(sched, stage->job->queue.name)->run_time,
-            stage->step->estimated_ms);
+        return FvSched_ExpectedRunMs(sched, stage, task->worker);
     }
     return ran_ms * (100 - task->percent) / task->percent;
 }
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -112,6 +112,7 @@
         }
         worker->entry = *entry;
         worker->report_due_ms = now_ms;
+        FvSched_ResetSpeed(&worker->speed);
         HASH_ADD_STR(sched->workers, entry.id, worker);
     }
     FvSched_CheckEntryIncarnation(worker, entry, now_ms);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -137,6 +137,9 @@
     int64_t objective_from_ms; /* when it was released; 0: not yet */
     int64_t target_start_ms;   /* meets the objective by expected run times */
     int64_t late_after_ms;     /* the same by the longest likely run times */
+    /* Of its counted runs, on a worker of factor 1; see sched-speed.c. */
+    double log_time_sum;    /* of the logarithms of run times, weighted */
+    double log_time_weight; /* sum of the weights */
 };
 
 /* One run of all steps of a job; see sched-occurrence.c. */
@@ -194,6 +197,19 @@
     int64_t accelerators;
 } fv_sched_resources_t;
 
+/* What is learned of the run times on a worker; see sched-speed.c. */
+typedef struct fv_worker_speed {
+    double log_factor;  /* of run times, against the cell's mean */
+    double variance;    /* of log_factor, at updated_ms */
+    int64_t updated_ms; /* when the latest run was counted */
+    uint32_t runs;      /* counted, of this incarnation */
+    double slower;      /* cumulative sums of the deviations to either side */
+    double faster;
+    double factor; /* for decisions; 1 while it is not known */
+    int32_t grade; /* the factor's logarithm in steps; 0: factor 1 */
+    double logged_log_factor;
+} fv_worker_speed_t;
+
 struct fv_sched_worker {
     fv_worker_entry_t entry;
     bool listed;               /* in the registry */
@@ -259,6 +275,7 @@
     int64_t quarantined_until_ms;  /* then on probation; 0: neither */
     const fv_sched_stage_t *probe; /* runs there on probation; only compared */
     int64_t probe_since_ms;
+    fv_worker_speed_t speed;
     void *leader_session; /* owned by the implementation of the callbacks */
     UT_hash_handle hh;
 };
@@ -308,6 +325,20 @@
 
 #define Fv_QUEUE_ESTIMATES_MAX 64
 
+/* The workers' speeds as a whole. */
+typedef struct fv_cell_speeds {
+    bool learning;         /* setting learn_worker_speeds */
+    bool uneven;           /* the spread is large */
+    bool in_use;           /* the factor of some worker is not 1 */
+    uint32_t known;        /* workers */
+    double spread;         /* standard deviation of the log factors */
+    double noise_variance; /* of log run times on equal workers; 0: default */
+    int32_t slow_grade; /* nine tenths of the known workers are not slower */
+    int64_t next_update_ms;
+    int64_t next_log_ms;
+    fv_log_quota_t log;
+} fv_cell_speeds_t;
+
 struct fv_sched {
     const fv_sched_ops_t *ops;
     fv_sched_job_t *jobs;
@@ -336,6 +367,7 @@
     int64_t poll_faster_until_ms; /* after unanswered calls */
     uint32_t queue_estimate_count;
     fv_queue_estimates_t queue_estimates[Fv_QUEUE_ESTIMATES_MAX];
+    fv_cell_speeds_t speeds;
 };
 
 /* sched-job.c */
@@ -406,6 +438,18 @@
 double FvRunTimeModel_Spread(const fv_run_time_model_t *model);
 uint32_t FvRunTimeModel_Version(const fv_run_time_model_t *model);
 
+/* sched-speed.c */
+#define Fv_SPEED_GRADE_MAX 8 /* grades reach from -8 to 8 */
+
+void FvSched_ResetSpeed(fv_worker_speed_t *speed);
+bool FvSched_ObserveSpeed(fv_sched_t *sched, fv_sched_task_t *task,
+                          int64_t now_ms, double *residual);
+void FvSched_UpdateSpeeds(fv_sched_t *sched, int64_t now_ms);
+double FvSched_RunTimeNoise(const fv_sched_t *sched);
+double FvSched_GangFactor(const fv_sched_stage_t *stage);
+int64_t FvSched_ExpectedRunMs(fv_sched_t *sched, const fv_sched_stage_t *stage,
+                              const fv_sched_worker_t *worker);
+
 /* sched-waiting.c */
 fv_wait_cause_t FvSched_WaitCause(fv_sched_t *sched,
                                   const fv_sched_stage_t *stage,
--- a/tests/harness/sched-fixture.c
+++ b/tests/harness/sched-fixture.c
@@ -104,6 +104,25 @@
     .request_report = request_report,
 };
 
+/**
+ * FvSchedFixture_RandomNormal - draw from a normal distribution
+ * @state: state of the generator; the same seed gives the same sequence
+ *
+ * Return: the sum of 12 uniform variates of a linear congruential generator,
+ * which approximates a standard normal one.
+ */
+double
+FvSchedFixture_RandomNormal(uint64_t *state)
+{
+    double sum = -6.0;
+
+    for (int i = 0; i < 12; i++) {
+        *state = *state * UINT64_C(6364136223846793005) + 1442695040888963407;
+        sum += (double)(*state >> 40) / (double)(1 << 24);
+    }
+    return sum;
+}
+
 /**
  * FvSchedFixture_Open - initialize an empty scheduler
  * @fixture: the fixture
--- a/tests/harness/sched-fixture.h
+++ b/tests/harness/sched-fixture.h
@@ -38,6 +38,7 @@
     uint32_t end_records;
 } sched_fixture_t;
 
+double FvSchedFixture_RandomNormal(uint64_t *state);
 void FvSchedFixture_Open(sched_fixture_t *fixture, int32_t generation);
 void FvSchedFixture_ReportUnanswered(sched_fixture_t *fixture,
                                      fv_sched_worker_t *worker);
--- a/tests/unit/sched_estimates_test.c
+++ b/tests/unit/sched_estimates_test.c
@@ -11,20 +11,6 @@
 #define EARLIER_JOB "00000000000000aa"
 #define LATER_JOB "00000000000000bb"
 
-/* Approximates a standard normal variate by the sum of 12 uniform ones from a
- * linear congruential generator. The sequence is the same in each run. */
-static double
-random_normal(uint64_t *state)
-{
-    double sum = -6.0;
-
-    for (int i = 0; i < 12; i++) {
-        *state = *state * UINT64_C(6364136223846793005) + 1442695040888963407;
-        sum += (double)(*state >> 40) / (double)(1 << 24);
-    }
-    return sum;
-}
-
 /* Declared run times are wrong by a factor of 2.5 in either direction; the
  * actual ones vary by a factor of 1.6 around a mean of their own. */
 static void
@@ -36,8 +22,9 @@
     double expected_error = 0.0;
 
     for (int i = 0; i < 400; i++) {
-        double actual = log(6200.0) + 0.47 * random_normal(&state);
-        double declared = actual + 0.9 * random_normal(&state);
+        double actual =
+            log(6200.0) + 0.47 * FvSchedFixture_RandomNormal(&state);
+        double declared = actual + 0.9 * FvSchedFixture_RandomNormal(&state);
         int64_t declared_ms = (int64_t)exp(declared);
         double estimated =
             log((double)FvRunTimeModel_Estimate(&model, declared_ms));
@@ -63,7 +50,7 @@
 
     for (int i = 0; i < 200; i++) {
         int64_t declared_ms =
-            (int64_t)exp(log(1000.0) + random_normal(&state));
+            (int64_t)exp(log(1000.0) + FvSchedFixture_RandomNormal(&state));
 
         FvRunTimeModel_Observe(&model, declared_ms, declared_ms * 3, 1.0);
     }
