sched-match: match stages with workers by speed

Cause: 494 of 636 urgent jobs that missed their objective had a task on a slow worker, and 163 of 190 gangs had a slow member and so held all their workers 2.4 times as long.

Change: placement, calls for advice, reservations and preemption prefer workers by learned speed. Stages that would be late on slow workers, and gangs, prefer fast ones; stages with slack prefer the slowest workers on which they stay in time. A gang takes the slowest workers of the grade that it needs anyway. No worker is withheld. The runs of a stage on one worker are now weighted together and not compared with each other: they share the error of its factor, and a cell of equal workers was taken for an uneven one.

--- a/src/sched-advice.c
+++ b/src/sched-advice.c
@@ -5,6 +5,7 @@
 
 #include "scheduler.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -43,6 +44,9 @@
  */
 #define Fv_DATA_RACK_FACTOR 8.0
 
+/* Grades of speed beyond this many do not matter more in a score. */
+#define Fv_SPEED_WEIGHT_GRADES 4
+
 /* How long a step that asks for one rack tries racks on which the service may
  * allow too few workers; two calls, of three that a start may wait for. */
 #define Fv_RACK_SEARCH_MS 1000
@@ -122,11 +126,27 @@
     return 0.75 + (double)(FvSched_Random(sched) % 512) / 1024.0;
 }
 
-/* Prefers workers with more free capacity. The jitter keeps stages that
- * request advice at the same time from competing for the same workers. */
+/* Doubles the score for each grade. Full workers stay behind all others, since
+ * their tickets can't be used at once. */
+static double
+weigh_speed(double score, int32_t preference, int32_t capacity)
+{
+    int32_t grades =
+        preference > Fv_SPEED_WEIGHT_GRADES    ? Fv_SPEED_WEIGHT_GRADES
+        : preference < -Fv_SPEED_WEIGHT_GRADES ? -Fv_SPEED_WEIGHT_GRADES
+                                               : preference;
+
+    return ldexp(score,
+                 capacity > 0 ? grades : grades - 3 * Fv_SPEED_WEIGHT_GRADES);
+}
+
+/* Prefers workers with more free capacity, and among those with any the ones
+ * of the speed that the stage prefers. The jitter keeps stages that request
+ * advice at the same time from competing for the same workers. */
 static double
 score_worker(fv_sched_t *sched, const fv_sched_stage_t *stage,
-             const fv_sched_worker_t *worker, int32_t capacity)
+             const fv_speed_match_t *match, const fv_sched_worker_t *worker,
+             int32_t capacity)
 {
     double score = draw_jitter(sched);
 
@@ -135,6 +155,10 @@
         strcmp(stage->step->data_rack, worker->entry.rack) == 0) {
         score *= Fv_DATA_RACK_FACTOR;
     }
+    if (match->in_use) {
+        score = weigh_speed(score, FvSched_SpeedPreference(match, worker),
+                            capacity);
+    }
     return score;
 }
 
@@ -184,9 +208,9 @@
 
 static void
 add_unknown_worker(fv_sched_t *sched, const fv_sched_stage_t *stage,
-                   fv_sched_worker_t *worker, double share,
-                   fv_ticket_coverage_t *coverage, fv_candidate_t *candidates,
-                   int64_t now_ms)
+                   const fv_speed_match_t *match, fv_sched_worker_t *worker,
+                   double share, fv_ticket_coverage_t *coverage,
+                   fv_candidate_t *candidates, int64_t now_ms)
 {
     int32_t capacity = usable_capacity(worker, stage, now_ms);
 
@@ -196,7 +220,7 @@
         .worker = worker,
         .capacity = capacity,
         .expected_tasks = capacity * share,
-        .score = score_worker(sched, stage, worker, capacity)};
+        .score = score_worker(sched, stage, match, worker, capacity)};
 }
 
 static bool has_enough_allowed(const fv_sched_stage_t *stage,
@@ -211,6 +235,7 @@
     double share =
         FvSched_QueueEstimates(sched, stage->job->queue.name)->allowed_share;
     fv_ticket_coverage_t coverage = {0};
+    fv_speed_match_t match;
 
     sched->advice_searches++;
     for (uint32_t i = 0; i < stage->verdict_count; i++) {
@@ -227,12 +252,13 @@
              (stage->step->gang ? stage->waiting : 1))) {
         return coverage;
     }
+    match = FvSched_MatchSpeed(sched, stage, now_ms);
     for (fv_sched_worker_t *worker = sched->workers; worker != NULL;
          worker = worker->hh.next) {
         if (worker->verdict_search != sched->advice_searches &&
             FvSched_EventualStageCapacity(worker, stage) > 0 &&
             FvSched_IsWorkerEligible(worker, stage, now_ms)) {
-            add_unknown_worker(sched, stage, worker, share, &coverage,
+            add_unknown_worker(sched, stage, &match, worker, share, &coverage,
                                candidates, now_ms);
         }
     }
--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -439,6 +439,7 @@
         mark_done(sched, task, run, ended, now_ms);
     }
     if (stage->done == stage->step->task_count) {
+        FvSched_ForgetRuns(stage);
         if (is_open(job)) {
             release_occurrence(sched, job, stage->occurrence, now_ms);
         }
--- a/src/sched-occurrence.c
+++ b/src/sched-occurrence.c
@@ -48,6 +48,7 @@
         free(stage->verdicts[v].ticket);
     }
     free(stage->verdicts);
+    FvSched_ForgetRuns(stage);
 }
 
 /**
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -21,7 +21,7 @@
  * for gangs. Gangs take the emptiest workers, those on probation last: one
  * member that fails ends them all. */
 static double
-score_candidate(const fv_sched_stage_t *stage,
+score_candidate(const fv_sched_stage_t *stage, const fv_speed_match_t *match,
                 const fv_place_candidate_t *candidate)
 {
     const fv_sched_worker_t *worker = candidate->worker;
@@ -36,7 +36,7 @@
     if (stage->step->gang && worker->quarantined_until_ms != 0) {
         score -= Fv_PROBATION_PENALTY;
     }
-    return score;
+    return score + FvSched_SpeedPreference(match, worker);
 }
 
 static int
@@ -109,9 +109,10 @@
 }
 
 static fv_place_candidate_t *
-find_candidates(const fv_sched_t *sched, const fv_sched_stage_t *stage,
+find_candidates(fv_sched_t *sched, const fv_sched_stage_t *stage,
                 int64_t now_ms, uint32_t *count)
 {
+    fv_speed_match_t match = FvSched_MatchSpeed(sched, stage, now_ms);
     uint32_t eligible_count;
     fv_eligible_worker_t *eligible = FvSched_ListEligibleWorkers(
         sched, stage, now_ms, now_ms, &eligible_count);
@@ -126,7 +127,7 @@
 
         candidate.capacity =
             FvSched_FreeStageCapacity(candidate.worker, stage);
-        candidate.score = score_candidate(stage, &candidate);
+        candidate.score = score_candidate(stage, &match, &candidate);
         if (candidate.capacity > 0) {
             candidates[(*count)++] = candidate;
         }
@@ -218,6 +219,33 @@
     return kept;
 }
 
+/* Limits the candidates of a gang to the grades that it needs. Of these it
+ * takes the slowest first: it ends no later, and leaves faster workers free.
+ */
+static uint32_t
+keep_needed_grades(const fv_sched_stage_t *stage,
+                   fv_place_candidate_t *candidates, uint32_t count)
+{
+    fv_grade_capacities_t capacities = {0};
+    int32_t grade;
+    uint32_t kept = 0;
+
+    for (uint32_t i = 0; i < count; i++) {
+        FvSched_AddGradeCapacity(&capacities, candidates[i].worker,
+                                 candidates[i].capacity);
+    }
+    grade = FvSched_GangGrade(&capacities, stage->waiting);
+    for (uint32_t i = 0; i < count; i++) {
+        if (candidates[i].worker->speed.grade <= grade) {
+            candidates[kept] = candidates[i];
+            candidates[kept++].score +=
+                2.0 * candidates[i].worker->speed.grade;
+        }
+    }
+    FvSelect_Best(candidates, kept, sizeof(*candidates), kept, by_score);
+    return kept;
+}
+
 static fv_place_candidate_t *
 best_candidate(const fv_sched_task_t *task, fv_place_candidate_t *candidates,
                uint32_t count)
@@ -272,6 +300,9 @@
     if (stage->step->same_rack) {
         count = keep_one_rack(stage, candidates, count);
     }
+    if (sched->speeds.in_use) {
+        count = keep_needed_grades(stage, candidates, count);
+    }
     if (stage->waiting < stage->step->task_count) {
         if (FvSched_MayRefillGang(sched, stage, now_ms)) {
             place_tasks(sched, stage, candidates, count, now_ms);
--- a/src/sched-preempt.c
+++ b/src/sched-preempt.c
@@ -159,6 +159,28 @@
                              : b->capacity - a->capacity;
 }
 
+/* Drops the workers that are slower than the gang needs. */
+static uint32_t
+keep_needed_grades(const fv_sched_stage_t *gang, fv_preemption_plan_t *plans,
+                   uint32_t count)
+{
+    fv_grade_capacities_t capacities = {0};
+    int32_t grade;
+    uint32_t kept = 0;
+
+    for (uint32_t i = 0; i < count; i++) {
+        FvSched_AddGradeCapacity(&capacities, plans[i].worker,
+                                 plans[i].capacity);
+    }
+    grade = FvSched_GangGrade(&capacities, gang->step->task_count);
+    for (uint32_t i = 0; i < count; i++) {
+        if (plans[i].worker->speed.grade <= grade) {
+            plans[kept++] = plans[i];
+        }
+    }
+    return kept;
+}
+
 static fv_preemption_plan_t *
 plan_preemptions(fv_sched_t *sched, const fv_sched_stage_t *gang,
                  int64_t now_ms, uint32_t *count)
@@ -184,6 +206,9 @@
             plans[(*count)++] = plan;
         }
     }
+    if (sched->speeds.in_use) {
+        *count = keep_needed_grades(gang, plans, *count);
+    }
     if (*count > 1) {
         qsort(plans, *count, sizeof(*plans), by_gain);
     }
--- a/src/sched-reserve.c
+++ b/src/sched-reserve.c
@@ -20,7 +20,8 @@
 
 typedef struct fv_reserve_candidate {
     fv_sched_worker_t *worker;
-    bool preempted; /* tasks were stopped there for the gang */
+    bool preempted;     /* tasks were stopped there for the gang */
+    int32_t preference; /* by speed */
     int32_t free_capacity;
     int32_t total_capacity;
 } fv_reserve_candidate_t;
@@ -48,6 +49,9 @@
     if (a->preempted != b->preempted) {
         return a->preempted ? -1 : 1;
     }
+    if (a->preference != b->preference) {
+        return a->preference > b->preference ? -1 : 1;
+    }
     if (a->free_capacity != b->free_capacity) {
         return a->free_capacity > b->free_capacity ? -1 : 1;
     }
@@ -80,6 +84,7 @@
     int64_t capacity = 0;
     fv_eligible_worker_t *eligible;
     fv_reserve_candidate_t *candidates;
+    fv_speed_match_t match;
     uint32_t count;
 
     if (!stage->step->gang || stage->waiting < stage->step->task_count ||
@@ -93,12 +98,14 @@
     if (candidates == NULL) {
         goto done;
     }
+    match = FvSched_MatchSpeed(sched, stage, now_ms);
     for (uint32_t i = 0; i < count; i++) {
         fv_sched_worker_t *worker = eligible[i].worker;
 
         candidates[i] = (fv_reserve_candidate_t){
             .worker = worker,
             .preempted = worker->preempted_for == stage,
+            .preference = FvSched_SpeedPreference(&match, worker),
             .free_capacity = FvSched_FreeStageCapacity(worker, stage),
             .total_capacity = FvSched_EventualStageCapacity(worker, stage)};
         capacity += candidates[i].total_capacity;
--- a/src/sched-speed.c
+++ b/src/sched-speed.c
@@ -8,6 +8,7 @@
 #include "scheduler.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Before the first run. A worker of the platform takes up to 2.5 times as long
@@ -40,6 +41,10 @@
  * that was regular so far may change. */
 #define Fv_SPEED_STAGE_VARIANCE_MIN 0.02
 
+/* Workers whose runs of a stage are compared with the next one. The error of
+ * their mean is a quarter of that of a single run. */
+#define Fv_SPEED_GROUPS_MAX 16
+
 /* A deviation counts at most as this many standard deviations: 3 % of the
  * platform's tasks take 7 times as long as usual. */
 #define Fv_SPEED_DEVIATION_MAX 2.0
@@ -82,6 +87,20 @@
 #define Fv_SPEED_LOG_CHANGE 0.182
 #define Fv_SPEED_LOG_LINES_MAX 8
 
+/* Runs of a stage on one worker, as if its factor were 1. */
+typedef struct fv_run_group {
+    const fv_sched_worker_t *worker; /* only compared */
+    uint32_t runs;
+    double log_time;       /* mean of the logarithms */
+    double speed_variance; /* of the worker's factor */
+} fv_run_group_t;
+
+typedef struct fv_stage_runs {
+    uint32_t count;
+    uint32_t next; /* replaced next, when all are in use */
+    fv_run_group_t groups[Fv_SPEED_GROUPS_MAX];
+} fv_stage_runs_t;
+
 /**
  * FvSched_ResetSpeed - forget what is known of a worker's speed
  * @speed: the speed
@@ -146,29 +165,108 @@
            task->worker->suspect_since_ms < task->start_sent_ms;
 }
 
-/* The logarithm of a stage's run time on a worker of factor 1, from its
- * earlier runs and the model of its queue. */
-static double
-stage_log_time(fv_sched_t *sched, const fv_sched_stage_t *stage,
-               double *variance)
+/* What is expected of a stage's run time on a worker of factor 1. */
+typedef struct fv_stage_time {
+    double log_time;
+    double variance; /* 0: nothing is expected */
+} fv_stage_time_t;
+
+/* By the model of the queue. */
+static fv_stage_time_t
+modelled_time(fv_sched_t *sched, const fv_sched_stage_t *stage)
 {
     const fv_run_time_model_t *model =
         &FvSched_QueueEstimates(sched, stage->job->queue.name)->run_time;
     int64_t expected_ms =
         FvRunTimeModel_Estimate(model, stage->step->estimated_ms);
     double spread = log(FvRunTimeModel_Spread(model));
-    double weight = expected_ms > 0 ? 1.0 : 0.0;
 
-    weight /= spread * spread > Fv_SPEED_STAGE_VARIANCE_MIN
-                  ? spread * spread
-                  : Fv_SPEED_STAGE_VARIANCE_MIN;
-    if (weight + stage->log_time_weight <= 0.0) {
-        return NAN;
+    if (expected_ms <= 0) {
+        return (fv_stage_time_t){0};
+    }
+    return (fv_stage_time_t){
+        .log_time = log((double)expected_ms),
+        .variance = fmax(spread * spread, Fv_SPEED_STAGE_VARIANCE_MIN)};
+}
+
+/* By the model and by the stage's runs on other workers. The runs on one
+ * worker share the error of its factor. */
+static fv_stage_time_t
+expected_time(fv_sched_t *sched, const fv_sched_stage_t *stage,
+              const fv_sched_worker_t *worker, double noise)
+{
+    fv_stage_time_t expected = modelled_time(sched, stage);
+    double weight = expected.variance > 0.0 ? 1.0 / expected.variance : 0.0;
+    double sum = expected.log_time * weight;
+
+    for (uint32_t i = 0; stage->runs != NULL && i < stage->runs->count; i++) {
+        const fv_run_group_t *group = &stage->runs->groups[i];
+        double group_weight =
+            1.0 / (noise / group->runs + group->speed_variance);
+
+        if (group->worker != worker) {
+            weight += group_weight;
+            sum += group->log_time * group_weight;
+        }
+    }
+    if (weight <= 0.0) {
+        return (fv_stage_time_t){0};
+    }
+    return (fv_stage_time_t){.log_time = sum / weight,
+                             .variance = 1.0 / weight};
+}
+
+/* Returns the runs of a stage on a worker; NULL when memory is exhausted. */
+static fv_run_group_t *
+get_group(fv_sched_stage_t *stage, const fv_sched_worker_t *worker)
+{
+    fv_stage_runs_t *runs = stage->runs;
+    fv_run_group_t *group;
+
+    if (runs == NULL) {
+        runs = stage->runs = calloc(1, sizeof(*runs));
+    }
+    if (runs == NULL) {
+        return NULL;
+    }
+    for (uint32_t i = 0; i < runs->count; i++) {
+        if (runs->groups[i].worker == worker) {
+            return &runs->groups[i];
+        }
     }
-    *variance = 1.0 / (weight + stage->log_time_weight);
-    return ((weight > 0.0 ? weight * log((double)expected_ms) : 0.0) +
-            stage->log_time_sum) *
-           *variance;
+    if (runs->count < Fv_SPEED_GROUPS_MAX) {
+        group = &runs->groups[runs->count++];
+    }
+    else {
+        group = &runs->groups[runs->next];
+        runs->next = (runs->next + 1) % Fv_SPEED_GROUPS_MAX;
+    }
+    *group = (fv_run_group_t){.worker = worker};
+    return group;
+}
+
+/* Variance of what one more run tells of its worker. The runs of a stage on
+ * one worker share the error of the stage's expected time, so that further
+ * ones tell less. */
+static double
+run_variance(uint32_t earlier_runs, double stage_variance, double noise)
+{
+    double earlier =
+        earlier_runs > 0 ? 1.0 / (noise / earlier_runs + stage_variance) : 0.0;
+
+    return 1.0 /
+           (1.0 / (noise / (earlier_runs + 1) + stage_variance) - earlier);
+}
+
+/**
+ * FvSched_ForgetRuns - free the runs of a stage that were compared
+ * @stage: the stage
+ */
+void
+FvSched_ForgetRuns(fv_sched_stage_t *stage)
+{
+    free(stage->runs);
+    stage->runs = NULL;
 }
 
 static void
@@ -182,14 +280,15 @@
         noise < Fv_SPEED_NOISE_MAX ? noise : Fv_SPEED_NOISE_MAX;
 }
 
-/* @deviation: in standard deviations */
+/* @deviation: in standard deviations
+ * @weight: 1 for a run that tells as much as the first one of a stage */
 static void
-detect_change(fv_worker_speed_t *speed, double deviation)
+detect_change(fv_worker_speed_t *speed, double deviation, double weight)
 {
-    speed->slower =
-        fmax(0.0, speed->slower + deviation - Fv_SPEED_CHANGE_SLACK);
-    speed->faster =
-        fmax(0.0, speed->faster - deviation - Fv_SPEED_CHANGE_SLACK);
+    speed->slower = fmax(
+        0.0, speed->slower + weight * (deviation - Fv_SPEED_CHANGE_SLACK));
+    speed->faster = fmax(
+        0.0, speed->faster - weight * (deviation + Fv_SPEED_CHANGE_SLACK));
     if (fmax(speed->slower, speed->faster) >= Fv_SPEED_CHANGE_SUM) {
         speed->slower = 0.0;
         speed->faster = 0.0;
@@ -197,6 +296,29 @@
     }
 }
 
+/* The factor as of now: it has aged since the latest run. */
+static void
+age(fv_worker_speed_t *speed, int64_t now_ms)
+{
+    speed->variance = variance_at(speed, now_ms);
+    speed->log_factor *= fmax(0.0, 1.0 - (double)(now_ms - speed->updated_ms) /
+                                             Fv_SPEED_RETURN_MS);
+    speed->updated_ms = now_ms;
+}
+
+/* Returns the part of the deviation that the new factor does not explain. */
+static double
+learn_speed(fv_worker_speed_t *speed, double deviation, double variance)
+{
+    double gain = speed->variance / (speed->variance + variance);
+
+    speed->log_factor += gain * deviation;
+    speed->variance *= 1.0 - gain;
+    speed->runs++;
+    FvMetrics_Add(Fv_COUNTER_SPEED_RUNS, 1);
+    return deviation * (1.0 - gain);
+}
+
 /**
  * FvSched_ObserveSpeed - learn from a completed run
  * @sched: the scheduler
@@ -205,7 +327,7 @@
  * @residual: receives the logarithm of the actual over the expected run time
  *            on this worker; for the interference between tasks
  *
- * Return: false when the run does not count; nothing was learned then.
+ * Return: false when the run does not count.
  */
 bool
 FvSched_ObserveSpeed(fv_sched_t *sched, fv_sched_task_t *task, int64_t now_ms,
@@ -214,50 +336,47 @@
     fv_sched_stage_t *stage = task->stage;
     fv_worker_speed_t *speed = &task->worker->speed;
     double noise = noise_variance(&sched->speeds);
-    double stage_variance = 0.0;
-    double stage_log;
-    double deviation;
+    fv_stage_time_t expected;
+    fv_run_group_t *group;
+    double log_time;
     double variance;
-    double bound;
-    double gain;
+    double error;
+    double deviation;
 
     if (!is_comparable(task) || now_ms <= task->start_sent_ms) {
         return false;
     }
-    stage_log = stage_log_time(sched, stage, &stage_variance);
-    speed->log_factor *= fmax(0.0, 1.0 - (double)(now_ms - speed->updated_ms) /
-                                             Fv_SPEED_RETURN_MS);
-    deviation =
-        log((double)(now_ms - task->start_sent_ms)) - speed->log_factor;
-    if (isnan(stage_log)) { /* no declared time: the first run sets it */
-        stage->log_time_sum = deviation / (noise + Fv_SPEED_VARIANCE_MAX);
-        stage->log_time_weight = 1.0 / (noise + Fv_SPEED_VARIANCE_MAX);
+    group = get_group(stage, task->worker);
+    if (group == NULL) {
         return false;
     }
-    *residual = deviation - stage_log;
-    speed->variance = variance_at(speed, now_ms);
-    speed->updated_ms = now_ms;
-    variance = noise + stage_variance + speed->variance;
-    bound = Fv_SPEED_DEVIATION_MAX * sqrt(variance);
-    deviation = fmax(-bound, fmin(bound, *residual));
-    if (stage_variance < noise) {
-        learn_noise(&sched->speeds,
-                    deviation * deviation - stage_variance - speed->variance);
-    }
-    if (sched->speeds.learning) {
-        gain = speed->variance / variance;
-        speed->log_factor += gain * deviation;
-        speed->variance *= 1.0 - gain;
-        speed->runs++;
-        if (stage_variance < noise) {
-            detect_change(speed, deviation / sqrt(variance));
+    age(speed, now_ms);
+    log_time = log((double)(now_ms - task->start_sent_ms)) - speed->log_factor;
+    expected = expected_time(sched, stage, task->worker, noise);
+    if (expected.variance > 0.0) {
+        *residual = log_time - expected.log_time;
+        variance = run_variance(group->runs, expected.variance, noise);
+        error = sqrt(noise + expected.variance + speed->variance);
+        deviation = fmax(-Fv_SPEED_DEVIATION_MAX * error,
+                         fmin(Fv_SPEED_DEVIATION_MAX * error, *residual));
+        if (fmax(expected.variance, speed->variance) < noise) {
+            learn_noise(&sched->speeds, deviation * deviation -
+                                            expected.variance -
+                                            speed->variance);
+        }
+        if (sched->speeds.learning) {
+            if (expected.variance < noise) {
+                detect_change(speed, deviation / error,
+                              (noise + expected.variance) / variance);
+            }
+            deviation = learn_speed(speed, deviation, variance);
         }
-        FvMetrics_Add(Fv_COUNTER_SPEED_RUNS, 1);
-        deviation *= 1.0 - gain; /* what the new factor leaves */
+        log_time = expected.log_time + deviation;
     }
-    stage->log_time_sum += (stage_log + deviation) / (noise + speed->variance);
-    stage->log_time_weight += 1.0 / (noise + speed->variance);
-    return true;
+    group->runs++;
+    group->log_time += (log_time - group->log_time) / group->runs;
+    group->speed_variance = speed->variance;
+    return expected.variance > 0.0;
 }
 
 /* Mean factor of the known workers becomes 1: only their ratios are seen.
@@ -397,6 +516,18 @@
     log_speeds(sched, now_ms);
 }
 
+/**
+ * FvSched_GradeFactor - get the factor of a grade
+ * @grade: the grade
+ *
+ * Return: the factor in its middle.
+ */
+double
+FvSched_GradeFactor(int32_t grade)
+{
+    return exp(grade * Fv_SPEED_GRADE_STEP);
+}
+
 /**
  * FvSched_GangFactor - get the factor of a running gang
  * @stage: the gang
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -134,12 +134,10 @@
     int32_t pending_advice_requests;
     int64_t next_advice_request_ms;
     int64_t next_place_ms;
-    int64_t objective_from_ms; /* when it was released; 0: not yet */
-    int64_t target_start_ms;   /* meets the objective by expected run times */
-    int64_t late_after_ms;     /* the same by the longest likely run times */
-    /* Of its counted runs, on a worker of factor 1; see sched-speed.c. */
-    double log_time_sum;    /* of the logarithms of run times, weighted */
-    double log_time_weight; /* sum of the weights */
+    int64_t objective_from_ms;  /* when it was released; 0: not yet */
+    int64_t target_start_ms;    /* meets the objective by expected run times */
+    int64_t late_after_ms;      /* the same by the longest likely run times */
+    struct fv_stage_runs *runs; /* counted ones; see sched-speed.c */
 };
 
 /* One run of all steps of a job; see sched-occurrence.c. */
@@ -444,12 +442,39 @@
 void FvSched_ResetSpeed(fv_worker_speed_t *speed);
 bool FvSched_ObserveSpeed(fv_sched_t *sched, fv_sched_task_t *task,
                           int64_t now_ms, double *residual);
+void FvSched_ForgetRuns(fv_sched_stage_t *stage);
 void FvSched_UpdateSpeeds(fv_sched_t *sched, int64_t now_ms);
 double FvSched_RunTimeNoise(const fv_sched_t *sched);
 double FvSched_GangFactor(const fv_sched_stage_t *stage);
 int64_t FvSched_ExpectedRunMs(fv_sched_t *sched, const fv_sched_stage_t *stage,
                               const fv_sched_worker_t *worker);
 
+double FvSched_GradeFactor(int32_t grade);
+
+/* sched-match.c */
+/* Which workers a stage prefers by their speed. */
+typedef struct fv_speed_match {
+    bool in_use; /* else all workers are alike */
+    bool fast_first;
+    double factor_max; /* the stage is in time on workers up to this factor */
+} fv_speed_match_t;
+
+/* Capacity for tasks of a gang by the workers' grades. */
+typedef struct fv_grade_capacities {
+    int32_t tasks[2 * Fv_SPEED_GRADE_MAX + 1];
+} fv_grade_capacities_t;
+
+fv_speed_match_t FvSched_MatchSpeed(fv_sched_t *sched,
+                                    const fv_sched_stage_t *stage,
+                                    int64_t now_ms);
+int32_t FvSched_SpeedPreference(const fv_speed_match_t *match,
+                                const fv_sched_worker_t *worker);
+void FvSched_AddGradeCapacity(fv_grade_capacities_t *capacities,
+                              const fv_sched_worker_t *worker,
+                              int32_t capacity);
+int32_t FvSched_GangGrade(const fv_grade_capacities_t *capacities,
+                          int32_t tasks);
+
 /* sched-waiting.c */
 fv_wait_cause_t FvSched_WaitCause(fv_sched_t *sched,
                                   const fv_sched_stage_t *stage,
