entry-settings: learn_worker_speeds

Cause: an operator must be able to turn the learning of speeds off.

Change: boolean settings, and learn_worker_speeds, true by default. The leader passes it to its scheduler.

Measured: entry_settings, leader_requests, leader_unreached and leader_connections unit tests pass.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -591,6 +591,7 @@
             .lease_max_ms = settings->lease_max_ms,
             .stop_max_ms = settings->stop_timeout_ms,
             .gang_refill_ms = settings->gang_timeout_ms - Fv_GANG_STOP_MS});
+    leader->sched.speeds.learning = settings->learn_worker_speeds;
     update_job_memory(leader);
     leader->sched.run_base = (generation - 1) * Fv_RUNS_PER_GENERATION;
     leader->sched.hold_inherited_tasks = true;
--- a/src/entry-settings.c
+++ b/src/entry-settings.c
@@ -18,7 +18,8 @@
     Fv_SETTING_TEXT,
     Fv_SETTING_ADDRESS, /* IPv4 address and port */
     Fv_SETTING_INT,
-    Fv_SETTING_NUMBER
+    Fv_SETTING_NUMBER,
+    Fv_SETTING_BOOL
 } fv_setting_kind_t;
 
 typedef struct fv_setting {
@@ -70,6 +71,8 @@
     {"store_value_max_bytes", Fv_SETTING_INT,
      offsetof(fv_entry_settings_t, store_value_max_bytes), 0, false, 4096,
      INT32_MAX},
+    {"learn_worker_speeds", Fv_SETTING_BOOL,
+     offsetof(fv_entry_settings_t, learn_worker_speeds), 0, false, 0, 0},
 };
 
 #undef STRING
@@ -114,6 +117,31 @@
     return true;
 }
 
+static bool
+read_bool(const json_t *value, void *target)
+{
+    bool truth = json_is_true(value);
+
+    memcpy(target, &truth, sizeof(truth));
+    return json_is_boolean(value);
+}
+
+static bool
+read_value(const fv_setting_t *setting, const json_t *value, char *target)
+{
+    switch (setting->kind) {
+    case Fv_SETTING_TEXT:
+    case Fv_SETTING_ADDRESS:
+        return read_text(setting, value, target);
+    case Fv_SETTING_BOOL:
+        return read_bool(value, target);
+    case Fv_SETTING_INT:
+    case Fv_SETTING_NUMBER:
+    default:
+        return read_number(setting, value, target);
+    }
+}
+
 static void
 print_error(const fv_setting_t *setting, const json_t *value, const char *path,
             FILE *errors)
@@ -129,6 +157,9 @@
         fprintf(errors, "\"%s\" is not an IPv4 address with a port\n",
                 text ? text : "");
         break;
+    case Fv_SETTING_BOOL:
+        fprintf(errors, "needs true or false\n");
+        break;
     case Fv_SETTING_INT:
     case Fv_SETTING_NUMBER:
     default:
@@ -149,10 +180,7 @@
     if (value == NULL && !setting->required) {
         return true;
     }
-    valid =
-        setting->kind == Fv_SETTING_TEXT || setting->kind == Fv_SETTING_ADDRESS
-            ? read_text(setting, value, target)
-            : read_number(setting, value, target);
+    valid = read_value(setting, value, target);
     if (!valid) {
         print_error(setting, value, path, errors);
     }
@@ -179,6 +207,7 @@
     *settings = (fv_entry_settings_t){.store_value_max_bytes =
                                           Fv_STORE_VALUE_DEFAULT_BYTES,
                                       .memory_mb = Fv_MEMORY_DEFAULT_MB,
+                                      .learn_worker_speeds = true,
                                       .log_level = Fv_LOG_INFO};
     if (table == NULL) {
         fprintf(errors, "%s: %s\n", path, reason);
--- a/src/entry.h
+++ b/src/entry.h
@@ -36,6 +36,7 @@
     int32_t drain_ms;        /* from SIGTERM until the process is killed */
     int32_t keep_ended_s;
     int32_t store_value_max_bytes;
+    bool learn_worker_speeds; /* and place tasks by them */
     fv_log_level_t log_level;
 } fv_entry_settings_t;
 
--- a/tests/unit/entry_settings_test.c
+++ b/tests/unit/entry_settings_test.c
@@ -67,6 +67,25 @@
     CU_ASSERT_STRING_EQUAL(settings.advice_address, "");
 }
 
+static void
+test_boolean(void)
+{
+    fv_entry_settings_t settings;
+    char faults[1024];
+    char text[1024];
+
+    CU_ASSERT_TRUE(load(valid_file, &settings, faults, sizeof(faults)));
+    CU_ASSERT_TRUE(settings.learn_worker_speeds); /* by default */
+    snprintf(text, sizeof(text), "%slearn_worker_speeds = false\n",
+             valid_file);
+    CU_ASSERT_TRUE(load(text, &settings, faults, sizeof(faults)));
+    CU_ASSERT_FALSE(settings.learn_worker_speeds);
+    snprintf(text, sizeof(text), "%slearn_worker_speeds = 0\n", valid_file);
+    CU_ASSERT_FALSE(load(text, &settings, faults, sizeof(faults)));
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(faults, "learn_worker_speeds: needs true or false"));
+}
+
 static void
 test_all_faults(void)
 {
@@ -120,6 +139,8 @@
 {
     static const test_case_t cases[] = {
         {"a valid file with an unknown field is rejected", test_unknown_field},
+        {"a number is taken for a boolean, or a boolean is ignored",
+         test_boolean},
         {"only the first error of a file is reported", test_all_faults},
         {"a host starts with an invalid address", test_invalid_address},
         {"an invalid address is reported only if there is no other error",
