sched: caps on what each customer's tasks use

Customers join whose tasks may use only a part of the cell at any moment. The scheduler had no notion of a customer.

sched-customer.c keeps a table of customers with the caps and weights of the newest configuration and the usage of the tasks on workers, which FvSched_AttachTask() and FvSched_DetachTask() charge. Beside it count, in each pass anew, orphaned runs whose customer is known, and while inherited tasks are held those of which no run is known, as far as they fit into the workers that have not reported. An orphaned run on a silent worker counts until the worker's lease has expired. No single task, gang or missing gang member starts above the cap, and an unanswered start is not repeated above a lowered one. A capped stage makes no call for advice, no preemption and no reservation, and waits with cause customer_cap; the caps keep room for a gang in time that waits for it. Usage is counted anew once a second. Within one priority, customers above their weighted dominant share come last; FvShares_LargerFraction() of share.c is used for it.

A job's account is opened by FvSched_ReleaseStages() from job->customer, so that FvSched_AddJob() needs no parameter. An inherited job with a customer is kept in memory after its end while runs of earlier leaders are not known: a run of a forgotten job counts for nobody.

--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -144,7 +144,8 @@
     struct event *pass_timer;
     fv_ended_job_t *ended;
     fv_used_service_t *services;
-    int64_t services_version; /* of the configuration they were taken from */
+    int64_t services_version;  /* of the configuration they were taken from */
+    int64_t customers_version; /* the same for caps and weights */
     fv_held_question_t *questions_first; /* in order of renewals */
     fv_held_question_t *questions_last;
     fv_advice_request_t *advice_requests;
--- a/src/decision.h
+++ b/src/decision.h
@@ -233,6 +233,7 @@
                           const fv_resources_t *size);
 void FvShares_LocalUsage(const fv_shares_t *shares, const char *member,
                          fv_resources_t *used);
+double FvShares_LargerFraction(double current, int64_t used, int64_t total);
 json_t *FvShares_ToJson(const fv_shares_t *shares);
 
 /* policy.c, policy-*.c: one vtable for each class. */
--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -225,7 +225,7 @@
 void
 FvLeaderRecord_RemoveIfIdle(fv_leader_t *leader, fv_sched_job_t *job)
 {
-    if (job->recorded != Fv_SCHED_JOB_OPEN && job->running_tasks == 0) {
+    if (FvSched_MayRemoveJob(&leader->sched, job)) {
         answer_waiters(leader, job, (fv_verb_t)0, Fv_REPLY_NOT_READY, "");
         FvSched_RemoveJob(&leader->sched, job);
     }
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -97,6 +97,9 @@
     [Fv_COUNTER_REQUESTS_GIVEN_BACK] = {"requests_given_back",
                                         "Requests returned to a host with "
                                         "earlier customers."},
+    [Fv_COUNTER_ACCOUNTS_CORRECTED] = {"accounts_corrected",
+                                       "Times that the usage of a customer "
+                                       "was found wrong and counted anew."},
     [Fv_COUNTER_TASKS_LOST] = {"tasks_lost",
                                "Tasks that went back to waiting because their "
                                "worker was lost."},
--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -139,6 +139,24 @@
     }
 }
 
+/**
+ * FvSched_MayRemoveJob - check whether nothing is left to do for a job
+ * @sched: the scheduler
+ * @job: the job
+ *
+ * While an earlier leader may have runs of it that are not known, they count
+ * as usage of its customer.
+ *
+ * Return: true when its end is recorded and none of its tasks is on a worker.
+ */
+bool
+FvSched_MayRemoveJob(const fv_sched_t *sched, const fv_sched_job_t *job)
+{
+    return job->recorded != Fv_SCHED_JOB_OPEN && job->running_tasks == 0 &&
+           !(job->inherited && job->account != NULL &&
+             sched->hold_inherited_tasks);
+}
+
 /**
  * FvSched_RemoveJob - remove and free a job
  * @sched: the scheduler
@@ -150,6 +168,7 @@
     for (uint32_t o = 0; o < job->open_count; o++) {
         detach_stages(sched, job, job->occurrences[o]);
     }
+    FvSched_CloseAccount(job);
     FvSched_ReleaseJobMemory(sched, job);
     HASH_DEL(sched->jobs, job);
     free_job(job);
@@ -278,6 +297,7 @@
 FvSched_ReleaseStages(fv_sched_t *sched, fv_sched_job_t *job, int64_t now_ms,
                       int64_t wall_ms)
 {
+    FvSched_OpenAccount(sched, job);
     if (!is_open(job)) {
         return;
     }
@@ -623,6 +643,23 @@
     return parse_task_name(sched, name, &path) ? path.job : NULL;
 }
 
+/**
+ * FvSched_FindTaskStep - find the step of a task by the task's name
+ * @sched: the scheduler
+ * @name: the name
+ *
+ * Return: the step, or NULL when the name is malformed or the job is unknown.
+ */
+const fv_step_spec_t *
+FvSched_FindTaskStep(const fv_sched_t *sched, const char *name)
+{
+    fv_task_path_t path;
+
+    return parse_task_name(sched, name, &path)
+               ? &path.job->spec.steps[path.step]
+               : NULL;
+}
+
 /**
  * FvSched_CountQueuedJobs - count the accepted jobs of a queue that have not
  * started
--- a/src/sched-lease.c
+++ b/src/sched-lease.c
@@ -186,6 +186,31 @@
            now_ms < worker->deadline_sent_ms + Fv_ORDER_DELAY_MAX_MS;
 }
 
+static bool
+knows_runs(const fv_sched_worker_t *worker, int64_t now_ms)
+{
+    return worker->synced && worker->inherited_stops_until_ms <= now_ms;
+}
+
+/**
+ * FvSched_MayHaveUnknownRuns - check whether a worker may run what an earlier
+ * leader has started and this one does not know of
+ * @sched: the scheduler
+ * @worker: the worker
+ * @now_ms: the time
+ *
+ * Return: false from the report on that tells of all runs, or when the leases
+ * of earlier leaders have expired.
+ */
+bool
+FvSched_MayHaveUnknownRuns(const fv_sched_t *sched,
+                           const fv_sched_worker_t *worker, int64_t now_ms)
+{
+    return worker->in_worker_list && !knows_runs(worker, now_ms) &&
+           !(worker->inherited_expired &&
+             FvSched_HasLeaseExpired(sched, worker));
+}
+
 /**
  * FvSched_KnowsInheritedRuns - check whether all runs of earlier leaders are
  * known or have ended
@@ -205,12 +230,11 @@
 {
     for (const fv_sched_worker_t *worker = sched->workers; worker != NULL;
          worker = worker->hh.next) {
-        bool known =
-            worker->synced && worker->inherited_stops_until_ms <= now_ms;
         bool expired = (leases_expired || worker->inherited_expired) &&
                        FvSched_HasLeaseExpired(sched, worker);
 
-        if (worker->in_worker_list && !known && !expired) {
+        if (worker->in_worker_list && !knows_runs(worker, now_ms) &&
+            !expired) {
             return false;
         }
     }
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -204,7 +204,9 @@
  * Starts are idempotent on the worker, so that one repetition resolves most
  * unconfirmed starts in a round trip. Without a ticket, it follows a report of
  * the incarnation that the first copy was meant for, on the same connection:
- * on another one it could reach the next incarnation.
+ * on another one it could reach the next incarnation. A customer whose cap was
+ * lowered below its usage gets no repetition: a report follows, and a stop
+ * unless it lists the run.
  *
  * Return: false when the order was not sent, or has been repeated before.
  */
@@ -215,7 +217,8 @@
     const fv_verdict_t *verdict = NULL;
 
     if (task->start_retried || task->state != Fv_SCHED_STARTING ||
-        task->worker->suspect || task->worker->lost || !task->worker->synced) {
+        task->worker->suspect || task->worker->lost || !task->worker->synced ||
+        FvSched_IsAboveCap(stage)) {
         return false;
     }
     if (stage->job->queue.needs_advice) {
--- a/src/sched-orphan.c
+++ b/src/sched-orphan.c
@@ -70,6 +70,7 @@
 
     FvSched_TaskName(task, name, sizeof(name));
     orphan = FvSched_AddOrphanRun(task->worker, name, task->run, now_ms);
+    FvSched_ChargeOrphanRun(orphan, task->stage->job, task->stage->step);
     orphan->start_arrived = task->start_confirmed_ms != 0;
     orphan->start_until_ms = FvSched_LateStartUntilMs(task);
     return orphan;
@@ -188,6 +189,7 @@
     fv_orphan_run_t *orphan = *link;
 
     *link = orphan->next;
+    FvSched_ReleaseOrphanRun(orphan);
     free(orphan);
 }
 
@@ -276,3 +278,44 @@
     }
     return false;
 }
+
+/* When a start that the worker did not answer can no longer arrive, nor a run
+ * that it has started on a later incarnation have outlived the lease that it
+ * got there. */
+static int64_t
+start_effects_end_ms(const fv_sched_t *sched, const fv_sched_worker_t *worker,
+                     const fv_orphan_run_t *orphan)
+{
+    if (orphan->start_arrived || orphan->start_until_ms == 0) {
+        return 0;
+    }
+    return orphan->start_until_ms +
+           (worker->listed && FvSched_IsIncarnationListed(worker)
+                ? 0
+                : FvSched_LongestLeaseMs(sched));
+}
+
+/**
+ * FvSched_MayOrphanRun - check whether an orphaned run may still run
+ * @sched: the scheduler
+ * @worker: its worker
+ * @orphan: the run
+ * @now_ms: the time
+ *
+ * The reports of a worker that answers tell of the run's end. On one that does
+ * not, it ends with the worker's lease.
+ *
+ * Return: false when it has certainly ended.
+ */
+bool
+FvSched_MayOrphanRun(const fv_sched_t *sched, const fv_sched_worker_t *worker,
+                     const fv_orphan_run_t *orphan, int64_t now_ms)
+{
+    bool answers = !worker->suspect && !worker->lost;
+
+    if (orphan->ended_by_ms <= now_ms) {
+        return false;
+    }
+    return answers || !FvSched_HasLeaseExpired(sched, worker) ||
+           !FvSched_LedAt(sched, start_effects_end_ms(sched, worker, orphan));
+}
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -62,6 +62,7 @@
         FvSched_FreeWorker(sched, sched->workers);
     }
     sched->pending = NULL;
+    FvSched_ClearCustomers(sched);
 }
 
 /**
@@ -82,6 +83,7 @@
 typedef struct fv_ranked {
     fv_sched_stage_t *stage;
     int32_t rank;
+    bool above_share;
 } fv_ranked_t;
 
 static int
@@ -93,6 +95,9 @@
     if (a->rank != b->rank) {
         return a->rank < b->rank ? -1 : 1;
     }
+    if (a->above_share != b->above_share) {
+        return a->above_share ? 1 : -1;
+    }
     if (a->stage->target_start_ms != b->stage->target_start_ms) {
         return a->stage->target_start_ms < b->stage->target_start_ms ? -1 : 1;
     }
@@ -146,6 +151,7 @@
             .stage = stage,
             .rank =
                 stage->job->queue.priority + (late ? Fv_LATE_RANK_PENALTY : 0),
+            .above_share = FvSched_IsAboveShare(stage),
         };
     }
 }
@@ -206,16 +212,22 @@
     if (sched->rescan_ms > Fv_RESCAN_MAX_MS) {
         sched->rescan_ms = Fv_RESCAN_MAX_MS;
     }
+    FvSched_BeginCustomerPass(sched, now_ms);
     rank_stages(sched, ranked, now_ms);
     qsort(ranked, count, sizeof(*ranked), by_urgency);
     for (uint32_t i = 0; i < count; i++) {
         fv_sched_stage_t *stage = ranked[i].stage;
 
-        if (stage->job->durable) {
+        if (stage->job->durable && !FvSched_IsHeldByCap(stage)) {
             FvSched_PlaceStage(sched, stage, now_ms);
         }
         if (stage->waiting > 0) {
             stop_incomplete_gang(sched, stage, now_ms);
+            if (FvSched_IsHeldByCap(stage)) {
+                FvSched_NoteHeldByCap(stage,
+                                      ranked[i].rank < Fv_LATE_RANK_PENALTY);
+                continue;
+            }
             FvSched_RequestAdvice(sched, stage, now_ms);
             if (ranked[i].rank < Fv_LATE_RANK_PENALTY) {
                 FvSched_PreemptForGang(sched, stage, now_ms);
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -280,6 +280,9 @@
         if (!may_start(sched, task)) {
             continue;
         }
+        if (!FvSched_FitsUnderCap(stage, 1)) {
+            return;
+        }
         candidate = best_candidate(task, candidates, count);
         if (candidate == NULL ||
             (gang && candidate->worker == task->failed_on)) {
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -236,6 +236,8 @@
               int64_t now_ms)
 {
     fv_sched_task_t *task = FvSched_OpenTask(sched, row->task_id);
+    const fv_step_spec_t *step = FvSched_FindTaskStep(sched, row->task_id);
+    fv_orphan_run_t *orphan;
 
     if (task != NULL) {
         FvSched_AddTaskResources(used, task->stage->step, 1);
@@ -251,15 +253,17 @@
         adopt_run(sched, worker, task, row, now_ms);
         return;
     }
+    orphan = FvSched_AddOrphanRun(worker, row->task_id, row->run, now_ms);
+    if (step != NULL) {
+        FvSched_ChargeOrphanRun(
+            orphan, FvSched_FindTaskJob(sched, row->task_id), step);
+    }
     if (task != NULL && is_of_completed_gang(task, row)) {
-        FvSched_AddOrphanRun(worker, row->task_id, row->run, now_ms);
         return;
     }
     FvLog_Event(Fv_LOG_INFO, "orphan_run", "task=%s run=%d worker=%s",
                 row->task_id, row->run, worker->entry.id);
-    FvSched_StopOrphanRun(
-        sched, worker,
-        FvSched_AddOrphanRun(worker, row->task_id, row->run, now_ms), now_ms);
+    FvSched_StopOrphanRun(sched, worker, orphan, now_ms);
 }
 
 /* Runs of removed jobs, whose resources are not known, are not part of the
--- a/src/sched-waiting.c
+++ b/src/sched-waiting.c
@@ -25,6 +25,7 @@
     [Fv_WAIT_NEXT_PASS] = "next_pass",
     [Fv_WAIT_INHERITED] = "inherited",
     [Fv_WAIT_RECORD] = "not_recorded",
+    [Fv_WAIT_CAP] = "customer_cap",
 };
 
 /* The first obstacle on one worker. */
@@ -89,6 +90,9 @@
     if (inherited && sched->hold_inherited_tasks) {
         return Fv_WAIT_INHERITED;
     }
+    if (FvSched_IsHeldByCap(stage)) {
+        return Fv_WAIT_CAP;
+    }
     sched->advice_searches++;
     for (uint32_t i = 0; i < stage->verdict_count; i++) {
         fv_sched_worker_t *worker = stage->verdicts[i].worker;
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -210,6 +210,7 @@
     worker->task_count++;
     task->stage->job->running_tasks++;
     charge_resources(worker, task->stage->step, 1);
+    FvSched_ChargeTasks(task->stage, 1);
 }
 
 /**
@@ -240,6 +241,7 @@
     worker->task_count--;
     task->stage->job->running_tasks--;
     charge_resources(worker, task->stage->step, -1);
+    FvSched_ChargeTasks(task->stage, -1);
 }
 
 /**
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -17,6 +17,13 @@
 typedef struct fv_sched_task fv_sched_task_t;
 typedef struct fv_sched_worker fv_sched_worker_t;
 typedef struct fv_occurrence fv_occurrence_t;
+typedef struct fv_sched_customer fv_sched_customer_t;
+
+typedef struct fv_sched_resources {
+    int64_t cpu_millis;
+    int64_t memory_mib;
+    int64_t accelerators;
+} fv_sched_resources_t;
 
 /* Longest delay after which a worker of the platform may still carry out an
  * unanswered order, under the lease that it has then. */
@@ -87,6 +94,8 @@
     int64_t stop_sent_ms;      /* 0: a stop may be sent at once */
     int64_t stop_confirmed_ms; /* 0: the stop was not answered */
     int64_t ended_by_ms; /* has ended by then; INT64_MAX: not known yet */
+    fv_sched_customer_t *customer; /* NULL: none, or not known */
+    fv_sched_resources_t resources;
     struct fv_orphan_run *next;
 } fv_orphan_run_t;
 
@@ -104,7 +113,8 @@
     Fv_WAIT_GANG,     /* not all members fit at one time */
     Fv_WAIT_NEXT_PASS,
     Fv_WAIT_INHERITED, /* an earlier leader's runs are not all known */
-    Fv_WAIT_RECORD     /* the job is not in the store yet */
+    Fv_WAIT_RECORD,    /* the job is not in the store yet */
+    Fv_WAIT_CAP        /* of the customer */
 } fv_wait_cause_t;
 
 /* One step of one occurrence of a job. */
@@ -156,7 +166,8 @@
 
 struct fv_sched_job {
     char id[Fv_JOB_ID_SIZE];
-    char customer[Fv_NAME_SIZE]; /* "": none */
+    char customer[Fv_NAME_SIZE];  /* "": none */
+    fv_sched_customer_t *account; /* NULL: no customer */
     fv_cell_queue_t queue;
     fv_job_spec_t spec;
     char *document; /* as submitted */
@@ -189,12 +200,6 @@
     UT_hash_handle hh;
 };
 
-typedef struct fv_sched_resources {
-    int64_t cpu_millis;
-    int64_t memory_mib;
-    int64_t accelerators;
-} fv_sched_resources_t;
-
 /* What is learned of the run times on a worker; see sched-speed.c. */
 typedef struct fv_worker_speed {
     double log_factor;  /* of run times, against the cell's mean */
@@ -261,8 +266,8 @@
     /* Until then, runs that an earlier leader stopped may still be ending;
      * reports do not list such runs. */
     int64_t inherited_stops_until_ms;
-    /* The resources that orphaned runs hold are unknown, so the worker gets no
-     * tasks while it has any. */
+    /* The resources that orphaned runs hold may be unknown, so the worker gets
+     * no tasks while it has any. */
     fv_orphan_run_t *orphan_runs;
     fv_sched_task_t *tasks;
     const fv_sched_stage_t *reserved_for;  /* gang, in this pass */
@@ -278,6 +283,25 @@
     UT_hash_handle hh;
 };
 
+/* A customer of the cell; see sched-customer.c. */
+struct fv_sched_customer {
+    char name[Fv_NAME_SIZE];
+    bool configured; /* in the newest configuration */
+    double weight;
+    fv_sched_resources_t cap;      /* 0: not limited */
+    fv_sched_resources_t usage;    /* of the tasks on workers */
+    fv_sched_resources_t in_doubt; /* runs that may exist, in this pass */
+    fv_sched_resources_t kept;     /* for a gang, in this pass */
+    fv_sched_resources_t audited;  /* the usage as counted anew */
+    uint32_t references;           /* jobs and orphaned runs */
+    bool held;                     /* since the latest audit, by the cap */
+    bool held_logged;
+    bool pending; /* has stages in this pass */
+    double dominant_share;
+    bool above_share;
+    UT_hash_handle hh;
+};
+
 typedef enum fv_record_kind {
     Fv_RECORD_ACCEPT,
     Fv_RECORD_PROGRESS,
@@ -363,6 +387,9 @@
     int64_t reserved_job_bytes;
     int64_t extra_job_bytes;      /* beyond the reserved ones */
     int64_t poll_faster_until_ms; /* after unanswered calls */
+    fv_sched_customer_t *customers;
+    int64_t accounts_audited_ms;
+    fv_sched_resources_t capacity; /* of the listed workers, when audited */
     uint32_t queue_estimate_count;
     fv_queue_estimates_t queue_estimates[Fv_QUEUE_ESTIMATES_MAX];
     fv_cell_speeds_t speeds;
@@ -374,6 +401,7 @@
                                const fv_cell_queue_t *queue,
                                fv_job_spec_t *spec, const char *document,
                                size_t length, int64_t now_ms, int64_t wall_ms);
+bool FvSched_MayRemoveJob(const fv_sched_t *sched, const fv_sched_job_t *job);
 void FvSched_RemoveJob(fv_sched_t *sched, fv_sched_job_t *job);
 void FvSched_MarkJobDurable(fv_sched_t *sched, fv_sched_job_t *job);
 void FvSched_CancelJob(fv_sched_t *sched, fv_sched_job_t *job, int64_t now_ms);
@@ -381,6 +409,8 @@
 fv_sched_task_t *FvSched_FindTask(const fv_sched_t *sched, const char *name);
 fv_sched_task_t *FvSched_OpenTask(fv_sched_t *sched, const char *name);
 fv_sched_job_t *FvSched_FindTaskJob(const fv_sched_t *sched, const char *name);
+const fv_step_spec_t *FvSched_FindTaskStep(const fv_sched_t *sched,
+                                           const char *name);
 void FvSched_TaskName(const fv_sched_task_t *task, char *name, size_t size);
 void FvSched_StageName(const fv_sched_stage_t *stage, char *name, size_t size);
 int64_t FvSched_CountQueuedJobs(const fv_sched_t *sched, const char *queue);
@@ -526,6 +556,27 @@
 void FvSched_RequeueLostTasks(fv_sched_t *sched, fv_sched_worker_t *worker,
                               const char *cause, int64_t now_ms);
 
+/* sched-customer.c */
+fv_sched_customer_t *FvSched_FindCustomer(const fv_sched_t *sched,
+                                          const char *name);
+void FvSched_SetCustomers(fv_sched_t *sched, const fv_cell_config_t *config);
+void FvSched_ClearCustomers(fv_sched_t *sched);
+void FvSched_OpenAccount(fv_sched_t *sched, fv_sched_job_t *job);
+void FvSched_CloseAccount(fv_sched_job_t *job);
+void FvSched_ChargeTasks(const fv_sched_stage_t *stage, int64_t count);
+void FvSched_ChargeOrphanRun(fv_orphan_run_t *orphan,
+                             const fv_sched_job_t *job,
+                             const fv_step_spec_t *step);
+void FvSched_ReleaseOrphanRun(fv_orphan_run_t *orphan);
+void FvSched_BeginCustomerPass(fv_sched_t *sched, int64_t now_ms);
+bool FvSched_FitsUnderCap(const fv_sched_stage_t *stage, int32_t count);
+bool FvSched_IsHeldByCap(const fv_sched_stage_t *stage);
+void FvSched_NoteHeldByCap(const fv_sched_stage_t *stage, bool urgent);
+bool FvSched_IsAboveCap(const fv_sched_stage_t *stage);
+bool FvSched_IsAboveShare(const fv_sched_stage_t *stage);
+bool FvSched_CanFitUnderCap(const fv_sched_customer_t *customer,
+                            const fv_job_spec_t *spec);
+
 /* sched-health.c */
 bool FvSched_IsWorkerQuarantined(const fv_sched_worker_t *worker,
                                  const fv_sched_stage_t *stage,
@@ -559,6 +610,9 @@
 void FvSched_DoubtOrphanRuns(fv_sched_worker_t *worker, int64_t now_ms);
 void FvSched_FreeOrphanRuns(fv_sched_worker_t *worker);
 bool FvSched_HasOrphanRuns(const fv_sched_worker_t *worker, int64_t now_ms);
+bool FvSched_MayOrphanRun(const fv_sched_t *sched,
+                          const fv_sched_worker_t *worker,
+                          const fv_orphan_run_t *orphan, int64_t now_ms);
 
 /* sched-lead.c */
 void FvSched_ConfirmLead(fv_sched_t *sched, int64_t sent_ms);
@@ -582,6 +636,9 @@
                             int64_t now_ms);
 bool FvSched_MayCarryOutOrders(const fv_sched_worker_t *worker,
                                int64_t now_ms);
+bool FvSched_MayHaveUnknownRuns(const fv_sched_t *sched,
+                                const fv_sched_worker_t *worker,
+                                int64_t now_ms);
 bool FvSched_KnowsInheritedRuns(const fv_sched_t *sched, bool leases_expired,
                                 int64_t now_ms);
 
--- a/src/share.c
+++ b/src/share.c
@@ -193,8 +193,16 @@
     }
 }
 
-static double
-max_fraction(double current, int64_t used, int64_t total)
+/**
+ * FvShares_LargerFraction - the dominant share so far, with one more resource
+ * @current: the largest fraction of the resources before
+ * @used: what is used of this resource
+ * @total: what the cell has of it
+ *
+ * Return: the larger of both fractions.
+ */
+double
+FvShares_LargerFraction(double current, int64_t used, int64_t total)
 {
     double fraction;
 
@@ -213,10 +221,13 @@
     double dominant = 0;
 
     FvResources_Add(&used, &share->remote);
-    dominant = max_fraction(dominant, used.cpu_millis, total->cpu_millis);
-    dominant = max_fraction(dominant, used.memory_bytes, total->memory_bytes);
-    dominant = max_fraction(dominant, used.accelerators, total->accelerators);
-    dominant = max_fraction(dominant, used.slots, total->slots);
+    dominant =
+        FvShares_LargerFraction(dominant, used.cpu_millis, total->cpu_millis);
+    dominant = FvShares_LargerFraction(dominant, used.memory_bytes,
+                                       total->memory_bytes);
+    dominant = FvShares_LargerFraction(dominant, used.accelerators,
+                                       total->accelerators);
+    dominant = FvShares_LargerFraction(dominant, used.slots, total->slots);
     return dominant / (share->weight == 0 ? 1 : share->weight);
 }
 
--- a/tests/harness/sched-fixture.c
+++ b/tests/harness/sched-fixture.c
@@ -312,6 +312,9 @@
     job = FvSched_AddJob(&fixture->sched, id, queue, &spec, document,
                          strlen(document), fixture->now_ms, fixture->now_ms);
     CU_ASSERT_PTR_NOT_NULL_FATAL(job);
+    if (fixture->customer != NULL) {
+        FvText_Copy(job->customer, sizeof(job->customer), fixture->customer);
+    }
     FvSched_MarkJobDurable(&fixture->sched, job);
     FvSched_ReleaseStages(&fixture->sched, job, fixture->now_ms,
                           fixture->now_ms);
--- a/tests/harness/sched-sim-handlers.c
+++ b/tests/harness/sched-sim-handlers.c
@@ -348,6 +348,7 @@
         FvSched_AddJob(sched, job->id, &job->queue, &spec, job->document,
                        strlen(job->document), sim->now_ms, sim->now_ms);
     FvJobSpec_Clear(&spec);
+    FvSim_SetJobCustomer(sim, job, sched_job);
     FvSim_Record(sched, sched_job, Fv_RECORD_ACCEPT);
     FvSched_ReleaseStages(sched, sched_job, sim->now_ms, sim->now_ms);
     /* The caller retries, because a leader that fails before the job is
--- a/tests/harness/sched-sim-internal.h
+++ b/tests/harness/sched-sim-internal.h
@@ -57,6 +57,8 @@
 #define ELECTION_MAX_MS 2200
 #define FEW_HOSTS_MS 2500        /* a leader that reaches few hosts resigns */
 #define SPLIT_NOTICED_MAX_MS 300 /* by the earlier leader, after its end */
+#define CUSTOMERS_MAX 4
+#define CAP_CHANGES_MAX 256
 
 typedef enum event_kind {
     EVENT_ORDER_ARRIVES,
@@ -156,6 +158,7 @@
     char *document;
     fv_job_spec_t spec;
     fv_cell_queue_t queue;
+    uint32_t customer;
     bool accepted;
     bool cancelled;
     const char *ended; /* recorded outcome; NULL: not ended */
@@ -189,8 +192,16 @@
     int64_t reached_from_ms[WORKERS_MAX]; /* 0: was never cut off */
     bool report_pending[WORKERS_MAX];
     int64_t report_requested_ms[WORKERS_MAX];
+    uint32_t cap_changes; /* that it knows of */
 } sim_leader_t;
 
+/* A version of the configuration, from the time when it is in the store. */
+typedef struct sim_caps {
+    int64_t at_ms;
+    int64_t known_ms; /* to leaders that reach the store */
+    int64_t cpu_millis[CUSTOMERS_MAX];
+} sim_caps_t;
+
 struct sim {
     const sim_plan_t *plan;
     sim_result_t *result;
@@ -214,6 +225,8 @@
     sim_job_t jobs[JOBS_MAX];
     uint32_t task_count;
     sim_task_t tasks[TASKS_MAX];
+    uint32_t cap_change_count;
+    sim_caps_t caps[CAP_CHANGES_MAX];
 };
 
 extern const fv_sched_ops_t Fv_SIM_OPS;
@@ -238,6 +251,15 @@
                      uint32_t worker);
 bool FvSim_PredecessorsDone(sim_t *sim, const char *name);
 void FvSim_CheckWaiting(sim_t *sim);
+void FvSim_InitCustomers(sim_t *sim);
+void FvSim_ChangeCap(sim_t *sim);
+void FvSim_LearnCaps(sim_leader_t *leader);
+void FvSim_SetJobCustomer(const sim_t *sim, const sim_job_t *job,
+                          fv_sched_job_t *sched_job);
+bool FvSim_IsWellUnderCap(sim_t *sim, const sim_job_t *job,
+                          int64_t cpu_millis);
+void FvSim_CheckCap(sim_t *sim, const sim_task_t *task);
+void FvSim_CheckCustomerAccounts(sim_leader_t *leader);
 void FvSim_CheckAccounts(sim_leader_t *leader);
 void FvSim_KillRuns(sim_t *sim, sim_worker_t *worker, bool report_ends);
 void FvSim_EndDueRuns(sim_t *sim);
--- a/tests/harness/sched-sim-leader.c
+++ b/tests/harness/sched-sim-leader.c
@@ -136,6 +136,7 @@
     if (sched_job == NULL) {
         abort();
     }
+    FvSim_SetJobCustomer(leader->sim, job, sched_job);
     sched_job->durable = true;
     job->accepted = true;
     if (job->progress_record.data != NULL) {
@@ -183,6 +184,7 @@
     for (uint32_t w = 0; w < sim->plan->workers; w++) {
         add_worker(leader, &sim->workers[w]);
     }
+    FvSim_LearnCaps(leader);
     for (uint32_t j = 0; j < sim->job_count; j++) {
         load_job(leader, &sim->jobs[j]);
     }
--- a/tests/harness/sched-sim-worker.c
+++ b/tests/harness/sched-sim-worker.c
@@ -335,6 +335,7 @@
                                "wrong account of worker", worker->entry.id);
         }
     }
+    FvSim_CheckCustomerAccounts(leader);
 }
 
 /* An order in transit while its worker restarts can't be taken back. */
@@ -419,6 +420,7 @@
     }
     check_start(sim, worker, task, step);
     check_label(sim, worker, order, step);
+    FvSim_CheckCap(sim, task);
     if (step->long_running) {
         run.duration_ms = 2000 + FvSim_RandomBelow(sim, LASTING_RUN_MAX_MS);
         run.fails = FvSim_RandomBelow(sim, 2) == 0;
--- a/tests/harness/sched-sim.h
+++ b/tests/harness/sched-sim.h
@@ -30,6 +30,7 @@
      * another host is elected. */
     uint32_t splits;
     uint32_t store_outages; /* each second; for all hosts */
+    uint32_t cap_changes;   /* each second; of one customer's cap */
 } sim_faults_t;
 
 typedef struct sim_plan {
@@ -41,11 +42,13 @@
     bool advice;
     uint32_t allowed_workers; /* that the advice allows for a stage */
     int64_t advice_per_worker_us;
-    uint32_t task_max_ms;  /* declared time of a task; 0: a usual one */
-    uint32_t lasting_jobs; /* share of long-running jobs, of 1,000 */
-    bool check_waiting;    /* requires that no faults occur */
-    bool unreached_list;   /* leaders keep the list of unreached workers */
-    uint32_t ends_page;    /* ends that a report lists at most; 0: all */
+    uint32_t task_max_ms;    /* declared time of a task; 0: a usual one */
+    uint32_t lasting_jobs;   /* share of long-running jobs, of 1,000 */
+    bool check_waiting;      /* requires that no faults occur */
+    bool unreached_list;     /* leaders keep the list of unreached workers */
+    uint32_t ends_page;      /* ends that a report lists at most; 0: all */
+    uint32_t customers;      /* each with a cap; 0: none */
+    uint32_t start_bound_ms; /* of check_waiting; 0: the usual one */
     sim_faults_t faults;
 } sim_plan_t;
 
@@ -58,6 +61,7 @@
     uint32_t started_beyond_attempts;
     uint32_t started_beyond_spread;
     uint32_t started_without_label;
+    uint32_t started_above_cap;
     uint32_t waited_too_long;
     uint32_t unfinished_jobs;
     uint32_t wrong_outcomes;
--- a/tests/unit/sched_model_test.c
+++ b/tests/unit/sched_model_test.c
@@ -33,6 +33,7 @@
     CU_ASSERT_EQUAL(result.started_beyond_attempts, 0);
     CU_ASSERT_EQUAL(result.started_beyond_spread, 0);
     CU_ASSERT_EQUAL(result.started_without_label, 0);
+    CU_ASSERT_EQUAL(result.started_above_cap, 0);
     CU_ASSERT_EQUAL(result.waited_too_long, 0);
     CU_ASSERT_EQUAL(result.unfinished_jobs, 0);
     CU_ASSERT_EQUAL(result.wrong_outcomes, 0);
@@ -87,6 +88,23 @@
     }
 }
 
+static void
+run_capped_seeds(const sim_faults_t *faults, bool advice)
+{
+    for (uint64_t seed = first_seed; seed < first_seed + seeds; seed++) {
+        run_plan(&(sim_plan_t){.seed = seed,
+                               .workers = 10 + (uint32_t)(seed % 5),
+                               .jobs = 60,
+                               .faults_end_ms = FAULTS_END_MS,
+                               .deadline_ms = 2 * DEADLINE_MS,
+                               .advice = advice,
+                               .allowed_workers = 8,
+                               .advice_per_worker_us = 1500,
+                               .customers = 2 + (uint32_t)(seed % 3),
+                               .faults = *faults});
+    }
+}
+
 static void
 test_no_faults(void)
 {
@@ -294,6 +312,61 @@
     run_seeds_with_pages(&faults, true, 2);
 }
 
+/* What a customer runs, with tasks that are being stopped or start late, stays
+ * below its cap. */
+static void
+test_caps(void)
+{
+    static const sim_faults_t late_orders = {.lost_orders = 400,
+                                             .worker_outages = 600,
+                                             .failing_tasks = 50,
+                                             .job_cancellations = 500};
+
+    run_capped_seeds(&(sim_faults_t){0}, false);
+    run_capped_seeds(&late_orders, false);
+    run_capped_seeds(&late_orders, true);
+}
+
+/* A lowered cap stops no tasks and lets none start. */
+static void
+test_lowered_caps(void)
+{
+    static const sim_faults_t faults = {.lost_orders = 150,
+                                        .failing_tasks = 50,
+                                        .worker_crashes = 150,
+                                        .worker_outages = 150,
+                                        .job_cancellations = 300,
+                                        .cap_changes = 500};
+
+    run_capped_seeds(&(sim_faults_t){.cap_changes = 1000}, false);
+    run_capped_seeds(&faults, false);
+    run_capped_seeds(&faults, true);
+}
+
+/* A new leader does not know at first what its predecessor has started. */
+static void
+test_caps_across_leaders(void)
+{
+    static const sim_faults_t failovers = {.lost_orders = 150,
+                                           .lost_renewals = 50,
+                                           .worker_outages = 300,
+                                           .leader_failovers = 300,
+                                           .leader_absence_ms = 1000,
+                                           .job_cancellations = 500,
+                                           .cap_changes = 300};
+    static const sim_faults_t splits = {.lost_orders = 80,
+                                        .worker_outages = 150,
+                                        .leader_failovers = 50,
+                                        .leader_handovers = 100,
+                                        .job_cancellations = 300,
+                                        .splits = 200,
+                                        .cap_changes = 300};
+
+    run_capped_seeds(&failovers, false);
+    run_capped_seeds(&failovers, true);
+    run_capped_seeds(&splits, false);
+}
+
 /* SCHED_MODEL_SEEDS="FIRST COUNT" runs other seeds. */
 int
 main(void)
@@ -322,6 +395,10 @@
         {"a guarantee is broken by all faults together", test_all_faults},
         {"a guarantee is broken by reports that do not list all ends",
          test_reports_cut_off},
+        {"a customer exceeds its cap by late orders", test_caps},
+        {"a customer exceeds its cap after it was lowered", test_lowered_caps},
+        {"a customer exceeds its cap after a change of leader",
+         test_caps_across_leaders},
     };
     const char *chosen = getenv("SCHED_MODEL_SEEDS");
     unsigned long long first;
