sched: jobs beyond a customer's rate start last and are refused when full

A customer that submits many times its usual amount filled the cell and the order of all others.

sched-excess.c has a token bucket of `weight` jobs a second for each customer, which holds one second's worth and at least one job. A job beyond it is marked as excess when it is accepted, also in its record (a further field after the customer). It is answered 429 (Fv_REPLY_EXCESS) with Retry-After 2 to 8 s when one of its first steps could not start now: no eligible worker has room, or the customer's cap has none, or excess that came less than 3 s ago claims it. A new leader refuses none while it holds inherited tasks. A job with a task or a gang larger than its customer's cap is refused with 503 (cause customer_cap).

--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -176,6 +176,7 @@
     int64_t unanswered_stop_ms;   /* when the latest one was sent; 0: none */
     struct event *handover_timer;
     fv_log_quota_t cancel_log;
+    fv_log_quota_t excess_log;
     bool reading_registry;
     uint64_t registry_readings; /* begun so far */
     int64_t next_load_log_ms;
--- a/src/entry.h
+++ b/src/entry.h
@@ -368,6 +368,8 @@
     Fv_REPLY_MALFORMED,
     Fv_REPLY_NOT_READY, /* not processed; send the request again */
     Fv_REPLY_FORBIDDEN, /* the job belongs to another customer */
+    Fv_REPLY_EXCESS,    /* as Fv_REPLY_REFUSED, since the customer submits more
+                           than its weight allows while the cell is full */
 } fv_reply_t;
 
 /* frontend.c: HTTP server for callers and the platform's load balancer. */
--- a/src/fireflyvalve.h
+++ b/src/fireflyvalve.h
@@ -194,6 +194,15 @@
     Fv_COUNTER_COUNT
 } fv_counter_t;
 
+/* Counters of each member; of `entry` each customer. */
+typedef enum fv_member_counter {
+    Fv_MEMBER_JOBS_ACCEPTED,
+    Fv_MEMBER_EXCESS_ACCEPTED,
+    Fv_MEMBER_EXCESS_REFUSED,
+    Fv_MEMBER_CAP_WAITS,
+    Fv_MEMBER_COUNTER_COUNT
+} fv_member_counter_t;
+
 typedef enum fv_timing {
     Fv_TIMING_WAIT,  /* submission to start */
     Fv_TIMING_RUN,   /* start to end */
@@ -217,6 +226,8 @@
 uint64_t FvMetrics_Get(fv_counter_t counter);
 void FvMetrics_Record(fv_timing_t timing, fv_class_t class_id,
                       const char *member, int64_t value_us);
+void FvMetrics_AddForMember(fv_member_counter_t counter, const char *member,
+                            uint64_t amount);
 void FvMetrics_AddCrossRegionBytes(const char *member, uint64_t bytes);
 void FvMetrics_Print(fv_buffer_t *out);
 
--- a/src/forwarding.c
+++ b/src/forwarding.c
@@ -79,7 +79,8 @@
 {
     return current ||
            (reply != Fv_REPLY_REFUSED && reply != Fv_REPLY_GONE &&
-            reply != Fv_REPLY_NOT_READY && reply != Fv_REPLY_FORBIDDEN);
+            reply != Fv_REPLY_NOT_READY && reply != Fv_REPLY_FORBIDDEN &&
+            reply != Fv_REPLY_EXCESS);
 }
 
 /**
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -838,6 +838,11 @@
     case Fv_REPLY_MALFORMED:
         end_request(frontend, request, 400, "Bad Request", NULL, message->key);
         break;
+    case Fv_REPLY_EXCESS:
+        add_retry_after(request->http, message->name);
+        end_request(frontend, request, 429, "Too Many Requests", NULL,
+                    message->key);
+        break;
     case Fv_REPLY_FORBIDDEN:
         refuse_customer(frontend, request, message->key);
         break;
--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -252,8 +252,14 @@
         FvSched_MarkJobDurable(&leader->sched, job);
         FvMetrics_Add(Fv_COUNTER_JOBS_ACCEPTED, 1);
         FvLog_Event(Fv_LOG_INFO, "job_accepted",
-                    "job=%s queue=%s after_ms=%" PRId64, job->id,
-                    job->queue.name, FvClock_NowMs() - job->received_ms);
+                    "job=%s queue=%s after_ms=%" PRId64 " excess=%d", job->id,
+                    job->queue.name, FvClock_NowMs() - job->received_ms,
+                    job->excess ? 1 : 0);
+        if (job->account != NULL) {
+            FvMetrics_AddForMember(job->excess ? Fv_MEMBER_EXCESS_ACCEPTED
+                                               : Fv_MEMBER_JOBS_ACCEPTED,
+                                   job->customer, 1);
+        }
         answer_waiters(leader, job, Fv_VERB_SUBMIT, Fv_REPLY_ACCEPTED, "");
     }
     else if (job != NULL && call->kind == Fv_RECORD_END) {
--- a/src/leader-requests.c
+++ b/src/leader-requests.c
@@ -12,6 +12,18 @@
  * seconds, and a caller repeats a request only a few times. */
 #define Fv_MEMORY_RETRY_AFTER_S "5"
 
+/* Retry-After of a job that does not fit under its customer's cap. Only
+ * another configuration admits it, which operators write, so that it is long.
+ */
+#define Fv_CAP_RETRY_AFTER_S "60"
+
+/* Retry-After of excess, at random between these. A caller repeats a request
+ * four times; together they last for a peak of some 17 s. */
+#define Fv_EXCESS_RETRY_MIN_S 2
+#define Fv_EXCESS_RETRY_MAX_S 8
+
+#define Fv_EXCESS_LOG_LINES_PER_S 10
+
 /* Names, numbers and headers of a job's record besides the submission. */
 #define Fv_JOB_RECORD_HEADER_MAX_BYTES 512
 
@@ -154,6 +166,49 @@
               retry_after_s);
 }
 
+/* A job that is excess and could not start now. Bursts after a change of
+ * leader are not refused before this one knows what is free. */
+static bool
+is_refused_excess(fv_leader_t *leader, const fv_sched_customer_t *customer,
+                  const fv_cell_queue_t *queue, const fv_job_spec_t *spec)
+{
+    int64_t now_ms = FvClock_NowMs();
+
+    return FvSched_IsOverRate(customer, now_ms) &&
+           !leader->sched.hold_inherited_tasks &&
+           !FvSched_HasRoomForExcess(&leader->sched, customer, queue, spec,
+                                     now_ms);
+}
+
+static void
+refuse_excess(fv_leader_t *leader, const fv_cell_message_t *message,
+              fv_leader_reply_t reply, void *context)
+{
+    uint32_t spread_s = Fv_EXCESS_RETRY_MAX_S - Fv_EXCESS_RETRY_MIN_S + 1;
+    char retry_after_s[12];
+
+    snprintf(retry_after_s, sizeof(retry_after_s), "%u",
+             Fv_EXCESS_RETRY_MIN_S +
+                 FvSched_Random(&leader->sched) % spread_s);
+    FvMetrics_Add(Fv_COUNTER_JOBS_REFUSED, 1);
+    FvMetrics_AddForMember(Fv_MEMBER_EXCESS_REFUSED, message->customer, 1);
+    FvLog_Event(FvLog_LevelWithin(&leader->excess_log,
+                                  Fv_EXCESS_LOG_LINES_PER_S, FvClock_NowMs()),
+                "job_refused",
+                "job=%s queue=%s cause=excess customer=%s retry_after_s=%s",
+                message->key, message->name, message->customer, retry_after_s);
+    reply_now(leader, message, reply, context, Fv_REPLY_EXCESS, retry_after_s);
+}
+
+static fv_sched_customer_t *
+find_customer(const fv_leader_t *leader, const fv_cell_queue_t *queue,
+              const fv_cell_message_t *message)
+{
+    return queue->is_public || message->customer == NULL
+               ? NULL
+               : FvSched_FindCustomer(&leader->sched, message->customer);
+}
+
 static void
 submit(fv_leader_t *leader, const fv_cell_message_t *message,
        fv_leader_reply_t reply, void *context)
@@ -161,6 +216,7 @@
     const fv_cell_queue_t *queue = find_queue(leader, message->name);
     int64_t now_ms = FvClock_NowMs();
     int64_t wall_ms = FvClock_WallMs();
+    const fv_sched_customer_t *customer;
     fv_sched_job_t *job;
     fv_job_spec_t spec;
 
@@ -197,6 +253,18 @@
                Fv_MEMORY_RETRY_AFTER_S);
         return;
     }
+    customer = find_customer(leader, queue, message);
+    if (!FvSched_CanFitUnderCap(customer, &spec)) {
+        FvJobSpec_Clear(&spec);
+        refuse(leader, message, reply, context, "customer_cap",
+               Fv_CAP_RETRY_AFTER_S);
+        return;
+    }
+    if (is_refused_excess(leader, customer, queue, &spec)) {
+        FvJobSpec_Clear(&spec);
+        refuse_excess(leader, message, reply, context);
+        return;
+    }
     job = FvSched_AddJob(&leader->sched, message->key, queue, &spec,
                          message->body, message->body_length, now_ms, wall_ms);
     FvJobSpec_Clear(&spec);
@@ -207,6 +275,8 @@
     if (!queue->is_public) {
         FvText_Copy(job->customer, sizeof(job->customer), message->customer);
     }
+    FvSched_OpenAccount(&leader->sched, job);
+    FvSched_CountAcceptedJob(job, now_ms);
     FvLeaderRecord_AddWaiter(job, message, reply, context);
     FvLeaderRecord_Write(&leader->sched, job, Fv_RECORD_ACCEPT);
     FvSched_ReleaseStages(&leader->sched, job, now_ms, wall_ms);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -120,9 +120,26 @@
     [Fv_TIMING_TOTAL] = {"total", "Time from submission to end."},
 };
 
+static const fv_counter_info_t member_counter_infos[Fv_MEMBER_COUNTER_COUNT] =
+    {
+        [Fv_MEMBER_JOBS_ACCEPTED] = {"customer_jobs_accepted",
+                                     "Jobs accepted within the customer's "
+                                     "rate."},
+        [Fv_MEMBER_EXCESS_ACCEPTED] = {"customer_excess_accepted",
+                                       "Jobs accepted beyond the customer's "
+                                       "rate."},
+        [Fv_MEMBER_EXCESS_REFUSED] = {"customer_excess_refused",
+                                      "Jobs beyond the customer's rate that "
+                                      "were refused while the cell was full."},
+        [Fv_MEMBER_CAP_WAITS] = {"customer_cap_waits",
+                                 "Stages that waited 1.5 s or more for the "
+                                 "customer's cap."},
+};
+
 typedef struct fv_member_metrics {
     char name[Fv_NAME_SIZE];
     atomic_uint_fast64_t cross_region_bytes;
+    atomic_uint_fast64_t counters[Fv_MEMBER_COUNTER_COUNT];
     _Atomic(fv_histogram_t *) timings[Fv_TIMING_COUNT][Fv_CLASS_COUNT];
 } fv_member_metrics_t;
 
@@ -254,6 +271,19 @@
     atomic_fetch_add(&find_or_add_member(member)->cross_region_bytes, bytes);
 }
 
+/**
+ * FvMetrics_AddForMember - increase a counter of a member
+ * @counter: the counter
+ * @member: the member
+ * @amount: the increment
+ */
+void
+FvMetrics_AddForMember(fv_member_counter_t counter, const char *member,
+                       uint64_t amount)
+{
+    atomic_fetch_add(&find_or_add_member(member)->counters[counter], amount);
+}
+
 static void print_line(fv_buffer_t *out, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
 
@@ -348,6 +378,24 @@
     }
 }
 
+static void
+print_member_counter(fv_buffer_t *out, fv_member_counter_t counter)
+{
+    const fv_counter_info_t *info = &member_counter_infos[counter];
+    unsigned count = atomic_load(&member_count);
+
+    print_header(out, info->name, "_total", "counter", info->help);
+    for (unsigned i = 0; i < count; i++) {
+        uint64_t value = atomic_load(&members[i].counters[counter]);
+
+        if (value > 0) {
+            print_line(out,
+                       "fireflyvalve_%s_total{member=\"%s\"} %" PRIu64 "\n",
+                       info->name, members[i].name, value);
+        }
+    }
+}
+
 /**
  * FvMetrics_Print - append all metrics in the Prometheus text format
  * @out: the output buffer
@@ -360,4 +408,7 @@
         print_timing(out, (fv_timing_t)i);
     }
     print_cross_region_bytes(out);
+    for (int i = 0; i < Fv_MEMBER_COUNTER_COUNT; i++) {
+        print_member_counter(out, (fv_member_counter_t)i);
+    }
 }
--- /dev/null
+++ b/src/sched-excess.c
@@ -0,0 +1,177 @@
+/*
+ * Excess: jobs that a customer submits beyond its weight in jobs a second.
+ * They start after all others, and are refused when there is no room for them.
+ */
+
+#include "scheduler.h"
+
+/* Waiting excess claims free capacity for this long, the platform's bound for
+ * a task that could run. What waits longer can't use that capacity. */
+#define Fv_EXCESS_CLAIM_MS 3000
+
+/* The bucket holds what is submitted in this time, and one job at least. */
+#define Fv_EXCESS_BURST_S 1.0
+
+static double
+burst(const fv_sched_customer_t *customer)
+{
+    double jobs = customer->weight * Fv_EXCESS_BURST_S;
+
+    return jobs > 1.0 ? jobs : 1.0;
+}
+
+/* A bucket starts full. It stands still while the clock is behind. */
+static double
+tokens_at(const fv_sched_customer_t *customer, int64_t now_ms)
+{
+    double elapsed_s = (double)(now_ms - customer->tokens_ms) / Fv_MS_PER_S;
+    double tokens = customer->tokens + elapsed_s * customer->weight;
+    double most = burst(customer);
+
+    if (customer->tokens_ms == 0) {
+        return most;
+    }
+    return elapsed_s <= 0 ? customer->tokens : tokens > most ? most : tokens;
+}
+
+/**
+ * FvSched_IsOverRate - check whether a job that a customer submits now is
+ * excess
+ * @customer: the customer, or NULL
+ * @now_ms: the time
+ *
+ * Return: false also when the newest configuration does not have the customer,
+ * whose rate is not known then.
+ */
+bool
+FvSched_IsOverRate(const fv_sched_customer_t *customer, int64_t now_ms)
+{
+    return customer != NULL && customer->configured &&
+           tokens_at(customer, now_ms) < 1.0;
+}
+
+/**
+ * FvSched_CountAcceptedJob - count a job against its customer's rate
+ * @job: the job, with an account; marked as excess when it is beyond the rate
+ * @now_ms: the time
+ */
+void
+FvSched_CountAcceptedJob(fv_sched_job_t *job, int64_t now_ms)
+{
+    fv_sched_customer_t *customer = job->account;
+
+    if (customer == NULL || !customer->configured) {
+        return;
+    }
+    customer->tokens = tokens_at(customer, now_ms);
+    customer->tokens_ms = now_ms;
+    job->excess = customer->tokens < 1.0;
+    if (!job->excess) {
+        customer->tokens -= 1.0;
+    }
+}
+
+/**
+ * FvSched_IsExcess - check whether a stage is of a job beyond its customer's
+ * rate
+ * @stage: the stage
+ *
+ * Return: true when all others come before it.
+ */
+bool
+FvSched_IsExcess(const fv_sched_stage_t *stage)
+{
+    return stage->job->excess;
+}
+
+/* What waiting excess will take of the free capacity. */
+static fv_sched_resources_t
+claimed_by_excess(const fv_sched_t *sched, int64_t now_ms)
+{
+    fv_sched_resources_t claimed = {0};
+
+    for (const fv_sched_stage_t *stage = sched->pending; stage != NULL;
+         stage = stage->pending_next) {
+        if (stage->job->excess &&
+            (stage->waiting_since_ms == 0 ||
+             now_ms - stage->waiting_since_ms < Fv_EXCESS_CLAIM_MS)) {
+            FvSched_AddTaskResources(&claimed, stage->step, stage->waiting);
+        }
+    }
+    return claimed;
+}
+
+static bool
+is_left(int64_t free, int64_t claimed, int64_t needed)
+{
+    return needed <= 0 || free - claimed >= needed;
+}
+
+/* Whether a task of the stage could start now, or all members of a gang. */
+static bool
+has_room_for_stage(const fv_sched_t *sched, const fv_sched_stage_t *stage,
+                   const fv_sched_resources_t *claimed, int64_t now_ms)
+{
+    int32_t wanted = stage->step->gang ? stage->step->task_count : 1;
+    fv_sched_resources_t needed = {0};
+    fv_sched_resources_t free = {0};
+    int64_t capacity = 0;
+
+    for (const fv_sched_worker_t *worker = sched->workers; worker != NULL;
+         worker = worker->hh.next) {
+        int32_t tasks;
+
+        if (!FvSched_IsWorkerEligible(worker, stage, now_ms)) {
+            continue;
+        }
+        tasks = FvSched_FreeStageCapacity(worker, stage);
+        if (tasks > 0) {
+            capacity += tasks;
+            free.cpu_millis += worker->free.cpu_millis;
+            free.memory_mib += worker->free.memory_mib;
+            free.accelerators += worker->free.accelerators;
+        }
+    }
+    FvSched_AddTaskResources(&needed, stage->step, wanted);
+    return capacity >= wanted &&
+           is_left(free.cpu_millis, claimed->cpu_millis, needed.cpu_millis) &&
+           is_left(free.memory_mib, claimed->memory_mib, needed.memory_mib) &&
+           is_left(free.accelerators, claimed->accelerators,
+                   needed.accelerators);
+}
+
+/**
+ * FvSched_HasRoomForExcess - check whether a job that is excess could start
+ * now
+ * @sched: the scheduler
+ * @customer: its customer
+ * @queue: its queue
+ * @spec: the job
+ * @now_ms: the time
+ *
+ * Return: false when the customer's cap or the cell has no room for one of its
+ * first steps, beside the excess that waits already.
+ */
+bool
+FvSched_HasRoomForExcess(const fv_sched_t *sched,
+                         const fv_sched_customer_t *customer,
+                         const fv_cell_queue_t *queue,
+                         const fv_job_spec_t *spec, int64_t now_ms)
+{
+    fv_sched_resources_t claimed = claimed_by_excess(sched, now_ms);
+    fv_sched_job_t job = {.queue = *queue,
+                          .account = (fv_sched_customer_t *)customer};
+
+    for (uint32_t s = 0; s < spec->step_count; s++) {
+        fv_sched_stage_t stage = {.job = &job,
+                                  .step = &spec->steps[s],
+                                  .waiting = spec->steps[s].task_count};
+
+        if (spec->steps[s].predecessor_count == 0 &&
+            (FvSched_IsHeldByCap(&stage) ||
+             !has_room_for_stage(sched, &stage, &claimed, now_ms))) {
+            return false;
+        }
+    }
+    return true;
+}
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -14,6 +14,9 @@
  * three times the objective. */
 #define Fv_LATE_RANK_PENALTY 1000
 
+/* Excess has no value, and comes after all else. */
+#define Fv_EXCESS_RANK_PENALTY 2000
+
 /* Must not be 0 for xorshift; fixed so that tests are deterministic. */
 #define Fv_RANDOM_SEED UINT64_C(88172645463325252)
 
@@ -149,8 +152,10 @@
 
         ranked[i++] = (fv_ranked_t){
             .stage = stage,
-            .rank =
-                stage->job->queue.priority + (late ? Fv_LATE_RANK_PENALTY : 0),
+            .rank = stage->job->queue.priority + (FvSched_IsExcess(stage)
+                                                      ? Fv_EXCESS_RANK_PENALTY
+                                                  : late ? Fv_LATE_RANK_PENALTY
+                                                         : 0),
             .above_share = FvSched_IsAboveShare(stage),
         };
     }
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -11,9 +11,11 @@
 
 #define Fv_JOB_RECORD_FORMAT 1
 #define Fv_JOB_RECORD_FIELDS 13
-/* A customer's job has its name as a last field. Earlier builds read only
- * records without it, so that a job of nobody has none. */
+/* A customer's job has its name as a further field. Earlier builds read only
+ * records without it, so that a job of nobody has none. A job beyond its
+ * customer's rate has one more, the number 1. */
 #define Fv_CUSTOMER_RECORD_FIELDS (Fv_JOB_RECORD_FIELDS + 1)
+#define Fv_EXCESS_RECORD_FIELDS (Fv_CUSTOMER_RECORD_FIELDS + 1)
 #define Fv_PROGRESS_ROW_FIELDS 7
 /* Consecutive tasks of a step that are done: occurrence, step, first task and
  * number of tasks, each of them at most 5, 2, 3 and 3 bytes long. */
@@ -51,7 +53,8 @@
 
     msgpack_sbuffer_init(&packed);
     msgpack_packer_init(&packer, &packed, msgpack_sbuffer_write);
-    msgpack_pack_array(&packer, job->customer[0] != '\0'
+    msgpack_pack_array(&packer, job->excess ? Fv_EXCESS_RECORD_FIELDS
+                                : job->customer[0] != '\0'
                                     ? Fv_CUSTOMER_RECORD_FIELDS
                                     : Fv_JOB_RECORD_FIELDS);
     msgpack_pack_int(&packer, Fv_JOB_RECORD_FORMAT);
@@ -70,6 +73,9 @@
     if (job->customer[0] != '\0') {
         FvPack_Text(&packer, job->customer);
     }
+    if (job->excess) {
+        msgpack_pack_int(&packer, 1);
+    }
     return append_packed(&packed, out);
 }
 
@@ -334,6 +340,7 @@
     const char *document;
     size_t length;
     char customer[Fv_NAME_SIZE] = "";
+    bool excess = false;
     fv_cell_queue_t queue;
     fv_job_spec_t spec;
     fv_sched_job_t *job = NULL;
@@ -344,6 +351,9 @@
     if (reader->count > Fv_JOB_RECORD_FIELDS) {
         FvFields_Text(reader, customer, sizeof(customer));
     }
+    if (reader->count > Fv_CUSTOMER_RECORD_FIELDS) {
+        excess = FvFields_Int(reader, 0, 1) != 0;
+    }
     if (reader->failed || format != Fv_JOB_RECORD_FORMAT || document == NULL) {
         return NULL;
     }
@@ -355,6 +365,7 @@
     }
     if (job != NULL) {
         FvText_Copy(job->customer, sizeof(job->customer), customer);
+        job->excess = excess;
     }
     FvJobSpec_Clear(&spec);
     return job;
--- a/src/sched-waiting.c
+++ b/src/sched-waiting.c
@@ -152,15 +152,20 @@
         if (could_run(cause)) {
             FvMetrics_Add(Fv_COUNTER_AVOIDABLE_WAITS, 1);
         }
+        if (cause == Fv_WAIT_CAP) {
+            FvMetrics_AddForMember(Fv_MEMBER_CAP_WAITS, stage->job->customer,
+                                   1);
+        }
         stage->wait_logged = true;
         stage->logged_wait_cause = cause;
         FvSched_StageName(stage, name, sizeof(name));
         FvLog_Event(Fv_LOG_INFO, "stage_waiting",
                     "stage=%s queue=%s cause=%s tasks=%d of=%d asking=%d"
-                    " verdicts=%u waited_ms=%" PRId64,
+                    " verdicts=%u customer=%s excess=%d waited_ms=%" PRId64,
                     name, stage->job->queue.name, cause_names[cause],
                     stage->waiting, stage->step->task_count,
                     stage->pending_advice_requests, stage->verdict_count,
+                    stage->job->customer, stage->job->excess ? 1 : 0,
                     now_ms - stage->waiting_since_ms);
     }
 }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -168,6 +168,7 @@
     char id[Fv_JOB_ID_SIZE];
     char customer[Fv_NAME_SIZE];  /* "": none */
     fv_sched_customer_t *account; /* NULL: no customer */
+    bool excess; /* beyond its customer's rate; see sched-excess.c */
     fv_cell_queue_t queue;
     fv_job_spec_t spec;
     char *document; /* as submitted */
@@ -299,6 +300,8 @@
     bool pending; /* has stages in this pass */
     double dominant_share;
     bool above_share;
+    double tokens;     /* jobs that it may submit at tokens_ms */
+    int64_t tokens_ms; /* 0: none was submitted yet */
     UT_hash_handle hh;
 };
 
@@ -577,6 +580,15 @@
 bool FvSched_CanFitUnderCap(const fv_sched_customer_t *customer,
                             const fv_job_spec_t *spec);
 
+/* sched-excess.c */
+bool FvSched_IsOverRate(const fv_sched_customer_t *customer, int64_t now_ms);
+void FvSched_CountAcceptedJob(fv_sched_job_t *job, int64_t now_ms);
+bool FvSched_IsExcess(const fv_sched_stage_t *stage);
+bool FvSched_HasRoomForExcess(const fv_sched_t *sched,
+                              const fv_sched_customer_t *customer,
+                              const fv_cell_queue_t *queue,
+                              const fv_job_spec_t *spec, int64_t now_ms);
+
 /* sched-health.c */
 bool FvSched_IsWorkerQuarantined(const fv_sched_worker_t *worker,
                                  const fv_sched_stage_t *stage,
--- a/tests/unit/forwarding_test.c
+++ b/tests/unit/forwarding_test.c
@@ -94,6 +94,7 @@
     CU_ASSERT_FALSE(FvForwarding_AcceptsReply(Fv_REPLY_REFUSED, false));
     CU_ASSERT_FALSE(FvForwarding_AcceptsReply(Fv_REPLY_GONE, false));
     CU_ASSERT_FALSE(FvForwarding_AcceptsReply(Fv_REPLY_FORBIDDEN, false));
+    CU_ASSERT_FALSE(FvForwarding_AcceptsReply(Fv_REPLY_EXCESS, false));
     CU_ASSERT_FALSE(FvForwarding_AcceptsReply(Fv_REPLY_NOT_READY, false));
     CU_ASSERT_TRUE(FvForwarding_AcceptsReply(Fv_REPLY_REFUSED, true));
     CU_ASSERT_TRUE(FvForwarding_AcceptsReply(Fv_REPLY_ACCEPTED, false));
--- a/tests/unit/leader_requests_test.c
+++ b/tests/unit/leader_requests_test.c
@@ -7,6 +7,9 @@
 #include "cell-leader.h"
 #include "fake_kv.h"
 
+#include <limits.h>
+#include <stdlib.h>
+
 #define UNKNOWN "5c0e7a21d94b0001"
 #define KNOWN "5c0e7a21d94b0002"
 #define ENDED "5c0e7a21d94b0003"
@@ -536,6 +539,77 @@
     }
 }
 
+/* Sets the rate and the cap of a customer, in a cell without workers. */
+static void
+set_customer(double weight, int64_t cap_cpu_millis)
+{
+    fv_cell_customer_t east = {
+        .name = "east", .weight = weight, .cpu_millis_max = cap_cpu_millis};
+
+    config.has_customers = true;
+    FvSched_SetCustomers(&leader.sched,
+                         &(fv_cell_config_t){.has_customers = true,
+                                             .customer_count = 1,
+                                             .customers = &east});
+}
+
+/* A task above its customer's cap would wait for ever. */
+static void
+test_job_above_its_customers_cap(void)
+{
+    open_leader();
+    set_customer(5, 99);
+    CU_ASSERT_EQUAL(request_of("east", Fv_VERB_SUBMIT, UNKNOWN),
+                    Fv_REPLY_REFUSED);
+    CU_ASSERT(strtol(answer_text, NULL, 10) > 0);
+    CU_ASSERT_PTR_NULL(FvSched_FindJob(&leader.sched, UNKNOWN));
+    set_customer(5, 100);
+    CU_ASSERT_EQUAL(request_of("east", Fv_VERB_SUBMIT, UNKNOWN), 0);
+    close_leader_with_customers();
+}
+
+/* Only the second job of one second is beyond the rate; those on a public
+ * route have none. Callers that are refused at one time come back at different
+ * times. */
+static void
+test_excess_in_a_full_cell(void)
+{
+    long least = LONG_MAX;
+    long most = 0;
+
+    open_leader();
+    set_customer(1, 0);
+    CU_ASSERT_EQUAL(request_of("east", Fv_VERB_SUBMIT, UNKNOWN), 0);
+    for (int i = 0; i < 40; i++) {
+        long retry_after_s;
+
+        CU_ASSERT_EQUAL(request_of("east", Fv_VERB_SUBMIT, OTHER_UNKNOWN),
+                        Fv_REPLY_EXCESS);
+        retry_after_s = strtol(answer_text, NULL, 10);
+        least = retry_after_s < least ? retry_after_s : least;
+        most = retry_after_s > most ? retry_after_s : most;
+    }
+    CU_ASSERT(least >= 1 && most <= 10 && most - least >= 4);
+    CU_ASSERT_PTR_NULL(FvSched_FindJob(&leader.sched, OTHER_UNKNOWN));
+    queue.is_public = true;
+    CU_ASSERT_EQUAL(request_of("", Fv_VERB_SUBMIT, OTHER_UNKNOWN), 0);
+    close_leader_with_customers();
+}
+
+/* A new leader does not know the workers yet, and gets what came while nobody
+ * led at one time. */
+static void
+test_excess_at_a_new_leader(void)
+{
+    open_leader();
+    set_customer(1, 0);
+    leader.sched.hold_inherited_tasks = true;
+    CU_ASSERT_EQUAL(request_of("east", Fv_VERB_SUBMIT, UNKNOWN), 0);
+    CU_ASSERT_EQUAL(request_of("east", Fv_VERB_SUBMIT, OTHER_UNKNOWN), 0);
+    CU_ASSERT_TRUE(FvSched_FindJob(&leader.sched, OTHER_UNKNOWN)->excess);
+    close_leader_with_customers();
+}
+
 int
 main(void)
 {
@@ -573,6 +647,12 @@
          test_suspended_leader_with_customers},
         {"the record of an ended job loses its state by its owner",
          test_odd_records_of_ended_jobs},
+        {"a job is accepted that its customer's cap never admits",
+         test_job_above_its_customers_cap},
+        {"excess is accepted in a full cell, or other jobs are refused",
+         test_excess_in_a_full_cell},
+        {"a new leader refuses jobs because it knows no workers",
+         test_excess_at_a_new_leader},
     };
 
     return Fv_RUN_SUITE("leader_requests", cases);
