--- a/tests/promises/entry_keys.c
+++ b/tests/promises/entry_keys.c
@@ -8,6 +8,7 @@
 #include "entry-cell.h"
 #include "fake-server.h"
 #include "http-call.h"
+#include "kept-connection.h"
 #include "suite.h"
 
 #include <signal.h>
@@ -46,11 +47,13 @@
 }
 
 static void
-open_cell(const char *name)
+open_cell(const char *name, bool splits)
 {
-    CU_ASSERT_FATAL(FvEntryCell_Start(
-        &cell, &(entry_cell_options_t){
-                   .name = name, .hosts = HOSTS, .workers = WORKERS}));
+    CU_ASSERT_FATAL(
+        FvEntryCell_Start(&cell, &(entry_cell_options_t){.name = name,
+                                                         .hosts = HOSTS,
+                                                         .workers = WORKERS,
+                                                         .splits = splits}));
     CU_ASSERT_FATAL(FvEntryCell_WaitReady(&cell, READY_TIMEOUT_MS));
     version = 1;
     write_customers("[{\"name\":\"east\",\"apiKeys\":[\"e1\",\"e2\"]},"
@@ -133,7 +136,7 @@
     int status;
     int cut;
 
-    open_cell("entry-keys");
+    open_cell("entry-keys", false);
     check_answers_of_hosts();
     leader = FvEntryCell_Leader(&cell);
     CU_ASSERT_FATAL(leader >= 0);
@@ -182,7 +185,7 @@
     int counts[6] = {0}; /* by the first digit of the status */
     int leader;
 
-    open_cell("entry-keys-storm");
+    open_cell("entry-keys-storm", false);
     leader = FvEntryCell_Leader(&cell);
     CU_ASSERT(
         FvEntryCell_RouteFault(&cell, (leader + 1) % HOSTS, "blackhole"));
@@ -217,6 +220,58 @@
     FvEntryCell_Stop(&cell);
 }
 
+/* Returns when a host that is alone has stopped to refuse a key that it does
+ * not know, in ms from the change that added it. */
+static int64_t
+refuses_key_for_ms(int host, const char *key, int64_t changed_ms)
+{
+    int status = 401;
+
+    while (status == 401 &&
+           FvClock_NowMs() < changed_ms + APPLY_MS + WITHOUT_STORE_MS) {
+        FvFake_SleepMs(50);
+        status = call(host, key, "GET", "/slow/");
+    }
+    CU_ASSERT_EQUAL(status, 503);
+    return FvClock_NowMs() - changed_ms;
+}
+
+/* It reaches neither the store nor a leader, or its process stands still. */
+static void
+test_key_added_without_a_host(void)
+{
+    entry_split_t split = {0};
+    kept_connection_t connection;
+    kept_answer_t answer;
+    int alone;
+
+    open_cell("entry-keys-alone", true);
+    alone = (FvEntryCell_Leader(&cell) + 1) % HOSTS;
+    split.hosts[alone] = true;
+    CU_ASSERT(FvEntryCell_Split(&cell, &split));
+    write_customers("[{\"name\":\"east\",\"apiKeys\":[\"e2\",\"e8\"]}]");
+    printf("  the host that is alone refuses the added key for %lld ms\n",
+           (long long)refuses_key_for_ms(alone, "e8", FvClock_NowMs()));
+    CU_ASSERT_EQUAL(call(alone, NULL, "GET", "/none/"), 503);
+    CU_ASSERT(FvEntryCell_Split(&cell, NULL));
+    expect_everywhere("e8", "/slow/", 200, -1);
+    CU_ASSERT_FATAL(FvKept_Open(
+        &connection, FvEntryCell_Port(&cell, alone, ENTRY_PORT_CALLERS)));
+    FvProcess_Signal(&cell.hosts[alone].process, SIGSTOP);
+    write_customers("[{\"name\":\"east\",\"apiKeys\":[\"e9\"]}]");
+    FvFake_SleepMs(APPLY_MS);
+    connection.api_key = "e9";
+    CU_ASSERT(FvKept_Send(&connection, "GET", "/slow/", NULL));
+    FvProcess_Signal(&cell.hosts[alone].process, SIGCONT);
+    CU_ASSERT_EQUAL(FvKept_Receive(&connection, APPLY_MS, &answer),
+                    KEPT_ANSWERED);
+    CU_ASSERT(answer.status == 200 || answer.status == 503);
+    FvKept_Close(&connection);
+    expect_everywhere("e9", "/slow/", 200, -1);
+    expect_everywhere("e8", "/slow/", 401, -1);
+    FvEntryCell_Stop(&cell);
+}
+
 int
 main(void)
 {
@@ -225,6 +280,8 @@
          test_removed_keys},
         {"a storm of configurations makes calls fail",
          test_storm_of_configurations},
+        {"a host out of touch refuses a key that was added",
+         test_key_added_without_a_host},
     };
 
     return Fv_RUN_SUITE("entry_keys", cases);
