--- a/tests/harness/entry-cell.c
+++ b/tests/harness/entry-cell.c
@@ -20,6 +20,7 @@
 #define ENTRY_CELL_PORT_RANGE_SIZE 500
 #define ENTRY_CELL_CALL_TIMEOUT_MS 3000
 #define ENTRY_CELL_START_MS 300
+#define ENTRY_CELL_DESCRIPTORS 1024
 #define ENTRY_CELL_PLATFORM_TIMEOUT_MS 20000
 
 /* Offsets from the first port. */
@@ -191,7 +192,7 @@
             "metrics_address = \"127.0.0.1:%d\"\nlink_port = %d\n"
             "cpu_cores = 1.0\nstore_address = \"127.0.0.1:%d\"\n"
             "store_lease_min_ms = 1000\nadvice_address = \"%s\"\n"
-            "descriptors_max = 1024\nlease_max_ms = 10000\n"
+            "descriptors_max = %d\nlease_max_ms = 10000\n"
             "stop_timeout_ms = %d\ngang_timeout_ms = 3000\ndrain_ms = %d\n"
             "keep_ended_s = 120\nlog_level = \"%s\"\n",
             host, FvEntryCell_Port(cell, host, ENTRY_PORT_CALLERS),
@@ -199,7 +200,8 @@
             FvEntryCell_Port(cell, host, ENTRY_PORT_METRICS),
             FvEntryCell_Port(cell, host, ENTRY_PORT_LINK),
             cell->port + ENTRY_PORT_ROUTES + host, advice,
-            options->stop_timeout_ms, options->drain_ms, options->log_level);
+            options->descriptors_max, options->stop_timeout_ms,
+            options->drain_ms, options->log_level);
     return fclose(file) == 0;
 }
 
@@ -233,6 +235,9 @@
     if (options->drain_ms == 0) {
         options->drain_ms = 6000;
     }
+    if (options->descriptors_max == 0) {
+        options->descriptors_max = ENTRY_CELL_DESCRIPTORS;
+    }
     if (options->log_level == NULL) {
         options->log_level = "info";
     }
--- a/tests/harness/entry-cell.h
+++ b/tests/harness/entry-cell.h
@@ -26,6 +26,8 @@
     const char *const *platform_options;
     int stop_timeout_ms;
     int drain_ms;
+    int memory_mb; /* 0: not in the settings */
+    int descriptors_max;
     const char *log_level;
     bool splits;        /* FvEntryCell_Split() can be used */
     bool late_platform; /* FvEntryCell_StartPlatform() starts it */
