tests: write memory_mb into a cell's settings

The option was read and not written, so that the hosts of the tests of unread answers had the default of 128 MB. Crowd and bounds of the tests stay as they are.

--- a/tests/harness/entry-cell.c
+++ b/tests/harness/entry-cell.c
@@ -202,6 +202,9 @@
             cell->port + ENTRY_PORT_ROUTES + host, advice,
             options->descriptors_max, options->stop_timeout_ms,
             options->drain_ms, options->log_level);
+    if (options->memory_mb > 0) {
+        fprintf(file, "memory_mb = %d\n", options->memory_mb);
+    }
     return fclose(file) == 0;
 }
 
