caller-limits: bound what callers' connections hold

Cause: evhttp leaves reading on while it writes an answer and takes no data meanwhile, so that a client which sends ahead and reads nothing fills the process; nothing bounds the number of connections or the buffers of their sockets, and none is closed before 30 s.

Change: src/caller-limits.c decides, without sockets or clocks; src/caller-connection.c carries out. While a request has no written answer, at most 16 KiB are read ahead (a watermark of the bufferevent). Sockets have 16 KiB to receive and 8 KiB to send, doubled by the kernel. Callers, the balancer's checks and scrapes have a number of connections each, from memory_mb and descriptors_max (411, 24 and 8 at a host of 120 MB and 3,075 descriptors), and together a quarter of the memory. At a limit stalled answers give way first, then idle connections, then parts of requests of the address that holds most; a request that was read in whole never does. When none may be closed, connections wait in the kernel, and a request that finds no memory is refused with 503 before a leader has it. Unread answers, slow headers, slow bodies and oversize requests end their connection. Time in which the process stood still doesn't count. libevent goes on accepting after its listener was disabled, so the listener is freed and made again on the same socket. Outgoing calls have 3/4 of the descriptors beyond 200 in place of 7/8: 2,156 at 3,075, where a leader of 350 workers needs 1,464. A deadline above 60 s counts as 60 s. queue_unknown has a quota of lines.

--- a/src/caller-connection.c
+++ b/src/caller-connection.c
@@ -2,80 +2,237 @@
  * Connections of callers. evhttp tells when it hands a request over, not what
  * is still being received, written or acknowledged; these objects hold a
  * reference of each connection's bufferevent and read that from its buffers
- * and its socket.
+ * and its socket. They also carry out the limits of caller-limits.c.
  */
 
 #include "caller-connection.h"
 #include "fireflyvalve.h"
 
+#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <inttypes.h>
 #include <linux/sockios.h>
-#include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <sys/ioctl.h>
+#include <unistd.h>
 #include <uthash.h>
+#include <utlist.h>
+
+/* Enough for a whole chunk of a body, which evhttp takes from the buffer only
+ * when it is complete. */
+#define Fv_INPUT_MAX_BYTES (Fv_BODY_MAX_BYTES + Fv_HEADERS_MAX_BYTES)
+
+/* Connections that the kernel holds until they are accepted. evhttp's own
+ * number for callers; the others are few. */
+#define Fv_CALLERS_BACKLOG 128
+#define Fv_OTHERS_BACKLOG 16
+
+/* Each closed connection is counted; lines tell of the causes. */
+#define Fv_CLOSED_LOG_LINES_PER_S 10
+
+/* A process that did not look at its connections for this long stood still;
+ * it does so every 50 ms (frontend.c). */
+#define Fv_STOOD_STILL_MS 500
 
 typedef struct fv_caller_connection {
+    fv_caller_facts_t facts; /* first: the facts stand for the connection */
+    struct fv_caller_connections *connections;
     struct bufferevent *stream;
     struct evbuffer_cb_entry *input_callback;
+    struct evbuffer_cb_entry *output_callback;
+    int64_t counted_bytes; /* in the sums of memory */
+    bool listed;           /* may give way */
     bool receiving;
     UT_hash_handle hh; /* by stream */
 } fv_caller_connection_t;
 
+/* A listening address. */
+typedef struct fv_caller_listener {
+    struct fv_caller_connections *connections;
+    fv_caller_port_t port;
+    struct evhttp *server;
+    int fd;                            /* -1: accepts no more */
+    struct evhttp_bound_socket *bound; /* NULL: not at present */
+    uint32_t open;
+} fv_caller_listener_t;
+
 struct fv_caller_connections {
+    fv_caller_limits_t limits;
+    struct event_base *base;
     struct event *reap;
+    struct event *admit;
+    struct event *enforce;
     fv_caller_connection_t *entries;
+    fv_caller_facts_t *facts; /* of those that may give way */
+    fv_caller_peer_t *peers;
+    fv_caller_listener_t listeners[Fv_CALLER_PORT_COUNT];
+    int64_t bytes;
+    int64_t reaped_ms; /* 0: not yet */
+    fv_log_quota_t closed_log;
     bool lingering;
 };
 
+/* --- Accounting --------------------------------------------------------- */
+
+static void
+count_bytes(fv_caller_connection_t *connection, int64_t bytes)
+{
+    fv_caller_connections_t *connections = connection->connections;
+
+    connections->bytes += bytes - connection->counted_bytes;
+    if (connection->facts.peer != NULL) {
+        connection->facts.peer->bytes += bytes - connection->counted_bytes;
+    }
+    connection->counted_bytes = bytes;
+    if (connections->bytes > connections->limits.memory_max_bytes) {
+        event_active(connections->enforce, EV_TIMEOUT, 0);
+    }
+}
+
+static void
+update_bytes(fv_caller_connection_t *connection)
+{
+    count_bytes(connection, FvCallerFacts_Bytes(&connection->facts));
+}
+
+static void
+scan_input(fv_caller_connection_t *connection, struct evbuffer *input,
+           size_t from)
+{
+    struct evbuffer_ptr at;
+    struct evbuffer_iovec parts[4];
+    size_t left = evbuffer_get_length(input) - from;
+
+    FvCallerFacts_Received(&connection->facts, FvClock_NowMs());
+    while (left > 0 &&
+           evbuffer_ptr_set(input, &at, from, EVBUFFER_PTR_SET) == 0) {
+        int count = evbuffer_peek(input, (ev_ssize_t)left, &at, parts, 4);
+
+        for (int i = 0; i < count && i < 4 && left > 0; i++) {
+            size_t length = parts[i].iov_len < left ? parts[i].iov_len : left;
+
+            FvCallerFacts_ScanHeader(&connection->facts, parts[i].iov_base,
+                                     length);
+            from += length;
+            left -= length;
+        }
+        if (count <= 0) {
+            return;
+        }
+    }
+}
+
 static void
 note_input(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
            void *context)
 {
     fv_caller_connection_t *connection = context;
+    fv_caller_facts_t *facts = &connection->facts;
+    size_t length = evbuffer_get_length(buffer);
 
-    (void)buffer;
     if (info->n_added > 0) {
         connection->receiving = true;
     }
+    if (facts->handling || facts->answering) {
+        facts->input_bytes = (int64_t)length;
+    }
+    else if (info->n_added > 0) {
+        scan_input(connection, buffer, length - info->n_added);
+    }
+    update_bytes(connection);
 }
 
-static struct bufferevent *
-open_stream(struct event_base *base, void *context)
+static void
+note_output(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+            void *context)
 {
-    fv_caller_connections_t *connections = context;
-    struct bufferevent *stream =
-        bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
-    fv_caller_connection_t *connection = calloc(1, sizeof(*connection));
+    fv_caller_connection_t *connection = context;
 
-    if (stream == NULL || connection == NULL) {
-        free(connection);
-        return stream;
+    (void)info;
+    FvCallerFacts_OutputChanged(&connection->facts,
+                                (int64_t)evbuffer_get_length(buffer),
+                                FvClock_NowMs());
+    update_bytes(connection);
+}
+
+static void
+leave_peer(fv_caller_connection_t *connection)
+{
+    fv_caller_peer_t *peer = connection->facts.peer;
+
+    if (peer != NULL && --peer->connections == 0) {
+        HASH_DEL(connection->connections->peers, peer);
+        free(peer);
+    }
+    connection->facts.peer = NULL;
+}
+
+/* Notes whose connection it is; its socket was not known when it was opened.
+ */
+static void
+join_peer(fv_caller_connection_t *connection)
+{
+    fv_caller_connections_t *connections = connection->connections;
+    struct sockaddr_in address = {0};
+    socklen_t length = sizeof(address);
+    fv_caller_peer_t *peer = NULL;
+
+    if (connection->facts.peer != NULL ||
+        getpeername(bufferevent_getfd(connection->stream),
+                    (struct sockaddr *)&address, &length) != 0) {
+        return;
+    }
+    HASH_FIND(hh, connections->peers, &address.sin_addr.s_addr,
+              sizeof(uint32_t), peer);
+    if (peer == NULL) {
+        peer = calloc(1, sizeof(*peer));
+        if (peer == NULL) {
+            return;
+        }
+        peer->address = address.sin_addr.s_addr;
+        HASH_ADD(hh, connections->peers, address, sizeof(peer->address), peer);
+    }
+    peer->connections++;
+    peer->bytes += connection->counted_bytes;
+    connection->facts.peer = peer;
+}
+
+static void
+unlist(fv_caller_connection_t *connection)
+{
+    if (connection->listed) {
+        DL_DELETE(connection->connections->facts, &connection->facts);
+        connection->listed = false;
     }
-    bufferevent_incref(stream);
-    connection->stream = stream;
-    connection->input_callback =
-        evbuffer_add_cb(bufferevent_get_input(stream), note_input, connection);
-    HASH_ADD_PTR(connections->entries, stream, connection);
-    return stream;
 }
 
 static void
 release(fv_caller_connections_t *connections,
         fv_caller_connection_t *connection)
 {
+    unlist(connection);
+    count_bytes(connection, 0);
+    leave_peer(connection);
+    connections->listeners[connection->facts.port].open--;
     /* uthash unlinks the entry, which the analyzer does not see. */
     /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
     HASH_DEL(connections->entries, connection);
     evbuffer_remove_cb_entry(bufferevent_get_input(connection->stream),
                              connection->input_callback);
+    evbuffer_remove_cb_entry(bufferevent_get_output(connection->stream),
+                             connection->output_callback);
     bufferevent_decref(connection->stream);
     free(connection);
 }
 
+/* --- Sockets ------------------------------------------------------------ */
+
 /* bufferevent_free() removes the callbacks that evhttp always sets. */
 static bool
 is_closed_by_server(const fv_caller_connection_t *connection)
@@ -112,6 +269,235 @@
     return has_queued_bytes(fd, SIOCOUTQ) && !is_gone(fd);
 }
 
+/* --- Limits ------------------------------------------------------------- */
+
+static const fv_counter_t cause_counters[] = {
+    [Fv_CALLER_CAUSE_UNREAD] = Fv_COUNTER_CALLERS_UNREAD,
+    [Fv_CALLER_CAUSE_HEADER] = Fv_COUNTER_CALLERS_SLOW,
+    [Fv_CALLER_CAUSE_BODY] = Fv_COUNTER_CALLERS_SLOW,
+    [Fv_CALLER_CAUSE_REQUEST] = Fv_COUNTER_CALLERS_OVERSIZE,
+    [Fv_CALLER_CAUSE_CONNECTIONS] = Fv_COUNTER_CALLERS_DISPLACED,
+    [Fv_CALLER_CAUSE_MEMORY] = Fv_COUNTER_CALLERS_DISPLACED,
+};
+
+static void
+log_closed(const fv_caller_connection_t *connection, fv_caller_cause_t cause)
+{
+    fv_caller_connections_t *connections = connection->connections;
+    const fv_caller_facts_t *facts = &connection->facts;
+    char address[INET_ADDRSTRLEN] = "";
+
+    if (facts->peer != NULL) {
+        evutil_inet_ntop(AF_INET, &facts->peer->address, address,
+                         sizeof(address));
+    }
+    FvMetrics_Add(cause_counters[cause], 1);
+    FvLog_Event(FvLog_LevelWithin(&connections->closed_log,
+                                  Fv_CLOSED_LOG_LINES_PER_S, FvClock_NowMs()),
+                "caller_closed",
+                "cause=%s address=%s port=%d state=%d request_bytes=%" PRId64
+                " unwritten_bytes=%" PRId64
+                " of_address=%u open=%u memory=%" PRId64
+                " memory_max=%" PRId64,
+                FvCallerCause_Name(cause), address, (int)facts->port,
+                (int)FvCallerFacts_State(facts), facts->request_bytes,
+                facts->output_bytes,
+                facts->peer != NULL ? facts->peer->connections : 0,
+                connections->listeners[facts->port].open, connections->bytes,
+                connections->limits.memory_max_bytes);
+}
+
+/* Ends a connection as if its time had run out at the server. */
+static void
+close_connection(fv_caller_connection_t *connection, fv_caller_cause_t cause)
+{
+    const struct linger reset = {.l_onoff = 1};
+
+    join_peer(connection);
+    log_closed(connection, cause);
+    /* Without a reset the kernel would keep what the caller does not read. */
+    if (FvCallerFacts_State(&connection->facts) == Fv_CALLER_ANSWERING &&
+        setsockopt(bufferevent_getfd(connection->stream), SOL_SOCKET,
+                   SO_LINGER, &reset, sizeof(reset)) != 0) {
+        FvLog_Event(Fv_LOG_DEBUG, "linger_refused", NULL);
+    }
+    bufferevent_trigger_event(connection->stream,
+                              BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
+    bufferevent_disable(connection->stream, EV_READ | EV_WRITE);
+    release(connection->connections, connection);
+}
+
+/* Returns false when no connection may be closed. */
+static bool
+close_one(fv_caller_connections_t *connections, fv_caller_port_t port,
+          fv_caller_cause_t cause)
+{
+    int64_t now_ms = FvClock_NowMs();
+
+    for (;;) {
+        fv_caller_facts_t *victim =
+            FvCallerLimits_FindVictim(connections->facts, port, cause, now_ms);
+        fv_caller_connection_t *connection = (fv_caller_connection_t *)victim;
+
+        if (connection == NULL) {
+            return false;
+        }
+        if (is_closed_by_server(connection)) {
+            unlist(connection); /* FvCallerConnections_Reap() releases it */
+        }
+        else if (FvCallerFacts_State(victim) == Fv_CALLER_IDLE &&
+                 has_queued_bytes(bufferevent_getfd(connection->stream),
+                                  FIONREAD)) {
+            FvCallerFacts_Received(victim, now_ms);
+        }
+        else {
+            close_connection(connection, cause);
+            return true;
+        }
+    }
+}
+
+/**
+ * FvCallerConnections_HasRoom - whether the memory of connections is within
+ * its limit
+ * @connections: the connections; some may be closed to make room
+ *
+ * Return: false when a request has to be refused.
+ */
+bool
+FvCallerConnections_HasRoom(fv_caller_connections_t *connections)
+{
+    while (connections->bytes > connections->limits.memory_max_bytes) {
+        if (!close_one(connections, Fv_CALLER_PORT_COUNT,
+                       Fv_CALLER_CAUSE_MEMORY)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+enforce(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    FvCallerConnections_HasRoom(context);
+}
+
+/* libevent goes on accepting connections until the kernel has no more, also
+ * when its listener is disabled; it stops when the listener is freed. */
+static void
+pause_accepting(fv_caller_listener_t *listener)
+{
+    if (listener->bound != NULL) {
+        evhttp_del_accept_socket(listener->server, listener->bound);
+        listener->bound = NULL;
+    }
+}
+
+static bool
+accept_again(fv_caller_listener_t *listener)
+{
+    struct evconnlistener *accepting =
+        evconnlistener_new(listener->connections->base, NULL, NULL,
+                           LEV_OPT_CLOSE_ON_EXEC, 0, listener->fd);
+
+    if (accepting == NULL) {
+        return false;
+    }
+    listener->bound = evhttp_bind_listener(listener->server, accepting);
+    if (listener->bound == NULL) {
+        evconnlistener_free(accepting);
+    }
+    return listener->bound != NULL;
+}
+
+static bool
+is_full(const fv_caller_listener_t *listener)
+{
+    return listener->open >=
+           listener->connections->limits.connections_max[listener->port];
+}
+
+/* Returns false when the limit is reached and no connection may be closed. */
+static bool
+make_room(fv_caller_listener_t *listener)
+{
+    while (is_full(listener)) {
+        if (!close_one(listener->connections, listener->port,
+                       Fv_CALLER_CAUSE_CONNECTIONS)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Further connections wait in the kernel while no open one may be closed. */
+static void
+resume_accepting(fv_caller_connections_t *connections)
+{
+    for (int i = 0; i < Fv_CALLER_PORT_COUNT; i++) {
+        fv_caller_listener_t *listener = &connections->listeners[i];
+        bool paused = listener->fd >= 0 && listener->bound == NULL;
+
+        if (paused &&
+            FvCallerConnections_AreWaiting(connections, listener->port) &&
+            make_room(listener) && !accept_again(listener)) {
+            FvLog_Event(Fv_LOG_WARN, "accept_failed", "port=%d", i);
+        }
+    }
+}
+
+static void
+admit(evutil_socket_t fd, short what, void *context)
+{
+    fv_caller_connections_t *connections = context;
+    fv_caller_facts_t *facts;
+
+    (void)fd;
+    (void)what;
+    /* The latest ones come first. */
+    for (facts = connections->facts; facts != NULL && facts->peer == NULL;
+         facts = facts->next) {
+        join_peer((fv_caller_connection_t *)facts);
+    }
+}
+
+static struct bufferevent *
+open_stream(struct event_base *base, void *context)
+{
+    fv_caller_listener_t *listener = context;
+    fv_caller_connections_t *connections = listener->connections;
+    struct bufferevent *stream =
+        bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    fv_caller_connection_t *connection = calloc(1, sizeof(*connection));
+
+    if (stream == NULL || connection == NULL) {
+        free(connection);
+        return stream;
+    }
+    if (!make_room(listener)) {
+        pause_accepting(listener);
+    }
+    bufferevent_incref(stream);
+    bufferevent_setwatermark(stream, EV_READ, 0, Fv_INPUT_MAX_BYTES);
+    connection->connections = connections;
+    connection->stream = stream;
+    connection->facts.port = listener->port;
+    connection->facts.idle_since_ms = FvClock_NowMs();
+    connection->input_callback =
+        evbuffer_add_cb(bufferevent_get_input(stream), note_input, connection);
+    connection->output_callback = evbuffer_add_cb(
+        bufferevent_get_output(stream), note_output, connection);
+    connection->listed = true;
+    listener->open++;
+    HASH_ADD_PTR(connections->entries, stream, connection);
+    DL_PREPEND(connections->facts, &connection->facts);
+    update_bytes(connection);
+    event_active(connections->admit, EV_TIMEOUT, 0);
+    return stream;
+}
+
 static void
 reap(evutil_socket_t fd, short what, void *context)
 {
@@ -129,25 +515,50 @@
     event_active(connections->reap, EV_TIMEOUT, 0);
 }
 
+static void
+free_event(struct event *event)
+{
+    if (event != NULL) {
+        event_free(event);
+    }
+}
+
 /**
  * FvCallerConnections_New - prepare to follow connections
  * @base: the event loop
+ * @limits: the limits, which are copied
  *
  * Return: the connections, or NULL when memory is exhausted.
  */
 fv_caller_connections_t *
-FvCallerConnections_New(struct event_base *base)
+FvCallerConnections_New(struct event_base *base,
+                        const fv_caller_limits_t *limits)
 {
     fv_caller_connections_t *connections = calloc(1, sizeof(*connections));
 
     if (connections == NULL) {
         return NULL;
     }
+    connections->limits = *limits;
+    connections->base = base;
+    for (int i = 0; i < Fv_CALLER_PORT_COUNT; i++) {
+        connections->listeners[i].connections = connections;
+        connections->listeners[i].port = (fv_caller_port_t)i;
+        connections->listeners[i].fd = -1;
+    }
     connections->reap = event_new(base, -1, 0, reap, connections);
-    if (connections->reap == NULL) {
+    connections->admit = event_new(base, -1, 0, admit, connections);
+    connections->enforce = event_new(base, -1, 0, enforce, connections);
+    if (connections->reap == NULL || connections->admit == NULL ||
+        connections->enforce == NULL) {
+        free_event(connections->reap);
+        free_event(connections->admit);
+        free_event(connections->enforce);
         free(connections);
         return NULL;
     }
+    /* Before the next connection is read. */
+    event_priority_set(connections->enforce, 0);
     return connections;
 }
 
@@ -169,7 +580,14 @@
         next = connection->hh.next;
         release(connections, connection);
     }
-    event_free(connections->reap);
+    for (int i = 0; i < Fv_CALLER_PORT_COUNT; i++) {
+        if (connections->listeners[i].fd >= 0) {
+            close(connections->listeners[i].fd); /* its server is freed */
+        }
+    }
+    free_event(connections->reap);
+    free_event(connections->admit);
+    free_event(connections->enforce);
     free(connections);
 }
 
@@ -177,33 +595,176 @@
  * FvCallerConnections_Attach - follow the connections of a server
  * @connections: the connections
  * @server: the server, which accepts none yet
+ * @port: which one it is
  */
 void
 FvCallerConnections_Attach(fv_caller_connections_t *connections,
-                           struct evhttp *server)
+                           struct evhttp *server, fv_caller_port_t port)
 {
-    evhttp_set_bevcb(server, open_stream, connections);
+    connections->listeners[port].server = server;
+    evhttp_set_bevcb(server, open_stream, &connections->listeners[port]);
+}
+
+/* Accepted sockets get the buffer sizes of the listening one. */
+static int
+open_listener(fv_caller_port_t port, const struct sockaddr_in *address)
+{
+    const int on = 1;
+    const int receive_bytes = Fv_CALLER_RECEIVE_BYTES;
+    const int send_bytes = Fv_CALLER_SEND_BYTES;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+    if (fd < 0) {
+        return -1;
+    }
+    if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
+        setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on)) != 0 ||
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+                   sizeof(receive_bytes)) != 0 ||
+        setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &send_bytes,
+                   sizeof(send_bytes)) != 0 ||
+        bind(fd, (const struct sockaddr *)address, sizeof(*address)) != 0 ||
+        listen(fd, port == Fv_CALLER_PORT_CALLERS ? Fv_CALLERS_BACKLOG
+                                                  : Fv_OTHERS_BACKLOG) != 0) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+/**
+ * FvCallerConnections_Listen - accept connections for a server
+ * @connections: the connections
+ * @port: which one, attached
+ * @address: where it listens
+ *
+ * Return: false when the address cannot be bound.
+ */
+bool
+FvCallerConnections_Listen(fv_caller_connections_t *connections,
+                           fv_caller_port_t port,
+                           const struct sockaddr_in *address)
+{
+    fv_caller_listener_t *listener = &connections->listeners[port];
+
+    listener->fd = open_listener(port, address);
+    return listener->fd >= 0 && accept_again(listener);
+}
+
+/**
+ * FvCallerConnections_IsListening - whether connections are accepted
+ * @connections: the connections
+ * @port: of which server
+ *
+ * Return: true also while connections wait in the kernel for a limit.
+ */
+bool
+FvCallerConnections_IsListening(const fv_caller_connections_t *connections,
+                                fv_caller_port_t port)
+{
+    return connections->listeners[port].fd >= 0;
+}
+
+/**
+ * FvCallerConnections_AreWaiting - whether the kernel has connections that
+ * were not accepted yet
+ * @connections: the connections
+ * @port: of which server; it listens
+ *
+ * Return: true when there are some.
+ */
+bool
+FvCallerConnections_AreWaiting(const fv_caller_connections_t *connections,
+                               fv_caller_port_t port)
+{
+    struct pollfd waiting = {.fd = connections->listeners[port].fd,
+                             .events = POLLIN};
+
+    return poll(&waiting, 1, 0) > 0;
+}
+
+/**
+ * FvCallerConnections_StopListening - accept no more connections
+ * @connections: the connections
+ * @port: of which server
+ */
+void
+FvCallerConnections_StopListening(fv_caller_connections_t *connections,
+                                  fv_caller_port_t port)
+{
+    fv_caller_listener_t *listener = &connections->listeners[port];
+
+    pause_accepting(listener);
+    if (listener->fd >= 0) {
+        close(listener->fd);
+    }
+    listener->fd = -1;
+}
+
+static fv_caller_connection_t *
+find_connection(const fv_caller_connections_t *connections,
+                struct evhttp_request *request)
+{
+    struct bufferevent *stream = evhttp_connection_get_bufferevent(
+        evhttp_request_get_connection(request));
+    fv_caller_connection_t *connection = NULL;
+
+    HASH_FIND_PTR(connections->entries, &stream, connection);
+    return connection;
+}
+
+/* The server takes the next request, of which a part may have come. */
+static void
+answer_written(struct evhttp_request *request, void *context)
+{
+    fv_caller_connection_t *connection = find_connection(context, request);
+    struct evbuffer *input;
+
+    if (connection == NULL) {
+        return;
+    }
+    if (connection->facts.port == Fv_CALLER_PORT_CALLERS) {
+        FvMetrics_Add(Fv_COUNTER_HTTP_REPLIES, 1);
+    }
+    FvCallerFacts_Answered(&connection->facts, FvClock_NowMs());
+    connection->facts.input_bytes = 0;
+    input = bufferevent_get_input(connection->stream);
+    if (evbuffer_get_length(input) > 0) {
+        scan_input(connection, input, 0);
+    }
+    bufferevent_setwatermark(connection->stream, EV_READ, 0,
+                             Fv_INPUT_MAX_BYTES);
+    update_bytes(connection);
 }
 
 /**
  * FvCallerConnections_RequestRead - note that a whole request was read
  * @connections: the connections
  * @request: the request
+ *
+ * Until its answer is written, little more is read from its connection: evhttp
+ * itself reads without a limit while it writes an answer.
  */
 void
 FvCallerConnections_RequestRead(fv_caller_connections_t *connections,
                                 struct evhttp_request *request)
 {
-    struct evhttp_connection *http = evhttp_request_get_connection(request);
-    struct bufferevent *stream = evhttp_connection_get_bufferevent(http);
-    fv_caller_connection_t *connection = NULL;
+    fv_caller_connection_t *connection = find_connection(connections, request);
+    size_t ahead;
 
-    HASH_FIND_PTR(connections->entries, &stream, connection);
-    if (connection != NULL) {
-        connection->receiving =
-            evbuffer_get_length(bufferevent_get_input(stream)) > 0;
-        evhttp_connection_set_closecb(http, connection_closing, connections);
+    if (connection == NULL) {
+        return;
     }
+    ahead = evbuffer_get_length(bufferevent_get_input(connection->stream));
+    connection->receiving = ahead > 0;
+    FvCallerFacts_RequestRead(&connection->facts);
+    connection->facts.input_bytes = (int64_t)ahead;
+    bufferevent_setwatermark(connection->stream, EV_READ, 0,
+                             (size_t)connections->limits.read_ahead_bytes);
+    update_bytes(connection);
+    evhttp_request_set_on_complete_cb(request, answer_written, connections);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request),
+                                  connection_closing, connections);
 }
 
 /**
@@ -215,9 +776,13 @@
 bool
 FvCallerConnections_HasInput(struct evhttp_request *request)
 {
-    struct bufferevent *stream = evhttp_connection_get_bufferevent(
-        evhttp_request_get_connection(request));
+    struct evhttp_connection *http = evhttp_request_get_connection(request);
+    struct bufferevent *stream;
 
+    if (http == NULL) {
+        return false; /* the caller has gone */
+    }
+    stream = evhttp_connection_get_bufferevent(http);
     return evbuffer_get_length(bufferevent_get_input(stream)) > 0 ||
            has_queued_bytes(bufferevent_getfd(stream), FIONREAD);
 }
@@ -237,26 +802,42 @@
 }
 
 /**
- * FvCallerConnections_Reap - release the connections that are done with
+ * FvCallerConnections_Reap - release the connections that are done with, and
+ * close those that go without progress for too long
  * @connections: the connections
  */
 void
 FvCallerConnections_Reap(fv_caller_connections_t *connections)
 {
+    int64_t now_ms = FvClock_NowMs();
+    int64_t passed_ms =
+        connections->reaped_ms != 0 ? now_ms - connections->reaped_ms : 0;
     fv_caller_connection_t *connection;
     fv_caller_connection_t *next;
+    fv_caller_cause_t cause;
 
+    connections->reaped_ms = now_ms;
     for (connection = connections->entries; connection != NULL;
          connection = next) {
         next = connection->hh.next;
-        if (!is_closed_by_server(connection)) {
+        if (is_closed_by_server(connection)) {
+            bufferevent_disable(connection->stream, EV_READ | EV_WRITE);
+            unlist(connection);
+            if (!connections->lingering || !is_unacknowledged(connection)) {
+                release(connections, connection);
+            }
             continue;
         }
-        bufferevent_disable(connection->stream, EV_READ | EV_WRITE);
-        if (!connections->lingering || !is_unacknowledged(connection)) {
-            release(connections, connection);
+        if (passed_ms >= Fv_STOOD_STILL_MS) {
+            FvCallerFacts_Forgive(&connection->facts, passed_ms);
+        }
+        cause = FvCallerLimits_Check(&connections->limits, &connection->facts,
+                                     now_ms);
+        if (cause != Fv_CALLER_CAUSE_NONE) {
+            close_connection(connection, cause);
         }
     }
+    resume_accepting(connections);
 }
 
 /**
--- a/src/entry-settings.c
+++ b/src/entry-settings.c
@@ -14,6 +14,20 @@
  * memory for control at the design size (docs/CAPACITY.md). */
 #define Fv_MEMORY_DEFAULT_MB 128
 
+/* Limits of callers' connections, see docs/operating.md. The users' callers
+ * send a header within 3 s and are idle for up to 15 s; the defaults are twice
+ * as long. A body has the 30 s that an idle connection had before. */
+#define Fv_CALLER_HEADER_MS 6000
+#define Fv_CALLER_BODY_MS 30000
+#define Fv_CALLER_IDLE_MS 30000
+/* As long as the users' callers may be idle. */
+#define Fv_CALLER_UNREAD_MS 15000
+/* The largest request takes 0.5 MB, in pieces of 1,460 bytes; header lines of
+ * four bytes add as much. */
+#define Fv_CALLER_REQUEST_KB 2048
+/* Some hundred requests of the usual size. */
+#define Fv_CALLER_READ_AHEAD_KB 16
+
 typedef enum fv_setting_kind {
     Fv_SETTING_TEXT,
     Fv_SETTING_ADDRESS, /* IPv4 address and port */
@@ -40,6 +54,10 @@
 #define TEXT(field) STRING(field, Fv_SETTING_TEXT, true)
 #define ADDRESS(field, is_required)                                           \
     STRING(field, Fv_SETTING_ADDRESS, is_required)
+#define OPTIONAL(name, field, kind, from, to)                                 \
+    {                                                                         \
+        name, kind, offsetof(fv_entry_settings_t, field), 0, false, from, to  \
+    }
 #define INT(field, from, to)                                                  \
     {                                                                         \
 #field, Fv_SETTING_INT, offsetof(fv_entry_settings_t, field), 0,      \
@@ -73,11 +91,26 @@
      INT32_MAX},
     {"learn_worker_speeds", Fv_SETTING_BOOL,
      offsetof(fv_entry_settings_t, learn_worker_speeds), 0, false, 0, 0},
+    OPTIONAL("caller_connections_max", callers.connections_max, Fv_SETTING_INT,
+             8, 1048576),
+    OPTIONAL("caller_memory_mb", callers.memory_mb, Fv_SETTING_NUMBER, 1,
+             1048576),
+    OPTIONAL("caller_header_ms", callers.header_ms, Fv_SETTING_INT, 100,
+             600000),
+    OPTIONAL("caller_body_ms", callers.body_ms, Fv_SETTING_INT, 100, 600000),
+    OPTIONAL("caller_unread_ms", callers.unread_ms, Fv_SETTING_INT, 100,
+             600000),
+    OPTIONAL("caller_idle_ms", callers.idle_ms, Fv_SETTING_INT, 100, 600000),
+    OPTIONAL("caller_request_kb", callers.request_kb, Fv_SETTING_INT, 1024,
+             1048576),
+    OPTIONAL("caller_read_ahead_kb", callers.read_ahead_kb, Fv_SETTING_INT, 1,
+             1024),
 };
 
 #undef STRING
 #undef TEXT
 #undef ADDRESS
+#undef OPTIONAL
 #undef INT
 
 #define Fv_SETTING_COUNT (sizeof(setting_table) / sizeof(setting_table[0]))
@@ -204,11 +237,17 @@
     const char *level;
     bool valid = true;
 
-    *settings = (fv_entry_settings_t){.store_value_max_bytes =
-                                          Fv_STORE_VALUE_DEFAULT_BYTES,
-                                      .memory_mb = Fv_MEMORY_DEFAULT_MB,
-                                      .learn_worker_speeds = true,
-                                      .log_level = Fv_LOG_INFO};
+    *settings = (fv_entry_settings_t){
+        .store_value_max_bytes = Fv_STORE_VALUE_DEFAULT_BYTES,
+        .memory_mb = Fv_MEMORY_DEFAULT_MB,
+        .callers = {.header_ms = Fv_CALLER_HEADER_MS,
+                    .body_ms = Fv_CALLER_BODY_MS,
+                    .unread_ms = Fv_CALLER_UNREAD_MS,
+                    .idle_ms = Fv_CALLER_IDLE_MS,
+                    .request_kb = Fv_CALLER_REQUEST_KB,
+                    .read_ahead_kb = Fv_CALLER_READ_AHEAD_KB},
+        .learn_worker_speeds = true,
+        .log_level = Fv_LOG_INFO};
     if (table == NULL) {
         fprintf(errors, "%s: %s\n", path, reason);
         return false;
--- a/src/entry.c
+++ b/src/entry.c
@@ -28,11 +28,11 @@
 #define Fv_ISOLATED_CLAIM_PAUSE_MS 1500
 #define Fv_ISOLATED_RESIGN_INTERVAL_MS 30000
 
-/* File descriptors that the platform reserves for files, and the share of the
- * others that outgoing calls may use; the rest is for connections of callers
- * and other hosts. */
-#define Fv_DESCRIPTORS_RESERVED 200
-#define Fv_CALL_DESCRIPTORS_SHARE 0.875
+/* Share of the descriptors, beyond those for files, that outgoing calls may
+ * use. A leader of 350 workers needs 1,464 (four for each, and 64 for
+ * services) and has 2,156 at a host of 3,075; callers have 3/16
+ * (caller-limits.c), other hosts and the process itself the rest. */
+#define Fv_CALL_DESCRIPTORS_SHARE 0.75
 
 static void
 dial_hosts(fv_entry_t *entry)
--- a/src/entry.h
+++ b/src/entry.h
@@ -38,9 +38,13 @@
     int32_t keep_ended_s;
     int32_t store_value_max_bytes;
     bool learn_worker_speeds; /* and place tasks by them */
+    fv_caller_settings_t callers;
     fv_log_level_t log_level;
 } fv_entry_settings_t;
 
+/* File descriptors that the platform reserves for files. */
+#define Fv_DESCRIPTORS_RESERVED 200
+
 bool FvEntrySettings_Load(const char *path, fv_entry_settings_t *settings,
                           FILE *errors);
 
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -13,7 +13,6 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
-#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -21,9 +20,14 @@
 #define Fv_DEFAULT_DEADLINE_MS 3000 /* without a deadline header */
 #define Fv_RETRY_AFTER_S "1"
 #define Fv_SWEEP_MS 50
-#define Fv_BODY_MAX_BYTES 262144
-#define Fv_HEADERS_MAX_BYTES 16384
-#define Fv_IDLE_TIMEOUT_S 30
+
+/* A request with a longer deadline is answered as if it had this one. The
+ * users' callers wait for 3 s, and a request without an answer keeps its
+ * connection. */
+#define Fv_DEADLINE_MAX_MS 60000
+
+/* Checks of the balancer and scrapes have no body. */
+#define Fv_OTHER_BODY_MAX_BYTES 1024
 
 /* Lines below warn that a fault of all requests may add to the log. */
 #define Fv_REFUSAL_LOG_LINES_PER_S 10
@@ -49,7 +53,6 @@
     bool had_customers;        /* in this or an earlier configuration */
     fv_caller_connections_t *connections;
     struct evhttp *callers;
-    struct evhttp_bound_socket *callers_socket; /* NULL: accepts no more */
     struct evhttp *ready;
     struct evhttp *metrics;
     struct event *sweep;
@@ -58,6 +61,7 @@
     fv_log_quota_t cancel_log;
     fv_log_quota_t refusal_log;
     fv_log_quota_t key_log;
+    fv_log_quota_t unknown_log;
     bool draining;
     bool refusing; /* the process is about to end */
 };
@@ -313,7 +317,10 @@
         evhttp_request_get_input_headers(http), FvPlatform_DeadlineHeader);
     long given = text != NULL ? strtol(text, NULL, 10) : 0;
 
-    return given > 0 ? given : Fv_DEFAULT_DEADLINE_MS;
+    if (given <= 0) {
+        return Fv_DEFAULT_DEADLINE_MS;
+    }
+    return given < Fv_DEADLINE_MAX_MS ? given : Fv_DEADLINE_MAX_MS;
 }
 
 /* Refuses a request that no leader has been asked about. */
@@ -353,14 +360,6 @@
     forward_request(frontend, request);
 }
 
-static void
-reply_written(struct evhttp_request *http, void *context)
-{
-    (void)http;
-    (void)context;
-    FvMetrics_Add(Fv_COUNTER_HTTP_REPLIES, 1);
-}
-
 /* With customers, a configuration that may be outdated is no reason to refuse
  * a call for good: its route or key may have been added since. */
 static bool
@@ -379,9 +378,10 @@
                        "Configuration Outdated");
         return;
     }
-    FvLog_Event(Fv_LOG_INFO, "queue_unknown",
-                "host=%s path=%s config_version=%lld", host, path,
-                (long long)frontend->config->version);
+    FvLog_Event(FvLog_LevelWithin(&frontend->unknown_log,
+                                  Fv_REFUSAL_LOG_LINES_PER_S, FvClock_NowMs()),
+                "queue_unknown", "host=%s path=%s config_version=%lld", host,
+                path, (long long)frontend->config->version);
     send_reply(frontend, http, 404, "Not Found", NULL);
 }
 
@@ -418,12 +418,15 @@
 
     FvMetrics_Add(Fv_COUNTER_HTTP_REQUESTS, 1);
     FvCallerConnections_RequestRead(frontend->connections, http);
-    evhttp_request_set_on_complete_cb(http, reply_written, NULL);
     snprintf(path, sizeof(path), "%.*s", (int)strcspn(uri, "?"), uri);
     if (frontend->refusing) {
         refuse_request(frontend, http, path, "shutting_down", "Shutting Down");
         return;
     }
+    if (!FvCallerConnections_HasRoom(frontend->connections)) {
+        refuse_request(frontend, http, path, "caller_memory", "Out of Memory");
+        return;
+    }
     if (frontend->config == NULL) {
         refuse_request(frontend, http, path, "no_configuration",
                        "No Configuration");
@@ -507,29 +510,31 @@
 }
 
 static struct evhttp *
-listen_http(fv_frontend_t *frontend, const char *address,
-            void (*handler)(struct evhttp_request *, void *),
-            struct evhttp_bound_socket **bound)
+listen_http(fv_frontend_t *frontend, fv_caller_port_t port,
+            const char *address,
+            void (*handler)(struct evhttp_request *, void *))
 {
     struct evhttp *server = evhttp_new(frontend->base);
-    char ip[Fv_ADDRESS_SIZE];
-    const char *colon = strchr(address, ':');
+    int32_t idle_ms = frontend->settings->callers.idle_ms;
+    struct timeval idle = {.tv_sec = idle_ms / Fv_MS_PER_S,
+                           .tv_usec =
+                               idle_ms % Fv_MS_PER_S * (int)Fv_US_PER_MS};
+    struct sockaddr_in parsed;
 
-    if (server == NULL || colon == NULL) {
+    if (server == NULL || !FvText_ParseAddress(address, &parsed)) {
         return NULL;
     }
-    snprintf(ip, sizeof(ip), "%.*s", (int)(colon - address), address);
-    evhttp_set_max_body_size(server, Fv_BODY_MAX_BYTES);
+    evhttp_set_max_body_size(server, port == Fv_CALLER_PORT_CALLERS
+                                         ? Fv_BODY_MAX_BYTES
+                                         : Fv_OTHER_BODY_MAX_BYTES);
     evhttp_set_max_headers_size(server, Fv_HEADERS_MAX_BYTES);
     evhttp_set_allowed_methods(server, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
                                            EVHTTP_REQ_DELETE | EVHTTP_REQ_PUT |
                                            EVHTTP_REQ_HEAD);
-    evhttp_set_timeout(server, Fv_IDLE_TIMEOUT_S);
+    evhttp_set_timeout_tv(server, &idle);
     evhttp_set_gencb(server, handler, frontend);
-    FvCallerConnections_Attach(frontend->connections, server);
-    *bound = evhttp_bind_socket_with_handle(
-        server, ip, (uint16_t)strtoul(colon + 1, NULL, 10));
-    if (*bound == NULL) {
+    FvCallerConnections_Attach(frontend->connections, server, port);
+    if (!FvCallerConnections_Listen(frontend->connections, port, &parsed)) {
         FvLog_Event(Fv_LOG_ERROR, "bind_failed", "address=%s", address);
         evhttp_free(server);
         return NULL;
@@ -551,32 +556,43 @@
 {
     fv_frontend_t *frontend = calloc(1, sizeof(*frontend));
     struct timeval interval = {.tv_usec = Fv_SWEEP_MS * 1000};
-    struct evhttp_bound_socket *bound;
+    fv_caller_limits_t limits;
 
     if (frontend == NULL) {
         return NULL;
     }
+    FvCallerLimits_Derive(&limits, &settings->callers, settings->memory_mb,
+                          settings->descriptors_max - Fv_DESCRIPTORS_RESERVED);
     frontend->base = base;
     frontend->settings = settings;
     frontend->events = *events;
-    frontend->connections = FvCallerConnections_New(base);
+    frontend->connections = FvCallerConnections_New(base, &limits);
     if (frontend->connections == NULL) {
         free(frontend);
         return NULL;
     }
     frontend->callers =
-        listen_http(frontend, settings->callers_address, handle_caller_request,
-                    &frontend->callers_socket);
-    frontend->ready = listen_http(frontend, settings->ready_address,
-                                  handle_ready_request, &bound);
+        listen_http(frontend, Fv_CALLER_PORT_CALLERS,
+                    settings->callers_address, handle_caller_request);
+    frontend->ready =
+        listen_http(frontend, Fv_CALLER_PORT_READY, settings->ready_address,
+                    handle_ready_request);
     if (settings->metrics_address[0] != '\0') {
-        frontend->metrics = listen_http(frontend, settings->metrics_address,
-                                        handle_metrics_request, &bound);
+        frontend->metrics =
+            listen_http(frontend, Fv_CALLER_PORT_METRICS,
+                        settings->metrics_address, handle_metrics_request);
     }
     if (frontend->callers == NULL || frontend->ready == NULL) {
         FvFrontend_Free(frontend);
         return NULL;
     }
+    FvLog_Event(Fv_LOG_INFO, "caller_limits",
+                "connections_max=%u ready_max=%u metrics_max=%u "
+                "memory_max=%lld",
+                limits.connections_max[Fv_CALLER_PORT_CALLERS],
+                limits.connections_max[Fv_CALLER_PORT_READY],
+                limits.connections_max[Fv_CALLER_PORT_METRICS],
+                (long long)limits.memory_max_bytes);
     frontend->sweep = event_new(base, -1, EV_PERSIST, sweep, frontend);
     event_add(frontend->sweep, &interval);
     return frontend;
@@ -684,17 +700,12 @@
 void
 FvFrontend_StopAccepting(fv_frontend_t *frontend, bool at_once)
 {
-    struct pollfd waiting = {.events = POLLIN};
-
-    if (frontend->callers_socket == NULL) {
-        return;
-    }
-    waiting.fd = evhttp_bound_socket_get_fd(frontend->callers_socket);
-    if (!at_once && poll(&waiting, 1, 0) > 0) {
-        return;
+    if (FvFrontend_IsAccepting(frontend) &&
+        (at_once || !FvCallerConnections_AreWaiting(frontend->connections,
+                                                    Fv_CALLER_PORT_CALLERS))) {
+        FvCallerConnections_StopListening(frontend->connections,
+                                          Fv_CALLER_PORT_CALLERS);
     }
-    evhttp_del_accept_socket(frontend->callers, frontend->callers_socket);
-    frontend->callers_socket = NULL;
 }
 
 /**
@@ -706,7 +717,8 @@
 bool
 FvFrontend_IsAccepting(const fv_frontend_t *frontend)
 {
-    return frontend->callers_socket != NULL;
+    return FvCallerConnections_IsListening(frontend->connections,
+                                           Fv_CALLER_PORT_CALLERS);
 }
 
 /**
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -85,7 +85,8 @@
                                       "answer any more, or at first."},
     [Fv_COUNTER_HTTP_NOT_FORWARDED] = {"http_not_forwarded",
                                        "Requests refused without a leader: no "
-                                       "configuration, or shutting down."},
+                                       "configuration, no memory, or shutting "
+                                       "down."},
     [Fv_COUNTER_CONFIGS_REFUSED] = {"configs_refused",
                                     "Configurations that were unreadable or "
                                     "bad."},
@@ -97,6 +98,18 @@
     [Fv_COUNTER_REQUESTS_GIVEN_BACK] = {"requests_given_back",
                                         "Requests returned to a host with "
                                         "earlier customers."},
+    [Fv_COUNTER_CALLERS_UNREAD] = {"callers_unread",
+                                   "Connections closed because their caller "
+                                   "did not read an answer."},
+    [Fv_COUNTER_CALLERS_SLOW] = {"callers_slow",
+                                 "Connections closed because a header or a "
+                                 "body took too long."},
+    [Fv_COUNTER_CALLERS_OVERSIZE] = {"callers_oversize",
+                                     "Connections closed because a request "
+                                     "took too much memory."},
+    [Fv_COUNTER_CALLERS_DISPLACED] = {"callers_displaced",
+                                      "Connections closed to make room for "
+                                      "others."},
     [Fv_COUNTER_TASKS_LOST] = {"tasks_lost",
                                "Tasks that went back to waiting because their "
                                "worker was lost."},
--- a/tests/unit/caller_connection_test.c
+++ b/tests/unit/caller_connection_test.c
@@ -21,6 +21,16 @@
 #define DELAYED_ACK_ROUNDS 300 /* the kernel delays a FIN's by 40 ms */
 #define REQUEST "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
+/* None of these cases is about a limit. */
+static const fv_caller_limits_t wide_limits = {
+    .connections_max = {100, 100, 100},
+    .memory_max_bytes = 1024 * 1024 * 1024,
+    .request_max_bytes = 1024 * 1024,
+    .read_ahead_bytes = 16 * 1024,
+    .header_ms = 60000,
+    .body_ms = 60000,
+    .unread_ms = 60000};
+
 typedef struct server {
     struct event_base *base;
     struct evhttp *http;
@@ -58,8 +68,9 @@
 
     *server = (server_t){.base = event_base_new()};
     server->http = evhttp_new(server->base);
-    server->connections = FvCallerConnections_New(server->base);
-    FvCallerConnections_Attach(server->connections, server->http);
+    server->connections = FvCallerConnections_New(server->base, &wide_limits);
+    FvCallerConnections_Attach(server->connections, server->http,
+                               Fv_CALLER_PORT_CALLERS);
     evhttp_set_gencb(server->http, handle_request, server);
     bound = evhttp_bind_socket_with_handle(server->http, "127.0.0.1", 0);
     getsockname(evhttp_bound_socket_get_fd(bound), (struct sockaddr *)&address,
