--- a/src/caller-connection.c
+++ b/src/caller-connection.c
@@ -6,21 +6,19 @@
  */
 
 #include "caller-connection.h"
+#include "caller-listener.h"
 #include "fireflyvalve.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/listener.h>
 #include <event2/util.h>
 #include <inttypes.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <stdlib.h>
 #include <sys/ioctl.h>
-#include <unistd.h>
 #include <uthash.h>
 #include <utlist.h>
 
@@ -52,26 +50,23 @@
     UT_hash_handle hh; /* by stream */
 } fv_caller_connection_t;
 
-/* A listening address. */
-typedef struct fv_caller_listener {
+/* The connections of a listening address. */
+typedef struct fv_caller_server {
     struct fv_caller_connections *connections;
     fv_caller_port_t port;
-    struct evhttp *server;
-    int fd;                            /* -1: accepts no more */
-    struct evhttp_bound_socket *bound; /* NULL: not at present */
+    fv_caller_listener_t listener;
     uint32_t open;
-} fv_caller_listener_t;
+} fv_caller_server_t;
 
 struct fv_caller_connections {
     fv_caller_limits_t limits;
-    struct event_base *base;
     struct event *reap;
     struct event *admit;
     struct event *enforce;
     fv_caller_connection_t *entries;
     fv_caller_facts_t *facts; /* of those that may give way */
     fv_caller_peer_t *peers;
-    fv_caller_listener_t listeners[Fv_CALLER_PORT_COUNT];
+    fv_caller_server_t servers[Fv_CALLER_PORT_COUNT];
     int64_t bytes;
     int64_t reaped_ms; /* 0: not yet */
     fv_log_quota_t closed_log;
@@ -219,7 +214,7 @@
     unlist(connection);
     count_bytes(connection, 0);
     leave_peer(connection);
-    connections->listeners[connection->facts.port].open--;
+    connections->servers[connection->facts.port].open--;
     /* uthash unlinks the entry, which the analyzer does not see. */
     /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
     HASH_DEL(connections->entries, connection);
@@ -303,7 +298,7 @@
                 (int)FvCallerFacts_State(facts), facts->request_bytes,
                 facts->output_bytes,
                 facts->peer != NULL ? facts->peer->connections : 0,
-                connections->listeners[facts->port].open, connections->bytes,
+                connections->servers[facts->port].open, connections->bytes,
                 connections->limits.memory_max_bytes);
 }
 
@@ -384,47 +379,19 @@
     FvCallerConnections_HasRoom(context);
 }
 
-/* libevent goes on accepting connections until the kernel has no more, also
- * when its listener is disabled; it stops when the listener is freed. */
-static void
-pause_accepting(fv_caller_listener_t *listener)
-{
-    if (listener->bound != NULL) {
-        evhttp_del_accept_socket(listener->server, listener->bound);
-        listener->bound = NULL;
-    }
-}
-
 static bool
-accept_again(fv_caller_listener_t *listener)
+is_full(const fv_caller_server_t *server)
 {
-    struct evconnlistener *accepting =
-        evconnlistener_new(listener->connections->base, NULL, NULL,
-                           LEV_OPT_CLOSE_ON_EXEC, 0, listener->fd);
-
-    if (accepting == NULL) {
-        return false;
-    }
-    listener->bound = evhttp_bind_listener(listener->server, accepting);
-    if (listener->bound == NULL) {
-        evconnlistener_free(accepting);
-    }
-    return listener->bound != NULL;
-}
-
-static bool
-is_full(const fv_caller_listener_t *listener)
-{
-    return listener->open >=
-           listener->connections->limits.connections_max[listener->port];
+    return server->open >=
+           server->connections->limits.connections_max[server->port];
 }
 
 /* Returns false when the limit is reached and no connection may be closed. */
 static bool
-make_room(fv_caller_listener_t *listener)
+make_room(fv_caller_server_t *server)
 {
-    while (is_full(listener)) {
-        if (!close_one(listener->connections, listener->port,
+    while (is_full(server)) {
+        if (!close_one(server->connections, server->port,
                        Fv_CALLER_CAUSE_CONNECTIONS)) {
             return false;
         }
@@ -437,12 +404,11 @@
 resume_accepting(fv_caller_connections_t *connections)
 {
     for (int i = 0; i < Fv_CALLER_PORT_COUNT; i++) {
-        fv_caller_listener_t *listener = &connections->listeners[i];
-        bool paused = listener->fd >= 0 && listener->bound == NULL;
+        fv_caller_server_t *server = &connections->servers[i];
 
-        if (paused &&
-            FvCallerConnections_AreWaiting(connections, listener->port) &&
-            make_room(listener) && !accept_again(listener)) {
+        if (FvCallerListener_IsPaused(&server->listener) &&
+            FvCallerListener_AreWaiting(&server->listener) &&
+            make_room(server) && !FvCallerListener_Resume(&server->listener)) {
             FvLog_Event(Fv_LOG_WARN, "accept_failed", "port=%d", i);
         }
     }
@@ -466,8 +432,8 @@
 static struct bufferevent *
 open_stream(struct event_base *base, void *context)
 {
-    fv_caller_listener_t *listener = context;
-    fv_caller_connections_t *connections = listener->connections;
+    fv_caller_server_t *server = context;
+    fv_caller_connections_t *connections = server->connections;
     struct bufferevent *stream =
         bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
     fv_caller_connection_t *connection = calloc(1, sizeof(*connection));
@@ -476,21 +442,21 @@
         free(connection);
         return stream;
     }
-    if (!make_room(listener)) {
-        pause_accepting(listener);
+    if (!make_room(server)) {
+        FvCallerListener_Pause(&server->listener);
     }
     bufferevent_incref(stream);
     bufferevent_setwatermark(stream, EV_READ, 0, Fv_INPUT_MAX_BYTES);
     connection->connections = connections;
     connection->stream = stream;
-    connection->facts.port = listener->port;
+    connection->facts.port = server->port;
     connection->facts.idle_since_ms = FvClock_NowMs();
     connection->input_callback =
         evbuffer_add_cb(bufferevent_get_input(stream), note_input, connection);
     connection->output_callback = evbuffer_add_cb(
         bufferevent_get_output(stream), note_output, connection);
     connection->listed = true;
-    listener->open++;
+    server->open++;
     HASH_ADD_PTR(connections->entries, stream, connection);
     DL_PREPEND(connections->facts, &connection->facts);
     update_bytes(connection);
@@ -540,11 +506,11 @@
         return NULL;
     }
     connections->limits = *limits;
-    connections->base = base;
     for (int i = 0; i < Fv_CALLER_PORT_COUNT; i++) {
-        connections->listeners[i].connections = connections;
-        connections->listeners[i].port = (fv_caller_port_t)i;
-        connections->listeners[i].fd = -1;
+        connections->servers[i] =
+            (fv_caller_server_t){.connections = connections,
+                                 .port = (fv_caller_port_t)i,
+                                 .listener = {.base = base, .fd = -1}};
     }
     connections->reap = event_new(base, -1, 0, reap, connections);
     connections->admit = event_new(base, -1, 0, admit, connections);
@@ -581,9 +547,9 @@
         release(connections, connection);
     }
     for (int i = 0; i < Fv_CALLER_PORT_COUNT; i++) {
-        if (connections->listeners[i].fd >= 0) {
-            close(connections->listeners[i].fd); /* its server is freed */
-        }
+        connections->servers[i].listener.bound =
+            NULL; /* freed by its server */
+        FvCallerListener_Close(&connections->servers[i].listener);
     }
     free_event(connections->reap);
     free_event(connections->admit);
@@ -601,35 +567,8 @@
 FvCallerConnections_Attach(fv_caller_connections_t *connections,
                            struct evhttp *server, fv_caller_port_t port)
 {
-    connections->listeners[port].server = server;
-    evhttp_set_bevcb(server, open_stream, &connections->listeners[port]);
-}
-
-/* Accepted sockets get the buffer sizes of the listening one. */
-static int
-open_listener(fv_caller_port_t port, const struct sockaddr_in *address)
-{
-    const int on = 1;
-    const int receive_bytes = Fv_CALLER_RECEIVE_BYTES;
-    const int send_bytes = Fv_CALLER_SEND_BYTES;
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-
-    if (fd < 0) {
-        return -1;
-    }
-    if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
-        setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on)) != 0 ||
-        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
-                   sizeof(receive_bytes)) != 0 ||
-        setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &send_bytes,
-                   sizeof(send_bytes)) != 0 ||
-        bind(fd, (const struct sockaddr *)address, sizeof(*address)) != 0 ||
-        listen(fd, port == Fv_CALLER_PORT_CALLERS ? Fv_CALLERS_BACKLOG
-                                                  : Fv_OTHERS_BACKLOG) != 0) {
-        close(fd);
-        return -1;
-    }
-    return fd;
+    connections->servers[port].listener.server = server;
+    evhttp_set_bevcb(server, open_stream, &connections->servers[port]);
 }
 
 /**
@@ -645,10 +584,10 @@
                            fv_caller_port_t port,
                            const struct sockaddr_in *address)
 {
-    fv_caller_listener_t *listener = &connections->listeners[port];
-
-    listener->fd = open_listener(port, address);
-    return listener->fd >= 0 && accept_again(listener);
+    return FvCallerListener_Open(&connections->servers[port].listener, address,
+                                 port == Fv_CALLER_PORT_CALLERS
+                                     ? Fv_CALLERS_BACKLOG
+                                     : Fv_OTHERS_BACKLOG);
 }
 
 /**
@@ -662,43 +601,26 @@
 FvCallerConnections_IsListening(const fv_caller_connections_t *connections,
                                 fv_caller_port_t port)
 {
-    return connections->listeners[port].fd >= 0;
-}
-
-/**
- * FvCallerConnections_AreWaiting - whether the kernel has connections that
- * were not accepted yet
- * @connections: the connections
- * @port: of which server; it listens
- *
- * Return: true when there are some.
- */
-bool
-FvCallerConnections_AreWaiting(const fv_caller_connections_t *connections,
-                               fv_caller_port_t port)
-{
-    struct pollfd waiting = {.fd = connections->listeners[port].fd,
-                             .events = POLLIN};
-
-    return poll(&waiting, 1, 0) > 0;
+    return connections->servers[port].listener.fd >= 0;
 }
 
 /**
  * FvCallerConnections_StopListening - accept no more connections
  * @connections: the connections
  * @port: of which server
+ * @at_once: also when the kernel has connections that were not accepted yet,
+ *           which it then resets; otherwise call again
  */
 void
 FvCallerConnections_StopListening(fv_caller_connections_t *connections,
-                                  fv_caller_port_t port)
+                                  fv_caller_port_t port, bool at_once)
 {
-    fv_caller_listener_t *listener = &connections->listeners[port];
+    fv_caller_listener_t *listener = &connections->servers[port].listener;
 
-    pause_accepting(listener);
-    if (listener->fd >= 0) {
-        close(listener->fd);
+    if (listener->fd >= 0 &&
+        (at_once || !FvCallerListener_AreWaiting(listener))) {
+        FvCallerListener_Close(listener);
     }
-    listener->fd = -1;
 }
 
 static fv_caller_connection_t *
--- a/src/caller-connection.h
+++ b/src/caller-connection.h
@@ -45,10 +45,8 @@
 bool
 FvCallerConnections_IsListening(const fv_caller_connections_t *connections,
                                 fv_caller_port_t port);
-bool FvCallerConnections_AreWaiting(const fv_caller_connections_t *connections,
-                                    fv_caller_port_t port);
 void FvCallerConnections_StopListening(fv_caller_connections_t *connections,
-                                       fv_caller_port_t port);
+                                       fv_caller_port_t port, bool at_once);
 void FvCallerConnections_RequestRead(fv_caller_connections_t *connections,
                                      struct evhttp_request *request);
 bool FvCallerConnections_HasInput(struct evhttp_request *request);
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -700,12 +700,8 @@
 void
 FvFrontend_StopAccepting(fv_frontend_t *frontend, bool at_once)
 {
-    if (FvFrontend_IsAccepting(frontend) &&
-        (at_once || !FvCallerConnections_AreWaiting(frontend->connections,
-                                                    Fv_CALLER_PORT_CALLERS))) {
-        FvCallerConnections_StopListening(frontend->connections,
-                                          Fv_CALLER_PORT_CALLERS);
-    }
+    FvCallerConnections_StopListening(frontend->connections,
+                                      Fv_CALLER_PORT_CALLERS, at_once);
 }
 
 /**
