sched-rank: order of the waiting stages in a module of its own

Late stages came in order of their latest start, and one that could have no value any more came before others that could. There are four groups now: on time, late but within three times the objective, a customer's excess, and worthless. Late stages come by the work that is left, since each counts the same: the least work first completes the most of them with the same capacity. A stage becomes worthless after three times its objective, and is served last then, in order of its latest start.

--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -9,6 +9,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* A late job has a fifth of its value until three times the objective: for two
+ * further objectives. */
+#define Fv_LATE_OBJECTIVES 2
+
 /**
  * FvSched_FindJob - find a job by its id
  * @sched: the scheduler
@@ -222,6 +226,11 @@
         stage->objective_from_ms + job->queue.objective_ms + (int64_t)slack_ms;
     stage->late_after_ms = stage->objective_from_ms + job->queue.objective_ms +
                            (int64_t)(slack_ms * job->run_time_spread);
+    /* The rest of three times the objective. */
+    stage->worthless_after_ms =
+        stage->late_after_ms + Fv_LATE_OBJECTIVES * job->queue.objective_ms +
+        (int64_t)(Fv_LATE_OBJECTIVES * job->queue.stretch *
+                  (double)job->critical_path_ms * job->run_time_spread);
 }
 
 static bool
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -9,11 +9,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Stages that miss their objective come after all others: a late job counts a
- * fifth of one in time, and it counts no less with any further delay up to
- * three times the objective. */
-#define Fv_LATE_RANK_PENALTY 1000
-
 /* Must not be 0 for xorshift; fixed so that tests are deterministic. */
 #define Fv_RANDOM_SEED UINT64_C(88172645463325252)
 
@@ -80,7 +75,7 @@
 
 typedef struct fv_ranked {
     fv_sched_stage_t *stage;
-    int32_t rank;
+    fv_rank_t rank;
 } fv_ranked_t;
 
 static int
@@ -89,13 +84,7 @@
     const fv_ranked_t *a = left;
     const fv_ranked_t *b = right;
 
-    if (a->rank != b->rank) {
-        return a->rank < b->rank ? -1 : 1;
-    }
-    if (a->stage->target_start_ms != b->stage->target_start_ms) {
-        return a->stage->target_start_ms < b->stage->target_start_ms ? -1 : 1;
-    }
-    return 0;
+    return FvRank_Compare(&a->rank, &b->rank);
 }
 
 static bool
@@ -133,19 +122,12 @@
 
     for (fv_sched_stage_t *stage = sched->pending; stage != NULL;
          stage = stage->pending_next) {
-        bool late;
-
         if (stage->waiting_since_ms == 0) {
             stage->waiting_since_ms = now_ms;
         }
         FvSched_UpdateStartTargets(sched, stage);
-        late = stage->late_after_ms < now_ms && !stage->step->long_running;
-
         ranked[i++] = (fv_ranked_t){
-            .stage = stage,
-            .rank =
-                stage->job->queue.priority + (late ? Fv_LATE_RANK_PENALTY : 0),
-        };
+            .stage = stage, .rank = FvSched_RankStage(sched, stage, now_ms)};
     }
 }
 
@@ -215,7 +197,7 @@
         if (stage->waiting > 0) {
             stop_incomplete_gang(sched, stage, now_ms);
             FvSched_RequestAdvice(sched, stage, now_ms);
-            if (ranked[i].rank < Fv_LATE_RANK_PENALTY) {
+            if (ranked[i].rank.group == Fv_RANK_ON_TIME) {
                 FvSched_PreemptForGang(sched, stage, now_ms);
                 FvSched_ReserveForGang(sched, stage, now_ms);
             }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -134,9 +134,10 @@
     int32_t pending_advice_requests;
     int64_t next_advice_request_ms;
     int64_t next_place_ms;
-    int64_t objective_from_ms; /* when it was released; 0: not yet */
-    int64_t target_start_ms;   /* meets the objective by expected run times */
-    int64_t late_after_ms;     /* the same by the longest likely run times */
+    int64_t objective_from_ms;  /* when it was released; 0: not yet */
+    int64_t target_start_ms;    /* meets the objective by expected run times */
+    int64_t late_after_ms;      /* the same by the longest likely run times */
+    int64_t worthless_after_ms; /* the same for three times the objective */
 };
 
 /* One run of all steps of a job; see sched-occurrence.c. */
@@ -602,6 +603,26 @@
 void FvSched_PreemptForGang(fv_sched_t *sched, fv_sched_stage_t *gang,
                             int64_t now_ms);
 
+/* sched-rank.c */
+typedef enum fv_rank_group {
+    Fv_RANK_ON_TIME,
+    Fv_RANK_LATE,     /* within three times the objective */
+    Fv_RANK_EXCESS,   /* of a customer, which has no value */
+    Fv_RANK_WORTHLESS /* too late for any value */
+} fv_rank_group_t;
+
+typedef struct fv_rank {
+    fv_rank_group_t group;
+    int32_t priority;
+    bool above_share; /* its customer uses more than its weighted share */
+    int64_t target_start_ms;
+    double work; /* left of a late occurrence, in core-ms */
+} fv_rank_t;
+
+fv_rank_t FvSched_RankStage(fv_sched_t *sched, const fv_sched_stage_t *stage,
+                            int64_t now_ms);
+int FvRank_Compare(const fv_rank_t *a, const fv_rank_t *b);
+
 /* sched-reserve.c */
 void FvSched_ClearReservations(fv_sched_t *sched);
 void FvSched_ReserveForGang(fv_sched_t *sched, fv_sched_stage_t *stage,
