--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -9,14 +9,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Stages that miss their objective come after all others: a late job counts a
- * fifth of one in time, and it counts no less with any further delay up to
- * three times the objective. */
-#define Fv_LATE_RANK_PENALTY 1000
-
-/* Excess has no value, and comes after all else. */
-#define Fv_EXCESS_RANK_PENALTY 2000
-
 /* Must not be 0 for xorshift; fixed so that tests are deterministic. */
 #define Fv_RANDOM_SEED UINT64_C(88172645463325252)
 
@@ -85,8 +77,7 @@
 
 typedef struct fv_ranked {
     fv_sched_stage_t *stage;
-    int32_t rank;
-    bool above_share;
+    fv_rank_t rank;
 } fv_ranked_t;
 
 static int
@@ -95,16 +86,7 @@
     const fv_ranked_t *a = left;
     const fv_ranked_t *b = right;
 
-    if (a->rank != b->rank) {
-        return a->rank < b->rank ? -1 : 1;
-    }
-    if (a->above_share != b->above_share) {
-        return a->above_share ? 1 : -1;
-    }
-    if (a->stage->target_start_ms != b->stage->target_start_ms) {
-        return a->stage->target_start_ms < b->stage->target_start_ms ? -1 : 1;
-    }
-    return 0;
+    return FvRank_Compare(&a->rank, &b->rank);
 }
 
 static bool
@@ -142,22 +124,12 @@
 
     for (fv_sched_stage_t *stage = sched->pending; stage != NULL;
          stage = stage->pending_next) {
-        bool late;
-
         if (stage->waiting_since_ms == 0) {
             stage->waiting_since_ms = now_ms;
         }
         FvSched_UpdateStartTargets(sched, stage);
-        late = stage->late_after_ms < now_ms && !stage->step->long_running;
-
         ranked[i++] = (fv_ranked_t){
-            .stage = stage,
-            .rank = stage->job->queue.priority + (FvSched_IsExcess(stage)
-                                                      ? Fv_EXCESS_RANK_PENALTY
-                                                  : late ? Fv_LATE_RANK_PENALTY
-                                                         : 0),
-            .above_share = FvSched_IsAboveShare(stage),
-        };
+            .stage = stage, .rank = FvSched_RankStage(sched, stage, now_ms)};
     }
 }
 
@@ -230,11 +202,11 @@
             stop_incomplete_gang(sched, stage, now_ms);
             if (FvSched_IsHeldByCap(stage)) {
                 FvSched_NoteHeldByCap(stage,
-                                      ranked[i].rank < Fv_LATE_RANK_PENALTY);
+                                      ranked[i].rank.group == Fv_RANK_ON_TIME);
                 continue;
             }
             FvSched_RequestAdvice(sched, stage, now_ms);
-            if (ranked[i].rank < Fv_LATE_RANK_PENALTY) {
+            if (ranked[i].rank.group == Fv_RANK_ON_TIME) {
                 FvSched_PreemptForGang(sched, stage, now_ms);
                 FvSched_ReserveForGang(sched, stage, now_ms);
             }
