sched: count runs of ended jobs for their customer; check waits below caps

The new leader found its runs, which were being stopped, without a job, so that they counted for nobody.

The record of the end names the customer. Such a run now counts for it with what its worker has left, since its size is not known, for 13 s at most: the longest delay of a stop and the stop timeout.

The simulated cell also checks that a task whose customer is below half of its cap does not wait for 3 s beside room for two such tasks, without faults, and for 4 s with failing leaders.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -489,6 +489,7 @@
     .request_advice = FvLeaderAdvice_SendRequest,
     .record = FvLeaderRecord_Write,
     .request_report = FvLeaderWorker_RequestReport,
+    .ended_customer = FvLeaderRecord_EndedCustomer,
 };
 
 /* Whether no run is being stopped, and none will be before a worker has seen
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -244,6 +244,7 @@
                                 fv_buffer_t *out);
 bool FvLeaderRecord_DecodeEnded(const fv_buffer_t *value, const char **state,
                                 fv_job_owner_t *owner);
+const char *FvLeaderRecord_EndedCustomer(fv_sched_t *sched, const char *task);
 void FvLeaderRecord_RemoveIfIdle(fv_leader_t *leader, fv_sched_job_t *job);
 void FvLeaderRecord_Write(fv_sched_t *sched, fv_sched_job_t *job,
                           fv_record_kind_t kind);
--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -211,6 +211,26 @@
     return true;
 }
 
+/**
+ * FvLeaderRecord_EndedCustomer - find the customer of a job that has ended
+ * @sched: the scheduler
+ * @task: name of one of its tasks
+ *
+ * Return: the customer's name, "" for none; NULL when no end of the job is
+ * known.
+ */
+const char *
+FvLeaderRecord_EndedCustomer(fv_sched_t *sched, const char *task)
+{
+    const fv_leader_t *leader = FvLeader_FromSched(sched);
+    fv_ended_job_t *ended = NULL;
+    char id[Fv_JOB_ID_SIZE];
+
+    snprintf(id, sizeof(id), "%.*s", Fv_JOB_ID_SIZE - 1, task);
+    HASH_FIND_STR(leader->ended, id, ended);
+    return ended != NULL ? ended->owner.customer : NULL;
+}
+
 typedef struct fv_record_call {
     fv_leader_t *leader;
     char job[Fv_JOB_ID_SIZE];
--- a/src/sched-customer.c
+++ b/src/sched-customer.c
@@ -18,15 +18,27 @@
  * its jobs were accepted by an earlier one. */
 #define Fv_UNKNOWN_WEIGHT 1.0
 
+/* How long an orphaned run of unknown size counts at most. A worker carries
+ * out a stop within the longest delay of an order and the stop timeout, which
+ * is below a second. */
+#define Fv_ESTIMATE_MAX_MS (Fv_ORDER_DELAY_MAX_MS + 1000)
+
 /* Relative difference below which two shares count as equal. */
 #define Fv_SHARE_TOLERANCE 1e-6
 
+static int64_t
+larger(int64_t a, int64_t b)
+{
+    return a > b ? a : b;
+}
+
+/* What is free on a worker may be below 0. */
 static void
 add_resources(fv_sched_resources_t *sum, const fv_sched_resources_t *more)
 {
-    sum->cpu_millis += more->cpu_millis;
-    sum->memory_mib += more->memory_mib;
-    sum->accelerators += more->accelerators;
+    sum->cpu_millis += larger(more->cpu_millis, 0);
+    sum->memory_mib += larger(more->memory_mib, 0);
+    sum->accelerators += larger(more->accelerators, 0);
 }
 
 static int64_t
@@ -189,6 +201,34 @@
     }
 }
 
+/**
+ * FvSched_EstimateOrphanRun - note whose an orphaned run of an unknown job is
+ * @sched: the scheduler
+ * @orphan: the run; ignored when that is known already
+ * @now_ms: the time
+ *
+ * The job ended under an earlier leader, and its run is being stopped. What it
+ * uses is not known, and may be all that its worker has left.
+ */
+void
+FvSched_EstimateOrphanRun(fv_sched_t *sched, fv_orphan_run_t *orphan,
+                          int64_t now_ms)
+{
+    const char *name = sched->customers != NULL && orphan->customer == NULL &&
+                               sched->ops->ended_customer != NULL
+                           ? sched->ops->ended_customer(sched, orphan->task)
+                           : NULL;
+
+    if (name == NULL) {
+        return;
+    }
+    orphan->customer = FvSched_FindCustomer(sched, name);
+    if (orphan->customer != NULL) {
+        orphan->customer->references++;
+        orphan->estimated_until_ms = now_ms + Fv_ESTIMATE_MAX_MS;
+    }
+}
+
 /**
  * FvSched_ReleaseOrphanRun - forget whose an orphaned run is
  * @orphan: the run, which is removed
@@ -289,15 +329,10 @@
          worker = worker->hh.next) {
         const fv_worker_entry_t *entry = &worker->entry;
 
-        if (entry->cpu_millis > largest.cpu_millis) {
-            largest.cpu_millis = entry->cpu_millis;
-        }
-        if (entry->memory_mib > largest.memory_mib) {
-            largest.memory_mib = entry->memory_mib;
-        }
-        if (entry->accelerators > largest.accelerators) {
-            largest.accelerators = entry->accelerators;
-        }
+        largest.cpu_millis = larger(largest.cpu_millis, entry->cpu_millis);
+        largest.memory_mib = larger(largest.memory_mib, entry->memory_mib);
+        largest.accelerators =
+            larger(largest.accelerators, entry->accelerators);
     }
     return largest;
 }
@@ -361,18 +396,37 @@
     }
 }
 
+/* Runs of one customer whose size is not known have the rest of their worker
+ * together. */
+static void
+count_orphan_runs_of(const fv_sched_t *sched, const fv_sched_worker_t *worker,
+                     int64_t now_ms)
+{
+    const fv_sched_customer_t *estimated = NULL;
+
+    for (const fv_orphan_run_t *orphan = worker->orphan_runs; orphan != NULL;
+         orphan = orphan->next) {
+        if (orphan->customer == NULL ||
+            !FvSched_MayOrphanRun(sched, worker, orphan, now_ms)) {
+            continue;
+        }
+        if (orphan->estimated_until_ms == 0) {
+            add_resources(&orphan->customer->in_doubt, &orphan->resources);
+        }
+        else if (orphan->estimated_until_ms > now_ms &&
+                 orphan->customer != estimated) {
+            estimated = orphan->customer;
+            add_resources(&orphan->customer->in_doubt, &worker->free);
+        }
+    }
+}
+
 static void
 count_orphan_runs(const fv_sched_t *sched, int64_t now_ms)
 {
     for (const fv_sched_worker_t *worker = sched->workers; worker != NULL;
          worker = worker->hh.next) {
-        for (const fv_orphan_run_t *orphan = worker->orphan_runs;
-             orphan != NULL; orphan = orphan->next) {
-            if (orphan->customer != NULL &&
-                FvSched_MayOrphanRun(sched, worker, orphan, now_ms)) {
-                add_resources(&orphan->customer->in_doubt, &orphan->resources);
-            }
-        }
+        count_orphan_runs_of(sched, worker, now_ms);
     }
 }
 
--- a/src/sched-report.c
+++ b/src/sched-report.c
@@ -258,6 +258,9 @@
         FvSched_ChargeOrphanRun(
             orphan, FvSched_FindTaskJob(sched, row->task_id), step);
     }
+    else {
+        FvSched_EstimateOrphanRun(sched, orphan, now_ms);
+    }
     if (task != NULL && is_of_completed_gang(task, row)) {
         return;
     }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -96,6 +96,7 @@
     int64_t ended_by_ms; /* has ended by then; INT64_MAX: not known yet */
     fv_sched_customer_t *customer; /* NULL: none, or not known */
     fv_sched_resources_t resources;
+    int64_t estimated_until_ms; /* 0: its resources are known */
     struct fv_orphan_run *next;
 } fv_orphan_run_t;
 
@@ -329,6 +330,9 @@
     void (*record)(fv_sched_t *sched, fv_sched_job_t *job,
                    fv_record_kind_t kind);
     void (*request_report)(fv_sched_t *sched, fv_sched_worker_t *worker);
+    /* Name of the customer of a job that has ended, by the name of one of its
+     * tasks; NULL when it is not known. */
+    const char *(*ended_customer)(fv_sched_t *sched, const char *task);
 } fv_sched_ops_t;
 
 /* Linear regression of the actual run times of a queue on the declared ones:
@@ -571,6 +575,8 @@
 void FvSched_ChargeOrphanRun(fv_orphan_run_t *orphan,
                              const fv_sched_job_t *job,
                              const fv_step_spec_t *step);
+void FvSched_EstimateOrphanRun(fv_sched_t *sched, fv_orphan_run_t *orphan,
+                               int64_t now_ms);
 void FvSched_ReleaseOrphanRun(fv_orphan_run_t *orphan);
 void FvSched_BeginCustomerPass(fv_sched_t *sched, int64_t now_ms);
 bool FvSched_FitsUnderCap(const fv_sched_stage_t *stage, int32_t count);
--- a/tests/harness/sched-fixture.c
+++ b/tests/harness/sched-fixture.c
@@ -94,6 +94,13 @@
     fixture->report_request_count++;
 }
 
+static const char *
+ended_customer(fv_sched_t *sched, const char *task)
+{
+    (void)task;
+    return ((sched_fixture_t *)sched)->ended_customer;
+}
+
 static const fv_sched_ops_t fixture_ops = {
     .decode = FvPlatform_DecodeJobSpec,
     .start = start,
@@ -102,6 +109,7 @@
     .request_advice = request_advice,
     .record = record,
     .request_report = request_report,
+    .ended_customer = ended_customer,
 };
 
 /**
--- a/tests/harness/sched-fixture.h
+++ b/tests/harness/sched-fixture.h
@@ -34,7 +34,8 @@
     bool refuse_advice;
     bool refuse_starts; /* the host may not send orders */
     uint32_t report_request_count;
-    const char *customer; /* of the jobs that are added; NULL: none */
+    const char *customer;       /* of the jobs that are added; NULL: none */
+    const char *ended_customer; /* of all ended jobs; NULL: not known */
     uint32_t progress_records;
     uint32_t end_records;
 } sched_fixture_t;
--- a/tests/harness/sched-sim-customer.c
+++ b/tests/harness/sched-sim-customer.c
@@ -81,10 +81,18 @@
     add_version(sim, &caps);
 }
 
-static void
-customer_name(uint32_t customer, char *name, size_t size)
+/**
+ * FvSim_CustomerName - name of a customer
+ * @customer: its index
+ *
+ * Return: the name.
+ */
+const char *
+FvSim_CustomerName(uint32_t customer)
 {
-    snprintf(name, size, "c%u", customer);
+    static const char *const names[CUSTOMERS_MAX] = {"c0", "c1", "c2", "c3"};
+
+    return names[customer];
 }
 
 /**
@@ -114,7 +122,8 @@
     }
     leader->cap_changes = known;
     for (uint32_t c = 0; c < config.customer_count; c++) {
-        customer_name(c, customers[c].name, sizeof(customers[c].name));
+        FvText_Copy(customers[c].name, sizeof(customers[c].name),
+                    FvSim_CustomerName(c));
         customers[c].weight = 1 + c;
         customers[c].cpu_millis_max = sim->caps[known - 1].cpu_millis[c];
     }
@@ -132,14 +141,14 @@
                      fv_sched_job_t *sched_job)
 {
     if (sim->plan->customers > 0) {
-        customer_name(job->customer, sched_job->customer,
-                      sizeof(sched_job->customer));
+        FvText_Copy(sched_job->customer, sizeof(sched_job->customer),
+                    FvSim_CustomerName(job->customer));
     }
 }
 
 /* What a customer runs on all workers, whoever started it. */
 static int64_t
-used_cpu_millis(sim_t *sim, uint32_t customer)
+used_cpu_millis(const sim_t *sim, uint32_t customer)
 {
     int64_t used = 0;
 
@@ -147,7 +156,7 @@
         for (uint32_t r = 0; r < sim->workers[w].run_count; r++) {
             const sim_run_t *run = &sim->workers[w].runs[r];
 
-            if (FvSim_FindJob(sim, run->task->name)->customer == customer) {
+            if (run->customer == customer) {
                 used += run->step->cpu_millis;
             }
         }
@@ -184,7 +193,8 @@
  * Return: false also when it would bring the customer above the cap.
  */
 bool
-FvSim_IsWellUnderCap(sim_t *sim, const sim_job_t *job, int64_t cpu_millis)
+FvSim_IsWellUnderCap(const sim_t *sim, const sim_job_t *job,
+                     int64_t cpu_millis)
 {
     int64_t cap;
     int64_t used;
@@ -200,18 +210,17 @@
 /**
  * FvSim_CheckCap - check that a start keeps to the cap of its customer
  * @sim: the cell
- * @task: the task, which is not counted yet
+ * @run: the run, which is not counted yet
  */
 void
-FvSim_CheckCap(sim_t *sim, const sim_task_t *task)
+FvSim_CheckCap(sim_t *sim, const sim_run_t *run)
 {
-    uint32_t customer = FvSim_FindJob(sim, task->name)->customer;
-
     if (sim->plan->customers > 0 &&
-        used_cpu_millis(sim, customer) * 100 >
-            highest_cap(sim, customer) * CAP_SLACK_PERCENT) {
-        FvSim_AddViolation(sim, &sim->result->started_above_cap,
-                           "started above its customer's cap:", task->name);
+        used_cpu_millis(sim, run->customer) * 100 >
+            highest_cap(sim, run->customer) * CAP_SLACK_PERCENT) {
+        FvSim_AddViolation(
+            sim, &sim->result->started_above_cap,
+            "started above its customer's cap:", run->task->name);
     }
 }
 
--- a/tests/harness/sched-sim-internal.h
+++ b/tests/harness/sched-sim-internal.h
@@ -97,6 +97,7 @@
     bool fails;
     int64_t stopping_until_ms; /* 0: no stop was ordered */
     const fv_step_spec_t *step;
+    uint32_t customer;
 } sim_run_t;
 
 typedef struct sim_end {
@@ -251,14 +252,15 @@
                      uint32_t worker);
 bool FvSim_PredecessorsDone(sim_t *sim, const char *name);
 void FvSim_CheckWaiting(sim_t *sim);
+const char *FvSim_CustomerName(uint32_t customer);
 void FvSim_InitCustomers(sim_t *sim);
 void FvSim_ChangeCap(sim_t *sim);
 void FvSim_LearnCaps(sim_leader_t *leader);
 void FvSim_SetJobCustomer(const sim_t *sim, const sim_job_t *job,
                           fv_sched_job_t *sched_job);
-bool FvSim_IsWellUnderCap(sim_t *sim, const sim_job_t *job,
+bool FvSim_IsWellUnderCap(const sim_t *sim, const sim_job_t *job,
                           int64_t cpu_millis);
-void FvSim_CheckCap(sim_t *sim, const sim_task_t *task);
+void FvSim_CheckCap(sim_t *sim, const sim_run_t *run);
 void FvSim_CheckCustomerAccounts(sim_leader_t *leader);
 void FvSim_CheckAccounts(sim_leader_t *leader);
 void FvSim_KillRuns(sim_t *sim, sim_worker_t *worker, bool report_ends);
--- a/tests/harness/sched-sim-ops.c
+++ b/tests/harness/sched-sim-ops.c
@@ -222,10 +222,20 @@
                         FvSim_WorkerIndex(leader->sim, worker->entry.id));
 }
 
+static const char *
+ended_customer(fv_sched_t *sched, const char *task)
+{
+    sim_t *sim = ((sim_leader_t *)sched)->sim;
+    const sim_job_t *job = FvSim_FindJob(sim, task);
+
+    return job->ended != NULL ? FvSim_CustomerName(job->customer) : NULL;
+}
+
 const fv_sched_ops_t Fv_SIM_OPS = {.decode = FvPlatform_DecodeJobSpec,
                                    .start = send_start,
                                    .stop = send_stop,
                                    .stop_orphan_run = send_orphan_stop,
                                    .request_advice = send_advice_request,
                                    .record = FvSim_Record,
-                                   .request_report = request_worker_report};
+                                   .request_report = request_worker_report,
+                                   .ended_customer = ended_customer};
--- a/tests/harness/sched-sim-waiting.c
+++ b/tests/harness/sched-sim-waiting.c
@@ -129,8 +129,9 @@
 
         done = step->gang ? done || task_done : done && task_done;
     }
-    return !done && FvSim_PredecessorsDone(sim, first_task) &&
+    return !done &&
            FvSim_IsWellUnderCap(sim, job, wanted * step->cpu_millis) &&
+           FvSim_PredecessorsDone(sim, first_task) &&
            free_task_capacity(sim, first_task, step) >= 2 * (int64_t)wanted;
 }
 
--- a/tests/harness/sched-sim-worker.c
+++ b/tests/harness/sched-sim-worker.c
@@ -400,6 +400,7 @@
         .run = order->run,
         .started_ms = sim->now_ms,
         .step = step,
+        .customer = FvSim_FindJob(sim, order->task)->customer,
         .duration_ms =
             step->estimated_ms / 2 +
             FvSim_RandomBelow(sim, (uint32_t)step->estimated_ms + 1),
@@ -420,7 +421,7 @@
     }
     check_start(sim, worker, task, step);
     check_label(sim, worker, order, step);
-    FvSim_CheckCap(sim, task);
+    FvSim_CheckCap(sim, &run);
     if (step->long_running) {
         run.duration_ms = 2000 + FvSim_RandomBelow(sim, LASTING_RUN_MAX_MS);
         run.fails = FvSim_RandomBelow(sim, 2) == 0;
--- a/tests/unit/sched_customer_test.c
+++ b/tests/unit/sched_customer_test.c
@@ -14,7 +14,8 @@
 #define OTHER "harbour"
 
 #define FIRST_START_MS 1
-#define AUDIT_MS 1000 /* after which a wrong account is corrected */
+#define AUDIT_MS 1000      /* after which a wrong account is corrected */
+#define STOP_OVER_MS 13000 /* by then a stop has been carried out */
 /* After this, an order of a silent worker has no effect any more: the longest
  * delay, and the longest lease with drift and transit. */
 #define ORDER_OVER_MS (12000 + 2 * Fv_FIXTURE_LEASE_MS * 103 / 100 + 250)
@@ -376,6 +377,38 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* A job of the customer was cancelled under an earlier leader, and its runs
+ * are being stopped. What they use is not known; it is no more than the rest
+ * of their worker, and counts for as long as stops take. */
+static void
+test_run_of_an_ended_job_counts(void)
+{
+    fv_running_row_t row = {.run = 1, .task_id = JOB_B ".0.0.0"};
+    fv_worker_report_t report = {.clock_ms = 1000,
+                                 .started_wall_ms = FIRST_START_MS,
+                                 .running = &row,
+                                 .running_count = 1};
+    fv_sched_worker_t *first;
+
+    open_cell(14000, 1);
+    first = FvSched_FindWorker(&fixture.sched, "w1");
+    add_job(JOB_A, four_tasks);
+    fixture.ended_customer = CUSTOMER;
+    FvSched_ApplyReport(&fixture.sched, first, &report, fixture.now_ms,
+                        fixture.now_ms);
+    run_pass(0);
+    CU_ASSERT_EQUAL(starts(JOB_A), 1);
+    for (int64_t ms = 0; ms < STOP_OVER_MS; ms += 1000) {
+        CU_ASSERT_EQUAL(starts(JOB_A), 1);
+        fixture.now_ms += 1000; /* the worker does not stop the run */
+        FvSched_ApplyReport(&fixture.sched, first, &report, fixture.now_ms,
+                            fixture.now_ms);
+        run_pass(0);
+    }
+    CU_ASSERT_EQUAL(starts(JOB_A), 4);
+    FvSchedFixture_Close(&fixture);
+}
+
 /* A worker with an orphaned run never answers again. The run ends with the
  * worker's lease, and counts no longer. */
 static void
@@ -636,6 +669,8 @@
         {"room that is kept for a gang idles below half of the cap",
          test_room_for_a_gang_ends_at_half_of_the_cap},
         {"an orphaned run is not counted", test_orphaned_run_counts},
+        {"a run of an ended job is not counted, or counts for ever",
+         test_run_of_an_ended_job_counts},
         {"an orphaned run that is never resolved counts for ever",
          test_orphaned_run_that_is_never_resolved},
         {"runs of an earlier leader are not counted",
--- a/tests/unit/sched_model_test.c
+++ b/tests/unit/sched_model_test.c
@@ -17,6 +17,11 @@
  * lease to expire is restarted up to twice. */
 #define DEADLINE_MS 100000
 
+/* Longest wait of a task that could run: the usual 3 s, and after a change of
+ * leader the time until each worker has reported and runs that the earlier
+ * leader stopped have ended. */
+#define START_AFTER_FAILOVER_MS 4000
+
 static uint64_t first_seed = 1;
 static uint32_t seeds = SEEDS;
 
@@ -367,6 +372,43 @@
     run_capped_seeds(&splits, false);
 }
 
+/* A customer that uses less than half of its cap waits for nothing but
+ * capacity, and after a change of leader for the runs that are not known. */
+static void
+run_waiting_seeds(const sim_faults_t *faults, bool advice,
+                  uint32_t start_bound_ms)
+{
+    for (uint64_t seed = first_seed; seed < first_seed + seeds; seed++) {
+        run_plan(&(sim_plan_t){.seed = seed,
+                               .workers = 24,
+                               .jobs = 20 + (uint32_t)(seed % 7) * 20,
+                               .faults_end_ms = FAULTS_END_MS,
+                               .deadline_ms = 2 * DEADLINE_MS,
+                               .advice = advice,
+                               .allowed_workers = 8 + (uint32_t)(seed % 5),
+                               .advice_per_worker_us = 15000,
+                               .lasting_jobs = 150,
+                               .check_waiting = true,
+                               .customers = 2 + (uint32_t)(seed % 3),
+                               .start_bound_ms = start_bound_ms,
+                               .faults = *faults});
+    }
+}
+
+static void
+test_waiting_below_caps(void)
+{
+    run_waiting_seeds(&(sim_faults_t){0}, false, 0);
+    run_waiting_seeds(&(sim_faults_t){0}, true, 0);
+}
+
+static void
+test_waiting_below_caps_across_leaders(void)
+{
+    run_waiting_seeds(&(sim_faults_t){.leader_failovers = 100}, false,
+                      START_AFTER_FAILOVER_MS);
+}
+
 /* SCHED_MODEL_SEEDS="FIRST COUNT" runs other seeds. */
 int
 main(void)
@@ -399,6 +441,10 @@
         {"a customer exceeds its cap after it was lowered", test_lowered_caps},
         {"a customer exceeds its cap after a change of leader",
          test_caps_across_leaders},
+        {"a task waits although its customer is well below its cap",
+         test_waiting_below_caps},
+        {"a new leader keeps a customer from its cap",
+         test_waiting_below_caps_across_leaders},
     };
     const char *chosen = getenv("SCHED_MODEL_SEEDS");
     unsigned long long first;
