--- a/tests/harness/sched-sim.c
+++ b/tests/harness/sched-sim.c
@@ -427,3 +427,51 @@
     }
     free_cell(sim);
 }
+
+/**
+ * FvSchedSim_Check - simulate a cell and check that no guarantee is broken
+ * @plan: size, load, faults and deadline
+ */
+void
+FvSchedSim_Check(const sim_plan_t *plan)
+{
+    sim_result_t result;
+
+    FvSchedSim_Run(plan, &result);
+    CU_ASSERT_EQUAL(result.over_capacity, 0);
+    CU_ASSERT_EQUAL(result.concurrent_runs, 0);
+    CU_ASSERT_EQUAL(result.started_after_done, 0);
+    CU_ASSERT_EQUAL(result.started_before_predecessors, 0);
+    CU_ASSERT_EQUAL(result.started_beyond_attempts, 0);
+    CU_ASSERT_EQUAL(result.started_beyond_spread, 0);
+    CU_ASSERT_EQUAL(result.started_without_label, 0);
+    CU_ASSERT_EQUAL(result.started_above_cap, 0);
+    CU_ASSERT_EQUAL(result.waited_too_long, 0);
+    CU_ASSERT_EQUAL(result.unfinished_jobs, 0);
+    CU_ASSERT_EQUAL(result.wrong_outcomes, 0);
+    CU_ASSERT_EQUAL(result.wrong_accounts, 0);
+    CU_ASSERT(result.starts > 40);
+    if (result.first_violation[0] != '\0') {
+        printf("\n    seed %llu: %s ", (unsigned long long)plan->seed,
+               result.first_violation);
+    }
+}
+
+/**
+ * FvSchedSim_ChooseSeeds - read which seeds to run
+ * @first: set by SCHED_MODEL_SEEDS="FIRST COUNT", else kept
+ * @count: the same
+ */
+void
+FvSchedSim_ChooseSeeds(uint64_t *first, uint32_t *count)
+{
+    const char *chosen = getenv("SCHED_MODEL_SEEDS");
+    uint64_t chosen_first;
+    uint32_t chosen_count;
+
+    if (chosen != NULL && sscanf(chosen, "%" SCNu64 " %" SCNu32, &chosen_first,
+                                 &chosen_count) == 2) {
+        *first = chosen_first;
+        *count = chosen_count;
+    }
+}
--- a/tests/harness/sched-sim.h
+++ b/tests/harness/sched-sim.h
@@ -73,5 +73,7 @@
 } sim_result_t;
 
 void FvSchedSim_Run(const sim_plan_t *plan, sim_result_t *result);
+void FvSchedSim_Check(const sim_plan_t *plan);
+void FvSchedSim_ChooseSeeds(uint64_t *first, uint32_t *count);
 
 #endif
--- a/tests/unit/sched_model_test.c
+++ b/tests/unit/sched_model_test.c
@@ -7,9 +7,6 @@
 #include "sched-sim.h"
 #include "suite.h"
 
-#include <stdio.h>
-#include <stdlib.h>
-
 #define SEEDS 40
 #define FAULTS_END_MS 20000
 
@@ -17,37 +14,13 @@
  * lease to expire is restarted up to twice. */
 #define DEADLINE_MS 100000
 
-/* Longest wait of a task that could run: the usual 3 s, and after a change of
- * leader the time until each worker has reported and runs that the earlier
- * leader stopped have ended. */
-#define START_AFTER_FAILOVER_MS 4000
-
 static uint64_t first_seed = 1;
 static uint32_t seeds = SEEDS;
 
 static void
 run_plan(const sim_plan_t *plan)
 {
-    sim_result_t result;
-
-    FvSchedSim_Run(plan, &result);
-    CU_ASSERT_EQUAL(result.over_capacity, 0);
-    CU_ASSERT_EQUAL(result.concurrent_runs, 0);
-    CU_ASSERT_EQUAL(result.started_after_done, 0);
-    CU_ASSERT_EQUAL(result.started_before_predecessors, 0);
-    CU_ASSERT_EQUAL(result.started_beyond_attempts, 0);
-    CU_ASSERT_EQUAL(result.started_beyond_spread, 0);
-    CU_ASSERT_EQUAL(result.started_without_label, 0);
-    CU_ASSERT_EQUAL(result.started_above_cap, 0);
-    CU_ASSERT_EQUAL(result.waited_too_long, 0);
-    CU_ASSERT_EQUAL(result.unfinished_jobs, 0);
-    CU_ASSERT_EQUAL(result.wrong_outcomes, 0);
-    CU_ASSERT_EQUAL(result.wrong_accounts, 0);
-    CU_ASSERT(result.starts > 40);
-    if (result.first_violation[0] != '\0') {
-        printf("\n    seed %llu: %s ", (unsigned long long)plan->seed,
-               result.first_violation);
-    }
+    FvSchedSim_Check(plan);
 }
 
 static void
@@ -93,23 +66,6 @@
     }
 }
 
-static void
-run_capped_seeds(const sim_faults_t *faults, bool advice)
-{
-    for (uint64_t seed = first_seed; seed < first_seed + seeds; seed++) {
-        run_plan(&(sim_plan_t){.seed = seed,
-                               .workers = 10 + (uint32_t)(seed % 5),
-                               .jobs = 60,
-                               .faults_end_ms = FAULTS_END_MS,
-                               .deadline_ms = 2 * DEADLINE_MS,
-                               .advice = advice,
-                               .allowed_workers = 8,
-                               .advice_per_worker_us = 1500,
-                               .customers = 2 + (uint32_t)(seed % 3),
-                               .faults = *faults});
-    }
-}
-
 static void
 test_no_faults(void)
 {
@@ -317,98 +273,6 @@
     run_seeds_with_pages(&faults, true, 2);
 }
 
-/* What a customer runs, with tasks that are being stopped or start late, stays
- * below its cap. */
-static void
-test_caps(void)
-{
-    static const sim_faults_t late_orders = {.lost_orders = 400,
-                                             .worker_outages = 600,
-                                             .failing_tasks = 50,
-                                             .job_cancellations = 500};
-
-    run_capped_seeds(&(sim_faults_t){0}, false);
-    run_capped_seeds(&late_orders, false);
-    run_capped_seeds(&late_orders, true);
-}
-
-/* A lowered cap stops no tasks and lets none start. */
-static void
-test_lowered_caps(void)
-{
-    static const sim_faults_t faults = {.lost_orders = 150,
-                                        .failing_tasks = 50,
-                                        .worker_crashes = 150,
-                                        .worker_outages = 150,
-                                        .job_cancellations = 300,
-                                        .cap_changes = 500};
-
-    run_capped_seeds(&(sim_faults_t){.cap_changes = 1000}, false);
-    run_capped_seeds(&faults, false);
-    run_capped_seeds(&faults, true);
-}
-
-/* A new leader does not know at first what its predecessor has started. */
-static void
-test_caps_across_leaders(void)
-{
-    static const sim_faults_t failovers = {.lost_orders = 150,
-                                           .lost_renewals = 50,
-                                           .worker_outages = 300,
-                                           .leader_failovers = 300,
-                                           .leader_absence_ms = 1000,
-                                           .job_cancellations = 500,
-                                           .cap_changes = 300};
-    static const sim_faults_t splits = {.lost_orders = 80,
-                                        .worker_outages = 150,
-                                        .leader_failovers = 50,
-                                        .leader_handovers = 100,
-                                        .job_cancellations = 300,
-                                        .splits = 200,
-                                        .cap_changes = 300};
-
-    run_capped_seeds(&failovers, false);
-    run_capped_seeds(&failovers, true);
-    run_capped_seeds(&splits, false);
-}
-
-/* A customer that uses less than half of its cap waits for nothing but
- * capacity, and after a change of leader for the runs that are not known. */
-static void
-run_waiting_seeds(const sim_faults_t *faults, bool advice,
-                  uint32_t start_bound_ms)
-{
-    for (uint64_t seed = first_seed; seed < first_seed + seeds; seed++) {
-        run_plan(&(sim_plan_t){.seed = seed,
-                               .workers = 24,
-                               .jobs = 20 + (uint32_t)(seed % 7) * 20,
-                               .faults_end_ms = FAULTS_END_MS,
-                               .deadline_ms = 2 * DEADLINE_MS,
-                               .advice = advice,
-                               .allowed_workers = 8 + (uint32_t)(seed % 5),
-                               .advice_per_worker_us = 15000,
-                               .lasting_jobs = 150,
-                               .check_waiting = true,
-                               .customers = 2 + (uint32_t)(seed % 3),
-                               .start_bound_ms = start_bound_ms,
-                               .faults = *faults});
-    }
-}
-
-static void
-test_waiting_below_caps(void)
-{
-    run_waiting_seeds(&(sim_faults_t){0}, false, 0);
-    run_waiting_seeds(&(sim_faults_t){0}, true, 0);
-}
-
-static void
-test_waiting_below_caps_across_leaders(void)
-{
-    run_waiting_seeds(&(sim_faults_t){.leader_failovers = 100}, false,
-                      START_AFTER_FAILOVER_MS);
-}
-
 /* SCHED_MODEL_SEEDS="FIRST COUNT" runs other seeds. */
 int
 main(void)
@@ -437,22 +301,8 @@
         {"a guarantee is broken by all faults together", test_all_faults},
         {"a guarantee is broken by reports that do not list all ends",
          test_reports_cut_off},
-        {"a customer exceeds its cap by late orders", test_caps},
-        {"a customer exceeds its cap after it was lowered", test_lowered_caps},
-        {"a customer exceeds its cap after a change of leader",
-         test_caps_across_leaders},
-        {"a task waits although its customer is well below its cap",
-         test_waiting_below_caps},
-        {"a new leader keeps a customer from its cap",
-         test_waiting_below_caps_across_leaders},
     };
-    const char *chosen = getenv("SCHED_MODEL_SEEDS");
-    unsigned long long first;
-    unsigned count;
 
-    if (chosen != NULL && sscanf(chosen, "%llu %u", &first, &count) == 2) {
-        first_seed = first;
-        seeds = count;
-    }
+    FvSchedSim_ChooseSeeds(&first_seed, &seeds);
     return Fv_RUN_SUITE("sched_model", cases);
 }
