cell-leader: start nothing for customers before their caps are known

A host that was just started may lead before it has a configuration, and had loaded jobs by then. Their tasks would have started without regard to the caps of their customers. The leader makes no pass until it has one, if a job has a customer. A submission is checked against the newest configuration. Test in leader_requests_test.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -54,19 +54,31 @@
 #define Fv_RUNS_PER_GENERATION 1000
 #define Fv_ADVICE_REQUEST_ID_BITS 24 /* requests of one leader */
 
-/* The caps and weights of the newest configuration that this host has. */
-static void
-apply_customers(fv_leader_t *leader)
+/**
+ * FvLeader_ApplyCustomers - apply the caps and weights of the newest
+ * configuration that this host has
+ * @leader: the leader
+ *
+ * Return: false when a job has a customer and this host has no configuration
+ * yet, so that the caps are not known. It gets one from the store, which it
+ * has read the jobs from, or from another host.
+ */
+bool
+FvLeader_ApplyCustomers(fv_leader_t *leader)
 {
     const fv_cell_config_t *config =
         leader->events.config(leader->events.context);
 
-    if (config != NULL && config->version != leader->customers_version) {
+    if (config == NULL) {
+        return leader->sched.customers == NULL;
+    }
+    if (config->version != leader->customers_version) {
         leader->customers_version = config->version;
         if (config->has_customers || leader->sched.customers != NULL) {
             FvSched_SetCustomers(&leader->sched, config);
         }
     }
+    return true;
 }
 
 static void
@@ -78,8 +90,8 @@
     (void)fd;
     (void)what;
     if (leader->serving &&
-        leader->events.may_send_orders(leader->events.context, now_ms)) {
-        apply_customers(leader);
+        leader->events.may_send_orders(leader->events.context, now_ms) &&
+        FvLeader_ApplyCustomers(leader)) {
         FvSched_RunPass(&leader->sched, now_ms, FvClock_WallMs());
         leader->last_pass_us =
             (FvClock_NowNs() - now_ms * Fv_NS_PER_MS) / Fv_NS_PER_US;
@@ -417,7 +429,6 @@
     if (!leader->serving) {
         return;
     }
-    apply_customers(leader);
     note_stopped_leaders(leader, now_ms);
     release_inherited_tasks(leader, now_ms);
     leader->forgetting_us = 0;
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -192,6 +192,7 @@
 void FvLeader_SchedulePass(fv_leader_t *leader);
 bool FvLeader_FinishCall(fv_leader_t *leader);
 fv_leader_t *FvLeader_FromSched(fv_sched_t *sched);
+bool FvLeader_ApplyCustomers(fv_leader_t *leader);
 
 bool FvLeader_HaveEarlierStopped(const fv_leader_t *leader, int64_t now_ms);
 bool FvLeader_IsWorkerGone(const fv_leader_t *leader,
--- a/src/leader-requests.c
+++ b/src/leader-requests.c
@@ -253,6 +253,7 @@
                Fv_MEMORY_RETRY_AFTER_S);
         return;
     }
+    FvLeader_ApplyCustomers(leader);
     customer = find_customer(leader, queue, message);
     if (!FvSched_CanFitUnderCap(customer, &spec)) {
         FvJobSpec_Clear(&spec);
--- a/tests/unit/leader_requests_test.c
+++ b/tests/unit/leader_requests_test.c
@@ -33,6 +33,7 @@
 
 static fv_cell_queue_t queue = {
     .name = QUEUE, .service = "app", .attempts_max = 3};
+static bool has_config = true;
 static fv_cell_config_t config = {.queue_count = 1, .queues = &queue};
 
 static bool
@@ -63,7 +64,7 @@
 on_config(void *context)
 {
     (void)context;
-    return &config;
+    return has_config ? &config : NULL;
 }
 
 static void
@@ -415,6 +416,7 @@
 close_leader_with_customers(void)
 {
     config.has_customers = false;
+    config.customer_count = 0;
     queue.is_public = false;
     close_leader();
 }
@@ -539,18 +541,18 @@
     }
 }
 
+static fv_cell_customer_t east = {.name = "east"};
+
 /* Sets the rate and the cap of a customer, in a cell without workers. */
 static void
 set_customer(double weight, int64_t cap_cpu_millis)
 {
-    fv_cell_customer_t east = {
-        .name = "east", .weight = weight, .cpu_millis_max = cap_cpu_millis};
-
+    east.weight = weight;
+    east.cpu_millis_max = cap_cpu_millis;
     config.has_customers = true;
-    FvSched_SetCustomers(&leader.sched,
-                         &(fv_cell_config_t){.has_customers = true,
-                                             .customer_count = 1,
-                                             .customers = &east});
+    config.customer_count = 1;
+    config.customers = &east;
+    config.version++;
 }
 
 /* A task above its customer's cap would wait for ever. */
@@ -568,6 +570,25 @@
     close_leader_with_customers();
 }
 
+/* A host that was just started leads before it has a configuration. It has
+ * read the jobs, and would start their tasks without regard to the caps. */
+static void
+test_leader_without_configuration(void)
+{
+    open_leader();
+    has_config = false;
+    CU_ASSERT_TRUE(FvLeader_ApplyCustomers(&leader));
+    FvText_Copy(leader.sched.jobs->customer, Fv_NAME_SIZE, "east");
+    FvSched_ReleaseStages(&leader.sched, leader.sched.jobs, 0, 0);
+    CU_ASSERT_FALSE(FvLeader_ApplyCustomers(&leader));
+    has_config = true;
+    set_customer(5, 700);
+    CU_ASSERT_TRUE(FvLeader_ApplyCustomers(&leader));
+    CU_ASSERT_EQUAL(
+        FvSched_FindCustomer(&leader.sched, "east")->cap.cpu_millis, 700);
+    close_leader_with_customers();
+}
+
 /* Only the second job of one second is beyond the rate; those on a public
  * route have none. Callers that are refused at one time come back at different
  * times. */
@@ -649,6 +670,8 @@
          test_odd_records_of_ended_jobs},
         {"a job is accepted that its customer's cap never admits",
          test_job_above_its_customers_cap},
+        {"a leader without a configuration starts tasks of customers",
+         test_leader_without_configuration},
         {"excess is accepted in a full cell, or other jobs are refused",
          test_excess_in_a_full_cell},
         {"a new leader refuses jobs because it knows no workers",
