sched-excess: no rate for customers without a weight

A customer whose configuration has no weight got weight 1 for its share, and with it a rate of one job a second that nobody had agreed on: nearly all of its jobs were excess. The configuration now tells the rate apart (job_rate, 0: none).

--- a/src/cell-types.h
+++ b/src/cell-types.h
@@ -73,7 +73,8 @@
  * sent or stored. */
 typedef struct fv_cell_customer {
     char name[Fv_NAME_SIZE];
-    double weight; /* share when the cell is full; jobs a second */
+    double weight;   /* share when the cell is full */
+    double job_rate; /* jobs a second: the weight; 0: none is configured */
     /* Most that its tasks may use over all workers; 0: not limited. */
     int64_t cpu_millis_max;
     int64_t memory_mib_max;
--- a/src/sched-customer.c
+++ b/src/sched-customer.c
@@ -124,6 +124,7 @@
 
         customer->configured = true;
         customer->weight = source->weight;
+        customer->job_rate = source->job_rate;
         customer->cap =
             (fv_sched_resources_t){.cpu_millis = source->cpu_millis_max,
                                    .memory_mib = source->memory_mib_max,
--- a/src/sched-excess.c
+++ b/src/sched-excess.c
@@ -12,10 +12,16 @@
 /* The bucket holds what is submitted in this time, and one job at least. */
 #define Fv_EXCESS_BURST_S 1.0
 
+static bool
+has_rate(const fv_sched_customer_t *customer)
+{
+    return customer != NULL && customer->configured && customer->job_rate > 0;
+}
+
 static double
 burst(const fv_sched_customer_t *customer)
 {
-    double jobs = customer->weight * Fv_EXCESS_BURST_S;
+    double jobs = customer->job_rate * Fv_EXCESS_BURST_S;
 
     return jobs > 1.0 ? jobs : 1.0;
 }
@@ -25,7 +31,7 @@
 tokens_at(const fv_sched_customer_t *customer, int64_t now_ms)
 {
     double elapsed_s = (double)(now_ms - customer->tokens_ms) / Fv_MS_PER_S;
-    double tokens = customer->tokens + elapsed_s * customer->weight;
+    double tokens = customer->tokens + elapsed_s * customer->job_rate;
     double most = burst(customer);
 
     if (customer->tokens_ms == 0) {
@@ -40,14 +46,13 @@
  * @customer: the customer, or NULL
  * @now_ms: the time
  *
- * Return: false also when the newest configuration does not have the customer,
- * whose rate is not known then.
+ * Return: false also when the newest configuration does not have the customer
+ * or no weight for it.
  */
 bool
 FvSched_IsOverRate(const fv_sched_customer_t *customer, int64_t now_ms)
 {
-    return customer != NULL && customer->configured &&
-           tokens_at(customer, now_ms) < 1.0;
+    return has_rate(customer) && tokens_at(customer, now_ms) < 1.0;
 }
 
 /**
@@ -60,7 +65,7 @@
 {
     fv_sched_customer_t *customer = job->account;
 
-    if (customer == NULL || !customer->configured) {
+    if (!has_rate(customer)) {
         return;
     }
     customer->tokens = tokens_at(customer, now_ms);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -291,6 +291,7 @@
     char name[Fv_NAME_SIZE];
     bool configured; /* in the newest configuration */
     double weight;
+    double job_rate;               /* jobs a second; 0: not limited */
     fv_sched_resources_t cap;      /* 0: not limited */
     fv_sched_resources_t usage;    /* of the tasks on workers */
     fv_sched_resources_t in_doubt; /* runs that may exist, in this pass */
--- a/tests/unit/leader_requests_test.c
+++ b/tests/unit/leader_requests_test.c
@@ -548,6 +548,7 @@
 set_customer(double weight, int64_t cap_cpu_millis)
 {
     east.weight = weight;
+    east.job_rate = weight;
     east.cpu_millis_max = cap_cpu_millis;
     config.has_customers = true;
     config.customer_count = 1;
--- a/tests/unit/platform_decode_test.c
+++ b/tests/unit/platform_decode_test.c
@@ -279,6 +279,8 @@
     CU_ASSERT_EQUAL(config->customers[0].accelerators_max, 0);
     CU_ASSERT_EQUAL(config->customers[1].key_count, 0);
     CU_ASSERT(config->customers[1].weight > 0);
+    CU_ASSERT(config->customers[0].job_rate >= config->customers[0].weight);
+    CU_ASSERT_EQUAL(config->customers[1].job_rate, 0);
     CU_ASSERT_TRUE(config->queues[0].is_public);
     CU_ASSERT_FALSE(config->queues[1].is_public);
     FvCellConfig_Free(config);
--- a/tests/unit/sched_excess_test.c
+++ b/tests/unit/sched_excess_test.c
@@ -25,8 +25,10 @@
 static void
 set_customer(double weight, int64_t cap_cpu_millis)
 {
-    fv_cell_customer_t customer = {
-        .name = CUSTOMER, .weight = weight, .cpu_millis_max = cap_cpu_millis};
+    fv_cell_customer_t customer = {.name = CUSTOMER,
+                                   .weight = weight,
+                                   .job_rate = weight,
+                                   .cpu_millis_max = cap_cpu_millis};
 
     FvSched_SetCustomers(&fixture.sched,
                          &(fv_cell_config_t){.has_customers = true,
@@ -121,8 +123,8 @@
     FvSchedFixture_Close(&fixture);
 }
 
-/* Nobody knows the rate of a customer that is not configured, and jobs of no
- * customer have none. */
+/* Nobody knows the rate of a customer that is not configured or has no weight,
+ * and jobs of no customer have none. */
 static void
 test_unknown_rate(void)
 {
@@ -138,6 +140,9 @@
     FvSched_CountAcceptedJob(&job, fixture.now_ms);
     CU_ASSERT_FALSE(job.excess);
     CU_ASSERT_FALSE(FvSched_IsOverRate(customer(), fixture.now_ms));
+    set_customer(1, 0);
+    customer()->job_rate = 0;
+    CU_ASSERT_FALSE(FvSched_IsOverRate(customer(), fixture.now_ms));
     FvSchedFixture_Close(&fixture);
 }
 
