--- a/tests/harness/cell-worker.c
+++ b/tests/harness/cell-worker.c
@@ -211,6 +211,30 @@
     }
 }
 
+/* Share of its cap up to which a customer may be when a task starts. */
+#define CELL_CAP_PERCENT 110
+
+/* A payload may name its customer by a number, and the highest cap that is in
+ * force for it. */
+static void
+check_cap(cell_t *cell, const cell_run_t *run, const char *payload,
+          const cell_worker_t *worker)
+{
+    int64_t cap = read_payload_number(payload, "cap=", 0);
+    int64_t used = -run->cpu_millis;
+
+    for (uint32_t w = 0; cap > 0 && w < cell->worker_count; w++) {
+        for (const cell_run_t *other = cell->workers[w].runs; other != NULL;
+             other = other->next) {
+            used += other->customer == run->customer ? other->cpu_millis : 0;
+        }
+    }
+    if (cap > 0 && used * 100 > cap * CELL_CAP_PERCENT) {
+        add_violation(cell, "above its customer's cap", run->task, run->run,
+                      worker->id);
+    }
+}
+
 static void
 begin_run(cell_t *cell, cell_worker_t *worker, const json_t *body,
           const char *name, int32_t number, int64_t received_ms,
@@ -225,6 +249,7 @@
     *run = (cell_run_t){
         .run = number,
         .cpu_millis = read_payload_number(payload, "cpu=", 0),
+        .customer = read_payload_number(payload, "customer=", 0),
         .started_ms = now_ms,
         .fails = strstr(payload, "fails") != NULL,
         .ends_ms = now_ms + read_payload_number(payload, "run_ms=", 100),
@@ -252,6 +277,7 @@
         used += other->cpu_millis;
     }
     check_label(cell, worker, payload, name, number);
+    check_cap(cell, run, payload, worker);
     if (used > CELL_CPU_MILLIS) {
         add_violation(cell, "over capacity", name, number, worker->id);
     }
--- a/tests/harness/fake-cell.h
+++ b/tests/harness/fake-cell.h
@@ -49,7 +49,8 @@
     int64_t started_ms;
     int64_t ends_ms;
     bool fails;
-    bool stopping; /* not listed in reports */
+    bool stopping;    /* not listed in reports */
+    int64_t customer; /* 0: none */
     struct cell_run *next;
 } cell_run_t;
 
