--- a/tests/unit/platform_decode_test.c
+++ b/tests/unit/platform_decode_test.c
@@ -205,6 +205,19 @@
     return FvPlatform_DecodeConfig(document, strlen(document), reason);
 }
 
+static fv_cell_config_t *
+decode_good_config(const char *document)
+{
+    const char *reason;
+    fv_cell_config_t *config = decode_config(document, &reason);
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(config);
+    if (config == NULL) {
+        abort();
+    }
+    return config;
+}
+
 /* A typing error in one customer must not take access or a cap from another:
  * the configuration is refused as a whole, with the reason. */
 static void
@@ -245,8 +258,7 @@
 
     for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
         CU_ASSERT_PTR_NULL(decode_config(bad[i].document, &reason));
-        CU_ASSERT_PTR_NOT_NULL_FATAL(reason);
-        CU_ASSERT_STRING_EQUAL(reason, bad[i].reason);
+        CU_ASSERT_STRING_EQUAL(reason != NULL ? reason : "", bad[i].reason);
     }
     CU_ASSERT_PTR_NULL(decode_config("{\"tenants\":[]}", &reason));
     CU_ASSERT_PTR_NULL(reason);
@@ -255,18 +267,15 @@
 static void
 test_customers(void)
 {
-    const char *reason;
-    fv_cell_config_t *config = decode_config(
+    fv_cell_config_t *config = decode_good_config(
         "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"h\","
         "\"prefix\":\"/q/\",\"service\":\"s\",\"public\":true},"
         "{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/r/\","
         "\"service\":\"s\"}],\"tenants\":[{\"name\":\"east side\","
         "\"apiKeys\":[\"k1\",\"k2\",\"k1\"],\"weight\":1e300,\"cap\":"
         "{\"cpu\":0.5,\"memMb\":4096,\"gpus\":null},\"new\":[]},"
-        "{\"name\":\"west\",\"apiKeys\":null,\"cap\":null}]}",
-        &reason);
+        "{\"name\":\"west\",\"apiKeys\":null,\"cap\":null}]}");
 
-    CU_ASSERT_PTR_NOT_NULL_FATAL(config);
     CU_ASSERT_TRUE(config->has_customers);
     CU_ASSERT_EQUAL_FATAL(config->customer_count, 2);
     CU_ASSERT_STRING_EQUAL(config->customers[0].name, "east side");
@@ -294,12 +303,10 @@
     } configs[] = {{"{\"version\":1,\"routes\":[]}", false},
                    {CUSTOMERS("null"), false},
                    {CUSTOMERS("[]"), true}};
-    const char *reason;
 
     for (size_t i = 0; i < sizeof(configs) / sizeof(configs[0]); i++) {
-        fv_cell_config_t *config = decode_config(configs[i].document, &reason);
+        fv_cell_config_t *config = decode_good_config(configs[i].document);
 
-        CU_ASSERT_PTR_NOT_NULL_FATAL(config);
         CU_ASSERT_EQUAL(config->has_customers, configs[i].has_customers);
         CU_ASSERT_EQUAL(config->customer_count, 0);
         FvCellConfig_Free(config);
