leader: bound what callers' questions and cancellations hold

A question about an unknown job is held until a renewal, a cancellation of one adds a barred job for keep_ended_s, and each request for a job whose record is being written adds a waiter. None of these had a bound beside the rate of the callers. Now at most 8,192 questions are held and the barred jobs take a sixteenth of the memory (27,000 at 120 MB); beyond, the request counts as not processed, so that its host sends it again and then refuses it with 503. A job has at most 256 waiters; further requests time out at their hosts, as when memory is exhausted.

--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -320,10 +320,7 @@
         if (now_ms - ended->ended_ms <= retention_ms || !ended->recorded) {
             return; /* sorted by end time */
         }
-        /* uthash unlinks the entry, which the analyzer does not see. */
-        /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
-        HASH_DEL(leader->ended, ended);
-        free(ended);
+        FvLeaderRecord_ForgetEnded(leader, ended);
     }
 }
 
--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -31,6 +31,7 @@
     fv_verb_t verb;
     fv_leader_reply_t reply;
     void *context;
+    uint32_t position; /* in the list, from its end */
     struct fv_record_waiter *next;
 } fv_record_waiter_t;
 
@@ -148,6 +149,8 @@
     int64_t customers_version; /* the same for caps and weights */
     fv_held_question_t *questions_first; /* in order of renewals */
     fv_held_question_t *questions_last;
+    uint32_t question_count;
+    uint32_t barred_count; /* of the ended jobs */
     fv_advice_request_t *advice_requests;
     int64_t last_advice_request_id;
     int64_t stream_revisions[Fv_RECORD_STREAMS];
@@ -232,6 +235,8 @@
                               fv_leader_reply_t reply, void *context);
 void FvLeaderRecord_DropWaiters(fv_record_waiter_t **waiters,
                                 const void *context);
+void FvLeaderRecord_ForgetEnded(fv_leader_t *leader, fv_ended_job_t *ended);
+bool FvLeaderRecord_MayBar(const fv_leader_t *leader);
 void FvLeaderRecord_AddBarWaiter(fv_ended_job_t *ended,
                                  const fv_cell_message_t *message,
                                  fv_leader_reply_t reply, void *context);
--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -8,6 +8,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Requests that wait for the records of one job. A caller repeats one a few
+ * times; beyond this number they time out at their hosts. */
+#define Fv_WAITERS_MAX 256
+
+/* Share of the memory for jobs that cancellations of unknown jobs may take in
+ * addition: a sixteenth of the process's memory, 27,000 of them at 120 MB. */
+#define Fv_BARRED_DIVISOR 4
+#define Fv_ENTRY_BYTES 48 /* of the hash table and the allocation */
+
 /* Answers the requests in a list that wait for a record of a job. @verb: only
  * these requests; 0: all */
 static void
@@ -42,12 +51,17 @@
 add_waiter(fv_record_waiter_t **waiters, const fv_cell_message_t *message,
            fv_leader_reply_t reply, void *context)
 {
-    fv_record_waiter_t *waiter = calloc(1, sizeof(*waiter));
+    uint32_t position = *waiters != NULL ? (*waiters)->position + 1 : 1;
+    fv_record_waiter_t *waiter = NULL;
 
+    if (position <= Fv_WAITERS_MAX) {
+        waiter = calloc(1, sizeof(*waiter));
+    }
     if (waiter == NULL) {
         return; /* the request times out and is repeated */
     }
     *waiter = (fv_record_waiter_t){.id = message->id,
+                                   .position = position,
                                    .verb = (fv_verb_t)message->number,
                                    .reply = reply,
                                    .context = context,
@@ -106,6 +120,45 @@
     }
 }
 
+static bool
+is_barred(const fv_ended_job_t *ended)
+{
+    return strcmp(ended->state, Fv_STATE_BARRED) == 0;
+}
+
+/**
+ * FvLeaderRecord_ForgetEnded - remove an ended job from memory
+ * @leader: the leader
+ * @ended: the job, for which nobody waits; it is freed
+ */
+void
+FvLeaderRecord_ForgetEnded(fv_leader_t *leader, fv_ended_job_t *ended)
+{
+    leader->barred_count -= is_barred(ended);
+    /* uthash unlinks the entry, which the analyzer does not see. */
+    /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
+    HASH_DEL(leader->ended, ended);
+    free(ended);
+}
+
+/**
+ * FvLeaderRecord_MayBar - whether there is memory for another barred job
+ * @leader: the leader
+ *
+ * Every host that may lead next has to hold them too.
+ *
+ * Return: false when the barred jobs take their share already.
+ */
+bool
+FvLeaderRecord_MayBar(const fv_leader_t *leader)
+{
+    int64_t bytes = ((int64_t)leader->barred_count + 1) *
+                    (int64_t)(sizeof(fv_ended_job_t) + Fv_ENTRY_BYTES);
+
+    return leader->sched.job_memory_max_bytes == 0 ||
+           bytes <= leader->sched.job_memory_max_bytes / Fv_BARRED_DIVISOR;
+}
+
 static fv_ended_job_t *
 find_or_add_ended(fv_leader_t *leader, const char *id, const char *state)
 {
@@ -120,7 +173,9 @@
         FvText_Copy(ended->id, sizeof(ended->id), id);
         HASH_ADD_STR(leader->ended, id, ended);
     }
+    leader->barred_count -= is_barred(ended);
     FvText_Copy(ended->state, sizeof(ended->state), state);
+    leader->barred_count += is_barred(ended);
     ended->ended_ms = FvClock_NowMs();
     return ended;
 }
@@ -419,8 +474,7 @@
     if (ended != NULL) {
         answer_list(call->leader, ended->id, &ended->waiters, (fv_verb_t)0,
                     Fv_REPLY_NOT_READY, "");
-        HASH_DEL(call->leader->ended, ended);
-        free(ended);
+        FvLeaderRecord_ForgetEnded(call->leader, ended);
     }
     free(call);
 }
--- a/src/leader-requests.c
+++ b/src/leader-requests.c
@@ -24,6 +24,10 @@
 
 #define Fv_EXCESS_LOG_LINES_PER_S 10
 
+/* Questions about unknown jobs that wait for a renewal, 0.2 s at most, take up
+ * to 2 MB; those beyond are sent again by their hosts. */
+#define Fv_QUESTIONS_MAX 8192
+
 /* Names, numbers and headers of a job's record besides the submission. */
 #define Fv_JOB_RECORD_HEADER_MAX_BYTES 512
 
@@ -333,8 +337,11 @@
 hold_question(fv_leader_t *leader, const fv_cell_message_t *message,
               fv_leader_reply_t reply, void *context)
 {
-    fv_held_question_t *question = calloc(1, sizeof(*question));
+    fv_held_question_t *question = NULL;
 
+    if (leader->question_count < Fv_QUESTIONS_MAX) {
+        question = calloc(1, sizeof(*question));
+    }
     if (question == NULL) {
         reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
         return;
@@ -357,6 +364,7 @@
         leader->questions_first = question;
     }
     leader->questions_last = question;
+    leader->question_count++;
 }
 
 static fv_held_question_t *
@@ -364,6 +372,7 @@
 {
     fv_held_question_t *question = leader->questions_first;
 
+    leader->question_count--;
     leader->questions_first = question->next;
     if (leader->questions_first == NULL) {
         leader->questions_last = NULL;
@@ -409,7 +418,8 @@
     else if (message->number == Fv_VERB_STATE) {
         hold_question(leader, message, reply, context);
     }
-    else if (FvRecordWriter_Stalled(leader->records, FvClock_NowMs())) {
+    else if (FvRecordWriter_Stalled(leader->records, FvClock_NowMs()) ||
+             !FvLeaderRecord_MayBar(leader)) {
         reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
     }
     else {
@@ -561,6 +571,7 @@
             continue;
         }
         *link = question->next;
+        leader->question_count--;
         free(question);
     }
 }
--- a/tests/unit/leader_requests_test.c
+++ b/tests/unit/leader_requests_test.c
@@ -321,6 +321,63 @@
     close_leader();
 }
 
+/* Guards against callers that fill a leader's memory with questions about jobs
+ * that nobody knows. */
+static void
+test_questions_are_bounded(void)
+{
+    uint32_t held = 0;
+
+    open_leader();
+    while (held < 100000 && request(Fv_VERB_STATE, UNKNOWN) == 0) {
+        held++;
+    }
+    CU_ASSERT_EQUAL(held, 8192);
+    CU_ASSERT_EQUAL(answer, Fv_REPLY_NOT_READY);
+    FvLeader_LeaseProved(&leader, RENEWAL, 0);
+    CU_ASSERT_EQUAL(answer, Fv_REPLY_GONE);
+    CU_ASSERT_EQUAL(request(Fv_VERB_STATE, UNKNOWN), 0);
+    close_leader();
+}
+
+/* Guards against cancellations of jobs that nobody knows which fill the memory
+ * of this and all later leaders. */
+static void
+test_barred_jobs_are_bounded(void)
+{
+    char job[Fv_JOB_ID_SIZE];
+    uint32_t barred = 0;
+
+    open_leader();
+    leader.sched.job_memory_max_bytes = 100000;
+    while (barred < 1000) {
+        snprintf(job, sizeof(job), "%016x", barred + 1);
+        if (request(Fv_VERB_CANCEL, job) != 0) {
+            break;
+        }
+        barred++;
+    }
+    CU_ASSERT(barred > 20 && barred < 200);
+    CU_ASSERT_EQUAL(answer, Fv_REPLY_NOT_READY);
+    close_leader();
+}
+
+/* Guards against repeated requests for one job that fill a leader's memory
+ * while its record is written. */
+static void
+test_waiting_requests_are_bounded(void)
+{
+    open_leader();
+    for (int i = 0; i < 1000; i++) {
+        CU_ASSERT_EQUAL(request(Fv_VERB_CANCEL, UNKNOWN), 0);
+    }
+    answers = 0;
+    write_records();
+    CU_ASSERT_EQUAL(answers, 256);
+    CU_ASSERT_EQUAL(answer, Fv_REPLY_GONE);
+    close_leader();
+}
+
 /* The store refuses the record, since another host leads. */
 static void
 test_deposed_leader_acknowledges_no_cancellation(void)
@@ -631,6 +688,12 @@
          test_job_accepted_before_the_renewal},
         {"a job is accepted after its cancellation was answered",
          test_unknown_job_is_barred_before_the_answer},
+        {"questions about unknown jobs take all memory",
+         test_questions_are_bounded},
+        {"cancellations of unknown jobs take all memory",
+         test_barred_jobs_are_bounded},
+        {"requests for one job take all memory",
+         test_waiting_requests_are_bounded},
         {"a deposed leader acknowledges a cancellation",
          test_deposed_leader_acknowledges_no_cancellation},
         {"a cancellation that was not recorded is acknowledged",
