--- a/tests/unit/host_link_test.c
+++ b/tests/unit/host_link_test.c
@@ -305,6 +305,46 @@
     close_pair(&pair);
 }
 
+/* A check that cannot be read must not be taken for one of nobody. */
+static void
+test_unreadable_check_of_a_request(void)
+{
+    static const struct {
+        const char *name;
+        const char *body;
+        size_t length;
+    } odd[] = {
+        {"east", "", 0},
+        {"east", "\x92\x01", 2},
+        {"east", "\x91\x01", 2},
+        {"east", "\x92\x01\xa1x", 4},
+        {"east", "\x92\xff\x01", 3},
+        {"east", "\x92\x01\x02\x03", 4},
+        {"0123456789012345678901234567890123456789012345678901234567890123",
+         "\x92\x01\x02", 3},
+    };
+
+    for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+        pair_t pair;
+
+        open_pair(&pair);
+        FvLinks_Send(pair.follower.peer,
+                     &(fv_cell_message_t){.kind = Fv_CELL_MESSAGE_CALLER,
+                                          .id = 1,
+                                          .number = 7,
+                                          .name = odd[i].name,
+                                          .body = odd[i].body,
+                                          .body_length = odd[i].length});
+        send_request(&pair.follower, 1, NULL, &(fv_caller_check_t){0});
+        for (int r = 0; r < TIMEOUT_ROUNDS && pair.leader.closed == 0; r++) {
+            run_rounds(pair.base, 1);
+        }
+        CU_ASSERT_EQUAL(pair.leader.closed, 1);
+        CU_ASSERT_EQUAL(pair.leader.request, 0);
+        close_pair(&pair);
+    }
+}
+
 /* Earlier builds close a link with a message that has other than six fields,
  * and ignore one of an unknown kind. */
 static void
@@ -364,6 +404,8 @@
          test_suspended_peer_is_given_up},
         {"a request loses its customer on a link, or gets an earlier one's",
          test_customer_of_a_request},
+        {"an unreadable check of a request is taken for another one",
+         test_unreadable_check_of_a_request},
         {"an earlier build cannot read a request with a customer",
          test_request_for_an_earlier_build},
     };
