route: queue and verb of a request in a file of their own

Change: finding the queue, the verb and the deadline moves to route.c; the leader finds queues by the same function.

--- a/src/frontend.c
+++ b/src/frontend.c
@@ -8,6 +8,7 @@
 #include "caller-connection.h"
 #include "entry.h"
 #include "forwarding.h"
+#include "route.h"
 
 #include <event2/buffer.h>
 #include <event2/http.h>
@@ -15,9 +16,7 @@
 #include <event2/keyvalq_struct.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
-#define Fv_DEFAULT_DEADLINE_MS 3000 /* without a deadline header */
 #define Fv_RETRY_AFTER_S "1"
 #define Fv_SWEEP_MS 50
 
@@ -151,36 +150,6 @@
     free(request);
 }
 
-static const fv_cell_queue_t *
-find_queue(const fv_frontend_t *frontend, const char *host, const char *path)
-{
-    const fv_cell_queue_t *best = NULL;
-    size_t host_length = strcspn(host, ":");
-
-    for (uint32_t i = 0; i < frontend->config->queue_count; i++) {
-        const fv_cell_queue_t *queue = &frontend->config->queues[i];
-
-        if (strlen(queue->virtual_host) == host_length &&
-            strncasecmp(queue->virtual_host, host, host_length) == 0 &&
-            strncmp(path, queue->prefix, strlen(queue->prefix)) == 0 &&
-            (best == NULL || strlen(queue->prefix) > strlen(best->prefix))) {
-            best = queue;
-        }
-    }
-    return best;
-}
-
-static const fv_cell_queue_t *
-find_queue_by_name(const fv_frontend_t *frontend, const char *name)
-{
-    for (uint32_t i = 0; i < frontend->config->queue_count; i++) {
-        if (strcmp(frontend->config->queues[i].name, name) == 0) {
-            return &frontend->config->queues[i];
-        }
-    }
-    return NULL;
-}
-
 static fv_caller_verdict_t
 check_caller(const fv_frontend_t *frontend, struct evhttp_request *http,
              const fv_cell_queue_t *queue, char customer[Fv_NAME_SIZE])
@@ -226,9 +195,10 @@
     if (request->checked_version == frontend->config->version) {
         return true;
     }
-    verdict = check_caller(frontend, request->http,
-                           find_queue_by_name(frontend, request->queue),
-                           request->customer);
+    verdict =
+        check_caller(frontend, request->http,
+                     FvRoute_FindQueueByName(frontend->config, request->queue),
+                     request->customer);
     request->checked_version = frontend->config->version;
     if (verdict == Fv_CALLER_ADMITTED) {
         return true;
@@ -279,50 +249,6 @@
     }
 }
 
-static bool
-is_job_id(const char *text)
-{
-    return strlen(text) == Fv_JOB_ID_SIZE - 1 &&
-           strspn(text, "0123456789abcdefABCDEF") == Fv_JOB_ID_SIZE - 1;
-}
-
-/* Returns 0 when the method is not valid for the path. */
-static fv_verb_t
-find_verb(struct evhttp_request *http, const char *rest)
-{
-    enum evhttp_cmd_type method = evhttp_request_get_command(http);
-
-    if (rest[0] == '\0') {
-        return method == EVHTTP_REQ_GET ? Fv_VERB_WAITING : (fv_verb_t)0;
-    }
-    if (!is_job_id(rest)) {
-        return (fv_verb_t)0;
-    }
-    switch (method) {
-    case EVHTTP_REQ_POST:
-        return Fv_VERB_SUBMIT;
-    case EVHTTP_REQ_GET:
-        return Fv_VERB_STATE;
-    case EVHTTP_REQ_DELETE:
-        return Fv_VERB_CANCEL;
-    default:
-        return (fv_verb_t)0;
-    }
-}
-
-static int64_t
-request_timeout_ms(struct evhttp_request *http)
-{
-    const char *text = evhttp_find_header(
-        evhttp_request_get_input_headers(http), FvPlatform_DeadlineHeader);
-    long given = text != NULL ? strtol(text, NULL, 10) : 0;
-
-    if (given <= 0) {
-        return Fv_DEFAULT_DEADLINE_MS;
-    }
-    return given < Fv_DEADLINE_MAX_MS ? given : Fv_DEADLINE_MAX_MS;
-}
-
 /* Refuses a request that no leader has been asked about. */
 static void
 refuse_request(fv_frontend_t *frontend, struct evhttp_request *http,
@@ -354,8 +280,11 @@
     FvText_Copy(request->job, sizeof(request->job), job);
     FvText_Copy(request->customer, sizeof(request->customer), customer);
     request->checked_version = frontend->config->version;
-    request->forwarding = (fv_forwarding_t){
-        .arrived_ms = FvClock_NowMs(), .timeout_ms = request_timeout_ms(http)};
+    request->forwarding =
+        (fv_forwarding_t){.arrived_ms = FvClock_NowMs(),
+                          .timeout_ms = FvRoute_TimeoutMs(evhttp_find_header(
+                              evhttp_request_get_input_headers(http),
+                              FvPlatform_DeadlineHeader))};
     HASH_ADD(hh, frontend->requests, id, sizeof(request->id), request);
     forward_request(frontend, request);
 }
@@ -363,26 +292,30 @@
 /* With customers, a configuration that may be outdated is no reason to refuse
  * a call for good: its route or key may have been added since. */
 static bool
-may_be_outdated(const fv_frontend_t *frontend)
+refuse_if_outdated(fv_frontend_t *frontend, struct evhttp_request *http,
+                   const char *path)
 {
-    return frontend->had_customers &&
-           !frontend->events.is_config_current(frontend->events.context);
+    bool outdated =
+        frontend->had_customers &&
+        !frontend->events.is_config_current(frontend->events.context);
+
+    if (outdated) {
+        refuse_request(frontend, http, path, "configuration_outdated",
+                       "Configuration Outdated");
+    }
+    return outdated;
 }
 
 static void
 refuse_route(fv_frontend_t *frontend, struct evhttp_request *http,
              const char *host, const char *path)
 {
-    if (may_be_outdated(frontend)) {
-        refuse_request(frontend, http, path, "configuration_outdated",
-                       "Configuration Outdated");
-        return;
+    if (!refuse_if_outdated(frontend, http, path)) {
+        FvLog_Event(Fv_LOG_INFO, "queue_unknown",
+                    "host=%s path=%s config_version=%lld", host, path,
+                    (long long)frontend->config->version);
+        send_reply(frontend, http, 404, "Not Found", NULL);
     }
-    FvLog_Event(FvLog_LevelWithin(&frontend->unknown_log,
-                                  Fv_REFUSAL_LOG_LINES_PER_S, FvClock_NowMs()),
-                "queue_unknown", "host=%s path=%s config_version=%lld", host,
-                path, (long long)frontend->config->version);
-    send_reply(frontend, http, 404, "Not Found", NULL);
 }
 
 static void
@@ -392,15 +325,12 @@
 {
     char *body;
 
-    if (may_be_outdated(frontend)) {
-        refuse_request(frontend, http, path, "configuration_outdated",
-                       "Configuration Outdated");
-        return;
+    if (!refuse_if_outdated(frontend, http, path)) {
+        body = start_key_refusal(frontend, http, verdict, queue->name,
+                                 path + strlen(queue->prefix));
+        send_reply(frontend, http, 401, "Unauthorized", body);
+        free(body);
     }
-    body = start_key_refusal(frontend, http, verdict, queue->name,
-                             path + strlen(queue->prefix));
-    send_reply(frontend, http, 401, "Unauthorized", body);
-    free(body);
 }
 
 static void
@@ -432,7 +362,7 @@
                        "No Configuration");
         return;
     }
-    queue = find_queue(frontend, host ? host : "", path);
+    queue = FvRoute_FindQueue(frontend->config, host ? host : "", path);
     if (queue == NULL) {
         refuse_route(frontend, http, host ? host : "", path);
         return;
@@ -442,7 +372,8 @@
         refuse_key(frontend, http, verdict, queue, path);
         return;
     }
-    verb = find_verb(http, path + strlen(queue->prefix));
+    verb = FvRoute_FindVerb(evhttp_request_get_command(http),
+                            path + strlen(queue->prefix));
     if (verb == 0) {
         FvMetrics_Add(Fv_COUNTER_HTTP_BAD_REQUESTS, 1);
         send_reply(frontend, http, 400, "Bad Request", NULL);
--- a/src/leader-requests.c
+++ b/src/leader-requests.c
@@ -3,6 +3,7 @@
  */
 
 #include "cell-leader.h"
+#include "route.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -79,15 +80,8 @@
 static const fv_cell_queue_t *
 find_queue(fv_leader_t *leader, const char *name)
 {
-    const fv_cell_config_t *config =
-        leader->events.config(leader->events.context);
-
-    for (uint32_t i = 0; config != NULL && i < config->queue_count; i++) {
-        if (strcmp(config->queues[i].name, name) == 0) {
-            return &config->queues[i];
-        }
-    }
-    return NULL;
+    return FvRoute_FindQueueByName(
+        leader->events.config(leader->events.context), name);
 }
 
 static bool
