soak: caps that are halved and restored, and a customer with much excess

Each customer now has a cap, halved with every second version, which the stand-in's workers check at each start; one submits far more jobs a second than its weight.

--- a/tests/soak/soak-clients.c
+++ b/tests/soak/soak-clients.c
@@ -176,6 +176,7 @@
                  FvSoak_Random(random, UINT32_MAX), soak->job_count);
         job->queue = queue != NULL ? queue : queues[FvSoak_Random(random, 4)];
         job->key = FvSoakKeys_OfJob(soak, soak->job_count);
+        job->cap = FvSoakKeys_Cap(soak);
         job->state = SOAK_UNKNOWN;
     }
     pthread_mutex_unlock(&soak->lock);
@@ -211,7 +212,13 @@
                             ? ",\"requiredLabel\":\"a\""
                             : "";
     char step[192];
+    char owner[48] = "";
 
+    /* The public route belongs to no customer. */
+    if (job->cap > 0 && !plain) {
+        snprintf(owner, sizeof(owner), " customer=%lu cap=%d",
+                 strtoul(job->id + 8, NULL, 16) % 2 + 1, job->cap);
+    }
     snprintf(step, sizeof(step),
              "{\"count\":%u,\"cpu\":%u,\"memMb\":10,\"estimatedMs\":%u%s",
              1 + FvSoak_Random(random, 3), cpu, run_ms, label);
@@ -221,12 +228,13 @@
                  SOAK_REPEATS, (long long)FvClock_WallMs(),
                  SOAK_REPEAT_INTERVAL_MS);
     }
-    snprintf(body, size,
-             "{\"taskSpec\":\"run_ms=%u cpu=%u%s%s\",%s\"steps\":[%s}%s%s%s]}",
-             run_ms, cpu, plain ? " no_ticket" : "",
-             label[0] != '\0' ? " label=a" : "", schedule, step,
-             two_steps ? "," : "", two_steps ? step : "",
-             two_steps ? ",\"after\":[0]}" : "");
+    snprintf(
+        body, size,
+        "{\"taskSpec\":\"run_ms=%u cpu=%u%s%s%s\",%s\"steps\":[%s}%s%s%s]}",
+        run_ms, cpu, plain ? " no_ticket" : "",
+        label[0] != '\0' ? " label=a" : "", owner, schedule, step,
+        two_steps ? "," : "", two_steps ? step : "",
+        two_steps ? ",\"after\":[0]}" : "");
 }
 
 static void
--- a/tests/soak/soak-keys.c
+++ b/tests/soak/soak-keys.c
@@ -20,19 +20,47 @@
 #define KEYS_APPLY_MS 2500
 #define KEYS_WITHOUT_STORE_MS 8000
 
+/* Thousandths of a core for each worker that a customer may use, of 8,000, and
+ * of the whole cell at least, which admits the largest task when it is halved.
+ */
+#define CAP_OF_WORKER 1500
+#define CAP_MIN 3200
+
+/* The second customer submits more jobs a second, so that many are excess. */
+#define WEIGHT_EAST 1000
+#define WEIGHT_WEST 2
+
 static const char *const lasting_keys[] = {"lasting-east", "lasting-west"};
 
+/**
+ * FvSoakKeys_Cap - the highest cap of each customer
+ * @soak: the soak
+ *
+ * Return: the cap in CPU; 0 in a cell without customers.
+ */
+int
+FvSoakKeys_Cap(const soak_t *soak)
+{
+    int cap = soak->workers * CAP_OF_WORKER;
+
+    return !soak->keys ? 0 : cap < CAP_MIN ? CAP_MIN : cap;
+}
+
+/* Every second version has half of the caps. */
 static void
 write_customers(soak_t *soak)
 {
-    char body[256];
-
-    snprintf(
-        body, sizeof(body),
-        "{\"config\":%lld,\"tenants\":[{\"name\":\"east\",\"apiKeys\":"
-        "[\"%s\",\"turn-%u\"]},{\"name\":\"west\",\"apiKeys\":[\"%s\"]}]}",
-        (long long)++soak->config_version, lasting_keys[0], soak->key_turns,
-        lasting_keys[1]);
+    int cap = FvSoakKeys_Cap(soak) / (soak->key_turns % 2 == 0 ? 1 : 2);
+    char body[384];
+
+    snprintf(body, sizeof(body),
+             "{\"config\":%lld,\"tenants\":[{\"name\":\"east\",\"apiKeys\":"
+             "[\"%s\",\"turn-%u\"],\"weight\":%d,\"cap\":{\"cpu\":%d}},"
+             "{\"name\":\"west\",\"apiKeys\":[\"%s\"],\"weight\":%d,"
+             "\"cap\":{\"cpu\":%d}}]}",
+             (long long)++soak->config_version, lasting_keys[0],
+             soak->key_turns, WEIGHT_EAST, cap, lasting_keys[1], WEIGHT_WEST,
+             cap);
     FvEntryCell_PlatformFault(&soak->cell, body);
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -28,6 +28,7 @@
     char id[17];
     const char *queue;
     const char *key; /* of its customer; NULL: none */
+    int cap;         /* highest one of its customer, in CPU; 0: none */
     soak_state_t state;
     int64_t cancelled_ms; /* when the cancellation was acknowledged; 0: not */
     int cancel_status;
@@ -104,6 +105,7 @@
 
 /* soak-keys.c */
 bool FvSoakKeys_Start(soak_t *soak);
+int FvSoakKeys_Cap(const soak_t *soak);
 const char *FvSoakKeys_OfJob(const soak_t *soak, uint32_t number);
 void FvSoakKeys_Inject(soak_t *soak, int64_t now_ms);
 void FvSoakKeys_Probe(soak_t *soak, uint64_t *random);
