sched-excess: jobs that an outage refused are no excess when they come again

Callers repeat what a 503 has refused, so that after an outage of the store the jobs of several seconds come together. The bucket holds one second's worth, and the others would have counted as excess although they had come within the rate. Test in sched_excess_test.

--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -363,6 +363,7 @@
 
     if (job != NULL && !job->durable) {
         FvMetrics_Add(Fv_COUNTER_JOBS_REFUSED, 1);
+        FvSched_CountWithdrawnJob(job);
         FvLog_Event(Fv_LOG_INFO, "job_refused",
                     "job=%s queue=%s cause=store_away", job->id,
                     job->queue.name);
--- a/src/leader-requests.c
+++ b/src/leader-requests.c
@@ -214,7 +214,7 @@
     const fv_cell_queue_t *queue = find_queue(leader, message->name);
     int64_t now_ms = FvClock_NowMs();
     int64_t wall_ms = FvClock_WallMs();
-    const fv_sched_customer_t *customer;
+    fv_sched_customer_t *customer;
     fv_sched_job_t *job;
     fv_job_spec_t spec;
 
@@ -222,7 +222,10 @@
         reply_now(leader, message, reply, context, Fv_REPLY_NOT_READY, "");
         return;
     }
+    FvLeader_ApplyCustomers(leader);
+    customer = find_customer(leader, queue, message);
     if (FvRecordWriter_Stalled(leader->records, now_ms)) {
+        FvSched_CountRefusedJob(customer, now_ms);
         refuse(leader, message, reply, context, "store_away",
                Fv_STORE_RETRY_AFTER_S);
         return;
@@ -247,12 +250,11 @@
     if (!FvSched_HasMemoryForJob(&leader->sched, &spec, queue,
                                  message->body_length)) {
         FvJobSpec_Clear(&spec);
+        FvSched_CountRefusedJob(customer, now_ms);
         refuse(leader, message, reply, context, "memory",
                Fv_MEMORY_RETRY_AFTER_S);
         return;
     }
-    FvLeader_ApplyCustomers(leader);
-    customer = find_customer(leader, queue, message);
     if (!FvSched_CanFitUnderCap(customer, &spec)) {
         FvJobSpec_Clear(&spec);
         refuse(leader, message, reply, context, "customer_cap",
--- a/src/sched-excess.c
+++ b/src/sched-excess.c
@@ -12,6 +12,14 @@
 /* The bucket holds what is submitted in this time, and one job at least. */
 #define Fv_EXCESS_BURST_S 1.0
 
+/* Jobs that were refused for another reason come again within seconds. For
+ * them the bucket holds what came in by the rate meanwhile: the longest outage
+ * of the store (6 s) and the first retries (1 s). */
+#define Fv_EXCESS_OUTAGE_S 7.0
+
+/* Refusals further apart than this are not of one outage. */
+#define Fv_EXCESS_REFUSAL_GAP_S 1.0
+
 static bool
 has_rate(const fv_sched_customer_t *customer)
 {
@@ -26,18 +34,28 @@
     return jobs > 1.0 ? jobs : 1.0;
 }
 
-/* A bucket starts full. It stands still while the clock is behind. */
+static double
+elapsed_s(const fv_sched_customer_t *customer, int64_t now_ms)
+{
+    return (double)(now_ms - customer->tokens_ms) / Fv_MS_PER_S;
+}
+
+/* A bucket starts full. It stands still while the clock is behind, and when it
+ * holds more than usual after an outage. */
 static double
 tokens_at(const fv_sched_customer_t *customer, int64_t now_ms)
 {
-    double elapsed_s = (double)(now_ms - customer->tokens_ms) / Fv_MS_PER_S;
-    double tokens = customer->tokens + elapsed_s * customer->job_rate;
     double most = burst(customer);
+    double tokens =
+        customer->tokens + elapsed_s(customer, now_ms) * customer->job_rate;
 
     if (customer->tokens_ms == 0) {
         return most;
     }
-    return elapsed_s <= 0 ? customer->tokens : tokens > most ? most : tokens;
+    if (customer->tokens > most || tokens < customer->tokens) {
+        return customer->tokens;
+    }
+    return tokens > most ? most : tokens;
 }
 
 /**
@@ -76,6 +94,49 @@
     }
 }
 
+/**
+ * FvSched_CountRefusedJob - count a job that was refused for another reason
+ * than its customer's rate
+ * @customer: the customer, or NULL
+ * @now_ms: the time
+ *
+ * Callers repeat it with others after the outage that it was refused for. What
+ * comes then is not excess if it had not been when it came first.
+ */
+void
+FvSched_CountRefusedJob(fv_sched_customer_t *customer, int64_t now_ms)
+{
+    double most;
+    double tokens;
+    double gap_s;
+
+    if (!has_rate(customer)) {
+        return;
+    }
+    gap_s = elapsed_s(customer, now_ms);
+    tokens = customer->tokens + gap_s * customer->job_rate;
+    most = burst(customer) + Fv_EXCESS_OUTAGE_S * customer->job_rate;
+    if (customer->tokens_ms == 0 || gap_s < 0 ||
+        gap_s > Fv_EXCESS_REFUSAL_GAP_S) {
+        tokens = tokens_at(customer, now_ms);
+    }
+    customer->tokens = tokens < most ? tokens : most;
+    customer->tokens_ms = now_ms;
+}
+
+/**
+ * FvSched_CountWithdrawnJob - no longer count an accepted job that was refused
+ * after all, as it could not be recorded
+ * @job: the job
+ */
+void
+FvSched_CountWithdrawnJob(const fv_sched_job_t *job)
+{
+    if (has_rate(job->account) && !job->excess) {
+        job->account->tokens += 1.0;
+    }
+}
+
 /**
  * FvSched_IsExcess - check whether a stage is of a job beyond its customer's
  * rate
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -591,6 +591,8 @@
 /* sched-excess.c */
 bool FvSched_IsOverRate(const fv_sched_customer_t *customer, int64_t now_ms);
 void FvSched_CountAcceptedJob(fv_sched_job_t *job, int64_t now_ms);
+void FvSched_CountRefusedJob(fv_sched_customer_t *customer, int64_t now_ms);
+void FvSched_CountWithdrawnJob(const fv_sched_job_t *job);
 bool FvSched_IsExcess(const fv_sched_stage_t *stage);
 bool FvSched_HasRoomForExcess(const fv_sched_t *sched,
                               const fv_sched_customer_t *customer,
--- a/tests/unit/sched_excess_test.c
+++ b/tests/unit/sched_excess_test.c
@@ -146,6 +146,38 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* Jobs that an outage of the store refused come again together, and were no
+ * excess when they came first. */
+static void
+test_jobs_refused_for_an_outage(void)
+{
+    fv_sched_job_t job = {0};
+
+    open_cell(2000, 5);
+    CU_ASSERT_EQUAL(submit_until_excess(), 5);
+    for (int i = 0; i < 20; i++) { /* four jobs a second for 5 s */
+        fixture.now_ms += 250;
+        FvSched_CountRefusedJob(customer(), fixture.now_ms);
+    }
+    CU_ASSERT_EQUAL(submit_until_excess(), 25);
+    for (int i = 0; i < 200; i++) { /* no outage is that long */
+        fixture.now_ms += 250;
+        FvSched_CountRefusedJob(customer(), fixture.now_ms);
+    }
+    CU_ASSERT_EQUAL(submit_until_excess(), 40);
+    fixture.now_ms += 60000;
+    FvSched_CountRefusedJob(customer(), fixture.now_ms);
+    CU_ASSERT_EQUAL(submit_until_excess(), 5);
+    job.account = customer();
+    FvSched_CountWithdrawnJob(&job);
+    CU_ASSERT_EQUAL(submit_until_excess(), 1);
+    job.excess = true;
+    FvSched_CountWithdrawnJob(&job);
+    FvSched_CountRefusedJob(NULL, fixture.now_ms);
+    CU_ASSERT_EQUAL(submit_until_excess(), 0);
+    FvSchedFixture_Close(&fixture);
+}
+
 /* A flood would take the capacity from the jobs within the rate, of its
  * customer and of others, and of less urgent queues. */
 static void
@@ -264,6 +296,8 @@
         {"every job is excess at a rate below one a second",
          test_rate_below_one},
         {"jobs without a known rate are excess", test_unknown_rate},
+        {"jobs that an outage refused count as excess when they come again",
+         test_jobs_refused_for_an_outage},
         {"excess starts before other jobs", test_excess_starts_last},
         {"an excess gang reserves workers", test_excess_gang_reserves_nothing},
         {"room for a job is not seen, or none is there", test_room},
