--- a/tests/unit/leader_requests_test.c
+++ b/tests/unit/leader_requests_test.c
@@ -625,6 +625,7 @@
     CU_ASSERT_PTR_NULL(FvSched_FindJob(&leader.sched, UNKNOWN));
     set_customer(5, 100);
     CU_ASSERT_EQUAL(request_of("east", Fv_VERB_SUBMIT, UNKNOWN), 0);
+    write_records();
     close_leader_with_customers();
 }
 
@@ -672,6 +673,7 @@
     CU_ASSERT_PTR_NULL(FvSched_FindJob(&leader.sched, OTHER_UNKNOWN));
     queue.is_public = true;
     CU_ASSERT_EQUAL(request_of("", Fv_VERB_SUBMIT, OTHER_UNKNOWN), 0);
+    write_records();
     close_leader_with_customers();
 }
 
@@ -686,6 +688,7 @@
     CU_ASSERT_EQUAL(request_of("east", Fv_VERB_SUBMIT, UNKNOWN), 0);
     CU_ASSERT_EQUAL(request_of("east", Fv_VERB_SUBMIT, OTHER_UNKNOWN), 0);
     CU_ASSERT_TRUE(FvSched_FindJob(&leader.sched, OTHER_UNKNOWN)->excess);
+    write_records();
     close_leader_with_customers();
 }
 
