sched-customer: keep room under the cap for large tasks too, and only where it helps

A single task that is larger than those that end starved like a gang beside small tasks of its customer. Room is now kept for whatever stage in time is held first. None is kept for what needs more than half of the cap: its customer may use half in any case, so that the room idled for nothing.

--- a/src/sched-customer.c
+++ b/src/sched-customer.c
@@ -494,6 +494,7 @@
          customer = customer->hh.next) {
         customer->in_doubt = (fv_sched_resources_t){0};
         customer->kept = (fv_sched_resources_t){0};
+        customer->held_in_pass = false;
         customer->pending = false;
     }
     if (sched->hold_inherited_tasks) {
@@ -565,6 +566,15 @@
     return all_fit(&customer->cap, &used, &needed);
 }
 
+/* Tasks that start together: all members of a gang that waits as a whole. */
+static int32_t
+tasks_at_once(const fv_sched_stage_t *stage)
+{
+    return stage->step->gang && stage->waiting == stage->step->task_count
+               ? stage->waiting
+               : 1;
+}
+
 /**
  * FvSched_IsHeldByCap - check whether its customer's cap keeps all waiting
  * tasks of a stage from a start
@@ -575,10 +585,7 @@
 bool
 FvSched_IsHeldByCap(const fv_sched_stage_t *stage)
 {
-    bool whole =
-        stage->step->gang && stage->waiting == stage->step->task_count;
-
-    return !FvSched_FitsUnderCap(stage, whole ? stage->waiting : 1);
+    return !FvSched_FitsUnderCap(stage, tasks_at_once(stage));
 }
 
 /**
@@ -586,21 +593,24 @@
  * @stage: the stage
  * @urgent: whether it is in time
  *
- * Stages that come after a gang in time leave room for it under the cap, or
- * the gang would starve while single tasks take all that becomes free. A
- * customer that uses less than half of its cap is exempt.
+ * Stages that come after the first one in time leave room for it under the
+ * cap, or a gang or a large task would starve while small ones take all that
+ * becomes free. What needs more than half of the cap gets no room kept: the
+ * customer may use half of it in any case.
  */
 void
 FvSched_NoteHeldByCap(const fv_sched_stage_t *stage, bool urgent)
 {
     fv_sched_customer_t *customer = stage->job->account;
+    fv_sched_resources_t needed = {0};
 
-    customer->held = true;
-    if (urgent && stage->step->gang && customer->kept.cpu_millis == 0 &&
-        customer->kept.memory_mib == 0) {
-        FvSched_AddTaskResources(&customer->kept, stage->step,
-                                 stage->step->task_count);
+    FvSched_AddTaskResources(&needed, stage->step, tasks_at_once(stage));
+    if (urgent && !customer->held_in_pass &&
+        all_fit(&customer->cap, &needed, &needed)) {
+        customer->kept = needed;
+        customer->held_in_pass = true;
     }
+    customer->held = true;
 }
 
 /**
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -295,10 +295,11 @@
     fv_sched_resources_t cap;      /* 0: not limited */
     fv_sched_resources_t usage;    /* of the tasks on workers */
     fv_sched_resources_t in_doubt; /* runs that may exist, in this pass */
-    fv_sched_resources_t kept;     /* for a gang, in this pass */
+    fv_sched_resources_t kept;     /* for its first stage, in this pass */
     fv_sched_resources_t audited;  /* the usage as counted anew */
     uint32_t references;           /* jobs and orphaned runs */
     bool held;                     /* since the latest audit, by the cap */
+    bool held_in_pass; /* a stage in time, for which room is kept */
     bool held_logged;
     bool pending; /* has stages that its cap does not hold, in this pass */
     double dominant_share;
