--- a/tests/unit/sched_caps_model_test.c
+++ b/tests/unit/sched_caps_model_test.c
@@ -18,6 +18,10 @@
  * leader stopped have ended. */
 #define START_AFTER_FAILOVER_MS 4000
 
+/* The same beside workers that do not answer the new leader: inherited tasks
+ * are held for 10.9 s at most. */
+#define START_BESIDE_SILENT_WORKERS_MS 12000
+
 static uint64_t first_seed = 1;
 static uint32_t seeds = SEEDS;
 
@@ -129,6 +133,11 @@
 {
     run_waiting_seeds(&(sim_faults_t){.leader_failovers = 100}, false,
                       START_AFTER_FAILOVER_MS);
+    run_waiting_seeds(&(sim_faults_t){.leader_failovers = 100,
+                                      .worker_outages = 300,
+                                      .job_cancellations = 300,
+                                      .lost_orders = 50},
+                      false, START_BESIDE_SILENT_WORKERS_MS);
 }
 
 /* SCHED_MODEL_SEEDS="FIRST COUNT" runs other seeds. */
