--- a/src/caller-limits.c
+++ b/src/caller-limits.c
@@ -22,8 +22,8 @@
  * 120 MB. */
 #define Fv_CALLER_FIXED_SHARE 0.75
 
-/* Of the descriptors beyond those for files. 3/4 are for outgoing calls
- * (entry.c), 1/16 for other hosts and the process itself. */
+/* Of the descriptors beyond those for files, at most. Outgoing calls have what
+ * is left (entry.c). */
 #define Fv_CALLER_DESCRIPTORS_SHARE 0.1875
 
 /* The balancer makes one check a second, and scrapes are rarer; the bounds
@@ -109,6 +109,24 @@
     }
 }
 
+/**
+ * FvCallerLimits_Connections - how many descriptors callers may take
+ * @limits: the limits
+ *
+ * Return: the number, with one connection beyond the limit at each address:
+ * it is accepted before there turns out to be no room.
+ */
+uint32_t
+FvCallerLimits_Connections(const fv_caller_limits_t *limits)
+{
+    uint32_t sum = 0;
+
+    for (int i = 0; i < Fv_CALLER_PORT_COUNT; i++) {
+        sum += limits->connections_max[i] + 1;
+    }
+    return sum;
+}
+
 /**
  * FvCallerFacts_State - what a connection is doing
  * @facts: the connection
--- a/src/caller-limits.h
+++ b/src/caller-limits.h
@@ -89,6 +89,7 @@
 void FvCallerLimits_Derive(fv_caller_limits_t *limits,
                            const fv_caller_settings_t *settings,
                            double memory_mb, int64_t descriptors);
+uint32_t FvCallerLimits_Connections(const fv_caller_limits_t *limits);
 
 fv_caller_state_t FvCallerFacts_State(const fv_caller_facts_t *facts);
 int64_t FvCallerFacts_Bytes(const fv_caller_facts_t *facts);
--- a/src/entry.c
+++ b/src/entry.c
@@ -28,11 +28,13 @@
 #define Fv_ISOLATED_CLAIM_PAUSE_MS 1500
 #define Fv_ISOLATED_RESIGN_INTERVAL_MS 30000
 
-/* Share of the descriptors, beyond those for files, that outgoing calls may
- * use. A leader of 350 workers needs 1,464 (four for each, and 64 for
- * services) and has 2,156 at a host of 3,075; callers have 3/16
- * (caller-limits.c), other hosts and the process itself the rest. */
-#define Fv_CALL_DESCRIPTORS_SHARE 0.75
+/* Of the descriptors beyond those for files, outgoing calls may use what the
+ * callers' connections (caller-limits.c) and a share for other hosts and the
+ * process itself leave: 2,249 at a host of 3,075 descriptors and 120 MB, where
+ * a leader of 350 workers needs 1,464 (four for each, and 64 for services). */
+#define Fv_CALL_DESCRIPTORS_MAX_SHARE 0.875
+#define Fv_CALL_DESCRIPTORS_MIN_SHARE 0.25 /* beside a large setting */
+#define Fv_OTHER_DESCRIPTORS_SHARE 0.0625
 
 static void
 dial_hosts(fv_entry_t *entry)
@@ -552,8 +554,20 @@
 static uint32_t
 outgoing_calls_max(const fv_entry_settings_t *settings)
 {
-    return (uint32_t)((settings->descriptors_max - Fv_DESCRIPTORS_RESERVED) *
-                      Fv_CALL_DESCRIPTORS_SHARE);
+    double usable = settings->descriptors_max - Fv_DESCRIPTORS_RESERVED;
+    fv_caller_limits_t limits;
+    double left;
+
+    FvCallerLimits_Derive(&limits, &settings->callers, settings->memory_mb,
+                          (int64_t)usable);
+    left = usable * (1 - Fv_OTHER_DESCRIPTORS_SHARE) -
+           FvCallerLimits_Connections(&limits);
+    if (left < usable * Fv_CALL_DESCRIPTORS_MIN_SHARE) {
+        return (uint32_t)(usable * Fv_CALL_DESCRIPTORS_MIN_SHARE);
+    }
+    return left < usable * Fv_CALL_DESCRIPTORS_MAX_SHARE
+               ? (uint32_t)left
+               : (uint32_t)(usable * Fv_CALL_DESCRIPTORS_MAX_SHARE);
 }
 
 static bool
