--- a/tests/promises/entry_caller_limits.c
+++ b/tests/promises/entry_caller_limits.c
@@ -297,6 +297,7 @@
     static const char end[] =
         "\",\"steps\":[{\"count\":1,\"cpu\":100,\"memMb\":10,"
         "\"estimatedMs\":50}]}";
+    static char text[BODY_BYTES];
     static char body[BODY_BYTES + 1];
     static char padding[HEADER_BYTES + 1];
     static const crowd_script_t script = {.duration_ms = SENDING_MS};
@@ -304,9 +305,10 @@
     kept_answer_t answer;
     char head[256];
 
-    memset(body, 'x', BODY_BYTES);
-    memcpy(body, begin, strlen(begin));
-    memcpy(body + BODY_BYTES - strlen(end), end, strlen(end));
+    memset(text, 'x', sizeof(text));
+    snprintf(body, sizeof(body), "%s%.*s%s", begin,
+             (int)(BODY_BYTES - strlen(begin) - strlen(end)), text, end);
+    CU_ASSERT_EQUAL(strlen(body), BODY_BYTES);
     memset(padding, 'y', HEADER_BYTES);
     CU_ASSERT_TRUE_FATAL(open_cell("entry-largest-request", NULL));
     CU_ASSERT_TRUE(connect_clients(IDLE_CLIENTS));
