caller-limits: keep a connection whose answer is on its way

A part of a request gives way to memory without grace. When the latest answer on its connection was written less than 1 s ago and the caller's host has not acknowledged it, the close would drop it, although its request ran. Such a connection is spared until then. A case of caller_limits_test, and one of caller_connection_test for requests that find no room.

--- a/src/caller-connection.c
+++ b/src/caller-connection.c
@@ -347,7 +347,9 @@
                                   FIONREAD)) {
             FvCallerFacts_Received(victim, now_ms);
         }
-        else {
+        else if (FvCallerFacts_State(victim) != Fv_CALLER_RECEIVING ||
+                 !is_unacknowledged(connection) ||
+                 !FvCallerFacts_Spare(victim, now_ms)) {
             close_connection(connection, cause);
             return true;
         }
--- a/src/caller-limits.c
+++ b/src/caller-limits.c
@@ -263,6 +263,22 @@
     facts->header_read = false;
 }
 
+/**
+ * FvCallerFacts_Spare - keep a connection whose latest answer may not have
+ * reached its caller
+ * @facts: the connection, with a part of a request; to close it would drop
+ * what the caller's host has not acknowledged
+ * @now_ms: the time
+ *
+ * Return: false when the answer was written too long ago.
+ */
+bool
+FvCallerFacts_Spare(fv_caller_facts_t *facts, int64_t now_ms)
+{
+    facts->spared_until_ms = facts->idle_since_ms + Fv_CALLER_GRACE_MS;
+    return now_ms < facts->spared_until_ms;
+}
+
 /**
  * FvCallerFacts_Forgive - leave time out in which the process stood still
  * @facts: the connection
@@ -319,6 +335,9 @@
 {
     bool for_memory = cause == Fv_CALLER_CAUSE_MEMORY;
 
+    if (now_ms < facts->spared_until_ms) {
+        return 0;
+    }
     switch (FvCallerFacts_State(facts)) {
     case Fv_CALLER_ANSWERING:
         return now_ms - facts->output_progress_ms >= Fv_CALLER_GRACE_MS ? 4
--- a/src/caller-limits.h
+++ b/src/caller-limits.h
@@ -75,6 +75,7 @@
     int64_t input_bytes;        /* received and not taken by the server */
     int64_t output_bytes;       /* of answers, not written */
     int64_t idle_since_ms;      /* since the latest answer, or its opening */
+    int64_t spared_until_ms;    /* does not give way before */
     int64_t request_since_ms;   /* its first bytes; 0: none came */
     int64_t output_progress_ms; /* when a part was last added or written */
     int64_t request_bytes;      /* of the request in progress */
@@ -101,6 +102,7 @@
 void FvCallerFacts_OutputChanged(fv_caller_facts_t *facts, int64_t bytes,
                                  int64_t now_ms);
 void FvCallerFacts_Answered(fv_caller_facts_t *facts, int64_t now_ms);
+bool FvCallerFacts_Spare(fv_caller_facts_t *facts, int64_t now_ms);
 void FvCallerFacts_Forgive(fv_caller_facts_t *facts, int64_t stood_still_ms);
 
 fv_caller_cause_t FvCallerLimits_Check(const fv_caller_limits_t *limits,
--- a/tests/unit/caller_connection_test.c
+++ b/tests/unit/caller_connection_test.c
@@ -505,6 +505,41 @@
     tear_down(&server);
 }
 
+/* Guards against requests that are handled beyond the memory, and against a
+ * host that refuses them for good. */
+static void
+test_no_room_while_requests_are_handled(void)
+{
+    const fv_caller_facts_t idle = {0};
+    fv_caller_limits_t limits = wide_limits;
+    struct sockaddr_in address;
+    server_t server;
+    int callers[2];
+
+    /* For two connections and one request, which counts with 1.3 KB. */
+    limits.memory_max_bytes = 2 * FvCallerFacts_Bytes(&idle) + 2000;
+    set_up_listener(&server, &limits, &address);
+    for (int i = 0; i < 2; i++) {
+        callers[i] = connect_caller(&server, &address);
+    }
+    for (int i = 0; i < 2; i++) {
+        server.caller = callers[i];
+        send_text(&server, REQUEST);
+        run_rounds(&server, 3);
+        CU_ASSERT_EQUAL(server.handled, i + 1);
+        CU_ASSERT_EQUAL(FvCallerConnections_HasRoom(server.connections),
+                        i == 0);
+    }
+    server.request = server.requests[0];
+    reply(&server, 10, true);
+    run_rounds(&server, 5);
+    CU_ASSERT_TRUE(FvCallerConnections_HasRoom(server.connections));
+    close(callers[0]);
+    close(callers[1]);
+    server.caller = -1;
+    tear_down(&server);
+}
+
 int
 main(void)
 {
@@ -529,6 +564,8 @@
         {"a request that was read gives way to another connection",
          test_handled_requests_are_not_displaced},
         {"parts of requests take all memory", test_memory_is_bounded},
+        {"handled requests take all memory",
+         test_no_room_while_requests_are_handled},
     };
 
     signal(SIGPIPE, SIG_IGN); /* as the daemon does */
--- a/tests/unit/caller_limits_test.c
+++ b/tests/unit/caller_limits_test.c
@@ -317,6 +317,23 @@
                         &facts[0]);
 }
 
+/* Guards against an answer that is lost on its way since a part of the next
+ * request has come and its connection is closed. */
+static void
+test_answer_on_its_way(void)
+{
+    fv_caller_facts_t facts[] = {receiving_since(NOW_MS - 5, NULL),
+                                 receiving_since(NOW_MS - 4, NULL)};
+
+    facts[0].idle_since_ms = NOW_MS - 6;
+    facts[1].idle_since_ms = NOW_MS - 1000;
+    CU_ASSERT_TRUE(FvCallerFacts_Spare(&facts[0], NOW_MS));
+    CU_ASSERT_FALSE(FvCallerFacts_Spare(&facts[1], NOW_MS));
+    CU_ASSERT_PTR_EQUAL(find_victim(facts, 2, Fv_CALLER_CAUSE_MEMORY),
+                        &facts[1]);
+    CU_ASSERT_PTR_NULL(find_victim(facts, 1, Fv_CALLER_CAUSE_MEMORY));
+}
+
 /* Guards against callers that take the balancer's connections. */
 static void
 test_ports_are_apart(void)
@@ -353,6 +370,7 @@
          test_handled_requests_stay},
         {"the wrong connection gives way", test_order_of_victims},
         {"arriving requests displace each other", test_fresh_requests_stay},
+        {"an answer is lost on its way", test_answer_on_its_way},
         {"callers displace the balancer's checks", test_ports_are_apart},
     };
 
