entry_caller_limits: 400 kept connections at a host of the smallest size

Three rounds of a request on each, with 120 MB and 3,075 descriptors: all are answered and none gives way.

--- a/tests/promises/entry_caller_limits.c
+++ b/tests/promises/entry_caller_limits.c
@@ -36,22 +36,21 @@
 #define CHUNKS 1500 /* of each client */
 #define IDLE_CLIENTS 400
 #define PIPELINED_REQUESTS 3000
+
+/* The smallest hosts of the users' platform. */
+#define SMALLEST_MEMORY_MB 120
+#define SMALLEST_DESCRIPTORS 3075
+#define KEPT_CALLERS 400
+#define KEPT_ROUNDS 3
 #define ANSWER_MS 30000
 
 static entry_cell_t cell;
 static crowd_t crowd;
 
 static bool
-open_cell(const char *name, const char *more_settings)
+open_cell_of(const entry_cell_options_t *options)
 {
-    const entry_cell_options_t options = {.name = name,
-                                          .hosts = 1,
-                                          .workers = 1,
-                                          .memory_mb = MEMORY_MB,
-                                          .descriptors_max = DESCRIPTORS_MAX,
-                                          .more_settings = more_settings};
-
-    if (!FvEntryCell_Start(&cell, &options) ||
+    if (!FvEntryCell_Start(&cell, options) ||
         !FvEntryCell_WaitReady(&cell, READY_MS)) {
         return false;
     }
@@ -59,6 +58,18 @@
     return FvCrowd_Call(&crowd, ENTRY_PORT_CALLERS, "/fast/") == 200;
 }
 
+static bool
+open_cell(const char *name, const char *more_settings)
+{
+    return open_cell_of(
+        &(entry_cell_options_t){.name = name,
+                                .hosts = 1,
+                                .workers = 1,
+                                .memory_mb = MEMORY_MB,
+                                .descriptors_max = DESCRIPTORS_MAX,
+                                .more_settings = more_settings});
+}
+
 static bool
 connect_clients(int clients)
 {
@@ -331,6 +342,46 @@
     close_cell();
 }
 
+/* A host of the smallest size keeps its connections with several hundred
+ * callers. */
+static void
+test_kept_connections(void)
+{
+    static const entry_cell_options_t options = {
+        .name = "entry-kept-connections",
+        .hosts = 1,
+        .workers = 1,
+        .memory_mb = SMALLEST_MEMORY_MB,
+        .descriptors_max = SMALLEST_DESCRIPTORS};
+    static kept_connection_t callers[KEPT_CALLERS];
+    kept_answer_t answer;
+    int served = 0;
+
+    CU_ASSERT_TRUE_FATAL(open_cell_of(&options));
+    for (int i = 0; i < KEPT_CALLERS; i++) {
+        CU_ASSERT_TRUE_FATAL(FvKept_Open(
+            &callers[i], FvEntryCell_Port(&cell, 0, ENTRY_PORT_CALLERS)));
+    }
+    for (int round = 0; round < KEPT_ROUNDS; round++) {
+        for (int i = 0; i < KEPT_CALLERS; i++) {
+            FvKept_Send(&callers[i], "GET", "/fast/", NULL);
+        }
+        for (int i = 0; i < KEPT_CALLERS; i++) {
+            served += FvKept_Receive(&callers[i], ANSWER_MS, &answer) ==
+                          KEPT_ANSWERED &&
+                      answer.status == 200;
+        }
+    }
+    CU_ASSERT_EQUAL(served, KEPT_CALLERS * KEPT_ROUNDS);
+    CU_ASSERT_EQUAL(
+        FvEntryCell_Counter(&cell, 0, "fireflyvalve_callers_displaced_total"),
+        0);
+    for (int i = 0; i < KEPT_CALLERS; i++) {
+        FvKept_Close(&callers[i]);
+    }
+    close_cell();
+}
+
 int
 main(void)
 {
@@ -344,6 +395,8 @@
         {"idle connections take all descriptors", test_idle_connections},
         {"a caller that sends ahead and reads loses an answer",
          test_reading_pipeliner},
+        {"callers within the limits lose their connections",
+         test_kept_connections},
         {"the largest request is refused beside idle connections",
          test_largest_request},
     };
