--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -115,6 +115,9 @@
         FvSched_ResetSpeed(&worker->speed);
         HASH_ADD_STR(sched->workers, entry.id, worker);
     }
+    else if (changed) {
+        sched->workers_changed_ms = now_ms;
+    }
     FvSched_CheckEntryIncarnation(worker, entry, now_ms);
     worker->entry = *entry;
     if (entry->draining && !worker->draining) {
@@ -182,6 +185,9 @@
 void
 FvSched_FreeWorker(fv_sched_t *sched, fv_sched_worker_t *worker)
 {
+    if (worker->unlisted_ms > sched->workers_changed_ms) {
+        sched->workers_changed_ms = worker->unlisted_ms;
+    }
     while (worker->tasks != NULL) {
         FvSched_DetachTask(worker->tasks);
     }
@@ -330,13 +336,35 @@
  * @worker: the worker
  * @stage: the stage
  *
- * Return: the number of tasks.
+ * Return: the number of tasks; on a worker that is reserved for another stage,
+ * those that may be backfilled.
  */
 int32_t
 FvSched_FreeStageCapacity(const fv_sched_worker_t *worker,
                           const fv_sched_stage_t *stage)
 {
-    return FvSched_StageCapacity(worker, stage, &worker->free);
+    fv_sched_resources_t resources = worker->free;
+
+    FvSched_LimitToBackfill(worker, stage, &resources);
+    return FvSched_StageCapacity(worker, stage, &resources);
+}
+
+/**
+ * FvSched_EventualResources - get what is free on a worker once all tasks on
+ * it that end by themselves have ended
+ * @worker: the worker
+ * @resources: filled in
+ */
+void
+FvSched_EventualResources(const fv_sched_worker_t *worker,
+                          fv_sched_resources_t *resources)
+{
+    const fv_sched_resources_t *lasting = &worker->lasting_use;
+
+    *resources = (fv_sched_resources_t){
+        .cpu_millis = worker->entry.cpu_millis - lasting->cpu_millis,
+        .memory_mib = worker->entry.memory_mib - lasting->memory_mib,
+        .accelerators = worker->entry.accelerators - lasting->accelerators};
 }
 
 /**
@@ -351,14 +379,11 @@
 FvSched_EventualStageCapacity(const fv_sched_worker_t *worker,
                               const fv_sched_stage_t *stage)
 {
-    fv_sched_resources_t resources = {
-        .cpu_millis =
-            worker->entry.cpu_millis - worker->lasting_use.cpu_millis,
-        .memory_mib =
-            worker->entry.memory_mib - worker->lasting_use.memory_mib,
-        .accelerators =
-            worker->entry.accelerators - worker->lasting_use.accelerators};
-    int32_t capacity = FvSched_TaskCapacity(stage->step, &resources);
+    fv_sched_resources_t resources;
+    int32_t capacity;
+
+    FvSched_EventualResources(worker, &resources);
+    capacity = FvSched_TaskCapacity(stage->step, &resources);
 
     return stage->step->long_running
                ? apply_spread_limit(worker, stage, capacity)
@@ -414,20 +439,18 @@
 }
 
 /**
- * FvSched_IsWorkerReserved - check whether a reservation keeps a stage from a
- * worker
+ * FvSched_HasStepLabel - check whether a worker has the label of a step
  * @worker: the worker
- * @stage: the stage
+ * @step: the step
  *
- * Return: true when a gang has reserved the worker. That does not apply to a
- * lasting task, which provides no service while it waits.
+ * Return: true also for a step that needs none.
  */
 bool
-FvSched_IsWorkerReserved(const fv_sched_worker_t *worker,
-                         const fv_sched_stage_t *stage)
+FvSched_HasStepLabel(const fv_sched_worker_t *worker,
+                     const fv_step_spec_t *step)
 {
-    return worker->reserved_for != NULL && worker->reserved_for != stage &&
-           !stage->step->long_running;
+    return step->required_label[0] == '\0' ||
+           has_label(&worker->entry, step->required_label);
 }
 
 /**
@@ -443,8 +466,7 @@
                          const fv_sched_stage_t *stage)
 {
     return strcmp(worker->entry.service, stage->job->queue.service) == 0 &&
-           (stage->step->required_label[0] == '\0' ||
-            has_label(&worker->entry, stage->step->required_label));
+           FvSched_HasStepLabel(worker, stage->step);
 }
 
 /**
