--- a/src/cell-leader.c
+++ b/src/cell-leader.c
@@ -606,6 +606,7 @@
     leader->predecessor = *predecessor;
     leader->epoch = epoch;
     leader->generation = generation;
+    leader->customers_version = -1; /* none is applied yet */
     leader->began_ms = FvClock_NowMs();
     leader->last_advice_request_id = epoch << Fv_ADVICE_REQUEST_ID_BITS;
     FvSched_Init(
