sched-backfill: single tasks on workers that are reserved for gangs

In a crest up to 70 % of the workers are reserved for waiting gangs, and what is free there idles while single tasks wait. A single task now starts there if by its longest likely run time (two deviations) it ends before the gangs reach that worker, or if it delays no member of the gang. Gangs take the reserved workers of all gangs in order of their ranks, so the time is that of the gang whose turn it is. The first kind ends 5 s after the gang's reservation, and while its objective would be at risk.

--- a/src/metrics.c
+++ b/src/metrics.c
@@ -70,6 +70,11 @@
     [Fv_COUNTER_AVOIDABLE_WAITS] = {"avoidable_waits",
                                     "Times that a stage waited beside free "
                                     "capacity."},
+    [Fv_COUNTER_BACKFILLS] = {"backfills", "Single tasks started on workers "
+                                           "that are reserved for a gang."},
+    [Fv_COUNTER_RESERVATIONS_PAUSED] = {"reservations_paused",
+                                        "Times that a gang's reservation was "
+                                        "withheld as of no use."},
     [Fv_COUNTER_DECISIONS] = {"decisions", "Placement decisions."},
     [Fv_COUNTER_CALL_WAITS] = {"call_waits",
                                "Calls that waited for a connection."},
--- a/src/sched-advice.c
+++ b/src/sched-advice.c
@@ -184,7 +184,10 @@
                    int64_t now_ms)
 {
     int32_t capacity = usable_capacity(verdict->worker, stage, now_ms);
-    int32_t eventual = FvSched_EventualStageCapacity(verdict->worker, stage);
+    int32_t eventual =
+        FvSched_IsReservedForOther(verdict->worker, stage)
+            ? capacity
+            : FvSched_EventualStageCapacity(verdict->worker, stage);
 
     if (eventual == 0 ||
         !FvSched_IsWorkerEligible(verdict->worker, stage, now_ms)) {
--- a/src/sched-job.c
+++ b/src/sched-job.c
@@ -222,6 +222,22 @@
     stage->pending = false;
 }
 
+static void
+update_run_times(const fv_run_time_model_t *model, fv_sched_stage_t *stage)
+{
+    uint32_t version = FvRunTimeModel_Version(model);
+    double spread = FvRunTimeModel_Spread(model);
+
+    if (stage->expected_run_ms != 0 && stage->run_time_version == version) {
+        return;
+    }
+    stage->run_time_version = version;
+    stage->expected_run_ms =
+        FvRunTimeModel_Estimate(model, stage->step->estimated_ms);
+    stage->longest_run_ms =
+        (int64_t)((double)stage->expected_run_ms * spread * spread);
+}
+
 /**
  * FvSched_UpdateStartTargets - compute when a stage has to start to meet the
  * objective of its queue
@@ -239,6 +255,7 @@
     if (FvRunTimeModel_Version(model) != job->run_time_version) {
         compute_critical_paths(job, model);
     }
+    update_run_times(model, stage);
     slack_ms = job->queue.stretch * (double)job->critical_path_ms -
                (double)job->critical_paths_ms[stage->step_index];
     stage->target_start_ms =
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -58,6 +58,9 @@
     }
     sched->pending = NULL;
     FvSched_ClearCustomers(sched);
+    free((void *)sched->reserving);
+    sched->reserving = NULL;
+    sched->reserving_capacity = 0;
 }
 
 /**
@@ -128,6 +131,7 @@
             stage->waiting_since_ms = now_ms;
         }
         FvSched_UpdateStartTargets(sched, stage);
+        stage->ranked_ms = now_ms;
         ranked[i++] = (fv_ranked_t){
             .stage = stage, .rank = FvSched_RankStage(sched, stage, now_ms)};
     }
@@ -195,6 +199,10 @@
     for (uint32_t i = 0; i < count; i++) {
         fv_sched_stage_t *stage = ranked[i].stage;
 
+        if (!stage->step->gang && sched->reserved_slots > 0 &&
+            now_ms >= sched->next_backfill_plan_ms) {
+            FvSched_PlanBackfill(sched, now_ms);
+        }
         if (stage->job->durable && !FvSched_IsHeldByCap(stage)) {
             FvSched_PlaceStage(sched, stage, now_ms);
         }
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -170,6 +170,7 @@
     task->progress_clock_ms = 0;
     task->stage->waiting--;
     FvSched_AttachTask(candidate->worker, task);
+    FvSched_NoteBackfill(candidate->worker, task);
     candidate->capacity--;
     FvSched_BeginProbe(candidate->worker, task->stage, now_ms);
     FvMetrics_Add(Fv_COUNTER_STARTS, 1);
@@ -332,6 +333,8 @@
     }
     stage->gang_run = run + 1;
     stage->gang_start_ms = now_ms;
+    stage->reserved_since_ms = 0;
+    stage->reserve_idle_since_ms = 0;
     stage->gang_broken = false;
 }
 
--- a/src/sched-waiting.c
+++ b/src/sched-waiting.c
@@ -45,7 +45,7 @@
     if (FvSched_TaskCapacity(stage->step, &resources) == 0) {
         return Fv_WAIT_CAPACITY;
     }
-    if (FvSched_FreeStageCapacity(worker, stage) == 0) {
+    if (FvSched_StageCapacity(worker, stage, &resources) == 0) {
         return Fv_WAIT_SPREAD;
     }
     if (verdict != NULL && !verdict->allowed) {
@@ -54,7 +54,8 @@
     if (FvSched_IsWorkerQuarantined(worker, stage, now_ms)) {
         return Fv_WAIT_QUARANTINE;
     }
-    if (FvSched_IsWorkerReserved(worker, stage)) {
+    if (FvSched_IsWorkerReserved(worker, stage) ||
+        FvSched_FreeStageCapacity(worker, stage) == 0) {
         return Fv_WAIT_RESERVED;
     }
     if (stage->job->queue.needs_advice &&
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -330,13 +330,35 @@
  * @worker: the worker
  * @stage: the stage
  *
- * Return: the number of tasks.
+ * Return: the number of tasks; on a worker that is reserved for another stage,
+ * those that may be backfilled.
  */
 int32_t
 FvSched_FreeStageCapacity(const fv_sched_worker_t *worker,
                           const fv_sched_stage_t *stage)
 {
-    return FvSched_StageCapacity(worker, stage, &worker->free);
+    fv_sched_resources_t resources = worker->free;
+
+    FvSched_LimitToBackfill(worker, stage, &resources);
+    return FvSched_StageCapacity(worker, stage, &resources);
+}
+
+/**
+ * FvSched_EventualResources - get what is free on a worker once all tasks on
+ * it that end by themselves have ended
+ * @worker: the worker
+ * @resources: filled in
+ */
+void
+FvSched_EventualResources(const fv_sched_worker_t *worker,
+                          fv_sched_resources_t *resources)
+{
+    const fv_sched_resources_t *lasting = &worker->lasting_use;
+
+    *resources = (fv_sched_resources_t){
+        .cpu_millis = worker->entry.cpu_millis - lasting->cpu_millis,
+        .memory_mib = worker->entry.memory_mib - lasting->memory_mib,
+        .accelerators = worker->entry.accelerators - lasting->accelerators};
 }
 
 /**
@@ -351,14 +373,11 @@
 FvSched_EventualStageCapacity(const fv_sched_worker_t *worker,
                               const fv_sched_stage_t *stage)
 {
-    fv_sched_resources_t resources = {
-        .cpu_millis =
-            worker->entry.cpu_millis - worker->lasting_use.cpu_millis,
-        .memory_mib =
-            worker->entry.memory_mib - worker->lasting_use.memory_mib,
-        .accelerators =
-            worker->entry.accelerators - worker->lasting_use.accelerators};
-    int32_t capacity = FvSched_TaskCapacity(stage->step, &resources);
+    fv_sched_resources_t resources;
+    int32_t capacity;
+
+    FvSched_EventualResources(worker, &resources);
+    capacity = FvSched_TaskCapacity(stage->step, &resources);
 
     return stage->step->long_running
                ? apply_spread_limit(worker, stage, capacity)
@@ -413,23 +432,6 @@
            !FvSched_HasOrphanRuns(worker, now_ms);
 }
 
-/**
- * FvSched_IsWorkerReserved - check whether a reservation keeps a stage from a
- * worker
- * @worker: the worker
- * @stage: the stage
- *
- * Return: true when a gang has reserved the worker. That does not apply to a
- * lasting task, which provides no service while it waits.
- */
-bool
-FvSched_IsWorkerReserved(const fv_sched_worker_t *worker,
-                         const fv_sched_stage_t *stage)
-{
-    return worker->reserved_for != NULL && worker->reserved_for != stage &&
-           !stage->step->long_running;
-}
-
 /**
  * FvSched_IsWorkerSuitable - check whether a stage's configuration and labels
  * admit a worker
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -150,6 +150,15 @@
     int64_t late_after_ms;      /* the same by the longest likely run times */
     int64_t worthless_after_ms; /* the same for three times the objective */
     struct fv_stage_runs *runs; /* counted ones; see sched-speed.c */
+    int64_t ranked_ms;          /* time of the latest pass */
+    int64_t expected_run_ms;    /* of each task; 0: not computed yet */
+    int64_t longest_run_ms;     /* exceeded by one in 40 (two deviations) */
+    uint32_t run_time_version;  /* of the model behind these two */
+    int64_t reserved_since_ms;  /* has reserved workers since; 0: none */
+    /* Its reservation is of no use since then (0: it is of use), and is
+     * withheld until then; see FvSched_ReserveForGang(). */
+    int64_t reserve_idle_since_ms;
+    int64_t reserve_paused_until_ms;
 };
 
 /* One run of all steps of a job; see sched-occurrence.c. */
@@ -273,7 +282,13 @@
      * no tasks while it has any. */
     fv_orphan_run_t *orphan_runs;
     fv_sched_task_t *tasks;
-    const fv_sched_stage_t *reserved_for;  /* gang, in this pass */
+    const fv_sched_stage_t *reserved_for; /* gang, in this pass */
+    /* What a single task may do while that gang waits: end by then, or fit
+     * into what the gang leaves. See sched-backfill.c. */
+    bool backfill_planned;
+    fv_sched_resources_t backfill_member; /* size of the gang's members */
+    int64_t backfill_until_ms;
+    fv_sched_resources_t spare;
     const fv_sched_stage_t *preempted_for; /* latest gang; only compared */
     uint64_t verdict_search; /* latest advice search that found a verdict */
     int32_t consecutive_failures; /* of different jobs */
@@ -382,10 +397,19 @@
     bool stops_suspended;      /* during a handover to another host */
     uint32_t most_ends_listed; /* in one report, of any worker */
     bool dirty;                /* changed since the last pass */
-    uint32_t reserved_workers; /* in this pass */
-    uint64_t advice_searches;  /* count, over all stages */
-    int64_t rescan_ms;         /* in this pass; see FvSched_RunPass() */
-    uint64_t report_count;     /* over all workers */
+    /* In this pass: workers reserved for gangs, room for members there once
+     * all tasks have ended, and these gangs in order of their ranks. */
+    uint32_t reserved_workers;
+    uint32_t reserved_slots;
+    uint32_t reserving_count;
+    uint32_t reserving_capacity;
+    fv_sched_stage_t **reserving;
+    int64_t next_backfill_plan_ms;
+    char crowded_service[Fv_NAME_SIZE]; /* "": none asked for in this pass */
+    bool crowded;                       /* more than half of it is in use */
+    uint64_t advice_searches;           /* count, over all stages */
+    int64_t rescan_ms;     /* in this pass; see FvSched_RunPass() */
+    uint64_t report_count; /* over all workers */
     /* In this pass, no host is free for a call that costs this or more. */
     int64_t refused_advice_cost_us;
     uint64_t random; /* state of the generator */
@@ -551,13 +575,13 @@
                               const fv_sched_resources_t *resources);
 int32_t FvSched_FreeStageCapacity(const fv_sched_worker_t *worker,
                                   const fv_sched_stage_t *stage);
+void FvSched_EventualResources(const fv_sched_worker_t *worker,
+                               fv_sched_resources_t *resources);
 int32_t FvSched_EventualStageCapacity(const fv_sched_worker_t *worker,
                                       const fv_sched_stage_t *stage);
 bool FvSched_IsIncarnationListed(const fv_sched_worker_t *worker);
 bool FvSched_IsWorkerAvailable(const fv_sched_worker_t *worker,
                                int64_t now_ms);
-bool FvSched_IsWorkerReserved(const fv_sched_worker_t *worker,
-                              const fv_sched_stage_t *stage);
 bool FvSched_IsWorkerSuitable(const fv_sched_worker_t *worker,
                               const fv_sched_stage_t *stage);
 bool FvSched_IsWorkerEligible(const fv_sched_worker_t *worker,
@@ -776,6 +800,20 @@
 void FvSched_ReserveForGang(fv_sched_t *sched, fv_sched_stage_t *stage,
                             int64_t now_ms);
 
+/* sched-backfill.c */
+void FvSched_PlanBackfill(fv_sched_t *sched, int64_t now_ms);
+void FvSched_CheckBackfill(fv_sched_worker_t *worker,
+                           const fv_sched_stage_t *gang);
+bool FvSched_IsReservedForOther(const fv_sched_worker_t *worker,
+                                const fv_sched_stage_t *stage);
+bool FvSched_IsWorkerReserved(const fv_sched_worker_t *worker,
+                              const fv_sched_stage_t *stage);
+void FvSched_LimitToBackfill(const fv_sched_worker_t *worker,
+                             const fv_sched_stage_t *stage,
+                             fv_sched_resources_t *resources);
+void FvSched_NoteBackfill(fv_sched_worker_t *worker,
+                          const fv_sched_task_t *task);
+
 /* sched-pass.c */
 typedef struct fv_sched_load {
     uint32_t workers;
