sched-refuse: refuse jobs that can never run or would have no value

Jobs that no worker could ever hold, and jobs behind a backlog that leaves them no value, were accepted, waited, and took memory and passes. They are now refused with 503. The first kind needs a complete view of the registry in which no worker has left or changed for 5 s, and a service with workers; the second kind counts only work in time that certainly comes before the job, at half of its expected run times, against three times the objective by the longest likely run times. A job that would merely be late is accepted.

All refusals of the leader take their Retry-After from retry-after.c: it grows with the age of the store's outage or with the backlog, and is spread. Refusals are logged at most 50 times a second and have retry_after_s.

--- a/src/cell-leader.h
+++ b/src/cell-leader.h
@@ -14,10 +14,6 @@
  * for which callers may ask about them. */
 #define Fv_RETENTION_MARGIN_MS 60000
 
-/* Retry-After while the store is unavailable. Store outages last seconds, and
- * a caller repeats a request only a few times. */
-#define Fv_STORE_RETRY_AFTER_S "2"
-
 /* A worker sets the pace of its renewals by its wait for the end of a run. One
  * that answers earlier is renewed after this pause. */
 #define Fv_RENEWAL_PAUSE_MS 100
@@ -179,6 +175,7 @@
     int64_t unanswered_stop_ms;   /* when the latest one was sent; 0: none */
     struct event *handover_timer;
     fv_log_quota_t cancel_log;
+    fv_log_quota_t refusal_log;
     fv_log_quota_t excess_log;
     bool reading_registry;
     uint64_t registry_readings; /* begun so far */
@@ -224,6 +221,8 @@
                                  const char *name, int32_t run);
 
 /* leader-requests.c */
+int64_t FvLeaderRequest_OutageWaitMs(const fv_leader_t *leader,
+                                     int64_t now_ms);
 void FvLeaderRequest_ExpireQuestions(fv_leader_t *leader, int64_t now_ms);
 void FvLeaderRequest_Answer(fv_leader_t *leader, fv_verb_t verb,
                             const char *job, int64_t id,
--- a/src/entry.h
+++ b/src/entry.h
@@ -230,6 +230,8 @@
 
 bool FvRecordWriter_Write(fv_record_writer_t *writer,
                           const fv_records_group_t *group);
+int64_t FvRecordWriter_StalledMs(const fv_record_writer_t *writer,
+                                 int64_t now_ms);
 bool FvRecordWriter_Stalled(const fv_record_writer_t *writer, int64_t now_ms);
 void FvRecordWriter_WithdrawUnsent(fv_record_writer_t *writer);
 void FvRecordWriter_NotifyWritten(fv_record_writer_t *writer,
--- a/src/leader-load.c
+++ b/src/leader-load.c
@@ -76,6 +76,10 @@
     fv_leader_t *leader = context;
 
     leader->reading_registry = false;
+    if (!leader->sched.registry_known) {
+        leader->sched.registry_known = true;
+        leader->sched.workers_changed_ms = FvClock_NowMs();
+    }
     FvSched_UnlistMissingWorkers(&leader->sched, leader->registry_readings,
                                  FvClock_NowMs());
     FvLog_Event(Fv_LOG_INFO, "registry_read", "workers=%u",
--- a/src/leader-records.c
+++ b/src/leader-records.c
@@ -3,6 +3,7 @@
  */
 
 #include "cell-leader.h"
+#include "retry-after.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -362,17 +363,22 @@
     fv_sched_job_t *job = FvSched_FindJob(&leader->sched, call->job);
 
     if (job != NULL && !job->durable) {
+        int64_t now_ms = FvClock_NowMs();
+        fv_retry_after_t retry_after;
+
+        FvRetryAfter_Format(FvLeaderRequest_OutageWaitMs(leader, now_ms),
+                            FvSched_Random(&leader->sched), &retry_after);
         FvMetrics_Add(Fv_COUNTER_JOBS_REFUSED, 1);
         FvSched_CountWithdrawnJob(job);
         FvLog_Event(Fv_LOG_INFO, "job_refused",
-                    "job=%s queue=%s cause=store_away", job->id,
-                    job->queue.name);
-        answer_waiters(leader, job, Fv_VERB_SUBMIT,
-                       leader->events.may_send_orders(leader->events.context,
-                                                      FvClock_NowMs())
-                           ? Fv_REPLY_REFUSED
-                           : Fv_REPLY_NOT_READY,
-                       Fv_STORE_RETRY_AFTER_S);
+                    "job=%s queue=%s cause=store_away retry_after_s=%s",
+                    job->id, job->queue.name, retry_after.text);
+        answer_waiters(
+            leader, job, Fv_VERB_SUBMIT,
+            leader->events.may_send_orders(leader->events.context, now_ms)
+                ? Fv_REPLY_REFUSED
+                : Fv_REPLY_NOT_READY,
+            retry_after.text);
         answer_waiters(leader, job, Fv_VERB_CANCEL, Fv_REPLY_NOT_READY, "");
         FvSched_RemoveJob(&leader->sched, job);
     }
--- a/src/leader-requests.c
+++ b/src/leader-requests.c
@@ -3,6 +3,7 @@
  */
 
 #include "cell-leader.h"
+#include "retry-after.h"
 #include "route.h"
 
 #include <inttypes.h>
@@ -11,12 +12,12 @@
 
 /* Retry-After while the accepted jobs take all memory. Most end within
  * seconds, and a caller repeats a request only a few times. */
-#define Fv_MEMORY_RETRY_AFTER_S "5"
+#define Fv_MEMORY_RETRY_MS 5000
 
 /* Retry-After of a job that does not fit under its customer's cap. Only
  * another configuration admits it, which operators write, so that it is long.
  */
-#define Fv_CAP_RETRY_AFTER_S "60"
+#define Fv_CAP_RETRY_MS 60000
 
 /* Retry-After of excess, at random between these. A caller repeats a request
  * four times; together they last for a peak of some 17 s. */
@@ -29,6 +30,13 @@
  * to 2 MB; those beyond are sent again by their hosts. */
 #define Fv_QUESTIONS_MAX 8192
 
+/* Retry-After of a job that was cancelled before it was submitted; it will not
+ * be accepted later either. */
+#define Fv_BARRED_RETRY_AFTER_S "2"
+
+/* Refusals that a flood adds to the log at most; all are counted. */
+#define Fv_REFUSAL_LOG_LINES_PER_S 50
+
 /* Names, numbers and headers of a job's record besides the submission. */
 #define Fv_JOB_RECORD_HEADER_MAX_BYTES 512
 
@@ -68,6 +76,21 @@
     reply(context, &answer);
 }
 
+/**
+ * FvLeaderRequest_OutageWaitMs - after which time to repeat a submission that
+ * an outage of the store has refused
+ * @leader: the leader
+ * @now_ms: the time
+ *
+ * Return: the wait in ms.
+ */
+int64_t
+FvLeaderRequest_OutageWaitMs(const fv_leader_t *leader, int64_t now_ms)
+{
+    return FvRetryAfter_OutageMs(
+        FvRecordWriter_StalledMs(leader->records, now_ms));
+}
+
 static void
 reply_now(fv_leader_t *leader, const fv_cell_message_t *message,
           fv_leader_reply_t reply, void *context, fv_reply_t outcome,
@@ -148,20 +171,51 @@
            FvSchedRecord_ProgressMaxBytes(spec) <= max_bytes;
 }
 
+/* @wait_ms: after which time the job may be accepted; the callers' retries are
+ * spread */
 static void
 refuse(fv_leader_t *leader, const fv_cell_message_t *message,
        fv_leader_reply_t reply, void *context, const char *cause,
-       const char *retry_after_s)
+       int64_t wait_ms)
 {
+    fv_retry_after_t retry_after;
+
+    FvRetryAfter_Format(wait_ms, FvSched_Random(&leader->sched), &retry_after);
     FvMetrics_Add(Fv_COUNTER_JOBS_REFUSED, 1);
-    FvLog_Event(Fv_LOG_INFO, "job_refused",
-                "job=%s queue=%s cause=%s job_memory=%" PRId64
+    FvLog_Event(FvLog_LevelWithin(&leader->refusal_log,
+                                  Fv_REFUSAL_LOG_LINES_PER_S, FvClock_NowMs()),
+                "job_refused",
+                "job=%s queue=%s cause=%s retry_after_s=%s job_memory=%" PRId64
                 " job_memory_max=%" PRId64,
-                message->key, message->name, cause,
+                message->key, message->name, cause, retry_after.text,
                 FvSched_JobMemoryBytes(&leader->sched),
                 leader->sched.job_memory_max_bytes);
     reply_now(leader, message, reply, context, Fv_REPLY_REFUSED,
-              retry_after_s);
+              retry_after.text);
+}
+
+/* Returns whether the job was refused, as it can't be done or not in time. */
+static bool
+refuse_hopeless(fv_leader_t *leader, const fv_cell_message_t *message,
+                const fv_job_spec_t *spec, const fv_cell_queue_t *queue,
+                fv_leader_reply_t reply, void *context)
+{
+    int64_t retry_ms = 0;
+
+    switch (FvSched_CheckSubmission(&leader->sched, spec, queue,
+                                    FvClock_NowMs(), &retry_ms)) {
+    case Fv_REFUSAL_UNFIT:
+        FvMetrics_Add(Fv_COUNTER_JOBS_UNFIT, 1);
+        refuse(leader, message, reply, context, "no_fitting_worker", retry_ms);
+        return true;
+    case Fv_REFUSAL_BACKLOG:
+        FvMetrics_Add(Fv_COUNTER_JOBS_HOPELESS, 1);
+        refuse(leader, message, reply, context, "backlog", retry_ms);
+        return true;
+    case Fv_REFUSAL_NONE:
+    default:
+        return false;
+    }
 }
 
 /* A job that is excess and could not start now. Bursts after a change of
@@ -227,7 +281,7 @@
     if (FvRecordWriter_Stalled(leader->records, now_ms)) {
         FvSched_CountRefusedJob(customer, now_ms);
         refuse(leader, message, reply, context, "store_away",
-               Fv_STORE_RETRY_AFTER_S);
+               FvLeaderRequest_OutageWaitMs(leader, now_ms));
         return;
     }
     if (!FvPlatform_DecodeJobSpec(message->body, message->body_length,
@@ -251,14 +305,17 @@
                                  message->body_length)) {
         FvJobSpec_Clear(&spec);
         FvSched_CountRefusedJob(customer, now_ms);
-        refuse(leader, message, reply, context, "memory",
-               Fv_MEMORY_RETRY_AFTER_S);
+        refuse(leader, message, reply, context, "memory", Fv_MEMORY_RETRY_MS);
         return;
     }
     if (!FvSched_CanFitUnderCap(customer, &spec)) {
         FvJobSpec_Clear(&spec);
         refuse(leader, message, reply, context, "customer_cap",
-               Fv_CAP_RETRY_AFTER_S);
+               Fv_CAP_RETRY_MS);
+        return;
+    }
+    if (refuse_hopeless(leader, message, &spec, queue, reply, context)) {
+        FvJobSpec_Clear(&spec);
         return;
     }
     if (is_refused_excess(leader, customer, queue, &spec)) {
@@ -301,7 +358,7 @@
     else if (message->number == Fv_VERB_SUBMIT) {
         reply_now(leader, message, reply, context,
                   barred ? Fv_REPLY_REFUSED : Fv_REPLY_ACCEPTED,
-                  barred ? Fv_STORE_RETRY_AFTER_S : "");
+                  barred ? Fv_BARRED_RETRY_AFTER_S : "");
     }
     else {
         reply_now(leader, message, reply, context,
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -75,6 +75,12 @@
     [Fv_COUNTER_RESERVATIONS_PAUSED] = {"reservations_paused",
                                         "Times that a gang's reservation was "
                                         "withheld as of no use."},
+    [Fv_COUNTER_JOBS_UNFIT] = {"jobs_unfit",
+                               "Jobs refused, as no worker could "
+                               "ever run them."},
+    [Fv_COUNTER_JOBS_HOPELESS] = {"jobs_hopeless",
+                                  "Jobs refused, as the backlog would leave "
+                                  "them without value."},
     [Fv_COUNTER_DECISIONS] = {"decisions", "Placement decisions."},
     [Fv_COUNTER_CALL_WAITS] = {"call_waits",
                                "Calls that waited for a connection."},
--- a/src/records.c
+++ b/src/records.c
@@ -34,6 +34,10 @@
  * or else to the one with the fewest. */
 #define Fv_STREAM_GROUPS_MAX 8
 
+/* Of all streams, kept for urgent groups; two write some 4,000 jobs a second
+ * with the store's latency of 4 to 15 ms. */
+#define Fv_URGENT_RECORD_STREAMS 2
+
 /* Pause after a batch that the store rejected or did not answer. */
 #define Fv_BATCH_RETRY_MS 60
 
@@ -69,6 +73,7 @@
     bool busy;
     bool unconfirmed; /* the current batch was sent before */
     int64_t sent_ms;
+    int64_t first_sent_ms; /* the current batch, for the first time */
     bool waiting_for_lease;
     uint32_t batch_groups; /* groups in the current batch */
     uint64_t queued;       /* groups ever queued */
@@ -477,6 +482,9 @@
         .key = stream_key, .value = batch, .length = strlen(batch)};
     stream->busy = true;
     stream->sent_ms = FvClock_NowMs();
+    if (!stream->unconfirmed) {
+        stream->first_sent_ms = stream->sent_ms;
+    }
     stream->urgent = false;
     writer->pending_calls++;
     FvKvClient_Txn(writer->kv,
@@ -485,13 +493,17 @@
                    2, puts, used, batch_answered, stream);
 }
 
+/* The last streams take urgent groups only, so that callers do not wait behind
+ * the records that an outage of the store has held up. */
 static uint32_t
-choose_stream(const fv_record_writer_t *writer)
+choose_stream(const fv_record_writer_t *writer, bool urgent)
 {
+    uint32_t count =
+        Fv_RECORD_STREAMS - (urgent ? 0 : Fv_URGENT_RECORD_STREAMS);
     uint32_t best = 0;
     uint64_t best_groups = UINT64_MAX;
 
-    for (uint32_t i = 0; i < Fv_RECORD_STREAMS; i++) {
+    for (uint32_t i = 0; i < count; i++) {
         const fv_record_stream_t *stream = &writer->streams[i];
         uint64_t groups = stream->queued - stream->written;
 
@@ -507,7 +519,7 @@
 }
 
 static fv_order_key_t *
-find_or_add_key(fv_record_writer_t *writer, const char *name)
+find_or_add_key(fv_record_writer_t *writer, const char *name, bool urgent)
 {
     fv_order_key_t *key = NULL;
 
@@ -518,7 +530,7 @@
             abort(); /* records of accepted jobs must not be lost */
         }
         FvText_Copy(key->key, sizeof(key->key), name);
-        key->stream = choose_stream(writer);
+        key->stream = choose_stream(writer, urgent);
         HASH_ADD_STR(writer->keys, key, key);
     }
     return key;
@@ -585,7 +597,8 @@
 FvRecordWriter_Write(fv_record_writer_t *writer,
                      const fv_records_group_t *group)
 {
-    fv_order_key_t *key = find_or_add_key(writer, group->order_key);
+    fv_order_key_t *key =
+        find_or_add_key(writer, group->order_key, group->urgent);
     fv_record_stream_t *stream = &writer->streams[key->stream];
     fv_queued_group_t *waiting = group->replaces && key->groups > 0
                                      ? find_replaceable(stream, key)
@@ -605,6 +618,36 @@
     return true;
 }
 
+static bool
+is_stalled(const fv_record_stream_t *stream, int64_t now_ms)
+{
+    return stream->unconfirmed ||
+           (stream->busy && now_ms - stream->sent_ms > Fv_BATCH_STALLED_MS);
+}
+
+/**
+ * FvRecordWriter_StalledMs - for how long the store has taken no writes
+ * @writer: the writer
+ * @now_ms: the time
+ *
+ * Return: the age of the oldest batch that is unconfirmed or overdue; 0: none.
+ */
+int64_t
+FvRecordWriter_StalledMs(const fv_record_writer_t *writer, int64_t now_ms)
+{
+    int64_t longest_ms = 0;
+
+    for (uint32_t i = 0; i < Fv_RECORD_STREAMS; i++) {
+        const fv_record_stream_t *stream = &writer->streams[i];
+
+        if (is_stalled(stream, now_ms) &&
+            now_ms - stream->first_sent_ms > longest_ms) {
+            longest_ms = now_ms - stream->first_sent_ms;
+        }
+    }
+    return longest_ms;
+}
+
 /**
  * FvRecordWriter_Stalled - whether the store has stopped taking writes
  * @writer: the writer
@@ -616,10 +659,7 @@
 FvRecordWriter_Stalled(const fv_record_writer_t *writer, int64_t now_ms)
 {
     for (uint32_t i = 0; i < Fv_RECORD_STREAMS; i++) {
-        const fv_record_stream_t *stream = &writer->streams[i];
-
-        if (stream->unconfirmed ||
-            (stream->busy && now_ms - stream->sent_ms > Fv_BATCH_STALLED_MS)) {
+        if (is_stalled(&writer->streams[i], now_ms)) {
             return true;
         }
     }
--- a/src/sched-pass.c
+++ b/src/sched-pass.c
@@ -132,8 +132,12 @@
         }
         FvSched_UpdateStartTargets(sched, stage);
         stage->ranked_ms = now_ms;
-        ranked[i++] = (fv_ranked_t){
+        ranked[i] = (fv_ranked_t){
             .stage = stage, .rank = FvSched_RankStage(sched, stage, now_ms)};
+        if (ranked[i].rank.group == Fv_RANK_ON_TIME) {
+            FvSched_AddBacklog(sched, stage);
+        }
+        i++;
     }
 }
 
@@ -175,6 +179,7 @@
     uint32_t count;
 
     sched->dirty = false;
+    FvSched_ClearBacklogs(sched);
     FvSched_UpdateSpeeds(sched, now_ms);
     release_due_occurrences(sched, now_ms, wall_ms);
     count = prune_pending(sched);
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -115,6 +115,9 @@
         FvSched_ResetSpeed(&worker->speed);
         HASH_ADD_STR(sched->workers, entry.id, worker);
     }
+    else if (changed) {
+        sched->workers_changed_ms = now_ms;
+    }
     FvSched_CheckEntryIncarnation(worker, entry, now_ms);
     worker->entry = *entry;
     if (entry->draining && !worker->draining) {
@@ -182,6 +185,9 @@
 void
 FvSched_FreeWorker(fv_sched_t *sched, fv_sched_worker_t *worker)
 {
+    if (worker->unlisted_ms > sched->workers_changed_ms) {
+        sched->workers_changed_ms = worker->unlisted_ms;
+    }
     while (worker->tasks != NULL) {
         FvSched_DetachTask(worker->tasks);
     }
@@ -432,6 +438,21 @@
            !FvSched_HasOrphanRuns(worker, now_ms);
 }
 
+/**
+ * FvSched_HasStepLabel - check whether a worker has the label of a step
+ * @worker: the worker
+ * @step: the step
+ *
+ * Return: true also for a step that needs none.
+ */
+bool
+FvSched_HasStepLabel(const fv_sched_worker_t *worker,
+                     const fv_step_spec_t *step)
+{
+    return step->required_label[0] == '\0' ||
+           has_label(&worker->entry, step->required_label);
+}
+
 /**
  * FvSched_IsWorkerSuitable - check whether a stage's configuration and labels
  * admit a worker
@@ -445,8 +466,7 @@
                          const fv_sched_stage_t *stage)
 {
     return strcmp(worker->entry.service, stage->job->queue.service) == 0 &&
-           (stage->step->required_label[0] == '\0' ||
-            has_label(&worker->entry, stage->step->required_label));
+           FvSched_HasStepLabel(worker, stage->step);
 }
 
 /**
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -372,6 +372,15 @@
 
 #define Fv_QUEUE_ESTIMATES_MAX 64
 
+/* Work of the stages in time that wait, in core-ms; see sched-refuse.c. */
+typedef struct fv_backlog {
+    char service[Fv_NAME_SIZE];
+    int32_t priority;
+    double core_ms;
+} fv_backlog_t;
+
+#define Fv_BACKLOGS_MAX 16
+
 /* The workers' speeds as a whole. */
 typedef struct fv_cell_speeds {
     bool learning;         /* setting learn_worker_speeds */
@@ -401,6 +410,12 @@
      * all tasks have ended, and these gangs in order of their ranks. */
     uint32_t reserved_workers;
     uint32_t reserved_slots;
+    uint32_t backlog_count;
+    fv_backlog_t backlogs[Fv_BACKLOGS_MAX]; /* at the latest pass */
+    /* All workers of the registry are known, and when one of them left or
+     * changed. */
+    bool registry_known;
+    int64_t workers_changed_ms;
     uint32_t reserving_count;
     uint32_t reserving_capacity;
     fv_sched_stage_t **reserving;
@@ -539,12 +554,6 @@
 int32_t FvSched_GangGrade(const fv_grade_capacities_t *capacities,
                           int32_t tasks);
 
-/* sched-waiting.c */
-fv_wait_cause_t FvSched_WaitCause(fv_sched_t *sched,
-                                  const fv_sched_stage_t *stage,
-                                  int64_t now_ms);
-void FvSched_LogWaitingStages(fv_sched_t *sched, int64_t now_ms);
-
 /* sched-record.c: the records in the store. */
 bool FvSchedRecord_EncodeJob(const fv_sched_job_t *job, fv_buffer_t *out);
 bool FvSchedRecord_EncodeProgress(const fv_sched_job_t *job, size_t max_bytes,
@@ -582,6 +591,8 @@
 bool FvSched_IsIncarnationListed(const fv_sched_worker_t *worker);
 bool FvSched_IsWorkerAvailable(const fv_sched_worker_t *worker,
                                int64_t now_ms);
+bool FvSched_HasStepLabel(const fv_sched_worker_t *worker,
+                          const fv_step_spec_t *step);
 bool FvSched_IsWorkerSuitable(const fv_sched_worker_t *worker,
                               const fv_sched_stage_t *stage);
 bool FvSched_IsWorkerEligible(const fv_sched_worker_t *worker,
@@ -751,69 +762,6 @@
                          fv_sched_worker_t *const *asked, uint32_t count,
                          const fv_advice_t *advice, int64_t now_ms);
 
-/* sched-place.c */
-/* A worker that may run tasks of a stage. */
-typedef struct fv_eligible_worker {
-    fv_sched_worker_t *worker;
-    const fv_verdict_t *verdict; /* NULL where no advice is needed */
-} fv_eligible_worker_t;
-
-#define Fv_ANY_TICKET INT64_MIN /* expired ones too */
-
-fv_eligible_worker_t *FvSched_ListEligibleWorkers(
-    const fv_sched_t *sched, const fv_sched_stage_t *stage,
-    int64_t ticket_at_ms, int64_t now_ms, uint32_t *count);
-void FvSched_PlaceStage(fv_sched_t *sched, fv_sched_stage_t *stage,
-                        int64_t now_ms);
-
-/* sched-preempt.c */
-#define Fv_VICTIMS_MAX 64 /* preempted on one worker at one time */
-
-int32_t FvSched_TaskCapacityAfterPreemption(const fv_sched_worker_t *worker,
-                                            const fv_sched_stage_t *gang,
-                                            int64_t now_ms);
-void FvSched_PreemptForGang(fv_sched_t *sched, fv_sched_stage_t *gang,
-                            int64_t now_ms);
-
-/* sched-rank.c */
-typedef enum fv_rank_group {
-    Fv_RANK_ON_TIME,
-    Fv_RANK_LATE,     /* within three times the objective */
-    Fv_RANK_EXCESS,   /* of a customer, which has no value */
-    Fv_RANK_WORTHLESS /* too late for any value */
-} fv_rank_group_t;
-
-typedef struct fv_rank {
-    fv_rank_group_t group;
-    int32_t priority;
-    bool above_share; /* its customer uses more than its weighted share */
-    int64_t target_start_ms;
-    double work; /* left of a late occurrence, in core-ms */
-} fv_rank_t;
-
-fv_rank_t FvSched_RankStage(fv_sched_t *sched, const fv_sched_stage_t *stage,
-                            int64_t now_ms);
-int FvRank_Compare(const fv_rank_t *a, const fv_rank_t *b);
-
-/* sched-reserve.c */
-void FvSched_ClearReservations(fv_sched_t *sched);
-void FvSched_ReserveForGang(fv_sched_t *sched, fv_sched_stage_t *stage,
-                            int64_t now_ms);
-
-/* sched-backfill.c */
-void FvSched_PlanBackfill(fv_sched_t *sched, int64_t now_ms);
-void FvSched_CheckBackfill(fv_sched_worker_t *worker,
-                           const fv_sched_stage_t *gang);
-bool FvSched_IsReservedForOther(const fv_sched_worker_t *worker,
-                                const fv_sched_stage_t *stage);
-bool FvSched_IsWorkerReserved(const fv_sched_worker_t *worker,
-                              const fv_sched_stage_t *stage);
-void FvSched_LimitToBackfill(const fv_sched_worker_t *worker,
-                             const fv_sched_stage_t *stage,
-                             fv_sched_resources_t *resources);
-void FvSched_NoteBackfill(fv_sched_worker_t *worker,
-                          const fv_sched_task_t *task);
-
 /* sched-pass.c */
 typedef struct fv_sched_load {
     uint32_t workers;
@@ -845,4 +793,6 @@
 void FvSched_RunPass(fv_sched_t *sched, int64_t now_ms, int64_t wall_ms);
 uint32_t FvSched_Random(fv_sched_t *sched);
 
+#include "sched-contention.h"
+
 #endif
