--- a/src/election-hosts.c
+++ b/src/election-hosts.c
@@ -120,7 +120,7 @@
     FvKvClient_Txn(
         election->kv, NULL, 0,
         &(fv_kv_put_t){.key = key, .value = value, .length = strlen(value)}, 1,
-        registration_written, election);
+        Fv_KV_TIMEOUT_MS, registration_written, election);
 }
 
 static void
@@ -149,7 +149,8 @@
     snprintf(key, sizeof(key), "%s%s", Fv_KEY_HOSTS, name);
     FvKvClient_Txn(election->kv,
                    &(fv_kv_expect_t){.key = Fv_KEY_LEADER, .revision = epoch},
-                   1, &(fv_kv_put_t){.key = key}, 1, host_removed, election);
+                   1, &(fv_kv_put_t){.key = key}, 1, Fv_KV_TIMEOUT_MS,
+                   host_removed, election);
 }
 
 /* Finds or adds a host's entry; a new host may reuse that of a removed one. */
--- a/src/election.c
+++ b/src/election.c
@@ -303,7 +303,7 @@
              .value = generation,
              .length = strlen(generation)},
             {.key = host_key, .value = host, .length = strlen(host)}},
-        3, claim_written, election);
+        3, Fv_KV_TIMEOUT_MS, claim_written, election);
 }
 
 static void
--- a/src/entry.h
+++ b/src/entry.h
@@ -157,6 +157,10 @@
  * adds up to 40 ms; a renewal that takes longer has failed. */
 #define Fv_KV_RENEW_TIMEOUT_MS 450
 
+/* Time limit of other calls. The platform's store responds in 4 ms, across
+ * regions in 44 ms. When degraded, it takes up to 100 times as long. */
+#define Fv_KV_TIMEOUT_MS 1000
+
 fv_kv_client_t *FvKvClient_New(struct event_base *base, fv_call_pool_t *pool,
                                const char *address);
 void FvKvClient_Free(fv_kv_client_t *kv);
@@ -166,7 +170,8 @@
                     void *context);
 void FvKvClient_Txn(fv_kv_client_t *kv, const fv_kv_expect_t *expects,
                     uint32_t expect_count, const fv_kv_put_t *puts,
-                    uint32_t put_count, fv_kv_done_t done, void *context);
+                    uint32_t put_count, int64_t timeout_ms, fv_kv_done_t done,
+                    void *context);
 void FvKvClient_Grant(fv_kv_client_t *kv, int64_t ttl_ms, fv_kv_done_t done,
                       void *context);
 void FvKvClient_Renew(fv_kv_client_t *kv, int64_t lease, fv_kv_done_t done,
--- a/src/forwarding.c
+++ b/src/forwarding.c
@@ -14,6 +14,57 @@
  * is left for the caller's retry at another host. */
 #define Fv_TIME_OUT_SHARE 0.6
 
+/* Refusals that are further apart belong to different outages. Callers come
+ * back within 6 s (retry-after.c). */
+#define Fv_OUTAGE_GAP_MS 8000
+
+/**
+ * FvOutage_Refused - note that a request is refused without a leader
+ * @outage: the outage; all 0 when a leader has answered since the last one
+ * @now_ms: the time
+ */
+void
+FvOutage_Refused(fv_outage_t *outage, int64_t now_ms)
+{
+    if (outage->since_ms == 0 ||
+        now_ms - outage->latest_ms > Fv_OUTAGE_GAP_MS) {
+        outage->since_ms = now_ms - Fv_UNSENT_WAIT_MAX_MS;
+    }
+    outage->latest_ms = now_ms;
+}
+
+/**
+ * FvOutage_Answered - note that a leader has answered a request
+ * @outage: the outage, which ends unless the answer is that it does not lead
+ * @reply: the answer
+ */
+void
+FvOutage_Answered(fv_outage_t *outage, fv_reply_t reply)
+{
+    if (reply != Fv_REPLY_NOT_READY) {
+        *outage = (fv_outage_t){0};
+    }
+}
+
+/**
+ * FvOutage_RetryAfter - format the Retry-After of a refusal
+ * @outage: the outage; all 0: there is none
+ * @now_ms: the time
+ * @text: receives the value, which is spread
+ *
+ * Return: @text->text.
+ */
+const char *
+FvOutage_RetryAfter(const fv_outage_t *outage, int64_t now_ms,
+                    fv_retry_after_t *text)
+{
+    int64_t age_ms = outage->since_ms != 0 ? now_ms - outage->since_ms : 0;
+    /* Knuth's multiplicative hash. */
+    uint32_t random = (uint32_t)FvClock_NowNs() * UINT32_C(2654435761) >> 12;
+
+    return FvRetryAfter_Format(FvRetryAfter_OutageMs(age_ms), random, text);
+}
+
 /**
  * FvForwarding_Sent - note that the request was sent to a leader
  * @forwarding: the request's state
--- a/src/forwarding.h
+++ b/src/forwarding.h
@@ -6,6 +6,7 @@
 #define FORWARDING_H
 
 #include "entry.h"
+#include "retry-after.h"
 
 typedef enum fv_forwarding_step {
     Fv_FORWARDING_WAIT,    /* the leader is processing it */
@@ -21,6 +22,16 @@
     bool outcome_unknown; /* sent to an earlier leader that did not answer */
 } fv_forwarding_t;
 
+/* A time in which requests were refused without a leader's answer. */
+typedef struct fv_outage {
+    int64_t since_ms;  /* 0: none */
+    int64_t latest_ms; /* refusal */
+} fv_outage_t;
+
+void FvOutage_Refused(fv_outage_t *outage, int64_t now_ms);
+const char *FvOutage_RetryAfter(const fv_outage_t *outage, int64_t now_ms,
+                                fv_retry_after_t *text);
+void FvOutage_Answered(fv_outage_t *outage, fv_reply_t reply);
 void FvForwarding_Sent(fv_forwarding_t *forwarding);
 void FvForwarding_LeaderLost(fv_forwarding_t *forwarding);
 void FvForwarding_NotExecuted(fv_forwarding_t *forwarding);
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -5,6 +5,7 @@
  * leader is being elected it holds the request.
  */
 
+#include "caller-answer.h"
 #include "caller-connection.h"
 #include "entry.h"
 #include "forwarding.h"
@@ -17,7 +18,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define Fv_RETRY_AFTER_S "1"
 #define Fv_SWEEP_MS 50
 
 /* A request with a longer deadline is answered as if it had this one. The
@@ -57,6 +57,7 @@
     struct event *sweep;
     fv_frontend_request_t *requests;
     int64_t last_id;
+    fv_outage_t outage; /* of all leaders */
     fv_log_quota_t cancel_log;
     fv_log_quota_t refusal_log;
     fv_log_quota_t key_log;
@@ -65,22 +66,13 @@
     bool refusing; /* the process is about to end */
 };
 
-static void
-add_retry_after(struct evhttp_request *http, const char *seconds)
-{
-    struct evkeyvalq *headers = evhttp_request_get_output_headers(http);
-
-    if (evhttp_find_header(headers, "Retry-After") == NULL) {
-        evhttp_add_header(headers, "Retry-After", seconds);
-    }
-}
-
 static void
 send_reply(fv_frontend_t *frontend, struct evhttp_request *http, int status,
            const char *reason, const char *body)
 {
     struct evkeyvalq *headers = evhttp_request_get_output_headers(http);
     struct evbuffer *buffer = evbuffer_new();
+    fv_retry_after_t text;
 
     if (body != NULL && buffer != NULL) {
         if (evhttp_find_header(headers, "Content-Type") == NULL) {
@@ -89,7 +81,9 @@
         evbuffer_add(buffer, body, strlen(body));
     }
     if (status == 429 || status == 503) {
-        add_retry_after(http, Fv_RETRY_AFTER_S);
+        FvCallerAnswer_AddRetryAfter(
+            http,
+            FvOutage_RetryAfter(&frontend->outage, FvClock_NowMs(), &text));
     }
     /* What the caller has sent on is served before the connection ends. */
     if (frontend->draining && !FvCallerConnections_HasInput(http)) {
@@ -101,20 +95,6 @@
     }
 }
 
-/* Prepares an answer that tells its cause. The caller frees the body. */
-static char *
-start_problem(struct evhttp_request *http, int status, const char *title,
-              const char *detail)
-{
-    struct evkeyvalq *headers = evhttp_request_get_output_headers(http);
-
-    evhttp_add_header(headers, "Content-Type", FvPlatform_ProblemType);
-    if (status == 401) {
-        evhttp_add_header(headers, "WWW-Authenticate", FvPlatform_KeyHeader);
-    }
-    return FvPlatform_EncodeProblem(status, title, detail);
-}
-
 static fv_log_level_t
 answer_log_level(fv_frontend_t *frontend, const fv_frontend_request_t *request,
                  int status)
@@ -179,9 +159,9 @@
                 "key_refused", "job=%s queue=%s cause=%s config_version=%lld",
                 job, queue, missing ? "no_key" : "unknown_key",
                 (long long)frontend->config->version);
-    return start_problem(http, 401, "Unauthorized",
-                         missing ? "the request has no key"
-                                 : "the key is not known");
+    return FvCallerAnswer_StartProblem(http, 401, "Unauthorized",
+                                       missing ? "the request has no key"
+                                               : "the key is not known");
 }
 
 /* Checks a request again that is about to be sent by another configuration
@@ -428,6 +408,7 @@
             forward_request(frontend, request);
             break;
         case Fv_FORWARDING_REJECT:
+            FvOutage_Refused(&frontend->outage, now_ms);
             end_request(frontend, request, 503, "No Leader", NULL, "");
             break;
         case Fv_FORWARDING_TIME_OUT:
@@ -715,8 +696,9 @@
 refuse_customer(fv_frontend_t *frontend, fv_frontend_request_t *request,
                 const char *leader)
 {
-    char *body = start_problem(request->http, 403, "Forbidden",
-                               "the job belongs to another customer");
+    char *body =
+        FvCallerAnswer_StartProblem(request->http, 403, "Forbidden",
+                                    "the job belongs to another customer");
 
     FvMetrics_Add(Fv_COUNTER_CUSTOMERS_REFUSED, 1);
     FvLog_Event(FvLog_LevelWithin(&frontend->key_log,
@@ -751,6 +733,7 @@
                     (int)request->verb, (int)message->number);
         return;
     }
+    FvOutage_Answered(&frontend->outage, (fv_reply_t)message->number);
     switch ((fv_reply_t)message->number) {
     case Fv_REPLY_ACCEPTED:
         end_request(frontend, request, 200, "OK", "{}", message->key);
@@ -770,7 +753,7 @@
         end_request(frontend, request, 410, "Gone", NULL, message->key);
         break;
     case Fv_REPLY_REFUSED:
-        add_retry_after(request->http, message->name);
+        FvCallerAnswer_AddRetryAfter(request->http, message->name);
         end_request(frontend, request, 503, "Not Accepted", NULL,
                     message->key);
         break;
@@ -778,7 +761,7 @@
         end_request(frontend, request, 400, "Bad Request", NULL, message->key);
         break;
     case Fv_REPLY_EXCESS:
-        add_retry_after(request->http, message->name);
+        FvCallerAnswer_AddRetryAfter(request->http, message->name);
         end_request(frontend, request, 429, "Too Many Requests", NULL,
                     message->key);
         break;
--- a/src/kv-client.c
+++ b/src/kv-client.c
@@ -8,10 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* The platform's store responds in 4 ms, across regions in 44 ms. When
- * degraded, it takes up to 100 times as long. */
-#define Fv_KV_TIMEOUT_MS 1000
-
 /* Long-poll time of a watch. A dead connection goes unnoticed for this long,
  * which must be well below 6.5 s, the sum of the platform's time limits for
  * applying a configuration and for a loss of contact with a host. */
@@ -258,20 +254,22 @@
  * @expect_count: number of expected revisions
  * @puts: the writes
  * @put_count: number of writes
+ * @timeout_ms: time limit of the answer
  * @done: called with the revision or, on a conflict, the expected keys' items
  * @context: passed to @done
  */
 void
 FvKvClient_Txn(fv_kv_client_t *kv, const fv_kv_expect_t *expects,
                uint32_t expect_count, const fv_kv_put_t *puts,
-               uint32_t put_count, fv_kv_done_t done, void *context)
+               uint32_t put_count, int64_t timeout_ms, fv_kv_done_t done,
+               void *context)
 {
     fv_call_t call;
 
     FvMetrics_Add(Fv_COUNTER_STORE_WRITES, 1);
     FvPlatform_KvTxn(&call, expects, expect_count, puts, put_count);
-    send_call(kv, &call, Fv_KV_RESPONSE_REVISION, Fv_CALL_START,
-              Fv_KV_TIMEOUT_MS, done, context);
+    send_call(kv, &call, Fv_KV_RESPONSE_REVISION, Fv_CALL_START, timeout_ms,
+              done, context);
 }
 
 /**
--- a/src/records.c
+++ b/src/records.c
@@ -41,6 +41,11 @@
 /* Pause after a batch that the store rejected or did not answer. */
 #define Fv_BATCH_RETRY_MS 60
 
+/* A repeated batch is given up sooner, so that one that was lost in an outage
+ * does not hold up submissions for long after it. A slow store answers within
+ * 400 ms, and each repetition has a chance. */
+#define Fv_BATCH_REPEATED_TIMEOUT_MS Fv_KV_RENEW_TIMEOUT_MS
+
 /* Records of ended jobs share a lease. Its TTL is this multiple of the
  * retention time, and it is replaced when less than one retention time is
  * left. */
@@ -490,7 +495,10 @@
     FvKvClient_Txn(writer->kv,
                    (fv_kv_expect_t[]){{Fv_KEY_LEADER, writer->owner.epoch},
                                       {stream_key, stream->revision}},
-                   2, puts, used, batch_answered, stream);
+                   2, puts, used,
+                   stream->unconfirmed ? Fv_BATCH_REPEATED_TIMEOUT_MS
+                                       : Fv_KV_TIMEOUT_MS,
+                   batch_answered, stream);
 }
 
 /* The last streams take urgent groups only, so that callers do not wait behind
--- a/tests/unit/fake_kv.h
+++ b/tests/unit/fake_kv.h
@@ -33,6 +33,7 @@
     fake_kv_kind_t kind;
     char expected_key[Fv_KEY_SIZE]; /* the first condition */
     int64_t expected_revision;
+    int64_t timeout_ms;
     uint32_t put_count;
     fake_kv_put_t puts[FAKE_KV_PUTS_MAX];
     fv_kv_done_t done;
@@ -146,11 +147,13 @@
 void
 FvKvClient_Txn(fv_kv_client_t *kv, const fv_kv_expect_t *expects,
                uint32_t expect_count, const fv_kv_put_t *puts,
-               uint32_t put_count, fv_kv_done_t done, void *context)
+               uint32_t put_count, int64_t timeout_ms, fv_kv_done_t done,
+               void *context)
 {
     fake_kv_call_t *call = fake_kv_add(FAKE_KV_TXN, done, context);
 
     (void)kv;
+    call->timeout_ms = timeout_ms;
     if (expect_count > 0) {
         FvText_Copy(call->expected_key, sizeof(call->expected_key),
                     expects[0].key);
--- a/tests/unit/forwarding_test.c
+++ b/tests/unit/forwarding_test.c
@@ -6,6 +6,8 @@
 #include "forwarding.h"
 #include "suite.h"
 
+#include <stdlib.h>
+
 #define ARRIVED_MS 10000
 #define TIMEOUT_MS 3000
 
@@ -101,6 +103,52 @@
     CU_ASSERT_TRUE(FvForwarding_AcceptsReply(Fv_REPLY_STATE, false));
 }
 
+static int64_t
+retry_after_s(const fv_outage_t *outage, int64_t now_ms)
+{
+    fv_retry_after_t text;
+
+    return strtol(FvOutage_RetryAfter(outage, now_ms, &text), NULL, 10);
+}
+
+/* The store is away, and no host leads: the wait grows with the outage, and
+ * begins anew after an answer or a long pause. */
+static void
+test_wait_grows_with_the_outage(void)
+{
+    fv_outage_t outage = {0};
+
+    CU_ASSERT(retry_after_s(&outage, 1000000) <= 2);
+    for (int64_t now_ms = 1000000; now_ms <= 1010000; now_ms += 500) {
+        FvOutage_Refused(&outage, now_ms);
+    }
+    CU_ASSERT(retry_after_s(&outage, 1010000) >= 4);
+    CU_ASSERT(retry_after_s(&outage, 1010000) <= 6);
+    FvOutage_Answered(&outage, Fv_REPLY_NOT_READY);
+    CU_ASSERT(retry_after_s(&outage, 1010000) >= 4);
+    FvOutage_Answered(&outage, Fv_REPLY_ACCEPTED);
+    CU_ASSERT(retry_after_s(&outage, 1010000) <= 2);
+    FvOutage_Refused(&outage, 1020000);
+    FvOutage_Refused(&outage, 1090000);
+    CU_ASSERT(retry_after_s(&outage, 1090000) <= 2);
+}
+
+/* Most of an outage's callers come back at the same moment. */
+static void
+test_retries_are_spread(void)
+{
+    fv_outage_t outage = {.since_ms = 1000000, .latest_ms = 1008000};
+    uint32_t counts[8] = {0};
+
+    for (int i = 0; i < 300; i++) {
+        int64_t value_s = retry_after_s(&outage, 1008000);
+
+        CU_ASSERT_FATAL(value_s >= 4 && value_s <= 6);
+        counts[value_s]++;
+    }
+    CU_ASSERT(counts[4] < 200 && counts[5] < 200 && counts[6] < 200);
+}
+
 int
 main(void)
 {
@@ -117,6 +165,10 @@
          test_request_of_a_lost_leader_is_sent_again},
         {"a rejection by an earlier leader reaches the caller",
          test_rejection_by_an_earlier_leader},
+        {"callers come back while an outage goes on, or long after its end",
+         test_wait_grows_with_the_outage},
+        {"callers that an outage refused come back at the same moment",
+         test_retries_are_spread},
     };
 
     return Fv_RUN_SUITE("forwarding", cases);
--- a/tests/unit/records_test.c
+++ b/tests/unit/records_test.c
@@ -175,6 +175,67 @@
     close_writer();
 }
 
+static void
+write_progress(uint32_t jobs, outcome_t *outcome)
+{
+    char job[Fv_JOB_ID_SIZE];
+
+    for (uint32_t i = 1; i <= jobs; i++) {
+        fv_record_t entry = {0};
+
+        snprintf(job, sizeof(job), "%016x", 0x1000 + i);
+        snprintf(entry.key, sizeof(entry.key), "%s%s", Fv_KEY_PROGRESS, job);
+        FvRecordWriter_Write(writer,
+                             &(fv_records_group_t){.order_key = job,
+                                                   .entries = &entry,
+                                                   .count = 1,
+                                                   .done = done,
+                                                   .context = outcome});
+    }
+}
+
+/* An outage of the store has held up many records of progress. */
+static void
+test_submission_does_not_wait_for_other_records(void)
+{
+    outcome_t held_up = {0};
+    outcome_t submission = {0};
+
+    open_writer();
+    write_progress(2000, &held_up);
+    write_group(JOB, "accepted", false, &submission);
+    fake_kv_run_loop(base, 50);
+    for (uint32_t i = 0; i < fake_kv.count; i++) {
+        fake_kv_answer(
+            &fake_kv.calls[i],
+            (fv_kv_result_t){.error = Fv_KV_OK, .revision = 20 + i});
+    }
+    CU_ASSERT_EQUAL(submission.done, 1);
+    CU_ASSERT(held_up.done < 400);
+    close_writer();
+}
+
+/* The call that repeats a batch is lost as well: it is given up before an
+ * ordinary call would be. */
+static void
+test_repeated_batch_is_given_up_early(void)
+{
+    outcome_t outcome = {0};
+    int64_t first_ms;
+
+    open_writer();
+    write_group(JOB, "one", false, &outcome);
+    fake_kv_run_loop(base, 50);
+    first_ms = fake_kv_latest(FAKE_KV_TXN)->timeout_ms;
+    CU_ASSERT_EQUAL(FvRecordWriter_StalledMs(writer, FvClock_NowMs()), 0);
+    fake_kv_answer(fake_kv_latest(FAKE_KV_TXN),
+                   (fv_kv_result_t){.error = Fv_KV_UNCONFIRMED});
+    fake_kv_run_loop(base, 100);
+    CU_ASSERT(fake_kv_latest(FAKE_KV_TXN)->timeout_ms <= first_ms / 2);
+    CU_ASSERT(FvRecordWriter_StalledMs(writer, FvClock_NowMs()) >= 100);
+    close_writer();
+}
+
 int
 main(void)
 {
@@ -185,6 +246,10 @@
          test_deposed_leader_stops_writing},
         {"a record is withdrawn although a later one depends on it",
          test_withdrawal_keeps_records_with_dependents},
+        {"a submission waits behind the records that an outage held up",
+         test_submission_does_not_wait_for_other_records},
+        {"a call that was lost in an outage holds up submissions after it",
+         test_repeated_batch_is_given_up_early},
     };
 
     return Fv_RUN_SUITE("records", cases);
