--- a/tests/bench/load.c
+++ b/tests/bench/load.c
@@ -4,7 +4,8 @@
  * burst of each queue at a crest, on equal workers and with a third of slow
  * ones.
  *
- * load [SEEDS [BURSTS]]: BURSTS are initials of queues, n for none.
+ * load [SEEDS [BURSTS [CELLS]]]: BURSTS are initials of queues, n for none; a
+ * cell of CELLS times the size runs for the first crest only.
  */
 
 #include "load-sim.h"
@@ -20,7 +21,7 @@
 
 static void
 run(const char *name, uint64_t seed, double scale, bool slow,
-    const double *factors)
+    const double *factors, uint32_t cells)
 {
     load_plan_t plan;
     load_result_t result;
@@ -33,6 +34,14 @@
             (int64_t)((double)plan.queues[q].run_ms * scale);
         plan.burst_factors[q] = factors[q];
     }
+    if (cells > 1) { /* only the first crest, for the cost of the passes */
+        plan.workers *= cells;
+        plan.traffic_ms = plan.swing_period_ms / 2;
+        plan.last_ms = plan.traffic_ms;
+        for (uint32_t q = 0; q < plan.queue_count; q++) {
+            plan.queues[q].jobs_per_s *= cells;
+        }
+    }
     FvLoadSim_Run(&plan, &result);
     printf("-- %s, %s workers, seed %u\n", name, slow ? "unequal" : "equal",
            (unsigned)seed);
@@ -47,6 +56,7 @@
         {1.0, 2.2, 1.0}, {1.0, 1.0, 2.2}, {2.2, 1.0, 1.0}, {1.0, 1.0, 1.0}};
     static const char *const names[] = {"gangs x 2.2", "batch x 2.2",
                                         "urgent x 2.2", "no burst"};
+    uint32_t cells = argc > 3 ? (uint32_t)strtoul(argv[3], NULL, 10) : 1;
     uint64_t seeds = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
 
     for (uint64_t seed = 1; seed <= seeds; seed++) {
@@ -54,8 +64,8 @@
             if (argc > 2 && strchr(argv[2], names[i][0]) == NULL) {
                 continue;
             }
-            run(names[i], seed, EQUAL_SCALE, false, crests[i]);
-            run(names[i], seed, SLOW_SCALE, true, crests[i]);
+            run(names[i], seed, EQUAL_SCALE, false, crests[i], cells);
+            run(names[i], seed, SLOW_SCALE, true, crests[i], cells);
         }
     }
     return 0;
