--- a/src/sched-backfill.c
+++ b/src/sched-backfill.c
@@ -121,7 +121,8 @@
         plan->end_capacity = capacity;
     }
     plan->end_count = 0;
-    for (const fv_sched_task_t *task = worker->tasks; task != NULL;
+    for (const fv_sched_task_t *task = worker->tasks;
+         task != NULL && plan->end_count < plan->end_capacity;
          task = task->worker_next) {
         if (!task->stage->step->long_running) {
             plan->ends[plan->end_count++] = (fv_expected_end_t){
--- a/tests/harness/load-sim.c
+++ b/tests/harness/load-sim.c
@@ -166,8 +166,9 @@
     FvText_Copy(advice->job, sizeof(advice->job), stage->job->id);
     advice->step = stage->step_index;
     advice->count = count;
-    memcpy((void *)advice->workers, (const void *)workers,
-           count * sizeof(*workers));
+    for (uint32_t i = 0; i < count; i++) {
+        advice->workers[i] = workers[i];
+    }
     sim->result->advice_calls++;
     return true;
 }
--- a/tests/unit/sched_backfill_test.c
+++ b/tests/unit/sched_backfill_test.c
@@ -236,6 +236,49 @@
     FvSchedFixture_Close(&fixture);
 }
 
+/* A gang that can no longer meet its objective gives its workers back. */
+static void
+test_late_gang_reserves_nothing(void)
+{
+    fv_sched_stage_t *stage;
+
+    open_waiting_gang(TASKS_OF(2, 2500, 600000));
+    stage = &FvSched_FindJob(&fixture.sched, GANG)->occurrences[0]->stages[0];
+    CU_ASSERT_EQUAL(starts_of(SHORT, TASKS_OF(2, 1500, 60000)), 0);
+    fixture.now_ms = stage->late_after_ms + 1;
+    FvSchedFixture_RunPass(&fixture);
+    CU_ASSERT_EQUAL(FvSchedFixture_CountStarts(&fixture, SHORT), 2);
+    FvSchedFixture_Close(&fixture);
+}
+
+/* A reservation that was withheld as of no use is made again after 3 s. */
+static void
+test_reservation_returns_after_the_pause(void)
+{
+    fv_sched_stage_t *stage;
+    int64_t paused_ms = 0;
+    int64_t again_ms = 0;
+
+    open_waiting_gang(TASKS_OF(2, 1500, 600000)); /* less than half in use */
+    stage = &FvSched_FindJob(&fixture.sched, GANG)->occurrences[0]->stages[0];
+    for (int i = 0; i < 120 && again_ms == 0; i++) {
+        bool reserved;
+
+        fixture.now_ms += 50;
+        FvSchedFixture_RunPass(&fixture);
+        reserved = fixture.sched.workers->reserved_for == stage;
+        if (!reserved && paused_ms == 0) {
+            paused_ms = fixture.now_ms;
+        }
+        if (reserved && paused_ms != 0) {
+            again_ms = fixture.now_ms;
+        }
+    }
+    CU_ASSERT(paused_ms != 0);
+    CU_ASSERT_EQUAL(again_ms - paused_ms, 3000);
+    FvSchedFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
@@ -255,6 +298,10 @@
          test_gang_larger_than_its_kind_reserves_nothing},
         {"a gang that waits for one long task keeps a quiet cell idle",
          test_quiet_cell_is_not_withheld},
+        {"a gang that is late keeps its workers from others",
+         test_late_gang_reserves_nothing},
+        {"a gang loses its reservation for good",
+         test_reservation_returns_after_the_pause},
     };
 
     return Fv_RUN_SUITE("sched_backfill", cases);
