--- a/review/common-3/driver.c
+++ b/review/common-3/driver.c
@@ -21,6 +21,7 @@
 #include <unistd.h>
 
 #define READY_MS 30000
+#define PLAY_MAX_S 118
 #define SITE_MEMORY_MB 260  /* kotuku-cs */
 #define SMALL_MEMORY_MB 120 /* the smallest machines of lakeshore-actv */
 #define ANSWER_MAX 4096
@@ -476,6 +477,9 @@
     const named_case_t *played = argc == 4 ? find_case(argv[1]) : NULL;
     int code = 2;
 
+    /* Ends with its script, and the hosts end with it. */
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    alarm(PLAY_MAX_S);
     if (played == NULL) {
         fputs("usage: driver CASE RECORD DIRECTORY\n", stderr);
         return 2;
